Lay out packages, ports and interfaces

Cause: nothing exists yet; slices are to be written side by side. Conclusion: the interfaces are fixed enough to start on each slice.

--- /dev/null
+++ b/cmd/sloelift/main.go
@@ -0,0 +1,4 @@
+// Command sloelift is described in docs/architecture.md.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,76 @@
+package ledger
+
+import "context"
+
+// PartitionID names a partition of the ledger, 0 to the number of partitions - 1.
+type PartitionID uint32
+
+// Position is the index of a record in its partition's log, from 1.
+type Position uint64
+
+// Record is one entry of a log; its payload is made and read by the slice that owns Kind.
+type Record struct {
+	Kind    RecordKind
+	Payload []byte
+}
+
+// RecordKind tells which message a record's payload holds.
+type RecordKind uint16
+
+// Record kinds. Their payloads are messages of api/proto/job.
+const (
+	KindJobAccepted RecordKind = iota + 1
+	KindItemAttempt
+	KindItemCompleted
+	KindJobCancelled
+	KindKeyClaimed
+	KindKeyCompleted
+	KindJobExpired
+	// KindNoOperation fills a position that recovery must write without a record.
+	KindNoOperation
+)
+
+// Owned is a partition that this node owns under one ballot. Its methods are safe
+// for concurrent use and fail with ReasonNotOwner once the ballot is lost.
+type Owned interface {
+	Partition() PartitionID
+	// Append returns once all records are synced on a write quorum, in one batch, in
+	// order; the result is the position of the first. An *outcome.Error with NotRun
+	// means that they are not and never will be in the log; Indeterminate means that they may be.
+	Append(ctx context.Context, records []Record) (Position, error)
+	// Read returns records from position from on, in order, at most maxBytes of payload but
+	// at least one; it serves bulk data from disk so that it need not live in memory.
+	Read(ctx context.Context, from Position, maxBytes int) ([]Record, error)
+	// Lost is closed when the node no longer owns the partition.
+	Lost() <-chan struct{}
+}
+
+// StateMachine is built from a partition's log by the slice that uses it.
+type StateMachine interface {
+	// Restore is called first, with the latest snapshot or nil; then Apply is called with
+	// every record behind the snapshot, in order, before the partition serves. Each new
+	// ownership starts with a new StateMachine.
+	Restore(snapshot []byte) error
+	Apply(position Position, record Record) error
+	// Serve is called once all records are applied; owned appends go through it.
+	// From here on the user applies its own appended records.
+	Serve(owned Owned)
+	// Snapshot returns the state up to and with the record at upTo. Records below
+	// keepFrom are never read again and may be trimmed; those from keepFrom to upTo stay readable.
+	Snapshot() (upTo, keepFrom Position, state []byte, err error)
+	// Stop is called when ownership is lost; the state is dropped.
+	Stop()
+}
+
+// Factory makes the state machine of a partition that this node comes to own.
+type Factory func(partition PartitionID) StateMachine
+
+// Locator tells which node owns a partition, as far as this node knows.
+type Locator interface {
+	// Partitions returns the fixed number of partitions.
+	Partitions() int
+	// PartitionOf hashes a key to its partition.
+	PartitionOf(key string) PartitionID
+	// Owner returns the peer address of the last known owner; ok is false where none is known.
+	Owner(partition PartitionID) (address string, ok bool)
+}
--- /dev/null
+++ b/internal/membership/member.go
@@ -0,0 +1,72 @@
+package membership
+
+import "net/netip"
+
+// NodeID names a node for as long as its settings live.
+type NodeID string
+
+// State is what is known of a member.
+type State int
+
+// States of a member, in the order in which they override each other within one incarnation.
+const (
+	Alive State = iota
+	Leaving
+	Suspect
+	Dead
+)
+
+// Member is one node as this node knows it.
+type Member struct {
+	ID NodeID
+	// Incarnation rises with each start of the node's process and with each refuted suspicion.
+	Incarnation uint64
+	Region      string
+	Zone        string
+	// PeerAddress is the transport's address, AdminAddress the operators'.
+	PeerAddress  netip.AddrPort
+	AdminAddress netip.AddrPort
+	// Store says that the node has a data folder and can be a member of ensembles.
+	Store bool
+	// StoreIncarnation names the disk's content; a lost disk comes back under another one.
+	StoreIncarnation string
+	State            State
+	// ConfigRevision is the configuration revision in force there, as last heard.
+	ConfigRevision int64
+}
+
+// View is an immutable snapshot of all members, this node among them, sorted by ID.
+type View struct {
+	Self    NodeID
+	Version uint64
+	Members []Member
+}
+
+// Viewer gives the present view; it is safe for concurrent use.
+type Viewer interface {
+	View() *View
+	// Subscribe calls notify after each change until the returned function is called.
+	// notify must not block.
+	Subscribe(notify func(*View)) (unsubscribe func())
+}
+
+// Live returns the members that are Alive or Suspect, that is, not known to be gone or going.
+func (v *View) Live() []Member {
+	var live []Member
+	for _, member := range v.Members {
+		if member.State == Alive || member.State == Suspect {
+			live = append(live, member)
+		}
+	}
+	return live
+}
+
+// Find returns the member with the given id.
+func (v *View) Find(id NodeID) (Member, bool) {
+	for _, member := range v.Members {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
--- /dev/null
+++ b/lab/platform/doc.go
@@ -0,0 +1,3 @@
+// Package platform is the stand-in for what the operators' platform gives: the
+// key-value service, the machine list and the weight store, with faults.
+package platform
--- /dev/null
+++ b/lab/report/doc.go
@@ -0,0 +1,2 @@
+// Package report turns the results of experiments into pages with plots.
+package report
