--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -81,3 +81,25 @@
 	// Results streams the completed items' results from the given index, in item order.
 	Results(ctx context.Context, tenant, id string, from int, yield func(ItemResult) error) error
 }
+
+// File is an uploaded file.
+type File struct {
+	ID        string
+	Tenant    string
+	Name      string
+	Purpose   string
+	Bytes     int64
+	CreatedAt time.Time
+}
+
+// FileStore keeps uploaded files durably until they are deleted or expire. Errors
+// are *outcome.Error. It is safe for concurrent use.
+type FileStore interface {
+	// Put returns once the whole content is durable.
+	Put(ctx context.Context, tenant, name, purpose string, content io.Reader) (File, error)
+	Get(ctx context.Context, tenant, id string) (File, error)
+	// Read streams the content.
+	Read(ctx context.Context, tenant, id string, to io.Writer) error
+	Delete(ctx context.Context, tenant, id string) error
+	List(ctx context.Context, tenant string, after string, limit int) ([]File, error)
+}
