Add the adapters to the platform and their stand-ins

Cause: the ports to the key-value service, machine list and weight store had no adapter. Conclusion: one test suite passes on the stand-in in process and through the adapter.

--- /dev/null
+++ b/internal/platform/fx.go
@@ -0,0 +1,40 @@
+package platform
+
+import (
+	"context"
+
+	"go.uber.org/fx"
+
+	"github.com/sloelift/sloelift/internal/settings"
+)
+
+// Module provides KeyValue, MachineList and WeightStore from the settings. Nothing
+// connects at start, so a node starts while the platform is down.
+var Module = fx.Module("platform",
+	fx.Provide(provideKeyValue, provideMachineList, provideWeightStore),
+)
+
+func provideKeyValue(lifecycle fx.Lifecycle, node settings.Settings) KeyValue {
+	adapter := NewKeyValueHTTP(node.Platform.KeyValue, node.Platform.KeyValueRequestsPerSecond)
+	closeAtStop(lifecycle, adapter.Close)
+	return adapter
+}
+
+func provideMachineList(lifecycle fx.Lifecycle, node settings.Settings) MachineList {
+	adapter := NewMachineListHTTP(node.Platform.MachineList)
+	closeAtStop(lifecycle, adapter.Close)
+	return adapter
+}
+
+func provideWeightStore(lifecycle fx.Lifecycle, node settings.Settings) WeightStore {
+	adapter := NewWeightStoreHTTP(node.Platform.WeightStore)
+	closeAtStop(lifecycle, adapter.Close)
+	return adapter
+}
+
+func closeAtStop(lifecycle fx.Lifecycle, closeAdapter func()) {
+	lifecycle.Append(fx.Hook{OnStop: func(context.Context) error {
+		closeAdapter()
+		return nil
+	}})
+}
--- /dev/null
+++ b/internal/platform/http_caller.go
@@ -0,0 +1,179 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/sloelift/sloelift/internal/platform/etcdjson"
+)
+
+const (
+	// dialTimeout bounds the connecting to one address, so that a silent one does not use up the caller's time.
+	dialTimeout = 2 * time.Second
+	// maxErrorBody bounds what is read of an error's body.
+	maxErrorBody = 64 << 10
+	// maxAnswerBody bounds one answer.
+	maxAnswerBody = 64 << 20
+	// idleConnectionsPerHost keeps this many connections open to one address.
+	idleConnectionsPerHost = 4
+)
+
+// effect says whether a call may change something, which decides what a missing answer means.
+type effect bool
+
+const (
+	readsOnly effect = false
+	changes   effect = true
+)
+
+// httpCaller makes HTTP JSON calls to one of several addresses of one service. It
+// stays with the address that answered last.
+type httpCaller struct {
+	client    *http.Client
+	addresses []netip.AddrPort
+	preferred atomic.Uint32
+}
+
+func newHTTPCaller(addresses []netip.AddrPort) *httpCaller {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &httpCaller{
+		addresses: addresses,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: idleConnectionsPerHost,
+			IdleConnTimeout:     time.Minute,
+		}},
+	}
+}
+
+func (c *httpCaller) close() { c.client.CloseIdleConnections() }
+
+// post sends request as JSON and decodes the answer into response, which may be nil.
+func (c *httpCaller) post(ctx context.Context, path string, kind effect, request, response any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return KindRefused.Wrap(err, "encode request")
+	}
+	answer, err := c.open(ctx, http.MethodPost, path, kind, body)
+	if err != nil {
+		return err
+	}
+	return decodeAnswer(answer, kind, response)
+}
+
+// get reads path into response.
+func (c *httpCaller) get(ctx context.Context, path string, response any) error {
+	answer, err := c.open(ctx, http.MethodGet, path, readsOnly, nil)
+	if err != nil {
+		return err
+	}
+	return decodeAnswer(answer, readsOnly, response)
+}
+
+// open sends a request to the addresses in turn and returns the first answer with
+// status 200; its body must be closed. The next address is tried only where the call surely had no effect.
+func (c *httpCaller) open(ctx context.Context, method, path string, kind effect, body []byte) (*http.Response, error) {
+	if len(c.addresses) == 0 {
+		return nil, KindUnavailable.New("no address is set for this service")
+	}
+	first := c.preferred.Load()
+	var lastError error
+	for offset := range uint32(len(c.addresses)) {
+		index := (first + offset) % uint32(len(c.addresses))
+		answer, err := c.openAt(ctx, c.addresses[index], method, path, kind, body)
+		if err == nil {
+			c.preferred.Store(index)
+			return answer, nil
+		}
+		lastError = err
+		if ctx.Err() != nil || !errorx.IsOfType(err, KindUnavailable) {
+			break
+		}
+	}
+	return nil, lastError
+}
+
+func (c *httpCaller) openAt(
+	ctx context.Context, address netip.AddrPort, method, path string, kind effect, body []byte,
+) (*http.Response, error) {
+	// The transport repeats a POST by itself only where it wrote nothing of it, and asks for
+	// a connection anew then.
+	var maybeSent atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GetConn: func(string) { maybeSent.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { maybeSent.Store(true) },
+	}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace),
+		method, "http://"+address.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, KindRefused.Wrap(err, "make request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := c.client.Do(request)
+	if err != nil {
+		if kind == changes && maybeSent.Load() {
+			return nil, KindUnknownOutcome.Wrap(err, "no answer from %s", address)
+		}
+		return nil, KindUnavailable.Wrap(err, "no answer from %s", address)
+	}
+	if answer.StatusCode != http.StatusOK {
+		defer closeBody(answer)
+		return nil, answerError(answer, kind)
+	}
+	return answer, nil
+}
+
+// decodeAnswer reads a 200 answer. One that breaks off is a missing answer.
+func decodeAnswer(answer *http.Response, kind effect, response any) error {
+	defer closeBody(answer)
+	if response == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(answer.Body, maxAnswerBody)).Decode(response); err != nil {
+		if kind == changes {
+			return KindUnknownOutcome.Wrap(err, "answer broke off")
+		}
+		return KindUnavailable.Wrap(err, "answer broke off")
+	}
+	return nil
+}
+
+// answerError maps an answer that is not 200 to an error kind.
+func answerError(answer *http.Response, kind effect) error {
+	var body etcdjson.Error
+	decodeError := json.NewDecoder(io.LimitReader(answer.Body, maxErrorBody)).Decode(&body)
+	if decodeError != nil && !errors.Is(decodeError, io.EOF) {
+		body.Message = answer.Status
+	}
+	switch {
+	case answer.StatusCode == http.StatusTooManyRequests || body.Code == etcdjson.CodeResourceExhausted:
+		return KindRateLimited.New("%s", body.Message)
+	case body.Code == etcdjson.CodeOutOfRange:
+		return KindCompacted.New("%s", body.Message)
+	case body.Code == etcdjson.CodeNotFound:
+		return KindLeaseNotFound.New("%s", body.Message)
+	case answer.StatusCode < http.StatusInternalServerError:
+		return KindRefused.New("%s: %s", answer.Status, body.Message)
+	case kind == changes && body.Message != etcdjson.MessageNoLeader:
+		return KindUnknownOutcome.New("%s: %s", answer.Status, body.Message)
+	default:
+		return KindUnavailable.New("%s: %s", answer.Status, body.Message)
+	}
+}
+
+// closeBody drains a short rest so that the connection can be used again.
+func closeBody(answer *http.Response) {
+	_, _ = io.CopyN(io.Discard, answer.Body, maxErrorBody)
+	_ = answer.Body.Close()
+}
--- /dev/null
+++ b/internal/platform/keyvalue_http.go
@@ -0,0 +1,159 @@
+package platform
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/sloelift/sloelift/internal/platform/etcdjson"
+)
+
+// callTimeout bounds a call whose caller set no deadline.
+const callTimeout = 5 * time.Second
+
+// KeyValueHTTP is the adapter of KeyValue to the etcd v3 JSON gateway.
+type KeyValueHTTP struct {
+	caller  *httpCaller
+	limiter *rate.Limiter
+}
+
+var _ KeyValue = (*KeyValueHTTP)(nil)
+
+// NewKeyValueHTTP returns an adapter that tries addresses in turn and makes at
+// most requestsPerSecond calls (0: no bound). It connects on first use.
+func NewKeyValueHTTP(addresses []netip.AddrPort, requestsPerSecond float64) *KeyValueHTTP {
+	return &KeyValueHTTP{caller: newHTTPCaller(addresses), limiter: newLimiter(requestsPerSecond)}
+}
+
+// Close drops idle connections.
+func (k *KeyValueHTTP) Close() { k.caller.close() }
+
+// call makes one call within the rate limit and callTimeout.
+func (k *KeyValueHTTP) call(ctx context.Context, path string, kind effect, request, response any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := waitTurn(ctx, k.limiter); err != nil {
+		return err
+	}
+	return k.caller.post(ctx, path, kind, request, response)
+}
+
+// Get reads one key.
+func (k *KeyValueHTTP) Get(ctx context.Context, key string) (Entry, error) {
+	var response etcdjson.RangeResponse
+	err := k.call(ctx, etcdjson.PathRange, readsOnly, etcdjson.RangeRequest{Key: []byte(key)}, &response)
+	if err != nil {
+		return Entry{}, err
+	}
+	if len(response.KeyValues) == 0 {
+		return Entry{Key: key}, nil
+	}
+	return entryOf(response.KeyValues[0]), nil
+}
+
+// List reads all keys below prefix.
+func (k *KeyValueHTTP) List(ctx context.Context, prefix string) (Listing, error) {
+	request := etcdjson.RangeRequest{Key: []byte(prefix), RangeEnd: etcdjson.PrefixEnd(prefix)}
+	var response etcdjson.RangeResponse
+	if err := k.call(ctx, etcdjson.PathRange, readsOnly, request, &response); err != nil {
+		return Listing{}, err
+	}
+	return Listing{Entries: entriesOf(response.KeyValues), Revision: response.Header.Revision}, nil
+}
+
+// Commit makes one transaction.
+func (k *KeyValueHTTP) Commit(ctx context.Context, transaction Transaction) (CommitResult, error) {
+	var response etcdjson.TxnResponse
+	if err := k.call(ctx, etcdjson.PathTxn, changes, transactionRequest(transaction), &response); err != nil {
+		return CommitResult{}, err
+	}
+	result := CommitResult{Committed: response.Succeeded, Revision: response.Header.Revision}
+	if response.Succeeded {
+		return result, nil
+	}
+	for index, condition := range transaction.Conditions {
+		current := Entry{Key: condition.Key}
+		if index < len(response.Responses) {
+			found := response.Responses[index].Range
+			if found != nil && len(found.KeyValues) > 0 {
+				current = entryOf(found.KeyValues[0])
+			}
+		}
+		result.Current = append(result.Current, current)
+	}
+	return result, nil
+}
+
+func transactionRequest(transaction Transaction) etcdjson.TxnRequest {
+	var request etcdjson.TxnRequest
+	for _, condition := range transaction.Conditions {
+		request.Compare = append(request.Compare, etcdjson.Compare{
+			Key:         []byte(condition.Key),
+			Target:      etcdjson.TargetMod,
+			Result:      etcdjson.ResultEqual,
+			ModRevision: condition.ModRevision,
+		})
+		request.Failure = append(request.Failure, etcdjson.RequestOperation{
+			Range: &etcdjson.RangeRequest{Key: []byte(condition.Key)},
+		})
+	}
+	for _, change := range transaction.Changes {
+		request.Success = append(request.Success, changeOperation(change))
+	}
+	return request
+}
+
+func changeOperation(change Change) etcdjson.RequestOperation {
+	if change.Delete {
+		return etcdjson.RequestOperation{DeleteRange: &etcdjson.DeleteRangeRequest{Key: []byte(change.Key)}}
+	}
+	return etcdjson.RequestOperation{Put: &etcdjson.PutRequest{
+		Key: []byte(change.Key), Value: change.Value, Lease: int64(change.LeaseID),
+	}}
+}
+
+// GrantLease asks for a lease; timeToLive is rounded up to whole seconds.
+func (k *KeyValueHTTP) GrantLease(ctx context.Context, timeToLive time.Duration) (LeaseID, error) {
+	seconds := int64((timeToLive + time.Second - 1) / time.Second)
+	var response etcdjson.LeaseResponse
+	err := k.call(ctx, etcdjson.PathLeaseGrant, changes, etcdjson.LeaseGrantRequest{TimeToLive: seconds}, &response)
+	return LeaseID(response.ID), err
+}
+
+// KeepAlive renews a lease and returns its time to live. It can be repeated.
+func (k *KeyValueHTTP) KeepAlive(ctx context.Context, lease LeaseID) (time.Duration, error) {
+	var response etcdjson.KeepAliveResponse
+	err := k.call(ctx, etcdjson.PathKeepAlive, readsOnly, etcdjson.LeaseRequest{ID: int64(lease)}, &response)
+	if err != nil {
+		return 0, err
+	}
+	if response.Result.TimeToLive == 0 {
+		return 0, KindLeaseNotFound.New("lease %d has lapsed", lease)
+	}
+	return time.Duration(response.Result.TimeToLive) * time.Second, nil
+}
+
+// RevokeLease ends a lease and removes its keys.
+func (k *KeyValueHTTP) RevokeLease(ctx context.Context, lease LeaseID) error {
+	return k.call(ctx, etcdjson.PathRevoke, changes, etcdjson.LeaseRequest{ID: int64(lease)}, nil)
+}
+
+func entryOf(stored etcdjson.KeyValue) Entry {
+	return Entry{
+		Key:            string(stored.Key),
+		Value:          stored.Value,
+		CreateRevision: stored.CreateRevision,
+		ModRevision:    stored.ModRevision,
+		LeaseID:        LeaseID(stored.Lease),
+	}
+}
+
+func entriesOf(stored []etcdjson.KeyValue) []Entry {
+	entries := make([]Entry, 0, len(stored))
+	for _, one := range stored {
+		entries = append(entries, entryOf(one))
+	}
+	return entries
+}
--- /dev/null
+++ b/internal/platform/weightstore_http.go
@@ -0,0 +1,50 @@
+package platform
+
+import (
+	"context"
+	"net/netip"
+	"net/url"
+)
+
+// PathWeights is the path below which the weight store serves its versions.
+const PathWeights = "/v1/weights"
+
+// FetchReservation is the body of POST /v1/weights/{name}/{version}/reservations.
+type FetchReservation struct {
+	Replica string `json:"replica"`
+}
+
+// WeightStoreHTTP is the adapter of WeightStore over HTTP JSON.
+type WeightStoreHTTP struct{ caller *httpCaller }
+
+var _ WeightStore = (*WeightStoreHTTP)(nil)
+
+// NewWeightStoreHTTP returns an adapter; it connects on first use.
+func NewWeightStoreHTTP(address netip.AddrPort) *WeightStoreHTTP {
+	return &WeightStoreHTTP{caller: newHTTPCaller(addressesOf(address))}
+}
+
+// Close drops idle connections.
+func (w *WeightStoreHTTP) Close() { w.caller.close() }
+
+// Describe returns one version; an absent one is an error of KindRefused.
+func (w *WeightStoreHTTP) Describe(ctx context.Context, name, version string) (Weights, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var weights Weights
+	err := w.caller.get(ctx, versionPath(name, version), &weights)
+	return weights, err
+}
+
+// ReserveFetch asks leave for one replica to fetch. A reservation whose answer is lost is
+// only a turn not used, so the call may be repeated.
+func (w *WeightStoreHTTP) ReserveFetch(ctx context.Context, name, version, replica string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	path := versionPath(name, version) + "/reservations"
+	return w.caller.post(ctx, path, readsOnly, FetchReservation{Replica: replica}, nil)
+}
+
+func versionPath(name, version string) string {
+	return PathWeights + "/" + url.PathEscape(name) + "/" + url.PathEscape(version)
+}
--- /dev/null
+++ b/lab/platform/client.go
@@ -0,0 +1,128 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	port "github.com/sloelift/sloelift/internal/platform"
+)
+
+// client is the key-value service as the callers of one zone see it, without a network. The HTTP
+// gateway serves through it, so faults are judged and calls counted in one place.
+type client struct {
+	server *Server
+	zone   string
+}
+
+var _ port.KeyValue = (*client)(nil)
+
+// enter judges a call before its effect.
+func (s *Server) enter(ctx context.Context, zone string, service Service, operation Operation) (loseAnswer bool, err error) {
+	decided := s.faults.judge(zone, service)
+	refused := decided.outage != NoOutage || decided.limited
+	s.counters.add(operation, refused)
+	if decided.delay > 0 {
+		if err := sleep(ctx, decided.delay); err != nil {
+			return false, errDropped.Wrap(err, "caller gave up")
+		}
+	}
+	switch {
+	case decided.outage == OutageDrops:
+		return false, errDropped.New("connection closed")
+	case decided.outage == OutageRefuses:
+		return false, port.KindUnavailable.New("no leader")
+	case decided.limited:
+		return false, port.KindRateLimited.New("too many requests")
+	}
+	return decided.loseAnswer, nil
+}
+
+// errDropped is a missing answer: what a caller makes of it depends on the call.
+var errDropped = port.KindUnknownOutcome.NewSubtype("dropped")
+
+func sleep(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// read runs a call without effect: a missing answer is KindUnavailable.
+func (c *client) read(ctx context.Context, operation Operation) error {
+	_, err := c.server.enter(ctx, c.zone, KeyValue, operation)
+	if err != nil && isDropped(err) {
+		return port.KindUnavailable.Wrap(err, "no answer")
+	}
+	return err
+}
+
+// Get reads one key.
+func (c *client) Get(ctx context.Context, key string) (port.Entry, error) {
+	if err := c.read(ctx, OperationGet); err != nil {
+		return port.Entry{}, err
+	}
+	listing := c.server.store.list(key, true)
+	if len(listing.Entries) == 0 {
+		return port.Entry{Key: key}, nil
+	}
+	return listing.Entries[0], nil
+}
+
+// List reads all keys below prefix.
+func (c *client) List(ctx context.Context, prefix string) (port.Listing, error) {
+	if err := c.read(ctx, OperationList); err != nil {
+		return port.Listing{}, err
+	}
+	return c.server.store.list(prefix, false), nil
+}
+
+// Commit makes one transaction.
+func (c *client) Commit(ctx context.Context, transaction port.Transaction) (port.CommitResult, error) {
+	loseAnswer, err := c.server.enter(ctx, c.zone, KeyValue, OperationCommit)
+	if err != nil {
+		return port.CommitResult{}, err
+	}
+	result, err := c.server.store.commit(transaction)
+	if loseAnswer && err == nil {
+		return port.CommitResult{}, errDropped.New("answer lost")
+	}
+	return result, err
+}
+
+// GrantLease makes a lease.
+func (c *client) GrantLease(ctx context.Context, timeToLive time.Duration) (port.LeaseID, error) {
+	loseAnswer, err := c.server.enter(ctx, c.zone, KeyValue, OperationGrant)
+	if err != nil {
+		return 0, err
+	}
+	granted := c.server.store.grant(timeToLive)
+	if loseAnswer {
+		return 0, errDropped.New("answer lost")
+	}
+	return granted, nil
+}
+
+// KeepAlive renews a lease.
+func (c *client) KeepAlive(ctx context.Context, lease port.LeaseID) (time.Duration, error) {
+	if err := c.read(ctx, OperationKeepAlive); err != nil {
+		return 0, err
+	}
+	return c.server.store.keepAlive(lease)
+}
+
+// RevokeLease ends a lease.
+func (c *client) RevokeLease(ctx context.Context, lease port.LeaseID) error {
+	loseAnswer, err := c.server.enter(ctx, c.zone, KeyValue, OperationRevoke)
+	if err != nil {
+		return err
+	}
+	err = c.server.store.revoke(lease)
+	if loseAnswer && err == nil {
+		return errDropped.New("answer lost")
+	}
+	return err
+}
--- /dev/null
+++ b/lab/platform/http.go
@@ -0,0 +1,137 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/joomcode/errorx"
+
+	port "github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/platform/etcdjson"
+)
+
+// maxRequestBody bounds one request.
+const maxRequestBody = 16 << 20
+
+// zoneHandler serves the three services to the callers of one zone.
+func (s *Server) zoneHandler(zone string) http.Handler {
+	gateway := &gateway{client: &client{server: s, zone: zone}}
+	router := mux.NewRouter()
+	router.HandleFunc(etcdjson.PathRange, post(gateway.rangeKeys)).Methods(http.MethodPost)
+	router.HandleFunc(etcdjson.PathTxn, post(gateway.transact)).Methods(http.MethodPost)
+	router.HandleFunc(etcdjson.PathLeaseGrant, post(gateway.grantLease)).Methods(http.MethodPost)
+	router.HandleFunc(etcdjson.PathKeepAlive, post(gateway.keepAlive)).Methods(http.MethodPost)
+	router.HandleFunc(etcdjson.PathRevoke, post(gateway.revokeLease)).Methods(http.MethodPost)
+	router.HandleFunc(etcdjson.PathWatch, gateway.watch).Methods(http.MethodPost)
+	router.HandleFunc(port.PathMachines, s.serveMachines(zone)).Methods(http.MethodGet)
+	version := port.PathWeights + "/{name}/{version}"
+	router.HandleFunc(version, s.serveWeights(zone)).Methods(http.MethodGet)
+	router.HandleFunc(version+"/reservations", s.serveReservation(zone)).Methods(http.MethodPost)
+	return router
+}
+
+// post decodes a JSON request, and encodes the answer or the error.
+func post[Request, Response any](serve func(context.Context, Request) (Response, error)) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		var decoded Request
+		if !readBody(writer, request, &decoded) {
+			return
+		}
+		answer, err := serve(request.Context(), decoded)
+		writeAnswer(writer, answer, err)
+	}
+}
+
+func readBody(writer http.ResponseWriter, request *http.Request, into any) bool {
+	body := http.MaxBytesReader(writer, request.Body, maxRequestBody)
+	if err := json.NewDecoder(body).Decode(into); err != nil {
+		writeError(writer, http.StatusBadRequest, etcdjson.Error{Code: etcdjson.CodeInvalidArgument, Message: err.Error()})
+		return false
+	}
+	return true
+}
+
+func writeAnswer(writer http.ResponseWriter, answer any, err error) {
+	switch {
+	case err == nil:
+		writer.Header().Set("Content-Type", "application/json")
+		// The client has gone where this fails; there is nobody to tell.
+		_ = json.NewEncoder(writer).Encode(answer)
+	case isDropped(err):
+		panic(http.ErrAbortHandler) // net/http's way to close the connection without an answer.
+	default:
+		status, body := errorBody(err)
+		writeError(writer, status, body)
+	}
+}
+
+func writeError(writer http.ResponseWriter, status int, body etcdjson.Error) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(body)
+}
+
+// errorBody maps an error kind to the gateway's status and body.
+func errorBody(err error) (int, etcdjson.Error) {
+	body := etcdjson.Error{Message: err.Error()}
+	switch {
+	case errorx.IsOfType(err, port.KindRateLimited):
+		body.Code = etcdjson.CodeResourceExhausted
+		return http.StatusTooManyRequests, body
+	case errorx.IsOfType(err, port.KindUnavailable):
+		return http.StatusServiceUnavailable, etcdjson.Error{Code: etcdjson.CodeUnavailable, Message: etcdjson.MessageNoLeader}
+	case errorx.IsOfType(err, port.KindLeaseNotFound):
+		body.Code = etcdjson.CodeNotFound
+		return http.StatusNotFound, body
+	case errorx.IsOfType(err, port.KindCompacted):
+		body.Code = etcdjson.CodeOutOfRange
+		return http.StatusBadRequest, body
+	default:
+		body.Code = etcdjson.CodeInvalidArgument
+		return http.StatusBadRequest, body
+	}
+}
+
+// enterRead judges a call without effect; it ends the call where the faults say so.
+func (s *Server) enterRead(writer http.ResponseWriter, request *http.Request, zone string, service Service, operation Operation) bool {
+	if _, err := s.enter(request.Context(), zone, service, operation); err != nil {
+		writeAnswer(writer, nil, err)
+		return false
+	}
+	return true
+}
+
+func (s *Server) serveMachines(zone string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		if s.enterRead(writer, request, zone, MachineList, OperationMachines) {
+			writeAnswer(writer, s.machines.list(), nil)
+		}
+	}
+}
+
+func (s *Server) serveWeights(zone string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		if !s.enterRead(writer, request, zone, WeightStore, OperationDescribe) {
+			return
+		}
+		names := mux.Vars(request)
+		found, err := s.weights.describe(names["name"], names["version"])
+		writeAnswer(writer, found, err)
+	}
+}
+
+func (s *Server) serveReservation(zone string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		if !s.enterRead(writer, request, zone, WeightStore, OperationReserve) {
+			return
+		}
+		var reservation port.FetchReservation
+		if !readBody(writer, request, &reservation) {
+			return
+		}
+		names := mux.Vars(request)
+		writeAnswer(writer, reservation, s.weights.reserve(names["name"], names["version"]))
+	}
+}
--- /dev/null
+++ b/lab/platform/server.go
@@ -0,0 +1,143 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	port "github.com/sloelift/sloelift/internal/platform"
+)
+
+// Options of a Server.
+type Options struct {
+	// Seed decides which answers are lost.
+	Seed uint64
+	// Zones each get an address of their own, which is how a fault finds the callers of one
+	// zone. There is always one for AnyZone.
+	Zones []string
+	// ListenAddresses gives the address for a zone; one that is left out is 127.0.0.1 with a free port.
+	ListenAddresses map[string]netip.AddrPort
+	// ControlAddress serves the control port; the zero value is 127.0.0.1 with a free port.
+	ControlAddress netip.AddrPort
+	// Machines are listed from the start; changes show after MachineListLag.
+	Machines       []port.Machine
+	MachineListLag time.Duration
+	Weights        []port.Weights
+	// FetchesPerSecond limits reservations at the weight store; 0 is no limit.
+	FetchesPerSecond float64
+}
+
+// Server is the whole stand-in platform. It can be used in process through
+// KeyValue, and over HTTP between Start and Stop.
+type Server struct {
+	options  Options
+	faults   *Faults
+	counters *counters
+	store    *store
+	machines *Machines
+	weights  *weights
+
+	addresses map[string]netip.AddrPort
+	control   netip.AddrPort
+	servers   []*http.Server
+	serving   sync.WaitGroup
+}
+
+// NewServer returns a Server that is not listening yet.
+func NewServer(options Options) *Server {
+	return &Server{
+		options:   options,
+		faults:    newFaults(options.Seed),
+		counters:  newCounters(),
+		store:     newStore(),
+		machines:  newMachines(options.MachineListLag, options.Machines),
+		weights:   newWeights(options.Weights, options.FetchesPerSecond),
+		addresses: make(map[string]netip.AddrPort),
+	}
+}
+
+// Faults switches faults on and off.
+func (s *Server) Faults() *Faults { return s.faults }
+
+// Machines changes the machine list.
+func (s *Server) Machines() *Machines { return s.machines }
+
+// Counters returns the calls so far.
+func (s *Server) Counters() map[Operation]OperationCount { return s.counters.snapshot() }
+
+// Compact forgets the key-value history up to revision.
+func (s *Server) Compact(revision int64) { s.store.compact(revision) }
+
+// KeyValue returns the key-value service as the callers of zone see it, without a network.
+func (s *Server) KeyValue(zone string) port.KeyValue { return &client{server: s, zone: zone} }
+
+// Address is where the callers of zone find all three services; valid after Start.
+func (s *Server) Address(zone string) netip.AddrPort { return s.addresses[zone] }
+
+// ControlAddress is where the control port is; valid after Start.
+func (s *Server) ControlAddress() netip.AddrPort { return s.control }
+
+// Start listens on all addresses and serves until Stop.
+func (s *Server) Start() error {
+	for _, zone := range append([]string{AnyZone}, s.options.Zones...) {
+		address, err := s.serve(s.options.ListenAddresses[zone], s.zoneHandler(zone))
+		if err != nil {
+			s.Stop()
+			return fmt.Errorf("zone %q: %w", zone, err)
+		}
+		s.addresses[zone] = address
+	}
+	address, err := s.serve(s.options.ControlAddress, s.controlHandler())
+	if err != nil {
+		s.Stop()
+		return fmt.Errorf("control port: %w", err)
+	}
+	s.control = address
+	return nil
+}
+
+// anyLoopback listens on a free port.
+var anyLoopback = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+
+func (s *Server) serve(address netip.AddrPort, handler http.Handler) (netip.AddrPort, error) {
+	if !address.IsValid() {
+		address = anyLoopback
+	}
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	s.servers = append(s.servers, server)
+	s.serving.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			panic(err) // A listener that breaks by itself is a broken invariant of the lab.
+		}
+	})
+	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// Stop closes all connections and ends the leases' timers.
+func (s *Server) Stop() {
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	s.serving.Wait()
+	s.servers = nil
+	s.store.stop()
+}
+
+// Run starts the server and stops it when ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	if err := s.Start(); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	s.Stop()
+	return nil
+}
