--- /dev/null
+++ b/internal/network/network.go
@@ -0,0 +1,51 @@
+package network
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+// Network listens and dials over TCP by IP number. It is safe for concurrent use.
+type Network interface {
+	Listen(ctx context.Context, address netip.AddrPort) (net.Listener, error)
+	Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+}
+
+// DialTimeout bounds how long one connection attempt of System takes.
+const DialTimeout = 2 * time.Second
+
+const keepAlivePeriod = 5 * time.Second
+
+// System is the operating system's network.
+type System struct{}
+
+// Listen opens a listener.
+func (System) Listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	var config net.ListenConfig
+	return config.Listen(ctx, "tcp", address.String())
+}
+
+// Dial opens a connection.
+func (System) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: DialTimeout, KeepAlive: keepAlivePeriod}
+	return dialer.DialContext(ctx, "tcp", address.String())
+}
+
+// HTTPTransport returns an http.Transport that dials through network; host names
+// in URLs are errors.
+func HTTPTransport(network Network) *http.Transport {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, hostPort string) (net.Conn, error) {
+			address, err := netip.ParseAddrPort(hostPort)
+			if err != nil {
+				return nil, err
+			}
+			return network.Dial(ctx, address)
+		},
+		MaxIdleConnsPerHost: 256,
+		IdleConnTimeout:     time.Minute,
+	}
+}
--- /dev/null
+++ b/internal/network/severable_test.go
@@ -0,0 +1,74 @@
+package network
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+func connectedPair(t *testing.T) (*Severable, net.Conn, net.Conn) {
+	t.Helper()
+	severable := NewSeverable(System{})
+	t.Cleanup(severable.Sever)
+	listener, err := severable.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	dialled, err := System{}.Dial(context.Background(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = dialled.Close() })
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return severable, accepted, dialled
+}
+
+func TestSeverClosesConnectionsAndRefusesDials(t *testing.T) {
+	severable, _, outside := connectedPair(t)
+	severable.Sever()
+	if _, err := io.ReadAll(outside); err == nil {
+		t.Fatal("want a reset, got a clean end")
+	}
+	if _, err := severable.Dial(context.Background(), netip.MustParseAddrPort("127.0.0.1:1")); err == nil {
+		t.Fatal("want an error from a dial on a severed network")
+	}
+}
+
+func TestPauseHoldsBytesBackUntilResume(t *testing.T) {
+	severable, inside, outside := connectedPair(t)
+	severable.Pause()
+	written := make(chan struct{})
+	go func() {
+		_, _ = inside.Write([]byte("x"))
+		close(written)
+	}()
+	if err := outside.SetReadDeadline(time.Now().Add(20 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := outside.Read(make([]byte, 1)); err == nil {
+		t.Fatal("a paused network let a byte through")
+	}
+	severable.Resume()
+	<-written
+	if err := outside.SetReadDeadline(time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := outside.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestSetReachableRefusesChosenPeers(t *testing.T) {
+	severable, _, _ := connectedPair(t)
+	severable.SetReachable(func(netip.AddrPort) bool { return false })
+	if _, err := severable.Dial(context.Background(), netip.MustParseAddrPort("127.0.0.1:1")); err == nil {
+		t.Fatal("want a refused dial")
+	}
+}
