Wire a node with fx

Cause: slices need one place that builds, starts and stops them. Conclusion: modules are added to Slices one by one.

--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/network"
+	"github.com/sloelift/sloelift/internal/settings"
+)
+
+// Bounds of the parts of a start and a stop that are not waiting for streams.
+const (
+	startTimeout = 30 * time.Second
+	stopTimeout  = 15 * time.Second
+	killTimeout  = 2 * time.Second
+)
+
+// Node is one running node. Several can run in one process.
+type Node struct {
+	app     *fx.App
+	logger  zerolog.Logger
+	drainer *drainer
+	limits  settings.Limits
+}
+
+// Option changes how a node is built.
+type Option func(*options)
+
+type options struct {
+	network network.Network
+	extra   []fx.Option
+}
+
+// WithNetwork puts another network in place of the operating system's.
+func WithNetwork(replacement network.Network) Option {
+	return func(o *options) { o.network = replacement }
+}
+
+// WithFx adds fx options, for instance a decorator that changes a slice's policy.
+func WithFx(extra ...fx.Option) Option {
+	return func(o *options) { o.extra = append(o.extra, extra...) }
+}
+
+// New wires a node from its settings. Nothing listens before Start.
+func New(nodeSettings settings.Settings, logger zerolog.Logger, choices ...Option) (*Node, error) {
+	chosen := options{network: network.System{}}
+	for _, choice := range choices {
+		choice(&chosen)
+	}
+	logger = logger.With().Str(logging.FieldNode, nodeSettings.Node).Str(logging.FieldZone, nodeSettings.Zone).Logger()
+	registry := prometheus.NewRegistry()
+	created := &Node{logger: logger, limits: nodeSettings.Limits}
+	created.app = fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(stopTimeout),
+		fx.Supply(nodeSettings, logger),
+		fx.Provide(
+			func() network.Network { return chosen.network },
+			func() prometheus.Registerer { return registry },
+			func() prometheus.Gatherer { return registry },
+		),
+		Slices,
+		fx.Provide(newDrainer),
+		fx.Populate(&created.drainer),
+		fx.Options(chosen.extra...),
+	)
+	if err := created.app.Err(); err != nil {
+		return nil, err
+	}
+	return created, nil
+}
+
+// Start brings the node up. It does not wait for the key-value service.
+func (n *Node) Start(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := n.app.Start(bounded); err != nil {
+		return err
+	}
+	n.logger.Info().Msg("node_started")
+	return nil
+}
+
+// Stop is the planned stop: the node turns unready, streams run to their end (bounded
+// by settings.Limits.DrainTimeout), partitions are handed over, and all slices end.
+func (n *Node) Stop(ctx context.Context) error {
+	n.logger.Info().Msg("node_stopping")
+	drainContext, cancelDrain := context.WithTimeout(ctx, n.limits.DrainTimeout)
+	n.drainer.drain(drainContext)
+	cancelDrain()
+	bounded, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	if err := n.app.Stop(bounded); err != nil {
+		return err
+	}
+	n.logger.Info().Msg("node_stopped")
+	return nil
+}
+
+// Kill ends the node without drain or handover, as when its machine dies; the caller
+// severs its network first.
+func (n *Node) Kill() {
+	bounded, cancel := context.WithTimeout(context.Background(), killTimeout)
+	defer cancel()
+	if err := n.app.Stop(bounded); err != nil {
+		n.logger.Info().Err(err).Msg("node_killed")
+	}
+}
