Dial the platform through the network port

Cause: a node's network can be cut in tests, and the adapters dialled around it. Change: the adapters take network.Network. Conclusion: a severed node loses the platform too.

--- a/internal/platform/fx.go
+++ b/internal/platform/fx.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/settings"
 )
 
@@ -14,20 +15,20 @@
 	fx.Provide(provideKeyValue, provideMachineList, provideWeightStore),
 )
 
-func provideKeyValue(lifecycle fx.Lifecycle, node settings.Settings) KeyValue {
-	adapter := NewKeyValueHTTP(node.Platform.KeyValue, node.Platform.KeyValueRequestsPerSecond)
+func provideKeyValue(lifecycle fx.Lifecycle, node settings.Settings, dialer network.Network) KeyValue {
+	adapter := NewKeyValueHTTP(dialer, node.Platform.KeyValue, node.Platform.KeyValueRequestsPerSecond)
 	closeAtStop(lifecycle, adapter.Close)
 	return adapter
 }
 
-func provideMachineList(lifecycle fx.Lifecycle, node settings.Settings) MachineList {
-	adapter := NewMachineListHTTP(node.Platform.MachineList)
+func provideMachineList(lifecycle fx.Lifecycle, node settings.Settings, dialer network.Network) MachineList {
+	adapter := NewMachineListHTTP(dialer, node.Platform.MachineList)
 	closeAtStop(lifecycle, adapter.Close)
 	return adapter
 }
 
-func provideWeightStore(lifecycle fx.Lifecycle, node settings.Settings) WeightStore {
-	adapter := NewWeightStoreHTTP(node.Platform.WeightStore)
+func provideWeightStore(lifecycle fx.Lifecycle, node settings.Settings, dialer network.Network) WeightStore {
+	adapter := NewWeightStoreHTTP(dialer, node.Platform.WeightStore)
 	closeAtStop(lifecycle, adapter.Close)
 	return adapter
 }
--- a/internal/platform/http_caller.go
+++ b/internal/platform/http_caller.go
@@ -6,27 +6,22 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
 	"sync/atomic"
-	"time"
 
 	"github.com/joomcode/errorx"
 
+	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/platform/etcdjson"
 )
 
 const (
-	// dialTimeout bounds the connecting to one address, so that a silent one does not use up the caller's time.
-	dialTimeout = 2 * time.Second
 	// maxErrorBody bounds what is read of an error's body.
 	maxErrorBody = 64 << 10
 	// maxAnswerBody bounds one answer.
 	maxAnswerBody = 64 << 20
-	// idleConnectionsPerHost keeps this many connections open to one address.
-	idleConnectionsPerHost = 4
 )
 
 // effect says whether a call may change something, which decides what a missing answer means.
@@ -45,15 +40,10 @@
 	preferred atomic.Uint32
 }
 
-func newHTTPCaller(addresses []netip.AddrPort) *httpCaller {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newHTTPCaller(dialer network.Network, addresses []netip.AddrPort) *httpCaller {
 	return &httpCaller{
 		addresses: addresses,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: idleConnectionsPerHost,
-			IdleConnTimeout:     time.Minute,
-		}},
+		client:    &http.Client{Transport: network.HTTPTransport(dialer)},
 	}
 }
 
--- a/internal/platform/keyvalue_http.go
+++ b/internal/platform/keyvalue_http.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/platform/etcdjson"
 )
 
@@ -23,8 +24,10 @@
 
 // NewKeyValueHTTP returns an adapter that tries addresses in turn and makes at
 // most requestsPerSecond calls (0: no bound). It connects on first use.
-func NewKeyValueHTTP(addresses []netip.AddrPort, requestsPerSecond float64) *KeyValueHTTP {
-	return &KeyValueHTTP{caller: newHTTPCaller(addresses), limiter: newLimiter(requestsPerSecond)}
+func NewKeyValueHTTP(
+	dialer network.Network, addresses []netip.AddrPort, requestsPerSecond float64,
+) *KeyValueHTTP {
+	return &KeyValueHTTP{caller: newHTTPCaller(dialer, addresses), limiter: newLimiter(requestsPerSecond)}
 }
 
 // Close drops idle connections.
--- a/internal/platform/machinelist_http.go
+++ b/internal/platform/machinelist_http.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/netip"
+
+	"github.com/sloelift/sloelift/internal/network"
 )
 
 // PathMachines is the path of the machine list.
@@ -14,8 +16,8 @@
 var _ MachineList = (*MachineListHTTP)(nil)
 
 // NewMachineListHTTP returns an adapter; it connects on first use.
-func NewMachineListHTTP(address netip.AddrPort) *MachineListHTTP {
-	return &MachineListHTTP{caller: newHTTPCaller(addressesOf(address))}
+func NewMachineListHTTP(dialer network.Network, address netip.AddrPort) *MachineListHTTP {
+	return &MachineListHTTP{caller: newHTTPCaller(dialer, addressesOf(address))}
 }
 
 // Close drops idle connections.
--- a/internal/platform/weightstore_http.go
+++ b/internal/platform/weightstore_http.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/netip"
 	"net/url"
+
+	"github.com/sloelift/sloelift/internal/network"
 )
 
 // PathWeights is the path below which the weight store serves its versions.
@@ -20,8 +22,8 @@
 var _ WeightStore = (*WeightStoreHTTP)(nil)
 
 // NewWeightStoreHTTP returns an adapter; it connects on first use.
-func NewWeightStoreHTTP(address netip.AddrPort) *WeightStoreHTTP {
-	return &WeightStoreHTTP{caller: newHTTPCaller(addressesOf(address))}
+func NewWeightStoreHTTP(dialer network.Network, address netip.AddrPort) *WeightStoreHTTP {
+	return &WeightStoreHTTP{caller: newHTTPCaller(dialer, addressesOf(address))}
 }
 
 // Close drops idle connections.
--- a/lab/platform/server_test.go
+++ b/lab/platform/server_test.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/goleak"
 
+	"github.com/sloelift/sloelift/internal/network"
 	port "github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/lab/platform"
 )
@@ -37,7 +38,7 @@
 	})
 	t.Run("over HTTP", func(t *testing.T) {
 		server := startServer(t, platform.Options{})
-		adapter := port.NewKeyValueHTTP([]netip.AddrPort{server.Address(zone)}, 0)
+		adapter := port.NewKeyValueHTTP(network.System{}, []netip.AddrPort{server.Address(zone)}, 0)
 		defer adapter.Close()
 		test(t, server, adapter)
 	})
@@ -202,7 +203,7 @@
 		Weights:          []port.Weights{{Name: "base", Version: "v1", Bytes: 7}},
 		FetchesPerSecond: 0.001,
 	})
-	machines := port.NewMachineListHTTP(server.Address(zone))
+	machines := port.NewMachineListHTTP(network.System{}, server.Address(zone))
 	defer machines.Close()
 	server.Machines().SetState("m1", port.MachineLeaving)
 	if listing, err := machines.List(t.Context()); err != nil || listing.Machines[0].State != port.MachineLive {
@@ -212,7 +213,7 @@
 	if listing, err := machines.List(t.Context()); err != nil || listing.Machines[0].State != port.MachineLeaving {
 		t.Errorf("after the lag: %+v, %v", listing, err)
 	}
-	store := port.NewWeightStoreHTTP(server.Address(zone))
+	store := port.NewWeightStoreHTTP(network.System{}, server.Address(zone))
 	defer store.Close()
 	if found, err := store.Describe(t.Context(), "base", "v1"); err != nil || found.Bytes != 7 {
 		t.Errorf("describe: %+v, %v", found, err)
