Add the strict parser of operators' files and the configuration store

Cause: operators' files had types but no parser, checks or store. Change: strictyaml lists every problem with line, column and field; config checks fields and references and applies a file in one transaction conditioned on the head. Conclusion: a file is applied whole or not at all.

--- /dev/null
+++ b/internal/config/errors.go
@@ -0,0 +1,42 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// ConflictError says that the configuration has moved on from the revision that an
+// operator expected. Nothing was changed.
+type ConflictError struct {
+	Expected int64 `json:"expected"`
+	Present  int64 `json:"present"`
+	// Overwritten are the changes that the file would make to the present revision.
+	Overwritten []Change `json:"overwritten"`
+}
+
+// Error names both revisions and the declarations that would have been overwritten.
+func (e *ConflictError) Error() string {
+	text := fmt.Sprintf("the configuration is at revision %d, not %d; nothing was changed", e.Present, e.Expected)
+	if len(e.Overwritten) == 0 {
+		return text
+	}
+	names := make([]string, 0, len(e.Overwritten))
+	for _, change := range e.Overwritten {
+		names = append(names, fmt.Sprintf("%s %s %s", change.Action, change.Kind, change.Name))
+	}
+	return text + "; it would " + strings.Join(names, ", ")
+}
+
+// InUseError says that declarations refer to one that was to be withdrawn. Nothing
+// was changed.
+type InUseError struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+	// Users are "Kind name" of the declarations that refer to it.
+	Users []string `json:"users"`
+}
+
+// Error names the users.
+func (e *InUseError) Error() string {
+	return fmt.Sprintf("%s %s is named by %s; nothing was changed", e.Kind, e.Name, strings.Join(e.Users, ", "))
+}
--- /dev/null
+++ b/internal/config/field_check.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"path"
+	"reflect"
+	"regexp"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/sloelift/sloelift/internal/strictyaml"
+)
+
+// dnsLabel is the form of every name.
+var dnsLabel = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+var fieldValidator = newFieldValidator()
+
+func newFieldValidator() *validator.Validate {
+	validate := validator.New(validator.WithRequiredStructEnabled())
+	validate.RegisterTagNameFunc(strictyaml.FieldName)
+	mustRegister(validate, "dns_label", func(field validator.FieldLevel) bool {
+		return dnsLabel.MatchString(field.Field().String())
+	})
+	mustRegister(validate, "inner_path", func(field validator.FieldLevel) bool {
+		return isInnerPath(field.Field().String())
+	})
+	return validate
+}
+
+func mustRegister(validate *validator.Validate, tag string, check validator.Func) {
+	if err := validate.RegisterValidation(tag, check); err != nil {
+		panic("config: register " + tag + ": " + err.Error())
+	}
+}
+
+// isInnerPath tells whether a path stays below the folder it is relative to.
+func isInnerPath(name string) bool {
+	return !path.IsAbs(name) && !strings.Contains(name, "\\") && name != ".." && !strings.HasPrefix(path.Clean(name), "../")
+}
+
+// checkFields checks each field of a value by its validate tag.
+func checkFields(value Value, positions strictyaml.Positions) []Problem {
+	err := fieldValidator.Struct(value)
+	var failures validator.ValidationErrors
+	if !errors.As(err, &failures) {
+		return nil
+	}
+	problems := make([]Problem, 0, len(failures))
+	for _, failure := range failures {
+		_, field, _ := strings.Cut(failure.Namespace(), ".")
+		problems = append(problems, Problem{Position: positions.Find(field), Field: field, Message: allowed(failure)})
+	}
+	return problems
+}
+
+// allowed tells what a field may hold.
+func allowed(failure validator.FieldError) string {
+	limit := failure.Param()
+	switch failure.Tag() {
+	case "required":
+		return "is required and must not be empty or zero"
+	case "dns_label":
+		return fmt.Sprintf("%q is not a name; allowed are 1 to 63 of a-z, 0-9 and -, not beginning or ending with -", failure.Value())
+	case "inner_path":
+		return fmt.Sprintf("%q is not allowed; give a relative path that stays below the file's folder", failure.Value())
+	case "min":
+		return fmt.Sprintf("wants at least %s%s, not %v", limit, unitOf(failure), shown(failure))
+	case "max":
+		return fmt.Sprintf("wants at most %s%s, not %v", limit, unitOf(failure), shown(failure))
+	case "len":
+		return fmt.Sprintf("wants exactly %s characters, not %d", limit, len(fmt.Sprint(failure.Value())))
+	case "hexadecimal":
+		return "wants hexadecimal digits"
+	case "lowercase":
+		return "wants lower-case letters"
+	case "unique":
+		return "holds a value twice"
+	}
+	return fmt.Sprintf("fails the check %s %s", failure.Tag(), limit)
+}
+
+func unitOf(failure validator.FieldError) string {
+	switch failure.Kind() {
+	case reflect.Slice:
+		return " entries"
+	case reflect.String:
+		return " characters"
+	}
+	return ""
+}
+
+func shown(failure validator.FieldError) any {
+	switch failure.Kind() {
+	case reflect.Slice, reflect.String:
+		return reflect.ValueOf(failure.Value()).Len()
+	}
+	return failure.Value()
+}
--- a/internal/config/kinds.go
+++ b/internal/config/kinds.go
@@ -19,8 +19,8 @@
 type Model struct {
 	Name string `yaml:"name" json:"name" validate:"required,dns_label"`
 	// Version is the version that replicas should serve.
-	Version  string   `yaml:"version" json:"version" validate:"required"`
-	Adapters []string `yaml:"adapters,omitempty" json:"adapters,omitempty" validate:"dive,dns_label"`
+	Version  string   `yaml:"version" json:"version" validate:"required,max=128"`
+	Adapters []string `yaml:"adapters,omitempty" json:"adapters,omitempty" validate:"unique,dive,dns_label"`
 	// ContextTokens bounds prompt and answer together.
 	ContextTokens int `yaml:"contextTokens" json:"contextTokens" validate:"required,min=1"`
 }
@@ -29,7 +29,7 @@
 type Service struct {
 	Name string `yaml:"name" json:"name" validate:"required,dns_label"`
 	// Models are names of Model declarations; the first is the default.
-	Models []string `yaml:"models" json:"models" validate:"required,min=1,dive,dns_label"`
+	Models []string `yaml:"models" json:"models" validate:"required,min=1,unique,dive,dns_label"`
 	// MaxConcurrentPerReplica bounds online streams on one replica.
 	MaxConcurrentPerReplica int `yaml:"maxConcurrentPerReplica" json:"maxConcurrentPerReplica" validate:"required,min=1"`
 	// BatchConcurrentPerReplica bounds batch streams on one replica.
@@ -37,7 +37,7 @@
 	// QueueLimit bounds online requests waiting on one node.
 	QueueLimit int `yaml:"queueLimit" json:"queueLimit" validate:"min=0"`
 	// RequestTimeout bounds an online request from acceptance to last token.
-	RequestTimeout time.Duration `yaml:"requestTimeout" json:"requestTimeout" validate:"required"`
+	RequestTimeout time.Duration `yaml:"requestTimeout" json:"requestTimeout" validate:"required,min=1ms"`
 	// RetryBudgetPercent is the share of requests that may be retries.
 	RetryBudgetPercent int `yaml:"retryBudgetPercent" json:"retryBudgetPercent" validate:"min=0,max=100"`
 }
@@ -55,9 +55,9 @@
 type Tenant struct {
 	Name string `yaml:"name" json:"name" validate:"required,dns_label"`
 	// KeyDigests are SHA-256 digests, in hex, of the tenant's bearer keys.
-	KeyDigests []string `yaml:"keyDigests" json:"keyDigests" validate:"required,min=1,dive,len=64,hexadecimal"`
+	KeyDigests []string `yaml:"keyDigests" json:"keyDigests" validate:"required,min=1,unique,dive,len=64,hexadecimal,lowercase"`
 	// Services are the services that the tenant may use; empty means all.
-	Services []string `yaml:"services,omitempty" json:"services,omitempty" validate:"dive,dns_label"`
+	Services []string `yaml:"services,omitempty" json:"services,omitempty" validate:"unique,dive,dns_label"`
 	// RequestsPerSecond and Burst limit online requests of the tenant in all; 0 is no limit.
 	RequestsPerSecond float64 `yaml:"requestsPerSecond" json:"requestsPerSecond" validate:"min=0"`
 	Burst             int     `yaml:"burst" json:"burst" validate:"min=0"`
@@ -76,11 +76,11 @@
 	Service  string `yaml:"service" json:"service" validate:"required,dns_label"`
 	Priority string `yaml:"priority" json:"priority" validate:"required,dns_label"`
 	// Deadline is the time from acceptance within which the job should complete.
-	Deadline time.Duration `yaml:"deadline" json:"deadline" validate:"required"`
+	Deadline time.Duration `yaml:"deadline" json:"deadline" validate:"required,min=1s"`
 	// Retention is how long results stay readable after the job ended.
-	Retention time.Duration `yaml:"retention" json:"retention" validate:"required"`
+	Retention time.Duration `yaml:"retention" json:"retention" validate:"required,min=1s"`
 	// NotRepeatable marks all items of the job: each runs at most once.
 	NotRepeatable bool `yaml:"notRepeatable,omitempty" json:"notRepeatable,omitempty"`
 	// Input is the path of a JSONL file below the operator's folder; empty for a template.
-	Input string `yaml:"input,omitempty" json:"input,omitempty"`
+	Input string `yaml:"input,omitempty" json:"input,omitempty" validate:"omitempty,inner_path"`
 }
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -1,5 +1,7 @@
 package config
 
+import "fmt"
+
 // Snapshot is the whole configuration at one revision. It is immutable: nobody
 // changes a Snapshot or what it points to after it was made.
 type Snapshot struct {
@@ -22,3 +24,62 @@
 	// the returned function is called. notify must not block.
 	Subscribe(notify func(*Snapshot)) (unsubscribe func())
 }
+
+// BuildSnapshot indexes declarations. The values become part of the Snapshot and
+// must not be changed afterwards. Declarations with the same ID are an error.
+func BuildSnapshot(revision int64, declarations []Declaration) (*Snapshot, error) {
+	snapshot := &Snapshot{
+		Revision:          revision,
+		Models:            map[string]*Model{},
+		Services:          map[string]*Service{},
+		Priorities:        map[string]*Priority{},
+		Tenants:           map[string]*Tenant{},
+		Jobs:              map[string]*Job{},
+		TenantByKeyDigest: map[string]*Tenant{},
+	}
+	seen := make(map[ID]bool, len(declarations))
+	for _, declaration := range declarations {
+		if seen[declaration.ID] {
+			return nil, fmt.Errorf("%s is declared twice", declaration.ID)
+		}
+		seen[declaration.ID] = true
+		snapshot.add(declaration.Value)
+	}
+	return snapshot, nil
+}
+
+func (s *Snapshot) add(value Value) {
+	switch typed := value.(type) {
+	case *Model:
+		s.Models[typed.Name] = typed
+	case *Service:
+		s.Services[typed.Name] = typed
+	case *Priority:
+		s.Priorities[typed.Name] = typed
+	case *Tenant:
+		s.Tenants[typed.Name] = typed
+		for _, digest := range typed.KeyDigests {
+			s.TenantByKeyDigest[digest] = typed
+		}
+	case *Job:
+		s.Jobs[typed.Name] = typed
+	}
+}
+
+// Declarations lists the configuration by kind, then by name.
+func (s *Snapshot) Declarations() []Declaration {
+	set := declarationSet{}
+	addValues(set, s.Models)
+	addValues(set, s.Services)
+	addValues(set, s.Priorities)
+	addValues(set, s.Tenants)
+	addValues(set, s.Jobs)
+	return set.sorted()
+}
+
+func addValues[V Value](set declarationSet, values map[string]V) {
+	for _, value := range values {
+		declaration := NewDeclaration(value)
+		set[declaration.ID] = declaration
+	}
+}
--- /dev/null
+++ b/internal/strictyaml/document.go
@@ -0,0 +1,179 @@
+package strictyaml
+
+import (
+	"errors"
+	"fmt"
+	"unicode/utf8"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+)
+
+// Bounds of a file. They keep the parser's stack and memory small.
+const (
+	MaxBytes  = 1 << 20
+	MaxDepth  = 16
+	maxIndent = 128
+	// MaxProblems bounds the list that one file can cause.
+	MaxProblems = 100
+)
+
+// Document is one parsed document of a file. Its body is a mapping.
+type Document struct {
+	Position Position
+	body     ast.Node
+}
+
+// Parse splits source into its documents. Empty documents are left out. A document
+// that cannot be parsed is a Problem; the others are still returned.
+func Parse(source []byte) ([]Document, []Problem) {
+	if len(source) > MaxBytes {
+		return nil, []Problem{{Message: fmt.Sprintf("the file has %d bytes; at most %d are allowed", len(source), MaxBytes)}}
+	}
+	if problem, valid := checkText(source); !valid {
+		return nil, []Problem{problem}
+	}
+	var documents []Document
+	var problems []Problem
+	for _, tokens := range splitDocuments(lexer.Tokenize(string(source))) {
+		if found := checkTokens(tokens); len(found) > 0 {
+			problems = append(problems, found...)
+			continue
+		}
+		parsed, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
+		if err != nil {
+			problems = append(problems, syntaxProblem(err, tokens))
+			continue
+		}
+		for _, document := range parsed.Docs {
+			if document.Body == nil || document.Body.Type() == ast.NullType || document.Body.Type() == ast.CommentType {
+				continue
+			}
+			documents = append(documents, Document{Position: positionOf(document.Body), body: document.Body})
+		}
+	}
+	return documents, truncate(problems)
+}
+
+// checkText refuses bytes that are not UTF-8 text.
+func checkText(source []byte) (Problem, bool) {
+	line, column := 1, 1
+	for index := 0; index < len(source); {
+		char, size := utf8.DecodeRune(source[index:])
+		control := char < ' ' && char != '\n' && char != '\t' && char != '\r'
+		if control || char == utf8.RuneError && size == 1 {
+			return Problem{Position: Position{line, column}, Message: fmt.Sprintf("byte 0x%02x is not allowed; a file is UTF-8 text", source[index])}, false
+		}
+		column++
+		if char == '\n' {
+			line, column = line+1, 1
+		}
+		index += size
+	}
+	return Problem{}, true
+}
+
+// splitDocuments cuts the tokens before each "---". Parsing each part alone keeps
+// the time linear in the number of documents and finds the faults of all of them.
+func splitDocuments(tokens token.Tokens) []token.Tokens {
+	var parts []token.Tokens
+	start := 0
+	for index, current := range tokens {
+		if current.Type == token.DocumentHeaderType && index > start {
+			parts = append(parts, tokens[start:index:index])
+			start = index
+		}
+	}
+	if start < len(tokens) {
+		parts = append(parts, tokens[start:])
+	}
+	return parts
+}
+
+var refusedTokens = map[token.Type]string{
+	token.AnchorType:     "an anchor (&) is not allowed; write the value out",
+	token.AliasType:      "an alias (*) is not allowed; write the value out",
+	token.TagType:        "a tag (!) is not allowed; write the plain value",
+	token.MergeKeyType:   "a merge key (<<) is not allowed; write the values out",
+	token.DirectiveType:  "a directive (%) is not allowed",
+	token.MappingKeyType: "an explicit key (?) is not allowed; write key: value",
+}
+
+// checkTokens refuses what the parser would expand or recurse into without a bound.
+func checkTokens(tokens token.Tokens) []Problem {
+	var problems []Problem
+	flowDepth, lineEntries, line := 0, 0, 0
+	for _, current := range tokens {
+		if current.Type == token.InvalidType {
+			return append(problems, Problem{Position: tokenPosition(current), Message: current.Error})
+		}
+		if message, refused := refusedTokens[current.Type]; refused {
+			problems = append(problems, Problem{Position: tokenPosition(current), Message: message})
+		}
+		if current.Position.Line != line {
+			line, lineEntries = current.Position.Line, 0
+			if flowDepth == 0 && current.Position.Column > maxIndent && current.Type != token.CommentType {
+				return append(problems, Problem{Position: tokenPosition(current), Message: fmt.Sprintf("indented by more than %d columns", maxIndent)})
+			}
+		}
+		switch current.Type {
+		case token.SequenceStartType, token.MappingStartType:
+			flowDepth++
+		case token.SequenceEndType, token.MappingEndType:
+			flowDepth--
+		case token.SequenceEntryType:
+			lineEntries++
+		}
+		if flowDepth > MaxDepth || lineEntries > MaxDepth {
+			return append(problems, Problem{Position: tokenPosition(current), Message: fmt.Sprintf("nested deeper than %d levels", MaxDepth)})
+		}
+	}
+	return problems
+}
+
+func syntaxProblem(err error, tokens token.Tokens) Problem {
+	problem := Problem{Message: "not valid YAML: " + err.Error()}
+	var typed yaml.Error
+	if errors.As(err, &typed) {
+		problem.Message = "not valid YAML: " + typed.GetMessage()
+		if at := typed.GetToken(); at != nil {
+			problem.Position = tokenPosition(at)
+		}
+	}
+	if problem.Line == 0 && len(tokens) > 0 {
+		problem.Position = tokenPosition(tokens[0])
+	}
+	return problem
+}
+
+func tokenPosition(at *token.Token) Position {
+	return Position{Line: at.Position.Line, Column: max(at.Position.Column, 1)}
+}
+
+// positionOf returns where node begins. A mapping's own token is its first ":".
+func positionOf(node ast.Node) Position {
+	switch typed := node.(type) {
+	case *ast.MappingNode:
+		if !typed.IsFlowStyle && len(typed.Values) > 0 {
+			return positionOf(typed.Values[0].Key)
+		}
+	case *ast.MappingValueNode:
+		return positionOf(typed.Key)
+	}
+	if at := node.GetToken(); at != nil {
+		return tokenPosition(at)
+	}
+	return Position{}
+}
+
+func truncate(problems []Problem) []Problem {
+	if len(problems) <= MaxProblems {
+		return problems
+	}
+	more := Problem{Message: fmt.Sprintf("%d more problems are not listed", len(problems)-MaxProblems)}
+	more.Position = problems[MaxProblems-1].Position
+	return append(problems[:MaxProblems:MaxProblems], more)
+}
--- /dev/null
+++ b/internal/strictyaml/scalar.go
@@ -0,0 +1,134 @@
+package strictyaml
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"reflect"
+	"strconv"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+// scalarParser returns the node's value, or what was wanted in its place.
+type scalarParser func(node ast.Node) (value any, wants string)
+
+var scalarParsers = map[reflect.Type]scalarParser{
+	reflect.TypeFor[int]():            parseInteger,
+	reflect.TypeFor[int64]():          parseInteger,
+	reflect.TypeFor[float64]():        parseNumber,
+	reflect.TypeFor[bool]():           parseBool,
+	reflect.TypeFor[time.Duration]():  parseDuration,
+	reflect.TypeFor[netip.AddrPort](): parseAddrPort,
+}
+
+func parseText(node ast.Node) (any, string) {
+	switch typed := node.(type) {
+	case *ast.StringNode:
+		return typed.Value, ""
+	case *ast.LiteralNode:
+		return typed.Value.Value, ""
+	}
+	return nil, "a text (in quotes where it looks like a number or a truth value)"
+}
+
+func parseInteger(node ast.Node) (any, string) {
+	const wants = "a whole number"
+	integer, isInteger := node.(*ast.IntegerNode)
+	if !isInteger {
+		return nil, wants
+	}
+	switch value := integer.Value.(type) {
+	case int64:
+		return value, ""
+	case uint64:
+		if value <= math.MaxInt64 {
+			return int64(value), ""
+		}
+	}
+	return nil, wants + " of at most " + strconv.Itoa(math.MaxInt64)
+}
+
+func parseNumber(node ast.Node) (any, string) {
+	switch typed := node.(type) {
+	case *ast.IntegerNode:
+		value, wants := parseInteger(node)
+		if wants == "" {
+			return float64(value.(int64)), ""
+		}
+	case *ast.FloatNode:
+		if !math.IsInf(typed.Value, 0) && !math.IsNaN(typed.Value) {
+			return typed.Value, ""
+		}
+	}
+	return nil, "a finite number"
+}
+
+func parseBool(node ast.Node) (any, string) {
+	typed, isBool := node.(*ast.BoolNode)
+	if !isBool {
+		return nil, "true or false"
+	}
+	return typed.Value, ""
+}
+
+func parseDuration(node ast.Node) (any, string) {
+	const wants = "a duration with its unit, such as 250ms, 30s, 5m or 8h"
+	text, isText := node.(*ast.StringNode)
+	if !isText {
+		return nil, wants
+	}
+	value, err := time.ParseDuration(text.Value)
+	if err != nil {
+		return nil, wants
+	}
+	return value, ""
+}
+
+func parseAddrPort(node ast.Node) (any, string) {
+	const wants = "an IP number and a port, such as 127.0.0.1:8080 or [::1]:8080 (host names are not looked up)"
+	text, isText := node.(*ast.StringNode)
+	if !isText {
+		return nil, wants
+	}
+	value, err := netip.ParseAddrPort(text.Value)
+	if err != nil {
+		return nil, wants
+	}
+	return value, ""
+}
+
+const maxShownText = 60
+
+// describe names a node's type and, for a scalar, its value.
+func describe(node ast.Node) string {
+	switch typed := node.(type) {
+	case *ast.StringNode:
+		return fmt.Sprintf("%q", shorten(typed.Value))
+	case *ast.LiteralNode:
+		return "a block of text"
+	case *ast.IntegerNode:
+		return "the number " + shorten(typed.Token.Value)
+	case *ast.FloatNode:
+		return "the number " + shorten(typed.Token.Value)
+	case *ast.BoolNode:
+		return strconv.FormatBool(typed.Value)
+	case *ast.NullNode:
+		return "nothing"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	default:
+		return shorten(node.String())
+	}
+}
+
+func shorten(text string) string {
+	runes := []rune(text)
+	if len(runes) <= maxShownText {
+		return text
+	}
+	return string(runes[:maxShownText]) + "…"
+}
