Spread the configuration by relays and digests

Cause: one watch a node does not fit a rate-limited key-value service, and a node must learn the revision in force while that service is down. Change: two watchers a zone by rendezvous hash, deltas to the zone's others, digests to random peers, pulls for what is missing; a pure protocol with a service around it.

--- /dev/null
+++ b/internal/config/relay/service.go
@@ -0,0 +1,224 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/config"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+const (
+	tickInterval = 100 * time.Millisecond
+	// eventBuffer is how many events wait for the control goroutine before senders wait.
+	eventBuffer  = 64
+	storeTimeout = 5 * time.Second
+	pullTimeout  = 3 * time.Second
+	// reportInterval bounds how often the same problem is logged.
+	reportInterval = 30 * time.Second
+)
+
+// RevisionReporter learns which revision is in force on this node.
+type RevisionReporter interface {
+	SetConfigRevision(revision int64)
+}
+
+// Options of a Service. All fields but Reporter are needed.
+type Options struct {
+	Self     membership.Member
+	Viewer   membership.Viewer
+	Caller   transport.Caller
+	KeyValue platform.KeyValue
+	Reporter RevisionReporter
+	Logger   zerolog.Logger
+	// Seed decides the random choices; 0 takes one at random.
+	Seed uint64
+}
+
+// Service runs the protocol and provides what is in force. It is a config.Source and
+// safe for concurrent use.
+type Service struct {
+	options Options
+	logger  zerolog.Logger
+	events  chan event
+	ready   chan struct{}
+	// inForce and held are written by the control goroutine only. held can be newer than
+	// inForce where this node can't parse it.
+	inForce atomic.Pointer[config.Snapshot]
+	held    atomic.Pointer[document]
+
+	subscribers subscribers
+
+	stop    context.CancelFunc
+	running sync.WaitGroup
+
+	// The fields below belong to the control goroutine.
+	protocol   *protocol
+	stopWatch  context.CancelFunc
+	reportedAt map[problem]time.Time
+}
+
+var _ config.Source = (*Service)(nil)
+
+// New returns a Service that is not running, and registers its handlers.
+func New(options Options, registrar transport.Registrar) *Service {
+	seed := options.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	service := &Service{
+		options:    options,
+		logger:     options.Logger.With().Str(logging.FieldSlice, "config").Logger(),
+		events:     make(chan event, eventBuffer),
+		ready:      make(chan struct{}),
+		protocol:   newProtocol(options.Self, seed),
+		stopWatch:  func() {},
+		reportedAt: make(map[problem]time.Time),
+	}
+	empty, err := config.BuildSnapshot(0, nil)
+	if err != nil {
+		panic(err) // No declaration can't be declared twice.
+	}
+	service.inForce.Store(empty)
+	service.register(registrar)
+	return service
+}
+
+// Current returns the Snapshot in force.
+func (s *Service) Current() *config.Snapshot { return s.inForce.Load() }
+
+// Ready is closed once this node may serve by Current: the key-value service or enough
+// peers have confirmed that it is not older than what was in force before.
+func (s *Service) Ready() <-chan struct{} { return s.ready }
+
+// Subscribe calls notify after each change, on the control goroutine.
+func (s *Service) Subscribe(notify func(*config.Snapshot)) (unsubscribe func()) {
+	return s.subscribers.add(notify)
+}
+
+// Start runs the control goroutine until Stop.
+func (s *Service) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	s.running.Go(func() { s.run(ctx) })
+}
+
+// Stop ends all goroutines of the service.
+func (s *Service) Stop() {
+	if s.stop != nil {
+		s.stop()
+		s.running.Wait()
+	}
+}
+
+func (s *Service) run(ctx context.Context) {
+	viewChanged := make(chan struct{}, 1)
+	unsubscribe := s.options.Viewer.Subscribe(func(*membership.View) {
+		select {
+		case viewChanged <- struct{}{}:
+		default:
+		}
+	})
+	defer unsubscribe()
+	started := time.Now()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	s.handle(ctx, eventView{view: s.options.Viewer.View()})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.handle(ctx, eventTick{now: time.Since(started)})
+		case <-viewChanged:
+			s.handle(ctx, eventView{view: s.options.Viewer.View()})
+		case next := <-s.events:
+			s.handle(ctx, next)
+		}
+	}
+}
+
+// post hands an event to the control goroutine; it gives up when ctx ends.
+func (s *Service) post(ctx context.Context, next event) {
+	select {
+	case s.events <- next:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Service) handle(ctx context.Context, input event) {
+	for _, output := range s.protocol.step(input) {
+		s.perform(ctx, output)
+	}
+	// A step may learn the store's revision without a change of configuration.
+	s.held.Store(s.protocol.held)
+}
+
+func (s *Service) perform(ctx context.Context, output action) {
+	switch typed := output.(type) {
+	case actionPublish:
+		s.publish(typed.document)
+	case actionReady:
+		s.logger.Info().Int64(logging.FieldRevision, s.Current().Revision).Msg("configuration_ready")
+		close(s.ready)
+	case actionList:
+		s.running.Go(func() { s.list(ctx) })
+	case actionReadHead:
+		s.running.Go(func() { s.readHead(ctx) })
+	case actionWatch:
+		s.stopWatch()
+		watchContext, cancel := context.WithCancel(ctx)
+		s.stopWatch = cancel
+		s.running.Go(func() { s.watch(watchContext, typed) })
+	case actionStopWatch:
+		s.stopWatch()
+	case actionSendDelta:
+		s.sendDelta(typed)
+	case actionSendDigest:
+		// A digest that is lost is made up for by the next one.
+		_ = s.options.Caller.Send(typed.to, methodDigest, encodeDigest(typed.digest))
+	case actionPull:
+		s.running.Go(func() { s.pull(ctx, typed) })
+	case actionReport:
+		s.report(typed)
+	}
+}
+
+// publish puts a document in force. One that this node can't parse is passed on to
+// others, and the present Snapshot stays in force here.
+func (s *Service) publish(next *document) {
+	s.held.Store(next)
+	snapshot, err := snapshotOf(next)
+	if err != nil {
+		s.logger.Error().Err(err).Int64(logging.FieldRevision, next.revision).Msg("configuration_unreadable")
+		return
+	}
+	s.inForce.Store(snapshot)
+	s.logger.Info().Int64(logging.FieldRevision, snapshot.Revision).Msg("configuration_in_force")
+	if s.options.Reporter != nil {
+		s.options.Reporter.SetConfigRevision(snapshot.Revision)
+	}
+	s.subscribers.notify(snapshot)
+}
+
+func (s *Service) report(reported actionReport) {
+	now := time.Now()
+	last, before := s.reportedAt[reported.problem]
+	if before && now.Sub(last) < reportInterval {
+		return
+	}
+	s.reportedAt[reported.problem] = now
+	line := s.logger.Warn().Err(reported.err).Int64(logging.FieldRevision, s.Current().Revision)
+	if reported.from.IsValid() {
+		line = line.Stringer(logging.FieldPeer, reported.from)
+	}
+	line.Msg(string(reported.problem))
+}
