--- /dev/null
+++ b/internal/transport/counters.go
@@ -0,0 +1,58 @@
+package transport
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Methods under which frames that carry no method are counted.
+const (
+	methodHello  Method = "transport.hello"
+	methodCancel Method = "transport.cancel"
+)
+
+// Counters counts frames and bytes by method and direction. Bytes are those of the
+// frame with its length prefix, without what TCP and IP add.
+type Counters struct {
+	bytes  *prometheus.CounterVec
+	frames *prometheus.CounterVec
+}
+
+// Directions of the counters' label "direction".
+const (
+	DirectionSent     = "sent"
+	DirectionReceived = "received"
+)
+
+// Names of the counters, for those who read them back.
+const (
+	MetricBytes  = "sloelift_transport_bytes_total"
+	MetricFrames = "sloelift_transport_frames_total"
+)
+
+// NewCounters registers the counters.
+func NewCounters(registerer prometheus.Registerer) (*Counters, error) {
+	labels := []string{"method", "direction"}
+	counters := &Counters{
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: MetricBytes, Help: "Bytes of frames between nodes, by method and direction.",
+		}, labels),
+		frames: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: MetricFrames, Help: "Frames between nodes, by method and direction.",
+		}, labels),
+	}
+	for _, collector := range []prometheus.Collector{counters.bytes, counters.frames} {
+		if err := registerer.Register(collector); err != nil {
+			return nil, err
+		}
+	}
+	return counters, nil
+}
+
+// Sent counts one frame that went out.
+func (c *Counters) Sent(method Method, size int) { c.add(method, DirectionSent, size) }
+
+// Received counts one frame that came in.
+func (c *Counters) Received(method Method, size int) { c.add(method, DirectionReceived, size) }
+
+func (c *Counters) add(method Method, direction string, size int) {
+	c.bytes.WithLabelValues(string(method), direction).Add(float64(size))
+	c.frames.WithLabelValues(string(method), direction).Inc()
+}
--- a/internal/transport/errors.go
+++ b/internal/transport/errors.go
@@ -1,6 +1,14 @@
 package transport
 
-import "github.com/joomcode/errorx"
+import (
+	"errors"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	transportpb "github.com/sloelift/sloelift/api/proto/transport"
+	"github.com/sloelift/sloelift/internal/outcome"
+)
 
 var namespace = errorx.NewNamespace("transport")
 
@@ -12,6 +20,8 @@
 	KindNoAnswer = namespace.NewType("no_answer", errorx.Temporary())
 	// KindTooLarge: the message is over the frame limit and was not sent.
 	KindTooLarge = namespace.NewType("too_large")
+	// KindMalformed: bytes from a peer are not a valid frame; the connection ends.
+	KindMalformed = namespace.NewType("malformed")
 )
 
 // RemoteError is an error that the peer's handler returned. Reason is an
@@ -20,7 +30,50 @@
 	Outcome string
 	Reason  string
 	Message string
+	// RetryAfter is when the caller may come back; zero where no time can be named.
+	RetryAfter time.Duration
 }
 
 // Error returns the remote message.
 func (e *RemoteError) Error() string { return "remote: " + e.Reason + ": " + e.Message }
+
+// Unwrap returns the *outcome.Error that the handler returned, or nil where the
+// remote error carried no outcome.
+func (e *RemoteError) Unwrap() error {
+	if e.Outcome == "" {
+		return nil
+	}
+	return &outcome.Error{
+		Outcome:    outcome.Outcome(e.Outcome),
+		Reason:     outcome.Reason(e.Reason),
+		Message:    e.Message,
+		RetryAfter: e.RetryAfter,
+	}
+}
+
+// encodeError turns a handler's error into its wire form.
+func encodeError(err error) *transportpb.Error {
+	var typed *outcome.Error
+	if !errors.As(err, &typed) {
+		return &transportpb.Error{Message: err.Error()}
+	}
+	message := typed.Message
+	if typed.Cause != nil {
+		message += ": " + typed.Cause.Error()
+	}
+	return &transportpb.Error{
+		Outcome:          string(typed.Outcome),
+		Reason:           string(typed.Reason),
+		Message:          message,
+		RetryAfterMicros: uint64(max(typed.RetryAfter, 0).Microseconds()),
+	}
+}
+
+func decodeError(wire *transportpb.Error) *RemoteError {
+	return &RemoteError{
+		Outcome:    wire.GetOutcome(),
+		Reason:     wire.GetReason(),
+		Message:    wire.GetMessage(),
+		RetryAfter: microseconds(wire.GetRetryAfterMicros()),
+	}
+}
--- /dev/null
+++ b/internal/transport/fx.go
@@ -0,0 +1,40 @@
+package transport
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/sloelift/sloelift/internal/settings"
+)
+
+// Module provides the TCP transport as Caller and Registrar.
+var Module = fx.Module("transport",
+	fx.Provide(
+		newForNode,
+		func(tcp *TCP) Caller { return tcp },
+		func(tcp *TCP) Registrar { return tcp },
+	),
+)
+
+func newForNode(
+	lifecycle fx.Lifecycle,
+	node settings.Settings,
+	registerer prometheus.Registerer,
+	logger zerolog.Logger,
+) (*TCP, error) {
+	tcp, err := NewTCP(node.Node, node.PeerAddress, registerer, logger)
+	if err != nil {
+		return nil, err
+	}
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error { return tcp.Start() },
+		OnStop: func(context.Context) error {
+			tcp.Stop()
+			return nil
+		},
+	})
+	return tcp, nil
+}
--- /dev/null
+++ b/internal/transport/peer.go
@@ -0,0 +1,134 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/joomcode/errorx"
+)
+
+const (
+	dialTimeout      = 3 * time.Second
+	firstDialBackoff = 50 * time.Millisecond
+	maxDialBackoff   = time.Second
+	// idleTimeout closes a dialled connection on which nothing moved and no call waits.
+	idleTimeout     = 2 * time.Minute
+	idleCheckPeriod = 10 * time.Second
+)
+
+// errBackingOff fails frames for a peer that could not be reached a moment ago.
+var errBackingOff = errors.New("the peer was unreachable a moment ago")
+
+// peer is the dialled way to one node. Its goroutine owns the connection.
+type peer struct {
+	transport *TCP
+	address   netip.AddrPort
+	queue     *sendQueue
+	// lastUsed is the time of the last frame in either direction, in Unix nanoseconds.
+	lastUsed atomic.Int64
+}
+
+// Peer returns the address that this transport dials.
+func (p *peer) Peer() netip.AddrPort { return p.address }
+
+// Enqueue queues a frame.
+func (p *peer) Enqueue(ctx context.Context, frame *Outgoing) error {
+	p.touch()
+	return p.queue.put(ctx, p.address, frame)
+}
+
+func (p *peer) touch() { p.lastUsed.Store(time.Now().UnixNano()) }
+
+func (p *peer) idle() bool {
+	unused := time.Since(time.Unix(0, p.lastUsed.Load()))
+	return unused > idleTimeout && !p.transport.exchange.waitsOn(p)
+}
+
+// run dials when there is something to send, until ctx ends. While the peer is
+// unreachable, frames fail at once with KindNotSent and the next dial waits for a
+// jittered backoff.
+func (p *peer) run(ctx context.Context) {
+	defer p.queue.failAll(context.Canceled)
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval, wait.MaxInterval = firstDialBackoff, maxDialBackoff
+	wait.Reset()
+	var nextDial time.Time
+	for {
+		var first *Outgoing
+		select {
+		case first = <-p.queue.frames:
+		case <-ctx.Done():
+			return
+		}
+		if time.Now().Before(nextDial) {
+			p.drop(first, errBackingOff)
+			continue
+		}
+		connection, err := p.dial(ctx)
+		if err != nil {
+			p.drop(first, err)
+			p.queue.failAll(err)
+			nextDial = time.Now().Add(wait.NextBackOff())
+			continue
+		}
+		wait.Reset()
+		p.serve(ctx, connection, first)
+	}
+}
+
+// drop gives up a frame that was taken from the queue and never departed.
+func (p *peer) drop(frame *Outgoing, cause error) {
+	p.queue.taken(frame)
+	frame.Fail(cause)
+}
+
+func (p *peer) dial(ctx context.Context) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return dialer.DialContext(ctx, "tcp", p.address.String())
+}
+
+// serve runs one connection until it ends.
+func (p *peer) serve(ctx context.Context, connection net.Conn, first *Outgoing) {
+	exchange, counters := p.transport.exchange, p.transport.counters
+	whole := ctx
+	ctx, cancel := context.WithCancel(whole)
+	defer cancel()
+	var readError error
+	readerDone := make(chan struct{})
+	go func() {
+		defer close(readerDone)
+		defer cancel()
+		readError = p.read(ctx, connection)
+	}()
+	writer := newWriter(connection, counters, p.queue)
+	writeError := writer.writeHello(p.transport.hello)
+	if writeError == nil {
+		writeError = writer.writeBatch(first, writeTimeout)
+	} else {
+		p.drop(first, writeError)
+	}
+	if writeError == nil {
+		writeError = writer.run(ctx, whole, p.idle)
+	}
+	_ = connection.Close()
+	<-readerDone
+	p.transport.logBroken(p.address, readError)
+	exchange.LinkClosed(p, writeError)
+}
+
+func (p *peer) read(ctx context.Context, connection net.Conn) error {
+	reader := bufio.NewReaderSize(connection, bufferBytes)
+	if _, err := readHello(reader, p.transport.counters); err != nil {
+		return err
+	}
+	return readLoop(ctx, reader, p.transport.exchange, p, p.touch)
+}
+
+// isMalformed says whether err is the peer's fault and worth a log line.
+func isMalformed(err error) bool { return errorx.IsOfType(err, KindMalformed) }
