--- a/internal/config/plan.go
+++ b/internal/config/plan.go
@@ -64,17 +64,8 @@
 	if !exists {
 		return plan{}, newAbsentError(id)
 	}
-	inUse := &InUseError{Kind: id.Kind, Name: id.Name}
-	for _, other := range present.sorted() {
-		for _, reference := range references(other.Value) {
-			if reference.to == id {
-				inUse.Users = append(inUse.Users, other.String())
-				break
-			}
-		}
-	}
-	if len(inUse.Users) > 0 {
-		return plan{}, inUse
+	if users := usersOf(present.sorted(), id); len(users) > 0 {
+		return plan{}, &InUseError{Kind: id.Kind, Name: id.Name, Users: users}
 	}
 	return plan{
 		changes: []Change{{Kind: id.Kind, Name: id.Name, Action: ActionWithdraw, Before: declaration.YAML()}},
--- a/internal/config/reference_check.go
+++ b/internal/config/reference_check.go
@@ -151,3 +151,21 @@
 	}
 	return false
 }
+
+// UsersOf lists, as "Kind name", the declarations that refer to id.
+func UsersOf(snapshot *Snapshot, id ID) []string {
+	return usersOf(snapshot.Declarations(), id)
+}
+
+func usersOf(declarations []Declaration, id ID) []string {
+	var users []string
+	for _, declaration := range declarations {
+		for _, reference := range references(declaration.Value) {
+			if reference.to == id {
+				users = append(users, declaration.String())
+				break
+			}
+		}
+	}
+	return users
+}
--- a/internal/config/store_keyvalue.go
+++ b/internal/config/store_keyvalue.go
@@ -128,7 +128,7 @@
 	if err != nil {
 		return ApplyResult{}, err
 	}
-	s.logger.Info().Int64(logging.FieldRevision, revision).Int("changes", len(planned.changes)).Msg("configuration accepted")
+	s.logger.Info().Int64(logging.FieldRevision, revision).Int("changes", len(planned.changes)).Msg("configuration_accepted")
 	return ApplyResult{Revision: revision, Changes: planned.changes}, nil
 }
 
@@ -214,7 +214,7 @@
 
 // writeFailure says what is known when the service stayed away for too long.
 func (s *keyValueStore) writeFailure(err error, writeID string, sent bool) error {
-	s.logger.Warn().Err(err).Str("write_id", writeID).Bool("sent", sent).Msg("configuration not accepted")
+	s.logger.Warn().Err(err).Str("write_id", writeID).Bool("sent", sent).Msg("configuration_not_accepted")
 	if !sent {
 		return outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "the key-value service did not take the change; nothing was changed")
 	}
--- /dev/null
+++ b/internal/operator/error_body.go
@@ -0,0 +1,117 @@
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/config"
+	"github.com/sloelift/sloelift/internal/outcome"
+)
+
+// Codes of an ErrorBody that carry details.
+const (
+	codeInvalidFile = "invalid_file"
+	codeRevision    = "revision_conflict"
+	codeReferenced  = "referenced"
+	codeRunningJobs = "running_jobs"
+)
+
+// ErrorBody is the JSON body of every refusal.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail holds a code, the outcome and, by code, its details.
+type ErrorDetail struct {
+	Code    string          `json:"code"`
+	Outcome outcome.Outcome `json:"outcome"`
+	Message string          `json:"message"`
+	// RetryAfterSeconds is 0 where no time can be named.
+	RetryAfterSeconds int                     `json:"retry_after_seconds,omitempty"`
+	Invalid           *config.ValidationError `json:"invalid,omitempty"`
+	Conflict          *config.ConflictError   `json:"conflict,omitempty"`
+	Referenced        *config.InUseError      `json:"referenced,omitempty"`
+	Running           *RunningJobsError       `json:"running,omitempty"`
+}
+
+func describeError(err error) (status int, detail ErrorDetail) {
+	detail = ErrorDetail{Outcome: outcome.NotRun, Message: err.Error()}
+	switch {
+	case errors.As(err, &detail.Invalid):
+		detail.Code = codeInvalidFile
+		return http.StatusUnprocessableEntity, detail
+	case errors.As(err, &detail.Conflict):
+		detail.Code = codeRevision
+		return http.StatusConflict, detail
+	case errors.As(err, &detail.Referenced):
+		detail.Code = codeReferenced
+		return http.StatusConflict, detail
+	case errors.As(err, &detail.Running):
+		detail.Code = codeRunningJobs
+		return http.StatusConflict, detail
+	}
+	typed := outcome.As(err)
+	detail.Code, detail.Outcome = string(typed.Reason), typed.Outcome
+	detail.RetryAfterSeconds = int((typed.RetryAfter + time.Second - 1) / time.Second)
+	return statusOf(typed.Reason), detail
+}
+
+func statusOf(reason outcome.Reason) int {
+	switch reason {
+	case outcome.ReasonInvalid:
+		return http.StatusBadRequest
+	case outcome.ReasonUnauthorized:
+		return http.StatusUnauthorized
+	case outcome.ReasonNotFound:
+		return http.StatusNotFound
+	case outcome.ReasonConflict:
+		return http.StatusConflict
+	case outcome.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case outcome.ReasonRateLimited:
+		return http.StatusTooManyRequests
+	case outcome.ReasonOverloaded, outcome.ReasonUnavailable, outcome.ReasonLeaving, outcome.ReasonNotOwner:
+		return http.StatusServiceUnavailable
+	case outcome.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	case outcome.ReasonStorageFull:
+		return http.StatusInsufficientStorage
+	}
+	return http.StatusInternalServerError
+}
+
+func writeError(response http.ResponseWriter, err error) {
+	status, detail := describeError(err)
+	if detail.RetryAfterSeconds > 0 {
+		response.Header().Set("Retry-After", strconv.Itoa(detail.RetryAfterSeconds))
+	}
+	writeJSON(response, status, ErrorBody{Error: detail})
+}
+
+const contentTypeJSON = "application/json"
+
+// writeJSON answers with a value. A failure to write means that the client has gone.
+func writeJSON(response http.ResponseWriter, status int, value any) {
+	response.Header().Set("Content-Type", contentTypeJSON)
+	response.WriteHeader(status)
+	_ = json.NewEncoder(response).Encode(value)
+}
+
+// toError turns a received detail into the error that the server had.
+func (d ErrorDetail) toError() error {
+	switch {
+	case d.Invalid != nil:
+		return d.Invalid
+	case d.Conflict != nil:
+		return d.Conflict
+	case d.Referenced != nil:
+		return d.Referenced
+	case d.Running != nil:
+		return d.Running
+	}
+	failure := outcome.New(d.Outcome, outcome.Reason(d.Code), d.Message)
+	return failure.After(time.Duration(d.RetryAfterSeconds) * time.Second)
+}
--- /dev/null
+++ b/internal/operator/job_handler.go
@@ -0,0 +1,168 @@
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/sloelift/sloelift/internal/job"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/outcome"
+)
+
+var errNoJobs = outcome.New(outcome.NotRun, outcome.ReasonUnavailable, "this node serves no jobs")
+
+func (h *handler) submitJob(response http.ResponseWriter, request *http.Request) {
+	if h.jobs == nil || h.inForce == nil {
+		writeError(response, errNoJobs)
+		return
+	}
+	submission, err := newSubmission(request.URL.Query(), h.inForce.Current())
+	if err != nil {
+		writeError(response, err)
+		return
+	}
+	submission.Items = &slowBodyReader{
+		body:       http.MaxBytesReader(response, request.Body, h.limits.MaxBatchFileBytes),
+		controller: http.NewResponseController(response),
+		timeout:    h.limits.BodyTimeout,
+	}
+	status, err := h.jobs.Submit(request.Context(), submission)
+	if err != nil {
+		writeError(response, bodyError(err))
+		return
+	}
+	writeJSON(response, http.StatusOK, newJobView(status))
+}
+
+// bodyError names the cause where the body was at fault.
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return outcome.New(outcome.NotRun, outcome.ReasonTooLarge, "the input is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+	}
+	return err
+}
+
+// slowBodyReader gives up on a body that pauses for longer than timeout.
+type slowBodyReader struct {
+	body       io.Reader
+	controller *http.ResponseController
+	timeout    time.Duration
+}
+
+// Read implements io.Reader.
+func (r *slowBodyReader) Read(buffer []byte) (int, error) {
+	err := r.controller.SetReadDeadline(time.Now().Add(r.timeout))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return 0, err
+	}
+	return r.body.Read(buffer)
+}
+
+// JobList is one page of jobs.
+type JobList struct {
+	Jobs []JobView `json:"jobs"`
+}
+
+const defaultListLimit = 100
+
+func (h *handler) listJobs(response http.ResponseWriter, request *http.Request) {
+	if h.jobs == nil {
+		writeError(response, errNoJobs)
+		return
+	}
+	limit, err := queryInteger(request, queryLimit, defaultListLimit)
+	if err != nil {
+		writeError(response, err)
+		return
+	}
+	query := request.URL.Query()
+	page, err := h.jobs.List(request.Context(), query.Get(queryTenant), query.Get(queryAfter), int(min(limit, jobPageSize)))
+	if err != nil {
+		writeError(response, err)
+		return
+	}
+	list := JobList{Jobs: []JobView{}}
+	for _, status := range page {
+		list.Jobs = append(list.Jobs, newJobView(status))
+	}
+	writeJSON(response, http.StatusOK, list)
+}
+
+func (h *handler) getJob(response http.ResponseWriter, request *http.Request) {
+	h.withJob(response, request, func(tenant, id string) (job.Status, error) {
+		return h.jobs.Status(request.Context(), tenant, id)
+	})
+}
+
+func (h *handler) cancelJob(response http.ResponseWriter, request *http.Request) {
+	h.withJob(response, request, func(tenant, id string) (job.Status, error) {
+		return h.jobs.Cancel(request.Context(), tenant, id)
+	})
+}
+
+func (h *handler) withJob(response http.ResponseWriter, request *http.Request, use func(tenant, id string) (job.Status, error)) {
+	if h.jobs == nil {
+		writeError(response, errNoJobs)
+		return
+	}
+	status, err := use(request.URL.Query().Get(queryTenant), mux.Vars(request)["id"])
+	if err != nil {
+		writeError(response, err)
+		return
+	}
+	writeJSON(response, http.StatusOK, newJobView(status))
+}
+
+// trailerResultCount is an HTTP trailer that ends a whole result stream; a stream
+// without it was cut.
+const trailerResultCount = "X-Result-Count"
+
+const contentTypeLines = "application/jsonl"
+
+// getResults streams results as JSON lines. A failure after the first line ends the
+// stream without its trailer.
+func (h *handler) getResults(response http.ResponseWriter, request *http.Request) {
+	if h.jobs == nil {
+		writeError(response, errNoJobs)
+		return
+	}
+	from, err := queryInteger(request, queryFrom, 0)
+	if err != nil {
+		writeError(response, err)
+		return
+	}
+	count := 0
+	id := mux.Vars(request)["id"]
+	encoder := json.NewEncoder(response)
+	begin := func() {
+		response.Header().Set("Trailer", trailerResultCount)
+		response.Header().Set("Content-Type", contentTypeLines)
+	}
+	err = h.jobs.Results(request.Context(), request.URL.Query().Get(queryTenant), id, int(from), func(result job.ItemResult) error {
+		if count == 0 {
+			begin()
+		}
+		count++
+		return encoder.Encode(result)
+	})
+	if err != nil && count == 0 {
+		writeError(response, err)
+		return
+	}
+	if err != nil {
+		h.logger.Warn().Err(err).Str(logging.FieldJob, id).Int("sent", count).Msg("result_stream_cut")
+		return
+	}
+	if count == 0 {
+		begin()
+		response.WriteHeader(http.StatusOK)
+	}
+	response.Header().Set(trailerResultCount, strconv.Itoa(count))
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,123 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// failure is a setting with a value that is not allowed.
+type failure struct {
+	field   string
+	message string
+}
+
+// checker collects failures.
+type checker struct {
+	failures []failure
+}
+
+func (c *checker) require(holds bool, field, format string, arguments ...any) {
+	if !holds {
+		c.failures = append(c.failures, failure{field, fmt.Sprintf(format, arguments...)})
+	}
+}
+
+// check lists all settings that are not allowed, alone or together.
+func check(s Settings) []failure {
+	checks := &checker{}
+	checks.name("node", s.Node)
+	checks.name("region", s.Region)
+	checks.name("zone", s.Zone)
+	checks.addresses(s)
+	checks.platform(s.Platform)
+	checks.limits(s.Limits)
+	checks.ledger(s.Ledger)
+	_, err := zerolog.ParseLevel(s.LogLevel)
+	checks.require(err == nil && s.LogLevel != "", "logLevel", "%q is not a level; allowed are trace, debug, info, warn, error", s.LogLevel)
+	return checks.failures
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+func (c *checker) name(field, value string) {
+	c.require(namePattern.MatchString(value), field, "wants a name of 1 to 63 of a-z, 0-9 and -, not beginning or ending with -, not %q", value)
+}
+
+func (c *checker) address(field string, value netip.AddrPort) {
+	c.require(value.IsValid() && value.Port() != 0, field, "wants an IP number and a port above 0, such as 127.0.0.1:8080")
+}
+
+func (c *checker) addresses(s Settings) {
+	own := []struct {
+		field string
+		value netip.AddrPort
+	}{{"callerAddress", s.CallerAddress}, {"adminAddress", s.AdminAddress}, {"peerAddress", s.PeerAddress}}
+	taken := map[uint16]string{}
+	for _, address := range own {
+		c.address(address.field, address.value)
+		if !address.value.IsValid() {
+			continue
+		}
+		other, clash := taken[address.value.Port()]
+		c.require(!clash, address.field, "port %d is already the one of %s", address.value.Port(), other)
+		taken[address.value.Port()] = address.field
+	}
+	c.require(!s.PeerAddress.Addr().IsUnspecified(), "peerAddress", "wants the number under which other nodes reach this one, not %s", s.PeerAddress.Addr())
+	c.require(!s.AdminAddress.Addr().IsUnspecified(), "adminAddress", "wants the number under which this node is reached, not %s", s.AdminAddress.Addr())
+	for index, peer := range s.SeedPeers {
+		c.address(fmt.Sprintf("seedPeers[%d]", index), peer)
+	}
+}
+
+func (c *checker) platform(p Platform) {
+	c.require(len(p.KeyValue) > 0, "platform.keyValue", "wants at least one address of the key-value service")
+	for index, address := range p.KeyValue {
+		c.address(fmt.Sprintf("platform.keyValue[%d]", index), address)
+	}
+	c.address("platform.machineList", p.MachineList)
+	c.address("platform.weightStore", p.WeightStore)
+	c.require(p.KeyValueRequestsPerSecond > 0, "platform.keyValueRequestsPerSecond", "wants a number above 0")
+}
+
+func (c *checker) limits(l Limits) {
+	positive := []struct {
+		field string
+		value int64
+	}{
+		{"limits.maxBodyBytes", l.MaxBodyBytes},
+		{"limits.maxBatchFileBytes", l.MaxBatchFileBytes},
+		{"limits.maxConnections", int64(l.MaxConnections)},
+		{"limits.batchConcurrency", int64(l.BatchConcurrency)},
+	}
+	for _, limit := range positive {
+		c.require(limit.value > 0, limit.field, "wants a number above 0, not %d", limit.value)
+	}
+	durations := []struct {
+		field string
+		value time.Duration
+	}{
+		{"limits.headerTimeout", l.HeaderTimeout},
+		{"limits.bodyTimeout", l.BodyTimeout},
+		{"limits.drainTimeout", l.DrainTimeout},
+	}
+	for _, limit := range durations {
+		c.require(limit.value >= time.Millisecond, limit.field, "wants at least 1ms, not %s", limit.value)
+	}
+}
+
+const (
+	maxPartitions = 1 << 16
+	maxReplicas   = 16
+)
+
+func (c *checker) ledger(l Ledger) {
+	powerOfTwo := l.Partitions > 0 && l.Partitions&(l.Partitions-1) == 0
+	c.require(powerOfTwo && l.Partitions <= maxPartitions, "ledger.partitions", "wants a power of two up to %d, not %d", maxPartitions, l.Partitions)
+	c.require(l.Replicas >= 1 && l.Replicas <= maxReplicas, "ledger.replicas", "wants 1 to %d, not %d", maxReplicas, l.Replicas)
+	c.require(l.WriteQuorum > l.Replicas/2 && l.WriteQuorum <= l.Replicas, "ledger.writeQuorum",
+		"wants more than half of the %d replicas and no more than all, not %d", l.Replicas, l.WriteQuorum)
+}
