--- /dev/null
+++ b/cmd/sloelift/job_input.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/sloelift/sloelift/internal/config"
+	"github.com/sloelift/sloelift/internal/operator"
+)
+
+// jobInput is the input file of a Job declaration.
+type jobInput struct {
+	job  *config.Job
+	path string
+	// digest is the SHA-256 of the content. As part of the client key it makes applying
+	// the same file again find the same job, and another input another job.
+	digest string
+}
+
+// openInputs finds the inputs of a file's jobs, relative to the file's folder, before
+// anything is applied.
+func openInputs(filePath string, file *config.File) ([]jobInput, error) {
+	var inputs []jobInput
+	for _, declaration := range file.Declarations {
+		declared, isJob := declaration.Value.(*config.Job)
+		if !isJob || declared.Input == "" {
+			continue
+		}
+		if filePath == standardInput {
+			return nil, &usageError{fmt.Sprintf("%s has an input, which needs a file to be relative to", declaration.ID)}
+		}
+		path := filepath.Join(filepath.Dir(filePath), filepath.FromSlash(declared.Input))
+		digest, err := digestFile(path)
+		if err != nil {
+			return nil, &usageError{fmt.Sprintf("input of %s: %v", declaration.ID, err)}
+		}
+		inputs = append(inputs, jobInput{job: declared, path: path, digest: digest})
+	}
+	return inputs, nil
+}
+
+func digestFile(path string) (string, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return "", err
+	}
+	defer file.Close()
+	hash := sha256.New()
+	if _, err := io.Copy(hash, file); err != nil {
+		return "", err
+	}
+	return hex.EncodeToString(hash.Sum(nil)), nil
+}
+
+func submitInputs(env *environment, inputs []jobInput) ([]operator.JobView, error) {
+	var views []operator.JobView
+	for _, input := range inputs {
+		view, err := input.submit(env)
+		if err != nil {
+			return views, fmt.Errorf("job %s is not accepted (apply the file again to retry): %w", input.job.Name, err)
+		}
+		views = append(views, view)
+	}
+	return views, nil
+}
+
+const keyDigestLength = 16
+
+func (i jobInput) submit(env *environment) (operator.JobView, error) {
+	file, err := os.Open(i.path)
+	if err != nil {
+		return operator.JobView{}, err
+	}
+	defer file.Close()
+	request := operator.JobRequest{Template: i.job.Name, ClientKey: i.job.Name + "-" + i.digest[:keyDigestLength]}
+	return env.client.SubmitJob(env.context, request, file)
+}
--- a/cmd/sloelift/main.go
+++ b/cmd/sloelift/main.go
@@ -1,4 +1,8 @@
-// Command sloelift is described in docs/architecture.md.
+// Command sloelift runs one node and is the operators' command line.
 package main
 
-func main() {}
+import "os"
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/sloelift/schema.go
@@ -0,0 +1,17 @@
+package main
+
+import (
+	"encoding/json"
+
+	"github.com/sloelift/sloelift/internal/config"
+)
+
+// schemaCommand prints the JSON Schema that editors use.
+type schemaCommand struct{}
+
+// Run implements the command.
+func (c *schemaCommand) Run(env *environment) error {
+	encoder := json.NewEncoder(env.stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(config.Schema())
+}
--- /dev/null
+++ b/cmd/sloelift/serve.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/node"
+	"github.com/sloelift/sloelift/internal/settings"
+)
+
+// serveCommand runs one node until SIGTERM or SIGINT, which begin a planned stop. A
+// second signal ends the process at once.
+type serveCommand struct {
+	Settings      string         `required:"" placeholder:"FILE" help:"Settings file."`
+	Node          string         `help:"Overrides the file's node."`
+	Region        string         `help:"Overrides the file's region."`
+	Zone          string         `help:"Overrides the file's zone."`
+	CallerAddress netip.AddrPort `placeholder:"IP:PORT" help:"Overrides the file's callerAddress."`
+	AdminAddress  netip.AddrPort `placeholder:"IP:PORT" help:"Overrides the file's adminAddress."`
+	PeerAddress   netip.AddrPort `placeholder:"IP:PORT" help:"Overrides the file's peerAddress."`
+	DataFolder    string         `placeholder:"FOLDER" help:"Overrides the file's dataFolder."`
+	LogLevel      string         `placeholder:"LEVEL" help:"Overrides the file's logLevel."`
+}
+
+// Run implements the command.
+func (c *serveCommand) Run(env *environment) error {
+	loaded, err := settings.Load(c.Settings, settings.Overrides{
+		Node: c.Node, Region: c.Region, Zone: c.Zone,
+		CallerAddress: c.CallerAddress, AdminAddress: c.AdminAddress, PeerAddress: c.PeerAddress,
+		DataFolder: c.DataFolder, LogLevel: c.LogLevel,
+	})
+	if err != nil {
+		return err
+	}
+	level, err := zerolog.ParseLevel(loaded.LogLevel)
+	if err != nil {
+		return fmt.Errorf("log level: %w", err)
+	}
+	ctx, restore := signal.NotifyContext(env.context, syscall.SIGTERM, syscall.SIGINT)
+	defer restore()
+	go func() {
+		<-ctx.Done()
+		restore()
+	}()
+	return node.Run(ctx, loaded, logging.New(env.stderr, level))
+}
--- a/internal/config/reference_check.go
+++ b/internal/config/reference_check.go
@@ -38,12 +38,12 @@
 
 // checkReferences checks the whole configuration that a change would lead to.
 // Declarations that are not of the file have no position; the problem names them.
-func checkReferences(resulting declarationSet) []Problem {
-	var problems []Problem
+func checkReferences(resulting declarationSet) []referenceProblem {
+	var problems []referenceProblem
 	for _, declaration := range resulting.sorted() {
 		for _, reference := range references(declaration.Value) {
 			if _, present := resulting[reference.to]; !present {
-				problems = append(problems, problemAt(declaration, reference.field, fmt.Sprintf("%s does not exist; there are %s",
+				problems = append(problems, newReferenceProblem(declaration, reference.field, fmt.Sprintf("%s does not exist; there are %s",
 					reference.to, nameList(resulting, reference.to.Kind))))
 			}
 		}
@@ -56,17 +56,17 @@
 }
 
 // checkJob: a job is batch work, for a service that its tenant may use.
-func checkJob(declaration Declaration, job *Job, resulting declarationSet) []Problem {
-	var problems []Problem
+func checkJob(declaration Declaration, job *Job, resulting declarationSet) []referenceProblem {
+	var problems []referenceProblem
 	if priority, present := resulting[ID{KindPriority, job.Priority}]; present && priority.Value.(*Priority).Online {
-		problems = append(problems, problemAt(declaration, "priority", fmt.Sprintf("Priority %s is for online requests; a job needs one with online: false", job.Priority)))
+		problems = append(problems, newReferenceProblem(declaration, "priority", fmt.Sprintf("Priority %s is for online requests; a job needs one with online: false", job.Priority)))
 	}
 	tenant, present := resulting[ID{KindTenant, job.Tenant}]
 	if !present {
 		return problems
 	}
 	if services := tenant.Value.(*Tenant).Services; len(services) > 0 && !containsName(services, job.Service) {
-		problems = append(problems, problemAt(declaration, "service", fmt.Sprintf("Tenant %s may not use Service %s; allowed are %s",
+		problems = append(problems, newReferenceProblem(declaration, "service", fmt.Sprintf("Tenant %s may not use Service %s; allowed are %s",
 			job.Tenant, job.Service, strings.Join(services, ", "))))
 	}
 	return problems
@@ -74,7 +74,7 @@
 
 // checkRanks keeps each batch priority below every online one, because engines
 // order by rank alone.
-func checkRanks(resulting declarationSet) []Problem {
+func checkRanks(resulting declarationSet) []referenceProblem {
 	var lowest *Priority
 	for _, declaration := range resulting.sorted() {
 		if priority, isPriority := declaration.Value.(*Priority); isPriority && priority.Online {
@@ -86,10 +86,10 @@
 	if lowest == nil {
 		return nil
 	}
-	var problems []Problem
+	var problems []referenceProblem
 	for _, declaration := range resulting.sorted() {
 		if priority, isPriority := declaration.Value.(*Priority); isPriority && !priority.Online && priority.Rank >= lowest.Rank {
-			problems = append(problems, problemAt(declaration, "rank", fmt.Sprintf(
+			problems = append(problems, newReferenceProblem(declaration, "rank", fmt.Sprintf(
 				"a batch priority must rank below every online one; Priority %s has rank %d", lowest.Name, lowest.Rank)))
 		}
 	}
@@ -97,8 +97,8 @@
 }
 
 // checkKeyDigests keeps a key from naming two tenants.
-func checkKeyDigests(resulting declarationSet) []Problem {
-	var problems []Problem
+func checkKeyDigests(resulting declarationSet) []referenceProblem {
+	var problems []referenceProblem
 	owners := map[string]string{}
 	for _, declaration := range resulting.sorted() {
 		tenant, isTenant := declaration.Value.(*Tenant)
@@ -107,7 +107,7 @@
 		}
 		for index, digest := range tenant.KeyDigests {
 			if owner, taken := owners[digest]; taken {
-				problems = append(problems, problemAt(declaration, fmt.Sprintf("keyDigests[%d]", index), "the same key belongs to Tenant "+owner))
+				problems = append(problems, newReferenceProblem(declaration, fmt.Sprintf("keyDigests[%d]", index), "the same key belongs to Tenant "+owner))
 				continue
 			}
 			owners[digest] = tenant.Name
@@ -116,6 +116,16 @@
 	return problems
 }
 
+// referenceProblem is a Problem of the declaration with the given id.
+type referenceProblem struct {
+	Problem
+	id ID
+}
+
+func newReferenceProblem(declaration Declaration, field, message string) referenceProblem {
+	return referenceProblem{problemAt(declaration, field, message), declaration.ID}
+}
+
 func problemAt(declaration Declaration, field, message string) Problem {
 	position := declaration.Positions.Find(field)
 	if position.Line == 0 {
--- a/internal/config/store_keyvalue.go
+++ b/internal/config/store_keyvalue.go
@@ -35,7 +35,11 @@
 }
 
 func newReferenceError(resulting declarationSet) error {
-	return strictyaml.NewValidationError(checkReferences(resulting))
+	var problems []Problem
+	for _, found := range checkReferences(resulting) {
+		problems = append(problems, found.Problem)
+	}
+	return strictyaml.NewValidationError(problems)
 }
 
 // Apply implements Store.
--- a/internal/operator/error_body.go
+++ b/internal/operator/error_body.go
@@ -115,3 +115,9 @@
 	failure := outcome.New(d.Outcome, outcome.Reason(d.Code), d.Message)
 	return failure.After(time.Duration(d.RetryAfterSeconds) * time.Second)
 }
+
+// NewErrorBody describes err.
+func NewErrorBody(err error) ErrorBody {
+	_, detail := describeError(err)
+	return ErrorBody{Error: detail}
+}
