Add membership with zone-aware probing and its tests on virtual time

Cause: nodes did not know of each other. Change: a pure protocol (step of event to actions) with ring and random probes in the own zone, few probes elsewhere, indirect probes, suspicion that is refuted, bounded news, digests, join through seeds and the machine list, planned leave.

--- /dev/null
+++ b/internal/membership/cluster_test.go
@@ -0,0 +1,205 @@
+package membership
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/transport/memory"
+)
+
+const testPort = 7000
+
+// cluster is a set of services on virtual time. Node i is in zone i % zones, zone z in
+// region z % regions.
+type cluster struct {
+	t        *testing.T
+	network  *memory.Network
+	zones    int
+	regions  int
+	nodes    []*clusterNode
+	loss     float64
+	cut      func(from, to *clusterNode) bool
+	byAddr   map[netip.AddrPort]*clusterNode
+	machines platform.MachineList
+}
+
+type clusterNode struct {
+	number    int
+	member    Member
+	service   *Service
+	transport *memory.Transport
+	silenced  bool // its machine is gone: nothing in or out
+}
+
+func newCluster(t *testing.T, count, zones, regions int, seed uint64) *cluster {
+	c := &cluster{
+		t: t, network: memory.NewNetwork(seed), zones: zones, regions: regions,
+		cut:    func(_, _ *clusterNode) bool { return false },
+		byAddr: make(map[netip.AddrPort]*clusterNode),
+	}
+	c.network.SetConditions(c.conditions)
+	for number := range count {
+		zone := number % zones
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(number >> 8), byte(number)}), testPort)
+		node := &clusterNode{number: number, member: Member{
+			ID:          NodeID(fmt.Sprintf("node-%03d", number)),
+			Region:      fmt.Sprintf("region-%d", zone%regions),
+			Zone:        fmt.Sprintf("zone-%d", zone),
+			PeerAddress: address,
+		}}
+		c.nodes = append(c.nodes, node)
+		c.byAddr[address] = node
+	}
+	for _, node := range c.nodes {
+		c.start(node)
+	}
+	return c
+}
+
+func (c *cluster) conditions(from, to netip.AddrPort) memory.Conditions {
+	sender, receiver := c.byAddr[from], c.byAddr[to]
+	conditions := memory.Conditions{Delay: 200 * time.Microsecond, Jitter: 100 * time.Microsecond, Loss: c.loss}
+	if sender.member.Zone != receiver.member.Zone {
+		conditions.Delay = time.Millisecond
+	}
+	if sender.member.Region != receiver.member.Region {
+		conditions.Delay = 40 * time.Millisecond
+	}
+	conditions.Cut = sender.silenced || receiver.silenced || c.cut(sender, receiver)
+	return conditions
+}
+
+// start starts a node, or starts it again, as a new incarnation.
+func (c *cluster) start(node *clusterNode) {
+	c.t.Helper()
+	registry := prometheus.NewRegistry()
+	transport, err := memory.NewTransport(c.network, node.member.PeerAddress, registry)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	self := node.member
+	self.Incarnation = uint64(time.Now().UnixMicro())
+	node.service, err = New(Options{
+		Self:       self,
+		Seeds:      []netip.AddrPort{c.nodes[0].member.PeerAddress, c.nodes[min(1, len(c.nodes)-1)].member.PeerAddress},
+		Timing:     DefaultTiming(),
+		RandomSeed: uint64(node.number),
+	}, transport, c.machines, registry, zerolog.Nop())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	node.transport = transport
+	node.silenced = false
+	transport.Start()
+	node.service.Start()
+}
+
+// kill ends a node as the loss of its machine would.
+func (c *cluster) kill(node *clusterNode) {
+	node.silenced = true
+	node.service.Kill()
+	node.transport.Stop()
+}
+
+// restart stops a node as planned and starts it again after a while.
+func (c *cluster) restart(node *clusterNode, downFor time.Duration) {
+	if err := node.service.Leave(c.t.Context()); err != nil {
+		c.t.Fatal(err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	node.service.Stop()
+	node.transport.Stop()
+	time.Sleep(downFor)
+	c.start(node)
+}
+
+func (c *cluster) stopAll() {
+	for _, node := range c.nodes {
+		node.service.Kill()
+		node.transport.Stop()
+	}
+	synctest.Wait()
+}
+
+// stateOf is what observer holds of subject.
+func stateOf(observer, subject *clusterNode) State {
+	member, present := observer.service.View().Find(subject.member.ID)
+	if !present {
+		return Dead
+	}
+	return member.State
+}
+
+// await checks each 50 ms of virtual time and returns how long it took until condition
+// held for all nodes; it fails after limit.
+func (c *cluster) await(limit time.Duration, what string, condition func(observer *clusterNode) bool) time.Duration {
+	c.t.Helper()
+	began := time.Now()
+	for {
+		waiting := ""
+		for _, node := range c.nodes {
+			if !node.silenced && !condition(node) {
+				waiting = string(node.member.ID)
+				break
+			}
+		}
+		if waiting == "" {
+			return time.Since(began)
+		}
+		if time.Since(began) > limit {
+			c.t.Fatalf("%s: not so on %s after %s", what, waiting, limit)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// seesAll says whether observer holds every node alive.
+func (c *cluster) seesAll(observer *clusterNode) bool {
+	for _, node := range c.nodes {
+		if stateOf(observer, node) != Alive {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *cluster) awaitAll(limit time.Duration) time.Duration {
+	c.t.Helper()
+	return c.await(limit, "all alive", c.seesAll)
+}
+
+// watchDeaths counts from now on each time that a node declares another one dead.
+func (c *cluster) watchDeaths() func() []string {
+	var views []func() []string
+	for _, node := range c.nodes {
+		dead := make(chan string, 10000)
+		node.service.Subscribe(func(view *View) {
+			for _, member := range view.Members {
+				if member.State == Dead {
+					dead <- string(member.ID) + " on " + string(node.member.ID)
+				}
+			}
+		})
+		views = append(views, func() []string {
+			var all []string
+			for len(dead) > 0 {
+				all = append(all, <-dead)
+			}
+			return all
+		})
+	}
+	return func() []string {
+		var all []string
+		for _, view := range views {
+			all = append(all, view()...)
+		}
+		return all
+	}
+}
--- /dev/null
+++ b/internal/membership/index.go
@@ -0,0 +1,76 @@
+package membership
+
+import "sort"
+
+// index orders the members that are not dead, this node among them.
+type index struct {
+	byZone map[zoneKey][]*record // sorted by id
+	// zones are the keys of byZone, sorted, so that random choices repeat with the seed.
+	zones []zoneKey
+	// ring is the own zone in the order of idHash.
+	ring []*record
+	// suspects counts the suspects of each zone.
+	suspects map[zoneKey]int
+	others   int // members besides this node
+}
+
+// lookup returns the index, rebuilt where a member changed its state.
+func (p *protocol) lookup() *index {
+	if !p.stale {
+		return &p.index
+	}
+	p.stale = false
+	built := index{byZone: make(map[zoneKey][]*record), suspects: make(map[zoneKey]int)}
+	for _, held := range p.records {
+		if held.State == Dead && held != p.self {
+			continue
+		}
+		built.byZone[held.zone] = append(built.byZone[held.zone], held)
+		if held.State == Suspect {
+			built.suspects[held.zone]++
+		}
+		if held != p.self {
+			built.others++
+		}
+	}
+	for zone, members := range built.byZone {
+		sort.Slice(members, func(i, j int) bool { return members[i].ID < members[j].ID })
+		built.zones = append(built.zones, zone)
+	}
+	sort.Slice(built.zones, func(i, j int) bool { return built.zones[i] < built.zones[j] })
+	built.ring = append(built.ring, built.byZone[p.self.zone]...)
+	sort.Slice(built.ring, func(i, j int) bool { return built.ring[i].idHash < built.ring[j].idHash })
+	p.index = built
+	return &p.index
+}
+
+// sample returns up to count random members that accept approves; nil approves all
+// but this node.
+func (p *protocol) sample(members []*record, count int, accept func(*record) bool) []*record {
+	var chosen []*record
+	for _, position := range p.random.Perm(len(members)) {
+		candidate := members[position]
+		if candidate == p.self || (accept != nil && !accept(candidate)) {
+			continue
+		}
+		if chosen = append(chosen, candidate); len(chosen) == count {
+			break
+		}
+	}
+	return chosen
+}
+
+// ringSuccessor returns the member so many places after this node on its zone's ring,
+// or nil where the zone has no other.
+func (p *protocol) ringSuccessor(places int) *record {
+	ring := p.lookup().ring
+	if len(ring) < 2 {
+		return nil
+	}
+	own := sort.Search(len(ring), func(i int) bool { return ring[i].idHash >= p.self.idHash })
+	successor := ring[(own+places)%len(ring)]
+	if successor == p.self {
+		return nil
+	}
+	return successor
+}
--- /dev/null
+++ b/internal/membership/probe.go
@@ -0,0 +1,214 @@
+package membership
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	membershippb "github.com/sloelift/sloelift/api/proto/membership"
+)
+
+// probe is one probe of a member that has no answer yet.
+type probe struct {
+	target *record
+	sentAt time.Time
+	// indirect: helpers were asked.
+	indirect bool
+}
+
+// relay is a probe made on another node's behalf.
+type relay struct {
+	origin   netip.AddrPort
+	sequence uint64
+	target   NodeID
+	sentAt   time.Time
+}
+
+// startProbes probes whom it is time to probe.
+func (p *protocol) startProbes() {
+	if !p.now.Before(p.nextZoneProbe) {
+		p.nextZoneProbe = p.nextTime(p.nextZoneProbe, p.timing.ZoneProbePeriod)
+		p.probeOwnZone()
+	}
+	if !p.now.Before(p.nextRemoteProbe) {
+		p.nextRemoteProbe = p.nextTime(p.nextRemoteProbe, p.timing.RemoteProbePeriod)
+		if target := p.remoteTarget(); target != nil {
+			p.probe(target)
+		}
+	}
+}
+
+// nextTime keeps a period's rhythm, or starts it anew at a random phase after a pause.
+func (p *protocol) nextTime(due time.Time, period time.Duration) time.Time {
+	if p.now.Sub(due) > period {
+		return p.now.Add(time.Duration(p.random.Int64N(int64(period))))
+	}
+	return due.Add(period)
+}
+
+func (p *protocol) probeOwnZone() {
+	p.successor = p.successor%ringSuccessors + 1
+	neighbour := p.ringSuccessor(p.successor)
+	if neighbour != nil {
+		p.probe(neighbour)
+	}
+	notNeighbour := func(candidate *record) bool { return candidate != neighbour }
+	for _, target := range p.sample(p.lookup().ring, 1, notNeighbour) {
+		p.probe(target)
+	}
+}
+
+// remoteTarget chooses a random zone, or one with several suspects, and a random
+// member there.
+func (p *protocol) remoteTarget() *record {
+	index := p.lookup()
+	var remote, troubled []zoneKey
+	for _, zone := range index.zones {
+		if zone == p.self.zone {
+			continue
+		}
+		remote = append(remote, zone)
+		if count := index.suspects[zone]; count >= troubledZone && count < len(index.byZone[zone]) {
+			troubled = append(troubled, zone)
+		}
+	}
+	accept := func(*record) bool { return true }
+	if len(troubled) > 0 {
+		remote = troubled
+		accept = func(candidate *record) bool { return candidate.State != Suspect }
+	}
+	if len(remote) == 0 {
+		return nil
+	}
+	zone := remote[p.random.IntN(len(remote))]
+	for _, target := range p.sample(index.byZone[zone], 1, accept) {
+		return target
+	}
+	return nil
+}
+
+func (p *protocol) probe(target *record) {
+	p.lastSequence++
+	p.probes[p.lastSequence] = &probe{target: target, sentAt: p.now}
+	p.ping(target, p.lastSequence)
+}
+
+func (p *protocol) ping(target *record, sequence uint64) {
+	p.send(target.PeerAddress, methodPing, &membershippb.Ping{
+		Sender:   p.sender(),
+		Sequence: sequence,
+		News:     p.news.take(target.ID, p.records, p.now),
+	})
+}
+
+// checkProbes asks helpers where a probe is late, and suspects where it failed.
+func (p *protocol) checkProbes() {
+	for _, sequence := range slices.Sorted(maps.Keys(p.probes)) {
+		pending := p.probes[sequence]
+		waited := p.now.Sub(pending.sentAt)
+		switch {
+		case waited >= p.timing.ProbeTimeout:
+			delete(p.probes, sequence)
+			p.probeFailed(pending)
+		case waited >= p.timing.DirectTimeout && !pending.indirect:
+			pending.indirect = true
+			p.askHelpers(pending.target, sequence)
+		}
+	}
+	for sequence, pending := range p.relays {
+		if p.now.Sub(pending.sentAt) >= p.timing.ProbeTimeout {
+			delete(p.relays, sequence)
+		}
+	}
+}
+
+func (p *protocol) probeFailed(pending *probe) {
+	target := pending.target
+	if p.records[target.ID] != target || target.lastHeard.After(pending.sentAt) {
+		return
+	}
+	p.suspect(target, pending.sentAt, p.now)
+}
+
+// askHelpers spreads the indirect probes over zones, so that a cut between two of
+// them is told from a dead member.
+func (p *protocol) askHelpers(target *record, sequence uint64) {
+	index := p.lookup()
+	helpful := func(candidate *record) bool { return candidate != target && candidate.State == Alive }
+	helpers := p.sample(index.byZone[p.self.zone], 1, helpful)
+	if target.zone != p.self.zone {
+		helpers = append(helpers, p.sample(index.byZone[target.zone], 1, helpful)...)
+	}
+	chosen := map[*record]bool{}
+	for _, helper := range helpers {
+		chosen[helper] = true
+	}
+	others := index.ring
+	if target.zone != p.self.zone {
+		others = index.byZone[index.zones[p.random.IntN(len(index.zones))]]
+	}
+	unused := func(candidate *record) bool { return helpful(candidate) && !chosen[candidate] }
+	helpers = append(helpers, p.sample(others, indirectProbes-len(helpers), unused)...)
+	for _, helper := range helpers {
+		p.send(helper.PeerAddress, methodProbeRequest, &membershippb.ProbeRequest{
+			Sender:        p.sender(),
+			Sequence:      sequence,
+			TargetId:      string(target.ID),
+			TargetAddress: encodeAddress(target.PeerAddress),
+		})
+	}
+}
+
+func (p *protocol) receivePing(from netip.AddrPort, message *membershippb.Ping) {
+	known := p.hear(from, message.GetSender())
+	p.mergeAll(from, message.GetNews())
+	p.send(from, methodAck, &membershippb.Ack{
+		Sender:   p.sender(),
+		Sequence: message.GetSequence(),
+		News:     p.news.take(NodeID(message.GetSender().GetId()), p.records, p.now),
+	})
+	if !known {
+		p.sendDigest(from)
+	}
+}
+
+func (p *protocol) receiveAck(from netip.AddrPort, message *membershippb.Ack) {
+	p.hear(from, message.GetSender())
+	p.mergeAll(from, message.GetNews())
+	reached := message.GetSender()
+	if message.GetTarget() != nil {
+		reached = message.GetTarget()
+	}
+	if pending := p.probes[message.GetSequence()]; pending != nil && string(pending.target.ID) == reached.GetId() {
+		delete(p.probes, message.GetSequence())
+		if reached.GetIncarnation() == pending.target.Incarnation {
+			pending.target.lastHeard = p.now
+		}
+		return
+	}
+	if pending, present := p.relays[message.GetSequence()]; present && string(pending.target) == reached.GetId() {
+		delete(p.relays, message.GetSequence())
+		p.send(pending.origin, methodAck, &membershippb.Ack{
+			Sender:   p.sender(),
+			Sequence: pending.sequence,
+			Target:   reached,
+		})
+	}
+}
+
+func (p *protocol) receiveProbeRequest(from netip.AddrPort, message *membershippb.ProbeRequest) {
+	p.hear(from, message.GetSender())
+	address, valid := decodeAddress(message.GetTargetAddress())
+	if !valid {
+		return
+	}
+	p.lastSequence++
+	target := NodeID(message.GetTargetId())
+	p.relays[p.lastSequence] = relay{origin: from, sequence: message.GetSequence(), target: target, sentAt: p.now}
+	p.send(address, methodPing, &membershippb.Ping{
+		Sender:   p.sender(),
+		Sequence: p.lastSequence,
+		News:     p.news.take(target, p.records, p.now),
+	})
+}
--- /dev/null
+++ b/internal/membership/timing.go
@@ -0,0 +1,80 @@
+package membership
+
+import "time"
+
+// Timing holds the periods and limits of the protocol.
+type Timing struct {
+	// Tick is how often time moves for the protocol.
+	Tick time.Duration
+	// ZoneProbePeriod is how often a node probes two members of its own zone: one of
+	// its two ring successors in turn, and a random one.
+	ZoneProbePeriod time.Duration
+	// RemoteProbePeriod is how often a node probes one member of another zone.
+	RemoteProbePeriod time.Duration
+	// DirectTimeout starts indirect probes, ProbeTimeout the suspicion.
+	DirectTimeout time.Duration
+	ProbeTimeout  time.Duration
+	// ZoneDeathAfter and RemoteDeathAfter are how long a suspect has been silent when
+	// it is declared dead, in its own zone and elsewhere.
+	ZoneDeathAfter   time.Duration
+	RemoteDeathAfter time.Duration
+	// RefuteTime is what a member has at least to refute a suspicion that a node hears
+	// of late; ClaimRefuteTime is the same where others hold the member dead already.
+	RefuteTime      time.Duration
+	ClaimRefuteTime time.Duration
+	// DigestPeriod is how often a node compares its members with a random one's,
+	// HealPeriod with one that it holds dead or does not know yet.
+	DigestPeriod time.Duration
+	HealPeriod   time.Duration
+	// JoinPeriod and MaxJoinPeriod bound the backoff of a node that knows nobody.
+	JoinPeriod    time.Duration
+	MaxJoinPeriod time.Duration
+	// ForgetAfter is how long the dead are kept, ForgetUnlistedAfter the same where
+	// the machine list does not name them either.
+	ForgetAfter         time.Duration
+	ForgetUnlistedAfter time.Duration
+	// ListPeriod is how often the machine list is read.
+	ListPeriod time.Duration
+}
+
+// DefaultTiming returns the timing of production: a dead node is known in its zone
+// within 3 s and everywhere within 8 s, and a pause of 2 s kills nobody.
+func DefaultTiming() Timing {
+	return Timing{
+		Tick:                100 * time.Millisecond,
+		ZoneProbePeriod:     250 * time.Millisecond,
+		RemoteProbePeriod:   500 * time.Millisecond,
+		DirectTimeout:       200 * time.Millisecond,
+		ProbeTimeout:        500 * time.Millisecond,
+		ZoneDeathAfter:      2300 * time.Millisecond,
+		RemoteDeathAfter:    4 * time.Second,
+		RefuteTime:          600 * time.Millisecond,
+		ClaimRefuteTime:     2500 * time.Millisecond,
+		DigestPeriod:        time.Second,
+		HealPeriod:          3 * time.Second,
+		JoinPeriod:          200 * time.Millisecond,
+		MaxJoinPeriod:       5 * time.Second,
+		ForgetAfter:         4 * time.Hour,
+		ForgetUnlistedAfter: 10 * time.Minute,
+		ListPeriod:          10 * time.Second,
+	}
+}
+
+const (
+	// indirectProbes is how many helpers probe on a node's behalf.
+	indirectProbes = 3
+	// ringSuccessors is how many ring neighbours a node probes in turn.
+	ringSuccessors = 2
+	// newsBytes bounds the news on one ping or ack.
+	newsBytes = 1000
+	// broadcastSample is how many members of each other zone hear a refutation at once.
+	broadcastSample = 3
+	// troubledZone is how many suspects in another zone draw the remote probes there.
+	troubledZone = 2
+	// recordsPerMessage bounds a Records message.
+	recordsPerMessage = 200
+	// joinContacts is how many contacts a node that knows nobody asks at once.
+	joinContacts = 2
+	// pauseTicks is the number of missed ticks after which a node holds itself paused.
+	pauseTicks = 4
+)
