Add batch jobs on the ledger: records, owner, dispatch and forwarding

Cause: jobs, files and idempotency keys need an owner that accepts once, completes each item once and forwards from any node. Change: a partition state driven by applied records, one appender that groups what waits, a dispatch core by rank and deadline, and forwarding to the owner of a key's partition.

--- /dev/null
+++ b/internal/job/fx.go
@@ -0,0 +1,74 @@
+package job
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/sloelift/sloelift/internal/admission"
+	"github.com/sloelift/sloelift/internal/config"
+	"github.com/sloelift/sloelift/internal/engine"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/session"
+	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+const sliceName = "job"
+
+// Module provides Service, FileStore, session.Claimer and ledger.Factory.
+var Module = fx.Module(sliceName,
+	fx.Provide(
+		provideDispatcher,
+		provideRegistry,
+		provideFactory,
+		newForwarder,
+		provideService,
+		provideFileStore,
+		provideClaimer,
+	),
+	fx.Invoke(registerMethods),
+)
+
+func provideDispatcher(
+	values settings.Settings, credits admission.CreditSource, engines engine.Client, configs config.Source,
+	registerer prometheus.Registerer, logger zerolog.Logger,
+) *dispatcher {
+	return newDispatcher(values.Limits.BatchConcurrency, credits, engines, configs, newMetrics(registerer),
+		logger.With().Str(logging.FieldSlice, sliceName).Logger())
+}
+
+// provideRegistry also ties the dispatcher to the process: partitions that the
+// ledger hasn't stopped are stopped first, since the dispatcher waits for their items.
+func provideRegistry(lifecycle fx.Lifecycle, dispatcher *dispatcher, logger zerolog.Logger) *registry {
+	partitions := newRegistry(dispatcher, logger.With().Str(logging.FieldSlice, sliceName).Logger())
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			dispatcher.start()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			partitions.stop()
+			dispatcher.stop()
+			return nil
+		},
+	})
+	return partitions
+}
+
+func provideFactory(partitions *registry) ledger.Factory { return partitions.factory }
+
+func newForwarder(partitions *registry, locator ledger.Locator, caller transport.Caller) *forwarder {
+	return &forwarder{partitions: partitions, locator: locator, caller: caller}
+}
+
+func provideService(forwarder *forwarder, configs config.Source) Service {
+	return &service{forwarder: forwarder, configs: configs}
+}
+
+func provideFileStore(forwarder *forwarder) FileStore { return &fileStore{forwarder: forwarder} }
+
+func provideClaimer(forwarder *forwarder) session.Claimer { return &claimer{forwarder: forwarder} }
--- /dev/null
+++ b/internal/job/service.go
@@ -0,0 +1,235 @@
+package job
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	jobpb "github.com/sloelift/sloelift/api/proto/job"
+	"github.com/sloelift/sloelift/internal/config"
+	"github.com/sloelift/sloelift/internal/engine"
+	"github.com/sloelift/sloelift/internal/outcome"
+)
+
+const (
+	// defaultRetention applies where a submission names none.
+	defaultRetention = 7 * 24 * time.Hour
+	// listLimit bounds one page of a list.
+	listLimit = 1000
+)
+
+// service is the Service of a node.
+type service struct {
+	forwarder *forwarder
+	configs   config.Source
+}
+
+// Submit implements Service.
+func (s *service) Submit(ctx context.Context, submission Submission) (Status, error) {
+	if err := checkSubmission(&submission); err != nil {
+		return Status{}, err
+	}
+	partition := s.forwarder.locator.PartitionOf(jobKey(submission.Tenant, submission.ClientKey))
+	id := jobID(partition, submission.Tenant, submission.ClientKey)
+	scanner := newItemScanner(&submission, s.maxItems(submission.Tenant))
+	present, err := forward(ctx, s.forwarder, methodJobStatus,
+		&jobpb.JobRequest{Partition: uint32(partition), Tenant: submission.Tenant, Id: id})
+	switch {
+	case err == nil:
+		return resent(present, scanner)
+	case outcome.As(err).Reason != outcome.ReasonNotFound:
+		failure := *outcome.As(err)
+		failure.Outcome = outcome.NotRun
+		return Status{}, &failure
+	}
+	upload := newUploader(s.forwarder, partition)
+	if err := scanner.uploadTo(ctx, upload); err != nil {
+		return Status{}, err
+	}
+	if scanner.items == 0 {
+		return Status{}, outcome.New(outcome.NotRun, outcome.ReasonInvalid, "the job has no items")
+	}
+	accepted := newAccepted(&submission, id, scanner)
+	accepted.UploadId = upload.id
+	status, err := forward(ctx, s.forwarder, methodCommitJob, &jobpb.CommitJobRequest{
+		Partition: uint32(partition), Job: accepted, Chunks: upload.sequence,
+		DeadlineAfterMicros: submission.Deadline.Microseconds(),
+	})
+	if err != nil {
+		return Status{}, err
+	}
+	return fromStatus(status), nil
+}
+
+// resent returns the job that is there if the input is the same.
+func resent(present *jobpb.JobStatus, scanner *itemScanner) (Status, error) {
+	if err := scanner.digestOnly(); err != nil {
+		return Status{}, err
+	}
+	if !bytes.Equal(present.GetDigest(), scanner.digest.Sum(nil)) {
+		return Status{}, errJobConflict()
+	}
+	return fromStatus(present), nil
+}
+
+func checkSubmission(submission *Submission) error {
+	invalid := func(message string) error {
+		return outcome.New(outcome.NotRun, outcome.ReasonInvalid, message)
+	}
+	switch {
+	case submission.Tenant == "" || submission.Service == "":
+		return invalid("tenant and service are needed")
+	case submission.ClientKey == "":
+		return invalid("a client key is needed")
+	case submission.Operation != engine.OperationChat && submission.Operation != engine.OperationCompletion:
+		return invalid("operation " + string(submission.Operation) + " is not known")
+	case submission.Deadline < 0 || submission.Retention < 0:
+		return invalid("deadline and retention are not negative")
+	}
+	if submission.Retention == 0 {
+		submission.Retention = defaultRetention
+	}
+	texts := []string{submission.Tenant, submission.ClientKey, submission.Service, submission.Priority}
+	for name, value := range submission.Metadata {
+		texts = append(texts, name, value)
+	}
+	if !validText(texts...) {
+		return invalid("a text is not UTF-8")
+	}
+	return nil
+}
+
+func (s *service) maxItems(tenant string) int {
+	if declared := s.configs.Current().Tenants[tenant]; declared != nil && declared.MaxJobItems > 0 {
+		return min(declared.MaxJobItems, maxJobItems)
+	}
+	return maxJobItems
+}
+
+func newAccepted(submission *Submission, id string, scanner *itemScanner) *jobpb.JobAccepted {
+	return &jobpb.JobAccepted{
+		Id: id, Tenant: submission.Tenant, ClientKey: submission.ClientKey, Service: submission.Service,
+		Priority: submission.Priority, Rank: int32(submission.Rank), Operation: string(submission.Operation),
+		RetentionMicros: submission.Retention.Microseconds(), NotRepeatable: submission.NotRepeatable,
+		Metadata: submission.Metadata, Digest: scanner.digest.Sum(nil), Total: uint32(scanner.items),
+	}
+}
+
+// jobRequest names a job by its id; the error is NotRun/not_found.
+func (s *service) jobRequest(tenant, id string) (*jobpb.JobRequest, error) {
+	partition, err := partitionOfID(jobPrefix, id, s.forwarder.locator.Partitions())
+	if err != nil {
+		return nil, err
+	}
+	return &jobpb.JobRequest{Partition: uint32(partition), Tenant: tenant, Id: id}, nil
+}
+
+// Status implements Service.
+func (s *service) Status(ctx context.Context, tenant, id string) (Status, error) {
+	return s.forwardJob(ctx, methodJobStatus, tenant, id)
+}
+
+// Cancel implements Service.
+func (s *service) Cancel(ctx context.Context, tenant, id string) (Status, error) {
+	return s.forwardJob(ctx, methodCancelJob, tenant, id)
+}
+
+func (s *service) forwardJob(
+	ctx context.Context, m method[*jobpb.JobRequest, *jobpb.JobStatus], tenant, id string,
+) (Status, error) {
+	request, err := s.jobRequest(tenant, id)
+	if err != nil {
+		return Status{}, err
+	}
+	status, err := forward(ctx, s.forwarder, m, request)
+	if err != nil {
+		return Status{}, err
+	}
+	return fromStatus(status), nil
+}
+
+// List implements Service. Jobs are ordered by id, that is, by partition.
+func (s *service) List(ctx context.Context, tenant, after string, limit int) ([]Status, error) {
+	jobs := []Status{}
+	err := s.forwarder.list(jobPrefix, tenant, after, limit, func(request *jobpb.ListRequest) (int, error) {
+		response, err := forward(ctx, s.forwarder, methodListJobs, request)
+		for _, status := range response.GetJobs() {
+			jobs = append(jobs, fromStatus(status))
+		}
+		return len(jobs), err
+	})
+	return jobs, err
+}
+
+// list asks partition by partition, behind the id after, until page says that limit is reached.
+func (f *forwarder) list(prefix, tenant, after string, limit int, page func(*jobpb.ListRequest) (int, error)) error {
+	first := uint32(0)
+	if after != "" {
+		partition, err := partitionOfID(prefix, after, f.locator.Partitions())
+		if err != nil {
+			return err
+		}
+		first = uint32(partition)
+	}
+	if limit <= 0 || limit > listLimit {
+		limit = listLimit
+	}
+	count := 0
+	for partition := first; partition < uint32(f.locator.Partitions()) && count < limit; partition++ {
+		var err error
+		count, err = page(&jobpb.ListRequest{Partition: partition, Tenant: tenant, After: after, Limit: uint32(limit - count)})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Results implements Service.
+func (s *service) Results(ctx context.Context, tenant, id string, from int, yield func(ItemResult) error) error {
+	job, err := s.jobRequest(tenant, id)
+	if err != nil {
+		return err
+	}
+	if from < 0 {
+		return outcome.New(outcome.NotRun, outcome.ReasonInvalid, "from is negative")
+	}
+	request := &jobpb.ResultsRequest{Partition: job.GetPartition(), Tenant: tenant, Id: id, From: uint32(from)}
+	for {
+		page, err := forward(ctx, s.forwarder, methodReadResults, request)
+		if err != nil {
+			return err
+		}
+		for _, result := range page.GetResults() {
+			if err := yield(fromResult(result)); err != nil {
+				return err
+			}
+		}
+		if page.GetNext() >= page.GetTotal() {
+			return nil
+		}
+		if page.GetNext() == request.GetFrom() {
+			return outcome.Wrap(errors.New("empty page"), outcome.NotRun, outcome.ReasonInternal, "results not read")
+		}
+		request.From = page.GetNext()
+	}
+}
+
+func fromResult(result *jobpb.ItemResult) ItemResult {
+	return ItemResult{
+		Index: int(result.GetIndex()), CustomID: result.GetCustomId(), Outcome: result.GetOutcome(),
+		Status: int(result.GetStatus()), Body: result.GetBody(),
+	}
+}
+
+func fromStatus(status *jobpb.JobStatus) Status {
+	return Status{
+		ID: status.GetId(), Tenant: status.GetTenant(), ClientKey: status.GetClientKey(), Service: status.GetService(),
+		Priority: status.GetPriority(), Operation: engine.Operation(status.GetOperation()), Phase: Phase(status.GetPhase()),
+		Metadata: status.GetMetadata(), AcceptedAt: fromMicros(status.GetAcceptedAtMicros()),
+		Deadline: fromMicros(status.GetDeadlineMicros()), EndedAt: fromMicros(status.GetEndedAtMicros()),
+		Total: int(status.GetTotal()), Completed: int(status.GetCompleted()), Failed: int(status.GetFailed()),
+		AtRisk: status.GetAtRisk(),
+	}
+}
--- /dev/null
+++ b/internal/job/state.go
@@ -0,0 +1,334 @@
+package job
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	jobpb "github.com/sloelift/sloelift/api/proto/job"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/outcome"
+)
+
+// itemClass is how an item ended.
+type itemClass uint64
+
+const (
+	classOpen itemClass = iota
+	classCompleted
+	classFailed
+	classIndeterminate
+
+	classBits = 2
+	classMask = 1<<classBits - 1
+)
+
+// itemEntry is all that memory holds of an item: the position of its result and
+// its class, in 8 bytes; the zero value is an open item.
+type itemEntry uint64
+
+func newItemEntry(position ledger.Position, class itemClass) itemEntry {
+	return itemEntry(uint64(position)<<classBits | uint64(class))
+}
+
+func (e itemEntry) class() itemClass          { return itemClass(e & classMask) }
+func (e itemEntry) position() ledger.Position { return ledger.Position(e >> classBits) }
+
+func classOf(result outcome.Outcome) itemClass {
+	switch result {
+	case outcome.Completed:
+		return classCompleted
+	case outcome.Indeterminate:
+		return classIndeterminate
+	default:
+		return classFailed
+	}
+}
+
+// jobState is one job as its partition's log tells it.
+type jobState struct {
+	accepted *jobpb.JobAccepted
+	phase    Phase
+	endedAt  time.Time
+	// entries has one element an item.
+	entries   []itemEntry
+	completed int
+	failed    int
+	// attempts holds the last ItemAttempt of each open item that is not repeatable.
+	attempts map[uint32]*jobpb.ItemAttempt
+}
+
+func (j *jobState) live() bool { return j.phase == PhaseAccepted || j.phase == PhaseRunning }
+
+func (j *jobState) remaining() int { return len(j.entries) - j.completed - j.failed }
+
+// keyState is one idempotency key.
+type keyState struct {
+	claimed     *jobpb.KeyClaimed
+	result      ledger.Position
+	completedAt time.Time
+}
+
+// uploadState is an upload that no JobAccepted or FileStored has named yet.
+type uploadState struct {
+	positions []uint64
+	items     []uint32
+	bytes     int64
+	lastAt    time.Time
+}
+
+// partitionState is the state of one partition: a function of its log alone. It is
+// used by one goroutine.
+type partitionState struct {
+	upTo       ledger.Position
+	jobs       map[string]*jobState
+	keys       map[string]*keyState
+	files      map[string]*jobpb.FileStored
+	uploads    map[string]*uploadState
+	tombstones map[string]*jobpb.Tombstone
+}
+
+func newPartitionState() *partitionState {
+	return &partitionState{
+		jobs:       make(map[string]*jobState),
+		keys:       make(map[string]*keyState),
+		files:      make(map[string]*jobpb.FileStored),
+		uploads:    make(map[string]*uploadState),
+		tombstones: make(map[string]*jobpb.Tombstone),
+	}
+}
+
+// effect is what a record changed; the partition acts on it. One of its types is below.
+type effect interface{ isEffect() }
+
+// jobBegan: a job was accepted. jobEnded: it ended, or its results expired.
+// itemEnded: an item got its result. keyEnded: a key got its result.
+type (
+	jobBegan  struct{ job *jobState }
+	jobEnded  struct{ job *jobState }
+	itemEnded struct {
+		job   *jobState
+		index int
+	}
+	keyEnded struct{ name string }
+)
+
+func (jobBegan) isEffect()  {}
+func (jobEnded) isEffect()  {}
+func (itemEnded) isEffect() {}
+func (keyEnded) isEffect()  {}
+
+// step takes the record at position, in log order, and returns what it changed. A
+// record that says what is settled already has no effect, so that a record which
+// was appended twice does no harm.
+func (s *partitionState) step(position ledger.Position, record ledger.Record) ([]effect, error) {
+	s.upTo = position
+	message, err := decodeRecord(record)
+	if err != nil || message == nil {
+		return nil, err
+	}
+	switch typed := message.(type) {
+	case *jobpb.Chunk:
+		s.stepChunk(position, typed)
+	case *jobpb.JobAccepted:
+		return s.stepJobAccepted(typed), nil
+	case *jobpb.ItemAttempt:
+		s.stepItemAttempt(typed)
+	case *jobpb.ItemCompleted:
+		return s.stepItemCompleted(position, typed), nil
+	case *jobpb.JobCancelled:
+		return s.stepJobCancelled(typed), nil
+	case *jobpb.JobExpired:
+		return s.stepJobExpired(typed), nil
+	case *jobpb.KeyClaimed:
+		s.stepKeyClaimed(typed)
+	case *jobpb.KeyCompleted:
+		return s.stepKeyCompleted(position, typed), nil
+	case *jobpb.FileStored:
+		s.stepFileStored(typed)
+	case *jobpb.FileDeleted:
+		delete(s.files, typed.GetId())
+	}
+	return nil, nil
+}
+
+// decodeRecord returns the message of a record, nil for KindNoOperation.
+func decodeRecord(record ledger.Record) (proto.Message, error) {
+	var message proto.Message
+	switch record.Kind {
+	case ledger.KindNoOperation:
+		return nil, nil
+	case kindChunk:
+		message = new(jobpb.Chunk)
+	case ledger.KindJobAccepted:
+		message = new(jobpb.JobAccepted)
+	case ledger.KindItemAttempt:
+		message = new(jobpb.ItemAttempt)
+	case ledger.KindItemCompleted:
+		message = new(jobpb.ItemCompleted)
+	case ledger.KindJobCancelled:
+		message = new(jobpb.JobCancelled)
+	case ledger.KindJobExpired:
+		message = new(jobpb.JobExpired)
+	case ledger.KindKeyClaimed:
+		message = new(jobpb.KeyClaimed)
+	case ledger.KindKeyCompleted:
+		message = new(jobpb.KeyCompleted)
+	case kindFileStored:
+		message = new(jobpb.FileStored)
+	case kindFileDeleted:
+		message = new(jobpb.FileDeleted)
+	default:
+		return nil, fmt.Errorf("record of unknown kind %d", record.Kind)
+	}
+	if err := proto.Unmarshal(record.Payload, message); err != nil {
+		return nil, fmt.Errorf("decode record of kind %d: %w", record.Kind, err)
+	}
+	return message, nil
+}
+
+func (s *partitionState) stepChunk(position ledger.Position, chunk *jobpb.Chunk) {
+	upload := s.uploads[chunk.GetUploadId()]
+	if upload == nil {
+		upload = &uploadState{}
+		s.uploads[chunk.GetUploadId()] = upload
+	}
+	upload.lastAt = fromMicros(chunk.GetRecordedAtMicros())
+	if int(chunk.GetSequence()) != len(upload.positions) {
+		return
+	}
+	upload.positions = append(upload.positions, uint64(position))
+	upload.items = append(upload.items, chunk.GetItems())
+	upload.bytes += int64(len(chunk.GetData()))
+}
+
+func (s *partitionState) stepJobAccepted(accepted *jobpb.JobAccepted) []effect {
+	delete(s.uploads, accepted.GetUploadId())
+	id := accepted.GetId()
+	if s.jobs[id] != nil || s.tombstones[id] != nil {
+		return nil
+	}
+	job := &jobState{
+		accepted: accepted,
+		phase:    PhaseAccepted,
+		entries:  make([]itemEntry, accepted.GetTotal()),
+	}
+	s.jobs[id] = job
+	if job.remaining() == 0 {
+		job.phase = PhaseCompleted
+		job.endedAt = fromMicros(accepted.GetAcceptedAtMicros())
+		return []effect{jobEnded{job}}
+	}
+	return []effect{jobBegan{job}}
+}
+
+func (s *partitionState) stepItemAttempt(attempt *jobpb.ItemAttempt) {
+	job := s.jobs[attempt.GetJobId()]
+	if job == nil || !job.live() || !job.open(attempt.GetIndex()) {
+		return
+	}
+	if job.attempts == nil {
+		job.attempts = make(map[uint32]*jobpb.ItemAttempt)
+	}
+	job.attempts[attempt.GetIndex()] = attempt
+	job.phase = PhaseRunning
+}
+
+// open tells whether the item exists and has no result.
+func (j *jobState) open(index uint32) bool {
+	return int(index) < len(j.entries) && j.entries[index].class() == classOpen
+}
+
+func (s *partitionState) stepItemCompleted(position ledger.Position, done *jobpb.ItemCompleted) []effect {
+	job := s.jobs[done.GetJobId()]
+	if job == nil || !job.live() || !job.open(done.GetIndex()) {
+		return nil
+	}
+	class := classOf(outcome.Outcome(done.GetResult().GetOutcome()))
+	job.entries[done.GetIndex()] = newItemEntry(position, class)
+	job.count(class)
+	delete(job.attempts, done.GetIndex())
+	job.phase = PhaseRunning
+	effects := []effect{itemEnded{job, int(done.GetIndex())}}
+	if job.remaining() == 0 {
+		job.end(PhaseCompleted, done.GetRecordedAtMicros())
+		effects = append(effects, jobEnded{job})
+	}
+	return effects
+}
+
+func (j *jobState) count(class itemClass) {
+	if class == classCompleted {
+		j.completed++
+	} else {
+		j.failed++
+	}
+}
+
+func (j *jobState) end(phase Phase, atMicros int64) {
+	j.phase = phase
+	j.endedAt = fromMicros(atMicros)
+	j.attempts = nil
+	// What is left of the input is never read again.
+	j.accepted.ChunkPositions, j.accepted.ChunkItems = nil, nil
+}
+
+func (s *partitionState) stepJobCancelled(cancelled *jobpb.JobCancelled) []effect {
+	job := s.jobs[cancelled.GetJobId()]
+	if job == nil || !job.live() {
+		return nil
+	}
+	job.end(PhaseCancelled, cancelled.GetRecordedAtMicros())
+	return []effect{jobEnded{job}}
+}
+
+func (s *partitionState) stepJobExpired(expired *jobpb.JobExpired) []effect {
+	job := s.jobs[expired.GetJobId()]
+	if job == nil || job.live() {
+		return nil
+	}
+	accepted := job.accepted
+	delete(s.jobs, accepted.GetId())
+	s.tombstones[accepted.GetId()] = &jobpb.Tombstone{
+		Id: accepted.GetId(), Tenant: accepted.GetTenant(), ClientKey: accepted.GetClientKey(),
+		Service: accepted.GetService(), Priority: accepted.GetPriority(), Operation: accepted.GetOperation(),
+		Digest: accepted.GetDigest(), Total: accepted.GetTotal(),
+		Completed: uint32(job.completed), Failed: uint32(job.failed),
+		AcceptedAtMicros: accepted.GetAcceptedAtMicros(), DeadlineMicros: accepted.GetDeadlineMicros(),
+		EndedAtMicros: micros(job.endedAt), ExpiredAtMicros: expired.GetRecordedAtMicros(),
+	}
+	return []effect{jobEnded{job}}
+}
+
+// stepKeyClaimed: the first request id stands; the same one may move to another
+// replica, which it does only after the former one refused it.
+func (s *partitionState) stepKeyClaimed(claimed *jobpb.KeyClaimed) {
+	name := idempotencyKey(claimed.GetTenant(), claimed.GetKey())
+	key := s.keys[name]
+	if key == nil {
+		s.keys[name] = &keyState{claimed: claimed}
+		return
+	}
+	if key.result == 0 && key.claimed.GetRequestId() == claimed.GetRequestId() {
+		key.claimed = claimed
+	}
+}
+
+func (s *partitionState) stepKeyCompleted(position ledger.Position, completed *jobpb.KeyCompleted) []effect {
+	name := idempotencyKey(completed.GetTenant(), completed.GetKey())
+	key := s.keys[name]
+	if key == nil || key.result != 0 {
+		return nil
+	}
+	key.result = position
+	key.completedAt = fromMicros(completed.GetRecordedAtMicros())
+	return []effect{keyEnded{name}}
+}
+
+func (s *partitionState) stepFileStored(stored *jobpb.FileStored) {
+	delete(s.uploads, stored.GetUploadId())
+	if s.files[stored.GetId()] == nil {
+		s.files[stored.GetId()] = stored
+	}
+}
