--- a/internal/job/appender.go
+++ b/internal/job/appender.go
@@ -130,7 +130,7 @@
 		if !indeterminate {
 			return 0, failure
 		}
-		p.logger.Warn().Err(err).Int("records", len(records)).Msg("append repeated")
+		p.logger.Warn().Err(err).Int("records", len(records)).Msg("append_repeated")
 		if !p.sleep(wait.NextBackOff()) {
 			return 0, outcome.Wrap(err, outcome.Indeterminate, outcome.ReasonNotOwner, "ownership was lost during the append")
 		}
--- a/internal/job/item_run.go
+++ b/internal/job/item_run.go
@@ -32,8 +32,12 @@
 	maxLostRuns = 16
 )
 
-// errCreditRevoked is the cause of a stream's end when its credit is taken back.
-var errCreditRevoked = errors.New("the credit was revoked")
+var (
+	// errCreditRevoked is the cause of a stream's end when its credit is taken back.
+	errCreditRevoked = errors.New("the credit was revoked")
+	// errNotCalled: the job had ended, so that the engine was not called.
+	errNotCalled = errors.New("the engine was not called")
+)
 
 // itemProgress is what is known of an item between its runs.
 type itemProgress struct {
@@ -69,7 +73,7 @@
 	}
 	line, err := r.job.readItem(r.key.index)
 	if err != nil {
-		return r.retryLater(err, "item not read")
+		return r.retryLater(err, "item_not_read")
 	}
 	r.line = line
 	if r.progress.attach != nil {
@@ -81,7 +85,7 @@
 		if r.wait.Err() != nil {
 			return r.requeueUnlessEnded()
 		}
-		return r.retryLater(err, "no credit")
+		return r.retryLater(err, "credit_not_granted")
 	}
 	defer credit.Release()
 	r.dispatcher.send(itemGranted{r.key})
@@ -156,7 +160,7 @@
 	requestID := r.requestID()
 	if r.job.notRepeatable {
 		if err := r.job.partition.propose(r.job.ctx, r.job.attemptRecord(r.key.index, requestID, to)); err != nil {
-			return r.retryLater(err, "attempt not recorded")
+			return r.retryLater(err, "attempt_not_recorded")
 		}
 	}
 	streamContext, cancel := context.WithCancelCause(r.job.ctx)
@@ -183,7 +187,7 @@
 // open calls the engine, unless the job has ended.
 func (r *itemRun) open(ctx context.Context, to engine.Endpoint, requestID string, attachOnly bool) (engine.Stream, error) {
 	if !r.job.calls.begin() {
-		return nil, context.Cause(r.job.ctx)
+		return nil, errNotCalled
 	}
 	defer r.job.calls.finish()
 	r.dispatcher.metrics.engineCalls.Inc()
@@ -247,6 +251,9 @@
 	if finished := new(errFinished); errors.As(err, &finished) && finished.reason != finishCancelled {
 		return r.complete(outcome.Completed, finished)
 	}
+	if errors.Is(err, errNotCalled) {
+		return nil
+	}
 	if cause := context.Cause(ctx); cause != nil {
 		return r.concludeCancelled(cause, to, requestID)
 	}
@@ -255,7 +262,7 @@
 		return r.fail(outcome.Failed, statusInvalid, outcome.ReasonInvalid, err)
 	case errorx.IsOfType(err, engine.KindRefused), errorx.IsOfType(err, engine.KindNotSent):
 		r.excludeReplica(to.Replica)
-		return r.retryLater(err, "item refused")
+		return r.retryLater(err, "item_refused")
 	case r.job.notRepeatable:
 		r.progress.attach = &jobpb.ItemAttempt{RequestId: requestID, Replica: to.Replica, Address: to.Address.String()}
 		return r.attach()
@@ -281,7 +288,7 @@
 	if r.progress.lost > maxLostRuns {
 		return r.fail(outcome.Failed, statusEngineFailed, outcome.ReasonEngineFailed, err)
 	}
-	return r.retryLater(err, "run lost")
+	return r.retryLater(err, "run_lost")
 }
 
 // excludeReplica keeps the item off the replica that failed it last; only one is
@@ -295,7 +302,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	if _, err := r.dispatcher.engines.Cancel(ctx, to, requestID); err != nil {
-		r.logger().Err(err).Str(logging.FieldReplica, to.Replica).Msg("run not cancelled")
+		r.logger().Err(err).Str(logging.FieldReplica, to.Replica).Msg("run_not_cancelled")
 	}
 }
 
@@ -324,6 +331,8 @@
 		switch {
 		case errors.As(err, &finished) && finished.reason != finishCancelled:
 			return r.complete(outcome.Completed, finished)
+		case errors.Is(err, errNotCalled):
+			return nil
 		case r.job.ctx.Err() != nil:
 			return r.concludeCancelled(context.Cause(r.job.ctx), to, attempt.GetRequestId())
 		case errorx.IsOfType(err, engine.KindNoSuchRun), finished.reason != "", time.Now().After(giveUp):
@@ -379,7 +388,7 @@
 		if outcome.As(err).Outcome != outcome.NotRun || !sleepContext(r.job.ctx, wait.NextBackOff()) {
 			return nil
 		}
-		r.logger().Err(err).Msg("result not recorded yet")
+		r.logger().Err(err).Msg("result_not_recorded")
 	}
 }
 
--- a/internal/job/partition.go
+++ b/internal/job/partition.go
@@ -83,7 +83,7 @@
 	go p.runLoop()
 	go p.runAppender()
 	p.registry.add(p)
-	p.logger.Info().Int("jobs", len(p.state.jobs)).Msg("partition served")
+	p.logger.Info().Int("jobs", len(p.state.jobs)).Msg("partition_served")
 }
 
 // Stop implements ledger.StateMachine. Streams of items that are not repeatable are
@@ -169,7 +169,7 @@
 		case now := <-ticker.C:
 			p.tick(now)
 		case <-p.owned.Lost():
-			p.logger.Info().Msg("partition lost")
+			p.logger.Info().Msg("partition_lost")
 			p.halt()
 			return
 		case <-p.stopped:
@@ -239,7 +239,7 @@
 	}
 	run.end(cause)
 	p.logger.Info().Str(logging.FieldJob, id).Str(logging.FieldTenant, job.accepted.GetTenant()).
-		Str("phase", string(job.phase)).Int("completed", job.completed).Int("failed", job.failed).Msg("job ended")
+		Str("phase", string(job.phase)).Int("completed", job.completed).Int("failed", job.failed).Msg("job_ended")
 }
 
 func (p *partition) endRuns() {
--- a/internal/job/partition_tick.go
+++ b/internal/job/partition_tick.go
@@ -43,10 +43,10 @@
 	}
 	run.atRisk = atRisk
 	event := p.logger.Info()
-	message := "job back on time"
+	message := "job_back_on_time"
 	if atRisk {
 		p.dispatcher.metrics.jobsAtRisk.Inc()
-		event, message = p.logger.Warn(), "job at risk"
+		event, message = p.logger.Warn(), "job_at_risk"
 	}
 	event.Str(logging.FieldJob, run.id).Str(logging.FieldTenant, run.tenant).
 		Str("client_key", job.accepted.GetClientKey()).Time("deadline", deadline).
@@ -68,7 +68,7 @@
 		defer cancel()
 		err := p.propose(ctx, record)
 		if err != nil && outcome.As(err).Reason != outcome.ReasonNotOwner {
-			p.logger.Warn().Err(err).Str(logging.FieldJob, id).Msg("expiry not recorded")
+			p.logger.Warn().Err(err).Str(logging.FieldJob, id).Msg("expiry_not_recorded")
 		}
 		_ = p.send(ctx, func(*partitionState) { delete(p.expiring, id) })
 	}()
