--- a/internal/job/appender.go
+++ b/internal/job/appender.go
@@ -140,7 +140,12 @@
 func (p *partition) appendOnce(records []ledger.Record) (ledger.Position, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
 	defer cancel()
-	return p.owned.Append(ctx, records)
+	began := time.Now()
+	position, err := p.owned.Append(ctx, records)
+	if err == nil {
+		p.ownership.confirm(began)
+	}
+	return position, err
 }
 
 // sleep waits; it returns false if the partition stopped meanwhile.
--- a/internal/job/item_run.go
+++ b/internal/job/item_run.go
@@ -37,6 +37,8 @@
 	errCreditRevoked = errors.New("the credit was revoked")
 	// errNotCalled: the job had ended, so that the engine was not called.
 	errNotCalled = errors.New("the engine was not called")
+	// errNotConfirmed: ownership was not proved, so that the engine was not called.
+	errNotConfirmed = errors.New("ownership was not confirmed")
 )
 
 // itemProgress is what is known of an item between its runs.
@@ -190,6 +192,9 @@
 		return nil, errNotCalled
 	}
 	defer r.job.calls.finish()
+	if err := r.job.partition.confirmOwnership(r.job.ctx); err != nil {
+		return nil, fmt.Errorf("%w: %w", errNotConfirmed, err)
+	}
 	r.dispatcher.metrics.engineCalls.Inc()
 	return r.dispatcher.engines.Generate(ctx, to, engine.Request{
 		ID: requestID, Operation: r.job.operation, Body: r.line.raw, Priority: r.job.rank,
@@ -260,7 +265,9 @@
 	switch {
 	case errorx.IsOfType(err, engine.KindInvalid):
 		return r.fail(outcome.Failed, statusInvalid, outcome.ReasonInvalid, err)
-	case errorx.IsOfType(err, engine.KindRefused), errorx.IsOfType(err, engine.KindNotSent):
+	case errors.Is(err, errNotConfirmed):
+		return r.retryLater(err, "ownership_not_confirmed")
+	case isNotRun(err):
 		r.excludeReplica(to.Replica)
 		return r.retryLater(err, "item_refused")
 	case r.job.notRepeatable:
@@ -396,3 +403,8 @@
 func (r *itemRun) logger() *zerolog.Event {
 	return r.dispatcher.logger.Warn().Str(logging.FieldJob, r.job.id).Int("item", r.key.index)
 }
+
+// isNotRun tells whether the engine surely did not run the request.
+func isNotRun(err error) bool {
+	return errorx.IsOfType(err, engine.KindRefused) || errorx.IsOfType(err, engine.KindNotSent)
+}
--- a/internal/job/job_run.go
+++ b/internal/job/job_run.go
@@ -8,6 +8,7 @@
 	"sort"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	jobpb "github.com/sloelift/sloelift/api/proto/job"
 	"github.com/sloelift/sloelift/internal/engine"
@@ -21,6 +22,9 @@
 	errPartitionLost = errors.New("the partition was lost")
 )
 
+// noDeadline stands for the deadline of a job that names none.
+const noDeadline = 365 * 24 * time.Hour
+
 // jobRun is a live job at its owner: what the dispatch of its items needs. Its
 // fields don't change after it was made, except those with a lock of their own.
 type jobRun struct {
@@ -56,7 +60,7 @@
 		ctx:           ctx, cancel: cancel,
 	}
 	run.dispatched = &dispatchJob{
-		id: run.id, service: run.service, rank: run.rank, deadline: fromMicros(accepted.GetDeadlineMicros()),
+		id: run.id, service: run.service, rank: run.rank, deadline: deadlineOf(accepted),
 		total: len(job.entries), done: newBitmap(len(job.entries)), run: run,
 	}
 	for index, entry := range job.entries {
@@ -71,6 +75,14 @@
 	return run
 }
 
+// deadlineOf returns the deadline that orders the job; one without goes last.
+func deadlineOf(accepted *jobpb.JobAccepted) time.Time {
+	if accepted.GetDeadlineMicros() == 0 {
+		return fromMicros(accepted.GetAcceptedAtMicros()).Add(noDeadline)
+	}
+	return fromMicros(accepted.GetDeadlineMicros())
+}
+
 // end stops the run: nothing is started after it returns.
 func (r *jobRun) end(cause error) {
 	r.calls.close()
--- a/internal/job/owner_jobs.go
+++ b/internal/job/owner_jobs.go
@@ -208,6 +208,9 @@
 	if err := p.propose(ctx, record); err != nil {
 		return nil, err
 	}
+	if !sleepContext(ctx, p.ownership.untilSettled(time.Now())) {
+		return nil, contextError(ctx, outcome.Indeterminate)
+	}
 	if run != nil {
 		drainContext, cancel := context.WithTimeout(ctx, drainPatience)
 		defer cancel()
--- /dev/null
+++ b/internal/job/ownership_clock.go
@@ -0,0 +1,68 @@
+package job
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/ledger"
+)
+
+const (
+	// confirmWindow is how long after the start of a successful append an owner may
+	// dispatch items without another one.
+	confirmWindow = time.Second
+	// confirmMargin covers what two monotonic clocks may differ in rate within the window.
+	confirmMargin = 250 * time.Millisecond
+)
+
+// ownershipClock keeps an owner that was paused and replaced from dispatching items
+// of a job whose cancel its successor has acknowledged: a call to an engine begins
+// only within confirmWindow of an append that proved ownership, and a new owner
+// acknowledges no cancel before its predecessor's window must be over. No record
+// depends on this, only when an engine is called. It is safe for concurrent use.
+type ownershipClock struct {
+	mutex       sync.Mutex
+	confirmedAt time.Time
+	settledAt   time.Time
+}
+
+// begin sets the start of this ownership, which its recovery has just proved.
+func (c *ownershipClock) begin(now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.settledAt = now.Add(confirmWindow + confirmMargin)
+}
+
+// confirm takes the start of an append that succeeded.
+func (c *ownershipClock) confirm(began time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if began.After(c.confirmedAt) {
+		c.confirmedAt = began
+	}
+}
+
+func (c *ownershipClock) confirmed(now time.Time) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return now.Sub(c.confirmedAt) < confirmWindow
+}
+
+// untilSettled is how long the predecessor may still dispatch.
+func (c *ownershipClock) untilSettled(now time.Time) time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.settledAt.Sub(now)
+}
+
+// confirmOwnership returns once ownership was proved within the window. Callers that
+// come together share one append.
+func (p *partition) confirmOwnership(ctx context.Context) error {
+	for !p.ownership.confirmed(time.Now()) {
+		if err := p.propose(ctx, ledger.Record{Kind: ledger.KindNoOperation}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/job/partition.go
+++ b/internal/job/partition.go
@@ -32,6 +32,7 @@
 	keyWaiters map[string][]chan struct{}
 	// expiring holds the jobs whose expiry is being appended; it belongs to the loop.
 	expiring map[string]bool
+	ticks    int
 
 	owned     ledger.Owned
 	proposals chan *proposal
@@ -41,6 +42,7 @@
 	stopOnce  sync.Once
 	group     sync.WaitGroup
 	reader    *recordReader
+	ownership ownershipClock
 }
 
 func newPartition(id ledger.PartitionID, dispatcher *dispatcher, registry *registry, logger zerolog.Logger) *partition {
@@ -79,6 +81,7 @@
 func (p *partition) Serve(owned ledger.Owned) {
 	p.owned = owned
 	p.reader = newRecordReader(owned)
+	p.ownership.begin(time.Now())
 	p.group.Add(2)
 	go p.runLoop()
 	go p.runAppender()
--- a/internal/job/partition_tick.go
+++ b/internal/job/partition_tick.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	// sweepTicks is the number of ticks between looks at all jobs, keys and files.
+	sweepTicks = 10
 	// uploadPatience is how long an upload may rest before its chunks are dropped.
 	uploadPatience = 15 * time.Minute
 	// keyRetention is how long an idempotency key is remembered after its last record.
@@ -26,6 +28,10 @@
 	for _, run := range p.runs {
 		p.checkDeadline(run, now)
 	}
+	p.ticks++
+	if p.ticks%sweepTicks != 0 {
+		return
+	}
 	for _, id := range p.state.dueForExpiry(now) {
 		p.expire(id, now)
 	}
