Add the replica directory and the router

Cause: nothing knew which replicas there are or chose between them. Change: fleet joins the machine list with load polled by each replica's home node and spreads it as deltas; routing filters, scores and picks.

--- /dev/null
+++ b/internal/fleet/service.go
@@ -0,0 +1,260 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/engine"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+// Methods between nodes.
+const (
+	methodLoadDelta     transport.Method = "fleet.load_delta"
+	methodLeavingNotice transport.Method = "fleet.leaving_notice"
+	methodCacheDelta    transport.Method = "fleet.cache_delta"
+)
+
+const (
+	eventQueue   = 1024
+	tickInterval = 20 * time.Millisecond
+)
+
+// Service keeps the directory of replicas. It implements Source and Reporter.
+type Service struct {
+	options  Options
+	settings settings.Settings
+	machines platform.MachineList
+	viewer   membership.Viewer
+	engines  engine.Client
+	caller   transport.Caller
+	logger   zerolog.Logger
+
+	events    chan event
+	directory atomic.Pointer[Directory]
+	stopped   chan struct{}
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+	polls     *pollSet
+	cache     *cacheWatch
+
+	// mutex guards the subscriber lists.
+	mutex         sync.Mutex
+	nextID        int
+	subscribers   map[int]func(*Directory)
+	loadListeners map[int]func(replica string, report engine.LoadReport, at time.Time)
+}
+
+// NewService returns a Service that is not started.
+func NewService(options Options, own settings.Settings, machines platform.MachineList, viewer membership.Viewer,
+	engines engine.Client, caller transport.Caller, logger zerolog.Logger) *Service {
+	service := &Service{
+		options: options, settings: own, machines: machines, viewer: viewer, engines: engines, caller: caller,
+		logger:        logger.With().Str(logging.FieldSlice, "fleet").Logger(),
+		events:        make(chan event, eventQueue),
+		stopped:       make(chan struct{}),
+		subscribers:   make(map[int]func(*Directory)),
+		loadListeners: make(map[int]func(string, engine.LoadReport, time.Time)),
+	}
+	service.directory.Store(NewDirectory(0, nil))
+	service.polls = newPollSet(service)
+	service.cache = newCacheWatch(service)
+	return service
+}
+
+// Start starts the goroutines.
+func (s *Service) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.running.Add(2)
+	go func() {
+		defer s.running.Done()
+		s.control(ctx)
+	}()
+	go func() {
+		defer s.running.Done()
+		s.listMachines(ctx)
+	}()
+}
+
+// Stop ends the goroutines and waits for them.
+func (s *Service) Stop() {
+	if s.cancel == nil {
+		return
+	}
+	close(s.stopped)
+	s.cancel()
+	s.running.Wait()
+	s.polls.stop()
+}
+
+// Directory returns the present directory.
+func (s *Service) Directory() *Directory { return s.directory.Load() }
+
+// Subscribe calls notify on the control goroutine after each change.
+func (s *Service) Subscribe(notify func(*Directory)) (unsubscribe func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	id := s.nextID
+	s.nextID++
+	s.subscribers[id] = notify
+	return func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		delete(s.subscribers, id)
+	}
+}
+
+// SubscribeLoad calls notify with each report of a replica that this node is home to,
+// on the control goroutine. notify must not block.
+func (s *Service) SubscribeLoad(notify func(replica string, report engine.LoadReport, at time.Time)) (unsubscribe func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	id := s.nextID
+	s.nextID++
+	s.loadListeners[id] = notify
+	return func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		delete(s.loadListeners, id)
+	}
+}
+
+// ReportFailure notes that a call found the replica unreachable.
+func (s *Service) ReportFailure(replica string) {
+	s.push(evidenceGiven{replica: replica, kind: evidenceFailure})
+}
+
+// ReportSuccess notes that a call got an answer. It costs nothing for a replica in good standing.
+func (s *Service) ReportSuccess(replica string) {
+	if known := s.Directory().Find(replica); known != nil && known.Failed {
+		s.push(evidenceGiven{replica: replica, kind: evidenceSuccess})
+	}
+}
+
+// ReportLeaving notes that the replica said it is leaving.
+func (s *Service) ReportLeaving(replica string) {
+	s.push(evidenceGiven{replica: replica, kind: evidenceLeaving})
+}
+
+func (s *Service) push(input event) {
+	select {
+	case s.events <- input:
+	case <-s.stopped:
+	}
+}
+
+// control owns the state.
+func (s *Service) control(ctx context.Context) {
+	state := newState(s.options, membership.NodeID(s.settings.Node), s.settings.Zone)
+	views := make(chan *membership.View, 1)
+	unsubscribe := s.viewer.Subscribe(func(view *membership.View) { replaceLatest(views, view) })
+	defer unsubscribe()
+	replaceLatest(views, s.viewer.View())
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		var input event
+		select {
+		case <-ctx.Done():
+			return
+		case view := <-views:
+			input = viewChanged{view: view}
+		case input = <-s.events:
+		case <-ticker.C:
+			input = ticked{}
+		}
+		now := time.Now()
+		for _, output := range state.step(now, input) {
+			s.perform(output)
+		}
+		if polled, ok := input.(loadPolled); ok && !polled.failed {
+			s.notifyLoad(polled, now)
+		}
+	}
+}
+
+// replaceLatest puts a value into a channel of one place, in place of an unread one.
+func replaceLatest[T any](channel chan T, value T) {
+	for {
+		select {
+		case channel <- value:
+			return
+		default:
+		}
+		select {
+		case <-channel:
+		default:
+		}
+	}
+}
+
+func (s *Service) notifyLoad(polled loadPolled, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, notify := range s.loadListeners {
+		notify(polled.replica, polled.report, now)
+	}
+}
+
+func (s *Service) perform(output action) {
+	switch typed := output.(type) {
+	case publishDirectory:
+		s.directory.Store(typed.directory)
+		s.mutex.Lock()
+		for _, notify := range s.subscribers {
+			notify(typed.directory)
+		}
+		s.mutex.Unlock()
+	case sendDelta:
+		for _, to := range typed.to {
+			_ = s.caller.Send(to, methodLoadDelta, typed.delta) // best effort: a refresh follows
+		}
+	case sendNotice:
+		s.logger.Info().Int("replicas", len(typed.notice.GetReplicas())).Msg("replicas leaving")
+		for _, to := range typed.to {
+			_ = s.caller.Send(to, methodLeavingNotice, typed.notice) // best effort: the machine list tells too
+		}
+	case setPolls:
+		s.polls.set(typed)
+	}
+}
+
+// listMachines reads the machine list; the interval grows with its length.
+func (s *Service) listMachines(ctx context.Context) {
+	failing := false
+	for {
+		listing, err := s.machines.List(ctx)
+		if err == nil {
+			s.push(machinesListed{listing: listing})
+		}
+		if failing != (err != nil) && ctx.Err() == nil {
+			failing = err != nil
+			s.logger.Warn().Err(err).Bool("failing", failing).Msg("machine list")
+		}
+		interval := within(s.options.ListInterval, len(listing.Machines), machineBytes, s.options.ListBytesPerSecond)
+		if !sleep(ctx, interval) {
+			return
+		}
+	}
+}
+
+// sleep waits; it returns false when ctx ended.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/fleet/spread.go
@@ -0,0 +1,170 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	fleetpb "github.com/sloelift/sloelift/api/proto/fleet"
+	"github.com/sloelift/sloelift/internal/engine"
+	"github.com/sloelift/sloelift/internal/membership"
+)
+
+// spread sends the loads of homed replicas: to the own zone those that changed, to
+// other zones a slower summary. Intervals follow from the byte budget of a receiver.
+func (s *state) spread(now time.Time) []action {
+	var actions []action
+	zoneInterval := within(s.options.PollInterval, s.inZone, loadDeltaBytes, s.options.DeltaBytesPerSecond)
+	if now.Sub(s.deltaAt) >= zoneInterval {
+		s.deltaAt = now
+		delta := s.collect(now, func(replica *entry) bool {
+			changed := replica.changedForZone
+			replica.changedForZone = false
+			return changed
+		}, true)
+		actions = appendDelta(actions, s, delta, true)
+	}
+	summaryInterval := within(s.options.SummaryInterval, s.elsewhere, loadDeltaBytes, s.options.DeltaBytesPerSecond)
+	if now.Sub(s.summaryAt) >= summaryInterval {
+		s.summaryAt = now
+		delta := s.collect(now, func(replica *entry) bool {
+			changed := replica.changedForOther
+			replica.changedForOther = false
+			return changed
+		}, false)
+		actions = appendDelta(actions, s, delta, false)
+	}
+	return actions
+}
+
+func appendDelta(actions []action, s *state, delta *fleetpb.LoadDelta, ownZone bool) []action {
+	if len(delta.GetLoads()) == 0 {
+		return actions
+	}
+	to := s.peers(func(m *membership.Member) bool { return (m.Zone == s.zone) == ownZone })
+	if len(to) == 0 {
+		return actions
+	}
+	return append(actions, sendDelta{to: to, delta: delta})
+}
+
+// collect builds the message of homed replicas that changed. For the own zone a load
+// equal to the last one sent is left out until RefreshInterval has passed.
+func (s *state) collect(now time.Time, changed func(*entry) bool, ownZone bool) *fleetpb.LoadDelta {
+	delta := &fleetpb.LoadDelta{}
+	for _, replica := range s.replicas {
+		if !replica.homed || !changed(replica) {
+			continue
+		}
+		load := messageOf(replica)
+		if !ownZone {
+			load.Detail = detailOf(&replica.Load)
+			delta.Loads = append(delta.Loads, load)
+			continue
+		}
+		refresh := now.Sub(replica.sentAt) >= s.options.RefreshInterval
+		if !refresh && !replica.detailChanged && sameCounts(load, replica.sent) {
+			continue
+		}
+		replica.sent = proto.Clone(load).(*fleetpb.ReplicaLoad)
+		if refresh || replica.detailChanged {
+			load.Detail = detailOf(&replica.Load)
+			replica.detailChanged = false
+			replica.sentAt = now
+		}
+		delta.Loads = append(delta.Loads, load)
+	}
+	return delta
+}
+
+func sameCounts(a, b *fleetpb.ReplicaLoad) bool {
+	return b != nil && a.GetRunning() == b.GetRunning() && a.GetRunningBatch() == b.GetRunningBatch() &&
+		a.GetWaiting() == b.GetWaiting() && a.GetWaitingBatch() == b.GetWaitingBatch() &&
+		a.GetMaxRunning() == b.GetMaxRunning() && a.GetLeaving() == b.GetLeaving() &&
+		a.GetUnreachable() == b.GetUnreachable() && a.GetFenceToken() == b.GetFenceToken()
+}
+
+func messageOf(replica *entry) *fleetpb.ReplicaLoad {
+	report := &replica.Load
+	return &fleetpb.ReplicaLoad{
+		Replica:          HashReplica(replica.ID),
+		Sequence:         report.Sequence,
+		MeasuredAtMicros: uint64(max(0, report.MeasuredAt.UnixMicro())),
+		Running:          uint32(report.Running),
+		RunningBatch:     uint32(report.RunningBatch),
+		Waiting:          uint32(report.Waiting),
+		WaitingBatch:     uint32(report.WaitingBatch),
+		MaxRunning:       uint32(report.MaxRunning),
+		CacheBlocks:      uint32(report.CacheBlocks),
+		CacheUsed:        uint32(report.CacheUsed),
+		StepMicros:       uint32(report.StepMicros),
+		QueuedPrefill:    uint32(report.QueuedPrefill),
+		FenceToken:       report.FenceToken,
+		Leaving:          replica.Leaving,
+		Unreachable:      replica.unreachable,
+	}
+}
+
+func detailOf(report *engine.LoadReport) *fleetpb.ReplicaDetail {
+	detail := &fleetpb.ReplicaDetail{Role: report.Role}
+	for _, loaded := range report.Models {
+		detail.Models = append(detail.Models, &fleetpb.LoadedModel{
+			Model: loaded.Model, Version: loaded.Version, Adapters: loaded.Adapters,
+			Ready: loaded.State == loadedReady,
+		})
+	}
+	return detail
+}
+
+// States of engine.Loaded.
+const (
+	loadedReady   = "ready"
+	loadedLoading = "loading"
+)
+
+// reportOf decodes a load; without detail, models and role stay as before.
+func reportOf(load *fleetpb.ReplicaLoad, before *engine.LoadReport) engine.LoadReport {
+	report := engine.LoadReport{
+		Sequence:      load.GetSequence(),
+		MeasuredAt:    time.UnixMicro(int64(load.GetMeasuredAtMicros())),
+		Running:       int(load.GetRunning()),
+		RunningBatch:  int(load.GetRunningBatch()),
+		Waiting:       int(load.GetWaiting()),
+		WaitingBatch:  int(load.GetWaitingBatch()),
+		MaxRunning:    int(load.GetMaxRunning()),
+		CacheBlocks:   int(load.GetCacheBlocks()),
+		CacheUsed:     int(load.GetCacheUsed()),
+		StepMicros:    int64(load.GetStepMicros()),
+		QueuedPrefill: int(load.GetQueuedPrefill()),
+		FenceToken:    load.GetFenceToken(),
+		Leaving:       load.GetLeaving(),
+		Models:        before.Models,
+		Role:          before.Role,
+	}
+	if detail := load.GetDetail(); detail != nil {
+		report.Role = detail.GetRole()
+		report.Models = modelsOf(detail)
+	}
+	return report
+}
+
+func modelsOf(detail *fleetpb.ReplicaDetail) []engine.Loaded {
+	models := make([]engine.Loaded, 0, len(detail.GetModels()))
+	for _, loaded := range detail.GetModels() {
+		state := loadedLoading
+		if loaded.GetReady() {
+			state = loadedReady
+		}
+		models = append(models, engine.Loaded{
+			Model: loaded.GetModel(), Version: loaded.GetVersion(), Adapters: loaded.GetAdapters(), State: state,
+		})
+	}
+	return models
+}
+
+func sameModels(a, b []engine.Loaded) bool {
+	return slices.EqualFunc(a, b, func(x, y engine.Loaded) bool {
+		return x.Model == y.Model && x.Version == y.Version && x.State == y.State && slices.Equal(x.Adapters, y.Adapters)
+	})
+}
--- /dev/null
+++ b/internal/routing/filter_leaving.go
@@ -0,0 +1,6 @@
+package routing
+
+import "github.com/sloelift/sloelift/internal/fleet"
+
+// notLeaving drops replicas that any source says are leaving.
+func notLeaving(_ *Request, replica *fleet.Replica) bool { return !replica.Leaving }
