--- a/internal/routing/own_requests.go
+++ b/internal/routing/own_requests.go
@@ -49,7 +49,7 @@
 	if !replica.HasLoad {
 		return o.online
 	}
-	measured := MeasuredAt(&replica.Load.MeasuredAt, replica.HeardAt, maxLag)
+	measured := MeasuredAt(replica.Load.MeasuredAt, replica.HeardAt, maxLag)
 	first := 0
 	for first < len(o.changes) && !o.changes[first].at.After(measured) {
 		first++
@@ -64,10 +64,17 @@
 	return net
 }
 
+// inFlight returns the own online requests on the replica.
+func (o *ownRequests) inFlight() int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.online
+}
+
 // MeasuredAt returns on this node's clock when a report was measured: the engine's clock
 // is believed only as far as it makes a lag between 0 and maxLag.
-func MeasuredAt(engineTime *time.Time, heardAt time.Time, maxLag time.Duration) time.Time {
-	lag := heardAt.Sub(*engineTime)
+func MeasuredAt(engineTime, heardAt time.Time, maxLag time.Duration) time.Time {
+	lag := heardAt.Sub(engineTime)
 	return heardAt.Add(-min(max(lag, 0), maxLag))
 }
 
--- a/internal/routing/prefix_index.go
+++ b/internal/routing/prefix_index.go
@@ -87,6 +87,31 @@
 	return matched
 }
 
+// matchOn returns the overlap of one replica.
+func (x *prefixIndex) matchOn(now time.Time, replica string, blocks []uint64) overlap {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	result := overlap{confidence: 1}
+	for _, block := range blocks {
+		held, found := holdingOf(x.holdings(block), replica)
+		if !found || x.wasCleared(held) {
+			break
+		}
+		result.blocks++
+		result.confidence = min(result.confidence, x.confidenceIn(now, held))
+	}
+	return result
+}
+
+func holdingOf(holdings []holding, replica string) (holding, bool) {
+	for _, held := range holdings {
+		if held.replica == replica {
+			return held, true
+		}
+	}
+	return holding{}, false
+}
+
 func (x *prefixIndex) holdings(block uint64) []holding {
 	if found, ok := x.recent[block]; ok {
 		return found
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -160,13 +160,14 @@
 	if s.options.DisablePrefix {
 		return 0
 	}
-	held := s.prefix.match(time.Now(), blocks)[replica]
+	held := s.prefix.matchOn(time.Now(), replica, blocks)
 	return float64(held.blocks) * held.confidence
 }
 
 // OnlineSlots returns how many more online requests the usable replicas of a service
-// can take now, where each takes at most perReplica; usable is the number of such replicas.
-func (s *Service) OnlineSlots(service string, perReplica int) (slots, usable int) {
+// can take now, where each takes at most perReplica, the number of such replicas, and
+// the requests of this node that run on them.
+func (s *Service) OnlineSlots(service string, perReplica int) (free, usable, own int) {
 	directory := s.source.Directory()
 	request := Request{Service: service}
 	for _, index := range directory.ByService[service] {
@@ -174,20 +175,23 @@
 		if !s.passes(&request, replica) {
 			continue
 		}
+		online, ownOnline := s.onlineOn(replica)
 		usable++
-		slots += max(0, perReplica-s.onlineOn(replica))
+		own += ownOnline
+		free += max(0, perReplica-online)
 	}
-	return slots, usable
+	return free, usable, own
 }
 
-func (s *Service) onlineOn(replica *fleet.Replica) int {
-	own := 0
+// onlineOn returns the online requests thought to be on a replica and this node's part of them.
+func (s *Service) onlineOn(replica *fleet.Replica) (online, own int) {
+	since := 0
 	if known := s.own.find(replica.ID); known != nil {
-		own = known.since(replica, s.options.Costs.MaxLag)
+		since, own = known.since(replica, s.options.Costs.MaxLag), known.inFlight()
 	}
 	if !replica.HasLoad {
-		return own
+		return own, own
 	}
 	report := &replica.Load
-	return max(0, report.Running-report.RunningBatch+report.Waiting-report.WaitingBatch+own)
+	return max(own, report.Running-report.RunningBatch+report.Waiting-report.WaitingBatch+since), own
 }
