--- a/internal/admission/credit_events.go
+++ b/internal/admission/credit_events.go
@@ -47,7 +47,6 @@
 	// grantAnswered is the requester's answer; lost means that there was none.
 	grantAnswered struct {
 		requester string
-		credits   []uint64
 		declined  []uint64
 		lost      bool
 	}
--- a/internal/admission/credit_grant.go
+++ b/internal/admission/credit_grant.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -53,8 +54,8 @@
 		}
 	}
 	actions := make([]action, 0, len(offers))
-	for requester, request := range offers {
-		actions = append(actions, sendGrants{requester: requester, request: request})
+	for _, requester := range slices.Sorted(maps.Keys(offers)) {
+		actions = append(actions, sendGrants{requester: requester, request: offers[requester]})
 	}
 	return actions
 }
@@ -62,7 +63,8 @@
 // waitingGroups lists the groups that still wait.
 func (h *homeState) waitingGroups(now time.Time) []*waitingGroup {
 	var groups []*waitingGroup
-	for requester, demand := range h.demands {
+	for _, requester := range slices.Sorted(maps.Keys(h.demands)) {
+		demand := h.demands[requester]
 		for _, group := range demand.groups {
 			if group.GetCount() > 0 {
 				groups = append(groups, &waitingGroup{
--- a/internal/admission/credit_home.go
+++ b/internal/admission/credit_home.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -223,7 +224,8 @@
 // revoke takes back as few credits as bring each replica within its capacity: the
 // lowest rank first, and of those the one with the least work done.
 func (h *homeState) revoke(now time.Time) []action {
-	for _, replica := range h.replicas {
+	for _, id := range slices.Sorted(maps.Keys(h.replicas)) {
+		replica := h.replicas[id]
 		_, keep := replica.capacity(now, &h.options)
 		if excess := replica.out - replica.revoked - keep; excess > 0 {
 			for _, credit := range h.victims(replica)[:excess] {
@@ -233,7 +235,8 @@
 		}
 	}
 	byRequester := make(map[string]*admissionpb.Revoke)
-	for id, credit := range h.credits {
+	for _, id := range slices.Sorted(maps.Keys(h.credits)) {
+		credit := h.credits[id]
 		if !credit.replica.usable && !credit.revoked {
 			credit.revoked = true
 			credit.replica.revoked++
@@ -250,8 +253,8 @@
 		message.Credits = append(message.Credits, id)
 	}
 	actions := make([]action, 0, len(byRequester))
-	for requester, message := range byRequester {
-		actions = append(actions, sendRevoke{requester: requester, revoke: message})
+	for _, requester := range slices.Sorted(maps.Keys(byRequester)) {
+		actions = append(actions, sendRevoke{requester: requester, revoke: byRequester[requester]})
 	}
 	return actions
 }
--- a/internal/admission/credit_requester.go
+++ b/internal/admission/credit_requester.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -246,7 +248,8 @@
 func (r *requesterState) onTick(now time.Time) []action {
 	var actions []action
 	renewals := make(map[creditKey]*admissionpb.RenewRequest)
-	for _, held := range r.held {
+	for _, key := range sortedKeys(r.held) {
+		held := r.held[key]
 		switch {
 		case held.revoked:
 		case !now.Before(held.expires):
@@ -256,8 +259,8 @@
 			addUse(renewals, r.node, held, now)
 		}
 	}
-	for key, request := range renewals {
-		actions = append(actions, sendRenew{home: key.home, request: request})
+	for _, key := range sortedKeys(renewals) {
+		actions = append(actions, sendRenew{home: key.home, request: renewals[key]})
 	}
 	for key, at := range r.revokedEarly {
 		if now.Sub(at) > revokedMemory {
@@ -271,6 +274,13 @@
 	return actions
 }
 
+// sortedKeys makes a step's actions follow from its events alone.
+func sortedKeys[Value any](credits map[creditKey]Value) []creditKey {
+	return slices.SortedFunc(maps.Keys(credits), func(a, b creditKey) int {
+		return cmp.Or(cmp.Compare(a.home, b.home), cmp.Compare(a.epoch, b.epoch), cmp.Compare(a.credit, b.credit))
+	})
+}
+
 func addUse(renewals map[creditKey]*admissionpb.RenewRequest, node string, held *heldCredit, now time.Time) {
 	group := creditKey{home: held.key.home, epoch: held.key.epoch}
 	request := renewals[group]
--- a/internal/admission/idle_capacity.go
+++ b/internal/admission/idle_capacity.go
@@ -34,7 +34,7 @@
 func (r *replicaState) online(options *Options) int {
 	measured := routing.MeasuredAt(r.report.MeasuredAt, r.heardAt, options.MaxLag)
 	first := 0
-	for first < len(r.signals) && !r.signals[first].at.After(measured) {
+	for first < len(r.signals) && r.signals[first].at.Before(measured) {
 		first++
 	}
 	r.signals = r.signals[first:]
--- a/internal/routing/own_requests.go
+++ b/internal/routing/own_requests.go
@@ -51,7 +51,7 @@
 	}
 	measured := MeasuredAt(replica.Load.MeasuredAt, replica.HeardAt, maxLag)
 	first := 0
-	for first < len(o.changes) && !o.changes[first].at.After(measured) {
+	for first < len(o.changes) && o.changes[first].at.Before(measured) {
 		first++
 	}
 	if first > 0 {
