--- /dev/null
+++ b/internal/engine/body.go
@@ -0,0 +1,37 @@
+package engine
+
+import (
+	"encoding/json"
+)
+
+// resumeField is the body field that gives another engine the answer so far.
+type resumeField struct {
+	Offset int    `json:"offset"`
+	Text   string `json:"text"`
+}
+
+var jsonTrue = json.RawMessage("true")
+
+// generationBody returns the body with "stream" forced to true, and with the answer
+// so far in "resume" where the request goes on behind it.
+func generationBody(request Request) ([]byte, error) {
+	fields := map[string]json.RawMessage{}
+	if len(request.Body) > 0 {
+		if err := json.Unmarshal(request.Body, &fields); err != nil {
+			return nil, err
+		}
+	}
+	if fields == nil {
+		fields = map[string]json.RawMessage{}
+	}
+	fields["stream"] = jsonTrue
+	delete(fields, "resume")
+	if request.Offset > 0 && request.Prior != "" {
+		resume, err := json.Marshal(resumeField{Offset: request.Offset, Text: request.Prior})
+		if err != nil {
+			return nil, err
+		}
+		fields["resume"] = resume
+	}
+	return json.Marshal(fields)
+}
--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,50 @@
+package engine
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+// Bounds of the client.
+const (
+	dialTimeout        = time.Second
+	idleTimeout        = 90 * time.Second
+	idlePerEngine      = 256
+	controlTimeout     = 5 * time.Second
+	maxStreamLineBytes = 1 << 20
+	maxErrorBodyBytes  = 4 << 10
+	maxControlBytes    = 8 << 20
+	maxCacheBytes      = 256 << 20
+	streamBufferBytes  = 4 << 10
+)
+
+// keepAlive finds an engine that vanished without closing its connections in about 12 s.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 6 * time.Second, Interval: 2 * time.Second, Count: 3}
+
+// HTTPClient is the Client over HTTP/1.1 with pooled connections.
+type HTTPClient struct {
+	transport *http.Transport
+}
+
+var _ Client = (*HTTPClient)(nil)
+
+// NewHTTPClient returns a client with its own connection pool; Close frees it.
+func NewHTTPClient() *HTTPClient {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
+	return &HTTPClient{transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: idlePerEngine,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		ReadBufferSize:      streamBufferBytes,
+	}}
+}
+
+// Close drops the idle connections.
+func (c *HTTPClient) Close() { c.transport.CloseIdleConnections() }
+
+func url(to Endpoint, path string) string {
+	return "http://" + to.Address.String() + path
+}
--- /dev/null
+++ b/internal/engine/stream.go
@@ -0,0 +1,198 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"strconv"
+)
+
+var (
+	prefixID   = []byte("id:")
+	prefixData = []byte("data:")
+	dataDone   = []byte("[DONE]")
+)
+
+var errLineTooLong = errors.New("line of the stream is too long")
+
+// eventStream reads one generation's server-sent events. It checks that offsets rise
+// and that every chunk belongs to the same answer.
+type eventStream struct {
+	body   io.ReadCloser
+	reader *bufio.Reader
+	cancel context.CancelFunc
+	// next is the offset behind the last chunk.
+	next int
+	// answerID is the id that the first chunk carried.
+	answerID string
+	finished bool
+}
+
+func newEventStream(body io.ReadCloser, cancel context.CancelFunc, offset int) *eventStream {
+	return &eventStream{body: body, reader: bufio.NewReaderSize(body, streamBufferBytes), cancel: cancel, next: offset}
+}
+
+// wireChunk is the part of an OpenAI chunk that is read.
+type wireChunk struct {
+	ID      string       `json:"id"`
+	Choices []wireChoice `json:"choices"`
+	Usage   *wireUsage   `json:"usage"`
+	Error   *wireError   `json:"error"`
+}
+
+type wireChoice struct {
+	Text  string `json:"text"`
+	Delta struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+	FinishReason string `json:"finish_reason"`
+}
+
+type wireUsage struct {
+	PromptTokens        int `json:"prompt_tokens"`
+	CompletionTokens    int `json:"completion_tokens"`
+	PromptTokensDetails struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+type wireError struct {
+	Message string `json:"message"`
+}
+
+// Next returns the next chunk; see Stream.
+func (s *eventStream) Next() (Chunk, error) {
+	for {
+		offset, data, err := s.readEvent()
+		if err != nil {
+			return Chunk{}, KindLost.Wrap(err, "stream ended at token %d", s.next)
+		}
+		if bytes.Equal(data, dataDone) {
+			if !s.finished {
+				return Chunk{}, KindLost.New("stream was closed without a finish reason at token %d", s.next)
+			}
+			return Chunk{}, io.EOF
+		}
+		chunk, present, err := s.decode(offset, data)
+		if err != nil || present {
+			return chunk, err
+		}
+	}
+}
+
+// decode makes a chunk of an event; present is false for an event that carries nothing.
+func (s *eventStream) decode(offset int, data []byte) (chunk Chunk, present bool, err error) {
+	var wire wireChunk
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return Chunk{}, false, KindLost.Wrap(err, "chunk behind token %d", s.next)
+	}
+	if wire.Error != nil {
+		return Chunk{}, false, KindLost.New("engine failed at token %d: %s", s.next, wire.Error.Message)
+	}
+	if err := s.checkAnswer(wire.ID); err != nil {
+		return Chunk{}, false, err
+	}
+	chunk = Chunk{Offset: s.next, Usage: wire.Usage.usage()}
+	if len(wire.Choices) > 0 {
+		choice := &wire.Choices[0]
+		chunk.Text = choice.Text + choice.Delta.Content
+		chunk.FinishReason = choice.FinishReason
+	}
+	if offset < 0 {
+		offset = s.next
+	}
+	if offset < s.next || (offset == s.next && chunk.Text != "" && chunk.FinishReason == "") || s.finished && chunk.Text != "" {
+		return Chunk{}, false, KindLost.New("chunk up to token %d came behind token %d", offset, s.next)
+	}
+	chunk.Tokens = offset - s.next
+	s.next = offset
+	if chunk.FinishReason != "" {
+		s.finished = true
+	}
+	return chunk, chunk.Tokens > 0 || chunk.Text != "" || chunk.FinishReason != "" || chunk.Usage != nil, nil
+}
+
+func (s *eventStream) checkAnswer(id string) error {
+	if s.answerID == "" {
+		s.answerID = id
+		return nil
+	}
+	if id != "" && id != s.answerID {
+		return KindLost.New("chunk of answer %s in the stream of answer %s", id, s.answerID)
+	}
+	return nil
+}
+
+func (u *wireUsage) usage() *Usage {
+	if u == nil {
+		return nil
+	}
+	return &Usage{
+		PromptTokens:     u.PromptTokens,
+		CompletionTokens: u.CompletionTokens,
+		CachedTokens:     u.PromptTokensDetails.CachedTokens,
+	}
+}
+
+// readEvent returns the id (-1 where there is none) and data of the next event that has
+// data. The data is valid until the next call.
+func (s *eventStream) readEvent() (offset int, data []byte, err error) {
+	offset = -1
+	for {
+		line, err := s.readLine()
+		if err != nil {
+			return 0, nil, err
+		}
+		switch {
+		case len(line) == 0:
+			if data != nil {
+				return offset, data, nil
+			}
+		case bytes.HasPrefix(line, prefixID):
+			offset, err = strconv.Atoi(string(bytes.TrimSpace(line[len(prefixID):])))
+			if err != nil {
+				return 0, nil, err
+			}
+		case bytes.HasPrefix(line, prefixData):
+			data = append(data, bytes.TrimSpace(line[len(prefixData):])...)
+			if len(data) > maxStreamLineBytes {
+				return 0, nil, errLineTooLong
+			}
+		}
+	}
+}
+
+// readLine returns a line without its end; its bytes are valid until the next call.
+func (s *eventStream) readLine() ([]byte, error) {
+	line, err := s.reader.ReadSlice('\n')
+	if err == nil {
+		return bytes.TrimRight(line, "\r\n"), nil
+	}
+	long := append([]byte(nil), line...)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if len(long) > maxStreamLineBytes {
+			return nil, errLineTooLong
+		}
+		line, err = s.reader.ReadSlice('\n')
+		long = append(long, line...)
+	}
+	if err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
+	return bytes.TrimRight(long, "\r\n"), nil
+}
+
+// Close gives up the connection. After a whole answer the connection goes back to the pool.
+func (s *eventStream) Close() error {
+	if s.finished {
+		closeBody(s.body)
+	}
+	s.cancel()
+	return s.body.Close()
+}
