--- a/internal/engine/body.go
+++ b/internal/engine/body.go
@@ -26,6 +26,13 @@
 	}
 	fields["stream"] = jsonTrue
 	delete(fields, "resume")
+	if request.Model != "" {
+		name, err := json.Marshal(request.Model)
+		if err != nil {
+			return nil, err
+		}
+		fields["model"] = name
+	}
 	if request.Offset > 0 && request.Prior != "" {
 		resume, err := json.Marshal(resumeField{Offset: request.Offset, Text: request.Prior})
 		if err != nil {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -29,6 +29,8 @@
 	Operation Operation
 	// Body is the OpenAI-compatible JSON body; the client forces "stream": true.
 	Body json.RawMessage
+	// Model replaces the body's "model" where it is not empty.
+	Model string
 	// Priority is the rank; a higher one goes first. Batch ranks are below online ranks.
 	Priority int
 	// Offset is the number of output tokens the caller already has; the stream goes on behind them.
--- a/internal/engine/generation.go
+++ b/internal/engine/generation.go
@@ -17,6 +17,8 @@
 	Stream    bool
 	// IncludeUsage asks for a last stream event with the usage.
 	IncludeUsage bool
+	// ServiceTier is OpenAI's name for a class of service.
+	ServiceTier string
 	// Resume is the answer so far that a reconnecting caller sends.
 	Resume string
 }
@@ -32,9 +34,10 @@
 	StreamOptions       struct {
 		IncludeUsage bool `json:"include_usage"`
 	} `json:"stream_options"`
-	Tools    json.RawMessage `json:"tools"`
-	Logprobs json.RawMessage `json:"logprobs"`
-	Resume   struct {
+	ServiceTier string          `json:"service_tier"`
+	Tools       json.RawMessage `json:"tools"`
+	Logprobs    json.RawMessage `json:"logprobs"`
+	Resume      struct {
 		Text string `json:"text"`
 	} `json:"resume"`
 }
@@ -81,6 +84,7 @@
 		MaxTokens:    max(fields.MaxTokens, fields.MaxCompletionTokens),
 		Stream:       fields.Stream,
 		IncludeUsage: fields.StreamOptions.IncludeUsage,
+		ServiceTier:  fields.ServiceTier,
 		Resume:       fields.Resume.Text,
 	}, nil
 }
@@ -173,3 +177,11 @@
 	name, adapter, _ = strings.Cut(model, ":")
 	return name, adapter
 }
+
+// JoinModel is the inverse of SplitModel.
+func JoinModel(name, adapter string) string {
+	if adapter == "" {
+		return name
+	}
+	return name + ":" + adapter
+}
--- /dev/null
+++ b/internal/gateway/authentication.go
@@ -0,0 +1,29 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/sloelift/sloelift/internal/config"
+	"github.com/sloelift/sloelift/internal/outcome"
+)
+
+const bearerPrefix = "Bearer "
+
+var errUnauthorized = outcome.New(outcome.NotRun, outcome.ReasonUnauthorized, "a valid bearer key is required")
+
+// tenantOf finds the tenant of a request by the digest of its bearer key.
+func tenantOf(snapshot *config.Snapshot, r *http.Request) (*config.Tenant, error) {
+	value := r.Header.Get("Authorization")
+	if len(value) <= len(bearerPrefix) || !strings.EqualFold(value[:len(bearerPrefix)], bearerPrefix) {
+		return nil, errUnauthorized
+	}
+	digest := sha256.Sum256([]byte(value[len(bearerPrefix):]))
+	tenant, known := snapshot.TenantByKeyDigest[hex.EncodeToString(digest[:])]
+	if !known {
+		return nil, errUnauthorized
+	}
+	return tenant, nil
+}
--- /dev/null
+++ b/internal/gateway/generation.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/config"
+	"github.com/sloelift/sloelift/internal/engine"
+	"github.com/sloelift/sloelift/internal/session"
+)
+
+// Request headers of the callers' interface beyond OpenAI's.
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	headerPriority       = "X-Priority"
+	headerNotRepeatable  = "X-Not-Repeatable"
+	headerReconnect      = "X-Reconnect"
+	headerLastEventID    = "Last-Event-ID"
+	headerRequestID      = "X-Request-Id"
+)
+
+const maxIdempotencyKeyBytes = 255
+
+// call is one authenticated request with the configuration it is served under.
+type call struct {
+	snapshot *config.Snapshot
+	tenant   *config.Tenant
+}
+
+// generation is a parsed online request.
+type generation struct {
+	session.Request
+	parsed  engine.Generation
+	created int64
+	// answerID is the id in the answer's JSON.
+	answerID string
+}
+
+func (s *Server) handleGeneration(operation engine.Operation) handler {
+	return func(w http.ResponseWriter, r *http.Request, call call) error {
+		body, release, err := s.bodies.read(w, r)
+		if err != nil {
+			return err
+		}
+		defer release()
+		request, err := parseGeneration(r, call, operation, body)
+		if err != nil {
+			return err
+		}
+		w.Header().Set(headerRequestID, request.ID)
+		if request.parsed.Stream {
+			return s.stream(w, r, request)
+		}
+		return s.complete(w, r, request)
+	}
+}
+
+func parseGeneration(r *http.Request, call call, operation engine.Operation, body []byte) (*generation, error) {
+	parsed, err := engine.ParseGeneration(operation, body)
+	if err != nil {
+		return nil, invalid(err.Error())
+	}
+	found, err := resolve(call.snapshot, call.tenant, parsed.Model)
+	if err != nil {
+		return nil, err
+	}
+	priority, err := priorityOf(call.snapshot, r.Header.Get(headerPriority), parsed.ServiceTier, true)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	request := &generation{parsed: parsed, created: now.Unix(), Request: session.Request{
+		ID:        newRequestID(call.tenant.Name),
+		Tenant:    call.tenant,
+		Service:   found.service,
+		Priority:  priority,
+		Model:     found.model.Name,
+		Adapter:   found.adapter,
+		Operation: operation,
+		Body:      body,
+		Prompt:    parsed.Prompt,
+		MaxTokens: parsed.MaxTokens,
+		Deadline:  now.Add(found.service.RequestTimeout),
+	}}
+	if err := request.readMarks(r, body); err != nil {
+		return nil, err
+	}
+	request.answerID = answerPrefix(operation) + request.ID
+	return request, nil
+}
+
+// readMarks reads the headers that say how the request may be repeated or gone on with.
+func (g *generation) readMarks(r *http.Request, body []byte) error {
+	g.KeepRun = g.parsed.Stream && r.Header.Get(headerReconnect) == "true"
+	key := r.Header.Get(headerIdempotencyKey)
+	if len(key) > maxIdempotencyKeyBytes {
+		return invalid(headerIdempotencyKey + ": is too long")
+	}
+	switch r.Header.Get(headerNotRepeatable) {
+	case "", "false":
+	case "true":
+		if key == "" {
+			return invalid(headerNotRepeatable + " needs an " + headerIdempotencyKey)
+		}
+		g.NotRepeatable = true
+		g.IdempotencyKey = key
+		g.Fingerprint = fingerprint(g.Operation, body)
+	default:
+		return invalid(headerNotRepeatable + `: must be "true" or "false"`)
+	}
+	if last := r.Header.Get(headerLastEventID); last != "" {
+		return g.reconnect(last)
+	}
+	return nil
+}
+
+// reconnect makes the request go on behind an event of an earlier connection.
+func (g *generation) reconnect(last string) error {
+	if !g.parsed.Stream || g.NotRepeatable {
+		return invalid(headerLastEventID + ": only a stream that is repeatable can be gone on with")
+	}
+	event, valid := parseEventID(last, g.Tenant.Name)
+	if !valid {
+		return invalid(headerLastEventID + ": is not an event of this tenant")
+	}
+	g.ID, g.Replica, g.Offset, g.Prior = event.request, event.replica, event.offset, g.parsed.Resume
+	g.KeepRun = true
+	return nil
+}
+
+func fingerprint(operation engine.Operation, body []byte) string {
+	digest := sha256.New()
+	digest.Write([]byte(operation))
+	digest.Write([]byte{0})
+	digest.Write(body)
+	return hex.EncodeToString(digest.Sum(nil))
+}
+
+func answerPrefix(operation engine.Operation) string {
+	if operation == engine.OperationChat {
+		return "chatcmpl-"
+	}
+	return "cmpl-"
+}
--- /dev/null
+++ b/internal/gateway/target.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/sloelift/sloelift/internal/config"
+	"github.com/sloelift/sloelift/internal/engine"
+	"github.com/sloelift/sloelift/internal/outcome"
+)
+
+// target is what a caller's "model" stands for.
+type target struct {
+	service *config.Service
+	model   *config.Model
+	adapter string
+}
+
+// mayUse says whether the tenant may use the service.
+func mayUse(tenant *config.Tenant, service string) bool {
+	return len(tenant.Services) == 0 || slices.Contains(tenant.Services, service)
+}
+
+// resolve finds the target of a caller's "model", which is "service/model", "model" or
+// "service" (its first model), each with an optional ":adapter". A model that several of
+// the tenant's services have is served by the first one by name.
+func resolve(snapshot *config.Snapshot, tenant *config.Tenant, name string) (target, error) {
+	base, adapter := engine.SplitModel(name)
+	serviceName, modelName, qualified := strings.Cut(base, "/")
+	if !qualified {
+		serviceName, modelName = unqualified(snapshot, tenant, base)
+	}
+	service, model := snapshot.Services[serviceName], snapshot.Models[modelName]
+	if service == nil || model == nil || !mayUse(tenant, serviceName) || !slices.Contains(service.Models, modelName) {
+		return target{}, notFound(fmt.Sprintf("model %q is not served to this tenant", name))
+	}
+	if adapter != "" && !slices.Contains(model.Adapters, adapter) {
+		return target{}, notFound(fmt.Sprintf("model %q has no adapter %q", modelName, adapter))
+	}
+	return target{service: service, model: model, adapter: adapter}, nil
+}
+
+func unqualified(snapshot *config.Snapshot, tenant *config.Tenant, name string) (service, model string) {
+	if named := snapshot.Services[name]; named != nil && len(named.Models) > 0 {
+		return name, named.Models[0]
+	}
+	for candidate, declared := range snapshot.Services {
+		if slices.Contains(declared.Models, name) && mayUse(tenant, candidate) && (service == "" || candidate < service) {
+			service = candidate
+		}
+	}
+	return service, name
+}
+
+// servicesOf returns the tenant's services, sorted by name.
+func servicesOf(snapshot *config.Snapshot, tenant *config.Tenant) []*config.Service {
+	var services []*config.Service
+	for name, service := range snapshot.Services {
+		if mayUse(tenant, name) {
+			services = append(services, service)
+		}
+	}
+	sort.Slice(services, func(i, j int) bool { return services[i].Name < services[j].Name })
+	return services
+}
+
+// Names of service_tier that stand for the default priority.
+var defaultTiers = []string{"", "auto", "default"}
+
+// priorityOf finds a declared priority: the header's, else the service tier's, else the
+// lowest of its class.
+func priorityOf(snapshot *config.Snapshot, header, tier string, online bool) (*config.Priority, error) {
+	name := header
+	if name == "" && !slices.Contains(defaultTiers, tier) {
+		name = tier
+	}
+	if name == "" {
+		return lowestPriority(snapshot, online)
+	}
+	priority := snapshot.Priorities[name]
+	if priority == nil {
+		return nil, invalid(fmt.Sprintf("priority %q is not declared", name))
+	}
+	if priority.Online != online {
+		return nil, invalid(fmt.Sprintf("priority %q has online: %t and cannot be used here", name, priority.Online))
+	}
+	return priority, nil
+}
+
+func lowestPriority(snapshot *config.Snapshot, online bool) (*config.Priority, error) {
+	var lowest *config.Priority
+	for _, priority := range snapshot.Priorities {
+		if priority.Online != online {
+			continue
+		}
+		if lowest == nil || priority.Rank < lowest.Rank || priority.Rank == lowest.Rank && priority.Name < lowest.Name {
+			lowest = priority
+		}
+	}
+	if lowest == nil {
+		return nil, outcome.New(outcome.NotRun, outcome.ReasonUnavailable, "no fitting priority is declared").After(defaultRetryAfter)
+	}
+	return lowest, nil
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -28,12 +28,27 @@
 	IdempotencyKey string
 	// Fingerprint is a digest of the content, to tell a resend from a clash of keys.
 	Fingerprint string
-	// Offset is the number of tokens that the caller has from an earlier connection.
-	Offset int
+	// Offset is the number of tokens that the caller has from an earlier connection, and
+	// Replica the one that served it; the engine run ID is then attached to. Prior is the
+	// text of those tokens, empty where the caller did not send it.
+	Offset  int
+	Replica string
+	Prior   string
+	// KeepRun leaves the engine run alive when the caller goes away, so that it can reconnect.
+	KeepRun bool
+}
+
+// Reconnects says that the request goes on with a stream that another connection began.
+func (r *Request) Reconnects() bool { return r.Replica != "" }
+
+// Chunk is a piece of the answer with the replica that made it.
+type Chunk struct {
+	engine.Chunk
+	Replica string
 }
 
 // Sink takes the answer's chunks in order, each token once.
-type Sink func(chunk engine.Chunk) error
+type Sink func(chunk Chunk) error
 
 // Runner runs online requests. It is safe for concurrent use.
 type Runner interface {
