--- /dev/null
+++ b/internal/ledger/attempt.go
@@ -0,0 +1,120 @@
+package ledger
+
+import (
+	"context"
+
+	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
+	"github.com/sloelift/sloelift/internal/ledger/wire"
+	"github.com/sloelift/sloelift/internal/logging"
+)
+
+// attemptResult is how an attempt or ownership ended. number is the highest ballot number met.
+type attemptResult struct {
+	number uint64
+	lost   protocol.Lost
+}
+
+// surveyResult is what the stores of an ensemble have promised.
+type surveyResult struct {
+	answers  int
+	promised protocol.Ballot
+	number   uint64
+	ensemble protocol.Ensemble
+}
+
+// attempt asks the present owner to let go, takes a ballot above all promised ones and serves under it
+// until it is lost.
+func (m *Manager) attempt(partition PartitionID, ensemble protocol.Ensemble, number uint64) attemptResult {
+	survey := m.survey(ensemble)
+	number = max(number, survey.number)
+	if survey.ensemble.Version > ensemble.Version {
+		return attemptResult{number: number, lost: protocol.Lost{Cause: protocol.LossEnsembleChanged, Ensemble: survey.ensemble}}
+	}
+	if survey.answers < ensemble.ReadQuorum() {
+		return attemptResult{number: number, lost: protocol.Lost{Cause: protocol.LossTimeout}}
+	}
+	m.askRelease(partition, survey.promised)
+	if m.ctx.Err() != nil {
+		return attemptResult{number: number, lost: protocol.Lost{Cause: protocol.LossReleased}}
+	}
+	ballot := protocol.Ballot{Version: ensemble.Version, Number: number + 1, Owner: m.owner}
+	owner := protocol.NewOwner(ballot, ensemble, protocol.DefaultOwnerLimits())
+	logger := m.logger.With().Uint32(logging.FieldPartition, uint32(partition)).Logger()
+	ownership := newOwnership(m.ctx, partition, owner, m.stores, m.factory, m.timing, logger)
+	ownership.caughtUp = func(ensemble protocol.Ensemble, store protocol.StoreID) {
+		m.start(func() {}, func() { m.promote(partition, ensemble, store) })
+	}
+	m.setOwnership(partition, ownership)
+	m.post(func() { m.control(partition).ownership = ownership })
+	lost := ownership.run()
+	m.setOwnership(partition, nil)
+	return attemptResult{number: number + 1, lost: lost}
+}
+
+// survey asks the full members what they have promised, until a read quorum has answered.
+func (m *Manager) survey(ensemble protocol.Ensemble) surveyResult {
+	ctx, cancel := context.WithTimeout(m.ctx, m.timing.Request)
+	defer cancel()
+	answers := make(chan *ledgerpb.SurveyResponse, len(ensemble.Members))
+	asked := 0
+	for _, member := range ensemble.Members {
+		if member.Joining {
+			continue
+		}
+		asked++
+		m.background(func() {
+			response, err := m.stores.survey(ctx, member, &ledgerpb.SurveyRequest{
+				Partition: uint32(ensemble.Partition), Store: string(member.Store),
+			})
+			if err != nil {
+				response = nil
+			}
+			answers <- response
+		})
+	}
+	var result surveyResult
+	for range asked {
+		var response *ledgerpb.SurveyResponse
+		select {
+		case response = <-answers:
+		case <-ctx.Done():
+			return result
+		}
+		if response.GetStatus() != ledgerpb.Status_STATUS_OK {
+			continue
+		}
+		result.answers++
+		promised := wire.ToBallot(response.Promised)
+		result.number = max(result.number, promised.Number)
+		if result.promised.Below(promised) {
+			result.promised = promised
+		}
+		if known := wire.ToEnsemble(response.Ensemble); known.Version > result.ensemble.Version {
+			result.ensemble = known
+		}
+		if result.answers >= ensemble.ReadQuorum() {
+			break
+		}
+	}
+	return result
+}
+
+// askRelease asks the owner of the highest promised ballot to finish its appends and let go. Without an answer
+// the attempt goes on all the same.
+func (m *Manager) askRelease(partition PartitionID, promised protocol.Ballot) {
+	node := ownerNode(promised.Owner)
+	if promised.Owner == "" || node == m.self {
+		return
+	}
+	member, found := m.viewer.View().Find(node)
+	if !found {
+		return
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, m.timing.Release)
+	defer cancel()
+	request := &ledgerpb.ReleaseRequest{Partition: uint32(partition), Successor: string(m.self)}
+	if err := m.caller.Call(ctx, member.PeerAddress, methodRelease, request, &ledgerpb.ReleaseResponse{}); err != nil {
+		m.logger.Info().Uint32(logging.FieldPartition, uint32(partition)).Str(logging.FieldPeer, string(node)).Err(err).Msg("release_not_answered")
+	}
+}
--- /dev/null
+++ b/internal/ledger/directory.go
@@ -0,0 +1,211 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/oklog/ulid/v2"
+	"google.golang.org/protobuf/proto"
+
+	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
+	"github.com/sloelift/sloelift/internal/ledger/wire"
+	"github.com/sloelift/sloelift/internal/platform"
+)
+
+// Keys of the key-value service.
+const (
+	keyPrefix         = "/sloelift/ledger/"
+	headKey           = keyPrefix + "head"
+	ensemblePrefix    = keyPrefix + "ensembles/"
+	changesPerRequest = 32
+)
+
+func ensembleKey(partition PartitionID) string { return fmt.Sprintf("%s%05d", ensemblePrefix, partition) }
+
+// head is the fixed part of the ledger.
+type head struct {
+	partitions, replicas, writeQuorum int
+}
+
+// directory holds the head and the newest ensembles that this node has heard of, from the
+// key-value service, from stores or from other nodes. Newer versions replace older ones, so an
+// outage of the service leaves it usable. It is safe for concurrent use.
+type directory struct {
+	keyValue platform.KeyValue
+
+	// mutex guards the fields below.
+	mutex     sync.RWMutex
+	head      head
+	ensembles map[PartitionID]protocol.Ensemble
+}
+
+func newDirectory(keyValue platform.KeyValue) *directory {
+	return &directory{keyValue: keyValue, ensembles: map[PartitionID]protocol.Ensemble{}}
+}
+
+// fixed returns the head; ok is false while it is unknown.
+func (d *directory) fixed() (known head, ok bool) {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	return d.head, d.head.partitions > 0
+}
+
+// ensemble returns the newest known ensemble.
+func (d *directory) ensemble(partition PartitionID) (protocol.Ensemble, bool) {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	ensemble, known := d.ensembles[partition]
+	return ensemble, known
+}
+
+// complete tells whether the head and all ensembles are known.
+func (d *directory) complete() bool {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	return d.head.partitions > 0 && len(d.ensembles) >= d.head.partitions
+}
+
+// learn takes an ensemble that was heard of, if it is newer than the known one.
+func (d *directory) learn(ensemble protocol.Ensemble) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if ensemble.Version > d.ensembles[ensemble.Partition].Version {
+		d.ensembles[ensemble.Partition] = ensemble
+	}
+}
+
+func (d *directory) learnHead(message *ledgerpb.Head) {
+	if message.GetPartitions() == 0 {
+		return
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.head = head{partitions: int(message.Partitions), replicas: int(message.Replicas), writeQuorum: int(message.WriteQuorum)}
+}
+
+// export returns what is known, for another node.
+func (d *directory) export() *ledgerpb.EnsemblesResponse {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	response := &ledgerpb.EnsemblesResponse{Head: &ledgerpb.Head{
+		Partitions: uint32(d.head.partitions), Replicas: uint32(d.head.replicas), WriteQuorum: uint32(d.head.writeQuorum),
+	}}
+	for _, ensemble := range d.ensembles {
+		response.Ensembles = append(response.Ensembles, wire.FromEnsemble(ensemble))
+	}
+	return response
+}
+
+// load reads all that the key-value service has.
+func (d *directory) load(ctx context.Context) error {
+	listing, err := d.keyValue.List(ctx, keyPrefix)
+	if err != nil {
+		return err
+	}
+	for _, entry := range listing.Entries {
+		if err := d.take(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *directory) take(entry platform.Entry) error {
+	if entry.Key == headKey {
+		var message ledgerpb.Head
+		if err := proto.Unmarshal(entry.Value, &message); err != nil {
+			return fmt.Errorf("decode %s: %w", entry.Key, err)
+		}
+		d.learnHead(&message)
+		return nil
+	}
+	if !strings.HasPrefix(entry.Key, ensemblePrefix) {
+		return nil
+	}
+	var message ledgerpb.Ensemble
+	if err := proto.Unmarshal(entry.Value, &message); err != nil {
+		return fmt.Errorf("decode %s: %w", entry.Key, err)
+	}
+	d.learn(wire.ToEnsemble(&message))
+	return nil
+}
+
+// createHead writes the head unless there is one, and reads what stands.
+func (d *directory) createHead(ctx context.Context, wanted head) error {
+	value, err := proto.Marshal(&ledgerpb.Head{
+		Partitions: uint32(wanted.partitions), Replicas: uint32(wanted.replicas), WriteQuorum: uint32(wanted.writeQuorum),
+	})
+	if err != nil {
+		return err
+	}
+	_, err = d.keyValue.Commit(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Key: headKey}}, Changes: []platform.Change{{Key: headKey, Value: value}},
+	})
+	if err != nil {
+		return err
+	}
+	return d.load(ctx)
+}
+
+// createEnsembles writes first versions of ensembles, some at a time, unless they exist, and reads what stands.
+func (d *directory) createEnsembles(ctx context.Context, ensembles []protocol.Ensemble) error {
+	for len(ensembles) > 0 {
+		part := ensembles[:min(changesPerRequest, len(ensembles))]
+		ensembles = ensembles[len(part):]
+		var transaction platform.Transaction
+		for _, ensemble := range part {
+			ensemble.WriteID = ulid.Make().String()
+			value, err := proto.Marshal(wire.FromEnsemble(ensemble))
+			if err != nil {
+				return err
+			}
+			key := ensembleKey(ensemble.Partition)
+			transaction.Conditions = append(transaction.Conditions, platform.Condition{Key: key})
+			transaction.Changes = append(transaction.Changes, platform.Change{Key: key, Value: value})
+		}
+		if _, err := d.keyValue.Commit(ctx, transaction); err != nil {
+			return err
+		}
+	}
+	return d.load(ctx)
+}
+
+// change makes next the ensemble if the one before it still stands. Whether it
+// took effect is read back by its write id, so a lost answer does no harm; what stands is learnt.
+func (d *directory) change(ctx context.Context, next protocol.Ensemble) (bool, error) {
+	key := ensembleKey(next.Partition)
+	next.WriteID = ulid.Make().String()
+	before, err := d.keyValue.Get(ctx, key)
+	if err != nil {
+		return false, err
+	}
+	if err := d.take(before); err != nil {
+		return false, err
+	}
+	if known, _ := d.ensemble(next.Partition); known.Version != next.Version-1 {
+		return false, nil
+	}
+	value, err := proto.Marshal(wire.FromEnsemble(next))
+	if err != nil {
+		return false, err
+	}
+	_, commitErr := d.keyValue.Commit(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Key: key, ModRevision: before.ModRevision}},
+		Changes:    []platform.Change{{Key: key, Value: value}},
+	})
+	after, err := d.keyValue.Get(ctx, key)
+	if err != nil {
+		return false, err
+	}
+	if err := d.take(after); err != nil {
+		return false, err
+	}
+	known, _ := d.ensemble(next.Partition)
+	if known.WriteID == next.WriteID {
+		return true, nil
+	}
+	return false, commitErr
+}
--- /dev/null
+++ b/internal/ledger/formation.go
@@ -0,0 +1,113 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
+	"github.com/sloelift/sloelift/internal/ledger/wire"
+	"github.com/sloelift/sloelift/internal/membership"
+)
+
+const (
+	// directoryTimeout bounds one round of loading the directory.
+	directoryTimeout = 10 * time.Second
+	// loadInterval is the wait between rounds.
+	loadInterval = time.Second
+	// askedPeers bounds the peers asked for ensembles in one round.
+	askedPeers = 3
+)
+
+// loadDirectory reads head and ensembles from the key-value service, or from other nodes while it
+// is down, and forms what is missing once there are stores. It runs on the control goroutine.
+func (m *Manager) loadDirectory(now time.Time) {
+	if m.loading || now.Before(m.nextLoad) {
+		return
+	}
+	m.loading = true
+	mayForm := m.mayForm(now)
+	m.start(
+		func() {
+			ctx, cancel := context.WithTimeout(m.ctx, directoryTimeout)
+			defer cancel()
+			if err := m.loadOrForm(ctx, mayForm); err != nil && m.ctx.Err() == nil {
+				m.logger.Warn().Err(err).Msg("ledger_directory_unavailable")
+				m.askPeers(ctx)
+			}
+		},
+		func() {
+			m.loading = false
+			m.nextLoad = time.Now().Add(loadInterval)
+			m.check(time.Now())
+		})
+}
+
+// mayForm says whether this node should create what is missing: once there are stores enough, or the wait for more
+// is over. The first live node goes first, the others after one more wait, so that they don't all try.
+func (m *Manager) mayForm(now time.Time) bool {
+	view := m.viewer.View()
+	stores := len(storesOf(view))
+	if stores == 0 {
+		return false
+	}
+	waited := now.Sub(m.started)
+	if live := view.Live(); len(live) == 0 || live[0].ID != m.self {
+		waited -= m.timing.Formation
+	}
+	return waited >= m.timing.Formation || (stores >= m.settings.Replicas && waited >= 0)
+}
+
+func (m *Manager) loadOrForm(ctx context.Context, mayForm bool) error {
+	if err := m.directory.load(ctx); err != nil || m.directory.complete() || !mayForm {
+		return err
+	}
+	fixed, known := m.directory.fixed()
+	if !known {
+		wanted := head{partitions: m.settings.Partitions, replicas: m.settings.Replicas, writeQuorum: m.settings.WriteQuorum}
+		if err := m.directory.createHead(ctx, wanted); err != nil {
+			return err
+		}
+		fixed, _ = m.directory.fixed()
+	}
+	if fixed.partitions != m.settings.Partitions {
+		m.logger.Warn().Int("partitions", fixed.partitions).Int("setting", m.settings.Partitions).Msg("ledger_setting_differs")
+	}
+	stores := storesOf(m.viewer.View())
+	var missing []protocol.Ensemble
+	for partition := range PartitionID(fixed.partitions) {
+		if _, known := m.directory.ensemble(partition); !known {
+			chosen := chooseStores(stores, partition, fixed.replicas, nil)
+			missing = append(missing, newEnsemble(partition, chosen, fixed.writeQuorum))
+		}
+	}
+	return m.directory.createEnsembles(ctx, missing)
+}
+
+// askPeers copies what other nodes know.
+func (m *Manager) askPeers(ctx context.Context) {
+	asked := 0
+	for _, member := range m.viewer.View().Live() {
+		if member.ID == m.self || asked == askedPeers {
+			continue
+		}
+		asked++
+		m.askPeer(ctx, member)
+		if m.directory.complete() {
+			return
+		}
+	}
+}
+
+func (m *Manager) askPeer(ctx context.Context, member membership.Member) {
+	ctx, cancel := context.WithTimeout(ctx, m.timing.Request)
+	defer cancel()
+	var response ledgerpb.EnsemblesResponse
+	if err := m.caller.Call(ctx, member.PeerAddress, methodEnsembles, &ledgerpb.EnsemblesRequest{}, &response); err != nil {
+		return
+	}
+	m.directory.learnHead(response.Head)
+	for _, ensemble := range response.Ensembles {
+		m.directory.learn(wire.ToEnsemble(ensemble))
+	}
+}
--- /dev/null
+++ b/internal/ledger/fx.go
@@ -0,0 +1,95 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"os"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/sloelift/sloelift/internal/ledger/store"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+// Module provides *Disk, *Manager and Locator. It needs a Factory, which must not need a Locator.
+var Module = fx.Module("ledger",
+	fx.Provide(
+		NewDisk,
+		newManagerForNode,
+		func(manager *Manager) Locator { return manager },
+	),
+	fx.Invoke(func(*Manager) {}),
+)
+
+// Disk is the node's store; Store is nil on a node without a data folder.
+type Disk struct{ Store *store.Store }
+
+// Incarnation names what is on the disk; it is empty on a node without a data folder.
+func (d *Disk) Incarnation() string {
+	if d.Store == nil {
+		return ""
+	}
+	return string(d.Store.ID())
+}
+
+// NewDisk opens the store below the data folder, so that its incarnation is known before the
+// node tells others of itself.
+func NewDisk(lifecycle fx.Lifecycle, node settings.Settings, logger zerolog.Logger) (*Disk, error) {
+	if node.DataFolder == "" {
+		return &Disk{}, nil
+	}
+	if err := os.MkdirAll(node.DataFolder, 0o750); err != nil {
+		return nil, err
+	}
+	opened, err := store.Open(node.DataFolder, store.Options{Logger: logger.With().Str(logging.FieldSlice, "ledger").Logger()})
+	if err != nil {
+		return nil, err
+	}
+	lifecycle.Append(fx.StopHook(opened.Close))
+	return &Disk{Store: opened}, nil
+}
+
+type managerParams struct {
+	fx.In
+
+	Lifecycle fx.Lifecycle
+	Settings  settings.Settings
+	Timing    *Timing `optional:"true"`
+	Logger    zerolog.Logger
+	Disk      *Disk
+	Caller    transport.Caller
+	Registry  transport.Registrar
+	KeyValue  platform.KeyValue
+	Viewer    membership.Viewer
+	Factory   Factory
+}
+
+func newManagerForNode(params managerParams) (*Manager, error) {
+	if params.Factory == nil {
+		return nil, errors.New("ledger: no state machine factory")
+	}
+	timing := DefaultTiming()
+	if params.Timing != nil {
+		timing = *params.Timing
+	}
+	manager := NewManager(Dependencies{
+		Settings: params.Settings, Timing: timing, Logger: params.Logger, Local: params.Disk.Store,
+		Caller: params.Caller, Registry: params.Registry, KeyValue: params.KeyValue, Viewer: params.Viewer, Factory: params.Factory,
+	})
+	params.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			manager.Start()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			manager.Stop()
+			return nil
+		},
+	})
+	return manager, nil
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,21 +1,25 @@
 package ledger
 
-import "context"
+import (
+	"context"
+
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
+)
 
 // PartitionID names a partition of the ledger, 0 to the number of partitions - 1.
-type PartitionID uint32
+type PartitionID = protocol.PartitionID
 
 // Position is the index of a record in its partition's log, from 1.
-type Position uint64
+type Position = protocol.Position
 
-// Record is one entry of a log; its payload is made and read by the slice that owns Kind.
-type Record struct {
-	Kind    RecordKind
-	Payload []byte
-}
+// Record is one entry of a log; its payload, at most MaxRecordBytes, is made and read by the slice that owns Kind.
+type Record = protocol.Record
 
 // RecordKind tells which message a record's payload holds.
-type RecordKind uint16
+type RecordKind = protocol.RecordKind
+
+// MaxRecordBytes bounds the payload of one record.
+const MaxRecordBytes = 1 << 20
 
 // Record kinds. Their payloads are messages of api/proto/job.
 const (
@@ -27,7 +31,7 @@
 	KindKeyCompleted
 	KindJobExpired
 	// KindNoOperation fills a position that recovery must write without a record.
-	KindNoOperation
+	KindNoOperation = protocol.KindNoOperation
 )
 
 // Owned is a partition that this node owns under one ballot. Its methods are safe
@@ -35,11 +39,13 @@
 type Owned interface {
 	Partition() PartitionID
 	// Append returns once all records are synced on a write quorum, in one batch, in
-	// order; the result is the position of the first. An *outcome.Error with NotRun
-	// means that they are not and never will be in the log; Indeterminate means that they may be.
+	// order; the result is the position of the first. An *outcome.Error with NotRun or Failed
+	// means that they are not and never will be in the log; Indeterminate means that they, or the
+	// first few of them, may be.
 	Append(ctx context.Context, records []Record) (Position, error)
 	// Read returns records from position from on, in order, at most maxBytes of payload but
-	// at least one; it serves bulk data from disk so that it need not live in memory.
+	// at least one; none behind the log's end. It serves bulk data from the stores' disks so that it
+	// need not live in memory. A trimmed position is an *outcome.Error with ReasonNotFound.
 	Read(ctx context.Context, from Position, maxBytes int) ([]Record, error)
 	// Lost is closed when the node no longer owns the partition.
 	Lost() <-chan struct{}
@@ -49,7 +55,7 @@
 type StateMachine interface {
 	// Restore is called first, with the latest snapshot or nil; then Apply is called with
 	// every record behind the snapshot, in order, before the partition serves. Each new
-	// ownership starts with a new StateMachine.
+	// ownership starts with a new StateMachine. Records of KindNoOperation carry nothing.
 	Restore(snapshot []byte) error
 	Apply(position Position, record Record) error
 	// Serve is called once all records are applied; owned appends go through it.
--- /dev/null
+++ b/internal/ledger/maintenance.go
@@ -0,0 +1,133 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/membership"
+)
+
+// maintain changes the partition's ensemble where a member's disk is gone or a member is missing. It
+// runs on the control goroutine of the owner or preferred owner; the compare-and-swap decides between several.
+func (m *Manager) maintain(partition PartitionID, control *partitionControl, view *membership.View, now time.Time) {
+	ensemble, known := m.directory.ensemble(partition)
+	if !known || control.changing {
+		return
+	}
+	next, due := m.nextEnsemble(ensemble, control, view, now)
+	if !due {
+		return
+	}
+	m.changeEnsemble(partition, control, next)
+}
+
+// nextEnsemble returns the ensemble to change to, if a change is due.
+func (m *Manager) nextEnsemble(ensemble protocol.Ensemble, control *partitionControl, view *membership.View, now time.Time) (protocol.Ensemble, bool) {
+	fixed, _ := m.directory.fixed()
+	spare, found := spareStore(view, ensemble)
+	for _, member := range ensemble.Members {
+		if !m.lostFor(member, control, view, now) || !found {
+			continue
+		}
+		if next, allowed := ensemble.Replace(member.Store, memberOf(spareFor(view, ensemble, member, spare))); allowed {
+			return next, true
+		}
+	}
+	if found && len(ensemble.Members) < fixed.replicas {
+		return ensemble.Grow(memberOf(spare), fixed.writeQuorum)
+	}
+	return protocol.Ensemble{}, false
+}
+
+// lostFor tells whether the member's disk is to be replaced: at once where its node lives with
+// another store, after a while where the node is gone.
+func (m *Manager) lostFor(member protocol.Member, control *partitionControl, view *membership.View, now time.Time) bool {
+	node, found := view.Find(membership.NodeID(member.Node))
+	alive := found && (node.State == membership.Alive || node.State == membership.Suspect || node.State == membership.Leaving)
+	if alive && node.StoreIncarnation == string(member.Store) {
+		delete(control.unwell, member.Store)
+		return false
+	}
+	if alive && node.StoreIncarnation != "" {
+		return true
+	}
+	since, noted := control.unwell[member.Store]
+	if !noted {
+		control.unwell[member.Store] = now
+		return false
+	}
+	return now.Sub(since) >= m.timing.Replace
+}
+
+// spareStore returns the best live store that is not a member, from a zone with few members.
+func spareStore(view *membership.View, ensemble protocol.Ensemble) (membership.Member, bool) {
+	taken := map[string]int{}
+	nodes := map[string]bool{}
+	for _, member := range ensemble.Members {
+		node, found := view.Find(membership.NodeID(member.Node))
+		if found && node.StoreIncarnation == string(member.Store) {
+			taken[member.Zone]++
+			nodes[member.Node] = true
+		}
+	}
+	var candidates []membership.Member
+	for _, candidate := range storesOf(view) {
+		if _, present := ensemble.Find(protocol.StoreID(candidate.StoreIncarnation)); !present && !nodes[string(candidate.ID)] {
+			candidates = append(candidates, candidate)
+		}
+	}
+	chosen := chooseStores(candidates, ensemble.Partition, 1, taken)
+	if len(chosen) == 0 {
+		return membership.Member{}, false
+	}
+	return chosen[0], true
+}
+
+// spareFor prefers the lost member's own node with its new disk to the spare.
+func spareFor(view *membership.View, ensemble protocol.Ensemble, lost protocol.Member, spare membership.Member) membership.Member {
+	for _, candidate := range storesOf(view) {
+		_, present := ensemble.Find(protocol.StoreID(candidate.StoreIncarnation))
+		if string(candidate.ID) == lost.Node && !present {
+			return candidate
+		}
+	}
+	return spare
+}
+
+// promote makes a joining store that has caught up a full member. It runs on the control goroutine.
+func (m *Manager) promote(partition PartitionID, ensemble protocol.Ensemble, store protocol.StoreID) {
+	control := m.control(partition)
+	next, allowed := ensemble.Promote(store)
+	if !allowed || control.changing {
+		return
+	}
+	m.changeEnsemble(partition, control, next)
+}
+
+// changeEnsemble makes the change in the key-value service. The owner then loses its ballot to the new
+// version and prepares again under it.
+func (m *Manager) changeEnsemble(partition PartitionID, control *partitionControl, next protocol.Ensemble) {
+	control.changing = true
+	var changed bool
+	var err error
+	m.start(
+		func() {
+			ctx, cancel := context.WithTimeout(m.ctx, directoryTimeout)
+			defer cancel()
+			changed, err = m.directory.change(ctx, next)
+		},
+		func() {
+			control.changing = false
+			event := m.logger.Info()
+			if err != nil {
+				event = m.logger.Warn().Err(err)
+			}
+			event.Uint32(logging.FieldPartition, uint32(partition)).Uint64(fieldVersion, next.Version).Bool("changed", changed).Msg("ensemble_change")
+			if ownership := control.ownership; ownership != nil {
+				newest, _ := m.directory.ensemble(partition)
+				m.background(func() { ownership.adopt(newest) })
+			}
+		})
+}
--- /dev/null
+++ b/internal/ledger/manager.go
@@ -0,0 +1,299 @@
+package ledger
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rs/zerolog"
+
+	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
+	"github.com/sloelift/sloelift/internal/ledger/store"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+// ownerSeparator stands between node id and process incarnation in a ballot's owner.
+const ownerSeparator = "#"
+
+// Manager decides which partitions this node tries to own and keeps their ensembles whole. Safety
+// rests on ballots alone; what the Manager believes only decides when to try.
+type Manager struct {
+	self     membership.NodeID
+	owner    string
+	settings settings.Ledger
+	timing   Timing
+	logger   zerolog.Logger
+
+	local     *store.Store
+	stores    *storeClient
+	directory *directory
+	caller    transport.Caller
+	viewer    membership.Viewer
+	factory   Factory
+
+	// events run on the control goroutine.
+	events chan func()
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+
+	// started, leaving, loading, nextLoad and partitions belong to the control goroutine.
+	started    time.Time
+	leaving    bool
+	loading    bool
+	nextLoad   time.Time
+	partitions map[PartitionID]*partitionControl
+
+	// owned holds the present ownerships for readers on other goroutines; mutex guards it and the end of ctx.
+	mutex sync.RWMutex
+	owned map[PartitionID]*ownership
+	hints *ownerHints
+}
+
+// partitionControl is the control goroutine's state of one partition.
+type partitionControl struct {
+	trying    bool
+	ownership *ownership
+	number    uint64
+	backoff   time.Duration
+	nextTry   time.Time
+	changing  bool
+	// unwell is since when a member of the ensemble has been seen as gone.
+	unwell map[protocol.StoreID]time.Time
+}
+
+// Dependencies of a Manager. Local is nil on a node without a data folder.
+type Dependencies struct {
+	Settings settings.Settings
+	Timing   Timing
+	Logger   zerolog.Logger
+	Local    *store.Store
+	Caller   transport.Caller
+	Registry transport.Registrar
+	KeyValue platform.KeyValue
+	Viewer   membership.Viewer
+	Factory  Factory
+}
+
+// NewManager registers the ledger's handlers; nothing runs before Start.
+func NewManager(dependencies Dependencies) *Manager {
+	manager := &Manager{
+		self:     membership.NodeID(dependencies.Settings.Node),
+		owner:    dependencies.Settings.Node + ownerSeparator + ulid.Make().String(),
+		settings: dependencies.Settings.Ledger, timing: dependencies.Timing,
+		logger: dependencies.Logger.With().Str(logging.FieldSlice, "ledger").Logger(),
+		local:  dependencies.Local, caller: dependencies.Caller, viewer: dependencies.Viewer, factory: dependencies.Factory,
+		stores:    &storeClient{local: dependencies.Local, caller: dependencies.Caller, viewer: dependencies.Viewer},
+		directory: newDirectory(dependencies.KeyValue),
+		events:    make(chan func()), partitions: map[PartitionID]*partitionControl{},
+		owned: map[PartitionID]*ownership{}, hints: newOwnerHints(),
+	}
+	manager.ctx, manager.cancel = context.WithCancel(context.Background())
+	registerStore(dependencies.Registry, dependencies.Local)
+	manager.registerNode(dependencies.Registry)
+	return manager
+}
+
+// Start begins to look for partitions to own. It does not wait for anything.
+func (m *Manager) Start() {
+	m.started = time.Now()
+	m.tasks.Go(m.run)
+}
+
+// Stop ends all ownerships at once and returns when they have ended.
+func (m *Manager) Stop() {
+	m.mutex.Lock()
+	m.cancel()
+	m.mutex.Unlock()
+	m.tasks.Wait()
+}
+
+// background runs task on its own goroutine, which Stop waits for; after Stop it does nothing.
+func (m *Manager) background(task func()) {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	if m.ctx.Err() == nil {
+		m.tasks.Go(task)
+	}
+}
+
+func (m *Manager) run() {
+	changed := make(chan struct{}, 1)
+	unsubscribe := m.viewer.Subscribe(func(*membership.View) {
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
+	})
+	defer unsubscribe()
+	ticker := time.NewTicker(m.timing.Check)
+	defer ticker.Stop()
+	for {
+		select {
+		case event := <-m.events:
+			event()
+		case <-ticker.C:
+			m.check(time.Now())
+		case <-changed:
+			m.check(time.Now())
+		case <-m.ctx.Done():
+			return
+		}
+	}
+}
+
+// post runs event on the control goroutine, soon; it is dropped after Stop.
+func (m *Manager) post(event func()) {
+	select {
+	case m.events <- event:
+	case <-m.ctx.Done():
+	}
+}
+
+// start runs task on its own goroutine and then done on the control goroutine.
+func (m *Manager) start(task func(), done func()) {
+	m.background(func() {
+		task()
+		m.post(done)
+	})
+}
+
+// check starts what is due. It runs on the control goroutine.
+func (m *Manager) check(now time.Time) {
+	if !m.directory.complete() {
+		m.loadDirectory(now)
+	}
+	fixed, known := m.directory.fixed()
+	if !known || m.leaving {
+		return
+	}
+	view := m.viewer.View()
+	for partition := range PartitionID(fixed.partitions) {
+		control := m.control(partition)
+		preferred, ok := preferredOwner(view, partition)
+		mine := ok && preferred.ID == m.self
+		if mine && !control.trying && !now.Before(control.nextTry) {
+			m.try(partition, control)
+		}
+		if mine || control.ownership != nil {
+			m.maintain(partition, control, view, now)
+		}
+	}
+}
+
+func (m *Manager) control(partition PartitionID) *partitionControl {
+	control, present := m.partitions[partition]
+	if !present {
+		control = &partitionControl{unwell: map[protocol.StoreID]time.Time{}}
+		m.partitions[partition] = control
+	}
+	return control
+}
+
+// try starts an attempt to own partition, which lasts until the ownership is lost.
+func (m *Manager) try(partition PartitionID, control *partitionControl) {
+	ensemble, known := m.directory.ensemble(partition)
+	if !known {
+		return
+	}
+	control.trying = true
+	began := time.Now()
+	var result attemptResult
+	m.start(
+		func() { result = m.attempt(partition, ensemble, control.number) },
+		func() {
+			control.trying = false
+			control.ownership = nil
+			control.number = max(control.number, result.number, result.lost.Higher.Number)
+			m.directory.learn(result.lost.Ensemble)
+			control.backoff = m.nextBackoff(control.backoff, result, time.Since(began))
+			control.nextTry = time.Now().Add(control.backoff/2 + rand.N(control.backoff/2+1))
+		})
+}
+
+// nextBackoff returns the wait before the next attempt: none after a change of ensemble, the shortest one after
+// an ownership that lasted, else twice the last.
+func (m *Manager) nextBackoff(last time.Duration, result attemptResult, lasted time.Duration) time.Duration {
+	switch {
+	case result.lost.Cause == protocol.LossEnsembleChanged || result.lost.Ensemble.Version > 0:
+		return 0
+	case last == 0 || lasted > m.timing.MaxBackoff:
+		return m.timing.Backoff
+	default:
+		return min(2*last, m.timing.MaxBackoff)
+	}
+}
+
+// Handover ends this node's ownerships, each after the appends in progress, and takes no more. It
+// returns once all have ended or ctx has.
+func (m *Manager) Handover(ctx context.Context) error {
+	m.post(func() { m.leaving = true })
+	m.mutex.RLock()
+	ownerships := make([]*ownership, 0, len(m.owned))
+	for _, ownership := range m.owned {
+		ownerships = append(ownerships, ownership)
+	}
+	m.mutex.RUnlock()
+	var releases sync.WaitGroup
+	for _, ownership := range ownerships {
+		releases.Go(func() { ownership.release(ctx) })
+	}
+	releases.Wait()
+	return ctx.Err()
+}
+
+func (m *Manager) ownership(partition PartitionID) (*ownership, bool) {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	ownership, present := m.owned[partition]
+	return ownership, present
+}
+
+func (m *Manager) setOwnership(partition PartitionID, ownership *ownership) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if ownership == nil {
+		delete(m.owned, partition)
+		return
+	}
+	m.owned[partition] = ownership
+}
+
+// ownerNode returns the node of a ballot's owner.
+func ownerNode(owner string) membership.NodeID {
+	node, _, _ := strings.Cut(owner, ownerSeparator)
+	return membership.NodeID(node)
+}
+
+func (m *Manager) serveOwner(_ context.Context, _ netip.AddrPort, request *ledgerpb.OwnerRequest) (*ledgerpb.OwnerResponse, error) {
+	partition := PartitionID(request.Partition)
+	if ownership, present := m.ownership(partition); present && ownership.serving.Load() {
+		return &ledgerpb.OwnerResponse{Owned: true, Owner: string(m.self)}, nil
+	}
+	hint, _ := m.hints.get(partition)
+	return &ledgerpb.OwnerResponse{Owner: string(hint)}, nil
+}
+
+func (m *Manager) serveRelease(ctx context.Context, _ netip.AddrPort, request *ledgerpb.ReleaseRequest) (*ledgerpb.ReleaseResponse, error) {
+	partition := PartitionID(request.Partition)
+	ownership, present := m.ownership(partition)
+	if !present {
+		return &ledgerpb.ReleaseResponse{Released: true}, nil
+	}
+	released := ownership.release(ctx)
+	m.hints.set(partition, membership.NodeID(request.Successor))
+	return &ledgerpb.ReleaseResponse{Released: released, Ballot: nil}, nil
+}
+
+func (m *Manager) serveEnsembles(context.Context, netip.AddrPort, *ledgerpb.EnsemblesRequest) (*ledgerpb.EnsemblesResponse, error) {
+	return m.directory.export(), nil
+}
--- /dev/null
+++ b/internal/ledger/ownership.go
@@ -0,0 +1,265 @@
+package ledger
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
+)
+
+// Timing holds the waits of the ledger.
+type Timing struct {
+	// Request bounds a message to a store.
+	Request time.Duration
+	// Prepare bounds the time until a read quorum has promised and its tails are read.
+	Prepare time.Duration
+	// Retry is the wait after a store failed.
+	Retry time.Duration
+	// Notice is the interval at which idle stores learn what is committed.
+	Notice time.Duration
+	// Check is the interval at which a node looks whether it should own more.
+	Check time.Duration
+	// Backoff and MaxBackoff bound the wait before the next attempt to own a partition.
+	Backoff, MaxBackoff time.Duration
+	// Release bounds the wait for a present owner to finish its appends and let go.
+	Release time.Duration
+	// Formation is how long the first start waits for more stores than there are.
+	Formation time.Duration
+	// Replace is how long a store may be gone before another takes its place.
+	Replace time.Duration
+	// SnapshotRecords and SnapshotBytes are what is appended between snapshots.
+	SnapshotRecords int
+	SnapshotBytes   int
+}
+
+// DefaultTiming returns the waits used by nodes.
+func DefaultTiming() Timing {
+	return Timing{
+		Request: 2 * time.Second, Prepare: 5 * time.Second, Retry: 200 * time.Millisecond,
+		Notice: 500 * time.Millisecond, Check: 250 * time.Millisecond,
+		Backoff: 250 * time.Millisecond, MaxBackoff: 5 * time.Second, Release: 3 * time.Second,
+		Formation: 3 * time.Second, Replace: 30 * time.Second,
+		SnapshotRecords: 50_000, SnapshotBytes: 64 << 20,
+	}
+}
+
+// maxPendingBytes bounds the payload of appends that wait for their quorum.
+const maxPendingBytes = 8 << 20
+
+// Log fields of the ledger.
+const (
+	fieldBallot   = "ballot"
+	fieldCause    = "cause"
+	fieldHigher   = "higher"
+	fieldPosition = "position"
+	fieldVersion  = "version"
+	fieldStore    = "store"
+)
+
+// ownership drives one protocol.Owner: run's goroutine steps it, other goroutines talk to
+// the stores and post what came of it as events.
+type ownership struct {
+	partition PartitionID
+	stores    *storeClient
+	factory   Factory
+	timing    Timing
+	logger    zerolog.Logger
+	// caughtUp is told of joining stores that can be promoted; it must not block.
+	caughtUp func(ensemble protocol.Ensemble, store protocol.StoreID)
+
+	// owner, pending, pendingBytes and releasing belong to run's goroutine.
+	owner        *protocol.Owner
+	pending      []*appendRequest
+	pendingBytes int
+	releasing    bool
+
+	events  chan func() []protocol.Action
+	appends chan *appendRequest
+	// view is what readers on other goroutines know of the owner.
+	view atomic.Pointer[ownedView]
+	// ctx ends when the ownership does; lost is closed then.
+	ctx     context.Context
+	cancel  context.CancelFunc
+	lost    chan struct{}
+	tasks   sync.WaitGroup
+	serving atomic.Bool
+	// appended counts records and bytes since the last snapshot.
+	appendedRecords, appendedBytes atomic.Int64
+}
+
+// ownedView is an immutable copy of what the owner knows of its stores.
+type ownedView struct {
+	phase     protocol.OwnerPhase
+	committed Position
+	last      Position
+	holdings  []protocol.Holding
+	hasRoom   bool
+}
+
+func newOwnership(ctx context.Context, partition PartitionID, owner *protocol.Owner, stores *storeClient, factory Factory, timing Timing, logger zerolog.Logger) *ownership {
+	o := &ownership{
+		partition: partition, stores: stores, factory: factory, timing: timing, owner: owner, logger: logger,
+		events: make(chan func() []protocol.Action), appends: make(chan *appendRequest), lost: make(chan struct{}),
+		caughtUp: func(protocol.Ensemble, protocol.StoreID) {},
+	}
+	o.ctx, o.cancel = context.WithCancel(ctx)
+	o.publish()
+	return o
+}
+
+// run takes the ballot and serves under it until it is lost. It returns after everything that it started has ended.
+func (o *ownership) run() protocol.Lost {
+	notice := time.NewTicker(o.timing.Notice)
+	defer notice.Stop()
+	prepared := time.NewTimer(o.timing.Prepare)
+	defer prepared.Stop()
+	var lost protocol.Lost
+	step := func(actions []protocol.Action) {
+		for _, action := range actions {
+			if ended, is := action.(protocol.Lost); is {
+				lost = ended
+			}
+			o.execute(action)
+		}
+		o.publish()
+	}
+	step(o.owner.Start())
+	for o.owner.Phase() != protocol.PhaseLost {
+		select {
+		case event := <-o.events:
+			step(event())
+		case request := <-o.acceptable():
+			step(o.propose(request))
+		case <-notice.C:
+			step(o.owner.Notice())
+		case <-prepared.C:
+			if o.owner.Phase() < protocol.PhaseRewriting {
+				step(o.owner.GiveUp(protocol.LossTimeout))
+			}
+		case <-o.ctx.Done():
+			step(o.owner.GiveUp(protocol.LossReleased))
+		}
+		if o.releasing && len(o.pending) == 0 {
+			step(o.owner.GiveUp(protocol.LossReleased))
+		}
+	}
+	o.end()
+	return lost
+}
+
+// acceptable returns the channel of appends, or nil while none may be taken.
+func (o *ownership) acceptable() <-chan *appendRequest {
+	if o.owner.Phase() != protocol.PhaseServing || o.releasing || o.pendingBytes > maxPendingBytes {
+		return nil
+	}
+	return o.appends
+}
+
+func (o *ownership) end() {
+	o.serving.Store(false)
+	close(o.lost)
+	o.cancel()
+	for _, request := range o.pending {
+		request.fail(errOwnershipLost())
+	}
+	o.pending = nil
+	o.tasks.Wait()
+}
+
+// release lets appends in progress finish, ends the ownership and waits for its end.
+func (o *ownership) release(ctx context.Context) bool {
+	o.post(func() []protocol.Action {
+		o.releasing = true
+		return nil
+	})
+	select {
+	case <-o.lost:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// post hands an event to run's goroutine; it is dropped once the ownership has ended.
+func (o *ownership) post(event func() []protocol.Action) {
+	select {
+	case o.events <- event:
+	case <-o.lost:
+	}
+}
+
+// start runs task on its own goroutine; what it returns is posted.
+func (o *ownership) start(task func(ctx context.Context) func() []protocol.Action) {
+	o.tasks.Add(1)
+	go func() {
+		defer o.tasks.Done()
+		o.post(task(o.ctx))
+	}()
+}
+
+func (o *ownership) publish() {
+	o.view.Store(&ownedView{
+		phase: o.owner.Phase(), committed: o.owner.Committed(), last: o.owner.Last(),
+		holdings: o.owner.Holdings(), hasRoom: o.owner.HasRoom(),
+	})
+}
+
+// execute does one action. It runs on run's goroutine and must not block.
+func (o *ownership) execute(action protocol.Action) {
+	switch typed := action.(type) {
+	case protocol.SendPrepare:
+		o.start(func(ctx context.Context) func() []protocol.Action { return o.sendPrepare(ctx, typed) })
+	case protocol.ReadTail:
+		o.start(func(ctx context.Context) func() []protocol.Action { return o.readTail(ctx, typed) })
+	case protocol.SendAppend:
+		o.start(func(ctx context.Context) func() []protocol.Action { return o.sendAppend(ctx, typed) })
+	case protocol.Fetch:
+		o.start(func(ctx context.Context) func() []protocol.Action { return o.fetch(ctx, typed) })
+	case protocol.TransferSnapshot:
+		o.start(func(ctx context.Context) func() []protocol.Action { return o.transferSnapshot(ctx, typed) })
+	case protocol.Acknowledge:
+		o.acknowledge(typed.Through)
+	case protocol.Recovered:
+		o.logger.Info().Stringer(fieldBallot, o.owner.Ballot()).Uint64(fieldPosition, uint64(typed.Last)).Msg("partition_recovered")
+		o.serving.Store(true)
+		o.tasks.Add(1)
+		go o.serveMachine(typed.Last)
+	case protocol.CaughtUp:
+		o.caughtUp(o.owner.Ensemble(), typed.Store)
+	case protocol.Lost:
+		o.logger.Info().Stringer(fieldBallot, o.owner.Ballot()).Str(fieldCause, string(typed.Cause)).
+			Stringer(fieldHigher, typed.Higher).Msg("partition_lost")
+	}
+}
+
+// failed reports a store's failure now and lets it be tried again after a while.
+func (o *ownership) failed(store protocol.StoreID) func() []protocol.Action {
+	return func() []protocol.Action {
+		o.retryLater(store)
+		return o.owner.Failed(store)
+	}
+}
+
+func (o *ownership) retryLater(store protocol.StoreID) {
+	o.start(func(ctx context.Context) func() []protocol.Action {
+		timer := time.NewTimer(o.timing.Retry)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		return func() []protocol.Action { return o.owner.Retry(store) }
+	})
+}
+
+// adopt ends the ownership where ensemble is newer than its own, so that the node prepares again under it.
+func (o *ownership) adopt(ensemble protocol.Ensemble) {
+	if ensemble.Version <= o.owner.Ensemble().Version {
+		return
+	}
+	o.post(func() []protocol.Action { return o.owner.GiveUp(protocol.LossEnsembleChanged) })
+}
--- /dev/null
+++ b/internal/ledger/ownership_requests.go
@@ -0,0 +1,148 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
+	"github.com/sloelift/sloelift/internal/ledger/wire"
+	"github.com/sloelift/sloelift/internal/outcome"
+)
+
+// storageFullRetryAfter is when a caller refused for want of room may come back.
+const storageFullRetryAfter = 30 * time.Second
+
+// fetchBytes bounds the payload of one read for recovery, refill or load.
+const fetchBytes = 1 << 20
+
+func (o *ownership) member(store protocol.StoreID) protocol.Member {
+	member, _ := o.owner.Ensemble().Find(store)
+	return member
+}
+
+func (o *ownership) sendPrepare(ctx context.Context, action protocol.SendPrepare) func() []protocol.Action {
+	ctx, cancel := context.WithTimeout(ctx, o.timing.Request)
+	defer cancel()
+	response, err := o.stores.prepare(ctx, o.member(action.Store), &ledgerpb.PrepareRequest{
+		Partition: uint32(o.partition), Store: string(action.Store),
+		Ballot: wire.FromBallot(action.Prepare.Ballot), Ensemble: wire.FromEnsemble(action.Prepare.Ensemble),
+	})
+	verdict, known := wire.ToVerdict(response.GetStatus())
+	if err != nil || !known {
+		return o.failed(action.Store)
+	}
+	promise := protocol.Promise{
+		Verdict: verdict, Promised: wire.ToBallot(response.Promised), Accepted: wire.ToBallot(response.Accepted),
+		RecoveredTo: Position(response.RecoveredTo), First: Position(response.First),
+		Committed: Position(response.Committed), Last: Position(response.Last),
+		Snapshot: wire.ToSnapshotInfo(response.Snapshot), Ensemble: wire.ToEnsemble(response.Ensemble),
+	}
+	return func() []protocol.Action { return o.owner.Promised(action.Store, promise) }
+}
+
+func (o *ownership) readTail(ctx context.Context, action protocol.ReadTail) func() []protocol.Action {
+	entries, err := o.readAll(ctx, action.Store, action.From, action.To)
+	if err != nil {
+		return o.failed(action.Store)
+	}
+	return func() []protocol.Action { return o.owner.TailRead(action.Store, entries) }
+}
+
+// readAll reads all entries from..to at one store.
+func (o *ownership) readAll(ctx context.Context, store protocol.StoreID, from, to Position) ([]protocol.Entry, error) {
+	var entries []protocol.Entry
+	for from <= to {
+		read, err := o.readStore(ctx, store, from, to, fetchBytes)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, read...)
+		from += Position(len(read))
+	}
+	return entries, nil
+}
+
+// readStore reads at least one entry at one store, or fails.
+func (o *ownership) readStore(ctx context.Context, store protocol.StoreID, from, to Position, maxBytes int) ([]protocol.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.timing.Request)
+	defer cancel()
+	response, err := o.stores.read(ctx, o.member(store), &ledgerpb.ReadRequest{
+		Partition: uint32(o.partition), Store: string(store), From: uint64(from), To: uint64(to), MaxBytes: uint64(max(maxBytes, 0)),
+	})
+	if err != nil {
+		return nil, err
+	}
+	if response.Status != ledgerpb.Status_STATUS_OK || len(response.Entries) == 0 {
+		return nil, outcome.New(outcome.NotRun, outcome.ReasonUnavailable, "store can't read the record: "+response.Status.String())
+	}
+	return wire.ToEntries(response.Entries), nil
+}
+
+func (o *ownership) sendAppend(ctx context.Context, action protocol.SendAppend) func() []protocol.Action {
+	ctx, cancel := context.WithTimeout(ctx, o.timing.Request)
+	defer cancel()
+	response, err := o.stores.append(ctx, o.member(action.Store), &ledgerpb.AppendRequest{
+		Partition: uint32(o.partition), Store: string(action.Store), Ballot: wire.FromBallot(action.Append.Ballot),
+		First: uint64(action.Append.First), Entries: wire.FromEntries(action.Append.Entries, false),
+		Committed: uint64(action.Append.Committed), RecoveredTo: uint64(action.Append.RecoveredTo), Repair: action.Append.Repair,
+	})
+	if err == nil && response.Status == ledgerpb.Status_STATUS_FULL {
+		return func() []protocol.Action {
+			o.retryLater(action.Store)
+			return o.owner.Full(action.Store)
+		}
+	}
+	verdict, known := wire.ToVerdict(response.GetStatus())
+	if err != nil || !known {
+		return o.failed(action.Store)
+	}
+	answer := protocol.Acknowledgement{Verdict: verdict, Promised: wire.ToBallot(response.Promised), Through: Position(response.Through)}
+	return func() []protocol.Action { return o.owner.Acknowledged(action.Store, answer, response.SpaceLow) }
+}
+
+func (o *ownership) fetch(ctx context.Context, action protocol.Fetch) func() []protocol.Action {
+	entries, err := o.readStore(ctx, action.Source, action.From, action.To, fetchBytes)
+	if err != nil {
+		return o.failed(action.Store)
+	}
+	return func() []protocol.Action { return o.owner.Fetched(action.Store, entries) }
+}
+
+// readRange reads entries from some store that has them, the local one first.
+func (o *ownership) readRange(ctx context.Context, from, to Position, maxBytes int) ([]protocol.Entry, error) {
+	var last error
+	trimmed := true
+	for _, holding := range o.readers(from) {
+		if holding.First > from {
+			continue
+		}
+		trimmed = false
+		entries, err := o.readStore(ctx, holding.Member.Store, from, min(to, holding.Through), maxBytes)
+		if err == nil {
+			return entries, nil
+		}
+		last = err
+	}
+	if trimmed {
+		return nil, outcome.New(outcome.Failed, outcome.ReasonNotFound, "record is not kept")
+	}
+	return nil, outcome.Wrap(last, outcome.NotRun, outcome.ReasonUnavailable, "no store could read the record")
+}
+
+// readers returns the stores whose log is right up to position, in the order to try them.
+func (o *ownership) readers(position Position) []protocol.Holding {
+	var local, answering, failing []protocol.Holding
+	for _, holding := range o.view.Load().holdings {
+		switch {
+		case !holding.Attached || holding.Through < position:
+		case o.stores.local != nil && o.stores.local.ID() == holding.Member.Store:
+			local = append(local, holding)
+		case holding.Failing:
+			failing = append(failing, holding)
+		default:
+			answering = append(answering, holding)
+		}
+	}
+	return append(append(local, answering...), failing...)
+}
--- /dev/null
+++ b/internal/ledger/protocol/owner_recovery.go
@@ -0,0 +1,93 @@
+package protocol
+
+// tailReading collects the tails of the stores whose promises made the read quorum.
+type tailReading struct {
+	waiting map[StoreID]bool
+	// highest is, for each position, the entry with the highest ballot read so far.
+	highest map[Position]Entry
+}
+
+func (t tailReading) awaits(store StoreID) bool { return t.waiting[store] }
+
+// readTails starts the recovery: all that may have been acknowledged is at or before the
+// highest committed position of the quorum, or in the tails behind it.
+func (o *Owner) readTails() []Action {
+	o.phase = PhaseReading
+	o.tails = tailReading{waiting: map[StoreID]bool{}, highest: map[Position]Entry{}}
+	for _, follower := range o.followers {
+		if follower.attached && !follower.member.Joining {
+			o.committed = max(o.committed, follower.promise.Committed)
+		}
+	}
+	o.recoveredTo = o.committed
+	var actions []Action
+	for _, follower := range o.followers {
+		if !follower.attached || follower.member.Joining {
+			continue
+		}
+		end := o.tailEnd(follower)
+		if end <= o.committed {
+			continue
+		}
+		o.recoveredTo = max(o.recoveredTo, end)
+		o.tails.waiting[follower.member.Store] = true
+		follower.inFlight = true
+		actions = append(actions, ReadTail{Store: follower.member.Store, From: o.committed + 1, To: end})
+	}
+	if len(actions) == 0 {
+		return o.rewrite()
+	}
+	return actions
+}
+
+// tailEnd returns the end of the follower's valid records: those of a lower ballot behind
+// the end of a higher ballot's recovery are void.
+func (o *Owner) tailEnd(follower *follower) Position {
+	end := follower.promise.Last
+	for _, other := range o.followers {
+		if other.attached && !other.member.Joining && follower.promise.Accepted.Below(other.promise.Accepted) {
+			end = min(end, other.promise.RecoveredTo)
+		}
+	}
+	return end
+}
+
+// TailRead takes the entries that a ReadTail has read, all of them. Once all tails are
+// there the owner writes the highest-ballot record of each position under its own ballot.
+func (o *Owner) TailRead(store StoreID, entries []Entry) []Action {
+	follower := o.find(store)
+	if follower == nil || o.phase != PhaseReading || !o.tails.awaits(store) {
+		return nil
+	}
+	follower.inFlight = false
+	delete(o.tails.waiting, store)
+	for _, entry := range entries {
+		if o.ballot.Below(entry.Ballot) {
+			return o.lose(Lost{Cause: LossOutranked, Higher: entry.Ballot})
+		}
+		known, present := o.tails.highest[entry.Position]
+		if !present || known.Ballot.Below(entry.Ballot) {
+			o.tails.highest[entry.Position] = entry
+		}
+	}
+	if len(o.tails.waiting) > 0 {
+		return nil
+	}
+	return o.rewrite()
+}
+
+func (o *Owner) rewrite() []Action {
+	o.phase = PhaseRewriting
+	o.last = o.committed
+	o.windowFirst = o.committed + 1
+	for position := o.committed + 1; position <= o.recoveredTo; position++ {
+		entry, present := o.tails.highest[position]
+		if !present {
+			entry.Record = Record{Kind: KindNoOperation}
+		}
+		o.last = position
+		o.push(Entry{Position: position, Ballot: o.ballot, Record: entry.Record})
+	}
+	o.tails = tailReading{}
+	return o.advance()
+}
--- /dev/null
+++ b/internal/ledger/protocol/owner_state.go
@@ -0,0 +1,67 @@
+package protocol
+
+// Phase returns how far the owner is.
+func (o *Owner) Phase() OwnerPhase { return o.phase }
+
+// Ballot returns the owner's ballot.
+func (o *Owner) Ballot() Ballot { return o.ballot }
+
+// Ensemble returns the ensemble under which the owner prepared.
+func (o *Owner) Ensemble() Ensemble { return o.ensemble }
+
+// Committed returns the last position that a write quorum has.
+func (o *Owner) Committed() Position { return o.committed }
+
+// Last returns the last position given to a record.
+func (o *Owner) Last() Position { return o.last }
+
+// RecoveredTo returns the end of the recovery.
+func (o *Owner) RecoveredTo() Position { return o.recoveredTo }
+
+// HasRoom tells whether enough members for a write quorum have room on their disks.
+func (o *Owner) HasRoom() bool {
+	room := 0
+	for _, follower := range o.followers {
+		if !follower.spaceLow {
+			room++
+		}
+	}
+	return room >= o.ensemble.WriteQuorum
+}
+
+// Holding is a store with what it is known to hold.
+type Holding struct {
+	Member   Member
+	First    Position
+	Through  Position
+	Snapshot SnapshotInfo
+	Attached bool
+	Failing  bool
+	SpaceLow bool
+}
+
+// Holdings returns what each member holds, in the order of the ensemble.
+func (o *Owner) Holdings() []Holding {
+	holdings := make([]Holding, 0, len(o.followers))
+	for _, follower := range o.followers {
+		holdings = append(holdings, Holding{
+			Member: follower.member, First: follower.first, Through: follower.acked, Snapshot: follower.snapshot,
+			Attached: follower.attached, Failing: follower.failing, SpaceLow: follower.spaceLow,
+		})
+	}
+	return holdings
+}
+
+// SnapshotHeld records that store has the snapshot, after the driver has put it there.
+func (o *Owner) SnapshotHeld(store StoreID, info SnapshotInfo) {
+	if follower := o.find(store); follower != nil && info.UpTo > follower.snapshot.UpTo {
+		follower.snapshot = info
+	}
+}
+
+// Trimmed records the first position that store still has.
+func (o *Owner) Trimmed(store StoreID, first Position) {
+	if follower := o.find(store); follower != nil {
+		follower.first = max(follower.first, first)
+	}
+}
--- /dev/null
+++ b/internal/ledger/protocol/store_step.go
@@ -0,0 +1,201 @@
+package protocol
+
+// StoreState is the state of one partition at one store. It is written to the disk in the same
+// atomic write as the records that change with it.
+//
+// Invariants: First <= Committed+1 <= Consistent+1 <= Last+1; records First..Last are
+// present; those up to Committed are the log's; those up to Consistent equal the log of the owner
+// under Accepted; Accepted is not above Promised.
+type StoreState struct {
+	Promised Ballot
+	// Accepted is the highest ballot under which records were taken.
+	Accepted Ballot
+	// RecoveredTo is the end of Accepted's recovery: nothing behind it was or ever
+	// will be acknowledged under a lower ballot.
+	RecoveredTo Position
+	First       Position
+	Committed   Position
+	Consistent  Position
+	Last        Position
+	Snapshot    SnapshotInfo
+	Ensemble    Ensemble
+}
+
+// NewStoreState returns the state of a partition of which the store has nothing.
+func NewStoreState() StoreState { return StoreState{First: 1} }
+
+// Verdict is a store's answer to a request.
+type Verdict int
+
+// Verdicts of a store.
+const (
+	// VerdictOK: the request took effect.
+	VerdictOK Verdict = iota + 1
+	// VerdictRefused: the store has promised a higher ballot.
+	VerdictRefused
+	// VerdictGap: records before the first one are missing.
+	VerdictGap
+	// VerdictInvalid: the request contradicts what the store knows to be acknowledged.
+	VerdictInvalid
+)
+
+// Effect is what a step changes beside the StoreState. The removals come before the writes.
+type Effect struct {
+	// Changed says that the state must be written.
+	Changed bool
+	Remove  []Range
+	Write   []Entry
+}
+
+// Range is the positions From..To, both included.
+type Range struct{ From, To Position }
+
+// Prepare is the request of a would-be owner to be promised its ballot.
+type Prepare struct {
+	Ballot   Ballot
+	Ensemble Ensemble
+}
+
+// Promise is a store's answer to a Prepare; where Verdict is VerdictRefused only
+// Promised and Ensemble are set.
+type Promise struct {
+	Verdict     Verdict
+	Promised    Ballot
+	Accepted    Ballot
+	RecoveredTo Position
+	First       Position
+	Committed   Position
+	Last        Position
+	Snapshot    SnapshotInfo
+	// Ensemble is the highest version that the store has seen.
+	Ensemble Ensemble
+}
+
+// Prepare promises the ballot unless a higher one was promised.
+func (s *StoreState) Prepare(request Prepare) (Promise, Effect) {
+	if request.Ballot.Below(s.Promised) {
+		return Promise{Verdict: VerdictRefused, Promised: s.Promised, Ensemble: s.Ensemble}, Effect{}
+	}
+	changed := s.Promised != request.Ballot
+	s.Promised = request.Ballot
+	if request.Ensemble.Version > s.Ensemble.Version {
+		s.Ensemble = request.Ensemble
+		changed = true
+	}
+	return Promise{
+		Verdict: VerdictOK, Promised: s.Promised, Accepted: s.Accepted, RecoveredTo: s.RecoveredTo,
+		First: s.First, Committed: s.Committed, Last: s.Last, Snapshot: s.Snapshot, Ensemble: s.Ensemble,
+	}, Effect{Changed: changed}
+}
+
+// Append is an owner's request to take consecutive entries, or none to tell what is committed.
+type Append struct {
+	Ballot Ballot
+	// First is the position of Entries[0]; without entries, the next position.
+	First       Position
+	Entries     []Entry
+	Committed   Position
+	RecoveredTo Position
+	// Repair rewrites acknowledged records that the disk damaged.
+	Repair bool
+}
+
+// Acknowledgement is a store's answer to an Append or an InstallSnapshot.
+type Acknowledgement struct {
+	Verdict  Verdict
+	Promised Ballot
+	// Through is the last position up to which the store's log equals the owner's.
+	Through Position
+}
+
+// Append takes the entries if the ballot is not below the promised one and no record before them is missing.
+func (s *StoreState) Append(request Append) (Acknowledgement, Effect) {
+	if request.Ballot.Below(s.Promised) {
+		return Acknowledgement{Verdict: VerdictRefused, Promised: s.Promised}, Effect{}
+	}
+	if request.RecoveredTo < s.Committed && s.Accepted != request.Ballot {
+		return Acknowledgement{Verdict: VerdictInvalid, Promised: s.Promised, Through: s.Committed}, Effect{}
+	}
+	before := *s
+	effect := s.adopt(request.Ballot, request.RecoveredTo)
+	if request.First > s.Consistent+1 {
+		effect.Changed = effect.Changed || s.differs(before)
+		return s.acknowledge(VerdictGap), effect
+	}
+	for _, entry := range request.Entries {
+		repair := request.Repair && entry.Position >= s.First
+		if entry.Position > s.Consistent || repair {
+			entry.Ballot = request.Ballot
+			effect.Write = append(effect.Write, entry)
+			s.Consistent = max(s.Consistent, entry.Position)
+		}
+	}
+	s.Last = max(s.Last, s.Consistent)
+	s.Committed = max(s.Committed, min(request.Committed, s.Consistent))
+	effect.Changed = effect.Changed || len(effect.Write) > 0 || s.differs(before)
+	return s.acknowledge(VerdictOK), effect
+}
+
+// Trim removes the records below keepFrom, which the store's snapshot covers.
+func (s *StoreState) Trim(ballot Ballot, keepFrom Position) (Acknowledgement, Effect) {
+	if ballot.Below(s.Promised) {
+		return Acknowledgement{Verdict: VerdictRefused, Promised: s.Promised}, Effect{}
+	}
+	keepFrom = min(keepFrom, s.Snapshot.KeepFrom, s.Committed+1)
+	if keepFrom <= s.First {
+		return s.acknowledge(VerdictOK), Effect{}
+	}
+	effect := Effect{Changed: true, Remove: []Range{{s.First, keepFrom - 1}}}
+	s.First = keepFrom
+	return s.acknowledge(VerdictOK), effect
+}
+
+// InstallSnapshot records that the snapshot is on the disk. A store that lacks records
+// below KeepFrom does without them from here on.
+func (s *StoreState) InstallSnapshot(ballot Ballot, recoveredTo Position, info SnapshotInfo) (Acknowledgement, Effect) {
+	if ballot.Below(s.Promised) {
+		return Acknowledgement{Verdict: VerdictRefused, Promised: s.Promised}, Effect{}
+	}
+	if info.UpTo <= s.Snapshot.UpTo {
+		return s.acknowledge(VerdictOK), Effect{}
+	}
+	effect := s.adopt(ballot, recoveredTo)
+	effect.Changed = true
+	s.Snapshot = info
+	if s.Consistent+1 >= info.KeepFrom {
+		return s.acknowledge(VerdictOK), effect
+	}
+	effect.Remove = append(effect.Remove, Range{s.First, info.KeepFrom - 1})
+	s.First = info.KeepFrom
+	s.Consistent = info.KeepFrom - 1
+	s.Committed = max(s.Committed, s.Consistent)
+	s.Last = max(s.Last, s.Consistent)
+	return s.acknowledge(VerdictOK), effect
+}
+
+// adopt makes ballot the accepted one. Records behind its recovery's end were written under
+// lower ballots and are void.
+func (s *StoreState) adopt(ballot Ballot, recoveredTo Position) Effect {
+	s.Promised = ballot
+	if s.Accepted == ballot {
+		return Effect{}
+	}
+	s.Accepted = ballot
+	s.RecoveredTo = recoveredTo
+	s.Consistent = s.Committed
+	if s.Last <= recoveredTo {
+		return Effect{Changed: true}
+	}
+	effect := Effect{Changed: true, Remove: []Range{{recoveredTo + 1, s.Last}}}
+	s.Last = recoveredTo
+	return effect
+}
+
+func (s *StoreState) acknowledge(verdict Verdict) Acknowledgement {
+	return Acknowledgement{Verdict: verdict, Promised: s.Promised, Through: s.Consistent}
+}
+
+func (s *StoreState) differs(before StoreState) bool {
+	return s.Promised != before.Promised || s.Accepted != before.Accepted || s.Committed != before.Committed ||
+		s.Consistent != before.Consistent || s.Last != before.Last || s.First != before.First
+}
--- /dev/null
+++ b/internal/ledger/rendezvous.go
@@ -0,0 +1,84 @@
+package ledger
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
+	"github.com/sloelift/sloelift/internal/membership"
+)
+
+// rank returns the rendezvous weight of name for partition; the highest is preferred.
+func rank(partition PartitionID, name string) uint64 {
+	var key [4]byte
+	binary.BigEndian.PutUint32(key[:], uint32(partition))
+	digest := xxhash.New()
+	_, _ = digest.Write(key[:])
+	_, _ = digest.WriteString(name)
+	return digest.Sum64()
+}
+
+// preferredOwner returns the live member that should own partition; ok is false where none lives.
+func preferredOwner(view *membership.View, partition PartitionID) (preferred membership.Member, ok bool) {
+	for _, member := range view.Live() {
+		if !ok || rank(partition, string(member.ID)) > rank(partition, string(preferred.ID)) {
+			preferred, ok = member, true
+		}
+	}
+	return preferred, ok
+}
+
+// storesOf returns the live members that can be members of ensembles.
+func storesOf(view *membership.View) []membership.Member {
+	var stores []membership.Member
+	for _, member := range view.Live() {
+		if member.Store && member.StoreIncarnation != "" {
+			stores = append(stores, member)
+		}
+	}
+	return stores
+}
+
+// chooseStores returns up to count of candidates for partition: from as many zones as there are, within
+// that by rendezvous rank. Zones in taken already have that many stores of the partition.
+func chooseStores(candidates []membership.Member, partition PartitionID, count int, taken map[string]int) []membership.Member {
+	inZone := map[string]int{}
+	for zone, number := range taken {
+		inZone[zone] = number
+	}
+	remaining := slices.Clone(candidates)
+	slices.SortFunc(remaining, func(a, b membership.Member) int {
+		return cmp.Compare(rank(partition, string(b.ID)), rank(partition, string(a.ID)))
+	})
+	var chosen []membership.Member
+	for len(chosen) < count && len(remaining) > 0 {
+		best := 0
+		for i, candidate := range remaining {
+			if inZone[candidate.Zone] < inZone[remaining[best].Zone] {
+				best = i
+			}
+		}
+		inZone[remaining[best].Zone]++
+		chosen = append(chosen, remaining[best])
+		remaining = slices.Delete(remaining, best, best+1)
+	}
+	return chosen
+}
+
+func memberOf(node membership.Member) protocol.Member {
+	return protocol.Member{
+		Store: protocol.StoreID(node.StoreIncarnation), Node: string(node.ID), Zone: node.Zone, Address: node.PeerAddress.String(),
+	}
+}
+
+// newEnsemble returns version 1 of a partition's ensemble from the given stores.
+func newEnsemble(partition PartitionID, stores []membership.Member, wantedQuorum int) protocol.Ensemble {
+	ensemble := protocol.Ensemble{Partition: partition, Version: 1, WriteQuorum: protocol.WriteQuorumOf(len(stores), wantedQuorum)}
+	for _, store := range stores {
+		ensemble.Members = append(ensemble.Members, memberOf(store))
+	}
+	return ensemble
+}
--- /dev/null
+++ b/internal/ledger/store/codec.go
@@ -0,0 +1,104 @@
+package store
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
+	"github.com/sloelift/sloelift/internal/ledger/wire"
+)
+
+var namespace = errorx.NewNamespace("ledger_store")
+
+// Error kinds of a store.
+var (
+	// KindDamaged: what is on the disk does not match its checksum.
+	KindDamaged = namespace.NewType("damaged")
+	// KindClosed: the store is closed or its disk has failed; nothing more is written.
+	KindClosed = namespace.NewType("closed")
+)
+
+const checksumBytes = 8
+
+// seal puts a checksum over key and value in front of value, so that a value in a wrong place shows too.
+func seal(key, value []byte) []byte {
+	sealed := make([]byte, checksumBytes, checksumBytes+len(value))
+	binary.LittleEndian.PutUint64(sealed, checksum(key, value))
+	return append(sealed, value...)
+}
+
+// unseal checks the checksum and returns the value, which aliases sealed.
+func unseal(key, sealed []byte) ([]byte, error) {
+	if len(sealed) < checksumBytes {
+		return nil, KindDamaged.New("value of %d bytes has no checksum", len(sealed))
+	}
+	value := sealed[checksumBytes:]
+	if binary.LittleEndian.Uint64(sealed) != checksum(key, value) {
+		return nil, KindDamaged.New("checksum does not match")
+	}
+	return value, nil
+}
+
+func checksum(key, value []byte) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.Write(key)
+	_, _ = digest.Write(value)
+	return digest.Sum64()
+}
+
+// encodeEntry writes version, number, kind, owner length, owner, payload.
+func encodeEntry(entry protocol.Entry) []byte {
+	value := make([]byte, 0, 3*binary.MaxVarintLen64+len(entry.Ballot.Owner)+len(entry.Record.Payload)+4)
+	value = binary.AppendUvarint(value, entry.Ballot.Version)
+	value = binary.AppendUvarint(value, entry.Ballot.Number)
+	value = binary.AppendUvarint(value, uint64(entry.Record.Kind))
+	value = binary.AppendUvarint(value, uint64(len(entry.Ballot.Owner)))
+	value = append(value, entry.Ballot.Owner...)
+	return append(value, entry.Record.Payload...)
+}
+
+func decodeEntry(position protocol.Position, value []byte) (protocol.Entry, error) {
+	var numbers [4]uint64
+	for i := range numbers {
+		number, size := binary.Uvarint(value)
+		if size <= 0 {
+			return protocol.Entry{}, KindDamaged.New("record is cut short")
+		}
+		numbers[i], value = number, value[size:]
+	}
+	if numbers[3] > uint64(len(value)) {
+		return protocol.Entry{}, KindDamaged.New("record is cut short")
+	}
+	return protocol.Entry{
+		Position: position,
+		Ballot:   protocol.Ballot{Version: numbers[0], Number: numbers[1], Owner: string(value[:numbers[3]])},
+		Record:   protocol.Record{Kind: protocol.RecordKind(numbers[2]), Payload: append([]byte{}, value[numbers[3]:]...)},
+	}, nil
+}
+
+func encodeState(state protocol.StoreState) ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&ledgerpb.StoreState{
+		Promised: wire.FromBallot(state.Promised), Accepted: wire.FromBallot(state.Accepted),
+		RecoveredTo: uint64(state.RecoveredTo), First: uint64(state.First), Committed: uint64(state.Committed),
+		Consistent: uint64(state.Consistent), Last: uint64(state.Last),
+		Snapshot: wire.FromSnapshotInfo(state.Snapshot), Ensemble: wire.FromEnsemble(state.Ensemble),
+	})
+}
+
+func decodeState(value []byte) (protocol.StoreState, error) {
+	var message ledgerpb.StoreState
+	if err := proto.Unmarshal(value, &message); err != nil {
+		return protocol.StoreState{}, KindDamaged.Wrap(err, "decode partition state")
+	}
+	return protocol.StoreState{
+		Promised: wire.ToBallot(message.Promised), Accepted: wire.ToBallot(message.Accepted),
+		RecoveredTo: protocol.Position(message.RecoveredTo), First: protocol.Position(message.First),
+		Committed: protocol.Position(message.Committed), Consistent: protocol.Position(message.Consistent),
+		Last: protocol.Position(message.Last), Snapshot: wire.ToSnapshotInfo(message.Snapshot),
+		Ensemble: wire.ToEnsemble(message.Ensemble),
+	}, nil
+}
--- /dev/null
+++ b/internal/ledger/store/store.go
@@ -0,0 +1,258 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"runtime"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
+)
+
+// fieldFolder and fieldStore are log fields.
+const (
+	fieldFolder = "folder"
+	fieldStore  = "store"
+)
+
+// Defaults of Options.
+const (
+	defaultReserveBytes = 256 << 20
+	defaultMinimumBytes = 64 << 20
+	requestQueue        = 1024
+	groupQueue          = 16
+	maxGroupRequests    = 512
+	maxGroupBytes       = 4 << 20
+)
+
+// Options of a store. Zero values mean the defaults.
+type Options struct {
+	// Files is the file system; tests put faults into it.
+	Files vfs.FS
+	// Free returns the free bytes of the disk.
+	Free func() (uint64, error)
+	// With less than ReserveBytes free owners start nothing new here; with less than
+	// MinimumBytes the store takes no records.
+	ReserveBytes, MinimumBytes uint64
+	Logger                     zerolog.Logger
+}
+
+// Store is one disk's share of the ledger. It is safe for concurrent use.
+type Store struct {
+	id       protocol.StoreID
+	database *pebble.DB
+	options  Options
+	requests chan *request
+	groups   chan *group
+	// stop ends the goroutines; done is closed after them.
+	stop   context.CancelFunc
+	ctx    context.Context
+	done   sync.WaitGroup
+	failed atomic.Bool
+	fsyncs atomic.Int64
+	// states belongs to the step goroutine after Open.
+	states  map[protocol.PartitionID]*protocol.StoreState
+	staging map[protocol.PartitionID]*staging
+}
+
+// request is one message for the step goroutine. step returns the answer to give once
+// its writes are synced.
+type request struct {
+	size   int
+	step   func(batch *pebble.Batch) (any, error)
+	answer chan answer
+}
+
+type answer struct {
+	value any
+	err   error
+}
+
+// group is a set of requests that share one write.
+type group struct {
+	batch    *pebble.Batch
+	requests []*request
+	answers  []answer
+}
+
+// Open opens the store below folder, which must exist.
+func Open(folder string, options Options) (*Store, error) {
+	if options.Files == nil {
+		options.Files = vfs.Default
+	}
+	if options.Free == nil {
+		options.Free = func() (uint64, error) {
+			usage, err := options.Files.GetDiskUsage(folder)
+			return usage.AvailBytes, err
+		}
+	}
+	if options.ReserveBytes == 0 {
+		options.ReserveBytes = defaultReserveBytes
+	}
+	if options.MinimumBytes == 0 {
+		options.MinimumBytes = min(defaultMinimumBytes, options.ReserveBytes)
+	}
+	store := &Store{
+		options: options, requests: make(chan *request, requestQueue), groups: make(chan *group, groupQueue),
+		states: map[protocol.PartitionID]*protocol.StoreState{}, staging: map[protocol.PartitionID]*staging{},
+	}
+	store.ctx, store.stop = context.WithCancel(context.Background())
+	database, err := openDatabase(folder, options.Files, options.Logger, store.fail)
+	if err != nil {
+		return nil, err
+	}
+	store.database = database
+	if store.id, err = incarnation(database); err == nil {
+		err = store.load()
+	}
+	if err != nil {
+		return nil, errors.Join(err, database.Close())
+	}
+	store.done.Add(2)
+	go store.stepLoop()
+	go store.syncLoop()
+	return store, nil
+}
+
+// ID returns the store's incarnation.
+func (s *Store) ID() protocol.StoreID { return s.id }
+
+// Failed tells whether the disk has failed; the store then answers with errors only.
+func (s *Store) Failed() bool { return s.failed.Load() }
+
+// Fsyncs returns how many synced writes the store has made; requests share them.
+func (s *Store) Fsyncs() int64 { return s.fsyncs.Load() }
+
+// Close ends the goroutines and closes the database.
+func (s *Store) Close() error {
+	s.stop()
+	s.done.Wait()
+	if s.failed.Load() {
+		// The database may hang on its failed disk, so it is left alone.
+		return nil
+	}
+	return s.database.Close()
+}
+
+// fail is called where the database can't go on, on any of its goroutines, and ends that goroutine.
+func (s *Store) fail(string) {
+	s.failed.Store(true)
+	s.stop()
+	runtime.Goexit()
+}
+
+// load reads all partitions' states.
+func (s *Store) load() error {
+	iterator, err := s.database.NewIter(&pebble.IterOptions{LowerBound: []byte{prefixPartition}, UpperBound: []byte{prefixPartition + 1}})
+	if err != nil {
+		return err
+	}
+	for valid := iterator.First(); valid; valid = iterator.Next() {
+		value, err := unseal(iterator.Key(), iterator.Value())
+		if err != nil {
+			return errors.Join(err, iterator.Close())
+		}
+		state, err := decodeState(value)
+		if err != nil {
+			return errors.Join(err, iterator.Close())
+		}
+		s.states[partitionOf(iterator.Key())] = &state
+	}
+	return iterator.Close()
+}
+
+// run has step run on the step goroutine and waits until what it wrote is synced.
+func run[Answer any](ctx context.Context, s *Store, size int, step func(batch *pebble.Batch) (Answer, error)) (Answer, error) {
+	var none Answer
+	request := &request{size: size, answer: make(chan answer, 1), step: func(batch *pebble.Batch) (any, error) { return step(batch) }}
+	select {
+	case s.requests <- request:
+	case <-s.ctx.Done():
+		return none, KindClosed.New("store is closed")
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+	select {
+	case answer := <-request.answer:
+		if answer.err != nil {
+			return none, answer.err
+		}
+		return answer.value.(Answer), nil
+	case <-s.ctx.Done():
+		return none, KindClosed.New("store is closed")
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+// stepLoop steps what has arrived, all in one write, and leaves the wait for the disk to syncLoop.
+func (s *Store) stepLoop() {
+	defer s.done.Done()
+	defer close(s.groups)
+	for {
+		select {
+		case first := <-s.requests:
+			group := s.collect(first)
+			if err := s.write(group); err != nil {
+				s.options.Logger.Error().Err(err).Msg("ledger store failed")
+				s.failed.Store(true)
+				s.stop()
+				return
+			}
+			s.groups <- group
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Store) collect(first *request) *group {
+	group := &group{batch: s.database.NewBatch()}
+	size := 0
+	for next := first; ; {
+		value, err := next.step(group.batch)
+		group.requests = append(group.requests, next)
+		group.answers = append(group.answers, answer{value: value, err: err})
+		size += next.size
+		if size >= maxGroupBytes || len(group.requests) >= maxGroupRequests {
+			return group
+		}
+		select {
+		case next = <-s.requests:
+		default:
+			return group
+		}
+	}
+}
+
+func (s *Store) write(group *group) error {
+	if group.batch.Empty() {
+		return nil
+	}
+	return s.database.ApplyNoSyncWait(group.batch, pebble.Sync)
+}
+
+// syncLoop answers requests once their writes are on the disk.
+func (s *Store) syncLoop() {
+	defer s.done.Done()
+	for group := range s.groups {
+		if !group.batch.Empty() {
+			if err := group.batch.SyncWait(); err != nil {
+				s.options.Logger.Error().Err(err).Msg("ledger store failed to sync")
+				s.failed.Store(true)
+				s.stop()
+				continue
+			}
+			s.fsyncs.Add(1)
+		}
+		for i, request := range group.requests {
+			request.answer <- group.answers[i]
+		}
+		_ = group.batch.Close()
+	}
+}
--- /dev/null
+++ b/internal/ledger/wire/wire.go
@@ -0,0 +1,122 @@
+// Package wire turns the ledger's protocol types into protobuf messages and back.
+package wire
+
+import (
+	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
+)
+
+// FromBallot returns nil for the zero ballot.
+func FromBallot(ballot protocol.Ballot) *ledgerpb.Ballot {
+	if ballot == (protocol.Ballot{}) {
+		return nil
+	}
+	return &ledgerpb.Ballot{Version: ballot.Version, Number: ballot.Number, Owner: ballot.Owner}
+}
+
+// ToBallot takes nil for the zero ballot.
+func ToBallot(message *ledgerpb.Ballot) protocol.Ballot {
+	return protocol.Ballot{Version: message.GetVersion(), Number: message.GetNumber(), Owner: message.GetOwner()}
+}
+
+// FromEnsemble returns nil for an ensemble without a version.
+func FromEnsemble(ensemble protocol.Ensemble) *ledgerpb.Ensemble {
+	if ensemble.Version == 0 {
+		return nil
+	}
+	message := &ledgerpb.Ensemble{
+		Partition: uint32(ensemble.Partition), Version: ensemble.Version,
+		WriteQuorum: uint32(ensemble.WriteQuorum), WriteId: ensemble.WriteID,
+	}
+	for _, member := range ensemble.Members {
+		message.Members = append(message.Members, &ledgerpb.Member{
+			Store: string(member.Store), Node: member.Node, Zone: member.Zone, Address: member.Address, Joining: member.Joining,
+		})
+	}
+	return message
+}
+
+// ToEnsemble takes nil for an ensemble without a version.
+func ToEnsemble(message *ledgerpb.Ensemble) protocol.Ensemble {
+	ensemble := protocol.Ensemble{
+		Partition: protocol.PartitionID(message.GetPartition()), Version: message.GetVersion(),
+		WriteQuorum: int(message.GetWriteQuorum()), WriteID: message.GetWriteId(),
+	}
+	for _, member := range message.GetMembers() {
+		ensemble.Members = append(ensemble.Members, protocol.Member{
+			Store: protocol.StoreID(member.Store), Node: member.Node, Zone: member.Zone, Address: member.Address, Joining: member.Joining,
+		})
+	}
+	return ensemble
+}
+
+// FromSnapshotInfo returns nil where there is no snapshot.
+func FromSnapshotInfo(info protocol.SnapshotInfo) *ledgerpb.SnapshotInfo {
+	if info.UpTo == 0 {
+		return nil
+	}
+	return &ledgerpb.SnapshotInfo{UpTo: uint64(info.UpTo), KeepFrom: uint64(info.KeepFrom), Size: info.Size, Digest: info.Digest}
+}
+
+// ToSnapshotInfo takes nil for no snapshot.
+func ToSnapshotInfo(message *ledgerpb.SnapshotInfo) protocol.SnapshotInfo {
+	return protocol.SnapshotInfo{
+		UpTo: protocol.Position(message.GetUpTo()), KeepFrom: protocol.Position(message.GetKeepFrom()),
+		Size: message.GetSize(), Digest: message.GetDigest(),
+	}
+}
+
+// FromEntries encodes entries; their ballots are left out where withBallots is false.
+func FromEntries(entries []protocol.Entry, withBallots bool) []*ledgerpb.Entry {
+	messages := make([]*ledgerpb.Entry, 0, len(entries))
+	for _, entry := range entries {
+		message := &ledgerpb.Entry{Position: uint64(entry.Position), Kind: uint32(entry.Record.Kind), Payload: entry.Record.Payload}
+		if withBallots {
+			message.Ballot = FromBallot(entry.Ballot)
+		}
+		messages = append(messages, message)
+	}
+	return messages
+}
+
+// ToEntries decodes entries.
+func ToEntries(messages []*ledgerpb.Entry) []protocol.Entry {
+	entries := make([]protocol.Entry, 0, len(messages))
+	for _, message := range messages {
+		entries = append(entries, protocol.Entry{
+			Position: protocol.Position(message.Position), Ballot: ToBallot(message.Ballot),
+			Record: protocol.Record{Kind: protocol.RecordKind(message.Kind), Payload: message.Payload},
+		})
+	}
+	return entries
+}
+
+// FromVerdict returns the status of a verdict.
+func FromVerdict(verdict protocol.Verdict) ledgerpb.Status {
+	switch verdict {
+	case protocol.VerdictOK:
+		return ledgerpb.Status_STATUS_OK
+	case protocol.VerdictRefused:
+		return ledgerpb.Status_STATUS_REFUSED
+	case protocol.VerdictGap:
+		return ledgerpb.Status_STATUS_GAP
+	default:
+		return ledgerpb.Status_STATUS_INVALID
+	}
+}
+
+// ToVerdict returns the verdict of a status; ok is false for a status that is none of the protocol's.
+func ToVerdict(status ledgerpb.Status) (verdict protocol.Verdict, ok bool) {
+	switch status {
+	case ledgerpb.Status_STATUS_OK:
+		return protocol.VerdictOK, true
+	case ledgerpb.Status_STATUS_REFUSED:
+		return protocol.VerdictRefused, true
+	case ledgerpb.Status_STATUS_GAP:
+		return protocol.VerdictGap, true
+	case ledgerpb.Status_STATUS_INVALID:
+		return protocol.VerdictInvalid, true
+	default:
+		return 0, false
+	}
+}
