Emulate a model engine

Cause: nothing could be run without an engine that batches, caches, resumes and loses state. Conclusion: the load and the experiments can check answers against the engines' own record.

--- /dev/null
+++ b/lab/engine/run_log.go
@@ -0,0 +1,118 @@
+package engine
+
+import (
+	"strings"
+	"sync"
+	"time"
+)
+
+// RunRecord is what engines truly did for one prompt. The marker is the prompt's last
+// line, which the load makes unique, so that the record does not depend on request ids
+// of the system under test.
+type RunRecord struct {
+	Marker string
+	// Starts counts runs that computed at least one token of prompt or answer, resumptions among them.
+	Starts int
+	// FreshStarts counts runs that began at token 0 under a request id new to the engine.
+	FreshStarts int
+	// Finished counts runs that reached the answer's end.
+	Finished int
+	Cancels  int
+	// Decoded is the number of answer tokens computed, over all runs; Furthest is the
+	// highest offset reached by any.
+	Decoded  int
+	Furthest int
+	// Prefilled is the number of prompt tokens computed, over all runs; PromptTokens is
+	// the prompt's length and CachedTokens what the first run found in the cache.
+	Prefilled    int
+	PromptTokens int
+	CachedTokens int
+	Batch        bool
+	FirstStart   time.Time
+	LastStart    time.Time
+	// ResumeMismatches counts resumptions whose text so far was not the right answer's.
+	ResumeMismatches int
+	// Replicas lists where it ran, in order.
+	Replicas []string
+	// RequestIDs lists the ids it ran under, in order.
+	RequestIDs []string
+}
+
+// RunLog is the record of all engines of a deployment. It is the lab's own evidence
+// and is not lost when an engine is killed. It is safe for concurrent use.
+type RunLog struct {
+	mutex   sync.Mutex
+	records map[string]*RunRecord
+}
+
+// NewRunLog returns an empty log.
+func NewRunLog() *RunLog { return &RunLog{records: map[string]*RunRecord{}} }
+
+// Marker returns the last line of a prompt.
+func Marker(prompt string) string {
+	trimmed := strings.TrimRight(prompt, "\n")
+	return trimmed[strings.LastIndexByte(trimmed, '\n')+1:]
+}
+
+func (l *RunLog) record(marker string) *RunRecord {
+	found := l.records[marker]
+	if found == nil {
+		found = &RunRecord{Marker: marker}
+		l.records[marker] = found
+	}
+	return found
+}
+
+// started notes that a run got its first step.
+func (l *RunLog) started(run *run, replica string, at time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	record := l.record(run.marker)
+	record.Starts++
+	if run.startOffset == 0 && !run.revived {
+		record.FreshStarts++
+	}
+	if record.FirstStart.IsZero() {
+		record.FirstStart = at
+		record.PromptTokens = PromptTokens(run.prompt)
+		record.CachedTokens = run.cachedTokens
+		record.Batch = run.priority < OnlineRank
+	}
+	record.LastStart = at
+	record.Replicas = append(record.Replicas, replica)
+	record.RequestIDs = append(record.RequestIDs, run.id)
+}
+
+// ended notes what a run computed when it finished, was cancelled or died.
+func (l *RunLog) ended(run *run, finished, cancelled bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	record := l.record(run.marker)
+	record.Decoded += run.decoded
+	record.Prefilled += run.prefilled
+	record.Furthest = max(record.Furthest, run.produced)
+	if finished {
+		record.Finished++
+	}
+	if cancelled {
+		record.Cancels++
+	}
+	run.decoded, run.prefilled = 0, 0
+}
+
+func (l *RunLog) resumeMismatch(marker string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.record(marker).ResumeMismatches++
+}
+
+// Records returns a copy of all records by marker.
+func (l *RunLog) Records() map[string]RunRecord {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	records := make(map[string]RunRecord, len(l.records))
+	for marker, record := range l.records {
+		records[marker] = *record
+	}
+	return records
+}
