Make seeded arrivals and judge what callers saw

Cause: invariants need callers that check every answer by its content. Change: lab/load makes a plan from a seed, plays it through the callers' interface and judges it against the engines' own record.

--- a/lab/engine/request.go
+++ b/lab/engine/request.go
@@ -117,7 +117,7 @@
 		if err != nil {
 			return "", err
 		}
-		text.WriteString(message.Role + "\n" + content + "\n")
+		text.WriteString(message.Role + ": " + content + "\n")
 	}
 	return text.String(), nil
 }
@@ -141,4 +141,4 @@
 }
 
 // ChatPrompt returns the prompt that a chat with one message of role user stands for.
-func ChatPrompt(content string) string { return "user\n" + content + "\n" }
+func ChatPrompt(content string) string { return "user: " + content + "\n" }
--- /dev/null
+++ b/lab/load/online.go
@@ -0,0 +1,192 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/outcome"
+)
+
+const (
+	// maxOnlineAttempts bounds what a caller tries for one request.
+	maxOnlineAttempts = 12
+	// defaultRetryWait is waited where an answer names no time to come back.
+	defaultRetryWait = 100 * time.Millisecond
+	maxRetryWait     = 2 * time.Second
+	onlineTimeout    = 60 * time.Second
+)
+
+// runOnline plays one request as a caller does: it comes back after "not run" answers
+// and sends an unmarked or keyed request again after a cut.
+func (r *Runner) runOnline(ctx context.Context, index int, arrival OnlineArrival) {
+	bounded, cancel := context.WithTimeout(ctx, onlineTimeout)
+	defer cancel()
+	var copies sync.WaitGroup
+	if arrival.Resend {
+		copies.Go(func() { r.addOnline(r.playOnline(bounded, index+1, arrival)) })
+	}
+	r.addOnline(r.playOnline(bounded, index, arrival))
+	copies.Wait()
+}
+
+func (r *Runner) addOnline(result OnlineResult) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.online = append(r.online, result)
+}
+
+func (r *Runner) playOnline(ctx context.Context, index int, arrival OnlineArrival) OnlineResult {
+	result := OnlineResult{Arrival: arrival, Outcome: OnlineFailed}
+	for attempt := range maxOnlineAttempts {
+		node, found := r.target(index, attempt)
+		if !found {
+			result.Detail = "no node is up"
+			if !sleep(ctx, defaultRetryWait) {
+				return result
+			}
+			continue
+		}
+		result.Attempts++
+		err := r.attemptOnline(ctx, node, arrival, &result)
+		if err == nil {
+			return result
+		}
+		result.Detail = err.Error()
+		wait, again := r.classify(err, &result)
+		if !again || !sleep(ctx, wait) {
+			return result
+		}
+	}
+	return result
+}
+
+// attemptOnline streams once; on success it sets the outcome and records the times.
+func (r *Runner) attemptOnline(ctx context.Context, node netip.AddrPort, arrival OnlineArrival, result *OnlineResult) error {
+	request := ChatRequest{
+		Model:         r.plan.Profile.Model,
+		Content:       arrival.Content,
+		MaxTokens:     arrival.MaxTokens,
+		Priority:      PriorityOnline,
+		NotRepeatable: arrival.NotRepeatable,
+	}
+	if arrival.NotRepeatable {
+		request.IdempotencyKey = arrival.Marker
+	}
+	times := newTokenTimes(r.started.Add(arrival.At))
+	streamed, err := r.caller.Stream(ctx, node, request, times.onTokens)
+	result.Accepted = result.Accepted || streamed.Accepted
+	if err != nil {
+		return err
+	}
+	result.Sent++
+	result.Text, result.PromptTokens, result.CachedTokens = streamed.Text, streamed.PromptTokens, streamed.CachedTokens
+	if streamed.Text != arrival.Expected().Whole() {
+		result.Outcome = OnlineWrong
+		result.Detail = "answer differs from the right one, finish reason " + streamed.FinishReason
+		return nil
+	}
+	result.Outcome = OnlineCompleted
+	times.recordTo(r)
+	return nil
+}
+
+// classify notes how an attempt failed and tells whether and when to try again.
+func (r *Runner) classify(err error, result *OnlineResult) (wait time.Duration, again bool) {
+	var status *StatusError
+	if errors.As(err, &status) {
+		return classifyStatus(status, result)
+	}
+	if notSent(err) {
+		return defaultRetryWait, true
+	}
+	result.Sent++
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		result.Outcome = OnlineCut
+		return 0, false
+	}
+	// The connection broke: the answer may be complete somewhere, and a resend is safe
+	// because an unmarked request may run again and a marked one carries its key.
+	result.Cuts++
+	result.Outcome = OnlineCut
+	return defaultRetryWait, true
+}
+
+func classifyStatus(status *StatusError, result *OnlineResult) (wait time.Duration, again bool) {
+	switch outcome.Outcome(status.Outcome) {
+	case outcome.NotRun:
+		result.NotRunAnswers++
+		result.Outcome = OnlineRefused
+		wait = status.RetryAfter
+		if wait == 0 {
+			wait = defaultRetryWait
+		}
+		return min(wait, maxRetryWait), true
+	case outcome.Indeterminate:
+		result.Sent++
+		result.Outcome = OnlineIndeterminate
+		return 0, false
+	default:
+		result.Sent++
+		result.Outcome = OnlineFailed
+		return 0, false
+	}
+}
+
+// notSent tells whether no connection was made.
+func notSent(err error) bool {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return true
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// tokenTimes collects when tokens came, counted from the arrival.
+type tokenTimes struct {
+	arrived time.Time
+	last    time.Time
+	first   time.Duration
+	gaps    []time.Duration
+}
+
+func newTokenTimes(arrived time.Time) *tokenTimes { return &tokenTimes{arrived: arrived} }
+
+// onTokens notes one event; its tokens share the time since the last one.
+func (t *tokenTimes) onTokens(text string) {
+	now := time.Now()
+	if t.last.IsZero() {
+		t.first = now.Sub(t.arrived)
+	} else {
+		tokens := max(tokensIn(text), 1)
+		for range tokens {
+			t.gaps = append(t.gaps, now.Sub(t.last)/time.Duration(tokens))
+		}
+	}
+	t.last = now
+}
+
+func (t *tokenTimes) recordTo(r *Runner) {
+	if t.last.IsZero() {
+		return
+	}
+	r.firstToken.record(t.first)
+	for _, gap := range t.gaps {
+		r.interToken.record(gap)
+	}
+}
+
+// tokensIn counts the tokens of an emulated answer: each begins with a space.
+func tokensIn(text string) int {
+	count := 0
+	for index := range len(text) {
+		if text[index] == ' ' {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/lab/load/plan.go
@@ -0,0 +1,187 @@
+package load
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	labengine "github.com/sloelift/sloelift/lab/engine"
+)
+
+// OnlineArrival is one online request.
+type OnlineArrival struct {
+	At time.Duration
+	// Marker is unique and the last line of Content, so that engines' records and
+	// results can be matched without the system's own ids.
+	Marker        string
+	Content       string
+	MaxTokens     int
+	NotRepeatable bool
+	// Resend sends the same marked request at the same time through a second node.
+	Resend bool
+}
+
+// Expected returns the right answer.
+func (a OnlineArrival) Expected() labengine.Answer {
+	return labengine.AnswerTo(labengine.ChatPrompt(a.Content), a.MaxTokens)
+}
+
+// JobArrival is one batch job.
+type JobArrival struct {
+	At            time.Duration
+	Key           string
+	Priority      string
+	Deadline      time.Duration
+	NotRepeatable bool
+	// Resend submits the same job a second time while the first submission is under way.
+	Resend bool
+	// CancelAfter is the time from its acceptance to its cancel; 0 is never.
+	CancelAfter time.Duration
+	Items       []JobItem
+}
+
+// JobItem is one item of a job.
+type JobItem struct {
+	CustomID  string
+	Content   string
+	MaxTokens int
+}
+
+// Expected returns the right answer.
+func (i JobItem) Expected() labengine.Answer {
+	return labengine.AnswerTo(labengine.ChatPrompt(i.Content), i.MaxTokens)
+}
+
+// Plan is all that arrives in one run, sorted by time.
+type Plan struct {
+	Profile  Profile
+	Seed     uint64
+	Duration time.Duration
+	Online   []OnlineArrival
+	Jobs     []JobArrival
+}
+
+// NewPlan makes the arrivals of duration from a seed; the same arguments give the same plan.
+func NewPlan(profile Profile, duration time.Duration, seed uint64) Plan {
+	plan := Plan{Profile: profile, Seed: seed, Duration: duration}
+	plan.Online = onlineArrivals(profile, duration, seed)
+	plan.Jobs = jobArrivals(profile, duration, seed)
+	return plan
+}
+
+// Streams of random numbers of a plan; each part draws from its own.
+const (
+	streamOnline = iota + 1
+	streamBatch
+	streamText
+)
+
+func onlineArrivals(profile Profile, duration time.Duration, seed uint64) []OnlineArrival {
+	shape := profile.Online
+	random := rand.New(rand.NewPCG(seed, streamOnline))
+	arrivals := poisson(random, shape.RequestsPerSecond, 0, duration)
+	for start := exponential(random, shape.BurstEvery); start < duration; start += exponential(random, shape.BurstEvery) {
+		arrivals = append(arrivals, poisson(random, shape.BurstRequestsPerSecond, start, min(start+shape.BurstLength, duration))...)
+	}
+	slices.Sort(arrivals)
+	prefixes := sharedTexts(seed, profile.Name+"-online", shape.Prefixes, shape.PrefixBytes)
+	online := make([]OnlineArrival, len(arrivals))
+	for index, at := range arrivals {
+		marker := fmt.Sprintf("%s-online-%d-%d", profile.Name, seed, index)
+		question := text(random, shape.QuestionBytes/2+random.IntN(shape.QuestionBytes))
+		online[index] = OnlineArrival{
+			At:            at,
+			Marker:        marker,
+			Content:       prefixes[popular(random, len(prefixes))] + "\n" + question + "\n" + marker,
+			MaxTokens:     shape.MaxTokens/2 + random.IntN(shape.MaxTokens/2+1),
+			NotRepeatable: random.Float64() < shape.NotRepeatableShare,
+		}
+		online[index].Resend = online[index].NotRepeatable && random.Float64() < shape.ResendShare
+	}
+	return online
+}
+
+func jobArrivals(profile Profile, duration time.Duration, seed uint64) []JobArrival {
+	shape := profile.Batch
+	random := rand.New(rand.NewPCG(seed, streamBatch))
+	var jobs []JobArrival
+	for heap := shape.FirstHeap; heap < duration && shape.HeapEvery > 0; heap += varied(random, shape.HeapEvery) {
+		for range shape.JobsPerHeap {
+			at := heap + time.Duration(random.Int64N(int64(200*time.Millisecond)))
+			jobs = append(jobs, newJob(random, profile, fmt.Sprintf("%s-job-%d-%d", profile.Name, seed, len(jobs)), at))
+		}
+	}
+	slices.SortStableFunc(jobs, func(a, b JobArrival) int { return cmp.Compare(a.At, b.At) })
+	return jobs
+}
+
+func newJob(random *rand.Rand, profile Profile, key string, at time.Duration) JobArrival {
+	shape := profile.Batch
+	job := JobArrival{At: at, Key: key, Priority: PriorityBatch, Deadline: shape.Deadline}
+	if random.Float64() < shape.UrgentShare {
+		job.Priority = PriorityUrgent
+	}
+	job.NotRepeatable = random.Float64() < shape.NotRepeatableShare
+	job.Resend = random.Float64() < shape.ResendShare
+	if random.Float64() < shape.CancelShare {
+		job.CancelAfter = time.Duration(random.Int64N(int64(2 * time.Second)))
+	}
+	prefix := text(random, shape.PrefixBytes)
+	for index := range shape.ItemsPerJob {
+		customID := fmt.Sprintf("%s-item-%d", key, index)
+		job.Items = append(job.Items, JobItem{
+			CustomID:  customID,
+			Content:   prefix + "\n" + text(random, shape.ContentBytes/2+random.IntN(shape.ContentBytes+1)) + "\n" + customID,
+			MaxTokens: shape.MaxTokens/2 + random.IntN(shape.MaxTokens/2+1),
+		})
+	}
+	return job
+}
+
+func poisson(random *rand.Rand, perSecond float64, from, to time.Duration) []time.Duration {
+	var arrivals []time.Duration
+	if perSecond <= 0 {
+		return nil
+	}
+	mean := time.Duration(float64(time.Second) / perSecond)
+	for at := from + exponential(random, mean); at < to; at += exponential(random, mean) {
+		arrivals = append(arrivals, at)
+	}
+	return arrivals
+}
+
+func exponential(random *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration(random.ExpFloat64() * float64(mean))
+}
+
+// varied returns a time within a tenth of mean.
+func varied(random *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration(float64(mean) * (0.9 + 0.2*random.Float64()))
+}
+
+// popular draws an index, low ones more often.
+func popular(random *rand.Rand, count int) int {
+	uniform := random.Float64()
+	return int(uniform * uniform * float64(count))
+}
+
+func sharedTexts(seed uint64, name string, count, length int) []string {
+	random := rand.New(rand.NewPCG(seed, streamText))
+	texts := make([]string, count)
+	for index := range texts {
+		texts[index] = fmt.Sprintf("%s %d: %s", name, index, text(random, length))
+	}
+	return texts
+}
+
+// text returns words of about length bytes.
+func text(random *rand.Rand, length int) string {
+	var words strings.Builder
+	for words.Len() < length {
+		fmt.Fprintf(&words, "%06x ", random.Uint32()&0xffffff)
+	}
+	return words.String()
+}
--- /dev/null
+++ b/lab/load/runner.go
@@ -0,0 +1,97 @@
+package load
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Targets gives the callers' addresses of the nodes that the load may use now.
+type Targets func() []netip.AddrPort
+
+// Runner plays a plan against nodes.
+type Runner struct {
+	plan    Plan
+	caller  *Caller
+	targets Targets
+	started time.Time
+
+	firstToken *histogram
+	interToken *histogram
+
+	// mutex guards online and jobs.
+	mutex  sync.Mutex
+	online []OnlineResult
+	jobs   []JobOutcome
+	wait   sync.WaitGroup
+}
+
+// NewRunner returns a runner of one plan.
+func NewRunner(plan Plan, targets Targets) *Runner {
+	return &Runner{
+		plan:       plan,
+		caller:     NewCaller(TenantKey),
+		targets:    targets,
+		firstToken: newHistogram(),
+		interToken: newHistogram(),
+	}
+}
+
+// Run plays all arrivals and returns when each has ended or ctx ends. ctx bounds the
+// drain as well; what has not ended by then is reported as it stands.
+func (r *Runner) Run(ctx context.Context) Observations {
+	defer r.caller.Close()
+	r.started = time.Now()
+	r.wait.Go(func() {
+		for index, arrival := range r.plan.Online {
+			if !sleepUntil(ctx, r.started.Add(arrival.At)) {
+				return
+			}
+			r.wait.Go(func() { r.runOnline(ctx, index, arrival) })
+		}
+	})
+	r.wait.Go(func() {
+		for index, arrival := range r.plan.Jobs {
+			if !sleepUntil(ctx, r.started.Add(arrival.At)) {
+				return
+			}
+			r.wait.Go(func() { r.runJob(ctx, index, arrival) })
+		}
+	})
+	r.wait.Wait()
+	return Observations{
+		Started:    r.started,
+		Online:     r.online,
+		Jobs:       r.jobs,
+		FirstToken: r.firstToken.distribution(),
+		InterToken: r.interToken.distribution(),
+	}
+}
+
+// target picks a node for the attempt of an arrival; ok is false where none is up.
+func (r *Runner) target(index, attempt int) (netip.AddrPort, bool) {
+	nodes := r.targets()
+	if len(nodes) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return nodes[(index+attempt)%len(nodes)], true
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	return sleep(ctx, time.Until(at))
+}
+
+func sleep(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/lab/load/verdict.go
@@ -0,0 +1,217 @@
+package load
+
+import (
+	"fmt"
+	"time"
+
+	labengine "github.com/sloelift/sloelift/lab/engine"
+)
+
+// maxBroken bounds the broken invariants that are listed one by one.
+const maxBroken = 50
+
+// Verdict holds the invariants' counts of one run; those under "must be 0" break the run.
+type Verdict struct {
+	OnlineSent      int `json:"online_sent"`
+	OnlineAccepted  int `json:"online_accepted"`
+	OnlineCompleted int `json:"online_completed"`
+	OnlineRefused   int `json:"online_refused"`
+	// OnlineIndeterminate counts marked requests that ended so: allowed after a crash.
+	OnlineIndeterminate int `json:"online_indeterminate"`
+	OnlineFailed        int `json:"online_failed"`
+	// OnlineReconnects counts streams that broke and were sent again by their caller.
+	OnlineReconnects int `json:"online_reconnects"`
+
+	JobsAccepted    int `json:"jobs_accepted"`
+	JobsRefused     int `json:"jobs_refused"`
+	JobsCancelled   int `json:"jobs_cancelled"`
+	ItemsAccepted   int `json:"items_accepted"`
+	ItemsCompleted  int `json:"items_completed"`
+	ItemsCancelled  int `json:"items_cancelled"`
+	ItemsUncertain  int `json:"items_indeterminate"`
+	ItemsUnfinished int `json:"items_unfinished"`
+
+	// Must be 0.
+	Lost                    int `json:"lost"`
+	Duplicated              int `json:"duplicated"`
+	AnswersCut              int `json:"answers_cut"`
+	AnswersWrong            int `json:"answers_wrong"`
+	ItemsWrong              int `json:"items_wrong"`
+	NotRunButRan            int `json:"not_run_but_ran"`
+	DispatchedAfterCancel   int `json:"dispatched_after_cancel"`
+	ResendMismatches        int `json:"resend_mismatches"`
+	ResumeMismatches        int `json:"resume_mismatches"`
+	AcknowledgedMissing     int `json:"acknowledged_missing"`
+	MarkedRunMoreThanOnce   int `json:"marked_run_more_than_once"`
+	MarkedRunsMax           int `json:"marked_runs_max"`
+	DifferentKeyedAnswers   int `json:"different_keyed_answers"`
+	PlannedStopReconnects   int `json:"planned_stop_reconnects"`
+	OnlineFailedUnexplained int `json:"online_failed_unexplained"`
+
+	// Broken describes the first broken invariants.
+	Broken []string `json:"broken"`
+}
+
+// Expectations say which faults the run had, where they change what is allowed.
+type Expectations struct {
+	// ConnectionsMayBreak: nodes were killed or cut off, so that callers' connections to
+	// them broke and callers had to send again.
+	ConnectionsMayBreak bool
+}
+
+// Judge checks what callers saw against the engines' own records.
+func Judge(seen Observations, records map[string]labengine.RunRecord, expected Expectations) Verdict {
+	judge := judge{records: records, expected: expected}
+	keyed := map[string]string{}
+	for _, result := range seen.Online {
+		judge.online(result, keyed)
+	}
+	for _, job := range seen.Jobs {
+		judge.job(job)
+	}
+	for marker, record := range records {
+		if record.ResumeMismatches > 0 {
+			judge.verdict.ResumeMismatches += record.ResumeMismatches
+			judge.broken("%s was resumed with a text that is not its answer's", marker)
+		}
+	}
+	return judge.verdict
+}
+
+// Failed tells whether an invariant broke.
+func (v Verdict) Failed() bool { return len(v.Broken) > 0 }
+
+type judge struct {
+	records  map[string]labengine.RunRecord
+	expected Expectations
+	verdict  Verdict
+}
+
+func (j *judge) broken(format string, values ...any) {
+	if len(j.verdict.Broken) < maxBroken {
+		j.verdict.Broken = append(j.verdict.Broken, fmt.Sprintf(format, values...))
+	}
+}
+
+func (j *judge) online(result OnlineResult, keyed map[string]string) {
+	v, marker := &j.verdict, result.Arrival.Marker
+	v.OnlineSent++
+	if result.Accepted {
+		v.OnlineAccepted++
+	}
+	v.OnlineReconnects += result.Cuts
+	if result.Cuts > 0 && !j.expected.ConnectionsMayBreak {
+		v.PlannedStopReconnects += result.Cuts
+		j.broken("%s: its stream was cut %d times though no node was killed: %s", marker, result.Cuts, result.Detail)
+	}
+	record, ran := j.records[marker]
+	if result.NotRunAnswers > 0 && result.Sent == 0 && ran && !result.Arrival.Resend {
+		v.NotRunButRan++
+		j.broken("%s: every answer said not_run, but it ran on %v", marker, record.Replicas)
+	}
+	if result.Arrival.NotRepeatable {
+		j.marked(marker)
+	}
+	j.onlineOutcome(result, keyed)
+}
+
+func (j *judge) onlineOutcome(result OnlineResult, keyed map[string]string) {
+	v, marker := &j.verdict, result.Arrival.Marker
+	switch result.Outcome {
+	case OnlineCompleted:
+		v.OnlineCompleted++
+		if result.Arrival.NotRepeatable {
+			if before, twice := keyed[marker]; twice && before != result.Text {
+				v.DifferentKeyedAnswers++
+				j.broken("%s: two callers with one key got different answers", marker)
+			}
+			keyed[marker] = result.Text
+		}
+	case OnlineRefused:
+		v.OnlineRefused++
+	case OnlineIndeterminate:
+		v.OnlineIndeterminate++
+		if !result.Arrival.NotRepeatable {
+			j.broken("%s: an unmarked request ended as indeterminate: %s", marker, result.Detail)
+			v.OnlineFailedUnexplained++
+		}
+	case OnlineCut:
+		v.AnswersCut++
+		j.broken("%s: cut: %s", marker, result.Detail)
+	case OnlineWrong:
+		v.AnswersWrong++
+		j.broken("%s: wrong answer: %s, got %q", marker, result.Detail, result.Text)
+	case OnlineFailed:
+		v.OnlineFailed++
+		v.OnlineFailedUnexplained++
+		j.broken("%s: failed: %s", marker, result.Detail)
+	}
+}
+
+// marked checks that engines ran a marked prompt at most once.
+func (j *judge) marked(marker string) {
+	record := j.records[marker]
+	j.verdict.MarkedRunsMax = max(j.verdict.MarkedRunsMax, record.FreshStarts)
+	if record.FreshStarts > 1 {
+		j.verdict.MarkedRunMoreThanOnce++
+		j.broken("%s: marked as not repeatable, ran %d times: %v on %v", marker, record.FreshStarts, record.RequestIDs, record.Replicas)
+	}
+}
+
+func (j *judge) job(job JobOutcome) {
+	v := &j.verdict
+	if !job.Accepted {
+		v.JobsRefused++
+		return
+	}
+	v.JobsAccepted++
+	v.ItemsAccepted += len(job.Arrival.Items)
+	if job.ResendMismatch {
+		v.ResendMismatches++
+		j.broken("%s: the resend gave another job", job.Arrival.Key)
+	}
+	if job.Cancelled {
+		v.JobsCancelled++
+	}
+	if job.Detail != "" {
+		v.AcknowledgedMissing++
+		j.broken("%s: accepted as %s, then: %s", job.Arrival.Key, job.ID, job.Detail)
+	}
+	for _, item := range job.Arrival.Items {
+		j.item(job, item)
+	}
+}
+
+func (j *judge) item(job JobOutcome, item JobItem) {
+	v := &j.verdict
+	if job.Arrival.NotRepeatable {
+		j.marked(item.CustomID)
+	}
+	if job.Cancelled && j.records[item.CustomID].LastStart.After(job.CancelAcked) {
+		v.DispatchedAfterCancel++
+		j.broken("%s: started %v after the cancel was acknowledged", item.CustomID,
+			j.records[item.CustomID].LastStart.Sub(job.CancelAcked).Round(time.Microsecond))
+	}
+	texts, failure := job.Results[item.CustomID], job.Errors[item.CustomID]
+	switch {
+	case len(texts) > 1 || len(texts) == 1 && failure != "":
+		v.Duplicated++
+		j.broken("%s: %d results", item.CustomID, len(texts))
+	case len(texts) == 1 && texts[0] != item.Expected().Whole():
+		v.ItemsWrong++
+		j.broken("%s: wrong result %q", item.CustomID, texts[0])
+	case len(texts) == 1:
+		v.ItemsCompleted++
+	case job.Cancelled:
+		v.ItemsCancelled++
+	case failure != "" && job.Arrival.NotRepeatable:
+		v.ItemsUncertain++
+	case job.EndedAt.IsZero():
+		v.ItemsUnfinished++
+		v.Lost++
+		j.broken("%s: not ended in time, job status %q", item.CustomID, job.Status)
+	default:
+		v.Lost++
+		j.broken("%s: no result, job status %q, error %s", item.CustomID, job.Status, failure)
+	}
+}
