Build deployments on loopback

Cause: experiments need nodes, engines and stand-ins in zones, each of which can fail. Change: lab/deployment starts them in one process, applies the operators' file and has one function for each fault; the run log keeps each start with its time and place.

--- /dev/null
+++ b/lab/deployment/deployment.go
@@ -0,0 +1,180 @@
+package deployment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+
+	modelengine "github.com/sloelift/sloelift/internal/engine"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/settings"
+	labengine "github.com/sloelift/sloelift/lab/engine"
+	labplatform "github.com/sloelift/sloelift/lab/platform"
+)
+
+// Deployment is a running fleet. Its methods are safe for concurrent use.
+type Deployment struct {
+	options  Options
+	Platform *labplatform.Server
+	Replicas []*Replica
+	Nodes    []*Node
+	// Log is what all engines did.
+	Log *labengine.RunLog
+	// zoneOf tells the zone of every address of a node or an engine.
+	zoneOf map[netip.AddrPort]string
+}
+
+// Start brings a deployment up and applies its configuration. On an error nothing is
+// left running.
+func Start(ctx context.Context, options Options) (*Deployment, error) {
+	deployment := &Deployment{options: options, Log: labengine.NewRunLog(), zoneOf: map[netip.AddrPort]string{}}
+	steps := []func(context.Context) error{
+		deployment.startReplicas,
+		deployment.startPlatform,
+		deployment.startNodes,
+		deployment.applyConfiguration,
+		deployment.awaitReady,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			deployment.Close()
+			return nil, err
+		}
+	}
+	return deployment, nil
+}
+
+func (d *Deployment) startReplicas(context.Context) error {
+	profile := d.options.Profile
+	for index := range profile.Replicas {
+		id := fmt.Sprintf("%s-%d", profile.Service, index+1)
+		engineOptions := labengine.DefaultOptions(id, profile.StepBase)
+		engineOptions.Models = []modelengine.Loaded{{Model: profile.Model, Version: modelVersion, State: "ready"}}
+		engineOptions.Log, engineOptions.Seed = d.Log, d.options.Seed+uint64(index)
+		if d.options.ChangeEngine != nil {
+			d.options.ChangeEngine(&engineOptions)
+		}
+		replica := &Replica{ID: id, Zone: profile.Zones[index%len(profile.Zones)], Engine: labengine.New(engineOptions)}
+		if err := replica.Engine.Start("127.0.0.1:0"); err != nil {
+			return err
+		}
+		d.Replicas = append(d.Replicas, replica)
+		d.zoneOf[replica.Engine.Address()] = replica.Zone
+	}
+	return nil
+}
+
+func (d *Deployment) startPlatform(context.Context) error {
+	if err := d.planNodes(); err != nil {
+		return err
+	}
+	profile := d.options.Profile
+	var machines []platform.Machine
+	for _, replica := range d.Replicas {
+		machines = append(machines, platform.Machine{
+			ID: replica.ID, Role: platform.RoleReplica, Region: profile.Region, Zone: replica.Zone,
+			State: platform.MachineLive, Address: replica.Engine.Address(), Service: profile.Service,
+		})
+	}
+	for _, node := range d.Nodes {
+		machines = append(machines, platform.Machine{
+			ID: node.ID, Role: platform.RoleNode, Region: profile.Region, Zone: node.Zone,
+			State: platform.MachineLive, Address: node.Settings.PeerAddress,
+		})
+	}
+	d.Platform = labplatform.NewServer(labplatform.Options{
+		Seed:           d.options.Seed,
+		Zones:          profile.Zones,
+		Machines:       machines,
+		MachineListLag: d.options.MachineListLag,
+		Weights:        []platform.Weights{{Name: profile.Model, Version: modelVersion, Bytes: 1 << 30}},
+	})
+	if err := d.Platform.Start(); err != nil {
+		return err
+	}
+	for _, node := range d.Nodes {
+		address := d.Platform.Address(node.Zone)
+		node.Settings.Platform.KeyValue = []netip.AddrPort{address}
+		node.Settings.Platform.MachineList, node.Settings.Platform.WeightStore = address, address
+	}
+	return nil
+}
+
+// addressesPerNode are a node's caller, admin and peer addresses.
+const addressesPerNode = 3
+
+// planNodes names the nodes, gives them addresses, and a data folder to as many as are
+// wanted as stores, spread over the zones.
+func (d *Deployment) planNodes() error {
+	profile := d.options.Profile
+	total := nodesPerZone * len(profile.Zones)
+	addresses, err := freeAddresses(total * addressesPerNode)
+	if err != nil {
+		return err
+	}
+	for index := range total {
+		zone := profile.Zones[index%len(profile.Zones)]
+		own := settings.Defaults()
+		own.Node, own.Region, own.Zone = fmt.Sprintf("%s-%d", zone, index/len(profile.Zones)+1), profile.Region, zone
+		at := index * addressesPerNode
+		own.CallerAddress, own.AdminAddress, own.PeerAddress = addresses[at], addresses[at+1], addresses[at+2]
+		own.Ledger = settings.Ledger{Partitions: partitions, Replicas: wantedStores, WriteQuorum: writeQuorum}
+		own.LogLevel = d.options.NodeLogLevel
+		if index < wantedStores {
+			own.DataFolder = filepath.Join(d.options.Folder, own.Node)
+			if err := os.MkdirAll(own.DataFolder, 0o755); err != nil {
+				return err
+			}
+		}
+		for _, address := range addresses[at : at+addressesPerNode] {
+			d.zoneOf[address] = zone
+		}
+		d.Nodes = append(d.Nodes, &Node{ID: own.Node, Zone: zone, Settings: own, options: d.options.NodeOptions, logger: d.options.Logger})
+	}
+	seeds := []netip.AddrPort{d.Nodes[0].Settings.PeerAddress, d.Nodes[1].Settings.PeerAddress}
+	for _, node := range d.Nodes {
+		node.Settings.SeedPeers = seeds
+	}
+	return nil
+}
+
+func (d *Deployment) startNodes(ctx context.Context) error {
+	return d.eachNode(func(node *Node) error { return node.start(ctx) })
+}
+
+// eachNode runs act for all nodes at once.
+func (d *Deployment) eachNode(act func(*Node) error) error {
+	failures := make([]error, len(d.Nodes))
+	var wait sync.WaitGroup
+	for index, node := range d.Nodes {
+		wait.Go(func() { failures[index] = act(node) })
+	}
+	wait.Wait()
+	return errors.Join(failures...)
+}
+
+// Targets returns the callers' addresses of the nodes in service.
+func (d *Deployment) Targets() []netip.AddrPort {
+	var targets []netip.AddrPort
+	for _, node := range d.Nodes {
+		if node.isServing() {
+			targets = append(targets, node.Settings.CallerAddress)
+		}
+	}
+	return targets
+}
+
+// Close ends everything at once.
+func (d *Deployment) Close() {
+	_ = d.eachNode(func(node *Node) error { node.kill(); return nil })
+	if d.Platform != nil {
+		d.Platform.Stop()
+	}
+	for _, replica := range d.Replicas {
+		replica.Engine.Kill()
+	}
+}
--- /dev/null
+++ b/lab/deployment/machine.go
@@ -0,0 +1,157 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/network"
+	"github.com/sloelift/sloelift/internal/node"
+	"github.com/sloelift/sloelift/internal/settings"
+	labengine "github.com/sloelift/sloelift/lab/engine"
+)
+
+// Replica is one engine with its zone.
+type Replica struct {
+	ID     string
+	Zone   string
+	Engine *labengine.Engine
+}
+
+// Node is one node of the deployment; its process can end and start anew.
+type Node struct {
+	ID       string
+	Zone     string
+	Settings settings.Settings
+	options  []node.Option
+	logger   zerolog.Logger
+
+	// mutex guards all below. serving says that callers may use the node.
+	mutex     sync.Mutex
+	running   *node.Node
+	severable *network.Severable
+	serving   bool
+	reachable func(netip.AddrPort) bool
+}
+
+// start builds and starts the node's process.
+func (n *Node) start(ctx context.Context) error {
+	severable := network.NewSeverable(network.System{})
+	n.mutex.Lock()
+	severable.SetReachable(n.reachable)
+	n.mutex.Unlock()
+	choices := append([]node.Option{node.WithNetwork(severable)}, n.options...)
+	created, err := node.New(n.Settings, n.logger, choices...)
+	if err != nil {
+		return fmt.Errorf("build node %s: %w", n.ID, err)
+	}
+	if err := created.Start(ctx); err != nil {
+		return fmt.Errorf("start node %s: %w", n.ID, err)
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.running, n.severable, n.serving = created, severable, true
+	return nil
+}
+
+// stop is the planned stop: callers are sent elsewhere first, as a load balancer does.
+func (n *Node) stop(ctx context.Context) error {
+	running := n.take()
+	if running == nil {
+		return nil
+	}
+	return running.Stop(ctx)
+}
+
+// kill ends the process as a machine that vanishes does.
+func (n *Node) kill() {
+	n.mutex.Lock()
+	severable := n.severable
+	n.mutex.Unlock()
+	running := n.take()
+	if running == nil {
+		return
+	}
+	severable.Sever()
+	running.Kill()
+}
+
+func (n *Node) take() *node.Node {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	running := n.running
+	n.running, n.serving = nil, false
+	return running
+}
+
+func (n *Node) isServing() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.serving
+}
+
+func (n *Node) setServing(serving bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.serving = serving && n.running != nil
+}
+
+// pause holds back all of the node's bytes; resume lets them go on.
+func (n *Node) pause(paused bool) {
+	n.mutex.Lock()
+	severable := n.severable
+	n.mutex.Unlock()
+	if severable == nil {
+		return
+	}
+	if paused {
+		severable.Pause()
+	} else {
+		severable.Resume()
+	}
+}
+
+// setReachable limits whom the node can reach; nil is everybody.
+func (n *Node) setReachable(reachable func(netip.AddrPort) bool) {
+	n.mutex.Lock()
+	n.reachable = reachable
+	severable := n.severable
+	n.mutex.Unlock()
+	if severable != nil {
+		severable.SetReachable(reachable)
+	}
+}
+
+// loseDisk empties the data folder; the node must not run.
+func (n *Node) loseDisk() error {
+	entries, err := os.ReadDir(n.Settings.DataFolder)
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		if err := os.RemoveAll(filepath.Join(n.Settings.DataFolder, entry.Name())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// freeAddresses returns loopback addresses that were free a moment ago.
+func freeAddresses(count int) ([]netip.AddrPort, error) {
+	addresses := make([]netip.AddrPort, 0, count)
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return addresses, nil
+}
--- /dev/null
+++ b/lab/deployment/readiness.go
@@ -0,0 +1,96 @@
+package deployment
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/sloelift/sloelift/lab/load"
+)
+
+const (
+	readyTimeout = 30 * time.Second
+	readyPause   = 50 * time.Millisecond
+	callTimeout  = 5 * time.Second
+
+	pathApply  = "/v1/config/apply"
+	pathModels = "/v1/models"
+	pathStatus = "/v1/status"
+)
+
+// applyConfiguration gives the operators' file to a node, and to others until one takes it.
+func (d *Deployment) applyConfiguration(ctx context.Context) error {
+	file, err := Configuration(d.options)
+	if err != nil {
+		return err
+	}
+	attempt := 0
+	return await(ctx, "apply configuration", func(ctx context.Context) error {
+		node := d.Nodes[attempt%len(d.Nodes)]
+		attempt++
+		_, err := call(ctx, http.MethodPost, node.Settings.AdminAddress, pathApply, file)
+		return err
+	})
+}
+
+// awaitReady waits until every node serves the declared model.
+func (d *Deployment) awaitReady(ctx context.Context) error {
+	return d.eachNode(func(node *Node) error { return d.awaitNode(ctx, node) })
+}
+
+func (d *Deployment) awaitNode(ctx context.Context, node *Node) error {
+	return await(ctx, "wait for node "+node.ID, func(ctx context.Context) error {
+		models, err := call(ctx, http.MethodGet, node.Settings.CallerAddress, pathModels, nil)
+		if err == nil && !bytes.Contains(models, []byte(d.options.Profile.Model)) {
+			err = fmt.Errorf("node %s does not serve the model yet", node.ID)
+		}
+		return err
+	})
+}
+
+// await calls check until it succeeds or readyTimeout ends.
+func await(ctx context.Context, what string, check func(context.Context) error) error {
+	bounded, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		err := check(bounded)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-bounded.Done():
+			return fmt.Errorf("%s: %w", what, errors.Join(err, bounded.Err()))
+		case <-time.After(readyPause):
+		}
+	}
+}
+
+var client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// call makes one request as the lab's tenant and returns the body of a success.
+func call(ctx context.Context, method string, to netip.AddrPort, path string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+to.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+load.TenantKey)
+	request.Header.Set("Content-Type", "application/yaml")
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s %s: %s: %s", method, path, response.Status, content)
+	}
+	return content, nil
+}
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -255,6 +255,7 @@
 			e.storePrefix(entry, now)
 		}
 	}
+	e.options.Log.computed(e.scheduler.planned())
 	for _, entry := range e.scheduler.complete() {
 		e.finish(entry, now)
 	}
--- a/lab/engine/run_log.go
+++ b/lab/engine/run_log.go
@@ -28,14 +28,37 @@
 	PromptTokens int
 	CachedTokens int
 	Batch        bool
-	FirstStart   time.Time
-	LastStart    time.Time
 	// ResumeMismatches counts resumptions whose text so far was not the right answer's.
 	ResumeMismatches int
-	// Replicas lists where it ran, in order.
-	Replicas []string
-	// RequestIDs lists the ids it ran under, in order.
-	RequestIDs []string
+	// History lists the starts in order.
+	History []Start
+}
+
+// Start is one run's first step.
+type Start struct {
+	Replica   string
+	RequestID string
+	At        time.Time
+	// Offset is the token that the run went on with.
+	Offset int
+}
+
+// LastStart returns the time of the last start; zero where there was none.
+func (r RunRecord) LastStart() time.Time {
+	if len(r.History) == 0 {
+		return time.Time{}
+	}
+	return r.History[len(r.History)-1].At
+}
+
+// Totals count what all engines computed so far.
+type Totals struct {
+	OnlineDecoded  int64 `json:"online_decoded"`
+	OnlinePrefill  int64 `json:"online_prefill"`
+	BatchDecoded   int64 `json:"batch_decoded"`
+	BatchPrefill   int64 `json:"batch_prefill"`
+	BatchFinished  int64 `json:"batch_finished"`
+	OnlineFinished int64 `json:"online_finished"`
 }
 
 // RunLog is the record of all engines of a deployment. It is the lab's own evidence
@@ -43,6 +66,7 @@
 type RunLog struct {
 	mutex   sync.Mutex
 	records map[string]*RunRecord
+	totals  Totals
 }
 
 // NewRunLog returns an empty log.
@@ -72,15 +96,12 @@
 	if run.startOffset == 0 && !run.revived {
 		record.FreshStarts++
 	}
-	if record.FirstStart.IsZero() {
-		record.FirstStart = at
+	if len(record.History) == 0 {
 		record.PromptTokens = PromptTokens(run.prompt)
 		record.CachedTokens = run.cachedTokens
 		record.Batch = run.priority < OnlineRank
 	}
-	record.LastStart = at
-	record.Replicas = append(record.Replicas, replica)
-	record.RequestIDs = append(record.RequestIDs, run.id)
+	record.History = append(record.History, Start{Replica: replica, RequestID: run.id, At: at, Offset: run.startOffset})
 }
 
 // ended notes what a run computed when it finished, was cancelled or died.
@@ -93,6 +114,11 @@
 	record.Furthest = max(record.Furthest, run.produced)
 	if finished {
 		record.Finished++
+		if run.priority < OnlineRank {
+			l.totals.BatchFinished++
+		} else {
+			l.totals.OnlineFinished++
+		}
 	}
 	if cancelled {
 		record.Cancels++
@@ -100,6 +126,23 @@
 	run.decoded, run.prefilled = 0, 0
 }
 
+// computed adds what one step computed.
+func (l *RunLog) computed(step Totals) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.totals.OnlineDecoded += step.OnlineDecoded
+	l.totals.OnlinePrefill += step.OnlinePrefill
+	l.totals.BatchDecoded += step.BatchDecoded
+	l.totals.BatchPrefill += step.BatchPrefill
+}
+
+// Totals returns the sums so far.
+func (l *RunLog) Totals() Totals {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.totals
+}
+
 func (l *RunLog) resumeMismatch(marker string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/lab/engine/scheduler.go
+++ b/lab/engine/scheduler.go
@@ -71,6 +71,25 @@
 		time.Duration(prefilling)*s.options.StepPerPrefillToken
 }
 
+// planned counts what the planned step computes.
+func (s *scheduler) planned() Totals {
+	var step Totals
+	for _, entry := range s.running {
+		made := int64(0)
+		if entry.decoding {
+			made = 1
+		}
+		if entry.priority < OnlineRank {
+			step.BatchDecoded += made
+			step.BatchPrefill += int64(entry.prefilling)
+		} else {
+			step.OnlineDecoded += made
+			step.OnlinePrefill += int64(entry.prefilling)
+		}
+	}
+	return step
+}
+
 // complete applies the planned step and returns the runs that reached their answer's end.
 func (s *scheduler) complete() []*run {
 	var finished []*run
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -20,8 +20,10 @@
 	headerIdempotencyKey = "Idempotency-Key"
 	headerNotRepeatable  = "X-Not-Repeatable"
 	headerPriority       = "X-Priority"
-	headerRequestID      = "X-Request-Id"
+	headerReconnect      = "X-Reconnect"
 	headerLastEventID    = "Last-Event-ID"
+	headerRetryAfterMs   = "Retry-After-Ms"
+	headerShouldRetry    = "X-Should-Retry"
 )
 
 // Caller is a client of the callers' interface. It is safe for concurrent use.
@@ -46,6 +48,8 @@
 	Reason     string
 	Message    string
 	RetryAfter time.Duration
+	// ShouldRetry says that the answer asks the caller to come back.
+	ShouldRetry bool
 }
 
 // Error returns status, outcome and message.
@@ -56,10 +60,9 @@
 // errorAnswer is the error body of the callers' interface.
 type errorAnswer struct {
 	Error struct {
-		Message string          `json:"message"`
-		Type    string          `json:"type"`
-		Code    json.RawMessage `json:"code"`
-		Outcome string          `json:"outcome"`
+		Message string `json:"message"`
+		Code    string `json:"code"`
+		Outcome string `json:"outcome"`
 	} `json:"error"`
 }
 
@@ -72,6 +75,12 @@
 	MaxTokens int            `json:"max_tokens"`
 	Stream    bool           `json:"stream,omitempty"`
 	Options   *streamOptions `json:"stream_options,omitempty"`
+	Resume    *resumeBody    `json:"resume,omitempty"`
+}
+
+// resumeBody holds the answer that a reconnecting caller has.
+type resumeBody struct {
+	Text string `json:"text"`
 }
 
 type streamOptions struct {
@@ -100,7 +109,7 @@
 	} `json:"usage"`
 	Error *struct {
 		Message string `json:"message"`
-		Type    string `json:"type"`
+		Code    string `json:"code"`
 		Outcome string `json:"outcome"`
 	} `json:"error"`
 }
@@ -113,8 +122,9 @@
 	Priority       string
 	IdempotencyKey string
 	NotRepeatable  bool
-	// RequestID is sent along where the request goes to an engine directly.
-	RequestID string
+	// LastEventID and Prior go on with a stream that an earlier connection began.
+	LastEventID string
+	Prior       string
 }
 
 // ChatResult is what a stream delivered.
@@ -125,24 +135,17 @@
 	CachedTokens int
 	// Accepted is set once the stream's headers were there.
 	Accepted bool
+	// LastEventID is the id of the last event.
+	LastEventID string
 }
 
 // Stream runs a chat and calls onTokens after each event with tokens in it.
 func (c *Caller) Stream(ctx context.Context, node netip.AddrPort, request ChatRequest, onTokens func(text string)) (ChatResult, error) {
-	body, err := json.Marshal(chatBody{
-		Model:     request.Model,
-		Messages:  []chatMessage{{Role: "user", Content: request.Content}},
-		MaxTokens: request.MaxTokens,
-		Stream:    true,
-		Options:   &streamOptions{IncludeUsage: true},
-	})
+	body, err := json.Marshal(request.body())
 	if err != nil {
 		return ChatResult{}, err
 	}
-	headers := map[string]string{headerPriority: request.Priority, headerIdempotencyKey: request.IdempotencyKey, headerRequestID: request.RequestID}
-	if request.NotRepeatable {
-		headers[headerNotRepeatable] = "true"
-	}
+	headers := request.headers()
 	response, err := c.do(ctx, http.MethodPost, node, "/v1/chat/completions", "application/json", bytes.NewReader(body), headers)
 	if err != nil {
 		return ChatResult{}, err
@@ -153,6 +156,33 @@
 	return result, err
 }
 
+func (r ChatRequest) body() chatBody {
+	body := chatBody{
+		Model:     r.Model,
+		Messages:  []chatMessage{{Role: "user", Content: r.Content}},
+		MaxTokens: r.MaxTokens,
+		Stream:    true,
+		Options:   &streamOptions{IncludeUsage: true},
+	}
+	if r.Prior != "" {
+		body.Resume = &resumeBody{Text: r.Prior}
+	}
+	return body
+}
+
+func (r ChatRequest) headers() map[string]string {
+	headers := map[string]string{
+		headerPriority:       r.Priority,
+		headerIdempotencyKey: r.IdempotencyKey,
+		headerLastEventID:    r.LastEventID,
+		headerReconnect:      "true",
+	}
+	if r.NotRepeatable {
+		headers[headerNotRepeatable] = "true"
+	}
+	return headers
+}
+
 // readStream reads events until the end mark.
 func readStream(stream io.Reader, onTokens func(text string)) (ChatResult, error) {
 	var result ChatResult
@@ -160,6 +190,10 @@
 	scanner := bufio.NewScanner(stream)
 	scanner.Buffer(make([]byte, 0, 4096), 1<<20)
 	for scanner.Scan() {
+		if id, found := bytes.CutPrefix(scanner.Bytes(), []byte("id: ")); found {
+			result.LastEventID = string(id)
+			continue
+		}
 		data, found := bytes.CutPrefix(scanner.Bytes(), []byte("data: "))
 		if !found {
 			continue
@@ -174,7 +208,7 @@
 		}
 		if event.Error != nil {
 			result.Text = text.String()
-			return result, &StatusError{Status: http.StatusOK, Outcome: event.Error.Outcome, Reason: event.Error.Type, Message: event.Error.Message}
+			return result, &StatusError{Status: http.StatusOK, Outcome: event.Error.Outcome, Reason: event.Error.Code, Message: event.Error.Message}
 		}
 		if content := result.take(event); content != "" {
 			text.WriteString(content)
@@ -230,12 +264,13 @@
 	content, err := io.ReadAll(io.LimitReader(response.Body, 64<<10))
 	var answer errorAnswer
 	if err == nil && json.Unmarshal(content, &answer) == nil {
-		failure.Outcome, failure.Reason, failure.Message = answer.Error.Outcome, answer.Error.Type, answer.Error.Message
+		failure.Outcome, failure.Reason, failure.Message = answer.Error.Outcome, answer.Error.Code, answer.Error.Message
 	} else {
 		failure.Message = string(content)
 	}
-	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
-		failure.RetryAfter = time.Duration(seconds * float64(time.Second))
+	if milliseconds, err := strconv.Atoi(response.Header.Get(headerRetryAfterMs)); err == nil {
+		failure.RetryAfter = time.Duration(milliseconds) * time.Millisecond
 	}
+	failure.ShouldRetry = response.Header.Get(headerShouldRetry) == "true"
 	return failure
 }
--- a/lab/load/online.go
+++ b/lab/load/online.go
@@ -42,6 +42,7 @@
 
 func (r *Runner) playOnline(ctx context.Context, index int, arrival OnlineArrival) OnlineResult {
 	result := OnlineResult{Arrival: arrival, Outcome: OnlineFailed}
+	received := &received{times: newTokenTimes(r.started.Add(arrival.At))}
 	for attempt := range maxOnlineAttempts {
 		node, found := r.target(index, attempt)
 		if !found {
@@ -52,7 +53,7 @@
 			continue
 		}
 		result.Attempts++
-		err := r.attemptOnline(ctx, node, arrival, &result)
+		err := r.attemptOnline(ctx, node, arrival, received, &result)
 		if err == nil {
 			return result
 		}
@@ -66,7 +67,7 @@
 }
 
 // attemptOnline streams once; on success it sets the outcome and records the times.
-func (r *Runner) attemptOnline(ctx context.Context, node netip.AddrPort, arrival OnlineArrival, result *OnlineResult) error {
+func (r *Runner) attemptOnline(ctx context.Context, node netip.AddrPort, arrival OnlineArrival, received *received, result *OnlineResult) error {
 	request := ChatRequest{
 		Model:         r.plan.Profile.Model,
 		Content:       arrival.Content,
@@ -75,26 +76,49 @@
 		NotRepeatable: arrival.NotRepeatable,
 	}
 	if arrival.NotRepeatable {
+		// A keyed request is sent again whole: its key brings the same answer.
 		request.IdempotencyKey = arrival.Marker
+		*received = receivedAfresh(received)
+	} else {
+		request.LastEventID, request.Prior = received.lastEventID, received.text
 	}
-	times := newTokenTimes(r.started.Add(arrival.At))
-	streamed, err := r.caller.Stream(ctx, node, request, times.onTokens)
+	streamed, err := r.caller.Stream(ctx, node, request, received.times.onTokens)
 	result.Accepted = result.Accepted || streamed.Accepted
+	received.add(streamed)
 	if err != nil {
 		return err
 	}
 	result.Sent++
-	result.Text, result.PromptTokens, result.CachedTokens = streamed.Text, streamed.PromptTokens, streamed.CachedTokens
-	if streamed.Text != arrival.Expected().Whole() {
+	result.Text, result.PromptTokens, result.CachedTokens = received.text, streamed.PromptTokens, streamed.CachedTokens
+	if received.text != arrival.Expected().Whole() {
 		result.Outcome = OnlineWrong
 		result.Detail = "answer differs from the right one, finish reason " + streamed.FinishReason
 		return nil
 	}
 	result.Outcome = OnlineCompleted
-	times.recordTo(r)
+	received.times.recordTo(r)
 	return nil
 }
 
+// received is what a caller has of its answer over all its connections.
+type received struct {
+	text        string
+	lastEventID string
+	times       *tokenTimes
+}
+
+func (r *received) add(streamed ChatResult) {
+	r.text += streamed.Text
+	if streamed.LastEventID != "" {
+		r.lastEventID = streamed.LastEventID
+	}
+}
+
+// receivedAfresh forgets the text but keeps the arrival, so that times count all attempts.
+func receivedAfresh(before *received) received {
+	return received{times: newTokenTimes(before.times.arrived)}
+}
+
 // classify notes how an attempt failed and tells whether and when to try again.
 func (r *Runner) classify(err error, result *OnlineResult) (wait time.Duration, again bool) {
 	var status *StatusError
@@ -120,6 +144,10 @@
 	switch outcome.Outcome(status.Outcome) {
 	case outcome.NotRun:
 		result.NotRunAnswers++
+		if !status.ShouldRetry {
+			result.Outcome = OnlineFailed
+			return 0, false
+		}
 		result.Outcome = OnlineRefused
 		wait = status.RetryAfter
 		if wait == 0 {
--- a/lab/load/verdict.go
+++ b/lab/load/verdict.go
@@ -107,7 +107,7 @@
 	record, ran := j.records[marker]
 	if result.NotRunAnswers > 0 && result.Sent == 0 && ran && !result.Arrival.Resend {
 		v.NotRunButRan++
-		j.broken("%s: every answer said not_run, but it ran on %v", marker, record.Replicas)
+		j.broken("%s: every answer said not_run, but it ran: %v", marker, record.History)
 	}
 	if result.Arrival.NotRepeatable {
 		j.marked(marker)
@@ -154,7 +154,7 @@
 	j.verdict.MarkedRunsMax = max(j.verdict.MarkedRunsMax, record.FreshStarts)
 	if record.FreshStarts > 1 {
 		j.verdict.MarkedRunMoreThanOnce++
-		j.broken("%s: marked as not repeatable, ran %d times: %v on %v", marker, record.FreshStarts, record.RequestIDs, record.Replicas)
+		j.broken("%s: marked as not repeatable, ran %d times: %v", marker, record.FreshStarts, record.History)
 	}
 }
 
@@ -187,10 +187,10 @@
 	if job.Arrival.NotRepeatable {
 		j.marked(item.CustomID)
 	}
-	if job.Cancelled && j.records[item.CustomID].LastStart.After(job.CancelAcked) {
+	if job.Cancelled && j.records[item.CustomID].LastStart().After(job.CancelAcked) {
 		v.DispatchedAfterCancel++
 		j.broken("%s: started %v after the cancel was acknowledged", item.CustomID,
-			j.records[item.CustomID].LastStart.Sub(job.CancelAcked).Round(time.Microsecond))
+			j.records[item.CustomID].LastStart().Sub(job.CancelAcked).Round(time.Microsecond))
 	}
 	texts, failure := job.Results[item.CustomID], job.Errors[item.CustomID]
 	switch {
