--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -5,9 +5,14 @@
 
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
+
+	"github.com/sloelift/sloelift/internal/gateway"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/operator"
 )
 
-// drainer runs the steps of a planned stop in order: unready, streams, partitions, leave.
+// drainer runs the steps of a planned stop in order: unready, leave, streams, partitions.
 type drainer struct {
 	logger zerolog.Logger
 	steps  []drainStep
@@ -21,11 +26,26 @@
 type drainParams struct {
 	fx.In
 
-	Logger zerolog.Logger
+	Logger     zerolog.Logger
+	Readiness  *operator.Readiness
+	Membership *membership.Service
+	Gateway    *gateway.Server
+	Ledger     *ledger.Manager
 }
 
 func newDrainer(params drainParams) *drainer {
-	return &drainer{logger: params.Logger}
+	return &drainer{
+		logger: params.Logger,
+		steps: []drainStep{
+			{name: "unready", run: func(context.Context) error {
+				params.Readiness.TurnOff("stopping")
+				return nil
+			}},
+			{name: "leave", run: params.Membership.Leave},
+			{name: "streams", run: params.Gateway.Drain},
+			{name: "partitions", run: params.Ledger.Handover},
+		},
+	}
 }
 
 // drain runs each step; a step that fails is logged and the next one runs.
