Run scenarios, compare policies and write reports

Cause: claims about faults and policies need runs that anyone can repeat. Change: lab/experiment plays a seeded load under a fault file or a policy and judges it; the lab's commands run it; lab/report draws the results.

--- a/cmd/sloelift-lab/main.go
+++ b/cmd/sloelift-lab/main.go
@@ -1,4 +1,55 @@
-// Command sloelift-lab is described in docs/architecture.md.
+// Command sloelift-lab runs the project's own model of what sloelift serves: engines,
+// platform, load, faults, experiments and reports. docs/operations/lab.md describes it.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitWrongUse = 2
+)
+
+// errBroken means that an invariant broke; what broke has been printed.
+var errBroken = errors.New("an invariant broke")
+
+type commandLine struct {
+	Demo       demoCommand       `cmd:"" help:"Run a whole deployment under load for a while and judge it."`
+	Up         upCommand         `cmd:"" help:"Run a whole deployment until interrupted."`
+	Engine     engineCommand     `cmd:"" help:"Run one emulated engine."`
+	Platform   platformCommand   `cmd:"" help:"Run the stand-ins of the key-value service, machine list and weight store."`
+	Load       loadCommand       `cmd:"" help:"Play a load against nodes at given addresses."`
+	Experiment experimentCommand `cmd:"" help:"Run fault scenarios, or compare policies."`
+	Report     reportCommand     `cmd:"" help:"Turn JSON results into a page with plots."`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var commands commandLine
+	parser := kong.Must(&commands,
+		kong.Name("sloelift-lab"),
+		kong.Description("Model engines, platform, load, faults and experiments for sloelift."),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.UsageOnError(),
+	)
+	parsed, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "sloelift-lab:", err)
+		os.Exit(exitWrongUse)
+	}
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "sloelift-lab:", err)
+		stop()
+		os.Exit(exitFailed)
+	}
+}
--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -13,6 +13,7 @@
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/settings"
 	labengine "github.com/sloelift/sloelift/lab/engine"
+	"github.com/sloelift/sloelift/lab/load"
 	labplatform "github.com/sloelift/sloelift/lab/platform"
 )
 
@@ -54,6 +55,7 @@
 		id := fmt.Sprintf("%s-%d", profile.Service, index+1)
 		engineOptions := labengine.DefaultOptions(id, profile.StepBase)
 		engineOptions.Models = []modelengine.Loaded{{Model: profile.Model, Version: modelVersion, State: "ready"}}
+		engineOptions.IsBatch = load.IsBatch
 		engineOptions.Log, engineOptions.Seed = d.Log, d.options.Seed+uint64(index)
 		if d.options.ChangeEngine != nil {
 			d.options.ChangeEngine(&engineOptions)
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -260,7 +260,7 @@
 		e.finish(entry, now)
 	}
 	for _, entry := range e.scheduler.running {
-		if entry.priority >= OnlineRank || entry.produced%e.options.BatchFlushTokens == 0 {
+		if !entry.batch || entry.produced%e.options.BatchFlushTokens == 0 {
 			entry.notify()
 		}
 	}
--- a/lab/engine/generation.go
+++ b/lab/engine/generation.go
@@ -69,6 +69,7 @@
 		arrival:  e.arrivals,
 		readers:  map[*reader]struct{}{},
 	}
+	entry.batch = e.isBatch(entry)
 	if refused := e.resume(entry, request.body.Resume); refused != nil {
 		return nil, refused
 	}
@@ -83,6 +84,13 @@
 	return entry, nil
 }
 
+func (e *Engine) isBatch(entry *run) bool {
+	if e.options.IsBatch != nil {
+		return e.options.IsBatch(entry.marker)
+	}
+	return entry.priority < OnlineRank
+}
+
 // resume lets a new run go on behind the answer so far.
 func (e *Engine) resume(entry *run, resume *resumeBody) *refusal {
 	if resume == nil || resume.Offset == 0 {
--- a/lab/engine/load_report.go
+++ b/lab/engine/load_report.go
@@ -70,13 +70,13 @@
 	}
 	for _, entry := range e.scheduler.running {
 		report.QueuedPrefill += entry.prefillLeft
-		if entry.priority < OnlineRank {
+		if entry.batch {
 			report.RunningBatch++
 		}
 	}
 	for _, entry := range e.scheduler.waiting {
 		report.QueuedPrefill += PromptTokens(entry.prompt)
-		if entry.priority < OnlineRank {
+		if entry.batch {
 			report.WaitingBatch++
 		}
 	}
--- a/lab/engine/options.go
+++ b/lab/engine/options.go
@@ -6,8 +6,8 @@
 	modelengine "github.com/sloelift/sloelift/internal/engine"
 )
 
-// OnlineRank is the lowest request priority that the load report counts as online;
-// requests below it are counted as batch.
+// OnlineRank is the lowest request priority that counts as online; requests below it
+// count as batch, in load reports and in how often they stream.
 const OnlineRank = 500
 
 // Options describe one emulated engine. The zero value of a field other than Replica
@@ -42,6 +42,9 @@
 	// long a run without a reader goes on.
 	RunRetention  time.Duration
 	UnreadTimeout time.Duration
+	// IsBatch tells whether the run of a marker counts as batch; nil goes by OnlineRank. It is for
+	// policies under which both classes have the same priority.
+	IsBatch func(marker string) bool
 	// ReserveFetch asks the weight store for leave to fetch; nil is always granted.
 	ReserveFetch func(name, version, replica string) error
 	// Log records what the engine really did; it outlives a kill.
--- a/lab/engine/run.go
+++ b/lab/engine/run.go
@@ -21,6 +21,7 @@
 	prompt   string
 	answer   Answer
 	priority int
+	batch    bool
 	arrival  uint64
 	state    runState
 	// startOffset is the token that this run began or was revived with.
--- a/lab/engine/run_log.go
+++ b/lab/engine/run_log.go
@@ -99,7 +99,7 @@
 	if len(record.History) == 0 {
 		record.PromptTokens = PromptTokens(run.prompt)
 		record.CachedTokens = run.cachedTokens
-		record.Batch = run.priority < OnlineRank
+		record.Batch = run.batch
 	}
 	record.History = append(record.History, Start{Replica: replica, RequestID: run.id, At: at, Offset: run.startOffset})
 }
@@ -114,7 +114,7 @@
 	record.Furthest = max(record.Furthest, run.produced)
 	if finished {
 		record.Finished++
-		if run.priority < OnlineRank {
+		if run.batch {
 			l.totals.BatchFinished++
 		} else {
 			l.totals.OnlineFinished++
--- a/lab/engine/scheduler.go
+++ b/lab/engine/scheduler.go
@@ -79,7 +79,7 @@
 		if entry.decoding {
 			made = 1
 		}
-		if entry.priority < OnlineRank {
+		if entry.batch {
 			step.BatchDecoded += made
 			step.BatchPrefill += int64(entry.prefilling)
 		} else {
--- /dev/null
+++ b/lab/experiment/bound.go
@@ -0,0 +1,140 @@
+package experiment
+
+import (
+	"time"
+
+	modelengine "github.com/sloelift/sloelift/internal/engine"
+	labengine "github.com/sloelift/sloelift/lab/engine"
+	"github.com/sloelift/sloelift/lab/load"
+)
+
+// boundStep is the time step of the bound's fluid model.
+const boundStep = 10 * time.Millisecond
+
+// CapacityBound is what a perfect scheduler could run of the batch work in the time of
+// the arrivals: online work is served at once, engines' steps are always full, every
+// shared prompt beginning is computed once per replica for online and once in all for
+// batch, and batch work may run from the moment it arrives.
+type CapacityBound struct {
+	// Work is in engine-seconds, Items in items.
+	Work  float64
+	Items float64
+	cost  costModel
+}
+
+// costModel gives the engine time that tokens take in full steps.
+type costModel struct {
+	perDecoded   float64
+	perPrefilled float64
+}
+
+func newCostModel(options labengine.Options) costModel {
+	full := options.StepBase + time.Duration(options.MaxRunning)*options.StepPerSequence
+	return costModel{
+		perDecoded:   full.Seconds() / float64(options.MaxRunning),
+		perPrefilled: options.StepPerPrefillToken.Seconds(),
+	}
+}
+
+func (c costModel) work(decoded, prefilled int) float64 {
+	return float64(decoded)*c.perDecoded + float64(prefilled)*c.perPrefilled
+}
+
+// workDone returns the engine-seconds, in full steps, of what engines computed for batch.
+func (b CapacityBound) workDone(totals labengine.Totals) float64 {
+	return b.cost.work(int(totals.BatchDecoded), int(totals.BatchPrefill))
+}
+
+// Bound computes the bound of a plan.
+func Bound(plan load.Plan) CapacityBound {
+	cost := newCostModel(labengine.DefaultOptions("", plan.Profile.StepBase))
+	steps := int(plan.Duration / boundStep)
+	online, batch, items := make([]float64, steps+1), make([]float64, steps+1), make([]float64, steps+1)
+	seen := map[uint64]int{}
+	for _, arrival := range plan.Online {
+		online[arrival.At/boundStep] += cost.work(arrival.Expected().Tokens, newTokens(plan, arrival.Content, seen, plan.Profile.Replicas))
+	}
+	for _, job := range plan.Jobs {
+		for _, item := range job.Items {
+			batch[job.At/boundStep] += cost.work(item.Expected().Tokens, newTokens(plan, item.Content, seen, 1))
+			items[job.At/boundStep]++
+		}
+	}
+	return fluid(plan, cost, online, batch, items)
+}
+
+// newTokens counts the prompt tokens that a cache must compute which computes each
+// block copies times and then keeps it.
+func newTokens(plan load.Plan, content string, seen map[uint64]int, copies int) int {
+	prompt := labengine.ChatPrompt(content)
+	cached := 0
+	for _, block := range modelengine.PrefixBlocks(plan.Profile.Model, "", prompt) {
+		if seen[block] >= copies {
+			cached++
+		} else {
+			seen[block]++
+		}
+	}
+	return labengine.PromptTokens(prompt) - cached*modelengine.PrefixBlockBytes/4
+}
+
+// fluid lets online work go first and gives the rest of each step to batch work.
+func fluid(plan load.Plan, cost costModel, online, batch, items []float64) CapacityBound {
+	capacity := boundStep.Seconds() * float64(plan.Profile.Replicas)
+	bound := CapacityBound{cost: cost}
+	var onlineBacklog, batchBacklog, itemBacklog float64
+	for step := range online {
+		onlineBacklog += online[step]
+		batchBacklog += batch[step]
+		itemBacklog += items[step]
+		served := min(onlineBacklog, capacity)
+		onlineBacklog -= served
+		run := min(batchBacklog, capacity-served)
+		share := ratio(run, batchBacklog)
+		bound.Work += run
+		bound.Items += itemBacklog * share
+		itemBacklog -= itemBacklog * share
+		batchBacklog -= run
+	}
+	return bound
+}
+
+// cacheResult compares the hit rates with those of one cache that holds all prompts so far.
+func cacheResult(plan load.Plan, records map[string]labengine.RunRecord) CacheResult {
+	var online, batch hitCount
+	seen := map[uint64]int{}
+	for _, arrival := range plan.Online {
+		online.add(plan, arrival.Content, records[arrival.Marker], seen)
+	}
+	for _, job := range plan.Jobs {
+		for _, item := range job.Items {
+			batch.add(plan, item.Content, records[item.CustomID], seen)
+		}
+	}
+	result := CacheResult{
+		OnlineHitRate: online.rate(), OnlinePossible: online.possibleRate(),
+		BatchHitRate: batch.rate(), BatchPossible: batch.possibleRate(),
+	}
+	result.OnlineOfPerfect = ratio(result.OnlineHitRate, result.OnlinePossible)
+	result.BatchOfPerfect = ratio(result.BatchHitRate, result.BatchPossible)
+	return result
+}
+
+type hitCount struct {
+	prompt   int
+	cached   int
+	possible int
+}
+
+func (h *hitCount) add(plan load.Plan, content string, record labengine.RunRecord, seen map[uint64]int) {
+	if record.PromptTokens == 0 {
+		return
+	}
+	h.prompt += record.PromptTokens
+	h.cached += record.CachedTokens
+	h.possible += record.PromptTokens - newTokens(plan, content, seen, 1)
+}
+
+func (h *hitCount) rate() float64 { return ratio(float64(h.cached), float64(h.prompt)) }
+
+func (h *hitCount) possibleRate() float64 { return ratio(float64(h.possible), float64(h.prompt)) }
--- /dev/null
+++ b/lab/experiment/compare.go
@@ -0,0 +1,161 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+)
+
+// Comparison holds the runs of several policies on the same arrivals, for each seed.
+type Comparison struct {
+	Profile string   `json:"profile"`
+	Seeds   []uint64 `json:"seeds"`
+	// Runs holds one result per policy and seed.
+	Runs []Result `json:"runs"`
+	// Medians hold the median over the seeds for each policy.
+	Medians []PolicySummary `json:"medians"`
+}
+
+// PolicySummary is one policy's median over the seeds. Ratios are medians of the
+// ratios within each seed; 0 where the other policy was not run.
+type PolicySummary struct {
+	Policy              Policy  `json:"policy"`
+	FirstTokenP50       float64 `json:"first_token_p50_ms"`
+	FirstTokenP95       float64 `json:"first_token_p95_ms"`
+	FirstTokenP99       float64 `json:"first_token_p99_ms"`
+	InterTokenP50       float64 `json:"inter_token_p50_ms"`
+	InterTokenP95       float64 `json:"inter_token_p95_ms"`
+	InterTokenP99       float64 `json:"inter_token_p99_ms"`
+	ItemsPerSecond      float64 `json:"items_per_second"`
+	TokensPerSecond     float64 `json:"tokens_per_second"`
+	IdleCapacityUsed    float64 `json:"idle_capacity_used"`
+	DecodedTwiceShare   float64 `json:"decoded_twice_share"`
+	PrefilledTwiceShare float64 `json:"prefilled_twice_share"`
+	OnlineOfPerfect     float64 `json:"online_hit_rate_of_perfect"`
+	BatchOfPerfect      float64 `json:"batch_hit_rate_of_perfect"`
+	FirstTokenToOnline  float64 `json:"first_token_p99_to_online_only"`
+	InterTokenToOnline  float64 `json:"inter_token_p99_to_online_only"`
+	ItemsToFIFO         float64 `json:"items_per_second_to_fifo"`
+	TokensToFIFO        float64 `json:"tokens_per_second_to_fifo"`
+	Failed              int     `json:"failed_runs"`
+}
+
+// Compare runs each policy on the same arrivals, one run after the other, and reports each
+// result to progress.
+func Compare(ctx context.Context, base Options, seeds []uint64, policies []Policy, progress func(Result)) (Comparison, error) {
+	comparison := Comparison{Profile: base.Profile.Name, Seeds: seeds}
+	for _, seed := range seeds {
+		for _, policy := range policies {
+			options := base
+			options.Seed, options.Policy = seed, policy
+			result, err := Run(ctx, options)
+			if err != nil {
+				return comparison, fmt.Errorf("policy %s, seed %d: %w", policy, seed, err)
+			}
+			comparison.Runs = append(comparison.Runs, result)
+			progress(result)
+		}
+	}
+	for _, policy := range policies {
+		comparison.Medians = append(comparison.Medians, comparison.summary(policy))
+	}
+	return comparison, nil
+}
+
+// Failed tells whether an invariant broke in any run.
+func (c Comparison) Failed() bool {
+	return slices.ContainsFunc(c.Runs, func(run Result) bool { return run.Failed })
+}
+
+func (c Comparison) find(policy Policy, seed uint64) (Result, bool) {
+	for _, run := range c.Runs {
+		if run.Policy == policy && run.Seed == seed {
+			return run, true
+		}
+	}
+	return Result{}, false
+}
+
+func (c Comparison) summary(policy Policy) PolicySummary {
+	over := func(value func(Result) float64) float64 {
+		var values []float64
+		for _, seed := range c.Seeds {
+			if run, found := c.find(policy, seed); found {
+				values = append(values, value(run))
+			}
+		}
+		return median(values)
+	}
+	to := func(other Policy, value func(Result) float64) float64 {
+		var ratios []float64
+		for _, seed := range c.Seeds {
+			run, found := c.find(policy, seed)
+			reference, present := c.find(other, seed)
+			if found && present {
+				ratios = append(ratios, ratio(value(run), value(reference)))
+			}
+		}
+		return median(ratios)
+	}
+	firstP99 := func(r Result) float64 { return r.FirstToken.P99 }
+	interP99 := func(r Result) float64 { return r.InterToken.P99 }
+	items := func(r Result) float64 { return r.Batch.ItemsPerSecond }
+	tokens := func(r Result) float64 { return r.Batch.TokensPerSecond }
+	summary := PolicySummary{
+		Policy:              policy,
+		FirstTokenP50:       over(func(r Result) float64 { return r.FirstToken.P50 }),
+		FirstTokenP95:       over(func(r Result) float64 { return r.FirstToken.P95 }),
+		FirstTokenP99:       over(firstP99),
+		InterTokenP50:       over(func(r Result) float64 { return r.InterToken.P50 }),
+		InterTokenP95:       over(func(r Result) float64 { return r.InterToken.P95 }),
+		InterTokenP99:       over(interP99),
+		ItemsPerSecond:      over(items),
+		TokensPerSecond:     over(tokens),
+		IdleCapacityUsed:    over(func(r Result) float64 { return r.Batch.IdleCapacityUsed }),
+		DecodedTwiceShare:   over(func(r Result) float64 { return r.Batch.DecodedTwiceShare }),
+		PrefilledTwiceShare: over(func(r Result) float64 { return r.Batch.PrefilledTwiceShare }),
+		OnlineOfPerfect:     over(func(r Result) float64 { return r.Cache.OnlineOfPerfect }),
+		BatchOfPerfect:      over(func(r Result) float64 { return r.Cache.BatchOfPerfect }),
+		FirstTokenToOnline:  to(PolicyOnlineOnly, firstP99),
+		InterTokenToOnline:  to(PolicyOnlineOnly, interP99),
+		ItemsToFIFO:         to(PolicyFIFO, items),
+		TokensToFIFO:        to(PolicyFIFO, tokens),
+	}
+	for _, run := range c.Runs {
+		if run.Policy == policy && run.Failed {
+			summary.Failed++
+		}
+	}
+	return summary
+}
+
+// median returns the middle value, the mean of the two middle ones for an even
+// number, and 0 for none.
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	middle := len(sorted) / 2
+	if len(sorted)%2 == 1 {
+		return sorted[middle]
+	}
+	return (sorted[middle-1] + sorted[middle]) / 2
+}
+
+// Print writes the medians as a table.
+func (c Comparison) Print(out io.Writer) error {
+	fmt.Fprintf(out, "profile %s, seeds %v, medians\n", c.Profile, c.Seeds)
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "policy\tfirst token p50/p95/p99 ms\tto online-only\tinter-token p50/p95/p99 ms\tto online-only\titems/s\ttokens/s\tto fifo\tidle used\ttwice dec/pre\thits of perfect on/batch\tfailed")
+	for _, s := range c.Medians {
+		fmt.Fprintf(table, "%s\t%.1f/%.1f/%.1f\t%.3f\t%.2f/%.2f/%.2f\t%.3f\t%.1f\t%.0f\t%.3f\t%.3f\t%.2f%%/%.2f%%\t%.2f/%.2f\t%d\n",
+			s.Policy, s.FirstTokenP50, s.FirstTokenP95, s.FirstTokenP99, s.FirstTokenToOnline,
+			s.InterTokenP50, s.InterTokenP95, s.InterTokenP99, s.InterTokenToOnline,
+			s.ItemsPerSecond, s.TokensPerSecond, s.TokensToFIFO, s.IdleCapacityUsed,
+			100*s.DecodedTwiceShare, 100*s.PrefilledTwiceShare, s.OnlineOfPerfect, s.BatchOfPerfect, s.Failed)
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/lab/experiment/result.go
@@ -0,0 +1,141 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	labengine "github.com/sloelift/sloelift/lab/engine"
+	"github.com/sloelift/sloelift/lab/load"
+)
+
+// Result is the outcome of one run, as it is written to JSON.
+type Result struct {
+	Profile  string  `json:"profile"`
+	Scenario string  `json:"scenario"`
+	Policy   Policy  `json:"policy"`
+	Seed     uint64  `json:"seed"`
+	Seconds  float64 `json:"seconds"`
+	// Failed is set where an invariant broke or a fault could not be carried out.
+	Failed     bool              `json:"failed"`
+	Verdict    load.Verdict      `json:"verdict"`
+	FirstToken load.Distribution `json:"online_first_token"`
+	InterToken load.Distribution `json:"online_inter_token"`
+	Batch      BatchResult       `json:"batch"`
+	Cache      CacheResult       `json:"cache"`
+	// StartedOnLeaving counts runs that started on a replica more than 2 s after the first sign of its leaving.
+	StartedOnLeaving int            `json:"started_on_leaving"`
+	FaultErrors      []string       `json:"fault_errors,omitempty"`
+	Load             LoadDescribed  `json:"load"`
+	Folder           string         `json:"folder,omitempty"`
+	Engines          EngineAccounts `json:"engines"`
+}
+
+// LoadDescribed says what arrived.
+type LoadDescribed struct {
+	OnlineRequests int `json:"online_requests"`
+	Jobs           int `json:"jobs"`
+	Items          int `json:"items"`
+}
+
+// BatchResult holds the throughput of batch work while arrivals lasted, by the
+// engines' own record.
+type BatchResult struct {
+	ItemsPerSecond  float64 `json:"items_per_second"`
+	TokensPerSecond float64 `json:"tokens_per_second"`
+	// IdleCapacityItems is how many items a perfect scheduler could have run, see Bound.
+	IdleCapacityItems float64 `json:"idle_capacity_items"`
+	// IdleCapacityUsed is the share of it that was run.
+	IdleCapacityUsed float64 `json:"idle_capacity_used"`
+	// DecodedTwiceShare is answer tokens computed again, as a share of all; PrefilledTwiceShare is
+	// prompt tokens computed again by resumptions, as a share of all tokens computed.
+	DecodedTwiceShare   float64 `json:"decoded_twice_share"`
+	PrefilledTwiceShare float64 `json:"prefilled_twice_share"`
+	Resumptions         int     `json:"resumptions"`
+}
+
+// CacheResult holds prefix hit rates by the engines' record: cached prompt tokens over
+// all, of first starts. Possible is that of one cache that holds all.
+type CacheResult struct {
+	OnlineHitRate   float64 `json:"online_hit_rate"`
+	BatchHitRate    float64 `json:"batch_hit_rate"`
+	OnlinePossible  float64 `json:"online_possible"`
+	BatchPossible   float64 `json:"batch_possible"`
+	OnlineOfPerfect float64 `json:"online_of_perfect"`
+	BatchOfPerfect  float64 `json:"batch_of_perfect"`
+}
+
+// EngineAccounts are the engines' totals at the end of arrivals.
+type EngineAccounts struct {
+	Totals labengine.Totals `json:"totals_at_end_of_arrivals"`
+}
+
+func summarize(options Options, plan load.Plan, seen load.Observations, records map[string]labengine.RunRecord, atEnd labengine.Totals) Result {
+	verdict := load.Judge(seen, records, load.Expectations{ConnectionsMayBreak: options.Scenario.connectionsMayBreak()})
+	seconds := options.Duration.Seconds()
+	result := Result{
+		Profile: plan.Profile.Name, Scenario: options.Scenario.Name, Policy: options.Policy, Seed: options.Seed, Seconds: seconds,
+		Verdict: verdict, Failed: verdict.Failed(),
+		FirstToken: seen.FirstToken, InterToken: seen.InterToken,
+		Load:    LoadDescribed{OnlineRequests: len(plan.Online), Jobs: len(plan.Jobs)},
+		Engines: EngineAccounts{Totals: atEnd},
+	}
+	for _, job := range plan.Jobs {
+		result.Load.Items += len(job.Items)
+	}
+	result.Batch = batchResult(plan, records, atEnd, seconds)
+	result.Cache = cacheResult(plan, records)
+	return result
+}
+
+func batchResult(plan load.Plan, records map[string]labengine.RunRecord, atEnd labengine.Totals, seconds float64) BatchResult {
+	result := BatchResult{
+		ItemsPerSecond:  float64(atEnd.BatchFinished) / seconds,
+		TokensPerSecond: float64(atEnd.BatchDecoded) / seconds,
+	}
+	bound := Bound(plan)
+	result.IdleCapacityItems = bound.Items
+	result.IdleCapacityUsed = ratio(bound.workDone(atEnd), bound.Work)
+	var decoded, decodedTwice, prefilled, prefilledTwice int
+	for _, record := range records {
+		if !record.Batch {
+			continue
+		}
+		decoded += record.Decoded
+		prefilled += record.Prefilled
+		decodedTwice += max(record.Decoded-record.Furthest, 0)
+		if record.Starts > 1 {
+			result.Resumptions += record.Starts - 1
+			prefilledTwice += max(record.Prefilled-(record.PromptTokens-record.CachedTokens), 0)
+		}
+	}
+	result.DecodedTwiceShare = ratio(float64(decodedTwice), float64(decoded))
+	result.PrefilledTwiceShare = ratio(float64(prefilledTwice), float64(decoded+prefilled))
+	return result
+}
+
+func ratio(part, whole float64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return part / whole
+}
+
+// addFaults adds what the faults themselves show.
+func (r *Result) addFaults(faults *injector, records map[string]labengine.RunRecord, lag time.Duration) {
+	faults.mutex.Lock()
+	defer faults.mutex.Unlock()
+	r.FaultErrors = faults.failures
+	for marker, record := range records {
+		for _, start := range record.History {
+			announced, leaving := faults.leaving[start.Replica]
+			if leaving && start.At.After(announced.Add(lag+leavingGrace)) {
+				r.StartedOnLeaving++
+				if r.StartedOnLeaving == 1 {
+					r.Verdict.Broken = append(r.Verdict.Broken, fmt.Sprintf("%s started on %s %v after it was announced as leaving",
+						marker, start.Replica, start.At.Sub(announced).Round(time.Millisecond)))
+				}
+			}
+		}
+	}
+	r.Failed = r.Verdict.Failed() || len(r.FaultErrors) > 0
+}
--- /dev/null
+++ b/lab/experiment/scenario.go
@@ -0,0 +1,155 @@
+package experiment
+
+import (
+	"embed"
+	"fmt"
+	"io/fs"
+	"os"
+	"path"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/sloelift/sloelift/lab/load"
+)
+
+// FaultKind names what goes wrong.
+type FaultKind string
+
+// Kinds of faults.
+const (
+	FaultKillNode        FaultKind = "kill_node"
+	FaultLoseDisk        FaultKind = "lose_disk"
+	FaultPauseNode       FaultKind = "pause_node"
+	FaultKeyValueDown    FaultKind = "key_value_down"
+	FaultKeyValueSlow    FaultKind = "key_value_slow"
+	FaultKeyValueAnswers FaultKind = "key_value_answers_lost"
+	FaultCutZone         FaultKind = "cut_zone"
+	FaultKillReplica     FaultKind = "kill_replica"
+	FaultLeaveReplica    FaultKind = "leave_replica"
+	FaultLoadLag         FaultKind = "load_lag"
+	FaultCacheEventsLost FaultKind = "cache_events_lost"
+	FaultRollingRestart  FaultKind = "rolling_restart"
+)
+
+// Target names which nodes a fault can hit.
+type Target string
+
+// Targets of node faults.
+const (
+	TargetAny     Target = ""
+	TargetStore   Target = "store"
+	TargetGateway Target = "gateway"
+)
+
+// Fault is one fault of a scenario.
+type Fault struct {
+	At   time.Duration `yaml:"at"`
+	Kind FaultKind     `yaml:"kind"`
+	// For is how long it lasts; 0 is until the end.
+	For    time.Duration `yaml:"for"`
+	Target Target        `yaml:"target"`
+	// Count is how many nodes or replicas it hits at once; 0 is one.
+	Count int `yaml:"count"`
+	// Share is a probability, for answers and cache events lost.
+	Share float64 `yaml:"share"`
+	// Lag is the age of load reports or the delay of the key-value service.
+	Lag time.Duration `yaml:"lag"`
+}
+
+// LoadChange changes the profile's load; nil leaves a value as it is.
+type LoadChange struct {
+	ResendShare        *float64 `yaml:"resendShare"`
+	CancelShare        *float64 `yaml:"cancelShare"`
+	NotRepeatableShare *float64 `yaml:"notRepeatableShare"`
+	OnlineScale        *float64 `yaml:"onlineScale"`
+	BatchScale         *float64 `yaml:"batchScale"`
+}
+
+// Scenario is one fault file.
+type Scenario struct {
+	Name        string        `yaml:"name"`
+	Description string        `yaml:"description"`
+	Duration    time.Duration `yaml:"duration"`
+	Load        LoadChange    `yaml:"load"`
+	Faults      []Fault       `yaml:"faults"`
+}
+
+//go:embed faults/*.yaml
+var builtIn embed.FS
+
+// LoadScenario reads a fault file: a path, or the name of a built-in one.
+func LoadScenario(name string) (Scenario, error) {
+	content, err := os.ReadFile(name)
+	if os.IsNotExist(err) {
+		content, err = builtIn.ReadFile(path.Join("faults", strings.TrimSuffix(name, ".yaml")+".yaml"))
+	}
+	if err != nil {
+		return Scenario{}, fmt.Errorf("read fault file: %w", err)
+	}
+	return ParseScenario(content)
+}
+
+// ParseScenario reads a fault file's content; an unknown key or kind is an error.
+func ParseScenario(content []byte) (Scenario, error) {
+	var scenario Scenario
+	if err := yaml.UnmarshalWithOptions(content, &scenario, yaml.Strict()); err != nil {
+		return Scenario{}, fmt.Errorf("fault file: %w", err)
+	}
+	if scenario.Name == "" || scenario.Duration <= 0 {
+		return Scenario{}, fmt.Errorf("fault file: name and duration are required")
+	}
+	for index, fault := range scenario.Faults {
+		if _, known := actions[fault.Kind]; !known {
+			return Scenario{}, fmt.Errorf("fault file: faults[%d]: unknown kind %q", index, fault.Kind)
+		}
+	}
+	return scenario, nil
+}
+
+// BuiltInScenarios returns the names of the built-in fault files.
+func BuiltInScenarios() []string {
+	files, err := fs.Glob(builtIn, "faults/*.yaml")
+	if err != nil {
+		panic(err) // The pattern is a constant.
+	}
+	names := make([]string, len(files))
+	for index, file := range files {
+		names[index] = strings.TrimSuffix(path.Base(file), ".yaml")
+	}
+	return names
+}
+
+// apply returns the profile with the change.
+func (c LoadChange) apply(profile load.Profile) load.Profile {
+	set := func(value *float64, fields ...*float64) {
+		for _, field := range fields {
+			if value != nil {
+				*field = *value
+			}
+		}
+	}
+	set(c.ResendShare, &profile.Batch.ResendShare, &profile.Online.ResendShare)
+	set(c.CancelShare, &profile.Batch.CancelShare)
+	set(c.NotRepeatableShare, &profile.Batch.NotRepeatableShare, &profile.Online.NotRepeatableShare)
+	if c.OnlineScale != nil {
+		profile.Online.RequestsPerSecond *= *c.OnlineScale
+		profile.Online.BurstRequestsPerSecond *= *c.OnlineScale
+	}
+	if c.BatchScale != nil {
+		profile.Batch.ItemsPerJob = int(float64(profile.Batch.ItemsPerJob) * *c.BatchScale)
+	}
+	return profile
+}
+
+// connectionsMayBreak tells whether callers' connections can break under the scenario.
+func (s Scenario) connectionsMayBreak() bool {
+	for _, fault := range s.Faults {
+		switch fault.Kind {
+		case FaultKillNode, FaultLoseDisk, FaultPauseNode, FaultCutZone:
+			return true
+		}
+	}
+	return false
+}
--- a/lab/load/plan.go
+++ b/lab/load/plan.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -50,6 +51,12 @@
 	MaxTokens int
 }
 
+// itemMark is in the marker of every batch item and of no online request.
+const itemMark = "-item-"
+
+// IsBatch tells whether a marker is that of a batch item.
+func IsBatch(marker string) bool { return strings.Contains(marker, itemMark) }
+
 // Expected returns the right answer.
 func (i JobItem) Expected() labengine.Answer {
 	return labengine.AnswerTo(labengine.ChatPrompt(i.Content), i.MaxTokens)
@@ -131,7 +138,7 @@
 	}
 	prefix := text(random, shape.PrefixBytes)
 	for index := range shape.ItemsPerJob {
-		customID := fmt.Sprintf("%s-item-%d", key, index)
+		customID := key + itemMark + strconv.Itoa(index)
 		job.Items = append(job.Items, JobItem{
 			CustomID:  customID,
 			Content:   prefix + "\n" + text(random, shape.ContentBytes/2+random.IntN(shape.ContentBytes+1)) + "\n" + customID,
