Specify the ledger's protocol in Promela

Cause: the protocol breaks if a lost disk is replaced naively; it must be checked before the code is trusted. Change: spec/ledger.pml with ballots, prepare, recover, append, late messages, disk loss, replacement, promotion. Stores are sorted after each action, so that states that differ only in numbering are one.

--- /dev/null
+++ b/spec/ledger.pml
@@ -0,0 +1,451 @@
+/*
+ * The ledger's core protocol: ballots, quorum appends, recovery, the loss and the
+ * replacement of a disk. docs/design/0017-specification.md maps each action to its Go function.
+ *
+ * N stores. An owner takes a ballot (ensemble version, number, owner), prepares on R full
+ * members, rewrites what it read, and appends to W members. A lost disk comes back
+ * empty under a new incarnation; it is swapped in as joining and promoted later, both by
+ * compare-and-swap of the ensemble.
+ *
+ * The property: a slot is never acknowledged with two values, and an owner that
+ * acknowledges a later slot has the acknowledged value of the earlier one. Each guard
+ * has a MUTANT_ flag that removes it; the checker must then find a violation.
+ *
+ * Stores are interchangeable, so each action ends by sorting them (SORT): states that
+ * differ only in the numbering of stores are one state.
+ */
+#define N 4
+#ifndef W
+#define W 3
+#endif
+#ifndef R
+#define R 2
+#endif
+#ifndef SLOTS
+#define SLOTS 1
+#endif
+#ifndef LOSSES
+#define LOSSES 2
+#endif
+/* How many ballots each owner may take. */
+#ifndef ROUNDS
+#define ROUNDS 2
+#endif
+
+#define NOTHING 0
+/* Owner o proposes o + 1; recovery fills a hole with NO_OPERATION. */
+#define NO_OPERATION 3
+
+#define IDLE 0
+#define PREPARING 1
+#define APPENDING 2
+
+#ifdef MUTANT_BALLOT_WITHOUT_VERSION
+#define BALLOT(version, number, owner) ((number) * 2 + (owner) + 1)
+#else
+#define BALLOT(version, number, owner) ((version) * 8 + (number) * 2 + (owner) + 1)
+#endif
+
+c_decl {
+  /* Sorts the N records of size bytes at base, by their bytes. */
+  static void sort_records(void *base, int size) {
+    char held[256];
+    char *records = (char *) base;
+    int from, to;
+    for (from = 1; from < 4; from++) {
+      memcpy(held, records + from * size, size);
+      for (to = from; to > 0 && memcmp(records + (to - 1) * size, held, size) > 0; to--)
+        memcpy(records + to * size, records + (to - 1) * size, size);
+      memcpy(records + to * size, held, size);
+    }
+  }
+}
+#define SORT c_code { sort_records(now.store, sizeof(now.store[0])); }
+
+/* What one owner knows of one store. */
+typedef View {
+  /* The owner addresses the disk that is there now; false once that disk was lost. */
+  bit current;
+  bit joining;
+  /* The store's promise counts towards the owner's R. */
+  bit promised;
+  /* The store's acknowledgement counts towards the owner's W. */
+  bit acknowledged[SLOTS];
+  /* An append is on its way to the store. */
+  bit underWay[SLOTS];
+#ifdef LATE
+  /* An append of the owner's previous ballot is still on its way. */
+  bit late[SLOTS];
+#endif
+};
+
+typedef Store {
+  byte promised;
+  byte acceptedBallot[SLOTS];
+  byte acceptedValue[SLOTS];
+  /* The ensemble in the key-value service holds this disk; joining or full. */
+  bit member;
+  bit joining;
+  View view[2]
+};
+
+typedef Owner {
+  byte phase;
+  byte number;
+  byte version;
+  byte ballot;
+  byte bestBallot[SLOTS];
+  byte value[SLOTS];
+#ifdef LATE
+  byte lateBallot;
+  byte lateValue[SLOTS];
+#endif
+};
+
+Store store[N];
+Owner owner[2];
+byte ensembleVersion = 1;
+byte losses = 0;
+/* The value acknowledged to a client, by slot. */
+byte chosen[SLOTS];
+hidden byte i;
+hidden byte k;
+
+#define PROMISES(o) (store[0].view[o].promised + store[1].view[o].promised + store[2].view[o].promised + store[3].view[o].promised)
+#define ACKNOWLEDGEMENTS(o, slot) (store[0].view[o].acknowledged[slot] + store[1].view[o].acknowledged[slot] + store[2].view[o].acknowledged[slot] + store[3].view[o].acknowledged[slot])
+
+#ifdef MUTANT_NO_PROMISE_CHECK
+#define MAY_ACCEPT(s, atBallot) (true)
+#else
+#define MAY_ACCEPT(s, atBallot) (store[s].promised <= (atBallot))
+#endif
+
+/* forgetRefused: an append that a store will refuse for ever is as good as gone. */
+inline forgetRefused(s) {
+  i = 0;
+  do
+  :: i < 2 ->
+     k = 0;
+     do
+     :: k < SLOTS ->
+        if
+        :: !store[s].view[i].current || !MAY_ACCEPT(s, owner[i].ballot) -> store[s].view[i].underWay[k] = 0
+        :: else
+        fi;
+#ifdef LATE
+        if
+        :: !store[s].view[i].current || !MAY_ACCEPT(s, owner[i].lateBallot) -> store[s].view[i].late[k] = 0
+        :: else
+        fi;
+#endif
+        k++
+     :: else -> break
+     od;
+     i++
+  :: else -> break
+  od
+}
+
+/* takeBallot: above the owner's last one, at an ensemble that may be out of date. */
+inline takeBallot(o, refresh) {
+  i = 0;
+  do
+  :: i < N ->
+     k = 0;
+     do
+     :: k < SLOTS ->
+#ifdef LATE
+        store[i].view[o].late[k] = store[i].view[o].underWay[k];
+#endif
+        store[i].view[o].underWay[k] = 0;
+        store[i].view[o].acknowledged[k] = 0;
+        k++
+     :: else -> break
+     od;
+     store[i].view[o].promised = 0;
+     if
+     :: refresh ->
+#ifdef LATE
+        /* A late append to a disk that the owner did not know is for another disk. */
+        k = 0;
+        do
+        :: k < SLOTS ->
+           if
+           :: !store[i].view[o].current -> store[i].view[o].late[k] = 0
+           :: else
+           fi;
+           k++
+        :: else -> break
+        od;
+#endif
+        store[i].view[o].current = store[i].member;
+        store[i].view[o].joining = store[i].joining
+     :: else
+     fi;
+     i++
+  :: else -> break
+  od;
+  k = 0;
+  do
+  :: k < SLOTS ->
+#ifdef LATE
+     owner[o].lateValue[k] = owner[o].value[k];
+#endif
+     owner[o].value[k] = NOTHING;
+     owner[o].bestBallot[k] = 0;
+     k++
+  :: else -> break
+  od;
+#ifdef LATE
+  owner[o].lateBallot = owner[o].ballot;
+#endif
+  if
+  :: refresh -> owner[o].version = ensembleVersion
+  :: else
+  fi;
+  owner[o].number++;
+  owner[o].ballot = BALLOT(owner[o].version, owner[o].number, o);
+  owner[o].phase = PREPARING
+}
+
+#ifdef MUTANT_JOINING_COUNTS_FOR_READ
+#define MAY_READ(o, s) (true)
+#else
+#define MAY_READ(o, s) (!store[s].view[o].joining)
+#endif
+
+/* prepare: store s promises the ballot and, if the answer arrives, tells what it accepted. */
+inline prepare(o, s, answered) {
+  store[s].promised = owner[o].ballot;
+  if
+  :: answered && MAY_READ(o, s) ->
+     store[s].view[o].promised = 1;
+     k = 0;
+     do
+     :: k < SLOTS ->
+        if
+        :: store[s].acceptedBallot[k] > owner[o].bestBallot[k] ->
+           owner[o].bestBallot[k] = store[s].acceptedBallot[k];
+           owner[o].value[k] = store[s].acceptedValue[k]
+        :: else
+        fi;
+        k++
+     :: else -> break
+     od
+  :: else
+  fi;
+  forgetRefused(s)
+}
+
+inline send(o, slot) {
+  i = 0;
+  do
+  :: i < N ->
+     if
+     :: store[i].view[o].current && MAY_ACCEPT(i, owner[o].ballot) -> store[i].view[o].underWay[slot] = 1
+     :: else
+     fi;
+     i++
+  :: else -> break
+  od
+}
+
+/* recover: rewrite what was read; a hole below it becomes a no-operation. */
+inline recover(o) {
+  owner[o].phase = APPENDING;
+  i = 0;
+  do
+  :: i < N -> store[i].view[o].promised = 0; i++
+  :: else -> break
+  od;
+  k = SLOTS;
+  do
+  :: k > 0 ->
+     k--;
+     owner[o].bestBallot[k] = 0;
+#ifdef MUTANT_NO_REWRITE
+     owner[o].value[k] = NOTHING;
+#endif
+#if SLOTS > 1
+     if
+     :: k == 0 && owner[o].value[0] == NOTHING && owner[o].value[1] != NOTHING -> owner[o].value[0] = NO_OPERATION
+     :: else
+     fi;
+#endif
+     if
+     :: owner[o].value[k] != NOTHING -> send(o, k)
+     :: else
+     fi
+  :: else -> break
+  od
+}
+
+/* append: the owner's own value. */
+inline append(o, slot) {
+  owner[o].value[slot] = o + 1;
+  send(o, slot)
+}
+
+/*
+ * deliver: store s takes the append. A lost acknowledgement needs no action of its own:
+ * it only withholds what the owner may do, and each of its actions is optional. A lost
+ * append is one that is never delivered.
+ */
+inline deliver(o, s, slot) {
+  store[s].promised = owner[o].ballot;
+  store[s].acceptedBallot[slot] = owner[o].ballot;
+  store[s].acceptedValue[slot] = owner[o].value[slot];
+  store[s].view[o].underWay[slot] = 0;
+  store[s].view[o].acknowledged[slot] = 1;
+  forgetRefused(s)
+}
+
+#ifdef LATE
+inline deliverLate(o, s, slot) {
+  store[s].promised = owner[o].lateBallot;
+  store[s].acceptedBallot[slot] = owner[o].lateBallot;
+  store[s].acceptedValue[slot] = owner[o].lateValue[slot];
+  store[s].view[o].late[slot] = 0;
+  forgetRefused(s)
+}
+#endif
+
+/* acknowledge: W stores have the value; the client is told. Slots are acknowledged in order. */
+inline acknowledge(o, slot) {
+  assert(chosen[slot] == NOTHING || chosen[slot] == owner[o].value[slot]);
+#if SLOTS > 1
+  assert(slot == 0 || chosen[0] == owner[o].value[0]);
+#endif
+  chosen[slot] = owner[o].value[slot]
+}
+
+inline loseDisk(s) {
+  losses++;
+  store[s].promised = 0;
+  k = 0;
+  do
+  :: k < SLOTS -> store[s].acceptedBallot[k] = 0; store[s].acceptedValue[k] = NOTHING; k++
+  :: else -> break
+  od;
+  store[s].member = 0;
+  store[s].view[0].current = 0;
+  store[s].view[1].current = 0;
+  forgetRefused(s)
+}
+
+/* replaceMember: compare-and-swap of the ensemble; the new disk joins. */
+inline replaceMember(s) {
+  store[s].member = 1;
+#ifdef MUTANT_JOIN_AS_FULL
+  store[s].joining = 0;
+#else
+  store[s].joining = 1;
+#endif
+  ensembleVersion++
+}
+
+/* promoteMember: compare-and-swap; the joining disk has the rewritten log. */
+inline promoteMember(s) {
+  store[s].joining = 0;
+  ensembleVersion++
+}
+
+#ifdef MUTANT_PROMOTE_WITHOUT_REWRITE
+#define REWRITTEN(o, s, slot) (true)
+#else
+#define REWRITTEN(o, s, slot) (ACKNOWLEDGEMENTS(o, slot) >= W && store[s].view[o].acknowledged[slot])
+#endif
+
+/*
+ * MAY_PROMOTE: every slot that recovery read was rewritten to W stores, the joining one
+ * among them, under a ballot of the ensemble that it joined. Where recovery read nothing, one
+ * append that the joining disk took shows that its promise is there.
+ */
+#ifdef MUTANT_FILL_UNDER_OLD_BALLOT
+#define AT_PRESENT_VERSION(o) (true)
+#else
+#define AT_PRESENT_VERSION(o) (owner[o].version == ensembleVersion)
+#endif
+#if SLOTS == 1
+#define LOG_REWRITTEN(o, s) (REWRITTEN(o, s, 0))
+#else
+#define LOG_REWRITTEN(o, s) (REWRITTEN(o, s, 0) && (owner[o].value[1] == NOTHING || REWRITTEN(o, s, 1)))
+#endif
+#define MAY_PROMOTE(o, s) (store[s].member && store[s].joining && AT_PRESENT_VERSION(o) && owner[o].phase == APPENDING && LOG_REWRITTEN(o, s))
+
+#define CAN_PREPARE(o, s) (owner[o].phase == PREPARING && store[s].view[o].current && !store[s].view[o].promised && store[s].promised <= owner[o].ballot)
+
+/* Actions of owner o towards store s. */
+#define PREPARE(s) \
+  :: d_step { CAN_PREPARE(o, s) && MAY_READ(o, s) -> prepare(o, s, true); SORT } \
+  :: d_step { CAN_PREPARE(o, s) && store[s].promised < owner[o].ballot -> prepare(o, s, false); SORT }
+#define PROMOTE(s) \
+  :: d_step { MAY_PROMOTE(o, s) -> promoteMember(s); SORT }
+#define DELIVER(s, slot) \
+  :: d_step { owner[o].phase == APPENDING && store[s].view[o].underWay[slot] -> deliver(o, s, slot); SORT }
+#ifdef LATE
+#define DELIVER_LATE(s, slot) \
+  :: d_step { store[s].view[o].late[slot] -> deliverLate(o, s, slot); SORT }
+#else
+#define DELIVER_LATE(s, slot)
+#endif
+#define ACKNOWLEDGE(slot) \
+  :: d_step { owner[o].phase == APPENDING && owner[o].value[slot] != NOTHING && ACKNOWLEDGEMENTS(o, slot) >= W && chosen[slot] != owner[o].value[slot] && (slot == 0 || ACKNOWLEDGEMENTS(o, 0) >= W) -> acknowledge(o, slot) }
+
+/* The naive way: an owner learns the new member and appends to it under its old ballot. */
+#ifdef MUTANT_FILL_UNDER_OLD_BALLOT
+#define FILL(s) \
+  :: d_step { owner[o].phase == APPENDING && owner[o].value[0] != NOTHING && store[s].member && store[s].joining && !store[s].view[o].current -> \
+       store[s].view[o].current = 1; store[s].view[o].acknowledged[0] = 0; store[s].view[o].underWay[0] = 1; SORT }
+#else
+#define FILL(s)
+#endif
+
+proctype OwnerProcess(byte o) {
+  do
+  :: d_step { owner[o].number < ROUNDS -> takeBallot(o, true); SORT }
+  /* The key-value service is down: the owner uses the ensemble that it has. */
+  :: d_step { owner[o].number < ROUNDS && owner[o].version > 0 && owner[o].version < ensembleVersion -> takeBallot(o, false); SORT }
+  PREPARE(0) PREPARE(1) PREPARE(2) PREPARE(3)
+  :: d_step { owner[o].phase == PREPARING && PROMISES(o) >= R -> recover(o); SORT }
+  :: d_step { owner[o].phase == APPENDING && owner[o].value[0] == NOTHING -> append(o, 0); SORT }
+  DELIVER(0, 0) DELIVER(1, 0) DELIVER(2, 0) DELIVER(3, 0)
+  DELIVER_LATE(0, 0) DELIVER_LATE(1, 0) DELIVER_LATE(2, 0) DELIVER_LATE(3, 0)
+  ACKNOWLEDGE(0)
+#if SLOTS > 1
+  :: d_step { owner[o].phase == APPENDING && owner[o].value[0] != NOTHING && owner[o].value[1] == NOTHING -> append(o, 1); SORT }
+  DELIVER(0, 1) DELIVER(1, 1) DELIVER(2, 1) DELIVER(3, 1)
+  DELIVER_LATE(0, 1) DELIVER_LATE(1, 1) DELIVER_LATE(2, 1) DELIVER_LATE(3, 1)
+  ACKNOWLEDGE(1)
+#endif
+  PROMOTE(0) PROMOTE(1) PROMOTE(2) PROMOTE(3)
+  FILL(0) FILL(1) FILL(2) FILL(3)
+  od
+}
+
+#define LOSE(s) \
+  :: d_step { losses < LOSSES -> loseDisk(s); SORT }
+#define REPLACE(s) \
+  :: d_step { !store[s].member -> replaceMember(s); SORT }
+
+proctype Disks() {
+  do
+  LOSE(0) LOSE(1) LOSE(2) LOSE(3)
+  REPLACE(0) REPLACE(1) REPLACE(2) REPLACE(3)
+  od
+}
+
+init {
+  d_step {
+    i = 0;
+    do
+    :: i < N -> store[i].member = 1; i++
+    :: else -> break
+    od
+  };
+  atomic {
+    run OwnerProcess(0);
+    run OwnerProcess(1);
+    run Disks()
+  }
+}
