--- a/internal/config/relay/cluster_test.go
+++ b/internal/config/relay/cluster_test.go
@@ -40,6 +40,7 @@
 	member    membership.Member
 	seed      uint64
 	transport *memory.Transport
+	registry  *prometheus.Registry
 	service   *relay.Service
 
 	mutex     sync.Mutex
@@ -100,15 +101,20 @@
 
 func (n *clusterNode) start() {
 	n.seed += 1000
-	end, err := memory.NewTransport(n.cluster.network, n.member.PeerAddress, prometheus.NewRegistry())
+	n.registry = prometheus.NewRegistry()
+	end, err := memory.NewTransport(n.cluster.network, n.member.PeerAddress, n.registry)
 	if err != nil {
 		n.cluster.t.Fatal(err)
 	}
 	n.transport = end
-	n.service = relay.New(relay.Options{
+	n.service, err = relay.New(relay.Options{
 		Self: n.member, Viewer: &viewer{cluster: n.cluster, self: n.member.ID}, Caller: end,
 		KeyValue: n.cluster.platform.KeyValue(n.member.Zone), Logger: zerolog.Nop(), Seed: n.seed,
+		Registerer: n.registry,
 	}, end)
+	if err != nil {
+		n.cluster.t.Fatal(err)
+	}
 	n.revisions = nil
 	n.service.Subscribe(func(snapshot *config.Snapshot) {
 		n.mutex.Lock()
--- a/internal/config/relay/fx.go
+++ b/internal/config/relay/fx.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
@@ -13,7 +14,7 @@
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
-// Module provides config.Source and *Service. A RevisionReporter is used where one is supplied.
+// Module provides config.Source and *Service, and reports the revision in force to the membership.
 var Module = fx.Module("config-relay", fx.Provide(
 	provide,
 	func(service *Service) config.Source { return service },
@@ -22,30 +23,34 @@
 type params struct {
 	fx.In
 
-	Lifecycle fx.Lifecycle
-	Settings  settings.Settings
-	Viewer    membership.Viewer
-	Caller    transport.Caller
-	Registrar transport.Registrar
-	KeyValue  platform.KeyValue
-	Reporter  RevisionReporter `optional:"true"`
-	Logger    zerolog.Logger
+	Lifecycle  fx.Lifecycle
+	Settings   settings.Settings
+	Membership *membership.Service
+	Caller     transport.Caller
+	Registrar  transport.Registrar
+	KeyValue   platform.KeyValue
+	Registerer prometheus.Registerer
+	Logger     zerolog.Logger
 }
 
-func provide(given params) *Service {
-	service := New(Options{
+func provide(given params) (*Service, error) {
+	service, err := New(Options{
 		Self: membership.Member{
 			ID:          membership.NodeID(given.Settings.Node),
 			Region:      given.Settings.Region,
 			Zone:        given.Settings.Zone,
 			PeerAddress: given.Settings.PeerAddress,
 		},
-		Viewer:   given.Viewer,
-		Caller:   given.Caller,
-		KeyValue: given.KeyValue,
-		Reporter: given.Reporter,
-		Logger:   given.Logger,
+		Viewer:     given.Membership,
+		Caller:     given.Caller,
+		KeyValue:   given.KeyValue,
+		Reporter:   given.Membership,
+		Registerer: given.Registerer,
+		Logger:     given.Logger,
 	}, given.Registrar)
+	if err != nil {
+		return nil, err
+	}
 	given.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			service.Start()
@@ -56,5 +61,5 @@
 			return nil
 		},
 	})
-	return service
+	return service, nil
 }
--- a/internal/config/relay/service.go
+++ b/internal/config/relay/service.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/sloelift/sloelift/internal/config"
@@ -39,6 +40,8 @@
 	KeyValue platform.KeyValue
 	Reporter RevisionReporter
 	Logger   zerolog.Logger
+	// Registerer takes the metrics.
+	Registerer prometheus.Registerer
 	// Seed decides the random choices; 0 takes one at random.
 	Seed uint64
 }
@@ -56,6 +59,8 @@
 	held    atomic.Pointer[document]
 
 	subscribers subscribers
+	metrics     *metrics
+	busy        atomic.Int64
 
 	stop    context.CancelFunc
 	running sync.WaitGroup
@@ -69,7 +74,11 @@
 var _ config.Source = (*Service)(nil)
 
 // New returns a Service that is not running, and registers its handlers.
-func New(options Options, registrar transport.Registrar) *Service {
+func New(options Options, registrar transport.Registrar) (*Service, error) {
+	created, err := newMetrics(options.Registerer)
+	if err != nil {
+		return nil, err
+	}
 	seed := options.Seed
 	if seed == 0 {
 		seed = rand.Uint64()
@@ -82,6 +91,7 @@
 		protocol:   newProtocol(options.Self, seed),
 		stopWatch:  func() {},
 		reportedAt: make(map[problem]time.Time),
+		metrics:    created,
 	}
 	empty, err := config.BuildSnapshot(0, nil)
 	if err != nil {
@@ -89,7 +99,7 @@
 	}
 	service.inForce.Store(empty)
 	service.register(registrar)
-	return service
+	return service, nil
 }
 
 // Current returns the Snapshot in force.
@@ -104,6 +114,9 @@
 	return s.subscribers.add(notify)
 }
 
+// Busy is the time that the control goroutine spent on events so far.
+func (s *Service) Busy() time.Duration { return time.Duration(s.busy.Load()) }
+
 // Start runs the control goroutine until Stop.
 func (s *Service) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -155,6 +168,8 @@
 }
 
 func (s *Service) handle(ctx context.Context, input event) {
+	started := time.Now()
+	defer func() { s.busy.Add(int64(time.Since(started))) }()
 	for _, output := range s.protocol.step(input) {
 		s.perform(ctx, output)
 	}
@@ -186,6 +201,7 @@
 		// A digest that is lost is made up for by the next one.
 		_ = s.options.Caller.Send(typed.to, methodDigest, encodeDigest(typed.digest))
 	case actionPull:
+		s.metrics.pulls.Inc()
 		s.running.Go(func() { s.pull(ctx, typed) })
 	case actionReport:
 		s.report(typed)
@@ -202,6 +218,7 @@
 		return
 	}
 	s.inForce.Store(snapshot)
+	s.metrics.revision.Set(float64(snapshot.Revision))
 	s.logger.Info().Int64(logging.FieldRevision, snapshot.Revision).Msg("configuration_in_force")
 	if s.options.Reporter != nil {
 		s.options.Reporter.SetConfigRevision(snapshot.Revision)
@@ -210,6 +227,7 @@
 }
 
 func (s *Service) report(reported actionReport) {
+	s.metrics.problems.WithLabelValues(string(reported.problem)).Inc()
 	now := time.Now()
 	last, before := s.reportedAt[reported.problem]
 	if before && now.Sub(last) < reportInterval {
