--- a/internal/config/relay/cluster_test.go
+++ b/internal/config/relay/cluster_test.go
@@ -14,6 +14,8 @@
 	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/config/relay"
 	"github.com/sloelift/sloelift/internal/membership"
+	port "github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/transport"
 	"github.com/sloelift/sloelift/internal/transport/memory"
 	"github.com/sloelift/sloelift/lab/platform"
 )
@@ -23,8 +25,10 @@
 // cluster is some nodes on virtual time with the stand-in platform in process. Membership is
 // a directory that all see at once.
 type cluster struct {
-	t        testing.TB
-	network  *memory.Network
+	t       testing.TB
+	network *memory.Network
+	// open makes a node's ends; it is newMemoryEnds unless a test replaces it.
+	open     func(*clusterNode) (peerTransport, port.KeyValue)
 	platform *platform.Server
 	zones    []string
 	nodes    []*clusterNode
@@ -39,7 +43,7 @@
 	cluster   *cluster
 	member    membership.Member
 	seed      uint64
-	transport *memory.Transport
+	transport peerTransport
 	registry  *prometheus.Registry
 	service   *relay.Service
 
@@ -56,6 +60,7 @@
 	for zone := range zones {
 		c.zones = append(c.zones, fmt.Sprintf("zone-%d", zone))
 	}
+	c.open = newMemoryEnds
 	c.lose(0)
 	for index := range zones * nodesPerZone {
 		address := netip.AddrFrom4([4]byte{127, 1, byte(index % zones), byte(index / zones)})
@@ -85,9 +90,6 @@
 func zoneByte(address netip.AddrPort) byte { return address.Addr().As4()[2] }
 
 func (c *cluster) start() {
-	for _, node := range c.nodes {
-		c.live[node.member.ID] = node.member
-	}
 	for _, node := range c.nodes {
 		node.start()
 	}
@@ -99,29 +101,53 @@
 	}
 }
 
+// peerTransport is a node's end of the network.
+type peerTransport interface {
+	transport.Caller
+	transport.Registrar
+	// Start returns the address that others reach this end at.
+	Start() netip.AddrPort
+	Stop()
+}
+
+type memoryTransport struct{ *memory.Transport }
+
+func (t memoryTransport) Start() netip.AddrPort {
+	t.Transport.Start()
+	return t.Address()
+}
+
+func newMemoryEnds(node *clusterNode) (peerTransport, port.KeyValue) {
+	c := node.cluster
+	end, err := memory.NewTransport(c.network, node.member.PeerAddress, node.registry)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return memoryTransport{end}, c.platform.KeyValue(node.member.Zone)
+}
+
 func (n *clusterNode) start() {
 	n.seed += 1000
 	n.registry = prometheus.NewRegistry()
-	end, err := memory.NewTransport(n.cluster.network, n.member.PeerAddress, n.registry)
-	if err != nil {
-		n.cluster.t.Fatal(err)
-	}
+	end, keyValue := n.cluster.open(n)
 	n.transport = end
-	n.service, err = relay.New(relay.Options{
+	service, err := relay.New(relay.Options{
 		Self: n.member, Viewer: &viewer{cluster: n.cluster, self: n.member.ID}, Caller: end,
-		KeyValue: n.cluster.platform.KeyValue(n.member.Zone), Logger: zerolog.Nop(), Seed: n.seed,
+		KeyValue: keyValue, Logger: zerolog.Nop(), Seed: n.seed,
 		Registerer: n.registry,
 	}, end)
 	if err != nil {
 		n.cluster.t.Fatal(err)
 	}
+	n.service = service
 	n.revisions = nil
 	n.service.Subscribe(func(snapshot *config.Snapshot) {
 		n.mutex.Lock()
 		defer n.mutex.Unlock()
 		n.revisions = append(n.revisions, snapshot.Revision)
 	})
-	end.Start()
+	n.member.PeerAddress = end.Start()
+	n.cluster.setLive(n, true)
 	n.service.Start()
 }
 
@@ -246,3 +272,12 @@
 		notify(nil)
 	}
 }
+
+// calls are those to the platform so far.
+func (c *cluster) calls() int64 {
+	var total int64
+	for _, count := range c.platform.Counters() {
+		total += count.Calls
+	}
+	return total
+}
--- a/internal/config/relay/service_test.go
+++ b/internal/config/relay/service_test.go
@@ -174,3 +174,28 @@
 		}
 	})
 }
+
+// TestStoreCallsDoNotGrowWithNodes compares ten quiet minutes of a small and a large cluster.
+func TestStoreCallsDoNotGrowWithNodes(t *testing.T) {
+	const (
+		zones            = 3
+		quiet            = 10 * time.Minute
+		shortestHeadPoll = 10 * time.Second
+		watchers         = 2
+	)
+	for _, nodesPerZone := range []int{3, 12} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, zones, nodesPerZone)
+			c.start()
+			defer c.stop()
+			c.wantSpread(c.apply("first"), bound, everyNode)
+			before := c.calls()
+			time.Sleep(quiet)
+			calls := c.calls() - before
+			t.Logf("%d nodes: %d calls in %s", len(c.nodes), calls, quiet)
+			if most := int64(zones * watchers * (quiet/shortestHeadPoll + 1)); calls > most {
+				t.Errorf("%d calls, want at most %d", calls, most)
+			}
+		})
+	}
+}
