--- a/internal/config/relay/fx.go
+++ b/internal/config/relay/fx.go
@@ -14,7 +14,7 @@
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
-// Module provides config.Source and *Service, and reports the revision in force to the membership.
+// Module provides config.Source and *Service, and tells the revision in force to the RevisionReporter.
 var Module = fx.Module("config-relay", fx.Provide(
 	provide,
 	func(service *Service) config.Source { return service },
@@ -25,7 +25,8 @@
 
 	Lifecycle  fx.Lifecycle
 	Settings   settings.Settings
-	Membership *membership.Service
+	Viewer     membership.Viewer
+	Reporter   RevisionReporter
 	Caller     transport.Caller
 	Registrar  transport.Registrar
 	KeyValue   platform.KeyValue
@@ -41,10 +42,10 @@
 			Zone:        given.Settings.Zone,
 			PeerAddress: given.Settings.PeerAddress,
 		},
-		Viewer:     given.Membership,
+		Viewer:     given.Viewer,
 		Caller:     given.Caller,
 		KeyValue:   given.KeyValue,
-		Reporter:   given.Membership,
+		Reporter:   given.Reporter,
 		Registerer: given.Registerer,
 		Logger:     given.Logger,
 	}, given.Registrar)
