Draw the histories of a lost answer before they run

Cause: a failed check ended in a panic inside the virtual time, not in a failed test. Change: what happens is drawn first; late arrivals are drawn more often.

--- a/internal/platform/settle_test.go
+++ b/internal/platform/settle_test.go
@@ -24,11 +24,30 @@
 	delayed
 )
 
+// event is what happens between two calls.
+type event int
+
+const (
+	nothing event = iota
+	lateArrive
+	otherWrites
+)
+
+// next takes the first of drawn, or the zero value where all are used up.
+func next[T any](drawn *[]T) T {
+	var first T
+	if len(*drawn) > 0 {
+		first, *drawn = (*drawn)[0], (*drawn)[1:]
+	}
+	return first
+}
+
 // unreliableStore is one key whose calls meet the drawn fates. Another writer may come in between.
 type unreliableStore struct {
 	platform.KeyValue
-	draw     func(label string) fate
-	chance   func(label string) bool
+	// fates and events are used up in order; then calls work and nothing happens in between.
+	fates    []fate
+	events   []event
 	entry    platform.Entry
 	late     []platform.Transaction
 	accepted []string
@@ -50,11 +69,12 @@
 
 // between is what others do between two calls.
 func (s *unreliableStore) between() {
-	if s.chance("late ones arrive") {
+	switch next(&s.events) {
+	case lateArrive:
 		s.arrive()
-	}
-	if s.chance("another writes") {
+	case otherWrites:
 		s.put(fmt.Sprintf("other-%d", s.entry.ModRevision))
+	case nothing:
 	}
 }
 
@@ -67,7 +87,7 @@
 
 func (s *unreliableStore) Commit(_ context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
 	s.between()
-	switch s.draw("commit") {
+	switch next(&s.fates) {
 	case refused:
 		return platform.CommitResult{}, platform.KindRateLimited.New("refused")
 	case lostBefore:
@@ -86,7 +106,7 @@
 
 func (s *unreliableStore) Get(context.Context, string) (platform.Entry, error) {
 	s.between()
-	if s.draw("get") != works {
+	if next(&s.fates) != works {
 		return platform.Entry{}, platform.KindUnavailable.New("away")
 	}
 	return s.entry, nil
@@ -95,35 +115,47 @@
 // TestCommitSettledTellsTheTruth checks that a write takes effect at most once, and that the outcome told is
 // the true one.
 func TestCommitSettledTellsTheTruth(t *testing.T) {
-	fates := rapid.SampledFrom([]fate{works, works, works, refused, lostBefore, lostAfter, delayed})
+	fates := rapid.SliceOfN(rapid.SampledFrom([]fate{works, refused, lostBefore, lostAfter, delayed, delayed}), 1, 8)
+	events := rapid.SliceOfN(rapid.SampledFrom([]event{nothing, nothing, lateArrive, lateArrive, otherWrites}), 6, 16)
 	rapid.Check(t, func(r *rapid.T) {
-		synctest.Test(t, func(t *testing.T) {
-			const key, id = "/key", "write-id"
-			store := &unreliableStore{
-				entry:  platform.Entry{Key: key},
-				draw:   func(label string) fate { return fates.Draw(r, label) },
-				chance: func(label string) bool { return rapid.IntRange(0, 4).Draw(r, label) == 0 },
-			}
-			transaction := platform.Transaction{
-				Conditions: []platform.Condition{{Key: key}},
-				Changes:    []platform.Change{{Key: key, Value: []byte(id)}},
-			}
-			result, err := platform.CommitSettled(t.Context(), store, transaction, platform.WriteMark{Key: key, ID: id})
-			store.arrive()
-			times := 0
-			for _, value := range store.accepted {
-				if value == id {
-					times++
-				}
-			}
-			switch {
-			case times > 1:
-				r.Fatalf("the write took effect %d times", times)
-			case err == nil && result.Committed != (times == 1):
-				r.Fatalf("told %v, took effect %d times", result.Committed, times)
-			case err != nil && !errorx.IsOfType(err, platform.KindUnknownOutcome) && times > 0:
-				r.Fatalf("told %v, yet it took effect", err)
-			}
-		})
+		store := &unreliableStore{
+			entry: platform.Entry{Key: settledKey}, fates: fates.Draw(r, "fates"), events: events.Draw(r, "events"),
+		}
+		var failure string
+		synctest.Test(t, func(t *testing.T) { failure = store.settle(t) })
+		if failure != "" {
+			r.Fatal(failure)
+		}
 	})
 }
+
+const (
+	settledKey = "/key"
+	settledID  = "write-id"
+)
+
+// settle makes one write and returns what is wrong with its outcome.
+func (s *unreliableStore) settle(t *testing.T) string {
+	transaction := platform.Transaction{
+		Conditions: []platform.Condition{{Key: settledKey}},
+		Changes:    []platform.Change{{Key: settledKey, Value: []byte(settledID)}},
+	}
+	result, err := platform.CommitSettled(t.Context(), s, transaction, platform.WriteMark{Key: settledKey, ID: settledID})
+	s.arrive()
+	times := 0
+	for _, value := range s.accepted {
+		if value == settledID {
+			times++
+		}
+	}
+	switch {
+	case times > 1:
+		return fmt.Sprintf("the write took effect %d times", times)
+	case err == nil && result.Committed != (times == 1):
+		return fmt.Sprintf("told %v, took effect %d times", result.Committed, times)
+	case err != nil && !errorx.IsOfType(err, platform.KindUnknownOutcome) && times > 0:
+		return fmt.Sprintf("told %v, yet it took effect", err)
+	default:
+		return ""
+	}
+}
