--- a/internal/platform/http_caller_test.go
+++ b/internal/platform/http_caller_test.go
@@ -70,7 +70,9 @@
 	return errorx.Cast(err).Type().FullName()
 }
 
-func addressOf(listener net.Listener) netip.AddrPort { return listener.Addr().(*net.TCPAddr).AddrPort() }
+func addressOf(listener net.Listener) netip.AddrPort {
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
 
 // closedAddress is one on which nothing listens any more.
 func closedAddress(t *testing.T) netip.AddrPort {
