--- a/cmd/sloelift/output.go
+++ b/cmd/sloelift/output.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"text/tabwriter"
 
 	"github.com/sloelift/sloelift/internal/operator"
+	"github.com/sloelift/sloelift/internal/strictyaml"
 )
 
 // print writes value as JSON, or calls text where text is wanted.
@@ -22,7 +24,13 @@
 
 // reportError writes an error to the error output; as JSON it is an operator.ErrorBody.
 func (e *environment) reportError(err error) {
-	if !e.json {
+	var invalid *strictyaml.ValidationError
+	switch {
+	case !e.json && errors.As(err, &invalid):
+		// Editors look for "file:line:column:" where a line begins.
+		fmt.Fprintln(e.stderr, err.Error())
+		return
+	case !e.json:
 		fmt.Fprintln(e.stderr, "sloelift: "+err.Error())
 		return
 	}
--- /dev/null
+++ b/internal/config/parse_test.go
@@ -0,0 +1,108 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestBadFiles checks each file of testdata/bad alone. A file without an expected
+// output in testdata/bad_files fails the test.
+func TestBadFiles(t *testing.T) {
+	paths, err := filepath.Glob("testdata/bad/*.yaml")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no bad files: %v", err)
+	}
+	unchecked := map[string]bool{}
+	for _, path := range paths {
+		unchecked[filepath.Base(path)] = true
+	}
+	datadriven.RunTest(t, "testdata/bad_files", func(t *testing.T, data *datadriven.TestData) string {
+		name := data.CmdArgs[0].Key
+		delete(unchecked, name)
+		return validateAlone(t, filepath.Join("testdata/bad", name))
+	})
+	for name := range unchecked {
+		t.Errorf("testdata/bad_files does not check %s", name)
+	}
+}
+
+func validateAlone(t *testing.T, path string) string {
+	t.Helper()
+	content, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := Parse(content)
+	if err != nil {
+		return err.Error() + "\n"
+	}
+	invalid := CheckTogether(map[string]*File{"": file})
+	if len(invalid) != 1 {
+		t.Fatalf("%s: wanted one error, got %v", path, invalid)
+	}
+	return invalid[0].Error() + "\n"
+}
+
+func TestParseKeepsHugeInputBounded(t *testing.T) {
+	inputs := map[string]string{
+		"file too large":      strings.Repeat("# comment\n", 1<<17),
+		"flow nesting":        "kind: Model\nname: " + strings.Repeat("[", 100_000),
+		"entries in one line": strings.Repeat("- ", 100_000) + "x",
+		"explicit keys":       strings.Repeat("? ", 100_000) + "x",
+		"indentation":         nestedMapping(500),
+		"many declarations":   strings.Repeat("kind: Model\n---\n", MaxDeclarations+1),
+	}
+	for name, input := range inputs {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse([]byte(input))
+			invalid, isInvalid := err.(*ValidationError)
+			if !isInvalid {
+				t.Fatalf("wanted a ValidationError, got %v", err)
+			}
+			if count := len(invalid.Problems); count > 2*(MaxDeclarations+1) {
+				t.Errorf("%d problems are listed", count)
+			}
+		})
+	}
+}
+
+func nestedMapping(depth int) string {
+	var text strings.Builder
+	for level := range depth {
+		text.WriteString(strings.Repeat(" ", level) + "a:\n")
+	}
+	return text.String()
+}
+
+func FuzzParse(f *testing.F) {
+	paths, err := filepath.Glob("testdata/bad/*.yaml")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, path := range paths {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(content)
+	}
+	f.Fuzz(func(t *testing.T, content []byte) {
+		file, err := Parse(content)
+		if err != nil {
+			return
+		}
+		for _, declaration := range file.Declarations {
+			again, err := Parse([]byte(declaration.YAML()))
+			if err != nil {
+				t.Fatalf("%s: its own YAML is refused: %v\n%s", declaration.ID, err, declaration.YAML())
+			}
+			if written := again.Declarations[0].YAML(); written != declaration.YAML() {
+				t.Fatalf("%s changed:\n%s\n%s", declaration.ID, declaration.YAML(), written)
+			}
+		}
+	})
+}
--- a/internal/strictyaml/document.go
+++ b/internal/strictyaml/document.go
@@ -52,6 +52,10 @@
 			if document.Body == nil || document.Body.Type() == ast.NullType || document.Body.Type() == ast.CommentType {
 				continue
 			}
+			if len(mappingEntries(document.Body)) == 0 {
+				problems = append(problems, Problem{Position: positionOf(document.Body), Message: "a document is a mapping of keys to values, not " + describe(document.Body)})
+				continue
+			}
 			documents = append(documents, Document{Position: positionOf(document.Body), body: document.Body})
 		}
 	}
