--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -60,7 +60,7 @@
 }
 
 func (d *decoder) decodeStruct(path string, node ast.Node, target reflect.Value) {
-	if node.Type() != ast.MappingType && node.Type() != ast.MappingValueType {
+	if !isMapping(node) {
 		d.report(path, node, "wants a mapping of keys to values, not %s", describe(node))
 		return
 	}
@@ -149,6 +149,10 @@
 	return name
 }
 
+func isMapping(node ast.Node) bool {
+	return node.Type() == ast.MappingType || node.Type() == ast.MappingValueType
+}
+
 func mappingEntries(node ast.Node) []*ast.MappingValueNode {
 	switch typed := node.(type) {
 	case *ast.MappingNode:
--- a/internal/strictyaml/document.go
+++ b/internal/strictyaml/document.go
@@ -52,7 +52,7 @@
 			if document.Body == nil || document.Body.Type() == ast.NullType || document.Body.Type() == ast.CommentType {
 				continue
 			}
-			if len(mappingEntries(document.Body)) == 0 {
+			if !isMapping(document.Body) {
 				problems = append(problems, Problem{Position: positionOf(document.Body), Message: "a document is a mapping of keys to values, not " + describe(document.Body)})
 				continue
 			}
