--- a/internal/config/keyvalue_fake_test.go
+++ b/internal/config/keyvalue_fake_test.go
@@ -67,7 +67,7 @@
 	case refused:
 		return platform.CommitResult{}, platform.KindUnavailable.New("refused")
 	case lostBeforeEffect:
-		return platform.CommitResult{}, platform.KindUnknownOutcome.New("lost before")
+		return platform.CommitResult{}, platform.KindUnknownOutcome.Wrap(context.DeadlineExceeded, "lost before")
 	}
 	result := f.commitLocked(transaction)
 	if fault == lostAfterEffect {
--- a/internal/config/store_keyvalue.go
+++ b/internal/config/store_keyvalue.go
@@ -80,9 +80,11 @@
 var errHeadMoved = errors.New("another change came first")
 
 const (
-	maxRaces       = 16
 	firstRetryWait = 20 * time.Millisecond
 	maxRetryWait   = time.Second
+	// maxRetryTime bounds how long an edit is tried while others come first or the
+	// key-value service refuses.
+	maxRetryTime = 5 * time.Second
 )
 
 // commit plans the edit against the present revision and writes it in one
@@ -90,27 +92,30 @@
 func (s *keyValueStore) commit(ctx context.Context, wanted edit, expectRevision int64) (ApplyResult, error) {
 	attempt := func() (ApplyResult, error) {
 		result, err := s.tryCommit(ctx, wanted, expectRevision)
-		if err != nil && !errors.Is(err, errHeadMoved) {
+		if err != nil && !worthRetrying(err) {
 			err = backoff.Permanent(err)
 		}
 		return result, err
 	}
-	result, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(newBackOff()), backoff.WithMaxTries(maxRaces))
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval = firstRetryWait
+	waits.MaxInterval = maxRetryWait
+	result, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(waits), backoff.WithMaxElapsedTime(maxRetryTime))
 	if errors.Is(err, errHeadMoved) {
 		err = outcome.Wrap(err, outcome.NotRun, outcome.ReasonConflict, "the configuration changes too often; nothing was changed")
 	}
-	var permanent *backoff.PermanentError
-	if errors.As(err, &permanent) {
-		err = permanent.Unwrap()
+	var typed *outcome.Error
+	if err != nil && ctx.Err() != nil && !errors.As(err, &typed) && errors.Is(err, context.Cause(ctx)) {
+		err = outcome.Wrap(err, outcome.NotRun, outcome.ReasonDeadline, "not accepted in time; nothing was changed")
 	}
 	return result, err
 }
 
-func newBackOff() *backoff.ExponentialBackOff {
-	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = firstRetryWait
-	wait.MaxInterval = maxRetryWait
-	return wait
+// worthRetrying tells whether an edit that had no effect may go through later.
+func worthRetrying(err error) bool {
+	var typed *outcome.Error
+	unavailable := errors.As(err, &typed) && typed.Outcome == outcome.NotRun && typed.Reason == outcome.ReasonUnavailable
+	return unavailable || errors.Is(err, errHeadMoved)
 }
 
 func (s *keyValueStore) tryCommit(ctx context.Context, wanted edit, expectRevision int64) (ApplyResult, error) {
@@ -148,11 +153,8 @@
 	return snapshot, headEntry, nil
 }
 
-// write makes one transaction on the condition that the head still is headEntry.
-//
-// The condition can hold for one transaction only, so sending the same one again
-// after a lost answer is safe: at most one of them takes effect, and the write id in
-// the head tells whether one did.
+// write makes one transaction on the condition that the head still is headEntry. The
+// head's write id settles a lost answer.
 func (s *keyValueStore) write(ctx context.Context, headEntry platform.Entry, objects []platform.Change) (int64, error) {
 	head, err := decodeHead(headEntry)
 	if err != nil {
@@ -168,59 +170,38 @@
 		Conditions: []platform.Condition{{Key: KeyHead, ModRevision: headEntry.ModRevision}},
 		Changes:    append([]platform.Change{{Key: KeyHead, Value: value}}, objects...),
 	}
-	var sent bool
-	attempt := func() (int64, error) { return s.commitOnce(ctx, transaction, next, &sent) }
-	revision, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(newBackOff()), backoff.WithMaxElapsedTime(0))
-	if err != nil && !errors.Is(err, errHeadMoved) {
-		return 0, s.writeFailure(err, writeID, sent)
-	}
-	return revision, err
-}
-
-// commitOnce sends the transaction and settles its outcome. sent stays set from the
-// first send whose answer was lost.
-func (s *keyValueStore) commitOnce(ctx context.Context, transaction platform.Transaction, next Head, sent *bool) (int64, error) {
-	result, err := s.keyValue.Commit(ctx, transaction)
+	result, err := platform.CommitSettled(ctx, s.keyValue, transaction, platform.WriteMark{Key: KeyHead, ID: writeID})
 	switch {
 	case err == nil && result.Committed:
 		return next.Revision, nil
-	case err == nil && !*sent:
-		return 0, backoff.Permanent(errHeadMoved)
 	case err == nil:
-		return s.settle(ctx, next)
+		return 0, errHeadMoved
 	case errorx.IsOfType(err, platform.KindUnknownOutcome):
-		*sent = true
-		return 0, err
-	case errorx.IsOfType(err, platform.KindUnavailable), errorx.IsOfType(err, platform.KindRateLimited):
-		return 0, err
+		return s.settle(ctx, next, err)
 	}
-	return 0, backoff.Permanent(err)
+	return 0, outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "the key-value service did not take the change; nothing was changed")
 }
 
-// settle finds out, after the head has moved, whether an earlier send moved it.
-func (s *keyValueStore) settle(ctx context.Context, next Head) (int64, error) {
+// settle finds out, after other writes have replaced the head, whether ours was
+// among them. The head lists the recent writes, so a missing one was never made, as
+// long as no more writes than that have come since.
+func (s *keyValueStore) settle(ctx context.Context, next Head, lost error) (int64, error) {
+	unknown := outcome.Wrap(lost, outcome.Indeterminate, outcome.ReasonUnavailable,
+		"the change may have been accepted (write "+next.WriteID+"); read the configuration before you try again")
 	entry, err := s.keyValue.Get(ctx, KeyHead)
 	if err != nil {
-		return 0, err
+		s.logger.Warn().Err(err).Str("write_id", next.WriteID).Msg("configuration_outcome_unknown")
+		return 0, unknown
 	}
 	head, err := decodeHead(entry)
 	if err != nil {
-		return 0, backoff.Permanent(err)
+		return 0, unknown
 	}
 	if revision, found := head.find(next.WriteID); found {
 		return revision, nil
 	}
-	if head.Revision > next.Revision+recentWrites {
-		return 0, backoff.Permanent(errors.New("too many changes came since to tell"))
-	}
-	return 0, backoff.Permanent(errHeadMoved)
-}
-
-// writeFailure says what is known when the service stayed away for too long.
-func (s *keyValueStore) writeFailure(err error, writeID string, sent bool) error {
-	s.logger.Warn().Err(err).Str("write_id", writeID).Bool("sent", sent).Msg("configuration_not_accepted")
-	if !sent {
-		return outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "the key-value service did not take the change; nothing was changed")
+	if head.Revision < next.Revision || head.Revision > next.Revision+recentWrites {
+		return 0, unknown
 	}
-	return outcome.Wrap(err, outcome.Indeterminate, outcome.ReasonUnavailable, "the change may have been accepted (write "+writeID+"); read the configuration before you try again")
+	return 0, errHeadMoved
 }
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -71,6 +71,20 @@
 	}
 }
 
+// TestLostAnswerIsNeverCalledNotRun cuts the service off for ever after a send.
+func TestLostAnswerIsNeverCalledNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keyValue := newFakeKeyValue()
+		keyValue.fault = func() commitFault { return lostBeforeEffect }
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		_, err := NewStore(keyValue, zerolog.Nop()).Apply(ctx, modelFile("m", "1"), AnyRevision)
+		if outcome.Of(err) != outcome.Indeterminate {
+			t.Errorf("wanted an indeterminate outcome, got %v", err)
+		}
+	})
+}
+
 func mustApply(t *testing.T, store Store, file []byte, expect int64) {
 	t.Helper()
 	result, err := store.Apply(t.Context(), file, expect)
