--- a/cmd/sloelift/output.go
+++ b/cmd/sloelift/output.go
@@ -7,6 +7,7 @@
 	"io"
 	"text/tabwriter"
 
+	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/operator"
 	"github.com/sloelift/sloelift/internal/strictyaml"
 )
@@ -25,11 +26,16 @@
 // reportError writes an error to the error output; as JSON it is an operator.ErrorBody.
 func (e *environment) reportError(err error) {
 	var invalid *strictyaml.ValidationError
+	var conflict *config.ConflictError
 	switch {
 	case !e.json && errors.As(err, &invalid):
 		// Editors look for "file:line:column:" where a line begins.
 		fmt.Fprintln(e.stderr, err.Error())
 		return
+	case !e.json && errors.As(err, &conflict):
+		fmt.Fprintln(e.stderr, "sloelift: "+err.Error())
+		writeChanges(e.stderr, config.ApplyResult{Changes: conflict.Overwritten})
+		return
 	case !e.json:
 		fmt.Fprintln(e.stderr, "sloelift: "+err.Error())
 		return
--- a/internal/config/store_keyvalue.go
+++ b/internal/config/store_keyvalue.go
@@ -84,7 +84,7 @@
 	maxRetryWait   = time.Second
 	// maxRetryTime bounds how long an edit is tried while others come first or the
 	// key-value service refuses.
-	maxRetryTime = 5 * time.Second
+	maxRetryTime = 3 * time.Second
 )
 
 // commit plans the edit against the present revision and writes it in one
--- a/internal/operator/error_body.go
+++ b/internal/operator/error_body.go
@@ -54,7 +54,10 @@
 		return http.StatusConflict, detail
 	}
 	typed := outcome.As(err)
-	detail.Code, detail.Outcome = string(typed.Reason), typed.Outcome
+	detail.Code, detail.Outcome, detail.Message = string(typed.Reason), typed.Outcome, typed.Message
+	if typed.Cause != nil {
+		detail.Message += ": " + typed.Cause.Error()
+	}
 	detail.RetryAfterSeconds = int((typed.RetryAfter + time.Second - 1) / time.Second)
 	return statusOf(typed.Reason), detail
 }
