Run the ledger's nodes in tests over an in-memory network

Cause: the ledger had not been run end to end. Change: cluster tests on virtual time: owners and disks lost, outage of the key-value service, handover, growth; promotion is read from the owner's state in place of one event. Conclusion: tests find attempts that stall; not yet green.

--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -42,9 +42,6 @@
 	owner := protocol.NewOwner(ballot, ensemble, protocol.DefaultOwnerLimits())
 	logger := m.logger.With().Uint32(logging.FieldPartition, uint32(partition)).Logger()
 	ownership := newOwnership(m.ctx, partition, owner, m.stores, m.factory, m.timing, logger)
-	ownership.caughtUp = func(ensemble protocol.Ensemble, store protocol.StoreID) {
-		m.start(func() {}, func() { m.promote(partition, ensemble, store) })
-	}
 	m.setOwnership(partition, ownership)
 	m.post(func() { m.control(partition).ownership = ownership })
 	lost := ownership.run()
--- /dev/null
+++ b/internal/ledger/cluster_test.go
@@ -0,0 +1,433 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/ledger/store"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/transport/memory"
+)
+
+// memoryKeyValue is a key-value service with compare-and-swap that can be down or lose answers.
+type memoryKeyValue struct {
+	platform.KeyValue
+	mutex       sync.Mutex
+	revision    int64
+	entries     map[string]platform.Entry
+	down        bool
+	loseAnswers bool
+}
+
+func (k *memoryKeyValue) set(change func()) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	change()
+}
+
+func (k *memoryKeyValue) Get(_ context.Context, key string) (platform.Entry, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.down {
+		return platform.Entry{}, platform.KindUnavailable.New("down")
+	}
+	return k.entries[key], nil
+}
+
+func (k *memoryKeyValue) List(_ context.Context, prefix string) (platform.Listing, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.down {
+		return platform.Listing{}, platform.KindUnavailable.New("down")
+	}
+	listing := platform.Listing{Revision: k.revision}
+	for key, entry := range k.entries {
+		if strings.HasPrefix(key, prefix) {
+			listing.Entries = append(listing.Entries, entry)
+		}
+	}
+	return listing, nil
+}
+
+func (k *memoryKeyValue) Commit(_ context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.down {
+		return platform.CommitResult{}, platform.KindUnavailable.New("down")
+	}
+	for _, condition := range transaction.Conditions {
+		if k.entries[condition.Key].ModRevision != condition.ModRevision {
+			return platform.CommitResult{}, nil
+		}
+	}
+	k.revision++
+	for _, change := range transaction.Changes {
+		k.entries[change.Key] = platform.Entry{Key: change.Key, Value: change.Value, ModRevision: k.revision}
+	}
+	if k.loseAnswers {
+		return platform.CommitResult{}, platform.KindUnknownOutcome.New("answer lost")
+	}
+	return platform.CommitResult{Committed: true, Revision: k.revision}, nil
+}
+
+// sharedView is what every node of a test sees.
+type sharedView struct {
+	mutex   sync.Mutex
+	members []membership.Member
+}
+
+func (s *sharedView) change(id membership.NodeID, change func(*membership.Member)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for i := range s.members {
+		if s.members[i].ID == id {
+			change(&s.members[i])
+			return
+		}
+	}
+	s.members = append(s.members, membership.Member{ID: id})
+	change(&s.members[len(s.members)-1])
+}
+
+type viewerOf struct {
+	shared *sharedView
+	self   membership.NodeID
+}
+
+func (v viewerOf) View() *membership.View {
+	v.shared.mutex.Lock()
+	defer v.shared.mutex.Unlock()
+	return &membership.View{Self: v.self, Members: append([]membership.Member(nil), v.shared.members...)}
+}
+
+func (v viewerOf) Subscribe(func(*membership.View)) func() { return func() {} }
+
+// register is a state machine that keeps every payload in order.
+type register struct {
+	mutex   sync.Mutex
+	upTo    Position
+	values  []string
+	owned   Owned
+	stopped bool
+}
+
+func (r *register) Restore(snapshot []byte) error {
+	if snapshot == nil {
+		return nil
+	}
+	var count int
+	text := string(snapshot)
+	if _, err := fmt.Sscanf(text, "%d %d\n", &r.upTo, &count); err != nil {
+		return err
+	}
+	if count > 0 {
+		r.values = strings.Split(strings.SplitN(text, "\n", 2)[1], "\n")
+	}
+	return nil
+}
+
+func (r *register) Apply(position Position, record Record) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if position != r.upTo+1 {
+		return fmt.Errorf("position %d applied after %d", position, r.upTo)
+	}
+	r.upTo = position
+	if record.Kind != KindNoOperation {
+		r.values = append(r.values, string(record.Payload))
+	}
+	return nil
+}
+
+func (r *register) Serve(owned Owned) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.owned = owned
+}
+
+func (r *register) Snapshot() (Position, Position, []byte, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	text := fmt.Sprintf("%d %d\n%s", r.upTo, len(r.values), strings.Join(r.values, "\n"))
+	return r.upTo, r.upTo + 1, []byte(text), nil
+}
+
+func (r *register) Stop() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.stopped = true
+}
+
+// put appends value; the register is applied in order only because put holds the lock.
+func (r *register) put(ctx context.Context, value string) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.owned == nil || r.stopped {
+		return errNotOwner()
+	}
+	position, err := r.owned.Append(ctx, []Record{{Kind: KindItemCompleted, Payload: []byte(value)}})
+	if err != nil {
+		return err
+	}
+	if position != r.upTo+1 {
+		return fmt.Errorf("position %d appended after %d", position, r.upTo)
+	}
+	r.upTo = position
+	r.values = append(r.values, value)
+	return nil
+}
+
+func (r *register) list() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return append([]string(nil), r.values...)
+}
+
+// testNode is one node of a cluster; its disk outlives it.
+type testNode struct {
+	id        membership.NodeID
+	address   netip.AddrPort
+	disk      *vfs.MemFS
+	free      uint64
+	store     *store.Store
+	transport *memory.Transport
+	manager   *Manager
+	mutex     sync.Mutex
+	registers map[PartitionID]*register
+	running   bool
+}
+
+// cluster is a set of nodes over an in-memory network, on virtual time.
+type cluster struct {
+	t        *testing.T
+	network  *memory.Network
+	keyValue *memoryKeyValue
+	view     *sharedView
+	ledger   settings.Ledger
+	timing   Timing
+	nodes    []*testNode
+	checks   int
+}
+
+func newCluster(t *testing.T, seed uint64) *cluster {
+	timing := DefaultTiming()
+	timing.Replace = 10 * time.Second
+	return &cluster{
+		t: t, network: memory.NewNetwork(seed), keyValue: &memoryKeyValue{entries: map[string]platform.Entry{}},
+		view: &sharedView{}, ledger: settings.Ledger{Partitions: 2, Replicas: 4, WriteQuorum: 3}, timing: timing,
+	}
+}
+
+// add makes a node, with a disk or without one, and starts it.
+func (c *cluster) add(withDisk bool) *testNode {
+	index := len(c.nodes) + 1
+	node := &testNode{
+		id: membership.NodeID(fmt.Sprintf("node-%d", index)), free: 1 << 40,
+		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(9000+index)),
+	}
+	if withDisk {
+		node.disk = vfs.NewMem()
+	}
+	c.nodes = append(c.nodes, node)
+	c.start(node)
+	return node
+}
+
+func (c *cluster) start(node *testNode) {
+	c.t.Helper()
+	var err error
+	if node.transport, err = memory.NewTransport(c.network, node.address, prometheus.NewRegistry()); err != nil {
+		c.t.Fatal(err)
+	}
+	node.store = nil
+	incarnation := ""
+	if node.disk != nil {
+		node.store, err = store.Open("/data", store.Options{Files: node.disk, Logger: zerolog.Nop(), Free: func() (uint64, error) {
+			node.mutex.Lock()
+			defer node.mutex.Unlock()
+			return node.free, nil
+		}})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		incarnation = string(node.store.ID())
+	}
+	node.registers = map[PartitionID]*register{}
+	c.view.change(node.id, func(member *membership.Member) {
+		member.Zone, member.PeerAddress, member.State = "zone-"+string(node.id), node.address, membership.Alive
+		member.Store, member.StoreIncarnation = node.disk != nil, incarnation
+	})
+	node.manager = NewManager(Dependencies{
+		Settings: settings.Settings{Node: string(node.id), Ledger: c.ledger}, Timing: c.timing, Logger: zerolog.Nop(),
+		Local: node.store, Caller: node.transport, Registry: node.transport, KeyValue: c.keyValue,
+		Viewer: viewerOf{c.view, node.id}, Factory: node.machine,
+	})
+	node.transport.Start()
+	node.manager.Start()
+	node.running = true
+}
+
+func (n *testNode) machine(partition PartitionID) StateMachine {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.registers[partition] = &register{}
+	return n.registers[partition]
+}
+
+func (n *testNode) register(partition PartitionID) *register {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.registers[partition]
+}
+
+// stop ends a node without notice; its disk keeps what was synced.
+func (c *cluster) stop(node *testNode) {
+	if !node.running {
+		return
+	}
+	node.running = false
+	node.transport.Stop()
+	node.manager.Stop()
+	if node.store != nil {
+		if err := node.store.Close(); err != nil {
+			c.t.Error(err)
+		}
+	}
+}
+
+// kill stops a node for good.
+func (c *cluster) kill(node *testNode) {
+	c.view.change(node.id, func(member *membership.Member) { member.State = membership.Dead })
+	c.stop(node)
+	for i, other := range c.nodes {
+		if other == node {
+			c.nodes = append(c.nodes[:i], c.nodes[i+1:]...)
+			return
+		}
+	}
+}
+
+// loseDisk stops a node and starts it with an empty disk.
+func (c *cluster) loseDisk(node *testNode) {
+	c.stop(node)
+	node.disk = vfs.NewMem()
+	c.start(node)
+}
+
+func (c *cluster) stopAll() {
+	for _, node := range c.nodes {
+		c.stop(node)
+	}
+}
+
+// eventually waits on the virtual clock.
+func (c *cluster) eventually(what string, holds func() bool) {
+	c.t.Helper()
+	for range 1200 {
+		if holds() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Fatalf("not within a minute: %s; %s", what, c.describe())
+}
+
+func (c *cluster) describe() string {
+	var text strings.Builder
+	for _, node := range c.nodes {
+		for _, status := range node.manager.Status() {
+			fmt.Fprintf(&text, "\n%s partition %d version %d serving %v committed %d members", node.id, status.Partition, status.Ensemble.Version, status.Serving, status.Committed)
+			for _, member := range status.Ensemble.Members {
+				fmt.Fprintf(&text, " %s/%v", member.Node, member.Joining)
+			}
+			for _, holding := range status.Holdings {
+				fmt.Fprintf(&text, " [%s attached %v failing %v first %d through %d caught up %v]", holding.Member.Node, holding.Attached, holding.Failing, holding.First, holding.Through, holding.CaughtUp)
+			}
+		}
+	}
+	return text.String()
+}
+
+// put appends value to partition at whichever node owns it, again and again until it is acknowledged. A value that may
+// have been written is tried under a new name, so that each acknowledged value is in the log once.
+func (c *cluster) put(partition PartitionID, value string) string {
+	c.t.Helper()
+	attempt := 0
+	c.eventually("append "+value, func() bool {
+		for _, node := range c.nodes {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			machine := node.register(partition)
+			var err error = errNotOwner()
+			if machine != nil {
+				attempt++
+				err = machine.put(ctx, fmt.Sprintf("%s/%d", value, attempt))
+			}
+			cancel()
+			if err == nil {
+				return true
+			}
+		}
+		return false
+	})
+	return fmt.Sprintf("%s/%d", value, attempt)
+}
+
+// owner returns the node that serves partition.
+func (c *cluster) owner(partition PartitionID) *testNode {
+	c.t.Helper()
+	var found *testNode
+	c.eventually("an owner", func() bool {
+		for _, node := range c.nodes {
+			ownership, present := node.manager.ownership(partition)
+			if present && ownership.serving.Load() {
+				if machine := node.register(partition); machine != nil && machine.serves() {
+					found = node
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func (r *register) serves() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.owned != nil && !r.stopped
+}
+
+// check compares the present owner's state with what was acknowledged, in order.
+func (c *cluster) check(partition PartitionID, acknowledged []string) {
+	c.t.Helper()
+	c.checks++
+	c.put(partition, fmt.Sprint("check-", c.checks))
+	values := c.owner(partition).register(partition).list()
+	next := 0
+	for _, value := range values {
+		if next < len(acknowledged) && value == acknowledged[next] {
+			next++
+		}
+	}
+	if next < len(acknowledged) {
+		c.t.Fatalf("acknowledged %s is missing or out of order in %v", acknowledged[next], values)
+	}
+	seen := map[string]bool{}
+	for _, value := range values {
+		if seen[value] {
+			c.t.Fatalf("%s stands twice", value)
+		}
+		seen[value] = true
+	}
+}
--- a/internal/ledger/directory.go
+++ b/internal/ledger/directory.go
@@ -23,7 +23,9 @@
 	changesPerRequest = 32
 )
 
-func ensembleKey(partition PartitionID) string { return fmt.Sprintf("%s%05d", ensemblePrefix, partition) }
+func ensembleKey(partition PartitionID) string {
+	return fmt.Sprintf("%s%05d", ensemblePrefix, partition)
+}
 
 // head is the fixed part of the ledger.
 type head struct {
--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -16,11 +16,30 @@
 	if !known || control.changing {
 		return
 	}
+	if ownership := control.ownership; ownership != nil && ownership.owner.Ensemble().Version < ensemble.Version {
+		m.background(func() { ownership.adopt(ensemble) })
+		return
+	}
 	next, due := m.nextEnsemble(ensemble, control, view, now)
 	if !due {
-		return
+		next, due = promotion(ensemble, control.ownership)
+	}
+	if due {
+		m.changeEnsemble(partition, control, next)
 	}
-	m.changeEnsemble(partition, control, next)
+}
+
+// promotion returns the ensemble with a member that has caught up made a full one.
+func promotion(ensemble protocol.Ensemble, ownership *ownership) (protocol.Ensemble, bool) {
+	if ownership == nil || ownership.owner.Ensemble().Version != ensemble.Version {
+		return protocol.Ensemble{}, false
+	}
+	for _, holding := range ownership.view.Load().holdings {
+		if holding.CaughtUp {
+			return ensemble.Promote(holding.Member.Store)
+		}
+	}
+	return protocol.Ensemble{}, false
 }
 
 // nextEnsemble returns the ensemble to change to, if a change is due.
@@ -96,18 +115,8 @@
 	return spare
 }
 
-// promote makes a joining store that has caught up a full member. It runs on the control goroutine.
-func (m *Manager) promote(partition PartitionID, ensemble protocol.Ensemble, store protocol.StoreID) {
-	control := m.control(partition)
-	next, allowed := ensemble.Promote(store)
-	if !allowed || control.changing {
-		return
-	}
-	m.changeEnsemble(partition, control, next)
-}
-
-// changeEnsemble makes the change in the key-value service. The owner then loses its ballot to the new
-// version and prepares again under it.
+// changeEnsemble makes the change in the key-value service. The next check makes the owner
+// prepare again under the new version.
 func (m *Manager) changeEnsemble(partition PartitionID, control *partitionControl, next protocol.Ensemble) {
 	control.changing = true
 	var changed bool
@@ -125,9 +134,6 @@
 				event = m.logger.Warn().Err(err)
 			}
 			event.Uint32(logging.FieldPartition, uint32(partition)).Uint64(fieldVersion, next.Version).Bool("changed", changed).Msg("ensemble_change")
-			if ownership := control.ownership; ownership != nil {
-				newest, _ := m.directory.ensemble(partition)
-				m.background(func() { ownership.adopt(newest) })
-			}
+			m.check(time.Now())
 		})
 }
--- /dev/null
+++ b/internal/ledger/manager_test.go
@@ -0,0 +1,121 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/membership"
+)
+
+func TestAppendsSurviveOwnersAndDisks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		for range 4 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		var acknowledged []string
+		for i := range 20 {
+			acknowledged = append(acknowledged, c.put(0, fmt.Sprint("first-", i)))
+		}
+		owner := c.owner(0)
+		c.stop(owner)
+		c.view.change(owner.id, func(member *membership.Member) { member.State = membership.Dead })
+		for i := range 20 {
+			acknowledged = append(acknowledged, c.put(0, fmt.Sprint("second-", i)))
+		}
+		c.check(0, acknowledged)
+		c.start(owner)
+		c.eventually("the preferred owner takes over", func() bool {
+			preferred, _ := preferredOwner(viewerOf{c.view, owner.id}.View(), 0)
+			return c.owner(0).id == preferred.ID
+		})
+		c.check(0, acknowledged)
+	})
+}
+
+func TestLostDisksAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2)
+		for range 4 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		var acknowledged []string
+		for round := range 3 {
+			for i := range 10 {
+				acknowledged = append(acknowledged, c.put(0, fmt.Sprint(round, "-", i)))
+			}
+			c.loseDisk(c.nodes[round])
+			c.loseDisk(c.nodes[round+1])
+			c.check(0, acknowledged)
+			c.eventually("the ensemble is whole", func() bool {
+				status := c.owner(0).manager.Status()[0]
+				return status.Ensemble.Full() == 4 && status.Ensemble.Version > uint64(4*round)
+			})
+		}
+		c.check(0, acknowledged)
+	})
+}
+
+func TestTakeoverWithoutKeyValueService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		for range 4 {
+			c.add(true)
+		}
+		c.add(false)
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "a")}
+		c.keyValue.set(func() { c.keyValue.down = true })
+		c.kill(c.owner(0))
+		acknowledged = append(acknowledged, c.put(0, "b"))
+		newcomer := c.add(false)
+		c.eventually("a node started in the outage learns the ensembles", newcomer.manager.directory.complete)
+		c.check(0, acknowledged)
+	})
+}
+
+func TestHandoverLosesNoAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		for range 5 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "a")}
+		leaving := c.owner(0)
+		c.view.change(leaving.id, func(member *membership.Member) { member.State = membership.Leaving })
+		if err := leaving.manager.Handover(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		acknowledged = append(acknowledged, c.put(0, "b"))
+		if c.owner(0) == leaving {
+			t.Fatal("the leaving node owns the partition again")
+		}
+		time.Sleep(5 * time.Second)
+		c.check(0, acknowledged)
+	})
+}
+
+func TestSingleStoreGrows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 5)
+		c.add(true)
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "alone")}
+		if status := c.nodes[0].manager.Status()[0]; !status.Degraded() || status.LossesSurvived != 0 {
+			t.Fatalf("one store is not reported as degraded: %+v", status)
+		}
+		for range 3 {
+			c.add(true)
+		}
+		c.eventually("four full members", func() bool {
+			return c.nodes[0].manager.Status()[0].Ensemble.Full() == 4 || c.owner(0).manager.Status()[0].Ensemble.Full() == 4
+		})
+		acknowledged = append(acknowledged, c.put(0, "together"))
+		c.check(0, acknowledged)
+	})
+}
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -68,8 +68,6 @@
 	factory   Factory
 	timing    Timing
 	logger    zerolog.Logger
-	// caughtUp is told of joining stores that can be promoted; it must not block.
-	caughtUp func(ensemble protocol.Ensemble, store protocol.StoreID)
 
 	// owner, pending, pendingBytes and releasing belong to run's goroutine.
 	owner        *protocol.Owner
@@ -104,7 +102,6 @@
 	o := &ownership{
 		partition: partition, stores: stores, factory: factory, timing: timing, owner: owner, logger: logger,
 		events: make(chan func() []protocol.Action), appends: make(chan *appendRequest), lost: make(chan struct{}),
-		caughtUp: func(protocol.Ensemble, protocol.StoreID) {},
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	o.publish()
@@ -228,8 +225,6 @@
 		o.serving.Store(true)
 		o.tasks.Add(1)
 		go o.serveMachine(typed.Last)
-	case protocol.CaughtUp:
-		o.caughtUp(o.owner.Ensemble(), typed.Store)
 	case protocol.Lost:
 		o.logger.Info().Stringer(fieldBallot, o.owner.Ballot()).Str(fieldCause, string(typed.Cause)).
 			Stringer(fieldHigher, typed.Higher).Msg("partition_lost")
--- a/internal/ledger/protocol/owner_actions.go
+++ b/internal/ledger/protocol/owner_actions.go
@@ -41,13 +41,6 @@
 // Recovered says that the whole log up to Last is on a write quorum and the owner may serve.
 type Recovered struct{ Last Position }
 
-// CaughtUp says that Store, a joining member, has the log up to Through and so have enough others
-// for a write quorum, so that it may be made a full member.
-type CaughtUp struct {
-	Store   StoreID
-	Through Position
-}
-
 // Lost says that the ballot is lost or cannot be won; the Owner does nothing any more.
 // Higher is the ballot that outranks it, or zero. Ensemble is set where a newer version was met.
 type Lost struct {
@@ -82,5 +75,4 @@
 func (TransferSnapshot) action() {}
 func (Acknowledge) action()      {}
 func (Recovered) action()        {}
-func (CaughtUp) action()         {}
 func (Lost) action()             {}
--- a/internal/ledger/protocol/owner_state.go
+++ b/internal/ledger/protocol/owner_state.go
@@ -38,6 +38,8 @@
 	Attached bool
 	Failing  bool
 	SpaceLow bool
+	// CaughtUp says of a joining member that it may be made a full one.
+	CaughtUp bool
 }
 
 // Holdings returns what each member holds, in the order of the ensemble.
@@ -46,7 +48,7 @@
 	for _, follower := range o.followers {
 		holdings = append(holdings, Holding{
 			Member: follower.member, First: follower.first, Through: follower.acked, Snapshot: follower.snapshot,
-			Attached: follower.attached, Failing: follower.failing, SpaceLow: follower.spaceLow,
+			Attached: follower.attached, Failing: follower.failing, SpaceLow: follower.spaceLow, CaughtUp: follower.caughtUp,
 		})
 	}
 	return holdings
--- a/internal/ledger/protocol/owner_step.go
+++ b/internal/ledger/protocol/owner_step.go
@@ -61,6 +61,7 @@
 	sending  Position
 	inFlight bool
 	failing  bool
+	// caughtUp says of a joining member that it may be made a full one; see noteCaughtUp.
 	caughtUp bool
 	spaceLow bool
 	// attempts counts failures, so that a refill tries another source after each.
@@ -261,7 +262,7 @@
 		actions = append(actions, Recovered{Last: o.committed})
 	}
 	o.trimWindow()
-	actions = append(actions, o.catchUps()...)
+	o.noteCaughtUp()
 	return append(actions, o.pumpAll()...)
 }
 
@@ -286,19 +287,17 @@
 	return holders
 }
 
-// catchUps reports joining members that have what a write quorum has.
-func (o *Owner) catchUps() []Action {
+// noteCaughtUp notes joining members that have the log as far as it is acknowledged, where enough others for a
+// write quorum have it too: they may be made full members.
+func (o *Owner) noteCaughtUp() {
 	if o.phase != PhaseServing || o.holders(o.committed) < o.ensemble.WriteQuorum {
-		return nil
+		return
 	}
-	var actions []Action
 	for _, follower := range o.followers {
-		if follower.member.Joining && follower.attached && !follower.caughtUp && follower.acked >= o.committed {
+		if follower.member.Joining && follower.attached && follower.acked >= o.committed {
 			follower.caughtUp = true
-			actions = append(actions, CaughtUp{Store: follower.member.Store, Through: o.committed})
 		}
 	}
-	return actions
 }
 
 func (o *Owner) lose(lost Lost) []Action {
