--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sloelift/sloelift/internal/ledger/store"
+	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/settings"
@@ -208,6 +209,8 @@
 	running   bool
 }
 
+const reportedLogBytes = 8 << 10
+
 // cluster is a set of nodes over an in-memory network, on virtual time.
 type cluster struct {
 	t        *testing.T
@@ -218,14 +221,37 @@
 	timing   Timing
 	nodes    []*testNode
 	checks   int
+	log      *lockedBuffer
+	logger   zerolog.Logger
+}
+
+// lockedBuffer keeps the nodes' log for a failure's report.
+type lockedBuffer struct {
+	mutex sync.Mutex
+	text  []byte
+}
+
+func (b *lockedBuffer) Write(line []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.text = append(b.text, line...)
+	return len(line), nil
+}
+
+func (b *lockedBuffer) tail(size int) string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return string(b.text[max(0, len(b.text)-size):])
 }
 
 func newCluster(t *testing.T, seed uint64) *cluster {
+	log := &lockedBuffer{}
 	timing := DefaultTiming()
 	timing.Replace = 10 * time.Second
 	return &cluster{
 		t: t, network: memory.NewNetwork(seed), keyValue: &memoryKeyValue{entries: map[string]platform.Entry{}},
 		view: &sharedView{}, ledger: settings.Ledger{Partitions: 2, Replicas: 4, WriteQuorum: 3}, timing: timing,
+		log: log, logger: logging.New(log, zerolog.DebugLevel),
 	}
 }
 
@@ -269,7 +295,7 @@
 		member.Store, member.StoreIncarnation = node.disk != nil, incarnation
 	})
 	node.manager = NewManager(Dependencies{
-		Settings: settings.Settings{Node: string(node.id), Ledger: c.ledger}, Timing: c.timing, Logger: zerolog.Nop(),
+		Settings: settings.Settings{Node: string(node.id), Ledger: c.ledger}, Timing: c.timing, Logger: c.logger.With().Str(logging.FieldNode, string(node.id)).Logger(),
 		Local: node.store, Caller: node.transport, Registry: node.transport, KeyValue: c.keyValue,
 		Viewer: viewerOf{c.view, node.id}, Factory: node.machine,
 	})
@@ -340,7 +366,7 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	c.t.Fatalf("not within a minute: %s; %s", what, c.describe())
+	c.t.Fatalf("not within a minute: %s; %s\n%s", what, c.describe(), c.log.tail(reportedLogBytes))
 }
 
 func (c *cluster) describe() string {
