Check the ledger's step functions under chosen failures

Cause: the protocol must keep every acknowledged record with two disks lost, duplicates, late and lost messages, and several owners; cluster tests meet only some orders of events. Change: a property test drives the same step functions with these failures, checks that one value stands at each position, that owners read acknowledged values, and that after healing every member has them all.

--- /dev/null
+++ b/internal/ledger/protocol/model_test.go
@@ -0,0 +1,319 @@
+package protocol
+
+import (
+	"fmt"
+	"slices"
+
+	"pgregory.net/rapid"
+)
+
+// modelStore is a disk with its state machine.
+type modelStore struct {
+	state    StoreState
+	records  map[Position]Entry
+	snapshot []string
+	lost     bool
+}
+
+func newModelStore() *modelStore {
+	return &modelStore{state: NewStoreState(), records: map[Position]Entry{}}
+}
+
+func (s *modelStore) apply(effect Effect) {
+	for _, removed := range effect.Remove {
+		for position := removed.From; position <= removed.To; position++ {
+			delete(s.records, position)
+		}
+	}
+	for _, entry := range effect.Write {
+		s.records[entry.Position] = entry
+	}
+}
+
+// modelOwner is one owner with the records it gave positions to.
+type modelOwner struct {
+	*Owner
+	id        int
+	values    map[Position]string
+	recovered bool
+	// mustKnow is the highest position acknowledged under a lower ballot when the recovery's reading began.
+	mustKnow Position
+	began    bool
+}
+
+// message is a request on its way to a store, or its answer on its way back.
+type message struct {
+	owner   *modelOwner
+	store   StoreID
+	deliver func() (answer func() []Action)
+	// forgotten: the owner has given up on the answer.
+	forgotten bool
+}
+
+// promotion is an ensemble change decided at one time and made at another.
+type promotion struct{ next Ensemble }
+
+// world is a cluster whose messages and failures rapid chooses.
+type world struct {
+	t          *rapid.T
+	stores     map[StoreID]*modelStore
+	ensemble   Ensemble
+	older      []Ensemble
+	owners     []*modelOwner
+	requests   []message
+	answers    []message
+	promotions []promotion
+	// acknowledged holds the value of every acknowledged position, ballots the lowest ballot that acknowledged it.
+	acknowledged map[Position]string
+	ballots      map[Position]Ballot
+	nextStore    int
+	nextValue    int
+	number       uint64
+}
+
+const (
+	modelReplicas = 4
+	modelQuorum   = 3
+	maxWeak       = 2
+)
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, stores: map[StoreID]*modelStore{}, acknowledged: map[Position]string{}, ballots: map[Position]Ballot{}}
+	w.ensemble = Ensemble{Version: 1, WriteQuorum: modelQuorum}
+	for range modelReplicas {
+		w.ensemble.Members = append(w.ensemble.Members, Member{Store: w.newStore()})
+	}
+	return w
+}
+
+func (w *world) newStore() StoreID {
+	w.nextStore++
+	id := StoreID(fmt.Sprint("store-", w.nextStore))
+	w.stores[id] = newModelStore()
+	return id
+}
+
+// weak counts members that are lost or joining.
+func (w *world) weak() int {
+	weak := 0
+	for _, member := range w.ensemble.Members {
+		if member.Joining || w.stores[member.Store].lost {
+			weak++
+		}
+	}
+	return weak
+}
+
+func (w *world) change(next Ensemble) {
+	w.older = append(w.older, w.ensemble)
+	w.ensemble = next
+}
+
+func (w *world) startOwner(ensemble Ensemble, number uint64) *modelOwner {
+	w.number = max(w.number, number)
+	id := len(w.owners) + 1
+	ballot := Ballot{Version: ensemble.Version, Number: number, Owner: fmt.Sprint("owner-", id)}
+	owner := &modelOwner{
+		Owner: NewOwner(ballot, ensemble, OwnerLimits{BatchBytes: 3 * entryOverheadBytes, WindowBytes: 2 * entryOverheadBytes}),
+		id:    id, values: map[Position]string{},
+	}
+	w.owners = append(w.owners, owner)
+	w.execute(owner, owner.Start())
+	return owner
+}
+
+// step runs one method of an owner and executes what it asks.
+func (w *world) step(owner *modelOwner, actions []Action) {
+	if owner.Phase() >= PhaseReading && owner.Phase() < PhaseLost && !owner.began {
+		owner.began = true
+		for position, ballot := range w.ballots {
+			if ballot.Below(owner.Ballot()) {
+				owner.mustKnow = max(owner.mustKnow, position)
+			}
+		}
+		if owner.RecoveredTo() < owner.mustKnow {
+			w.t.Fatalf("owner %d recovers to %d, but %d is acknowledged", owner.id, owner.RecoveredTo(), owner.mustKnow)
+		}
+	}
+	w.execute(owner, actions)
+	w.checkReads(owner)
+}
+
+func (w *world) execute(owner *modelOwner, actions []Action) {
+	for _, action := range actions {
+		switch typed := action.(type) {
+		case SendPrepare:
+			w.request(owner, typed.Store, func(store *modelStore) func() []Action {
+				promise, effect := store.state.Prepare(typed.Prepare)
+				store.apply(effect)
+				return func() []Action { return owner.Promised(typed.Store, promise) }
+			})
+		case ReadTail:
+			w.request(owner, typed.Store, func(store *modelStore) func() []Action {
+				entries, ok := store.read(typed.From, typed.To)
+				if !ok {
+					return func() []Action { return owner.Failed(typed.Store) }
+				}
+				return func() []Action { return owner.TailRead(typed.Store, entries) }
+			})
+		case SendAppend:
+			for _, entry := range typed.Append.Entries {
+				owner.values[entry.Position] = string(entry.Record.Payload)
+			}
+			w.request(owner, typed.Store, func(store *modelStore) func() []Action {
+				answer, effect := store.state.Append(typed.Append)
+				store.apply(effect)
+				w.checkStore(store)
+				if answer.Verdict == VerdictInvalid {
+					w.t.Fatalf("store contradicts owner %d", owner.id)
+				}
+				return func() []Action { return owner.Acknowledged(typed.Store, answer, false) }
+			})
+		case Fetch:
+			w.fetch(owner, typed)
+		case TransferSnapshot:
+			source := w.stores[typed.Source]
+			if source.lost {
+				w.fail(owner, typed.Store)
+				continue
+			}
+			w.install(owner, typed.Store, source.state.Snapshot, slices.Clone(source.snapshot), true)
+		case Acknowledge:
+			w.acknowledge(owner, typed.Through)
+		case Recovered:
+			owner.recovered = true
+		case Lost:
+			if typed.Cause == LossContradiction {
+				w.t.Fatalf("owner %d met a contradiction", owner.id)
+			}
+		}
+	}
+}
+
+// request puts a request on its way; it is answered, lost or late as rapid chooses.
+func (w *world) request(owner *modelOwner, id StoreID, serve func(*modelStore) func() []Action) {
+	w.requests = append(w.requests, message{owner: owner, store: id, deliver: func() func() []Action {
+		store := w.stores[id]
+		if store.lost {
+			return func() []Action { return owner.Failed(id) }
+		}
+		return serve(store)
+	}})
+}
+
+func (w *world) fail(owner *modelOwner, store StoreID) {
+	w.answers = append(w.answers, message{owner: owner, store: store, deliver: func() func() []Action {
+		return func() []Action { return owner.Failed(store) }
+	}})
+}
+
+func (w *world) fetch(owner *modelOwner, action Fetch) {
+	w.request(owner, action.Source, func(store *modelStore) func() []Action {
+		entries, ok := store.read(action.From, min(action.To, action.From+1))
+		if !ok {
+			return func() []Action { return owner.Failed(action.Store) }
+		}
+		for _, entry := range entries {
+			owner.values[entry.Position] = string(entry.Record.Payload)
+		}
+		return func() []Action { return owner.Fetched(action.Store, entries) }
+	})
+	// The one who waits for the answer is the store that lacks the entries, also where the source is lost.
+	last := &w.requests[len(w.requests)-1]
+	last.store = action.Store
+	inner := last.deliver
+	last.deliver = func() func() []Action {
+		if w.stores[action.Source].lost {
+			return func() []Action { return owner.Failed(action.Store) }
+		}
+		return inner()
+	}
+}
+
+func (w *world) install(owner *modelOwner, id StoreID, info SnapshotInfo, values []string, transfer bool) {
+	recoveredTo := owner.RecoveredTo()
+	w.request(owner, id, func(store *modelStore) func() []Action {
+		answer, effect := store.state.InstallSnapshot(owner.Ballot(), recoveredTo, info)
+		store.apply(effect)
+		if store.state.Snapshot == info {
+			store.snapshot = values
+		}
+		w.checkStore(store)
+		return func() []Action {
+			if transfer {
+				return owner.SnapshotTransferred(id, answer, info)
+			}
+			if answer.Verdict == VerdictOK {
+				owner.SnapshotHeld(id, info)
+			}
+			return nil
+		}
+	})
+}
+
+func (s *modelStore) read(from, to Position) ([]Entry, bool) {
+	var entries []Entry
+	for position := from; position <= to; position++ {
+		entry, present := s.records[position]
+		if !present {
+			return nil, false
+		}
+		entries = append(entries, entry)
+	}
+	return entries, true
+}
+
+func (w *world) acknowledge(owner *modelOwner, through Position) {
+	for position := through; position > 0; position-- {
+		value, known := owner.values[position]
+		if !known {
+			continue
+		}
+		former, present := w.acknowledged[position]
+		if present && former != value {
+			w.t.Fatalf("position %d acknowledged as %s and, by owner %d, as %s", position, former, owner.id, value)
+		}
+		w.acknowledged[position] = value
+		if ballot, counted := w.ballots[position]; !counted || owner.Ballot().Below(ballot) {
+			w.ballots[position] = owner.Ballot()
+		}
+	}
+}
+
+// checkStore checks the invariants of a store's state.
+func (w *world) checkStore(store *modelStore) {
+	s := store.state
+	if s.First > s.Committed+1 || s.Committed > s.Consistent || s.Consistent > s.Last || s.Promised.Below(s.Accepted) {
+		w.t.Fatalf("store state is broken: %+v", s)
+	}
+	for position := s.First; position <= s.Last; position++ {
+		if _, present := store.records[position]; !present {
+			w.t.Fatalf("store lacks record %d: %+v", position, s)
+		}
+	}
+}
+
+// checkReads checks that every record that the owner would read from any store is the acknowledged one.
+func (w *world) checkReads(owner *modelOwner) {
+	if owner.Phase() != PhaseServing {
+		return
+	}
+	for _, holding := range owner.Holdings() {
+		store := w.stores[holding.Member.Store]
+		if store.lost || !holding.Attached {
+			continue
+		}
+		for position := holding.First; position <= min(holding.Through, owner.Committed()); position++ {
+			entry, present := store.records[position]
+			if !present {
+				if position >= store.state.First {
+					w.t.Fatalf("owner %d can't read %d at %s", owner.id, position, holding.Member.Store)
+				}
+				continue
+			}
+			if value := string(entry.Record.Payload); value != w.acknowledged[position] {
+				w.t.Fatalf("owner %d reads %q at %d from %s, acknowledged is %q", owner.id, value, position, holding.Member.Store, w.acknowledged[position])
+			}
+		}
+	}
+}
--- a/internal/ledger/protocol/owner_step.go
+++ b/internal/ledger/protocol/owner_step.go
@@ -113,7 +113,7 @@
 	follower.acked, follower.next = promise.Committed, promise.Committed+1
 	follower.snapshot, follower.first = promise.Snapshot, promise.First
 	if o.phase != PhasePreparing {
-		if promise.Committed > o.recoveredTo {
+		if promise.Committed > o.recoveredTo && promise.Accepted != o.ballot {
 			return o.lose(Lost{Cause: LossContradiction})
 		}
 		return o.advance()
--- /dev/null
+++ b/internal/ledger/protocol/protocol_test.go
@@ -0,0 +1,262 @@
+package protocol
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// pick draws one of items, or reports that there is none.
+func pick[Item any](t *rapid.T, items []Item, label string) (Item, bool) {
+	if len(items) == 0 {
+		var none Item
+		return none, false
+	}
+	return items[rapid.IntRange(0, len(items)-1).Draw(t, label)], true
+}
+
+func (w *world) serving() []*modelOwner {
+	var serving []*modelOwner
+	for _, owner := range w.owners {
+		if owner.Phase() == PhaseServing {
+			serving = append(serving, owner)
+		}
+	}
+	return serving
+}
+
+func (w *world) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"prepare": func(t *rapid.T) {
+			ensemble := w.ensemble
+			if len(w.older) > 0 && rapid.IntRange(0, 4).Draw(t, "stale") == 0 {
+				ensemble, _ = pick(t, w.older, "older")
+			}
+			w.startOwner(ensemble, w.number+uint64(rapid.IntRange(0, 1).Draw(t, "number")))
+		},
+		"propose": func(t *rapid.T) {
+			owner, ok := pick(t, w.serving(), "owner")
+			if !ok {
+				t.Skip("no owner serves")
+			}
+			w.nextValue++
+			value := Record{Payload: []byte(fmt.Sprint("value-", w.nextValue))}
+			_, actions := owner.Propose([]Record{value})
+			w.step(owner, actions)
+		},
+		"deliver":  func(t *rapid.T) { w.deliverRequest(t, false) },
+		"deliver2": func(t *rapid.T) { w.deliverRequest(t, false) },
+		// A duplicate is delivered now and stays on its way, so that it also comes late.
+		"duplicate": func(t *rapid.T) { w.deliverRequest(t, true) },
+		"answer":    func(t *rapid.T) { w.deliverAnswer(t) },
+		"answer2":   func(t *rapid.T) { w.deliverAnswer(t) },
+		"time out": func(t *rapid.T) {
+			index := rapid.IntRange(0, max(len(w.requests)-1, 0)).Draw(t, "request")
+			if len(w.requests) == 0 || w.requests[index].forgotten {
+				t.Skip("no request")
+			}
+			// The owner gives up, but the request may still come late.
+			w.requests[index].forgotten = true
+			w.step(w.requests[index].owner, w.requests[index].owner.Failed(w.requests[index].store))
+		},
+		"retry": func(t *rapid.T) {
+			owner, ok := pick(t, w.owners, "owner")
+			if !ok {
+				t.Skip("no owner")
+			}
+			store, _ := pick(t, owner.followers, "store")
+			w.step(owner, owner.Retry(store.member.Store))
+		},
+		"notice": func(t *rapid.T) {
+			if owner, ok := pick(t, w.serving(), "owner"); ok {
+				w.step(owner, owner.Notice())
+			}
+		},
+		"lose disk": func(t *rapid.T) {
+			member, _ := pick(t, w.ensemble.Members, "member")
+			store := w.stores[member.Store]
+			if store.lost || (!member.Joining && w.weak() >= maxWeak) {
+				t.Skip("enough lost")
+			}
+			store.lost = true
+			store.records = nil
+		},
+		"replace": func(t *rapid.T) {
+			member, _ := pick(t, w.ensemble.Members, "member")
+			if !w.stores[member.Store].lost && (member.Joining || w.weak() >= maxWeak) {
+				t.Skip("would make too few full members")
+			}
+			if next, ok := w.ensemble.Replace(member.Store, Member{Store: w.newStore()}); ok {
+				w.change(next)
+			}
+		},
+		"decide promotion": func(t *rapid.T) {
+			owner, ok := pick(t, w.serving(), "owner")
+			if !ok {
+				t.Skip("no owner serves")
+			}
+			for _, holding := range owner.Holdings() {
+				if next, allowed := owner.Ensemble().Promote(holding.Member.Store); holding.CaughtUp && allowed {
+					w.promotions = append(w.promotions, promotion{next})
+				}
+			}
+		},
+		"promote": func(t *rapid.T) {
+			decided, ok := pick(t, w.promotions, "promotion")
+			if ok && decided.next.Version == w.ensemble.Version+1 {
+				w.change(decided.next)
+			}
+		},
+		"snapshot": func(t *rapid.T) {
+			owner, ok := pick(t, w.serving(), "owner")
+			if !ok || owner.Committed() == 0 {
+				t.Skip("nothing to cover")
+			}
+			upTo := Position(rapid.IntRange(1, int(owner.Committed())).Draw(t, "up to"))
+			info := SnapshotInfo{UpTo: upTo, KeepFrom: Position(rapid.IntRange(1, int(upTo)+1).Draw(t, "keep from"))}
+			w.install(owner, w.drawMember(t, owner), info, w.prefix(upTo), false)
+		},
+		"trim": func(t *rapid.T) {
+			owner, ok := pick(t, w.serving(), "owner")
+			if !ok {
+				t.Skip("no owner serves")
+			}
+			id := w.drawMember(t, owner)
+			w.request(owner, id, func(store *modelStore) func() []Action {
+				answer, effect := store.state.Trim(owner.Ballot(), store.state.Snapshot.KeepFrom)
+				store.apply(effect)
+				w.checkStore(store)
+				first := store.state.First
+				return func() []Action {
+					if answer.Verdict == VerdictOK {
+						owner.Trimmed(id, first)
+					}
+					return nil
+				}
+			})
+		},
+	}
+}
+
+func (w *world) drawMember(t *rapid.T, owner *modelOwner) StoreID {
+	member, _ := pick(t, owner.Ensemble().Members, "member")
+	return member.Store
+}
+
+// prefix returns the acknowledged values up to position.
+func (w *world) prefix(upTo Position) []string {
+	var values []string
+	for position := Position(1); position <= upTo; position++ {
+		values = append(values, w.acknowledged[position])
+	}
+	return values
+}
+
+func (w *world) deliverRequest(t *rapid.T, keep bool) {
+	if len(w.requests) == 0 {
+		t.Skip("no request")
+	}
+	index := rapid.IntRange(0, len(w.requests)-1).Draw(t, "request")
+	w.take(index, keep)
+}
+
+func (w *world) take(index int, keep bool) {
+	request := w.requests[index]
+	if keep {
+		w.requests[index].forgotten = true
+	} else {
+		w.requests = slices.Delete(w.requests, index, index+1)
+	}
+	answer := request.deliver()
+	if request.forgotten {
+		return
+	}
+	request.deliver = func() func() []Action { return answer }
+	w.answers = append(w.answers, request)
+}
+
+func (w *world) deliverAnswer(t *rapid.T) {
+	if len(w.answers) == 0 {
+		t.Skip("no answer")
+	}
+	w.answer(rapid.IntRange(0, len(w.answers)-1).Draw(t, "answer"))
+}
+
+func (w *world) answer(index int) {
+	answer := w.answers[index]
+	w.answers = slices.Delete(w.answers, index, index+1)
+	w.step(answer.owner, answer.deliver()())
+}
+
+// heal replaces lost disks, starts one owner above all others, delivers everything and checks that it serves every
+// acknowledged record, in order.
+func (w *world) heal() {
+	for _, member := range w.ensemble.Members {
+		if w.stores[member.Store].lost {
+			next, ok := w.ensemble.Replace(member.Store, Member{Store: w.newStore()})
+			if !ok {
+				w.t.Fatalf("a lost disk can't be replaced: %+v", w.ensemble)
+			}
+			w.change(next)
+		}
+	}
+	w.requests, w.answers = nil, nil
+	owner := w.startOwner(w.ensemble, w.number+1)
+	for range 10_000 {
+		switch {
+		case len(w.answers) > 0:
+			w.answer(0)
+		case len(w.requests) > 0:
+			w.take(0, false)
+		case !w.retryAll(owner):
+			w.checkHealed(owner)
+			return
+		}
+	}
+	w.t.Fatalf("owner %d does not come to rest", owner.id)
+}
+
+func (w *world) retryAll(owner *modelOwner) bool {
+	retried := false
+	for _, follower := range owner.followers {
+		if follower.failing && follower.attempts < 100 {
+			follower.attempts++
+			retried = true
+			w.step(owner, owner.Retry(follower.member.Store))
+		}
+	}
+	return retried
+}
+
+func (w *world) checkHealed(owner *modelOwner) {
+	if owner.Phase() != PhaseServing {
+		w.t.Fatalf("owner %d does not serve: phase %d, %+v", owner.id, owner.Phase(), owner.Holdings())
+	}
+	for _, holding := range owner.Holdings() {
+		store := w.stores[holding.Member.Store]
+		if holding.Through != owner.Committed() {
+			w.t.Fatalf("%s has %d of %d records", holding.Member.Store, holding.Through, owner.Committed())
+		}
+		var values []string
+		values = append(values, store.snapshot...)
+		for position := Position(len(values)) + 1; position <= store.state.Last; position++ {
+			values = append(values, string(store.records[position].Record.Payload))
+		}
+		for position, value := range w.acknowledged {
+			if int(position) > len(values) || values[position-1] != value {
+				w.t.Fatalf("%s lost %s, acknowledged at %d: %v", holding.Member.Store, value, position, values)
+			}
+		}
+	}
+}
+
+func TestNothingAcknowledgedIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.startOwner(w.ensemble, 1)
+		t.Repeat(w.actions())
+		w.heal()
+	})
+}
