Check the order of owners' records and recovery's choices

Change: the property test checks that records never stand behind those of a higher ballot's owner; two direct tests fix recovery's choice and the end of old tails.

--- a/internal/ledger/protocol/model_test.go
+++ b/internal/ledger/protocol/model_test.go
@@ -66,9 +66,11 @@
 	// acknowledged holds the value of every acknowledged position, ballots the lowest ballot that acknowledged it.
 	acknowledged map[Position]string
 	ballots      map[Position]Ballot
-	nextStore    int
-	nextValue    int
-	number       uint64
+	// born is the ballot under which a value was first proposed.
+	born      map[string]Ballot
+	nextStore int
+	nextValue int
+	number    uint64
 }
 
 const (
@@ -78,7 +80,7 @@
 )
 
 func newWorld(t *rapid.T) *world {
-	w := &world{t: t, stores: map[StoreID]*modelStore{}, acknowledged: map[Position]string{}, ballots: map[Position]Ballot{}}
+	w := &world{t: t, stores: map[StoreID]*modelStore{}, acknowledged: map[Position]string{}, ballots: map[Position]Ballot{}, born: map[string]Ballot{}}
 	w.ensemble = Ensemble{Version: 1, WriteQuorum: modelQuorum}
 	for range modelReplicas {
 		w.ensemble.Members = append(w.ensemble.Members, Member{Store: w.newStore()})
--- a/internal/ledger/protocol/protocol_test.go
+++ b/internal/ledger/protocol/protocol_test.go
@@ -43,6 +43,7 @@
 			}
 			w.nextValue++
 			value := Record{Payload: []byte(fmt.Sprint("value-", w.nextValue))}
+			w.born[string(value.Payload)] = owner.Ballot()
 			_, actions := owner.Propose([]Record{value})
 			w.step(owner, actions)
 		},
@@ -244,6 +245,7 @@
 		for position := Position(len(values)) + 1; position <= store.state.Last; position++ {
 			values = append(values, string(store.records[position].Record.Payload))
 		}
+		w.checkOrder(values)
 		for position, value := range w.acknowledged {
 			if int(position) > len(values) || values[position-1] != value {
 				w.t.Fatalf("%s lost %s, acknowledged at %d: %v", holding.Member.Store, value, position, values)
@@ -252,6 +254,21 @@
 	}
 }
 
+// checkOrder checks that no record of a lower ballot's owner stands behind one of a higher ballot's.
+func (w *world) checkOrder(values []string) {
+	var highest Ballot
+	for _, value := range values {
+		ballot, known := w.born[value]
+		if !known {
+			continue
+		}
+		if ballot.Below(highest) {
+			w.t.Fatalf("%s, proposed under %s, stands behind records of %s: %v", value, ballot, highest, values)
+		}
+		highest = ballot
+	}
+}
+
 func TestNothingAcknowledgedIsLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
--- /dev/null
+++ b/internal/ledger/protocol/recovery_test.go
@@ -0,0 +1,56 @@
+package protocol
+
+import "testing"
+
+// promiseOf makes a promise of a store that accepted up to last under accepted, whose recovery ended at recoveredTo.
+func promiseOf(ballot, accepted Ballot, recoveredTo, last Position) Promise {
+	return Promise{Verdict: VerdictOK, Promised: ballot, Accepted: accepted, RecoveredTo: recoveredTo, First: 1, Last: last}
+}
+
+// Two stores hold different records at one position, both before the end of the higher ballot's recovery. Only the higher
+// one can have been acknowledged.
+func TestRecoveryTakesTheHighestBallot(t *testing.T) {
+	low, high, own := Ballot{1, 1, "a"}, Ballot{1, 3, "c"}, Ballot{1, 4, "d"}
+	ensemble := Ensemble{Version: 1, WriteQuorum: 3, Members: []Member{{Store: "1"}, {Store: "2"}, {Store: "3"}, {Store: "4"}}}
+	for _, first := range []StoreID{"1", "2"} {
+		owner := NewOwner(own, ensemble, DefaultOwnerLimits())
+		owner.Start()
+		owner.Promised("1", promiseOf(own, low, 0, 1))
+		if actions := owner.Promised("2", promiseOf(own, high, 1, 1)); len(actions) != 2 {
+			t.Fatalf("tails read: %v", actions)
+		}
+		entries := map[StoreID][]Entry{
+			"1": {{Position: 1, Ballot: low, Record: Record{Payload: []byte("low")}}},
+			"2": {{Position: 1, Ballot: high, Record: Record{Payload: []byte("high")}}},
+		}
+		second := map[StoreID]StoreID{"1": "2", "2": "1"}[first]
+		owner.TailRead(first, entries[first])
+		actions := owner.TailRead(second, entries[second])
+		if len(actions) != 2 {
+			t.Fatalf("after the tails: %v", actions)
+		}
+		for _, action := range actions {
+			written := action.(SendAppend).Append.Entries
+			if len(written) != 1 || string(written[0].Record.Payload) != "high" || written[0].Ballot != own {
+				t.Fatalf("rewritten: %v", written)
+			}
+		}
+	}
+}
+
+// Records of a lower ballot behind the end of a higher ballot's recovery were never acknowledged and must not
+// come back behind the higher ballot's records.
+func TestRecoveryVoidsOldTails(t *testing.T) {
+	low, high, own := Ballot{1, 1, "a"}, Ballot{1, 2, "b"}, Ballot{1, 3, "c"}
+	ensemble := Ensemble{Version: 1, WriteQuorum: 3, Members: []Member{{Store: "1"}, {Store: "2"}, {Store: "3"}, {Store: "4"}}}
+	owner := NewOwner(own, ensemble, DefaultOwnerLimits())
+	owner.Start()
+	owner.Promised("1", promiseOf(own, low, 0, 9))
+	actions := owner.Promised("2", promiseOf(own, high, 2, 3))
+	if len(actions) != 2 || owner.RecoveredTo() != 3 {
+		t.Fatalf("recovers to %d by %v", owner.RecoveredTo(), actions)
+	}
+	if tail := actions[0].(ReadTail); tail.Store != "1" || tail.To != 2 {
+		t.Fatalf("tail of the lower ballot: %+v", tail)
+	}
+}
