--- a/internal/job/dispatch_core.go
+++ b/internal/job/dispatch_core.go
@@ -279,9 +279,11 @@
 	)
 }
 
+// insert puts the job in its place. A job of the same id can stand there still, of an
+// earlier ownership that has not ended yet.
 func (q *serviceQueue) insert(job *dispatchJob) {
-	at, present := slices.BinarySearchFunc(q.jobs, job, compareJobs)
-	if !present {
+	if !slices.Contains(q.jobs, job) {
+		at, _ := slices.BinarySearchFunc(q.jobs, job, compareJobs)
 		q.jobs = slices.Insert(q.jobs, at, job)
 	}
 }
--- a/internal/job/fake_test.go
+++ b/internal/job/fake_test.go
@@ -212,8 +212,11 @@
 func (c *fakeCredits) revokeAll() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for _, revoked := range c.held {
-		close(revoked)
+	for number, revoked := range c.held {
+		if revoked != nil {
+			close(revoked)
+		}
+		c.held[number] = nil
 	}
 }
 
