--- a/internal/routing/prefix_index.go
+++ b/internal/routing/prefix_index.go
@@ -132,7 +132,7 @@
 	if held.confirmed {
 		half = confirmedHalfLife
 	}
-	confidence := math.Exp2(-float64(now.Sub(held.at)) / float64(half))
+	confidence := min(1, math.Exp2(-float64(now.Sub(held.at))/float64(half)))
 	if gap, ok := x.gaps[held.replica]; ok && !held.at.After(gap) {
 		confidence *= gapFactor
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -133,18 +133,23 @@
 			continue
 		}
 		held := overlaps[replica.ID]
-		one := candidate{replica: replica, expectedBlocks: held.blocks, confidence: held.confidence}
-		if own := s.own.find(replica.ID); own != nil && !s.options.DisableOwnRequests {
-			one.own = own.since(replica, s.options.Costs.MaxLag)
-		}
-		for _, score := range s.scorers {
-			one.cost += score(request, &one)
-		}
-		candidates = append(candidates, one)
+		candidates = append(candidates, candidate{replica: replica, expectedBlocks: held.blocks, confidence: held.confidence})
+	}
+	for index := range candidates {
+		s.score(request, &candidates[index])
 	}
 	return candidates
 }
 
+func (s *Service) score(request *Request, one *candidate) {
+	if own := s.own.find(one.replica.ID); own != nil && !s.options.DisableOwnRequests {
+		one.own = own.since(one.replica, s.options.Costs.MaxLag)
+	}
+	for _, scorer := range s.scorers {
+		one.cost += scorer(request, one)
+	}
+}
+
 func (s *Service) passes(request *Request, replica *fleet.Replica) bool {
 	for _, keep := range s.filters {
 		if !keep(request, replica) {
