--- a/internal/admission/credit_events.go
+++ b/internal/admission/credit_events.go
@@ -44,7 +44,8 @@
 	releaseHeard struct{ release *admissionpb.Release }
 	// onlineHeard tells of online requests that start on homed replicas.
 	onlineHeard struct{ started *admissionpb.OnlineStarted }
-	// grantAnswered is the requester's answer; lost means that there was none.
+	// grantAnswered is the requester's answer; lost means that there was none. Credits
+	// that surely did not reach it are declined.
 	grantAnswered struct {
 		requester string
 		declined  []uint64
--- a/internal/admission/credit_home.go
+++ b/internal/admission/credit_home.go
@@ -166,7 +166,8 @@
 
 func (h *homeState) onAnswer(now time.Time, answer grantAnswered) {
 	if answer.lost {
-		return // the requester may hold them; they lapse
+		// The requester may hold the credits: they lapse. Nothing more until it is heard again.
+		delete(h.demands, answer.requester)
 	}
 	for _, id := range answer.declined {
 		if credit := h.credits[id]; credit != nil {
--- a/internal/admission/credit_messages.go
+++ b/internal/admission/credit_messages.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
 	admissionpb "github.com/sloelift/sloelift/api/proto/admission"
@@ -105,11 +106,16 @@
 		response = &admissionpb.GrantResponse{}
 		err = s.caller.Call(callContext, address, methodGrant, offered.request, response)
 	} else {
-		err = context.Canceled
+		err = transport.KindNotSent.New("node %s is not a member", offered.requester)
 	}
 	answer := grantAnswered{requester: offered.requester, lost: err != nil}
-	if err == nil {
+	switch {
+	case err == nil:
 		answer.declined = response.GetDeclined()
+	case errorx.IsOfType(err, transport.KindNotSent):
+		for _, grant := range offered.request.GetGrants() {
+			answer.declined = append(answer.declined, grant.GetCredit())
+		}
 	}
 	s.push(answer)
 }
--- a/internal/routing/scorer_load.go
+++ b/internal/routing/scorer_load.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// loadCost is the delay that the work already on a replica adds: waiting requests and
+// loadCost is the delay that the work already on a replica adds: requests ahead in its queue and
 // queued prompt tokens come first, and a fuller batch has slower steps. Online
 // requests overtake batch in the engine, so batch counts only by BatchShare.
 func loadCost(costs Costs) scorer {
@@ -18,7 +18,7 @@
 		online := max(0, report.Running-report.RunningBatch+c.own)
 		running := float64(online) + costs.BatchShare*float64(report.RunningBatch)
 		limit := max(1, report.MaxRunning)
-		waiting := float64(max(0, report.Waiting-report.WaitingBatch) + max(0, online-limit))
+		waiting := float64(max(0, report.Waiting-report.WaitingBatch) + max(0, online+1-limit))
 		steps := costs.BusySteps*running/float64(limit) + costs.WaitingSteps*waiting
 		return time.Duration(steps*float64(step)) + time.Duration(report.QueuedPrefill)*costs.PrefillToken
 	}
