Give the test cluster's network a delay and cut lost nodes off

Cause: under the race detector the runtime crashed in zero-delay timers of a synctest bubble, and a node was stopped with frames on the way to it. Change: a delay of 1 ms; a lost node is cut off; ends stop when nothing is on the way.

--- a/internal/admission/cluster_test.go
+++ b/internal/admission/cluster_test.go
@@ -26,6 +26,7 @@
 	clusterSlots      = 8
 	clusterBatchLimit = 6
 	itemTime          = 300 * time.Millisecond
+	clusterDelay      = time.Millisecond
 )
 
 // cluster is three nodes in two zones before four replicas, on virtual time.
@@ -59,6 +60,9 @@
 		t: t, network: memory.NewNetwork(1), online: make(map[string]int), batch: make(map[string]int),
 		leaving: make(map[string]bool), completed: make(map[string]int), view: &membership.View{},
 	}
+	c.network.SetConditions(func(netip.AddrPort, netip.AddrPort) memory.Conditions {
+		return memory.Conditions{Delay: clusterDelay}
+	})
 	for index, zone := range []string{"z1", "z1", "z2"} {
 		c.view.Members = append(c.view.Members, membership.Member{
 			ID: membership.NodeID(fmt.Sprint("n", index)), Zone: zone,
@@ -97,13 +101,25 @@
 func (n *clusterNode) stop() {
 	n.credits.Stop()
 	n.fleet.Stop()
-	n.transport.Stop()
 }
 
+// stop ends all nodes, then, once nothing is on the way, the network's ends.
 func (c *cluster) stop() {
 	for _, node := range c.nodes {
 		node.stop()
 	}
+	time.Sleep(time.Second)
+	for _, node := range c.nodes {
+		node.transport.Stop()
+	}
+}
+
+// cut loses every frame from and to a node.
+func (c *cluster) cut(node *clusterNode) {
+	lost := node.transport.Address()
+	c.network.SetConditions(func(from, to netip.AddrPort) memory.Conditions {
+		return memory.Conditions{Delay: clusterDelay, Cut: from == lost || to == lost}
+	})
 }
 
 // View, Subscribe, Load and the others are the ports that a node uses.
@@ -288,6 +304,7 @@
 		wait := c.runItems(ctx, 20)
 		time.Sleep(time.Second)
 		lost := c.nodes[2] // the only node of its zone, so home of r2 and r3
+		c.cut(lost)
 		lost.stop()
 		time.Sleep(DefaultOptions().TimeToLive + 100*time.Millisecond)
 		if batch := c.count(c.batch, "r2") + c.count(c.batch, "r3"); batch != 0 {
@@ -308,5 +325,6 @@
 		wait()
 		c.nodes = c.nodes[:2]
 		c.stop()
+		lost.transport.Stop()
 	})
 }
