Send nothing new to draining replicas

Cause: a replica whose models are changed must serve out what it has first. Change: the engine role "draining" takes a replica out of routing and credits.

--- a/internal/admission/credit_service.go
+++ b/internal/admission/credit_service.go
@@ -209,7 +209,7 @@
 		if !ok || string(home.ID) != s.settings.Node {
 			continue
 		}
-		homed := homedReplica{id: replica.ID, service: replica.Service, usable: !replica.Leaving && !replica.Failed}
+		homed := homedReplica{id: replica.ID, service: replica.Service, usable: !replica.Leaving && !replica.Failed && !replica.Draining()}
 		if service := services[replica.Service]; service != nil {
 			homed.batchLimit = service.BatchConcurrentPerReplica
 		}
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -49,3 +49,10 @@
 	// ReportLeaving notes that the replica said it is leaving.
 	ReportLeaving(replica string)
 }
+
+// RoleDraining is the engine role of a replica that serves out what it has and takes
+// nothing new, so that its models can be changed.
+const RoleDraining = "draining"
+
+// Draining says whether the replica takes nothing new for now.
+func (r *Replica) Draining() bool { return r.HasLoad && r.Load.Role == RoleDraining }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -34,7 +34,7 @@
 func New(options Options, source fleet.Source, region, zone string, registerer prometheus.Registerer) *Service {
 	service := &Service{
 		options: options, source: source,
-		filters: []filter{notLeaving, notFailed, notExcluded, modelPresent},
+		filters: []filter{notLeaving, notFailed, notDraining, notExcluded, modelPresent},
 		own:     ownTable{byReplica: make(map[string]*ownRequests)},
 		prefix:  newPrefixIndex(!options.DisableConfidence),
 		picks: prometheus.NewCounterVec(prometheus.CounterOpts{
