Tell marked requests' first tokens apart and bound idle capacity in tokens

Cause: the share of idle capacity came out above 1, because prompt tokens that a perfect cache would not compute counted as work done; and 5 in 100 marked requests hid the others' p99. Change: the share counts answer tokens; first tokens are given for marked and unmarked requests.

--- a/lab/experiment/bound.go
+++ b/lab/experiment/bound.go
@@ -16,10 +16,9 @@
 // shared prompt beginning is computed once per replica for online and once in all for
 // batch, and batch work may run from the moment it arrives.
 type CapacityBound struct {
-	// Work is in engine-seconds, Items in items.
-	Work  float64
-	Items float64
-	cost  costModel
+	// Work is in engine-seconds, Tokens are answer tokens.
+	Work   float64
+	Tokens float64
 }
 
 // costModel gives the engine time that tokens take in full steps.
@@ -40,16 +39,11 @@
 	return float64(decoded)*c.perDecoded + float64(prefilled)*c.perPrefilled
 }
 
-// workDone returns the engine-seconds, in full steps, of what engines computed for batch.
-func (b CapacityBound) workDone(totals labengine.Totals) float64 {
-	return b.cost.work(int(totals.BatchDecoded), int(totals.BatchPrefill))
-}
-
 // Bound computes the bound of a plan.
 func Bound(plan load.Plan) CapacityBound {
 	cost := newCostModel(labengine.DefaultOptions("", plan.Profile.StepBase))
 	steps := int(plan.Duration / boundStep)
-	online, batch, items := make([]float64, steps+1), make([]float64, steps+1), make([]float64, steps+1)
+	online, batch, tokens := make([]float64, steps+1), make([]float64, steps+1), make([]float64, steps+1)
 	seen := map[uint64]int{}
 	for _, arrival := range plan.Online {
 		online[arrival.At/boundStep] += cost.work(arrival.Expected().Tokens, newTokens(plan, arrival.Content, seen, plan.Profile.Replicas))
@@ -57,10 +51,10 @@
 	for _, job := range plan.Jobs {
 		for _, item := range job.Items {
 			batch[job.At/boundStep] += cost.work(item.Expected().Tokens, newTokens(plan, item.Content, seen, 1))
-			items[job.At/boundStep]++
+			tokens[job.At/boundStep] += float64(item.Expected().Tokens)
 		}
 	}
-	return fluid(plan, cost, online, batch, items)
+	return fluid(plan, online, batch, tokens)
 }
 
 // newTokens counts the prompt tokens that a cache must compute which computes each
@@ -79,21 +73,21 @@
 }
 
 // fluid lets online work go first and gives the rest of each step to batch work.
-func fluid(plan load.Plan, cost costModel, online, batch, items []float64) CapacityBound {
+func fluid(plan load.Plan, online, batch, tokens []float64) CapacityBound {
 	capacity := boundStep.Seconds() * float64(plan.Profile.Replicas)
-	bound := CapacityBound{cost: cost}
-	var onlineBacklog, batchBacklog, itemBacklog float64
+	var bound CapacityBound
+	var onlineBacklog, batchBacklog, tokenBacklog float64
 	for step := range online {
 		onlineBacklog += online[step]
 		batchBacklog += batch[step]
-		itemBacklog += items[step]
+		tokenBacklog += tokens[step]
 		served := min(onlineBacklog, capacity)
 		onlineBacklog -= served
 		run := min(batchBacklog, capacity-served)
 		share := ratio(run, batchBacklog)
 		bound.Work += run
-		bound.Items += itemBacklog * share
-		itemBacklog -= itemBacklog * share
+		bound.Tokens += tokenBacklog * share
+		tokenBacklog -= tokenBacklog * share
 		batchBacklog -= run
 	}
 	return bound
--- a/lab/experiment/compare.go
+++ b/lab/experiment/compare.go
@@ -35,7 +35,11 @@
 	PrefilledTwiceShare float64 `json:"prefilled_twice_share"`
 	OnlineOfPerfect     float64 `json:"online_hit_rate_of_perfect"`
 	BatchOfPerfect      float64 `json:"batch_hit_rate_of_perfect"`
+	UnmarkedP99         float64 `json:"unmarked_first_token_p99_ms"`
+	MarkedP99           float64 `json:"marked_first_token_p99_ms"`
 	FirstTokenToOnline  float64 `json:"first_token_p99_to_online_only"`
+	UnmarkedToOnline    float64 `json:"unmarked_first_token_p99_to_online_only"`
+	MarkedToOnline      float64 `json:"marked_first_token_p99_to_online_only"`
 	InterTokenToOnline  float64 `json:"inter_token_p99_to_online_only"`
 	ItemsToFIFO         float64 `json:"items_per_second_to_fifo"`
 	TokensToFIFO        float64 `json:"tokens_per_second_to_fifo"`
@@ -100,6 +104,8 @@
 		return median(ratios)
 	}
 	firstP99 := func(r Result) float64 { return r.FirstToken.P99 }
+	unmarkedP99 := func(r Result) float64 { return r.FirstTokenUnmarked.P99 }
+	markedP99 := func(r Result) float64 { return r.FirstTokenMarked.P99 }
 	interP99 := func(r Result) float64 { return r.InterToken.P99 }
 	items := func(r Result) float64 { return r.Batch.ItemsPerSecond }
 	tokens := func(r Result) float64 { return r.Batch.TokensPerSecond }
@@ -118,7 +124,11 @@
 		PrefilledTwiceShare: over(func(r Result) float64 { return r.Batch.PrefilledTwiceShare }),
 		OnlineOfPerfect:     over(func(r Result) float64 { return r.Cache.OnlineOfPerfect }),
 		BatchOfPerfect:      over(func(r Result) float64 { return r.Cache.BatchOfPerfect }),
+		UnmarkedP99:         over(unmarkedP99),
+		MarkedP99:           over(markedP99),
 		FirstTokenToOnline:  to(PolicyOnlineOnly, firstP99),
+		UnmarkedToOnline:    to(PolicyOnlineOnly, unmarkedP99),
+		MarkedToOnline:      to(PolicyOnlineOnly, markedP99),
 		InterTokenToOnline:  to(PolicyOnlineOnly, interP99),
 		ItemsToFIFO:         to(PolicyFIFO, items),
 		TokensToFIFO:        to(PolicyFIFO, tokens),
@@ -149,10 +159,11 @@
 func (c Comparison) Print(out io.Writer) error {
 	fmt.Fprintf(out, "profile %s, seeds %v, medians\n", c.Profile, c.Seeds)
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "policy\tfirst token p50/p95/p99 ms\tto online-only\tinter-token p50/p95/p99 ms\tto online-only\titems/s\ttokens/s\tto fifo\tidle used\ttwice dec/pre\thits of perfect on/batch\tfailed")
+	fmt.Fprintln(table, "policy\tfirst token p50/p95/p99 ms\tto online-only\tunmarked p99\tto online-only\tmarked p99\tto online-only\tinter-token p50/p95/p99 ms\tto online-only\titems/s\ttokens/s\tto fifo\tidle used\ttwice dec/pre\thits of perfect on/batch\tfailed")
 	for _, s := range c.Medians {
-		fmt.Fprintf(table, "%s\t%.1f/%.1f/%.1f\t%.3f\t%.2f/%.2f/%.2f\t%.3f\t%.1f\t%.0f\t%.3f\t%.3f\t%.2f%%/%.2f%%\t%.2f/%.2f\t%d\n",
+		fmt.Fprintf(table, "%s\t%.1f/%.1f/%.1f\t%.3f\t%.1f\t%.3f\t%.1f\t%.3f\t%.2f/%.2f/%.2f\t%.3f\t%.1f\t%.0f\t%.3f\t%.3f\t%.2f%%/%.2f%%\t%.2f/%.2f\t%d\n",
 			s.Policy, s.FirstTokenP50, s.FirstTokenP95, s.FirstTokenP99, s.FirstTokenToOnline,
+			s.UnmarkedP99, s.UnmarkedToOnline, s.MarkedP99, s.MarkedToOnline,
 			s.InterTokenP50, s.InterTokenP95, s.InterTokenP99, s.InterTokenToOnline,
 			s.ItemsPerSecond, s.TokensPerSecond, s.TokensToFIFO, s.IdleCapacityUsed,
 			100*s.DecodedTwiceShare, 100*s.PrefilledTwiceShare, s.OnlineOfPerfect, s.BatchOfPerfect, s.Failed)
--- a/lab/experiment/experiment_test.go
+++ b/lab/experiment/experiment_test.go
@@ -41,12 +41,14 @@
 	small.Online.RequestsPerSecond, small.Online.BurstRequestsPerSecond = 0, 0
 	small.Batch.JobsPerHeap, small.Batch.ItemsPerJob = 1, 4
 	plan := load.NewPlan(small, 16*time.Second, 1)
-	items := 0
+	tokens := 0
 	for _, job := range plan.Jobs {
-		items += len(job.Items)
+		for _, item := range job.Items {
+			tokens += item.Expected().Tokens
+		}
 	}
-	if bound := Bound(plan); math.Abs(bound.Items-float64(items)) > 1e-6 {
-		t.Fatalf("bound %v, want all %d items", bound.Items, items)
+	if bound := Bound(plan); math.Abs(bound.Tokens-float64(tokens)) > 1e-6 {
+		t.Fatalf("bound %v, want all %d tokens", bound.Tokens, tokens)
 	}
 	large := small
 	large.Batch.ItemsPerJob = 20000
--- a/lab/experiment/print.go
+++ b/lab/experiment/print.go
@@ -35,6 +35,8 @@
 	row("prefix hit rate", "online %.2f (%.2f of perfect), batch %.2f (%.2f of perfect)",
 		r.Cache.OnlineHitRate, r.Cache.OnlineOfPerfect, r.Cache.BatchHitRate, r.Cache.BatchOfPerfect)
 	row("online first token p50/p95/p99", "%.1f / %.1f / %.1f ms", r.FirstToken.P50, r.FirstToken.P95, r.FirstToken.P99)
+	row("  of marked requests", "%.1f / %.1f / %.1f ms", r.FirstTokenMarked.P50, r.FirstTokenMarked.P95, r.FirstTokenMarked.P99)
+	row("  of unmarked requests", "%.1f / %.1f / %.1f ms", r.FirstTokenUnmarked.P50, r.FirstTokenUnmarked.P95, r.FirstTokenUnmarked.P99)
 	row("online inter-token p50/p95/p99", "%.2f / %.2f / %.2f ms", r.InterToken.P50, r.InterToken.P95, r.InterToken.P99)
 	if err := table.Flush(); err != nil {
 		return err
--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -19,6 +19,9 @@
 	Failed     bool              `json:"failed"`
 	Verdict    load.Verdict      `json:"verdict"`
 	FirstToken load.Distribution `json:"online_first_token"`
+	// FirstTokenMarked are the marked requests among them, FirstTokenUnmarked the others.
+	FirstTokenMarked   load.Distribution `json:"online_first_token_marked"`
+	FirstTokenUnmarked load.Distribution `json:"online_first_token_unmarked"`
 	InterToken load.Distribution `json:"online_inter_token"`
 	Batch      BatchResult       `json:"batch"`
 	Cache      CacheResult       `json:"cache"`
@@ -42,9 +45,9 @@
 type BatchResult struct {
 	ItemsPerSecond  float64 `json:"items_per_second"`
 	TokensPerSecond float64 `json:"tokens_per_second"`
-	// IdleCapacityItems is how many items a perfect scheduler could have run, see Bound.
-	IdleCapacityItems float64 `json:"idle_capacity_items"`
-	// IdleCapacityUsed is the share of it that was run.
+	// IdleCapacityTokens is how many batch tokens a perfect scheduler could have made, see Bound.
+	IdleCapacityTokens float64 `json:"idle_capacity_tokens"`
+	// IdleCapacityUsed is the share of them that was made, without those made twice.
 	IdleCapacityUsed float64 `json:"idle_capacity_used"`
 	// DecodedTwiceShare is answer tokens computed again, as a share of all; PrefilledTwiceShare is
 	// prompt tokens computed again by resumptions, as a share of all tokens computed.
@@ -75,7 +78,8 @@
 	result := Result{
 		Profile: plan.Profile.Name, Scenario: options.Scenario.Name, Policy: options.Policy, Seed: options.Seed, Seconds: seconds,
 		Verdict: verdict, Failed: verdict.Failed(),
-		FirstToken: seen.FirstToken, InterToken: seen.InterToken,
+		FirstToken: seen.FirstToken, FirstTokenMarked: seen.FirstTokenMarked, FirstTokenUnmarked: seen.FirstTokenUnmarked,
+		InterToken: seen.InterToken,
 		Load:    LoadDescribed{OnlineRequests: len(plan.Online), Jobs: len(plan.Jobs)},
 		Engines: EngineAccounts{Totals: atEnd},
 	}
@@ -92,9 +96,6 @@
 		ItemsPerSecond:  float64(atEnd.BatchFinished) / seconds,
 		TokensPerSecond: float64(atEnd.BatchDecoded) / seconds,
 	}
-	bound := Bound(plan)
-	result.IdleCapacityItems = bound.Items
-	result.IdleCapacityUsed = ratio(bound.workDone(atEnd), bound.Work)
 	var decoded, decodedTwice, prefilled, prefilledTwice int
 	for _, record := range records {
 		if !record.Batch {
@@ -108,6 +109,8 @@
 			prefilledTwice += max(record.Prefilled-(record.PromptTokens-record.CachedTokens), 0)
 		}
 	}
+	result.IdleCapacityTokens = Bound(plan).Tokens
+	result.IdleCapacityUsed = ratio(float64(atEnd.BatchDecoded)-float64(decodedTwice), result.IdleCapacityTokens)
 	result.DecodedTwiceShare = ratio(float64(decodedTwice), float64(decoded))
 	result.PrefilledTwiceShare = ratio(float64(prefilledTwice), float64(decoded+prefilled))
 	return result
--- a/lab/load/online.go
+++ b/lab/load/online.go
@@ -96,7 +96,7 @@
 		return nil
 	}
 	result.Outcome = OnlineCompleted
-	received.times.recordTo(r)
+	received.times.recordTo(r, arrival.NotRepeatable)
 	return nil
 }
 
@@ -198,11 +198,16 @@
 	t.last = now
 }
 
-func (t *tokenTimes) recordTo(r *Runner) {
+func (t *tokenTimes) recordTo(r *Runner, marked bool) {
 	if t.last.IsZero() {
 		return
 	}
 	r.firstToken.record(t.first)
+	if marked {
+		r.firstTokenMarked.record(t.first)
+	} else {
+		r.firstTokenUnmarked.record(t.first)
+	}
 	for _, gap := range t.gaps {
 		r.interToken.record(gap)
 	}
--- a/lab/load/recorder.go
+++ b/lab/load/recorder.go
@@ -105,7 +105,10 @@
 	Started time.Time
 	Online  []OnlineResult
 	Jobs    []JobOutcome
-	// FirstToken and InterToken are of completed online requests.
-	FirstToken Distribution
-	InterToken Distribution
+	// FirstToken and InterToken are of completed online requests; the first token is also
+	// given for marked requests, which wait for their claim, and the others apart.
+	FirstToken         Distribution
+	FirstTokenMarked   Distribution
+	FirstTokenUnmarked Distribution
+	InterToken         Distribution
 }
--- a/lab/load/runner.go
+++ b/lab/load/runner.go
@@ -17,8 +17,10 @@
 	targets Targets
 	started time.Time
 
-	firstToken *histogram
-	interToken *histogram
+	firstToken         *histogram
+	firstTokenMarked   *histogram
+	firstTokenUnmarked *histogram
+	interToken         *histogram
 
 	// mutex guards online and jobs.
 	mutex  sync.Mutex
@@ -30,11 +32,13 @@
 // NewRunner returns a runner of one plan.
 func NewRunner(plan Plan, targets Targets) *Runner {
 	return &Runner{
-		plan:       plan,
-		caller:     NewCaller(TenantKey),
-		targets:    targets,
-		firstToken: newHistogram(),
-		interToken: newHistogram(),
+		plan:               plan,
+		caller:             NewCaller(TenantKey),
+		targets:            targets,
+		firstToken:         newHistogram(),
+		firstTokenMarked:   newHistogram(),
+		firstTokenUnmarked: newHistogram(),
+		interToken:         newHistogram(),
 	}
 }
 
@@ -61,11 +65,13 @@
 	})
 	r.wait.Wait()
 	return Observations{
-		Started:    r.started,
-		Online:     r.online,
-		Jobs:       r.jobs,
-		FirstToken: r.firstToken.distribution(),
-		InterToken: r.interToken.distribution(),
+		Started:            r.started,
+		Online:             r.online,
+		Jobs:               r.jobs,
+		FirstToken:         r.firstToken.distribution(),
+		FirstTokenMarked:   r.firstTokenMarked.distribution(),
+		FirstTokenUnmarked: r.firstTokenUnmarked.distribution(),
+		InterToken:         r.interToken.distribution(),
 	}
 }
 
