--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -89,12 +89,16 @@
 }
 
 func (p *protocol) sendDigest(to netip.AddrPort) {
+	p.send(to, methodDigest, p.digest())
+}
+
+func (p *protocol) digest() *membershippb.Digest {
 	message := &membershippb.Digest{Sender: p.sender()}
 	index := p.lookup()
 	for _, zone := range index.zones {
 		message.Zones = append(message.Zones, digestOf(zone, index.byZone[zone]))
 	}
-	p.send(to, methodDigest, message)
+	return message
 }
 
 func digestOf(zone zoneKey, members []*record) *membershippb.ZoneDigest {
@@ -116,12 +120,15 @@
 	index := p.lookup()
 	answer := &membershippb.Summary{Sender: p.sender()}
 	compared := make(map[zoneKey]bool)
+	answerRevisions := false
 	for _, theirs := range message.GetZones() {
 		zone := zoneKey(theirs.GetZone())
 		compared[zone] = true
 		members := index.byZone[zone]
 		if digestOf(zone, members).GetHash() == theirs.GetHash() {
-			p.learnRevisions(members, theirs.GetRevisions())
+			if p.learnRevisions(members, theirs.GetRevisions()) {
+				answerRevisions = true
+			}
 			continue
 		}
 		answer.Zones = append(answer.Zones, summaryOf(zone, members))
@@ -135,20 +142,29 @@
 	if len(answer.Zones) > 0 {
 		p.send(from, methodSummary, answer)
 	}
+	if answerRevisions && !message.GetAnswer() {
+		digest := p.digest()
+		digest.Answer = true
+		p.send(from, methodDigest, digest)
+	}
 	p.sendRecords(from, unknownThere)
 }
 
-// learnRevisions takes the revisions of members that both sides hold alike.
-func (p *protocol) learnRevisions(members []*record, runs []*membershippb.RevisionRun) {
+// learnRevisions takes the revisions of members that both sides hold alike. It returns
+// true where this node knows a higher one.
+func (p *protocol) learnRevisions(members []*record, runs []*membershippb.RevisionRun) (knowsHigher bool) {
 	position := 0
 	for _, run := range runs {
 		for count := uint32(0); count < run.GetMembers() && position < len(members); count++ {
-			if members[position] != p.self {
-				p.learnRevision(members[position], run.GetRevision())
-			}
+			member := members[position]
 			position++
+			if member != p.self {
+				p.learnRevision(member, run.GetRevision())
+			}
+			knowsHigher = knowsHigher || member.ConfigRevision > run.GetRevision()
 		}
 	}
+	return knowsHigher
 }
 
 func summaryOf(zone zoneKey, members []*record) *membershippb.ZoneSummary {
--- /dev/null
+++ b/internal/membership/protocol_test.go
@@ -0,0 +1,231 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+)
+
+const (
+	simulatedNodes = 5
+	simulatedZones = 2
+	// healTime is what the survivors of any faults have to agree again: it covers the
+	// longest backoff of a join and a death and return on top of it.
+	healTime = 40 * time.Second
+)
+
+// simulation drives protocols without goroutines, clock or network.
+type simulation struct {
+	t      *rapid.T
+	now    time.Time
+	nodes  []*simulatedNode
+	queue  []simulatedMessage
+	random *rand.Rand // from a drawn seed
+	faulty bool
+	loss   int // percent
+}
+
+type simulatedNode struct {
+	member   Member
+	protocol *protocol // nil while the node is down
+	paused   bool
+	highest  uint64 // highest own incarnation ever
+	revision int64  // highest own revision ever
+	view     *View
+}
+
+type simulatedMessage struct {
+	from, to netip.AddrPort
+	message  proto.Message
+}
+
+func newSimulation(t *rapid.T) *simulation {
+	s := &simulation{t: t, now: time.Unix(1_000_000, 0)}
+	s.random = rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+	for number := range simulatedNodes {
+		s.nodes = append(s.nodes, &simulatedNode{member: Member{
+			ID:          NodeID(fmt.Sprintf("n%d", number)),
+			Region:      "r",
+			Zone:        fmt.Sprintf("z%d", number%simulatedZones),
+			PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number + 1)}), testPort),
+		}})
+	}
+	for _, node := range s.nodes {
+		s.start(node, uint64(s.now.UnixMicro()))
+	}
+	return s
+}
+
+func (s *simulation) start(node *simulatedNode, incarnation uint64) {
+	node.member.Incarnation = incarnation
+	seeds := []netip.AddrPort{s.nodes[0].member.PeerAddress, s.nodes[1].member.PeerAddress}
+	node.protocol = newProtocol(node.member, seeds, DefaultTiming(), incarnation)
+	node.highest = max(node.highest, incarnation)
+	node.revision = 0
+	node.paused = false
+}
+
+func (s *simulation) do(node *simulatedNode, input event) {
+	for _, output := range node.protocol.step(s.now, input) {
+		switch typed := output.(type) {
+		case sendAction:
+			s.queue = append(s.queue, simulatedMessage{from: node.member.PeerAddress, to: typed.to, message: typed.message})
+		case publishAction:
+			node.view = typed.view
+		}
+	}
+	node.highest = max(node.highest, node.protocol.self.Incarnation)
+	node.revision = max(node.revision, node.protocol.self.ConfigRevision)
+}
+
+// advance delivers what is queued, while there are faults in another order and with
+// losses and copies, and then moves time by one tick.
+func (s *simulation) advance() {
+	waiting := s.queue
+	s.queue = nil
+	if s.faulty && len(waiting) > 1 {
+		first := s.random.IntN(len(waiting))
+		waiting = append(waiting[first:len(waiting):len(waiting)], waiting[:first]...)
+	}
+	for _, message := range waiting {
+		s.deliver(message)
+	}
+	s.now = s.now.Add(DefaultTiming().Tick)
+	for _, node := range s.nodes {
+		if node.protocol != nil && !node.paused {
+			s.do(node, tickEvent{})
+		}
+	}
+	s.checkAlways()
+}
+
+func (s *simulation) deliver(message simulatedMessage) {
+	copies := 1
+	if s.faulty && s.loss > 0 {
+		switch draw := s.random.IntN(100); {
+		case draw < s.loss:
+			return
+		case draw > 97:
+			copies = 2
+		}
+	}
+	for _, node := range s.nodes {
+		if node.member.PeerAddress != message.to || node.protocol == nil {
+			continue
+		}
+		if node.paused {
+			s.queue = append(s.queue, message)
+			continue
+		}
+		for range copies {
+			s.do(node, messageEvent{from: message.from, message: message.message})
+		}
+	}
+}
+
+// checkAlways holds in every state: only a node itself raises its incarnation and its
+// revision, and none holds itself dead.
+func (s *simulation) checkAlways() {
+	for _, node := range s.nodes {
+		if node.protocol == nil {
+			continue
+		}
+		if node.protocol.self.State == Dead {
+			s.t.Fatalf("%s holds itself dead", node.member.ID)
+		}
+		for _, other := range s.nodes {
+			held := node.protocol.records[other.member.ID]
+			if held == nil {
+				continue
+			}
+			if held.Incarnation > other.highest {
+				s.t.Fatalf("%s holds %s at incarnation %d, highest was %d", node.member.ID, other.member.ID, held.Incarnation, other.highest)
+			}
+			if held.Incarnation == other.protocolIncarnation() && held.ConfigRevision > other.revision {
+				s.t.Fatalf("%s holds %s at revision %d, highest was %d", node.member.ID, other.member.ID, held.ConfigRevision, other.revision)
+			}
+		}
+	}
+}
+
+func (n *simulatedNode) protocolIncarnation() uint64 {
+	if n.protocol == nil {
+		return 0
+	}
+	return n.protocol.self.Incarnation
+}
+
+// fault makes one drawn fault or change.
+func (s *simulation) fault() {
+	node := rapid.SampledFrom(s.nodes).Draw(s.t, "node")
+	switch kind := rapid.SampledFrom([]string{"crash", "start", "clock back", "pause", "resume", "leave", "store", "revision"}).Draw(s.t, "fault"); {
+	case kind == "start" && node.protocol == nil:
+		s.start(node, uint64(s.now.UnixMicro()))
+	case kind == "clock back" && node.protocol == nil:
+		s.start(node, node.highest-1)
+	case node.protocol == nil:
+	case kind == "crash":
+		node.protocol = nil
+	case kind == "pause":
+		node.paused = true
+	case kind == "resume":
+		node.paused = false
+	case node.paused:
+	case kind == "leave":
+		s.do(node, leaveEvent{})
+	case kind == "store":
+		s.do(node, storeEvent{incarnation: fmt.Sprint(s.now.UnixNano())})
+	case kind == "revision":
+		s.do(node, revisionEvent{revision: node.revision + 1})
+	}
+}
+
+func TestFaultsHealWhateverTheyWere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t)
+		s.faulty = true
+		s.loss = rapid.IntRange(0, 30).Draw(t, "loss in percent")
+		for range rapid.IntRange(1, 12).Draw(t, "faults") {
+			s.fault()
+			for range rapid.IntRange(1, 40).Draw(t, "ticks") {
+				s.advance()
+			}
+		}
+		s.faulty = false
+		for _, node := range s.nodes {
+			node.paused = false
+		}
+		for end := s.now.Add(healTime); s.now.Before(end); {
+			s.advance()
+		}
+		s.checkHealed()
+	})
+}
+
+// checkHealed: all that run hold each other as they are, and nobody else alive.
+func (s *simulation) checkHealed() {
+	for _, observer := range s.nodes {
+		if observer.protocol == nil {
+			continue
+		}
+		for _, subject := range s.nodes {
+			held, present := observer.view.Find(subject.member.ID)
+			if subject.protocol == nil {
+				if present && held.State != Dead {
+					s.t.Fatalf("%s holds %s %s, it is down", observer.member.ID, subject.member.ID, held.State)
+				}
+				continue
+			}
+			own := subject.protocol.self
+			if !present || held.State != own.State || held.Incarnation != own.Incarnation ||
+				held.StoreIncarnation != own.StoreIncarnation || held.ConfigRevision != own.ConfigRevision {
+				s.t.Fatalf("%s holds %+v, it is %+v", observer.member.ID, held, own.Member)
+			}
+		}
+	}
+}
