Let no slice use up the calls to the key-value service; wait for a settled view

Cause: one rate limit for all slices lets a busy one delay the others. After a restart of all, nodes with a small view took themselves for watchers and listed. A node that just started asks the service once no new member was found for 0.4 s, 2 s at most.

--- a/internal/config/relay/cluster_test.go
+++ b/internal/config/relay/cluster_test.go
@@ -28,7 +28,9 @@
 	t       testing.TB
 	network *memory.Network
 	// open makes a node's ends; it is newMemoryEnds unless a test replaces it.
-	open     func(*clusterNode) (peerTransport, port.KeyValue)
+	open func(*clusterNode) (peerTransport, port.KeyValue)
+	// gossip uses the real membership in place of the directory.
+	gossip   bool
 	platform *platform.Server
 	zones    []string
 	nodes    []*clusterNode
@@ -46,6 +48,7 @@
 	transport peerTransport
 	registry  *prometheus.Registry
 	service   *relay.Service
+	members   *membership.Service
 
 	mutex     sync.Mutex
 	revisions []int64
@@ -131,11 +134,16 @@
 	n.registry = prometheus.NewRegistry()
 	end, keyValue := n.cluster.open(n)
 	n.transport = end
-	service, err := relay.New(relay.Options{
+	options := relay.Options{
 		Self: n.member, Viewer: &viewer{cluster: n.cluster, self: n.member.ID}, Caller: end,
 		KeyValue: keyValue, Logger: zerolog.Nop(), Seed: n.seed,
 		Registerer: n.registry,
-	}, end)
+	}
+	if n.cluster.gossip {
+		n.members = n.newMembership(end)
+		options.Viewer, options.Reporter = n.members, n.members
+	}
+	service, err := relay.New(options, end)
 	if err != nil {
 		n.cluster.t.Fatal(err)
 	}
@@ -148,11 +156,35 @@
 	})
 	n.member.PeerAddress = end.Start()
 	n.cluster.setLive(n, true)
+	if n.members != nil {
+		n.members.Start()
+	}
 	n.service.Start()
 }
 
+// newMembership joins through the first nodes.
+func (n *clusterNode) newMembership(end peerTransport) *membership.Service {
+	self := n.member
+	self.Incarnation = n.seed
+	var seeds []netip.AddrPort
+	for _, node := range n.cluster.nodes[:2*len(n.cluster.zones)] {
+		seeds = append(seeds, node.member.PeerAddress)
+	}
+	members, err := membership.New(membership.Options{
+		Self: self, Seeds: seeds, Timing: membership.DefaultTiming(), RandomSeed: n.seed,
+	}, end, nil, n.registry, zerolog.Nop())
+	if err != nil {
+		n.cluster.t.Fatal(err)
+	}
+	return members
+}
+
+// stop ends a node without its telling the others.
 func (n *clusterNode) stop() {
 	n.service.Stop()
+	if n.members != nil {
+		n.members.Kill()
+	}
 	n.transport.Stop()
 }
 
--- a/internal/config/relay/protocol.go
+++ b/internal/config/relay/protocol.go
@@ -73,6 +73,9 @@
 	live := view.Live()
 	p.peers = peersOf(p.self, live)
 	p.source.wanted = isWatcher(p.self, live)
+	if len(live) != p.source.liveMembers {
+		p.source.liveMembers, p.source.liveSince = len(live), p.now
+	}
 	for _, member := range view.Members {
 		if member.ID != p.self.ID {
 			p.viewFloor = max(p.viewFloor, member.ConfigRevision)
--- a/internal/config/relay/protocol_source.go
+++ b/internal/config/relay/protocol_source.go
@@ -14,9 +14,10 @@
 const (
 	// startSpread spreads the first calls of nodes that start together.
 	startSpread = 400 * time.Millisecond
-	// aloneSpread spreads them further where no peer is known yet, since peers may have
-	// what this node would ask for.
-	aloneSpread = 1500 * time.Millisecond
+	// viewSettled is how long no member may have been found before a node that just started trusts that
+	// it is a watcher; viewPatience bounds the wait.
+	viewSettled  = 400 * time.Millisecond
+	viewPatience = 2 * time.Second
 	// firstSourceWait and maxSourceWait bound the growing wait after a failure.
 	firstSourceWait = 250 * time.Millisecond
 	maxSourceWait   = 4 * time.Second
@@ -48,19 +49,16 @@
 	mustList bool
 	failures int
 	nextTry  time.Duration
-	// aloneUntil is when a node that knows no peer goes ahead.
-	aloneUntil time.Duration
+	// liveMembers is their number in the present view, which is so since liveSince.
+	liveMembers int
+	liveSince   time.Duration
 	// readingHead is set while a read of the head is under way.
 	readingHead  bool
 	nextHeadPoll time.Duration
 }
 
 func newSourceState(random *rand.Rand) sourceState {
-	return sourceState{
-		wanted:     true,
-		nextTry:    time.Duration(random.Int64N(int64(startSpread))),
-		aloneUntil: startSpread + time.Duration(random.Int64N(int64(aloneSpread-startSpread))),
-	}
+	return sourceState{wanted: true, nextTry: time.Duration(random.Int64N(int64(startSpread)))}
 }
 
 func (p *protocol) tickSource() {
@@ -72,7 +70,7 @@
 		return
 	}
 	switch {
-	case source.phase == sourceIdle && p.now >= source.nextTry && !p.waitsForPeers():
+	case source.phase == sourceIdle && p.now >= source.nextTry && !p.waitsForView():
 		p.trySource()
 	case source.phase == sourceWatching && !source.readingHead && p.now >= source.nextHeadPoll:
 		source.readingHead = true
@@ -80,8 +78,10 @@
 	}
 }
 
-func (p *protocol) waitsForPeers() bool {
-	return len(p.peers.zone)+len(p.peers.other) == 0 && p.now < p.source.aloneUntil
+// waitsForView says that a node that just started is still finding members, one of which
+// may have what it would ask the service for.
+func (p *protocol) waitsForView() bool {
+	return !p.ready.done && p.now < viewPatience && p.now < p.source.liveSince+viewSettled
 }
 
 // trySource watches from what is held, or lists where that is not known to be enough.
--- a/internal/config/relay/service_test.go
+++ b/internal/config/relay/service_test.go
@@ -199,3 +199,33 @@
 		})
 	}
 }
+
+// TestWithMembership runs the real membership below the relay.
+func TestWithMembership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 14)
+		c.gossip = true
+		c.start()
+		defer c.stop()
+		c.wantSpread(c.apply("first"), bound, everyNode)
+		time.Sleep(time.Minute)
+		before := c.calls()
+		c.stop()
+		c.start()
+		c.wantSpread(1, bound, everyNode)
+		t.Logf("%d calls at the restart of %d nodes", c.calls()-before, len(c.nodes))
+		// A watcher lists, watches, and may read the head; few others take themselves for watchers.
+		if calls, most := c.calls()-before, int64(4*2*len(c.zones)); calls > most {
+			t.Errorf("%d calls at the restart of all, want at most %d", calls, most)
+		}
+		time.Sleep(time.Minute)
+		c.platform.Faults().Set(outage("zone-0"))
+		c.cutZone()
+		revision := c.apply("second")
+		c.wantSpread(revision, aim, notInFirstZone)
+		time.Sleep(time.Minute)
+		c.lose(0)
+		t.Logf("%s after the heal", c.wantSpread(revision, bound, everyNode))
+		c.wantRising()
+	})
+}
--- a/internal/platform/keyvalue_http.go
+++ b/internal/platform/keyvalue_http.go
@@ -5,8 +5,6 @@
 	"net/netip"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/platform/etcdjson"
 )
@@ -17,7 +15,7 @@
 // KeyValueHTTP is the adapter of KeyValue to the etcd v3 JSON gateway.
 type KeyValueHTTP struct {
 	caller  *httpCaller
-	limiter *rate.Limiter
+	limiter *callLimiter
 }
 
 var _ KeyValue = (*KeyValueHTTP)(nil)
@@ -27,26 +25,36 @@
 func NewKeyValueHTTP(
 	dialer network.Network, addresses []netip.AddrPort, requestsPerSecond float64,
 ) *KeyValueHTTP {
-	return &KeyValueHTTP{caller: newHTTPCaller(dialer, addresses), limiter: newLimiter(requestsPerSecond)}
+	return &KeyValueHTTP{caller: newHTTPCaller(dialer, addresses), limiter: newCallLimiter(requestsPerSecond)}
 }
 
 // Close drops idle connections.
 func (k *KeyValueHTTP) Close() { k.caller.close() }
 
+// request is one call: what it is for, and whether it may change something.
+type request struct {
+	path    string
+	purpose string
+	kind    effect
+	body    any
+}
+
 // call makes one call within the rate limit and callTimeout.
-func (k *KeyValueHTTP) call(ctx context.Context, path string, kind effect, request, response any) error {
+func (k *KeyValueHTTP) call(ctx context.Context, made request, response any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := waitTurn(ctx, k.limiter); err != nil {
+	if err := k.limiter.wait(ctx, made.purpose); err != nil {
 		return err
 	}
-	return k.caller.post(ctx, path, kind, request, response)
+	return k.caller.post(ctx, made.path, made.kind, made.body, response)
 }
 
 // Get reads one key.
 func (k *KeyValueHTTP) Get(ctx context.Context, key string) (Entry, error) {
 	var response etcdjson.RangeResponse
-	err := k.call(ctx, etcdjson.PathRange, readsOnly, etcdjson.RangeRequest{Key: []byte(key)}, &response)
+	err := k.call(ctx, request{
+		path: etcdjson.PathRange, purpose: purposeOf(key), kind: readsOnly, body: etcdjson.RangeRequest{Key: []byte(key)},
+	}, &response)
 	if err != nil {
 		return Entry{}, err
 	}
@@ -58,9 +66,12 @@
 
 // List reads all keys below prefix.
 func (k *KeyValueHTTP) List(ctx context.Context, prefix string) (Listing, error) {
-	request := etcdjson.RangeRequest{Key: []byte(prefix), RangeEnd: etcdjson.PrefixEnd(prefix)}
 	var response etcdjson.RangeResponse
-	if err := k.call(ctx, etcdjson.PathRange, readsOnly, request, &response); err != nil {
+	err := k.call(ctx, request{
+		path: etcdjson.PathRange, purpose: purposeOf(prefix), kind: readsOnly,
+		body: etcdjson.RangeRequest{Key: []byte(prefix), RangeEnd: etcdjson.PrefixEnd(prefix)},
+	}, &response)
+	if err != nil {
 		return Listing{}, err
 	}
 	return Listing{Entries: entriesOf(response.KeyValues), Revision: response.Header.Revision}, nil
@@ -69,7 +80,10 @@
 // Commit makes one transaction.
 func (k *KeyValueHTTP) Commit(ctx context.Context, transaction Transaction) (CommitResult, error) {
 	var response etcdjson.TxnResponse
-	if err := k.call(ctx, etcdjson.PathTxn, changes, transactionRequest(transaction), &response); err != nil {
+	err := k.call(ctx, request{
+		path: etcdjson.PathTxn, purpose: transactionPurpose(transaction), kind: changes, body: transactionRequest(transaction),
+	}, &response)
+	if err != nil {
 		return CommitResult{}, err
 	}
 	result := CommitResult{Committed: response.Succeeded, Revision: response.Header.Revision}
@@ -89,23 +103,35 @@
 	return result, nil
 }
 
+// transactionPurpose is that of the first key; a transaction stays within one slice.
+func transactionPurpose(transaction Transaction) string {
+	switch {
+	case len(transaction.Conditions) > 0:
+		return purposeOf(transaction.Conditions[0].Key)
+	case len(transaction.Changes) > 0:
+		return purposeOf(transaction.Changes[0].Key)
+	default:
+		return ""
+	}
+}
+
 func transactionRequest(transaction Transaction) etcdjson.TxnRequest {
-	var request etcdjson.TxnRequest
+	var made etcdjson.TxnRequest
 	for _, condition := range transaction.Conditions {
-		request.Compare = append(request.Compare, etcdjson.Compare{
+		made.Compare = append(made.Compare, etcdjson.Compare{
 			Key:         []byte(condition.Key),
 			Target:      etcdjson.TargetMod,
 			Result:      etcdjson.ResultEqual,
 			ModRevision: condition.ModRevision,
 		})
-		request.Failure = append(request.Failure, etcdjson.RequestOperation{
+		made.Failure = append(made.Failure, etcdjson.RequestOperation{
 			Range: &etcdjson.RangeRequest{Key: []byte(condition.Key)},
 		})
 	}
 	for _, change := range transaction.Changes {
-		request.Success = append(request.Success, changeOperation(change))
+		made.Success = append(made.Success, changeOperation(change))
 	}
-	return request
+	return made
 }
 
 func changeOperation(change Change) etcdjson.RequestOperation {
@@ -117,18 +143,23 @@
 	}}
 }
 
+// callLease makes a call that names no key.
+func (k *KeyValueHTTP) callLease(ctx context.Context, path string, kind effect, body, response any) error {
+	return k.call(ctx, request{path: path, purpose: purposeLeases, kind: kind, body: body}, response)
+}
+
 // GrantLease asks for a lease; timeToLive is rounded up to whole seconds.
 func (k *KeyValueHTTP) GrantLease(ctx context.Context, timeToLive time.Duration) (LeaseID, error) {
 	seconds := int64((timeToLive + time.Second - 1) / time.Second)
 	var response etcdjson.LeaseResponse
-	err := k.call(ctx, etcdjson.PathLeaseGrant, changes, etcdjson.LeaseGrantRequest{TimeToLive: seconds}, &response)
+	err := k.callLease(ctx, etcdjson.PathLeaseGrant, changes, etcdjson.LeaseGrantRequest{TimeToLive: seconds}, &response)
 	return LeaseID(response.ID), err
 }
 
 // KeepAlive renews a lease and returns its time to live. It can be repeated.
 func (k *KeyValueHTTP) KeepAlive(ctx context.Context, lease LeaseID) (time.Duration, error) {
 	var response etcdjson.KeepAliveResponse
-	err := k.call(ctx, etcdjson.PathKeepAlive, readsOnly, etcdjson.LeaseRequest{ID: int64(lease)}, &response)
+	err := k.callLease(ctx, etcdjson.PathKeepAlive, readsOnly, etcdjson.LeaseRequest{ID: int64(lease)}, &response)
 	if err != nil {
 		return 0, err
 	}
@@ -140,7 +171,7 @@
 
 // RevokeLease ends a lease and removes its keys.
 func (k *KeyValueHTTP) RevokeLease(ctx context.Context, lease LeaseID) error {
-	return k.call(ctx, etcdjson.PathRevoke, changes, etcdjson.LeaseRequest{ID: int64(lease)}, nil)
+	return k.callLease(ctx, etcdjson.PathRevoke, changes, etcdjson.LeaseRequest{ID: int64(lease)}, nil)
 }
 
 func entryOf(stored etcdjson.KeyValue) Entry {
--- a/internal/platform/keyvalue_watch.go
+++ b/internal/platform/keyvalue_watch.go
@@ -13,7 +13,7 @@
 
 // Watch opens a watch stream.
 func (k *KeyValueHTTP) Watch(ctx context.Context, prefix string, fromRevision int64) (<-chan WatchEvent, error) {
-	if err := waitTurn(ctx, k.limiter); err != nil {
+	if err := k.limiter.wait(ctx, purposeOf(prefix)); err != nil {
 		return nil, err
 	}
 	body, err := json.Marshal(etcdjson.WatchRequest{Create: etcdjson.WatchCreateRequest{
