Notice watches that fell silent within seconds in any deployment

Cause: a service that hangs and comes back leaves watches open and silent; a watcher read the head every 20 s, so a deployment of one zone could be late by 30 s. A watch whose opening hung was never given up. Change: the period is 3 s a zone; two failed reads end a watch; the opening of a watch is bounded; the stand-in can hang. Conclusion: tests with a hanging service pass.

--- a/internal/config/relay/protocol_source.go
+++ b/internal/config/relay/protocol_source.go
@@ -21,9 +21,11 @@
 	// firstSourceWait and maxSourceWait bound the growing wait after a failure.
 	firstSourceWait = 250 * time.Millisecond
 	maxSourceWait   = 4 * time.Second
-	// headPollInterval is how often a watcher reads the head, so that a watch that died
-	// silently is noticed.
-	headPollInterval = 20 * time.Second
+	// headPollPerZone times the number of zones is how often a watcher reads the head, so that watches
+	// that died silently are noticed: once in 1.5 s by one of all watchers, however many zones there are.
+	headPollPerZone = 3 * time.Second
+	// maxHeadFailures ends a watch beside which the head can't be read.
+	maxHeadFailures = 2
 	// pollInsteadOfWatchAfter failures a watcher lists at each try.
 	pollInsteadOfWatchAfter = 2
 )
@@ -54,6 +56,7 @@
 	liveSince   time.Duration
 	// readingHead is set while a read of the head is under way.
 	readingHead  bool
+	headFailures int
 	nextHeadPoll time.Duration
 }
 
@@ -94,10 +97,15 @@
 	}
 	source.phase = sourceWatching
 	source.watch++
-	source.nextHeadPoll = p.now + jittered(p.random, headPollInterval)
+	source.headFailures = 0
+	source.nextHeadPoll = p.now + jittered(p.random, p.headPollInterval())
 	p.do(actionWatch{watch: source.watch, fromRevision: p.held.storeRevision + 1})
 }
 
+func (p *protocol) headPollInterval() time.Duration {
+	return headPollPerZone * time.Duration(max(1, p.peers.zones))
+}
+
 func (p *protocol) endWatch() {
 	p.source.phase = sourceIdle
 	p.source.watch++
@@ -162,11 +170,17 @@
 
 func (p *protocol) takeHead(read eventHeadRead) {
 	p.source.readingHead = false
-	p.source.nextHeadPoll = p.now + jittered(p.random, headPollInterval)
+	p.source.nextHeadPoll = p.now + jittered(p.random, p.headPollInterval())
 	if read.err != nil {
 		p.do(actionReport{problem: problemStoreAway, err: read.err})
+		p.source.headFailures++
+		if p.source.headFailures >= maxHeadFailures && p.source.phase == sourceWatching {
+			p.endWatch()
+			p.sourceFailed()
+		}
 		return
 	}
+	p.source.headFailures = 0
 	if read.revision > p.revision() && p.source.phase == sourceWatching {
 		p.endWatch()
 		p.source.mustList = true
--- a/internal/config/relay/service_test.go
+++ b/internal/config/relay/service_test.go
@@ -150,6 +150,26 @@
 	})
 }
 
+func TestWatchesThatFellSilent(t *testing.T) {
+	onVirtualTime(t, func(_ *testing.T, c *cluster) {
+		c.platform.Faults().Set(platform.Fault{Service: platform.KeyValue, Outage: platform.OutageHangs})
+		time.Sleep(time.Second)
+		c.platform.Faults().Clear(platform.AnyZone, platform.KeyValue)
+		// Each watcher reads the head at least every 13.5 s in three zones.
+		const longestHeadPoll = 13500 * time.Millisecond
+		c.wantSpread(c.apply("second"), longestHeadPoll+aim, everyNode)
+	})
+}
+
+func TestHangingServiceComesBack(t *testing.T) {
+	onVirtualTime(t, func(_ *testing.T, c *cluster) {
+		c.platform.Faults().Set(platform.Fault{Service: platform.KeyValue, Outage: platform.OutageHangs})
+		time.Sleep(10 * time.Minute)
+		c.platform.Faults().Clear(platform.AnyZone, platform.KeyValue)
+		c.wantSpread(c.apply("second"), bound, everyNode)
+	})
+}
+
 func TestRacingOperatorsWithLostAnswers(t *testing.T) {
 	onVirtualTime(t, func(t *testing.T, c *cluster) {
 		c.platform.Faults().Set(platform.Fault{Service: platform.KeyValue, LoseAnswer: 0.3, DelayMilliseconds: 2})
@@ -180,7 +200,7 @@
 	const (
 		zones            = 3
 		quiet            = 10 * time.Minute
-		shortestHeadPoll = 10 * time.Second
+		shortestHeadPoll = 4500 * time.Millisecond
 		watchers         = 2
 	)
 	for _, nodesPerZone := range []int{3, 12} {
--- a/internal/config/relay/watchers.go
+++ b/internal/config/relay/watchers.go
@@ -40,6 +40,8 @@
 	// zone holds all live members of the own zone, other the partners in other zones.
 	zone  []netip.AddrPort
 	other []netip.AddrPort
+	// zones is the number of zones with live members, the own among them.
+	zones int
 }
 
 // partner is a candidate with its rendezvous hash for one node.
@@ -68,6 +70,7 @@
 			}
 		}
 	}
+	found.zones = len(byZone) + 1
 	return found
 }
 
--- a/internal/platform/keyvalue_watch.go
+++ b/internal/platform/keyvalue_watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/sloelift/sloelift/internal/platform/etcdjson"
 )
@@ -22,12 +23,24 @@
 	if err != nil {
 		return nil, KindRefused.Wrap(err, "encode request")
 	}
+	// The stream lives until ctx ends; only its opening is bounded.
+	ctx, cancel := context.WithCancel(ctx)
+	overdue := time.AfterFunc(callTimeout, cancel)
 	answer, err := k.caller.open(ctx, http.MethodPost, etcdjson.PathWatch, readsOnly, body)
 	if err != nil {
+		cancel()
 		return nil, err
 	}
+	if !overdue.Stop() {
+		cancel()
+		_ = answer.Body.Close()
+		return nil, KindUnavailable.New("watch did not open in time")
+	}
 	events := make(chan WatchEvent, watchBuffer)
-	go readWatch(ctx, answer, events)
+	go func() {
+		defer cancel()
+		readWatch(ctx, answer, events)
+	}()
 	return events, nil
 }
 
--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -27,6 +27,9 @@
 		}
 	}
 	switch {
+	case decided.outage == OutageHangs:
+		s.hang(ctx, zone, service)
+		return false, errDropped.New("connection closed after a long time")
 	case decided.outage == OutageDrops:
 		return false, errDropped.New("connection closed")
 	case decided.outage == OutageRefuses:
@@ -37,6 +40,21 @@
 	return decided.loseAnswer, nil
 }
 
+// hang waits until the outage is over or the caller gives up.
+func (s *Server) hang(ctx context.Context, zone string, service Service) {
+	for {
+		outage, changed := s.faults.outage(zone, service)
+		if outage != OutageHangs {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // errDropped is a missing answer: what a caller makes of it depends on the call.
 var errDropped = port.KindUnknownOutcome.NewSubtype("dropped")
 
--- a/lab/platform/client_watch.go
+++ b/lab/platform/client_watch.go
@@ -36,6 +36,10 @@
 	}
 	for {
 		outage, faultsChanged := c.server.faults.outage(c.zone, KeyValue)
+		if outage == OutageHangs {
+			<-ctx.Done()
+			return
+		}
 		if outage != NoOutage {
 			send(port.WatchEvent{Err: port.KindUnavailable.New("watch ended by an outage")})
 			return
--- a/lab/platform/faults.go
+++ b/lab/platform/faults.go
@@ -22,7 +22,7 @@
 // AnyZone in a Fault means the callers of all zones.
 const AnyZone = ""
 
-// Outage says how an unavailable service behaves. In both ways the call has no effect.
+// Outage says how an unavailable service behaves. In all ways the call has no effect.
 type Outage string
 
 // Outages.
@@ -33,6 +33,8 @@
 	OutageRefuses Outage = "refuse"
 	// OutageDrops closes the connection without an answer.
 	OutageDrops Outage = "drop"
+	// OutageHangs gives no answer and keeps the connection; watches that are open fall silent for good.
+	OutageHangs Outage = "hang"
 )
 
 // Fault is what is wrong with one service for the callers of one zone.
