Keep the configuration in the data folder; name a serving peer before a node is ready

Cause: after a restart of all nodes during an outage of the key-value service none became ready. Change: nodes with a data folder save the document and start with it. Digests tell whether the sender serves. A node is ready by three told revisions with a serving peer among them, or after 10 s. Conclusion: the test with all nodes restarted, three of 21 with a disk and one of those damaged, passes.

--- /dev/null
+++ b/internal/config/relay/cache.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"google.golang.org/protobuf/proto"
+
+	configpb "github.com/sloelift/sloelift/api/proto/config"
+)
+
+const (
+	cacheFolder = "config"
+	cacheFile   = "document"
+	// cacheMode lets the owner only read the file, which holds digests of tenants' keys.
+	cacheMode       = 0o600
+	cacheFolderMode = 0o700
+)
+
+// cache keeps the last document on disk, for a start of all nodes while the key-value
+// service is down. It belongs to one goroutine.
+type cache struct{ folder string }
+
+func newCache(dataFolder string) *cache {
+	return &cache{folder: filepath.Join(dataFolder, cacheFolder)}
+}
+
+// load returns the document that was saved last, nil where there is none. A damaged file is an error.
+func (c *cache) load() (*document, error) {
+	encoded, err := os.ReadFile(filepath.Join(c.folder, cacheFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	message := &configpb.Document{}
+	if err := proto.Unmarshal(encoded, message); err != nil {
+		return nil, err
+	}
+	saved, sound := decodeDocument(message)
+	if !sound {
+		return nil, errDamaged
+	}
+	return saved, nil
+}
+
+// save replaces the file as a whole: a crash leaves the old one or the new one.
+func (c *cache) save(held *document) error {
+	encoded, err := proto.Marshal(encodeDocument(held))
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(c.folder, cacheFolderMode); err != nil {
+		return err
+	}
+	path := filepath.Join(c.folder, cacheFile)
+	if err := writeSynced(path+".new", encoded); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+func writeSynced(path string, content []byte) (err error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, cacheMode)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, file.Close()) }()
+	if _, err := file.Write(content); err != nil {
+		return err
+	}
+	return file.Sync()
+}
+
+// keep saves the document held after each signal on changed until ctx ends.
+func (s *Service) keep(ctx context.Context, disk *cache, changed <-chan struct{}) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		if err := disk.save(s.held.Load()); err != nil {
+			s.logger.Warn().Err(err).Msg("configuration_not_saved")
+		}
+	}
+}
+
+// startCache loads what is on disk and keeps it up to date; it returns nil where there is nothing.
+func (s *Service) startCache(ctx context.Context) *document {
+	if s.options.DataFolder == "" {
+		return nil
+	}
+	disk := newCache(s.options.DataFolder)
+	saved, err := disk.load()
+	if err != nil {
+		s.logger.Warn().Err(err).Msg("saved_configuration_unusable")
+	}
+	s.running.Go(func() { s.keep(ctx, disk, s.changed) })
+	return saved
+}
--- a/internal/config/relay/cluster_test.go
+++ b/internal/config/relay/cluster_test.go
@@ -49,6 +49,8 @@
 	registry  *prometheus.Registry
 	service   *relay.Service
 	members   *membership.Service
+	// dataFolder is empty on a node that keeps nothing.
+	dataFolder string
 
 	mutex     sync.Mutex
 	revisions []int64
@@ -137,7 +139,7 @@
 	options := relay.Options{
 		Self: n.member, Viewer: &viewer{cluster: n.cluster, self: n.member.ID}, Caller: end,
 		KeyValue: keyValue, Logger: zerolog.Nop(), Seed: n.seed,
-		Registerer: n.registry,
+		Registerer: n.registry, DataFolder: n.dataFolder,
 	}
 	if n.cluster.gossip {
 		n.members = n.newMembership(end)
@@ -240,7 +242,7 @@
 		time.Sleep(poll)
 	}
 	for _, node := range c.nodes {
-		if which(node) && node.service.Current().Revision != revision {
+		if which(node) && (node.service.Current().Revision != revision || !node.ready()) {
 			c.t.Errorf("%s has revision %d, ready %v, want %d within %s",
 				node.member.ID, node.service.Current().Revision, node.ready(), revision, within)
 		}
--- a/internal/config/relay/events.go
+++ b/internal/config/relay/events.go
@@ -14,6 +14,8 @@
 	hash     uint64
 	// known is false on a node that has not learned any configuration yet.
 	known bool
+	// ready says that the sender serves by it.
+	ready bool
 	// asks wants an answer in any case.
 	asks bool
 }
@@ -26,6 +28,9 @@
 	eventTick struct{ now time.Duration }
 	eventView struct{ view *membership.View }
 
+	// eventSaved, which comes first, holds what was on disk.
+	eventSaved struct{ document *document }
+
 	// eventListed answers actionList.
 	eventListed struct {
 		listing platform.Listing
@@ -61,6 +66,7 @@
 
 func (eventTick) isEvent()     {}
 func (eventView) isEvent()     {}
+func (eventSaved) isEvent()    {}
 func (eventListed) isEvent()   {}
 func (eventHeadRead) isEvent() {}
 func (eventWatched) isEvent()  {}
--- a/internal/config/relay/fx.go
+++ b/internal/config/relay/fx.go
@@ -46,6 +46,7 @@
 		Caller:     given.Caller,
 		KeyValue:   given.KeyValue,
 		Reporter:   given.Reporter,
+		DataFolder: given.Settings.DataFolder,
 		Registerer: given.Registerer,
 		Logger:     given.Logger,
 	}, given.Registrar)
--- a/internal/config/relay/messages.go
+++ b/internal/config/relay/messages.go
@@ -64,11 +64,14 @@
 }
 
 func encodeDigest(from digest) *configpb.Digest {
-	return &configpb.Digest{Revision: from.revision, Hash: from.hash, Known: from.known, Asks: from.asks}
+	return &configpb.Digest{Revision: from.revision, Hash: from.hash, Known: from.known, Ready: from.ready, Asks: from.asks}
 }
 
 func decodeDigest(from *configpb.Digest) digest {
-	return digest{revision: from.GetRevision(), hash: from.GetHash(), known: from.GetKnown(), asks: from.GetAsks()}
+	return digest{
+		revision: from.GetRevision(), hash: from.GetHash(),
+		known: from.GetKnown(), ready: from.GetReady(), asks: from.GetAsks(),
+	}
 }
 
 // answerPull answers a peer from held, which is nil on a node that knows no configuration.
--- a/internal/config/relay/protocol.go
+++ b/internal/config/relay/protocol.go
@@ -50,6 +50,8 @@
 		p.tickGossip()
 	case eventView:
 		p.takeView(typed.view)
+	case eventSaved:
+		p.takeSaved(typed.document)
 	case eventListed:
 		p.takeListing(typed)
 	case eventHeadRead:
@@ -83,6 +85,13 @@
 	}
 }
 
+// takeSaved holds what was on disk, which may be old: the store is asked before it is watched.
+func (p *protocol) takeSaved(saved *document) {
+	if p.adopt(saved) {
+		p.source.mustList = true
+	}
+}
+
 // revision is that in force; -1 where none is known, which is below the empty configuration's 0.
 func (p *protocol) revision() int64 {
 	if p.held == nil {
@@ -121,7 +130,7 @@
 	if p.held == nil {
 		return digest{asks: asks}
 	}
-	return digest{revision: p.held.revision, hash: p.held.hash, known: true, asks: asks}
+	return digest{revision: p.held.revision, hash: p.held.hash, known: true, ready: p.ready.done, asks: asks}
 }
 
 // pick returns up to count random ones of candidates, without repetition.
--- a/internal/config/relay/protocol_gossip.go
+++ b/internal/config/relay/protocol_gossip.go
@@ -77,7 +77,7 @@
 func (p *protocol) takeDigest(received eventDigest) {
 	theirs := received.digest
 	if theirs.known {
-		p.ready.confirm(received.from, theirs.revision)
+		p.ready.confirm(received.from, theirs)
 		switch {
 		case theirs.revision > p.revision():
 			p.learnAhead(received.from, theirs.revision)
--- a/internal/config/relay/protocol_ready.go
+++ b/internal/config/relay/protocol_ready.go
@@ -9,8 +9,9 @@
 	// confirmingPeers is how many peers must have told their revision before a node serves by
 	// what peers know alone; fewer where fewer live.
 	confirmingPeers = 3
-	// floorPatience bounds the wait for a revision that the membership has heard of and no peer has.
-	floorPatience = 10 * time.Second
+	// patience bounds the wait for a revision that the membership has heard of and no peer has, and for a peer
+	// that serves already; there is none where all nodes started while the key-value service is down.
+	patience = 10 * time.Second
 )
 
 // readyState decides when a node that just started may serve, so that it does not serve by an older
@@ -18,17 +19,17 @@
 type readyState struct {
 	done             bool
 	confirmedByStore bool
-	// confirmed holds what peers told.
-	confirmed map[netip.AddrPort]int64
+	// confirmed holds what peers told last.
+	confirmed map[netip.AddrPort]digest
 }
 
 func newReadyState() readyState {
-	return readyState{confirmed: make(map[netip.AddrPort]int64)}
+	return readyState{confirmed: make(map[netip.AddrPort]digest)}
 }
 
-func (r *readyState) confirm(from netip.AddrPort, revision int64) {
+func (r *readyState) confirm(from netip.AddrPort, told digest) {
 	if !r.done {
-		r.confirmed[from] = max(r.confirmed[from], revision)
+		r.confirmed[from] = told
 	}
 }
 
@@ -43,16 +44,19 @@
 	}
 }
 
-// confirmedByPeers says that enough peers have told their revision and none is higher than what is held.
+// confirmedByPeers says that enough peers have told their revision, one that serves among them, and none
+// a higher one than is held.
 func (p *protocol) confirmedByPeers() bool {
+	anyServes := false
+	for _, told := range p.ready.confirmed {
+		if told.revision > p.held.revision {
+			return false
+		}
+		anyServes = anyServes || told.ready
+	}
 	needed := min(confirmingPeers, len(p.peers.zone)+len(p.peers.other))
 	if needed == 0 || len(p.ready.confirmed) < needed {
 		return false
 	}
-	for _, revision := range p.ready.confirmed {
-		if revision > p.held.revision {
-			return false
-		}
-	}
-	return p.held.revision >= p.viewFloor || p.now >= floorPatience
+	return p.now >= patience || anyServes && p.held.revision >= p.viewFloor
 }
--- a/internal/config/relay/protocol_source.go
+++ b/internal/config/relay/protocol_source.go
@@ -187,6 +187,7 @@
 		return
 	}
 	p.source.failures = 0
+	p.ready.confirmedByStore = p.ready.confirmedByStore || read.revision == p.revision()
 }
 
 func (p *protocol) takeWatched(watched eventWatched) {
--- a/internal/config/relay/protocol_test.go
+++ b/internal/config/relay/protocol_test.go
@@ -36,8 +36,10 @@
 			"deliver":   func(t *rapid.T) { s.take(position(t), false) },
 			"lose":      func(t *rapid.T) { s.take(position(t), true) },
 			"duplicate": func(t *rapid.T) { s.messages = append(s.messages, s.messages[position(t)]) },
-			"restart":   func(t *rapid.T) { s.restart(node.Draw(t, "node")) },
-			"compact":   func(t *rapid.T) { s.compacted = s.storeRevision },
+			"restart": func(t *rapid.T) {
+				s.restart(node.Draw(t, "node"), rapid.Bool().Draw(t, "disk"))
+			},
+			"compact": func(t *rapid.T) { s.compacted = s.storeRevision },
 			"view": func(t *rapid.T) {
 				live := rapid.Uint8().Draw(t, "live")
 				s.view(node.Draw(t, "node"), func(index int) bool { return live>>index&1 == 1 })
@@ -66,7 +68,7 @@
 	s.settle(20, false)
 	s.wantAllAtHead()
 	for index := range simulatedNodes - 1 {
-		s.restart(index)
+		s.restart(index, false)
 		s.settle(20, false)
 		s.wantAllAtHead()
 	}
@@ -75,13 +77,13 @@
 func TestNotReadyByARevisionBelowTheOneHeardOf(t *testing.T) {
 	s := newSimulation(t.Fatalf)
 	s.settle(settleRounds, true)
-	s.restart(0)
+	s.restart(0, false)
 	s.nodes[1].member.ConfigRevision = 7
 	s.settle(20, false)
 	if s.nodes[0].ready {
 		t.Error("ready at revision 0 while revision 7 was heard of")
 	}
-	s.now += floorPatience
+	s.now += patience
 	s.settle(1, false)
 	if !s.nodes[0].ready {
 		t.Error("not ready after the patience ended")
--- a/internal/config/relay/service.go
+++ b/internal/config/relay/service.go
@@ -40,6 +40,8 @@
 	KeyValue platform.KeyValue
 	Reporter RevisionReporter
 	Logger   zerolog.Logger
+	// DataFolder keeps the last configuration over a restart; empty on a node that keeps nothing.
+	DataFolder string
 	// Registerer takes the metrics.
 	Registerer prometheus.Registerer
 	// Seed decides the random choices; 0 takes one at random.
@@ -58,6 +60,8 @@
 	inForce atomic.Pointer[config.Snapshot]
 	held    atomic.Pointer[document]
 
+	// changed signals, at least once after each change, that held is to be saved.
+	changed     chan struct{}
 	subscribers subscribers
 	metrics     *metrics
 	busy        atomic.Int64
@@ -92,6 +96,7 @@
 		stopWatch:  func() {},
 		reportedAt: make(map[problem]time.Time),
 		metrics:    created,
+		changed:    make(chan struct{}, 1),
 	}
 	empty, err := config.BuildSnapshot(0, nil)
 	if err != nil {
@@ -145,6 +150,9 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	s.handle(ctx, eventView{view: s.options.Viewer.View()})
+	if saved := s.startCache(ctx); saved != nil {
+		s.handle(ctx, eventSaved{document: saved})
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -212,6 +220,10 @@
 // others, and the present Snapshot stays in force here.
 func (s *Service) publish(next *document) {
 	s.held.Store(next)
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
 	snapshot, err := snapshotOf(next)
 	if err != nil {
 		s.logger.Error().Err(err).Int64(logging.FieldRevision, next.revision).Msg("configuration_unreadable")
--- a/internal/config/relay/service_test.go
+++ b/internal/config/relay/service_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -65,6 +67,32 @@
 	})
 }
 
+func TestRestartOfAllWhileTheStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 7)
+		for _, node := range c.nodes[:3] {
+			node.dataFolder = t.TempDir()
+		}
+		c.start()
+		c.wantSpread(c.apply("first"), bound, everyNode)
+		revision := c.apply("second")
+		c.wantSpread(revision, aim, everyNode)
+		c.platform.Faults().Set(outage(platform.AnyZone))
+		c.stop()
+		damaged := filepath.Join(c.nodes[0].dataFolder, "config", "document")
+		if err := os.WriteFile(damaged, []byte("damaged"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c.start()
+		defer c.stop()
+		const patience = 10 * time.Second
+		c.wantSpread(revision, patience+aim, everyNode)
+		c.platform.Faults().Clear(platform.AnyZone, platform.KeyValue)
+		c.wantSpread(c.apply("third"), bound, everyNode)
+		c.wantRising()
+	})
+}
+
 func TestZoneWithoutTheStoreHearsFromOthers(t *testing.T) {
 	onVirtualTime(t, func(_ *testing.T, c *cluster) {
 		c.platform.Faults().Set(outage("zone-0"))
--- a/internal/config/relay/simulation_test.go
+++ b/internal/config/relay/simulation_test.go
@@ -61,16 +61,23 @@
 			Zone:        fmt.Sprintf("zone-%d", index%simulatedZones),
 			PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(index+1)),
 		}})
-		s.restart(index)
+		s.restart(index, false)
 	}
 	return s
 }
 
-// restart starts a node anew; it keeps nothing.
-func (s *simulation) restart(index int) {
+// restart starts a node anew; with a disk it keeps the document that it held.
+func (s *simulation) restart(index int, disk bool) {
 	s.starts++
 	node := s.nodes[index]
+	var saved *document
+	if disk && node.protocol.held != nil {
+		saved, _ = decodeDocument(encodeDocument(node.protocol.held))
+	}
 	*node = simulatedNode{member: node.member, started: s.now, highest: -1, protocol: newProtocol(node.member, s.starts)}
+	if saved != nil {
+		s.step(index, eventSaved{document: saved})
+	}
 }
 
 func (s *simulation) view(index int, live func(int) bool) {
