Walk through the examples with real processes; show partitions in the status

Cause: no page led through starting nodes by hand, and the status did not say which partitions a node owns or how many lost disks they survive. Conclusion: examples and pages are checked against the parser.

--- /dev/null
+++ b/cmd/sloelift/examples_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/sloelift/sloelift/internal/config"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/strictyaml"
+)
+
+const repository = "../../"
+
+// yamlBlock is a fenced block of a page; its first group is the rest of the fence's line.
+var yamlBlock = regexp.MustCompile("(?ms)^```yaml([^\n]*)\n(.*?)^```$")
+
+// TestReferencePages: the examples of all kinds form one valid configuration, the
+// settings page holds a valid file, and each page names every field of its kind.
+func TestReferencePages(t *testing.T) {
+	files := map[string]*config.File{}
+	for _, kind := range config.Kinds {
+		name := repository + "docs/reference/" + strings.ToLower(string(kind)) + ".md"
+		page := readPage(t, name)
+		parsed, err := config.Parse([]byte(onlyBlock(t, page)))
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		files[name] = parsed
+		requireFields(t, name, page, reflect.TypeOf(config.ValueOf(kind)).Elem())
+	}
+	for _, err := range config.CheckTogether(files) {
+		t.Error(err)
+	}
+	page := readPage(t, repository+"docs/reference/settings.md")
+	if _, err := settings.Parse([]byte(onlyBlock(t, page)), settings.Overrides{}); err != nil {
+		t.Errorf("settings page: %v", err)
+	}
+	for _, part := range []any{settings.Settings{}, settings.Platform{}, settings.Limits{}, settings.Ledger{}} {
+		requireFields(t, "settings page", page, reflect.TypeOf(part))
+	}
+}
+
+func readPage(t *testing.T, name string) string {
+	t.Helper()
+	content, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(content)
+}
+
+func onlyBlock(t *testing.T, page string) string {
+	t.Helper()
+	blocks := yamlBlock.FindAllStringSubmatch(page, -1)
+	if len(blocks) != 1 {
+		t.Fatalf("wanted one YAML block, found %d", len(blocks))
+	}
+	return blocks[0][2]
+}
+
+func requireFields(t *testing.T, name, page string, structType reflect.Type) {
+	t.Helper()
+	for index := range structType.NumField() {
+		if field := strictyaml.FieldName(structType.Field(index)); !strings.Contains(page, field) {
+			t.Errorf("%s does not name the field %s", name, field)
+		}
+	}
+}
+
+// TestExamples: operators' files form one valid configuration whose inputs are there,
+// and the nodes' settings agree with the machine list.
+func TestExamples(t *testing.T) {
+	for _, example := range []string{"registry", "tidewater"} {
+		t.Run(example, func(t *testing.T) {
+			folder := repository + "examples/" + example
+			checkOperatorsFiles(t, folder+"/operators")
+			checkNodes(t, folder)
+		})
+	}
+}
+
+func checkOperatorsFiles(t *testing.T, folder string) {
+	paths, err := filepath.Glob(folder + "/*.yaml")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no operators' files: %v", err)
+	}
+	files := map[string]*config.File{}
+	for _, path := range paths {
+		parsed, err := config.Parse([]byte(readPage(t, path)))
+		if err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		if _, err := openInputs(path, parsed); err != nil {
+			t.Error(err)
+		}
+		files[path] = parsed
+	}
+	for _, err := range config.CheckTogether(files) {
+		t.Error(err)
+	}
+}
+
+func checkNodes(t *testing.T, folder string) {
+	var machines []platform.Machine
+	if err := json.Unmarshal([]byte(readPage(t, folder+"/machines.json")), &machines); err != nil {
+		t.Fatal(err)
+	}
+	listed := map[netip.AddrPort]platform.Machine{}
+	for _, machine := range machines {
+		if _, taken := listed[machine.Address]; taken {
+			t.Errorf("address %s stands twice", machine.Address)
+		}
+		listed[machine.Address] = machine
+	}
+	paths, err := filepath.Glob(folder + "/nodes/*.yaml")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no nodes: %v", err)
+	}
+	for _, path := range paths {
+		loaded, err := settings.Load(path, settings.Overrides{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		machine := listed[loaded.PeerAddress]
+		if machine.ID != loaded.Node || machine.Zone != loaded.Zone || machine.Region != loaded.Region {
+			t.Errorf("%s does not agree with the machine list: %+v", path, machine)
+		}
+	}
+}
--- a/cmd/sloelift/status.go
+++ b/cmd/sloelift/status.go
@@ -31,9 +31,20 @@
 		status.Node, status.Region, status.Zone, status.Incarnation, ready, status.Revision)
 	writeMembers(out, status.Members)
 	writeReplicas(out, status.Replicas)
+	if status.Partitions != nil {
+		writePartitions(out, *status.Partitions)
+	}
 	writeSections(out, status.Sections)
 }
 
+func writePartitions(out io.Writer, partitions operator.PartitionSummary) {
+	fmt.Fprintf(out, "\npartitions: %d known, %d owned here, %d with fewer stores than wanted; at least %d lost disks survived\n",
+		partitions.Known, len(partitions.Owned), partitions.Degraded, partitions.LossesSurvived)
+	if len(partitions.StorageFull) > 0 {
+		fmt.Fprintf(out, "no room for new records: partitions %v\n", partitions.StorageFull)
+	}
+}
+
 func writeMembers(out io.Writer, members []operator.MemberStatus) {
 	rows := [][]string{{"MEMBER", "ZONE", "STATE", "STORE", "REVISION", "ADMIN"}}
 	for _, member := range members {
--- a/internal/operator/fx.go
+++ b/internal/operator/fx.go
@@ -8,6 +8,7 @@
 	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/fleet"
 	"github.com/sloelift/sloelift/internal/job"
+	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/network"
@@ -36,6 +37,7 @@
 	Jobs      job.Service       `optional:"true"`
 	Members   membership.Viewer `optional:"true"`
 	Directory fleet.Source      `optional:"true"`
+	Ledger    *ledger.Manager   `optional:"true"`
 	Sections  []StatusSection   `group:"status"`
 }
 
@@ -50,6 +52,9 @@
 		directory: params.Directory,
 		sections:  params.Sections,
 	}
+	if params.Ledger != nil {
+		reporter.partitions = params.Ledger
+	}
 	requests := &handler{
 		limits:    params.Settings.Limits,
 		store:     params.Store,
--- /dev/null
+++ b/internal/operator/partitions.go
@@ -0,0 +1,41 @@
+package operator
+
+import "github.com/sloelift/sloelift/internal/ledger"
+
+// PartitionReporter tells the state of the ledger's partitions; *ledger.Manager does.
+type PartitionReporter interface {
+	Status() []ledger.PartitionStatus
+}
+
+// PartitionSummary is what this node knows of the ledger's partitions.
+type PartitionSummary struct {
+	Known int `json:"known"`
+	// Owned are the partitions that this node serves.
+	Owned []int `json:"owned"`
+	// Degraded counts the partitions with fewer stores than wanted.
+	Degraded int `json:"degraded"`
+	// LossesSurvived is the number of disks that may be lost together without the loss
+	// of an acknowledged record, for the partition where it is lowest.
+	LossesSurvived int `json:"losses_survived"`
+	// StorageFull are owned partitions whose stores have no room for new records.
+	StorageFull []int `json:"storage_full,omitempty"`
+}
+
+func summarizePartitions(statuses []ledger.PartitionStatus) PartitionSummary {
+	summary := PartitionSummary{Known: len(statuses), Owned: []int{}}
+	for index, status := range statuses {
+		if index == 0 || status.LossesSurvived < summary.LossesSurvived {
+			summary.LossesSurvived = status.LossesSurvived
+		}
+		if status.Degraded() {
+			summary.Degraded++
+		}
+		if status.Serving {
+			summary.Owned = append(summary.Owned, int(status.Partition))
+		}
+		if status.StorageFull {
+			summary.StorageFull = append(summary.StorageFull, int(status.Partition))
+		}
+	}
+	return summary
+}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/fleet"
@@ -31,6 +32,8 @@
 	Revision int64          `json:"revision"`
 	Members  []MemberStatus `json:"members"`
 	Replicas []ServiceCount `json:"replicas"`
+	// Partitions is absent on a node without a ledger.
+	Partitions *PartitionSummary `json:"partitions,omitempty"`
 	// Sections hold the reports of the other slices by name.
 	Sections map[string]any `json:"sections,omitempty"`
 }
@@ -54,7 +57,7 @@
 	Service string `json:"service"`
 	Zone    string `json:"zone"`
 	Known   int    `json:"known"`
-	// Reporting replicas have given a load report; Leaving and Failed take nothing new.
+	// Reporting replicas gave a load report within reportFresh; Leaving and Failed take nothing new.
 	Reporting int `json:"reporting"`
 	Leaving   int `json:"leaving"`
 	Failed    int `json:"failed"`
@@ -67,7 +70,9 @@
 	inForce   config.Source
 	members   membership.Viewer
 	directory fleet.Source
-	sections  []StatusSection
+	// partitions is nil on a node without a ledger.
+	partitions PartitionReporter
+	sections   []StatusSection
 }
 
 func (r *statusReporter) report() Status {
@@ -88,6 +93,10 @@
 			status.Incarnation = member.Incarnation
 		}
 	}
+	if r.partitions != nil {
+		summary := summarizePartitions(r.partitions.Status())
+		status.Partitions = &summary
+	}
 	for _, section := range r.sections {
 		status.Sections[section.Name] = section.Report()
 	}
@@ -134,9 +143,12 @@
 	return counts
 }
 
+// reportFresh is the age up to which a load report counts as present.
+const reportFresh = 10 * time.Second
+
 func (c *ServiceCount) add(replica fleet.Replica) {
 	c.Known++
-	if replica.HasLoad {
+	if replica.HasLoad && time.Since(replica.HeardAt) < reportFresh {
 		c.Reporting++
 	}
 	if replica.Leaving {
