Prepare again in place after a change of ensemble

Cause: each change of ensemble made the owner load its state machine anew, twice for one lost disk. Change: the owner prepares under the new version and keeps its log and state, unless another owner's records show in the quorum; answers to requests under a former ballot are dropped.

--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -16,7 +16,7 @@
 	if !known || control.changing {
 		return
 	}
-	if ownership := control.ownership; ownership != nil && ownership.owner.Ensemble().Version < ensemble.Version {
+	if ownership := control.ownership; ownership != nil && ownership.view.Load().ensemble.Version < ensemble.Version {
 		m.background(func() { ownership.adopt(ensemble) })
 		return
 	}
@@ -31,7 +31,7 @@
 
 // promotion returns the ensemble with a member that has caught up made a full one.
 func promotion(ensemble protocol.Ensemble, ownership *ownership) (protocol.Ensemble, bool) {
-	if ownership == nil || ownership.owner.Ensemble().Version != ensemble.Version {
+	if ownership == nil || ownership.view.Load().ensemble.Version != ensemble.Version {
 		return protocol.Ensemble{}, false
 	}
 	for _, holding := range ownership.view.Load().holdings {
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -69,11 +69,13 @@
 	timing    Timing
 	logger    zerolog.Logger
 
-	// owner, pending, pendingBytes and releasing belong to run's goroutine.
+	// owner, pending, pendingBytes, releasing and preparing belong to run's goroutine.
 	owner        *protocol.Owner
 	pending      []*appendRequest
 	pendingBytes int
 	releasing    bool
+	// preparing ends an attempt that gets no read quorum.
+	preparing *time.Timer
 
 	events  chan func() []protocol.Action
 	appends chan *appendRequest
@@ -91,11 +93,14 @@
 
 // ownedView is an immutable copy of what the owner knows of its stores.
 type ownedView struct {
-	phase     protocol.OwnerPhase
-	committed Position
-	last      Position
-	holdings  []protocol.Holding
-	hasRoom   bool
+	ballot      protocol.Ballot
+	ensemble    protocol.Ensemble
+	recoveredTo Position
+	phase       protocol.OwnerPhase
+	committed   Position
+	last        Position
+	holdings    []protocol.Holding
+	hasRoom     bool
 }
 
 func newOwnership(ctx context.Context, partition PartitionID, owner *protocol.Owner, stores *storeClient, factory Factory, timing Timing, logger zerolog.Logger) *ownership {
@@ -112,17 +117,17 @@
 func (o *ownership) run() protocol.Lost {
 	notice := time.NewTicker(o.timing.Notice)
 	defer notice.Stop()
-	prepared := time.NewTimer(o.timing.Prepare)
-	defer prepared.Stop()
+	o.preparing = time.NewTimer(o.timing.Prepare)
+	defer o.preparing.Stop()
 	var lost protocol.Lost
 	step := func(actions []protocol.Action) {
+		o.publish()
 		for _, action := range actions {
 			if ended, is := action.(protocol.Lost); is {
 				lost = ended
 			}
 			o.execute(action)
 		}
-		o.publish()
 	}
 	step(o.owner.Start())
 	for o.owner.Phase() != protocol.PhaseLost {
@@ -133,7 +138,7 @@
 			step(o.propose(request))
 		case <-notice.C:
 			step(o.owner.Notice())
-		case <-prepared.C:
+		case <-o.preparing.C:
 			if o.owner.Phase() < protocol.PhaseRewriting {
 				step(o.owner.GiveUp(protocol.LossTimeout))
 			}
@@ -189,17 +194,24 @@
 	}
 }
 
-// start runs task on its own goroutine; what it returns is posted.
+// start runs task on its own goroutine; what it returns is posted, and dropped if the owner has taken another
+// ballot meanwhile. It is called on run's goroutine.
 func (o *ownership) start(task func(ctx context.Context) func() []protocol.Action) {
-	o.tasks.Add(1)
-	go func() {
-		defer o.tasks.Done()
-		o.post(task(o.ctx))
-	}()
+	ballot := o.owner.Ballot()
+	o.tasks.Go(func() {
+		event := task(o.ctx)
+		o.post(func() []protocol.Action {
+			if o.owner.Ballot() != ballot {
+				return nil
+			}
+			return event()
+		})
+	})
 }
 
 func (o *ownership) publish() {
 	o.view.Store(&ownedView{
+		ballot: o.owner.Ballot(), ensemble: o.owner.Ensemble(), recoveredTo: o.owner.RecoveredTo(),
 		phase: o.owner.Phase(), committed: o.owner.Committed(), last: o.owner.Last(),
 		holdings: o.owner.Holdings(), hasRoom: o.owner.HasRoom(),
 	})
@@ -251,10 +263,16 @@
 	})
 }
 
-// adopt ends the ownership where ensemble is newer than its own, so that the node prepares again under it.
+// adopt has the owner prepare again where ensemble is newer than its own; one that does not serve yet starts anew.
 func (o *ownership) adopt(ensemble protocol.Ensemble) {
-	if ensemble.Version <= o.owner.Ensemble().Version {
-		return
-	}
-	o.post(func() []protocol.Action { return o.owner.GiveUp(protocol.LossEnsembleChanged) })
+	o.post(func() []protocol.Action {
+		if ensemble.Version <= o.owner.Ensemble().Version {
+			return nil
+		}
+		if o.owner.Phase() != protocol.PhaseServing {
+			return o.owner.GiveUp(protocol.LossEnsembleChanged)
+		}
+		o.preparing.Reset(o.timing.Prepare)
+		return o.owner.PrepareAgain(ensemble)
+	})
 }
--- a/internal/ledger/ownership_machine.go
+++ b/internal/ledger/ownership_machine.go
@@ -138,7 +138,7 @@
 			info = holding.Snapshot
 		}
 	}
-	answer, err := o.putSnapshot(ctx, action.Store, action.RecoveredTo, info, func(offset uint64) ([]byte, error) {
+	answer, err := o.putSnapshot(ctx, action.Store, action.Ballot, action.RecoveredTo, info, func(offset uint64) ([]byte, error) {
 		return o.readChunk(ctx, action.Source, info, offset)
 	})
 	if err != nil {
@@ -148,13 +148,16 @@
 }
 
 // putSnapshot sends a snapshot to a store; chunk returns the chunk at an offset.
-func (o *ownership) putSnapshot(ctx context.Context, store protocol.StoreID, recoveredTo Position, info protocol.SnapshotInfo, chunk func(offset uint64) ([]byte, error)) (protocol.Acknowledgement, error) {
+func (o *ownership) putSnapshot(ctx context.Context, store protocol.StoreID, ballot protocol.Ballot, recoveredTo Position, info protocol.SnapshotInfo, chunk func(offset uint64) ([]byte, error)) (protocol.Acknowledgement, error) {
 	for offset := uint64(0); ; {
 		content, err := chunk(offset)
 		if err != nil {
 			return protocol.Acknowledgement{}, err
 		}
-		response, err := o.putChunk(ctx, store, recoveredTo, info, offset, content)
+		response, err := o.putChunk(ctx, store, &ledgerpb.SnapshotPutRequest{
+			Partition: uint32(o.partition), Store: string(store), Ballot: wire.FromBallot(ballot), RecoveredTo: uint64(recoveredTo),
+			Info: wire.FromSnapshotInfo(info), Offset: offset, Chunk: content,
+		})
 		if err != nil {
 			return protocol.Acknowledgement{}, err
 		}
@@ -169,13 +172,10 @@
 	}
 }
 
-func (o *ownership) putChunk(ctx context.Context, store protocol.StoreID, recoveredTo Position, info protocol.SnapshotInfo, offset uint64, content []byte) (*ledgerpb.SnapshotPutResponse, error) {
+func (o *ownership) putChunk(ctx context.Context, store protocol.StoreID, request *ledgerpb.SnapshotPutRequest) (*ledgerpb.SnapshotPutResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, o.timing.Request)
 	defer cancel()
-	return o.stores.snapshotPut(ctx, o.member(store), &ledgerpb.SnapshotPutRequest{
-		Partition: uint32(o.partition), Store: string(store), Ballot: wire.FromBallot(o.owner.Ballot()),
-		Info: wire.FromSnapshotInfo(info), Offset: offset, Chunk: content, RecoveredTo: uint64(recoveredTo),
-	})
+	return o.stores.snapshotPut(ctx, o.member(store), request)
 }
 
 func (o *ownership) snapshotDue() bool {
@@ -192,6 +192,9 @@
 		return
 	}
 	view := o.view.Load()
+	if view.phase != protocol.PhaseServing {
+		return
+	}
 	if upTo == 0 || upTo > view.committed || keepFrom > upTo+1 {
 		o.logger.Warn().Uint64(fieldPosition, uint64(upTo)).Msg("snapshot_out_of_range")
 		return
@@ -201,12 +204,13 @@
 		if !holding.Attached || holding.Failing || holding.Through+1 < info.KeepFrom || holding.Snapshot.UpTo >= upTo {
 			continue
 		}
-		o.snapshotStore(holding.Member.Store, info, state)
+		o.snapshotStore(view, holding.Member.Store, info, state)
 	}
 }
 
-func (o *ownership) snapshotStore(store protocol.StoreID, info protocol.SnapshotInfo, state []byte) {
-	answer, err := o.putSnapshot(o.ctx, store, o.owner.RecoveredTo(), info, func(offset uint64) ([]byte, error) {
+// snapshotStore puts the snapshot on one store, under the ballot that view holds, and trims it.
+func (o *ownership) snapshotStore(view *ownedView, store protocol.StoreID, info protocol.SnapshotInfo, state []byte) {
+	answer, err := o.putSnapshot(o.ctx, store, view.ballot, view.recoveredTo, info, func(offset uint64) ([]byte, error) {
 		return state[offset:min(offset+snapshotChunkBytes, uint64(len(state)))], nil
 	})
 	if err != nil || answer.Verdict != protocol.VerdictOK {
@@ -219,7 +223,7 @@
 	ctx, cancel := context.WithTimeout(o.ctx, o.timing.Request)
 	defer cancel()
 	response, err := o.stores.trim(ctx, o.member(store), &ledgerpb.TrimRequest{
-		Partition: uint32(o.partition), Store: string(store), Ballot: wire.FromBallot(o.owner.Ballot()), KeepFrom: uint64(info.KeepFrom),
+		Partition: uint32(o.partition), Store: string(store), Ballot: wire.FromBallot(view.ballot), KeepFrom: uint64(info.KeepFrom),
 	})
 	if err != nil || response.Status != ledgerpb.Status_STATUS_OK {
 		return
--- a/internal/ledger/ownership_requests.go
+++ b/internal/ledger/ownership_requests.go
@@ -16,8 +16,9 @@
 // fetchBytes bounds the payload of one read for recovery, refill or load.
 const fetchBytes = 1 << 20
 
+// member returns what is known of a store; the store was a member when the request was made.
 func (o *ownership) member(store protocol.StoreID) protocol.Member {
-	member, _ := o.owner.Ensemble().Find(store)
+	member, _ := o.view.Load().ensemble.Find(store)
 	return member
 }
 
@@ -112,8 +113,9 @@
 // readRange reads entries from some store that has them, the local one first.
 func (o *ownership) readRange(ctx context.Context, from, to Position, maxBytes int) ([]protocol.Entry, error) {
 	var last error
-	trimmed := true
-	for _, holding := range o.readers(from) {
+	readers := o.readers(from)
+	trimmed := len(readers) > 0
+	for _, holding := range readers {
 		if holding.First > from {
 			continue
 		}
@@ -135,7 +137,7 @@
 	var local, answering, failing []protocol.Holding
 	for _, holding := range o.view.Load().holdings {
 		switch {
-		case !holding.Attached || holding.Through < position:
+		case holding.Through < position:
 		case o.stores.local != nil && o.stores.local.ID() == holding.Member.Store:
 			local = append(local, holding)
 		case holding.Failing:
--- a/internal/ledger/protocol/owner_actions.go
+++ b/internal/ledger/protocol/owner_actions.go
@@ -32,6 +32,7 @@
 // by SnapshotTransferred.
 type TransferSnapshot struct {
 	Store, Source StoreID
+	Ballot        Ballot
 	RecoveredTo   Position
 }
 
--- a/internal/ledger/protocol/owner_recovery.go
+++ b/internal/ledger/protocol/owner_recovery.go
@@ -13,6 +13,7 @@
 // highest committed position of the quorum, or in the tails behind it.
 func (o *Owner) readTails() []Action {
 	o.phase = PhaseReading
+	o.confirmed = o.ballot
 	o.tails = tailReading{waiting: map[StoreID]bool{}, highest: map[Position]Entry{}}
 	for _, follower := range o.followers {
 		if follower.attached && !follower.member.Joining {
--- a/internal/ledger/protocol/owner_sending.go
+++ b/internal/ledger/protocol/owner_sending.go
@@ -57,16 +57,15 @@
 // refill has the follower's missing records, or the snapshot that covers them, read from a store that
 // has them; after a failure, from another such store.
 func (o *Owner) refill(target *follower) []Action {
-	target.inFlight = true
 	store := target.member.Store
 	sources := o.sources(target)
 	if len(sources) == 0 {
-		target.failing = true
 		return nil
 	}
+	target.inFlight = true
 	source := sources[target.attempts%len(sources)]
 	if source.first > target.next {
-		return []Action{TransferSnapshot{Store: store, Source: source.member.Store, RecoveredTo: o.recoveredTo}}
+		return []Action{TransferSnapshot{Store: store, Source: source.member.Store, Ballot: o.ballot, RecoveredTo: o.recoveredTo}}
 	}
 	to := min(source.acked, o.windowFirst-1)
 	return []Action{Fetch{Store: store, Source: source.member.Store, From: target.next, To: to}}
--- a/internal/ledger/protocol/owner_state.go
+++ b/internal/ledger/protocol/owner_state.go
@@ -47,7 +47,7 @@
 	holdings := make([]Holding, 0, len(o.followers))
 	for _, follower := range o.followers {
 		holdings = append(holdings, Holding{
-			Member: follower.member, First: follower.first, Through: follower.acked, Snapshot: follower.snapshot,
+			Member: follower.member, First: follower.first, Through: max(follower.acked, follower.known), Snapshot: follower.snapshot,
 			Attached: follower.attached, Failing: follower.failing, SpaceLow: follower.spaceLow, CaughtUp: follower.caughtUp,
 		})
 	}
--- a/internal/ledger/protocol/owner_step.go
+++ b/internal/ledger/protocol/owner_step.go
@@ -28,15 +28,20 @@
 	return OwnerLimits{BatchBytes: 1 << 20, WindowBytes: 1 << 20}
 }
 
-// Owner is one attempt to own one partition under one ballot. It belongs to one goroutine.
-// After PhaseLost all methods return nothing.
+// Owner is one attempt to own one partition. Its ballot changes only with PrepareAgain; the driver
+// drops answers to requests made under a former ballot. It belongs to one goroutine. After PhaseLost
+// all methods return nothing.
 //
 // Invariants: records up to committed are on a write quorum; window holds the records
 // windowFirst..last; nothing behind recoveredTo was acknowledged under a lower ballot.
 type Owner struct {
-	ballot      Ballot
-	ensemble    Ensemble
-	limits      OwnerLimits
+	ballot   Ballot
+	ensemble Ensemble
+	limits   OwnerLimits
+	// confirmed is the last ballot that a read quorum promised; resuming says that the log was
+	// known under it and need not be read again.
+	confirmed   Ballot
+	resuming    bool
 	phase       OwnerPhase
 	followers   []*follower
 	recoveredTo Position
@@ -53,8 +58,10 @@
 	member   Member
 	attached bool
 	promise  Promise
-	// acked is the last position up to which the store's log is synced and right.
+	// acked is the last position up to which the store's log is synced and right; known is that
+	// position from before PrepareAgain, as far as it was committed: such records never change.
 	acked Position
+	known Position
 	next  Position
 	// told is the highest committed position that the store has been sent and has answered.
 	told     Position
@@ -110,7 +117,7 @@
 	}
 	follower.inFlight, follower.failing, follower.attached = false, false, true
 	follower.promise = promise
-	follower.acked, follower.next = promise.Committed, promise.Committed+1
+	follower.acked, follower.next = max(promise.Committed, follower.known), promise.Committed+1
 	follower.snapshot, follower.first = promise.Snapshot, promise.First
 	if o.phase != PhasePreparing {
 		if promise.Committed > o.recoveredTo && promise.Accepted != o.ballot {
@@ -121,6 +128,9 @@
 	if o.promises() < o.ensemble.ReadQuorum() {
 		return nil
 	}
+	if o.resuming {
+		return o.resume()
+	}
 	return o.readTails()
 }
 
@@ -223,13 +233,13 @@
 	return o.pump(follower)
 }
 
-// Notice tells idle stores what is committed, so that the next recovery has less to read,
-// and asks those short of room again.
+// Notice tells idle stores what is committed, so that the next recovery has less to read, asks those short of
+// room again, and sends on where no store could be read from before.
 func (o *Owner) Notice() []Action {
 	if o.phase != PhaseServing {
 		return nil
 	}
-	var actions []Action
+	actions := o.pumpAll()
 	for _, follower := range o.followers {
 		idle := follower.attached && !follower.inFlight && follower.next > o.last
 		if idle && (follower.told < o.committed || follower.spaceLow) {
@@ -259,7 +269,9 @@
 	}
 	if o.phase == PhaseRewriting && o.committed >= o.recoveredTo {
 		o.phase = PhaseServing
-		actions = append(actions, Recovered{Last: o.committed})
+		if !o.resuming {
+			actions = append(actions, Recovered{Last: o.committed})
+		}
 	}
 	o.trimWindow()
 	o.noteCaughtUp()
--- a/internal/ledger/protocol/store_step.go
+++ b/internal/ledger/protocol/store_step.go
@@ -156,6 +156,9 @@
 	if ballot.Below(s.Promised) {
 		return Acknowledgement{Verdict: VerdictRefused, Promised: s.Promised}, Effect{}
 	}
+	if recoveredTo < s.Committed && s.Accepted != ballot {
+		return Acknowledgement{Verdict: VerdictInvalid, Promised: s.Promised, Through: s.Committed}, Effect{}
+	}
 	if info.UpTo <= s.Snapshot.UpTo {
 		return s.acknowledge(VerdictOK), Effect{}
 	}
