--- a/internal/ledger/protocol/model_test.go
+++ b/internal/ledger/protocol/model_test.go
@@ -280,7 +280,7 @@
 // checkStore checks the invariants of a store's state.
 func (w *world) checkStore(store *modelStore) {
 	s := store.state
-	if s.First > s.Committed+1 || s.Committed > s.Consistent || s.Consistent > s.Last || s.Promised.Below(s.Accepted) {
+	if s.First > s.Committed+1 || s.Committed > s.Consistent || s.Consistent > s.Last || s.Snapshot.KeepFrom > s.Committed+1 || s.Promised.Below(s.Accepted) {
 		w.t.Fatalf("store state is broken: %+v", s)
 	}
 	for position := s.First; position <= s.Last; position++ {
--- a/internal/ledger/protocol/store_step.go
+++ b/internal/ledger/protocol/store_step.go
@@ -3,7 +3,7 @@
 // StoreState is the state of one partition at one store. It is written to the disk in the same
 // atomic write as the records that change with it.
 //
-// Invariants: First <= Committed+1 <= Consistent+1 <= Last+1; records First..Last are
+// Invariants: First <= Committed+1 <= Consistent+1 <= Last+1; Snapshot.KeepFrom <= Committed+1; records First..Last are
 // present; those up to Committed are the log's; those up to Consistent equal the log of the owner
 // under Accepted; Accepted is not above Promised.
 type StoreState struct {
@@ -159,23 +159,27 @@
 	if recoveredTo < s.Committed && s.Accepted != ballot {
 		return Acknowledgement{Verdict: VerdictInvalid, Promised: s.Promised, Through: s.Committed}, Effect{}
 	}
-	if info.UpTo <= s.Snapshot.UpTo {
+	if !s.WantsSnapshot(info) {
 		return s.acknowledge(VerdictOK), Effect{}
 	}
 	effect := s.adopt(ballot, recoveredTo)
 	effect.Changed = true
 	s.Snapshot = info
-	if s.Consistent+1 >= info.KeepFrom {
-		return s.acknowledge(VerdictOK), effect
+	if s.Consistent+1 < info.KeepFrom {
+		effect.Remove = append(effect.Remove, Range{s.First, info.KeepFrom - 1})
+		s.First = info.KeepFrom
+		s.Consistent = info.KeepFrom - 1
+		s.Last = max(s.Last, s.Consistent)
 	}
-	effect.Remove = append(effect.Remove, Range{s.First, info.KeepFrom - 1})
-	s.First = info.KeepFrom
-	s.Consistent = info.KeepFrom - 1
-	s.Committed = max(s.Committed, s.Consistent)
-	s.Last = max(s.Last, s.Consistent)
+	s.Committed = max(s.Committed, min(info.UpTo, s.Consistent))
 	return s.acknowledge(VerdictOK), effect
 }
 
+// WantsSnapshot tells whether the snapshot is newer than the store's own or covers records that it lacks.
+func (s *StoreState) WantsSnapshot(info SnapshotInfo) bool {
+	return info.UpTo > s.Snapshot.UpTo || info.KeepFrom > s.Consistent+1
+}
+
 // adopt makes ballot the accepted one. Records behind its recovery's end were written under
 // lower ballots and are void.
 func (s *StoreState) adopt(ballot Ballot, recoveredTo Position) Effect {
--- a/internal/ledger/store/database.go
+++ b/internal/ledger/store/database.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/pebble/v2"
 	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/joomcode/errorx"
 	"github.com/oklog/ulid/v2"
 	"github.com/rs/zerolog"
 
@@ -19,27 +20,89 @@
 	memTableBytes = 4 << 20
 )
 
-// databaseFolder and damagedPrefix name folders below the data folder.
+// Names below the data folder.
 const (
 	databaseFolder = "ledger"
+	markFile       = "ledger-synced"
 	damagedPrefix  = "ledger-damaged-"
 )
 
-// openDatabase opens the database below folder. One that is damaged is moved aside, never
+// disk is an opened database with its incarnation and the number of its last synced write.
+type disk struct {
+	database *pebble.DB
+	id       protocol.StoreID
+	writes   uint64
+	mark     *syncMark
+	states   map[protocol.PartitionID]*protocol.StoreState
+}
+
+// openDisk opens the database below folder. One that is damaged is moved aside, never
 // removed, and an empty one takes its place: the store comes back under
 // another incarnation, and the owners refill it.
-func openDatabase(folder string, files vfs.FS, logger zerolog.Logger, fatal func(string)) (*pebble.DB, error) {
-	path := filepath.Join(folder, databaseFolder)
-	database, err := openPebble(path, files, logger, fatal)
+func openDisk(folder string, files vfs.FS, logger zerolog.Logger, fatal func(string)) (*disk, error) {
+	opened, err := tryDisk(folder, files, logger, fatal)
 	if err == nil || !isDamage(err) {
-		return database, err
+		return opened, err
 	}
 	aside := filepath.Join(folder, damagedPrefix+ulid.Make().String())
-	logger.Error().Err(err).Str(fieldFolder, aside).Msg("ledger database damaged and moved aside")
-	if err := files.Rename(path, aside); err != nil {
+	logger.Error().Err(err).Str(fieldFolder, aside).Msg("ledger_database_moved_aside")
+	if err := files.Rename(filepath.Join(folder, databaseFolder), aside); err != nil {
+		return nil, err
+	}
+	return tryDisk(folder, files, logger, fatal)
+}
+
+func tryDisk(folder string, files vfs.FS, logger zerolog.Logger, fatal func(string)) (*disk, error) {
+	database, err := openPebble(filepath.Join(folder, databaseFolder), files, logger, fatal)
+	if err != nil {
+		return nil, err
+	}
+	opened := &disk{database: database}
+	if err := opened.identify(folder, files); err != nil {
+		if opened.mark != nil {
+			err = errors.Join(err, opened.mark.close())
+		}
+		return nil, errors.Join(err, database.Close())
+	}
+	return opened, nil
+}
+
+// identify reads the incarnation and the partitions' states, and checks that nothing known to be synced is missing.
+func (d *disk) identify(folder string, files vfs.FS) (err error) {
+	if d.id, err = incarnation(d.database); err != nil {
+		return err
+	}
+	if d.writes, err = lastWrite(d.database); err != nil {
+		return err
+	}
+	if d.mark, err = openSyncMark(filepath.Join(folder, markFile), files); err != nil {
+		return err
+	}
+	if id, writes := d.mark.read(); id == d.id && writes > d.writes {
+		return KindDamaged.New("write %d was synced, but the log ends at %d", writes, d.writes)
+	}
+	d.states, err = loadStates(d.database)
+	return err
+}
+
+func loadStates(database *pebble.DB) (map[protocol.PartitionID]*protocol.StoreState, error) {
+	iterator, err := database.NewIter(&pebble.IterOptions{LowerBound: []byte{prefixPartition}, UpperBound: []byte{prefixPartition + 1}})
+	if err != nil {
 		return nil, err
 	}
-	return openPebble(path, files, logger, fatal)
+	states := map[protocol.PartitionID]*protocol.StoreState{}
+	for valid := iterator.First(); valid; valid = iterator.Next() {
+		value, err := unseal(iterator.Key(), iterator.Value())
+		if err != nil {
+			return nil, errors.Join(err, iterator.Close())
+		}
+		state, err := decodeState(value)
+		if err != nil {
+			return nil, errors.Join(err, iterator.Close())
+		}
+		states[partitionOf(iterator.Key())] = &state
+	}
+	return states, iterator.Close()
 }
 
 func openPebble(path string, files vfs.FS, logger zerolog.Logger, fatal func(string)) (*pebble.DB, error) {
@@ -51,13 +114,19 @@
 		MemTableSize:       memTableBytes,
 		FormatMajorVersion: pebble.FormatNewest,
 		Logger:             pebbleLogger{logger: logger, fatal: fatal},
+		// A damaged block is an error of the read that meets it; the record is there on other stores.
+		EventListener: &pebble.EventListener{DataCorruption: func(info pebble.DataCorruptionInfo) {
+			logger.Error().Err(info.Details).Str(fieldFile, info.Path).Msg("ledger_block_damaged")
+		}},
 	})
 }
 
 // isDamage tells damage of the content from trouble with reaching it, such as a
 // missing permission, a full disk or a lock held by another process.
 func isDamage(err error) bool {
-	return pebble.IsCorruptionError(err) || errors.Is(err, os.ErrNotExist)
+	var typed *errorx.Error
+	found := errors.As(err, &typed) && typed.IsOfType(KindDamaged)
+	return found || pebble.IsCorruptionError(err) || errors.Is(err, os.ErrNotExist)
 }
 
 // incarnation returns the name of what is on the disk; an empty disk gets a new one.
--- a/internal/ledger/store/snapshots.go
+++ b/internal/ledger/store/snapshots.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/pebble/v2"
@@ -43,21 +44,18 @@
 	if wire.ToBallot(message.Ballot).Below(state.Promised) {
 		return &ledgerpb.SnapshotPutResponse{Status: ledgerpb.Status_STATUS_REFUSED, Promised: wire.FromBallot(state.Promised)}, nil
 	}
-	if info.UpTo <= state.Snapshot.UpTo {
+	if !state.WantsSnapshot(info) {
 		return s.installSnapshot(batch, partition, message)
 	}
 	staged := s.staging[partition]
 	if message.Offset == 0 {
 		staged = &staging{info: info, digest: xxhash.New()}
 		s.staging[partition] = staged
-		if err := batch.DeleteRange(snapshotKey(partition, info.UpTo, 0), snapshotKey(partition, info.UpTo+1, 0), nil); err != nil {
-			return nil, err
-		}
 	}
 	if staged == nil || staged.info != info || staged.next != message.Offset {
 		return &ledgerpb.SnapshotPutResponse{Status: ledgerpb.Status_STATUS_GAP}, nil
 	}
-	key := snapshotKey(partition, info.UpTo, message.Offset)
+	key := snapshotKey(partition, info.Digest, message.Offset)
 	if err := batch.Set(key, seal(key, message.Chunk), nil); err != nil {
 		return nil, err
 	}
@@ -73,13 +71,13 @@
 	return s.installSnapshot(batch, partition, message)
 }
 
-// installSnapshot makes the staged snapshot the partition's and removes older ones.
+// installSnapshot makes the staged snapshot the partition's and removes others.
 func (s *Store) installSnapshot(batch *pebble.Batch, partition protocol.PartitionID, message *ledgerpb.SnapshotPutRequest) (*ledgerpb.SnapshotPutResponse, error) {
 	state := s.state(partition)
 	info := wire.ToSnapshotInfo(message.Info)
 	answer, effect := state.InstallSnapshot(wire.ToBallot(message.Ballot), protocol.Position(message.RecoveredTo), info)
 	if effect.Changed {
-		if err := batch.DeleteRange(snapshotKey(partition, 0, 0), snapshotKey(partition, info.UpTo, 0), nil); err != nil {
+		if err := removeOtherSnapshots(batch, partition, info.Digest); err != nil {
 			return nil, err
 		}
 	}
@@ -92,6 +90,12 @@
 	}, nil
 }
 
+func removeOtherSnapshots(batch *pebble.Batch, partition protocol.PartitionID, digest uint64) error {
+	below := batch.DeleteRange(snapshotKey(partition, 0, 0), snapshotKey(partition, digest, 0), nil)
+	above := batch.DeleteRange(snapshotEnd(partition, digest), snapshotEnd(partition, math.MaxUint64), nil)
+	return errors.Join(below, above)
+}
+
 // SnapshotGet returns a chunk of the installed snapshot.
 func (s *Store) SnapshotGet(ctx context.Context, message *ledgerpb.SnapshotGetRequest) (*ledgerpb.SnapshotGetResponse, error) {
 	if !s.is(message.Store) {
@@ -103,7 +107,7 @@
 		if info.UpTo == 0 || (message.Offset > 0 && message.Offset >= info.Size) {
 			return &ledgerpb.SnapshotGetResponse{Status: ledgerpb.Status_STATUS_NOT_FOUND, Info: wire.FromSnapshotInfo(info)}, nil
 		}
-		key := snapshotKey(partition, info.UpTo, message.Offset)
+		key := snapshotKey(partition, info.Digest, message.Offset)
 		sealed, closer, err := s.database.Get(key)
 		if errors.Is(err, pebble.ErrNotFound) {
 			return &ledgerpb.SnapshotGetResponse{Status: ledgerpb.Status_STATUS_DAMAGED}, nil
--- a/internal/ledger/store/store.go
+++ b/internal/ledger/store/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"runtime"
 	"sync"
@@ -14,10 +15,10 @@
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 )
 
-// fieldFolder and fieldStore are log fields.
+// Log fields.
 const (
 	fieldFolder = "folder"
-	fieldStore  = "store"
+	fieldFile   = "file"
 )
 
 // Defaults of Options.
@@ -56,7 +57,10 @@
 	failed atomic.Bool
 	fsyncs atomic.Int64
 	// states belongs to the step goroutine after Open.
-	states  map[protocol.PartitionID]*protocol.StoreState
+	states map[protocol.PartitionID]*protocol.StoreState
+	// writes numbers the written groups; it belongs to the step goroutine, mark to the sync goroutine.
+	writes  uint64
+	mark    *syncMark
 	staging map[protocol.PartitionID]*staging
 }
 
@@ -76,6 +80,7 @@
 // group is a set of requests that share one write.
 type group struct {
 	batch    *pebble.Batch
+	number   uint64
 	requests []*request
 	answers  []answer
 }
@@ -99,20 +104,15 @@
 	}
 	store := &Store{
 		options: options, requests: make(chan *request, requestQueue), groups: make(chan *group, groupQueue),
-		states: map[protocol.PartitionID]*protocol.StoreState{}, staging: map[protocol.PartitionID]*staging{},
+		staging: map[protocol.PartitionID]*staging{},
 	}
 	store.ctx, store.stop = context.WithCancel(context.Background())
-	database, err := openDatabase(folder, options.Files, options.Logger, store.fail)
+	opened, err := openDisk(folder, options.Files, options.Logger, store.fail)
 	if err != nil {
 		return nil, err
 	}
-	store.database = database
-	if store.id, err = incarnation(database); err == nil {
-		err = store.load()
-	}
-	if err != nil {
-		return nil, errors.Join(err, database.Close())
-	}
+	store.database, store.id, store.mark = opened.database, opened.id, opened.mark
+	store.writes, store.states = opened.writes, opened.states
 	store.done.Add(2)
 	go store.stepLoop()
 	go store.syncLoop()
@@ -136,7 +136,8 @@
 		// The database may hang on its failed disk, so it is left alone.
 		return nil
 	}
-	return s.database.Close()
+	// A flushed log leaves nothing whose end could be in doubt.
+	return errors.Join(s.database.Flush(), s.database.Close(), s.mark.close())
 }
 
 // fail is called where the database can't go on, on any of its goroutines, and ends that goroutine.
@@ -146,26 +147,6 @@
 	runtime.Goexit()
 }
 
-// load reads all partitions' states.
-func (s *Store) load() error {
-	iterator, err := s.database.NewIter(&pebble.IterOptions{LowerBound: []byte{prefixPartition}, UpperBound: []byte{prefixPartition + 1}})
-	if err != nil {
-		return err
-	}
-	for valid := iterator.First(); valid; valid = iterator.Next() {
-		value, err := unseal(iterator.Key(), iterator.Value())
-		if err != nil {
-			return errors.Join(err, iterator.Close())
-		}
-		state, err := decodeState(value)
-		if err != nil {
-			return errors.Join(err, iterator.Close())
-		}
-		s.states[partitionOf(iterator.Key())] = &state
-	}
-	return iterator.Close()
-}
-
 // run has step run on the step goroutine and waits until what it wrote is synced.
 func run[Answer any](ctx context.Context, s *Store, size int, step func(batch *pebble.Batch) (Answer, error)) (Answer, error) {
 	var none Answer
@@ -199,7 +180,7 @@
 		case first := <-s.requests:
 			group := s.collect(first)
 			if err := s.write(group); err != nil {
-				s.options.Logger.Error().Err(err).Msg("ledger store failed")
+				s.options.Logger.Error().Err(err).Msg("ledger_store_failed")
 				s.failed.Store(true)
 				s.stop()
 				return
@@ -234,21 +215,35 @@
 	if group.batch.Empty() {
 		return nil
 	}
+	s.writes++
+	group.number = s.writes
+	if err := group.batch.Set(writeKey(), binary.BigEndian.AppendUint64(nil, s.writes), nil); err != nil {
+		return err
+	}
 	return s.database.ApplyNoSyncWait(group.batch, pebble.Sync)
 }
 
+// sync waits until the group's write is on the disk, and marks that it is.
+func (s *Store) sync(group *group) error {
+	if group.batch.Empty() {
+		return nil
+	}
+	if err := group.batch.SyncWait(); err != nil {
+		return err
+	}
+	s.fsyncs.Add(1)
+	return s.mark.write(s.id, group.number)
+}
+
 // syncLoop answers requests once their writes are on the disk.
 func (s *Store) syncLoop() {
 	defer s.done.Done()
 	for group := range s.groups {
-		if !group.batch.Empty() {
-			if err := group.batch.SyncWait(); err != nil {
-				s.options.Logger.Error().Err(err).Msg("ledger store failed to sync")
-				s.failed.Store(true)
-				s.stop()
-				continue
-			}
-			s.fsyncs.Add(1)
+		if err := s.sync(group); err != nil {
+			s.options.Logger.Error().Err(err).Msg("ledger_store_sync_failed")
+			s.failed.Store(true)
+			s.stop()
+			continue
 		}
 		for i, request := range group.requests {
 			request.answer <- group.answers[i]
--- /dev/null
+++ b/internal/ledger/store/store_test.go
@@ -0,0 +1,225 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const plenty = uint64(1) << 40
+
+func open(t *testing.T, folder string, files vfs.FS, free *uint64) *Store {
+	t.Helper()
+	store, err := Open(folder, Options{Files: files, Logger: zerolog.Nop(), Free: func() (uint64, error) { return *free, nil }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store
+}
+
+func shut(t *testing.T, store *Store) {
+	t.Helper()
+	if err := store.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func ballot(number uint64) *ledgerpb.Ballot {
+	return &ledgerpb.Ballot{Version: 1, Number: number, Owner: "owner"}
+}
+
+// write appends one record to partition 1 and returns the store's answer.
+func write(t *testing.T, store *Store, position uint64, payload string) *ledgerpb.AppendResponse {
+	t.Helper()
+	response, err := store.Append(context.Background(), &ledgerpb.AppendRequest{
+		Partition: 1, Store: string(store.ID()), Ballot: ballot(1), First: position, Committed: position - 1,
+		Entries: []*ledgerpb.Entry{{Position: position, Kind: 1, Payload: []byte(payload)}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response
+}
+
+func read(t *testing.T, store *Store, from, to uint64) *ledgerpb.ReadResponse {
+	t.Helper()
+	response, err := store.Read(context.Background(), &ledgerpb.ReadRequest{Partition: 1, Store: string(store.ID()), From: from, To: to, MaxBytes: 1 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response
+}
+
+func TestAcknowledgedRecordsSurviveACrash(t *testing.T) {
+	free := plenty
+	files := vfs.NewCrashableMem()
+	store := open(t, "data", files, &free)
+	for position := range uint64(50) {
+		if response := write(t, store, position+1, fmt.Sprint("record-", position+1)); response.Status != ledgerpb.Status_STATUS_OK {
+			t.Fatalf("append: %v", response)
+		}
+	}
+	// The clone holds what was synced and a random part of what was not, as a torn tail does.
+	for seed := range uint64(10) {
+		clone := files.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: 50, RNG: rand.New(rand.NewPCG(seed, 0))})
+		again := open(t, "data", clone, &free)
+		if again.ID() != store.ID() {
+			t.Fatalf("the store came back as %s, was %s", again.ID(), store.ID())
+		}
+		response := read(t, again, 1, 50)
+		if len(response.Entries) != 50 || string(response.Entries[49].Payload) != "record-50" {
+			t.Fatalf("%d records after the crash", len(response.Entries))
+		}
+		promise, err := again.Prepare(context.Background(), &ledgerpb.PrepareRequest{Partition: 1, Store: string(again.ID()), Ballot: &ledgerpb.Ballot{Version: 1}})
+		if err != nil || promise.Status != ledgerpb.Status_STATUS_REFUSED {
+			t.Fatalf("the promise did not survive: %v %v", promise, err)
+		}
+		shut(t, again)
+	}
+	shut(t, store)
+}
+
+// flipByte changes the byte at a share of a file's length.
+func flipByte(t *testing.T, files vfs.FS, path string, share float64) {
+	t.Helper()
+	file, err := files.OpenReadWrite(path, vfs.WriteCategoryUnspecified)
+	if err != nil {
+		t.Fatal(err)
+	}
+	info, err := file.Stat()
+	if err != nil {
+		t.Fatal(err)
+	}
+	content := make([]byte, 1)
+	offset := int64(float64(info.Size()) * share)
+	if _, err := file.ReadAt(content, offset); err != nil {
+		t.Fatal(err)
+	}
+	content[0] ^= 0xff
+	if _, err := file.WriteAt(content, offset); err != nil {
+		t.Fatal(err)
+	}
+	if err := file.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// filesOf lists the database's files with the suffix.
+func filesOf(t *testing.T, files vfs.FS, folder, suffix string) []string {
+	t.Helper()
+	names, err := files.List(filepath.Join(folder, databaseFolder))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var paths []string
+	for _, name := range names {
+		if strings.HasSuffix(name, suffix) {
+			paths = append(paths, filepath.Join(folder, databaseFolder, name))
+		}
+	}
+	return paths
+}
+
+// The log of a store that crashed is damaged at one place after another: the store must come back with
+// all records, or as another one.
+func TestDamagedLogIsRefused(t *testing.T) {
+	free := plenty
+	folder := t.TempDir()
+	store := open(t, folder, vfs.Default, &free)
+	defer shut(t, store)
+	for position := range uint64(50) {
+		write(t, store, position+1, strings.Repeat("x", 1000))
+	}
+	refused := 0
+	const places = 12
+	for place := range places {
+		crashed := filepath.Join(t.TempDir(), "crashed")
+		if _, err := vfs.Clone(vfs.Default, vfs.Default, folder, crashed); err != nil {
+			t.Fatal(err)
+		}
+		logs := filesOf(t, vfs.Default, crashed, ".log")
+		flipByte(t, vfs.Default, logs[len(logs)-1], float64(place)/places)
+		again := open(t, crashed, vfs.Default, &free)
+		if again.ID() == store.ID() {
+			if found := len(read(t, again, 1, 50).Entries); found != 50 {
+				t.Errorf("damaged at %d/%d, the store came back with %d of 50 records", place, places, found)
+			}
+			shut(t, again)
+			continue
+		}
+		refused++
+		shut(t, again)
+	}
+	if refused < places/2 {
+		t.Fatalf("only %d of %d damages were noticed", refused, places)
+	}
+}
+
+func TestDamagedRecordIsRefused(t *testing.T) {
+	free := plenty
+	files := vfs.NewMem()
+	store := open(t, "data", files, &free)
+	for position := range uint64(50) {
+		write(t, store, position+1, fmt.Sprint(rand.Uint64(), strings.Repeat("y", 1000)))
+	}
+	if err := store.database.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	shut(t, store)
+	for _, table := range filesOf(t, files, "data", ".sst") {
+		flipByte(t, files, table, 0.5)
+	}
+	again := open(t, "data", files, &free)
+	defer shut(t, again)
+	if again.ID() != store.ID() {
+		return
+	}
+	good := 0
+	for position := uint64(1); position <= 50; position++ {
+		switch response := read(t, again, position, position); response.Status {
+		case ledgerpb.Status_STATUS_OK:
+			good++
+		case ledgerpb.Status_STATUS_DAMAGED:
+		default:
+			t.Fatalf("record %d: %v", position, response.Status)
+		}
+	}
+	if good == 50 {
+		t.Fatal("the damage was not noticed")
+	}
+}
+
+func TestFullDiskRefusesRecordsAndKeepsThem(t *testing.T) {
+	free := plenty
+	store := open(t, "data", vfs.NewMem(), &free)
+	defer shut(t, store)
+	if response := write(t, store, 1, "a"); response.SpaceLow {
+		t.Fatal("space is low from the start")
+	}
+	free = defaultReserveBytes - 1
+	if response := write(t, store, 2, "b"); response.Status != ledgerpb.Status_STATUS_OK || !response.SpaceLow {
+		t.Fatalf("with little room: %v", response)
+	}
+	free = defaultMinimumBytes - 1
+	if response := write(t, store, 3, "c"); response.Status != ledgerpb.Status_STATUS_FULL {
+		t.Fatalf("without room: %v", response)
+	}
+	if response := read(t, store, 1, 3); len(response.Entries) != 2 {
+		t.Fatalf("records kept: %v", response)
+	}
+	free = plenty
+	if response := write(t, store, 3, "c"); response.Status != ledgerpb.Status_STATUS_OK || response.SpaceLow {
+		t.Fatalf("with room again: %v", response)
+	}
+}
