Test that an unaware owner dispatches nothing after a cancel

Cause: the random plans seldom cancel within the window of an owner that doesn't know of its successor; the tests passed without the two guards. Change: a directed test. Conclusion: each guard is needed, and tested.

--- a/internal/job/faults_test.go
+++ b/internal/job/faults_test.go
@@ -273,3 +273,34 @@
 	}
 	return nil
 }
+
+// TestUnawareOwnerDispatchesNothingAfterTheCancel: an owner that doesn't know of its
+// successor has free credits again right after the successor acknowledged the cancel.
+func TestUnawareOwnerDispatchesNothingAfterTheCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newTestCluster(t, 3)
+		faults := &faultRun{testCluster: cluster, random: rand.New(rand.NewPCG(1, 1))}
+		defer faults.background.Wait()
+		defer cluster.stop()
+		cluster.credits.limit = 1
+		cluster.engine.onToken = func(ctx context.Context, _ engine.Endpoint, _ engine.Request, _ int) error { return waitUntil(ctx) }
+		for id := range ledger.PartitionID(testPartitions) {
+			faults.takeOver(id, 0)
+		}
+		status := faults.submit(t, 0)
+		synctest.Wait()
+		partition := partitionOf(t, status.ID)
+		faults.machines[partition].(*uncertainMachine).late.Store(int64(time.Hour))
+		faults.takeOver(partition, 1)
+		cancelled, err := cluster.nodes[2].service.Cancel(t.Context(), "registry", status.ID)
+		if err != nil || cancelled.Phase != PhaseCancelled {
+			t.Fatalf("cancel: %+v, %v", cancelled, err)
+		}
+		before, _ := cluster.engine.starts()
+		cluster.credits.setLimit(64)
+		time.Sleep(time.Minute)
+		if after, _ := cluster.engine.starts(); before == 0 || after != before {
+			t.Fatalf("%d runs before the cancel, %d after", before, after)
+		}
+	})
+}
