--- /dev/null
+++ b/cmd/sloelift/output.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/sloelift/sloelift/internal/config"
+	"github.com/sloelift/sloelift/internal/operator"
+	"github.com/sloelift/sloelift/internal/strictyaml"
+)
+
+// print writes value as JSON, or calls text where text is wanted.
+func (e *environment) print(value any, text func(io.Writer)) error {
+	if !e.json {
+		text(e.stdout)
+		return nil
+	}
+	encoder := json.NewEncoder(e.stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// reportError writes an error to the error output; as JSON it is an operator.ErrorBody.
+func (e *environment) reportError(err error) {
+	var invalid *strictyaml.ValidationError
+	var conflict *config.ConflictError
+	switch {
+	case !e.json && errors.As(err, &invalid):
+		// Editors look for "file:line:column:" where a line begins.
+		fmt.Fprintln(e.stderr, err.Error())
+		return
+	case !e.json && errors.As(err, &conflict):
+		fmt.Fprintln(e.stderr, "sloelift: "+err.Error())
+		writeChanges(e.stderr, config.ApplyResult{Changes: conflict.Overwritten})
+		return
+	case !e.json:
+		fmt.Fprintln(e.stderr, "sloelift: "+err.Error())
+		return
+	}
+	encoder := json.NewEncoder(e.stderr)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(operator.NewErrorBody(err))
+}
+
+// table writes rows in columns; the first row is the heading.
+func table(out io.Writer, rows [][]string) {
+	writer := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		for index, cell := range row {
+			if index > 0 {
+				fmt.Fprint(writer, "\t")
+			}
+			fmt.Fprint(writer, cell)
+		}
+		fmt.Fprintln(writer)
+	}
+	_ = writer.Flush()
+}
--- /dev/null
+++ b/internal/config/store_keyvalue.go
@@ -0,0 +1,207 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/joomcode/errorx"
+	"github.com/oklog/ulid/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/strictyaml"
+)
+
+// keyValueStore is the Store over the platform's key-value service. It holds no
+// state: each change is conditioned on the head that it was planned against.
+type keyValueStore struct {
+	keyValue platform.KeyValue
+	logger   zerolog.Logger
+}
+
+// NewStore returns the Store over keyValue.
+func NewStore(keyValue platform.KeyValue, logger zerolog.Logger) Store {
+	return &keyValueStore{keyValue: keyValue, logger: logger.With().Str(logging.FieldSlice, "config").Logger()}
+}
+
+func newAbsentError(id ID) error {
+	return outcome.New(outcome.Failed, outcome.ReasonNotFound, id.String()+" does not exist")
+}
+
+func newReferenceError(resulting declarationSet) error {
+	var problems []Problem
+	for _, found := range checkReferences(resulting) {
+		problems = append(problems, found.Problem)
+	}
+	return strictyaml.NewValidationError(problems)
+}
+
+// Apply implements Store.
+func (s *keyValueStore) Apply(ctx context.Context, file []byte, expectRevision int64) (ApplyResult, error) {
+	parsed, err := Parse(file)
+	if err != nil {
+		return ApplyResult{}, err
+	}
+	return s.commit(ctx, edit{put: parsed.Declarations}, expectRevision)
+}
+
+// Diff implements Store.
+func (s *keyValueStore) Diff(ctx context.Context, file []byte) (ApplyResult, error) {
+	parsed, err := Parse(file)
+	if err != nil {
+		return ApplyResult{}, err
+	}
+	snapshot, _, err := s.read(ctx)
+	if err != nil {
+		return ApplyResult{}, err
+	}
+	planned, err := planEdit(newDeclarationSet(snapshot.Declarations()), edit{put: parsed.Declarations})
+	return ApplyResult{Revision: snapshot.Revision, Changes: planned.changes}, err
+}
+
+// Withdraw implements Store.
+func (s *keyValueStore) Withdraw(ctx context.Context, kind Kind, name string, expectRevision int64) (ApplyResult, error) {
+	return s.commit(ctx, edit{withdraw: &ID{Kind: kind, Name: name}}, expectRevision)
+}
+
+// Load implements Store.
+func (s *keyValueStore) Load(ctx context.Context) (*Snapshot, error) {
+	snapshot, _, err := s.read(ctx)
+	return snapshot, err
+}
+
+// errHeadMoved means that another writer came first; the edit is planned again.
+var errHeadMoved = errors.New("another change came first")
+
+const (
+	firstRetryWait = 20 * time.Millisecond
+	maxRetryWait   = time.Second
+	// maxRetryTime bounds how long an edit is tried while others come first or the
+	// key-value service refuses.
+	maxRetryTime = 3 * time.Second
+)
+
+// commit plans the edit against the present revision and writes it in one
+// transaction. A writer that loses a race plans again, unless it named a revision.
+func (s *keyValueStore) commit(ctx context.Context, wanted edit, expectRevision int64) (ApplyResult, error) {
+	attempt := func() (ApplyResult, error) {
+		result, err := s.tryCommit(ctx, wanted, expectRevision)
+		if err != nil && !worthRetrying(err) {
+			err = backoff.Permanent(err)
+		}
+		return result, err
+	}
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval = firstRetryWait
+	waits.MaxInterval = maxRetryWait
+	result, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(waits), backoff.WithMaxElapsedTime(maxRetryTime))
+	if errors.Is(err, errHeadMoved) {
+		err = outcome.Wrap(err, outcome.NotRun, outcome.ReasonConflict, "the configuration changes too often; nothing was changed")
+	}
+	var typed *outcome.Error
+	if err != nil && ctx.Err() != nil && !errors.As(err, &typed) && errors.Is(err, context.Cause(ctx)) {
+		err = outcome.Wrap(err, outcome.NotRun, outcome.ReasonDeadline, "not accepted in time; nothing was changed")
+	}
+	return result, err
+}
+
+// worthRetrying tells whether an edit that had no effect may go through later.
+func worthRetrying(err error) bool {
+	var typed *outcome.Error
+	unavailable := errors.As(err, &typed) && typed.Outcome == outcome.NotRun && typed.Reason == outcome.ReasonUnavailable
+	return unavailable || errors.Is(err, errHeadMoved)
+}
+
+func (s *keyValueStore) tryCommit(ctx context.Context, wanted edit, expectRevision int64) (ApplyResult, error) {
+	snapshot, headEntry, err := s.read(ctx)
+	if err != nil {
+		return ApplyResult{}, err
+	}
+	planned, err := planEdit(newDeclarationSet(snapshot.Declarations()), wanted)
+	if expectRevision != AnyRevision && expectRevision != snapshot.Revision {
+		return ApplyResult{}, &ConflictError{Expected: expectRevision, Present: snapshot.Revision, Overwritten: planned.changes}
+	}
+	if err != nil {
+		return ApplyResult{}, err
+	}
+	if len(planned.changes) == 0 {
+		return ApplyResult{Revision: snapshot.Revision}, nil
+	}
+	revision, err := s.write(ctx, headEntry, planned.objects)
+	if err != nil {
+		return ApplyResult{}, err
+	}
+	s.logger.Info().Int64(logging.FieldRevision, revision).Int("changes", len(planned.changes)).Msg("configuration_accepted")
+	return ApplyResult{Revision: revision, Changes: planned.changes}, nil
+}
+
+func (s *keyValueStore) read(ctx context.Context) (*Snapshot, platform.Entry, error) {
+	listing, err := s.keyValue.List(ctx, KeyPrefix)
+	if err != nil {
+		return nil, platform.Entry{}, outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "the configuration cannot be read; nothing was changed")
+	}
+	snapshot, headEntry, err := readEntries(listing.Entries)
+	if err != nil {
+		return nil, platform.Entry{}, outcome.Wrap(err, outcome.NotRun, outcome.ReasonInternal, "the stored configuration is damaged; nothing was changed")
+	}
+	return snapshot, headEntry, nil
+}
+
+// write makes one transaction on the condition that the head still is headEntry. The
+// head's write id settles a lost answer.
+func (s *keyValueStore) write(ctx context.Context, headEntry platform.Entry, objects []platform.Change) (int64, error) {
+	head, err := decodeHead(headEntry)
+	if err != nil {
+		return 0, err
+	}
+	writeID := ulid.Make().String()
+	next := head.next(writeID)
+	value, err := json.Marshal(next)
+	if err != nil {
+		return 0, fmt.Errorf("encode the configuration's head: %w", err)
+	}
+	transaction := platform.Transaction{
+		Conditions: []platform.Condition{{Key: KeyHead, ModRevision: headEntry.ModRevision}},
+		Changes:    append([]platform.Change{{Key: KeyHead, Value: value}}, objects...),
+	}
+	result, err := platform.CommitSettled(ctx, s.keyValue, transaction, platform.WriteMark{Key: KeyHead, ID: writeID})
+	switch {
+	case err == nil && result.Committed:
+		return next.Revision, nil
+	case err == nil:
+		return 0, errHeadMoved
+	case errorx.IsOfType(err, platform.KindUnknownOutcome):
+		return s.settle(ctx, next, err)
+	}
+	return 0, outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "the key-value service did not take the change; nothing was changed")
+}
+
+// settle finds out, after other writes have replaced the head, whether ours was
+// among them. The head lists the recent writes, so a missing one was never made, as
+// long as no more writes than that have come since.
+func (s *keyValueStore) settle(ctx context.Context, next Head, lost error) (int64, error) {
+	unknown := outcome.Wrap(lost, outcome.Indeterminate, outcome.ReasonUnavailable,
+		"the change may have been accepted (write "+next.WriteID+"); read the configuration before you try again")
+	entry, err := s.keyValue.Get(ctx, KeyHead)
+	if err != nil {
+		s.logger.Warn().Err(err).Str("write_id", next.WriteID).Msg("configuration_outcome_unknown")
+		return 0, unknown
+	}
+	head, err := decodeHead(entry)
+	if err != nil {
+		return 0, unknown
+	}
+	if revision, found := head.find(next.WriteID); found {
+		return revision, nil
+	}
+	if head.Revision < next.Revision || head.Revision > next.Revision+recentWrites {
+		return 0, unknown
+	}
+	return 0, errHeadMoved
+}
