Read items as online requests are read, and bound records

Cause: items named models by rules of their own, a result over the ledger's record limit was lost, and one refused as failed was appended again without end. Change: engine.ParseGeneration and the same model names as online requests, checked at submission; lines to 512 KiB; results over the limit fail as too_large; unreachable replicas are reported.

--- a/internal/job/appender.go
+++ b/internal/job/appender.go
@@ -37,6 +37,9 @@
 // propose makes the record durable and waits until the state has it. NotRun means
 // that it isn't in the log and never will be.
 func (p *partition) propose(ctx context.Context, record ledger.Record) error {
+	if len(record.Payload) > ledger.MaxRecordBytes {
+		return outcome.New(outcome.NotRun, outcome.ReasonTooLarge, "a record is over the ledger's limit")
+	}
 	request := &proposal{record: record, applied: make(chan struct{})}
 	select {
 	case p.proposals <- request:
@@ -124,7 +127,7 @@
 			p.halt()
 			return 0, failure
 		}
-		if failure.Outcome != outcome.NotRun {
+		if failure.Outcome == outcome.Indeterminate {
 			indeterminate = true
 		}
 		if !indeterminate {
--- a/internal/job/dispatcher.go
+++ b/internal/job/dispatcher.go
@@ -5,20 +5,25 @@
 	"sync"
 
 	"github.com/rs/zerolog"
+	"go.uber.org/fx"
 
 	"github.com/sloelift/sloelift/internal/admission"
 	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/engine"
+	"github.com/sloelift/sloelift/internal/fleet"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/settings"
 )
 
 // dispatcher runs the items of all partitions that this node owns. Its core
 // belongs to one goroutine; each item in flight has its own.
 type dispatcher struct {
-	credits admission.CreditSource
-	engines engine.Client
-	models  config.Source
-	metrics *metrics
-	logger  zerolog.Logger
+	credits  admission.CreditSource
+	engines  engine.Client
+	reporter fleet.Reporter
+	models   config.Source
+	metrics  *metrics
+	logger   zerolog.Logger
 
 	core   *dispatchCore
 	events chan dispatchEvent
@@ -29,12 +34,24 @@
 	group   sync.WaitGroup
 }
 
-func newDispatcher(
-	limit int, credits admission.CreditSource, engines engine.Client, models config.Source, metrics *metrics, logger zerolog.Logger,
-) *dispatcher {
+// dispatcherParams are what a dispatcher works with.
+type dispatcherParams struct {
+	fx.In
+
+	Settings settings.Settings
+	Credits  admission.CreditSource
+	Engines  engine.Client
+	Reporter fleet.Reporter
+	Models   config.Source
+	Metrics  *metrics
+	Logger   zerolog.Logger
+}
+
+func newDispatcher(params dispatcherParams) *dispatcher {
 	return &dispatcher{
-		credits: credits, engines: engines, models: models, metrics: metrics, logger: logger,
-		core:    newDispatchCore(limit),
+		credits: params.Credits, engines: params.Engines, reporter: params.Reporter, models: params.Models, metrics: params.Metrics,
+		logger:  params.Logger.With().Str(logging.FieldSlice, sliceName).Logger(),
+		core:    newDispatchCore(params.Settings.Limits.BatchConcurrency),
 		events:  make(chan dispatchEvent),
 		waits:   make(map[flightKey]context.CancelFunc),
 		stopped: make(chan struct{}),
--- a/internal/job/fake_test.go
+++ b/internal/job/fake_test.go
@@ -23,6 +23,7 @@
 	"github.com/sloelift/sloelift/internal/ledger/ledgertest"
 	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/routing"
+	"github.com/sloelift/sloelift/internal/settings"
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
@@ -65,7 +66,10 @@
 	}
 	for number := range nodes {
 		node := &testNode{cluster: cluster, number: number, handlers: make(map[transport.Method]testHandler)}
-		node.dispatcher = newDispatcher(64, cluster.credits, cluster.engine, fakeConfig{}, newMetrics(prometheus.NewRegistry()), zerolog.Nop())
+		node.dispatcher = newDispatcher(dispatcherParams{
+			Settings: settings.Settings{Limits: settings.Limits{BatchConcurrency: 64}}, Credits: cluster.credits, Engines: cluster.engine,
+			Reporter: fakeReporter{}, Models: fakeConfig{}, Metrics: newMetrics(prometheus.NewRegistry()), Logger: zerolog.Nop(),
+		})
 		node.partitions = newRegistry(node.dispatcher, zerolog.Nop())
 		registerMethods(node, node.partitions)
 		carrier := newForwarder(node.partitions, node, node)
@@ -147,6 +151,12 @@
 
 func (n *testNode) Send(netip.AddrPort, transport.Method, proto.Message) error { return nil }
 
+type fakeReporter struct{}
+
+func (fakeReporter) ReportFailure(string) {}
+func (fakeReporter) ReportSuccess(string) {}
+func (fakeReporter) ReportLeaving(string) {}
+
 type fakeConfig struct{}
 
 func (fakeConfig) Current() *config.Snapshot {
--- a/internal/job/fx.go
+++ b/internal/job/fx.go
@@ -3,17 +3,13 @@
 import (
 	"context"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
-	"github.com/sloelift/sloelift/internal/admission"
 	"github.com/sloelift/sloelift/internal/config"
-	"github.com/sloelift/sloelift/internal/engine"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/session"
-	"github.com/sloelift/sloelift/internal/settings"
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
@@ -22,7 +18,8 @@
 // Module provides Service, FileStore, session.Claimer and ledger.Factory.
 var Module = fx.Module(sliceName,
 	fx.Provide(
-		provideDispatcher,
+		newMetrics,
+		newDispatcher,
 		provideRegistry,
 		provideFactory,
 		newForwarder,
@@ -33,14 +30,6 @@
 	fx.Invoke(registerMethods),
 )
 
-func provideDispatcher(
-	values settings.Settings, credits admission.CreditSource, engines engine.Client, configs config.Source,
-	registerer prometheus.Registerer, logger zerolog.Logger,
-) *dispatcher {
-	return newDispatcher(values.Limits.BatchConcurrency, credits, engines, configs, newMetrics(registerer),
-		logger.With().Str(logging.FieldSlice, sliceName).Logger())
-}
-
 // provideRegistry also ties the dispatcher to the process: partitions that the
 // ledger hasn't stopped are stopped first, since the dispatcher waits for their items.
 func provideRegistry(lifecycle fx.Lifecycle, dispatcher *dispatcher, logger zerolog.Logger) *registry {
--- a/internal/job/item_line.go
+++ b/internal/job/item_line.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/sloelift/sloelift/internal/config"
@@ -18,24 +21,8 @@
 	URL      string          `json:"url"`
 	Body     json.RawMessage `json:"body"`
 
-	// raw is Body, body what this slice reads of it.
-	raw  json.RawMessage
-	body itemBody
-}
-
-// itemBody is what this slice reads of a request body.
-type itemBody struct {
-	Model               string          `json:"model"`
-	Messages            []itemMessage   `json:"messages"`
-	Prompt              json.RawMessage `json:"prompt"`
-	MaxTokens           int             `json:"max_tokens"`
-	MaxCompletionTokens int             `json:"max_completion_tokens"`
-}
-
-// itemMessage is one message of a chat; content that isn't text is left out.
-type itemMessage struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
+	// generation is what the system reads of Body.
+	generation engine.Generation
 }
 
 // parseItemLine parses and checks a line; a URL, if any, must be the operation.
@@ -45,21 +32,22 @@
 		return nil, fmt.Errorf("not a JSON object: %w", err)
 	}
 	if item.CustomID == "" {
-		return nil, fmt.Errorf("custom_id is missing")
+		return nil, errors.New("custom_id is missing")
 	}
-	if item.Method != "" && item.Method != "POST" {
+	if item.Method != "" && item.Method != http.MethodPost {
 		return nil, fmt.Errorf("method %q is not POST", item.Method)
 	}
 	if item.URL != "" && item.URL != string(operation) {
 		return nil, fmt.Errorf("url %q is not the job's %q", item.URL, operation)
 	}
 	if trimmed := bytes.TrimSpace(item.Body); len(trimmed) == 0 || trimmed[0] != '{' {
-		return nil, fmt.Errorf("body is not a JSON object")
+		return nil, errors.New("body is not a JSON object")
 	}
-	item.raw = item.Body
-	if err := json.Unmarshal(item.raw, &item.body); err != nil {
+	generation, err := engine.ParseGeneration(operation, item.Body)
+	if err != nil {
 		return nil, fmt.Errorf("body: %w", err)
 	}
+	item.generation = generation
 	return item, nil
 }
 
@@ -93,49 +81,22 @@
 	return line, len(line) > 0
 }
 
-func (b *itemBody) maxTokens() int { return max(b.MaxTokens, b.MaxCompletionTokens) }
-
-// prompt is the text whose prefix the engine's cache may hold.
-func (b *itemBody) prompt() string {
-	if len(b.Messages) == 0 {
-		return textOf(b.Prompt)
-	}
-	var prompt strings.Builder
-	for _, message := range b.Messages {
-		prompt.WriteString(message.Role + ": " + textOf(message.Content) + "\n")
-	}
-	return prompt.String()
-}
-
-// textOf returns the text of a JSON string, or else the JSON itself.
-func textOf(raw json.RawMessage) string {
-	var text string
-	if json.Unmarshal(raw, &text) == nil {
-		return text
-	}
-	return string(raw)
-}
-
-// resolveModel finds the model and adapter that a body names; a name may be an
-// adapter of one of the service's models, and none is the service's first model.
-func resolveModel(snapshot *config.Snapshot, serviceName, name string) (model, adapter string) {
+// resolveModel finds what an item's "model" stands for within its job's service: as
+// for online requests, "service/model", "model" or "service" (its first model), each
+// with an optional ":adapter". False means that the service doesn't have it.
+func resolveModel(snapshot *config.Snapshot, serviceName, name string) (model, adapter string, served bool) {
 	service := snapshot.Services[serviceName]
 	if service == nil || len(service.Models) == 0 {
-		return name, ""
+		return "", "", false
 	}
-	if name == "" {
-		return service.Models[0], ""
+	model, adapter = engine.SplitModel(name)
+	model = strings.TrimPrefix(model, serviceName+"/")
+	if model == serviceName {
+		model = service.Models[0]
 	}
-	for _, served := range service.Models {
-		declared := snapshot.Models[served]
-		if declared == nil || served == name {
-			continue
-		}
-		for _, candidate := range declared.Adapters {
-			if candidate == name {
-				return served, name
-			}
-		}
+	if !slices.Contains(service.Models, model) {
+		return model, adapter, false
 	}
-	return name, ""
+	declared := snapshot.Models[model]
+	return model, adapter, adapter == "" || declared != nil && slices.Contains(declared.Adapters, adapter)
 }
--- a/internal/job/item_result.go
+++ b/internal/job/item_result.go
@@ -12,6 +12,7 @@
 const (
 	statusCompleted     = 200
 	statusInvalid       = 400
+	statusTooLarge      = 413
 	statusEngineFailed  = 502
 	statusIndeterminate = 504
 )
--- a/internal/job/item_run.go
+++ b/internal/job/item_run.go
@@ -27,6 +27,8 @@
 	// attachWindow is how long an engine keeps the output of a run that ended; a
 	// lost run that can't be reached for as long is given up.
 	attachWindow = 60 * time.Second
+	// maxResultBytes bounds the body of a result; custom_id, at most a line, stands beside it.
+	maxResultBytes = ledger.MaxRecordBytes - maxLineBytes - 4096
 	// maxLostRuns bounds the runs of one repeatable item that end without an answer
 	// or any new token, before the item fails.
 	maxLostRuns = 16
@@ -65,6 +67,8 @@
 	// wait ends when the job ends here or the core gives the wait up.
 	wait context.Context
 	line *itemLine
+	// model and adapter are what the line's model stands for now.
+	model, adapter string
 }
 
 // run returns nil once the item has its result or its job has ended here, or what
@@ -78,6 +82,7 @@
 		return r.retryLater(err, "item_not_read")
 	}
 	r.line = line
+	r.model, r.adapter, _ = resolveModel(r.dispatcher.models.Current(), r.job.service, line.generation.Model)
 	if r.progress.attach != nil {
 		r.dispatcher.send(itemGranted{r.key})
 		return r.attach()
@@ -132,13 +137,12 @@
 }
 
 func (r *itemRun) creditRequest() admission.BatchRequest {
-	model, adapter := resolveModel(r.dispatcher.models.Current(), r.job.service, r.line.body.Model)
-	prompt := r.line.body.prompt()
+	generation := &r.line.generation
 	return admission.BatchRequest{
 		Routing: routing.Request{
-			ID: r.itemName(), Service: r.job.service, Model: model, Adapter: adapter,
-			PrefixBlocks: engine.PrefixBlocks(model, adapter, prompt),
-			PromptBytes:  len(prompt), MaxTokens: r.line.body.maxTokens(), Batch: true, Exclude: r.progress.exclude,
+			ID: r.itemName(), Service: r.job.service, Model: r.model, Adapter: r.adapter,
+			PrefixBlocks: engine.PrefixBlocks(r.model, r.adapter, generation.Prompt),
+			PromptBytes:  len(generation.Prompt), MaxTokens: generation.MaxTokens, Batch: true, Exclude: r.progress.exclude,
 		},
 		Tenant: r.job.tenant, Rank: r.job.rank, Deadline: r.key.job.deadline,
 	}
@@ -197,8 +201,8 @@
 	}
 	r.dispatcher.metrics.engineCalls.Inc()
 	return r.dispatcher.engines.Generate(ctx, to, engine.Request{
-		ID: requestID, Operation: r.job.operation, Body: r.line.raw, Priority: r.job.rank,
-		Offset: r.progress.offset, Prior: string(r.progress.text), AttachOnly: attachOnly,
+		ID: requestID, Operation: r.job.operation, Body: r.line.Body,
+		Model: engine.JoinModel(r.model, r.adapter), Priority: r.job.rank, Offset: r.progress.offset, Prior: string(r.progress.text), AttachOnly: attachOnly,
 	})
 }
 
@@ -268,6 +272,9 @@
 	case errors.Is(err, errNotConfirmed):
 		return r.retryLater(err, "ownership_not_confirmed")
 	case isNotRun(err):
+		if errorx.IsOfType(err, engine.KindNotSent) {
+			r.dispatcher.reporter.ReportFailure(to.Replica)
+		}
 		r.excludeReplica(to.Replica)
 		return r.retryLater(err, "item_refused")
 	case r.job.notRepeatable:
@@ -365,7 +372,7 @@
 
 // complete records the whole answer.
 func (r *itemRun) complete(result outcome.Outcome, finished *errFinished) *itemProgress {
-	body := completionBody(r.job.operation, r.itemName(), r.line.body.Model, r.progress, finished)
+	body := completionBody(r.job.operation, r.itemName(), r.line.generation.Model, r.progress, finished)
 	return r.record(&jobpb.ItemResult{
 		Index: uint32(r.key.index), CustomId: r.line.CustomID, Outcome: string(result), Status: statusCompleted, Body: body,
 	})
@@ -382,6 +389,10 @@
 // record makes the result durable; while the ledger takes nothing it keeps trying,
 // because the work is done. A result of a job that has ended is dropped.
 func (r *itemRun) record(result *jobpb.ItemResult) *itemProgress {
+	if len(result.GetBody()) > maxResultBytes {
+		result.Outcome, result.Status = string(outcome.Failed), statusTooLarge
+		result.Body = errorBody(outcome.ReasonTooLarge, nil)
+	}
 	record := encodeRecord(ledger.KindItemCompleted, &jobpb.ItemCompleted{
 		JobId: r.job.id, Index: result.GetIndex(), Result: result, RecordedAtMicros: micros(time.Now()),
 	})
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -146,9 +146,9 @@
 func TestSubmitRefusesBadInput(t *testing.T) {
 	run(t, func(t *testing.T, cluster *testCluster) {
 		for name, items := range map[string]string{
-			"empty": "", "no JSON": "page", "no id": `{"body":{}}`, "no body": `{"custom_id":"a"}`,
+			"empty": "", "no JSON": "page", "no id": `{"body":{}}`, "no body": `{"custom_id":"a"}`, "other model": `{"custom_id":"a","body":{"model":"big","messages":[{"role":"user","content":"x"}]}}`,
 			"other url": `{"custom_id":"a","url":"/v1/embeddings","body":{}}`,
-			"twice":     `{"custom_id":"a","body":{}}` + "\n" + `{"custom_id":"a","body":{}}`,
+			"twice":     itemLines(1) + itemLines(1),
 		} {
 			wanted := submission("bad "+name, 0)
 			wanted.Items = strings.NewReader(items)
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -32,7 +32,7 @@
 	}
 	partition := s.forwarder.locator.PartitionOf(jobKey(submission.Tenant, submission.ClientKey))
 	id := jobID(partition, submission.Tenant, submission.ClientKey)
-	scanner := newItemScanner(&submission, s.maxItems(submission.Tenant))
+	scanner := newItemScanner(&submission, s.configs.Current())
 	present, err := forward(ctx, s.forwarder, methodJobStatus,
 		&jobpb.JobRequest{Partition: uint32(partition), Tenant: submission.Tenant, Id: id})
 	switch {
@@ -100,8 +100,8 @@
 	return nil
 }
 
-func (s *service) maxItems(tenant string) int {
-	if declared := s.configs.Current().Tenants[tenant]; declared != nil && declared.MaxJobItems > 0 {
+func maxItems(configs *config.Snapshot, tenant string) int {
+	if declared := configs.Tenants[tenant]; declared != nil && declared.MaxJobItems > 0 {
 		return min(declared.MaxJobItems, maxJobItems)
 	}
 	return maxJobItems
--- a/internal/job/upload.go
+++ b/internal/job/upload.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	jobpb "github.com/sloelift/sloelift/api/proto/job"
+	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/engine"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/outcome"
@@ -21,8 +22,8 @@
 const (
 	// chunkBytes is the size from which a chunk of a job is sent, and that of a file.
 	chunkBytes = 256 << 10
-	// maxLineBytes bounds one item.
-	maxLineBytes = 1 << 20
+	// maxLineBytes bounds one item, so that a chunk with it fits into one record.
+	maxLineBytes = 512 << 10
 	// maxJobItems bounds the items of one job.
 	maxJobItems = 1_000_000
 )
@@ -59,6 +60,8 @@
 type itemScanner struct {
 	lines     *bufio.Scanner
 	operation engine.Operation
+	service   string
+	configs   *config.Snapshot
 	maxItems  int
 	digest    hash.Hash
 	names     map[uint64]struct{}
@@ -66,9 +69,10 @@
 	number    int
 }
 
-func newItemScanner(submission *Submission, maxItems int) *itemScanner {
+func newItemScanner(submission *Submission, configs *config.Snapshot) *itemScanner {
 	scanner := &itemScanner{
-		lines: bufio.NewScanner(submission.Items), operation: submission.Operation, maxItems: maxItems,
+		lines: bufio.NewScanner(submission.Items), operation: submission.Operation,
+		service: submission.Service, configs: configs, maxItems: maxItems(configs, submission.Tenant),
 		digest: sha256.New(), names: make(map[uint64]struct{}),
 	}
 	scanner.lines.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
@@ -118,6 +122,9 @@
 	if !validText(item.CustomID) {
 		return errors.New("custom_id is not UTF-8")
 	}
+	if _, _, served := resolveModel(s.configs, s.service, item.generation.Model); !served {
+		return fmt.Errorf("model %q is not served by %s", item.generation.Model, s.service)
+	}
 	name := xxhash.Sum64String(item.CustomID)
 	if _, present := s.names[name]; present {
 		return fmt.Errorf("custom_id %q stands twice", item.CustomID)
