--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -57,9 +57,14 @@
 
 // finish waits for the end of a job.
 func finish(t *testing.T, node *testNode, id string) Status {
+	t.Helper()
+	return finishAt(t, node.service, id)
+}
+
+func finishAt(t *testing.T, jobs Service, id string) Status {
 	t.Helper()
 	for range 600 {
-		status, err := node.service.Status(t.Context(), "registry", id)
+		status, err := jobs.Status(t.Context(), "registry", id)
 		if err != nil {
 			t.Fatalf("status: %v", err)
 		}
@@ -73,9 +78,14 @@
 }
 
 func results(t *testing.T, node *testNode, id string, from int) []ItemResult {
+	t.Helper()
+	return resultsAt(t, node.service, id, from)
+}
+
+func resultsAt(t *testing.T, jobs Service, id string, from int) []ItemResult {
 	t.Helper()
 	var all []ItemResult
-	err := node.service.Results(t.Context(), "registry", id, from, func(result ItemResult) error {
+	err := jobs.Results(t.Context(), "registry", id, from, func(result ItemResult) error {
 		all = append(all, result)
 		return nil
 	})
