Add placement: rolled model versions by fenced orders

Cause: nothing brought declared models, versions and adapters to replicas. Change: one orderer per service takes a rising fence token, claims the replicas, and changes a fifth of them at a time: reserve, drain, unload, load, serve. Conclusion: a property test with two orderers, lag and losses passes.

--- /dev/null
+++ b/internal/placement/desired.go
@@ -0,0 +1,109 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/sloelift/sloelift/internal/config"
+	"github.com/sloelift/sloelift/internal/engine"
+)
+
+// States of an engine.Loaded.
+const (
+	stateReady   = "ready"
+	stateLoading = "loading"
+)
+
+// desiredModel is one model that every replica of a service should hold.
+type desiredModel struct {
+	name     string
+	version  string
+	adapters []string
+}
+
+// desiredState is what the replicas of a service should hold, by one revision of the configuration.
+type desiredState struct {
+	revision int64
+	models   []desiredModel
+}
+
+// desiredOf reads the declaration of a service.
+func desiredOf(snapshot *config.Snapshot, service *config.Service) desiredState {
+	desired := desiredState{revision: snapshot.Revision}
+	for _, name := range service.Models {
+		if model := snapshot.Models[name]; model != nil {
+			desired.models = append(desired.models, desiredModel{name: name, version: model.Version, adapters: model.Adapters})
+		}
+	}
+	return desired
+}
+
+// gap is what keeps a replica from the desired state.
+type gap struct {
+	// missing are models without the desired version; missingAdapters names one adapter
+	// that a ready model lacks.
+	missing        []desiredModel
+	missingAdapter *engine.Order
+	// stale are loaded versions and adapters that are not desired.
+	stale []engine.Order
+	// loading: something is on its way.
+	loading bool
+}
+
+// gapOf compares a load report with the desired state.
+func gapOf(desired *desiredState, report *engine.LoadReport) gap {
+	var found gap
+	for _, model := range desired.models {
+		loaded := findLoaded(report, model.name, model.version)
+		switch {
+		case loaded == nil:
+			found.missing = append(found.missing, model)
+		case loaded.State == stateLoading:
+			found.loading = true
+		default:
+			found.compareAdapters(model, loaded)
+		}
+	}
+	for _, loaded := range report.Models {
+		if !desired.wants(loaded.Model, loaded.Version) {
+			found.stale = append(found.stale, engine.Order{Kind: engine.OrderUnloadModel, Model: loaded.Model, Version: loaded.Version})
+		}
+	}
+	return found
+}
+
+func (g *gap) compareAdapters(model desiredModel, loaded *engine.Loaded) {
+	for _, adapter := range model.adapters {
+		if g.missingAdapter == nil && !slices.Contains(loaded.Adapters, adapter) {
+			g.missingAdapter = &engine.Order{Kind: engine.OrderLoadAdapter, Model: model.name, Version: model.version, Adapter: adapter}
+		}
+	}
+	for _, adapter := range loaded.Adapters {
+		if !slices.Contains(model.adapters, adapter) {
+			g.stale = append(g.stale, engine.Order{Kind: engine.OrderUnloadAdapter, Model: model.name, Version: model.version, Adapter: adapter})
+		}
+	}
+}
+
+func (g *gap) empty() bool {
+	return len(g.missing) == 0 && g.missingAdapter == nil && len(g.stale) == 0 && !g.loading
+}
+
+func (d *desiredState) wants(name, version string) bool {
+	return slices.ContainsFunc(d.models, func(model desiredModel) bool { return model.name == name && model.version == version })
+}
+
+func findLoaded(report *engine.LoadReport, name, version string) *engine.Loaded {
+	for index := range report.Models {
+		if loaded := &report.Models[index]; loaded.Model == name && loaded.Version == version {
+			return loaded
+		}
+	}
+	return nil
+}
+
+// holdsAny says whether any ready version of a model is loaded.
+func holdsAny(report *engine.LoadReport, name string) bool {
+	return slices.ContainsFunc(report.Models, func(loaded engine.Loaded) bool {
+		return loaded.Model == name && loaded.State == stateReady
+	})
+}
--- /dev/null
+++ b/internal/placement/rollout_test.go
@@ -0,0 +1,233 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sloelift/sloelift/internal/engine"
+	"github.com/sloelift/sloelift/internal/fleet"
+)
+
+// rolloutWorld is five engines, seen through lagging reports, and two orderers that may
+// both take themselves for the one, on a network that delays, reorders and loses.
+type rolloutWorld struct {
+	t        *rapid.T
+	now      time.Time
+	engines  []*rolloutEngine
+	orderers []*state
+	ordering []bool
+	desired  desiredState
+	network  []rolloutMessage
+	token    uint64
+}
+
+type rolloutEngine struct {
+	id     string
+	report engine.LoadReport
+	// history holds what the engine was at past times, oldest first.
+	history []engine.LoadReport
+	loading map[string]time.Time
+}
+
+// rolloutMessage is an order on its way to an engine, or an answer to an orderer.
+type rolloutMessage struct {
+	orderer int
+	order   *sendOrder
+	answer  event
+}
+
+const (
+	rolloutEngines = 5
+	rolloutLag     = 150 * time.Millisecond
+	rolloutTick    = 50 * time.Millisecond
+	rolloutLoad    = 300 * time.Millisecond
+	historyLength  = int(rolloutLag/rolloutTick) + 2
+)
+
+func newRolloutWorld(t *rapid.T) *rolloutWorld {
+	w := &rolloutWorld{t: t, now: time.Unix(1000, 0), ordering: []bool{true, false}}
+	for range 2 {
+		w.orderers = append(w.orderers, newState(DefaultOptions()))
+	}
+	for index := range rolloutEngines {
+		one := &rolloutEngine{id: fmt.Sprint("r", index), loading: make(map[string]time.Time)}
+		one.report.Models = []engine.Loaded{{Model: "m", Version: "1", State: stateReady}}
+		w.engines = append(w.engines, one)
+	}
+	w.desired = desiredState{revision: 2, models: []desiredModel{{name: "m", version: "2"}}}
+	return w
+}
+
+// view is what an orderer sees: reports of rolloutLag ago.
+func (w *rolloutWorld) view(orderer int) observed {
+	view := serviceView{orderer: w.ordering[orderer], desired: w.desired}
+	for _, one := range w.engines {
+		seen := observation{replica: fleet.Replica{ID: one.id, Endpoint: engine.Endpoint{Replica: one.id}}}
+		for _, past := range one.history {
+			if w.now.Sub(past.MeasuredAt) >= rolloutLag {
+				seen.replica.Load, seen.replica.HasLoad, seen.measuredAt = past, true, past.MeasuredAt
+			}
+		}
+		view.replicas = append(view.replicas, seen)
+	}
+	return observed{services: map[string]serviceView{"chat": view}}
+}
+
+func (w *rolloutWorld) step(orderer int, input event) {
+	for _, output := range w.orderers[orderer].step(w.now, input) {
+		switch typed := output.(type) {
+		case takeFence:
+			w.token = max(w.token, typed.atLeast) + 1
+			w.network = append(w.network, rolloutMessage{orderer: orderer, answer: fenceTaken{service: "chat", token: w.token, revision: typed.revision}})
+		case sendOrder:
+			w.network = append(w.network, rolloutMessage{orderer: orderer, order: &typed})
+		case reserveFetch:
+			w.network = append(w.network, rolloutMessage{orderer: orderer, answer: fetchReserved{
+				service: "chat", replica: typed.replica, fetch: typed.fetch, granted: true,
+			}})
+		}
+	}
+}
+
+// deliver hands over a message. A lost order may have been carried out all the same.
+func (w *rolloutWorld) deliver(message rolloutMessage, lost bool) {
+	if message.order == nil {
+		w.step(message.orderer, message.answer)
+		return
+	}
+	result := w.obey(message.order)
+	if lost {
+		result = orderFailed
+	}
+	w.network = append(w.network, rolloutMessage{orderer: message.orderer, answer: orderAnswered{
+		service: "chat", replica: message.order.to.Replica, order: message.order.order, result: result,
+	}})
+}
+
+func (w *rolloutWorld) obey(sent *sendOrder) orderResult {
+	var target *rolloutEngine
+	for _, one := range w.engines {
+		if one.id == sent.to.Replica {
+			target = one
+		}
+	}
+	order := sent.order
+	if order.Fence < target.report.FenceToken {
+		return orderFenced
+	}
+	target.report.FenceToken = order.Fence
+	switch order.Kind {
+	case engine.OrderSetRole:
+		target.report.Role = order.Role
+	case engine.OrderLoadModel:
+		target.report.Models = append([]engine.Loaded{}, target.report.Models...)
+		target.report.Models = append(target.report.Models, engine.Loaded{Model: order.Model, Version: order.Version, State: stateLoading})
+		target.loading[order.Version] = w.now.Add(rolloutLoad)
+	case engine.OrderUnloadModel:
+		if target.report.Running > 0 {
+			w.t.Fatalf("%s told to unload with %d requests running", target.id, target.report.Running)
+		}
+		var kept []engine.Loaded
+		for _, loaded := range target.report.Models {
+			if loaded.Version != order.Version {
+				kept = append(kept, loaded)
+			}
+		}
+		target.report.Models = kept
+	}
+	return orderAccepted
+}
+
+// advance lets time pass; traffic goes to engines that no report calls draining.
+func (w *rolloutWorld) advance(traffic bool) {
+	w.now = w.now.Add(rolloutTick)
+	for index, one := range w.engines {
+		for version, at := range one.loading {
+			if !w.now.Before(at) {
+				delete(one.loading, version)
+				one.report.Models = append([]engine.Loaded{}, one.report.Models...)
+				for model := range one.report.Models {
+					if one.report.Models[model].Version == version {
+						one.report.Models[model].State = stateReady
+					}
+				}
+			}
+		}
+		seen := w.view(0).services["chat"].replicas[index].replica
+		one.report.Running = 0
+		if traffic && !seen.Draining() && holdsAny(&one.report, "m") {
+			one.report.Running = 1
+		}
+		one.report.MeasuredAt = w.now
+		one.history = append(one.history, one.report)
+		if len(one.history) > historyLength {
+			one.history = one.history[1:]
+		}
+	}
+	for orderer := range w.orderers {
+		w.step(orderer, w.view(orderer))
+	}
+	w.check()
+}
+
+// check: at most one engine, a fifth of five, is out of service.
+func (w *rolloutWorld) check() {
+	out := 0
+	for _, one := range w.engines {
+		if one.report.Role == fleet.RoleDraining || !holdsAny(&one.report, "m") {
+			out++
+		}
+	}
+	if out > 1 {
+		w.t.Fatalf("%d of %d engines out of service", out, rolloutEngines)
+	}
+}
+
+func (w *rolloutWorld) done() bool {
+	for _, one := range w.engines {
+		difference := gapOf(&w.desired, &one.report)
+		if !difference.empty() || one.report.Role == fleet.RoleDraining {
+			return false
+		}
+	}
+	return true
+}
+
+func TestRolloutKeepsServing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newRolloutWorld(t)
+		for range rapid.IntRange(0, 400).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			case 0:
+				orderer := rapid.IntRange(0, 1).Draw(t, "orderer")
+				w.ordering[orderer] = !w.ordering[orderer]
+			case 1, 2, 3, 4:
+				if len(w.network) > 0 {
+					index := rapid.IntRange(0, len(w.network)-1).Draw(t, "message")
+					message := w.network[index]
+					w.network = append(w.network[:index], w.network[index+1:]...)
+					w.deliver(message, rapid.IntRange(0, 9).Draw(t, "fate") == 0)
+					w.check()
+				}
+			default:
+				w.advance(rapid.Bool().Draw(t, "traffic"))
+			}
+		}
+		// With one orderer and a good network it ends.
+		w.ordering = []bool{true, false}
+		for round := 0; round < 1500 && !w.done(); round++ {
+			for len(w.network) > 0 {
+				message := w.network[0]
+				w.network = w.network[1:]
+				w.deliver(message, false)
+			}
+			w.advance(true)
+		}
+		if !w.done() {
+			t.Fatal("the rollout did not end")
+		}
+	})
+}
