Test fence tokens over lost answers

Cause: the fence had no test. Change: a store that loses requests and answers; the rollout test's gateways lag by a second.

--- /dev/null
+++ b/internal/placement/fence_test.go
@@ -0,0 +1,65 @@
+package placement
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/sloelift/sloelift/internal/platform"
+)
+
+// fenceStore is a key-value service of one key that loses answers when told to.
+type fenceStore struct {
+	platform.KeyValue // only the calls below are used
+	entry             platform.Entry
+	// loseAnswers is how many of the next commits take effect without an answer; loseRequests how many don't.
+	loseAnswers  int
+	loseRequests int
+}
+
+func (s *fenceStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	entry := s.entry
+	entry.Key = key
+	return entry, nil
+}
+
+func (s *fenceStore) Commit(_ context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
+	if s.loseRequests > 0 {
+		s.loseRequests--
+		return platform.CommitResult{}, platform.KindUnknownOutcome.New("lost")
+	}
+	committed := transaction.Conditions[0].ModRevision == s.entry.ModRevision
+	if committed {
+		s.entry = platform.Entry{Value: transaction.Changes[0].Value, ModRevision: s.entry.ModRevision + 1}
+	}
+	if s.loseAnswers > 0 {
+		s.loseAnswers--
+		return platform.CommitResult{}, platform.KindUnknownOutcome.New("lost")
+	}
+	return platform.CommitResult{Committed: committed, Revision: s.entry.ModRevision, Current: []platform.Entry{s.entry}}, nil
+}
+
+func TestFenceTokensRise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fenceStore{}
+		var last uint64
+		take := func(orderer string, atLeast uint64, revision int64) {
+			t.Helper()
+			token, err := raiseFence(t.Context(), store, orderer, takeFence{service: "chat", atLeast: atLeast, revision: revision})
+			if err != nil || token <= last || token <= atLeast {
+				t.Fatalf("token %d after %d, error %v", token, last, err)
+			}
+			last = token
+		}
+		take("a", 0, 1)
+		take("b", 0, 1)
+		take("a", 40, 1) // an engine has heard of 40
+		store.loseAnswers = 1
+		take("b", 0, 2)
+		store.loseRequests = 1
+		take("a", 0, 2)
+		if _, err := raiseFence(t.Context(), store, "b", takeFence{service: "chat", revision: 1}); err == nil {
+			t.Fatal("an orderer with an older configuration got a token")
+		}
+	})
+}
--- a/internal/placement/rollout_test.go
+++ b/internal/placement/rollout_test.go
@@ -44,7 +44,9 @@
 	rolloutLag     = 150 * time.Millisecond
 	rolloutTick    = 50 * time.Millisecond
 	rolloutLoad    = 300 * time.Millisecond
-	historyLength  = int(rolloutLag/rolloutTick) + 2
+	// gatewayLag is the age of what gateways know when they send requests.
+	gatewayLag    = time.Second
+	historyLength = int(gatewayLag / rolloutTick)
 )
 
 func newRolloutWorld(t *rapid.T) *rolloutWorld {
@@ -141,10 +143,10 @@
 	return orderAccepted
 }
 
-// advance lets time pass; traffic goes to engines that no report calls draining.
+// advance lets time pass; traffic goes to engines that gateways don't know to be draining.
 func (w *rolloutWorld) advance(traffic bool) {
 	w.now = w.now.Add(rolloutTick)
-	for index, one := range w.engines {
+	for _, one := range w.engines {
 		for version, at := range one.loading {
 			if !w.now.Before(at) {
 				delete(one.loading, version)
@@ -156,9 +158,8 @@
 				}
 			}
 		}
-		seen := w.view(0).services["chat"].replicas[index].replica
 		one.report.Running = 0
-		if traffic && !seen.Draining() && holdsAny(&one.report, "m") {
+		if traffic && (len(one.history) == 0 || one.history[0].Role != fleet.RoleDraining) && holdsAny(&one.report, "m") {
 			one.report.Running = 1
 		}
 		one.report.MeasuredAt = w.now
