Test online requests under drawn faults

Cause: retries, resumes and marked requests had no tests. Change: a drawn plan of engine faults with the invariants whole answer once, not_run truly not run, marked started at most once; cases for claims, reconnects, deadlines and callers that go away. A refused marked request claims its next replica.

--- a/internal/engine/generate.go
+++ b/internal/engine/generate.go
@@ -59,7 +59,7 @@
 		cancel()
 		return nil, KindLost.New("%s answered request %s in place of %s", to.Replica, id, request.ID)
 	}
-	return newEventStream(response.Body, cancel, request.Offset), nil
+	return newEventStream(response.Body, cancel, request.ID, request.Offset), nil
 }
 
 func setGenerationHeaders(header http.Header, request Request) {
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"strings"
 )
 
 var (
@@ -26,13 +27,15 @@
 	cancel context.CancelFunc
 	// next is the offset behind the last chunk.
 	next int
-	// answerID is the id that the first chunk carried.
-	answerID string
+	// requestID is part of the id of every chunk of this answer.
+	requestID string
 	finished bool
 }
 
-func newEventStream(body io.ReadCloser, cancel context.CancelFunc, offset int) *eventStream {
-	return &eventStream{body: body, reader: bufio.NewReaderSize(body, streamBufferBytes), cancel: cancel, next: offset}
+func newEventStream(body io.ReadCloser, cancel context.CancelFunc, requestID string, offset int) *eventStream {
+	return &eventStream{
+		body: body, reader: bufio.NewReaderSize(body, streamBufferBytes), cancel: cancel, requestID: requestID, next: offset,
+	}
 }
 
 // wireChunk is the part of an OpenAI chunk that is read.
@@ -115,13 +118,10 @@
 	return chunk, chunk.Tokens > 0 || chunk.Text != "" || chunk.FinishReason != "" || chunk.Usage != nil, nil
 }
 
+// checkAnswer finds chunks of another request's answer.
 func (s *eventStream) checkAnswer(id string) error {
-	if s.answerID == "" {
-		s.answerID = id
-		return nil
-	}
-	if id != "" && id != s.answerID {
-		return KindLost.New("chunk of answer %s in the stream of answer %s", id, s.answerID)
+	if id != "" && !strings.Contains(id, s.requestID) {
+		return KindLost.New("chunk of answer %s in the stream of request %s", id, s.requestID)
 	}
 	return nil
 }
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -24,14 +24,18 @@
 }
 
 // resolve finds the target of a caller's "model", which is "service/model", "model" or
-// "service" (its first model), each with an optional ":adapter". A model that several of
-// the tenant's services have is served by the first one by name.
+// "service" (its first model), each with an optional ":adapter", or an adapter's name alone.
+// A name that several of the tenant's services have is served by the first one by name.
 func resolve(snapshot *config.Snapshot, tenant *config.Tenant, name string) (target, error) {
 	base, adapter := engine.SplitModel(name)
 	serviceName, modelName, qualified := strings.Cut(base, "/")
 	if !qualified {
 		serviceName, modelName = unqualified(snapshot, tenant, base)
 	}
+	if serviceName == "" && adapter == "" {
+		serviceName, modelName = adapterOwner(snapshot, tenant, base)
+		adapter = base
+	}
 	service, model := snapshot.Services[serviceName], snapshot.Models[modelName]
 	if service == nil || model == nil || !mayUse(tenant, serviceName) || !slices.Contains(service.Models, modelName) {
 		return target{}, notFound(fmt.Sprintf("model %q is not served to this tenant", name))
@@ -54,6 +58,18 @@
 	return service, name
 }
 
+// adapterOwner finds the first of the tenant's services with a model that has the adapter.
+func adapterOwner(snapshot *config.Snapshot, tenant *config.Tenant, adapter string) (service, model string) {
+	for _, candidate := range servicesOf(snapshot, tenant) {
+		for _, name := range candidate.Models {
+			if declared := snapshot.Models[name]; declared != nil && slices.Contains(declared.Adapters, adapter) {
+				return candidate.Name, name
+			}
+		}
+	}
+	return "", ""
+}
+
 // servicesOf returns the tenant's services, sorted by name.
 func servicesOf(snapshot *config.Snapshot, tenant *config.Tenant) []*config.Service {
 	var services []*config.Service
--- a/internal/session/marked.go
+++ b/internal/session/marked.go
@@ -98,7 +98,7 @@
 		_ = deliver(chunk)
 		return nil
 	}
-	err := a.callOnce(ctx, decision, done)
+	err := a.callOnce(ctx, key, decision, done)
 	recorded := a.record(ctx, key, a.result(ctx, err))
 	if err != nil {
 		return a.failure(ctx, err)
@@ -116,7 +116,7 @@
 }
 
 // callOnce starts the run on the first replica that does not refuse it, and follows that run only.
-func (a *answer) callOnce(ctx context.Context, decision routing.Decision, done func()) error {
+func (a *answer) callOnce(ctx context.Context, key string, decision routing.Decision, done func()) error {
 	pause := newPause()
 	for attempts := 1; ; attempts++ {
 		stream, err := a.open(ctx, decision.Endpoint, false)
@@ -138,6 +138,11 @@
 		if decision, done, pickError = a.pick(); pickError != nil {
 			return err
 		}
+		// The claim names the replica on which others look for the run.
+		if claim, claimError := a.claim(ctx, key, decision.Endpoint.Replica); claimError != nil || !claim.Granted {
+			done()
+			return err
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/session/runner_test.go
@@ -0,0 +1,207 @@
+package session
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/sloelift/sloelift/internal/outcome"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestRunUnderFaults draws faults for each call to an engine and checks that the caller
+// gets the whole answer once and in order or an outcome that is true.
+func TestRunUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		fakes := newFakeFleet(rapid.SliceOfN(rapid.Custom(drawFault), 0, 12).Draw(rt, "faults")...)
+		claimer := newFakeClaimer()
+		claimer.loseAnswers = rapid.IntRange(0, 2).Draw(rt, "lostClaims")
+		marked := rapid.Bool().Draw(rt, "marked")
+		var got received
+		var err error
+		synctest.Test(t, func(t *testing.T) {
+			request := testRequest("q1")
+			if request.NotRepeatable = marked; marked {
+				request.IdempotencyKey = "k"
+			}
+			runner := newTestRunner(fakes, claimer)
+			err = runner.Run(t.Context(), request, got.sink)
+			runner.Wait()
+		})
+		if err == nil && !got.whole() {
+			rt.Fatalf("not the whole answer: %+v", got)
+		}
+		if got.broken || fakes.badResume {
+			rt.Fatalf("tokens out of order or a wrong resume: %+v", got)
+		}
+		if outcomeOf(err) == outcome.NotRun && fakes.starts > 0 {
+			rt.Fatalf("told not_run after %d starts: %v", fakes.starts, err)
+		}
+		if marked && fakes.starts > 1 {
+			rt.Fatalf("a marked request was started %d times", fakes.starts)
+		}
+	})
+}
+
+func drawFault(t *rapid.T) fault {
+	return fault{
+		open:       rapid.SampledFrom([]string{"", "", "", "not_sent", "refused", "lost"}).Draw(t, "open"),
+		afterStart: rapid.Bool().Draw(t, "afterStart"),
+		cut:        rapid.IntRange(0, 4).Draw(t, "cut"),
+		crossed:    rapid.Bool().Draw(t, "crossed"),
+		cancelled:  rapid.Bool().Draw(t, "cancelled"),
+		forget:     rapid.Bool().Draw(t, "forget"),
+	}
+}
+
+func run(t *testing.T, fakes *fakeFleet, claimer Claimer, request Request) (received, error) {
+	t.Helper()
+	runner := newTestRunner(fakes, claimer)
+	var got received
+	err := runner.Run(t.Context(), request, got.sink)
+	runner.Wait()
+	return got, err
+}
+
+func TestStreamIsAttachedToAgainThenResumedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fakes := newFakeFleet(fault{cut: 2}, fault{cut: 1}, fault{forget: true}, fault{cut: 1}, fault{open: "not_sent"})
+		got, err := run(t, fakes, newFakeClaimer(), testRequest("q1"))
+		if err != nil || !got.whole() || fakes.badResume {
+			t.Fatal(got, err, fakes.badResume)
+		}
+		// r1 broke twice and forgot the run; r2 broke and went away; r3 ended it.
+		if fakes.starts != 3 || !contains(fakes.cancels, "r2 q1") {
+			t.Fatal(fakes.starts, fakes.cancels)
+		}
+	})
+}
+
+func TestRefusedEverywhereIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fakes := newFakeFleet(fault{open: "refused"}, fault{open: "not_sent"}, fault{open: "refused"}, fault{open: "refused"})
+		_, err := run(t, fakes, newFakeClaimer(), testRequest("q1"))
+		failure := outcome.As(err)
+		if failure.Outcome != outcome.NotRun || failure.Reason != outcome.ReasonOverloaded || failure.RetryAfter == 0 {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestRetryBudgetBoundsRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fakes := newFakeFleet()
+		runner := newTestRunner(fakes, newFakeClaimer())
+		for range 100 {
+			fakes.faults = append(fakes.faults, fault{open: "refused"})
+		}
+		for len(fakes.faults) > 0 {
+			var got received
+			_ = runner.Run(t.Context(), testRequest("q"), got.sink)
+		}
+		// The floor of 20 retries, 10 percent of the requests, and a call each.
+		var got received
+		fakes.faults = []fault{{open: "refused"}}
+		if err := runner.Run(t.Context(), testRequest("q"), got.sink); outcomeOf(err) != outcome.NotRun || fakes.starts != 0 {
+			t.Fatal("the budget is spent, yet a retry was made", err)
+		}
+	})
+}
+
+func TestInvalidIsNotRetried(t *testing.T) {
+	fakes := newFakeFleet(fault{open: "invalid"})
+	_, err := run(t, fakes, newFakeClaimer(), testRequest("q1"))
+	if failure := outcome.As(err); failure.Outcome != outcome.Failed || failure.Reason != outcome.ReasonInvalid || fakes.starts != 0 {
+		t.Fatal(err)
+	}
+}
+
+func TestReconnectGoesOnBehindItsOffset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for name, c := range map[string]struct {
+			forget bool
+			prior  string
+			want   outcome.Outcome
+			starts int
+		}{
+			"attached":                   {want: outcome.Completed, starts: 0},
+			"run gone, text sent":        {forget: true, prior: answerText(0, 4), want: outcome.Completed, starts: 1},
+			"run gone, text not at hand": {forget: true, want: outcome.Indeterminate},
+		} {
+			fakes := newFakeFleet(fault{forget: c.forget})
+			fakes.runs["r2"] = map[string]bool{"q1": true}
+			request := testRequest("q1")
+			request.Replica, request.Offset, request.Prior = "r2", 4, c.prior
+			got := received{next: 4, text: answerText(0, 4)}
+			runner := newTestRunner(fakes, newFakeClaimer())
+			err := runner.Run(t.Context(), request, got.sink)
+			runner.Wait()
+			if outcomeOf(err) != c.want || fakes.starts != c.starts || fakes.badResume || err == nil && !got.whole() {
+				t.Errorf("%s: %v, %d starts, %+v", name, err, fakes.starts, got)
+			}
+		}
+	})
+}
+
+func TestCallerThatGoesAwayCancelsTheRun(t *testing.T) {
+	for _, keep := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			fakes := newFakeFleet()
+			fakes.block = make(chan struct{})
+			runner := newTestRunner(fakes, newFakeClaimer())
+			ctx, cancel := context.WithCancel(t.Context())
+			request := testRequest("q1")
+			request.KeepRun = keep
+			ended := make(chan error)
+			go func() { ended <- runner.Run(ctx, request, (&received{}).sink) }()
+			synctest.Wait()
+			cancel()
+			err := <-ended
+			runner.Wait()
+			if outcomeOf(err) != outcome.Cancelled || len(fakes.cancels) > 0 == keep {
+				t.Fatal(keep, err, fakes.cancels)
+			}
+		})
+	}
+}
+
+func TestDeadlineIsIndeterminateOnceStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fakes := newFakeFleet()
+		fakes.block = make(chan struct{})
+		_, err := run(t, fakes, newFakeClaimer(), testRequest("q1"))
+		if failure := outcome.As(err); failure.Outcome != outcome.Indeterminate || failure.Reason != outcome.ReasonDeadline {
+			t.Fatal(err)
+		}
+		if !contains(fakes.cancels, "r1 q1") {
+			t.Fatal("the run was left")
+		}
+	})
+}
+
+func TestDeadlineWhileRefusedIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		request := testRequest("q1")
+		request.Deadline = time.Now().Add(time.Millisecond)
+		_, err := run(t, newFakeFleet(fault{open: "refused"}, fault{open: "refused"}), newFakeClaimer(), request)
+		if failure := outcome.As(err); failure.Outcome != outcome.NotRun || failure.Reason != outcome.ReasonDeadline {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestSinkErrorEndsTheRequest(t *testing.T) {
+	fakes := newFakeFleet()
+	runner := newTestRunner(fakes, newFakeClaimer())
+	err := runner.Run(t.Context(), testRequest("q1"), func(Chunk) error { return errors.New("closed") })
+	runner.Wait()
+	if outcomeOf(err) != outcome.Cancelled || !contains(fakes.cancels, "r1 q1") {
+		t.Fatal(err, fakes.cancels)
+	}
+}
