Send callers to nodes that are ready, and cancel jobs in flight

Cause: the load went to nodes before they were ready, as no load balancer does, and cancelled jobs only after they had completed. Change: a node gets callers once /readyz and its models answer; cancels come within 400 ms; idle connections of callers end before the node's own timeout.

--- a/lab/deployment/faults.go
+++ b/lab/deployment/faults.go
@@ -55,7 +55,7 @@
 		}
 	}
 	for _, node := range nodes {
-		if err := node.start(ctx); err != nil {
+		if err := d.StartNode(ctx, node); err != nil {
 			return err
 		}
 	}
--- a/lab/deployment/machine.go
+++ b/lab/deployment/machine.go
@@ -40,7 +40,7 @@
 	reachable func(netip.AddrPort) bool
 }
 
-// start builds and starts the node's process.
+// start builds and starts the node's process; callers are sent there once it serves.
 func (n *Node) start(ctx context.Context) error {
 	severable := network.NewSeverable(network.System{})
 	n.mutex.Lock()
@@ -56,7 +56,7 @@
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.running, n.severable, n.serving = created, severable, true
+	n.running, n.severable = created, severable
 	return nil
 }
 
--- a/lab/deployment/readiness.go
+++ b/lab/deployment/readiness.go
@@ -20,7 +20,7 @@
 
 	pathApply  = "/v1/config/apply"
 	pathModels = "/v1/models"
-	pathStatus = "/v1/status"
+	pathReady  = "/readyz"
 )
 
 // applyConfiguration gives the operators' file to a node, and to others until one takes it.
@@ -43,14 +43,23 @@
 	return d.eachNode(func(node *Node) error { return d.awaitNode(ctx, node) })
 }
 
+// awaitNode waits until a node is ready and serves the declared model, and then sends callers
+// there, as a load balancer does.
 func (d *Deployment) awaitNode(ctx context.Context, node *Node) error {
-	return await(ctx, "wait for node "+node.ID, func(ctx context.Context) error {
+	err := await(ctx, "wait for node "+node.ID, func(ctx context.Context) error {
+		if _, err := call(ctx, http.MethodGet, node.Settings.AdminAddress, pathReady, nil); err != nil {
+			return err
+		}
 		models, err := call(ctx, http.MethodGet, node.Settings.CallerAddress, pathModels, nil)
 		if err == nil && !bytes.Contains(models, []byte(d.options.Profile.Model)) {
 			err = fmt.Errorf("node %s does not serve the model yet", node.ID)
 		}
 		return err
 	})
+	if err == nil {
+		node.setServing(true)
+	}
+	return err
 }
 
 // await calls check until it succeeds or readyTimeout ends.
--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -22,9 +22,9 @@
 	// FirstTokenMarked are the marked requests among them, FirstTokenUnmarked the others.
 	FirstTokenMarked   load.Distribution `json:"online_first_token_marked"`
 	FirstTokenUnmarked load.Distribution `json:"online_first_token_unmarked"`
-	InterToken load.Distribution `json:"online_inter_token"`
-	Batch      BatchResult       `json:"batch"`
-	Cache      CacheResult       `json:"cache"`
+	InterToken         load.Distribution `json:"online_inter_token"`
+	Batch              BatchResult       `json:"batch"`
+	Cache              CacheResult       `json:"cache"`
 	// StartedOnLeaving counts runs that started on a replica more than 2 s after the first sign of its leaving.
 	StartedOnLeaving int            `json:"started_on_leaving"`
 	FaultErrors      []string       `json:"fault_errors,omitempty"`
@@ -80,8 +80,8 @@
 		Verdict: verdict, Failed: verdict.Failed(),
 		FirstToken: seen.FirstToken, FirstTokenMarked: seen.FirstTokenMarked, FirstTokenUnmarked: seen.FirstTokenUnmarked,
 		InterToken: seen.InterToken,
-		Load:    LoadDescribed{OnlineRequests: len(plan.Online), Jobs: len(plan.Jobs)},
-		Engines: EngineAccounts{Totals: atEnd},
+		Load:       LoadDescribed{OnlineRequests: len(plan.Online), Jobs: len(plan.Jobs)},
+		Engines:    EngineAccounts{Totals: atEnd},
 	}
 	for _, job := range plan.Jobs {
 		result.Load.Items += len(job.Items)
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -26,6 +26,10 @@
 	headerShouldRetry    = "X-Should-Retry"
 )
 
+// idleTimeout is shorter than a node's own, so that a request does not meet a connection
+// that the node is closing for idleness.
+const idleTimeout = 2 * time.Second
+
 // Caller is a client of the callers' interface. It is safe for concurrent use.
 type Caller struct {
 	client *http.Client
@@ -34,7 +38,7 @@
 
 // NewCaller returns a client that sends the tenant's bearer key.
 func NewCaller(key string) *Caller {
-	transport := &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: 30 * time.Second}
+	transport := &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: idleTimeout}
 	return &Caller{client: &http.Client{Transport: transport}, key: key}
 }
 
--- a/lab/load/plan.go
+++ b/lab/load/plan.go
@@ -62,6 +62,9 @@
 	return labengine.AnswerTo(labengine.ChatPrompt(i.Content), i.MaxTokens)
 }
 
+// maxCancelAfter bounds the time to a job's cancel, so that it meets items in flight.
+const maxCancelAfter = 400 * time.Millisecond
+
 // Plan is all that arrives in one run, sorted by time.
 type Plan struct {
 	Profile  Profile
@@ -134,7 +137,7 @@
 	job.NotRepeatable = random.Float64() < shape.NotRepeatableShare
 	job.Resend = random.Float64() < shape.ResendShare
 	if random.Float64() < shape.CancelShare {
-		job.CancelAfter = time.Duration(random.Int64N(int64(2 * time.Second)))
+		job.CancelAfter = time.Duration(1 + random.Int64N(int64(maxCancelAfter)))
 	}
 	prefix := text(random, shape.PrefixBytes)
 	for index := range shape.ItemsPerJob {
