Count dispatches after a cancel by the time engines took them

Cause: an item that an engine had taken before the cancel and started 2.75 ms after its acknowledgement counted as dispatched after it; times of a busy machine could not be told from others. Change: starts hold the time of dispatch; a start more than 1 s after the cancel is counted apart; each result tells how late timers fired.

--- a/lab/engine/generation.go
+++ b/lab/engine/generation.go
@@ -67,7 +67,9 @@
 		answer:   AnswerTo(request.prompt, request.body.maxTokens()),
 		priority: request.priority,
 		arrival:  e.arrivals,
-		readers:  map[*reader]struct{}{},
+
+		dispatched: time.Now(),
+		readers:    map[*reader]struct{}{},
 	}
 	entry.batch = e.isBatch(entry)
 	if refused := e.resume(entry, request.body.Resume); refused != nil {
@@ -117,6 +119,7 @@
 	}
 	entry.stopExpiry()
 	entry.priority, entry.revived, entry.startOffset = request.priority, true, entry.produced
+	entry.dispatched = time.Now()
 	e.scheduler.enqueue(entry)
 	e.wakeLoop()
 	return nil
--- a/lab/engine/run.go
+++ b/lab/engine/run.go
@@ -23,7 +23,9 @@
 	priority int
 	batch    bool
 	arrival  uint64
-	state    runState
+	// dispatched is when the engine took the run, or revived it.
+	dispatched time.Time
+	state      runState
 	// startOffset is the token that this run began or was revived with.
 	startOffset int
 	// produced is the offset behind the last token made.
--- a/lab/engine/run_log.go
+++ b/lab/engine/run_log.go
@@ -38,17 +38,19 @@
 type Start struct {
 	Replica   string
 	RequestID string
-	At        time.Time
+	// Dispatched is when the engine took the request, At when its first step began.
+	Dispatched time.Time
+	At         time.Time
 	// Offset is the token that the run went on with.
 	Offset int
 }
 
-// LastStart returns the time of the last start; zero where there was none.
-func (r RunRecord) LastStart() time.Time {
+// LastStart returns the last start; the zero value where there was none.
+func (r RunRecord) LastStart() Start {
 	if len(r.History) == 0 {
-		return time.Time{}
+		return Start{}
 	}
-	return r.History[len(r.History)-1].At
+	return r.History[len(r.History)-1]
 }
 
 // Totals count what all engines computed so far.
@@ -101,7 +103,7 @@
 		record.CachedTokens = run.cachedTokens
 		record.Batch = run.batch
 	}
-	record.History = append(record.History, Start{Replica: replica, RequestID: run.id, At: at, Offset: run.startOffset})
+	record.History = append(record.History, Start{Replica: replica, RequestID: run.id, Dispatched: run.dispatched, At: at, Offset: run.startOffset})
 }
 
 // ended notes what a run computed when it finished, was cancelled or died.
--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -26,11 +26,13 @@
 	Batch              BatchResult       `json:"batch"`
 	Cache              CacheResult       `json:"cache"`
 	// StartedOnLeaving counts runs that started on a replica more than 2 s after the first sign of its leaving.
-	StartedOnLeaving int            `json:"started_on_leaving"`
-	FaultErrors      []string       `json:"fault_errors,omitempty"`
-	Load             LoadDescribed  `json:"load"`
-	Folder           string         `json:"folder,omitempty"`
-	Engines          EngineAccounts `json:"engines"`
+	StartedOnLeaving int           `json:"started_on_leaving"`
+	FaultErrors      []string      `json:"fault_errors,omitempty"`
+	Load             LoadDescribed `json:"load"`
+	Folder           string        `json:"folder,omitempty"`
+	// TimerLateness tells how busy the machine was: how late a timer of 2 ms fired.
+	TimerLateness load.Distribution `json:"timer_lateness"`
+	Engines       EngineAccounts    `json:"engines"`
 }
 
 // LoadDescribed says what arrived.
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -91,10 +91,12 @@
 		pause(bounded, options.Duration)
 		atEnd = fleet.Log.Totals()
 	})
+	machine := startLatenessProbe()
 	seen := runner.Run(bounded)
 	endFaults()
 	wait.Wait()
 	result := summarize(options, plan, seen, fleet.Log.Records(), atEnd)
+	result.TimerLateness = machine.stop()
 	result.addFaults(faults, fleet.Log.Records(), deployment.DefaultOptions(plan.Profile, "", 0).MachineListLag)
 	return result
 }
--- a/lab/load/online.go
+++ b/lab/load/online.go
@@ -205,14 +205,14 @@
 	if t.last.IsZero() {
 		return
 	}
-	r.firstToken.record(t.first)
+	r.firstToken.Record(t.first)
 	if marked {
-		r.firstTokenMarked.record(t.first)
+		r.firstTokenMarked.Record(t.first)
 	} else {
-		r.firstTokenUnmarked.record(t.first)
+		r.firstTokenUnmarked.Record(t.first)
 	}
 	for _, gap := range t.gaps {
-		r.interToken.record(gap)
+		r.interToken.Record(gap)
 	}
 }
 
--- a/lab/load/recorder.go
+++ b/lab/load/recorder.go
@@ -22,24 +22,27 @@
 	Max   float64 `json:"max_ms"`
 }
 
-// histogram records durations in microseconds. It is safe for concurrent use.
-type histogram struct {
+// Histogram records durations in microseconds. It is safe for concurrent use.
+type Histogram struct {
 	mutex  sync.Mutex
 	values *hdrhistogram.Histogram
 }
 
-func newHistogram() *histogram {
-	return &histogram{values: hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits)}
+// NewHistogram returns an empty histogram.
+func NewHistogram() *Histogram {
+	return &Histogram{values: hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits)}
 }
 
-func (h *histogram) record(value time.Duration) {
+// Record adds one duration.
+func (h *Histogram) Record(value time.Duration) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	// A value beyond the range can't be: runs are shorter.
 	_ = h.values.RecordValue(max(value.Microseconds(), histogramLowest))
 }
 
-func (h *histogram) distribution() Distribution {
+// Distribution returns the percentiles so far.
+func (h *Histogram) Distribution() Distribution {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	at := func(quantile float64) float64 { return float64(h.values.ValueAtQuantile(quantile)) / 1000 }
--- a/lab/load/runner.go
+++ b/lab/load/runner.go
@@ -17,10 +17,10 @@
 	targets Targets
 	started time.Time
 
-	firstToken         *histogram
-	firstTokenMarked   *histogram
-	firstTokenUnmarked *histogram
-	interToken         *histogram
+	firstToken         *Histogram
+	firstTokenMarked   *Histogram
+	firstTokenUnmarked *Histogram
+	interToken         *Histogram
 
 	// mutex guards online and jobs.
 	mutex  sync.Mutex
@@ -35,10 +35,10 @@
 		plan:               plan,
 		caller:             NewCaller(TenantKey),
 		targets:            targets,
-		firstToken:         newHistogram(),
-		firstTokenMarked:   newHistogram(),
-		firstTokenUnmarked: newHistogram(),
-		interToken:         newHistogram(),
+		firstToken:         NewHistogram(),
+		firstTokenMarked:   NewHistogram(),
+		firstTokenUnmarked: NewHistogram(),
+		interToken:         NewHistogram(),
 	}
 }
 
@@ -68,10 +68,10 @@
 		Started:            r.started,
 		Online:             r.online,
 		Jobs:               r.jobs,
-		FirstToken:         r.firstToken.distribution(),
-		FirstTokenMarked:   r.firstTokenMarked.distribution(),
-		FirstTokenUnmarked: r.firstTokenUnmarked.distribution(),
-		InterToken:         r.interToken.distribution(),
+		FirstToken:         r.firstToken.Distribution(),
+		FirstTokenMarked:   r.firstTokenMarked.Distribution(),
+		FirstTokenUnmarked: r.firstTokenUnmarked.Distribution(),
+		InterToken:         r.interToken.Distribution(),
 	}
 }
 
--- a/lab/load/verdict.go
+++ b/lab/load/verdict.go
@@ -7,6 +7,9 @@
 	labengine "github.com/sloelift/sloelift/lab/engine"
 )
 
+// cancelSpread is how long after its acknowledgement a cancel may take to reach engines.
+const cancelSpread = time.Second
+
 // maxBroken bounds the broken invariants that are listed one by one.
 const maxBroken = 50
 
@@ -39,6 +42,7 @@
 	ItemsWrong              int `json:"items_wrong"`
 	NotRunButRan            int `json:"not_run_but_ran"`
 	DispatchedAfterCancel   int `json:"dispatched_after_cancel"`
+	StartedAfterCancel      int `json:"started_after_cancel"`
 	ResendMismatches        int `json:"resend_mismatches"`
 	ResumeMismatches        int `json:"resume_mismatches"`
 	AcknowledgedMissing     int `json:"acknowledged_missing"`
@@ -182,15 +186,26 @@
 	}
 }
 
+// cancelled checks that nothing was dispatched after the acknowledged cancel, and that
+// nothing dispatched before it still starts once the cancel has had time to reach engines.
+func (j *judge) cancelled(job JobOutcome, marker string) {
+	last := j.records[marker].LastStart()
+	if late := last.Dispatched.Sub(job.CancelAcked); late > 0 {
+		j.verdict.DispatchedAfterCancel++
+		j.broken("%s: dispatched to %s %v after the cancel was acknowledged", marker, last.Replica, late.Round(time.Microsecond))
+	} else if late := last.At.Sub(job.CancelAcked); late > cancelSpread {
+		j.verdict.StartedAfterCancel++
+		j.broken("%s: started on %s %v after the cancel was acknowledged", marker, last.Replica, late.Round(time.Microsecond))
+	}
+}
+
 func (j *judge) item(job JobOutcome, item JobItem) {
 	v := &j.verdict
 	if job.Arrival.NotRepeatable {
 		j.marked(item.CustomID)
 	}
-	if job.Cancelled && j.records[item.CustomID].LastStart().After(job.CancelAcked) {
-		v.DispatchedAfterCancel++
-		j.broken("%s: started %v after the cancel was acknowledged", item.CustomID,
-			j.records[item.CustomID].LastStart().Sub(job.CancelAcked).Round(time.Microsecond))
+	if job.Cancelled {
+		j.cancelled(job, item.CustomID)
 	}
 	texts, failure := job.Results[item.CustomID], job.Errors[item.CustomID]
 	switch {
