Read everything acknowledged a second time

Cause: a result that was read once may be gone later. Change: at the end of a run each job's status and results and each completed marked answer are asked for again through other nodes and must be the same. Conclusion: 'acknowledged and missing' now covers results and keys.

--- a/lab/load/recorder.go
+++ b/lab/load/recorder.go
@@ -83,6 +83,8 @@
 	Detail        string
 	PromptTokens  int
 	CachedTokens  int
+	// RereadDetail says what was wrong when the answer was asked for again.
+	RereadDetail string
 }
 
 // JobOutcome is how a job ended for its caller.
@@ -101,6 +103,8 @@
 	Results map[string][]string
 	Errors  map[string]string
 	Detail  string
+	// RereadDetail says what was wrong when the results were read again.
+	RereadDetail string
 }
 
 // Observations is all that callers saw in one run.
--- a/lab/load/runner.go
+++ b/lab/load/runner.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// Run plays all arrivals and returns when each has ended or ctx ends. ctx bounds the
+// Run plays all arrivals, reads the results a second time, and returns when all has ended or ctx ends. ctx bounds the
 // drain as well; what has not ended by then is reported as it stands.
 func (r *Runner) Run(ctx context.Context) Observations {
 	defer r.caller.Close()
@@ -64,6 +64,13 @@
 		}
 	})
 	r.wait.Wait()
+	seen := r.observations()
+	r.reread(ctx)
+	return seen
+}
+
+// observations takes the figures; its lists are shared with the second reading, which adds to them.
+func (r *Runner) observations() Observations {
 	return Observations{
 		Started:            r.started,
 		Online:             r.online,
--- a/lab/load/verdict.go
+++ b/lab/load/verdict.go
@@ -116,6 +116,10 @@
 	if result.Arrival.NotRepeatable {
 		j.marked(marker)
 	}
+	if result.RereadDetail != "" {
+		v.AcknowledgedMissing++
+		j.broken("%s: completed, and when asked for again: %s", marker, result.RereadDetail)
+	}
 	j.onlineOutcome(result, keyed)
 }
 
@@ -181,6 +185,10 @@
 		v.AcknowledgedMissing++
 		j.broken("%s: accepted as %s, then: %s", job.Arrival.Key, job.ID, job.Detail)
 	}
+	if job.RereadDetail != "" {
+		v.AcknowledgedMissing++
+		j.broken("%s: results read again: %s", job.Arrival.Key, job.RereadDetail)
+	}
 	for _, item := range job.Arrival.Items {
 		j.item(job, item)
 	}
--- a/lab/load/verdict_test.go
+++ b/lab/load/verdict_test.go
@@ -47,6 +47,7 @@
 		{"wrong item", jobs(func(j *JobOutcome) { j.Results[goodItem.CustomID] = []string{"x"} }), nil, func(v Verdict) int { return v.ItemsWrong }},
 		{"resend mismatch", jobs(func(j *JobOutcome) { j.ResendMismatch = true }), nil, func(v Verdict) int { return v.ResendMismatches }},
 		{"acknowledged missing", jobs(func(j *JobOutcome) { j.Detail = "status: not found" }), nil, func(v Verdict) int { return v.AcknowledgedMissing }},
+		{"reread missing", jobs(func(j *JobOutcome) { j.RereadDetail = "gone" }), nil, func(v Verdict) int { return v.AcknowledgedMissing }},
 		{"marked item twice", jobs(func(j *JobOutcome) { j.Arrival.NotRepeatable = true }), ran(goodItem.CustomID, 2, now),
 			func(v Verdict) int { return v.MarkedRunMoreThanOnce }},
 		{"after cancel", jobs(func(j *JobOutcome) { j.Cancelled, j.CancelAcked = true, now.Add(-time.Second) }), ran(goodItem.CustomID, 1, now),
