Put nothing in force before the node is ready

Cause: callers of Current do not look at Ready, so a node that restarted would have served by an unconfirmed copy from disk or from one peer. Change: until the node is ready, Current is the empty configuration of revision 0.

--- a/internal/config/relay/protocol.go
+++ b/internal/config/relay/protocol.go
@@ -18,7 +18,7 @@
 	// viewFloor is the highest revision that the membership has heard of.
 	viewFloor int64
 
-	// held is the configuration in force; nil until one is known.
+	// held is the highest configuration known; nil until one is known. It is in force once the node is ready.
 	held   *document
 	source sourceState
 	gossip gossipState
@@ -92,7 +92,7 @@
 	}
 }
 
-// revision is that in force; -1 where none is known, which is below the empty configuration's 0.
+// revision is that held; -1 where none is known, which is below the empty configuration's 0.
 func (p *protocol) revision() int64 {
 	if p.held == nil {
 		return -1
@@ -100,13 +100,16 @@
 	return p.held.revision
 }
 
-// adopt puts next in force. It is the only place that changes the revision, and it never lowers it.
+// adopt holds next, and puts it in force on a node that is ready. It is the only place that changes the
+// revision, and it never lowers it.
 func (p *protocol) adopt(next *document) bool {
 	if next.revision <= p.revision() {
 		return false
 	}
 	p.held = next
-	p.do(actionPublish{document: next})
+	if p.ready.done {
+		p.do(actionPublish{document: next})
+	}
 	p.spreadRumour()
 	return true
 }
--- a/internal/config/relay/protocol_ready.go
+++ b/internal/config/relay/protocol_ready.go
@@ -40,6 +40,7 @@
 	if p.ready.confirmedByStore || p.confirmedByPeers() {
 		p.ready.done = true
 		p.ready.confirmed = nil
+		p.do(actionPublish{document: p.held})
 		p.do(actionReady{})
 	}
 }
--- a/internal/config/relay/service.go
+++ b/internal/config/relay/service.go
@@ -107,7 +107,8 @@
 	return service, nil
 }
 
-// Current returns the Snapshot in force.
+// Current returns the Snapshot in force. Until the node is ready that is the empty configuration of
+// revision 0, so that nothing is served by an older revision than before a restart.
 func (s *Service) Current() *config.Snapshot { return s.inForce.Load() }
 
 // Ready is closed once this node may serve by Current: the key-value service or enough
