--- a/internal/config/relay/spread_bench_test.go
+++ b/internal/config/relay/spread_bench_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/netip"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -76,6 +77,7 @@
 }
 
 func measureSpread(b *testing.B, c *cluster) {
+	heapBefore := heap()
 	store := config.NewStore(c.platform.KeyValue(platform.AnyZone), zerolog.Nop())
 	if _, err := store.Apply(b.Context(), manyTenants(), config.AnyRevision); err != nil {
 		b.Fatal(err)
@@ -86,6 +88,8 @@
 	b.ReportMetric(float64(started.Milliseconds()), "start-ms")
 	b.ReportMetric(float64(c.calls()), "start-store-calls")
 
+	b.ReportMetric(float64(heap()-heapBefore)/1024/float64(len(c.nodes)), "heap-KB/node")
+
 	bytesBefore, busyBefore := c.bytes(), c.busy()
 	time.Sleep(measuredIdle)
 	nodeSeconds := measuredIdle.Seconds() * float64(len(c.nodes))
@@ -139,6 +143,14 @@
 	return file.Bytes()
 }
 
+// heap is what is in use after a collection; it holds the transports and registries of all nodes too.
+func heap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapInuse)
+}
+
 // bytes are those sent and received by all nodes.
 func (c *cluster) bytes() float64 {
 	var total float64
