--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -69,13 +69,9 @@
 	}
 }
 
-// read runs a call without effect: a missing answer is KindUnavailable.
+// read judges a call without effect.
 func (c *client) read(ctx context.Context, operation Operation) error {
-	_, err := c.server.enter(ctx, c.zone, KeyValue, operation)
-	if err != nil && isDropped(err) {
-		return port.KindUnavailable.Wrap(err, "no answer")
-	}
-	return err
+	return c.server.enterRead(ctx, c.zone, KeyValue, operation)
 }
 
 // Get reads one key.
--- a/lab/platform/client_watch.go
+++ b/lab/platform/client_watch.go
@@ -8,7 +8,10 @@
 	port "github.com/sloelift/sloelift/internal/platform"
 )
 
-func isDropped(err error) bool { return errorx.IsOfType(err, errDropped) }
+// isDropped says that a caller over a network gets no answer.
+func isDropped(err error) bool {
+	return errorx.IsOfType(err, errDropped) || errorx.IsOfType(err, errReadDropped)
+}
 
 // Watch delivers changes from fromRevision on; an outage of the zone ends it. fromRevision 0
 // means from the next change on.
--- a/lab/platform/http.go
+++ b/lab/platform/http.go
@@ -25,10 +25,10 @@
 	router.HandleFunc(etcdjson.PathKeepAlive, post(gateway.keepAlive)).Methods(http.MethodPost)
 	router.HandleFunc(etcdjson.PathRevoke, post(gateway.revokeLease)).Methods(http.MethodPost)
 	router.HandleFunc(etcdjson.PathWatch, gateway.watch).Methods(http.MethodPost)
-	router.HandleFunc(port.PathMachines, s.serveMachines(zone)).Methods(http.MethodGet)
+	router.HandleFunc(port.PathMachines, serveMachines(s.MachineList(zone))).Methods(http.MethodGet)
 	version := port.PathWeights + "/{name}/{version}"
-	router.HandleFunc(version, s.serveWeights(zone)).Methods(http.MethodGet)
-	router.HandleFunc(version+"/reservations", s.serveReservation(zone)).Methods(http.MethodPost)
+	router.HandleFunc(version, serveWeights(s.WeightStore(zone))).Methods(http.MethodGet)
+	router.HandleFunc(version+"/reservations", serveReservation(s.WeightStore(zone))).Methods(http.MethodPost)
 	return router
 }
 
@@ -94,44 +94,29 @@
 	}
 }
 
-// enterRead judges a call without effect; it ends the call where the faults say so.
-func (s *Server) enterRead(writer http.ResponseWriter, request *http.Request, zone string, service Service, operation Operation) bool {
-	if _, err := s.enter(request.Context(), zone, service, operation); err != nil {
-		writeAnswer(writer, nil, err)
-		return false
-	}
-	return true
-}
-
-func (s *Server) serveMachines(zone string) http.HandlerFunc {
+func serveMachines(machines port.MachineList) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
-		if s.enterRead(writer, request, zone, MachineList, OperationMachines) {
-			writeAnswer(writer, s.machines.list(), nil)
-		}
+		listing, err := machines.List(request.Context())
+		writeAnswer(writer, listing, err)
 	}
 }
 
-func (s *Server) serveWeights(zone string) http.HandlerFunc {
+func serveWeights(store port.WeightStore) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
-		if !s.enterRead(writer, request, zone, WeightStore, OperationDescribe) {
-			return
-		}
 		names := mux.Vars(request)
-		found, err := s.weights.describe(names["name"], names["version"])
+		found, err := store.Describe(request.Context(), names["name"], names["version"])
 		writeAnswer(writer, found, err)
 	}
 }
 
-func (s *Server) serveReservation(zone string) http.HandlerFunc {
+func serveReservation(store port.WeightStore) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
-		if !s.enterRead(writer, request, zone, WeightStore, OperationReserve) {
-			return
-		}
 		var reservation port.FetchReservation
 		if !readBody(writer, request, &reservation) {
 			return
 		}
 		names := mux.Vars(request)
-		writeAnswer(writer, reservation, s.weights.reserve(names["name"], names["version"]))
+		err := store.ReserveFetch(request.Context(), names["name"], names["version"], reservation.Replica)
+		writeAnswer(writer, reservation, err)
 	}
 }
--- a/lab/platform/server.go
+++ b/lab/platform/server.go
@@ -76,6 +76,16 @@
 // KeyValue returns the key-value service as the callers of zone see it, without a network.
 func (s *Server) KeyValue(zone string) port.KeyValue { return &client{server: s, zone: zone} }
 
+// MachineList returns the machine list as the callers of zone see it, without a network.
+func (s *Server) MachineList(zone string) port.MachineList {
+	return &machineClient{server: s, zone: zone}
+}
+
+// WeightStore returns the weight store as the callers of zone see it, without a network.
+func (s *Server) WeightStore(zone string) port.WeightStore {
+	return &weightClient{server: s, zone: zone}
+}
+
 // Address is where the callers of zone find all three services; valid after Start.
 func (s *Server) Address(zone string) netip.AddrPort { return s.addresses[zone] }
 
--- a/lab/platform/server_test.go
+++ b/lab/platform/server_test.go
@@ -213,12 +213,17 @@
 	if listing, err := machines.List(t.Context()); err != nil || listing.Machines[0].State != port.MachineLeaving {
 		t.Errorf("after the lag: %+v, %v", listing, err)
 	}
+	server.Faults().Set(platform.Fault{Zone: zone, Service: platform.MachineList, Outage: platform.OutageDrops})
+	_, err := machines.List(t.Context())
+	wantKind(t, err, port.KindUnavailable)
+	_, err = server.MachineList(zone).List(t.Context())
+	wantKind(t, err, port.KindUnavailable)
 	store := port.NewWeightStoreHTTP(network.System{}, server.Address(zone))
 	defer store.Close()
 	if found, err := store.Describe(t.Context(), "base", "v1"); err != nil || found.Bytes != 7 {
 		t.Errorf("describe: %+v, %v", found, err)
 	}
-	_, err := store.Describe(t.Context(), "base", "v2")
+	_, err = store.Describe(t.Context(), "base", "v2")
 	wantKind(t, err, port.KindRefused)
 	if err := store.ReserveFetch(t.Context(), "base", "v1", "r1"); err != nil {
 		t.Error(err)
