Listen and dial through the network port

Cause: the transport used the system's network directly, so that a test could not cut, pause or kill a node's traffic between nodes. Change: the node's network port is used; keep-alive and the timeout for unacknowledged bytes are set on the system's own connections. Conclusion: faults on a node's network reach its peer traffic.

--- a/internal/transport/fx.go
+++ b/internal/transport/fx.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
+	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/settings"
 )
 
@@ -22,10 +23,11 @@
 func newForNode(
 	lifecycle fx.Lifecycle,
 	node settings.Settings,
+	via network.Network,
 	registerer prometheus.Registerer,
 	logger zerolog.Logger,
 ) (*TCP, error) {
-	tcp, err := NewTCP(node.Node, node.PeerAddress, registerer, logger)
+	tcp, err := NewTCPOver(via, node.Node, node.PeerAddress, registerer, logger)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -89,8 +89,13 @@
 }
 
 func (p *peer) dial(ctx context.Context) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
-	return dialer.DialContext(ctx, "tcp", p.address.String())
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	connection, err := p.transport.network.Dial(ctx, p.address)
+	if err == nil {
+		watchConnection(connection)
+	}
+	return connection, err
 }
 
 // serve runs one connection until it ends.
--- a/internal/transport/socket_linux.go
+++ b/internal/transport/socket_linux.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"net"
 	"syscall"
 	"time"
 )
@@ -14,11 +13,8 @@
 	unackedTimeout = 8 * time.Second
 )
 
-// keepAlive notices a vanished peer on a quiet connection.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}
-
 // setUserTimeout sets unackedTimeout on a socket.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+func setUserTimeout(raw syscall.RawConn) error {
 	var failure error
 	err := raw.Control(func(descriptor uintptr) {
 		failure = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
--- a/internal/transport/tcp.go
+++ b/internal/transport/tcp.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/network"
 )
 
 // maxInboundConnections bounds connections that peers dialled.
@@ -25,6 +26,7 @@
 type TCP struct {
 	node     string
 	listen   netip.AddrPort
+	network  network.Network
 	logger   zerolog.Logger
 	counters *Counters
 	exchange *Exchange
@@ -44,9 +46,14 @@
 	running sync.WaitGroup
 }
 
-// NewTCP returns a transport that will listen on the address listen. node names this
-// node to its peers.
+// NewTCP returns a transport on the system's network that will listen on the address
+// listen. node names this node to its peers.
 func NewTCP(node string, listen netip.AddrPort, registerer prometheus.Registerer, logger zerolog.Logger) (*TCP, error) {
+	return NewTCPOver(network.System{}, node, listen, registerer, logger)
+}
+
+// NewTCPOver is NewTCP on a given network.
+func NewTCPOver(via network.Network, node string, listen netip.AddrPort, registerer prometheus.Registerer, logger zerolog.Logger) (*TCP, error) {
 	counters, err := NewCounters(registerer)
 	if err != nil {
 		return nil, err
@@ -54,6 +61,7 @@
 	return &TCP{
 		node:     node,
 		listen:   listen,
+		network:  via,
 		logger:   logger.With().Str(logging.FieldSlice, "transport").Logger(),
 		counters: counters,
 		exchange: NewExchange(counters),
@@ -73,7 +81,7 @@
 
 // Start listens and serves until Stop.
 func (t *TCP) Start() error {
-	listener, err := net.Listen("tcp", t.listen.String())
+	listener, err := t.network.Listen(context.Background(), t.listen)
 	if err != nil {
 		return err
 	}
@@ -167,12 +175,7 @@
 }
 
 func (t *TCP) serveInbound(connection net.Conn) {
-	if tcp, ok := connection.(*net.TCPConn); ok {
-		_ = tcp.SetKeepAliveConfig(keepAlive)
-		if raw, err := tcp.SyscallConn(); err == nil {
-			_ = setUserTimeout("", "", raw)
-		}
-	}
+	watchConnection(connection)
 	// A connection that still waits for its hello ends with the transport too.
 	release := context.AfterFunc(t.ctx, func() { _ = connection.SetReadDeadline(past) })
 	defer release()
