Add hollow nodes that measure what control costs

Cause: nothing showed what the control of many nodes costs. Change: lab/hollow runs membership, configuration relay and fleet of many nodes in one process over the in-memory transport, with restarts, failures, changes of configuration, a lost zone and a cut region, and reports bytes, CPU, memory, spread and detection; membership reads a long machine list less often.

--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -286,7 +286,7 @@
 			failing = true
 			s.logger.Warn().Err(err).Msg("machine list not read")
 		}
-		timer := time.NewTimer(jittered(s.options.Timing.ListPeriod))
+		timer := time.NewTimer(jittered(s.listPeriod(len(listing.Machines))))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -295,3 +295,13 @@
 		}
 	}
 }
+
+// listPeriod keeps the reads of a long list within their bytes once others are known.
+func (s *Service) listPeriod(machines int) time.Duration {
+	timing := s.options.Timing
+	if len(s.View().Members) < 2 || timing.ListBytesPerSecond == 0 {
+		return timing.ListPeriod
+	}
+	needed := time.Duration(machines*listedMachineBytes) * time.Second / time.Duration(timing.ListBytesPerSecond)
+	return max(timing.ListPeriod, needed)
+}
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -33,8 +33,10 @@
 	// the machine list does not name them either.
 	ForgetAfter         time.Duration
 	ForgetUnlistedAfter time.Duration
-	// ListPeriod is how often the machine list is read.
-	ListPeriod time.Duration
+	// ListPeriod is how often the machine list is read by a node that knows nobody, and
+	// the least period of one that does: that one reads ListBytesPerSecond on average.
+	ListPeriod         time.Duration
+	ListBytesPerSecond int
 }
 
 // DefaultTiming returns the timing of production: a dead node is known in its zone
@@ -57,6 +59,7 @@
 		ForgetAfter:         4 * time.Hour,
 		ForgetUnlistedAfter: 10 * time.Minute,
 		ListPeriod:          10 * time.Second,
+		ListBytesPerSecond:  1024,
 	}
 }
 
@@ -75,6 +78,8 @@
 	recordsPerMessage = 200
 	// joinContacts is how many contacts a node that knows nobody asks at once.
 	joinContacts = 2
+	// listedMachineBytes is about what one machine takes in the machine list.
+	listedMachineBytes = 160
 	// pauseTicks is the number of missed ticks after which a node holds itself paused.
 	pauseTicks = 4
 )
--- /dev/null
+++ b/lab/hollow/options.go
@@ -0,0 +1,65 @@
+package hollow
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+)
+
+// Options of a run.
+type Options struct {
+	Nodes    int `help:"Nodes." default:"320"`
+	Replicas int `help:"Replicas that the nodes watch." default:"1700"`
+	Zones    int `help:"Zones; node i is in zone i mod zones." default:"7"`
+	Regions  int `help:"Regions; zone z is in region z mod regions." default:"3"`
+	Tenants  int `help:"Tenants in the configuration." default:"300"`
+	// Duration is that of the measured part; the nodes start and settle before it.
+	Duration time.Duration `help:"Length of the measured part." default:"60s"`
+	// RestartsPerDay and FailuresPerDay are those of all nodes together.
+	RestartsPerDay float64       `help:"Planned restarts of nodes a day, in all." default:"41000"`
+	FailuresPerDay float64       `help:"Machine failures a day, in all." default:"1700"`
+	ConfigInterval time.Duration `help:"Time between changes of configuration." default:"2s"`
+	// Faults adds a lost zone and a cut region.
+	Faults bool   `help:"Lose a zone and cut off a region on the way." default:"true" negatable:""`
+	Seed   uint64 `help:"Seed of the random choices." default:"1"`
+}
+
+// Command is the kong command that runs hollow nodes and prints what they cost.
+type Command struct {
+	Options `embed:""`
+	JSON    bool `help:"Print one JSON object." name:"json"`
+}
+
+// Run runs the command.
+func (c *Command) Run(ctx context.Context) error {
+	result, err := Run(ctx, c.Options)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(result)
+	}
+	return result.print(os.Stdout)
+}
+
+func (o Options) check() error {
+	switch {
+	case o.Nodes < o.Zones || o.Zones < o.Regions || o.Regions < 1:
+		return fmt.Errorf("%d nodes, %d zones and %d regions: each zone needs a node and each region a zone", o.Nodes, o.Zones, o.Regions)
+	case o.Nodes > maxNodes || o.Replicas > maxReplicas || o.Replicas < 0:
+		return fmt.Errorf("at most %d nodes and %d replicas", maxNodes, maxReplicas)
+	case o.Duration < minDuration:
+		return fmt.Errorf("the measured part lasts at least %s", minDuration)
+	}
+	return nil
+}
+
+const (
+	maxNodes    = 2000
+	maxReplicas = 20000
+	minDuration = 10 * time.Second
+)
