Let an owner notice records that it cannot read, and test faults of real nodes

Change: such an owner gives its ballot up, and the next one reads the record from the tails.

Conclusion: the case has a direct test.

--- /dev/null
+++ b/internal/ledger/faults_test.go
@@ -0,0 +1,135 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/outcome"
+)
+
+func TestSnapshotsBoundTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 10)
+		c.timing.SnapshotRecords = 10
+		for range 4 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		var acknowledged []string
+		for i := range 100 {
+			acknowledged = append(acknowledged, c.put(0, fmt.Sprint("value-", i)))
+			time.Sleep(100 * time.Millisecond)
+		}
+		c.eventually("all stores have trimmed", func() bool {
+			for _, holding := range c.owner(0).manager.Status()[0].Holdings {
+				if holding.First < 50 {
+					return false
+				}
+			}
+			return true
+		})
+		c.loseDisk(c.nodes[0])
+		c.loseDisk(c.nodes[1])
+		c.eventually("the ensemble is whole", func() bool {
+			status := c.owner(0).manager.Status()[0]
+			return status.Ensemble.Full() == 4 && status.Ensemble.Version >= 5
+		})
+		for _, node := range c.nodes {
+			c.stop(node)
+		}
+		for _, node := range c.nodes {
+			c.start(node)
+		}
+		c.check(0, acknowledged)
+	})
+}
+
+func TestPausedOwnerStepsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 11)
+		for range 5 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "before")}
+		paused := c.owner(0)
+		machine := paused.register(0)
+		c.network.Pause(paused.address)
+		late := make(chan error, 1)
+		go func() { late <- machine.put(context.Background(), "late") }()
+		c.view.change(paused.id, func(member *membership.Member) { member.State = membership.Dead })
+		others := c.nodes
+		c.nodes = nil
+		for _, node := range others {
+			if node != paused {
+				c.nodes = append(c.nodes, node)
+			}
+		}
+		acknowledged = append(acknowledged, c.put(0, "meanwhile"))
+		c.network.Resume(paused.address)
+		if err := <-late; outcome.Of(err) != outcome.Indeterminate {
+			t.Fatalf("append of the paused owner: %v", err)
+		}
+		c.eventually("the paused owner stops", func() bool { return !machine.serves() })
+		c.nodes = others
+		c.check(0, acknowledged)
+	})
+}
+
+func TestFullStoresRefuseNewRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 12)
+		for range 4 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "a")}
+		setFree := func(free uint64) {
+			for _, node := range c.nodes[:2] {
+				node.mutex.Lock()
+				node.free = free
+				node.mutex.Unlock()
+			}
+		}
+		setFree(100 << 20)
+		machine := c.owner(0).register(0)
+		c.eventually("the owner refuses", func() bool {
+			value := fmt.Sprint("while filling ", len(acknowledged))
+			err := machine.put(t.Context(), value)
+			if err == nil {
+				acknowledged = append(acknowledged, value)
+				return false
+			}
+			refused := outcome.As(err)
+			if refused.Outcome != outcome.NotRun || refused.Reason != outcome.ReasonStorageFull || refused.RetryAfter == 0 {
+				t.Fatalf("refused as %v", err)
+			}
+			return true
+		})
+		setFree(1 << 40)
+		acknowledged = append(acknowledged, c.put(0, "b"))
+		c.check(0, acknowledged)
+	})
+}
+
+func TestLostAnswersOfTheKeyValueService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 13)
+		c.keyValue.loseAnswers = true
+		for range 4 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "a")}
+		c.loseDisk(c.nodes[2])
+		c.eventually("the ensemble is whole", func() bool {
+			status := c.owner(0).manager.Status()[0]
+			return status.Ensemble.Full() == 4 && status.Ensemble.Version == 3
+		})
+		c.check(0, acknowledged)
+	})
+}
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -69,13 +69,15 @@
 	timing    Timing
 	logger    zerolog.Logger
 
-	// owner, pending, pendingBytes, releasing and preparing belong to run's goroutine.
+	// owner, pending, pendingBytes, releasing, preparing and starved belong to run's goroutine.
 	owner        *protocol.Owner
 	pending      []*appendRequest
 	pendingBytes int
 	releasing    bool
 	// preparing ends an attempt that gets no read quorum.
 	preparing *time.Timer
+	// starved is for how long the owner has been starved.
+	starved time.Duration
 
 	events  chan func() []protocol.Action
 	appends chan *appendRequest
@@ -138,6 +140,9 @@
 			step(o.propose(request))
 		case <-notice.C:
 			step(o.owner.Notice())
+			if o.starvedTooLong() {
+				step(o.owner.GiveUp(protocol.LossUnreadable))
+			}
 		case <-o.preparing.C:
 			if o.owner.Phase() < protocol.PhaseRewriting {
 				step(o.owner.GiveUp(protocol.LossTimeout))
@@ -153,6 +158,16 @@
 	return lost
 }
 
+// starvedTooLong is asked at each notice.
+func (o *ownership) starvedTooLong() bool {
+	if !o.owner.Starved() {
+		o.starved = 0
+		return false
+	}
+	o.starved += o.timing.Notice
+	return o.starved >= o.timing.Prepare
+}
+
 // acceptable returns the channel of appends, or nil while none may be taken.
 func (o *ownership) acceptable() <-chan *appendRequest {
 	if o.owner.Phase() != protocol.PhaseServing || o.releasing || o.pendingBytes > maxPendingBytes {
--- a/internal/ledger/protocol/owner_sending.go
+++ b/internal/ledger/protocol/owner_sending.go
@@ -48,12 +48,16 @@
 	if o.phase < PhaseRewriting || o.phase == PhaseLost || !follower.attached || follower.inFlight || follower.next > o.last {
 		return nil
 	}
-	if len(o.window) > 0 && follower.next >= o.windowFirst {
+	if o.inWindow(follower.next) {
 		return []Action{o.send(follower, o.batch(follower.next))}
 	}
 	return o.refill(follower)
 }
 
+func (o *Owner) inWindow(position Position) bool {
+	return len(o.window) > 0 && position >= o.windowFirst
+}
+
 // refill has the follower's missing records, or the snapshot that covers them, read from a store that
 // has them; after a failure, from another such store.
 func (o *Owner) refill(target *follower) []Action {
--- a/internal/ledger/protocol/owner_state.go
+++ b/internal/ledger/protocol/owner_state.go
@@ -29,6 +29,26 @@
 	return room >= o.ensemble.WriteQuorum
 }
 
+// Starved tells whether too few members for a write quorum can go on, because others lack acknowledged records that no
+// attached store is known to have right. This happens where the one store that told the owner of the
+// acknowledgement is lost before the others heard of it. They do have the records: a new ballot reads them as tails.
+func (o *Owner) Starved() bool {
+	if o.phase < PhaseRewriting || o.phase == PhaseLost {
+		return false
+	}
+	starved, able := 0, 0
+	for _, follower := range o.followers {
+		switch {
+		case !follower.attached:
+		case follower.next <= o.last && !o.inWindow(follower.next) && len(o.sources(follower)) == 0:
+			starved++
+		default:
+			able++
+		}
+	}
+	return starved > 0 && able < o.ensemble.WriteQuorum
+}
+
 // Holding is a store with what it is known to hold.
 type Holding struct {
 	Member   Member
--- a/internal/ledger/protocol/recovery_test.go
+++ b/internal/ledger/protocol/recovery_test.go
@@ -54,3 +54,31 @@
 		t.Fatalf("tail of the lower ballot: %+v", tail)
 	}
 }
+
+// The only store that knows a record to be acknowledged is lost after the owner has heard of it, and before the others
+// have. The owner must notice that it can't go on.
+func TestOwnerNoticesUnreadableRecords(t *testing.T) {
+	before, own := Ballot{1, 1, "a"}, Ballot{1, 2, "b"}
+	ensemble := Ensemble{Version: 1, WriteQuorum: 3, Members: []Member{{Store: "1"}, {Store: "2"}, {Store: "3"}, {Store: "4"}}}
+	owner := NewOwner(own, ensemble, DefaultOwnerLimits())
+	owner.Start()
+	knowing := promiseOf(own, before, 0, 1)
+	knowing.Committed = 1
+	owner.Promised("1", knowing)
+	owner.Promised("2", promiseOf(own, before, 0, 1))
+	if owner.Phase() != PhaseServing || owner.Starved() {
+		t.Fatalf("phase %d, starved %v", owner.Phase(), owner.Starved())
+	}
+	next, ok := ensemble.Replace("1", Member{Store: "5"})
+	if !ok {
+		t.Fatal("the lost store can't be replaced")
+	}
+	owner.PrepareAgain(next)
+	again := owner.Ballot()
+	for _, store := range []StoreID{"2", "3", "4"} {
+		owner.Promised(store, promiseOf(again, before, 0, 1))
+	}
+	if !owner.Starved() {
+		t.Fatalf("not starved in phase %d: %+v", owner.Phase(), owner.Holdings())
+	}
+}
