--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -19,15 +19,20 @@
 	Failed     bool              `json:"failed"`
 	Verdict    load.Verdict      `json:"verdict"`
 	FirstToken load.Distribution `json:"online_first_token"`
-	InterToken load.Distribution `json:"online_inter_token"`
-	Batch      BatchResult       `json:"batch"`
-	Cache      CacheResult       `json:"cache"`
+	// FirstTokenMarked are the marked requests among them, FirstTokenUnmarked the others.
+	FirstTokenMarked   load.Distribution `json:"online_first_token_marked"`
+	FirstTokenUnmarked load.Distribution `json:"online_first_token_unmarked"`
+	InterToken         load.Distribution `json:"online_inter_token"`
+	Batch              BatchResult       `json:"batch"`
+	Cache              CacheResult       `json:"cache"`
 	// StartedOnLeaving counts runs that started on a replica more than 2 s after the first sign of its leaving.
-	StartedOnLeaving int            `json:"started_on_leaving"`
-	FaultErrors      []string       `json:"fault_errors,omitempty"`
-	Load             LoadDescribed  `json:"load"`
-	Folder           string         `json:"folder,omitempty"`
-	Engines          EngineAccounts `json:"engines"`
+	StartedOnLeaving int           `json:"started_on_leaving"`
+	FaultErrors      []string      `json:"fault_errors,omitempty"`
+	Load             LoadDescribed `json:"load"`
+	Folder           string        `json:"folder,omitempty"`
+	// TimerLateness tells how busy the machine was: how late a timer of 2 ms fired.
+	TimerLateness load.Distribution `json:"timer_lateness"`
+	Engines       EngineAccounts    `json:"engines"`
 }
 
 // LoadDescribed says what arrived.
@@ -42,9 +47,9 @@
 type BatchResult struct {
 	ItemsPerSecond  float64 `json:"items_per_second"`
 	TokensPerSecond float64 `json:"tokens_per_second"`
-	// IdleCapacityItems is how many items a perfect scheduler could have run, see Bound.
-	IdleCapacityItems float64 `json:"idle_capacity_items"`
-	// IdleCapacityUsed is the share of it that was run.
+	// IdleCapacityTokens is how many batch tokens a perfect scheduler could have made, see Bound.
+	IdleCapacityTokens float64 `json:"idle_capacity_tokens"`
+	// IdleCapacityUsed is the share of them that was made, without those made twice.
 	IdleCapacityUsed float64 `json:"idle_capacity_used"`
 	// DecodedTwiceShare is answer tokens computed again, as a share of all; PrefilledTwiceShare is
 	// prompt tokens computed again by resumptions, as a share of all tokens computed.
@@ -75,9 +80,10 @@
 	result := Result{
 		Profile: plan.Profile.Name, Scenario: options.Scenario.Name, Policy: options.Policy, Seed: options.Seed, Seconds: seconds,
 		Verdict: verdict, Failed: verdict.Failed(),
-		FirstToken: seen.FirstToken, InterToken: seen.InterToken,
-		Load:    LoadDescribed{OnlineRequests: len(plan.Online), Jobs: len(plan.Jobs)},
-		Engines: EngineAccounts{Totals: atEnd},
+		FirstToken: seen.FirstToken, FirstTokenMarked: seen.FirstTokenMarked, FirstTokenUnmarked: seen.FirstTokenUnmarked,
+		InterToken: seen.InterToken,
+		Load:       LoadDescribed{OnlineRequests: len(plan.Online), Jobs: len(plan.Jobs)},
+		Engines:    EngineAccounts{Totals: atEnd},
 	}
 	for _, job := range plan.Jobs {
 		result.Load.Items += len(job.Items)
@@ -92,9 +98,6 @@
 		ItemsPerSecond:  float64(atEnd.BatchFinished) / seconds,
 		TokensPerSecond: float64(atEnd.BatchDecoded) / seconds,
 	}
-	bound := Bound(plan)
-	result.IdleCapacityItems = bound.Items
-	result.IdleCapacityUsed = ratio(bound.workDone(atEnd), bound.Work)
 	var decoded, decodedTwice, prefilled, prefilledTwice int
 	for _, record := range records {
 		if !record.Batch {
@@ -108,6 +111,8 @@
 			prefilledTwice += max(record.Prefilled-(record.PromptTokens-record.CachedTokens), 0)
 		}
 	}
+	result.IdleCapacityTokens = Bound(plan).Tokens
+	result.IdleCapacityUsed = ratio(float64(atEnd.BatchDecoded)-float64(decodedTwice), result.IdleCapacityTokens)
 	result.DecodedTwiceShare = ratio(float64(decodedTwice), float64(decoded))
 	result.PrefilledTwiceShare = ratio(float64(prefilledTwice), float64(decoded+prefilled))
 	return result
@@ -128,11 +133,11 @@
 	for marker, record := range records {
 		for _, start := range record.History {
 			announced, leaving := faults.leaving[start.Replica]
-			if leaving && start.At.After(announced.Add(lag+leavingGrace)) {
+			if leaving && start.Dispatched.After(announced.Add(lag+leavingGrace)) {
 				r.StartedOnLeaving++
 				if r.StartedOnLeaving == 1 {
-					r.Verdict.Broken = append(r.Verdict.Broken, fmt.Sprintf("%s started on %s %v after it was announced as leaving",
-						marker, start.Replica, start.At.Sub(announced).Round(time.Millisecond)))
+					r.Verdict.Broken = append(r.Verdict.Broken, fmt.Sprintf("%s was dispatched to %s %v after it was announced as leaving",
+						marker, start.Replica, start.Dispatched.Sub(announced).Round(time.Millisecond)))
 				}
 			}
 		}
--- a/lab/load/online.go
+++ b/lab/load/online.go
@@ -96,7 +96,10 @@
 		return nil
 	}
 	result.Outcome = OnlineCompleted
-	received.times.recordTo(r)
+	if !arrival.Resend {
+		// Of two requests with one key, one waits for the other's whole answer.
+		received.times.recordTo(r, arrival.NotRepeatable)
+	}
 	return nil
 }
 
@@ -198,13 +201,18 @@
 	t.last = now
 }
 
-func (t *tokenTimes) recordTo(r *Runner) {
+func (t *tokenTimes) recordTo(r *Runner, marked bool) {
 	if t.last.IsZero() {
 		return
 	}
-	r.firstToken.record(t.first)
+	r.firstToken.Record(t.first)
+	if marked {
+		r.firstTokenMarked.Record(t.first)
+	} else {
+		r.firstTokenUnmarked.Record(t.first)
+	}
 	for _, gap := range t.gaps {
-		r.interToken.record(gap)
+		r.interToken.Record(gap)
 	}
 }
 
--- a/lab/load/runner.go
+++ b/lab/load/runner.go
@@ -17,8 +17,10 @@
 	targets Targets
 	started time.Time
 
-	firstToken *histogram
-	interToken *histogram
+	firstToken         *Histogram
+	firstTokenMarked   *Histogram
+	firstTokenUnmarked *Histogram
+	interToken         *Histogram
 
 	// mutex guards online and jobs.
 	mutex  sync.Mutex
@@ -30,15 +32,17 @@
 // NewRunner returns a runner of one plan.
 func NewRunner(plan Plan, targets Targets) *Runner {
 	return &Runner{
-		plan:       plan,
-		caller:     NewCaller(TenantKey),
-		targets:    targets,
-		firstToken: newHistogram(),
-		interToken: newHistogram(),
+		plan:               plan,
+		caller:             NewCaller(TenantKey),
+		targets:            targets,
+		firstToken:         NewHistogram(),
+		firstTokenMarked:   NewHistogram(),
+		firstTokenUnmarked: NewHistogram(),
+		interToken:         NewHistogram(),
 	}
 }
 
-// Run plays all arrivals and returns when each has ended or ctx ends. ctx bounds the
+// Run plays all arrivals, reads the results a second time, and returns when all has ended or ctx ends. ctx bounds the
 // drain as well; what has not ended by then is reported as it stands.
 func (r *Runner) Run(ctx context.Context) Observations {
 	defer r.caller.Close()
@@ -60,12 +64,21 @@
 		}
 	})
 	r.wait.Wait()
+	seen := r.observations()
+	r.reread(ctx)
+	return seen
+}
+
+// observations takes the figures; its lists are shared with the second reading, which adds to them.
+func (r *Runner) observations() Observations {
 	return Observations{
-		Started:    r.started,
-		Online:     r.online,
-		Jobs:       r.jobs,
-		FirstToken: r.firstToken.distribution(),
-		InterToken: r.interToken.distribution(),
+		Started:            r.started,
+		Online:             r.online,
+		Jobs:               r.jobs,
+		FirstToken:         r.firstToken.Distribution(),
+		FirstTokenMarked:   r.firstTokenMarked.Distribution(),
+		FirstTokenUnmarked: r.firstTokenUnmarked.Distribution(),
+		InterToken:         r.interToken.Distribution(),
 	}
 }
 
