--- a/internal/job/fake_test.go
+++ b/internal/job/fake_test.go
@@ -172,7 +172,6 @@
 	held     map[int]chan struct{}
 	next     int
 	changed  chan struct{}
-	requests []admission.BatchRequest
 }
 
 func (c *fakeCredits) Acquire(ctx context.Context, request admission.BatchRequest) (*admission.Credit, error) {
@@ -197,7 +196,6 @@
 
 // grant is called with the mutex held.
 func (c *fakeCredits) grant(request admission.BatchRequest) *admission.Credit {
-	c.requests = append(c.requests, request)
 	c.next++
 	number, revoked := c.next, make(chan struct{})
 	c.held[number] = revoked
