--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -331,6 +331,56 @@
 	})
 }
 
+func TestJobAtRiskIsReportedEarly(t *testing.T) {
+	run(t, func(t *testing.T, cluster *testCluster) {
+		cluster.credits.limit = 1
+		cluster.engine.onToken = func(ctx context.Context, _ engine.Endpoint, _ engine.Request, _ int) error {
+			sleepContext(ctx, 200*time.Millisecond) // one item a second
+			return nil
+		}
+		late, timely := submission("late", 600), submission("timely", 20)
+		late.Deadline, timely.Deadline = 5*time.Minute, time.Hour
+		lateID, timelyID := mustSubmit(t, cluster.nodes[0], late).ID, mustSubmit(t, cluster.nodes[0], timely).ID
+		time.Sleep(40 * time.Second)
+		for id, want := range map[string]bool{lateID: true, timelyID: false} {
+			if status, err := cluster.nodes[1].service.Status(t.Context(), "registry", id); err != nil || status.AtRisk != want {
+				t.Errorf("%s: at risk %t, %v", status.ClientKey, status.AtRisk, err)
+			}
+		}
+		cluster.credits.setLimit(64)
+		if ended := finish(t, cluster.nodes[0], lateID); ended.EndedAt.After(ended.Deadline) || ended.AtRisk {
+			t.Errorf("ended as %+v", ended)
+		}
+	})
+}
+
+func TestListsGoOnBehindTheLastID(t *testing.T) {
+	run(t, func(t *testing.T, cluster *testCluster) {
+		want := make(map[string]bool)
+		for number := range 9 {
+			want[mustSubmit(t, cluster.nodes[0], submission(fmt.Sprintf("list-%d", number), 1)).ID] = true
+		}
+		after, pages := "", 0
+		for {
+			page, err := cluster.nodes[2].service.List(t.Context(), "registry", after, 2)
+			if err != nil || len(page) > 2 {
+				t.Fatalf("page of %d: %v", len(page), err)
+			}
+			if len(page) == 0 {
+				break
+			}
+			for _, status := range page {
+				delete(want, status.ID)
+			}
+			after = page[len(page)-1].ID
+			pages++
+		}
+		if len(want) > 0 || pages != 5 {
+			t.Fatalf("%d jobs not listed in %d pages", len(want), pages)
+		}
+	})
+}
+
 func TestRetentionDropsResultsAndKeepsTheName(t *testing.T) {
 	run(t, func(t *testing.T, cluster *testCluster) {
 		status := mustSubmit(t, cluster.nodes[0], submission("old", 20))
--- a/internal/job/partition.go
+++ b/internal/job/partition.go
@@ -82,11 +82,11 @@
 	p.owned = owned
 	p.reader = newRecordReader(owned)
 	p.ownership.begin(time.Now())
+	p.logger.Info().Int("jobs", len(p.state.jobs)).Msg("partition_served")
 	p.group.Add(2)
 	go p.runLoop()
 	go p.runAppender()
 	p.registry.add(p)
-	p.logger.Info().Int("jobs", len(p.state.jobs)).Msg("partition_served")
 }
 
 // Stop implements ledger.StateMachine. Streams of items that are not repeatable are
