--- a/internal/config/relay/protocol_source.go
+++ b/internal/config/relay/protocol_source.go
@@ -14,15 +14,18 @@
 const (
 	// startSpread spreads the first calls of nodes that start together.
 	startSpread = 400 * time.Millisecond
-	// aloneSpread spreads them further where no peer is known yet, since peers may have
-	// what this node would ask for.
-	aloneSpread = 1500 * time.Millisecond
+	// viewSettled is how long no member may have been found before a node that just started trusts that
+	// it is a watcher; viewPatience bounds the wait.
+	viewSettled  = 400 * time.Millisecond
+	viewPatience = 2 * time.Second
 	// firstSourceWait and maxSourceWait bound the growing wait after a failure.
 	firstSourceWait = 250 * time.Millisecond
 	maxSourceWait   = 4 * time.Second
-	// headPollInterval is how often a watcher reads the head, so that a watch that died
-	// silently is noticed.
-	headPollInterval = 20 * time.Second
+	// headPollPerZone times the number of zones is how often a watcher reads the head, so that watches
+	// that died silently are noticed: once in 1.5 s by one of all watchers, however many zones there are.
+	headPollPerZone = 3 * time.Second
+	// maxHeadFailures ends a watch beside which the head can't be read.
+	maxHeadFailures = 2
 	// pollInsteadOfWatchAfter failures a watcher lists at each try.
 	pollInsteadOfWatchAfter = 2
 )
@@ -48,19 +51,17 @@
 	mustList bool
 	failures int
 	nextTry  time.Duration
-	// aloneUntil is when a node that knows no peer goes ahead.
-	aloneUntil time.Duration
+	// liveMembers is their number in the present view, which is so since liveSince.
+	liveMembers int
+	liveSince   time.Duration
 	// readingHead is set while a read of the head is under way.
 	readingHead  bool
+	headFailures int
 	nextHeadPoll time.Duration
 }
 
 func newSourceState(random *rand.Rand) sourceState {
-	return sourceState{
-		wanted:     true,
-		nextTry:    time.Duration(random.Int64N(int64(startSpread))),
-		aloneUntil: startSpread + time.Duration(random.Int64N(int64(aloneSpread-startSpread))),
-	}
+	return sourceState{wanted: true, nextTry: time.Duration(random.Int64N(int64(startSpread)))}
 }
 
 func (p *protocol) tickSource() {
@@ -72,7 +73,7 @@
 		return
 	}
 	switch {
-	case source.phase == sourceIdle && p.now >= source.nextTry && !p.waitsForPeers():
+	case source.phase == sourceIdle && p.now >= source.nextTry && !p.waitsForView():
 		p.trySource()
 	case source.phase == sourceWatching && !source.readingHead && p.now >= source.nextHeadPoll:
 		source.readingHead = true
@@ -80,8 +81,10 @@
 	}
 }
 
-func (p *protocol) waitsForPeers() bool {
-	return len(p.peers.zone)+len(p.peers.other) == 0 && p.now < p.source.aloneUntil
+// waitsForView says that a node that just started is still finding members, one of which
+// may have what it would ask the service for.
+func (p *protocol) waitsForView() bool {
+	return !p.ready.done && p.now < viewPatience && p.now < p.source.liveSince+viewSettled
 }
 
 // trySource watches from what is held, or lists where that is not known to be enough.
@@ -94,10 +97,15 @@
 	}
 	source.phase = sourceWatching
 	source.watch++
-	source.nextHeadPoll = p.now + jittered(p.random, headPollInterval)
+	source.headFailures = 0
+	source.nextHeadPoll = p.now + jittered(p.random, p.headPollInterval())
 	p.do(actionWatch{watch: source.watch, fromRevision: p.held.storeRevision + 1})
 }
 
+func (p *protocol) headPollInterval() time.Duration {
+	return headPollPerZone * time.Duration(max(1, p.peers.zones))
+}
+
 func (p *protocol) endWatch() {
 	p.source.phase = sourceIdle
 	p.source.watch++
@@ -162,17 +170,24 @@
 
 func (p *protocol) takeHead(read eventHeadRead) {
 	p.source.readingHead = false
-	p.source.nextHeadPoll = p.now + jittered(p.random, headPollInterval)
+	p.source.nextHeadPoll = p.now + jittered(p.random, p.headPollInterval())
 	if read.err != nil {
 		p.do(actionReport{problem: problemStoreAway, err: read.err})
+		p.source.headFailures++
+		if p.source.headFailures >= maxHeadFailures && p.source.phase == sourceWatching {
+			p.endWatch()
+			p.sourceFailed()
+		}
 		return
 	}
+	p.source.headFailures = 0
 	if read.revision > p.revision() && p.source.phase == sourceWatching {
 		p.endWatch()
 		p.source.mustList = true
 		return
 	}
 	p.source.failures = 0
+	p.ready.confirmedByStore = p.ready.confirmedByStore || read.revision == p.revision()
 }
 
 func (p *protocol) takeWatched(watched eventWatched) {
