Let an append last as long as its ownership

Cause: an append without a quorum was given up after 10 s and appended again, while the ledger kept the first one pending: its memory and log would grow by a copy every 10 s. Change: no time limit of the job slice's own; the append ends with the ownership.

--- a/internal/job/appender.go
+++ b/internal/job/appender.go
@@ -16,8 +16,6 @@
 	// appendMaxRecords and appendMaxBytes bound one append.
 	appendMaxRecords = 512
 	appendMaxBytes   = 1 << 20
-	// appendTimeout bounds one try.
-	appendTimeout = 10 * time.Second
 )
 
 // proposal is a record on its way into the log.
@@ -140,11 +138,11 @@
 	}
 }
 
+// appendOnce waits as long as the ledger does: a time limit of its own would leave the
+// records pending there, to be followed by their repetition.
 func (p *partition) appendOnce(records []ledger.Record) (ledger.Position, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
-	defer cancel()
 	began := time.Now()
-	position, err := p.owned.Append(ctx, records)
+	position, err := p.owned.Append(p.serving, records)
 	if err == nil {
 		p.ownership.confirm(began)
 	}
--- a/internal/job/partition.go
+++ b/internal/job/partition.go
@@ -38,15 +38,20 @@
 	proposals chan *proposal
 	applied   chan appliedBatch
 	queries   chan func(*partitionState)
-	stopped   chan struct{}
-	stopOnce  sync.Once
-	group     sync.WaitGroup
-	reader    *recordReader
-	ownership ownershipClock
+	// serving ends, and stopped is closed, when the partition stops.
+	serving       context.Context
+	cancelServing context.CancelFunc
+	stopped       <-chan struct{}
+	stopOnce      sync.Once
+	group         sync.WaitGroup
+	reader        *recordReader
+	ownership     ownershipClock
 }
 
 func newPartition(id ledger.PartitionID, dispatcher *dispatcher, registry *registry, logger zerolog.Logger) *partition {
+	serving, cancel := context.WithCancel(context.Background())
 	return &partition{
+		serving: serving, cancelServing: cancel, stopped: serving.Done(),
 		id: id, dispatcher: dispatcher, registry: registry,
 		logger:     logger.With().Uint32(logging.FieldPartition, uint32(id)).Logger(),
 		state:      newPartitionState(),
@@ -56,7 +61,6 @@
 		proposals:  make(chan *proposal, proposalQueue),
 		applied:    make(chan appliedBatch),
 		queries:    make(chan func(*partitionState)),
-		stopped:    make(chan struct{}),
 	}
 }
 
@@ -100,7 +104,7 @@
 func (p *partition) halt() {
 	p.stopOnce.Do(func() {
 		p.registry.remove(p)
-		close(p.stopped)
+		p.cancelServing()
 	})
 }
 
