Send batch items that share a prompt beginning where it is cached

Change: groups of waiting items name their beginning; a home grants a replica what it holds, or is preferred for, on replicas without online requests first, and spaces the starts by four engine steps; among equal replicas all gateways pick the same one for a beginning; a replica that serves online gets few new batch items.

--- a/internal/admission/credit_grant.go
+++ b/internal/admission/credit_grant.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -44,8 +45,8 @@
 	offers := make(map[string]*admissionpb.GrantRequest)
 	for _, replica := range h.sortedReplicas() {
 		room, _ := replica.capacity(now, &h.options)
-		for room -= replica.out; room > 0; room-- {
-			chosen := h.choose(groups, replica)
+		for room -= replica.out; room > 0 && h.mayStart(now, replica); room-- {
+			chosen := h.choose(now, groups, replica)
 			if chosen == nil {
 				break
 			}
@@ -60,6 +61,11 @@
 	return actions
 }
 
+// mayStart says whether enough time has passed since the last new credit on a replica.
+func (h *homeState) mayStart(now time.Time, replica *replicaState) bool {
+	return h.options.Policy != routing.PolicySloelift || !now.Before(replica.nextStart)
+}
+
 // waitingGroups lists the groups that still wait.
 func (h *homeState) waitingGroups(now time.Time) []*waitingGroup {
 	var groups []*waitingGroup
@@ -92,6 +98,8 @@
 	return int(math.Floor(classesPerDoubling * math.Log2(slack.Seconds())))
 }
 
+// sortedReplicas lists those with a report: first those with the fewest online requests, and
+// of those the ones with the fewest credits out.
 func (h *homeState) sortedReplicas() []*replicaState {
 	replicas := make([]*replicaState, 0, len(h.replicas))
 	for _, replica := range h.replicas {
@@ -100,20 +108,17 @@
 		}
 	}
 	slices.SortFunc(replicas, func(a, b *replicaState) int {
-		freeA, freeB := a.report.MaxRunning-a.report.Running-a.out, b.report.MaxRunning-b.report.Running-b.out
-		if freeA != freeB {
-			return freeB - freeA
-		}
-		if a.id < b.id {
-			return -1
-		}
-		return 1
+		return cmp.Or(
+			cmp.Compare(a.online(&h.options), b.online(&h.options)),
+			cmp.Compare(a.out, b.out),
+			cmp.Compare(a.id, b.id),
+		)
 	})
 	return replicas
 }
 
 // choose returns the group that the next credit on a replica goes to, or nil.
-func (h *homeState) choose(groups []*waitingGroup, replica *replicaState) *waitingGroup {
+func (h *homeState) choose(now time.Time, groups []*waitingGroup, replica *replicaState) *waitingGroup {
 	var best *waitingGroup
 	for _, one := range groups {
 		if one.group.GetCount() == 0 || one.group.GetService() != replica.service {
@@ -125,36 +130,45 @@
 		if !routing.Serves(&replica.report, one.group.GetModel(), one.group.GetAdapter()) {
 			continue
 		}
-		if best == nil || h.before(one, best) {
+		if best == nil || h.before(now, one, best, replica) {
 			best = one
 		}
 	}
 	return best
 }
 
-// before orders by rank, then earliest feasible deadline, then the owner with the fewest
-// credits out, then the node with the fewest. PolicyFIFO takes who asked first.
-func (h *homeState) before(a, b *waitingGroup) bool {
-	if h.options.Policy != routing.PolicyFIFO {
-		if a.group.GetRank() != b.group.GetRank() {
-			return a.group.GetRank() > b.group.GetRank()
-		}
-		if a.urgency != b.urgency {
-			return a.urgency < b.urgency
-		}
-		tenantA, tenantB := h.outByTenant[a.group.GetTenant()], h.outByTenant[b.group.GetTenant()]
-		if tenantA != tenantB {
-			return tenantA < tenantB
-		}
-		nodeA, nodeB := h.outByNode[a.requester], h.outByNode[b.requester]
-		if nodeA != nodeB {
-			return nodeA < nodeB
-		}
+// before orders by rank, then earliest feasible deadline, then the owner with far fewer
+// credits out, then a prompt beginning that the replica holds or is preferred for, then the
+// node with the fewest credits. PolicyFIFO takes who asked first.
+func (h *homeState) before(now time.Time, a, b *waitingGroup, replica *replicaState) bool {
+	if h.options.Policy == routing.PolicyFIFO {
+		return cmp.Or(a.heardAt.Compare(b.heardAt), cmp.Compare(a.requester, b.requester)) < 0
+	}
+	tenants := h.outByTenant[a.group.GetTenant()] - h.outByTenant[b.group.GetTenant()]
+	if max(tenants, -tenants) <= h.options.FairnessSlack {
+		tenants = 0
 	}
-	if !a.heardAt.Equal(b.heardAt) {
-		return a.heardAt.Before(b.heardAt)
+	return cmp.Or(
+		cmp.Compare(b.group.GetRank(), a.group.GetRank()),
+		cmp.Compare(a.urgency, b.urgency),
+		tenants,
+		cmp.Compare(h.affinity(now, b, replica), h.affinity(now, a, replica)),
+		cmp.Compare(h.outByNode[a.requester], h.outByNode[b.requester]),
+		cmp.Compare(a.requester, b.requester),
+	) < 0
+}
+
+// affinity orders groups for a replica by the beginning of their prompts; higher is better.
+func (h *homeState) affinity(now time.Time, waiting *waitingGroup, replica *replicaState) uint64 {
+	prefix := waiting.group.GetPrefix()
+	switch {
+	case prefix == 0:
+		return 0
+	case replica.holds(now, prefix, &h.options):
+		return math.MaxUint64
+	default:
+		return routing.Affinity(prefix, replica.id)
 	}
-	return a.requester < b.requester
 }
 
 func (h *homeState) offer(now time.Time, offers map[string]*admissionpb.GrantRequest, to *waitingGroup, replica *replicaState) {
@@ -165,6 +179,10 @@
 		expires: now.Add(grantAllowance + h.options.TimeToLive + h.options.ExpirySlack),
 	}
 	h.credits[credit.id] = credit
+	replica.nextStart = now.Add(replica.startInterval(&h.options))
+	if prefix := to.group.GetPrefix(); prefix != 0 {
+		replica.prefixes[prefix] = now
+	}
 	h.count(credit, 1)
 	replica.outPeaks.note(now, replica.out)
 	request := offers[to.requester]
@@ -175,6 +193,7 @@
 	request.Grants = append(request.Grants, &admissionpb.Grant{
 		Credit: credit.id, Replica: replica.id, TimeToLiveMicros: uint64(h.options.TimeToLive.Microseconds()),
 		Service: to.group.GetService(), Model: to.group.GetModel(), Adapter: to.group.GetAdapter(),
+		Prefix: to.group.GetPrefix(),
 	})
 }
 
--- a/internal/admission/credit_home.go
+++ b/internal/admission/credit_home.go
@@ -91,7 +91,7 @@
 		wanted[homed.id] = true
 		known := h.replicas[homed.id]
 		if known == nil {
-			known = &replicaState{}
+			known = &replicaState{prefixes: make(map[uint64]time.Time)}
 			h.replicas[homed.id] = known
 		}
 		known.homedReplica = homed
@@ -215,6 +215,13 @@
 			delete(h.demands, requester)
 		}
 	}
+	for _, replica := range h.replicas {
+		for prefix, at := range replica.prefixes {
+			if now.Sub(at) >= h.options.PrefixMemory {
+				delete(replica.prefixes, prefix)
+			}
+		}
+	}
 	for pair, until := range h.pauses {
 		if !now.Before(until) {
 			delete(h.pauses, pair)
--- a/internal/admission/credit_requester.go
+++ b/internal/admission/credit_requester.go
@@ -157,6 +157,9 @@
 		compared++
 		blocks := request.Routing.PrefixBlocks
 		overlap := r.overlap(held.grant.GetReplica(), blocks)
+		if prefix := request.Routing.PrefixID(); prefix != 0 && prefix == held.grant.GetPrefix() {
+			overlap++ // what the home node granted for, among equals
+		}
 		if best < 0 || overlap > bestOverlap {
 			best, bestOverlap = index, overlap
 		}
@@ -298,6 +301,7 @@
 type groupKey struct {
 	service, model, adapter, tenant string
 	rank, urgency                   int
+	prefix                          uint64
 }
 
 // maxDemandGroups bounds an announcement; the items are in order, so the most urgent are in it.
@@ -314,6 +318,7 @@
 		key := groupKey{
 			service: request.Routing.Service, model: request.Routing.Model, adapter: request.Routing.Adapter,
 			tenant: request.Tenant, rank: request.Rank, urgency: urgency(now, request.Deadline),
+			prefix: request.Routing.PrefixID(),
 		}
 		group := groups[key]
 		if group == nil {
@@ -322,7 +327,7 @@
 			}
 			group = &admissionpb.DemandGroup{
 				Service: key.service, Model: key.model, Adapter: key.adapter, Tenant: key.tenant,
-				Rank: int32(key.rank), DeadlineUnixMillis: uint64(max(0, request.Deadline.UnixMilli())),
+				Rank: int32(key.rank), Prefix: key.prefix, DeadlineUnixMillis: uint64(max(0, request.Deadline.UnixMilli())),
 			}
 			groups[key] = group
 			demand.Groups = append(demand.Groups, group)
--- a/internal/admission/idle_capacity.go
+++ b/internal/admission/idle_capacity.go
@@ -20,7 +20,11 @@
 	out     int
 	revoked int
 	// peaks remembers online load, outPeaks credits out, over a window of time.
-	peaks    windowMaximum
+	peaks windowMaximum
+	// nextStart is when the next new credit may be granted.
+	nextStart time.Time
+	// prefixes are the prompt beginnings of items granted here, with the time.
+	prefixes map[uint64]time.Time
 	outPeaks windowMaximum
 }
 
@@ -45,6 +49,21 @@
 	return max(0, online)
 }
 
+// startInterval is the least time between two new credits.
+func (r *replicaState) startInterval(options *Options) time.Duration {
+	step := time.Duration(r.report.StepMicros) * time.Microsecond
+	return min(time.Duration(options.StartSteps)*step, maxStartInterval)
+}
+
+// maxStartInterval bounds startInterval where steps are long.
+const maxStartInterval = 100 * time.Millisecond
+
+// holds says that the replica should have a prompt beginning in its cache.
+func (r *replicaState) holds(now time.Time, prefix uint64, options *Options) bool {
+	at, ok := r.prefixes[prefix]
+	return ok && prefix != 0 && now.Sub(at) < options.PrefixMemory
+}
+
 // reportBacks says whether credits may rest on the last report.
 func (r *replicaState) reportBacks(now time.Time, options *Options) bool {
 	return r.usable && r.hasReport && now.Sub(r.heardAt) <= options.ReportMaxAge
@@ -88,6 +107,10 @@
 	keepHeadroom := percent(slots, options.RevokeHeadroomPercent)
 	grant = min(free-grantHeadroom, r.batchLimit)
 	keep = min(free-keepHeadroom, r.batchLimit)
+	if online > 0 {
+		grant = min(grant, max(1, percent(slots, options.SharedPercent)))
+		keep = min(keep, max(1, percent(slots, options.KeepSharedPercent)))
+	}
 	return max(0, grant), max(0, keep)
 }
 
--- a/internal/admission/options.go
+++ b/internal/admission/options.go
@@ -26,6 +26,13 @@
 	// credits are taken back when fewer than RevokeHeadroomPercent are free.
 	GrantHeadroomPercent  int
 	RevokeHeadroomPercent int
+	// SharedPercent of a replica's slots, at least one, is what batch gets of a replica that
+	// serves online requests at the time; KeepSharedPercent is what it keeps when they come.
+	SharedPercent     int
+	KeepSharedPercent int
+	// StartSteps is the number of engine steps between two new credits on one replica, so that
+	// prompts are not computed all at once and later items find the shared beginning cached.
+	StartSteps int
 	// BurstWindow is how long the highest number of online requests is remembered; as many
 	// slots are kept for its return, up to BurstPercent of a replica's slots.
 	BurstWindow  time.Duration
@@ -41,6 +48,10 @@
 	DeclinePause time.Duration
 	// PrefixLookahead bounds how many waiting items are compared for a cached prefix.
 	PrefixLookahead int
+	// FairnessSlack is by how many credits owners may differ for the sake of a cached prefix.
+	FairnessSlack int
+	// PrefixMemory is how long a home node takes a prefix for cached after a grant.
+	PrefixMemory time.Duration
 	// SignalFlush is how long online starts are gathered before they are sent to home nodes.
 	SignalFlush time.Duration
 	// DisableOnlineSignals leaves bursts to be seen in load reports only.
@@ -59,6 +70,9 @@
 		MaxLag:                2 * time.Second,
 		GrantHeadroomPercent:  12,
 		RevokeHeadroomPercent: 6,
+		SharedPercent:         20,
+		KeepSharedPercent:     75,
+		StartSteps:            4,
 		BurstWindow:           5 * time.Second,
 		BurstPercent:          25,
 		MaxReuse:              2 * time.Second,
@@ -66,6 +80,8 @@
 		DemandHomes:           8,
 		DeclinePause:          100 * time.Millisecond,
 		PrefixLookahead:       64,
+		FairnessSlack:         4,
+		PrefixMemory:          30 * time.Second,
 		SignalFlush:           time.Millisecond,
 	}
 }
--- a/internal/routing/options.go
+++ b/internal/routing/options.go
@@ -41,6 +41,8 @@
 	DisableOwnRequests bool
 	DisableCacheEvents bool
 	DisableConfidence  bool
+	// DisableAffinity picks at random among equals, whatever the beginning of the prompt.
+	DisableAffinity bool
 	// StaticBatchPercent is the share of replicas kept for batch by PolicyStaticSplit.
 	StaticBatchPercent int
 	Costs              Costs
--- a/internal/routing/picker_power_of_two.go
+++ b/internal/routing/picker_power_of_two.go
@@ -3,7 +3,7 @@
 import "math/rand/v2"
 
 // pickPowerOfTwo takes the cheaper one of two candidates at random.
-func pickPowerOfTwo(candidates []candidate) *candidate {
+func pickPowerOfTwo(_ *Request, candidates []candidate) *candidate {
 	if len(candidates) == 1 {
 		return &candidates[0]
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -54,7 +54,7 @@
 	if !options.DisableDistance {
 		service.scorers = append(service.scorers, distanceCost(options.Costs, region, zone))
 	}
-	service.pick = pickTop(options.Costs.Tie)
+	service.pick = pickTop(options.Costs.Tie, !options.DisableAffinity && !options.DisablePrefix)
 	if options.Picker == PickerPowerOfTwo {
 		service.pick = pickPowerOfTwo
 	}
@@ -79,7 +79,7 @@
 		return Decision{}, nil, outcome.New(outcome.NotRun, outcome.ReasonUnavailable,
 			"no replica of service "+request.Service+" can serve the request").After(retryWhenNone)
 	}
-	chosen := s.pick(candidates)
+	chosen := s.pick(&request, candidates)
 	s.count(request.Batch, "picked")
 	return s.decide(chosen), s.Started(chosen.replica.ID, request), nil
 }
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -90,7 +90,7 @@
 			_, _, err := r.router.Pick(request)
 			return fmt.Sprintf("error: %s retry after %s\n", err, outcome.As(err).RetryAfter)
 		}
-		chosen[r.router.pick(candidates).replica.ID] = true
+		chosen[r.router.pick(&request, candidates).replica.ID] = true
 	}
 	var names []string
 	for id := range chosen {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,6 +1,10 @@
 package routing
 
 import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sloelift/sloelift/internal/engine"
 )
 
@@ -20,6 +24,23 @@
 	Exclude map[string]bool
 }
 
+// affinityBlocks is how many leading blocks tell one prompt beginning from another.
+const affinityBlocks = 8
+
+// PrefixID names the beginning of the prompt; requests that share it should go to the same
+// replicas. It is 0 for a prompt shorter than one block.
+func (r *Request) PrefixID() uint64 {
+	if len(r.PrefixBlocks) == 0 {
+		return 0
+	}
+	return r.PrefixBlocks[min(affinityBlocks, len(r.PrefixBlocks))-1]
+}
+
+// Affinity orders replicas for a prompt beginning, alike on all nodes: higher is preferred.
+func Affinity(prefix uint64, replica string) uint64 {
+	return xxhash.Sum64String(replica + string(binary.LittleEndian.AppendUint64(nil, prefix)))
+}
+
 // Decision is the replica chosen.
 type Decision struct {
 	Endpoint engine.Endpoint
--- a/internal/routing/state_test.go
+++ b/internal/routing/state_test.go
@@ -85,7 +85,7 @@
 func TestPickPowerOfTwoAvoidsTheWorst(t *testing.T) {
 	candidates := []candidate{{cost: 1}, {cost: 2}, {cost: 3}}
 	for range 500 {
-		if chosen := pickPowerOfTwo(candidates); chosen.cost == 3 {
+		if chosen := pickPowerOfTwo(&Request{}, candidates); chosen.cost == 3 {
 			t.Fatal("the costliest of three was the cheaper one of two")
 		}
 	}
