--- a/internal/admission/cluster_test.go
+++ b/internal/admission/cluster_test.go
@@ -92,7 +92,7 @@
 	node.fleet = fleet.NewService(fleet.DefaultOptions(), own, c, c, c, end, zerolog.Nop())
 	node.fleet.Register(end)
 	node.router = routing.New(routing.DefaultOptions(), node.fleet, "", member.Zone, registry)
-	node.credits = NewCreditService(DefaultOptions(), own, node.fleet, node.router, c, clusterConfig{}, end, registry, zerolog.Nop())
+	node.credits = NewCreditService(DefaultOptions(), own, node.fleet, node.router, c, clusterConfig{clusterBatchLimit}, end, registry, zerolog.Nop())
 	node.credits.Register(end)
 	node.router.ObserveOnline(node.credits.onlineStarted)
 	return node
@@ -160,11 +160,11 @@
 	return engine.CacheEvents{}, nil
 }
 
-type clusterConfig struct{}
+type clusterConfig struct{ batchLimit int }
 
-func (clusterConfig) Current() *config.Snapshot {
+func (c clusterConfig) Current() *config.Snapshot {
 	return &config.Snapshot{Services: map[string]*config.Service{
-		"chat": {Name: "chat", BatchConcurrentPerReplica: clusterBatchLimit, MaxConcurrentPerReplica: clusterSlots},
+		"chat": {Name: "chat", BatchConcurrentPerReplica: c.batchLimit, MaxConcurrentPerReplica: clusterSlots},
 	}}
 }
 
