--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -29,7 +29,7 @@
 	next int
 	// requestID is part of the id of every chunk of this answer.
 	requestID string
-	finished bool
+	finished  bool
 }
 
 func newEventStream(body io.ReadCloser, cancel context.CancelFunc, requestID string, offset int) *eventStream {
--- /dev/null
+++ b/internal/gateway/fake_engine_test.go
@@ -0,0 +1,156 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/gorilla/mux"
+
+	"github.com/sloelift/sloelift/internal/engine"
+)
+
+// fakeEngine answers every prompt with the same tokens, over the engine protocol. Its
+// runs advance only as they are read, except that step can hold them.
+type fakeEngine struct {
+	server *httptest.Server
+	tokens int
+	// token makes the text of one token.
+	token func(index int) string
+
+	mutex   sync.Mutex
+	started map[string]bool
+	cancels map[string]bool
+	// hold, when set, is received from before each token.
+	hold chan struct{}
+	// refuse answers everything with 429 and X-Not-Run.
+	refuse bool
+	// cutAt closes the connection before this token, once; 0 never does.
+	cutAt int
+}
+
+func newFakeEngine(t testing.TB, tokens int) *fakeEngine {
+	e := &fakeEngine{
+		tokens: tokens, started: map[string]bool{}, cancels: map[string]bool{},
+		token: func(index int) string { return "t" + strconv.Itoa(index) + " " },
+	}
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/chat/completions", e.generate)
+	router.HandleFunc("/v1/completions", e.generate)
+	router.HandleFunc("/v1/requests/{id}", e.cancel).Methods(http.MethodDelete)
+	e.server = httptest.NewServer(router)
+	t.Cleanup(func() {
+		e.server.CloseClientConnections()
+		e.server.Close()
+	})
+	return e
+}
+
+func (e *fakeEngine) endpoint(replica string) engine.Endpoint {
+	return engine.Endpoint{Replica: replica, Address: netip.MustParseAddrPort(e.server.Listener.Addr().String())}
+}
+
+func (e *fakeEngine) text(from int) string {
+	var text strings.Builder
+	for index := from; index < e.tokens; index++ {
+		text.WriteString(e.token(index))
+	}
+	return text.String()
+}
+
+func (e *fakeEngine) cancel(w http.ResponseWriter, r *http.Request) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.cancels[mux.Vars(r)["id"]] = true
+	fmt.Fprint(w, `{"state":"cancelled"}`)
+}
+
+func (e *fakeEngine) cancelled(id string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.cancels[id]
+}
+
+func (e *fakeEngine) starts() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return len(e.started)
+}
+
+// open notes the run; false where it was refused.
+func (e *fakeEngine) open(w http.ResponseWriter, r *http.Request) bool {
+	id := r.Header.Get(engine.HeaderRequestID)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	switch {
+	case r.Header.Get(engine.HeaderAttachOnly) == "true" && !e.started[id]:
+		http.Error(w, "no such run", http.StatusNotFound)
+		return false
+	case e.refuse && !e.started[id]:
+		w.Header().Set(engine.HeaderNotRun, "true")
+		http.Error(w, "full", http.StatusTooManyRequests)
+		return false
+	}
+	e.started[id] = true
+	return true
+}
+
+func (e *fakeEngine) generate(w http.ResponseWriter, r *http.Request) {
+	var body struct{ Stream bool }
+	if json.NewDecoder(r.Body).Decode(&body) != nil || !body.Stream {
+		http.Error(w, "stream must be true", http.StatusBadRequest)
+		return
+	}
+	if !e.open(w, r) {
+		return
+	}
+	offset, _ := strconv.Atoi(r.Header.Get(engine.HeaderResumeOffset))
+	flusher := http.NewResponseController(w)
+	_ = flusher.Flush()
+	for index := offset; index < e.tokens; index++ {
+		if e.hold != nil {
+			select {
+			case <-e.hold:
+			case <-r.Context().Done():
+				return
+			}
+		}
+		if e.cutNow(index) {
+			panic(http.ErrAbortHandler)
+		}
+		e.event(w, r, index)
+		if flusher.Flush() != nil {
+			return
+		}
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func (e *fakeEngine) cutNow(index int) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.cutAt == 0 || index != e.cutAt {
+		return false
+	}
+	e.cutAt = 0
+	return true
+}
+
+func (e *fakeEngine) event(w http.ResponseWriter, r *http.Request, index int) {
+	text, _ := json.Marshal(e.token(index))
+	content := `"text":` + string(text)
+	if r.URL.Path == string(engine.OperationChat) {
+		content = `"delta":{"content":` + string(text) + `}`
+	}
+	end := "null}]}"
+	if index == e.tokens-1 {
+		end = fmt.Sprintf(`"stop"}],"usage":{"prompt_tokens":3,"completion_tokens":%d,"prompt_tokens_details":{"cached_tokens":2}}}`, e.tokens)
+	}
+	fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"choices\":[{%s,\"finish_reason\":%s\n\n", index+1, r.Header.Get(engine.HeaderRequestID), content, end)
+}
