--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -52,7 +52,7 @@
 	defer release()
 	var request batchRequest
 	if err := json.Unmarshal(body, &request); err != nil {
-		return invalid(err.Error())
+		return invalid(bodyMessage(err))
 	}
 	submission, err := request.submission(r, call)
 	if err != nil {
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -115,6 +117,19 @@
 	}
 }
 
+// bodyMessage names the field of a JSON body that is wrong, in the caller's terms.
+func bodyMessage(err error) string {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return wrongType.Field + ": must not be a JSON " + wrongType.Value
+	}
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return fmt.Sprintf("the body is not JSON: %s at byte %d", syntax.Error(), syntax.Offset)
+	}
+	return err.Error()
+}
+
 // uploadBody is a body that may be long. Its sender must bring uploadStepBytes, or the
 // rest, within each timeout.
 type uploadBody struct {
--- /dev/null
+++ b/internal/gateway/cost_test.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/engine"
+	"github.com/sloelift/sloelift/internal/session"
+)
+
+// costTokens is the length of the answers in the benchmarks.
+const costTokens = 64
+
+// trivialEngine answers in the process, with one chunk a token.
+type trivialEngine struct{ engine.Client }
+
+func (trivialEngine) Generate(context.Context, engine.Endpoint, engine.Request) (engine.Stream, error) {
+	return &trivialStream{}, nil
+}
+
+type trivialStream struct{ sent int }
+
+func (s *trivialStream) Next() (engine.Chunk, error) {
+	if s.sent == costTokens {
+		return engine.Chunk{}, io.EOF
+	}
+	chunk := engine.Chunk{Offset: s.sent, Tokens: 1, Text: " token"}
+	s.sent++
+	if s.sent == costTokens {
+		chunk.FinishReason, chunk.Usage = "stop", &engine.Usage{CompletionTokens: costTokens}
+	}
+	return chunk, nil
+}
+
+func (s *trivialStream) Close() error { return nil }
+
+func newCostServer(client engine.Client, endpoints ...engine.Endpoint) *Server {
+	cluster := newTestCluster()
+	cluster.fleet.endpoints = append([]engine.Endpoint{}, endpoints...)
+	runner := session.NewEngineRunner(session.Dependencies{
+		Limiter: cluster.fleet, Router: cluster.fleet, Client: client, Fleet: cluster.fleet, Reporter: cluster.fleet,
+		Claimer: cluster.claimer, Registerer: prometheus.NewRegistry(), Logger: zerolog.Nop(),
+	})
+	return NewServer(Dependencies{
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), Limits: cluster.limits, Configuration: fixedConfiguration{testSnapshot()},
+		Runner: runner, Jobs: cluster.jobs, Files: cluster.files, Logger: zerolog.Nop(),
+	})
+}
+
+// chatBody is a chat with a prompt of 2 kB.
+func chatBody(stream bool) string {
+	return fmt.Sprintf(`{"model":"clerk","max_tokens":64,"stream":%t,"messages":[{"role":"system","content":"%s"},{"role":"user","content":"Is it spelled so?"}]}`,
+		stream, strings.Repeat("Confirm the spelling of names. ", 64))
+}
+
+// discardResponse is a ResponseWriter without a connection.
+type discardResponse struct {
+	header http.Header
+	status int
+}
+
+func (d *discardResponse) Header() http.Header             { return d.header }
+func (d *discardResponse) WriteHeader(status int)          { d.status = status }
+func (d *discardResponse) Write(body []byte) (int, error)  { return len(body), nil }
+func (d *discardResponse) Flush()                          {}
+func (d *discardResponse) SetReadDeadline(time.Time) error { return nil }
+
+func (d *discardResponse) SetWriteDeadline(time.Time) error { return nil }
+
+func newChatRequest(ctx context.Context, url, body string) *http.Request {
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+registryKey)
+	return request
+}
+
+// BenchmarkHandler is the processor time of gateway and session alone: no sockets, an
+// engine in the process. One operation is one request with an answer of 64 tokens.
+func BenchmarkHandler(b *testing.B) {
+	for _, stream := range []bool{false, true} {
+		b.Run(fmt.Sprintf("stream=%t", stream), func(b *testing.B) {
+			server := newCostServer(trivialEngine{}, engine.Endpoint{Replica: "r1"})
+			body := chatBody(stream)
+			b.ReportAllocs()
+			for b.Loop() {
+				response := &discardResponse{header: http.Header{}, status: http.StatusOK}
+				server.server.Handler.ServeHTTP(response, newChatRequest(b.Context(), "", body))
+				if response.status != http.StatusOK {
+					b.Fatal(response.status)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkLoopback is the time of one streamed request of a client that has one connection, straight to
+// an engine and through the gateway. Client, gateway and engine share the process.
+func BenchmarkLoopback(b *testing.B) {
+	fake := newFakeEngine(b, costTokens)
+	client := engine.NewHTTPClient()
+	defer client.Close()
+	server := newCostServer(client, fake.endpoint("r1"))
+	if err := server.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Run("engine", func(b *testing.B) { loopback(b, fake.server.URL) })
+	b.Run("gateway", func(b *testing.B) { loopback(b, "http://"+server.Address().String()) })
+	if err := server.Stop(context.Background()); err != nil {
+		b.Fatal(err)
+	}
+}
+
+func loopback(b *testing.B, url string) {
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	first, total := hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
+	body := chatBody(true)
+	for number := 0; b.Loop(); number++ {
+		begun := time.Now()
+		request := newChatRequest(b.Context(), url, body)
+		request.Header.Set(engine.HeaderRequestID, fmt.Sprint("q", number))
+		response, err := transport.RoundTrip(request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		reader := bufio.NewReader(response.Body)
+		if _, err := reader.ReadString('\n'); err != nil || response.StatusCode != http.StatusOK {
+			b.Fatal(response.Status, err)
+		}
+		_ = first.RecordValue(time.Since(begun).Microseconds())
+		_, _ = io.Copy(io.Discard, reader)
+		_ = response.Body.Close()
+		_ = total.RecordValue(time.Since(begun).Microseconds())
+	}
+	b.ReportMetric(float64(first.ValueAtQuantile(50)), "first-p50-µs")
+	b.ReportMetric(float64(first.ValueAtQuantile(99)), "first-p99-µs")
+	b.ReportMetric(float64(total.ValueAtQuantile(50)), "total-p50-µs")
+	b.ReportMetric(float64(total.ValueAtQuantile(99)), "total-p99-µs")
+}
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"math"
 	"net/http"
 	"strconv"
@@ -23,8 +22,9 @@
 
 // Reasons of this slice, beside those of package outcome.
 const (
-	reasonSlowBody  outcome.Reason = "body_too_slow"
-	reasonTruncated outcome.Reason = "body_truncated"
+	reasonSlowBody   outcome.Reason = "body_too_slow"
+	reasonTruncated  outcome.Reason = "body_truncated"
+	reasonSlowHeader outcome.Reason = "header_too_slow"
 )
 
 // statusClientGone is written to the log only: nobody reads the answer.
@@ -66,7 +66,7 @@
 		return http.StatusConflict, typeConflict
 	case outcome.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge, typeInvalid
-	case reasonSlowBody:
+	case reasonSlowBody, reasonSlowHeader:
 		return http.StatusRequestTimeout, typeInvalid
 	case outcome.ReasonCallerCancelled:
 		return statusClientGone, typeInvalid
@@ -127,9 +127,3 @@
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
-
-// isFailure says that err carries the given reason.
-func isFailure(err error, reason outcome.Reason) bool {
-	var failure *outcome.Error
-	return errors.As(err, &failure) && failure.Reason == reason
-}
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -60,7 +60,7 @@
 func parseGeneration(r *http.Request, call call, operation engine.Operation, body []byte) (*generation, error) {
 	parsed, err := engine.ParseGeneration(operation, body)
 	if err != nil {
-		return nil, invalid(err.Error())
+		return nil, invalid(bodyMessage(err))
 	}
 	found, err := resolve(call.snapshot, call.tenant, parsed.Model)
 	if err != nil {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -67,7 +67,8 @@
 		served:        make(chan struct{}),
 	}
 	s.server = &http.Server{
-		Handler:           s.routes(),
+		Handler:           markServing(s.routes()),
+		ConnContext:       withConnection,
 		ReadHeaderTimeout: d.Limits.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/session/answer.go
+++ b/internal/session/answer.go
@@ -20,6 +20,12 @@
 // errRunCancelled marks a stream that ended because the engine cancelled the run.
 var errRunCancelled = errors.New("the engine cancelled the run")
 
+// errAnswerTooLong ends an answer that would take more than maxAnswerBytes of memory.
+var errAnswerTooLong = fmt.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
+
+// reasonAnswerTooLong is told with it.
+const reasonAnswerTooLong outcome.Reason = "answer_too_long"
+
 // errSink marks an error that the sink returned: the caller went away.
 var errSink = errors.New("the caller does not take the answer")
 
@@ -135,7 +141,7 @@
 		return fmt.Errorf("%s at token %d: %w", chunk.Replica, a.offset, errRunCancelled)
 	}
 	if a.prior.Len()+len(chunk.Text) > maxAnswerBytes {
-		return engine.KindInvalid.New("the answer is longer than %d bytes", maxAnswerBytes)
+		return errAnswerTooLong
 	}
 	if err := a.sink(chunk); err != nil {
 		return errors.Join(errSink, err)
@@ -176,6 +182,9 @@
 	if errors.Is(cause, errSink) {
 		return outcome.Wrap(cause, outcome.Cancelled, outcome.ReasonCallerCancelled, "the caller went away")
 	}
+	if errors.Is(cause, errAnswerTooLong) {
+		return outcome.Wrap(cause, outcome.Failed, reasonAnswerTooLong, errAnswerTooLong.Error())
+	}
 	if errorx.IsOfType(cause, engine.KindInvalid) {
 		return outcome.Wrap(cause, outcome.Failed, outcome.ReasonInvalid, "the engine found the request invalid")
 	}
--- a/internal/session/marked.go
+++ b/internal/session/marked.go
@@ -149,11 +149,19 @@
 // followRun attaches again to the one run of a marked request until it has ended, or
 // is known to be gone, or the engine stays unreachable.
 func (a *answer) followRun(ctx context.Context, to engine.Endpoint, err error) error {
+	err = a.attachUntilEnd(ctx, to, err)
+	if err != nil && !errorx.IsOfType(err, engine.KindNoSuchRun) {
+		a.runner.cancelRun(to, a.request.ID)
+	}
+	return err
+}
+
+func (a *answer) attachUntilEnd(ctx context.Context, to engine.Endpoint, err error) error {
 	pause := newPause()
 	lastProgress := time.Now()
 	for err != nil && ctx.Err() == nil {
 		if errorx.IsOfType(err, engine.KindNoSuchRun) || errorx.IsOfType(err, engine.KindInvalid) ||
-			errors.Is(err, errRunCancelled) || time.Since(lastProgress) > attachPatience {
+			errors.Is(err, errRunCancelled) || errors.Is(err, errAnswerTooLong) || time.Since(lastProgress) > attachPatience {
 			return err
 		}
 		if !pause.wait(ctx) {
@@ -170,9 +178,6 @@
 			pause.reset()
 		}
 	}
-	if err != nil {
-		a.runner.cancelRun(to, a.request.ID)
-	}
 	return err
 }
 
