Measure online times on the engines' own schedule too

Cause: on a busy machine callers' times show the machine more than the policy. Change: engines record first and inter-token times of online runs by their own schedule; the comparison prints them beside the callers', one column for each policy; lab/histogram holds the recorder. Conclusion: harm at engines and on the way can be told apart.

--- a/cmd/sloelift-lab/experiment_command.go
+++ b/cmd/sloelift-lab/experiment_command.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
+	"runtime/pprof"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,9 +20,28 @@
 	Profile  string `help:"Profile: registry or tidewater." default:"registry"`
 	JSON     bool   `help:"Print one JSON object." name:"json"`
 	LogLevel string `help:"Level of the nodes' log." default:"info"`
+	Profiled string `help:"Write a CPU profile of the whole process to this file." name:"cpu-profile" type:"path"`
 	Keep     bool   `help:"Keep the run's folder with the nodes' log and print its name."`
 }
 
+// profile starts the CPU profile that the flags ask for; the result ends it.
+func (f runFlags) profile() (end func(), err error) {
+	if f.Profiled == "" {
+		return func() {}, nil
+	}
+	file, err := os.Create(f.Profiled)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = file.Close()
+	}, nil
+}
+
 func (f runFlags) options() (experiment.Options, error) {
 	profile, err := load.ProfileByName(f.Profile)
 	if err != nil {
@@ -45,6 +66,11 @@
 	if err != nil {
 		return err
 	}
+	endProfile, err := c.profile()
+	if err != nil {
+		return err
+	}
+	defer endProfile()
 	options.Seed, options.Duration = c.Seed, c.Duration
 	options.Scenario = experiment.Scenario{Name: "demo"}
 	result, err := experiment.Run(ctx, options)
@@ -92,6 +118,11 @@
 	if err != nil {
 		return err
 	}
+	endProfile, err := c.profile()
+	if err != nil {
+		return err
+	}
+	defer endProfile()
 	options.Profile.Batch.ItemsPerJob = int(float64(options.Profile.Batch.ItemsPerJob) * c.BatchScale)
 	policies, err := c.policies()
 	if err != nil {
--- a/cmd/sloelift-lab/part_command.go
+++ b/cmd/sloelift-lab/part_command.go
@@ -13,6 +13,7 @@
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/lab/deployment"
 	labengine "github.com/sloelift/sloelift/lab/engine"
+	"github.com/sloelift/sloelift/lab/histogram"
 	"github.com/sloelift/sloelift/lab/load"
 )
 
@@ -99,9 +100,9 @@
 	seen := load.NewRunner(plan, func() []netip.AddrPort { return c.Nodes }).Run(bounded)
 	verdict := load.Judge(seen, nil, load.Expectations{ConnectionsMayBreak: true})
 	if err := printJSON(struct {
-		Verdict    load.Verdict      `json:"verdict"`
-		FirstToken load.Distribution `json:"online_first_token"`
-		InterToken load.Distribution `json:"online_inter_token"`
+		Verdict    load.Verdict           `json:"verdict"`
+		FirstToken histogram.Distribution `json:"online_first_token"`
+		InterToken histogram.Distribution `json:"online_inter_token"`
 	}{verdict, seen.FirstToken, seen.InterToken}); err != nil {
 		return err
 	}
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -215,7 +215,7 @@
 			return
 		case <-timer.C:
 		}
-		e.endStep()
+		e.endStep(due)
 	}
 }
 
@@ -243,13 +243,15 @@
 	e.options.Log.started(entry, e.options.Replica, now)
 }
 
-func (e *Engine) endStep() {
+// endStep applies the step that was due at the given time.
+func (e *Engine) endStep(due time.Time) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if !e.up {
 		return
 	}
 	now := time.Now()
+	e.scheduler.noteTimes(e.options.Log, due)
 	for _, entry := range e.scheduler.running {
 		if entry.prefilling > 0 && entry.decoding {
 			e.storePrefix(entry, now)
--- a/lab/engine/generation.go
+++ b/lab/engine/generation.go
@@ -119,7 +119,7 @@
 	}
 	entry.stopExpiry()
 	entry.priority, entry.revived, entry.startOffset = request.priority, true, entry.produced
-	entry.dispatched = time.Now()
+	entry.dispatched, entry.lastToken = time.Now(), time.Time{}
 	e.scheduler.enqueue(entry)
 	e.wakeLoop()
 	return nil
--- a/lab/engine/run.go
+++ b/lab/engine/run.go
@@ -25,7 +25,9 @@
 	arrival  uint64
 	// dispatched is when the engine took the run, or revived it.
 	dispatched time.Time
-	state      runState
+	// lastToken is when the last token was due by the engine's own schedule.
+	lastToken time.Time
+	state     runState
 	// startOffset is the token that this run began or was revived with.
 	startOffset int
 	// produced is the offset behind the last token made.
--- a/lab/engine/run_log.go
+++ b/lab/engine/run_log.go
@@ -4,6 +4,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/sloelift/sloelift/lab/histogram"
 )
 
 // RunRecord is what engines truly did for one prompt. The marker is the prompt's last
@@ -66,13 +68,25 @@
 // RunLog is the record of all engines of a deployment. It is the lab's own evidence
 // and is not lost when an engine is killed. It is safe for concurrent use.
 type RunLog struct {
+	// OnlineFirstToken is the time from dispatch to the first token of online runs, OnlineInterToken
+	// that between their tokens, both by the engines' own schedules: without what a busy
+	// machine adds on the way to callers.
+	OnlineFirstToken *histogram.Histogram
+	OnlineInterToken *histogram.Histogram
+
 	mutex   sync.Mutex
 	records map[string]*RunRecord
 	totals  Totals
 }
 
 // NewRunLog returns an empty log.
-func NewRunLog() *RunLog { return &RunLog{records: map[string]*RunRecord{}} }
+func NewRunLog() *RunLog {
+	return &RunLog{
+		OnlineFirstToken: histogram.New(),
+		OnlineInterToken: histogram.New(),
+		records:          map[string]*RunRecord{},
+	}
+}
 
 // Marker returns the last line of a prompt.
 func Marker(prompt string) string {
--- a/lab/engine/scheduler.go
+++ b/lab/engine/scheduler.go
@@ -90,6 +90,21 @@
 	return step
 }
 
+// noteTimes records, for online runs, when the planned step's tokens are due.
+func (s *scheduler) noteTimes(log *RunLog, due time.Time) {
+	for _, entry := range s.running {
+		if entry.batch || !entry.decoding {
+			continue
+		}
+		if entry.lastToken.IsZero() {
+			log.OnlineFirstToken.Record(due.Sub(entry.dispatched))
+		} else {
+			log.OnlineInterToken.Record(due.Sub(entry.lastToken))
+		}
+		entry.lastToken = due
+	}
+}
+
 // complete applies the planned step and returns the runs that reached their answer's end.
 func (s *scheduler) complete() []*run {
 	var finished []*run
--- a/lab/experiment/compare.go
+++ b/lab/experiment/compare.go
@@ -37,6 +37,11 @@
 	BatchOfPerfect      float64 `json:"batch_hit_rate_of_perfect"`
 	UnmarkedP99         float64 `json:"unmarked_first_token_p99_ms"`
 	MarkedP99           float64 `json:"marked_first_token_p99_ms"`
+	EngineFirstP99      float64 `json:"engine_first_token_p99_ms"`
+	EngineInterP99      float64 `json:"engine_inter_token_p99_ms"`
+	EngineFirstToOnline float64 `json:"engine_first_token_p99_to_online_only"`
+	EngineInterToOnline float64 `json:"engine_inter_token_p99_to_online_only"`
+	TimerLatenessP99    float64 `json:"timer_lateness_p99_ms"`
 	FirstTokenToOnline  float64 `json:"first_token_p99_to_online_only"`
 	UnmarkedToOnline    float64 `json:"unmarked_first_token_p99_to_online_only"`
 	MarkedToOnline      float64 `json:"marked_first_token_p99_to_online_only"`
@@ -106,6 +111,8 @@
 	firstP99 := func(r Result) float64 { return r.FirstToken.P99 }
 	unmarkedP99 := func(r Result) float64 { return r.FirstTokenUnmarked.P99 }
 	markedP99 := func(r Result) float64 { return r.FirstTokenMarked.P99 }
+	engineFirst := func(r Result) float64 { return r.EngineFirstToken.P99 }
+	engineInter := func(r Result) float64 { return r.EngineInterToken.P99 }
 	interP99 := func(r Result) float64 { return r.InterToken.P99 }
 	items := func(r Result) float64 { return r.Batch.ItemsPerSecond }
 	tokens := func(r Result) float64 { return r.Batch.TokensPerSecond }
@@ -124,6 +131,11 @@
 		PrefilledTwiceShare: over(func(r Result) float64 { return r.Batch.PrefilledTwiceShare }),
 		OnlineOfPerfect:     over(func(r Result) float64 { return r.Cache.OnlineOfPerfect }),
 		BatchOfPerfect:      over(func(r Result) float64 { return r.Cache.BatchOfPerfect }),
+		EngineFirstP99:      over(engineFirst),
+		EngineInterP99:      over(engineInter),
+		EngineFirstToOnline: to(PolicyOnlineOnly, engineFirst),
+		EngineInterToOnline: to(PolicyOnlineOnly, engineInter),
+		TimerLatenessP99:    over(func(r Result) float64 { return r.TimerLateness.P99 }),
 		UnmarkedP99:         over(unmarkedP99),
 		MarkedP99:           over(markedP99),
 		FirstTokenToOnline:  to(PolicyOnlineOnly, firstP99),
@@ -155,18 +167,44 @@
 	return (sorted[middle-1] + sorted[middle]) / 2
 }
 
-// Print writes the medians as a table.
+// Print writes the medians as a table, one column for each policy.
 func (c Comparison) Print(out io.Writer) error {
 	fmt.Fprintf(out, "profile %s, seeds %v, medians\n", c.Profile, c.Seeds)
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "policy\tfirst token p50/p95/p99 ms\tto online-only\tunmarked p99\tto online-only\tmarked p99\tto online-only\tinter-token p50/p95/p99 ms\tto online-only\titems/s\ttokens/s\tto fifo\tidle used\ttwice dec/pre\thits of perfect on/batch\tfailed")
-	for _, s := range c.Medians {
-		fmt.Fprintf(table, "%s\t%.1f/%.1f/%.1f\t%.3f\t%.1f\t%.3f\t%.1f\t%.3f\t%.2f/%.2f/%.2f\t%.3f\t%.1f\t%.0f\t%.3f\t%.3f\t%.2f%%/%.2f%%\t%.2f/%.2f\t%d\n",
-			s.Policy, s.FirstTokenP50, s.FirstTokenP95, s.FirstTokenP99, s.FirstTokenToOnline,
-			s.UnmarkedP99, s.UnmarkedToOnline, s.MarkedP99, s.MarkedToOnline,
-			s.InterTokenP50, s.InterTokenP95, s.InterTokenP99, s.InterTokenToOnline,
-			s.ItemsPerSecond, s.TokensPerSecond, s.TokensToFIFO, s.IdleCapacityUsed,
-			100*s.DecodedTwiceShare, 100*s.PrefilledTwiceShare, s.OnlineOfPerfect, s.BatchOfPerfect, s.Failed)
+	row := func(name string, cell func(PolicySummary) string) {
+		fmt.Fprint(table, name)
+		for _, summary := range c.Medians {
+			fmt.Fprint(table, "\t", cell(summary))
+		}
+		fmt.Fprintln(table)
 	}
+	row("policy", func(s PolicySummary) string { return string(s.Policy) })
+	row("first token p50/p95/p99 ms", func(s PolicySummary) string {
+		return fmt.Sprintf("%.1f/%.1f/%.1f", s.FirstTokenP50, s.FirstTokenP95, s.FirstTokenP99)
+	})
+	row("  p99 to online-only", ratioCell(func(s PolicySummary) float64 { return s.FirstTokenToOnline }))
+	row("  unmarked p99 to online-only", ratioCell(func(s PolicySummary) float64 { return s.UnmarkedToOnline }))
+	row("  marked p99 to online-only", ratioCell(func(s PolicySummary) float64 { return s.MarkedToOnline }))
+	row("  at engines p99 ms", func(s PolicySummary) string { return fmt.Sprintf("%.1f", s.EngineFirstP99) })
+	row("  at engines p99 to online-only", ratioCell(func(s PolicySummary) float64 { return s.EngineFirstToOnline }))
+	row("inter-token p50/p95/p99 ms", func(s PolicySummary) string {
+		return fmt.Sprintf("%.2f/%.2f/%.2f", s.InterTokenP50, s.InterTokenP95, s.InterTokenP99)
+	})
+	row("  p99 to online-only", ratioCell(func(s PolicySummary) float64 { return s.InterTokenToOnline }))
+	row("  at engines p99 ms", func(s PolicySummary) string { return fmt.Sprintf("%.2f", s.EngineInterP99) })
+	row("  at engines p99 to online-only", ratioCell(func(s PolicySummary) float64 { return s.EngineInterToOnline }))
+	row("batch items/s, tokens/s", func(s PolicySummary) string { return fmt.Sprintf("%.1f, %.0f", s.ItemsPerSecond, s.TokensPerSecond) })
+	row("  tokens/s to fifo", ratioCell(func(s PolicySummary) float64 { return s.TokensToFIFO }))
+	row("  idle capacity used", ratioCell(func(s PolicySummary) float64 { return s.IdleCapacityUsed }))
+	row("  tokens twice decoded/prefilled", func(s PolicySummary) string {
+		return fmt.Sprintf("%.2f%%/%.2f%%", 100*s.DecodedTwiceShare, 100*s.PrefilledTwiceShare)
+	})
+	row("prefix hits of perfect online/batch", func(s PolicySummary) string { return fmt.Sprintf("%.2f/%.2f", s.OnlineOfPerfect, s.BatchOfPerfect) })
+	row("machine: timer late p99 ms", func(s PolicySummary) string { return fmt.Sprintf("%.1f", s.TimerLatenessP99) })
+	row("failed runs", func(s PolicySummary) string { return fmt.Sprint(s.Failed) })
 	return table.Flush()
 }
+
+func ratioCell(value func(PolicySummary) float64) func(PolicySummary) string {
+	return func(s PolicySummary) string { return fmt.Sprintf("%.3f", value(s)) }
+}
--- a/lab/experiment/lateness.go
+++ b/lab/experiment/lateness.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/sloelift/sloelift/lab/load"
+	"github.com/sloelift/sloelift/lab/histogram"
 )
 
 // latenessInterval is the timer that the probe sets again and again.
@@ -14,11 +14,11 @@
 type latenessProbe struct {
 	ended chan struct{}
 	done  chan struct{}
-	seen  *load.Histogram
+	seen  *histogram.Histogram
 }
 
 func startLatenessProbe() *latenessProbe {
-	probe := &latenessProbe{ended: make(chan struct{}), done: make(chan struct{}), seen: load.NewHistogram()}
+	probe := &latenessProbe{ended: make(chan struct{}), done: make(chan struct{}), seen: histogram.New()}
 	go probe.run()
 	return probe
 }
@@ -36,7 +36,7 @@
 	}
 }
 
-func (p *latenessProbe) stop() load.Distribution {
+func (p *latenessProbe) stop() histogram.Distribution {
 	close(p.ended)
 	<-p.done
 	return p.seen.Distribution()
--- a/lab/experiment/print.go
+++ b/lab/experiment/print.go
@@ -38,6 +38,8 @@
 	row("  of marked requests", "%.1f / %.1f / %.1f ms", r.FirstTokenMarked.P50, r.FirstTokenMarked.P95, r.FirstTokenMarked.P99)
 	row("  of unmarked requests", "%.1f / %.1f / %.1f ms", r.FirstTokenUnmarked.P50, r.FirstTokenUnmarked.P95, r.FirstTokenUnmarked.P99)
 	row("online inter-token p50/p95/p99", "%.2f / %.2f / %.2f ms", r.InterToken.P50, r.InterToken.P95, r.InterToken.P99)
+	row("  at engines: first token", "%.1f / %.1f / %.1f ms", r.EngineFirstToken.P50, r.EngineFirstToken.P95, r.EngineFirstToken.P99)
+	row("  at engines: inter-token", "%.2f / %.2f / %.2f ms", r.EngineInterToken.P50, r.EngineInterToken.P95, r.EngineInterToken.P99)
 	row("machine: timer late by p50/p95/p99", "%.2f / %.2f / %.2f ms", r.TimerLateness.P50, r.TimerLateness.P95, r.TimerLateness.P99)
 	if err := table.Flush(); err != nil {
 		return err
--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -5,6 +5,7 @@
 	"time"
 
 	labengine "github.com/sloelift/sloelift/lab/engine"
+	"github.com/sloelift/sloelift/lab/histogram"
 	"github.com/sloelift/sloelift/lab/load"
 )
 
@@ -16,23 +17,27 @@
 	Seed     uint64  `json:"seed"`
 	Seconds  float64 `json:"seconds"`
 	// Failed is set where an invariant broke or a fault could not be carried out.
-	Failed     bool              `json:"failed"`
-	Verdict    load.Verdict      `json:"verdict"`
-	FirstToken load.Distribution `json:"online_first_token"`
+	Failed     bool                   `json:"failed"`
+	Verdict    load.Verdict           `json:"verdict"`
+	FirstToken histogram.Distribution `json:"online_first_token"`
 	// FirstTokenMarked are the marked requests among them, FirstTokenUnmarked the others.
-	FirstTokenMarked   load.Distribution `json:"online_first_token_marked"`
-	FirstTokenUnmarked load.Distribution `json:"online_first_token_unmarked"`
-	InterToken         load.Distribution `json:"online_inter_token"`
-	Batch              BatchResult       `json:"batch"`
-	Cache              CacheResult       `json:"cache"`
+	FirstTokenMarked   histogram.Distribution `json:"online_first_token_marked"`
+	FirstTokenUnmarked histogram.Distribution `json:"online_first_token_unmarked"`
+	InterToken         histogram.Distribution `json:"online_inter_token"`
+	// EngineFirstToken and EngineInterToken are of online runs by the engines' own schedules, from
+	// their dispatch on: the harm that sharing engines does, without what the machine adds.
+	EngineFirstToken histogram.Distribution `json:"engine_first_token"`
+	EngineInterToken histogram.Distribution `json:"engine_inter_token"`
+	Batch            BatchResult            `json:"batch"`
+	Cache            CacheResult            `json:"cache"`
 	// StartedOnLeaving counts runs that started on a replica more than 2 s after the first sign of its leaving.
 	StartedOnLeaving int           `json:"started_on_leaving"`
 	FaultErrors      []string      `json:"fault_errors,omitempty"`
 	Load             LoadDescribed `json:"load"`
 	Folder           string        `json:"folder,omitempty"`
 	// TimerLateness tells how busy the machine was: how late a timer of 2 ms fired.
-	TimerLateness load.Distribution `json:"timer_lateness"`
-	Engines       EngineAccounts    `json:"engines"`
+	TimerLateness histogram.Distribution `json:"timer_lateness"`
+	Engines       EngineAccounts         `json:"engines"`
 }
 
 // LoadDescribed says what arrived.
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -97,6 +97,8 @@
 	wait.Wait()
 	result := summarize(options, plan, seen, fleet.Log.Records(), atEnd)
 	result.TimerLateness = machine.stop()
+	result.EngineFirstToken = fleet.Log.OnlineFirstToken.Distribution()
+	result.EngineInterToken = fleet.Log.OnlineInterToken.Distribution()
 	result.addFaults(faults, fleet.Log.Records(), deployment.DefaultOptions(plan.Profile, "", 0).MachineListLag)
 	return result
 }
--- /dev/null
+++ b/lab/histogram/histogram.go
@@ -0,0 +1,55 @@
+// Package histogram records durations from many goroutines and gives their percentiles.
+package histogram
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	histogramLowest  = 1
+	histogramHighest = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits  = 3
+)
+
+// Distribution gives percentiles in milliseconds.
+type Distribution struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Histogram records durations in microseconds. It is safe for concurrent use.
+type Histogram struct {
+	mutex  sync.Mutex
+	values *hdrhistogram.Histogram
+}
+
+// New returns an empty histogram.
+func New() *Histogram {
+	return &Histogram{values: hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits)}
+}
+
+// Record adds one duration.
+func (h *Histogram) Record(value time.Duration) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	// A value beyond the range can't be: runs are shorter.
+	_ = h.values.RecordValue(max(value.Microseconds(), histogramLowest))
+}
+
+// Distribution returns the percentiles so far.
+func (h *Histogram) Distribution() Distribution {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	at := func(quantile float64) float64 { return float64(h.values.ValueAtQuantile(quantile)) / 1000 }
+	return Distribution{
+		Count: h.values.TotalCount(),
+		P50:   at(50), P95: at(95), P99: at(99),
+		Max: float64(h.values.Max()) / 1000,
+	}
+}
--- a/lab/load/recorder.go
+++ b/lab/load/recorder.go
@@ -1,58 +1,11 @@
 package load
 
 import (
-	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sloelift/sloelift/lab/histogram"
 )
 
-const (
-	histogramLowest  = 1
-	histogramHighest = int64(10 * time.Minute / time.Microsecond)
-	histogramDigits  = 3
-)
-
-// Distribution gives percentiles in milliseconds.
-type Distribution struct {
-	Count int64   `json:"count"`
-	P50   float64 `json:"p50_ms"`
-	P95   float64 `json:"p95_ms"`
-	P99   float64 `json:"p99_ms"`
-	Max   float64 `json:"max_ms"`
-}
-
-// Histogram records durations in microseconds. It is safe for concurrent use.
-type Histogram struct {
-	mutex  sync.Mutex
-	values *hdrhistogram.Histogram
-}
-
-// NewHistogram returns an empty histogram.
-func NewHistogram() *Histogram {
-	return &Histogram{values: hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits)}
-}
-
-// Record adds one duration.
-func (h *Histogram) Record(value time.Duration) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	// A value beyond the range can't be: runs are shorter.
-	_ = h.values.RecordValue(max(value.Microseconds(), histogramLowest))
-}
-
-// Distribution returns the percentiles so far.
-func (h *Histogram) Distribution() Distribution {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	at := func(quantile float64) float64 { return float64(h.values.ValueAtQuantile(quantile)) / 1000 }
-	return Distribution{
-		Count: h.values.TotalCount(),
-		P50:   at(50), P95: at(95), P99: at(99),
-		Max: float64(h.values.Max()) / 1000,
-	}
-}
-
 // OnlineOutcome is how an online request ended for its caller.
 type OnlineOutcome string
 
@@ -114,8 +67,8 @@
 	Jobs    []JobOutcome
 	// FirstToken and InterToken are of completed online requests; the first token is also
 	// given for marked requests, which wait for their claim, and the others apart.
-	FirstToken         Distribution
-	FirstTokenMarked   Distribution
-	FirstTokenUnmarked Distribution
-	InterToken         Distribution
+	FirstToken         histogram.Distribution
+	FirstTokenMarked   histogram.Distribution
+	FirstTokenUnmarked histogram.Distribution
+	InterToken         histogram.Distribution
 }
--- a/lab/load/runner.go
+++ b/lab/load/runner.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/sloelift/sloelift/lab/histogram"
 )
 
 // Targets gives the callers' addresses of the nodes that the load may use now.
@@ -17,10 +19,10 @@
 	targets Targets
 	started time.Time
 
-	firstToken         *Histogram
-	firstTokenMarked   *Histogram
-	firstTokenUnmarked *Histogram
-	interToken         *Histogram
+	firstToken         *histogram.Histogram
+	firstTokenMarked   *histogram.Histogram
+	firstTokenUnmarked *histogram.Histogram
+	interToken         *histogram.Histogram
 
 	// mutex guards online and jobs.
 	mutex  sync.Mutex
@@ -35,10 +37,10 @@
 		plan:               plan,
 		caller:             NewCaller(TenantKey),
 		targets:            targets,
-		firstToken:         NewHistogram(),
-		firstTokenMarked:   NewHistogram(),
-		firstTokenUnmarked: NewHistogram(),
-		interToken:         NewHistogram(),
+		firstToken:         histogram.New(),
+		firstTokenMarked:   histogram.New(),
+		firstTokenUnmarked: histogram.New(),
+		interToken:         histogram.New(),
 	}
 }
 
