Play long sessions, and accept no indeterminate end without a lost replica

Cause: streams of 150 ms hardly ever meet a killed node, and a marked item that ended as indeterminate in a rolling restart passed. Change: 4 in 100 online requests are long sessions of 600 tokens; marked work may end as indeterminate only in scenarios that kill replicas or cut zones off.

--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -80,7 +80,7 @@
 }
 
 func summarize(options Options, plan load.Plan, seen load.Observations, records map[string]labengine.RunRecord, atEnd labengine.Totals) Result {
-	verdict := load.Judge(seen, records, load.Expectations{ConnectionsMayBreak: options.Scenario.connectionsMayBreak()})
+	verdict := load.Judge(seen, records, options.Scenario.expectations())
 	seconds := options.Duration.Seconds()
 	result := Result{
 		Profile: plan.Profile.Name, Scenario: options.Scenario.Name, Policy: options.Policy, Seed: options.Seed, Seconds: seconds,
--- a/lab/experiment/scenario.go
+++ b/lab/experiment/scenario.go
@@ -143,13 +143,18 @@
 	return profile
 }
 
-// connectionsMayBreak tells whether callers' connections can break under the scenario.
-func (s Scenario) connectionsMayBreak() bool {
+// expectations tells what the scenario's faults allow.
+func (s Scenario) expectations() load.Expectations {
+	var expected load.Expectations
 	for _, fault := range s.Faults {
 		switch fault.Kind {
-		case FaultKillNode, FaultLoseDisk, FaultPauseNode, FaultCutZone:
-			return true
+		case FaultKillNode, FaultLoseDisk, FaultPauseNode:
+			expected.ConnectionsMayBreak = true
+		case FaultCutZone:
+			expected.ConnectionsMayBreak, expected.RunsMayBeLost = true, true
+		case FaultKillReplica:
+			expected.RunsMayBeLost = true
 		}
 	}
-	return false
+	return expected
 }
--- a/lab/load/plan.go
+++ b/lab/load/plan.go
@@ -111,6 +111,9 @@
 			MaxTokens:     shape.MaxTokens/2 + random.IntN(shape.MaxTokens/2+1),
 			NotRepeatable: random.Float64() < shape.NotRepeatableShare,
 		}
+		if random.Float64() < shape.LongShare {
+			online[index].MaxTokens = shape.LongTokens
+		}
 		online[index].Resend = online[index].NotRepeatable && random.Float64() < shape.ResendShare
 	}
 	return online
--- a/lab/load/profile.go
+++ b/lab/load/profile.go
@@ -33,6 +33,9 @@
 	// QuestionBytes is the mean length of what follows the shared beginning.
 	QuestionBytes int
 	MaxTokens     int
+	// LongShare of the requests are long sessions of up to LongTokens.
+	LongShare  float64
+	LongTokens int
 	// NotRepeatableShare of the requests are marked; ResendShare of those are sent
 	// twice at once, to two nodes.
 	NotRepeatableShare float64
@@ -84,6 +87,7 @@
 			RequestsPerSecond: 30, BurstRequestsPerSecond: 120,
 			BurstEvery: 4 * time.Second, BurstLength: time.Second,
 			Prefixes: 24, PrefixBytes: 1024, QuestionBytes: 160, MaxTokens: 48,
+			LongShare: 0.04, LongTokens: 600,
 			NotRepeatableShare: 0.05, ResendShare: 0.3,
 		},
 		Batch: BatchShape{
@@ -109,6 +113,7 @@
 			RequestsPerSecond: 40, BurstRequestsPerSecond: 160,
 			BurstEvery: 5 * time.Second, BurstLength: time.Second,
 			Prefixes: 32, PrefixBytes: 768, QuestionBytes: 128, MaxTokens: 32,
+			LongShare: 0.04, LongTokens: 600,
 			NotRepeatableShare: 0.03, ResendShare: 0.3,
 		},
 		Batch: BatchShape{
--- a/lab/load/verdict.go
+++ b/lab/load/verdict.go
@@ -51,6 +51,8 @@
 	DifferentKeyedAnswers   int `json:"different_keyed_answers"`
 	PlannedStopReconnects   int `json:"planned_stop_reconnects"`
 	OnlineFailedUnexplained int `json:"online_failed_unexplained"`
+	// IndeterminateUnexplained counts marked work that ended so though no replica was lost.
+	IndeterminateUnexplained int `json:"indeterminate_unexplained"`
 
 	// Broken describes the first broken invariants.
 	Broken []string `json:"broken"`
@@ -61,6 +63,9 @@
 	// ConnectionsMayBreak: nodes were killed or cut off, so that callers' connections to
 	// them broke and callers had to send again.
 	ConnectionsMayBreak bool
+	// RunsMayBeLost: replicas died or could not be reached, so that what a marked request
+	// did there may never be known.
+	RunsMayBeLost bool
 }
 
 // Judge checks what callers saw against the engines' own records.
@@ -142,6 +147,8 @@
 		if !result.Arrival.NotRepeatable {
 			j.broken("%s: an unmarked request ended as indeterminate: %s", marker, result.Detail)
 			v.OnlineFailedUnexplained++
+		} else {
+			j.indeterminate(marker, result.Detail)
 		}
 	case OnlineCut:
 		v.AnswersCut++
@@ -156,6 +163,15 @@
 	}
 }
 
+// indeterminate accepts an unknown end of marked work only where replicas were lost.
+func (j *judge) indeterminate(marker, detail string) {
+	if j.expected.RunsMayBeLost {
+		return
+	}
+	j.verdict.IndeterminateUnexplained++
+	j.broken("%s: indeterminate though no replica was lost; starts %v: %s", marker, j.records[marker].History, detail)
+}
+
 // marked checks that engines ran a marked prompt at most once.
 func (j *judge) marked(marker string) {
 	record := j.records[marker]
@@ -229,6 +245,7 @@
 		v.ItemsCancelled++
 	case failure != "" && job.Arrival.NotRepeatable:
 		v.ItemsUncertain++
+		j.indeterminate(item.CustomID, failure)
 	case job.EndedAt.IsZero():
 		v.ItemsUnfinished++
 		v.Lost++
--- a/lab/load/verdict_test.go
+++ b/lab/load/verdict_test.go
@@ -65,6 +65,8 @@
 			OnlineResult{Arrival: marked, Outcome: OnlineCompleted, Text: "b"}), nil, func(v Verdict) int { return v.DifferentKeyedAnswers }},
 		{"unmarked indeterminate", online(OnlineResult{Arrival: onlineOne, Outcome: OnlineIndeterminate}), nil,
 			func(v Verdict) int { return v.OnlineFailedUnexplained }},
+		{"marked indeterminate", online(OnlineResult{Arrival: marked, Outcome: OnlineIndeterminate}), nil,
+			func(v Verdict) int { return v.IndeterminateUnexplained }},
 		{"cut without a kill", online(OnlineResult{Arrival: onlineOne, Outcome: OnlineCompleted, Cuts: 1}), nil,
 			func(v Verdict) int { return v.PlannedStopReconnects }},
 	}
