Answer 503 until a configuration is in force, and give lab nodes addresses of their own

Cause: a node that had just started knew no keys and answered 401, which is final, to good callers; in the lab a node's port could be taken by an outgoing connection of the same process, and a killed node's disk could still be open when it started anew. Change: no configuration in force is 503 not_run with Retry-After, and not ready; lab nodes listen on 127.x.y.z by process, below the ephemeral ports; Kill waits until the data folder is closed.

--- a/internal/gateway/authentication.go
+++ b/internal/gateway/authentication.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/outcome"
@@ -14,8 +15,15 @@
 
 var errUnauthorized = outcome.New(outcome.NotRun, outcome.ReasonUnauthorized, "a valid bearer key is required")
 
+// errNoConfiguration is told while no configuration is in force: no key can be judged.
+var errNoConfiguration = outcome.New(outcome.NotRun, outcome.ReasonUnavailable,
+	"no configuration is in force on this node yet; send the request to another one").After(time.Second)
+
 // tenantOf finds the tenant of a request by the digest of its bearer key.
 func tenantOf(snapshot *config.Snapshot, r *http.Request) (*config.Tenant, error) {
+	if snapshot.Revision == 0 {
+		return nil, errNoConfiguration
+	}
 	value := r.Header.Get("Authorization")
 	if len(value) <= len(bearerPrefix) || !strings.EqualFold(value[:len(bearerPrefix)], bearerPrefix) {
 		return nil, errUnauthorized
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -98,7 +98,9 @@
 func (s *Server) Address() net.Addr { return s.listener.Addr() }
 
 // Ready says whether new requests are taken.
-func (s *Server) Ready() bool { return s.listening.Load() && !s.drain.isDraining() }
+func (s *Server) Ready() bool {
+	return s.listening.Load() && !s.drain.isDraining() && s.configuration.Current().Revision > 0
+}
 
 // Drain stops taking new requests, which are told that they did not run, and returns when
 // those in progress have ended or ctx has. It may be called more than once.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,7 +18,7 @@
 const (
 	startTimeout = 30 * time.Second
 	stopTimeout  = 15 * time.Second
-	killTimeout  = 2 * time.Second
+	killTimeout  = 15 * time.Second
 )
 
 // Node is one running node. Several can run in one process.
@@ -105,7 +105,8 @@
 }
 
 // Kill ends the node without drain or handover, as when its machine dies; the caller
-// severs its network first.
+// severs its network first, so that nothing it still does is seen by others. It returns
+// when the data folder is closed and can be opened anew.
 func (n *Node) Kill() {
 	bounded, cancel := context.WithTimeout(context.Background(), killTimeout)
 	defer cancel()
--- a/internal/operator/fx.go
+++ b/internal/operator/fx.go
@@ -43,6 +43,7 @@
 
 // New builds the server; it listens from Start on.
 func New(params Params) *Server {
+	params.Readiness.inForce = params.InForce
 	logger := params.Logger.With().Str(logging.FieldSlice, "operator").Logger()
 	reporter := &statusReporter{
 		settings:  params.Settings,
--- a/internal/operator/readiness.go
+++ b/internal/operator/readiness.go
@@ -1,15 +1,22 @@
 package operator
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/sloelift/sloelift/internal/config"
+)
 
 // Readiness tells whether the node takes new work. A planned stop turns it off
 // first, so that load balancers go elsewhere. It is safe for concurrent use.
 type Readiness struct {
 	reason atomic.Pointer[string]
+	// inForce is set before the server starts; nil asks for no configuration.
+	inForce config.Source
 }
 
 const (
-	reasonStarting = "starting"
+	reasonStarting        = "starting"
+	reasonNoConfiguration = "no configuration in force"
 	// ReasonStopping is the reason that a planned stop gives.
 	ReasonStopping = "stopping"
 )
@@ -30,10 +37,13 @@
 // Ready reports readiness, and the reason where it is off.
 func (r *Readiness) Ready() (ready bool, reason string) {
 	current := r.reason.Load()
-	if current == nil {
-		return true, ""
+	if current != nil {
+		return false, *current
+	}
+	if r.inForce != nil && r.inForce.Current().Revision == 0 {
+		return false, reasonNoConfiguration
 	}
-	return false, *current
+	return true, ""
 }
 
 // turnOnAfterStart makes the node ready unless a stop has begun already.
--- a/lab/deployment/machine.go
+++ b/lab/deployment/machine.go
@@ -142,16 +142,30 @@
 	return nil
 }
 
-// freeAddresses returns loopback addresses that were free a moment ago.
+// Nodes listen on addresses of their own, so that no outgoing connection, which takes a
+// port of 127.0.0.1 above the range below, is in the way when a node starts anew.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// freeAddresses returns loopback addresses that were free a moment ago. Processes that run
+// at once use different numbers in 127.0.0.0/8.
 func freeAddresses(count int) ([]netip.AddrPort, error) {
+	process := os.Getpid()
+	host := netip.AddrFrom4([4]byte{127, 1 + byte(process>>16&0x3f), byte(process >> 8), byte(process)})
 	addresses := make([]netip.AddrPort, 0, count)
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for port := uint16(firstPort); port < lastPort && len(addresses) < count; port++ {
+		address := netip.AddrPortFrom(host, port)
+		listener, err := net.Listen("tcp", address.String())
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer listener.Close()
-		addresses = append(addresses, listener.Addr().(*net.TCPAddr).AddrPort())
+		addresses = append(addresses, address)
+	}
+	if len(addresses) < count {
+		return nil, fmt.Errorf("fewer than %d free ports on %s", count, host)
 	}
 	return addresses, nil
 }
