Measure harm at engines in engine time

Cause: engines' schedules restart when a starved process wakes more than 20 ms late, so that the machine showed in the engines' times too (inter-token p99 73 ms where no step took 8). Change: first and inter-token times at engines are sums of step durations.

--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -39,6 +39,8 @@
 	leaving   bool
 	slowdown  float64
 	lastStep  time.Duration
+	// clock is the engine's own time: the sum of its steps' durations.
+	clock time.Duration
 	history   loadHistory
 	up        bool
 	server    *http.Server
@@ -215,7 +217,7 @@
 			return
 		case <-timer.C:
 		}
-		e.endStep(due)
+		e.endStep(duration)
 	}
 }
 
@@ -243,15 +245,16 @@
 	e.options.Log.started(entry, e.options.Replica, now)
 }
 
-// endStep applies the step that was due at the given time.
-func (e *Engine) endStep(due time.Time) {
+// endStep applies the planned step, which took duration of the engine's time.
+func (e *Engine) endStep(duration time.Duration) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if !e.up {
 		return
 	}
 	now := time.Now()
-	e.scheduler.noteTimes(e.options.Log, due)
+	e.clock += duration
+	e.scheduler.noteTimes(e.options.Log, e.clock)
 	for _, entry := range e.scheduler.running {
 		if entry.prefilling > 0 && entry.decoding {
 			e.storePrefix(entry, now)
--- a/lab/engine/generation.go
+++ b/lab/engine/generation.go
@@ -68,7 +68,8 @@
 		priority: request.priority,
 		arrival:  e.arrivals,
 
-		dispatched: time.Now(),
+		dispatched:   time.Now(),
+		lastProgress: e.clock,
 		readers:    map[*reader]struct{}{},
 	}
 	entry.batch = e.isBatch(entry)
@@ -119,7 +120,7 @@
 	}
 	entry.stopExpiry()
 	entry.priority, entry.revived, entry.startOffset = request.priority, true, entry.produced
-	entry.dispatched, entry.lastToken = time.Now(), time.Time{}
+	entry.dispatched, entry.lastProgress, entry.hasToken = time.Now(), e.clock, false
 	e.scheduler.enqueue(entry)
 	e.wakeLoop()
 	return nil
--- a/lab/engine/run.go
+++ b/lab/engine/run.go
@@ -25,8 +25,9 @@
 	arrival  uint64
 	// dispatched is when the engine took the run, or revived it.
 	dispatched time.Time
-	// lastToken is when the last token was due by the engine's own schedule.
-	lastToken time.Time
+	// lastProgress is the engine's time at the dispatch, then at the last token.
+	lastProgress time.Duration
+	hasToken     bool
 	state     runState
 	// startOffset is the token that this run began or was revived with.
 	startOffset int
--- a/lab/engine/run_log.go
+++ b/lab/engine/run_log.go
@@ -69,8 +69,8 @@
 // and is not lost when an engine is killed. It is safe for concurrent use.
 type RunLog struct {
 	// OnlineFirstToken is the time from dispatch to the first token of online runs, OnlineInterToken
-	// that between their tokens, both by the engines' own schedules: without what a busy
-	// machine adds on the way to callers.
+	// that between their tokens, both in engine time, the sum of the steps' durations: what a busy
+	// machine adds is not in them.
 	OnlineFirstToken *histogram.Histogram
 	OnlineInterToken *histogram.Histogram
 
--- a/lab/engine/scheduler.go
+++ b/lab/engine/scheduler.go
@@ -90,18 +90,19 @@
 	return step
 }
 
-// noteTimes records, for online runs, when the planned step's tokens are due.
-func (s *scheduler) noteTimes(log *RunLog, due time.Time) {
+// noteTimes records, for online runs, the tokens of the planned step; clock is the engine's
+// time at its end.
+func (s *scheduler) noteTimes(log *RunLog, clock time.Duration) {
 	for _, entry := range s.running {
 		if entry.batch || !entry.decoding {
 			continue
 		}
-		if entry.lastToken.IsZero() {
-			log.OnlineFirstToken.Record(due.Sub(entry.dispatched))
+		if entry.hasToken {
+			log.OnlineInterToken.Record(clock - entry.lastProgress)
 		} else {
-			log.OnlineInterToken.Record(due.Sub(entry.lastToken))
+			log.OnlineFirstToken.Record(clock - entry.lastProgress)
 		}
-		entry.lastToken = due
+		entry.lastProgress, entry.hasToken = clock, true
 	}
 }
 
--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -24,8 +24,8 @@
 	FirstTokenMarked   histogram.Distribution `json:"online_first_token_marked"`
 	FirstTokenUnmarked histogram.Distribution `json:"online_first_token_unmarked"`
 	InterToken         histogram.Distribution `json:"online_inter_token"`
-	// EngineFirstToken and EngineInterToken are of online runs by the engines' own schedules, from
-	// their dispatch on: the harm that sharing engines does, without what the machine adds.
+	// EngineFirstToken and EngineInterToken are of online runs in engine time, from their dispatch
+	// on: the harm that sharing engines does, without what the machine adds.
 	EngineFirstToken histogram.Distribution `json:"engine_first_token"`
 	EngineInterToken histogram.Distribution `json:"engine_inter_token"`
 	Batch            BatchResult            `json:"batch"`
