--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
@@ -34,7 +35,9 @@
 	if survey.answers < ensemble.ReadQuorum() {
 		return attemptResult{number: number, lost: protocol.Lost{Cause: protocol.LossTimeout}}
 	}
-	m.askRelease(partition, survey.promised)
+	if !m.askRelease(partition, survey.promised) {
+		return attemptResult{number: number, lost: protocol.Lost{Cause: protocol.LossDeclined}}
+	}
 	if m.ctx.Err() != nil {
 		return attemptResult{number: number, lost: protocol.Lost{Cause: protocol.LossReleased}}
 	}
@@ -97,21 +100,25 @@
 	return result
 }
 
-// askRelease asks the owner of the highest promised ballot to finish its appends and let go. Without an answer
-// the attempt goes on all the same.
-func (m *Manager) askRelease(partition PartitionID, promised protocol.Ballot) {
+// askRelease asks the owner of the highest promised ballot to finish its appends and let go. It returns false where
+// the owner declines; without an answer the attempt goes on all the same.
+func (m *Manager) askRelease(partition PartitionID, promised protocol.Ballot) bool {
 	node := ownerNode(promised.Owner)
 	if promised.Owner == "" || node == m.self {
-		return
+		return true
 	}
 	member, found := m.viewer.View().Find(node)
 	if !found {
-		return
+		// A node that has just started knows few others yet; it should not take what they own.
+		return time.Since(m.started) >= m.timing.Formation
 	}
 	ctx, cancel := context.WithTimeout(m.ctx, m.timing.Release)
 	defer cancel()
 	request := &ledgerpb.ReleaseRequest{Partition: uint32(partition), Successor: string(m.self)}
-	if err := m.caller.Call(ctx, member.PeerAddress, methodRelease, request, &ledgerpb.ReleaseResponse{}); err != nil {
+	var response ledgerpb.ReleaseResponse
+	if err := m.caller.Call(ctx, member.PeerAddress, methodRelease, request, &response); err != nil {
 		m.logger.Info().Uint32(logging.FieldPartition, uint32(partition)).Str(logging.FieldPeer, string(node)).Err(err).Msg("release_not_answered")
+		return true
 	}
+	return response.Released
 }
--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -10,7 +10,7 @@
 )
 
 // maintain changes the partition's ensemble where a member's disk is gone or a member is missing. It
-// runs on the control goroutine of the owner or preferred owner; the compare-and-swap decides between several.
+// runs on the control goroutine of the owner, or of a node that is becoming it; the compare-and-swap decides between several.
 func (m *Manager) maintain(partition PartitionID, control *partitionControl, view *membership.View, now time.Time) {
 	ensemble, known := m.directory.ensemble(partition)
 	if !known || control.changing {
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -16,6 +16,7 @@
 	"github.com/sloelift/sloelift/internal/ledger/store"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/settings"
 	"github.com/sloelift/sloelift/internal/transport"
@@ -184,7 +185,7 @@
 		if mine && !control.trying && !now.Before(control.nextTry) {
 			m.try(partition, control)
 		}
-		if mine || control.ownership != nil {
+		if control.ownership != nil {
 			m.maintain(partition, control, view, now)
 		}
 	}
@@ -289,9 +290,15 @@
 	if !present {
 		return &ledgerpb.ReleaseResponse{Released: true}, nil
 	}
-	released := ownership.release(ctx)
+	preferred, _ := preferredOwner(m.viewer.View(), partition)
+	if string(preferred.ID) != request.Successor && ownership.servesWell(time.Now()) {
+		return &ledgerpb.ReleaseResponse{}, nil
+	}
+	if !ownership.release(ctx) {
+		return nil, outcome.New(outcome.NotRun, outcome.ReasonUnavailable, "the ownership did not end in time")
+	}
 	m.hints.set(partition, membership.NodeID(request.Successor))
-	return &ledgerpb.ReleaseResponse{Released: released, Ballot: nil}, nil
+	return &ledgerpb.ReleaseResponse{Released: true}, nil
 }
 
 func (m *Manager) serveEnsembles(context.Context, netip.AddrPort, *ledgerpb.EnsemblesRequest) (*ledgerpb.EnsemblesResponse, error) {
--- a/internal/ledger/owned.go
+++ b/internal/ledger/owned.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/outcome"
@@ -13,6 +14,7 @@
 	bytes   int
 	// first and last are set by run's goroutine when the records get their positions.
 	first, last Position
+	since       time.Time
 	// done takes nil or the error, once.
 	done chan error
 }
@@ -70,6 +72,7 @@
 		return nil
 	}
 	first, actions := o.owner.Propose(request.records)
+	request.since = time.Now()
 	request.first, request.last = first, first+Position(len(request.records))-1
 	o.pending = append(o.pending, request)
 	o.pendingBytes += request.bytes
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -103,6 +103,8 @@
 	last        Position
 	holdings    []protocol.Holding
 	hasRoom     bool
+	// waitingSince is when the oldest append that waits for its quorum came; zero where none waits.
+	waitingSince time.Time
 }
 
 func newOwnership(ctx context.Context, partition PartitionID, owner *protocol.Owner, stores *storeClient, factory Factory, timing Timing, logger zerolog.Logger) *ownership {
@@ -201,6 +203,15 @@
 	}
 }
 
+// servesWell tells whether the owner takes appends and none has waited long.
+func (o *ownership) servesWell(now time.Time) bool {
+	view := o.view.Load()
+	if !o.serving.Load() || view.phase != protocol.PhaseServing {
+		return false
+	}
+	return view.waitingSince.IsZero() || now.Sub(view.waitingSince) < o.timing.Request
+}
+
 // post hands an event to run's goroutine; it is dropped once the ownership has ended.
 func (o *ownership) post(event func() []protocol.Action) {
 	select {
@@ -225,8 +236,13 @@
 }
 
 func (o *ownership) publish() {
+	var waitingSince time.Time
+	if len(o.pending) > 0 {
+		waitingSince = o.pending[0].since
+	}
 	o.view.Store(&ownedView{
-		ballot: o.owner.Ballot(), ensemble: o.owner.Ensemble(), recoveredTo: o.owner.RecoveredTo(),
+		waitingSince: waitingSince,
+		ballot:       o.owner.Ballot(), ensemble: o.owner.Ensemble(), recoveredTo: o.owner.RecoveredTo(),
 		phase: o.owner.Phase(), committed: o.owner.Committed(), last: o.owner.Last(),
 		holdings: o.owner.Holdings(), hasRoom: o.owner.HasRoom(),
 	})
--- a/internal/ledger/ownership_requests.go
+++ b/internal/ledger/ownership_requests.go
@@ -77,7 +77,7 @@
 	if response.Status != ledgerpb.Status_STATUS_OK || len(response.Entries) == 0 {
 		return nil, outcome.New(outcome.NotRun, outcome.ReasonUnavailable, "store can't read the record: "+response.Status.String())
 	}
-	return wire.ToEntries(response.Entries), nil
+	return wire.ToEntries(response.Entries, protocol.Ballot{}), nil
 }
 
 func (o *ownership) sendAppend(ctx context.Context, action protocol.SendAppend) func() []protocol.Action {
@@ -85,7 +85,7 @@
 	defer cancel()
 	response, err := o.stores.append(ctx, o.member(action.Store), &ledgerpb.AppendRequest{
 		Partition: uint32(o.partition), Store: string(action.Store), Ballot: wire.FromBallot(action.Append.Ballot),
-		First: uint64(action.Append.First), Entries: wire.FromEntries(action.Append.Entries, false),
+		First: uint64(action.Append.First), Entries: wire.FromEntries(action.Append.Entries, action.Append.Ballot),
 		Committed: uint64(action.Append.Committed), RecoveredTo: uint64(action.Append.RecoveredTo), Repair: action.Append.Repair,
 	})
 	if err == nil && response.Status == ledgerpb.Status_STATUS_FULL {
--- a/internal/ledger/protocol/owner_actions.go
+++ b/internal/ledger/protocol/owner_actions.go
@@ -59,6 +59,8 @@
 	LossOutranked LossCause = "outranked"
 	// LossReleased: the owner gave the partition up.
 	LossReleased LossCause = "released"
+	// LossDeclined: the present owner serves well and keeps the partition.
+	LossDeclined LossCause = "declined"
 	// LossUnreadable: a record that recovery needs could not be read; another ballot may do better.
 	LossUnreadable LossCause = "unreadable"
 	// LossTimeout: too few stores answered in time.
--- a/internal/ledger/protocol/owner_recovery.go
+++ b/internal/ledger/protocol/owner_recovery.go
@@ -33,7 +33,7 @@
 		o.recoveredTo = max(o.recoveredTo, end)
 		o.tails.waiting[follower.member.Store] = true
 		follower.inFlight = true
-		actions = append(actions, ReadTail{Store: follower.member.Store, From: o.committed + 1, To: end})
+		actions = append(actions, ReadTail{Store: follower.member.Store, From: o.tailStart(follower), To: end})
 	}
 	if len(actions) == 0 {
 		return o.rewrite()
@@ -41,6 +41,15 @@
 	return actions
 }
 
+// tailStart returns where to read from: the record at the last committed position too, where the follower is known to have
+// it, for what was proposed earlier than that can't stand behind it.
+func (o *Owner) tailStart(follower *follower) Position {
+	if o.committed > 0 && follower.promise.Committed >= o.committed && follower.promise.First <= o.committed {
+		return o.committed
+	}
+	return o.committed + 1
+}
+
 // tailEnd returns the end of the follower's valid records: those of a lower ballot behind
 // the end of a higher ballot's recovery are void.
 func (o *Owner) tailEnd(follower *follower) Position {
@@ -81,14 +90,32 @@
 	o.phase = PhaseRewriting
 	o.last = o.committed
 	o.windowFirst = o.committed + 1
+	for _, entry := range o.validTail() {
+		o.last = entry.Position
+		o.push(entry)
+	}
+	o.recoveredTo = o.last
+	o.recoveredTo = o.last
+	o.tails = tailReading{}
+	return o.advance()
+}
+
+// validTail returns what to write behind the last committed position. An owner proposes only behind all that may have been
+// acknowledged before it, so a record that was born under a lower ballot than one before it was never
+// acknowledged, nor was anything behind it; tails that are mixed from several owners' logs end there.
+func (o *Owner) validTail() []Entry {
+	var valid []Entry
+	born := o.tails.highest[o.committed].Born
 	for position := o.committed + 1; position <= o.recoveredTo; position++ {
 		entry, present := o.tails.highest[position]
 		if !present {
-			entry.Record = Record{Kind: KindNoOperation}
+			entry = Entry{Born: born, Record: Record{Kind: KindNoOperation}}
+		}
+		if entry.Born.Below(born) {
+			return valid
 		}
-		o.last = position
-		o.push(Entry{Position: position, Ballot: o.ballot, Record: entry.Record})
+		born = entry.Born
+		valid = append(valid, Entry{Position: position, Ballot: o.ballot, Born: born, Record: entry.Record})
 	}
-	o.tails = tailReading{}
-	return o.advance()
+	return valid
 }
--- a/internal/ledger/protocol/owner_step.go
+++ b/internal/ledger/protocol/owner_step.go
@@ -150,7 +150,7 @@
 	first := o.last + 1
 	for _, record := range records {
 		o.last++
-		o.push(Entry{Position: o.last, Ballot: o.ballot, Record: record})
+		o.push(Entry{Position: o.last, Ballot: o.ballot, Born: o.ballot, Record: record})
 	}
 	return first, o.pumpAll()
 }
--- a/internal/ledger/protocol/recovery_test.go
+++ b/internal/ledger/protocol/recovery_test.go
@@ -55,6 +55,24 @@
 	}
 }
 
+// Two stores hold tails of different owners, and one of them the beginning of a later owner's rewriting. What was proposed
+// under a lower ballot can't stand behind a record of a higher one.
+func TestRecoveryEndsAMixedTail(t *testing.T) {
+	second, third, fourth, own := Ballot{1, 1, "b"}, Ballot{1, 1, "c"}, Ballot{2, 2, "b"}, Ballot{2, 3, "d"}
+	ensemble := Ensemble{Version: 2, WriteQuorum: 3, Members: []Member{{Store: "1"}, {Store: "2"}, {Store: "3"}, {Store: "4"}}}
+	owner := NewOwner(own, ensemble, DefaultOwnerLimits())
+	owner.Start()
+	owner.Promised("1", promiseOf(own, fourth, 3, 3))
+	owner.Promised("2", promiseOf(own, third, 1, 2))
+	owner.TailRead("1", []Entry{
+		{Position: 1, Ballot: fourth, Born: second}, {Position: 2, Ballot: second, Born: second}, {Position: 3, Ballot: second, Born: second},
+	})
+	owner.TailRead("2", []Entry{{Position: 1, Ballot: third, Born: second}, {Position: 2, Ballot: third, Born: third}})
+	if owner.Last() != 2 || owner.RecoveredTo() != 2 {
+		t.Fatalf("recovers to %d, last %d", owner.RecoveredTo(), owner.Last())
+	}
+}
+
 // The only store that knows a record to be acknowledged is lost after the owner has heard of it, and before the others
 // have. The owner must notice that it can't go on.
 func TestOwnerNoticesUnreadableRecords(t *testing.T) {
--- a/internal/ledger/protocol/types.go
+++ b/internal/ledger/protocol/types.go
@@ -47,10 +47,12 @@
 // String returns "version.number.owner".
 func (b Ballot) String() string { return fmt.Sprintf("%d.%d.%s", b.Version, b.Number, b.Owner) }
 
-// Entry is a record at its position under the ballot that last wrote it.
+// Entry is a record at its position under the ballot that last wrote it. Born is the ballot under which the record was
+// first proposed; it never changes.
 type Entry struct {
 	Position Position
 	Ballot   Ballot
+	Born     Ballot
 	Record   Record
 }
 
--- a/internal/ledger/store/codec.go
+++ b/internal/ledger/store/codec.go
@@ -50,34 +50,68 @@
 	return digest.Sum64()
 }
 
-// encodeEntry writes version, number, kind, owner length, owner, payload.
+// encodeEntry writes the kind, the ballot, the ballot of birth or nothing where it is the same, and the payload.
 func encodeEntry(entry protocol.Entry) []byte {
-	value := make([]byte, 0, 3*binary.MaxVarintLen64+len(entry.Ballot.Owner)+len(entry.Record.Payload)+4)
-	value = binary.AppendUvarint(value, entry.Ballot.Version)
-	value = binary.AppendUvarint(value, entry.Ballot.Number)
+	value := make([]byte, 0, 2*binary.MaxVarintLen64+len(entry.Ballot.Owner)+len(entry.Record.Payload)+8)
 	value = binary.AppendUvarint(value, uint64(entry.Record.Kind))
-	value = binary.AppendUvarint(value, uint64(len(entry.Ballot.Owner)))
-	value = append(value, entry.Ballot.Owner...)
+	value = appendBallot(value, entry.Ballot)
+	if entry.Born == entry.Ballot {
+		value = append(value, 0)
+	} else {
+		value = append(value, 1)
+		value = appendBallot(value, entry.Born)
+	}
 	return append(value, entry.Record.Payload...)
 }
 
+func appendBallot(value []byte, ballot protocol.Ballot) []byte {
+	value = binary.AppendUvarint(value, ballot.Version)
+	value = binary.AppendUvarint(value, ballot.Number)
+	value = binary.AppendUvarint(value, uint64(len(ballot.Owner)))
+	return append(value, ballot.Owner...)
+}
+
+// entryReader takes an encoded entry apart; cut is set once it ended too soon.
+type entryReader struct {
+	rest []byte
+	cut  bool
+}
+
+func (r *entryReader) number() uint64 {
+	number, size := binary.Uvarint(r.rest)
+	if size <= 0 {
+		r.cut = true
+		return 0
+	}
+	r.rest = r.rest[size:]
+	return number
+}
+
+func (r *entryReader) ballot() protocol.Ballot {
+	ballot := protocol.Ballot{Version: r.number(), Number: r.number()}
+	length := r.number()
+	if length > uint64(len(r.rest)) {
+		r.cut = true
+		return protocol.Ballot{}
+	}
+	ballot.Owner, r.rest = string(r.rest[:length]), r.rest[length:]
+	return ballot
+}
+
 func decodeEntry(position protocol.Position, value []byte) (protocol.Entry, error) {
-	var numbers [4]uint64
-	for i := range numbers {
-		number, size := binary.Uvarint(value)
-		if size <= 0 {
-			return protocol.Entry{}, KindDamaged.New("record is cut short")
-		}
-		numbers[i], value = number, value[size:]
+	reader := &entryReader{rest: value}
+	entry := protocol.Entry{Position: position}
+	entry.Record.Kind = protocol.RecordKind(reader.number())
+	entry.Ballot = reader.ballot()
+	entry.Born = entry.Ballot
+	if reader.number() == 1 {
+		entry.Born = reader.ballot()
 	}
-	if numbers[3] > uint64(len(value)) {
+	if reader.cut {
 		return protocol.Entry{}, KindDamaged.New("record is cut short")
 	}
-	return protocol.Entry{
-		Position: position,
-		Ballot:   protocol.Ballot{Version: numbers[0], Number: numbers[1], Owner: string(value[:numbers[3]])},
-		Record:   protocol.Record{Kind: protocol.RecordKind(numbers[2]), Payload: append([]byte{}, value[numbers[3]:]...)},
-	}, nil
+	entry.Record.Payload = append([]byte{}, reader.rest...)
+	return entry, nil
 }
 
 func encodeState(state protocol.StoreState) ([]byte, error) {
--- a/internal/ledger/store/reads.go
+++ b/internal/ledger/store/reads.go
@@ -48,7 +48,7 @@
 		if entry.Position != next || (size > limit && len(response.Entries) > 0) {
 			break
 		}
-		response.Entries = append(response.Entries, wire.FromEntries([]protocol.Entry{entry}, true)...)
+		response.Entries = append(response.Entries, wire.FromEntries([]protocol.Entry{entry}, protocol.Ballot{})...)
 		next++
 	}
 	if err := iterator.Error(); err != nil {
--- a/internal/ledger/store/requests.go
+++ b/internal/ledger/store/requests.go
@@ -50,7 +50,7 @@
 	if !s.is(message.Store) {
 		return &ledgerpb.AppendResponse{Status: ledgerpb.Status_STATUS_WRONG_STORE}, nil
 	}
-	entries := wire.ToEntries(message.Entries)
+	entries := wire.ToEntries(message.Entries, wire.ToBallot(message.Ballot))
 	size := 0
 	for i, entry := range entries {
 		if entry.Position != protocol.Position(message.First)+protocol.Position(i) {
--- a/internal/ledger/wire/wire.go
+++ b/internal/ledger/wire/wire.go
@@ -66,27 +66,38 @@
 	}
 }
 
-// FromEntries encodes entries; their ballots are left out where withBallots is false.
-func FromEntries(entries []protocol.Entry, withBallots bool) []*ledgerpb.Entry {
+// FromEntries encodes entries that are sent under ballot; those of another ballot carry their own.
+func FromEntries(entries []protocol.Entry, ballot protocol.Ballot) []*ledgerpb.Entry {
 	messages := make([]*ledgerpb.Entry, 0, len(entries))
 	for _, entry := range entries {
 		message := &ledgerpb.Entry{Position: uint64(entry.Position), Kind: uint32(entry.Record.Kind), Payload: entry.Record.Payload}
-		if withBallots {
+		if entry.Ballot != ballot {
 			message.Ballot = FromBallot(entry.Ballot)
 		}
+		if entry.Born != entry.Ballot {
+			message.Born = FromBallot(entry.Born)
+		}
 		messages = append(messages, message)
 	}
 	return messages
 }
 
-// ToEntries decodes entries.
-func ToEntries(messages []*ledgerpb.Entry) []protocol.Entry {
+// ToEntries decodes entries that were sent under ballot.
+func ToEntries(messages []*ledgerpb.Entry, ballot protocol.Ballot) []protocol.Entry {
 	entries := make([]protocol.Entry, 0, len(messages))
 	for _, message := range messages {
-		entries = append(entries, protocol.Entry{
-			Position: protocol.Position(message.Position), Ballot: ToBallot(message.Ballot),
+		entry := protocol.Entry{
+			Position: protocol.Position(message.Position), Ballot: ballot,
 			Record: protocol.Record{Kind: protocol.RecordKind(message.Kind), Payload: message.Payload},
-		})
+		}
+		if message.Ballot != nil {
+			entry.Ballot = ToBallot(message.Ballot)
+		}
+		entry.Born = entry.Ballot
+		if message.Born != nil {
+			entry.Born = ToBallot(message.Born)
+		}
+		entries = append(entries, entry)
 	}
 	return entries
 }
