--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/ledger/wire"
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/membership"
 )
 
 // attemptResult is how an attempt or ownership ended. number is the highest ballot number met.
@@ -112,7 +113,14 @@
 		// A node that has just started knows few others yet; it should not take what they own.
 		return time.Since(m.started) >= m.timing.Formation
 	}
-	ctx, cancel := context.WithTimeout(m.ctx, m.timing.Release)
+	wait := m.timing.Release
+	switch member.State {
+	case membership.Dead:
+		return true
+	case membership.Suspect:
+		wait = m.timing.Backoff
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, wait)
 	defer cancel()
 	request := &ledgerpb.ReleaseRequest{Partition: uint32(partition), Successor: string(m.self)}
 	var response ledgerpb.ReleaseResponse
--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -114,9 +114,15 @@
 
 func (v viewerOf) Subscribe(func(*membership.View)) func() { return func() {} }
 
+// channelMutex is a mutex whose waiters count as blocked on the virtual clock, so that it can be held over an append.
+type channelMutex chan struct{}
+
+func (m channelMutex) Lock()   { m <- struct{}{} }
+func (m channelMutex) Unlock() { <-m }
+
 // register is a state machine that keeps every payload in order.
 type register struct {
-	mutex   sync.Mutex
+	mutex   channelMutex
 	upTo    Position
 	values  []string
 	owned   Owned
@@ -307,7 +313,7 @@
 func (n *testNode) machine(partition PartitionID) StateMachine {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.registers[partition] = &register{}
+	n.registers[partition] = &register{mutex: make(channelMutex, 1)}
 	return n.registers[partition]
 }
 
