--- a/internal/admission/simulation_test.go
+++ b/internal/admission/simulation_test.go
@@ -192,9 +192,11 @@
 // simulation runs real directories, routers and credits before simulated engines.
 type simulation struct {
 	cluster
-	policy  routing.Policy
-	engines map[string]*simulatedEngine
-	result  simulationResult
+	policy routing.Policy
+	// itemsPerJob is 40 as today, or more to fill the fleet.
+	itemsPerJob int
+	engines     map[string]*simulatedEngine
+	result      simulationResult
 }
 
 type simulationResult struct {
@@ -242,7 +244,7 @@
 }
 
 func newSimulation(t *testing.T, policy routing.Policy, routingOptions routing.Options, options Options) *simulation {
-	s := &simulation{policy: policy, engines: make(map[string]*simulatedEngine)}
+	s := &simulation{policy: policy, itemsPerJob: *simulationItems, engines: make(map[string]*simulatedEngine)}
 	s.t, s.network, s.view = t, memory.NewNetwork(1), &membership.View{}
 	s.network.SetConditions(func(netip.AddrPort, netip.AddrPort) memory.Conditions {
 		return memory.Conditions{Delay: clusterDelay}
@@ -376,7 +378,7 @@
 			heap := time.Now()
 			deadline := heap.Add(4 * time.Hour)
 			waiting := make(chan struct{}, 64) // as many items as a node lets wait
-			items := 40
+			items := s.itemsPerJob
 			prefix := job
 			work.Go(func() {
 				time.Sleep(time.Duration(prefix%6) * 30 * time.Millisecond)
@@ -436,20 +438,57 @@
 	}
 }
 
+var simulationItems = flag.Int("simulation.items", 40, "items of each batch job in the policy simulation")
+
 var simulationSeeds = flag.Int("simulation.seeds", 1, "seeds of the policy simulation")
 
+// simulate plays one policy in virtual time.
+func simulate(t *testing.T, policy routing.Policy, seed uint64, change func(*routing.Options, *Options)) *simulationResult {
+	var result *simulationResult
+	synctest.Test(t, func(t *testing.T) {
+		routingOptions, options := routing.DefaultOptions(), DefaultOptions()
+		if change != nil {
+			change(&routingOptions, &options)
+		}
+		s := newSimulation(t, policy, routingOptions, options)
+		s.run(seed, 18*time.Second)
+		result = &s.result
+	})
+	return result
+}
+
 // TestPoliciesInSimulation compares policies on the same arrivals on virtual time, free of
-// the noise of the machine. Run with -v for the figures.
+// the noise of the machine. Run with -v for the figures. The bounds leave room for the
+// order in which goroutines run, which differs from run to run.
 func TestPoliciesInSimulation(t *testing.T) {
-	for seed := range *simulationSeeds {
-		results := make(map[routing.Policy]*simulationResult)
-		for _, policy := range []routing.Policy{routing.PolicySloelift, routing.PolicyOnlineOnly, routing.PolicyFIFO} {
-			synctest.Test(t, func(t *testing.T) {
-				s := newSimulation(t, policy, routing.DefaultOptions(), DefaultOptions())
-				s.run(uint64(seed)+1, 18*time.Second)
-				results[policy] = &s.result
-				t.Logf("seed %d %-12s %s", seed+1, policy, &s.result)
-			})
+	for seed := range uint64(*simulationSeeds) {
+		alone := simulate(t, routing.PolicyOnlineOnly, seed+1, nil)
+		t.Logf("seed %d online-only %s", seed+1, alone)
+		credits := simulate(t, routing.PolicySloelift, seed+1, nil)
+		first, between := credits.harm(alone)
+		t.Logf("seed %d sloelift %s harm first %.3f between %.3f", seed+1, credits, first, between)
+		fifo := simulate(t, routing.PolicyFIFO, seed+1, nil)
+		fifoFirst, fifoBetween := fifo.harm(alone)
+		t.Logf("seed %d fifo %s harm first %.3f between %.3f", seed+1, fifo, fifoFirst, fifoBetween)
+		if first > 1.3 || between > 1.15 {
+			t.Errorf("harm to the online tail: first token %.3f, between tokens %.3f", first, between)
+		}
+		if credits.items != fifo.items || credits.items == 0 {
+			t.Errorf("%d batch items completed, fifo %d", credits.items, fifo.items)
+		}
+		if credits.batchShare() < fifo.batchShare() {
+			t.Errorf("batch found %.3f of its prompts cached, fifo %.3f", credits.batchShare(), fifo.batchShare())
 		}
 	}
 }
+
+func (r *simulationResult) batchShare() float64 {
+	return float64(r.batchCached) / float64(max(1, r.batchBlocks))
+}
+
+// harm gives the ratios of the online p99 to that without batch.
+func (r *simulationResult) harm(alone *simulationResult) (first, between float64) {
+	first = float64(percentile(r.firstToken, 0.99)) / float64(percentile(alone.firstToken, 0.99))
+	between = float64(percentile(r.betweenToken, 0.99)) / float64(percentile(alone.betweenToken, 0.99))
+	return first, between
+}
