--- a/internal/config/relay/protocol.go
+++ b/internal/config/relay/protocol.go
@@ -18,7 +18,7 @@
 	// viewFloor is the highest revision that the membership has heard of.
 	viewFloor int64
 
-	// held is the configuration in force; nil until one is known.
+	// held is the highest configuration known; nil until one is known. It is in force once the node is ready.
 	held   *document
 	source sourceState
 	gossip gossipState
@@ -50,6 +50,8 @@
 		p.tickGossip()
 	case eventView:
 		p.takeView(typed.view)
+	case eventSaved:
+		p.takeSaved(typed.document)
 	case eventListed:
 		p.takeListing(typed)
 	case eventHeadRead:
@@ -73,6 +75,9 @@
 	live := view.Live()
 	p.peers = peersOf(p.self, live)
 	p.source.wanted = isWatcher(p.self, live)
+	if len(live) != p.source.liveMembers {
+		p.source.liveMembers, p.source.liveSince = len(live), p.now
+	}
 	for _, member := range view.Members {
 		if member.ID != p.self.ID {
 			p.viewFloor = max(p.viewFloor, member.ConfigRevision)
@@ -80,7 +85,14 @@
 	}
 }
 
-// revision is that in force; -1 where none is known, which is below the empty configuration's 0.
+// takeSaved holds what was on disk, which may be old: the store is asked before it is watched.
+func (p *protocol) takeSaved(saved *document) {
+	if p.adopt(saved) {
+		p.source.mustList = true
+	}
+}
+
+// revision is that held; -1 where none is known, which is below the empty configuration's 0.
 func (p *protocol) revision() int64 {
 	if p.held == nil {
 		return -1
@@ -88,13 +100,16 @@
 	return p.held.revision
 }
 
-// adopt puts next in force. It is the only place that changes the revision, and it never lowers it.
+// adopt holds next, and puts it in force on a node that is ready. It is the only place that changes the
+// revision, and it never lowers it.
 func (p *protocol) adopt(next *document) bool {
 	if next.revision <= p.revision() {
 		return false
 	}
 	p.held = next
-	p.do(actionPublish{document: next})
+	if p.ready.done {
+		p.do(actionPublish{document: next})
+	}
 	p.spreadRumour()
 	return true
 }
@@ -118,7 +133,7 @@
 	if p.held == nil {
 		return digest{asks: asks}
 	}
-	return digest{revision: p.held.revision, hash: p.held.hash, known: true, asks: asks}
+	return digest{revision: p.held.revision, hash: p.held.hash, known: true, ready: p.ready.done, asks: asks}
 }
 
 // pick returns up to count random ones of candidates, without repetition.
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -57,9 +57,14 @@
 
 // finish waits for the end of a job.
 func finish(t *testing.T, node *testNode, id string) Status {
+	t.Helper()
+	return finishAt(t, node.service, id)
+}
+
+func finishAt(t *testing.T, jobs Service, id string) Status {
 	t.Helper()
 	for range 600 {
-		status, err := node.service.Status(t.Context(), "registry", id)
+		status, err := jobs.Status(t.Context(), "registry", id)
 		if err != nil {
 			t.Fatalf("status: %v", err)
 		}
@@ -73,9 +78,14 @@
 }
 
 func results(t *testing.T, node *testNode, id string, from int) []ItemResult {
+	t.Helper()
+	return resultsAt(t, node.service, id, from)
+}
+
+func resultsAt(t *testing.T, jobs Service, id string, from int) []ItemResult {
 	t.Helper()
 	var all []ItemResult
-	err := node.service.Results(t.Context(), "registry", id, from, func(result ItemResult) error {
+	err := jobs.Results(t.Context(), "registry", id, from, func(result ItemResult) error {
 		all = append(all, result)
 		return nil
 	})
@@ -146,9 +156,9 @@
 func TestSubmitRefusesBadInput(t *testing.T) {
 	run(t, func(t *testing.T, cluster *testCluster) {
 		for name, items := range map[string]string{
-			"empty": "", "no JSON": "page", "no id": `{"body":{}}`, "no body": `{"custom_id":"a"}`,
+			"empty": "", "no JSON": "page", "no id": `{"body":{}}`, "no body": `{"custom_id":"a"}`, "other model": `{"custom_id":"a","body":{"model":"big","messages":[{"role":"user","content":"x"}]}}`,
 			"other url": `{"custom_id":"a","url":"/v1/embeddings","body":{}}`,
-			"twice":     `{"custom_id":"a","body":{}}` + "\n" + `{"custom_id":"a","body":{}}`,
+			"twice":     itemLines(1) + itemLines(1),
 		} {
 			wanted := submission("bad "+name, 0)
 			wanted.Items = strings.NewReader(items)
@@ -321,6 +331,56 @@
 	})
 }
 
+func TestJobAtRiskIsReportedEarly(t *testing.T) {
+	run(t, func(t *testing.T, cluster *testCluster) {
+		cluster.credits.limit = 1
+		cluster.engine.onToken = func(ctx context.Context, _ engine.Endpoint, _ engine.Request, _ int) error {
+			sleepContext(ctx, 200*time.Millisecond) // one item a second
+			return nil
+		}
+		late, timely := submission("late", 600), submission("timely", 20)
+		late.Deadline, timely.Deadline = 5*time.Minute, time.Hour
+		lateID, timelyID := mustSubmit(t, cluster.nodes[0], late).ID, mustSubmit(t, cluster.nodes[0], timely).ID
+		time.Sleep(40 * time.Second)
+		for id, want := range map[string]bool{lateID: true, timelyID: false} {
+			if status, err := cluster.nodes[1].service.Status(t.Context(), "registry", id); err != nil || status.AtRisk != want {
+				t.Errorf("%s: at risk %t, %v", status.ClientKey, status.AtRisk, err)
+			}
+		}
+		cluster.credits.setLimit(64)
+		if ended := finish(t, cluster.nodes[0], lateID); ended.EndedAt.After(ended.Deadline) || ended.AtRisk {
+			t.Errorf("ended as %+v", ended)
+		}
+	})
+}
+
+func TestListsGoOnBehindTheLastID(t *testing.T) {
+	run(t, func(t *testing.T, cluster *testCluster) {
+		want := make(map[string]bool)
+		for number := range 9 {
+			want[mustSubmit(t, cluster.nodes[0], submission(fmt.Sprintf("list-%d", number), 1)).ID] = true
+		}
+		after, pages := "", 0
+		for {
+			page, err := cluster.nodes[2].service.List(t.Context(), "registry", after, 2)
+			if err != nil || len(page) > 2 {
+				t.Fatalf("page of %d: %v", len(page), err)
+			}
+			if len(page) == 0 {
+				break
+			}
+			for _, status := range page {
+				delete(want, status.ID)
+			}
+			after = page[len(page)-1].ID
+			pages++
+		}
+		if len(want) > 0 || pages != 5 {
+			t.Fatalf("%d jobs not listed in %d pages", len(want), pages)
+		}
+	})
+}
+
 func TestRetentionDropsResultsAndKeepsTheName(t *testing.T) {
 	run(t, func(t *testing.T, cluster *testCluster) {
 		status := mustSubmit(t, cluster.nodes[0], submission("old", 20))
--- a/internal/session/marked.go
+++ b/internal/session/marked.go
@@ -98,7 +98,7 @@
 		_ = deliver(chunk)
 		return nil
 	}
-	err := a.callOnce(ctx, decision, done)
+	err := a.callOnce(ctx, key, decision, done)
 	recorded := a.record(ctx, key, a.result(ctx, err))
 	if err != nil {
 		return a.failure(ctx, err)
@@ -116,7 +116,7 @@
 }
 
 // callOnce starts the run on the first replica that does not refuse it, and follows that run only.
-func (a *answer) callOnce(ctx context.Context, decision routing.Decision, done func()) error {
+func (a *answer) callOnce(ctx context.Context, key string, decision routing.Decision, done func()) error {
 	pause := newPause()
 	for attempts := 1; ; attempts++ {
 		stream, err := a.open(ctx, decision.Endpoint, false)
@@ -138,17 +138,30 @@
 		if decision, done, pickError = a.pick(); pickError != nil {
 			return err
 		}
+		// The claim names the replica on which others look for the run.
+		if claim, claimError := a.claim(ctx, key, decision.Endpoint.Replica); claimError != nil || !claim.Granted {
+			done()
+			return err
+		}
 	}
 }
 
 // followRun attaches again to the one run of a marked request until it has ended, or
 // is known to be gone, or the engine stays unreachable.
 func (a *answer) followRun(ctx context.Context, to engine.Endpoint, err error) error {
+	err = a.attachUntilEnd(ctx, to, err)
+	if err != nil && !errorx.IsOfType(err, engine.KindNoSuchRun) {
+		a.runner.cancelRun(to, a.request.ID)
+	}
+	return err
+}
+
+func (a *answer) attachUntilEnd(ctx context.Context, to engine.Endpoint, err error) error {
 	pause := newPause()
 	lastProgress := time.Now()
 	for err != nil && ctx.Err() == nil {
 		if errorx.IsOfType(err, engine.KindNoSuchRun) || errorx.IsOfType(err, engine.KindInvalid) ||
-			errors.Is(err, errRunCancelled) || time.Since(lastProgress) > attachPatience {
+			errors.Is(err, errRunCancelled) || errors.Is(err, errAnswerTooLong) || time.Since(lastProgress) > attachPatience {
 			return err
 		}
 		if !pause.wait(ctx) {
@@ -165,9 +178,6 @@
 			pause.reset()
 		}
 	}
-	if err != nil {
-		a.runner.cancelRun(to, a.request.ID)
-	}
 	return err
 }
 
