Measure the control cost of the directory at size and cut it

Cause: with 1,700 replicas the control goroutine of a node spent 16.4 ms in each second, more than half of it on sorting directories, and load deltas, polls and the machine list together were over 26 KB/s. Change: the index of replicas is kept between directories, large directories are published less often, failed replicas are a set, byte budgets are lower.

--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -42,9 +42,9 @@
 		PublishInterval:     20 * time.Millisecond,
 		FailureBackoff:      time.Second,
 		MaxFailureBackoff:   8 * time.Second,
-		ListBytesPerSecond:  6 << 10,
-		PollBytesPerSecond:  10 << 10,
-		DeltaBytesPerSecond: 6 << 10,
+		ListBytesPerSecond:  3 << 10,
+		PollBytesPerSecond:  7 << 10,
+		DeltaBytesPerSecond: 3 << 10,
 		CachePoll:           200 * time.Millisecond,
 	}
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	fleetpb "github.com/sloelift/sloelift/api/proto/fleet"
@@ -30,12 +32,16 @@
 
 // state is the fleet's control state; it belongs to one goroutine.
 type state struct {
-	options     Options
-	self        membership.NodeID
-	zone        string
-	members     []membership.Member
-	replicas    map[string]*entry
-	byHash      map[uint64]*entry
+	options  Options
+	self     membership.NodeID
+	zone     string
+	members  []membership.Member
+	replicas map[string]*entry
+	byHash   map[uint64]*entry
+	// sorted and byService index the replicas for directories; nil until they are built anew.
+	sorted      []*entry
+	byService   map[string][]int
+	failed      map[*entry]bool
 	listVersion int64
 	listed      bool
 	// leavingHashes are notices of replicas that are not listed here yet.
@@ -60,6 +66,7 @@
 		replicas:      make(map[string]*entry),
 		byHash:        make(map[uint64]*entry),
 		leavingHashes: make(map[uint64]bool),
+		failed:        make(map[*entry]bool),
 	}
 }
 
@@ -99,12 +106,20 @@
 			actions = append(actions, sendNotice{to: to, notice: notice})
 		}
 	}
-	if s.urgent || s.dirty && now.Sub(s.publishedAt) >= s.options.PublishInterval {
+	if s.urgent || s.dirty && now.Sub(s.publishedAt) >= s.publishInterval() {
 		actions = append(actions, publishDirectory{directory: s.directory(now)})
 	}
 	return append(actions, s.spread(now)...)
 }
 
+// publishPerReplica is how much each replica adds to the interval between two directories,
+// so that copying stays a small part of the node's time.
+const publishPerReplica = 50 * time.Microsecond
+
+func (s *state) publishInterval() time.Duration {
+	return max(s.options.PublishInterval, time.Duration(len(s.replicas))*publishPerReplica)
+}
+
 func (s *state) onMachines(now time.Time, listing platform.MachineListing) {
 	if s.listed && listing.Version < s.listVersion {
 		return
@@ -121,6 +136,7 @@
 		if !present[id] {
 			delete(s.replicas, id)
 			delete(s.byHash, HashReplica(id))
+			s.sorted = nil
 			s.dirty, s.urgent, s.homesDirty = true, true, true
 		}
 	}
@@ -139,6 +155,7 @@
 		delete(s.leavingHashes, hash)
 		s.replicas[machine.ID] = known
 		s.byHash[hash] = known
+		s.sorted = nil
 		s.dirty, s.urgent, s.homesDirty = true, true, true
 	}
 	if machine.State == platform.MachineLeaving {
@@ -146,6 +163,7 @@
 	}
 	if known.Service != machine.Service {
 		known.Service = machine.Service
+		s.sorted = nil
 		s.dirty = true
 	}
 }
@@ -258,6 +276,7 @@
 	backoff := s.options.FailureBackoff << min(replica.failures, 10)
 	replica.failures++
 	replica.failedUntil = now.Add(min(backoff, s.options.MaxFailureBackoff))
+	s.failed[replica] = true
 	if !replica.Failed {
 		replica.Failed = true
 		s.dirty, s.urgent = true, true
@@ -274,8 +293,9 @@
 
 // expireFailures lets failed replicas be tried again after their backoff.
 func (s *state) expireFailures(now time.Time) {
-	for _, replica := range s.replicas {
-		if replica.Failed && !now.Before(replica.failedUntil) {
+	for replica := range s.failed {
+		if !replica.Failed || !now.Before(replica.failedUntil) {
+			delete(s.failed, replica)
 			replica.Failed = false
 			s.dirty = true
 		}
@@ -302,14 +322,26 @@
 	return setPolls{endpoints: endpoints, interval: interval}
 }
 
+// directory copies the replicas; the index is shared between directories until the list changes.
 func (s *state) directory(now time.Time) *Directory {
-	replicas := make([]Replica, 0, len(s.replicas))
-	for replica := range maps.Values(s.replicas) {
-		replicas = append(replicas, replica.Replica)
+	if s.sorted == nil {
+		s.index()
+	}
+	replicas := make([]Replica, len(s.sorted))
+	for index, replica := range s.sorted {
+		replicas[index] = replica.Replica
 	}
 	s.version++
 	s.dirty, s.urgent, s.publishedAt = false, false, now
-	return NewDirectory(s.version, replicas)
+	return &Directory{Version: s.version, Replicas: replicas, ByService: s.byService}
+}
+
+func (s *state) index() {
+	s.sorted = slices.SortedFunc(maps.Values(s.replicas), func(a, b *entry) int { return strings.Compare(a.ID, b.ID) })
+	s.byService = make(map[string][]int)
+	for index, replica := range s.sorted {
+		s.byService[replica.Service] = append(s.byService[replica.Service], index)
+	}
 }
 
 // peers returns the addresses of other live members that match.
