--- a/internal/placement/fence_test.go
+++ b/internal/placement/fence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 
@@ -11,19 +12,25 @@
 // fenceStore is a key-value service of one key that loses answers when told to.
 type fenceStore struct {
 	platform.KeyValue // only the calls below are used
-	entry             platform.Entry
+	// lock guards all below.
+	lock  sync.Mutex
+	entry platform.Entry
 	// loseAnswers is how many of the next commits take effect without an answer; loseRequests how many don't.
 	loseAnswers  int
 	loseRequests int
 }
 
 func (s *fenceStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
 	entry := s.entry
 	entry.Key = key
 	return entry, nil
 }
 
 func (s *fenceStore) Commit(_ context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
 	if s.loseRequests > 0 {
 		s.loseRequests--
 		return platform.CommitResult{}, platform.KindUnknownOutcome.New("lost")
