Tell why credits are taken back

Cause: nothing told a yield to online from a lost report or a lapse. Change: one log line per revocation with its reason, one per lapsed credit, and a counter.

--- a/internal/admission/credit_events.go
+++ b/internal/admission/credit_events.go
@@ -67,6 +67,13 @@
 		requester string
 		revoke    *admissionpb.Revoke
 	}
+	// noteRevoked tells operators that credits of a replica are taken back.
+	noteRevoked struct {
+		replica string
+		count   int
+		online  int
+		reason  revokeReason
+	}
 	// answerRenew answers a renewHeard.
 	answerRenew struct {
 		reply    chan<- *admissionpb.RenewResponse
@@ -74,6 +81,19 @@
 	}
 )
 
+// revokeReason is why credits are taken back.
+type revokeReason string
+
+// Reasons of a revocation.
+const (
+	// revokedForOnline: online requests need the slots.
+	revokedForOnline revokeReason = "online"
+	// revokedWithoutReport: the replica's load is not known any more.
+	revokedWithoutReport revokeReason = "no_report"
+	// revokedUnusable: the replica is leaving, draining, unreachable or another node's.
+	revokedUnusable revokeReason = "unusable"
+)
+
 // creditKey names a credit among all nodes and their restarts.
 type creditKey struct {
 	home   string
@@ -120,6 +140,11 @@
 	}
 	// takeCredit tells an item to leave its replica at once.
 	takeCredit struct{ key creditKey }
+	// noteLapsed tells operators that a credit ended without a renewal or a revocation.
+	noteLapsed struct {
+		key     creditKey
+		replica string
+	}
 	// answerGrants answers a grantsHeard.
 	answerGrants struct {
 		reply    chan<- *admissionpb.GrantResponse
@@ -156,6 +181,8 @@
 
 func (sendGrants) isAction()    {}
 func (sendRevoke) isAction()    {}
+func (noteRevoked) isAction()   {}
+func (noteLapsed) isAction()    {}
 func (answerRenew) isAction()   {}
 func (deliverCredit) isAction() {}
 func (takeCredit) isAction()    {}
--- a/internal/admission/credit_home.go
+++ b/internal/admission/credit_home.go
@@ -232,6 +232,7 @@
 // revoke takes back as few credits as bring each replica within its capacity: the
 // lowest rank first, and of those the one with the least work done.
 func (h *homeState) revoke(now time.Time) []action {
+	var actions []action
 	for _, id := range slices.Sorted(maps.Keys(h.replicas)) {
 		replica := h.replicas[id]
 		_, keep := replica.capacity(now, &h.options)
@@ -240,15 +241,37 @@
 				credit.revoked = true
 				replica.revoked++
 			}
+			actions = append(actions, noteRevoked{
+				replica: id, count: excess, online: replica.online(&h.options), reason: replica.revokeReason(now, &h.options),
+			})
 		}
 	}
-	byRequester := make(map[string]*admissionpb.Revoke)
-	for _, id := range slices.Sorted(maps.Keys(h.credits)) {
-		credit := h.credits[id]
+	for _, credit := range h.credits {
 		if !credit.replica.usable && !credit.revoked {
 			credit.revoked = true
 			credit.replica.revoked++
 		}
+	}
+	return append(actions, h.sendRevocations(now)...)
+}
+
+// revokeReason is why credits of the replica are taken back.
+func (r *replicaState) revokeReason(now time.Time, options *Options) revokeReason {
+	switch {
+	case !r.usable:
+		return revokedUnusable
+	case !r.reportBacks(now, options):
+		return revokedWithoutReport
+	default:
+		return revokedForOnline
+	}
+}
+
+// sendRevocations tells requesters, again and again until the credits are given back or lapse.
+func (h *homeState) sendRevocations(now time.Time) []action {
+	byRequester := make(map[string]*admissionpb.Revoke)
+	for _, id := range slices.Sorted(maps.Keys(h.credits)) {
+		credit := h.credits[id]
 		if !credit.revoked || now.Sub(credit.revokeSentAt) < revokeResend {
 			continue
 		}
--- a/internal/admission/credit_requester.go
+++ b/internal/admission/credit_requester.go
@@ -256,6 +256,7 @@
 		switch {
 		case held.revoked:
 		case !now.Before(held.expires):
+			actions = append(actions, noteLapsed{key: key, replica: held.grant.GetReplica()})
 			actions = r.take(held, actions)
 		case !now.Before(held.renewAt):
 			held.renewAt = now.Add(r.options.RenewInterval)
--- a/internal/admission/credit_service.go
+++ b/internal/admission/credit_service.go
@@ -20,6 +20,12 @@
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
+// Log fields of this slice.
+const (
+	fieldCredits = "credits"
+	fieldOnline  = "online"
+)
+
 const (
 	creditEventQueue = 8192
 	creditTick       = 10 * time.Millisecond
@@ -224,6 +230,12 @@
 		s.background(func() { s.offer(ctx, typed) })
 	case sendRevoke:
 		s.sendTo(typed.requester, methodRevoke, typed.revoke, revokeHeard{revoke: typed.revoke}, s.pushLater)
+	case noteRevoked:
+		s.logger.Info().Str(logging.FieldReplica, typed.replica).Int(fieldCredits, typed.count).Int(fieldOnline, typed.online).
+			Str(logging.FieldReason, string(typed.reason)).Msg("credits revoked")
+	case noteLapsed:
+		s.metrics.granted.WithLabelValues("lapsed").Inc()
+		s.logger.Warn().Str(logging.FieldReplica, typed.replica).Str(logging.FieldPeer, typed.key.home).Msg("credit lapsed")
 	case answerRenew:
 		typed.reply <- typed.response
 	case deliverCredit:
