Bound the parser's time and its errors

Cause: a 1 MiB mapping took more than 12 s to parse, since the library's time for keys and empty entries grows with their square; a long name came back whole in the error. Change: at most 1,000 keys and list entries a document and 1,000 documents a file, checked on the tokens; messages quote 60 characters, an error lists 100 problems; a node works on two files at once.

--- a/internal/config/field_check.go
+++ b/internal/config/field_check.go
@@ -63,9 +63,9 @@
 	case "required":
 		return "is required and must not be empty or zero"
 	case "dns_label":
-		return fmt.Sprintf("%q is not a name; allowed are 1 to 63 of a-z, 0-9 and -, not beginning or ending with -", failure.Value())
+		return fmt.Sprintf("%q is not a name; allowed are 1 to 63 of a-z, 0-9 and -, not beginning or ending with -", quoted(failure))
 	case "inner_path":
-		return fmt.Sprintf("%q is not allowed; give a relative path that stays below the file's folder", failure.Value())
+		return fmt.Sprintf("%q is not allowed; give a relative path that stays below the file's folder", quoted(failure))
 	case "min":
 		return fmt.Sprintf("wants at least %s%s, not %v", limit, unitOf(failure), shown(failure))
 	case "max":
@@ -82,6 +82,10 @@
 	return fmt.Sprintf("fails the check %s %s", failure.Tag(), limit)
 }
 
+func quoted(failure validator.FieldError) string {
+	return strictyaml.Shorten(fmt.Sprint(failure.Value()))
+}
+
 func unitOf(failure validator.FieldError) string {
 	switch failure.Kind() {
 	case reflect.Slice:
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -14,10 +14,6 @@
 // Problem is one entry of a ValidationError.
 type Problem = strictyaml.Problem
 
-// MaxDeclarations bounds the declarations of one file, because the file is one
-// transaction of the key-value service.
-const MaxDeclarations = 1000
-
 // File is a parsed operators' file: declarations that are each valid, whose
 // references are not checked yet.
 type File struct {
@@ -30,10 +26,6 @@
 	if len(documents) == 0 && len(problems) == 0 {
 		problems = []Problem{{Message: "the file holds no declaration"}}
 	}
-	if len(documents) > MaxDeclarations {
-		problems = append(problems, Problem{Message: fmt.Sprintf("the file holds %d declarations; at most %d are allowed", len(documents), MaxDeclarations)})
-		return nil, strictyaml.NewValidationError(problems)
-	}
 	parsed := &File{}
 	first := map[ID]strictyaml.Position{}
 	for _, document := range documents {
@@ -63,7 +55,7 @@
 	kind, position, present := document.Text(kindKey)
 	value := ValueOf(Kind(kind))
 	if value == nil {
-		message := fmt.Sprintf("unknown kind %q; allowed are %s", kind, kindList())
+		message := fmt.Sprintf("unknown kind %q; allowed are %s", strictyaml.Shorten(kind), kindList())
 		if !present {
 			message = "the document has no kind; allowed are " + kindList()
 		}
--- a/internal/config/parse_test.go
+++ b/internal/config/parse_test.go
@@ -1,12 +1,15 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/sloelift/sloelift/internal/strictyaml"
 )
 
 // TestBadFiles checks each file of testdata/bad alone. A file without an expected
@@ -47,29 +50,49 @@
 	return invalid[0].Error() + "\n"
 }
 
+// maxErrorBytes bounds what a file of any content makes an operator read.
+const maxErrorBytes = 64 << 10
+
 func TestParseKeepsHugeInputBounded(t *testing.T) {
+	const size = strictyaml.MaxBytes - 100
 	inputs := map[string]string{
 		"file too large":      strings.Repeat("# comment\n", 1<<17),
-		"flow nesting":        "kind: Model\nname: " + strings.Repeat("[", 100_000),
-		"entries in one line": strings.Repeat("- ", 100_000) + "x",
-		"explicit keys":       strings.Repeat("? ", 100_000) + "x",
+		"flow nesting":        "kind: Model\nname: " + strings.Repeat("[", size),
+		"entries in one line": strings.Repeat("- ", size/2) + "x",
+		"explicit keys":       strings.Repeat("? ", size/2) + "x",
 		"indentation":         nestedMapping(500),
-		"many declarations":   strings.Repeat("kind: Model\n---\n", MaxDeclarations+1),
+		"many documents":      strings.Repeat("a: b\n---\n", size/9),
+		"many problems":       strings.Repeat("kind: Model\n---\n", strictyaml.MaxDocuments-1),
+		"keys":                manyKeys(size / 12),
+		"repeated keys":       "kind: Model\n" + strings.Repeat("name: x\n", size/8),
+		"empty values":        "kind: Model\n" + strings.Repeat("a:\n", size/3),
+		"empty entries":       strings.Repeat("-\n", size/2),
+		"flow mapping":        "kind: Model\nname: {" + strings.Repeat("a: b,", size/5) + "}\n",
+		"long name":           "kind: Model\nname: " + strings.Repeat("x", size),
+		"long key":            "kind: Model\n" + strings.Repeat("k", size) + ": 1\n",
 	}
 	for name, input := range inputs {
 		t.Run(name, func(t *testing.T) {
 			_, err := Parse([]byte(input))
-			invalid, isInvalid := err.(*ValidationError)
-			if !isInvalid {
+			if _, isInvalid := err.(*ValidationError); !isInvalid {
 				t.Fatalf("wanted a ValidationError, got %v", err)
 			}
-			if count := len(invalid.Problems); count > 2*(MaxDeclarations+1) {
-				t.Errorf("%d problems are listed", count)
+			if length := len(err.Error()); length > maxErrorBytes {
+				t.Errorf("the error has %d bytes", length)
 			}
 		})
 	}
 }
 
+func manyKeys(count int) string {
+	var text strings.Builder
+	text.WriteString("kind: Model\n")
+	for index := range count {
+		fmt.Fprintf(&text, "k%d: 1\n", index)
+	}
+	return text.String()
+}
+
 func nestedMapping(depth int) string {
 	var text strings.Builder
 	for level := range depth {
--- a/internal/operator/config_handler.go
+++ b/internal/operator/config_handler.go
@@ -89,6 +89,13 @@
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), configTimeout)
 	defer cancel()
+	select {
+	case h.files <- struct{}{}:
+		defer func() { <-h.files }()
+	case <-ctx.Done():
+		writeError(response, outcome.New(outcome.NotRun, outcome.ReasonOverloaded, "too many files at once").After(time.Second))
+		return
+	}
 	result, err := use(ctx, file)
 	if err != nil {
 		writeError(response, err)
--- a/internal/operator/fx.go
+++ b/internal/operator/fx.go
@@ -64,6 +64,7 @@
 		status:    reporter,
 		readiness: params.Readiness,
 		logger:    logger,
+		files:     make(chan struct{}, maxFilesAtOnce),
 	}
 	return newServer(params.Settings, params.Network, requests.routes(params.Gatherer), params.Readiness, logger)
 }
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -56,8 +56,13 @@
 	status    *statusReporter
 	readiness *Readiness
 	logger    zerolog.Logger
+	// files holds one token for each file that is worked on.
+	files chan struct{}
 }
 
+// maxFilesAtOnce bounds the memory of parsing.
+const maxFilesAtOnce = 2
+
 func (h *handler) routes(gatherer prometheus.Gatherer) http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc(pathHealth, h.health).Methods(http.MethodGet)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/strictyaml"
 )
 
 // failure is a setting with a value that is not allowed.
@@ -37,14 +39,14 @@
 	checks.limits(s.Limits)
 	checks.ledger(s.Ledger)
 	_, err := zerolog.ParseLevel(s.LogLevel)
-	checks.require(err == nil && s.LogLevel != "", "logLevel", "%q is not a level; allowed are trace, debug, info, warn, error", s.LogLevel)
+	checks.require(err == nil && s.LogLevel != "", "logLevel", "%q is not a level; allowed are trace, debug, info, warn, error", strictyaml.Shorten(s.LogLevel))
 	return checks.failures
 }
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
 func (c *checker) name(field, value string) {
-	c.require(namePattern.MatchString(value), field, "wants a name of 1 to 63 of a-z, 0-9 and -, not beginning or ending with -, not %q", value)
+	c.require(namePattern.MatchString(value), field, "wants a name of 1 to 63 of a-z, 0-9 and -, not beginning or ending with -, not %q", strictyaml.Shorten(value))
 }
 
 func (c *checker) address(field string, value netip.AddrPort) {
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -32,7 +32,7 @@
 func (d Document) Decode(target any, skip ...string) (Positions, []Problem) {
 	decoder := &decoder{positions: Positions{document: d.Position, fields: map[string]Position{}}, skip: skip}
 	decoder.decodeStruct("", d.body, reflect.ValueOf(target).Elem())
-	return decoder.positions, truncate(decoder.problems)
+	return decoder.positions, decoder.problems
 }
 
 // Text returns the text under a key of the document's top level.
@@ -56,7 +56,7 @@
 }
 
 func (d *decoder) report(field string, node ast.Node, format string, arguments ...any) {
-	d.problems = append(d.problems, Problem{Position: positionOf(node), Field: field, Message: fmt.Sprintf(format, arguments...)})
+	d.problems = append(d.problems, Problem{Position: positionOf(node), Field: Shorten(field), Message: fmt.Sprintf(format, arguments...)})
 }
 
 func (d *decoder) decodeStruct(path string, node ast.Node, target reflect.Value) {
--- a/internal/strictyaml/document.go
+++ b/internal/strictyaml/document.go
@@ -17,6 +17,11 @@
 	MaxBytes  = 1 << 20
 	MaxDepth  = 16
 	maxIndent = 128
+	// MaxEntries bounds the keys and list entries of one document, because the library's
+	// time for them grows with their square.
+	MaxEntries = 1_000
+	// MaxDocuments bounds the documents of one file.
+	MaxDocuments = 1_000
 	// MaxProblems bounds the list that one file can cause.
 	MaxProblems = 100
 )
@@ -38,7 +43,12 @@
 	}
 	var documents []Document
 	var problems []Problem
-	for _, tokens := range splitDocuments(lexer.Tokenize(string(source))) {
+	parts := splitDocuments(lexer.Tokenize(string(source)))
+	if len(parts) > MaxDocuments {
+		position := tokenPosition(parts[MaxDocuments][0])
+		return nil, []Problem{{Position: position, Message: fmt.Sprintf("the file has %d documents; at most %d are allowed", len(parts), MaxDocuments)}}
+	}
+	for _, tokens := range parts {
 		if found := checkTokens(tokens); len(found) > 0 {
 			problems = append(problems, found...)
 			continue
@@ -59,7 +69,7 @@
 			documents = append(documents, Document{Position: positionOf(document.Body), body: document.Body})
 		}
 	}
-	return documents, truncate(problems)
+	return documents, problems
 }
 
 // checkText refuses bytes that are not UTF-8 text.
@@ -109,7 +119,7 @@
 // checkTokens refuses what the parser would expand or recurse into without a bound.
 func checkTokens(tokens token.Tokens) []Problem {
 	var problems []Problem
-	flowDepth, lineEntries, line := 0, 0, 0
+	flowDepth, entries, lineEntries, line := 0, 0, 0, 0
 	for _, current := range tokens {
 		if current.Type == token.InvalidType {
 			return append(problems, Problem{Position: tokenPosition(current), Message: current.Error})
@@ -130,6 +140,12 @@
 			flowDepth--
 		case token.SequenceEntryType:
 			lineEntries++
+			entries++
+		case token.MappingValueType, token.CollectEntryType:
+			entries++
+		}
+		if entries > MaxEntries {
+			return append(problems, Problem{Position: tokenPosition(current), Message: fmt.Sprintf("more than %d keys and list entries in one document", MaxEntries)})
 		}
 		if flowDepth > MaxDepth || lineEntries > MaxDepth {
 			return append(problems, Problem{Position: tokenPosition(current), Message: fmt.Sprintf("nested deeper than %d levels", MaxDepth)})
--- a/internal/strictyaml/problem.go
+++ b/internal/strictyaml/problem.go
@@ -28,7 +28,8 @@
 	Problems []Problem `json:"problems"`
 }
 
-// NewValidationError returns an error for problems, or nil where there are none.
+// NewValidationError returns an error for the first MaxProblems problems, or nil where
+// there are none.
 func NewValidationError(problems []Problem) error {
 	if len(problems) == 0 {
 		return nil
@@ -40,7 +41,7 @@
 		}
 		return sorted[i].Column < sorted[j].Column
 	})
-	return &ValidationError{Problems: sorted}
+	return &ValidationError{Problems: truncate(sorted)}
 }
 
 // Error returns one line "file:line:column: field: message" for each problem.
--- a/internal/strictyaml/scalar.go
+++ b/internal/strictyaml/scalar.go
@@ -105,13 +105,13 @@
 func describe(node ast.Node) string {
 	switch typed := node.(type) {
 	case *ast.StringNode:
-		return fmt.Sprintf("%q", shorten(typed.Value))
+		return fmt.Sprintf("%q", Shorten(typed.Value))
 	case *ast.LiteralNode:
 		return "a block of text"
 	case *ast.IntegerNode:
-		return "the number " + shorten(typed.Token.Value)
+		return "the number " + Shorten(typed.Token.Value)
 	case *ast.FloatNode:
-		return "the number " + shorten(typed.Token.Value)
+		return "the number " + Shorten(typed.Token.Value)
 	case *ast.BoolNode:
 		return strconv.FormatBool(typed.Value)
 	case *ast.NullNode:
@@ -121,11 +121,12 @@
 	case *ast.MappingNode, *ast.MappingValueNode:
 		return "a mapping"
 	default:
-		return shorten(node.String())
+		return Shorten(node.String())
 	}
 }
 
-func shorten(text string) string {
+// Shorten cuts a text that a message quotes.
+func Shorten(text string) string {
 	runes := []rune(text)
 	if len(runes) <= maxShownText {
 		return text
