--- a/lab/engine/run_log.go
+++ b/lab/engine/run_log.go
@@ -4,6 +4,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/sloelift/sloelift/lab/histogram"
 )
 
 // RunRecord is what engines truly did for one prompt. The marker is the prompt's last
@@ -38,17 +40,19 @@
 type Start struct {
 	Replica   string
 	RequestID string
-	At        time.Time
+	// Dispatched is when the engine took the request, At when its first step began.
+	Dispatched time.Time
+	At         time.Time
 	// Offset is the token that the run went on with.
 	Offset int
 }
 
-// LastStart returns the time of the last start; zero where there was none.
-func (r RunRecord) LastStart() time.Time {
+// LastStart returns the last start; the zero value where there was none.
+func (r RunRecord) LastStart() Start {
 	if len(r.History) == 0 {
-		return time.Time{}
+		return Start{}
 	}
-	return r.History[len(r.History)-1].At
+	return r.History[len(r.History)-1]
 }
 
 // Totals count what all engines computed so far.
@@ -64,13 +68,25 @@
 // RunLog is the record of all engines of a deployment. It is the lab's own evidence
 // and is not lost when an engine is killed. It is safe for concurrent use.
 type RunLog struct {
+	// OnlineFirstToken is the time from dispatch to the first token of online runs, OnlineInterToken
+	// that between their tokens, both by the engines' own schedules: without what a busy
+	// machine adds on the way to callers.
+	OnlineFirstToken *histogram.Histogram
+	OnlineInterToken *histogram.Histogram
+
 	mutex   sync.Mutex
 	records map[string]*RunRecord
 	totals  Totals
 }
 
 // NewRunLog returns an empty log.
-func NewRunLog() *RunLog { return &RunLog{records: map[string]*RunRecord{}} }
+func NewRunLog() *RunLog {
+	return &RunLog{
+		OnlineFirstToken: histogram.New(),
+		OnlineInterToken: histogram.New(),
+		records:          map[string]*RunRecord{},
+	}
+}
 
 // Marker returns the last line of a prompt.
 func Marker(prompt string) string {
@@ -101,7 +117,7 @@
 		record.CachedTokens = run.cachedTokens
 		record.Batch = run.batch
 	}
-	record.History = append(record.History, Start{Replica: replica, RequestID: run.id, At: at, Offset: run.startOffset})
+	record.History = append(record.History, Start{Replica: replica, RequestID: run.id, Dispatched: run.dispatched, At: at, Offset: run.startOffset})
 }
 
 // ended notes what a run computed when it finished, was cancelled or died.
