End the bound on a body with the body

Cause: the server goes on reading in the background, so a read deadline left behind cancels a request that takes longer than the body's time limit, such as a large job's. Change: clear the deadline at the body's end; bound idle connections and the client's wait. Conclusion: only slow senders are cut.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"time"
 
 	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/network"
@@ -26,9 +27,14 @@
 	http *http.Client
 }
 
+// answerTimeout bounds the wait for an answer once the request has been sent.
+const answerTimeout = time.Minute
+
 // NewClient returns a client of the node with the given admin address.
 func NewClient(admin netip.AddrPort, through network.Network) *Client {
-	return &Client{base: "http://" + admin.String(), http: &http.Client{Transport: network.HTTPTransport(through)}}
+	transport := network.HTTPTransport(through)
+	transport.ResponseHeaderTimeout = answerTimeout
+	return &Client{base: "http://" + admin.String(), http: &http.Client{Transport: transport}}
 }
 
 // Close gives up idle connections.
--- a/internal/operator/config_handler.go
+++ b/internal/operator/config_handler.go
@@ -105,8 +105,9 @@
 }
 
 func (h *handler) readFile(response http.ResponseWriter, request *http.Request) ([]byte, error) {
-	deadline := time.Now().Add(h.limits.BodyTimeout)
-	if err := http.NewResponseController(response).SetReadDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	controller := http.NewResponseController(response)
+	defer clearReadDeadline(controller)
+	if err := controller.SetReadDeadline(time.Now().Add(h.limits.BodyTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, err
 	}
 	file, err := io.ReadAll(http.MaxBytesReader(response, request.Body, strictyaml.MaxBytes))
--- a/internal/operator/job_handler.go
+++ b/internal/operator/job_handler.go
@@ -62,7 +62,17 @@
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return 0, err
 	}
-	return r.body.Read(buffer)
+	count, readErr := r.body.Read(buffer)
+	if readErr != nil {
+		clearReadDeadline(r.controller)
+	}
+	return count, readErr
+}
+
+// clearReadDeadline ends the bound on the body: the server goes on reading in the
+// background and would cancel the request at the deadline.
+func clearReadDeadline(controller *http.ResponseController) {
+	_ = controller.SetReadDeadline(time.Time{})
 }
 
 // JobList is one page of jobs.
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -23,11 +24,14 @@
 	logger    zerolog.Logger
 }
 
+// idleTimeout ends connections on which nothing is asked.
+const idleTimeout = 2 * time.Minute
+
 func newServer(own settings.Settings, network network.Network, routes http.Handler, readiness *Readiness, logger zerolog.Logger) *Server {
 	return &Server{
 		settings:  own,
 		network:   network,
-		server:    &http.Server{Handler: routes, ReadHeaderTimeout: own.Limits.HeaderTimeout},
+		server:    &http.Server{Handler: routes, ReadHeaderTimeout: own.Limits.HeaderTimeout, IdleTimeout: idleTimeout},
 		readiness: readiness,
 		logger:    logger,
 	}
