--- a/cmd/sloelift/examples_test.go
+++ b/cmd/sloelift/examples_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/netip"
 	"os"
@@ -10,10 +11,13 @@
 	"strings"
 	"testing"
 
+	"github.com/rs/zerolog"
+
 	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/settings"
 	"github.com/sloelift/sloelift/internal/strictyaml"
+	labplatform "github.com/sloelift/sloelift/lab/platform"
 )
 
 const repository = "../../"
@@ -135,3 +139,61 @@
 		}
 	}
 }
+
+// TestBadFilesAreRefused: each bad file alone ends the program with exit code 2 and a
+// position in the file.
+func TestBadFilesAreRefused(t *testing.T) {
+	paths, err := filepath.Glob(repository + "internal/config/testdata/bad/*.yaml")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no bad files: %v", err)
+	}
+	for _, path := range paths {
+		var stdout, stderr bytes.Buffer
+		if code := run([]string{"validate", path}, strings.NewReader(""), &stdout, &stderr); code != exitWrong {
+			t.Errorf("%s: exit code %d", path, code)
+		}
+		if !strings.HasPrefix(stderr.String(), path+":") || stdout.Len() > 0 {
+			t.Errorf("%s: outputs %q %q", path, stdout.String(), stderr.String())
+		}
+	}
+}
+
+// TestStoredFormKeepsExamples: what the key-value service holds reads back as declared.
+func TestStoredFormKeepsExamples(t *testing.T) {
+	store := config.NewStore(labplatform.NewServer(labplatform.Options{}).KeyValue(labplatform.AnyZone), zerolog.Nop())
+	file := []byte(readPage(t, repository+"examples/tidewater/operators/fleet.yaml"))
+	parsed, err := config.Parse(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Apply(t.Context(), file, 0); err != nil {
+		t.Fatal(err)
+	}
+	snapshot, err := store.Load(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	stored := map[config.ID]string{}
+	for _, declaration := range snapshot.Declarations() {
+		stored[declaration.ID] = declaration.YAML()
+	}
+	for _, declaration := range parsed.Declarations {
+		if stored[declaration.ID] != declaration.YAML() {
+			t.Errorf("declared:\n%s\nstored:\n%s", declaration.YAML(), stored[declaration.ID])
+		}
+	}
+}
+
+// TestSchemaHasEveryField compares the schema with the fields that the parser takes.
+func TestSchemaHasEveryField(t *testing.T) {
+	schema := config.Schema()
+	for index, kind := range config.Kinds {
+		structType := reflect.TypeOf(config.ValueOf(kind)).Elem()
+		for field := range structType.NumField() {
+			name := strictyaml.FieldName(structType.Field(field))
+			if _, present := schema.OneOf[index].Properties.Get(name); !present {
+				t.Errorf("the schema of %s has no %s", kind, name)
+			}
+		}
+	}
+}
--- a/cmd/sloelift/serve.go
+++ b/cmd/sloelift/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"os/signal"
@@ -11,6 +12,7 @@
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/node"
 	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/strictyaml"
 )
 
 // serveCommand runs one node until SIGTERM or SIGINT, which begin a planned stop. A
@@ -34,6 +36,10 @@
 		CallerAddress: c.CallerAddress, AdminAddress: c.AdminAddress, PeerAddress: c.PeerAddress,
 		DataFolder: c.DataFolder, LogLevel: c.LogLevel,
 	})
+	var invalid *strictyaml.ValidationError
+	if err != nil && !errors.As(err, &invalid) {
+		return &usageError{err.Error()}
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/operator/error_body.go
+++ b/internal/operator/error_body.go
@@ -33,8 +33,10 @@
 	RetryAfterSeconds int                     `json:"retry_after_seconds,omitempty"`
 	Invalid           *config.ValidationError `json:"invalid,omitempty"`
 	Conflict          *config.ConflictError   `json:"conflict,omitempty"`
-	Referenced        *config.InUseError      `json:"referenced,omitempty"`
-	Running           *RunningJobsError       `json:"running,omitempty"`
+	// InvalidFiles is set where several files are invalid; Invalid is then the first.
+	InvalidFiles []*config.ValidationError `json:"invalid_files,omitempty"`
+	Referenced   *config.InUseError        `json:"referenced,omitempty"`
+	Running      *RunningJobsError         `json:"running,omitempty"`
 }
 
 func describeError(err error) (status int, detail ErrorDetail) {
@@ -42,6 +44,9 @@
 	switch {
 	case errors.As(err, &detail.Invalid):
 		detail.Code = codeInvalidFile
+		if all := collectInvalid(err); len(all) > 1 {
+			detail.InvalidFiles = all
+		}
 		return http.StatusUnprocessableEntity, detail
 	case errors.As(err, &detail.Conflict):
 		detail.Code = codeRevision
@@ -62,6 +67,23 @@
 	return statusOf(typed.Reason), detail
 }
 
+// collectInvalid returns all ValidationErrors that err wraps.
+func collectInvalid(err error) []*config.ValidationError {
+	switch typed := err.(type) {
+	case *config.ValidationError:
+		return []*config.ValidationError{typed}
+	case interface{ Unwrap() error }:
+		return collectInvalid(typed.Unwrap())
+	case interface{ Unwrap() []error }:
+		var all []*config.ValidationError
+		for _, part := range typed.Unwrap() {
+			all = append(all, collectInvalid(part)...)
+		}
+		return all
+	}
+	return nil
+}
+
 func statusOf(reason outcome.Reason) int {
 	switch reason {
 	case outcome.ReasonInvalid:
