--- a/internal/node/fx.go
+++ b/internal/node/fx.go
@@ -13,6 +13,7 @@
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/operator"
+	"github.com/sloelift/sloelift/internal/placement"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/routing"
 	"github.com/sloelift/sloelift/internal/session"
@@ -30,6 +31,7 @@
 	fleet.Module,
 	routing.Module,
 	admission.Module,
+	placement.Module,
 	ledger.Module,
 	job.Module,
 	session.Module,
