--- a/internal/job/appender.go
+++ b/internal/job/appender.go
@@ -16,8 +16,6 @@
 	// appendMaxRecords and appendMaxBytes bound one append.
 	appendMaxRecords = 512
 	appendMaxBytes   = 1 << 20
-	// appendTimeout bounds one try.
-	appendTimeout = 10 * time.Second
 )
 
 // proposal is a record on its way into the log.
@@ -37,6 +35,9 @@
 // propose makes the record durable and waits until the state has it. NotRun means
 // that it isn't in the log and never will be.
 func (p *partition) propose(ctx context.Context, record ledger.Record) error {
+	if len(record.Payload) > ledger.MaxRecordBytes {
+		return outcome.New(outcome.NotRun, outcome.ReasonTooLarge, "a record is over the ledger's limit")
+	}
 	request := &proposal{record: record, applied: make(chan struct{})}
 	select {
 	case p.proposals <- request:
@@ -124,7 +125,7 @@
 			p.halt()
 			return 0, failure
 		}
-		if failure.Outcome != outcome.NotRun {
+		if failure.Outcome == outcome.Indeterminate {
 			indeterminate = true
 		}
 		if !indeterminate {
@@ -137,11 +138,11 @@
 	}
 }
 
+// appendOnce waits as long as the ledger does: a time limit of its own would leave the
+// records pending there, to be followed by their repetition.
 func (p *partition) appendOnce(records []ledger.Record) (ledger.Position, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
-	defer cancel()
 	began := time.Now()
-	position, err := p.owned.Append(ctx, records)
+	position, err := p.owned.Append(p.serving, records)
 	if err == nil {
 		p.ownership.confirm(began)
 	}
--- a/lab/engine/run.go
+++ b/lab/engine/run.go
@@ -23,7 +23,11 @@
 	priority int
 	batch    bool
 	arrival  uint64
-	state    runState
+	// dispatched is when the engine took the run, or revived it.
+	dispatched time.Time
+	// lastToken is when the last token was due by the engine's own schedule.
+	lastToken time.Time
+	state     runState
 	// startOffset is the token that this run began or was revived with.
 	startOffset int
 	// produced is the offset behind the last token made.
--- a/lab/load/plan.go
+++ b/lab/load/plan.go
@@ -62,6 +62,9 @@
 	return labengine.AnswerTo(labengine.ChatPrompt(i.Content), i.MaxTokens)
 }
 
+// maxCancelAfter bounds the time to a job's cancel, so that it meets items in flight.
+const maxCancelAfter = 400 * time.Millisecond
+
 // Plan is all that arrives in one run, sorted by time.
 type Plan struct {
 	Profile  Profile
@@ -84,14 +87,16 @@
 	streamOnline = iota + 1
 	streamBatch
 	streamText
+	streamBurst
 )
 
 func onlineArrivals(profile Profile, duration time.Duration, seed uint64) []OnlineArrival {
 	shape := profile.Online
 	random := rand.New(rand.NewPCG(seed, streamOnline))
 	arrivals := poisson(random, shape.RequestsPerSecond, 0, duration)
-	for start := exponential(random, shape.BurstEvery); start < duration; start += exponential(random, shape.BurstEvery) {
-		arrivals = append(arrivals, poisson(random, shape.BurstRequestsPerSecond, start, min(start+shape.BurstLength, duration))...)
+	bursts := rand.New(rand.NewPCG(seed, streamBurst))
+	for start := spread(bursts, shape.BurstEvery); start < duration; start += spread(bursts, shape.BurstEvery) {
+		arrivals = append(arrivals, poisson(bursts, shape.BurstRequestsPerSecond, start, min(start+shape.BurstLength, duration))...)
 	}
 	slices.Sort(arrivals)
 	prefixes := sharedTexts(seed, profile.Name+"-online", shape.Prefixes, shape.PrefixBytes)
@@ -106,6 +111,9 @@
 			MaxTokens:     shape.MaxTokens/2 + random.IntN(shape.MaxTokens/2+1),
 			NotRepeatable: random.Float64() < shape.NotRepeatableShare,
 		}
+		if random.Float64() < shape.LongShare {
+			online[index].MaxTokens = shape.LongTokens
+		}
 		online[index].Resend = online[index].NotRepeatable && random.Float64() < shape.ResendShare
 	}
 	return online
@@ -134,7 +142,7 @@
 	job.NotRepeatable = random.Float64() < shape.NotRepeatableShare
 	job.Resend = random.Float64() < shape.ResendShare
 	if random.Float64() < shape.CancelShare {
-		job.CancelAfter = time.Duration(random.Int64N(int64(2 * time.Second)))
+		job.CancelAfter = time.Duration(1 + random.Int64N(int64(maxCancelAfter)))
 	}
 	prefix := text(random, shape.PrefixBytes)
 	for index := range shape.ItemsPerJob {
@@ -164,6 +172,11 @@
 	return time.Duration(random.ExpFloat64() * float64(mean))
 }
 
+// spread returns a time from half of mean to one and a half.
+func spread(random *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration(float64(mean) * (0.5 + random.Float64()))
+}
+
 // varied returns a time within a tenth of mean.
 func varied(random *rand.Rand, mean time.Duration) time.Duration {
 	return time.Duration(float64(mean) * (0.9 + 0.2*random.Float64()))
--- a/lab/load/runner.go
+++ b/lab/load/runner.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/sloelift/sloelift/lab/histogram"
 )
 
 // Targets gives the callers' addresses of the nodes that the load may use now.
@@ -17,10 +19,10 @@
 	targets Targets
 	started time.Time
 
-	firstToken         *histogram
-	firstTokenMarked   *histogram
-	firstTokenUnmarked *histogram
-	interToken         *histogram
+	firstToken         *histogram.Histogram
+	firstTokenMarked   *histogram.Histogram
+	firstTokenUnmarked *histogram.Histogram
+	interToken         *histogram.Histogram
 
 	// mutex guards online and jobs.
 	mutex  sync.Mutex
@@ -35,14 +37,14 @@
 		plan:               plan,
 		caller:             NewCaller(TenantKey),
 		targets:            targets,
-		firstToken:         newHistogram(),
-		firstTokenMarked:   newHistogram(),
-		firstTokenUnmarked: newHistogram(),
-		interToken:         newHistogram(),
+		firstToken:         histogram.New(),
+		firstTokenMarked:   histogram.New(),
+		firstTokenUnmarked: histogram.New(),
+		interToken:         histogram.New(),
 	}
 }
 
-// Run plays all arrivals and returns when each has ended or ctx ends. ctx bounds the
+// Run plays all arrivals, reads the results a second time, and returns when all has ended or ctx ends. ctx bounds the
 // drain as well; what has not ended by then is reported as it stands.
 func (r *Runner) Run(ctx context.Context) Observations {
 	defer r.caller.Close()
@@ -64,14 +66,21 @@
 		}
 	})
 	r.wait.Wait()
+	seen := r.observations()
+	r.reread(ctx)
+	return seen
+}
+
+// observations takes the figures; its lists are shared with the second reading, which adds to them.
+func (r *Runner) observations() Observations {
 	return Observations{
 		Started:            r.started,
 		Online:             r.online,
 		Jobs:               r.jobs,
-		FirstToken:         r.firstToken.distribution(),
-		FirstTokenMarked:   r.firstTokenMarked.distribution(),
-		FirstTokenUnmarked: r.firstTokenUnmarked.distribution(),
-		InterToken:         r.interToken.distribution(),
+		FirstToken:         r.firstToken.Distribution(),
+		FirstTokenMarked:   r.firstTokenMarked.Distribution(),
+		FirstTokenUnmarked: r.firstTokenUnmarked.Distribution(),
+		InterToken:         r.interToken.Distribution(),
 	}
 }
 
--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -27,6 +27,9 @@
 		}
 	}
 	switch {
+	case decided.outage == OutageHangs:
+		s.hang(ctx, zone, service)
+		return false, errDropped.New("connection closed after a long time")
 	case decided.outage == OutageDrops:
 		return false, errDropped.New("connection closed")
 	case decided.outage == OutageRefuses:
@@ -37,6 +40,21 @@
 	return decided.loseAnswer, nil
 }
 
+// hang waits until the outage is over or the caller gives up.
+func (s *Server) hang(ctx context.Context, zone string, service Service) {
+	for {
+		outage, changed := s.faults.outage(zone, service)
+		if outage != OutageHangs {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // errDropped is a missing answer: what a caller makes of it depends on the call.
 var errDropped = port.KindUnknownOutcome.NewSubtype("dropped")
 
@@ -51,13 +69,9 @@
 	}
 }
 
-// read runs a call without effect: a missing answer is KindUnavailable.
+// read judges a call without effect.
 func (c *client) read(ctx context.Context, operation Operation) error {
-	_, err := c.server.enter(ctx, c.zone, KeyValue, operation)
-	if err != nil && isDropped(err) {
-		return port.KindUnavailable.Wrap(err, "no answer")
-	}
-	return err
+	return c.server.enterRead(ctx, c.zone, KeyValue, operation)
 }
 
 // Get reads one key.
