Leave engines that hang; count errors and connections

Cause: an engine that holds its connections open but gives no sign of life kept its requests until their deadlines; a write deadline of one answer stayed on its connection.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -55,6 +55,12 @@
 	}
 }
 
+func (d *drain) count() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.running
+}
+
 func (d *drain) isDraining() bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -124,6 +124,7 @@
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeGrace))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
--- a/internal/gateway/fx.go
+++ b/internal/gateway/fx.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
@@ -24,13 +25,14 @@
 	Runner        session.Runner
 	Jobs          job.Service
 	Files         job.FileStore
+	Registerer    prometheus.Registerer
 	Logger        zerolog.Logger
 }
 
 func provideServer(p parameters) *Server {
 	server := NewServer(Dependencies{
 		Address: p.Settings.CallerAddress, Limits: p.Settings.Limits, Configuration: p.Configuration,
-		Runner: p.Runner, Jobs: p.Jobs, Files: p.Files, Logger: p.Logger,
+		Runner: p.Runner, Jobs: p.Jobs, Files: p.Files, Registerer: p.Registerer, Logger: p.Logger,
 	})
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error { return server.Start() },
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -40,10 +40,6 @@
 	slots chan struct{}
 }
 
-func newBoundedListener(listener net.Listener, limit int) *boundedListener {
-	return &boundedListener{Listener: listener, slots: make(chan struct{}, limit)}
-}
-
 // Accept returns the next connection within the bound.
 func (l *boundedListener) Accept() (net.Conn, error) {
 	for {
@@ -104,6 +100,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if connection, is := r.Context().Value(connectionKey{}).(*slotConnection); is {
 			connection.serving.Store(true)
+			// An earlier request of this connection may have left its deadline.
+			_ = connection.SetWriteDeadline(time.Time{})
 			defer func() {
 				connection.begun.Store(false)
 				connection.serving.Store(false)
--- a/internal/gateway/routes.go
+++ b/internal/gateway/routes.go
@@ -44,7 +44,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !s.drain.enter() {
 			w.Header().Set("Connection", "close")
-			writeError(w, errLeaving)
+			s.fail(w, errLeaving)
 			return
 		}
 		defer s.drain.leave()
@@ -54,11 +54,16 @@
 			err = serve(w, r, call{snapshot: snapshot, tenant: tenant})
 		}
 		if err != nil {
-			writeError(w, err)
+			s.fail(w, err)
 		}
 	})
 }
 
+func (s *Server) fail(w http.ResponseWriter, err error) {
+	s.metrics.failed(err)
+	writeError(w, err)
+}
+
 func (s *Server) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if !s.Ready() {
 		w.Header().Set("Connection", "close")
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/sloelift/sloelift/internal/config"
@@ -32,6 +33,7 @@
 	Runner        session.Runner
 	Jobs          job.Service
 	Files         job.FileStore
+	Registerer    prometheus.Registerer
 	Logger        zerolog.Logger
 }
 
@@ -47,9 +49,12 @@
 	bodies        *bodyReader
 	drain         *drain
 	listening     atomic.Bool
-	listener      net.Listener
-	server        *http.Server
-	served        chan struct{}
+	metrics       *metrics
+	// slots holds one value for each open connection.
+	slots    chan struct{}
+	listener net.Listener
+	server   *http.Server
+	served   chan struct{}
 }
 
 // NewServer returns a Server that does not listen yet.
@@ -64,8 +69,10 @@
 		logger:        d.Logger.With().Str(logging.FieldSlice, "gateway").Logger(),
 		bodies:        newBodyReader(d.Limits.MaxBodyBytes, d.Limits.BodyTimeout),
 		drain:         newDrain(),
+		slots:         make(chan struct{}, d.Limits.MaxConnections),
 		served:        make(chan struct{}),
 	}
+	s.metrics = newMetrics(d.Registerer, s)
 	s.server = &http.Server{
 		Handler:           markServing(s.routes()),
 		ConnContext:       withConnection,
@@ -82,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	s.listener = newBoundedListener(listener, s.limits.MaxConnections)
+	s.listener = &boundedListener{Listener: listener, slots: s.slots}
 	s.listening.Store(true)
 	go func() {
 		defer close(s.served)
@@ -97,6 +104,8 @@
 // Address is where Start listens.
 func (s *Server) Address() net.Addr { return s.listener.Addr() }
 
+func (s *Server) connections() int { return len(s.slots) }
+
 // Ready says whether new requests are taken.
 func (s *Server) Ready() bool { return s.listening.Load() && !s.drain.isDraining() }
 
--- a/internal/session/answer.go
+++ b/internal/session/answer.go
@@ -88,6 +88,23 @@
 	a.exclude[replica] = true
 }
 
+// callEngine opens a stream on one replica and follows it to its end. opened is false where
+// there was no stream. An engine that hangs is reported and told as errStalled.
+func (a *answer) callEngine(ctx context.Context, to engine.Endpoint, attachOnly bool) (opened bool, err error) {
+	dog := watch(ctx, a.runner.Client, to)
+	defer dog.stop()
+	stream, err := a.open(dog.ctx, to, attachOnly)
+	if err == nil {
+		opened = true
+		err = a.follow(stream, to.Replica, dog)
+	}
+	if err != nil && dog.stalled() {
+		a.runner.Reporter.ReportFailure(to.Replica)
+		err = fmt.Errorf("%w: %s at token %d", errStalled, to.Replica, a.offset)
+	}
+	return opened, err
+}
+
 // open starts, resumes or attaches to the run on one replica and notes what is known of it.
 func (a *answer) open(ctx context.Context, to engine.Endpoint, attachOnly bool) (engine.Stream, error) {
 	request := engine.Request{
@@ -114,7 +131,7 @@
 }
 
 // follow passes the stream on to its end. Its error is errSink or of an engine kind.
-func (a *answer) follow(stream engine.Stream, replica string) error {
+func (a *answer) follow(stream engine.Stream, replica string, dog *watchdog) error {
 	defer stream.Close()
 	for first := true; ; first = false {
 		chunk, err := stream.Next()
@@ -127,6 +144,7 @@
 		if first {
 			a.runner.Reporter.ReportSuccess(replica)
 		}
+		dog.progress()
 		if err := a.take(Chunk{Chunk: chunk, Replica: replica}); err != nil {
 			return err
 		}
@@ -187,6 +205,9 @@
 		return outcome.Wrap(cause, outcome.Failed, reasonAnswerTooLong, errAnswerTooLong.Error())
 	}
 	if errorx.IsOfType(cause, engine.KindInvalid) {
+		if a.offset > 0 {
+			return outcome.Wrap(cause, outcome.Indeterminate, outcome.ReasonEngineFailed, "the answer could not be resumed")
+		}
 		return outcome.Wrap(cause, outcome.Failed, outcome.ReasonInvalid, "the engine found the request invalid")
 	}
 	if ctx.Err() == nil {
--- a/internal/session/marked.go
+++ b/internal/session/marked.go
@@ -119,10 +119,7 @@
 func (a *answer) callOnce(ctx context.Context, key string, decision routing.Decision, done func()) error {
 	pause := newPause()
 	for attempts := 1; ; attempts++ {
-		stream, err := a.open(ctx, decision.Endpoint, false)
-		if err == nil {
-			err = a.follow(stream, decision.Endpoint.Replica)
-		}
+		_, err := a.callEngine(ctx, decision.Endpoint, false)
 		if a.mayHaveRun {
 			defer done()
 			return a.followRun(ctx, decision.Endpoint, err)
@@ -169,10 +166,7 @@
 		}
 		a.runner.metrics.retry(a.request.Service.Name, retryReattach)
 		before := a.offset
-		var stream engine.Stream
-		if stream, err = a.open(ctx, to, true); err == nil {
-			err = a.follow(stream, to.Replica)
-		}
+		_, err = a.callEngine(ctx, to, true)
 		if a.offset > before {
 			lastProgress = time.Now()
 			pause.reset()
--- a/internal/session/repeatable.go
+++ b/internal/session/repeatable.go
@@ -88,11 +88,8 @@
 	started := false
 	for {
 		before := a.offset
-		stream, err := a.open(ctx, to, attachOnly)
-		if err == nil {
-			started = true
-			err = a.follow(stream, to.Replica)
-		}
+		opened, err := a.callEngine(ctx, to, attachOnly)
+		started = started || opened
 		if err == nil {
 			return nil
 		}
@@ -102,7 +99,7 @@
 			a.runner.metrics.retry(a.request.Service.Name, retryReattach)
 			continue
 		}
-		a.abandon(ctx, to, started || lost, err)
+		a.abandon(ctx, to, started || lost || errors.Is(err, errStalled), err)
 		return err
 	}
 }
--- a/internal/session/runner_test.go
+++ b/internal/session/runner_test.go
@@ -205,3 +205,32 @@
 		t.Fatal(err, fakes.cancels)
 	}
 }
+
+// TestHungEngineIsLeft has an engine that holds a stream silently: one that shows life is waited
+// for, one that does not is left for another replica.
+func TestHungEngineIsLeft(t *testing.T) {
+	for hung, starts := range map[string]int{"": 1, "r1": 2} {
+		synctest.Test(t, func(t *testing.T) {
+			fakes := newFakeFleet()
+			fakes.block, fakes.hung = make(chan struct{}), hung
+			time.AfterFunc(30*time.Second, func() { close(fakes.block) })
+			got, err := run(t, fakes, newFakeClaimer(), testRequest("q1"))
+			if err != nil || !got.whole() || fakes.starts != starts || fakes.probes == 0 {
+				t.Fatal(hung, got, err, fakes.starts, fakes.probes)
+			}
+		})
+	}
+}
+
+// TestMarkedRequestOnAHungEngineStaysThere waits for the only replica that may have run it.
+func TestMarkedRequestOnAHungEngineStaysThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fakes := newFakeFleet()
+		fakes.block, fakes.hung = make(chan struct{}), "r1"
+		time.AfterFunc(10*time.Second, func() { close(fakes.block) })
+		got, err := run(t, fakes, newFakeClaimer(), markedRequest("q1"))
+		if err != nil || !got.whole() || fakes.starts != 1 {
+			t.Fatal(got, err, fakes.starts)
+		}
+	})
+}
