--- a/internal/gateway/cost_test.go
+++ b/internal/gateway/cost_test.go
@@ -8,12 +8,16 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/sloelift/sloelift/internal/engine"
 	"github.com/sloelift/sloelift/internal/session"
@@ -106,8 +110,8 @@
 	}
 }
 
-// BenchmarkLoopback is the time of one streamed request of a client that has one connection, straight to
-// an engine and through the gateway. Client, gateway and engine share the process.
+// BenchmarkLoopback is the time of streamed requests of some callers at once, straight to an
+// engine and through the gateway. Callers, gateway and engine share the process.
 func BenchmarkLoopback(b *testing.B) {
 	fake := newFakeEngine(b, costTokens)
 	client := engine.NewHTTPClient()
@@ -116,40 +120,80 @@
 	if err := server.Start(); err != nil {
 		b.Fatal(err)
 	}
-	for _, pace := range []time.Duration{0, stepTime} {
-		fake.pace = pace
-		b.Run(fmt.Sprintf("pace=%s/engine", pace), func(b *testing.B) { loopback(b, fake.server.URL) })
-		b.Run(fmt.Sprintf("pace=%s/gateway", pace), func(b *testing.B) { loopback(b, "http://"+server.Address().String()) })
+	for _, c := range []struct {
+		pace    time.Duration
+		callers int
+	}{{0, 1}, {stepTime, 1}, {stepTime, 100}} {
+		fake.pace = c.pace
+		name := fmt.Sprintf("pace=%s/callers=%d/", c.pace, c.callers)
+		b.Run(name+"engine", func(b *testing.B) { loopback(b, fake.server.URL, c.callers) })
+		b.Run(name+"gateway", func(b *testing.B) { loopback(b, "http://"+server.Address().String(), c.callers) })
 	}
 	if err := server.Stop(context.Background()); err != nil {
 		b.Fatal(err)
 	}
 }
 
-func loopback(b *testing.B, url string) {
-	transport := &http.Transport{}
+// processorTime is what the process has used so far; unlike time, it is little changed by a
+// busy machine.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// loopback makes b.N requests, shared by the callers.
+func loopback(b *testing.B, url string, callers int) {
+	transport := &http.Transport{MaxIdleConnsPerHost: callers}
 	defer transport.CloseIdleConnections()
 	first, total := hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
-	body := chatBody(true)
-	for number := 0; b.Loop(); number++ {
-		begun := time.Now()
-		request := newChatRequest(b.Context(), url, body)
-		request.Header.Set(engine.HeaderRequestID, fmt.Sprint("q", number))
-		response, err := transport.RoundTrip(request)
-		if err != nil {
-			b.Fatal(err)
-		}
-		reader := bufio.NewReader(response.Body)
-		if _, err := reader.ReadString('\n'); err != nil || response.StatusCode != http.StatusOK {
-			b.Fatal(response.Status, err)
-		}
-		_ = first.RecordValue(time.Since(begun).Microseconds())
-		_, _ = io.Copy(io.Discard, reader)
-		_ = response.Body.Close()
-		_ = total.RecordValue(time.Since(begun).Microseconds())
+	var mutex sync.Mutex
+	var group errgroup.Group
+	var next atomic.Int64
+	before := processorTime()
+	for range callers {
+		group.Go(func() error {
+			for number := next.Add(1); number <= int64(b.N); number = next.Add(1) {
+				begun := time.Now()
+				toFirst, err := streamOnce(b.Context(), transport, url, fmt.Sprint("q", number))
+				if err != nil {
+					return err
+				}
+				mutex.Lock()
+				_ = first.RecordValue(toFirst.Microseconds())
+				_ = total.RecordValue(time.Since(begun).Microseconds())
+				mutex.Unlock()
+			}
+			return nil
+		})
 	}
+	if err := group.Wait(); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64((processorTime()-before).Microseconds())/float64(b.N), "cpu-µs/op")
 	b.ReportMetric(float64(first.ValueAtQuantile(50)), "first-p50-µs")
 	b.ReportMetric(float64(first.ValueAtQuantile(99)), "first-p99-µs")
 	b.ReportMetric(float64(total.ValueAtQuantile(50)), "total-p50-µs")
 	b.ReportMetric(float64(total.ValueAtQuantile(99)), "total-p99-µs")
 }
+
+// streamOnce reads one streamed answer and returns the time to its first event.
+func streamOnce(ctx context.Context, transport *http.Transport, url, id string) (time.Duration, error) {
+	begun := time.Now()
+	request := newChatRequest(ctx, url, chatBody(true))
+	request.Header.Set(engine.HeaderRequestID, id)
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	reader := bufio.NewReader(response.Body)
+	if _, err := reader.ReadString('\n'); err != nil || response.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("%s: %w", response.Status, err)
+	}
+	toFirst := time.Since(begun)
+	_, err = io.Copy(io.Discard, reader)
+	return toFirst, err
+}
