Serve callers and call engines through the node's network

Cause: the gateway listened with net.Listen and the engine client dialled with a dialer of its own, so a severed, paused or cut-off node kept its callers' streams and its engines' connections; faults of whole nodes were weaker than their names. Change: both take network.Network. Conclusion: tests sever a node and see its callers' and engines' connections end.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -1,9 +1,13 @@
 package engine
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
+
+	"github.com/sloelift/sloelift/internal/network"
 )
 
 // Bounds of the client.
@@ -29,11 +33,26 @@
 
 var _ Client = (*HTTPClient)(nil)
 
-// NewHTTPClient returns a client with its own connection pool; Close frees it.
-func NewHTTPClient() *HTTPClient {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
+// NewHTTPClient returns a client with its own connection pool, over the operating system's network; Close frees it.
+func NewHTTPClient() *HTTPClient { return NewHTTPClientOver(network.System{}) }
+
+// NewHTTPClientOver returns a client that dials through the given network.
+func NewHTTPClientOver(via network.Network) *HTTPClient {
+	dial := func(ctx context.Context, _, hostPort string) (net.Conn, error) {
+		address, err := netip.ParseAddrPort(hostPort)
+		if err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		conn, err := via.Dial(ctx, address)
+		if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+			_ = tcp.SetKeepAliveConfig(keepAlive)
+		}
+		return conn, err
+	}
 	return &HTTPClient{transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: idlePerEngine,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/joomcode/errorx"
 	"go.uber.org/goleak"
+
+	"github.com/sloelift/sloelift/internal/network"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -96,6 +98,28 @@
 	}
 }
 
+func TestGenerateEndsWithTheNodesNetwork(t *testing.T) {
+	severable := network.NewSeverable(network.System{})
+	_, endpoint := serveEngine(t, func(w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	client := NewHTTPClientOver(severable)
+	defer client.Close()
+	stream, err := client.Generate(t.Context(), endpoint, Request{Operation: OperationChat})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	severable.Sever()
+	if _, err := stream.Next(); !errorx.IsOfType(err, KindLost) {
+		t.Fatalf("stream of a severed node: %v", err)
+	}
+	if _, err := client.Generate(t.Context(), endpoint, Request{Operation: OperationChat}); !errorx.IsOfType(err, KindNotSent) {
+		t.Fatalf("request of a severed node: %v", err)
+	}
+}
+
 func TestGenerateTellsNotSentFromLost(t *testing.T) {
 	client := NewHTTPClient()
 	defer client.Close()
--- a/internal/engine/fx.go
+++ b/internal/engine/fx.go
@@ -4,13 +4,15 @@
 	"context"
 
 	"go.uber.org/fx"
+
+	"github.com/sloelift/sloelift/internal/network"
 )
 
 // Module provides the Client.
 var Module = fx.Module("engine", fx.Provide(provideClient))
 
-func provideClient(lifecycle fx.Lifecycle) Client {
-	client := NewHTTPClient()
+func provideClient(lifecycle fx.Lifecycle, via network.Network) Client {
+	client := NewHTTPClientOver(via)
 	lifecycle.Append(fx.Hook{OnStop: func(context.Context) error {
 		client.Close()
 		return nil
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -21,6 +21,7 @@
 	"github.com/sloelift/sloelift/internal/engine"
 	"github.com/sloelift/sloelift/internal/fleet"
 	"github.com/sloelift/sloelift/internal/job"
+	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/routing"
 	"github.com/sloelift/sloelift/internal/session"
@@ -311,6 +312,7 @@
 	files   *memoryFiles
 	jobs    *memoryJobs
 	limits  settings.Limits
+	network network.Network
 }
 
 func newTestCluster(engines ...*fakeEngine) *testCluster {
@@ -333,6 +335,7 @@
 	server := NewServer(Dependencies{
 		Address: netip.MustParseAddrPort("127.0.0.1:0"), Limits: c.limits, Configuration: fixedConfiguration{testSnapshot()},
 		Runner: runner, Jobs: c.jobs, Files: c.files, Registerer: prometheus.NewRegistry(), Logger: zerolog.Nop(),
+		Network: c.network,
 	})
 	if err := server.Start(); err != nil {
 		t.Fatal(err)
--- a/internal/gateway/fx.go
+++ b/internal/gateway/fx.go
@@ -9,6 +9,7 @@
 
 	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/job"
+	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/session"
 	"github.com/sloelift/sloelift/internal/settings"
 )
@@ -27,12 +28,14 @@
 	Files         job.FileStore
 	Registerer    prometheus.Registerer
 	Logger        zerolog.Logger
+	Network       network.Network
 }
 
 func provideServer(p parameters) *Server {
 	server := NewServer(Dependencies{
 		Address: p.Settings.CallerAddress, Limits: p.Settings.Limits, Configuration: p.Configuration,
 		Runner: p.Runner, Jobs: p.Jobs, Files: p.Files, Registerer: p.Registerer, Logger: p.Logger,
+		Network: p.Network,
 	})
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error { return server.Start() },
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -15,6 +15,7 @@
 	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/job"
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/session"
 	"github.com/sloelift/sloelift/internal/settings"
 )
@@ -35,11 +36,14 @@
 	Files         job.FileStore
 	Registerer    prometheus.Registerer
 	Logger        zerolog.Logger
+	// Network is listened on; nil is the operating system's.
+	Network network.Network
 }
 
 // Server is the callers' interface of one node.
 type Server struct {
 	address       netip.AddrPort
+	network       network.Network
 	limits        settings.Limits
 	configuration config.Source
 	runner        session.Runner
@@ -61,6 +65,7 @@
 func NewServer(d Dependencies) *Server {
 	s := &Server{
 		address:       d.Address,
+		network:       d.Network,
 		limits:        d.Limits,
 		configuration: d.Configuration,
 		runner:        d.Runner,
@@ -85,7 +90,10 @@
 
 // Start listens and serves.
 func (s *Server) Start() error {
-	listener, err := net.Listen("tcp", s.address.String())
+	if s.network == nil {
+		s.network = network.System{}
+	}
+	listener, err := s.network.Listen(context.Background(), s.address)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
+
+	"github.com/sloelift/sloelift/internal/network"
 )
 
 const chatStream = `{"model":"clerk","stream":true,"messages":[{"role":"user","content":"x"}]%s}`
@@ -286,3 +288,22 @@
 		t.Fatal(fake.starts(), "starts")
 	}
 }
+
+func TestConnectionsEndWithTheNodesNetwork(t *testing.T) {
+	severable := network.NewSeverable(network.System{})
+	cluster := newTestCluster()
+	cluster.network = severable
+	node := cluster.start(t)
+	connection, err := net.Dial("tcp", node.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	severable.Sever()
+	if _, err := connection.Read(make([]byte, 1)); err == nil {
+		t.Fatal("a severed node wrote to its caller")
+	}
+	if _, err := net.Dial("tcp", node.Address().String()); err == nil {
+		t.Fatal("a severed node took a connection")
+	}
+}
