Keep suspicions from feeding on the load that they make

Cause: with all nodes of a busy machine starting at once, probes timed out, every node that heard of a suspicion pinged the suspect, and the load kept probes timing out: 160 hollow nodes at load average 50 did not agree within 60 s. Change: a node whose probes mostly fail stretches its own timeouts; about three of those who hear of a suspicion tell the suspect, not all.

--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -31,6 +31,7 @@
 	// mutex guards the faults, which the network reads for each frame.
 	mutex    sync.Mutex
 	loss     float64
+	slow     time.Duration // added to every delay
 	cut      func(from, to *clusterNode) bool
 	silenced map[*clusterNode]bool // whose machine is gone: nothing in or out
 }
@@ -79,6 +80,7 @@
 	if sender.member.Region != receiver.member.Region {
 		conditions.Delay = 40 * time.Millisecond
 	}
+	conditions.Delay += c.slow
 	conditions.Cut = c.silenced[sender] || c.silenced[receiver] || c.cut(sender, receiver)
 	return conditions
 }
@@ -89,6 +91,12 @@
 	c.loss = loss
 }
 
+func (c *cluster) setSlow(slow time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.slow = slow
+}
+
 // setCut cuts the pairs that cut names; nil heals the network.
 func (c *cluster) setCut(cut func(from, to *clusterNode) bool) {
 	c.mutex.Lock()
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -26,7 +26,8 @@
 	case membershippb.State_STATE_SUSPECT:
 		if p.concerns(held, wire) {
 			silence := time.Duration(wire.GetSilentMillis()) * time.Millisecond
-			p.suspect(held, p.now.Add(-silence), p.now)
+			p.suspect(held, p.now.Add(-silence))
+			p.tellSuspect(held)
 		}
 	case membershippb.State_STATE_DEAD:
 		if p.concerns(held, wire) {
@@ -127,22 +128,28 @@
 		}
 		return
 	}
-	p.suspect(held, p.now, p.now)
+	p.suspect(held, p.now)
 	held.deadline = latest
+	p.tellSuspect(held)
 }
 
 // suspect takes on a suspicion against a member that is silent since then.
-func (p *protocol) suspect(held *record, silentSince, suspectedAt time.Time) {
+func (p *protocol) suspect(held *record, silentSince time.Time) {
 	if held.State == Suspect || held.State == Dead {
 		return
 	}
 	held.State = Suspect
 	p.takeOnSuspicion(held, silentSince)
-	held.suspectedAt = suspectedAt
 	p.noteChange(held, changeSuspect)
-	// The suspect hears of it at once, so that it can refute.
-	p.lastSequence++
-	p.ping(held, p.lastSequence)
+}
+
+// tellSuspect makes sure that about suspectTellers of all who hear of a suspicion pass
+// it to the suspect at once, so that it can refute; all of them would be a storm.
+func (p *protocol) tellSuspect(held *record) {
+	if held.State == Suspect && held.suspectedAt.Equal(p.now) && p.random.IntN(len(p.records)) < suspectTellers {
+		p.lastSequence++
+		p.ping(held, p.lastSequence)
+	}
 }
 
 func (p *protocol) takeOnSuspicion(held *record, silentSince time.Time) {
@@ -152,7 +159,7 @@
 	}
 	held.silentSince = silentSince
 	held.suspectedAt = p.now
-	held.deadline = silentSince.Add(limit)
+	held.deadline = silentSince.Add(limit + p.ownSlowness(limit))
 	if earliest := p.now.Add(p.timing.RefuteTime); held.deadline.Before(earliest) {
 		held.deadline = earliest
 	}
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -37,6 +37,9 @@
 		taken = append(taken, own.encode(now))
 		room -= proto.Size(taken[0])
 	}
+	if len(q.sent) == 0 {
+		return taken
+	}
 	limit := retransmissions(len(records))
 	for _, id := range q.leastSent() {
 		held := records[id]
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -108,10 +108,11 @@
 		pending := p.probes[sequence]
 		waited := p.now.Sub(pending.sentAt)
 		switch {
-		case waited >= p.timing.ProbeTimeout:
+		case waited >= p.probeTime(p.timing.ProbeTimeout):
 			delete(p.probes, sequence)
+			p.noteProbe(false)
 			p.probeFailed(pending)
-		case waited >= p.timing.DirectTimeout && !pending.indirect:
+		case waited >= p.probeTime(p.timing.DirectTimeout) && !pending.indirect:
 			pending.indirect = true
 			p.askHelpers(pending.target, sequence)
 		}
@@ -128,7 +129,29 @@
 	if p.records[target.ID] != target || target.lastHeard.After(pending.sentAt) {
 		return
 	}
-	p.suspect(target, pending.sentAt, p.now)
+	p.suspect(target, pending.sentAt)
+	p.lastSequence++
+	p.ping(target, p.lastSequence)
+}
+
+// noteProbe keeps count of how slow this node itself may be: where most probes fail,
+// of whatever members, the cause is more likely here.
+func (p *protocol) noteProbe(answered bool) {
+	if answered {
+		p.slowness = max(p.slowness-1, 0)
+	} else {
+		p.slowness = min(p.slowness+1, maxSlowness)
+	}
+}
+
+// probeTime stretches a timeout by this node's own slowness.
+func (p *protocol) probeTime(timeout time.Duration) time.Duration {
+	return timeout * time.Duration(1+p.slowness)
+}
+
+// ownSlowness is how much longer than limit this node waits for a refutation.
+func (p *protocol) ownSlowness(limit time.Duration) time.Duration {
+	return limit / 2 * time.Duration(max(p.slowness-toleratedSlowness, 0))
 }
 
 // askHelpers spreads the indirect probes over zones, so that a cut between two of
@@ -182,6 +205,7 @@
 	}
 	if pending := p.probes[message.GetSequence()]; pending != nil && string(pending.target.ID) == reached.GetId() {
 		delete(p.probes, message.GetSequence())
+		p.noteProbe(true)
 		if reached.GetIncarnation() == pending.target.Incarnation {
 			pending.target.lastHeard = p.now
 		}
--- a/internal/membership/protocol.go
+++ b/internal/membership/protocol.go
@@ -41,6 +41,7 @@
 	probes       map[uint64]*probe
 	relays       map[uint64]relay
 	successor    int // which ring successor is probed next
+	slowness     int // how many more probes failed than were answered lately
 
 	nextZoneProbe   time.Time
 	nextRemoteProbe time.Time
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -81,6 +81,23 @@
 	})
 }
 
+// Where all are slow at once, suspicions must not feed on the load that they make.
+func TestSlownessOfAllKillsNobodyAndPasses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 70, 7, 3, 11)
+		defer c.stopAll()
+		c.awaitAll(10 * time.Second)
+		deaths := c.watchDeaths()
+		c.setSlow(600 * time.Millisecond)
+		time.Sleep(20 * time.Second)
+		c.setSlow(0)
+		t.Logf("all alive again after %s", c.awaitAll(5*time.Second))
+		if dead := deaths(); len(dead) > 0 {
+			t.Fatalf("%d times declared dead while all were slow, first %s", len(dead), dead[0])
+		}
+	})
+}
+
 func TestZoneCutAndHeal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 42, 7, 3, 5)
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -78,6 +78,12 @@
 	recordsPerMessage = 200
 	// joinContacts is how many contacts a node that knows nobody asks at once.
 	joinContacts = 2
+	// suspectTellers is about how many who hear of a suspicion tell the suspect at once.
+	suspectTellers = 3
+	// maxSlowness bounds how much a node's own slowness stretches its timeouts; up to
+	// toleratedSlowness it does not put off deaths.
+	maxSlowness       = 8
+	toleratedSlowness = 2
 	// listedMachineBytes is about what one machine takes in the machine list.
 	listedMachineBytes = 160
 	// pauseTicks is the number of missed ticks after which a node holds itself paused.
