--- a/internal/membership/index.go
+++ b/internal/membership/index.go
@@ -1,6 +1,11 @@
 package membership
 
-import "sort"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sort"
+)
 
 // index orders the members that are not dead, this node among them.
 type index struct {
@@ -21,7 +26,7 @@
 	}
 	p.stale = false
 	built := index{byZone: make(map[zoneKey][]*record), suspects: make(map[zoneKey]int)}
-	for _, held := range p.records {
+	for _, held := range p.sorted {
 		if held.State == Dead && held != p.self {
 			continue
 		}
@@ -33,17 +38,33 @@
 			built.others++
 		}
 	}
-	for zone, members := range built.byZone {
-		sort.Slice(members, func(i, j int) bool { return members[i].ID < members[j].ID })
-		built.zones = append(built.zones, zone)
-	}
-	sort.Slice(built.zones, func(i, j int) bool { return built.zones[i] < built.zones[j] })
-	built.ring = append(built.ring, built.byZone[p.self.zone]...)
-	sort.Slice(built.ring, func(i, j int) bool { return built.ring[i].idHash < built.ring[j].idHash })
+	built.zones = slices.Sorted(maps.Keys(built.byZone))
+	built.ring = slices.Clone(built.byZone[p.self.zone])
+	slices.SortFunc(built.ring, func(a, b *record) int { return cmp.Compare(a.idHash, b.idHash) })
 	p.index = built
 	return &p.index
 }
 
+// insert adds a new member.
+func (p *protocol) insert(held *record) {
+	p.records[held.ID] = held
+	place := p.placeOf(held.ID)
+	p.sorted = slices.Insert(p.sorted, place, held)
+}
+
+// remove forgets a member.
+func (p *protocol) remove(id NodeID) {
+	delete(p.records, id)
+	place := p.placeOf(id)
+	p.sorted = slices.Delete(p.sorted, place, place+1)
+	p.news.remove(id)
+}
+
+func (p *protocol) placeOf(id NodeID) int {
+	place, _ := slices.BinarySearchFunc(p.sorted, id, func(held *record, id NodeID) int { return cmp.Compare(held.ID, id) })
+	return place
+}
+
 // sample returns up to count random members that accept approves; nil approves all
 // but this node.
 func (p *protocol) sample(members []*record, count int, accept func(*record) bool) []*record {
--- a/internal/membership/listing.go
+++ b/internal/membership/listing.go
@@ -24,7 +24,7 @@
 			p.listedLeaving[id] = true
 		}
 	}
-	p.changed = true
+	p.changed, p.urgent = true, true
 }
 
 func sortAddresses(addresses []netip.AddrPort) {
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	membershippb "github.com/sloelift/sloelift/api/proto/membership"
@@ -84,24 +85,23 @@
 
 func (p *protocol) addMember(member Member, kind changeKind) {
 	held := newRecord(member)
-	p.records[member.ID] = held
+	p.insert(held)
 	p.noteChange(held, kind)
 }
 
 // renewMember takes over a newer incarnation.
 func (p *protocol) renewMember(held *record, member Member) {
 	before := held.State
-	renewed := newRecord(member)
-	p.records[member.ID] = renewed
+	*held = *newRecord(member)
 	switch {
 	case before == Dead:
-		p.noteChange(renewed, changeReturned)
+		p.noteChange(held, changeReturned)
 	case before == Suspect:
-		p.noteChange(renewed, changeRefuted)
+		p.noteChange(held, changeRefuted)
 	case member.State == Leaving && before != Leaving:
-		p.noteChange(renewed, changeLeaving)
+		p.noteChange(held, changeLeaving)
 	default:
-		p.noteChange(renewed, "")
+		p.noteChange(held, "")
 	}
 }
 
@@ -121,7 +121,7 @@
 		p.declareDead(held, changeLeft)
 		return
 	}
-	latest := p.now.Add(p.timing.ClaimRefuteTime)
+	latest := p.now.Add(p.timing.ClaimRefuteTime + p.ownSlowness(p.timing.ClaimRefuteTime))
 	if held.State == Suspect {
 		if held.deadline.After(latest) {
 			held.deadline = latest
@@ -160,7 +160,7 @@
 	held.silentSince = silentSince
 	held.suspectedAt = p.now
 	held.deadline = silentSince.Add(limit + p.ownSlowness(limit))
-	if earliest := p.now.Add(p.timing.RefuteTime); held.deadline.Before(earliest) {
+	if earliest := p.now.Add(p.probeTime(p.timing.RefuteTime)); held.deadline.Before(earliest) {
 		held.deadline = earliest
 	}
 }
@@ -210,17 +210,16 @@
 // forgetDead drops the dead after a time; it is shorter where the machine list does
 // not name them any more.
 func (p *protocol) forgetDead() {
-	for id, held := range p.records {
+	for _, held := range slices.Clone(p.sorted) {
 		if held.State != Dead || held == p.self {
 			continue
 		}
 		keep := p.timing.ForgetAfter
-		if _, listed := p.listed[id]; p.haveListing && !listed {
+		if _, listed := p.listed[held.ID]; p.haveListing && !listed {
 			keep = p.timing.ForgetUnlistedAfter
 		}
 		if p.now.Sub(held.diedAt) >= keep {
-			delete(p.records, id)
-			p.news.remove(id)
+			p.remove(held.ID)
 			p.changed = true
 			p.report(held, changeForgotten)
 		}
@@ -230,6 +229,7 @@
 // noteChange passes a change on and publishes it; an empty kind is not reported.
 func (p *protocol) noteChange(held *record, kind changeKind) {
 	p.stale, p.changed = true, true
+	p.urgent = p.urgent || kind == changeDead || kind == changeLeft || kind == changeLeaving
 	p.news.add(held.ID)
 	if kind != "" {
 		p.report(held, kind)
--- a/internal/membership/metrics.go
+++ b/internal/membership/metrics.go
@@ -15,6 +15,9 @@
 	fieldSilence     = "silence_ms"
 )
 
+// MetricChanges counts changes of members by the label "kind".
+const MetricChanges = "sloelift_membership_changes_total"
+
 // stateNames are the values of the label "state".
 var stateNames = map[State]string{Alive: "alive", Leaving: "leaving", Suspect: "suspect", Dead: "dead"}
 
@@ -32,7 +35,7 @@
 			Name: "sloelift_membership_members", Help: "Members known here, by state.",
 		}, []string{"state"}),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sloelift_membership_changes_total", Help: "Changes of members seen here, by kind.",
+			Name: MetricChanges, Help: "Changes of members seen here, by kind.",
 		}, []string{"kind"}),
 	}
 	for _, collector := range []prometheus.Collector{created.members, created.changes} {
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -11,8 +11,9 @@
 
 // probe is one probe of a member that has no answer yet.
 type probe struct {
-	target *record
-	sentAt time.Time
+	target      *record
+	incarnation uint64 // the target's, when the probe went out
+	sentAt      time.Time
 	// indirect: helpers were asked.
 	indirect bool
 }
@@ -90,7 +91,7 @@
 
 func (p *protocol) probe(target *record) {
 	p.lastSequence++
-	p.probes[p.lastSequence] = &probe{target: target, sentAt: p.now}
+	p.probes[p.lastSequence] = &probe{target: target, incarnation: target.Incarnation, sentAt: p.now}
 	p.ping(target, p.lastSequence)
 }
 
@@ -126,7 +127,7 @@
 
 func (p *protocol) probeFailed(pending *probe) {
 	target := pending.target
-	if p.records[target.ID] != target || target.lastHeard.After(pending.sentAt) {
+	if target.Incarnation != pending.incarnation || target.lastHeard.After(pending.sentAt) {
 		return
 	}
 	p.suspect(target, pending.sentAt)
--- a/internal/membership/protocol.go
+++ b/internal/membership/protocol.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/netip"
-	"sort"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -29,11 +28,16 @@
 	random  *rand.Rand
 	self    *record
 	records map[NodeID]*record // self among them
+	sorted  []*record          // the same, by id
 	news    *newsQueue
 	index   index
 	stale   bool // index must be rebuilt
-	changed bool // the view must be published
 	version uint64
+	// changed: the view must be published; urgent: on the next tick, as somebody leaves
+	// or died, else by nextPublish.
+	changed     bool
+	urgent      bool
+	nextPublish time.Time
 
 	now          time.Time
 	lastTick     time.Time
@@ -66,9 +70,11 @@
 		random:     rand.New(rand.NewPCG(seed, own.idHash)),
 		self:       own,
 		records:    map[NodeID]*record{self.ID: own},
+		sorted:     []*record{own},
 		news:       newNewsQueue(),
 		stale:      true,
 		changed:    true,
+		urgent:     true,
 		probes:     make(map[uint64]*probe),
 		relays:     make(map[uint64]relay),
 		joinPeriod: timing.JoinPeriod,
@@ -212,7 +218,7 @@
 	p.self.State = Leaving
 	p.self.leaving = true
 	p.announceSelf()
-	p.publish()
+	p.publishNow()
 }
 
 // stop tells the others at once that this node is gone, so that nobody waits for it.
@@ -225,7 +231,7 @@
 // announceSelf tells the own zone and a sample of the others at once, and passes the
 // news on from then.
 func (p *protocol) announceSelf() {
-	p.stale, p.changed = true, true
+	p.stale, p.changed, p.urgent = true, true, true
 	p.news.add(p.self.ID)
 	own := []*record{p.self}
 	index := p.lookup()
@@ -242,21 +248,25 @@
 	}
 }
 
-// publish gives readers a new view where something changed.
+// publish gives readers a new view where something changed: at once where somebody
+// leaves or died, after a while for all else.
 func (p *protocol) publish() {
-	if !p.changed {
-		return
+	if p.changed && (p.urgent || !p.now.Before(p.nextPublish)) {
+		p.publishNow()
 	}
-	p.changed = false
+}
+
+func (p *protocol) publishNow() {
+	p.changed, p.urgent = false, false
+	p.nextPublish = p.now.Add(p.timing.PublishPeriod)
 	p.version++
-	view := &View{Self: p.self.ID, Version: p.version, Members: make([]Member, 0, len(p.records))}
-	for _, held := range p.records {
+	view := &View{Self: p.self.ID, Version: p.version, Members: make([]Member, 0, len(p.sorted))}
+	for _, held := range p.sorted {
 		member := held.Member
 		if held.leaving && member.State == Suspect || member.State == Alive && p.listedLeaving[held.ID] {
 			member.State = Leaving
 		}
 		view.Members = append(view.Members, member)
 	}
-	sort.Slice(view.Members, func(i, j int) bool { return view.Members[i].ID < view.Members[j].ID })
 	p.actions = append(p.actions, publishAction{view: view})
 }
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -33,6 +33,8 @@
 	// the machine list does not name them either.
 	ForgetAfter         time.Duration
 	ForgetUnlistedAfter time.Duration
+	// PublishPeriod is how often a view is published while nobody leaves or dies.
+	PublishPeriod time.Duration
 	// ListPeriod is how often the machine list is read by a node that knows nobody, and
 	// the least period of one that does: that one reads ListBytesPerSecond on average.
 	ListPeriod         time.Duration
@@ -58,6 +60,7 @@
 		MaxJoinPeriod:       5 * time.Second,
 		ForgetAfter:         4 * time.Hour,
 		ForgetUnlistedAfter: 10 * time.Minute,
+		PublishPeriod:       500 * time.Millisecond,
 		ListPeriod:          10 * time.Second,
 		ListBytesPerSecond:  1024,
 	}
--- a/internal/transport/memory/network.go
+++ b/internal/transport/memory/network.go
@@ -2,11 +2,12 @@
 
 import (
 	"bytes"
-	"math/rand/v2"
 	"net/netip"
-	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/puzpuzpuz/xsync/v4"
+
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
@@ -21,118 +22,105 @@
 	Cut bool
 }
 
-// Network connects in-memory transports. It is safe for concurrent use.
+// ConditionsFunc gives the conditions of one frame. It is called from many goroutines.
+type ConditionsFunc func(from, to netip.AddrPort) Conditions
+
+// Network connects in-memory transports. It is safe for concurrent use; no lock is held
+// while a frame passes, so that many nodes do not wait for each other.
 type Network struct {
-	// mutex guards all fields.
-	mutex      sync.Mutex
-	random     *rand.Rand
-	conditions func(from, to netip.AddrPort) Conditions
-	transports map[netip.AddrPort]*Transport
+	seed       uint64
+	draws      atomic.Uint64
+	conditions atomic.Pointer[ConditionsFunc]
+	transports *xsync.Map[netip.AddrPort, *Transport]
 	// paused holds a channel for each paused address; Resume closes it.
-	paused map[netip.AddrPort]chan struct{}
+	paused *xsync.Map[netip.AddrPort, chan struct{}]
 }
 
 // NewNetwork returns a network without delay or loss; seed drives loss and jitter.
 func NewNetwork(seed uint64) *Network {
-	return &Network{
-		random:     rand.New(rand.NewPCG(seed, seed)),
-		conditions: func(netip.AddrPort, netip.AddrPort) Conditions { return Conditions{} },
-		transports: make(map[netip.AddrPort]*Transport),
-		paused:     make(map[netip.AddrPort]chan struct{}),
+	network := &Network{
+		seed:       seed,
+		transports: xsync.NewMap[netip.AddrPort, *Transport](),
+		paused:     xsync.NewMap[netip.AddrPort, chan struct{}](),
 	}
+	network.SetConditions(func(netip.AddrPort, netip.AddrPort) Conditions { return Conditions{} })
+	return network
 }
 
-// SetConditions replaces the function that gives the conditions of each frame. It is
-// called with the network locked and must not call the network.
-func (n *Network) SetConditions(conditions func(from, to netip.AddrPort) Conditions) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	n.conditions = conditions
-}
+// SetConditions replaces the function that gives the conditions of each frame.
+func (n *Network) SetConditions(conditions ConditionsFunc) { n.conditions.Store(&conditions) }
 
 // Pause stops the traffic of address as a paused process would: what is sent to it
 // waits, and whoever sends from it blocks, until Resume.
 func (n *Network) Pause(address netip.AddrPort) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	if n.paused[address] == nil {
-		n.paused[address] = make(chan struct{})
-	}
+	n.paused.LoadOrStore(address, make(chan struct{}))
 }
 
 // Resume ends a pause.
 func (n *Network) Resume(address netip.AddrPort) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	if gate := n.paused[address]; gate != nil {
+	if gate, present := n.paused.LoadAndDelete(address); present {
 		close(gate)
-		delete(n.paused, address)
 	}
 }
 
 // waitWhilePaused blocks while address is paused.
 func (n *Network) waitWhilePaused(address netip.AddrPort) {
 	for {
-		n.mutex.Lock()
-		gate := n.paused[address]
-		n.mutex.Unlock()
-		if gate == nil {
+		gate, present := n.paused.Load(address)
+		if !present {
 			return
 		}
 		<-gate
 	}
 }
 
-func (n *Network) attach(t *Transport) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	n.transports[t.address] = t
-}
+func (n *Network) attach(t *Transport) { n.transports.Store(t.address, t) }
 
 // detach removes t and ends the calls that others have waiting on it.
 func (n *Network) detach(t *Transport) {
-	n.mutex.Lock()
-	if n.transports[t.address] == t {
-		delete(n.transports, t.address)
-	}
-	others := make([]*Transport, 0, len(n.transports))
-	for _, other := range n.transports {
-		others = append(others, other)
-	}
-	n.mutex.Unlock()
-	for _, other := range others {
+	n.transports.Compute(t.address, func(present *Transport, loaded bool) (*Transport, xsync.ComputeOp) {
+		if loaded && present == t {
+			return nil, xsync.DeleteOp
+		}
+		return present, xsync.CancelOp
+	})
+	n.transports.Range(func(_ netip.AddrPort, other *Transport) bool {
 		other.exchange.LinkClosed(edge{local: other, peer: t.address}, errStopped)
-	}
+		return true
+	})
+}
+
+// draw returns the next number of a stream that the seed determines, 0 to 1.
+func (n *Network) draw() float64 {
+	// This is the SplitMix64 generator, whose state is a counter.
+	mixed := n.seed + n.draws.Add(1)*0x9e3779b97f4a7c15
+	mixed = (mixed ^ mixed>>30) * 0xbf58476d1ce4e5b9
+	mixed = (mixed ^ mixed>>27) * 0x94d049bb133111eb
+	return float64((mixed^mixed>>31)>>11) / (1 << 53)
 }
 
 // carry takes one encoded frame and delivers it after its delay, or loses it. An
 // absent receiver behind no cut is an error, as a refused connection would be.
 func (n *Network) carry(from, to netip.AddrPort, encoded []byte) error {
-	n.mutex.Lock()
-	conditions := n.conditions(from, to)
-	_, present := n.transports[to]
-	lost := conditions.Cut || (conditions.Loss > 0 && n.random.Float64() < conditions.Loss)
-	delay := conditions.Delay
-	if conditions.Jitter > 0 {
-		delay += time.Duration(n.random.Int64N(int64(conditions.Jitter)))
-	}
-	n.mutex.Unlock()
-	if lost {
+	conditions := (*n.conditions.Load())(from, to)
+	if conditions.Cut || conditions.Loss > 0 && n.draw() < conditions.Loss {
 		return nil
 	}
-	if !present {
+	if _, present := n.transports.Load(to); !present {
 		return transport.KindNotSent.New("nothing listens on %s", to)
 	}
+	delay := conditions.Delay
+	if conditions.Jitter > 0 {
+		delay += time.Duration(n.draw() * float64(conditions.Jitter))
+	}
 	time.AfterFunc(delay, func() { n.deliver(from, to, encoded) })
 	return nil
 }
 
 func (n *Network) deliver(from, to netip.AddrPort, encoded []byte) {
 	n.waitWhilePaused(to)
-	n.mutex.Lock()
-	receiver := n.transports[to]
-	n.mutex.Unlock()
-	if receiver == nil {
+	receiver, present := n.transports.Load(to)
+	if !present {
 		return
 	}
 	frame, size, err := transport.ReadFrame(bytes.NewReader(encoded))
--- a/lab/hollow/options.go
+++ b/lab/hollow/options.go
@@ -17,13 +17,19 @@
 	Tenants  int `help:"Tenants in the configuration." default:"300"`
 	// Duration is that of the measured part; the nodes start and settle before it.
 	Duration time.Duration `help:"Length of the measured part." default:"60s"`
+	// StartOver spreads the start: nodes that share one machine's cores would starve
+	// each other otherwise.
+	StartOver time.Duration `help:"Time over which the nodes start." default:"10s"`
 	// RestartsPerDay and FailuresPerDay are those of all nodes together.
 	RestartsPerDay float64       `help:"Planned restarts of nodes a day, in all." default:"41000"`
 	FailuresPerDay float64       `help:"Machine failures a day, in all." default:"1700"`
 	ConfigInterval time.Duration `help:"Time between changes of configuration." default:"2s"`
 	// Faults adds a lost zone and a cut region.
-	Faults bool   `help:"Lose a zone and cut off a region on the way." default:"true" negatable:""`
-	Seed   uint64 `help:"Seed of the random choices." default:"1"`
+	Faults bool `help:"Lose a zone and cut off a region on the way." default:"true" negatable:""`
+	// Fleet runs the fleet slice too; without it the cost of membership and
+	// configuration alone is seen, on machines that are too small for both.
+	Fleet bool   `help:"Run the fleet slice." default:"true" negatable:""`
+	Seed  uint64 `help:"Seed of the random choices." default:"1"`
 }
 
 // Command is the kong command that runs hollow nodes and prints what they cost.
--- a/lab/hollow/result.go
+++ b/lab/hollow/result.go
@@ -57,6 +57,11 @@
 	BytesPerSecond Spread `json:"bytes_per_second"`
 	// ByMethod holds bytes per second sent plus received of one message type.
 	ByMethod map[string]Spread `json:"bytes_per_second_by_method"`
+	// BusyShare is the share of time that a slice's control goroutine spent on events,
+	// by the clock: on a busy machine it holds waits for a core too.
+	BusyShare map[string]Spread `json:"control_goroutine_busy_share"`
+	// Changes counts changes of members, as all nodes together saw them, by kind.
+	Changes map[string]float64 `json:"membership_changes"`
 	// KeyValuePerSecond is operations of all nodes together.
 	KeyValuePerSecond float64 `json:"key_value_operations_per_second"`
 }
@@ -64,7 +69,7 @@
 // Result of a run. Times are in milliseconds.
 type Result struct {
 	Options Options `json:"options"`
-	// StartMillis is until all nodes, started at once, held each other alive and had
+	// StartMillis is from the last node's start until all held each other alive and had
 	// the configuration.
 	StartMillis float64 `json:"start_ms"`
 	// ResidentBytes is the growth of the live heap by starting all, per node; the
@@ -98,7 +103,7 @@
 
 func (r Result) print(out io.Writer) error {
 	_, err := fmt.Fprintf(out, `nodes %d, replicas %d, zones %d, regions %d
-start of all            %.0f ms
+joined after last start %.0f ms
 live heap per node      %.0f KB, stacks %.0f KB
 config spread           p50 %.0f ms, p99 %.0f ms, max %.0f ms; %d applied, %d missing, %d went back
 dead known in its zone  p50 %.0f ms, max %.0f ms of %d; everywhere p50 %.0f ms, max %.0f ms; %d not detected
@@ -133,6 +138,17 @@
 	if err != nil {
 		return err
 	}
+	for _, kind := range slices.Sorted(maps.Keys(p.Changes)) {
+		if _, err := fmt.Fprintf(out, "  members seen %-10s %.0f\n", kind, p.Changes[kind]); err != nil {
+			return err
+		}
+	}
+	for _, slice := range slices.Sorted(maps.Keys(p.BusyShare)) {
+		busy := p.BusyShare[slice]
+		if _, err := fmt.Fprintf(out, "  %s control goroutine busy p50 %.3f%%, max %.3f%%\n", slice, 100*busy.P50, 100*busy.Max); err != nil {
+			return err
+		}
+	}
 	methods := slices.Collect(maps.Keys(p.ByMethod))
 	sort.Slice(methods, func(i, j int) bool { return p.ByMethod[methods[i]].Mean > p.ByMethod[methods[j]].Mean })
 	for _, method := range methods {
