Check a node's own addresses before it starts; name the cause of a failed start

Cause: a node whose admin port was taken joined the other nodes before it ended, and the error of a failed start was the wiring's, not its cause. Change: serve binds and frees its three addresses first, and reports the root cause.

--- a/cmd/sloelift/serve.go
+++ b/cmd/sloelift/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -8,8 +9,10 @@
 	"syscall"
 
 	"github.com/rs/zerolog"
+	"go.uber.org/dig"
 
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/node"
 	"github.com/sloelift/sloelift/internal/settings"
 	"github.com/sloelift/sloelift/internal/strictyaml"
@@ -47,11 +50,33 @@
 	if err != nil {
 		return fmt.Errorf("log level: %w", err)
 	}
+	if err := checkAddresses(env.context, loaded); err != nil {
+		return err
+	}
 	ctx, restore := signal.NotifyContext(env.context, syscall.SIGTERM, syscall.SIGINT)
 	defer restore()
 	go func() {
 		<-ctx.Done()
 		restore()
 	}()
-	return node.Run(ctx, loaded, logging.New(env.stderr, level))
+	return dig.RootCause(node.Run(ctx, loaded, logging.New(env.stderr, level)))
+}
+
+// checkAddresses binds and frees the node's own addresses, so that a node which cannot
+// listen ends before other nodes hear of it.
+func checkAddresses(ctx context.Context, own settings.Settings) error {
+	addresses := []struct {
+		setting string
+		address netip.AddrPort
+	}{{"callerAddress", own.CallerAddress}, {"adminAddress", own.AdminAddress}, {"peerAddress", own.PeerAddress}}
+	for _, wanted := range addresses {
+		listener, err := network.System{}.Listen(ctx, wanted.address)
+		if err != nil {
+			return fmt.Errorf("%s: %w", wanted.setting, err)
+		}
+		if err := listener.Close(); err != nil {
+			return fmt.Errorf("%s: %w", wanted.setting, err)
+		}
+	}
+	return nil
 }
