Measure the ledger, and write ensembles to the disk only when they change

Cause: throughput, latency, fsyncs and recovery time were not measured; each write carried the ensemble.

--- a/internal/ledger/protocol/store_step.go
+++ b/internal/ledger/protocol/store_step.go
@@ -41,10 +41,10 @@
 
 // Effect is what a step changes beside the StoreState. The removals come before the writes.
 type Effect struct {
-	// Changed says that the state must be written.
-	Changed bool
-	Remove  []Range
-	Write   []Entry
+	// Changed says that the state must be written, EnsembleChanged that its ensemble, which seldom changes, must be too.
+	Changed, EnsembleChanged bool
+	Remove                   []Range
+	Write                    []Entry
 }
 
 // Range is the positions From..To, both included.
@@ -78,14 +78,14 @@
 	}
 	changed := s.Promised != request.Ballot
 	s.Promised = request.Ballot
-	if request.Ensemble.Version > s.Ensemble.Version {
+	newer := request.Ensemble.Version > s.Ensemble.Version
+	if newer {
 		s.Ensemble = request.Ensemble
-		changed = true
 	}
 	return Promise{
 		Verdict: VerdictOK, Promised: s.Promised, Accepted: s.Accepted, RecoveredTo: s.RecoveredTo,
 		First: s.First, Committed: s.Committed, Last: s.Last, Snapshot: s.Snapshot, Ensemble: s.Ensemble,
-	}, Effect{Changed: changed}
+	}, Effect{Changed: changed || newer, EnsembleChanged: newer}
 }
 
 // Append is an owner's request to take consecutive entries, or none to tell what is committed.
--- a/internal/ledger/store/codec.go
+++ b/internal/ledger/store/codec.go
@@ -114,12 +114,13 @@
 	return entry, nil
 }
 
+// encodeState leaves the ensemble out, which has a key of its own.
 func encodeState(state protocol.StoreState) ([]byte, error) {
 	return proto.MarshalOptions{Deterministic: true}.Marshal(&ledgerpb.StoreState{
 		Promised: wire.FromBallot(state.Promised), Accepted: wire.FromBallot(state.Accepted),
 		RecoveredTo: uint64(state.RecoveredTo), First: uint64(state.First), Committed: uint64(state.Committed),
 		Consistent: uint64(state.Consistent), Last: uint64(state.Last),
-		Snapshot: wire.FromSnapshotInfo(state.Snapshot), Ensemble: wire.FromEnsemble(state.Ensemble),
+		Snapshot: wire.FromSnapshotInfo(state.Snapshot),
 	})
 }
 
@@ -133,6 +134,17 @@
 		RecoveredTo: protocol.Position(message.RecoveredTo), First: protocol.Position(message.First),
 		Committed: protocol.Position(message.Committed), Consistent: protocol.Position(message.Consistent),
 		Last: protocol.Position(message.Last), Snapshot: wire.ToSnapshotInfo(message.Snapshot),
-		Ensemble: wire.ToEnsemble(message.Ensemble),
 	}, nil
 }
+
+func encodeEnsemble(ensemble protocol.Ensemble) ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(wire.FromEnsemble(ensemble))
+}
+
+func decodeEnsemble(value []byte) (protocol.Ensemble, error) {
+	var message ledgerpb.Ensemble
+	if err := proto.Unmarshal(value, &message); err != nil {
+		return protocol.Ensemble{}, KindDamaged.Wrap(err, "decode ensemble")
+	}
+	return wire.ToEnsemble(&message), nil
+}
--- a/internal/ledger/store/database.go
+++ b/internal/ledger/store/database.go
@@ -86,23 +86,42 @@
 }
 
 func loadStates(database *pebble.DB) (map[protocol.PartitionID]*protocol.StoreState, error) {
-	iterator, err := database.NewIter(&pebble.IterOptions{LowerBound: []byte{prefixPartition}, UpperBound: []byte{prefixPartition + 1}})
+	states := map[protocol.PartitionID]*protocol.StoreState{}
+	err := scan(database, prefixPartition, func(partition protocol.PartitionID, value []byte) error {
+		state, err := decodeState(value)
+		states[partition] = &state
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
-	states := map[protocol.PartitionID]*protocol.StoreState{}
+	return states, scan(database, prefixEnsemble, func(partition protocol.PartitionID, value []byte) error {
+		state, present := states[partition]
+		if !present {
+			return KindDamaged.New("partition %d has an ensemble and no state", partition)
+		}
+		var err error
+		state.Ensemble, err = decodeEnsemble(value)
+		return err
+	})
+}
+
+// scan calls visit with every partition's checked value below a prefix.
+func scan(database *pebble.DB, prefix byte, visit func(partition protocol.PartitionID, value []byte) error) error {
+	iterator, err := database.NewIter(&pebble.IterOptions{LowerBound: []byte{prefix}, UpperBound: []byte{prefix + 1}})
+	if err != nil {
+		return err
+	}
 	for valid := iterator.First(); valid; valid = iterator.Next() {
 		value, err := unseal(iterator.Key(), iterator.Value())
-		if err != nil {
-			return nil, errors.Join(err, iterator.Close())
+		if err == nil {
+			err = visit(partitionOf(iterator.Key()), value)
 		}
-		state, err := decodeState(value)
 		if err != nil {
-			return nil, errors.Join(err, iterator.Close())
+			return errors.Join(err, iterator.Close())
 		}
-		states[partitionOf(iterator.Key())] = &state
 	}
-	return states, iterator.Close()
+	return iterator.Close()
 }
 
 func openPebble(path string, files vfs.FS, logger zerolog.Logger, fatal func(string)) (*pebble.DB, error) {
--- a/internal/ledger/store/keys.go
+++ b/internal/ledger/store/keys.go
@@ -11,6 +11,7 @@
 const (
 	prefixIncarnation = 'i'
 	prefixPartition   = 'p'
+	prefixEnsemble    = 'e'
 	prefixWrite       = 'w'
 	prefixRecord      = 'r'
 	prefixSnapshot    = 's'
@@ -25,6 +26,10 @@
 	return binary.BigEndian.AppendUint32([]byte{prefixPartition}, uint32(partition))
 }
 
+func ensembleKey(partition protocol.PartitionID) []byte {
+	return binary.BigEndian.AppendUint32([]byte{prefixEnsemble}, uint32(partition))
+}
+
 func recordKey(partition protocol.PartitionID, position protocol.Position) []byte {
 	key := binary.BigEndian.AppendUint32([]byte{prefixRecord}, uint32(partition))
 	return binary.BigEndian.AppendUint64(key, uint64(position))
--- a/internal/ledger/store/requests.go
+++ b/internal/ledger/store/requests.go
@@ -134,5 +134,13 @@
 		return err
 	}
 	key := partitionKey(partition)
-	return batch.Set(key, seal(key, value), nil)
+	if err := batch.Set(key, seal(key, value), nil); err != nil || !effect.EnsembleChanged {
+		return err
+	}
+	ensemble, err := encodeEnsemble(s.states[partition].Ensemble)
+	if err != nil {
+		return err
+	}
+	key = ensembleKey(partition)
+	return batch.Set(key, seal(key, ensemble), nil)
 }
--- a/internal/ledger/store/store.go
+++ b/internal/ledger/store/store.go
@@ -251,3 +251,10 @@
 		_ = group.batch.Close()
 	}
 }
+
+// BytesWritten returns what the database has written to its log and tables, rewriting by compactions counted.
+func (s *Store) BytesWritten() int64 {
+	metrics := s.database.Metrics()
+	total := metrics.Total()
+	return int64(metrics.WAL.BytesWritten + total.TableBytesFlushed + total.TableBytesCompacted)
+}
