Give a credit back before the result is recorded

Cause: a credit stayed with its item while the result went to the write quorum, so that the replica's place stood empty for an append. Change: it is released when the stream ends; the item still counts against the node's bound until its result is durable. Benchmarks of the memory of small jobs and keys.

--- a/internal/job/bench_test.go
+++ b/internal/job/bench_test.go
@@ -218,6 +218,51 @@
 	}
 }
 
+// BenchmarkSmallEntries measures the memory of an ended job of ten items and of a
+// completed key.
+func BenchmarkSmallEntries(b *testing.B) {
+	const entries = 50_000
+	for name, fill := range map[string]func(*partitionState, int){"job": fillSmallJob, "key": fillKey} {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				before := heapInUse()
+				state := newPartitionState()
+				for number := range entries {
+					fill(state, number)
+				}
+				b.ReportMetric(float64(heapInUse()-before)/entries, "heap-B/entry")
+				runtime.KeepAlive(state)
+			}
+		})
+	}
+}
+
+func fillSmallJob(state *partitionState, number int) {
+	id := jobID(0, "registry", fmt.Sprint(number))
+	apply(state, encodeRecord(ledger.KindJobAccepted, &jobpb.JobAccepted{
+		Id: id, Tenant: "registry", ClientKey: fmt.Sprint(number), Service: "assist", Priority: "overnight",
+		Operation: string(engine.OperationChat), Digest: make([]byte, 32), Total: 10,
+	}))
+	for index := range uint32(10) {
+		apply(state, encodeRecord(ledger.KindItemCompleted, &jobpb.ItemCompleted{JobId: id, Index: index, Result: &jobpb.ItemResult{Outcome: string(outcome.Completed)}}))
+	}
+}
+
+func fillKey(state *partitionState, number int) {
+	key := fmt.Sprintf("draft-%032d", number)
+	apply(state, encodeRecord(ledger.KindKeyClaimed, &jobpb.KeyClaimed{
+		Tenant: "registry", Key: key, Fingerprint: strings.Repeat("f", 64), RequestId: newULID().String(), Replica: "shadman-hall-1",
+	}))
+	apply(state, encodeRecord(ledger.KindKeyCompleted, &jobpb.KeyCompleted{Tenant: "registry", Key: key}))
+}
+
+// apply steps the state by a record at the next position.
+func apply(state *partitionState, record ledger.Record) {
+	if _, err := state.step(state.upTo+1, record); err != nil {
+		panic(err)
+	}
+}
+
 func heapInUse() uint64 {
 	runtime.GC()
 	var stats runtime.MemStats
--- a/internal/job/item_conclude.go
+++ b/internal/job/item_conclude.go
@@ -19,7 +19,7 @@
 // conclude decides what the end of a run means.
 func (r *itemRun) conclude(ctx context.Context, to engine.Endpoint, requestID string, err error) *itemProgress {
 	if finished := new(errFinished); errors.As(err, &finished) && finished.reason != finishCancelled {
-		return r.complete(outcome.Completed, finished)
+		return r.complete(finished)
 	}
 	if errors.Is(err, errNotCalled) {
 		return nil
@@ -110,7 +110,7 @@
 		finished := new(errFinished)
 		switch {
 		case errors.As(err, &finished) && finished.reason != finishCancelled:
-			return r.complete(outcome.Completed, finished)
+			return r.complete(finished)
 		case errors.Is(err, errNotCalled):
 			return nil
 		case r.job.ctx.Err() != nil:
--- a/internal/job/item_record.go
+++ b/internal/job/item_record.go
@@ -9,10 +9,10 @@
 )
 
 // complete records the whole answer.
-func (r *itemRun) complete(result outcome.Outcome, finished *errFinished) *itemProgress {
+func (r *itemRun) complete(finished *errFinished) *itemProgress {
 	body := completionBody(r.job.operation, r.itemName(), r.line.generation.Model, r.progress, finished)
 	return r.record(&jobpb.ItemResult{
-		Index: uint32(r.key.index), CustomId: r.line.CustomID, Outcome: string(result), Status: statusCompleted, Body: body,
+		Index: uint32(r.key.index), CustomId: r.line.CustomID, Outcome: string(outcome.Completed), Status: statusCompleted, Body: body,
 	})
 }
 
@@ -24,9 +24,13 @@
 	})
 }
 
-// record makes the result durable; while the ledger takes nothing it keeps trying,
-// because the work is done. A result of a job that has ended is dropped.
+// record gives the credit back and makes the result durable. While the ledger takes
+// nothing it keeps trying, because the work is done. A result of a job that has ended
+// is dropped.
 func (r *itemRun) record(result *jobpb.ItemResult) *itemProgress {
+	if r.release != nil {
+		r.release()
+	}
 	if len(result.GetBody()) > maxResultBytes {
 		result.Outcome, result.Status = string(outcome.Failed), statusTooLarge
 		result.Body = errorBody(outcome.ReasonTooLarge, nil)
--- a/internal/job/item_run.go
+++ b/internal/job/item_run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -52,6 +53,8 @@
 	line *itemLine
 	// model and adapter are what the line's model stands for now.
 	model, adapter string
+	// release gives the credit back, at the first call; nil where there is none.
+	release func()
 }
 
 // run returns nil once the item has its result or its job has ended here, or what
@@ -77,7 +80,8 @@
 		}
 		return r.retryLater(err, "credit_not_granted")
 	}
-	defer credit.Release()
+	r.release = sync.OnceFunc(credit.Release)
+	defer r.release()
 	r.dispatcher.send(itemGranted{r.key})
 	return r.generate(credit)
 }
