Page lists by size; await a key across a time without an owner

Cause: a list of 1,000 jobs with much metadata didn't fit into a frame, and an await ended after 20 s without an owner although its caller still waited. Change: pages of about 1 MiB that say if there is more; an await goes on until its context ends. Conclusion: tests pass.

--- a/internal/job/claimer.go
+++ b/internal/job/claimer.go
@@ -42,13 +42,14 @@
 	return fromClaim(response).Result, err
 }
 
-// Await implements session.Claimer.
+// Await implements session.Claimer. It outlasts a time without an owner.
 func (c *claimer) Await(ctx context.Context, tenant, key string) (session.Claim, error) {
 	for {
 		response, err := forward(ctx, c.forwarder, methodAwaitKey,
 			&jobpb.AwaitKeyRequest{Partition: c.partitionOf(tenant, key), Tenant: tenant, Key: key})
 		claim := fromClaim(response)
-		if err != nil || claim.Done {
+		unavailable := err != nil && outcome.As(err).Reason == outcome.ReasonUnavailable && ctx.Err() == nil
+		if claim.Done || err != nil && !unavailable {
 			return claim, err
 		}
 	}
--- a/internal/job/file_store.go
+++ b/internal/job/file_store.go
@@ -115,12 +115,14 @@
 // List implements FileStore. Files are ordered by id, that is, by partition.
 func (s *fileStore) List(ctx context.Context, tenant, after string, limit int) ([]File, error) {
 	files := []File{}
-	err := s.forwarder.list(filePrefix, tenant, after, limit, func(request *jobpb.ListRequest) (int, error) {
+	err := s.forwarder.list(filePrefix, tenant, after, limit, func(request *jobpb.ListRequest) (listPage, error) {
 		response, err := forward(ctx, s.forwarder, methodListFiles, request)
+		page := listPage{more: response.GetMore()}
 		for _, stored := range response.GetFiles() {
 			files = append(files, fromStored(stored))
+			page.count, page.last = page.count+1, stored.GetId()
 		}
-		return len(files), err
+		return page, err
 	})
 	return files, err
 }
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -358,7 +358,12 @@
 	run(t, func(t *testing.T, cluster *testCluster) {
 		want := make(map[string]bool)
 		for number := range 9 {
-			want[mustSubmit(t, cluster.nodes[0], submission(fmt.Sprintf("list-%d", number), 1)).ID] = true
+			wanted := submission(fmt.Sprintf("list-%d", number), 1)
+			wanted.Metadata = map[string]string{"note": strings.Repeat("n", 300<<10)}
+			want[mustSubmit(t, cluster.nodes[0], wanted).ID] = true
+		}
+		if all, err := cluster.nodes[2].service.List(t.Context(), "registry", "", 0); err != nil || len(all) != 9 {
+			t.Fatalf("%d listed in one call: %v", len(all), err)
 		}
 		after, pages := "", 0
 		for {
--- a/internal/job/owner_files.go
+++ b/internal/job/owner_files.go
@@ -97,15 +97,28 @@
 
 // listFiles returns the tenant's files of this partition, by id.
 func (p *partition) listFiles(ctx context.Context, request *jobpb.ListRequest) (*jobpb.ListFilesResponse, error) {
-	response := &jobpb.ListFilesResponse{}
+	var files []*jobpb.FileStored
 	err := p.query(ctx, func(state *partitionState) {
 		for id, file := range state.files {
 			if file.GetTenant() == request.GetTenant() && id > request.GetAfter() {
-				response.Files = append(response.Files, file)
+				files = append(files, file)
 			}
 		}
 	})
-	slices.SortFunc(response.Files, func(a, b *jobpb.FileStored) int { return strings.Compare(a.GetId(), b.GetId()) })
-	response.Files = response.Files[:min(len(response.Files), int(request.GetLimit()))]
+	slices.SortFunc(files, func(a, b *jobpb.FileStored) int { return strings.Compare(a.GetId(), b.GetId()) })
+	response := &jobpb.ListFilesResponse{}
+	bytes := 0
+	for _, file := range files[:min(len(files), int(request.GetLimit()))] {
+		if bytes > listPageBytes {
+			response.More = true
+			break
+		}
+		listed := &jobpb.FileStored{
+			Id: file.GetId(), Tenant: file.GetTenant(), Name: file.GetName(), Purpose: file.GetPurpose(),
+			Bytes: file.GetBytes(), CreatedAtMicros: file.GetCreatedAtMicros(), ExpiresAtMicros: file.GetExpiresAtMicros(),
+		}
+		bytes += proto.Size(listed)
+		response.Files = append(response.Files, listed)
+	}
 	return response, err
 }
--- a/internal/job/owner_jobs.go
+++ b/internal/job/owner_jobs.go
@@ -18,6 +18,8 @@
 	// resultPageBytes bounds one answer with results, and resultPageItems the items it looks at.
 	resultPageBytes = 1 << 20
 	resultPageItems = 4096
+	// listPageBytes is the size from which a page of a list is cut.
+	listPageBytes = 1 << 20
 	// drainPatience bounds how long the answer to a cancel waits for calls to engines
 	// that had begun before it.
 	drainPatience = 5 * time.Second
@@ -188,8 +190,15 @@
 			}
 		}
 		slices.Sort(ids)
+		bytes := 0
 		for _, id := range ids[:min(len(ids), int(request.GetLimit()))] {
-			response.Jobs = append(response.Jobs, p.statusOf(state, id))
+			if bytes > listPageBytes {
+				response.More = true
+				return
+			}
+			status := p.statusOf(state, id)
+			bytes += proto.Size(status)
+			response.Jobs = append(response.Jobs, status)
 		}
 	})
 	return response, err
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -152,36 +152,50 @@
 // List implements Service. Jobs are ordered by id, that is, by partition.
 func (s *service) List(ctx context.Context, tenant, after string, limit int) ([]Status, error) {
 	jobs := []Status{}
-	err := s.forwarder.list(jobPrefix, tenant, after, limit, func(request *jobpb.ListRequest) (int, error) {
+	err := s.forwarder.list(jobPrefix, tenant, after, limit, func(request *jobpb.ListRequest) (listPage, error) {
 		response, err := forward(ctx, s.forwarder, methodListJobs, request)
+		page := listPage{more: response.GetMore()}
 		for _, status := range response.GetJobs() {
 			jobs = append(jobs, fromStatus(status))
+			page.count, page.last = page.count+1, status.GetId()
 		}
-		return len(jobs), err
+		return page, err
 	})
 	return jobs, err
 }
 
-// list asks partition by partition, behind the id after, until page says that limit is reached.
-func (f *forwarder) list(prefix, tenant, after string, limit int, page func(*jobpb.ListRequest) (int, error)) error {
-	first := uint32(0)
+// listPage tells what a page of a list held.
+type listPage struct {
+	count int
+	// last is the id of the last entry; more says that the partition has others behind it.
+	last string
+	more bool
+}
+
+// list asks partition by partition, behind the id after, until limit is reached.
+func (f *forwarder) list(prefix, tenant, after string, limit int, ask func(*jobpb.ListRequest) (listPage, error)) error {
+	partition := uint32(0)
 	if after != "" {
-		partition, err := partitionOfID(prefix, after, f.locator.Partitions())
+		first, err := partitionOfID(prefix, after, f.locator.Partitions())
 		if err != nil {
 			return err
 		}
-		first = uint32(partition)
+		partition = uint32(first)
 	}
 	if limit <= 0 || limit > listLimit {
 		limit = listLimit
 	}
-	count := 0
-	for partition := first; partition < uint32(f.locator.Partitions()) && count < limit; partition++ {
-		var err error
-		count, err = page(&jobpb.ListRequest{Partition: partition, Tenant: tenant, After: after, Limit: uint32(limit - count)})
+	for partition < uint32(f.locator.Partitions()) && limit > 0 {
+		page, err := ask(&jobpb.ListRequest{Partition: partition, Tenant: tenant, After: after, Limit: uint32(limit)})
 		if err != nil {
 			return err
 		}
+		limit -= page.count
+		if page.more {
+			after = page.last
+		} else {
+			partition++
+		}
 	}
 	return nil
 }
