Send chunks of an upload a few at once

Cause: each chunk waited for the one before it to be on a write quorum. Change: four chunks on their way; the owner takes them in any order and commits only a whole upload; a submission that is cut off is NotRun and its chunks are trimmed, which a test shows.

--- a/internal/job/file_store.go
+++ b/internal/job/file_store.go
@@ -21,13 +21,13 @@
 	}
 	unique := newULID()
 	partition := s.forwarder.locator.PartitionOf(unique.String())
-	upload := newUploader(s.forwarder, partition)
-	size, err := uploadContent(ctx, upload, content)
+	upload := newUploader(ctx, s.forwarder, partition)
+	size, err := uploadContent(upload, content)
 	if err != nil {
 		return File{}, err
 	}
 	stored, err := forward(ctx, s.forwarder, methodCommitFile, &jobpb.CommitFileRequest{
-		Partition: uint32(partition), Chunks: upload.sequence,
+		Partition: uint32(partition), Chunks: upload.chunks,
 		File: &jobpb.FileStored{
 			Id: newFileID(partition, unique), Tenant: tenant, Name: name, Purpose: purpose, Bytes: size, UploadId: upload.id,
 		},
@@ -38,25 +38,25 @@
 	return fromStored(stored), nil
 }
 
-// uploadContent sends the content to its end and returns its size.
-func uploadContent(ctx context.Context, upload *uploader, content io.Reader) (int64, error) {
+// uploadContent sends the content to its end, waits for its chunks and returns its size.
+func uploadContent(upload *uploader, content io.Reader) (int64, error) {
 	size := int64(0)
-	for {
+	for !upload.failed() {
 		chunk := make([]byte, chunkBytes)
 		count, err := io.ReadFull(content, chunk)
 		if count > 0 {
-			if err := upload.send(ctx, chunk[:count], 0); err != nil {
-				return 0, err
-			}
+			upload.send(chunk[:count], 0)
 			size += int64(count)
 		}
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-			return size, nil
+			break
 		}
 		if err != nil {
+			_ = upload.wait()
 			return 0, outcome.Wrap(err, outcome.NotRun, outcome.ReasonInvalid, "content not read")
 		}
 	}
+	return size, upload.wait()
 }
 
 func (s *fileStore) request(tenant, id string) (*jobpb.FileRequest, error) {
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -171,6 +172,44 @@
 	})
 }
 
+// cancelReader cancels the submission after its first chunks.
+type cancelReader struct {
+	io.Reader
+	cancel context.CancelFunc
+	left   int
+}
+
+func (r *cancelReader) Read(into []byte) (int, error) {
+	if r.left--; r.left == 0 {
+		r.cancel()
+	}
+	return r.Reader.Read(into)
+}
+
+func TestSubmissionCutOffIsNoJob(t *testing.T) {
+	run(t, func(t *testing.T, cluster *testCluster) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		wanted := submission("cut off", 0)
+		wanted.Items = &cancelReader{strings.NewReader(itemLines(20_000)), cancel, 5}
+		if _, err := cluster.nodes[0].service.Submit(ctx, wanted); outcome.Of(err) != outcome.NotRun {
+			t.Fatalf("submit: %v", err)
+		}
+		if listed, err := cluster.nodes[1].service.List(t.Context(), "registry", "", 0); err != nil || len(listed) != 0 {
+			t.Fatalf("%d jobs: %v", len(listed), err)
+		}
+		time.Sleep(time.Hour)
+		for partition, log := range cluster.logs {
+			if err := log.Compact(cluster.machines[ledger.PartitionID(partition)]); err != nil {
+				t.Fatal(err)
+			}
+			if _, records := log.Records(); len(records) != 0 {
+				t.Errorf("%d records of the cut off upload are kept", len(records))
+			}
+		}
+	})
+}
+
 func TestRevokedItemGoesOnBehindItsTokens(t *testing.T) {
 	run(t, func(t *testing.T, cluster *testCluster) {
 		var offsets sync.Map
--- a/internal/job/owner_files.go
+++ b/internal/job/owner_files.go
@@ -20,24 +20,23 @@
 func (p *partition) commitFile(ctx context.Context, request *jobpb.CommitFileRequest) (*jobpb.FileStored, error) {
 	wanted := request.GetFile()
 	var present *jobpb.FileStored
-	var positions []uint64
-	var bytes int64
+	var upload uploadState
 	err := p.query(ctx, func(state *partitionState) {
 		present = state.files[wanted.GetId()]
-		if upload := state.uploads[wanted.GetUploadId()]; upload != nil {
-			positions, bytes = slices.Clone(upload.positions), upload.bytes
+		if found := state.uploads[wanted.GetUploadId()]; found != nil {
+			upload = uploadState{positions: slices.Clone(found.positions), bytes: found.bytes}
 		}
 	})
 	if err != nil || present != nil {
 		return present, err
 	}
-	if len(positions) != int(request.GetChunks()) || bytes != wanted.GetBytes() {
+	if !upload.whole(int(request.GetChunks())) || upload.bytes != wanted.GetBytes() {
 		return nil, errUploadGone()
 	}
 	stored := proto.Clone(wanted).(*jobpb.FileStored)
 	now := time.Now()
 	stored.CreatedAtMicros, stored.ExpiresAtMicros = micros(now), micros(now.Add(fileRetention))
-	stored.ChunkPositions = positions
+	stored.ChunkPositions = upload.positions
 	if err := p.propose(ctx, encodeRecord(kindFileStored, stored)); err != nil {
 		return nil, err
 	}
--- a/internal/job/owner_jobs.go
+++ b/internal/job/owner_jobs.go
@@ -28,20 +28,16 @@
 // appendChunk records a part of an upload, once.
 func (p *partition) appendChunk(ctx context.Context, request *jobpb.AppendChunkRequest) (*jobpb.AppendChunkResponse, error) {
 	chunk := request.GetChunk()
-	recorded := 0
-	count := func(state *partitionState) {
-		if upload := state.uploads[chunk.GetUploadId()]; upload != nil {
-			recorded = len(upload.positions)
-		}
-	}
-	if err := p.query(ctx, count); err != nil {
-		return nil, err
+	if chunk.GetSequence() >= maxChunks {
+		return nil, outcome.New(outcome.NotRun, outcome.ReasonTooLarge, "the upload has too many chunks")
 	}
-	if recorded > int(chunk.GetSequence()) {
-		return &jobpb.AppendChunkResponse{}, nil
-	}
-	if recorded < int(chunk.GetSequence()) {
-		return nil, errUploadGone()
+	recorded := false
+	err := p.query(ctx, func(state *partitionState) {
+		upload := state.uploads[chunk.GetUploadId()]
+		recorded = upload != nil && upload.has(int(chunk.GetSequence()))
+	})
+	if err != nil || recorded {
+		return &jobpb.AppendChunkResponse{}, err
 	}
 	chunk.RecordedAtMicros = micros(time.Now())
 	if err := p.propose(ctx, encodeRecord(kindChunk, chunk)); err != nil {
@@ -95,7 +91,7 @@
 	for _, count := range upload.items {
 		items += count
 	}
-	if len(upload.positions) != int(request.GetChunks()) || items != accepted.GetTotal() {
+	if !upload.whole(int(request.GetChunks())) || items != accepted.GetTotal() {
 		return errUploadGone()
 	}
 	now := time.Now()
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -43,8 +43,8 @@
 		failure.Outcome = outcome.NotRun
 		return Status{}, &failure
 	}
-	upload := newUploader(s.forwarder, partition)
-	if err := scanner.uploadTo(ctx, upload); err != nil {
+	upload := newUploader(ctx, s.forwarder, partition)
+	if err := scanner.uploadTo(upload); err != nil {
 		return Status{}, err
 	}
 	if scanner.items == 0 {
@@ -53,7 +53,7 @@
 	accepted := newAccepted(&submission, id, scanner)
 	accepted.UploadId = upload.id
 	status, err := forward(ctx, s.forwarder, methodCommitJob, &jobpb.CommitJobRequest{
-		Partition: uint32(partition), Job: accepted, Chunks: upload.sequence,
+		Partition: uint32(partition), Job: accepted, Chunks: upload.chunks,
 		DeadlineAfterMicros: submission.Deadline.Microseconds(),
 	})
 	if err != nil {
--- a/internal/job/state.go
+++ b/internal/job/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -70,8 +71,12 @@
 	completedAt time.Time
 }
 
+// maxChunks bounds the chunks of one upload.
+const maxChunks = 1 << 16
+
 // uploadState is an upload that no JobAccepted or FileStored has named yet.
 type uploadState struct {
+	// positions holds 0 for a chunk that is not recorded yet; items runs in parallel.
 	positions []uint64
 	items     []uint32
 	bytes     int64
@@ -195,14 +200,29 @@
 		s.uploads[chunk.GetUploadId()] = upload
 	}
 	upload.lastAt = fromMicros(chunk.GetRecordedAtMicros())
-	if int(chunk.GetSequence()) != len(upload.positions) {
+	sequence := int(chunk.GetSequence())
+	if sequence >= maxChunks || upload.has(sequence) {
 		return
 	}
-	upload.positions = append(upload.positions, uint64(position))
-	upload.items = append(upload.items, chunk.GetItems())
+	for len(upload.positions) <= sequence {
+		upload.positions = append(upload.positions, 0)
+		upload.items = append(upload.items, 0)
+	}
+	upload.positions[sequence] = uint64(position)
+	upload.items[sequence] = chunk.GetItems()
 	upload.bytes += int64(len(chunk.GetData()))
 }
 
+// has tells whether the chunk of that number is recorded.
+func (u *uploadState) has(sequence int) bool {
+	return sequence < len(u.positions) && u.positions[sequence] != 0
+}
+
+// whole tells whether exactly the first chunks are recorded.
+func (u *uploadState) whole(chunks int) bool {
+	return len(u.positions) == chunks && !slices.Contains(u.positions, 0)
+}
+
 func (s *partitionState) stepJobAccepted(accepted *jobpb.JobAccepted) []effect {
 	delete(s.uploads, accepted.GetUploadId())
 	id := accepted.GetId()
--- a/internal/job/upload.go
+++ b/internal/job/upload.go
@@ -11,6 +11,7 @@
 	"io"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
 
 	jobpb "github.com/sloelift/sloelift/api/proto/job"
 	"github.com/sloelift/sloelift/internal/config"
@@ -28,32 +29,56 @@
 	maxJobItems = 1_000_000
 )
 
-// uploader sends chunks to the owner of a partition, in order.
+// uploadWindow is how many chunks of one upload are on their way at once.
+const uploadWindow = 4
+
+// uploader sends chunks to the owner of a partition, a few at once. It is used by one
+// goroutine.
 type uploader struct {
 	forwarder *forwarder
 	partition ledger.PartitionID
 	id        string
-	sequence  uint32
+	chunks    uint32
+	sending   *errgroup.Group
+	// caller is the caller's context; ctx is its child that ends at the first chunk that fails.
+	caller, ctx context.Context
 }
 
-func newUploader(f *forwarder, partition ledger.PartitionID) *uploader {
-	return &uploader{forwarder: f, partition: partition, id: newULID().String()}
+func newUploader(ctx context.Context, f *forwarder, partition ledger.PartitionID) *uploader {
+	sending, sendContext := errgroup.WithContext(ctx)
+	sending.SetLimit(uploadWindow)
+	return &uploader{forwarder: f, partition: partition, id: newULID().String(), sending: sending, caller: ctx, ctx: sendContext}
 }
 
-// send makes one chunk durable. Nothing depends on a chunk before the commit, so
-// that its failure is always NotRun.
-func (u *uploader) send(ctx context.Context, data []byte, items int) error {
-	_, err := forward(ctx, u.forwarder, methodAppendChunk, &jobpb.AppendChunkRequest{
+// send begins to make one chunk durable; it keeps data. It blocks while the window is full.
+func (u *uploader) send(data []byte, items int) {
+	request := &jobpb.AppendChunkRequest{
 		Partition: uint32(u.partition),
-		Chunk:     &jobpb.Chunk{UploadId: u.id, Sequence: u.sequence, Items: uint32(items), Data: data},
+		Chunk:     &jobpb.Chunk{UploadId: u.id, Sequence: u.chunks, Items: uint32(items), Data: data},
+	}
+	u.chunks++
+	u.sending.Go(func() error {
+		_, err := forward(u.ctx, u.forwarder, methodAppendChunk, request)
+		return err
 	})
-	if err != nil {
-		failure := *outcome.As(err)
-		failure.Outcome = outcome.NotRun
-		return &failure
+}
+
+// failed tells whether a chunk has failed, so that no more need be sent.
+func (u *uploader) failed() bool { return u.ctx.Err() != nil }
+
+// wait returns once all chunks are durable. Nothing depends on a chunk before the
+// commit, so that a failure is always NotRun.
+func (u *uploader) wait() error {
+	err := u.sending.Wait()
+	if err == nil && u.caller.Err() != nil {
+		return contextError(u.caller, outcome.NotRun)
 	}
-	u.sequence++
-	return nil
+	if err == nil {
+		return nil
+	}
+	failure := *outcome.As(err)
+	failure.Outcome = outcome.NotRun
+	return &failure
 }
 
 // itemScanner reads a job's JSONL input, checks each line and digests the content.
@@ -144,34 +169,34 @@
 	}
 }
 
-// uploadTo sends the input to its end in chunks of whole lines.
-func (s *itemScanner) uploadTo(ctx context.Context, to *uploader) error {
-	var chunk bytes.Buffer
+// uploadTo sends the input to its end in chunks of whole lines and waits for them.
+func (s *itemScanner) uploadTo(to *uploader) error {
+	var chunk []byte
 	items := 0
-	flush := func() error {
-		if items == 0 {
-			return nil
+	flush := func() {
+		if items > 0 {
+			to.send(chunk, items)
 		}
-		err := to.send(ctx, bytes.Clone(chunk.Bytes()), items)
-		chunk.Reset()
-		items = 0
-		return err
+		chunk, items = nil, 0
 	}
-	for {
+	for !to.failed() {
 		line, err := s.next()
 		if errors.Is(err, io.EOF) {
-			return flush()
+			flush()
+			break
 		}
 		if err != nil {
+			_ = to.wait()
 			return err
 		}
-		chunk.Write(line)
-		chunk.WriteByte('\n')
+		if chunk == nil {
+			chunk = make([]byte, 0, chunkBytes+len(line)+1)
+		}
+		chunk = append(append(chunk, line...), '\n')
 		items++
-		if chunk.Len() >= chunkBytes {
-			if err := flush(); err != nil {
-				return err
-			}
+		if len(chunk) >= chunkBytes {
+			flush()
 		}
 	}
+	return to.wait()
 }
