Read sparse results alone

Change: one large read where at least 16 results of the job lie within 256 positions, else single records; a test that a marked item keeps its run when its credit is revoked.

--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -172,6 +172,25 @@
 	})
 }
 
+func TestRevokedMarkedItemKeepsItsRun(t *testing.T) {
+	run(t, func(t *testing.T, cluster *testCluster) {
+		cluster.engine.onToken = func(ctx context.Context, _ engine.Endpoint, _ engine.Request, _ int) error {
+			sleepContext(ctx, time.Second)
+			return nil
+		}
+		wanted := submission("revoked and marked", 10)
+		wanted.NotRepeatable = true
+		status := mustSubmit(t, cluster.nodes[0], wanted)
+		synctest.Wait()
+		cluster.credits.revokeAll()
+		finish(t, cluster.nodes[0], status.ID)
+		checkAnswers(t, results(t, cluster.nodes[0], status.ID, 0), 0, 10)
+		if total, _ := cluster.engine.starts(); total != 10 || cluster.engine.cancels != 0 {
+			t.Fatalf("%d runs, %d cancelled", total, cluster.engine.cancels)
+		}
+	})
+}
+
 // cancelReader cancels the submission after its first chunks.
 type cancelReader struct {
 	io.Reader
--- a/internal/job/owner_jobs.go
+++ b/internal/job/owner_jobs.go
@@ -254,9 +254,9 @@
 func (p *partition) fillResults(ctx context.Context, response *jobpb.ResultsResponse, entries []itemEntry) error {
 	window := &resultWindow{owned: p.owned}
 	bytes := 0
-	for _, entry := range entries {
+	for index, entry := range entries {
 		if entry.class() != classOpen {
-			result, err := window.read(ctx, entry.position())
+			result, err := window.read(ctx, entries[index:])
 			if err != nil {
 				return outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "results not read")
 			}
--- a/internal/job/record_reader.go
+++ b/internal/job/record_reader.go
@@ -114,22 +114,37 @@
 	return typed, nil
 }
 
-// resultWindow reads results by position and makes use of their nearness in the
-// log: one read serves all results behind its start. It is used by one goroutine.
+const (
+	// spanPositions is the stretch of the log that is looked at for nearby results, and
+	// denseResults how many of them in it make one large read worth while.
+	spanPositions = 256
+	denseResults  = 16
+)
+
+// resultWindow reads results by position. Where results of the same job lie close
+// together, one read serves all of them; where other records lie between, each is read
+// alone, so that little is read in vain. It is used by one goroutine.
 type resultWindow struct {
 	owned   ledger.Owned
 	first   ledger.Position
 	records []ledger.Record
 }
 
-// read returns the result at position.
-func (w *resultWindow) read(ctx context.Context, position ledger.Position) (*jobpb.ItemResult, error) {
+// read returns the result of the first entry, which is closed; the entries behind it
+// tell what will be asked for next.
+func (w *resultWindow) read(ctx context.Context, entries []itemEntry) (*jobpb.ItemResult, error) {
+	position := entries[0].position()
 	if position < w.first || position >= w.first+ledger.Position(len(w.records)) {
-		records, err := w.owned.Read(ctx, position, readWindowBytes)
+		first, maxBytes := planRead(entries)
+		records, err := w.owned.Read(ctx, first, maxBytes)
+		if err == nil && position >= first+ledger.Position(len(records)) {
+			first = position
+			records, err = w.owned.Read(ctx, first, maxBytes)
+		}
 		if err != nil {
 			return nil, err
 		}
-		w.first, w.records = position, records
+		w.first, w.records = first, records
 	}
 	done, err := decodeAs[*jobpb.ItemCompleted](w.records[position-w.first:], position)
 	if err != nil {
@@ -137,3 +152,20 @@
 	}
 	return done.GetResult(), nil
 }
+
+// planRead returns from where to read for the first entry, and how many bytes.
+func planRead(entries []itemEntry) (ledger.Position, int) {
+	wanted := entries[0].position()
+	first, near := wanted, 0
+	for _, entry := range entries[:min(len(entries), spanPositions)] {
+		position := entry.position()
+		if entry.class() != classOpen && position+spanPositions/2 >= wanted && position < wanted+spanPositions/2 {
+			first = min(first, position)
+			near++
+		}
+	}
+	if near < denseResults {
+		return wanted, 1
+	}
+	return first, readWindowBytes
+}
