Let marked attempts settle before a planned hand-over

Cause: a planned end of an ownership (a stop, or another node that asks for it) took the partition away between the record of a marked item's attempt and the call of its engine, or while an item that an engine had refused waited for its next try. The next owner found the attempt, asked for a run that never was, and ended the item as indeterminate with nothing lost. Change: the ledger asks a state machine that is a Quiescer to come to rest before it releases, with appends still taken, for 1 s at most; a partition of jobs then starts no marked item and waits for those under way. A refused attempt is recorded as void.

--- a/internal/job/item_run.go
+++ b/internal/job/item_run.go
@@ -166,18 +166,13 @@
 // generate runs the item on the replica of its credit.
 func (r *itemRun) generate(credit *admission.Credit) *itemProgress {
 	to := credit.Decision.Endpoint
-	requestID := r.requestID()
 	if r.job.notRepeatable {
-		if err := r.job.partition.propose(r.job.ctx, r.job.attemptRecord(r.key.index, requestID, to)); err != nil {
-			return r.retryLater(err, "attempt_not_recorded")
-		}
+		return r.generateMarked(to)
 	}
+	requestID := r.requestID()
 	streamContext, cancel := context.WithCancelCause(r.job.ctx)
 	defer cancel(nil)
-	if !r.job.notRepeatable {
-		// An item that must not run again keeps its run; the engine's priority still holds.
-		go cancelOnRevoke(streamContext, credit.Revoked, cancel)
-	}
+	go cancelOnRevoke(streamContext, credit.Revoked, cancel)
 	stream, err := r.open(streamContext, to, requestID, false)
 	if err == nil {
 		err = r.consume(stream)
@@ -185,6 +180,30 @@
 	return r.conclude(streamContext, to, requestID, err)
 }
 
+// generateMarked records the attempt before it calls the engine. The run keeps going when
+// the credit is taken back; the engine's priority still holds.
+func (r *itemRun) generateMarked(to engine.Endpoint) *itemProgress {
+	requestID := r.requestID()
+	if !r.job.partition.attempts.begin() {
+		// The next owner runs the item.
+		return nil
+	}
+	if err := r.job.partition.propose(r.job.ctx, r.job.attemptRecord(r.key.index, requestID, to)); err != nil {
+		r.job.partition.attempts.finish()
+		return r.retryLater(err, "attempt_not_recorded")
+	}
+	stream, err := r.open(r.job.ctx, to, requestID, false)
+	if isNotRun(err) || errors.Is(err, errNotConfirmed) {
+		// Best effort: a next owner that finds the attempt would ask for its run in vain.
+		_ = r.job.partition.propose(r.job.ctx, r.job.voidRecord(r.key.index))
+	}
+	r.job.partition.attempts.finish()
+	if err == nil {
+		err = r.consume(stream)
+	}
+	return r.conclude(r.job.ctx, to, requestID, err)
+}
+
 func cancelOnRevoke(ctx context.Context, revoked <-chan struct{}, cancel context.CancelCauseFunc) {
 	select {
 	case <-revoked:
--- a/internal/job/job_run.go
+++ b/internal/job/job_run.go
@@ -176,6 +176,11 @@
 	}
 }
 
+// voidRecord is the record that the last attempt of an item is known not to have run.
+func (r *jobRun) voidRecord(index int) ledger.Record {
+	return encodeRecord(ledger.KindItemAttempt, &jobpb.ItemAttempt{JobId: r.id, Index: uint32(index)})
+}
+
 // attemptRecord is the record of a call to come for an item that is not repeatable.
 func (r *jobRun) attemptRecord(index int, requestID string, to engine.Endpoint) ledger.Record {
 	return encodeRecord(ledger.KindItemAttempt, &jobpb.ItemAttempt{
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -330,6 +330,52 @@
 	}
 }
 
+func TestPlannedHandoverLeavesNoAttemptWithoutItsCall(t *testing.T) {
+	run(t, func(t *testing.T, cluster *testCluster) {
+		const items, refused = 20, 3
+		cluster.credits.limit = 8
+		calls := make(chan error)
+		cluster.engine.onCall = func(ctx context.Context, _ engine.Endpoint, request engine.Request) error {
+			select {
+			case err := <-calls:
+				return err
+			case <-ctx.Done():
+				return engine.KindNotSent.New("cut")
+			}
+		}
+		wanted := submission("handover", items)
+		wanted.NotRepeatable = true
+		status := mustSubmit(t, cluster.nodes[0], wanted)
+		synctest.Wait()
+		id := partitionOf(t, status.ID)
+		quiet := make(chan struct{})
+		go func() {
+			defer close(quiet)
+			cluster.machines[id].(ledger.Quiescer).Quiesce(t.Context())
+		}()
+		synctest.Wait()
+		for sent := range 8 {
+			select {
+			case <-quiet:
+				t.Fatal("quiet with attempts under way")
+			default:
+			}
+			if sent < refused {
+				calls <- engine.KindRefused.New("busy")
+			} else {
+				calls <- nil
+			}
+		}
+		<-quiet
+		cluster.own(id, 2)
+		close(calls)
+		ended := finish(t, cluster.nodes[0], status.ID)
+		if total, most := cluster.engine.starts(); ended.Completed != items || total != items || most != 1 {
+			t.Fatalf("ended as %+v after %d runs, %d of one item", ended, total, most)
+		}
+	})
+}
+
 func TestMarkedItemWhoseRunIsGoneIsIndeterminate(t *testing.T) {
 	run(t, func(t *testing.T, cluster *testCluster) {
 		cluster.engine.onToken = func(ctx context.Context, _ engine.Endpoint, _ engine.Request, token int) error {
--- a/internal/job/partition.go
+++ b/internal/job/partition.go
@@ -46,6 +46,8 @@
 	group         sync.WaitGroup
 	reader        *recordReader
 	ownership     ownershipClock
+	// attempts counts the marked items between their attempt's record and the engine's answer.
+	attempts callTracker
 }
 
 func newPartition(id ledger.PartitionID, dispatcher *dispatcher, registry *registry, logger zerolog.Logger) *partition {
@@ -108,6 +110,13 @@
 	})
 }
 
+// Quiesce implements ledger.Quiescer: no more marked items are sent to engines, and those whose attempt is being
+// recorded are sent, so that the next owner finds their runs.
+func (p *partition) Quiesce(ctx context.Context) {
+	p.attempts.close()
+	p.attempts.wait(ctx)
+}
+
 // Snapshot implements ledger.StateMachine.
 func (p *partition) Snapshot() (upTo, keepFrom ledger.Position, state []byte, err error) {
 	encode := func(s *partitionState) {
--- a/internal/job/state.go
+++ b/internal/job/state.go
@@ -248,6 +248,10 @@
 	if job == nil || !job.live() || !job.open(attempt.GetIndex()) {
 		return
 	}
+	if attempt.GetReplica() == "" {
+		delete(job.attempts, attempt.GetIndex())
+		return
+	}
 	if job.attempts == nil {
 		job.attempts = make(map[uint32]*jobpb.ItemAttempt)
 	}
--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -127,6 +127,14 @@
 	values  []string
 	owned   Owned
 	stopped bool
+	// onQuiesce is called by Quiesce, if set.
+	onQuiesce func(ctx context.Context)
+}
+
+func (r *register) Quiesce(ctx context.Context) {
+	if r.onQuiesce != nil {
+		r.onQuiesce(ctx)
+	}
 }
 
 func (r *register) Restore(snapshot []byte) error {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -68,6 +68,13 @@
 	Stop()
 }
 
+// Quiescer is a StateMachine with work that should not change owners halfway. Quiesce is called before a planned end of
+// the ownership; it returns once no such work is under way, and none begins after that, or when ctx ends. Appends are
+// taken meanwhile.
+type Quiescer interface {
+	Quiesce(ctx context.Context)
+}
+
 // Factory makes the state machine of a partition that this node comes to own.
 type Factory func(partition PartitionID) StateMachine
 
--- a/internal/ledger/manager_test.go
+++ b/internal/ledger/manager_test.go
@@ -87,11 +87,17 @@
 		defer c.stopAll()
 		acknowledged := []string{c.put(0, "a")}
 		leaving := c.owner(0)
+		machine := leaving.register(0)
+		var last error = errNotOwner()
+		machine.onQuiesce = func(ctx context.Context) { last = machine.put(ctx, "quiesced") }
 		c.view.change(leaving.id, func(member *membership.Member) { member.State = membership.Leaving })
 		if err := leaving.manager.Handover(t.Context()); err != nil {
 			t.Fatal(err)
 		}
-		acknowledged = append(acknowledged, c.put(0, "b"))
+		if last != nil {
+			t.Fatalf("append while the machine quiesces: %v", last)
+		}
+		acknowledged = append(acknowledged, "quiesced", c.put(0, "b"))
 		if c.owner(0) == leaving {
 			t.Fatal("the leaving node owns the partition again")
 		}
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -27,6 +27,8 @@
 	Backoff, MaxBackoff time.Duration
 	// Release bounds the wait for a present owner to finish its appends and let go.
 	Release time.Duration
+	// Quiesce bounds how long a state machine is given before a planned end; it is below Release.
+	Quiesce time.Duration
 	// Formation is how long the first start waits for more stores than there are.
 	Formation time.Duration
 	// Replace is how long a store may be gone before another takes its place.
@@ -41,7 +43,7 @@
 	return Timing{
 		Request: 2 * time.Second, Prepare: 5 * time.Second, Retry: 200 * time.Millisecond,
 		Notice: 500 * time.Millisecond, Check: 250 * time.Millisecond,
-		Backoff: 250 * time.Millisecond, MaxBackoff: 5 * time.Second, Release: 3 * time.Second,
+		Backoff: 250 * time.Millisecond, MaxBackoff: 5 * time.Second, Release: 3 * time.Second, Quiesce: time.Second,
 		Formation: 3 * time.Second, Replace: 30 * time.Second,
 		SnapshotRecords: 50_000, SnapshotBytes: 64 << 20,
 	}
@@ -89,6 +91,8 @@
 	lost    chan struct{}
 	tasks   sync.WaitGroup
 	serving atomic.Bool
+	// quiescer is the state machine, once it serves, if it is one.
+	quiescer atomic.Pointer[Quiescer]
 	// appended counts records and bytes since the last snapshot.
 	appendedRecords, appendedBytes atomic.Int64
 }
@@ -189,8 +193,13 @@
 	o.tasks.Wait()
 }
 
-// release lets appends in progress finish, ends the ownership and waits for its end.
+// release quiesces the state machine, lets appends in progress finish, ends the ownership and waits for its end.
 func (o *ownership) release(ctx context.Context) bool {
+	if quiescer := o.quiescer.Load(); quiescer != nil {
+		bounded, cancel := context.WithTimeout(ctx, o.timing.Quiesce)
+		(*quiescer).Quiesce(bounded)
+		cancel()
+	}
 	o.post(func() []protocol.Action {
 		o.releasing = true
 		return nil
--- a/internal/ledger/ownership_machine.go
+++ b/internal/ledger/ownership_machine.go
@@ -33,6 +33,9 @@
 		return
 	}
 	machine.Serve(o)
+	if quiescer, is := machine.(Quiescer); is {
+		o.quiescer.Store(&quiescer)
+	}
 	ticker := time.NewTicker(snapshotCheck)
 	defer ticker.Stop()
 	for {
