--- a/internal/ledger/manager_test.go
+++ b/internal/ledger/manager_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
