Weigh load less and own cache more when routing

Cause: a slightly busier replica was avoided although it held the prompt's beginning: without the load term the first token came sooner and hits were higher. Conclusion: kept; the load term still keeps one replica from taking all of a popular prompt.

--- a/internal/admission/simulation_test.go
+++ b/internal/admission/simulation_test.go
@@ -314,7 +314,7 @@
 		if time.Since(start)%(4*time.Second) > 3*time.Second {
 			rate = 150
 		}
-		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		time.Sleep(time.Duration(random.ExpFloat64() / rate / *simulationRate * float64(time.Second)))
 		prefix := uint64(min(random.IntN(24), random.IntN(24)))
 		run := &simulatedRun{prefillLeft: 300, tokensLeft: 24 + random.IntN(25), blocks: sharedBlocks(1000+prefix, 16, random.Uint64(), 2)}
 		node := s.nodes[random.IntN(len(s.nodes))]
@@ -440,6 +440,8 @@
 
 var simulationItems = flag.Int("simulation.items", 40, "items of each batch job in the policy simulation")
 
+var simulationRate = flag.Float64("simulation.rate", 1, "multiplies the online arrivals of the policy simulation")
+
 var simulationTerms = flag.Bool("simulation.terms", false, "also simulate with each term switched off")
 
 var simulationSeeds = flag.Int("simulation.seeds", 1, "seeds of the policy simulation")
--- a/internal/routing/options.go
+++ b/internal/routing/options.go
@@ -80,10 +80,10 @@
 		Picker:             PickerTop,
 		StaticBatchPercent: 33,
 		Costs: Costs{
-			PrefillBlock: 400 * time.Microsecond,
-			PrefillToken: 25 * time.Microsecond,
+			PrefillBlock: 300 * time.Microsecond,
+			PrefillToken: 10 * time.Microsecond,
 			Step:         4 * time.Millisecond,
-			BusySteps:    4,
+			BusySteps:    2,
 			WaitingSteps: 8,
 			BatchShare:   0.25,
 			OtherZone:    2 * time.Millisecond,
