Tell other zones less about a replica, more often

Cause: at full size loads of other zones would have been 23 s old within the byte budget. Change: other zones hear counts alone, and models, role and step time each 30 s, when they change, or when the members do; a restarted engine's lower sequence is taken.

--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -54,6 +54,7 @@
 	machineBytes   = 160
 	pollBytes      = 700
 	loadDeltaBytes = 48
+	summaryBytes   = 26
 )
 
 // within returns the interval at which count messages of size bytes stay in budget, at least least.
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -25,7 +25,7 @@
 		}, true)
 		actions = appendDelta(actions, s, delta, true)
 	}
-	summaryInterval := within(s.options.SummaryInterval, s.elsewhere, loadDeltaBytes, s.options.DeltaBytesPerSecond)
+	summaryInterval := within(s.options.SummaryInterval, s.elsewhere, summaryBytes, s.options.DeltaBytesPerSecond)
 	if now.Sub(s.summaryAt) >= summaryInterval {
 		s.summaryAt = now
 		delta := s.collect(now, func(replica *entry) bool {
@@ -57,12 +57,11 @@
 		if !replica.homed || !changed(replica) {
 			continue
 		}
-		load := messageOf(replica)
 		if !ownZone {
-			load.Detail = detailOf(&replica.Load)
-			delta.Loads = append(delta.Loads, load)
+			delta.Loads = append(delta.Loads, summaryOf(now, replica))
 			continue
 		}
+		load := messageOf(replica)
 		refresh := now.Sub(replica.sentAt) >= s.options.RefreshInterval
 		if !refresh && !replica.detailChanged && sameCounts(load, replica.sent) {
 			continue
@@ -78,6 +77,26 @@
 	return delta
 }
 
+// detailInterval is how often other zones hear again what changes seldom.
+const detailInterval = 30 * time.Second
+
+// summaryOf is what other zones hear: enough to weigh a replica against one of their own.
+func summaryOf(now time.Time, replica *entry) *fleetpb.ReplicaLoad {
+	report := &replica.Load
+	summary := &fleetpb.ReplicaLoad{
+		Replica: HashReplica(replica.ID), Sequence: report.Sequence,
+		Running: uint32(report.Running), RunningBatch: uint32(report.RunningBatch),
+		Waiting: uint32(report.Waiting), WaitingBatch: uint32(report.WaitingBatch), MaxRunning: uint32(report.MaxRunning),
+		Leaving: replica.Leaving, Unreachable: replica.unreachable,
+	}
+	if !sameModels(replica.summarized, report.Models) || replica.summarizedRole != report.Role || now.Sub(replica.summarizedAt) >= detailInterval {
+		replica.summarized, replica.summarizedRole, replica.summarizedAt = report.Models, report.Role, now
+		summary.Detail = detailOf(report)
+		summary.StepMicros, summary.FenceToken = uint32(report.StepMicros), report.FenceToken
+	}
+	return summary
+}
+
 func sameCounts(a, b *fleetpb.ReplicaLoad) bool {
 	return b != nil && a.GetRunning() == b.GetRunning() && a.GetRunningBatch() == b.GetRunningBatch() &&
 		a.GetWaiting() == b.GetWaiting() && a.GetWaitingBatch() == b.GetWaitingBatch() &&
@@ -142,6 +161,11 @@
 		Models:        before.Models,
 		Role:          before.Role,
 	}
+	if load.GetMeasuredAtMicros() == 0 { // a summary, which leaves out what changes seldom or matters little
+		report.MeasuredAt = before.MeasuredAt
+		report.StepMicros = max(report.StepMicros, before.StepMicros)
+		report.FenceToken = max(report.FenceToken, before.FenceToken)
+	}
 	if detail := load.GetDetail(); detail != nil {
 		report.Role = detail.GetRole()
 		report.Models = modelsOf(detail)
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -22,9 +22,13 @@
 	unreachable  bool
 	// homed: this node polls the replica.
 	homed bool
-	// sent is the load last sent to the zone, sentAt when; summaryAt to other zones.
-	sent            *fleetpb.ReplicaLoad
-	sentAt          time.Time
+	// sent is the load last sent to the zone, sentAt when.
+	sent   *fleetpb.ReplicaLoad
+	sentAt time.Time
+	// summarized, with role and time, is the detail that other zones last heard.
+	summarized      []engine.Loaded
+	summarizedRole  string
+	summarizedAt    time.Time
 	changedForZone  bool
 	changedForOther bool
 	detailChanged   bool
@@ -76,8 +80,7 @@
 	case machinesListed:
 		s.onMachines(now, typed.listing)
 	case viewChanged:
-		s.members = typed.view.Members
-		s.homesDirty = true
+		s.onView(typed.view)
 	case loadPolled:
 		s.onPolled(now, typed)
 	case deltaReceived:
@@ -92,6 +95,20 @@
 	return s.finish(now)
 }
 
+func (s *state) onView(view *membership.View) {
+	same := slices.EqualFunc(s.members, view.Members, func(a, b membership.Member) bool {
+		return a.ID == b.ID && a.Incarnation == b.Incarnation
+	})
+	s.members = view.Members
+	s.homesDirty = true
+	if same {
+		return
+	}
+	for _, replica := range s.replicas { // tell a new member what changes seldom
+		replica.summarizedAt, replica.sentAt = time.Time{}, time.Time{}
+	}
+}
+
 // finish collects what follows from the changes of one step.
 func (s *state) finish(now time.Time) []action {
 	var actions []action
@@ -243,6 +260,9 @@
 			}
 			continue
 		}
+		if load.GetMeasuredAtMicros() == 0 && load.GetSequence() < replica.Load.Sequence {
+			replica.HasLoad = false // a summary of an engine that has started anew
+		}
 		s.takeReport(now, replica, reportOf(load, &replica.Load))
 	}
 }
--- a/internal/fleet/state_test.go
+++ b/internal/fleet/state_test.go
@@ -232,6 +232,37 @@
 	}
 }
 
+func TestSummaryCarriesCountsAndSometimesDetail(t *testing.T) {
+	sender, receiver := newStateHarness(t, "n1/z1", "n2/z2"), newStateHarness(t, "n2/z2")
+	for _, h := range []*stateHarness{sender, receiver} {
+		h.list(1, machine("r1", "z1", platform.MachineLive))
+	}
+	hear := func(report engine.LoadReport) *fleetpb.ReplicaLoad {
+		sender.now = sender.now.Add(time.Second)
+		report.MeasuredAt = sender.now
+		sender.step(loadPolled{replica: "r1", report: report})
+		for _, output := range sender.actions {
+			if sent, ok := output.(sendDelta); ok {
+				receiver.now = sender.now
+				receiver.step(deltaReceived{delta: sent.delta})
+				return sent.delta.GetLoads()[0]
+			}
+		}
+		t.Fatal("nothing sent")
+		return nil
+	}
+	models := []engine.Loaded{{Model: "m", Version: "1", State: "ready"}}
+	first := hear(engine.LoadReport{Sequence: 7, Running: 3, MaxRunning: 16, StepMicros: 4000, Models: models})
+	second := hear(engine.LoadReport{Sequence: 8, Running: 5, MaxRunning: 16, StepMicros: 4000, Models: models})
+	restarted := hear(engine.LoadReport{Sequence: 1, Running: 1, MaxRunning: 16, StepMicros: 4000, Models: models})
+	if first.GetDetail() == nil || second.GetDetail() != nil || restarted.GetDetail() != nil {
+		t.Fatalf("detail sent: %v, %v, %v", first.GetDetail(), second.GetDetail(), restarted.GetDetail())
+	}
+	if got := receiver.directory.Find("r1").Load; got.Sequence != 1 || got.Running != 1 || got.StepMicros != 4000 || len(got.Models) != 1 {
+		t.Fatalf("another zone knows %+v", got)
+	}
+}
+
 func TestEachReplicaHasOneHomeInItsZone(t *testing.T) {
 	members := []membership.Member{
 		{ID: "a", Zone: "z1"}, {ID: "b", Zone: "z1"}, {ID: "c", Zone: "z2"},
