Let batch items on a leaving replica run to their end

Cause: credits were taken back from a leaving, draining or once failing replica, so that its items computed their prompts again elsewhere. Change: such a replica is closed: no grant, no next item on a credit, also by the requester's own knowledge; only an unreachable one loses its credits.

--- a/internal/admission/credit_events.go
+++ b/internal/admission/credit_events.go
@@ -19,8 +19,11 @@
 	service string
 	// batchLimit is the service's BatchConcurrentPerReplica.
 	batchLimit int
-	// usable is false where the replica is leaving or unreachable.
-	usable bool
+	// closed: the replica is leaving, draining or failing, and takes nothing new; what runs
+	// there runs to its end.
+	closed bool
+	// lost: the replica is unreachable, or no longer this home's.
+	lost bool
 }
 
 // Events of the home node.
@@ -90,8 +93,8 @@
 	revokedForOnline revokeReason = "online"
 	// revokedWithoutReport: the replica's load is not known any more.
 	revokedWithoutReport revokeReason = "no_report"
-	// revokedUnusable: the replica is leaving, draining, unreachable or another node's.
-	revokedUnusable revokeReason = "unusable"
+	// revokedLost: the replica is unreachable or another node's.
+	revokedLost revokeReason = "lost"
 )
 
 // creditKey names a credit among all nodes and their restarts.
--- a/internal/admission/credit_home.go
+++ b/internal/admission/credit_home.go
@@ -98,7 +98,7 @@
 	}
 	for id, replica := range h.replicas {
 		if !wanted[id] {
-			replica.usable = false
+			replica.lost = true
 			delete(h.replicas, id)
 		}
 	}
@@ -143,7 +143,7 @@
 	if heard.request.GetEpoch() == h.epoch {
 		for _, use := range heard.request.GetUses() {
 			credit := h.credits[use.GetCredit()]
-			if credit == nil || credit.revoked || !credit.replica.usable {
+			if credit == nil || credit.revoked || credit.replica.lost {
 				continue
 			}
 			credit.rank = int(use.GetRank())
@@ -247,7 +247,7 @@
 		}
 	}
 	for _, credit := range h.credits {
-		if !credit.replica.usable && !credit.revoked {
+		if credit.replica.lost && !credit.revoked {
 			credit.revoked = true
 			credit.replica.revoked++
 		}
@@ -258,8 +258,8 @@
 // revokeReason is why credits of the replica are taken back.
 func (r *replicaState) revokeReason(now time.Time, options *Options) revokeReason {
 	switch {
-	case !r.usable:
-		return revokedUnusable
+	case r.lost:
+		return revokedLost
 	case !r.reportBacks(now, options):
 		return revokedWithoutReport
 	default:
--- a/internal/admission/credit_property_test.go
+++ b/internal/admission/credit_property_test.go
@@ -45,6 +45,8 @@
 	reported  int
 	signalled int
 	hasReport bool
+	// closed: the replica takes nothing new; both the home and the requesters know.
+	closed bool
 }
 
 func newCreditWorld(t *rapid.T) *creditWorld {
@@ -56,14 +58,19 @@
 		running:    make(map[creditKey]string), taken: make(map[creditKey]bool),
 	}
 	for _, node := range []string{"a", "b"} {
-		world.requesters[node] = newRequesterState(options, node, func(string, []uint64) float64 { return 0 })
+		world.requesters[node] = newRequesterState(options, node,
+			func(string, []uint64) float64 { return 0 }, func(string) bool { return world.closed })
 	}
-	world.toHome(homesChanged{replicas: []homedReplica{{
-		id: worldReplica, service: "chat", batchLimit: worldBatchLimit, usable: true,
-	}}})
+	world.announceReplica()
 	return world
 }
 
+func (w *creditWorld) announceReplica() {
+	w.toHome(homesChanged{replicas: []homedReplica{{
+		id: worldReplica, service: "chat", batchLimit: worldBatchLimit, closed: w.closed,
+	}}})
+}
+
 func (w *creditWorld) send(message flight) {
 	message.sentAt = w.now
 	w.network = append(w.network, message)
@@ -115,6 +122,9 @@
 }
 
 func (w *creditWorld) checkDelivery(node string, delivered deliverCredit) {
+	if w.closed {
+		w.t.Fatalf("credit %v handed out on a replica that takes nothing new", delivered.key)
+	}
 	if w.taken[delivered.key] {
 		w.t.Fatalf("credit %v handed out after it was taken back", delivered.key)
 	}
@@ -216,6 +226,10 @@
 					Counts: []*admissionpb.ReplicaCount{{Replica: worldReplica, Count: 1}},
 				}}})
 			},
+			"closes or opens": func(*rapid.T) {
+				world.closed = !world.closed
+				world.announceReplica()
+			},
 			"online ends": func(*rapid.T) { world.online = max(0, world.online-1) },
 			"report": func(t *rapid.T) {
 				world.sequence++
--- a/internal/admission/credit_requester.go
+++ b/internal/admission/credit_requester.go
@@ -36,6 +36,8 @@
 	node    string
 	// overlap returns how many prefix blocks of a prompt a replica is thought to hold.
 	overlap func(replica string, blocks []uint64) float64
+	// closed says that a replica takes nothing new, as far as this node knows.
+	closed  func(replica string) bool
 	waiting []waitingItem
 	held    map[creditKey]*heldCredit
 	// revokedEarly remembers revocations that overtook their grant.
@@ -45,9 +47,10 @@
 	changed      bool
 }
 
-func newRequesterState(options Options, node string, overlap func(string, []uint64) float64) *requesterState {
+func newRequesterState(options Options, node string, overlap func(string, []uint64) float64,
+	closed func(string) bool) *requesterState {
 	return &requesterState{
-		options: options, node: node, overlap: overlap,
+		options: options, node: node, overlap: overlap, closed: closed,
 		held:         make(map[creditKey]*heldCredit),
 		revokedEarly: make(map[creditKey]time.Time),
 	}
@@ -124,8 +127,12 @@
 	return append(actions, answerGrants{reply: heard.reply, response: response})
 }
 
-// start gives a credit to the best waiting item; it returns false if there is none.
+// start gives a credit to the best waiting item; it returns false if there is none or the
+// replica takes nothing new.
 func (r *requesterState) start(now time.Time, held *heldCredit, actions *[]action) bool {
+	if r.closed(held.grant.GetReplica()) {
+		return false
+	}
 	index := r.match(now, held)
 	if index < 0 {
 		return false
--- a/internal/admission/credit_service.go
+++ b/internal/admission/credit_service.go
@@ -166,7 +166,7 @@
 // control owns the states.
 func (s *CreditService) control(ctx context.Context) {
 	home := newHomeState(s.options, s.settings.Node, rand.Uint64())
-	requester := newRequesterState(s.options, s.settings.Node, s.router.Overlap)
+	requester := newRequesterState(s.options, s.settings.Node, s.router.Overlap, s.isClosed)
 	changed := make(chan struct{}, 1)
 	wake := func() {
 		select {
@@ -215,7 +215,9 @@
 		if !ok || string(home.ID) != s.settings.Node {
 			continue
 		}
-		homed := homedReplica{id: replica.ID, service: replica.Service, usable: !replica.Leaving && !replica.Failed && !replica.Draining()}
+		homed := homedReplica{
+			id: replica.ID, service: replica.Service, closed: closed(&replica), lost: replica.Failed && !replica.HasLoad,
+		}
 		if service := services[replica.Service]; service != nil {
 			homed.batchLimit = service.BatchConcurrentPerReplica
 		}
@@ -224,6 +226,17 @@
 	return changed
 }
 
+// closed says that a replica takes no new batch items.
+func closed(replica *fleet.Replica) bool {
+	return replica.Leaving || replica.Failed || replica.Draining()
+}
+
+// isClosed says the same of a replica by its id; one that isn't listed is closed.
+func (s *CreditService) isClosed(id string) bool {
+	replica := s.fleet.Directory().Find(id)
+	return replica == nil || closed(replica)
+}
+
 func (s *CreditService) perform(ctx context.Context, output action) {
 	switch typed := output.(type) {
 	case sendGrants:
--- a/internal/admission/idle_capacity.go
+++ b/internal/admission/idle_capacity.go
@@ -66,7 +66,7 @@
 
 // reportBacks says whether credits may rest on the last report.
 func (r *replicaState) reportBacks(now time.Time, options *Options) bool {
-	return r.usable && r.hasReport && now.Sub(r.heardAt) <= options.ReportMaxAge
+	return !r.lost && r.hasReport && now.Sub(r.heardAt) <= options.ReportMaxAge
 }
 
 // foreign is the number of batch requests on the replica that no credit of this home
@@ -81,6 +81,15 @@
 	if !r.reportBacks(now, options) {
 		return 0, 0
 	}
+	grant, keep = r.capacityOpen(now, options)
+	if r.closed {
+		grant = 0
+	}
+	return grant, keep
+}
+
+// capacityOpen is capacity by the policy, for a replica that takes new work.
+func (r *replicaState) capacityOpen(now time.Time, options *Options) (grant, keep int) {
 	switch options.Policy {
 	case routing.PolicyOnlineOnly:
 		return 0, 0
