Declare as many batch streams as a replica has places

Cause: the declared bound of 12 batch streams on a replica held back the product's policy, while fifo ignores it. Change: the lab's file declares 16.

--- a/lab/deployment/options.go
+++ b/lab/deployment/options.go
@@ -35,7 +35,7 @@
 	nodesPerZone        = 2
 	wantedStores        = 4
 	defaultMachineLag   = 500 * time.Millisecond
-	defaultBatchStreams = 12
+	defaultBatchStreams = 16
 	defaultStreams      = 16
 	partitions          = 16
 	writeQuorum         = 3
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -40,10 +40,10 @@
 	slowdown  float64
 	lastStep  time.Duration
 	// clock is the engine's own time: the sum of its steps' durations.
-	clock time.Duration
-	history   loadHistory
-	up        bool
-	server    *http.Server
+	clock   time.Duration
+	history loadHistory
+	up      bool
+	server  *http.Server
 	// ended is closed when the engine is killed or stopped; it is new for each start.
 	ended chan struct{}
 	// work wakes the step loop.
--- a/lab/engine/generation.go
+++ b/lab/engine/generation.go
@@ -70,7 +70,7 @@
 
 		dispatched:   time.Now(),
 		lastProgress: e.clock,
-		readers:    map[*reader]struct{}{},
+		readers:      map[*reader]struct{}{},
 	}
 	entry.batch = e.isBatch(entry)
 	if refused := e.resume(entry, request.body.Resume); refused != nil {
--- a/lab/engine/run.go
+++ b/lab/engine/run.go
@@ -28,7 +28,7 @@
 	// lastProgress is the engine's time at the dispatch, then at the last token.
 	lastProgress time.Duration
 	hasToken     bool
-	state     runState
+	state        runState
 	// startOffset is the token that this run began or was revived with.
 	startOffset int
 	// produced is the offset behind the last token made.
