--- a/lab/deployment/machine.go
+++ b/lab/deployment/machine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -142,16 +143,30 @@
 	return nil
 }
 
+// Ports of nodes are below those that the operating system gives to dialling sockets, so
+// that a node's port is still free when it starts again.
+const (
+	lowestPort  = 10000
+	portCount   = 20000
+	maxAttempts = 1000
+)
+
 // freeAddresses returns loopback addresses that were free a moment ago.
 func freeAddresses(count int) ([]netip.AddrPort, error) {
 	addresses := make([]netip.AddrPort, 0, count)
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range maxAttempts {
+		if len(addresses) == count {
+			return addresses, nil
+		}
+		port := uint16(lowestPort + rand.IntN(portCount))
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+		listener, err := net.Listen("tcp", address.String())
 		if err != nil {
-			return nil, err
+			continue
 		}
+		// It stays open until all are found, so that none is found twice.
 		defer listener.Close()
-		addresses = append(addresses, listener.Addr().(*net.TCPAddr).AddrPort())
+		addresses = append(addresses, address)
 	}
-	return addresses, nil
+	return nil, fmt.Errorf("found %d of %d free ports", len(addresses), count)
 }
