--- a/lab/deployment/machine.go
+++ b/lab/deployment/machine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -143,30 +142,30 @@
 	return nil
 }
 
-// Ports of nodes are below those that the operating system gives to dialling sockets, so
-// that a node's port is still free when it starts again.
+// Nodes listen on addresses of their own, so that no outgoing connection, which takes a
+// port of 127.0.0.1 above the range below, is in the way when a node starts anew.
 const (
-	lowestPort  = 10000
-	portCount   = 20000
-	maxAttempts = 1000
+	firstPort = 20000
+	lastPort  = 32000
 )
 
-// freeAddresses returns loopback addresses that were free a moment ago.
+// freeAddresses returns loopback addresses that were free a moment ago. Processes that run
+// at once use different numbers in 127.0.0.0/8.
 func freeAddresses(count int) ([]netip.AddrPort, error) {
+	process := os.Getpid()
+	host := netip.AddrFrom4([4]byte{127, 1 + byte(process>>16&0x3f), byte(process >> 8), byte(process)})
 	addresses := make([]netip.AddrPort, 0, count)
-	for range maxAttempts {
-		if len(addresses) == count {
-			return addresses, nil
-		}
-		port := uint16(lowestPort + rand.IntN(portCount))
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+	for port := uint16(firstPort); port < lastPort && len(addresses) < count; port++ {
+		address := netip.AddrPortFrom(host, port)
 		listener, err := net.Listen("tcp", address.String())
 		if err != nil {
 			continue
 		}
-		// It stays open until all are found, so that none is found twice.
 		defer listener.Close()
 		addresses = append(addresses, address)
 	}
-	return nil, fmt.Errorf("found %d of %d free ports", len(addresses), count)
+	if len(addresses) < count {
+		return nil, fmt.Errorf("fewer than %d free ports on %s", count, host)
+	}
+	return addresses, nil
 }
