--- a/lab/deployment/configuration.go
+++ b/lab/deployment/configuration.go
@@ -29,7 +29,7 @@
 models: [{{.Model}}]
 maxConcurrentPerReplica: {{.Streams}}
 batchConcurrentPerReplica: {{.BatchStreams}}
-queueLimit: 256
+queueLimit: {{.QueueLimit}}
 requestTimeout: 60s
 retryBudgetPercent: 20
 ---
@@ -60,7 +60,7 @@
 
 type configurationValues struct {
 	Model, Version, Service           string
-	Streams, BatchStreams             int
+	Streams, BatchStreams, QueueLimit int
 	Online, Urgent, Batch             string
 	OnlineRank, UrgentRank, BatchRank int
 	Tenant, KeyDigest                 string
@@ -72,7 +72,7 @@
 	var file bytes.Buffer
 	err := configurationTemplate.Execute(&file, configurationValues{
 		Model: options.Profile.Model, Version: modelVersion, Service: options.Profile.Service,
-		Streams: options.MaxConcurrentPerReplica, BatchStreams: options.BatchConcurrentPerReplica,
+		Streams: options.MaxConcurrentPerReplica, BatchStreams: options.BatchConcurrentPerReplica, QueueLimit: defaultQueueLimit + options.configurationChange,
 		Online: load.PriorityOnline, Urgent: load.PriorityUrgent, Batch: load.PriorityBatch,
 		OnlineRank: rankOnline, UrgentRank: rankUrgent, BatchRank: rankBatch,
 		Tenant: load.TenantName, KeyDigest: hex.EncodeToString(digest[:]),
--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -164,7 +164,7 @@
 func (d *Deployment) Targets() []netip.AddrPort {
 	var targets []netip.AddrPort
 	for _, node := range d.Nodes {
-		if node.isServing() {
+		if node.IsServing() {
 			targets = append(targets, node.Settings.CallerAddress)
 		}
 	}
--- a/lab/deployment/machine.go
+++ b/lab/deployment/machine.go
@@ -90,7 +90,8 @@
 	return running
 }
 
-func (n *Node) isServing() bool {
+// IsServing tells whether callers are sent to the node.
+func (n *Node) IsServing() bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	return n.serving
--- a/lab/deployment/options.go
+++ b/lab/deployment/options.go
@@ -28,6 +28,8 @@
 	// BatchConcurrentPerReplica and MaxConcurrentPerReplica are declared for the service.
 	BatchConcurrentPerReplica int
 	MaxConcurrentPerReplica   int
+	// configurationChange makes one file differ from another.
+	configurationChange int
 }
 
 // Numbers of a deployment that profiles share.
@@ -37,6 +39,7 @@
 	defaultMachineLag   = 500 * time.Millisecond
 	defaultBatchStreams = 16
 	defaultStreams      = 16
+	defaultQueueLimit   = 256
 	partitions          = 16
 	writeQuorum         = 3
 )
--- a/lab/deployment/readiness.go
+++ b/lab/deployment/readiness.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -22,6 +23,7 @@
 	pathApply  = "/v1/config/apply"
 	pathModels = "/v1/models"
 	pathReady  = "/readyz"
+	pathStatus = "/v1/status"
 	pathChat   = "/v1/chat/completions"
 
 	// warmUpKeys are enough to meet nearly every partition of the ledger.
@@ -43,6 +45,51 @@
 	})
 }
 
+// ChangeConfiguration gives a changed file to a node in service, to others until one
+// takes it, and returns the accepted revision. The same change twice is one file.
+func (d *Deployment) ChangeConfiguration(ctx context.Context, change int) (revision int64, err error) {
+	options := d.options
+	options.configurationChange = change + 1
+	file, err := Configuration(options)
+	if err != nil {
+		return 0, err
+	}
+	attempt := change
+	err = await(ctx, "change configuration", func(ctx context.Context) error {
+		node := d.Nodes[attempt%len(d.Nodes)]
+		attempt++
+		if !node.IsServing() {
+			return fmt.Errorf("node %s does not serve", node.ID)
+		}
+		content, err := call(ctx, http.MethodPost, node.Settings.AdminAddress, pathApply, file)
+		if err != nil {
+			return err
+		}
+		var accepted revisionBody
+		if err := json.Unmarshal(content, &accepted); err != nil {
+			return err
+		}
+		revision = accepted.Revision
+		return nil
+	})
+	return revision, err
+}
+
+type revisionBody struct {
+	Revision int64 `json:"revision"`
+}
+
+// Revision returns the configuration revision in force on a node.
+func (d *Deployment) Revision(ctx context.Context, node *Node) (int64, error) {
+	content, err := call(ctx, http.MethodGet, node.Settings.AdminAddress, pathStatus, nil)
+	if err != nil {
+		return 0, err
+	}
+	var status revisionBody
+	err = json.Unmarshal(content, &status)
+	return status.Revision, err
+}
+
 // awaitReady waits until every node serves the declared model.
 func (d *Deployment) awaitReady(ctx context.Context) error {
 	return d.eachNode(func(node *Node) error { return d.awaitNode(ctx, node) })
--- a/lab/experiment/actions.go
+++ b/lab/experiment/actions.go
@@ -33,6 +33,7 @@
 	FaultLoadLag:         (*injector).loadLag,
 	FaultCacheEventsLost: (*injector).cacheEventsLost,
 	FaultRollingRestart:  (*injector).rollingRestart,
+	FaultConfiguration:   (*injector).changeConfiguration,
 }
 
 // injector carries out the faults of one run.
@@ -47,6 +48,8 @@
 	busy     map[string]bool
 	leaving  map[string]time.Time
 	failures []string
+	// configuration is set where the scenario changes it.
+	configuration *ConfigurationResult
 }
 
 func newInjector(target *deployment.Deployment, seed uint64, logger zerolog.Logger) *injector {
--- a/lab/experiment/print.go
+++ b/lab/experiment/print.go
@@ -29,6 +29,9 @@
 	row("not_run that ran", "%d", v.NotRunButRan)
 	row("streams sent again by callers", "%d", v.OnlineReconnects)
 	row("started on a leaving replica", "%d", r.StartedOnLeaving)
+	if c := r.Configuration; c != nil {
+		row("configuration", "%d files accepted, slowest in force everywhere after %.1f s, %d late, %d reverts", c.Accepted, c.Slowest, c.Late, c.Reverts)
+	}
 	row("batch", "%.1f items/s, %.0f tokens/s, %.2f of idle capacity", r.Batch.ItemsPerSecond, r.Batch.TokensPerSecond, r.Batch.IdleCapacityUsed)
 	row("batch tokens computed twice", "%.2f%% decoded, %.2f%% prefilled, %d resumptions",
 		100*r.Batch.DecodedTwiceShare, 100*r.Batch.PrefilledTwiceShare, r.Batch.Resumptions)
--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -31,10 +31,12 @@
 	Batch            BatchResult            `json:"batch"`
 	Cache            CacheResult            `json:"cache"`
 	// StartedOnLeaving counts runs that started on a replica more than 2 s after the first sign of its leaving.
-	StartedOnLeaving int           `json:"started_on_leaving"`
-	FaultErrors      []string      `json:"fault_errors,omitempty"`
-	Load             LoadDescribed `json:"load"`
-	Folder           string        `json:"folder,omitempty"`
+	StartedOnLeaving int      `json:"started_on_leaving"`
+	FaultErrors      []string `json:"fault_errors,omitempty"`
+	// Configuration is set where the scenario changes it.
+	Configuration *ConfigurationResult `json:"configuration,omitempty"`
+	Load          LoadDescribed        `json:"load"`
+	Folder        string               `json:"folder,omitempty"`
 	// TimerLateness tells how busy the machine was: how late a timer of 2 ms fired.
 	TimerLateness histogram.Distribution `json:"timer_lateness"`
 	Engines       EngineAccounts         `json:"engines"`
@@ -135,6 +137,7 @@
 	faults.mutex.Lock()
 	defer faults.mutex.Unlock()
 	r.FaultErrors = faults.failures
+	r.Configuration = faults.configuration
 	for marker, record := range records {
 		for _, start := range record.History {
 			announced, leaving := faults.leaving[start.Replica]
--- a/lab/experiment/scenario.go
+++ b/lab/experiment/scenario.go
@@ -31,6 +31,8 @@
 	FaultLoadLag         FaultKind = "load_lag"
 	FaultCacheEventsLost FaultKind = "cache_events_lost"
 	FaultRollingRestart  FaultKind = "rolling_restart"
+	// FaultConfiguration applies count changed files over its duration; none may revert or be late.
+	FaultConfiguration FaultKind = "change_configuration"
 )
 
 // Target names which nodes a fault can hit.
