--- a/internal/operator/config_handler.go
+++ b/internal/operator/config_handler.go
@@ -89,6 +89,13 @@
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), configTimeout)
 	defer cancel()
+	select {
+	case h.files <- struct{}{}:
+		defer func() { <-h.files }()
+	case <-ctx.Done():
+		writeError(response, outcome.New(outcome.NotRun, outcome.ReasonOverloaded, "too many files at once").After(time.Second))
+		return
+	}
 	result, err := use(ctx, file)
 	if err != nil {
 		writeError(response, err)
@@ -98,8 +105,9 @@
 }
 
 func (h *handler) readFile(response http.ResponseWriter, request *http.Request) ([]byte, error) {
-	deadline := time.Now().Add(h.limits.BodyTimeout)
-	if err := http.NewResponseController(response).SetReadDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	controller := http.NewResponseController(response)
+	defer clearReadDeadline(controller)
+	if err := controller.SetReadDeadline(time.Now().Add(h.limits.BodyTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, err
 	}
 	file, err := io.ReadAll(http.MaxBytesReader(response, request.Body, strictyaml.MaxBytes))
