--- a/internal/admission/credit_home.go
+++ b/internal/admission/credit_home.go
@@ -91,7 +91,7 @@
 		wanted[homed.id] = true
 		known := h.replicas[homed.id]
 		if known == nil {
-			known = &replicaState{}
+			known = &replicaState{prefixes: make(map[uint64]time.Time)}
 			h.replicas[homed.id] = known
 		}
 		known.homedReplica = homed
@@ -215,6 +215,13 @@
 			delete(h.demands, requester)
 		}
 	}
+	for _, replica := range h.replicas {
+		for prefix, at := range replica.prefixes {
+			if now.Sub(at) >= h.options.PrefixMemory {
+				delete(replica.prefixes, prefix)
+			}
+		}
+	}
 	for pair, until := range h.pauses {
 		if !now.Before(until) {
 			delete(h.pauses, pair)
@@ -225,6 +232,7 @@
 // revoke takes back as few credits as bring each replica within its capacity: the
 // lowest rank first, and of those the one with the least work done.
 func (h *homeState) revoke(now time.Time) []action {
+	var actions []action
 	for _, id := range slices.Sorted(maps.Keys(h.replicas)) {
 		replica := h.replicas[id]
 		_, keep := replica.capacity(now, &h.options)
@@ -233,15 +241,37 @@
 				credit.revoked = true
 				replica.revoked++
 			}
+			actions = append(actions, noteRevoked{
+				replica: id, count: excess, online: replica.online(&h.options), reason: replica.revokeReason(now, &h.options),
+			})
 		}
 	}
-	byRequester := make(map[string]*admissionpb.Revoke)
-	for _, id := range slices.Sorted(maps.Keys(h.credits)) {
-		credit := h.credits[id]
+	for _, credit := range h.credits {
 		if !credit.replica.usable && !credit.revoked {
 			credit.revoked = true
 			credit.replica.revoked++
 		}
+	}
+	return append(actions, h.sendRevocations(now)...)
+}
+
+// revokeReason is why credits of the replica are taken back.
+func (r *replicaState) revokeReason(now time.Time, options *Options) revokeReason {
+	switch {
+	case !r.usable:
+		return revokedUnusable
+	case !r.reportBacks(now, options):
+		return revokedWithoutReport
+	default:
+		return revokedForOnline
+	}
+}
+
+// sendRevocations tells requesters, again and again until the credits are given back or lapse.
+func (h *homeState) sendRevocations(now time.Time) []action {
+	byRequester := make(map[string]*admissionpb.Revoke)
+	for _, id := range slices.Sorted(maps.Keys(h.credits)) {
+		credit := h.credits[id]
 		if !credit.revoked || now.Sub(credit.revokeSentAt) < revokeResend {
 			continue
 		}
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -69,11 +69,15 @@
 	timing    Timing
 	logger    zerolog.Logger
 
-	// owner, pending, pendingBytes and releasing belong to run's goroutine.
+	// owner, pending, pendingBytes, releasing, preparing and starved belong to run's goroutine.
 	owner        *protocol.Owner
 	pending      []*appendRequest
 	pendingBytes int
 	releasing    bool
+	// preparing ends an attempt that gets no read quorum.
+	preparing *time.Timer
+	// starved is for how long the owner has been starved.
+	starved time.Duration
 
 	events  chan func() []protocol.Action
 	appends chan *appendRequest
@@ -91,11 +95,16 @@
 
 // ownedView is an immutable copy of what the owner knows of its stores.
 type ownedView struct {
-	phase     protocol.OwnerPhase
-	committed Position
-	last      Position
-	holdings  []protocol.Holding
-	hasRoom   bool
+	ballot      protocol.Ballot
+	ensemble    protocol.Ensemble
+	recoveredTo Position
+	phase       protocol.OwnerPhase
+	committed   Position
+	last        Position
+	holdings    []protocol.Holding
+	hasRoom     bool
+	// waitingSince is when the oldest append that waits for its quorum came; zero where none waits.
+	waitingSince time.Time
 }
 
 func newOwnership(ctx context.Context, partition PartitionID, owner *protocol.Owner, stores *storeClient, factory Factory, timing Timing, logger zerolog.Logger) *ownership {
@@ -112,17 +121,17 @@
 func (o *ownership) run() protocol.Lost {
 	notice := time.NewTicker(o.timing.Notice)
 	defer notice.Stop()
-	prepared := time.NewTimer(o.timing.Prepare)
-	defer prepared.Stop()
+	o.preparing = time.NewTimer(o.timing.Prepare)
+	defer o.preparing.Stop()
 	var lost protocol.Lost
 	step := func(actions []protocol.Action) {
+		o.publish()
 		for _, action := range actions {
 			if ended, is := action.(protocol.Lost); is {
 				lost = ended
 			}
 			o.execute(action)
 		}
-		o.publish()
 	}
 	step(o.owner.Start())
 	for o.owner.Phase() != protocol.PhaseLost {
@@ -133,7 +142,10 @@
 			step(o.propose(request))
 		case <-notice.C:
 			step(o.owner.Notice())
-		case <-prepared.C:
+			if o.starvedTooLong() {
+				step(o.owner.GiveUp(protocol.LossUnreadable))
+			}
+		case <-o.preparing.C:
 			if o.owner.Phase() < protocol.PhaseRewriting {
 				step(o.owner.GiveUp(protocol.LossTimeout))
 			}
@@ -148,6 +160,16 @@
 	return lost
 }
 
+// starvedTooLong is asked at each notice.
+func (o *ownership) starvedTooLong() bool {
+	if !o.owner.Starved() {
+		o.starved = 0
+		return false
+	}
+	o.starved += o.timing.Notice
+	return o.starved >= o.timing.Prepare
+}
+
 // acceptable returns the channel of appends, or nil while none may be taken.
 func (o *ownership) acceptable() <-chan *appendRequest {
 	if o.owner.Phase() != protocol.PhaseServing || o.releasing || o.pendingBytes > maxPendingBytes {
@@ -181,6 +203,15 @@
 	}
 }
 
+// servesWell tells whether the owner takes appends and none has waited long.
+func (o *ownership) servesWell(now time.Time) bool {
+	view := o.view.Load()
+	if !o.serving.Load() || view.phase != protocol.PhaseServing {
+		return false
+	}
+	return view.waitingSince.IsZero() || now.Sub(view.waitingSince) < o.timing.Request
+}
+
 // post hands an event to run's goroutine; it is dropped once the ownership has ended.
 func (o *ownership) post(event func() []protocol.Action) {
 	select {
@@ -189,17 +220,29 @@
 	}
 }
 
-// start runs task on its own goroutine; what it returns is posted.
+// start runs task on its own goroutine; what it returns is posted, and dropped if the owner has taken another
+// ballot meanwhile. It is called on run's goroutine.
 func (o *ownership) start(task func(ctx context.Context) func() []protocol.Action) {
-	o.tasks.Add(1)
-	go func() {
-		defer o.tasks.Done()
-		o.post(task(o.ctx))
-	}()
+	ballot := o.owner.Ballot()
+	o.tasks.Go(func() {
+		event := task(o.ctx)
+		o.post(func() []protocol.Action {
+			if o.owner.Ballot() != ballot {
+				return nil
+			}
+			return event()
+		})
+	})
 }
 
 func (o *ownership) publish() {
+	var waitingSince time.Time
+	if len(o.pending) > 0 {
+		waitingSince = o.pending[0].since
+	}
 	o.view.Store(&ownedView{
+		waitingSince: waitingSince,
+		ballot:       o.owner.Ballot(), ensemble: o.owner.Ensemble(), recoveredTo: o.owner.RecoveredTo(),
 		phase: o.owner.Phase(), committed: o.owner.Committed(), last: o.owner.Last(),
 		holdings: o.owner.Holdings(), hasRoom: o.owner.HasRoom(),
 	})
@@ -251,10 +294,16 @@
 	})
 }
 
-// adopt ends the ownership where ensemble is newer than its own, so that the node prepares again under it.
+// adopt has the owner prepare again where ensemble is newer than its own; one that does not serve yet starts anew.
 func (o *ownership) adopt(ensemble protocol.Ensemble) {
-	if ensemble.Version <= o.owner.Ensemble().Version {
-		return
-	}
-	o.post(func() []protocol.Action { return o.owner.GiveUp(protocol.LossEnsembleChanged) })
+	o.post(func() []protocol.Action {
+		if ensemble.Version <= o.owner.Ensemble().Version {
+			return nil
+		}
+		if o.owner.Phase() != protocol.PhaseServing {
+			return o.owner.GiveUp(protocol.LossEnsembleChanged)
+		}
+		o.preparing.Reset(o.timing.Prepare)
+		return o.owner.PrepareAgain(ensemble)
+	})
 }
--- a/internal/ledger/ownership_requests.go
+++ b/internal/ledger/ownership_requests.go
@@ -16,8 +16,9 @@
 // fetchBytes bounds the payload of one read for recovery, refill or load.
 const fetchBytes = 1 << 20
 
+// member returns what is known of a store; the store was a member when the request was made.
 func (o *ownership) member(store protocol.StoreID) protocol.Member {
-	member, _ := o.owner.Ensemble().Find(store)
+	member, _ := o.view.Load().ensemble.Find(store)
 	return member
 }
 
@@ -76,7 +77,7 @@
 	if response.Status != ledgerpb.Status_STATUS_OK || len(response.Entries) == 0 {
 		return nil, outcome.New(outcome.NotRun, outcome.ReasonUnavailable, "store can't read the record: "+response.Status.String())
 	}
-	return wire.ToEntries(response.Entries), nil
+	return wire.ToEntries(response.Entries, protocol.Ballot{}), nil
 }
 
 func (o *ownership) sendAppend(ctx context.Context, action protocol.SendAppend) func() []protocol.Action {
@@ -84,7 +85,7 @@
 	defer cancel()
 	response, err := o.stores.append(ctx, o.member(action.Store), &ledgerpb.AppendRequest{
 		Partition: uint32(o.partition), Store: string(action.Store), Ballot: wire.FromBallot(action.Append.Ballot),
-		First: uint64(action.Append.First), Entries: wire.FromEntries(action.Append.Entries, false),
+		First: uint64(action.Append.First), Entries: wire.FromEntries(action.Append.Entries, action.Append.Ballot),
 		Committed: uint64(action.Append.Committed), RecoveredTo: uint64(action.Append.RecoveredTo), Repair: action.Append.Repair,
 	})
 	if err == nil && response.Status == ledgerpb.Status_STATUS_FULL {
@@ -112,8 +113,9 @@
 // readRange reads entries from some store that has them, the local one first.
 func (o *ownership) readRange(ctx context.Context, from, to Position, maxBytes int) ([]protocol.Entry, error) {
 	var last error
-	trimmed := true
-	for _, holding := range o.readers(from) {
+	readers := o.readers(from)
+	trimmed := len(readers) > 0
+	for _, holding := range readers {
 		if holding.First > from {
 			continue
 		}
@@ -135,7 +137,7 @@
 	var local, answering, failing []protocol.Holding
 	for _, holding := range o.view.Load().holdings {
 		switch {
-		case !holding.Attached || holding.Through < position:
+		case holding.Through < position:
 		case o.stores.local != nil && o.stores.local.ID() == holding.Member.Store:
 			local = append(local, holding)
 		case holding.Failing:
--- a/internal/operator/fx.go
+++ b/internal/operator/fx.go
@@ -8,6 +8,7 @@
 	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/fleet"
 	"github.com/sloelift/sloelift/internal/job"
+	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/network"
@@ -36,11 +37,13 @@
 	Jobs      job.Service       `optional:"true"`
 	Members   membership.Viewer `optional:"true"`
 	Directory fleet.Source      `optional:"true"`
+	Ledger    *ledger.Manager   `optional:"true"`
 	Sections  []StatusSection   `group:"status"`
 }
 
 // New builds the server; it listens from Start on.
 func New(params Params) *Server {
+	params.Readiness.inForce = params.InForce
 	logger := params.Logger.With().Str(logging.FieldSlice, "operator").Logger()
 	reporter := &statusReporter{
 		settings:  params.Settings,
@@ -50,6 +53,9 @@
 		directory: params.Directory,
 		sections:  params.Sections,
 	}
+	if params.Ledger != nil {
+		reporter.partitions = params.Ledger
+	}
 	requests := &handler{
 		limits:    params.Settings.Limits,
 		store:     params.Store,
@@ -59,6 +65,7 @@
 		status:    reporter,
 		readiness: params.Readiness,
 		logger:    logger,
+		files:     make(chan struct{}, maxFilesAtOnce),
 	}
 	return newServer(params.Settings, params.Network, requests.routes(params.Gatherer), params.Readiness, logger)
 }
--- a/lab/engine/generation.go
+++ b/lab/engine/generation.go
@@ -67,7 +67,10 @@
 		answer:   AnswerTo(request.prompt, request.body.maxTokens()),
 		priority: request.priority,
 		arrival:  e.arrivals,
-		readers:  map[*reader]struct{}{},
+
+		dispatched:   time.Now(),
+		lastProgress: e.clock,
+		readers:    map[*reader]struct{}{},
 	}
 	entry.batch = e.isBatch(entry)
 	if refused := e.resume(entry, request.body.Resume); refused != nil {
@@ -117,6 +120,7 @@
 	}
 	entry.stopExpiry()
 	entry.priority, entry.revived, entry.startOffset = request.priority, true, entry.produced
+	entry.dispatched, entry.lastProgress, entry.hasToken = time.Now(), e.clock, false
 	e.scheduler.enqueue(entry)
 	e.wakeLoop()
 	return nil
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -91,10 +91,14 @@
 		pause(bounded, options.Duration)
 		atEnd = fleet.Log.Totals()
 	})
+	machine := startLatenessProbe()
 	seen := runner.Run(bounded)
 	endFaults()
 	wait.Wait()
 	result := summarize(options, plan, seen, fleet.Log.Records(), atEnd)
+	result.TimerLateness = machine.stop()
+	result.EngineFirstToken = fleet.Log.OnlineFirstToken.Distribution()
+	result.EngineInterToken = fleet.Log.OnlineInterToken.Distribution()
 	result.addFaults(faults, fleet.Log.Records(), deployment.DefaultOptions(plan.Profile, "", 0).MachineListLag)
 	return result
 }
--- a/lab/platform/client_watch.go
+++ b/lab/platform/client_watch.go
@@ -8,7 +8,10 @@
 	port "github.com/sloelift/sloelift/internal/platform"
 )
 
-func isDropped(err error) bool { return errorx.IsOfType(err, errDropped) }
+// isDropped says that a caller over a network gets no answer.
+func isDropped(err error) bool {
+	return errorx.IsOfType(err, errDropped) || errorx.IsOfType(err, errReadDropped)
+}
 
 // Watch delivers changes from fromRevision on; an outage of the zone ends it. fromRevision 0
 // means from the next change on.
@@ -36,6 +39,10 @@
 	}
 	for {
 		outage, faultsChanged := c.server.faults.outage(c.zone, KeyValue)
+		if outage == OutageHangs {
+			<-ctx.Done()
+			return
+		}
 		if outage != NoOutage {
 			send(port.WatchEvent{Err: port.KindUnavailable.New("watch ended by an outage")})
 			return
