Name events in logs as the other slices do

Cause: membership and transport logged sentences, the others event names. Change: member_changed, malformed_frame, listener_failed, machine_list_not_read. Conclusion: one style.

--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -254,7 +254,7 @@
 			Uint64(fieldIncarnation, typed.incarnation).
 			Str(fieldChange, string(typed.kind)).
 			Dur(fieldSilence, typed.silence).
-			Msg("member changed")
+			Msg("member_changed")
 	}
 }
 
@@ -284,7 +284,7 @@
 			s.submit(listingEvent{machines: listing.Machines})
 		case !failing && ctx.Err() == nil:
 			failing = true
-			s.logger.Warn().Err(err).Msg("machine list not read")
+			s.logger.Warn().Err(err).Msg("machine_list_not_read")
 		}
 		timer := time.NewTimer(jittered(s.listPeriod(len(listing.Machines))))
 		select {
--- a/internal/transport/tcp.go
+++ b/internal/transport/tcp.go
@@ -157,7 +157,7 @@
 		connection, err := t.listener.Accept()
 		if err != nil {
 			if t.ctx.Err() == nil {
-				t.logger.Error().Err(err).Msg("listener failed")
+				t.logger.Error().Err(err).Msg("listener_failed")
 			}
 			return
 		}
@@ -186,6 +186,6 @@
 // logBroken writes one line for a connection that a malformed frame ended.
 func (t *TCP) logBroken(peer netip.AddrPort, err error) {
 	if isMalformed(err) {
-		t.logger.Warn().Stringer(logging.FieldPeer, peer).Err(err).Msg("connection closed on a malformed frame")
+		t.logger.Warn().Stringer(logging.FieldPeer, peer).Err(err).Msg("malformed_frame")
 	}
 }
