Give each connection smaller buffers

Cause: at 320 nodes a node has up to 640 connections with two buffers of 16 KiB each; the figures of the configuration's spread show 1.1 MB of heap a node with 12 nodes over TCP and 1.8 MB with 42. Change: buffers of 4 KiB; a larger frame bypasses them. Figures: none yet after the change. Conclusion: to be measured with the spread over TCP.

--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -21,7 +21,7 @@
 	writeTimeout = 10 * time.Second
 	// drainTimeout bounds the last flush of a transport that stops.
 	drainTimeout = time.Second
-	bufferBytes  = 16 << 10
+	bufferBytes  = 4 << 10
 )
 
 // errIdle ends a connection that nobody used for a while.
