Do not pass on members that came in bulk

Cause: 320 nodes that start together each passed on all others that they had got from one message: 14 KB/s a node for half a minute. Change: members from a message with more than 24 records are not passed on; digests find what is missing.

--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -8,7 +8,11 @@
 	membershippb "github.com/sloelift/sloelift/api/proto/membership"
 )
 
+// mergeAll takes news. Members that come in bulk, as to a node that joins, are not
+// passed on: whoever sent them has, and digests find what is missing.
 func (p *protocol) mergeAll(from netip.AddrPort, records []*membershippb.Record) {
+	p.bulk = len(records) > bulkRecords
+	defer func() { p.bulk = false }()
 	for _, wire := range records {
 		p.merge(from, wire)
 	}
@@ -87,6 +91,9 @@
 	held := newRecord(member)
 	p.insert(held)
 	p.noteChange(held, kind)
+	if p.bulk {
+		p.news.remove(held.ID)
+	}
 }
 
 // renewMember takes over a newer incarnation.
--- a/internal/membership/protocol.go
+++ b/internal/membership/protocol.go
@@ -59,6 +59,7 @@
 	listedLeaving map[NodeID]bool
 	haveListing   bool
 
+	bulk    bool // the records being merged came in bulk
 	actions []action
 }
 
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -79,6 +79,8 @@
 	troubledZone = 2
 	// recordsPerMessage bounds a Records message.
 	recordsPerMessage = 200
+	// bulkRecords is how many records in one message are more than passing news.
+	bulkRecords = 24
 	// joinContacts is how many contacts a node that knows nobody asks at once.
 	joinContacts = 2
 	// suspectTellers is about how many who hear of a suspicion tell the suspect at once.
--- a/lab/hollow/observer.go
+++ b/lab/hollow/observer.go
@@ -1,7 +1,9 @@
 package hollow
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -123,8 +125,10 @@
 }
 
 func knowsDead(observer, subject *node) bool {
-	member, present := observer.view().Find(membership.NodeID(nodeName(subject.number)))
-	return !present || member.State == membership.Dead
+	members := observer.view().Members
+	place, present := slices.BinarySearchFunc(members, membership.NodeID(nodeName(subject.number)),
+		func(member membership.Member, id membership.NodeID) int { return cmp.Compare(member.ID, id) })
+	return !present || members[place].State == membership.Dead
 }
 
 // judge counts who is held dead while up. The caller holds mutex.
