Submit again when a node says when; list repeated items one by one

Cause: a job submitted while its partition changed owner was refused with a time to come back, which operators had to do by hand; a repeated list item hid the faults of the others; a transaction that the key-value service refuses was called unavailable and tried again. Change: file submissions retry for up to 30 s; repeated items have their own positions; a refused transaction is too_large at once.

--- a/cmd/sloelift/fakes_test.go
+++ b/cmd/sloelift/fakes_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -70,6 +71,8 @@
 	mutex sync.Mutex
 	jobs  map[string]*fakeJob
 	order []string
+	// refused holds the client keys that were refused once.
+	refused map[string]bool
 }
 
 type fakeJob struct {
@@ -82,6 +85,10 @@
 func (f *fakeJobs) Submit(_ context.Context, submission job.Submission) (job.Status, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if strings.HasPrefix(submission.ClientKey, busyKey) && !f.refused[submission.ClientKey] {
+		f.refused[submission.ClientKey] = true
+		return job.Status{}, outcome.New(outcome.NotRun, outcome.ReasonUnavailable, "no owner").After(time.Millisecond)
+	}
 	id := "job-" + submission.Tenant + "-" + submission.ClientKey
 	if existing, present := f.jobs[id]; present {
 		return existing.status, nil
@@ -148,6 +155,9 @@
 	return found.status, nil
 }
 
+// busyKey begins the client keys of jobs that are refused once, with a time to come back.
+const busyKey = "busy"
+
 // cutAfter is the index at which results of a job with this client key are cut.
 const (
 	cutKey   = "cut"
--- a/cmd/sloelift/job.go
+++ b/cmd/sloelift/job.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"strconv"
 	"time"
 
@@ -34,26 +33,26 @@
 
 // Run implements the command.
 func (c *jobSubmitCommand) Run(env *environment) error {
-	items := env.stdin
-	if c.Input != standardInput {
-		file, err := os.Open(c.Input)
-		if err != nil {
-			return &usageError{err.Error()}
-		}
-		defer file.Close()
-		items = file
-	}
 	request := operator.JobRequest{
 		Template: c.Template, Tenant: c.Tenant, ClientKey: c.Key, Service: c.Service, Priority: c.Priority,
 		Operation: c.Operation, Deadline: c.Deadline, Retention: c.Retention, NotRepeatable: c.NotRepeatable,
 	}
-	view, err := env.client.SubmitJob(env.context, request, items)
+	submit := submitFile
+	if c.Input == standardInput {
+		submit = submitStandardInput
+	}
+	view, err := submit(env, request, c.Input)
 	if err != nil {
 		return err
 	}
 	return printJobs(env, view, view)
 }
 
+// submitStandardInput submits once, since the standard input can be read once.
+func submitStandardInput(env *environment, request operator.JobRequest, _ string) (operator.JobView, error) {
+	return env.client.SubmitJob(env.context, request, env.stdin)
+}
+
 // jobStatusCommand shows jobs.
 type jobStatusCommand struct {
 	ID     string `arg:"" optional:"" help:"Job; all jobs of the tenant without it."`
--- a/cmd/sloelift/job_input.go
+++ b/cmd/sloelift/job_input.go
@@ -3,13 +3,18 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
 
 	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/operator"
+	"github.com/sloelift/sloelift/internal/outcome"
 )
 
 // jobInput is the input file of a Job declaration.
@@ -71,11 +76,48 @@
 const keyDigestLength = 16
 
 func (i jobInput) submit(env *environment) (operator.JobView, error) {
-	file, err := os.Open(i.path)
-	if err != nil {
-		return operator.JobView{}, err
-	}
-	defer file.Close()
 	request := operator.JobRequest{Template: i.job.Name, ClientKey: i.job.Name + "-" + i.digest[:keyDigestLength]}
-	return env.client.SubmitJob(env.context, request, file)
+	return submitFile(env, request, i.path)
+}
+
+// submitRetryTime bounds how long a submission is tried again.
+const submitRetryTime = 30 * time.Second
+
+// submitFile submits a file. A refusal that names a time to come back is tried again
+// then; the client key makes that the same job.
+func submitFile(env *environment, request operator.JobRequest, path string) (operator.JobView, error) {
+	attempt := func() (operator.JobView, error) {
+		file, err := os.Open(path)
+		if err != nil {
+			return operator.JobView{}, backoff.Permanent(&usageError{err.Error()})
+		}
+		defer file.Close()
+		view, err := env.client.SubmitJob(env.context, request, file)
+		var refusal *outcome.Error
+		switch {
+		case err == nil:
+			return view, nil
+		case errors.As(err, &refusal) && refusal.Outcome == outcome.NotRun && refusal.RetryAfter > 0:
+			return view, &comeBack{cause: err, wait: backoff.RetryAfterError{Duration: refusal.RetryAfter}}
+		}
+		return view, backoff.Permanent(err)
+	}
+	view, err := backoff.Retry(env.context, attempt, backoff.WithMaxElapsedTime(submitRetryTime))
+	var waiting *comeBack
+	if errors.As(err, &waiting) {
+		err = waiting.cause
+	}
+	return view, err
 }
+
+// comeBack is a refusal with the time to come back, in the form that backoff reads.
+type comeBack struct {
+	cause error
+	wait  backoff.RetryAfterError
+}
+
+// Error returns the refusal's text.
+func (c *comeBack) Error() string { return c.cause.Error() }
+
+// Unwrap returns the refusal and the wait.
+func (c *comeBack) Unwrap() []error { return []error{c.cause, &c.wait} }
--- a/cmd/sloelift/output.go
+++ b/cmd/sloelift/output.go
@@ -9,6 +9,7 @@
 
 	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/operator"
+	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/strictyaml"
 )
 
@@ -27,6 +28,7 @@
 func (e *environment) reportError(err error) {
 	var invalid *strictyaml.ValidationError
 	var conflict *config.ConflictError
+	var refusal *outcome.Error
 	switch {
 	case !e.json && errors.As(err, &invalid):
 		// Editors look for "file:line:column:" where a line begins.
@@ -36,6 +38,9 @@
 		fmt.Fprintln(e.stderr, "sloelift: "+err.Error())
 		writeChanges(e.stderr, config.ApplyResult{Changes: conflict.Overwritten})
 		return
+	case !e.json && errors.As(err, &refusal) && refusal.RetryAfter > 0:
+		fmt.Fprintf(e.stderr, "sloelift: %v (come back in %s)\n", err, refusal.RetryAfter)
+		return
 	case !e.json:
 		fmt.Fprintln(e.stderr, "sloelift: "+err.Error())
 		return
--- a/cmd/sloelift/script_test.go
+++ b/cmd/sloelift/script_test.go
@@ -61,7 +61,7 @@
 	own.Node, own.Region, own.Zone = "node-a", "lahore", "shadman-hall"
 	own.AdminAddress = netip.MustParseAddrPort("127.0.0.1:0")
 	store := config.NewStore(keyValue, zerolog.Nop())
-	created := &fixture{platform: stand, source: &fakeSource{store: store}, members: &fakeViewer{}, jobs: &fakeJobs{}}
+	created := &fixture{platform: stand, source: &fakeSource{store: store}, members: &fakeViewer{}, jobs: &fakeJobs{refused: map[string]bool{}}}
 	server := operator.New(operator.Params{
 		Settings: own, Logger: zerolog.Nop(), Gatherer: prometheus.NewRegistry(), Network: network.System{},
 		Store: store, Readiness: operator.NewReadiness(), InForce: created.source, Jobs: created.jobs, Members: created.members,
--- a/internal/config/field_check.go
+++ b/internal/config/field_check.go
@@ -6,6 +6,7 @@
 	"path"
 	"reflect"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -24,6 +25,8 @@
 	mustRegister(validate, "dns_label", func(field validator.FieldLevel) bool {
 		return dnsLabel.MatchString(field.Field().String())
 	})
+	// findRepeated checks "unique" itself, so that the items are checked all the same.
+	mustRegister(validate, uniqueRule, func(validator.FieldLevel) bool { return true })
 	mustRegister(validate, "inner_path", func(field validator.FieldLevel) bool {
 		return isInnerPath(field.Field().String())
 	})
@@ -43,12 +46,11 @@
 
 // checkFields checks each field of a value by its validate tag.
 func checkFields(value Value, positions strictyaml.Positions) []Problem {
-	err := fieldValidator.Struct(value)
+	problems := findRepeated(value, positions)
 	var failures validator.ValidationErrors
-	if !errors.As(err, &failures) {
-		return nil
+	if !errors.As(fieldValidator.Struct(value), &failures) {
+		return problems
 	}
-	problems := make([]Problem, 0, len(failures))
 	for _, failure := range failures {
 		_, field, _ := strings.Cut(failure.Namespace(), ".")
 		problems = append(problems, Problem{Position: positions.Find(field), Field: field, Message: allowed(failure)})
@@ -56,6 +58,35 @@
 	return problems
 }
 
+const (
+	validateTag = "validate"
+	uniqueRule  = "unique"
+)
+
+// findRepeated finds items that stand twice in a list whose items must differ.
+func findRepeated(value Value, positions strictyaml.Positions) []Problem {
+	var problems []Problem
+	content := reflect.ValueOf(value).Elem()
+	for index := range content.NumField() {
+		field := content.Type().Field(index)
+		rules := strings.Split(field.Tag.Get(validateTag), ",")
+		items, isList := content.Field(index).Interface().([]string)
+		if !isList || !slices.Contains(rules, uniqueRule) {
+			continue
+		}
+		first := map[string]string{}
+		for position, item := range items {
+			path := fmt.Sprintf("%s[%d]", strictyaml.FieldName(field), position)
+			if earlier, repeated := first[item]; repeated {
+				problems = append(problems, Problem{Position: positions.Find(path), Field: path, Message: "stands in the list already, as " + earlier})
+				continue
+			}
+			first[item] = path
+		}
+	}
+	return problems
+}
+
 // allowed tells what a field may hold.
 func allowed(failure validator.FieldError) string {
 	limit := failure.Param()
@@ -76,8 +107,6 @@
 		return "wants hexadecimal digits"
 	case "lowercase":
 		return "wants lower-case letters"
-	case "unique":
-		return "holds a value twice"
 	}
 	return fmt.Sprintf("fails the check %s %s", failure.Tag(), limit)
 }
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -45,7 +45,7 @@
 		field := structType.Field(index)
 		name := strictyaml.FieldName(field)
 		property, _ := schema.Properties.Get(name)
-		if addRules(property, strings.Split(field.Tag.Get("validate"), ",")) {
+		if addRules(property, strings.Split(field.Tag.Get(validateTag), ",")) {
 			schema.Required = append(schema.Required, name)
 		}
 	}
@@ -72,7 +72,7 @@
 			required = true
 		case "dns_label":
 			property.Pattern = dnsLabel.String()
-		case "unique":
+		case uniqueRule:
 			property.UniqueItems = true
 		case "hexadecimal":
 			property.Pattern = "^[0-9a-f]*$"
--- a/internal/config/store_keyvalue.go
+++ b/internal/config/store_keyvalue.go
@@ -178,6 +178,9 @@
 		return 0, errHeadMoved
 	case errorx.IsOfType(err, platform.KindUnknownOutcome):
 		return s.settle(ctx, next, err)
+	case errorx.IsOfType(err, platform.KindRefused):
+		return 0, outcome.Wrap(err, outcome.NotRun, outcome.ReasonTooLarge, fmt.Sprintf(
+			"the key-value service refuses a transaction of %d changes; nothing was changed", len(transaction.Changes)))
 	}
 	return 0, outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "the key-value service did not take the change; nothing was changed")
 }
