Let every slice add to the status

Cause: slices that the operators' interface imports could not name its section type. Change: the type stands in a package of its own.

--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -7,16 +7,12 @@
 	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/fleet"
 	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/operator/section"
 	"github.com/sloelift/sloelift/internal/settings"
 )
 
-// StatusSection is what another slice adds to the status of the node; provide it with
-// fx.ResultTags(`group:"status"`). Report is called for each request and must be
-// quick and safe for concurrent use; its value is encoded as JSON.
-type StatusSection struct {
-	Name   string
-	Report func() any
-}
+// StatusSection is what another slice adds to the status of the node.
+type StatusSection = section.Section
 
 // Status of one node and of what it knows of the others.
 type Status struct {
