--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -171,6 +172,63 @@
 	})
 }
 
+func TestRevokedMarkedItemKeepsItsRun(t *testing.T) {
+	run(t, func(t *testing.T, cluster *testCluster) {
+		cluster.engine.onToken = func(ctx context.Context, _ engine.Endpoint, _ engine.Request, _ int) error {
+			sleepContext(ctx, time.Second)
+			return nil
+		}
+		wanted := submission("revoked and marked", 10)
+		wanted.NotRepeatable = true
+		status := mustSubmit(t, cluster.nodes[0], wanted)
+		synctest.Wait()
+		cluster.credits.revokeAll()
+		finish(t, cluster.nodes[0], status.ID)
+		checkAnswers(t, results(t, cluster.nodes[0], status.ID, 0), 0, 10)
+		if total, _ := cluster.engine.starts(); total != 10 || cluster.engine.cancels != 0 {
+			t.Fatalf("%d runs, %d cancelled", total, cluster.engine.cancels)
+		}
+	})
+}
+
+// cancelReader cancels the submission after its first chunks.
+type cancelReader struct {
+	io.Reader
+	cancel context.CancelFunc
+	left   int
+}
+
+func (r *cancelReader) Read(into []byte) (int, error) {
+	if r.left--; r.left == 0 {
+		r.cancel()
+	}
+	return r.Reader.Read(into)
+}
+
+func TestSubmissionCutOffIsNoJob(t *testing.T) {
+	run(t, func(t *testing.T, cluster *testCluster) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		wanted := submission("cut off", 0)
+		wanted.Items = &cancelReader{strings.NewReader(itemLines(20_000)), cancel, 5}
+		if _, err := cluster.nodes[0].service.Submit(ctx, wanted); outcome.Of(err) != outcome.NotRun {
+			t.Fatalf("submit: %v", err)
+		}
+		if listed, err := cluster.nodes[1].service.List(t.Context(), "registry", "", 0); err != nil || len(listed) != 0 {
+			t.Fatalf("%d jobs: %v", len(listed), err)
+		}
+		time.Sleep(time.Hour)
+		for partition, log := range cluster.logs {
+			if err := log.Compact(cluster.machines[ledger.PartitionID(partition)]); err != nil {
+				t.Fatal(err)
+			}
+			if _, records := log.Records(); len(records) != 0 {
+				t.Errorf("%d records of the cut off upload are kept", len(records))
+			}
+		}
+	})
+}
+
 func TestRevokedItemGoesOnBehindItsTokens(t *testing.T) {
 	run(t, func(t *testing.T, cluster *testCluster) {
 		var offsets sync.Map
@@ -358,7 +416,12 @@
 	run(t, func(t *testing.T, cluster *testCluster) {
 		want := make(map[string]bool)
 		for number := range 9 {
-			want[mustSubmit(t, cluster.nodes[0], submission(fmt.Sprintf("list-%d", number), 1)).ID] = true
+			wanted := submission(fmt.Sprintf("list-%d", number), 1)
+			wanted.Metadata = map[string]string{"note": strings.Repeat("n", 300<<10)}
+			want[mustSubmit(t, cluster.nodes[0], wanted).ID] = true
+		}
+		if all, err := cluster.nodes[2].service.List(t.Context(), "registry", "", 0); err != nil || len(all) != 9 {
+			t.Fatalf("%d listed in one call: %v", len(all), err)
 		}
 		after, pages := "", 0
 		for {
--- a/internal/job/owner_jobs.go
+++ b/internal/job/owner_jobs.go
@@ -18,6 +18,8 @@
 	// resultPageBytes bounds one answer with results, and resultPageItems the items it looks at.
 	resultPageBytes = 1 << 20
 	resultPageItems = 4096
+	// listPageBytes is the size from which a page of a list is cut.
+	listPageBytes = 1 << 20
 	// drainPatience bounds how long the answer to a cancel waits for calls to engines
 	// that had begun before it.
 	drainPatience = 5 * time.Second
@@ -26,20 +28,16 @@
 // appendChunk records a part of an upload, once.
 func (p *partition) appendChunk(ctx context.Context, request *jobpb.AppendChunkRequest) (*jobpb.AppendChunkResponse, error) {
 	chunk := request.GetChunk()
-	recorded := 0
-	count := func(state *partitionState) {
-		if upload := state.uploads[chunk.GetUploadId()]; upload != nil {
-			recorded = len(upload.positions)
-		}
-	}
-	if err := p.query(ctx, count); err != nil {
-		return nil, err
-	}
-	if recorded > int(chunk.GetSequence()) {
-		return &jobpb.AppendChunkResponse{}, nil
+	if chunk.GetSequence() >= maxChunks {
+		return nil, outcome.New(outcome.NotRun, outcome.ReasonTooLarge, "the upload has too many chunks")
 	}
-	if recorded < int(chunk.GetSequence()) {
-		return nil, errUploadGone()
+	recorded := false
+	err := p.query(ctx, func(state *partitionState) {
+		upload := state.uploads[chunk.GetUploadId()]
+		recorded = upload != nil && upload.has(int(chunk.GetSequence()))
+	})
+	if err != nil || recorded {
+		return &jobpb.AppendChunkResponse{}, err
 	}
 	chunk.RecordedAtMicros = micros(time.Now())
 	if err := p.propose(ctx, encodeRecord(kindChunk, chunk)); err != nil {
@@ -93,7 +91,7 @@
 	for _, count := range upload.items {
 		items += count
 	}
-	if len(upload.positions) != int(request.GetChunks()) || items != accepted.GetTotal() {
+	if !upload.whole(int(request.GetChunks())) || items != accepted.GetTotal() {
 		return errUploadGone()
 	}
 	now := time.Now()
@@ -188,8 +186,15 @@
 			}
 		}
 		slices.Sort(ids)
+		bytes := 0
 		for _, id := range ids[:min(len(ids), int(request.GetLimit()))] {
-			response.Jobs = append(response.Jobs, p.statusOf(state, id))
+			if bytes > listPageBytes {
+				response.More = true
+				return
+			}
+			status := p.statusOf(state, id)
+			bytes += proto.Size(status)
+			response.Jobs = append(response.Jobs, status)
 		}
 	})
 	return response, err
@@ -249,9 +254,9 @@
 func (p *partition) fillResults(ctx context.Context, response *jobpb.ResultsResponse, entries []itemEntry) error {
 	window := &resultWindow{owned: p.owned}
 	bytes := 0
-	for _, entry := range entries {
+	for index, entry := range entries {
 		if entry.class() != classOpen {
-			result, err := window.read(ctx, entry.position())
+			result, err := window.read(ctx, entries[index:])
 			if err != nil {
 				return outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "results not read")
 			}
