Say when to come back; count changes of the configuration

Cause: a refusal during an outage of the key-value service named no time to come back, and no metric showed what came of changes. Change: refusals carry a time; sloelift_config_changes_total by outcome.

--- a/cmd/sloelift/script_test.go
+++ b/cmd/sloelift/script_test.go
@@ -62,8 +62,9 @@
 	own.AdminAddress = netip.MustParseAddrPort("127.0.0.1:0")
 	store := config.NewStore(keyValue, zerolog.Nop())
 	created := &fixture{platform: stand, source: &fakeSource{store: store}, members: &fakeViewer{}, jobs: &fakeJobs{refused: map[string]bool{}}}
+	registry := prometheus.NewRegistry()
 	server := operator.New(operator.Params{
-		Settings: own, Logger: zerolog.Nop(), Gatherer: prometheus.NewRegistry(), Network: network.System{},
+		Settings: own, Logger: zerolog.Nop(), Gatherer: registry, Registerer: registry, Network: network.System{},
 		Store: store, Readiness: operator.NewReadiness(), InForce: created.source, Jobs: created.jobs, Members: created.members,
 		Sections: []operator.StatusSection{{Name: "partitions", Report: func() any { return map[string]int{"owned": 3} }}},
 	})
--- a/internal/config/store_keyvalue.go
+++ b/internal/config/store_keyvalue.go
@@ -85,6 +85,8 @@
 	// maxRetryTime bounds how long an edit is tried while others come first or the
 	// key-value service refuses.
 	maxRetryTime = 3 * time.Second
+	// retryAfter is when an operator may come back after a refusal.
+	retryAfter = 5 * time.Second
 )
 
 // commit plans the edit against the present revision and writes it in one
@@ -102,7 +104,7 @@
 	waits.MaxInterval = maxRetryWait
 	result, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(waits), backoff.WithMaxElapsedTime(maxRetryTime))
 	if errors.Is(err, errHeadMoved) {
-		err = outcome.Wrap(err, outcome.NotRun, outcome.ReasonConflict, "the configuration changes too often; nothing was changed")
+		err = outcome.Wrap(err, outcome.NotRun, outcome.ReasonConflict, "the configuration changes too often; nothing was changed").After(retryAfter)
 	}
 	var typed *outcome.Error
 	if err != nil && ctx.Err() != nil && !errors.As(err, &typed) && errors.Is(err, context.Cause(ctx)) {
@@ -144,7 +146,7 @@
 func (s *keyValueStore) read(ctx context.Context) (*Snapshot, platform.Entry, error) {
 	listing, err := s.keyValue.List(ctx, KeyPrefix)
 	if err != nil {
-		return nil, platform.Entry{}, outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "the configuration cannot be read; nothing was changed")
+		return nil, platform.Entry{}, outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "the configuration cannot be read; nothing was changed").After(retryAfter)
 	}
 	snapshot, headEntry, err := readEntries(listing.Entries)
 	if err != nil {
@@ -182,7 +184,7 @@
 		return 0, outcome.Wrap(err, outcome.NotRun, outcome.ReasonTooLarge, fmt.Sprintf(
 			"the key-value service refuses a transaction of %d changes; nothing was changed", len(transaction.Changes)))
 	}
-	return 0, outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "the key-value service did not take the change; nothing was changed")
+	return 0, outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "the key-value service did not take the change; nothing was changed").After(retryAfter)
 }
 
 // settle finds out, after other writes have replaced the head, whether ours was
--- a/internal/operator/config_handler.go
+++ b/internal/operator/config_handler.go
@@ -73,7 +73,9 @@
 		return
 	}
 	h.withFile(response, request, func(ctx context.Context, file []byte) (config.ApplyResult, error) {
-		return h.store.Apply(ctx, file, expect)
+		result, err := h.store.Apply(ctx, file, expect)
+		h.metrics.count(err)
+		return result, err
 	})
 }
 
@@ -186,7 +188,9 @@
 			return config.ApplyResult{}, &RunningJobsError{Uses: uses}
 		}
 	}
-	return h.store.Withdraw(ctx, id.Kind, id.Name, expect)
+	result, err := h.store.Withdraw(ctx, id.Kind, id.Name, expect)
+	h.metrics.count(err)
+	return result, err
 }
 
 func (h *handler) getRollout(response http.ResponseWriter, request *http.Request) {
--- a/internal/operator/fx.go
+++ b/internal/operator/fx.go
@@ -27,18 +27,19 @@
 type Params struct {
 	fx.In
 
-	Settings  settings.Settings
-	Logger    zerolog.Logger
-	Gatherer  prometheus.Gatherer
-	Network   network.Network
-	Store     config.Store
-	Readiness *Readiness
-	InForce   config.Source     `optional:"true"`
-	Jobs      job.Service       `optional:"true"`
-	Members   membership.Viewer `optional:"true"`
-	Directory fleet.Source      `optional:"true"`
-	Ledger    *ledger.Manager   `optional:"true"`
-	Sections  []StatusSection   `group:"status"`
+	Settings   settings.Settings
+	Logger     zerolog.Logger
+	Gatherer   prometheus.Gatherer
+	Registerer prometheus.Registerer
+	Network    network.Network
+	Store      config.Store
+	Readiness  *Readiness
+	InForce    config.Source     `optional:"true"`
+	Jobs       job.Service       `optional:"true"`
+	Members    membership.Viewer `optional:"true"`
+	Directory  fleet.Source      `optional:"true"`
+	Ledger     *ledger.Manager   `optional:"true"`
+	Sections   []StatusSection   `group:"status"`
 }
 
 // New builds the server; it listens from Start on.
@@ -66,6 +67,7 @@
 		readiness: params.Readiness,
 		logger:    logger,
 		files:     make(chan struct{}, maxFilesAtOnce),
+		metrics:   newChangeMetrics(params.Registerer),
 	}
 	return newServer(params.Settings, params.Network, requests.routes(params.Gatherer), params.Readiness, logger)
 }
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -57,7 +57,8 @@
 	readiness *Readiness
 	logger    zerolog.Logger
 	// files holds one token for each file that is worked on.
-	files chan struct{}
+	files   chan struct{}
+	metrics *changeMetrics
 }
 
 // maxFilesAtOnce bounds the memory of parsing.
--- a/internal/operator/handler_test.go
+++ b/internal/operator/handler_test.go
@@ -23,10 +23,9 @@
 	t.Helper()
 	before := goleak.IgnoreCurrent()
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(prometheus.NewGauge(prometheus.GaugeOpts{Name: "sloelift_test"}))
 	readiness := NewReadiness()
 	server := New(Params{
-		Settings: settings.Defaults(), Logger: zerolog.Nop(), Gatherer: registry, Network: network.System{}, Readiness: readiness,
+		Settings: settings.Defaults(), Logger: zerolog.Nop(), Gatherer: registry, Registerer: registry, Network: network.System{}, Readiness: readiness,
 	})
 	served := httptest.NewServer(server.server.Handler)
 	t.Cleanup(func() {
@@ -82,7 +81,7 @@
 		{func() { readiness.TurnOff(ReasonStopping) }, pathReady, http.StatusServiceUnavailable, ReasonStopping},
 		{readiness.turnOnAfterStart, pathReady, http.StatusServiceUnavailable, ReasonStopping},
 		{func() {}, pathHealth, http.StatusOK, `"ok"`},
-		{func() {}, pathMetrics, http.StatusOK, "sloelift_test 0"},
+		{func() {}, pathMetrics, http.StatusOK, `sloelift_config_changes_total{outcome="not_run"} 0`},
 	}
 	for index, step := range steps {
 		step.change()
--- /dev/null
+++ b/internal/operator/metrics.go
@@ -0,0 +1,38 @@
+package operator
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sloelift/sloelift/internal/outcome"
+)
+
+// changeMetrics counts what came of changes of the configuration on this node.
+type changeMetrics struct {
+	changes *prometheus.CounterVec
+}
+
+func newChangeMetrics(registerer prometheus.Registerer) *changeMetrics {
+	metrics := &changeMetrics{changes: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sloelift_config_changes_total",
+		Help: "Files applied and declarations withdrawn through this node, by outcome.",
+	}, []string{"outcome"})}
+	for _, result := range []outcome.Outcome{outcome.Completed, outcome.NotRun, outcome.Indeterminate} {
+		metrics.changes.WithLabelValues(string(result))
+	}
+	registerer.MustRegister(metrics.changes)
+	return metrics
+}
+
+// count notes the end of one change. An error that says nothing was changed counts as
+// not run.
+func (m *changeMetrics) count(err error) {
+	result := outcome.Completed
+	if err != nil {
+		_, detail := describeError(err)
+		result = detail.Outcome
+	}
+	if result == outcome.Failed {
+		result = outcome.NotRun
+	}
+	m.changes.WithLabelValues(string(result)).Inc()
+}
