--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -37,7 +37,8 @@
 	PhaseRunning   Phase = "running"
 	PhaseCompleted Phase = "completed"
 	PhaseCancelled Phase = "cancelled"
-	PhaseExpired   Phase = "expired"
+	// PhaseExpired: the retention is over; counts remain, results are gone.
+	PhaseExpired Phase = "expired"
 )
 
 // Status tells how far a job is.
@@ -53,9 +54,10 @@
 	AcceptedAt time.Time
 	Deadline   time.Time
 	EndedAt    time.Time
-	Total      int
-	Completed  int
-	Failed     int
+	// Failed counts indeterminate items too; at the end Completed + Failed = Total.
+	Total     int
+	Completed int
+	Failed    int
 	// AtRisk says that the job will not make its deadline at its present rate.
 	AtRisk bool
 }
