--- a/internal/routing/options.go
+++ b/internal/routing/options.go
@@ -60,6 +60,9 @@
 	BusySteps float64
 	// WaitingSteps is how many steps one waiting request adds.
 	WaitingSteps float64
+	// OwnWeight is the number of requests that one own request since the report stands for,
+	// because other gateways choose by the same report.
+	OwnWeight float64
 	// BatchShare weighs a batch request in comparison with an online one.
 	BatchShare float64
 	// OtherZone and OtherRegion are the cost of distance.
@@ -83,8 +86,9 @@
 			PrefillBlock: 300 * time.Microsecond,
 			PrefillToken: 10 * time.Microsecond,
 			Step:         4 * time.Millisecond,
-			BusySteps:    2,
+			BusySteps:    1,
 			WaitingSteps: 8,
+			OwnWeight:    2,
 			BatchShare:   0.25,
 			OtherZone:    2 * time.Millisecond,
 			OtherRegion:  40 * time.Millisecond,
--- a/internal/routing/scorer_load.go
+++ b/internal/routing/scorer_load.go
@@ -15,7 +15,8 @@
 		if step <= 0 {
 			step = costs.Step
 		}
-		online := max(0, report.Running-report.RunningBatch+c.own)
+		own := int(float64(c.own) * costs.OwnWeight)
+		online := max(0, report.Running-report.RunningBatch+own)
 		running := float64(online) + costs.BatchShare*float64(report.RunningBatch)
 		limit := max(1, report.MaxRunning)
 		waiting := float64(max(0, report.Waiting-report.WaitingBatch) + max(0, online+1-limit))
