Learn the text of a caller that reconnects with its offset only

Cause: an engine that died after such a reconnection left nothing to resume from. Change: a second stream reads the run's beginning; the text up to the offset is found where both streams end a chunk.

--- a/internal/session/answer.go
+++ b/internal/session/answer.go
@@ -40,8 +40,10 @@
 	offset     int
 	prior      strings.Builder
 	priorKnown bool
-	finish     string
-	usage      engine.Usage
+	// ends are the first chunks' ends since the caller reconnected, while priorKnown is false.
+	ends   []boundary
+	finish string
+	usage  engine.Usage
 	// mayHaveRun is set once an engine may have started the request; NotRun is never
 	// told after that.
 	mayHaveRun bool
@@ -61,9 +63,26 @@
 		mayHaveRun: request.Reconnects(),
 	}
 	a.prior.WriteString(request.Prior)
+	if !a.priorKnown {
+		a.ends = []boundary{{offset: a.offset}}
+	}
 	return a
 }
 
+// learnPrior puts the text that the caller had before it reconnected in front of what it got since.
+func (a *answer) learnPrior(reader *priorReader) {
+	reader.stop()
+	received := a.prior.String()
+	prior, found := reader.before(received, a.ends)
+	if !found {
+		return
+	}
+	a.prior.Reset()
+	a.prior.WriteString(prior)
+	a.prior.WriteString(received)
+	a.priorKnown, a.ends = true, nil
+}
+
 // pick chooses a replica for the next attempt.
 func (a *answer) pick() (routing.Decision, func(), error) {
 	if a.prefixBlocks == nil {
@@ -107,16 +126,8 @@
 
 // open starts, resumes or attaches to the run on one replica and notes what is known of it.
 func (a *answer) open(ctx context.Context, to engine.Endpoint, attachOnly bool) (engine.Stream, error) {
-	request := engine.Request{
-		ID:         a.request.ID,
-		Operation:  a.request.Operation,
-		Body:       a.request.Body,
-		Model:      engine.JoinModel(a.request.Model, a.request.Adapter),
-		BodyReady:  a.request.BodyReady,
-		Priority:   a.request.Priority.Rank,
-		Offset:     a.offset,
-		AttachOnly: attachOnly,
-	}
+	request := a.engineRequest()
+	request.AttachOnly = attachOnly
 	if !attachOnly {
 		request.Prior = a.prior.String()
 	}
@@ -130,6 +141,19 @@
 	return stream, err
 }
 
+// engineRequest asks for what is behind the caller's offset.
+func (a *answer) engineRequest() engine.Request {
+	return engine.Request{
+		ID:        a.request.ID,
+		Operation: a.request.Operation,
+		Body:      a.request.Body,
+		Model:     engine.JoinModel(a.request.Model, a.request.Adapter),
+		BodyReady: a.request.BodyReady,
+		Priority:  a.request.Priority.Rank,
+		Offset:    a.offset,
+	}
+}
+
 // follow passes the stream on to its end. Its error is errSink or of an engine kind.
 func (a *answer) follow(stream engine.Stream, replica string, dog *watchdog) error {
 	defer stream.Close()
@@ -168,6 +192,9 @@
 	a.clock.observe(chunk.Tokens)
 	a.offset += chunk.Tokens
 	a.prior.WriteString(chunk.Text)
+	if !a.priorKnown && len(a.ends) <= priorReadAhead {
+		a.ends = append(a.ends, boundary{offset: a.offset, bytes: a.prior.Len()})
+	}
 	if chunk.FinishReason != "" {
 		a.finish = chunk.FinishReason
 	}
--- a/internal/session/repeatable.go
+++ b/internal/session/repeatable.go
@@ -45,7 +45,7 @@
 	endpoint, found := a.runner.endpoint(a.request.Replica)
 	cause := error(engine.KindNoSuchRun.New("replica %s is not known", a.request.Replica))
 	if found {
-		cause = a.followOn(ctx, endpoint, true)
+		cause = a.followReconnected(ctx, endpoint)
 	}
 	if cause == nil {
 		return true, nil
@@ -62,6 +62,21 @@
 	return false, nil
 }
 
+// followReconnected follows the run of an earlier connection, and meanwhile reads what the
+// caller got of it, where the caller did not send that.
+func (a *answer) followReconnected(ctx context.Context, to engine.Endpoint) error {
+	if a.priorKnown {
+		return a.followOn(ctx, to, true)
+	}
+	reader := readPrior(ctx, a.runner.Client, to, a.engineRequest())
+	defer reader.stop()
+	err := a.followOn(ctx, to, true)
+	if err != nil {
+		a.learnPrior(reader)
+	}
+	return err
+}
+
 // attempt runs or resumes the request on one replica that routing picks.
 func (a *answer) attempt(ctx context.Context) error {
 	decision, done, err := a.pick()
--- a/internal/session/runner_test.go
+++ b/internal/session/runner_test.go
@@ -234,3 +234,45 @@
 		}
 	})
 }
+
+// TestReconnectedStreamIsResumedElsewhere has a caller that reconnected with its offset only, and
+// an engine that dies then: the text so far was read from the engine meanwhile.
+func TestReconnectedStreamIsResumedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fakes := newFakeFleet(fault{cut: 2}, fault{forget: true, open: "not_sent"})
+		fakes.runs["r2"] = map[string]bool{"q1": true}
+		request := testRequest("q1")
+		request.Replica, request.Offset = "r2", 4
+		got := received{next: 4, text: answerText(0, 4)}
+		runner := newTestRunner(fakes, newFakeClaimer())
+		err := runner.Run(t.Context(), request, func(chunk Chunk) error {
+			// The second stream has read what there is.
+			synctest.Wait()
+			return got.sink(chunk)
+		})
+		runner.Wait()
+		if err != nil || !got.whole() || fakes.badResume || fakes.starts != 1 {
+			t.Fatal(got, err, fakes.badResume, fakes.starts)
+		}
+	})
+}
+
+func TestPriorIsFoundWhereChunksEndTogether(t *testing.T) {
+	reader := &priorReader{ends: []boundary{{2, 4}, {5, 10}, {7, 14}}}
+	reader.text.WriteString("aabbccddeeffgg")
+	for name, c := range map[string]struct {
+		received string
+		ends     []boundary
+		want     string
+		found    bool
+	}{
+		"at the offset itself": {ends: []boundary{{5, 0}}, want: "aabbccddee", found: true},
+		"later":                {received: "ddeeffgg", ends: []boundary{{3, 0}, {4, 2}, {7, 8}}, want: "aabbcc", found: true},
+		"nowhere":              {received: "ddee", ends: []boundary{{3, 0}, {4, 4}}},
+		"other text":           {received: "xxee", ends: []boundary{{3, 0}, {5, 4}}},
+	} {
+		if prior, found := reader.before(c.received, c.ends); prior != c.want || found != c.found {
+			t.Errorf("%s: %q, %t", name, prior, found)
+		}
+	}
+}
