--- a/internal/job/owner_files.go
+++ b/internal/job/owner_files.go
@@ -20,24 +20,23 @@
 func (p *partition) commitFile(ctx context.Context, request *jobpb.CommitFileRequest) (*jobpb.FileStored, error) {
 	wanted := request.GetFile()
 	var present *jobpb.FileStored
-	var positions []uint64
-	var bytes int64
+	var upload uploadState
 	err := p.query(ctx, func(state *partitionState) {
 		present = state.files[wanted.GetId()]
-		if upload := state.uploads[wanted.GetUploadId()]; upload != nil {
-			positions, bytes = slices.Clone(upload.positions), upload.bytes
+		if found := state.uploads[wanted.GetUploadId()]; found != nil {
+			upload = uploadState{positions: slices.Clone(found.positions), bytes: found.bytes}
 		}
 	})
 	if err != nil || present != nil {
 		return present, err
 	}
-	if len(positions) != int(request.GetChunks()) || bytes != wanted.GetBytes() {
+	if !upload.whole(int(request.GetChunks())) || upload.bytes != wanted.GetBytes() {
 		return nil, errUploadGone()
 	}
 	stored := proto.Clone(wanted).(*jobpb.FileStored)
 	now := time.Now()
 	stored.CreatedAtMicros, stored.ExpiresAtMicros = micros(now), micros(now.Add(fileRetention))
-	stored.ChunkPositions = positions
+	stored.ChunkPositions = upload.positions
 	if err := p.propose(ctx, encodeRecord(kindFileStored, stored)); err != nil {
 		return nil, err
 	}
@@ -97,15 +96,28 @@
 
 // listFiles returns the tenant's files of this partition, by id.
 func (p *partition) listFiles(ctx context.Context, request *jobpb.ListRequest) (*jobpb.ListFilesResponse, error) {
-	response := &jobpb.ListFilesResponse{}
+	var files []*jobpb.FileStored
 	err := p.query(ctx, func(state *partitionState) {
 		for id, file := range state.files {
 			if file.GetTenant() == request.GetTenant() && id > request.GetAfter() {
-				response.Files = append(response.Files, file)
+				files = append(files, file)
 			}
 		}
 	})
-	slices.SortFunc(response.Files, func(a, b *jobpb.FileStored) int { return strings.Compare(a.GetId(), b.GetId()) })
-	response.Files = response.Files[:min(len(response.Files), int(request.GetLimit()))]
+	slices.SortFunc(files, func(a, b *jobpb.FileStored) int { return strings.Compare(a.GetId(), b.GetId()) })
+	response := &jobpb.ListFilesResponse{}
+	bytes := 0
+	for _, file := range files[:min(len(files), int(request.GetLimit()))] {
+		if bytes > listPageBytes {
+			response.More = true
+			break
+		}
+		listed := &jobpb.FileStored{
+			Id: file.GetId(), Tenant: file.GetTenant(), Name: file.GetName(), Purpose: file.GetPurpose(),
+			Bytes: file.GetBytes(), CreatedAtMicros: file.GetCreatedAtMicros(), ExpiresAtMicros: file.GetExpiresAtMicros(),
+		}
+		bytes += proto.Size(listed)
+		response.Files = append(response.Files, listed)
+	}
 	return response, err
 }
