Add the hollow command to the lab's program

Cause: the measurement of many nodes' control code had no command. Change: sloelift-lab hollow; its page names it.

--- a/cmd/sloelift-lab/main.go
+++ b/cmd/sloelift-lab/main.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/sloelift/sloelift/lab/hollow"
 )
 
 // Exit codes.
@@ -29,6 +31,7 @@
 	Platform   platformCommand   `cmd:"" help:"Run the stand-ins of the key-value service, machine list and weight store."`
 	Load       loadCommand       `cmd:"" help:"Play a load against nodes at given addresses."`
 	Experiment experimentCommand `cmd:"" help:"Run fault scenarios, or compare policies."`
+	Hollow     hollow.Command    `cmd:"" help:"Run the control code of many nodes without traffic and measure its cost."`
 	Report     reportCommand     `cmd:"" help:"Turn JSON results into a page with plots."`
 }
 
