Make the fake engine's runs advance once for all their readers

Cause: TestReconnectToAnotherNode hung since a reconnecting session also reads the run's beginning: both streams received from one channel, so that one reader took the tokens released for the other. Ruled out: the gateway and the session (a real engine's run advances by itself, and the emulator's runs do). Change: a released token is made once and seen by all readers of the run. The test is unchanged. Conclusion: the fault was in the fake.

--- a/internal/gateway/fake_engine_test.go
+++ b/internal/gateway/fake_engine_test.go
@@ -18,7 +18,7 @@
 )
 
 // fakeEngine answers every prompt with the same tokens, over the engine protocol. Its
-// runs advance only as they are read, except that step can hold them.
+// runs advance as they are read; hold can hold them, each token once for all readers of a run.
 type fakeEngine struct {
 	server *httptest.Server
 	tokens int
@@ -28,8 +28,9 @@
 	mutex   sync.Mutex
 	started map[string]bool
 	cancels map[string]bool
-	// hold, when set, is received from before each token.
+	// hold, when set, is received from before each token is made.
 	hold chan struct{}
+	runs map[string]*fakeRun
 	// pace is the time between tokens, for benchmarks.
 	pace time.Duration
 	// refuse answers everything with 429 and X-Not-Run.
@@ -38,9 +39,15 @@
 	cutAt int
 }
 
+// fakeRun counts the tokens made; changed is closed with each.
+type fakeRun struct {
+	made    int
+	changed chan struct{}
+}
+
 func newFakeEngine(t testing.TB, tokens int) *fakeEngine {
 	e := &fakeEngine{
-		tokens: tokens, started: map[string]bool{}, cancels: map[string]bool{},
+		tokens: tokens, started: map[string]bool{}, cancels: map[string]bool{}, runs: map[string]*fakeRun{},
 		token: func(index int) string { return "t" + strconv.Itoa(index) + " " },
 	}
 	router := mux.NewRouter()
@@ -101,6 +108,9 @@
 		return false
 	}
 	e.started[id] = true
+	if e.runs[id] == nil {
+		e.runs[id] = &fakeRun{changed: make(chan struct{})}
+	}
 	return true
 }
 
@@ -117,12 +127,8 @@
 	flusher := http.NewResponseController(w)
 	_ = flusher.Flush()
 	for index := offset; index < e.tokens; index++ {
-		if e.hold != nil {
-			select {
-			case <-e.hold:
-			case <-r.Context().Done():
-				return
-			}
+		if e.hold != nil && !e.awaitToken(r, index) {
+			return
 		}
 		if e.pace > 0 {
 			time.Sleep(e.pace)
@@ -138,6 +144,34 @@
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
+// awaitToken waits until the token is made by this reader of the run or another one;
+// false where the reader has gone.
+func (e *fakeEngine) awaitToken(r *http.Request, index int) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	run := e.runs[r.Header.Get(engine.HeaderRequestID)]
+	for run.made <= index {
+		changed := run.changed
+		e.mutex.Unlock()
+		released := false
+		select {
+		case <-e.hold:
+			released = true
+		case <-changed:
+		case <-r.Context().Done():
+		}
+		e.mutex.Lock()
+		if released {
+			run.made++
+			close(run.changed)
+			run.changed = make(chan struct{})
+		} else if r.Context().Err() != nil {
+			return false
+		}
+	}
+	return true
+}
+
 func (e *fakeEngine) cutNow(index int) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
