Stop a store whose disk is damaged, bound refills, and report metrics

Cause: a damaged block poisons later reads and compactions of the database; a store that is alive but does not answer its owner was never replaced; refills had no bound. Conclusion: damage on the disk is always handled as a lost disk.

--- a/internal/ledger/fx.go
+++ b/internal/ledger/fx.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
@@ -61,6 +62,7 @@
 	Settings  settings.Settings
 	Timing    *Timing `optional:"true"`
 	Logger    zerolog.Logger
+	Metrics   prometheus.Registerer
 	Disk      *Disk
 	Caller    transport.Caller
 	Registry  transport.Registrar
@@ -81,6 +83,9 @@
 		Settings: params.Settings, Timing: timing, Logger: params.Logger, Local: params.Disk.Store,
 		Caller: params.Caller, Registry: params.Registry, KeyValue: params.KeyValue, Viewer: params.Viewer, Factory: params.Factory,
 	})
+	if err := params.Metrics.Register(newMetrics(manager)); err != nil {
+		return nil, err
+	}
 	params.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			manager.Start()
--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -45,6 +45,9 @@
 // nextEnsemble returns the ensemble to change to, if a change is due.
 func (m *Manager) nextEnsemble(ensemble protocol.Ensemble, control *partitionControl, view *membership.View, now time.Time) (protocol.Ensemble, bool) {
 	fixed, _ := m.directory.fixed()
+	if control.ownership == nil {
+		return protocol.Ensemble{}, false
+	}
 	spare, found := spareStore(view, ensemble)
 	for _, member := range ensemble.Members {
 		if !m.lostFor(member, control, view, now) || !found {
@@ -60,18 +63,18 @@
 	return protocol.Ensemble{}, false
 }
 
-// lostFor tells whether the member's disk is to be replaced: at once where its node lives with
-// another store, after a while where the node is gone.
+// lostFor tells whether the member's disk is to be replaced: at once where its node lives with another store,
+// after a while where the node is gone or its store does not answer the owner.
 func (m *Manager) lostFor(member protocol.Member, control *partitionControl, view *membership.View, now time.Time) bool {
 	node, found := view.Find(membership.NodeID(member.Node))
 	alive := found && (node.State == membership.Alive || node.State == membership.Suspect || node.State == membership.Leaving)
-	if alive && node.StoreIncarnation == string(member.Store) {
+	if alive && node.StoreIncarnation != "" && node.StoreIncarnation != string(member.Store) {
+		return true
+	}
+	if alive && control.ownership.answers(member.Store) {
 		delete(control.unwell, member.Store)
 		return false
 	}
-	if alive && node.StoreIncarnation != "" {
-		return true
-	}
 	since, noted := control.unwell[member.Store]
 	if !noted {
 		control.unwell[member.Store] = now
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -93,7 +93,7 @@
 		settings: dependencies.Settings.Ledger, timing: dependencies.Timing,
 		logger: dependencies.Logger.With().Str(logging.FieldSlice, "ledger").Logger(),
 		local:  dependencies.Local, caller: dependencies.Caller, viewer: dependencies.Viewer, factory: dependencies.Factory,
-		stores:    &storeClient{local: dependencies.Local, caller: dependencies.Caller, viewer: dependencies.Viewer},
+		stores:    newStoreClient(dependencies.Local, dependencies.Caller, dependencies.Viewer),
 		directory: newDirectory(dependencies.KeyValue),
 		events:    make(chan func()), partitions: map[PartitionID]*partitionControl{},
 		owned: map[PartitionID]*ownership{}, hints: newOwnerHints(),
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -212,6 +212,16 @@
 	return view.waitingSince.IsZero() || now.Sub(view.waitingSince) < o.timing.Request
 }
 
+// answers tells whether the store answered the last request; one that is not a member yet counts as answering.
+func (o *ownership) answers(store protocol.StoreID) bool {
+	for _, holding := range o.view.Load().holdings {
+		if holding.Member.Store == store {
+			return holding.Failures == 0
+		}
+	}
+	return true
+}
+
 // post hands an event to run's goroutine; it is dropped once the ownership has ended.
 func (o *ownership) post(event func() []protocol.Action) {
 	select {
--- a/internal/ledger/ownership_requests.go
+++ b/internal/ledger/ownership_requests.go
@@ -86,7 +86,7 @@
 	response, err := o.stores.append(ctx, o.member(action.Store), &ledgerpb.AppendRequest{
 		Partition: uint32(o.partition), Store: string(action.Store), Ballot: wire.FromBallot(action.Append.Ballot),
 		First: uint64(action.Append.First), Entries: wire.FromEntries(action.Append.Entries, action.Append.Ballot),
-		Committed: uint64(action.Append.Committed), RecoveredTo: uint64(action.Append.RecoveredTo), Repair: action.Append.Repair,
+		Committed: uint64(action.Append.Committed), RecoveredTo: uint64(action.Append.RecoveredTo),
 	})
 	if err == nil && response.Status == ledgerpb.Status_STATUS_FULL {
 		return func() []protocol.Action {
@@ -104,12 +104,23 @@
 
 func (o *ownership) fetch(ctx context.Context, action protocol.Fetch) func() []protocol.Action {
 	entries, err := o.readStore(ctx, action.Source, action.From, action.To, fetchBytes)
+	if err == nil {
+		err = o.stores.refill.WaitN(ctx, payloadBytes(entries))
+	}
 	if err != nil {
 		return o.failed(action.Store)
 	}
 	return func() []protocol.Action { return o.owner.Fetched(action.Store, entries) }
 }
 
+func payloadBytes(entries []protocol.Entry) int {
+	size := 0
+	for _, entry := range entries {
+		size += len(entry.Record.Payload)
+	}
+	return size
+}
+
 // readRange reads entries from some store that has them, the local one first.
 func (o *ownership) readRange(ctx context.Context, from, to Position, maxBytes int) ([]protocol.Entry, error) {
 	var last error
--- a/internal/ledger/protocol/owner_sending.go
+++ b/internal/ledger/protocol/owner_sending.go
@@ -67,7 +67,7 @@
 		return nil
 	}
 	target.inFlight = true
-	source := sources[target.attempts%len(sources)]
+	source := sources[target.failures%len(sources)]
 	if source.first > target.next {
 		return []Action{TransferSnapshot{Store: store, Source: source.member.Store, Ballot: o.ballot, RecoveredTo: o.recoveredTo}}
 	}
--- a/internal/ledger/protocol/owner_state.go
+++ b/internal/ledger/protocol/owner_state.go
@@ -57,6 +57,8 @@
 	Snapshot SnapshotInfo
 	Attached bool
 	Failing  bool
+	// Failures counts failures since the last answer.
+	Failures int
 	SpaceLow bool
 	// CaughtUp says of a joining member that it may be made a full one.
 	CaughtUp bool
@@ -68,7 +70,7 @@
 	for _, follower := range o.followers {
 		holdings = append(holdings, Holding{
 			Member: follower.member, First: follower.first, Through: max(follower.acked, follower.known), Snapshot: follower.snapshot,
-			Attached: follower.attached, Failing: follower.failing, SpaceLow: follower.spaceLow, CaughtUp: follower.caughtUp,
+			Attached: follower.attached, Failing: follower.failing, Failures: follower.failures, SpaceLow: follower.spaceLow, CaughtUp: follower.caughtUp,
 		})
 	}
 	return holdings
--- a/internal/ledger/protocol/owner_step.go
+++ b/internal/ledger/protocol/owner_step.go
@@ -71,8 +71,8 @@
 	// caughtUp says of a joining member that it may be made a full one; see noteCaughtUp.
 	caughtUp bool
 	spaceLow bool
-	// attempts counts failures, so that a refill tries another source after each.
-	attempts int
+	// failures counts failures since the last answer; a refill tries another source after each.
+	failures int
 	snapshot SnapshotInfo
 	first    Position
 }
@@ -115,7 +115,7 @@
 	if follower.attached {
 		return nil
 	}
-	follower.inFlight, follower.failing, follower.attached = false, false, true
+	follower.inFlight, follower.failing, follower.attached, follower.failures = false, false, true, 0
 	follower.promise = promise
 	follower.acked, follower.next = max(promise.Committed, follower.known), promise.Committed+1
 	follower.snapshot, follower.first = promise.Snapshot, promise.First
@@ -161,7 +161,7 @@
 	if follower == nil || o.phase == PhaseLost {
 		return nil
 	}
-	follower.inFlight, follower.failing = false, false
+	follower.inFlight, follower.failing, follower.failures = false, false, 0
 	follower.spaceLow = spaceLow
 	switch answer.Verdict {
 	case VerdictRefused:
@@ -205,7 +205,7 @@
 		return nil
 	}
 	follower.failing = true
-	follower.attempts++
+	follower.failures++
 	if o.phase == PhaseReading && o.tails.awaits(store) {
 		return o.lose(Lost{Cause: LossUnreadable})
 	}
--- a/internal/ledger/protocol/store_step.go
+++ b/internal/ledger/protocol/store_step.go
@@ -96,8 +96,6 @@
 	Entries     []Entry
 	Committed   Position
 	RecoveredTo Position
-	// Repair rewrites acknowledged records that the disk damaged.
-	Repair bool
 }
 
 // Acknowledgement is a store's answer to an Append or an InstallSnapshot.
@@ -123,11 +121,10 @@
 		return s.acknowledge(VerdictGap), effect
 	}
 	for _, entry := range request.Entries {
-		repair := request.Repair && entry.Position >= s.First
-		if entry.Position > s.Consistent || repair {
+		if entry.Position > s.Consistent {
 			entry.Ballot = request.Ballot
 			effect.Write = append(effect.Write, entry)
-			s.Consistent = max(s.Consistent, entry.Position)
+			s.Consistent = entry.Position
 		}
 	}
 	s.Last = max(s.Last, s.Consistent)
--- a/internal/ledger/store/database.go
+++ b/internal/ledger/store/database.go
@@ -24,6 +24,7 @@
 const (
 	databaseFolder = "ledger"
 	markFile       = "ledger-synced"
+	damagedMark    = "ledger-is-damaged"
 	damagedPrefix  = "ledger-damaged-"
 )
 
@@ -36,11 +37,15 @@
 	states   map[protocol.PartitionID]*protocol.StoreState
 }
 
+// faults are called by the database, on any goroutine: fatal where it can't go on, and it does not
+// return; damaged where a block does not match its checksum.
+type faults struct{ fatal, damaged func() }
+
 // openDisk opens the database below folder. One that is damaged is moved aside, never
 // removed, and an empty one takes its place: the store comes back under
 // another incarnation, and the owners refill it.
-func openDisk(folder string, files vfs.FS, logger zerolog.Logger, fatal func(string)) (*disk, error) {
-	opened, err := tryDisk(folder, files, logger, fatal)
+func openDisk(folder string, files vfs.FS, logger zerolog.Logger, faults faults) (*disk, error) {
+	opened, err := tryDisk(folder, files, logger, faults)
 	if err == nil || !isDamage(err) {
 		return opened, err
 	}
@@ -49,11 +54,17 @@
 	if err := files.Rename(filepath.Join(folder, databaseFolder), aside); err != nil {
 		return nil, err
 	}
-	return tryDisk(folder, files, logger, fatal)
+	if err := files.Remove(filepath.Join(folder, damagedMark)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
+	return tryDisk(folder, files, logger, faults)
 }
 
-func tryDisk(folder string, files vfs.FS, logger zerolog.Logger, fatal func(string)) (*disk, error) {
-	database, err := openPebble(filepath.Join(folder, databaseFolder), files, logger, fatal)
+func tryDisk(folder string, files vfs.FS, logger zerolog.Logger, faults faults) (*disk, error) {
+	if _, err := files.Stat(filepath.Join(folder, damagedMark)); err == nil {
+		return nil, KindDamaged.New("a block was found to be damaged")
+	}
+	database, err := openPebble(filepath.Join(folder, databaseFolder), files, logger, faults)
 	if err != nil {
 		return nil, err
 	}
@@ -124,7 +135,7 @@
 	return iterator.Close()
 }
 
-func openPebble(path string, files vfs.FS, logger zerolog.Logger, fatal func(string)) (*pebble.DB, error) {
+func openPebble(path string, files vfs.FS, logger zerolog.Logger, faults faults) (*pebble.DB, error) {
 	cache := pebble.NewCache(cacheBytes)
 	defer cache.Unref()
 	return pebble.Open(path, &pebble.Options{
@@ -132,10 +143,10 @@
 		Cache:              cache,
 		MemTableSize:       memTableBytes,
 		FormatMajorVersion: pebble.FormatNewest,
-		Logger:             pebbleLogger{logger: logger, fatal: fatal},
-		// A damaged block is an error of the read that meets it; the record is there on other stores.
+		Logger:             pebbleLogger{logger: logger, fatal: faults.fatal},
 		EventListener: &pebble.EventListener{DataCorruption: func(info pebble.DataCorruptionInfo) {
 			logger.Error().Err(info.Details).Str(fieldFile, info.Path).Msg("ledger_block_damaged")
+			faults.damaged()
 		}},
 	})
 }
@@ -165,7 +176,7 @@
 // pebbleLogger passes on errors; information is for the database's developers.
 type pebbleLogger struct {
 	logger zerolog.Logger
-	fatal  func(string)
+	fatal  func()
 }
 
 // Infof drops the event.
@@ -179,5 +190,5 @@
 // Fatalf marks the store as failed. It does not return: the database must not go on.
 func (l pebbleLogger) Fatalf(format string, arguments ...any) {
 	l.logger.Error().Msgf(format, arguments...)
-	l.fatal(format)
+	l.fatal()
 }
--- a/internal/ledger/store/reads.go
+++ b/internal/ledger/store/reads.go
@@ -23,6 +23,8 @@
 	if !s.is(message.Store) {
 		return &ledgerpb.ReadResponse{Status: ledgerpb.Status_STATUS_WRONG_STORE}, nil
 	}
+	s.reading.RLock()
+	defer s.reading.RUnlock()
 	if s.ctx.Err() != nil {
 		return nil, KindClosed.New("store is closed")
 	}
--- a/internal/ledger/store/requests.go
+++ b/internal/ledger/store/requests.go
@@ -70,7 +70,6 @@
 		answer, effect := s.state(partition).Append(protocol.Append{
 			Ballot: wire.ToBallot(message.Ballot), First: protocol.Position(message.First), Entries: entries,
 			Committed: protocol.Position(message.Committed), RecoveredTo: protocol.Position(message.RecoveredTo),
-			Repair: message.Repair,
 		})
 		if err := s.apply(batch, partition, effect); err != nil {
 			return nil, err
--- a/internal/ledger/store_client.go
+++ b/internal/ledger/store_client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
@@ -20,6 +21,17 @@
 	local  *store.Store
 	caller transport.Caller
 	viewer membership.Viewer
+	// refill bounds the bytes a second that this node's owners copy to stores that lack records.
+	refill *rate.Limiter
+}
+
+// refillBytesPerSecond leaves room for appends on a small machine's disk and link.
+const refillBytesPerSecond = 32 << 20
+
+func newStoreClient(local *store.Store, caller transport.Caller, viewer membership.Viewer) *storeClient {
+	return &storeClient{
+		local: local, caller: caller, viewer: viewer, refill: rate.NewLimiter(refillBytesPerSecond, refillBytesPerSecond),
+	}
 }
 
 // address returns where member's node is now, or where it was when it became a member.
