--- /dev/null
+++ b/internal/ledger/fakes_test.go
@@ -0,0 +1,192 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/platform"
+)
+
+// memoryKeyValue is a key-value service with compare-and-swap that can be down or lose answers.
+type memoryKeyValue struct {
+	platform.KeyValue
+	mutex       sync.Mutex
+	revision    int64
+	entries     map[string]platform.Entry
+	down        bool
+	loseAnswers bool
+}
+
+func (k *memoryKeyValue) set(change func()) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	change()
+}
+
+func (k *memoryKeyValue) Get(_ context.Context, key string) (platform.Entry, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.down {
+		return platform.Entry{}, platform.KindUnavailable.New("down")
+	}
+	return k.entries[key], nil
+}
+
+func (k *memoryKeyValue) List(_ context.Context, prefix string) (platform.Listing, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.down {
+		return platform.Listing{}, platform.KindUnavailable.New("down")
+	}
+	listing := platform.Listing{Revision: k.revision}
+	for key, entry := range k.entries {
+		if strings.HasPrefix(key, prefix) {
+			listing.Entries = append(listing.Entries, entry)
+		}
+	}
+	return listing, nil
+}
+
+func (k *memoryKeyValue) Commit(_ context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.down {
+		return platform.CommitResult{}, platform.KindUnavailable.New("down")
+	}
+	for _, condition := range transaction.Conditions {
+		if k.entries[condition.Key].ModRevision != condition.ModRevision {
+			return platform.CommitResult{}, nil
+		}
+	}
+	k.revision++
+	for _, change := range transaction.Changes {
+		k.entries[change.Key] = platform.Entry{Key: change.Key, Value: change.Value, ModRevision: k.revision}
+	}
+	if k.loseAnswers {
+		return platform.CommitResult{}, platform.KindUnknownOutcome.New("answer lost")
+	}
+	return platform.CommitResult{Committed: true, Revision: k.revision}, nil
+}
+
+// sharedView is what every node of a test sees.
+type sharedView struct {
+	mutex   sync.Mutex
+	members []membership.Member
+}
+
+func (s *sharedView) change(id membership.NodeID, change func(*membership.Member)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for i := range s.members {
+		if s.members[i].ID == id {
+			change(&s.members[i])
+			return
+		}
+	}
+	s.members = append(s.members, membership.Member{ID: id})
+	change(&s.members[len(s.members)-1])
+}
+
+type viewerOf struct {
+	shared *sharedView
+	self   membership.NodeID
+}
+
+func (v viewerOf) View() *membership.View {
+	v.shared.mutex.Lock()
+	defer v.shared.mutex.Unlock()
+	return &membership.View{Self: v.self, Members: append([]membership.Member(nil), v.shared.members...)}
+}
+
+func (v viewerOf) Subscribe(func(*membership.View)) func() { return func() {} }
+
+// channelMutex is a mutex whose waiters count as blocked on the virtual clock, so that it can be held over an append.
+type channelMutex chan struct{}
+
+func (m channelMutex) Lock()   { m <- struct{}{} }
+func (m channelMutex) Unlock() { <-m }
+
+// register is a state machine that keeps every payload in order.
+type register struct {
+	mutex   channelMutex
+	upTo    Position
+	values  []string
+	owned   Owned
+	stopped bool
+}
+
+func (r *register) Restore(snapshot []byte) error {
+	if snapshot == nil {
+		return nil
+	}
+	var count int
+	text := string(snapshot)
+	if _, err := fmt.Sscanf(text, "%d %d\n", &r.upTo, &count); err != nil {
+		return err
+	}
+	if count > 0 {
+		r.values = strings.Split(strings.SplitN(text, "\n", 2)[1], "\n")
+	}
+	return nil
+}
+
+func (r *register) Apply(position Position, record Record) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if position != r.upTo+1 {
+		return fmt.Errorf("position %d applied after %d", position, r.upTo)
+	}
+	r.upTo = position
+	if record.Kind != KindNoOperation {
+		r.values = append(r.values, string(record.Payload))
+	}
+	return nil
+}
+
+func (r *register) Serve(owned Owned) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.owned = owned
+}
+
+func (r *register) Snapshot() (Position, Position, []byte, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	text := fmt.Sprintf("%d %d\n%s", r.upTo, len(r.values), strings.Join(r.values, "\n"))
+	return r.upTo, r.upTo + 1, []byte(text), nil
+}
+
+func (r *register) Stop() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.stopped = true
+}
+
+// put appends value; the register is applied in order only because put holds the lock.
+func (r *register) put(ctx context.Context, value string) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.owned == nil || r.stopped {
+		return errNotOwner()
+	}
+	position, err := r.owned.Append(ctx, []Record{{Kind: KindItemCompleted, Payload: []byte(value)}})
+	if err != nil {
+		return err
+	}
+	if position != r.upTo+1 {
+		return fmt.Errorf("position %d appended after %d", position, r.upTo)
+	}
+	r.upTo = position
+	r.values = append(r.values, value)
+	return nil
+}
+
+func (r *register) list() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return append([]string(nil), r.values...)
+}
+
