Close a store whose disk failed, and write tables less often

Change: a failed database is closed unless one of its goroutines had to be ended; memory tables hold 16 MiB. A test fills the disk under a running store: the process lives and all acknowledged records are there.

--- a/internal/ledger/store/database.go
+++ b/internal/ledger/store/database.go
@@ -17,7 +17,7 @@
 // Sizes of the database's memory: small, for a node has 256 MB for control.
 const (
 	cacheBytes    = 8 << 20
-	memTableBytes = 4 << 20
+	memTableBytes = 16 << 20
 )
 
 // Names below the data folder.
--- a/internal/ledger/store/store.go
+++ b/internal/ledger/store/store.go
@@ -56,6 +56,8 @@
 	ctx    context.Context
 	done   sync.WaitGroup
 	failed atomic.Bool
+	// stuck says that the database could not go on; it is not closed then.
+	stuck atomic.Bool
 	// damaged says that the database found a damaged block; the store has then stopped.
 	damaged atomic.Bool
 	folder  string
@@ -140,20 +142,22 @@
 	s.done.Wait()
 	s.reading.Lock()
 	defer s.reading.Unlock()
-	if s.failed.Load() && !s.damaged.Load() {
-		// The database may hang on its failed disk, so it is left alone.
+	if s.stuck.Load() {
+		// One of the database's goroutines was ended, so that closing it could wait for ever.
 		return nil
 	}
-	// A flushed log leaves nothing whose end could be in doubt.
-	var flushed error
-	if !s.failed.Load() {
-		flushed = s.database.Flush()
+	if s.failed.Load() {
+		// The failure has been logged; what closing says of it is not new.
+		_ = s.database.Close()
+		return s.mark.close()
 	}
-	return errors.Join(flushed, s.database.Close(), s.mark.close())
+	// A flushed log leaves nothing whose end could be in doubt.
+	return errors.Join(s.database.Flush(), s.database.Close(), s.mark.close())
 }
 
 // fail is called where the database can't go on, on any of its goroutines, and ends that goroutine.
 func (s *Store) fail() {
+	s.stuck.Store(true)
 	s.failed.Store(true)
 	s.stop()
 	runtime.Goexit()
--- a/internal/ledger/store/store_test.go
+++ b/internal/ledger/store/store_test.go
@@ -6,9 +6,12 @@
 	"math/rand/v2"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 
@@ -224,3 +227,36 @@
 		t.Fatalf("with room again: %v", response)
 	}
 }
+
+// A disk that fails while the store runs must stop the store and not the process, and keep what was acknowledged.
+func TestFailingDiskStopsTheStore(t *testing.T) {
+	free := plenty
+	memory := vfs.NewCrashableMem()
+	var failing atomic.Bool
+	files := errorfs.Wrap(memory, errorfs.InjectorFunc(func(operation errorfs.Op) error {
+		if failing.Load() && operation.Kind.ReadOrWrite() == errorfs.OpIsWrite {
+			return syscall.ENOSPC
+		}
+		return nil
+	}))
+	store := open(t, "data", files, &free)
+	for position := range uint64(20) {
+		write(t, store, position+1, "kept")
+	}
+	failing.Store(true)
+	_, err := store.Append(context.Background(), &ledgerpb.AppendRequest{
+		Partition: 1, Store: string(store.ID()), Ballot: ballot(1), First: 21, Entries: []*ledgerpb.Entry{{Position: 21}},
+	})
+	if err == nil {
+		t.Fatal("an append on a failing disk was acknowledged")
+	}
+	shut(t, store)
+	if !store.Failed() {
+		t.Fatal("the store does not know that it failed")
+	}
+	again := open(t, "data", memory.CrashClone(vfs.CrashCloneCfg{}), &free)
+	defer shut(t, again)
+	if again.ID() != store.ID() || len(read(t, again, 1, 20).Entries) != 20 {
+		t.Fatalf("%s came back as %s with %d of 20 records", store.ID(), again.ID(), len(read(t, again, 1, 20).Entries))
+	}
+}
