Find newer ensembles after a long absence, and let go while leaving

Cause: a node that was cut off while every store that it knew was replaced never learnt the newer ensemble, for no store that it asked could answer; an attempt that had begun before a planned stop could end in an ownership; a leaving owner could decline a successor. Change: an attempt that too few stores answer has the directory loaded again, from the service or other nodes; a leaving node starts no ownership and never declines.

--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -47,9 +47,12 @@
 	logger := m.logger.With().Uint32(logging.FieldPartition, uint32(partition)).Logger()
 	ownership := newOwnership(m.ctx, partition, owner, m.stores, m.factory, m.timing, logger)
 	m.setOwnership(partition, ownership)
+	defer m.setOwnership(partition, nil)
+	if m.leaving.Load() {
+		ownership.cancel()
+	}
 	m.post(func() { m.control(partition).ownership = ownership })
 	lost := ownership.run()
-	m.setOwnership(partition, nil)
 	return attemptResult{number: number + 1, lost: lost}
 }
 
--- a/internal/ledger/fakes_test.go
+++ b/internal/ledger/fakes_test.go
@@ -90,6 +90,12 @@
 	change(&s.members[len(s.members)-1])
 }
 
+func (s *sharedView) find(node string) (membership.Member, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return (&membership.View{Members: s.members}).Find(membership.NodeID(node))
+}
+
 type viewerOf struct {
 	shared *sharedView
 	self   membership.NodeID
@@ -189,4 +195,3 @@
 	defer r.mutex.Unlock()
 	return append([]string(nil), r.values...)
 }
-
--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/transport/memory"
 )
 
 func TestSnapshotsBoundTheLog(t *testing.T) {
@@ -133,3 +135,46 @@
 		c.check(0, acknowledged)
 	})
 }
+
+// A node that was cut off while every store it knew was replaced must find the new ones.
+func TestNodeWithOldEnsembleFindsTheNewOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 14)
+		c.ledger.Partitions = 1
+		for range 5 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "a")}
+		cut := c.owner(0)
+		c.network.SetConditions(func(from, to netip.AddrPort) memory.Conditions {
+			return memory.Conditions{Delay: linkDelay, Cut: from == cut.address || to == cut.address}
+		})
+		c.view.change(cut.id, func(member *membership.Member) { member.State = membership.Dead })
+		all := c.nodes
+		c.nodes = nil
+		for _, node := range all {
+			if node != cut {
+				c.nodes = append(c.nodes, node)
+			}
+		}
+		for _, node := range c.nodes {
+			acknowledged = append(acknowledged, c.put(0, "with "+string(node.id)))
+			c.loseDisk(node)
+			c.eventually("all members are full and known", func() bool {
+				ensemble := c.owner(0).manager.Status()[0].Ensemble
+				for _, member := range ensemble.Members {
+					if held, found := c.view.find(member.Node); !found || held.StoreIncarnation != string(member.Store) || held.State != membership.Alive {
+						return false
+					}
+				}
+				return ensemble.Full() == 4
+			})
+		}
+		c.network.SetConditions(calm)
+		c.view.change(cut.id, func(member *membership.Member) { member.State = membership.Alive })
+		c.nodes = all
+		c.eventually("the node that was cut off owns again", func() bool { return c.owner(0) == cut })
+		c.check(0, acknowledged)
+	})
+}
--- a/internal/ledger/formation.go
+++ b/internal/ledger/formation.go
@@ -25,19 +25,21 @@
 	if m.loading || now.Before(m.nextLoad) {
 		return
 	}
-	m.loading = true
+	m.loading, m.stale = true, false
 	mayForm := m.mayForm(now)
+	var err error
 	m.start(
 		func() {
 			ctx, cancel := context.WithTimeout(m.ctx, directoryTimeout)
 			defer cancel()
-			if err := m.loadOrForm(ctx, mayForm); err != nil && m.ctx.Err() == nil {
+			if err = m.loadOrForm(ctx, mayForm); err != nil && m.ctx.Err() == nil {
 				m.logger.Warn().Err(err).Msg("ledger_directory_unavailable")
 				m.askPeers(ctx)
 			}
 		},
 		func() {
 			m.loading = false
+			m.stale = m.stale || err != nil
 			m.nextLoad = time.Now().Add(loadInterval)
 			m.check(time.Now())
 		})
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -47,10 +48,12 @@
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
 
-	// started, leaving, loading, nextLoad and partitions belong to the control goroutine.
-	started    time.Time
-	leaving    bool
+	// started is set by Start. leaving is set by Handover and stays set.
+	started time.Time
+	leaving atomic.Bool
+	// loading, stale, nextLoad and partitions belong to the control goroutine. stale says that an ensemble seems outdated.
 	loading    bool
+	stale      bool
 	nextLoad   time.Time
 	partitions map[PartitionID]*partitionControl
 
@@ -170,11 +173,11 @@
 
 // check starts what is due. It runs on the control goroutine.
 func (m *Manager) check(now time.Time) {
-	if !m.directory.complete() {
+	if m.stale || !m.directory.complete() {
 		m.loadDirectory(now)
 	}
 	fixed, known := m.directory.fixed()
-	if !known || m.leaving {
+	if !known || m.leaving.Load() {
 		return
 	}
 	view := m.viewer.View()
@@ -216,6 +219,7 @@
 			control.ownership = nil
 			control.number = max(control.number, result.number, result.lost.Higher.Number)
 			m.directory.learn(result.lost.Ensemble)
+			m.stale = m.stale || result.lost.Cause == protocol.LossTimeout
 			control.backoff = m.nextBackoff(control.backoff, result, time.Since(began))
 			control.nextTry = time.Now().Add(control.backoff/2 + rand.N(control.backoff/2+1))
 		})
@@ -237,7 +241,7 @@
 // Handover ends this node's ownerships, each after the appends in progress, and takes no more. It
 // returns once all have ended or ctx has.
 func (m *Manager) Handover(ctx context.Context) error {
-	m.post(func() { m.leaving = true })
+	m.leaving.Store(true)
 	m.mutex.RLock()
 	ownerships := make([]*ownership, 0, len(m.owned))
 	for _, ownership := range m.owned {
@@ -291,7 +295,7 @@
 		return &ledgerpb.ReleaseResponse{Released: true}, nil
 	}
 	preferred, _ := preferredOwner(m.viewer.View(), partition)
-	if string(preferred.ID) != request.Successor && ownership.servesWell(time.Now()) {
+	if string(preferred.ID) != request.Successor && !m.leaving.Load() && ownership.servesWell(time.Now()) {
 		return &ledgerpb.ReleaseResponse{}, nil
 	}
 	if !ownership.release(ctx) {
