Let a replaced store forget what it kept

Cause: a store whose place was given to a spare kept the partition's records for ever. Change: when a node loads the ensembles, its store drops partitions of which it is no longer a member, and refuses ballots of older versions from then on. The property test lets such stores forget at any time. Conclusion: disks don't fill with foreign partitions; a store that is replaced while it runs forgets at its next start.

--- a/internal/ledger/directory.go
+++ b/internal/ledger/directory.go
@@ -63,6 +63,17 @@
 	return ensemble, known
 }
 
+// all returns every known ensemble.
+func (d *directory) all() []protocol.Ensemble {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	ensembles := make([]protocol.Ensemble, 0, len(d.ensembles))
+	for _, ensemble := range d.ensembles {
+		ensembles = append(ensembles, ensemble)
+	}
+	return ensembles
+}
+
 // complete tells whether the head and all ensembles are known.
 func (d *directory) complete() bool {
 	d.mutex.RLock()
--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/transport/memory"
@@ -178,3 +179,36 @@
 		c.check(0, acknowledged)
 	})
 }
+
+// A store that comes back after its place was given to a spare forgets the partition.
+func TestReplacedStoreForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 15)
+		c.ledger.Partitions = 1
+		for range 5 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "a")}
+		ensemble := c.owner(0).manager.Status()[0].Ensemble
+		var away *testNode
+		for _, node := range c.nodes {
+			if _, member := ensemble.Find(node.store.ID()); member && node != c.owner(0) {
+				away = node
+			}
+		}
+		c.stop(away)
+		c.view.change(away.id, func(member *membership.Member) { member.State = membership.Dead })
+		c.eventually("a spare has its place", func() bool {
+			changed := c.owner(0).manager.Status()[0].Ensemble
+			_, member := changed.Find(away.store.ID())
+			return !member && changed.Full() == 4
+		})
+		c.start(away)
+		c.eventually("the store forgets", func() bool {
+			response, err := away.store.Read(t.Context(), &ledgerpb.ReadRequest{Store: string(away.store.ID()), From: 1, To: 1})
+			return err == nil && response.Status == ledgerpb.Status_STATUS_NOT_FOUND
+		})
+		c.check(0, acknowledged)
+	})
+}
--- a/internal/ledger/formation.go
+++ b/internal/ledger/formation.go
@@ -36,6 +36,7 @@
 				m.logger.Warn().Err(err).Msg("ledger_directory_unavailable")
 				m.askPeers(ctx)
 			}
+			m.dropForeign(ctx)
 		},
 		func() {
 			m.loading = false
@@ -60,6 +61,17 @@
 	return waited >= m.timing.Formation || (stores >= m.settings.Replicas && waited >= 0)
 }
 
+// dropForeign has the local store forget partitions that were given to others while it was away.
+func (m *Manager) dropForeign(ctx context.Context) {
+	if m.local == nil {
+		return
+	}
+	dropped, err := m.local.Drop(ctx, m.directory.all())
+	if dropped > 0 || (err != nil && ctx.Err() == nil) {
+		m.logger.Info().Int("partitions", dropped).Err(err).Msg("replaced_partitions_dropped")
+	}
+}
+
 func (m *Manager) loadOrForm(ctx context.Context, mayForm bool) error {
 	if err := m.directory.load(ctx); err != nil || m.directory.complete() || !mayForm {
 		return err
--- a/internal/ledger/protocol/protocol_test.go
+++ b/internal/ledger/protocol/protocol_test.go
@@ -103,6 +103,19 @@
 				w.change(next)
 			}
 		},
+		"drop": func(t *rapid.T) {
+			// Whoever is no longer a member may forget, also while owners of older versions still count on it.
+			for _, former := range w.older {
+				for _, member := range former.Members {
+					if store := w.stores[member.Store]; !store.lost {
+						effect := store.state.Drop(member.Store, w.ensemble)
+						store.dropped = store.dropped || effect.Changed
+						store.apply(effect)
+						w.checkStore(store)
+					}
+				}
+			}
+		},
 		"decide promotion": func(t *rapid.T) {
 			owner, ok := pick(t, w.serving(), "owner")
 			if !ok {
--- a/internal/ledger/protocol/store_step.go
+++ b/internal/ledger/protocol/store_step.go
@@ -177,6 +177,25 @@
 	return info.UpTo > s.Snapshot.UpTo || info.KeepFrom > s.Consistent+1
 }
 
+// Drop forgets the partition where a newer ensemble does not have store, this one, as a member. Ballots of older
+// versions are refused from then on, so that the store can't be counted for them after it has forgotten.
+func (s *StoreState) Drop(store StoreID, ensemble Ensemble) Effect {
+	if _, member := ensemble.Find(store); member || ensemble.Version <= s.Ensemble.Version {
+		return Effect{}
+	}
+	effect := Effect{Changed: true, EnsembleChanged: true}
+	if s.First <= s.Last {
+		effect.Remove = []Range{{s.First, s.Last}}
+	}
+	promised := s.Promised
+	if barrier := (Ballot{Version: ensemble.Version}); promised.Below(barrier) {
+		promised = barrier
+	}
+	*s = NewStoreState()
+	s.Promised, s.Ensemble = promised, ensemble
+	return effect
+}
+
 // adopt makes ballot the accepted one. Records behind its recovery's end were written under
 // lower ballots and are void.
 func (s *StoreState) adopt(ballot Ballot, recoveredTo Position) Effect {
