Never come by a ballot twice

Cause: a ballot's owner was the process, and an attempt reported the number that it began with, not the one that it had reached by preparing again. A later attempt of the same process could take the same version, number and owner with another log, for two read quorums of four stores need not meet. Found by reading. Change: each attempt has a name of its own, and reports its last number. The wait of a planned stop for one partition's appends is bounded to 10 s. Conclusion: ballots are unique by construction.

--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -42,7 +42,7 @@
 	if m.ctx.Err() != nil {
 		return attemptResult{number: number, lost: protocol.Lost{Cause: protocol.LossReleased}}
 	}
-	ballot := protocol.Ballot{Version: ensemble.Version, Number: number + 1, Owner: m.owner}
+	ballot := protocol.Ballot{Version: ensemble.Version, Number: number + 1, Owner: newOwnerName(m.self)}
 	owner := protocol.NewOwner(ballot, ensemble, protocol.DefaultOwnerLimits())
 	logger := m.logger.With().Uint32(logging.FieldPartition, uint32(partition)).Logger()
 	ownership := newOwnership(m.ctx, partition, owner, m.stores, m.factory, m.timing, logger)
@@ -53,7 +53,7 @@
 	}
 	m.post(func() { m.control(partition).ownership = ownership })
 	lost := ownership.run()
-	return attemptResult{number: number + 1, lost: lost}
+	return attemptResult{number: owner.Ballot().Number, lost: lost}
 }
 
 // survey asks the full members what they have promised, until a read quorum has answered.
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -23,14 +23,22 @@
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
-// ownerSeparator stands between node id and process incarnation in a ballot's owner.
+// ownerSeparator stands between the node's id and the attempt's name in a ballot's owner.
 const ownerSeparator = "#"
 
+// newOwnerName names one attempt to own a partition. No two attempts share a name, so that no two ballots are
+// the same, whatever numbers they come by.
+func newOwnerName(node membership.NodeID) string {
+	return string(node) + ownerSeparator + ulid.Make().String()
+}
+
+// handoverTimeout bounds the wait for the appends of one partition at a planned stop; without a quorum they don't end.
+const handoverTimeout = 10 * time.Second
+
 // Manager decides which partitions this node tries to own and keeps their ensembles whole. Safety
 // rests on ballots alone; what the Manager believes only decides when to try.
 type Manager struct {
 	self     membership.NodeID
-	owner    string
 	settings settings.Ledger
 	timing   Timing
 	logger   zerolog.Logger
@@ -92,7 +100,6 @@
 func NewManager(dependencies Dependencies) *Manager {
 	manager := &Manager{
 		self:     membership.NodeID(dependencies.Settings.Node),
-		owner:    dependencies.Settings.Node + ownerSeparator + ulid.Make().String(),
 		settings: dependencies.Settings.Ledger, timing: dependencies.Timing,
 		logger: dependencies.Logger.With().Str(logging.FieldSlice, "ledger").Logger(),
 		local:  dependencies.Local, caller: dependencies.Caller, viewer: dependencies.Viewer, factory: dependencies.Factory,
@@ -241,6 +248,8 @@
 // Handover ends this node's ownerships, each after the appends in progress, and takes no more. It
 // returns once all have ended or ctx has.
 func (m *Manager) Handover(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
 	m.leaving.Store(true)
 	m.mutex.RLock()
 	ownerships := make([]*ownership, 0, len(m.owned))
--- a/internal/ledger/manager_test.go
+++ b/internal/ledger/manager_test.go
@@ -119,3 +119,35 @@
 		c.check(0, acknowledged)
 	})
 }
+
+// A node that prepared again, lost the partition and takes it back must not come by a ballot that it has held: a read
+// quorum of promises need not show the number that it had reached.
+func TestBallotsAreNeverReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		for range 4 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		c.put(0, "a")
+		owner := c.owner(0)
+		first, _ := owner.manager.ownership(0)
+		for _, node := range c.nodes {
+			if node != owner {
+				c.loseDisk(node)
+				break
+			}
+		}
+		c.eventually("the owner has prepared again, twice", func() bool { return first.view.Load().ballot.Version == 3 })
+		held := first.view.Load().ballot
+		first.release(t.Context())
+		c.eventually("the node owns again", func() bool {
+			second, present := owner.manager.ownership(0)
+			return present && second != first && second.serving.Load()
+		})
+		second, _ := owner.manager.ownership(0)
+		if taken := second.view.Load().ballot; !held.Below(taken) || taken.Owner == held.Owner {
+			t.Fatalf("held %s, took %s", held, taken)
+		}
+	})
+}
--- a/internal/ledger/protocol/types.go
+++ b/internal/ledger/protocol/types.go
@@ -24,8 +24,8 @@
 }
 
 // Ballot orders the owners of a partition: by ensemble version, then number, then owner.
-// The zero Ballot is below all others. Owner is unique to one process, so that no two
-// owners ever hold the same Ballot.
+// The zero Ballot is below all others. Owner is unique to one attempt to own the partition, so
+// that no two attempts ever hold the same Ballot.
 type Ballot struct {
 	Version uint64
 	Number  uint64
