Test that an owner gives up after another one wrote

Change: a direct test of preparing again after another owner's record was acknowledged. Conclusion: the guard is held by a test.

--- a/internal/ledger/protocol/recovery_test.go
+++ b/internal/ledger/protocol/recovery_test.go
@@ -100,3 +100,23 @@
 		t.Fatalf("not starved in phase %d: %+v", owner.Phase(), owner.Holdings())
 	}
 }
+
+// Another owner has had a record acknowledged between two ballots of this one. Preparing again, the owner must see that its
+// log is no longer the whole log, and give up.
+func TestOwnerGivesUpAfterAnotherWrote(t *testing.T) {
+	first, between := Ballot{1, 1, "a"}, Ballot{1, 2, "x"}
+	ensemble := Ensemble{Version: 1, WriteQuorum: 3, Members: []Member{{Store: "1"}, {Store: "2"}, {Store: "3"}, {Store: "4"}}}
+	for _, accepted := range []Ballot{first, between} {
+		owner := NewOwner(first, ensemble, DefaultOwnerLimits())
+		owner.Start()
+		owner.Promised("1", promiseOf(first, Ballot{}, 0, 0))
+		owner.Promised("2", promiseOf(first, Ballot{}, 0, 0))
+		next, _ := ensemble.Replace("1", Member{Store: "5"})
+		owner.PrepareAgain(next)
+		owner.Promised("2", promiseOf(owner.Ballot(), first, 0, 0))
+		owner.Promised("3", promiseOf(owner.Ballot(), accepted, 0, 1))
+		if lost := owner.Phase() == PhaseLost; lost != (accepted == between) {
+			t.Fatalf("with records of %s the owner is in phase %d", accepted, owner.Phase())
+		}
+	}
+}
