Notice a later owner's records when refilling a store

Cause: an owner that was outranked unaware could read a later owner's records from a store and send them on under its own ballot. They can't be acknowledged, but one ballot would then stand for two values at a position. Found by reading. Change: entries of a higher ballot end the ownership. Conclusion: a ballot stands for one log.

--- a/internal/ledger/protocol/owner_step.go
+++ b/internal/ledger/protocol/owner_step.go
@@ -185,6 +185,12 @@
 	if len(entries) == 0 || entries[0].Position != follower.next {
 		return o.Failed(store)
 	}
+	for _, entry := range entries {
+		// The source has been written by a later owner; what it holds is not this owner's log any more.
+		if o.ballot.Below(entry.Ballot) {
+			return o.lose(Lost{Cause: LossOutranked, Higher: entry.Ballot})
+		}
+	}
 	return []Action{o.send(follower, entries)}
 }
 
