Take partitions over from suspected owners that do not answer

Cause: a dead owner's partitions waited for the membership to call it dead, 4 s after its last sign. Change: a suspected node is not preferred as owner; its successor asks it first and takes over after 0.5 s without an answer. An owner that serves well declines, as before.

--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -121,7 +121,7 @@
 	case membership.Dead:
 		return true
 	case membership.Suspect:
-		wait = m.timing.Backoff
+		wait = m.timing.SuspectRelease
 	}
 	ctx, cancel := context.WithTimeout(m.ctx, wait)
 	defer cancel()
--- a/internal/ledger/fakes_test.go
+++ b/internal/ledger/fakes_test.go
@@ -104,7 +104,14 @@
 func (v viewerOf) View() *membership.View {
 	v.shared.mutex.Lock()
 	defer v.shared.mutex.Unlock()
-	return &membership.View{Self: v.self, Members: append([]membership.Member(nil), v.shared.members...)}
+	view := &membership.View{Self: v.self, Members: append([]membership.Member(nil), v.shared.members...)}
+	for i := range view.Members {
+		// A node never suspects itself.
+		if view.Members[i].ID == v.self && view.Members[i].State == membership.Suspect {
+			view.Members[i].State = membership.Alive
+		}
+	}
+	return view
 }
 
 func (v viewerOf) Subscribe(func(*membership.View)) func() { return func() {} }
--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -212,3 +212,25 @@
 		c.check(0, acknowledged)
 	})
 }
+
+// A suspected owner that serves well keeps its partition; one that does not answer loses it.
+func TestSuspectedOwnerIsAskedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 16)
+		for range 5 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "a")}
+		owner := c.owner(0)
+		first, _ := owner.manager.ownership(0)
+		c.view.change(owner.id, func(member *membership.Member) { member.State = membership.Suspect })
+		time.Sleep(10 * time.Second)
+		if kept, _ := owner.manager.ownership(0); kept != first || !kept.serving.Load() {
+			t.Fatal("an owner that serves well lost its partition on suspicion")
+		}
+		c.stop(owner)
+		acknowledged = append(acknowledged, c.put(0, "b"))
+		c.check(0, acknowledged)
+	})
+}
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -27,6 +27,8 @@
 	Backoff, MaxBackoff time.Duration
 	// Release bounds the wait for a present owner to finish its appends and let go.
 	Release time.Duration
+	// SuspectRelease bounds the wait for the answer of a present owner that is suspected to be dead.
+	SuspectRelease time.Duration
 	// Formation is how long the first start waits for more stores than there are.
 	Formation time.Duration
 	// Replace is how long a store may be gone before another takes its place.
@@ -41,7 +43,7 @@
 	return Timing{
 		Request: 2 * time.Second, Prepare: 5 * time.Second, Retry: 200 * time.Millisecond,
 		Notice: 500 * time.Millisecond, Check: 250 * time.Millisecond,
-		Backoff: 250 * time.Millisecond, MaxBackoff: 5 * time.Second, Release: 3 * time.Second,
+		Backoff: 250 * time.Millisecond, MaxBackoff: 5 * time.Second, Release: 3 * time.Second, SuspectRelease: 500 * time.Millisecond,
 		Formation: 3 * time.Second, Replace: 30 * time.Second,
 		SnapshotRecords: 50_000, SnapshotBytes: 64 << 20,
 	}
--- a/internal/ledger/rendezvous.go
+++ b/internal/ledger/rendezvous.go
@@ -21,9 +21,13 @@
 	return digest.Sum64()
 }
 
-// preferredOwner returns the live member that should own partition; ok is false where none lives.
+// preferredOwner returns the member that should own partition, among those that are alive and not suspected; ok is false
+// where there is none. A suspected owner is asked before it is replaced, and declines where it serves well.
 func preferredOwner(view *membership.View, partition PartitionID) (preferred membership.Member, ok bool) {
-	for _, member := range view.Live() {
+	for _, member := range view.Members {
+		if member.State != membership.Alive {
+			continue
+		}
 		if !ok || rank(partition, string(member.ID)) > rank(partition, string(preferred.ID)) {
 			preferred, ok = member, true
 		}
