--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -29,6 +29,8 @@
 	Release time.Duration
 	// Quiesce bounds how long a state machine is given before a planned end; it is below Release.
 	Quiesce time.Duration
+	// SuspectRelease bounds the wait for the answer of a present owner that is suspected to be dead.
+	SuspectRelease time.Duration
 	// Formation is how long the first start waits for more stores than there are.
 	Formation time.Duration
 	// Replace is how long a store may be gone before another takes its place.
@@ -43,7 +45,8 @@
 	return Timing{
 		Request: 2 * time.Second, Prepare: 5 * time.Second, Retry: 200 * time.Millisecond,
 		Notice: 500 * time.Millisecond, Check: 250 * time.Millisecond,
-		Backoff: 250 * time.Millisecond, MaxBackoff: 5 * time.Second, Release: 3 * time.Second, Quiesce: time.Second,
+		Backoff: 250 * time.Millisecond, MaxBackoff: 5 * time.Second,
+		Release: 3 * time.Second, SuspectRelease: 500 * time.Millisecond, Quiesce: time.Second,
 		Formation: 3 * time.Second, Replace: 30 * time.Second,
 		SnapshotRecords: 50_000, SnapshotBytes: 64 << 20,
 	}
@@ -221,6 +224,16 @@
 	return view.waitingSince.IsZero() || now.Sub(view.waitingSince) < o.timing.Request
 }
 
+// answers tells whether the store answered the last request; one that is not a member yet counts as answering.
+func (o *ownership) answers(store protocol.StoreID) bool {
+	for _, holding := range o.view.Load().holdings {
+		if holding.Member.Store == store {
+			return holding.Failures == 0
+		}
+	}
+	return true
+}
+
 // post hands an event to run's goroutine; it is dropped once the ownership has ended.
 func (o *ownership) post(event func() []protocol.Action) {
 	select {
--- a/internal/ledger/protocol/store_step.go
+++ b/internal/ledger/protocol/store_step.go
@@ -96,8 +96,6 @@
 	Entries     []Entry
 	Committed   Position
 	RecoveredTo Position
-	// Repair rewrites acknowledged records that the disk damaged.
-	Repair bool
 }
 
 // Acknowledgement is a store's answer to an Append or an InstallSnapshot.
@@ -123,11 +121,10 @@
 		return s.acknowledge(VerdictGap), effect
 	}
 	for _, entry := range request.Entries {
-		repair := request.Repair && entry.Position >= s.First
-		if entry.Position > s.Consistent || repair {
+		if entry.Position > s.Consistent {
 			entry.Ballot = request.Ballot
 			effect.Write = append(effect.Write, entry)
-			s.Consistent = max(s.Consistent, entry.Position)
+			s.Consistent = entry.Position
 		}
 	}
 	s.Last = max(s.Last, s.Consistent)
@@ -180,6 +177,25 @@
 	return info.UpTo > s.Snapshot.UpTo || info.KeepFrom > s.Consistent+1
 }
 
+// Drop forgets the partition where a newer ensemble does not have store, this one, as a member. Ballots of older
+// versions are refused from then on, so that the store can't be counted for them after it has forgotten.
+func (s *StoreState) Drop(store StoreID, ensemble Ensemble) Effect {
+	if _, member := ensemble.Find(store); member || ensemble.Version <= s.Ensemble.Version {
+		return Effect{}
+	}
+	effect := Effect{Changed: true, EnsembleChanged: true}
+	if s.First <= s.Last {
+		effect.Remove = []Range{{s.First, s.Last}}
+	}
+	promised := s.Promised
+	if barrier := (Ballot{Version: ensemble.Version}); promised.Below(barrier) {
+		promised = barrier
+	}
+	*s = NewStoreState()
+	s.Promised, s.Ensemble = promised, ensemble
+	return effect
+}
+
 // adopt makes ballot the accepted one. Records behind its recovery's end were written under
 // lower ballots and are void.
 func (s *StoreState) adopt(ballot Ballot, recoveredTo Position) Effect {
