Ask a suspect once more before its time is up

Cause: with less news on a message, a refutation reached one node of 70 too late while all were slow, and it declared the refuter dead (found by the test of slowness). Change: each node pings a suspect shortly before it would declare it dead and judges by the answer; at most 256 bytes of news on a message instead of 500, since a region cut took 27.8 KB/s a node for membership alone (320 nodes).

--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -166,6 +166,7 @@
 	}
 	held.silentSince = silentSince
 	held.suspectedAt = p.now
+	held.askedAgain = false
 	held.deadline = silentSince.Add(limit + p.ownSlowness(limit))
 	if earliest := p.now.Add(p.probeTime(p.timing.RefuteTime)); held.deadline.Before(earliest) {
 		held.deadline = earliest
@@ -176,6 +177,7 @@
 // suspect since.
 func (p *protocol) checkSuspicions() {
 	for _, held := range p.suspects() {
+		p.askOnceMore(held)
 		if p.now.Before(held.deadline) {
 			continue
 		}
@@ -191,6 +193,17 @@
 	}
 }
 
+// askOnceMore pings a suspect shortly before its time is up, so that each node judges
+// by an answer of its own and not by whether a refutation reached it.
+func (p *protocol) askOnceMore(held *record) {
+	if held.askedAgain || p.now.Before(held.deadline.Add(-p.probeTime(p.timing.RefuteTime))) {
+		return
+	}
+	held.askedAgain = true
+	p.lastSequence++
+	p.ping(held, p.lastSequence)
+}
+
 // suspects returns the suspects in a fixed order.
 func (p *protocol) suspects() []*record {
 	var suspects []*record
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -30,6 +30,7 @@
 	silentSince time.Time
 	suspectedAt time.Time
 	deadline    time.Time
+	askedAgain  bool // the last question before deadline went out
 	// diedAt is set while State is Dead.
 	diedAt time.Time
 }
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -72,7 +72,7 @@
 	// ringSuccessors is how many ring neighbours a node probes in turn.
 	ringSuccessors = 2
 	// newsBytes bounds the news on one ping or ack.
-	newsBytes = 500
+	newsBytes = 256
 	// broadcastSample is how many members of each other zone hear a refutation at once.
 	broadcastSample = 3
 	// troubledZone is how many suspects in another zone draw the remote probes there.
