Judge slowness by the round trips of answers, also late ones

Cause: 320 nodes in real time (load average 23) knew a lost zone dead after 8.6 s only; with the limit for other zones at 3.3 s instead of 4 s, the test of slowness found a false death: own slowness fell too soon, and an answer from a newer incarnation did not count as a sign of life. Change: RemoteDeathAfter 3.3 s, two probes at once into a troubled zone; late answers set the slowness; any newer incarnation is alive.

--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -16,6 +16,8 @@
 	sentAt      time.Time
 	// indirect: helpers were asked.
 	indirect bool
+	// failed: its time is up; a late answer still tells how slow things are.
+	failed bool
 }
 
 // relay is a probe made on another node's behalf.
@@ -34,7 +36,7 @@
 	}
 	if !p.now.Before(p.nextRemoteProbe) {
 		p.nextRemoteProbe = p.nextTime(p.nextRemoteProbe, p.timing.RemoteProbePeriod)
-		if target := p.remoteTarget(); target != nil {
+		for _, target := range p.remoteTargets() {
 			p.probe(target)
 		}
 	}
@@ -60,9 +62,9 @@
 	}
 }
 
-// remoteTarget chooses a random zone, or one with several suspects, and a random
-// member there.
-func (p *protocol) remoteTarget() *record {
+// remoteTargets chooses a random member of a random zone, or several of a zone with
+// several suspects that are not suspect themselves.
+func (p *protocol) remoteTargets() []*record {
 	index := p.lookup()
 	var remote, troubled []zoneKey
 	for _, zone := range index.zones {
@@ -74,17 +76,13 @@
 			troubled = append(troubled, zone)
 		}
 	}
-	accept := func(*record) bool { return true }
-	if len(troubled) > 0 {
-		remote = troubled
-		accept = func(candidate *record) bool { return candidate.State != Suspect }
-	}
-	if len(remote) == 0 {
-		return nil
-	}
-	zone := remote[p.random.IntN(len(remote))]
-	for _, target := range p.sample(index.byZone[zone], 1, accept) {
-		return target
+	switch {
+	case len(troubled) > 0:
+		zone := troubled[p.random.IntN(len(troubled))]
+		unsuspected := func(candidate *record) bool { return candidate.State != Suspect }
+		return p.sample(index.byZone[zone], troubledProbes, unsuspected)
+	case len(remote) > 0:
+		return p.sample(index.byZone[remote[p.random.IntN(len(remote))]], 1, nil)
 	}
 	return nil
 }
@@ -109,9 +107,12 @@
 		pending := p.probes[sequence]
 		waited := p.now.Sub(pending.sentAt)
 		switch {
-		case waited >= p.probeTime(p.timing.ProbeTimeout):
+		case waited >= lateAnswerLimit:
 			delete(p.probes, sequence)
-			p.noteProbe(false)
+		case pending.failed:
+		case waited >= p.probeTime(p.timing.ProbeTimeout):
+			pending.failed = true
+			p.slowness = min(p.slowness+1, maxSlowness)
 			p.probeFailed(pending)
 		case waited >= p.probeTime(p.timing.DirectTimeout) && !pending.indirect:
 			pending.indirect = true
@@ -135,14 +136,18 @@
 	p.ping(target, p.lastSequence)
 }
 
-// noteProbe keeps count of how slow this node itself may be: where most probes fail,
-// of whatever members, the cause is more likely here.
-func (p *protocol) noteProbe(answered bool) {
-	if answered {
-		p.slowness = max(p.slowness-1, 0)
-	} else {
-		p.slowness = min(p.slowness+1, maxSlowness)
+// noteAnswer lets the slowness that failed probes raised fall again, but not below what
+// the round trip of this answer asks for.
+func (p *protocol) noteAnswer(pending *probe, direct bool) {
+	needed := 0
+	if direct {
+		needed = min(int(p.now.Sub(pending.sentAt)/p.timing.ProbeTimeout), maxSlowness)
+	}
+	if pending.failed {
+		p.slowness = max(p.slowness, needed)
+		return
 	}
+	p.slowness = max(p.slowness-1, needed)
 }
 
 // probeTime stretches a timeout by this node's own slowness.
@@ -206,7 +211,7 @@
 	}
 	if pending := p.probes[message.GetSequence()]; pending != nil && string(pending.target.ID) == reached.GetId() {
 		delete(p.probes, message.GetSequence())
-		p.noteProbe(true)
+		p.noteAnswer(pending, message.GetTarget() == nil)
 		if reached.GetIncarnation() == pending.target.Incarnation {
 			pending.target.lastHeard = p.now
 		}
--- a/internal/membership/protocol.go
+++ b/internal/membership/protocol.go
@@ -45,7 +45,7 @@
 	probes       map[uint64]*probe
 	relays       map[uint64]relay
 	successor    int // which ring successor is probed next
-	slowness     int // how many more probes failed than were answered lately
+	slowness     int // how many times longer than usual this node waits
 
 	nextZoneProbe   time.Time
 	nextRemoteProbe time.Time
@@ -175,10 +175,14 @@
 func (p *protocol) hear(from netip.AddrPort, sender *membershippb.Sender) bool {
 	held := p.records[NodeID(sender.GetId())]
 	switch {
-	case held == nil || sender.GetIncarnation() > held.Incarnation:
+	case held == nil:
 		return false
 	case held == p.self:
 		return true
+	case sender.GetIncarnation() > held.Incarnation:
+		// It lives, whatever was suspected of its earlier incarnation.
+		held.lastHeard = p.now
+		return false
 	case sender.GetIncarnation() < held.Incarnation:
 		// An old message, or a node whose clock went back over its restart: it must
 		// learn which incarnation to exceed.
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -51,7 +51,7 @@
 		DirectTimeout:       200 * time.Millisecond,
 		ProbeTimeout:        500 * time.Millisecond,
 		ZoneDeathAfter:      2300 * time.Millisecond,
-		RemoteDeathAfter:    4 * time.Second,
+		RemoteDeathAfter:    3300 * time.Millisecond,
 		RefuteTime:          600 * time.Millisecond,
 		ClaimRefuteTime:     2500 * time.Millisecond,
 		DigestPeriod:        time.Second,
@@ -75,8 +75,10 @@
 	newsBytes = 256
 	// broadcastSample is how many members of each other zone hear a refutation at once.
 	broadcastSample = 3
-	// troubledZone is how many suspects in another zone draw the remote probes there.
-	troubledZone = 2
+	// troubledZone is how many suspects in another zone draw the remote probes there;
+	// then a node sends troubledProbes at once.
+	troubledZone   = 2
+	troubledProbes = 2
 	// recordsPerMessage bounds a Records message.
 	recordsPerMessage = 200
 	// bulkRecords is how many records in one message are more than passing news.
@@ -89,6 +91,8 @@
 	// toleratedSlowness it does not put off deaths.
 	maxSlowness       = 8
 	toleratedSlowness = 2
+	// lateAnswerLimit is how long an answer to a failed probe still counts.
+	lateAnswerLimit = 5 * time.Second
 	// listedMachineBytes is about what one machine takes in the machine list.
 	listedMachineBytes = 160
 	// pauseTicks is the number of missed ticks after which a node holds itself paused.
