--- a/internal/admission/simulation_test.go
+++ b/internal/admission/simulation_test.go
@@ -277,7 +277,7 @@
 	node.fleet = fleet.NewService(fleet.DefaultOptions(), own, s, &s.cluster, s, end, zerolog.Nop())
 	node.fleet.Register(end)
 	node.router = routing.New(routingOptions, node.fleet, "", member.Zone, registry)
-	node.credits = NewCreditService(options, own, node.fleet, node.router, &s.cluster, clusterConfig{12}, end, registry, zerolog.Nop())
+	node.credits = NewCreditService(options, own, node.fleet, node.router, &s.cluster, clusterConfig{*simulationBatch}, end, registry, zerolog.Nop())
 	node.credits.Register(end)
 	node.router.ObserveOnline(node.credits.onlineStarted)
 	return node
@@ -442,6 +442,8 @@
 
 var simulationRate = flag.Float64("simulation.rate", 1, "multiplies the online arrivals of the policy simulation")
 
+var simulationBatch = flag.Int("simulation.batch", 12, "batchConcurrentPerReplica of the policy simulation")
+
 var simulationTerms = flag.Bool("simulation.terms", false, "also simulate with each term switched off")
 
 var simulationSeeds = flag.Int("simulation.seeds", 1, "seeds of the policy simulation")
