--- a/internal/ledger/store/requests.go
+++ b/internal/ledger/store/requests.go
@@ -50,7 +50,7 @@
 	if !s.is(message.Store) {
 		return &ledgerpb.AppendResponse{Status: ledgerpb.Status_STATUS_WRONG_STORE}, nil
 	}
-	entries := wire.ToEntries(message.Entries)
+	entries := wire.ToEntries(message.Entries, wire.ToBallot(message.Ballot))
 	size := 0
 	for i, entry := range entries {
 		if entry.Position != protocol.Position(message.First)+protocol.Position(i) {
@@ -134,5 +134,13 @@
 		return err
 	}
 	key := partitionKey(partition)
-	return batch.Set(key, seal(key, value), nil)
+	if err := batch.Set(key, seal(key, value), nil); err != nil || !effect.EnsembleChanged {
+		return err
+	}
+	ensemble, err := encodeEnsemble(s.states[partition].Ensemble)
+	if err != nil {
+		return err
+	}
+	key = ensembleKey(partition)
+	return batch.Set(key, seal(key, ensemble), nil)
 }
--- a/internal/operator/fx.go
+++ b/internal/operator/fx.go
@@ -43,6 +43,7 @@
 
 // New builds the server; it listens from Start on.
 func New(params Params) *Server {
+	params.Readiness.inForce = params.InForce
 	logger := params.Logger.With().Str(logging.FieldSlice, "operator").Logger()
 	reporter := &statusReporter{
 		settings:  params.Settings,
@@ -64,6 +65,7 @@
 		status:    reporter,
 		readiness: params.Readiness,
 		logger:    logger,
+		files:     make(chan struct{}, maxFilesAtOnce),
 	}
 	return newServer(params.Settings, params.Network, requests.routes(params.Gatherer), params.Readiness, logger)
 }
--- a/lab/engine/run.go
+++ b/lab/engine/run.go
@@ -25,7 +25,10 @@
 	arrival  uint64
 	// dispatched is when the engine took the run, or revived it.
 	dispatched time.Time
-	state      runState
+	// lastProgress is the engine's time at the dispatch, then at the last token.
+	lastProgress time.Duration
+	hasToken     bool
+	state        runState
 	// startOffset is the token that this run began or was revived with.
 	startOffset int
 	// produced is the offset behind the last token made.
--- a/lab/engine/scheduler.go
+++ b/lab/engine/scheduler.go
@@ -90,6 +90,22 @@
 	return step
 }
 
+// noteTimes records, for online runs, the tokens of the planned step; clock is the engine's
+// time at its end.
+func (s *scheduler) noteTimes(log *RunLog, clock time.Duration) {
+	for _, entry := range s.running {
+		if entry.batch || !entry.decoding {
+			continue
+		}
+		if entry.hasToken {
+			log.OnlineInterToken.Record(clock - entry.lastProgress)
+		} else {
+			log.OnlineFirstToken.Record(clock - entry.lastProgress)
+		}
+		entry.lastProgress, entry.hasToken = clock, true
+	}
+}
+
 // complete applies the planned step and returns the runs that reached their answer's end.
 func (s *scheduler) complete() []*run {
 	var finished []*run
--- a/lab/experiment/print.go
+++ b/lab/experiment/print.go
@@ -29,6 +29,9 @@
 	row("not_run that ran", "%d", v.NotRunButRan)
 	row("streams sent again by callers", "%d", v.OnlineReconnects)
 	row("started on a leaving replica", "%d", r.StartedOnLeaving)
+	if c := r.Configuration; c != nil {
+		row("configuration", "%d files accepted, slowest in force everywhere after %.1f s, %d late, %d reverts", c.Accepted, c.Slowest, c.Late, c.Reverts)
+	}
 	row("batch", "%.1f items/s, %.0f tokens/s, %.2f of idle capacity", r.Batch.ItemsPerSecond, r.Batch.TokensPerSecond, r.Batch.IdleCapacityUsed)
 	row("batch tokens computed twice", "%.2f%% decoded, %.2f%% prefilled, %d resumptions",
 		100*r.Batch.DecodedTwiceShare, 100*r.Batch.PrefilledTwiceShare, r.Batch.Resumptions)
@@ -38,6 +41,8 @@
 	row("  of marked requests", "%.1f / %.1f / %.1f ms", r.FirstTokenMarked.P50, r.FirstTokenMarked.P95, r.FirstTokenMarked.P99)
 	row("  of unmarked requests", "%.1f / %.1f / %.1f ms", r.FirstTokenUnmarked.P50, r.FirstTokenUnmarked.P95, r.FirstTokenUnmarked.P99)
 	row("online inter-token p50/p95/p99", "%.2f / %.2f / %.2f ms", r.InterToken.P50, r.InterToken.P95, r.InterToken.P99)
+	row("  at engines: first token", "%.1f / %.1f / %.1f ms", r.EngineFirstToken.P50, r.EngineFirstToken.P95, r.EngineFirstToken.P99)
+	row("  at engines: inter-token", "%.2f / %.2f / %.2f ms", r.EngineInterToken.P50, r.EngineInterToken.P95, r.EngineInterToken.P99)
 	row("machine: timer late by p50/p95/p99", "%.2f / %.2f / %.2f ms", r.TimerLateness.P50, r.TimerLateness.P95, r.TimerLateness.P99)
 	if err := table.Flush(); err != nil {
 		return err
--- a/lab/experiment/scenario.go
+++ b/lab/experiment/scenario.go
@@ -31,6 +31,8 @@
 	FaultLoadLag         FaultKind = "load_lag"
 	FaultCacheEventsLost FaultKind = "cache_events_lost"
 	FaultRollingRestart  FaultKind = "rolling_restart"
+	// FaultConfiguration applies count changed files over its duration; none may revert or be late.
+	FaultConfiguration FaultKind = "change_configuration"
 )
 
 // Target names which nodes a fault can hit.
@@ -143,13 +145,18 @@
 	return profile
 }
 
-// connectionsMayBreak tells whether callers' connections can break under the scenario.
-func (s Scenario) connectionsMayBreak() bool {
+// expectations tells what the scenario's faults allow.
+func (s Scenario) expectations() load.Expectations {
+	var expected load.Expectations
 	for _, fault := range s.Faults {
 		switch fault.Kind {
-		case FaultKillNode, FaultLoseDisk, FaultPauseNode, FaultCutZone:
-			return true
+		case FaultKillNode, FaultLoseDisk, FaultPauseNode:
+			expected.ConnectionsMayBreak = true
+		case FaultCutZone:
+			expected.ConnectionsMayBreak, expected.RunsMayBeLost = true, true
+		case FaultKillReplica:
+			expected.RunsMayBeLost = true
 		}
 	}
-	return false
+	return expected
 }
