--- a/internal/admission/credit_property_test.go
+++ b/internal/admission/credit_property_test.go
@@ -108,7 +108,7 @@
 		case answerGrants:
 			w.send(flight{to: worldHome, input: grantAnswered{requester: node, declined: typed.response.GetDeclined()}})
 		case sendDemand:
-			w.send(flight{to: worldHome, input: demandHeard{demand: typed.demand}})
+			w.send(flight{to: worldHome, input: demandHeard(typed)})
 		case sendRelease:
 			w.send(flight{to: worldHome, input: releaseHeard{release: typed.release}})
 		case sendRenew:
--- a/internal/admission/simulation_test.go
+++ b/internal/admission/simulation_test.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -38,157 +37,6 @@
 	blockTokens       = engine.PrefixBlockBytes / 4
 )
 
-// simulatedRun is one request on a simulatedEngine.
-type simulatedRun struct {
-	batch       bool
-	blocks      []uint64
-	prefillLeft int
-	tokensLeft  int
-	decoded     bool
-	cached      int
-	// tokens gets the time of each token and is closed at the end.
-	tokens chan time.Time
-}
-
-// simulatedEngine batches continuously, online first, with a prefix cache.
-type simulatedEngine struct {
-	id string
-	// mutex guards all below.
-	mutex    sync.Mutex
-	wake     chan struct{}
-	running  []*simulatedRun
-	waiting  []*simulatedRun
-	cache    map[uint64]bool
-	reports  []engine.LoadReport
-	lastStep time.Duration
-}
-
-func (e *simulatedEngine) start(run *simulatedRun) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	run.tokens = make(chan time.Time, run.tokensLeft+1)
-	e.waiting = append(e.waiting, run)
-	select {
-	case e.wake <- struct{}{}:
-	default:
-	}
-}
-
-// cancel takes a run out and returns how many tokens it still lacked.
-func (e *simulatedEngine) cancel(run *simulatedRun) int {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	same := func(other *simulatedRun) bool { return other == run }
-	e.running, e.waiting = slices.DeleteFunc(e.running, same), slices.DeleteFunc(e.waiting, same)
-	return run.tokensLeft
-}
-
-func (e *simulatedEngine) loop(ctx context.Context) {
-	for ctx.Err() == nil {
-		step := e.plan()
-		if step == 0 {
-			select {
-			case <-e.wake:
-			case <-ctx.Done():
-			}
-			continue
-		}
-		time.Sleep(step)
-		e.complete(time.Now())
-	}
-}
-
-func (e *simulatedEngine) plan() time.Duration {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	online := func(a, b *simulatedRun) int { return cmp.Compare(kindOrder(a), kindOrder(b)) }
-	slices.SortStableFunc(e.waiting, online)
-	for len(e.running) < simulatedSlots && len(e.waiting) > 0 {
-		run := e.waiting[0]
-		e.waiting = e.waiting[1:]
-		for run.cached < len(run.blocks) && e.cache[run.blocks[run.cached]] {
-			run.cached++
-		}
-		run.prefillLeft -= run.cached * blockTokens
-		e.running = append(e.running, run)
-	}
-	slices.SortStableFunc(e.running, online)
-	if len(e.running) == 0 {
-		return 0
-	}
-	budget, decoding := prefillChunk, 0
-	for _, run := range e.running {
-		used := min(run.prefillLeft, budget)
-		budget -= used
-		run.prefillLeft -= used
-		if run.decoded = run.prefillLeft == 0; run.decoded {
-			decoding++
-		}
-	}
-	e.lastStep = stepBase + time.Duration(decoding)*stepPerSequence + time.Duration(prefillChunk-budget)*stepPerPrefill
-	return e.lastStep
-}
-
-func kindOrder(run *simulatedRun) int {
-	if run.batch {
-		return 1
-	}
-	return 0
-}
-
-func (e *simulatedEngine) complete(now time.Time) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.running = slices.DeleteFunc(e.running, func(run *simulatedRun) bool {
-		if !run.decoded {
-			return false
-		}
-		for _, block := range run.blocks {
-			e.cache[block] = true
-		}
-		run.tokens <- now
-		run.tokensLeft--
-		if run.tokensLeft > 0 {
-			return false
-		}
-		close(run.tokens)
-		return true
-	})
-}
-
-// sample takes a load report; report gives one of simulatedLag ago.
-func (e *simulatedEngine) sample(ctx context.Context) {
-	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
-		e.mutex.Lock()
-		report := engine.LoadReport{
-			Sequence: sequence, MeasuredAt: time.Now(), MaxRunning: simulatedSlots,
-			Running: len(e.running), Waiting: len(e.waiting), StepMicros: e.lastStep.Microseconds(),
-		}
-		for _, run := range e.running {
-			report.QueuedPrefill += run.prefillLeft
-			report.RunningBatch += kindOrder(run)
-		}
-		for _, run := range e.waiting {
-			report.WaitingBatch += kindOrder(run)
-		}
-		e.reports = append(e.reports, report)
-		e.mutex.Unlock()
-		select {
-		case <-time.After(20 * time.Millisecond):
-		case <-ctx.Done():
-		}
-	}
-}
-
-func (e *simulatedEngine) report() engine.LoadReport {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	for len(e.reports) > 1 && time.Since(e.reports[1].MeasuredAt) >= simulatedLag {
-		e.reports = e.reports[1:]
-	}
-	return e.reports[0]
-}
-
 // simulation runs real directories, routers and credits before simulated engines.
 type simulation struct {
 	cluster
@@ -209,7 +57,6 @@
 	batchBlocks  int
 	items        int
 	itemsDone    time.Duration
-	tokens       int
 	revoked      int
 }
 
@@ -498,57 +345,3 @@
 	between = float64(percentile(r.betweenToken, 0.99)) / float64(percentile(alone.betweenToken, 0.99))
 	return first, between
 }
-
-// simulationSwitches turn terms of routing and of credits off, or choose another value.
-var simulationSwitches = []struct {
-	name   string
-	change func(*routing.Options, *Options)
-}{
-	{"as in service", func(*routing.Options, *Options) {}},
-	{"no load", func(r *routing.Options, _ *Options) { r.DisableLoad = true }},
-	{"no own requests", func(r *routing.Options, _ *Options) { r.DisableOwnRequests = true }},
-	{"no prefix", func(r *routing.Options, _ *Options) { r.DisablePrefix = true }},
-	{"no affinity", func(r *routing.Options, _ *Options) { r.DisableAffinity = true }},
-	{"no distance", func(r *routing.Options, _ *Options) { r.DisableDistance = true }},
-	{"power of two", func(r *routing.Options, _ *Options) { r.Picker = routing.PickerPowerOfTwo }},
-	{"no online signals", func(_ *routing.Options, o *Options) { o.DisableOnlineSignals = true }},
-	{"starts at once", func(_ *routing.Options, o *Options) { o.StartSteps = 0 }},
-	{"shared 20%", func(_ *routing.Options, o *Options) { o.SharedPercent = 20 }},
-	{"shared 75%", func(_ *routing.Options, o *Options) { o.SharedPercent = 75 }},
-	{"keep 40%", func(_ *routing.Options, o *Options) { o.KeepSharedPercent = 40 }},
-}
-
-// TestTermsInSimulation prints the worth of each term, as medians over the seeds, with
-// -v -simulation.terms; without, it checks that batch completes with each switch.
-func TestTermsInSimulation(t *testing.T) {
-	seeds, switches := uint64(*simulationSeeds), simulationSwitches
-	if !*simulationTerms {
-		seeds, switches = 1, switches[1:3]
-	}
-	var alone []*simulationResult
-	for seed := range seeds {
-		alone = append(alone, simulate(t, routing.PolicyOnlineOnly, seed+1, nil))
-	}
-	for _, one := range switches {
-		var first, between, online, batch, done, revoked []float64
-		for seed := range seeds {
-			result := simulate(t, routing.PolicySloelift, seed+1, one.change)
-			firstHarm, betweenHarm := result.harm(alone[seed])
-			first, between = append(first, firstHarm), append(between, betweenHarm)
-			online = append(online, float64(result.onlineCached)/float64(max(1, result.onlineBlocks)))
-			batch = append(batch, result.batchShare())
-			done = append(done, result.itemsDone.Seconds())
-			revoked = append(revoked, float64(result.revoked))
-			if result.items == 0 {
-				t.Errorf("%s: no batch item completed", one.name)
-			}
-		}
-		t.Logf("%-18s first %.3f between %.3f online cached %.3f batch cached %.3f heap done %.2f s revoked %.0f",
-			one.name, median(first), median(between), median(online), median(batch), median(done), median(revoked))
-	}
-}
-
-func median(values []float64) float64 {
-	slices.Sort(values)
-	return values[len(values)/2]
-}
