Forget the cache of an engine that started anew

Cause: cache events were asked for from the sequence before the restart, so that nothing was heard until the engine had made as many again, and the old cache was still expected. Change: a load report with a lower sequence clears what was known and starts the events over.

--- a/internal/fleet/cache_watch.go
+++ b/internal/fleet/cache_watch.go
@@ -69,6 +69,16 @@
 	c.spread(change)
 }
 
+// restarted forgets what an engine that started anew had cached; its events begin again.
+func (c *cacheWatch) restarted(replica string) {
+	c.mutex.Lock()
+	delete(c.next, replica)
+	c.mutex.Unlock()
+	change := CacheChange{Replica: replica, Cleared: true}
+	c.notify(change)
+	c.spread(change)
+}
+
 // changeOf folds a page of events into one change.
 func changeOf(replica string, from uint64, page engine.CacheEvents) CacheChange {
 	change := CacheChange{Replica: replica}
--- a/internal/fleet/poll_set.go
+++ b/internal/fleet/poll_set.go
@@ -60,8 +60,13 @@
 
 func (p *pollSet) poll(ctx context.Context, endpoint engine.Endpoint, interval time.Duration) {
 	cacheAt := time.Now()
+	var sequence uint64
 	for {
-		p.pollLoad(ctx, endpoint)
+		latest := p.pollLoad(ctx, endpoint, sequence)
+		if latest < sequence {
+			p.service.cache.restarted(endpoint.Replica)
+		}
+		sequence = latest
 		if every := p.service.options.CachePoll; every > 0 && time.Since(cacheAt) >= max(every, interval) {
 			cacheAt = time.Now()
 			p.service.cache.poll(ctx, endpoint)
@@ -72,11 +77,16 @@
 	}
 }
 
-func (p *pollSet) pollLoad(ctx context.Context, endpoint engine.Endpoint) {
+// pollLoad asks once and returns the sequence of the report, or the one before where there is none.
+func (p *pollSet) pollLoad(ctx context.Context, endpoint engine.Endpoint, before uint64) uint64 {
 	callContext, cancel := context.WithTimeout(ctx, p.service.options.PollTimeout)
 	defer cancel()
 	report, err := p.service.engines.Load(callContext, endpoint)
 	if ctx.Err() == nil {
 		p.service.push(loadPolled{replica: endpoint.Replica, report: report, failed: err != nil})
 	}
+	if err != nil {
+		return before
+	}
+	return report.Sequence
 }
