--- a/cmd/sloelift/serve.go
+++ b/cmd/sloelift/serve.go
@@ -1,16 +1,21 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"os/signal"
 	"syscall"
 
 	"github.com/rs/zerolog"
+	"go.uber.org/dig"
 
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/node"
 	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/strictyaml"
 )
 
 // serveCommand runs one node until SIGTERM or SIGINT, which begin a planned stop. A
@@ -34,6 +39,10 @@
 		CallerAddress: c.CallerAddress, AdminAddress: c.AdminAddress, PeerAddress: c.PeerAddress,
 		DataFolder: c.DataFolder, LogLevel: c.LogLevel,
 	})
+	var invalid *strictyaml.ValidationError
+	if err != nil && !errors.As(err, &invalid) {
+		return &usageError{err.Error()}
+	}
 	if err != nil {
 		return err
 	}
@@ -41,11 +50,33 @@
 	if err != nil {
 		return fmt.Errorf("log level: %w", err)
 	}
+	if err := checkAddresses(env.context, loaded); err != nil {
+		return err
+	}
 	ctx, restore := signal.NotifyContext(env.context, syscall.SIGTERM, syscall.SIGINT)
 	defer restore()
 	go func() {
 		<-ctx.Done()
 		restore()
 	}()
-	return node.Run(ctx, loaded, logging.New(env.stderr, level))
+	return dig.RootCause(node.Run(ctx, loaded, logging.New(env.stderr, level)))
+}
+
+// checkAddresses binds and frees the node's own addresses, so that a node which cannot
+// listen ends before other nodes hear of it.
+func checkAddresses(ctx context.Context, own settings.Settings) error {
+	addresses := []struct {
+		setting string
+		address netip.AddrPort
+	}{{"callerAddress", own.CallerAddress}, {"adminAddress", own.AdminAddress}, {"peerAddress", own.PeerAddress}}
+	for _, wanted := range addresses {
+		listener, err := network.System{}.Listen(ctx, wanted.address)
+		if err != nil {
+			return fmt.Errorf("%s: %w", wanted.setting, err)
+		}
+		if err := listener.Close(); err != nil {
+			return fmt.Errorf("%s: %w", wanted.setting, err)
+		}
+	}
+	return nil
 }
--- a/internal/admission/credit_home.go
+++ b/internal/admission/credit_home.go
@@ -98,7 +98,7 @@
 	}
 	for id, replica := range h.replicas {
 		if !wanted[id] {
-			replica.usable = false
+			replica.lost = true
 			delete(h.replicas, id)
 		}
 	}
@@ -143,7 +143,7 @@
 	if heard.request.GetEpoch() == h.epoch {
 		for _, use := range heard.request.GetUses() {
 			credit := h.credits[use.GetCredit()]
-			if credit == nil || credit.revoked || !credit.replica.usable {
+			if credit == nil || credit.revoked || credit.replica.lost {
 				continue
 			}
 			credit.rank = int(use.GetRank())
@@ -232,6 +232,7 @@
 // revoke takes back as few credits as bring each replica within its capacity: the
 // lowest rank first, and of those the one with the least work done.
 func (h *homeState) revoke(now time.Time) []action {
+	var actions []action
 	for _, id := range slices.Sorted(maps.Keys(h.replicas)) {
 		replica := h.replicas[id]
 		_, keep := replica.capacity(now, &h.options)
@@ -240,15 +241,37 @@
 				credit.revoked = true
 				replica.revoked++
 			}
+			actions = append(actions, noteRevoked{
+				replica: id, count: excess, online: replica.online(&h.options), reason: replica.revokeReason(now, &h.options),
+			})
 		}
 	}
-	byRequester := make(map[string]*admissionpb.Revoke)
-	for _, id := range slices.Sorted(maps.Keys(h.credits)) {
-		credit := h.credits[id]
-		if !credit.replica.usable && !credit.revoked {
+	for _, credit := range h.credits {
+		if credit.replica.lost && !credit.revoked {
 			credit.revoked = true
 			credit.replica.revoked++
 		}
+	}
+	return append(actions, h.sendRevocations(now)...)
+}
+
+// revokeReason is why credits of the replica are taken back.
+func (r *replicaState) revokeReason(now time.Time, options *Options) revokeReason {
+	switch {
+	case r.lost:
+		return revokedLost
+	case !r.reportBacks(now, options):
+		return revokedWithoutReport
+	default:
+		return revokedForOnline
+	}
+}
+
+// sendRevocations tells requesters, again and again until the credits are given back or lapse.
+func (h *homeState) sendRevocations(now time.Time) []action {
+	byRequester := make(map[string]*admissionpb.Revoke)
+	for _, id := range slices.Sorted(maps.Keys(h.credits)) {
+		credit := h.credits[id]
 		if !credit.revoked || now.Sub(credit.revokeSentAt) < revokeResend {
 			continue
 		}
--- a/internal/admission/credit_service.go
+++ b/internal/admission/credit_service.go
@@ -20,6 +20,12 @@
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
+// Log fields of this slice.
+const (
+	fieldCredits = "credits"
+	fieldOnline  = "online"
+)
+
 const (
 	creditEventQueue = 8192
 	creditTick       = 10 * time.Millisecond
@@ -160,7 +166,7 @@
 // control owns the states.
 func (s *CreditService) control(ctx context.Context) {
 	home := newHomeState(s.options, s.settings.Node, rand.Uint64())
-	requester := newRequesterState(s.options, s.settings.Node, s.router.Overlap)
+	requester := newRequesterState(s.options, s.settings.Node, s.router.Overlap, s.isClosed)
 	changed := make(chan struct{}, 1)
 	wake := func() {
 		select {
@@ -209,7 +215,9 @@
 		if !ok || string(home.ID) != s.settings.Node {
 			continue
 		}
-		homed := homedReplica{id: replica.ID, service: replica.Service, usable: !replica.Leaving && !replica.Failed && !replica.Draining()}
+		homed := homedReplica{
+			id: replica.ID, service: replica.Service, closed: closed(&replica), lost: replica.Failed && !replica.HasLoad,
+		}
 		if service := services[replica.Service]; service != nil {
 			homed.batchLimit = service.BatchConcurrentPerReplica
 		}
@@ -218,12 +226,29 @@
 	return changed
 }
 
+// closed says that a replica takes no new batch items.
+func closed(replica *fleet.Replica) bool {
+	return replica.Leaving || replica.Failed || replica.Draining()
+}
+
+// isClosed says the same of a replica by its id; one that isn't listed is closed.
+func (s *CreditService) isClosed(id string) bool {
+	replica := s.fleet.Directory().Find(id)
+	return replica == nil || closed(replica)
+}
+
 func (s *CreditService) perform(ctx context.Context, output action) {
 	switch typed := output.(type) {
 	case sendGrants:
 		s.background(func() { s.offer(ctx, typed) })
 	case sendRevoke:
 		s.sendTo(typed.requester, methodRevoke, typed.revoke, revokeHeard{revoke: typed.revoke}, s.pushLater)
+	case noteRevoked:
+		s.logger.Info().Str(logging.FieldReplica, typed.replica).Int(fieldCredits, typed.count).Int(fieldOnline, typed.online).
+			Str(logging.FieldReason, string(typed.reason)).Msg("credits revoked")
+	case noteLapsed:
+		s.metrics.granted.WithLabelValues("lapsed").Inc()
+		s.logger.Warn().Str(logging.FieldReplica, typed.replica).Str(logging.FieldPeer, typed.key.home).Msg("credit lapsed")
 	case answerRenew:
 		typed.reply <- typed.response
 	case deliverCredit:
