Roll a model's version under load

Cause: nothing showed that a new version reaches every replica without a pause in service. Change: fault roll_version declares version 2 and waits until every engine serves it alone; faults that must be completed are, also where the load ends first.

--- a/lab/deployment/configuration.go
+++ b/lab/deployment/configuration.go
@@ -9,8 +9,12 @@
 	"github.com/sloelift/sloelift/lab/load"
 )
 
-// modelVersion is the version that engines start with and the Model declares.
-const modelVersion = "1"
+// Versions of the model: engines start with modelVersion, which is declared first; the
+// weight store has both.
+const (
+	modelVersion = "1"
+	nextVersion  = "2"
+)
 
 // Ranks of the declared priorities. Engines count ranks from labengine.OnlineRank as online.
 const (
@@ -71,7 +75,7 @@
 	digest := sha256.Sum256([]byte(load.TenantKey))
 	var file bytes.Buffer
 	err := configurationTemplate.Execute(&file, configurationValues{
-		Model: options.Profile.Model, Version: modelVersion, Service: options.Profile.Service,
+		Model: options.Profile.Model, Version: options.version, Service: options.Profile.Service,
 		Streams: options.MaxConcurrentPerReplica, BatchStreams: options.BatchConcurrentPerReplica, QueueLimit: defaultQueueLimit + options.configurationChange,
 		Online: load.PriorityOnline, Urgent: load.PriorityUrgent, Batch: load.PriorityBatch,
 		OnlineRank: rankOnline, UrgentRank: rankUrgent, BatchRank: rankBatch,
--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -94,7 +94,10 @@
 		Zones:          profile.Zones,
 		Machines:       machines,
 		MachineListLag: d.options.MachineListLag,
-		Weights:        []platform.Weights{{Name: profile.Model, Version: modelVersion, Bytes: 1 << 30}},
+		Weights: []platform.Weights{
+			{Name: profile.Model, Version: modelVersion, Bytes: weightBytes},
+			{Name: profile.Model, Version: nextVersion, Bytes: weightBytes},
+		},
 	})
 	if err := d.Platform.Start(); err != nil {
 		return err
@@ -107,6 +110,9 @@
 	return nil
 }
 
+// weightBytes is the size of one stored version.
+const weightBytes = 1 << 30
+
 // addressesPerNode are a node's caller, admin and peer addresses.
 const addressesPerNode = 3
 
--- a/lab/deployment/options.go
+++ b/lab/deployment/options.go
@@ -30,6 +30,8 @@
 	MaxConcurrentPerReplica   int
 	// configurationChange makes one file differ from another.
 	configurationChange int
+	// version is the model's declared version.
+	version string
 }
 
 // Numbers of a deployment that profiles share.
@@ -55,5 +57,6 @@
 		MachineListLag:            defaultMachineLag,
 		BatchConcurrentPerReplica: defaultBatchStreams,
 		MaxConcurrentPerReplica:   defaultStreams,
+		version:                   modelVersion,
 	}
 }
--- a/lab/deployment/readiness.go
+++ b/lab/deployment/readiness.go
@@ -17,8 +17,10 @@
 
 const (
 	readyTimeout = 30 * time.Second
-	readyPause   = 50 * time.Millisecond
-	callTimeout  = 5 * time.Second
+	// rollTimeout is for a few replicas at a time, each of which is drained first.
+	rollTimeout = 60 * time.Second
+	readyPause  = 50 * time.Millisecond
+	callTimeout = 5 * time.Second
 
 	pathApply  = "/v1/config/apply"
 	pathModels = "/v1/models"
@@ -50,11 +52,35 @@
 func (d *Deployment) ChangeConfiguration(ctx context.Context, change int) (revision int64, err error) {
 	options := d.options
 	options.configurationChange = change + 1
+	return d.apply(ctx, options, change)
+}
+
+// RollVersion declares the next version of the model and waits until every replica serves
+// that one alone.
+func (d *Deployment) RollVersion(ctx context.Context) error {
+	options := d.options
+	options.version = nextVersion
+	if _, err := d.apply(ctx, options, 0); err != nil {
+		return err
+	}
+	return awaitFor(ctx, rollTimeout, "roll the model's version", func(context.Context) error {
+		for _, replica := range d.Replicas {
+			if !replica.Engine.Serves(d.options.Profile.Model, nextVersion) {
+				return fmt.Errorf("replica %s does not serve version %s alone", replica.ID, nextVersion)
+			}
+		}
+		return nil
+	})
+}
+
+// apply gives the file of options to the first node in service that takes it, from the
+// given one on.
+func (d *Deployment) apply(ctx context.Context, options Options, first int) (revision int64, err error) {
 	file, err := Configuration(options)
 	if err != nil {
 		return 0, err
 	}
-	attempt := change
+	attempt := first
 	err = await(ctx, "change configuration", func(ctx context.Context) error {
 		node := d.Nodes[attempt%len(d.Nodes)]
 		attempt++
@@ -140,7 +166,11 @@
 
 // await calls check until it succeeds or readyTimeout ends.
 func await(ctx context.Context, what string, check func(context.Context) error) error {
-	bounded, cancel := context.WithTimeout(ctx, readyTimeout)
+	return awaitFor(ctx, readyTimeout, what, check)
+}
+
+func awaitFor(ctx context.Context, timeout time.Duration, what string, check func(context.Context) error) error {
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for {
 		err := check(bounded)
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -181,6 +181,13 @@
 	e.options.CacheEventLoss = share
 }
 
+// Serves tells whether the engine has exactly this version of a model, ready.
+func (e *Engine) Serves(model, version string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return len(e.models) == 1 && e.models[0].Model == model && e.models[0].Version == version && e.models[0].State == modelReady
+}
+
 // Running returns the number of runs that wait or run.
 func (e *Engine) Running() int {
 	e.mutex.Lock()
--- a/lab/experiment/actions.go
+++ b/lab/experiment/actions.go
@@ -34,6 +34,7 @@
 	FaultCacheEventsLost: (*injector).cacheEventsLost,
 	FaultRollingRestart:  (*injector).rollingRestart,
 	FaultConfiguration:   (*injector).changeConfiguration,
+	FaultRollVersion:     (*injector).rollVersion,
 }
 
 // injector carries out the faults of one run.
@@ -41,6 +42,9 @@
 	deployment *deployment.Deployment
 	logger     zerolog.Logger
 	started    time.Time
+	// ended is closed when the load has ended: what lasts to the end stops, what must be
+	// completed goes on.
+	ended chan struct{}
 
 	// mutex guards random, busy, leaving and failures. busy holds nodes that a fault has hit.
 	mutex    sync.Mutex
@@ -56,6 +60,7 @@
 	return &injector{
 		deployment: target,
 		logger:     logger,
+		ended:      make(chan struct{}),
 		random:     rand.New(rand.NewPCG(seed, 0xfa)),
 		busy:       map[string]bool{},
 		leaving:    map[string]time.Time{},
@@ -68,7 +73,7 @@
 	var wait sync.WaitGroup
 	for _, fault := range faults {
 		wait.Go(func() {
-			if !pause(ctx, time.Until(i.started.Add(fault.At))) {
+			if !i.pauseInRun(ctx, time.Until(i.started.Add(fault.At))) {
 				return
 			}
 			i.logger.Info().Str("kind", string(fault.Kind)).Msg("fault_begins")
@@ -89,7 +94,21 @@
 
 // lasting waits until a fault is over; it returns false where it lasts to the end.
 func (i *injector) lasting(ctx context.Context, fault Fault) bool {
-	return fault.For > 0 && pause(ctx, fault.For)
+	return fault.For > 0 && i.pauseInRun(ctx, fault.For)
+}
+
+// pauseInRun waits; it returns false where the load or ctx ends first.
+func (i *injector) pauseInRun(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(max(wait, 0))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-i.ended:
+		return false
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // pickNodes draws nodes that no other fault has hit, in different zones where possible.
@@ -155,7 +174,7 @@
 	for _, node := range nodes {
 		i.deployment.PauseNode(node)
 	}
-	pause(ctx, fault.For)
+	i.lasting(ctx, fault)
 	for _, node := range nodes {
 		i.deployment.ResumeNode(node)
 	}
@@ -268,6 +287,14 @@
 	return nil
 }
 
+// rollVersion declares a new version of the model; it fails where a replica does not get it.
+func (i *injector) rollVersion(ctx context.Context, _ Fault) error {
+	began := time.Now()
+	err := i.deployment.RollVersion(ctx)
+	i.logger.Info().Err(err).Dur("took", time.Since(began)).Msg("version_rolled")
+	return err
+}
+
 func pause(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(max(wait, 0))
 	defer timer.Stop()
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -83,9 +83,8 @@
 	defer cancel()
 	runner := load.NewRunner(plan, fleet.Targets)
 	faults := newInjector(fleet, options.Seed, logger)
-	faultContext, endFaults := context.WithCancel(bounded)
 	var wait sync.WaitGroup
-	wait.Go(func() { faults.run(faultContext, options.Scenario.Faults) })
+	wait.Go(func() { faults.run(bounded, options.Scenario.Faults) })
 	var atEnd labengine.Totals
 	wait.Go(func() {
 		pause(bounded, options.Duration)
@@ -93,7 +92,7 @@
 	})
 	machine := startLatenessProbe()
 	seen := runner.Run(bounded)
-	endFaults()
+	close(faults.ended)
 	wait.Wait()
 	result := summarize(options, plan, seen, fleet.Log.Records(), atEnd)
 	result.TimerLateness = machine.stop()
--- a/lab/experiment/scenario.go
+++ b/lab/experiment/scenario.go
@@ -33,6 +33,8 @@
 	FaultRollingRestart  FaultKind = "rolling_restart"
 	// FaultConfiguration applies count changed files over its duration; none may revert or be late.
 	FaultConfiguration FaultKind = "change_configuration"
+	// FaultRollVersion declares a new version of the model; every replica must come to serve it alone.
+	FaultRollVersion FaultKind = "roll_version"
 )
 
 // Target names which nodes a fault can hit.
