Ask a takeover's owner twice, and look for owners with short waits

Cause: after a cut heals, the transport still refuses calls for up to 1 s as the peer was unreachable a moment ago; a node took that for a dead owner and outranked it. The search for an owner waited 2 s for a paused one, and then had no time for the stores. Change: a release that could not be sent is sent again after 250 ms; each node that may be the owner is given 250 ms to say so, then the stores are asked.

--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/ledger/wire"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/transport"
 )
 
 // attemptResult is how an attempt or ownership ended. number is the highest ballot number met.
@@ -121,13 +125,34 @@
 		// It is asked all the same: a node that was paused or cut off holds all others dead for a while.
 		wait = m.timing.Backoff
 	}
-	ctx, cancel := context.WithTimeout(m.ctx, wait)
-	defer cancel()
 	request := &ledgerpb.ReleaseRequest{Partition: uint32(partition), Successor: string(m.self)}
-	var response ledgerpb.ReleaseResponse
-	if err := m.caller.Call(ctx, member.PeerAddress, methodRelease, request, &response); err != nil {
+	response, err := m.sendRelease(member.PeerAddress, request, wait)
+	if errorx.IsOfType(err, transport.KindNotSent) && sleep(m.ctx, m.timing.Backoff) {
+		// A connection that was refused a moment ago says nothing of a cut that has just healed.
+		response, err = m.sendRelease(member.PeerAddress, request, wait)
+	}
+	if err != nil {
 		m.logger.Info().Uint32(logging.FieldPartition, uint32(partition)).Str(logging.FieldPeer, string(node)).Err(err).Msg("release_not_answered")
 		return true
 	}
 	return response.Released
 }
+
+func (m *Manager) sendRelease(to netip.AddrPort, request *ledgerpb.ReleaseRequest, wait time.Duration) (*ledgerpb.ReleaseResponse, error) {
+	ctx, cancel := context.WithTimeout(m.ctx, wait)
+	defer cancel()
+	response := &ledgerpb.ReleaseResponse{}
+	return response, m.caller.Call(ctx, to, methodRelease, request, response)
+}
+
+// sleep waits; false if ctx ended meanwhile.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/ledger/locator.go
+++ b/internal/ledger/locator.go
@@ -114,13 +114,7 @@
 		candidates = append(candidates, preferred.ID)
 	}
 	for _, candidate := range candidates {
-		member, found := view.Find(candidate)
-		if !found || candidate == m.self {
-			continue
-		}
-		var response ledgerpb.OwnerResponse
-		err := m.caller.Call(ctx, member.PeerAddress, methodOwner, &ledgerpb.OwnerRequest{Partition: uint32(partition)}, &response)
-		if err == nil && response.Owned {
+		if member, found := view.Find(candidate); found && candidate != m.self && m.owns(ctx, member, partition) {
 			return candidate
 		}
 	}
@@ -131,6 +125,16 @@
 	return ownerNode(m.survey(ensemble).promised.Owner)
 }
 
+// owns asks a node whether it owns the partition. One that does not answer soon may be paused, and its
+// partition taken by another.
+func (m *Manager) owns(ctx context.Context, member membership.Member, partition PartitionID) bool {
+	ctx, cancel := context.WithTimeout(ctx, m.timing.Backoff)
+	defer cancel()
+	var response ledgerpb.OwnerResponse
+	err := m.caller.Call(ctx, member.PeerAddress, methodOwner, &ledgerpb.OwnerRequest{Partition: uint32(partition)}, &response)
+	return err == nil && response.Owned
+}
+
 // PartitionStatus is what this node can say of a partition.
 type PartitionStatus struct {
 	Partition PartitionID
