Leave a paused owner as soon as its successor is known

Cause: a request that was sent to an owner which was paused waited for its answer up to 12 s, though another node had taken the partition 3 s after the pause began. Change: while a request waits, it is looked every 250 ms whether the partition has another owner; then it is sent there. All these requests may be served twice.

--- a/internal/job/fake_test.go
+++ b/internal/job/fake_test.go
@@ -32,13 +32,15 @@
 // testCluster is a few nodes of this slice in one process. Partition i is owned by
 // the node that owners says; the logs outlive the owners.
 type testCluster struct {
-	test     testing.TB
-	engine   *fakeEngine
-	credits  *fakeCredits
-	logs     []*ledgertest.Log
-	nodes    []*testNode
-	mutex    sync.Mutex
-	owners   map[ledger.PartitionID]int
+	test    testing.TB
+	engine  *fakeEngine
+	credits *fakeCredits
+	logs    []*ledgertest.Log
+	nodes   []*testNode
+	mutex   sync.Mutex
+	owners  map[ledger.PartitionID]int
+	// paused is the number of a node that answers no call, -1 for none.
+	paused   int
 	machines map[ledger.PartitionID]ledger.StateMachine
 }
 
@@ -62,7 +64,7 @@
 func newTestCluster(test testing.TB, nodes int) *testCluster {
 	cluster := &testCluster{
 		test: test, engine: newFakeEngine(), credits: &fakeCredits{replicas: 3, limit: 64},
-		owners: make(map[ledger.PartitionID]int), machines: make(map[ledger.PartitionID]ledger.StateMachine),
+		owners: make(map[ledger.PartitionID]int), paused: -1, machines: make(map[ledger.PartitionID]ledger.StateMachine),
 	}
 	for number := range nodes {
 		node := &testNode{cluster: cluster, number: number, handlers: make(map[transport.Method]testHandler)}
@@ -128,6 +130,13 @@
 
 // Call serves the request at the addressed node, through the wire form.
 func (n *testNode) Call(ctx context.Context, to netip.AddrPort, method transport.Method, request, response proto.Message) error {
+	n.cluster.mutex.Lock()
+	paused := n.cluster.paused == int(to.Port())-1
+	n.cluster.mutex.Unlock()
+	if paused {
+		<-ctx.Done()
+		return transport.KindNoAnswer.Wrap(ctx.Err(), "no answer")
+	}
 	handler := n.cluster.nodes[to.Port()-1].handlers[method]
 	received := handler.newRequest()
 	encoded, err := proto.Marshal(request)
--- a/internal/job/forward.go
+++ b/internal/job/forward.go
@@ -19,6 +19,8 @@
 	forwardPatience = 20 * time.Second
 	// forwardAttempt bounds one try.
 	forwardAttempt = 12 * time.Second
+	// ownerCheck is how often it is looked whether a request waits for a former owner.
+	ownerCheck = 250 * time.Millisecond
 	// retryAfter is when a caller may come back after the search failed.
 	retryAfter = 5 * time.Second
 )
@@ -80,6 +82,7 @@
 	if err != nil {
 		return none, outcome.Wrap(err, outcome.NotRun, outcome.ReasonNotOwner, "owner's address")
 	}
+	f.watchOwner(ctx, cancel, ledger.PartitionID(request.GetPartition()), address)
 	response := m.newResponse()
 	if err := f.caller.Call(ctx, to, m.name, request, response); err != nil {
 		return none, err
@@ -87,6 +90,21 @@
 	return response, nil
 }
 
+// watchOwner cancels ctx once the partition is known to have another owner than the node at address, which may be
+// paused or cut off and answer nothing for long. The watch ends with ctx.
+func (f *forwarder) watchOwner(ctx context.Context, cancel func(), partition ledger.PartitionID, address string) {
+	time.AfterFunc(ownerCheck, func() {
+		if ctx.Err() != nil {
+			return
+		}
+		if present, known := f.locator.Owner(partition); known && present != address {
+			cancel()
+			return
+		}
+		f.watchOwner(ctx, cancel, partition, address)
+	})
+}
+
 // asOutcome turns an error of a try into an outcome.
 func asOutcome(err error) *outcome.Error {
 	var remote *transport.RemoteError
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -557,6 +557,27 @@
 	})
 }
 
+func TestRequestLeavesAPausedOwnerForItsSuccessor(t *testing.T) {
+	run(t, func(t *testing.T, cluster *testCluster) {
+		partition := cluster.nodes[0].PartitionOf(idempotencyKey("registry", "key"))
+		owner := cluster.owners[partition]
+		cluster.mutex.Lock()
+		cluster.paused = owner
+		cluster.mutex.Unlock()
+		began := time.Now()
+		claimed := make(chan error)
+		go func() {
+			_, err := cluster.nodes[2].claimer.Claim(t.Context(), "registry", "key", "f", "request", "replica-0")
+			claimed <- err
+		}()
+		synctest.Wait()
+		cluster.own(partition, (owner+1)%2)
+		if err := <-claimed; err != nil || time.Since(began) > time.Second {
+			t.Fatalf("claimed after %v: %v", time.Since(began), err)
+		}
+	})
+}
+
 func TestFiles(t *testing.T) {
 	run(t, func(t *testing.T, cluster *testCluster) {
 		content := strings.Repeat("one line of a ledger page\n", 40_000)
