Cut no call to an engine off by a cancel

Cause: a cancel ended the context of calls that had begun. Such a call returned at once, so the cancel was acknowledged, while the engine still had the request in its socket and accepted it 0.2 to 11 ms after the acknowledgement. Ruled out: a missing check before the call; calls are counted, and the answer to a cancel waits for them. Change: a job that ends starts nothing more, and its context ends once the calls that had begun have been answered, after 5 s at the latest; the runs are then cancelled. Conclusion: the acknowledgement now comes after the engines' answers.

--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -289,6 +290,48 @@
 	})
 }
 
+func TestCancelCutsNoCallOff(t *testing.T) {
+	run(t, func(t *testing.T, cluster *testCluster) {
+		answer := make(chan struct{})
+		var cut atomic.Int32
+		cluster.engine.onCall = func(ctx context.Context, _ engine.Endpoint, _ engine.Request) error {
+			select {
+			case <-answer:
+				return nil
+			case <-ctx.Done():
+				// The engine may read the request all the same, at any time.
+				cut.Add(1)
+				return engine.KindLost.New("cut")
+			}
+		}
+		cluster.engine.onToken = func(ctx context.Context, _ engine.Endpoint, _ engine.Request, _ int) error { return waitUntil(ctx) }
+		status := mustSubmit(t, cluster.nodes[0], submission("calls", 10))
+		synctest.Wait()
+		acknowledged := make(chan error)
+		go func() {
+			_, err := cluster.nodes[0].service.Cancel(t.Context(), "registry", status.ID)
+			acknowledged <- err
+		}()
+		time.Sleep(2 * time.Second)
+		if cut.Load() != 0 {
+			t.Fatalf("the cancel cut %d calls off", cut.Load())
+		}
+		select {
+		case <-acknowledged:
+			t.Fatal("acknowledged with calls under way")
+		default:
+		}
+		close(answer)
+		if err := <-acknowledged; err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		if total, _ := cluster.engine.starts(); total != 10 || cluster.engine.cancels != 10 {
+			t.Fatalf("%d runs, %d cancelled", total, cluster.engine.cancels)
+		}
+	})
+}
+
 func TestTakeoverWithItemsInFlight(t *testing.T) {
 	for _, marked := range []bool{false, true} {
 		t.Run(fmt.Sprintf("marked=%t", marked), func(t *testing.T) {
--- a/internal/job/partition.go
+++ b/internal/job/partition.go
@@ -253,7 +253,7 @@
 	if job.phase == PhaseCancelled {
 		cause = errJobCancelled
 	}
-	run.end(cause)
+	run.endAfterCalls(cause)
 	p.logger.Info().Str(logging.FieldJob, id).Str(logging.FieldTenant, job.accepted.GetTenant()).
 		Str("phase", string(job.phase)).Int("completed", job.completed).Int("failed", job.failed).Msg("job_ended")
 }
