Bound the gateway's second drain in a stop

Cause: when a node ends without a planned stop, the gateway waited for requests in progress until the bound of the whole stop was spent; the hooks of the other slices were then left out, the store stayed open, and the node could not start again. Change: the drain in the gateway's stop has 2 s; a planned stop has drained before.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -24,6 +24,7 @@
 	maxHeaderBytes = 32 << 10
 	idleTimeout    = 2 * time.Minute
 	closeTimeout   = 2 * time.Second
+	stopDrain      = 2 * time.Second
 )
 
 // Dependencies of a Server.
@@ -127,12 +128,15 @@
 	return s.drain.wait(ctx)
 }
 
-// Stop drains until ctx ends, then closes what is left.
+// Stop drains for stopDrain at most, then closes what is left. A planned stop has called Drain before, with a bound of
+// its own; what is cut here must not take the time in which the other slices stop.
 func (s *Server) Stop(ctx context.Context) error {
 	if !s.listening.Load() {
 		return nil
 	}
-	err := s.Drain(ctx)
+	bounded, cancelDrain := context.WithTimeout(ctx, stopDrain)
+	defer cancelDrain()
+	err := s.Drain(bounded)
 	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 	defer cancel()
 	if shutdownError := s.server.Shutdown(closing); shutdownError != nil {
