Refuse requests once the exchange waits for its handlers

Cause: the race detector found a request that started a handler while Stop waited for all handlers; a frame without delay in the in-memory network crashed the runtime under synctest and the race detector (time.AfterFunc of 0). Change: Wait refuses what comes later as not_run; frames without delay are delivered by a goroutine.

--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -64,8 +64,10 @@
 	pending map[uint64]*pendingCall
 	running map[runningKey]context.CancelFunc
 	perLink map[Link]int
-	// handlersDone counts running handlers, so that Wait can end after them.
+	// handlersDone counts running handlers, so that Wait can end after them. It is added to
+	// under mutex and only while stopped is false, so never while Wait waits.
 	handlersDone sync.WaitGroup
+	stopped      bool
 }
 
 type runningKey struct {
@@ -93,6 +95,11 @@
 	err   error
 }
 
+var (
+	errStopped         = outcome.New(outcome.NotRun, outcome.ReasonLeaving, "this node has stopped").After(time.Second)
+	errTooManyRequests = outcome.New(outcome.NotRun, outcome.ReasonOverloaded, "too many requests on this connection").After(time.Second)
+)
+
 // NewExchange returns an Exchange without handlers.
 func NewExchange(counters *Counters) *Exchange {
 	return &Exchange{
@@ -231,10 +238,9 @@
 	}
 	handlerContext, cancel := contextOf(ctx, frame)
 	key := runningKey{link: link, requestID: frame.GetRequestId()}
-	if !e.startRunning(key, cancel) {
+	if refusal := e.startRunning(key, cancel); refusal != nil {
 		cancel()
-		e.respond(ctx, link, frame, nil,
-			outcome.New(outcome.NotRun, outcome.ReasonOverloaded, "too many requests on this connection").After(time.Second))
+		e.respond(ctx, link, frame, nil, refusal)
 		return nil
 	}
 	go func() {
@@ -290,8 +296,13 @@
 	}
 }
 
-// Wait returns when no handler runs any more.
-func (e *Exchange) Wait() { e.handlersDone.Wait() }
+// Wait refuses all further requests and returns when no handler runs any more.
+func (e *Exchange) Wait() {
+	e.mutex.Lock()
+	e.stopped = true
+	e.mutex.Unlock()
+	e.handlersDone.Wait()
+}
 
 // waitsOn says whether a call over link has no answer yet.
 func (e *Exchange) waitsOn(link Link) bool {
@@ -319,18 +330,22 @@
 	return call
 }
 
-func (e *Exchange) startRunning(key runningKey, cancel context.CancelFunc) bool {
+// startRunning counts a handler that is about to run, or tells why it must not.
+func (e *Exchange) startRunning(key runningKey, cancel context.CancelFunc) *outcome.Error {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	if e.stopped {
+		return errStopped
+	}
 	if e.perLink[key.link] >= maxRunningHandlers {
-		return false
+		return errTooManyRequests
 	}
 	e.perLink[key.link]++
 	if key.requestID != 0 {
 		e.running[key] = cancel
 	}
 	e.handlersDone.Add(1)
-	return true
+	return nil
 }
 
 func (e *Exchange) endRunning(key runningKey) {
--- a/internal/transport/memory/network.go
+++ b/internal/transport/memory/network.go
@@ -113,6 +113,10 @@
 	if conditions.Jitter > 0 {
 		delay += time.Duration(n.draw() * float64(conditions.Jitter))
 	}
+	if delay <= 0 {
+		go n.deliver(from, to, encoded)
+		return nil
+	}
 	time.AfterFunc(delay, func() { n.deliver(from, to, encoded) })
 	return nil
 }
