Find the next owner sooner

Cause: a dead node that was believed to be the owner was asked first, alone, and used up the time to ask others. Change: all candidates are asked at once, and again after 0.1 s while the believed owner is not known to be alive. Conclusion: the new test follows an owner through its death.

--- a/internal/ledger/locator.go
+++ b/internal/ledger/locator.go
@@ -12,8 +12,12 @@
 	"github.com/sloelift/sloelift/internal/membership"
 )
 
-// hintAge is how old a hint may be before it is checked again in the background.
-const hintAge = time.Second
+// hintAge is how old a hint may be before it is checked again in the background, doubtfulHintAge where it names a
+// node that is not known to be alive.
+const (
+	hintAge         = time.Second
+	doubtfulHintAge = 100 * time.Millisecond
+)
 
 // ownerHints holds which nodes were last heard to own partitions. It is safe for concurrent use.
 type ownerHints struct {
@@ -45,11 +49,11 @@
 }
 
 // checkDue tells whether the hint is old, and if so notes that a check begins.
-func (h *ownerHints) checkDue(partition PartitionID, now time.Time) bool {
+func (h *ownerHints) checkDue(partition PartitionID, now time.Time, age time.Duration) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	hint := h.hints[partition]
-	if now.Sub(hint.checked) < hintAge {
+	if now.Sub(hint.checked) < age {
 		return false
 	}
 	hint.checked = now
@@ -79,10 +83,15 @@
 			return self.PeerAddress.String(), true
 		}
 	}
-	if m.hints.checkDue(partition, time.Now()) {
+	node, known := m.hints.get(partition)
+	age := hintAge
+	if member, found := view.Find(node); found && member.State != membership.Alive {
+		age = doubtfulHintAge
+	}
+	if m.hints.checkDue(partition, time.Now(), age) {
 		m.refresh(partition)
 	}
-	if node, known := m.hints.get(partition); known {
+	if known {
 		if member, found := view.Find(node); found && member.State != membership.Dead {
 			return member.PeerAddress.String(), true
 		}
@@ -113,22 +122,49 @@
 	if preferred, ok := preferredOwner(view, partition); ok {
 		candidates = append(candidates, preferred.ID)
 	}
+	if owner := m.firstOwner(ctx, view, partition, candidates); owner != "" {
+		return owner
+	}
+	ensemble, known := m.directory.ensemble(partition)
+	if !known {
+		return ""
+	}
+	return ownerNode(m.survey(ensemble).promised.Owner)
+}
+
+// firstOwner asks all candidates at once and returns the first that says it owns the partition; empty where none does.
+func (m *Manager) firstOwner(ctx context.Context, view *membership.View, partition PartitionID, candidates []membership.NodeID) membership.NodeID {
+	ctx, cancel := context.WithTimeout(ctx, m.timing.SuspectRelease)
+	defer cancel()
+	answers := make(chan membership.NodeID, len(candidates))
+	asked := 0
 	for _, candidate := range candidates {
 		member, found := view.Find(candidate)
 		if !found || candidate == m.self {
 			continue
 		}
-		var response ledgerpb.OwnerResponse
-		err := m.caller.Call(ctx, member.PeerAddress, methodOwner, &ledgerpb.OwnerRequest{Partition: uint32(partition)}, &response)
-		if err == nil && response.Owned {
-			return candidate
-		}
+		asked++
+		m.background(func() {
+			var response ledgerpb.OwnerResponse
+			request := &ledgerpb.OwnerRequest{Partition: uint32(partition)}
+			if err := m.caller.Call(ctx, member.PeerAddress, methodOwner, request, &response); err != nil || !response.Owned {
+				answers <- ""
+				return
+			}
+			answers <- candidate
+		})
 	}
-	ensemble, known := m.directory.ensemble(partition)
-	if !known {
-		return ""
+	for range asked {
+		select {
+		case owner := <-answers:
+			if owner != "" {
+				return owner
+			}
+		case <-ctx.Done():
+			return ""
+		}
 	}
-	return ownerNode(m.survey(ensemble).promised.Owner)
+	return ""
 }
 
 // PartitionStatus is what this node can say of a partition.
--- a/internal/ledger/manager_test.go
+++ b/internal/ledger/manager_test.go
@@ -158,3 +158,25 @@
 		}
 	})
 }
+
+// A node that owns nothing finds the owner, and the next one after the owner died.
+func TestLocatorFollowsTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 7)
+		for range 4 {
+			c.add(true)
+		}
+		asking := c.add(false)
+		defer c.stopAll()
+		c.put(0, "a")
+		found := func() bool {
+			owner := c.owner(0)
+			address, ok := asking.manager.Owner(0)
+			return ok && address == owner.address.String()
+		}
+		c.eventually("the owner is found", found)
+		c.kill(c.owner(0))
+		c.put(0, "b")
+		c.eventually("the next owner is found", found)
+	})
+}
