--- a/internal/ledger/locator.go
+++ b/internal/ledger/locator.go
@@ -132,9 +132,10 @@
 	return ownerNode(m.survey(ensemble).promised.Owner)
 }
 
-// firstOwner asks all candidates at once and returns the first that says it owns the partition; empty where none does.
+// firstOwner asks all candidates at once and returns the first that says it owns the partition; empty where none does
+// soon. One that does not answer soon may be paused, and its partition taken by another.
 func (m *Manager) firstOwner(ctx context.Context, view *membership.View, partition PartitionID, candidates []membership.NodeID) membership.NodeID {
-	ctx, cancel := context.WithTimeout(ctx, m.timing.SuspectRelease)
+	ctx, cancel := context.WithTimeout(ctx, m.timing.Backoff)
 	defer cancel()
 	answers := make(chan membership.NodeID, len(candidates))
 	asked := 0
