Let the fake engine pace its run, not each connection

Cause: TestReconnectToAnotherNode hung: the fake handed each allowed token to one connection only, and a reconnection now reads its run on two. Change: the fake counts what its run may send; both connections see the same run. The tests ask for the same as before.

--- a/internal/gateway/fake_engine_test.go
+++ b/internal/gateway/fake_engine_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -28,8 +29,10 @@
 	mutex   sync.Mutex
 	started map[string]bool
 	cancels map[string]bool
-	// hold, when set, is received from before each token.
-	hold chan struct{}
+	// held makes every stream wait for release; allowed tokens may be sent, produced have been.
+	held              bool
+	allowed, produced int
+	changed           *sync.Cond
 	// pace is the time between tokens, for benchmarks.
 	pace time.Duration
 	// refuse answers everything with 429 and X-Not-Run.
@@ -43,6 +46,7 @@
 		tokens: tokens, started: map[string]bool{}, cancels: map[string]bool{},
 		token: func(index int) string { return "t" + strconv.Itoa(index) + " " },
 	}
+	e.changed = sync.NewCond(&e.mutex)
 	router := mux.NewRouter()
 	router.HandleFunc("/v1/chat/completions", e.generate)
 	router.HandleFunc("/v1/completions", e.generate)
@@ -117,12 +121,8 @@
 	flusher := http.NewResponseController(w)
 	_ = flusher.Flush()
 	for index := offset; index < e.tokens; index++ {
-		if e.hold != nil {
-			select {
-			case <-e.hold:
-			case <-r.Context().Done():
-				return
-			}
+		if e.held && !e.awaitToken(r.Context(), index) {
+			return
 		}
 		if e.pace > 0 {
 			time.Sleep(e.pace)
@@ -134,10 +134,45 @@
 		if flusher.Flush() != nil {
 			return
 		}
+		e.sent(index + 1)
 	}
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
+// release lets so many more tokens go and returns when one stream has sent them.
+func (e *fakeEngine) release(tokens int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.allowed += tokens
+	e.changed.Broadcast()
+	for e.produced < e.allowed {
+		e.changed.Wait()
+	}
+}
+
+// awaitToken returns false where the reader went away first.
+func (e *fakeEngine) awaitToken(ctx context.Context, index int) bool {
+	stop := context.AfterFunc(ctx, func() {
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		e.changed.Broadcast()
+	})
+	defer stop()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for index >= e.allowed && ctx.Err() == nil {
+		e.changed.Wait()
+	}
+	return ctx.Err() == nil
+}
+
+func (e *fakeEngine) sent(tokens int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.produced = max(e.produced, tokens)
+	e.changed.Broadcast()
+}
+
 func (e *fakeEngine) cutNow(index int) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -78,17 +78,11 @@
 	return chunk.Choices[0].Delta.Content
 }
 
-func (e *fakeEngine) release(tokens int) {
-	for range tokens {
-		e.hold <- struct{}{}
-	}
-}
-
 // TestReconnectToAnotherNode has a caller lose its connection and go on at another node;
 // another tenant can't.
 func TestReconnectToAnotherNode(t *testing.T) {
 	fake := newFakeEngine(t, 8)
-	fake.hold = make(chan struct{})
+	fake.held = true
 	cluster := newTestCluster(fake)
 	first, second := cluster.start(t), cluster.start(t)
 	response := make(chan *http.Response, 1)
@@ -129,7 +123,7 @@
 
 func TestCallerThatGoesAwayCancelsTheRun(t *testing.T) {
 	fake := newFakeEngine(t, 8)
-	fake.hold = make(chan struct{})
+	fake.held = true
 	node := newTestCluster(fake).start(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -166,7 +160,7 @@
 	const tokens, tokenBytes = 6_000, 1000
 	fake := newFakeEngine(t, tokens)
 	fake.token = func(index int) string { return fmt.Sprintf("%0*d", tokenBytes, index) }
-	fake.hold = make(chan struct{})
+	fake.held = true
 	node := newTestCluster(fake).start(t)
 	response := make(chan *http.Response, 1)
 	go func() { response <- openStream(t, node, registryKey, "") }()
@@ -174,11 +168,7 @@
 	opened := <-response
 	// The engine is read on while the caller reads nothing: its first tokens fit the bound.
 	fake.release(maxQueuedBytes / tokenBytes / 2)
-	go func() {
-		for range tokens - 1 - maxQueuedBytes/tokenBytes/2 {
-			fake.hold <- struct{}{}
-		}
-	}()
+	go fake.release(tokens - 1 - maxQueuedBytes/tokenBytes/2)
 	events := bufio.NewReader(opened.Body)
 	text, _, whole := readEvents(t, events, 0)
 	if !whole || text != fake.text(0) {
@@ -189,7 +179,7 @@
 // TestDrainCutsNothing stops a node while a stream runs.
 func TestDrainCutsNothing(t *testing.T) {
 	fake := newFakeEngine(t, 8)
-	fake.hold = make(chan struct{})
+	fake.held = true
 	node := newTestCluster(fake).start(t)
 	response := make(chan *http.Response, 1)
 	go func() { response <- openStream(t, node, registryKey, "") }()
@@ -225,7 +215,7 @@
 
 func TestDrainEndsWithItsContext(t *testing.T) {
 	fake := newFakeEngine(t, 8)
-	fake.hold = make(chan struct{})
+	fake.held = true
 	node := newTestCluster(fake).start(t)
 	response := make(chan *http.Response, 1)
 	go func() { response <- openStream(t, node, registryKey, "") }()
