--- a/internal/gateway/fake_engine_test.go
+++ b/internal/gateway/fake_engine_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -19,7 +18,7 @@
 )
 
 // fakeEngine answers every prompt with the same tokens, over the engine protocol. Its
-// runs advance only as they are read, except that step can hold them.
+// runs advance as they are read; hold can hold them, each token once for all readers of a run.
 type fakeEngine struct {
 	server *httptest.Server
 	tokens int
@@ -29,10 +28,9 @@
 	mutex   sync.Mutex
 	started map[string]bool
 	cancels map[string]bool
-	// held makes every stream wait for release; allowed tokens may be sent, produced have been.
-	held              bool
-	allowed, produced int
-	changed           *sync.Cond
+	// hold, when set, is received from before each token is made.
+	hold chan struct{}
+	runs map[string]*fakeRun
 	// pace is the time between tokens, for benchmarks.
 	pace time.Duration
 	// refuse answers everything with 429 and X-Not-Run.
@@ -41,12 +39,17 @@
 	cutAt int
 }
 
+// fakeRun counts the tokens made; changed is closed with each.
+type fakeRun struct {
+	made    int
+	changed chan struct{}
+}
+
 func newFakeEngine(t testing.TB, tokens int) *fakeEngine {
 	e := &fakeEngine{
-		tokens: tokens, started: map[string]bool{}, cancels: map[string]bool{},
+		tokens: tokens, started: map[string]bool{}, cancels: map[string]bool{}, runs: map[string]*fakeRun{},
 		token: func(index int) string { return "t" + strconv.Itoa(index) + " " },
 	}
-	e.changed = sync.NewCond(&e.mutex)
 	router := mux.NewRouter()
 	router.HandleFunc("/v1/chat/completions", e.generate)
 	router.HandleFunc("/v1/completions", e.generate)
@@ -105,6 +108,9 @@
 		return false
 	}
 	e.started[id] = true
+	if e.runs[id] == nil {
+		e.runs[id] = &fakeRun{changed: make(chan struct{})}
+	}
 	return true
 }
 
@@ -121,7 +127,7 @@
 	flusher := http.NewResponseController(w)
 	_ = flusher.Flush()
 	for index := offset; index < e.tokens; index++ {
-		if e.held && !e.awaitToken(r.Context(), index) {
+		if e.hold != nil && !e.awaitToken(r, index) {
 			return
 		}
 		if e.pace > 0 {
@@ -134,43 +140,36 @@
 		if flusher.Flush() != nil {
 			return
 		}
-		e.sent(index + 1)
 	}
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
-// release lets so many more tokens go and returns when one stream has sent them.
-func (e *fakeEngine) release(tokens int) {
+// awaitToken waits until the token is made by this reader of the run or another one;
+// false where the reader has gone.
+func (e *fakeEngine) awaitToken(r *http.Request, index int) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.allowed += tokens
-	e.changed.Broadcast()
-	for e.produced < e.allowed {
-		e.changed.Wait()
-	}
-}
-
-// awaitToken returns false where the reader went away first.
-func (e *fakeEngine) awaitToken(ctx context.Context, index int) bool {
-	stop := context.AfterFunc(ctx, func() {
+	run := e.runs[r.Header.Get(engine.HeaderRequestID)]
+	for run.made <= index {
+		changed := run.changed
+		e.mutex.Unlock()
+		released := false
+		select {
+		case <-e.hold:
+			released = true
+		case <-changed:
+		case <-r.Context().Done():
+		}
 		e.mutex.Lock()
-		defer e.mutex.Unlock()
-		e.changed.Broadcast()
-	})
-	defer stop()
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	for index >= e.allowed && ctx.Err() == nil {
-		e.changed.Wait()
+		if released {
+			run.made++
+			close(run.changed)
+			run.changed = make(chan struct{})
+		} else if r.Context().Err() != nil {
+			return false
+		}
 	}
-	return ctx.Err() == nil
-}
-
-func (e *fakeEngine) sent(tokens int) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.produced = max(e.produced, tokens)
-	e.changed.Broadcast()
+	return true
 }
 
 func (e *fakeEngine) cutNow(index int) bool {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -15,6 +15,7 @@
 	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/job"
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/session"
 	"github.com/sloelift/sloelift/internal/settings"
 )
@@ -23,6 +24,7 @@
 	maxHeaderBytes = 32 << 10
 	idleTimeout    = 2 * time.Minute
 	closeTimeout   = 2 * time.Second
+	stopDrain      = 2 * time.Second
 )
 
 // Dependencies of a Server.
@@ -35,11 +37,14 @@
 	Files         job.FileStore
 	Registerer    prometheus.Registerer
 	Logger        zerolog.Logger
+	// Network is listened on; nil is the operating system's.
+	Network network.Network
 }
 
 // Server is the callers' interface of one node.
 type Server struct {
 	address       netip.AddrPort
+	network       network.Network
 	limits        settings.Limits
 	configuration config.Source
 	runner        session.Runner
@@ -61,6 +66,7 @@
 func NewServer(d Dependencies) *Server {
 	s := &Server{
 		address:       d.Address,
+		network:       d.Network,
 		limits:        d.Limits,
 		configuration: d.Configuration,
 		runner:        d.Runner,
@@ -85,7 +91,10 @@
 
 // Start listens and serves.
 func (s *Server) Start() error {
-	listener, err := net.Listen("tcp", s.address.String())
+	if s.network == nil {
+		s.network = network.System{}
+	}
+	listener, err := s.network.Listen(context.Background(), s.address)
 	if err != nil {
 		return err
 	}
@@ -119,12 +128,15 @@
 	return s.drain.wait(ctx)
 }
 
-// Stop drains until ctx ends, then closes what is left.
+// Stop drains for stopDrain at most, then closes what is left. A planned stop has called Drain before, with a bound of
+// its own; what is cut here must not take the time in which the other slices stop.
 func (s *Server) Stop(ctx context.Context) error {
 	if !s.listening.Load() {
 		return nil
 	}
-	err := s.Drain(ctx)
+	bounded, cancelDrain := context.WithTimeout(ctx, stopDrain)
+	defer cancelDrain()
+	err := s.Drain(bounded)
 	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 	defer cancel()
 	if shutdownError := s.server.Shutdown(closing); shutdownError != nil {
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
+
+	"github.com/sloelift/sloelift/internal/network"
 )
 
 const chatStream = `{"model":"clerk","stream":true,"messages":[{"role":"user","content":"x"}]%s}`
@@ -78,11 +80,17 @@
 	return chunk.Choices[0].Delta.Content
 }
 
+func (e *fakeEngine) release(tokens int) {
+	for range tokens {
+		e.hold <- struct{}{}
+	}
+}
+
 // TestReconnectToAnotherNode has a caller lose its connection and go on at another node;
 // another tenant can't.
 func TestReconnectToAnotherNode(t *testing.T) {
 	fake := newFakeEngine(t, 8)
-	fake.held = true
+	fake.hold = make(chan struct{})
 	cluster := newTestCluster(fake)
 	first, second := cluster.start(t), cluster.start(t)
 	response := make(chan *http.Response, 1)
@@ -123,7 +131,7 @@
 
 func TestCallerThatGoesAwayCancelsTheRun(t *testing.T) {
 	fake := newFakeEngine(t, 8)
-	fake.held = true
+	fake.hold = make(chan struct{})
 	node := newTestCluster(fake).start(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -160,7 +168,7 @@
 	const tokens, tokenBytes = 6_000, 1000
 	fake := newFakeEngine(t, tokens)
 	fake.token = func(index int) string { return fmt.Sprintf("%0*d", tokenBytes, index) }
-	fake.held = true
+	fake.hold = make(chan struct{})
 	node := newTestCluster(fake).start(t)
 	response := make(chan *http.Response, 1)
 	go func() { response <- openStream(t, node, registryKey, "") }()
@@ -168,7 +176,11 @@
 	opened := <-response
 	// The engine is read on while the caller reads nothing: its first tokens fit the bound.
 	fake.release(maxQueuedBytes / tokenBytes / 2)
-	go fake.release(tokens - 1 - maxQueuedBytes/tokenBytes/2)
+	go func() {
+		for range tokens - 1 - maxQueuedBytes/tokenBytes/2 {
+			fake.hold <- struct{}{}
+		}
+	}()
 	events := bufio.NewReader(opened.Body)
 	text, _, whole := readEvents(t, events, 0)
 	if !whole || text != fake.text(0) {
@@ -179,7 +191,7 @@
 // TestDrainCutsNothing stops a node while a stream runs.
 func TestDrainCutsNothing(t *testing.T) {
 	fake := newFakeEngine(t, 8)
-	fake.held = true
+	fake.hold = make(chan struct{})
 	node := newTestCluster(fake).start(t)
 	response := make(chan *http.Response, 1)
 	go func() { response <- openStream(t, node, registryKey, "") }()
@@ -215,7 +227,7 @@
 
 func TestDrainEndsWithItsContext(t *testing.T) {
 	fake := newFakeEngine(t, 8)
-	fake.held = true
+	fake.hold = make(chan struct{})
 	node := newTestCluster(fake).start(t)
 	response := make(chan *http.Response, 1)
 	go func() { response <- openStream(t, node, registryKey, "") }()
@@ -276,3 +288,22 @@
 		t.Fatal(fake.starts(), "starts")
 	}
 }
+
+func TestConnectionsEndWithTheNodesNetwork(t *testing.T) {
+	severable := network.NewSeverable(network.System{})
+	cluster := newTestCluster()
+	cluster.network = severable
+	node := cluster.start(t)
+	connection, err := net.Dial("tcp", node.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	severable.Sever()
+	if _, err := connection.Read(make([]byte, 1)); err == nil {
+		t.Fatal("a severed node wrote to its caller")
+	}
+	if _, err := net.Dial("tcp", node.Address().String()); err == nil {
+		t.Fatal("a severed node took a connection")
+	}
+}
