--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/transport/memory"
 )
 
 func TestSnapshotsBoundTheLog(t *testing.T) {
@@ -133,3 +136,101 @@
 		c.check(0, acknowledged)
 	})
 }
+
+// A node that was cut off while every store it knew was replaced must find the new ones.
+func TestNodeWithOldEnsembleFindsTheNewOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 14)
+		c.ledger.Partitions = 1
+		for range 5 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "a")}
+		cut := c.owner(0)
+		c.network.SetConditions(func(from, to netip.AddrPort) memory.Conditions {
+			return memory.Conditions{Delay: linkDelay, Cut: from == cut.address || to == cut.address}
+		})
+		c.view.change(cut.id, func(member *membership.Member) { member.State = membership.Dead })
+		all := c.nodes
+		c.nodes = nil
+		for _, node := range all {
+			if node != cut {
+				c.nodes = append(c.nodes, node)
+			}
+		}
+		for _, node := range c.nodes {
+			acknowledged = append(acknowledged, c.put(0, "with "+string(node.id)))
+			c.loseDisk(node)
+			c.eventually("all members are full and known", func() bool {
+				ensemble := c.owner(0).manager.Status()[0].Ensemble
+				for _, member := range ensemble.Members {
+					if held, found := c.view.find(member.Node); !found || held.StoreIncarnation != string(member.Store) || held.State != membership.Alive {
+						return false
+					}
+				}
+				return ensemble.Full() == 4
+			})
+		}
+		c.network.SetConditions(calm)
+		c.view.change(cut.id, func(member *membership.Member) { member.State = membership.Alive })
+		c.nodes = all
+		c.eventually("the node that was cut off owns again", func() bool { return c.owner(0) == cut })
+		c.check(0, acknowledged)
+	})
+}
+
+// A store that comes back after its place was given to a spare forgets the partition.
+func TestReplacedStoreForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 15)
+		c.ledger.Partitions = 1
+		for range 5 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "a")}
+		ensemble := c.owner(0).manager.Status()[0].Ensemble
+		var away *testNode
+		for _, node := range c.nodes {
+			if _, member := ensemble.Find(node.store.ID()); member && node != c.owner(0) {
+				away = node
+			}
+		}
+		c.stop(away)
+		c.view.change(away.id, func(member *membership.Member) { member.State = membership.Dead })
+		c.eventually("a spare has its place", func() bool {
+			changed := c.owner(0).manager.Status()[0].Ensemble
+			_, member := changed.Find(away.store.ID())
+			return !member && changed.Full() == 4
+		})
+		c.start(away)
+		c.eventually("the store forgets", func() bool {
+			response, err := away.store.Read(t.Context(), &ledgerpb.ReadRequest{Store: string(away.store.ID()), From: 1, To: 1})
+			return err == nil && response.Status == ledgerpb.Status_STATUS_NOT_FOUND
+		})
+		c.check(0, acknowledged)
+	})
+}
+
+// A suspected owner that serves well keeps its partition; one that does not answer loses it.
+func TestSuspectedOwnerIsAskedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 16)
+		for range 5 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "a")}
+		owner := c.owner(0)
+		first, _ := owner.manager.ownership(0)
+		c.view.change(owner.id, func(member *membership.Member) { member.State = membership.Suspect })
+		time.Sleep(10 * time.Second)
+		if kept, _ := owner.manager.ownership(0); kept != first || !kept.serving.Load() {
+			t.Fatal("an owner that serves well lost its partition on suspicion")
+		}
+		c.stop(owner)
+		acknowledged = append(acknowledged, c.put(0, "b"))
+		c.check(0, acknowledged)
+	})
+}
--- a/internal/ledger/manager_test.go
+++ b/internal/ledger/manager_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -87,11 +88,17 @@
 		defer c.stopAll()
 		acknowledged := []string{c.put(0, "a")}
 		leaving := c.owner(0)
+		machine := leaving.register(0)
+		var last error = errNotOwner()
+		machine.onQuiesce = func(ctx context.Context) { last = machine.put(ctx, "quiesced") }
 		c.view.change(leaving.id, func(member *membership.Member) { member.State = membership.Leaving })
 		if err := leaving.manager.Handover(t.Context()); err != nil {
 			t.Fatal(err)
 		}
-		acknowledged = append(acknowledged, c.put(0, "b"))
+		if last != nil {
+			t.Fatalf("append while the machine quiesces: %v", last)
+		}
+		acknowledged = append(acknowledged, "quiesced", c.put(0, "b"))
 		if c.owner(0) == leaving {
 			t.Fatal("the leaving node owns the partition again")
 		}
@@ -119,3 +126,35 @@
 		c.check(0, acknowledged)
 	})
 }
+
+// A node that prepared again, lost the partition and takes it back must not come by a ballot that it has held: a read
+// quorum of promises need not show the number that it had reached.
+func TestBallotsAreNeverReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		for range 4 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		c.put(0, "a")
+		owner := c.owner(0)
+		first, _ := owner.manager.ownership(0)
+		for _, node := range c.nodes {
+			if node != owner {
+				c.loseDisk(node)
+				break
+			}
+		}
+		c.eventually("the owner has prepared again, twice", func() bool { return first.view.Load().ballot.Version == 3 })
+		held := first.view.Load().ballot
+		first.release(t.Context())
+		c.eventually("the node owns again", func() bool {
+			second, present := owner.manager.ownership(0)
+			return present && second != first && second.serving.Load()
+		})
+		second, _ := owner.manager.ownership(0)
+		if taken := second.view.Load().ballot; !held.Below(taken) || taken.Owner == held.Owner {
+			t.Fatalf("held %s, took %s", held, taken)
+		}
+	})
+}
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -72,13 +72,15 @@
 	// ringSuccessors is how many ring neighbours a node probes in turn.
 	ringSuccessors = 2
 	// newsBytes bounds the news on one ping or ack.
-	newsBytes = 1000
+	newsBytes = 500
 	// broadcastSample is how many members of each other zone hear a refutation at once.
 	broadcastSample = 3
 	// troubledZone is how many suspects in another zone draw the remote probes there.
 	troubledZone = 2
 	// recordsPerMessage bounds a Records message.
 	recordsPerMessage = 200
+	// bulkRecords is how many records in one message are more than passing news.
+	bulkRecords = 24
 	// joinContacts is how many contacts a node that knows nobody asks at once.
 	joinContacts = 2
 	// suspectTellers is about how many who hear of a suspicion tell the suspect at once.
