Do not take failures in a troubled zone for own slowness

Cause: probes drawn to a lost zone all fail, which raised each prober's own slowness and put the deaths off. Change: failures in another zone with several suspects do not count.

--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -112,7 +112,9 @@
 		case pending.failed:
 		case waited >= p.probeTime(p.timing.ProbeTimeout):
 			pending.failed = true
-			p.slowness = min(p.slowness+1, maxSlowness)
+			if !p.inTrouble(pending.target.zone) {
+				p.slowness = min(p.slowness+1, maxSlowness)
+			}
 			p.probeFailed(pending)
 		case waited >= p.probeTime(p.timing.DirectTimeout) && !pending.indirect:
 			pending.indirect = true
@@ -136,6 +138,12 @@
 	p.ping(target, p.lastSequence)
 }
 
+// inTrouble says whether another zone has several suspects: failures there are no sign
+// of this node's own slowness.
+func (p *protocol) inTrouble(zone zoneKey) bool {
+	return zone != p.self.zone && p.lookup().suspects[zone] >= troubledZone
+}
+
 // noteAnswer lets the slowness that failed probes raised fall again, but not below what
 // the round trip of this answer asks for.
 func (p *protocol) noteAnswer(pending *probe, direct bool) {
