--- a/internal/session/runner_test.go
+++ b/internal/session/runner_test.go
@@ -23,13 +23,26 @@
 		claimer := newFakeClaimer()
 		claimer.loseAnswers = rapid.IntRange(0, 2).Draw(rt, "lostClaims")
 		marked := rapid.Bool().Draw(rt, "marked")
+		reconnects := !marked && rapid.Bool().Draw(rt, "reconnects")
 		var got received
+		if reconnects {
+			got.next = 2 * rapid.IntRange(0, answerTokens/2-1).Draw(rt, "offset")
+			got.text = answerText(0, got.next)
+			fakes.runs["r2"] = map[string]bool{"q1": rapid.Bool().Draw(rt, "runIsThere")}
+		}
+		sendsText := rapid.Bool().Draw(rt, "sendsText")
 		var err error
 		synctest.Test(t, func(t *testing.T) {
 			request := testRequest("q1")
 			if request.NotRepeatable = marked; marked {
 				request.IdempotencyKey = "k"
 			}
+			if reconnects {
+				request.Replica, request.Offset = "r2", got.next
+			}
+			if reconnects && sendsText {
+				request.Prior = got.text
+			}
 			runner := newTestRunner(fakes, claimer)
 			err = runner.Run(t.Context(), request, got.sink)
 			runner.Wait()
@@ -40,8 +53,8 @@
 		if got.broken || fakes.badResume {
 			rt.Fatalf("tokens out of order or a wrong resume: %+v", got)
 		}
-		if outcomeOf(err) == outcome.NotRun && fakes.starts > 0 {
-			rt.Fatalf("told not_run after %d starts: %v", fakes.starts, err)
+		if outcomeOf(err) == outcome.NotRun && (fakes.starts > 0 || reconnects) {
+			rt.Fatalf("told not_run after %d starts, reconnected %t: %v", fakes.starts, reconnects, err)
 		}
 		if marked && fakes.starts > 1 {
 			rt.Fatalf("a marked request was started %d times", fakes.starts)
@@ -125,17 +138,17 @@
 func TestReconnectGoesOnBehindItsOffset(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for name, c := range map[string]struct {
-			forget bool
+			gone   bool
 			prior  string
 			want   outcome.Outcome
 			starts int
 		}{
 			"attached":                   {want: outcome.Completed, starts: 0},
-			"run gone, text sent":        {forget: true, prior: answerText(0, 4), want: outcome.Completed, starts: 1},
-			"run gone, text not at hand": {forget: true, want: outcome.Indeterminate},
+			"run gone, text sent":        {gone: true, prior: answerText(0, 4), want: outcome.Completed, starts: 1},
+			"run gone, text not at hand": {gone: true, want: outcome.Indeterminate},
 		} {
-			fakes := newFakeFleet(fault{forget: c.forget})
-			fakes.runs["r2"] = map[string]bool{"q1": true}
+			fakes := newFakeFleet()
+			fakes.runs["r2"] = map[string]bool{"q1": !c.gone}
 			request := testRequest("q1")
 			request.Replica, request.Offset, request.Prior = "r2", 4, c.prior
 			got := received{next: 4, text: answerText(0, 4)}
@@ -234,3 +247,45 @@
 		}
 	})
 }
+
+// TestReconnectedStreamIsResumedElsewhere has a caller that reconnected with its offset only, and
+// an engine that dies then: the text so far was read from the engine meanwhile.
+func TestReconnectedStreamIsResumedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fakes := newFakeFleet(fault{cut: 2}, fault{forget: true, open: "not_sent"})
+		fakes.runs["r2"] = map[string]bool{"q1": true}
+		request := testRequest("q1")
+		request.Replica, request.Offset = "r2", 4
+		got := received{next: 4, text: answerText(0, 4)}
+		runner := newTestRunner(fakes, newFakeClaimer())
+		err := runner.Run(t.Context(), request, func(chunk Chunk) error {
+			// The second stream has read what there is.
+			synctest.Wait()
+			return got.sink(chunk)
+		})
+		runner.Wait()
+		if err != nil || !got.whole() || fakes.badResume || fakes.starts != 1 {
+			t.Fatal(got, err, fakes.badResume, fakes.starts)
+		}
+	})
+}
+
+func TestPriorIsFoundWhereChunksEndTogether(t *testing.T) {
+	reader := &priorReader{ends: []boundary{{2, 4}, {5, 10}, {7, 14}}}
+	reader.text.WriteString("aabbccddeeffgg")
+	for name, c := range map[string]struct {
+		received string
+		ends     []boundary
+		want     string
+		found    bool
+	}{
+		"at the offset itself": {ends: []boundary{{5, 0}}, want: "aabbccddee", found: true},
+		"later":                {received: "ddeeffgg", ends: []boundary{{3, 0}, {4, 2}, {7, 8}}, want: "aabbcc", found: true},
+		"nowhere":              {received: "ddee", ends: []boundary{{3, 0}, {4, 4}}},
+		"other text":           {received: "xxee", ends: []boundary{{3, 0}, {5, 4}}},
+	} {
+		if prior, found := reader.before(c.received, c.ends); prior != c.want || found != c.found {
+			t.Errorf("%s: %q, %t", name, prior, found)
+		}
+	}
+}
--- a/lab/deployment/configuration.go
+++ b/lab/deployment/configuration.go
@@ -9,8 +9,12 @@
 	"github.com/sloelift/sloelift/lab/load"
 )
 
-// modelVersion is the version that engines start with and the Model declares.
-const modelVersion = "1"
+// Versions of the model: engines start with modelVersion, which is declared first; the
+// weight store has both.
+const (
+	modelVersion = "1"
+	nextVersion  = "2"
+)
 
 // Ranks of the declared priorities. Engines count ranks from labengine.OnlineRank as online.
 const (
@@ -29,7 +33,7 @@
 models: [{{.Model}}]
 maxConcurrentPerReplica: {{.Streams}}
 batchConcurrentPerReplica: {{.BatchStreams}}
-queueLimit: 256
+queueLimit: {{.QueueLimit}}
 requestTimeout: 60s
 retryBudgetPercent: 20
 ---
@@ -60,7 +64,7 @@
 
 type configurationValues struct {
 	Model, Version, Service           string
-	Streams, BatchStreams             int
+	Streams, BatchStreams, QueueLimit int
 	Online, Urgent, Batch             string
 	OnlineRank, UrgentRank, BatchRank int
 	Tenant, KeyDigest                 string
@@ -71,8 +75,8 @@
 	digest := sha256.Sum256([]byte(load.TenantKey))
 	var file bytes.Buffer
 	err := configurationTemplate.Execute(&file, configurationValues{
-		Model: options.Profile.Model, Version: modelVersion, Service: options.Profile.Service,
-		Streams: options.MaxConcurrentPerReplica, BatchStreams: options.BatchConcurrentPerReplica,
+		Model: options.Profile.Model, Version: options.version, Service: options.Profile.Service,
+		Streams: options.MaxConcurrentPerReplica, BatchStreams: options.BatchConcurrentPerReplica, QueueLimit: defaultQueueLimit + options.configurationChange,
 		Online: load.PriorityOnline, Urgent: load.PriorityUrgent, Batch: load.PriorityBatch,
 		OnlineRank: rankOnline, UrgentRank: rankUrgent, BatchRank: rankBatch,
 		Tenant: load.TenantName, KeyDigest: hex.EncodeToString(digest[:]),
--- a/lab/deployment/options.go
+++ b/lab/deployment/options.go
@@ -28,6 +28,10 @@
 	// BatchConcurrentPerReplica and MaxConcurrentPerReplica are declared for the service.
 	BatchConcurrentPerReplica int
 	MaxConcurrentPerReplica   int
+	// configurationChange makes one file differ from another.
+	configurationChange int
+	// version is the model's declared version.
+	version string
 }
 
 // Numbers of a deployment that profiles share.
@@ -35,8 +39,9 @@
 	nodesPerZone        = 2
 	wantedStores        = 4
 	defaultMachineLag   = 500 * time.Millisecond
-	defaultBatchStreams = 12
+	defaultBatchStreams = 16
 	defaultStreams      = 16
+	defaultQueueLimit   = 256
 	partitions          = 16
 	writeQuorum         = 3
 )
@@ -52,5 +57,6 @@
 		MachineListLag:            defaultMachineLag,
 		BatchConcurrentPerReplica: defaultBatchStreams,
 		MaxConcurrentPerReplica:   defaultStreams,
+		version:                   modelVersion,
 	}
 }
--- a/lab/experiment/scenario.go
+++ b/lab/experiment/scenario.go
@@ -31,6 +31,10 @@
 	FaultLoadLag         FaultKind = "load_lag"
 	FaultCacheEventsLost FaultKind = "cache_events_lost"
 	FaultRollingRestart  FaultKind = "rolling_restart"
+	// FaultConfiguration applies count changed files over its duration; none may revert or be late.
+	FaultConfiguration FaultKind = "change_configuration"
+	// FaultRollVersion declares a new version of the model; every replica must come to serve it alone.
+	FaultRollVersion FaultKind = "roll_version"
 )
 
 // Target names which nodes a fault can hit.
