--- a/lab/hollow/observer.go
+++ b/lab/hollow/observer.go
@@ -42,7 +42,6 @@
 	// unaware are those that were up then and do not hold the victim dead yet.
 	unaware       map[*node]bool
 	unawareInZone int
-	inZoneAt      time.Duration
 	partOfZone    bool // the whole zone died: there is nobody in it to ask
 }
 
--- a/lab/hollow/world.go
+++ b/lab/hollow/world.go
@@ -159,15 +159,6 @@
 	return nil
 }
 
-func (w *world) lastApplied() int64 {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	if len(w.applied) == 0 {
-		return 1
-	}
-	return w.applied[len(w.applied)-1].revision
-}
-
 func tenant(number, key int) string {
 	digest := sha256.Sum256(fmt.Appendf(nil, "%d/%d", number, key))
 	return fmt.Sprintf("kind: Tenant\nname: tenant-%03d\nkeyDigests: [\"%x\"]\nrequestsPerSecond: 100\nburst: 20\n", number, digest)
