Show engine times in the report

Cause: the page showed callers' times only, which on a busy machine are the machine's. Change: columns and a plot of the p99 at engines, and how late timers were. Conclusion: the page tells the two apart.

--- a/lab/report/page.go
+++ b/lab/report/page.go
@@ -15,10 +15,13 @@
 <h1>sloelift lab report</h1>
 {{range .Comparisons}}<h2>Policies on {{.Comparison.Profile}}, seeds {{.Comparison.Seeds}}, medians</h2>
 <table><tr><th>policy</th><th>first token p50/p95/p99 ms</th><th>p99 to online-only</th><th>inter-token p99 ms</th><th>to online-only</th>
+<th>at engines: first token p99 ms</th><th>to online-only</th><th>inter-token p99 ms</th><th>to online-only</th><th>timer late p99 ms</th>
 <th>items/s</th><th>tokens/s</th><th>tokens to fifo</th><th>idle used</th><th>decoded twice</th><th>failed runs</th></tr>
 {{range .Comparison.Medians}}<tr{{if .Failed}} class="failed"{{end}}><td>{{.Policy}}</td>
 <td>{{printf "%.1f / %.1f / %.1f" .FirstTokenP50 .FirstTokenP95 .FirstTokenP99}}</td><td>{{printf "%.3f" .FirstTokenToOnline}}</td>
-<td>{{printf "%.2f" .InterTokenP99}}</td><td>{{printf "%.3f" .InterTokenToOnline}}</td><td>{{printf "%.1f" .ItemsPerSecond}}</td>
+<td>{{printf "%.2f" .InterTokenP99}}</td><td>{{printf "%.3f" .InterTokenToOnline}}</td>
+<td>{{printf "%.1f" .EngineFirstP99}}</td><td>{{printf "%.3f" .EngineFirstToOnline}}</td><td>{{printf "%.2f" .EngineInterP99}}</td>
+<td>{{printf "%.3f" .EngineInterToOnline}}</td><td>{{printf "%.1f" .TimerLatenessP99}}</td><td>{{printf "%.1f" .ItemsPerSecond}}</td>
 <td>{{printf "%.0f" .TokensPerSecond}}</td><td>{{printf "%.3f" .TokensToFIFO}}</td><td>{{printf "%.3f" .IdleCapacityUsed}}</td>
 <td>{{printf "%.4f" .DecodedTwiceShare}}</td><td>{{.Failed}}</td></tr>{{end}}</table>
 {{range .Images}}<p><img alt="plot" src="{{.}}"></p>{{end}}{{end}}
--- a/lab/report/plots.go
+++ b/lab/report/plots.go
@@ -81,6 +81,10 @@
 			{"p95", over(func(s experiment.PolicySummary) float64 { return s.InterTokenP95 })},
 			{"p99", over(func(s experiment.PolicySummary) float64 { return s.InterTokenP99 })},
 		}},
+		{"Online p99 at engines, in engine time", "ms", []series{
+			{"first token", over(func(s experiment.PolicySummary) float64 { return s.EngineFirstP99 })},
+			{"inter-token", over(func(s experiment.PolicySummary) float64 { return s.EngineInterP99 })},
+		}},
 		{"Batch throughput", "items/s", []series{
 			{"items/s", over(func(s experiment.PolicySummary) float64 { return s.ItemsPerSecond })},
 		}},
