--- a/internal/ledger/fakes_test.go
+++ b/internal/ledger/fakes_test.go
@@ -113,17 +113,17 @@
 func (v viewerOf) View() *membership.View {
 	v.shared.mutex.Lock()
 	defer v.shared.mutex.Unlock()
-	view := &membership.View{Self: v.self, Members: append([]membership.Member(nil), v.shared.members...)}
-	for i := range view.Members {
-		if v.self == v.shared.isolated && view.Members[i].ID != v.self {
-			view.Members[i].State = membership.Dead
-		}
-		// A node never suspects itself.
-		if view.Members[i].ID == v.self && view.Members[i].State == membership.Suspect {
-			view.Members[i].State = membership.Alive
+	members := append([]membership.Member(nil), v.shared.members...)
+	for i := range members {
+		switch {
+		case members[i].ID == v.self && members[i].State == membership.Suspect:
+			// A node never suspects itself.
+			members[i].State = membership.Alive
+		case v.self == v.shared.isolated && members[i].ID != v.self:
+			members[i].State = membership.Dead
 		}
 	}
-	return view
+	return &membership.View{Self: v.self, Members: members}
 }
 
 func (v viewerOf) Subscribe(func(*membership.View)) func() { return func() {} }
