Log a differing number of partitions at every start, name the data folder in errors

Cause: ledger_setting_differs was logged only by a node that may form ensembles, in the round that forms them; a node that joined a formed ledger said nothing. A data folder in use gave only "resource temporarily unavailable". Change: the comparison runs on the control goroutine, once, when the head is known, from the key-value service or from other nodes. NewDisk names the folder, and says that another process uses it where the lock tells so.

--- a/internal/ledger/formation.go
+++ b/internal/ledger/formation.go
@@ -42,10 +42,24 @@
 			m.loading = false
 			m.stale = m.stale || err != nil
 			m.nextLoad = time.Now().Add(loadInterval)
+			m.reportSettings()
 			m.check(time.Now())
 		})
 }
 
+// reportSettings warns, once, of a number of partitions in this node's settings that is not the ledger's, which
+// holds. It runs on the control goroutine.
+func (m *Manager) reportSettings() {
+	fixed, known := m.directory.fixed()
+	if !known || m.settingsReported {
+		return
+	}
+	m.settingsReported = true
+	if fixed.partitions != m.settings.Partitions {
+		m.logger.Warn().Int("partitions", fixed.partitions).Int("setting", m.settings.Partitions).Msg("ledger_setting_differs")
+	}
+}
+
 // mayForm says whether this node should create what is missing: once there are stores enough, or the wait for more
 // is over. The first live node goes first, the others after one more wait, so that they don't all try.
 func (m *Manager) mayForm(now time.Time) bool {
@@ -84,9 +98,6 @@
 		}
 		fixed, _ = m.directory.fixed()
 	}
-	if fixed.partitions != m.settings.Partitions {
-		m.logger.Warn().Int("partitions", fixed.partitions).Int("setting", m.settings.Partitions).Msg("ledger_setting_differs")
-	}
 	stores := storesOf(m.viewer.View())
 	var missing []protocol.Ensemble
 	for partition := range PartitionID(fixed.partitions) {
--- a/internal/ledger/fx.go
+++ b/internal/ledger/fx.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
+	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
@@ -45,11 +47,14 @@
 		return &Disk{}, nil
 	}
 	if err := os.MkdirAll(node.DataFolder, 0o750); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("make the data folder: %w", err)
 	}
 	opened, err := store.Open(node.DataFolder, store.Options{Logger: logger.With().Str(logging.FieldSlice, "ledger").Logger()})
+	if errors.Is(err, syscall.EAGAIN) {
+		return nil, fmt.Errorf("data folder %s is in use by another process: %w", node.DataFolder, err)
+	}
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("open the ledger's store in data folder %s: %w", node.DataFolder, err)
 	}
 	lifecycle.Append(fx.StopHook(opened.Close))
 	return &Disk{Store: opened}, nil
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -59,11 +59,13 @@
 	// started is set by Start. leaving is set by Handover and stays set.
 	started time.Time
 	leaving atomic.Bool
-	// loading, stale, nextLoad and partitions belong to the control goroutine. stale says that an ensemble seems outdated.
-	loading    bool
-	stale      bool
-	nextLoad   time.Time
-	partitions map[PartitionID]*partitionControl
+	// loading, stale, nextLoad, settingsReported and partitions belong to the control goroutine. stale says that an
+	// ensemble seems outdated; settingsReported, that the settings have been compared with the ledger's head.
+	loading          bool
+	stale            bool
+	nextLoad         time.Time
+	settingsReported bool
+	partitions       map[PartitionID]*partitionControl
 
 	// owned holds the present ownerships for readers on other goroutines; mutex guards it and the end of ctx.
 	mutex sync.RWMutex
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,8 +47,8 @@
 	BatchConcurrency int `yaml:"batchConcurrency"`
 }
 
-// Ledger holds the ledger's fixed numbers. Partitions, once written to the
-// key-value service at first start, stands there and the setting is checked against it.
+// Ledger holds the ledger's numbers. They are written to the key-value service at the first start of the system and
+// then hold for all nodes; a node whose Partitions differ logs it at its start.
 type Ledger struct {
 	Partitions  int `yaml:"partitions"`
 	Replicas    int `yaml:"replicas"`
