Name the address and the file in errors of the platform and the saved configuration

Cause: a refusal by the key-value service, the machine list or the weight store did not say which address gave it; a damaged saved configuration did not say which file it is. Change: the messages begin with them. The error of a damaged document stands beside the document.

--- a/internal/config/relay/cache.go
+++ b/internal/config/relay/cache.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -30,7 +31,8 @@
 
 // load returns the document that was saved last, nil where there is none. A damaged file is an error.
 func (c *cache) load() (*document, error) {
-	encoded, err := os.ReadFile(filepath.Join(c.folder, cacheFile))
+	path := filepath.Join(c.folder, cacheFile)
+	encoded, err := os.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
@@ -39,11 +41,11 @@
 	}
 	message := &configpb.Document{}
 	if err := proto.Unmarshal(encoded, message); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("decode %s: %w", path, err)
 	}
 	saved, sound := decodeDocument(message)
 	if !sound {
-		return nil, errDamaged
+		return nil, fmt.Errorf("%s: %w", path, errDamaged)
 	}
 	return saved, nil
 }
@@ -52,7 +54,7 @@
 func (c *cache) save(held *document) error {
 	encoded, err := proto.Marshal(encodeDocument(held))
 	if err != nil {
-		return err
+		return fmt.Errorf("encode the configuration: %w", err)
 	}
 	if err := os.MkdirAll(c.folder, cacheFolderMode); err != nil {
 		return err
--- a/internal/config/relay/document.go
+++ b/internal/config/relay/document.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"maps"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,6 +13,9 @@
 	maxKeptDeltaBytes = 256 << 10
 )
 
+// errDamaged is the error of a document whose content does not give the hash that came with it.
+var errDamaged = errors.New("the document does not have the hash it was sent with")
+
 // document is the whole configuration of one revision as stored. It is immutable.
 type document struct {
 	revision int64
--- a/internal/config/relay/subscribers.go
+++ b/internal/config/relay/subscribers.go
@@ -1,14 +1,11 @@
 package relay
 
 import (
-	"errors"
 	"sync"
 
 	"github.com/sloelift/sloelift/internal/config"
 )
 
-var errDamaged = errors.New("the document does not have the hash it was sent with")
-
 // subscribers holds the functions to call after a change. It is safe for concurrent use.
 type subscribers struct {
 	mutex sync.Mutex
--- a/internal/platform/http_caller.go
+++ b/internal/platform/http_caller.go
@@ -132,33 +132,34 @@
 	}
 	if err := json.NewDecoder(io.LimitReader(answer.Body, maxAnswerBody)).Decode(response); err != nil {
 		if kind == changes {
-			return KindUnknownOutcome.Wrap(err, "answer broke off")
+			return KindUnknownOutcome.Wrap(err, "the answer of %s broke off", answer.Request.URL.Host)
 		}
-		return KindUnavailable.Wrap(err, "answer broke off")
+		return KindUnavailable.Wrap(err, "the answer of %s broke off", answer.Request.URL.Host)
 	}
 	return nil
 }
 
-// answerError maps an answer that is not 200 to an error kind.
+// answerError maps an answer that is not 200 to an error kind; the message begins with the address.
 func answerError(answer *http.Response, kind effect) error {
 	var body etcdjson.Error
 	decodeError := json.NewDecoder(io.LimitReader(answer.Body, maxErrorBody)).Decode(&body)
 	if decodeError != nil && !errors.Is(decodeError, io.EOF) {
 		body.Message = answer.Status
 	}
+	address := answer.Request.URL.Host
 	switch {
 	case answer.StatusCode == http.StatusTooManyRequests || body.Code == etcdjson.CodeResourceExhausted:
-		return KindRateLimited.New("%s", body.Message)
+		return KindRateLimited.New("%s: %s", address, body.Message)
 	case body.Code == etcdjson.CodeOutOfRange:
-		return KindCompacted.New("%s", body.Message)
+		return KindCompacted.New("%s: %s", address, body.Message)
 	case body.Code == etcdjson.CodeNotFound:
-		return KindLeaseNotFound.New("%s", body.Message)
+		return KindLeaseNotFound.New("%s: %s", address, body.Message)
 	case answer.StatusCode < http.StatusInternalServerError:
-		return KindRefused.New("%s: %s", answer.Status, body.Message)
+		return KindRefused.New("%s: %s: %s", address, answer.Status, body.Message)
 	case kind == changes && body.Message != etcdjson.MessageNoLeader:
-		return KindUnknownOutcome.New("%s: %s", answer.Status, body.Message)
+		return KindUnknownOutcome.New("%s: %s: %s", address, answer.Status, body.Message)
 	default:
-		return KindUnavailable.New("%s: %s", answer.Status, body.Message)
+		return KindUnavailable.New("%s: %s: %s", address, answer.Status, body.Message)
 	}
 }
 
