Drop an unused method and use the named reason of a stop

Cause: Readiness.TurnOn had no caller; the planned stop wrote "stopping" where operator.ReasonStopping names it. Change: as the title says. Conclusion: internal/operator and cmd/sloelift pass.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -38,7 +38,7 @@
 		logger: params.Logger,
 		steps: []drainStep{
 			{name: "unready", run: func(context.Context) error {
-				params.Readiness.TurnOff("stopping")
+				params.Readiness.TurnOff(operator.ReasonStopping)
 				return nil
 			}},
 			{name: "leave", run: params.Membership.Leave},
--- a/internal/operator/readiness.go
+++ b/internal/operator/readiness.go
@@ -28,9 +28,6 @@
 	return readiness
 }
 
-// TurnOn makes the node ready.
-func (r *Readiness) TurnOn() { r.reason.Store(nil) }
-
 // TurnOff makes the node unready; reason is shown to operators.
 func (r *Readiness) TurnOff(reason string) { r.reason.Store(&reason) }
 
