--- a/internal/job/takeover_test.go
+++ b/internal/job/takeover_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/sloelift/sloelift/internal/engine"
 	"github.com/sloelift/sloelift/internal/ledger"
@@ -123,3 +124,24 @@
 		}
 	})
 }
+
+func TestRequestLeavesAPausedOwnerForItsSuccessor(t *testing.T) {
+	run(t, func(t *testing.T, cluster *testCluster) {
+		partition := cluster.nodes[0].PartitionOf(idempotencyKey("registry", "key"))
+		owner := cluster.owners[partition]
+		cluster.mutex.Lock()
+		cluster.paused = owner
+		cluster.mutex.Unlock()
+		began := time.Now()
+		claimed := make(chan error)
+		go func() {
+			_, err := cluster.nodes[2].claimer.Claim(t.Context(), "registry", "key", "f", "request", "replica-0")
+			claimed <- err
+		}()
+		synctest.Wait()
+		cluster.own(partition, (owner+1)%2)
+		if err := <-claimed; err != nil || time.Since(began) > time.Second {
+			t.Fatalf("claimed after %v: %v", time.Since(began), err)
+		}
+	})
+}
