Publish a view at once where it has doubled

Ruled out: the in-memory network, the relay. Change: a view is urgent when the members have doubled since the last one, a few times at each start. Conclusion: the periodic view stays, a start no longer storms.

--- a/internal/membership/index.go
+++ b/internal/membership/index.go
@@ -50,6 +50,7 @@
 	p.records[held.ID] = held
 	place := p.placeOf(held.ID)
 	p.sorted = slices.Insert(p.sorted, place, held)
+	p.urgent = p.urgent || len(p.sorted) >= 2*p.published
 }
 
 // remove forgets a member.
--- a/internal/membership/protocol.go
+++ b/internal/membership/protocol.go
@@ -33,6 +33,9 @@
 	index   index
 	stale   bool // index must be rebuilt
 	version uint64
+	// published is the number of members in the latest view. One that has doubled since is urgent
+	// too: a node that has just started must not act on a view of itself alone.
+	published int
 	// changed: the view must be published; urgent: on the next tick, as somebody leaves
 	// or died, else by nextPublish.
 	changed     bool
@@ -263,6 +266,7 @@
 
 func (p *protocol) publishNow() {
 	p.changed, p.urgent = false, false
+	p.published = len(p.sorted)
 	p.nextPublish = p.now.Add(p.timing.PublishPeriod)
 	p.version++
 	view := &View{Self: p.self.ID, Version: p.version, Members: make([]Member, 0, len(p.sorted))}
