Use the standard library in place of own copies

Cause: containsName, firstText, firstDuration and a loop did what slices.Contains, cmp.Or and slices.ContainsFunc do; three items of internal/operator had no doc comment. Change: as the title says, with the comments. Conclusion: internal/config, internal/operator and cmd/sloelift pass.

--- a/internal/config/reference_check.go
+++ b/internal/config/reference_check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -65,7 +66,7 @@
 	if !present {
 		return problems
 	}
-	if services := tenant.Value.(*Tenant).Services; len(services) > 0 && !containsName(services, job.Service) {
+	if services := tenant.Value.(*Tenant).Services; len(services) > 0 && !slices.Contains(services, job.Service) {
 		problems = append(problems, newReferenceProblem(declaration, "service", fmt.Sprintf("Tenant %s may not use Service %s; allowed are %s",
 			job.Tenant, job.Service, strings.Join(services, ", "))))
 	}
@@ -153,15 +154,6 @@
 	return strings.Join(names, ", ")
 }
 
-func containsName(names []string, wanted string) bool {
-	for _, name := range names {
-		if name == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // UsersOf lists, as "Kind name", the declarations that refer to id.
 func UsersOf(snapshot *Snapshot, id ID) []string {
 	return usersOf(snapshot.Declarations(), id)
--- a/internal/operator/submission.go
+++ b/internal/operator/submission.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"fmt"
 	"net/url"
 	"strconv"
@@ -44,6 +45,7 @@
 	OperationCompletions = "completions"
 )
 
+// defaultRetention holds where neither the request nor its template names a retention.
 const defaultRetention = 30 * 24 * time.Hour
 
 // query encodes the request.
@@ -133,14 +135,14 @@
 		if !present {
 			return outcome.New(outcome.NotRun, outcome.ReasonNotFound, "no Job is declared as "+r.Template)
 		}
-		r.Tenant = firstText(r.Tenant, template.Tenant)
-		r.Service = firstText(r.Service, template.Service)
-		r.Priority = firstText(r.Priority, template.Priority)
-		r.Deadline = firstDuration(r.Deadline, template.Deadline)
-		r.Retention = firstDuration(r.Retention, template.Retention)
+		r.Tenant = cmp.Or(r.Tenant, template.Tenant)
+		r.Service = cmp.Or(r.Service, template.Service)
+		r.Priority = cmp.Or(r.Priority, template.Priority)
+		r.Deadline = cmp.Or(r.Deadline, template.Deadline)
+		r.Retention = cmp.Or(r.Retention, template.Retention)
 		r.NotRepeatable = r.NotRepeatable || template.NotRepeatable
 	}
-	r.Retention = firstDuration(r.Retention, defaultRetention)
+	r.Retention = cmp.Or(r.Retention, defaultRetention)
 	return nil
 }
 
@@ -178,17 +180,3 @@
 	}
 	return "", invalidQuery(queryOperation, OperationChat+" or "+OperationCompletions, name)
 }
-
-func firstText(first, second string) string {
-	if first != "" {
-		return first
-	}
-	return second
-}
-
-func firstDuration(first, second time.Duration) time.Duration {
-	if first != 0 {
-		return first
-	}
-	return second
-}
--- a/internal/operator/uses.go
+++ b/internal/operator/uses.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
 	"github.com/sloelift/sloelift/internal/config"
+	"github.com/sloelift/sloelift/internal/engine"
 	"github.com/sloelift/sloelift/internal/fleet"
 	"github.com/sloelift/sloelift/internal/job"
 )
@@ -66,15 +68,12 @@
 	return names
 }
 
+// holds tells whether the replica has model loaded, by its last load report.
 func holds(replica fleet.Replica, model string) bool {
-	for _, loaded := range replica.Load.Models {
-		if loaded.Model == model {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(replica.Load.Models, func(loaded engine.Loaded) bool { return loaded.Model == model })
 }
 
+// jobPageSize is the number of jobs that one call of job.Service.List asks for, and the bound of a page of GET /v1/jobs.
 const jobPageSize = 500
 
 // runningJobs lists the jobs that have not ended and need the declaration. A Job
