Call time limits timeouts

Change: drainTimeout, excludeTimeout, uploadTimeout, forwardTimeout, viewTimeout, readyTimeout and refusalWithWait. In tests only the names changed.

--- a/cmd/sloelift/job_input.go
+++ b/cmd/sloelift/job_input.go
@@ -98,26 +98,26 @@
 		case err == nil:
 			return view, nil
 		case errors.As(err, &refusal) && refusal.Outcome == outcome.NotRun && refusal.RetryAfter > 0:
-			return view, &comeBack{cause: err, wait: backoff.RetryAfterError{Duration: refusal.RetryAfter}}
+			return view, &refusalWithWait{cause: err, wait: backoff.RetryAfterError{Duration: refusal.RetryAfter}}
 		}
 		return view, backoff.Permanent(err)
 	}
 	view, err := backoff.Retry(env.context, attempt, backoff.WithMaxElapsedTime(submitRetryTime))
-	var waiting *comeBack
+	var waiting *refusalWithWait
 	if errors.As(err, &waiting) {
 		err = waiting.cause
 	}
 	return view, err
 }
 
-// comeBack is a refusal with the time to come back, in the form that backoff reads.
-type comeBack struct {
+// refusalWithWait is a refusal with the time after which to try again, in the form that backoff reads.
+type refusalWithWait struct {
 	cause error
 	wait  backoff.RetryAfterError
 }
 
 // Error returns the refusal's text.
-func (c *comeBack) Error() string { return c.cause.Error() }
+func (r *refusalWithWait) Error() string { return r.cause.Error() }
 
 // Unwrap returns the refusal and the wait.
-func (c *comeBack) Unwrap() []error { return []error{c.cause, &c.wait} }
+func (r *refusalWithWait) Unwrap() []error { return []error{r.cause, &r.wait} }
--- a/internal/config/relay/protocol_ready.go
+++ b/internal/config/relay/protocol_ready.go
@@ -9,9 +9,9 @@
 	// confirmingPeers is how many peers must have told their revision before a node serves by
 	// what peers know alone; fewer where fewer live.
 	confirmingPeers = 3
-	// patience bounds the wait for a revision that the membership has heard of and no peer has, and for a peer
+	// readyTimeout bounds the wait for a revision that the membership has heard of and no peer has, and for a peer
 	// that serves already; there is none where all nodes started while the key-value service is down.
-	patience = 10 * time.Second
+	readyTimeout = 10 * time.Second
 )
 
 // readyState decides when a node that just started may serve, so that it does not serve by an older
@@ -59,5 +59,5 @@
 	if needed == 0 || len(p.ready.confirmed) < needed {
 		return false
 	}
-	return p.now >= patience || anyServes && p.held.revision >= p.viewFloor
+	return p.now >= readyTimeout || anyServes && p.held.revision >= p.viewFloor
 }
--- a/internal/config/relay/protocol_source.go
+++ b/internal/config/relay/protocol_source.go
@@ -15,9 +15,9 @@
 	// startSpread spreads the first calls of nodes that start together.
 	startSpread = 400 * time.Millisecond
 	// viewSettled is how long no member may have been found before a node that just started trusts that
-	// it is a watcher; viewPatience bounds the wait.
-	viewSettled  = 400 * time.Millisecond
-	viewPatience = 2 * time.Second
+	// it is a watcher; viewTimeout bounds the wait.
+	viewSettled = 400 * time.Millisecond
+	viewTimeout = 2 * time.Second
 	// firstSourceWait and maxSourceWait bound the growing wait after a failure.
 	firstSourceWait = 250 * time.Millisecond
 	maxSourceWait   = 4 * time.Second
@@ -84,7 +84,7 @@
 // waitsForView says that a node that just started is still finding members, one of which
 // may have what it would ask the service for.
 func (p *protocol) waitsForView() bool {
-	return !p.ready.done && p.now < viewPatience && p.now < p.source.liveSince+viewSettled
+	return !p.ready.done && p.now < viewTimeout && p.now < p.source.liveSince+viewSettled
 }
 
 // trySource watches from what is held, or lists where that is not known to be enough.
--- a/internal/config/relay/protocol_test.go
+++ b/internal/config/relay/protocol_test.go
@@ -83,10 +83,10 @@
 	if s.nodes[0].ready {
 		t.Error("ready at revision 0 while revision 7 was heard of")
 	}
-	s.now += patience
+	s.now += readyTimeout
 	s.settle(1, false)
 	if !s.nodes[0].ready {
-		t.Error("not ready after the patience ended")
+		t.Error("not ready after readyTimeout")
 	}
 }
 
--- a/internal/config/relay/service_test.go
+++ b/internal/config/relay/service_test.go
@@ -85,14 +85,14 @@
 		}
 		c.start()
 		defer c.stop()
-		const patience = 10 * time.Second
-		time.Sleep(patience / 2)
+		const readyTimeout = 10 * time.Second
+		time.Sleep(readyTimeout / 2)
 		for _, node := range c.nodes {
 			if node.ready() || node.service.Current().Revision != 0 {
 				t.Errorf("%s serves by revision %d that nobody confirmed", node.member.ID, node.service.Current().Revision)
 			}
 		}
-		c.wantSpread(revision, patience+aim, everyNode)
+		c.wantSpread(revision, readyTimeout+aim, everyNode)
 		c.platform.Faults().Clear(platform.AnyZone, platform.KeyValue)
 		c.wantSpread(c.apply("third"), bound, everyNode)
 		c.wantRising()
--- a/internal/job/forward.go
+++ b/internal/job/forward.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// forwardPatience bounds the search for an owner that answers.
-	forwardPatience = 20 * time.Second
+	// forwardTimeout bounds the search for an owner that answers.
+	forwardTimeout = 20 * time.Second
 	// forwardAttempt bounds one try.
 	forwardAttempt = 12 * time.Second
 	// ownerCheck is how often it is looked whether a request waits for a former owner.
@@ -35,12 +35,12 @@
 
 // forward serves the request at the owner. It tries again with jittered waits while
 // no owner is known or the one asked isn't it, cannot be reached or cannot append,
-// until ctx ends or patience is over. The error is an *outcome.Error; it is NotRun
+// until ctx ends or forwardTimeout is over. The error is an *outcome.Error; it is NotRun
 // only if no try can have taken effect.
 func forward[Request partitionRequest, Response proto.Message](
 	ctx context.Context, f *forwarder, m method[Request, Response], request Request,
 ) (Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, forwardPatience)
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	wait := newBackOff()
 	mayHaveRun := false
--- a/internal/job/item_run.go
+++ b/internal/job/item_run.go
@@ -24,8 +24,8 @@
 	// attachWindow is how long an engine keeps the output of a run that ended; a
 	// lost run that can't be reached for as long is given up.
 	attachWindow = 60 * time.Second
-	// excludePatience is how long an item waits for another replica than the one that failed it.
-	excludePatience = 3 * time.Second
+	// excludeTimeout is how long an item waits for another replica than the one that failed it.
+	excludeTimeout = 3 * time.Second
 	// maxResultBytes bounds the body of a result; custom_id, at most a line, stands beside it.
 	maxResultBytes = ledger.MaxRecordBytes - maxLineBytes - 4096
 	// maxLostRuns bounds the runs of one repeatable item that end without an answer
@@ -129,7 +129,7 @@
 	if r.progress.exclude == nil {
 		return r.dispatcher.credits.Acquire(r.wait, r.creditRequest())
 	}
-	ctx, cancel := context.WithTimeout(r.wait, excludePatience)
+	ctx, cancel := context.WithTimeout(r.wait, excludeTimeout)
 	defer cancel()
 	credit, err := r.dispatcher.credits.Acquire(ctx, r.creditRequest())
 	if err == nil || r.wait.Err() != nil {
--- a/internal/job/job_run.go
+++ b/internal/job/job_run.go
@@ -91,12 +91,12 @@
 }
 
 // endAfterCalls ends the run once its calls have reached the engines, so that none is cut off whose request an engine
-// may still read after the end was acknowledged; at the latest after drainPatience. Nothing is started after it returns.
+// may still read after the end was acknowledged; at the latest after drainTimeout. Nothing is started after it returns.
 func (r *jobRun) endAfterCalls(cause error) {
 	r.calls.close()
 	r.partition.dispatcher.remove(r)
 	r.partition.group.Go(func() {
-		ctx, cancel := context.WithTimeout(r.partition.serving, drainPatience)
+		ctx, cancel := context.WithTimeout(r.partition.serving, drainTimeout)
 		defer cancel()
 		r.calls.wait(ctx)
 		r.cancel(cause)
--- a/internal/job/owner_jobs.go
+++ b/internal/job/owner_jobs.go
@@ -20,9 +20,9 @@
 	resultPageItems = 4096
 	// listPageBytes is the size from which a page of a list is cut.
 	listPageBytes = 1 << 20
-	// drainPatience bounds how long the answer to a cancel waits for calls to engines
+	// drainTimeout bounds how long the answer to a cancel waits for calls to engines
 	// that had begun before it.
-	drainPatience = 5 * time.Second
+	drainTimeout = 5 * time.Second
 )
 
 // appendChunk records a part of an upload, once.
@@ -217,7 +217,7 @@
 		return nil, contextError(ctx, outcome.Indeterminate)
 	}
 	if run != nil {
-		drainContext, cancel := context.WithTimeout(ctx, drainPatience)
+		drainContext, cancel := context.WithTimeout(ctx, drainTimeout)
 		defer cancel()
 		run.calls.wait(drainContext)
 	}
--- a/internal/job/partition_tick.go
+++ b/internal/job/partition_tick.go
@@ -13,8 +13,8 @@
 const (
 	// sweepTicks is the number of ticks between looks at all jobs, keys and files.
 	sweepTicks = 10
-	// uploadPatience is how long an upload may rest before its chunks are dropped.
-	uploadPatience = 15 * time.Minute
+	// uploadTimeout is how long an upload may rest before its chunks are dropped.
+	uploadTimeout = 15 * time.Minute
 	// keyRetention is how long an idempotency key is remembered after its last record.
 	keyRetention = 7 * 24 * time.Hour
 	// tombstoneRetention is how long an expired job still answers a resend.
@@ -99,7 +99,7 @@
 // drops the same by the times in the records.
 func (s *partitionState) forget(now time.Time) {
 	for id, upload := range s.uploads {
-		if now.Sub(upload.lastAt) > uploadPatience {
+		if now.Sub(upload.lastAt) > uploadTimeout {
 			delete(s.uploads, id)
 		}
 	}
