--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,11 +106,11 @@
 
 // Kill ends the node without drain or handover, as when its machine dies; the caller
 // severs its network first, so that nothing it still does is seen by others. It returns
-// when the data folder is closed and can be opened anew.
+// when the data folder is closed and can be opened anew, or after killTimeout.
 func (n *Node) Kill() {
 	bounded, cancel := context.WithTimeout(context.Background(), killTimeout)
 	defer cancel()
 	if err := n.app.Stop(bounded); err != nil {
-		n.logger.Info().Err(err).Msg("node_killed")
+		n.logger.Warn().Err(err).Msg("node_kill_failed")
 	}
 }
