Log every kill, with the error of a stop hook where there is one

Cause: a stop hook's error does not mean that the kill failed, since the other hooks run where time is left; node_kill_failed would say so. Change: node_killed is logged at each kill, as node_stopped is at each stop. Conclusion: one event, constant name.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,7 +110,5 @@
 func (n *Node) Kill() {
 	bounded, cancel := context.WithTimeout(context.Background(), killTimeout)
 	defer cancel()
-	if err := n.app.Stop(bounded); err != nil {
-		n.logger.Warn().Err(err).Msg("node_kill_failed")
-	}
+	n.logger.Info().Err(n.app.Stop(bounded)).Msg("node_killed")
 }
