--- a/internal/job/fake_test.go
+++ b/internal/job/fake_test.go
@@ -140,7 +140,7 @@
 	answer, err := handler.serve(ctx, netip.AddrPort{}, received)
 	if err != nil {
 		failure := outcome.As(err)
-		return &transport.RemoteError{Outcome: string(failure.Outcome), Reason: string(failure.Reason), Message: failure.Message}
+		return &transport.RemoteError{Outcome: string(failure.Outcome), Reason: string(failure.Reason), Message: failure.Message, RetryAfter: failure.RetryAfter}
 	}
 	encoded, err = proto.Marshal(answer)
 	if err != nil {
--- a/internal/job/forward.go
+++ b/internal/job/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/netip"
 	"time"
 
@@ -89,14 +88,7 @@
 
 // asOutcome turns an error of a try into an outcome.
 func asOutcome(err error) *outcome.Error {
-	var remote *transport.RemoteError
 	switch {
-	case errors.As(err, &remote):
-		result := outcome.Outcome(remote.Outcome)
-		if result == "" {
-			result = outcome.Indeterminate
-		}
-		return outcome.New(result, outcome.Reason(remote.Reason), remote.Message)
 	case errorx.IsOfType(err, transport.KindNotSent):
 		return outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "owner not reached")
 	case errorx.IsOfType(err, transport.KindTooLarge):
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -511,6 +511,23 @@
 	})
 }
 
+func TestFullStoresRefuseAndSayWhenToComeBack(t *testing.T) {
+	run(t, func(t *testing.T, cluster *testCluster) {
+		full := outcome.New(outcome.NotRun, outcome.ReasonStorageFull, "full").After(7 * time.Second)
+		for _, log := range cluster.logs {
+			log.FailAppends(full)
+		}
+		for _, node := range cluster.nodes {
+			began := time.Now()
+			_, err := node.service.Submit(t.Context(), submission("full", 10))
+			wantReason(t, err, outcome.ReasonStorageFull)
+			if outcome.Of(err) != outcome.NotRun || outcome.As(err).RetryAfter != 7*time.Second || time.Since(began) > time.Second {
+				t.Errorf("after %s: %v", time.Since(began), err)
+			}
+		}
+	})
+}
+
 func TestFiles(t *testing.T) {
 	run(t, func(t *testing.T, cluster *testCluster) {
 		content := strings.Repeat("one line of a ledger page\n", 40_000)
