--- a/internal/job/owner_keys_files_test.go
+++ b/internal/job/owner_keys_files_test.go
@@ -77,3 +77,20 @@
 		wantReason(t, err, outcome.ReasonNotFound)
 	})
 }
+
+func TestFullStoresRefuseAndSayWhenToComeBack(t *testing.T) {
+	run(t, func(t *testing.T, cluster *testCluster) {
+		full := outcome.New(outcome.NotRun, outcome.ReasonStorageFull, "full").After(7 * time.Second)
+		for _, log := range cluster.logs {
+			log.FailAppends(full)
+		}
+		for _, node := range cluster.nodes {
+			began := time.Now()
+			_, err := node.service.Submit(t.Context(), submission("full", 10))
+			wantReason(t, err, outcome.ReasonStorageFull)
+			if outcome.Of(err) != outcome.NotRun || outcome.As(err).RetryAfter != 7*time.Second || time.Since(began) > time.Second {
+				t.Errorf("after %s: %v", time.Since(began), err)
+			}
+		}
+	})
+}
