--- a/cmd/sloelift-lab/main.go
+++ b/cmd/sloelift-lab/main.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/sloelift/sloelift/lab/hollow"
+	"github.com/sloelift/sloelift/lab/ledgerbench"
 )
 
 // Exit codes.
@@ -25,14 +26,15 @@
 var errBroken = errors.New("an invariant broke")
 
 type commandLine struct {
-	Demo       demoCommand       `cmd:"" help:"Run a whole deployment under load for a while and judge it."`
-	Up         upCommand         `cmd:"" help:"Run a whole deployment until interrupted."`
-	Engine     engineCommand     `cmd:"" help:"Run one emulated engine."`
-	Platform   platformCommand   `cmd:"" help:"Run the stand-ins of the key-value service, machine list and weight store."`
-	Load       loadCommand       `cmd:"" help:"Play a load against nodes at given addresses."`
-	Experiment experimentCommand `cmd:"" help:"Run fault scenarios, or compare policies."`
-	Hollow     hollow.Command    `cmd:"" help:"Run the control code of many nodes without traffic and measure its cost."`
-	Report     reportCommand     `cmd:"" help:"Turn JSON results into a page with plots."`
+	Demo        demoCommand         `cmd:"" help:"Run a whole deployment under load for a while and judge it."`
+	Up          upCommand           `cmd:"" help:"Run a whole deployment until interrupted."`
+	Engine      engineCommand       `cmd:"" help:"Run one emulated engine."`
+	Platform    platformCommand     `cmd:"" help:"Run the stand-ins of the key-value service, machine list and weight store."`
+	Load        loadCommand         `cmd:"" help:"Play a load against nodes at given addresses."`
+	Experiment  experimentCommand   `cmd:"" help:"Run fault scenarios, or compare policies."`
+	Hollow      hollow.Command      `cmd:"" help:"Run the control code of many nodes without traffic and measure its cost."`
+	LedgerBench ledgerbench.Command `cmd:"" help:"Measure appends and recovery of the ledger on one disk."`
+	Report      reportCommand       `cmd:"" help:"Turn JSON results into a page with plots."`
 }
 
 func main() {
