Keep subscribers and sleeps in one place each

Cause: the list of functions to call after a change stood three times (membership, fleet twice, configuration relay), and the wait that a context ends four times (job, ledger, fleet, lab load). Change: subscription.List and pause.Sleep; the copies are gone. fleet called its subscribers under its lock and now calls them without, as the other two did: a call that has begun may end after the removal; its users only refresh from it or push to a queue that ends with them. Sleep does not wait where the duration is not positive, as the lab's copy did. Tests only call the other name. Conclusion: no bound or assertion changed.

--- a/internal/config/relay/service.go
+++ b/internal/config/relay/service.go
@@ -14,6 +14,7 @@
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/subscription"
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
@@ -62,7 +63,7 @@
 
 	// changed signals, at least once after each change, that held is to be saved.
 	changed     chan struct{}
-	subscribers subscribers
+	subscribers subscription.List[*config.Snapshot]
 	metrics     *metrics
 	busy        atomic.Int64
 
@@ -117,7 +118,7 @@
 
 // Subscribe calls notify after each change, on the control goroutine.
 func (s *Service) Subscribe(notify func(*config.Snapshot)) (unsubscribe func()) {
-	return s.subscribers.add(notify)
+	return s.subscribers.Add(notify)
 }
 
 // Busy is the time that the control goroutine spent on events so far.
@@ -236,7 +237,7 @@
 	if s.options.Reporter != nil {
 		s.options.Reporter.SetConfigRevision(snapshot.Revision)
 	}
-	s.subscribers.notify(snapshot)
+	s.subscribers.Notify(snapshot)
 }
 
 func (s *Service) report(reported actionReport) {
--- a/internal/fleet/poll_set.go
+++ b/internal/fleet/poll_set.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sloelift/sloelift/internal/engine"
+	"github.com/sloelift/sloelift/internal/pause"
 )
 
 // pollSet runs one goroutine for each replica that this node is home to. set is
@@ -71,7 +72,7 @@
 			cacheAt = time.Now()
 			p.service.cache.poll(ctx, endpoint)
 		}
-		if !sleep(ctx, interval) {
+		if !pause.Sleep(ctx, interval) {
 			return
 		}
 	}
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -11,8 +11,10 @@
 	"github.com/sloelift/sloelift/internal/engine"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/subscription"
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
@@ -46,11 +48,15 @@
 	polls     *pollSet
 	cache     *cacheWatch
 
-	// mutex guards the subscriber lists.
-	mutex         sync.Mutex
-	nextID        int
-	subscribers   map[int]func(*Directory)
-	loadListeners map[int]func(replica string, report engine.LoadReport, at time.Time)
+	subscribers   subscription.List[*Directory]
+	loadListeners subscription.List[heardLoad]
+}
+
+// heardLoad is a report of a replica that this node is home to.
+type heardLoad struct {
+	replica string
+	report  engine.LoadReport
+	at      time.Time
 }
 
 // NewService returns a Service that is not started.
@@ -58,11 +64,9 @@
 	engines engine.Client, caller transport.Caller, logger zerolog.Logger) *Service {
 	service := &Service{
 		options: options, settings: own, machines: machines, viewer: viewer, engines: engines, caller: caller,
-		logger:        logger.With().Str(logging.FieldSlice, "fleet").Logger(),
-		events:        make(chan event, eventQueue),
-		stopped:       make(chan struct{}),
-		subscribers:   make(map[int]func(*Directory)),
-		loadListeners: make(map[int]func(string, engine.LoadReport, time.Time)),
+		logger:  logger.With().Str(logging.FieldSlice, "fleet").Logger(),
+		events:  make(chan event, eventQueue),
+		stopped: make(chan struct{}),
 	}
 	service.directory.Store(NewDirectory(0, nil))
 	service.polls = newPollSet(service)
@@ -101,31 +105,13 @@
 
 // Subscribe calls notify on the control goroutine after each change.
 func (s *Service) Subscribe(notify func(*Directory)) (unsubscribe func()) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	id := s.nextID
-	s.nextID++
-	s.subscribers[id] = notify
-	return func() {
-		s.mutex.Lock()
-		defer s.mutex.Unlock()
-		delete(s.subscribers, id)
-	}
+	return s.subscribers.Add(notify)
 }
 
 // SubscribeLoad calls notify with each report of a replica that this node is home to,
 // on the control goroutine. notify must not block.
 func (s *Service) SubscribeLoad(notify func(replica string, report engine.LoadReport, at time.Time)) (unsubscribe func()) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	id := s.nextID
-	s.nextID++
-	s.loadListeners[id] = notify
-	return func() {
-		s.mutex.Lock()
-		defer s.mutex.Unlock()
-		delete(s.loadListeners, id)
-	}
+	return s.loadListeners.Add(func(heard heardLoad) { notify(heard.replica, heard.report, heard.at) })
 }
 
 // ReportFailure notes that a call found the replica unreachable.
@@ -198,22 +184,14 @@
 }
 
 func (s *Service) notifyLoad(polled loadPolled, now time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for _, notify := range s.loadListeners {
-		notify(polled.replica, polled.report, now)
-	}
+	s.loadListeners.Notify(heardLoad{replica: polled.replica, report: polled.report, at: now})
 }
 
 func (s *Service) perform(output action) {
 	switch typed := output.(type) {
 	case publishDirectory:
 		s.directory.Store(typed.directory)
-		s.mutex.Lock()
-		for _, notify := range s.subscribers {
-			notify(typed.directory)
-		}
-		s.mutex.Unlock()
+		s.subscribers.Notify(typed.directory)
 	case sendDelta:
 		for _, to := range typed.to {
 			_ = s.caller.Send(to, methodLoadDelta, typed.delta) // best effort: a refresh follows
@@ -241,20 +219,8 @@
 			s.logger.Warn().Err(err).Bool("failing", failing).Msg("machine list")
 		}
 		interval := within(s.options.ListInterval, len(listing.Machines), machineBytes, s.options.ListBytesPerSecond)
-		if !sleep(ctx, interval) {
+		if !pause.Sleep(ctx, interval) {
 			return
 		}
 	}
 }
-
-// sleep waits; it returns false when ctx ended.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/job/faults_test.go
+++ b/internal/job/faults_test.go
@@ -17,6 +17,7 @@
 	"github.com/sloelift/sloelift/internal/engine"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/pause"
 )
 
 // faultPlan is what TestJobsUnderFaults does to a cluster.
@@ -238,7 +239,7 @@
 }
 
 func (f *faultRun) onToken(ctx context.Context, _ engine.Endpoint, _ engine.Request, _ int) error {
-	if !sleepContext(ctx, 100*time.Millisecond) {
+	if !pause.Sleep(ctx, 100*time.Millisecond) {
 		return engine.KindLost.Wrap(ctx.Err(), "cut")
 	}
 	if f.draw(30) == 0 {
--- a/internal/job/forward.go
+++ b/internal/job/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
@@ -53,7 +54,7 @@
 		if !worthRetry(failure) {
 			return response, failure
 		}
-		if !sleepContext(ctx, wait.NextBackOff()) {
+		if !pause.Sleep(ctx, wait.NextBackOff()) {
 			result := outcome.NotRun
 			if mayHaveRun {
 				result = outcome.Indeterminate
--- a/internal/job/integration_test.go
+++ b/internal/job/integration_test.go
@@ -18,6 +18,7 @@
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/ledger/store"
 	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/settings"
 	"github.com/sloelift/sloelift/internal/transport/memory"
@@ -187,7 +188,7 @@
 			}
 		}()
 		cluster.engine.onToken = func(ctx context.Context, _ engine.Endpoint, _ engine.Request, _ int) error {
-			if !sleepContext(ctx, 200*time.Millisecond) {
+			if !pause.Sleep(ctx, 200*time.Millisecond) {
 				return engine.KindLost.New("cut")
 			}
 			return nil
--- a/internal/job/item_conclude.go
+++ b/internal/job/item_conclude.go
@@ -12,6 +12,7 @@
 	"github.com/sloelift/sloelift/internal/engine"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/pause"
 )
 
 const finishCancelled = "cancelled"
@@ -118,20 +119,8 @@
 		case errorx.IsOfType(err, engine.KindNoSuchRun), finished.reason != "", time.Now().After(giveUp):
 			return r.fail(outcome.Indeterminate, statusIndeterminate, outcome.ReasonEngineFailed, err)
 		}
-		if !sleepContext(r.job.ctx, wait.NextBackOff()) {
+		if !pause.Sleep(r.job.ctx, wait.NextBackOff()) {
 			return r.concludeCancelled(context.Cause(r.job.ctx), to, attempt.GetRequestId())
 		}
 	}
 }
-
-// sleepContext waits; false if ctx ended meanwhile.
-func sleepContext(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/job/item_record.go
+++ b/internal/job/item_record.go
@@ -6,6 +6,7 @@
 	jobpb "github.com/sloelift/sloelift/api/proto/job"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/pause"
 )
 
 // complete records the whole answer.
@@ -45,7 +46,7 @@
 			r.dispatcher.metrics.itemsCompleted.WithLabelValues(result.GetOutcome()).Inc()
 			return nil
 		}
-		if outcome.As(err).Outcome != outcome.NotRun || !sleepContext(r.job.ctx, wait.NextBackOff()) {
+		if outcome.As(err).Outcome != outcome.NotRun || !pause.Sleep(r.job.ctx, wait.NextBackOff()) {
 			return nil
 		}
 		r.logger().Err(err).Msg("result_not_recorded")
--- a/internal/job/item_run_test.go
+++ b/internal/job/item_run_test.go
@@ -11,12 +11,13 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/sloelift/sloelift/internal/engine"
+	"github.com/sloelift/sloelift/internal/pause"
 )
 
 func TestRevokedMarkedItemKeepsItsRun(t *testing.T) {
 	run(t, func(t *testing.T, cluster *testCluster) {
 		cluster.engine.onToken = func(ctx context.Context, _ engine.Endpoint, _ engine.Request, _ int) error {
-			sleepContext(ctx, time.Second)
+			pause.Sleep(ctx, time.Second)
 			return nil
 		}
 		wanted := submission("revoked and marked", 10)
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -13,6 +13,7 @@
 	"github.com/sloelift/sloelift/internal/engine"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/pause"
 )
 
 func TestJobCompletesAndResendGivesTheSameJob(t *testing.T) {
@@ -168,7 +169,7 @@
 	run(t, func(t *testing.T, cluster *testCluster) {
 		cluster.credits.limit = 1
 		cluster.engine.onToken = func(ctx context.Context, _ engine.Endpoint, _ engine.Request, _ int) error {
-			sleepContext(ctx, 200*time.Millisecond) // one item a second
+			pause.Sleep(ctx, 200*time.Millisecond) // one item a second
 			return nil
 		}
 		late, timely := submission("late", 600), submission("timely", 20)
--- a/internal/job/owner_jobs.go
+++ b/internal/job/owner_jobs.go
@@ -12,6 +12,7 @@
 	jobpb "github.com/sloelift/sloelift/api/proto/job"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/pause"
 )
 
 const (
@@ -213,7 +214,7 @@
 	if err := p.propose(ctx, record); err != nil {
 		return nil, err
 	}
-	if !sleepContext(ctx, p.ownership.untilSettled(time.Now())) {
+	if !pause.Sleep(ctx, p.ownership.untilSettled(time.Now())) {
 		return nil, contextError(ctx, outcome.Indeterminate)
 	}
 	if run != nil {
--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/sloelift/sloelift/internal/ledger/wire"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
@@ -127,7 +128,7 @@
 	}
 	request := &ledgerpb.ReleaseRequest{Partition: uint32(partition), Successor: string(m.self)}
 	response, err := m.sendRelease(member.PeerAddress, request, wait)
-	if errorx.IsOfType(err, transport.KindNotSent) && sleep(m.ctx, m.timing.Backoff) {
+	if errorx.IsOfType(err, transport.KindNotSent) && pause.Sleep(m.ctx, m.timing.Backoff) {
 		// A connection that was refused a moment ago says nothing of a cut that has just healed.
 		response, err = m.sendRelease(member.PeerAddress, request, wait)
 	}
@@ -144,15 +145,3 @@
 	response := &ledgerpb.ReleaseResponse{}
 	return response, m.caller.Call(ctx, to, methodRelease, request, response)
 }
-
-// sleep waits; false if ctx ended meanwhile.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -14,6 +14,7 @@
 	membershippb "github.com/sloelift/sloelift/api/proto/membership"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/subscription"
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
@@ -54,10 +55,7 @@
 	stop    context.CancelFunc
 	running sync.WaitGroup
 
-	// mutex guards subscribers and lastSubscriber.
-	mutex          sync.Mutex
-	subscribers    map[int]func(*View)
-	lastSubscriber int
+	subscribers subscription.List[*View]
 }
 
 // New returns a service and registers its handlers; machines may be nil.
@@ -73,14 +71,13 @@
 		return nil, err
 	}
 	service := &Service{
-		options:     options,
-		network:     network,
-		machines:    machines,
-		logger:      logger.With().Str(logging.FieldSlice, "membership").Logger(),
-		metrics:     metrics,
-		events:      make(chan event, eventQueue),
-		settled:     make(chan struct{}),
-		subscribers: make(map[int]func(*View)),
+		options:  options,
+		network:  network,
+		machines: machines,
+		logger:   logger.With().Str(logging.FieldSlice, "membership").Logger(),
+		metrics:  metrics,
+		events:   make(chan event, eventQueue),
+		settled:  make(chan struct{}),
 	}
 	service.view.Store(&View{Self: options.Self.ID, Members: []Member{options.Self}})
 	service.handle(methodPing, func() proto.Message { return &membershippb.Ping{} })
@@ -136,16 +133,7 @@
 
 // Subscribe calls notify after each change of the view, on the control goroutine.
 func (s *Service) Subscribe(notify func(*View)) (unsubscribe func()) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.lastSubscriber++
-	number := s.lastSubscriber
-	s.subscribers[number] = notify
-	return func() {
-		s.mutex.Lock()
-		defer s.mutex.Unlock()
-		delete(s.subscribers, number)
-	}
+	return s.subscribers.Add(notify)
 }
 
 // Leave spreads that this node is leaving. It returns when the first nodes were told.
@@ -261,15 +249,7 @@
 func (s *Service) publish(view *View) {
 	s.view.Store(view)
 	s.metrics.count(view)
-	s.mutex.Lock()
-	notify := make([]func(*View), 0, len(s.subscribers))
-	for _, subscriber := range s.subscribers {
-		notify = append(notify, subscriber)
-	}
-	s.mutex.Unlock()
-	for _, subscriber := range notify {
-		subscriber(view)
-	}
+	s.subscribers.Notify(view)
 }
 
 // readList reads the machine list now and then; while it is down, seeds and own
--- a/lab/load/batch.go
+++ b/lab/load/batch.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/sloelift/sloelift/internal/pause"
 )
 
 const (
@@ -78,7 +80,7 @@
 				return last
 			}
 		}
-		if !sleep(ctx, retryWait) {
+		if !pause.Sleep(ctx, retryWait) {
 			break
 		}
 	}
@@ -100,7 +102,7 @@
 
 func (r *Runner) followJob(ctx context.Context, index int, job *JobOutcome) {
 	if job.Arrival.CancelAfter > 0 {
-		if !sleep(ctx, job.Arrival.CancelAfter) {
+		if !pause.Sleep(ctx, job.Arrival.CancelAfter) {
 			return
 		}
 		r.cancelJob(ctx, index, job)
@@ -119,7 +121,7 @@
 		if status.Ended() {
 			break
 		}
-		if !sleep(ctx, pollInterval) {
+		if !pause.Sleep(ctx, pollInterval) {
 			return
 		}
 	}
--- a/lab/load/online.go
+++ b/lab/load/online.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/pause"
 )
 
 const (
@@ -47,7 +48,7 @@
 		node, found := r.target(index, attempt)
 		if !found {
 			result.Detail = "no node is up"
-			if !sleep(ctx, defaultRetryWait) {
+			if !pause.Sleep(ctx, defaultRetryWait) {
 				return result
 			}
 			continue
@@ -59,7 +60,7 @@
 		}
 		result.Detail = err.Error()
 		wait, again := r.classify(err, &result)
-		if !again || !sleep(ctx, wait) {
+		if !again || !pause.Sleep(ctx, wait) {
 			return result
 		}
 	}
--- a/lab/load/runner.go
+++ b/lab/load/runner.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/lab/histogram"
 )
 
@@ -94,19 +95,5 @@
 }
 
 func sleepUntil(ctx context.Context, at time.Time) bool {
-	return sleep(ctx, time.Until(at))
-}
-
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.Sleep(ctx, time.Until(at))
 }
