--- /dev/null
+++ b/cmd/sloelift/role.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/node"
+	internalplatform "github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/platform"
+)
+
+// platformAdapter puts together what platform/ translates.
+func platformAdapter() node.Adapter {
+	return node.Adapter{
+		Headers: platform.Headers, ReadyPath: platform.PathReady, Translator: platform.Translator{},
+		KeyValue: func(exchanger *internalplatform.Exchanger, watchWait time.Duration) internalplatform.KeyValue {
+			return platform.NewStore(exchanger, watchWait)
+		},
+	}
+}
+
+// runRole runs an edge or a storage node. SIGHUP has the settings file read and checked again; what a running
+// process uses of it does not change.
+func runRole(ctx context.Context, path string, own settings.Settings, logger zerolog.Logger) error {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	go func() {
+		for range reloads {
+			_, err := settings.Load(path, settings.Overrides{})
+			logger.Info().Err(err).Msg("settings_read_again")
+		}
+	}()
+	return node.RunRole(ctx, own, platformAdapter(), logger)
+}
--- a/cmd/sloelift/serve.go
+++ b/cmd/sloelift/serve.go
@@ -50,8 +50,10 @@
 	if err != nil {
 		return fmt.Errorf("log level: %w", err)
 	}
-	if err := checkAddresses(env.context, loaded); err != nil {
-		return err
+	if loaded.Role == settings.RoleNode {
+		if err := checkAddresses(env.context, loaded); err != nil {
+			return err
+		}
 	}
 	ctx, restore := signal.NotifyContext(env.context, syscall.SIGTERM, syscall.SIGINT)
 	defer restore()
@@ -59,6 +61,9 @@
 		<-ctx.Done()
 		restore()
 	}()
+	if loaded.Role != settings.RoleNode {
+		return dig.RootCause(runRole(ctx, c.Settings, loaded, logging.New(env.stderr, level)))
+	}
 	return dig.RootCause(node.Run(ctx, loaded, logging.New(env.stderr, level)))
 }
 
--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,93 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+// Request is what a choice depends on.
+type Request struct {
+	Service string
+	// Zone is the zone of this process.
+	Zone string
+	// PartKey names the deepest prompt part that the request shares with others; empty where it names none.
+	PartKey string
+	// PartTokens are the tokens up to and with that part, Tokens those of the whole prompt.
+	PartTokens int
+	Tokens     int
+	// BodyBytes is the size of what is sent to the replica.
+	BodyBytes int
+	// Excluded replicas have had the request.
+	Excluded []*replica.Handle
+	// MaxOccupancy, where it is above 0, is the largest share of a replica's slots in use that is allowed.
+	MaxOccupancy float64
+}
+
+// Filter drops replicas that cannot take a request.
+type Filter func(request *Request, handle *replica.Handle, now time.Time) bool
+
+// Scorer rates a replica for a request; higher is better, 1 is about the worth of a whole replica's room.
+type Scorer func(request *Request, handle *replica.Handle, now time.Time) float64
+
+// Picker chooses replicas. It is safe for concurrent use.
+type Picker struct {
+	directory *replica.Directory
+	required  []Filter
+	preferred []Filter
+	scorers   []Scorer
+	random    func() float64
+}
+
+// scoreNoise spreads the choices of processes that know the same.
+const scoreNoise = 0.04
+
+// NewPicker returns the picker of online requests. random returns numbers from 0 to 1; nil is the default source.
+func NewPicker(directory *replica.Directory, random func() float64) *Picker {
+	if random == nil {
+		random = rand.Float64
+	}
+	return &Picker{
+		directory: directory,
+		required:  []Filter{notExcluded, usable, underOccupancy},
+		preferred: []Filter{notAvoided},
+		scorers:   []Scorer{occupancyScore, zoneScore, partScore, failureScore},
+		random:    random,
+	}
+}
+
+// Pick returns the best replica for request; nil where none can take it.
+func (p *Picker) Pick(request *Request, now time.Time) *replica.Handle {
+	all := p.directory.View().Of(request.Service)
+	able := filter(request, all, p.required, now)
+	if preferred := filter(request, able, p.preferred, now); len(preferred) > 0 {
+		able = preferred
+	}
+	var best *replica.Handle
+	var bestScore float64
+	for _, handle := range able {
+		score := scoreNoise * p.random()
+		for _, scorer := range p.scorers {
+			score += scorer(request, handle, now)
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = handle, score
+		}
+	}
+	return best
+}
+
+func filter(request *Request, handles []*replica.Handle, filters []Filter, now time.Time) []*replica.Handle {
+	kept := make([]*replica.Handle, 0, len(handles))
+	for _, handle := range handles {
+		passes := true
+		for _, check := range filters {
+			passes = passes && check(request, handle, now)
+		}
+		if passes {
+			kept = append(kept, handle)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/balance/scorers.go
@@ -0,0 +1,65 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+const (
+	// remoteZonePenalty is what another zone costs, in parts of a replica's room; remoteByteWeight adds to it for
+	// each byte sent there.
+	remoteZonePenalty = 0.12
+	remoteByteWeight  = 0.25 / (16 << 10)
+	// maxRemotePenalty bounds the two together.
+	maxRemotePenalty = 0.6
+	// partTokensUnit is the number of cached tokens that is worth partWeight.
+	partTokensUnit = 4096.0
+	partWeight     = 0.5
+	maxPartScore   = 0.6
+	// failureWeight is the worth of a replica that fails all calls.
+	failureWeight = 1.5
+	// fullPenalty is added for each request that would have to wait.
+	fullPenalty = 1.0
+)
+
+// occupancyScore prefers replicas with room; a request that would wait counts for more than one that would run.
+func occupancyScore(_ *Request, handle *replica.Handle, now time.Time) float64 {
+	used := occupancy(handle, now)
+	return -used - fullPenalty*max(0, used-1)
+}
+
+// zoneScore prefers replicas of this process's zone.
+func zoneScore(request *Request, handle *replica.Handle, _ time.Time) float64 {
+	if handle.Info().Zone == request.Zone {
+		return 0
+	}
+	return -min(maxRemotePenalty, remoteZonePenalty+remoteByteWeight*float64(request.BodyBytes))
+}
+
+// partScore prefers, by rendezvous hashing, the same few replicas for requests that share prompt parts, the more so the more
+// tokens need not be read again.
+func partScore(request *Request, handle *replica.Handle, _ time.Time) float64 {
+	if request.PartKey == "" || request.PartTokens <= 0 {
+		return 0
+	}
+	worth := min(maxPartScore, partWeight*float64(request.PartTokens)/partTokensUnit)
+	return worth * rank(request.PartKey, handle.Info().ID)
+}
+
+// failureScore puts replicas back that answer badly.
+func failureScore(_ *Request, handle *replica.Handle, _ time.Time) float64 {
+	return -failureWeight * handle.FailureRate()
+}
+
+// rank is the rendezvous weight of a replica for a key, from 0 to 1.
+func rank(key, id string) float64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(id)
+	return float64(digest.Sum64()) / math.MaxUint64
+}
--- /dev/null
+++ b/internal/forward/attempt.go
@@ -0,0 +1,159 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/route"
+)
+
+const (
+	// maxHeldAnswer bounds an answer that is read whole before the caller gets it, so that another replica can be tried.
+	maxHeldAnswer = 256 << 10
+	// copyBufferBytes is the size of the pieces in which an answer is passed on.
+	copyBufferBytes = 16 << 10
+)
+
+// errSilent says that a replica sent nothing for too long.
+var errSilent = errors.New("replica is silent")
+
+// attempt sends the request to one replica and passes its answer on.
+func (e *exchange) attempt(ctx context.Context, handle *replica.Handle) verdict {
+	release := handle.Acquire()
+	defer release()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	patience := e.watchSilence(cancel)
+	defer patience.stop()
+	answer, err := e.handler.client.Do(ctx, handle, e.callFor(handle))
+	if err != nil {
+		return e.failed(ctx, handle, err)
+	}
+	whole := false
+	defer func() { answer.Close(whole) }()
+	if refused(answer, e.handler.headers) {
+		_, err := io.CopyN(io.Discard, answer.Body, maxHeldAnswer)
+		whole = errors.Is(err, io.EOF)
+		handle.Rejected(time.Now())
+		e.log(handle, "replica_refused").Int("status", answer.Status).Send()
+		return notRun
+	}
+	if answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices && answer.Header.Get(e.handler.headers.Signature) == "" {
+		handle.Failed(time.Now())
+		e.log(handle, "answer_unsigned").Int("status", answer.Status).Send()
+		return e.afterLoss()
+	}
+	var result verdict
+	result, whole = e.passOn(ctx, handle, answer, patience)
+	return result
+}
+
+// refused says that the answer promises that the request has not run.
+func refused(answer *replica.Answer, headers replica.Headers) bool {
+	if answer.Status == http.StatusMisdirectedRequest {
+		return true
+	}
+	return answer.Header.Get(headers.NotRun) != "" && answer.Status != http.StatusBadRequest
+}
+
+// failed judges a call without an answer.
+func (e *exchange) failed(ctx context.Context, handle *replica.Handle, err error) verdict {
+	if e.request.Context().Err() != nil {
+		return callerGone
+	}
+	handle.Failed(time.Now())
+	e.log(handle, "call_failed").Err(errors.Join(err, context.Cause(ctx))).Send()
+	if errors.Is(err, replica.ErrNotSent) {
+		return notRun
+	}
+	return e.afterLoss()
+}
+
+// afterLoss is the verdict on a run whose answer did not come to its end.
+func (e *exchange) afterLoss() verdict {
+	if e.headSent {
+		return brokenOff
+	}
+	return maybeRun
+}
+
+// passOn gives the caller the answer; whole says that all of it was read.
+func (e *exchange) passOn(ctx context.Context, handle *replica.Handle, answer *replica.Answer, patience *silenceTimer) (result verdict, whole bool) {
+	succeeded := answer.Status < http.StatusMultipleChoices
+	if e.headSent && !succeeded {
+		handle.Failed(time.Now())
+		e.log(handle, "resume_failed").Int("status", answer.Status).Send()
+		return brokenOff, false
+	}
+	if succeeded && e.route.Kind == route.Stream {
+		return e.passStream(ctx, handle, answer, patience)
+	}
+	return e.passBody(ctx, handle, answer)
+}
+
+// passBody passes on an answer that is not a stream of events. A short one is read whole first.
+func (e *exchange) passBody(ctx context.Context, handle *replica.Handle, answer *replica.Answer) (result verdict, whole bool) {
+	held, err := io.ReadAll(io.LimitReader(answer.Body, maxHeldAnswer+1))
+	if err != nil {
+		return e.failed(ctx, handle, err), false
+	}
+	if len(held) <= maxHeldAnswer {
+		complete := &wholeAnswer{status: answer.Status, header: answer.Header, body: held}
+		if answer.Status >= http.StatusInternalServerError {
+			handle.Failed(time.Now())
+			e.badAnswer = complete
+			return answeredBadly, true
+		}
+		handle.Succeeded()
+		complete.write(e.writer)
+		return delivered, true
+	}
+	copyHead(e.writer.Header(), answer.Header)
+	if answer.Length >= 0 {
+		e.writer.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	}
+	e.writer.WriteHeader(answer.Status)
+	e.headSent = true
+	if _, err := e.writer.Write(held); err != nil {
+		return callerGone, false
+	}
+	if _, err := io.CopyBuffer(onlyWriter{e.writer}, answer.Body, make([]byte, copyBufferBytes)); err != nil {
+		if e.request.Context().Err() != nil {
+			return callerGone, false
+		}
+		handle.Failed(time.Now())
+		return brokenOff, false
+	}
+	handle.Succeeded()
+	return delivered, true
+}
+
+// onlyWriter hides other methods of a writer, so that a copy goes through its own buffer.
+type onlyWriter struct{ io.Writer }
+
+func (e *exchange) log(handle *replica.Handle, event string) *logLine {
+	info := handle.Info()
+	line := e.handler.logger.Info().Str(logging.FieldRequest, e.id).Str("route", e.route.Name).Str(logging.FieldReplica, info.ID).
+		Stringer("address", info.Address).Dur("after", time.Since(e.arrived))
+	return &logLine{event: line, message: event}
+}
+
+// wholeAnswer is a replica's answer that was read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (a *wholeAnswer) write(writer http.ResponseWriter) {
+	copyHead(writer.Header(), a.header)
+	writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	writer.WriteHeader(a.status)
+	_, _ = writer.Write(a.body)
+}
--- /dev/null
+++ b/internal/forward/exchange.go
@@ -0,0 +1,173 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/route"
+)
+
+// verdict is how one attempt at a replica ended.
+type verdict int
+
+const (
+	// delivered: the caller has the whole answer.
+	delivered verdict = iota
+	// notRun: the replica did not run the request and will not.
+	notRun
+	// maybeRun: the request may have run, and the caller has no byte of an answer.
+	maybeRun
+	// answeredBadly: the replica's whole answer is a failure that another replica may do better.
+	answeredBadly
+	// brokenOff: the caller has a part of the answer.
+	brokenOff
+	// callerGone: the caller left.
+	callerGone
+)
+
+const (
+	// maxRefusals bounds the replicas that may refuse one request before the caller is told.
+	maxRefusals = 3
+	// leastTimeLeft is the time below which no further attempt is begun.
+	leastTimeLeft = 20 * time.Millisecond
+)
+
+// exchange is one request of a caller with its answer.
+type exchange struct {
+	handler  *Handler
+	writer   http.ResponseWriter
+	request  *http.Request
+	route    *route.Route
+	body     []byte
+	id       string
+	arrived  time.Time
+	deadline time.Time
+
+	// tried holds the replicas that have had the request; runs counts those that may have run it, refusals those that did not.
+	tried    []*replica.Handle
+	runs     int
+	refusals int
+	// headSent says that the caller has the head of the answer; lastEvent is the id of the last event that it has.
+	headSent  bool
+	lastEvent string
+	// refusedHead is the last refusal of a replica, badAnswer its last whole failure.
+	badAnswer *wholeAnswer
+}
+
+func (e *exchange) run(ctx context.Context) {
+	var last verdict
+	for {
+		handle := e.pick()
+		if handle == nil {
+			e.conclude(ctx, last, "no_replica")
+			return
+		}
+		e.tried = append(e.tried, handle)
+		last = e.attempt(ctx, handle)
+		switch last {
+		case delivered, callerGone:
+			e.handler.metrics.finished(e.route.Name, last == delivered, time.Since(e.arrived))
+			if last == callerGone && e.headSent {
+				panic(http.ErrAbortHandler)
+			}
+			return
+		case notRun:
+			e.refusals++
+		default:
+			e.runs++
+		}
+		if !e.mayTryAgain(ctx, last) {
+			e.conclude(ctx, last, "given_up")
+			return
+		}
+	}
+}
+
+// pick chooses the next replica; the route's share decides the service of the first attempt.
+func (e *exchange) pick() *replica.Handle {
+	wanted := balance.Request{
+		Service: e.route.PickService(), Zone: e.handler.zone, BodyBytes: len(e.body), Excluded: e.tried,
+	}
+	if e.route.Affinity {
+		parts := ParsePromptParts(e.request.Header.Get(e.handler.headers.PromptParts))
+		wanted.PartKey, wanted.PartTokens, wanted.Tokens = parts.sharedKey()
+	}
+	now := time.Now()
+	if handle := e.handler.picker.Pick(&wanted, now); handle != nil {
+		return handle
+	}
+	for _, backend := range e.route.Backends {
+		wanted.Service = backend.Service
+		if handle := e.handler.picker.Pick(&wanted, now); handle != nil {
+			return handle
+		}
+	}
+	return nil
+}
+
+// mayTryAgain says whether another replica may have the request after an attempt that ended with last.
+func (e *exchange) mayTryAgain(ctx context.Context, last verdict) bool {
+	if ctx.Err() != nil || time.Until(e.deadline) < leastTimeLeft {
+		return false
+	}
+	if last == notRun {
+		return e.refusals < maxRefusals
+	}
+	if !e.route.MayRepeat() || e.runs >= max(1, e.route.Attempts) {
+		return false
+	}
+	if last == brokenOff && !e.resumes() {
+		return false
+	}
+	return e.handler.budget.take()
+}
+
+// resumes says that the stream may go on elsewhere behind the last event.
+func (e *exchange) resumes() bool { return e.route.Kind == route.Stream && e.route.Resumable }
+
+// conclude gives the caller the final answer to a request that was not delivered.
+func (e *exchange) conclude(ctx context.Context, last verdict, reason string) {
+	handler := e.handler
+	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	if late {
+		reason = "deadline"
+	}
+	handler.metrics.finished(e.route.Name, false, time.Since(e.arrived))
+	handler.logger.Info().Str(logging.FieldRequest, e.id).Str("route", e.route.Name).Str(logging.FieldReason, reason).
+		Int("runs", e.runs).Int("refusals", e.refusals).Int("verdict", int(last)).Str("last_event", e.lastEvent).Bool("head_sent", e.headSent).
+		Dur("after", time.Since(e.arrived)).Msg("not_delivered")
+	switch {
+	case e.headSent:
+		// The connection is closed without the answer's end, so that the caller does not take it for whole.
+		panic(http.ErrAbortHandler)
+	case e.badAnswer != nil:
+		e.badAnswer.write(e.writer)
+	case e.runs == 0:
+		SetRetryAfter(e.writer.Header(), retryAfterNoRoom)
+		http.Error(e.writer, reason, http.StatusServiceUnavailable)
+	case late:
+		http.Error(e.writer, reason, http.StatusGatewayTimeout)
+	default:
+		http.Error(e.writer, reason, http.StatusBadGateway)
+	}
+}
+
+// callFor returns the request as the replica gets it.
+func (e *exchange) callFor(handle *replica.Handle) replica.Call {
+	headers := e.handler.headers
+	header := passedOn(e.request.Header)
+	header.Set(headers.Deadline, strconv.FormatInt(max(1, time.Until(e.deadline).Milliseconds()), 10))
+	header.Set(headers.ExpectInstance, handle.Info().ID)
+	if e.lastEvent != "" {
+		header.Set(headers.LastEventID, e.lastEvent)
+	}
+	return replica.Call{
+		Method: e.request.Method, Target: e.request.RequestURI, Host: e.request.Host, Header: header, Body: e.body, RequestID: e.id,
+	}
+}
--- /dev/null
+++ b/internal/forward/handler.go
@@ -0,0 +1,177 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/route"
+)
+
+const (
+	// retryAfterNoRoom is told where all replicas are full, retryAfterStarting where this process knows no
+	// configuration yet, retryAfterLeaving where it stops.
+	retryAfterNoRoom   = 150 * time.Millisecond
+	retryAfterStarting = 300 * time.Millisecond
+	retryAfterLeaving  = 20 * time.Millisecond
+	// defaultMaxBodyBytes holds where the configuration sets no bound.
+	defaultMaxBodyBytes = 8 << 20
+)
+
+// BatchSubmitter takes submissions on batch routes.
+type BatchSubmitter interface {
+	Submit(writer http.ResponseWriter, request *http.Request, matched *route.Route, limits route.Limits)
+}
+
+// Handler is the front door of one process. It is safe for concurrent use.
+type Handler struct {
+	routes  *route.Holder
+	picker  *balance.Picker
+	client  *replica.Client
+	headers replica.Headers
+	zone    string
+	batch   BatchSubmitter
+	budget  *retryBudget
+	logger  zerolog.Logger
+	metrics *Metrics
+	leaving atomic.Bool
+}
+
+// Options of a Handler. Batch may be nil.
+type Options struct {
+	Routes  *route.Holder
+	Picker  *balance.Picker
+	Client  *replica.Client
+	Zone    string
+	Batch   BatchSubmitter
+	Logger  zerolog.Logger
+	Metrics *Metrics
+}
+
+// NewHandler returns a Handler.
+func NewHandler(options Options) *Handler {
+	return &Handler{
+		routes: options.Routes, picker: options.Picker, client: options.Client, headers: options.Client.Headers(),
+		zone: options.Zone, batch: options.Batch, budget: newRetryBudget(),
+		logger: options.Logger.With().Str(logging.FieldSlice, "forward").Logger(), metrics: options.Metrics,
+	}
+}
+
+// Leave makes every later answer close its connection.
+func (h *Handler) Leave() { h.leaving.Store(true) }
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	arrived := time.Now()
+	if h.leaving.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	table := h.routes.Table()
+	if table == nil {
+		h.refuse(writer, request, "no_configuration", retryAfterStarting)
+		return
+	}
+	matched := table.Match(request.Host, request.URL.Path)
+	if matched == nil {
+		h.metrics.outcome("", "no_route")
+		h.logger.Info().Str(logging.FieldRequest, request.Header.Get(h.headers.RequestID)).Int64("version", table.Version).
+			Str("host", request.Host).Str("path", request.URL.Path).Msg("no_route")
+		http.Error(writer, "no route", http.StatusNotFound)
+		return
+	}
+	if matched.Kind == route.Batch {
+		h.serveBatch(writer, request, matched, table.Limits)
+		return
+	}
+	h.serveOnline(writer, request, matched, table.Limits, arrived)
+}
+
+func (h *Handler) serveBatch(writer http.ResponseWriter, request *http.Request, matched *route.Route, limits route.Limits) {
+	if h.batch == nil {
+		h.refuse(writer, request, "no_batch", retryAfterStarting)
+		return
+	}
+	h.batch.Submit(writer, request, matched, limits)
+}
+
+func (h *Handler) serveOnline(writer http.ResponseWriter, request *http.Request, matched *route.Route, limits route.Limits, arrived time.Time) {
+	deadline := callerDeadline(request, h.headers.Deadline, matched, arrived)
+	ctx, cancel := context.WithDeadline(request.Context(), deadline)
+	defer cancel()
+	body, status := readBody(writer, request, limits.MaxBodyBytes)
+	if status != 0 {
+		h.metrics.outcome(matched.Name, "bad_body")
+		http.Error(writer, http.StatusText(status), status)
+		return
+	}
+	current := &exchange{
+		handler: h, writer: writer, request: request, route: matched, body: body, arrived: arrived, deadline: deadline,
+		id: request.Header.Get(h.headers.RequestID), lastEvent: request.Header.Get(h.headers.LastEventID),
+	}
+	current.run(ctx)
+}
+
+// callerDeadline is the earlier of what the caller and what the route allow.
+func callerDeadline(request *http.Request, header string, matched *route.Route, arrived time.Time) time.Time {
+	const longest = time.Hour
+	allowed := longest
+	if matched.Timeout > 0 {
+		allowed = min(allowed, matched.Timeout)
+	}
+	if milliseconds, err := strconv.ParseFloat(request.Header.Get(header), 64); err == nil && milliseconds >= 0 {
+		allowed = min(allowed, time.Duration(milliseconds*float64(time.Millisecond)))
+	}
+	return arrived.Add(allowed)
+}
+
+// readBody reads the whole body; status is not 0 where it cannot be taken.
+func readBody(writer http.ResponseWriter, request *http.Request, limit int64) (body []byte, status int) {
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	if request.ContentLength > limit {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	reader := http.MaxBytesReader(writer, request.Body, limit)
+	if request.ContentLength >= 0 {
+		body = make([]byte, request.ContentLength)
+		_, err := io.ReadFull(reader, body)
+		return body, bodyStatus(err)
+	}
+	body, err := io.ReadAll(reader)
+	return body, bodyStatus(err)
+}
+
+func bodyStatus(err error) int {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &tooLarge):
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusBadRequest
+	}
+}
+
+// refuse answers 503, which promises that the request has not run and will not, and tells when to come back.
+func (h *Handler) refuse(writer http.ResponseWriter, request *http.Request, reason string, after time.Duration) {
+	h.metrics.outcome("", reason)
+	h.logger.Info().Str(logging.FieldRequest, request.Header.Get(h.headers.RequestID)).Str(logging.FieldReason, reason).Msg("refused")
+	SetRetryAfter(writer.Header(), after)
+	http.Error(writer, reason, http.StatusServiceUnavailable)
+}
+
+// SetRetryAfter tells when to come back, in seconds with a fraction.
+func SetRetryAfter(header http.Header, after time.Duration) {
+	header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+}
--- a/internal/logging/logger.go
+++ b/internal/logging/logger.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
 	"sort"
 	"strconv"
 	"strings"
@@ -97,3 +98,6 @@
 		return strconv.Quote(string(encoded))
 	}
 }
+
+// Discard returns a standard logger that writes nothing, for servers that would log each broken connection.
+func Discard() *log.Logger { return log.New(io.Discard, "", 0) }
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -17,7 +17,13 @@
 // DialTimeout bounds how long one connection attempt of System takes.
 const DialTimeout = 2 * time.Second
 
-const keepAlivePeriod = 5 * time.Second
+// A connection whose other end is gone without a word ends after keepAliveIdle and keepAliveProbes unanswered probes,
+// about four seconds.
+const (
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 3
+)
 
 // System is the operating system's network.
 type System struct{}
@@ -30,7 +36,9 @@
 
 // Dial opens a connection.
 func (System) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: DialTimeout, KeepAlive: keepAlivePeriod}
+	dialer := net.Dialer{Timeout: DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
+	}}
 	return dialer.DialContext(ctx, "tcp", address.String())
 }
 
--- /dev/null
+++ b/internal/node/role.go
@@ -0,0 +1,161 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/discovery"
+	"github.com/sloelift/sloelift/internal/edge"
+	"github.com/sloelift/sloelift/internal/forward"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/network"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/route"
+	"github.com/sloelift/sloelift/internal/settings"
+)
+
+const (
+	// memoryShare is the part of the process's memory at which the garbage collector works hardest.
+	memoryShare = 0.75
+	// collectAt is the growth of the heap, in percent, after which garbage is collected.
+	collectAt = 60
+	// watchWait is how long the key-value service is asked to hold a watch; storeAnswerTimeout is added for its answer.
+	watchWait          = 20 * time.Second
+	storeAnswerTimeout = 4 * time.Second
+	// MetricsPath is where a process tells its figures.
+	MetricsPath = "/metrics"
+)
+
+// Adapter translates between the platform that the processes run on and the product's types.
+type Adapter struct {
+	Headers    replica.Headers
+	ReadyPath  string
+	Translator discovery.Translator
+	// KeyValue makes the port to the platform's key-value service.
+	KeyValue func(exchanger *platform.Exchanger, watchWait time.Duration) platform.KeyValue
+}
+
+// RunRole runs an edge or a storage node until ctx ends, and stops it as planned.
+func RunRole(ctx context.Context, own settings.Settings, adapter Adapter, logger zerolog.Logger) error {
+	limitMemory(own.Limits.MemoryMegabytes)
+	logger = logger.With().Str(logging.FieldNode, own.Node).Str(logging.FieldZone, own.Zone).Logger()
+	registry := prometheus.NewRegistry()
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(startTimeout), fx.StopTimeout(stopTimeout),
+		fx.Supply(own, adapter, logger),
+		fx.Provide(
+			func() network.Network { return network.System{} },
+			func() prometheus.Registerer { return registry },
+			func() prometheus.Gatherer { return registry },
+		),
+		sharedSlices,
+		roleSlices(own.Role),
+	)
+	if err := app.Err(); err != nil {
+		return err
+	}
+	startContext, cancelStart := context.WithTimeout(ctx, startTimeout)
+	defer cancelStart()
+	if err := app.Start(startContext); err != nil {
+		return err
+	}
+	logger.Info().Str("role", string(own.Role)).Int("process", os.Getpid()).Msg("node_started")
+	<-ctx.Done()
+	logger.Info().Msg("node_stopping")
+	stopContext, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancelStop()
+	err := app.Stop(stopContext)
+	logger.Info().Err(err).Msg("node_stopped")
+	return err
+}
+
+func limitMemory(megabytes int) {
+	debug.SetGCPercent(collectAt)
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(float64(megabytes<<20) * memoryShare))
+	}
+}
+
+// sharedSlices run in each role.
+var sharedSlices = fx.Options(
+	fx.Provide(newRoleKeyValue, route.NewHolder, replica.NewDirectory, newDiscovery, newReplicaClient),
+	fx.Invoke(serveMetrics),
+)
+
+func roleSlices(role settings.Role) fx.Option {
+	if role == settings.RoleStorage {
+		return fx.Invoke(func(*discovery.Service) {})
+	}
+	return fx.Options(
+		fx.Provide(newPicker, forward.NewMetrics, newForwardHandler, newEdgeServer),
+		fx.Invoke(func(*edge.Server) {}),
+	)
+}
+
+func newRoleKeyValue(own settings.Settings, adapter Adapter, via network.Network) platform.KeyValue {
+	exchanger := platform.NewExchanger(via, own.Platform.MetadataStore, watchWait+storeAnswerTimeout)
+	return adapter.KeyValue(exchanger, watchWait)
+}
+
+func newDiscovery(lifecycle fx.Lifecycle, store platform.KeyValue, adapter Adapter, routes *route.Holder, directory *replica.Directory, logger zerolog.Logger) *discovery.Service {
+	service := discovery.New(store, adapter.Translator, routes, directory, logger)
+	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
+	return service
+}
+
+func newReplicaClient(adapter Adapter, via network.Network) *replica.Client {
+	return replica.NewClient(via, adapter.Headers)
+}
+
+func newPicker(directory *replica.Directory) *balance.Picker {
+	return balance.NewPicker(directory, nil)
+}
+
+func newForwardHandler(own settings.Settings, routes *route.Holder, picker *balance.Picker, client *replica.Client, logger zerolog.Logger, metrics *forward.Metrics) *forward.Handler {
+	return forward.NewHandler(forward.Options{
+		Routes: routes, Picker: picker, Client: client, Zone: own.Zone, Logger: logger, Metrics: metrics,
+	})
+}
+
+func newEdgeServer(lifecycle fx.Lifecycle, own settings.Settings, adapter Adapter, handler *forward.Handler, routes *route.Holder, directory *replica.Directory, _ *discovery.Service, via network.Network, logger zerolog.Logger) *edge.Server {
+	server := edge.NewServer(edge.Options{
+		Handler: handler, Routes: routes, Directory: directory, Logger: logger, Network: via, Grace: own.Bounds.Grace,
+		Addresses: edge.Addresses{Callers: own.CallerAddress, Readiness: own.ReadinessAddress, ReadyPath: adapter.ReadyPath},
+	})
+	lifecycle.Append(fx.Hook{OnStart: server.Start, OnStop: func(ctx context.Context) error {
+		server.Stop(ctx)
+		return nil
+	}})
+	return server
+}
+
+// serveMetrics tells the process's figures at the admin address.
+func serveMetrics(lifecycle fx.Lifecycle, own settings.Settings, gatherer prometheus.Gatherer, via network.Network) {
+	router := mux.NewRouter()
+	router.Handle(MetricsPath, promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{}))
+	server := &http.Server{Handler: router, ReadHeaderTimeout: storeAnswerTimeout, ErrorLog: logging.Discard()}
+	lifecycle.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			listener, err := via.Listen(ctx, own.AdminAddress)
+			if err != nil {
+				return err
+			}
+			go func() { _ = server.Serve(listener) }()
+			return nil
+		},
+		OnStop: func(context.Context) error { return server.Close() },
+	})
+}
--- a/internal/platform/backoff.go
+++ b/internal/platform/backoff.go
@@ -32,6 +32,13 @@
 	}}
 }
 
+// NewBackoffUpTo returns a Backoff whose waits stay below about longest.
+func NewBackoffUpTo(longest time.Duration) *Backoff {
+	limited := NewBackoff()
+	limited.exponential.MaxInterval = longest
+	return limited
+}
+
 // Next returns the next wait.
 func (b *Backoff) Next() time.Duration { return b.exponential.NextBackOff() }
 
--- /dev/null
+++ b/internal/platform/exchange.go
@@ -0,0 +1,57 @@
+package platform
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/network"
+)
+
+// Exchanger makes HTTP calls to one address and gives back whatever answer comes. An adapter of a service that speaks HTTP
+// is built on it; what an answer means is the adapter's to say. It is safe for concurrent use.
+type Exchanger struct {
+	caller  *httpCaller
+	address netip.AddrPort
+	// longest bounds a call whose answer never comes.
+	longest time.Duration
+}
+
+// NewExchanger returns an Exchanger whose calls end after longest; nothing connects yet.
+func NewExchanger(dialer network.Network, address netip.AddrPort, longest time.Duration) *Exchanger {
+	return &Exchanger{caller: newHTTPCaller(dialer, []netip.AddrPort{address}), address: address, longest: longest}
+}
+
+// Close drops the kept connections.
+func (e *Exchanger) Close() { e.caller.close() }
+
+// Read makes a call that changes nothing. Without a whole answer the error is of KindUnavailable.
+func (e *Exchanger) Read(ctx context.Context, method, target string) (status int, body []byte, err error) {
+	return e.exchange(ctx, method, target, readsOnly, nil)
+}
+
+// Change makes a call that may change something. Without a whole answer the error is of KindUnavailable where nothing was
+// sent, else of KindUnknownOutcome.
+func (e *Exchanger) Change(ctx context.Context, method, target string, content []byte) (status int, body []byte, err error) {
+	return e.exchange(ctx, method, target, changes, content)
+}
+
+func (e *Exchanger) exchange(ctx context.Context, method, target string, kind effect, content []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, e.longest)
+	defer cancel()
+	answer, err := e.caller.send(ctx, e.address, method, target, kind, content)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer closeBody(answer)
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBody))
+	if err != nil && kind == changes && answer.StatusCode == http.StatusOK {
+		return 0, nil, KindUnknownOutcome.Wrap(err, "the answer of %s broke off", e.address)
+	}
+	if err != nil {
+		return 0, nil, KindUnavailable.Wrap(err, "the answer of %s broke off", e.address)
+	}
+	return answer.StatusCode, body, nil
+}
--- /dev/null
+++ b/internal/platform/follow.go
@@ -0,0 +1,78 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+const (
+	// followLongestWait bounds the wait between tries to follow a prefix, listTimeout one listing.
+	followLongestWait = 700 * time.Millisecond
+	listTimeout       = 3 * time.Second
+)
+
+// Follower takes in the content below a prefix.
+type Follower struct {
+	// Replace is given the whole content, at first and after changes were missed.
+	Replace func(entries []Entry)
+	// Update is given the changes of one revision.
+	Update func(changed []Entry, deleted []string)
+	// Failed is told of each error; the Follower goes on by itself.
+	Failed func(err error)
+}
+
+// Follow keeps a Follower informed of what lies below prefix until ctx ends: one listing, then watches from where
+// the last one ended. Only where the service has dropped its history is the prefix listed again.
+func Follow(ctx context.Context, store KeyValue, prefix string, follower Follower) {
+	waits := NewBackoffUpTo(followLongestWait)
+	revision := int64(0)
+	for ctx.Err() == nil {
+		var err error
+		if revision == 0 {
+			revision, err = listInto(ctx, store, prefix, follower)
+		} else {
+			revision, err = watchInto(ctx, store, prefix, revision, follower, waits)
+		}
+		if err == nil {
+			waits.Reset()
+			continue
+		}
+		if errorx.IsOfType(err, KindCompacted) {
+			revision = 0
+		}
+		if ctx.Err() == nil {
+			follower.Failed(err)
+		}
+		_ = waits.Wait(ctx)
+	}
+}
+
+func listInto(ctx context.Context, store KeyValue, prefix string, follower Follower) (int64, error) {
+	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	listing, err := store.List(bounded, prefix)
+	if err != nil {
+		return 0, err
+	}
+	follower.Replace(listing.Entries)
+	return listing.Revision, nil
+}
+
+// watchInto delivers changes behind revision until the watch ends, and returns the revision up to which all are delivered.
+func watchInto(ctx context.Context, store KeyValue, prefix string, revision int64, follower Follower, waits *Backoff) (int64, error) {
+	events, err := store.Watch(ctx, prefix, revision+1)
+	if err != nil {
+		return revision, err
+	}
+	for event := range events {
+		if event.Err != nil {
+			return revision, event.Err
+		}
+		waits.Reset()
+		follower.Update(event.Changed, event.Deleted)
+		revision = max(revision, event.Revision)
+	}
+	return revision, ctx.Err()
+}
--- a/internal/platform/http_caller.go
+++ b/internal/platform/http_caller.go
@@ -96,6 +96,21 @@
 
 func (c *httpCaller) openAt(
 	ctx context.Context, address netip.AddrPort, method, path string, kind effect, body []byte,
+) (*http.Response, error) {
+	answer, err := c.send(ctx, address, method, path, kind, body)
+	if err != nil {
+		return nil, err
+	}
+	if answer.StatusCode != http.StatusOK {
+		defer closeBody(answer)
+		return nil, answerError(answer, kind)
+	}
+	return answer, nil
+}
+
+// send makes one call and returns its answer, whatever its status.
+func (c *httpCaller) send(
+	ctx context.Context, address netip.AddrPort, method, path string, kind effect, body []byte,
 ) (*http.Response, error) {
 	// The transport repeats a POST by itself only where it wrote nothing of it, and asks for
 	// a connection anew then.
@@ -117,10 +132,6 @@
 		}
 		return nil, KindUnavailable.Wrap(err, "no answer from %s", address)
 	}
-	if answer.StatusCode != http.StatusOK {
-		defer closeBody(answer)
-		return nil, answerError(answer, kind)
-	}
 	return answer, nil
 }
 
--- /dev/null
+++ b/internal/replica/directory.go
@@ -0,0 +1,123 @@
+package replica
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sloelift/sloelift/internal/subscription"
+)
+
+// Info is what a replica's own entry says of it.
+type Info struct {
+	// ID names one incarnation; no other replica ever has it.
+	ID      string
+	Service string
+	Address netip.AddrPort
+	Zone    string
+	// Slots is the number of requests that it works on at once.
+	Slots int
+	// Draining replicas take no new requests.
+	Draining bool
+}
+
+// View is an immutable snapshot of the directory.
+type View struct {
+	byService map[string][]*Handle
+	byID      map[string]*Handle
+}
+
+// Of returns the replicas of service, sorted by ID.
+func (v *View) Of(service string) []*Handle { return v.byService[service] }
+
+// Find returns the replica with the given ID; nil where there is none.
+func (v *View) Find(id string) *Handle { return v.byID[id] }
+
+// Len returns the number of replicas.
+func (v *View) Len() int { return len(v.byID) }
+
+// Directory holds the replicas that are registered. It is safe for concurrent use.
+type Directory struct {
+	view atomic.Pointer[View]
+	// mutex is held by writers.
+	mutex       sync.Mutex
+	loaded      atomic.Bool
+	subscribers subscription.List[*View]
+}
+
+// NewDirectory returns an empty Directory.
+func NewDirectory() *Directory {
+	directory := &Directory{}
+	directory.view.Store(&View{byService: map[string][]*Handle{}, byID: map[string]*Handle{}})
+	return directory
+}
+
+// View returns the present snapshot.
+func (d *Directory) View() *View { return d.view.Load() }
+
+// Loaded says that the directory has been read once.
+func (d *Directory) Loaded() bool { return d.loaded.Load() }
+
+// Subscribe calls notify after each change until remove is called.
+func (d *Directory) Subscribe(notify func(*View)) (remove func()) { return d.subscribers.Add(notify) }
+
+// Replace makes replicas the whole content of the directory.
+func (d *Directory) Replace(replicas []Info) {
+	d.mutex.Lock()
+	next := make(map[string]*Handle, len(replicas))
+	for _, info := range replicas {
+		next[info.ID] = d.handleFor(info)
+	}
+	d.publish(next)
+	d.loaded.Store(true)
+	d.mutex.Unlock()
+	d.subscribers.Notify(d.View())
+}
+
+// Update takes in changed replicas and drops the removed ones.
+func (d *Directory) Update(changed []Info, removed []string) {
+	d.mutex.Lock()
+	next := make(map[string]*Handle, d.View().Len()+len(changed))
+	for id, handle := range d.View().byID {
+		next[id] = handle
+	}
+	for _, info := range changed {
+		next[info.ID] = d.handleFor(info)
+	}
+	for _, id := range removed {
+		delete(next, id)
+	}
+	d.publish(next)
+	d.mutex.Unlock()
+	d.subscribers.Notify(d.View())
+}
+
+// handleFor returns the handle of info's incarnation with its newest entry.
+func (d *Directory) handleFor(info Info) *Handle {
+	handle := d.View().Find(info.ID)
+	if handle == nil {
+		return NewHandle(info)
+	}
+	handle.info.Store(&info)
+	return handle
+}
+
+// publish makes next the content and ends the handles that are gone from it.
+func (d *Directory) publish(next map[string]*Handle) {
+	view := &View{byService: map[string][]*Handle{}, byID: next}
+	for _, handle := range next {
+		service := handle.Info().Service
+		view.byService[service] = append(view.byService[service], handle)
+	}
+	for _, handles := range view.byService {
+		slices.SortFunc(handles, func(a, b *Handle) int { return cmp.Compare(a.Info().ID, b.Info().ID) })
+	}
+	previous := d.view.Swap(view)
+	for id, handle := range previous.byID {
+		if next[id] == nil {
+			handle.retire()
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/handle.go
@@ -0,0 +1,135 @@
+package replica
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// reportHalfLife is the age at which a told load counts half.
+	reportHalfLife = 700 * time.Millisecond
+	// avoidFirst and avoidLongest bound how long a replica is avoided after it failed.
+	avoidFirst   = 200 * time.Millisecond
+	avoidLongest = 3 * time.Second
+	// failureWeight is the part of the newest result in the running failure rate.
+	failureWeight = 0.12
+)
+
+// Load is what a replica tells of itself: requests that run, requests that wait, and slots.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Handle is one incarnation of a replica with what this process knows of it. It is safe for concurrent use.
+type Handle struct {
+	info  atomic.Pointer[Info]
+	pool  connectionPool
+	gone  atomic.Bool
+	inUse atomic.Int64
+
+	mutex sync.Mutex
+	// The fields below are guarded by mutex.
+	told        Load
+	toldAt      time.Time
+	inUseAtTell int64
+	failures    int
+	avoidUntil  time.Time
+	failureRate float64
+}
+
+// NewHandle returns a handle of a replica of which nothing else is known.
+func NewHandle(info Info) *Handle {
+	handle := &Handle{}
+	handle.info.Store(&info)
+	return handle
+}
+
+// Info returns the replica's newest entry.
+func (h *Handle) Info() *Info { return h.info.Load() }
+
+// Usable says that new requests may go to the replica.
+func (h *Handle) Usable() bool { return !h.gone.Load() && !h.Info().Draining }
+
+// InUse returns the number of this process's requests there.
+func (h *Handle) InUse() int { return int(h.inUse.Load()) }
+
+// Acquire counts a request until release is called.
+func (h *Handle) Acquire() (release func()) {
+	h.inUse.Add(1)
+	var once sync.Once
+	return func() { once.Do(func() { h.inUse.Add(-1) }) }
+}
+
+// Tell takes in a load that the replica told.
+func (h *Handle) Tell(load Load, now time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.told, h.toldAt, h.inUseAtTell = load, now, h.inUse.Load()
+}
+
+// Occupancy estimates the requests at the replica, running and waiting, of all callers: what it told last,
+// fading with age, and what this process began and ended since.
+func (h *Handle) Occupancy(now time.Time) float64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	inUse := float64(h.inUse.Load())
+	if h.toldAt.IsZero() {
+		return inUse
+	}
+	age := now.Sub(h.toldAt)
+	faded := float64(h.told.Running+h.told.Waiting) * math.Exp2(-age.Seconds()/reportHalfLife.Seconds())
+	return max(inUse, faded+inUse-float64(h.inUseAtTell))
+}
+
+// Succeeded notes a whole answer.
+func (h *Handle) Succeeded() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.failures = 0
+	h.avoidUntil = time.Time{}
+	h.failureRate *= 1 - failureWeight
+}
+
+// Failed notes a call that the replica did not answer well; it is avoided for a while.
+func (h *Handle) Failed(now time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.failures++
+	wait := avoidFirst << min(h.failures-1, 8)
+	h.avoidUntil = now.Add(min(wait, avoidLongest))
+	h.failureRate += failureWeight * (1 - h.failureRate)
+}
+
+// Rejected notes that the replica refused a request for want of room; it is avoided for a moment.
+func (h *Handle) Rejected(now time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	until := now.Add(avoidFirst / 2)
+	if until.After(h.avoidUntil) {
+		h.avoidUntil = until
+	}
+}
+
+// Avoided says that the replica failed or refused a short while ago.
+func (h *Handle) Avoided(now time.Time) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return now.Before(h.avoidUntil)
+}
+
+// FailureRate is the share of failures among the latest calls, from 0 to 1.
+func (h *Handle) FailureRate() float64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.failureRate
+}
+
+// retire closes the kept connections; requests under way go on.
+func (h *Handle) retire() {
+	h.gone.Store(true)
+	h.pool.close()
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -34,8 +34,12 @@
 	checks.name("node", s.Node)
 	checks.name("region", s.Region)
 	checks.name("zone", s.Zone)
-	checks.addresses(s)
-	checks.platform(s.Platform)
+	if s.Role == RoleNode {
+		checks.addresses(s)
+		checks.platform(s.Platform)
+	} else {
+		checks.role(s)
+	}
 	checks.limits(s.Limits)
 	checks.ledger(s.Ledger)
 	_, err := zerolog.ParseLevel(s.LogLevel)
@@ -75,6 +79,24 @@
 	}
 }
 
+// role checks what an edge or a storage node needs.
+func (c *checker) role(s Settings) {
+	c.require(s.Role == RoleEdge || s.Role == RoleStorage, "role", "%q is not a role; allowed are edge and storage, or none", strictyaml.Shorten(string(s.Role)))
+	c.address("peerAddress", s.PeerAddress)
+	c.address("adminAddress", s.AdminAddress)
+	c.address("platform.metadataStore", s.Platform.MetadataStore)
+	if s.Role == RoleEdge {
+		c.address("callerAddress", s.CallerAddress)
+		c.address("readinessAddress", s.ReadinessAddress)
+	}
+	if s.Role == RoleStorage {
+		c.require(s.DataFolder != "", "dataFolder", "a storage node wants a folder")
+	}
+	for index, peer := range s.SeedPeers {
+		c.address(fmt.Sprintf("seedPeers[%d]", index), peer)
+	}
+}
+
 func (c *checker) platform(p Platform) {
 	c.require(len(p.KeyValue) > 0, "platform.keyValue", "wants at least one address of the key-value service")
 	for index, address := range p.KeyValue {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,21 +5,38 @@
 	"time"
 )
 
+// Role says which part of the system a process runs.
+type Role string
+
+// Roles of a process.
+const (
+	// RoleNode runs the whole system: callers' and operators' interfaces, batch jobs and the ledger.
+	RoleNode Role = ""
+	// RoleEdge takes requests that are passed on unchanged.
+	RoleEdge Role = "edge"
+	// RoleStorage keeps the ledger's records and runs batch jobs.
+	RoleStorage Role = "storage"
+)
+
 // Settings of one node process.
 type Settings struct {
 	// Node names this node; it stays the same across restarts.
 	Node   string `yaml:"node"`
+	Role   Role   `yaml:"role"`
 	Region string `yaml:"region"`
 	Zone   string `yaml:"zone"`
 	// CallerAddress serves callers, AdminAddress operators, PeerAddress other nodes.
 	CallerAddress netip.AddrPort `yaml:"callerAddress"`
 	AdminAddress  netip.AddrPort `yaml:"adminAddress"`
 	PeerAddress   netip.AddrPort `yaml:"peerAddress"`
+	// ReadinessAddress tells whether an edge takes new connections.
+	ReadinessAddress netip.AddrPort `yaml:"readinessAddress"`
 	// DataFolder is empty on a node that keeps nothing.
 	DataFolder string   `yaml:"dataFolder"`
 	Platform   Platform `yaml:"platform"`
 	Limits     Limits   `yaml:"limits"`
 	Ledger     Ledger   `yaml:"ledger"`
+	Bounds     Bounds   `yaml:"bounds"`
 	LogLevel   string   `yaml:"logLevel"`
 	// SeedPeers are peer addresses to join through when the platform is down.
 	SeedPeers []netip.AddrPort `yaml:"seedPeers"`
@@ -30,6 +47,8 @@
 	KeyValue    []netip.AddrPort `yaml:"keyValue"`
 	MachineList netip.AddrPort   `yaml:"machineList"`
 	WeightStore netip.AddrPort   `yaml:"weightStore"`
+	// MetadataStore is the key-value service of edges and storage nodes.
+	MetadataStore netip.AddrPort `yaml:"metadataStore"`
 	// KeyValueRequestsPerSecond bounds this node's own calls.
 	KeyValueRequestsPerSecond float64 `yaml:"keyValueRequestsPerSecond"`
 }
@@ -45,6 +64,24 @@
 	DrainTimeout time.Duration `yaml:"drainTimeout"`
 	// BatchConcurrency bounds batch items in flight from this node.
 	BatchConcurrency int `yaml:"batchConcurrency"`
+	// MemoryMegabytes is what the process may use; 0 is no bound.
+	MemoryMegabytes int `yaml:"memoryMegabytes"`
+	// DiskMegabytes is the size of the data folder's disk; 0 is no bound.
+	DiskMegabytes int `yaml:"diskMegabytes"`
+}
+
+// Bounds are the times within which the operators expect the system to act. A bound of 0 is unknown.
+type Bounds struct {
+	// Contact is how long a machine is undisturbed before it is held to the other bounds.
+	Contact time.Duration `yaml:"contact"`
+	// Grace is the time from the signal to stop to the end of the process.
+	Grace time.Duration `yaml:"grace"`
+	// Cancel is the time from an acknowledged cancel to the last start of an item of that job.
+	Cancel time.Duration `yaml:"cancel"`
+	// Sync is the time in which a storage node that came back holds all its copies again.
+	Sync time.Duration `yaml:"sync"`
+	// Poll is how long results stay readable.
+	Poll time.Duration `yaml:"poll"`
 }
 
 // Ledger holds the ledger's numbers. They are written to the key-value service at the first start of the system and
