--- a/cmd/sloelift/role.go
+++ b/cmd/sloelift/role.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sloelift/sloelift/internal/batch"
 	"github.com/sloelift/sloelift/internal/node"
 	internalplatform "github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/settings"
@@ -22,6 +23,8 @@
 		KeyValue: func(exchanger *internalplatform.Exchanger, watchWait time.Duration) internalplatform.KeyValue {
 			return platform.NewStore(exchanger, watchWait)
 		},
+		Report: platform.LoadReport,
+		Batch:  func(door *batch.Door) node.BatchCalls { return platform.NewBatch(door) },
 	}
 }
 
--- /dev/null
+++ b/internal/batch/appender.go
@@ -0,0 +1,143 @@
+package batch
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/outcome"
+)
+
+const (
+	// proposalQueue bounds the proposals that wait for their append.
+	proposalQueue = 1024
+	// appendMaxBytes bounds what one append gathers.
+	appendMaxBytes = 768 << 10
+	// chunkBytes is the size of the records of a submission that is too large for one.
+	chunkBytes = 512 << 10
+)
+
+// proposal is a run of records that belong together; the last one counts.
+type proposal struct {
+	records []ledger.Record
+	bytes   int
+	// done takes nil once all records are durable and the state has them, or the error.
+	done chan error
+}
+
+func newProposal(records ...ledger.Record) *proposal {
+	made := &proposal{records: records, done: make(chan error, 1)}
+	for _, record := range records {
+		made.bytes += len(record.Payload)
+	}
+	return made
+}
+
+func recordOf(kind ledger.RecordKind, message proto.Message) ledger.Record {
+	payload, err := proto.Marshal(message)
+	if err != nil {
+		panic("encode record: " + err.Error())
+	}
+	return ledger.Record{Kind: kind, Payload: payload}
+}
+
+// propose makes records durable and waits until the state has them. NotRun means that the last one is not in the log and
+// never will be.
+func (p *partition) propose(ctx context.Context, records ...ledger.Record) error {
+	request := newProposal(records...)
+	select {
+	case p.proposals <- request:
+	case <-p.ctx.Done():
+		return errNotOwner()
+	case <-ctx.Done():
+		return outcome.Wrap(ctx.Err(), outcome.NotRun, outcome.ReasonDeadline, "append was not begun")
+	}
+	select {
+	case err := <-request.done:
+		return err
+	case <-p.ctx.Done():
+		return outcome.New(outcome.Indeterminate, outcome.ReasonNotOwner, "ownership was lost during the append")
+	case <-ctx.Done():
+		return outcome.Wrap(ctx.Err(), outcome.Indeterminate, outcome.ReasonDeadline, "append was not acknowledged in time")
+	}
+}
+
+// runAppender appends what waits, one batch at a time, and applies it to the state in the log's order.
+func (p *partition) runAppender() {
+	for {
+		select {
+		case first := <-p.proposals:
+			p.appendAll(p.gather(first))
+		case <-p.ctx.Done():
+			return
+		}
+	}
+}
+
+// gather takes what waits behind first, within the bound of one append.
+func (p *partition) gather(first *proposal) []*proposal {
+	batch := []*proposal{first}
+	bytes := first.bytes
+	for bytes < appendMaxBytes {
+		select {
+		case next := <-p.proposals:
+			batch = append(batch, next)
+			bytes += next.bytes
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// appendAll appends the proposals. The ledger waits until each append is decided or the ownership is lost, so an error
+// other than the loss is of an append that is surely not in the log.
+func (p *partition) appendAll(batch []*proposal) {
+	var records []ledger.Record
+	for _, request := range batch {
+		records = append(records, request.records...)
+	}
+	var failure error
+	for len(records) > 0 && failure == nil {
+		part := firstPart(records)
+		failure = p.appendPart(part)
+		records = records[len(part):]
+	}
+	for _, request := range batch {
+		request.done <- failure
+	}
+}
+
+// firstPart returns the leading records that fit into one append, at least one.
+func firstPart(records []ledger.Record) []ledger.Record {
+	bytes := 0
+	for index, record := range records {
+		bytes += len(record.Payload)
+		if index > 0 && bytes > appendMaxBytes {
+			return records[:index]
+		}
+	}
+	return records
+}
+
+func (p *partition) appendPart(records []ledger.Record) error {
+	began := p.elapsed()
+	first, err := p.owned.Append(p.ctx, records)
+	if err != nil {
+		if outcome.As(err).Reason == outcome.ReasonNotOwner {
+			p.cancel()
+		}
+		return err
+	}
+	p.confirmed.Store(int64(began))
+	p.mutex.Lock()
+	for index, record := range records {
+		if err := p.state.step(first+ledger.Position(index), record); err != nil {
+			p.logger.Error().Err(err).Msg("record_not_applied")
+		}
+	}
+	p.mutex.Unlock()
+	p.wake()
+	return nil
+}
--- /dev/null
+++ b/internal/batch/dispatcher.go
@@ -0,0 +1,280 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/route"
+)
+
+const (
+	// dispatchInterval is how often it is looked for room while items wait, idleInterval while none does.
+	dispatchInterval = 40 * time.Millisecond
+	idleInterval     = time.Second
+	// askInterval is how often replicas are asked for their load while items wait; askTimeout bounds one answer.
+	askInterval = 200 * time.Millisecond
+	askTimeout  = 500 * time.Millisecond
+	// maxCandidates bounds the items that are looked at in one go.
+	maxCandidates = 64
+	// routeGoneAfter is how long an item's route is missing before the item is given up.
+	routeGoneAfter = 5 * time.Second
+)
+
+// itemKey names an item of a partition.
+type itemKey struct {
+	job    string
+	number int
+}
+
+// itemRun is what is known of an unlisted item beyond the log.
+type itemRun struct {
+	running bool
+	stop    context.CancelFunc
+	// text and lastEvent are what the item has made; a further run goes on behind lastEvent.
+	text      []byte
+	lastEvent string
+	// failures counts the runs that a replica answered with a failure of its own.
+	failures int
+	// notBefore is when the item may be sent again, and routeGone since when its route is missing, both since the
+	// partition's start; routeGone is 0 while there is a route.
+	notBefore time.Duration
+	routeGone time.Duration
+}
+
+// candidate is an item that could be sent to a replica.
+type candidate struct {
+	key        itemKey
+	submission *batchpb.Submission
+	acceptedAt int64
+}
+
+// runDispatcher sends items to replicas as long as the partition is owned.
+func (p *partition) runDispatcher() {
+	timer := time.NewTimer(dispatchInterval)
+	defer timer.Stop()
+	var asked time.Duration
+	for {
+		waiting := p.dispatch()
+		pause := idleInterval
+		if waiting {
+			pause = dispatchInterval
+			if now := p.elapsed(); now-asked >= askInterval {
+				asked = now
+				p.askLoads()
+			}
+		}
+		timer.Reset(pause)
+		select {
+		case <-timer.C:
+		case <-p.woken:
+		case <-p.ctx.Done():
+			return
+		}
+	}
+}
+
+// dispatch sends what there is room for, in the order of acceptance. It returns whether items wait.
+func (p *partition) dispatch() bool {
+	table := p.service.routes.Table()
+	if table == nil {
+		return false
+	}
+	candidates := p.candidates()
+	if len(candidates) == 0 {
+		return false
+	}
+	now := p.elapsed()
+	if !p.confirmedSince(now - confirmWindow/2) {
+		p.proveSoon()
+	}
+	if !p.confirmedSince(now - confirmWindow) {
+		return true
+	}
+	for _, each := range candidates {
+		if !p.dispatchOne(table, each) {
+			return true
+		}
+	}
+	return true
+}
+
+// proveSoon proves ownership by an append in the background, unless one is waiting.
+func (p *partition) proveSoon() {
+	if len(p.proposals) > 0 {
+		return
+	}
+	select {
+	case p.proposals <- newProposal(ledger.Record{Kind: ledger.KindNoOperation}):
+	default:
+	}
+}
+
+// candidates returns the first items that could be sent now.
+func (p *partition) candidates() []candidate {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.quiesced {
+		return nil
+	}
+	now := p.elapsed()
+	var found []candidate
+	for _, each := range p.state.order {
+		if !each.open() {
+			continue
+		}
+		for number := range each.items {
+			key := itemKey{job: each.submission.JobId, number: number}
+			run := p.runs[key]
+			if each.items[number].listed || (run != nil && (run.running || now < run.notBefore)) {
+				continue
+			}
+			found = append(found, candidate{key: key, submission: each.submission, acceptedAt: each.acceptedAt})
+			if len(found) == maxCandidates {
+				return found
+			}
+		}
+	}
+	return found
+}
+
+// dispatchOne sends one item; false where no replica has room.
+func (p *partition) dispatchOne(table *route.Table, each candidate) bool {
+	sent := each.submission.Items[each.key.number]
+	matched := table.Match(each.submission.Host, sent.Path)
+	if matched == nil {
+		p.routeMissing(each.key)
+		return true
+	}
+	handle := p.pick(matched)
+	if handle == nil {
+		return false
+	}
+	p.start(each, matched, handle)
+	return true
+}
+
+// pick chooses a replica with room for an item.
+func (p *partition) pick(matched *route.Route) *replica.Handle {
+	now := time.Now()
+	wanted := balance.Request{Service: matched.PickService(), Zone: p.service.options.Zone, MaxOccupancy: p.service.options.MaxOccupancy}
+	if handle := p.service.picker.Pick(&wanted, now); handle != nil {
+		return handle
+	}
+	for _, backend := range matched.Backends {
+		wanted.Service = backend.Service
+		if handle := p.service.picker.Pick(&wanted, now); handle != nil {
+			return handle
+		}
+	}
+	return nil
+}
+
+// routeMissing gives up an item whose route has been missing for long.
+func (p *partition) routeMissing(key itemKey) {
+	p.mutex.Lock()
+	run := p.runOf(key)
+	now := p.elapsed()
+	if run.routeGone == 0 {
+		run.routeGone = now
+	}
+	gone := now-run.routeGone >= routeGoneAfter
+	run.notBefore = now + time.Second
+	run.running = gone
+	p.mutex.Unlock()
+	if gone {
+		p.running.Go(func() { p.finish(key, batchpb.State_STATE_DEAD_LETTER, "", "route_gone") })
+	}
+}
+
+// runOf returns what is known of an item. The mutex is held.
+func (p *partition) runOf(key itemKey) *itemRun {
+	run := p.runs[key]
+	if run != nil {
+		return run
+	}
+	run = &itemRun{}
+	if owner := p.state.jobs[key.job]; owner != nil {
+		if progress := owner.items[key.number].progress; progress != nil {
+			run.text, run.lastEvent = []byte(progress.Text), progress.LastEvent
+		}
+	}
+	p.runs[key] = run
+	return run
+}
+
+// start runs an item at a replica in the background.
+func (p *partition) start(each candidate, matched *route.Route, handle *replica.Handle) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	owner := p.state.jobs[each.key.job]
+	run := p.runOf(each.key)
+	if p.quiesced || owner == nil || !owner.open() || owner.items[each.key.number].listed || run.running {
+		return
+	}
+	ctx, stop := context.WithCancel(p.ctx)
+	run.running, run.stop, run.routeGone = true, stop, 0
+	attempt := &itemAttempt{
+		partition: p, key: each.key, sent: each.submission.Items[each.key.number], host: each.submission.Host,
+		route: matched, handle: handle, text: run.text, lastEvent: run.lastEvent,
+	}
+	release := handle.Acquire()
+	p.running.Go(func() {
+		defer stop()
+		verdict := attempt.run(ctx)
+		release()
+		p.took(attempt, verdict)
+	})
+}
+
+// cancelRuns cuts off the running items of a job.
+func (p *partition) cancelRuns(jobID string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for key, run := range p.runs {
+		if key.job == jobID && run.running && run.stop != nil {
+			run.stop()
+		}
+	}
+}
+
+// stopRuns cuts off all running items and returns records of what they have made.
+func (p *partition) stopRuns() []ledger.Record {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var records []ledger.Record
+	for key, run := range p.runs {
+		if run.stop != nil {
+			run.stop()
+		}
+		if run.lastEvent != "" {
+			records = append(records, recordOf(ledger.KindBatchProgress, &batchpb.Progress{
+				JobId: key.job, Item: uint32(key.number), LastEvent: run.lastEvent, Text: string(run.text),
+			}))
+		}
+	}
+	return records
+}
+
+// askLoads asks the replicas of all batch routes for their load.
+func (p *partition) askLoads() {
+	table := p.service.routes.Table()
+	asked := map[string]bool{}
+	for _, each := range table.Routes {
+		if each.Kind != route.Batch {
+			continue
+		}
+		for _, backend := range each.Backends {
+			if asked[backend.Service] {
+				continue
+			}
+			asked[backend.Service] = true
+			for _, handle := range p.service.directory.View().Of(backend.Service) {
+				p.service.ask(p.ctx, handle)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/batch/door.go
@@ -0,0 +1,154 @@
+package batch
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/pause"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/route"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+const (
+	// submitTimeout, readTimeout and endTimeout bound the search for an owner that answers.
+	submitTimeout = 2500 * time.Millisecond
+	readTimeout   = 1500 * time.Millisecond
+	endTimeout    = 3 * time.Second
+	// tryTimeout bounds one try; the time that a read may wait is added.
+	tryTimeout = 900 * time.Millisecond
+	// longestRetryWait bounds the wait between tries.
+	longestRetryWait = 150 * time.Millisecond
+	// retryAfterOwner is when a caller may come back after no owner answered.
+	retryAfterOwner = 300 * time.Millisecond
+)
+
+// Door takes calls about jobs at an edge and brings them to the owner of the job's partition. It is safe for concurrent use.
+type Door struct {
+	locator ledger.Locator
+	caller  transport.Caller
+	logger  zerolog.Logger
+}
+
+// NewDoor returns a Door.
+func NewDoor(locator ledger.Locator, caller transport.Caller, logger zerolog.Logger) *Door {
+	return &Door{locator: locator, caller: caller, logger: logger.With().Str(logging.FieldSlice, "batch").Logger()}
+}
+
+// Submit has a job accepted. The error is an *outcome.Error: NotRun means that no item will run on account of this call, with
+// ReasonRateLimited where the job does not fit; Indeterminate promises nothing.
+func (d *Door) Submit(ctx context.Context, submission *batchpb.Submission, matched *route.Route) error {
+	submission.Route = matched.Name
+	request := &batchpb.SubmitRequest{Partition: d.partition(submission.Host), Submission: submission, MaxWaitingTokens: matched.MaxWaitingTokens}
+	response := &batchpb.SubmitResponse{}
+	if err := d.call(ctx, methodSubmit, request, response, submitTimeout, tryTimeout); err != nil {
+		d.logger.Info().Str(logging.FieldJob, submission.JobId).Err(err).Msg("job_not_accepted")
+		return err
+	}
+	if response.OverQuota {
+		return outcome.New(outcome.NotRun, outcome.ReasonRateLimited, "too many tokens wait").After(retryAfterFull)
+	}
+	return nil
+}
+
+// Read returns the results of a job from a position on; it waits up to wait for the first.
+func (d *Door) Read(ctx context.Context, host, jobID string, since uint32, wait time.Duration) (*batchpb.ReadResponse, error) {
+	request := &batchpb.ReadRequest{Partition: d.partition(host), JobId: jobID, Since: since, WaitMicros: uint64(wait.Microseconds())}
+	response := &batchpb.ReadResponse{}
+	err := d.call(ctx, methodRead, request, response, readTimeout+wait, tryTimeout+wait)
+	return response, err
+}
+
+// Body returns the body of an item that is not listed.
+func (d *Door) Body(ctx context.Context, host, jobID, itemID string) (*batchpb.BodyResponse, error) {
+	request := &batchpb.BodyRequest{Partition: d.partition(host), JobId: jobID, ItemId: itemID}
+	response := &batchpb.BodyResponse{}
+	err := d.call(ctx, methodBody, request, response, readTimeout, tryTimeout)
+	return response, err
+}
+
+// End ends a job.
+func (d *Door) End(ctx context.Context, host, jobID string) (*batchpb.EndResponse, error) {
+	request := &batchpb.EndRequest{Partition: d.partition(host), JobId: jobID}
+	response := &batchpb.EndResponse{}
+	err := d.call(ctx, methodEnd, request, response, endTimeout, tryTimeout)
+	return response, err
+}
+
+func (d *Door) partition(host string) uint32 { return uint32(d.locator.PartitionOf(host)) }
+
+// call brings request to the owner, and to another one while none answers; all requests can be served twice. The error is an
+// *outcome.Error that is NotRun only where no try can have had an effect.
+func (d *Door) call(ctx context.Context, method transport.Method, request partitionRequest, response proto.Message, longest, try time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, longest)
+	defer cancel()
+	waits := platform.NewBackoffUpTo(longestRetryWait)
+	mayHaveRun := false
+	for {
+		failure := d.try(ctx, method, request, response, try)
+		if failure == nil {
+			return nil
+		}
+		mayHaveRun = mayHaveRun || failure.Outcome != outcome.NotRun
+		if !worthRetry(failure) {
+			return failure
+		}
+		if !pause.Sleep(ctx, waits.Next()) {
+			result := outcome.NotRun
+			if mayHaveRun {
+				result = outcome.Indeterminate
+			}
+			return outcome.Wrap(failure, result, outcome.ReasonUnavailable, "no owner of the partition answered").After(retryAfterOwner)
+		}
+	}
+}
+
+func (d *Door) try(ctx context.Context, method transport.Method, request partitionRequest, response proto.Message, longest time.Duration) *outcome.Error {
+	ctx, cancel := context.WithTimeout(ctx, longest)
+	defer cancel()
+	address, known := d.locator.Owner(ledger.PartitionID(request.GetPartition()))
+	if !known {
+		return errNotOwner()
+	}
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return outcome.Wrap(err, outcome.NotRun, outcome.ReasonNotOwner, "owner's address")
+	}
+	if err := d.caller.Call(ctx, to, method, request, response); err != nil {
+		return failureOf(err)
+	}
+	return nil
+}
+
+// failureOf turns an error of a try into an outcome.
+func failureOf(err error) *outcome.Error {
+	switch {
+	case errorx.IsOfType(err, transport.KindNotSent):
+		return outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "owner not reached")
+	case errorx.IsOfType(err, transport.KindTooLarge):
+		return outcome.Wrap(err, outcome.NotRun, outcome.ReasonTooLarge, "message too large")
+	case errorx.IsOfType(err, transport.KindNoAnswer):
+		return outcome.Wrap(err, outcome.Indeterminate, outcome.ReasonUnavailable, "owner did not answer")
+	default:
+		return outcome.As(err)
+	}
+}
+
+// worthRetry tells whether another try may end otherwise.
+func worthRetry(failure *outcome.Error) bool {
+	switch failure.Reason {
+	case outcome.ReasonNotOwner, outcome.ReasonUnavailable, outcome.ReasonDeadline, outcome.ReasonInternal:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/batch/item_attempt.go
@@ -0,0 +1,234 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/eventstream"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/route"
+)
+
+const (
+	// itemDeadline is the time that a replica is given for an item where the route sets no retention.
+	itemDeadline = time.Minute
+	// itemSilence is how long a replica may send nothing before the item goes on elsewhere.
+	itemSilence = 3 * time.Second
+	// pauseAfterRefusal and pauseAfterFailure are how long an item waits before it is sent again.
+	pauseAfterRefusal = 60 * time.Millisecond
+	pauseAfterFailure = 250 * time.Millisecond
+	// maxErrorBody bounds what is read of an answer that is no stream.
+	maxErrorBody = 64 << 10
+	// retryAppend is the wait before a result is appended again.
+	retryAppend = 200 * time.Millisecond
+)
+
+var errSilent = errors.New("replica is silent")
+
+// itemVerdict is how one attempt at an item ended.
+type itemVerdict int
+
+const (
+	// itemDone: the text is whole.
+	itemDone itemVerdict = iota
+	// itemImpossible: no replica can ever do it.
+	itemImpossible
+	// itemFailed: the replica ran it and failed.
+	itemFailed
+	// itemRefused: the replica did not run it.
+	itemRefused
+	// itemCut: the stream ended early; the text so far stands.
+	itemCut
+)
+
+// itemAttempt is one send of an item to one replica.
+type itemAttempt struct {
+	partition *partition
+	key       itemKey
+	sent      *batchpb.Item
+	host      string
+	route     *route.Route
+	handle    *replica.Handle
+	text      []byte
+	lastEvent string
+	status    int
+	err       error
+}
+
+func (a *itemAttempt) run(ctx context.Context) itemVerdict {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(itemSilence, func() { cancel(errSilent) })
+	defer silence.Stop()
+	client := a.partition.service.client
+	answer, err := client.Do(ctx, a.handle, a.call(client.Headers()))
+	if err != nil {
+		a.err = errors.Join(err, context.Cause(ctx))
+		a.noteFailure()
+		if errors.Is(err, replica.ErrNotSent) {
+			return itemRefused
+		}
+		return itemCut
+	}
+	a.status = answer.Status
+	if answer.Status != http.StatusOK {
+		_, err := io.CopyN(io.Discard, answer.Body, maxErrorBody)
+		answer.Close(errors.Is(err, io.EOF))
+		return a.judge(answer, client.Headers())
+	}
+	verdict := a.readStream(answer, silence)
+	answer.Close(verdict == itemDone)
+	return verdict
+}
+
+// noteFailure counts against the replica unless this process itself cut the attempt off.
+func (a *itemAttempt) noteFailure() {
+	if !errors.Is(a.err, context.Canceled) || errors.Is(a.err, errSilent) {
+		a.handle.Failed(time.Now())
+	}
+}
+
+// call returns the item's request.
+func (a *itemAttempt) call(names replica.Headers) replica.Call {
+	header := make(http.Header, len(a.sent.Headers)+4)
+	for _, each := range a.sent.Headers {
+		header.Add(each.Name, each.Value)
+	}
+	allowed := itemDeadline
+	if a.route.Retention > 0 {
+		allowed = a.route.Retention
+	}
+	header.Set(names.RequestID, a.sent.Id)
+	header.Set(names.ExpectInstance, a.handle.Info().ID)
+	header.Set(names.Deadline, strconv.FormatInt(allowed.Milliseconds(), 10))
+	if a.lastEvent != "" {
+		header.Set(names.LastEventID, a.lastEvent)
+	}
+	return replica.Call{Method: http.MethodPost, Target: a.sent.Path, Host: a.host, Header: header, Body: a.sent.Body, RequestID: a.sent.Id}
+}
+
+// judge tells what an answer that is no stream means.
+func (a *itemAttempt) judge(answer *replica.Answer, names replica.Headers) itemVerdict {
+	switch {
+	case answer.Status == http.StatusMisdirectedRequest, answer.Header.Get(names.NotRun) != "":
+		a.handle.Rejected(time.Now())
+		return itemRefused
+	case answer.Status == http.StatusUnprocessableEntity:
+		return itemImpossible
+	default:
+		a.handle.Failed(time.Now())
+		return itemFailed
+	}
+}
+
+// readStream collects the events' data. Only an answer that tells its own end can be whole: after any other the item is
+// sent once more behind its last event.
+func (a *itemAttempt) readStream(answer *replica.Answer, silence *time.Timer) itemVerdict {
+	reader := eventstream.NewReader(answer.Body)
+	for {
+		events, err := reader.Next()
+		if len(events.Bytes) > 0 {
+			silence.Reset(itemSilence)
+			a.text = eventstream.AppendData(a.text, events.Bytes)
+			if events.LastID != "" {
+				a.lastEvent = events.LastID
+			}
+			a.partition.keepProgress(a)
+		}
+		if errors.Is(err, io.EOF) && answer.Framed {
+			a.handle.Succeeded()
+			return itemDone
+		}
+		if err != nil {
+			a.err = err
+			a.noteFailure()
+			return itemCut
+		}
+	}
+}
+
+// keepProgress notes what a running item has made.
+func (p *partition) keepProgress(attempt *itemAttempt) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if run := p.runs[attempt.key]; run != nil {
+		run.text, run.lastEvent = attempt.text, attempt.lastEvent
+	}
+}
+
+// took takes in how an attempt ended.
+func (p *partition) took(attempt *itemAttempt, verdict itemVerdict) {
+	if verdict != itemDone && p.ctx.Err() == nil {
+		p.logger.Info().Str(logging.FieldRequest, attempt.sent.Id).Str(logging.FieldJob, attempt.key.job).
+			Str(logging.FieldReplica, attempt.handle.Info().ID).Int("verdict", int(verdict)).Int("status", attempt.status).
+			Str("last_event", attempt.lastEvent).Err(attempt.err).Msg("item_not_done")
+	}
+	switch verdict {
+	case itemDone:
+		p.finish(attempt.key, batchpb.State_STATE_SUCCEEDED, string(attempt.text), "done")
+	case itemImpossible:
+		p.finish(attempt.key, batchpb.State_STATE_DEAD_LETTER, "", "impossible")
+	case itemFailed:
+		if p.countFailure(attempt) {
+			p.finish(attempt.key, batchpb.State_STATE_DEAD_LETTER, "", "failed")
+		}
+	case itemRefused:
+		p.requeue(attempt.key, pauseAfterRefusal)
+	case itemCut:
+		p.requeue(attempt.key, 0)
+	}
+	p.wake()
+}
+
+// countFailure returns whether the item has failed as often as its route allows; else it waits to be sent again.
+func (p *partition) countFailure(attempt *itemAttempt) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	run := p.runOf(attempt.key)
+	if attempt.status == http.StatusInternalServerError {
+		run.failures++
+	}
+	if run.failures >= max(1, attempt.route.Attempts) {
+		return true
+	}
+	run.running, run.notBefore = false, p.elapsed()+pauseAfterFailure
+	return false
+}
+
+func (p *partition) requeue(key itemKey, pause time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	run := p.runOf(key)
+	run.running, run.notBefore = false, p.elapsed()+pause
+}
+
+// finish lists an item; it tries until that is durable or the ownership is lost. The item counts as running meanwhile.
+func (p *partition) finish(key itemKey, listedAs batchpb.State, text, reason string) {
+	result := recordOf(ledger.KindBatchResult, &batchpb.Result{JobId: key.job, Item: uint32(key.number), State: listedAs, Text: text})
+	for p.ctx.Err() == nil {
+		err := p.propose(p.ctx, result)
+		if err == nil {
+			break
+		}
+		p.logger.Warn().Str(logging.FieldJob, key.job).Err(err).Str(logging.FieldReason, string(outcome.As(err).Reason)).Msg("result_not_listed")
+		select {
+		case <-time.After(retryAppend):
+		case <-p.ctx.Done():
+			return
+		}
+	}
+	p.mutex.Lock()
+	delete(p.runs, key)
+	p.mutex.Unlock()
+	if listedAs == batchpb.State_STATE_DEAD_LETTER {
+		p.logger.Info().Str(logging.FieldJob, key.job).Int("item", key.number).Str(logging.FieldReason, reason).Msg("item_dead")
+	}
+}
--- /dev/null
+++ b/internal/batch/owner.go
@@ -0,0 +1,227 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"google.golang.org/protobuf/proto"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/outcome"
+)
+
+const (
+	// defaultReadBytes bounds the texts of one answer.
+	defaultReadBytes = 512 << 10
+	// retryAfterFull is when a caller may come back after its job did not fit.
+	retryAfterFull = 500 * time.Millisecond
+)
+
+// pendingSubmission is a submission whose append is under way; done is closed at its end.
+type pendingSubmission struct {
+	done chan struct{}
+	err  error
+}
+
+// submit accepts a job once, however often it comes.
+func (p *partition) submit(ctx context.Context, request *batchpb.SubmitRequest) (*batchpb.SubmitResponse, error) {
+	submission := request.Submission
+	pending, response, err := p.admit(submission, request.MaxWaitingTokens)
+	if response != nil || err != nil {
+		return response, err
+	}
+	if pending == nil {
+		pending = p.begin(submission)
+	}
+	select {
+	case <-pending.done:
+	case <-ctx.Done():
+		return nil, outcome.Wrap(ctx.Err(), outcome.Indeterminate, outcome.ReasonDeadline, "job was not accepted in time")
+	}
+	if pending.err != nil {
+		return nil, pending.err
+	}
+	return &batchpb.SubmitResponse{Accepted: true}, nil
+}
+
+// admit decides on a submission. Without a response and an error the job is to be appended, and its tokens are reserved;
+// pending is set where that is already under way.
+func (p *partition) admit(submission *batchpb.Submission, maxTokens int64) (pending *pendingSubmission, response *batchpb.SubmitResponse, err error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.state.jobs[submission.JobId] != nil {
+		return nil, &batchpb.SubmitResponse{Accepted: true}, nil
+	}
+	if pending := p.submitting[submission.JobId]; pending != nil {
+		return pending, nil, nil
+	}
+	if p.quiesced {
+		return nil, nil, errNotOwner()
+	}
+	if p.state.bytes > p.service.options.MaxBytes {
+		return nil, nil, outcome.New(outcome.NotRun, outcome.ReasonStorageFull, "too much is kept").After(retryAfterFull)
+	}
+	tokens := tokensOf(submission)
+	waiting := p.state.waitingTokens[submission.Route] + p.reserved[submission.Route]
+	if maxTokens > 0 && waiting+tokens > maxTokens {
+		p.logger.Info().Str(logging.FieldJob, submission.JobId).Int64("waiting_tokens", waiting).Int64("tokens", tokens).
+			Int64("allowed", maxTokens).Msg("job_over_quota")
+		return nil, &batchpb.SubmitResponse{OverQuota: true}, nil
+	}
+	p.reserved[submission.Route] += tokens
+	p.submitting[submission.JobId] = &pendingSubmission{done: make(chan struct{})}
+	return nil, nil, nil
+}
+
+// begin starts the append of an admitted submission. It goes on where the caller no longer waits.
+func (p *partition) begin(submission *batchpb.Submission) *pendingSubmission {
+	p.mutex.RLock()
+	pending := p.submitting[submission.JobId]
+	p.mutex.RUnlock()
+	p.running.Go(func() {
+		err := p.propose(p.ctx, acceptanceRecords(submission, p.now().UnixMilli())...)
+		p.mutex.Lock()
+		p.reserved[submission.Route] -= tokensOf(submission)
+		delete(p.submitting, submission.JobId)
+		p.mutex.Unlock()
+		p.logger.Info().Str(logging.FieldJob, submission.JobId).Int("items", len(submission.Items)).Err(err).Msg("job_accepted")
+		pending.err = err
+		close(pending.done)
+	})
+	return pending
+}
+
+func tokensOf(submission *batchpb.Submission) int64 {
+	var tokens int64
+	for _, each := range submission.Items {
+		tokens += each.Tokens
+	}
+	return tokens
+}
+
+// acceptanceRecords returns the records that make a job exist: one, or for a large job its parts and then one.
+func acceptanceRecords(submission *batchpb.Submission, acceptedAt int64) []ledger.Record {
+	if proto.Size(submission) <= chunkBytes {
+		return []ledger.Record{recordOf(ledger.KindBatchAccepted, &batchpb.Accepted{Submission: submission, AcceptedAt: acceptedAt})}
+	}
+	encoded, err := proto.Marshal(submission)
+	if err != nil {
+		panic("encode submission: " + err.Error())
+	}
+	upload := ulid.Make().String()
+	var records []ledger.Record
+	for len(encoded) > 0 {
+		part := encoded[:min(chunkBytes, len(encoded))]
+		encoded = encoded[len(part):]
+		records = append(records, recordOf(ledger.KindBatchChunk, &batchpb.Chunk{UploadId: upload, Data: part}))
+	}
+	return append(records, recordOf(ledger.KindBatchAccepted, &batchpb.Accepted{UploadId: upload, AcceptedAt: acceptedAt}))
+}
+
+// read returns the results behind a position. An answer without results, or that the job is not known, is given only after
+// ownership was proved, since a former owner may lack what its successor has.
+func (p *partition) read(ctx context.Context, request *batchpb.ReadRequest) (*batchpb.ReadResponse, error) {
+	asked := p.elapsed()
+	response, changed := p.results(request)
+	if len(response.Results) > 0 {
+		return response, nil
+	}
+	if changed != nil && request.WaitMicros > 0 {
+		timer := time.NewTimer(time.Duration(request.WaitMicros) * time.Microsecond)
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-p.ctx.Done():
+		case <-ctx.Done():
+		}
+		if response, _ = p.results(request); len(response.Results) > 0 {
+			return response, nil
+		}
+	}
+	if err := p.confirm(ctx, asked); err != nil {
+		return nil, err
+	}
+	response, _ = p.results(request)
+	return response, nil
+}
+
+// results returns what is listed; changed is set where more may come.
+func (p *partition) results(request *batchpb.ReadRequest) (response *batchpb.ReadResponse, changed <-chan struct{}) {
+	limit := int(request.MaxBytes)
+	if limit <= 0 {
+		limit = defaultReadBytes
+	}
+	p.mutex.RLock()
+	defer p.mutex.RUnlock()
+	found := p.state.jobs[request.JobId]
+	if found == nil {
+		return &batchpb.ReadResponse{}, nil
+	}
+	response = &batchpb.ReadResponse{Found: true, Total: uint32(len(found.items))}
+	bytes := 0
+	for position := int(request.Since); position < len(found.listed) && (bytes < limit || len(response.Results) == 0); position++ {
+		number := found.listed[position]
+		listed := &found.items[number]
+		bytes += len(listed.text)
+		if bytes > limit && len(response.Results) > 0 {
+			break
+		}
+		response.Results = append(response.Results, &batchpb.ListedResult{
+			ItemId: found.submission.Items[number].Id, State: listed.state, Text: listed.text,
+		})
+	}
+	if found.open() {
+		changed = found.changed
+	}
+	return response, changed
+}
+
+// body returns the body of an item that is not listed.
+func (p *partition) body(ctx context.Context, request *batchpb.BodyRequest) (*batchpb.BodyResponse, error) {
+	asked := p.elapsed()
+	if response := p.findBody(request); response.Found {
+		return response, nil
+	}
+	if err := p.confirm(ctx, asked); err != nil {
+		return nil, err
+	}
+	return p.findBody(request), nil
+}
+
+func (p *partition) findBody(request *batchpb.BodyRequest) *batchpb.BodyResponse {
+	p.mutex.RLock()
+	defer p.mutex.RUnlock()
+	found := p.state.jobs[request.JobId]
+	if found == nil {
+		return &batchpb.BodyResponse{}
+	}
+	number, known := found.byID[request.ItemId]
+	if !known || found.items[number].listed {
+		return &batchpb.BodyResponse{}
+	}
+	return &batchpb.BodyResponse{Found: true, Body: found.submission.Items[number].Body}
+}
+
+// end ends a job; its running items are cut off.
+func (p *partition) end(ctx context.Context, request *batchpb.EndRequest) (*batchpb.EndResponse, error) {
+	p.mutex.RLock()
+	found := p.state.jobs[request.JobId]
+	ended := found != nil && found.ended
+	p.mutex.RUnlock()
+	if found == nil {
+		err := p.confirm(ctx, p.elapsed())
+		return &batchpb.EndResponse{}, err
+	}
+	if !ended {
+		if err := p.propose(ctx, recordOf(ledger.KindBatchEnded, &batchpb.Ended{JobId: request.JobId})); err != nil {
+			return nil, err
+		}
+		p.logger.Info().Str(logging.FieldJob, request.JobId).Msg("job_ended")
+		p.cancelRuns(request.JobId)
+	}
+	return &batchpb.EndResponse{Found: true}, nil
+}
--- /dev/null
+++ b/internal/batch/partition.go
@@ -0,0 +1,138 @@
+package batch
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/outcome"
+)
+
+// confirmWindow is how long after the start of a successful append an owner may send items to replicas: an owner that
+// was replaced unaware stops within it.
+const confirmWindow = time.Second
+
+// partition is one owned partition. Its appender goroutine alone changes the state. It is the ledger.StateMachine.
+type partition struct {
+	id      ledger.PartitionID
+	service *Service
+	logger  zerolog.Logger
+	now     func() time.Time
+
+	owned     ledger.Owned
+	proposals chan *proposal
+	ctx       context.Context
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+	born      time.Time
+	// confirmed is when the last successful append began, as a time since born.
+	confirmed atomic.Int64
+	woken     chan struct{}
+
+	// mutex guards the state and the fields below.
+	mutex sync.RWMutex
+	state *state
+	// runs holds what is known of items beyond the log.
+	runs map[itemKey]*itemRun
+	// submitting holds the submissions whose append is under way, reserved their tokens by route.
+	submitting map[string]*pendingSubmission
+	reserved   map[string]int64
+	quiesced   bool
+}
+
+func newPartition(id ledger.PartitionID, service *Service) *partition {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &partition{
+		id: id, service: service, now: time.Now, born: time.Now(), ctx: ctx, cancel: cancel,
+		logger:    service.logger.With().Uint32(logging.FieldPartition, uint32(id)).Logger(),
+		proposals: make(chan *proposal, proposalQueue), woken: make(chan struct{}, 1),
+		state: newState(), runs: map[itemKey]*itemRun{}, submitting: map[string]*pendingSubmission{}, reserved: map[string]int64{},
+	}
+}
+
+// Restore implements ledger.StateMachine.
+func (p *partition) Restore(snapshot []byte) error {
+	restored, err := restoreState(snapshot)
+	if err != nil {
+		return err
+	}
+	p.state = restored
+	return nil
+}
+
+// Apply implements ledger.StateMachine.
+func (p *partition) Apply(position ledger.Position, record ledger.Record) error {
+	return p.state.step(position, record)
+}
+
+// Serve implements ledger.StateMachine.
+func (p *partition) Serve(owned ledger.Owned) {
+	p.owned = owned
+	p.logger.Info().Int("jobs", len(p.state.jobs)).Msg("partition_served")
+	p.running.Go(p.runAppender)
+	p.running.Go(p.runDispatcher)
+	p.running.Go(p.runHousekeeping)
+	p.service.add(p)
+}
+
+// Snapshot implements ledger.StateMachine.
+func (p *partition) Snapshot() (upTo, keepFrom ledger.Position, encoded []byte, err error) {
+	p.mutex.RLock()
+	defer p.mutex.RUnlock()
+	encoded, err = p.state.snapshot()
+	return p.state.upTo, p.state.upTo + 1, encoded, err
+}
+
+// Stop implements ledger.StateMachine.
+func (p *partition) Stop() {
+	p.service.remove(p)
+	p.cancel()
+	p.running.Wait()
+}
+
+// Quiesce implements ledger.Quiescer: nothing new is sent to replicas, and what the running items have made is recorded, so
+// that the next owner goes on from there.
+func (p *partition) Quiesce(ctx context.Context) {
+	p.mutex.Lock()
+	p.quiesced = true
+	p.mutex.Unlock()
+	records := p.stopRuns()
+	if len(records) > 0 {
+		_ = p.propose(ctx, records...)
+	}
+}
+
+// wake has the dispatcher look again, soon.
+func (p *partition) wake() {
+	select {
+	case p.woken <- struct{}{}:
+	default:
+	}
+}
+
+// elapsed is the time since the partition came here, which no step of the time of day changes.
+func (p *partition) elapsed() time.Duration { return time.Since(p.born) }
+
+// confirmedSince says that ownership was proved by an append that began at or after since.
+func (p *partition) confirmedSince(since time.Duration) bool {
+	return p.confirmed.Load() >= int64(since)
+}
+
+// confirm returns once ownership has been proved at or after since. Callers that come together share appends.
+func (p *partition) confirm(ctx context.Context, since time.Duration) error {
+	for !p.confirmedSince(since) {
+		if err := p.propose(ctx, ledger.Record{Kind: ledger.KindNoOperation}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func errNotOwner() *outcome.Error {
+	return outcome.New(outcome.NotRun, outcome.ReasonNotOwner, "partition is owned elsewhere")
+}
--- /dev/null
+++ b/internal/batch/service.go
@@ -0,0 +1,141 @@
+package batch
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/route"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+// Methods between edges and owners.
+const (
+	methodSubmit transport.Method = "batch.submit"
+	methodRead   transport.Method = "batch.read"
+	methodBody   transport.Method = "batch.body"
+	methodEnd    transport.Method = "batch.end"
+)
+
+// Options of a Service.
+type Options struct {
+	Zone string
+	// MaxOccupancy is the share of a replica's slots in use up to which items are sent there.
+	MaxOccupancy float64
+	// MaxBytes bounds the bodies and texts of one partition in memory.
+	MaxBytes int64
+	// KeepResults is how long results stay readable.
+	KeepResults time.Duration
+	// Report is how replicas are asked for their load.
+	Report replica.LoadReport
+}
+
+// Service runs the partitions that this process owns.
+type Service struct {
+	options   Options
+	routes    *route.Holder
+	directory *replica.Directory
+	picker    *balance.Picker
+	client    *replica.Client
+	logger    zerolog.Logger
+
+	mutex sync.RWMutex
+	// partitions and asking are guarded by mutex; asking holds the replicas whose answer is awaited.
+	partitions map[ledger.PartitionID]*partition
+	asking     map[*replica.Handle]bool
+}
+
+// NewService returns a Service and registers its methods.
+func NewService(options Options, routes *route.Holder, directory *replica.Directory, picker *balance.Picker, client *replica.Client, registrar transport.Registrar, logger zerolog.Logger) *Service {
+	service := &Service{
+		options: options, routes: routes, directory: directory, picker: picker, client: client,
+		logger:     logger.With().Str(logging.FieldSlice, "batch").Logger(),
+		partitions: map[ledger.PartitionID]*partition{}, asking: map[*replica.Handle]bool{},
+	}
+	serve(service, registrar, methodSubmit, (*partition).submit)
+	serve(service, registrar, methodRead, (*partition).read)
+	serve(service, registrar, methodBody, (*partition).body)
+	serve(service, registrar, methodEnd, (*partition).end)
+	return service
+}
+
+// Factory makes the state machines of owned partitions.
+func (s *Service) Factory() ledger.Factory {
+	return func(id ledger.PartitionID) ledger.StateMachine { return newPartition(id, s) }
+}
+
+// partitionRequest is a message that goes to the owner of its partition.
+type partitionRequest interface {
+	proto.Message
+	GetPartition() uint32
+}
+
+// message is a pointer to a generated message.
+type message[T any] interface {
+	*T
+	partitionRequest
+}
+
+func serve[Request any, RequestPointer message[Request], Response proto.Message](
+	service *Service, registrar transport.Registrar, method transport.Method,
+	handle func(*partition, context.Context, RequestPointer) (Response, error),
+) {
+	transport.Handle(registrar, method, func() RequestPointer { return new(Request) },
+		func(ctx context.Context, _ netip.AddrPort, request RequestPointer) (Response, error) {
+			owned := service.find(ledger.PartitionID(request.GetPartition()))
+			if owned == nil {
+				var none Response
+				return none, errNotOwner()
+			}
+			return handle(owned, ctx, request)
+		})
+}
+
+func (s *Service) find(id ledger.PartitionID) *partition {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.partitions[id]
+}
+
+func (s *Service) add(owned *partition) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.partitions[owned.id] = owned
+}
+
+func (s *Service) remove(owned *partition) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.partitions[owned.id] == owned {
+		delete(s.partitions, owned.id)
+	}
+}
+
+// ask asks a replica for its load in the background, one question at a time.
+func (s *Service) ask(ctx context.Context, handle *replica.Handle) {
+	s.mutex.Lock()
+	waits := s.asking[handle] || !handle.Usable()
+	if !waits {
+		s.asking[handle] = true
+	}
+	s.mutex.Unlock()
+	if waits {
+		return
+	}
+	go func() {
+		bounded, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		_ = s.client.Ask(bounded, handle, s.options.Report)
+		s.mutex.Lock()
+		delete(s.asking, handle)
+		s.mutex.Unlock()
+	}()
+}
--- /dev/null
+++ b/internal/batch/snapshot.go
@@ -0,0 +1,72 @@
+package batch
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/ledger"
+)
+
+// snapshot encodes the whole state.
+func (s *state) snapshot() ([]byte, error) {
+	encoded := &batchpb.Snapshot{UpTo: uint64(s.upTo)}
+	for _, each := range s.order {
+		encoded.Jobs = append(encoded.Jobs, each.snapshot())
+	}
+	for id, data := range s.uploads {
+		encoded.Uploads = append(encoded.Uploads, &batchpb.Chunk{UploadId: id, Data: data})
+	}
+	return proto.Marshal(encoded)
+}
+
+func (j *job) snapshot() *batchpb.JobSnapshot {
+	encoded := &batchpb.JobSnapshot{Submission: j.submission, AcceptedAt: j.acceptedAt, Ended: j.ended}
+	for _, number := range j.listed {
+		encoded.Results = append(encoded.Results, &batchpb.Result{
+			JobId: j.submission.JobId, Item: uint32(number), State: j.items[number].state, Text: j.items[number].text,
+		})
+	}
+	for number := range j.items {
+		if progress := j.items[number].progress; progress != nil {
+			encoded.Progress = append(encoded.Progress, progress)
+		}
+	}
+	return encoded
+}
+
+// restoreState reads what snapshot wrote; nil is the empty state.
+func restoreState(encoded []byte) (*state, error) {
+	restored := newState()
+	if encoded == nil {
+		return restored, nil
+	}
+	var snapshot batchpb.Snapshot
+	if err := proto.Unmarshal(encoded, &snapshot); err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
+	for _, each := range snapshot.Jobs {
+		restored.restoreJob(each)
+	}
+	for _, chunk := range snapshot.Uploads {
+		if err := restored.takeChunk(chunk); err != nil {
+			return nil, err
+		}
+	}
+	restored.upTo = ledger.Position(snapshot.UpTo)
+	return restored, nil
+}
+
+func (s *state) restoreJob(encoded *batchpb.JobSnapshot) {
+	restored := s.addJob(encoded.Submission, encoded.AcceptedAt)
+	for _, result := range encoded.Results {
+		s.list(restored, int(result.Item), result.State, result.Text)
+	}
+	for _, progress := range encoded.Progress {
+		_ = s.takeProgress(progress)
+	}
+	if encoded.Ended {
+		_ = s.takeEnded(&batchpb.Ended{JobId: encoded.Submission.JobId})
+	}
+}
--- /dev/null
+++ b/internal/batch/state.go
@@ -0,0 +1,210 @@
+package batch
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/ledger"
+)
+
+// job is one accepted job.
+type job struct {
+	submission *batchpb.Submission
+	acceptedAt int64
+	ended      bool
+	items      []item
+	byID       map[string]int
+	// listed holds the numbers of the listed items; an item's position is its index here.
+	listed []int
+	// changed is closed and replaced when something is listed or the job ends.
+	changed chan struct{}
+}
+
+// item is one request of a job.
+type item struct {
+	listed   bool
+	state    batchpb.State
+	text     string
+	progress *batchpb.Progress
+}
+
+func (j *job) complete() bool { return len(j.listed) == len(j.items) }
+
+// open says that items may still be run.
+func (j *job) open() bool { return !j.ended && !j.complete() }
+
+func (j *job) notify() {
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
+
+// state is what the log of one partition says. step is the only way in which it changes.
+type state struct {
+	jobs map[string]*job
+	// order holds the jobs in the order of acceptance.
+	order   []*job
+	uploads map[string][]byte
+	// waitingTokens are the tokens of items that are neither listed nor of an ended job, by route.
+	waitingTokens map[string]int64
+	// bytes is the size of all bodies and texts that are kept.
+	bytes int64
+	upTo  ledger.Position
+}
+
+func newState() *state {
+	return &state{jobs: map[string]*job{}, uploads: map[string][]byte{}, waitingTokens: map[string]int64{}}
+}
+
+// step takes in one record.
+func (s *state) step(position ledger.Position, record ledger.Record) error {
+	s.upTo = position
+	switch record.Kind {
+	case ledger.KindBatchChunk:
+		return apply(record, &batchpb.Chunk{}, s.takeChunk)
+	case ledger.KindBatchAccepted:
+		return apply(record, &batchpb.Accepted{}, s.takeAccepted)
+	case ledger.KindBatchResult:
+		return apply(record, &batchpb.Result{}, s.takeResult)
+	case ledger.KindBatchProgress:
+		return apply(record, &batchpb.Progress{}, s.takeProgress)
+	case ledger.KindBatchEnded:
+		return apply(record, &batchpb.Ended{}, s.takeEnded)
+	case ledger.KindBatchForgotten:
+		return apply(record, &batchpb.Forgotten{}, s.takeForgotten)
+	default:
+		return nil
+	}
+}
+
+func apply[Message proto.Message](record ledger.Record, message Message, take func(Message) error) error {
+	if err := proto.Unmarshal(record.Payload, message); err != nil {
+		return fmt.Errorf("decode record of kind %d: %w", record.Kind, err)
+	}
+	return take(message)
+}
+
+func (s *state) takeChunk(chunk *batchpb.Chunk) error {
+	s.uploads[chunk.UploadId] = append(s.uploads[chunk.UploadId], chunk.Data...)
+	s.bytes += int64(len(chunk.Data))
+	return nil
+}
+
+// takeAccepted makes the job exist; an earlier acceptance of the same job stands.
+func (s *state) takeAccepted(accepted *batchpb.Accepted) error {
+	submission := accepted.Submission
+	if accepted.UploadId != "" {
+		encoded := s.uploads[accepted.UploadId]
+		delete(s.uploads, accepted.UploadId)
+		s.bytes -= int64(len(encoded))
+		submission = &batchpb.Submission{}
+		if err := proto.Unmarshal(encoded, submission); err != nil {
+			return fmt.Errorf("decode uploaded submission: %w", err)
+		}
+	}
+	if s.jobs[submission.JobId] != nil {
+		return nil
+	}
+	s.addJob(submission, accepted.AcceptedAt)
+	return nil
+}
+
+func (s *state) addJob(submission *batchpb.Submission, acceptedAt int64) *job {
+	added := &job{
+		submission: submission, acceptedAt: acceptedAt, items: make([]item, len(submission.Items)),
+		byID: make(map[string]int, len(submission.Items)), changed: make(chan struct{}),
+	}
+	for number, each := range submission.Items {
+		added.byID[each.Id] = number
+		s.bytes += int64(len(each.Body))
+		s.waitingTokens[submission.Route] += each.Tokens
+	}
+	s.jobs[submission.JobId] = added
+	s.order = append(s.order, added)
+	return added
+}
+
+func (s *state) takeResult(result *batchpb.Result) error {
+	found := s.jobs[result.JobId]
+	if found == nil || int(result.Item) >= len(found.items) || found.items[result.Item].listed {
+		return nil
+	}
+	s.list(found, int(result.Item), result.State, result.Text)
+	found.notify()
+	return nil
+}
+
+// list gives an item the job's next position and drops what only an unfinished item needs.
+func (s *state) list(owner *job, number int, listedAs batchpb.State, text string) {
+	listed := &owner.items[number]
+	s.dropProgress(listed)
+	listed.listed, listed.state, listed.text = true, listedAs, text
+	owner.listed = append(owner.listed, number)
+	sent := owner.submission.Items[number]
+	s.bytes += int64(len(text)) - int64(len(sent.Body))
+	sent.Body = nil
+	if !owner.ended {
+		s.waitingTokens[owner.submission.Route] -= sent.Tokens
+	}
+}
+
+func (s *state) dropProgress(of *item) {
+	if of.progress != nil {
+		s.bytes -= int64(len(of.progress.Text))
+		of.progress = nil
+	}
+}
+
+func (s *state) takeProgress(progress *batchpb.Progress) error {
+	found := s.jobs[progress.JobId]
+	if found == nil || int(progress.Item) >= len(found.items) || found.items[progress.Item].listed {
+		return nil
+	}
+	of := &found.items[progress.Item]
+	s.dropProgress(of)
+	of.progress = progress
+	s.bytes += int64(len(progress.Text))
+	return nil
+}
+
+func (s *state) takeEnded(ended *batchpb.Ended) error {
+	found := s.jobs[ended.JobId]
+	if found == nil || found.ended {
+		return nil
+	}
+	found.ended = true
+	for number := range found.items {
+		if found.items[number].listed {
+			continue
+		}
+		s.dropProgress(&found.items[number])
+		sent := found.submission.Items[number]
+		s.waitingTokens[found.submission.Route] -= sent.Tokens
+	}
+	found.notify()
+	return nil
+}
+
+func (s *state) takeForgotten(forgotten *batchpb.Forgotten) error {
+	found := s.jobs[forgotten.JobId]
+	if found == nil {
+		return nil
+	}
+	delete(s.jobs, forgotten.JobId)
+	for index, each := range s.order {
+		if each == found {
+			s.order = append(s.order[:index:index], s.order[index+1:]...)
+			break
+		}
+	}
+	for number := range found.items {
+		s.dropProgress(&found.items[number])
+		s.bytes -= int64(len(found.items[number].text)) + int64(len(found.submission.Items[number].Body))
+		if !found.items[number].listed && !found.ended {
+			s.waitingTokens[found.submission.Route] -= found.submission.Items[number].Tokens
+		}
+	}
+	found.notify()
+	return nil
+}
--- /dev/null
+++ b/internal/eventstream/doc.go
@@ -0,0 +1,2 @@
+// Package eventstream splits a stream of events (text/event-stream) at the ends of events.
+package eventstream
--- a/internal/ledger/fx.go
+++ b/internal/ledger/fx.go
@@ -49,7 +49,8 @@
 	if err := os.MkdirAll(node.DataFolder, 0o750); err != nil {
 		return nil, fmt.Errorf("make the data folder: %w", err)
 	}
-	opened, err := store.Open(node.DataFolder, store.Options{Logger: logger.With().Str(logging.FieldSlice, "ledger").Logger()})
+	options := store.Options{Logger: logger.With().Str(logging.FieldSlice, "ledger").Logger(), DiskBytes: uint64(node.Limits.DiskMegabytes) << 20}
+	opened, err := store.Open(node.DataFolder, options)
 	if errors.Is(err, syscall.EAGAIN) {
 		return nil, fmt.Errorf("data folder %s is in use by another process: %w", node.DataFolder, err)
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -30,6 +30,14 @@
 	KindKeyClaimed
 	KindKeyCompleted
 	KindJobExpired
+	_ // KindNoOperation
+	// Payloads of the following are messages of api/proto/batch.
+	KindBatchChunk
+	KindBatchAccepted
+	KindBatchResult
+	KindBatchProgress
+	KindBatchEnded
+	KindBatchForgotten
 	// KindNoOperation fills a position that recovery must write without a record.
 	KindNoOperation = protocol.KindNoOperation
 )
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -192,7 +192,7 @@
 	view := m.viewer.View()
 	for partition := range PartitionID(fixed.partitions) {
 		control := m.control(partition)
-		preferred, ok := preferredOwner(view, partition)
+		preferred, ok := preferredOwner(view, partition, m.settings.OwnersOnStores)
 		mine := ok && preferred.ID == m.self
 		if mine && !control.trying && !now.Before(control.nextTry) {
 			m.try(partition, control)
@@ -305,7 +305,7 @@
 	if !present {
 		return &ledgerpb.ReleaseResponse{Released: true}, nil
 	}
-	preferred, _ := preferredOwner(m.viewer.View(), partition)
+	preferred, _ := preferredOwner(m.viewer.View(), partition, m.settings.OwnersOnStores)
 	if string(preferred.ID) != request.Successor && !m.leaving.Load() && ownership.servesWell(time.Now()) {
 		return &ledgerpb.ReleaseResponse{}, nil
 	}
--- a/internal/ledger/rendezvous.go
+++ b/internal/ledger/rendezvous.go
@@ -22,10 +22,11 @@
 }
 
 // preferredOwner returns the member that should own partition, among those that are alive and not suspected; ok is false
-// where there is none. A suspected owner is asked before it is replaced, and declines where it serves well.
-func preferredOwner(view *membership.View, partition PartitionID) (preferred membership.Member, ok bool) {
+// where there is none. A suspected owner is asked before it is replaced, and declines where it serves well. With onStores
+// only nodes with a store own partitions.
+func preferredOwner(view *membership.View, partition PartitionID, onStores bool) (preferred membership.Member, ok bool) {
 	for _, member := range view.Members {
-		if member.State != membership.Alive {
+		if member.State != membership.Alive || (onStores && !member.Store) {
 			continue
 		}
 		if !ok || rank(partition, string(member.ID)) > rank(partition, string(preferred.ID)) {
--- a/internal/ledger/store/store.go
+++ b/internal/ledger/store/store.go
@@ -41,7 +41,10 @@
 	// With less than ReserveBytes free owners start nothing new here; with less than
 	// MinimumBytes the store takes no records.
 	ReserveBytes, MinimumBytes uint64
-	Logger                     zerolog.Logger
+	// DiskBytes is the size of a disk that holds nothing else; with it the free bytes are those that the database
+	// leaves, and the two bounds above are parts of it.
+	DiskBytes uint64
+	Logger    zerolog.Logger
 }
 
 // Store is one disk's share of the ledger. It is safe for concurrent use.
@@ -93,8 +96,23 @@
 	answers  []answer
 }
 
+// Parts of a disk of known size, as divisors.
+const (
+	reservePart = 6
+	minimumPart = 16
+)
+
 // Open opens the store below folder, which must exist.
 func Open(folder string, options Options) (*Store, error) {
+	store := &Store{}
+	if options.DiskBytes > 0 {
+		options.ReserveBytes = min(defaultReserveBytes, options.DiskBytes/reservePart)
+		options.MinimumBytes = min(defaultMinimumBytes, options.DiskBytes/minimumPart)
+		options.Free = func() (uint64, error) {
+			used := store.database.Metrics().DiskSpaceUsage()
+			return options.DiskBytes - min(used, options.DiskBytes), nil
+		}
+	}
 	if options.Files == nil {
 		options.Files = vfs.Default
 	}
@@ -110,10 +128,9 @@
 	if options.MinimumBytes == 0 {
 		options.MinimumBytes = min(defaultMinimumBytes, options.ReserveBytes)
 	}
-	store := &Store{
-		options: options, requests: make(chan *request, requestQueue), groups: make(chan *group, groupQueue),
-		folder: folder, staging: map[protocol.PartitionID]*staging{},
-	}
+	store.options, store.folder = options, folder
+	store.requests, store.groups = make(chan *request, requestQueue), make(chan *group, groupQueue)
+	store.staging = map[protocol.PartitionID]*staging{}
 	store.ctx, store.stop = context.WithCancel(context.Background())
 	opened, err := openDisk(folder, options.Files, options.Logger, faults{fatal: store.fail, damaged: store.markDamaged})
 	if err != nil {
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"os"
@@ -15,15 +16,19 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/batch"
 	"github.com/sloelift/sloelift/internal/discovery"
 	"github.com/sloelift/sloelift/internal/edge"
 	"github.com/sloelift/sloelift/internal/forward"
+	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
 	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/transport"
 )
 
 const (
@@ -45,6 +50,17 @@
 	Translator discovery.Translator
 	// KeyValue makes the port to the platform's key-value service.
 	KeyValue func(exchanger *platform.Exchanger, watchWait time.Duration) platform.KeyValue
+	// Report is how replicas are asked for their load.
+	Report replica.LoadReport
+	// Batch makes the HTTP calls about batch jobs.
+	Batch func(door *batch.Door) BatchCalls
+}
+
+// BatchCalls are the HTTP calls about batch jobs.
+type BatchCalls interface {
+	forward.BatchSubmitter
+	// Register adds the calls other than submissions.
+	Register(router *mux.Router)
 }
 
 // RunRole runs an edge or a storage node until ctx ends, and stops it as planned.
@@ -91,16 +107,32 @@
 
 // sharedSlices run in each role.
 var sharedSlices = fx.Options(
-	fx.Provide(newRoleKeyValue, route.NewHolder, replica.NewDirectory, newDiscovery, newReplicaClient),
-	fx.Invoke(serveMetrics),
+	fx.Provide(
+		newRoleKeyValue, route.NewHolder, replica.NewDirectory, newDiscovery, newReplicaClient, newPicker,
+		newRegisteredMachines, func() *ledger.Timing { return &roleLedgerTiming },
+	),
+	transport.Module, membership.Module, ledger.Module,
+	fx.Invoke(serveMetrics, announceStore),
 )
 
+// roleLedgerTiming replaces the ledger's lost members sooner than on large machines: little is kept on a small disk.
+var roleLedgerTiming = func() ledger.Timing {
+	timing := ledger.DefaultTiming()
+	timing.Replace = 2 * time.Second
+	timing.Formation = time.Second
+	timing.MaxBackoff = time.Second
+	return timing
+}()
+
 func roleSlices(role settings.Role) fx.Option {
 	if role == settings.RoleStorage {
-		return fx.Invoke(func(*discovery.Service) {})
+		return fx.Options(
+			fx.Provide(newBatchService, func(service *batch.Service) ledger.Factory { return service.Factory() }),
+			fx.Invoke(func(*discovery.Service) {}),
+		)
 	}
 	return fx.Options(
-		fx.Provide(newPicker, forward.NewMetrics, newForwardHandler, newEdgeServer),
+		fx.Provide(forward.NewMetrics, newBatchCalls, newForwardHandler, newEdgeServer, noFactory),
 		fx.Invoke(func(*edge.Server) {}),
 	)
 }
@@ -120,20 +152,56 @@
 	return replica.NewClient(via, adapter.Headers)
 }
 
+func newRegisteredMachines(lifecycle fx.Lifecycle, own settings.Settings, store platform.KeyValue) platform.MachineList {
+	machines := platform.NewRegisteredMachines(store, platform.Machine{
+		ID: own.Node, Role: platform.RoleNode, Region: own.Region, Zone: own.Zone, Address: own.PeerAddress,
+	})
+	lifecycle.Append(fx.StartStopHook(machines.Start, machines.Stop))
+	return machines
+}
+
+const (
+	// batchOccupancy is the share of a replica's slots up to which items are sent there.
+	batchOccupancy = 0.6
+	// batchMemoryShare is the part of the process's memory that bodies and results of batch jobs may take.
+	batchMemoryShare = 0.3
+	// defaultMemoryMegabytes and defaultKeepResults hold where the settings name none.
+	defaultMemoryMegabytes = 512
+	defaultKeepResults     = 10 * time.Minute
+)
+
+func newBatchService(own settings.Settings, adapter Adapter, routes *route.Holder, directory *replica.Directory, picker *balance.Picker, client *replica.Client, registrar transport.Registrar, logger zerolog.Logger) *batch.Service {
+	memory := cmp.Or(own.Limits.MemoryMegabytes, defaultMemoryMegabytes)
+	return batch.NewService(batch.Options{
+		Zone: own.Zone, MaxOccupancy: batchOccupancy, MaxBytes: int64(float64(memory<<20) * batchMemoryShare),
+		KeepResults: cmp.Or(own.Bounds.Poll, defaultKeepResults), Report: adapter.Report,
+	}, routes, directory, picker, client, registrar, logger)
+}
+
+func newBatchCalls(adapter Adapter, locator ledger.Locator, caller transport.Caller, logger zerolog.Logger) BatchCalls {
+	return adapter.Batch(batch.NewDoor(locator, caller, logger))
+}
+
+// noFactory is the factory of a process that never owns a partition.
+func noFactory() ledger.Factory {
+	return func(ledger.PartitionID) ledger.StateMachine { panic("an edge owns no partition") }
+}
+
 func newPicker(directory *replica.Directory) *balance.Picker {
 	return balance.NewPicker(directory, nil)
 }
 
-func newForwardHandler(own settings.Settings, routes *route.Holder, picker *balance.Picker, client *replica.Client, logger zerolog.Logger, metrics *forward.Metrics) *forward.Handler {
+func newForwardHandler(own settings.Settings, routes *route.Holder, picker *balance.Picker, client *replica.Client, calls BatchCalls, logger zerolog.Logger, metrics *forward.Metrics) *forward.Handler {
 	return forward.NewHandler(forward.Options{
-		Routes: routes, Picker: picker, Client: client, Zone: own.Zone, Logger: logger, Metrics: metrics,
+		Routes: routes, Picker: picker, Client: client, Zone: own.Zone, Batch: calls, Logger: logger, Metrics: metrics,
 	})
 }
 
-func newEdgeServer(lifecycle fx.Lifecycle, own settings.Settings, adapter Adapter, handler *forward.Handler, routes *route.Holder, directory *replica.Directory, _ *discovery.Service, via network.Network, logger zerolog.Logger) *edge.Server {
+func newEdgeServer(lifecycle fx.Lifecycle, own settings.Settings, adapter Adapter, handler *forward.Handler, calls BatchCalls, routes *route.Holder, directory *replica.Directory, _ *discovery.Service, via network.Network, logger zerolog.Logger) *edge.Server {
 	server := edge.NewServer(edge.Options{
 		Handler: handler, Routes: routes, Directory: directory, Logger: logger, Network: via, Grace: own.Bounds.Grace,
 		Addresses: edge.Addresses{Callers: own.CallerAddress, Readiness: own.ReadinessAddress, ReadyPath: adapter.ReadyPath},
+		Calls:     calls.Register,
 	})
 	lifecycle.Append(fx.Hook{OnStart: server.Start, OnStop: func(ctx context.Context) error {
 		server.Stop(ctx)
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -80,6 +79,8 @@
 	Header http.Header
 	// Length is the body's length in bytes; -1 where it is not told.
 	Length int64
+	// Framed says that the body's end is told apart from the end of the connection.
+	Framed bool
 	Body   io.Reader
 
 	finish func(whole bool)
@@ -116,7 +117,7 @@
 		handle.Tell(load, time.Now())
 	}
 	keep := keepFor(response)
-	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: response.Body}
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framed: isFramed(response), Body: response.Body}
 	answer.finish = func(whole bool) {
 		reusable := stopWatching() && whole && keep > 0 && written.done() && used.reader.Buffered() == 0
 		if !reusable {
@@ -257,23 +258,35 @@
 	return Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
 }
 
-// Get makes a small GET on a connection of its own and returns the body, at most limit bytes.
-func (c *Client) Get(ctx context.Context, address netip.AddrPort, target string, limit int64) (int, []byte, error) {
-	raw, err := c.network.Dial(ctx, address)
+// LoadReport is how a replica is asked for its load.
+type LoadReport struct {
+	// Path is the target of the GET; Parse reads the answer's body.
+	Path  string
+	Parse func(body []byte) (Load, error)
+}
+
+// maxReportBytes bounds a load report.
+const maxReportBytes = 256 << 10
+
+// Ask asks a replica for its load and notes it.
+func (c *Client) Ask(ctx context.Context, handle *Handle, report LoadReport) error {
+	answer, err := c.Do(ctx, handle, Call{Method: http.MethodGet, Target: report.Path, Host: handle.Info().Address.String(), Header: http.Header{}})
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxReportBytes))
+	answer.Close(err == nil)
 	if err != nil {
-		return 0, nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		return err
 	}
-	used := newConnection(raw)
-	defer used.close()
-	defer context.AfterFunc(ctx, used.close)()
-	header := http.Header{"Connection": {"close"}}
-	if _, err := send(used, Call{Method: http.MethodGet, Target: target, Host: address.String(), Header: header}); err != nil {
-		return 0, nil, err
+	if answer.Status != http.StatusOK {
+		return fmt.Errorf("load report: status %d", answer.Status)
 	}
-	response, err := http.ReadResponse(used.reader, &http.Request{Method: http.MethodGet})
+	load, err := report.Parse(body)
 	if err != nil {
-		return 0, nil, err
+		return err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit))
-	return response.StatusCode, body, err
+	load.Slots = handle.Info().Slots
+	handle.Tell(load, time.Now())
+	return nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -90,6 +90,8 @@
 	Partitions  int `yaml:"partitions"`
 	Replicas    int `yaml:"replicas"`
 	WriteQuorum int `yaml:"writeQuorum"`
+	// OwnersOnStores has only nodes with a data folder own partitions.
+	OwnersOnStores bool `yaml:"ownersOnStores"`
 }
 
 // Defaults returns Settings with every default filled in.
