Notice changes that a cut watch never told

Change: two scouts hold watches for 1 s only; each node tells the revision of the newest change it knows with its membership record, and a node that is behind lists again.

--- a/cmd/sloelift/role.go
+++ b/cmd/sloelift/role.go
@@ -20,7 +20,7 @@
 func platformAdapter() node.Adapter {
 	return node.Adapter{
 		Headers: platform.Headers, ReadyPath: platform.PathReady, Translator: platform.Translator{},
-		KeyValue: func(exchanger *internalplatform.Exchanger, watchWait time.Duration) internalplatform.KeyValue {
+		KeyValue: func(exchanger *internalplatform.Exchanger, watchWait func() time.Duration) internalplatform.KeyValue {
 			return platform.NewStore(exchanger, watchWait)
 		},
 		Report: platform.LoadReport,
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
@@ -29,17 +30,33 @@
 	translator Translator
 	routes     *route.Holder
 	directory  *replica.Directory
+	viewer     membership.Viewer
+	revisions  *revisions
 	logger     zerolog.Logger
 
-	cancel  context.CancelFunc
-	running sync.WaitGroup
+	cancel      context.CancelFunc
+	unsubscribe func()
+	running     sync.WaitGroup
+}
+
+// Options of a Service.
+type Options struct {
+	Store      platform.KeyValue
+	Translator Translator
+	Routes     *route.Holder
+	Directory  *replica.Directory
+	// Viewer and Reporter let nodes tell each other which changes they know.
+	Viewer   membership.Viewer
+	Reporter RevisionReporter
+	Logger   zerolog.Logger
 }
 
 // New returns a Service; nothing runs before Start.
-func New(store platform.KeyValue, translator Translator, routes *route.Holder, directory *replica.Directory, logger zerolog.Logger) *Service {
+func New(options Options) *Service {
 	return &Service{
-		store: store, translator: translator, routes: routes, directory: directory,
-		logger: logger.With().Str(logging.FieldSlice, "discovery").Logger(),
+		store: options.Store, translator: options.Translator, routes: options.Routes, directory: options.Directory,
+		viewer: options.Viewer, revisions: newRevisions(options.Reporter),
+		logger: options.Logger.With().Str(logging.FieldSlice, "discovery").Logger(),
 	}
 }
 
@@ -47,11 +64,19 @@
 func (s *Service) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
+	s.unsubscribe = s.viewer.Subscribe(s.revisions.compare)
 	s.running.Go(func() {
 		platform.Follow(ctx, s.store, s.translator.ConfigurationKey(), platform.Follower{
-			Replace: s.takeConfiguration,
-			Update:  func(changed []platform.Entry, _ []string) { s.takeConfiguration(changed) },
-			Failed:  func(err error) { s.logger.Warn().Err(err).Msg("configuration_not_followed") },
+			Replace: func(listing platform.Listing) {
+				s.takeConfiguration(listing.Entries)
+				s.revisions.sawConfiguration(listing.Revision)
+			},
+			Update: func(revision int64, changed []platform.Entry, _ []string) {
+				s.takeConfiguration(changed)
+				s.revisions.sawConfiguration(revision)
+			},
+			Failed: func(err error) { s.logger.Warn().Err(err).Msg("configuration_not_followed") },
+			Behind: s.revisions.configuration,
 		})
 	})
 	s.running.Go(func() {
@@ -59,14 +84,17 @@
 			Replace: s.replaceReplicas,
 			Update:  s.updateReplicas,
 			Failed:  func(err error) { s.logger.Warn().Err(err).Msg("replicas_not_followed") },
+			Behind:  s.revisions.replicas,
 		})
 	})
 }
 
 // Stop ends the following.
 func (s *Service) Stop() {
+	s.unsubscribe()
 	s.cancel()
 	s.running.Wait()
+	s.revisions.stop()
 }
 
 func (s *Service) takeConfiguration(entries []platform.Entry) {
@@ -80,31 +108,39 @@
 			continue
 		}
 		if s.routes.Offer(table) {
+			s.revisions.tookChange(entry.ModRevision)
 			s.logger.Info().Int64("version", table.Version).Int64(logging.FieldRevision, entry.ModRevision).
 				Int("routes", len(table.Routes)).Msg("configuration_in_force")
 		}
 	}
 }
 
-func (s *Service) replaceReplicas(entries []platform.Entry) {
-	replicas := s.read(entries)
-	s.directory.Replace(replicas)
-	s.logger.Info().Int("replicas", len(replicas)).Msg("replicas_listed")
+func (s *Service) replaceReplicas(listing platform.Listing) {
+	replicas, changed := s.read(listing.Entries)
+	if gone := s.directory.Replace(replicas); changed || gone > 0 {
+		s.revisions.tookChange(listing.Revision)
+	}
+	s.revisions.sawReplicas(listing.Revision)
+	s.logger.Info().Int("replicas", len(replicas)).Int64(logging.FieldRevision, listing.Revision).Msg("replicas_listed")
 }
 
-func (s *Service) updateReplicas(changed []platform.Entry, deleted []string) {
+func (s *Service) updateReplicas(revision int64, changed []platform.Entry, deleted []string) {
 	removed := make([]string, 0, len(deleted))
 	for _, key := range deleted {
 		removed = append(removed, s.translator.ReplicaID(key))
 		s.logger.Info().Str(logging.FieldReplica, s.translator.ReplicaID(key)).Msg("replica_gone")
 	}
 	if len(changed)+len(removed) > 0 {
-		s.directory.Update(s.read(changed), removed)
+		replicas, _ := s.read(changed)
+		s.directory.Update(replicas, removed)
+		s.revisions.tookChange(revision)
 	}
+	s.revisions.sawReplicas(revision)
 }
 
-func (s *Service) read(entries []platform.Entry) []replica.Info {
-	replicas := make([]replica.Info, 0, len(entries))
+// read translates entries; news says that one of them tells what was not known.
+func (s *Service) read(entries []platform.Entry) (replicas []replica.Info, news bool) {
+	replicas = make([]replica.Info, 0, len(entries))
 	for _, entry := range entries {
 		info, err := s.translator.Replica(entry.Key, entry.Value)
 		if err != nil {
@@ -112,10 +148,11 @@
 			continue
 		}
 		if known := s.directory.View().Find(info.ID); known == nil || known.Info().Draining != info.Draining {
+			news = true
 			s.logger.Info().Str(logging.FieldReplica, info.ID).Str("service", info.Service).Stringer("address", info.Address).
 				Str("replica_zone", info.Zone).Bool("draining", info.Draining).Msg("replica_changed")
 		}
 		replicas = append(replicas, info)
 	}
-	return replicas
+	return replicas, news
 }
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -36,8 +37,7 @@
 	memoryShare = 0.75
 	// collectAt is the growth of the heap, in percent, after which garbage is collected.
 	collectAt = 60
-	// watchWait is how long the key-value service is asked to hold a watch; storeAnswerTimeout is added for its answer.
-	watchWait          = 20 * time.Second
+	// storeAnswerTimeout is the time for an answer of the key-value service, beyond that for which a watch is held.
 	storeAnswerTimeout = 4 * time.Second
 	// MetricsPath is where a process tells its figures.
 	MetricsPath = "/metrics"
@@ -49,7 +49,7 @@
 	ReadyPath  string
 	Translator discovery.Translator
 	// KeyValue makes the port to the platform's key-value service.
-	KeyValue func(exchanger *platform.Exchanger, watchWait time.Duration) platform.KeyValue
+	KeyValue func(exchanger *platform.Exchanger, watchWait func() time.Duration) platform.KeyValue
 	// Report is how replicas are asked for their load.
 	Report replica.LoadReport
 	// Batch makes the HTTP calls about batch jobs.
@@ -108,7 +108,7 @@
 // sharedSlices run in each role.
 var sharedSlices = fx.Options(
 	fx.Provide(
-		newRoleKeyValue, route.NewHolder, replica.NewDirectory, newDiscovery, newReplicaClient, newPicker,
+		func() *watchPace { return &watchPace{} }, newRoleKeyValue, route.NewHolder, replica.NewDirectory, newDiscovery, newReplicaClient, newPicker,
 		newRegisteredMachines, func() *ledger.Timing { return &roleLedgerTiming },
 	),
 	transport.Module, membership.Module, ledger.Module,
@@ -137,13 +137,30 @@
 	)
 }
 
-func newRoleKeyValue(own settings.Settings, adapter Adapter, via network.Network) platform.KeyValue {
-	exchanger := platform.NewExchanger(via, own.Platform.MetadataStore, watchWait+storeAnswerTimeout)
-	return adapter.KeyValue(exchanger, watchWait)
+// watchPace says how long watches are held. It is set once the membership is there, which itself needs the key-value service.
+type watchPace struct {
+	viewer atomic.Pointer[membership.Viewer]
 }
 
-func newDiscovery(lifecycle fx.Lifecycle, store platform.KeyValue, adapter Adapter, routes *route.Holder, directory *replica.Directory, logger zerolog.Logger) *discovery.Service {
-	service := discovery.New(store, adapter.Translator, routes, directory, logger)
+func (w *watchPace) wait() time.Duration {
+	viewer := w.viewer.Load()
+	if viewer == nil {
+		return discovery.LongestWait
+	}
+	return discovery.WatchWait((*viewer).View())
+}
+
+func newRoleKeyValue(own settings.Settings, adapter Adapter, via network.Network, pace *watchPace) platform.KeyValue {
+	exchanger := platform.NewExchanger(via, own.Platform.MetadataStore, discovery.LongestWait+storeAnswerTimeout)
+	return adapter.KeyValue(exchanger, pace.wait)
+}
+
+func newDiscovery(lifecycle fx.Lifecycle, store platform.KeyValue, adapter Adapter, routes *route.Holder, directory *replica.Directory, members *membership.Service, pace *watchPace, logger zerolog.Logger) *discovery.Service {
+	viewer := membership.Viewer(members)
+	pace.viewer.Store(&viewer)
+	service := discovery.New(discovery.Options{
+		Store: store, Translator: adapter.Translator, Routes: routes, Directory: directory, Viewer: members, Reporter: members, Logger: logger,
+	})
 	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
 	return service
 }
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -16,15 +16,17 @@
 // Follower takes in the content below a prefix.
 type Follower struct {
 	// Replace is given the whole content, at first and after changes were missed.
-	Replace func(entries []Entry)
-	// Update is given the changes of one revision.
-	Update func(changed []Entry, deleted []string)
+	Replace func(listing Listing)
+	// Update is given the changes of one revision; both lists are empty where only the revision has moved on.
+	Update func(revision int64, changed []Entry, deleted []string)
 	// Failed is told of each error; the Follower goes on by itself.
 	Failed func(err error)
+	// Behind says, where it is set, that changes were missed: the prefix is listed again.
+	Behind <-chan struct{}
 }
 
 // Follow keeps a Follower informed of what lies below prefix until ctx ends: one listing, then watches from where
-// the last one ended. Only where the service has dropped its history is the prefix listed again.
+// the last one ended. Only where the service has dropped its history, or Behind says so, is the prefix listed again.
 func Follow(ctx context.Context, store KeyValue, prefix string, follower Follower) {
 	waits := NewBackoffUpTo(followLongestWait)
 	revision := int64(0)
@@ -56,23 +58,33 @@
 	if err != nil {
 		return 0, err
 	}
-	follower.Replace(listing.Entries)
+	follower.Replace(listing)
 	return listing.Revision, nil
 }
 
-// watchInto delivers changes behind revision until the watch ends, and returns the revision up to which all are delivered.
+// watchInto delivers changes behind revision until the watch ends, and returns the revision up to which all are delivered;
+// 0 asks for a listing.
 func watchInto(ctx context.Context, store KeyValue, prefix string, revision int64, follower Follower, waits *Backoff) (int64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	events, err := store.Watch(ctx, prefix, revision+1)
 	if err != nil {
 		return revision, err
 	}
-	for event := range events {
-		if event.Err != nil {
-			return revision, event.Err
+	for {
+		select {
+		case event, open := <-events:
+			if !open {
+				return revision, ctx.Err()
+			}
+			if event.Err != nil {
+				return revision, event.Err
+			}
+			waits.Reset()
+			follower.Update(event.Revision, event.Changed, event.Deleted)
+			revision = max(revision, event.Revision)
+		case <-follower.Behind:
+			return 0, nil
 		}
-		waits.Reset()
-		follower.Update(event.Changed, event.Deleted)
-		revision = max(revision, event.Revision)
 	}
-	return revision, ctx.Err()
 }
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -63,17 +63,23 @@
 // Subscribe calls notify after each change until remove is called.
 func (d *Directory) Subscribe(notify func(*View)) (remove func()) { return d.subscribers.Add(notify) }
 
-// Replace makes replicas the whole content of the directory.
-func (d *Directory) Replace(replicas []Info) {
+// Replace makes replicas the whole content of the directory and returns how many are gone.
+func (d *Directory) Replace(replicas []Info) (gone int) {
 	d.mutex.Lock()
 	next := make(map[string]*Handle, len(replicas))
 	for _, info := range replicas {
 		next[info.ID] = d.handleFor(info)
 	}
+	for id := range d.View().byID {
+		if next[id] == nil {
+			gone++
+		}
+	}
 	d.publish(next)
 	d.loaded.Store(true)
 	d.mutex.Unlock()
 	d.subscribers.Notify(d.View())
+	return gone
 }
 
 // Update takes in changed replicas and drops the removed ones.
