--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -23,6 +23,8 @@
 	Excluded []*replica.Handle
 	// MaxOccupancy, where it is above 0, is the largest share of a replica's slots in use that is allowed.
 	MaxOccupancy float64
+	// ZoneWeight scales what another zone costs; zero stands for 1.
+	ZoneWeight float64
 }
 
 // Filter drops replicas that cannot take a request.
--- a/internal/balance/scorers.go
+++ b/internal/balance/scorers.go
@@ -37,7 +37,11 @@
 	if handle.Info().Zone == request.Zone {
 		return 0
 	}
-	return -min(maxRemotePenalty, remoteZonePenalty+remoteByteWeight*float64(request.BodyBytes))
+	penalty := min(maxRemotePenalty, remoteZonePenalty+remoteByteWeight*float64(request.BodyBytes))
+	if request.ZoneWeight > 0 {
+		penalty *= request.ZoneWeight
+	}
+	return -penalty
 }
 
 // partScore prefers, by rendezvous hashing, the same few replicas for requests that share prompt parts, the more so the more
--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -16,10 +16,14 @@
 	dispatchInterval = 40 * time.Millisecond
 	idleInterval     = time.Second
 	// askInterval is how often replicas are asked for their load while items wait; askTimeout bounds one answer.
-	askInterval = 200 * time.Millisecond
+	askInterval = 300 * time.Millisecond
 	askTimeout  = 500 * time.Millisecond
 	// maxCandidates bounds the items that are looked at in one go.
 	maxCandidates = 64
+	// maxOccupancy is the share of a replica's slots in use up to which items are sent there.
+	maxOccupancy = 0.9
+	// itemZoneWeight makes a replica of another zone cost less than for an online request: an item runs for long.
+	itemZoneWeight = 0.5
 	// routeGoneAfter is how long an item's route is missing before the item is given up.
 	routeGoneAfter = 5 * time.Second
 )
@@ -34,6 +38,11 @@
 type itemRun struct {
 	running bool
 	stop    context.CancelFunc
+	// handle is where the item runs, began since when.
+	handle *replica.Handle
+	began  time.Duration
+	// yielded says that the run was cut off for online requests.
+	yielded bool
 	// text and lastEvent are what the item has made; a further run goes on behind lastEvent.
 	text      []byte
 	lastEvent string
@@ -160,12 +169,19 @@
 // pick chooses a replica with room for an item.
 func (p *partition) pick(matched *route.Route) *replica.Handle {
 	now := time.Now()
-	wanted := balance.Request{Service: matched.PickService(), Zone: p.service.options.Zone, MaxOccupancy: p.service.options.MaxOccupancy}
-	if handle := p.service.picker.Pick(&wanted, now); handle != nil {
-		return handle
+	wanted := balance.Request{
+		Service: matched.PickService(), Zone: p.service.options.Zone, MaxOccupancy: maxOccupancy, ZoneWeight: itemZoneWeight,
+	}
+	if p.service.hasRoom(wanted.Service, now) {
+		if handle := p.service.picker.Pick(&wanted, now); handle != nil {
+			return handle
+		}
 	}
 	for _, backend := range matched.Backends {
 		wanted.Service = backend.Service
+		if !p.service.hasRoom(wanted.Service, now) {
+			continue
+		}
 		if handle := p.service.picker.Pick(&wanted, now); handle != nil {
 			return handle
 		}
@@ -216,7 +232,7 @@
 		return
 	}
 	ctx, stop := context.WithCancel(p.ctx)
-	run.running, run.stop, run.routeGone = true, stop, 0
+	run.running, run.stop, run.routeGone, run.handle, run.began, run.yielded = true, stop, 0, handle, p.elapsed(), false
 	attempt := &itemAttempt{
 		partition: p, key: each.key, sent: each.submission.Items[each.key.number], host: each.submission.Host,
 		route: matched, handle: handle, text: run.text, lastEvent: run.lastEvent,
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -84,7 +84,7 @@
 		answer.Close(errors.Is(err, io.EOF))
 		return a.judge(answer, client.Headers())
 	}
-	verdict := a.readStream(answer, silence)
+	verdict := a.readStream(ctx, answer, silence)
 	answer.Close(verdict == itemDone)
 	return verdict
 }
@@ -131,7 +131,7 @@
 
 // readStream collects the events' data. Only an answer that tells its own end can be whole: after any other the item is
 // sent once more behind its last event.
-func (a *itemAttempt) readStream(answer *replica.Answer, silence *time.Timer) itemVerdict {
+func (a *itemAttempt) readStream(ctx context.Context, answer *replica.Answer, silence *time.Timer) itemVerdict {
 	reader := eventstream.NewReader(answer.Body)
 	for {
 		events, err := reader.Next()
@@ -148,7 +148,7 @@
 			return itemDone
 		}
 		if err != nil {
-			a.err = err
+			a.err = errors.Join(err, context.Cause(ctx))
 			a.noteFailure()
 			return itemCut
 		}
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -28,8 +28,6 @@
 // Options of a Service.
 type Options struct {
 	Zone string
-	// MaxOccupancy is the share of a replica's slots in use up to which items are sent there.
-	MaxOccupancy float64
 	// MaxBytes bounds the bodies and texts of one partition in memory.
 	MaxBytes int64
 	// KeepResults is how long results stay readable.
@@ -51,6 +49,7 @@
 	// partitions and asking are guarded by mutex; asking holds the replicas whose answer is awaited.
 	partitions map[ledger.PartitionID]*partition
 	asking     map[*replica.Handle]bool
+	online     *onlineLoads
 }
 
 // NewService returns a Service and registers its methods.
@@ -58,8 +57,9 @@
 	service := &Service{
 		options: options, routes: routes, directory: directory, picker: picker, client: client,
 		logger:     logger.With().Str(logging.FieldSlice, "batch").Logger(),
-		partitions: map[ledger.PartitionID]*partition{}, asking: map[*replica.Handle]bool{},
+		partitions: map[ledger.PartitionID]*partition{}, asking: map[*replica.Handle]bool{}, online: newOnlineLoads(),
 	}
+	service.takeOnlineLoads(registrar)
 	serve(service, registrar, methodSubmit, (*partition).submit)
 	serve(service, registrar, methodRead, (*partition).read)
 	serve(service, registrar, methodBody, (*partition).body)
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -133,6 +133,7 @@
 	}
 	return fx.Options(
 		fx.Provide(forward.NewMetrics, newBatchCalls, newForwardHandler, newEdgeServer, noFactory),
+		fx.Invoke(tellOnlineLoad),
 		fx.Invoke(func(*edge.Server) {}),
 	)
 }
@@ -178,8 +179,6 @@
 }
 
 const (
-	// batchOccupancy is the share of a replica's slots up to which items are sent there.
-	batchOccupancy = 0.6
 	// batchMemoryShare is the part of the process's memory that bodies and results of batch jobs may take.
 	batchMemoryShare = 0.3
 	// defaultMemoryMegabytes and defaultKeepResults hold where the settings name none.
@@ -190,7 +189,7 @@
 func newBatchService(own settings.Settings, adapter Adapter, routes *route.Holder, directory *replica.Directory, picker *balance.Picker, client *replica.Client, registrar transport.Registrar, logger zerolog.Logger) *batch.Service {
 	memory := cmp.Or(own.Limits.MemoryMegabytes, defaultMemoryMegabytes)
 	return batch.NewService(batch.Options{
-		Zone: own.Zone, MaxOccupancy: batchOccupancy, MaxBytes: int64(float64(memory<<20) * batchMemoryShare),
+		Zone: own.Zone, MaxBytes: int64(float64(memory<<20) * batchMemoryShare),
 		KeepResults: cmp.Or(own.Bounds.Poll, defaultKeepResults), Report: adapter.Report,
 	}, routes, directory, picker, client, registrar, logger)
 }
@@ -199,6 +198,12 @@
 	return adapter.Batch(batch.NewDoor(locator, caller, logger))
 }
 
+// tellOnlineLoad tells the owners of partitions how much online requests use.
+func tellOnlineLoad(lifecycle fx.Lifecycle, directory *replica.Directory, members *membership.Service, caller transport.Caller) {
+	teller := batch.NewLoadTeller(directory, members, caller)
+	lifecycle.Append(fx.StartStopHook(teller.Start, teller.Stop))
+}
+
 // noFactory is the factory of a process that never owns a partition.
 func noFactory() ledger.Factory {
 	return func(ledger.PartitionID) ledger.StateMachine { panic("an edge owns no partition") }
