Take over from an owner that its stores no longer hear; begin and keep items by two bounds

Change: a store's node tries to own a partition of whose owner the store has heard nothing for 1.2 s; an owner without a write quorum no longer calls itself the owner. Cause 2: items were cut off and begun in turns around one bound. Change: begin below 0.92 of the slots less 1.15 x the recent peak of online requests, cut off above 0.97 less 1.05 x the present ones.

--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -18,6 +18,8 @@
 	// askInterval is how often replicas are asked for their load while items wait; askTimeout bounds one answer.
 	askInterval = 300 * time.Millisecond
 	askTimeout  = 500 * time.Millisecond
+	// reportInterval is how often the state of a partition with work is logged.
+	reportInterval = time.Second
 	// maxCandidates bounds the items that are looked at in one go.
 	maxCandidates = 64
 	// maxOccupancy is the share of a replica's slots in use up to which items are sent there.
@@ -65,9 +67,13 @@
 func (p *partition) runDispatcher() {
 	timer := time.NewTimer(dispatchInterval)
 	defer timer.Stop()
-	var asked time.Duration
+	var asked, reported time.Duration
 	for {
 		waiting := p.dispatch()
+		if now := p.elapsed(); now-reported >= reportInterval {
+			reported = now
+			p.report()
+		}
 		pause := idleInterval
 		if waiting {
 			pause = dispatchInterval
@@ -294,3 +300,28 @@
 		}
 	}
 }
+
+// report logs what runs and what waits, by service.
+func (p *partition) report() {
+	p.mutex.RLock()
+	waiting, running := 0, map[string]int{}
+	for _, each := range p.state.order {
+		if each.open() {
+			waiting += len(each.items) - len(each.listed)
+		}
+	}
+	for _, run := range p.runs {
+		if run.running && run.handle != nil {
+			running[run.handle.Info().Service]++
+			waiting--
+		}
+	}
+	p.mutex.RUnlock()
+	now := time.Now()
+	for service, count := range running {
+		begin, keep, _ := p.service.room(service, now)
+		online, _ := p.service.online.total(service, now)
+		p.logger.Info().Str("service", service).Int("waiting", waiting).Int("running", count).Int("begin", begin).Int("keep", keep).
+			Int("online", online).Int64("yielded", p.yields.Load()).Msg("batch_state")
+	}
+}
--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -18,14 +18,26 @@
 	loadStale = 3 * time.Second
 	// onlineGrowth is how much more online requests may soon use than they do, and freeShare the part of all slots that
 	// is left free beside that.
-	onlineGrowth = 1.2
-	freeShare    = 0.1
+	onlineGrowth = 1.15
+	freeShare    = 0.08
+	// keptGrowth and keptFreeShare are the same for items that run already.
+	keptGrowth    = 1.05
+	keptFreeShare = 0.03
+	// recentSpan is how long a higher number of online requests counts for the begin of items.
+	recentSpan = 600 * time.Millisecond
 )
 
 // onlineLoads holds what edges told of their online requests. It is safe for concurrent use.
 type onlineLoads struct {
 	mutex  sync.Mutex
 	byEdge map[netip.AddrPort]edgeLoad
+	// peaks holds, by service, the highest total of the latest times.
+	peaks map[string]peak
+}
+
+type peak struct {
+	total int
+	at    time.Time
 }
 
 type edgeLoad struct {
@@ -33,7 +45,9 @@
 	inUse map[string]int
 }
 
-func newOnlineLoads() *onlineLoads { return &onlineLoads{byEdge: map[netip.AddrPort]edgeLoad{}} }
+func newOnlineLoads() *onlineLoads {
+	return &onlineLoads{byEdge: map[netip.AddrPort]edgeLoad{}, peaks: map[string]peak{}}
+}
 
 func (l *onlineLoads) take(edge netip.AddrPort, told *batchpb.OnlineLoad, now time.Time) {
 	load := edgeLoad{at: now, inUse: make(map[string]int, len(told.Services))}
@@ -45,19 +59,23 @@
 	l.byEdge[edge] = load
 }
 
-// total returns the online requests at the replicas of service.
-func (l *onlineLoads) total(service string, now time.Time) int {
+// total returns the online requests at the replicas of service, and the most of the last recentSpan.
+func (l *onlineLoads) total(service string, now time.Time) (present, recent int) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	total := 0
 	for edge, load := range l.byEdge {
 		if now.Sub(load.at) > loadStale {
 			delete(l.byEdge, edge)
 			continue
 		}
-		total += load.inUse[service]
+		present += load.inUse[service]
+	}
+	highest := l.peaks[service]
+	if present >= highest.total || now.Sub(highest.at) > recentSpan {
+		highest = peak{total: present, at: now}
+		l.peaks[service] = highest
 	}
-	return total
+	return present, highest.total
 }
 
 // takeOnlineLoads registers the method by which edges tell their load.
@@ -70,8 +88,9 @@
 		})
 }
 
-// room returns how many items may run at the replicas of service beside the online requests, and how many do.
-func (s *Service) room(service string, now time.Time) (allowed, running int) {
+// room returns how many items may run at the replicas of service beside the online requests: up to begin, further ones are
+// begun; beyond keep, running ones are cut off. The gap between the two keeps items from being cut off and begun in turns.
+func (s *Service) room(service string, now time.Time) (begin, keep, running int) {
 	slots := 0
 	for _, handle := range s.directory.View().Of(service) {
 		running += handle.InUse()
@@ -79,13 +98,15 @@
 			slots += handle.Info().Slots
 		}
 	}
-	online := float64(s.online.total(service, now))
-	return max(0, int(float64(slots)*(1-freeShare)-online*onlineGrowth)), running
+	present, recent := s.online.total(service, now)
+	begin = max(0, int(float64(slots)*(1-freeShare)-float64(recent)*onlineGrowth))
+	keep = max(0, int(float64(slots)*(1-keptFreeShare)-float64(present)*keptGrowth))
+	return begin, max(begin, keep), running
 }
 
 func (s *Service) hasRoom(service string, now time.Time) bool {
-	allowed, running := s.room(service, now)
-	return running < allowed
+	begin, _, running := s.room(service, now)
+	return running < begin
 }
 
 // yield cuts off items, the latest begun first, where online requests need their room.
@@ -112,8 +133,8 @@
 		}
 		service := run.handle.Info().Service
 		if _, known := excess[service]; !known {
-			allowed, running := p.service.room(service, now)
-			excess[service] = running - allowed
+			_, keep, running := p.service.room(service, now)
+			excess[service] = running - keep
 		}
 	}
 	for service, count := range excess {
@@ -123,6 +144,7 @@
 				break
 			}
 			latest.yielded = true
+			p.yields.Add(1)
 			latest.stop()
 		}
 	}
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -33,6 +33,8 @@
 	// confirmed is when the last successful append began, as a time since born.
 	confirmed atomic.Int64
 	woken     chan struct{}
+	// yields counts the runs that were cut off for online requests.
+	yields atomic.Int64
 
 	// mutex guards the state and the fields below.
 	mutex sync.RWMutex
--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -32,7 +32,7 @@
 
 // attempt asks the present owner to let go, takes a ballot above all promised ones and serves under it
 // until it is lost.
-func (m *Manager) attempt(partition PartitionID, ensemble protocol.Ensemble, number uint64) attemptResult {
+func (m *Manager) attempt(partition PartitionID, ensemble protocol.Ensemble, number uint64, overdue bool) attemptResult {
 	survey := m.survey(ensemble)
 	number = max(number, survey.number)
 	if survey.ensemble.Version > ensemble.Version {
@@ -41,7 +41,7 @@
 	if survey.answers < ensemble.ReadQuorum() {
 		return attemptResult{number: number, lost: protocol.Lost{Cause: protocol.LossTimeout}}
 	}
-	if !m.askRelease(partition, survey.promised) {
+	if !m.askRelease(partition, survey.promised, overdue) {
 		return attemptResult{number: number, lost: protocol.Lost{Cause: protocol.LossDeclined}}
 	}
 	if m.ctx.Err() != nil {
@@ -111,7 +111,7 @@
 
 // askRelease asks the owner of the highest promised ballot to finish its appends and let go. It returns false where
 // the owner declines; without an answer the attempt goes on all the same.
-func (m *Manager) askRelease(partition PartitionID, promised protocol.Ballot) bool {
+func (m *Manager) askRelease(partition PartitionID, promised protocol.Ballot, overdue bool) bool {
 	node := ownerNode(promised.Owner)
 	if promised.Owner == "" || node == m.self {
 		return true
@@ -122,7 +122,7 @@
 		return time.Since(m.started) >= m.timing.Formation
 	}
 	wait := m.timing.Release
-	if member.State == membership.Dead || member.State == membership.Suspect {
+	if overdue || member.State == membership.Dead || member.State == membership.Suspect {
 		// It is asked all the same: a node that was paused or cut off holds all others dead for a while.
 		wait = m.timing.SuspectRelease
 	}
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -81,6 +81,9 @@
 	backoff   time.Duration
 	nextTry   time.Time
 	changing  bool
+	// overdue says that the owner has been silent for too long; declined is when an owner last declined to let go.
+	overdue  bool
+	declined time.Time
 	// unwell is since when a member of the ensemble has been seen as gone.
 	unwell map[protocol.StoreID]time.Time
 }
@@ -194,7 +197,8 @@
 		control := m.control(partition)
 		preferred, ok := preferredOwner(view, partition, m.settings.OwnersOnStores)
 		mine := ok && preferred.ID == m.self
-		if mine && !control.trying && !now.Before(control.nextTry) {
+		control.overdue = !mine && m.ownerSilent(partition, control, now)
+		if (mine || control.overdue) && !control.trying && !now.Before(control.nextTry) {
 			m.try(partition, control)
 		}
 		if control.ownership != nil {
@@ -212,6 +216,35 @@
 	return control
 }
 
+// ownerSilent tells whether this node's store, a full member, has heard nothing of the partition's owner for too long. The
+// members' turns come one after the other.
+func (m *Manager) ownerSilent(partition PartitionID, control *partitionControl, now time.Time) bool {
+	if m.timing.Silence == 0 || m.local == nil || control.ownership != nil {
+		return false
+	}
+	ensemble, known := m.directory.ensemble(partition)
+	if !known {
+		return false
+	}
+	own, isMember := ensemble.Find(m.local.ID())
+	if !isMember || own.Joining {
+		return false
+	}
+	before := 0
+	for _, member := range ensemble.Members {
+		if rank(partition, member.Node) > rank(partition, own.Node) {
+			before++
+		}
+	}
+	last := m.started
+	for _, heard := range []time.Time{m.local.LastHeard(partition), control.declined} {
+		if heard.After(last) {
+			last = heard
+		}
+	}
+	return now.Sub(last) >= m.timing.Silence+time.Duration(before)*m.timing.Check
+}
+
 // try starts an attempt to own partition, which lasts until the ownership is lost.
 func (m *Manager) try(partition PartitionID, control *partitionControl) {
 	ensemble, known := m.directory.ensemble(partition)
@@ -220,12 +253,16 @@
 	}
 	control.trying = true
 	began := time.Now()
+	number, overdue := control.number, control.overdue
 	var result attemptResult
 	m.start(
-		func() { result = m.attempt(partition, ensemble, control.number) },
+		func() { result = m.attempt(partition, ensemble, number, overdue) },
 		func() {
 			control.trying = false
 			control.ownership = nil
+			if result.lost.Cause == protocol.LossDeclined {
+				control.declined = time.Now()
+			}
 			control.number = max(control.number, result.number, result.lost.Higher.Number)
 			m.directory.learn(result.lost.Ensemble)
 			m.stale = m.stale || result.lost.Cause == protocol.LossTimeout
@@ -292,7 +329,7 @@
 
 func (m *Manager) serveOwner(_ context.Context, _ netip.AddrPort, request *ledgerpb.OwnerRequest) (*ledgerpb.OwnerResponse, error) {
 	partition := PartitionID(request.Partition)
-	if ownership, present := m.ownership(partition); present && ownership.serving.Load() {
+	if ownership, present := m.ownership(partition); present && ownership.inContact(time.Now()) {
 		return &ledgerpb.OwnerResponse{Owned: true, Owner: string(m.self)}, nil
 	}
 	hint, _ := m.hints.get(partition)
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -31,6 +31,9 @@
 	Quiesce time.Duration
 	// SuspectRelease bounds the wait for the answer of a present owner that is suspected to be dead.
 	SuspectRelease time.Duration
+	// Silence is how long a store hears nothing of a partition's owner before its node tries to own the partition, whatever
+	// the membership says; zero is never.
+	Silence time.Duration
 	// Formation is how long the first start waits for more stores than there are.
 	Formation time.Duration
 	// Replace is how long a store may be gone before another takes its place.
@@ -224,6 +227,19 @@
 	return view.waitingSince.IsZero() || now.Sub(view.waitingSince) < o.timing.Request
 }
 
+// inContact tells whether the owner hears from a write quorum of its stores.
+func (o *ownership) inContact(now time.Time) bool {
+	view := o.view.Load()
+	answering := 0
+	for _, holding := range view.holdings {
+		if holding.Failures == 0 {
+			answering++
+		}
+	}
+	stuck := !view.waitingSince.IsZero() && now.Sub(view.waitingSince) >= o.timing.Request
+	return o.serving.Load() && answering >= view.ensemble.WriteQuorum && !stuck
+}
+
 // answers tells whether the store answered the last request; one that is not a member yet counts as answering.
 func (o *ownership) answers(store protocol.StoreID) bool {
 	for _, holding := range o.view.Load().holdings {
--- a/internal/ledger/store/requests.go
+++ b/internal/ledger/store/requests.go
@@ -71,6 +71,9 @@
 			Ballot: wire.ToBallot(message.Ballot), First: protocol.Position(message.First), Entries: entries,
 			Committed: protocol.Position(message.Committed), RecoveredTo: protocol.Position(message.RecoveredTo),
 		})
+		if answer.Verdict == protocol.VerdictOK {
+			s.hear(partition)
+		}
 		if err := s.apply(batch, partition, effect); err != nil {
 			return nil, err
 		}
--- a/internal/ledger/store/store.go
+++ b/internal/ledger/store/store.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/pebble/v2"
 	"github.com/cockroachdb/pebble/v2/vfs"
@@ -73,6 +74,10 @@
 	writes  uint64
 	mark    *syncMark
 	staging map[protocol.PartitionID]*staging
+
+	// heard is when an owner's message was last taken, by partition; heardMutex guards it.
+	heardMutex sync.Mutex
+	heard      map[protocol.PartitionID]time.Time
 }
 
 // request is one message for the step goroutine. step returns the answer to give once
@@ -104,7 +109,7 @@
 
 // Open opens the store below folder, which must exist.
 func Open(folder string, options Options) (*Store, error) {
-	store := &Store{}
+	store := &Store{heard: map[protocol.PartitionID]time.Time{}}
 	if options.DiskBytes > 0 {
 		options.ReserveBytes = min(defaultReserveBytes, options.DiskBytes/reservePart)
 		options.MinimumBytes = min(defaultMinimumBytes, options.DiskBytes/minimumPart)
@@ -147,6 +152,19 @@
 // ID returns the store's incarnation.
 func (s *Store) ID() protocol.StoreID { return s.id }
 
+// LastHeard returns when a message of the partition's owner was last taken; zero where none was since the start.
+func (s *Store) LastHeard(partition protocol.PartitionID) time.Time {
+	s.heardMutex.Lock()
+	defer s.heardMutex.Unlock()
+	return s.heard[partition]
+}
+
+func (s *Store) hear(partition protocol.PartitionID) {
+	s.heardMutex.Lock()
+	defer s.heardMutex.Unlock()
+	s.heard[partition] = time.Now()
+}
+
 // Failed tells whether the disk has failed; the store then answers with errors only.
 func (s *Store) Failed() bool { return s.failed.Load() }
 
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -121,6 +121,8 @@
 	timing.Replace = 2 * time.Second
 	timing.Formation = time.Second
 	timing.MaxBackoff = time.Second
+	timing.Request = time.Second
+	timing.Silence = 1200 * time.Millisecond
 	return timing
 }()
 
