--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -18,6 +18,8 @@
 	// askInterval is how often replicas are asked for their load while items wait; askTimeout bounds one answer.
 	askInterval = 300 * time.Millisecond
 	askTimeout  = 500 * time.Millisecond
+	// unprovedLimit is how long items run on at an owner that cannot prove its ownership.
+	unprovedLimit = 2500 * time.Millisecond
 	// reportInterval is how often the state of a partition with work is logged.
 	reportInterval = time.Second
 	// maxCandidates bounds the items that are looked at in one go.
@@ -43,8 +45,10 @@
 	// handle is where the item runs, began since when.
 	handle *replica.Handle
 	began  time.Duration
-	// yielded says that the run was cut off for online requests.
+	// yielded says that the run was cut off to make room.
 	yielded bool
+	// acceptedAt is when the job was accepted, in milliseconds since 1970.
+	acceptedAt int64
 	// text and lastEvent are what the item has made; a further run goes on behind lastEvent.
 	text      []byte
 	lastEvent string
@@ -56,6 +60,12 @@
 	routeGone time.Duration
 }
 
+// yield cuts the run off; what it has made is kept.
+func (r *itemRun) yield() {
+	r.yielded = true
+	r.stop()
+}
+
 // candidate is an item that could be sent to a replica.
 type candidate struct {
 	key        itemKey
@@ -70,6 +80,7 @@
 	var asked, reported time.Duration
 	for {
 		waiting := p.dispatch()
+		p.checkOwnership()
 		if now := p.elapsed(); now-reported >= reportInterval {
 			reported = now
 			p.report()
@@ -117,6 +128,28 @@
 	return true
 }
 
+// checkOwnership has an owner with running items prove its ownership now and then, and cut them off where it cannot: a
+// successor may run them by now.
+func (p *partition) checkOwnership() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := p.elapsed()
+	unproved := !p.confirmedSince(now - unprovedLimit)
+	busy := false
+	for _, run := range p.runs {
+		if !run.running || run.handle == nil {
+			continue
+		}
+		busy = true
+		if unproved && !run.yielded {
+			run.yield()
+		}
+	}
+	if busy && !p.confirmedSince(now-confirmWindow/2) {
+		p.proveSoon()
+	}
+}
+
 // proveSoon proves ownership by an append in the background, unless one is waiting.
 func (p *partition) proveSoon() {
 	if len(p.proposals) > 0 {
@@ -238,6 +271,7 @@
 		return
 	}
 	ctx, stop := context.WithCancel(p.ctx)
+	run.acceptedAt = each.acceptedAt
 	run.running, run.stop, run.routeGone, run.handle, run.began, run.yielded = true, stop, 0, handle, p.elapsed(), false
 	attempt := &itemAttempt{
 		partition: p, key: each.key, sent: each.submission.Items[each.key.number], host: each.submission.Host,
--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -109,7 +109,7 @@
 	return running < begin
 }
 
-// yield cuts off items, the latest begun first, where online requests need their room.
+// yield cuts off items, the latest accepted first, where online requests need their room.
 func (s *Service) yield() {
 	now := time.Now()
 	s.mutex.RLock()
@@ -143,21 +143,21 @@
 			if latest == nil {
 				break
 			}
-			latest.yielded = true
+			latest.yield()
 			p.yields.Add(1)
-			latest.stop()
 		}
 	}
 }
 
-// latestRun returns the run of service that began last; runs at fuller replicas go first. The mutex is held.
+// latestRun returns the run of service whose job was accepted last, and of those the one that began last: it has the most time
+// left and has made the least. The mutex is held.
 func (p *partition) latestRun(service string) *itemRun {
 	var latest *itemRun
 	for _, run := range p.runs {
 		if !run.running || run.yielded || run.handle == nil || run.handle.Info().Service != service {
 			continue
 		}
-		if latest == nil || run.began > latest.began {
+		if latest == nil || run.acceptedAt > latest.acceptedAt || (run.acceptedAt == latest.acceptedAt && run.began > latest.began) {
 			latest = run
 		}
 	}
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -216,33 +216,47 @@
 	return control
 }
 
-// ownerSilent tells whether this node's store, a full member, has heard nothing of the partition's owner for too long. The
-// members' turns come one after the other.
+// maxTurns bounds the waits of nodes that stand behind others in taking over a partition.
+const maxTurns = 4
+
+// ownerSilent tells whether this node's store, which has copies of the partition's records, has heard nothing of its owner for
+// too long. What this node knows of the ensemble may be old, so a store that ever heard an owner counts. The nodes'
+// turns come one after the other.
 func (m *Manager) ownerSilent(partition PartitionID, control *partitionControl, now time.Time) bool {
 	if m.timing.Silence == 0 || m.local == nil || control.ownership != nil {
 		return false
 	}
-	ensemble, known := m.directory.ensemble(partition)
-	if !known {
+	last := m.local.LastHeard(partition)
+	if last.IsZero() && !m.isMember(partition) {
 		return false
 	}
-	own, isMember := ensemble.Find(m.local.ID())
-	if !isMember || own.Joining {
+	for _, later := range []time.Time{m.started, control.declined} {
+		if later.After(last) {
+			last = later
+		}
+	}
+	return now.Sub(last) >= m.timing.Silence+time.Duration(m.turn(partition))*m.timing.Check
+}
+
+// isMember tells whether the local store is a full member of the partition's ensemble, as far as this node knows.
+func (m *Manager) isMember(partition PartitionID) bool {
+	ensemble, known := m.directory.ensemble(partition)
+	if !known {
 		return false
 	}
+	own, found := ensemble.Find(m.local.ID())
+	return found && !own.Joining
+}
+
+// turn is the number of live nodes with a store that stand before this one.
+func (m *Manager) turn(partition PartitionID) int {
 	before := 0
-	for _, member := range ensemble.Members {
-		if rank(partition, member.Node) > rank(partition, own.Node) {
+	for _, member := range storesOf(m.viewer.View()) {
+		if rank(partition, string(member.ID)) > rank(partition, string(m.self)) {
 			before++
 		}
 	}
-	last := m.started
-	for _, heard := range []time.Time{m.local.LastHeard(partition), control.declined} {
-		if heard.After(last) {
-			last = heard
-		}
-	}
-	return now.Sub(last) >= m.timing.Silence+time.Duration(before)*m.timing.Check
+	return min(before, maxTurns)
 }
 
 // try starts an attempt to own partition, which lasts until the ownership is lost.
@@ -343,7 +357,9 @@
 		return &ledgerpb.ReleaseResponse{Released: true}, nil
 	}
 	preferred, _ := preferredOwner(m.viewer.View(), partition, m.settings.OwnersOnStores)
-	if string(preferred.ID) != request.Successor && !m.leaving.Load() && ownership.servesWell(time.Now()) {
+	now := time.Now()
+	settling := now.Sub(ownership.began) < m.timing.Settle
+	if (string(preferred.ID) != request.Successor || settling) && !m.leaving.Load() && ownership.servesWell(now) {
 		return &ledgerpb.ReleaseResponse{}, nil
 	}
 	if !ownership.release(ctx) {
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -34,6 +34,8 @@
 	// Silence is how long a store hears nothing of a partition's owner before its node tries to own the partition, whatever
 	// the membership says; zero is never.
 	Silence time.Duration
+	// Settle is for how long an owner that serves well keeps a partition that another node should own.
+	Settle time.Duration
 	// Formation is how long the first start waits for more stores than there are.
 	Formation time.Duration
 	// Replace is how long a store may be gone before another takes its place.
@@ -99,6 +101,8 @@
 	serving atomic.Bool
 	// quiescer is the state machine, once it serves, if it is one.
 	quiescer atomic.Pointer[Quiescer]
+	// began is when the attempt to own the partition began.
+	began time.Time
 	// appended counts records and bytes since the last snapshot.
 	appendedRecords, appendedBytes atomic.Int64
 }
@@ -119,7 +123,7 @@
 
 func newOwnership(ctx context.Context, partition PartitionID, owner *protocol.Owner, stores *storeClient, factory Factory, timing Timing, logger zerolog.Logger) *ownership {
 	o := &ownership{
-		partition: partition, stores: stores, factory: factory, timing: timing, owner: owner, logger: logger,
+		partition: partition, stores: stores, factory: factory, timing: timing, owner: owner, logger: logger, began: time.Now(),
 		events: make(chan func() []protocol.Action), appends: make(chan *appendRequest), lost: make(chan struct{}),
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -123,6 +123,7 @@
 	timing.MaxBackoff = time.Second
 	timing.Request = time.Second
 	timing.Silence = 1200 * time.Millisecond
+	timing.Settle = time.Minute
 	return timing
 }()
 
