Log what batch items have made, so that a successor goes on from there

Change: each 1.5 s the owner logs the new part of each running item's text; the result's record holds only the rest, so no text is logged twice. Mended: parts are enqueued under one lock, and a part that does not fit is passed over on replay, so that the item is listed by a further try.

--- a/internal/batch/appender.go
+++ b/internal/batch/appender.go
@@ -46,13 +46,26 @@
 // never will be.
 func (p *partition) propose(ctx context.Context, records ...ledger.Record) error {
 	request := newProposal(records...)
+	if err := p.enqueue(ctx, request); err != nil {
+		return err
+	}
+	return p.await(ctx, request)
+}
+
+// enqueue puts a proposal behind those that wait.
+func (p *partition) enqueue(ctx context.Context, request *proposal) error {
 	select {
 	case p.proposals <- request:
+		return nil
 	case <-p.ctx.Done():
 		return errNotOwner()
 	case <-ctx.Done():
 		return outcome.Wrap(ctx.Err(), outcome.NotRun, outcome.ReasonDeadline, "append was not begun")
 	}
+}
+
+// await waits until an enqueued proposal is decided.
+func (p *partition) await(ctx context.Context, request *proposal) error {
 	select {
 	case err := <-request.done:
 		return err
--- /dev/null
+++ b/internal/batch/checkpoint.go
@@ -0,0 +1,79 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/ledger"
+)
+
+// checkpointInterval is how often what running items have made goes into the log, so that a successor goes on from there. The
+// record of an item's result holds only what the log lacks, so that no text is logged twice.
+const checkpointInterval = 1500 * time.Millisecond
+
+func (p *partition) runCheckpoints() {
+	ticker := time.NewTicker(checkpointInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			p.checkpoint(p.ctx)
+		case <-p.ctx.Done():
+			return
+		}
+	}
+}
+
+// checkpoint logs what the items have made since the last one.
+func (p *partition) checkpoint(ctx context.Context) {
+	p.textOrder.Lock()
+	keys, records := p.unloggedProgress()
+	request := newProposal(records...)
+	var err error
+	if len(records) > 0 {
+		err = p.enqueue(ctx, request)
+	}
+	p.textOrder.Unlock()
+	if len(records) == 0 {
+		return
+	}
+	if err == nil {
+		err = p.await(ctx, request)
+	}
+	if err != nil {
+		p.logger.Info().Err(err).Int("items", len(keys)).Msg("progress_not_logged")
+		p.forgetUnlogged(keys)
+	}
+}
+
+// unloggedProgress returns records of what the log lacks and counts it as logged.
+func (p *partition) unloggedProgress() ([]itemKey, []ledger.Record) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var keys []itemKey
+	var records []ledger.Record
+	for key, run := range p.runs {
+		if run.finishing || len(run.text) == run.logged {
+			continue
+		}
+		keys = append(keys, key)
+		records = append(records, recordOf(ledger.KindBatchProgress, &batchpb.Progress{
+			JobId: key.job, Item: uint32(key.number), LastEvent: run.lastEvent, Offset: uint64(run.logged), Text: string(run.text[run.logged:]),
+		}))
+		run.logged = len(run.text)
+	}
+	return keys, records
+}
+
+// forgetUnlogged counts as logged only what the log has.
+func (p *partition) forgetUnlogged(keys []itemKey) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, key := range keys {
+		owner, run := p.state.jobs[key.job], p.runs[key]
+		if owner != nil && run != nil {
+			run.logged = len(owner.items[key.number].made())
+		}
+	}
+}
--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -52,6 +52,10 @@
 	// text and lastEvent are what the item has made; a further run goes on behind lastEvent.
 	text      []byte
 	lastEvent string
+	// logged is the length of the part of text that is in the log or on its way there.
+	logged int
+	// finishing says that the item's result is on its way to the log.
+	finishing bool
 	// failures counts the runs that a replica answered with a failure of its own.
 	failures int
 	// notBefore is when the item may be sent again, and routeGone since when its route is missing, both since the
@@ -254,7 +258,7 @@
 	run = &itemRun{}
 	if owner := p.state.jobs[key.job]; owner != nil {
 		if progress := owner.items[key.number].progress; progress != nil {
-			run.text, run.lastEvent = []byte(progress.Text), progress.LastEvent
+			run.text, run.lastEvent, run.logged = []byte(progress.Text), progress.LastEvent, len(progress.Text)
 		}
 	}
 	p.runs[key] = run
@@ -297,24 +301,6 @@
 	}
 }
 
-// stopRuns cuts off all running items and returns records of what they have made.
-func (p *partition) stopRuns() []ledger.Record {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	var records []ledger.Record
-	for key, run := range p.runs {
-		if run.stop != nil {
-			run.stop()
-		}
-		if run.lastEvent != "" {
-			records = append(records, recordOf(ledger.KindBatchProgress, &batchpb.Progress{
-				JobId: key.job, Item: uint32(key.number), LastEvent: run.lastEvent, Text: string(run.text),
-			}))
-		}
-	}
-	return records
-}
-
 // askLoads asks the replicas of all batch routes for their load.
 func (p *partition) askLoads() {
 	table := p.service.routes.Table()
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -13,6 +13,7 @@
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
 )
@@ -212,16 +213,13 @@
 
 // finish lists an item; it tries until that is durable or the ownership is lost. The item counts as running meanwhile.
 func (p *partition) finish(key itemKey, listedAs batchpb.State, text, reason string) {
-	result := recordOf(ledger.KindBatchResult, &batchpb.Result{JobId: key.job, Item: uint32(key.number), State: listedAs, Text: text})
-	for p.ctx.Err() == nil {
-		err := p.propose(p.ctx, result)
+	for p.ctx.Err() == nil && !p.isListed(key) {
+		err := p.proposeResult(key, listedAs, text)
 		if err == nil {
-			break
+			continue
 		}
 		p.logger.Warn().Str(logging.FieldJob, key.job).Err(err).Str(logging.FieldReason, string(outcome.As(err).Reason)).Msg("result_not_listed")
-		select {
-		case <-time.After(retryAppend):
-		case <-p.ctx.Done():
+		if !pause.Sleep(p.ctx, retryAppend) {
 			return
 		}
 	}
@@ -232,3 +230,40 @@
 		p.logger.Info().Str(logging.FieldJob, key.job).Int("item", key.number).Str(logging.FieldReason, reason).Msg("item_dead")
 	}
 }
+
+func (p *partition) proposeResult(key itemKey, listedAs batchpb.State, text string) error {
+	p.textOrder.Lock()
+	request := newProposal(p.resultRecord(key, listedAs, text))
+	err := p.enqueue(p.ctx, request)
+	p.textOrder.Unlock()
+	if err != nil {
+		return err
+	}
+	return p.await(p.ctx, request)
+}
+
+// resultRecord makes the record that lists an item; of its text it holds what the log lacks.
+func (p *partition) resultRecord(key itemKey, listedAs batchpb.State, text string) ledger.Record {
+	result := &batchpb.Result{JobId: key.job, Item: uint32(key.number), State: listedAs}
+	if listedAs == batchpb.State_STATE_SUCCEEDED {
+		p.mutex.Lock()
+		run := p.runOf(key)
+		if run.finishing {
+			// An earlier try did not list it: what was on its way to the log may not have come there.
+			run.logged = len(p.state.jobs[key.job].items[key.number].made())
+		}
+		run.finishing = true
+		logged := run.logged
+		p.mutex.Unlock()
+		result.Offset, result.Text = uint64(logged), text[logged:]
+	}
+	return recordOf(ledger.KindBatchResult, result)
+}
+
+// isListed says that nothing is left to do for an item.
+func (p *partition) isListed(key itemKey) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	owner := p.state.jobs[key.job]
+	return owner == nil || owner.items[key.number].listed
+}
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -36,6 +36,10 @@
 	// yields counts the runs that were cut off for online requests.
 	yields atomic.Int64
 
+	// textOrder is held while records with parts of items' texts are made and enqueued, so that the parts come to the log in
+	// order. It is taken before mutex, and never by the appender.
+	textOrder sync.Mutex
+
 	// mutex guards the state and the fields below.
 	mutex sync.RWMutex
 	state *state
@@ -78,6 +82,7 @@
 	p.logger.Info().Int("jobs", len(p.state.jobs)).Msg("partition_served")
 	p.running.Go(p.runAppender)
 	p.running.Go(p.runDispatcher)
+	p.running.Go(p.runCheckpoints)
 	p.running.Go(p.runHousekeeping)
 	p.service.add(p)
 }
@@ -102,11 +107,13 @@
 func (p *partition) Quiesce(ctx context.Context) {
 	p.mutex.Lock()
 	p.quiesced = true
-	p.mutex.Unlock()
-	records := p.stopRuns()
-	if len(records) > 0 {
-		_ = p.propose(ctx, records...)
+	for _, run := range p.runs {
+		if run.running && run.stop != nil {
+			run.yield()
+		}
 	}
+	p.mutex.Unlock()
+	p.checkpoint(ctx)
 }
 
 // wake has the dispatcher look again, soon.
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -30,6 +30,9 @@
 	progress *batchpb.Progress
 }
 
+// made is the text that the log has of an unlisted item.
+func (i *item) made() string { return i.progress.GetText() }
+
 func (j *job) complete() bool { return len(j.listed) == len(j.items) }
 
 // open says that items may still be run.
@@ -125,12 +128,21 @@
 	return added
 }
 
+// takeResult lists an item. A result that does not go on where the item's progress ends is passed over.
 func (s *state) takeResult(result *batchpb.Result) error {
 	found := s.jobs[result.JobId]
 	if found == nil || int(result.Item) >= len(found.items) || found.items[result.Item].listed {
 		return nil
 	}
-	s.list(found, int(result.Item), result.State, result.Text)
+	text := result.Text
+	if result.State == batchpb.State_STATE_SUCCEEDED {
+		before := found.items[result.Item].made()
+		if uint64(len(before)) != result.Offset {
+			return nil
+		}
+		text = before + text
+	}
+	s.list(found, int(result.Item), result.State, text)
 	found.notify()
 	return nil
 }
@@ -156,14 +168,20 @@
 	}
 }
 
+// takeProgress keeps what an item has made. Progress that does not go on where the last one ended is passed over.
 func (s *state) takeProgress(progress *batchpb.Progress) error {
 	found := s.jobs[progress.JobId]
 	if found == nil || int(progress.Item) >= len(found.items) || found.items[progress.Item].listed {
 		return nil
 	}
 	of := &found.items[progress.Item]
-	s.dropProgress(of)
-	of.progress = progress
+	before := of.made()
+	if uint64(len(before)) != progress.Offset {
+		return nil
+	}
+	of.progress = &batchpb.Progress{
+		JobId: progress.JobId, Item: progress.Item, LastEvent: progress.LastEvent, Text: before + progress.Text,
+	}
 	s.bytes += int64(len(progress.Text))
 	return nil
 }
