--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -265,5 +265,5 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	owner := p.state.jobs[key.job]
-	return owner == nil || owner.items[key.number].listed
+	return owner == nil || owner.ended || owner.items[key.number].listed
 }
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -171,7 +171,7 @@
 // takeProgress keeps what an item has made. Progress that does not go on where the last one ended is passed over.
 func (s *state) takeProgress(progress *batchpb.Progress) error {
 	found := s.jobs[progress.JobId]
-	if found == nil || int(progress.Item) >= len(found.items) || found.items[progress.Item].listed {
+	if found == nil || found.ended || int(progress.Item) >= len(found.items) || found.items[progress.Item].listed {
 		return nil
 	}
 	of := &found.items[progress.Item]
--- /dev/null
+++ b/internal/batch/state_test.go
@@ -0,0 +1,203 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/ledger"
+)
+
+func submissionOf(jobID string, items int) *batchpb.Submission {
+	submission := &batchpb.Submission{JobId: jobID, Host: "h", Route: "r"}
+	for number := range items {
+		submission.Items = append(submission.Items, &batchpb.Item{Id: fmt.Sprintf("%s-%d", jobID, number), Path: "/p", Body: []byte("body"), Tokens: 10})
+	}
+	return submission
+}
+
+// log applies records and keeps them, as the ledger does.
+type log struct {
+	t       *testing.T
+	state   *state
+	records []ledger.Record
+}
+
+func newLog(t *testing.T) *log { return &log{t: t, state: newState()} }
+
+func (l *log) add(records ...ledger.Record) {
+	l.t.Helper()
+	for _, record := range records {
+		l.records = append(l.records, record)
+		if err := l.state.step(ledger.Position(len(l.records)), record); err != nil {
+			l.t.Fatalf("record %d: %v", len(l.records), err)
+		}
+	}
+}
+
+func (l *log) text(jobID string, number int) (text string, listed bool) {
+	of := l.state.jobs[jobID].items[number]
+	return of.text, of.listed
+}
+
+func progressRecord(jobID string, number int, offset int, text string) ledger.Record {
+	return recordOf(ledger.KindBatchProgress, &batchpb.Progress{JobId: jobID, Item: uint32(number), LastEvent: "1", Text: text, Offset: uint64(offset)})
+}
+
+func successRecord(jobID string, number int, offset int, text string) ledger.Record {
+	return recordOf(ledger.KindBatchResult, &batchpb.Result{
+		JobId: jobID, Item: uint32(number), State: batchpb.State_STATE_SUCCEEDED, Text: text, Offset: uint64(offset),
+	})
+}
+
+func TestResultGoesOnBehindProgress(t *testing.T) {
+	log := newLog(t)
+	log.add(acceptanceRecords(submissionOf("j", 2), 1)...)
+	log.add(progressRecord("j", 0, 0, "a\nb"), progressRecord("j", 0, 3, "\nc"), successRecord("j", 0, 5, "\nd"))
+	if text, listed := log.text("j", 0); text != "a\nb\nc\nd" || !listed {
+		t.Errorf("text is %q, listed %t", text, listed)
+	}
+}
+
+// TestPartThatDoesNotFitIsPassedOver: a result that overtakes its last progress is neither listed with a hole in its text nor
+// an error, which would make the partition unreadable.
+func TestPartThatDoesNotFitIsPassedOver(t *testing.T) {
+	log := newLog(t)
+	log.add(acceptanceRecords(submissionOf("j", 1), 1)...)
+	log.add(successRecord("j", 0, 3, "\nc"), progressRecord("j", 0, 0, "a\nb"), progressRecord("j", 0, 7, "late"))
+	if text, listed := log.text("j", 0); listed {
+		t.Fatalf("item is listed with text %q", text)
+	}
+	log.add(successRecord("j", 0, 3, "\nc"))
+	if text, listed := log.text("j", 0); text != "a\nb\nc" || !listed {
+		t.Errorf("text is %q, listed %t", text, listed)
+	}
+}
+
+func TestFirstResultStands(t *testing.T) {
+	log := newLog(t)
+	log.add(acceptanceRecords(submissionOf("j", 2), 1)...)
+	dead := recordOf(ledger.KindBatchResult, &batchpb.Result{JobId: "j", Item: 1, State: batchpb.State_STATE_DEAD_LETTER})
+	log.add(successRecord("j", 1, 0, "one"), dead, successRecord("j", 1, 0, "two"), successRecord("j", 0, 0, "zero"))
+	found := log.state.jobs["j"]
+	if text, _ := log.text("j", 1); text != "one" || found.items[1].state != batchpb.State_STATE_SUCCEEDED {
+		t.Errorf("item 1 is %q, state %v", text, found.items[1].state)
+	}
+	if len(found.listed) != 2 || found.listed[0] != 1 || found.listed[1] != 0 {
+		t.Errorf("listed in the order %v, want [1 0]", found.listed)
+	}
+}
+
+func TestAcceptedOnceAndWaitingTokens(t *testing.T) {
+	log := newLog(t)
+	log.add(acceptanceRecords(submissionOf("j", 3), 1)...)
+	log.add(acceptanceRecords(submissionOf("j", 3), 2)...)
+	if waiting := log.state.waitingTokens["r"]; waiting != 30 {
+		t.Errorf("%d tokens wait after a resend, want 30", waiting)
+	}
+	log.add(successRecord("j", 0, 0, "x"))
+	log.add(recordOf(ledger.KindBatchEnded, &batchpb.Ended{JobId: "j"}))
+	log.add(successRecord("j", 1, 0, "y"))
+	if waiting := log.state.waitingTokens["r"]; waiting != 0 {
+		t.Errorf("%d tokens wait after the end, want 0", waiting)
+	}
+	log.add(recordOf(ledger.KindBatchForgotten, &batchpb.Forgotten{JobId: "j"}))
+	if log.state.bytes != 0 || len(log.state.jobs) != 0 {
+		t.Errorf("%d bytes and %d jobs are kept after all is forgotten", log.state.bytes, len(log.state.jobs))
+	}
+}
+
+func TestLargeSubmissionIsAcceptedFromParts(t *testing.T) {
+	submission := submissionOf("j", 3)
+	for _, item := range submission.Items {
+		item.Body = make([]byte, chunkBytes)
+	}
+	records := acceptanceRecords(submission, 1)
+	if len(records) < 4 {
+		t.Fatalf("%d records, want parts", len(records))
+	}
+	log := newLog(t)
+	log.add(records[:len(records)-1]...)
+	if len(log.state.jobs) != 0 {
+		t.Error("job exists before its last record")
+	}
+	log.add(records[len(records)-1])
+	if found := log.state.jobs["j"]; found == nil || len(found.submission.Items[2].Body) != chunkBytes {
+		t.Error("job is not whole")
+	}
+}
+
+// TestSnapshotIsTheState: at any point the state restored from a snapshot equals the state from the log, and goes on the same.
+func TestSnapshotIsTheState(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		log := newLog(t)
+		kinds := []string{"accept", "progress", "result", "dead", "end", "forget"}
+		step := func(s *state) ledger.Record {
+			job := fmt.Sprintf("j%d", rapid.IntRange(0, 2).Draw(r, "job"))
+			number := rapid.IntRange(0, 2).Draw(r, "item")
+			made := 0
+			if found := s.jobs[job]; found != nil {
+				made = len(found.items[number].made())
+			}
+			offset := max(0, made+rapid.SampledFrom([]int{0, 0, 0, -1, 1}).Draw(r, "shift"))
+			switch rapid.SampledFrom(kinds).Draw(r, "kind") {
+			case "accept":
+				return acceptanceRecords(submissionOf(job, 3), 1)[0]
+			case "progress":
+				return progressRecord(job, number, offset, "xy")
+			case "result":
+				return successRecord(job, number, offset, "z")
+			case "dead":
+				return recordOf(ledger.KindBatchResult, &batchpb.Result{JobId: job, Item: uint32(number), State: batchpb.State_STATE_DEAD_LETTER})
+			case "end":
+				return recordOf(ledger.KindBatchEnded, &batchpb.Ended{JobId: job})
+			default:
+				return recordOf(ledger.KindBatchForgotten, &batchpb.Forgotten{JobId: job})
+			}
+		}
+		for range rapid.IntRange(0, 30).Draw(r, "before") {
+			log.add(step(log.state))
+		}
+		encoded, err := log.state.snapshot()
+		if err != nil {
+			r.Fatal(err)
+		}
+		restored, err := restoreState(encoded)
+		if err != nil {
+			r.Fatal(err)
+		}
+		for range rapid.IntRange(0, 10).Draw(r, "after") {
+			record := step(log.state)
+			log.add(record)
+			if err := restored.step(ledger.Position(len(log.records)), record); err != nil {
+				r.Fatal(err)
+			}
+		}
+		sameState(r, log.state, restored)
+	})
+}
+
+func sameState(r *rapid.T, want, got *state) {
+	wantSnapshot, gotSnapshot := &batchpb.Snapshot{}, &batchpb.Snapshot{}
+	for _, each := range []struct {
+		state *state
+		into  *batchpb.Snapshot
+	}{{want, wantSnapshot}, {got, gotSnapshot}} {
+		encoded, err := each.state.snapshot()
+		if err != nil {
+			r.Fatal(err)
+		}
+		if err := proto.Unmarshal(encoded, each.into); err != nil {
+			r.Fatal(err)
+		}
+	}
+	if !proto.Equal(wantSnapshot, gotSnapshot) {
+		r.Fatalf("states differ:\n%v\n%v", wantSnapshot, gotSnapshot)
+	}
+	if want.bytes != got.bytes || want.waitingTokens["r"] != got.waitingTokens["r"] {
+		r.Fatalf("bytes %d and %d, waiting tokens %d and %d", want.bytes, got.bytes, want.waitingTokens["r"], got.waitingTokens["r"])
+	}
+}
