--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -120,6 +120,8 @@
 	for _, limit := range positive {
 		c.require(limit.value > 0, limit.field, "wants a number above 0, not %d", limit.value)
 	}
+	c.require(l.MemoryMegabytes >= 0, "limits.memoryMegabytes", "wants 0 for no bound or a number above, not %d", l.MemoryMegabytes)
+	c.require(l.DiskMegabytes >= 0, "limits.diskMegabytes", "wants 0 for no bound or a number above, not %d", l.DiskMegabytes)
 	durations := []struct {
 		field string
 		value time.Duration
@@ -141,6 +143,8 @@
 func (c *checker) ledger(l Ledger) {
 	powerOfTwo := l.Partitions > 0 && l.Partitions&(l.Partitions-1) == 0
 	c.require(powerOfTwo && l.Partitions <= maxPartitions, "ledger.partitions", "wants a power of two up to %d, not %d", maxPartitions, l.Partitions)
+	c.require(l.SurvivesMachines >= 0, "ledger.survivesMachines", "wants 0 or a number above, not %d", l.SurvivesMachines)
+	c.require(l.SurvivesZones >= 0, "ledger.survivesZones", "wants 0 or a number above, not %d", l.SurvivesZones)
 	c.require(l.Replicas >= 1 && l.Replicas <= maxReplicas, "ledger.replicas", "wants 1 to %d, not %d", maxReplicas, l.Replicas)
 	c.require(l.WriteQuorum > l.Replicas/2 && l.WriteQuorum <= l.Replicas, "ledger.writeQuorum",
 		"wants more than half of the %d replicas and no more than all, not %d", l.Replicas, l.WriteQuorum)
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -58,6 +58,7 @@
 	loaded := Defaults()
 	positions, problems := documents[0].Decode(&loaded)
 	overrides.apply(&loaded)
+	loaded.Ledger.derive()
 	faulty := map[string]bool{}
 	for _, problem := range problems {
 		faulty[problem.Field] = true
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -92,6 +92,19 @@
 	WriteQuorum int `yaml:"writeQuorum"`
 	// OwnersOnStores has only nodes with a data folder own partitions.
 	OwnersOnStores bool `yaml:"ownersOnStores"`
+	// SurvivesMachines and SurvivesZones are how many storage machines, or zones, may be lost at once. Where one of them is
+	// above 0, Replicas and WriteQuorum are the fewest that survive it.
+	SurvivesMachines int `yaml:"survivesMachines"`
+	SurvivesZones    int `yaml:"survivesZones"`
+}
+
+// derive sets the numbers that follow from the losses to survive: with 2n+1 copies, of which n+1 are synced before a record is
+// acknowledged, n lost disks leave a copy, and n lost machines leave a quorum.
+func (l *Ledger) derive() {
+	losses := max(l.SurvivesMachines, l.SurvivesZones)
+	if losses > 0 {
+		l.Replicas, l.WriteQuorum = 2*losses+1, losses+1
+	}
 }
 
 // Defaults returns Settings with every default filled in.
