Empty storage nodes on request and tell when they may go

Change: internal/retirement follows the requests; the ledger replaces a retiring node's stores in all ensembles at once, the node lets go of its partitions, and the first live storage node tells the state from fresh ensembles.

--- a/internal/ledger/locator.go
+++ b/internal/ledger/locator.go
@@ -96,7 +96,7 @@
 			return member.PeerAddress.String(), true
 		}
 	}
-	if preferred, ok := preferredOwner(view, partition, m.settings.OwnersOnStores); ok {
+	if preferred, ok := preferredOwner(view, partition, m.mayOwn); ok {
 		return preferred.PeerAddress.String(), true
 	}
 	return "", false
@@ -119,7 +119,7 @@
 	if hint, known := m.hints.get(partition); known {
 		candidates = append(candidates, hint)
 	}
-	if preferred, ok := preferredOwner(view, partition, m.settings.OwnersOnStores); ok {
+	if preferred, ok := preferredOwner(view, partition, m.mayOwn); ok {
 		candidates = append(candidates, preferred.ID)
 	}
 	if owner := m.firstOwner(ctx, view, partition, candidates); owner != "" {
--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -48,12 +48,12 @@
 	if control.ownership == nil {
 		return protocol.Ensemble{}, false
 	}
-	spare, found := spareStore(view, ensemble)
+	spare, found := m.spareStore(view, ensemble)
 	for _, member := range ensemble.Members {
 		if !m.lostFor(member, control, view, now) || !found {
 			continue
 		}
-		if next, allowed := ensemble.Replace(member.Store, memberOf(spareFor(view, ensemble, member, spare))); allowed {
+		if next, allowed := ensemble.Replace(member.Store, memberOf(m.spareFor(view, ensemble, member, spare))); allowed {
 			return next, true
 		}
 	}
@@ -63,9 +63,12 @@
 	return protocol.Ensemble{}, false
 }
 
-// lostFor tells whether the member's disk is to be replaced: at once where its node lives with another store,
+// lostFor tells whether the member's disk is to be replaced: at once where its node retires or lives with another store,
 // after a while where the node is gone or its store does not answer the owner.
 func (m *Manager) lostFor(member protocol.Member, control *partitionControl, view *membership.View, now time.Time) bool {
+	if m.isRetiring(membership.NodeID(member.Node)) {
+		return true
+	}
 	node, found := view.Find(membership.NodeID(member.Node))
 	alive := found && (node.State == membership.Alive || node.State == membership.Suspect || node.State == membership.Leaving)
 	if alive && node.StoreIncarnation != "" && node.StoreIncarnation != string(member.Store) {
@@ -84,7 +87,7 @@
 }
 
 // spareStore returns the best live store that is not a member, from a zone with few members.
-func spareStore(view *membership.View, ensemble protocol.Ensemble) (membership.Member, bool) {
+func (m *Manager) spareStore(view *membership.View, ensemble protocol.Ensemble) (membership.Member, bool) {
 	taken := map[string]int{}
 	nodes := map[string]bool{}
 	for _, member := range ensemble.Members {
@@ -95,7 +98,7 @@
 		}
 	}
 	var candidates []membership.Member
-	for _, candidate := range storesOf(view) {
+	for _, candidate := range m.keptStores(view) {
 		if _, present := ensemble.Find(protocol.StoreID(candidate.StoreIncarnation)); !present && !nodes[string(candidate.ID)] {
 			candidates = append(candidates, candidate)
 		}
@@ -108,8 +111,8 @@
 }
 
 // spareFor prefers the lost member's own node with its new disk to the spare.
-func spareFor(view *membership.View, ensemble protocol.Ensemble, lost protocol.Member, spare membership.Member) membership.Member {
-	for _, candidate := range storesOf(view) {
+func (m *Manager) spareFor(view *membership.View, ensemble protocol.Ensemble, lost protocol.Member, spare membership.Member) membership.Member {
+	for _, candidate := range m.keptStores(view) {
 		_, present := ensemble.Find(protocol.StoreID(candidate.StoreIncarnation))
 		if string(candidate.ID) == lost.Node && !present {
 			return candidate
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -56,6 +56,9 @@
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
 
+	// retiring holds the nodes that are to be emptied.
+	retiring atomic.Pointer[map[membership.NodeID]bool]
+
 	// started is set by Start. leaving is set by Handover and stays set.
 	started time.Time
 	leaving atomic.Bool
@@ -195,7 +198,7 @@
 	view := m.viewer.View()
 	for partition := range PartitionID(fixed.partitions) {
 		control := m.control(partition)
-		preferred, ok := preferredOwner(view, partition, m.settings.OwnersOnStores)
+		preferred, ok := preferredOwner(view, partition, m.mayOwn)
 		mine := ok && preferred.ID == m.self
 		control.overdue = !mine && m.ownerSilent(partition, control, now)
 		if (mine || control.overdue) && !control.trying && !now.Before(control.nextTry) {
@@ -358,7 +361,7 @@
 	if !present {
 		return &ledgerpb.ReleaseResponse{Released: true}, nil
 	}
-	preferred, _ := preferredOwner(m.viewer.View(), partition, m.settings.OwnersOnStores)
+	preferred, _ := preferredOwner(m.viewer.View(), partition, m.mayOwn)
 	now := time.Now()
 	settling := now.Sub(ownership.began) < m.timing.Settle
 	if (string(preferred.ID) != request.Successor || settling) && !m.leaving.Load() && ownership.servesWell(now) {
--- a/internal/ledger/rendezvous.go
+++ b/internal/ledger/rendezvous.go
@@ -21,12 +21,14 @@
 	return digest.Sum64()
 }
 
+// mayOwn says which members may own partitions.
+type mayOwn func(member membership.Member) bool
+
 // preferredOwner returns the member that should own partition, among those that are alive and not suspected; ok is false
-// where there is none. A suspected owner is asked before it is replaced, and declines where it serves well. With onStores
-// only nodes with a store own partitions.
-func preferredOwner(view *membership.View, partition PartitionID, onStores bool) (preferred membership.Member, ok bool) {
+// where there is none. A suspected owner is asked before it is replaced, and declines where it serves well.
+func preferredOwner(view *membership.View, partition PartitionID, allowed mayOwn) (preferred membership.Member, ok bool) {
 	for _, member := range view.Members {
-		if member.State != membership.Alive || (onStores && !member.Store) {
+		if member.State != membership.Alive || !allowed(member) {
 			continue
 		}
 		if !ok || rank(partition, string(member.ID)) > rank(partition, string(preferred.ID)) {
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -27,6 +27,7 @@
 	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/retirement"
 	"github.com/sloelift/sloelift/internal/route"
 	"github.com/sloelift/sloelift/internal/settings"
 	"github.com/sloelift/sloelift/internal/transport"
@@ -47,7 +48,7 @@
 type Adapter struct {
 	Headers    replica.Headers
 	ReadyPath  string
-	Translator discovery.Translator
+	Translator Translator
 	// KeyValue makes the port to the platform's key-value service.
 	KeyValue func(exchanger *platform.Exchanger, watchWait func() time.Duration) platform.KeyValue
 	// Report is how replicas are asked for their load.
@@ -56,6 +57,12 @@
 	Batch func(door *batch.Door) BatchCalls
 }
 
+// Translator reads and writes the entries of the key-value service.
+type Translator interface {
+	discovery.Translator
+	retirement.Translator
+}
+
 // BatchCalls are the HTTP calls about batch jobs.
 type BatchCalls interface {
 	forward.BatchSubmitter
@@ -131,7 +138,7 @@
 	if role == settings.RoleStorage {
 		return fx.Options(
 			fx.Provide(newBatchService, func(service *batch.Service) ledger.Factory { return service.Factory() }),
-			fx.Invoke(func(*discovery.Service) {}),
+			fx.Invoke(func(*discovery.Service) {}, followRetirements),
 		)
 	}
 	return fx.Options(
@@ -201,6 +208,12 @@
 	return adapter.Batch(batch.NewDoor(locator, caller, logger))
 }
 
+// followRetirements empties storage nodes on request.
+func followRetirements(lifecycle fx.Lifecycle, store platform.KeyValue, adapter Adapter, manager *ledger.Manager, members *membership.Service, logger zerolog.Logger) {
+	service := retirement.New(store, adapter.Translator, manager, members, logger)
+	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
+}
+
 // tellOnlineLoad tells the owners of partitions how much online requests use.
 func tellOnlineLoad(lifecycle fx.Lifecycle, directory *replica.Directory, members *membership.Service, caller transport.Caller) {
 	teller := batch.NewLoadTeller(directory, members, caller)
