Keep short prompts from waiting behind long ones

Change: a part of each zone's replicas, by the share of tokens in long prompts, draws those and is avoided by short ones.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -25,6 +25,9 @@
 	MaxOccupancy float64
 	// ZoneWeight scales what another zone costs; zero stands for 1.
 	ZoneWeight float64
+
+	// apart holds the replicas that take long prompts.
+	apart map[*replica.Handle]bool
 }
 
 // Filter drops replicas that cannot take a request.
@@ -40,6 +43,7 @@
 	preferred []Filter
 	scorers   []Scorer
 	random    func() float64
+	mix       *promptMix
 }
 
 // scoreNoise spreads the choices of processes that know the same.
@@ -54,13 +58,16 @@
 		directory: directory,
 		required:  []Filter{notExcluded, usable, underOccupancy},
 		preferred: []Filter{notAvoided},
-		scorers:   []Scorer{occupancyScore, zoneScore, partScore, failureScore},
+		scorers:   []Scorer{occupancyScore, zoneScore, partScore, failureScore, prefillScore},
 		random:    random,
+		mix:       newPromptMix(),
 	}
 }
 
 // Pick returns the best replica for request; nil where none can take it.
 func (p *Picker) Pick(request *Request, now time.Time) *replica.Handle {
+	p.mix.observe(request)
+	request.apart = p.setApart(request)
 	all := p.directory.View().Of(request.Service)
 	able := filter(request, all, p.required, now)
 	if preferred := filter(request, able, p.preferred, now); len(preferred) > 0 {
