--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -58,7 +58,7 @@
 		directory: directory,
 		required:  []Filter{notExcluded, usable, underOccupancy},
 		preferred: []Filter{notAvoided},
-		scorers:   []Scorer{occupancyScore, zoneScore, partScore, failureScore, prefillScore},
+		scorers:   []Scorer{occupancyScore, zoneScore, partScore, failureScore, prefillScore, readingScore},
 		random:    random,
 		mix:       newPromptMix(),
 	}
--- a/internal/balance/prefill.go
+++ b/internal/balance/prefill.go
@@ -19,8 +19,12 @@
 	// shareHalfLife is the number of requests after which an observation counts half.
 	shareHalfLife = 200
 	// longPromptBonus draws long prompts to the replicas set apart, shortPromptPenalty keeps short ones away.
-	longPromptBonus    = 0.5
+	longPromptBonus    = 0.3
 	shortPromptPenalty = 0.35
+	// readingWeight is what each longPromptTokens cost that wait at the replica to be read.
+	readingWeight = 0.08
+	// mostReading bounds that.
+	mostReading = 0.6
 )
 
 // promptMix observes which part of the prompt tokens of each service is in long prompts. It is safe for concurrent use.
@@ -87,6 +91,11 @@
 	return apart
 }
 
+// readingScore prefers replicas that have little to read.
+func readingScore(_ *Request, handle *replica.Handle, _ time.Time) float64 {
+	return -min(mostReading, readingWeight*float64(handle.Reading())/longPromptTokens)
+}
+
 // prefillScore keeps short prompts from waiting behind long ones.
 func prefillScore(request *Request, handle *replica.Handle, _ time.Time) float64 {
 	switch {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -27,6 +27,8 @@
 func (e *exchange) attempt(ctx context.Context, handle *replica.Handle) verdict {
 	release := handle.Acquire()
 	defer release()
+	e.promptRead = handle.BeginReading(e.promptTokens)
+	defer e.promptRead()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	patience := e.watchSilence(cancel)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -53,6 +53,9 @@
 	tried    []*replica.Handle
 	runs     int
 	refusals int
+	// promptTokens is the length of the prompt; promptRead is called at the first event of an attempt.
+	promptTokens int
+	promptRead   func()
 	// headSent says that the caller has the head of the answer; lastEvent is the id of the last event that it has.
 	headSent  bool
 	lastEvent string
@@ -97,6 +100,7 @@
 	if e.route.Affinity {
 		parts := ParsePromptParts(e.request.Header.Get(e.handler.headers.PromptParts))
 		wanted.PartKey, wanted.PartTokens, wanted.Tokens = parts.sharedKey()
+		e.promptTokens = wanted.Tokens
 	}
 	now := time.Now()
 	if handle := e.handler.picker.Pick(&wanted, now); handle != nil {
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -30,6 +30,8 @@
 	pool  connectionPool
 	gone  atomic.Bool
 	inUse atomic.Int64
+	// reading counts the prompt tokens of this process's requests that wait for their first event.
+	reading atomic.Int64
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
@@ -64,6 +66,16 @@
 	return func() { once.Do(func() { h.inUse.Add(-1) }) }
 }
 
+// BeginReading counts the tokens of a prompt until read is called.
+func (h *Handle) BeginReading(tokens int) (read func()) {
+	h.reading.Add(int64(tokens))
+	var once sync.Once
+	return func() { once.Do(func() { h.reading.Add(-int64(tokens)) }) }
+}
+
+// Reading returns the prompt tokens of this process's requests that wait for their first event.
+func (h *Handle) Reading() int { return int(h.reading.Load()) }
+
 // Tell takes in a load that the replica told.
 func (h *Handle) Tell(load Load, now time.Time) {
 	h.mutex.Lock()
