--- a/internal/membership/fx.go
+++ b/internal/membership/fx.go
@@ -27,6 +27,7 @@
 
 	Lifecycle  fx.Lifecycle
 	Settings   settings.Settings
+	Timing     *Timing `optional:"true"`
 	Caller     transport.Caller
 	Registrar  transport.Registrar
 	Machines   platform.MachineList
@@ -40,6 +41,10 @@
 		transport.Caller
 		transport.Registrar
 	}{needed.Caller, needed.Registrar}
+	timing := DefaultTiming()
+	if needed.Timing != nil {
+		timing = *needed.Timing
+	}
 	service, err := New(Options{
 		Self: Member{
 			ID:           NodeID(needed.Settings.Node),
@@ -51,7 +56,7 @@
 			Store:        needed.Settings.DataFolder != "",
 		},
 		Seeds:      needed.Settings.SeedPeers,
-		Timing:     DefaultTiming(),
+		Timing:     timing,
 		RandomSeed: started,
 	}, network, needed.Machines, needed.Registerer, needed.Logger)
 	if err != nil {
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -117,6 +117,7 @@
 	fx.Provide(
 		func() *watchPace { return &watchPace{} }, newRoleKeyValue, route.NewHolder, replica.NewDirectory, newDiscovery, newReplicaClient, newPicker,
 		newRegisteredMachines, func() *ledger.Timing { return &roleLedgerTiming },
+		func() *membership.Timing { return &roleMembershipTiming },
 	),
 	transport.Module, membership.Module, ledger.Module,
 	fx.Invoke(serveMetrics, announceStore),
@@ -134,6 +135,14 @@
 	return timing
 }()
 
+// roleMembershipTiming reads the list of registered nodes more rarely: each reading is a priced call, and nodes that have
+// joined hear of others from each other.
+var roleMembershipTiming = func() membership.Timing {
+	timing := membership.DefaultTiming()
+	timing.ListPeriod = 45 * time.Second
+	return timing
+}()
+
 func roleSlices(role settings.Role) fx.Option {
 	if role == settings.RoleStorage {
 		return fx.Options(
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -5,12 +5,16 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/sloelift/sloelift/internal/pause"
 )
 
 const (
 	// followLongestWait bounds the wait between tries to follow a prefix, listTimeout one listing.
 	followLongestWait = 700 * time.Millisecond
 	listTimeout       = 3 * time.Second
+	// gatherWait is how long changes are gathered before the service is asked for more: each answer costs a call.
+	gatherWait = 200 * time.Millisecond
 )
 
 // Follower takes in the content below a prefix.
@@ -83,6 +87,9 @@
 			waits.Reset()
 			follower.Update(event.Revision, event.Changed, event.Deleted)
 			revision = max(revision, event.Revision)
+			if len(event.Changed)+len(event.Deleted) > 0 && len(events) == 0 {
+				pause.Sleep(ctx, gatherWait)
+			}
 		case <-follower.Behind:
 			return 0, nil
 		}
