--- a/cmd/sloelift/serve.go
+++ b/cmd/sloelift/serve.go
@@ -62,7 +62,9 @@
 		restore()
 	}()
 	if loaded.Role != settings.RoleNode {
-		return dig.RootCause(runRole(ctx, c.Settings, loaded, logging.New(env.stderr, level)))
+		output := logging.NewBoundedWriter(env.stderr)
+		defer output.Close()
+		return dig.RootCause(runRole(ctx, c.Settings, loaded, logging.New(output, level)))
 	}
 	return dig.RootCause(node.Run(ctx, loaded, logging.New(env.stderr, level)))
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sloelift/sloelift/internal/balance"
@@ -172,6 +173,14 @@
 		header.Set(headers.LastEventID, e.lastEvent)
 	}
 	return replica.Call{
-		Method: e.request.Method, Target: e.request.RequestURI, Host: e.request.Host, Header: header, Body: e.body, RequestID: e.id,
+		Method: e.request.Method, Target: targetOf(e.request), Host: e.request.Host, Header: header, Body: e.body, RequestID: e.id,
 	}
 }
+
+// targetOf returns the path and query as the caller sent them, without the scheme and host that a target may have.
+func targetOf(request *http.Request) string {
+	if strings.HasPrefix(request.RequestURI, "/") {
+		return request.RequestURI
+	}
+	return request.URL.RequestURI()
+}
--- a/internal/logging/logger.go
+++ b/internal/logging/logger.go
@@ -26,9 +26,11 @@
 
 // Run adds the event's time.
 func (timestampHook) Run(event *zerolog.Event, _ zerolog.Level, _ string) {
-	event.Str(zerolog.TimestampFieldName, time.Now().UTC().Format("2006-01-02T15:04:05.000Z07:00"))
+	event.Str(zerolog.TimestampFieldName, timestamp(time.Now()))
 }
 
+func timestamp(now time.Time) string { return now.UTC().Format("2006-01-02T15:04:05.000Z07:00") }
+
 // pairWriter turns zerolog's JSON events into key=value lines.
 type pairWriter struct {
 	mutex sync.Mutex
