--- /dev/null
+++ b/internal/batch/fake_test.go
@@ -0,0 +1,163 @@
+package batch
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/replica/replicatest"
+	"github.com/sloelift/sloelift/internal/route"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+// fakeOwned is a partition's log in memory.
+type fakeOwned struct {
+	mutex   sync.Mutex
+	records []ledger.Record
+	// stuck keeps appends from being decided; refusal is what they fail with.
+	stuck   bool
+	refusal *outcome.Error
+	lost    chan struct{}
+}
+
+func (o *fakeOwned) Partition() ledger.PartitionID { return 0 }
+
+func (o *fakeOwned) Append(ctx context.Context, records []ledger.Record) (ledger.Position, error) {
+	time.Sleep(time.Millisecond)
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for o.stuck && ctx.Err() == nil {
+		o.mutex.Unlock()
+		time.Sleep(10 * time.Millisecond)
+		o.mutex.Lock()
+	}
+	if ctx.Err() != nil {
+		return 0, errNotOwner()
+	}
+	if o.refusal != nil {
+		return 0, o.refusal
+	}
+	o.records = append(o.records, records...)
+	return ledger.Position(len(o.records) - len(records) + 1), nil
+}
+
+func (o *fakeOwned) Read(context.Context, ledger.Position, int) ([]ledger.Record, error) { return nil, nil }
+
+func (o *fakeOwned) Lost() <-chan struct{} { return o.lost }
+
+func (o *fakeOwned) set(stuck bool, refusal *outcome.Error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.stuck, o.refusal = stuck, refusal
+}
+
+type noRegistrar struct{}
+
+func (noRegistrar) Handle(transport.Method, func() proto.Message, transport.Handler) {}
+
+// ownerUnderTest is a service that owns one partition before scripted replicas.
+type ownerUnderTest struct {
+	*partition
+	service  *Service
+	owned    *fakeOwned
+	replicas *replicatest.Network
+	routes   *route.Holder
+}
+
+const testHost = "h.example"
+
+var addressOfEdge = netip.MustParseAddrPort("127.0.0.1:7000")
+
+func testTable(version int64, withRoute bool) *route.Table {
+	var routes []*route.Route
+	if withRoute {
+		routes = append(routes, &route.Route{
+			Name: "r", Host: testHost, Prefix: "/p/", Kind: route.Batch, Attempts: 3, Backends: []route.Backend{{Service: "s", Weight: 1}},
+		})
+	}
+	return route.NewTable(version, routes, nil, route.Limits{})
+}
+
+func newService(scripts map[string]replicatest.Script) (*Service, *replicatest.Network, *route.Holder) {
+	network := &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{}}
+	directory := replica.NewDirectory()
+	var infos []replica.Info
+	port := uint16(1000)
+	for id, script := range scripts {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+		port++
+		network.Scripts[address] = script
+		infos = append(infos, replica.Info{ID: id, Service: "s", Zone: "z", Address: address, Slots: 4})
+	}
+	directory.Replace(infos)
+	routes := route.NewHolder()
+	routes.Offer(testTable(1, true))
+	picker := balance.NewPicker(directory, func() float64 { return 0 })
+	client := replica.NewClient(network, replicatest.Headers)
+	options := Options{Zone: "z", MaxBytes: 1 << 20, KeepResults: time.Minute, Report: replica.LoadReport{
+		Path: "/load", Parse: func([]byte) (replica.Load, error) { return replica.Load{}, nil },
+	}}
+	return NewService(options, routes, directory, picker, client, noRegistrar{}, zerolog.Nop()), network, routes
+}
+
+// own starts a partition whose log already holds records.
+func own(t *testing.T, scripts map[string]replicatest.Script, records ...ledger.Record) *ownerUnderTest {
+	t.Helper()
+	service, network, routes := newService(scripts)
+	owner := newPartition(0, service)
+	owned := &fakeOwned{lost: make(chan struct{}), records: records}
+	if err := owner.Restore(nil); err != nil {
+		t.Fatal(err)
+	}
+	for index, record := range records {
+		if err := owner.Apply(ledger.Position(index+1), record); err != nil {
+			t.Fatal(err)
+		}
+	}
+	owner.Serve(owned)
+	return &ownerUnderTest{partition: owner, service: service, owned: owned, replicas: network, routes: routes}
+}
+
+func (o *ownerUnderTest) end() {
+	o.Stop()
+	o.replicas.CloseAll()
+	synctest.Wait()
+}
+
+func (o *ownerUnderTest) mustSubmit(t *testing.T, submission *batchpb.Submission) {
+	t.Helper()
+	response, err := o.submit(t.Context(), &batchpb.SubmitRequest{Submission: submission})
+	if err != nil || !response.Accepted {
+		t.Fatalf("submission of %s: %v, %v", submission.JobId, response, err)
+	}
+}
+
+// results waits until the job has count results or the time is over.
+func (o *ownerUnderTest) results(t *testing.T, jobID string, count int, within time.Duration) []*batchpb.ListedResult {
+	t.Helper()
+	deadline := time.Now().Add(within)
+	for {
+		response, err := o.read(t.Context(), &batchpb.ReadRequest{JobId: jobID})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(response.Results) >= count {
+			return response.Results
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d of %d results after %s", len(response.Results), count, within)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/batch/partition_test.go
@@ -0,0 +1,310 @@
+package batch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/replica/replicatest"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	eventOne = "id: 1\ndata: a\n\n"
+	eventTwo = "id: 2\ndata: b\n\n"
+)
+
+func batchOf(jobID string, items int) *batchpb.Submission {
+	submission := submissionOf(jobID, items)
+	submission.Host = testHost
+	for _, item := range submission.Items {
+		item.Path = "/p/" + item.Id
+	}
+	return submission
+}
+
+func only(script replicatest.Script) map[string]replicatest.Script {
+	return map[string]replicatest.Script{"a": script}
+}
+
+func TestItemsAreRunAndListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := own(t, only(replicatest.Stream("s", true, false, eventOne, eventTwo)))
+		owner.mustSubmit(t, batchOf("j", 5))
+		for _, result := range owner.results(t, "j", 5, 5*time.Second) {
+			if result.State != batchpb.State_STATE_SUCCEEDED || result.Text != "a\nb" {
+				t.Errorf("item %s: %v %q", result.ItemId, result.State, result.Text)
+			}
+		}
+		owner.end()
+	})
+}
+
+func TestCutItemGoesOnBehindItsLastEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := replicatest.Stream("s", false, false, eventOne, "id: 2\nda")
+		owner := own(t, only(replicatest.Then(first, replicatest.Stream("s", true, false, eventTwo))))
+		owner.mustSubmit(t, batchOf("j", 1))
+		if text := owner.results(t, "j", 1, 5*time.Second)[0].Text; text != "a\nb" {
+			t.Errorf("text is %q", text)
+		}
+		if resumed := owner.replicas.Requests()[1].Header.Get("Last-Event-Id"); resumed != "1" {
+			t.Errorf("went on behind %q, want 1", resumed)
+		}
+		owner.end()
+	})
+}
+
+func TestDeadLetters(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		script replicatest.Script
+		runs   int
+	}{
+		{"impossible", replicatest.Answer(422, replicatest.Signed, ""), 1},
+		{"fails each time", replicatest.Answer(500, replicatest.Signed, ""), 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				owner := own(t, only(test.script))
+				owner.mustSubmit(t, batchOf("j", 1))
+				if state := owner.results(t, "j", 1, 30*time.Second)[0].State; state != batchpb.State_STATE_DEAD_LETTER {
+					t.Errorf("state is %v", state)
+				}
+				if runs := countPosts(owner); runs != test.runs {
+					t.Errorf("sent %d times, want %d", runs, test.runs)
+				}
+				owner.end()
+			})
+		})
+	}
+}
+
+func countPosts(owner *ownerUnderTest) int {
+	posts := 0
+	for _, request := range owner.replicas.Requests() {
+		if request.Method == "POST" {
+			posts++
+		}
+	}
+	return posts
+}
+
+func TestRefusedItemIsNeverADeadLetter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := own(t, only(replicatest.Refuse()))
+		owner.mustSubmit(t, batchOf("j", 1))
+		time.Sleep(10 * time.Second)
+		response, err := owner.read(t.Context(), &batchpb.ReadRequest{JobId: "j"})
+		if err != nil || len(response.Results) != 0 || !response.Found {
+			t.Errorf("results are %v, %v", response, err)
+		}
+		owner.end()
+	})
+}
+
+func TestSubmissionIsTakenOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := own(t, only(replicatest.Hang()))
+		owner.owned.set(true, nil)
+		impatient, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := owner.submit(impatient, &batchpb.SubmitRequest{Submission: batchOf("j", 2)})
+		if outcome.Of(err) != outcome.Indeterminate {
+			t.Errorf("a submission whose append is not decided ends with %v; it must promise nothing", err)
+		}
+		owner.owned.set(false, nil)
+		owner.mustSubmit(t, batchOf("j", 2))
+		owner.mustSubmit(t, batchOf("j", 2))
+		accepted := 0
+		owner.owned.mutex.Lock()
+		for _, record := range owner.owned.records {
+			if record.Kind == acceptanceRecords(batchOf("j", 2), 1)[0].Kind {
+				accepted++
+			}
+		}
+		owner.owned.mutex.Unlock()
+		if accepted != 1 {
+			t.Errorf("the job is accepted %d times", accepted)
+		}
+		owner.end()
+	})
+}
+
+func TestRefusedSubmissionNeverRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := own(t, only(replicatest.Stream("s", true, false, eventOne)))
+		owner.owned.set(false, outcome.New(outcome.NotRun, outcome.ReasonStorageFull, "full"))
+		if _, err := owner.submit(t.Context(), &batchpb.SubmitRequest{Submission: batchOf("j", 2)}); outcome.Of(err) != outcome.NotRun {
+			t.Errorf("error is %v, want not run", err)
+		}
+		owner.owned.set(false, nil)
+		time.Sleep(3 * time.Second)
+		if posts := countPosts(owner); posts != 0 {
+			t.Errorf("%d items of a refused job were sent", posts)
+		}
+		owner.end()
+	})
+}
+
+func TestQuota(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := own(t, only(replicatest.Hang()))
+		request := func(job string) *batchpb.SubmitRequest {
+			return &batchpb.SubmitRequest{Submission: batchOf(job, 2), MaxWaitingTokens: 50}
+		}
+		for _, step := range []struct {
+			job      string
+			accepted bool
+		}{{"j1", true}, {"j2", true}, {"j3", false}, {"j1", true}} {
+			response, err := owner.submit(t.Context(), request(step.job))
+			if err != nil || response.Accepted != step.accepted || response.OverQuota == step.accepted {
+				t.Errorf("%s: %v, %v", step.job, response, err)
+			}
+		}
+		if _, err := owner.partition.end(t.Context(), &batchpb.EndRequest{JobId: "j1"}); err != nil {
+			t.Fatal(err)
+		}
+		if response, err := owner.submit(t.Context(), request("j3")); err != nil || !response.Accepted {
+			t.Errorf("after the end of a job another does not fit: %v, %v", response, err)
+		}
+		owner.end()
+	})
+}
+
+func TestEndedJobIsNotSentAnyMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := own(t, only(replicatest.Refuse()))
+		owner.mustSubmit(t, batchOf("j", 3))
+		time.Sleep(time.Second)
+		for range 2 {
+			if response, err := owner.partition.end(t.Context(), &batchpb.EndRequest{JobId: "j"}); err != nil || !response.Found {
+				t.Fatalf("end: %v, %v", response, err)
+			}
+		}
+		synctest.Wait()
+		before := countPosts(owner)
+		time.Sleep(10 * time.Second)
+		if after := countPosts(owner); after != before {
+			t.Errorf("%d items were sent after the end", after-before)
+		}
+		if response, err := owner.partition.end(t.Context(), &batchpb.EndRequest{JobId: "none"}); err != nil || response.Found {
+			t.Errorf("end of an unknown job: %v, %v", response, err)
+		}
+		owner.end()
+	})
+}
+
+// TestNothingIsDeniedWithoutProofOfOwnership: an owner that was replaced unaware may lack a job, so it must not deny it.
+func TestNothingIsDeniedWithoutProofOfOwnership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := own(t, only(replicatest.Hang()))
+		owner.owned.set(true, nil)
+		// The recovery itself is a proof for what is asked at its moment.
+		time.Sleep(time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		if response, err := owner.read(ctx, &batchpb.ReadRequest{JobId: "j"}); err == nil {
+			t.Errorf("a read without proof gives %v", response)
+		}
+		if response, err := owner.body(ctx, &batchpb.BodyRequest{JobId: "j", ItemId: "i"}); err == nil {
+			t.Errorf("a body without proof gives %v", response)
+		}
+		owner.owned.set(false, nil)
+		if response, err := owner.read(t.Context(), &batchpb.ReadRequest{JobId: "j"}); err != nil || response.Found {
+			t.Errorf("a read with proof gives %v, %v", response, err)
+		}
+		owner.end()
+	})
+}
+
+func TestOwnerThatCannotProveItselfSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := own(t, only(replicatest.Refuse()))
+		owner.mustSubmit(t, batchOf("j", 1))
+		time.Sleep(time.Second)
+		owner.owned.set(true, nil)
+		time.Sleep(confirmWindow + dispatchInterval)
+		before := countPosts(owner)
+		time.Sleep(10 * time.Second)
+		if after := countPosts(owner); after != before {
+			t.Errorf("%d items were sent by an owner without proof", after-before)
+		}
+		owner.owned.set(false, nil)
+		owner.end()
+	})
+}
+
+// TestSuccessorGoesOnWhereTheLogEnds: what a running item made is in the log within the interval of checkpoints.
+func TestSuccessorGoesOnWhereTheLogEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := own(t, only(replicatest.Stream("s", true, true, eventOne)))
+		owner.mustSubmit(t, batchOf("j", 1))
+		time.Sleep(checkpointInterval + 100*time.Millisecond)
+		owner.end()
+		successor := own(t, only(replicatest.Stream("s", true, false, eventTwo)), owner.owned.records...)
+		if text := successor.results(t, "j", 1, 5*time.Second)[0].Text; text != "a\nb" {
+			t.Errorf("text is %q", text)
+		}
+		if resumed := successor.replicas.Requests()[0].Header.Get("Last-Event-Id"); resumed != "1" {
+			t.Errorf("went on behind %q, want 1", resumed)
+		}
+		successor.end()
+	})
+}
+
+func TestItemsYieldToOnlineRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := own(t, map[string]replicatest.Script{
+			"a": replicatest.Stream("s", true, true, eventOne), "b": replicatest.Stream("s", true, true, eventOne),
+		})
+		owner.mustSubmit(t, batchOf("j", 8))
+		time.Sleep(500 * time.Millisecond)
+		if _, _, running := owner.service.room("s", time.Now()); running < 5 {
+			t.Errorf("%d items run on 8 idle slots", running)
+		}
+		told := &batchpb.OnlineLoad{Services: []*batchpb.ServiceLoad{{Service: "s", InUse: 6}}}
+		owner.service.online.take(addressOfEdge, told, time.Now())
+		owner.service.yield()
+		synctest.Wait()
+		if _, keep, running := owner.service.room("s", time.Now()); running > keep || running > 2 {
+			t.Errorf("%d items run beside 6 online requests on 8 slots", running)
+		}
+		owner.end()
+	})
+}
+
+func TestItemOfARouteThatIsGoneIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := own(t, only(replicatest.Refuse()))
+		owner.mustSubmit(t, batchOf("j", 1))
+		owner.routes.Offer(testTable(2, false))
+		if state := owner.results(t, "j", 1, 20*time.Second)[0].State; state != batchpb.State_STATE_DEAD_LETTER {
+			t.Errorf("state is %v", state)
+		}
+		owner.end()
+	})
+}
+
+func TestOldJobsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := own(t, only(replicatest.Stream("s", true, false, eventOne)))
+		owner.mustSubmit(t, batchOf("j", 1))
+		owner.results(t, "j", 1, 5*time.Second)
+		time.Sleep(50 * time.Second)
+		if response, err := owner.read(t.Context(), &batchpb.ReadRequest{JobId: "j"}); err != nil || len(response.Results) != 1 {
+			t.Errorf("results are gone too early: %v, %v", response, err)
+		}
+		time.Sleep(2 * time.Minute)
+		if response, err := owner.read(t.Context(), &batchpb.ReadRequest{JobId: "j"}); err != nil || response.Found {
+			t.Errorf("results are kept for ever: %v, %v", response, err)
+		}
+		owner.end()
+	})
+}
--- a/internal/replica/connection.go
+++ b/internal/replica/connection.go
@@ -23,7 +23,6 @@
 	net       net.Conn
 	reader    *bufio.Reader
 	idleUntil time.Time
-	used      bool
 }
 
 func newConnection(raw net.Conn) *connection {
