--- /dev/null
+++ b/internal/ledger/silence_test.go
@@ -0,0 +1,117 @@
+package ledger
+
+import (
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/transport/memory"
+)
+
+const testSilence = 1200 * time.Millisecond
+
+// newStorageCluster has four stores, three copies, and the timing of storage nodes.
+func newStorageCluster(t *testing.T, seed uint64) *cluster {
+	c := newCluster(t, seed)
+	c.ledger.Replicas, c.ledger.WriteQuorum, c.ledger.OwnersOnStores = 3, 2, true
+	c.timing.Silence, c.timing.Request, c.timing.Settle = testSilence, time.Second, time.Minute
+	for range 4 {
+		c.add(true)
+	}
+	return c
+}
+
+// TestOwnerThatItsStoresDoNotHearIsReplaced: the owner is cut off from the other nodes, yet all hold it alive, as where indirect
+// probes pass.
+func TestOwnerThatItsStoresDoNotHearIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newStorageCluster(t, 21)
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "before")}
+		cutOff := c.owner(0)
+		c.network.SetConditions(func(from, to netip.AddrPort) memory.Conditions {
+			return memory.Conditions{Delay: linkDelay, Cut: from != to && (from == cutOff.address || to == cutOff.address)}
+		})
+		others := c.nodes
+		c.nodes = nil
+		for _, node := range others {
+			if node != cutOff {
+				c.nodes = append(c.nodes, node)
+			}
+		}
+		began := time.Now()
+		acknowledged = append(acknowledged, c.put(0, "meanwhile"))
+		if took := time.Since(began); took > 6*time.Second {
+			t.Errorf("the partition had no owner for %s", took)
+		}
+		if ownership, present := cutOff.manager.ownership(0); present && ownership.inContact(time.Now()) {
+			t.Error("the owner that is cut off still calls itself the owner")
+		}
+		c.network.SetConditions(calm)
+		c.nodes = others
+		c.check(0, acknowledged)
+	})
+}
+
+// TestIdleOwnerIsKept: silence without appends is no reason to replace an owner that answers.
+func TestIdleOwnerIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newStorageCluster(t, 22)
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "a")}
+		owner := c.owner(0)
+		ownership, _ := owner.manager.ownership(0)
+		time.Sleep(30 * time.Second)
+		if present, _ := owner.manager.ownership(0); present != ownership {
+			t.Error("an idle owner lost its partition")
+		}
+		c.check(0, acknowledged)
+	})
+}
+
+// TestRetiringNodeIsEmptied: its store leaves all ensembles, its partitions go to others, and then another disk may be lost.
+func TestRetiringNodeIsEmptied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newStorageCluster(t, 23)
+		defer c.stopAll()
+		var acknowledged []string
+		for _, value := range []string{"a", "b", "c"} {
+			acknowledged = append(acknowledged, c.put(0, value))
+		}
+		retiring := c.owner(0)
+		for _, node := range c.nodes {
+			node.manager.SetRetiring(map[membership.NodeID]bool{retiring.id: true})
+		}
+		c.eventually("the node is empty", func() bool {
+			emptied, err := c.nodes[0].manager.Emptied(t.Context(), retiring.id)
+			return err == nil && emptied
+		})
+		if owner := c.owner(0); owner == retiring {
+			t.Error("the retiring node still owns a partition")
+		}
+		c.kill(retiring)
+		c.loseDisk(c.nodes[0])
+		c.check(0, acknowledged)
+	})
+}
+
+// TestRetiringNodeIsNotEmptyWithoutAnother: with no store to take its place it stays a member.
+func TestRetiringNodeIsNotEmptyWithoutAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newStorageCluster(t, 24)
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "a")}
+		c.kill(c.nodes[3])
+		time.Sleep(time.Minute)
+		for _, node := range c.nodes {
+			node.manager.SetRetiring(map[membership.NodeID]bool{c.nodes[0].id: true})
+		}
+		time.Sleep(10 * time.Second)
+		if emptied, err := c.nodes[1].manager.Emptied(t.Context(), c.nodes[0].id); err != nil || emptied {
+			t.Errorf("emptied %t, %v, though there is no other store", emptied, err)
+		}
+		c.check(0, acknowledged)
+	})
+}
