--- /dev/null
+++ b/internal/discovery/service_test.go
@@ -0,0 +1,281 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/route"
+)
+
+// scriptedStore is a key-value service whose watches can be mute, cut or compacted.
+type scriptedStore struct {
+	platform.KeyValue
+	mutex    sync.Mutex
+	revision int64
+	entries  map[string]platform.Entry
+	// mute watches are told nothing; compacted is the revision up to which history is gone; down refuses all.
+	mute      bool
+	compacted int64
+	down      bool
+	watches   []*scriptedWatch
+	lists     int
+}
+
+type scriptedWatch struct {
+	prefix string
+	events chan platform.WatchEvent
+	ctx    context.Context
+}
+
+func newScriptedStore() *scriptedStore {
+	return &scriptedStore{entries: map[string]platform.Entry{}}
+}
+
+func (s *scriptedStore) List(_ context.Context, prefix string) (platform.Listing, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lists++
+	if s.down {
+		return platform.Listing{}, platform.KindUnavailable.New("down")
+	}
+	listing := platform.Listing{Revision: s.revision}
+	for key, entry := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			listing.Entries = append(listing.Entries, entry)
+		}
+	}
+	return listing, nil
+}
+
+func (s *scriptedStore) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchEvent, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return nil, platform.KindUnavailable.New("down")
+	}
+	events := make(chan platform.WatchEvent, 16)
+	if from <= s.compacted {
+		events <- platform.WatchEvent{Err: platform.KindCompacted.New("history is gone")}
+		close(events)
+		return events, nil
+	}
+	s.watches = append(s.watches, &scriptedWatch{prefix: prefix, events: events, ctx: ctx})
+	return events, nil
+}
+
+// put changes a key, or removes it where value is empty.
+func (s *scriptedStore) put(key, value string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	event := platform.WatchEvent{Revision: s.revision}
+	if value == "" {
+		delete(s.entries, key)
+		event.Deleted = []string{key}
+	} else {
+		s.entries[key] = platform.Entry{Key: key, Value: []byte(value), ModRevision: s.revision}
+		event.Changed = []platform.Entry{s.entries[key]}
+	}
+	for _, watch := range s.watches {
+		if !s.mute && watch.ctx.Err() == nil && strings.HasPrefix(key, watch.prefix) {
+			watch.events <- event
+		}
+	}
+}
+
+// cut ends all watches with an error.
+func (s *scriptedStore) cut(err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, watch := range s.watches {
+		watch.events <- platform.WatchEvent{Err: err}
+		close(watch.events)
+	}
+	s.watches = nil
+}
+
+func (s *scriptedStore) set(change func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change()
+}
+
+// plainTranslator reads values that are a version, or a service with an optional "!" for draining.
+type plainTranslator struct{}
+
+func (plainTranslator) ConfigurationKey() string { return "config" }
+
+func (plainTranslator) Table(value []byte) (*route.Table, error) {
+	var version int64
+	if _, err := fmt.Sscan(string(value), &version); err != nil {
+		return nil, err
+	}
+	return route.NewTable(version, nil, nil, route.Limits{}), nil
+}
+
+func (plainTranslator) ReplicaPrefix() string { return "replicas/" }
+
+func (plainTranslator) ReplicaID(key string) string { return strings.TrimPrefix(key, "replicas/") }
+
+func (t plainTranslator) Replica(key string, value []byte) (replica.Info, error) {
+	service, draining := strings.CutSuffix(string(value), "!")
+	return replica.Info{ID: t.ReplicaID(key), Service: service, Draining: draining, Address: netip.MustParseAddrPort("127.0.0.1:1")}, nil
+}
+
+// fixedViewer shows one other node with a revision.
+type fixedViewer struct {
+	mutex  sync.Mutex
+	notify []func(*membership.View)
+	view   membership.View
+}
+
+func (v *fixedViewer) View() *membership.View {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	view := v.view
+	return &view
+}
+
+func (v *fixedViewer) Subscribe(notify func(*membership.View)) func() {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.notify = append(v.notify, notify)
+	return func() {}
+}
+
+func (v *fixedViewer) SetConfigRevision(int64) {}
+
+func (v *fixedViewer) tell(revision int64) {
+	v.mutex.Lock()
+	v.view = membership.View{Self: "self", Members: []membership.Member{{ID: "other", ConfigRevision: revision}, {ID: "self"}}}
+	notify := v.notify
+	v.mutex.Unlock()
+	for _, each := range notify {
+		each(v.View())
+	}
+}
+
+func TestFollowing(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		act  func(store *scriptedStore, viewer *fixedViewer)
+		// most is the time after which the change must be in force.
+		most time.Duration
+	}{
+		{"a watch tells", func(store *scriptedStore, _ *fixedViewer) {
+			store.put("config", "2")
+			store.put("replicas/a", "s!")
+		}, time.Second},
+		{"a watch is cut and its changes come with the next", func(store *scriptedStore, _ *fixedViewer) {
+			store.set(func() { store.mute = true })
+			store.put("config", "2")
+			store.put("replicas/a", "s!")
+			store.set(func() { store.mute, store.compacted = false, store.revision })
+			store.cut(platform.KindUnavailable.New("cut"))
+		}, 2 * time.Second},
+		{"history is gone", func(store *scriptedStore, _ *fixedViewer) {
+			store.set(func() { store.mute = true })
+			store.put("config", "2")
+			store.put("replicas/a", "s!")
+			store.cut(platform.KindCompacted.New("gone"))
+			store.set(func() { store.mute = false })
+		}, 2 * time.Second},
+		{"a mute watch, of which another node tells", func(store *scriptedStore, viewer *fixedViewer) {
+			store.set(func() { store.mute = true })
+			store.put("config", "2")
+			store.put("replicas/a", "s!")
+			viewer.tell(store.revision)
+		}, time.Second},
+		{"the service is down for a while", func(store *scriptedStore, _ *fixedViewer) {
+			store.set(func() { store.down = true })
+			store.cut(platform.KindUnavailable.New("down"))
+			store.set(func() { store.mute = true })
+			store.put("config", "2")
+			store.put("replicas/a", "s!")
+			time.Sleep(20 * time.Second)
+			store.set(func() { store.down, store.mute, store.compacted = false, false, store.revision })
+		}, 2500 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, viewer := newScriptedStore(), &fixedViewer{}
+				store.put("config", "1")
+				store.put("replicas/a", "s")
+				store.put("replicas/b", "s")
+				routes, directory := route.NewHolder(), replica.NewDirectory()
+				service := New(Options{
+					Store: store, Translator: plainTranslator{}, Routes: routes, Directory: directory, Viewer: viewer, Reporter: viewer, Logger: zerolog.Nop(),
+				})
+				service.Start()
+				synctest.Wait()
+				if routes.Table() == nil || !directory.Loaded() || len(directory.View().Of("s")) != 2 {
+					t.Fatal("the first state is not in force")
+				}
+				test.act(store, viewer)
+				began := time.Now()
+				for routes.Table().Version != 2 || !directory.View().Find("a").Info().Draining {
+					if time.Since(began) > test.most {
+						t.Fatalf("not in force after %s: version %d", test.most, routes.Table().Version)
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				service.Stop()
+			})
+		})
+	}
+}
+
+func TestRemovedReplicaIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, viewer := newScriptedStore(), &fixedViewer{}
+		store.put("replicas/a", "s")
+		directory := replica.NewDirectory()
+		service := New(Options{
+			Store: store, Translator: plainTranslator{}, Routes: route.NewHolder(), Directory: directory, Viewer: viewer, Reporter: viewer, Logger: zerolog.Nop(),
+		})
+		service.Start()
+		synctest.Wait()
+		handle := directory.View().Find("a")
+		store.put("replicas/a", "")
+		time.Sleep(time.Second)
+		if directory.View().Find("a") != nil || handle.Usable() {
+			t.Error("a removed replica can still be used")
+		}
+		service.Stop()
+	})
+}
+
+func TestWatchWait(t *testing.T) {
+	view := func(self membership.NodeID, states ...membership.State) *membership.View {
+		view := &membership.View{Self: self}
+		for index, state := range states {
+			view.Members = append(view.Members, membership.Member{ID: membership.NodeID(fmt.Sprint("n", index)), State: state})
+		}
+		return view
+	}
+	for _, test := range []struct {
+		name string
+		view *membership.View
+		want time.Duration
+	}{
+		{"alone", view("n0", membership.Alive), scoutWait},
+		{"second", view("n1", membership.Alive, membership.Alive, membership.Alive), scoutWait},
+		{"third", view("n2", membership.Alive, membership.Alive, membership.Alive), otherWait},
+		{"third behind a dead one", view("n2", membership.Dead, membership.Alive, membership.Alive), scoutWait},
+	} {
+		if wait := WatchWait(test.view); wait != test.want {
+			t.Errorf("%s: %s, want %s", test.name, wait, test.want)
+		}
+	}
+}
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -92,6 +92,8 @@
 			}
 		case <-follower.Behind:
 			return 0, nil
+		case <-ctx.Done():
+			return revision, ctx.Err()
 		}
 	}
 }
