Tell a replica that is busy from one that is down; name verdicts in the log

Cause: a replica whose queue was long counted as failed when a request left it after 0.3 s, and was avoided for up to 3 s by more and more edges. Change: it counts as failed only if nothing at all was heard from it since the attempt began. Declined attempts to own a partition, one a second, are no longer logged.

--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -50,6 +50,13 @@
 	itemCut
 )
 
+var itemVerdictNames = map[itemVerdict]string{
+	itemDone: "done", itemImpossible: "impossible", itemFailed: "failed", itemRefused: "refused", itemCut: "cut",
+}
+
+// String returns the verdict's name in the log.
+func (v itemVerdict) String() string { return itemVerdictNames[v] }
+
 // itemAttempt is one send of an item to one replica.
 type itemAttempt struct {
 	partition *partition
@@ -169,7 +176,7 @@
 func (p *partition) took(attempt *itemAttempt, verdict itemVerdict) {
 	if verdict != itemDone && p.ctx.Err() == nil {
 		p.logger.Info().Str(logging.FieldRequest, attempt.sent.Id).Str(logging.FieldJob, attempt.key.job).
-			Str(logging.FieldReplica, attempt.handle.Info().ID).Int("verdict", int(verdict)).Int("status", attempt.status).
+			Str(logging.FieldReplica, attempt.handle.Info().ID).Stringer("verdict", verdict).Int("status", attempt.status).
 			Str("last_event", attempt.lastEvent).Err(attempt.err).Msg("item_not_done")
 	}
 	switch verdict {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -31,6 +31,7 @@
 	defer e.promptRead()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	e.attemptBegan = time.Now()
 	patience := e.watchSilence(cancel)
 	defer patience.stop()
 	answer, err := e.handler.client.Do(ctx, handle, e.callFor(handle))
@@ -69,7 +70,12 @@
 	if e.request.Context().Err() != nil {
 		return callerGone
 	}
-	handle.Failed(time.Now())
+	if errors.Is(context.Cause(ctx), errSilent) && handle.HeardSince(e.attemptBegan) {
+		// It answers others: it is not down, the request waits there for its turn.
+		handle.Rejected(time.Now())
+	} else {
+		handle.Failed(time.Now())
+	}
 	e.log(handle, "call_failed").Err(errors.Join(err, context.Cause(ctx))).Send()
 	if errors.Is(err, replica.ErrNotSent) {
 		return notRun
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -32,6 +32,13 @@
 	callerGone
 )
 
+var verdictNames = map[verdict]string{
+	delivered: "delivered", notRun: "not_run", maybeRun: "maybe_run", answeredBadly: "answered_badly", brokenOff: "broken_off", callerGone: "caller_gone",
+}
+
+// String returns the verdict's name in the log.
+func (v verdict) String() string { return verdictNames[v] }
+
 const (
 	// maxRefusals bounds the replicas that may refuse one request before the caller is told.
 	maxRefusals = 3
@@ -57,6 +64,8 @@
 	// promptTokens is the length of the prompt; promptRead is called at the first event of an attempt.
 	promptTokens int
 	promptRead   func()
+	// attemptBegan is when the latest attempt began.
+	attemptBegan time.Time
 	// headSent says that the caller has the head of the answer; lastEvent is the id of the last event that it has.
 	headSent  bool
 	lastEvent string
@@ -145,7 +154,7 @@
 	}
 	handler.metrics.finished(e.route.Name, false, time.Since(e.arrived))
 	handler.logger.Info().Str(logging.FieldRequest, e.id).Str("route", e.route.Name).Str(logging.FieldReason, reason).
-		Int("runs", e.runs).Int("refusals", e.refusals).Int("verdict", int(last)).Str("last_event", e.lastEvent).Bool("head_sent", e.headSent).
+		Int("runs", e.runs).Int("refusals", e.refusals).Stringer("verdict", last).Str("last_event", e.lastEvent).Bool("head_sent", e.headSent).
 		Dur("after", time.Since(e.arrived)).Msg("not_delivered")
 	switch {
 	case e.headSent:
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -277,8 +277,10 @@
 		func() {
 			control.trying = false
 			control.ownership = nil
-			m.logger.Info().Uint32(logging.FieldPartition, uint32(partition)).Bool("overdue", overdue).
-				Str(fieldCause, string(result.lost.Cause)).Dur("lasted", time.Since(began)).Msg("ownership_ended")
+			if result.lost.Cause != protocol.LossDeclined {
+				m.logger.Info().Uint32(logging.FieldPartition, uint32(partition)).Bool("overdue", overdue).
+					Str(fieldCause, string(result.lost.Cause)).Dur("lasted", time.Since(began)).Msg("ownership_ended")
+			}
 			if result.lost.Cause == protocol.LossDeclined {
 				control.declined = time.Now()
 			}
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -32,6 +32,8 @@
 	inUse atomic.Int64
 	// reading counts the prompt tokens of this process's requests that wait for their first event.
 	reading atomic.Int64
+	// heardAt is when bytes of an answer last came, in nanoseconds since the start of the process; 0 is never.
+	heardAt atomic.Int64
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
@@ -76,6 +78,17 @@
 // Reading returns the prompt tokens of this process's requests that wait for their first event.
 func (h *Handle) Reading() int { return int(h.reading.Load()) }
 
+// processStart is the origin of times that no step of the time of day changes.
+var processStart = time.Now()
+
+// Heard notes that bytes of an answer have come.
+func (h *Handle) Heard() { h.heardAt.Store(int64(time.Since(processStart))) }
+
+// HeardSince says that bytes of an answer have come after since.
+func (h *Handle) HeardSince(since time.Time) bool {
+	return h.heardAt.Load() > int64(since.Sub(processStart))
+}
+
 // Tell takes in a load that the replica told.
 func (h *Handle) Tell(load Load, now time.Time) {
 	h.mutex.Lock()
