Begin a takeover from the newest ensemble that the local store has heard of

Cause: a node that knew only an ensemble of stores that are gone waited 1 s for their answers before it learnt of the newer one (log: ownership_ended cause=ensemble_changed lasted=1000).

--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -33,6 +33,9 @@
 // attempt asks the present owner to let go, takes a ballot above all promised ones and serves under it
 // until it is lost.
 func (m *Manager) attempt(partition PartitionID, ensemble protocol.Ensemble, number uint64, overdue bool) attemptResult {
+	if newer, found := m.newerAtLocalStore(ensemble); found {
+		return attemptResult{number: number, lost: protocol.Lost{Cause: protocol.LossEnsembleChanged, Ensemble: newer}}
+	}
 	survey := m.survey(ensemble)
 	number = max(number, survey.number)
 	if survey.ensemble.Version > ensemble.Version {
@@ -61,6 +64,22 @@
 	return attemptResult{number: owner.Ballot().Number, lost: lost}
 }
 
+// newerAtLocalStore returns the ensemble that the local store has heard of, if it is newer. The members of an old one may be gone,
+// and to wait for their answers takes long.
+func (m *Manager) newerAtLocalStore(ensemble protocol.Ensemble) (protocol.Ensemble, bool) {
+	if m.local == nil {
+		return protocol.Ensemble{}, false
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, m.timing.Request)
+	defer cancel()
+	response, err := m.local.Survey(ctx, &ledgerpb.SurveyRequest{Partition: uint32(ensemble.Partition), Store: string(m.local.ID())})
+	if err != nil || response.Status != ledgerpb.Status_STATUS_OK {
+		return protocol.Ensemble{}, false
+	}
+	known := wire.ToEnsemble(response.Ensemble)
+	return known, known.Version > ensemble.Version
+}
+
 // survey asks the full members what they have promised, until a read quorum has answered.
 func (m *Manager) survey(ensemble protocol.Ensemble) surveyResult {
 	ctx, cancel := context.WithTimeout(m.ctx, m.timing.Request)
