--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -52,7 +52,9 @@
 	return ledger.Position(len(o.records) - len(records) + 1), nil
 }
 
-func (o *fakeOwned) Read(context.Context, ledger.Position, int) ([]ledger.Record, error) { return nil, nil }
+func (o *fakeOwned) Read(context.Context, ledger.Position, int) ([]ledger.Record, error) {
+	return nil, nil
+}
 
 func (o *fakeOwned) Lost() <-chan struct{} { return o.lost }
 
--- a/internal/ledger/fakes_test.go
+++ b/internal/ledger/fakes_test.go
@@ -18,6 +18,8 @@
 	entries     map[string]platform.Entry
 	down        bool
 	loseAnswers bool
+	// calls counts all calls.
+	calls int
 }
 
 func (k *memoryKeyValue) set(change func()) {
@@ -29,6 +31,7 @@
 func (k *memoryKeyValue) Get(_ context.Context, key string) (platform.Entry, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
+	k.calls++
 	if k.down {
 		return platform.Entry{}, platform.KindUnavailable.New("down")
 	}
@@ -38,6 +41,7 @@
 func (k *memoryKeyValue) List(_ context.Context, prefix string) (platform.Listing, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
+	k.calls++
 	if k.down {
 		return platform.Listing{}, platform.KindUnavailable.New("down")
 	}
@@ -53,6 +57,7 @@
 func (k *memoryKeyValue) Commit(_ context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
+	k.calls++
 	if k.down {
 		return platform.CommitResult{}, platform.KindUnavailable.New("down")
 	}
--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -234,3 +234,29 @@
 		c.check(0, acknowledged)
 	})
 }
+
+// TestOutageDrawsFewCalls: while the key-value service is down, a disk that wants replacing draws calls at a bounded rate.
+func TestOutageDrawsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 31)
+		for range 4 {
+			c.add(true)
+		}
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "a")}
+		c.keyValue.set(func() { c.keyValue.down = true })
+		c.loseDisk(c.nodes[2])
+		time.Sleep(5 * time.Second)
+		c.keyValue.set(func() { c.keyValue.calls = 0 })
+		const outage = 10
+		time.Sleep(outage * time.Second)
+		c.keyValue.set(func() {
+			if perNode := c.keyValue.calls / len(c.nodes); perNode > 4*outage {
+				t.Errorf("%d calls a node in %d s of an outage", perNode, outage)
+			}
+			c.keyValue.down = false
+		})
+		c.eventually("the ensemble is whole", func() bool { return c.owner(0).manager.Status()[0].Ensemble.Full() == 4 })
+		c.check(0, acknowledged)
+	})
+}
--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
@@ -13,7 +14,7 @@
 // runs on the control goroutine of the owner, or of a node that is becoming it; the compare-and-swap decides between several.
 func (m *Manager) maintain(partition PartitionID, control *partitionControl, view *membership.View, now time.Time) {
 	ensemble, known := m.directory.ensemble(partition)
-	if !known || control.changing {
+	if !known || control.changing || now.Before(control.nextChange) {
 		return
 	}
 	if ownership := control.ownership; ownership != nil && ownership.view.Load().ensemble.Version < ensemble.Version {
@@ -135,6 +136,13 @@
 		},
 		func() {
 			control.changing = false
+			if changed {
+				control.changeBackoff = 0
+			} else {
+				// The service may be down, or another node may have been first; either way not at once again.
+				control.changeBackoff = min(max(2*control.changeBackoff, m.timing.Backoff), m.timing.MaxBackoff)
+				control.nextChange = time.Now().Add(control.changeBackoff/2 + rand.N(control.changeBackoff/2+1))
+			}
 			event := m.logger.Info()
 			if err != nil {
 				event = m.logger.Warn().Err(err)
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -130,7 +130,10 @@
 	timing.Formation = time.Second
 	timing.MaxBackoff = time.Second
 	timing.Request = time.Second
-	timing.Silence = 1200 * time.Millisecond
+	timing.Silence = 800 * time.Millisecond
+	timing.Check = 100 * time.Millisecond
+	timing.Notice = 250 * time.Millisecond
+	timing.SuspectRelease = 300 * time.Millisecond
 	timing.Settle = time.Minute
 	return timing
 }()
