Bring calls about jobs to an owner out of reach through another edge

Change: for 1.5 s after a call without an answer the next ones go through a random live edge, which calls the owner only.

--- a/internal/batch/door.go
+++ b/internal/batch/door.go
@@ -12,6 +12,7 @@
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/platform"
@@ -34,14 +35,21 @@
 
 // Door takes calls about jobs at an edge and brings them to the owner of the job's partition. It is safe for concurrent use.
 type Door struct {
-	locator ledger.Locator
-	caller  transport.Caller
-	logger  zerolog.Logger
+	locator   ledger.Locator
+	caller    transport.Caller
+	viewer    membership.Viewer
+	unreached *unreached
+	logger    zerolog.Logger
 }
 
-// NewDoor returns a Door.
-func NewDoor(locator ledger.Locator, caller transport.Caller, logger zerolog.Logger) *Door {
-	return &Door{locator: locator, caller: caller, logger: logger.With().Str(logging.FieldSlice, "batch").Logger()}
+// NewDoor returns a Door and registers its method.
+func NewDoor(locator ledger.Locator, caller transport.Caller, registrar transport.Registrar, viewer membership.Viewer, logger zerolog.Logger) *Door {
+	door := &Door{
+		locator: locator, caller: caller, viewer: viewer, unreached: newUnreached(),
+		logger: logger.With().Str(logging.FieldSlice, "batch").Logger(),
+	}
+	transport.Handle(registrar, methodRelay, func() *batchpb.RelayRequest { return &batchpb.RelayRequest{} }, door.serveRelay)
+	return door
 }
 
 // Submit has a job accepted. The error is an *outcome.Error: NotRun means that no item will run on account of this call, with
@@ -112,21 +120,44 @@
 	}
 }
 
+// try makes one try, through another edge where the owner did not answer this one a short while ago.
 func (d *Door) try(ctx context.Context, method transport.Method, request partitionRequest, response proto.Message, longest time.Duration) *outcome.Error {
 	ctx, cancel := context.WithTimeout(ctx, longest)
 	defer cancel()
-	address, known := d.locator.Owner(ledger.PartitionID(request.GetPartition()))
+	owner, failure := d.owner(ledger.PartitionID(request.GetPartition()))
+	if failure != nil {
+		return failure
+	}
+	if d.unreached.recent(owner, time.Now()) {
+		if edge, found := d.otherEdge(); found {
+			return failureOrNil(d.relay(ctx, edge, method, request, response))
+		}
+	}
+	err := d.caller.Call(ctx, owner, method, request, response)
+	if errorx.IsOfType(err, transport.KindNotSent) || errorx.IsOfType(err, transport.KindNoAnswer) {
+		d.unreached.note(owner, time.Now())
+	}
+	return failureOrNil(err)
+}
+
+// owner returns the address of the partition's owner as far as it is known.
+func (d *Door) owner(partition ledger.PartitionID) (netip.AddrPort, *outcome.Error) {
+	address, known := d.locator.Owner(partition)
 	if !known {
-		return errNotOwner()
+		return netip.AddrPort{}, errNotOwner()
 	}
-	to, err := netip.ParseAddrPort(address)
+	owner, err := netip.ParseAddrPort(address)
 	if err != nil {
-		return outcome.Wrap(err, outcome.NotRun, outcome.ReasonNotOwner, "owner's address")
+		return netip.AddrPort{}, outcome.Wrap(err, outcome.NotRun, outcome.ReasonNotOwner, "owner's address")
 	}
-	if err := d.caller.Call(ctx, to, method, request, response); err != nil {
-		return failureOf(err)
+	return owner, nil
+}
+
+func failureOrNil(err error) *outcome.Error {
+	if err == nil {
+		return nil
 	}
-	return nil
+	return failureOf(err)
 }
 
 // failureOf turns an error of a try into an outcome.
--- /dev/null
+++ b/internal/batch/door_test.go
@@ -0,0 +1,138 @@
+package batch
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/route"
+	"github.com/sloelift/sloelift/internal/transport"
+	"github.com/sloelift/sloelift/internal/transport/memory"
+)
+
+// fixedLocator names one owner.
+type fixedLocator struct{ owner netip.AddrPort }
+
+func (l fixedLocator) Partitions() int                         { return 1 }
+func (l fixedLocator) PartitionOf(string) ledger.PartitionID   { return 0 }
+func (l fixedLocator) Owner(ledger.PartitionID) (string, bool) { return l.owner.String(), true }
+
+type fixedView struct{ view *membership.View }
+
+func (v fixedView) View() *membership.View                  { return v.view }
+func (v fixedView) Subscribe(func(*membership.View)) func() { return func() {} }
+
+// edges is two edges and an owner on one network.
+type edges struct {
+	network *memory.Network
+	doors   []*Door
+	owner   netip.AddrPort
+	stop    func()
+}
+
+func addressOf(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+}
+
+// newEdges starts an owner that answers submissions with answer.
+func newEdges(t *testing.T, answer func() (*batchpb.SubmitResponse, error)) *edges {
+	t.Helper()
+	made := &edges{network: memory.NewNetwork(1), owner: addressOf(9000)}
+	made.network.SetConditions(func(netip.AddrPort, netip.AddrPort) memory.Conditions {
+		return memory.Conditions{Delay: time.Millisecond}
+	})
+	var transports []*memory.Transport
+	start := func(address netip.AddrPort) *memory.Transport {
+		started, err := memory.NewTransport(made.network, address, prometheus.NewRegistry())
+		if err != nil {
+			t.Fatal(err)
+		}
+		transports = append(transports, started)
+		return started
+	}
+	owner := start(made.owner)
+	transport.Handle(owner, methodSubmit, func() *batchpb.SubmitRequest { return &batchpb.SubmitRequest{} },
+		func(context.Context, netip.AddrPort, *batchpb.SubmitRequest) (*batchpb.SubmitResponse, error) {
+			return answer()
+		})
+	members := []membership.Member{{ID: "e1", PeerAddress: addressOf(9001)}, {ID: "e2", PeerAddress: addressOf(9002)}, {ID: "s", PeerAddress: made.owner, Store: true}}
+	for _, self := range members[:2] {
+		edge := start(self.PeerAddress)
+		view := fixedView{&membership.View{Self: self.ID, Members: members}}
+		made.doors = append(made.doors, NewDoor(fixedLocator{made.owner}, edge, edge, view, zerolog.Nop()))
+	}
+	for _, each := range transports {
+		each.Start()
+	}
+	made.stop = func() {
+		for _, each := range transports {
+			each.Stop()
+		}
+	}
+	return made
+}
+
+var batchRoute = &route.Route{Name: "r", Kind: route.Batch}
+
+func TestSubmitKeepsItsPromise(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		answer func() (*batchpb.SubmitResponse, error)
+		want   outcome.Outcome
+		reason outcome.Reason
+	}{
+		{"accepted", func() (*batchpb.SubmitResponse, error) { return &batchpb.SubmitResponse{Accepted: true}, nil }, outcome.Completed, ""},
+		{"over the quota", func() (*batchpb.SubmitResponse, error) { return &batchpb.SubmitResponse{OverQuota: true}, nil }, outcome.NotRun, outcome.ReasonRateLimited},
+		{"never an owner", func() (*batchpb.SubmitResponse, error) { return nil, errNotOwner() }, outcome.NotRun, outcome.ReasonUnavailable},
+		{"full", func() (*batchpb.SubmitResponse, error) {
+			return nil, outcome.New(outcome.NotRun, outcome.ReasonStorageFull, "full")
+		}, outcome.NotRun, outcome.ReasonStorageFull},
+		{"unknown", func() (*batchpb.SubmitResponse, error) {
+			return nil, outcome.New(outcome.Indeterminate, outcome.ReasonUnavailable, "lost")
+		}, outcome.Indeterminate, outcome.ReasonUnavailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				made := newEdges(t, test.answer)
+				defer made.stop()
+				began := time.Now()
+				err := made.doors[0].Submit(t.Context(), batchOf("j", 1), batchRoute)
+				if outcome.Of(err) != test.want || (err != nil && outcome.As(err).Reason != test.reason) {
+					t.Errorf("submission ends with %v", err)
+				}
+				if took := time.Since(began); took > submitTimeout+time.Millisecond {
+					t.Errorf("it took %s", took)
+				}
+			})
+		})
+	}
+}
+
+// TestOwnerOutOfReachIsAskedThroughAnotherEdge: an edge that is cut off from the owner gets its jobs accepted.
+func TestOwnerOutOfReachIsAskedThroughAnotherEdge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		made := newEdges(t, func() (*batchpb.SubmitResponse, error) { return &batchpb.SubmitResponse{Accepted: true}, nil })
+		defer made.stop()
+		cutOff := addressOf(9001)
+		made.network.SetConditions(func(from, to netip.AddrPort) memory.Conditions {
+			cut := (from == cutOff && to == made.owner) || (from == made.owner && to == cutOff)
+			return memory.Conditions{Delay: time.Millisecond, Cut: cut}
+		})
+		if err := made.doors[0].Submit(t.Context(), batchOf("j1", 1), batchRoute); err != nil {
+			t.Errorf("first submission: %v", err)
+		}
+		began := time.Now()
+		if err := made.doors[0].Submit(t.Context(), batchOf("j2", 1), batchRoute); err != nil || time.Since(began) > 100*time.Millisecond {
+			t.Errorf("second submission: %v after %s", err, time.Since(began))
+		}
+	})
+}
--- /dev/null
+++ b/internal/batch/relay.go
@@ -0,0 +1,116 @@
+package batch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+const (
+	methodRelay transport.Method = "batch.relay"
+	// unreachedFor is how long an owner that gave no answer is asked through another edge first.
+	unreachedFor = 1500 * time.Millisecond
+)
+
+// relayedMessages makes the messages of the methods that are passed on for other edges.
+var relayedMessages = map[transport.Method]struct{ request, response func() proto.Message }{
+	methodSubmit: {newMessage[batchpb.SubmitRequest], newMessage[batchpb.SubmitResponse]},
+	methodRead:   {newMessage[batchpb.ReadRequest], newMessage[batchpb.ReadResponse]},
+	methodBody:   {newMessage[batchpb.BodyRequest], newMessage[batchpb.BodyResponse]},
+	methodEnd:    {newMessage[batchpb.EndRequest], newMessage[batchpb.EndResponse]},
+}
+
+func newMessage[T any, Pointer interface {
+	*T
+	proto.Message
+}]() proto.Message {
+	return Pointer(new(T))
+}
+
+// unreached notes the owners that gave no answer a short while ago. It is safe for concurrent use.
+type unreached struct {
+	mutex sync.Mutex
+	until map[netip.AddrPort]time.Time
+}
+
+func newUnreached() *unreached { return &unreached{until: map[netip.AddrPort]time.Time{}} }
+
+func (u *unreached) note(address netip.AddrPort, now time.Time) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.until[address] = now.Add(unreachedFor)
+}
+
+func (u *unreached) recent(address netip.AddrPort, now time.Time) bool {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	until, noted := u.until[address]
+	if noted && now.After(until) {
+		delete(u.until, address)
+		return false
+	}
+	return noted
+}
+
+// otherEdge returns a live node without a store, other than this one; ok is false where there is none.
+func (d *Door) otherEdge() (address netip.AddrPort, ok bool) {
+	view := d.viewer.View()
+	var others []netip.AddrPort
+	for _, member := range view.Members {
+		if member.ID != view.Self && !member.Store && member.State == membership.Alive {
+			others = append(others, member.PeerAddress)
+		}
+	}
+	if len(others) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return others[rand.N(len(others))], true
+}
+
+// relay has another edge make the call.
+func (d *Door) relay(ctx context.Context, edge netip.AddrPort, method transport.Method, request partitionRequest, response proto.Message) error {
+	payload, err := proto.Marshal(request)
+	if err != nil {
+		return err
+	}
+	var relayed batchpb.RelayResponse
+	err = d.caller.Call(ctx, edge, methodRelay, &batchpb.RelayRequest{Partition: request.GetPartition(), Method: string(method), Payload: payload}, &relayed)
+	if err != nil {
+		return err
+	}
+	return proto.Unmarshal(relayed.Payload, response)
+}
+
+// serveRelay makes a call for another edge, to the owner only.
+func (d *Door) serveRelay(ctx context.Context, _ netip.AddrPort, request *batchpb.RelayRequest) (*batchpb.RelayResponse, error) {
+	messages, known := relayedMessages[transport.Method(request.Method)]
+	if !known {
+		return nil, outcome.New(outcome.NotRun, outcome.ReasonInvalid, "method is not relayed")
+	}
+	inner, response := messages.request(), messages.response()
+	if err := proto.Unmarshal(request.Payload, inner); err != nil {
+		return nil, outcome.Wrap(err, outcome.NotRun, outcome.ReasonInvalid, "decode relayed call")
+	}
+	owner, failure := d.owner(ledger.PartitionID(request.Partition))
+	if failure != nil {
+		return nil, failure
+	}
+	if err := d.caller.Call(ctx, owner, transport.Method(request.Method), inner, response); err != nil {
+		return nil, failureOf(err)
+	}
+	payload, err := proto.Marshal(response)
+	if err != nil {
+		return nil, err
+	}
+	return &batchpb.RelayResponse{Payload: payload}, nil
+}
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -216,8 +216,8 @@
 	}, routes, directory, picker, client, registrar, logger)
 }
 
-func newBatchCalls(adapter Adapter, locator ledger.Locator, caller transport.Caller, logger zerolog.Logger) BatchCalls {
-	return adapter.Batch(batch.NewDoor(locator, caller, logger))
+func newBatchCalls(adapter Adapter, locator ledger.Locator, caller transport.Caller, registrar transport.Registrar, members *membership.Service, logger zerolog.Logger) BatchCalls {
+	return adapter.Batch(batch.NewDoor(locator, caller, registrar, members, logger))
 }
 
 // followRetirements empties storage nodes on request.
