--- a/internal/batch/door.go
+++ b/internal/batch/door.go
@@ -25,8 +25,10 @@
 	submitTimeout = 2500 * time.Millisecond
 	readTimeout   = 1500 * time.Millisecond
 	endTimeout    = 3 * time.Second
-	// tryTimeout bounds one try; the time that a read may wait is added.
+	// tryTimeout bounds each further try; the time that a read may wait is added.
 	tryTimeout = 900 * time.Millisecond
+	// firstTryTimeout bounds the first try of a submission, so that another way can still be in time. The owner takes the job once.
+	firstTryTimeout = 350 * time.Millisecond
 	// longestRetryWait bounds the wait between tries.
 	longestRetryWait = 150 * time.Millisecond
 	// retryAfterOwner is when a caller may come back after no owner answered.
@@ -101,8 +103,13 @@
 	defer cancel()
 	waits := platform.NewBackoffUpTo(longestRetryWait)
 	mayHaveRun := false
+	bound := try
+	if method == methodSubmit {
+		bound = firstTryTimeout
+	}
 	for {
-		failure := d.try(ctx, method, request, response, try)
+		failure := d.try(ctx, method, request, response, bound)
+		bound = try
 		if failure == nil {
 			return nil
 		}
