--- a/internal/batch/door.go
+++ b/internal/batch/door.go
@@ -164,21 +164,7 @@
 	if err == nil {
 		return nil
 	}
-	return failureOf(err)
-}
-
-// failureOf turns an error of a try into an outcome.
-func failureOf(err error) *outcome.Error {
-	switch {
-	case errorx.IsOfType(err, transport.KindNotSent):
-		return outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "owner not reached")
-	case errorx.IsOfType(err, transport.KindTooLarge):
-		return outcome.Wrap(err, outcome.NotRun, outcome.ReasonTooLarge, "message too large")
-	case errorx.IsOfType(err, transport.KindNoAnswer):
-		return outcome.Wrap(err, outcome.Indeterminate, outcome.ReasonUnavailable, "owner did not answer")
-	default:
-		return outcome.As(err)
-	}
+	return transport.OutcomeOf(err)
 }
 
 // worthRetry tells whether another try may end otherwise.
--- a/internal/batch/relay.go
+++ b/internal/batch/relay.go
@@ -106,7 +106,7 @@
 		return nil, failure
 	}
 	if err := d.caller.Call(ctx, owner, transport.Method(request.Method), inner, response); err != nil {
-		return nil, failureOf(err)
+		return nil, transport.OutcomeOf(err)
 	}
 	payload, err := proto.Marshal(response)
 	if err != nil {
--- a/internal/job/forward.go
+++ b/internal/job/forward.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sloelift/sloelift/internal/ledger"
@@ -49,7 +48,7 @@
 		if err == nil {
 			return response, nil
 		}
-		failure := asOutcome(err)
+		failure := transport.OutcomeOf(err)
 		mayHaveRun = mayHaveRun || failure.Outcome != outcome.NotRun
 		if !worthRetry(failure) {
 			return response, failure
@@ -105,20 +104,6 @@
 	})
 }
 
-// asOutcome turns an error of a try into an outcome.
-func asOutcome(err error) *outcome.Error {
-	switch {
-	case errorx.IsOfType(err, transport.KindNotSent):
-		return outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "owner not reached")
-	case errorx.IsOfType(err, transport.KindTooLarge):
-		return outcome.Wrap(err, outcome.NotRun, outcome.ReasonTooLarge, "message too large")
-	case errorx.IsOfType(err, transport.KindNoAnswer):
-		return outcome.Wrap(err, outcome.Indeterminate, outcome.ReasonUnavailable, "owner did not answer")
-	default:
-		return outcome.As(err)
-	}
-}
-
 // worthRetry tells whether another try may end otherwise. All requests may be served twice.
 func worthRetry(failure *outcome.Error) bool {
 	switch failure.Reason {
--- a/internal/transport/errors.go
+++ b/internal/transport/errors.go
@@ -77,3 +77,17 @@
 		RetryAfter: microseconds(wire.GetRetryAfterMicros()),
 	}
 }
+
+// OutcomeOf returns what an error of Call says about the execution of the call.
+func OutcomeOf(err error) *outcome.Error {
+	switch {
+	case errorx.IsOfType(err, KindNotSent):
+		return outcome.Wrap(err, outcome.NotRun, outcome.ReasonUnavailable, "peer not reached")
+	case errorx.IsOfType(err, KindTooLarge):
+		return outcome.Wrap(err, outcome.NotRun, outcome.ReasonTooLarge, "message too large")
+	case errorx.IsOfType(err, KindNoAnswer):
+		return outcome.Wrap(err, outcome.Indeterminate, outcome.ReasonUnavailable, "peer did not answer")
+	default:
+		return outcome.As(err)
+	}
+}
