Narrow the window in which a second lost disk is one too many; list what stays red

The gap itself is open: KNOWN-RED.txt names the test, which fails; make test runs all others and prints the list.

--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -136,12 +136,10 @@
 		},
 		func() {
 			control.changing = false
-			if changed {
-				control.changeBackoff = 0
-			} else {
-				// The service may be down, or another node may have been first; either way not at once again.
-				control.changeBackoff = min(max(2*control.changeBackoff, m.timing.Backoff), m.timing.MaxBackoff)
-				control.nextChange = time.Now().Add(control.changeBackoff/2 + rand.N(control.changeBackoff/2+1))
+			if !changed {
+				// The service may be down, or another node may have been first. Until the change is made a further lost disk may
+				// be one too many, so the wait is short.
+				control.nextChange = time.Now().Add(m.timing.ChangeRetry/2 + rand.N(m.timing.ChangeRetry))
 			}
 			event := m.logger.Info()
 			if err != nil {
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -85,8 +85,7 @@
 	nextTry   time.Time
 	changing  bool
 	// nextChange is when the ensemble may be changed again after a change that failed.
-	nextChange    time.Time
-	changeBackoff time.Duration
+	nextChange time.Time
 	// overdue says that the owner has been silent for too long; declined is when an owner last declined to let go.
 	overdue  bool
 	declined time.Time
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -40,6 +40,8 @@
 	Formation time.Duration
 	// Replace is how long a store may be gone before another takes its place.
 	Replace time.Duration
+	// ChangeRetry is about how long the wait is before a change of an ensemble that failed is tried again.
+	ChangeRetry time.Duration
 	// SnapshotRecords and SnapshotBytes are what is appended between snapshots.
 	SnapshotRecords int
 	SnapshotBytes   int
@@ -52,7 +54,7 @@
 		Notice: 500 * time.Millisecond, Check: 250 * time.Millisecond,
 		Backoff: 250 * time.Millisecond, MaxBackoff: 5 * time.Second,
 		Release: 3 * time.Second, SuspectRelease: 500 * time.Millisecond, Quiesce: time.Second,
-		Formation: 3 * time.Second, Replace: 30 * time.Second,
+		Formation: 3 * time.Second, Replace: 30 * time.Second, ChangeRetry: 250 * time.Millisecond,
 		SnapshotRecords: 50_000, SnapshotBytes: 64 << 20,
 	}
 }
--- a/internal/ledger/silence_test.go
+++ b/internal/ledger/silence_test.go
@@ -115,3 +115,22 @@
 		c.check(0, acknowledged)
 	})
 }
+
+// TestSecondDiskLostAfterAnOutage: a disk is lost while the key-value service is down, its node is back for longer than the operators give
+// it, and then another disk is lost. Each loss alone is borne, so nothing acknowledged may be gone. See KNOWN-RED.txt.
+func TestSecondDiskLostAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newStorageCluster(t, 25)
+		defer c.stopAll()
+		c.kill(c.nodes[3])
+		acknowledged := []string{c.put(0, "a"), c.put(0, "b")}
+		time.Sleep(10 * time.Second)
+		c.keyValue.set(func() { c.keyValue.down = true })
+		c.loseDisk(c.nodes[0])
+		time.Sleep(6 * time.Second)
+		c.loseDisk(c.nodes[1])
+		time.Sleep(2 * time.Second)
+		c.keyValue.set(func() { c.keyValue.down = false })
+		c.check(0, acknowledged)
+	})
+}
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -131,6 +131,7 @@
 	timing.MaxBackoff = time.Second
 	timing.Request = time.Second
 	timing.Silence = 800 * time.Millisecond
+	timing.ChangeRetry = 120 * time.Millisecond
 	timing.Check = 100 * time.Millisecond
 	timing.Notice = 250 * time.Millisecond
 	timing.SuspectRelease = 300 * time.Millisecond
@@ -143,6 +144,9 @@
 var roleMembershipTiming = func() membership.Timing {
 	timing := membership.DefaultTiming()
 	timing.ListPeriod = 45 * time.Second
+	// A storage node that came back without its disk is filled only once the others know of it.
+	timing.JoinPeriod = 50 * time.Millisecond
+	timing.MaxJoinPeriod = 300 * time.Millisecond
 	return timing
 }()
 
