--- /dev/null
+++ b/internal/edge/server_test.go
@@ -0,0 +1,170 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/forward"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/replica/replicatest"
+	"github.com/sloelift/sloelift/internal/route"
+)
+
+// pipeNetwork listens in memory and dials through the scripted replicas.
+type pipeNetwork struct {
+	*replicatest.Network
+	mutex     sync.Mutex
+	listeners map[netip.AddrPort]*pipeListener
+}
+
+type pipeListener struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case connection := <-l.accepted:
+		return connection, nil
+	case <-l.closed:
+		return nil, errors.New("listener is closed")
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (n *pipeNetwork) Listen(_ context.Context, address netip.AddrPort) (net.Listener, error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	listener := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = listener
+	return listener, nil
+}
+
+// get makes one GET on a connection of its own; 0 is no answer.
+func (n *pipeNetwork) get(address netip.AddrPort, path string) int {
+	n.mutex.Lock()
+	listener := n.listeners[address]
+	n.mutex.Unlock()
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }()
+	select {
+	case listener.accepted <- far:
+	case <-listener.closed:
+		return 0
+	}
+	request, _ := http.NewRequest(http.MethodGet, "http://h.example"+path, nil)
+	request.Header.Set(replicatest.Headers.RequestID, "id-1")
+	if request.Write(near) != nil {
+		return 0
+	}
+	response, err := http.ReadResponse(bufio.NewReader(near), request)
+	if err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+var (
+	callers   = netip.MustParseAddrPort("127.0.0.1:8080")
+	readiness = netip.MustParseAddrPort("127.0.0.1:8081")
+	replicaAt = netip.MustParseAddrPort("127.0.0.1:9000")
+)
+
+func newServerUnderTest(t *testing.T, script replicatest.Script) (*Server, *pipeNetwork, *route.Holder) {
+	t.Helper()
+	network := &pipeNetwork{
+		Network:   &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{replicaAt: script}},
+		listeners: map[netip.AddrPort]*pipeListener{},
+	}
+	directory, routes := replica.NewDirectory(), route.NewHolder()
+	directory.Replace([]replica.Info{{ID: "a", Service: "s", Address: replicaAt, Slots: 4}})
+	metrics, err := forward.NewMetrics(prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	handler := forward.NewHandler(forward.Options{
+		Routes: routes, Picker: balance.NewPicker(directory, nil), Client: replica.NewClient(network, replicatest.Headers),
+		Logger: zerolog.Nop(), Metrics: metrics,
+	})
+	server := NewServer(Options{
+		Handler: handler, Routes: routes, Directory: directory, Logger: zerolog.Nop(), Network: network, Grace: 8 * time.Second,
+		Addresses: Addresses{Callers: callers, Readiness: readiness, ReadyPath: "/ready"},
+	})
+	if err := server.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return server, network, routes
+}
+
+func testTable() *route.Table {
+	return route.NewTable(1, []*route.Route{{
+		Name: "r", Host: "h.example", Prefix: "/p/", Kind: route.NotRepeatable, Attempts: 1, Backends: []route.Backend{{Service: "s", Weight: 1}},
+	}}, nil, route.Limits{})
+}
+
+func TestReadyOnlyWithAConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server, network, routes := newServerUnderTest(t, replicatest.Refuse())
+		if status := network.get(readiness, "/ready"); status != http.StatusServiceUnavailable {
+			t.Errorf("ready answers %d without a configuration", status)
+		}
+		routes.Offer(testTable())
+		if status := network.get(readiness, "/ready"); status != http.StatusOK {
+			t.Errorf("ready answers %d with a configuration", status)
+		}
+		server.Stop(t.Context())
+		network.CloseAll()
+	})
+}
+
+// TestPlannedStop: not ready at once, the answer under way comes whole, and all ends within the grace time.
+func TestPlannedStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := func(connection net.Conn, request *http.Request) bool {
+			time.Sleep(4 * time.Second)
+			return replicatest.Answer(200, replicatest.Signed, "whole")(connection, request)
+		}
+		server, network, routes := newServerUnderTest(t, slow)
+		routes.Offer(testTable())
+		answered := make(chan int, 1)
+		go func() { answered <- network.get(callers, "/p/x") }()
+		time.Sleep(time.Second)
+		began := time.Now()
+		stopped := make(chan struct{})
+		go func() {
+			server.Stop(t.Context())
+			close(stopped)
+		}()
+		time.Sleep(10 * time.Millisecond)
+		if status := network.get(readiness, "/ready"); status != http.StatusServiceUnavailable {
+			t.Errorf("ready answers %d while the process stops", status)
+		}
+		if status := <-answered; status != http.StatusOK {
+			t.Errorf("the answer under way ends with %d", status)
+		}
+		<-stopped
+		if took := time.Since(began); took > 8*time.Second {
+			t.Errorf("the stop took %s", took)
+		}
+		network.CloseAll()
+	})
+}
--- a/internal/forward/handler_test.go
+++ b/internal/forward/handler_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -238,3 +239,39 @@
 		edge.replicas.CloseAll()
 	})
 }
+
+// TestCallerThatLeavesStopsTheReplica: the connection to the replica is closed at once, before the head and within a stream.
+func TestCallerThatLeavesStopsTheReplica(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		script replicatest.Script
+	}{
+		{"before the head", replicatest.Hang()},
+		{"within a stream", replicatest.Stream("s1", true, true, eventOne)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var stopped time.Time
+				edge := newEdgeUnderTest(t, route.Stream, false, map[string]replicatest.Script{
+					"a": func(connection net.Conn, request *http.Request) bool {
+						keep := test.script(connection, request)
+						stopped = time.Now()
+						return keep
+					},
+				})
+				ctx, leave := context.WithCancel(t.Context())
+				left := time.Now().Add(time.Second)
+				time.AfterFunc(time.Second, leave)
+				edge.call(func(request *http.Request) { *request = *request.WithContext(ctx) })
+				synctest.Wait()
+				if !stopped.Equal(left) {
+					t.Errorf("the replica's connection ended %s after the caller left", stopped.Sub(left))
+				}
+				if runs := len(edge.replicas.Requests()); runs != 1 {
+					t.Errorf("%d requests reached replicas", runs)
+				}
+				edge.replicas.CloseAll()
+			})
+		})
+	}
+}
