--- a/internal/discovery/service_test.go
+++ b/internal/discovery/service_test.go
@@ -279,3 +279,31 @@
 		}
 	}
 }
+
+// TestMuteConfigurationBehindListedReplicas: the replicas were listed anew at a revision above that of a configuration which a mute
+// watch hides; another node tells of the configuration. See KNOWN-RED.txt.
+func TestMuteConfigurationBehindListedReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, viewer := newScriptedStore(), &fixedViewer{}
+		store.put("config", "1")
+		store.put("replicas/a", "s")
+		routes, directory := route.NewHolder(), replica.NewDirectory()
+		service := New(Options{
+			Store: store, Translator: plainTranslator{}, Routes: routes, Directory: directory, Viewer: viewer, Reporter: viewer, Logger: zerolog.Nop(),
+		})
+		service.Start()
+		defer service.Stop()
+		synctest.Wait()
+		store.set(func() { store.mute = true })
+		store.put("config", "2")
+		told := store.revision
+		store.set(func() { store.mute = false })
+		store.put("replicas/a", "s!")
+		time.Sleep(time.Second)
+		viewer.tell(told)
+		time.Sleep(2 * time.Second)
+		if version := routes.Table().Version; version != 2 {
+			t.Errorf("version %d is in force 2 s after another node told of a newer one", version)
+		}
+	})
+}
