--- a/cmd/sloelift/fakes_test.go
+++ b/cmd/sloelift/fakes_test.go
@@ -46,7 +46,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.other = membership.Member{
-		ID: "node-b", Region: "lahore", Zone: "gulberg-hall", ConfigRevision: revision, Store: true,
+		ID: "node-b", Region: "lahore", Zone: "gulberg-hall", Revisions: membership.Revisions{Configuration: revision}, Store: true,
 		AdminAddress: netip.MustParseAddrPort("127.0.0.2:8090"),
 	}
 	if suspect {
--- a/internal/config/relay/protocol.go
+++ b/internal/config/relay/protocol.go
@@ -80,7 +80,7 @@
 	}
 	for _, member := range view.Members {
 		if member.ID != p.self.ID {
-			p.viewFloor = max(p.viewFloor, member.ConfigRevision)
+			p.viewFloor = max(p.viewFloor, member.Revisions.Configuration)
 		}
 	}
 }
--- a/internal/config/relay/protocol_test.go
+++ b/internal/config/relay/protocol_test.go
@@ -78,7 +78,7 @@
 	s := newSimulation(t.Fatalf)
 	s.settle(settleRounds, true)
 	s.restart(0, false)
-	s.nodes[1].member.ConfigRevision = 7
+	s.nodes[1].member.Revisions.Configuration = 7
 	s.settle(20, false)
 	if s.nodes[0].ready {
 		t.Error("ready at revision 0 while revision 7 was heard of")
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -31,14 +31,22 @@
 	routes     *route.Holder
 	directory  *replica.Directory
 	viewer     membership.Viewer
-	revisions  *revisions
-	logger     zerolog.Logger
+	// configuration and replicas compare the two prefixes with what other nodes know.
+	configuration *revisions
+	replicas      *revisions
+	logger        zerolog.Logger
 
 	cancel      context.CancelFunc
 	unsubscribe func()
 	running     sync.WaitGroup
 }
 
+// RevisionReporter tells the other nodes of the newest changes that this one knows.
+type RevisionReporter interface {
+	SetConfigRevision(revision int64)
+	SetReplicasRevision(revision int64)
+}
+
 // Options of a Service.
 type Options struct {
 	Store      platform.KeyValue
@@ -55,7 +63,10 @@
 func New(options Options) *Service {
 	return &Service{
 		store: options.Store, translator: options.Translator, routes: options.Routes, directory: options.Directory,
-		viewer: options.Viewer, revisions: newRevisions(options.Reporter),
+		viewer:        options.Viewer,
+		configuration: newRevisions(options.Reporter.SetConfigRevision),
+		replicas:      newRevisions(options.Reporter.SetReplicasRevision),
+
 		logger: options.Logger.With().Str(logging.FieldSlice, "discovery").Logger(),
 	}
 }
@@ -64,19 +75,19 @@
 func (s *Service) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	s.unsubscribe = s.viewer.Subscribe(s.revisions.compare)
+	s.unsubscribe = s.viewer.Subscribe(s.hearMembers)
 	s.running.Go(func() {
 		platform.Follow(ctx, s.store, s.translator.ConfigurationKey(), platform.Follower{
 			Replace: func(listing platform.Listing) {
 				s.takeConfiguration(listing.Entries)
-				s.revisions.sawConfiguration(listing.Revision)
+				s.configuration.saw(listing.Revision)
 			},
 			Update: func(revision int64, changed []platform.Entry, _ []string) {
 				s.takeConfiguration(changed)
-				s.revisions.sawConfiguration(revision)
+				s.configuration.saw(revision)
 			},
 			Failed: func(err error) { s.logger.Warn().Err(err).Msg("configuration_not_followed") },
-			Behind: s.revisions.configuration,
+			Behind: s.configuration.behind,
 		})
 	})
 	s.running.Go(func() {
@@ -84,7 +95,7 @@
 			Replace: s.replaceReplicas,
 			Update:  s.updateReplicas,
 			Failed:  func(err error) { s.logger.Warn().Err(err).Msg("replicas_not_followed") },
-			Behind:  s.revisions.replicas,
+			Behind:  s.replicas.behind,
 		})
 	})
 }
@@ -94,7 +105,20 @@
 	s.unsubscribe()
 	s.cancel()
 	s.running.Wait()
-	s.revisions.stop()
+	s.configuration.stop()
+	s.replicas.stop()
+}
+
+// hearMembers takes what the other members know.
+func (s *Service) hearMembers(view *membership.View) {
+	var newest membership.Revisions
+	for _, member := range view.Members {
+		if member.ID != view.Self && member.State != membership.Dead {
+			newest = newest.Join(member.Revisions)
+		}
+	}
+	s.configuration.hear(newest.Configuration)
+	s.replicas.hear(newest.Replicas)
 }
 
 func (s *Service) takeConfiguration(entries []platform.Entry) {
@@ -108,7 +132,7 @@
 			continue
 		}
 		if s.routes.Offer(table) {
-			s.revisions.tookChange(entry.ModRevision)
+			s.configuration.tookChange(entry.ModRevision)
 			s.logger.Info().Int64("version", table.Version).Int64(logging.FieldRevision, entry.ModRevision).
 				Int("routes", len(table.Routes)).Msg("configuration_in_force")
 		}
@@ -118,9 +142,9 @@
 func (s *Service) replaceReplicas(listing platform.Listing) {
 	replicas, changed := s.read(listing.Entries)
 	if gone := s.directory.Replace(replicas); changed || gone > 0 {
-		s.revisions.tookChange(listing.Revision)
+		s.replicas.tookChange(listing.Revision)
 	}
-	s.revisions.sawReplicas(listing.Revision)
+	s.replicas.saw(listing.Revision)
 	s.logger.Info().Int("replicas", len(replicas)).Int64(logging.FieldRevision, listing.Revision).Msg("replicas_listed")
 }
 
@@ -133,9 +157,9 @@
 	if len(changed)+len(removed) > 0 {
 		replicas, _ := s.read(changed)
 		s.directory.Update(replicas, removed)
-		s.revisions.tookChange(revision)
+		s.replicas.tookChange(revision)
 	}
-	s.revisions.sawReplicas(revision)
+	s.replicas.saw(revision)
 }
 
 // read translates entries; news says that one of them tells what was not known.
--- a/internal/discovery/service_test.go
+++ b/internal/discovery/service_test.go
@@ -156,9 +156,11 @@
 
 func (v *fixedViewer) SetConfigRevision(int64) {}
 
-func (v *fixedViewer) tell(revision int64) {
+func (v *fixedViewer) SetReplicasRevision(int64) {}
+
+func (v *fixedViewer) tell(revisions membership.Revisions) {
 	v.mutex.Lock()
-	v.view = membership.View{Self: "self", Members: []membership.Member{{ID: "other", ConfigRevision: revision}, {ID: "self"}}}
+	v.view = membership.View{Self: "self", Members: []membership.Member{{ID: "other", Revisions: revisions}, {ID: "self"}}}
 	notify := v.notify
 	v.mutex.Unlock()
 	for _, each := range notify {
@@ -195,7 +197,7 @@
 			store.set(func() { store.mute = true })
 			store.put("config", "2")
 			store.put("replicas/a", "s!")
-			viewer.tell(store.revision)
+			viewer.tell(membership.Revisions{Configuration: store.revision - 1, Replicas: store.revision})
 		}, time.Second},
 		{"the service is down for a while", func(store *scriptedStore, _ *fixedViewer) {
 			store.set(func() { store.down = true })
@@ -281,7 +283,7 @@
 }
 
 // TestMuteConfigurationBehindListedReplicas: the replicas were listed anew at a revision above that of a configuration which a mute
-// watch hides; another node tells of the configuration. See KNOWN-RED.txt.
+// watch hides; another node tells of the configuration.
 func TestMuteConfigurationBehindListedReplicas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, viewer := newScriptedStore(), &fixedViewer{}
@@ -300,7 +302,7 @@
 		store.set(func() { store.mute = false })
 		store.put("replicas/a", "s!")
 		time.Sleep(time.Second)
-		viewer.tell(told)
+		viewer.tell(membership.Revisions{Configuration: told})
 		time.Sleep(2 * time.Second)
 		if version := routes.Table().Version; version != 2 {
 			t.Errorf("version %d is in force 2 s after another node told of a newer one", version)
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -106,8 +106,8 @@
 	var run *membershippb.RevisionRun
 	for _, member := range members {
 		digest.Hash += member.stateHash()
-		if run == nil || run.Revision != member.ConfigRevision {
-			run = &membershippb.RevisionRun{Revision: member.ConfigRevision}
+		if run == nil || revisionsOf(run) != member.Revisions {
+			run = &membershippb.RevisionRun{Revision: member.Revisions.Configuration, ReplicasRevision: member.Revisions.Replicas}
 			digest.Revisions = append(digest.Revisions, run)
 		}
 		run.Members++
@@ -115,6 +115,10 @@
 	return digest
 }
 
+func revisionsOf(run *membershippb.RevisionRun) Revisions {
+	return Revisions{Configuration: run.GetRevision(), Replicas: run.GetReplicasRevision()}
+}
+
 func (p *protocol) receiveDigest(from netip.AddrPort, message *membershippb.Digest) {
 	p.hear(from, message.GetSender())
 	index := p.lookup()
@@ -126,7 +130,7 @@
 		compared[zone] = true
 		members := index.byZone[zone]
 		if digestOf(zone, members).GetHash() == theirs.GetHash() {
-			if p.learnRevisions(members, theirs.GetRevisions()) {
+			if p.compareRevisions(members, theirs.GetRevisions()) {
 				answerRevisions = true
 			}
 			continue
@@ -150,18 +154,18 @@
 	p.sendRecords(from, unknownThere)
 }
 
-// learnRevisions takes the revisions of members that both sides hold alike. It returns
+// compareRevisions takes the revisions of members that both sides hold alike. It returns
 // true where this node knows a higher one.
-func (p *protocol) learnRevisions(members []*record, runs []*membershippb.RevisionRun) (knowsHigher bool) {
+func (p *protocol) compareRevisions(members []*record, runs []*membershippb.RevisionRun) (knowsHigher bool) {
 	position := 0
 	for _, run := range runs {
 		for count := uint32(0); count < run.GetMembers() && position < len(members); count++ {
 			member := members[position]
 			position++
 			if member != p.self {
-				p.learnRevision(member, run.GetRevision())
+				p.learnRevisions(member, revisionsOf(run))
 			}
-			knowsHigher = knowsHigher || member.ConfigRevision > run.GetRevision()
+			knowsHigher = knowsHigher || member.Revisions.Join(revisionsOf(run)) != revisionsOf(run)
 		}
 	}
 	return knowsHigher
--- a/internal/membership/event.go
+++ b/internal/membership/event.go
@@ -34,8 +34,8 @@
 // storeEvent sets this node's store incarnation.
 type storeEvent struct{ incarnation string }
 
-// revisionEvent sets the configuration revision in force here.
-type revisionEvent struct{ revision int64 }
+// revisionEvent tells of revisions in force here.
+type revisionEvent struct{ revisions Revisions }
 
 func (tickEvent) isEvent()     {}
 func (messageEvent) isEvent()  {}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -31,8 +31,21 @@
 	// StoreIncarnation names the disk's content; a lost disk comes back under another one.
 	StoreIncarnation string
 	State            State
-	// ConfigRevision is the configuration revision in force there, as last heard.
-	ConfigRevision int64
+	// Revisions of what is in force there, as last heard.
+	Revisions Revisions
+}
+
+// Revisions are those of the key-value service whose changes a node knows. They never fall within an incarnation.
+type Revisions struct {
+	// Configuration is the revision of the configuration in force, Replicas that of the newest change to the list of replicas;
+	// a node that follows no such list leaves it 0.
+	Configuration int64
+	Replicas      int64
+}
+
+// Join returns the newer of each of the two.
+func (r Revisions) Join(other Revisions) Revisions {
+	return Revisions{Configuration: max(r.Configuration, other.Configuration), Replicas: max(r.Replicas, other.Replicas)}
 }
 
 // View is an immutable snapshot of all members, this node among them, sorted by ID.
--- a/internal/membership/protocol.go
+++ b/internal/membership/protocol.go
@@ -104,7 +104,7 @@
 	case storeEvent:
 		p.setStore(typed.incarnation)
 	case revisionEvent:
-		p.learnRevision(p.self, typed.revision)
+		p.learnRevisions(p.self, typed.revisions)
 	}
 	return p.actions
 }
@@ -167,9 +167,10 @@
 // sender is this node's part of each message.
 func (p *protocol) sender() *membershippb.Sender {
 	return &membershippb.Sender{
-		Id:             string(p.self.ID),
-		Incarnation:    p.self.Incarnation,
-		ConfigRevision: p.self.ConfigRevision,
+		Id:               string(p.self.ID),
+		Incarnation:      p.self.Incarnation,
+		ConfigRevision:   p.self.Revisions.Configuration,
+		ReplicasRevision: p.self.Revisions.Replicas,
 	}
 }
 
@@ -193,17 +194,18 @@
 		return true
 	}
 	held.lastHeard = p.now
-	p.learnRevision(held, sender.GetConfigRevision())
+	p.learnRevisions(held, Revisions{Configuration: sender.GetConfigRevision(), Replicas: sender.GetReplicasRevision()})
 	if held.State == Dead && !held.left {
 		p.sendRecords(from, []*record{held})
 	}
 	return true
 }
 
-// learnRevision keeps the highest revision heard of in one incarnation.
-func (p *protocol) learnRevision(held *record, revision int64) {
-	if revision > held.ConfigRevision {
-		held.ConfigRevision = revision
+// learnRevisions keeps the highest revisions heard of in one incarnation.
+func (p *protocol) learnRevisions(held *record, heard Revisions) {
+	newest := held.Revisions.Join(heard)
+	if newest != held.Revisions {
+		held.Revisions = newest
 		p.changed = true
 	}
 }
--- a/internal/membership/protocol_test.go
+++ b/internal/membership/protocol_test.go
@@ -84,7 +84,7 @@
 		}
 	}
 	node.highest = max(node.highest, node.protocol.self.Incarnation)
-	node.revision = max(node.revision, node.protocol.self.ConfigRevision)
+	node.revision = max(node.revision, node.protocol.self.Revisions.Configuration)
 }
 
 // advance delivers what is queued, while there are faults in another order and with
@@ -150,8 +150,8 @@
 			if held.Incarnation > other.highest {
 				s.t.Fatalf("%s holds %s at incarnation %d, highest was %d", node.member.ID, other.member.ID, held.Incarnation, other.highest)
 			}
-			if held.Incarnation == other.protocolIncarnation() && held.ConfigRevision > other.revision {
-				s.t.Fatalf("%s holds %s at revision %d, highest was %d", node.member.ID, other.member.ID, held.ConfigRevision, other.revision)
+			if held.Incarnation == other.protocolIncarnation() && held.Revisions.Configuration > other.revision {
+				s.t.Fatalf("%s holds %s at revision %d, highest was %d", node.member.ID, other.member.ID, held.Revisions.Configuration, other.revision)
 			}
 		}
 	}
@@ -185,7 +185,7 @@
 	case kind == "store":
 		s.do(node, storeEvent{incarnation: fmt.Sprint(s.now.UnixNano())})
 	case kind == "revision":
-		s.do(node, revisionEvent{revision: node.revision + 1})
+		s.do(node, revisionEvent{revisions: Revisions{Configuration: node.revision + 1, Replicas: 2*node.revision + 1}})
 	}
 }
 
@@ -227,7 +227,7 @@
 			}
 			own := subject.protocol.self
 			if !present || held.State != own.State || held.Incarnation != own.Incarnation ||
-				held.StoreIncarnation != own.StoreIncarnation || held.ConfigRevision != own.ConfigRevision {
+				held.StoreIncarnation != own.StoreIncarnation || held.Revisions != own.Revisions {
 				s.t.Fatalf("%s holds %+v, it is %+v", observer.member.ID, held, own.Member)
 			}
 		}
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -87,7 +87,8 @@
 		AdminAddress:     encodeAddress(r.AdminAddress),
 		Store:            r.Store,
 		StoreIncarnation: r.StoreIncarnation,
-		ConfigRevision:   r.ConfigRevision,
+		ConfigRevision:   r.Revisions.Configuration,
+		ReplicasRevision: r.Revisions.Replicas,
 	}
 	return wire
 }
@@ -110,7 +111,7 @@
 		AdminAddress:     admin,
 		Store:            attributes.GetStore(),
 		StoreIncarnation: attributes.GetStoreIncarnation(),
-		ConfigRevision:   attributes.GetConfigRevision(),
+		Revisions:        Revisions{Configuration: attributes.GetConfigRevision(), Replicas: attributes.GetReplicasRevision()},
 	}
 	if wire.GetState() == membershippb.State_STATE_LEAVING {
 		member.State = Leaving
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -160,7 +160,14 @@
 func (s *Service) SetStore(incarnation string) { s.submit(storeEvent{incarnation: incarnation}) }
 
 // SetConfigRevision spreads the configuration revision in force on this node.
-func (s *Service) SetConfigRevision(revision int64) { s.submit(revisionEvent{revision: revision}) }
+func (s *Service) SetConfigRevision(revision int64) {
+	s.submit(revisionEvent{revisions: Revisions{Configuration: revision}})
+}
+
+// SetReplicasRevision spreads the revision of the newest change to the list of replicas that this node knows.
+func (s *Service) SetReplicasRevision(revision int64) {
+	s.submit(revisionEvent{revisions: Revisions{Replicas: revision}})
+}
 
 // Busy is the time that the control goroutine spent on events so far.
 func (s *Service) Busy() time.Duration { return time.Duration(s.busy.Load()) }
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -188,7 +188,7 @@
 		c.nodes[5].service.SetStore("disk-1")
 		took := c.await(15*time.Second, "revision and store", func(observer *clusterNode) bool {
 			for _, member := range observer.service.View().Members {
-				if member.ConfigRevision != 12 {
+				if member.Revisions.Configuration != 12 {
 					return false
 				}
 			}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -166,7 +166,7 @@
 		AdminAddress:     member.AdminAddress.String(),
 		Store:            member.Store,
 		StoreIncarnation: member.StoreIncarnation,
-		Revision:         member.ConfigRevision,
+		Revision:         member.Revisions.Configuration,
 	}
 }
 
