--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -87,7 +87,7 @@
 			waits.Reset()
 			follower.Update(event.Revision, event.Changed, event.Deleted)
 			revision = max(revision, event.Revision)
-			if len(event.Changed)+len(event.Deleted) > 0 && len(events) == 0 {
+			if len(event.Changed)+len(event.Deleted) > 0 && !event.More && len(events) == 0 {
 				pause.Sleep(ctx, gatherWait)
 			}
 		case <-follower.Behind:
--- a/internal/platform/keyvalue.go
+++ b/internal/platform/keyvalue.go
@@ -54,6 +54,8 @@
 
 // WatchEvent carries changes of one revision, or the error that ended the watch.
 type WatchEvent struct {
+	// More says that further changes of the same answer follow at once.
+	More     bool
 	Revision int64
 	Changed  []Entry
 	// Deleted holds keys that were removed.
