--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -53,7 +53,7 @@
 	ballot := protocol.Ballot{Version: ensemble.Version, Number: number + 1, Owner: newOwnerName(m.self)}
 	owner := protocol.NewOwner(ballot, ensemble, protocol.DefaultOwnerLimits())
 	logger := m.logger.With().Uint32(logging.FieldPartition, uint32(partition)).Logger()
-	ownership := newOwnership(m.ctx, partition, owner, m.stores, m.factory, m.timing, logger)
+	ownership := newOwnership(m.ctx, partition, owner, m.stores, m.factory, m.takeDecision, m.timing, logger)
 	m.setOwnership(partition, ownership)
 	defer m.setOwnership(partition, nil)
 	if m.leaving.Load() {
@@ -80,7 +80,7 @@
 	return known, known.Version > ensemble.Version
 }
 
-// survey asks the full members what they have promised, until a read quorum has answered.
+// survey asks the full members what they have promised, until a read quorum has answered or one knows a newer ensemble.
 func (m *Manager) survey(ensemble protocol.Ensemble) surveyResult {
 	ctx, cancel := context.WithTimeout(m.ctx, m.timing.Request)
 	defer cancel()
@@ -121,7 +121,7 @@
 		if known := wire.ToEnsemble(response.Ensemble); known.Version > result.ensemble.Version {
 			result.ensemble = known
 		}
-		if result.answers >= ensemble.ReadQuorum() {
+		if result.answers >= ensemble.ReadQuorum() || result.ensemble.Version > ensemble.Version {
 			break
 		}
 	}
--- a/internal/ledger/directory.go
+++ b/internal/ledger/directory.go
@@ -42,10 +42,12 @@
 	mutex     sync.RWMutex
 	head      head
 	ensembles map[PartitionID]protocol.Ensemble
+	// published are the versions that the key-value service is known to have.
+	published map[PartitionID]uint64
 }
 
 func newDirectory(keyValue platform.KeyValue) *directory {
-	return &directory{keyValue: keyValue, ensembles: map[PartitionID]protocol.Ensemble{}}
+	return &directory{keyValue: keyValue, ensembles: map[PartitionID]protocol.Ensemble{}, published: map[PartitionID]uint64{}}
 }
 
 // fixed returns the head; ok is false while it is unknown.
@@ -142,10 +144,45 @@
 	if err := proto.Unmarshal(entry.Value, &message); err != nil {
 		return fmt.Errorf("decode %s: %w", entry.Key, err)
 	}
-	d.learn(wire.ToEnsemble(&message))
+	ensemble := wire.ToEnsemble(&message)
+	d.learn(ensemble)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.published[ensemble.Partition] = max(d.published[ensemble.Partition], ensemble.Version)
 	return nil
 }
 
+// publishedVersion returns the version that the key-value service is known to have.
+func (d *directory) publishedVersion(partition PartitionID) uint64 {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	return d.published[partition]
+}
+
+// publish writes a decided ensemble to the key-value service unless a newer one is there.
+func (d *directory) publish(ctx context.Context, ensemble protocol.Ensemble) error {
+	key := ensembleKey(ensemble.Partition)
+	before, err := d.keyValue.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	if err := d.take(before); err != nil || d.publishedVersion(ensemble.Partition) >= ensemble.Version {
+		return err
+	}
+	value, err := proto.Marshal(wire.FromEnsemble(ensemble))
+	if err != nil {
+		return err
+	}
+	committed, err := d.keyValue.Commit(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Key: key, ModRevision: before.ModRevision}},
+		Changes:    []platform.Change{{Key: key, Value: value}},
+	})
+	if err != nil || !committed.Committed {
+		return err
+	}
+	return d.take(platform.Entry{Key: key, Value: value})
+}
+
 // createHead writes the head unless there is one, and reads what stands.
 func (d *directory) createHead(ctx context.Context, wanted head) error {
 	value, err := proto.Marshal(&ledgerpb.Head{
--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -11,10 +11,15 @@
 )
 
 // maintain changes the partition's ensemble where a member's disk is gone or a member is missing. It
-// runs on the control goroutine of the owner, or of a node that is becoming it; the compare-and-swap decides between several.
+// runs on the control goroutine of the owner, or of a node that is becoming it; between several decides the compare-and-swap of
+// the key-value service, or the members where the settings say so.
 func (m *Manager) maintain(partition PartitionID, control *partitionControl, view *membership.View, now time.Time) {
 	ensemble, known := m.directory.ensemble(partition)
-	if !known || control.changing || now.Before(control.nextChange) {
+	if !known {
+		return
+	}
+	m.publish(partition, control, ensemble, now)
+	if control.changing || now.Before(control.nextChange) {
 		return
 	}
 	if ownership := control.ownership; ownership != nil && ownership.view.Load().ensemble.Version < ensemble.Version {
@@ -25,7 +30,11 @@
 	if !due {
 		next, due = promotion(ensemble, control.ownership)
 	}
-	if due {
+	switch {
+	case !due:
+	case m.settings.MembersDecide:
+		m.proposeEnsemble(control, next, now)
+	default:
 		m.changeEnsemble(partition, control, next)
 	}
 }
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -86,6 +86,9 @@
 	changing  bool
 	// nextChange is when the ensemble may be changed again after a change that failed.
 	nextChange time.Time
+	// publishing says that the key-value service is being told of the ensemble; nextPublish is when it may be told again.
+	publishing  bool
+	nextPublish time.Time
 	// overdue says that the owner has been silent for too long; declined is when an owner last declined to let go.
 	overdue  bool
 	declined time.Time
--- a/internal/ledger/methods.go
+++ b/internal/ledger/methods.go
@@ -14,6 +14,7 @@
 const (
 	methodSurvey      transport.Method = "ledger.survey"
 	methodPrepare     transport.Method = "ledger.prepare"
+	methodPropose     transport.Method = "ledger.propose"
 	methodAppend      transport.Method = "ledger.append"
 	methodRead        transport.Method = "ledger.read"
 	methodTrim        transport.Method = "ledger.trim"
@@ -28,6 +29,7 @@
 func registerStore(registrar transport.Registrar, local *store.Store) {
 	handleStore(registrar, methodSurvey, local, (*store.Store).Survey)
 	handleStore(registrar, methodPrepare, local, (*store.Store).Prepare)
+	handleStore(registrar, methodPropose, local, (*store.Store).Propose)
 	handleStore(registrar, methodAppend, local, (*store.Store).Append)
 	handleStore(registrar, methodRead, local, (*store.Store).Read)
 	handleStore(registrar, methodTrim, local, (*store.Store).Trim)
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -79,7 +79,9 @@
 	stores    *storeClient
 	factory   Factory
 	timing    Timing
-	logger    zerolog.Logger
+	// decided is told of an ensemble that the members have decided on. It must not block.
+	decided func(protocol.Ensemble)
+	logger  zerolog.Logger
 
 	// owner, pending, pendingBytes, releasing, preparing and starved belong to run's goroutine.
 	owner        *protocol.Owner
@@ -123,8 +125,9 @@
 	waitingSince time.Time
 }
 
-func newOwnership(ctx context.Context, partition PartitionID, owner *protocol.Owner, stores *storeClient, factory Factory, timing Timing, logger zerolog.Logger) *ownership {
+func newOwnership(ctx context.Context, partition PartitionID, owner *protocol.Owner, stores *storeClient, factory Factory, decided func(protocol.Ensemble), timing Timing, logger zerolog.Logger) *ownership {
 	o := &ownership{
+		decided:   decided,
 		partition: partition, stores: stores, factory: factory, timing: timing, owner: owner, logger: logger, began: time.Now(),
 		events: make(chan func() []protocol.Action), appends: make(chan *appendRequest), lost: make(chan struct{}),
 	}
@@ -305,6 +308,11 @@
 		o.start(func(ctx context.Context) func() []protocol.Action { return o.fetch(ctx, typed) })
 	case protocol.TransferSnapshot:
 		o.start(func(ctx context.Context) func() []protocol.Action { return o.transferSnapshot(ctx, typed) })
+	case protocol.SendProposal:
+		o.start(func(ctx context.Context) func() []protocol.Action { return o.sendProposal(ctx, typed) })
+	case protocol.EnsembleDecided:
+		o.logger.Info().Stringer(fieldBallot, o.owner.Ballot()).Uint64(fieldVersion, typed.Ensemble.Version).Msg("ensemble_decided")
+		o.decided(typed.Ensemble)
 	case protocol.Acknowledge:
 		o.acknowledge(typed.Through)
 	case protocol.Recovered:
@@ -338,6 +346,11 @@
 	})
 }
 
+// proposeEnsemble has the members decide on the next ensemble.
+func (o *ownership) proposeEnsemble(next protocol.Ensemble) {
+	o.post(func() []protocol.Action { return o.owner.ProposeEnsemble(next) })
+}
+
 // adopt has the owner prepare again where ensemble is newer than its own; one that does not serve yet starts anew.
 func (o *ownership) adopt(ensemble protocol.Ensemble) {
 	o.post(func() []protocol.Action {
--- a/internal/ledger/ownership_requests.go
+++ b/internal/ledger/ownership_requests.go
@@ -38,6 +38,7 @@
 		RecoveredTo: Position(response.RecoveredTo), First: Position(response.First),
 		Committed: Position(response.Committed), Last: Position(response.Last),
 		Snapshot: wire.ToSnapshotInfo(response.Snapshot), Ensemble: wire.ToEnsemble(response.Ensemble),
+		Proposal: wire.ToProposal(response.Proposal),
 	}
 	return func() []protocol.Action { return o.owner.Promised(action.Store, promise) }
 }
@@ -102,6 +103,20 @@
 	return func() []protocol.Action { return o.owner.Acknowledged(action.Store, answer, response.SpaceLow) }
 }
 
+func (o *ownership) sendProposal(ctx context.Context, action protocol.SendProposal) func() []protocol.Action {
+	ctx, cancel := context.WithTimeout(ctx, o.timing.Request)
+	defer cancel()
+	response, err := o.stores.propose(ctx, o.member(action.Store), &ledgerpb.ProposeRequest{
+		Partition: uint32(o.partition), Store: string(action.Store), Proposal: wire.FromProposal(action.Proposal),
+	})
+	verdict, known := wire.ToVerdict(response.GetStatus())
+	if err != nil || !known {
+		return func() []protocol.Action { return o.owner.ProposalFailed(action.Store) }
+	}
+	answer := protocol.Acknowledgement{Verdict: verdict, Promised: wire.ToBallot(response.Promised)}
+	return func() []protocol.Action { return o.owner.ProposalAnswered(action.Store, answer) }
+}
+
 func (o *ownership) fetch(ctx context.Context, action protocol.Fetch) func() []protocol.Action {
 	entries, err := o.readStore(ctx, action.Source, action.From, action.To, fetchBytes)
 	if err == nil {
--- /dev/null
+++ b/internal/ledger/protocol/model_decision_test.go
@@ -0,0 +1,102 @@
+package protocol
+
+import "slices"
+
+// propose puts a proposal on its way to a store.
+func (w *world) propose(owner *modelOwner, action SendProposal) {
+	w.request(owner, action.Store, func(store *modelStore) func() []Action {
+		answer, effect := store.state.ProposeEnsemble(action.Proposal)
+		store.apply(effect)
+		return func() []Action { return owner.ProposalAnswered(action.Store, answer) }
+	})
+	last := &w.requests[len(w.requests)-1]
+	inner := last.deliver
+	last.deliver = func() func() []Action {
+		if w.stores[action.Store].lost {
+			return func() []Action { return owner.ProposalFailed(action.Store) }
+		}
+		return inner()
+	}
+}
+
+// decide checks that no version is decided in two ways.
+func (w *world) decide(owner *modelOwner, next Ensemble) {
+	decided := append(slices.Clone(w.older), w.ensemble)
+	for _, known := range decided {
+		if known.Version == next.Version && !slices.Equal(known.Members, next.Members) {
+			w.t.Fatalf("owner %d has version %d decided as %+v, it is %+v", owner.id, next.Version, next.Members, known.Members)
+		}
+	}
+	if next.Version == w.ensemble.Version+1 {
+		w.change(next)
+	}
+}
+
+// changeTo makes next the ensemble, or has a serving owner's members decide on it.
+func (w *world) changeTo(next Ensemble) {
+	if !w.membersDecide {
+		w.change(next)
+		return
+	}
+	for _, owner := range w.serving() {
+		if owner.Ensemble().Version+1 == next.Version {
+			w.step(owner, owner.ProposeEnsemble(next))
+		}
+	}
+}
+
+// weakNext counts the members that would be lost or joining under the weakest ensemble that may yet be decided.
+func (w *world) weakNext() int {
+	weakest := 0
+	count := func(next Ensemble) {
+		if next.Version == w.ensemble.Version+1 {
+			weakest = max(weakest, w.weakOf(next))
+		}
+	}
+	for _, owner := range w.owners {
+		count(owner.proposing.ensemble)
+	}
+	for _, store := range w.stores {
+		count(store.state.Proposal.Ensemble)
+	}
+	return weakest
+}
+
+// healByMembers has the members replace the lost disks, without a compare-and-swap, and checks what is then served.
+func (w *world) healByMembers() {
+	const rounds = 8
+	for range rounds {
+		owner := w.startOwner(w.ensemble, w.number+1)
+		if !w.settle(owner) {
+			w.t.Fatalf("owner %d does not come to rest", owner.id)
+		}
+		if owner.Ensemble().Version == w.ensemble.Version {
+			w.replaceLost(owner)
+		}
+		if owner.Ensemble().Version == w.ensemble.Version && w.weakOf(w.ensemble) == 0 {
+			w.checkHealed(owner)
+			return
+		}
+	}
+	w.t.Fatalf("not healed after %d owners: %+v", rounds, w.ensemble)
+}
+
+// replaceLost has the owner's members decide on the next change that is due, if one is.
+func (w *world) replaceLost(owner *modelOwner) {
+	for _, member := range w.ensemble.Members {
+		if w.stores[member.Store].lost {
+			if next, ok := w.ensemble.Replace(member.Store, Member{Store: w.newStore()}); ok {
+				w.step(owner, owner.ProposeEnsemble(next))
+				w.settle(owner)
+			}
+			return
+		}
+	}
+	for _, holding := range owner.Holdings() {
+		if next, ok := w.ensemble.Promote(holding.Member.Store); ok && holding.CaughtUp {
+			w.step(owner, owner.ProposeEnsemble(next))
+			w.settle(owner)
+			return
+		}
+	}
+}
--- a/internal/ledger/protocol/model_test.go
+++ b/internal/ledger/protocol/model_test.go
@@ -68,22 +68,33 @@
 	acknowledged map[Position]string
 	ballots      map[Position]Ballot
 	// born is the ballot under which a value was first proposed.
-	born      map[string]Ballot
-	nextStore int
-	nextValue int
-	number    uint64
+	born map[string]Ballot
+	// bearable is how many members may be lost or joining at once.
+	bearable int
+	// membersDecide says that ensembles are decided by their members instead of a compare-and-swap.
+	membersDecide bool
+	nextStore     int
+	nextValue     int
+	number        uint64
 }
 
 const (
 	modelReplicas = 4
 	modelQuorum   = 3
-	maxWeak       = 2
+	// modelMajority is the write quorum of ensembles that their members decide on.
+	modelMajorityReplicas, modelMajority = 3, 2
+	maxWeak                              = 2
 )
 
-func newWorld(t *rapid.T) *world {
-	w := &world{t: t, stores: map[StoreID]*modelStore{}, acknowledged: map[Position]string{}, ballots: map[Position]Ballot{}, born: map[string]Ballot{}}
+func newWorld(t *rapid.T, membersDecide bool) *world {
+	w := &world{t: t, membersDecide: membersDecide, stores: map[StoreID]*modelStore{}, acknowledged: map[Position]string{}, ballots: map[Position]Ballot{}, born: map[string]Ballot{}}
 	w.ensemble = Ensemble{Version: 1, WriteQuorum: modelQuorum}
-	for range modelReplicas {
+	replicas := modelReplicas
+	w.bearable = maxWeak
+	if membersDecide {
+		w.ensemble.WriteQuorum, replicas, w.bearable = modelMajority, modelMajorityReplicas, maxWeak-1
+	}
+	for range replicas {
 		w.ensemble.Members = append(w.ensemble.Members, Member{Store: w.newStore()})
 	}
 	return w
@@ -96,10 +107,12 @@
 	return id
 }
 
-// weak counts members that are lost or joining.
-func (w *world) weak() int {
+// weak counts members that are lost or joining, now or once what is proposed is decided.
+func (w *world) weak() int { return max(w.weakOf(w.ensemble), w.weakNext()) }
+
+func (w *world) weakOf(ensemble Ensemble) int {
 	weak := 0
-	for _, member := range w.ensemble.Members {
+	for _, member := range ensemble.Members {
 		if member.Joining || w.stores[member.Store].lost {
 			weak++
 		}
@@ -179,6 +192,10 @@
 				continue
 			}
 			w.install(owner, typed.Store, source.state.Snapshot, slices.Clone(source.snapshot), true)
+		case SendProposal:
+			w.propose(owner, typed)
+		case EnsembleDecided:
+			w.decide(owner, typed.Ensemble)
 		case Acknowledge:
 			w.acknowledge(owner, typed.Through)
 		case Lost:
--- a/internal/ledger/protocol/owner_actions.go
+++ b/internal/ledger/protocol/owner_actions.go
@@ -36,6 +36,15 @@
 	RecoveredTo   Position
 }
 
+// SendProposal asks Store to accept the next ensemble; answered by ProposalAnswered, or by ProposalFailed.
+type SendProposal struct {
+	Store    StoreID
+	Proposal Proposal
+}
+
+// EnsembleDecided says that Ensemble follows the owner's, whatever becomes of the owner.
+type EnsembleDecided struct{ Ensemble Ensemble }
+
 // Acknowledge says that every record up to Through is on a write quorum.
 type Acknowledge struct{ Through Position }
 
@@ -76,6 +85,8 @@
 func (SendAppend) action()       {}
 func (Fetch) action()            {}
 func (TransferSnapshot) action() {}
+func (SendProposal) action()     {}
+func (EnsembleDecided) action()  {}
 func (Acknowledge) action()      {}
 func (Recovered) action()        {}
 func (Lost) action()             {}
--- a/internal/ledger/protocol/owner_again.go
+++ b/internal/ledger/protocol/owner_again.go
@@ -13,6 +13,7 @@
 	o.phase = PhasePreparing
 	o.resuming = true
 	o.followers = nil
+	o.proposing = proposing{}
 	for _, member := range ensemble.Members {
 		o.followers = append(o.followers, &follower{member: member})
 	}
--- a/internal/ledger/protocol/owner_step.go
+++ b/internal/ledger/protocol/owner_step.go
@@ -51,6 +51,7 @@
 	windowFirst Position
 	windowBytes int
 	tails       tailReading
+	proposing   proposing
 }
 
 // follower is what the Owner knows of one store of its ensemble.
@@ -128,6 +129,7 @@
 	if o.promises() < o.ensemble.ReadQuorum() {
 		return nil
 	}
+	o.inheritProposal()
 	if o.resuming {
 		return o.resume()
 	}
@@ -245,7 +247,7 @@
 	if o.phase != PhaseServing {
 		return nil
 	}
-	actions := o.pumpAll()
+	actions := append(o.pumpAll(), o.sendProposals()...)
 	for _, follower := range o.followers {
 		idle := follower.attached && !follower.inFlight && follower.next > o.last
 		if idle && (follower.told < o.committed || follower.spaceLow) {
@@ -278,6 +280,7 @@
 		if !o.resuming {
 			actions = append(actions, Recovered{Last: o.committed})
 		}
+		actions = append(actions, o.sendProposals()...)
 	}
 	o.trimWindow()
 	o.noteCaughtUp()
--- a/internal/ledger/protocol/protocol_test.go
+++ b/internal/ledger/protocol/protocol_test.go
@@ -88,7 +88,7 @@
 		"lose disk": func(t *rapid.T) {
 			member, _ := pick(t, w.ensemble.Members, "member")
 			store := w.stores[member.Store]
-			if store.lost || (!member.Joining && w.weak() >= maxWeak) {
+			if store.lost || (!member.Joining && w.weak() >= w.bearable) {
 				t.Skip("enough lost")
 			}
 			store.lost = true
@@ -96,11 +96,11 @@
 		},
 		"replace": func(t *rapid.T) {
 			member, _ := pick(t, w.ensemble.Members, "member")
-			if !w.stores[member.Store].lost && (member.Joining || w.weak() >= maxWeak) {
+			if !w.stores[member.Store].lost && (member.Joining || w.weak() >= w.bearable) {
 				t.Skip("would make too few full members")
 			}
 			if next, ok := w.ensemble.Replace(member.Store, Member{Store: w.newStore()}); ok {
-				w.change(next)
+				w.changeTo(next)
 			}
 		},
 		"drop": func(t *rapid.T) {
@@ -130,7 +130,7 @@
 		"promote": func(t *rapid.T) {
 			decided, ok := pick(t, w.promotions, "promotion")
 			if ok && decided.next.Version == w.ensemble.Version+1 {
-				w.change(decided.next)
+				w.changeTo(decided.next)
 			}
 		},
 		"snapshot": func(t *rapid.T) {
@@ -219,6 +219,10 @@
 // heal replaces lost disks, lets the present owner prepare again or starts one above all others, delivers everything and
 // checks that it serves every acknowledged record, in order.
 func (w *world) heal() {
+	if w.membersDecide {
+		w.healByMembers()
+		return
+	}
 	for _, member := range w.ensemble.Members {
 		if w.stores[member.Store].lost {
 			next, ok := w.ensemble.Replace(member.Store, Member{Store: w.newStore()})
@@ -312,7 +316,16 @@
 
 func TestNothingAcknowledgedIsLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
+		w := newWorld(t, false)
+		w.startOwner(w.ensemble, 1)
+		t.Repeat(w.actions())
+		w.heal()
+	})
+}
+
+func TestNothingAcknowledgedIsLostWhereMembersDecide(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, true)
 		w.startOwner(w.ensemble, 1)
 		t.Repeat(w.actions())
 		w.heal()
--- a/internal/ledger/protocol/store_step.go
+++ b/internal/ledger/protocol/store_step.go
@@ -19,6 +19,8 @@
 	Last        Position
 	Snapshot    SnapshotInfo
 	Ensemble    Ensemble
+	// Proposal is the ensemble accepted to follow Ensemble, if any; see ProposeEnsemble.
+	Proposal Proposal
 }
 
 // NewStoreState returns the state of a partition of which the store has nothing.
@@ -69,6 +71,8 @@
 	Snapshot    SnapshotInfo
 	// Ensemble is the highest version that the store has seen.
 	Ensemble Ensemble
+	// Proposal is the next ensemble that the store has accepted, if any.
+	Proposal Proposal
 }
 
 // Prepare promises the ballot unless a higher one was promised.
@@ -81,10 +85,12 @@
 	newer := request.Ensemble.Version > s.Ensemble.Version
 	if newer {
 		s.Ensemble = request.Ensemble
+		s.forgetProposal()
 	}
 	return Promise{
 		Verdict: VerdictOK, Promised: s.Promised, Accepted: s.Accepted, RecoveredTo: s.RecoveredTo,
 		First: s.First, Committed: s.Committed, Last: s.Last, Snapshot: s.Snapshot, Ensemble: s.Ensemble,
+		Proposal: s.Proposal,
 	}, Effect{Changed: changed || newer, EnsembleChanged: newer}
 }
 
--- a/internal/ledger/silence_test.go
+++ b/internal/ledger/silence_test.go
@@ -16,6 +16,7 @@
 func newStorageCluster(t *testing.T, seed uint64) *cluster {
 	c := newCluster(t, seed)
 	c.ledger.Replicas, c.ledger.WriteQuorum, c.ledger.OwnersOnStores = 3, 2, true
+	c.ledger.MembersDecide = true
 	c.timing.Silence, c.timing.Request, c.timing.Settle = testSilence, time.Second, time.Minute
 	for range 4 {
 		c.add(true)
@@ -117,7 +118,7 @@
 }
 
 // TestSecondDiskLostAfterAnOutage: a disk is lost while the key-value service is down, its node is back for longer than the operators give
-// it, and then another disk is lost. Each loss alone is borne, so nothing acknowledged may be gone. See KNOWN-RED.txt.
+// it, and then another disk is lost. Each loss alone is borne, so nothing acknowledged may be gone.
 func TestSecondDiskLostAfterAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newStorageCluster(t, 25)
--- a/internal/ledger/store/codec.go
+++ b/internal/ledger/store/codec.go
@@ -120,7 +120,7 @@
 		Promised: wire.FromBallot(state.Promised), Accepted: wire.FromBallot(state.Accepted),
 		RecoveredTo: uint64(state.RecoveredTo), First: uint64(state.First), Committed: uint64(state.Committed),
 		Consistent: uint64(state.Consistent), Last: uint64(state.Last),
-		Snapshot: wire.FromSnapshotInfo(state.Snapshot),
+		Snapshot: wire.FromSnapshotInfo(state.Snapshot), Proposal: wire.FromProposal(state.Proposal),
 	})
 }
 
@@ -134,6 +134,7 @@
 		RecoveredTo: protocol.Position(message.RecoveredTo), First: protocol.Position(message.First),
 		Committed: protocol.Position(message.Committed), Consistent: protocol.Position(message.Consistent),
 		Last: protocol.Position(message.Last), Snapshot: wire.ToSnapshotInfo(message.Snapshot),
+		Proposal: wire.ToProposal(message.Proposal),
 	}, nil
 }
 
--- a/internal/ledger/store/requests.go
+++ b/internal/ledger/store/requests.go
@@ -41,10 +41,26 @@
 			Accepted: wire.FromBallot(promise.Accepted), RecoveredTo: uint64(promise.RecoveredTo),
 			First: uint64(promise.First), Committed: uint64(promise.Committed), Last: uint64(promise.Last),
 			Snapshot: wire.FromSnapshotInfo(promise.Snapshot), Ensemble: wire.FromEnsemble(promise.Ensemble),
+			Proposal: wire.FromProposal(promise.Proposal),
 		}, nil
 	})
 }
 
+// Propose takes the ensemble that an owner wants to follow its own.
+func (s *Store) Propose(ctx context.Context, message *ledgerpb.ProposeRequest) (*ledgerpb.ProposeResponse, error) {
+	if !s.is(message.Store) {
+		return &ledgerpb.ProposeResponse{Status: ledgerpb.Status_STATUS_WRONG_STORE}, nil
+	}
+	return run(ctx, s, 0, func(batch *pebble.Batch) (*ledgerpb.ProposeResponse, error) {
+		partition := protocol.PartitionID(message.Partition)
+		answer, effect := s.state(partition).ProposeEnsemble(wire.ToProposal(message.Proposal))
+		if err := s.apply(batch, partition, effect); err != nil {
+			return nil, err
+		}
+		return &ledgerpb.ProposeResponse{Status: wire.FromVerdict(answer.Verdict), Promised: wire.FromBallot(answer.Promised)}, nil
+	})
+}
+
 // Append takes records from an owner.
 func (s *Store) Append(ctx context.Context, message *ledgerpb.AppendRequest) (*ledgerpb.AppendResponse, error) {
 	if !s.is(message.Store) {
--- a/internal/ledger/store_client.go
+++ b/internal/ledger/store_client.go
@@ -73,6 +73,10 @@
 	return callStore(ctx, c, member, methodAppend, request, &ledgerpb.AppendResponse{}, (*store.Store).Append)
 }
 
+func (c *storeClient) propose(ctx context.Context, member protocol.Member, request *ledgerpb.ProposeRequest) (*ledgerpb.ProposeResponse, error) {
+	return callStore(ctx, c, member, methodPropose, request, &ledgerpb.ProposeResponse{}, (*store.Store).Propose)
+}
+
 func (c *storeClient) read(ctx context.Context, member protocol.Member, request *ledgerpb.ReadRequest) (*ledgerpb.ReadResponse, error) {
 	return callStore(ctx, c, member, methodRead, request, &ledgerpb.ReadResponse{}, (*store.Store).Read)
 }
--- a/internal/ledger/wire/wire.go
+++ b/internal/ledger/wire/wire.go
@@ -50,6 +50,19 @@
 	return ensemble
 }
 
+// FromProposal returns nil for no proposal.
+func FromProposal(proposal protocol.Proposal) *ledgerpb.Proposal {
+	if proposal.Ensemble.Version == 0 {
+		return nil
+	}
+	return &ledgerpb.Proposal{Ballot: FromBallot(proposal.Ballot), Ensemble: FromEnsemble(proposal.Ensemble)}
+}
+
+// ToProposal takes nil for no proposal.
+func ToProposal(message *ledgerpb.Proposal) protocol.Proposal {
+	return protocol.Proposal{Ballot: ToBallot(message.GetBallot()), Ensemble: ToEnsemble(message.GetEnsemble())}
+}
+
 // FromSnapshotInfo returns nil where there is no snapshot.
 func FromSnapshotInfo(info protocol.SnapshotInfo) *ledgerpb.SnapshotInfo {
 	if info.UpTo == 0 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -92,6 +92,9 @@
 	WriteQuorum int `yaml:"writeQuorum"`
 	// OwnersOnStores has only nodes with a data folder own partitions.
 	OwnersOnStores bool `yaml:"ownersOnStores"`
+	// MembersDecide has the members of an ensemble decide on the next one, so that a lost disk is replaced also while the key-value
+	// service is down. A write quorum of members must be left for it, which 2n+1 copies have after n losses.
+	MembersDecide bool `yaml:"membersDecide"`
 	// SurvivesMachines and SurvivesZones are how many storage machines, or zones, may be lost at once. Where one of them is
 	// above 0, Replicas and WriteQuorum are the fewest that survive it.
 	SurvivesMachines int `yaml:"survivesMachines"`
