Begin few items right after the start of an owner; note the decision of members

Change: the room for items grows from nothing over the first 2 s after the start, or after a time in which no edge was heard. The harness of the other tests has an owner that has known its edges for long.

--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -110,7 +110,10 @@
 	options := Options{Zone: "z", MaxBytes: 1 << 20, KeepResults: time.Minute, Report: replica.LoadReport{
 		Path: "/load", Parse: func([]byte) (replica.Load, error) { return replica.Load{}, nil },
 	}}
-	return NewService(options, routes, directory, picker, client, noRegistrar{}, zerolog.Nop()), network, routes
+	service := NewService(options, routes, directory, picker, client, noRegistrar{}, zerolog.Nop())
+	// The service has known its edges for long.
+	service.online.since = time.Time{}
+	return service, network, routes
 }
 
 // own starts a partition whose log already holds records.
--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -25,6 +25,9 @@
 	keptFreeShare = 0.03
 	// recentSpan is how long a higher number of online requests counts for the begin of items.
 	recentSpan = 600 * time.Millisecond
+	// rampSpan is how long the begin of items is held back after the start of the process, or after no edge was heard: what edges
+	// tell then is not yet what their callers want, who come back all at once.
+	rampSpan = 2 * time.Second
 )
 
 // onlineLoads holds what edges told of their online requests. It is safe for concurrent use.
@@ -33,6 +36,8 @@
 	byEdge map[netip.AddrPort]edgeLoad
 	// peaks holds, by service, the highest total of the latest times.
 	peaks map[string]peak
+	// since is when the present edges began to be heard, or the process began.
+	since time.Time
 }
 
 type peak struct {
@@ -46,7 +51,7 @@
 }
 
 func newOnlineLoads() *onlineLoads {
-	return &onlineLoads{byEdge: map[netip.AddrPort]edgeLoad{}, peaks: map[string]peak{}}
+	return &onlineLoads{byEdge: map[netip.AddrPort]edgeLoad{}, peaks: map[string]peak{}, since: time.Now()}
 }
 
 func (l *onlineLoads) take(edge netip.AddrPort, told *batchpb.OnlineLoad, now time.Time) {
@@ -56,19 +61,38 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	known := len(l.byEdge) > 0
+	l.prune(now)
+	if known && len(l.byEdge) == 0 {
+		l.since = now
+	}
 	l.byEdge[edge] = load
 }
 
+// prune forgets what edges told long ago. The mutex is held.
+func (l *onlineLoads) prune(now time.Time) {
+	for edge, load := range l.byEdge {
+		if now.Sub(load.at) > loadStale {
+			delete(l.byEdge, edge)
+		}
+	}
+}
+
+// ramp returns the part of the room that items may begin in, from 0 to 1.
+func (l *onlineLoads) ramp(now time.Time) float64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return min(1, max(0, float64(now.Sub(l.since))/float64(rampSpan)))
+}
+
 // total returns the online requests at the replicas of service, and the most of the last recentSpan.
 func (l *onlineLoads) total(service string, now time.Time) (present, recent int) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for edge, load := range l.byEdge {
-		if now.Sub(load.at) > loadStale {
-			delete(l.byEdge, edge)
-			continue
+	for _, load := range l.byEdge {
+		if now.Sub(load.at) <= loadStale {
+			present += load.inUse[service]
 		}
-		present += load.inUse[service]
 	}
 	highest := l.peaks[service]
 	if present >= highest.total || now.Sub(highest.at) > recentSpan {
@@ -99,7 +123,7 @@
 		}
 	}
 	present, recent := s.online.total(service, now)
-	begin = max(0, int(float64(slots)*(1-freeShare)-float64(recent)*onlineGrowth))
+	begin = max(0, int((float64(slots)*(1-freeShare)-float64(recent)*onlineGrowth)*s.online.ramp(now)))
 	keep = max(0, int(float64(slots)*(1-keptFreeShare)-float64(present)*keptGrowth))
 	return begin, max(begin, keep), running
 }
