Give up a call to the key-value service soon while it is silent

Change: an answer is waited for 0.4 s at first, twice as long after each that does not come, and four times what the last answer took; held watches by their hold and 2 s. A load of the ledger's directory that failed is tried again after 0.12 s instead of 1 s. Tests: TestPatience, TestHeldAnswerIsWaitedFor.

--- a/internal/ledger/formation.go
+++ b/internal/ledger/formation.go
@@ -42,6 +42,9 @@
 			m.loading = false
 			m.stale = m.stale || err != nil
 			m.nextLoad = time.Now().Add(loadInterval)
+			if err != nil {
+				m.nextLoad = time.Now().Add(m.timing.ChangeRetry)
+			}
 			m.reportSettings()
 			m.check(time.Now())
 		})
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -38,8 +38,8 @@
 	memoryShare = 0.75
 	// collectAt is the growth of the heap, in percent, after which garbage is collected.
 	collectAt = 60
-	// storeAnswerTimeout is the time for an answer of the key-value service, beyond that for which a watch is held.
-	storeAnswerTimeout = 4 * time.Second
+	// metricsHeaderTimeout bounds the wait for the header of a request for figures.
+	metricsHeaderTimeout = 4 * time.Second
 	// MetricsPath is where a process tells its figures.
 	MetricsPath = "/metrics"
 )
@@ -178,7 +178,7 @@
 }
 
 func newRoleKeyValue(own settings.Settings, adapter Adapter, via network.Network, pace *watchPace) platform.KeyValue {
-	exchanger := platform.NewExchanger(via, own.Platform.MetadataStore, discovery.LongestWait+storeAnswerTimeout)
+	exchanger := platform.NewExchanger(via, own.Platform.MetadataStore)
 	return adapter.KeyValue(exchanger, pace.wait)
 }
 
@@ -268,7 +268,7 @@
 func serveMetrics(lifecycle fx.Lifecycle, own settings.Settings, gatherer prometheus.Gatherer, via network.Network) {
 	router := mux.NewRouter()
 	router.Handle(MetricsPath, promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{}))
-	server := &http.Server{Handler: router, ReadHeaderTimeout: storeAnswerTimeout, ErrorLog: logging.Discard()}
+	server := &http.Server{Handler: router, ReadHeaderTimeout: metricsHeaderTimeout, ErrorLog: logging.Discard()}
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			listener, err := via.Listen(ctx, own.AdminAddress)
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -10,18 +10,20 @@
 	"github.com/sloelift/sloelift/internal/network"
 )
 
+// heldMargin is the least time for which an answer is waited for beyond that for which it is held back.
+const heldMargin = 2 * time.Second
+
 // Exchanger makes HTTP calls to one address and gives back whatever answer comes. An adapter of a service that speaks HTTP
 // is built on it; what an answer means is the adapter's to say. It is safe for concurrent use.
 type Exchanger struct {
-	caller  *httpCaller
-	address netip.AddrPort
-	// longest bounds a call whose answer never comes.
-	longest time.Duration
+	caller   *httpCaller
+	address  netip.AddrPort
+	patience *patience
 }
 
-// NewExchanger returns an Exchanger whose calls end after longest; nothing connects yet.
-func NewExchanger(dialer network.Network, address netip.AddrPort, longest time.Duration) *Exchanger {
-	return &Exchanger{caller: newHTTPCaller(dialer, []netip.AddrPort{address}), address: address, longest: longest}
+// NewExchanger returns an Exchanger; nothing connects yet.
+func NewExchanger(dialer network.Network, address netip.AddrPort) *Exchanger {
+	return &Exchanger{caller: newHTTPCaller(dialer, []netip.AddrPort{address}), address: address, patience: newPatience()}
 }
 
 // Close drops the kept connections.
@@ -32,6 +34,13 @@
 	return e.exchange(ctx, method, target, readsOnly, nil)
 }
 
+// ReadHeld is Read of an answer that the service holds back for up to hold.
+func (e *Exchanger) ReadHeld(ctx context.Context, method, target string, hold time.Duration) (status int, body []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, hold+max(e.patience.bound(), heldMargin))
+	defer cancel()
+	return e.send(ctx, method, target, readsOnly, nil)
+}
+
 // Change makes a call that may change something. Without a whole answer the error is of KindUnavailable where nothing was
 // sent, else of KindUnknownOutcome.
 func (e *Exchanger) Change(ctx context.Context, method, target string, content []byte) (status int, body []byte, err error) {
@@ -39,8 +48,21 @@
 }
 
 func (e *Exchanger) exchange(ctx context.Context, method, target string, kind effect, content []byte) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, e.longest)
+	wait := e.patience.bound()
+	bounded, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	began := time.Now()
+	status, answer, err := e.send(bounded, method, target, kind, content)
+	switch {
+	case err == nil:
+		e.patience.answered(time.Since(began))
+	case bounded.Err() != nil && ctx.Err() == nil:
+		e.patience.missed(wait)
+	}
+	return status, answer, err
+}
+
+func (e *Exchanger) send(ctx context.Context, method, target string, kind effect, content []byte) (int, []byte, error) {
 	answer, err := e.caller.send(ctx, e.address, method, target, kind, content)
 	if err != nil {
 		return 0, nil, err
--- /dev/null
+++ b/internal/platform/patience_test.go
@@ -0,0 +1,97 @@
+package platform
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/sloelift/sloelift/internal/network"
+)
+
+// moodyNetwork leads to a service that is silent, or answers each request after latency.
+type moodyNetwork struct {
+	network.Network
+	silent  atomic.Bool
+	latency atomic.Int64
+}
+
+func (m *moodyNetwork) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		defer func() { _ = far.Close() }()
+		buffer := make([]byte, 4096)
+		for {
+			if _, err := far.Read(buffer); err != nil {
+				return
+			}
+			if m.silent.Load() {
+				_, _ = io.Copy(io.Discard, far)
+				return
+			}
+			time.Sleep(time.Duration(m.latency.Load()))
+			if _, err := io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"); err != nil {
+				return
+			}
+		}
+	}()
+	return near, nil
+}
+
+func TestPatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		moody := &moodyNetwork{}
+		exchanger := NewExchanger(moody, netip.MustParseAddrPort("127.0.0.1:1"))
+		read := func() (time.Duration, error) {
+			began := time.Now()
+			_, _, err := exchanger.Read(t.Context(), http.MethodGet, "/")
+			return time.Since(began), err
+		}
+		moody.silent.Store(true)
+		for _, want := range []time.Duration{shortestPatience, 2 * shortestPatience, 4 * shortestPatience} {
+			if took, err := read(); took != want || !errorx.IsOfType(err, KindUnavailable) {
+				t.Errorf("gave up after %s with %v, want %s", took, err, want)
+			}
+		}
+		moody.silent.Store(false)
+		moody.latency.Store(int64(time.Second))
+		if _, err := read(); err != nil {
+			t.Errorf("a slow answer after silence: %v", err)
+		}
+		moody.latency.Store(int64(2 * time.Second))
+		if _, err := read(); err != nil {
+			t.Errorf("an answer that is slower than the last: %v", err)
+		}
+		moody.latency.Store(int64(time.Millisecond))
+		if _, err := read(); err != nil || exchanger.patience.bound() != shortestPatience {
+			t.Errorf("after a quick answer: %v, %s", err, exchanger.patience.bound())
+		}
+		exchanger.Close()
+	})
+}
+
+// TestHeldAnswerIsWaitedFor: a watch may be held longer than any other answer takes.
+func TestHeldAnswerIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		moody := &moodyNetwork{}
+		moody.latency.Store(int64(20 * time.Second))
+		exchanger := NewExchanger(moody, netip.MustParseAddrPort("127.0.0.1:1"))
+		if _, _, err := exchanger.ReadHeld(t.Context(), http.MethodGet, "/", 20*time.Second); err != nil {
+			t.Error(err)
+		}
+		moody.latency.Store(int64(time.Minute))
+		began := time.Now()
+		if _, _, err := exchanger.ReadHeld(t.Context(), http.MethodGet, "/", 20*time.Second); err == nil || time.Since(began) > 25*time.Second {
+			t.Errorf("%v after %s", err, time.Since(began))
+		}
+		exchanger.Close()
+		time.Sleep(time.Minute)
+	})
+}
