--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -24,6 +25,10 @@
 	Replica(key string, value []byte) (replica.Info, error)
 }
 
+// gatherReplicas is how long changes of replicas are gathered. A replica that drains takes requests for at least 2 s after it
+// said so, so that a third of that is left for nodes that hear of it late.
+const gatherReplicas = 600 * time.Millisecond
+
 // Service follows the configuration and the replicas.
 type Service struct {
 	store      platform.KeyValue
@@ -96,6 +101,7 @@
 			Update:  s.updateReplicas,
 			Failed:  func(err error) { s.logger.Warn().Err(err).Msg("replicas_not_followed") },
 			Behind:  s.replicas.behind,
+			Gather:  gatherReplicas,
 		})
 	})
 }
