Bring changes of routes and replicas to all nodes through two watchers

Change: internal/changefeed. Two live nodes of different zones watch and pass each change on, with the revision of the change before it; a node that missed one lists anew; one that hears no watcher for 1.5 s watches by itself. A listing tells the other nodes the revision of what was new instead of its own, which had each of them list after each restart of a node. Tests: internal/changefeed, each kind of failure of watchers.

--- /dev/null
+++ b/internal/changefeed/feed.go
@@ -0,0 +1,186 @@
+package changefeed
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	changefeedpb "github.com/sloelift/sloelift/api/proto/changefeed"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+// Methods between nodes.
+const (
+	methodChanges   transport.Method = "changefeed.changes"
+	methodHeartbeat transport.Method = "changefeed.heartbeat"
+)
+
+const (
+	// heartbeatInterval is how often a watcher that is answered says so.
+	heartbeatInterval = 500 * time.Millisecond
+	// silence is how long a node hears no watcher before it watches by itself.
+	silence = 1500 * time.Millisecond
+	// answeredWithin is the time since the service's last answer within which a watcher counts as answered.
+	answeredWithin = 2500 * time.Millisecond
+	// turnInterval is how often a node looks whether it is to watch.
+	turnInterval = 200 * time.Millisecond
+	// joinTime is for how long after its start a node that knows no other waits to hear of some.
+	joinTime = 600 * time.Millisecond
+	// gatherWait is how long changes are gathered before the service is asked for more, for each answer is a call. The first change after
+	// a calm is told at once. A replica that drains takes requests for 2 s or more after it said so; a third of that is left for
+	// nodes that hear of it late.
+	gatherWait = 600 * time.Millisecond
+	// inboxLength bounds the messages that wait for a slow reader; past it the oldest state is listed anew.
+	inboxLength = 256
+	// maxPassedOn bounds the bytes of a value that is passed on; nodes read a greater one themselves.
+	maxPassedOn = 64 << 10
+)
+
+// Feed is the key-value service with watches that most nodes follow through others. It is safe for concurrent use.
+type Feed struct {
+	platform.KeyValue
+	caller transport.Caller
+	viewer membership.Viewer
+	logger zerolog.Logger
+
+	started time.Time
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	// mutex guards the fields below. heard is when a watcher was last heard, answered when the service last answered a watch of this
+	// node; both begin with the process.
+	mutex    sync.Mutex
+	heard    time.Time
+	answered time.Time
+	prefixes map[string]*prefixState
+}
+
+// prefixState is what is known of one prefix.
+type prefixState struct {
+	// newest is the revision of the newest change known.
+	newest int64
+	// inbox holds what watchers passed on.
+	inbox chan *changefeedpb.Changes
+}
+
+// New returns a Feed of store and registers its methods.
+func New(store platform.KeyValue, caller transport.Caller, registrar transport.Registrar, viewer membership.Viewer, logger zerolog.Logger) *Feed {
+	feed := &Feed{
+		KeyValue: store, caller: caller, viewer: viewer, started: time.Now(), heard: time.Now(), prefixes: map[string]*prefixState{},
+		logger: logger.With().Str(logging.FieldSlice, "changefeed").Logger(),
+	}
+	registrar.Handle(methodChanges, func() proto.Message { return &changefeedpb.Changes{} },
+		func(_ context.Context, _ netip.AddrPort, message proto.Message) (proto.Message, error) {
+			feed.take(message.(*changefeedpb.Changes), time.Now())
+			return nil, nil
+		})
+	registrar.Handle(methodHeartbeat, func() proto.Message { return &changefeedpb.Heartbeat{} },
+		func(context.Context, netip.AddrPort, proto.Message) (proto.Message, error) {
+			feed.hear(time.Now())
+			return nil, nil
+		})
+	return feed
+}
+
+// Start begins to send heartbeats where this node is a watcher.
+func (f *Feed) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.running.Go(func() {
+		ticker := time.NewTicker(heartbeatInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case now := <-ticker.C:
+				f.beat(now)
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+// Stop ends the heartbeats; watches end with their contexts.
+func (f *Feed) Stop() {
+	f.cancel()
+	f.running.Wait()
+}
+
+// List reads all keys below prefix from the service, and notes up to where changes are known.
+func (f *Feed) List(ctx context.Context, prefix string) (platform.Listing, error) {
+	listing, err := f.KeyValue.List(ctx, prefix)
+	if err != nil {
+		return listing, err
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	state := f.state(prefix)
+	for _, entry := range listing.Entries {
+		state.newest = max(state.newest, entry.ModRevision)
+	}
+	return listing, nil
+}
+
+// state returns the state of a prefix. The mutex is held.
+func (f *Feed) state(prefix string) *prefixState {
+	state, known := f.prefixes[prefix]
+	if !known {
+		state = &prefixState{inbox: make(chan *changefeedpb.Changes, inboxLength)}
+		f.prefixes[prefix] = state
+	}
+	return state
+}
+
+// beat tells the other nodes that this one watches and is answered.
+func (f *Feed) beat(now time.Time) {
+	view := f.viewer.View()
+	f.mutex.Lock()
+	answered := now.Sub(f.answered) < answeredWithin
+	f.mutex.Unlock()
+	if answered && Watches(view) {
+		f.send(view, methodHeartbeat, &changefeedpb.Heartbeat{})
+	}
+}
+
+func (f *Feed) send(view *membership.View, method transport.Method, message proto.Message) {
+	for _, member := range view.Members {
+		if member.ID != view.Self && member.State != membership.Dead {
+			_ = f.caller.Send(member.PeerAddress, method, message)
+		}
+	}
+}
+
+func (f *Feed) hear(now time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.heard = now
+}
+
+// take queues what a watcher passed on. Where the queue is full the reader finds a gap and lists anew.
+func (f *Feed) take(changes *changefeedpb.Changes, now time.Time) {
+	f.mutex.Lock()
+	f.heard = now
+	inbox := f.state(changes.Prefix).inbox
+	f.mutex.Unlock()
+	select {
+	case inbox <- changes:
+	default:
+	}
+}
+
+// watchesNow tells whether this node watches the service: as one of the watchers, or since none was heard for long.
+func (f *Feed) watchesNow(now time.Time) bool {
+	f.mutex.Lock()
+	silent := now.Sub(f.heard) >= silence
+	f.mutex.Unlock()
+	view := f.viewer.View()
+	joining := len(view.Members) <= 1 && now.Sub(f.started) < joinTime
+	return silent || (Watches(view) && !joining)
+}
--- /dev/null
+++ b/internal/changefeed/feed_test.go
@@ -0,0 +1,402 @@
+package changefeed
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// countingStore is a key-value service whose watches are held calls, as the platform's are.
+type countingStore struct {
+	platform.KeyValue
+	mutex   sync.Mutex
+	changes []platform.WatchEvent
+	down    bool
+	open    int
+	// told is closed, and made anew, at each change.
+	told chan struct{}
+}
+
+// firstRevision is that of the service before any change.
+const firstRevision = 1
+
+func newCountingStore() *countingStore { return &countingStore{told: make(chan struct{})} }
+
+func (s *countingStore) revision() int64 { return firstRevision + int64(len(s.changes)) }
+
+func (s *countingStore) List(context.Context, string) (platform.Listing, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return platform.Listing{Revision: s.revision()}, nil
+}
+
+func (s *countingStore) Watch(ctx context.Context, _ string, from int64) (<-chan platform.WatchEvent, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return nil, platform.KindUnavailable.New("down")
+	}
+	s.open++
+	events := make(chan platform.WatchEvent)
+	go func() {
+		defer close(events)
+		defer s.closed()
+		for since := from - 1; ctx.Err() == nil; {
+			var answer []platform.WatchEvent
+			answer, since = s.hold(ctx, since)
+			for _, event := range answer {
+				select {
+				case events <- event:
+				case <-ctx.Done():
+				}
+			}
+		}
+	}()
+	return events, nil
+}
+
+func (s *countingStore) closed() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.open--
+}
+
+// hold answers one held call.
+func (s *countingStore) hold(ctx context.Context, since int64) ([]platform.WatchEvent, int64) {
+	s.mutex.Lock()
+	told, quiet := s.told, s.revision() == since
+	s.mutex.Unlock()
+	if quiet {
+		select {
+		case <-told:
+		case <-time.After(watcherHold):
+		case <-ctx.Done():
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return []platform.WatchEvent{{Err: platform.KindUnavailable.New("down")}}, since
+	}
+	answer := append([]platform.WatchEvent(nil), s.changes[since-firstRevision:]...)
+	for index := range answer {
+		answer[index].More = index+1 < len(answer)
+	}
+	return append(answer, platform.WatchEvent{Revision: s.revision()}), s.revision()
+}
+
+// put changes key and tells the held calls.
+func (s *countingStore) put(key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	revision := s.revision() + 1
+	s.changes = append(s.changes, platform.WatchEvent{Revision: revision, Changed: []platform.Entry{{Key: key, ModRevision: revision}}})
+	close(s.told)
+	s.told = make(chan struct{})
+}
+
+func (s *countingStore) setDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+	close(s.told)
+	s.told = make(chan struct{})
+}
+
+func (s *countingStore) watching() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.open
+}
+
+// fabric carries messages between the feeds of one process.
+type fabric struct {
+	mutex    sync.Mutex
+	handlers map[netip.AddrPort]map[transport.Method]transport.Handler
+	// lose says which messages are lost; cut whose messages are.
+	lose func(to netip.AddrPort, method transport.Method) bool
+}
+
+// port is one node's access to the fabric.
+type port struct {
+	fabric *fabric
+	self   netip.AddrPort
+}
+
+func (p port) Handle(method transport.Method, _ func() proto.Message, handler transport.Handler) {
+	p.fabric.mutex.Lock()
+	defer p.fabric.mutex.Unlock()
+	if p.fabric.handlers[p.self] == nil {
+		p.fabric.handlers[p.self] = map[transport.Method]transport.Handler{}
+	}
+	p.fabric.handlers[p.self][method] = handler
+}
+
+func (p port) Call(context.Context, netip.AddrPort, transport.Method, proto.Message, proto.Message) error {
+	panic("the feed makes no calls")
+}
+
+func (p port) Send(to netip.AddrPort, method transport.Method, message proto.Message) error {
+	p.fabric.mutex.Lock()
+	handler := p.fabric.handlers[to][method]
+	lost := p.fabric.lose != nil && p.fabric.lose(to, method)
+	p.fabric.mutex.Unlock()
+	if handler != nil && !lost {
+		_, _ = handler(context.Background(), p.self, proto.Clone(message))
+	}
+	return nil
+}
+
+// clusterOfFeeds is some feeds that hold each other alive, and what each has taken of prefix "k".
+type clusterOfFeeds struct {
+	store  *countingStore
+	fabric *fabric
+	views  []*settableViewer
+	feeds  []*Feed
+	cancel context.CancelFunc
+	mutex  sync.Mutex
+	taken  []map[string]int
+	listed []int
+	failed []error
+}
+
+type settableViewer struct {
+	mutex sync.Mutex
+	view  membership.View
+}
+
+func (v *settableViewer) View() *membership.View {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	view := v.view
+	return &view
+}
+
+func (v *settableViewer) Subscribe(func(*membership.View)) func() { return func() {} }
+
+func (v *settableViewer) setState(index int, state membership.State) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	members := append([]membership.Member(nil), v.view.Members...)
+	members[index].State = state
+	v.view.Members = members
+}
+
+func startFeeds(count int) *clusterOfFeeds {
+	c := &clusterOfFeeds{
+		store: newCountingStore(), fabric: &fabric{handlers: map[netip.AddrPort]map[transport.Method]transport.Handler{}},
+		taken: make([]map[string]int, count), listed: make([]int, count), failed: make([]error, count),
+	}
+	var members []membership.Member
+	for index := range count {
+		members = append(members, membership.Member{
+			ID: membership.NodeID(fmt.Sprint("n", index)), Zone: fmt.Sprint("z", index%2),
+			PeerAddress: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(index+1)),
+		})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	for index, member := range members {
+		viewer := &settableViewer{view: membership.View{Self: member.ID, Members: members}}
+		access := port{fabric: c.fabric, self: member.PeerAddress}
+		feed := New(c.store, access, access, viewer, zerolog.Nop())
+		feed.Start()
+		c.views, c.feeds, c.taken[index] = append(c.views, viewer), append(c.feeds, feed), map[string]int{}
+		go platform.Follow(ctx, feed, "k", platform.Follower{
+			Replace: func(platform.Listing) {
+				c.mutex.Lock()
+				defer c.mutex.Unlock()
+				c.listed[index]++
+			},
+			Update: func(_ int64, changed []platform.Entry, _ []string) {
+				c.mutex.Lock()
+				defer c.mutex.Unlock()
+				for _, entry := range changed {
+					c.taken[index][entry.Key]++
+				}
+			},
+			Failed: func(err error) {
+				c.mutex.Lock()
+				defer c.mutex.Unlock()
+				c.failed[index] = err
+			},
+		})
+	}
+	return c
+}
+
+func (c *clusterOfFeeds) stop() {
+	c.cancel()
+	for _, feed := range c.feeds {
+		feed.Stop()
+	}
+	synctest.Wait()
+}
+
+// wantTaken checks how often each node took key.
+func (c *clusterOfFeeds) wantTaken(t *testing.T, key string, want int) {
+	t.Helper()
+	synctest.Wait()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for index, taken := range c.taken {
+		if taken[key] != want {
+			t.Errorf("node %d took %s %d times, want %d", index, key, taken[key], want)
+		}
+	}
+}
+
+func TestFewNodesWatchForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startFeeds(8)
+		time.Sleep(2 * time.Second)
+		if watching := c.store.watching(); watching != watchers {
+			t.Errorf("%d nodes watch", watching)
+		}
+		c.store.put("k1")
+		time.Sleep(10 * time.Millisecond)
+		c.wantTaken(t, "k1", 1)
+		for index := range 5 {
+			c.store.put(fmt.Sprint("burst", index))
+		}
+		time.Sleep(2 * gatherWait)
+		c.wantTaken(t, "burst0", 1)
+		c.wantTaken(t, "burst4", 1)
+		c.stop()
+	})
+}
+
+func TestWatcherThatDiesIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startFeeds(6)
+		time.Sleep(2 * time.Second)
+		for _, view := range c.views {
+			view.setState(0, membership.Suspect)
+			view.setState(1, membership.Suspect)
+		}
+		time.Sleep(2 * turnInterval)
+		c.store.put("k1")
+		time.Sleep(10 * time.Millisecond)
+		c.wantTaken(t, "k1", 1)
+		c.stop()
+	})
+}
+
+// TestSilentWatchersAreDoneWithout: nodes that hear no watcher, though they hold some alive, watch by themselves, and cease to once one is
+// heard again.
+func TestSilentWatchersAreDoneWithout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startFeeds(6)
+		time.Sleep(2 * time.Second)
+		c.fabric.mutex.Lock()
+		c.fabric.lose = func(netip.AddrPort, transport.Method) bool { return true }
+		c.fabric.mutex.Unlock()
+		time.Sleep(silence + 2*turnInterval)
+		c.store.put("k1")
+		time.Sleep(10 * time.Millisecond)
+		c.wantTaken(t, "k1", 1)
+		if watching := c.store.watching(); watching != 6 {
+			t.Errorf("%d nodes watch, 6 hear nobody", watching)
+		}
+		c.fabric.mutex.Lock()
+		c.fabric.lose = nil
+		c.fabric.mutex.Unlock()
+		c.store.put("k2")
+		time.Sleep(time.Second)
+		c.wantTaken(t, "k2", 1)
+		if watching := c.store.watching(); watching != watchers {
+			t.Errorf("%d nodes watch, though watchers are heard", watching)
+		}
+		c.stop()
+	})
+}
+
+// TestMissedChangeIsNoticed: a node to which one change did not come lists anew when the next does.
+func TestMissedChangeIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startFeeds(6)
+		time.Sleep(2 * time.Second)
+		last := c.views[5].View().Members[5].PeerAddress
+		c.fabric.mutex.Lock()
+		c.fabric.lose = func(to netip.AddrPort, method transport.Method) bool { return to == last && method == methodChanges }
+		c.fabric.mutex.Unlock()
+		c.store.put("k1")
+		time.Sleep(gatherWait)
+		c.fabric.mutex.Lock()
+		c.fabric.lose = nil
+		c.fabric.mutex.Unlock()
+		c.store.put("k2")
+		time.Sleep(time.Second)
+		c.mutex.Lock()
+		if c.listed[5] != 2 || !errorx.IsOfType(c.failed[5], platform.KindCompacted) {
+			t.Errorf("listed %d times, last error %v", c.listed[5], c.failed[5])
+		}
+		c.mutex.Unlock()
+		c.stop()
+	})
+}
+
+// TestUnansweredWatchersAreDoneWithout: watchers that the service refuses send no heartbeats, so that the others ask it themselves.
+func TestUnansweredWatchersAreDoneWithout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startFeeds(4)
+		time.Sleep(2 * time.Second)
+		c.store.setDown(true)
+		time.Sleep(2 * silence)
+		c.store.setDown(false)
+		time.Sleep(2 * time.Second)
+		c.store.put("k1")
+		time.Sleep(10 * time.Millisecond)
+		c.wantTaken(t, "k1", 1)
+		c.stop()
+	})
+}
+
+func TestWatchersAreOfDifferentZones(t *testing.T) {
+	view := func(self string, members ...string) *membership.View {
+		view := &membership.View{Self: membership.NodeID(self)}
+		for _, member := range members {
+			id, zone, _ := strings.Cut(member, "@")
+			state := membership.Alive
+			if id, dead := strings.CutSuffix(id, "!"); dead {
+				view.Members = append(view.Members, membership.Member{ID: membership.NodeID(id), Zone: zone, State: membership.Dead})
+				continue
+			}
+			view.Members = append(view.Members, membership.Member{ID: membership.NodeID(id), Zone: zone, State: state})
+		}
+		return view
+	}
+	for _, test := range []struct {
+		name string
+		view *membership.View
+		want bool
+	}{
+		{"knows nobody", view("a"), true},
+		{"alone", view("a", "a@1"), true},
+		{"first of the second zone", view("c", "a@1", "b@1", "c@2"), true},
+		{"second of the first zone", view("b", "a@1", "b@1", "c@2"), false},
+		{"second of the only zone", view("b", "a@1", "b@1", "c@1"), true},
+		{"third zone", view("e", "a@1", "c@2", "e@3"), false},
+		{"behind a dead one", view("b", "a!@1", "b@1", "c@2"), true},
+	} {
+		if watches := Watches(test.view); watches != test.want {
+			t.Errorf("%s: %t", test.name, watches)
+		}
+	}
+}
--- /dev/null
+++ b/internal/changefeed/watch.go
@@ -0,0 +1,213 @@
+package changefeed
+
+import (
+	"context"
+	"time"
+
+	changefeedpb "github.com/sloelift/sloelift/api/proto/changefeed"
+	"github.com/sloelift/sloelift/internal/pause"
+	"github.com/sloelift/sloelift/internal/platform"
+)
+
+// Watch delivers changes as the service's own watch does, from the service or from the nodes that watch it, whichever is this node's
+// turn. An event of KindCompacted says that changes were missed.
+func (f *Feed) Watch(ctx context.Context, prefix string, fromRevision int64) (<-chan platform.WatchEvent, error) {
+	events := make(chan platform.WatchEvent)
+	watch := &watch{feed: f, prefix: prefix, known: fromRevision - 1, events: events}
+	go func() {
+		defer close(events)
+		for ctx.Err() == nil {
+			goOn := false
+			if f.watchesNow(time.Now()) {
+				goOn = watch.service(ctx)
+			} else {
+				goOn = watch.follow(ctx)
+			}
+			if !goOn {
+				return
+			}
+		}
+	}()
+	return events, nil
+}
+
+// watch is one watch of a prefix. It belongs to one goroutine.
+type watch struct {
+	feed   *Feed
+	prefix string
+	// known is the revision up to which all changes are delivered.
+	known  int64
+	events chan<- platform.WatchEvent
+}
+
+// deliver hands on an event; false where the watch has ended, by it or before.
+func (w *watch) deliver(ctx context.Context, event platform.WatchEvent) bool {
+	select {
+	case w.events <- event:
+		return event.Err == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// service watches the service until it is no longer this node's turn; false where the watch has ended.
+func (w *watch) service(ctx context.Context) bool {
+	own, cancel := context.WithCancel(ctx)
+	defer cancel()
+	events, err := w.feed.KeyValue.Watch(own, w.prefix, w.known+1)
+	if err != nil {
+		w.feed.notAnswered()
+		return w.deliver(ctx, platform.WatchEvent{Err: err})
+	}
+	inbox := w.feed.inbox(w.prefix)
+	ticker := time.NewTicker(turnInterval)
+	defer ticker.Stop()
+	var answer []platform.WatchEvent
+	for {
+		select {
+		case event, open := <-events:
+			if !open {
+				return w.deliver(ctx, platform.WatchEvent{Err: platform.KindUnavailable.New("watch ended")})
+			}
+			answer = append(answer, event)
+			if event.More {
+				continue
+			}
+			w.feed.passOn(w.prefix, answer, time.Now())
+			if !w.deliverAll(ctx, answer) {
+				return false
+			}
+			answer = nil
+		case now := <-ticker.C:
+			if !w.feed.watchesNow(now) {
+				return true
+			}
+		case <-inbox:
+			// The service tells this node itself.
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// deliverAll hands on the events of one answer, and waits for more changes where it had some; false where the watch has ended.
+func (w *watch) deliverAll(ctx context.Context, answer []platform.WatchEvent) bool {
+	changed := false
+	for _, event := range answer {
+		if event.Err != nil {
+			w.feed.notAnswered()
+		}
+		changed = changed || len(event.Changed)+len(event.Deleted) > 0
+		event.More = true
+		if !w.deliver(ctx, event) {
+			return false
+		}
+		w.known = max(w.known, event.Revision)
+	}
+	return !changed || pause.Sleep(ctx, gatherWait)
+}
+
+// follow takes what watchers pass on until it is this node's turn to watch; false where the watch has ended.
+func (w *watch) follow(ctx context.Context) bool {
+	inbox := w.feed.inbox(w.prefix)
+	ticker := time.NewTicker(turnInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case changes := <-inbox:
+			if !w.take(ctx, changes) {
+				return false
+			}
+		case now := <-ticker.C:
+			if w.feed.watchesNow(now) {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// take delivers what is new of changes; where the change before them is not known, it ends the watch.
+func (w *watch) take(ctx context.Context, changes *changefeedpb.Changes) bool {
+	if len(changes.Changes) == 0 || changes.Changes[len(changes.Changes)-1].Revision <= w.known {
+		return true
+	}
+	if changes.Previous > w.known {
+		return w.deliver(ctx, platform.WatchEvent{Err: platform.KindCompacted.New("a change was not passed on")})
+	}
+	fresh := changes.Changes
+	for len(fresh) > 0 && fresh[0].Revision <= w.known {
+		fresh = fresh[1:]
+	}
+	for _, change := range fresh {
+		event := platform.WatchEvent{Revision: change.Revision, Deleted: change.Deleted, More: true}
+		for _, entry := range change.Changed {
+			event.Changed = append(event.Changed, platform.Entry{
+				Key: entry.Key, Value: entry.Value, CreateRevision: entry.CreateRevision, ModRevision: entry.ModRevision,
+			})
+		}
+		if !w.deliver(ctx, event) {
+			return false
+		}
+		w.known = change.Revision
+	}
+	w.feed.note(w.prefix, w.known)
+	return true
+}
+
+func (f *Feed) inbox(prefix string) <-chan *changefeedpb.Changes {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.state(prefix).inbox
+}
+
+// notAnswered notes that the service failed this node, which then is no use as a watcher.
+func (f *Feed) notAnswered() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.answered = time.Time{}
+}
+
+// note keeps the revision of the newest change known.
+func (f *Feed) note(prefix string, revision int64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	state := f.state(prefix)
+	state.newest = max(state.newest, revision)
+}
+
+// passOn sends the changes of one answer of the service to the other nodes, where this node is a watcher.
+func (f *Feed) passOn(prefix string, answer []platform.WatchEvent, now time.Time) {
+	message := &changefeedpb.Changes{Prefix: prefix}
+	size := 0
+	for _, event := range answer {
+		if event.Err != nil {
+			return
+		}
+		if len(event.Changed)+len(event.Deleted) == 0 {
+			continue
+		}
+		change := &changefeedpb.Change{Revision: event.Revision, Deleted: event.Deleted}
+		for _, entry := range event.Changed {
+			size += len(entry.Value)
+			change.Changed = append(change.Changed, &changefeedpb.Entry{
+				Key: entry.Key, Value: entry.Value, CreateRevision: entry.CreateRevision, ModRevision: entry.ModRevision,
+			})
+		}
+		message.Changes = append(message.Changes, change)
+	}
+	f.mutex.Lock()
+	f.answered = now
+	state := f.state(prefix)
+	message.Previous = state.newest
+	if len(message.Changes) > 0 {
+		state.newest = max(state.newest, message.Changes[len(message.Changes)-1].Revision)
+	}
+	f.mutex.Unlock()
+	view := f.viewer.View()
+	if len(message.Changes) == 0 || size > maxPassedOn || !Watches(view) {
+		return
+	}
+	f.send(view, methodChanges, message)
+}
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -25,10 +24,6 @@
 	Replica(key string, value []byte) (replica.Info, error)
 }
 
-// gatherReplicas is how long changes of replicas are gathered. A replica that drains takes requests for at least 2 s after it
-// said so, so that a third of that is left for nodes that hear of it late.
-const gatherReplicas = 600 * time.Millisecond
-
 // Service follows the configuration and the replicas.
 type Service struct {
 	store      platform.KeyValue
@@ -101,7 +96,6 @@
 			Update:  s.updateReplicas,
 			Failed:  func(err error) { s.logger.Warn().Err(err).Msg("replicas_not_followed") },
 			Behind:  s.replicas.behind,
-			Gather:  gatherReplicas,
 		})
 	})
 }
@@ -146,9 +140,13 @@
 }
 
 func (s *Service) replaceReplicas(listing platform.Listing) {
-	replicas, changed := s.read(listing.Entries)
-	if gone := s.directory.Replace(replicas); changed || gone > 0 {
-		s.replicas.tookChange(listing.Revision)
+	replicas, news := s.read(listing.Entries)
+	if gone := s.directory.Replace(replicas); gone > 0 {
+		// When they went is not known.
+		news = listing.Revision
+	}
+	if news > 0 {
+		s.replicas.tookChange(news)
 	}
 	s.replicas.saw(listing.Revision)
 	s.logger.Info().Int("replicas", len(replicas)).Int64(logging.FieldRevision, listing.Revision).Msg("replicas_listed")
@@ -168,8 +166,8 @@
 	s.replicas.saw(revision)
 }
 
-// read translates entries; news says that one of them tells what was not known.
-func (s *Service) read(entries []platform.Entry) (replicas []replica.Info, news bool) {
+// read translates entries; news is the newest revision of those that tell what was not known, 0 where none does.
+func (s *Service) read(entries []platform.Entry) (replicas []replica.Info, news int64) {
 	replicas = make([]replica.Info, 0, len(entries))
 	for _, entry := range entries {
 		info, err := s.translator.Replica(entry.Key, entry.Value)
@@ -178,7 +176,7 @@
 			continue
 		}
 		if known := s.directory.View().Find(info.ID); known == nil || known.Info().Draining != info.Draining {
-			news = true
+			news = max(news, entry.ModRevision)
 			s.logger.Info().Str(logging.FieldReplica, info.ID).Str("service", info.Service).Stringer("address", info.Address).
 				Str("replica_zone", info.Zone).Bool("draining", info.Draining).Msg("replica_changed")
 		}
--- a/internal/discovery/service_test.go
+++ b/internal/discovery/service_test.go
@@ -258,30 +258,6 @@
 	})
 }
 
-func TestWatchWait(t *testing.T) {
-	view := func(self membership.NodeID, states ...membership.State) *membership.View {
-		view := &membership.View{Self: self}
-		for index, state := range states {
-			view.Members = append(view.Members, membership.Member{ID: membership.NodeID(fmt.Sprint("n", index)), State: state})
-		}
-		return view
-	}
-	for _, test := range []struct {
-		name string
-		view *membership.View
-		want time.Duration
-	}{
-		{"alone", view("n0", membership.Alive), scoutWait},
-		{"second", view("n1", membership.Alive, membership.Alive, membership.Alive), scoutWait},
-		{"third", view("n2", membership.Alive, membership.Alive, membership.Alive), otherWait},
-		{"third behind a dead one", view("n2", membership.Dead, membership.Alive, membership.Alive), scoutWait},
-	} {
-		if wait := WatchWait(test.view); wait != test.want {
-			t.Errorf("%s: %s, want %s", test.name, wait, test.want)
-		}
-	}
-}
-
 // TestMuteConfigurationBehindListedReplicas: the replicas were listed anew at a revision above that of a configuration which a mute
 // watch hides; another node tells of the configuration.
 func TestMuteConfigurationBehindListedReplicas(t *testing.T) {
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -18,6 +18,7 @@
 
 	"github.com/sloelift/sloelift/internal/balance"
 	"github.com/sloelift/sloelift/internal/batch"
+	"github.com/sloelift/sloelift/internal/changefeed"
 	"github.com/sloelift/sloelift/internal/discovery"
 	"github.com/sloelift/sloelift/internal/edge"
 	"github.com/sloelift/sloelift/internal/forward"
@@ -115,7 +116,7 @@
 // sharedSlices run in each role.
 var sharedSlices = fx.Options(
 	fx.Provide(
-		func() *watchPace { return &watchPace{} }, newRoleKeyValue, route.NewHolder, replica.NewDirectory, newDiscovery, newReplicaClient, newPicker,
+		func() *watchPace { return &watchPace{} }, newRoleKeyValue, newFeed, route.NewHolder, replica.NewDirectory, newDiscovery, newReplicaClient, newPicker,
 		newRegisteredMachines, func() *ledger.Timing { return &roleLedgerTiming },
 		func() *membership.Timing { return &roleMembershipTiming },
 	),
@@ -172,9 +173,9 @@
 func (w *watchPace) wait() time.Duration {
 	viewer := w.viewer.Load()
 	if viewer == nil {
-		return discovery.LongestWait
+		return changefeed.Hold(&membership.View{})
 	}
-	return discovery.WatchWait((*viewer).View())
+	return changefeed.Hold((*viewer).View())
 }
 
 func newRoleKeyValue(own settings.Settings, adapter Adapter, via network.Network, pace *watchPace) platform.KeyValue {
@@ -182,7 +183,14 @@
 	return adapter.KeyValue(exchanger, pace.wait)
 }
 
-func newDiscovery(lifecycle fx.Lifecycle, store platform.KeyValue, adapter Adapter, routes *route.Holder, directory *replica.Directory, members *membership.Service, pace *watchPace, logger zerolog.Logger) *discovery.Service {
+// newFeed has discovery follow the key-value service through the nodes that watch it.
+func newFeed(lifecycle fx.Lifecycle, store platform.KeyValue, caller transport.Caller, registrar transport.Registrar, members *membership.Service, logger zerolog.Logger) *changefeed.Feed {
+	feed := changefeed.New(store, caller, registrar, members, logger)
+	lifecycle.Append(fx.StartStopHook(feed.Start, feed.Stop))
+	return feed
+}
+
+func newDiscovery(lifecycle fx.Lifecycle, store *changefeed.Feed, adapter Adapter, routes *route.Holder, directory *replica.Directory, members *membership.Service, pace *watchPace, logger zerolog.Logger) *discovery.Service {
 	viewer := membership.Viewer(members)
 	pace.viewer.Store(&viewer)
 	service := discovery.New(discovery.Options{
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"cmp"
 	"context"
 	"time"
 
@@ -14,8 +13,8 @@
 	// followLongestWait bounds the wait between tries to follow a prefix, listTimeout one listing.
 	followLongestWait = 700 * time.Millisecond
 	listTimeout       = 3 * time.Second
-	// defaultGather is how long changes are gathered before the service is asked for more, where the Follower does not say.
-	defaultGather = 200 * time.Millisecond
+	// gatherWait is how long changes are gathered before the service is asked for more: each answer costs a call.
+	gatherWait = 200 * time.Millisecond
 )
 
 // Follower takes in the content below a prefix.
@@ -28,9 +27,6 @@
 	Failed func(err error)
 	// Behind says, where it is set, that changes were missed: the prefix is listed again.
 	Behind <-chan struct{}
-	// Gather is how long changes are gathered before the service is asked for more, for each answer costs a call. The first change
-	// after a calm is told at once.
-	Gather time.Duration
 }
 
 // Follow keeps a Follower informed of what lies below prefix until ctx ends: one listing, then watches from where
@@ -92,7 +88,7 @@
 			follower.Update(event.Revision, event.Changed, event.Deleted)
 			revision = max(revision, event.Revision)
 			if len(event.Changed)+len(event.Deleted) > 0 && !event.More && len(events) == 0 {
-				pause.Sleep(ctx, cmp.Or(follower.Gather, defaultGather))
+				pause.Sleep(ctx, gatherWait)
 			}
 		case <-follower.Behind:
 			return 0, nil
--- a/internal/platform/follow_test.go
+++ b/internal/platform/follow_test.go
@@ -50,15 +50,15 @@
 			Update:  func(_ int64, changed []Entry, _ []string) { taken += len(changed) },
 			Failed:  func(error) {},
 		})
-		time.Sleep(defaultGather / 2)
+		time.Sleep(gatherWait / 2)
 		synctest.Wait()
 		if taken != store.changes {
 			t.Errorf("%d of %d changes are taken", taken, store.changes)
 		}
-		time.Sleep(4 * defaultGather)
+		time.Sleep(4 * gatherWait)
 		synctest.Wait()
 		if store.answers > 5 {
-			t.Errorf("%d answers in %s: the wait between them is left out", store.answers, 4*defaultGather)
+			t.Errorf("%d answers in %s: the wait between them is left out", store.answers, 4*gatherWait)
 		}
 		cancel()
 		synctest.Wait()
--- a/internal/platform/keyvalue.go
+++ b/internal/platform/keyvalue.go
@@ -54,7 +54,7 @@
 
 // WatchEvent carries changes of one revision, or the error that ended the watch.
 type WatchEvent struct {
-	// More says that further changes of the same answer follow at once.
+	// More says that the next event comes without a further call to the service.
 	More     bool
 	Revision int64
 	Changed  []Entry
