--- a/internal/ledger/formation.go
+++ b/internal/ledger/formation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
@@ -90,6 +91,12 @@
 }
 
 func (m *Manager) loadOrForm(ctx context.Context, mayForm bool) error {
+	if m.local == nil && m.settings.OwnersOnStores {
+		// This node owns nothing, and those with a store know all that it needs: the key-value service is spared the call.
+		if m.askPeers(ctx); m.directory.complete() {
+			return nil
+		}
+	}
 	if err := m.directory.load(ctx); err != nil || m.directory.complete() || !mayForm {
 		return err
 	}
@@ -112,10 +119,24 @@
 	return m.directory.createEnsembles(ctx, missing)
 }
 
-// askPeers copies what other nodes know.
+// compareStores orders nodes with a store before the others.
+func compareStores(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// askPeers copies what other nodes know, those with a store first.
 func (m *Manager) askPeers(ctx context.Context) {
+	peers := m.viewer.View().Live()
+	slices.SortStableFunc(peers, func(a, b membership.Member) int { return compareStores(a.Store, b.Store) })
 	asked := 0
-	for _, member := range m.viewer.View().Live() {
+	for _, member := range peers {
 		if member.ID == m.self || asked == askedPeers {
 			continue
 		}
--- a/internal/ledger/formation_test.go
+++ b/internal/ledger/formation_test.go
@@ -55,3 +55,20 @@
 		t.Fatalf("second opening: %v", err)
 	}
 }
+
+// TestNodeWithoutStoreAsksItsPeers: it owns nothing, so that what it needs to know costs the key-value service no call.
+func TestNodeWithoutStoreAsksItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newStorageCluster(t, 26)
+		defer c.stopAll()
+		c.put(0, "a")
+		c.keyValue.set(func() { c.keyValue.calls = 0 })
+		newcomer := c.add(false)
+		c.eventually("the newcomer knows the ensembles", newcomer.manager.directory.complete)
+		c.keyValue.set(func() {
+			if c.keyValue.calls > 0 {
+				t.Errorf("%d calls of the key-value service", c.keyValue.calls)
+			}
+		})
+	})
+}
