Let a full disk hold up new jobs only

An owner then could append nothing, not even results and the proofs without which no read is answered. Change: Owned.AppendReserved may use the room that stores keep in reserve; batch owners use it for all but new jobs, which they refuse with 503 before (HasRoom). The database's tables and logs are a 24th of a small disk instead of 16 MiB. kept_bytes in batch_state.

--- a/internal/batch/appender.go
+++ b/internal/batch/appender.go
@@ -42,7 +42,8 @@
 	return ledger.Record{Kind: kind, Payload: payload}
 }
 
-// propose makes records durable and waits until the state has them. NotRun means that the last one is not in the log and
+// propose makes records durable, also where only the stores' reserve is left: submissions are refused before. It waits
+// until the state has them. NotRun means that the last one is not in the log and
 // never will be.
 func (p *partition) propose(ctx context.Context, records ...ledger.Record) error {
 	request := newProposal(records...)
@@ -136,7 +137,7 @@
 
 func (p *partition) appendPart(records []ledger.Record) error {
 	began := p.elapsed()
-	first, err := p.owned.Append(p.ctx, records)
+	first, err := p.owned.AppendReserved(p.ctx, records)
 	if err != nil {
 		if outcome.As(err).Reason == outcome.ReasonNotOwner {
 			p.cancel()
--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -325,6 +325,7 @@
 func (p *partition) report() {
 	p.mutex.RLock()
 	waiting, running := 0, map[string]int{}
+	kept := p.state.bytes
 	for _, each := range p.state.order {
 		if each.open() {
 			waiting += len(each.items) - len(each.listed)
@@ -342,6 +343,6 @@
 		begin, keep, _ := p.service.room(service, now)
 		online, _ := p.service.online.total(service, now)
 		p.logger.Info().Str("service", service).Int("waiting", waiting).Int("running", count).Int("begin", begin).Int("keep", keep).
-			Int("online", online).Int64("yielded", p.yields.Load()).Msg("batch_state")
+			Int("online", online).Int64("kept_bytes", kept).Int64("yielded", p.yields.Load()).Msg("batch_state")
 	}
 }
--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -29,6 +29,18 @@
 	stuck   bool
 	refusal *outcome.Error
 	lost    chan struct{}
+	// full says that only the reserve is left.
+	full bool
+}
+
+func (o *fakeOwned) AppendReserved(ctx context.Context, records []ledger.Record) (ledger.Position, error) {
+	return o.Append(ctx, records)
+}
+
+func (o *fakeOwned) HasRoom() bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return !o.full
 }
 
 func (o *fakeOwned) Partition() ledger.PartitionID { return 0 }
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -61,6 +61,9 @@
 	if p.quiesced {
 		return nil, nil, errNotOwner()
 	}
+	if !p.owned.HasRoom() {
+		return nil, nil, outcome.New(outcome.NotRun, outcome.ReasonStorageFull, "the stores' disks are full").After(retryAfterFull)
+	}
 	if p.state.bytes > p.service.options.MaxBytes {
 		return nil, nil, outcome.New(outcome.NotRun, outcome.ReasonStorageFull, "too much is kept").After(retryAfterFull)
 	}
--- a/internal/batch/partition_test.go
+++ b/internal/batch/partition_test.go
@@ -308,3 +308,25 @@
 		owner.end()
 	})
 }
+
+// TestFullDisksRefuseNewJobsOnly: what was accepted is run, listed, read and ended also where only the stores' reserve is left.
+func TestFullDisksRefuseNewJobsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := own(t, only(replicatest.Stream("s", true, false, eventOne, eventTwo)))
+		owner.mustSubmit(t, batchOf("j", 3))
+		owner.owned.mutex.Lock()
+		owner.owned.full = true
+		owner.owned.mutex.Unlock()
+		_, err := owner.submit(t.Context(), &batchpb.SubmitRequest{Submission: batchOf("later", 1)})
+		if refused := outcome.As(err); refused == nil || refused.Outcome != outcome.NotRun || refused.Reason != outcome.ReasonStorageFull {
+			t.Errorf("a job that finds the disks full: %v", err)
+		}
+		if _, err := owner.submit(t.Context(), &batchpb.SubmitRequest{Submission: batchOf("j", 3)}); err != nil {
+			t.Errorf("a job that is accepted already: %v", err)
+		}
+		if results := owner.results(t, "j", 3, 5*time.Second); len(results) != 3 {
+			t.Errorf("%d of 3 items are listed", len(results))
+		}
+		owner.end()
+	})
+}
--- a/internal/job/bench_test.go
+++ b/internal/job/bench_test.go
@@ -41,6 +41,12 @@
 func (o *fileOwned) Partition() ledger.PartitionID { return 0 }
 func (o *fileOwned) Lost() <-chan struct{}         { return o.lost }
 
+func (o *fileOwned) AppendReserved(ctx context.Context, records []ledger.Record) (ledger.Position, error) {
+	return o.Append(ctx, records)
+}
+
+func (o *fileOwned) HasRoom() bool { return true }
+
 func (o *fileOwned) Append(_ context.Context, records []ledger.Record) (ledger.Position, error) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -113,6 +113,14 @@
 			}
 			return true
 		})
+		if ownership, _ := c.owner(0).manager.ownership(0); ownership.HasRoom() {
+			t.Error("an owner whose stores are full has room")
+		}
+		// The other partition's machine keeps no count of its records.
+		other, _ := c.owner(1).manager.ownership(1)
+		if _, err := other.AppendReserved(t.Context(), []Record{{Kind: KindNoOperation}}); err != nil {
+			t.Errorf("a record that may use the reserve: %v", err)
+		}
 		setFree(1 << 40)
 		acknowledged = append(acknowledged, c.put(0, "b"))
 		c.check(0, acknowledged)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -51,6 +51,11 @@
 	// means that they are not and never will be in the log; Indeterminate means that they, or the
 	// first few of them, may be.
 	Append(ctx context.Context, records []Record) (Position, error)
+	// AppendReserved is Append that may use the room which the stores keep in reserve. It is for records that end work taken before, or
+	// that prove the ownership: without them a full disk would hold up for ever what it has.
+	AppendReserved(ctx context.Context, records []Record) (Position, error)
+	// HasRoom tells whether Append takes records, as far as the stores' disks go.
+	HasRoom() bool
 	// Read returns records from position from on, in order, at most maxBytes of payload but
 	// at least one; none behind the log's end. It serves bulk data from the stores' disks so that it
 	// need not live in memory. A trimmed position is an *outcome.Error with ReasonNotFound.
--- a/internal/ledger/ledgertest/log.go
+++ b/internal/ledger/ledgertest/log.go
@@ -134,6 +134,14 @@
 	return position, nil
 }
 
+// AppendReserved is Append: the log is never full.
+func (o *Owned) AppendReserved(ctx context.Context, records []ledger.Record) (ledger.Position, error) {
+	return o.Append(ctx, records)
+}
+
+// HasRoom is always true.
+func (o *Owned) HasRoom() bool { return true }
+
 // Read returns records from position from on, at most maxBytes of payload but at least one;
 // behind the log's end it returns none.
 func (o *Owned) Read(_ context.Context, from ledger.Position, maxBytes int) ([]ledger.Record, error) {
--- a/internal/ledger/owned.go
+++ b/internal/ledger/owned.go
@@ -12,6 +12,8 @@
 type appendRequest struct {
 	records []Record
 	bytes   int
+	// reserved says that the records may use the stores' reserve.
+	reserved bool
 	// first and last are set by run's goroutine when the records get their positions.
 	first, last Position
 	since       time.Time
@@ -37,7 +39,19 @@
 
 // Append is Owned.Append.
 func (o *ownership) Append(ctx context.Context, records []Record) (Position, error) {
-	request := &appendRequest{records: records, done: make(chan error, 1)}
+	return o.append(ctx, &appendRequest{records: records, done: make(chan error, 1)})
+}
+
+// AppendReserved is Owned.AppendReserved.
+func (o *ownership) AppendReserved(ctx context.Context, records []Record) (Position, error) {
+	return o.append(ctx, &appendRequest{records: records, reserved: true, done: make(chan error, 1)})
+}
+
+// HasRoom is Owned.HasRoom.
+func (o *ownership) HasRoom() bool { return o.view.Load().hasRoom }
+
+func (o *ownership) append(ctx context.Context, request *appendRequest) (Position, error) {
+	records := request.records
 	for _, record := range records {
 		if len(record.Payload) > MaxRecordBytes {
 			return 0, outcome.New(outcome.Failed, outcome.ReasonTooLarge, "record is over the limit")
@@ -67,7 +81,7 @@
 
 // propose gives the request its positions. It runs on run's goroutine.
 func (o *ownership) propose(request *appendRequest) []protocol.Action {
-	if !o.owner.HasRoom() {
+	if !request.reserved && !o.owner.HasRoom() {
 		request.fail(outcome.New(outcome.NotRun, outcome.ReasonStorageFull, "too few stores have room").After(storageFullRetryAfter))
 		return nil
 	}
--- a/internal/ledger/store/database.go
+++ b/internal/ledger/store/database.go
@@ -18,6 +18,9 @@
 const (
 	cacheBytes    = 8 << 20
 	memTableBytes = 16 << 20
+	// smallestMemTable and memTablePart bound the tables, and so the logs, of a small disk: two of each may be there at once.
+	smallestMemTable = 1 << 20
+	memTablePart     = 24
 )
 
 // Names below the data folder.
@@ -44,8 +47,8 @@
 // openDisk opens the database below folder. One that is damaged is moved aside, never
 // removed, and an empty one takes its place: the store comes back under
 // another incarnation, and the owners refill it.
-func openDisk(folder string, files vfs.FS, logger zerolog.Logger, faults faults) (*disk, error) {
-	opened, err := tryDisk(folder, files, logger, faults)
+func openDisk(folder string, files vfs.FS, memTable uint64, logger zerolog.Logger, faults faults) (*disk, error) {
+	opened, err := tryDisk(folder, files, memTable, logger, faults)
 	if err == nil || !isDamage(err) {
 		return opened, err
 	}
@@ -57,14 +60,14 @@
 	if err := files.Remove(filepath.Join(folder, damagedMark)); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, err
 	}
-	return tryDisk(folder, files, logger, faults)
+	return tryDisk(folder, files, memTable, logger, faults)
 }
 
-func tryDisk(folder string, files vfs.FS, logger zerolog.Logger, faults faults) (*disk, error) {
+func tryDisk(folder string, files vfs.FS, memTable uint64, logger zerolog.Logger, faults faults) (*disk, error) {
 	if _, err := files.Stat(filepath.Join(folder, damagedMark)); err == nil {
 		return nil, KindDamaged.New("a block was found to be damaged")
 	}
-	database, err := openPebble(filepath.Join(folder, databaseFolder), files, logger, faults)
+	database, err := openPebble(filepath.Join(folder, databaseFolder), files, memTable, logger, faults)
 	if err != nil {
 		return nil, err
 	}
@@ -135,13 +138,13 @@
 	return iterator.Close()
 }
 
-func openPebble(path string, files vfs.FS, logger zerolog.Logger, faults faults) (*pebble.DB, error) {
+func openPebble(path string, files vfs.FS, memTable uint64, logger zerolog.Logger, faults faults) (*pebble.DB, error) {
 	cache := pebble.NewCache(cacheBytes)
 	defer cache.Unref()
 	return pebble.Open(path, &pebble.Options{
 		FS:                 files,
 		Cache:              cache,
-		MemTableSize:       memTableBytes,
+		MemTableSize:       memTable,
 		FormatMajorVersion: pebble.FormatNewest,
 		Logger:             pebbleLogger{logger: logger, fatal: faults.fatal},
 		EventListener: &pebble.EventListener{DataCorruption: func(info pebble.DataCorruptionInfo) {
--- a/internal/ledger/store/engine_bench_test.go
+++ b/internal/ledger/store/engine_bench_test.go
@@ -20,7 +20,7 @@
 type engine func(b *testing.B, first uint64, records [][]byte)
 
 func pebbleEngine(b *testing.B) engine {
-	database, err := openPebble(filepath.Join(b.TempDir(), "pebble"), vfs.Default, zerolog.Nop(), faults{})
+	database, err := openPebble(filepath.Join(b.TempDir(), "pebble"), vfs.Default, memTableBytes, zerolog.Nop(), faults{})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/ledger/store/store.go
+++ b/internal/ledger/store/store.go
@@ -48,6 +48,14 @@
 	Logger    zerolog.Logger
 }
 
+// memTable returns the size of the database's tables in memory, on which the size of its logs depends.
+func (o Options) memTable() uint64 {
+	if o.DiskBytes == 0 {
+		return memTableBytes
+	}
+	return min(memTableBytes, max(smallestMemTable, o.DiskBytes/memTablePart))
+}
+
 // Store is one disk's share of the ledger. It is safe for concurrent use.
 type Store struct {
 	id       protocol.StoreID
@@ -137,7 +145,7 @@
 	store.requests, store.groups = make(chan *request, requestQueue), make(chan *group, groupQueue)
 	store.staging = map[protocol.PartitionID]*staging{}
 	store.ctx, store.stop = context.WithCancel(context.Background())
-	opened, err := openDisk(folder, options.Files, options.Logger, faults{fatal: store.fail, damaged: store.markDamaged})
+	opened, err := openDisk(folder, options.Files, options.memTable(), options.Logger, faults{fatal: store.fail, damaged: store.markDamaged})
 	if err != nil {
 		return nil, err
 	}
