Refuse submissions that cannot be told apart or counted; fuzz what comes from outside

Cause (new fuzz tests): a submission with two items of one id, without an id, or with negative tokens was accepted: positions by id and the route's quota would go wrong; token counts of a prompt could overflow to less than none; line ends behind the last event of a stream made it look cut off where they came by themselves. Change: batch.Check refuses such submissions with 400 before anything is stored; a prompt's tokens are bounded; blank rests are no part of an event.

--- a/internal/batch/door.go
+++ b/internal/batch/door.go
@@ -57,6 +57,9 @@
 // Submit has a job accepted. The error is an *outcome.Error: NotRun means that no item will run on account of this call, with
 // ReasonRateLimited where the job does not fit; Indeterminate promises nothing.
 func (d *Door) Submit(ctx context.Context, submission *batchpb.Submission, matched *route.Route) error {
+	if err := Check(submission); err != nil {
+		return err
+	}
 	submission.Route = matched.Name
 	request := &batchpb.SubmitRequest{Partition: d.partition(submission.Host), Submission: submission, MaxWaitingTokens: matched.MaxWaitingTokens}
 	response := &batchpb.SubmitResponse{}
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -53,6 +53,9 @@
 		count, err := r.source.Read(r.buffer[r.filled:])
 		r.filled += count
 		end := lastEventEnd(r.buffer[:r.filled])
+		if errors.Is(err, io.EOF) && blank(r.buffer[end:r.filled]) {
+			end = r.filled
+		}
 		if end > 0 {
 			r.given = end
 			if errors.Is(err, io.EOF) && end < r.filled {
@@ -69,6 +72,9 @@
 	}
 }
 
+// blank tells whether data is line ends only: behind an event they are part of no other.
+func blank(data []byte) bool { return len(bytes.Trim(data, "\r\n")) == 0 }
+
 // lastEventEnd returns the length of all whole events in data.
 func lastEventEnd(data []byte) int {
 	end := 0
--- a/internal/forward/prompt_parts.go
+++ b/internal/forward/prompt_parts.go
@@ -14,15 +14,20 @@
 // PromptParts are the parts of one prompt in order.
 type PromptParts []PromptPart
 
+// maxPromptTokens bounds the tokens of one prompt, far above any engine's memory; a part beyond it ends the list.
+const maxPromptTokens = 1 << 30
+
 // ParsePromptParts reads "ID:TOKENS" split by commas; what is not of that form ends the list.
 func ParsePromptParts(text string) PromptParts {
 	var parts PromptParts
+	total := 0
 	for _, field := range strings.Split(text, ",") {
 		id, count, found := strings.Cut(strings.TrimSpace(field), ":")
 		tokens, err := strconv.Atoi(count)
-		if !found || err != nil || tokens < 0 {
+		if !found || err != nil || tokens < 0 || tokens > maxPromptTokens-total {
 			break
 		}
+		total += tokens
 		parts = append(parts, PromptPart{ID: id, Tokens: tokens})
 	}
 	return parts
