--- /dev/null
+++ b/internal/changefeed/fake_test.go
@@ -0,0 +1,154 @@
+package changefeed
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+// countingStore is a key-value service whose watches are held calls, as the platform's are.
+type countingStore struct {
+	platform.KeyValue
+	mutex   sync.Mutex
+	changes []platform.WatchEvent
+	down    bool
+	open    int
+	// told is closed, and made anew, at each change.
+	told chan struct{}
+}
+
+// firstRevision is that of the service before any change.
+const firstRevision = 1
+
+func newCountingStore() *countingStore { return &countingStore{told: make(chan struct{})} }
+
+func (s *countingStore) revision() int64 { return firstRevision + int64(len(s.changes)) }
+
+func (s *countingStore) List(context.Context, string) (platform.Listing, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return platform.Listing{Revision: s.revision()}, nil
+}
+
+func (s *countingStore) Watch(ctx context.Context, _ string, from int64) (<-chan platform.WatchEvent, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return nil, platform.KindUnavailable.New("down")
+	}
+	s.open++
+	events := make(chan platform.WatchEvent)
+	go func() {
+		defer close(events)
+		defer s.closed()
+		for since := from - 1; ctx.Err() == nil; {
+			var answer []platform.WatchEvent
+			answer, since = s.hold(ctx, since)
+			for _, event := range answer {
+				select {
+				case events <- event:
+				case <-ctx.Done():
+				}
+			}
+		}
+	}()
+	return events, nil
+}
+
+func (s *countingStore) closed() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.open--
+}
+
+// hold answers one held call.
+func (s *countingStore) hold(ctx context.Context, since int64) ([]platform.WatchEvent, int64) {
+	s.mutex.Lock()
+	told, quiet := s.told, s.revision() == since
+	s.mutex.Unlock()
+	if quiet {
+		select {
+		case <-told:
+		case <-time.After(watcherHold):
+		case <-ctx.Done():
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return []platform.WatchEvent{{Err: platform.KindUnavailable.New("down")}}, since
+	}
+	answer := append([]platform.WatchEvent(nil), s.changes[since-firstRevision:]...)
+	for index := range answer {
+		answer[index].More = index+1 < len(answer)
+	}
+	return append(answer, platform.WatchEvent{Revision: s.revision()}), s.revision()
+}
+
+// put changes key and tells the held calls.
+func (s *countingStore) put(key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	revision := s.revision() + 1
+	s.changes = append(s.changes, platform.WatchEvent{Revision: revision, Changed: []platform.Entry{{Key: key, ModRevision: revision}}})
+	close(s.told)
+	s.told = make(chan struct{})
+}
+
+func (s *countingStore) setDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+	close(s.told)
+	s.told = make(chan struct{})
+}
+
+func (s *countingStore) watching() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.open
+}
+
+// fabric carries messages between the feeds of one process.
+type fabric struct {
+	mutex    sync.Mutex
+	handlers map[netip.AddrPort]map[transport.Method]transport.Handler
+	// lose says which messages are lost; cut whose messages are.
+	lose func(to netip.AddrPort, method transport.Method) bool
+}
+
+// port is one node's access to the fabric.
+type port struct {
+	fabric *fabric
+	self   netip.AddrPort
+}
+
+func (p port) Handle(method transport.Method, _ func() proto.Message, handler transport.Handler) {
+	p.fabric.mutex.Lock()
+	defer p.fabric.mutex.Unlock()
+	if p.fabric.handlers[p.self] == nil {
+		p.fabric.handlers[p.self] = map[transport.Method]transport.Handler{}
+	}
+	p.fabric.handlers[p.self][method] = handler
+}
+
+func (p port) Call(context.Context, netip.AddrPort, transport.Method, proto.Message, proto.Message) error {
+	panic("the feed makes no calls")
+}
+
+func (p port) Send(to netip.AddrPort, method transport.Method, message proto.Message) error {
+	p.fabric.mutex.Lock()
+	handler := p.fabric.handlers[to][method]
+	lost := p.fabric.lose != nil && p.fabric.lose(to, method)
+	p.fabric.mutex.Unlock()
+	if handler != nil && !lost {
+		_, _ = handler(context.Background(), p.self, proto.Clone(message))
+	}
+	return nil
+}
