Share loads by questions and changes in place of all to all each 40 ms

Change: a node reports to its zone's exchange alone, when its numbers change; a request that is about to be sent asks the exchange (at most each 40 ms, waiting 15 ms at most) and gets what changed since the node's last question; owners with items ask each 20 ms; exchanges send each other changes. Exchanges of other zones stand in. Reports carry an origin, so that a late one does not replace a newer one.

--- a/internal/batch/dispatch_view.go
+++ b/internal/batch/dispatch_view.go
@@ -66,7 +66,7 @@
 	for service, count := range running {
 		begin, keep, _ := p.service.room(service, now)
 		p.logger.Info().Str("service", service).Int("waiting", waiting).Int("running", count).Int("begin", begin).Int("keep", keep).
-			Int("online", p.service.fleet.Online(service, now).Total()).Int("late", late).Float64("capacity", capacity).Int64("kept_bytes", kept).Int64("yielded", p.yields.Load()).Msg("batch_state")
+			Int("online", p.service.fleet.Others(service, now).Online()).Int("late", late).Float64("capacity", capacity).Int64("kept_bytes", kept).Int64("yielded", p.yields.Load()).Msg("batch_state")
 	}
 }
 
--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -24,10 +24,8 @@
 
 // FleetLoad tells how many requests the other nodes have at replicas. It is safe for concurrent use.
 type FleetLoad interface {
-	// Online returns their callers' requests for service.
-	Online(service string, now time.Time) loadshare.Demand
-	// Batch returns their batch items at the given replicas.
-	Batch(replicaIDs []string, now time.Time) int
+	// Others returns their requests for service.
+	Others(service string, now time.Time) loadshare.Demand
 	// HeardSince returns since when nodes with online requests have been heard without a break.
 	HeardSince() time.Time
 }
@@ -69,13 +67,11 @@
 func (s *Service) room(service string, now time.Time) (begin, keep, running int) {
 	view := s.directory.View()
 	slots := view.Slots(service)
-	handles := view.Of(service)
-	replicaIDs := make([]string, 0, len(handles))
-	for _, handle := range handles {
+	for _, handle := range view.Of(service) {
 		running += handle.InUse()
-		replicaIDs = append(replicaIDs, handle.Info().ID)
 	}
-	present, elsewhere := s.fleet.Online(service, now).Total(), s.fleet.Batch(replicaIDs, now)
+	others := s.fleet.Others(service, now)
+	present, elsewhere := others.Online(), others.Batch
 	recent := s.peaks.observe(service, present, now)
 	begin = int((float64(slots)*(1-freeShare) - float64(recent)*onlineGrowth) * s.ramp(now))
 	keep = max(begin, int(float64(slots)*(1-keptFreeShare)-float64(present)*keptGrowth))
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -79,6 +79,9 @@
 }
 
 func (e *exchange) run(ctx context.Context) {
+	if e.handler.refresh != nil {
+		e.handler.refresh(ctx)
+	}
 	leave := e.waitForRoom(ctx)
 	defer leave()
 	if ctx.Err() != nil {
--- a/internal/forward/gate.go
+++ b/internal/forward/gate.go
@@ -24,9 +24,11 @@
 	holdShare = 0.4
 )
 
-// othersDemand tells what other nodes' callers want of a service.
+// othersDemand says what other nodes' callers want of a service.
 type othersDemand interface {
 	OthersDemand(service string, now time.Time) (others loadshare.Demand, known bool)
+	// KeepFresh has it learn that anew, in the background.
+	KeepFresh()
 }
 
 // held is what the gate is told of a request.
@@ -162,10 +164,10 @@
 	slots := g.directory.View().Slots(service)
 	room := gateOvercommit * float64(slots)
 	own := gate.inUse + len(gate.waiting)
-	if slots == 0 || float64(own+others.Total()) <= room {
+	if slots == 0 || float64(own+others.Online()) <= room {
 		return math.MaxInt
 	}
-	return int(math.Ceil(room * float64(own) / float64(own+others.Total())))
+	return int(math.Ceil(room * float64(own) / float64(own+others.Online())))
 }
 
 // watch has the waiting requests looked at again soon. The mutex is held.
@@ -174,6 +176,7 @@
 		return
 	}
 	gate.timer = time.AfterFunc(gateInterval, func() {
+		g.others.KeepFresh()
 		g.mutex.Lock()
 		defer g.mutex.Unlock()
 		gate.timer = nil
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -44,6 +44,7 @@
 	batch     BatchSubmitter
 	budget    *retryBudget
 	gate      *Gate
+	refresh   func(ctx context.Context)
 	// expectations hold what the routes' requests have shown of themselves.
 	expectations *expectations
 	logger       zerolog.Logger
@@ -52,6 +53,7 @@
 }
 
 // Options of a Handler. Batch may be nil, and Gate where no request is held back.
+// Refresh, where it is set, is called before a replica is chosen, to learn what other nodes have there.
 type Options struct {
 	Routes    *route.Holder
 	Directory *replica.Directory
@@ -60,6 +62,7 @@
 	Zone      string
 	Batch     BatchSubmitter
 	Gate      *Gate
+	Refresh   func(ctx context.Context)
 	Logger    zerolog.Logger
 	Metrics   *Metrics
 }
@@ -68,7 +71,7 @@
 func NewHandler(options Options) *Handler {
 	return &Handler{
 		routes: options.Routes, directory: options.Directory, picker: options.Picker, client: options.Client, headers: options.Client.Headers(),
-		zone: options.Zone, batch: options.Batch, budget: newRetryBudget(), gate: options.Gate, expectations: newExpectations(),
+		zone: options.Zone, batch: options.Batch, budget: newRetryBudget(), gate: options.Gate, refresh: options.Refresh, expectations: newExpectations(),
 		logger: options.Logger.With().Str(logging.FieldSlice, "forward").Logger(), metrics: options.Metrics,
 	}
 }
--- a/internal/loadshare/board.go
+++ b/internal/loadshare/board.go
@@ -1,222 +1,223 @@
 package loadshare
 
 import (
+	"maps"
+	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	loadsharepb "github.com/sloelift/sloelift/api/proto/loadshare"
+	"github.com/sloelift/sloelift/internal/replica"
 )
 
 const (
-	// staleAfter is the age at which what a node told no longer counts.
-	staleAfter = 3 * time.Second
-	// relayStale is the age at which what an exchange told of its nodes no longer counts.
-	relayStale = 1500 * time.Millisecond
+	// reportStale is the age at which a node's report no longer counts: it missed two reports in a row.
+	reportStale = 1500 * time.Millisecond
+	// relayStale is the age at which what another exchange sent no longer counts.
+	relayStale = time.Second
+	// purgeInterval is how often replicas without requests are forgotten.
+	purgeInterval = 5 * time.Second
 )
 
-// replicaKey names a replica in messages.
-type replicaKey uint64
-
-func keyOf(replicaID string) replicaKey { return replicaKey(xxhash.Sum64String(replicaID)) }
-
-// counts is the number of requests at one replica, by what they are for.
-type counts struct{ online, batch int }
-
-func (c counts) total() int { return c.online + c.batch }
-
-// nodeLoad is what one node told.
-type nodeLoad struct {
-	at    time.Time
-	kind  loadsharepb.Kind
-	works bool
-	asks  bool
-	sums
+// report is what one node, or another exchange, sent last.
+type report struct {
+	at       time.Time
+	origin   *loadsharepb.Origin
+	kind     loadsharepb.Kind
+	replicas replicaLoads
+	demands  demands
+	// onlineNodes is 0 or 1 for a node.
+	onlineNodes int
 }
 
-// sums are the requests of one or many nodes.
-type sums struct {
-	replicas map[replicaKey]int
-	demands  map[string]Demand
+// outdates says that r was sent after origin by the same run of a process.
+func (r *report) outdates(origin *loadsharepb.Origin) bool {
+	return r != nil && r.origin.GetRun() == origin.GetRun() && r.origin.GetSequence() >= origin.GetSequence()
 }
 
-func newSums() sums { return sums{replicas: map[replicaKey]int{}, demands: map[string]Demand{}} }
-
-func (s sums) add(replicas map[replicaKey]int, demands map[string]Demand) {
-	for key, inUse := range replicas {
-		s.replicas[key] += inUse
-	}
-	for service, demand := range demands {
-		s.demands[service] = s.demands[service].plus(demand, 1)
-	}
-}
-
-// relayed is what an exchange told of the nodes that ask it.
-type relayed struct {
-	at time.Time
-	sums
+// total is the number of requests at one replica.
+type total struct {
+	// reported are those of the nodes that report here, relayed those that other exchanges sent.
+	reported, relayed int
+	// reportedAt and changedAt are the Board's versions of the last change of reported and of either.
+	reportedAt, changedAt uint64
 }
 
-// Board holds what nodes told. It is safe for concurrent use.
+// Board holds what nodes report to an exchange and what other exchanges send. It is safe for concurrent use.
 //
-// Invariant: totals is the sum of all loads in byNode; replicas without requests have no entry.
+// Invariant: totals, reportedDemands, relayedDemands and the two numbers of nodes are the sums of all reports and relays held.
 type Board struct {
-	mutex  sync.Mutex
-	byNode map[netip.AddrPort]*nodeLoad
-	// relays holds what other exchanges told.
-	relays map[netip.AddrPort]relayed
-	totals map[replicaKey]counts
-	// demands are the sums of the nodes' demands, by service.
-	demands map[string]Demand
-	// heardSince is when the present nodes with online requests began to be heard, or the board was made; online counts them.
-	heardSince time.Time
-	online     int
+	run uint64
+
+	mutex           sync.Mutex
+	version         uint64
+	reports         map[netip.AddrPort]*report
+	relays          map[netip.AddrPort]*report
+	totals          map[replica.Key]total
+	reportedDemands demands
+	relayedDemands  demands
+	reportedNodes   int
+	relayedNodes    int
+	// purgeableTo is the version at the last purge, purgedTo that at the one before: replicas whose last change was up to
+	// purgedTo may be forgotten.
+	purgeableTo, purgedTo uint64
+	purgedAt              time.Time
 }
 
 // NewBoard returns an empty Board.
 func NewBoard(now time.Time) *Board {
-	return &Board{byNode: map[netip.AddrPort]*nodeLoad{}, relays: map[netip.AddrPort]relayed{}, totals: map[replicaKey]counts{}, demands: map[string]Demand{}, heardSince: now}
+	return &Board{
+		run: rand.Uint64(), reports: map[netip.AddrPort]*report{}, relays: map[netip.AddrPort]*report{}, totals: map[replica.Key]total{},
+		reportedDemands: demands{}, relayedDemands: demands{}, purgedAt: now,
+	}
 }
 
-// take notes what a node told.
-func (b *Board) take(from netip.AddrPort, told *loadsharepb.NodeLoad, now time.Time) {
-	load := &nodeLoad{
-		at: now, kind: told.Kind, works: told.Works, asks: told.Asks,
-		sums: sums{replicas: decodeReplicas(told.Replicas), demands: decodeDemands(told.Demands)},
-	}
+// takeReport takes in a node's report, unless a later one came before it.
+func (b *Board) takeReport(from netip.AddrPort, message *loadsharepb.NodeLoad, now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	hadOnline := b.online > 0
-	b.prune(now)
-	if hadOnline && b.online == 0 {
-		b.heardSince = now
-	}
-	b.remove(from)
-	b.byNode[from] = load
-	b.add(load, 1)
-}
-
-// add adds a load to the totals, or takes it from them where sign is -1. The mutex is held.
-func (b *Board) add(load *nodeLoad, sign int) {
-	if load.kind == loadsharepb.Kind_KIND_ONLINE {
-		b.online += sign
-	}
-	for service, demand := range load.demands {
-		b.demands[service] = b.demands[service].plus(demand, sign)
-	}
-	for key, inUse := range load.replicas {
-		sum := b.totals[key]
-		if load.kind == loadsharepb.Kind_KIND_BATCH {
-			sum.batch += sign * inUse
-		} else {
-			sum.online += sign * inUse
-		}
-		if sum == (counts{}) {
-			delete(b.totals, key)
-			continue
-		}
-		b.totals[key] = sum
+	last := b.reports[from]
+	if last.outdates(message.GetOrigin()) {
+		return
 	}
-}
-
-func (b *Board) remove(node netip.AddrPort) {
-	if load := b.byNode[node]; load != nil {
-		b.add(load, -1)
-		delete(b.byNode, node)
+	next := &report{at: now, origin: message.GetOrigin(), kind: message.GetKind(), replicas: decodeReplicas(message.GetReplicas()), demands: decodeDemands(message.GetDemands())}
+	if next.kind == loadsharepb.Kind_KIND_ONLINE {
+		next.onlineNodes = 1
 	}
+	b.replaceReport(from, next)
 }
 
-// prune forgets what nodes told long ago. The mutex is held.
-func (b *Board) prune(now time.Time) {
-	for node, load := range b.byNode {
-		if now.Sub(load.at) > staleAfter {
-			b.remove(node)
-		}
-	}
+// replaceReport puts next, which may be nil, in the place of a node's last report. The mutex is held.
+func (b *Board) replaceReport(from netip.AddrPort, next *report) {
+	b.replace(b.reports, from, next, b.reportedDemands, &b.reportedNodes, func(sum *total, change int) {
+		sum.reported += change
+		sum.reportedAt = b.version
+	})
 }
 
-// at returns the requests of all nodes that told theirs at one replica.
-func (b *Board) at(key replicaKey) counts {
+// takeRelay takes in what another exchange sent, unless a later message came before it.
+func (b *Board) takeRelay(from netip.AddrPort, message *loadsharepb.ExchangeLoad, now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.totals[key]
+	last := b.relays[from]
+	if last.outdates(message.GetOrigin()) {
+		return
+	}
+	replicas := decodeReplicas(message.GetReplicas())
+	if last != nil && !message.GetWhole() {
+		merged := maps.Clone(last.replicas)
+		maps.Copy(merged, replicas)
+		replicas = merged
+	}
+	b.replaceRelay(from, &report{at: now, origin: message.GetOrigin(), replicas: replicas, demands: decodeDemands(message.GetDemands()), onlineNodes: int(message.GetOnlineNodes())})
 }
 
-// Online returns the callers' requests for service at the other nodes.
-func (b *Board) Online(service string, now time.Time) Demand {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.prune(now)
-	return b.demands[service]
+// replaceRelay puts next, which may be nil, in the place of what an exchange sent last. The mutex is held.
+func (b *Board) replaceRelay(from netip.AddrPort, next *report) {
+	b.replace(b.relays, from, next, b.relayedDemands, &b.relayedNodes, func(sum *total, change int) { sum.relayed += change })
 }
 
-// Batch returns the other nodes' batch items at the given replicas.
-func (b *Board) Batch(replicaIDs []string, now time.Time) int {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.prune(now)
-	sum := 0
-	for _, id := range replicaIDs {
-		sum += b.totals[keyOf(id)].batch
+// replace changes one entry of held and the sums that it is part of. The mutex is held.
+func (b *Board) replace(held map[netip.AddrPort]*report, from netip.AddrPort, next *report, sums demands, nodes *int, apply func(sum *total, change int)) {
+	b.version++
+	last := held[from]
+	if last == nil {
+		last = &report{}
+	}
+	if next == nil {
+		next = &report{}
+		delete(held, from)
+	} else {
+		held[from] = next
 	}
-	return sum
+	for key, inUse := range next.replicas {
+		b.change(key, inUse-last.replicas[key], apply)
+	}
+	for key, inUse := range last.replicas {
+		if _, again := next.replicas[key]; !again {
+			b.change(key, -inUse, apply)
+		}
+	}
+	sums.add(last.demands, -1)
+	sums.add(next.demands, 1)
+	*nodes += next.onlineNodes - last.onlineNodes
 }
 
-// HeardSince returns since when nodes with online requests have been heard without a break.
-func (b *Board) HeardSince() time.Time {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.heardSince
+func (b *Board) change(key replica.Key, change int, apply func(sum *total, change int)) {
+	if change == 0 {
+		return
+	}
+	sum := b.totals[key]
+	apply(&sum, change)
+	sum.changedAt = b.version
+	b.totals[key] = sum
 }
 
-// takeRelay notes what another exchange told.
-func (b *Board) takeRelay(from netip.AddrPort, told *loadsharepb.ExchangeLoad, now time.Time) {
-	load := relayed{at: now, sums: sums{replicas: decodeReplicas(told.Replicas), demands: decodeDemands(told.Demands)}}
+// prune forgets nodes and exchanges that fell silent, and now and then replicas without requests.
+func (b *Board) prune(now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.relays[from] = load
+	for node, last := range b.reports {
+		if now.Sub(last.at) > reportStale {
+			b.replaceReport(node, nil)
+		}
+	}
+	for exchange, last := range b.relays {
+		if now.Sub(last.at) > relayStale {
+			b.replaceRelay(exchange, nil)
+		}
+	}
+	if now.Sub(b.purgedAt) < purgeInterval {
+		return
+	}
+	b.purgedAt = now
+	b.purgedTo, b.purgeableTo = b.purgeableTo, b.version
+	for key, sum := range b.totals {
+		if sum.reported == 0 && sum.relayed == 0 && sum.changedAt <= b.purgedTo {
+			delete(b.totals, key)
+		}
+	}
 }
 
-// askers returns the sums of all nodes that ask this one, without one of them.
-func (b *Board) askers(except netip.AddrPort, now time.Time) sums {
+// Answer returns what changed since the named state, or all where that state is of another run or too old.
+func (b *Board) Answer(knownRun, knownVersion uint64) *loadsharepb.FleetLoad {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.prune(now)
-	found := newSums()
-	for node, load := range b.byNode {
-		if load.asks && node != except {
-			found.add(load.replicas, load.demands)
+	whole := knownRun != b.run || knownVersion < b.purgedTo
+	changed := replicaLoads{}
+	for key, sum := range b.totals {
+		inUse := sum.reported + sum.relayed
+		if whole && inUse != 0 || !whole && sum.changedAt > knownVersion {
+			changed[key] = inUse
 		}
 	}
-	return found
+	all := maps.Clone(b.reportedDemands)
+	all.add(b.relayedDemands, 1)
+	return &loadsharepb.FleetLoad{
+		Run: b.run, Version: b.version, Whole: whole, Replicas: encodeReplicas(changed), Demands: encodeDemands(all),
+		OnlineNodes: uint32(max(0, b.reportedNodes+b.relayedNodes)),
+	}
 }
 
-// addRelays adds what the other exchanges told.
-func (b *Board) addRelays(to sums, now time.Time) {
+// relayed returns what changed since version of what nodes report here, or all of it with whole set, and the present version.
+func (b *Board) relayed(since uint64, whole bool) (*loadsharepb.ExchangeLoad, uint64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	for exchange, load := range b.relays {
-		if now.Sub(load.at) > relayStale {
-			delete(b.relays, exchange)
-			continue
+	changed := replicaLoads{}
+	for key, sum := range b.totals {
+		if whole && sum.reported != 0 || !whole && sum.reportedAt > since {
+			changed[key] = sum.reported
 		}
-		to.add(load.replicas, load.demands)
 	}
+	return &loadsharepb.ExchangeLoad{
+		Whole: whole, Replicas: encodeReplicas(changed), Demands: encodeDemands(b.reportedDemands), OnlineNodes: uint32(max(0, b.reportedNodes)),
+	}, b.version
 }
 
-// owners returns the nodes that have batch items to run, in the order of their addresses.
-func (b *Board) owners() []netip.AddrPort {
+// empty says that no node reports here.
+func (b *Board) empty() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	var found []netip.AddrPort
-	for node, load := range b.byNode {
-		if load.works {
-			found = append(found, node)
-		}
-	}
-	slices.SortFunc(found, netip.AddrPort.Compare)
-	return found
+	return len(b.reports) == 0
 }
--- a/internal/loadshare/codec.go
+++ b/internal/loadshare/codec.go
@@ -2,42 +2,47 @@
 
 import (
 	loadsharepb "github.com/sloelift/sloelift/api/proto/loadshare"
+	"github.com/sloelift/sloelift/internal/replica"
 )
 
-// The encoders leave out what is zero.
+// replicaLoads are numbers of requests at replicas; one without any may be left out.
+type replicaLoads map[replica.Key]int
 
-func encodeReplicas(replicas map[replicaKey]int) []*loadsharepb.ReplicaLoad {
-	encoded := make([]*loadsharepb.ReplicaLoad, 0, len(replicas))
-	for key, inUse := range replicas {
-		if inUse > 0 {
-			encoded = append(encoded, &loadsharepb.ReplicaLoad{Replica: uint64(key), InUse: uint32(inUse)})
-		}
+func encodeReplicas(loads replicaLoads) *loadsharepb.ReplicaLoads {
+	encoded := &loadsharepb.ReplicaLoads{Replicas: make([]uint64, 0, len(loads)), InUse: make([]uint32, 0, len(loads))}
+	for key, inUse := range loads {
+		encoded.Replicas = append(encoded.Replicas, uint64(key))
+		encoded.InUse = append(encoded.InUse, uint32(max(0, inUse)))
 	}
 	return encoded
 }
 
-func decodeReplicas(encoded []*loadsharepb.ReplicaLoad) map[replicaKey]int {
-	replicas := make(map[replicaKey]int, len(encoded))
-	for _, each := range encoded {
-		replicas[replicaKey(each.Replica)] += int(each.InUse)
+// decodeReplicas takes as many entries as both lists have.
+func decodeReplicas(encoded *loadsharepb.ReplicaLoads) replicaLoads {
+	count := min(len(encoded.GetReplicas()), len(encoded.GetInUse()))
+	loads := make(replicaLoads, count)
+	for index := range count {
+		loads[replica.Key(encoded.Replicas[index])] = int(encoded.InUse[index])
 	}
-	return replicas
+	return loads
 }
 
-func encodeDemands(demands map[string]Demand) []*loadsharepb.ServiceDemand {
-	encoded := make([]*loadsharepb.ServiceDemand, 0, len(demands))
-	for service, demand := range demands {
-		if demand.Total() > 0 {
-			encoded = append(encoded, &loadsharepb.ServiceDemand{Service: service, InUse: uint32(demand.InUse), Waiting: uint32(demand.Waiting)})
+func encodeDemands(all demands) []*loadsharepb.ServiceDemand {
+	encoded := make([]*loadsharepb.ServiceDemand, 0, len(all))
+	for service, demand := range all {
+		if demand != (Demand{}) {
+			encoded = append(encoded, &loadsharepb.ServiceDemand{
+				Service: service, InUse: uint32(max(0, demand.InUse)), Waiting: uint32(max(0, demand.Waiting)), Batch: uint32(max(0, demand.Batch)),
+			})
 		}
 	}
 	return encoded
 }
 
-func decodeDemands(encoded []*loadsharepb.ServiceDemand) map[string]Demand {
-	demands := make(map[string]Demand, len(encoded))
+func decodeDemands(encoded []*loadsharepb.ServiceDemand) demands {
+	decoded := make(demands, len(encoded))
 	for _, each := range encoded {
-		demands[each.Service] = Demand{InUse: int(each.InUse), Waiting: int(each.Waiting)}
+		decoded[each.Service] = Demand{InUse: int(each.InUse), Waiting: int(each.Waiting), Batch: int(each.Batch)}
 	}
-	return demands
+	return decoded
 }
--- a/internal/loadshare/doc.go
+++ b/internal/loadshare/doc.go
@@ -1,9 +1,8 @@
-// Package loadshare tells each node how many requests the others have at each replica, so that a choice among replicas, and
+// Package loadshare lets each node know how many requests all nodes have at each replica, so that a choice among replicas, and
 // the room left for batch items, rest on what the whole fleet sends and not on one node's part of it.
 //
-// A node tells its own numbers to its zone's exchange, a storage node, and gets what all others have as the answer. Exchanges tell
-// each other the sums of the nodes that ask them. Nodes that own batch items get the numbers of all others straight away, since
-// items must give way at once; storage nodes tell each other all the time, the other nodes tell storage nodes without items only now
-// and then. Nothing here is durable, and nothing that must hold rests on it: a node that hears nothing falls back on what replicas
-// tell of themselves.
+// Each node reports its own numbers to its zone's exchange, a storage node, when they change. Exchanges send each other the sums of
+// the nodes that report to them. A node that is about to choose a replica asks its exchange unless it knows the numbers of a moment
+// ago, and is answered with what changed since its last question; a node with batch items asks all the time. Nothing here is
+// durable, and nothing that must hold rests on it: a node without answers falls back on what replicas report of themselves.
 package loadshare
--- /dev/null
+++ b/internal/loadshare/questions.go
@@ -0,0 +1,161 @@
+package loadshare
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	loadsharepb "github.com/sloelift/sloelift/api/proto/loadshare"
+)
+
+const (
+	// freshFor is the age up to which an answer is good enough for the choice of a replica.
+	freshFor = interval
+	// refreshWait bounds the wait of a request for a fresh answer; one way within a zone takes 0.2 ms, between zones of a region 1 ms,
+	// and a node with a fifth of a core takes some ms to be scheduled.
+	refreshWait = 15 * time.Millisecond
+	// answerTimeout bounds the wait for an answer that nobody waits for.
+	answerTimeout = 250 * time.Millisecond
+	// missesBorne is the number of answers that may fail to come, one after another, before another exchange is used.
+	missesBorne = 2
+	// triedAnew is how often the zone's own exchange is tried again after it did not answer.
+	triedAnew = 5 * time.Second
+)
+
+// questions keeps one question at a time, and which exchange answers. It is safe for concurrent use.
+type questions struct {
+	mutex sync.Mutex
+	// pending is closed when the present question has ended; nil while there is none.
+	pending chan struct{}
+	// missed counts the answers that did not come, one after another, since missedAt.
+	missed   int
+	missedAt time.Time
+	stopped  bool
+	running  sync.WaitGroup
+}
+
+// exchange returns the exchange to use; known is false where there is none.
+func (q *questions) exchange(place places, now time.Time) (exchange netip.AddrPort, known bool) {
+	if len(place.candidates) == 0 {
+		return netip.AddrPort{}, false
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if q.missed > 0 && now.Sub(q.missedAt) >= triedAnew {
+		q.missed = 0
+	}
+	return place.candidates[(q.missed/missesBorne)%len(place.candidates)], true
+}
+
+// begin returns the channel that is closed when the present question ends. Where there is none, ask is run to put one; after stop
+// there is none.
+func (q *questions) begin(ask func() error) (ended <-chan struct{}) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if q.pending != nil {
+		return q.pending
+	}
+	ending := make(chan struct{})
+	if q.stopped {
+		close(ending)
+		return ending
+	}
+	q.pending = ending
+	q.running.Go(func() { q.end(ask(), time.Now()) })
+	return ending
+}
+
+// stop returns once no question is pending; no further one is put.
+func (q *questions) stop() {
+	q.mutex.Lock()
+	q.stopped = true
+	q.mutex.Unlock()
+	q.running.Wait()
+}
+
+// end notes the end of a question.
+func (q *questions) end(err error, now time.Time) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	close(q.pending)
+	q.pending = nil
+	if err == nil {
+		if q.missed < missesBorne {
+			q.missed = 0
+		}
+		return
+	}
+	if q.missed == 0 {
+		q.missedAt = now
+	}
+	q.missed++
+}
+
+// Refresh returns once this node knows what the others have as of a moment ago, or does not learn it in time.
+func (s *Service) Refresh(ctx context.Context) {
+	if s.isFresh() {
+		return
+	}
+	timer := time.NewTimer(refreshWait)
+	defer timer.Stop()
+	select {
+	case <-s.ask():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// KeepFresh asks for what the others have, unless the last answer is of a moment ago. It does not wait.
+func (s *Service) KeepFresh() {
+	if !s.isFresh() {
+		s.ask()
+	}
+}
+
+func (s *Service) isFresh() bool {
+	age, known := s.fleet.age(time.Now())
+	return known && age <= freshFor
+}
+
+// ask asks this node's exchange in the background, one question at a time; the returned channel is closed when that has ended.
+func (s *Service) ask() (ended <-chan struct{}) { return s.questions.begin(s.question) }
+
+// question puts one question and takes in its answer.
+func (s *Service) question() error {
+	now := time.Now()
+	place := s.places.of(s.viewer.View(), s.options.Zone)
+	exchange, known := s.questions.exchange(place, now)
+	if !known {
+		return nil
+	}
+	own := s.own()
+	message := s.message(own, now)
+	message.KnownRun, message.KnownVersion = s.fleet.known()
+	if exchange == place.self {
+		s.board.takeReport(exchange, message, now)
+		s.apply(s.board.Answer(message.KnownRun, message.KnownVersion), own, now)
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(s.ctx, answerTimeout)
+	defer cancel()
+	answer := &loadsharepb.FleetLoad{}
+	if err := s.caller.Call(bounded, exchange, methodAsk, message, answer); err != nil {
+		s.logger.Debug().Err(err).Stringer("exchange", exchange).Msg("exchange_silent")
+		return err
+	}
+	s.apply(answer, own, time.Now())
+	return nil
+}
+
+// apply takes in what all nodes have.
+func (s *Service) apply(answer *loadsharepb.FleetLoad, own state, now time.Time) {
+	s.fleet.take(answer, own, now)
+	others := s.fleet.others()
+	for handle := range s.directory.View().All() {
+		handle.SetOthers(others(handle.Key()), now)
+	}
+	if s.options.Changed != nil {
+		s.options.Changed()
+	}
+}
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,26 +15,23 @@
 	loadsharepb "github.com/sloelift/sloelift/api/proto/loadshare"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
-	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
 const (
-	methodTell  transport.Method = "loadshare.tell"
-	methodRelay transport.Method = "loadshare.relay"
-	// interval is how often a node looks whether its numbers have changed.
+	methodReport transport.Method = "loadshare.report"
+	methodAsk    transport.Method = "loadshare.ask"
+	methodRelay  transport.Method = "loadshare.relay"
+	// interval is the least time between two reports of a node, and how often an exchange looks whether its sums have changed.
 	interval = 40 * time.Millisecond
-	// tellAnyway is how often a node tells all storage nodes also what has not changed.
-	tellAnyway = time.Second
-	// demandStale is the age at which the others' demands no longer count.
-	demandStale = 400 * time.Millisecond
-	// missesBorne is the number of answers that may fail to come before another storage node is asked.
-	missesBorne = 2
-	// triedAnew is how often a zone's exchange that did not answer is asked again.
-	triedAnew = 5 * time.Second
-	// answerTimeout bounds the wait for the exchange's answer.
-	answerTimeout = 250 * time.Millisecond
+	// ownerInterval is how often a node with batch items asks: items must give way at once.
+	ownerInterval = 20 * time.Millisecond
+	// reportAnyway is how often a node with callers reports also what has not changed, or another node what is not zero.
+	reportAnyway = 500 * time.Millisecond
+	// relayAnyway and relayWhole are how often an exchange sends the others also what has not changed, and all that it has.
+	relayAnyway = 250 * time.Millisecond
+	relayWhole  = time.Second
 )
 
 // Options of a Service.
@@ -45,201 +43,251 @@
 	Works func() bool
 	// Demands returns the callers' requests at this node, by service; nil stands for none.
 	Demands func() map[string]Demand
-	// Changed, where it is set, is called after another node told its numbers.
+	// Changed, where it is set, is called after an answer came.
 	Changed func()
 }
 
-// Service tells this node's numbers and takes in the others'.
+// Service reports this node's numbers and keeps the others'. On a storage node it is an exchange as well.
 type Service struct {
 	options   Options
 	directory *replica.Directory
 	viewer    membership.Viewer
 	caller    transport.Caller
 	board     *Board
+	fleet     *fleet
+	places    placesCache
+	questions questions
 	logger    zerolog.Logger
 
-	cancel  context.CancelFunc
-	running sync.WaitGroup
-
-	// The fields below belong to the telling goroutine.
-	told       map[replicaKey]int
-	toldDemand map[string]Demand
-	toldWorks  bool
-	toldAllAt  time.Time
-	// triedAnewAt is when the zone's exchange was last given a new chance.
-	triedAnewAt time.Time
-	// relayedSome says that the other exchanges were told of some load.
-	relayedSome bool
-
-	// mutex guards owners, demands, asking and missed.
-	mutex  sync.Mutex
-	owners []netip.AddrPort
-	// demands are what the other nodes' callers want, as heard at demandsAt.
-	demands   map[string]Demand
-	demandsAt time.Time
-	// asking says that the exchange's answer is awaited, missed counts the answers that did not come, one after another.
-	asking bool
-	missed int
-}
-
-// New returns a Service and registers its method; nothing is told before Start.
+	run      uint64
+	sequence atomic.Uint64
+	ctx      context.Context
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+
+	// mutex guards the fields below: what was reported last, and when.
+	mutex      sync.Mutex
+	reported   state
+	reportedAt time.Time
+
+	// The fields below belong to the reporting goroutine. relayedVersion is the Board's version that the other exchanges have.
+	relayedVersion uint64
+	relayedAt      time.Time
+	relayedWholeAt time.Time
+}
+
+// New returns a Service and registers its methods; nothing is sent before Start.
 func New(options Options, directory *replica.Directory, viewer membership.Viewer, caller transport.Caller, registrar transport.Registrar, logger zerolog.Logger) *Service {
+	now := time.Now()
 	service := &Service{
-		options: options, directory: directory, viewer: viewer, caller: caller, board: NewBoard(time.Now()), told: map[replicaKey]int{},
+		options: options, directory: directory, viewer: viewer, caller: caller, board: NewBoard(now), fleet: newFleet(now), run: rand.Uint64(),
 		logger: logger.With().Str(logging.FieldSlice, "loadshare").Logger(),
 	}
+	service.ctx, service.cancel = context.WithCancel(context.Background())
 	registrar.Handle(methodRelay, func() proto.Message { return &loadsharepb.ExchangeLoad{} },
 		func(_ context.Context, from netip.AddrPort, message proto.Message) (proto.Message, error) {
 			service.board.takeRelay(from, message.(*loadsharepb.ExchangeLoad), time.Now())
 			return nil, nil
 		})
-	registrar.Handle(methodTell, func() proto.Message { return &loadsharepb.NodeLoad{} }, service.take)
+	registrar.Handle(methodReport, func() proto.Message { return &loadsharepb.NodeLoad{} },
+		func(_ context.Context, from netip.AddrPort, message proto.Message) (proto.Message, error) {
+			service.board.takeReport(from, message.(*loadsharepb.NodeLoad), time.Now())
+			return nil, nil
+		})
+	registrar.Handle(methodAsk, func() proto.Message { return &loadsharepb.NodeLoad{} },
+		func(_ context.Context, from netip.AddrPort, message proto.Message) (proto.Message, error) {
+			load := message.(*loadsharepb.NodeLoad)
+			service.board.takeReport(from, load, time.Now())
+			return service.board.Answer(load.GetKnownRun(), load.GetKnownVersion()), nil
+		})
 	return service
 }
 
-// Board returns what other nodes told this one.
-func (s *Service) Board() *Board { return s.board }
-
-// SetOwner sets what a node with batch items tells and is told. It is called before Start.
+// SetOwner sets what a node with batch items reports; changed is called after each answer. It is called before Start.
 func (s *Service) SetOwner(works func() bool, changed func()) {
 	s.options.Works, s.options.Changed = works, changed
 }
 
-// SetDemands sets what a node with callers tells; changed is called after the others' demands were heard. It is called before Start.
+// SetDemands sets what a node with callers reports; changed is called after each answer. It is called before Start.
 func (s *Service) SetDemands(demands func() map[string]Demand, changed func()) {
 	s.options.Demands, s.options.Changed = demands, changed
 }
 
 // OthersDemand returns what the other nodes' callers want of service; known is false where that was not heard lately.
 func (s *Service) OthersDemand(service string, now time.Time) (others Demand, known bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.demandsAt.IsZero() || now.Sub(s.demandsAt) > demandStale {
-		return Demand{}, false
+	others, age := s.fleet.demand(service, now)
+	return others, age <= answersStale
+}
+
+// Others returns the requests for service of the other nodes; none where that was not heard for reportStale.
+func (s *Service) Others(service string, now time.Time) Demand {
+	others, age := s.fleet.demand(service, now)
+	if age > reportStale {
+		return Demand{}
 	}
-	return s.demands[service], true
+	return others
 }
 
-// Start begins to tell.
+// HeardSince returns since when nodes with callers have reported without a break.
+func (s *Service) HeardSince() time.Time { return s.fleet.heardSince() }
+
+// Start begins to report.
 func (s *Service) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.running.Go(func() { pause.Every(ctx, interval, func(now time.Time) { s.tick(ctx, now) }) })
+	s.running.Go(s.loop)
 }
 
-// Stop ends the telling.
+// Stop ends the reports.
 func (s *Service) Stop() {
 	s.cancel()
 	s.running.Wait()
+	s.questions.stop()
 }
 
-// take serves a node that tells its numbers, and answers it if it asks.
-func (s *Service) take(_ context.Context, from netip.AddrPort, request proto.Message) (proto.Message, error) {
-	now := time.Now()
-	told := request.(*loadsharepb.NodeLoad)
-	s.board.take(from, told, now)
-	if s.options.Changed != nil {
-		s.options.Changed()
+// loop reports when this node's numbers change, and else now and then.
+func (s *Service) loop() {
+	changed := s.directory.InUseChanged()
+	if s.isStore() {
+		// It looks often enough anyway.
+		changed = nil
 	}
-	if !told.Asks {
-		return nil, nil
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-changed:
+			if wait := s.untilNextReport(time.Now()); wait > 0 {
+				timer.Reset(wait)
+				continue
+			}
+		case <-timer.C:
+		case <-s.ctx.Done():
+			return
+		}
+		timer.Reset(s.tick(time.Now()))
 	}
-	return s.answer(from, now), nil
 }
 
-// own returns this node's requests at each replica that has any.
-func (s *Service) own() map[replicaKey]int {
-	found := map[replicaKey]int{}
-	for handle := range s.directory.View().All() {
-		if inUse := handle.InUse(); inUse > 0 {
-			found[keyOf(handle.Info().ID)] = inUse
-		}
-	}
-	return found
+// untilNextReport returns how long it is before this node may report again.
+func (s *Service) untilNextReport(now time.Time) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return interval - now.Sub(s.reportedAt)
 }
 
-// tick tells what has changed.
-func (s *Service) tick(ctx context.Context, now time.Time) {
-	stores, exchange, others := s.places()
+// tick does what is due and returns the time until the next tick.
+func (s *Service) tick(now time.Time) time.Duration {
+	place := s.places.of(s.viewer.View(), s.options.Zone)
+	works := s.options.Works != nil && s.options.Works()
 	own := s.own()
 	if s.isStore() {
-		s.tellHandles(func(key replicaKey) int { return s.board.at(key).total() }, now)
-		if !exchange.IsValid() {
-			s.relay(others, own, now)
-		}
-	}
-	if len(stores) == 0 {
-		return
-	}
-	works := s.options.Works != nil && s.options.Works()
-	var demands map[string]Demand
-	if s.options.Demands != nil {
-		demands = s.options.Demands()
-	}
-	anyway := now.Sub(s.toldAllAt) >= tellAnyway
-	changed := works != s.toldWorks || !maps.Equal(own, s.told) || !maps.Equal(demands, s.toldDemand)
-	if !changed && !anyway && !s.fleetIsBusy(own) {
-		return
+		s.board.prune(now)
+		s.relay(place, now)
 	}
-	message := &loadsharepb.NodeLoad{Kind: s.options.Kind, Works: works, Replicas: encodeReplicas(own), Demands: encodeDemands(demands)}
-	s.told, s.toldWorks, s.toldDemand = own, works, demands
-	if anyway {
-		s.toldAllAt = now
+	switch {
+	case works:
+		s.ask()
+	case s.reportIsDue(own, now):
+		s.report(place, own, now)
 	}
-	if now.Sub(s.triedAnewAt) >= triedAnew {
-		s.triedAnewAt = now
-		s.forgetMissed()
+	switch {
+	case works:
+		return ownerInterval
+	case s.isStore():
+		return interval
+	default:
+		return reportAnyway
 	}
-	s.send(ctx, message, exchange, stores, anyway)
 }
 
-// fleetIsBusy says that this node needs to know the others' numbers: it has requests at replicas itself.
-func (s *Service) fleetIsBusy(own map[replicaKey]int) bool { return len(own) > 0 && !s.isStore() }
-
 func (s *Service) isStore() bool { return s.options.Kind == loadsharepb.Kind_KIND_BATCH }
 
-// send tells the exchange, the owners of batch items, and with all set every storage node.
-func (s *Service) send(ctx context.Context, message *loadsharepb.NodeLoad, exchange netip.AddrPort, stores []netip.AddrPort, all bool) {
-	owners := s.knownOwners()
-	for _, store := range stores {
-		switch {
-		case store == exchange:
-			s.askExchange(ctx, message, exchange)
-		case all || s.isStore() || slices.Contains(owners, store):
-			_ = s.caller.Send(store, methodTell, message)
+// own returns this node's requests.
+func (s *Service) own() state {
+	found := state{replicas: replicaLoads{}, demands: demands{}}
+	if s.options.Demands != nil {
+		maps.Copy(found.demands, s.options.Demands())
+	}
+	for handle := range s.directory.View().All() {
+		inUse := handle.InUse()
+		if inUse <= 0 {
+			continue
+		}
+		found.replicas[handle.Key()] = inUse
+		if s.isStore() {
+			service := handle.Info().Service
+			found.demands[service] = found.demands[service].plus(Demand{Batch: inUse}, 1)
 		}
 	}
+	return found
 }
 
-// apply takes in what all other nodes have.
-func (s *Service) apply(answer *loadsharepb.FleetLoad, now time.Time) {
-	if !s.isStore() {
-		inUse := decodeReplicas(answer.Replicas)
-		s.tellHandles(func(key replicaKey) int { return inUse[key] }, now)
-	}
-	owners := make([]netip.AddrPort, 0, len(answer.Owners))
-	for _, each := range answer.Owners {
-		if owner, err := netip.ParseAddrPort(each); err == nil {
-			owners = append(owners, owner)
-		}
+func (s state) equal(other state) bool {
+	return maps.Equal(s.replicas, other.replicas) && maps.Equal(s.demands, other.demands)
+}
+
+func (s state) zero() bool { return len(s.replicas)+len(s.demands) == 0 }
+
+// reportIsDue says that own has changed, or was reported long ago.
+func (s *Service) reportIsDue(own state, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !own.equal(s.reported) {
+		return true
 	}
+	return now.Sub(s.reportedAt) >= reportAnyway && (!s.isStore() || !own.zero())
+}
+
+// message returns own as it is sent, and notes that it is.
+func (s *Service) message(own state, now time.Time) *loadsharepb.NodeLoad {
 	s.mutex.Lock()
-	s.owners, s.demands, s.demandsAt = owners, decodeDemands(answer.Demands), now
-	s.mutex.Unlock()
-	if s.options.Changed != nil {
-		s.options.Changed()
+	defer s.mutex.Unlock()
+	s.reported, s.reportedAt = own, now
+	return &loadsharepb.NodeLoad{
+		Origin: s.origin(), Kind: s.options.Kind, Replicas: encodeReplicas(own.replicas), Demands: encodeDemands(own.demands),
 	}
 }
 
-// tellHandles tells each replica's handle what all other nodes have there.
-func (s *Service) tellHandles(others func(replicaKey) int, now time.Time) {
-	for handle := range s.directory.View().All() {
-		handle.TellOthers(others(keyOf(handle.Info().ID)), now)
+func (s *Service) origin() *loadsharepb.Origin {
+	return &loadsharepb.Origin{Run: s.run, Sequence: s.sequence.Add(1)}
+}
+
+// report sends own to this node's exchange without waiting for an answer.
+func (s *Service) report(place places, own state, now time.Time) {
+	exchange, known := s.questions.exchange(place, now)
+	if !known {
+		return
+	}
+	message := s.message(own, now)
+	if exchange == place.self {
+		s.board.takeReport(exchange, message, now)
+		return
+	}
+	if err := s.caller.Send(exchange, methodReport, message); err != nil {
+		s.logger.Debug().Err(err).Stringer("exchange", exchange).Msg("report_not_sent")
 	}
 }
 
-func (s *Service) knownOwners() []netip.AddrPort {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.owners
+// relay sends the other exchanges what the nodes have that report to this one.
+func (s *Service) relay(place places, now time.Time) {
+	if s.board.empty() && !place.isExchange {
+		return
+	}
+	whole := now.Sub(s.relayedWholeAt) >= relayWhole
+	message, version := s.board.relayed(s.relayedVersion, whole)
+	if version == s.relayedVersion && now.Sub(s.relayedAt) < relayAnyway {
+		return
+	}
+	message.Origin = s.origin()
+	s.relayedVersion, s.relayedAt = version, now
+	if whole {
+		s.relayedWholeAt = now
+	}
+	for _, exchange := range place.candidates {
+		if exchange == place.self {
+			continue
+		}
+		if err := s.caller.Send(exchange, methodRelay, message); err != nil {
+			s.logger.Debug().Err(err).Stringer("exchange", exchange).Msg("relay_not_sent")
+		}
+	}
 }
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -228,7 +228,7 @@
 	return batch.NewService(batch.Options{
 		Zone: own.Zone, MaxBytes: int64(float64(memory<<20) * batchMemoryShare),
 		KeepResults: cmp.Or(own.Bounds.Poll, defaultKeepResults), Report: adapter.Report,
-	}, routes, directory, shared.Board(), picker, client, registrar, logger)
+	}, routes, directory, shared, picker, client, registrar, logger)
 }
 
 func newBatchCalls(adapter Adapter, locator ledger.Locator, caller transport.Caller, registrar transport.Registrar, members *membership.Service, logger zerolog.Logger) BatchCalls {
@@ -271,9 +271,10 @@
 	return balance.NewPicker(directory, nil)
 }
 
-func newForwardHandler(own settings.Settings, routes *route.Holder, directory *replica.Directory, picker *balance.Picker, client *replica.Client, gate *forward.Gate, calls BatchCalls, logger zerolog.Logger, metrics *forward.Metrics) *forward.Handler {
+func newForwardHandler(own settings.Settings, routes *route.Holder, directory *replica.Directory, picker *balance.Picker, client *replica.Client, gate *forward.Gate, shared *loadshare.Service, calls BatchCalls, logger zerolog.Logger, metrics *forward.Metrics) *forward.Handler {
 	return forward.NewHandler(forward.Options{
-		Routes: routes, Directory: directory, Picker: picker, Client: client, Zone: own.Zone, Batch: calls, Gate: gate, Logger: logger, Metrics: metrics,
+		Routes: routes, Directory: directory, Picker: picker, Client: client, Zone: own.Zone, Batch: calls, Gate: gate, Refresh: shared.Refresh,
+		Logger: logger, Metrics: metrics,
 	})
 }
 
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -61,11 +61,13 @@
 	mutex       sync.Mutex
 	loaded      atomic.Bool
 	subscribers subscription.List[*View]
+	// inUseChanged holds one signal that requests began or ended.
+	inUseChanged chan struct{}
 }
 
 // NewDirectory returns an empty Directory.
 func NewDirectory() *Directory {
-	directory := &Directory{}
+	directory := &Directory{inUseChanged: make(chan struct{}, 1)}
 	directory.view.Store(&View{byService: map[string][]*Handle{}, byID: map[string]*Handle{}})
 	return directory
 }
@@ -76,6 +78,16 @@
 // Loaded says that the directory has been read once.
 func (d *Directory) Loaded() bool { return d.loaded.Load() }
 
+// InUseChanged signals that requests of this process at replicas have begun or ended since the last signal was taken.
+func (d *Directory) InUseChanged() <-chan struct{} { return d.inUseChanged }
+
+func (d *Directory) signalInUse() {
+	select {
+	case d.inUseChanged <- struct{}{}:
+	default:
+	}
+}
+
 // Subscribe calls notify after each change until remove is called.
 func (d *Directory) Subscribe(notify func(*View)) (remove func()) { return d.subscribers.Add(notify) }
 
@@ -120,7 +132,9 @@
 func (d *Directory) handleFor(info Info) *Handle {
 	handle := d.View().Find(info.ID)
 	if handle == nil {
-		return NewHandle(info)
+		handle = NewHandle(info)
+		handle.inUseChanged = d.signalInUse
+		return handle
 	}
 	handle.info.Store(&info)
 	return handle
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -12,6 +14,8 @@
 	reportHalfLife = 700 * time.Millisecond
 	// othersStale is the age at which the other nodes' numbers no longer count.
 	othersStale = 400 * time.Millisecond
+	// comparable is the age up to which they can be compared with what a replica reports: requests last 50 ms and more.
+	comparable = 120 * time.Millisecond
 	// avoidFirst and avoidLongest bound how long a replica is avoided after it failed.
 	avoidFirst   = 200 * time.Millisecond
 	avoidLongest = 3 * time.Second
@@ -29,9 +33,12 @@
 // Handle is one incarnation of a replica with what this process knows of it. It is safe for concurrent use.
 type Handle struct {
 	info  atomic.Pointer[Info]
+	key   Key
 	pool  connectionPool
 	gone  atomic.Bool
 	inUse atomic.Int64
+	// inUseChanged, where it is set, is called after a change of inUse; it is set before the first one.
+	inUseChanged func()
 	// reading counts the prompt tokens of this process's requests that wait for their first event.
 	reading atomic.Int64
 	// heardAt is when bytes of an answer last came, in nanoseconds since the start of the process; 0 is never.
@@ -42,19 +49,26 @@
 	told        Load
 	toldAt      time.Time
 	inUseAtTell int64
-	// others is the number of the other nodes' requests there, as heard at othersAt; unknown are those that the replica told of
-	// and no node did.
+	// others is the number of the other nodes' requests there, as known at othersAt; unknown are those that the replica reported at
+	// unknownAt and no node did.
 	others      int
 	othersAt    time.Time
 	unknown     float64
+	unknownAt   time.Time
 	failures    int
 	avoidUntil  time.Time
 	failureRate float64
 }
 
+// Key names a replica in messages between nodes: the XXH64 of its ID.
+type Key uint64
+
+// KeyOf returns the key of a replica.
+func KeyOf(replicaID string) Key { return Key(xxhash.Sum64String(replicaID)) }
+
 // NewHandle returns a handle of a replica of which nothing else is known.
 func NewHandle(info Info) *Handle {
-	handle := &Handle{}
+	handle := &Handle{key: KeyOf(info.ID)}
 	handle.info.Store(&info)
 	return handle
 }
@@ -62,6 +76,9 @@
 // Info returns the replica's newest entry.
 func (h *Handle) Info() *Info { return h.info.Load() }
 
+// Key returns the replica's key.
+func (h *Handle) Key() Key { return h.key }
+
 // Usable says that new requests may go to the replica.
 func (h *Handle) Usable() bool { return !h.gone.Load() && !h.Info().Draining }
 
@@ -70,9 +87,16 @@
 
 // Acquire counts a request until release is called.
 func (h *Handle) Acquire() (release func()) {
-	h.inUse.Add(1)
+	h.addInUse(1)
 	var once sync.Once
-	return func() { once.Do(func() { h.inUse.Add(-1) }) }
+	return func() { once.Do(func() { h.addInUse(-1) }) }
+}
+
+func (h *Handle) addInUse(requests int64) {
+	h.inUse.Add(requests)
+	if h.inUseChanged != nil {
+		h.inUseChanged()
+	}
 }
 
 // BeginReading counts the tokens of a prompt until read is called.
@@ -101,11 +125,13 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.told, h.toldAt, h.inUseAtTell = load, now, h.inUse.Load()
-	h.unknown = max(0, float64(load.Running+load.Waiting-h.others)-float64(h.inUseAtTell))
+	if now.Sub(h.othersAt) <= comparable {
+		h.unknown, h.unknownAt = max(0, float64(load.Running+load.Waiting-h.others)-float64(h.inUseAtTell)), now
+	}
 }
 
-// TellOthers takes in the number of the other nodes' requests there.
-func (h *Handle) TellOthers(requests int, now time.Time) {
+// SetOthers takes in the number of the other nodes' requests there.
+func (h *Handle) SetOthers(requests int, now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.others, h.othersAt = requests, now
@@ -118,14 +144,18 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	inUse := float64(h.inUse.Load())
-	fade := 0.0
-	if !h.toldAt.IsZero() {
-		fade = math.Exp2(-now.Sub(h.toldAt).Seconds() / reportHalfLife.Seconds())
-	}
 	if !h.othersAt.IsZero() && now.Sub(h.othersAt) < othersStale {
-		return inUse + float64(h.others) + h.unknown*fade
+		return inUse + float64(h.others) + h.unknown*fade(h.unknownAt, now)
+	}
+	return max(inUse, float64(h.told.Running+h.told.Waiting)*fade(h.toldAt, now)+inUse-float64(h.inUseAtTell))
+}
+
+// fade returns the weight of what a replica reported at reportedAt; 0 where it never did.
+func fade(reportedAt, now time.Time) float64 {
+	if reportedAt.IsZero() {
+		return 0
 	}
-	return max(inUse, float64(h.told.Running+h.told.Waiting)*fade+inUse-float64(h.inUseAtTell))
+	return math.Exp2(-now.Sub(reportedAt).Seconds() / reportHalfLife.Seconds())
 }
 
 // Succeeded notes a whole answer.
