Have nodes list the replicas anew only after the watching nodes had time to pass changes on

And each node took itself for a watcher while it knew few others. Change: 750 ms in place of 150; a node watches from 600 ms after its start on, or 2.5 s after it where it hears nobody; heartbeats each 750 ms instead of 500.

--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -24,15 +24,19 @@
 )
 
 const (
-	// heartbeatInterval is how often a watcher that is answered says so.
-	heartbeatInterval = 500 * time.Millisecond
+	// heartbeatInterval is how often a watcher that is answered says so; half of silence, so that one may be lost.
+	heartbeatInterval = 750 * time.Millisecond
 	// silence is how long a node hears no watcher before it watches by itself.
 	silence = 1500 * time.Millisecond
+	// firstSilence is the same after its start: where all nodes start at once, the watchers begin after joinTime, are first answered a
+	// watcherHold later, and send their next heartbeat then.
+	firstSilence = 2500 * time.Millisecond
 	// answeredWithin is the time since the service's last answer within which a watcher counts as answered.
 	answeredWithin = 2500 * time.Millisecond
 	// turnInterval is how often a node looks whether it is to watch.
 	turnInterval = 200 * time.Millisecond
-	// joinTime is for how long after its start a node that knows no other waits to hear of some.
+	// joinTime is for how long after its start a node waits to learn of the others before it takes itself for a watcher; what it lists
+	// at its start is as new as what a watch would tell.
 	joinTime = 600 * time.Millisecond
 	// gatherWait is how long changes are gathered before the service is asked for more, for each answer is a call. The first change after
 	// a calm is told at once. A replica that drains takes requests for 2 s or more after it said so; a third of that is left for
@@ -56,7 +60,7 @@
 	running sync.WaitGroup
 
 	// mutex guards the fields below. heard is when a watcher was last heard, answered when the service last answered a watch of this
-	// node; both begin with the process.
+	// node. At the start heard is set so that silence ends after firstSilence.
 	mutex    sync.Mutex
 	heard    time.Time
 	answered time.Time
@@ -74,7 +78,7 @@
 // New returns a Feed of store and registers its methods.
 func New(store platform.KeyValue, caller transport.Caller, registrar transport.Registrar, viewer membership.Viewer, logger zerolog.Logger) *Feed {
 	feed := &Feed{
-		KeyValue: store, caller: caller, viewer: viewer, started: time.Now(), heard: time.Now(), prefixes: map[string]*prefixState{},
+		KeyValue: store, caller: caller, viewer: viewer, started: time.Now(), heard: time.Now().Add(firstSilence - silence), prefixes: map[string]*prefixState{},
 		logger: logger.With().Str(logging.FieldSlice, "changefeed").Logger(),
 	}
 	registrar.Handle(methodChanges, func() proto.Message { return &changefeedpb.Changes{} },
@@ -168,9 +172,8 @@
 // watchesNow tells whether this node watches the service: as one of the watchers, or since none was heard for long.
 func (f *Feed) watchesNow(now time.Time) bool {
 	silent := f.hearsNobody(now)
-	view := f.viewer.View()
-	joining := len(view.Members) <= 1 && now.Sub(f.started) < joinTime
-	return silent || (Watches(view) && !joining)
+	joining := now.Sub(f.started) < joinTime
+	return silent || (Watches(f.viewer.View()) && !joining)
 }
 
 // hearsNobody says that no watcher was heard for long.
--- a/internal/discovery/revisions.go
+++ b/internal/discovery/revisions.go
@@ -5,8 +5,10 @@
 	"time"
 )
 
-// behindPatience is how long this node's own watch is given to bring what another node has heard of.
-const behindPatience = 150 * time.Millisecond
+// behindPatience is how long this node's own watch is given to bring what another node knows. The nodes that watch gather changes for
+// up to 600 ms before they pass them on (changefeed); a node that listed anew sooner would know more than they do, and all others
+// would take themselves for behind in turn.
+const behindPatience = 750 * time.Millisecond
 
 // revisions compares what this node knows of one prefix with what the other nodes know of it. It is safe for concurrent use.
 type revisions struct {
