Choose by room for one more request, and take another zone only for that

Cause: with 5 slots a replica whose slots are just all taken scored as well as one more than that a request short of it, and one request less at a replica (0.2) outweighed another zone (0.12). Hypothesis: a request that would wait must cost more than any difference in filling; a filled but free slot answers as fast.

--- a/internal/balance/scorers.go
+++ b/internal/balance/scorers.go
@@ -11,8 +11,9 @@
 
 const (
 	// remoteZonePenalty is what another zone costs, in parts of a replica's room; remoteByteWeight adds to it for
-	// each byte sent there.
-	remoteZonePenalty = 0.12
+	// each byte sent there. It is above one request at a replica of 5 slots: as long as it has room, one nearby that is a little fuller
+	// answers as fast, and needs no connections and bytes between zones (policy.md, round 14).
+	remoteZonePenalty = 0.3
 	remoteByteWeight  = 0.25 / (16 << 10)
 	// maxRemotePenalty bounds the two together.
 	maxRemotePenalty = 0.6
@@ -22,14 +23,20 @@
 	maxPartScore   = 0.6
 	// failureWeight is the worth of a replica that fails all calls.
 	failureWeight = 1.5
-	// fullPenalty is added for each request that would have to wait.
+	// waitPenalty is what it costs that a request would have to wait for a slot at all, fullPenalty is added for each that would.
+	waitPenalty = 0.3
 	fullPenalty = 1.0
 )
 
-// occupancyScore prefers replicas with room; a request that would wait counts for more than one that would run.
+// occupancyScore prefers replicas with room for one more; a request that would wait counts for more than one that would run.
 func occupancyScore(_ *Request, handle *replica.Handle, now time.Time) float64 {
-	used := occupancy(handle, now)
-	return -used - fullPenalty*max(0, used-1)
+	slots := float64(max(1, handle.Info().Slots))
+	occupied := handle.Occupancy(now)
+	score := -occupied / slots
+	if waiting := occupied + 1 - slots; waiting > 0 {
+		score -= waitPenalty + fullPenalty*waiting/slots
+	}
+	return score
 }
 
 // zoneScore prefers replicas of this process's zone.
--- /dev/null
+++ b/internal/balance/scorers_test.go
@@ -0,0 +1,36 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+// TestRoomForOneMoreDecides: with few slots a replica that would have the request wait is passed over for one of another zone, while
+// one with room is not, though it is a little fuller.
+func TestRoomForOneMoreDecides(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		name      string
+		near, far int
+		want      string
+	}{
+		{"one request more nearby", 2, 1, "near"},
+		{"nearby has the last slot free", 4, 3, "near"},
+		{"nearby is just full", 5, 3, "far"},
+		{"nearby is full, the other almost", 5, 4, "far"},
+		{"both full", 5, 5, "near"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			directory := replica.NewDirectory()
+			directory.Replace([]replica.Info{{ID: "near", Service: "s", Zone: "z1", Slots: 5}, {ID: "far", Service: "s", Zone: "z2", Slots: 5}})
+			directory.View().Find("near").SetOthers(test.near, now)
+			directory.View().Find("far").SetOthers(test.far, now)
+			picked := NewPicker(directory, func() float64 { return 0 }).Pick(&Request{Service: "s", Zone: "z1"}, now)
+			if picked.Info().ID != test.want {
+				t.Errorf("picked %s, want %s", picked.Info().ID, test.want)
+			}
+		})
+	}
+}
