Share the prompt tokens that replicas are about to read, and report a choice at once

And a choice was reported 40 ms after the question for it, the fall of the demand up to 500 ms after the end of a request, since the replica's slot is released first (TestEndOfARequestIsReported). Change: reports hold the prompt tokens that wait for their first event; they weigh 0.25 in place of 0.08 for 3,000, up to 1.5; a report follows its change by 3 ms, also right after a question, and the gate signals the end of a request.

--- a/internal/balance/prefill.go
+++ b/internal/balance/prefill.go
@@ -21,10 +21,11 @@
 	// longPromptBonus draws long prompts to the replicas set apart, shortPromptPenalty keeps short ones away.
 	longPromptBonus    = 0.3
 	shortPromptPenalty = 0.35
-	// readingWeight is what each longPromptTokens cost that wait at the replica to be read.
-	readingWeight = 0.08
+	// readingWeight is what each longPromptTokens cost that wait at the replica to be read, by whichever node they were sent: it takes
+	// some 50 ms to read them, and all that come later wait (policy.md, round 15).
+	readingWeight = 0.25
 	// mostReading bounds that.
-	mostReading = 0.6
+	mostReading = 1.5
 )
 
 // promptMix observes which part of the prompt tokens of each service is in long prompts. It is safe for concurrent use.
@@ -92,8 +93,8 @@
 }
 
 // readingScore prefers replicas that have little to read.
-func readingScore(_ *Request, handle *replica.Handle, _ time.Time) float64 {
-	return -min(mostReading, readingWeight*float64(handle.Reading())/longPromptTokens)
+func readingScore(_ *Request, handle *replica.Handle, now time.Time) float64 {
+	return -min(mostReading, readingWeight*float64(handle.Reading(now))/longPromptTokens)
 }
 
 // prefillScore keeps short prompts from waiting behind long ones.
--- a/internal/balance/sample_test.go
+++ b/internal/balance/sample_test.go
@@ -18,10 +18,10 @@
 	directory.Replace(infos)
 	now := time.Now()
 	for handle := range directory.View().All() {
-		handle.SetOthers(4, now)
+		handle.SetOthers(replica.Use{Requests: 4}, now)
 	}
 	emptiest := directory.View().Find("a")
-	emptiest.SetOthers(2, now)
+	emptiest.SetOthers(replica.Use{Requests: 2}, now)
 	picker := NewPicker(directory, nil)
 	met := 0
 	for range choices {
--- a/internal/balance/scorers_test.go
+++ b/internal/balance/scorers_test.go
@@ -25,8 +25,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			directory := replica.NewDirectory()
 			directory.Replace([]replica.Info{{ID: "near", Service: "s", Zone: "z1", Slots: 5}, {ID: "far", Service: "s", Zone: "z2", Slots: 5}})
-			directory.View().Find("near").SetOthers(test.near, now)
-			directory.View().Find("far").SetOthers(test.far, now)
+			directory.View().Find("near").SetOthers(replica.Use{Requests: test.near}, now)
+			directory.View().Find("far").SetOthers(replica.Use{Requests: test.far}, now)
 			picked := NewPicker(directory, func() float64 { return 0 }).Pick(&Request{Service: "s", Zone: "z1"}, now)
 			if picked.Info().ID != test.want {
 				t.Errorf("picked %s, want %s", picked.Info().ID, test.want)
@@ -34,3 +34,21 @@
 		})
 	}
 }
+
+// TestShortPromptsGoWhereLittleIsRead: prompts that other nodes have sent to a replica hold up a request as this node's own do.
+func TestShortPromptsGoWhereLittleIsRead(t *testing.T) {
+	now := time.Now()
+	directory := replica.NewDirectory()
+	directory.Replace([]replica.Info{{ID: "busy", Service: "s", Zone: "z1", Slots: 5}, {ID: "free", Service: "s", Zone: "z1", Slots: 5}})
+	directory.View().Find("busy").SetOthers(replica.Use{Requests: 1, Reading: 4 * longPromptTokens}, now)
+	directory.View().Find("free").SetOthers(replica.Use{Requests: 3}, now)
+	picker := NewPicker(directory, func() float64 { return 0 })
+	if picked := picker.Pick(&Request{Service: "s", Zone: "z1", Tokens: 600}, now); picked.Info().ID != "free" {
+		t.Errorf("picked %s, want the replica that reads no prompt", picked.Info().ID)
+	}
+	late := now.Add(time.Minute)
+	directory.View().Find("free").SetOthers(replica.Use{Requests: 3}, late)
+	if picked := picker.Pick(&Request{Service: "s", Zone: "z1", Tokens: 600}, late); picked.Info().ID != "busy" {
+		t.Errorf("picked %s: what was known a minute ago still counts", picked.Info().ID)
+	}
+}
--- a/internal/forward/gate.go
+++ b/internal/forward/gate.go
@@ -134,6 +134,8 @@
 		gate.drop(left)
 	}
 	g.release(left.service, gate, time.Now())
+	// The other nodes learn of the demand with the requests at replicas, the last of which ended before.
+	g.directory.SignalUse()
 }
 
 // gateOf returns a service's state. The mutex is held.
--- a/internal/loadshare/board.go
+++ b/internal/loadshare/board.go
@@ -36,14 +36,17 @@
 	return r != nil && r.origin.GetRun() == origin.GetRun() && r.origin.GetSequence() >= origin.GetSequence()
 }
 
-// total is the number of requests at one replica.
+// total is what nodes have at one replica.
 type total struct {
 	// reported are those of the nodes that report here, relayed those that other exchanges sent.
-	reported, relayed int
+	reported, relayed replica.Use
 	// reportedAt and changedAt are the Board's versions of the last change of reported and of either.
 	reportedAt, changedAt uint64
 }
 
+// use is what all nodes have.
+func (t total) use() replica.Use { return t.reported.Plus(t.relayed, 1) }
+
 // Board holds what nodes report to an exchange and what other exchanges send. It is safe for concurrent use.
 //
 // Invariant: totals, reportedDemands, relayedDemands and the two numbers of nodes are the sums of all reports and relays held.
@@ -90,8 +93,8 @@
 
 // replaceReport puts next, which may be nil, in the place of a node's last report. The mutex is held.
 func (b *Board) replaceReport(from netip.AddrPort, next *report) {
-	b.replace(b.reports, from, next, b.reportedDemands, &b.reportedNodes, func(sum *total, change int) {
-		sum.reported += change
+	b.replace(b.reports, from, next, b.reportedDemands, &b.reportedNodes, func(sum *total, change replica.Use) {
+		sum.reported = sum.reported.Plus(change, 1)
 		sum.reportedAt = b.version
 	})
 }
@@ -115,11 +118,11 @@
 
 // replaceRelay puts next, which may be nil, in the place of what an exchange sent last. The mutex is held.
 func (b *Board) replaceRelay(from netip.AddrPort, next *report) {
-	b.replace(b.relays, from, next, b.relayedDemands, &b.relayedNodes, func(sum *total, change int) { sum.relayed += change })
+	b.replace(b.relays, from, next, b.relayedDemands, &b.relayedNodes, func(sum *total, change replica.Use) { sum.relayed = sum.relayed.Plus(change, 1) })
 }
 
 // replace changes one entry of held and the sums that it is part of. The mutex is held.
-func (b *Board) replace(held map[netip.AddrPort]*report, from netip.AddrPort, next *report, sums demands, nodes *int, apply func(sum *total, change int)) {
+func (b *Board) replace(held map[netip.AddrPort]*report, from netip.AddrPort, next *report, sums demands, nodes *int, apply func(sum *total, change replica.Use)) {
 	b.version++
 	last := held[from]
 	if last == nil {
@@ -131,12 +134,12 @@
 	} else {
 		held[from] = next
 	}
-	for key, inUse := range next.replicas {
-		b.change(key, inUse-last.replicas[key], apply)
+	for key, use := range next.replicas {
+		b.change(key, use.Plus(last.replicas[key], -1), apply)
 	}
-	for key, inUse := range last.replicas {
+	for key, use := range last.replicas {
 		if _, again := next.replicas[key]; !again {
-			b.change(key, -inUse, apply)
+			b.change(key, replica.Use{}.Plus(use, -1), apply)
 		}
 	}
 	sums.add(last.demands, -1)
@@ -144,8 +147,8 @@
 	*nodes += next.onlineNodes - last.onlineNodes
 }
 
-func (b *Board) change(key replica.Key, change int, apply func(sum *total, change int)) {
-	if change == 0 {
+func (b *Board) change(key replica.Key, change replica.Use, apply func(sum *total, change replica.Use)) {
+	if change == (replica.Use{}) {
 		return
 	}
 	sum := b.totals[key]
@@ -174,7 +177,7 @@
 	b.purgedAt = now
 	b.purgedTo, b.purgeableTo = b.purgeableTo, b.version
 	for key, sum := range b.totals {
-		if sum.reported == 0 && sum.relayed == 0 && sum.changedAt <= b.purgedTo {
+		if sum.use() == (replica.Use{}) && sum.changedAt <= b.purgedTo {
 			delete(b.totals, key)
 		}
 	}
@@ -187,9 +190,9 @@
 	whole := knownRun != b.run || knownVersion < b.purgedTo
 	changed := replicaLoads{}
 	for key, sum := range b.totals {
-		inUse := sum.reported + sum.relayed
-		if whole && inUse != 0 || !whole && sum.changedAt > knownVersion {
-			changed[key] = inUse
+		use := sum.use()
+		if whole && use != (replica.Use{}) || !whole && sum.changedAt > knownVersion {
+			changed[key] = use
 		}
 	}
 	all := maps.Clone(b.reportedDemands)
@@ -206,7 +209,7 @@
 	defer b.mutex.Unlock()
 	changed := replicaLoads{}
 	for key, sum := range b.totals {
-		if whole && sum.reported != 0 || !whole && sum.reportedAt > since {
+		if whole && sum.reported != (replica.Use{}) || !whole && sum.reportedAt > since {
 			changed[key] = sum.reported
 		}
 	}
--- a/internal/loadshare/board_test.go
+++ b/internal/loadshare/board_test.go
@@ -27,7 +27,7 @@
 func loadOf(origin *loadsharepb.Origin, kind loadsharepb.Kind, loads map[string]int) *loadsharepb.NodeLoad {
 	byKey, all := replicaLoads{}, demands{}
 	for id, inUse := range loads {
-		byKey[replica.KeyOf(id)] = inUse
+		byKey[replica.KeyOf(id)] = replica.Use{Requests: inUse, Reading: 100 * inUse}
 		all.add(demands{"s": {InUse: inUse}}, 1)
 	}
 	return &loadsharepb.NodeLoad{Origin: origin, Kind: kind, Replicas: encodeReplicas(byKey), Demands: encodeDemands(all)}
@@ -55,8 +55,8 @@
 		if got, _ := known.demand("s", test.at); got.Online() != test.want {
 			t.Errorf("%d online requests after %s, want %d", got.Online(), test.at.Sub(now), test.want)
 		}
-		if got := known.others()(replica.KeyOf("a")); got != test.want {
-			t.Errorf("%d requests at the replica after %s, want %d", got, test.at.Sub(now), test.want)
+		if got := known.others()[replica.KeyOf("a")]; got != (replica.Use{Requests: test.want, Reading: 100 * test.want}) {
+			t.Errorf("%+v at the replica after %s, want %d requests", got, test.at.Sub(now), test.want)
 		}
 	}
 }
@@ -69,12 +69,12 @@
 	older, newer := sender.next(), sender.next()
 	board.takeReport(nodeAt(1), loadOf(newer, loadsharepb.Kind_KIND_ONLINE, map[string]int{"a": 1}), now)
 	board.takeReport(nodeAt(1), loadOf(older, loadsharepb.Kind_KIND_ONLINE, map[string]int{"a": 9}), now)
-	if got := fleetOf(board, now).others()(replica.KeyOf("a")); got != 1 {
+	if got := fleetOf(board, now).others()[replica.KeyOf("a")].Requests; got != 1 {
 		t.Errorf("%d requests, want those of the newer report", got)
 	}
 	restarted := &loadsharepb.Origin{Run: 2, Sequence: 1}
 	board.takeReport(nodeAt(1), loadOf(restarted, loadsharepb.Kind_KIND_ONLINE, map[string]int{"a": 3}), now)
-	if got := fleetOf(board, now).others()(replica.KeyOf("a")); got != 3 {
+	if got := fleetOf(board, now).others()[replica.KeyOf("a")].Requests; got != 3 {
 		t.Errorf("%d requests, want those that the restarted node reported", got)
 	}
 }
@@ -133,8 +133,12 @@
 	}
 	got := map[string]int{}
 	for _, id := range []string{"a", "b", "c"} {
-		if inUse := known.others()(replica.KeyOf(id)); inUse > 0 {
-			got[id] = inUse
+		use := known.others()[replica.KeyOf(id)]
+		if use.Reading != 100*use.Requests {
+			r.Fatalf("%s has %+v, want 100 tokens a request", id, use)
+		}
+		if use.Requests > 0 {
+			got[id] = use.Requests
 		}
 	}
 	if !maps.Equal(got, want) {
--- a/internal/loadshare/codec.go
+++ b/internal/loadshare/codec.go
@@ -5,24 +5,27 @@
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
-// replicaLoads are numbers of requests at replicas; one without any may be left out.
-type replicaLoads map[replica.Key]int
+// replicaLoads is what nodes have at replicas; one without anything may be left out.
+type replicaLoads map[replica.Key]replica.Use
 
 func encodeReplicas(loads replicaLoads) *loadsharepb.ReplicaLoads {
-	encoded := &loadsharepb.ReplicaLoads{Replicas: make([]uint64, 0, len(loads)), InUse: make([]uint32, 0, len(loads))}
-	for key, inUse := range loads {
+	encoded := &loadsharepb.ReplicaLoads{
+		Replicas: make([]uint64, 0, len(loads)), InUse: make([]uint32, 0, len(loads)), Reading: make([]uint32, 0, len(loads)),
+	}
+	for key, use := range loads {
 		encoded.Replicas = append(encoded.Replicas, uint64(key))
-		encoded.InUse = append(encoded.InUse, uint32(max(0, inUse)))
+		encoded.InUse = append(encoded.InUse, uint32(max(0, use.Requests)))
+		encoded.Reading = append(encoded.Reading, uint32(max(0, use.Reading)))
 	}
 	return encoded
 }
 
-// decodeReplicas takes as many entries as both lists have.
+// decodeReplicas takes as many entries as all lists have.
 func decodeReplicas(encoded *loadsharepb.ReplicaLoads) replicaLoads {
-	count := min(len(encoded.GetReplicas()), len(encoded.GetInUse()))
+	count := min(len(encoded.GetReplicas()), len(encoded.GetInUse()), len(encoded.GetReading()))
 	loads := make(replicaLoads, count)
 	for index := range count {
-		loads[replica.Key(encoded.Replicas[index])] = int(encoded.InUse[index])
+		loads[replica.Key(encoded.Replicas[index])] = replica.Use{Requests: int(encoded.InUse[index]), Reading: int(encoded.Reading[index])}
 	}
 	return loads
 }
--- a/internal/loadshare/fleet.go
+++ b/internal/loadshare/fleet.go
@@ -60,8 +60,8 @@
 	if answer.GetWhole() {
 		f.totals = changed
 	} else {
-		for key, inUse := range changed {
-			f.set(key, inUse)
+		for key, use := range changed {
+			f.set(key, use)
 		}
 	}
 	f.countOnline(int(answer.GetOnlineNodes()), now)
@@ -69,12 +69,12 @@
 	f.demands = decodeDemands(answer.GetDemands())
 }
 
-func (f *fleet) set(key replica.Key, inUse int) {
-	if inUse == 0 {
+func (f *fleet) set(key replica.Key, use replica.Use) {
+	if use == (replica.Use{}) {
 		delete(f.totals, key)
 		return
 	}
-	f.totals[key] = inUse
+	f.totals[key] = use
 }
 
 // countOnline notes when nodes with callers are back after there were none. The mutex is held.
@@ -87,15 +87,15 @@
 	f.onlineNodes = nodes
 }
 
-// others returns the requests of all other nodes at a replica.
-func (f *fleet) others() func(key replica.Key) int {
+// others returns what all other nodes have at each replica.
+func (f *fleet) others() replicaLoads {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	left := make(replicaLoads, len(f.totals))
-	for key, inUse := range f.totals {
-		left[key] = max(0, inUse-f.own.replicas[key])
+	for key, use := range f.totals {
+		left[key] = use.Minus(f.own.replicas[key])
 	}
-	return func(key replica.Key) int { return left[key] }
+	return left
 }
 
 // demand returns the other nodes' demand for service and the age of the answer that it is of.
--- a/internal/loadshare/questions.go
+++ b/internal/loadshare/questions.go
@@ -153,7 +153,7 @@
 	s.fleet.take(answer, own, now)
 	others := s.fleet.others()
 	for handle := range s.directory.View().All() {
-		handle.SetOthers(others(handle.Key()), now)
+		handle.SetOthers(others[handle.Key()], now)
 	}
 	if s.options.Changed != nil {
 		s.options.Changed()
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -25,6 +25,8 @@
 	methodRelay  transport.Method = "loadshare.relay"
 	// interval is the least time between two reports of a node, and how often an exchange looks whether its sums have changed.
 	interval = 40 * time.Millisecond
+	// settleTime is how long after a change a node reports: one request changes several numbers one after the other.
+	settleTime = 3 * time.Millisecond
 	// ownerInterval is how often a node with batch items asks: items must give way at once.
 	ownerInterval = 20 * time.Millisecond
 	// reportAnyway is how often a node with callers reports also what has not changed, or another node what is not zero.
@@ -65,10 +67,12 @@
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
 
-	// mutex guards the fields below: what was reported last, and when.
+	// mutex guards the fields below: what was reported last, and when; a question reports too. sentAt is when the last report that was no
+	// question was sent: the request for which a question was asked is to be known at once.
 	mutex      sync.Mutex
 	reported   state
 	reportedAt time.Time
+	sentAt     time.Time
 
 	// The fields below belong to the reporting goroutine. relayedVersion is the Board's version that the other exchanges have.
 	relayedVersion uint64
@@ -145,25 +149,28 @@
 
 // loop reports when this node's numbers change, and else now and then.
 func (s *Service) loop() {
-	changed := s.directory.InUseChanged()
+	changed := s.directory.UseChanged()
 	if s.isStore() {
 		// It looks often enough anyway.
 		changed = nil
 	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	// due says that a report of the latest changes is on the timer already.
+	due := false
 	for {
 		select {
 		case <-changed:
-			if wait := s.untilNextReport(time.Now()); wait > 0 {
-				timer.Reset(wait)
-				continue
+			if !due {
+				due = true
+				timer.Reset(max(settleTime, s.untilNextReport(time.Now())))
 			}
 		case <-timer.C:
+			due = false
+			timer.Reset(s.tick(time.Now()))
 		case <-s.ctx.Done():
 			return
 		}
-		timer.Reset(s.tick(time.Now()))
 	}
 }
 
@@ -171,7 +178,7 @@
 func (s *Service) untilNextReport(now time.Time) time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return interval - now.Sub(s.reportedAt)
+	return interval - now.Sub(s.sentAt)
 }
 
 // tick does what is due and returns the time until the next tick.
@@ -208,14 +215,14 @@
 		maps.Copy(found.demands, s.options.Demands())
 	}
 	for handle := range s.directory.View().All() {
-		inUse := handle.InUse()
-		if inUse <= 0 {
+		use := handle.Use()
+		if use.Requests <= 0 {
 			continue
 		}
-		found.replicas[handle.Key()] = inUse
+		found.replicas[handle.Key()] = use
 		if s.isStore() {
 			service := handle.Info().Service
-			found.demands[service] = found.demands[service].plus(Demand{Batch: inUse}, 1)
+			found.demands[service] = found.demands[service].plus(Demand{Batch: use.Requests}, 1)
 		}
 	}
 	return found
@@ -258,6 +265,9 @@
 		return
 	}
 	message := s.message(own, now)
+	s.mutex.Lock()
+	s.sentAt = now
+	s.mutex.Unlock()
 	if exchange == place.self {
 		s.board.takeReport(exchange, message, now)
 		return
--- a/internal/loadshare/service_test.go
+++ b/internal/loadshare/service_test.go
@@ -141,9 +141,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		shared := startSharing(t)
 		time.Sleep(joined)
-		shared.use(secondEdge, "a", 5)
 		shared.demand[secondEdge].Store(5)
-		time.Sleep(2*interval + ownerInterval)
+		shared.use(secondEdge, "a", 5)
+		time.Sleep(2*interval + ownerInterval + settleTime + 3*time.Millisecond)
 		if got := shared.services[firstStore].Others("s", time.Now()).InUse; got != 5 {
 			t.Errorf("the owner knows of %d online requests, want 5", got)
 		}
@@ -151,6 +151,42 @@
 	})
 }
 
+// TestChosenReplicaIsKnownAtOnce: what a node sends after a question is known in its zone before the next node chooses.
+func TestChosenReplicaIsKnownAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared := startSharing(t)
+		time.Sleep(joined)
+		shared.ask(t, firstEdge)
+		shared.use(firstEdge, "a", 1)
+		time.Sleep(settleTime + 2*time.Millisecond)
+		if err := shared.services[firstStore].question(); err != nil {
+			t.Fatal(err)
+		}
+		if got := shared.occupancy(firstStore, "a"); got != 1 {
+			t.Errorf("%f requests at the replica, want 1", got)
+		}
+		shared.stop()
+	})
+}
+
+// TestEndOfARequestIsReported: the demand falls after the replica's slot is free; both are reported at once.
+func TestEndOfARequestIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared := startSharing(t)
+		shared.demand[secondEdge].Store(1)
+		release := shared.directories[secondEdge].View().Find("a").Acquire()
+		time.Sleep(joined)
+		release()
+		time.Sleep(time.Millisecond)
+		shared.demand[secondEdge].Store(0)
+		time.Sleep(2*interval + ownerInterval + settleTime + 3*time.Millisecond)
+		if got := shared.services[firstStore].Others("s", time.Now()).InUse; got != 0 {
+			t.Errorf("the owner knows of %d online requests after their end", got)
+		}
+		shared.stop()
+	})
+}
+
 // TestChoiceRestsOnAFreshAnswer: a request that comes after a lull waits for what the others have now, not what they had.
 func TestChoiceRestsOnAFreshAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -61,13 +61,13 @@
 	mutex       sync.Mutex
 	loaded      atomic.Bool
 	subscribers subscription.List[*View]
-	// inUseChanged holds one signal that requests began or ended.
-	inUseChanged chan struct{}
+	// useChanged holds one signal that requests began or ended, or prompts were read.
+	useChanged chan struct{}
 }
 
 // NewDirectory returns an empty Directory.
 func NewDirectory() *Directory {
-	directory := &Directory{inUseChanged: make(chan struct{}, 1)}
+	directory := &Directory{useChanged: make(chan struct{}, 1)}
 	directory.view.Store(&View{byService: map[string][]*Handle{}, byID: map[string]*Handle{}})
 	return directory
 }
@@ -78,12 +78,14 @@
 // Loaded says that the directory has been read once.
 func (d *Directory) Loaded() bool { return d.loaded.Load() }
 
-// InUseChanged signals that requests of this process at replicas have begun or ended since the last signal was taken.
-func (d *Directory) InUseChanged() <-chan struct{} { return d.inUseChanged }
+// UseChanged signals that requests of this process at replicas have begun or ended, or their prompts were read, since the last signal
+// was taken.
+func (d *Directory) UseChanged() <-chan struct{} { return d.useChanged }
 
-func (d *Directory) signalInUse() {
+// SignalUse has UseChanged signal.
+func (d *Directory) SignalUse() {
 	select {
-	case d.inUseChanged <- struct{}{}:
+	case d.useChanged <- struct{}{}:
 	default:
 	}
 }
@@ -133,7 +135,7 @@
 	handle := d.View().Find(info.ID)
 	if handle == nil {
 		handle = NewHandle(info)
-		handle.inUseChanged = d.signalInUse
+		handle.useChanged = d.SignalUse
 		return handle
 	}
 	handle.info.Store(&info)
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -23,6 +23,24 @@
 	failureWeight = 0.12
 )
 
+// Use is what nodes have at a replica.
+type Use struct {
+	Requests int
+	// Reading are the prompt tokens of those of the requests that wait for their first event.
+	Reading int
+}
+
+// Plus adds other, sign times.
+func (u Use) Plus(other Use, sign int) Use {
+	return Use{Requests: u.Requests + sign*other.Requests, Reading: u.Reading + sign*other.Reading}
+}
+
+// Minus returns what is left without other; neither number falls below zero.
+func (u Use) Minus(other Use) Use {
+	left := u.Plus(other, -1)
+	return Use{Requests: max(0, left.Requests), Reading: max(0, left.Reading)}
+}
+
 // Load is what a replica tells of itself: requests that run, requests that wait, and slots.
 type Load struct {
 	Running int
@@ -37,8 +55,8 @@
 	pool  connectionPool
 	gone  atomic.Bool
 	inUse atomic.Int64
-	// inUseChanged, where it is set, is called after a change of inUse; it is set before the first one.
-	inUseChanged func()
+	// useChanged, where it is set, is called after a request began or ended or its prompt was read; it is set before the first one.
+	useChanged func()
 	// reading counts the prompt tokens of this process's requests that wait for their first event.
 	reading atomic.Int64
 	// heardAt is when bytes of an answer last came, in nanoseconds since the start of the process; 0 is never.
@@ -49,9 +67,9 @@
 	told        Load
 	toldAt      time.Time
 	inUseAtTell int64
-	// others is the number of the other nodes' requests there, as known at othersAt; unknown are those that the replica reported at
+	// others is what the other nodes have there, as known at othersAt; unknown are those that the replica reported at
 	// unknownAt and no node did.
-	others      int
+	others      Use
 	othersAt    time.Time
 	unknown     float64
 	unknownAt   time.Time
@@ -94,8 +112,12 @@
 
 func (h *Handle) addInUse(requests int64) {
 	h.inUse.Add(requests)
-	if h.inUseChanged != nil {
-		h.inUseChanged()
+	h.signalChange()
+}
+
+func (h *Handle) signalChange() {
+	if h.useChanged != nil {
+		h.useChanged()
 	}
 }
 
@@ -103,11 +125,30 @@
 func (h *Handle) BeginReading(tokens int) (read func()) {
 	h.reading.Add(int64(tokens))
 	var once sync.Once
-	return func() { once.Do(func() { h.reading.Add(-int64(tokens)) }) }
+	return func() { once.Do(func() { h.endReading(tokens) }) }
 }
 
-// Reading returns the prompt tokens of this process's requests that wait for their first event.
-func (h *Handle) Reading() int { return int(h.reading.Load()) }
+func (h *Handle) endReading(tokens int) {
+	h.reading.Add(-int64(tokens))
+	if tokens > 0 {
+		h.signalChange()
+	}
+}
+
+// Use returns what this process has there.
+func (h *Handle) Use() Use { return Use{Requests: h.InUse(), Reading: int(h.reading.Load())} }
+
+// Reading returns the prompt tokens of all nodes' requests that wait for their first event, of this process's alone where the others'
+// are not known.
+func (h *Handle) Reading(now time.Time) int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	reading := int(h.reading.Load())
+	if !h.othersAt.IsZero() && now.Sub(h.othersAt) < othersStale {
+		reading += h.others.Reading
+	}
+	return reading
+}
 
 // processStart is the origin of times that no step of the time of day changes.
 var processStart = time.Now()
@@ -126,15 +167,15 @@
 	defer h.mutex.Unlock()
 	h.told, h.toldAt, h.inUseAtTell = load, now, h.inUse.Load()
 	if now.Sub(h.othersAt) <= comparable {
-		h.unknown, h.unknownAt = max(0, float64(load.Running+load.Waiting-h.others)-float64(h.inUseAtTell)), now
+		h.unknown, h.unknownAt = max(0, float64(load.Running+load.Waiting-h.others.Requests)-float64(h.inUseAtTell)), now
 	}
 }
 
-// SetOthers takes in the number of the other nodes' requests there.
-func (h *Handle) SetOthers(requests int, now time.Time) {
+// SetOthers takes in what the other nodes have there.
+func (h *Handle) SetOthers(others Use, now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.others, h.othersAt = requests, now
+	h.others, h.othersAt = others, now
 }
 
 // Occupancy estimates the requests at the replica, running and waiting, of all callers. While the other nodes' numbers are
@@ -145,7 +186,7 @@
 	defer h.mutex.Unlock()
 	inUse := float64(h.inUse.Load())
 	if !h.othersAt.IsZero() && now.Sub(h.othersAt) < othersStale {
-		return inUse + float64(h.others) + h.unknown*fade(h.unknownAt, now)
+		return inUse + float64(h.others.Requests) + h.unknown*fade(h.unknownAt, now)
 	}
 	return max(inUse, float64(h.told.Running+h.told.Waiting)*fade(h.toldAt, now)+inUse-float64(h.inUseAtTell))
 }
--- a/internal/replica/handle_test.go
+++ b/internal/replica/handle_test.go
@@ -18,7 +18,7 @@
 		t.Errorf("%f after one more, want 7", got)
 	}
 	release()
-	handle.SetOthers(3, now.Add(time.Second))
+	handle.SetOthers(Use{Requests: 3}, now.Add(time.Second))
 	if got := handle.Occupancy(now.Add(time.Second)); got < 4 || got >= 6 {
 		t.Errorf("%f with 3 of others: want 4 and a part of what only the replica told of", got)
 	}
