Have watchers that list anew pass on what they missed, and send heartbeats each 500 ms again

Change: a watcher passes on the keys that a listing shows changed, with the names of all present ones, by which each node finds out which are gone; 500 ms again.

--- a/internal/changefeed/fake_test.go
+++ b/internal/changefeed/fake_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +21,9 @@
 	changes []platform.WatchEvent
 	down    bool
 	open    int
+	// lists counts the listings; changes up to compacted are forgotten.
+	lists     int
+	compacted int64
 	// told is closed, and made anew, at each change.
 	told chan struct{}
 }
@@ -33,7 +38,17 @@
 func (s *countingStore) List(context.Context, string) (platform.Listing, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return platform.Listing{Revision: s.revision()}, nil
+	s.lists++
+	byKey := map[string]platform.Entry{}
+	for _, change := range s.changes {
+		for _, entry := range change.Changed {
+			byKey[entry.Key] = entry
+		}
+		for _, key := range change.Deleted {
+			delete(byKey, key)
+		}
+	}
+	return platform.Listing{Revision: s.revision(), Entries: slices.Collect(maps.Values(byKey))}, nil
 }
 
 func (s *countingStore) Watch(ctx context.Context, _ string, from int64) (<-chan platform.WatchEvent, error) {
@@ -84,6 +99,9 @@
 	if s.down {
 		return []platform.WatchEvent{{Err: platform.KindUnavailable.New("down")}}, since
 	}
+	if since < s.compacted {
+		return []platform.WatchEvent{{Err: platform.KindCompacted.New("history is gone")}}, since
+	}
 	answer := append([]platform.WatchEvent(nil), s.changes[since-firstRevision:]...)
 	for index := range answer {
 		answer[index].More = index+1 < len(answer)
@@ -101,6 +119,25 @@
 	s.told = make(chan struct{})
 }
 
+// putAndForget changes one key, removes another and forgets all history, before any watch is answered.
+func (s *countingStore) putAndForget(key, removed string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	revision := s.revision() + 1
+	s.changes = append(s.changes,
+		platform.WatchEvent{Revision: revision, Changed: []platform.Entry{{Key: key, ModRevision: revision}}},
+		platform.WatchEvent{Revision: revision + 1, Deleted: []string{removed}})
+	s.compacted = s.revision()
+	close(s.told)
+	s.told = make(chan struct{})
+}
+
+func (s *countingStore) listed() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lists
+}
+
 func (s *countingStore) setDown(down bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -24,8 +24,8 @@
 )
 
 const (
-	// heartbeatInterval is how often a watcher that is answered says so; half of silence, so that one may be lost.
-	heartbeatInterval = 750 * time.Millisecond
+	// heartbeatInterval is how often a watcher that is answered says so.
+	heartbeatInterval = 500 * time.Millisecond
 	// silence is how long a node hears no watcher before it watches by itself.
 	silence = 1500 * time.Millisecond
 	// firstSilence is the same after its start: where all nodes start at once, the watchers begin after joinTime, are first answered a
@@ -71,6 +71,8 @@
 type prefixState struct {
 	// newest is the revision of the newest change known.
 	newest int64
+	// revisions are those of the last changes of the keys present at newest; nil before the first listing.
+	revisions map[string]int64
 	// inbox holds what watchers passed on.
 	inbox chan *changefeedpb.Changes
 }
@@ -107,17 +109,15 @@
 	f.running.Wait()
 }
 
-// List reads all keys below prefix from the service, and notes up to where changes are known.
+// List reads all keys below prefix from the service, and notes up to where changes are known. A watcher that lists anew, since the
+// service has dropped its history, passes on what it missed, so that the other nodes need not list as well.
 func (f *Feed) List(ctx context.Context, prefix string) (platform.Listing, error) {
 	listing, err := f.KeyValue.List(ctx, prefix)
 	if err != nil {
 		return listing, err
 	}
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	state := f.state(prefix)
-	for _, entry := range listing.Entries {
-		state.newest = max(state.newest, entry.ModRevision)
+	if missed := f.takeListing(prefix, listing); missed != nil {
+		f.passOnMessage(missed)
 	}
 	return listing, nil
 }
--- a/internal/changefeed/feed_test.go
+++ b/internal/changefeed/feed_test.go
@@ -77,14 +77,23 @@
 		feed.Start()
 		c.views, c.feeds, c.taken[index] = append(c.views, viewer), append(c.feeds, feed), map[string]int{}
 		go platform.Follow(ctx, feed, "k", platform.Follower{
-			Replace: func(platform.Listing) {
+			Replace: func(listing platform.Listing) {
 				c.mutex.Lock()
 				defer c.mutex.Unlock()
 				c.listed[index]++
+				if c.listed[index] > 1 {
+					clear(c.taken[index])
+					for _, entry := range listing.Entries {
+						c.taken[index][entry.Key] = 1
+					}
+				}
 			},
-			Update: func(_ int64, changed []platform.Entry, _ []string) {
+			Update: func(_ int64, changed []platform.Entry, deleted []string) {
 				c.mutex.Lock()
 				defer c.mutex.Unlock()
+				for _, key := range deleted {
+					c.taken[index][key] = 0
+				}
 				for _, entry := range changed {
 					c.taken[index][entry.Key]++
 				}
@@ -210,6 +219,31 @@
 	})
 }
 
+// TestForgottenHistoryIsListedByWatchersOnly: where the service forgets its history the nodes that watch it list anew and pass on what
+// they find; the others need no call.
+func TestForgottenHistoryIsListedByWatchersOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 8
+		c := startFeeds(nodes)
+		time.Sleep(2 * time.Second)
+		c.store.put("k1")
+		c.store.put("k2")
+		time.Sleep(2 * time.Second)
+		c.store.putAndForget("k3", "k1")
+		time.Sleep(2 * time.Second)
+		c.wantTaken(t, "k1", 0)
+		c.wantTaken(t, "k2", 1)
+		c.wantTaken(t, "k3", 1)
+		c.store.put("k4")
+		time.Sleep(2 * time.Second)
+		c.wantTaken(t, "k4", 1)
+		if lists := c.store.listed(); lists > nodes+watchers {
+			t.Errorf("%d listings, want %d at the starts and %d after the history was gone", lists, nodes, watchers)
+		}
+		c.stop()
+	})
+}
+
 // TestUnansweredWatchersAreDoneWithout: watchers that the service refuses send no heartbeats, so that the others ask it themselves.
 func TestUnansweredWatchersAreDoneWithout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/changefeed/watch.go
+++ b/internal/changefeed/watch.go
@@ -141,7 +141,7 @@
 		fresh = fresh[1:]
 	}
 	for _, change := range fresh {
-		event := platform.WatchEvent{Revision: change.Revision, Deleted: change.Deleted, More: true}
+		event := platform.WatchEvent{Revision: change.Revision, Deleted: w.feed.deletedBy(w.prefix, change), More: true}
 		for _, entry := range change.Changed {
 			event.Changed = append(event.Changed, platform.Entry{
 				Key: entry.Key, Value: entry.Value, CreateRevision: entry.CreateRevision, ModRevision: entry.ModRevision,
@@ -151,8 +151,8 @@
 			return false
 		}
 		w.known = change.Revision
+		w.feed.note(w.prefix, change)
 	}
-	w.feed.note(w.prefix, w.known)
 	return true
 }
 
@@ -169,12 +169,18 @@
 	f.answered = time.Time{}
 }
 
-// note keeps the revision of the newest change known.
-func (f *Feed) note(prefix string, revision int64) {
+// note keeps what a change that a watcher passed on says of the prefix.
+func (f *Feed) note(prefix string, change *changefeedpb.Change) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	state := f.state(prefix)
-	state.newest = max(state.newest, revision)
+	f.state(prefix).takeChanges([]*changefeedpb.Change{change})
+}
+
+// deletedBy returns the keys that a change removes from what this node knows.
+func (f *Feed) deletedBy(prefix string, change *changefeedpb.Change) []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.state(prefix).deletedBy(change)
 }
 
 // passOn sends the changes of one answer of the service to the other nodes, where this node is a watcher.
@@ -190,24 +196,25 @@
 		}
 		change := &changefeedpb.Change{Revision: event.Revision, Deleted: event.Deleted}
 		for _, entry := range event.Changed {
-			size += len(entry.Value)
-			change.Changed = append(change.Changed, &changefeedpb.Entry{
-				Key: entry.Key, Value: entry.Value, CreateRevision: entry.CreateRevision, ModRevision: entry.ModRevision,
-			})
+			change.Changed = append(change.Changed, encodeEntry(entry))
 		}
+		size += sizeOf(change)
 		message.Changes = append(message.Changes, change)
 	}
 	f.mutex.Lock()
 	f.answered = now
 	state := f.state(prefix)
 	message.Previous = state.newest
-	if len(message.Changes) > 0 {
-		state.newest = max(state.newest, message.Changes[len(message.Changes)-1].Revision)
-	}
+	state.takeChanges(message.Changes)
 	f.mutex.Unlock()
-	view := f.viewer.View()
-	if len(message.Changes) == 0 || size > maxPassedOn || !Watches(view) {
-		return
+	if len(message.Changes) > 0 && size <= maxPassedOn {
+		f.passOnMessage(message)
+	}
+}
+
+// passOnMessage sends changes to the other nodes, where this node is a watcher.
+func (f *Feed) passOnMessage(message *changefeedpb.Changes) {
+	if view := f.viewer.View(); Watches(view) {
+		f.send(view, methodChanges, message)
 	}
-	f.send(view, methodChanges, message)
 }
