Count nobody twice when a node uses another exchange

Change: a node that changes its exchange sends the one before an empty report, and an owner ignores others' items for 2.5 s after it. TestChangeOfExchangeCountsNobodyTwice.

--- a/internal/loadshare/questions.go
+++ b/internal/loadshare/questions.go
@@ -125,7 +125,7 @@
 func (s *Service) question() error {
 	now := time.Now()
 	place := s.places.of(s.viewer.View(), s.options.Zone)
-	exchange, known := s.questions.exchange(place, now)
+	exchange, known := s.chooseExchange(place, now)
 	if !known {
 		return nil
 	}
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -73,6 +73,9 @@
 	reported   state
 	reportedAt time.Time
 	sentAt     time.Time
+	// exchange is the one that was used last, movedAt when another one was before.
+	exchange netip.AddrPort
+	movedAt  time.Time
 
 	// The fields below belong to the reporting goroutine. relayedVersion is the Board's version that the other exchanges have.
 	relayedVersion uint64
@@ -123,15 +126,59 @@
 	return others, age <= answersStale
 }
 
-// Others returns the requests for service of the other nodes; none where that was not heard for reportStale.
+// Others returns the requests for service of the other nodes; none where that was not heard for reportStale. After a change of the
+// exchange the batch items of others are not known for a while: the exchange before may still count this node's own.
 func (s *Service) Others(service string, now time.Time) Demand {
 	others, age := s.fleet.demand(service, now)
 	if age > reportStale {
 		return Demand{}
 	}
+	if s.movedLately(now) {
+		others.Batch = 0
+	}
 	return others
 }
 
+func (s *Service) movedLately(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.movedAt.IsZero() && now.Sub(s.movedAt) < reportStale+relayStale
+}
+
+// chooseExchange returns the exchange to use. Where that is another one than before, the one before is sent an empty report, so that
+// it does not count this node as well.
+func (s *Service) chooseExchange(place places, now time.Time) (exchange netip.AddrPort, known bool) {
+	exchange, known = s.questions.exchange(place, now)
+	if !known {
+		return exchange, false
+	}
+	s.mutex.Lock()
+	before := s.exchange
+	s.exchange = exchange
+	moved := before.IsValid() && before != exchange
+	if moved {
+		s.movedAt = now
+	}
+	s.mutex.Unlock()
+	if moved {
+		s.logger.Info().Stringer("before", before).Stringer("exchange", exchange).Msg("exchange_changed")
+		s.takeBack(before, place, now)
+	}
+	return exchange, true
+}
+
+// takeBack sends an exchange an empty report.
+func (s *Service) takeBack(from netip.AddrPort, place places, now time.Time) {
+	empty := &loadsharepb.NodeLoad{Origin: s.origin()}
+	if from == place.self {
+		s.board.takeReport(from, empty, now)
+		return
+	}
+	if err := s.caller.Send(from, methodReport, empty); err != nil {
+		s.logger.Debug().Err(err).Stringer("exchange", from).Msg("report_not_sent")
+	}
+}
+
 // HeardSince returns since when nodes with callers have reported without a break.
 func (s *Service) HeardSince() time.Time { return s.fleet.heardSince() }
 
@@ -260,7 +307,7 @@
 
 // report sends own to this node's exchange without waiting for an answer.
 func (s *Service) report(place places, own state, now time.Time) {
-	exchange, known := s.questions.exchange(place, now)
+	exchange, known := s.chooseExchange(place, now)
 	if !known {
 		return
 	}
--- a/internal/loadshare/service_test.go
+++ b/internal/loadshare/service_test.go
@@ -259,6 +259,46 @@
 	})
 }
 
+// TestChangeOfExchangeCountsNobodyTwice: an owner that uses another exchange for a while does not take its own items for another's.
+func TestChangeOfExchangeCountsNobodyTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared := startSharing(t)
+		time.Sleep(joined)
+		shared.use(firstStore, "a", 6)
+		shared.use(firstEdge, "a", 1)
+		time.Sleep(joined)
+		owner := shared.services[firstStore]
+		for second := range 12 {
+			owner.questions.mutex.Lock()
+			// Two answers did not come, now and then.
+			owner.questions.missed, owner.questions.missedAt = missesBorne*(second%2), time.Now()
+			owner.questions.mutex.Unlock()
+			taken := 0
+			for range 20 {
+				time.Sleep(50 * time.Millisecond)
+				taken = max(taken, owner.Others("s", time.Now()).Batch)
+			}
+			if taken != 0 {
+				t.Errorf("second %d: the owner takes %d items for another's", second, taken)
+			}
+			if counted := shared.services[secondStore].boardBatch("s"); second%2 == 1 && counted != 6 {
+				t.Errorf("second %d: the exchanges count %d items, want 6", second, counted)
+			}
+		}
+		shared.stop()
+	})
+}
+
+// boardBatch is the number of batch items that this node's board counts.
+func (s *Service) boardBatch(service string) int {
+	for _, each := range s.board.Answer(0, 0).Demands {
+		if each.Service == service {
+			return int(each.Batch)
+		}
+	}
+	return 0
+}
+
 // TestExchangeThatIsGoneIsReplaced: the exchange of another zone is asked until the membership knows.
 func TestExchangeThatIsGoneIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
