Work out a node's load once a tick, and a relay only when one is due; name what messages say

Cause: found in reading the whole change again. A node with batch items worked out its own numbers for a report each 20 ms, and again for the question that it sent instead; each exchange built the message of its changes each 40 ms and then mostly dropped it; the list of the other exchanges and a report's kind were kept though both follow from what stands beside them. told, heard and anew stood in names. Change: the question alone works the numbers out; the board's version is looked at first; the two fields are gone; heard, told and hearsNobody are lastHeartbeat, reported and watchersSilent, HeardSince is ReportingSince. Behaviour is not meant to change.

--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -26,8 +26,8 @@
 type FleetLoad interface {
 	// Others returns their requests for service.
 	Others(service string, now time.Time) loadshare.Demand
-	// HeardSince returns since when nodes with online requests have been heard without a break.
-	HeardSince() time.Time
+	// ReportingSince returns since when nodes with online requests have reported without a break.
+	ReportingSince() time.Time
 }
 
 // recentPeaks holds, by service, the highest number of online requests of the latest times. It is safe for concurrent use.
@@ -55,7 +55,7 @@
 
 // ramp returns the part of the room that items may begin in, from 0 to 1.
 func (s *Service) ramp(now time.Time) float64 {
-	return min(1, max(0, float64(now.Sub(s.fleet.HeardSince()))/float64(rampSpan)))
+	return min(1, max(0, float64(now.Sub(s.fleet.ReportingSince()))/float64(rampSpan)))
 }
 
 // OnlineChanged has items give way where the fleet's online requests need their room.
--- a/internal/batch/online_load_test.go
+++ b/internal/batch/online_load_test.go
@@ -26,7 +26,7 @@
 	return others
 }
 
-func (f *fakeFleet) HeardSince() time.Time {
+func (f *fakeFleet) ReportingSince() time.Time {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.since
--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -59,12 +59,12 @@
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 
-	// mutex guards the fields below. heard is when a watcher was last heard, answered when the service last answered a watch of this
-	// node. At the start heard is set so that silence ends after firstSilence.
-	mutex    sync.Mutex
-	heard    time.Time
-	answered time.Time
-	prefixes map[string]*prefixState
+	// mutex guards the fields below. lastHeartbeat is when a watcher last sent something, answered when the service last answered a watch of this
+	// node. At the start lastHeartbeat is set so that silence ends after firstSilence.
+	mutex         sync.Mutex
+	lastHeartbeat time.Time
+	answered      time.Time
+	prefixes      map[string]*prefixState
 }
 
 // prefixState is what is known of one prefix.
@@ -80,7 +80,7 @@
 // New returns a Feed of store and registers its methods.
 func New(store platform.KeyValue, caller transport.Caller, registrar transport.Registrar, viewer membership.Viewer, logger zerolog.Logger) *Feed {
 	feed := &Feed{
-		KeyValue: store, caller: caller, viewer: viewer, started: time.Now(), heard: time.Now().Add(firstSilence - silence), prefixes: map[string]*prefixState{},
+		KeyValue: store, caller: caller, viewer: viewer, started: time.Now(), lastHeartbeat: time.Now().Add(firstSilence - silence), prefixes: map[string]*prefixState{},
 		logger: logger.With().Str(logging.FieldSlice, "changefeed").Logger(),
 	}
 	registrar.Handle(methodChanges, func() proto.Message { return &changefeedpb.Changes{} },
@@ -109,7 +109,7 @@
 	f.running.Wait()
 }
 
-// List reads all keys below prefix from the service, and notes up to where changes are known. A watcher that lists anew, since the
+// List reads all keys below prefix from the service, and notes up to where changes are known. A watcher that lists again, since the
 // service has dropped its history, passes on what it missed, so that the other nodes need not list as well.
 func (f *Feed) List(ctx context.Context, prefix string) (platform.Listing, error) {
 	listing, err := f.KeyValue.List(ctx, prefix)
@@ -154,13 +154,13 @@
 func (f *Feed) hear(now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.heard = now
+	f.lastHeartbeat = now
 }
 
 // take queues what a watcher passed on. Where the queue is full the reader finds a gap and lists anew.
 func (f *Feed) take(changes *changefeedpb.Changes, now time.Time) {
 	f.mutex.Lock()
-	f.heard = now
+	f.lastHeartbeat = now
 	inbox := f.state(changes.Prefix).inbox
 	f.mutex.Unlock()
 	select {
@@ -171,14 +171,14 @@
 
 // watchesNow tells whether this node watches the service: as one of the watchers, or since none was heard for long.
 func (f *Feed) watchesNow(now time.Time) bool {
-	silent := f.hearsNobody(now)
+	silent := f.watchersSilent(now)
 	joining := now.Sub(f.started) < joinTime
 	return silent || (Watches(f.viewer.View()) && !joining)
 }
 
-// hearsNobody says that no watcher was heard for long.
-func (f *Feed) hearsNobody(now time.Time) bool {
+// watchersSilent says that no heartbeat came for long.
+func (f *Feed) watchersSilent(now time.Time) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return now.Sub(f.heard) >= silence
+	return now.Sub(f.lastHeartbeat) >= silence
 }
--- a/internal/changefeed/watchers.go
+++ b/internal/changefeed/watchers.go
@@ -19,7 +19,7 @@
 
 // Hold returns how long this node has the key-value service hold a watch: short for a watcher, and for a node that hears none.
 func (f *Feed) Hold() time.Duration {
-	if Watches(f.viewer.View()) || f.hearsNobody(time.Now()) {
+	if Watches(f.viewer.View()) || f.watchersSilent(time.Now()) {
 		return watcherHold
 	}
 	return otherHold
--- a/internal/discovery/revisions.go
+++ b/internal/discovery/revisions.go
@@ -6,7 +6,7 @@
 )
 
 // behindPatience is how long this node's own watch is given to bring what another node knows. The nodes that watch gather changes for
-// up to 600 ms before they pass them on (changefeed); a node that listed anew sooner would know more than they do, and all others
+// up to 600 ms before they pass them on (changefeed); a node that listed again sooner would know more than they do, and all others
 // would take themselves for behind in turn.
 const behindPatience = 750 * time.Millisecond
 
--- a/internal/forward/expectation.go
+++ b/internal/forward/expectation.go
@@ -13,7 +13,7 @@
 	deadlinesKept = 63
 	// deadlinesAssumed is how often the route's timeout counts as such until callers were seen.
 	deadlinesAssumed = 31
-	// medianEvery is the number of observations after which the median is taken anew.
+	// medianEvery is the number of observations after which the median is taken again.
 	medianEvery = 8
 	// quickShare is the part of a route's requests whose first event comes sooner than the time that a request is taken to need.
 	quickShare = 0.25
--- a/internal/forward/gate.go
+++ b/internal/forward/gate.go
@@ -27,11 +27,11 @@
 // othersDemand says what other nodes' callers want of a service.
 type othersDemand interface {
 	OthersDemand(service string, now time.Time) (others loadshare.Demand, known bool)
-	// KeepFresh has it learn that anew, in the background.
+	// KeepFresh has it learn that again, in the background.
 	KeepFresh()
 }
 
-// held is what the gate is told of a request.
+// held is what the gate knows of a request.
 type held struct {
 	service  string
 	priority int
--- a/internal/loadshare/board.go
+++ b/internal/loadshare/board.go
@@ -24,7 +24,6 @@
 type report struct {
 	at       time.Time
 	origin   *loadsharepb.Origin
-	kind     loadsharepb.Kind
 	replicas replicaLoads
 	demands  demands
 	// onlineNodes is 0 or 1 for a node.
@@ -84,8 +83,8 @@
 	if last.outdates(message.GetOrigin()) {
 		return
 	}
-	next := &report{at: now, origin: message.GetOrigin(), kind: message.GetKind(), replicas: decodeReplicas(message.GetReplicas()), demands: decodeDemands(message.GetDemands())}
-	if next.kind == loadsharepb.Kind_KIND_ONLINE {
+	next := &report{at: now, origin: message.GetOrigin(), replicas: decodeReplicas(message.GetReplicas()), demands: decodeDemands(message.GetDemands())}
+	if message.GetKind() == loadsharepb.Kind_KIND_ONLINE {
 		next.onlineNodes = 1
 	}
 	b.replaceReport(from, next)
@@ -218,6 +217,13 @@
 	}, b.version
 }
 
+// current returns the present version.
+func (b *Board) current() uint64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.version
+}
+
 // empty says that no node reports here.
 func (b *Board) empty() bool {
 	b.mutex.Lock()
--- a/internal/loadshare/board_test.go
+++ b/internal/loadshare/board_test.go
@@ -172,7 +172,7 @@
 		want  time.Duration
 	}{{time.Second, 2, 0}, {2 * time.Second, 1, 0}, {3 * time.Second, 0, 0}, {4 * time.Second, 0, 0}, {5 * time.Second, 3, 5 * time.Second}, {6 * time.Second, 3, 5 * time.Second}} {
 		known.take(&loadsharepb.FleetLoad{OnlineNodes: step.nodes}, state{}, start.Add(step.after))
-		if got := known.heardSince().Sub(start); got != step.want {
+		if got := known.reportingSince().Sub(start); got != step.want {
 			t.Errorf("after %s: heard since %s, want %s", step.after, got, step.want)
 		}
 	}
--- a/internal/loadshare/fleet.go
+++ b/internal/loadshare/fleet.go
@@ -105,8 +105,8 @@
 	return f.demands[service].minus(f.own.demands[service]), now.Sub(f.at)
 }
 
-// heardSince returns since when nodes with callers have reported without a break.
-func (f *fleet) heardSince() time.Time {
+// reportingSince returns since when nodes with callers have reported without a break.
+func (f *fleet) reportingSince() time.Time {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.onlineSince
--- a/internal/loadshare/places.go
+++ b/internal/loadshare/places.go
@@ -18,8 +18,6 @@
 	// candidates are the exchanges that this node may report to, its own first; empty where there is none. Those of other zones stand in
 	// for one that does not answer, in an order that differs from node to node.
 	candidates []netip.AddrPort
-	// peers are the other exchanges.
-	peers []netip.AddrPort
 }
 
 // placesOf works out the places by a view of the members.
@@ -50,9 +48,8 @@
 		if other == zone {
 			continue
 		}
-		found.peers = append(found.peers, first[other].PeerAddress)
+		found.candidates = append(found.candidates, first[other].PeerAddress)
 	}
-	found.candidates = append(found.candidates, found.peers...)
 	return found
 }
 
--- a/internal/loadshare/questions.go
+++ b/internal/loadshare/questions.go
@@ -19,8 +19,8 @@
 	answerTimeout = 250 * time.Millisecond
 	// missesBorne is the number of answers that may fail to come, one after another, before another exchange is used.
 	missesBorne = 2
-	// triedAnew is how often the zone's own exchange is tried again after it did not answer.
-	triedAnew = 5 * time.Second
+	// ownExchangeAgain is how often the zone's own exchange is tried again after it did not answer.
+	ownExchangeAgain = 5 * time.Second
 )
 
 // questions keeps one question at a time, and which exchange answers. It is safe for concurrent use.
@@ -42,7 +42,7 @@
 	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if q.missed > 0 && now.Sub(q.missedAt) >= triedAnew {
+	if q.missed > 0 && now.Sub(q.missedAt) >= ownExchangeAgain {
 		q.missed = 0
 	}
 	return place.candidates[(q.missed/missesBorne)%len(place.candidates)], true
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -120,13 +120,13 @@
 	s.options.Demands, s.options.Changed = demands, changed
 }
 
-// OthersDemand returns what the other nodes' callers want of service; known is false where that was not heard lately.
+// OthersDemand returns what the other nodes' callers want of service; known is false where no answer came lately.
 func (s *Service) OthersDemand(service string, now time.Time) (others Demand, known bool) {
 	others, age := s.fleet.demand(service, now)
 	return others, age <= answersStale
 }
 
-// Others returns the requests for service of the other nodes; none where that was not heard for reportStale. After a change of the
+// Others returns the requests for service of the other nodes; none where no answer came for reportStale. After a change of the
 // exchange the batch items of others are not known for a while: the exchange before may still count this node's own.
 func (s *Service) Others(service string, now time.Time) Demand {
 	others, age := s.fleet.demand(service, now)
@@ -179,8 +179,8 @@
 	}
 }
 
-// HeardSince returns since when nodes with callers have reported without a break.
-func (s *Service) HeardSince() time.Time { return s.fleet.heardSince() }
+// ReportingSince returns since when nodes with callers have reported without a break.
+func (s *Service) ReportingSince() time.Time { return s.fleet.reportingSince() }
 
 // Start begins to report.
 func (s *Service) Start() {
@@ -232,25 +232,22 @@
 func (s *Service) tick(now time.Time) time.Duration {
 	place := s.places.of(s.viewer.View(), s.options.Zone)
 	works := s.options.Works != nil && s.options.Works()
-	own := s.own()
 	if s.isStore() {
 		s.board.prune(now)
 		s.relay(place, now)
 	}
-	switch {
-	case works:
+	if works {
+		// A question reports too.
 		s.ask()
-	case s.reportIsDue(own, now):
+		return ownerInterval
+	}
+	if own := s.own(); s.reportIsDue(own, now) {
 		s.report(place, own, now)
 	}
-	switch {
-	case works:
-		return ownerInterval
-	case s.isStore():
+	if s.isStore() {
 		return interval
-	default:
-		return reportAnyway
 	}
+	return reportAnyway
 }
 
 func (s *Service) isStore() bool { return s.options.Kind == loadsharepb.Kind_KIND_BATCH }
@@ -329,11 +326,11 @@
 	if s.board.empty() && !place.isExchange {
 		return
 	}
-	whole := now.Sub(s.relayedWholeAt) >= relayWhole
-	message, version := s.board.relayed(s.relayedVersion, whole)
-	if version == s.relayedVersion && now.Sub(s.relayedAt) < relayAnyway {
+	if s.board.current() == s.relayedVersion && now.Sub(s.relayedAt) < relayAnyway {
 		return
 	}
+	whole := now.Sub(s.relayedWholeAt) >= relayWhole
+	message, version := s.board.relayed(s.relayedVersion, whole)
 	message.Origin = s.origin()
 	s.relayedVersion, s.relayedAt = version, now
 	if whole {
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -64,9 +64,9 @@
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
-	told        Load
-	toldAt      time.Time
-	inUseAtTell int64
+	reported      Load
+	reportedAt    time.Time
+	inUseAtReport int64
 	// others is what the other nodes have there, as known at othersAt; unknown are those that the replica reported at
 	// unknownAt and no node did.
 	others      Use
@@ -165,9 +165,9 @@
 func (h *Handle) Tell(load Load, now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.told, h.toldAt, h.inUseAtTell = load, now, h.inUse.Load()
+	h.reported, h.reportedAt, h.inUseAtReport = load, now, h.inUse.Load()
 	if now.Sub(h.othersAt) <= comparable {
-		h.unknown, h.unknownAt = max(0, float64(load.Running+load.Waiting-h.others.Requests)-float64(h.inUseAtTell)), now
+		h.unknown, h.unknownAt = max(0, float64(load.Running+load.Waiting-h.others.Requests)-float64(h.inUseAtReport)), now
 	}
 }
 
@@ -179,7 +179,7 @@
 }
 
 // Occupancy estimates the requests at the replica, running and waiting, of all callers. While the other nodes' numbers are
-// known it is these and this process's own, and what only the replica told of, fading with age; else it is what the replica told
+// known it is these and this process's own, and what only the replica reported, fading with age; else it is what the replica reported
 // last, fading with age, and what this process began and ended since.
 func (h *Handle) Occupancy(now time.Time) float64 {
 	h.mutex.Lock()
@@ -188,7 +188,7 @@
 	if !h.othersAt.IsZero() && now.Sub(h.othersAt) < othersStale {
 		return inUse + float64(h.others.Requests) + h.unknown*fade(h.unknownAt, now)
 	}
-	return max(inUse, float64(h.told.Running+h.told.Waiting)*fade(h.toldAt, now)+inUse-float64(h.inUseAtTell))
+	return max(inUse, float64(h.reported.Running+h.reported.Waiting)*fade(h.reportedAt, now)+inUse-float64(h.inUseAtReport))
 }
 
 // fade returns the weight of what a replica reported at reportedAt; 0 where it never did.
