Know tenants and their API keys before the replicas

Cause: on the platform nothing knew keys; each reached the replica, dropped ones ran, and the quota of waiting tokens was one for all. Requests without a known key get 401 unless the route is public; the key is withheld, the tenant named on each run of a request or an item. Jobs belong to their tenant, as does the quota of waiting tokens. A tenant's priority takes precedence. The note of nodes that gave no answer is a package.

--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -253,7 +253,7 @@
 	run.noteBegin()
 	p.countBegin(each.late)
 	attempt := &itemAttempt{
-		partition: p, key: each.key, sent: each.submission.Items[each.key.number], host: each.submission.Host,
+		partition: p, key: each.key, sent: each.submission.Items[each.key.number], host: each.submission.Host, tenant: each.submission.Tenant,
 		route: each.route, handle: handle, text: run.text, lastEvent: run.lastEvent,
 	}
 	release := handle.Acquire()
--- a/internal/batch/door.go
+++ b/internal/batch/door.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"net/url"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -18,6 +19,7 @@
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/route"
 	"github.com/sloelift/sloelift/internal/transport"
+	"github.com/sloelift/sloelift/internal/unreached"
 )
 
 const (
@@ -43,27 +45,45 @@
 	locator   ledger.Locator
 	caller    transport.Caller
 	viewer    membership.Viewer
-	unreached *unreached
+	unreached *unreached.Peers
 	logger    zerolog.Logger
 }
 
 // NewDoor returns a Door and registers its method.
 func NewDoor(locator ledger.Locator, caller transport.Caller, registrar transport.Registrar, viewer membership.Viewer, logger zerolog.Logger) *Door {
 	door := &Door{
-		locator: locator, caller: caller, viewer: viewer, unreached: newUnreached(),
+		locator: locator, caller: caller, viewer: viewer, unreached: unreached.NewPeers(unreachedFor),
 		logger: logger.With().Str(logging.FieldSlice, "batch").Logger(),
 	}
 	transport.Handle(registrar, methodRelay, func() *batchpb.RelayRequest { return &batchpb.RelayRequest{} }, door.serveRelay)
 	return door
 }
 
-// Submit has a job accepted. The error is an *outcome.Error: NotRun means that no item will run on account of this call, with
+// Caller is who calls about a job: jobs of one tenant do not exist for the others.
+type Caller struct {
+	// Host is the host that the call names.
+	Host string
+	// Tenant is the name of the caller's tenant; empty where no tenants are declared or the route is public.
+	Tenant string
+}
+
+// jobName returns the name that a job has in the ledger; two tenants' jobs of one id have different names. A name without a slash is of
+// no tenant.
+func (c Caller) jobName(jobID string) string {
+	if c.Tenant == "" {
+		return url.PathEscape(jobID)
+	}
+	return url.PathEscape(c.Tenant) + "/" + jobID
+}
+
+// Submit has a job accepted; the submission's tenant is its caller's. The error is an *outcome.Error: NotRun means that no item will run on account of this call, with
 // ReasonRateLimited where the job does not fit; Indeterminate promises nothing.
 func (d *Door) Submit(ctx context.Context, submission *batchpb.Submission, matched *route.Route) error {
 	if err := Check(submission); err != nil {
 		return err
 	}
 	submission.Route = matched.Name
+	submission.JobId = Caller{Host: submission.Host, Tenant: submission.Tenant}.jobName(submission.JobId)
 	request := &batchpb.SubmitRequest{Partition: d.partition(submission.Host), Submission: submission, MaxWaitingTokens: matched.MaxWaitingTokens}
 	response := &batchpb.SubmitResponse{}
 	if err := d.call(ctx, methodSubmit, request, response, submitTimeout, tryTimeout); err != nil {
@@ -77,24 +97,24 @@
 }
 
 // Read returns the results of a job from a position on; it waits up to wait for the first.
-func (d *Door) Read(ctx context.Context, host, jobID string, since uint32, wait time.Duration) (*batchpb.ReadResponse, error) {
-	request := &batchpb.ReadRequest{Partition: d.partition(host), JobId: jobID, Since: since, WaitMicros: uint64(wait.Microseconds())}
+func (d *Door) Read(ctx context.Context, caller Caller, jobID string, since uint32, wait time.Duration) (*batchpb.ReadResponse, error) {
+	request := &batchpb.ReadRequest{Partition: d.partition(caller.Host), JobId: caller.jobName(jobID), Since: since, WaitMicros: uint64(wait.Microseconds())}
 	response := &batchpb.ReadResponse{}
 	err := d.call(ctx, methodRead, request, response, readTimeout+wait, tryTimeout+wait)
 	return response, err
 }
 
 // Body returns the body of an item that is not listed.
-func (d *Door) Body(ctx context.Context, host, jobID, itemID string) (*batchpb.BodyResponse, error) {
-	request := &batchpb.BodyRequest{Partition: d.partition(host), JobId: jobID, ItemId: itemID}
+func (d *Door) Body(ctx context.Context, caller Caller, jobID, itemID string) (*batchpb.BodyResponse, error) {
+	request := &batchpb.BodyRequest{Partition: d.partition(caller.Host), JobId: caller.jobName(jobID), ItemId: itemID}
 	response := &batchpb.BodyResponse{}
 	err := d.call(ctx, methodBody, request, response, readTimeout, tryTimeout)
 	return response, err
 }
 
 // End ends a job.
-func (d *Door) End(ctx context.Context, host, jobID string) (*batchpb.EndResponse, error) {
-	request := &batchpb.EndRequest{Partition: d.partition(host), JobId: jobID}
+func (d *Door) End(ctx context.Context, caller Caller, jobID string) (*batchpb.EndResponse, error) {
+	request := &batchpb.EndRequest{Partition: d.partition(caller.Host), JobId: caller.jobName(jobID)}
 	response := &batchpb.EndResponse{}
 	err := d.call(ctx, methodEnd, request, response, endTimeout, tryTimeout)
 	return response, err
@@ -147,14 +167,14 @@
 	if failure != nil {
 		return failure
 	}
-	if d.unreached.recent(owner, time.Now()) {
+	if d.unreached.Recent(owner, time.Now()) {
 		if edge, found := d.otherEdge(); found {
 			return failureOrNil(d.relay(ctx, edge, method, request, response))
 		}
 	}
 	err := d.caller.Call(ctx, owner, method, request, response)
 	if errorx.IsOfType(err, transport.KindNotSent) || errorx.IsOfType(err, transport.KindNoAnswer) {
-		d.unreached.note(owner, time.Now())
+		d.unreached.Note(owner, time.Now())
 	}
 	return failureOrNil(err)
 }
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -63,6 +63,8 @@
 	key       itemKey
 	sent      *batchpb.Item
 	host      string
+	// tenant is the name of the tenant whose item it is; empty where no tenants are declared.
+	tenant    string
 	route     *route.Route
 	handle    *replica.Handle
 	text      []byte
@@ -110,6 +112,11 @@
 	for _, each := range a.sent.Headers {
 		header.Add(each.Name, each.Value)
 	}
+	header.Del(names.APIKey)
+	header.Del(names.Tenant)
+	if a.tenant != "" {
+		header.Set(names.Tenant, a.tenant)
+	}
 	allowed := itemDeadline
 	if a.route.Retention > 0 {
 		allowed = a.route.Retention
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -68,13 +68,14 @@
 		return nil, nil, outcome.New(outcome.NotRun, outcome.ReasonStorageFull, "too much is kept").After(retryAfterFull)
 	}
 	tokens := tokensOf(submission)
-	waiting := p.state.waitingTokens[submission.Route] + p.reserved[submission.Route]
+	quota := quotaOf(submission)
+	waiting := p.state.waitingTokens[quota] + p.reserved[quota]
 	if maxTokens > 0 && waiting+tokens > maxTokens {
-		p.logger.Info().Str(logging.FieldJob, submission.JobId).Int64("waiting_tokens", waiting).Int64("tokens", tokens).
+		p.logger.Info().Str(logging.FieldJob, submission.JobId).Str(logging.FieldTenant, submission.Tenant).Int64("waiting_tokens", waiting).Int64("tokens", tokens).
 			Int64("allowed", maxTokens).Msg("job_over_quota")
 		return nil, &batchpb.SubmitResponse{OverQuota: true}, nil
 	}
-	p.reserved[submission.Route] += tokens
+	p.reserved[quota] += tokens
 	p.submitting[submission.JobId] = &pendingSubmission{done: make(chan struct{})}
 	return nil, nil, nil
 }
@@ -87,7 +88,7 @@
 	p.running.Go(func() {
 		err := p.propose(p.ctx, acceptanceRecords(submission, p.now().UnixMilli())...)
 		p.mutex.Lock()
-		p.reserved[submission.Route] -= tokensOf(submission)
+		p.reserved[quotaOf(submission)] -= tokensOf(submission)
 		delete(p.submitting, submission.JobId)
 		p.mutex.Unlock()
 		p.logger.Info().Str(logging.FieldJob, submission.JobId).Int("items", len(submission.Items)).Err(err).Msg("job_accepted")
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -45,9 +45,9 @@
 	state *state
 	// runs holds what is known of items beyond the log.
 	runs map[itemKey]*itemRun
-	// submitting holds the submissions whose append is under way, reserved their tokens by route.
+	// submitting holds the submissions whose append is under way, reserved their tokens.
 	submitting map[string]*pendingSubmission
-	reserved   map[string]int64
+	reserved   map[quotaKey]int64
 	quiesced   bool
 	// paces holds what finished items tell, by route; begunInTime counts the begins in time since the last one of a late item.
 	paces       map[string]*itemPace
@@ -61,7 +61,7 @@
 		id: id, service: service, now: time.Now, born: time.Now(), ctx: ctx, cancel: cancel,
 		logger:    service.logger.With().Uint32(logging.FieldPartition, uint32(id)).Logger(),
 		proposals: make(chan *proposal, proposalQueue), woken: make(chan struct{}, 1),
-		state: newState(), runs: map[itemKey]*itemRun{}, submitting: map[string]*pendingSubmission{}, reserved: map[string]int64{},
+		state: newState(), runs: map[itemKey]*itemRun{}, submitting: map[string]*pendingSubmission{}, reserved: map[quotaKey]int64{},
 		paces: map[string]*itemPace{},
 	}
 }
--- a/internal/batch/relay.go
+++ b/internal/batch/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -37,31 +36,6 @@
 	return Pointer(new(T))
 }
 
-// unreached notes the owners that gave no answer a short while ago. It is safe for concurrent use.
-type unreached struct {
-	mutex sync.Mutex
-	until map[netip.AddrPort]time.Time
-}
-
-func newUnreached() *unreached { return &unreached{until: map[netip.AddrPort]time.Time{}} }
-
-func (u *unreached) note(address netip.AddrPort, now time.Time) {
-	u.mutex.Lock()
-	defer u.mutex.Unlock()
-	u.until[address] = now.Add(unreachedFor)
-}
-
-func (u *unreached) recent(address netip.AddrPort, now time.Time) bool {
-	u.mutex.Lock()
-	defer u.mutex.Unlock()
-	until, noted := u.until[address]
-	if noted && now.After(until) {
-		delete(u.until, address)
-		return false
-	}
-	return noted
-}
-
 // otherEdge returns a live node without a store, other than this one; ok is false where there is none.
 func (d *Door) otherEdge() (address netip.AddrPort, ok bool) {
 	view := d.viewer.View()
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -43,21 +43,28 @@
 	j.changed = make(chan struct{})
 }
 
+// quotaKey names a bound on waiting tokens: each tenant has one on each route.
+type quotaKey struct{ route, tenant string }
+
+func quotaOf(submission *batchpb.Submission) quotaKey {
+	return quotaKey{route: submission.Route, tenant: submission.Tenant}
+}
+
 // state is what the log of one partition says. step is the only way in which it changes.
 type state struct {
 	jobs map[string]*job
 	// order holds the jobs in the order of acceptance.
 	order   []*job
 	uploads map[string][]byte
-	// waitingTokens are the tokens of items that are neither listed nor of an ended job, by route.
-	waitingTokens map[string]int64
+	// waitingTokens are the tokens of items that are neither listed nor of an ended job.
+	waitingTokens map[quotaKey]int64
 	// bytes is the size of all bodies and texts that are kept.
 	bytes int64
 	upTo  ledger.Position
 }
 
 func newState() *state {
-	return &state{jobs: map[string]*job{}, uploads: map[string][]byte{}, waitingTokens: map[string]int64{}}
+	return &state{jobs: map[string]*job{}, uploads: map[string][]byte{}, waitingTokens: map[quotaKey]int64{}}
 }
 
 // step takes in one record.
@@ -121,7 +128,7 @@
 	for number, each := range submission.Items {
 		added.byID[each.Id] = number
 		s.bytes += int64(len(each.Body))
-		s.waitingTokens[submission.Route] += each.Tokens
+		s.waitingTokens[quotaOf(submission)] += each.Tokens
 	}
 	s.jobs[submission.JobId] = added
 	s.order = append(s.order, added)
@@ -157,7 +164,7 @@
 	s.bytes += int64(len(text)) - int64(len(sent.Body))
 	sent.Body = nil
 	if !owner.ended {
-		s.waitingTokens[owner.submission.Route] -= sent.Tokens
+		s.waitingTokens[quotaOf(owner.submission)] -= sent.Tokens
 	}
 }
 
@@ -198,7 +205,7 @@
 		}
 		s.dropProgress(&found.items[number])
 		sent := found.submission.Items[number]
-		s.waitingTokens[found.submission.Route] -= sent.Tokens
+		s.waitingTokens[quotaOf(found.submission)] -= sent.Tokens
 	}
 	found.notify()
 	return nil
@@ -220,7 +227,7 @@
 		s.dropProgress(&found.items[number])
 		s.bytes -= int64(len(found.items[number].text)) + int64(len(found.submission.Items[number].Body))
 		if !found.items[number].listed && !found.ended {
-			s.waitingTokens[found.submission.Route] -= found.submission.Items[number].Tokens
+			s.waitingTokens[quotaOf(found.submission)] -= found.submission.Items[number].Tokens
 		}
 	}
 	found.notify()
--- a/internal/batch/state_test.go
+++ b/internal/batch/state_test.go
@@ -95,13 +95,13 @@
 	log := newLog(t)
 	log.add(acceptanceRecords(submissionOf("j", 3), 1)...)
 	log.add(acceptanceRecords(submissionOf("j", 3), 2)...)
-	if waiting := log.state.waitingTokens["r"]; waiting != 30 {
+	if waiting := log.state.waitingTokens[quotaKey{route: "r"}]; waiting != 30 {
 		t.Errorf("%d tokens wait after a resend, want 30", waiting)
 	}
 	log.add(successRecord("j", 0, 0, "x"))
 	log.add(recordOf(ledger.KindBatchEnded, &batchpb.Ended{JobId: "j"}))
 	log.add(successRecord("j", 1, 0, "y"))
-	if waiting := log.state.waitingTokens["r"]; waiting != 0 {
+	if waiting := log.state.waitingTokens[quotaKey{route: "r"}]; waiting != 0 {
 		t.Errorf("%d tokens wait after the end, want 0", waiting)
 	}
 	log.add(recordOf(ledger.KindBatchForgotten, &batchpb.Forgotten{JobId: "j"}))
@@ -197,7 +197,7 @@
 	if !proto.Equal(wantSnapshot, gotSnapshot) {
 		r.Fatalf("states differ:\n%v\n%v", wantSnapshot, gotSnapshot)
 	}
-	if want.bytes != got.bytes || want.waitingTokens["r"] != got.waitingTokens["r"] {
-		r.Fatalf("bytes %d and %d, waiting tokens %d and %d", want.bytes, got.bytes, want.waitingTokens["r"], got.waitingTokens["r"])
+	if want.bytes != got.bytes || want.waitingTokens[quotaKey{route: "r"}] != got.waitingTokens[quotaKey{route: "r"}] {
+		r.Fatalf("bytes %d and %d, waiting tokens %d and %d", want.bytes, got.bytes, want.waitingTokens[quotaKey{route: "r"}], got.waitingTokens[quotaKey{route: "r"}])
 	}
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -52,6 +52,7 @@
 	handler  *Handler
 	writer   http.ResponseWriter
 	request  *http.Request
+	terms    Authenticated
 	route    *route.Route
 	body     []byte
 	id       string
@@ -122,7 +123,7 @@
 	if e.handler.gate == nil {
 		return func() {}
 	}
-	request := held{service: e.service, priority: e.route.Priority, deadline: e.deadline}
+	request := held{service: e.service, priority: e.priority(), deadline: e.deadline}
 	if e.route.Objective > 0 {
 		expected := e.handler.expectations.of(e.route)
 		wait := e.deadline.Sub(e.arrived)
@@ -134,6 +135,14 @@
 	return leave
 }
 
+// priority returns the request's rank; a tenant's own takes precedence.
+func (e *exchange) priority() int {
+	if holder := e.terms.Tenant; holder != nil && holder.Priority != nil {
+		return *holder.Priority
+	}
+	return e.route.Priority
+}
+
 // nextService returns the service of the next attempt; the route's share decides.
 func (e *exchange) nextService() string {
 	if len(e.tried) == 0 {
@@ -217,6 +226,11 @@
 	headers := e.handler.headers
 	header := passedOn(e.request.Header)
 	header.Set(headers.Deadline, strconv.FormatInt(max(1, time.Until(e.deadline).Milliseconds()), 10))
+	header.Del(headers.APIKey)
+	header.Del(headers.Tenant)
+	if name := e.terms.TenantName(); name != "" {
+		header.Set(headers.Tenant, name)
+	}
 	header.Set(headers.ExpectInstance, handle.Info().ID)
 	if e.lastEvent != "" {
 		header.Set(headers.LastEventID, e.lastEvent)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -15,6 +15,7 @@
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
+	"github.com/sloelift/sloelift/internal/tenant"
 )
 
 const (
@@ -27,9 +28,26 @@
 	defaultMaxBodyBytes = 8 << 20
 )
 
+// Authenticated is a request that may be served, with the terms that hold for it.
+type Authenticated struct {
+	// Table is the configuration by which it is served.
+	Table *route.Table
+	Route *route.Route
+	// Tenant is whose request it is; nil where no tenants are declared, or no tenant holds the key of a request of a public route.
+	Tenant *tenant.Tenant
+}
+
+// TenantName returns the tenant's name; empty where there is none.
+func (a Authenticated) TenantName() string {
+	if a.Tenant == nil {
+		return ""
+	}
+	return a.Tenant.Name
+}
+
 // BatchSubmitter takes submissions on batch routes.
 type BatchSubmitter interface {
-	Submit(writer http.ResponseWriter, request *http.Request, matched *route.Route, limits route.Limits)
+	Submit(writer http.ResponseWriter, request *http.Request, terms Authenticated)
 }
 
 // Handler is the front door of one process. It is safe for concurrent use.
@@ -98,33 +116,40 @@
 		http.Error(writer, "no route", http.StatusNotFound)
 		return
 	}
+	holder, allowed := table.Authenticate(matched, request.Header.Get(h.headers.APIKey))
+	if !allowed {
+		h.refuseKey(writer, request, matched.Name, table.Version)
+		return
+	}
+	terms := Authenticated{Table: table, Route: matched, Tenant: holder}
 	if matched.Kind == route.Batch {
-		h.serveBatch(writer, request, matched, table.Limits)
+		h.serveBatch(writer, request, terms)
 		return
 	}
-	h.serveOnline(writer, request, matched, table.Limits, arrived)
+	h.serveOnline(writer, request, terms, arrived)
 }
 
-func (h *Handler) serveBatch(writer http.ResponseWriter, request *http.Request, matched *route.Route, limits route.Limits) {
+func (h *Handler) serveBatch(writer http.ResponseWriter, request *http.Request, terms Authenticated) {
 	if h.batch == nil {
 		h.refuse(writer, request, "no_batch", retryAfterStarting)
 		return
 	}
-	h.batch.Submit(writer, request, matched, limits)
+	h.batch.Submit(writer, request, terms)
 }
 
-func (h *Handler) serveOnline(writer http.ResponseWriter, request *http.Request, matched *route.Route, limits route.Limits, arrived time.Time) {
+func (h *Handler) serveOnline(writer http.ResponseWriter, request *http.Request, terms Authenticated, arrived time.Time) {
+	matched := terms.Route
 	deadline := callerDeadline(request, h.headers.Deadline, matched, arrived)
 	ctx, cancel := context.WithDeadline(request.Context(), deadline)
 	defer cancel()
-	body, status := readBody(writer, request, limits.MaxBodyBytes)
+	body, status := readBody(writer, request, terms.Table.Limits.MaxBodyBytes)
 	if status != 0 {
 		h.metrics.outcome(matched.Name, "bad_body")
 		http.Error(writer, http.StatusText(status), status)
 		return
 	}
 	current := &exchange{
-		handler: h, writer: writer, request: request, route: matched, body: body, arrived: arrived, deadline: deadline,
+		handler: h, writer: writer, request: request, terms: terms, route: matched, body: body, arrived: arrived, deadline: deadline,
 		id: request.Header.Get(h.headers.RequestID), lastEvent: request.Header.Get(h.headers.LastEventID),
 	}
 	current.run(ctx)
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -69,8 +69,8 @@
 // BatchCalls are the HTTP calls about batch jobs.
 type BatchCalls interface {
 	forward.BatchSubmitter
-	// Register adds the calls other than submissions.
-	Register(router *mux.Router)
+	// Register adds the calls other than submissions; each is authenticated first.
+	Register(router *mux.Router, authenticate func(forward.JobCall) http.HandlerFunc)
 }
 
 // RunRole runs an edge or a storage node until ctx ends, and stops it as planned.
@@ -286,7 +286,7 @@
 	server := edge.NewServer(edge.Options{
 		Handler: handler, Logger: logger, Network: via, Grace: own.Bounds.Grace,
 		Addresses: edge.Addresses{Callers: own.CallerAddress, Readiness: own.ReadinessAddress, ReadyPath: adapter.ReadyPath},
-		Calls:     calls.Register,
+		Calls:     func(router *mux.Router) { calls.Register(router, handler.AuthenticateJobCall) },
 	})
 	lifecycle.Append(fx.Hook{OnStart: server.Start, OnStop: func(ctx context.Context) error {
 		server.Stop(ctx)
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -26,6 +26,9 @@
 	LastEventID    string
 	PromptParts    string
 	Wait           string
+	// APIKey is what a caller proves itself with; replicas never get it. Tenant names the tenant that holds it, to replicas.
+	APIKey string
+	Tenant string
 }
 
 // ErrNotSent says that no byte of the request reached the replica.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/sloelift/sloelift/internal/tenant"
 )
 
 // Kind says how often a request of a route may run, and in which form it is answered.
@@ -53,7 +55,10 @@
 	// after which an item may be given up; both count from the submission.
 	CompletionTarget time.Duration
 	Retention        time.Duration
-	// MaxWaitingTokens bounds the tokens of unfinished items of all jobs together; zero is no bound.
+	// Public routes ask for no API key.
+	Public bool
+	// MaxWaitingTokens bounds the tokens of unfinished items of all jobs of one tenant together, or of all jobs where no tenants are
+	// declared; zero is no bound.
 	MaxWaitingTokens int64
 
 	picker *weightedPicker
@@ -95,6 +100,8 @@
 	Routes   []*Route
 	Services map[string]Service
 	Limits   Limits
+	// Tenants hold the API keys; nil where the configuration declares no tenants and no request needs a key.
+	Tenants *tenant.Directory
 
 	byHost map[string][]*Route
 }
@@ -131,6 +138,26 @@
 	return best
 }
 
+// Authenticate says whether a request of a route may be served that carries key, which may be empty, and for which tenant; holder is nil
+// where no tenant holds the key.
+func (t *Table) Authenticate(matched *Route, key string) (holder *tenant.Tenant, allowed bool) {
+	if t.Tenants == nil {
+		return nil, true
+	}
+	holder = t.Tenants.ByKey(key)
+	return holder, holder != nil || (matched != nil && matched.Public)
+}
+
+// MatchBatch returns the batch route that calls about jobs of host belong to; nil where there is none. Such calls name a job and no path.
+func (t *Table) MatchBatch(host string) *Route {
+	for _, route := range t.byHost[hostName(host)] {
+		if route.Kind == Batch {
+			return route
+		}
+	}
+	return nil
+}
+
 // hostName returns host in lower case without its port.
 func hostName(host string) string {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
