Keep the limits of tenants over all edges

Change: internal/quota. The edge that ranks first for a tenant holds its token bucket, and the others ask it for each request; a new one takes the level over; who reaches none spends a part of the slack; two sides of a cut share the limit. 429 with the time to come back. Found by the tests on the way: an edge that was cut off granted the whole limit (1,391 requests where 680 are allowed), two edges that took turns began with a part of the slack each time (865), as did four that failed in a window (700).

--- a/internal/forward/authenticate_test.go
+++ b/internal/forward/authenticate_test.go
@@ -1,12 +1,15 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/sloelift/sloelift/internal/batch"
+	"github.com/sloelift/sloelift/internal/quota"
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
 	"github.com/sloelift/sloelift/internal/route"
 	"github.com/sloelift/sloelift/internal/tenant"
@@ -127,3 +130,41 @@
 		}
 	})
 }
+
+// fakeQuota admits so many requests.
+type fakeQuota struct {
+	left, givenBack int
+}
+
+func (q *fakeQuota) Admit(context.Context, *tenant.Tenant, int64) quota.Verdict {
+	if q.left == 0 {
+		return quota.Verdict{RetryAfter: 250 * time.Millisecond}
+	}
+	q.left--
+	return quota.Verdict{Admitted: true}
+}
+
+func (q *fakeQuota) GiveBack(*tenant.Tenant) { q.givenBack++ }
+
+// TestRequestsOverTheQuotaAreRefused: they get 429 with the time to come back and reach no replica; one that no replica ran is given back.
+func TestRequestsOverTheQuotaAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		edge := newEdgeUnderTest(t, route.NotRepeatable, false, map[string]replicatest.Script{
+			"a": replicatest.Then(replicatest.Answer(200, replicatest.Signed, ""), replicatest.Refuse()), "b": replicatest.Refuse(),
+		})
+		edge.withTenants(nil)
+		limits := &fakeQuota{left: 2}
+		edge.Handler.quota = limits
+		withKey := func(request *http.Request) { request.Header.Set("X-Key", "key-1") }
+		for number, want := range []int{http.StatusOK, http.StatusServiceUnavailable, http.StatusTooManyRequests} {
+			recorded, _ := edge.call(withKey)
+			if recorded.Code != want || (want == http.StatusTooManyRequests && recorded.Header().Get("Retry-After") != "0.250") {
+				t.Errorf("request %d: status %d, Retry-After %q, want %d", number, recorded.Code, recorded.Header().Get("Retry-After"), want)
+			}
+		}
+		edge.replicas.CloseAll()
+		if runs := len(edge.replicas.Requests()); runs != 3 || limits.givenBack != 1 {
+			t.Errorf("%d requests at replicas, %d given back, want 3 and 1", runs, limits.givenBack)
+		}
+	})
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -202,6 +202,9 @@
 		reason = "deadline"
 	}
 	handler.metrics.finished(e.route.Name, false, time.Since(e.arrived))
+	if e.runs == 0 && handler.quota != nil && e.terms.Tenant != nil {
+		handler.quota.GiveBack(e.terms.Tenant)
+	}
 	handler.logger.Info().Str(logging.FieldRequest, e.id).Str("route", e.route.Name).Str(logging.FieldReason, reason).
 		Int("runs", e.runs).Int("refusals", e.refusals).Stringer("verdict", last).Str("last_event", e.lastEvent).Bool("head_sent", e.headSent).
 		Dur("after", time.Since(e.arrived)).Msg("not_delivered")
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/sloelift/sloelift/internal/balance"
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/quota"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
 	"github.com/sloelift/sloelift/internal/tenant"
@@ -50,6 +51,13 @@
 	Submit(writer http.ResponseWriter, request *http.Request, terms Authenticated)
 }
 
+// Quota says whether a tenant's requests are within its limit over all nodes. It is safe for concurrent use.
+type Quota interface {
+	Admit(ctx context.Context, holder *tenant.Tenant, version int64) quota.Verdict
+	// GiveBack returns an admitted request that no replica has run.
+	GiveBack(holder *tenant.Tenant)
+}
+
 // Handler is the front door of one process. It is safe for concurrent use.
 type Handler struct {
 	routes *route.Holder
@@ -62,7 +70,9 @@
 	batch     BatchSubmitter
 	budget    *retryBudget
 	gate      *Gate
-	refresh   func(ctx context.Context)
+	// quota is nil where no limits are kept.
+	quota   Quota
+	refresh func(ctx context.Context)
 	// expectations hold what the routes' requests have shown of themselves.
 	expectations *expectations
 	logger       zerolog.Logger
@@ -70,7 +80,7 @@
 	leaving      atomic.Bool
 }
 
-// Options of a Handler. Batch may be nil, and Gate where no request is held back.
+// Options of a Handler. Batch may be nil, Quota where no limits are kept, and Gate where no request is held back.
 // Refresh, where it is set, is called before a replica is chosen, to learn what other nodes have there.
 type Options struct {
 	Routes    *route.Holder
@@ -80,6 +90,7 @@
 	Zone      string
 	Batch     BatchSubmitter
 	Gate      *Gate
+	Quota     Quota
 	Refresh   func(ctx context.Context)
 	Logger    zerolog.Logger
 	Metrics   *Metrics
@@ -89,7 +100,7 @@
 func NewHandler(options Options) *Handler {
 	return &Handler{
 		routes: options.Routes, directory: options.Directory, picker: options.Picker, client: options.Client, headers: options.Client.Headers(),
-		zone: options.Zone, batch: options.Batch, budget: newRetryBudget(), gate: options.Gate, refresh: options.Refresh, expectations: newExpectations(),
+		zone: options.Zone, batch: options.Batch, budget: newRetryBudget(), gate: options.Gate, quota: options.Quota, refresh: options.Refresh, expectations: newExpectations(),
 		logger: options.Logger.With().Str(logging.FieldSlice, "forward").Logger(), metrics: options.Metrics,
 	}
 }
@@ -152,9 +163,28 @@
 		handler: h, writer: writer, request: request, terms: terms, route: matched, body: body, arrived: arrived, deadline: deadline,
 		id: request.Header.Get(h.headers.RequestID), lastEvent: request.Header.Get(h.headers.LastEventID),
 	}
+	if !h.withinQuota(ctx, writer, current) {
+		return
+	}
 	current.run(ctx)
 }
 
+// withinQuota answers a request that is over its tenant's limit.
+func (h *Handler) withinQuota(ctx context.Context, writer http.ResponseWriter, current *exchange) bool {
+	holder := current.terms.Tenant
+	if h.quota == nil || holder == nil {
+		return true
+	}
+	verdict := h.quota.Admit(ctx, holder, current.terms.Table.Version)
+	if verdict.Admitted {
+		return true
+	}
+	h.metrics.outcome(current.route.Name, "over_quota")
+	SetRetryAfter(writer.Header(), verdict.RetryAfter)
+	http.Error(writer, "over quota", http.StatusTooManyRequests)
+	return false
+}
+
 // callerDeadline is the earlier of what the caller and what the route allow.
 func callerDeadline(request *http.Request, header string, matched *route.Route, arrived time.Time) time.Time {
 	const longest = time.Hour
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -29,6 +29,7 @@
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/quota"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/retirement"
 	"github.com/sloelift/sloelift/internal/route"
@@ -166,6 +167,7 @@
 	}
 	return fx.Options(
 		fx.Provide(newLoadShare(loadsharepb.Kind_KIND_ONLINE), newGate, forward.NewMetrics, newBatchCalls, newForwardHandler, newEdgeServer, noFactory),
+		quota.Module,
 		fx.Invoke(func(*edge.Server) {}),
 	)
 }
@@ -275,9 +277,9 @@
 	return balance.NewPicker(directory, nil)
 }
 
-func newForwardHandler(own settings.Settings, routes *route.Holder, directory *replica.Directory, picker *balance.Picker, client *replica.Client, gate *forward.Gate, shared *loadshare.Service, calls BatchCalls, logger zerolog.Logger, metrics *forward.Metrics) *forward.Handler {
+func newForwardHandler(own settings.Settings, routes *route.Holder, directory *replica.Directory, picker *balance.Picker, client *replica.Client, gate *forward.Gate, limits *quota.Service, shared *loadshare.Service, calls BatchCalls, logger zerolog.Logger, metrics *forward.Metrics) *forward.Handler {
 	return forward.NewHandler(forward.Options{
-		Routes: routes, Directory: directory, Picker: picker, Client: client, Zone: own.Zone, Batch: calls, Gate: gate, Refresh: shared.Refresh,
+		Routes: routes, Directory: directory, Picker: picker, Client: client, Zone: own.Zone, Batch: calls, Gate: gate, Quota: limits, Refresh: shared.Refresh,
 		Logger: logger, Metrics: metrics,
 	})
 }
--- /dev/null
+++ b/internal/quota/allowance.go
@@ -0,0 +1,48 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/sloelift/sloelift/internal/tenant"
+)
+
+const (
+	// initialPart is the part of the slack that a new bucket begins with, and unansweredPart what all edges together may spend in a window
+	// without a grantor. Together they bear four grantors that fail within one window without handing over; with 0.25 and 0.5
+	// TestLimitHoldsWhateverFails found 700 requests where 680 are allowed.
+	initialPart    = 0.125
+	unansweredPart = 0.4
+	// defaultWindow, defaultTolerance and defaultSlack hold where the settings name none; they are the values of the first deployment with
+	// tenants.
+	defaultWindow    = 5 * time.Second
+	defaultTolerance = 0.1
+	defaultSlack     = 20
+)
+
+// Allowance says by how much the requests of a tenant may exceed its limit in any span of Window: by Tolerance as a part of the limit, and
+// by Slack requests.
+type Allowance struct {
+	Window    time.Duration
+	Tolerance float64
+	Slack     float64
+}
+
+// DefaultAllowance returns what holds where the settings name nothing.
+func DefaultAllowance() Allowance {
+	return Allowance{Window: defaultWindow, Tolerance: defaultTolerance, Slack: defaultSlack}
+}
+
+// slack returns the requests by which limit may be exceeded in one window.
+func (a Allowance) slack(limit tenant.Limit) float64 {
+	return a.Tolerance*(limit.RequestsPerSecond*a.Window.Seconds()+limit.Burst) + a.Slack
+}
+
+// initial returns the level of a new bucket.
+func (a Allowance) initial(limit tenant.Limit) float64 {
+	return min(limit.Burst, initialPart*a.slack(limit))
+}
+
+// unansweredRate returns the requests per second that one of so many edges may send without a grantor.
+func (a Allowance) unansweredRate(limit tenant.Limit, edges int) float64 {
+	return unansweredPart * a.slack(limit) / a.Window.Seconds() / float64(max(1, edges))
+}
--- /dev/null
+++ b/internal/quota/fake_test.go
@@ -0,0 +1,195 @@
+package quota
+
+import (
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/tenant"
+	"github.com/sloelift/sloelift/internal/transport/memory"
+)
+
+// fakeView is one node's view of the members, which the test changes.
+type fakeView struct {
+	mutex sync.Mutex
+	view  *membership.View
+}
+
+func (f *fakeView) View() *membership.View {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.view
+}
+
+func (*fakeView) Subscribe(func(*membership.View)) func() { return func() {} }
+
+func (f *fakeView) set(view *membership.View) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.view = view
+}
+
+// edge is one edge of a cluster under test.
+type edge struct {
+	id        membership.NodeID
+	address   netip.AddrPort
+	view      *fakeView
+	transport *memory.Transport
+	service   *Service
+	up        bool
+}
+
+// cluster is edges on one network.
+type cluster struct {
+	t       *testing.T
+	network *memory.Network
+	edges   []*edge
+
+	mutex sync.Mutex
+	// apart holds the edges that no other reaches.
+	apart map[netip.AddrPort]bool
+	// admitted holds when requests were admitted.
+	admitted []time.Time
+	refused  int
+}
+
+func newCluster(t *testing.T, count int) *cluster {
+	made := &cluster{t: t, network: memory.NewNetwork(1), apart: map[netip.AddrPort]bool{}}
+	made.network.SetConditions(func(from, to netip.AddrPort) memory.Conditions {
+		made.mutex.Lock()
+		defer made.mutex.Unlock()
+		return memory.Conditions{Delay: 500 * time.Microsecond, Cut: made.apart[from] != made.apart[to] || (made.apart[from] && from != to)}
+	})
+	for index := range count {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(9000+index))
+		made.edges = append(made.edges, &edge{id: membership.NodeID(fmt.Sprintf("edge-%02d", index)), address: address, view: &fakeView{}})
+	}
+	for _, each := range made.edges {
+		made.start(each)
+	}
+	made.agree()
+	return made
+}
+
+// start starts an edge's process anew; it knows nothing of the one before.
+func (c *cluster) start(started *edge) {
+	var err error
+	started.transport, err = memory.NewTransport(c.network, started.address, prometheus.NewRegistry())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	started.view.set(&membership.View{Self: started.id, Members: []membership.Member{c.member(started, membership.Alive)}})
+	started.service = NewService(DefaultAllowance(), started.view, started.transport, started.transport, prometheus.NewRegistry(), zerolog.Nop())
+	started.transport.Start()
+	started.up = true
+}
+
+func (c *cluster) kill(killed *edge) {
+	killed.up = false
+	killed.transport.Stop()
+	killed.service.Stop()
+}
+
+func (c *cluster) stop() {
+	for _, each := range c.edges {
+		if each.up {
+			c.kill(each)
+		}
+	}
+}
+
+func (c *cluster) member(of *edge, state membership.State) membership.Member {
+	return membership.Member{ID: of.id, PeerAddress: of.address, State: state}
+}
+
+// agree has all edges know how things are: who is down or apart is dead to those that do not reach it.
+func (c *cluster) agree() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, viewer := range c.edges {
+		view := &membership.View{Self: viewer.id}
+		for _, other := range c.edges {
+			state := membership.Alive
+			reached := other == viewer || (!c.apart[other.address] && !c.apart[viewer.address])
+			if !other.up || !reached {
+				state = membership.Dead
+			}
+			view.Members = append(view.Members, c.member(other, state))
+		}
+		viewer.view.set(view)
+	}
+}
+
+func (c *cluster) cut(apart ...*edge) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	clear(c.apart)
+	for _, each := range apart {
+		c.apart[each.address] = true
+	}
+}
+
+// load sends perSecond requests a second for so long, to the living edges in turn; the last of them have been decided at its end.
+func (c *cluster) load(holder *tenant.Tenant, version int64, perSecond int, span time.Duration) {
+	var requests sync.WaitGroup
+	count := int(span.Seconds() * float64(perSecond))
+	for number := range count {
+		at := c.edges[number%len(c.edges)]
+		if !at.up {
+			time.Sleep(time.Second / time.Duration(perSecond))
+			continue
+		}
+		service := at.service
+		requests.Go(func() {
+			sent := time.Now()
+			verdict := service.Admit(c.t.Context(), holder, version)
+			c.mutex.Lock()
+			defer c.mutex.Unlock()
+			if verdict.Admitted {
+				c.admitted = append(c.admitted, sent)
+			} else {
+				c.refused++
+			}
+		})
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+	requests.Wait()
+}
+
+// grantorOf returns the edge that ranks first.
+func (c *cluster) grantorOf(holder *tenant.Tenant) *edge {
+	first := rank(c.edges[0].view.View(), holder.Name).edges[0]
+	for _, each := range c.edges {
+		if each.id == first.ID {
+			return each
+		}
+	}
+	c.t.Fatal("no grantor")
+	return nil
+}
+
+// checkWindows fails where the admitted requests of some window exceed the limit by more than is allowed.
+func (c *cluster) checkWindows(limit tenant.Limit) (most int) {
+	c.t.Helper()
+	allowance := DefaultAllowance()
+	allowed := limit.RequestsPerSecond*allowance.Window.Seconds() + limit.Burst + allowance.slack(limit)
+	for first := range c.admitted {
+		count := 0
+		for _, each := range c.admitted {
+			if span := each.Sub(c.admitted[first]); span >= 0 && span < allowance.Window {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	if float64(most) > allowed {
+		c.t.Errorf("%d requests in one window, allowed are %.0f", most, allowed)
+	}
+	return most
+}
--- /dev/null
+++ b/internal/quota/grantor.go
@@ -0,0 +1,249 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	quotapb "github.com/sloelift/sloelift/api/proto/quota"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/tenant"
+)
+
+const (
+	// relayTimeout bounds the wait for an edge that ranks before this one: a message between zones takes some ms there and back, also
+	// where the other has a fifth of a core. One that stands still for longer, having spent its processor time, is stood in for, and
+	// takes the tenant back when it is asked again.
+	relayTimeout = 30 * time.Millisecond
+	// releaseTimeout bounds the wait for the grantor before, and is on the way of the first request after a change of the grantor.
+	releaseTimeout = 25 * time.Millisecond
+	// releasedSuccessors is the number of edges behind this one in rank that may have granted before: the next one, and the one that
+	// stood in for it.
+	releasedSuccessors = 2
+	// idleAfter is the time without requests after which another edge may have become the grantor and ceased again.
+	idleAfter = 3 * time.Second
+	// joinTime is how long after its start an edge that knows no other does not grant: it has not met the others yet.
+	joinTime = 2 * time.Second
+)
+
+// grants is what this node knows of one tenant that it grants for. Its bucket is used once ready is closed.
+type grants struct {
+	ready chan struct{}
+	// mutex guards the fields below.
+	mutex    sync.Mutex
+	bucket   *bucket
+	lastUsed time.Time
+	// released says that another node grants from now on.
+	released bool
+}
+
+// grant answers a request as the tenant's grantor, or has one that ranks before this node answer it.
+func (s *Service) grant(ctx context.Context, request *quotapb.GrantRequest) *quotapb.GrantResponse {
+	ranked := s.rankingOf(request.GetTenant())
+	if ranked.self < 0 || s.mayNotHaveJoined(ranked) {
+		return &quotapb.GrantResponse{Elsewhere: true}
+	}
+	for _, before := range ranked.edges[:ranked.self] {
+		if response := s.askPeer(ctx, before, request, relayTimeout); response != nil {
+			return response
+		}
+	}
+	if !s.contact.established(ctx, s, ranked) {
+		return &quotapb.GrantResponse{Elsewhere: true}
+	}
+	for ctx.Err() == nil {
+		held := s.grantsOf(ctx, request, ranked)
+		if response := held.answer(request, ranked, time.Now()); response != nil {
+			return response
+		}
+	}
+	return &quotapb.GrantResponse{Elsewhere: true}
+}
+
+// mayNotHaveJoined says that this node knows no other edge, soon after its start.
+func (s *Service) mayNotHaveJoined(ranked ranking) bool {
+	return ranked.known <= 1 && time.Since(s.started) < joinTime
+}
+
+// askPeer asks another edge; nil where it gives no answer or does not grant. Ranks do not depend on a node's view, so that a request that
+// is passed on comes to ever higher ranks and ends.
+func (s *Service) askPeer(ctx context.Context, peer membership.Member, request *quotapb.GrantRequest, longest time.Duration) *quotapb.GrantResponse {
+	if s.unreached.Recent(peer.PeerAddress, time.Now()) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, longest)
+	defer cancel()
+	response := &quotapb.GrantResponse{}
+	if err := s.caller.Call(ctx, peer.PeerAddress, methodGrant, request, response); err != nil {
+		s.unreached.Note(peer.PeerAddress, time.Now())
+		s.logger.Info().Str(logging.FieldTenant, request.GetTenant()).Str(logging.FieldPeer, string(peer.ID)).Err(err).Msg("grantor_not_reached")
+		return nil
+	}
+	s.contact.note(time.Now())
+	if response.GetElsewhere() {
+		return nil
+	}
+	return response
+}
+
+// grantsOf returns the tenant's bucket, which is taken over from the grantor before where this node has none.
+func (s *Service) grantsOf(ctx context.Context, request *quotapb.GrantRequest, ranked ranking) *grants {
+	name := request.GetTenant()
+	s.mutex.Lock()
+	held, known := s.granting[name]
+	if !known || held.isIdle(time.Now()) {
+		next := &grants{ready: make(chan struct{}), lastUsed: time.Now()}
+		s.granting[name] = next
+		s.mutex.Unlock()
+		next.begin(s.takeOver(ctx, request, ranked, held))
+		return next
+	}
+	s.mutex.Unlock()
+	select {
+	case <-held.ready:
+	case <-ctx.Done():
+	}
+	return held
+}
+
+func (g *grants) isIdle(now time.Time) bool {
+	select {
+	case <-g.ready:
+	default:
+		return false
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return now.Sub(g.lastUsed) > idleAfter
+}
+
+// begin makes the grants usable.
+func (g *grants) begin(taken *bucket) {
+	g.mutex.Lock()
+	g.bucket = taken
+	g.mutex.Unlock()
+	close(g.ready)
+}
+
+// answer takes requests from the bucket; nil where another node grants by now.
+func (g *grants) answer(request *quotapb.GrantRequest, ranked ranking, now time.Time) *quotapb.GrantResponse {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.bucket == nil || g.released {
+		return nil
+	}
+	g.lastUsed = now
+	g.bucket.setLimit(limitOf(request), request.GetConfigVersion())
+	g.bucket.giveBack(int(request.GetReturned()))
+	taken, retryAfter := g.bucket.take(int(request.GetWanted()), ranked.share, now)
+	return &quotapb.GrantResponse{Granted: uint32(taken), RetryMicros: uint64(retryAfter.Microseconds())}
+}
+
+// takeOver has the others that may have granted before cease to, and returns the bucket that this node goes on with; before is what
+// this node itself had when it granted last, or nil.
+func (s *Service) takeOver(ctx context.Context, request *quotapb.GrantRequest, ranked ranking, before *grants) *bucket {
+	limit := limitOf(request)
+	level, handedOver := s.release(ctx, request.GetTenant(), ranked)
+	now := time.Now()
+	own := before.bucketBefore()
+	switch {
+	case handedOver && own != nil:
+		own.fill(ranked.share, now)
+		level = min(level, own.level)
+	case handedOver:
+		// The level is that of the grantor before.
+	case own != nil && ranked.self == 0:
+		// It ranks first and nobody granted meanwhile.
+		own.fill(ranked.share, now)
+		level = own.level
+	case s.mayBeginAnew(request.GetTenant(), now):
+		level = s.allowance.initial(limit)
+	default:
+		level = 0
+	}
+	s.logger.Info().Str(logging.FieldTenant, request.GetTenant()).Bool("handed_over", handedOver).Float64("level", level).
+		Int("rank", ranked.self).Float64("share", ranked.share).Msg("quota_taken_over")
+	return newBucket(limit, request.GetConfigVersion(), level, now)
+}
+
+// mayBeginAnew says that this node has not begun to grant with a part of the slack within the last window.
+func (s *Service) mayBeginAnew(tenantName string, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if last, known := s.begun[tenantName]; known && now.Sub(last) < s.allowance.Window {
+		return false
+	}
+	s.begun[tenantName] = now
+	return true
+}
+
+// bucketBefore returns the bucket of grants that are over; nil where there are none.
+func (g *grants) bucketBefore() *bucket {
+	if g == nil {
+		return nil
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.bucket
+}
+
+// release has others cease to grant; level is the least that one of them had left.
+func (s *Service) release(ctx context.Context, tenantName string, ranked ranking) (level float64, handedOver bool) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	message := &quotapb.ReleaseRequest{Tenant: tenantName}
+	for _, before := range ranked.edges[:ranked.self] {
+		// It does not answer; it may read this later.
+		if err := s.caller.Send(before.PeerAddress, methodRelease, message); err != nil {
+			s.logger.Debug().Err(err).Str(logging.FieldPeer, string(before.ID)).Msg("release_not_sent")
+		}
+	}
+	asked := ranked.predecessors(releasedSuccessors)
+	answers := make(chan *quotapb.ReleaseResponse, len(asked))
+	for _, peer := range asked {
+		go func() {
+			response := &quotapb.ReleaseResponse{}
+			if err := s.caller.Call(ctx, peer.PeerAddress, methodRelease, message, response); err != nil {
+				s.logger.Debug().Err(err).Str(logging.FieldPeer, string(peer.ID)).Msg("release_not_answered")
+			}
+			answers <- response
+		}()
+	}
+	for range asked {
+		answer := <-answers
+		if !answer.GetHeld() {
+			continue
+		}
+		if !handedOver || answer.GetLevel() < level {
+			level = answer.GetLevel()
+		}
+		handedOver = true
+	}
+	return level, handedOver
+}
+
+// handOver ceases to grant for a tenant.
+func (s *Service) handOver(tenantName string) *quotapb.ReleaseResponse {
+	s.mutex.Lock()
+	held, known := s.granting[tenantName]
+	delete(s.granting, tenantName)
+	s.mutex.Unlock()
+	if !known {
+		return &quotapb.ReleaseResponse{}
+	}
+	share := s.rankingOf(tenantName).share
+	held.mutex.Lock()
+	defer held.mutex.Unlock()
+	held.released = true
+	if held.bucket == nil {
+		// It was just taking over itself.
+		return &quotapb.ReleaseResponse{}
+	}
+	held.bucket.fill(share, time.Now())
+	return &quotapb.ReleaseResponse{Held: true, Level: held.bucket.level}
+}
+
+func limitOf(request *quotapb.GrantRequest) tenant.Limit {
+	return tenant.Limit{RequestsPerSecond: request.GetRate(), Burst: request.GetBurst()}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -42,6 +42,7 @@
 	}
 	checks.limits(s.Limits)
 	checks.ledger(s.Ledger)
+	checks.quota(s.Bounds)
 	_, err := zerolog.ParseLevel(s.LogLevel)
 	checks.require(err == nil && s.LogLevel != "", "logLevel", "%q is not a level; allowed are trace, debug, info, warn, error", strictyaml.Shorten(s.LogLevel))
 	return checks.failures
@@ -135,6 +136,12 @@
 	}
 }
 
+func (c *checker) quota(b Bounds) {
+	c.require(b.QuotaWindow >= 0, "bounds.quotaWindow", "wants a time, not %s", b.QuotaWindow)
+	c.require(b.QuotaTolerance == nil || *b.QuotaTolerance >= 0, "bounds.quotaTolerance", "wants 0 or a number above")
+	c.require(b.QuotaSlack == nil || *b.QuotaSlack >= 0, "bounds.quotaSlack", "wants 0 or a number above")
+}
+
 const (
 	maxPartitions = 1 << 16
 	maxReplicas   = 16
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,6 +82,11 @@
 	Sync time.Duration `yaml:"sync"`
 	// Poll is how long results stay readable.
 	Poll time.Duration `yaml:"poll"`
+	// QuotaWindow is the length of the spans over which tenants' limits are judged. In any of them a tenant's requests may exceed its
+	// limit by QuotaTolerance, as a part of the limit, and QuotaSlack requests; nil where the operators name none.
+	QuotaWindow    time.Duration `yaml:"quotaWindow"`
+	QuotaTolerance *float64      `yaml:"quotaTolerance"`
+	QuotaSlack     *float64      `yaml:"quotaSlack"`
 }
 
 // Ledger holds the ledger's numbers. They are written to the key-value service at the first start of the system and
--- a/internal/unreached/unreached.go
+++ b/internal/unreached/unreached.go
@@ -27,6 +27,13 @@
 	p.until[address] = now.Add(p.keep)
 }
 
+// Forget takes in that the node at address is there after all.
+func (p *Peers) Forget(address netip.AddrPort) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.until, address)
+}
+
 // Recent says that the node at address gave no answer a short while ago.
 func (p *Peers) Recent(address netip.AddrPort, now time.Time) bool {
 	p.mutex.Lock()
