Read the quota's bounds from the settings, and let panics end the program visibly

Change: plain numbers with defaults; a panic that is no request to exit goes on. Before/after: TestBrokenInvariantsAreSeen fails without the change (code 0); the program starts with the rendered settings.

--- a/cmd/sloelift/cli.go
+++ b/cmd/sloelift/cli.go
@@ -62,8 +62,14 @@
 // run parses arguments, runs the command and returns the program's exit code.
 func run(arguments []string, stdin io.Reader, stdout, stderr io.Writer) (code int) {
 	defer func() {
-		if request, isExit := recover().(exitRequest); isExit {
+		failure := recover()
+		if request, isExit := failure.(exitRequest); isExit {
 			code = int(request)
+			return
+		}
+		if failure != nil {
+			// A broken invariant stops the process, and is seen.
+			panic(failure)
 		}
 	}()
 	var line commandLine
--- /dev/null
+++ b/cmd/sloelift/cli_test.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"io"
+	"testing"
+)
+
+// brokenReader breaks an invariant when it is read.
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { panic("broken invariant") }
+
+// TestBrokenInvariantsAreSeen: a panic is not taken for a wanted end of the program with code 0.
+func TestBrokenInvariantsAreSeen(t *testing.T) {
+	defer func() {
+		if failure := recover(); failure != "broken invariant" {
+			t.Errorf("the panic became %v", failure)
+		}
+	}()
+	code := run([]string{"validate", "-"}, brokenReader{}, io.Discard, io.Discard)
+	t.Errorf("the program ended with code %d", code)
+}
+
+func TestHelpEndsTheProgramWell(t *testing.T) {
+	if code := run([]string{"--help"}, nil, io.Discard, io.Discard); code != 0 {
+		t.Errorf("code %d, want 0", code)
+	}
+}
--- a/internal/quota/allowance.go
+++ b/internal/quota/allowance.go
@@ -12,11 +12,6 @@
 	// TestLimitHoldsWhateverFails found 700 requests where 680 are allowed.
 	initialPart    = 0.125
 	unansweredPart = 0.4
-	// defaultWindow, defaultTolerance and defaultSlack hold where the settings name none; they are the values of the first deployment with
-	// tenants.
-	defaultWindow    = 5 * time.Second
-	defaultTolerance = 0.1
-	defaultSlack     = 20
 )
 
 // Allowance says by how much the requests of a tenant may exceed its limit in any span of Window: by Tolerance as a part of the limit, and
@@ -27,11 +22,6 @@
 	Slack     float64
 }
 
-// DefaultAllowance returns what holds where the settings name nothing.
-func DefaultAllowance() Allowance {
-	return Allowance{Window: defaultWindow, Tolerance: defaultTolerance, Slack: defaultSlack}
-}
-
 // slack returns the requests by which limit may be exceeded in one window.
 func (a Allowance) slack(limit tenant.Limit) float64 {
 	return a.Tolerance*(limit.RequestsPerSecond*a.Window.Seconds()+limit.Burst) + a.Slack
--- a/internal/quota/fake_test.go
+++ b/internal/quota/fake_test.go
@@ -45,6 +45,9 @@
 	up        bool
 }
 
+// testAllowance is that of the first deployment with tenants.
+var testAllowance = Allowance{Window: 5 * time.Second, Tolerance: 0.1, Slack: 20}
+
 // cluster is edges on one network.
 type cluster struct {
 	t       *testing.T
@@ -85,7 +88,7 @@
 		c.t.Fatal(err)
 	}
 	started.view.set(&membership.View{Self: started.id, Members: []membership.Member{c.member(started, membership.Alive)}})
-	started.service = NewService(DefaultAllowance(), started.view, started.transport, started.transport, prometheus.NewRegistry(), zerolog.Nop())
+	started.service = NewService(testAllowance, started.view, started.transport, started.transport, prometheus.NewRegistry(), zerolog.Nop())
 	started.transport.Start()
 	started.up = true
 }
@@ -177,7 +180,7 @@
 // checkWindows fails where the admitted requests of some window exceed the limit by more than is allowed.
 func (c *cluster) checkWindows(limit tenant.Limit) (most int) {
 	c.t.Helper()
-	allowance := DefaultAllowance()
+	allowance := testAllowance
 	allowed := limit.RequestsPerSecond*allowance.Window.Seconds() + limit.Burst + allowance.slack(limit)
 	for first := range c.admitted {
 		count := 0
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -137,9 +137,9 @@
 }
 
 func (c *checker) quota(b Bounds) {
-	c.require(b.QuotaWindow >= 0, "bounds.quotaWindow", "wants a time, not %s", b.QuotaWindow)
-	c.require(b.QuotaTolerance == nil || *b.QuotaTolerance >= 0, "bounds.quotaTolerance", "wants 0 or a number above")
-	c.require(b.QuotaSlack == nil || *b.QuotaSlack >= 0, "bounds.quotaSlack", "wants 0 or a number above")
+	c.require(b.QuotaWindow > 0, "bounds.quotaWindow", "wants a time above 0, not %s", b.QuotaWindow)
+	c.require(b.QuotaTolerance >= 0, "bounds.quotaTolerance", "wants 0 or a number above, not %g", b.QuotaTolerance)
+	c.require(b.QuotaSlack >= 0, "bounds.quotaSlack", "wants 0 or a number above, not %g", b.QuotaSlack)
 }
 
 const (
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -83,10 +83,10 @@
 	// Poll is how long results stay readable.
 	Poll time.Duration `yaml:"poll"`
 	// QuotaWindow is the length of the spans over which tenants' limits are judged. In any of them a tenant's requests may exceed its
-	// limit by QuotaTolerance, as a part of the limit, and QuotaSlack requests; nil where the operators name none.
+	// limit by QuotaTolerance, as a part of the limit, and QuotaSlack requests.
 	QuotaWindow    time.Duration `yaml:"quotaWindow"`
-	QuotaTolerance *float64      `yaml:"quotaTolerance"`
-	QuotaSlack     *float64      `yaml:"quotaSlack"`
+	QuotaTolerance float64       `yaml:"quotaTolerance"`
+	QuotaSlack     float64       `yaml:"quotaSlack"`
 }
 
 // Ledger holds the ledger's numbers. They are written to the key-value service at the first start of the system and
@@ -130,5 +130,7 @@
 			BatchConcurrency:  256,
 		},
 		Ledger: Ledger{Partitions: 16, Replicas: 4, WriteQuorum: 3},
+		// The values of the first deployment with tenants.
+		Bounds: Bounds{QuotaWindow: 5 * time.Second, QuotaTolerance: 0.1, QuotaSlack: 20},
 	}
 }
