Share loads each 10 ms and ask before each choice

Change: reports and relays each 10 ms in place of 40, a question for each choice unless the last answer is under 5 ms old.

--- a/internal/loadshare/questions.go
+++ b/internal/loadshare/questions.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// freshFor is the age up to which an answer is good enough for the choice of a replica.
-	freshFor = interval
+	// freshFor is the age up to which an answer is good enough for the choice of a replica: about the time in which another request of the
+	// zone begins in a burst.
+	freshFor = 5 * time.Millisecond
 	// refreshWait bounds the wait of a request for a fresh answer; one way within a zone takes 0.2 ms, between zones of a region 1 ms,
 	// and a node with a fifth of a core takes some ms to be scheduled.
 	refreshWait = 15 * time.Millisecond
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -23,8 +23,10 @@
 	methodReport transport.Method = "loadshare.report"
 	methodAsk    transport.Method = "loadshare.ask"
 	methodRelay  transport.Method = "loadshare.relay"
-	// interval is the least time between two reports of a node, and how often an exchange looks whether its sums have changed.
-	interval = 40 * time.Millisecond
+	// interval is the least time between two reports of a node, and how often an exchange looks whether its sums have changed. In a burst a
+	// zone of the shifted deployment begins a request each 5 ms; with 40 ms, 35 in 100 were sent to a replica that had 6 to 10 at its 6
+	// slots, at which 4.7 were known of (policy.md, round 18).
+	interval = 10 * time.Millisecond
 	// settleTime is how long after a change a node reports: one request changes several numbers one after the other.
 	settleTime = 3 * time.Millisecond
 	// ownerInterval is how often a node with batch items asks: items must give way at once.
