Share which replicas fail, and count only the slots of replicas that answer

Cause: each of 51 edges and 10 owners found out by itself, with callers' requests, which replicas had crashed or reset all calls; such replicas look empty and draw requests; the gate and the items' room counted their slots for up to 3.6 s. Change: nodes report which replicas they avoid, by way of the loads; what two others avoid is avoided, unless it has just answered here, and its slots do not count. A replica that never answered no longer counts as heard from on a clock before the process's start.

--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -66,7 +66,7 @@
 // cut off and begun in turns. Where several nodes have items there, each cuts off its part of what is too much.
 func (s *Service) room(service string, now time.Time) (begin, keep, running int) {
 	view := s.directory.View()
-	slots := view.Slots(service)
+	slots := view.WorkingSlots(service, now)
 	for _, handle := range view.Of(service) {
 		running += handle.InUse()
 	}
--- a/internal/forward/gate.go
+++ b/internal/forward/gate.go
@@ -163,7 +163,7 @@
 	if !known {
 		return math.MaxInt
 	}
-	slots := g.directory.View().Slots(service)
+	slots := g.directory.View().WorkingSlots(service, now)
 	room := gateOvercommit * float64(slots)
 	own := gate.inUse + len(gate.waiting)
 	if slots == 0 || float64(own+others.Online()) <= room {
--- a/internal/loadshare/codec.go
+++ b/internal/loadshare/codec.go
@@ -11,21 +11,25 @@
 func encodeReplicas(loads replicaLoads) *loadsharepb.ReplicaLoads {
 	encoded := &loadsharepb.ReplicaLoads{
 		Replicas: make([]uint64, 0, len(loads)), InUse: make([]uint32, 0, len(loads)), Reading: make([]uint32, 0, len(loads)),
+		Avoiding: make([]uint32, 0, len(loads)),
 	}
 	for key, use := range loads {
 		encoded.Replicas = append(encoded.Replicas, uint64(key))
 		encoded.InUse = append(encoded.InUse, uint32(max(0, use.Requests)))
 		encoded.Reading = append(encoded.Reading, uint32(max(0, use.Reading)))
+		encoded.Avoiding = append(encoded.Avoiding, uint32(max(0, use.Avoiding)))
 	}
 	return encoded
 }
 
 // decodeReplicas takes as many entries as all lists have.
 func decodeReplicas(encoded *loadsharepb.ReplicaLoads) replicaLoads {
-	count := min(len(encoded.GetReplicas()), len(encoded.GetInUse()), len(encoded.GetReading()))
+	count := min(len(encoded.GetReplicas()), len(encoded.GetInUse()), len(encoded.GetReading()), len(encoded.GetAvoiding()))
 	loads := make(replicaLoads, count)
 	for index := range count {
-		loads[replica.Key(encoded.Replicas[index])] = replica.Use{Requests: int(encoded.InUse[index]), Reading: int(encoded.Reading[index])}
+		loads[replica.Key(encoded.Replicas[index])] = replica.Use{
+			Requests: int(encoded.InUse[index]), Reading: int(encoded.Reading[index]), Avoiding: int(encoded.Avoiding[index]),
+		}
 	}
 	return loads
 }
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -262,11 +262,11 @@
 	}
 	for handle := range s.directory.View().All() {
 		use := handle.Use()
-		if use.Requests <= 0 {
+		if use.Requests <= 0 && use.Avoiding == 0 {
 			continue
 		}
 		found.replicas[handle.Key()] = use
-		if s.isStore() {
+		if s.isStore() && use.Requests > 0 {
 			service := handle.Info().Service
 			found.demands[service] = found.demands[service].plus(Demand{Batch: use.Requests}, 1)
 		}
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sloelift/sloelift/internal/subscription"
 )
@@ -45,6 +46,17 @@
 	return slots
 }
 
+// WorkingSlots returns the same without the replicas that are down.
+func (v *View) WorkingSlots(service string, now time.Time) int {
+	slots := 0
+	for _, handle := range v.byService[service] {
+		if handle.Usable() && !handle.Down(now) {
+			slots += handle.Info().Slots
+		}
+	}
+	return slots
+}
+
 // Find returns the replica with the given ID; nil where there is none.
 func (v *View) Find(id string) *Handle { return v.byID[id] }
 
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -19,6 +19,13 @@
 	// avoidFirst and avoidLongest bound how long a replica is avoided after it failed.
 	avoidFirst   = 200 * time.Millisecond
 	avoidLongest = 3 * time.Second
+	// othersAvoiding is the number of other nodes that avoid a replica from which on this node does so too: where one answer in twenty of
+	// half of the replicas is lost, one node avoids some three replicas at any time, two hardly ever the same.
+	othersAvoiding = 2
+	// ownExperience is how long bytes of an answer count for more than what fails other nodes.
+	ownExperience = 300 * time.Millisecond
+	// downAfter is the number of failures, one after the other, after which a replica is taken to be down.
+	downAfter = 2
 	// failureWeight is the part of the newest result in the running failure rate.
 	failureWeight = 0.12
 )
@@ -28,17 +35,19 @@
 	Requests int
 	// Reading are the prompt tokens of those of the requests that wait for their first event.
 	Reading int
+	// Avoiding is the number of nodes that avoid the replica since their calls to it fail.
+	Avoiding int
 }
 
 // Plus adds other, sign times.
 func (u Use) Plus(other Use, sign int) Use {
-	return Use{Requests: u.Requests + sign*other.Requests, Reading: u.Reading + sign*other.Reading}
+	return Use{Requests: u.Requests + sign*other.Requests, Reading: u.Reading + sign*other.Reading, Avoiding: u.Avoiding + sign*other.Avoiding}
 }
 
 // Minus returns what is left without other; neither number falls below zero.
 func (u Use) Minus(other Use) Use {
 	left := u.Plus(other, -1)
-	return Use{Requests: max(0, left.Requests), Reading: max(0, left.Reading)}
+	return Use{Requests: max(0, left.Requests), Reading: max(0, left.Reading), Avoiding: max(0, left.Avoiding)}
 }
 
 // Load is what a replica tells of itself: requests that run, requests that wait, and slots.
@@ -69,13 +78,15 @@
 	inUseAtReport int64
 	// others is what the other nodes have there, as known at othersAt; unknown are those that the replica reported at
 	// unknownAt and no node did.
-	others      Use
-	othersAt    time.Time
-	unknown     float64
-	unknownAt   time.Time
-	failures    int
-	avoidUntil  time.Time
-	failureRate float64
+	others    Use
+	othersAt  time.Time
+	unknown   float64
+	unknownAt time.Time
+	// failures counts those since the last whole answer; the replica is avoided until avoidUntil, and held for failing until failingUntil.
+	failures     int
+	avoidUntil   time.Time
+	failingUntil time.Time
+	failureRate  float64
 }
 
 // Key names a replica in messages between nodes: the XXH64 of its ID.
@@ -136,7 +147,15 @@
 }
 
 // Use returns what this process has there.
-func (h *Handle) Use() Use { return Use{Requests: h.InUse(), Reading: int(h.reading.Load())} }
+func (h *Handle) Use() Use {
+	use := Use{Requests: h.InUse(), Reading: int(h.reading.Load())}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if time.Now().Before(h.failingUntil) {
+		use.Avoiding = 1
+	}
+	return use
+}
 
 // Reading returns the prompt tokens of all nodes' requests that wait for their first event, of this process's alone where the others'
 // are not known.
@@ -158,7 +177,8 @@
 
 // HeardSince says that bytes of an answer have come after since.
 func (h *Handle) HeardSince(since time.Time) bool {
-	return h.heardAt.Load() > int64(since.Sub(processStart))
+	at := h.heardAt.Load()
+	return at != 0 && at > int64(since.Sub(processStart))
 }
 
 // Tell takes in a load that the replica told.
@@ -204,18 +224,20 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.failures = 0
-	h.avoidUntil = time.Time{}
+	h.avoidUntil, h.failingUntil = time.Time{}, time.Time{}
 	h.failureRate *= 1 - failureWeight
 }
 
 // Failed notes a call that the replica did not answer well; it is avoided for a while.
 func (h *Handle) Failed(now time.Time) {
 	h.mutex.Lock()
-	defer h.mutex.Unlock()
 	h.failures++
 	wait := avoidFirst << min(h.failures-1, 8)
 	h.avoidUntil = now.Add(min(wait, avoidLongest))
+	h.failingUntil = h.avoidUntil
 	h.failureRate += failureWeight * (1 - h.failureRate)
+	h.mutex.Unlock()
+	h.signalChange()
 }
 
 // Rejected notes that the replica refused a request for want of room; it is avoided for a moment.
@@ -228,11 +250,29 @@
 	}
 }
 
-// Avoided says that the replica failed or refused a short while ago.
+// Avoided says that the replica failed or refused a short while ago, or fails other nodes.
 func (h *Handle) Avoided(now time.Time) bool {
 	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return now.Before(h.avoidUntil)
+	avoided := now.Before(h.avoidUntil)
+	h.mutex.Unlock()
+	return avoided || h.FailsOthers(now)
+}
+
+// FailsOthers says that several other nodes avoid the replica since their calls to it fail, and that this process has had no bytes of an
+// answer from it lately.
+func (h *Handle) FailsOthers(now time.Time) bool {
+	h.mutex.Lock()
+	fails := !h.othersAt.IsZero() && now.Sub(h.othersAt) < othersStale && h.others.Avoiding >= othersAvoiding
+	h.mutex.Unlock()
+	return fails && !h.HeardSince(now.Add(-ownExperience))
+}
+
+// Down says that no answer can be expected of the replica: it fails other nodes, or has failed this process again and again.
+func (h *Handle) Down(now time.Time) bool {
+	h.mutex.Lock()
+	failing := h.failures >= downAfter && now.Before(h.failingUntil)
+	h.mutex.Unlock()
+	return failing || h.FailsOthers(now)
 }
 
 // FailureRate is the share of failures among the latest calls, from 0 to 1.
