Plan batch items by what the log and all nodes know of pace and slots

Cause: a new owner of a partition planned as if an item took 1 ms a token (it takes 3) until one had finished, 5 s later, and as if all 432 slots were free, a mean that took 10 s to follow; it marked nothing late and all items became late together.

--- a/internal/batch/dispatch_view.go
+++ b/internal/batch/dispatch_view.go
@@ -7,22 +7,20 @@
 	"github.com/sloelift/sloelift/internal/route"
 )
 
-// observeCapacity notes the slots that items may use now at the services of batch routes. While their begin is held back after a
+// observeCapacity notes the slots that items may use now at the services of batch routes. A node that owns no partition does so too, so
+// that it can plan from the moment at which it owns one. While their begin is held back after a
 // start, that tells nothing of the times to come.
-func (p *partition) observeCapacity(table *route.Table) {
-	now := time.Now()
-	if p.service.ramp(now) < 1 {
+func (s *Service) observeCapacity(table *route.Table, now time.Time) {
+	if table == nil || s.ramp(now) < 1 {
 		return
 	}
 	slots, all := 0, 0
 	for _, service := range batchServices(table) {
-		begin, _, _ := p.service.room(service, now)
+		begin, _, _ := s.room(service, now)
 		slots += begin
-		all += p.service.directory.View().Slots(service)
+		all += s.directory.View().Slots(service)
 	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.capacity.observe(slots, all, p.elapsed())
+	s.capacity.observe(slots, all, now)
 }
 
 // batchServices returns the services of all batch routes, each once.
@@ -60,7 +58,7 @@
 			late++
 		}
 	}
-	capacity := p.capacity.slots()
+	capacity := p.service.capacity.slots()
 	p.mutex.RUnlock()
 	now := time.Now()
 	for service, count := range running {
--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -112,7 +112,7 @@
 	if table == nil {
 		return false
 	}
-	p.observeCapacity(table)
+	p.service.observeCapacity(table, time.Now())
 	candidates := p.candidates(table)
 	if len(candidates) == 0 {
 		return false
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -186,7 +186,7 @@
 			Str(logging.FieldReplica, attempt.handle.Info().ID).Stringer("verdict", verdict).Int("status", attempt.status).
 			Str("last_event", attempt.lastEvent).Err(attempt.err).Msg("item_not_done")
 	}
-	p.noteEnd(attempt.key, verdict == itemDone)
+	p.noteEnd(attempt.key)
 	switch verdict {
 	case itemDone:
 		p.finish(attempt.key, batchpb.State_STATE_SUCCEEDED, string(attempt.text), "done")
@@ -269,6 +269,9 @@
 		}
 		run.finishing = true
 		logged := run.logged
+		if !run.startedWithText {
+			result.RanMillis = uint64(run.ran.Milliseconds())
+		}
 		p.mutex.Unlock()
 		result.Offset, result.Text = uint64(logged), text[logged:]
 	}
--- a/internal/batch/item_order.go
+++ b/internal/batch/item_order.go
@@ -83,7 +83,7 @@
 			break
 		}
 	}
-	markLate(found, p.now(), p.capacity.slots())
+	markLate(found, p.now(), p.service.capacity.slots())
 	p.rememberLate(found)
 	waiting := slices.DeleteFunc(found, func(each candidate) bool { return each.running })
 	slices.SortStableFunc(waiting, compareCandidates)
@@ -106,7 +106,7 @@
 		}
 		if each.route != nil {
 			each.due = dueTime(each.route, owner.acceptedAt)
-			each.left = p.paceOf(each.route.Name).left(sent.Tokens, each.madeText)
+			each.left = p.state.paceOf(each.route.Name).left(sent.Tokens, each.madeText)
 		}
 		found = append(found, each)
 	}
@@ -148,13 +148,3 @@
 	}
 	return time.UnixMilli(acceptedAt).Add(matched.CompletionTarget)
 }
-
-// paceOf returns what is known of a route's items. The mutex is held.
-func (p *partition) paceOf(name string) *itemPace {
-	pace := p.paces[name]
-	if pace == nil {
-		pace = &itemPace{}
-		p.paces[name] = pace
-	}
-	return pace
-}
--- a/internal/batch/item_pace.go
+++ b/internal/batch/item_pace.go
@@ -11,9 +11,10 @@
 	leastLeft = 0.03
 )
 
-// itemPace is what the finished items of one route tell of those that wait. The zero value has seen none.
+// itemPace is what the finished items of one route tell of those that wait. It is a part of the log's state, so that the next owner has
+// it from its first plan on. The zero value has seen none.
 type itemPace struct {
-	seen int
+	seen uint64
 	// perToken is the time at replicas by token of an item's size, textPerToken the bytes of text made by token.
 	perToken     time.Duration
 	textPerToken float64
--- a/internal/batch/item_plan.go
+++ b/internal/batch/item_plan.go
@@ -4,26 +4,34 @@
 	"container/heap"
 	"math"
 	"slices"
+	"sync"
 	"time"
 )
 
 const (
 	// capacityMemory is the time after which an observation of the slots that items had counts for 1/e.
 	capacityMemory = 10 * time.Second
+	// assumedSpan is how long the assumption that all slots are free counts, beside what is observed.
+	assumedSpan = time.Second
 	// leastCapacity keeps a plan possible while items had no slot at all.
 	leastCapacity = 1.0
 )
 
 // slotCapacity is the mean number of slots that batch items had of late. It begins with all slots, so that little is given up before
-// more is known.
+// more is known. It is safe for concurrent use.
 type slotCapacity struct {
+	mutex sync.Mutex
 	known bool
 	mean  float64
-	at    time.Duration
+	// since is when the first observation came, at the last one.
+	since time.Time
+	at    time.Time
 }
 
 // slots returns the number to plan with: without a bound while nothing is known.
 func (c *slotCapacity) slots() float64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	if !c.known {
 		return math.Inf(1)
 	}
@@ -31,12 +39,15 @@
 }
 
 // observe takes in that items may use so many of all slots from now on.
-func (c *slotCapacity) observe(slots, all int, now time.Duration) {
+func (c *slotCapacity) observe(slots, all int, now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	if !c.known {
-		c.known, c.mean, c.at = true, float64(all), now
+		c.known, c.mean, c.since, c.at = true, float64(all), now, now
 		return
 	}
-	weight := min(1, (now-c.at).Seconds()/capacityMemory.Seconds())
+	span := min(capacityMemory, now.Sub(c.since)+assumedSpan)
+	weight := min(1, now.Sub(c.at).Seconds()/span.Seconds())
 	c.mean += weight * (float64(slots) - c.mean)
 	c.at = now
 }
--- a/internal/batch/item_plan_test.go
+++ b/internal/batch/item_plan_test.go
@@ -94,16 +94,20 @@
 }
 
 func TestCapacityFollowsTheRoom(t *testing.T) {
-	capacity := slotCapacity{}
+	capacity := &slotCapacity{}
+	began := time.Now()
 	if !math.IsInf(capacity.slots(), 1) {
 		t.Errorf("%f slots while nothing is known", capacity.slots())
 	}
-	capacity.observe(0, 100, time.Second)
+	capacity.observe(0, 100, began)
 	if capacity.mean != 100 {
 		t.Errorf("%f after the first observation, want all slots", capacity.mean)
 	}
-	for at := time.Second; at < 61*time.Second; at += 100 * time.Millisecond {
-		capacity.observe(20, 100, at)
+	for at := time.Duration(0); at < 60*time.Second; at += 100 * time.Millisecond {
+		capacity.observe(20, 100, began.Add(at))
+		if at == 4*time.Second && (capacity.mean < 25 || capacity.mean > 45) {
+			t.Errorf("%f after 4 s of 20, want between 25 and 45", capacity.mean)
+		}
 	}
 	if capacity.mean < 20 || capacity.mean > 21 {
 		t.Errorf("%f after a minute of 20", capacity.mean)
--- a/internal/batch/item_run.go
+++ b/internal/batch/item_run.go
@@ -20,19 +20,15 @@
 	p.begunInTime++
 }
 
-// noteEnd notes that a run has ended, and learns from an item that is done.
-func (p *partition) noteEnd(key itemKey, done bool) {
+// noteEnd notes that a run has ended.
+func (p *partition) noteEnd(key itemKey) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	run := p.runs[key]
 	if run == nil || run.route == nil {
 		return
 	}
-	now := p.elapsed()
-	run.ran += now - run.began
-	if done && !run.startedWithText {
-		p.paceOf(run.route.Name).observe(finishedItem{tokens: run.tokens, text: len(run.text), ran: run.ran})
-	}
+	run.ran += p.elapsed() - run.began
 }
 
 // leastUrgentRun returns the run of service that is cut off first: one that will be late before one that can be in time, then the
--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -58,8 +58,11 @@
 	return min(1, max(0, float64(now.Sub(s.fleet.ReportingSince()))/float64(rampSpan)))
 }
 
-// OnlineChanged has items give way where the fleet's online requests need their room.
-func (s *Service) OnlineChanged() { s.yield() }
+// OnlineChanged takes in that the fleet's online requests are known anew: items give way where these need their room.
+func (s *Service) OnlineChanged() {
+	s.observeCapacity(s.routes.Table(), time.Now())
+	s.yield()
+}
 
 // room returns how many items of this node may run at the replicas of service beside the online requests and the items of other
 // nodes: up to begin, further ones are begun; beyond keep, running ones are cut off. The gap between the two keeps items from being
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -49,10 +49,8 @@
 	submitting map[string]*pendingSubmission
 	reserved   map[quotaKey]int64
 	quiesced   bool
-	// paces holds what finished items tell, by route; begunInTime counts the begins in time since the last one of a late item.
-	paces       map[string]*itemPace
+	// begunInTime counts the begins in time since the last one of a late item.
 	begunInTime int
-	capacity    slotCapacity
 }
 
 func newPartition(id ledger.PartitionID, service *Service) *partition {
@@ -62,7 +60,6 @@
 		logger:    service.logger.With().Uint32(logging.FieldPartition, uint32(id)).Logger(),
 		proposals: make(chan *proposal, proposalQueue), woken: make(chan struct{}, 1),
 		state: newState(), runs: map[itemKey]*itemRun{}, submitting: map[string]*pendingSubmission{}, reserved: map[quotaKey]int64{},
-		paces: map[string]*itemPace{},
 	}
 }
 
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -51,6 +51,7 @@
 	asking     map[*replica.Handle]bool
 	fleet      FleetLoad
 	peaks      recentPeaks
+	capacity   slotCapacity
 }
 
 // NewService returns a Service and registers its methods.
--- a/internal/batch/snapshot.go
+++ b/internal/batch/snapshot.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -18,6 +21,12 @@
 	for id, data := range s.uploads {
 		encoded.Uploads = append(encoded.Uploads, &batchpb.Chunk{UploadId: id, Data: data})
 	}
+	for _, name := range slices.Sorted(maps.Keys(s.paces)) {
+		pace := s.paces[name]
+		encoded.Paces = append(encoded.Paces, &batchpb.Pace{
+			Route: name, Seen: pace.seen, NanosPerToken: pace.perToken.Nanoseconds(), TextPerToken: pace.textPerToken,
+		})
+	}
 	return proto.Marshal(encoded)
 }
 
@@ -54,6 +63,9 @@
 			return nil, err
 		}
 	}
+	for _, pace := range snapshot.Paces {
+		restored.paces[pace.Route] = &itemPace{seen: pace.Seen, perToken: time.Duration(pace.NanosPerToken), textPerToken: pace.TextPerToken}
+	}
 	restored.upTo = ledger.Position(snapshot.UpTo)
 	return restored, nil
 }
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -58,13 +59,15 @@
 	uploads map[string][]byte
 	// waitingTokens are the tokens of items that are neither listed nor of an ended job.
 	waitingTokens map[quotaKey]int64
+	// paces holds what finished items tell, by route.
+	paces map[string]*itemPace
 	// bytes is the size of all bodies and texts that are kept.
 	bytes int64
 	upTo  ledger.Position
 }
 
 func newState() *state {
-	return &state{jobs: map[string]*job{}, uploads: map[string][]byte{}, waitingTokens: map[quotaKey]int64{}}
+	return &state{jobs: map[string]*job{}, uploads: map[string][]byte{}, waitingTokens: map[quotaKey]int64{}, paces: map[string]*itemPace{}}
 }
 
 // step takes in one record.
@@ -148,12 +151,25 @@
 			return nil
 		}
 		text = before + text
+		s.paceOf(found.submission.Route).observe(finishedItem{
+			tokens: found.submission.Items[result.Item].Tokens, text: len(text), ran: time.Duration(result.RanMillis) * time.Millisecond,
+		})
 	}
 	s.list(found, int(result.Item), result.State, text)
 	found.notify()
 	return nil
 }
 
+// paceOf returns what is known of a route's items.
+func (s *state) paceOf(routeName string) *itemPace {
+	pace := s.paces[routeName]
+	if pace == nil {
+		pace = &itemPace{}
+		s.paces[routeName] = pace
+	}
+	return pace
+}
+
 // list gives an item the job's next position and drops what only an unfinished item needs.
 func (s *state) list(owner *job, number int, listedAs batchpb.State, text string) {
 	listed := &owner.items[number]
--- a/internal/batch/state_test.go
+++ b/internal/batch/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -201,3 +202,24 @@
 		r.Fatalf("bytes %d and %d, waiting tokens %d and %d", want.bytes, got.bytes, want.waitingTokens[quotaKey{route: "r"}], got.waitingTokens[quotaKey{route: "r"}])
 	}
 }
+
+// TestNextOwnerKnowsThePace: what finished items tell of the time that others need comes with the log, and with a snapshot of it.
+func TestNextOwnerKnowsThePace(t *testing.T) {
+	log := newLog(t)
+	log.add(acceptanceRecords(submissionOf("j", 3), 1)...)
+	log.add(recordOf(ledger.KindBatchResult, &batchpb.Result{JobId: "j", Item: 0, State: batchpb.State_STATE_SUCCEEDED, Text: "text", RanMillis: 5000}))
+	log.add(successRecord("j", 1, 0, "its time is not known"))
+	encoded, err := log.state.snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored, err := restoreState(encoded)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, each := range map[string]*state{"log": log.state, "snapshot": restored} {
+		if left := each.paceOf("r").left(20, 0); left != 10*time.Second {
+			t.Errorf("%s: an item of 20 tokens needs %s, want 10s, as one of 10 took 5s", name, left)
+		}
+	}
+}
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -31,6 +31,9 @@
 	settleTime = 3 * time.Millisecond
 	// ownerInterval is how often a node with batch items asks: items must give way at once.
 	ownerInterval = 20 * time.Millisecond
+	// standbyInterval is how often a node that could own batch items asks while it has none: it may own some at any moment, and plans by
+	// the slots that items had of late.
+	standbyInterval = 250 * time.Millisecond
 	// reportAnyway is how often a node with callers reports also what has not changed, or another node what is not zero.
 	reportAnyway = 500 * time.Millisecond
 	// relayAnyway and relayWhole are how often an exchange sends the others also what has not changed, and all that it has.
@@ -83,6 +86,8 @@
 	relayedVersion uint64
 	relayedAt      time.Time
 	relayedWholeAt time.Time
+	// askedAt is when a node without items asked last.
+	askedAt time.Time
 }
 
 // New returns a Service and registers its methods; nothing is sent before Start.
@@ -243,6 +248,11 @@
 		s.ask()
 		return ownerInterval
 	}
+	if s.isStore() && now.Sub(s.askedAt) >= standbyInterval {
+		s.askedAt = now
+		s.ask()
+		return interval
+	}
 	if own := s.own(); s.reportIsDue(own, now) {
 		s.report(place, own, now)
 	}
