Run items under leases, so that those of a lost owner end soon

Change: an item is sent with a deadline of 1.5 s or more, which the replica keeps; its owner goes on at the same replica, behind the last event, before that ends. The length follows from what such a begin costs, as observed: 1% of an item's time, at most 10 s. Another way, the successor asking replicas for their runs and stopping them, frees the slots only after its takeover, 1.4 s; not built.

--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -19,8 +19,6 @@
 )
 
 const (
-	// itemDeadline is the time that a replica is given for an item where the route sets no retention.
-	itemDeadline = time.Minute
 	// itemSilence is how long a replica may send nothing before the item goes on elsewhere.
 	itemSilence = 3 * time.Second
 	// pauseAfterRefusal and pauseAfterFailure are how long an item waits before it is sent again.
@@ -71,11 +69,38 @@
 	lastEvent string
 	status    int
 	err       error
+	// lease is the length of the present lease, which began at leaseBegan; resumed says that another one came before it here and that its
+	// first event has not come yet.
+	lease      time.Duration
+	leaseBegan time.Time
+	resumed    bool
+	// eventsAt is when events came last, gap the time since those before them.
+	eventsAt time.Time
+	gap      time.Duration
 }
 
+// run runs the item at its replica, one lease after the other, until it is done, fails or is cut off.
 func (a *itemAttempt) run(ctx context.Context) itemVerdict {
+	for {
+		madeBefore := len(a.text)
+		verdict := a.runLease(ctx)
+		leaseOver := verdict == itemCut && errors.Is(a.err, errLeaseOver) && ctx.Err() == nil
+		if !leaseOver || len(a.text) == madeBefore || !a.handle.Usable() {
+			return verdict
+		}
+		a.err = nil
+		a.resumed = true
+	}
+}
+
+// runLease runs the item for one lease.
+func (a *itemAttempt) runLease(ctx context.Context) itemVerdict {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	a.lease = a.partition.service.leases.length()
+	a.leaseBegan = time.Now()
+	over := time.AfterFunc(a.lease-leaseMargin, func() { cancel(errLeaseOver) })
+	defer over.Stop()
 	silence := time.AfterFunc(itemSilence, func() { cancel(errSilent) })
 	defer silence.Stop()
 	client := a.partition.service.client
@@ -99,9 +124,21 @@
 	return verdict
 }
 
+// noteEvents takes in that events have come. The first ones of a further lease tell what its begin cost: the time beyond the usual one
+// between events.
+func (a *itemAttempt) noteEvents(now time.Time) {
+	if a.resumed {
+		a.resumed = false
+		a.partition.service.leases.observe(max(0, now.Sub(a.leaseBegan)-a.gap))
+	} else {
+		a.gap = now.Sub(a.eventsAt)
+	}
+	a.eventsAt = now
+}
+
 // noteFailure counts against the replica unless this process itself cut the attempt off.
 func (a *itemAttempt) noteFailure() {
-	if !errors.Is(a.err, context.Canceled) || errors.Is(a.err, errSilent) {
+	if !errors.Is(a.err, errLeaseOver) && (!errors.Is(a.err, context.Canceled) || errors.Is(a.err, errSilent)) {
 		a.handle.Failed(time.Now())
 	}
 }
@@ -117,13 +154,9 @@
 	if a.tenant != "" {
 		header.Set(names.Tenant, a.tenant)
 	}
-	allowed := itemDeadline
-	if a.route.Retention > 0 {
-		allowed = a.route.Retention
-	}
 	header.Set(names.RequestID, a.sent.Id)
 	header.Set(names.ExpectInstance, a.handle.Info().ID)
-	header.Set(names.Deadline, strconv.FormatInt(allowed.Milliseconds(), 10))
+	header.Set(names.Deadline, strconv.FormatInt(a.lease.Milliseconds(), 10))
 	if a.lastEvent != "" {
 		header.Set(names.LastEventID, a.lastEvent)
 	}
@@ -152,6 +185,7 @@
 		events, err := reader.Next()
 		if len(events.Bytes) > 0 {
 			silence.Reset(itemSilence)
+			a.noteEvents(time.Now())
 			a.text = eventstream.AppendData(a.text, events.Bytes)
 			if events.LastID != "" {
 				a.lastEvent = events.LastID
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -52,6 +52,7 @@
 	fleet      FleetLoad
 	peaks      recentPeaks
 	capacity   slotCapacity
+	leases     leaseTerm
 }
 
 // NewService returns a Service and registers its methods.
