--- a/internal/loadshare/service_test.go
+++ b/internal/loadshare/service_test.go
@@ -179,6 +179,8 @@
 		release()
 		time.Sleep(time.Millisecond)
 		shared.demand[secondEdge].Store(0)
+		// As the gate does after a request has left it.
+		shared.directories[secondEdge].SignalUse()
 		time.Sleep(2*interval + ownerInterval + settleTime + 3*time.Millisecond)
 		if got := shared.services[firstStore].Others("s", time.Now()).InUse; got != 0 {
 			t.Errorf("the owner knows of %d online requests after their end", got)
