--- a/internal/quota/grantor.go
+++ b/internal/quota/grantor.go
@@ -162,9 +162,12 @@
 	case handedOver:
 		// The level is that of the grantor before.
 	case own != nil && ranked.self == 0:
-		// It ranks first and nobody granted meanwhile.
 		own.fill(ranked.share, now)
 		level = own.level
+		if ranked.share < 1 {
+			// Another edge may have granted meanwhile that is cut off from this one now.
+			level = min(level, s.allowance.initial(limit)*ranked.share)
+		}
 	case s.mayBeginAnew(request.GetTenant(), now):
 		// Each side of a cut, which may be one edge, begins with its share.
 		level = s.allowance.initial(limit) * ranked.share
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	quotapb "github.com/sloelift/sloelift/api/proto/quota"
 	"github.com/sloelift/sloelift/internal/tenant"
 )
 
@@ -182,6 +183,26 @@
 	}
 }
 
+// TestOldBucketIsNoBurst: what an edge had left when it granted last, for another cut, is not granted again beside the grantor on the other
+// side of this one.
+func TestOldBucketIsNoBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 10)
+		holder := hot()
+		limit := holder.Limit
+		before := &grants{ready: make(chan struct{})}
+		before.begin(newBucket(limit, 1, limit.Burst, time.Now()))
+		request := &quotapb.GrantRequest{Tenant: holder.Name, Rate: limit.RequestsPerSecond, Burst: limit.Burst, ConfigVersion: 1}
+		for share, most := range map[float64]float64{1: limit.Burst, 0.5: 0.5 * testAllowance.initial(limit)} {
+			service := cluster.edges[0].service
+			if level := service.takeOver(t.Context(), request, ranking{share: share, known: 10, edges: service.rankingOf(holder.Name).edges[:1]}, before).level; level > most {
+				t.Errorf("with %.1f of the edges alive it goes on with %.1f, want %.1f at most", share, level, most)
+			}
+		}
+		cluster.stop()
+	})
+}
+
 // TestLowerLimitTakesHold: the newest configuration that any edge asks by decides.
 func TestLowerLimitTakesHold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
