Spend slack for 4 s after a grantor was replaced without a handover and some edges are dead

Change: an edge that began without a handover grants slack only for 4 s as long as some edges are not known to live.

--- a/internal/quota/grantor.go
+++ b/internal/quota/grantor.go
@@ -36,6 +36,8 @@
 	lastUsed time.Time
 	// released says that another node grants from now on.
 	released bool
+	// begunAt is when this node began to grant; zero where the one before handed over.
+	begunAt time.Time
 }
 
 // grant answers a request as the tenant's grantor, or has one that ranks before this node answer it.
@@ -54,16 +56,25 @@
 	}
 	for ctx.Err() == nil {
 		held := s.grantsOf(ctx, request, ranked)
-		if response := held.answer(request, s.shareOf(ranked, limitOf(request)), time.Now()); response != nil {
+		if response := held.answer(request, s.shareOf(ranked, limitOf(request), held.begun(), time.Now()), time.Now()); response != nil {
 			return response
 		}
 	}
 	return &quotapb.GrantResponse{Elsewhere: true}
 }
 
-// shareOf returns the part of the limit that this node grants.
-func (s *Service) shareOf(ranked ranking, limit tenant.Limit) float64 {
-	if ranked.self > 0 {
+// begun returns when this node began to grant without a handover.
+func (g *grants) begun() time.Time {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.begunAt
+}
+
+// shareOf returns the part of the limit that this node grants, which began to at begunAt. Where some edges are not known to live, the other
+// side of a cut may learn of it later than this one, and grants the whole limit until then.
+func (s *Service) shareOf(ranked ranking, limit tenant.Limit, begunAt, now time.Time) float64 {
+	otherSide := ranked.share < 1 && !begunAt.IsZero() && now.Sub(begunAt) < detectionTime
+	if ranked.self > 0 || otherSide {
 		return ranked.share * s.allowance.standInShare(limit)
 	}
 	return ranked.share
@@ -127,9 +138,12 @@
 }
 
 // begin makes the grants usable.
-func (g *grants) begin(taken *bucket) {
+func (g *grants) begin(taken *bucket, handedOver bool) {
 	g.mutex.Lock()
 	g.bucket = taken
+	if !handedOver {
+		g.begunAt = time.Now()
+	}
 	g.mutex.Unlock()
 	close(g.ready)
 }
@@ -150,7 +164,7 @@
 
 // takeOver has the others that may have granted before cease to, and returns the bucket that this node goes on with; before is what
 // this node itself had when it granted last, or nil.
-func (s *Service) takeOver(ctx context.Context, request *quotapb.GrantRequest, ranked ranking, before *grants) *bucket {
+func (s *Service) takeOver(ctx context.Context, request *quotapb.GrantRequest, ranked ranking, before *grants) (taken *bucket, handedOver bool) {
 	limit := limitOf(request)
 	level, handedOver := s.release(ctx, request.GetTenant(), ranked)
 	now := time.Now()
@@ -176,7 +190,7 @@
 	}
 	s.logger.Info().Str(logging.FieldTenant, request.GetTenant()).Bool("handed_over", handedOver).Float64("level", level).
 		Int("rank", ranked.self).Float64("share", ranked.share).Msg("quota_taken_over")
-	return newBucket(limit, request.GetConfigVersion(), level, now)
+	return newBucket(limit, request.GetConfigVersion(), level, now), handedOver
 }
 
 // mayBeginAnew says that this node has not begun to grant with a part of the slack within the last window.
