Drop what the change left unused, and name what reads badly

Found on reading the whole change: itemRun.tokens was written and no longer read, since the pace is worked out from the log; withinQuota was given the writer that its exchange holds; predecessors meant those that granted before, while the code calls lower ranks so; comments with tell and anew. Behaviour is not meant to change, no test is touched.

--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -45,10 +45,9 @@
 	began  time.Duration
 	// yielded says that the run was cut off to make room.
 	yielded bool
-	// acceptedAt is when the job was accepted, in milliseconds since 1970; route and tokens are what the item was last sent with.
+	// acceptedAt is when the job was accepted, in milliseconds since 1970; route is the one by which the item was last sent.
 	acceptedAt int64
 	route      *route.Route
-	tokens     int64
 	// everBegan says that this owner has sent the item, ran is the time of its ended runs; startedWithText says that an earlier
 	// owner had made a part of the text. late is the latest plan's mark.
 	everBegan       bool
@@ -248,7 +247,7 @@
 		return
 	}
 	ctx, stop := context.WithCancel(p.ctx)
-	run.acceptedAt, run.route, run.tokens = each.acceptedAt, each.route, owner.submission.Items[each.key.number].Tokens
+	run.acceptedAt, run.route = each.acceptedAt, each.route
 	run.running, run.stop, run.routeGone, run.handle, run.began, run.yielded = true, stop, 0, handle, p.elapsed(), false
 	run.noteBegin()
 	p.countBegin(each.late)
--- a/internal/batch/door.go
+++ b/internal/batch/door.go
@@ -76,7 +76,8 @@
 	return url.PathEscape(c.Tenant) + "/" + jobID
 }
 
-// Submit has a job accepted; the submission's tenant is its caller's. The error is an *outcome.Error: NotRun means that no item will run on account of this call, with
+// Submit has a job accepted; the submission's tenant is its caller's. The error is an *outcome.Error: NotRun means that no item will run
+// on account of this call, with
 // ReasonRateLimited where the job does not fit; Indeterminate promises nothing.
 func (d *Door) Submit(ctx context.Context, submission *batchpb.Submission, matched *route.Route) error {
 	if err := Check(submission); err != nil {
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -124,7 +124,7 @@
 	return verdict
 }
 
-// noteEvents takes in that events have come. The first ones of a further lease tell what its begin cost: the time beyond the usual one
+// noteEvents takes in that events have come. The first ones of a further lease show what its begin cost: the time beyond the usual one
 // between events.
 func (a *itemAttempt) noteEvents(now time.Time) {
 	if a.resumed {
--- a/internal/batch/item_pace.go
+++ b/internal/batch/item_pace.go
@@ -11,7 +11,7 @@
 	leastLeft = 0.03
 )
 
-// itemPace is what the finished items of one route tell of those that wait. It is a part of the log's state, so that the next owner has
+// itemPace estimates, from the finished items of one route, what those that wait need. It is a part of the log's state, so that the next owner has
 // it from its first plan on. The zero value has seen none.
 type itemPace struct {
 	seen uint64
--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -59,7 +59,7 @@
 	return min(1, max(0, float64(now.Sub(s.fleet.ReportingSince()))/float64(rampSpan)))
 }
 
-// OnlineChanged takes in that the fleet's online requests are known anew: items give way where these need their room.
+// OnlineChanged takes in a new report of the fleet's online requests: items give way where these need their room.
 func (s *Service) OnlineChanged() {
 	s.observeCapacity(s.routes.Table(), time.Now())
 	s.yield()
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -59,7 +59,7 @@
 	uploads map[string][]byte
 	// waitingTokens are the tokens of items that are neither listed nor of an ended job.
 	waitingTokens map[quotaKey]int64
-	// paces holds what finished items tell, by route.
+	// paces holds the estimates from finished items, by route.
 	paces map[string]*itemPace
 	// bytes is the size of all bodies and texts that are kept.
 	bytes int64
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -163,14 +163,13 @@
 		handler: h, writer: writer, request: request, terms: terms, route: matched, body: body, arrived: arrived, deadline: deadline,
 		id: request.Header.Get(h.headers.RequestID), lastEvent: request.Header.Get(h.headers.LastEventID),
 	}
-	if !h.withinQuota(ctx, writer, current) {
-		return
+	if h.withinQuota(ctx, current) {
+		current.run(ctx)
 	}
-	current.run(ctx)
 }
 
 // withinQuota answers a request that is over its tenant's limit.
-func (h *Handler) withinQuota(ctx context.Context, writer http.ResponseWriter, current *exchange) bool {
+func (h *Handler) withinQuota(ctx context.Context, current *exchange) bool {
 	holder := current.terms.Tenant
 	if h.quota == nil || holder == nil {
 		return true
@@ -180,8 +179,8 @@
 		return true
 	}
 	h.metrics.outcome(current.route.Name, "over_quota")
-	SetRetryAfter(writer.Header(), verdict.RetryAfter)
-	http.Error(writer, "over quota", http.StatusTooManyRequests)
+	SetRetryAfter(current.writer.Header(), verdict.RetryAfter)
+	http.Error(current.writer, "over quota", http.StatusTooManyRequests)
 	return false
 }
 
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -7,7 +7,7 @@
 	"github.com/sloelift/sloelift/internal/tenant"
 )
 
-// longestRetry bounds the time after which a refused caller is told to come back: rates and demand change.
+// longestRetry bounds the time that a refused caller gets to come back: rates and demand change.
 const longestRetry = time.Second
 
 // bucket is a token bucket whose limit may change at any time. It is not safe for concurrent use.
--- a/internal/quota/grantor.go
+++ b/internal/quota/grantor.go
@@ -225,7 +225,7 @@
 			s.logger.Debug().Err(err).Str(logging.FieldPeer, string(before.ID)).Msg("release_not_sent")
 		}
 	}
-	asked := ranked.predecessors(releasedSuccessors)
+	asked := ranked.formerGrantors(releasedSuccessors)
 	answers := make(chan *quotapb.ReleaseResponse, len(asked))
 	for _, peer := range asked {
 		go func() {
--- a/internal/quota/ranking.go
+++ b/internal/quota/ranking.go
@@ -62,9 +62,9 @@
 	return found
 }
 
-// predecessors returns the edges that may have granted until this one began to: those that are stopping, and up to successors behind it
+// formerGrantors returns the edges that may have granted until this one began to: those that are stopping, and up to successors behind it
 // in rank, which stood in for it.
-func (r ranking) predecessors(successors int) []membership.Member {
+func (r ranking) formerGrantors(successors int) []membership.Member {
 	behind := r.edges[r.self+1:]
 	return append(slices.Clone(r.leaving), behind[:min(successors, len(behind))]...)
 }
