--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -48,6 +48,9 @@
 	maxPassedOn = 64 << 10
 )
 
+// fieldPrefix names the prefix of the keys in a log line.
+const fieldPrefix = "prefix"
+
 // Feed is the key-value service with watches that most nodes follow through others. It is safe for concurrent use.
 type Feed struct {
 	platform.KeyValue
@@ -143,12 +146,22 @@
 	}
 }
 
+// send queues message for all other nodes. A node whose queue refuses it finds out by the next message or by a heartbeat.
 func (f *Feed) send(view *membership.View, method transport.Method, message proto.Message) {
+	refused := 0
+	var last error
 	for _, member := range view.Members {
-		if member.ID != view.Self && member.State != membership.Dead {
-			_ = f.caller.Send(member.PeerAddress, method, message)
+		if member.ID == view.Self || member.State == membership.Dead {
+			continue
+		}
+		if err := f.caller.Send(member.PeerAddress, method, message); err != nil {
+			refused++
+			last = err
 		}
 	}
+	if refused > 0 {
+		f.logger.Warn().Err(last).Str("method", string(method)).Int("nodes", refused).Msg("message_not_queued")
+	}
 }
 
 func (f *Feed) hear(now time.Time) {
@@ -166,6 +179,7 @@
 	select {
 	case inbox <- changes:
 	default:
+		f.logger.Warn().Str(fieldPrefix, changes.Prefix).Int64(logging.FieldRevision, changes.Previous).Msg("changes_dropped_inbox_full")
 	}
 }
 
--- a/internal/changefeed/watch.go
+++ b/internal/changefeed/watch.go
@@ -207,11 +207,21 @@
 	message.Previous = state.newest
 	state.takeChanges(message.Changes)
 	f.mutex.Unlock()
-	if len(message.Changes) > 0 && size <= maxPassedOn {
+	if size > maxPassedOn {
+		f.logNotPassedOn(prefix, len(message.Changes), size)
+		return
+	}
+	if len(message.Changes) > 0 {
 		f.passOnMessage(message)
 	}
 }
 
+// logNotPassedOn says that changes were too large to be sent to the other nodes.
+func (f *Feed) logNotPassedOn(prefix string, changes, bytes int) {
+	f.logger.Info().Str(fieldPrefix, prefix).Int("changes", changes).Int("bytes", bytes).Int("limit_bytes", maxPassedOn).
+		Msg("changes_not_passed_on")
+}
+
 // passOnMessage sends changes to the other nodes, where this node is a watcher.
 func (f *Feed) passOnMessage(message *changefeedpb.Changes) {
 	if view := f.viewer.View(); Watches(view) {
--- a/internal/discovery/revisions.go
+++ b/internal/discovery/revisions.go
@@ -3,6 +3,10 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/logging"
 )
 
 // behindPatience is how long this node's own watch is given to bring what another node knows. The nodes that watch gather changes for
@@ -16,6 +20,7 @@
 	tell func(revision int64)
 	// behind asks for a listing.
 	behind chan struct{}
+	logger zerolog.Logger
 
 	mutex sync.Mutex
 	// changed is the revision of the newest change that this node knows, seen the revision up to which it knows the prefix, and
@@ -26,8 +31,8 @@
 	timer   *time.Timer
 }
 
-func newRevisions(tell func(revision int64)) *revisions {
-	return &revisions{tell: tell, behind: make(chan struct{}, 1)}
+func newRevisions(tell func(revision int64), logger zerolog.Logger) *revisions {
+	return &revisions{tell: tell, behind: make(chan struct{}, 1), logger: logger}
 }
 
 // tookChange notes a change at revision, which the other nodes are told of.
@@ -66,6 +71,7 @@
 	if r.told <= r.seen {
 		return
 	}
+	r.logger.Info().Int64(logging.FieldRevision, r.seen).Int64("newest", r.told).Msg("behind_other_nodes")
 	select {
 	case r.behind <- struct{}{}:
 	default:
--- a/internal/discovery/revisions_test.go
+++ b/internal/discovery/revisions_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // TestGatheringIsNoReasonToList: changes that the watching nodes gather for 600 ms come by themselves; a node that has not had them
@@ -11,7 +13,7 @@
 func TestGatheringIsNoReasonToList(t *testing.T) {
 	const gather = 600 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
-		known := newRevisions(func(int64) {})
+		known := newRevisions(func(int64) {}, zerolog.Nop())
 		defer known.stop()
 		known.saw(1)
 		known.hear(2)
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -61,13 +61,15 @@
 
 // New returns a Service; nothing runs before Start.
 func New(options Options) *Service {
+	logger := options.Logger.With().Str(logging.FieldSlice, "discovery").Logger()
+	follows := func(prefix string) zerolog.Logger { return logger.With().Str("prefix", prefix).Logger() }
 	return &Service{
 		store: options.Store, translator: options.Translator, routes: options.Routes, directory: options.Directory,
 		viewer:        options.Viewer,
-		configuration: newRevisions(options.Reporter.SetConfigRevision),
-		replicas:      newRevisions(options.Reporter.SetReplicasRevision),
+		configuration: newRevisions(options.Reporter.SetConfigRevision, follows(options.Translator.ConfigurationKey())),
+		replicas:      newRevisions(options.Reporter.SetReplicasRevision, follows(options.Translator.ReplicaPrefix())),
 
-		logger: options.Logger.With().Str(logging.FieldSlice, "discovery").Logger(),
+		logger: logger,
 	}
 }
 
