--- a/internal/changefeed/fake_test.go
+++ b/internal/changefeed/fake_test.go
@@ -110,26 +110,33 @@
 }
 
 // put changes key and tells the held calls.
-func (s *countingStore) put(key string) {
+func (s *countingStore) put(key string) { s.putValue(key, nil) }
+
+// putValue writes value to key, tells the held calls, and returns the revision.
+func (s *countingStore) putValue(key string, value []byte) int64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	revision := s.revision() + 1
-	s.changes = append(s.changes, platform.WatchEvent{Revision: revision, Changed: []platform.Entry{{Key: key, ModRevision: revision}}})
+	entry := platform.Entry{Key: key, Value: value, ModRevision: revision}
+	s.changes = append(s.changes, platform.WatchEvent{Revision: revision, Changed: []platform.Entry{entry}})
 	close(s.told)
 	s.told = make(chan struct{})
+	return revision
 }
 
-// putAndForget changes one key, removes another and forgets all history, before any watch is answered.
-func (s *countingStore) putAndForget(key, removed string) {
+// putAndForget writes value to one key, removes another and forgets all history, before any watch is answered. It returns the revision.
+func (s *countingStore) putAndForget(key string, value []byte, removed string) int64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	revision := s.revision() + 1
+	entry := platform.Entry{Key: key, Value: value, ModRevision: revision}
 	s.changes = append(s.changes,
-		platform.WatchEvent{Revision: revision, Changed: []platform.Entry{{Key: key, ModRevision: revision}}},
+		platform.WatchEvent{Revision: revision, Changed: []platform.Entry{entry}},
 		platform.WatchEvent{Revision: revision + 1, Deleted: []string{removed}})
 	s.compacted = s.revision()
 	close(s.told)
 	s.told = make(chan struct{})
+	return revision
 }
 
 func (s *countingStore) listed() int {
--- a/internal/changefeed/feed_test.go
+++ b/internal/changefeed/feed_test.go
@@ -30,6 +30,8 @@
 	cancel context.CancelFunc
 	mutex  sync.Mutex
 	taken  []map[string]int
+	// newest is the newest change that each node has taken.
+	newest []int64
 	listed []int
 	failed []error
 }
@@ -59,7 +61,7 @@
 func startFeeds(count int) *clusterOfFeeds {
 	c := &clusterOfFeeds{
 		store: newCountingStore(), fabric: &fabric{handlers: map[netip.AddrPort]map[transport.Method]transport.Handler{}},
-		taken: make([]map[string]int, count), listed: make([]int, count), failed: make([]error, count),
+		taken: make([]map[string]int, count), newest: make([]int64, count), listed: make([]int, count), failed: make([]error, count),
 	}
 	var members []membership.Member
 	for index := range count {
@@ -81,6 +83,7 @@
 				c.mutex.Lock()
 				defer c.mutex.Unlock()
 				c.listed[index]++
+				c.note(index, listing.Entries)
 				if c.listed[index] > 1 {
 					clear(c.taken[index])
 					for _, entry := range listing.Entries {
@@ -91,6 +94,7 @@
 			Update: func(_ int64, changed []platform.Entry, deleted []string) {
 				c.mutex.Lock()
 				defer c.mutex.Unlock()
+				c.note(index, changed)
 				for _, key := range deleted {
 					c.taken[index][key] = 0
 				}
@@ -108,6 +112,13 @@
 	return c
 }
 
+// note keeps the newest change that a node has taken. The mutex is held.
+func (c *clusterOfFeeds) note(index int, entries []platform.Entry) {
+	for _, entry := range entries {
+		c.newest[index] = max(c.newest[index], entry.ModRevision)
+	}
+}
+
 func (c *clusterOfFeeds) stop() {
 	c.cancel()
 	for _, feed := range c.feeds {
@@ -229,7 +240,7 @@
 		c.store.put("k1")
 		c.store.put("k2")
 		time.Sleep(2 * time.Second)
-		c.store.putAndForget("k3", "k1")
+		c.store.putAndForget("k3", nil, "k1")
 		time.Sleep(2 * time.Second)
 		c.wantTaken(t, "k1", 0)
 		c.wantTaken(t, "k2", 1)
