--- a/internal/changefeed/fake_test.go
+++ b/internal/changefeed/fake_test.go
@@ -21,6 +21,8 @@
 	changes []platform.WatchEvent
 	down    bool
 	open    int
+	// mute leaves held calls without an answer.
+	mute bool
 	// lists counts the listings; changes up to compacted are forgotten.
 	lists     int
 	compacted int64
@@ -85,8 +87,12 @@
 // hold answers one held call.
 func (s *countingStore) hold(ctx context.Context, since int64) ([]platform.WatchEvent, int64) {
 	s.mutex.Lock()
-	told, quiet := s.told, s.revision() == since
+	told, quiet, mute := s.told, s.revision() == since, s.mute
 	s.mutex.Unlock()
+	if mute {
+		<-ctx.Done()
+		return nil, since
+	}
 	if quiet {
 		select {
 		case <-told:
@@ -153,6 +159,12 @@
 	s.told = make(chan struct{})
 }
 
+func (s *countingStore) setMute(mute bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.mute = mute
+}
+
 func (s *countingStore) watching() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/changefeed/late_changes_test.go
+++ b/internal/changefeed/late_changes_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	changefeedpb "github.com/sloelift/sloelift/api/proto/changefeed"
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
@@ -113,3 +114,33 @@
 		c.stop()
 	})
 }
+
+// TestChangeThatCameBeforeTheTurnEndedIsKept: a node that hears no watcher asks the service, whose answers do not reach it. What the first
+// watcher that is heard again passes on is what it then lacks: the turn to ask ends by that very message, and the change is in no later one.
+func TestChangeThatCameBeforeTheTurnEndedIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startFeeds(6)
+		time.Sleep(2 * time.Second)
+		c.fabric.mutex.Lock()
+		c.fabric.lose = func(netip.AddrPort, transport.Method) bool { return true }
+		c.fabric.mutex.Unlock()
+		time.Sleep(silence + 2*turnInterval)
+		c.store.setMute(true)
+		const revision = firstRevision + 1
+		for _, feed := range c.feeds {
+			feed.take(&changefeedpb.Changes{
+				Prefix: "k", Previous: firstRevision,
+				Changes: []*changefeedpb.Change{{Revision: revision, Changed: []*changefeedpb.Entry{{Key: "k1", ModRevision: revision}}}},
+			}, time.Now())
+		}
+		time.Sleep(mostBehind)
+		c.mutex.Lock()
+		for index, feed := range c.feeds {
+			if !Watches(feed.viewer.View()) && c.newest[index] < revision {
+				t.Errorf("node %d knows revision %d, want %d", index, c.newest[index], revision)
+			}
+		}
+		c.mutex.Unlock()
+		c.stop()
+	})
+}
