Keep what watchers passed on until the node's own watch has told it

Cause: a node that asks the service, since it heard no watcher, threw away what came to its inbox; where its turn ended by that very message, the change was in no later one. Change: such messages are kept while they are ahead of the service's answers, and taken when the node follows again; the turn is looked at after each answer too.

--- a/internal/changefeed/watch.go
+++ b/internal/changefeed/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	changefeedpb "github.com/sloelift/sloelift/api/proto/changefeed"
@@ -38,6 +39,9 @@
 	// known is the revision up to which all changes are delivered.
 	known  int64
 	events chan<- platform.WatchEvent
+	// ahead is what watchers passed on while this node asked the service, in their order; it is taken where the service did not tell it
+	// before the turn to ask ended.
+	ahead []*changefeedpb.Changes
 }
 
 // deliver hands on an event; false where the watch has ended, by it or before.
@@ -60,6 +64,7 @@
 		return w.deliver(ctx, platform.WatchEvent{Err: err})
 	}
 	inbox := w.feed.inbox(w.prefix)
+	w.ahead = nil
 	ticker := time.NewTicker(turnInterval)
 	defer ticker.Stop()
 	var answer []platform.WatchEvent
@@ -77,18 +82,38 @@
 				return false
 			}
 			answer = nil
+			if !w.feed.watchesNow(time.Now()) {
+				return true
+			}
 		case now := <-ticker.C:
 			if !w.feed.watchesNow(now) {
 				return true
 			}
-		case <-inbox:
-			// The service tells this node itself.
+		case changes := <-inbox:
+			w.keep(changes)
 		case <-ctx.Done():
 			return false
 		}
 	}
 }
 
+// keep keeps what a watcher passed on, and drops what the service has told by now. Of more than the inbox holds the oldest goes; the
+// reader then finds a gap.
+func (w *watch) keep(changes *changefeedpb.Changes) {
+	w.ahead = slices.DeleteFunc(append(w.ahead, changes), func(kept *changefeedpb.Changes) bool { return lastRevision(kept) <= w.known })
+	if len(w.ahead) > inboxLength {
+		w.ahead = w.ahead[1:]
+	}
+}
+
+// lastRevision is that of the last of changes; 0 where there are none.
+func lastRevision(changes *changefeedpb.Changes) int64 {
+	if len(changes.Changes) == 0 {
+		return 0
+	}
+	return changes.Changes[len(changes.Changes)-1].Revision
+}
+
 // takeAnswer passes on and delivers one answer of the service, and waits for more changes where it had some; false where the watch has
 // ended.
 func (w *watch) takeAnswer(ctx context.Context, answer []platform.WatchEvent) bool {
@@ -109,6 +134,12 @@
 
 // follow takes what watchers pass on until it is this node's turn to watch; false where the watch has ended.
 func (w *watch) follow(ctx context.Context) bool {
+	for _, changes := range w.ahead {
+		if !w.take(ctx, changes) {
+			return false
+		}
+	}
+	w.ahead = nil
 	inbox := w.feed.inbox(w.prefix)
 	ticker := time.NewTicker(turnInterval)
 	defer ticker.Stop()
@@ -133,7 +164,7 @@
 
 // take delivers what is new of changes; where the change before them is not known, it ends the watch.
 func (w *watch) take(ctx context.Context, changes *changefeedpb.Changes) bool {
-	if len(changes.Changes) == 0 || changes.Changes[len(changes.Changes)-1].Revision <= w.known {
+	if lastRevision(changes) <= w.known {
 		return true
 	}
 	if changes.Previous > w.known {
