Lend parts of a tenant's limit to its grantor for a second at a time

Change: each edge owns one part in all of each larger tenant's rate and burst, and lends it to one grantor at a time, which renews it each half second and gives it up by its own earlier clock. Who may grant is no matter of safety any more. A grantor that is replaced cedes, so that its successor borrows at once. Tenants whose limit the slack covers twice keep the grantor by rank alone.

--- a/internal/quota/allowance.go
+++ b/internal/quota/allowance.go
@@ -42,6 +42,10 @@
 	return min(1, standInPart*a.slack(limit)/(limit.RequestsPerSecond*detectionTime.Seconds()))
 }
 
+// lent says that grantors borrow the limit from the edges in parts: where two that grant the whole limit until the death of one is known
+// everywhere could exceed what is allowed.
+func (a Allowance) lent(limit tenant.Limit) bool { return a.standInShare(limit) < 1 }
+
 // unansweredRate returns the requests per second that one of so many edges may send without a grantor.
 func (a Allowance) unansweredRate(limit tenant.Limit, edges int) float64 {
 	return unansweredPart * a.slack(limit) / a.Window.Seconds() / float64(max(1, edges))
--- /dev/null
+++ b/internal/quota/borrower.go
@@ -0,0 +1,280 @@
+package quota
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	quotapb "github.com/sloelift/sloelift/api/proto/quota"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/tenant"
+)
+
+const (
+	// lendTimeout bounds the wait for a part. An edge that has spent its processor time stands still for up to 0.1 s.
+	lendTimeout = 200 * time.Millisecond
+	// lendWait is how long a request waits for parts that are being borrowed; most edges answer within a few milliseconds.
+	lendWait = 30 * time.Millisecond
+	// renewAfter is the age at which a borrowed part is renewed.
+	renewAfter = lendingTime / 2
+)
+
+// borrower grants for one tenant from the parts that it has borrowed. It is safe for concurrent use.
+type borrower struct {
+	// borrowing is the name of this time as grantor, ceded are the borrowings of the grantors before that ended for it.
+	borrowing string
+	ceded     []string
+
+	// mutex guards the fields below.
+	mutex  sync.Mutex
+	bucket *bucket
+	parts  map[membership.NodeID]borrowed
+	// renewal is closed when the parts asked for have come or will not; nil where none are asked for.
+	renewal  chan struct{}
+	lastUsed time.Time
+	// settled says that the first round of asking for parts is over. Until then the level may be that of parts still to come.
+	settled bool
+	// released says that another node grants from now on.
+	released bool
+}
+
+// borrowed is the part of one edge.
+type borrowed struct {
+	share float64
+	// until is when it must be given up, by a time taken before the lender was asked.
+	until time.Time
+}
+
+// newBorrower returns a borrower without parts; level is what the grantor before handed over.
+func newBorrower(name membership.NodeID, request *quotapb.GrantRequest, level float64, ceded []string, now time.Time) *borrower {
+	return &borrower{
+		borrowing: string(name) + "/" + strconv.FormatInt(now.UnixNano(), 10), ceded: ceded,
+		bucket: newBucket(limitOf(request), request.GetConfigVersion(), level, now), parts: map[membership.NodeID]borrowed{}, lastUsed: now,
+	}
+}
+
+// collect adds what the parts brought since the last time, and gives up those whose time is over, with what they may hold. What a part
+// that has ended since brought before its end is left out. The mutex is held.
+func (b *borrower) collect(now time.Time) (share float64) {
+	for lender, each := range b.parts {
+		if !now.Before(each.until) {
+			delete(b.parts, lender)
+			continue
+		}
+		share += each.share
+	}
+	b.bucket.fill(share, now)
+	if b.settled {
+		b.bucket.level = min(b.bucket.level, share*b.bucket.limit.Burst)
+	}
+	return share
+}
+
+// answer takes requests from the bucket; nil where this node does not grant, or has nothing to grant from.
+func (b *borrower) answer(request *quotapb.GrantRequest, now time.Time) *quotapb.GrantResponse {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.released {
+		return nil
+	}
+	b.bucket.setLimit(limitOf(request), request.GetConfigVersion())
+	share := b.collect(now)
+	b.bucket.giveBack(int(request.GetReturned()))
+	request.Returned = 0
+	if share == 0 {
+		return nil
+	}
+	taken, retryAfter := b.bucket.take(int(request.GetWanted()), share, now)
+	return &quotapb.GrantResponse{Granted: uint32(taken), RetryMicros: uint64(retryAfter.Microseconds())}
+}
+
+// short says that the bucket does not hold the wanted requests.
+func (b *borrower) short(wanted uint32, now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.collect(now)
+	return b.bucket.level < float64(wanted)
+}
+
+// take takes in a part.
+func (b *borrower) take(from membership.NodeID, response *quotapb.LendResponse, until, now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.collect(now)
+	if b.released || !now.Before(until) {
+		return
+	}
+	b.parts[from] = borrowed{share: response.GetShare(), until: until}
+	b.bucket.level += response.GetLevel()
+}
+
+// release ends this time as grantor, and returns what was left.
+func (b *borrower) release(now time.Time) *quotapb.ReleaseResponse {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.collect(now)
+	b.released = true
+	return &quotapb.ReleaseResponse{Held: true, Level: b.bucket.level, Ceded: b.borrowing}
+}
+
+// beginRenewal returns the edges whose parts are to be asked for, and the channel that ends the wait for them; nil where a renewal is under way
+// or none is needed.
+func (b *borrower) beginRenewal(candidates []membership.Member, now time.Time) (due []membership.Member, renewal chan struct{}) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.lastUsed = now
+	if b.renewal != nil {
+		return nil, nil
+	}
+	for _, each := range candidates {
+		if part, held := b.parts[each.ID]; !held || part.until.Sub(now) <= lendingTime-renewAfter {
+			due = append(due, each)
+		}
+	}
+	if len(due) == 0 {
+		return nil, nil
+	}
+	b.renewal = make(chan struct{})
+	return due, b.renewal
+}
+
+func (b *borrower) endRenewal() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	close(b.renewal)
+	b.renewal = nil
+	b.settled = true
+}
+
+// underWay returns the channel that ends the wait for parts; nil where none are asked for.
+func (b *borrower) underWay() chan struct{} {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.renewal
+}
+
+func (b *borrower) isIdle(now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return now.Sub(b.lastUsed) > idleAfter
+}
+
+// grantFromParts answers a request from borrowed parts; nil where this node has none.
+func (s *Service) grantFromParts(ctx context.Context, request *quotapb.GrantRequest, ranked ranking) *quotapb.GrantResponse {
+	held := s.borrowerOf(ctx, request, ranked)
+	s.renew(held, request, ranked)
+	if renewal := held.underWay(); renewal != nil && held.short(request.GetWanted(), time.Now()) {
+		waited, cancel := context.WithTimeout(ctx, lendWait)
+		defer cancel()
+		select {
+		case <-renewal:
+		case <-waited.Done():
+		}
+	}
+	return held.answer(request, time.Now())
+}
+
+// borrowerOf returns the tenant's borrower; a new one has the grantors before it cease.
+func (s *Service) borrowerOf(ctx context.Context, request *quotapb.GrantRequest, ranked ranking) *borrower {
+	name := request.GetTenant()
+	s.mutex.Lock()
+	held, known := s.borrowing[name]
+	s.mutex.Unlock()
+	if known && !held.isIdle(time.Now()) {
+		return held
+	}
+	level, ceded := s.release(ctx, name, ranked)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if other := s.borrowing[name]; other != nil && other != held {
+		// Another request came first, to whom nothing was handed over then.
+		return other
+	}
+	now := time.Now()
+	held = newBorrower(s.viewer.View().Self, request, level, ceded, now)
+	s.borrowing[name] = held
+	s.logger.Info().Str(logging.FieldTenant, name).Bool("handed_over", len(ceded) > 0).Float64("level", level).
+		Int("rank", ranked.self).Msg("quota_taken_over")
+	return held
+}
+
+// renew asks for the parts that are missing or grow old, in the background.
+func (s *Service) renew(held *borrower, request *quotapb.GrantRequest, ranked ranking) {
+	due, renewal := held.beginRenewal(s.lenders(ranked), time.Now())
+	if renewal == nil {
+		return
+	}
+	message := &quotapb.LendRequest{
+		Tenant: request.GetTenant(), Borrowing: held.borrowing, Ceded: held.ceded, Rate: request.GetRate(), Burst: request.GetBurst(),
+	}
+	if !s.begin(func() {
+		defer held.endRenewal()
+		s.borrowFrom(due, held, message)
+	}) {
+		held.endRenewal()
+	}
+}
+
+// lenders returns the edges that may be asked for their parts.
+func (s *Service) lenders(ranked ranking) []membership.Member {
+	now := time.Now()
+	var found []membership.Member
+	for _, members := range [][]membership.Member{ranked.edges, ranked.leaving} {
+		for _, each := range members {
+			if !s.unreached.Recent(each.PeerAddress, now) {
+				found = append(found, each)
+			}
+		}
+	}
+	return found
+}
+
+// borrowFrom asks edges for their parts, all at once.
+func (s *Service) borrowFrom(lenders []membership.Member, held *borrower, message *quotapb.LendRequest) {
+	var asked sync.WaitGroup
+	self := s.viewer.View().Self
+	for _, each := range lenders {
+		asked.Go(func() {
+			// The lender counts from its answer on, which is later.
+			until := time.Now().Add(lendingTime)
+			response := &quotapb.LendResponse{}
+			if each.ID == self {
+				response = s.lendPart(message)
+			} else if !s.askPart(each, message, response) {
+				return
+			}
+			if response.GetLent() {
+				held.take(each.ID, response, until, time.Now())
+			}
+		})
+	}
+	asked.Wait()
+}
+
+func (s *Service) askPart(peer membership.Member, message *quotapb.LendRequest, response *quotapb.LendResponse) bool {
+	ctx, cancel := context.WithTimeout(s.ctx, lendTimeout)
+	defer cancel()
+	if err := s.caller.Call(ctx, peer.PeerAddress, methodLend, message, response); err != nil {
+		s.unreached.Note(peer.PeerAddress, time.Now())
+		s.logger.Debug().Str(logging.FieldTenant, message.GetTenant()).Str(logging.FieldPeer, string(peer.ID)).Err(err).Msg("part_not_lent")
+		return false
+	}
+	s.contact.note(time.Now())
+	return true
+}
+
+// lendPart lends this edge's part of a tenant's limit.
+func (s *Service) lendPart(request *quotapb.LendRequest) *quotapb.LendResponse {
+	ranked := s.rankingOf(request.GetTenant())
+	if s.mayNotHaveJoined(ranked) {
+		return &quotapb.LendResponse{}
+	}
+	limit := tenant.Limit{RequestsPerSecond: request.GetRate(), Burst: request.GetBurst()}
+	level, lent := s.lender.lend(request.GetTenant(), request.GetBorrowing(), request.GetCeded(), limit, ranked.known, time.Now())
+	if !lent {
+		return &quotapb.LendResponse{}
+	}
+	return &quotapb.LendResponse{Lent: true, Share: 1 / float64(max(1, ranked.known)), Level: level}
+}
--- a/internal/quota/grantor.go
+++ b/internal/quota/grantor.go
@@ -51,6 +51,12 @@
 			return response
 		}
 	}
+	if s.allowance.lent(limitOf(request)) {
+		if response := s.grantFromParts(ctx, request, ranked); response != nil {
+			return response
+		}
+		return &quotapb.GrantResponse{Elsewhere: true}
+	}
 	if !s.contact.established(ctx, s, ranked) {
 		return &quotapb.GrantResponse{Elsewhere: true}
 	}
@@ -166,7 +172,9 @@
 // this node itself had when it granted last, or nil.
 func (s *Service) takeOver(ctx context.Context, request *quotapb.GrantRequest, ranked ranking, before *grants) (taken *bucket, handedOver bool) {
 	limit := limitOf(request)
-	level, handedOver := s.release(ctx, request.GetTenant(), ranked)
+	s.releaseThoseBefore(request.GetTenant(), ranked)
+	level, ended := s.release(ctx, request.GetTenant(), ranked)
+	handedOver = len(ended) > 0
 	now := time.Now()
 	own := before.bucketBefore()
 	switch {
@@ -214,17 +222,21 @@
 	return g.bucket
 }
 
-// release has others cease to grant; level is the least that one of them had left.
-func (s *Service) release(ctx context.Context, tenantName string, ranked ranking) (level float64, handedOver bool) {
-	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer cancel()
-	message := &quotapb.ReleaseRequest{Tenant: tenantName}
+// releaseThoseBefore has edges that rank before this one cease to grant; they do not answer, and may read this later.
+func (s *Service) releaseThoseBefore(tenantName string, ranked ranking) {
 	for _, before := range ranked.edges[:ranked.self] {
-		// It does not answer; it may read this later.
-		if err := s.caller.Send(before.PeerAddress, methodRelease, message); err != nil {
+		if err := s.caller.Send(before.PeerAddress, methodRelease, &quotapb.ReleaseRequest{Tenant: tenantName}); err != nil {
 			s.logger.Debug().Err(err).Str(logging.FieldPeer, string(before.ID)).Msg("release_not_sent")
 		}
 	}
+}
+
+// release has those cease to grant that may have stood in for this edge; ended names what they borrowed, an empty text each where that
+// was nothing, and level is the least that one of them had left.
+func (s *Service) release(ctx context.Context, tenantName string, ranked ranking) (level float64, ended []string) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	message := &quotapb.ReleaseRequest{Tenant: tenantName}
 	asked := ranked.formerGrantors(releasedSuccessors)
 	answers := make(chan *quotapb.ReleaseResponse, len(asked))
 	for _, peer := range asked {
@@ -241,20 +253,25 @@
 		if !answer.GetHeld() {
 			continue
 		}
-		if !handedOver || answer.GetLevel() < level {
+		if len(ended) == 0 || answer.GetLevel() < level {
 			level = answer.GetLevel()
 		}
-		handedOver = true
+		ended = append(ended, answer.GetCeded())
 	}
-	return level, handedOver
+	return level, ended
 }
 
 // handOver ceases to grant for a tenant.
 func (s *Service) handOver(tenantName string) *quotapb.ReleaseResponse {
 	s.mutex.Lock()
+	borrower, borrows := s.borrowing[tenantName]
+	delete(s.borrowing, tenantName)
 	held, known := s.granting[tenantName]
 	delete(s.granting, tenantName)
 	s.mutex.Unlock()
+	if borrows {
+		return borrower.release(time.Now())
+	}
 	if !known {
 		return &quotapb.ReleaseResponse{}
 	}
--- /dev/null
+++ b/internal/quota/lender.go
@@ -0,0 +1,70 @@
+package quota
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/tenant"
+)
+
+// lendingTime is how long a part is lent. When a grantor dies its parts lie idle for so long, and so do the parts of an edge that was
+// started, which does not know to whom it lent before. Grantors renew after half of it: two calls a second, large tenant and edge.
+const lendingTime = time.Second
+
+// lender lends this edge's part of each tenant's limit: one part in all known edges, of the rate and of the burst.
+//
+// Invariant: a part is lent to one borrowing at a time, and to the next only once the time of the one before is over or that was
+// ceded. So what all grantors grant together in any window is at most the limit, whoever reaches whom and whatever each knows of the
+// others; only edges that disagree on the number of edges can make it more, by as much as they do.
+type lender struct {
+	// mutex guards parts.
+	mutex   sync.Mutex
+	started time.Time
+	parts   map[string]*part
+}
+
+// part is the part of one tenant.
+type part struct {
+	// borrowing is the one that the part was last lent to, until is the end of its time.
+	borrowing string
+	until     time.Time
+	// bucket holds what the part collects while nobody has borrowed it; nothing of it is left where it was lent.
+	bucket *bucket
+}
+
+func newLender(now time.Time) *lender { return &lender{started: now, parts: map[string]*part{}} }
+
+// lend lends the tenant's part, of which there are so many in all, to a borrowing; ceded are borrowings that have ended. It returns the
+// requests that come with the part.
+func (l *lender) lend(tenantName, borrowing string, ceded []string, limit tenant.Limit, parts int, now time.Time) (level float64, lent bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	lendable := l.started.Add(lendingTime)
+	if now.Before(lendable) {
+		return 0, false
+	}
+	own := partOf(limit, parts)
+	held := l.parts[tenantName]
+	if held == nil {
+		held = &part{bucket: newBucket(own, 0, 0, lendable)}
+		l.parts[tenantName] = held
+	}
+	if now.Before(held.until) && held.borrowing != borrowing && !slices.Contains(ceded, held.borrowing) {
+		return 0, false
+	}
+	if !now.Before(held.until) {
+		held.bucket.limit = own
+		level = held.bucket.collected(now)
+	}
+	held.borrowing, held.until = borrowing, now.Add(lendingTime)
+	// It collects again from the end of its time on.
+	held.bucket = newBucket(own, 0, 0, held.until)
+	return level, true
+}
+
+// partOf is one of so many equal parts of limit.
+func partOf(limit tenant.Limit, parts int) tenant.Limit {
+	count := float64(max(1, parts))
+	return tenant.Limit{RequestsPerSecond: limit.RequestsPerSecond / count, Burst: limit.Burst / count}
+}
--- a/internal/quota/requester.go
+++ b/internal/quota/requester.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -219,7 +220,12 @@
 		rate = 0
 	}
 	if r.alone == nil {
-		r.alone = newBucket(tenant.Limit{RequestsPerSecond: rate}, 0, 1, now)
+		level := 1.0
+		if r.service.allowance.lent(r.limit) {
+			// One request of each edge at the same moment would be more than the slack where there are many edges.
+			level = rand.Float64()
+		}
+		r.alone = newBucket(tenant.Limit{RequestsPerSecond: rate}, 0, level, now)
 	}
 	r.alone.limit.RequestsPerSecond = rate
 	return r.alone.take(wanted, 1, now)
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -21,6 +21,7 @@
 const (
 	methodGrant   transport.Method = "quota.grant"
 	methodRelease transport.Method = "quota.release"
+	methodLend    transport.Method = "quota.lend"
 )
 
 // unreachedFor is how long an edge that gave no answer is passed over. A killed process is back within a second or two, and one request
@@ -45,13 +46,15 @@
 	unreached *unreached.Peers
 	rankings  rankings
 	contact   contact
+	lender    *lender
 	ctx       context.Context
 	cancel    context.CancelFunc
 	running   sync.WaitGroup
 
 	// mutex guards the fields below: the tenants that this node grants for, and those whose requests it asks for.
-	mutex    sync.Mutex
-	granting map[string]*grants
+	mutex     sync.Mutex
+	granting  map[string]*grants
+	borrowing map[string]*borrower
 	// begun is when this node last began to grant for a tenant with a part of the slack.
 	begun   map[string]time.Time
 	asking  map[string]*requester
@@ -66,7 +69,7 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sloelift_quota_requests_total", Help: "Requests of tenants with a limit, by verdict and by whether a grantor decided.",
 		}, []string{"verdict", "decided_by"}),
-		granting: map[string]*grants{}, begun: map[string]time.Time{}, asking: map[string]*requester{},
+		granting: map[string]*grants{}, borrowing: map[string]*borrower{}, lender: newLender(time.Now()), begun: map[string]time.Time{}, asking: map[string]*requester{},
 	}
 	service.ctx, service.cancel = context.WithCancel(context.Background())
 	registerer.MustRegister(service.requests)
@@ -80,6 +83,11 @@
 			service.noteContact(from)
 			return service.handOver(request.GetTenant()), nil
 		})
+	transport.Handle(registrar, methodLend, func() *quotapb.LendRequest { return &quotapb.LendRequest{} },
+		func(_ context.Context, from netip.AddrPort, request *quotapb.LendRequest) (*quotapb.LendResponse, error) {
+			service.noteContact(from)
+			return service.lendPart(request), nil
+		})
 	return service
 }
 
