Replace connections that go silent without a reset, between nodes and to the key-value service

Cause: an open connection may swallow all bytes while new ones work. Between nodes only TCP's own time-out of 8 s showed it, and nothing where a proxy acknowledges; each kept connection to the key-value service cost a call of its own, with longer patience each time. Beside it: the listener for peers ended for good at the first connection that it could not accept.

--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -17,14 +17,6 @@
 // DialTimeout bounds how long one connection attempt of System takes.
 const DialTimeout = 2 * time.Second
 
-// A connection whose other end is gone without a word ends after keepAliveIdle and keepAliveProbes unanswered probes,
-// about four seconds.
-const (
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveProbes   = 3
-)
-
 // System is the operating system's network.
 type System struct{}
 
@@ -36,10 +28,13 @@
 
 // Dial opens a connection.
 func (System) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
-	}}
-	return dialer.DialContext(ctx, "tcp", address.String())
+	dialer := net.Dialer{Timeout: DialTimeout}
+	connection, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	Watch(connection, net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes})
+	return connection, nil
 }
 
 // HTTPTransport returns an http.Transport that dials through network; host names
--- a/internal/transport/socket_linux.go
+++ b/internal/network/user_timeout_linux.go
@@ -1,17 +1,9 @@
-package transport
+package network
 
-import (
-	"syscall"
-	"time"
-)
+import "syscall"
 
-const (
-	// tcpUserTimeout is TCP_USER_TIMEOUT of linux/tcp.h.
-	tcpUserTimeout = 18
-	// unackedTimeout ends a connection whose bytes the peer does not acknowledge, so
-	// that a healed network is used by a fresh connection at once.
-	unackedTimeout = 8 * time.Second
-)
+// tcpUserTimeout is TCP_USER_TIMEOUT of linux/tcp.h.
+const tcpUserTimeout = 18
 
 // setUserTimeout sets unackedTimeout on a socket.
 func setUserTimeout(raw syscall.RawConn) error {
--- a/internal/transport/socket_other.go
+++ b/internal/network/user_timeout_other.go
@@ -1,6 +1,6 @@
 //go:build !linux
 
-package transport
+package network
 
 import "syscall"
 
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -57,6 +57,8 @@
 		e.patience.answered(time.Since(began) - hold)
 	case bounded.Err() != nil && ctx.Err() == nil:
 		e.patience.missed(wait)
+		// Connections may go silent together, without a reset: each kept one would cost a call more, and longer patience.
+		e.caller.close()
 	}
 	return status, answer, err
 }
--- /dev/null
+++ b/internal/platform/silence_test.go
@@ -0,0 +1,53 @@
+package platform
+
+import (
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/network/networktest"
+)
+
+// TestSilentConnectionsToTheServiceAreGivenUp: all kept connections to the key-value service go silent without a reset. The first call that
+// gets no answer shows it, and the next one takes a new connection.
+func TestSilentConnectionsToTheServiceAreGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		address := netip.MustParseAddrPort("127.0.0.1:1")
+		wires := networktest.NewPipes()
+		listener, err := wires.Listen(t.Context(), address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(10 * time.Millisecond) })}
+		go func() { _ = server.Serve(listener) }()
+		silencer := networktest.NewSilencer(wires)
+		exchanger := NewExchanger(silencer, address)
+		const kept = 5
+		var calls sync.WaitGroup
+		for range kept {
+			calls.Go(func() {
+				if _, _, err := exchanger.Read(t.Context(), http.MethodGet, "/"); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		calls.Wait()
+		if silenced := silencer.Silence(); silenced != kept {
+			t.Fatalf("%d connections are kept, want %d", silenced, kept)
+		}
+		began := time.Now()
+		for tries := 1; ; tries++ {
+			if _, _, err := exchanger.Read(t.Context(), http.MethodGet, "/"); err == nil {
+				break
+			}
+			if tries == 2 {
+				t.Fatalf("%d calls in %s got no answer", tries, time.Since(began))
+			}
+		}
+		exchanger.Close()
+		_ = server.Close()
+	})
+}
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -70,6 +70,8 @@
 	buffer     *bufio.Writer
 	counters   *Counters
 	queue      *sendQueue
+	// quiet is told of what is sent; nil where nobody watches for silence.
+	quiet *quietWatch
 }
 
 func newWriter(connection net.Conn, counters *Counters, queue *sendQueue) *writer {
@@ -144,6 +146,9 @@
 		return err
 	}
 	w.counters.Sent(frame.Method, len(frame.Encoded))
+	if w.quiet != nil {
+		w.quiet.sent()
+	}
 	return nil
 }
 
--- a/internal/transport/counters.go
+++ b/internal/transport/counters.go
@@ -13,6 +13,8 @@
 type Counters struct {
 	bytes  *prometheus.CounterVec
 	frames *prometheus.CounterVec
+	// silentConnections counts the connections on which a peer gave no sign.
+	silentConnections prometheus.Counter
 }
 
 // Directions of the counters' label "direction".
@@ -37,8 +39,11 @@
 		frames: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: MetricFrames, Help: "Frames between nodes, by method and direction.",
 		}, labels),
+		silentConnections: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sloelift_transport_silent_connections_total", Help: "Connections between nodes that were closed since nothing came over them.",
+		}),
 	}
-	for _, collector := range []prometheus.Collector{counters.bytes, counters.frames} {
+	for _, collector := range []prometheus.Collector{counters.bytes, counters.frames, counters.silentConnections} {
 		if err := registerer.Register(collector); err != nil {
 			return nil, err
 		}
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -104,7 +104,7 @@
 func NewExchange(counters *Counters) *Exchange {
 	return &Exchange{
 		counters: counters,
-		handlers: make(map[Method]registration),
+		handlers: map[Method]registration{methodSign: signRegistration},
 		pending:  make(map[uint64]*pendingCall),
 		running:  make(map[runningKey]context.CancelFunc),
 		perLink:  make(map[Link]int),
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -11,6 +11,10 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/types/known/emptypb"
+
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/network"
 )
 
 const (
@@ -20,6 +24,11 @@
 	// idleTimeout closes a dialled connection on which nothing moved and no call waits.
 	idleTimeout     = 2 * time.Minute
 	idleCheckPeriod = 10 * time.Second
+	// quietLimit is the time without a byte of a peer, after something was sent to it, after which it is asked for a sign; a connection on
+	// which none comes within signTimeout is replaced. Together they are below the 3 s after which a deployment counts on a machine again
+	// whose connections were lost. It costs a call each 1.5 s to a peer that is only sent one-way messages.
+	quietLimit  = 1500 * time.Millisecond
+	signTimeout = 500 * time.Millisecond
 )
 
 // errBackingOff fails frames for a peer that could not be reached a moment ago.
@@ -30,8 +39,9 @@
 	transport *TCP
 	address   netip.AddrPort
 	queue     *sendQueue
-	// lastUsed is the time of the last frame in either direction, in Unix nanoseconds.
-	lastUsed atomic.Int64
+	// lastUsed is the time of the last frame in either direction, lastReceived that of the last one received, in Unix nanoseconds.
+	lastUsed     atomic.Int64
+	lastReceived atomic.Int64
 }
 
 // Peer returns the address that this transport dials.
@@ -45,6 +55,24 @@
 
 func (p *peer) touch() { p.lastUsed.Store(time.Now().UnixNano()) }
 
+// received notes a frame from the peer.
+func (p *peer) received() {
+	p.touch()
+	p.lastReceived.Store(time.Now().UnixNano())
+}
+
+// quietSince says that nothing came from the peer since then.
+func (p *peer) quietSince(then time.Time) bool { return p.lastReceived.Load() < then.UnixNano() }
+
+// givesSign asks the peer for a sign; whatever frame comes from it meanwhile is one.
+func (p *peer) givesSign(ctx context.Context) bool {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, signTimeout)
+	defer cancel()
+	err := p.transport.exchange.Call(ctx, p, methodSign, &emptypb.Empty{}, &emptypb.Empty{})
+	return err == nil || !p.quietSince(began)
+}
+
 func (p *peer) idle() bool {
 	unused := time.Since(time.Unix(0, p.lastUsed.Load()))
 	return unused > idleTimeout && !p.transport.exchange.waitsOn(p)
@@ -93,7 +121,7 @@
 	defer cancel()
 	connection, err := p.transport.network.Dial(ctx, p.address)
 	if err == nil {
-		watchConnection(connection)
+		network.Watch(connection, keepAlive)
 	}
 	return connection, err
 }
@@ -112,6 +140,12 @@
 		readError = p.read(ctx, connection)
 	}()
 	writer := newWriter(connection, counters, p.queue)
+	writer.quiet = newQuietWatch(p, func() {
+		p.transport.logger.Info().Stringer(logging.FieldPeer, p.address).Msg("silent_connection_closed")
+		counters.silentConnections.Inc()
+		_ = connection.Close()
+	})
+	defer writer.quiet.stop()
 	writeError := writer.writeHello(p.transport.hello)
 	if writeError == nil {
 		writeError = writer.writeBatch(first, writeTimeout)
@@ -132,7 +166,7 @@
 	if _, err := readHello(reader, p.transport.counters); err != nil {
 		return err
 	}
-	return readLoop(ctx, reader, p.transport.exchange, p, p.touch)
+	return readLoop(ctx, reader, p.transport.exchange, p, p.received)
 }
 
 // isMalformed says whether err is the peer's fault and worth a log line.
--- a/internal/transport/tcp.go
+++ b/internal/transport/tcp.go
@@ -13,11 +13,18 @@
 
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/network"
+	"github.com/sloelift/sloelift/internal/pause"
 )
 
 // maxInboundConnections bounds connections that peers dialled.
 const maxInboundConnections = 4096
 
+// keepAlive notices a vanished peer on a quiet connection; there are as many as nodes, so that probes are few.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}
+
+// acceptPause is the wait after a connection could not be accepted, as for want of file descriptors.
+const acceptPause = 100 * time.Millisecond
+
 // past is a deadline that has passed.
 var past = time.Unix(1, 0)
 
@@ -156,10 +163,13 @@
 	for {
 		connection, err := t.listener.Accept()
 		if err != nil {
-			if t.ctx.Err() == nil {
-				t.logger.Error().Err(err).Msg("listener_failed")
+			if t.ctx.Err() != nil {
+				return
 			}
-			return
+			// A listener that ended here would leave the node deaf to its peers until its end.
+			t.logger.Error().Err(err).Msg("connection_not_accepted")
+			pause.Sleep(t.ctx, acceptPause)
+			continue
 		}
 		select {
 		case slots <- struct{}{}:
@@ -175,7 +185,7 @@
 }
 
 func (t *TCP) serveInbound(connection net.Conn) {
-	watchConnection(connection)
+	network.Watch(connection, keepAlive)
 	// A connection that still waits for its hello ends with the transport too.
 	release := context.AfterFunc(t.ctx, func() { _ = connection.SetReadDeadline(past) })
 	defer release()
