Give up a replica's kept connections once one has gone silent, and try again on a new one

Cause: kept connections may go silent together, without a reset; each cost a request the patience for a replica, and the last attempt, which nobody watches, the whole time of the route (504).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -72,11 +73,16 @@
 	if e.request.Context().Err() != nil {
 		return callerGone
 	}
-	if errors.Is(context.Cause(ctx), errSilent) && handle.HeardSince(e.attemptBegan) {
+	silent := errors.Is(context.Cause(ctx), errSilent) || errors.Is(err, syscall.ETIMEDOUT)
+	if silent && handle.HeardSince(e.attemptBegan) {
 		// It answers others: it is not down, the request waits there for its turn.
 		handle.Rejected(time.Now())
 	} else {
 		handle.Failed(time.Now())
+		if silent {
+			e.foundSilence = true
+			handle.DropKept()
+		}
 	}
 	e.event(handle).Err(errors.Join(err, context.Cause(ctx))).Msg("call_failed")
 	if errors.Is(err, replica.ErrNotSent) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -72,6 +72,9 @@
 	nextPaid atomic.Bool
 	// attemptBegan is when the latest attempt began.
 	attemptBegan time.Time
+	// foundSilence says that an attempt ended for silence: the next one takes a new connection, since kept ones may have gone silent
+	// together, also those to other replicas.
+	foundSilence bool
 	// headSent says that the caller has the head of the answer; lastEvent is the id of the last event that it has.
 	headSent  bool
 	lastEvent string
@@ -240,6 +243,7 @@
 	}
 	return replica.Call{
 		Method: e.request.Method, Target: targetOf(e.request), Host: e.request.Host, Header: header, Body: e.body, RequestID: e.id,
+		Fresh: e.foundSilence,
 	}
 }
 
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/network/networktest"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
 	"github.com/sloelift/sloelift/internal/route"
@@ -21,6 +22,7 @@
 type edgeUnderTest struct {
 	*Handler
 	replicas  *replicatest.Network
+	silencer  *networktest.Silencer
 	directory *replica.Directory
 	routes    *route.Holder
 }
@@ -29,6 +31,7 @@
 	t.Helper()
 	fake := &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{}}
 	t.Cleanup(fake.CloseAll)
+	silencer := networktest.NewSilencer(fake)
 	directory := replica.NewDirectory()
 	var infos []replica.Info
 	for index, id := range []string{"a", "b"} {
@@ -49,10 +52,10 @@
 		t.Fatal(err)
 	}
 	handler := NewHandler(Options{
-		Routes: routes, Directory: directory, Picker: balance.NewPicker(directory, func() float64 { return 0 }), Client: replica.NewClient(fake, replicatest.Headers),
+		Routes: routes, Directory: directory, Picker: balance.NewPicker(directory, func() float64 { return 0 }), Client: replica.NewClient(silencer, replicatest.Headers),
 		Zone: "near", Logger: zerolog.Nop(), Metrics: metrics,
 	})
-	return &edgeUnderTest{Handler: handler, replicas: fake, directory: directory, routes: routes}
+	return &edgeUnderTest{Handler: handler, replicas: fake, silencer: silencer, directory: directory, routes: routes}
 }
 
 // call sends one request; aborted says that the answer was broken off.
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,3 +40,38 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestSilentConnectionsToAReplicaAreGivenUpTogether: all kept connections to a replica go silent without a reset, while new ones work. The
+// first request on one shows it, and no later request is put on another.
+func TestSilentConnectionsToAReplicaAreGivenUpTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stream := after(10*time.Millisecond, replicatest.Stream("s", true, false, "id: 1\ndata: x\n\n"))
+		edge := newEdgeUnderTest(t, route.Stream, true, map[string]replicatest.Script{"a": stream, "b": stream})
+		const kept = 6
+		var calls sync.WaitGroup
+		for range kept {
+			calls.Go(func() { edge.call(nil) })
+		}
+		calls.Wait()
+		if silenced := edge.silencer.Silence(); silenced < kept {
+			t.Fatalf("%d connections are kept, want %d", silenced, kept)
+		}
+		late := 0
+		for range 2 * kept {
+			began := time.Now()
+			recorded, aborted := edge.call(nil)
+			if recorded.Code != http.StatusOK || aborted {
+				t.Errorf("status %d, aborted %v", recorded.Code, aborted)
+			}
+			if time.Since(began) > 200*time.Millisecond {
+				late++
+			}
+			time.Sleep(2 * time.Second)
+		}
+		if late > 1 {
+			t.Errorf("%d requests were put on connections that had gone silent", late)
+		}
+		edge.replicas.CloseAll()
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -57,6 +57,8 @@
 	Body   []byte
 	// RequestID is what the answer must carry.
 	RequestID string
+	// Fresh asks for a new connection in place of a kept one.
+	Fresh bool
 }
 
 // Client calls replicas. It is safe for concurrent use.
@@ -94,7 +96,7 @@
 // Do sends call to the replica and returns the head of its answer. When ctx ends, the connection is closed. An error
 // that wraps ErrNotSent says that the request did not reach the replica; after any other the request may have run.
 func (c *Client) Do(ctx context.Context, handle *Handle, call Call) (*Answer, error) {
-	used, err := c.connect(ctx, handle)
+	used, err := c.connect(ctx, handle, call.Fresh)
 	if err != nil {
 		return nil, err
 	}
@@ -130,9 +132,11 @@
 	return answer, nil
 }
 
-func (c *Client) connect(ctx context.Context, handle *Handle) (*connection, error) {
-	if kept := handle.pool.take(time.Now()); kept != nil {
-		return kept, nil
+func (c *Client) connect(ctx context.Context, handle *Handle, fresh bool) (*connection, error) {
+	if !fresh {
+		if kept := handle.pool.take(time.Now()); kept != nil {
+			return kept, nil
+		}
 	}
 	bounded, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -282,6 +282,9 @@
 	return h.failureRate
 }
 
+// DropKept closes the kept connections, since one went silent without a reset: the others may have too, and each would cost a request.
+func (h *Handle) DropKept() { h.pool.drop() }
+
 // retire closes the kept connections; requests under way go on.
 func (h *Handle) retire() {
 	h.gone.Store(true)
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -55,10 +55,19 @@
 	}
 }
 
+// close closes what is kept, and all that is put later.
 func (p *connectionPool) close() {
+	p.mutex.Lock()
+	p.closed = true
+	p.mutex.Unlock()
+	p.drop()
+}
+
+// drop closes what is kept.
+func (p *connectionPool) drop() {
 	p.mutex.Lock()
 	idle := p.idle
-	p.idle, p.closed = nil, true
+	p.idle = nil
 	p.mutex.Unlock()
 	for _, kept := range idle {
 		kept.close()
