Stop what replicas do for callers who left, also behind bytes of a next request and while connecting

Cause: net/http looks for the end of a caller's connection with a read of one byte, and no further once that brings the first byte of the next request; the replica worked on to the end. Change: a caller's connection reads ahead once that byte has come, and ends the request's context with the connection; nothing is sent once the context is over. A caller's leaving has a log line, caller_gone. Tests, on sockets, closed, half closed and reset: TestReplicaStopsForACallerWhoSentMoreAndLeft and connecting of TestNothingIsSentForACallerWhoLeft fail and pass; waiting for the first event, streaming, resumed elsewhere, choosing, held by the gate, waiting for the tenant's limit, body not read, no configuration yet passed at once.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -80,7 +80,7 @@
 	router.MethodNotAllowedHandler = options.Handler
 	server.callers = &http.Server{
 		Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: logging.Discard(),
+		ErrorLog: logging.Discard(), ConnContext: withCaller,
 	}
 	readiness := mux.NewRouter()
 	readiness.HandleFunc(options.Addresses.ReadyPath, server.serveReady).Methods(http.MethodGet)
@@ -98,7 +98,7 @@
 		if err != nil {
 			return err
 		}
-		s.serve(each.server, listener)
+		s.serve(each.server, callerListener{listener})
 	}
 	return nil
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -104,6 +104,9 @@
 		switch last {
 		case delivered, callerGone:
 			e.handler.metrics.finished(e.route.Name, last == delivered, time.Since(e.arrived))
+			if last == callerGone {
+				e.event(handle).Str("last_event", e.lastEvent).Msg("caller_gone")
+			}
 			if last == callerGone && e.headSent {
 				panic(http.ErrAbortHandler)
 			}
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -100,6 +100,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := ctx.Err(); err != nil {
+		// The caller left meanwhile.
+		used.close()
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	stopWatching := context.AfterFunc(ctx, used.close)
 	abandon := func() {
 		stopWatching()
