Keep room for connections that come, and do not wait for a body past its deadline

Cause: callers that connect and send nothing, or a part of a head, took file descriptors without a bound, so that a process that calls itself ready could neither accept nor reach a replica; a body that never came held its connection for ever; readiness was answered a moment before callers could connect. Change: half of limits.fileDescriptors is for callers' connections; past that the one without a request that has waited longest goes. A body has until the request's deadline, then 408. The callers' listener opens first.

--- a/internal/edge/caller_connection.go
+++ b/internal/edge/caller_connection.go
@@ -42,8 +42,9 @@
 	failure error
 }
 
-// withCaller has a request's context end with its caller's connection.
+// withCaller has a request's context end with its caller's connection, and carry it.
 func withCaller(ctx context.Context, connection net.Conn) context.Context {
+	ctx = context.WithValue(ctx, connectionKey{}, connection)
 	caller, is := connection.(*callerConnection)
 	if !is {
 		return ctx
--- a/internal/edge/caller_gone_test.go
+++ b/internal/edge/caller_gone_test.go
@@ -145,7 +145,8 @@
 	routes   *route.Holder
 	replicas []*socketReplica
 	// log holds the log's lines.
-	log chan string
+	log             chan string
+	fileDescriptors int
 }
 
 // Write takes a log line.
@@ -178,7 +179,7 @@
 		change(test, &options)
 	}
 	test.server = NewServer(Options{
-		Handler: forward.NewHandler(options), Logger: zerolog.Nop(), Network: test.via, Grace: time.Millisecond,
+		Handler: forward.NewHandler(options), Logger: zerolog.Nop(), Network: test.via, Grace: time.Millisecond, FileDescriptors: test.fileDescriptors,
 		Addresses: Addresses{Callers: callers, Readiness: readiness, ReadyPath: "/ready"},
 	})
 	if err := test.server.Start(t.Context()); err != nil {
@@ -200,6 +201,17 @@
 
 // send connects and sends a request, of which the last bytes are left out.
 func (g *goneTest) send(id string, left int) *net.TCPConn {
+	g.t.Helper()
+	connection := g.connect()
+	text := "POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Id: " + id + "\r\nX-Key: key\r\nX-Deadline: 60000\r\nContent-Length: 4\r\n\r\nbody"
+	if _, err := io.WriteString(connection, text[:len(text)-left]); err != nil {
+		g.t.Fatal(err)
+	}
+	return connection
+}
+
+// connect opens a connection as a caller does.
+func (g *goneTest) connect() *net.TCPConn {
 	g.t.Helper()
 	g.via.mutex.Lock()
 	address := g.via.listeners[callers].Addr().String()
@@ -209,10 +221,6 @@
 		g.t.Fatal(err)
 	}
 	g.t.Cleanup(func() { _ = connection.Close() })
-	text := "POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Id: " + id + "\r\nX-Key: key\r\nX-Deadline: 60000\r\nContent-Length: 4\r\n\r\nbody"
-	if _, err := io.WriteString(connection, text[:len(text)-left]); err != nil {
-		g.t.Fatal(err)
-	}
 	return connection.(*net.TCPConn)
 }
 
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -60,7 +60,9 @@
 	Network   network.Network
 	Addresses Addresses
 	Grace     time.Duration
-	Calls     func(router *mux.Router)
+	// FileDescriptors is what the process may have open; 0 is no bound.
+	FileDescriptors int
+	Calls           func(router *mux.Router)
 }
 
 // NewServer returns a Server; nothing listens before Start.
@@ -72,6 +74,9 @@
 	if server.grace <= 0 {
 		server.grace = defaultGrace
 	}
+	limit := newConnectionLimit(options.FileDescriptors, func(waited time.Duration) {
+		server.logger.Info().Dur("waited", waited).Msg("caller_connection_dropped")
+	})
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	if options.Calls != nil {
 		options.Calls(router)
@@ -79,8 +84,8 @@
 	router.NotFoundHandler = options.Handler
 	router.MethodNotAllowedHandler = options.Handler
 	server.callers = &http.Server{
-		Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: logging.Discard(), ConnContext: withCaller,
+		Handler: limit.serve(router), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: logging.Discard(), ConnContext: withCaller, ConnState: limit.change,
 	}
 	readiness := mux.NewRouter()
 	readiness.HandleFunc(options.Addresses.ReadyPath, server.serveReady).Methods(http.MethodGet)
@@ -88,12 +93,12 @@
 	return server
 }
 
-// Start listens.
+// Start listens, for callers first: who is told that the process is ready can connect to it.
 func (s *Server) Start(ctx context.Context) error {
 	for _, each := range []struct {
 		server  *http.Server
 		address netip.AddrPort
-	}{{s.readiness, s.addresses.Readiness}, {s.callers, s.addresses.Callers}} {
+	}{{s.callers, s.addresses.Callers}, {s.readiness, s.addresses.Readiness}} {
 		listener, err := s.via.Listen(ctx, each.address)
 		if err != nil {
 			return err
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -153,12 +154,18 @@
 	deadline := callerDeadline(request, h.headers.Deadline, matched, arrived)
 	ctx, cancel := context.WithDeadline(request.Context(), deadline)
 	defer cancel()
+	// A body that does not come in time is not waited for: its sender would hold the connection for ever.
+	controller := http.NewResponseController(writer)
+	_ = controller.SetReadDeadline(deadline)
 	body, status := readBody(writer, request, terms.Table.Limits.MaxBodyBytes)
 	if status != 0 {
+		// What is left of the body is not waited for either.
+		writer.Header().Set("Connection", "close")
 		h.metrics.outcome(matched.Name, "bad_body")
 		http.Error(writer, http.StatusText(status), status)
 		return
 	}
+	_ = controller.SetReadDeadline(time.Time{})
 	current := &exchange{
 		handler: h, writer: writer, request: request, terms: terms, route: matched, body: body, arrived: arrived, deadline: deadline,
 		id: request.Header.Get(h.headers.RequestID), lastEvent: request.Header.Get(h.headers.LastEventID),
@@ -222,6 +229,8 @@
 		return 0
 	case errors.As(err, &tooLarge):
 		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
 	default:
 		return http.StatusBadRequest
 	}
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -286,7 +286,7 @@
 
 func newEdgeServer(lifecycle fx.Lifecycle, own settings.Settings, adapter Adapter, handler *forward.Handler, calls BatchCalls, _ *discovery.Service, via network.Network, logger zerolog.Logger) *edge.Server {
 	server := edge.NewServer(edge.Options{
-		Handler: handler, Logger: logger, Network: via, Grace: own.Bounds.Grace,
+		Handler: handler, Logger: logger, Network: via, Grace: own.Bounds.Grace, FileDescriptors: own.Limits.FileDescriptors,
 		Addresses: edge.Addresses{Callers: own.CallerAddress, Readiness: own.ReadinessAddress, ReadyPath: adapter.ReadyPath},
 		Calls:     func(router *mux.Router) { calls.Register(router, handler.AuthenticateJobCall) },
 	})
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -122,6 +122,7 @@
 		c.require(limit.value > 0, limit.field, "wants a number above 0, not %d", limit.value)
 	}
 	c.require(l.MemoryMegabytes >= 0, "limits.memoryMegabytes", "wants 0 for no bound or a number above, not %d", l.MemoryMegabytes)
+	c.require(l.FileDescriptors >= 0, "limits.fileDescriptors", "wants 0 for no bound or a number above, not %d", l.FileDescriptors)
 	c.require(l.DiskMegabytes >= 0, "limits.diskMegabytes", "wants 0 for no bound or a number above, not %d", l.DiskMegabytes)
 	durations := []struct {
 		field string
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,6 +68,8 @@
 	MemoryMegabytes int `yaml:"memoryMegabytes"`
 	// DiskMegabytes is the size of the data folder's disk; 0 is no bound.
 	DiskMegabytes int `yaml:"diskMegabytes"`
+	// FileDescriptors is what the process may have open, connections among them; 0 is no bound.
+	FileDescriptors int `yaml:"fileDescriptors"`
 }
 
 // Bounds are the times within which the operators expect the system to act. A bound of 0 is unknown.
