Lend half of a part within a second of an edge's start

Change: an edge that was just started, whose part may still be lent, lends half of it; the slack bears that; an edge that reaches no grantor has half as much alone.

--- a/internal/quota/allowance.go
+++ b/internal/quota/allowance.go
@@ -12,6 +12,8 @@
 	// TestLimitHoldsWhateverFails found 700 requests where 680 are allowed.
 	initialPart    = 0.125
 	unansweredPart = 0.4
+	// unansweredLent is the same for a limit that is lent in parts: the rest of the slack is for startShare and for views that differ.
+	unansweredLent = 0.2
 	// standInPart is the part of the slack that an edge may grant which stands in for one that is not known to be dead: that one may be on
 	// the other side of a cut and grant the whole limit. It is spread over detectionTime, in which a death becomes known everywhere:
 	// 3.3 s of silence, and the time to spread.
@@ -48,5 +50,9 @@
 
 // unansweredRate returns the requests per second that one of so many edges may send without a grantor.
 func (a Allowance) unansweredRate(limit tenant.Limit, edges int) float64 {
-	return unansweredPart * a.slack(limit) / a.Window.Seconds() / float64(max(1, edges))
+	part := unansweredPart
+	if a.lent(limit) {
+		part = unansweredLent
+	}
+	return part * a.slack(limit) / a.Window.Seconds() / float64(max(1, edges))
 }
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -272,9 +272,6 @@
 		return &quotapb.LendResponse{}
 	}
 	limit := tenant.Limit{RequestsPerSecond: request.GetRate(), Burst: request.GetBurst()}
-	level, lent := s.lender.lend(request.GetTenant(), request.GetBorrowing(), request.GetCeded(), limit, ranked.known, time.Now())
-	if !lent {
-		return &quotapb.LendResponse{}
-	}
-	return &quotapb.LendResponse{Lent: true, Share: 1 / float64(max(1, ranked.known)), Level: level}
+	given := s.lender.lend(request.GetTenant(), request.GetBorrowing(), request.GetCeded(), limit, ranked.known, time.Now())
+	return &quotapb.LendResponse{Lent: given.share > 0, Share: given.share / float64(max(1, ranked.known)), Level: given.level}
 }
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -51,7 +51,7 @@
 
 // collected returns what the bucket holds by now, at most the burst, which may be less than one request.
 func (b *bucket) collected(now time.Time) float64 {
-	return min(b.limit.Burst, b.level+now.Sub(b.filledAt).Seconds()*b.limit.RequestsPerSecond)
+	return min(b.limit.Burst, b.level+max(0, now.Sub(b.filledAt).Seconds())*b.limit.RequestsPerSecond)
 }
 
 // take takes up to wanted requests and returns how many it took; retryAfter is set where it took fewer: when one of those refused can be
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -12,11 +12,16 @@
 // started, which does not know to whom it lent before. Grantors renew after half of it: two calls a second, large tenant and edge.
 const lendingTime = time.Second
 
+// startShare is the share of its part that an edge lends within lendingTime of its start, as the whole part may be lent to a grantor that
+// lives on. After all edges were killed it lets half the limit through at once. The price: half the rate for a second of the edges that
+// were started and cut off from their grantor at once; the slack is that of half the rate of all edges for a second, or more.
+const startShare = 0.5
+
 // lender lends this edge's part of each tenant's limit: one part in all known edges, of the rate and of the burst.
 //
 // Invariant: a part is lent to one borrowing at a time, and to the next only once the time of the one before is over or that was
 // ceded. So what all grantors grant together in any window is at most the limit, whoever reaches whom and whatever each knows of the
-// others; only edges that disagree on the number of edges can make it more, by as much as they do.
+// others. Two things can make it more: edges that disagree on the number of edges, by as much as they do, and startShare.
 type lender struct {
 	// mutex guards parts.
 	mutex   sync.Mutex
@@ -35,32 +40,39 @@
 
 func newLender(now time.Time) *lender { return &lender{started: now, parts: map[string]*part{}} }
 
-// lend lends the tenant's part, of which there are so many in all, to a borrowing; ceded are borrowings that have ended. It returns the
-// requests that come with the part.
-func (l *lender) lend(tenantName, borrowing string, ceded []string, limit tenant.Limit, parts int, now time.Time) (level float64, lent bool) {
+// lending is what a borrower gets; a share of 0 is nothing.
+type lending struct {
+	// share is the share of the part, level the requests that come with it.
+	share float64
+	level float64
+}
+
+// lend lends the tenant's part, of which there are so many in all, to a borrowing; ceded are borrowings that have ended.
+func (l *lender) lend(tenantName, borrowing string, ceded []string, limit tenant.Limit, parts int, now time.Time) lending {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	lendable := l.started.Add(lendingTime)
-	if now.Before(lendable) {
-		return 0, false
-	}
 	own := partOf(limit, parts)
+	full := l.started.Add(lendingTime)
 	held := l.parts[tenantName]
 	if held == nil {
-		held = &part{bucket: newBucket(own, 0, 0, lendable)}
+		held = &part{bucket: newBucket(own, 0, 0, full)}
 		l.parts[tenantName] = held
 	}
 	if now.Before(held.until) && held.borrowing != borrowing && !slices.Contains(ceded, held.borrowing) {
-		return 0, false
+		return lending{}
+	}
+	given := lending{share: 1}
+	if now.Before(full) {
+		given.share = startShare
 	}
 	if !now.Before(held.until) {
 		held.bucket.limit = own
-		level = held.bucket.collected(now)
+		given.level = held.bucket.collected(now)
 	}
 	held.borrowing, held.until = borrowing, now.Add(lendingTime)
 	// It collects again from the end of its time on.
 	held.bucket = newBucket(own, 0, 0, held.until)
-	return level, true
+	return given
 }
 
 // partOf is one of so many equal parts of limit.
