--- a/cmd/sloelift-lab/main.go
+++ b/cmd/sloelift-lab/main.go
@@ -34,6 +34,7 @@
 	Experiment  experimentCommand   `cmd:"" help:"Run fault scenarios, or compare policies."`
 	Hollow      hollow.Command      `cmd:"" help:"Run the control code of many nodes without traffic and measure its cost."`
 	LedgerBench ledgerbench.Command `cmd:"" help:"Measure appends and recovery of the ledger on one disk."`
+	Soak        soakCommand         `cmd:"" help:"Play faults drawn from seeds on the real program, one process for each node."`
 	Report      reportCommand       `cmd:"" help:"Turn JSON results into a page with plots."`
 }
 
--- a/lab/deployment/deployment.go
+++ b/lab/deployment/deployment.go
@@ -27,6 +27,8 @@
 	Log *labengine.RunLog
 	// zoneOf tells the zone of every address of a node or an engine.
 	zoneOf map[netip.AddrPort]string
+	// proxies stand before the platform and the engines where nodes are processes of their own.
+	proxies []*proxy
 }
 
 // Start brings a deployment up and applies its configuration. On an error nothing is
@@ -82,6 +84,9 @@
 			ID: replica.ID, Role: platform.RoleReplica, Region: profile.Region, Zone: replica.Zone,
 			State: platform.MachineLive, Address: replica.Engine.Address(), Service: profile.Service,
 		})
+		if err := d.standBefore(&machines[len(machines)-1].Address); err != nil {
+			return err
+		}
 	}
 	for _, node := range d.Nodes {
 		machines = append(machines, platform.Machine{
@@ -102,14 +107,46 @@
 	if err := d.Platform.Start(); err != nil {
 		return err
 	}
+	byZone := map[string]netip.AddrPort{}
+	for _, zone := range profile.Zones {
+		address := d.Platform.Address(zone)
+		if err := d.standBefore(&address); err != nil {
+			return err
+		}
+		byZone[zone] = address
+	}
 	for _, node := range d.Nodes {
-		address := d.Platform.Address(node.Zone)
+		address := byZone[node.Zone]
 		node.Settings.Platform.KeyValue = []netip.AddrPort{address}
 		node.Settings.Platform.MachineList, node.Settings.Platform.WeightStore = address, address
 	}
 	return nil
 }
 
+// standBefore puts a proxy before an address where nodes are processes of their own.
+func (d *Deployment) standBefore(address *netip.AddrPort) error {
+	if d.options.Program == "" {
+		return nil
+	}
+	started, err := startProxy(*address)
+	if err != nil {
+		return err
+	}
+	d.proxies = append(d.proxies, started)
+	*address = started.address()
+	return nil
+}
+
+// SilenceConnections silences all connections that are open between nodes and the platform or engines, and returns their number. Only
+// nodes that are processes of their own have such.
+func (d *Deployment) SilenceConnections() int {
+	count := 0
+	for _, each := range d.proxies {
+		count += each.silence()
+	}
+	return count
+}
+
 // weightBytes is the size of one stored version.
 const weightBytes = 1 << 30
 
@@ -142,7 +179,8 @@
 		for _, address := range addresses[at : at+addressesPerNode] {
 			d.zoneOf[address] = zone
 		}
-		d.Nodes = append(d.Nodes, &Node{ID: own.Node, Zone: zone, Settings: own, options: d.options.NodeOptions, logger: d.options.Logger})
+		d.Nodes = append(d.Nodes, &Node{ID: own.Node, Zone: zone, Settings: own, options: d.options.NodeOptions, logger: d.options.Logger,
+			program: d.options.Program, folder: d.options.Folder})
 	}
 	seeds := []netip.AddrPort{d.Nodes[0].Settings.PeerAddress, d.Nodes[1].Settings.PeerAddress}
 	for _, node := range d.Nodes {
@@ -180,6 +218,9 @@
 // Close ends everything at once.
 func (d *Deployment) Close() {
 	_ = d.eachNode(func(node *Node) error { node.kill(); return nil })
+	for _, each := range d.proxies {
+		each.close()
+	}
 	if d.Platform != nil {
 		d.Platform.Stop()
 	}
--- a/lab/deployment/machine.go
+++ b/lab/deployment/machine.go
@@ -11,7 +11,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/node"
 	"github.com/sloelift/sloelift/internal/settings"
 	labengine "github.com/sloelift/sloelift/lab/engine"
@@ -31,58 +30,57 @@
 	Settings settings.Settings
 	options  []node.Option
 	logger   zerolog.Logger
+	// program is run for the node; where it is empty the node runs in this process.
+	program string
+	// folder is for the program's settings and log.
+	folder string
 
 	// mutex guards all below. serving says that callers may use the node.
 	mutex     sync.Mutex
-	running   *node.Node
-	severable *network.Severable
+	running   process
 	serving   bool
 	reachable func(netip.AddrPort) bool
 }
 
 // start builds and starts the node's process; callers are sent there once it serves.
 func (n *Node) start(ctx context.Context) error {
-	severable := network.NewSeverable(network.System{})
-	n.mutex.Lock()
-	severable.SetReachable(n.reachable)
-	n.mutex.Unlock()
-	choices := append([]node.Option{node.WithNetwork(severable)}, n.options...)
-	created, err := node.New(n.Settings, n.logger, choices...)
+	started, err := n.startProcess(ctx)
 	if err != nil {
-		return fmt.Errorf("build node %s: %w", n.ID, err)
-	}
-	if err := created.Start(ctx); err != nil {
 		return fmt.Errorf("start node %s: %w", n.ID, err)
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.running, n.severable = created, severable
+	n.running = started
 	return nil
 }
 
+func (n *Node) startProcess(ctx context.Context) (process, error) {
+	if n.program != "" {
+		return startProgram(n.program, n.folder, n.Settings)
+	}
+	n.mutex.Lock()
+	reachable := n.reachable
+	n.mutex.Unlock()
+	return startInside(ctx, n.Settings, n.logger, n.options, reachable)
+}
+
 // stop is the planned stop: callers are sent elsewhere first, as a load balancer does.
 func (n *Node) stop(ctx context.Context) error {
 	running := n.take()
 	if running == nil {
 		return nil
 	}
-	return running.Stop(ctx)
+	return running.stop(ctx)
 }
 
 // kill ends the process as a machine that vanishes does.
 func (n *Node) kill() {
-	n.mutex.Lock()
-	severable := n.severable
-	n.mutex.Unlock()
-	running := n.take()
-	if running == nil {
-		return
+	if running := n.take(); running != nil {
+		running.kill()
 	}
-	severable.Sever()
-	running.Kill()
 }
 
-func (n *Node) take() *node.Node {
+func (n *Node) take() process {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	running := n.running
@@ -103,18 +101,13 @@
 	n.serving = serving && n.running != nil
 }
 
-// pause holds back all of the node's bytes; resume lets them go on.
+// pause holds back all that the node does or sends; with false it goes on.
 func (n *Node) pause(paused bool) {
 	n.mutex.Lock()
-	severable := n.severable
+	running := n.running
 	n.mutex.Unlock()
-	if severable == nil {
-		return
-	}
-	if paused {
-		severable.Pause()
-	} else {
-		severable.Resume()
+	if running != nil {
+		running.pause(paused)
 	}
 }
 
@@ -122,10 +115,10 @@
 func (n *Node) setReachable(reachable func(netip.AddrPort) bool) {
 	n.mutex.Lock()
 	n.reachable = reachable
-	severable := n.severable
+	running := n.running
 	n.mutex.Unlock()
-	if severable != nil {
-		severable.SetReachable(reachable)
+	if running != nil {
+		running.setReachable(reachable)
 	}
 }
 
--- a/lab/deployment/options.go
+++ b/lab/deployment/options.go
@@ -21,8 +21,10 @@
 	NodeLogLevel string
 	// ChangeEngine changes the options of each engine; nil changes nothing.
 	ChangeEngine func(*labengine.Options)
-	// NodeOptions are given to every node.
+	// NodeOptions are given to every node that runs in this process.
 	NodeOptions []node.Option
+	// Program is the path of the program that runs as a process for each node; where it is empty all nodes run in this process.
+	Program string
 	// MachineListLag is how late the machine list is.
 	MachineListLag time.Duration
 	// BatchConcurrentPerReplica and MaxConcurrentPerReplica are declared for the service.
--- a/lab/experiment/actions.go
+++ b/lab/experiment/actions.go
@@ -35,6 +35,13 @@
 	FaultRollingRestart:  (*injector).rollingRestart,
 	FaultConfiguration:   (*injector).changeConfiguration,
 	FaultRollVersion:     (*injector).rollVersion,
+	FaultSilence:         (*injector).silence,
+}
+
+// silence silences open connections once.
+func (i *injector) silence(context.Context, Fault) error {
+	i.logger.Info().Int("connections", i.deployment.SilenceConnections()).Msg("connections_silenced")
+	return nil
 }
 
 // injector carries out the faults of one run.
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -32,6 +32,8 @@
 	Duration time.Duration
 	Scenario Scenario
 	Policy   Policy
+	// Program is run as a process for each node; where it is empty all run in this process.
+	Program string
 	// LogLevel of the nodes; their log is written to the run's folder.
 	LogLevel zerolog.Level
 	// KeepFolder leaves the run's folder with its log in place and names it in the result.
@@ -68,6 +70,7 @@
 	deploymentOptions := deployment.DefaultOptions(plan.Profile, folder, options.Seed)
 	deploymentOptions.Logger = logger
 	deploymentOptions.NodeLogLevel = options.LogLevel.String()
+	deploymentOptions.Program = options.Program
 	deploymentOptions.NodeOptions = []node.Option{options.Policy.nodeOption()}
 	fleet, err := deployment.Start(ctx, deploymentOptions)
 	if err != nil {
--- a/lab/experiment/scenario.go
+++ b/lab/experiment/scenario.go
@@ -31,6 +31,8 @@
 	FaultLoadLag         FaultKind = "load_lag"
 	FaultCacheEventsLost FaultKind = "cache_events_lost"
 	FaultRollingRestart  FaultKind = "rolling_restart"
+	// FaultSilence silences the open connections between nodes that are processes of their own and the platform or engines.
+	FaultSilence FaultKind = "silence_connections"
 	// FaultConfiguration applies count changed files over its duration; none may revert or be late.
 	FaultConfiguration FaultKind = "change_configuration"
 	// FaultRollVersion declares a new version of the model; every replica must come to serve it alone.
