Give up a run's connection to an engine that went silent, by the state of the run

Change: the engine client asks for the state of the run over another connection; where the run is ahead of what came, ended or not known, the stream is lost, which both sessions and items resume.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -29,6 +29,8 @@
 // HTTPClient is the Client over HTTP/1.1 with pooled connections.
 type HTTPClient struct {
 	transport *http.Transport
+	// quietLimit is defaultQuietLimit; tests set it.
+	quietLimit time.Duration
 }
 
 var _ Client = (*HTTPClient)(nil)
@@ -51,7 +53,7 @@
 		}
 		return conn, err
 	}
-	return &HTTPClient{transport: &http.Transport{
+	return &HTTPClient{quietLimit: defaultQuietLimit, transport: &http.Transport{
 		DialContext:         dial,
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: idlePerEngine,
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -211,7 +211,7 @@
 	}
 	b.ReportAllocs()
 	for done := 0; b.Loop(); done++ {
-		stream := newEventStream(io.NopCloser(strings.NewReader(events.String())), func() {}, "q1", 0)
+		stream := newEventStream(io.NopCloser(strings.NewReader(events.String())), func() {}, func(int) {}, "q1", 0)
 		for range chunks {
 			if _, err := stream.Next(); err != nil {
 				b.Fatal(err)
--- a/internal/engine/generate.go
+++ b/internal/engine/generate.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -28,7 +29,12 @@
 	if err != nil {
 		return nil, KindInvalid.Wrap(err, "request body")
 	}
-	streamContext, cancel := context.WithCancel(ctx)
+	streamContext, giveUp := context.WithCancelCause(ctx)
+	quiet := c.watchQuiet(streamContext, giveUp, to, request)
+	cancel := func() {
+		quiet.stop()
+		giveUp(nil)
+	}
 	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(streamContext, &httptrace.ClientTrace{
 		// Before each try of its own the transport asks for a connection anew; it tries
@@ -44,11 +50,11 @@
 	setGenerationHeaders(httpRequest.Header, request)
 	response, err := c.transport.RoundTrip(httpRequest)
 	if err != nil {
-		cancel()
+		defer cancel()
 		if !connected.Load() {
 			return nil, KindNotSent.Wrap(err, "connect to %s", to.Replica)
 		}
-		return nil, KindLost.Wrap(err, "no answer from %s", to.Replica)
+		return nil, KindLost.Wrap(errors.Join(err, context.Cause(streamContext)), "no answer from %s", to.Replica)
 	}
 	if response.StatusCode != http.StatusOK {
 		defer cancel()
@@ -59,7 +65,7 @@
 		cancel()
 		return nil, KindLost.New("%s answered request %s in place of %s", to.Replica, id, request.ID)
 	}
-	return newEventStream(response.Body, cancel, request.ID, request.Offset), nil
+	return newEventStream(response.Body, cancel, quiet.progress, request.ID, request.Offset), nil
 }
 
 func setGenerationHeaders(header http.Header, request Request) {
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -25,6 +25,8 @@
 	body   io.ReadCloser
 	reader *bufio.Reader
 	cancel context.CancelFunc
+	// progress is called with next after each chunk.
+	progress func(next int)
 	// next is the offset behind the last chunk.
 	next int
 	// requestID is part of the id of every chunk of this answer.
@@ -32,9 +34,9 @@
 	finished  bool
 }
 
-func newEventStream(body io.ReadCloser, cancel context.CancelFunc, requestID string, offset int) *eventStream {
+func newEventStream(body io.ReadCloser, cancel context.CancelFunc, progress func(next int), requestID string, offset int) *eventStream {
 	return &eventStream{
-		body: body, reader: bufio.NewReaderSize(body, streamBufferBytes), cancel: cancel, requestID: requestID, next: offset,
+		body: body, reader: bufio.NewReaderSize(body, streamBufferBytes), cancel: cancel, progress: progress, requestID: requestID, next: offset,
 	}
 }
 
@@ -111,6 +113,7 @@
 	}
 	chunk.Tokens = offset - s.next
 	s.next = offset
+	s.progress(s.next)
 	if chunk.FinishReason != "" {
 		s.finished = true
 	}
--- a/internal/engine/table_test.go
+++ b/internal/engine/table_test.go
@@ -40,7 +40,7 @@
 	if d.HasArg("long") {
 		input += "data: " + strings.Repeat("x", maxStreamLineBytes+streamBufferBytes) + "\n\n"
 	}
-	stream := newEventStream(io.NopCloser(strings.NewReader(input)), func() {}, "a", offset)
+	stream := newEventStream(io.NopCloser(strings.NewReader(input)), func() {}, func(int) {}, "a", offset)
 	defer stream.Close()
 	var out strings.Builder
 	for {
