Give returned requests back only where this node grants

Cause, found on reading the change again: a grantor without parts put what the asker returned into its bucket and sent it elsewhere, where it was returned again. Also the packages' comments say what stands now.

--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -81,11 +81,11 @@
 	}
 	b.bucket.setLimit(limitOf(request), request.GetConfigVersion())
 	share := b.collect(now)
-	b.bucket.giveBack(int(request.GetReturned()))
-	request.Returned = 0
 	if share == 0 {
+		// The asker returns what it has elsewhere.
 		return nil
 	}
+	b.bucket.giveBack(int(request.GetReturned()))
 	taken, retryAfter := b.bucket.take(int(request.GetWanted()), share, now)
 	return &quotapb.GrantResponse{Granted: uint32(taken), RetryMicros: uint64(retryAfter.Microseconds())}
 }
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -4,7 +4,10 @@
 // tenant's token bucket. An edge asks it for each request before a replica is chosen; requests that come while a question is under
 // way share the next one. No state is durable.
 //
-// What keeps the sum below the limit:
+// The limit of a tenant against which the slack is small is lent: each edge owns one part in all of it (lender) and lends it to one grantor
+// at a time (borrower), so that it holds whoever grants.
+//
+// What keeps the sum below the limit of the other tenants:
 //   - A bucket that begins has a small part of what the limit lets be exceeded, and nothing more, unless the grantor before hands over its
 //     level and ceases to grant (Release). So a crash of the grantor, or of all nodes, gives nothing twice.
 //   - The next edge in rank grants only once it does not reach those before it itself.
