--- a/internal/changefeed/fake_test.go
+++ b/internal/changefeed/fake_test.go
@@ -26,14 +26,14 @@
 	// lists counts the listings; changes up to compacted are forgotten.
 	lists     int
 	compacted int64
-	// told is closed, and made anew, at each change.
-	told chan struct{}
+	// changed is closed, and made anew, at each change.
+	changed chan struct{}
 }
 
 // firstRevision is that of the service before any change.
 const firstRevision = 1
 
-func newCountingStore() *countingStore { return &countingStore{told: make(chan struct{})} }
+func newCountingStore() *countingStore { return &countingStore{changed: make(chan struct{})} }
 
 func (s *countingStore) revision() int64 { return firstRevision + int64(len(s.changes)) }
 
@@ -87,7 +87,7 @@
 // hold answers one held call.
 func (s *countingStore) hold(ctx context.Context, since int64) ([]platform.WatchEvent, int64) {
 	s.mutex.Lock()
-	told, quiet, mute := s.told, s.revision() == since, s.mute
+	changed, quiet, mute := s.changed, s.revision() == since, s.mute
 	s.mutex.Unlock()
 	if mute {
 		<-ctx.Done()
@@ -95,7 +95,7 @@
 	}
 	if quiet {
 		select {
-		case <-told:
+		case <-changed:
 		case <-time.After(watcherHold):
 		case <-ctx.Done():
 		}
@@ -125,8 +125,8 @@
 	revision := s.revision() + 1
 	entry := platform.Entry{Key: key, Value: value, ModRevision: revision}
 	s.changes = append(s.changes, platform.WatchEvent{Revision: revision, Changed: []platform.Entry{entry}})
-	close(s.told)
-	s.told = make(chan struct{})
+	close(s.changed)
+	s.changed = make(chan struct{})
 	return revision
 }
 
@@ -140,8 +140,8 @@
 		platform.WatchEvent{Revision: revision, Changed: []platform.Entry{entry}},
 		platform.WatchEvent{Revision: revision + 1, Deleted: []string{removed}})
 	s.compacted = s.revision()
-	close(s.told)
-	s.told = make(chan struct{})
+	close(s.changed)
+	s.changed = make(chan struct{})
 	return revision
 }
 
@@ -155,8 +155,8 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.down = down
-	close(s.told)
-	s.told = make(chan struct{})
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func (s *countingStore) setMute(mute bool) {
--- a/internal/discovery/revisions.go
+++ b/internal/discovery/revisions.go
@@ -16,32 +16,32 @@
 
 // revisions compares what this node knows of one prefix with what the other nodes know of it. It is safe for concurrent use.
 type revisions struct {
-	// tell spreads the revision of a change to the other nodes.
-	tell func(revision int64)
+	// report spreads the revision of a change to the other nodes.
+	report func(revision int64)
 	// behind asks for a listing.
 	behind chan struct{}
 	logger zerolog.Logger
 
 	mutex sync.Mutex
 	// changed is the revision of the newest change that this node knows, seen the revision up to which it knows the prefix, and
-	// told the newest change that another node knows; all are guarded by mutex.
-	changed int64
-	seen    int64
-	told    int64
-	timer   *time.Timer
+	// newestElsewhere the newest change that another node knows; all are guarded by mutex.
+	changed         int64
+	seen            int64
+	newestElsewhere int64
+	timer           *time.Timer
 }
 
-func newRevisions(tell func(revision int64), logger zerolog.Logger) *revisions {
-	return &revisions{tell: tell, behind: make(chan struct{}, 1), logger: logger}
+func newRevisions(report func(revision int64), logger zerolog.Logger) *revisions {
+	return &revisions{report: report, behind: make(chan struct{}, 1), logger: logger}
 }
 
-// tookChange notes a change at revision, which the other nodes are told of.
+// tookChange notes a change at revision, which is reported to the other nodes.
 func (r *revisions) tookChange(revision int64) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if revision > r.changed {
 		r.changed = revision
-		r.tell(revision)
+		r.report(revision)
 	}
 }
 
@@ -52,12 +52,12 @@
 	r.seen = max(r.seen, revision)
 }
 
-// hear takes the newest change that another node knows. Some time later it is looked whether this node knows it too.
-func (r *revisions) hear(newest int64) {
+// takeOthers takes the newest change that another node knows. Some time later it is looked whether this node knows it too.
+func (r *revisions) takeOthers(newest int64) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.told = max(r.told, newest)
-	if r.told <= r.seen || r.timer != nil {
+	r.newestElsewhere = max(r.newestElsewhere, newest)
+	if r.newestElsewhere <= r.seen || r.timer != nil {
 		return
 	}
 	r.timer = time.AfterFunc(behindPatience, r.askAgain)
@@ -68,10 +68,10 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.timer = nil
-	if r.told <= r.seen {
+	if r.newestElsewhere <= r.seen {
 		return
 	}
-	r.logger.Info().Int64(logging.FieldRevision, r.seen).Int64("newest", r.told).Msg("behind_other_nodes")
+	r.logger.Info().Int64(logging.FieldRevision, r.seen).Int64("newest", r.newestElsewhere).Msg("behind_other_nodes")
 	select {
 	case r.behind <- struct{}{}:
 	default:
--- a/internal/discovery/revisions_test.go
+++ b/internal/discovery/revisions_test.go
@@ -16,14 +16,14 @@
 		known := newRevisions(func(int64) {}, zerolog.Nop())
 		defer known.stop()
 		known.saw(1)
-		known.hear(2)
+		known.takeOthers(2)
 		time.Sleep(gather + 50*time.Millisecond)
 		known.saw(2)
 		time.Sleep(time.Minute)
 		if len(known.behind) != 0 {
 			t.Error("a node whose watch brought the change lists anew")
 		}
-		known.hear(3)
+		known.takeOthers(3)
 		time.Sleep(2 * gather)
 		if len(known.behind) != 1 {
 			t.Error("a node whose watch brings nothing does not list anew")
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -41,7 +41,7 @@
 	running     sync.WaitGroup
 }
 
-// RevisionReporter tells the other nodes of the newest changes that this one knows.
+// RevisionReporter reports to the other nodes the newest changes that this one knows.
 type RevisionReporter interface {
 	SetConfigRevision(revision int64)
 	SetReplicasRevision(revision int64)
@@ -77,7 +77,7 @@
 func (s *Service) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	s.unsubscribe = s.viewer.Subscribe(s.hearMembers)
+	s.unsubscribe = s.viewer.Subscribe(s.takeMembers)
 	s.running.Go(func() {
 		platform.Follow(ctx, s.store, s.translator.ConfigurationKey(), platform.Follower{
 			Replace: func(listing platform.Listing) {
@@ -111,16 +111,16 @@
 	s.replicas.stop()
 }
 
-// hearMembers takes what the other members know.
-func (s *Service) hearMembers(view *membership.View) {
+// takeMembers takes what the other members know.
+func (s *Service) takeMembers(view *membership.View) {
 	var newest membership.Revisions
 	for _, member := range view.Members {
 		if member.ID != view.Self && member.State != membership.Dead {
 			newest = newest.Join(member.Revisions)
 		}
 	}
-	s.configuration.hear(newest.Configuration)
-	s.replicas.hear(newest.Replicas)
+	s.configuration.takeOthers(newest.Configuration)
+	s.replicas.takeOthers(newest.Replicas)
 }
 
 func (s *Service) takeConfiguration(entries []platform.Entry) {
