--- a/internal/changefeed/feed_test.go
+++ b/internal/changefeed/feed_test.go
@@ -127,6 +127,22 @@
 	synctest.Wait()
 }
 
+// loseChangesTo has what watchers pass on not come to a node; heartbeats do.
+func (c *clusterOfFeeds) loseChangesTo(node int) {
+	address := c.views[node].View().Members[node].PeerAddress
+	c.setLoss(func(to netip.AddrPort, method transport.Method) bool { return to == address && method == methodChanges })
+}
+
+// setLoss says which messages are lost; nil is none.
+func (c *clusterOfFeeds) setLoss(lose func(to netip.AddrPort, method transport.Method) bool) {
+	c.fabric.mutex.Lock()
+	defer c.fabric.mutex.Unlock()
+	c.fabric.lose = lose
+}
+
+// loseAll loses all messages.
+func loseAll(netip.AddrPort, transport.Method) bool { return true }
+
 // wantTaken checks how often each node took key.
 func (c *clusterOfFeeds) wantTaken(t *testing.T, key string, want int) {
 	t.Helper()
@@ -182,9 +198,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := startFeeds(6)
 		time.Sleep(2 * time.Second)
-		c.fabric.mutex.Lock()
-		c.fabric.lose = func(netip.AddrPort, transport.Method) bool { return true }
-		c.fabric.mutex.Unlock()
+		c.setLoss(loseAll)
 		time.Sleep(silence + 2*turnInterval)
 		c.store.put("k1")
 		time.Sleep(10 * time.Millisecond)
@@ -192,9 +206,7 @@
 		if watching := c.store.watching(); watching != 6 {
 			t.Errorf("%d nodes watch, 6 hear nobody", watching)
 		}
-		c.fabric.mutex.Lock()
-		c.fabric.lose = nil
-		c.fabric.mutex.Unlock()
+		c.setLoss(nil)
 		c.store.put("k2")
 		time.Sleep(time.Second)
 		c.wantTaken(t, "k2", 1)
@@ -210,15 +222,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := startFeeds(6)
 		time.Sleep(2 * time.Second)
-		last := c.views[5].View().Members[5].PeerAddress
-		c.fabric.mutex.Lock()
-		c.fabric.lose = func(to netip.AddrPort, method transport.Method) bool { return to == last && method == methodChanges }
-		c.fabric.mutex.Unlock()
+		c.loseChangesTo(5)
 		c.store.put("k1")
 		time.Sleep(gatherWait)
-		c.fabric.mutex.Lock()
-		c.fabric.lose = nil
-		c.fabric.mutex.Unlock()
+		c.setLoss(nil)
 		c.store.put("k2")
 		time.Sleep(time.Second)
 		c.mutex.Lock()
@@ -325,9 +332,7 @@
 		if others != len(c.feeds)-watchers {
 			t.Errorf("holds are %v while the watchers are heard", holds())
 		}
-		c.fabric.mutex.Lock()
-		c.fabric.lose = func(netip.AddrPort, transport.Method) bool { return true }
-		c.fabric.mutex.Unlock()
+		c.setLoss(loseAll)
 		time.Sleep(silence + 2*turnInterval)
 		for index, hold := range holds() {
 			if hold != watcherHold {
--- a/internal/changefeed/late_changes_test.go
+++ b/internal/changefeed/late_changes_test.go
@@ -1,13 +1,11 @@
 package changefeed
 
 import (
-	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	changefeedpb "github.com/sloelift/sloelift/api/proto/changefeed"
-	"github.com/sloelift/sloelift/internal/transport"
 )
 
 // Symptom: during a series of configuration changes most nodes refused routes that had been acknowledged over 2 s before.
@@ -104,10 +102,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := startFeeds(6)
 		time.Sleep(2 * time.Second)
-		last := c.views[5].View().Members[5].PeerAddress
-		c.fabric.mutex.Lock()
-		c.fabric.lose = func(to netip.AddrPort, method transport.Method) bool { return to == last && method == methodChanges }
-		c.fabric.mutex.Unlock()
+		c.loseChangesTo(5)
 		revision := c.store.putValue("k1", nil)
 		time.Sleep(mostBehind)
 		c.wantNewest(t, revision)
@@ -121,9 +116,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := startFeeds(6)
 		time.Sleep(2 * time.Second)
-		c.fabric.mutex.Lock()
-		c.fabric.lose = func(netip.AddrPort, transport.Method) bool { return true }
-		c.fabric.mutex.Unlock()
+		c.setLoss(loseAll)
 		time.Sleep(silence + 2*turnInterval)
 		c.store.setMute(true)
 		const revision = firstRevision + 1
--- a/internal/edge/server_test.go
+++ b/internal/edge/server_test.go
@@ -3,11 +3,9 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +15,7 @@
 
 	"github.com/sloelift/sloelift/internal/balance"
 	"github.com/sloelift/sloelift/internal/forward"
+	"github.com/sloelift/sloelift/internal/network/networktest"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
 	"github.com/sloelift/sloelift/internal/route"
@@ -25,58 +24,26 @@
 // pipeNetwork listens in memory and dials through the scripted replicas.
 type pipeNetwork struct {
 	*replicatest.Network
-	mutex     sync.Mutex
-	listeners map[netip.AddrPort]*pipeListener
+	pipes *networktest.Pipes
 }
 
-type pipeListener struct {
-	accepted chan net.Conn
-	closed   chan struct{}
-	once     sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case connection := <-l.accepted:
-		return connection, nil
-	case <-l.closed:
-		return nil, errors.New("listener is closed")
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-func (n *pipeNetwork) Listen(_ context.Context, address netip.AddrPort) (net.Listener, error) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	listener := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
-	n.listeners[address] = listener
-	return listener, nil
+func (n *pipeNetwork) Listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	return n.pipes.Listen(ctx, address)
 }
 
 // get makes one GET on a connection of its own; 0 is no answer.
 func (n *pipeNetwork) get(address netip.AddrPort, path string) int {
-	n.mutex.Lock()
-	listener := n.listeners[address]
-	n.mutex.Unlock()
-	near, far := net.Pipe()
-	defer func() { _ = near.Close() }()
-	select {
-	case listener.accepted <- far:
-	case <-listener.closed:
+	connection, err := n.pipes.Dial(context.Background(), address)
+	if err != nil {
 		return 0
 	}
+	defer func() { _ = connection.Close() }()
 	request, _ := http.NewRequest(http.MethodGet, "http://h.example"+path, nil)
 	request.Header.Set(replicatest.Headers.RequestID, "id-1")
-	if request.Write(near) != nil {
+	if request.Write(connection) != nil {
 		return 0
 	}
-	response, err := http.ReadResponse(bufio.NewReader(near), request)
+	response, err := http.ReadResponse(bufio.NewReader(connection), request)
 	if err != nil {
 		return 0
 	}
@@ -92,8 +59,8 @@
 func newServerUnderTest(t *testing.T, script replicatest.Script) (*Server, *pipeNetwork, *route.Holder) {
 	t.Helper()
 	network := &pipeNetwork{
-		Network:   &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{replicaAt: script}},
-		listeners: map[netip.AddrPort]*pipeListener{},
+		Network: &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{replicaAt: script}},
+		pipes:   networktest.NewPipes(),
 	}
 	directory, routes := replica.NewDirectory(), route.NewHolder()
 	directory.Replace([]replica.Info{{ID: "a", Service: "s", Address: replicaAt, Slots: 4}})
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -48,9 +48,7 @@
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
 		conn, err := via.Dial(ctx, address)
-		if tcp, isTCP := conn.(*net.TCPConn); isTCP {
-			_ = tcp.SetKeepAliveConfig(keepAlive)
-		}
+		network.Watch(conn, keepAlive)
 		return conn, err
 	}
 	return &HTTPClient{quietLimit: defaultQuietLimit, transport: &http.Transport{
--- a/internal/engine/quiet.go
+++ b/internal/engine/quiet.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -66,13 +64,7 @@
 
 // runState asks an engine how far a run is; KindNoSuchRun where it knows none.
 func (c *HTTPClient) runState(ctx context.Context, to Endpoint, requestID string) (runState, error) {
-	body, err := c.control(ctx, to, http.MethodGet, "/v1/requests/"+requestID, nil, maxControlBytes)
-	if err != nil {
-		return runState{}, err
-	}
 	var state runState
-	if err := json.Unmarshal(body, &state); err != nil {
-		return runState{}, KindLost.Wrap(err, "state of a run at %s", to.Replica)
-	}
-	return state, nil
+	err := c.controlJSON(ctx, to, "/v1/requests/"+requestID, &state)
+	return state, err
 }
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -33,7 +33,7 @@
 
 // ReadHeld is Read of an answer that the service holds back for up to hold.
 func (e *Exchanger) ReadHeld(ctx context.Context, method, target string, hold time.Duration) (status int, body []byte, err error) {
-	return e.within(ctx, hold, e.patience.bound(), method, target, readsOnly, nil)
+	return e.within(ctx, hold, method, target, readsOnly, nil)
 }
 
 // Change makes a call that may change something. Without a whole answer the error is of KindUnavailable where nothing was
@@ -43,23 +43,15 @@
 }
 
 func (e *Exchanger) exchange(ctx context.Context, method, target string, kind effect, content []byte) (int, []byte, error) {
-	return e.within(ctx, 0, e.patience.bound(), method, target, kind, content)
+	return e.within(ctx, 0, method, target, kind, content)
 }
 
-// within makes a call whose answer may be held back for hold, and waits for it that much longer and no longer than wait beyond.
-func (e *Exchanger) within(ctx context.Context, hold, wait time.Duration, method, target string, kind effect, content []byte) (int, []byte, error) {
-	bounded, cancel := context.WithTimeout(ctx, hold+wait)
-	defer cancel()
-	began := time.Now()
-	status, answer, err := e.send(bounded, method, target, kind, content)
-	switch {
-	case err == nil:
-		e.patience.answered(time.Since(began) - hold)
-	case bounded.Err() != nil && ctx.Err() == nil:
-		e.patience.missed(wait)
-		// Connections may go silent together, without a reset: each kept one would cost a call more, and longer patience.
-		e.caller.close()
-	}
+// within makes a call whose answer may be held back for hold.
+func (e *Exchanger) within(ctx context.Context, hold time.Duration, method, target string, kind effect, content []byte) (status int, answer []byte, err error) {
+	err = e.patience.call(ctx, hold, e.caller, func(ctx context.Context) error {
+		status, answer, err = e.send(ctx, method, target, kind, content)
+		return err
+	})
 	return status, answer, err
 }
 
--- a/internal/platform/machinelist_http.go
+++ b/internal/platform/machinelist_http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"time"
 
 	"github.com/sloelift/sloelift/internal/network"
 )
@@ -30,19 +29,10 @@
 // List returns the present listing. A leaving replica gets no new work 2 s after it is listed, so that a connection that went silent must
 // cost less than that; with the 5 s of other calls it took 2.8 s.
 func (m *MachineListHTTP) List(ctx context.Context) (MachineListing, error) {
-	wait := m.patience.bound()
-	bounded, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	began := time.Now()
 	var listing MachineListing
-	err := m.caller.get(bounded, PathMachines, &listing)
-	switch {
-	case err == nil:
-		m.patience.answered(time.Since(began))
-	case bounded.Err() != nil && ctx.Err() == nil:
-		m.patience.missed(wait)
-		m.caller.close()
-	}
+	err := m.patience.call(ctx, 0, m.caller, func(ctx context.Context) error {
+		return m.caller.get(ctx, PathMachines, &listing)
+	})
 	return listing, err
 }
 
--- a/internal/platform/patience.go
+++ b/internal/platform/patience.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -22,6 +23,25 @@
 
 func newPatience() *patience { return &patience{wait: shortestPatience} }
 
+// call makes a call through caller whose answer may be held back for hold, and waits for it that much longer and no longer than is patient.
+// Without an answer the kept connections are given up: they may go silent together, without a reset, and each would cost a call more, and
+// longer patience.
+func (p *patience) call(ctx context.Context, hold time.Duration, caller *httpCaller, exchange func(ctx context.Context) error) error {
+	wait := p.bound()
+	bounded, cancel := context.WithTimeout(ctx, hold+wait)
+	defer cancel()
+	began := time.Now()
+	err := exchange(bounded)
+	switch {
+	case err == nil:
+		p.answered(time.Since(began) - hold)
+	case bounded.Err() != nil && ctx.Err() == nil:
+		p.missed(wait)
+		caller.close()
+	}
+	return err
+}
+
 func (p *patience) bound() time.Duration {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -12,20 +12,28 @@
 	"github.com/sloelift/sloelift/internal/network/networktest"
 )
 
+// servedAt is the address of serveInMemory.
+var servedAt = netip.MustParseAddrPort("127.0.0.1:1")
+
+// serveInMemory serves at servedAt, over a network whose connections can go silent. The server must be closed.
+func serveInMemory(t *testing.T, handler http.HandlerFunc) (*http.Server, *networktest.Silencer) {
+	t.Helper()
+	wires := networktest.NewPipes()
+	listener, err := wires.Listen(t.Context(), servedAt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	return server, networktest.NewSilencer(wires)
+}
+
 // TestSilentConnectionsToTheServiceAreGivenUp: all kept connections to the key-value service go silent without a reset. The first call that
 // gets no answer shows it, and the next one takes a new connection.
 func TestSilentConnectionsToTheServiceAreGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		address := netip.MustParseAddrPort("127.0.0.1:1")
-		wires := networktest.NewPipes()
-		listener, err := wires.Listen(t.Context(), address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(10 * time.Millisecond) })}
-		go func() { _ = server.Serve(listener) }()
-		silencer := networktest.NewSilencer(wires)
-		exchanger := NewExchanger(silencer, address)
+		server, silencer := serveInMemory(t, func(http.ResponseWriter, *http.Request) { time.Sleep(10 * time.Millisecond) })
+		exchanger := NewExchanger(silencer, servedAt)
 		const kept = 5
 		var calls sync.WaitGroup
 		for range kept {
@@ -57,16 +65,8 @@
 // work.
 func TestSilentConnectionToTheMachineListIsGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		address := netip.MustParseAddrPort("127.0.0.1:1")
-		wires := networktest.NewPipes()
-		listener, err := wires.Listen(t.Context(), address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "{}") })}
-		go func() { _ = server.Serve(listener) }()
-		silencer := networktest.NewSilencer(wires)
-		machines := NewMachineListHTTP(silencer, address)
+		server, silencer := serveInMemory(t, func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "{}") })
+		machines := NewMachineListHTTP(silencer, servedAt)
 		if _, err := machines.List(t.Context()); err != nil {
 			t.Fatal(err)
 		}
