Plainer words, reasons for dropped errors, and small things that need not be there

The last changes one thing: a caller's connection that ended unacknowledged counts as ended while the edge reads ahead, not as a deadline of the server's. Tests of the packages pass.

--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -42,7 +42,7 @@
 	// a calm is told at once. A replica that drains takes requests for 2 s or more after it said so; a third of that is left for
 	// nodes that hear of it late.
 	gatherWait = 600 * time.Millisecond
-	// inboxLength bounds the messages that wait for a slow reader; past it the oldest state is listed anew.
+	// inboxLength bounds the messages that wait for a slow reader; past it the prefix is listed again.
 	inboxLength = 256
 	// maxPassedOn bounds the bytes of a message that passes changes on; nodes read what is larger themselves. It goes to each node from
 	// both watchers: at 60 nodes with links of 30 Mbit/s one message of this size takes the watcher a second.
@@ -52,9 +52,6 @@
 	arrivalSlack = 50 * time.Millisecond
 )
 
-// fieldPrefix names the prefix of the keys in a log line.
-const fieldPrefix = "prefix"
-
 // Feed is the key-value service with watches that most nodes follow through others. It is safe for concurrent use.
 type Feed struct {
 	platform.KeyValue
@@ -129,7 +126,7 @@
 	return state
 }
 
-// watchesNow tells whether this node watches the service: as one of the watchers, or since none was heard for long.
+// watchesNow tells whether this node watches the service: as one of the watchers, or since no heartbeat came for long.
 func (f *Feed) watchesNow(now time.Time) bool {
 	silent := f.watchersSilent(now)
 	joining := now.Sub(f.started) < joinTime
--- a/internal/changefeed/pass_on.go
+++ b/internal/changefeed/pass_on.go
@@ -1,6 +1,7 @@
 package changefeed
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -33,7 +34,7 @@
 	for _, entry := range changed {
 		merged.Changed = append(merged.Changed, entry)
 	}
-	slices.SortFunc(merged.Changed, func(a, b platform.Entry) int { return int(a.ModRevision - b.ModRevision) })
+	slices.SortFunc(merged.Changed, func(a, b platform.Entry) int { return cmp.Compare(a.ModRevision, b.ModRevision) })
 	for key := range deleted {
 		merged.Deleted = append(merged.Deleted, key)
 	}
@@ -77,14 +78,14 @@
 		return
 	}
 	if size := proto.Size(message); size > maxPassedOn {
-		f.logger.Info().Str(fieldPrefix, message.Prefix).Int("bytes", size).Int("limit_bytes", maxPassedOn).Msg("changes_not_passed_on")
+		f.logger.Info().Str(logging.FieldPrefix, message.Prefix).Int("bytes", size).Int("limit_bytes", maxPassedOn).Msg("changes_not_passed_on")
 		f.sendHeartbeat(view)
 		return
 	}
 	f.send(view, methodChanges, message)
 }
 
-// beat tells the other nodes that this one watches and is answered.
+// beat sends a heartbeat where this node is a watcher that the service answers.
 func (f *Feed) beat(now time.Time) {
 	view := f.viewer.View()
 	f.mutex.Lock()
@@ -134,7 +135,7 @@
 	}
 }
 
-// take queues what a watcher passed on. Where the queue is full the reader finds a gap and lists anew.
+// take queues what a watcher passed on. Where the queue is full the reader finds a gap and lists again.
 func (f *Feed) take(changes *changefeedpb.Changes, now time.Time) {
 	f.mutex.Lock()
 	f.lastHeartbeat = now
@@ -143,6 +144,6 @@
 	select {
 	case inbox <- changes:
 	default:
-		f.logger.Warn().Str(fieldPrefix, changes.Prefix).Int64(logging.FieldRevision, changes.Previous).Msg("changes_dropped_inbox_full")
+		f.logger.Warn().Str(logging.FieldPrefix, changes.Prefix).Int64(logging.FieldRevision, changes.Previous).Msg("changes_dropped_inbox_full")
 	}
 }
--- a/internal/changefeed/watch.go
+++ b/internal/changefeed/watch.go
@@ -39,8 +39,8 @@
 	// known is the revision up to which all changes are delivered.
 	known  int64
 	events chan<- platform.WatchEvent
-	// ahead is what watchers passed on while this node asked the service, in their order; it is taken where the service did not tell it
-	// before the turn to ask ended.
+	// ahead is what watchers passed on while this node asked the service, in their order; what the service did not bring before the turn
+	// to ask ended is taken then.
 	ahead []*changefeedpb.Changes
 }
 
@@ -64,7 +64,6 @@
 		return w.deliver(ctx, platform.WatchEvent{Err: err})
 	}
 	inbox := w.feed.inbox(w.prefix)
-	w.ahead = nil
 	ticker := time.NewTicker(turnInterval)
 	defer ticker.Stop()
 	var answer []platform.WatchEvent
@@ -97,7 +96,7 @@
 	}
 }
 
-// keep keeps what a watcher passed on, and drops what the service has told by now. Of more than the inbox holds the oldest goes; the
+// keep keeps what a watcher passed on, and drops what the service has brought by now. Of more than the inbox holds the oldest goes; the
 // reader then finds a gap.
 func (w *watch) keep(changes *changefeedpb.Changes) {
 	w.ahead = slices.DeleteFunc(append(w.ahead, changes), func(kept *changefeedpb.Changes) bool { return lastRevision(kept) <= w.known })
@@ -123,6 +122,7 @@
 	}
 	change := merge(answer)
 	w.feed.passOn(w.prefix, change, time.Now())
+	// The reader need not gather either.
 	change.More = true
 	if !w.deliver(ctx, change) {
 		return false
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -62,14 +62,13 @@
 // New returns a Service; nothing runs before Start.
 func New(options Options) *Service {
 	logger := options.Logger.With().Str(logging.FieldSlice, "discovery").Logger()
-	follows := func(prefix string) zerolog.Logger { return logger.With().Str("prefix", prefix).Logger() }
+	follows := func(prefix string) zerolog.Logger { return logger.With().Str(logging.FieldPrefix, prefix).Logger() }
 	return &Service{
 		store: options.Store, translator: options.Translator, routes: options.Routes, directory: options.Directory,
 		viewer:        options.Viewer,
 		configuration: newRevisions(options.Reporter.SetConfigRevision, follows(options.Translator.ConfigurationKey())),
 		replicas:      newRevisions(options.Reporter.SetReplicasRevision, follows(options.Translator.ReplicaPrefix())),
-
-		logger: logger,
+		logger:        logger,
 	}
 }
 
--- a/internal/edge/caller_connection.go
+++ b/internal/edge/caller_connection.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -70,6 +71,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.reading != nil {
+		// A connection that takes no deadline has ended, and with it the reading.
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 		reading := c.reading
 		c.mutex.Unlock()
@@ -99,7 +101,7 @@
 			c.mutex.Lock()
 			c.ahead = append(c.ahead, buffer[:count]...)
 			full := len(c.ahead) >= maxReadAhead
-			if err != nil && !isTimeout(err) {
+			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 				c.failure = err
 			}
 			failed := c.failure != nil
@@ -114,11 +116,6 @@
 	}()
 }
 
-func isTimeout(err error) bool {
-	var failure net.Error
-	return errors.As(err, &failure) && failure.Timeout()
-}
-
 // SetReadDeadline sets the server's deadline for reads.
 func (c *callerConnection) SetReadDeadline(deadline time.Time) error {
 	c.mutex.Lock()
--- a/internal/edge/connection_limit.go
+++ b/internal/edge/connection_limit.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"cmp"
 	"net"
 	"net/http"
 	"sync"
@@ -80,6 +79,7 @@
 		chosen := l.leastNeeded()
 		l.dropped(now.Sub(l.open[chosen].since))
 		delete(l.open, chosen)
+		// Its end is what is wanted, whatever comes of it; the line of dropped says that it went.
 		_ = chosen.Close()
 	}
 }
@@ -101,7 +101,7 @@
 		return !o.serving
 	}
 	if o.serving {
-		return cmp.Compare(o.since.UnixNano(), other.since.UnixNano()) > 0
+		return o.since.After(other.since)
 	}
 	return o.since.Before(other.since)
 }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -93,7 +93,7 @@
 	return server
 }
 
-// Start listens, for callers first: who is told that the process is ready can connect to it.
+// Start listens, for callers first: where readiness answers that the process is ready, callers can connect to it.
 func (s *Server) Start(ctx context.Context) error {
 	for _, each := range []struct {
 		server  *http.Server
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -154,7 +154,8 @@
 	deadline := callerDeadline(request, h.headers.Deadline, matched, arrived)
 	ctx, cancel := context.WithDeadline(request.Context(), deadline)
 	defer cancel()
-	// A body that does not come in time is not waited for: its sender would hold the connection for ever.
+	// A body that does not come in time is not waited for: its sender would hold the connection for ever. A connection that takes no
+	// deadline has ended, which reading shows.
 	controller := http.NewResponseController(writer)
 	_ = controller.SetReadDeadline(deadline)
 	body, status := readBody(writer, request, terms.Table.Limits.MaxBodyBytes)
--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -15,4 +15,6 @@
 	FieldOutcome   = "outcome"
 	FieldReason    = "reason"
 	FieldPeer      = "peer"
+	// FieldPrefix is the prefix of keys of the key-value service.
+	FieldPrefix = "prefix"
 )
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -70,7 +70,7 @@
 	buffer     *bufio.Writer
 	counters   *Counters
 	queue      *sendQueue
-	// quiet is told of what is sent; nil where nobody watches for silence.
+	// quiet is notified of what is sent; nil where nobody watches for silence.
 	quiet *quietWatch
 }
 
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -143,6 +143,7 @@
 	writer.quiet = newQuietWatch(p, func() {
 		p.transport.logger.Info().Stringer(logging.FieldPeer, p.address).Msg("silent_connection_closed")
 		counters.silentConnections.Inc()
+		// Its end is what is wanted, whatever comes of it.
 		_ = connection.Close()
 	})
 	defer writer.quiet.stop()
--- a/lab/deployment/process.go
+++ b/lab/deployment/process.go
@@ -112,6 +112,7 @@
 	command := exec.Command(path, "serve", "--settings", settingsPath)
 	command.Stdout, command.Stderr = output, output
 	err = command.Start()
+	// The process has its own descriptor of the file.
 	_ = output.Close()
 	if err != nil {
 		return nil, err
@@ -148,6 +149,7 @@
 	if paused {
 		signal = syscall.SIGSTOP
 	}
+	// A process that has ended stands still already.
 	_ = p.command.Process.Signal(signal)
 }
 
--- a/lab/deployment/proxy.go
+++ b/lab/deployment/proxy.go
@@ -67,7 +67,8 @@
 	p.mutex.Unlock()
 }
 
-// copy passes bytes one way until the end, which it passes on too. Once silent it drops them, and the end of a caller closes both.
+// copy passes bytes one way until the end, which it passes on too. Once silent it drops them, and the end of a caller closes both. Errors of
+// writing and closing need no word: the side that reads next finds the connection ended.
 func (c *passing) copy(to, from net.Conn) {
 	buffer := make([]byte, 32<<10)
 	for {
