Read the body of a request in one place, with its deadline, for jobs as well

Cause, found on reading the change again: the deadline of a body was put beside the reading of online requests only; the platform's adapter read submissions by itself, with the same bound written again, and waited for them without an end. Change: the handler takes the body, once, for both; the adapter is given it. TestSlowBodyEndsAtTheDeadline now has a case for each kind of route; that of jobs waited without an end before, and is answered 408 after.

--- a/internal/edge/connection_limit_test.go
+++ b/internal/edge/connection_limit_test.go
@@ -51,16 +51,28 @@
 	}
 }
 
-// TestSlowBodyEndsAtTheDeadline: a caller that does not send its body in the time that it allows is answered that its request did not run.
+// TestSlowBodyEndsAtTheDeadline: a caller that does not send its body in the time that it allows is answered that its request did not run, on
+// each kind of route.
 func TestSlowBodyEndsAtTheDeadline(t *testing.T) {
-	slow := newGoneTest(t, silentScript, nil)
-	connection := slow.connect()
-	if _, err := io.WriteString(connection, "POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Id: a\r\nX-Key: key\r\nX-Deadline: 50\r\nContent-Length: 4\r\n\r\nbo"); err != nil {
-		t.Fatal(err)
-	}
-	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
-	if err != nil || response.StatusCode != http.StatusRequestTimeout {
-		t.Errorf("answer %v, %v; want 408", response, err)
+	for _, path := range []string{"/p/x", "/jobs/x"} {
+		t.Run(path, func(t *testing.T) {
+			submitted := make(chan []byte, 1)
+			slow := newGoneTest(t, silentScript, func(_ *goneTest, options *forward.Options) { options.Batch = recordingSubmitter{submitted} })
+			connection := slow.connect()
+			if _, err := io.WriteString(connection, "POST "+path+" HTTP/1.1\r\nHost: h.example\r\nX-Id: a\r\nX-Key: key\r\nX-Deadline: 50\r\nContent-Length: 4\r\n\r\nbo"); err != nil {
+				t.Fatal(err)
+			}
+			if err := connection.SetReadDeadline(time.Now().Add(patience)); err != nil {
+				t.Fatal(err)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			if err != nil || response.StatusCode != http.StatusRequestTimeout {
+				t.Errorf("answer %v, %v; want 408", response, err)
+			}
+			slow.expectNoArrival("a")
+			if len(submitted) != 0 {
+				t.Errorf("a part of a body was submitted: %q", <-submitted)
+			}
+		})
 	}
-	slow.expectNoArrival("a")
 }
--- a/internal/edge/gone_fake_test.go
+++ b/internal/edge/gone_fake_test.go
@@ -127,6 +127,14 @@
 
 func (waitingQuota) GiveBack(*tenant.Tenant) {}
 
+// recordingSubmitter takes submissions.
+type recordingSubmitter struct{ submitted chan []byte }
+
+func (r recordingSubmitter) Submit(writer http.ResponseWriter, _ *http.Request, _ forward.Authenticated, body []byte) {
+	r.submitted <- body
+	writer.WriteHeader(http.StatusAccepted)
+}
+
 // fullDemand has other nodes' callers want far more than there is.
 type fullDemand struct{ reached func() }
 
@@ -192,6 +200,8 @@
 func goneTable(version int64) *route.Table {
 	table := route.NewTable(version, []*route.Route{{
 		Name: "r", Host: "h.example", Prefix: "/p/", Kind: route.Stream, Resumable: true, Attempts: 2, Backends: []route.Backend{{Service: "s", Weight: 1}},
+	}, {
+		Name: "b", Host: "h.example", Prefix: "/jobs/", Kind: route.Batch, Backends: []route.Backend{{Service: "s", Weight: 1}},
 	}}, nil, route.Limits{})
 	table.Tenants = tenant.NewDirectory([]tenant.Declaration{{
 		Tenant: tenant.Tenant{Name: "t", Limit: tenant.Limit{RequestsPerSecond: 1, Burst: 1}}, APIKeys: []string{"key"},
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -49,7 +49,7 @@
 
 // BatchSubmitter takes submissions on batch routes.
 type BatchSubmitter interface {
-	Submit(writer http.ResponseWriter, request *http.Request, terms Authenticated)
+	Submit(writer http.ResponseWriter, request *http.Request, terms Authenticated, body []byte)
 }
 
 // Quota says whether a tenant's requests are within its limit over all nodes. It is safe for concurrent use.
@@ -133,27 +133,24 @@
 		h.refuseKey(writer, request, matched.Name, table.Version)
 		return
 	}
-	terms := Authenticated{Table: table, Route: matched, Tenant: holder}
-	if matched.Kind == route.Batch {
-		h.serveBatch(writer, request, terms)
-		return
-	}
-	h.serveOnline(writer, request, terms, arrived)
-}
-
-func (h *Handler) serveBatch(writer http.ResponseWriter, request *http.Request, terms Authenticated) {
-	if h.batch == nil {
+	if matched.Kind == route.Batch && h.batch == nil {
 		h.refuse(writer, request, "no_batch", retryAfterStarting)
 		return
 	}
-	h.batch.Submit(writer, request, terms)
+	terms := Authenticated{Table: table, Route: matched, Tenant: holder}
+	deadline := callerDeadline(request, h.headers.Deadline, matched, arrived)
+	body, whole := h.takeBody(writer, request, terms, deadline)
+	switch {
+	case !whole:
+	case matched.Kind == route.Batch:
+		h.batch.Submit(writer, request, terms, body)
+	default:
+		h.serveOnline(writer, request, terms, body, arrived, deadline)
+	}
 }
 
-func (h *Handler) serveOnline(writer http.ResponseWriter, request *http.Request, terms Authenticated, arrived time.Time) {
-	matched := terms.Route
-	deadline := callerDeadline(request, h.headers.Deadline, matched, arrived)
-	ctx, cancel := context.WithDeadline(request.Context(), deadline)
-	defer cancel()
+// takeBody reads the whole body until deadline, and answers a request whose body cannot be taken.
+func (h *Handler) takeBody(writer http.ResponseWriter, request *http.Request, terms Authenticated, deadline time.Time) (body []byte, whole bool) {
 	// A body that does not come in time is not waited for: its sender would hold the connection for ever. A connection that takes no
 	// deadline has ended, which reading shows.
 	controller := http.NewResponseController(writer)
@@ -162,13 +159,19 @@
 	if status != 0 {
 		// What is left of the body is not waited for either.
 		writer.Header().Set("Connection", "close")
-		h.metrics.outcome(matched.Name, "bad_body")
+		h.metrics.outcome(terms.Route.Name, "bad_body")
 		http.Error(writer, http.StatusText(status), status)
-		return
+		return nil, false
 	}
 	_ = controller.SetReadDeadline(time.Time{})
+	return body, true
+}
+
+func (h *Handler) serveOnline(writer http.ResponseWriter, request *http.Request, terms Authenticated, body []byte, arrived, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(request.Context(), deadline)
+	defer cancel()
 	current := &exchange{
-		handler: h, writer: writer, request: request, terms: terms, route: matched, body: body, arrived: arrived, deadline: deadline,
+		handler: h, writer: writer, request: request, terms: terms, route: terms.Route, body: body, arrived: arrived, deadline: deadline,
 		id: request.Header.Get(h.headers.RequestID), lastEvent: request.Header.Get(h.headers.LastEventID),
 	}
 	if h.withinQuota(ctx, current) {
