--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -10,8 +10,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/coldstart"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
 	"github.com/sloelift/sloelift/internal/transport"
@@ -34,6 +36,9 @@
 	KeepResults time.Duration
 	// Report is how replicas are asked for their load.
 	Report replica.LoadReport
+	// ColdStarts is nil where replicas bear as much cold as warm, Quarantine where no item is kept from replicas.
+	ColdStarts coldstart.Limiter
+	Quarantine quarantine.Register
 }
 
 // Service runs the partitions that this process owns.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -94,7 +95,7 @@
 	}
 	var last verdict
 	for {
-		handle := e.pick()
+		handle := e.pickReady(ctx)
 		if handle == nil {
 			e.conclude(ctx, last, "no_replica")
 			return
@@ -157,10 +158,22 @@
 	return e.route.PickService()
 }
 
+// pickReady chooses the next replica among those that bear one more request now.
+func (e *exchange) pickReady(ctx context.Context) *replica.Handle {
+	excluded := slices.Clone(e.tried)
+	for {
+		handle := e.pick(excluded)
+		if handle == nil || e.handler.coldStarts == nil || e.handler.coldStarts.Take(ctx, handle) {
+			return handle
+		}
+		excluded = append(excluded, handle)
+	}
+}
+
 // pick chooses the next replica.
-func (e *exchange) pick() *replica.Handle {
+func (e *exchange) pick(excluded []*replica.Handle) *replica.Handle {
 	wanted := balance.Request{
-		Service: e.nextService(), Zone: e.handler.zone, BodyBytes: len(e.body), Excluded: e.tried,
+		Service: e.nextService(), Zone: e.handler.zone, BodyBytes: len(e.body), Excluded: excluded,
 	}
 	if e.route.Affinity {
 		parts := ParsePromptParts(e.request.Header.Get(e.handler.headers.PromptParts))
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -13,7 +13,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/coldstart"
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/quota"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
@@ -74,6 +76,9 @@
 	// quota is nil where no limits are kept.
 	quota   Quota
 	refresh func(ctx context.Context)
+	// coldStarts and quarantine are nil where replicas are not protected by them.
+	coldStarts coldstart.Limiter
+	quarantine quarantine.Register
 	// expectations hold what the routes' requests have shown of themselves.
 	expectations *expectations
 	logger       zerolog.Logger
@@ -81,20 +86,23 @@
 	leaving      atomic.Bool
 }
 
-// Options of a Handler. Batch may be nil, Quota where no limits are kept, and Gate where no request is held back.
+// Options of a Handler. Batch may be nil, Quota where no limits are kept, Gate where no request is held back, ColdStarts where replicas bear
+// as much cold as warm, and Quarantine where no message is kept from replicas.
 // Refresh, where it is set, is called before a replica is chosen, to learn what other nodes have there.
 type Options struct {
-	Routes    *route.Holder
-	Directory *replica.Directory
-	Picker    *balance.Picker
-	Client    *replica.Client
-	Zone      string
-	Batch     BatchSubmitter
-	Gate      *Gate
-	Quota     Quota
-	Refresh   func(ctx context.Context)
-	Logger    zerolog.Logger
-	Metrics   *Metrics
+	Routes     *route.Holder
+	Directory  *replica.Directory
+	Picker     *balance.Picker
+	Client     *replica.Client
+	Zone       string
+	Batch      BatchSubmitter
+	Gate       *Gate
+	Quota      Quota
+	Refresh    func(ctx context.Context)
+	ColdStarts coldstart.Limiter
+	Quarantine quarantine.Register
+	Logger     zerolog.Logger
+	Metrics    *Metrics
 }
 
 // NewHandler returns a Handler.
@@ -102,6 +110,7 @@
 	return &Handler{
 		routes: options.Routes, directory: options.Directory, picker: options.Picker, client: options.Client, headers: options.Client.Headers(),
 		zone: options.Zone, batch: options.Batch, budget: newRetryBudget(), gate: options.Gate, quota: options.Quota, refresh: options.Refresh, expectations: newExpectations(),
+		coldStarts: options.ColdStarts, quarantine: options.Quarantine,
 		logger: options.Logger.With().Str(logging.FieldSlice, "forward").Logger(), metrics: options.Metrics,
 	}
 }
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -29,6 +29,8 @@
 	// APIKey is what a caller proves itself with; replicas never get it. Tenant names the tenant that holds it, to replicas.
 	APIKey string
 	Tenant string
+	// ColdFor tells, in answers to health checks, how many ms longer a replica stays cold.
+	ColdFor string
 }
 
 // ErrNotSent says that no byte of the request reached the replica.
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -24,6 +24,8 @@
 	Slots int
 	// Draining replicas take no new requests.
 	Draining bool
+	// ColdFor is how much longer the replica stays cold, counted from when it wrote its entry; 0 is warm.
+	ColdFor time.Duration
 }
 
 // View is an immutable snapshot of the directory.
@@ -75,6 +77,8 @@
 	subscribers subscription.List[*View]
 	// useChanged holds one signal that requests began or ended, or prompts were read.
 	useChanged chan struct{}
+	// evacuated are the zones whose replicas get nothing more, guarded by mutex.
+	evacuated map[string]bool
 }
 
 // NewDirectory returns an empty Directory.
@@ -142,15 +146,27 @@
 	d.subscribers.Notify(d.View())
 }
 
+// SetEvacuated has the replicas of the given zones, and of no others, get nothing more. They stay in the directory: what runs there goes on.
+func (d *Directory) SetEvacuated(zones map[string]bool) {
+	d.mutex.Lock()
+	d.evacuated = maps.Clone(zones)
+	for _, handle := range d.View().byID {
+		handle.evacuated.Store(d.evacuated[handle.Info().Zone])
+	}
+	d.mutex.Unlock()
+	d.subscribers.Notify(d.View())
+}
+
 // handleFor returns the handle of info's incarnation with its newest entry.
 func (d *Directory) handleFor(info Info) *Handle {
 	handle := d.View().Find(info.ID)
 	if handle == nil {
 		handle = NewHandle(info)
 		handle.useChanged = d.SignalUse
-		return handle
+	} else {
+		handle.info.Store(&info)
 	}
-	handle.info.Store(&info)
+	handle.evacuated.Store(d.evacuated[info.Zone])
 	return handle
 }
 
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -68,6 +68,8 @@
 	useChanged func()
 	// reading counts the prompt tokens of this process's requests that wait for their first event.
 	reading atomic.Int64
+	// evacuated says that the replica's zone is taken out of service.
+	evacuated atomic.Bool
 	// heardAt is when bytes of an answer last came, in nanoseconds since the start of the process; 0 is never.
 	heardAt atomic.Int64
 
@@ -109,7 +111,10 @@
 func (h *Handle) Key() Key { return h.key }
 
 // Usable says that new requests may go to the replica.
-func (h *Handle) Usable() bool { return !h.gone.Load() && !h.Info().Draining }
+func (h *Handle) Usable() bool { return !h.gone.Load() && !h.evacuated.Load() && !h.Info().Draining }
+
+// Evacuated says that the replica's zone is taken out of service.
+func (h *Handle) Evacuated() bool { return h.evacuated.Load() }
 
 // InUse returns the number of this process's requests there.
 func (h *Handle) InUse() int { return int(h.inUse.Load()) }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/tenant"
 )
 
@@ -60,6 +61,8 @@
 	// MaxWaitingTokens bounds the tokens of unfinished items of all jobs of one tenant together, or of all jobs where no tenants are
 	// declared; zero is no bound.
 	MaxWaitingTokens int64
+	// Regions are where requests may be served, cached and stored.
+	Regions region.Set
 
 	picker *weightedPicker
 }
@@ -84,6 +87,10 @@
 	MaxQueued int
 	// CacheTokens is the memory of a replica.
 	CacheTokens int64
+	// ColdStart is how long a replica stays cold after a start during traffic, ColdRequestsPerSecond what it bears meanwhile, from all nodes
+	// together. Replicas of a service in which the latter is 0 bear as much cold as warm.
+	ColdStart             time.Duration
+	ColdRequestsPerSecond float64
 }
 
 // Limits bound what callers send.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -43,6 +43,8 @@
 	checks.limits(s.Limits)
 	checks.ledger(s.Ledger)
 	checks.quota(s.Bounds)
+	checks.zones(s.Zones)
+	checks.coldStarts(s.Bounds)
 	_, err := zerolog.ParseLevel(s.LogLevel)
 	checks.require(err == nil && s.LogLevel != "", "logLevel", "%q is not a level; allowed are trace, debug, info, warn, error", strictyaml.Shorten(s.LogLevel))
 	return checks.failures
@@ -143,6 +145,23 @@
 	c.require(b.QuotaSlack >= 0, "bounds.quotaSlack", "wants 0 or a number above, not %g", b.QuotaSlack)
 }
 
+func (c *checker) zones(zones []Zone) {
+	seen := map[string]bool{}
+	for index, zone := range zones {
+		field := fmt.Sprintf("zones[%d]", index)
+		c.name(field+".name", zone.Name)
+		c.name(field+".region", zone.Region)
+		c.require(!seen[zone.Name], field+".name", "zone %q stands twice", strictyaml.Shorten(zone.Name))
+		seen[zone.Name] = true
+	}
+}
+
+func (c *checker) coldStarts(b Bounds) {
+	c.require(b.Evacuate > 0, "bounds.evacuate", "wants a time above 0, not %s", b.Evacuate)
+	c.require(b.ColdBurst > 0, "bounds.coldBurst", "wants a number above 0, not %g", b.ColdBurst)
+	c.require(b.ColdSlack >= 0, "bounds.coldSlack", "wants 0 or a number above, not %g", b.ColdSlack)
+}
+
 const (
 	maxPartitions = 1 << 16
 	maxReplicas   = 16
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/sloelift/sloelift/internal/region"
 )
 
 // Role says which part of the system a process runs.
@@ -38,10 +40,28 @@
 	Ledger     Ledger   `yaml:"ledger"`
 	Bounds     Bounds   `yaml:"bounds"`
 	LogLevel   string   `yaml:"logLevel"`
+	// Zones are the zones of the deployment with their regions; none where all are one region.
+	Zones []Zone `yaml:"zones"`
 	// SeedPeers are peer addresses to join through when the platform is down.
 	SeedPeers []netip.AddrPort `yaml:"seedPeers"`
 }
 
+// Zone is a zone of the deployment.
+type Zone struct {
+	Name   string `yaml:"name"`
+	Region string `yaml:"region"`
+}
+
+// Topology returns the regions of the zones.
+func (s Settings) Topology() region.Topology {
+	regionOf := make(map[string]string, len(s.Zones)+1)
+	regionOf[s.Zone] = s.Region
+	for _, zone := range s.Zones {
+		regionOf[zone.Name] = zone.Region
+	}
+	return region.NewTopology(regionOf)
+}
+
 // Platform holds the addresses of what the platform gives.
 type Platform struct {
 	KeyValue    []netip.AddrPort `yaml:"keyValue"`
@@ -89,6 +109,12 @@
 	QuotaWindow    time.Duration `yaml:"quotaWindow"`
 	QuotaTolerance float64       `yaml:"quotaTolerance"`
 	QuotaSlack     float64       `yaml:"quotaSlack"`
+	// Evacuate is the time from an operator's request to evacuate a zone to the last request that reaches its replicas.
+	Evacuate time.Duration `yaml:"evacuate"`
+	// ColdBurst and ColdSlack bound what a cold replica gets in any second from all nodes together: the requests a second that its service
+	// declares for cold replicas, times ColdBurst, and ColdSlack requests.
+	ColdBurst float64 `yaml:"coldBurst"`
+	ColdSlack float64 `yaml:"coldSlack"`
 }
 
 // Ledger holds the ledger's numbers. They are written to the key-value service at the first start of the system and
@@ -133,6 +159,6 @@
 		},
 		Ledger: Ledger{Partitions: 16, Replicas: 4, WriteQuorum: 3},
 		// The values of the first deployment with tenants.
-		Bounds: Bounds{QuotaWindow: 5 * time.Second, QuotaTolerance: 0.1, QuotaSlack: 20},
+		Bounds: Bounds{QuotaWindow: 5 * time.Second, QuotaTolerance: 0.1, QuotaSlack: 20, Evacuate: 5 * time.Second, ColdBurst: 1},
 	}
 }
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -1,6 +1,10 @@
 package tenant
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+
+	"github.com/sloelift/sloelift/internal/region"
+)
 
 // Limit bounds the requests of one tenant over all nodes together. Its zero value is no limit.
 type Limit struct {
@@ -19,6 +23,8 @@
 	Limit Limit
 	// Priority takes precedence over that of a route, 0 being the highest; nil where the tenant has none of its own.
 	Priority *int
+	// Regions are where the tenant's requests may be served, cached and stored.
+	Regions region.Set
 }
 
 // Declaration is a tenant with its API keys, as the configuration declares it.
