--- a/internal/loadshare/questions.go
+++ b/internal/loadshare/questions.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -22,6 +21,8 @@
 	missesBorne = 2
 	// ownExchangeAgain is how often the zone's own exchange is tried again after it did not answer.
 	ownExchangeAgain = 5 * time.Second
+	// relayTimeout bounds the wait of a node that passes a question on: the asker waits for answerTimeout.
+	relayTimeout = 150 * time.Millisecond
 )
 
 // questions keeps one question at a time, and which exchange answers. It is safe for concurrent use.
@@ -32,21 +33,35 @@
 	// missed counts the answers that did not come, one after another, since missedAt.
 	missed   int
 	missedAt time.Time
-	stopped  bool
-	running  sync.WaitGroup
+	// began is when the present question was put.
+	began   time.Time
+	stopped bool
+	running sync.WaitGroup
 }
 
-// exchange returns the exchange to use; known is false where there is none.
-func (q *questions) exchange(place places, now time.Time) (exchange netip.AddrPort, known bool) {
-	if len(place.candidates) == 0 {
-		return netip.AddrPort{}, false
+// way returns the way to an exchange to use; known is false where there is none.
+func (q *questions) way(place places, now time.Time) (used way, known bool) {
+	if len(place.ways) == 0 {
+		return way{}, false
 	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if q.missed > 0 && now.Sub(q.missedAt) >= ownExchangeAgain {
-		q.missed = 0
+	if q.triesOwn(now) {
+		return place.ways[0], true
 	}
-	return place.candidates[(q.missed/missesBorne)%len(place.candidates)], true
+	return place.ways[(q.missed/missesBorne)%len(place.ways)], true
+}
+
+// triesOwn says that a question put at that time tries this node's own exchange again. The mutex is held.
+func (q *questions) triesOwn(putAt time.Time) bool {
+	return q.missed > 0 && putAt.Sub(q.missedAt) >= ownExchangeAgain
+}
+
+// answered says that the latest answer came.
+func (q *questions) answered() bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.missed == 0
 }
 
 // begin returns the channel that is closed when the present question ends. Where there is none, ask is run to put one; after stop
@@ -63,6 +78,7 @@
 		return ending
 	}
 	q.pending = ending
+	q.began = time.Now()
 	q.running.Go(func() { q.end(ask(), time.Now()) })
 	return ending
 }
@@ -81,6 +97,15 @@
 	defer q.mutex.Unlock()
 	close(q.pending)
 	q.pending = nil
+	if q.triesOwn(q.began) {
+		// The way used before stands in again at once if this one still does not answer: else a node that is cut off for long would know
+		// nothing of the others for half a second of each five.
+		q.missedAt = now
+		if err == nil {
+			q.missed = 0
+		}
+		return
+	}
 	if err == nil {
 		if q.missed < missesBorne {
 			q.missed = 0
@@ -126,23 +151,27 @@
 func (s *Service) question() error {
 	now := time.Now()
 	place := s.places.of(s.viewer.View(), s.options.Zone)
-	exchange, known := s.chooseExchange(place, now)
+	used, known := s.chooseWay(place, now)
 	if !known {
 		return nil
 	}
 	own := s.own()
 	message := s.message(own, now)
 	message.KnownRun, message.KnownVersion = s.fleet.known()
-	if exchange == place.self {
-		s.board.takeReport(exchange, message, now)
+	if used.node == place.self {
+		s.board.takeReport(used.node, message, now)
 		s.apply(s.board.Answer(message.KnownRun, message.KnownVersion), own, now)
 		return nil
 	}
 	bounded, cancel := context.WithTimeout(s.ctx, answerTimeout)
 	defer cancel()
 	answer := &loadsharepb.FleetLoad{}
-	if err := s.caller.Call(bounded, exchange, methodAsk, message, answer); err != nil {
-		s.logger.Debug().Err(err).Stringer("exchange", exchange).Msg("exchange_silent")
+	method := methodAsk
+	if used.relayed {
+		method = methodAskFor
+	}
+	if err := s.caller.Call(bounded, used.node, method, message, answer); err != nil {
+		s.logger.Debug().Err(err).Stringer("node", used.node).Bool("relayed", used.relayed).Msg("exchange_silent")
 		return err
 	}
 	s.apply(answer, own, time.Now())
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -23,6 +23,9 @@
 	methodReport transport.Method = "loadshare.report"
 	methodAsk    transport.Method = "loadshare.ask"
 	methodRelay  transport.Method = "loadshare.relay"
+	// methodAskFor and methodReportFor are questions and reports that a node passes on to its exchange for another node.
+	methodAskFor    transport.Method = "loadshare.ask_for"
+	methodReportFor transport.Method = "loadshare.report_for"
 	// interval is the least time between two reports of a node, and how often an exchange looks whether its sums have changed. In a burst a
 	// zone of the shifted deployment begins a request each 5 ms; with 40 ms, 35 in 100 were sent to a replica that had 6 to 10 at its 6
 	// slots, at which 4.7 were known of; with 10 ms 32 in 100, most of the unknown ones under 5 ms old (policy.md, rounds 18 and 24).
@@ -78,9 +81,9 @@
 	reported   state
 	reportedAt time.Time
 	sentAt     time.Time
-	// exchange is the one that was used last, movedAt when another one was before.
-	exchange netip.AddrPort
-	movedAt  time.Time
+	// way is the one that was used last, movedAt when another one was before.
+	way     way
+	movedAt time.Time
 
 	// The fields below belong to the reporting goroutine. relayedVersion is the Board's version that the other exchanges have.
 	relayedVersion uint64
@@ -105,15 +108,17 @@
 		})
 	registrar.Handle(methodReport, func() proto.Message { return &loadsharepb.NodeLoad{} },
 		func(_ context.Context, from netip.AddrPort, message proto.Message) (proto.Message, error) {
-			service.board.takeReport(from, message.(*loadsharepb.NodeLoad), time.Now())
+			load := message.(*loadsharepb.NodeLoad)
+			service.board.takeReport(reporterOf(from, load), load, time.Now())
 			return nil, nil
 		})
 	registrar.Handle(methodAsk, func() proto.Message { return &loadsharepb.NodeLoad{} },
 		func(_ context.Context, from netip.AddrPort, message proto.Message) (proto.Message, error) {
 			load := message.(*loadsharepb.NodeLoad)
-			service.board.takeReport(from, load, time.Now())
+			service.board.takeReport(reporterOf(from, load), load, time.Now())
 			return service.board.Answer(load.GetKnownRun(), load.GetKnownVersion()), nil
 		})
+	service.handleRelayed(registrar)
 	return service
 }
 
@@ -152,37 +157,45 @@
 	return !s.movedAt.IsZero() && now.Sub(s.movedAt) < reportStale+relayStale
 }
 
-// chooseExchange returns the exchange to use. Where that is another one than before, the one before is sent an empty report, so that
-// it does not count this node as well.
-func (s *Service) chooseExchange(place places, now time.Time) (exchange netip.AddrPort, known bool) {
-	exchange, known = s.questions.exchange(place, now)
+// chooseWay returns the way to an exchange to use. Where that is another one than before, the exchange before is sent an empty report, so
+// that it does not count this node as well.
+func (s *Service) chooseWay(place places, now time.Time) (used way, known bool) {
+	used, known = s.questions.way(place, now)
 	if !known {
-		return exchange, false
+		return used, false
 	}
 	s.mutex.Lock()
-	before := s.exchange
-	s.exchange = exchange
-	moved := before.IsValid() && before != exchange
+	before := s.way
+	s.way = used
+	moved := before.node.IsValid() && before != used
 	if moved {
 		s.movedAt = now
 	}
 	s.mutex.Unlock()
 	if moved {
-		s.logger.Info().Stringer("before", before).Stringer("exchange", exchange).Msg("exchange_changed")
+		s.logger.Info().Stringer("before", before.node).Stringer("exchange", used.node).Bool("relayed", used.relayed).Msg("exchange_changed")
 		s.takeBack(before, place, now)
 	}
-	return exchange, true
+	return used, true
 }
 
 // takeBack sends an exchange an empty report.
-func (s *Service) takeBack(from netip.AddrPort, place places, now time.Time) {
+func (s *Service) takeBack(from way, place places, now time.Time) {
 	empty := &loadsharepb.NodeLoad{Origin: s.origin()}
-	if from == place.self {
-		s.board.takeReport(from, empty, now)
+	if from.node == place.self {
+		s.board.takeReport(from.node, empty, now)
 		return
 	}
-	if err := s.caller.Send(from, methodReport, empty); err != nil {
-		s.logger.Debug().Err(err).Stringer("exchange", from).Msg("report_not_sent")
+	method := methodReport
+	if from.relayed {
+		method = methodReportFor
+	}
+	s.sendReport(from.node, method, empty)
+}
+
+func (s *Service) sendReport(to netip.AddrPort, method transport.Method, load *loadsharepb.NodeLoad) {
+	if err := s.caller.Send(to, method, load); err != nil {
+		s.logger.Debug().Err(err).Stringer("node", to).Msg("report_not_sent")
 	}
 }
 
@@ -316,21 +329,24 @@
 
 // report sends own to this node's exchange without waiting for an answer.
 func (s *Service) report(place places, own state, now time.Time) {
-	exchange, known := s.chooseExchange(place, now)
+	used, known := s.chooseWay(place, now)
 	if !known {
 		return
 	}
+	if used.relayed {
+		// A question reports too, and shows whether the relay still reaches an exchange.
+		s.ask()
+		return
+	}
 	message := s.message(own, now)
 	s.mutex.Lock()
 	s.sentAt = now
 	s.mutex.Unlock()
-	if exchange == place.self {
-		s.board.takeReport(exchange, message, now)
+	if used.node == place.self {
+		s.board.takeReport(used.node, message, now)
 		return
 	}
-	if err := s.caller.Send(exchange, methodReport, message); err != nil {
-		s.logger.Debug().Err(err).Stringer("exchange", exchange).Msg("report_not_sent")
-	}
+	s.sendReport(used.node, methodReport, message)
 }
 
 // relay sends the other exchanges what the nodes have that report to this one.
@@ -348,7 +364,7 @@
 	if whole {
 		s.relayedWholeAt = now
 	}
-	for _, exchange := range place.candidates {
+	for _, exchange := range place.exchanges {
 		if exchange == place.self {
 			continue
 		}
