--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -57,7 +57,7 @@
 	return &Picker{
 		directory: directory,
 		required:  []Filter{notExcluded, usable, underOccupancy},
-		preferred: []Filter{notAvoided},
+		preferred: []Filter{inReachedZone, notAvoided},
 		scorers:   []Scorer{occupancyScore, zoneScore, partScore, failureScore, prefillScore, readingScore},
 		random:    random,
 		mix:       newPromptMix(),
@@ -70,8 +70,10 @@
 	request.apart = p.setApart(request)
 	all := p.directory.View().Of(request.Service)
 	able := filter(request, all, p.required, now)
-	if preferred := filter(request, able, p.preferred, now); len(preferred) > 0 {
-		able = preferred
+	for index := range p.preferred {
+		if preferred := filter(request, able, p.preferred[index:index+1], now); len(preferred) > 0 {
+			able = preferred
+		}
 	}
 	sample := newSample(request, able)
 	var best *replica.Handle
--- a/internal/balance/filters.go
+++ b/internal/balance/filters.go
@@ -18,6 +18,9 @@
 // notAvoided drops replicas that failed or refused a moment ago.
 func notAvoided(_ *Request, handle *replica.Handle, now time.Time) bool { return !handle.Avoided(now) }
 
+// inReachedZone drops replicas of zones that are cut off from this process.
+func inReachedZone(_ *Request, handle *replica.Handle, _ time.Time) bool { return !handle.ZoneCutOff() }
+
 // underOccupancy drops replicas that are fuller than the request allows.
 func underOccupancy(request *Request, handle *replica.Handle, now time.Time) bool {
 	return request.MaxOccupancy <= 0 || occupancy(handle, now) < request.MaxOccupancy
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -82,6 +82,7 @@
 		if silent {
 			e.foundSilence = true
 			handle.DropKept()
+			handle.Silent()
 		}
 	}
 	e.event(handle).Err(errors.Join(err, context.Cause(ctx))).Msg("call_failed")
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -44,6 +44,10 @@
 const (
 	// maxRefusals bounds the replicas that may refuse one request before the caller is told.
 	maxRefusals = 3
+	// connectShare is the part of the objective that a connection to one replica may take, leastConnectTime bounds it from below: within a
+	// region it takes a few ms, on a node that is short of processor time some tens.
+	connectShare     = 0.4
+	leastConnectTime = 100 * time.Millisecond
 	// leastTimeLeft is the time below which no further attempt is begun.
 	leastTimeLeft = 20 * time.Millisecond
 )
@@ -259,10 +263,19 @@
 	}
 	return replica.Call{
 		Method: e.request.Method, Target: targetOf(e.request), Host: e.request.Host, Header: header, Body: e.body, RequestID: e.id,
-		Fresh: e.foundSilence,
+		Fresh: e.foundSilence, ConnectWithin: connectWithin(e.route.Objective),
 	}
 }
 
+// connectWithin bounds the making of a connection: a request that is not sent yet can still be in time at another replica. Without an
+// objective it is the client's own bound.
+func connectWithin(objective time.Duration) time.Duration {
+	if objective <= 0 {
+		return 0
+	}
+	return max(leastConnectTime, time.Duration(connectShare*float64(objective)))
+}
+
 // targetOf returns the path and query as the caller sent them, without the scheme and host that a target may have.
 func targetOf(request *http.Request) string {
 	if strings.HasPrefix(request.RequestURI, "/") {
--- a/internal/network/networktest/silencer.go
+++ b/internal/network/networktest/silencer.go
@@ -16,16 +16,37 @@
 type Silencer struct {
 	network.Network
 
-	// mutex guards open.
-	mutex sync.Mutex
-	open  []*connection
+	// mutex guards the fields below. Connections to addresses in cutOff are not made, nor refused.
+	mutex  sync.Mutex
+	open   []*connection
+	cutOff map[netip.AddrPort]bool
 }
 
 // NewSilencer returns a Silencer over inner.
 func NewSilencer(inner network.Network) *Silencer { return &Silencer{Network: inner} }
 
+// CutOff has the given addresses, and no others, not be reached by new connections.
+func (s *Silencer) CutOff(addresses ...netip.AddrPort) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.cutOff = map[netip.AddrPort]bool{}
+	for _, address := range addresses {
+		s.cutOff[address] = true
+	}
+}
+
+func (s *Silencer) isCutOff(address netip.AddrPort) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.cutOff[address]
+}
+
 // Dial connects.
 func (s *Silencer) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	if s.isCutOff(address) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	inner, err := s.Network.Dial(ctx, address)
 	if err != nil {
 		return nil, err
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -251,7 +251,7 @@
 	var found []membership.Member
 	for _, members := range [][]membership.Member{ranked.edges, ranked.leaving} {
 		for _, each := range members {
-			if !s.unreached.Recent(each.PeerAddress, now) {
+			if !s.notReached(each, now) {
 				found = append(found, each)
 			}
 		}
--- a/internal/quota/fake_test.go
+++ b/internal/quota/fake_test.go
@@ -40,6 +40,7 @@
 // edge is one edge of a cluster under test.
 type edge struct {
 	id        membership.NodeID
+	zone      string
 	address   netip.AddrPort
 	view      *fakeView
 	transport *memory.Transport
@@ -115,7 +116,7 @@
 }
 
 func (c *cluster) member(of *edge, state membership.State) membership.Member {
-	return membership.Member{ID: of.id, PeerAddress: of.address, State: state}
+	return membership.Member{ID: of.id, Zone: of.zone, PeerAddress: of.address, State: state}
 }
 
 // agree has the given edges, or all, know how things are: who is down or on another side is dead to those that do not reach it.
--- a/internal/quota/grantor.go
+++ b/internal/quota/grantor.go
@@ -94,7 +94,7 @@
 // askPeer asks another edge; nil where it gives no answer or does not grant. Ranks do not depend on a node's view, so that a request that
 // is passed on comes to ever higher ranks and ends.
 func (s *Service) askPeer(ctx context.Context, peer membership.Member, request *quotapb.GrantRequest, longest time.Duration) *quotapb.GrantResponse {
-	if s.unreached.Recent(peer.PeerAddress, time.Now()) {
+	if s.notReached(peer, time.Now()) {
 		return nil
 	}
 	response := &quotapb.GrantResponse{}
@@ -113,13 +113,23 @@
 	ctx, cancel := context.WithTimeout(ctx, longest)
 	defer cancel()
 	if err := s.caller.Call(ctx, peer.PeerAddress, method, request, response); err != nil {
-		s.unreached.Note(peer.PeerAddress, time.Now())
+		s.noteNoAnswer(peer, ctx.Err() != nil, time.Now())
 		return err
 	}
-	s.contact.note(time.Now())
+	now := time.Now()
+	s.contact.note(now)
+	s.zones.Of(peer.Zone).NoteAnswer(now)
 	return nil
 }
 
+// noteNoAnswer takes in that an edge gave no answer; silent says that it did not refuse either, as an edge does whose process has ended.
+func (s *Service) noteNoAnswer(peer membership.Member, silent bool, now time.Time) {
+	s.unreached.Note(peer.PeerAddress, now)
+	if silent && s.zones.Of(peer.Zone).NoteSilence(string(peer.ID), now) {
+		s.logger.Info().Str("zone_cut_off", peer.Zone).Str(logging.FieldPeer, string(peer.ID)).Msg("zone_not_reached")
+	}
+}
+
 // grantsOf returns the tenant's bucket, which is taken over from the grantor before where this node has none.
 func (s *Service) grantsOf(ctx context.Context, request *quotapb.GrantRequest, ranked ranking) *grants {
 	name := request.GetTenant()
--- a/internal/quota/requester.go
+++ b/internal/quota/requester.go
@@ -166,7 +166,7 @@
 			asked++
 			continue
 		}
-		if s.unreached.Recent(peer.PeerAddress, time.Now()) {
+		if s.notReached(peer, time.Now()) {
 			continue
 		}
 		asked++
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -44,12 +45,14 @@
 	requests  *prometheus.CounterVec
 	started   time.Time
 	unreached *unreached.Peers
-	rankings  rankings
-	contact   contact
-	lender    *lender
-	ctx       context.Context
-	cancel    context.CancelFunc
-	running   sync.WaitGroup
+	// zones are those whose edges are not reached: of a zone that is cut off each edge would cost the requests of its tenants askTimeout.
+	zones    *unreached.Zones
+	rankings rankings
+	contact  contact
+	lender   *lender
+	ctx      context.Context
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
 
 	// mutex guards the fields below: the tenants that this node grants for, and those whose requests it asks for.
 	mutex     sync.Mutex
@@ -64,7 +67,7 @@
 // NewService returns a Service and registers its methods.
 func NewService(allowance Allowance, viewer membership.Viewer, caller transport.Caller, registrar transport.Registrar, registerer prometheus.Registerer, logger zerolog.Logger) *Service {
 	service := &Service{
-		allowance: allowance, viewer: viewer, caller: caller, started: time.Now(), unreached: unreached.NewPeers(unreachedFor),
+		allowance: allowance, viewer: viewer, caller: caller, started: time.Now(), unreached: unreached.NewPeers(unreachedFor), zones: unreached.NewZones(),
 		logger: logger.With().Str(logging.FieldSlice, "quota").Logger(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sloelift_quota_requests_total", Help: "Requests of tenants with a limit, by verdict and by whether a grantor decided.",
@@ -132,6 +135,34 @@
 	s.unreached.Forget(from)
 }
 
+// notReached says that a peer gave no answer a short while ago, or that its zone is cut off. It has a zone that is cut off probed.
+func (s *Service) notReached(peer membership.Member, now time.Time) bool {
+	zone := s.zones.Of(peer.Zone)
+	if zone.ProbeDue(now) {
+		s.begin(func() { s.probe(peer.Zone) })
+	}
+	return zone.CutOff() || s.unreached.Recent(peer.PeerAddress, now)
+}
+
+// probe looks whether some edge of a zone answers again. A release of no tenant changes nothing.
+func (s *Service) probe(zone string) {
+	var edges []membership.Member
+	for _, member := range s.viewer.View().Members {
+		if member.Zone == zone && !member.Store && member.State != membership.Dead {
+			edges = append(edges, member)
+		}
+	}
+	rand.Shuffle(len(edges), func(i, j int) { edges[i], edges[j] = edges[j], edges[i] })
+	var asked sync.WaitGroup
+	for _, edge := range edges[:min(contactsAsked, len(edges))] {
+		asked.Go(func() {
+			err := s.callEdge(s.ctx, edge, methodRelease, &quotapb.ReleaseRequest{}, &quotapb.ReleaseResponse{}, askTimeout)
+			s.logger.Debug().Str(logging.FieldPeer, string(edge.ID)).Err(err).Msg("zone_probed")
+		})
+	}
+	asked.Wait()
+}
+
 func (s *Service) rankingOf(tenantName string) ranking {
 	return s.rankings.of(s.viewer.View(), tenantName)
 }
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -37,8 +38,11 @@
 var ErrNotSent = errors.New("request was not sent")
 
 const (
-	// connectTimeout bounds the making of a connection.
+	// connectTimeout bounds the making of a connection where the call names no time.
 	connectTimeout = time.Second
+	// pathTrusted is how long an answer from a replica's zone shows that kept connections there still lead to it. Behind a link that was cut
+	// since, a request that may not be repeated is lost on one; a new connection shows it before anything is sent.
+	pathTrusted = 500 * time.Millisecond
 	// maxStrayAnswers bounds the answers to earlier requests that are passed over on one connection.
 	maxStrayAnswers = 3
 	// maxStrayBytes bounds the body of such an answer.
@@ -61,6 +65,8 @@
 	RequestID string
 	// Fresh asks for a new connection in place of a kept one.
 	Fresh bool
+	// ConnectWithin bounds the making of a connection; 0 stands for connectTimeout.
+	ConnectWithin time.Duration
 }
 
 // Client calls replicas. It is safe for concurrent use.
@@ -98,7 +104,8 @@
 // Do sends call to the replica and returns the head of its answer. When ctx ends, the connection is closed. An error
 // that wraps ErrNotSent says that the request did not reach the replica; after any other the request may have run.
 func (c *Client) Do(ctx context.Context, handle *Handle, call Call) (*Answer, error) {
-	used, err := c.connect(ctx, handle, call.Fresh)
+	c.probeZones(ctx, handle)
+	used, err := c.connect(ctx, handle, call)
 	if err != nil {
 		return nil, err
 	}
@@ -122,6 +129,7 @@
 		abandon()
 		return nil, fmt.Errorf("read the answer: %w", err)
 	}
+	handle.zone.NoteAnswer(time.Now())
 	if load, told := parseLoad(response.Header.Get(c.headers.Load)); told {
 		handle.Tell(load, time.Now())
 	}
@@ -139,21 +147,42 @@
 	return answer, nil
 }
 
-func (c *Client) connect(ctx context.Context, handle *Handle, fresh bool) (*connection, error) {
-	if !fresh {
-		if kept := handle.pool.take(time.Now()); kept != nil {
+func (c *Client) connect(ctx context.Context, handle *Handle, call Call) (*connection, error) {
+	now := time.Now()
+	if !call.Fresh && handle.zone.AnsweredWithin(pathTrusted, now) {
+		if kept := handle.pool.take(now); kept != nil {
 			return kept, nil
 		}
 	}
-	bounded, cancel := context.WithTimeout(ctx, connectTimeout)
+	bounded, cancel := context.WithTimeout(ctx, cmp.Or(call.ConnectWithin, connectTimeout))
 	defer cancel()
 	raw, err := c.network.Dial(bounded, handle.Info().Address)
 	if err != nil {
+		if bounded.Err() != nil && ctx.Err() == nil {
+			handle.Silent()
+		}
 		return nil, fmt.Errorf("%w: connect to %s: %w", ErrNotSent, handle.Info().Address, err)
 	}
+	handle.zone.NoteAnswer(time.Now())
 	return newConnection(raw), nil
 }
 
+// probeZones looks, in the background and now and then, whether zones that are cut off are reached again: whether a replica there takes a
+// connection. Nothing is sent on it.
+func (c *Client) probeZones(ctx context.Context, near *Handle) {
+	if near.probesDue == nil {
+		return
+	}
+	for _, handle := range near.probesDue(time.Now()) {
+		go func() {
+			if probed, err := c.connect(context.WithoutCancel(ctx), handle, Call{Fresh: true}); err == nil {
+				probed.idleUntil = time.Now().Add(idleDefault)
+				handle.pool.put(probed)
+			}
+		}()
+	}
+}
+
 // receive reads the answer to call, past interim answers and answers to earlier requests.
 func (c *Client) receive(used *connection, call Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"iter"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/sloelift/sloelift/internal/subscription"
+	"github.com/sloelift/sloelift/internal/unreached"
 )
 
 // Info is what a replica's own entry says of it.
@@ -77,13 +79,15 @@
 	subscribers subscription.List[*View]
 	// useChanged holds one signal that requests began or ended, or prompts were read.
 	useChanged chan struct{}
+	// zones knows those that are cut off from this process.
+	zones *unreached.Zones
 	// evacuated are the zones whose replicas get nothing more, guarded by mutex.
 	evacuated map[string]bool
 }
 
 // NewDirectory returns an empty Directory.
 func NewDirectory() *Directory {
-	directory := &Directory{useChanged: make(chan struct{}, 1)}
+	directory := &Directory{useChanged: make(chan struct{}, 1), zones: unreached.NewZones()}
 	directory.view.Store(&View{byService: map[string][]*Handle{}, byID: map[string]*Handle{}})
 	return directory
 }
@@ -157,12 +161,30 @@
 	d.subscribers.Notify(d.View())
 }
 
+// probesDue returns replicas of zones that are cut off, one of each, that are to be probed now.
+func (d *Directory) probesDue(now time.Time) (probed []*Handle) {
+	for _, zone := range d.zones.ProbesDue(now) {
+		var usable []*Handle
+		for _, handle := range d.View().byID {
+			if handle.Info().Zone == zone && handle.Usable() {
+				usable = append(usable, handle)
+			}
+		}
+		if len(usable) > 0 {
+			probed = append(probed, usable[rand.N(len(usable))])
+		}
+	}
+	return probed
+}
+
 // handleFor returns the handle of info's incarnation with its newest entry.
 func (d *Directory) handleFor(info Info) *Handle {
 	handle := d.View().Find(info.ID)
 	if handle == nil {
 		handle = NewHandle(info)
 		handle.useChanged = d.SignalUse
+		handle.zone = d.zones.Of(info.Zone)
+		handle.probesDue = d.probesDue
 	} else {
 		handle.info.Store(&info)
 	}
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/sloelift/sloelift/internal/unreached"
 )
 
 const (
@@ -70,6 +72,10 @@
 	reading atomic.Int64
 	// evacuated says that the replica's zone is taken out of service.
 	evacuated atomic.Bool
+	// zone is what is known of whether the replicas of this one's zone are reached.
+	zone *unreached.Zone
+	// probesDue returns replicas of zones that are to be probed; nil for a replica outside a Directory.
+	probesDue func(now time.Time) []*Handle
 	// heardAt is when bytes of an answer last came, in nanoseconds since the start of the process; 0 is never.
 	heardAt atomic.Int64
 
@@ -99,7 +105,7 @@
 
 // NewHandle returns a handle of a replica of which nothing else is known.
 func NewHandle(info Info) *Handle {
-	handle := &Handle{key: KeyOf(info.ID)}
+	handle := &Handle{key: KeyOf(info.ID), zone: unreached.NewZones().Of(info.Zone)}
 	handle.info.Store(&info)
 	return handle
 }
@@ -178,7 +184,16 @@
 var processStart = time.Now()
 
 // Heard notes that bytes of an answer have come.
-func (h *Handle) Heard() { h.heardAt.Store(int64(time.Since(processStart))) }
+func (h *Handle) Heard() {
+	h.heardAt.Store(int64(time.Since(processStart)))
+	h.zone.NoteAnswer(time.Now())
+}
+
+// Silent notes that the replica gave no sign of life for a while: no connection, and no answer.
+func (h *Handle) Silent() (zoneCutOff bool) { return h.zone.NoteSilence(h.Info().ID, time.Now()) }
+
+// ZoneCutOff says that no replica of its zone is reached, as far as this process knows.
+func (h *Handle) ZoneCutOff() bool { return h.zone.CutOff() }
 
 // HeardSince says that bytes of an answer have come after since.
 func (h *Handle) HeardSince(since time.Time) bool {
@@ -277,7 +292,7 @@
 	h.mutex.Lock()
 	failing := h.failures >= downAfter && now.Before(h.failingUntil)
 	h.mutex.Unlock()
-	return failing || h.FailsOthers(now)
+	return failing || h.zone.CutOff() || h.FailsOthers(now)
 }
 
 // FailureRate is the share of failures among the latest calls, from 0 to 1.
