--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -138,6 +138,9 @@
 
 // noteFailure counts against the replica unless this process itself cut the attempt off.
 func (a *itemAttempt) noteFailure() {
+	if errors.Is(a.err, replica.ErrEvacuated) {
+		return
+	}
 	if !errors.Is(a.err, errLeaseOver) && (!errors.Is(a.err, context.Canceled) || errors.Is(a.err, errSilent)) {
 		a.handle.Failed(time.Now())
 	}
--- a/internal/batch/item_run.go
+++ b/internal/batch/item_run.go
@@ -39,6 +39,10 @@
 		if !each.running || each.yielded || each.finishing || each.handle == nil || each.handle.Info().Service != service {
 			continue
 		}
+		if each.handle.Evacuated() {
+			// It ends by itself; to cut it off makes no room at the replicas that are left.
+			continue
+		}
 		rated := rate(each)
 		if run == nil || compareRuns(rated, each, worst, run) > 0 {
 			least, run, worst = key, each, rated
--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -70,7 +70,8 @@
 // cut off and begun in turns. Where several nodes have items there, each cuts off its part of what is too much.
 func (s *Service) room(service string, now time.Time) (begin, keep, running int) {
 	view := s.directory.View()
-	slots := view.WorkingSlots(service, now)
+	// What still runs in evacuated zones counts among the requests below, but takes no room that is left.
+	slots := view.WorkingSlots(service, now) + view.EvacuatedInUse(service, now)
 	for _, handle := range view.Of(service) {
 		running += handle.InUse()
 	}
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -15,7 +15,9 @@
 
 // Translator reads the entries of the key-value service.
 type Translator interface {
-	// ConfigurationKey is the key of the configuration; Table reads its value.
+	// OperatorPrefix is the prefix of all that operators write. ConfigurationKey, below it, is the key of the configuration; Table reads
+	// its value.
+	OperatorPrefix() string
 	ConfigurationKey() string
 	Table(value []byte) (*route.Table, error)
 	// ReplicaPrefix is the prefix of the replicas' keys; ReplicaID and Replica read one.
@@ -24,17 +26,26 @@
 	Replica(key string, value []byte) (replica.Info, error)
 }
 
-// Service follows the configuration and the replicas.
+// OperatorFollower takes in what operators write: all of it at first and after changes were missed, then the changes. Its methods are
+// called by one goroutine. Requests come to it before a configuration of the same listing or change is in force.
+type OperatorFollower interface {
+	Replace(listing platform.Listing)
+	Update(revision int64, changed []platform.Entry, deleted []string)
+}
+
+// Service follows what operators write, the configuration among it, and the replicas.
 type Service struct {
 	store      platform.KeyValue
 	translator Translator
 	routes     *route.Holder
 	directory  *replica.Directory
 	viewer     membership.Viewer
-	// configuration and replicas compare the two prefixes with what other nodes know.
-	configuration *revisions
-	replicas      *revisions
-	logger        zerolog.Logger
+	// followers take in what operators write; they are set before Start.
+	followers []OperatorFollower
+	// operators and replicas compare the two prefixes with what other nodes know.
+	operators *revisions
+	replicas  *revisions
+	logger    zerolog.Logger
 
 	cancel      context.CancelFunc
 	unsubscribe func()
@@ -65,30 +76,29 @@
 	follows := func(prefix string) zerolog.Logger { return logger.With().Str(logging.FieldPrefix, prefix).Logger() }
 	return &Service{
 		store: options.Store, translator: options.Translator, routes: options.Routes, directory: options.Directory,
-		viewer:        options.Viewer,
-		configuration: newRevisions(options.Reporter.SetConfigRevision, follows(options.Translator.ConfigurationKey())),
-		replicas:      newRevisions(options.Reporter.SetReplicasRevision, follows(options.Translator.ReplicaPrefix())),
-		logger:        logger,
+		viewer:    options.Viewer,
+		operators: newRevisions(options.Reporter.SetConfigRevision, follows(options.Translator.OperatorPrefix())),
+		replicas:  newRevisions(options.Reporter.SetReplicasRevision, follows(options.Translator.ReplicaPrefix())),
+		logger:    logger,
 	}
 }
 
+// FollowOperators has follower take in what operators write. It is called before Start.
+func (s *Service) FollowOperators(follower OperatorFollower) {
+	s.followers = append(s.followers, follower)
+}
+
 // Start begins to follow. It does not wait.
 func (s *Service) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.unsubscribe = s.viewer.Subscribe(s.takeMembers)
 	s.running.Go(func() {
-		platform.Follow(ctx, s.store, s.translator.ConfigurationKey(), platform.Follower{
-			Replace: func(listing platform.Listing) {
-				s.takeConfiguration(listing.Entries)
-				s.configuration.saw(listing.Revision)
-			},
-			Update: func(revision int64, changed []platform.Entry, _ []string) {
-				s.takeConfiguration(changed)
-				s.configuration.saw(revision)
-			},
-			Failed: func(err error) { s.logger.Warn().Err(err).Msg("configuration_not_followed") },
-			Behind: s.configuration.behind,
+		platform.Follow(ctx, s.store, s.translator.OperatorPrefix(), platform.Follower{
+			Replace: s.replaceOperators,
+			Update:  s.updateOperators,
+			Failed:  func(err error) { s.logger.Warn().Err(err).Msg("operators_not_followed") },
+			Behind:  s.operators.behind,
 		})
 	})
 	s.running.Go(func() {
@@ -106,7 +116,7 @@
 	s.unsubscribe()
 	s.cancel()
 	s.running.Wait()
-	s.configuration.stop()
+	s.operators.stop()
 	s.replicas.stop()
 }
 
@@ -118,10 +128,40 @@
 			newest = newest.Join(member.Revisions)
 		}
 	}
-	s.configuration.takeOthers(newest.Configuration)
+	s.operators.takeOthers(newest.Configuration)
 	s.replicas.takeOthers(newest.Replicas)
 }
 
+func (s *Service) replaceOperators(listing platform.Listing) {
+	for _, follower := range s.followers {
+		follower.Replace(listing)
+	}
+	s.takeConfiguration(listing.Entries)
+	s.reportNewest(listing.Entries)
+	s.operators.saw(listing.Revision)
+}
+
+func (s *Service) updateOperators(revision int64, changed []platform.Entry, deleted []string) {
+	for _, follower := range s.followers {
+		follower.Update(revision, changed, deleted)
+	}
+	s.takeConfiguration(changed)
+	s.reportNewest(changed)
+	s.operators.saw(revision)
+}
+
+// reportNewest reports the newest of entries to the other nodes, by the revision at which it was written. A request that was taken back is not
+// reported: its revision is not known once changes were merged, and a higher one would have all others list, though they know as much.
+func (s *Service) reportNewest(entries []platform.Entry) {
+	newest := int64(0)
+	for _, entry := range entries {
+		newest = max(newest, entry.ModRevision)
+	}
+	if newest > 0 {
+		s.operators.tookChange(newest)
+	}
+}
+
 func (s *Service) takeConfiguration(entries []platform.Entry) {
 	for _, entry := range entries {
 		if entry.Key != s.translator.ConfigurationKey() {
@@ -133,7 +173,6 @@
 			continue
 		}
 		if s.routes.Offer(table) {
-			s.configuration.tookChange(entry.ModRevision)
 			s.logger.Info().Int64("version", table.Version).Int64(logging.FieldRevision, entry.ModRevision).
 				Int("routes", len(table.Routes)).Msg("configuration_in_force")
 		}
--- a/internal/discovery/service_test.go
+++ b/internal/discovery/service_test.go
@@ -114,7 +114,9 @@
 // plainTranslator reads values that are a version, or a service with an optional "!" for draining.
 type plainTranslator struct{}
 
-func (plainTranslator) ConfigurationKey() string { return "config" }
+func (plainTranslator) OperatorPrefix() string { return "op/" }
+
+func (plainTranslator) ConfigurationKey() string { return "op/config" }
 
 func (plainTranslator) Table(value []byte) (*route.Table, error) {
 	var version int64
@@ -176,26 +178,26 @@
 		most time.Duration
 	}{
 		{"a watch tells", func(store *scriptedStore, _ *fixedViewer) {
-			store.put("config", "2")
+			store.put("op/config", "2")
 			store.put("replicas/a", "s!")
 		}, time.Second},
 		{"a watch is cut and its changes come with the next", func(store *scriptedStore, _ *fixedViewer) {
 			store.set(func() { store.mute = true })
-			store.put("config", "2")
+			store.put("op/config", "2")
 			store.put("replicas/a", "s!")
 			store.set(func() { store.mute, store.compacted = false, store.revision })
 			store.cut(platform.KindUnavailable.New("cut"))
 		}, 2 * time.Second},
 		{"history is gone", func(store *scriptedStore, _ *fixedViewer) {
 			store.set(func() { store.mute = true })
-			store.put("config", "2")
+			store.put("op/config", "2")
 			store.put("replicas/a", "s!")
 			store.cut(platform.KindCompacted.New("gone"))
 			store.set(func() { store.mute = false })
 		}, 2 * time.Second},
 		{"a mute watch, of which another node tells", func(store *scriptedStore, viewer *fixedViewer) {
 			store.set(func() { store.mute = true })
-			store.put("config", "2")
+			store.put("op/config", "2")
 			store.put("replicas/a", "s!")
 			viewer.tell(membership.Revisions{Configuration: store.revision - 1, Replicas: store.revision})
 		}, time.Second},
@@ -203,7 +205,7 @@
 			store.set(func() { store.down = true })
 			store.cut(platform.KindUnavailable.New("down"))
 			store.set(func() { store.mute = true })
-			store.put("config", "2")
+			store.put("op/config", "2")
 			store.put("replicas/a", "s!")
 			time.Sleep(20 * time.Second)
 			store.set(func() { store.down, store.mute, store.compacted = false, false, store.revision })
@@ -212,7 +214,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store, viewer := newScriptedStore(), &fixedViewer{}
-				store.put("config", "1")
+				store.put("op/config", "1")
 				store.put("replicas/a", "s")
 				store.put("replicas/b", "s")
 				routes, directory := route.NewHolder(), replica.NewDirectory()
@@ -263,7 +265,7 @@
 func TestMuteConfigurationBehindListedReplicas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, viewer := newScriptedStore(), &fixedViewer{}
-		store.put("config", "1")
+		store.put("op/config", "1")
 		store.put("replicas/a", "s")
 		routes, directory := route.NewHolder(), replica.NewDirectory()
 		service := New(Options{
@@ -273,7 +275,7 @@
 		defer service.Stop()
 		synctest.Wait()
 		store.set(func() { store.mute = true })
-		store.put("config", "2")
+		store.put("op/config", "2")
 		told := store.revision
 		store.set(func() { store.mute = false })
 		store.put("replicas/a", "s!")
--- /dev/null
+++ b/internal/evacuation/register.go
@@ -0,0 +1,160 @@
+package evacuation
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/platform"
+)
+
+// Translator reads the keys of the operators' requests.
+type Translator interface {
+	// EvacuatedZone returns the zone that key asks to evacuate; found is false for a key of anything else.
+	EvacuatedZone(key string) (zone string, found bool)
+}
+
+// Zones has replicas of evacuated zones get nothing more. *replica.Directory is one.
+type Zones interface {
+	// SetEvacuated names all evacuated zones.
+	SetEvacuated(zones map[string]bool)
+	// NoteEvacuationEnded says that a zone is taken back now of whose evacuation SetEvacuated was never given.
+	NoteEvacuationEnded(zone string)
+}
+
+// Register holds the requests that are in force. What it is given below the operators' prefix is taken whatever the way by which it came, as
+// long as it is newer than what was taken before: within the life of a process it never goes back. It is safe for concurrent use.
+type Register struct {
+	translator Translator
+	zones      Zones
+	metrics    *Metrics
+	logger     zerolog.Logger
+
+	mutex sync.Mutex
+	// revision is the one of the key-value service up to which the requests are known, 0 before the first listing; evacuated holds, by zone,
+	// the revision of its request. Both are guarded by mutex, which is held while zones is called, so that it is called in their order.
+	revision  int64
+	evacuated map[string]int64
+}
+
+// NewRegister returns a Register without any request.
+func NewRegister(translator Translator, zones Zones, metrics *Metrics, logger zerolog.Logger) *Register {
+	return &Register{
+		translator: translator, zones: zones, metrics: metrics, evacuated: map[string]int64{},
+		logger: logger.With().Str(logging.FieldSlice, "evacuation").Logger(),
+	}
+}
+
+// Evacuated returns the evacuated zones in order.
+func (r *Register) Evacuated() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	zones := make([]string, 0, len(r.evacuated))
+	for zone := range r.evacuated {
+		zones = append(zones, zone)
+	}
+	slices.Sort(zones)
+	return zones
+}
+
+// Replace takes in all that is below the operators' prefix.
+func (r *Register) Replace(listing platform.Listing) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if listing.Revision < r.revision {
+		r.logOlder(listing.Revision)
+		return
+	}
+	listed := map[string]int64{}
+	for _, entry := range listing.Entries {
+		if zone, found := r.translator.EvacuatedZone(entry.Key); found {
+			listed[zone] = entry.ModRevision
+		}
+	}
+	r.revision = listing.Revision
+	r.put(listed)
+}
+
+// Update takes in the changes up to revision; both lists may be empty.
+func (r *Register) Update(revision int64, changed []platform.Entry, deleted []string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if revision <= r.revision {
+		if len(changed)+len(deleted) > 0 {
+			r.logOlder(revision)
+		}
+		return
+	}
+	r.revision = revision
+	next := make(map[string]int64, len(r.evacuated)+1)
+	for zone, asked := range r.evacuated {
+		next[zone] = asked
+	}
+	for _, entry := range changed {
+		if zone, found := r.translator.EvacuatedZone(entry.Key); found {
+			next[zone] = entry.ModRevision
+		}
+	}
+	for _, key := range deleted {
+		zone, found := r.translator.EvacuatedZone(key)
+		if !found {
+			continue
+		}
+		if _, known := next[zone]; !known {
+			r.endedUnseen(zone)
+		}
+		delete(next, zone)
+	}
+	r.put(next)
+}
+
+// put puts requests in force and says what has changed. The mutex is held.
+func (r *Register) put(next map[string]int64) {
+	before := r.evacuated
+	if !sameZones(before, next) {
+		zones := make(map[string]bool, len(next))
+		for zone := range next {
+			zones[zone] = true
+		}
+		r.zones.SetEvacuated(zones)
+	}
+	r.evacuated = next
+	for zone, asked := range next {
+		if previous, known := before[zone]; !known || previous != asked {
+			r.metrics.set(zone, true)
+			r.logger.Info().Str("evacuated", zone).Int64(logging.FieldRevision, asked).Bool("again", known).Msg("zone_evacuated")
+		}
+	}
+	for zone, asked := range before {
+		if _, still := next[zone]; !still {
+			r.metrics.set(zone, false)
+			r.logger.Info().Str("evacuated", zone).Int64("asked", asked).Int64(logging.FieldRevision, r.revision).Msg("zone_taken_back")
+		}
+	}
+}
+
+func sameZones(one, other map[string]int64) bool {
+	if len(one) != len(other) {
+		return false
+	}
+	for zone := range one {
+		if _, found := other[zone]; !found {
+			return false
+		}
+	}
+	return true
+}
+
+// endedUnseen notes that a zone was evacuated and taken back between two answers of the key-value service. The mutex is held.
+func (r *Register) endedUnseen(zone string) {
+	r.zones.NoteEvacuationEnded(zone)
+	r.logger.Info().Str("evacuated", zone).Int64(logging.FieldRevision, r.revision).Msg("zone_taken_back_unseen")
+}
+
+// logOlder says that what came is older than what is known. The mutex is held.
+func (r *Register) logOlder(revision int64) {
+	r.logger.Warn().Int64(logging.FieldRevision, revision).Int64("known", r.revision).Str(logging.FieldReason, "older than what is known").
+		Msg("evacuations_not_taken")
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -73,6 +73,10 @@
 	if e.request.Context().Err() != nil {
 		return callerGone
 	}
+	if errors.Is(err, replica.ErrEvacuated) {
+		e.event(handle).Msg("zone_left")
+		return notRun
+	}
 	silent := errors.Is(context.Cause(ctx), errSilent) || errors.Is(err, syscall.ETIMEDOUT)
 	if silent && handle.HeardSince(e.attemptBegan) {
 		// It answers others: it is not down, the request waits there for its turn.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -84,6 +84,10 @@
 }
 
 func (e *exchange) run(ctx context.Context) {
+	if e.allEvacuated() {
+		e.conclude(ctx, notRun, reasonEvacuated)
+		return
+	}
 	if e.handler.refresh != nil {
 		e.handler.refresh(ctx)
 	}
@@ -97,7 +101,7 @@
 	for {
 		handle := e.pickReady(ctx)
 		if handle == nil {
-			e.conclude(ctx, last, "no_replica")
+			e.conclude(ctx, last, e.whyNone())
 			return
 		}
 		e.tried = append(e.tried, handle)
@@ -234,7 +238,7 @@
 	case e.badAnswer != nil:
 		e.badAnswer.write(e.writer)
 	case e.runs == 0:
-		SetRetryAfter(e.writer.Header(), retryAfterNoRoom)
+		SetRetryAfter(e.writer.Header(), retryAfter(reason))
 		http.Error(e.writer, reason, http.StatusServiceUnavailable)
 	case late:
 		http.Error(e.writer, reason, http.StatusGatewayTimeout)
--- a/internal/forward/gate.go
+++ b/internal/forward/gate.go
@@ -163,8 +163,9 @@
 	if !known {
 		return math.MaxInt
 	}
-	slots := g.directory.View().WorkingSlots(service, now)
-	room := gateOvercommit * float64(slots)
+	view := g.directory.View()
+	slots := view.WorkingSlots(service, now)
+	room := gateOvercommit*float64(slots) + float64(view.EvacuatedInUse(service, now))
 	own := gate.inUse + len(gate.waiting)
 	if slots == 0 || float64(own+others.Online()) <= room {
 		return math.MaxInt
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -22,6 +22,7 @@
 	"github.com/sloelift/sloelift/internal/changefeed"
 	"github.com/sloelift/sloelift/internal/discovery"
 	"github.com/sloelift/sloelift/internal/edge"
+	"github.com/sloelift/sloelift/internal/evacuation"
 	"github.com/sloelift/sloelift/internal/forward"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/loadshare"
@@ -65,6 +66,7 @@
 type Translator interface {
 	discovery.Translator
 	retirement.Translator
+	evacuation.Translator
 }
 
 // BatchCalls are the HTTP calls about batch jobs.
@@ -124,7 +126,7 @@
 		func() *membership.Timing { return &roleMembershipTiming },
 	),
 	transport.Module, membership.Module, ledger.Module,
-	fx.Invoke(serveMetrics, announceStore),
+	fx.Invoke(serveMetrics, announceStore, followEvacuations),
 )
 
 // roleLedgerTiming replaces the ledger's lost members sooner than on large machines: little is kept on a small disk.
@@ -162,7 +164,7 @@
 	if role == settings.RoleStorage {
 		return fx.Options(
 			fx.Provide(newBatchService, newLoadShare(loadsharepb.Kind_KIND_BATCH), func(service *batch.Service) ledger.Factory { return service.Factory() }),
-			fx.Invoke(func(*discovery.Service) {}, followRetirements, yieldToOnline),
+			fx.Invoke(followRetirements, yieldToOnline),
 		)
 	}
 	return fx.Options(
@@ -242,9 +244,20 @@
 }
 
 // followRetirements empties storage nodes on request.
-func followRetirements(lifecycle fx.Lifecycle, store platform.KeyValue, adapter Adapter, manager *ledger.Manager, members *membership.Service, logger zerolog.Logger) {
+func followRetirements(lifecycle fx.Lifecycle, operators *discovery.Service, store platform.KeyValue, adapter Adapter, manager *ledger.Manager, members *membership.Service, logger zerolog.Logger) {
 	service := retirement.New(store, adapter.Translator, manager, members, logger)
-	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
+	operators.FollowOperators(service)
+	lifecycle.Append(fx.StopHook(service.Stop))
+}
+
+// followEvacuations has nothing more sent to the replicas of zones that operators ask to evacuate.
+func followEvacuations(operators *discovery.Service, adapter Adapter, directory *replica.Directory, registerer prometheus.Registerer, logger zerolog.Logger) error {
+	metrics, err := evacuation.NewMetrics(registerer)
+	if err != nil {
+		return err
+	}
+	operators.FollowOperators(evacuation.NewRegister(adapter.Translator, directory, metrics, logger))
+	return nil
 }
 
 // newLoadShare shares with the other nodes how many requests each has at the replicas.
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -36,6 +36,10 @@
 // ErrNotSent says that no byte of the request reached the replica.
 var ErrNotSent = errors.New("request was not sent")
 
+// ErrEvacuated says that nothing is sent to the replica since its zone is evacuated; it comes with ErrNotSent and tells nothing of the
+// replica itself.
+var ErrEvacuated = errors.New("zone of the replica is evacuated")
+
 const (
 	// connectTimeout bounds the making of a connection.
 	connectTimeout = time.Second
@@ -98,10 +102,18 @@
 // Do sends call to the replica and returns the head of its answer. When ctx ends, the connection is closed. An error
 // that wraps ErrNotSent says that the request did not reach the replica; after any other the request may have run.
 func (c *Client) Do(ctx context.Context, handle *Handle, call Call) (*Answer, error) {
+	if handle.Evacuated() {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
+	}
 	used, err := c.connect(ctx, handle, call.Fresh)
 	if err != nil {
 		return nil, err
 	}
+	if handle.Evacuated() {
+		// That was asked while the connection was made.
+		used.close()
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
+	}
 	if err := ctx.Err(); err != nil {
 		// The caller left meanwhile.
 		used.close()
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -59,6 +59,30 @@
 	return slots
 }
 
+// EvacuatedInUse returns the requests that still run at replicas of evacuated zones. They count in what all nodes have of service, but
+// take no room of the replicas that are left.
+func (v *View) EvacuatedInUse(service string, now time.Time) int {
+	running := 0.0
+	for _, handle := range v.byService[service] {
+		if handle.Evacuated() && !handle.Down(now) {
+			running += min(handle.Occupancy(now), float64(handle.Info().Slots))
+		}
+	}
+	return int(running)
+}
+
+// AllEvacuated says that service has replicas, and each that would take requests is in an evacuated zone.
+func (v *View) AllEvacuated(service string) bool {
+	evacuated := false
+	for _, handle := range v.byService[service] {
+		if handle.Usable() {
+			return false
+		}
+		evacuated = evacuated || handle.Evacuated()
+	}
+	return evacuated
+}
+
 // Find returns the replica with the given ID; nil where there is none.
 func (v *View) Find(id string) *Handle { return v.byID[id] }
 
@@ -77,13 +101,15 @@
 	subscribers subscription.List[*View]
 	// useChanged holds one signal that requests began or ended, or prompts were read.
 	useChanged chan struct{}
-	// evacuated are the zones whose replicas get nothing more, guarded by mutex.
-	evacuated map[string]bool
+	// evacuated are the zones whose replicas get nothing more, evacuationEnded says when other zones were taken back; both are guarded by
+	// mutex.
+	evacuated       map[string]bool
+	evacuationEnded map[string]time.Time
 }
 
 // NewDirectory returns an empty Directory.
 func NewDirectory() *Directory {
-	directory := &Directory{useChanged: make(chan struct{}, 1)}
+	directory := &Directory{useChanged: make(chan struct{}, 1), evacuationEnded: map[string]time.Time{}}
 	directory.view.Store(&View{byService: map[string][]*Handle{}, byID: map[string]*Handle{}})
 	return directory
 }
@@ -149,14 +175,45 @@
 // SetEvacuated has the replicas of the given zones, and of no others, get nothing more. They stay in the directory: what runs there goes on.
 func (d *Directory) SetEvacuated(zones map[string]bool) {
 	d.mutex.Lock()
-	d.evacuated = maps.Clone(zones)
-	for _, handle := range d.View().byID {
-		handle.evacuated.Store(d.evacuated[handle.Info().Zone])
+	now := time.Now()
+	for zone := range d.evacuated {
+		if !zones[zone] {
+			d.evacuationEnded[zone] = now
+		}
 	}
+	d.evacuated = maps.Clone(zones)
+	d.markZones()
 	d.mutex.Unlock()
 	d.subscribers.Notify(d.View())
 }
 
+// NoteEvacuationEnded says that a zone is taken back now of whose evacuation SetEvacuated was never given, since it was over before it
+// was known here.
+func (d *Directory) NoteEvacuationEnded(zone string) {
+	d.mutex.Lock()
+	d.evacuationEnded[zone] = time.Now()
+	d.markZones()
+	d.mutex.Unlock()
+	d.subscribers.Notify(d.View())
+}
+
+// markZones brings to all handles what is known of their zones. The mutex is held.
+func (d *Directory) markZones() {
+	for _, handle := range d.View().byID {
+		d.markZone(handle)
+	}
+}
+
+// markZone brings to a handle what is known of its zone. The mutex is held.
+func (d *Directory) markZone(handle *Handle) {
+	zone := handle.Info().Zone
+	if ended, known := d.evacuationEnded[zone]; known {
+		handle.evacuationEnded.Store(&ended)
+	}
+	// What is read where nothing is evacuated comes last: who sees that the zone is taken back sees when.
+	handle.evacuated.Store(d.evacuated[zone])
+}
+
 // handleFor returns the handle of info's incarnation with its newest entry.
 func (d *Directory) handleFor(info Info) *Handle {
 	handle := d.View().Find(info.ID)
@@ -166,7 +223,7 @@
 	} else {
 		handle.info.Store(&info)
 	}
-	handle.evacuated.Store(d.evacuated[info.Zone])
+	d.markZone(handle)
 	return handle
 }
 
--- /dev/null
+++ b/internal/replica/evacuated_send_test.go
@@ -0,0 +1,72 @@
+package replica_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/replica/replicatest"
+)
+
+// evacuatingNetwork has the zone evacuated while a connection is made.
+type evacuatingNetwork struct {
+	*replicatest.Network
+	evacuate func()
+}
+
+func (n *evacuatingNetwork) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	if n.evacuate != nil {
+		n.evacuate()
+	}
+	return n.Network.Dial(ctx, address)
+}
+
+// TestNothingIsSentToAnEvacuatedZone: neither over a new connection, nor over one that was being made as that was asked, nor over a kept
+// one; after it was taken back everything goes there again.
+func TestNothingIsSentToAnEvacuatedZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		address := netip.MustParseAddrPort("127.0.0.1:1000")
+		network := &evacuatingNetwork{Network: &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{
+			address: replicatest.Answer(http.StatusOK, replicatest.Signed+"Keep-Alive: timeout=5\r\n", "ok"),
+		}}}
+		defer network.CloseAll()
+		directory := replica.NewDirectory()
+		directory.Replace([]replica.Info{{ID: "a", Service: "s", Zone: "z", Address: address, Slots: 1}})
+		client := replica.NewClient(network, replicatest.Headers)
+		handle := directory.View().Find("a")
+		send := func() error {
+			answer, err := client.Do(t.Context(), handle, replica.Call{Method: http.MethodGet, Target: "/", Host: "h"})
+			if err != nil {
+				return err
+			}
+			_, err = io.ReadAll(answer.Body)
+			answer.Close(err == nil)
+			return err
+		}
+		evacuated := map[string]bool{"z": true}
+		rejected := func(when string) {
+			if err := send(); !errors.Is(err, replica.ErrEvacuated) || !errors.Is(err, replica.ErrNotSent) {
+				t.Errorf("%s: %v", when, err)
+			}
+		}
+		network.evacuate = func() { directory.SetEvacuated(evacuated) }
+		rejected("while the connection is made")
+		network.evacuate = nil
+		rejected("before it is made")
+		directory.SetEvacuated(nil)
+		if err := send(); err != nil {
+			t.Errorf("after it was taken back: %v", err)
+		}
+		directory.SetEvacuated(evacuated)
+		rejected("over a kept connection")
+		if got := len(network.Requests()); got != 1 {
+			t.Errorf("%d requests reached the replica, want 1", got)
+		}
+	})
+}
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -70,6 +70,8 @@
 	reading atomic.Int64
 	// evacuated says that the replica's zone is taken out of service.
 	evacuated atomic.Bool
+	// evacuationEnded is when the zone was taken back; nil where it never was.
+	evacuationEnded atomic.Pointer[time.Time]
 	// heardAt is when bytes of an answer last came, in nanoseconds since the start of the process; 0 is never.
 	heardAt atomic.Int64
 
@@ -116,6 +118,15 @@
 // Evacuated says that the replica's zone is taken out of service.
 func (h *Handle) Evacuated() bool { return h.evacuated.Load() }
 
+// EvacuationEnded returns when the replica's zone was last taken back as this process knows it; zero where it never was. The replicas may
+// have turned cold shortly before.
+func (h *Handle) EvacuationEnded() time.Time {
+	if ended := h.evacuationEnded.Load(); ended != nil {
+		return *ended
+	}
+	return time.Time{}
+}
+
 // InUse returns the number of this process's requests there.
 func (h *Handle) InUse() int { return int(h.inUse.Load()) }
 
--- a/internal/retirement/service.go
+++ b/internal/retirement/service.go
@@ -30,9 +30,8 @@
 
 // Translator reads the operators' requests and writes the state of one.
 type Translator interface {
-	// RetirementPrefix is the prefix of the requests' keys; RetiringNode returns the node that a key names.
-	RetirementPrefix() string
-	RetiringNode(key string) string
+	// RetiringNode returns the node that key asks to empty; found is false for a key of anything else.
+	RetiringNode(key string) (node string, found bool)
 	// RetirementStatus returns the key and the value that tell the state of a node's retirement.
 	RetirementStatus(node string, state State) (key string, value []byte)
 }
@@ -43,7 +42,7 @@
 	Emptied(ctx context.Context, node membership.NodeID) (bool, error)
 }
 
-// Service follows the operators' requests.
+// Service takes in the operators' requests as a discovery.OperatorFollower.
 type Service struct {
 	store      platform.KeyValue
 	translator Translator
@@ -51,18 +50,19 @@
 	viewer     membership.Viewer
 	logger     zerolog.Logger
 
-	// requested holds what the operators ask for; it belongs to the goroutine that follows. pending holds the
-	// retirements that are being watched, guarded by mutex.
+	// requested holds what the operators ask for; it belongs to the goroutine that calls Replace and Update. pending holds the
+	// retirements that are being watched, guarded by mutex, as stopped is, after which none is begun.
 	requested map[membership.NodeID]bool
 	mutex     sync.Mutex
 	pending   map[membership.NodeID]bool
+	stopped   bool
 
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 }
 
-// New returns a Service; nothing runs before Start.
+// New returns a Service; it acts on what it is given.
 func New(store platform.KeyValue, translator Translator, emptier Emptier, viewer membership.Viewer, logger zerolog.Logger) *Service {
 	service := &Service{
 		store: store, translator: translator, emptier: emptier, viewer: viewer,
@@ -73,33 +73,52 @@
 	return service
 }
 
-// Start begins to follow. It does not wait.
-func (s *Service) Start() {
-	s.running.Go(func() {
-		platform.Follow(s.ctx, s.store, s.translator.RetirementPrefix(), platform.Follower{
-			Replace: func(listing platform.Listing) {
-				s.requested = map[membership.NodeID]bool{}
-				s.take(listing.Entries, nil)
-			},
-			Update: func(_ int64, changed []platform.Entry, deleted []string) { s.take(changed, deleted) },
-			Failed: func(err error) { s.logger.Warn().Err(err).Msg("retirements_not_followed") },
-		})
-	})
-}
-
-// Stop ends the following.
+// Stop ends what was begun; what comes later begins nothing.
 func (s *Service) Stop() {
+	s.mutex.Lock()
+	s.stopped = true
+	s.mutex.Unlock()
 	s.cancel()
 	s.running.Wait()
 }
 
-func (s *Service) take(changed []platform.Entry, deleted []string) {
+// Replace takes in all that operators have written.
+func (s *Service) Replace(listing platform.Listing) {
+	s.requested = map[membership.NodeID]bool{}
+	for _, entry := range listing.Entries {
+		s.noteRequest(entry.Key)
+	}
+	s.apply()
+}
+
+// Update takes in what operators have changed.
+func (s *Service) Update(_ int64, changed []platform.Entry, deleted []string) {
+	concerned := false
 	for _, entry := range changed {
-		s.requested[membership.NodeID(s.translator.RetiringNode(entry.Key))] = true
+		concerned = s.noteRequest(entry.Key) || concerned
 	}
 	for _, key := range deleted {
-		delete(s.requested, membership.NodeID(s.translator.RetiringNode(key)))
+		if node, found := s.translator.RetiringNode(key); found {
+			delete(s.requested, membership.NodeID(node))
+			concerned = true
+		}
+	}
+	if concerned {
+		s.apply()
 	}
+}
+
+// noteRequest notes the request under key, if it is one for a node to be emptied.
+func (s *Service) noteRequest(key string) bool {
+	node, found := s.translator.RetiringNode(key)
+	if found {
+		s.requested[membership.NodeID(node)] = true
+	}
+	return found
+}
+
+// apply puts what is requested in force.
+func (s *Service) apply() {
 	nodes := make(map[membership.NodeID]bool, len(s.requested))
 	for node := range s.requested {
 		nodes[node] = true
@@ -114,7 +133,7 @@
 func (s *Service) watch(node membership.NodeID) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.pending[node] {
+	if s.pending[node] || s.stopped {
 		return
 	}
 	s.pending[node] = true
