--- /dev/null
+++ b/internal/batch/evacuation_test.go
@@ -0,0 +1,149 @@
+package batch
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/loadshare"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/replica/replicatest"
+)
+
+// spread puts the replica "b" into another zone than "a".
+func spread(directory *replica.Directory) {
+	other := *directory.View().Find("b").Info()
+	other.Zone = "other"
+	directory.Update([]replica.Info{other}, nil)
+}
+
+// TestItemsGiveWayToCallersWhenAZoneIsEvacuated: by the same numbers of requests, as soon as the zone is evacuated, items are begun no more
+// and are cut off, until the callers' requests have the room that is left. Requests that end in the evacuated zone take none of it.
+func TestItemsGiveWayToCallersWhenAZoneIsEvacuated(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		zones  map[string]bool
+		online int
+		// inZone are the callers' requests in zone "other", own the items of this node outside of it.
+		inZone, own int
+		begins      bool
+		// cut is the number of items that are to be cut off.
+		cut int
+	}{
+		{"both zones, some room", nil, 2, 0, 2, true, 0},
+		{"a zone is evacuated, callers leave room for an item", map[string]bool{"other": true}, 2, 0, 2, false, 1},
+		{"a zone is evacuated, callers need all", map[string]bool{"other": true}, 4, 0, 2, false, 2},
+		{"those in the evacuated zone need none", map[string]bool{"other": true}, 4, 4, 2, false, 0},
+		{"all zones are evacuated", map[string]bool{"other": true, "z": true}, 1, 1, 0, false, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			service, fleet, _, _ := newService(map[string]replicatest.Script{"a": replicatest.Refuse(), "b": replicatest.Refuse()})
+			spread(service.directory)
+			now := time.Now()
+			fleet.set(loadshare.Demand{InUse: test.online}, 0)
+			view := service.directory.View()
+			view.Find("b").SetOthers(replica.Use{Requests: test.inZone}, now)
+			for range test.own {
+				view.Find("a").Acquire()
+			}
+			service.directory.SetEvacuated(test.zones)
+			begin, keep, running := service.room("s", now)
+			if begins := begin > running; begins != test.begins {
+				t.Errorf("%d may begin, %d run", begin, running)
+			}
+			if cut := max(0, running-keep); cut != test.cut {
+				t.Errorf("%d of %d are cut off, want %d", cut, running, test.cut)
+			}
+		})
+	}
+}
+
+// TestItemsInTheEvacuatedZoneAreNotCutOff: they end by themselves, and to cut them off would make no room elsewhere.
+func TestItemsInTheEvacuatedZoneAreNotCutOff(t *testing.T) {
+	service, _, _, _ := newService(map[string]replicatest.Script{"a": replicatest.Refuse(), "b": replicatest.Refuse()})
+	spread(service.directory)
+	view := service.directory.View()
+	owner := newPartition(0, service)
+	for number, id := range []string{"a", "b"} {
+		owner.runs[itemKey{job: "j", number: number}] = &itemRun{running: true, handle: view.Find(id), acceptedAt: int64(number)}
+	}
+	if key, _ := owner.leastUrgentRun("s"); key.number != 1 {
+		t.Fatalf("item %d is the least urgent one, want the one accepted last", key.number)
+	}
+	service.directory.SetEvacuated(map[string]bool{"other": true})
+	if key, run := owner.leastUrgentRun("s"); run == nil || key.number != 0 {
+		t.Errorf("item %d is cut off, want the one outside the evacuated zone", key.number)
+	}
+	service.directory.SetEvacuated(map[string]bool{"other": true, "z": true})
+	if _, run := owner.leastUrgentRun("s"); run != nil {
+		t.Error("an item of an evacuated zone is cut off")
+	}
+}
+
+// TestNoFurtherLeaseInAnEvacuatedZone: an item that runs goes on to the end of its lease there, and behind it elsewhere; its text is whole.
+func TestNoFurtherLeaseInAnEvacuatedZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const events, evacuatedAt = 60, 500 * time.Millisecond
+		begun := map[string][]time.Time{}
+		counted := func(id string) replicatest.Script {
+			slow := slowReplica(events, 100*time.Millisecond)
+			return func(connection net.Conn, request *http.Request) bool {
+				if request.URL.Path == "/load" {
+					return replicatest.Refuse()(connection, request)
+				}
+				begun[id] = append(begun[id], time.Now())
+				return slow(connection, request)
+			}
+		}
+		owner := own(t, map[string]replicatest.Script{"a": counted("a"), "b": counted("b")})
+		defer owner.end()
+		spread(owner.service.directory)
+		owner.mustSubmit(t, batchOf("j", 1))
+		time.Sleep(evacuatedAt)
+		first, second := "a", "b"
+		if len(begun["a"]) == 0 {
+			first, second = "b", "a"
+		}
+		evacuated := time.Now()
+		owner.service.directory.SetEvacuated(map[string]bool{owner.service.directory.View().Find(first).Info().Zone: true})
+		result := owner.results(t, "j", 1, 30*time.Second)[0]
+		if result.State != batchpb.State_STATE_SUCCEEDED || len(result.Text) != len(numberedText(events)) {
+			t.Errorf("the item is %v with %d bytes", result.State, len(result.Text))
+		}
+		if slices.ContainsFunc(begun[first], func(at time.Time) bool { return at.After(evacuated) }) || len(begun[second]) == 0 {
+			t.Errorf("begun in the evacuated zone at %v, elsewhere at %v; evacuated at %s", begun[first], begun[second], evacuated)
+		}
+	})
+}
+
+// numberedText is what slowReplica makes in all.
+func numberedText(events int) string {
+	var text []byte
+	for number := 1; number <= events; number++ {
+		text = append(append(text, strconv.Itoa(number)...), '\n')
+	}
+	return string(text[:len(text)-1])
+}
+
+// TestReplicasOfAnEvacuatedZoneAreNotAsked: also questions for their load are kept from them.
+func TestReplicasOfAnEvacuatedZoneAreNotAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service, _, network, _ := newService(map[string]replicatest.Script{"a": replicatest.Refuse(), "b": replicatest.Refuse()})
+		spread(service.directory)
+		service.directory.SetEvacuated(map[string]bool{"other": true})
+		owner := newPartition(0, service)
+		owner.ctx = t.Context()
+		owner.askLoads()
+		synctest.Wait()
+		if got := len(network.Requests()); got != 1 {
+			t.Errorf("%d replicas were asked, want the one that is left", got)
+		}
+		network.CloseAll()
+		synctest.Wait()
+	})
+}
--- a/internal/discovery/evacuation_test.go
+++ b/internal/discovery/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -193,3 +194,53 @@
 		}
 	})
 }
+
+// recordingReporter holds the newest revision of what operators write that this node reported.
+type recordingReporter struct {
+	mutex  sync.Mutex
+	newest int64
+}
+
+func (r *recordingReporter) SetConfigRevision(revision int64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.newest = revision
+}
+
+func (*recordingReporter) SetReplicasRevision(int64) {}
+
+// TestRequestsAreReportedByTheirOwnRevision: so that a node whose watch is mute lists. What was only read again, or moved on without a
+// change of the operators, is not reported: each node would list.
+func TestRequestsAreReportedByTheirOwnRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, reporter := storeWithTwoZones(), &recordingReporter{}
+		node := New(Options{
+			Store: store, Translator: zonedTranslator{}, Routes: route.NewHolder(), Directory: replica.NewDirectory(), Viewer: &fixedViewer{},
+			Reporter: reporter, Logger: zerolog.Nop(),
+		})
+		node.Start()
+		defer node.Stop()
+		for _, step := range []struct {
+			name       string
+			key, value string
+			// reported says that the revision of this step is reported.
+			reported bool
+		}{
+			{"a zone is evacuated", evacuationPrefix + "east", "{}", true},
+			{"a replica changes", "replicas/east", "west", false},
+			{"the zone is taken back", evacuationPrefix + "east", "", false},
+			{"it is asked again", evacuationPrefix + "east", "{}", true},
+		} {
+			before := reporter.newest
+			store.put(step.key, step.value)
+			time.Sleep(time.Second)
+			want := before
+			if step.reported {
+				want = store.revision
+			}
+			if reporter.newest != want {
+				t.Errorf("%s at %d: %d is reported, want %d", step.name, store.revision, reporter.newest, want)
+			}
+		}
+	})
+}
