--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -36,10 +36,6 @@
 // ErrNotSent says that no byte of the request reached the replica.
 var ErrNotSent = errors.New("request was not sent")
 
-// ErrEvacuated says that nothing is sent to the replica since its zone is evacuated; it comes with ErrNotSent and tells nothing of the
-// replica itself.
-var ErrEvacuated = errors.New("zone of the replica is evacuated")
-
 const (
 	// connectTimeout bounds the making of a connection.
 	connectTimeout = time.Second
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -59,30 +59,6 @@
 	return slots
 }
 
-// EvacuatedInUse returns the requests that still run at replicas of evacuated zones. They count in what all nodes have of service, but
-// take no room of the replicas that are left.
-func (v *View) EvacuatedInUse(service string, now time.Time) int {
-	running := 0.0
-	for _, handle := range v.byService[service] {
-		if handle.Evacuated() && !handle.Down(now) {
-			running += min(handle.Occupancy(now), float64(handle.Info().Slots))
-		}
-	}
-	return int(running)
-}
-
-// AllEvacuated says that service has replicas, and each that would take requests is in an evacuated zone.
-func (v *View) AllEvacuated(service string) bool {
-	evacuated := false
-	for _, handle := range v.byService[service] {
-		if handle.Usable() {
-			return false
-		}
-		evacuated = evacuated || handle.Evacuated()
-	}
-	return evacuated
-}
-
 // Find returns the replica with the given ID; nil where there is none.
 func (v *View) Find(id string) *Handle { return v.byID[id] }
 
@@ -172,48 +148,6 @@
 	d.subscribers.Notify(d.View())
 }
 
-// SetEvacuated has the replicas of the given zones, and of no others, get nothing more. They stay in the directory: what runs there goes on.
-func (d *Directory) SetEvacuated(zones map[string]bool) {
-	d.mutex.Lock()
-	now := time.Now()
-	for zone := range d.evacuated {
-		if !zones[zone] {
-			d.evacuationEnded[zone] = now
-		}
-	}
-	d.evacuated = maps.Clone(zones)
-	d.markZones()
-	d.mutex.Unlock()
-	d.subscribers.Notify(d.View())
-}
-
-// NoteEvacuationEnded says that a zone is taken back now of whose evacuation SetEvacuated was never given, since it was over before it
-// was known here.
-func (d *Directory) NoteEvacuationEnded(zone string) {
-	d.mutex.Lock()
-	d.evacuationEnded[zone] = time.Now()
-	d.markZones()
-	d.mutex.Unlock()
-	d.subscribers.Notify(d.View())
-}
-
-// markZones brings to all handles what is known of their zones. The mutex is held.
-func (d *Directory) markZones() {
-	for _, handle := range d.View().byID {
-		d.markZone(handle)
-	}
-}
-
-// markZone brings to a handle what is known of its zone. The mutex is held.
-func (d *Directory) markZone(handle *Handle) {
-	zone := handle.Info().Zone
-	if ended, known := d.evacuationEnded[zone]; known {
-		handle.evacuationEnded.Store(&ended)
-	}
-	// What is read where nothing is evacuated comes last: who sees that the zone is taken back sees when.
-	handle.evacuated.Store(d.evacuated[zone])
-}
-
 // handleFor returns the handle of info's incarnation with its newest entry.
 func (d *Directory) handleFor(info Info) *Handle {
 	handle := d.View().Find(info.ID)
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -115,18 +115,6 @@
 // Usable says that new requests may go to the replica.
 func (h *Handle) Usable() bool { return !h.gone.Load() && !h.evacuated.Load() && !h.Info().Draining }
 
-// Evacuated says that the replica's zone is taken out of service.
-func (h *Handle) Evacuated() bool { return h.evacuated.Load() }
-
-// EvacuationEnded returns when the replica's zone was last taken back as this process knows it; zero where it never was. The replicas may
-// have turned cold shortly before.
-func (h *Handle) EvacuationEnded() time.Time {
-	if ended := h.evacuationEnded.Load(); ended != nil {
-		return *ended
-	}
-	return time.Time{}
-}
-
 // InUse returns the number of this process's requests there.
 func (h *Handle) InUse() int { return int(h.inUse.Load()) }
 
