--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
@@ -19,6 +20,8 @@
 	Tokens     int
 	// BodyBytes is the size of what is sent to the replica.
 	BodyBytes int
+	// Objective is the time within which the answer is to begin; zero where latency does not matter.
+	Objective time.Duration
 	// Excluded replicas have had the request.
 	Excluded []*replica.Handle
 	// MaxOccupancy, where it is above 0, is the largest share of a replica's slots in use that is allowed.
@@ -28,6 +31,13 @@
 
 	// apart holds the replicas that take long prompts.
 	apart map[*replica.Handle]bool
+	// topology knows how far replicas are.
+	topology region.Topology
+}
+
+// distanceTo returns how far from this process's zone the replica is.
+func (r *Request) distanceTo(handle *replica.Handle) region.Distance {
+	return r.topology.Between(r.Zone, handle.Info().Zone)
 }
 
 // Filter drops replicas that cannot take a request.
@@ -44,6 +54,8 @@
 	scorers   []Scorer
 	random    func() float64
 	mix       *promptMix
+	// topology is set before the first choice.
+	topology region.Topology
 }
 
 // scoreNoise spreads the choices of processes that know the same.
@@ -64,9 +76,13 @@
 	}
 }
 
+// SetTopology says which regions the zones lie in; without it all are one region. It is called before the first choice.
+func (p *Picker) SetTopology(topology region.Topology) { p.topology = topology }
+
 // Pick returns the best replica for request; nil where none can take it.
 func (p *Picker) Pick(request *Request, now time.Time) *replica.Handle {
 	p.mix.observe(request)
+	request.topology = p.topology
 	request.apart = p.setApart(request)
 	all := p.directory.View().Of(request.Service)
 	able := filter(request, all, p.required, now)
--- a/internal/balance/scorers.go
+++ b/internal/balance/scorers.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
@@ -17,6 +18,17 @@
 	remoteByteWeight  = 0.25 / (16 << 10)
 	// maxRemotePenalty bounds the two together.
 	maxRemotePenalty = 0.6
+	// otherRegionPenalty is what another region costs beyond another zone: operators pay some four times as much for its bytes, of which
+	// the answer is the greater part. A replica nearby that has a slot free is preferred; one that would have the request wait about equals
+	// one there that has its last slot free.
+	otherRegionPenalty = 0.15
+	// otherRegionByteWeight adds to it for each byte sent there.
+	otherRegionByteWeight = 4 * remoteByteWeight
+	// otherRegionRoundTrip is the time that an answer comes later from another region: regions lie some hundreds of km apart. The part
+	// of the objective that it takes counts as that part of a replica's room.
+	otherRegionRoundTrip = 25 * time.Millisecond
+	// maxOtherRegionPenalty bounds all of it together: an idle replica of another region stays better than a full one nearby.
+	maxOtherRegionPenalty = 1.0
 	// partTokensUnit is the number of cached tokens that is worth partWeight.
 	partTokensUnit = 4096.0
 	partWeight     = 0.5
@@ -39,18 +51,32 @@
 	return score
 }
 
-// zoneScore prefers replicas of this process's zone.
+// zoneScore prefers replicas of this process's zone, and those of its region to others.
 func zoneScore(request *Request, handle *replica.Handle, _ time.Time) float64 {
-	if handle.Info().Zone == request.Zone {
-		return 0
-	}
-	penalty := min(maxRemotePenalty, remoteZonePenalty+remoteByteWeight*float64(request.BodyBytes))
+	penalty := distancePenalty(request, request.distanceTo(handle))
 	if request.ZoneWeight > 0 {
 		penalty *= request.ZoneWeight
 	}
 	return -penalty
 }
 
+// distancePenalty is what a distance costs a request, in parts of a replica's room.
+func distancePenalty(request *Request, distance region.Distance) float64 {
+	switch distance {
+	case region.SameZone:
+		return 0
+	case region.SameRegion:
+		return min(maxRemotePenalty, remoteZonePenalty+remoteByteWeight*float64(request.BodyBytes))
+	default:
+		late := 0.0
+		if request.Objective > 0 {
+			late = float64(otherRegionRoundTrip) / float64(request.Objective)
+		}
+		bytes := otherRegionByteWeight * float64(request.BodyBytes)
+		return min(maxOtherRegionPenalty, remoteZonePenalty+otherRegionPenalty+late+bytes)
+	}
+}
+
 // partScore prefers, by rendezvous hashing, the same few replicas for requests that share prompt parts, the more so the more
 // tokens need not be read again.
 func partScore(request *Request, handle *replica.Handle, _ time.Time) float64 {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -177,7 +177,7 @@
 // pick chooses the next replica.
 func (e *exchange) pick(excluded []*replica.Handle) *replica.Handle {
 	wanted := balance.Request{
-		Service: e.nextService(), Zone: e.handler.zone, BodyBytes: len(e.body), Excluded: excluded,
+		Service: e.nextService(), Zone: e.handler.zone, BodyBytes: len(e.body), Objective: e.route.Objective, Excluded: excluded,
 	}
 	if e.route.Affinity {
 		parts := ParsePromptParts(e.request.Header.Get(e.handler.headers.PromptParts))
