--- /dev/null
+++ b/internal/discovery/evacuation_property_test.go
@@ -0,0 +1,78 @@
+package discovery
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/platform"
+)
+
+// TestEvacuationsAreFollowedWhateverHappens: requests come and go while watches are mute or cut, history is forgotten, the service is down and
+// the node starts again; once the service answers, the node knows what is asked within the bound.
+func TestEvacuationsAreFollowedWhateverHappens(t *testing.T) {
+	const bound = 4 * time.Second
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	random := rand.New(rand.NewPCG(seed, 2))
+	for range 60 {
+		synctest.Test(t, func(t *testing.T) {
+			store := storeWithTwoZones()
+			node := newNodeUnderTest(t, store)
+			node.Start()
+			for range 25 {
+				node = disturb(t, random, store, node)
+				time.Sleep(time.Duration(random.IntN(900)) * time.Millisecond)
+			}
+			store.set(func() { store.down, store.mute, store.compacted = false, false, store.revision })
+			store.cut(platform.KindUnavailable.New("cut"))
+			time.Sleep(bound)
+			if got, want := node.evacuated(), asked(store); got != want {
+				t.Errorf("%q evacuated, %q asked", got, want)
+			}
+			node.Stop()
+		})
+	}
+}
+
+// disturb does one thing; it returns the node, which may be a new one.
+func disturb(t *testing.T, random *rand.Rand, store *scriptedStore, node *nodeUnderTest) *nodeUnderTest {
+	key := evacuationPrefix + []string{"east", "west"}[random.IntN(2)]
+	switch random.IntN(9) {
+	case 0, 1, 2:
+		store.put(key, "{}")
+	case 3, 4:
+		store.put(key, "")
+	case 5:
+		store.set(func() { store.mute = !store.mute })
+	case 6:
+		store.set(func() { store.compacted = store.revision })
+		store.cut(platform.KindCompacted.New("gone"))
+	case 7:
+		store.set(func() { store.down = !store.down })
+		store.cut(platform.KindUnavailable.New("down"))
+	default:
+		if random.IntN(2) == 0 {
+			node.viewer.tell(membership.Revisions{Configuration: store.revision})
+			return node
+		}
+		node.Stop()
+		node = newNodeUnderTest(t, store)
+		node.Start()
+	}
+	return node
+}
+
+// asked are the zones that operators ask to evacuate, as nodeUnderTest.evacuated has them.
+func asked(store *scriptedStore) string {
+	var zones []string
+	for _, zone := range []string{"east", "west"} {
+		if _, found := store.entries[evacuationPrefix+zone]; found {
+			zones = append(zones, zone)
+		}
+	}
+	return strings.Join(zones, " ")
+}
