--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -88,6 +88,10 @@
 }
 
 func (e *exchange) run(ctx context.Context) {
+	if e.allEvacuated() {
+		e.conclude(ctx, notRun, reasonEvacuated)
+		return
+	}
 	if e.handler.refresh != nil {
 		e.handler.refresh(ctx)
 	}
@@ -101,7 +105,7 @@
 	for {
 		handle := e.pickReady(ctx)
 		if handle == nil {
-			e.conclude(ctx, last, "no_replica")
+			e.conclude(ctx, last, e.whyNone())
 			return
 		}
 		e.tried = append(e.tried, handle)
@@ -177,7 +181,7 @@
 // pick chooses the next replica.
 func (e *exchange) pick(excluded []*replica.Handle) *replica.Handle {
 	wanted := balance.Request{
-		Service: e.nextService(), Zone: e.handler.zone, BodyBytes: len(e.body), Excluded: excluded,
+		Service: e.nextService(), Zone: e.handler.zone, BodyBytes: len(e.body), Objective: e.route.Objective, Excluded: excluded,
 	}
 	if e.route.Affinity {
 		parts := ParsePromptParts(e.request.Header.Get(e.handler.headers.PromptParts))
@@ -238,7 +242,7 @@
 	case e.badAnswer != nil:
 		e.badAnswer.write(e.writer)
 	case e.runs == 0:
-		SetRetryAfter(e.writer.Header(), retryAfterNoRoom)
+		SetRetryAfter(e.writer.Header(), retryAfter(reason))
 		http.Error(e.writer, reason, http.StatusServiceUnavailable)
 	case late:
 		http.Error(e.writer, reason, http.StatusGatewayTimeout)
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -104,11 +104,19 @@
 // Do sends call to the replica and returns the head of its answer. When ctx ends, the connection is closed. An error
 // that wraps ErrNotSent says that the request did not reach the replica; after any other the request may have run.
 func (c *Client) Do(ctx context.Context, handle *Handle, call Call) (*Answer, error) {
+	if handle.Evacuated() {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
+	}
 	c.probeZones(ctx, handle)
 	used, err := c.connect(ctx, handle, call)
 	if err != nil {
 		return nil, err
 	}
+	if handle.Evacuated() {
+		// That was asked while the connection was made.
+		used.close()
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
+	}
 	if err := ctx.Err(); err != nil {
 		// The caller left meanwhile.
 		used.close()
@@ -167,22 +175,6 @@
 	return newConnection(raw), nil
 }
 
-// probeZones looks, in the background and now and then, whether zones that are cut off are reached again: whether a replica there takes a
-// connection. Nothing is sent on it.
-func (c *Client) probeZones(ctx context.Context, near *Handle) {
-	if near.probesDue == nil {
-		return
-	}
-	for _, handle := range near.probesDue(time.Now()) {
-		go func() {
-			if probed, err := c.connect(context.WithoutCancel(ctx), handle, Call{Fresh: true}); err == nil {
-				probed.idleUntil = time.Now().Add(idleDefault)
-				handle.pool.put(probed)
-			}
-		}()
-	}
-}
-
 // receive reads the answer to call, past interim answers and answers to earlier requests.
 func (c *Client) receive(used *connection, call Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"iter"
 	"maps"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -81,13 +80,15 @@
 	useChanged chan struct{}
 	// zones knows those that are cut off from this process.
 	zones *unreached.Zones
-	// evacuated are the zones whose replicas get nothing more, guarded by mutex.
-	evacuated map[string]bool
+	// evacuated are the zones whose replicas get nothing more, evacuationEnded says when other zones were taken back; both are guarded by
+	// mutex.
+	evacuated       map[string]bool
+	evacuationEnded map[string]time.Time
 }
 
 // NewDirectory returns an empty Directory.
 func NewDirectory() *Directory {
-	directory := &Directory{useChanged: make(chan struct{}, 1), zones: unreached.NewZones()}
+	directory := &Directory{useChanged: make(chan struct{}, 1), zones: unreached.NewZones(), evacuationEnded: map[string]time.Time{}}
 	directory.view.Store(&View{byService: map[string][]*Handle{}, byID: map[string]*Handle{}})
 	return directory
 }
@@ -150,33 +151,6 @@
 	d.subscribers.Notify(d.View())
 }
 
-// SetEvacuated has the replicas of the given zones, and of no others, get nothing more. They stay in the directory: what runs there goes on.
-func (d *Directory) SetEvacuated(zones map[string]bool) {
-	d.mutex.Lock()
-	d.evacuated = maps.Clone(zones)
-	for _, handle := range d.View().byID {
-		handle.evacuated.Store(d.evacuated[handle.Info().Zone])
-	}
-	d.mutex.Unlock()
-	d.subscribers.Notify(d.View())
-}
-
-// probesDue returns replicas of zones that are cut off, one of each, that are to be probed now.
-func (d *Directory) probesDue(now time.Time) (probed []*Handle) {
-	for _, zone := range d.zones.ProbesDue(now) {
-		var usable []*Handle
-		for _, handle := range d.View().byID {
-			if handle.Info().Zone == zone && handle.Usable() {
-				usable = append(usable, handle)
-			}
-		}
-		if len(usable) > 0 {
-			probed = append(probed, usable[rand.N(len(usable))])
-		}
-	}
-	return probed
-}
-
 // handleFor returns the handle of info's incarnation with its newest entry.
 func (d *Directory) handleFor(info Info) *Handle {
 	handle := d.View().Find(info.ID)
@@ -188,7 +162,7 @@
 	} else {
 		handle.info.Store(&info)
 	}
-	handle.evacuated.Store(d.evacuated[info.Zone])
+	d.markZone(handle)
 	return handle
 }
 
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -72,6 +72,8 @@
 	reading atomic.Int64
 	// evacuated says that the replica's zone is taken out of service.
 	evacuated atomic.Bool
+	// evacuationEnded is when the zone was taken back; nil where it never was.
+	evacuationEnded atomic.Pointer[time.Time]
 	// zone is what is known of whether the replicas of this one's zone are reached.
 	zone *unreached.Zone
 	// probesDue returns replicas of zones that are to be probed; nil for a replica outside a Directory.
@@ -119,9 +121,6 @@
 // Usable says that new requests may go to the replica.
 func (h *Handle) Usable() bool { return !h.gone.Load() && !h.evacuated.Load() && !h.Info().Draining }
 
-// Evacuated says that the replica's zone is taken out of service.
-func (h *Handle) Evacuated() bool { return h.evacuated.Load() }
-
 // InUse returns the number of this process's requests there.
 func (h *Handle) InUse() int { return int(h.inUse.Load()) }
 
@@ -189,12 +188,6 @@
 	h.zone.NoteAnswer(time.Now())
 }
 
-// Silent notes that the replica gave no sign of life for a while: no connection, and no answer.
-func (h *Handle) Silent() (zoneCutOff bool) { return h.zone.NoteSilence(h.Info().ID, time.Now()) }
-
-// ZoneCutOff says that no replica of its zone is reached, as far as this process knows.
-func (h *Handle) ZoneCutOff() bool { return h.zone.CutOff() }
-
 // HeardSince says that bytes of an answer have come after since.
 func (h *Handle) HeardSince(since time.Time) bool {
 	at := h.heardAt.Load()
--- /dev/null
+++ b/internal/replica/reached.go
@@ -0,0 +1,45 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Silent notes that the replica gave no sign of life for a while: no connection, and no answer.
+func (h *Handle) Silent() (zoneCutOff bool) { return h.zone.NoteSilence(h.Info().ID, time.Now()) }
+
+// ZoneCutOff says that no replica of its zone is reached, as far as this process knows.
+func (h *Handle) ZoneCutOff() bool { return h.zone.CutOff() }
+
+// probesDue returns replicas of zones that are cut off, one of each, that are to be probed now.
+func (d *Directory) probesDue(now time.Time) (probed []*Handle) {
+	for _, zone := range d.zones.ProbesDue(now) {
+		var usable []*Handle
+		for _, handle := range d.View().byID {
+			if handle.Info().Zone == zone && handle.Usable() {
+				usable = append(usable, handle)
+			}
+		}
+		if len(usable) > 0 {
+			probed = append(probed, usable[rand.N(len(usable))])
+		}
+	}
+	return probed
+}
+
+// probeZones looks, in the background and now and then, whether zones that are cut off are reached again: whether a replica there takes a
+// connection. Nothing is sent on it.
+func (c *Client) probeZones(ctx context.Context, near *Handle) {
+	if near.probesDue == nil {
+		return
+	}
+	for _, handle := range near.probesDue(time.Now()) {
+		go func() {
+			if probed, err := c.connect(context.WithoutCancel(ctx), handle, Call{Fresh: true}); err == nil {
+				probed.idleUntil = time.Now().Add(idleDefault)
+				handle.pool.put(probed)
+			}
+		}()
+	}
+}
