--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -91,7 +91,7 @@
 	}
 	e.event(handle).Err(errors.Join(err, context.Cause(ctx))).Msg("call_failed")
 	if errors.Is(err, replica.ErrNotSent) {
-		return notRun
+		return notSent
 	}
 	return e.afterLoss()
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -24,6 +24,8 @@
 	delivered verdict = iota
 	// notRun: the replica did not run the request and will not.
 	notRun
+	// notSent: the replica was not reached, so that no byte was sent.
+	notSent
 	// maybeRun: the request may have run, and the caller has no byte of an answer.
 	maybeRun
 	// answeredBadly: the replica's whole answer is a failure that another replica may do better.
@@ -35,15 +37,18 @@
 )
 
 var verdictNames = map[verdict]string{
-	delivered: "delivered", notRun: "not_run", maybeRun: "maybe_run", answeredBadly: "answered_badly", brokenOff: "broken_off", callerGone: "caller_gone",
+	delivered: "delivered", notRun: "not_run", notSent: "not_sent", maybeRun: "maybe_run", answeredBadly: "answered_badly", brokenOff: "broken_off", callerGone: "caller_gone",
 }
 
 // String returns the verdict's name in the log.
 func (v verdict) String() string { return verdictNames[v] }
 
 const (
-	// maxRefusals bounds the replicas that may refuse one request before the caller is told.
+	// maxRefusals bounds the replicas that may refuse one request before its caller gets a final answer.
 	maxRefusals = 3
+	// maxNotSent bounds the replicas that are not reached before that. Two show that a zone is cut off (unreached.Zone): with two zones cut
+	// off from this one, four tries pass before all that are left are tried.
+	maxNotSent = 6
 	// connectShare is the part of the objective that a connection to one replica may take, leastConnectTime bounds it from below: within a
 	// region it takes a few ms, on a node that is short of processor time some tens.
 	connectShare     = 0.4
@@ -70,6 +75,8 @@
 	tried    []*replica.Handle
 	runs     int
 	refusals int
+	// notSent counts the replicas that were not reached.
+	notSent int
 	// promptTokens is the length of the prompt; promptRead is called at the first event of an attempt.
 	promptTokens int
 	promptRead   func()
@@ -122,6 +129,8 @@
 			return
 		case notRun:
 			e.refusals++
+		case notSent:
+			e.notSent++
 		default:
 			e.runs++
 		}
@@ -206,8 +215,11 @@
 	if ctx.Err() != nil || time.Until(e.deadline) < leastTimeLeft {
 		return false
 	}
-	if last == notRun {
+	switch last {
+	case notRun:
 		return e.refusals < maxRefusals
+	case notSent:
+		return e.notSent < maxNotSent
 	}
 	if !e.route.MayRepeat() || e.runs >= max(1, e.route.Attempts) {
 		return false
--- a/internal/network/networktest/silencer.go
+++ b/internal/network/networktest/silencer.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/sloelift/sloelift/internal/network"
 )
@@ -20,11 +21,16 @@
 	mutex  sync.Mutex
 	open   []*connection
 	cutOff map[netip.AddrPort]bool
+	// refuses says that connections to these are refused at once.
+	refuses bool
 }
 
 // NewSilencer returns a Silencer over inner.
 func NewSilencer(inner network.Network) *Silencer { return &Silencer{Network: inner} }
 
+// Refuse has connections to the addresses that are cut off be refused at once, in place of no answer. It is called before CutOff.
+func (s *Silencer) Refuse() { s.refuses = true }
+
 // CutOff has the given addresses, and no others, not be reached by new connections.
 func (s *Silencer) CutOff(addresses ...netip.AddrPort) {
 	s.mutex.Lock()
@@ -44,6 +50,9 @@
 // Dial connects.
 func (s *Silencer) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	if s.isCutOff(address) {
+		if s.refuses {
+			return nil, syscall.ECONNREFUSED
+		}
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -166,7 +166,9 @@
 	defer cancel()
 	raw, err := c.network.Dial(bounded, handle.Info().Address)
 	if err != nil {
-		if bounded.Err() != nil && ctx.Err() == nil {
+		if ctx.Err() == nil {
+			// Refused ones count too: a zone that is cut off may reset what comes. Where two replicas of a zone just ended it is taken for cut off
+			// until the next probe.
 			handle.Silent()
 		}
 		return nil, fmt.Errorf("%w: connect to %s: %w", ErrNotSent, handle.Info().Address, err)
