--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -166,7 +166,10 @@
 // judge tells what an answer that is no stream means.
 func (a *itemAttempt) judge(answer *replica.Answer, names replica.Headers) itemVerdict {
 	switch {
-	case answer.Status == http.StatusMisdirectedRequest, answer.Header.Get(names.NotRun) != "":
+	case answer.Status == http.StatusMisdirectedRequest:
+		a.handle.Misdirected(time.Now())
+		return itemRefused
+	case answer.Header.Get(names.NotRun) != "":
 		a.handle.Rejected(time.Now())
 		return itemRefused
 	case answer.Status == http.StatusUnprocessableEntity:
--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -133,6 +133,14 @@
 	return silent || (Watches(f.viewer.View()) && !joining)
 }
 
+// Unanswered says that neither this node nor a watcher that it hears has had an answer of the service for long.
+func (f *Feed) Unanswered() bool {
+	now := time.Now()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return now.Sub(f.lastHeartbeat) >= silence && now.Sub(f.answered) >= answeredWithin
+}
+
 // watchersSilent says that no heartbeat came for long.
 func (f *Feed) watchersSilent(now time.Time) bool {
 	f.mutex.Lock()
--- /dev/null
+++ b/internal/discovery/copies.go
@@ -0,0 +1,49 @@
+package discovery
+
+import (
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/platform"
+)
+
+// takeCopiedConfiguration puts a configuration in force that was known some time ago, unless one of its version or a higher one is. It is no
+// news for other nodes, which may know a newer one, and the store is still asked.
+func (s *Service) takeCopiedConfiguration(copied platform.Listing) {
+	for _, entry := range copied.Entries {
+		s.offerConfiguration(entry)
+	}
+}
+
+// takeCopiedReplicas makes replicas that were known some time ago the content of the directory, until the store lists them.
+func (s *Service) takeCopiedReplicas(copied platform.Listing) {
+	replicas, _ := s.read(copied.Entries)
+	s.directory.ReplaceByCopy(replicas)
+	s.replicasByCopy = true
+	s.logger.Info().Int("replicas", len(replicas)).Int64(logging.FieldRevision, copied.Revision).Msg("replicas_taken_from_copy")
+}
+
+// newsOf returns the newest change that a listing shows, of which read has found news and the directory that some replicas are gone. When
+// these went is not known. Behind a copy, which was no news, all of the listing is.
+func (s *Service) newsOf(listing platform.Listing, news int64, gone int) int64 {
+	if gone > 0 {
+		news = listing.Revision
+	}
+	if !s.replicasByCopy {
+		return news
+	}
+	s.replicasByCopy = false
+	for _, entry := range listing.Entries {
+		news = max(news, entry.ModRevision)
+	}
+	return news
+}
+
+// replaceReplicas takes a listing of the store.
+func (s *Service) replaceReplicas(listing platform.Listing) {
+	replicas, news := s.read(listing.Entries)
+	gone := s.directory.Replace(replicas)
+	if news = s.newsOf(listing, news, gone); news > 0 {
+		s.replicas.tookChange(news)
+	}
+	s.replicas.saw(listing.Revision)
+	s.logger.Info().Int("replicas", len(replicas)).Int64(logging.FieldRevision, listing.Revision).Msg("replicas_listed")
+}
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -34,7 +34,9 @@
 	// configuration and replicas compare the two prefixes with what other nodes know.
 	configuration *revisions
 	replicas      *revisions
-	logger        zerolog.Logger
+	// replicasByCopy says that the directory holds a copy; copies end before the store's first listing is taken.
+	replicasByCopy bool
+	logger         zerolog.Logger
 
 	cancel      context.CancelFunc
 	unsubscribe func()
@@ -47,6 +49,11 @@
 	SetReplicasRevision(revision int64)
 }
 
+// Copies supplies copies of what lies below a prefix, each newer than the one before, until the prefix is listed.
+type Copies interface {
+	Supply(prefix string, take func(copied platform.Listing))
+}
+
 // Options of a Service.
 type Options struct {
 	Store      platform.KeyValue
@@ -56,20 +63,27 @@
 	// Viewer and Reporter let nodes tell each other which changes they know.
 	Viewer   membership.Viewer
 	Reporter RevisionReporter
-	Logger   zerolog.Logger
+	// Copies supplies what was known some time ago while the store does not answer; nil where nothing does.
+	Copies Copies
+	Logger zerolog.Logger
 }
 
 // New returns a Service; nothing runs before Start.
 func New(options Options) *Service {
 	logger := options.Logger.With().Str(logging.FieldSlice, "discovery").Logger()
 	follows := func(prefix string) zerolog.Logger { return logger.With().Str(logging.FieldPrefix, prefix).Logger() }
-	return &Service{
+	service := &Service{
 		store: options.Store, translator: options.Translator, routes: options.Routes, directory: options.Directory,
 		viewer:        options.Viewer,
 		configuration: newRevisions(options.Reporter.SetConfigRevision, follows(options.Translator.ConfigurationKey())),
 		replicas:      newRevisions(options.Reporter.SetReplicasRevision, follows(options.Translator.ReplicaPrefix())),
 		logger:        logger,
 	}
+	if options.Copies != nil {
+		options.Copies.Supply(options.Translator.ConfigurationKey(), service.takeCopiedConfiguration)
+		options.Copies.Supply(options.Translator.ReplicaPrefix(), service.takeCopiedReplicas)
+	}
+	return service
 }
 
 // Start begins to follow. It does not wait.
@@ -122,35 +136,31 @@
 	s.replicas.takeOthers(newest.Replicas)
 }
 
+// takeConfiguration takes what the store says.
 func (s *Service) takeConfiguration(entries []platform.Entry) {
 	for _, entry := range entries {
-		if entry.Key != s.translator.ConfigurationKey() {
-			continue
-		}
-		table, err := s.translator.Table(entry.Value)
-		if err != nil {
-			s.logger.Error().Err(err).Msg("configuration_not_read")
-			continue
-		}
-		if s.routes.Offer(table) {
+		if s.offerConfiguration(entry) {
 			s.configuration.tookChange(entry.ModRevision)
-			s.logger.Info().Int64("version", table.Version).Int64(logging.FieldRevision, entry.ModRevision).
-				Int("routes", len(table.Routes)).Msg("configuration_in_force")
 		}
 	}
 }
 
-func (s *Service) replaceReplicas(listing platform.Listing) {
-	replicas, news := s.read(listing.Entries)
-	if gone := s.directory.Replace(replicas); gone > 0 {
-		// When they went is not known.
-		news = listing.Revision
+// offerConfiguration puts the configuration of an entry in force, unless a higher version is; false where its version is not in force then.
+func (s *Service) offerConfiguration(entry platform.Entry) bool {
+	if entry.Key != s.translator.ConfigurationKey() {
+		return false
+	}
+	table, err := s.translator.Table(entry.Value)
+	if err != nil {
+		s.logger.Error().Err(err).Msg("configuration_not_read")
+		return false
 	}
-	if news > 0 {
-		s.replicas.tookChange(news)
+	if s.routes.Offer(table) {
+		s.logger.Info().Int64("version", table.Version).Int64(logging.FieldRevision, entry.ModRevision).
+			Int("routes", len(table.Routes)).Msg("configuration_in_force")
+		return true
 	}
-	s.replicas.saw(listing.Revision)
-	s.logger.Info().Int("replicas", len(replicas)).Int64(logging.FieldRevision, listing.Revision).Msg("replicas_listed")
+	return s.routes.Table().Version == table.Version
 }
 
 func (s *Service) updateReplicas(revision int64, changed []platform.Entry, deleted []string) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -46,7 +46,7 @@
 	if refused(answer, e.handler.headers) {
 		_, err := io.CopyN(io.Discard, answer.Body, maxHeldAnswer)
 		whole = errors.Is(err, io.EOF)
-		handle.Rejected(time.Now())
+		noteRefusal(handle, answer)
 		e.event(handle).Int("status", answer.Status).Msg("replica_refused")
 		return notRun
 	}
@@ -60,6 +60,15 @@
 	return result
 }
 
+// noteRefusal notes a refusal at the replica, or that there is another one at its address.
+func noteRefusal(handle *replica.Handle, answer *replica.Answer) {
+	if answer.Status == http.StatusMisdirectedRequest {
+		handle.Misdirected(time.Now())
+		return
+	}
+	handle.Rejected(time.Now())
+}
+
 // refused says that the answer promises that the request has not run.
 func refused(answer *replica.Answer, headers replica.Headers) bool {
 	if answer.Status == http.StatusMisdirectedRequest {
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	membershippb "github.com/sloelift/sloelift/api/proto/membership"
@@ -47,6 +48,15 @@
 	}
 }
 
+// addContact adds a node to the seeds, and has a node that knows nobody ask it at the next tick.
+func (p *protocol) addContact(address netip.AddrPort) {
+	if len(p.seeds) >= maxSeeds || slices.Contains(p.seeds, address) {
+		return
+	}
+	p.seeds = append(slices.Clone(p.seeds), address)
+	p.nextJoin = p.now
+}
+
 // digestTarget is a random contact in a random zone, so that no zone drifts off.
 func (p *protocol) digestTarget() *record {
 	index := p.lookup()
--- a/internal/membership/event.go
+++ b/internal/membership/event.go
@@ -37,6 +37,9 @@
 // revisionEvent tells of revisions in force here.
 type revisionEvent struct{ revisions Revisions }
 
+// contactEvent names a node to join through.
+type contactEvent struct{ address netip.AddrPort }
+
 func (tickEvent) isEvent()     {}
 func (messageEvent) isEvent()  {}
 func (listingEvent) isEvent()  {}
@@ -44,6 +47,7 @@
 func (stopEvent) isEvent()     {}
 func (storeEvent) isEvent()    {}
 func (revisionEvent) isEvent() {}
+func (contactEvent) isEvent()  {}
 
 // action is an output of the protocol.
 type action interface{ isAction() }
--- a/internal/membership/fx.go
+++ b/internal/membership/fx.go
@@ -55,7 +55,7 @@
 			AdminAddress: needed.Settings.AdminAddress,
 			Store:        needed.Settings.DataFolder != "",
 		},
-		Seeds:      needed.Settings.SeedPeers,
+		Seeds:      needed.Settings.Seeds(),
 		Timing:     timing,
 		RandomSeed: started,
 	}, network, needed.Machines, needed.Registerer, needed.Logger)
--- a/internal/membership/protocol.go
+++ b/internal/membership/protocol.go
@@ -105,6 +105,8 @@
 		p.setStore(typed.incarnation)
 	case revisionEvent:
 		p.learnRevisions(p.self, typed.revisions)
+	case contactEvent:
+		p.addContact(typed.address)
 	}
 	return p.actions
 }
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -169,6 +169,9 @@
 	s.submit(revisionEvent{revisions: Revisions{Replicas: revision}})
 }
 
+// AddContact names a node through which this one can join the others while it knows nobody.
+func (s *Service) AddContact(address netip.AddrPort) { s.submit(contactEvent{address: address}) }
+
 // Busy is the time that the control goroutine spent on events so far.
 func (s *Service) Busy() time.Duration { return time.Duration(s.busy.Load()) }
 
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -89,6 +89,8 @@
 	bulkRecords = 24
 	// joinContacts is how many contacts a node that knows nobody asks at once.
 	joinContacts = 2
+	// maxSeeds bounds the seeds; contacts past it are not needed to join.
+	maxSeeds = 16
 	// suspectTellers is about how many who hear of a suspicion tell the suspect at once.
 	suspectTellers = 3
 	// maxSlowness bounds how much a node's own slowness stretches its timeouts; up to
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -34,6 +34,7 @@
 	"github.com/sloelift/sloelift/internal/retirement"
 	"github.com/sloelift/sloelift/internal/route"
 	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/snapshotcache"
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
@@ -119,7 +120,7 @@
 // sharedSlices run in each role.
 var sharedSlices = fx.Options(
 	fx.Provide(
-		func() *watchPace { return &watchPace{} }, newRoleKeyValue, newFeed, route.NewHolder, replica.NewDirectory, newDiscovery, newReplicaClient, newPicker,
+		func() *watchPace { return &watchPace{} }, newRoleKeyValue, newFeed, newCopies, route.NewHolder, replica.NewDirectory, newDiscovery, newReplicaClient, newPicker,
 		newRegisteredMachines, func() *ledger.Timing { return &roleLedgerTiming },
 		func() *membership.Timing { return &roleMembershipTiming },
 	),
@@ -201,10 +202,19 @@
 	return feed
 }
 
-func newDiscovery(lifecycle fx.Lifecycle, store *changefeed.Feed, adapter Adapter, routes *route.Holder, directory *replica.Directory, members *membership.Service, logger zerolog.Logger) *discovery.Service {
+// newCopies keeps what discovery follows, for starts while the key-value service does not answer.
+func newCopies(own settings.Settings, store *changefeed.Feed, caller transport.Caller, registrar transport.Registrar, members *membership.Service, registerer prometheus.Registerer, logger zerolog.Logger) (*snapshotcache.Cache, error) {
+	return snapshotcache.New(snapshotcache.Options{
+		Store: store, Caller: caller, Registrar: registrar, Viewer: members, Join: members.AddContact, Unanswered: store.Unanswered,
+		Seeds: own.Seeds(), DataFolder: own.DataFolder, RandomSeed: uint64(time.Now().UnixNano()), Registerer: registerer, Logger: logger,
+	})
+}
+
+func newDiscovery(lifecycle fx.Lifecycle, copies *snapshotcache.Cache, adapter Adapter, routes *route.Holder, directory *replica.Directory, members *membership.Service, logger zerolog.Logger) *discovery.Service {
 	service := discovery.New(discovery.Options{
-		Store: store, Translator: adapter.Translator, Routes: routes, Directory: directory, Viewer: members, Reporter: members, Logger: logger,
+		Store: copies, Translator: adapter.Translator, Routes: routes, Directory: directory, Viewer: members, Reporter: members, Copies: copies, Logger: logger,
 	})
+	lifecycle.Append(fx.StartStopHook(copies.Start, copies.Stop))
 	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
 	return service
 }
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -110,11 +110,17 @@
 func (d *Directory) Subscribe(notify func(*View)) (remove func()) { return d.subscribers.Add(notify) }
 
 // Replace makes replicas the whole content of the directory and returns how many are gone.
-func (d *Directory) Replace(replicas []Info) (gone int) {
+func (d *Directory) Replace(replicas []Info) (gone int) { return d.replace(replicas, true) }
+
+// ReplaceByCopy is Replace by what was known some time ago, while the key-value service does not answer.
+func (d *Directory) ReplaceByCopy(replicas []Info) { d.replace(replicas, false) }
+
+func (d *Directory) replace(replicas []Info, confirmed bool) (gone int) {
 	d.mutex.Lock()
 	next := make(map[string]*Handle, len(replicas))
 	for _, info := range replicas {
 		next[info.ID] = d.handleFor(info)
+		next[info.ID].setConfirmed(confirmed)
 	}
 	for id := range d.View().byID {
 		if next[id] == nil {
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -70,6 +70,8 @@
 	reading atomic.Int64
 	// evacuated says that the replica's zone is taken out of service.
 	evacuated atomic.Bool
+	// unconfirmed says that the replica is known from a copy only, misdirected that another service answered at its address meanwhile.
+	unconfirmed, misdirected atomic.Bool
 	// heardAt is when bytes of an answer last came, in nanoseconds since the start of the process; 0 is never.
 	heardAt atomic.Int64
 
@@ -111,7 +113,9 @@
 func (h *Handle) Key() Key { return h.key }
 
 // Usable says that new requests may go to the replica.
-func (h *Handle) Usable() bool { return !h.gone.Load() && !h.evacuated.Load() && !h.Info().Draining }
+func (h *Handle) Usable() bool {
+	return !h.gone.Load() && !h.misdirected.Load() && !h.evacuated.Load() && !h.Info().Draining
+}
 
 // Evacuated says that the replica's zone is taken out of service.
 func (h *Handle) Evacuated() bool { return h.evacuated.Load() }
@@ -255,6 +259,23 @@
 	}
 }
 
+// Misdirected notes that another service answers at the replica's address. One that is known from a copy only is then taken for gone until
+// the key-value service names it.
+func (h *Handle) Misdirected(now time.Time) {
+	if h.unconfirmed.Load() {
+		h.misdirected.Store(true)
+	}
+	h.Rejected(now)
+}
+
+// setConfirmed notes whether the key-value service itself named the replica last, or a copy of its content.
+func (h *Handle) setConfirmed(confirmed bool) {
+	h.unconfirmed.Store(!confirmed)
+	if confirmed {
+		h.misdirected.Store(false)
+	}
+}
+
 // Avoided says that the replica failed or refused a short while ago, or fails other nodes.
 func (h *Handle) Avoided(now time.Time) bool {
 	h.mutex.Lock()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -95,6 +95,9 @@
 	if s.Role == RoleStorage {
 		c.require(s.DataFolder != "", "dataFolder", "a storage node wants a folder")
 	}
+	for index, machine := range s.SeedMachines {
+		c.address(fmt.Sprintf("seedMachines[%d]", index), machine)
+	}
 	for index, peer := range s.SeedPeers {
 		c.address(fmt.Sprintf("seedPeers[%d]", index), peer)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sloelift/sloelift/internal/region"
@@ -44,6 +45,21 @@
 	Zones []Zone `yaml:"zones"`
 	// SeedPeers are peer addresses to join through when the platform is down.
 	SeedPeers []netip.AddrPort `yaml:"seedPeers"`
+	// SeedMachines are addresses of some machines, at any of their ports, whose nodes take messages of other nodes at the port that this one
+	// uses, as on a platform with the same ports on all machines.
+	SeedMachines []netip.AddrPort `yaml:"seedMachines"`
+}
+
+// Seeds returns the peer addresses to join through: those that are named and those of SeedMachines, without this node's own.
+func (s Settings) Seeds() []netip.AddrPort {
+	seeds := slices.Clone(s.SeedPeers)
+	for _, machine := range s.SeedMachines {
+		address := netip.AddrPortFrom(machine.Addr(), s.PeerAddress.Port())
+		if address != s.PeerAddress {
+			seeds = append(seeds, address)
+		}
+	}
+	return seeds
 }
 
 // Zone is a zone of the deployment.
--- /dev/null
+++ b/internal/snapshotcache/cache.go
@@ -0,0 +1,241 @@
+package snapshotcache
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+// olderPatience is how long listings that are older than the copy in use are refused. The service never loses what it has acknowledged,
+// so that the next listing is newer; where it was restored from a backup it is followed all the same after this time.
+const olderPatience = 10 * time.Second
+
+// Options of a Cache.
+type Options struct {
+	// Store is followed, and answers all calls.
+	Store     platform.KeyValue
+	Caller    transport.Caller
+	Registrar transport.Registrar
+	Viewer    membership.Viewer
+	// Join takes the address of a node through which this one can join the others.
+	Join func(address netip.AddrPort)
+	// Unanswered says that neither this node nor one that watches for it gets answers of the service.
+	Unanswered func() bool
+	// Seeds are nodes to ask; some may be gone.
+	Seeds []netip.AddrPort
+	// DataFolder is empty on a node that keeps nothing; such a node offers no copies.
+	DataFolder string
+	// RandomSeed drives the choice of whom to ask.
+	RandomSeed uint64
+	Registerer prometheus.Registerer
+	Logger     zerolog.Logger
+}
+
+// Cache is a key-value service that keeps what is followed. It is safe for concurrent use.
+type Cache struct {
+	platform.KeyValue
+	options Options
+	logger  zerolog.Logger
+	metrics *metrics
+	file    *file
+
+	cancel      context.CancelFunc
+	unsubscribe func()
+	running     sync.WaitGroup
+	// complete is closed once all prefixes are listed; wake has the asking go on at once, unsaved the saving.
+	complete chan struct{}
+	wake     chan struct{}
+	unsaved  chan struct{}
+
+	// taking is held while a copy is handed over, and while a listing ends the taking of copies: a listing follows after all copies.
+	taking sync.Mutex
+	// mutex guards the fields below; it may be taken while taking is held.
+	mutex    sync.Mutex
+	contents map[string]*content
+	peers    *peers
+	// remembered are the nodes that the file named.
+	remembered []machine
+	started    time.Time
+}
+
+// New returns a Cache and registers its methods. Prefixes are added by Supply before Start.
+func New(options Options) (*Cache, error) {
+	metrics, err := newMetrics(options.Registerer)
+	if err != nil {
+		return nil, err
+	}
+	cache := &Cache{
+		KeyValue: options.Store, options: options, metrics: metrics, file: newFile(options.DataFolder),
+		logger:   options.Logger.With().Str(logging.FieldSlice, "snapshotcache").Logger(),
+		complete: make(chan struct{}), wake: make(chan struct{}, 1), unsaved: make(chan struct{}, 1),
+		started: time.Now(), contents: map[string]*content{}, peers: newPeers(rand.New(rand.NewPCG(options.RandomSeed, 0))),
+	}
+	cache.peers.add(fromSeed, options.Seeds...)
+	cache.register()
+	return cache, nil
+}
+
+// Supply has copies of what lies below prefix kept, and given to take, each newer than the one before, until the service lists the prefix.
+// take is called by one goroutine at a time, and not after List has returned.
+func (c *Cache) Supply(prefix string, take func(copied platform.Listing)) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.contents[prefix] = &content{take: take}
+}
+
+// Start reads the file and begins to wait for the first listings. It does not wait for them.
+func (c *Cache) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.unsubscribe = func() {}
+	if c.file != nil {
+		c.load()
+		c.unsubscribe = c.options.Viewer.Subscribe(func(*membership.View) { signal(c.unsaved) })
+		c.running.Go(func() { c.keepSaved(ctx) })
+		c.running.Go(func() { c.offerCopies(ctx) })
+	}
+	c.running.Go(func() { c.supply(ctx) })
+}
+
+// Stop ends the asking and the saving.
+func (c *Cache) Stop() {
+	c.unsubscribe()
+	c.cancel()
+	c.running.Wait()
+}
+
+// signal leaves one signal in a channel of length 1.
+func signal(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
+// List reads all keys below prefix from the service; it ends the use of copies of prefix.
+func (c *Cache) List(ctx context.Context, prefix string) (platform.Listing, error) {
+	listing, err := c.KeyValue.List(ctx, prefix)
+	if err != nil {
+		return listing, err
+	}
+	if err := c.takeListing(prefix, listing, time.Now()); err != nil {
+		return platform.Listing{}, err
+	}
+	return listing, nil
+}
+
+// takeListing takes in what the service lists; an error says that the copy in use is newer.
+func (c *Cache) takeListing(prefix string, listing platform.Listing, now time.Time) error {
+	c.taking.Lock()
+	defer c.taking.Unlock()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	held := c.contents[prefix]
+	if held == nil {
+		return nil
+	}
+	if held.older(listing, now) {
+		c.logger.Warn().Str(logging.FieldPrefix, prefix).Int64(logging.FieldRevision, listing.Revision).Int64("copy_revision", held.supplied).
+			Msg("service_older_than_copy")
+		return platform.KindUnavailable.New("listed at revision %d, the copy in use is of %d", listing.Revision, held.supplied)
+	}
+	if !held.listed && held.supplied > 0 {
+		c.logger.Info().Str(logging.FieldPrefix, prefix).Int64(logging.FieldRevision, listing.Revision).Int64("copy_revision", held.supplied).
+			Str("source", held.source).Msg("copy_confirmed")
+	}
+	held.replace(listing, now, "")
+	if !held.listed {
+		held.listed = true
+		c.noteListed()
+	}
+	signal(c.unsaved)
+	return nil
+}
+
+// older says that a listing is behind the copy in use, and not for long.
+func (c *content) older(listing platform.Listing, now time.Time) bool {
+	if c.listed || listing.Revision >= c.supplied {
+		return false
+	}
+	if c.olderSince.IsZero() {
+		c.olderSince = now
+	}
+	return now.Sub(c.olderSince) < olderPatience
+}
+
+// noteListed notes that one more prefix is listed. The mutex is held.
+func (c *Cache) noteListed() {
+	unlisted := 0
+	inUse := 0
+	for _, held := range c.contents {
+		if !held.listed {
+			unlisted++
+			inUse += min(1, int(held.supplied))
+		}
+	}
+	c.metrics.inUse.Set(float64(inUse))
+	if unlisted == 0 {
+		close(c.complete)
+	}
+}
+
+// listedAll says that the service has listed all prefixes.
+func (c *Cache) listedAll() bool {
+	select {
+	case <-c.complete:
+		return true
+	default:
+		return false
+	}
+}
+
+// Watch delivers changes as the service does, and keeps them.
+func (c *Cache) Watch(ctx context.Context, prefix string, fromRevision int64) (<-chan platform.WatchEvent, error) {
+	source, err := c.KeyValue.Watch(ctx, prefix, fromRevision)
+	if err != nil || !c.keeps(prefix) {
+		return source, err
+	}
+	events := make(chan platform.WatchEvent)
+	go func() {
+		defer close(events)
+		for event := range source {
+			c.takeChange(prefix, event, time.Now())
+			select {
+			case events <- event:
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return events, nil
+}
+
+func (c *Cache) keeps(prefix string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.contents[prefix] != nil
+}
+
+// takeChange takes in what a watch tells.
+func (c *Cache) takeChange(prefix string, event platform.WatchEvent, now time.Time) {
+	if event.Err != nil || len(event.Changed)+len(event.Deleted) == 0 {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	held := c.contents[prefix]
+	if held.entries == nil {
+		return
+	}
+	held.apply(event, now)
+	signal(c.unsaved)
+}
--- /dev/null
+++ b/internal/snapshotcache/copy.go
@@ -0,0 +1,87 @@
+package snapshotcache
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	snapshotcachepb "github.com/sloelift/sloelift/api/proto/snapshotcache"
+	"github.com/sloelift/sloelift/internal/platform"
+)
+
+// content is what is known of one prefix. The cache's mutex guards it.
+type content struct {
+	// entries are those at revision, by key; nil while nothing is known. takenAt is the time of day at which a node took them from the
+	// service, source the disk or the node that they came from, empty for the service.
+	entries  map[string]platform.Entry
+	revision int64
+	takenAt  time.Time
+	source   string
+	// listed says that the service has listed the prefix to this process; from then on no copy is taken.
+	listed bool
+	// take is given the copies; supplied is the revision of the last one, 0 for none.
+	take     func(copied platform.Listing)
+	supplied int64
+	// olderSince is when the service first listed an older state than the copy in use; zero where it has not.
+	olderSince time.Time
+	// encoded is the message made of the above; nil where it must be made anew.
+	encoded *snapshotcachepb.Copy
+}
+
+// replace makes a listing the content.
+func (c *content) replace(listing platform.Listing, takenAt time.Time, source string) {
+	c.entries = make(map[string]platform.Entry, len(listing.Entries))
+	for _, entry := range listing.Entries {
+		c.entries[entry.Key] = entry
+	}
+	c.revision, c.takenAt, c.source, c.encoded = listing.Revision, takenAt, source, nil
+}
+
+// apply takes in a change that the service or a node that watches it told of.
+func (c *content) apply(event platform.WatchEvent, now time.Time) {
+	for _, entry := range event.Changed {
+		c.entries[entry.Key] = entry
+	}
+	for _, key := range event.Deleted {
+		delete(c.entries, key)
+	}
+	c.revision, c.takenAt, c.encoded = max(c.revision, event.Revision), now, nil
+}
+
+// listing returns the content as the service would list it.
+func (c *content) listing() platform.Listing {
+	entries := slices.SortedFunc(maps.Values(c.entries), func(a, b platform.Entry) int { return cmp.Compare(a.Key, b.Key) })
+	return platform.Listing{Revision: c.revision, Entries: entries}
+}
+
+// message returns the content of prefix as it is sent and saved. It must not be changed.
+func (c *content) message(prefix string) *snapshotcachepb.Copy {
+	if c.encoded != nil {
+		return c.encoded
+	}
+	listing := c.listing()
+	message := &snapshotcachepb.Copy{Prefix: prefix, Revision: c.revision, TakenUnixMicros: c.takenAt.UnixMicro()}
+	for _, entry := range listing.Entries {
+		message.Entries = append(message.Entries, &snapshotcachepb.Entry{
+			Key: entry.Key, Value: entry.Value, CreateRevision: entry.CreateRevision, ModRevision: entry.ModRevision,
+		})
+	}
+	c.encoded = message
+	return message
+}
+
+// decode reads a copy; sound is false where it cannot be the content of its prefix at its revision.
+func decode(message *snapshotcachepb.Copy) (listing platform.Listing, takenAt time.Time, sound bool) {
+	listing.Revision = message.GetRevision()
+	for _, entry := range message.GetEntries() {
+		if !strings.HasPrefix(entry.GetKey(), message.GetPrefix()) || entry.GetModRevision() > message.GetRevision() {
+			return platform.Listing{}, time.Time{}, false
+		}
+		listing.Entries = append(listing.Entries, platform.Entry{
+			Key: entry.GetKey(), Value: entry.GetValue(), CreateRevision: entry.GetCreateRevision(), ModRevision: entry.GetModRevision(),
+		})
+	}
+	return listing, time.UnixMicro(message.GetTakenUnixMicros()), listing.Revision > 0
+}
--- /dev/null
+++ b/internal/snapshotcache/harness_test.go
@@ -0,0 +1,300 @@
+package snapshotcache
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/transport"
+	"github.com/sloelift/sloelift/internal/transport/memory"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// prefix is what the nodes follow.
+const prefix = "k/"
+
+// service is a key-value service that can be silent or slow.
+type service struct {
+	platform.KeyValue
+	mutex    sync.Mutex
+	entries  map[string]platform.Entry
+	revision int64
+	silent   bool
+	delay    time.Duration
+	lists    int
+	watches  []*serviceWatch
+}
+
+type serviceWatch struct {
+	ctx    context.Context
+	events chan platform.WatchEvent
+}
+
+func newService(revision int64) *service {
+	return &service{entries: map[string]platform.Entry{}, revision: revision}
+}
+
+func (s *service) List(ctx context.Context, below string) (platform.Listing, error) {
+	s.mutex.Lock()
+	s.lists++
+	silent, delay := s.silent, s.delay
+	s.mutex.Unlock()
+	if silent {
+		<-ctx.Done()
+		return platform.Listing{}, platform.KindUnavailable.New("silent")
+	}
+	time.Sleep(delay)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	listing := platform.Listing{Revision: s.revision}
+	for key, entry := range s.entries {
+		if strings.HasPrefix(key, below) {
+			listing.Entries = append(listing.Entries, entry)
+		}
+	}
+	return listing, nil
+}
+
+func (s *service) Watch(ctx context.Context, _ string, _ int64) (<-chan platform.WatchEvent, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	watch := &serviceWatch{ctx: ctx, events: make(chan platform.WatchEvent, 16)}
+	s.watches = append(s.watches, watch)
+	context.AfterFunc(ctx, func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.watches = slices.DeleteFunc(s.watches, func(other *serviceWatch) bool { return other == watch })
+		close(watch.events)
+	})
+	return watch.events, nil
+}
+
+func (s *service) put(key, value string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	entry := platform.Entry{Key: key, Value: []byte(value), CreateRevision: s.revision, ModRevision: s.revision}
+	s.entries[key] = entry
+	for _, watch := range s.watches {
+		watch.events <- platform.WatchEvent{Revision: s.revision, Changed: []platform.Entry{entry}, More: true}
+	}
+}
+
+func (s *service) set(change func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change()
+}
+
+func (s *service) listed() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lists
+}
+
+// cluster is some nodes on one network.
+type cluster struct {
+	t       *testing.T
+	network *memory.Network
+	nodes   []*node
+	// fetches counts what nodes ask each other.
+	mutex   sync.Mutex
+	fetches int
+}
+
+func newCluster(t *testing.T) *cluster { return &cluster{t: t, network: memory.NewNetwork(1)} }
+
+// node is one process with a Cache whose prefix is followed.
+type node struct {
+	cluster   *cluster
+	cache     *Cache
+	transport *memory.Transport
+	address   netip.AddrPort
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+	mutex     sync.Mutex
+	view      membership.View
+	// copies are the revisions of the copies taken, listings those of the service's listings, in their order.
+	copies   []int64
+	listings []int64
+	joined   []netip.AddrPort
+	unheard  bool
+	// held is the content that the node goes by.
+	held map[string]string
+}
+
+// nodeOptions say what a node knows at its start.
+type nodeOptions struct {
+	store   platform.KeyValue
+	folder  string
+	seeds   []netip.AddrPort
+	members []membership.Member
+}
+
+func addressOf(number int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(number >> 8), byte(number)}), 7720)
+}
+
+func memberOf(number int, store bool) membership.Member {
+	return membership.Member{ID: membership.NodeID(fmt.Sprintf("n%03d", number)), PeerAddress: addressOf(number), Store: store}
+}
+
+func (n *node) View() *membership.View {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	view := n.view
+	return &view
+}
+
+func (n *node) Subscribe(func(*membership.View)) func() { return func() {} }
+
+// countingCaller counts calls.
+type countingCaller struct {
+	*memory.Transport
+	cluster *cluster
+}
+
+func (c countingCaller) Call(ctx context.Context, to netip.AddrPort, method transport.Method, request, response proto.Message) error {
+	c.cluster.mutex.Lock()
+	c.cluster.fetches++
+	c.cluster.mutex.Unlock()
+	return c.Transport.Call(ctx, to, method, request, response)
+}
+
+func (c *cluster) asked() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.fetches
+}
+
+// start starts node number; it follows prefix as discovery does.
+func (c *cluster) start(number int, options nodeOptions) *node {
+	c.t.Helper()
+	access, err := memory.NewTransport(c.network, addressOf(number), prometheus.NewRegistry())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	started := &node{cluster: c, transport: access, address: addressOf(number), held: map[string]string{}}
+	self := memberOf(number, options.folder != "")
+	started.view = membership.View{Self: self.ID, Members: append([]membership.Member{self}, options.members...)}
+	started.cache, err = New(Options{
+		Store: options.store, Caller: countingCaller{access, c}, Registrar: access, Viewer: started,
+		Join: func(address netip.AddrPort) {
+			started.mutex.Lock()
+			defer started.mutex.Unlock()
+			started.joined = append(started.joined, address)
+		},
+		Unanswered: func() bool {
+			started.mutex.Lock()
+			defer started.mutex.Unlock()
+			return started.unheard
+		},
+		Seeds: options.seeds, DataFolder: options.folder, RandomSeed: uint64(number), Registerer: prometheus.NewRegistry(), Logger: zerolog.Nop(),
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	started.cache.Supply(prefix, started.takeCopy)
+	access.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	started.cancel = cancel
+	started.running.Go(func() {
+		platform.Follow(ctx, started.cache, prefix, platform.Follower{Replace: started.takeListing, Update: started.takeChange, Failed: func(error) {}})
+	})
+	started.cache.Start()
+	c.nodes = append(c.nodes, started)
+	return started
+}
+
+func (n *node) replace(entries []platform.Entry) {
+	clear(n.held)
+	for _, entry := range entries {
+		n.held[entry.Key] = string(entry.Value)
+	}
+}
+
+func (n *node) takeCopy(copied platform.Listing) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.copies = append(n.copies, copied.Revision)
+	n.replace(copied.Entries)
+}
+
+func (n *node) takeListing(listing platform.Listing) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.listings = append(n.listings, listing.Revision)
+	n.replace(listing.Entries)
+}
+
+func (n *node) takeChange(_ int64, changed []platform.Entry, _ []string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, entry := range changed {
+		n.held[entry.Key] = string(entry.Value)
+	}
+}
+
+// stop ends a node as a loss of power does for the others.
+func (n *node) stop() {
+	n.cancel()
+	n.cache.Stop()
+	n.running.Wait()
+	n.transport.Stop()
+}
+
+func (c *cluster) stop() {
+	for _, each := range c.nodes {
+		each.stop()
+	}
+	c.nodes = nil
+	synctest.Wait()
+}
+
+// state returns what a node has taken so far.
+func (n *node) state() (copies, listings []int64, held map[string]string) {
+	synctest.Wait()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	held = map[string]string{}
+	for key, value := range n.held {
+		held[key] = value
+	}
+	return slices.Clone(n.copies), slices.Clone(n.listings), held
+}
+
+// wantCopies checks which copies a node has taken.
+func (n *node) wantCopies(want ...int64) {
+	n.cluster.t.Helper()
+	if copies, _, _ := n.state(); !slices.Equal(copies, want) {
+		n.cluster.t.Errorf("copies taken: %v, want %v", copies, want)
+	}
+}
+
+// serviceAt is an answering service at revision with one key that names it.
+func serviceAt(revision int64) *service {
+	at := newService(revision - 1)
+	at.put(prefix+"a", fmt.Sprint("revision ", revision))
+	return at
+}
+
+// silentService answers nothing.
+func silentService() *service {
+	silent := newService(0)
+	silent.silent = true
+	return silent
+}
--- /dev/null
+++ b/internal/snapshotcache/offers.go
@@ -0,0 +1,96 @@
+package snapshotcache
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	snapshotcachepb "github.com/sloelift/sloelift/api/proto/snapshotcache"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/pause"
+)
+
+const (
+	// offerInterval is how often copies are offered while the service does not answer. A node that starts without a disk and knows nobody
+	// waits this long at most; each node gets offerers messages of a few bytes in that time.
+	offerInterval = 200 * time.Millisecond
+	// offerers is how many nodes offer to each one, so that two of them may be lost.
+	offerers = 3
+	// rememberFor is how long after a start the nodes count that the file named: this node may not have found them again before, also where
+	// the service answers.
+	rememberFor = time.Minute
+)
+
+func compare(a, b string) int { return cmp.Compare(a, b) }
+
+// offerCopies offers copies to this node's share of the others while the service does not answer, until ctx ends.
+func (c *Cache) offerCopies(ctx context.Context) {
+	if !pause.Sleep(ctx, listingPatience) {
+		return
+	}
+	c.offer()
+	pause.Every(ctx, offerInterval, func(time.Time) { c.offer() })
+}
+
+// offer offers copies once, where there are some and the service does not answer.
+func (c *Cache) offer() {
+	if c.listedAll() && !c.options.Unanswered() {
+		return
+	}
+	c.mutex.Lock()
+	missing := c.missing()
+	c.mutex.Unlock()
+	if missing {
+		return
+	}
+	for _, address := range offerTo(c.options.Viewer.View().Self, c.machines()) {
+		// A message that is lost is sent again in the next interval.
+		_ = c.options.Caller.Send(address, methodOffer, &snapshotcachepb.Offer{})
+	}
+}
+
+// machines returns the nodes that are known, by ID: the members, and for a while after the start those that the file named.
+func (c *Cache) machines() []machine {
+	known := map[membership.NodeID]machine{}
+	if time.Since(c.started) < rememberFor {
+		c.mutex.Lock()
+		for _, named := range c.remembered {
+			known[named.id] = named
+		}
+		c.mutex.Unlock()
+	}
+	for _, member := range c.options.Viewer.View().Members {
+		if member.State != membership.Dead {
+			known[member.ID] = machine{id: member.ID, address: member.PeerAddress, store: member.Store}
+		}
+	}
+	return slices.SortedFunc(maps.Values(known), func(a, b machine) int { return cmp.Compare(a.id, b.id) })
+}
+
+// offerTo returns the nodes to which self offers: those of whose offerers, the first of the nodes with a data folder by a digest of both
+// names, it is one.
+func offerTo(self membership.NodeID, machines []machine) (addresses []netip.AddrPort) {
+	own := func(target machine) uint64 { return affinity(self, target.id) }
+	for _, target := range machines {
+		before := 0
+		for _, other := range machines {
+			if other.store && other.id != self && other.id != target.id && affinity(other.id, target.id) > own(target) {
+				before++
+			}
+		}
+		if target.id != self && before < offerers {
+			addresses = append(addresses, target.address)
+		}
+	}
+	return addresses
+}
+
+// affinity ranks the nodes that may offer to target.
+func affinity(offerer, target membership.NodeID) uint64 {
+	return xxhash.Sum64String(string(offerer) + "\x00" + string(target))
+}
