--- a/internal/snapshotcache/harness_test.go
+++ b/internal/snapshotcache/harness_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
 
+	snapshotcachepb "github.com/sloelift/sloelift/api/proto/snapshotcache"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/transport"
@@ -285,6 +286,15 @@
 	}
 }
 
+// wantServed checks which revision a node hands to one that knows nothing.
+func (n *node) wantServed(want int64) {
+	n.cluster.t.Helper()
+	response := n.cache.newer(&snapshotcachepb.FetchRequest{Known: []*snapshotcachepb.Known{{Prefix: prefix}}})
+	if len(response.Copies) != 1 || response.Copies[0].Revision != want {
+		n.cluster.t.Errorf("hands out %v, want revision %d", response.Copies, want)
+	}
+}
+
 // serviceAt is an answering service at revision with one key that names it.
 func serviceAt(revision int64) *service {
 	at := newService(revision - 1)
