--- /dev/null
+++ b/internal/discovery/copied_keys_test.go
@@ -0,0 +1,69 @@
+package discovery
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/route"
+	"github.com/sloelift/sloelift/internal/tenant"
+)
+
+// keyedTranslator reads values that are a version and, behind a blank each, the keys that it allows.
+type keyedTranslator struct{ plainTranslator }
+
+func (t keyedTranslator) Table(value []byte) (*route.Table, error) {
+	version, keys, _ := strings.Cut(string(value), " ")
+	table, err := t.plainTranslator.Table([]byte(version))
+	if err == nil {
+		table.Tenants = tenant.NewDirectory([]tenant.Declaration{{Tenant: tenant.Tenant{Name: "office"}, APIKeys: strings.Fields(keys)}})
+	}
+	return table, err
+}
+
+// TestRevokedKeyOfACopy: a key that a copy still has is taken until a newer configuration, of another copy or of the store, revokes it; an
+// older copy that comes late does not bring it back.
+func TestRevokedKeyOfACopy(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		revoke func(store *scriptedStore, copies suppliedCopies)
+	}{
+		{"by a newer copy", func(_ *scriptedStore, copies suppliedCopies) { copies["config"](copyOf(2, "config", "4 kept")) }},
+		{"by the store", func(store *scriptedStore, _ suppliedCopies) {
+			store.put("config", "4 kept")
+			store.set(func() { store.down = false })
+			time.Sleep(2 * time.Second)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, copies := newScriptedStore(), suppliedCopies{}
+				store.down = true
+				routes := route.NewHolder()
+				service := New(Options{
+					Store: store, Translator: keyedTranslator{}, Routes: routes, Directory: replica.NewDirectory(), Viewer: &fixedViewer{},
+					Reporter: &reportedRevisions{}, Copies: copies, Logger: zerolog.Nop(),
+				})
+				service.Start()
+				allowed := func(key string) bool {
+					_, allowed := routes.Table().Authenticate(&route.Route{}, key)
+					return allowed
+				}
+				copies["config"](copyOf(1, "config", "3 kept revoked"))
+				if !allowed("kept") || !allowed("revoked") {
+					t.Error("keys of the copy are refused")
+				}
+				test.revoke(store, copies)
+				copies["config"](copyOf(1, "config", "3 kept revoked"))
+				if !allowed("kept") || allowed("revoked") {
+					t.Error("the newer configuration does not hold")
+				}
+				service.Stop()
+			})
+		})
+	}
+}
