--- a/internal/snapshotcache/harness_test.go
+++ b/internal/snapshotcache/harness_test.go
@@ -8,7 +8,6 @@
 	"sync"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
