--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -33,6 +33,11 @@
 	Update(revision int64, changed []platform.Entry, deleted []string)
 }
 
+// CopyFollower is an OperatorFollower that also takes what operators wrote some time ago, while the store cannot be asked.
+type CopyFollower interface {
+	ReplaceByCopy(copied platform.Listing)
+}
+
 // Service follows what operators write, the configuration among it, and the replicas.
 type Service struct {
 	store      platform.KeyValue
@@ -45,7 +50,9 @@
 	// operators and replicas compare the two prefixes with what other nodes know.
 	operators *revisions
 	replicas  *revisions
-	logger    zerolog.Logger
+	// replicasByCopy says that the directory holds a copy; copies end before the store's first listing is taken.
+	replicasByCopy bool
+	logger         zerolog.Logger
 
 	cancel      context.CancelFunc
 	unsubscribe func()
@@ -58,6 +65,11 @@
 	SetReplicasRevision(revision int64)
 }
 
+// Copies supplies copies of what lies below a prefix, each newer than the one before, until the prefix is listed.
+type Copies interface {
+	Supply(prefix string, take func(copied platform.Listing))
+}
+
 // Options of a Service.
 type Options struct {
 	Store      platform.KeyValue
@@ -67,20 +79,27 @@
 	// Viewer and Reporter let nodes tell each other which changes they know.
 	Viewer   membership.Viewer
 	Reporter RevisionReporter
-	Logger   zerolog.Logger
+	// Copies supplies what was known some time ago while the store does not answer; nil where nothing does.
+	Copies Copies
+	Logger zerolog.Logger
 }
 
 // New returns a Service; nothing runs before Start.
 func New(options Options) *Service {
 	logger := options.Logger.With().Str(logging.FieldSlice, "discovery").Logger()
 	follows := func(prefix string) zerolog.Logger { return logger.With().Str(logging.FieldPrefix, prefix).Logger() }
-	return &Service{
+	service := &Service{
 		store: options.Store, translator: options.Translator, routes: options.Routes, directory: options.Directory,
 		viewer:    options.Viewer,
 		operators: newRevisions(options.Reporter.SetConfigRevision, follows(options.Translator.OperatorPrefix())),
 		replicas:  newRevisions(options.Reporter.SetReplicasRevision, follows(options.Translator.ReplicaPrefix())),
 		logger:    logger,
 	}
+	if options.Copies != nil {
+		options.Copies.Supply(options.Translator.OperatorPrefix(), service.takeCopiedOperators)
+		options.Copies.Supply(options.Translator.ReplicaPrefix(), service.takeCopiedReplicas)
+	}
+	return service
 }
 
 // FollowOperators has follower take in what operators write. It is called before Start.
@@ -162,34 +181,27 @@
 	}
 }
 
+// takeConfiguration takes what the store says.
 func (s *Service) takeConfiguration(entries []platform.Entry) {
 	for _, entry := range entries {
-		if entry.Key != s.translator.ConfigurationKey() {
-			continue
-		}
-		table, err := s.translator.Table(entry.Value)
-		if err != nil {
-			s.logger.Error().Err(err).Msg("configuration_not_read")
-			continue
-		}
-		if s.routes.Offer(table) {
-			s.logger.Info().Int64("version", table.Version).Int64(logging.FieldRevision, entry.ModRevision).
-				Int("routes", len(table.Routes)).Msg("configuration_in_force")
-		}
+		s.offerConfiguration(entry)
 	}
 }
 
-func (s *Service) replaceReplicas(listing platform.Listing) {
-	replicas, news := s.read(listing.Entries)
-	if gone := s.directory.Replace(replicas); gone > 0 {
-		// When they went is not known.
-		news = listing.Revision
+// offerConfiguration puts the configuration of an entry in force, unless its version or a higher one is.
+func (s *Service) offerConfiguration(entry platform.Entry) {
+	if entry.Key != s.translator.ConfigurationKey() {
+		return
+	}
+	table, err := s.translator.Table(entry.Value)
+	if err != nil {
+		s.logger.Error().Err(err).Msg("configuration_not_read")
+		return
 	}
-	if news > 0 {
-		s.replicas.tookChange(news)
+	if s.routes.Offer(table) {
+		s.logger.Info().Int64("version", table.Version).Int64(logging.FieldRevision, entry.ModRevision).
+			Int("routes", len(table.Routes)).Msg("configuration_in_force")
 	}
-	s.replicas.saw(listing.Revision)
-	s.logger.Info().Int("replicas", len(replicas)).Int64(logging.FieldRevision, listing.Revision).Msg("replicas_listed")
 }
 
 func (s *Service) updateReplicas(revision int64, changed []platform.Entry, deleted []string) {
--- a/internal/evacuation/register.go
+++ b/internal/evacuation/register.go
@@ -77,6 +77,10 @@
 	r.put(listed)
 }
 
+// ReplaceByCopy takes in what was below the operators' prefix some time ago, for a process that starts while the key-value service is away. A
+// zone that was taken back since is used again with the service's first listing.
+func (r *Register) ReplaceByCopy(copied platform.Listing) { r.Replace(copied) }
+
 // Update takes in the changes up to revision; both lists may be empty.
 func (r *Register) Update(revision int64, changed []platform.Entry, deleted []string) {
 	r.mutex.Lock()
