--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
@@ -26,6 +27,9 @@
 	// ZoneWeight scales what another zone costs; zero stands for 1.
 	ZoneWeight float64
 
+	// Homes are the regions in which a replica may get the request.
+	Homes region.Set
+
 	// apart holds the replicas that take long prompts.
 	apart map[*replica.Handle]bool
 }
@@ -39,6 +43,7 @@
 // Picker chooses replicas. It is safe for concurrent use.
 type Picker struct {
 	directory *replica.Directory
+	topology  region.Topology
 	required  []Filter
 	preferred []Filter
 	scorers   []Scorer
@@ -49,19 +54,22 @@
 // scoreNoise spreads the choices of processes that know the same.
 const scoreNoise = 0.04
 
-// NewPicker returns the picker of online requests. random returns numbers from 0 to 1; nil is the default source.
-func NewPicker(directory *replica.Directory, random func() float64) *Picker {
+// NewPicker returns the picker of online requests in zones that lie as topology says. random returns numbers from 0 to 1; nil is the default source.
+func NewPicker(directory *replica.Directory, topology region.Topology, random func() float64) *Picker {
 	if random == nil {
 		random = rand.Float64
 	}
-	return &Picker{
+	picker := &Picker{
 		directory: directory,
+		topology:  topology,
 		required:  []Filter{notExcluded, usable, underOccupancy},
 		preferred: []Filter{notAvoided},
 		scorers:   []Scorer{occupancyScore, zoneScore, partScore, failureScore, prefillScore, readingScore},
 		random:    random,
 		mix:       newPromptMix(),
 	}
+	picker.required = append(picker.required, picker.inHomes)
+	return picker
 }
 
 // Pick returns the best replica for request; nil where none can take it.
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
@@ -48,7 +49,7 @@
 			if test.prepare != nil {
 				test.prepare(directory.View())
 			}
-			picked := NewPicker(directory, func() float64 { return 0 }).Pick(&test.request, now)
+			picked := NewPicker(directory, region.Topology{}, func() float64 { return 0 }).Pick(&test.request, now)
 			got := ""
 			if picked != nil {
 				got = picked.Info().ID
@@ -65,7 +66,7 @@
 	near := *directory.View().Find("near").Info()
 	near.Draining = true
 	directory.Update([]replica.Info{near}, []string{"far"})
-	if picked := NewPicker(directory, nil).Pick(&Request{Service: "s", Zone: "z1"}, time.Now()); picked != nil {
+	if picked := NewPicker(directory, region.Topology{}, nil).Pick(&Request{Service: "s", Zone: "z1"}, time.Now()); picked != nil {
 		t.Errorf("picked %s, want none", picked.Info().ID)
 	}
 }
--- a/internal/balance/sample_test.go
+++ b/internal/balance/sample_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
@@ -22,7 +23,7 @@
 	}
 	emptiest := directory.View().Find("a")
 	emptiest.SetOthers(replica.Use{Requests: 2}, now)
-	picker := NewPicker(directory, nil)
+	picker := NewPicker(directory, region.Topology{}, nil)
 	met := 0
 	for range choices {
 		if picker.Pick(&Request{Service: "s", Zone: "z"}, now) == emptiest {
--- a/internal/balance/scorers_test.go
+++ b/internal/balance/scorers_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
@@ -27,7 +28,7 @@
 			directory.Replace([]replica.Info{{ID: "near", Service: "s", Zone: "z1", Slots: 5}, {ID: "far", Service: "s", Zone: "z2", Slots: 5}})
 			directory.View().Find("near").SetOthers(replica.Use{Requests: test.near}, now)
 			directory.View().Find("far").SetOthers(replica.Use{Requests: test.far}, now)
-			picked := NewPicker(directory, func() float64 { return 0 }).Pick(&Request{Service: "s", Zone: "z1"}, now)
+			picked := NewPicker(directory, region.Topology{}, func() float64 { return 0 }).Pick(&Request{Service: "s", Zone: "z1"}, now)
 			if picked.Info().ID != test.want {
 				t.Errorf("picked %s, want %s", picked.Info().ID, test.want)
 			}
@@ -42,7 +43,7 @@
 	directory.Replace([]replica.Info{{ID: "busy", Service: "s", Zone: "z1", Slots: 5}, {ID: "free", Service: "s", Zone: "z1", Slots: 5}})
 	directory.View().Find("busy").SetOthers(replica.Use{Requests: 1, Reading: 4 * longPromptTokens}, now)
 	directory.View().Find("free").SetOthers(replica.Use{Requests: 3}, now)
-	picker := NewPicker(directory, func() float64 { return 0 })
+	picker := NewPicker(directory, region.Topology{}, func() float64 { return 0 })
 	if picked := picker.Pick(&Request{Service: "s", Zone: "z1", Tokens: 600}, now); picked.Info().ID != "free" {
 		t.Errorf("picked %s, want the replica that reads no prompt", picked.Info().ID)
 	}
--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -15,6 +15,7 @@
 	"github.com/sloelift/sloelift/internal/balance"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
 	"github.com/sloelift/sloelift/internal/route"
@@ -118,7 +119,7 @@
 	directory.Replace(infos)
 	routes := route.NewHolder()
 	routes.Offer(testTable(1, true))
-	picker := balance.NewPicker(directory, func() float64 { return 0 })
+	picker := balance.NewPicker(directory, region.Topology{}, func() float64 { return 0 })
 	client := replica.NewClient(network, replicatest.Headers)
 	options := Options{Zone: "z", MaxBytes: 1 << 20, KeepResults: time.Minute, Report: replica.LoadReport{
 		Path: "/load", Parse: func([]byte) (replica.Load, error) { return replica.Load{}, nil },
--- a/internal/edge/gone_fake_test.go
+++ b/internal/edge/gone_fake_test.go
@@ -21,6 +21,7 @@
 	"github.com/sloelift/sloelift/internal/loadshare"
 	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/quota"
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
 	"github.com/sloelift/sloelift/internal/route"
@@ -179,7 +180,7 @@
 		t.Fatal(err)
 	}
 	options := forward.Options{
-		Routes: test.routes, Directory: directory, Picker: balance.NewPicker(directory, nil), Client: replica.NewClient(test.via, replicatest.Headers),
+		Routes: test.routes, Directory: directory, Picker: balance.NewPicker(directory, region.Topology{}, nil), Client: replica.NewClient(test.via, replicatest.Headers),
 		Logger: zerolog.New(test), Metrics: metrics,
 	}
 	test.routes.Offer(goneTable(1))
--- a/internal/edge/server_test.go
+++ b/internal/edge/server_test.go
@@ -16,6 +16,7 @@
 	"github.com/sloelift/sloelift/internal/balance"
 	"github.com/sloelift/sloelift/internal/forward"
 	"github.com/sloelift/sloelift/internal/network/networktest"
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
 	"github.com/sloelift/sloelift/internal/route"
@@ -69,7 +70,7 @@
 		t.Fatal(err)
 	}
 	handler := forward.NewHandler(forward.Options{
-		Routes: routes, Directory: directory, Picker: balance.NewPicker(directory, nil), Client: replica.NewClient(network, replicatest.Headers),
+		Routes: routes, Directory: directory, Picker: balance.NewPicker(directory, region.Topology{}, nil), Client: replica.NewClient(network, replicatest.Headers),
 		Logger: zerolog.Nop(), Metrics: metrics,
 	})
 	server := NewServer(Options{
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sloelift/sloelift/internal/balance"
 	"github.com/sloelift/sloelift/internal/network/networktest"
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
 	"github.com/sloelift/sloelift/internal/route"
@@ -52,7 +53,7 @@
 		t.Fatal(err)
 	}
 	handler := NewHandler(Options{
-		Routes: routes, Directory: directory, Picker: balance.NewPicker(directory, func() float64 { return 0 }), Client: replica.NewClient(silencer, replicatest.Headers),
+		Routes: routes, Directory: directory, Picker: balance.NewPicker(directory, region.Topology{}, func() float64 { return 0 }), Client: replica.NewClient(silencer, replicatest.Headers),
 		Zone: "near", Logger: zerolog.Nop(), Metrics: metrics,
 	})
 	return &edgeUnderTest{Handler: handler, replicas: fake, silencer: silencer, directory: directory, routes: routes}
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -273,8 +273,8 @@
 	return func(ledger.PartitionID) ledger.StateMachine { panic("an edge owns no partition") }
 }
 
-func newPicker(directory *replica.Directory) *balance.Picker {
-	return balance.NewPicker(directory, nil)
+func newPicker(own settings.Settings, directory *replica.Directory) *balance.Picker {
+	return balance.NewPicker(directory, own.Topology(), nil)
 }
 
 func newForwardHandler(own settings.Settings, routes *route.Holder, directory *replica.Directory, picker *balance.Picker, client *replica.Client, gate *forward.Gate, limits *quota.Service, shared *loadshare.Service, calls BatchCalls, logger zerolog.Logger, metrics *forward.Metrics) *forward.Handler {
