--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -87,6 +87,10 @@
 	if e.handler.refresh != nil {
 		e.handler.refresh(ctx)
 	}
+	if !e.servedAtHome(time.Now()) {
+		e.conclude(ctx, notRun, e.noReplica())
+		return
+	}
 	leave := e.waitForRoom(ctx)
 	defer leave()
 	if ctx.Err() != nil {
@@ -97,7 +101,7 @@
 	for {
 		handle := e.pickReady(ctx)
 		if handle == nil {
-			e.conclude(ctx, last, "no_replica")
+			e.conclude(ctx, last, e.noReplica())
 			return
 		}
 		e.tried = append(e.tried, handle)
@@ -130,7 +134,7 @@
 	if e.handler.gate == nil {
 		return func() {}
 	}
-	request := held{service: e.service, priority: e.priority(), deadline: e.deadline}
+	request := held{service: e.service, priority: e.priority(), deadline: e.deadline, passes: e.passesGate()}
 	if e.route.Objective > 0 {
 		expected := e.handler.expectations.of(e.route)
 		wait := e.deadline.Sub(e.arrived)
@@ -173,7 +177,7 @@
 // pick chooses the next replica.
 func (e *exchange) pick(excluded []*replica.Handle) *replica.Handle {
 	wanted := balance.Request{
-		Service: e.nextService(), Zone: e.handler.zone, BodyBytes: len(e.body), Excluded: excluded,
+		Service: e.nextService(), Zone: e.handler.zone, BodyBytes: len(e.body), Excluded: excluded, Homes: e.homes(),
 	}
 	if e.route.Affinity {
 		parts := ParsePromptParts(e.request.Header.Get(e.handler.headers.PromptParts))
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -19,7 +19,7 @@
 	"github.com/sloelift/sloelift/internal/route"
 )
 
-// edgeUnderTest is a handler before two replicas, of which "a" is always preferred.
+// edgeUnderTest is a handler before two replicas, of which "a" is always preferred; "a" lies in the region north, "b" in south.
 type edgeUnderTest struct {
 	*Handler
 	replicas  *replicatest.Network
@@ -53,7 +53,7 @@
 		t.Fatal(err)
 	}
 	handler := NewHandler(Options{
-		Routes: routes, Directory: directory, Picker: balance.NewPicker(directory, region.Topology{}, func() float64 { return 0 }), Client: replica.NewClient(silencer, replicatest.Headers),
+		Routes: routes, Directory: directory, Picker: balance.NewPicker(directory, region.NewTopology(map[string]string{"near": "north", "far": "south"}), func() float64 { return 0 }), Client: replica.NewClient(silencer, replicatest.Headers),
 		Zone: "near", Logger: zerolog.Nop(), Metrics: metrics,
 	})
 	return &edgeUnderTest{Handler: handler, replicas: fake, silencer: silencer, directory: directory, routes: routes}
--- a/internal/forward/gate.go
+++ b/internal/forward/gate.go
@@ -38,6 +38,8 @@
 	// sendBy is the latest time at which the request can be sent and be in time; zero is no such time.
 	sendBy   time.Time
 	deadline time.Time
+	// passes, where it is set, lets the request through as soon as it says so.
+	passes func(now time.Time) bool
 }
 
 // waiter is a request that is held back.
@@ -186,11 +188,16 @@
 	})
 }
 
-// releaseOverdue lets through those that were held as long as they may be.
+// due says that the request goes on whatever the gate allows.
+func (w *waiter) due(now time.Time) bool {
+	return !now.Before(w.releaseAt) || (w.passes != nil && w.passes(now))
+}
+
+// releaseOverdue lets through those that were held as long as they may be, or need not be held.
 func (s *serviceGate) releaseOverdue(now time.Time) {
 	kept := s.waiting[:0]
 	for _, each := range s.waiting {
-		if now.Before(each.releaseAt) {
+		if !each.due(now) {
 			kept = append(kept, each)
 			continue
 		}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -12,6 +12,7 @@
 	first    *prometheus.HistogramVec
 	duration *prometheus.HistogramVec
 	held     *prometheus.HistogramVec
+	homeless *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -30,7 +31,10 @@
 			Name: "sloelift_forward_held_seconds", Help: "Time that requests were held back until replicas had room.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 10),
 		}, []string{"route"}),
 	}
-	for _, collector := range []prometheus.Collector{metrics.outcomes, metrics.first, metrics.duration, metrics.held} {
+	metrics.homeless = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sloelift_forward_no_replica_in_homes_total", Help: "Requests that no replica in their allowed regions could take.",
+	}, []string{"route"})
+	for _, collector := range []prometheus.Collector{metrics.outcomes, metrics.first, metrics.duration, metrics.held, metrics.homeless} {
 		if err := registerer.Register(collector); err != nil {
 			return nil, err
 		}
@@ -40,6 +44,9 @@
 
 func (m *Metrics) outcome(route, outcome string) { m.outcomes.WithLabelValues(route, outcome).Inc() }
 
+// outsideHomes counts a request that no replica in its homes can take.
+func (m *Metrics) outsideHomes(route string) { m.homeless.WithLabelValues(route).Inc() }
+
 func (m *Metrics) firstEvent(route string, after time.Duration) {
 	m.first.WithLabelValues(route).Observe(after.Seconds())
 }
--- a/internal/region/set.go
+++ b/internal/region/set.go
@@ -30,6 +30,11 @@
 // Names returns the allowed regions in order; nil where all are.
 func (s Set) Names() []string { return slices.Clone(s.names) }
 
+// Equal says that both sets allow the same.
+func (s Set) Equal(other Set) bool {
+	return s.limited == other.limited && slices.Equal(s.names, other.names)
+}
+
 // Intersect returns what both sets allow, which may be no region at all.
 func (s Set) Intersect(other Set) Set {
 	if !s.limited {
--- /dev/null
+++ b/internal/route/homes.go
@@ -0,0 +1,61 @@
+package route
+
+import (
+	"github.com/sloelift/sloelift/internal/region"
+	"github.com/sloelift/sloelift/internal/tenant"
+)
+
+// Homes returns the regions in which requests of holder on matched may be served, cached and stored: both bind. holder is nil where there
+// is no tenant.
+func Homes(matched *Route, holder *tenant.Tenant) region.Set {
+	if holder == nil {
+		return matched.Regions
+	}
+	return matched.Regions.Intersect(holder.Regions)
+}
+
+// HomesOf returns the same for a tenant's name, which is empty where there is none. A tenant that is no longer declared confines nothing.
+func (t *Table) HomesOf(matched *Route, tenantName string) region.Set {
+	if t.Tenants == nil || tenantName == "" {
+		return matched.Regions
+	}
+	return Homes(matched, t.Tenants.ByName(tenantName))
+}
+
+// Home is a host of batch jobs whose data is confined to regions.
+type Home struct {
+	Host    string
+	Regions region.Set
+}
+
+// BatchHomes returns the confined homes of all batch routes with and without each tenant, each once; none where the table confines nothing.
+func (t *Table) BatchHomes() []Home {
+	var found []Home
+	for _, each := range t.Routes {
+		if each.Kind != Batch {
+			continue
+		}
+		found = appendHome(found, each, nil)
+		if t.Tenants == nil {
+			continue
+		}
+		for holder := range t.Tenants.All() {
+			found = appendHome(found, each, holder)
+		}
+	}
+	return found
+}
+
+// appendHome adds the home of a route and a tenant where it is confined to regions, and new.
+func appendHome(found []Home, matched *Route, holder *tenant.Tenant) []Home {
+	regions := Homes(matched, holder)
+	if !regions.Limited() || len(regions.Names()) == 0 {
+		return found
+	}
+	for _, each := range found {
+		if each.Host == matched.Host && each.Regions.Equal(regions) {
+			return found
+		}
+	}
+	return append(found, Home{Host: matched.Host, Regions: regions})
+}
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -2,6 +2,8 @@
 
 import (
 	"crypto/sha256"
+	"iter"
+	"maps"
 
 	"github.com/sloelift/sloelift/internal/region"
 )
@@ -38,13 +40,15 @@
 
 // Directory finds tenants by their API keys, in constant time.
 type Directory struct {
-	byKey map[digest]*Tenant
+	byKey  map[digest]*Tenant
+	byName map[string]*Tenant
 }
 
 // NewDirectory indexes the declared tenants. A key that two of them declare belongs to the first.
 func NewDirectory(declared []Declaration) *Directory {
-	directory := &Directory{byKey: map[digest]*Tenant{}}
+	directory := &Directory{byKey: map[digest]*Tenant{}, byName: map[string]*Tenant{}}
 	for index := range declared {
+		directory.byName[declared[index].Name] = &declared[index].Tenant
 		for _, key := range declared[index].APIKeys {
 			hashed := digest(sha256.Sum256([]byte(key)))
 			if _, taken := directory.byKey[hashed]; !taken {
@@ -62,3 +66,9 @@
 	}
 	return d.byKey[digest(sha256.Sum256([]byte(key)))]
 }
+
+// ByName returns the tenant of that name; nil where none is declared.
+func (d *Directory) ByName(name string) *Tenant { return d.byName[name] }
+
+// All returns every tenant once, in no order.
+func (d *Directory) All() iter.Seq[*Tenant] { return maps.Values(d.byName) }
