--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -7,6 +7,7 @@
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	"github.com/sloelift/sloelift/internal/balance"
 	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
 )
@@ -83,6 +84,7 @@
 	for {
 		waiting := p.dispatch()
 		p.checkOwnership()
+		p.checkHomes()
 		if now := p.elapsed(); now-reported >= reportInterval {
 			reported = now
 			p.report()
@@ -127,20 +129,20 @@
 	return true
 }
 
-// dispatchAll sends what there is room for; once a route's replicas have none, its further items are passed over.
+// dispatchAll sends what there is room for; once a route's replicas have none in an item's homes, further such items are passed over.
 func (p *partition) dispatchAll(candidates []candidate) {
-	full := map[*route.Route]bool{}
+	full := map[target]bool{}
 	for _, each := range candidates {
 		if each.route == nil {
 			p.routeMissing(each.key)
 			continue
 		}
-		if full[each.route] {
+		if full[each.target()] {
 			continue
 		}
-		handle := p.pick(each.route)
+		handle := p.pick(each.route, each.homes)
 		if handle == nil {
-			full[each.route] = true
+			full[each.target()] = true
 			p.replaceLate(each)
 			continue
 		}
@@ -181,11 +183,11 @@
 	}
 }
 
-// pick chooses a replica with room for an item.
-func (p *partition) pick(matched *route.Route) *replica.Handle {
+// pick chooses a replica in homes with room for an item.
+func (p *partition) pick(matched *route.Route, homes region.Set) *replica.Handle {
 	now := time.Now()
 	wanted := balance.Request{
-		Service: matched.PickService(), Zone: p.service.options.Zone, MaxOccupancy: maxOccupancy, ZoneWeight: itemZoneWeight,
+		Service: matched.PickService(), Zone: p.service.options.Zone, MaxOccupancy: maxOccupancy, ZoneWeight: itemZoneWeight, Homes: homes,
 	}
 	if p.service.hasRoom(wanted.Service, now) {
 		if handle := p.service.picker.Pick(&wanted, now); handle != nil {
--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -132,6 +132,12 @@
 func own(t *testing.T, scripts map[string]replicatest.Script, records ...ledger.Record) *ownerUnderTest {
 	t.Helper()
 	service, fleet, network, routes := newService(scripts)
+	return ownOf(t, service, fleet, network, routes, records...)
+}
+
+// ownOf is own of a service that is there.
+func ownOf(t *testing.T, service *Service, fleet *fakeFleet, network *replicatest.Network, routes *route.Holder, records ...ledger.Record) *ownerUnderTest {
+	t.Helper()
 	owner := newPartition(0, service)
 	owned := &fakeOwned{lost: make(chan struct{}), records: records}
 	if err := owner.Restore(nil); err != nil {
--- /dev/null
+++ b/internal/batch/item_homes.go
@@ -0,0 +1,43 @@
+package batch
+
+import (
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/route"
+)
+
+// target is what items compete for: the replicas of a route in some regions.
+type target struct {
+	route *route.Route
+	homes string
+}
+
+func (c candidate) target() target { return target{route: c.route, homes: c.homes.String()} }
+
+// checkHomes cuts off the runs that a change of the configuration has put outside the regions in which they may run; they go on elsewhere
+// behind what they have made. An item whose route is gone is the dispatcher's.
+func (p *partition) checkHomes() {
+	table := p.service.routes.Table()
+	if table == nil || table.Version == p.homesVersion {
+		return
+	}
+	p.homesVersion = table.Version
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for key, run := range p.runs {
+		owner := p.state.jobs[key.job]
+		if owner == nil || !run.running || run.yielded || run.finishing || run.handle == nil {
+			continue
+		}
+		matched := table.Match(owner.submission.Host, owner.submission.Items[key.number].Path)
+		if matched == nil {
+			continue
+		}
+		homes := table.HomesOf(matched, owner.submission.Tenant)
+		if p.service.picker.Allowed(homes, run.handle) {
+			continue
+		}
+		run.yield()
+		p.logger.Info().Str(logging.FieldJob, key.job).Int("item", key.number).Str(logging.FieldReplica, run.handle.Info().ID).
+			Stringer("homes", homes).Int64("version", table.Version).Msg("item_outside_homes")
+	}
+}
--- a/internal/batch/item_order.go
+++ b/internal/batch/item_order.go
@@ -6,6 +6,7 @@
 	"time"
 
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/route"
 )
 
@@ -23,6 +24,8 @@
 	submission *batchpb.Submission
 	route      *route.Route
 	acceptedAt int64
+	// homes are the regions in which the item may run.
+	homes region.Set
 	// due is the time until which the result is wanted; zero is no such time.
 	due time.Time
 	// late says that the item is not likely to be done until then.
@@ -105,6 +108,7 @@
 			running: run != nil && run.running, begun: run != nil && run.everBegan, madeText: p.madeText(owner, key),
 		}
 		if each.route != nil {
+			each.homes = table.HomesOf(each.route, owner.submission.Tenant)
 			each.due = dueTime(each.route, owner.acceptedAt)
 			each.left = p.state.paceOf(each.route.Name).left(sent.Tokens, each.madeText)
 		}
--- a/internal/batch/item_run.go
+++ b/internal/batch/item_run.go
@@ -1,6 +1,10 @@
 package batch
 
-import "cmp"
+import (
+	"cmp"
+
+	"github.com/sloelift/sloelift/internal/region"
+)
 
 // noteBegin notes that a run begins. The partition's mutex is held.
 func (r *itemRun) noteBegin() {
@@ -31,14 +35,17 @@
 	run.ran += p.elapsed() - run.began
 }
 
-// leastUrgentRun returns the run of service that is cut off first: one that will be late before one that can be in time, then the
+// leastUrgentRun returns the run of service at a replica in homes that is cut off first: one that will be late before one that can be in time, then the
 // one due last, then the one that began last. The mutex is held.
-func (p *partition) leastUrgentRun(service string) (least itemKey, run *itemRun) {
+func (p *partition) leastUrgentRun(service string, homes region.Set) (least itemKey, run *itemRun) {
 	var worst candidate
 	for key, each := range p.runs {
 		if !each.running || each.yielded || each.finishing || each.handle == nil || each.handle.Info().Service != service {
 			continue
 		}
+		if !p.service.picker.Allowed(homes, each.handle) {
+			continue
+		}
 		rated := rate(each)
 		if run == nil || compareRuns(rated, each, worst, run) > 0 {
 			least, run, worst = key, each, rated
@@ -78,7 +85,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for _, backend := range waiting.route.Backends {
-		key, run := p.leastUrgentRun(backend.Service)
+		key, run := p.leastUrgentRun(backend.Service, waiting.homes)
 		if run != nil && run.late {
 			p.cutOff(key, run)
 			return
--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sloelift/sloelift/internal/loadshare"
+	"github.com/sloelift/sloelift/internal/region"
 )
 
 const (
@@ -125,7 +126,7 @@
 	}
 	for service, count := range excess {
 		for ; count > 0; count-- {
-			key, least := p.leastUrgentRun(service)
+			key, least := p.leastUrgentRun(service, region.Set{})
 			if least == nil {
 				break
 			}
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -49,6 +49,8 @@
 	submitting map[string]*pendingSubmission
 	reserved   map[quotaKey]int64
 	quiesced   bool
+	// homesVersion is the version of the configuration by whose homes the running items were looked at last. The dispatcher alone uses it.
+	homesVersion int64
 	// begunInTime counts the begins in time since the last one of a late item.
 	begunInTime int
 }
--- a/internal/region/set.go
+++ b/internal/region/set.go
@@ -1,6 +1,9 @@
 package region
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // Set is the regions to which data is confined. Its zero value confines to none: everything is allowed. It is immutable.
 type Set struct {
@@ -30,6 +33,14 @@
 // Names returns the allowed regions in order; nil where all are.
 func (s Set) Names() []string { return slices.Clone(s.names) }
 
+// String returns the allowed regions for a log line: "all", or their names separated by commas, which may be none.
+func (s Set) String() string {
+	if !s.limited {
+		return "all"
+	}
+	return strings.Join(s.names, ",")
+}
+
 // Equal says that both sets allow the same.
 func (s Set) Equal(other Set) bool {
 	return s.limited == other.limited && slices.Equal(s.names, other.names)
