--- a/internal/batch/door.go
+++ b/internal/batch/door.go
@@ -17,6 +17,7 @@
 	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/route"
 	"github.com/sloelift/sloelift/internal/transport"
 	"github.com/sloelift/sloelift/internal/unreached"
@@ -43,6 +44,7 @@
 // Door takes calls about jobs at an edge and brings them to the owner of the job's partition. It is safe for concurrent use.
 type Door struct {
 	locator   ledger.Locator
+	homes     ledger.Homes
 	caller    transport.Caller
 	viewer    membership.Viewer
 	unreached *unreached.Peers
@@ -50,9 +52,9 @@
 }
 
 // NewDoor returns a Door and registers its method.
-func NewDoor(locator ledger.Locator, caller transport.Caller, registrar transport.Registrar, viewer membership.Viewer, logger zerolog.Logger) *Door {
+func NewDoor(locator ledger.Locator, homes ledger.Homes, caller transport.Caller, registrar transport.Registrar, viewer membership.Viewer, logger zerolog.Logger) *Door {
 	door := &Door{
-		locator: locator, caller: caller, viewer: viewer, unreached: unreached.NewPeers(unreachedFor),
+		locator: locator, homes: homes, caller: caller, viewer: viewer, unreached: unreached.NewPeers(unreachedFor),
 		logger: logger.With().Str(logging.FieldSlice, "batch").Logger(),
 	}
 	transport.Handle(registrar, methodRelay, func() *batchpb.RelayRequest { return &batchpb.RelayRequest{} }, door.serveRelay)
@@ -76,16 +78,24 @@
 	return url.PathEscape(c.Tenant) + "/" + jobID
 }
 
-// Submit has a job accepted; the submission's tenant is its caller's. The error is an *outcome.Error: NotRun means that no item will run
+// Submit has a job accepted whose data may be in regions alone; the submission's tenant is its caller's. The error is an *outcome.Error: NotRun means that no item will run
 // on account of this call, with
 // ReasonRateLimited where the job does not fit; Indeterminate promises nothing.
-func (d *Door) Submit(ctx context.Context, submission *batchpb.Submission, matched *route.Route) error {
+func (d *Door) Submit(ctx context.Context, submission *batchpb.Submission, matched *route.Route, regions region.Set) error {
 	if err := Check(submission); err != nil {
 		return err
 	}
 	submission.Route = matched.Name
 	submission.JobId = Caller{Host: submission.Host, Tenant: submission.Tenant}.jobName(submission.JobId)
-	request := &batchpb.SubmitRequest{Partition: d.partition(submission.Host), Submission: submission, MaxWaitingTokens: matched.MaxWaitingTokens}
+	partition, accepted, err := d.place(ctx, submission, regions)
+	if err != nil {
+		d.logger.Info().Str(logging.FieldJob, submission.JobId).Stringer("regions", regions).Err(err).Msg("job_not_placed")
+		return err
+	}
+	if accepted {
+		return nil
+	}
+	request := &batchpb.SubmitRequest{Partition: partition, Submission: submission, MaxWaitingTokens: matched.MaxWaitingTokens}
 	response := &batchpb.SubmitResponse{}
 	if err := d.call(ctx, methodSubmit, request, response, submitTimeout, tryTimeout); err != nil {
 		d.logger.Info().Str(logging.FieldJob, submission.JobId).Err(err).Msg("job_not_accepted")
@@ -99,30 +109,31 @@
 
 // Read returns the results of a job from a position on; it waits up to wait for the first.
 func (d *Door) Read(ctx context.Context, caller Caller, jobID string, since uint32, wait time.Duration) (*batchpb.ReadResponse, error) {
-	request := &batchpb.ReadRequest{Partition: d.partition(caller.Host), JobId: caller.jobName(jobID), Since: since, WaitMicros: uint64(wait.Microseconds())}
-	response := &batchpb.ReadResponse{}
-	err := d.call(ctx, methodRead, request, response, readTimeout+wait, tryTimeout+wait)
-	return response, err
+	return search(ctx, d.partitions(caller.Host), func(ctx context.Context, partition uint32) (*batchpb.ReadResponse, error) {
+		request := &batchpb.ReadRequest{Partition: partition, JobId: caller.jobName(jobID), Since: since, WaitMicros: uint64(wait.Microseconds())}
+		response := &batchpb.ReadResponse{}
+		return response, d.call(ctx, methodRead, request, response, readTimeout+wait, tryTimeout+wait)
+	})
 }
 
 // Body returns the body of an item that is not listed.
 func (d *Door) Body(ctx context.Context, caller Caller, jobID, itemID string) (*batchpb.BodyResponse, error) {
-	request := &batchpb.BodyRequest{Partition: d.partition(caller.Host), JobId: caller.jobName(jobID), ItemId: itemID}
-	response := &batchpb.BodyResponse{}
-	err := d.call(ctx, methodBody, request, response, readTimeout, tryTimeout)
-	return response, err
+	return search(ctx, d.partitions(caller.Host), func(ctx context.Context, partition uint32) (*batchpb.BodyResponse, error) {
+		request := &batchpb.BodyRequest{Partition: partition, JobId: caller.jobName(jobID), ItemId: itemID}
+		response := &batchpb.BodyResponse{}
+		return response, d.call(ctx, methodBody, request, response, readTimeout, tryTimeout)
+	})
 }
 
 // End ends a job.
 func (d *Door) End(ctx context.Context, caller Caller, jobID string) (*batchpb.EndResponse, error) {
-	request := &batchpb.EndRequest{Partition: d.partition(caller.Host), JobId: caller.jobName(jobID)}
-	response := &batchpb.EndResponse{}
-	err := d.call(ctx, methodEnd, request, response, endTimeout, tryTimeout)
-	return response, err
+	return search(ctx, d.partitions(caller.Host), func(ctx context.Context, partition uint32) (*batchpb.EndResponse, error) {
+		request := &batchpb.EndRequest{Partition: partition, JobId: caller.jobName(jobID)}
+		response := &batchpb.EndResponse{}
+		return response, d.call(ctx, methodEnd, request, response, endTimeout, tryTimeout)
+	})
 }
 
-func (d *Door) partition(host string) uint32 { return uint32(d.locator.PartitionOf(host)) }
-
 // call brings request to the owner, and to another one while none answers; all requests can be served twice. The error is an
 // *outcome.Error that is NotRun only where no try can have had an effect.
 func (d *Door) call(ctx context.Context, method transport.Method, request partitionRequest, response proto.Message, longest, try time.Duration) error {
@@ -169,7 +180,7 @@
 		return failure
 	}
 	if d.unreached.Recent(owner, time.Now()) {
-		if edge, found := d.otherEdge(); found {
+		if edge, found := d.otherEdge(ledger.PartitionID(request.GetPartition())); found {
 			return failureOrNil(d.relay(ctx, edge, method, request, response))
 		}
 	}
--- a/internal/batch/door_test.go
+++ b/internal/batch/door_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/route"
 	"github.com/sloelift/sloelift/internal/transport"
 	"github.com/sloelift/sloelift/internal/transport/memory"
@@ -26,6 +28,27 @@
 func (l fixedLocator) PartitionOf(string) ledger.PartitionID   { return 0 }
 func (l fixedLocator) Owner(ledger.PartitionID) (string, bool) { return l.owner.String(), true }
 
+// fixedHomes confines nothing unless it is told otherwise.
+type fixedHomes struct {
+	within   []ledger.PartitionID
+	refusal  *outcome.Error
+	settling bool
+	// outside are the zones that may hold nothing of the partitions within.
+	outside map[string]bool
+}
+
+func (h *fixedHomes) PartitionWithin(string, region.Set) (ledger.PartitionID, error) {
+	if h.refusal != nil {
+		return 0, h.refusal
+	}
+	return h.within[0], nil
+}
+func (h *fixedHomes) PartitionsWithin(string) []ledger.PartitionID { return h.within }
+func (h *fixedHomes) Settling() bool                               { return h.settling }
+func (h *fixedHomes) MayHold(partition ledger.PartitionID, zone string) bool {
+	return !slices.Contains(h.within, partition) || !h.outside[zone]
+}
+
 type fixedView struct{ view *membership.View }
 
 func (v fixedView) View() *membership.View                  { return v.view }
@@ -35,6 +58,7 @@
 type edges struct {
 	network *memory.Network
 	doors   []*Door
+	homes   *fixedHomes
 	owner   netip.AddrPort
 	stop    func()
 }
@@ -46,7 +70,7 @@
 // newEdges starts an owner that answers submissions with answer.
 func newEdges(t *testing.T, answer func() (*batchpb.SubmitResponse, error)) *edges {
 	t.Helper()
-	made := &edges{network: memory.NewNetwork(1), owner: addressOf(9000)}
+	made := &edges{homes: &fixedHomes{}, network: memory.NewNetwork(1), owner: addressOf(9000)}
 	made.network.SetConditions(func(netip.AddrPort, netip.AddrPort) memory.Conditions {
 		return memory.Conditions{Delay: time.Millisecond}
 	})
@@ -68,7 +92,7 @@
 	for _, self := range members[:2] {
 		edge := start(self.PeerAddress)
 		view := fixedView{&membership.View{Self: self.ID, Members: members}}
-		made.doors = append(made.doors, NewDoor(fixedLocator{made.owner}, edge, edge, view, zerolog.Nop()))
+		made.doors = append(made.doors, NewDoor(fixedLocator{made.owner}, made.homes, edge, edge, view, zerolog.Nop()))
 	}
 	for _, each := range transports {
 		each.Start()
@@ -105,7 +129,7 @@
 				made := newEdges(t, test.answer)
 				defer made.stop()
 				began := time.Now()
-				err := made.doors[0].Submit(t.Context(), batchOf("j", 1), batchRoute)
+				err := made.doors[0].Submit(t.Context(), batchOf("j", 1), batchRoute, region.Set{})
 				if outcome.Of(err) != test.want || (err != nil && outcome.As(err).Reason != test.reason) {
 					t.Errorf("submission ends with %v", err)
 				}
@@ -127,11 +151,11 @@
 			cut := (from == cutOff && to == made.owner) || (from == made.owner && to == cutOff)
 			return memory.Conditions{Delay: time.Millisecond, Cut: cut}
 		})
-		if err := made.doors[0].Submit(t.Context(), batchOf("j1", 1), batchRoute); err != nil {
+		if err := made.doors[0].Submit(t.Context(), batchOf("j1", 1), batchRoute, region.Set{}); err != nil {
 			t.Errorf("first submission: %v", err)
 		}
 		began := time.Now()
-		if err := made.doors[0].Submit(t.Context(), batchOf("j2", 1), batchRoute); err != nil || time.Since(began) > 100*time.Millisecond {
+		if err := made.doors[0].Submit(t.Context(), batchOf("j2", 1), batchRoute, region.Set{}); err != nil || time.Since(began) > 100*time.Millisecond {
 			t.Errorf("second submission: %v after %s", err, time.Since(began))
 		}
 	})
--- a/internal/batch/relay.go
+++ b/internal/batch/relay.go
@@ -36,12 +36,12 @@
 	return Pointer(new(T))
 }
 
-// otherEdge returns a live node without a store, other than this one; ok is false where there is none.
-func (d *Door) otherEdge() (address netip.AddrPort, ok bool) {
+// otherEdge returns a live node without a store, other than this one, that may have records of the partition; ok is false where there is none.
+func (d *Door) otherEdge(partition ledger.PartitionID) (address netip.AddrPort, ok bool) {
 	view := d.viewer.View()
 	var others []netip.AddrPort
 	for _, member := range view.Members {
-		if member.ID != view.Self && !member.Store && member.State == membership.Alive {
+		if member.ID != view.Self && !member.Store && member.State == membership.Alive && d.homes.MayHold(partition, member.Zone) {
 			others = append(others, member.PeerAddress)
 		}
 	}
--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -47,6 +47,9 @@
 	timing   Timing
 	nodes    []*testNode
 	checks   int
+	// regionOf names the region of each node, which is also that of its zone; confined is what all nodes are to confine.
+	regionOf map[membership.NodeID]string
+	confined []Confined
 	log      *lockedBuffer
 	logger   zerolog.Logger
 }
@@ -129,19 +132,30 @@
 	node.registers = map[PartitionID]*register{}
 	node.mutex.Unlock()
 	c.view.change(node.id, func(member *membership.Member) {
-		member.Zone, member.PeerAddress, member.State = "zone-"+string(node.id), node.address, membership.Alive
+		member.Zone, member.PeerAddress, member.State = zoneOf(node.id), node.address, membership.Alive
 		member.Store, member.StoreIncarnation = node.disk != nil, incarnation
 	})
 	node.manager = NewManager(Dependencies{
-		Settings: settings.Settings{Node: string(node.id), Ledger: c.ledger}, Timing: c.timing, Logger: c.logger.With().Str(logging.FieldNode, string(node.id)).Logger(),
+		Settings: settings.Settings{Node: string(node.id), Zone: zoneOf(node.id), Region: c.regionOf[node.id], Zones: c.zones(), Ledger: c.ledger}, Timing: c.timing, Logger: c.logger.With().Str(logging.FieldNode, string(node.id)).Logger(),
 		Local: node.store, Caller: node.transport, Registry: node.transport, KeyValue: c.keyValue,
 		Viewer: viewerOf{c.view, node.id}, Factory: node.machine,
 	})
 	node.transport.Start()
 	node.manager.Start()
+	node.manager.SetConfined(c.confined)
 	node.running = true
 }
 
+func zoneOf(node membership.NodeID) string { return "zone-" + string(node) }
+
+func (c *cluster) zones() []settings.Zone {
+	var zones []settings.Zone
+	for node, name := range c.regionOf {
+		zones = append(zones, settings.Zone{Name: zoneOf(node), Region: name})
+	}
+	return zones
+}
+
 func (n *testNode) machine(partition PartitionID) StateMachine {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- /dev/null
+++ b/internal/ledger/confined_test.go
@@ -0,0 +1,347 @@
+package ledger
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/region"
+	"github.com/sloelift/sloelift/internal/transport/memory"
+)
+
+const confinedKey = "jobs.example"
+
+// newRegionsCluster has three copies of which one may be lost, and in each region as many stores as named and a node without one. Nodes that
+// are added later lie in the first region by name.
+func newRegionsCluster(t *testing.T, seed uint64, stores map[string]int, confined ...Confined) *cluster {
+	c := newCluster(t, seed)
+	c.ledger.Replicas, c.ledger.WriteQuorum, c.ledger.OwnersOnStores = 3, 2, true
+	c.ledger.MembersDecide = true
+	c.timing.Silence, c.timing.Request, c.timing.Settle = testSilence, time.Second, time.Minute
+	c.timing.Replace, c.timing.Formation = 2*time.Second, time.Second
+	c.regionOf, c.confined = map[membership.NodeID]string{}, confined
+	var names []string
+	for name := range stores {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var withDisk []bool
+	for _, name := range names {
+		for index := range stores[name] + 1 {
+			c.regionOf[membership.NodeID(fmt.Sprintf("node-%d", len(withDisk)+1))] = name
+			withDisk = append(withDisk, index < stores[name])
+		}
+	}
+	const mostLater = 4
+	for later := range mostLater {
+		c.regionOf[membership.NodeID(fmt.Sprintf("node-%d", len(withDisk)+1+later))] = names[0]
+	}
+	for _, disk := range withDisk {
+		c.add(disk)
+	}
+	return c
+}
+
+// within returns the partition of the key, once all nodes say that it takes records.
+func (c *cluster) within(regions region.Set) PartitionID {
+	c.t.Helper()
+	var partition PartitionID
+	c.eventually(fmt.Sprintf("a partition within %s", regions), func() bool {
+		for _, node := range c.nodes {
+			found, err := node.manager.PartitionWithin(confinedKey, regions)
+			if err != nil {
+				return false
+			}
+			partition = found
+		}
+		return true
+	})
+	return partition
+}
+
+// keepsWithin fails where a node outside the regions has, or is to have, a part of the partition.
+func (c *cluster) keepsWithin(partition PartitionID, regions region.Set) {
+	c.t.Helper()
+	for _, node := range c.nodes {
+		if ensemble, known := node.manager.directory.ensemble(partition); known {
+			for _, member := range ensemble.Members {
+				if !regions.Allows(c.regionOf[membership.NodeID(member.Node)]) {
+					c.t.Fatalf("version %d of the ensemble has the store of %s", ensemble.Version, member.Node)
+				}
+			}
+		}
+		if regions.Allows(c.regionOf[node.id]) {
+			continue
+		}
+		if node.register(partition) != nil {
+			c.t.Fatalf("%s owned the partition", node.id)
+		}
+		if node.store != nil && !node.store.LastHeard(partition).IsZero() {
+			c.t.Fatalf("the store of %s had records of the partition", node.id)
+		}
+	}
+}
+
+func inNorth() (region.Set, Confined) {
+	north := region.NewSet("north")
+	return north, Confined{Key: confinedKey, Regions: north}
+}
+
+// member returns a node whose store is in the partition's ensemble and that does not own it.
+func (c *cluster) memberOf(partition PartitionID) *testNode {
+	c.t.Helper()
+	owner := c.owner(partition)
+	ensemble, _ := owner.manager.directory.ensemble(partition)
+	for _, node := range c.nodes {
+		if _, found := ensemble.Find(storeOf(node)); found && node != owner {
+			return node
+		}
+	}
+	c.t.Fatal("no member beside the owner")
+	return nil
+}
+
+func storeOf(node *testNode) protocol.StoreID {
+	if node.store == nil {
+		return ""
+	}
+	return node.store.ID()
+}
+
+func TestConfinedPartitionKeepsToItsRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		north, confined := inNorth()
+		c := newRegionsCluster(t, 31, map[string]int{"north": 4, "south": 3, "west": 3}, confined)
+		defer c.stopAll()
+		partition := c.within(north)
+		acknowledged := []string{c.put(partition, "first")}
+		whole := func() bool {
+			ensemble, _ := c.owner(partition).manager.directory.ensemble(partition)
+			c.keepsWithin(partition, north)
+			return ensemble.Full() == 3 && c.allPresent(ensemble)
+		}
+		c.loseDisk(c.memberOf(partition))
+		c.eventually("whole after a lost disk", whole)
+		acknowledged = append(acknowledged, c.put(partition, "second"))
+		c.kill(c.memberOf(partition))
+		c.eventually("whole after a lost member", whole)
+		acknowledged = append(acknowledged, c.put(partition, "third"))
+		c.kill(c.owner(partition))
+		acknowledged = append(acknowledged, c.put(partition, "fourth"))
+		time.Sleep(time.Minute)
+		c.keepsWithin(partition, north)
+		c.check(partition, acknowledged)
+	})
+}
+
+// TestNobodyElseTakesOverFromRegionsThatAreLost: with its regions cut off or gone a partition has no owner elsewhere.
+func TestNobodyElseTakesOverFromRegionsThatAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		north, confined := inNorth()
+		c := newRegionsCluster(t, 32, map[string]int{"north": 3, "south": 3}, confined)
+		defer c.stopAll()
+		partition := c.within(north)
+		acknowledged := []string{c.put(partition, "first")}
+		var cut []netip.AddrPort
+		for _, node := range c.nodes {
+			if c.regionOf[node.id] == "north" {
+				cut = append(cut, node.address)
+			}
+		}
+		c.network.SetConditions(func(from, to netip.AddrPort) memory.Conditions {
+			return memory.Conditions{Delay: linkDelay, Cut: slices.Contains(cut, from) != slices.Contains(cut, to)}
+		})
+		acknowledged = append(acknowledged, c.put(partition, "cut off"))
+		time.Sleep(time.Minute)
+		c.keepsWithin(partition, north)
+		c.network.SetConditions(calm)
+		c.check(partition, acknowledged)
+		for _, node := range slices.Clone(c.nodes) {
+			if c.regionOf[node.id] == "north" {
+				c.kill(node)
+			}
+		}
+		time.Sleep(time.Minute)
+		c.keepsWithin(partition, north)
+		for _, node := range c.nodes {
+			if owner, known := node.manager.Owner(partition); known {
+				t.Errorf("%s takes %s for the owner", node.id, owner)
+			}
+		}
+	})
+}
+
+// TestRegionsWithTooFewStoresTakeNothing: home comes before durability, and durability before acceptance.
+func TestRegionsWithTooFewStoresTakeNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		north, confined := inNorth()
+		const newcomers = 2
+		c := newRegionsCluster(t, 33, map[string]int{"north": 1, "south": 3}, confined)
+		defer c.stopAll()
+		c.put(0, "elsewhere")
+		time.Sleep(10 * time.Second)
+		for _, node := range c.nodes {
+			_, err := node.manager.PartitionWithin(confinedKey, north)
+			refused := outcome.As(err)
+			if err == nil || refused.Outcome != outcome.NotRun || refused.Reason != outcome.ReasonNoHome || refused.RetryAfter == 0 {
+				t.Fatalf("%s: %v", node.id, err)
+			}
+		}
+		const event = "regions_lack_stores"
+		if count := strings.Count(c.log.tail(math.MaxInt), event); count != 1 {
+			t.Errorf("logged %d times", count)
+		}
+		partition := confinedPartition(confinedKey, north, c.ledger.Partitions)
+		c.keepsWithin(partition, north)
+		for range newcomers {
+			c.add(true)
+		}
+		c.check(c.within(north), nil)
+		c.keepsWithin(partition, north)
+	})
+}
+
+// TestRetirementKeepsToTheRegions: a store that is to be emptied hands on to one of its regions, and stays where there is none.
+func TestRetirementKeepsToTheRegions(t *testing.T) {
+	for stores, want := range map[int]bool{3: false, 4: true} {
+		t.Run(fmt.Sprint(stores, " stores"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				north, confined := inNorth()
+				c := newRegionsCluster(t, 34, map[string]int{"north": stores, "south": 3}, confined)
+				defer c.stopAll()
+				partition := c.within(north)
+				acknowledged := []string{c.put(partition, "first")}
+				retired := c.memberOf(partition)
+				for _, node := range c.nodes {
+					node.manager.SetRetiring(map[membership.NodeID]bool{retired.id: true})
+				}
+				time.Sleep(time.Minute)
+				ensemble, _ := c.owner(partition).manager.directory.ensemble(partition)
+				if _, present := ensemble.Find(retired.store.ID()); present == want {
+					t.Errorf("the retired store is a member: %t", present)
+				}
+				c.keepsWithin(partition, north)
+				c.check(partition, acknowledged)
+			})
+		})
+	}
+}
+
+// TestFormerHomesAreServed: what the configuration no longer names is found by nodes that never knew it.
+func TestFormerHomesAreServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		north, confined := inNorth()
+		c := newRegionsCluster(t, 35, map[string]int{"north": 3, "south": 3}, confined)
+		defer c.stopAll()
+		partition := c.within(north)
+		acknowledged := []string{c.put(partition, "first")}
+		c.confined = nil
+		for _, node := range c.nodes {
+			node.manager.SetConfined(nil)
+		}
+		for _, node := range slices.Clone(c.nodes) {
+			c.stop(node)
+			c.start(node)
+		}
+		c.check(partition, acknowledged)
+		for _, node := range c.nodes {
+			c.eventually(string(node.id)+" knows the partition", func() bool {
+				return slices.Contains(node.manager.PartitionsWithin(confinedKey), partition)
+			})
+		}
+		c.keepsWithin(partition, north)
+	})
+}
+
+// TestNothingConfinedCostsNothing: without confined keys there are the head's partitions alone, and an idle ledger makes no calls.
+func TestNothingConfinedCostsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRegionsCluster(t, 36, map[string]int{"north": 3, "south": 3})
+		defer c.stopAll()
+		c.put(0, "first")
+		c.put(1, "first")
+		time.Sleep(10 * time.Second)
+		c.keyValue.set(func() {
+			c.keyValue.calls = 0
+			if want := 1 + c.ledger.Partitions; len(c.keyValue.entries) != want {
+				t.Errorf("%d entries, want %d", len(c.keyValue.entries), want)
+			}
+		})
+		time.Sleep(time.Minute)
+		c.keyValue.set(func() {
+			if c.keyValue.calls > 0 {
+				t.Errorf("%d calls of the key-value service", c.keyValue.calls)
+			}
+		})
+		for _, node := range c.nodes {
+			if found := node.manager.PartitionsWithin(confinedKey); len(found) > 0 {
+				t.Errorf("%s knows the partitions %v", node.id, found)
+			}
+		}
+	})
+}
+
+// TestConfinedPartitionUnderFaults: whatever happens to nodes, disks and links, nothing leaves the regions and nothing acknowledged is lost.
+func TestConfinedPartitionUnderFaults(t *testing.T) {
+	const rounds = 12
+	for range 3 {
+		seed := rand.Uint64()
+		t.Logf("seed %d", seed)
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			north, confined := inNorth()
+			c := newRegionsCluster(t, seed, map[string]int{"north": 4, "south": 2, "west": 2}, confined)
+			defer c.stopAll()
+			partition := c.within(north)
+			acknowledged := []string{c.put(partition, "first")}
+			for round := range rounds {
+				node := c.nodes[random.IntN(len(c.nodes))]
+				switch random.IntN(4) {
+				case 0:
+					if node.disk != nil {
+						c.loseDisk(node)
+					}
+				case 1:
+					c.stop(node)
+					time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
+					c.start(node)
+				case 2:
+					c.network.SetConditions(func(from, to netip.AddrPort) memory.Conditions {
+						return memory.Conditions{Delay: linkDelay, Cut: from != to && (from == node.address || to == node.address)}
+					})
+					time.Sleep(time.Duration(random.IntN(6000)) * time.Millisecond)
+					c.network.SetConditions(calm)
+				default:
+					c.keyValue.set(func() { c.keyValue.down = !c.keyValue.down })
+				}
+				acknowledged = append(acknowledged, c.put(partition, fmt.Sprint("round-", round)))
+				c.eventually("whole again", func() bool {
+					c.keepsWithin(partition, north)
+					ensemble, _ := c.owner(partition).manager.directory.ensemble(partition)
+					return ensemble.Full() == 3 && c.allPresent(ensemble)
+				})
+			}
+			c.keyValue.set(func() { c.keyValue.down = false })
+			c.check(partition, acknowledged)
+		})
+	}
+}
+
+// allPresent says that all members' stores are those of running nodes.
+func (c *cluster) allPresent(ensemble protocol.Ensemble) bool {
+	for _, member := range ensemble.Members {
+		if !slices.ContainsFunc(c.nodes, func(node *testNode) bool { return storeOf(node) == member.Store }) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/ledger/directory.go
+++ b/internal/ledger/directory.go
@@ -76,11 +76,33 @@
 	return ensembles
 }
 
-// complete tells whether the head and all ensembles are known.
+// complete tells whether the head and the ensembles of all its partitions are known.
 func (d *directory) complete() bool {
 	d.mutex.RLock()
 	defer d.mutex.RUnlock()
-	return d.head.partitions > 0 && len(d.ensembles) >= d.head.partitions
+	if d.head.partitions == 0 {
+		return false
+	}
+	ofHead := len(d.ensembles)
+	for partition := range d.ensembles {
+		if isConfined(partition) {
+			ofHead--
+		}
+	}
+	return ofHead >= d.head.partitions
+}
+
+// confined returns the known partitions that are confined to regions.
+func (d *directory) confined() []PartitionID {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	var found []PartitionID
+	for partition := range d.ensembles {
+		if isConfined(partition) {
+			found = append(found, partition)
+		}
+	}
+	return found
 }
 
 // learn takes an ensemble that was heard of, if it is newer than the known one.
--- a/internal/ledger/fx.go
+++ b/internal/ledger/fx.go
@@ -19,12 +19,13 @@
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
-// Module provides *Disk, *Manager and Locator. It needs a Factory, which must not need a Locator.
+// Module provides *Disk, *Manager, Locator and Homes. It needs a Factory, which must not need a Locator.
 var Module = fx.Module("ledger",
 	fx.Provide(
 		NewDisk,
 		newManagerForNode,
 		func(manager *Manager) Locator { return manager },
+		func(manager *Manager) Homes { return manager },
 	),
 	fx.Invoke(func(*Manager) {}),
 )
--- a/internal/ledger/locator.go
+++ b/internal/ledger/locator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,11 +93,11 @@
 		m.refresh(partition)
 	}
 	if known {
-		if member, found := view.Find(node); found && member.State != membership.Dead {
+		if member, found := view.Find(node); found && member.State != membership.Dead && m.MayHold(partition, member.Zone) {
 			return member.PeerAddress.String(), true
 		}
 	}
-	if preferred, ok := preferredOwner(view, partition, m.mayOwn); ok {
+	if preferred, ok := preferredOwner(view, partition, m.ownersOf(partition)); ok {
 		return preferred.PeerAddress.String(), true
 	}
 	return "", false
@@ -119,7 +120,7 @@
 	if hint, known := m.hints.get(partition); known {
 		candidates = append(candidates, hint)
 	}
-	if preferred, ok := preferredOwner(view, partition, m.mayOwn); ok {
+	if preferred, ok := preferredOwner(view, partition, m.ownersOf(partition)); ok {
 		candidates = append(candidates, preferred.ID)
 	}
 	if owner := m.firstOwner(ctx, view, partition, candidates); owner != "" {
@@ -190,7 +191,12 @@
 func (m *Manager) Status() []PartitionStatus {
 	fixed, _ := m.directory.fixed()
 	var statuses []PartitionStatus
+	partitions := m.directory.confined()
 	for partition := range PartitionID(fixed.partitions) {
+		partitions = append(partitions, partition)
+	}
+	slices.Sort(partitions)
+	for _, partition := range partitions {
 		ensemble, known := m.directory.ensemble(partition)
 		if !known {
 			continue
--- a/internal/ledger/main_test.go
+++ b/internal/ledger/main_test.go
@@ -17,7 +17,7 @@
 		registry := prometheus.NewPedanticRegistry()
 		registry.MustRegister(newMetrics(c.nodes[0].manager))
 		families, err := registry.Gather()
-		if err != nil || len(families) != 4 {
+		if err != nil || len(families) != 6 {
 			t.Fatalf("%d families: %v", len(families), err)
 		}
 	})
--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -108,7 +108,7 @@
 		}
 	}
 	var candidates []membership.Member
-	for _, candidate := range m.keptStores(view) {
+	for _, candidate := range m.placementOf(ensemble.Partition).stores(m.keptStores(view)) {
 		if _, present := ensemble.Find(protocol.StoreID(candidate.StoreIncarnation)); !present && !nodes[string(candidate.ID)] {
 			candidates = append(candidates, candidate)
 		}
@@ -122,7 +122,7 @@
 
 // spareFor prefers the lost member's own node with its new disk to the spare.
 func (m *Manager) spareFor(view *membership.View, ensemble protocol.Ensemble, lost protocol.Member, spare membership.Member) membership.Member {
-	for _, candidate := range m.keptStores(view) {
+	for _, candidate := range m.placementOf(ensemble.Partition).stores(m.keptStores(view)) {
 		_, present := ensemble.Find(protocol.StoreID(candidate.StoreIncarnation))
 		if string(candidate.ID) == lost.Node && !present {
 			return candidate
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -19,6 +19,7 @@
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/settings"
 	"github.com/sloelift/sloelift/internal/transport"
 )
@@ -56,6 +57,13 @@
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
 
+	// topology says where zones lie, zone where this node stands; confined holds the keys whose records are confined to regions, refusedWithin
+	// counts the records that had no place there.
+	topology      region.Topology
+	zone          string
+	confined      confinedKeys
+	refusedWithin atomic.Int64
+
 	// retiring holds the nodes that are to be emptied.
 	retiring atomic.Pointer[map[membership.NodeID]bool]
 
@@ -69,6 +77,8 @@
 	nextLoad         time.Time
 	settingsReported bool
 	partitions       map[PartitionID]*partitionControl
+	// upkeep belongs to the control goroutine as well.
+	upkeep confinedUpkeep
 
 	// owned holds the present ownerships for readers on other goroutines; mutex guards it and the end of ctx.
 	mutex sync.RWMutex
@@ -120,6 +130,8 @@
 		directory: newDirectory(dependencies.KeyValue),
 		events:    make(chan func()), partitions: map[PartitionID]*partitionControl{},
 		owned: map[PartitionID]*ownership{}, hints: newOwnerHints(),
+		topology: dependencies.Settings.Topology(), zone: dependencies.Settings.Zone,
+		upkeep: confinedUpkeep{since: map[PartitionID]time.Time{}, reported: map[PartitionID]bool{}},
 	}
 	manager.ctx, manager.cancel = context.WithCancel(context.Background())
 	registerStore(dependencies.Registry, dependencies.Local)
@@ -197,21 +209,33 @@
 		m.loadDirectory(now)
 	}
 	fixed, known := m.directory.fixed()
-	if !known || m.leaving.Load() || m.neverOwns() {
+	if !known || m.leaving.Load() {
 		return
 	}
 	view := m.viewer.View()
+	m.keepConfined(view, now)
+	if m.neverOwns() {
+		return
+	}
 	for partition := range PartitionID(fixed.partitions) {
-		control := m.control(partition)
-		preferred, ok := preferredOwner(view, partition, m.mayOwn)
-		mine := ok && preferred.ID == m.self
-		control.overdue = !mine && m.ownerSilent(partition, control, now)
-		if (mine || control.overdue) && !control.trying && !now.Before(control.nextTry) {
-			m.try(partition, control)
-		}
-		if control.ownership != nil {
-			m.maintain(partition, control, view, now)
-		}
+		m.checkPartition(partition, view, now)
+	}
+	for _, partition := range m.directory.confined() {
+		m.checkPartition(partition, view, now)
+	}
+}
+
+// checkPartition starts what is due for one partition. It runs on the control goroutine.
+func (m *Manager) checkPartition(partition PartitionID, view *membership.View, now time.Time) {
+	control := m.control(partition)
+	preferred, ok := preferredOwner(view, partition, m.ownersOf(partition))
+	mine := ok && preferred.ID == m.self
+	control.overdue = !mine && m.ownerSilent(partition, control, now)
+	if (mine || control.overdue) && !control.trying && !now.Before(control.nextTry) {
+		m.try(partition, control)
+	}
+	if control.ownership != nil {
+		m.maintain(partition, control, view, now)
 	}
 }
 
@@ -234,7 +258,7 @@
 // too long. What this node knows of the ensemble may be old, so a store that ever heard an owner counts. The nodes'
 // turns come one after the other.
 func (m *Manager) ownerSilent(partition PartitionID, control *partitionControl, now time.Time) bool {
-	if m.timing.Silence == 0 || m.local == nil || control.ownership != nil {
+	if m.timing.Silence == 0 || m.local == nil || control.ownership != nil || !m.MayHold(partition, m.zone) {
 		return false
 	}
 	last := m.local.LastHeard(partition)
@@ -262,7 +286,7 @@
 // turn is the number of live nodes with a store that stand before this one.
 func (m *Manager) turn(partition PartitionID) int {
 	before := 0
-	for _, member := range storesOf(m.viewer.View()) {
+	for _, member := range m.placementOf(partition).stores(storesOf(m.viewer.View())) {
 		if rank(partition, string(member.ID)) > rank(partition, string(m.self)) {
 			before++
 		}
@@ -371,7 +395,7 @@
 	if !present {
 		return &ledgerpb.ReleaseResponse{Released: true}, nil
 	}
-	preferred, _ := preferredOwner(m.viewer.View(), partition, m.mayOwn)
+	preferred, _ := preferredOwner(m.viewer.View(), partition, m.ownersOf(partition))
 	now := time.Now()
 	settling := now.Sub(ownership.began) < m.timing.Settle
 	if (string(preferred.ID) != request.Successor || settling) && !m.leaving.Load() && ownership.servesWell(now) {
--- /dev/null
+++ b/internal/ledger/placement.go
@@ -0,0 +1,62 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/region"
+)
+
+// placement says where records of a partition may be: the stores of its ensemble, their spares and its owner. A node in a zone of an unknown
+// region is allowed only where all regions are.
+type placement struct {
+	topology region.Topology
+	regions  region.Set
+}
+
+// allows says that a node in zone may have records of the partition.
+func (p placement) allows(zone string) bool {
+	return !p.regions.Limited() || p.regions.Allows(p.topology.RegionOf(zone))
+}
+
+// owners narrows allowed to the nodes that may have records of the partition.
+func (p placement) owners(allowed mayOwn) mayOwn {
+	if !p.regions.Limited() {
+		return allowed
+	}
+	return func(member *membership.Member) bool { return p.allows(member.Zone) && allowed(member) }
+}
+
+// stores returns those of candidates that may have records of the partition.
+func (p placement) stores(candidates []membership.Member) []membership.Member {
+	if !p.regions.Limited() {
+		return candidates
+	}
+	var kept []membership.Member
+	for _, candidate := range candidates {
+		if p.allows(candidate.Zone) {
+			kept = append(kept, candidate)
+		}
+	}
+	return kept
+}
+
+// survives says that the ensemble loses no acknowledged record with the disks of that many machines, nor with those of that many zones.
+func survives(ensemble protocol.Ensemble, machines, zones int) bool {
+	inZone := map[string]int{}
+	for _, member := range ensemble.Members {
+		inZone[member.Zone]++
+	}
+	var counts []int
+	for _, count := range inZone {
+		counts = append(counts, count)
+	}
+	slices.SortFunc(counts, func(one, other int) int { return cmp.Compare(other, one) })
+	lost := 0
+	for _, count := range counts[:min(zones, len(counts))] {
+		lost += count
+	}
+	return max(machines, lost) <= ensemble.LossesSurvived()
+}
--- a/internal/ledger/protocol/ensemble.go
+++ b/internal/ledger/protocol/ensemble.go
@@ -20,6 +20,8 @@
 	WriteQuorum int
 	// WriteID is unique to the change that made this version.
 	WriteID string
+	// Regions are where stores and owners of the partition may be; none for all. They never change.
+	Regions []string
 }
 
 // WriteQuorumOf returns the write quorum of an ensemble of size stores where wanted is the
@@ -117,7 +119,7 @@
 }
 
 func (e Ensemble) next(change func(Member) Member) Ensemble {
-	changed := Ensemble{Partition: e.Partition, Version: e.Version + 1, WriteQuorum: e.WriteQuorum}
+	changed := Ensemble{Partition: e.Partition, Version: e.Version + 1, WriteQuorum: e.WriteQuorum, Regions: e.Regions}
 	for _, member := range e.Members {
 		changed.Members = append(changed.Members, change(member))
 	}
--- a/internal/ledger/wire/wire.go
+++ b/internal/ledger/wire/wire.go
@@ -26,7 +26,7 @@
 	}
 	message := &ledgerpb.Ensemble{
 		Partition: uint32(ensemble.Partition), Version: ensemble.Version,
-		WriteQuorum: uint32(ensemble.WriteQuorum), WriteId: ensemble.WriteID,
+		WriteQuorum: uint32(ensemble.WriteQuorum), WriteId: ensemble.WriteID, Regions: ensemble.Regions,
 	}
 	for _, member := range ensemble.Members {
 		message.Members = append(message.Members, &ledgerpb.Member{
@@ -40,7 +40,7 @@
 func ToEnsemble(message *ledgerpb.Ensemble) protocol.Ensemble {
 	ensemble := protocol.Ensemble{
 		Partition: protocol.PartitionID(message.GetPartition()), Version: message.GetVersion(),
-		WriteQuorum: int(message.GetWriteQuorum()), WriteID: message.GetWriteId(),
+		WriteQuorum: int(message.GetWriteQuorum()), WriteID: message.GetWriteId(), Regions: message.GetRegions(),
 	}
 	for _, member := range message.GetMembers() {
 		ensemble.Members = append(ensemble.Members, protocol.Member{
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -124,7 +124,7 @@
 		func() *membership.Timing { return &roleMembershipTiming },
 	),
 	transport.Module, membership.Module, ledger.Module,
-	fx.Invoke(serveMetrics, announceStore),
+	fx.Invoke(serveMetrics, announceStore, followHomes),
 )
 
 // roleLedgerTiming replaces the ledger's lost members sooner than on large machines: little is kept on a small disk.
@@ -237,8 +237,8 @@
 	}, routes, directory, shared, picker, client, registrar, logger)
 }
 
-func newBatchCalls(adapter Adapter, locator ledger.Locator, caller transport.Caller, registrar transport.Registrar, members *membership.Service, logger zerolog.Logger) BatchCalls {
-	return adapter.Batch(batch.NewDoor(locator, caller, registrar, members, logger))
+func newBatchCalls(adapter Adapter, locator ledger.Locator, homes ledger.Homes, caller transport.Caller, registrar transport.Registrar, members *membership.Service, logger zerolog.Logger) BatchCalls {
+	return adapter.Batch(batch.NewDoor(locator, homes, caller, registrar, members, logger))
 }
 
 // followRetirements empties storage nodes on request.
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -44,6 +44,8 @@
 	ReasonEngineFailed    Reason = "engine_failed"
 	ReasonInternal        Reason = "internal"
 	ReasonCallerCancelled Reason = "caller_cancelled"
+	// ReasonNoHome: what is confined to regions has no place in them.
+	ReasonNoHome Reason = "no_home"
 )
 
 // Error is a failure with its Outcome. It wraps its cause.
--- a/internal/region/set.go
+++ b/internal/region/set.go
@@ -22,6 +22,9 @@
 	return Set{limited: true, names: slices.Compact(sorted)}
 }
 
+// Nowhere returns the Set that allows no region.
+func Nowhere() Set { return Set{limited: true} }
+
 // Limited says that not all regions are allowed.
 func (s Set) Limited() bool { return s.limited }
 
--- a/internal/route/homes.go
+++ b/internal/route/homes.go
@@ -1,6 +1,9 @@
 package route
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/tenant"
 )
@@ -22,13 +25,13 @@
 	return Homes(matched, t.Tenants.ByName(tenantName))
 }
 
-// Home is a host of batch jobs whose data is confined to regions.
+// Home is a host of batch jobs, by its HostName, whose data is confined to regions.
 type Home struct {
 	Host    string
 	Regions region.Set
 }
 
-// BatchHomes returns the confined homes of all batch routes with and without each tenant, each once; none where the table confines nothing.
+// BatchHomes returns the confined homes of all batch routes with and without each tenant, each once and in order; none where the table confines nothing.
 func (t *Table) BatchHomes() []Home {
 	var found []Home
 	for _, each := range t.Routes {
@@ -43,6 +46,9 @@
 			found = appendHome(found, each, holder)
 		}
 	}
+	slices.SortFunc(found, func(one, other Home) int {
+		return cmp.Or(cmp.Compare(one.Host, other.Host), cmp.Compare(one.Regions.String(), other.Regions.String()))
+	})
 	return found
 }
 
@@ -52,10 +58,11 @@
 	if !regions.Limited() || len(regions.Names()) == 0 {
 		return found
 	}
+	host := HostName(matched.Host)
 	for _, each := range found {
-		if each.Host == matched.Host && each.Regions.Equal(regions) {
+		if each.Host == host && each.Regions.Equal(regions) {
 			return found
 		}
 	}
-	return append(found, Home{Host: matched.Host, Regions: regions})
+	return append(found, Home{Host: host, Regions: regions})
 }
--- a/internal/route/homes_test.go
+++ b/internal/route/homes_test.go
@@ -55,7 +55,6 @@
 	for _, each := range table.BatchHomes() {
 		got = append(got, each.Host+" "+strings.Join(each.Regions.Names(), ","))
 	}
-	slices.Sort(got)
 	if want := []string{"b north,south", "b south", "c north"}; !slices.Equal(got, want) {
 		t.Errorf("homes %v, want %v", got, want)
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -134,7 +134,7 @@
 // A port behind the host does not count.
 func (t *Table) Match(host, path string) *Route {
 	var best *Route
-	for _, route := range t.byHost[hostName(host)] {
+	for _, route := range t.byHost[HostName(host)] {
 		if !strings.HasPrefix(path, route.Prefix) {
 			continue
 		}
@@ -157,7 +157,7 @@
 
 // MatchBatch returns the batch route that calls about jobs of host belong to; nil where there is none. Such calls name a job and no path.
 func (t *Table) MatchBatch(host string) *Route {
-	for _, route := range t.byHost[hostName(host)] {
+	for _, route := range t.byHost[HostName(host)] {
 		if route.Kind == Batch {
 			return route
 		}
@@ -165,8 +165,8 @@
 	return nil
 }
 
-// hostName returns host in lower case without its port.
-func hostName(host string) string {
+// HostName returns host in lower case without its port.
+func HostName(host string) string {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:colon]
 	}
