--- /dev/null
+++ b/internal/batch/door_homes_test.go
@@ -0,0 +1,167 @@
+package batch
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/region"
+	"github.com/sloelift/sloelift/internal/transport"
+	"github.com/sloelift/sloelift/internal/transport/memory"
+)
+
+// anywhere is the partition of jobs that may be anywhere, home and formerHome those of jobs that are confined; nowhere is none of the host's.
+const (
+	anywhere   = ledger.PartitionID(0)
+	home       = ledger.PartitionID(1<<31 + 1)
+	formerHome = ledger.PartitionID(1<<31 + 2)
+	nowhere    = ledger.PartitionID(1)
+)
+
+// homesUnderTest is edges whose owner has partitions with jobs; silent ones have no owner that answers.
+type homesUnderTest struct {
+	*edges
+	mutex     sync.Mutex
+	jobs      map[ledger.PartitionID][]string
+	silent    map[ledger.PartitionID]bool
+	submitted []ledger.PartitionID
+}
+
+func newHomesUnderTest(t *testing.T) *homesUnderTest {
+	t.Helper()
+	made := &homesUnderTest{jobs: map[ledger.PartitionID][]string{}, silent: map[ledger.PartitionID]bool{}}
+	made.edges = newEdgesWith(t, func(owner *memory.Transport) {
+		transport.Handle(owner, methodSubmit, func() *batchpb.SubmitRequest { return &batchpb.SubmitRequest{} },
+			func(_ context.Context, _ netip.AddrPort, request *batchpb.SubmitRequest) (*batchpb.SubmitResponse, error) {
+				made.mutex.Lock()
+				defer made.mutex.Unlock()
+				partition := ledger.PartitionID(request.Partition)
+				made.submitted = append(made.submitted, partition)
+				made.jobs[partition] = append(made.jobs[partition], request.Submission.JobId)
+				return &batchpb.SubmitResponse{Accepted: true}, nil
+			})
+		transport.Handle(owner, methodRead, func() *batchpb.ReadRequest { return &batchpb.ReadRequest{} },
+			func(_ context.Context, _ netip.AddrPort, request *batchpb.ReadRequest) (*batchpb.ReadResponse, error) {
+				found, err := made.has(request.Partition, request.JobId)
+				return &batchpb.ReadResponse{Found: found}, err
+			})
+		transport.Handle(owner, methodEnd, func() *batchpb.EndRequest { return &batchpb.EndRequest{} },
+			func(_ context.Context, _ netip.AddrPort, request *batchpb.EndRequest) (*batchpb.EndResponse, error) {
+				found, err := made.has(request.Partition, request.JobId)
+				return &batchpb.EndResponse{Found: found}, err
+			})
+	})
+	made.homes.within = []ledger.PartitionID{home, formerHome}
+	return made
+}
+
+func (h *homesUnderTest) has(partition uint32, job string) (bool, error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.silent[ledger.PartitionID(partition)] {
+		return false, errNotOwner()
+	}
+	return slices.Contains(h.jobs[ledger.PartitionID(partition)], job), nil
+}
+
+func TestConfinedJobsGoToTheirHome(t *testing.T) {
+	noHome := outcome.New(outcome.NotRun, outcome.ReasonNoHome, "too few stores").After(time.Second)
+	for _, test := range []struct {
+		name     string
+		regions  region.Set
+		refusal  *outcome.Error
+		settling bool
+		jobIn    ledger.PartitionID
+		silent   ledger.PartitionID
+		want     []ledger.PartitionID
+		reason   outcome.Reason
+	}{
+		{name: "not confined", silent: nowhere, jobIn: nowhere, want: []ledger.PartitionID{anywhere}},
+		{name: "confined", regions: region.NewSet("north"), silent: nowhere, jobIn: nowhere, want: []ledger.PartitionID{home}},
+		{name: "no place at home", regions: region.NewSet("north"), refusal: noHome, reason: outcome.ReasonNoHome, silent: nowhere, jobIn: nowhere},
+		{name: "accepted elsewhere before homes changed", regions: region.NewSet("north"), settling: true, silent: nowhere, jobIn: formerHome},
+		{name: "accepted at home before homes were widened", settling: true, silent: nowhere, jobIn: home},
+		{name: "accepted nowhere before homes changed", regions: region.NewSet("north"), settling: true, silent: nowhere, jobIn: home, want: []ledger.PartitionID{home}},
+		{name: "a former home does not answer", regions: region.NewSet("north"), settling: true, silent: formerHome, reason: outcome.ReasonUnavailable, jobIn: nowhere},
+		{name: "a former home does not answer long after", regions: region.NewSet("north"), silent: formerHome, jobIn: nowhere, want: []ledger.PartitionID{home}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				made := newHomesUnderTest(t)
+				defer made.stop()
+				made.homes.refusal, made.homes.settling = test.refusal, test.settling
+				made.jobs[test.jobIn] = []string{"j"}
+				made.silent[test.silent] = true
+				err := made.doors[0].Submit(t.Context(), batchOf("j", 1), batchRoute, test.regions)
+				if reason := outcome.As(err); (err != nil) != (test.reason != "") || (err != nil && (reason.Reason != test.reason || reason.Outcome != outcome.NotRun || reason.RetryAfter == 0)) {
+					t.Errorf("submission ends with %v", err)
+				}
+				if !slices.Equal(made.submitted, test.want) {
+					t.Errorf("submitted to %v, want %v", made.submitted, test.want)
+				}
+			})
+		})
+	}
+}
+
+func TestJobsAreFoundInAllHomes(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		jobIn, silent ledger.PartitionID
+		found, fails  bool
+	}{
+		{"anywhere", anywhere, nowhere, true, false},
+		{"at home", home, nowhere, true, false},
+		{"at the former home", formerHome, nowhere, true, false},
+		{"at home while another does not answer", home, formerHome, true, false},
+		{"nowhere", nowhere, nowhere, false, false},
+		{"perhaps where nobody answers", nowhere, home, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				made := newHomesUnderTest(t)
+				defer made.stop()
+				made.jobs[test.jobIn] = []string{"j"}
+				made.silent[test.silent] = true
+				caller := Caller{Host: testHost}
+				response, err := made.doors[0].Read(t.Context(), caller, "j", 0, 0)
+				if (err != nil) != test.fails || (err == nil && response.Found != test.found) {
+					t.Errorf("read: %v, %v", response, err)
+				}
+				ended, err := made.doors[0].End(t.Context(), caller, "j")
+				if (err != nil) != test.fails || (err == nil && ended.Found != test.found) {
+					t.Errorf("end: %v, %v", ended, err)
+				}
+			})
+		})
+	}
+}
+
+// TestRelaysKeepToTheHomes: the body of a confined job goes through no edge outside, though its owner is cut off from this one.
+func TestRelaysKeepToTheHomes(t *testing.T) {
+	for name, outside := range map[string]bool{"edge in a home": false, "edge abroad": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				made := newHomesUnderTest(t)
+				defer made.stop()
+				made.homes.outside = map[string]bool{otherZone: outside}
+				cutOff := addressOf(9001)
+				made.network.SetConditions(func(from, to netip.AddrPort) memory.Conditions {
+					cut := (from == cutOff && to == made.owner) || (from == made.owner && to == cutOff)
+					return memory.Conditions{Delay: time.Millisecond, Cut: cut}
+				})
+				err := made.doors[0].Submit(t.Context(), batchOf("j", 1), batchRoute, region.NewSet("north"))
+				if (err != nil) != outside || (len(made.submitted) == 0) != outside {
+					t.Errorf("submission ends with %v, submitted to %v", err, made.submitted)
+				}
+			})
+		})
+	}
+}
--- a/internal/batch/door_test.go
+++ b/internal/batch/door_test.go
@@ -69,6 +69,20 @@
 
 // newEdges starts an owner that answers submissions with answer.
 func newEdges(t *testing.T, answer func() (*batchpb.SubmitResponse, error)) *edges {
+	t.Helper()
+	return newEdgesWith(t, func(owner *memory.Transport) {
+		transport.Handle(owner, methodSubmit, func() *batchpb.SubmitRequest { return &batchpb.SubmitRequest{} },
+			func(context.Context, netip.AddrPort, *batchpb.SubmitRequest) (*batchpb.SubmitResponse, error) {
+				return answer()
+			})
+	})
+}
+
+// otherZone is the zone of the second edge.
+const otherZone = "other"
+
+// newEdgesWith starts an owner with the given methods.
+func newEdgesWith(t *testing.T, register func(owner *memory.Transport)) *edges {
 	t.Helper()
 	made := &edges{homes: &fixedHomes{}, network: memory.NewNetwork(1), owner: addressOf(9000)}
 	made.network.SetConditions(func(netip.AddrPort, netip.AddrPort) memory.Conditions {
@@ -83,12 +97,8 @@
 		transports = append(transports, started)
 		return started
 	}
-	owner := start(made.owner)
-	transport.Handle(owner, methodSubmit, func() *batchpb.SubmitRequest { return &batchpb.SubmitRequest{} },
-		func(context.Context, netip.AddrPort, *batchpb.SubmitRequest) (*batchpb.SubmitResponse, error) {
-			return answer()
-		})
-	members := []membership.Member{{ID: "e1", PeerAddress: addressOf(9001)}, {ID: "e2", PeerAddress: addressOf(9002)}, {ID: "s", PeerAddress: made.owner, Store: true}}
+	register(start(made.owner))
+	members := []membership.Member{{ID: "e1", PeerAddress: addressOf(9001)}, {ID: "e2", PeerAddress: addressOf(9002), Zone: otherZone}, {ID: "s", PeerAddress: made.owner, Store: true}}
 	for _, self := range members[:2] {
 		edge := start(self.PeerAddress)
 		view := fixedView{&membership.View{Self: self.ID, Members: members}}
--- a/internal/ledger/confined_test.go
+++ b/internal/ledger/confined_test.go
@@ -173,6 +173,7 @@
 		time.Sleep(time.Minute)
 		c.keepsWithin(partition, north)
 		for _, node := range c.nodes {
+			node.manager.hints.set(partition, c.nodes[0].id)
 			if owner, known := node.manager.Owner(partition); known {
 				t.Errorf("%s takes %s for the owner", node.id, owner)
 			}
