--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -132,13 +132,13 @@
 func own(t *testing.T, scripts map[string]replicatest.Script, records ...ledger.Record) *ownerUnderTest {
 	t.Helper()
 	service, fleet, network, routes := newService(scripts)
-	return ownOf(t, service, fleet, network, routes, records...)
+	return ownOf(t, anywhere, service, fleet, network, routes, records...)
 }
 
-// ownOf is own of a service that is there.
-func ownOf(t *testing.T, service *Service, fleet *fakeFleet, network *replicatest.Network, routes *route.Holder, records ...ledger.Record) *ownerUnderTest {
+// ownOf is own of a partition of a service that is there.
+func ownOf(t *testing.T, id ledger.PartitionID, service *Service, fleet *fakeFleet, network *replicatest.Network, routes *route.Holder, records ...ledger.Record) *ownerUnderTest {
 	t.Helper()
-	owner := newPartition(0, service)
+	owner := newPartition(id, service)
 	owned := &fakeOwned{lost: make(chan struct{}), records: records}
 	if err := owner.Restore(nil); err != nil {
 		t.Fatal(err)
--- a/internal/batch/item_homes.go
+++ b/internal/batch/item_homes.go
@@ -1,7 +1,10 @@
 package batch
 
 import (
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/route"
 )
 
@@ -13,6 +16,23 @@
 
 func (c candidate) target() target { return target{route: c.route, homes: c.homes.String()} }
 
+// checkPlace rejects a new submission that is confined to regions where this partition is not: it comes from an edge that does not know of that yet.
+func (p *partition) checkPlace(submission *batchpb.Submission) error {
+	table := p.service.routes.Table()
+	if table == nil || ledger.IsConfined(p.id) {
+		return nil
+	}
+	for _, item := range submission.Items {
+		matched := table.Match(submission.Host, item.Path)
+		if matched == nil || !table.HomesOf(matched, submission.Tenant).Limited() {
+			continue
+		}
+		p.logger.Info().Str(logging.FieldJob, submission.JobId).Int64("version", table.Version).Msg("job_outside_homes")
+		return outcome.New(outcome.NotRun, outcome.ReasonNoHome, "the job is confined to regions by a newer configuration").After(retryAfterOwner)
+	}
+	return nil
+}
+
 // checkHomes cuts off the runs that a change of the configuration has put outside the regions in which they may run; they go on elsewhere
 // behind what they have made. An item whose route is gone is the dispatcher's.
 func (p *partition) checkHomes() {
--- a/internal/batch/item_homes_test.go
+++ b/internal/batch/item_homes_test.go
@@ -5,7 +5,9 @@
 	"testing/synctest"
 	"time"
 
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
@@ -28,7 +30,7 @@
 	service.directory.Replace(infos)
 	service.picker = balance.NewPicker(service.directory, region.NewTopology(regionOf), func() float64 { return 0 })
 	routes.Offer(confinedTable(2, homes, region.Set{}))
-	return ownOf(t, service, fleet, network, routes)
+	return ownOf(t, home, service, fleet, network, routes)
 }
 
 // confinedTable confines the route, and the tenant "one", to regions.
@@ -120,3 +122,18 @@
 		}
 	})
 }
+
+// TestOwnerRejectsWhatIsConfinedElsewhere: an edge with an older configuration brings a job to the partition of those that may be anywhere.
+func TestOwnerRejectsWhatIsConfinedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := own(t, only(replicatest.Hang()))
+		defer owner.end()
+		owner.mustSubmit(t, batchOf("before", 1))
+		owner.routes.Offer(confinedTable(2, region.NewSet("north"), region.Set{}))
+		_, err := owner.submit(t.Context(), &batchpb.SubmitRequest{Submission: batchOf("after", 1)})
+		if refused := outcome.As(err); err == nil || refused.Outcome != outcome.NotRun || refused.Reason != outcome.ReasonNoHome || refused.RetryAfter == 0 {
+			t.Errorf("submission ends with %v", err)
+		}
+		owner.mustSubmit(t, batchOf("before", 1))
+	})
+}
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -61,6 +61,9 @@
 	if p.quiesced {
 		return nil, nil, errNotOwner()
 	}
+	if err := p.checkPlace(submission); err != nil {
+		return nil, nil, err
+	}
 	if !p.owned.HasRoom() {
 		return nil, nil, outcome.New(outcome.NotRun, outcome.ReasonStorageFull, "the stores' disks are full").After(retryAfterFull)
 	}
--- a/internal/ledger/confined.go
+++ b/internal/ledger/confined.go
@@ -91,7 +91,8 @@
 	return PartitionID(xxhash.Sum64String(key) % uint64(min(partitions, 1<<confinedKeyBits)))
 }
 
-func isConfined(partition PartitionID) bool { return partition&confinedBit != 0 }
+// IsConfined says that the records of the partition are confined to regions.
+func IsConfined(partition PartitionID) bool { return partition&confinedBit != 0 }
 
 // SetConfined names the keys whose records are confined to regions, in an order that follows from what they are.
 func (m *Manager) SetConfined(keys []Confined) {
@@ -116,7 +117,7 @@
 
 // placementOf returns where records of the partition may be. Of a confined partition of which nothing is known that is nowhere.
 func (m *Manager) placementOf(partition PartitionID) placement {
-	if !isConfined(partition) {
+	if !IsConfined(partition) {
 		return placement{}
 	}
 	if ensemble, known := m.directory.ensemble(partition); known {
--- a/internal/ledger/directory.go
+++ b/internal/ledger/directory.go
@@ -85,7 +85,7 @@
 	}
 	ofHead := len(d.ensembles)
 	for partition := range d.ensembles {
-		if isConfined(partition) {
+		if IsConfined(partition) {
 			ofHead--
 		}
 	}
@@ -98,7 +98,7 @@
 	defer d.mutex.RUnlock()
 	var found []PartitionID
 	for partition := range d.ensembles {
-		if isConfined(partition) {
+		if IsConfined(partition) {
 			found = append(found, partition)
 		}
 	}
--- a/internal/ledger/placement_test.go
+++ b/internal/ledger/placement_test.go
@@ -82,7 +82,7 @@
 	seen := map[PartitionID]string{}
 	for _, names := range [][]string{{"north"}, {"south"}, {"north", "south"}, {"northsouth"}} {
 		partition := confinedPartition("host", region.NewSet(names...), largestHead)
-		if partition < largestHead || !isConfined(partition) {
+		if partition < largestHead || !IsConfined(partition) {
 			t.Errorf("%v: number %d is one of the head", names, partition)
 		}
 		if other, taken := seen[partition]; taken {
