--- /dev/null
+++ b/internal/batch/homes_cluster_test.go
@@ -0,0 +1,438 @@
+package batch
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/ledger/store"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/region"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/replica/replicatest"
+	"github.com/sloelift/sloelift/internal/route"
+	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/transport"
+	"github.com/sloelift/sloelift/internal/transport/memory"
+)
+
+// secret stands in the bodies and in the results of confined jobs, and nowhere else.
+const secret = "for home alone"
+
+// clusterNode is a storage node or an edge with its parts as they are linked in a process.
+type clusterNode struct {
+	id        membership.NodeID
+	region    string
+	address   netip.AddrPort
+	disk      *vfs.MemFS
+	store     *store.Store
+	transport *memory.Transport
+	manager   *ledger.Manager
+	door      *Door
+	running   bool
+}
+
+// regionsCluster is storage nodes, edges and replicas in three regions.
+type regionsCluster struct {
+	t        *testing.T
+	network  *memory.Network
+	replicas *replicatest.Network
+	keyValue *memoryKeyValue
+	routes   *route.Holder
+	nodes    []*clusterNode
+	infos    []replica.Info
+
+	mutex sync.Mutex
+	view  membership.View
+	// seen are the regions of the nodes that got the secret, by method, other than the one to which the client is connected.
+	seen map[transport.Method]map[string]bool
+	// connected is the edge of the present client.
+	connected netip.AddrPort
+}
+
+var clusterRegions = []string{"north", "south", "west"}
+
+const storesInRegion = 4
+
+func newRegionsCluster(t *testing.T, homes region.Set) *regionsCluster {
+	t.Helper()
+	c := &regionsCluster{
+		t: t, network: memory.NewNetwork(1), replicas: &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{}},
+		keyValue: &memoryKeyValue{entries: map[string]platform.Entry{}}, routes: route.NewHolder(), seen: map[transport.Method]map[string]bool{},
+	}
+	c.network.SetConditions(func(netip.AddrPort, netip.AddrPort) memory.Conditions {
+		return memory.Conditions{Delay: time.Millisecond}
+	})
+	table := testTable(1, true)
+	table.Routes[0].Regions = homes
+	c.routes.Offer(table)
+	for index, name := range clusterRegions {
+		address := addressOf(uint16(1000 + index))
+		c.replicas.Scripts[address] = replicatest.Stream("s", true, false, "id: 1\ndata: "+secret+"\n\n")
+		c.infos = append(c.infos, replica.Info{ID: "replica-" + name, Service: "s", Zone: "zone-" + name, Address: address, Slots: 8})
+		for number := range storesInRegion + 1 {
+			node := &clusterNode{
+				id: membership.NodeID(fmt.Sprintf("%s-%d", name, number)), region: name, address: addressOf(uint16(9000 + 10*index + number)),
+			}
+			if number < storesInRegion {
+				node.disk = vfs.NewMem()
+			}
+			c.nodes = append(c.nodes, node)
+		}
+	}
+	for _, node := range c.nodes {
+		c.start(node)
+	}
+	return c
+}
+
+func (c *regionsCluster) settings(node *clusterNode) settings.Settings {
+	own := settings.Settings{Node: string(node.id), Zone: "zone-" + node.region, Region: node.region}
+	for _, name := range clusterRegions {
+		own.Zones = append(own.Zones, settings.Zone{Name: "zone-" + name, Region: name})
+	}
+	own.Ledger = settings.Ledger{Partitions: 2, Replicas: 3, WriteQuorum: 2, OwnersOnStores: true, MembersDecide: true}
+	return own
+}
+
+func (c *regionsCluster) start(node *clusterNode) {
+	c.t.Helper()
+	var err error
+	if node.transport, err = memory.NewTransport(c.network, node.address, prometheus.NewRegistry()); err != nil {
+		c.t.Fatal(err)
+	}
+	node.store = nil
+	incarnation := ""
+	if node.disk != nil {
+		node.store, err = store.Open("/data", store.Options{Files: node.disk, Logger: zerolog.Nop(), Free: func() (uint64, error) { return 1 << 40, nil }})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		incarnation = string(node.store.ID())
+	}
+	own := c.settings(node)
+	c.setMember(membership.Member{
+		ID: node.id, Zone: own.Zone, Region: own.Region, PeerAddress: node.address, Store: node.disk != nil, StoreIncarnation: incarnation,
+	})
+	caller := watchingCaller{Caller: node.transport, from: node.address, cluster: c}
+	directory := replica.NewDirectory()
+	directory.Replace(c.infos)
+	picker := balance.NewPicker(directory, own.Topology(), func() float64 { return 0 })
+	options := Options{Zone: own.Zone, MaxBytes: 1 << 20, KeepResults: time.Hour, Report: replica.LoadReport{
+		Path: "/load", Parse: func([]byte) (replica.Load, error) { return replica.Load{}, nil },
+	}}
+	service := NewService(options, c.routes, directory, &fakeFleet{}, picker, replica.NewClient(c.replicas, replicatest.Headers), node.transport, zerolog.Nop())
+	timing := ledger.DefaultTiming()
+	timing.Replace, timing.Formation, timing.Silence, timing.Request = 2*time.Second, time.Second, 800*time.Millisecond, time.Second
+	node.manager = ledger.NewManager(ledger.Dependencies{
+		Settings: own, Timing: timing, Logger: zerolog.Nop(), Local: node.store, Caller: caller, Registry: node.transport,
+		KeyValue: c.keyValue, Viewer: viewOf{c, node.id}, Factory: service.Factory(),
+	})
+	node.door = NewDoor(node.manager, node.manager, caller, node.transport, viewOf{c, node.id}, zerolog.Nop())
+	node.transport.Start()
+	node.manager.Start()
+	var confined []ledger.Confined
+	for _, each := range c.routes.Table().BatchHomes() {
+		confined = append(confined, ledger.Confined{Key: each.Host, Regions: each.Regions})
+	}
+	node.manager.SetConfined(confined)
+	node.running = true
+}
+
+func (c *regionsCluster) stop(node *clusterNode) {
+	if !node.running {
+		return
+	}
+	node.running = false
+	node.transport.Stop()
+	node.manager.Stop()
+	if node.store != nil {
+		if err := node.store.Close(); err != nil {
+			c.t.Error(err)
+		}
+	}
+}
+
+func (c *regionsCluster) stopAll() {
+	for _, node := range c.nodes {
+		c.stop(node)
+	}
+	c.replicas.CloseAll()
+	synctest.Wait()
+}
+
+func (c *regionsCluster) setMember(member membership.Member) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.view.Members = slices.DeleteFunc(slices.Clone(c.view.Members), func(other membership.Member) bool { return other.ID == member.ID })
+	c.view.Members = append(c.view.Members, member)
+}
+
+// edge returns the edge of a region, which is that of the present client from then on.
+func (c *regionsCluster) edge(name string) *Door {
+	for _, node := range c.nodes {
+		if node.region == name && node.disk == nil {
+			c.mutex.Lock()
+			defer c.mutex.Unlock()
+			c.connected = node.address
+			return node.door
+		}
+	}
+	return nil
+}
+
+// note notes where a message with the secret goes.
+func (c *regionsCluster) note(method transport.Method, to netip.AddrPort, message proto.Message) {
+	encoded, err := proto.Marshal(message)
+	if err != nil || !bytes.Contains(encoded, []byte(secret)) {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if to == c.connected {
+		return
+	}
+	if c.seen[method] == nil {
+		c.seen[method] = map[string]bool{}
+	}
+	for _, node := range c.nodes {
+		if node.address == to {
+			c.seen[method][node.region] = true
+		}
+	}
+}
+
+// sawOnly fails where the secret came to a region other than the given ones; a check that saw it nowhere proves nothing.
+func (c *regionsCluster) sawOnly(allowed ...string) {
+	c.t.Helper()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(c.seen[methodSubmit]) == 0 || len(c.seen) < 2 {
+		c.t.Fatalf("the secret was seen in %v alone", c.seen)
+	}
+	for method, regions := range c.seen {
+		for name := range regions {
+			if !slices.Contains(allowed, name) {
+				c.t.Errorf("%s brought the secret to %s", method, name)
+			}
+		}
+	}
+	for _, request := range c.replicas.Requests() {
+		if at := request.Header.Get(replicatest.Headers.ExpectInstance); at != "" && !slices.Contains(allowed, strings.TrimPrefix(at, "replica-")) {
+			c.t.Errorf("an item came to %s", at)
+		}
+	}
+}
+
+// submit has the job accepted, however often that takes.
+func (c *regionsCluster) submit(door *Door, job string, regions region.Set) {
+	c.t.Helper()
+	c.eventually("accepted "+job, func() error {
+		submission := batchOf(job, 2)
+		for _, item := range submission.Items {
+			item.Body = []byte(secret)
+		}
+		return door.Submit(c.t.Context(), submission, c.routes.Table().Routes[0], regions)
+	})
+}
+
+// done waits until the door lists all results of the job.
+func (c *regionsCluster) done(door *Door, job string) {
+	c.t.Helper()
+	c.eventually("results of "+job, func() error {
+		response, err := door.Read(c.t.Context(), Caller{Host: testHost}, job, 0, time.Second)
+		if err == nil && len(response.Results) < 2 {
+			err = fmt.Errorf("%d results", len(response.Results))
+		}
+		return err
+	})
+}
+
+func (c *regionsCluster) eventually(what string, try func() error) {
+	c.t.Helper()
+	var err error
+	for range 600 {
+		if err = try(); err == nil {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Fatalf("not in time: %s: %v", what, err)
+}
+
+// watchingCaller notes what calls carry.
+type watchingCaller struct {
+	transport.Caller
+	from    netip.AddrPort
+	cluster *regionsCluster
+}
+
+func (w watchingCaller) Call(ctx context.Context, to netip.AddrPort, method transport.Method, request, response proto.Message) error {
+	w.cluster.note(method, to, request)
+	err := w.Caller.Call(ctx, to, method, request, response)
+	w.cluster.note(method, w.from, response)
+	return err
+}
+
+type viewOf struct {
+	cluster *regionsCluster
+	self    membership.NodeID
+}
+
+func (v viewOf) View() *membership.View {
+	v.cluster.mutex.Lock()
+	defer v.cluster.mutex.Unlock()
+	return &membership.View{Self: v.self, Members: v.cluster.view.Members}
+}
+
+func (v viewOf) Subscribe(func(*membership.View)) func() { return func() {} }
+
+// TestConfinedJobFromSubmissionToResult: a job of north that comes to south is kept and run in north alone, and read in west; a lost disk,
+// a lost owner and a cut between the edge and its owner change nothing about it.
+func TestConfinedJobFromSubmissionToResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		north := region.NewSet("north")
+		c := newRegionsCluster(t, north)
+		defer c.stopAll()
+		c.submit(c.edge("south"), "first", north)
+		c.done(c.edge("south"), "first")
+		c.done(c.edge("west"), "first")
+		for _, lost := range c.nodes[:2] {
+			c.stop(lost)
+			lost.disk = vfs.NewMem()
+			c.start(lost)
+			time.Sleep(10 * time.Second)
+			job := "after-" + string(lost.id)
+			c.submit(c.edge("south"), job, north)
+			c.done(c.edge("west"), job)
+		}
+		c.cutFromStores(c.edge("south"))
+		c.submit(c.edge("south"), "relayed", north)
+		c.done(c.edge("west"), "relayed")
+		c.done(c.edge("west"), "first")
+		c.sawOnly("north")
+	})
+}
+
+// cutFromStores cuts an edge off from all nodes with a store.
+func (c *regionsCluster) cutFromStores(door *Door) {
+	c.t.Helper()
+	var edge netip.AddrPort
+	stores := map[netip.AddrPort]bool{}
+	for _, node := range c.nodes {
+		if node.door == door {
+			edge = node.address
+		}
+		stores[node.address] = node.disk != nil
+	}
+	c.network.SetConditions(func(from, to netip.AddrPort) memory.Conditions {
+		return memory.Conditions{Delay: time.Millisecond, Cut: (from == edge && stores[to]) || (to == edge && stores[from])}
+	})
+}
+
+// TestJobThatIsNotConfinedGoesAnywhere is what the test above would see without homes.
+func TestJobThatIsNotConfinedGoesAnywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRegionsCluster(t, region.Set{})
+		defer c.stopAll()
+		c.submit(c.edge("south"), "first", region.Set{})
+		c.done(c.edge("west"), "first")
+		time.Sleep(10 * time.Second)
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		reached := map[string]bool{}
+		for _, regions := range c.seen {
+			for name := range regions {
+				reached[name] = true
+			}
+		}
+		if len(reached) != len(clusterRegions) {
+			t.Errorf("the secret came to %v alone", reached)
+		}
+	})
+}
+
+// TestConfinedJobIsRejectedWhileItsHomesAreLost: nobody else takes it, and it is accepted once they are back.
+func TestConfinedJobIsRejectedWhileItsHomesAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		north := region.NewSet("north")
+		c := newRegionsCluster(t, north)
+		defer c.stopAll()
+		c.submit(c.edge("south"), "before", north)
+		for _, node := range c.nodes {
+			if node.region == "north" {
+				c.stop(node)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		if err := c.edge("south").Submit(t.Context(), batchOf("meanwhile", 1), c.routes.Table().Routes[0], north); err == nil {
+			t.Error("accepted without its homes")
+		}
+		if response, err := c.edge("south").Read(t.Context(), Caller{Host: testHost}, "before", 0, 0); err == nil {
+			t.Errorf("read: %v", response)
+		}
+		for _, node := range c.nodes {
+			if node.region == "north" {
+				c.start(node)
+			}
+		}
+		c.submit(c.edge("south"), "after", north)
+		c.done(c.edge("west"), "before")
+		c.done(c.edge("west"), "after")
+		c.sawOnly("north")
+	})
+}
+
+// memoryKeyValue is a key-value service in memory.
+type memoryKeyValue struct {
+	platform.KeyValue
+	mutex    sync.Mutex
+	revision int64
+	entries  map[string]platform.Entry
+}
+
+func (k *memoryKeyValue) Get(_ context.Context, key string) (platform.Entry, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.entries[key], nil
+}
+
+func (k *memoryKeyValue) List(context.Context, string) (platform.Listing, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	listing := platform.Listing{Revision: k.revision}
+	for _, entry := range k.entries {
+		listing.Entries = append(listing.Entries, entry)
+	}
+	return listing, nil
+}
+
+func (k *memoryKeyValue) Commit(_ context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for _, condition := range transaction.Conditions {
+		if k.entries[condition.Key].ModRevision != condition.ModRevision {
+			return platform.CommitResult{}, nil
+		}
+	}
+	k.revision++
+	for _, change := range transaction.Changes {
+		k.entries[change.Key] = platform.Entry{Key: change.Key, Value: change.Value, ModRevision: k.revision}
+	}
+	return platform.CommitResult{Committed: true, Revision: k.revision}, nil
+}
