--- a/internal/balance/distance_test.go
+++ b/internal/balance/distance_test.go
@@ -41,8 +41,7 @@
 			for id, requests := range map[string]int{"here": test.here, "near": test.near, "far": test.far} {
 				directory.View().Find(id).SetOthers(replica.Use{Requests: requests}, now)
 			}
-			picker := NewPicker(directory, func() float64 { return 0 })
-			picker.SetTopology(topology)
+			picker := NewPicker(directory, topology, func() float64 { return 0 })
 			picked := picker.Pick(&Request{Service: "s", Zone: "n1", BodyBytes: 500, Objective: objective}, now)
 			if picked.Info().ID != test.want {
 				t.Errorf("picked %s, want %s", picked.Info().ID, test.want)
--- a/internal/forward/evacuation.go
+++ b/internal/forward/evacuation.go
@@ -33,6 +33,10 @@
 	if e.allEvacuated() {
 		return reasonEvacuated
 	}
+	if !e.servedAtHome(time.Now()) {
+		e.handler.metrics.outsideHomes(e.route.Name)
+		return reasonOutsideHomes
+	}
 	return reasonNoReplica
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -102,6 +102,10 @@
 	if e.handler.refresh != nil {
 		e.handler.refresh(ctx)
 	}
+	if !e.servedAtHome(time.Now()) {
+		e.conclude(ctx, notRun, e.whyNone())
+		return
+	}
 	leave := e.waitForRoom(ctx)
 	defer leave()
 	if ctx.Err() != nil {
@@ -147,7 +151,7 @@
 	if e.handler.gate == nil {
 		return func() {}
 	}
-	request := held{service: e.service, priority: e.priority(), deadline: e.deadline}
+	request := held{service: e.service, priority: e.priority(), deadline: e.deadline, passes: e.passesGate()}
 	if e.route.Objective > 0 {
 		expected := e.handler.expectations.of(e.route)
 		wait := e.deadline.Sub(e.arrived)
@@ -191,6 +195,7 @@
 func (e *exchange) pick(excluded []*replica.Handle) *replica.Handle {
 	wanted := balance.Request{
 		Service: e.nextService(), Zone: e.handler.zone, BodyBytes: len(e.body), Objective: e.route.Objective, Excluded: excluded,
+		Homes: e.homes(),
 	}
 	if e.route.Affinity {
 		parts := ParsePromptParts(e.request.Header.Get(e.handler.headers.PromptParts))
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -127,7 +127,7 @@
 		func() *membership.Timing { return &roleMembershipTiming },
 	),
 	transport.Module, membership.Module, ledger.Module,
-	fx.Invoke(serveMetrics, announceStore, followEvacuations),
+	fx.Invoke(serveMetrics, announceStore, followEvacuations, followHomes),
 )
 
 // roleLedgerTiming replaces the ledger's lost members sooner than on large machines: little is kept on a small disk.
@@ -250,8 +250,8 @@
 	}, routes, directory, shared, picker, client, registrar, logger)
 }
 
-func newBatchCalls(adapter Adapter, locator ledger.Locator, caller transport.Caller, registrar transport.Registrar, members *membership.Service, logger zerolog.Logger) BatchCalls {
-	return adapter.Batch(batch.NewDoor(locator, caller, registrar, members, logger))
+func newBatchCalls(adapter Adapter, locator ledger.Locator, homes ledger.Homes, caller transport.Caller, registrar transport.Registrar, members *membership.Service, logger zerolog.Logger) BatchCalls {
+	return adapter.Batch(batch.NewDoor(locator, homes, caller, registrar, members, logger))
 }
 
 // followRetirements empties storage nodes on request.
@@ -298,9 +298,7 @@
 }
 
 func newPicker(own settings.Settings, directory *replica.Directory) *balance.Picker {
-	picker := balance.NewPicker(directory, nil)
-	picker.SetTopology(own.Topology())
-	return picker
+	return balance.NewPicker(directory, own.Topology(), nil)
 }
 
 func newForwardHandler(own settings.Settings, routes *route.Holder, directory *replica.Directory, picker *balance.Picker, client *replica.Client, gate *forward.Gate, limits *quota.Service, shared *loadshare.Service, calls BatchCalls, logger zerolog.Logger, metrics *forward.Metrics) *forward.Handler {
--- a/internal/region/set.go
+++ b/internal/region/set.go
@@ -1,6 +1,9 @@
 package region
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // Set is the regions to which data is confined. Its zero value confines to none: everything is allowed. It is immutable.
 type Set struct {
@@ -19,6 +22,9 @@
 	return Set{limited: true, names: slices.Compact(sorted)}
 }
 
+// Nowhere returns the Set that allows no region.
+func Nowhere() Set { return Set{limited: true} }
+
 // Limited says that not all regions are allowed.
 func (s Set) Limited() bool { return s.limited }
 
@@ -30,6 +36,19 @@
 // Names returns the allowed regions in order; nil where all are.
 func (s Set) Names() []string { return slices.Clone(s.names) }
 
+// String returns the allowed regions for a log line: "all", or their names separated by commas, which may be none.
+func (s Set) String() string {
+	if !s.limited {
+		return "all"
+	}
+	return strings.Join(s.names, ",")
+}
+
+// Equal says that both sets allow the same.
+func (s Set) Equal(other Set) bool {
+	return s.limited == other.limited && slices.Equal(s.names, other.names)
+}
+
 // Intersect returns what both sets allow, which may be no region at all.
 func (s Set) Intersect(other Set) Set {
 	if !s.limited {
