--- a/internal/ledger/protocol/owner_state.go
+++ b/internal/ledger/protocol/owner_state.go
@@ -79,7 +79,7 @@
 // SnapshotHeld records that store has the snapshot, after the driver has put it there.
 func (o *Owner) SnapshotHeld(store StoreID, info SnapshotInfo) {
 	if follower := o.find(store); follower != nil && info.UpTo > follower.snapshot.UpTo {
-		follower.snapshot = info
+		follower.snapshot = info.following(follower.snapshot)
 	}
 }
 
--- a/internal/ledger/protocol/owner_step.go
+++ b/internal/ledger/protocol/owner_step.go
@@ -199,6 +199,7 @@
 // SnapshotTransferred takes the answer to a TransferSnapshot.
 func (o *Owner) SnapshotTransferred(store StoreID, answer Acknowledgement, info SnapshotInfo) []Action {
 	if follower := o.find(store); follower != nil && answer.Verdict == VerdictOK {
+		info = info.following(follower.snapshot)
 		follower.snapshot = info
 		follower.first = max(follower.first, min(info.KeepFrom, answer.Through+1))
 	}
--- /dev/null
+++ b/internal/ledger/protocol/snapshot_test.go
@@ -0,0 +1,30 @@
+package protocol
+
+import "testing"
+
+// TestLaterSnapshotNeedsNoTrimmedRecords: a store whose records are trimmed by one snapshot can be the source for another store after a later
+// snapshot that names older records as kept; their owner, which knew both, knows so too.
+func TestLaterSnapshotNeedsNoTrimmedRecords(t *testing.T) {
+	ballot := Ballot{Version: 1, Number: 1, Owner: "owner"}
+	store := newModelStore()
+	store.state.Prepare(Prepare{Ballot: ballot, Ensemble: Ensemble{Version: 1, Members: []Member{{Store: "a"}}, WriteQuorum: 1}})
+	var entries []Entry
+	for position := Position(1); position <= 3; position++ {
+		entries = append(entries, Entry{Position: position, Ballot: ballot, Born: ballot})
+	}
+	store.state.Append(Append{Ballot: ballot, First: 1, Entries: entries, Committed: 3})
+	store.state.InstallSnapshot(ballot, 0, SnapshotInfo{UpTo: 1, KeepFrom: 2})
+	store.state.Trim(ballot, 2)
+	if answer, _ := store.state.InstallSnapshot(ballot, 0, SnapshotInfo{UpTo: 2, KeepFrom: 1}); answer.Verdict != VerdictOK {
+		t.Fatalf("verdict %d", answer.Verdict)
+	}
+	if held := store.state.Snapshot; held.UpTo != 2 || held.KeepFrom != store.state.First {
+		t.Errorf("snapshot up to %d needs records from %d on, the store has those from %d on", held.UpTo, held.KeepFrom, store.state.First)
+	}
+	owner := NewOwner(ballot, Ensemble{Version: 1, Members: []Member{{Store: "a"}}, WriteQuorum: 1}, DefaultOwnerLimits())
+	owner.SnapshotHeld("a", SnapshotInfo{UpTo: 1, KeepFrom: 2})
+	owner.SnapshotHeld("a", SnapshotInfo{UpTo: 2, KeepFrom: 1})
+	if held := owner.Holdings()[0].Snapshot; held.UpTo != 2 || held.KeepFrom != 2 {
+		t.Errorf("the owner takes the snapshot up to %d for one that needs records from %d on", held.UpTo, held.KeepFrom)
+	}
+}
--- a/internal/ledger/protocol/store_step.go
+++ b/internal/ledger/protocol/store_step.go
@@ -167,6 +167,7 @@
 	}
 	effect := s.adopt(ballot, recoveredTo)
 	effect.Changed = true
+	info = info.following(s.Snapshot)
 	s.Snapshot = info
 	if s.Consistent+1 < info.KeepFrom {
 		effect.Remove = append(effect.Remove, Range{s.First, info.KeepFrom - 1})
--- a/internal/ledger/protocol/types.go
+++ b/internal/ledger/protocol/types.go
@@ -69,3 +69,10 @@
 	Size   uint64
 	Digest uint64
 }
+
+// following returns the snapshot as it stands after an earlier one at the same store. What was not needed beside that is not needed later,
+// and may be trimmed: a store that named it as needed again could fill no other store from its snapshot.
+func (i SnapshotInfo) following(earlier SnapshotInfo) SnapshotInfo {
+	i.KeepFrom = max(i.KeepFrom, earlier.KeepFrom)
+	return i
+}
