--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -56,9 +56,9 @@
 	}
 	return &Picker{
 		directory: directory,
-		required:  []Filter{notExcluded, usable, underOccupancy},
+		required:  []Filter{notExcluded, usable, underOccupancy, coldRoom},
 		preferred: []Filter{notAvoided},
-		scorers:   []Scorer{occupancyScore, zoneScore, partScore, failureScore, prefillScore, readingScore},
+		scorers:   []Scorer{occupancyScore, zoneScore, partScore, failureScore, prefillScore, readingScore, coldScore, paceScore},
 		random:    random,
 		mix:       newPromptMix(),
 	}
--- /dev/null
+++ b/internal/balance/cold.go
@@ -0,0 +1,41 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+const (
+	// coldPenalty is what it costs that a replica is cold, in parts of a replica's room: about that of another zone, so that replicas of the
+	// other zones take what a zone that returns does not bear yet.
+	coldPenalty = 0.3
+	// rampTime is the time after a replica turned warm in which the penalty fades: nodes that know the same would else all choose the empty
+	// replica that has just turned warm.
+	rampTime = 2 * time.Second
+	// pacePenalty is the cost of each request by which a replica gets more than it bore lately, somewhat more than a place of a replica with
+	// 8 slots; maxPacePenalty keeps it below the cost of waiting for a slot.
+	pacePenalty    = 0.15
+	maxPacePenalty = 0.3
+)
+
+// coldRoom drops cold replicas to which this process may send nothing now.
+func coldRoom(_ *Request, handle *replica.Handle, now time.Time) bool { return handle.ColdRoom(now) }
+
+// coldScore prefers replicas that have been warm for a while.
+func coldScore(_ *Request, handle *replica.Handle, now time.Time) float64 {
+	warmFor, ever := handle.WarmFor(now)
+	if !ever || warmFor >= rampTime {
+		return 0
+	}
+	return -coldPenalty * (1 - warmFor.Seconds()/rampTime.Seconds())
+}
+
+// paceScore prefers replicas that get no more from this process than they bore lately: one may have turned cold unseen. Only services that
+// declare what their cold replicas bear are paced.
+func paceScore(_ *Request, handle *replica.Handle, now time.Time) float64 {
+	if !handle.ColdBounded() {
+		return 0
+	}
+	return -min(maxPacePenalty, pacePenalty*handle.Ahead(now))
+}
--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -144,6 +144,9 @@
 			p.replaceLate(each)
 			continue
 		}
+		if !p.service.mayStart(p.ctx, handle) {
+			continue
+		}
 		p.start(each, handle)
 	}
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -163,7 +163,14 @@
 	excluded := slices.Clone(e.tried)
 	for {
 		handle := e.pick(excluded)
-		if handle == nil || e.handler.coldStarts == nil || e.handler.coldStarts.Take(ctx, handle) {
+		if handle == nil {
+			if !e.waitForCold(ctx) {
+				return nil
+			}
+			excluded = slices.Clone(e.tried)
+			continue
+		}
+		if e.handler.coldStarts == nil || e.handler.coldStarts.Take(ctx, handle) {
 			return handle
 		}
 		excluded = append(excluded, handle)
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -20,6 +20,7 @@
 	"github.com/sloelift/sloelift/internal/balance"
 	"github.com/sloelift/sloelift/internal/batch"
 	"github.com/sloelift/sloelift/internal/changefeed"
+	"github.com/sloelift/sloelift/internal/coldstart"
 	"github.com/sloelift/sloelift/internal/discovery"
 	"github.com/sloelift/sloelift/internal/edge"
 	"github.com/sloelift/sloelift/internal/forward"
@@ -120,7 +121,7 @@
 var sharedSlices = fx.Options(
 	fx.Provide(
 		func() *watchPace { return &watchPace{} }, newRoleKeyValue, newFeed, route.NewHolder, replica.NewDirectory, newDiscovery, newReplicaClient, newPicker,
-		newRegisteredMachines, func() *ledger.Timing { return &roleLedgerTiming },
+		newRegisteredMachines, newColdStarts, func() *ledger.Timing { return &roleLedgerTiming },
 		func() *membership.Timing { return &roleMembershipTiming },
 	),
 	transport.Module, membership.Module, ledger.Module,
@@ -229,11 +230,11 @@
 	defaultKeepResults     = 10 * time.Minute
 )
 
-func newBatchService(own settings.Settings, adapter Adapter, routes *route.Holder, directory *replica.Directory, shared *loadshare.Service, picker *balance.Picker, client *replica.Client, registrar transport.Registrar, logger zerolog.Logger) *batch.Service {
+func newBatchService(own settings.Settings, adapter Adapter, routes *route.Holder, directory *replica.Directory, shared *loadshare.Service, picker *balance.Picker, client *replica.Client, coldStarts *coldstart.Service, registrar transport.Registrar, logger zerolog.Logger) *batch.Service {
 	memory := cmp.Or(own.Limits.MemoryMegabytes, defaultMemoryMegabytes)
 	return batch.NewService(batch.Options{
 		Zone: own.Zone, MaxBytes: int64(float64(memory<<20) * batchMemoryShare),
-		KeepResults: cmp.Or(own.Bounds.Poll, defaultKeepResults), Report: adapter.Report,
+		KeepResults: cmp.Or(own.Bounds.Poll, defaultKeepResults), Report: adapter.Report, ColdStarts: coldStarts,
 	}, routes, directory, shared, picker, client, registrar, logger)
 }
 
@@ -277,9 +278,23 @@
 	return balance.NewPicker(directory, nil)
 }
 
-func newForwardHandler(own settings.Settings, routes *route.Holder, directory *replica.Directory, picker *balance.Picker, client *replica.Client, gate *forward.Gate, limits *quota.Service, shared *loadshare.Service, calls BatchCalls, logger zerolog.Logger, metrics *forward.Metrics) *forward.Handler {
+// newColdStarts bounds what cold replicas get. Storage nodes send them nothing: items wait for warm ones.
+func newColdStarts(lifecycle fx.Lifecycle, own settings.Settings, routes *route.Holder, directory *replica.Directory, store platform.KeyValue, members *membership.Service, registerer prometheus.Registerer, logger zerolog.Logger) *coldstart.Service {
+	options := coldstart.Options{
+		Bounds: coldstart.Bounds{Burst: own.Bounds.ColdBurst, Slack: own.Bounds.ColdSlack},
+		Routes: routes, Directory: directory, Viewer: members, Registerer: registerer, Logger: logger,
+	}
+	if own.Role != settings.RoleStorage {
+		options.Store = store
+	}
+	service := coldstart.New(options)
+	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
+	return service
+}
+
+func newForwardHandler(own settings.Settings, routes *route.Holder, directory *replica.Directory, picker *balance.Picker, client *replica.Client, gate *forward.Gate, limits *quota.Service, coldStarts *coldstart.Service, shared *loadshare.Service, calls BatchCalls, logger zerolog.Logger, metrics *forward.Metrics) *forward.Handler {
 	return forward.NewHandler(forward.Options{
-		Routes: routes, Directory: directory, Picker: picker, Client: client, Zone: own.Zone, Batch: calls, Gate: gate, Quota: limits, Refresh: shared.Refresh,
+		Routes: routes, Directory: directory, Picker: picker, Client: client, Zone: own.Zone, Batch: calls, Gate: gate, Quota: limits, ColdStarts: coldStarts, Refresh: shared.Refresh,
 		Logger: logger, Metrics: metrics,
 	})
 }
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -98,10 +98,15 @@
 // Do sends call to the replica and returns the head of its answer. When ctx ends, the connection is closed. An error
 // that wraps ErrNotSent says that the request did not reach the replica; after any other the request may have run.
 func (c *Client) Do(ctx context.Context, handle *Handle, call Call) (*Answer, error) {
+	began := time.Now()
 	used, err := c.connect(ctx, handle, call.Fresh)
 	if err != nil {
 		return nil, err
 	}
+	if handle.staleAdmission(began, time.Now()) {
+		used.close()
+		return nil, fmt.Errorf("%w: the connection to a cold replica took too long", ErrNotSent)
+	}
 	if err := ctx.Err(); err != nil {
 		// The caller left meanwhile.
 		used.close()
@@ -125,6 +130,7 @@
 	if load, told := parseLoad(response.Header.Get(c.headers.Load)); told {
 		handle.Tell(load, time.Now())
 	}
+	handle.noteCold(response.Header, c.headers.ColdFor, time.Now())
 	keep := keepFor(response)
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framed: isFramed(response), Body: response.Body}
 	answer.finish = func(whole bool) {
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -79,6 +79,8 @@
 	useChanged chan struct{}
 	// evacuated are the zones whose replicas get nothing more, guarded by mutex.
 	evacuated map[string]bool
+	// coldTerms is guarded by mutex; nil where replicas bear as much cold as warm.
+	coldTerms ColdTerms
 }
 
 // NewDirectory returns an empty Directory.
@@ -151,6 +153,9 @@
 	d.mutex.Lock()
 	d.evacuated = maps.Clone(zones)
 	for _, handle := range d.View().byID {
+		if handle.evacuated.Load() && !d.evacuated[handle.Info().Zone] {
+			d.assumeCold(handle, time.Now())
+		}
 		handle.evacuated.Store(d.evacuated[handle.Info().Zone])
 	}
 	d.mutex.Unlock()
@@ -163,8 +168,10 @@
 	if handle == nil {
 		handle = NewHandle(info)
 		handle.useChanged = d.SignalUse
+		d.noteEntry(handle, nil, time.Now())
 	} else {
-		handle.info.Store(&info)
+		before := handle.info.Swap(&info)
+		d.noteEntry(handle, before, time.Now())
 	}
 	handle.evacuated.Store(d.evacuated[info.Zone])
 	return handle
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -72,6 +72,8 @@
 	evacuated atomic.Bool
 	// heardAt is when bytes of an answer last came, in nanoseconds since the start of the process; 0 is never.
 	heardAt atomic.Int64
+	cold    coldness
+	pace    pace
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
@@ -122,6 +124,7 @@
 // Acquire counts a request until release is called.
 func (h *Handle) Acquire() (release func()) {
 	h.addInUse(1)
+	h.pace.note(time.Now())
 	var once sync.Once
 	return func() { once.Do(func() { h.addInUse(-1) }) }
 }
