--- a/internal/coldstart/claims.go
+++ b/internal/coldstart/claims.go
@@ -17,10 +17,11 @@
 	// handover is how long before its lease ends a pass is no longer used, so that what was sent with it and what the next holder sends
 	// never fall into one second.
 	handover = time.Second + replica.SendWithin
-	// spareLease is added to a lease, so that a replica which stays cold a little longer needs no second one.
-	spareLease = 500 * time.Millisecond
-	// leastLease is longer than what is left of a pass that is claimed again, and handover: the pass never outlives its new lease, also
-	// where the answer to the claim is missing. With a longer one than longestLease the pass of a node that was started again would lie
+	// spareLease is added to a lease, so that replicas which turn cold soon after need no further one: zones return and releases go on
+	// replica by replica, and each call to the service has a price.
+	spareLease = 2 * time.Second
+	// leastLease is longer than what is left of a pass that is claimed again, and handover: the pass never outlives its new lease, as it
+	// must not where the answer to the claim is missing. With a longer one than longestLease the pass of a node that was started again would lie
 	// unused for as long.
 	leastLease   = claimAgain + handover + 400*time.Millisecond
 	longestLease = 30 * time.Second
@@ -46,6 +47,9 @@
 type claimer struct {
 	store platform.KeyValue
 	node  string
+	// lease is the latest one, whose passes end at leaseUntil.
+	lease      platform.LeaseID
+	leaseUntil time.Time
 }
 
 // won is what a claim brought.
@@ -58,29 +62,43 @@
 // claimAll claims the wanted passes under one lease and returns those that this node holds from now on. A call whose answer is missing
 // brings none, whatever became of it: the key then ends with its lease.
 func (c *claimer) claimAll(ctx context.Context, wanted []claim) (held []won, err error) {
-	timeToLive := leastLease
-	for _, each := range wanted {
-		timeToLive = max(timeToLive, each.coldFor+handover+spareLease)
-	}
-	timeToLive = min(timeToLive, longestLease)
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	// The service counts the lease from the call's arrival, which is later.
-	until := time.Now().Add(timeToLive - handover)
-	lease, err := c.store.GrantLease(ctx, timeToLive)
-	if err != nil {
+	if err := c.ensureLease(ctx, wanted); err != nil {
 		return nil, err
 	}
-	revision, taken, err := c.commit(ctx, wanted, lease)
+	revision, taken, err := c.commit(ctx, wanted, c.lease)
 	if err != nil {
+		// The lease may be over.
+		c.leaseUntil = time.Time{}
 		return nil, err
 	}
 	for _, each := range taken {
-		held = append(held, won{claim: each, revision: revision, until: until})
+		held = append(held, won{claim: each, revision: revision, until: c.leaseUntil})
 	}
 	return held, nil
 }
 
+// ensureLease makes a lease that covers the wanted passes, unless the latest one does.
+func (c *claimer) ensureLease(ctx context.Context, wanted []claim) error {
+	coldFor := time.Duration(0)
+	for _, each := range wanted {
+		coldFor = max(coldFor, each.coldFor)
+	}
+	now := time.Now()
+	if c.leaseUntil.Sub(now) >= max(coldFor, claimAgain) {
+		return nil
+	}
+	timeToLive := min(max(leastLease, coldFor+handover+spareLease), longestLease)
+	lease, err := c.store.GrantLease(ctx, timeToLive)
+	if err != nil {
+		return err
+	}
+	// The service counts the lease from the call's arrival, which is later.
+	c.lease, c.leaseUntil = lease, now.Add(timeToLive-handover)
+	return nil
+}
+
 // commit writes the keys of those wanted passes that nobody else holds.
 func (c *claimer) commit(ctx context.Context, wanted []claim, lease platform.LeaseID) (revision int64, taken []claim, err error) {
 	result, err := c.store.Commit(ctx, c.transaction(wanted, lease))
--- a/internal/coldstart/service.go
+++ b/internal/coldstart/service.go
@@ -18,9 +18,12 @@
 const (
 	// checkInterval is how often it is looked for replicas that have turned cold or warm; changes of the directory are looked at at once.
 	checkInterval = 200 * time.Millisecond
-	// claimAgain is the time after which a pass is claimed again that another node holds or that could not be claimed: a call to the
-	// key-value service has a price, and a replica is cold for some seconds.
-	claimAgain = time.Second
+	// claimAgain is the time after which a pass is claimed again that could not be claimed: a call to the key-value service has a price, and
+	// a replica is cold for some seconds. heldElsewhere is the same for a pass that another node holds.
+	claimAgain    = time.Second
+	heldElsewhere = 2 * time.Second
+	// wantedLately is how long callers' wish for a cold replica has this node claim a pass of it.
+	wantedLately = time.Second
 	// logInterval is the least time between two log lines on refused requests.
 	logInterval = time.Second
 	// assumedUnconfigured is how long a replica that has just appeared counts as cold while no configuration is known.
@@ -46,7 +49,8 @@
 	metrics metrics
 	refused refusals
 	// held is what is known of each cold replica; it belongs to the goroutine that runs.
-	held map[*replica.Handle]*holding
+	held    map[*replica.Handle]*holding
+	claimer claimer
 
 	changed     chan struct{}
 	unsubscribe []func()
@@ -66,7 +70,7 @@
 func New(options Options) *Service {
 	service := &Service{
 		options: options, logger: options.Logger.With().Str(logging.FieldSlice, "coldstart").Logger(),
-		metrics: newMetrics(options.Registerer), held: map[*replica.Handle]*holding{}, changed: make(chan struct{}, 1),
+		metrics: newMetrics(options.Registerer), held: map[*replica.Handle]*holding{}, claimer: claimer{store: options.Store}, changed: make(chan struct{}, 1),
 	}
 	options.Directory.SetColdTerms(service.terms)
 	return service
@@ -183,7 +187,7 @@
 		s.logger.Info().Str(logging.FieldReplica, handle.Info().ID).Str("replica_zone", handle.Info().Zone).Dur("cold_for", handle.ColdFor(now)).Msg("replica_cold")
 	}
 	table := s.options.Routes.Table()
-	if s.options.Store == nil || table == nil || now.Before(held.notBefore) || !handle.Usable() {
+	if s.options.Store == nil || table == nil || now.Before(held.notBefore) || !handle.Usable() || !handle.ColdWanted(now.Add(-wantedLately)) {
 		return claim{}, false
 	}
 	if pass := handle.ColdPass(); pass != nil && !pass.Until().Before(now.Add(min(claimAgain, handle.ColdFor(now)))) {
@@ -204,11 +208,14 @@
 
 // claim claims passes and takes in those that this node holds then.
 func (s *Service) claim(ctx context.Context, wanted []claim) {
-	claimer := claimer{store: s.options.Store, node: string(s.options.Viewer.View().Self)}
-	held, err := claimer.claimAll(ctx, wanted)
-	now := time.Now()
+	s.claimer.node = string(s.options.Viewer.View().Self)
+	held, err := s.claimer.claimAll(ctx, wanted)
+	again := time.Now().Add(claimAgain)
+	if err == nil {
+		again = time.Now().Add(heldElsewhere)
+	}
 	for _, each := range wanted {
-		s.held[each.handle].notBefore = now.Add(claimAgain)
+		s.held[each.handle].notBefore = again
 		s.held[each.handle].revision = 0
 	}
 	for _, each := range held {
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -81,6 +81,8 @@
 	// until is the end of the latest time for which it is known or assumed to be cold; nil where there was none.
 	until atomic.Pointer[time.Time]
 	pass  atomic.Pointer[ColdPass]
+	// wanted is when a request was last kept from the replica; nil where none was.
+	wanted atomic.Pointer[time.Time]
 }
 
 // SetColdBounded says whether the replica's service declares what its cold replicas bear; where it does not, none counts as cold.
@@ -129,15 +131,23 @@
 // ColdPass returns the part that this process has; nil where it has none.
 func (h *Handle) ColdPass() *ColdPass { return h.cold.pass.Load() }
 
-// ColdRoom says that the replica is warm, or that this process may send it one more request while it is cold.
+// ColdRoom says that the replica is warm, or that this process may send it one more request while it is cold. A cold replica counts as wanted
+// from then on.
 func (h *Handle) ColdRoom(now time.Time) bool {
 	if !h.Cold(now) {
 		return true
 	}
+	h.cold.wanted.Store(&now)
 	pass := h.ColdPass()
 	return pass != nil && pass.Room(now)
 }
 
+// ColdWanted says that a request could have used the replica after since, while it was cold.
+func (h *Handle) ColdWanted(since time.Time) bool {
+	wanted := h.cold.wanted.Load()
+	return wanted != nil && wanted.After(since)
+}
+
 // staleAdmission says that a request to a cold replica was admitted at admittedAt and may not be sent any more.
 func (h *Handle) staleAdmission(admittedAt, now time.Time) bool {
 	return now.Sub(admittedAt) > SendWithin && h.Cold(now)
