--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -14,9 +14,9 @@
 	// replica that has just turned warm.
 	rampTime = 2 * time.Second
 	// pacePenalty is the cost of each request by which a replica gets more than it bore lately, somewhat more than a place of a replica with
-	// 8 slots; maxPacePenalty keeps it below the cost of waiting for a slot.
+	// 8 slots; with maxPacePenalty a whole burst rather goes to another zone than to one replica.
 	pacePenalty    = 0.15
-	maxPacePenalty = 0.3
+	maxPacePenalty = maxRemotePenalty
 )
 
 // coldRoom drops cold replicas to which this process may send nothing now.
--- /dev/null
+++ b/internal/balance/cold_test.go
@@ -0,0 +1,118 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+func TestPickAmongColdReplicas(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	cold := func(handle *replica.Handle, until time.Duration) {
+		handle.SetColdBounded(true)
+		handle.SetColdUntil(now.Add(until))
+	}
+	for _, test := range []struct {
+		name    string
+		prepare func(view *replica.View)
+		want    string
+	}{
+		{"cold one without a pass dropped", func(v *replica.View) { cold(v.Find("near"), time.Second) }, "far"},
+		{"cold ones without a pass dropped", func(v *replica.View) {
+			cold(v.Find("near"), time.Second)
+			cold(v.Find("far"), time.Second)
+		}, ""},
+		{"cold one with a pass used", func(v *replica.View) {
+			cold(v.Find("near"), time.Second)
+			cold(v.Find("far"), time.Second)
+			v.Find("near").SetColdPass(replica.NewColdPass(1, now.Add(time.Second)))
+		}, "near"},
+		{"cold one whose pass is used up dropped", func(v *replica.View) {
+			cold(v.Find("near"), time.Second)
+			v.Find("near").SetColdPass(replica.NewColdPass(1, now.Add(time.Second)))
+			v.Find("near").ColdPass().Take(now)
+		}, "far"},
+		{"cold one whose pass is over dropped", func(v *replica.View) {
+			cold(v.Find("near"), time.Second)
+			v.Find("near").SetColdPass(replica.NewColdPass(1, now))
+		}, "far"},
+		{"one that has just turned warm is worth less", func(v *replica.View) {
+			cold(v.Find("near"), -time.Millisecond)
+			v.Find("near").Tell(replica.Load{Running: 1, Slots: 10}, now)
+		}, "far"},
+		{"one that turned warm a while ago is not", func(v *replica.View) {
+			cold(v.Find("near"), -rampTime)
+			v.Find("near").Tell(replica.Load{Running: 1, Slots: 10}, now)
+		}, "near"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			directory := testDirectory()
+			test.prepare(directory.View())
+			picked := NewPicker(directory, func() float64 { return 0 }).Pick(&Request{Service: "s", Zone: "z1"}, now)
+			got := ""
+			if picked != nil {
+				got = picked.Info().ID
+			}
+			if got != test.want {
+				t.Errorf("picked %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// TestPaceSparesNormalService: where callers come as usual, in bursts of twice their average, the pace changes hardly any choice.
+func TestPaceSparesNormalService(t *testing.T) {
+	t.Parallel()
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	random := rand.New(rand.NewPCG(seed, 1))
+	for _, perSecond := range []float64{0.2, 1, 4} {
+		handle := replica.NewHandle(replica.Info{ID: "r", Slots: 8})
+		handle.SetColdBounded(true)
+		requests, marked := 0, 0
+		now := time.Now()
+		end := now.Add(500 * time.Second)
+		for now.Before(end) {
+			burst := 1.0
+			if now.Unix()%6 < 2 {
+				burst = 2
+			}
+			now = now.Add(time.Duration(random.ExpFloat64() / perSecond / burst * float64(time.Second)))
+			handle.NoteSent(now)
+			requests++
+			if paceScore(nil, handle, now) <= -pacePenalty {
+				marked++
+			}
+		}
+		t.Logf("%g a second: %d of %d requests are ahead of the pace by one or more", perSecond, marked, requests)
+		if marked > requests/4 {
+			t.Errorf("%g a second: %d of %d requests are ahead of the pace", perSecond, marked, requests)
+		}
+	}
+}
+
+// TestPaceSpreadsABurst: a replica that bore nothing and is the emptiest does not get a whole burst.
+func TestPaceSpreadsABurst(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	directory := testDirectory()
+	view := directory.View()
+	for _, id := range []string{"near", "far"} {
+		view.Find(id).SetColdBounded(true)
+	}
+	view.Find("far").Tell(replica.Load{Running: 1, Slots: 10}, now)
+	picker := NewPicker(directory, func() float64 { return 0 })
+	got := map[string]int{}
+	for range 10 {
+		handle := picker.Pick(&Request{Service: "s", Zone: "z1"}, now)
+		handle.NoteSent(now)
+		got[handle.Info().ID]++
+	}
+	if got["near"] > 7 || got["far"] == 0 {
+		t.Errorf("a burst went to %v", got)
+	}
+}
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -137,7 +137,8 @@
 	if !h.Cold(now) {
 		return true
 	}
-	h.cold.wanted.Store(&now)
+	wantedAt := now
+	h.cold.wanted.Store(&wantedAt)
 	pass := h.ColdPass()
 	return pass != nil && pass.Room(now)
 }
@@ -189,9 +190,10 @@
 	}
 }
 
-// noteEntry takes in a replica's entry; before is the one known so far, nil where the replica is new. The mutex is held.
-func (d *Directory) noteEntry(handle *Handle, before *Info, now time.Time) {
-	info := handle.Info()
+// noteEntry takes in a replica's entry; before is the one known so far, nil where the replica is new, and written says that the entry has
+// just been written: one that is merely listed once more starts no cold time again. The mutex is held.
+func (d *Directory) noteEntry(handle *Handle, before *Info, written bool) {
+	info, now := handle.Info(), time.Now()
 	if before == nil && d.coldTerms != nil {
 		_, bounded := d.coldTerms(info.Service)
 		handle.SetColdBounded(bounded)
@@ -199,7 +201,8 @@
 	if before == nil && d.loaded.Load() {
 		d.assumeCold(handle, now)
 	}
-	if info.ColdFor > 0 && (before == nil || *before != *info) {
+	news := written || before == nil || *before != *info
+	if info.ColdFor > 0 && news {
 		handle.SetColdUntil(now.Add(info.ColdFor))
 	}
 }
--- /dev/null
+++ b/internal/replica/cold_test.go
@@ -0,0 +1,212 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// boundedDirectory holds replica "first" by its first listing. New replicas are assumed to be cold for 3 s.
+func boundedDirectory(bounded bool) *Directory {
+	directory := NewDirectory()
+	directory.SetColdTerms(func(string) (time.Duration, bool) { return 3 * time.Second, bounded })
+	directory.Replace([]Info{{ID: "first", Service: "s", Zone: "z"}})
+	return directory
+}
+
+func TestReplicasThatCountAsCold(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name      string
+		unbounded bool
+		change    func(directory *Directory)
+		replica   string
+		want      time.Duration
+	}{
+		{"of the first listing", false, func(*Directory) {}, "first", 0},
+		{"appeared later", false, func(d *Directory) { d.Update([]Info{{ID: "new", Service: "s"}}, nil) }, "new", 3 * time.Second},
+		{"appeared in a later listing", false, func(d *Directory) {
+			d.Replace([]Info{{ID: "first", Service: "s", Zone: "z"}, {ID: "new", Service: "s"}})
+		}, "new", 3 * time.Second},
+		{"says that it is cold for longer", false, func(d *Directory) {
+			d.Update([]Info{{ID: "new", Service: "s", ColdFor: 5 * time.Second}}, nil)
+		}, "new", 5 * time.Second},
+		{"turned cold", false, func(d *Directory) {
+			d.Update([]Info{{ID: "first", Service: "s", Zone: "z", ColdFor: time.Second}}, nil)
+		}, "first", time.Second},
+		{"turned cold again by the same entry", false, func(d *Directory) {
+			d.Update([]Info{{ID: "first", Service: "s", Zone: "z", ColdFor: time.Second}}, nil)
+			time.Sleep(2 * time.Second)
+			d.Update([]Info{{ID: "first", Service: "s", Zone: "z", ColdFor: time.Second}}, nil)
+		}, "first", time.Second},
+		{"listed once more", false, func(d *Directory) {
+			d.Update([]Info{{ID: "first", Service: "s", Zone: "z", ColdFor: time.Second}}, nil)
+			time.Sleep(2 * time.Second)
+			d.Replace([]Info{{ID: "first", Service: "s", Zone: "z", ColdFor: time.Second}})
+		}, "first", 0},
+		{"its zone is evacuated", false, func(d *Directory) { d.SetEvacuated(map[string]bool{"z": true}) }, "first", 0},
+		{"its zone was evacuated", false, func(d *Directory) {
+			d.SetEvacuated(map[string]bool{"z": true})
+			time.Sleep(time.Minute)
+			d.SetEvacuated(nil)
+		}, "first", 3 * time.Second},
+		{"its service bounds nothing", true, func(d *Directory) {
+			d.Update([]Info{{ID: "new", Service: "s", ColdFor: 5 * time.Second}}, nil)
+		}, "new", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				directory := boundedDirectory(!test.unbounded)
+				test.change(directory)
+				handle := directory.View().Find(test.replica)
+				if got := handle.ColdFor(time.Now()); got != test.want {
+					t.Errorf("cold for %s, want %s", got, test.want)
+				}
+			})
+		})
+	}
+}
+
+func TestTimeThatAReplicaStaysColdIsNeverShortened(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	handle := NewHandle(Info{ID: "r"})
+	handle.SetColdBounded(true)
+	handle.SetColdUntil(now.Add(4 * time.Second))
+	handle.SetColdUntil(now.Add(time.Second))
+	if got := handle.ColdFor(now); got != 4*time.Second {
+		t.Errorf("cold for %s", got)
+	}
+}
+
+func TestAnswerSaysThatAReplicaIsCold(t *testing.T) {
+	t.Parallel()
+	for text, want := range map[string]time.Duration{"1500": 1500 * time.Millisecond, "250.5": 250500 * time.Microsecond, "0": 0, "-3": 0, "x": 0, "": 0} {
+		now := time.Now()
+		handle := NewHandle(Info{ID: "r"})
+		handle.SetColdBounded(true)
+		handle.noteCold(http.Header{"X-Cold": []string{text}}, "X-Cold", now)
+		if got := handle.ColdFor(now); got != want {
+			t.Errorf("%q: cold for %s, want %s", text, got, want)
+		}
+	}
+}
+
+// TestPassAdmitsNoMoreInAnyWindow: whatever the moments at which requests come.
+func TestPassAdmitsNoMoreInAnyWindow(t *testing.T) {
+	t.Parallel()
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	random := rand.New(rand.NewPCG(seed, 1))
+	const limit = 3
+	start := time.Now()
+	pass := NewColdPass(limit, start.Add(20*time.Second))
+	var admitted []time.Time
+	for now := start; now.Before(start.Add(25 * time.Second)); now = now.Add(time.Duration(random.IntN(int(300 * time.Millisecond)))) {
+		if room := pass.Room(now); room != pass.Take(now) {
+			t.Fatal("Room and Take differ")
+		} else if room {
+			admitted = append(admitted, now)
+		}
+	}
+	for index, at := range admitted {
+		if !at.Before(start.Add(20 * time.Second)) {
+			t.Errorf("admitted %s after the pass began, at its end or later", at.Sub(start))
+		}
+		if index >= limit && at.Sub(admitted[index-limit]) <= time.Second+SendWithin {
+			t.Errorf("%d requests within %s", limit+1, at.Sub(admitted[index-limit]))
+		}
+	}
+	if len(admitted) < 40 {
+		t.Errorf("%d requests were admitted in 20 s, want about %d a window", len(admitted), limit)
+	}
+}
+
+// slowNetwork makes connections after a while.
+type slowNetwork struct {
+	delay time.Duration
+	// read counts the bytes that reached the replica.
+	read chan int
+}
+
+func (s *slowNetwork) Listen(context.Context, netip.AddrPort) (net.Listener, error) {
+	return nil, errors.New("nothing listens here")
+}
+
+func (s *slowNetwork) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	time.Sleep(s.delay)
+	near, far := net.Pipe()
+	go func() {
+		count, _ := far.Read(make([]byte, 100))
+		s.read <- count
+		_ = far.Close()
+	}()
+	return near, nil
+}
+
+// TestRequestToAColdReplicaIsNotSentLate: requests that were admitted while a connection came up would arrive together.
+func TestRequestToAColdReplicaIsNotSentLate(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name  string
+		delay time.Duration
+		cold  bool
+		sent  bool
+	}{
+		{"cold, in time", SendWithin, true, true},
+		{"cold, late", SendWithin + time.Millisecond, true, false},
+		{"warm, late", SendWithin + time.Millisecond, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				handle := NewHandle(Info{ID: "r"})
+				handle.SetColdBounded(test.cold)
+				handle.SetColdUntil(time.Now().Add(time.Second))
+				network := &slowNetwork{delay: test.delay, read: make(chan int, 1)}
+				_, err := NewClient(network, Headers{}).Do(context.Background(), handle, Call{Method: http.MethodGet, Target: "/", Host: "h"})
+				if errors.Is(err, ErrNotSent) == test.sent {
+					t.Errorf("error %v, sent should be %t", err, test.sent)
+				}
+				if bytes := <-network.read; (bytes > 0) != test.sent {
+					t.Errorf("%d bytes reached the replica, sent should be %t", bytes, test.sent)
+				}
+			})
+		})
+	}
+}
+
+func TestAheadCountsFromWhatAReplicaBore(t *testing.T) {
+	t.Parallel()
+	start := time.Now().Truncate(time.Second)
+	var counted pace
+	for range 4 {
+		counted.note(start)
+	}
+	if got := counted.ahead(start); got != 3 {
+		t.Errorf("4 requests to a replica that bore none are %g ahead, want 3", got)
+	}
+	for second := range 60 {
+		for range 2 {
+			counted.note(start.Add(time.Duration(second+1) * time.Second))
+		}
+	}
+	end := start.Add(61 * time.Second)
+	for range 4 {
+		counted.note(end)
+	}
+	if got := counted.ahead(end); got != 0 {
+		t.Errorf("a burst of twice the usual rate is %g ahead", got)
+	}
+	counted.note(end.Add(time.Hour))
+	if got := counted.ahead(end.Add(time.Hour)); got != 0 {
+		t.Errorf("the first request after an hour is %g ahead", got)
+	}
+}
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -116,7 +116,7 @@
 	d.mutex.Lock()
 	next := make(map[string]*Handle, len(replicas))
 	for _, info := range replicas {
-		next[info.ID] = d.handleFor(info)
+		next[info.ID] = d.handleFor(info, false)
 	}
 	for id := range d.View().byID {
 		if next[id] == nil {
@@ -138,7 +138,7 @@
 		next[id] = handle
 	}
 	for _, info := range changed {
-		next[info.ID] = d.handleFor(info)
+		next[info.ID] = d.handleFor(info, true)
 	}
 	for _, id := range removed {
 		delete(next, id)
@@ -162,16 +162,16 @@
 	d.subscribers.Notify(d.View())
 }
 
-// handleFor returns the handle of info's incarnation with its newest entry.
-func (d *Directory) handleFor(info Info) *Handle {
+// handleFor returns the handle of info's incarnation with its newest entry; written says that the entry has just been written.
+func (d *Directory) handleFor(info Info, written bool) *Handle {
 	handle := d.View().Find(info.ID)
 	if handle == nil {
 		handle = NewHandle(info)
 		handle.useChanged = d.SignalUse
-		d.noteEntry(handle, nil, time.Now())
+		d.noteEntry(handle, nil, written)
 	} else {
 		before := handle.info.Swap(&info)
-		d.noteEntry(handle, before, time.Now())
+		d.noteEntry(handle, before, written)
 	}
 	handle.evacuated.Store(d.evacuated[info.Zone])
 	return handle
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -124,7 +124,7 @@
 // Acquire counts a request until release is called.
 func (h *Handle) Acquire() (release func()) {
 	h.addInUse(1)
-	h.pace.note(time.Now())
+	h.NoteSent(time.Now())
 	var once sync.Once
 	return func() { once.Do(func() { h.addInUse(-1) }) }
 }
--- a/internal/replica/pace.go
+++ b/internal/replica/pace.go
@@ -53,5 +53,8 @@
 	}
 }
 
+// NoteSent counts a request that this process sends there.
+func (h *Handle) NoteSent(now time.Time) { h.pace.note(now) }
+
 // Ahead returns by how many requests this process exceeds, in the present second, what it sent there lately.
 func (h *Handle) Ahead(now time.Time) float64 { return h.pace.ahead(now) }
