--- a/internal/coldstart/service.go
+++ b/internal/coldstart/service.go
@@ -86,6 +86,8 @@
 		s.options.Directory.Subscribe(func(*replica.View) { s.signal() }),
 		s.options.Routes.Subscribe(func(*route.Table) { s.options.Directory.SetColdTerms(s.terms) }),
 	}
+	// A configuration may have come before.
+	s.options.Directory.SetColdTerms(s.terms)
 	s.running.Go(func() { s.run(ctx) })
 }
 
