--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -85,6 +85,7 @@
 			best, bestScore = handle, score
 		}
 	}
+	wantCold(request, all, best, now)
 	return best
 }
 
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -17,11 +17,27 @@
 	// 8 slots; with maxPacePenalty a whole burst rather goes to another zone than to one replica.
 	pacePenalty    = 0.15
 	maxPacePenalty = maxRemotePenalty
+	// shortAbove is the share of a replica's slots in use above which cold replicas are wanted beside it: its requests slow each other down.
+	shortAbove = 0.5
 )
 
 // coldRoom drops cold replicas to which this process may send nothing now.
 func coldRoom(_ *Request, handle *replica.Handle, now time.Time) bool { return handle.ColdRoom(now) }
 
+// wantCold has cold replicas counted as wanted where the warm ones are short: best, the choice, is in another zone, is rather full or is
+// none. A part of what a cold replica bears costs calls to the key-value service.
+func wantCold(request *Request, all []*replica.Handle, best *replica.Handle, now time.Time) {
+	if best != nil && best.Info().Zone == request.Zone && occupancy(best, now) <= shortAbove {
+		return
+	}
+	for _, handle := range all {
+		near := best == nil || handle.Info().Zone == request.Zone
+		if near && handle.Usable() && handle.Cold(now) {
+			handle.WantCold(now)
+		}
+	}
+}
+
 // coldScore prefers replicas that have been warm for a while.
 func coldScore(_ *Request, handle *replica.Handle, now time.Time) float64 {
 	warmFor, ever := handle.WarmFor(now)
--- a/internal/balance/cold_test.go
+++ b/internal/balance/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -116,3 +117,42 @@
 		t.Errorf("a burst went to %v", got)
 	}
 }
+
+// TestColdReplicasAreWantedWhereWarmOnesAreShort: a part of what they bear is not asked for while others have room.
+func TestColdReplicasAreWantedWhereWarmOnesAreShort(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	for _, test := range []struct {
+		name    string
+		zone    string
+		running int
+		cold    []string
+		want    []string
+	}{
+		{"room in the own zone", "z2", 2, []string{"near"}, nil},
+		{"own zone is rather full, the cold one is elsewhere", "z2", 6, []string{"near"}, nil},
+		{"own zone is cold", "z1", 0, []string{"near"}, []string{"near"}},
+		{"all are cold", "z1", 0, []string{"near", "far"}, []string{"near", "far"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			directory := testDirectory()
+			view := directory.View()
+			view.Find("far").Tell(replica.Load{Running: test.running, Slots: 10}, now)
+			for _, id := range test.cold {
+				view.Find(id).SetColdBounded(true)
+				view.Find(id).SetColdUntil(now.Add(time.Second))
+			}
+			NewPicker(directory, nil).Pick(&Request{Service: "s", Zone: test.zone}, now)
+			var wanted []string
+			for _, id := range []string{"near", "far"} {
+				if view.Find(id).ColdWanted(now.Add(-time.Millisecond)) {
+					wanted = append(wanted, id)
+				}
+			}
+			if !slices.Equal(wanted, test.want) {
+				t.Errorf("wanted are %v, want %v", wanted, test.want)
+			}
+		})
+	}
+}
--- a/internal/coldstart/fleet_test.go
+++ b/internal/coldstart/fleet_test.go
@@ -175,7 +175,7 @@
 			continue
 		}
 		handle := handles[n.fleet.drawn(len(handles))]
-		handle.ColdRoom(time.Now())
+		handle.WantCold(time.Now())
 		if !handle.Usable() || !limiter.Take(ctx, handle) {
 			continue
 		}
--- a/internal/coldstart/service.go
+++ b/internal/coldstart/service.go
@@ -22,7 +22,7 @@
 	// a replica is cold for some seconds. heldElsewhere is the same for a pass that another node holds.
 	claimAgain    = time.Second
 	heldElsewhere = 2 * time.Second
-	// wantedLately is how long callers' wish for a cold replica has this node claim a pass of it.
+	// wantedLately is how long after callers could have done with a cold replica this node claims a pass of it.
 	wantedLately = time.Second
 	// logInterval is the least time between two log lines on refused requests.
 	logInterval = time.Second
--- a/internal/coldstart/service_test.go
+++ b/internal/coldstart/service_test.go
@@ -79,7 +79,7 @@
 		if store.writes > 0 {
 			t.Errorf("%d writes without callers", store.writes)
 		}
-		handle.ColdRoom(time.Now())
+		handle.WantCold(time.Now())
 		time.Sleep(time.Second / 2)
 		if !service.Take(context.Background(), handle) {
 			t.Error("no pass was claimed though callers want the replica")
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -81,7 +81,7 @@
 	// until is the end of the latest time for which it is known or assumed to be cold; nil where there was none.
 	until atomic.Pointer[time.Time]
 	pass  atomic.Pointer[ColdPass]
-	// wanted is when a request was last kept from the replica; nil where none was.
+	// wanted is when a request could last have done with the replica; nil where none could.
 	wanted atomic.Pointer[time.Time]
 }
 
@@ -131,19 +131,19 @@
 // ColdPass returns the part that this process has; nil where it has none.
 func (h *Handle) ColdPass() *ColdPass { return h.cold.pass.Load() }
 
-// ColdRoom says that the replica is warm, or that this process may send it one more request while it is cold. A cold replica counts as wanted
-// from then on.
+// ColdRoom says that the replica is warm, or that this process may send it one more request while it is cold.
 func (h *Handle) ColdRoom(now time.Time) bool {
 	if !h.Cold(now) {
 		return true
 	}
-	wantedAt := now
-	h.cold.wanted.Store(&wantedAt)
 	pass := h.ColdPass()
 	return pass != nil && pass.Room(now)
 }
 
-// ColdWanted says that a request could have used the replica after since, while it was cold.
+// WantCold notes that requests of this process could do with the replica though it is cold.
+func (h *Handle) WantCold(now time.Time) { h.cold.wanted.Store(&now) }
+
+// ColdWanted says that WantCold was called after since.
 func (h *Handle) ColdWanted(since time.Time) bool {
 	wanted := h.cold.wanted.Load()
 	return wanted != nil && wanted.After(since)
