--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -24,18 +24,27 @@
 // coldRoom drops cold replicas to which this process may send nothing now.
 func coldRoom(_ *Request, handle *replica.Handle, now time.Time) bool { return handle.ColdRoom(now) }
 
-// wantCold has cold replicas counted as wanted where the warm ones are short: best, the choice, is in another zone, is rather full or is
-// none. A part of what a cold replica bears costs calls to the key-value service.
+// wantCold has cold replicas counted as wanted where the warm ones are short: best, the choice, is none or rather full, or half of the
+// replicas of the own zone are cold. A part of what a cold replica bears costs calls to the key-value service.
 func wantCold(request *Request, all []*replica.Handle, best *replica.Handle, now time.Time) {
-	if best != nil && best.Info().Zone == request.Zone && occupancy(best, now) <= shortAbove {
-		return
-	}
+	var cold []*replica.Handle
+	warm := 0
 	for _, handle := range all {
-		near := best == nil || handle.Info().Zone == request.Zone
-		if near && handle.Usable() && handle.Cold(now) {
-			handle.WantCold(now)
+		if !handle.Usable() || (best != nil && handle.Info().Zone != request.Zone) {
+			continue
+		}
+		if handle.Cold(now) {
+			cold = append(cold, handle)
+		} else if !handle.Down(now) {
+			warm++
 		}
 	}
+	if best != nil && len(cold) < warm && occupancy(best, now) <= shortAbove {
+		return
+	}
+	for _, handle := range cold {
+		handle.WantCold(now)
+	}
 }
 
 // coldScore prefers replicas that have been warm for a while.
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -167,7 +167,7 @@
 func (a *itemAttempt) judge(answer *replica.Answer, names replica.Headers) itemVerdict {
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest, answer.Header.Get(names.NotRun) != "":
-		a.handle.Rejected(time.Now())
+		a.handle.Refused(answer.Status == http.StatusMisdirectedRequest, time.Now())
 		return itemRefused
 	case answer.Status == http.StatusUnprocessableEntity:
 		return itemImpossible
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -46,7 +46,7 @@
 	if refused(answer, e.handler.headers) {
 		_, err := io.CopyN(io.Discard, answer.Body, maxHeldAnswer)
 		whole = errors.Is(err, io.EOF)
-		handle.Rejected(time.Now())
+		handle.Refused(answer.Status == http.StatusMisdirectedRequest, time.Now())
 		e.event(handle).Int("status", answer.Status).Msg("replica_refused")
 		return notRun
 	}
--- /dev/null
+++ b/internal/forward/replaced_test.go
@@ -0,0 +1,29 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/replica/replicatest"
+	"github.com/sloelift/sloelift/internal/route"
+)
+
+// TestReplicaThatAnotherOneAnswersForIsDown: one request finds it out, later ones lose no time there.
+func TestReplicaThatAnotherOneAnswersForIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		edge := newEdgeUnderTest(t, route.NotRepeatable, false, map[string]replicatest.Script{
+			"a": replicatest.Answer(http.StatusMisdirectedRequest, "", "another"), "b": replicatest.Answer(http.StatusOK, replicatest.Signed, "ok"),
+		})
+		for range 5 {
+			if recorded, _ := edge.call(nil); recorded.Code != http.StatusOK {
+				t.Errorf("status %d", recorded.Code)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		if sent := len(edge.replicas.Requests()); sent != 6 {
+			t.Errorf("%d requests were sent, want one to the replica that is gone and 5 to the other", sent)
+		}
+	})
+}
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -200,6 +200,7 @@
 	}
 	if before == nil && d.loaded.Load() {
 		d.assumeCold(handle, now)
+		d.noteAddress(handle, now)
 	}
 	news := written || before == nil || *before != *info
 	if info.ColdFor > 0 && news {
--- /dev/null
+++ b/internal/replica/replaced.go
@@ -0,0 +1,32 @@
+package replica
+
+import "time"
+
+// Replaced notes that another incarnation answers at the replica's address: this one has ended, though its entry may stand for seconds. It
+// counts as down for as long as a replica is avoided at most; a wrong entry harms no longer.
+func (h *Handle) Replaced(now time.Time) {
+	h.mutex.Lock()
+	h.failures = max(h.failures, downAfter)
+	h.avoidUntil = now.Add(avoidLongest)
+	h.failingUntil = h.avoidUntil
+	h.mutex.Unlock()
+	h.signalChange()
+}
+
+// Refused notes that the replica promised not to have run a request; misdirected says that another incarnation answered for it.
+func (h *Handle) Refused(misdirected bool, now time.Time) {
+	if misdirected {
+		h.Replaced(now)
+		return
+	}
+	h.Rejected(now)
+}
+
+// noteAddress has other incarnations at a new replica's address count as replaced. The mutex is held.
+func (d *Directory) noteAddress(appeared *Handle, now time.Time) {
+	for _, other := range d.View().byID {
+		if other != appeared && other.Info().Address == appeared.Info().Address && other.Info().ID != appeared.Info().ID {
+			other.Replaced(now)
+		}
+	}
+}
