--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -14,6 +14,10 @@
 // process that has spent its processor time stands still for up to 0.1 s.
 const SendWithin = 100 * time.Millisecond
 
+// coldSlots is how many slots of a cold replica count as room: a few requests a second, each of a fraction of a second, are about one at
+// a time.
+const coldSlots = 1
+
 // coldWindow is the span in which the requests of a ColdPass are counted. All that is sent within a second of time was admitted within it.
 const coldWindow = time.Second + SendWithin
 
@@ -149,6 +153,14 @@
 	return wanted != nil && wanted.After(since)
 }
 
+// usableSlots returns the number of requests that the replica works on at once, for plans of what all replicas bear.
+func (h *Handle) usableSlots(now time.Time) int {
+	if h.Cold(now) {
+		return min(coldSlots, h.Info().Slots)
+	}
+	return h.Info().Slots
+}
+
 // staleAdmission says that a request to a cold replica was admitted at admittedAt and may not be sent any more.
 func (h *Handle) staleAdmission(admittedAt, now time.Time) bool {
 	return now.Sub(admittedAt) > SendWithin && h.Cold(now)
--- a/internal/replica/cold_test.go
+++ b/internal/replica/cold_test.go
@@ -210,3 +210,19 @@
 		t.Errorf("the first request after an hour is %g ahead", got)
 	}
 }
+
+// TestColdReplicasAreLittleRoom: requests are held back, and items give way, by what the replicas bear now.
+func TestColdReplicasAreLittleRoom(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		directory := boundedDirectory(true)
+		directory.Update([]Info{{ID: "first", Service: "s", Slots: 8}, {ID: "new", Service: "s", Slots: 8}}, nil)
+		for _, want := range []int{9, 16} {
+			view := directory.View()
+			if slots, working := view.Slots("s"), view.WorkingSlots("s", time.Now()); slots != want || working != want {
+				t.Errorf("%d slots, %d working, want %d", slots, working, want)
+			}
+			time.Sleep(3 * time.Second)
+		}
+	})
+}
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -39,10 +39,10 @@
 
 // Slots returns the number of requests that the replicas of service which take new ones work on at once.
 func (v *View) Slots(service string) int {
-	slots := 0
+	slots, now := 0, time.Now()
 	for _, handle := range v.byService[service] {
 		if handle.Usable() {
-			slots += handle.Info().Slots
+			slots += handle.usableSlots(now)
 		}
 	}
 	return slots
@@ -53,7 +53,7 @@
 	slots := 0
 	for _, handle := range v.byService[service] {
 		if handle.Usable() && !handle.Down(now) {
-			slots += handle.Info().Slots
+			slots += handle.usableSlots(now)
 		}
 	}
 	return slots
--- a/internal/replica/replaced.go
+++ b/internal/replica/replaced.go
@@ -24,8 +24,12 @@
 
 // noteAddress has other incarnations at a new replica's address count as replaced. The mutex is held.
 func (d *Directory) noteAddress(appeared *Handle, now time.Time) {
+	address := appeared.Info().Address
+	if !address.IsValid() {
+		return
+	}
 	for _, other := range d.View().byID {
-		if other != appeared && other.Info().Address == appeared.Info().Address && other.Info().ID != appeared.Info().ID {
+		if other != appeared && other.Info().Address == address {
 			other.Replaced(now)
 		}
 	}
