--- a/internal/coldstart/fleet_events_test.go
+++ b/internal/coldstart/fleet_events_test.go
@@ -62,3 +62,24 @@
 
 // limited admits what the Service does.
 func limited(limiter Limiter) Limiter { return limiter }
+
+// viewOf returns what a node knows of the members.
+func (f *testFleet) viewOf(node *testNode, members []membership.Member, struck trouble) []membership.Member {
+	if !struck.wrongViews {
+		return members
+	}
+	part := 1 + f.drawn(len(members))
+	var known []membership.Member
+	for _, each := range members {
+		if each.ID == node.id || f.drawn(len(members)) < part {
+			known = append(known, each)
+		}
+	}
+	return known
+}
+
+// event is something that happens in a play.
+type event struct {
+	at time.Duration
+	do func()
+}
--- a/internal/coldstart/fleet_test.go
+++ b/internal/coldstart/fleet_test.go
@@ -281,24 +281,3 @@
 	time.Sleep(10 * time.Second)
 	return fleet
 }
-
-// viewOf returns what a node knows of the members.
-func (f *testFleet) viewOf(node *testNode, members []membership.Member, struck trouble) []membership.Member {
-	if !struck.wrongViews {
-		return members
-	}
-	part := 1 + f.drawn(len(members))
-	var known []membership.Member
-	for _, each := range members {
-		if each.ID == node.id || f.drawn(len(members)) < part {
-			known = append(known, each)
-		}
-	}
-	return known
-}
-
-// event is something that happens in a play.
-type event struct {
-	at time.Duration
-	do func()
-}
