--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -71,9 +71,9 @@
 	picker := &Picker{
 		directory: directory,
 		topology:  topology,
-		required:  []Filter{notExcluded, usable, underOccupancy},
+		required:  []Filter{notExcluded, usable, underOccupancy, coldRoom},
 		preferred: []Filter{inReachedZone, notAvoided},
-		scorers:   []Scorer{occupancyScore, zoneScore, partScore, failureScore, prefillScore, readingScore},
+		scorers:   []Scorer{occupancyScore, zoneScore, partScore, failureScore, prefillScore, readingScore, coldScore, paceScore},
 		random:    random,
 		mix:       newPromptMix(),
 	}
@@ -105,6 +105,7 @@
 			best, bestScore = handle, score
 		}
 	}
+	wantCold(request, all, best, now)
 	return best
 }
 
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -85,7 +85,7 @@
 		madeBefore := len(a.text)
 		verdict := a.runLease(ctx)
 		leaseOver := verdict == itemCut && errors.Is(a.err, errLeaseOver) && ctx.Err() == nil
-		if !leaseOver || len(a.text) == madeBefore || !a.handle.Usable() {
+		if !leaseOver || len(a.text) == madeBefore || !a.handle.Usable() || !a.partition.service.mayStart(ctx, a.handle) {
 			return verdict
 		}
 		a.err = nil
@@ -169,11 +169,8 @@
 // judge tells what an answer that is no stream means.
 func (a *itemAttempt) judge(answer *replica.Answer, names replica.Headers) itemVerdict {
 	switch {
-	case answer.Status == http.StatusMisdirectedRequest:
-		a.handle.Misdirected(time.Now())
-		return itemRefused
-	case answer.Header.Get(names.NotRun) != "":
-		a.handle.Rejected(time.Now())
+	case answer.Status == http.StatusMisdirectedRequest, answer.Header.Get(names.NotRun) != "":
+		a.handle.Refused(answer.Status == http.StatusMisdirectedRequest, time.Now())
 		return itemRefused
 	case answer.Status == http.StatusUnprocessableEntity:
 		return itemImpossible
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -108,6 +108,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
 	}
 	c.probeZones(ctx, handle)
+	began := time.Now()
 	used, err := c.connect(ctx, handle, call)
 	if err != nil {
 		return nil, err
@@ -117,6 +118,10 @@
 		used.close()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
 	}
+	if handle.staleAdmission(began, time.Now()) {
+		used.close()
+		return nil, fmt.Errorf("%w: the connection to a cold replica took too long", ErrNotSent)
+	}
 	if err := ctx.Err(); err != nil {
 		// The caller left meanwhile.
 		used.close()
@@ -141,6 +146,7 @@
 	if load, told := parseLoad(response.Header.Get(c.headers.Load)); told {
 		handle.Tell(load, time.Now())
 	}
+	handle.noteCold(response.Header, c.headers.ColdFor, time.Now())
 	keep := keepFor(response)
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framed: isFramed(response), Body: response.Body}
 	answer.finish = func(whole bool) {
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -40,10 +40,10 @@
 
 // Slots returns the number of requests that the replicas of service which take new ones work on at once.
 func (v *View) Slots(service string) int {
-	slots := 0
+	slots, now := 0, time.Now()
 	for _, handle := range v.byService[service] {
 		if handle.Usable() {
-			slots += handle.Info().Slots
+			slots += handle.usableSlots(now)
 		}
 	}
 	return slots
@@ -54,7 +54,7 @@
 	slots := 0
 	for _, handle := range v.byService[service] {
 		if handle.Usable() && !handle.Down(now) {
-			slots += handle.Info().Slots
+			slots += handle.usableSlots(now)
 		}
 	}
 	return slots
@@ -84,6 +84,8 @@
 	// mutex.
 	evacuated       map[string]bool
 	evacuationEnded map[string]time.Time
+	// coldTerms is guarded by mutex; nil where replicas bear as much cold as warm.
+	coldTerms ColdTerms
 }
 
 // NewDirectory returns an empty Directory.
@@ -124,7 +126,7 @@
 	d.mutex.Lock()
 	next := make(map[string]*Handle, len(replicas))
 	for _, info := range replicas {
-		next[info.ID] = d.handleFor(info)
+		next[info.ID] = d.handleFor(info, false)
 		next[info.ID].setConfirmed(confirmed)
 	}
 	for id := range d.View().byID {
@@ -147,7 +149,7 @@
 		next[id] = handle
 	}
 	for _, info := range changed {
-		next[info.ID] = d.handleFor(info)
+		next[info.ID] = d.handleFor(info, true)
 	}
 	for _, id := range removed {
 		delete(next, id)
@@ -157,16 +159,18 @@
 	d.subscribers.Notify(d.View())
 }
 
-// handleFor returns the handle of info's incarnation with its newest entry.
-func (d *Directory) handleFor(info Info) *Handle {
+// handleFor returns the handle of info's incarnation with its newest entry; written says that the entry has just been written.
+func (d *Directory) handleFor(info Info, written bool) *Handle {
 	handle := d.View().Find(info.ID)
 	if handle == nil {
 		handle = NewHandle(info)
 		handle.useChanged = d.SignalUse
 		handle.zone = d.zones.Of(info.Zone)
 		handle.probesDue = d.probesDue
+		d.noteEntry(handle, nil, written)
 	} else {
-		handle.info.Store(&info)
+		before := handle.info.Swap(&info)
+		d.noteEntry(handle, before, written)
 	}
 	d.markZone(handle)
 	return handle
--- a/internal/replica/evacuated.go
+++ b/internal/replica/evacuated.go
@@ -81,7 +81,8 @@
 // markZone brings to a handle what is known of its zone. The mutex is held.
 func (d *Directory) markZone(handle *Handle) {
 	zone := handle.Info().Zone
-	if ended, known := d.evacuationEnded[zone]; known {
+	if ended, known := d.evacuationEnded[zone]; known && !ended.Equal(handle.EvacuationEnded()) {
+		d.assumeCold(handle, ended)
 		handle.evacuationEnded.Store(&ended)
 	}
 	// What is read where nothing is evacuated comes last: who sees that the zone is taken back sees when.
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -82,6 +82,8 @@
 	unconfirmed, misdirected atomic.Bool
 	// heardAt is when bytes of an answer last came, in nanoseconds since the start of the process; 0 is never.
 	heardAt atomic.Int64
+	cold    coldness
+	pace    pace
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
@@ -131,6 +133,7 @@
 // Acquire counts a request until release is called.
 func (h *Handle) Acquire() (release func()) {
 	h.addInUse(1)
+	h.NoteSent(time.Now())
 	var once sync.Once
 	return func() { once.Do(func() { h.addInUse(-1) }) }
 }
@@ -267,23 +270,6 @@
 	}
 }
 
-// Misdirected notes that another service answers at the replica's address. One that is known from a copy only is then taken for gone until
-// the key-value service names it.
-func (h *Handle) Misdirected(now time.Time) {
-	if h.unconfirmed.Load() {
-		h.misdirected.Store(true)
-	}
-	h.Rejected(now)
-}
-
-// setConfirmed notes whether the key-value service itself named the replica last, or a copy of its content.
-func (h *Handle) setConfirmed(confirmed bool) {
-	h.unconfirmed.Store(!confirmed)
-	if confirmed {
-		h.misdirected.Store(false)
-	}
-}
-
 // Avoided says that the replica failed or refused a short while ago, or fails other nodes.
 func (h *Handle) Avoided(now time.Time) bool {
 	h.mutex.Lock()
--- a/internal/replica/reached.go
+++ b/internal/replica/reached.go
@@ -37,8 +37,7 @@
 	for _, handle := range near.probesDue(time.Now()) {
 		go func() {
 			if probed, err := c.connect(context.WithoutCancel(ctx), handle, Call{Fresh: true}); err == nil {
-				probed.idleUntil = time.Now().Add(idleDefault)
-				handle.pool.put(probed)
+				probed.close()
 			}
 		}()
 	}
--- /dev/null
+++ b/internal/replica/replaced.go
@@ -0,0 +1,53 @@
+package replica
+
+import "time"
+
+// Replaced notes that another incarnation answers at the replica's address: this one has ended, though its entry may stand for seconds. It
+// counts as down for as long as a replica is avoided at most; a wrong entry harms no longer.
+func (h *Handle) Replaced(now time.Time) {
+	h.mutex.Lock()
+	h.failures = max(h.failures, downAfter)
+	h.avoidUntil = now.Add(avoidLongest)
+	h.failingUntil = h.avoidUntil
+	h.mutex.Unlock()
+	h.signalChange()
+}
+
+// Refused notes that the replica promised not to have run a request; misdirected says that another incarnation answered for it.
+func (h *Handle) Refused(misdirected bool, now time.Time) {
+	if misdirected {
+		h.Misdirected(now)
+		return
+	}
+	h.Rejected(now)
+}
+
+// noteAddress has other incarnations at a new replica's address count as replaced. The mutex is held.
+func (d *Directory) noteAddress(appeared *Handle, now time.Time) {
+	address := appeared.Info().Address
+	if !address.IsValid() {
+		return
+	}
+	for _, other := range d.View().byID {
+		if other != appeared && other.Info().Address == address {
+			other.Replaced(now)
+		}
+	}
+}
+
+// Misdirected notes that another service answers at the replica's address. One that is known from a copy only is then taken for gone until
+// the key-value service names it.
+func (h *Handle) Misdirected(now time.Time) {
+	if h.unconfirmed.Load() {
+		h.misdirected.Store(true)
+	}
+	h.Replaced(now)
+}
+
+// setConfirmed notes whether the key-value service itself named the replica last, or a copy of its content.
+func (h *Handle) setConfirmed(confirmed bool) {
+	h.unconfirmed.Store(!confirmed)
+	if confirmed {
+		h.misdirected.Store(false)
+	}
+}
