--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -7,6 +7,7 @@
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	"github.com/sloelift/sloelift/internal/balance"
 	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
 )
@@ -63,6 +64,10 @@
 	finishing bool
 	// failures counts the runs that a replica answered with a failure of its own.
 	failures int
+	// message names what the item sends; zero until it is first to be sent.
+	message quarantine.Key
+	// heldBack says that the log line about it was written.
+	heldBack bool
 	// notBefore is when the item may be sent again, and routeGone since when its route is missing, both since the
 	// partition's start; routeGone is 0 while there is a route.
 	notBefore time.Duration
@@ -138,7 +143,18 @@
 		if full[each.route] {
 			continue
 		}
-		handle := p.pick(each.route)
+		verdict := p.verdictOn(each)
+		if verdict == quarantine.Rejected {
+			p.holdBack(each)
+			continue
+		}
+		if verdict == quarantine.Apart {
+			if handle := p.pick(each.route, apartOccupancy); handle != nil {
+				p.start(each, handle)
+			}
+			continue
+		}
+		handle := p.pick(each.route, maxOccupancy)
 		if handle == nil {
 			full[each.route] = true
 			p.replaceLate(each)
@@ -181,11 +197,11 @@
 	}
 }
 
-// pick chooses a replica with room for an item.
-func (p *partition) pick(matched *route.Route) *replica.Handle {
+// pick chooses a replica with room for an item, of whose slots no larger share than occupancy is in use.
+func (p *partition) pick(matched *route.Route, occupancy float64) *replica.Handle {
 	now := time.Now()
 	wanted := balance.Request{
-		Service: matched.PickService(), Zone: p.service.options.Zone, MaxOccupancy: maxOccupancy, ZoneWeight: itemZoneWeight,
+		Service: matched.PickService(), Zone: p.service.options.Zone, MaxOccupancy: occupancy, ZoneWeight: itemZoneWeight,
 	}
 	if p.service.hasRoom(wanted.Service, now) {
 		if handle := p.service.picker.Pick(&wanted, now); handle != nil {
@@ -258,7 +274,7 @@
 	release := handle.Acquire()
 	p.running.Go(func() {
 		defer stop()
-		verdict := attempt.run(ctx)
+		verdict := p.runGuarded(ctx, attempt)
 		release()
 		p.took(attempt, verdict)
 	})
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -46,10 +46,12 @@
 	itemRefused
 	// itemCut: the stream ended early; the text so far stands.
 	itemCut
+	// itemNotSent: it was not sent, since other runs of the same message are to end first.
+	itemNotSent
 )
 
 var itemVerdictNames = map[itemVerdict]string{
-	itemDone: "done", itemImpossible: "impossible", itemFailed: "failed", itemRefused: "refused", itemCut: "cut",
+	itemDone: "done", itemImpossible: "impossible", itemFailed: "failed", itemRefused: "refused", itemCut: "cut", itemNotSent: "not_sent",
 }
 
 // String returns the verdict's name in the log.
@@ -234,6 +236,8 @@
 		p.requeue(attempt.key, pauseAfterRefusal)
 	case itemCut:
 		p.requeue(attempt.key, 0)
+	case itemNotSent:
+		p.requeue(attempt.key, pauseWhileSuspected)
 	}
 	p.wake()
 }
--- /dev/null
+++ b/internal/batch/item_crash.go
@@ -0,0 +1,142 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/quarantine"
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+const (
+	// mostCrashedKept bounds the ended replicas that are recorded for one item: more than that may not end under it.
+	mostCrashedKept = 3
+	// apartOccupancy is the share of a replica's slots in use up to which a suspected item is sent there: few others are lost with it.
+	apartOccupancy = 0.25
+	// pauseWhileSuspected is how long a suspected item waits that was not sent, holdPause how long one that is kept from replicas is not
+	// looked at.
+	pauseWhileSuspected = 250 * time.Millisecond
+	holdPause           = time.Second
+)
+
+// errSuspected says that the run was cut off since its message ended a replica elsewhere.
+var errSuspected = errors.New("message is suspected of crashing replicas")
+
+// messageOf names what an item sends.
+func messageOf(submission *batchpb.Submission, number int, names replica.Headers) quarantine.Key {
+	sent := submission.Items[number]
+	header := http.Header{}
+	for _, each := range sent.Headers {
+		header.Add(each.Name, each.Value)
+	}
+	return quarantine.Message{
+		Method: http.MethodPost, Host: submission.Host, Target: sent.Path, PromptParts: header.Get(names.PromptParts), Body: sent.Body,
+	}.Key()
+}
+
+// verdictOn says whether an item may be sent.
+func (p *partition) verdictOn(each candidate) quarantine.Verdict {
+	register := p.service.options.Quarantine
+	if register == nil {
+		return quarantine.Allowed
+	}
+	p.mutex.Lock()
+	run := p.runOf(each.key)
+	if run.message == (quarantine.Key{}) {
+		run.message = messageOf(each.submission, each.key.number, p.service.client.Headers())
+	}
+	message := run.message
+	p.mutex.Unlock()
+	return register.Check(message)
+}
+
+// holdBack has an item wait that is kept from replicas, until it may be given up.
+func (p *partition) holdBack(each candidate) {
+	mayGiveUp := each.route.Retention > 0 && p.now().After(time.UnixMilli(each.acceptedAt).Add(each.route.Retention))
+	p.mutex.Lock()
+	run := p.runOf(each.key)
+	run.notBefore = p.elapsed() + holdPause
+	run.running = mayGiveUp
+	first := !run.heldBack
+	run.heldBack = true
+	message := run.message
+	p.mutex.Unlock()
+	if first {
+		p.logger.Warn().Str(logging.FieldJob, each.key.job).Int("item", each.key.number).Stringer("message", message).Msg("item_held_back")
+	}
+	if mayGiveUp {
+		p.running.Go(func() { p.finish(each.key, batchpb.State_STATE_DEAD_LETTER, "", "crashes_replicas") })
+	}
+}
+
+// runGuarded runs an item at its replica and notes how that ended for its message.
+func (p *partition) runGuarded(ctx context.Context, attempt *itemAttempt) itemVerdict {
+	register := p.service.options.Quarantine
+	if register == nil {
+		return attempt.run(ctx)
+	}
+	p.mutex.RLock()
+	message := p.runs[attempt.key].message
+	p.mutex.RUnlock()
+	permit := register.Admit(ctx, message)
+	defer permit.Release()
+	if permit.Verdict() == quarantine.Rejected {
+		return itemNotSent
+	}
+	bounded, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	fromBegin := attempt.lastEvent == ""
+	run := permit.Begin(attempt.handle, func() { cancel(errSuspected) })
+	verdict := attempt.run(bounded)
+	if run.End(ctx, attempt.ending(bounded, verdict, fromBegin)) {
+		p.recordCrash(attempt)
+	}
+	return verdict
+}
+
+// ending is what the attempt says of the item's message. Only a run from the begin shows that it is harmless.
+func (a *itemAttempt) ending(ctx context.Context, verdict itemVerdict, fromBegin bool) quarantine.Ending {
+	switch {
+	case verdict == itemDone && fromBegin:
+		return quarantine.Whole
+	case verdict != itemCut, ctx.Err() != nil, errors.Is(a.err, errSilent), errors.Is(a.err, errLeaseOver):
+		return quarantine.Other
+	default:
+		return quarantine.Lost
+	}
+}
+
+// recordCrash makes it durable that a replica ended under an item, where that counts: the next owner must know. The item is sent again only
+// then.
+func (p *partition) recordCrash(attempt *itemAttempt) {
+	p.mutex.RLock()
+	message := p.runs[attempt.key].message
+	p.mutex.RUnlock()
+	if p.service.options.Quarantine.Check(message) == quarantine.Allowed {
+		return
+	}
+	crashed := &batchpb.Crashed{JobId: attempt.key.job, Item: uint32(attempt.key.number), Replica: uint64(attempt.handle.Key())}
+	if err := p.propose(p.ctx, recordOf(ledger.KindBatchCrashed, crashed)); err != nil {
+		p.logger.Warn().Str(logging.FieldJob, attempt.key.job).Err(err).Msg("crash_not_recorded")
+	}
+}
+
+// recallCrashes gives the register what earlier owners have recorded.
+func (p *partition) recallCrashes() {
+	register := p.service.options.Quarantine
+	if register == nil {
+		return
+	}
+	for _, each := range p.state.order {
+		for number := range each.items {
+			if of := &each.items[number]; len(of.crashed) > 0 && !each.ended {
+				register.Recall(messageOf(each.submission, number, p.service.client.Headers()), of.crashed)
+			}
+		}
+	}
+}
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -81,6 +81,7 @@
 // Serve implements ledger.StateMachine.
 func (p *partition) Serve(owned ledger.Owned) {
 	p.owned = owned
+	p.recallCrashes()
 	p.logger.Info().Int("jobs", len(p.state.jobs)).Msg("partition_served")
 	p.running.Go(p.runAppender)
 	p.running.Go(p.runDispatcher)
--- a/internal/batch/snapshot.go
+++ b/internal/batch/snapshot.go
@@ -41,6 +41,9 @@
 		if progress := j.items[number].progress; progress != nil {
 			encoded.Progress = append(encoded.Progress, progress)
 		}
+		for _, ended := range j.items[number].crashed {
+			encoded.Crashed = append(encoded.Crashed, &batchpb.Crashed{JobId: j.submission.JobId, Item: uint32(number), Replica: uint64(ended)})
+		}
 	}
 	return encoded
 }
@@ -78,6 +81,9 @@
 	for _, progress := range encoded.Progress {
 		_ = s.takeProgress(progress)
 	}
+	for _, crashed := range encoded.Crashed {
+		_ = s.takeCrashed(crashed)
+	}
 	if encoded.Ended {
 		_ = s.takeEnded(&batchpb.Ended{JobId: encoded.Submission.JobId})
 	}
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/replica"
 )
 
 // job is one accepted job.
@@ -29,6 +31,8 @@
 	state    batchpb.State
 	text     string
 	progress *batchpb.Progress
+	// crashed are the replicas that ended under the item while it was not listed.
+	crashed []replica.Key
 }
 
 // made is the text that the log has of an unlisted item.
@@ -86,6 +90,8 @@
 		return apply(record, &batchpb.Ended{}, s.takeEnded)
 	case ledger.KindBatchForgotten:
 		return apply(record, &batchpb.Forgotten{}, s.takeForgotten)
+	case ledger.KindBatchCrashed:
+		return apply(record, &batchpb.Crashed{}, s.takeCrashed)
 	default:
 		return nil
 	}
@@ -174,7 +180,7 @@
 func (s *state) list(owner *job, number int, listedAs batchpb.State, text string) {
 	listed := &owner.items[number]
 	s.dropProgress(listed)
-	listed.listed, listed.state, listed.text = true, listedAs, text
+	listed.listed, listed.state, listed.text, listed.crashed = true, listedAs, text, nil
 	owner.listed = append(owner.listed, number)
 	sent := owner.submission.Items[number]
 	s.bytes += int64(len(text)) - int64(len(sent.Body))
@@ -209,6 +215,19 @@
 	return nil
 }
 
+// takeCrashed notes a replica that ended under an item, once.
+func (s *state) takeCrashed(crashed *batchpb.Crashed) error {
+	found := s.jobs[crashed.JobId]
+	if found == nil || found.ended || int(crashed.Item) >= len(found.items) || found.items[crashed.Item].listed {
+		return nil
+	}
+	of, ended := &found.items[crashed.Item], replica.Key(crashed.Replica)
+	if !slices.Contains(of.crashed, ended) && len(of.crashed) < mostCrashedKept {
+		of.crashed = append(of.crashed, ended)
+	}
+	return nil
+}
+
 func (s *state) takeEnded(ended *batchpb.Ended) error {
 	found := s.jobs[ended.JobId]
 	if found == nil || found.ended {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -41,6 +41,7 @@
 	if err != nil {
 		return e.failed(ctx, handle, err)
 	}
+	e.lastStatus = answer.Status
 	whole := false
 	defer func() { answer.Close(whole) }()
 	if refused(answer, e.handler.headers) {
@@ -73,6 +74,10 @@
 	if e.request.Context().Err() != nil {
 		return callerGone
 	}
+	e.lastError = errors.Join(err, context.Cause(ctx))
+	if errors.Is(e.lastError, errSuspected) {
+		return e.afterLoss()
+	}
 	silent := errors.Is(context.Cause(ctx), errSilent) || errors.Is(err, syscall.ETIMEDOUT)
 	if silent && handle.HeardSince(e.attemptBegan) {
 		// It answers others: it is not down, the request waits there for its turn.
@@ -144,6 +149,7 @@
 			return callerGone, false
 		}
 		handle.Failed(time.Now())
+		e.lastError = err
 		return brokenOff, false
 	}
 	handle.Succeeded()
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/sloelift/sloelift/internal/balance"
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
 )
@@ -81,27 +82,45 @@
 	lastEvent string
 	// badAnswer is the last whole failure that a replica answered with.
 	badAnswer *wholeAnswer
+	// message names what the caller sent, permit is the leave for the present attempt, both nil or zero where nothing is kept from replicas.
+	message quarantine.Key
+	permit  quarantine.Permit
+	// replicaEnded says that the replica of the latest attempt ended, replicasEnded counts those.
+	replicaEnded  bool
+	replicasEnded int
+	// lastStatus and lastError are of the latest attempt: the status of its answer, and what broke it off.
+	lastStatus int
+	lastError  error
 }
 
 func (e *exchange) run(ctx context.Context) {
 	if e.handler.refresh != nil {
 		e.handler.refresh(ctx)
 	}
+	if !e.knownHarmless() {
+		e.conclude(ctx, notRun, reasonCrashesReplicas)
+		return
+	}
 	leave := e.waitForRoom(ctx)
 	defer leave()
+	defer e.releasePermit()
 	if ctx.Err() != nil {
 		e.conclude(ctx, notRun, "held_back")
 		return
 	}
 	var last verdict
 	for {
+		if !e.admit(ctx) {
+			e.conclude(ctx, last, reasonCrashesReplicas)
+			return
+		}
 		handle := e.pickReady(ctx)
 		if handle == nil {
 			e.conclude(ctx, last, "no_replica")
 			return
 		}
 		e.tried = append(e.tried, handle)
-		last = e.attempt(ctx, handle)
+		last = e.guardedAttempt(ctx, handle)
 		switch last {
 		case delivered, callerGone:
 			e.handler.metrics.finished(e.route.Name, last == delivered, time.Since(e.arrived))
@@ -115,7 +134,7 @@
 		case notRun:
 			e.refusals++
 		default:
-			e.runs++
+			e.countRun()
 		}
 		if !e.mayTryAgain(ctx, last) {
 			e.conclude(ctx, last, "given_up")
@@ -160,9 +179,12 @@
 
 // pickReady chooses the next replica among those that bear one more request now.
 func (e *exchange) pickReady(ctx context.Context) *replica.Handle {
+	if handle := e.pickApart(ctx); handle != nil {
+		return handle
+	}
 	excluded := slices.Clone(e.tried)
 	for {
-		handle := e.pick(excluded)
+		handle := e.pick(excluded, 0)
 		if handle == nil || e.handler.coldStarts == nil || e.handler.coldStarts.Take(ctx, handle) {
 			return handle
 		}
@@ -170,10 +192,10 @@
 	}
 }
 
-// pick chooses the next replica.
-func (e *exchange) pick(excluded []*replica.Handle) *replica.Handle {
+// pick chooses the next replica; maxOccupancy 0 is no bound.
+func (e *exchange) pick(excluded []*replica.Handle, maxOccupancy float64) *replica.Handle {
 	wanted := balance.Request{
-		Service: e.nextService(), Zone: e.handler.zone, BodyBytes: len(e.body), Excluded: excluded,
+		Service: e.nextService(), Zone: e.handler.zone, BodyBytes: len(e.body), Excluded: excluded, MaxOccupancy: maxOccupancy,
 	}
 	if e.route.Affinity {
 		parts := ParsePromptParts(e.request.Header.Get(e.handler.headers.PromptParts))
@@ -201,10 +223,13 @@
 	if last == notRun {
 		return e.refusals < maxRefusals
 	}
-	if !e.route.MayRepeat() || e.runs >= max(1, e.route.Attempts) {
+	if !e.route.MayRepeat() || last == brokenOff && !e.resumes() {
 		return false
 	}
-	if last == brokenOff && !e.resumes() {
+	if e.replicaEnded {
+		return e.replicasEnded <= mostReplicasEnded
+	}
+	if e.runs >= max(1, e.route.Attempts) {
 		return false
 	}
 	return e.nextPaid.Swap(false) || e.handler.budget.take()
@@ -221,7 +246,7 @@
 		reason = "deadline"
 	}
 	handler.metrics.finished(e.route.Name, false, time.Since(e.arrived))
-	if e.runs == 0 && handler.quota != nil && e.terms.Tenant != nil {
+	if e.runs+e.replicasEnded == 0 && handler.quota != nil && e.terms.Tenant != nil {
 		handler.quota.GiveBack(e.terms.Tenant)
 	}
 	handler.logger.Info().Str(logging.FieldRequest, e.id).Str("route", e.route.Name).Str(logging.FieldReason, reason).
@@ -233,7 +258,10 @@
 		panic(http.ErrAbortHandler)
 	case e.badAnswer != nil:
 		e.badAnswer.write(e.writer)
-	case e.runs == 0:
+	case reason == reasonCrashesReplicas:
+		// Neither a promise that the message has not run, nor a time to come back.
+		http.Error(e.writer, reason, http.StatusBadGateway)
+	case e.runs+e.replicasEnded == 0:
 		SetRetryAfter(e.writer.Header(), retryAfterNoRoom)
 		http.Error(e.writer, reason, http.StatusServiceUnavailable)
 	case late:
--- /dev/null
+++ b/internal/forward/quarantined.go
@@ -0,0 +1,113 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"syscall"
+
+	"github.com/sloelift/sloelift/internal/quarantine"
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+const (
+	// reasonCrashesReplicas is the reason of an answer to a message under which replicas have ended.
+	reasonCrashesReplicas = "crashes_replicas"
+	// mostReplicasEnded is the number of ended replicas after which a request is given up, whichever message ended them: a caller who
+	// waited for that many has hardly any time left.
+	mostReplicasEnded = 3
+	// apartOccupancy is the share of a replica's slots in use up to which a suspected message is sent there: few others are lost with it.
+	apartOccupancy = 0.25
+)
+
+// errSuspected says that the run was cut off since its message ended a replica elsewhere.
+var errSuspected = errors.New("message is suspected of crashing replicas")
+
+// knownHarmless says that the request need not be rejected before it waits for room.
+func (e *exchange) knownHarmless() bool {
+	if e.handler.quarantine == nil {
+		return true
+	}
+	e.message = quarantine.Message{
+		Method: e.request.Method, Host: e.request.Host, Target: targetOf(e.request),
+		PromptParts: e.request.Header.Get(e.handler.headers.PromptParts), Body: e.body,
+	}.Key()
+	return e.handler.quarantine.Check(e.message) != quarantine.Rejected
+}
+
+// admit takes the leave for the next attempt; false where the message is kept from replicas.
+func (e *exchange) admit(ctx context.Context) bool {
+	if e.handler.quarantine == nil {
+		return true
+	}
+	e.releasePermit()
+	e.permit = e.handler.quarantine.Admit(ctx, e.message)
+	return e.permit.Verdict() != quarantine.Rejected
+}
+
+// releasePermit gives back the leave of an attempt that has ended, or was not made.
+func (e *exchange) releasePermit() {
+	if e.permit != nil {
+		e.permit.Release()
+		e.permit = nil
+	}
+}
+
+// pickApart chooses the replica of a suspected message; nil where it is not suspected, or no replica has few requests and no other suspect.
+func (e *exchange) pickApart(ctx context.Context) *replica.Handle {
+	if e.permit == nil || e.permit.Verdict() != quarantine.Apart {
+		return nil
+	}
+	excluded := append(slices.Clone(e.tried), e.permit.Occupied()...)
+	for {
+		handle := e.pick(excluded, apartOccupancy)
+		if handle == nil || e.handler.coldStarts == nil || e.handler.coldStarts.Take(ctx, handle) {
+			return handle
+		}
+		excluded = append(excluded, handle)
+	}
+}
+
+// guardedAttempt sends the request to one replica and notes how that ended for the message.
+func (e *exchange) guardedAttempt(ctx context.Context, handle *replica.Handle) verdict {
+	e.replicaEnded = false
+	if e.permit == nil {
+		return e.attempt(ctx, handle)
+	}
+	bounded, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var cut func()
+	if e.route.MayRepeat() {
+		cut = func() { cancel(errSuspected) }
+	}
+	fromBegin := e.lastEvent == ""
+	run := e.permit.Begin(handle, cut)
+	e.lastStatus, e.lastError = 0, nil
+	last := e.attempt(bounded, handle)
+	e.replicaEnded = run.End(ctx, e.ending(bounded, last, fromBegin))
+	return last
+}
+
+// ending is what the attempt says of the message. Only a run from the begin shows that the message is harmless.
+func (e *exchange) ending(ctx context.Context, last verdict, fromBegin bool) quarantine.Ending {
+	switch {
+	case last == delivered && fromBegin && e.lastStatus < http.StatusMultipleChoices:
+		return quarantine.Whole
+	case last != maybeRun && last != brokenOff, e.lastError == nil:
+		return quarantine.Other
+	case ctx.Err() != nil, errors.Is(e.lastError, errSilent), errors.Is(e.lastError, syscall.ETIMEDOUT):
+		return quarantine.Other
+	default:
+		return quarantine.Lost
+	}
+}
+
+// countRun counts an attempt that may have run. One whose replica ended costs the request none of its attempts.
+func (e *exchange) countRun() {
+	if e.replicaEnded {
+		e.replicasEnded++
+		return
+	}
+	e.runs++
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -38,6 +38,7 @@
 	KindBatchProgress
 	KindBatchEnded
 	KindBatchForgotten
+	KindBatchCrashed
 	// KindNoOperation fills a position that recovery must write without a record.
 	KindNoOperation = protocol.KindNoOperation
 )
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -29,6 +29,7 @@
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/quota"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/retirement"
@@ -120,7 +121,7 @@
 var sharedSlices = fx.Options(
 	fx.Provide(
 		func() *watchPace { return &watchPace{} }, newRoleKeyValue, newFeed, route.NewHolder, replica.NewDirectory, newDiscovery, newReplicaClient, newPicker,
-		newRegisteredMachines, func() *ledger.Timing { return &roleLedgerTiming },
+		newRegisteredMachines, newQuarantine, func() *ledger.Timing { return &roleLedgerTiming },
 		func() *membership.Timing { return &roleMembershipTiming },
 	),
 	transport.Module, membership.Module, ledger.Module,
@@ -229,11 +230,11 @@
 	defaultKeepResults     = 10 * time.Minute
 )
 
-func newBatchService(own settings.Settings, adapter Adapter, routes *route.Holder, directory *replica.Directory, shared *loadshare.Service, picker *balance.Picker, client *replica.Client, registrar transport.Registrar, logger zerolog.Logger) *batch.Service {
+func newBatchService(own settings.Settings, adapter Adapter, routes *route.Holder, directory *replica.Directory, shared *loadshare.Service, picker *balance.Picker, client *replica.Client, register quarantine.Register, registrar transport.Registrar, logger zerolog.Logger) *batch.Service {
 	memory := cmp.Or(own.Limits.MemoryMegabytes, defaultMemoryMegabytes)
 	return batch.NewService(batch.Options{
 		Zone: own.Zone, MaxBytes: int64(float64(memory<<20) * batchMemoryShare),
-		KeepResults: cmp.Or(own.Bounds.Poll, defaultKeepResults), Report: adapter.Report,
+		KeepResults: cmp.Or(own.Bounds.Poll, defaultKeepResults), Report: adapter.Report, Quarantine: register,
 	}, routes, directory, shared, picker, client, registrar, logger)
 }
 
@@ -273,14 +274,23 @@
 	return func(ledger.PartitionID) ledger.StateMachine { panic("an edge owns no partition") }
 }
 
+// newQuarantine keeps messages from replicas that crash them.
+func newQuarantine(lifecycle fx.Lifecycle, via network.Network, directory *replica.Directory, members *membership.Service, caller transport.Caller, registrar transport.Registrar, registerer prometheus.Registerer, logger zerolog.Logger) quarantine.Register {
+	service := quarantine.NewService(quarantine.Options{
+		Network: via, Directory: directory, Viewer: members, Caller: caller, Registrar: registrar, Registerer: registerer, Logger: logger,
+	})
+	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
+	return service
+}
+
 func newPicker(directory *replica.Directory) *balance.Picker {
 	return balance.NewPicker(directory, nil)
 }
 
-func newForwardHandler(own settings.Settings, routes *route.Holder, directory *replica.Directory, picker *balance.Picker, client *replica.Client, gate *forward.Gate, limits *quota.Service, shared *loadshare.Service, calls BatchCalls, logger zerolog.Logger, metrics *forward.Metrics) *forward.Handler {
+func newForwardHandler(own settings.Settings, routes *route.Holder, directory *replica.Directory, picker *balance.Picker, client *replica.Client, gate *forward.Gate, limits *quota.Service, shared *loadshare.Service, register quarantine.Register, calls BatchCalls, logger zerolog.Logger, metrics *forward.Metrics) *forward.Handler {
 	return forward.NewHandler(forward.Options{
 		Routes: routes, Directory: directory, Picker: picker, Client: client, Zone: own.Zone, Batch: calls, Gate: gate, Quota: limits, Refresh: shared.Refresh,
-		Logger: logger, Metrics: metrics,
+		Quarantine: register, Logger: logger, Metrics: metrics,
 	})
 }
 
--- /dev/null
+++ b/internal/quarantine/admit.go
@@ -0,0 +1,249 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
+	"github.com/sloelift/sloelift/internal/membership"
+)
+
+const (
+	// longestWait bounds the wait of a suspected message for the end of another run of it: most callers leave a stream that does not begin
+	// within two seconds.
+	longestWait = time.Second
+	// firstPause and longestPause bound the wait before a keeper that has another run under way is asked again.
+	firstPause   = 20 * time.Millisecond
+	longestPause = 160 * time.Millisecond
+	// keeperTimeout is how long a keeper is waited for, most are asked after the other.
+	keeperTimeout = 150 * time.Millisecond
+	mostKeepers   = 3
+	// unreachedFor is how long a keeper that gave no answer is passed over.
+	unreachedFor = time.Second
+)
+
+// errNoKeeper says that none of the nodes that may keep a message was reached: this one may be cut off.
+var errNoKeeper = errors.New("no keeper was reached")
+
+// queue is held by the one that asks for a grant here; done is closed when it is given up.
+type queue struct{ done chan struct{} }
+
+// Admit implements Register.
+func (s *Service) Admit(ctx context.Context, key Key) Permit {
+	verdict, inquired := s.look(key)
+	if verdict == Allowed && !inquired {
+		return &permit{service: s, key: key, verdict: Allowed}
+	}
+	bounded, cancel := context.WithTimeout(ctx, longestWait)
+	defer cancel()
+	admitted := s.admitSuspect(bounded, key)
+	s.metrics.admitted.WithLabelValues(admitted.verdict.String()).Inc()
+	return admitted
+}
+
+// look returns what is known of a message, and whether more is about to be.
+func (s *Service) look(key Key) (verdict Verdict, inquired bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.book.verdict(key), s.inquired[key] > 0
+}
+
+// admitSuspect waits until it is decided whether a suspected message may run.
+func (s *Service) admitSuspect(ctx context.Context, key Key) *permit {
+	for {
+		s.mutex.Lock()
+		verdict, inquired, waiting, changed := s.book.verdict(key), s.inquired[key] > 0, s.queues[key], s.changed
+		if !inquired && verdict == Apart && waiting == nil {
+			s.queues[key] = &queue{done: make(chan struct{})}
+			s.mutex.Unlock()
+			return s.seek(ctx, key)
+		}
+		s.mutex.Unlock()
+		if !inquired && verdict != Apart {
+			return &permit{service: s, key: key, verdict: verdict}
+		}
+		var turn chan struct{}
+		if waiting != nil {
+			turn = waiting.done
+		}
+		select {
+		case <-changed:
+		case <-turn:
+		case <-ctx.Done():
+			return &permit{service: s, key: key, verdict: Rejected}
+		case <-s.ctx.Done():
+			return &permit{service: s, key: key, verdict: Rejected}
+		}
+	}
+}
+
+// leaveQueue lets the next one here ask.
+func (s *Service) leaveQueue(key Key) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if held := s.queues[key]; held != nil {
+		close(held.done)
+		delete(s.queues, key)
+	}
+}
+
+// seek asks the keeper for the grant until it is given or the message is decided on. The queue is held until the permit is given back.
+func (s *Service) seek(ctx context.Context, key Key) *permit {
+	run := drawRun(rand.Uint64(), key)
+	pause := firstPause
+	for {
+		response, keeper, err := s.askKeepers(ctx, key, run)
+		if err != nil {
+			s.logger.Info().Stringer("message", key).Err(err).Msg("suspect_not_decided")
+			s.leaveQueue(key)
+			return &permit{service: s, key: key, verdict: Rejected}
+		}
+		switch response.GetVerdict() {
+		case quarantinepb.Verdict_VERDICT_GRANTED:
+			return s.granted(key, run, keeper)
+		case quarantinepb.Verdict_VERDICT_ALLOWED:
+			s.leaveQueue(key)
+			return &permit{service: s, key: key, verdict: Allowed}
+		case quarantinepb.Verdict_VERDICT_BUSY:
+		default:
+			s.leaveQueue(key)
+			return &permit{service: s, key: key, verdict: Rejected}
+		}
+		if !s.pauseUnlessDecided(ctx, key, pause) {
+			s.leaveQueue(key)
+			verdict, _ := s.look(key)
+			if verdict == Apart {
+				verdict = Rejected
+			}
+			return &permit{service: s, key: key, verdict: verdict}
+		}
+		pause = min(2*pause, longestPause)
+	}
+}
+
+// pauseUnlessDecided waits; false where the message is no longer in doubt, or the wait is over.
+func (s *Service) pauseUnlessDecided(ctx context.Context, key Key, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for {
+		s.mutex.Lock()
+		verdict, changed := s.book.verdict(key), s.changed
+		s.mutex.Unlock()
+		if verdict != Apart {
+			return false
+		}
+		select {
+		case <-timer.C:
+			return true
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		case <-s.ctx.Done():
+			return false
+		}
+	}
+}
+
+// granted returns the permit of a run that the keeper has granted, and renews the grant until it is given back.
+func (s *Service) granted(key Key, run uint64, keeper membership.Member) *permit {
+	renewing, stop := context.WithCancel(s.ctx)
+	s.running.Go(func() { s.renew(renewing, key, run, keeper) })
+	return &permit{service: s, key: key, verdict: Apart, grant: run, keeper: keeper, stopRenewing: stop}
+}
+
+func (s *Service) renew(ctx context.Context, key Key, run uint64, keeper membership.Member) {
+	ticker := time.NewTicker(grantTerm / 3)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			if _, err := s.askKeeper(ctx, key, run, keeper); err != nil && ctx.Err() == nil {
+				s.logger.Info().Stringer("message", key).Err(err).Msg("grant_not_renewed")
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// askKeepers asks the keeper of a message. Where it is not reached the next one is asked, unless the run could be the last one that is
+// allowed: two keepers could each give that.
+func (s *Service) askKeepers(ctx context.Context, key Key, run uint64) (*quarantinepb.GrantResponse, membership.Member, error) {
+	view := s.viewer.View()
+	ranked := keepers(view, key)
+	if len(ranked) < 2 && len(view.Members) > 1 {
+		return nil, membership.Member{}, errNoKeeper
+	}
+	s.mutex.Lock()
+	last := s.book.count(key)+1 >= mostEnded
+	s.mutex.Unlock()
+	most := min(mostKeepers, len(ranked))
+	if last {
+		most = min(1, most)
+	}
+	for _, keeper := range ranked[:most] {
+		if !last && s.unreached.Recent(keeper.PeerAddress, time.Now()) {
+			continue
+		}
+		response, err := s.askKeeper(ctx, key, run, keeper)
+		if err == nil {
+			return response, keeper, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		s.unreached.Note(keeper.PeerAddress, time.Now())
+	}
+	return nil, membership.Member{}, errNoKeeper
+}
+
+func (s *Service) askKeeper(ctx context.Context, key Key, run uint64, keeper membership.Member) (*quarantinepb.GrantResponse, error) {
+	now := time.Now()
+	s.mutex.Lock()
+	request := &quarantinepb.GrantRequest{Message: keyBytes(key), Run: run, Incidents: s.book.of(key, now)}
+	s.mutex.Unlock()
+	if keeper.ID == s.viewer.View().Self {
+		return s.give(request, now), nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, keeperTimeout)
+	defer cancel()
+	response := &quarantinepb.GrantResponse{}
+	if err := s.caller.Call(bounded, keeper.PeerAddress, methodGrant, request, response); err != nil {
+		return nil, err
+	}
+	s.join(response.GetIncidents(), time.Now())
+	return response, nil
+}
+
+// release gives a grant back in the background; without an answer it lapses.
+func (s *Service) release(key Key, run uint64, keeper membership.Member) {
+	s.leaveQueue(key)
+	now := time.Now()
+	s.mutex.Lock()
+	request := &quarantinepb.ReleaseRequest{Message: keyBytes(key), Run: run, Incidents: s.book.of(key, now)}
+	s.mutex.Unlock()
+	if keeper.ID == s.viewer.View().Self {
+		s.takeBack(request, now)
+		return
+	}
+	s.running.Go(func() { s.sendRelease(keeper.PeerAddress, request) })
+}
+
+func (s *Service) sendRelease(to netip.AddrPort, request *quarantinepb.ReleaseRequest) {
+	const tries = 3
+	for range tries {
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), keeperTimeout)
+		err := s.caller.Call(bounded, to, methodRelease, request, &quarantinepb.ReleaseResponse{})
+		cancel()
+		if err == nil {
+			return
+		}
+		s.logger.Info().Stringer("peer", to).Err(err).Msg("grant_not_released")
+		if s.ctx.Err() != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/quarantine/book.go
@@ -0,0 +1,284 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+const (
+	// maxIncidents bounds the ended replicas that are remembered, maxSuspects the messages of one: more than a replica runs at once. Both
+	// together keep the book below 5 MB.
+	maxIncidents = 512
+	maxSuspects  = 128
+	// remember is how long an ended replica counts against the messages that ran there: long enough for a caller who tries again and for
+	// an item of a batch job, short enough that a mended model gets the message again on the same day.
+	remember = 10 * time.Minute
+	// mostEnded is the number of replicas that may end under one message.
+	mostEnded = 3
+	// enoughEnded is the number from which on a message is rejected that alone explains them.
+	enoughEnded = 2
+	// sameCause is the time within which replicas that end are taken to have ended together: a crash that strikes several, or a message
+	// that was at several when it was not suspected yet.
+	sameCause = 30 * time.Millisecond
+	// massCrash is the number of replicas from which on such a crash has a cause of its own.
+	massCrash = 3
+	// shortRun is the length of a run up to which the end of its replica speaks strongly against the message: what ends a replica does so
+	// when it is read or soon after, while a long run is likely to be there at any replica's end.
+	shortRun = 2 * time.Second
+	// leastDifference keeps sums that differ by their rounding alone from being told apart.
+	leastDifference = 1e-9
+)
+
+// suspect is a message in one incident.
+type suspect struct {
+	ran     time.Duration
+	cleared bool
+}
+
+// incident is the end of one incarnation of a replica.
+type incident struct {
+	replica  replica.Key
+	learned  time.Time
+	suspects map[Key]*suspect
+	// open counts the suspects that are not cleared.
+	open int
+}
+
+// book holds the incidents that are known. Books are joined: suspects are added, and one that is cleared stays so, in any order. It is not
+// safe for concurrent use.
+type book struct {
+	incidents map[replica.Key]*incident
+	byMessage map[Key]map[replica.Key]*incident
+}
+
+func newBook() *book {
+	return &book{incidents: map[replica.Key]*incident{}, byMessage: map[Key]map[replica.Key]*incident{}}
+}
+
+// add joins one suspect of an incident that was learned of at the given time. It returns whether anything is new.
+func (b *book) add(ended replica.Key, learned time.Time, message Key, joined suspect) bool {
+	known := b.incidents[ended]
+	if known == nil {
+		b.makeRoom()
+		known = &incident{replica: ended, learned: learned, suspects: map[Key]*suspect{}}
+		b.incidents[ended] = known
+	}
+	before := known.suspects[message]
+	if before == nil {
+		if len(known.suspects) >= maxSuspects {
+			return false
+		}
+		known.suspects[message] = &joined
+		if !joined.cleared {
+			known.open++
+		}
+		if b.byMessage[message] == nil {
+			b.byMessage[message] = map[replica.Key]*incident{}
+		}
+		b.byMessage[message][ended] = known
+		return true
+	}
+	if !joined.cleared || before.cleared {
+		return false
+	}
+	before.cleared = true
+	known.open--
+	return true
+}
+
+// clear notes that the message has come to its end; it returns the incidents in which it was suspected.
+func (b *book) clear(message Key) []*incident {
+	open := b.open(message)
+	for _, each := range open {
+		each.suspects[message].cleared = true
+		each.open--
+	}
+	return open
+}
+
+// open returns the incidents in which the message is suspected, in the order of time.
+func (b *book) open(message Key) []*incident {
+	var found []*incident
+	for _, each := range b.byMessage[message] {
+		if !each.suspects[message].cleared {
+			found = append(found, each)
+		}
+	}
+	slices.SortFunc(found, func(one, other *incident) int {
+		return cmp.Or(one.learned.Compare(other.learned), cmp.Compare(one.replica, other.replica))
+	})
+	return found
+}
+
+// verdict says what is known of a message.
+func (b *book) verdict(message Key) Verdict {
+	if len(b.byMessage[message]) == 0 {
+		return Allowed
+	}
+	if b.explains(message) {
+		return Rejected
+	}
+	switch ended := b.count(message); {
+	case ended >= mostEnded:
+		return Rejected
+	case ended > 0:
+		return Apart
+	default:
+		return Allowed
+	}
+}
+
+// strong returns the incidents that speak strongly against a message: each soon after it came there, and at a time of its own.
+func (b *book) strong(message Key) []*incident {
+	var found []*incident
+	for _, each := range b.open(message) {
+		if each.suspects[message].ran > shortRun {
+			continue
+		}
+		if last := len(found) - 1; last >= 0 && each.learned.Sub(found[last].learned) < sameCause {
+			continue
+		}
+		found = append(found, each)
+	}
+	return found
+}
+
+// weight is what speaks against a message: each incident is one, shared by the messages that ran there.
+func (b *book) weight(message Key) float64 {
+	weight := 0.0
+	for _, each := range b.byMessage[message] {
+		if !each.suspects[message].cleared {
+			weight += 1 / float64(each.open)
+		}
+	}
+	return weight
+}
+
+// foremost says that more speaks against the message than against any other that ran there.
+func (b *book) foremost(message Key, in *incident) bool {
+	weight := b.weight(message)
+	for other, doubt := range in.suspects {
+		if other != message && !doubt.cleared && b.weight(other) >= weight-leastDifference {
+			return false
+		}
+	}
+	return true
+}
+
+// explains says that the message alone accounts for several ends of replicas.
+func (b *book) explains(message Key) bool {
+	foremost := 0
+	for _, each := range b.strong(message) {
+		if b.foremost(message, each) {
+			foremost++
+		}
+	}
+	return foremost >= enoughEnded
+}
+
+// count returns the number of replicas that ended under the message, without those whose end another message explains. Of a crash that
+// struck many replicas together, the message at some of them only, one counts.
+func (b *book) count(message Key) int {
+	open := b.open(message)
+	ended := 0
+	for index := 0; index < len(open); {
+		together := b.together(open[index])
+		mine := 0
+		for index < len(open) && slices.Contains(together, open[index]) {
+			if !b.explained(open[index], message) {
+				mine++
+			}
+			index++
+		}
+		if len(together) >= massCrash && mine < len(together) {
+			mine = min(mine, 1)
+		}
+		ended += mine
+	}
+	return ended
+}
+
+// together returns the incidents that begin with first and lie close to it.
+func (b *book) together(first *incident) []*incident {
+	var found []*incident
+	for _, each := range b.incidents {
+		if span := each.learned.Sub(first.learned).Abs(); each == first || span < sameCause {
+			found = append(found, each)
+		}
+	}
+	return found
+}
+
+// explained says that another message than the given one accounts for the incident.
+func (b *book) explained(of *incident, except Key) bool {
+	for other, doubt := range of.suspects {
+		if other != except && !doubt.cleared && len(b.byMessage[other]) >= enoughEnded && b.foremost(other, of) && b.explains(other) {
+			return true
+		}
+	}
+	return false
+}
+
+// forget drops what is too old.
+func (b *book) forget(now time.Time) {
+	for _, each := range b.incidents {
+		if now.Sub(each.learned) >= remember {
+			b.drop(each)
+		}
+	}
+}
+
+// makeRoom drops the oldest incident where the book is full, one without a rejected message first.
+func (b *book) makeRoom() {
+	if len(b.incidents) < maxIncidents {
+		return
+	}
+	var oldest, oldestOpen *incident
+	for _, each := range b.incidents {
+		if oldest == nil || each.learned.Before(oldest.learned) {
+			oldest = each
+		}
+		if (oldestOpen == nil || each.learned.Before(oldestOpen.learned)) && !b.holdsRejected(each) {
+			oldestOpen = each
+		}
+	}
+	if oldestOpen != nil {
+		oldest = oldestOpen
+	}
+	b.drop(oldest)
+}
+
+func (b *book) holdsRejected(of *incident) bool {
+	for message, doubt := range of.suspects {
+		if !doubt.cleared && len(b.byMessage[message]) >= enoughEnded && b.verdict(message) == Rejected {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *book) drop(dropped *incident) {
+	delete(b.incidents, dropped.replica)
+	for message := range dropped.suspects {
+		delete(b.byMessage[message], dropped.replica)
+		if len(b.byMessage[message]) == 0 {
+			delete(b.byMessage, message)
+		}
+	}
+}
+
+// counts returns the numbers of messages that are suspected and rejected.
+func (b *book) counts() (suspected, rejected int) {
+	for message := range b.byMessage {
+		switch b.verdict(message) {
+		case Apart:
+			suspected++
+		case Rejected:
+			rejected++
+		}
+	}
+	return suspected, rejected
+}
--- /dev/null
+++ b/internal/quarantine/book_test.go
@@ -0,0 +1,187 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+// keyOf returns the key of a message of a test.
+func keyOf(name string) Key { return Message{Method: "POST", Target: "/" + name}.Key() }
+
+// observed is one observation: a replica that ended under messages, or a message that came to its end.
+type observed struct {
+	at      time.Duration
+	replica replica.Key
+	under   []string
+	ran     time.Duration
+	whole   string
+}
+
+func replay(observations []observed) *book {
+	start := time.Unix(1_000_000, 0)
+	made := newBook()
+	for _, each := range observations {
+		if each.whole != "" {
+			made.clear(keyOf(each.whole))
+			continue
+		}
+		for _, name := range each.under {
+			made.add(each.replica, start.Add(each.at), keyOf(name), suspect{ran: each.ran})
+		}
+	}
+	return made
+}
+
+func TestVerdictFromObservations(t *testing.T) {
+	const second = time.Second
+	for _, test := range []struct {
+		name         string
+		observations []observed
+		want         map[string]Verdict
+	}{
+		{"nothing known", nil, map[string]Verdict{"a": Allowed}},
+		{"one end under one message", []observed{{at: 0, replica: 1, under: []string{"a"}}}, map[string]Verdict{"a": Apart, "b": Allowed}},
+		{"two ends under the same message alone", []observed{
+			{at: 0, replica: 1, under: []string{"a"}}, {at: second, replica: 2, under: []string{"a"}},
+		}, map[string]Verdict{"a": Rejected}},
+		{"one message explains what ran beside it", []observed{
+			{at: 0, replica: 1, under: []string{"a", "b", "c", "d"}}, {at: second, replica: 2, under: []string{"a", "e"}},
+		}, map[string]Verdict{"a": Rejected, "b": Allowed, "c": Allowed, "d": Allowed, "e": Allowed}},
+		{"two that ran beside each other twice", []observed{
+			{at: 0, replica: 1, under: []string{"a", "b"}}, {at: second, replica: 2, under: []string{"a", "b"}},
+		}, map[string]Verdict{"a": Apart, "b": Apart}},
+		{"the third end under one of them shows it", []observed{
+			{at: 0, replica: 1, under: []string{"a", "b"}}, {at: second, replica: 2, under: []string{"a", "b"}}, {whole: "b"},
+		}, map[string]Verdict{"a": Rejected, "b": Allowed}},
+		{"three ends under both", []observed{
+			{at: 0, replica: 1, under: []string{"a", "b"}}, {at: second, replica: 2, under: []string{"a", "b"}}, {at: 2 * second, replica: 3, under: []string{"a", "b"}},
+		}, map[string]Verdict{"a": Rejected, "b": Rejected}},
+		{"a whole run clears", []observed{
+			{at: 0, replica: 1, under: []string{"a"}}, {whole: "a"},
+		}, map[string]Verdict{"a": Allowed}},
+		{"what ended before a whole run does not count again", []observed{
+			{at: 0, replica: 1, under: []string{"a"}}, {whole: "a"}, {at: second, replica: 2, under: []string{"a"}},
+		}, map[string]Verdict{"a": Apart}},
+		{"two long runs are no proof", []observed{
+			{at: 0, replica: 1, under: []string{"a"}, ran: 20 * second}, {at: 30 * second, replica: 2, under: []string{"a"}, ran: 20 * second},
+		}, map[string]Verdict{"a": Apart}},
+		{"three long runs are the most that may be", []observed{
+			{at: 0, replica: 1, under: []string{"a"}, ran: 20 * second}, {at: 30 * second, replica: 2, under: []string{"a"}, ran: 20 * second},
+			{at: 60 * second, replica: 3, under: []string{"a"}, ran: 20 * second},
+		}, map[string]Verdict{"a": Rejected}},
+		{"a popular message at two replicas that end together", []observed{
+			{at: 0, replica: 1, under: []string{"a", "b"}}, {at: 5 * time.Millisecond, replica: 2, under: []string{"a", "c"}},
+		}, map[string]Verdict{"a": Apart, "b": Apart}},
+		{"a popular message at three of four replicas that end together", []observed{
+			{at: 0, replica: 1, under: []string{"a"}}, {at: time.Millisecond, replica: 2, under: []string{"a"}},
+			{at: 2 * time.Millisecond, replica: 3, under: []string{"a"}}, {at: 3 * time.Millisecond, replica: 4, under: []string{"b"}},
+		}, map[string]Verdict{"a": Apart, "b": Apart}},
+		{"a message at all three replicas that end together", []observed{
+			{at: 0, replica: 1, under: []string{"a"}}, {at: time.Millisecond, replica: 2, under: []string{"a", "b"}}, {at: 2 * time.Millisecond, replica: 3, under: []string{"a", "c"}},
+		}, map[string]Verdict{"a": Rejected}},
+		{"the same replica counts once", []observed{
+			{at: 0, replica: 1, under: []string{"a"}}, {at: second, replica: 1, under: []string{"a"}},
+		}, map[string]Verdict{"a": Apart}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			made := replay(test.observations)
+			for name, want := range test.want {
+				if got := made.verdict(keyOf(name)); got != want {
+					t.Errorf("%s is %s, want %s", name, got, want)
+				}
+			}
+		})
+	}
+}
+
+func TestSixteenBystandersAreSentAgain(t *testing.T) {
+	names := []string{"cause"}
+	for number := range 16 {
+		names = append(names, fmt.Sprintf("bystander-%d", number))
+	}
+	made := replay([]observed{{replica: 1, under: names}, {at: time.Second, replica: 2, under: []string{"cause", "bystander-3"}}, {whole: "bystander-3"}})
+	if got := made.verdict(keyOf("cause")); got != Rejected {
+		t.Errorf("the cause is %s", got)
+	}
+	for _, name := range names[1:] {
+		if got := made.verdict(keyOf(name)); got != Allowed {
+			t.Errorf("%s is %s", name, got)
+		}
+	}
+}
+
+func TestBooksJoinInAnyOrder(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	one := replay([]observed{{replica: 1, under: []string{"a", "b"}}, {whole: "b"}})
+	other := replay([]observed{{replica: 1, under: []string{"b", "c"}}, {at: time.Second, replica: 2, under: []string{"a"}}})
+	forth, back := newBook(), newBook()
+	forth.join(one.all(now), now)
+	forth.join(other.all(now.Add(time.Second)), now.Add(time.Second))
+	back.join(other.all(now.Add(time.Second)), now.Add(time.Second))
+	back.join(one.all(now), now)
+	back.join(one.all(now), now)
+	for _, name := range []string{"a", "b", "c"} {
+		if forth.verdict(keyOf(name)) != back.verdict(keyOf(name)) {
+			t.Errorf("%s is %s one way and %s the other", name, forth.verdict(keyOf(name)), back.verdict(keyOf(name)))
+		}
+	}
+	if got := forth.verdict(keyOf("a")); got != Rejected {
+		t.Errorf("a is %s", got)
+	}
+	if got := forth.verdict(keyOf("b")); got != Allowed {
+		t.Errorf("b is %s", got)
+	}
+}
+
+func TestBookIsBounded(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	made := newBook()
+	made.add(1, start, keyOf("cause"), suspect{})
+	made.add(2, start.Add(time.Second), keyOf("cause"), suspect{})
+	for ended := range replica.Key(3 * maxIncidents) {
+		for number := range 2 * maxSuspects {
+			made.add(100+ended, start.Add(time.Duration(ended+2)*time.Second), keyOf(fmt.Sprintf("%d-%d", ended, number)), suspect{})
+		}
+	}
+	if len(made.incidents) > maxIncidents {
+		t.Errorf("%d incidents are kept", len(made.incidents))
+	}
+	if most := maxIncidents * maxSuspects; len(made.byMessage) > most {
+		t.Errorf("%d messages are kept, more than %d", len(made.byMessage), most)
+	}
+	if got := made.verdict(keyOf("cause")); got != Rejected {
+		t.Errorf("what is rejected was forgotten before what is only suspected: %s", got)
+	}
+}
+
+func TestBookForgets(t *testing.T) {
+	made := replay([]observed{{replica: 1, under: []string{"a"}}, {at: time.Second, replica: 2, under: []string{"a"}}})
+	made.forget(time.Unix(1_000_000, 0).Add(remember + time.Second))
+	if len(made.incidents)+len(made.byMessage) != 0 {
+		t.Errorf("%d incidents and %d messages are left", len(made.incidents), len(made.byMessage))
+	}
+}
+
+func TestKeyIsWhatAttemptsShare(t *testing.T) {
+	base := Message{Method: "POST", Host: "h", Target: "/p?q", PromptParts: "a:1", Body: []byte("text")}
+	same := base
+	same.Body = []byte("text")
+	if base.Key() != same.Key() {
+		t.Error("two attempts of one message have different keys")
+	}
+	for name, other := range map[string]Message{
+		"method": {Method: "PUT", Host: "h", Target: "/p?q", PromptParts: "a:1", Body: []byte("text")},
+		"host":   {Method: "POST", Host: "g", Target: "/p?q", PromptParts: "a:1", Body: []byte("text")},
+		"target": {Method: "POST", Host: "h", Target: "/p", PromptParts: "a:1", Body: []byte("text")},
+		"prompt": {Method: "POST", Host: "h", Target: "/p?q", PromptParts: "b:1", Body: []byte("text")},
+		"body":   {Method: "POST", Host: "h", Target: "/p?q", PromptParts: "a:1", Body: []byte("texts")},
+		"joined": {Method: "POSTh", Target: "/p?q", PromptParts: "a:1", Body: []byte("text")},
+	} {
+		if base.Key() == other.Key() {
+			t.Errorf("a message with another %s has the same key", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/quarantine/codec.go
@@ -0,0 +1,67 @@
+package quarantine
+
+import (
+	"time"
+
+	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+// encode returns an incident as it is sent; where message is given, with that suspect alone.
+func encode(of *incident, now time.Time, message *Key) *quarantinepb.Incident {
+	encoded := &quarantinepb.Incident{Replica: uint64(of.replica), AgeMillis: uint64(max(0, now.Sub(of.learned)).Milliseconds())}
+	for key, each := range of.suspects {
+		if message == nil || key == *message {
+			encoded.Suspects = append(encoded.Suspects, encodeSuspect(key, each))
+		}
+	}
+	return encoded
+}
+
+func encodeSuspect(key Key, of *suspect) *quarantinepb.Suspect {
+	return &quarantinepb.Suspect{Message: key[:], RanMillis: uint32(of.ran.Milliseconds()), Cleared: of.cleared}
+}
+
+// all returns the whole book as it is sent.
+func (b *book) all(now time.Time) []*quarantinepb.Incident {
+	encoded := make([]*quarantinepb.Incident, 0, len(b.incidents))
+	for _, each := range b.incidents {
+		encoded = append(encoded, encode(each, now, nil))
+	}
+	return encoded
+}
+
+// of returns what the book has of one message.
+func (b *book) of(message Key, now time.Time) []*quarantinepb.Incident {
+	var encoded []*quarantinepb.Incident
+	for _, each := range b.byMessage[message] {
+		encoded = append(encoded, encode(each, now, &message))
+	}
+	return encoded
+}
+
+// join takes in incidents of another node; it returns the messages of which something is new.
+func (b *book) join(encoded []*quarantinepb.Incident, now time.Time) []Key {
+	var changed []Key
+	for _, each := range encoded {
+		age := time.Duration(min(each.AgeMillis, uint64(remember.Milliseconds()))) * time.Millisecond
+		if age >= remember {
+			continue
+		}
+		for _, doubt := range each.Suspects {
+			key, valid := decodeKey(doubt.Message)
+			joined := suspect{ran: time.Duration(doubt.RanMillis) * time.Millisecond, cleared: doubt.Cleared}
+			if valid && b.add(replica.Key(each.Replica), now.Add(-age), key, joined) {
+				changed = append(changed, key)
+			}
+		}
+	}
+	return changed
+}
+
+func decodeKey(encoded []byte) (key Key, valid bool) {
+	if len(encoded) != len(key) {
+		return key, false
+	}
+	return Key(encoded), true
+}
--- /dev/null
+++ b/internal/quarantine/fake_test.go
@@ -0,0 +1,263 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/transport/memory"
+)
+
+// fakeMachines are the machines of replicas, as new connections find them.
+type fakeMachines struct {
+	mutex sync.Mutex
+	// ended are the addresses that refuse, cut those that do not answer.
+	ended map[netip.AddrPort]bool
+	cut   map[netip.AddrPort]bool
+	asked int
+}
+
+// Listen fails: nothing is served here.
+func (f *fakeMachines) Listen(context.Context, netip.AddrPort) (net.Listener, error) {
+	return nil, errors.New("nothing listens here")
+}
+
+// Dial connects to a replica that has not ended.
+func (f *fakeMachines) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	time.Sleep(time.Millisecond)
+	f.mutex.Lock()
+	f.asked++
+	ended, cut := f.ended[address], f.cut[address]
+	f.mutex.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if ended {
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
+	near, far := net.Pipe()
+	_ = far.Close()
+	return near, nil
+}
+
+func (f *fakeMachines) end(address netip.AddrPort) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.ended[address] = true
+}
+
+// fakeView is one node's view of the members.
+type fakeView struct {
+	mutex sync.Mutex
+	view  *membership.View
+}
+
+func (f *fakeView) View() *membership.View {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.view
+}
+
+func (*fakeView) Subscribe(func(*membership.View)) func() { return func() {} }
+
+func (f *fakeView) set(view *membership.View) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.view = view
+}
+
+// node is one node of a cluster under test.
+type node struct {
+	id        membership.NodeID
+	address   netip.AddrPort
+	view      *fakeView
+	transport *memory.Transport
+	directory *replica.Directory
+	*Service
+	up bool
+}
+
+// cluster is nodes on one network before the same replicas.
+type cluster struct {
+	t        *testing.T
+	network  *memory.Network
+	machines *fakeMachines
+	nodes    []*node
+
+	mutex sync.Mutex
+	// sides holds the side of a cut on which a node is; 0 is that of most.
+	sides map[netip.AddrPort]int
+	// infos are the replicas; drawn counts all that there ever were.
+	infos []replica.Info
+	drawn int
+	// crashed counts the replicas that ended, by the message that ended them.
+	crashed map[Key]int
+}
+
+func newCluster(t *testing.T, nodes, replicas int) *cluster {
+	made := &cluster{
+		t: t, network: memory.NewNetwork(1), sides: map[netip.AddrPort]int{}, crashed: map[Key]int{},
+		machines: &fakeMachines{ended: map[netip.AddrPort]bool{}, cut: map[netip.AddrPort]bool{}},
+	}
+	made.network.SetConditions(func(from, to netip.AddrPort) memory.Conditions {
+		made.mutex.Lock()
+		defer made.mutex.Unlock()
+		return memory.Conditions{Delay: time.Millisecond, Cut: made.sides[from] != made.sides[to]}
+	})
+	for range replicas {
+		made.infos = append(made.infos, made.newReplica())
+	}
+	for index := range nodes {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(9000+index))
+		made.nodes = append(made.nodes, &node{id: membership.NodeID(fmt.Sprintf("node-%02d", index)), address: address, view: &fakeView{}})
+	}
+	for _, each := range made.nodes {
+		made.start(each)
+	}
+	made.agree()
+	return made
+}
+
+// newReplica returns another incarnation at another address.
+func (c *cluster) newReplica() replica.Info {
+	c.drawn++
+	return replica.Info{ID: fmt.Sprintf("replica-%d", c.drawn), Service: "s", Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), uint16(c.drawn)), Slots: 8}
+}
+
+// start starts a node's process, which knows nothing of the one before.
+func (c *cluster) start(started *node) {
+	var err error
+	started.transport, err = memory.NewTransport(c.network, started.address, prometheus.NewRegistry())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	started.directory = replica.NewDirectory()
+	c.mutex.Lock()
+	started.directory.Replace(c.infos)
+	c.mutex.Unlock()
+	started.view.set(&membership.View{Self: started.id, Members: []membership.Member{c.member(started, membership.Alive)}})
+	started.Service = NewService(Options{
+		Network: c.machines, Directory: started.directory, Viewer: started.view, Caller: started.transport, Registrar: started.transport,
+		Registerer: prometheus.NewRegistry(), Logger: zerolog.Nop(),
+	})
+	started.transport.Start()
+	started.up = true
+	started.Start()
+}
+
+func (c *cluster) kill(killed *node) {
+	killed.up = false
+	killed.transport.Stop()
+	killed.Stop()
+}
+
+func (c *cluster) stop() {
+	for _, each := range c.nodes {
+		if each.up {
+			c.kill(each)
+		}
+	}
+}
+
+func (c *cluster) member(of *node, state membership.State) membership.Member {
+	return membership.Member{ID: of.id, PeerAddress: of.address, State: state}
+}
+
+// agree has all nodes know how things are: who is down or on another side is dead to those that do not reach it.
+func (c *cluster) agree() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, viewer := range c.nodes {
+		view := &membership.View{Self: viewer.id}
+		for _, other := range c.nodes {
+			state := membership.Alive
+			if !other.up || c.sides[other.address] != c.sides[viewer.address] {
+				state = membership.Dead
+			}
+			view.Members = append(view.Members, c.member(other, state))
+		}
+		viewer.view.set(view)
+	}
+}
+
+// cut cuts the given nodes off from the others.
+func (c *cluster) cut(together ...*node) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	clear(c.sides)
+	for _, each := range together {
+		c.sides[each.address] = 1
+	}
+}
+
+// crash ends a replica's process; another one comes in its place.
+func (c *cluster) crash(handle *replica.Handle, by Key) {
+	c.machines.end(handle.Info().Address)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.crashed[by]++
+	for index := range c.infos {
+		if c.infos[index].ID == handle.Info().ID {
+			c.infos[index] = c.newReplica()
+		}
+	}
+	for _, each := range c.nodes {
+		if each.up {
+			each.directory.Replace(c.infos)
+		}
+	}
+}
+
+// crashes returns how many replicas a message ended.
+func (c *cluster) crashes(key Key) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.crashed[key]
+}
+
+// handle returns a node's handle of the replica of that number.
+func (c *cluster) handle(at *node, number int) *replica.Handle {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return at.directory.View().Find(c.infos[number].ID)
+}
+
+// crashing runs a message that ends the replica of that number after a while, unless it is cut off before; false where it was not admitted.
+func (c *cluster) crashing(at *node, number int, key Key) bool {
+	permit := at.Admit(c.t.Context(), key)
+	defer permit.Release()
+	if permit.Verdict() == Rejected {
+		return false
+	}
+	handle := c.handle(at, number)
+	cut := make(chan struct{})
+	run := permit.Begin(handle, func() { close(cut) })
+	select {
+	case <-time.After(80 * time.Millisecond):
+		if !c.machines.endedAt(handle) {
+			c.crash(handle, key)
+		}
+		run.End(c.t.Context(), Lost)
+	case <-cut:
+		run.End(c.t.Context(), Other)
+	}
+	return true
+}
+
+func (f *fakeMachines) endedAt(handle *replica.Handle) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.ended[handle.Info().Address]
+}
--- /dev/null
+++ b/internal/quarantine/keeper.go
@@ -0,0 +1,126 @@
+package quarantine
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+// grantTerm is how long a grant holds without being renewed: its holder may have been killed, and the others wait.
+const grantTerm = 1500 * time.Millisecond
+
+// grant is the leave to run a suspected message that its keeper gave.
+type grant struct {
+	run   uint64
+	until time.Time
+	// over says that it was given back; a late renewal does not bring it to life again.
+	over bool
+}
+
+// keepers returns the living members that may keep a message, the first by rendezvous first.
+func keepers(view *membership.View, key Key) []membership.Member {
+	live := view.Live()
+	weights := make(map[membership.NodeID]uint64, len(live))
+	for _, member := range live {
+		digest := xxhash.New()
+		_, _ = digest.Write(key[:])
+		_, _ = digest.WriteString(string(member.ID))
+		weights[member.ID] = digest.Sum64()
+	}
+	slices.SortFunc(live, func(one, other membership.Member) int { return -cmp.Compare(weights[one.ID], weights[other.ID]) })
+	return live
+}
+
+// majority says that more than half of the members are known to be there.
+func majority(view *membership.View) bool { return 2*len(view.Live()) > len(view.Members) }
+
+// give answers a request for the one run of a suspected message.
+func (s *Service) give(request *quarantinepb.GrantRequest, now time.Time) *quarantinepb.GrantResponse {
+	key, valid := decodeKey(request.GetMessage())
+	if !valid {
+		return &quarantinepb.GrantResponse{Verdict: quarantinepb.Verdict_VERDICT_REJECTED}
+	}
+	s.join(request.GetIncidents(), now)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.noteLapse(key, now)
+	return &quarantinepb.GrantResponse{Verdict: s.decide(key, request.GetRun(), now), Incidents: s.book.of(key, now)}
+}
+
+// decide says whether a run may have the grant. The mutex is held.
+func (s *Service) decide(key Key, run uint64, now time.Time) quarantinepb.Verdict {
+	switch s.book.verdict(key) {
+	case Allowed:
+		return quarantinepb.Verdict_VERDICT_ALLOWED
+	case Rejected:
+		return quarantinepb.Verdict_VERDICT_REJECTED
+	}
+	held, given := s.grants[key]
+	if given && held.run == run && held.over {
+		return quarantinepb.Verdict_VERDICT_BUSY
+	}
+	if given && held.run != run && !held.over && now.Before(held.until) {
+		return quarantinepb.Verdict_VERDICT_BUSY
+	}
+	if s.book.count(key)+1 >= mostEnded && !majority(s.viewer.View()) {
+		// The other side of a cut may give its own last run.
+		return quarantinepb.Verdict_VERDICT_BUSY
+	}
+	s.grants[key] = grant{run: run, until: now.Add(grantTerm)}
+	return quarantinepb.Verdict_VERDICT_GRANTED
+}
+
+// noteLapse counts a grant that was neither renewed nor given back as an end of a replica: its holder is gone, and nobody saw how the run
+// ended. The mutex is held.
+func (s *Service) noteLapse(key Key, now time.Time) {
+	held, given := s.grants[key]
+	if !given || held.over || now.Before(held.until) {
+		return
+	}
+	delete(s.grants, key)
+	ended := replica.Key(held.run)
+	if s.book.verdict(key) == Apart && s.book.add(ended, held.until, key, suspect{ran: shortRun + time.Second}) {
+		s.logger.Info().Stringer("message", key).Msg("grant_lapsed")
+		s.tell(ended, key)
+		s.noteVerdict(key)
+		s.signal()
+	}
+}
+
+// takeBack ends a grant and takes in what its run has shown.
+func (s *Service) takeBack(request *quarantinepb.ReleaseRequest, now time.Time) {
+	key, valid := decodeKey(request.GetMessage())
+	if !valid {
+		return
+	}
+	s.join(request.GetIncidents(), now)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if held, given := s.grants[key]; given && held.run == request.GetRun() {
+		s.grants[key] = grant{run: held.run, until: now, over: true}
+		s.signal()
+	}
+}
+
+// forgetGrants drops those that ended a while ago. The mutex is held.
+func (s *Service) forgetGrants(now time.Time) {
+	for key, each := range s.grants {
+		if now.Sub(each.until) >= grantTerm {
+			s.noteLapse(key, now)
+			delete(s.grants, key)
+		}
+	}
+}
+
+// keyBytes returns a key as it is sent.
+func keyBytes(key Key) []byte { return key[:] }
+
+// drawRun returns the number of a run; 0 stands for none.
+func drawRun(random uint64, key Key) uint64 { return max(1, random^binary.BigEndian.Uint64(key[:8])) }
--- /dev/null
+++ b/internal/quarantine/metrics.go
@@ -0,0 +1,31 @@
+package quarantine
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics show the part at work.
+type metrics struct {
+	messages *prometheus.GaugeVec
+	ended    prometheus.Counter
+	cut      prometheus.Counter
+	admitted *prometheus.CounterVec
+	notices  prometheus.Counter
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	made := &metrics{
+		messages: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "sloelift_quarantine_messages", Help: "Messages under which replicas ended, by what follows.",
+		}, []string{"verdict"}),
+		ended:    prometheus.NewCounter(prometheus.CounterOpts{Name: "sloelift_quarantine_replicas_ended_total", Help: "Replicas that ended while this node had runs there."}),
+		cut:      prometheus.NewCounter(prometheus.CounterOpts{Name: "sloelift_quarantine_runs_cut_total", Help: "Runs cut off since their message became suspected."}),
+		admitted: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sloelift_quarantine_admissions_total", Help: "Suspected messages that asked to run, by verdict."}, []string{"verdict"}),
+		notices:  prometheus.NewCounter(prometheus.CounterOpts{Name: "sloelift_quarantine_notices_total", Help: "Notices sent to other nodes."}),
+	}
+	registerer.MustRegister(made.messages, made.ended, made.cut, made.admitted, made.notices)
+	return made
+}
+
+func (m *metrics) note(suspected, rejected int) {
+	m.messages.WithLabelValues(Apart.String()).Set(float64(suspected))
+	m.messages.WithLabelValues(Rejected.String()).Set(float64(rejected))
+}
--- /dev/null
+++ b/internal/quarantine/probe.go
@@ -0,0 +1,93 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+const (
+	// probeTimeout bounds a question to a replica's machine: a refusal comes within a round trip, silence is a link that is cut.
+	probeTimeout = 150 * time.Millisecond
+	// settleTime is the time within which the connections of one process that ends are seen to end.
+	settleTime = 5 * time.Millisecond
+)
+
+// inquiry finds out, once for all runs that were lost there together, whether a replica's process has ended.
+type inquiry struct {
+	done chan struct{}
+	// ended says that it has, counted that it counts against what ran there; both are set before done is closed.
+	ended   bool
+	counted bool
+	at      time.Time
+}
+
+// inquire returns the inquiry into a replica, begun where none is under way and none found its end before.
+func (s *Service) inquire(handle *replica.Handle) *inquiry {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if known := s.inquiries[handle.Key()]; known != nil {
+		return known
+	}
+	begun := &inquiry{done: make(chan struct{}), at: time.Now()}
+	s.inquiries[handle.Key()] = begun
+	s.running.Go(func() { s.conduct(begun, handle) })
+	return begun
+}
+
+// conduct answers an inquiry. A replica that drains ends as planned, whatever runs there.
+func (s *Service) conduct(begun *inquiry, handle *replica.Handle) {
+	ended := s.processEnded(handle)
+	counted := ended && !handle.Info().Draining
+	s.mutex.Lock()
+	begun.ended, begun.counted, begun.at = ended, counted, time.Now()
+	if !ended {
+		delete(s.inquiries, handle.Key())
+	}
+	s.mutex.Unlock()
+	close(begun.done)
+	if ended {
+		handle.Ended(time.Now())
+		s.metrics.ended.Inc()
+		s.logger.Info().Str("replica", handle.Info().ID).Bool("counted", counted).Msg("replica_ended")
+	}
+}
+
+// processEnded tells the end of a process from a lost connection, and from a link that is cut: all connections have ended, and the machine
+// refuses new ones. A connection that is made, or no answer, says that the process may be there.
+func (s *Service) processEnded(handle *replica.Handle) bool {
+	if handle.KeptAlive() && !s.endsSoon(handle) {
+		return false
+	}
+	bounded, cancel := context.WithTimeout(s.ctx, probeTimeout)
+	defer cancel()
+	connection, err := s.network.Dial(bounded, handle.Info().Address)
+	if err == nil {
+		if failure := connection.Close(); failure != nil {
+			s.logger.Debug().Err(failure).Msg("probe_not_closed")
+		}
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// endsSoon says that the kept connections have ended a moment later.
+func (s *Service) endsSoon(handle *replica.Handle) bool {
+	select {
+	case <-time.After(settleTime):
+	case <-s.ctx.Done():
+	}
+	return !handle.KeptAlive()
+}
+
+// forgetInquiries drops the ends of replicas that nothing runs at any more. The mutex is held.
+func (s *Service) forgetInquiries(now time.Time) {
+	for key, each := range s.inquiries {
+		if each.ended && now.Sub(each.at) >= remember {
+			delete(s.inquiries, key)
+		}
+	}
+}
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -1,9 +1,10 @@
 package quarantine
 
-import "github.com/sloelift/sloelift/internal/replica"
+import (
+	"context"
 
-// Key names a message: a digest of what its attempts share.
-type Key [16]byte
+	"github.com/sloelift/sloelift/internal/replica"
+)
 
 // Verdict says whether a message may be sent to a replica.
 type Verdict int
@@ -11,17 +12,22 @@
 const (
 	// Allowed messages may run anywhere.
 	Allowed Verdict = iota
-	// Apart says that the message is suspected: it may run where no other message runs.
+	// Apart says that the message is suspected: it may run where no other suspect runs, once at a time over all nodes.
 	Apart
 	// Rejected messages are sent to no replica.
 	Rejected
 )
 
+var verdictNames = map[Verdict]string{Allowed: "allowed", Apart: "apart", Rejected: "rejected"}
+
+// String returns the verdict's name in the log.
+func (v Verdict) String() string { return verdictNames[v] }
+
 // Ending is how the run of a message at a replica ended.
 type Ending int
 
 const (
-	// Whole runs came to their end: the message does not crash replicas.
+	// Whole runs came from the begin of the answer to its end: the message does not crash replicas.
 	Whole Ending = iota
 	// Lost runs ended with the connection, or with no answer: the replica may have ended under the message.
 	Lost
@@ -29,10 +35,32 @@
 	Other
 )
 
+// Permit is the leave to run one message once.
+type Permit interface {
+	// Verdict is Allowed, Apart or Rejected; with the last the message must not be sent.
+	Verdict() Verdict
+	// Occupied are the replicas at which this node runs other suspects: one that runs apart is better sent elsewhere.
+	Occupied() []*replica.Handle
+	// Begin notes that the message is sent to the replica. cut, where it is not nil, is called at most once when the message becomes
+	// suspected by a run elsewhere: the run must end, and a further one needs a Permit of its own.
+	Begin(handle *replica.Handle, cut func()) Run
+	// Release gives the permit back; it may be called at any time, and again.
+	Release()
+}
+
+// Run is a message at a replica.
+type Run interface {
+	// End notes how the run ended, once. After Lost it returns, a short while later, whether the replica's process has ended.
+	End(ctx context.Context, ending Ending) (replicaEnded bool)
+}
+
 // Register keeps what is known of messages. It is safe for concurrent use.
 type Register interface {
-	// Check says whether the message may be sent now.
+	// Check says, without a wait, what is known of the message now.
 	Check(key Key) Verdict
-	// Begin notes that the message is sent to the replica; end is called once with how its run ended.
-	Begin(key Key, handle *replica.Handle) (end func(Ending))
+	// Admit says whether the message may be sent. For a message that is not suspected it returns at once; for one that is it waits,
+	// within bounds, until no other run of it is under way at any node.
+	Admit(ctx context.Context, key Key) Permit
+	// Recall takes in replicas that ended under the message as its owner has recorded.
+	Recall(key Key, ended []replica.Key)
 }
--- /dev/null
+++ b/internal/quarantine/run.go
@@ -0,0 +1,121 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+// permit is the leave to run one message once.
+type permit struct {
+	service *Service
+	key     Key
+	verdict Verdict
+	// grant is the number of the grant that the keeper gave; 0 where none was needed.
+	grant  uint64
+	keeper membership.Member
+	// stopRenewing ends the renewal of the grant.
+	stopRenewing context.CancelFunc
+}
+
+// Verdict implements Permit.
+func (p *permit) Verdict() Verdict { return p.verdict }
+
+// Occupied implements Permit.
+func (p *permit) Occupied() []*replica.Handle {
+	if p.verdict != Apart {
+		return nil
+	}
+	p.service.mutex.Lock()
+	defer p.service.mutex.Unlock()
+	var found []*replica.Handle
+	for key, runs := range p.service.runs {
+		if key == p.key || p.service.book.verdict(key) == Allowed {
+			continue
+		}
+		for each := range runs {
+			found = append(found, each.handle)
+		}
+	}
+	return found
+}
+
+// Release implements Permit.
+func (p *permit) Release() {
+	if p.stopRenewing == nil {
+		return
+	}
+	stop := p.stopRenewing
+	p.stopRenewing = nil
+	stop()
+	p.service.release(p.key, p.grant, p.keeper)
+}
+
+// Begin implements Permit.
+func (p *permit) Begin(handle *replica.Handle, cut func()) Run {
+	begun := &run{service: p.service, key: p.key, handle: handle, cut: cut, began: time.Now(), granted: p.grant != 0}
+	p.service.mutex.Lock()
+	defer p.service.mutex.Unlock()
+	if p.service.runs[p.key] == nil {
+		p.service.runs[p.key] = map[*run]bool{}
+	}
+	p.service.runs[p.key][begun] = true
+	return begun
+}
+
+// run is a message at a replica.
+type run struct {
+	service *Service
+	key     Key
+	handle  *replica.Handle
+	cut     func()
+	began   time.Time
+	granted bool
+}
+
+// End implements Run.
+func (r *run) End(ctx context.Context, ending Ending) (replicaEnded bool) {
+	r.service.endRun(r, ending)
+	switch ending {
+	case Whole:
+		r.service.cleared(r.key)
+	case Lost:
+		return r.lost(ctx)
+	}
+	return false
+}
+
+// endRun forgets a run; a lost one holds its message back until it is known whether the replica has ended.
+func (s *Service) endRun(ended *run, ending Ending) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.runs[ended.key], ended)
+	if len(s.runs[ended.key]) == 0 {
+		delete(s.runs, ended.key)
+	}
+	if ending == Lost {
+		s.inquired[ended.key]++
+	}
+}
+
+// lost waits for the inquiry into the replica, and takes its end down against the message.
+func (r *run) lost(ctx context.Context) (replicaEnded bool) {
+	ran := time.Since(r.began)
+	inquiry := r.service.inquire(r.handle)
+	select {
+	case <-inquiry.done:
+	case <-r.service.ctx.Done():
+	}
+	r.service.mutex.Lock()
+	defer r.service.mutex.Unlock()
+	if r.service.inquired[r.key]--; r.service.inquired[r.key] <= 0 {
+		delete(r.service.inquired, r.key)
+	}
+	if inquiry.counted {
+		r.service.suspect(r, inquiry, ran)
+	}
+	r.service.signal()
+	return inquiry.ended && ctx.Err() == nil
+}
--- /dev/null
+++ b/internal/quarantine/service.go
@@ -0,0 +1,249 @@
+package quarantine
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/network"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/transport"
+	"github.com/sloelift/sloelift/internal/unreached"
+)
+
+// Methods between nodes.
+const (
+	methodNotice  transport.Method = "quarantine.notice"
+	methodList    transport.Method = "quarantine.list"
+	methodGrant   transport.Method = "quarantine.grant"
+	methodRelease transport.Method = "quarantine.release"
+)
+
+// Options of a Service.
+type Options struct {
+	// Network is that on which replicas are reached.
+	Network network.Network
+	// Directory holds the replicas, so that those which others saw end are avoided here too.
+	Directory  *replica.Directory
+	Viewer     membership.Viewer
+	Caller     transport.Caller
+	Registrar  transport.Registrar
+	Registerer prometheus.Registerer
+	Logger     zerolog.Logger
+}
+
+// Service is the Register of one node, which shares what it knows with the others. It is safe for concurrent use.
+type Service struct {
+	network network.Network
+	// directory holds the replicas that are registered.
+	directory *replica.Directory
+	viewer    membership.Viewer
+	caller    transport.Caller
+	logger    zerolog.Logger
+	metrics   *metrics
+	// unreached are the keepers that gave no answer a short while ago.
+	unreached *unreached.Peers
+	ctx       context.Context
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+	// news wakes the loop that tells the others.
+	news chan struct{}
+
+	// mutex guards the fields below.
+	mutex sync.Mutex
+	book  *book
+	// runs are the messages at replicas, inquired counts the lost runs of a message whose replica is being inquired into.
+	runs      map[Key]map[*run]bool
+	inquired  map[Key]int
+	inquiries map[replica.Key]*inquiry
+	// queues hold, by message, who waits here for a grant.
+	queues map[Key]*queue
+	// grants are those that this node gave as keeper.
+	grants map[Key]grant
+	// changed is closed and replaced when something is learned or a run ends.
+	changed chan struct{}
+	// outbox are the messages of which the others are to learn, by incident; repeats are those told once, which are told again.
+	outbox  map[replica.Key]map[Key]bool
+	repeats map[replica.Key]map[Key]bool
+	// rejected are the messages whose rejection is logged.
+	rejected map[Key]bool
+}
+
+// NewService returns a Service and registers its methods.
+func NewService(options Options) *Service {
+	service := &Service{
+		network: options.Network, directory: options.Directory, viewer: options.Viewer, caller: options.Caller, logger: options.Logger.With().Str(logging.FieldSlice, "quarantine").Logger(),
+		metrics: newMetrics(options.Registerer), unreached: unreached.NewPeers(unreachedFor), news: make(chan struct{}, 1), book: newBook(), runs: map[Key]map[*run]bool{}, inquired: map[Key]int{},
+		inquiries: map[replica.Key]*inquiry{}, queues: map[Key]*queue{}, grants: map[Key]grant{}, changed: make(chan struct{}),
+		outbox: map[replica.Key]map[Key]bool{}, repeats: map[replica.Key]map[Key]bool{}, rejected: map[Key]bool{},
+	}
+	service.ctx, service.cancel = context.WithCancel(context.Background())
+	transport.Handle(options.Registrar, methodNotice, func() *quarantinepb.Notice { return &quarantinepb.Notice{} },
+		func(_ context.Context, _ netip.AddrPort, notice *quarantinepb.Notice) (*quarantinepb.Notice, error) {
+			service.join(notice.GetIncidents(), time.Now())
+			return &quarantinepb.Notice{}, nil
+		})
+	transport.Handle(options.Registrar, methodList, func() *quarantinepb.ListRequest { return &quarantinepb.ListRequest{} },
+		func(context.Context, netip.AddrPort, *quarantinepb.ListRequest) (*quarantinepb.ListResponse, error) {
+			return &quarantinepb.ListResponse{Incidents: service.all(time.Now())}, nil
+		})
+	transport.Handle(options.Registrar, methodGrant, func() *quarantinepb.GrantRequest { return &quarantinepb.GrantRequest{} },
+		func(_ context.Context, _ netip.AddrPort, request *quarantinepb.GrantRequest) (*quarantinepb.GrantResponse, error) {
+			return service.give(request, time.Now()), nil
+		})
+	transport.Handle(options.Registrar, methodRelease, func() *quarantinepb.ReleaseRequest { return &quarantinepb.ReleaseRequest{} },
+		func(_ context.Context, _ netip.AddrPort, request *quarantinepb.ReleaseRequest) (*quarantinepb.ReleaseResponse, error) {
+			service.takeBack(request, time.Now())
+			return &quarantinepb.ReleaseResponse{}, nil
+		})
+	return service
+}
+
+// Start begins to share what is learned, and asks others for what they know.
+func (s *Service) Start() {
+	s.running.Go(s.share)
+	s.running.Go(s.askOthers)
+}
+
+// Stop ends it; who waits is rejected.
+func (s *Service) Stop() {
+	s.cancel()
+	s.running.Wait()
+}
+
+// Check implements Register.
+func (s *Service) Check(key Key) Verdict {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.book.verdict(key)
+}
+
+// Recall implements Register.
+func (s *Service) Recall(key Key, ended []replica.Key) {
+	now := time.Now()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for number, each := range ended {
+		// How long the runs were is not known, nor when they ended: they count, but each for no more than that.
+		if s.book.add(each, now.Add(-time.Duration(number+1)*time.Second), key, suspect{ran: shortRun + time.Second}) {
+			s.tell(each, key)
+		}
+	}
+	s.noteVerdict(key)
+	s.signal()
+}
+
+// suspect takes down that a replica ended under a run's message. The mutex is held.
+func (s *Service) suspect(ended *run, found *inquiry, ran time.Duration) {
+	key := ended.handle.Key()
+	if !s.book.add(key, found.at, ended.key, suspect{ran: ran}) {
+		return
+	}
+	s.tell(key, ended.key)
+	s.logger.Info().Stringer("message", ended.key).Str(logging.FieldReplica, ended.handle.Info().ID).Dur("ran", ran).
+		Int("together", len(s.book.incidents[key].suspects)).Int("ended", s.book.count(ended.key)).Stringer("verdict", s.book.verdict(ended.key)).
+		Bool("granted", ended.granted).Msg("message_suspected")
+	s.noteVerdict(ended.key)
+	s.cutRuns(ended.key)
+}
+
+// cleared notes that a message came to its end.
+func (s *Service) cleared(key Key) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.book.byMessage[key]) == 0 {
+		return
+	}
+	open := s.book.clear(key)
+	if len(open) == 0 {
+		return
+	}
+	for _, each := range open {
+		s.tell(each.replica, key)
+	}
+	s.logger.Info().Stringer("message", key).Int("incidents", len(open)).Msg("message_cleared")
+	s.noteVerdict(key)
+	s.signal()
+}
+
+// join takes in what another node knows.
+func (s *Service) join(incidents []*quarantinepb.Incident, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.avoidEnded(incidents, now)
+	changed := s.book.join(incidents, now)
+	for _, key := range changed {
+		s.noteVerdict(key)
+		s.cutRuns(key)
+	}
+	if len(changed) > 0 {
+		s.signal()
+	}
+}
+
+// avoidEnded has the replicas avoided that others saw end; those known already are not looked at again. The mutex is held.
+func (s *Service) avoidEnded(incidents []*quarantinepb.Incident, now time.Time) {
+	ended := map[replica.Key]bool{}
+	for _, each := range incidents {
+		key := replica.Key(each.GetReplica())
+		if s.book.incidents[key] == nil {
+			ended[key] = true
+		}
+	}
+	if len(ended) == 0 {
+		return
+	}
+	for handle := range s.directory.View().All() {
+		if ended[handle.Key()] {
+			handle.Ended(now)
+		}
+	}
+}
+
+// cutRuns ends the runs of a suspected message that no grant covers. The mutex is held.
+func (s *Service) cutRuns(key Key) {
+	if s.book.verdict(key) == Allowed {
+		return
+	}
+	for each := range s.runs[key] {
+		if each.granted || each.cut == nil {
+			continue
+		}
+		cut := each.cut
+		each.cut = nil
+		s.metrics.cut.Inc()
+		cut()
+	}
+}
+
+// noteVerdict logs that a message is rejected, once. The mutex is held.
+func (s *Service) noteVerdict(key Key) {
+	rejected := s.book.verdict(key) == Rejected
+	if rejected != s.rejected[key] {
+		if rejected {
+			s.rejected[key] = true
+			s.logger.Warn().Stringer("message", key).Int("ended", s.book.count(key)).Msg("message_rejected")
+		} else {
+			delete(s.rejected, key)
+		}
+	}
+}
+
+// signal wakes who waits for news. The mutex is held.
+func (s *Service) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Service) all(now time.Time) []*quarantinepb.Incident {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.book.all(now)
+}
--- /dev/null
+++ b/internal/quarantine/service_test.go
@@ -0,0 +1,329 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+// inCluster runs check in virtual time before nodes and replicas.
+func inCluster(t *testing.T, nodes, replicas int, check func(t *testing.T, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		made := newCluster(t, nodes, replicas)
+		defer made.stop()
+		check(t, made)
+	})
+}
+
+func wantVerdict(t *testing.T, at *node, key Key, want Verdict) {
+	t.Helper()
+	if got := at.Check(key); got != want {
+		t.Errorf("%s finds the message %s, want %s", at.id, got, want)
+	}
+}
+
+func TestLostRuns(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		prepare func(c *cluster, handle *replica.Handle)
+		ended   bool
+		want    Verdict
+	}{
+		{"the process refuses connections", func(c *cluster, handle *replica.Handle) { c.machines.end(handle.Info().Address) }, true, Apart},
+		{"the process takes connections: one was lost", func(*cluster, *replica.Handle) {}, false, Allowed},
+		{"the link is cut", func(c *cluster, handle *replica.Handle) { c.machines.cut[handle.Info().Address] = true }, false, Allowed},
+		{"the replica drains", func(c *cluster, handle *replica.Handle) {
+			c.machines.end(handle.Info().Address)
+			leaving := *handle.Info()
+			leaving.Draining = true
+			c.nodes[0].directory.Update([]replica.Info{leaving}, nil)
+		}, true, Allowed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inCluster(t, 1, 3, func(t *testing.T, c *cluster) {
+				at, key := c.nodes[0], keyOf("a")
+				handle := c.handle(at, 0)
+				run := at.Admit(t.Context(), key).Begin(handle, nil)
+				test.prepare(c, handle)
+				if ended := run.End(t.Context(), Lost); ended != test.ended {
+					t.Errorf("replica ended: %t, want %t", ended, test.ended)
+				}
+				wantVerdict(t, at, key, test.want)
+				if test.ended && !handle.Avoided(time.Now()) {
+					t.Error("the ended replica is not avoided")
+				}
+			})
+		})
+	}
+}
+
+func TestOneInquiryForAllRunsOfAReplica(t *testing.T) {
+	inCluster(t, 1, 3, func(t *testing.T, c *cluster) {
+		at := c.nodes[0]
+		handle := c.handle(at, 0)
+		var runs []Run
+		for number := range 17 {
+			runs = append(runs, at.Admit(t.Context(), keyOf(fmt.Sprint(number))).Begin(handle, nil))
+		}
+		c.machines.end(handle.Info().Address)
+		var lost sync.WaitGroup
+		for _, each := range runs {
+			lost.Go(func() { each.End(t.Context(), Lost) })
+		}
+		lost.Wait()
+		if c.machines.asked != 1 {
+			t.Errorf("the replica was asked %d times", c.machines.asked)
+		}
+		for number := range 17 {
+			wantVerdict(t, at, keyOf(fmt.Sprint(number)), Apart)
+		}
+	})
+}
+
+func TestOtherNodesKnowSoon(t *testing.T) {
+	inCluster(t, 5, 3, func(t *testing.T, c *cluster) {
+		key := keyOf("a")
+		c.crashing(c.nodes[0], 0, key)
+		time.Sleep(30 * time.Millisecond)
+		for _, each := range c.nodes {
+			wantVerdict(t, each, key, Apart)
+		}
+		permit := c.nodes[3].Admit(t.Context(), key)
+		permit.Begin(c.handle(c.nodes[3], 1), nil).End(t.Context(), Whole)
+		permit.Release()
+		time.Sleep(30 * time.Millisecond)
+		for _, each := range c.nodes {
+			wantVerdict(t, each, key, Allowed)
+		}
+	})
+}
+
+func TestNothingIsSentWithoutIncidents(t *testing.T) {
+	inCluster(t, 3, 3, func(t *testing.T, c *cluster) {
+		at := c.nodes[0]
+		for number := range 100 {
+			at.Admit(t.Context(), keyOf(fmt.Sprint(number))).Begin(c.handle(at, 0), nil).End(t.Context(), Whole)
+		}
+		time.Sleep(10 * time.Second)
+		if len(at.outbox)+len(at.repeats)+len(at.book.incidents) != 0 {
+			t.Error("there is something to say")
+		}
+	})
+}
+
+func TestRunsElsewhereAreCut(t *testing.T) {
+	inCluster(t, 3, 3, func(t *testing.T, c *cluster) {
+		key := keyOf("a")
+		cut := false
+		run := c.nodes[1].Admit(t.Context(), key).Begin(c.handle(c.nodes[1], 1), func() { cut = true })
+		c.crashing(c.nodes[0], 0, key)
+		time.Sleep(30 * time.Millisecond)
+		if !cut {
+			t.Error("the other run of the message goes on")
+		}
+		run.End(t.Context(), Other)
+	})
+}
+
+func TestStartedNodeAsksOthers(t *testing.T) {
+	inCluster(t, 4, 3, func(t *testing.T, c *cluster) {
+		key := keyOf("a")
+		c.crashing(c.nodes[0], 0, key)
+		time.Sleep(30 * time.Millisecond)
+		c.crashing(c.nodes[1], 1, key)
+		time.Sleep(100 * time.Millisecond)
+		c.kill(c.nodes[0])
+		c.kill(c.nodes[1])
+		c.agree()
+		time.Sleep(time.Second)
+		c.start(c.nodes[0])
+		c.start(c.nodes[1])
+		c.agree()
+		time.Sleep(300 * time.Millisecond)
+		wantVerdict(t, c.nodes[0], key, Rejected)
+		wantVerdict(t, c.nodes[1], key, Rejected)
+	})
+}
+
+func TestNodeThatIsCutOff(t *testing.T) {
+	inCluster(t, 4, 4, func(t *testing.T, c *cluster) {
+		key := keyOf("a")
+		alone := c.nodes[0]
+		c.cut(alone)
+		c.crashing(alone, 0, key)
+		if c.crashing(alone, 1, key) {
+			t.Error("a node that reaches no other sent the message once more")
+		}
+		c.agree()
+		if c.crashing(alone, 1, key) {
+			t.Error("a node that knows itself cut off sent the message once more")
+		}
+		for _, each := range c.nodes[1:] {
+			wantVerdict(t, each, key, Allowed)
+		}
+		c.cut()
+		c.agree()
+		time.Sleep(3 * refreshInterval * time.Duration(len(c.nodes)))
+		for _, each := range c.nodes {
+			wantVerdict(t, each, key, Apart)
+		}
+	})
+}
+
+func TestHolderThatIsKilledCounts(t *testing.T) {
+	inCluster(t, 4, 4, func(t *testing.T, c *cluster) {
+		key := keyOf("a")
+		c.crashing(c.nodes[0], 0, key)
+		time.Sleep(50 * time.Millisecond)
+		keeper := keepers(c.nodes[0].view.View(), key)[0].ID
+		var holder, other *node
+		for _, each := range c.nodes {
+			if each.id == keeper {
+				continue
+			}
+			holder, other = each, holder
+		}
+		if permit := holder.Admit(t.Context(), key); permit.Verdict() != Apart {
+			t.Fatalf("the holder has no grant: %s", permit.Verdict())
+		}
+		c.kill(holder)
+		c.agree()
+		time.Sleep(2 * grantTerm)
+		permit := other.Admit(t.Context(), key)
+		defer permit.Release()
+		other.mutex.Lock()
+		ended := other.book.count(key)
+		other.mutex.Unlock()
+		if ended != 2 {
+			t.Errorf("%d ends are counted, want that of the replica and that of the run nobody saw end", ended)
+		}
+	})
+}
+
+func TestSuspectsWaitForEachOther(t *testing.T) {
+	inCluster(t, 3, 6, func(t *testing.T, c *cluster) {
+		key := keyOf("a")
+		c.crashing(c.nodes[0], 0, key)
+		time.Sleep(50 * time.Millisecond)
+		var atOnce, most int
+		var mutex sync.Mutex
+		var all sync.WaitGroup
+		for number := range 9 {
+			at := c.nodes[number%3]
+			all.Go(func() {
+				permit := at.Admit(t.Context(), key)
+				defer permit.Release()
+				if permit.Verdict() != Apart {
+					return
+				}
+				run := permit.Begin(c.handle(at, number%6), nil)
+				mutex.Lock()
+				atOnce++
+				most = max(most, atOnce)
+				mutex.Unlock()
+				time.Sleep(100 * time.Millisecond)
+				mutex.Lock()
+				atOnce--
+				mutex.Unlock()
+				run.End(t.Context(), Other)
+			})
+		}
+		all.Wait()
+		if most != 1 {
+			t.Errorf("%d runs of the suspect at once", most)
+		}
+	})
+}
+
+func TestRecordedEndsAreRecalled(t *testing.T) {
+	inCluster(t, 3, 3, func(t *testing.T, c *cluster) {
+		key := keyOf("item")
+		c.nodes[0].Recall(key, []replica.Key{1, 2})
+		wantVerdict(t, c.nodes[0], key, Apart)
+		c.nodes[0].Recall(key, []replica.Key{1, 2, 3})
+		time.Sleep(50 * time.Millisecond)
+		for _, each := range c.nodes {
+			wantVerdict(t, each, key, Rejected)
+		}
+	})
+}
+
+// TestAtMostThreeReplicasEnd has callers of all nodes send the same few messages, some of which end their replica, beside others, at random
+// times, while nodes are killed and started. Messages that are first sent within the time in which nodes learn of each other's losses are
+// beyond the bound: the first of each comes alone.
+func TestAtMostThreeReplicasEnd(t *testing.T) {
+	seed := uint64(time.Now().UnixNano())
+	for round := range uint64(12) {
+		t.Run(fmt.Sprint(round), func(t *testing.T) {
+			t.Logf("seed %d", seed+round)
+			inCluster(t, 6, 10, func(t *testing.T, c *cluster) { checkBound(t, c, rand.New(rand.NewPCG(seed+round, 1))) })
+		})
+	}
+}
+
+func checkBound(t *testing.T, c *cluster, random *rand.Rand) {
+	var bad, good []Key
+	for number := range 3 {
+		bad = append(bad, keyOf(fmt.Sprint("bad-", number)))
+		good = append(good, keyOf(fmt.Sprint("good-", number)))
+	}
+	var all sync.WaitGroup
+	for number, key := range bad {
+		at := c.nodes[number]
+		c.crashing(at, number, key)
+	}
+	for range 150 {
+		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+		at, number := c.nodes[random.IntN(5)], random.IntN(10)
+		if random.IntN(4) == 0 {
+			key := bad[random.IntN(len(bad))]
+			all.Go(func() { c.crashing(at, number, key) })
+			continue
+		}
+		key, length := good[random.IntN(len(good))], time.Duration(20+random.IntN(200))*time.Millisecond
+		all.Go(func() { c.bystander(at, number, key, length) })
+	}
+	all.Wait()
+	time.Sleep(100 * time.Millisecond)
+	for number, key := range bad {
+		if ended := c.crashes(key); ended > mostEnded {
+			t.Errorf("%d replicas ended under message %d", ended, number)
+		}
+		wantVerdict(t, c.nodes[0], key, Rejected)
+	}
+	for _, key := range good {
+		c.bystander(c.nodes[5], 0, key, 20*time.Millisecond)
+		wantVerdict(t, c.nodes[5], key, Allowed)
+	}
+}
+
+// bystander runs a harmless message to its end, or to that of its replica; a cut ends it as well.
+func (c *cluster) bystander(at *node, number int, key Key, length time.Duration) {
+	permit := at.Admit(c.t.Context(), key)
+	defer permit.Release()
+	if permit.Verdict() == Rejected {
+		return
+	}
+	handle := c.handle(at, number)
+	cut := make(chan struct{})
+	run := permit.Begin(handle, func() { close(cut) })
+	for passed := time.Duration(0); passed < length; passed += time.Millisecond {
+		select {
+		case <-cut:
+			run.End(c.t.Context(), Other)
+			return
+		case <-time.After(time.Millisecond):
+		}
+		if c.machines.endedAt(handle) {
+			run.End(c.t.Context(), Lost)
+			return
+		}
+	}
+	run.End(c.t.Context(), Whole)
+}
--- /dev/null
+++ b/internal/quarantine/share.go
@@ -0,0 +1,199 @@
+package quarantine
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+const (
+	// noticeInterval is the least time between two notices of one node: what is learned meanwhile goes with the next.
+	noticeInterval = 10 * time.Millisecond
+	// repeatAfter is when a notice is sent once more, since one-way messages may be lost.
+	repeatAfter = 250 * time.Millisecond
+	// refreshInterval is how often a node with anything in its book sends all of it to one other, so that nodes that were cut off or
+	// started meanwhile come to know it.
+	refreshInterval = 2 * time.Second
+	// askCount is the number of nodes that a starting node asks, askInterval the pause between rounds until one has answered, askTimeout
+	// the wait for one, and askRounds the most rounds.
+	askCount    = 3
+	askInterval = 200 * time.Millisecond
+	askTimeout  = 300 * time.Millisecond
+	askRounds   = 25
+)
+
+// tell has the others learn of a message in an incident. The mutex is held.
+func (s *Service) tell(ended replica.Key, key Key) {
+	note(s.outbox, ended, key)
+	select {
+	case s.news <- struct{}{}:
+	default:
+	}
+}
+
+func note(outbox map[replica.Key]map[Key]bool, ended replica.Key, key Key) {
+	if outbox[ended] == nil {
+		outbox[ended] = map[Key]bool{}
+	}
+	outbox[ended][key] = true
+}
+
+// share tells the others what this node learns, soon and once more a while later, and all of it to one other now and then.
+func (s *Service) share() {
+	refresh := time.NewTicker(refreshInterval)
+	defer refresh.Stop()
+	repeat := time.NewTimer(repeatAfter)
+	defer repeat.Stop()
+	for {
+		select {
+		case <-s.news:
+			s.sendAll(s.takeOutbox(time.Now()))
+			repeat.Reset(repeatAfter)
+			select {
+			case <-time.After(noticeInterval):
+			case <-s.ctx.Done():
+				return
+			}
+		case <-repeat.C:
+			s.sendAll(s.takeRepeats(time.Now()))
+		case <-refresh.C:
+			s.refresh(time.Now())
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+// takeOutbox returns what has not been told yet, and keeps it to be told again.
+func (s *Service) takeOutbox(now time.Time) *quarantinepb.Notice {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	notice := s.noticeOf(s.outbox, now)
+	for ended, keys := range s.outbox {
+		for key := range keys {
+			note(s.repeats, ended, key)
+		}
+	}
+	clear(s.outbox)
+	return notice
+}
+
+func (s *Service) takeRepeats(now time.Time) *quarantinepb.Notice {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	notice := s.noticeOf(s.repeats, now)
+	clear(s.repeats)
+	return notice
+}
+
+// noticeOf returns what the book has of the given messages. The mutex is held.
+func (s *Service) noticeOf(of map[replica.Key]map[Key]bool, now time.Time) *quarantinepb.Notice {
+	notice := &quarantinepb.Notice{}
+	for ended, keys := range of {
+		known := s.book.incidents[ended]
+		if known == nil {
+			continue
+		}
+		encoded := &quarantinepb.Incident{Replica: uint64(ended), AgeMillis: uint64(max(0, now.Sub(known.learned)).Milliseconds())}
+		for key := range keys {
+			if each := known.suspects[key]; each != nil {
+				encoded.Suspects = append(encoded.Suspects, encodeSuspect(key, each))
+			}
+		}
+		notice.Incidents = append(notice.Incidents, encoded)
+	}
+	return notice
+}
+
+// sendAll queues a notice for all other nodes.
+func (s *Service) sendAll(notice *quarantinepb.Notice) {
+	if len(notice.Incidents) == 0 {
+		return
+	}
+	view := s.viewer.View()
+	for _, member := range view.Members {
+		if member.ID != view.Self && member.State != membership.Dead {
+			s.send(member.PeerAddress, notice)
+		}
+	}
+}
+
+func (s *Service) send(to netip.AddrPort, notice *quarantinepb.Notice) {
+	s.metrics.notices.Inc()
+	if err := s.caller.Send(to, methodNotice, notice); err != nil {
+		s.logger.Debug().Err(err).Stringer("peer", to).Msg("notice_not_sent")
+	}
+}
+
+// refresh forgets what is old and sends the rest to one other node.
+func (s *Service) refresh(now time.Time) {
+	s.mutex.Lock()
+	s.book.forget(now)
+	s.forgetInquiries(now)
+	s.forgetGrants(now)
+	for key := range s.rejected {
+		s.noteVerdict(key)
+	}
+	s.metrics.note(s.book.counts())
+	incidents := s.book.all(now)
+	s.mutex.Unlock()
+	if len(incidents) == 0 {
+		return
+	}
+	others := s.others()
+	if len(others) > 0 {
+		s.send(others[rand.IntN(len(others))].PeerAddress, &quarantinepb.Notice{Incidents: incidents})
+	}
+}
+
+// others returns the living members without this node, in random order.
+func (s *Service) others() []membership.Member {
+	view := s.viewer.View()
+	var found []membership.Member
+	for _, member := range view.Live() {
+		if member.ID != view.Self {
+			found = append(found, member)
+		}
+	}
+	rand.Shuffle(len(found), func(one, other int) { found[one], found[other] = found[other], found[one] })
+	return found
+}
+
+// askOthers asks a few nodes for what they know, until one has answered: this node may have been started again after it had seen
+// replicas end.
+func (s *Service) askOthers() {
+	for range askRounds {
+		answered := 0
+		others := s.others()
+		for _, other := range others[:min(askCount, len(others))] {
+			if s.ask(other.PeerAddress) {
+				answered++
+			}
+		}
+		if answered > 0 {
+			return
+		}
+		select {
+		case <-time.After(askInterval):
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Service) ask(address netip.AddrPort) bool {
+	bounded, cancel := context.WithTimeout(s.ctx, askTimeout)
+	defer cancel()
+	var response quarantinepb.ListResponse
+	if err := s.caller.Call(bounded, address, methodList, &quarantinepb.ListRequest{}, &response); err != nil {
+		s.logger.Debug().Err(err).Stringer("peer", address).Msg("incidents_not_listed")
+		return false
+	}
+	s.join(response.GetIncidents(), time.Now())
+	return true
+}
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -245,6 +245,16 @@
 	h.signalChange()
 }
 
+// Ended notes that the replica's process was found to have ended: it is avoided until its entry is likely to be gone.
+func (h *Handle) Ended(now time.Time) {
+	h.mutex.Lock()
+	h.failures = max(h.failures, downAfter)
+	h.avoidUntil = now.Add(avoidLongest)
+	h.failingUntil = h.avoidUntil
+	h.mutex.Unlock()
+	h.signalChange()
+}
+
 // Rejected notes that the replica refused a request for want of room; it is avoided for a moment.
 func (h *Handle) Rejected(now time.Time) {
 	h.mutex.Lock()
@@ -290,6 +300,9 @@
 // DropKept closes the kept connections, since one went silent without a reset: the others may have too, and each would cost a request.
 func (h *Handle) DropKept() { h.pool.drop() }
 
+// KeptAlive says that a kept connection is open at the other end: the process there has not ended.
+func (h *Handle) KeptAlive() bool { return h.pool.anyQuiet() }
+
 // retire closes the kept connections; requests under way go on.
 func (h *Handle) retire() {
 	h.gone.Store(true)
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -55,6 +56,13 @@
 	}
 }
 
+// anyQuiet says that the other end has closed not all that is kept.
+func (p *connectionPool) anyQuiet() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return slices.ContainsFunc(p.idle, (*connection).quiet)
+}
+
 // close closes what is kept, and all that is put later.
 func (p *connectionPool) close() {
 	p.mutex.Lock()
