--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -66,6 +66,8 @@
 	failures int
 	// message names what the item sends; zero until it is first to be sent.
 	message quarantine.Key
+	// apart says that the present run is that of a suspected message.
+	apart bool
 	// heldBack says that the log line about it was written.
 	heldBack bool
 	// notBefore is when the item may be sent again, and routeGone since when its route is missing, both since the
@@ -149,12 +151,10 @@
 			continue
 		}
 		if verdict == quarantine.Apart {
-			if handle := p.pick(each.route, apartOccupancy); handle != nil {
-				p.start(each, handle)
-			}
+			p.startApart(each)
 			continue
 		}
-		handle := p.pick(each.route, maxOccupancy)
+		handle := p.pick(each.route, maxOccupancy, nil)
 		if handle == nil {
 			full[each.route] = true
 			p.replaceLate(each)
@@ -198,10 +198,10 @@
 }
 
 // pick chooses a replica with room for an item, of whose slots no larger share than occupancy is in use.
-func (p *partition) pick(matched *route.Route, occupancy float64) *replica.Handle {
+func (p *partition) pick(matched *route.Route, occupancy float64, excluded []*replica.Handle) *replica.Handle {
 	now := time.Now()
 	wanted := balance.Request{
-		Service: matched.PickService(), Zone: p.service.options.Zone, MaxOccupancy: occupancy, ZoneWeight: itemZoneWeight,
+		Service: matched.PickService(), Zone: p.service.options.Zone, MaxOccupancy: occupancy, ZoneWeight: itemZoneWeight, Excluded: excluded,
 	}
 	if p.service.hasRoom(wanted.Service, now) {
 		if handle := p.service.picker.Pick(&wanted, now); handle != nil {
--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -15,6 +15,7 @@
 	"github.com/sloelift/sloelift/internal/balance"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
 	"github.com/sloelift/sloelift/internal/route"
@@ -129,8 +130,15 @@
 
 // own starts a partition whose log already holds records.
 func own(t *testing.T, scripts map[string]replicatest.Script, records ...ledger.Record) *ownerUnderTest {
+	t.Helper()
+	return ownWith(t, nil, scripts, records...)
+}
+
+// ownWith does so with a register of messages that crash replicas.
+func ownWith(t *testing.T, register quarantine.Register, scripts map[string]replicatest.Script, records ...ledger.Record) *ownerUnderTest {
 	t.Helper()
 	service, fleet, network, routes := newService(scripts)
+	service.options.Quarantine = register
 	owner := newPartition(0, service)
 	owned := &fakeOwned{lost: make(chan struct{}), records: records}
 	if err := owner.Restore(nil); err != nil {
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
@@ -55,6 +56,35 @@
 	return register.Check(message)
 }
 
+// startApart sends a suspected item where few others run, and no other suspect.
+func (p *partition) startApart(each candidate) {
+	p.mutex.Lock()
+	run := p.runOf(each.key)
+	message := run.message
+	var occupied []*replica.Handle
+	for _, other := range p.runs {
+		if other.running && other.apart && other.handle != nil {
+			occupied = append(occupied, other.handle)
+		}
+	}
+	p.mutex.Unlock()
+	excluded := slices.Clone(occupied)
+	for _, backend := range each.route.Backends {
+		excluded = append(excluded, quarantine.NotPreferred(message, p.service.directory.View().Of(backend.Service))...)
+	}
+	handle := p.pick(each.route, apartOccupancy, excluded)
+	if handle == nil {
+		handle = p.pick(each.route, apartOccupancy, occupied)
+	}
+	if handle == nil {
+		return
+	}
+	p.mutex.Lock()
+	run.apart = true
+	p.mutex.Unlock()
+	p.start(each, handle)
+}
+
 // holdBack has an item wait that is kept from replicas, until it may be given up.
 func (p *partition) holdBack(each candidate) {
 	mayGiveUp := each.route.Retention > 0 && p.now().After(time.UnixMilli(each.acceptedAt).Add(each.route.Retention))
@@ -67,7 +97,7 @@
 	message := run.message
 	p.mutex.Unlock()
 	if first {
-		p.logger.Warn().Str(logging.FieldJob, each.key.job).Int("item", each.key.number).Stringer("message", message).Msg("item_held_back")
+		p.logger.Warn().Str(logging.FieldJob, each.key.job).Int("item", each.key.number).Stringer("digest", message).Msg("item_held_back")
 	}
 	if mayGiveUp {
 		p.running.Go(func() { p.finish(each.key, batchpb.State_STATE_DEAD_LETTER, "", "crashes_replicas") })
@@ -84,6 +114,7 @@
 	message := p.runs[attempt.key].message
 	p.mutex.RUnlock()
 	permit := register.Admit(ctx, message)
+	defer p.endApart(attempt.key)
 	defer permit.Release()
 	if permit.Verdict() == quarantine.Rejected {
 		return itemNotSent
@@ -99,6 +130,15 @@
 	return verdict
 }
 
+// endApart notes that a suspect's run has ended.
+func (p *partition) endApart(key itemKey) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if run := p.runs[key]; run != nil {
+		run.apart = false
+	}
+}
+
 // ending is what the attempt says of the item's message. Only a run from the begin shows that it is harmless.
 func (a *itemAttempt) ending(ctx context.Context, verdict itemVerdict, fromBegin bool) quarantine.Ending {
 	switch {
--- /dev/null
+++ b/internal/batch/item_crash_test.go
@@ -0,0 +1,222 @@
+package batch
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/quarantine"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/replica/replicatest"
+)
+
+// countingRegister counts each lost run as the end of a replica and rejects a message at bound ends.
+type countingRegister struct {
+	bound int
+
+	mutex   sync.Mutex
+	ended   map[quarantine.Key]map[replica.Key]bool
+	runs    int
+	cleared int
+}
+
+func newCountingRegister(bound int) *countingRegister {
+	return &countingRegister{bound: bound, ended: map[quarantine.Key]map[replica.Key]bool{}}
+}
+
+func (c *countingRegister) Check(key quarantine.Key) quarantine.Verdict {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch count := len(c.ended[key]); {
+	case count >= c.bound:
+		return quarantine.Rejected
+	case count > 0:
+		return quarantine.Apart
+	default:
+		return quarantine.Allowed
+	}
+}
+
+func (c *countingRegister) Recall(key quarantine.Key, ended []replica.Key) {
+	for _, each := range ended {
+		c.note(key, each)
+	}
+}
+
+func (c *countingRegister) note(key quarantine.Key, ended replica.Key) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.ended[key] == nil {
+		c.ended[key] = map[replica.Key]bool{}
+	}
+	c.ended[key][ended] = true
+}
+
+func (c *countingRegister) Admit(_ context.Context, key quarantine.Key) quarantine.Permit {
+	return &countingPermit{register: c, key: key, verdict: c.Check(key)}
+}
+
+type countingPermit struct {
+	register *countingRegister
+	key      quarantine.Key
+	verdict  quarantine.Verdict
+	handle   *replica.Handle
+}
+
+func (p *countingPermit) Verdict() quarantine.Verdict { return p.verdict }
+
+func (p *countingPermit) Occupied() []*replica.Handle { return nil }
+
+func (p *countingPermit) Release() {}
+
+func (p *countingPermit) Begin(handle *replica.Handle, _ func()) quarantine.Run {
+	p.register.mutex.Lock()
+	defer p.register.mutex.Unlock()
+	p.register.runs++
+	p.handle = handle
+	return p
+}
+
+func (p *countingPermit) End(_ context.Context, ending quarantine.Ending) bool {
+	if ending == quarantine.Whole {
+		p.register.mutex.Lock()
+		defer p.register.mutex.Unlock()
+		p.register.cleared++
+	}
+	if ending != quarantine.Lost {
+		return false
+	}
+	p.register.note(p.key, p.handle.Key())
+	return true
+}
+
+// crashOn has replicas with the given ids that lose the connection at the item with the given path, and answer the others.
+func crashOn(path string, ids ...string) map[string]replicatest.Script {
+	scripts := map[string]replicatest.Script{}
+	for _, id := range ids {
+		scripts[id] = func(connection net.Conn, request *http.Request) bool {
+			if request.URL.Path == path {
+				return false
+			}
+			return replicatest.Stream("s", true, false, eventOne, eventTwo)(connection, request)
+		}
+	}
+	return scripts
+}
+
+// sentTo counts the requests with the path.
+func sentTo(owner *ownerUnderTest, path string) int {
+	count := 0
+	for _, request := range owner.replicas.Requests() {
+		if request.URL.Path == path {
+			count++
+		}
+	}
+	return count
+}
+
+// crashRecords returns the records of ended replicas in the log.
+func crashRecords(t *testing.T, records []ledger.Record) []*batchpb.Crashed {
+	t.Helper()
+	var found []*batchpb.Crashed
+	for _, record := range records {
+		if record.Kind != ledger.KindBatchCrashed {
+			continue
+		}
+		crashed := &batchpb.Crashed{}
+		if err := proto.Unmarshal(record.Payload, crashed); err != nil {
+			t.Fatal(err)
+		}
+		found = append(found, crashed)
+	}
+	return found
+}
+
+func TestItemThatCrashesReplicasWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := ownWith(t, newCountingRegister(3), crashOn("/p/j-0", "a", "b", "c", "d", "e"))
+		owner.routes.Table().Routes[0].Retention = time.Minute
+		owner.mustSubmit(t, batchOf("j", 3))
+		for _, result := range owner.results(t, "j", 2, 10*time.Second) {
+			if result.State != batchpb.State_STATE_SUCCEEDED || result.ItemId == "j-0" {
+				t.Errorf("item %s is %v", result.ItemId, result.State)
+			}
+		}
+		time.Sleep(50 * time.Second)
+		if sent := sentTo(owner, "/p/j-0"); sent != 3 {
+			t.Errorf("the item was sent %d times", sent)
+		}
+		if listed := owner.results(t, "j", 2, time.Second); len(listed) != 2 {
+			t.Errorf("%d results before the item may be given up", len(listed))
+		}
+		last := owner.results(t, "j", 3, 30*time.Second)[2]
+		if last.ItemId != "j-0" || last.State != batchpb.State_STATE_DEAD_LETTER {
+			t.Errorf("item %s is %v", last.ItemId, last.State)
+		}
+		owner.end()
+	})
+}
+
+// TestNextOwnerKnowsCrashes: each end of a replica is in the log before the item is sent again, so that owners one after the other send it
+// no more often than one would.
+func TestNextOwnerKnowsCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := ownWith(t, newCountingRegister(2), crashOn("/p/j-0", "a", "b", "c"))
+		first.mustSubmit(t, batchOf("j", 1))
+		time.Sleep(5 * time.Second)
+		first.end()
+		if recorded := crashRecords(t, first.owned.records); len(recorded) != 2 || recorded[0].Replica == recorded[1].Replica {
+			t.Fatalf("recorded: %v", recorded)
+		}
+		next := ownWith(t, newCountingRegister(3), crashOn("/p/j-0", "d", "e", "f"), first.owned.records...)
+		time.Sleep(20 * time.Second)
+		if sent := sentTo(next, "/p/j-0"); sent != 1 {
+			t.Errorf("the next owner sent the item %d times, want the one that is left", sent)
+		}
+		next.end()
+	})
+}
+
+func TestCrashesAreInTheSnapshot(t *testing.T) {
+	log := newLog(t)
+	log.add(acceptanceRecords(submissionOf("j", 2), 1)...)
+	for _, ended := range []uint64{7, 8, 7, 9, 10} {
+		log.add(recordOf(ledger.KindBatchCrashed, &batchpb.Crashed{JobId: "j", Item: 1, Replica: ended}))
+	}
+	encoded, err := log.state.snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored, err := restoreState(encoded)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := restored.jobs["j"].items[1].crashed, []replica.Key{7, 8, 9}; !slices.Equal(got, want) {
+		t.Errorf("replicas %v, want %v: each once, and no more than matter", got, want)
+	}
+	log.add(successRecord("j", 1, 0, "a"))
+	if left := log.state.jobs["j"].items[1].crashed; left != nil {
+		t.Errorf("a listed item keeps %v", left)
+	}
+}
+
+func TestRejectedItemIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := ownWith(t, newCountingRegister(0), only(replicatest.Stream("s", true, false, eventOne)))
+		owner.mustSubmit(t, batchOf("j", 4))
+		time.Sleep(10 * time.Second)
+		if sent := sentTo(owner, "/p/j-0") + sentTo(owner, "/p/j-1"); sent != 0 {
+			t.Errorf("items were sent %d times", sent)
+		}
+		owner.end()
+	})
+}
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -59,14 +59,12 @@
 	if e.permit == nil || e.permit.Verdict() != quarantine.Apart {
 		return nil
 	}
-	excluded := append(slices.Clone(e.tried), e.permit.Occupied()...)
-	for {
-		handle := e.pick(excluded, apartOccupancy)
-		if handle == nil || e.handler.coldStarts == nil || e.handler.coldStarts.Take(ctx, handle) {
-			return handle
-		}
-		excluded = append(excluded, handle)
+	occupied := append(slices.Clone(e.tried), e.permit.Occupied()...)
+	others := quarantine.NotPreferred(e.message, e.handler.directory.View().Of(e.service))
+	if handle := e.pickWithin(ctx, append(slices.Clone(occupied), others...), apartOccupancy); handle != nil {
+		return handle
 	}
+	return e.pickWithin(ctx, occupied, apartOccupancy)
 }
 
 // guardedAttempt sends the request to one replica and notes how that ended for the message.
--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -97,7 +97,7 @@
 	for {
 		response, keeper, err := s.askKeepers(ctx, key, run)
 		if err != nil {
-			s.logger.Info().Stringer("message", key).Err(err).Msg("suspect_not_decided")
+			s.logger.Info().Stringer("digest", key).Err(err).Msg("suspect_not_decided")
 			s.leaveQueue(key)
 			return &permit{service: s, key: key, verdict: Rejected}
 		}
@@ -161,7 +161,7 @@
 		select {
 		case <-ticker.C:
 			if _, err := s.askKeeper(ctx, key, run, keeper); err != nil && ctx.Err() == nil {
-				s.logger.Info().Stringer("message", key).Err(err).Msg("grant_not_renewed")
+				s.logger.Info().Stringer("digest", key).Err(err).Msg("grant_not_renewed")
 			}
 		case <-ctx.Done():
 			return
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -87,7 +87,7 @@
 	delete(s.grants, key)
 	ended := replica.Key(held.run)
 	if s.book.verdict(key) == Apart && s.book.add(ended, held.until, key, suspect{ran: shortRun + time.Second}) {
-		s.logger.Info().Stringer("message", key).Msg("grant_lapsed")
+		s.logger.Info().Stringer("digest", key).Msg("grant_lapsed")
 		s.tell(ended, key)
 		s.noteVerdict(key)
 		s.signal()
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -147,7 +147,7 @@
 		return
 	}
 	s.tell(key, ended.key)
-	s.logger.Info().Stringer("message", ended.key).Str(logging.FieldReplica, ended.handle.Info().ID).Dur("ran", ran).
+	s.logger.Info().Stringer("digest", ended.key).Str(logging.FieldReplica, ended.handle.Info().ID).Dur("ran", ran).
 		Int("together", len(s.book.incidents[key].suspects)).Int("ended", s.book.count(ended.key)).Stringer("verdict", s.book.verdict(ended.key)).
 		Bool("granted", ended.granted).Msg("message_suspected")
 	s.noteVerdict(ended.key)
@@ -168,7 +168,7 @@
 	for _, each := range open {
 		s.tell(each.replica, key)
 	}
-	s.logger.Info().Stringer("message", key).Int("incidents", len(open)).Msg("message_cleared")
+	s.logger.Info().Stringer("digest", key).Int("incidents", len(open)).Msg("message_cleared")
 	s.noteVerdict(key)
 	s.signal()
 }
@@ -229,7 +229,7 @@
 	if rejected != s.rejected[key] {
 		if rejected {
 			s.rejected[key] = true
-			s.logger.Warn().Stringer("message", key).Int("ended", s.book.count(key)).Msg("message_rejected")
+			s.logger.Warn().Stringer("digest", key).Int("ended", s.book.count(key)).Msg("message_rejected")
 		} else {
 			delete(s.rejected, key)
 		}
--- /dev/null
+++ b/internal/quarantine/spread.go
@@ -0,0 +1,31 @@
+package quarantine
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+// spreadOver is the part of a service's replicas, as its inverse, among which one suspect is run: suspects of different nodes then seldom
+// meet, though no node knows of the others' choices.
+const spreadOver = 3
+
+// NotPreferred returns the replicas of all at which the given suspect is not run while one of the others has room. Which they are differs
+// from message to message and is the same at each node.
+func NotPreferred(key Key, all []*replica.Handle) []*replica.Handle {
+	weights := make(map[*replica.Handle]uint64, len(all))
+	for _, handle := range all {
+		var encoded [8]byte
+		binary.BigEndian.PutUint64(encoded[:], uint64(handle.Key()))
+		digest := xxhash.New()
+		_, _ = digest.Write(key[:])
+		_, _ = digest.Write(encoded[:])
+		weights[handle] = digest.Sum64()
+	}
+	sorted := slices.SortedFunc(slices.Values(all), func(one, other *replica.Handle) int { return cmp.Compare(weights[one], weights[other]) })
+	return sorted[(len(sorted)+spreadOver-1)/spreadOver:]
+}
