--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -68,14 +68,21 @@
 		}
 	}
 	p.mutex.Unlock()
-	excluded := slices.Clone(occupied)
+	var others []*replica.Handle
 	for _, backend := range each.route.Backends {
-		excluded = append(excluded, quarantine.NotPreferred(message, p.service.directory.View().Of(backend.Service))...)
+		all := p.service.directory.View().Of(backend.Service)
+		occupied = append(occupied, quarantine.Failing(all, time.Now())...)
+		others = append(others, quarantine.NotPreferred(message, all)...)
 	}
+	excluded := slices.Concat(occupied, others)
 	handle := p.pick(each.route, apartOccupancy, excluded)
 	if handle == nil {
 		handle = p.pick(each.route, apartOccupancy, occupied)
 	}
+	if handle == nil {
+		// None is that empty: it waits no longer than other items do.
+		handle = p.pick(each.route, maxOccupancy, occupied)
+	}
 	if handle == nil {
 		return
 	}
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"syscall"
+	"time"
 
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -59,8 +60,9 @@
 	if e.permit == nil || e.permit.Verdict() != quarantine.Apart {
 		return nil
 	}
-	occupied := append(slices.Clone(e.tried), e.permit.Occupied()...)
-	others := quarantine.NotPreferred(e.message, e.handler.directory.View().Of(e.service))
+	all := e.handler.directory.View().Of(e.service)
+	occupied := slices.Concat(e.tried, e.permit.Occupied(), quarantine.Failing(all, time.Now()))
+	others := quarantine.NotPreferred(e.message, all)
 	if handle := e.pickWithin(ctx, append(slices.Clone(occupied), others...), apartOccupancy); handle != nil {
 		return handle
 	}
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,6 +15,18 @@
 // meet, though no node knows of the others' choices.
 const spreadOver = 3
 
+// Failing returns the replicas of all that failed a short while ago: an ended one is empty, and must not be taken for one where a suspect
+// runs beside few.
+func Failing(all []*replica.Handle, now time.Time) []*replica.Handle {
+	var found []*replica.Handle
+	for _, handle := range all {
+		if handle.Avoided(now) {
+			found = append(found, handle)
+		}
+	}
+	return found
+}
+
 // NotPreferred returns the replicas of all at which the given suspect is not run while one of the others has room. Which they are differs
 // from message to message and is the same at each node.
 func NotPreferred(key Key, all []*replica.Handle) []*replica.Handle {
