--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -140,7 +140,7 @@
 
 // noteFailure counts against the replica unless this process itself cut the attempt off.
 func (a *itemAttempt) noteFailure() {
-	if !errors.Is(a.err, errLeaseOver) && (!errors.Is(a.err, context.Canceled) || errors.Is(a.err, errSilent)) {
+	if !errors.Is(a.err, errLeaseOver) && !errors.Is(a.err, errSuspected) && (!errors.Is(a.err, context.Canceled) || errors.Is(a.err, errSilent)) {
 		a.handle.Failed(time.Now())
 	}
 }
--- a/internal/batch/item_crash_test.go
+++ b/internal/batch/item_crash_test.go
@@ -22,6 +22,8 @@
 // countingRegister counts each lost run as the end of a replica and rejects a message at bound ends.
 type countingRegister struct {
 	bound int
+	// cutFirst has the first run cut off, as that of a message that ended a replica elsewhere.
+	cutFirst bool
 
 	mutex   sync.Mutex
 	ended   map[quarantine.Key]map[replica.Key]bool
@@ -78,10 +80,13 @@
 
 func (p *countingPermit) Release() {}
 
-func (p *countingPermit) Begin(handle *replica.Handle, _ func()) quarantine.Run {
+func (p *countingPermit) Begin(handle *replica.Handle, cut func()) quarantine.Run {
 	p.register.mutex.Lock()
 	defer p.register.mutex.Unlock()
 	p.register.runs++
+	if p.register.cutFirst && p.register.runs == 1 {
+		time.AfterFunc(10*time.Millisecond, cut)
+	}
 	p.handle = handle
 	return p
 }
@@ -186,6 +191,25 @@
 	})
 }
 
+func TestItemThatIsCutOffBlamesNoReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		register := newCountingRegister(3)
+		register.cutFirst = true
+		owner := ownWith(t, register, only(replicatest.Then(replicatest.Hang(), replicatest.Stream("s", true, false, eventOne, eventTwo))))
+		owner.mustSubmit(t, batchOf("j", 1))
+		if text := owner.results(t, "j", 1, 5*time.Second)[0].Text; text != "a\nb" {
+			t.Errorf("text is %q", text)
+		}
+		owner.end()
+		if register.runs != 2 || owner.service.directory.View().Find("a").FailureRate() != 0 {
+			t.Errorf("%d runs, want 2; the replica's rate of failures is %v for what this node cut off", register.runs, owner.service.directory.View().Find("a").FailureRate())
+		}
+		if len(register.ended) != 0 {
+			t.Error("a run that was cut off counts as an end")
+		}
+	})
+}
+
 func TestCrashesAreInTheSnapshot(t *testing.T) {
 	log := newLog(t)
 	log.add(acceptanceRecords(submissionOf("j", 2), 1)...)
--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -150,7 +150,7 @@
 // granted returns the permit of a run that the keeper has granted, and renews the grant until it is given back.
 func (s *Service) granted(key Key, run uint64, keeper membership.Member) *permit {
 	renewing, stop := context.WithCancel(s.ctx)
-	s.running.Go(func() { s.renew(renewing, key, run, keeper) })
+	s.inBackground(func() { s.renew(renewing, key, run, keeper) })
 	return &permit{service: s, key: key, verdict: Apart, grant: run, keeper: keeper, stopRenewing: stop}
 }
 
@@ -229,7 +229,7 @@
 		s.takeBack(request, now)
 		return
 	}
-	s.running.Go(func() { s.sendRelease(keeper.PeerAddress, request) })
+	s.inBackground(func() { s.sendRelease(keeper.PeerAddress, request) })
 }
 
 func (s *Service) sendRelease(to netip.AddrPort, request *quarantinepb.ReleaseRequest) {
--- a/internal/quarantine/probe.go
+++ b/internal/quarantine/probe.go
@@ -34,6 +34,10 @@
 	}
 	begun := &inquiry{done: make(chan struct{}), at: time.Now()}
 	s.inquiries[handle.Key()] = begun
+	if s.stopped {
+		close(begun.done)
+		return begun
+	}
 	s.running.Go(func() { s.conduct(begun, handle) })
 	return begun
 }
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -57,8 +57,9 @@
 	news chan struct{}
 
 	// mutex guards the fields below.
-	mutex sync.Mutex
-	book  *book
+	mutex   sync.Mutex
+	stopped bool
+	book    *book
 	// runs are the messages at replicas, inquired counts the lost runs of a message whose replica is being inquired into.
 	runs      map[Key]map[*run]bool
 	inquired  map[Key]int
@@ -112,8 +113,20 @@
 	s.running.Go(s.askOthers)
 }
 
+// inBackground does work that Stop waits for; after Stop it is left out, and a grant lapses.
+func (s *Service) inBackground(work func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.stopped {
+		s.running.Go(work)
+	}
+}
+
 // Stop ends it; who waits is rejected.
 func (s *Service) Stop() {
+	s.mutex.Lock()
+	s.stopped = true
+	s.mutex.Unlock()
 	s.cancel()
 	s.running.Wait()
 }
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
@@ -111,8 +114,10 @@
 			at.Admit(t.Context(), keyOf(fmt.Sprint(number))).Begin(c.handle(at, 0), nil).End(t.Context(), Whole)
 		}
 		time.Sleep(10 * time.Second)
-		if len(at.outbox)+len(at.repeats)+len(at.book.incidents) != 0 {
-			t.Error("there is something to say")
+		for _, each := range c.nodes {
+			if sent := testutil.ToFloat64(each.metrics.notices); sent != 0 {
+				t.Errorf("%s has sent %v notices", each.id, sent)
+			}
 		}
 	})
 }
@@ -120,11 +125,11 @@
 func TestRunsElsewhereAreCut(t *testing.T) {
 	inCluster(t, 3, 3, func(t *testing.T, c *cluster) {
 		key := keyOf("a")
-		cut := false
-		run := c.nodes[1].Admit(t.Context(), key).Begin(c.handle(c.nodes[1], 1), func() { cut = true })
+		var cut atomic.Bool
+		run := c.nodes[1].Admit(t.Context(), key).Begin(c.handle(c.nodes[1], 1), func() { cut.Store(true) })
 		c.crashing(c.nodes[0], 0, key)
 		time.Sleep(30 * time.Millisecond)
-		if !cut {
+		if !cut.Load() {
 			t.Error("the other run of the message goes on")
 		}
 		run.End(t.Context(), Other)
