--- a/internal/forward/quarantined_test.go
+++ b/internal/forward/quarantined_test.go
@@ -25,6 +25,9 @@
 	// ended says that the replica of a lost run has ended; cut has each first run cut off at once.
 	ended bool
 	cut   bool
+	// endedFirst, where it is not 0, has only that many of the first lost runs end with their replica; lost counts them.
+	endedFirst int
+	lost       int
 
 	mutex    sync.Mutex
 	keys     []quarantine.Key
@@ -77,7 +80,11 @@
 	p.register.mutex.Lock()
 	defer p.register.mutex.Unlock()
 	p.register.endings = append(p.register.endings, ending)
-	return ending == quarantine.Lost && p.register.ended
+	if ending != quarantine.Lost || !p.register.ended {
+		return false
+	}
+	p.register.lost++
+	return p.register.endedFirst == 0 || p.register.lost <= p.register.endedFirst
 }
 
 func TestRejectedMessageIsAnsweredAtOnce(t *testing.T) {
@@ -138,6 +145,23 @@
 	})
 }
 
+func TestEndedReplicaCostsNoAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		edge := newEdgeUnderTest(t, route.Repeatable, false, map[string]replicatest.Script{
+			"a": replicatest.Lose(), "b": replicatest.Then(replicatest.Lose(), replicatest.Answer(200, replicatest.Signed, "x")),
+		})
+		third := netip.MustParseAddrPort("127.0.0.1:2000")
+		edge.replicas.Scripts[third] = replicatest.Answer(200, replicatest.Signed, "x")
+		added := replica.Info{ID: "c", Service: "s", Zone: "far", Address: third, Slots: 1}
+		edge.directory.Update([]replica.Info{added}, nil)
+		edge.Handler.quarantine = &fakeRegister{ended: true, endedFirst: 1}
+		if recorded, _ := edge.call(nil); recorded.Code != http.StatusOK || len(edge.replicas.Requests()) != 3 {
+			t.Errorf("status %d after %d attempts, want 200 after the third: one ended with its replica, and two are allowed", recorded.Code, len(edge.replicas.Requests()))
+		}
+		edge.replicas.CloseAll()
+	})
+}
+
 func TestEndedReplicasOfOneRequestAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		edge := newEdgeUnderTest(t, route.Repeatable, false, map[string]replicatest.Script{"a": replicatest.Lose(), "b": replicatest.Lose()})
--- /dev/null
+++ b/internal/quarantine/keeper_test.go
@@ -0,0 +1,182 @@
+package quarantine
+
+import (
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/replica/replicatest"
+)
+
+// nodeOf returns the node that ranks at the given place among the keepers of a message.
+func (c *cluster) nodeOf(key Key, place int) *node {
+	wanted := keepers(c.nodes[0].view.View(), key)[place].ID
+	for _, each := range c.nodes {
+		if each.id == wanted {
+			return each
+		}
+	}
+	c.t.Fatal("no such keeper")
+	return nil
+}
+
+func TestLastRunNeedsMostMembers(t *testing.T) {
+	inCluster(t, 4, 4, func(t *testing.T, c *cluster) {
+		key := keyOf("a")
+		c.nodes[0].Recall(key, []replica.Key{1, 2})
+		time.Sleep(50 * time.Millisecond)
+		c.cut(c.nodes[0], c.nodes[1])
+		c.agree()
+		for _, at := range []*node{c.nodes[0], c.nodes[2]} {
+			permit := at.Admit(t.Context(), key)
+			if permit.Verdict() != Rejected {
+				t.Errorf("%s may run the last one on its side of a cut", at.id)
+			}
+			permit.Release()
+		}
+	})
+}
+
+func TestSecondKeeperGivesNoLastRun(t *testing.T) {
+	for name, test := range map[string]struct {
+		ended []replica.Key
+		want  Verdict
+	}{
+		"one ended": {[]replica.Key{1}, Apart},
+		"two ended": {[]replica.Key{1, 2}, Rejected},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, 4, 4, func(t *testing.T, c *cluster) {
+				key := keyOf("a")
+				c.nodes[0].Recall(key, test.ended)
+				time.Sleep(50 * time.Millisecond)
+				first, asking := c.nodeOf(key, 0), c.nodeOf(key, 3)
+				// The members do not know yet that it is gone.
+				c.kill(first)
+				permit := asking.Admit(t.Context(), key)
+				defer permit.Release()
+				if permit.Verdict() != test.want {
+					t.Errorf("verdict %s, want %s", permit.Verdict(), test.want)
+				}
+			})
+		})
+	}
+}
+
+func TestLateRenewalRevivesNoGrant(t *testing.T) {
+	inCluster(t, 1, 2, func(t *testing.T, c *cluster) {
+		at, key, now := c.nodes[0], keyOf("a"), time.Now()
+		at.Recall(key, []replica.Key{1})
+		request := &quarantinepb.GrantRequest{Message: keyBytes(key), Run: 7}
+		for _, step := range []struct {
+			run  uint64
+			want quarantinepb.Verdict
+		}{{7, quarantinepb.Verdict_VERDICT_GRANTED}, {7, quarantinepb.Verdict_VERDICT_GRANTED}, {8, quarantinepb.Verdict_VERDICT_BUSY}} {
+			request.Run = step.run
+			if got := at.give(request, now).GetVerdict(); got != step.want {
+				t.Errorf("run %d: %s, want %s", step.run, got, step.want)
+			}
+		}
+		at.takeBack(&quarantinepb.ReleaseRequest{Message: keyBytes(key), Run: 7}, now)
+		request.Run = 7
+		if got := at.give(request, now).GetVerdict(); got != quarantinepb.Verdict_VERDICT_BUSY {
+			t.Errorf("a renewal behind the release: %s", got)
+		}
+		request.Run = 8
+		if got := at.give(request, now).GetVerdict(); got != quarantinepb.Verdict_VERDICT_GRANTED {
+			t.Errorf("the next run: %s", got)
+		}
+	})
+}
+
+func TestMalformedKeysAreRejected(t *testing.T) {
+	inCluster(t, 1, 1, func(t *testing.T, c *cluster) {
+		at, now := c.nodes[0], time.Now()
+		if got := at.give(&quarantinepb.GrantRequest{Message: []byte("short")}, now).GetVerdict(); got != quarantinepb.Verdict_VERDICT_REJECTED {
+			t.Errorf("verdict %s", got)
+		}
+		at.takeBack(&quarantinepb.ReleaseRequest{Message: []byte("short")}, now)
+		at.join([]*quarantinepb.Incident{{Replica: 1, AgeMillis: 1 << 63, Suspects: []*quarantinepb.Suspect{{Message: []byte("short")}}}}, now)
+		if len(at.book.incidents) != 0 {
+			t.Error("an incident without a message is kept")
+		}
+	})
+}
+
+func TestMessageWaitsForTheInquiry(t *testing.T) {
+	inCluster(t, 1, 3, func(t *testing.T, c *cluster) {
+		at, key := c.nodes[0], keyOf("a")
+		handle := c.handle(at, 0)
+		run := at.Admit(t.Context(), key).Begin(handle, nil)
+		c.machines.end(handle.Info().Address)
+		go run.End(t.Context(), Lost)
+		time.Sleep(100 * time.Microsecond)
+		permit := at.Admit(t.Context(), key)
+		defer permit.Release()
+		if permit.Verdict() != Apart {
+			t.Errorf("verdict %s while it is found out whether the replica has ended", permit.Verdict())
+		}
+	})
+}
+
+func TestSuspectsKeepAwayFromEachOther(t *testing.T) {
+	inCluster(t, 1, 3, func(t *testing.T, c *cluster) {
+		at := c.nodes[0]
+		at.Recall(keyOf("a"), []replica.Key{1})
+		at.Recall(keyOf("b"), []replica.Key{2})
+		one, other, harmless := at.Admit(t.Context(), keyOf("a")), at.Admit(t.Context(), keyOf("b")), at.Admit(t.Context(), keyOf("c"))
+		defer one.Release()
+		defer other.Release()
+		first, second := c.handle(at, 0), c.handle(at, 1)
+		one.Begin(first, nil)
+		harmless.Begin(second, nil)
+		if occupied := other.Occupied(); len(occupied) != 1 || occupied[0] != first {
+			t.Errorf("%d replicas are taken by other suspects, want the first", len(occupied))
+		}
+		if occupied := harmless.Occupied(); len(occupied) != 0 {
+			t.Error("a message that is not suspected keeps away from suspects")
+		}
+	})
+}
+
+func TestOthersAvoidTheEndedReplica(t *testing.T) {
+	inCluster(t, 3, 3, func(t *testing.T, c *cluster) {
+		handle := c.handle(c.nodes[0], 0)
+		there := c.nodes[2].directory.View().Find(handle.Info().ID)
+		run := c.nodes[0].Admit(t.Context(), keyOf("a")).Begin(handle, nil)
+		c.machines.end(handle.Info().Address)
+		run.End(t.Context(), Lost)
+		time.Sleep(20 * time.Millisecond)
+		if !there.Down(time.Now()) {
+			t.Error("a node that had nothing there goes on to send")
+		}
+	})
+}
+
+func TestOpenConnectionShowsThatTheProcessIsThere(t *testing.T) {
+	inCluster(t, 1, 1, func(t *testing.T, c *cluster) {
+		at := c.nodes[0]
+		handle := c.handle(at, 0)
+		replicas := &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{handle.Info().Address: replicatest.Answer(200, replicatest.Signed, "x")}}
+		defer replicas.CloseAll()
+		answer, err := replica.NewClient(replicas, replicatest.Headers).Do(t.Context(), handle, replica.Call{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"X-Id": {"1"}}, RequestID: "1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := answer.Body.Read(make([]byte, 2)); err != nil {
+			t.Logf("read to the end: %v", err)
+		}
+		answer.Close(true)
+		if !handle.KeptAlive() {
+			t.Fatal("no connection is kept")
+		}
+		run := at.Admit(t.Context(), keyOf("a")).Begin(handle, nil)
+		c.machines.end(handle.Info().Address)
+		if run.End(t.Context(), Lost) {
+			t.Error("the replica is taken to have ended while a connection to it is open")
+		}
+	})
+}
