--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -185,17 +185,6 @@
 	return e.pickWithin(ctx, slices.Clone(e.tried), 0)
 }
 
-// pickWithin chooses among the replicas that are not excluded, of whose slots no larger share than maxOccupancy is in use; 0 is no bound.
-func (e *exchange) pickWithin(ctx context.Context, excluded []*replica.Handle, maxOccupancy float64) *replica.Handle {
-	for {
-		handle := e.pick(excluded, maxOccupancy)
-		if handle == nil || e.handler.coldStarts == nil || e.handler.coldStarts.Take(ctx, handle) {
-			return handle
-		}
-		excluded = append(excluded, handle)
-	}
-}
-
 // pick chooses the next replica; maxOccupancy 0 is no bound.
 func (e *exchange) pick(excluded []*replica.Handle, maxOccupancy float64) *replica.Handle {
 	wanted := balance.Request{
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -69,6 +69,17 @@
 	return e.pickWithin(ctx, occupied, apartOccupancy)
 }
 
+// pickWithin chooses among the replicas that are not excluded, of whose slots no larger share than maxOccupancy is in use; 0 is no bound.
+func (e *exchange) pickWithin(ctx context.Context, excluded []*replica.Handle, maxOccupancy float64) *replica.Handle {
+	for {
+		handle := e.pick(excluded, maxOccupancy)
+		if handle == nil || e.handler.coldStarts == nil || e.handler.coldStarts.Take(ctx, handle) {
+			return handle
+		}
+		excluded = append(excluded, handle)
+	}
+}
+
 // guardedAttempt sends the request to one replica and notes how that ended for the message.
 func (e *exchange) guardedAttempt(ctx context.Context, handle *replica.Handle) verdict {
 	e.replicaEnded = false
--- /dev/null
+++ b/internal/quarantine/bound_test.go
@@ -0,0 +1,83 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+)
+
+// TestAtMostThreeReplicasEnd has callers of all nodes send the same few messages, some of which end their replica, beside others, at random
+// times, while nodes are killed and started. Messages that are first sent within the time in which nodes learn of each other's losses are
+// beyond the bound: the first of each comes alone.
+func TestAtMostThreeReplicasEnd(t *testing.T) {
+	seed := uint64(time.Now().UnixNano())
+	for round := range uint64(12) {
+		t.Run(fmt.Sprint(round), func(t *testing.T) {
+			t.Logf("seed %d", seed+round)
+			inCluster(t, 6, 10, func(t *testing.T, c *cluster) { checkBound(t, c, rand.New(rand.NewPCG(seed+round, 1))) })
+		})
+	}
+}
+
+func checkBound(t *testing.T, c *cluster, random *rand.Rand) {
+	var bad, good []Key
+	for number := range 3 {
+		bad = append(bad, keyOf(fmt.Sprint("bad-", number)))
+		good = append(good, keyOf(fmt.Sprint("good-", number)))
+	}
+	var all sync.WaitGroup
+	for number, key := range bad {
+		at := c.nodes[number]
+		c.crashing(at, number, key)
+	}
+	for range 150 {
+		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+		at, number := c.nodes[random.IntN(5)], random.IntN(10)
+		if random.IntN(4) == 0 {
+			key := bad[random.IntN(len(bad))]
+			all.Go(func() { c.crashing(at, number, key) })
+			continue
+		}
+		key, length := good[random.IntN(len(good))], time.Duration(20+random.IntN(200))*time.Millisecond
+		all.Go(func() { c.bystander(at, number, key, length) })
+	}
+	all.Wait()
+	time.Sleep(100 * time.Millisecond)
+	for number, key := range bad {
+		if ended := c.crashes(key); ended > mostEnded {
+			t.Errorf("%d replicas ended under message %d", ended, number)
+		}
+		wantVerdict(t, c.nodes[0], key, Rejected)
+	}
+	for _, key := range good {
+		c.bystander(c.nodes[5], 0, key, 20*time.Millisecond)
+		wantVerdict(t, c.nodes[5], key, Allowed)
+	}
+}
+
+// bystander runs a harmless message to its end, or to that of its replica; a cut ends it as well.
+func (c *cluster) bystander(at *node, number int, key Key, length time.Duration) {
+	permit := at.Admit(c.t.Context(), key)
+	defer permit.Release()
+	if permit.Verdict() == Rejected {
+		return
+	}
+	handle := c.handle(at, number)
+	cut := make(chan struct{})
+	run := permit.Begin(handle, func() { close(cut) })
+	for passed := time.Duration(0); passed < length; passed += time.Millisecond {
+		select {
+		case <-cut:
+			run.End(c.t.Context(), Other)
+			return
+		case <-time.After(time.Millisecond):
+		}
+		if c.machines.endedAt(handle) {
+			run.End(c.t.Context(), Lost)
+			return
+		}
+	}
+	run.End(c.t.Context(), Whole)
+}
