--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -151,8 +151,10 @@
 	switch {
 	case verdict == itemDone && fromBegin:
 		return quarantine.Whole
-	case verdict != itemCut, ctx.Err() != nil, errors.Is(a.err, errSilent), errors.Is(a.err, errLeaseOver):
+	case verdict != itemCut:
 		return quarantine.Other
+	case ctx.Err() != nil, errors.Is(a.err, errSilent), errors.Is(a.err, errLeaseOver):
+		return quarantine.Left
 	default:
 		return quarantine.Lost
 	}
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -105,10 +105,12 @@
 	switch {
 	case last == delivered && fromBegin && e.lastStatus < http.StatusMultipleChoices:
 		return quarantine.Whole
+	case last == callerGone, ctx.Err() != nil && last != delivered && last != notRun:
+		return quarantine.Left
 	case last != maybeRun && last != brokenOff, e.lastError == nil:
 		return quarantine.Other
-	case ctx.Err() != nil, errors.Is(e.lastError, errSilent), errors.Is(e.lastError, syscall.ETIMEDOUT):
-		return quarantine.Other
+	case errors.Is(e.lastError, errSilent), errors.Is(e.lastError, syscall.ETIMEDOUT):
+		return quarantine.Left
 	default:
 		return quarantine.Lost
 	}
--- a/internal/quarantine/fake_test.go
+++ b/internal/quarantine/fake_test.go
@@ -251,7 +251,7 @@
 		}
 		run.End(c.t.Context(), Lost)
 	case <-cut:
-		run.End(c.t.Context(), Other)
+		run.End(c.t.Context(), Left)
 	}
 	return true
 }
--- /dev/null
+++ b/internal/quarantine/left_test.go
@@ -0,0 +1,53 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRunThatWasCutOffMayStillEndItsReplica: a message runs at two replicas when one of them ends. The run at the other is cut off, but the
+// replica goes on with it for a moment, and ends as well.
+func TestRunThatWasCutOffMayStillEndItsReplica(t *testing.T) {
+	for _, bystander := range []bool{false, true} {
+		inCluster(t, 3, 4, func(t *testing.T, c *cluster) {
+			key, other := keyOf("a"), keyOf("b")
+			cut := make(chan struct{})
+			handle := c.handle(c.nodes[1], 1)
+			run := c.nodes[1].Admit(t.Context(), key).Begin(handle, func() { close(cut) })
+			beside := c.nodes[2].Admit(t.Context(), other).Begin(c.handle(c.nodes[2], 1), nil)
+			c.crashing(c.nodes[0], 0, key)
+			<-cut
+			run.End(t.Context(), Left)
+			time.Sleep(50 * time.Millisecond)
+			c.crash(handle, key)
+			if bystander {
+				beside.End(t.Context(), Lost)
+			}
+			time.Sleep(time.Second)
+			for _, each := range c.nodes {
+				wantVerdict(t, each, key, Rejected)
+				wantVerdict(t, each, other, Allowed)
+			}
+		})
+	}
+}
+
+func TestCallerThatLeftLeavesNoSuspicionBehind(t *testing.T) {
+	inCluster(t, 1, 2, func(t *testing.T, c *cluster) {
+		at, key := c.nodes[0], keyOf("a")
+		handle := c.handle(at, 0)
+		at.Admit(t.Context(), key).Begin(handle, nil).End(t.Context(), Left)
+		time.Sleep(2 * lingerTime)
+		c.machines.end(handle.Info().Address)
+		at.Admit(t.Context(), keyOf("b")).Begin(handle, nil).End(t.Context(), Lost)
+		wantVerdict(t, at, key, Allowed)
+		for range 3 * maxLeft {
+			at.Admit(t.Context(), key).Begin(c.handle(at, 1), nil).End(t.Context(), Left)
+		}
+		at.mutex.Lock()
+		defer at.mutex.Unlock()
+		if at.leftCount > maxLeft {
+			t.Errorf("%d runs are remembered", at.leftCount)
+		}
+	})
+}
--- a/internal/quarantine/probe.go
+++ b/internal/quarantine/probe.go
@@ -51,6 +51,9 @@
 	if !ended {
 		delete(s.inquiries, handle.Key())
 	}
+	if counted {
+		s.blameLeft(handle.Key(), begun.at)
+	}
 	s.mutex.Unlock()
 	close(begun.done)
 	if ended {
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -31,7 +31,9 @@
 	Whole Ending = iota
 	// Lost runs ended with the connection, or with no answer: the replica may have ended under the message.
 	Lost
-	// Other runs say nothing of the message: the caller left, the node cut it off, the replica did not run it.
+	// Left runs were broken off from here: the caller left, this node cut it off or found it silent. The replica may work on it for a while.
+	Left
+	// Other runs say nothing of the message: the replica did not run it, or answered with a failure.
 	Other
 )
 
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -83,6 +83,8 @@
 		r.service.cleared(r.key)
 	case Lost:
 		return r.lost(ctx)
+	case Left:
+		r.service.leave(r)
 	}
 	return false
 }
@@ -114,7 +116,7 @@
 		delete(r.service.inquired, r.key)
 	}
 	if inquiry.counted {
-		r.service.suspect(r, inquiry, ran)
+		r.service.suspect(r, inquiry.at, ran)
 	}
 	r.service.signal()
 	return inquiry.ended && ctx.Err() == nil
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -68,6 +68,11 @@
 	queues map[Key]*queue
 	// grants are those that this node gave as keeper.
 	grants map[Key]grant
+	// left are the runs that were broken off from here a short while ago, by replica; leftCount is their number, forgetLeftAt when old
+	// ones are dropped next.
+	left         map[replica.Key][]leftRun
+	leftCount    int
+	forgetLeftAt time.Time
 	// changed is closed and replaced when something is learned or a run ends.
 	changed chan struct{}
 	// outbox are the messages of which the others are to learn, by incident; repeats are those told once, which are told again.
@@ -83,7 +88,7 @@
 		network: options.Network, directory: options.Directory, viewer: options.Viewer, caller: options.Caller, logger: options.Logger.With().Str(logging.FieldSlice, "quarantine").Logger(),
 		metrics: newMetrics(options.Registerer), unreached: unreached.NewPeers(unreachedFor), news: make(chan struct{}, 1), book: newBook(), runs: map[Key]map[*run]bool{}, inquired: map[Key]int{},
 		inquiries: map[replica.Key]*inquiry{}, queues: map[Key]*queue{}, grants: map[Key]grant{}, changed: make(chan struct{}),
-		outbox: map[replica.Key]map[Key]bool{}, repeats: map[replica.Key]map[Key]bool{}, rejected: map[Key]bool{},
+		outbox: map[replica.Key]map[Key]bool{}, repeats: map[replica.Key]map[Key]bool{}, rejected: map[Key]bool{}, left: map[replica.Key][]leftRun{},
 	}
 	service.ctx, service.cancel = context.WithCancel(context.Background())
 	transport.Handle(options.Registrar, methodNotice, func() *quarantinepb.Notice { return &quarantinepb.Notice{} },
@@ -154,9 +159,9 @@
 }
 
 // suspect takes down that a replica ended under a run's message. The mutex is held.
-func (s *Service) suspect(ended *run, found *inquiry, ran time.Duration) {
+func (s *Service) suspect(ended *run, at time.Time, ran time.Duration) {
 	key := ended.handle.Key()
-	if !s.book.add(key, found.at, ended.key, suspect{ran: ran, granted: ended.granted}) {
+	if !s.book.add(key, at, ended.key, suspect{ran: ran, granted: ended.granted}) {
 		return
 	}
 	s.tell(key, ended.key)
@@ -192,6 +197,11 @@
 	defer s.mutex.Unlock()
 	s.avoidEnded(incidents, now)
 	changed := s.book.join(incidents, now)
+	for _, each := range incidents {
+		if ended := replica.Key(each.GetReplica()); len(s.left[ended]) > 0 && s.book.incidents[ended] != nil {
+			s.blameLeft(ended, s.book.incidents[ended].learned)
+		}
+	}
 	for _, key := range changed {
 		s.noteVerdict(key)
 		s.cutRuns(key)
