--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -68,6 +68,9 @@
 	message quarantine.Key
 	// apart says that the present run is that of a suspected message.
 	apart bool
+	// crashes counts the replicas that ended under the item here; while it is suspected it is not sent before apartFrom.
+	crashes   int
+	apartFrom time.Duration
 	// heldBack says that the log line about it was written.
 	heldBack bool
 	// notBefore is when the item may be sent again, and routeGone since when its route is missing, both since the
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -19,6 +19,9 @@
 	mostCrashedKept = 3
 	// apartOccupancy is the share of a replica's slots in use up to which a suspected item is sent there: few others are lost with it.
 	apartOccupancy = 0.25
+	// apartPause is how long a suspected item lets the other messages go first that ran at the replica that ended: callers wait for some of
+	// them, and the cause ends the next replica, beside which the item need not be, within some tenths of a second.
+	apartPause = time.Second
 	// pauseWhileSuspected is how long a suspected item waits that was not sent, holdPause how long one that is kept from replicas is not
 	// looked at.
 	pauseWhileSuspected = 250 * time.Millisecond
@@ -61,6 +64,10 @@
 	p.mutex.Lock()
 	run := p.runOf(each.key)
 	message := run.message
+	if p.elapsed() < run.apartFrom {
+		p.mutex.Unlock()
+		return
+	}
 	var occupied []*replica.Handle
 	for _, other := range p.runs {
 		if other.running && other.apart && other.handle != nil {
@@ -128,15 +135,25 @@
 	}
 	bounded, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	fromBegin := attempt.lastEvent == ""
+	startedBehind := attempt.lastEvent
 	run := permit.Begin(attempt.handle, func() { cancel(errSuspected) })
 	verdict := attempt.run(bounded)
-	if run.End(ctx, attempt.ending(bounded, verdict, fromBegin)) {
+	if run.End(ctx, attempt.ending(bounded, verdict, startedBehind)) {
 		p.recordCrash(attempt)
+		p.letOthersFirst(attempt.key)
 	}
 	return verdict
 }
 
+// letOthersFirst has an item whose replica ended wait while it is suspected, longer each time.
+func (p *partition) letOthersFirst(key itemKey) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	run := p.runOf(key)
+	run.crashes++
+	run.apartFrom = p.elapsed() + time.Duration(run.crashes)*apartPause
+}
+
 // endApart notes that a suspect's run has ended.
 func (p *partition) endApart(key itemKey) {
 	p.mutex.Lock()
@@ -147,14 +164,16 @@
 }
 
 // ending is what the attempt says of the item's message. Only a run from the begin shows that it is harmless.
-func (a *itemAttempt) ending(ctx context.Context, verdict itemVerdict, fromBegin bool) quarantine.Ending {
+func (a *itemAttempt) ending(ctx context.Context, verdict itemVerdict, startedBehind string) quarantine.Ending {
 	switch {
-	case verdict == itemDone && fromBegin:
+	case verdict == itemDone && startedBehind == "":
 		return quarantine.Whole
 	case verdict != itemCut:
 		return quarantine.Other
 	case ctx.Err() != nil, errors.Is(a.err, errSilent), errors.Is(a.err, errLeaseOver):
 		return quarantine.Left
+	case a.lastEvent != startedBehind:
+		return quarantine.Interrupted
 	default:
 		return quarantine.Lost
 	}
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -92,18 +92,18 @@
 	if e.route.MayRepeat() {
 		cut = func() { cancel(errSuspected) }
 	}
-	fromBegin := e.lastEvent == ""
+	startedBehind := e.lastEvent
 	run := e.permit.Begin(handle, cut)
 	e.lastStatus, e.lastError = 0, nil
 	last := e.attempt(bounded, handle)
-	e.replicaEnded = run.End(ctx, e.ending(bounded, last, fromBegin))
+	e.replicaEnded = run.End(ctx, e.ending(bounded, last, startedBehind))
 	return last
 }
 
 // ending is what the attempt says of the message. Only a run from the begin shows that the message is harmless.
-func (e *exchange) ending(ctx context.Context, last verdict, fromBegin bool) quarantine.Ending {
+func (e *exchange) ending(ctx context.Context, last verdict, startedBehind string) quarantine.Ending {
 	switch {
-	case last == delivered && fromBegin && e.lastStatus < http.StatusMultipleChoices:
+	case last == delivered && startedBehind == "" && e.lastStatus < http.StatusMultipleChoices:
 		return quarantine.Whole
 	case last == callerGone, ctx.Err() != nil && last != delivered && last != notRun:
 		return quarantine.Left
@@ -111,6 +111,8 @@
 		return quarantine.Other
 	case errors.Is(e.lastError, errSilent), errors.Is(e.lastError, syscall.ETIMEDOUT):
 		return quarantine.Left
+	case e.resumes() && e.lastEvent != startedBehind:
+		return quarantine.Interrupted
 	default:
 		return quarantine.Lost
 	}
--- a/internal/quarantine/left_test.go
+++ b/internal/quarantine/left_test.go
@@ -51,3 +51,29 @@
 		}
 	})
 }
+
+func TestLongRunsThatComeOnDoNotCount(t *testing.T) {
+	for name, test := range map[string]struct {
+		ran    time.Duration
+		ending Ending
+		want   Verdict
+	}{
+		"long, came on":  {2 * shortRun, Interrupted, Allowed},
+		"short, came on": {shortRun / 4, Interrupted, Apart},
+		"long, nothing":  {2 * shortRun, Lost, Apart},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, 1, 2, func(t *testing.T, c *cluster) {
+				at, key := c.nodes[0], keyOf("a")
+				handle := c.handle(at, 0)
+				run := at.Admit(t.Context(), key).Begin(handle, nil)
+				time.Sleep(test.ran)
+				c.machines.end(handle.Info().Address)
+				if !run.End(t.Context(), test.ending) {
+					t.Error("the replica is not found to have ended")
+				}
+				wantVerdict(t, at, key, test.want)
+			})
+		})
+	}
+}
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -31,6 +31,9 @@
 	Whole Ending = iota
 	// Lost runs ended with the connection, or with no answer: the replica may have ended under the message.
 	Lost
+	// Interrupted runs are lost ones that had made events which a further run need not make again. Long ones do not count: each further
+	// end is paid for by what the message has come on, and it comes to its end.
+	Interrupted
 	// Left runs were broken off from here: the caller left, this node cut it off or found it silent. The replica may work on it for a while.
 	Left
 	// Other runs say nothing of the message: the replica did not run it, or answered with a failure.
@@ -52,7 +55,7 @@
 
 // Run is a message at a replica.
 type Run interface {
-	// End notes how the run ended, once. After Lost it returns, a short while later, whether the replica's process has ended.
+	// End notes how the run ended, once. After Lost and Interrupted it returns, a short while later, whether the replica's process has ended.
 	End(ctx context.Context, ending Ending) (replicaEnded bool)
 }
 
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -81,8 +81,8 @@
 	switch ending {
 	case Whole:
 		r.service.cleared(r.key)
-	case Lost:
-		return r.lost(ctx)
+	case Lost, Interrupted:
+		return r.lost(ctx, ending)
 	case Left:
 		r.service.leave(r)
 	}
@@ -97,13 +97,13 @@
 	if len(s.runs[ended.key]) == 0 {
 		delete(s.runs, ended.key)
 	}
-	if ending == Lost {
+	if ending == Lost || ending == Interrupted {
 		s.inquired[ended.key]++
 	}
 }
 
 // lost waits for the inquiry into the replica, and takes its end down against the message.
-func (r *run) lost(ctx context.Context) (replicaEnded bool) {
+func (r *run) lost(ctx context.Context, ending Ending) (replicaEnded bool) {
 	ran := time.Since(r.began)
 	inquiry := r.service.inquire(r.handle)
 	select {
@@ -115,7 +115,7 @@
 	if r.service.inquired[r.key]--; r.service.inquired[r.key] <= 0 {
 		delete(r.service.inquired, r.key)
 	}
-	if inquiry.counted {
+	if inquiry.counted && (ending == Lost || ran <= shortRun) {
 		r.service.suspect(r, inquiry.at, ran)
 	}
 	r.service.signal()
