--- a/internal/quarantine/bound_test.go
+++ b/internal/quarantine/bound_test.go
@@ -64,7 +64,7 @@
 	if permit.Verdict() == Rejected {
 		return
 	}
-	handle := c.handle(at, number)
+	handle := c.place(at, permit, key, number)
 	cut := make(chan struct{})
 	run := permit.Begin(handle, func() { close(cut) })
 	for passed := time.Duration(0); passed < length; passed += time.Millisecond {
--- a/internal/quarantine/fake_test.go
+++ b/internal/quarantine/fake_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -234,6 +235,21 @@
 	return at.directory.View().Find(c.infos[number].ID)
 }
 
+// place returns where a message runs: the replica of that number, or for a suspect one of those that it prefers without another suspect.
+func (c *cluster) place(at *node, permit Permit, key Key, number int) *replica.Handle {
+	if permit.Verdict() != Apart {
+		return c.handle(at, number)
+	}
+	all := at.directory.View().Of("s")
+	avoided := slices.Concat(permit.Occupied(), NotPreferred(key, all), Failing(all, time.Now()))
+	for _, handle := range all {
+		if !slices.Contains(avoided, handle) {
+			return handle
+		}
+	}
+	return c.handle(at, number)
+}
+
 // crashing runs a message that ends the replica of that number after a while, unless it is cut off before; false where it was not admitted.
 func (c *cluster) crashing(at *node, number int, key Key) bool {
 	permit := at.Admit(c.t.Context(), key)
@@ -241,7 +257,7 @@
 	if permit.Verdict() == Rejected {
 		return false
 	}
-	handle := c.handle(at, number)
+	handle := c.place(at, permit, key, number)
 	cut := make(chan struct{})
 	run := permit.Begin(handle, func() { close(cut) })
 	select {
