--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -187,15 +187,17 @@
 	return foremost >= enoughEnded && evidence >= enoughEvidence
 }
 
-// doubtful says that replicas ended under the message when it ran apart: then what another message explains may be of this one as well.
+// doubtful says that several replicas ended under the message when it ran apart: then what another message explains may be of this one as
+// well.
 func (b *book) doubtful(message Key) bool {
-	evidence := 0.0
+	apart, evidence := 0, 0.0
 	for _, each := range b.byMessage[message] {
 		if doubt := each.suspects[message]; doubt.granted && !doubt.cleared {
+			apart++
 			evidence += 1 / float64(each.open)
 		}
 	}
-	return evidence >= enoughDoubt
+	return apart >= enoughEnded && evidence >= enoughDoubt
 }
 
 // count returns the number of replicas that ended under the message, without those whose end another message explains. Of a crash that
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -138,6 +138,25 @@
 	}
 }
 
+// TestPopularMessageIsNotTheCause: a message of many callers ran beside each of three that end replicas, when none was known, and once apart.
+func TestPopularMessageIsNotTheCause(t *testing.T) {
+	made := replay([]observed{
+		{at: 0, replica: 1, under: []string{"one"}}, {at: 100 * time.Millisecond, replica: 2, under: []string{"two"}}, {at: 200 * time.Millisecond, replica: 3, under: []string{"three"}},
+		{at: 300 * time.Millisecond, replica: 4, under: []string{"popular", "three"}}, {at: 400 * time.Millisecond, replica: 5, under: []string{"popular", "two"}},
+		{at: 500 * time.Millisecond, replica: 6, under: []string{"popular", "one"}}, {at: 600 * time.Millisecond, replica: 7, under: []string{"two"}},
+		{at: 700 * time.Millisecond, replica: 8, under: []string{"three"}}, {at: 800 * time.Millisecond, replica: 9, under: []string{"one"}},
+	})
+	made.incidents[6].suspects[keyOf("popular")].granted = true
+	for _, cause := range []string{"one", "two", "three"} {
+		if got := made.verdict(keyOf(cause)); got != Rejected {
+			t.Errorf("%s is %s", cause, got)
+		}
+	}
+	if got := made.verdict(keyOf("popular")); got == Rejected {
+		t.Errorf("the popular message is %s", got)
+	}
+}
+
 func TestBooksJoinInAnyOrder(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	one := replay([]observed{{replica: 1, under: []string{"a", "b"}}, {whole: "b"}})
