--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -23,8 +23,6 @@
 	// enoughEvidence is the least that speaks against such a message, where an end weighs 1, shared by all that ran there: as much as one end
 	// beside one other. A long item that ran beside ten at each of two ends is there by chance more often than not.
 	enoughEvidence = 0.5
-	// enoughDoubt is the same for a message that ran apart, from which on each end counts: one end beside three others.
-	enoughDoubt = 0.25
 	// sameCause is the time within which replicas that end are taken to have ended together: a crash that strikes several, or a message
 	// that was at several when it was not suspected yet.
 	sameCause = 30 * time.Millisecond
@@ -190,14 +188,13 @@
 // doubtful says that several replicas ended under the message when it ran apart: then what another message explains may be of this one as
 // well.
 func (b *book) doubtful(message Key) bool {
-	apart, evidence := 0, 0.0
+	apart := 0
 	for _, each := range b.byMessage[message] {
 		if doubt := each.suspects[message]; doubt.granted && !doubt.cleared {
 			apart++
-			evidence += 1 / float64(each.open)
 		}
 	}
-	return apart >= enoughEnded && evidence >= enoughDoubt
+	return apart >= enoughEnded
 }
 
 // count returns the number of replicas that ended under the message, without those whose end another message explains. Of a crash that
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -138,6 +138,28 @@
 	}
 }
 
+// TestEndsApartCountWhateverElseRanThere: another message that ends replicas ran at the same two replicas, each beside many; three ends are the
+// most all the same.
+func TestEndsApartCountWhateverElseRanThere(t *testing.T) {
+	crowd := func(round int) []string {
+		names := []string{"cause", "other"}
+		for number := range 8 {
+			names = append(names, fmt.Sprintf("crowd-%d-%d", round, number))
+		}
+		return names
+	}
+	made := replay([]observed{
+		{at: 0, replica: 1, under: []string{"other"}}, {at: time.Second, replica: 2, under: []string{"other"}}, {at: 2 * time.Second, replica: 3, under: []string{"cause"}},
+		{at: 3 * time.Second, replica: 4, under: crowd(1)}, {at: 4 * time.Second, replica: 5, under: crowd(2)},
+	})
+	for _, number := range []replica.Key{4, 5} {
+		made.incidents[number].suspects[keyOf("cause")].granted = true
+	}
+	if got := made.verdict(keyOf("cause")); got != Rejected {
+		t.Errorf("the cause is %s", got)
+	}
+}
+
 // TestPopularMessageIsNotTheCause: a message of many callers ran beside each of three that end replicas, when none was known, and once apart.
 func TestPopularMessageIsNotTheCause(t *testing.T) {
 	made := replay([]observed{
