--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -7,7 +7,7 @@
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	"github.com/sloelift/sloelift/internal/balance"
 	"github.com/sloelift/sloelift/internal/ledger"
-	"github.com/sloelift/sloelift/internal/region"
+	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
 )
@@ -64,6 +64,15 @@
 	finishing bool
 	// failures counts the runs that a replica answered with a failure of its own.
 	failures int
+	// message names what the item sends; zero until it is first to be sent.
+	message quarantine.Key
+	// apart says that the present run is that of a suspected message.
+	apart bool
+	// crashes counts the replicas that ended under the item here; while it is suspected it is not sent before apartFrom.
+	crashes   int
+	apartFrom time.Duration
+	// heldBack says that the log line about it was written.
+	heldBack bool
 	// notBefore is when the item may be sent again, and routeGone since when its route is missing, both since the
 	// partition's start; routeGone is 0 while there is a route.
 	notBefore time.Duration
@@ -140,7 +149,16 @@
 		if full[each.target()] {
 			continue
 		}
-		handle := p.pick(each.route, each.homes)
+		verdict := p.verdictOn(each)
+		if verdict == quarantine.Rejected {
+			p.holdBack(each)
+			continue
+		}
+		if verdict == quarantine.Apart {
+			p.startApart(each)
+			continue
+		}
+		handle := p.pick(each, maxOccupancy, nil)
 		if handle == nil {
 			full[each.target()] = true
 			p.replaceLate(each)
@@ -186,11 +204,12 @@
 	}
 }
 
-// pick chooses a replica in homes with room for an item.
-func (p *partition) pick(matched *route.Route, homes region.Set) *replica.Handle {
+// pick chooses a replica in the item's homes with room for it, of whose slots no larger share than occupancy is in use.
+func (p *partition) pick(each candidate, occupancy float64, excluded []*replica.Handle) *replica.Handle {
 	now := time.Now()
+	matched := each.route
 	wanted := balance.Request{
-		Service: matched.PickService(), Zone: p.service.options.Zone, MaxOccupancy: maxOccupancy, ZoneWeight: itemZoneWeight, Homes: homes,
+		Service: matched.PickService(), Zone: p.service.options.Zone, MaxOccupancy: occupancy, ZoneWeight: itemZoneWeight, Homes: each.homes, Excluded: excluded,
 	}
 	if p.service.hasRoom(wanted.Service, now) {
 		if handle := p.service.picker.Pick(&wanted, now); handle != nil {
@@ -263,7 +282,7 @@
 	release := handle.Acquire()
 	p.running.Go(func() {
 		defer stop()
-		verdict := attempt.run(ctx)
+		verdict := p.runGuarded(ctx, attempt)
 		release()
 		p.took(attempt, verdict)
 	})
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -31,6 +31,7 @@
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/quota"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/retirement"
@@ -124,7 +125,7 @@
 var sharedSlices = fx.Options(
 	fx.Provide(
 		func() *watchPace { return &watchPace{} }, newRoleKeyValue, newFeed, newCopies, route.NewHolder, replica.NewDirectory, newDiscovery, newReplicaClient, newPicker,
-		newRegisteredMachines, newColdStarts, func() *ledger.Timing { return &roleLedgerTiming },
+		newRegisteredMachines, newColdStarts, newQuarantine, func() *ledger.Timing { return &roleLedgerTiming },
 		func() *membership.Timing { return &roleMembershipTiming },
 	),
 	transport.Module, membership.Module, ledger.Module,
@@ -243,11 +244,11 @@
 	defaultKeepResults     = 10 * time.Minute
 )
 
-func newBatchService(own settings.Settings, adapter Adapter, routes *route.Holder, directory *replica.Directory, shared *loadshare.Service, picker *balance.Picker, client *replica.Client, coldStarts *coldstart.Service, registrar transport.Registrar, logger zerolog.Logger) *batch.Service {
+func newBatchService(own settings.Settings, adapter Adapter, routes *route.Holder, directory *replica.Directory, shared *loadshare.Service, picker *balance.Picker, client *replica.Client, coldStarts *coldstart.Service, register quarantine.Register, registrar transport.Registrar, logger zerolog.Logger) *batch.Service {
 	memory := cmp.Or(own.Limits.MemoryMegabytes, defaultMemoryMegabytes)
 	return batch.NewService(batch.Options{
 		Zone: own.Zone, MaxBytes: int64(float64(memory<<20) * batchMemoryShare),
-		KeepResults: cmp.Or(own.Bounds.Poll, defaultKeepResults), Report: adapter.Report, ColdStarts: coldStarts,
+		KeepResults: cmp.Or(own.Bounds.Poll, defaultKeepResults), Report: adapter.Report, ColdStarts: coldStarts, Quarantine: register,
 	}, routes, directory, shared, picker, client, registrar, logger)
 }
 
@@ -316,10 +317,19 @@
 	return service
 }
 
-func newForwardHandler(own settings.Settings, routes *route.Holder, directory *replica.Directory, picker *balance.Picker, client *replica.Client, gate *forward.Gate, limits *quota.Service, coldStarts *coldstart.Service, shared *loadshare.Service, calls BatchCalls, logger zerolog.Logger, metrics *forward.Metrics) *forward.Handler {
+// newQuarantine keeps messages from replicas that crash them.
+func newQuarantine(lifecycle fx.Lifecycle, via network.Network, directory *replica.Directory, members *membership.Service, caller transport.Caller, registrar transport.Registrar, registerer prometheus.Registerer, logger zerolog.Logger) quarantine.Register {
+	service := quarantine.NewService(quarantine.Options{
+		Network: via, Directory: directory, Viewer: members, Caller: caller, Registrar: registrar, Registerer: registerer, Logger: logger,
+	})
+	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
+	return service
+}
+
+func newForwardHandler(own settings.Settings, routes *route.Holder, directory *replica.Directory, picker *balance.Picker, client *replica.Client, gate *forward.Gate, limits *quota.Service, coldStarts *coldstart.Service, register quarantine.Register, shared *loadshare.Service, calls BatchCalls, logger zerolog.Logger, metrics *forward.Metrics) *forward.Handler {
 	return forward.NewHandler(forward.Options{
 		Routes: routes, Directory: directory, Picker: picker, Client: client, Zone: own.Zone, Batch: calls, Gate: gate, Quota: limits, ColdStarts: coldStarts, Refresh: shared.Refresh,
-		Logger: logger, Metrics: metrics,
+		Quarantine: register, Logger: logger, Metrics: metrics,
 	})
 }
 
--- /dev/null
+++ b/internal/quarantine/book_test.go
@@ -0,0 +1,259 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+// keyOf returns the key of a message of a test.
+func keyOf(name string) Key { return Message{Method: "POST", Target: "/" + name}.Key() }
+
+// observed is one observation: a replica that ended under messages, or a message that came to its end.
+type observed struct {
+	at      time.Duration
+	replica replica.Key
+	under   []string
+	ran     time.Duration
+	whole   string
+}
+
+func replay(observations []observed) *book {
+	start := time.Unix(1_000_000, 0)
+	made := newBook()
+	for _, each := range observations {
+		if each.whole != "" {
+			made.clear(keyOf(each.whole))
+			continue
+		}
+		for _, name := range each.under {
+			made.add(each.replica, start.Add(each.at), keyOf(name), suspect{ran: each.ran})
+		}
+	}
+	return made
+}
+
+func TestVerdictFromObservations(t *testing.T) {
+	const second = time.Second
+	for _, test := range []struct {
+		name         string
+		observations []observed
+		want         map[string]Verdict
+	}{
+		{"nothing known", nil, map[string]Verdict{"a": Allowed}},
+		{"one end under one message", []observed{{at: 0, replica: 1, under: []string{"a"}}}, map[string]Verdict{"a": Apart, "b": Allowed}},
+		{"two ends under the same message alone", []observed{
+			{at: 0, replica: 1, under: []string{"a"}}, {at: second, replica: 2, under: []string{"a"}},
+		}, map[string]Verdict{"a": Rejected}},
+		{"one message explains what ran beside it", []observed{
+			{at: 0, replica: 1, under: []string{"a", "b", "c", "d"}}, {at: second, replica: 2, under: []string{"a", "e"}},
+		}, map[string]Verdict{"a": Rejected, "b": Allowed, "c": Allowed, "d": Allowed, "e": Allowed}},
+		{"two that ran beside each other twice", []observed{
+			{at: 0, replica: 1, under: []string{"a", "b"}}, {at: second, replica: 2, under: []string{"a", "b"}},
+		}, map[string]Verdict{"a": Apart, "b": Apart}},
+		{"the third end under one of them shows it", []observed{
+			{at: 0, replica: 1, under: []string{"a", "b"}}, {at: second, replica: 2, under: []string{"a", "b"}}, {whole: "b"},
+		}, map[string]Verdict{"a": Rejected, "b": Allowed}},
+		{"three ends under both", []observed{
+			{at: 0, replica: 1, under: []string{"a", "b"}}, {at: second, replica: 2, under: []string{"a", "b"}}, {at: 2 * second, replica: 3, under: []string{"a", "b"}},
+		}, map[string]Verdict{"a": Rejected, "b": Rejected}},
+		{"a whole run clears", []observed{
+			{at: 0, replica: 1, under: []string{"a"}}, {whole: "a"},
+		}, map[string]Verdict{"a": Allowed}},
+		{"what ended before a whole run does not count again", []observed{
+			{at: 0, replica: 1, under: []string{"a"}}, {whole: "a"}, {at: second, replica: 2, under: []string{"a"}},
+		}, map[string]Verdict{"a": Apart}},
+		{"two long runs are no proof", []observed{
+			{at: 0, replica: 1, under: []string{"a"}, ran: 20 * second}, {at: 30 * second, replica: 2, under: []string{"a"}, ran: 20 * second},
+		}, map[string]Verdict{"a": Apart}},
+		{"three long runs are the most that may be", []observed{
+			{at: 0, replica: 1, under: []string{"a"}, ran: 20 * second}, {at: 30 * second, replica: 2, under: []string{"a"}, ran: 20 * second},
+			{at: 60 * second, replica: 3, under: []string{"a"}, ran: 20 * second},
+		}, map[string]Verdict{"a": Rejected}},
+		{"a popular message at two replicas that end together", []observed{
+			{at: 0, replica: 1, under: []string{"a", "b"}}, {at: 5 * time.Millisecond, replica: 2, under: []string{"a", "c"}},
+		}, map[string]Verdict{"a": Apart, "b": Apart}},
+		{"a popular message at three of four replicas that end together", []observed{
+			{at: 0, replica: 1, under: []string{"a"}}, {at: time.Millisecond, replica: 2, under: []string{"a"}},
+			{at: 2 * time.Millisecond, replica: 3, under: []string{"a"}}, {at: 3 * time.Millisecond, replica: 4, under: []string{"b"}},
+		}, map[string]Verdict{"a": Apart, "b": Apart}},
+		{"a message at all three replicas that end together", []observed{
+			{at: 0, replica: 1, under: []string{"a"}}, {at: time.Millisecond, replica: 2, under: []string{"a", "b"}}, {at: 2 * time.Millisecond, replica: 3, under: []string{"a", "c"}},
+		}, map[string]Verdict{"a": Rejected}},
+		{"the same replica counts once", []observed{
+			{at: 0, replica: 1, under: []string{"a"}}, {at: second, replica: 1, under: []string{"a"}},
+		}, map[string]Verdict{"a": Apart}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			made := replay(test.observations)
+			for name, want := range test.want {
+				if got := made.verdict(keyOf(name)); got != want {
+					t.Errorf("%s is %s, want %s", name, got, want)
+				}
+			}
+		})
+	}
+}
+
+func TestSixteenBystandersAreSentAgain(t *testing.T) {
+	names := []string{"cause"}
+	for number := range 16 {
+		names = append(names, fmt.Sprintf("bystander-%d", number))
+	}
+	made := replay([]observed{{replica: 1, under: names}, {at: time.Second, replica: 2, under: []string{"cause", "bystander-3"}}, {whole: "bystander-3"}})
+	if got := made.verdict(keyOf("cause")); got != Rejected {
+		t.Errorf("the cause is %s", got)
+	}
+	for _, name := range names[1:] {
+		if got := made.verdict(keyOf(name)); got != Allowed {
+			t.Errorf("%s is %s", name, got)
+		}
+	}
+}
+
+// TestItemThatRanBesideManyIsNotTheCause: an item ran at three replicas that ended, each time beside many, once beside a message that is known
+// to end replicas.
+func TestItemThatRanBesideManyIsNotTheCause(t *testing.T) {
+	others := func(round, count int) []string {
+		var names []string
+		for number := range count {
+			names = append(names, fmt.Sprintf("other-%d-%d", round, number))
+		}
+		return names
+	}
+	made := replay([]observed{
+		{at: 0, replica: 1, under: append(others(1, 4), "cause"), ran: 90 * time.Millisecond},
+		{at: 170 * time.Millisecond, replica: 2, under: append(others(2, 3), "cause", "item"), ran: 500 * time.Millisecond},
+		{at: 350 * time.Millisecond, replica: 3, under: append(others(3, 4), "cause"), ran: 90 * time.Millisecond},
+		{at: 680 * time.Millisecond, replica: 4, under: append(others(4, 10), "item"), ran: 500 * time.Millisecond},
+		{at: 2 * time.Second, replica: 5, under: append(others(5, 12), "item"), ran: 1300 * time.Millisecond},
+	})
+	if got := made.verdict(keyOf("cause")); got != Rejected {
+		t.Errorf("the cause is %s", got)
+	}
+	if got := made.verdict(keyOf("item")); got != Apart {
+		t.Errorf("the item is %s", got)
+	}
+}
+
+// TestEndsApartCountWhateverElseRanThere: another message that ends replicas ran at the same two replicas, each beside many; three ends are the
+// most all the same.
+func TestEndsApartCountWhateverElseRanThere(t *testing.T) {
+	crowd := func(round int) []string {
+		names := []string{"cause", "other"}
+		for number := range 8 {
+			names = append(names, fmt.Sprintf("crowd-%d-%d", round, number))
+		}
+		return names
+	}
+	made := replay([]observed{
+		{at: 0, replica: 1, under: []string{"other"}}, {at: time.Second, replica: 2, under: []string{"other"}}, {at: 2 * time.Second, replica: 3, under: []string{"cause"}},
+		{at: 3 * time.Second, replica: 4, under: crowd(1)}, {at: 4 * time.Second, replica: 5, under: crowd(2)},
+	})
+	for _, number := range []replica.Key{4, 5} {
+		made.incidents[number].suspects[keyOf("cause")].granted = true
+	}
+	if got := made.verdict(keyOf("cause")); got != Rejected {
+		t.Errorf("the cause is %s", got)
+	}
+}
+
+// TestPopularMessageIsNotTheCause: a message of many callers ran beside each of three that end replicas, when none was known, and once apart.
+func TestPopularMessageIsNotTheCause(t *testing.T) {
+	made := replay([]observed{
+		{at: 0, replica: 1, under: []string{"one"}}, {at: 100 * time.Millisecond, replica: 2, under: []string{"two"}}, {at: 200 * time.Millisecond, replica: 3, under: []string{"three"}},
+		{at: 300 * time.Millisecond, replica: 4, under: []string{"popular", "three"}}, {at: 400 * time.Millisecond, replica: 5, under: []string{"popular", "two"}},
+		{at: 500 * time.Millisecond, replica: 6, under: []string{"popular", "one"}}, {at: 600 * time.Millisecond, replica: 7, under: []string{"two"}},
+		{at: 700 * time.Millisecond, replica: 8, under: []string{"three"}}, {at: 800 * time.Millisecond, replica: 9, under: []string{"one"}},
+	})
+	made.incidents[6].suspects[keyOf("popular")].granted = true
+	for _, cause := range []string{"one", "two", "three"} {
+		if got := made.verdict(keyOf(cause)); got != Rejected {
+			t.Errorf("%s is %s", cause, got)
+		}
+	}
+	if got := made.verdict(keyOf("popular")); got == Rejected {
+		t.Errorf("the popular message is %s", got)
+	}
+}
+
+func TestBooksJoinInAnyOrder(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	one := replay([]observed{{replica: 1, under: []string{"a", "b"}}, {whole: "b"}})
+	other := replay([]observed{{replica: 1, under: []string{"b", "c"}}, {at: time.Second, replica: 2, under: []string{"a"}}})
+	forth, back := newBook(), newBook()
+	forth.join(one.all(now), now)
+	forth.join(other.all(now.Add(time.Second)), now.Add(time.Second))
+	back.join(other.all(now.Add(time.Second)), now.Add(time.Second))
+	back.join(one.all(now), now)
+	back.join(one.all(now), now)
+	for _, name := range []string{"a", "b", "c"} {
+		if forth.verdict(keyOf(name)) != back.verdict(keyOf(name)) {
+			t.Errorf("%s is %s one way and %s the other", name, forth.verdict(keyOf(name)), back.verdict(keyOf(name)))
+		}
+	}
+	if got := forth.verdict(keyOf("a")); got != Rejected {
+		t.Errorf("a is %s", got)
+	}
+	if got := forth.verdict(keyOf("b")); got != Allowed {
+		t.Errorf("b is %s", got)
+	}
+}
+
+func TestBookIsBounded(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	made := newBook()
+	made.add(1, start, keyOf("cause"), suspect{})
+	made.add(2, start.Add(time.Second), keyOf("cause"), suspect{})
+	for ended := range replica.Key(3 * maxIncidents) {
+		for number := range 2 * maxSuspects {
+			made.add(100+ended, start.Add(time.Duration(ended+2)*time.Second), keyOf(fmt.Sprintf("%d-%d", ended, number)), suspect{})
+		}
+	}
+	if len(made.incidents) > maxIncidents {
+		t.Errorf("%d incidents are kept", len(made.incidents))
+	}
+	if most := maxIncidents * maxSuspects; len(made.byMessage) > most {
+		t.Errorf("%d messages are kept, more than %d", len(made.byMessage), most)
+	}
+	if got := made.verdict(keyOf("cause")); got != Rejected {
+		t.Errorf("what is rejected was forgotten before what is only suspected: %s", got)
+	}
+}
+
+func TestBookForgets(t *testing.T) {
+	made := replay([]observed{{replica: 1, under: []string{"a"}}, {at: time.Second, replica: 2, under: []string{"a"}}})
+	made.forget(time.Unix(1_000_000, 0).Add(remember + time.Second))
+	if len(made.incidents)+len(made.byMessage) != 0 {
+		t.Errorf("%d incidents and %d messages are left", len(made.incidents), len(made.byMessage))
+	}
+}
+
+func TestKeyIsWhatAttemptsShare(t *testing.T) {
+	prompt := Message{Method: "POST", Host: "h", Target: "/p?q", PromptParts: "a:1,b:2", Body: []byte("text")}
+	text := Message{Method: "POST", Host: "h", Target: "/p?q", Body: []byte("text")}
+	change := func(of Message, how func(*Message)) Message {
+		how(&of)
+		return of
+	}
+	for _, test := range []struct {
+		name       string
+		one, other Message
+		same       bool
+	}{
+		{"again", text, change(text, func(m *Message) { m.Body = []byte("text") }), true},
+		{"the same prompt in another body", prompt, change(prompt, func(m *Message) { m.Body = []byte("other") }), true},
+		{"another prompt in the same body", prompt, change(prompt, func(m *Message) { m.PromptParts = "a:1,c:2" }), false},
+		{"another body without a prompt", text, change(text, func(m *Message) { m.Body = []byte("texts") }), false},
+		{"another method", text, change(text, func(m *Message) { m.Method = "PUT" }), false},
+		{"another host", prompt, change(prompt, func(m *Message) { m.Host = "g" }), false},
+		{"another target", prompt, change(prompt, func(m *Message) { m.Target = "/p" }), false},
+		{"what reads alike when joined", text, change(text, func(m *Message) { m.Method, m.Host = "POSTh", "" }), false},
+	} {
+		if same := test.one.Key() == test.other.Key(); same != test.same {
+			t.Errorf("%s: the same key %t, want %t", test.name, same, test.same)
+		}
+	}
+}
