--- a/internal/discovery/service_test.go
+++ b/internal/discovery/service_test.go
@@ -29,13 +29,23 @@
 	compacted int64
 	down      bool
 	watches   []*scriptedWatch
-	lists     int
+	// history are all changes.
+	history []scriptedChange
+	lists   int
+}
+
+// scriptedChange is a change of one key.
+type scriptedChange struct {
+	key   string
+	event platform.WatchEvent
 }
 
 type scriptedWatch struct {
 	prefix string
 	events chan platform.WatchEvent
 	ctx    context.Context
+	// held are the changes that the service did not report yet: its next answer holds them too, as it never leaves out a change.
+	held []platform.WatchEvent
 }
 
 func newScriptedStore() *scriptedStore {
@@ -64,13 +74,20 @@
 	if s.down {
 		return nil, platform.KindUnavailable.New("down")
 	}
-	events := make(chan platform.WatchEvent, 16)
+	events := make(chan platform.WatchEvent, 64)
 	if from <= s.compacted {
 		events <- platform.WatchEvent{Err: platform.KindCompacted.New("history is gone")}
 		close(events)
 		return events, nil
 	}
-	s.watches = append(s.watches, &scriptedWatch{prefix: prefix, events: events, ctx: ctx})
+	watch := &scriptedWatch{prefix: prefix, events: events, ctx: ctx}
+	for _, change := range s.history {
+		if change.event.Revision >= from && strings.HasPrefix(change.key, prefix) {
+			watch.held = append(watch.held, change.event)
+		}
+	}
+	s.watches = append(s.watches, watch)
+	s.report(watch)
 	return events, nil
 }
 
@@ -87,13 +104,26 @@
 		s.entries[key] = platform.Entry{Key: key, Value: []byte(value), ModRevision: s.revision}
 		event.Changed = []platform.Entry{s.entries[key]}
 	}
+	s.history = append(s.history, scriptedChange{key: key, event: event})
 	for _, watch := range s.watches {
-		if !s.mute && watch.ctx.Err() == nil && strings.HasPrefix(key, watch.prefix) {
-			watch.events <- event
+		if watch.ctx.Err() == nil && strings.HasPrefix(key, watch.prefix) {
+			watch.held = append(watch.held, event)
+			s.report(watch)
 		}
 	}
 }
 
+// report has a watch deliver what it holds, unless watches are mute. The mutex is held.
+func (s *scriptedStore) report(watch *scriptedWatch) {
+	if s.mute {
+		return
+	}
+	for _, each := range watch.held {
+		watch.events <- each
+	}
+	watch.held = nil
+}
+
 // cut ends all watches with an error.
 func (s *scriptedStore) cut(err error) {
 	s.mutex.Lock()
