--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -29,7 +29,7 @@
 // errNoKeeper says that none of the nodes that may keep a message was reached: this one may be cut off.
 var errNoKeeper = errors.New("no keeper was reached")
 
-// queue is held by the one that asks for a grant here; done is closed when it is given up.
+// queue is held, on this node, by the one caller that asks for a grant of a message or has it; done is closed when it is given up.
 type queue struct{ done chan struct{} }
 
 // Admit implements Register.
@@ -45,7 +45,7 @@
 	return admitted
 }
 
-// look returns what is known of a message, and whether more is about to be.
+// look returns what is known of a message, and whether an inquiry into a replica that it was lost at is under way.
 func (s *Service) look(key Key) (verdict Verdict, inquired bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -81,7 +81,7 @@
 	}
 }
 
-// leaveQueue lets the next one here ask.
+// leaveQueue gives up the queue of a message, so that the next caller on this node may ask for the grant.
 func (s *Service) leaveQueue(key Key) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -125,7 +125,7 @@
 	}
 }
 
-// pauseUnlessDecided waits; false where the message is no longer in doubt, or the wait is over.
+// pauseUnlessDecided waits for pause and returns true; false as soon as the message is no longer suspected, or one of the contexts ends.
 func (s *Service) pauseUnlessDecided(ctx context.Context, key Key, pause time.Duration) bool {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
@@ -155,8 +155,9 @@
 	return &permit{service: s, key: key, verdict: Apart, grant: run, keeper: keeper, stopRenewing: stop}
 }
 
+// renew renews a grant until ctx ends. A renewal without an answer is only logged: the next may come through before the grant lapses.
 func (s *Service) renew(ctx context.Context, key Key, run uint64, keeper membership.Member) {
-	ticker := time.NewTicker(grantTerm / 3)
+	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -207,8 +208,9 @@
 	return nil, membership.Member{}, errNoKeeper
 }
 
-// inTouch says that a node which is the keeper itself reaches one of the others, of the first in rank; it tells them of the message, since
-// one of them will be keeper after this one. A node that is cut off would grant itself what the others grant as well.
+// inTouch says that this node, which is the keeper itself, reaches one of the next nodes in rank; a node that is cut off would grant itself
+// what the keeper of the others grants as well. The call carries the incidents of the message, since the next in rank is keeper after this
+// node.
 func (s *Service) inTouch(ctx context.Context, key Key, ranked []membership.Member) bool {
 	now, self := time.Now(), s.viewer.View().Self
 	s.mutex.Lock()
@@ -233,6 +235,7 @@
 	return len(ranked) == 1
 }
 
+// askKeeper asks one keeper for the grant, or renews it, and takes in what that node knows of the message.
 func (s *Service) askKeeper(ctx context.Context, key Key, run uint64, keeper membership.Member) (*quarantinepb.GrantResponse, error) {
 	now := time.Now()
 	s.mutex.Lock()
@@ -265,7 +268,9 @@
 	s.inBackground(func() { s.sendRelease(keeper.PeerAddress, request) })
 }
 
+// sendRelease gives a grant back to its keeper. While this node stops one more call is made, so that the next run need not wait for the lapse.
 func (s *Service) sendRelease(to netip.AddrPort, request *quarantinepb.ReleaseRequest) {
+	// tries is the number of times that the call is made; after that the grant lapses within grantTerm.
 	const tries = 3
 	for range tries {
 		bounded, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), keeperTimeout)
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -14,7 +14,7 @@
 	maxIncidents = 512
 	maxSuspects  = 128
 	// remember is how long an ended replica counts against the messages that ran there: long enough for a caller who tries again and for
-	// an item of a batch job, short enough that a mended model gets the message again on the same day.
+	// an item of a batch job, short enough that a repaired model gets the message again on the same day.
 	remember = 10 * time.Minute
 	// mostEnded is the number of replicas that may end under one message.
 	mostEnded = 3
@@ -31,7 +31,7 @@
 	// shortRun is the length of a run up to which the end of its replica speaks strongly against the message: what ends a replica does so
 	// when it is read or soon after, while a long run is likely to be there at any replica's end.
 	shortRun = 2 * time.Second
-	// leastDifference keeps sums that differ by their rounding alone from being told apart.
+	// leastDifference is the least difference of two weights that counts: sums of the same fractions differ by their rounding.
 	leastDifference = 1e-9
 )
 
@@ -220,7 +220,7 @@
 	return ended
 }
 
-// together returns the incidents that begin with first and lie close to it.
+// together returns first and the incidents that were learned of within sameCause before or after it.
 func (b *book) together(first *incident) []*incident {
 	var found []*incident
 	for _, each := range b.incidents {
@@ -241,7 +241,7 @@
 	return false
 }
 
-// forget drops what is too old.
+// forget drops the incidents that are older than remember.
 func (b *book) forget(now time.Time) {
 	for _, each := range b.incidents {
 		if now.Sub(each.learned) >= remember {
@@ -270,6 +270,7 @@
 	b.drop(oldest)
 }
 
+// holdsRejected says that a rejected message is a suspect of the incident.
 func (b *book) holdsRejected(of *incident) bool {
 	for message, doubt := range of.suspects {
 		if !doubt.cleared && len(b.byMessage[message]) >= enoughEnded && b.verdict(message) == Rejected {
@@ -279,6 +280,7 @@
 	return false
 }
 
+// drop removes an incident from both indexes.
 func (b *book) drop(dropped *incident) {
 	delete(b.incidents, dropped.replica)
 	for message := range dropped.suspects {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -13,14 +13,18 @@
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
-// grantTerm is how long a grant holds without being renewed: its holder may have been killed, and the others wait.
-const grantTerm = 1500 * time.Millisecond
+const (
+	// grantTerm is how long a grant holds without being renewed: its holder may have been killed, and the others wait.
+	grantTerm = 1500 * time.Millisecond
+	// renewInterval lets one renewal be lost without the grant lapsing.
+	renewInterval = grantTerm / 3
+)
 
-// grant is the leave to run a suspected message that its keeper gave.
+// grant is a permission to run a suspected message once, given by its keeper.
 type grant struct {
 	run   uint64
 	until time.Time
-	// over says that it was given back; a late renewal does not bring it to life again.
+	// over says that it was given back; a renewal that arrives later is refused.
 	over bool
 }
 
@@ -38,7 +42,7 @@
 	return live
 }
 
-// majority says that more than half of the members are known to be there.
+// majority says that more than half of the known members are live.
 func majority(view *membership.View) bool { return 2*len(view.Live()) > len(view.Members) }
 
 // give answers a request for the one run of a suspected message.
@@ -88,7 +92,7 @@
 	ended := replica.Key(held.run)
 	if s.book.verdict(key) == Apart && s.book.add(ended, held.until, key, suspect{ran: shortRun + time.Second}) {
 		s.logger.Info().Stringer("digest", key).Msg("grant_lapsed")
-		s.tell(ended, key)
+		s.announce(ended, key)
 		s.noteVerdict(key)
 		s.signal()
 	}
@@ -119,7 +123,7 @@
 	}
 }
 
-// keyBytes returns a key as it is sent.
+// keyBytes returns a key as it is sent between nodes.
 func keyBytes(key Key) []byte { return key[:] }
 
 // drawRun returns the number of a run; 0 stands for none.
--- a/internal/quarantine/left.go
+++ b/internal/quarantine/left.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// blameLeft takes down a replica's end against the messages that may still have run there. The mutex is held.
-func (s *Service) blameLeft(ended replica.Key, at time.Time) {
+// suspectLeft counts a replica's end against the messages that may still have run there. The mutex is held.
+func (s *Service) suspectLeft(ended replica.Key, at time.Time) {
 	for _, each := range s.left[ended] {
 		if at.Before(each.until) && at.After(each.run.began) {
 			s.suspect(each.run, at, at.Sub(each.run.began))
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -2,7 +2,7 @@
 
 import "github.com/prometheus/client_golang/prometheus"
 
-// metrics show the part at work.
+// metrics show what is known of messages and what this node does about them.
 type metrics struct {
 	messages *prometheus.GaugeVec
 	ended    prometheus.Counter
@@ -17,7 +17,7 @@
 			Name: "sloelift_quarantine_messages", Help: "Messages under which replicas ended, by what follows.",
 		}, []string{"verdict"}),
 		ended:    prometheus.NewCounter(prometheus.CounterOpts{Name: "sloelift_quarantine_replicas_ended_total", Help: "Replicas that ended while this node had runs there."}),
-		cut:      prometheus.NewCounter(prometheus.CounterOpts{Name: "sloelift_quarantine_runs_cut_total", Help: "Runs cut off since their message became suspected."}),
+		cut:      prometheus.NewCounter(prometheus.CounterOpts{Name: "sloelift_quarantine_runs_cut_total", Help: "Runs cut off because their message became suspected."}),
 		admitted: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sloelift_quarantine_admissions_total", Help: "Suspected messages that asked to run, by verdict."}, []string{"verdict"}),
 		notices:  prometheus.NewCounter(prometheus.CounterOpts{Name: "sloelift_quarantine_notices_total", Help: "Notices sent to other nodes."}),
 	}
@@ -25,6 +25,7 @@
 	return made
 }
 
+// note sets the numbers of messages that are suspected and rejected.
 func (m *metrics) note(suspected, rejected int) {
 	m.messages.WithLabelValues(Apart.String()).Set(float64(suspected))
 	m.messages.WithLabelValues(Rejected.String()).Set(float64(rejected))
--- a/internal/quarantine/probe.go
+++ b/internal/quarantine/probe.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
@@ -52,19 +53,19 @@
 		delete(s.inquiries, handle.Key())
 	}
 	if counted {
-		s.blameLeft(handle.Key(), begun.at)
+		s.suspectLeft(handle.Key(), begun.at)
 	}
 	s.mutex.Unlock()
 	close(begun.done)
 	if ended {
 		handle.Ended(time.Now())
 		s.metrics.ended.Inc()
-		s.logger.Info().Str("replica", handle.Info().ID).Bool("counted", counted).Msg("replica_ended")
+		s.logger.Info().Str(logging.FieldReplica, handle.Info().ID).Bool("counted", counted).Msg("replica_ended")
 	}
 }
 
-// processEnded tells the end of a process from a lost connection, and from a link that is cut: all connections have ended, and the machine
-// refuses new ones. A connection that is made, or no answer, says that the process may be there.
+// processEnded says that the replica's process has ended: all connections to it have ended, and its machine refuses new ones. Where a new
+// connection is made, or there is no answer, the process may still run, and only a connection or a link was lost.
 func (s *Service) processEnded(handle *replica.Handle) bool {
 	if handle.KeptAlive() && !s.endsSoon(handle) {
 		return false
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -27,12 +27,12 @@
 type Ending int
 
 const (
-	// Whole runs came from the begin of the answer to its end: the message does not crash replicas.
+	// Whole runs went from the beginning of the answer to its end: the message does not crash replicas.
 	Whole Ending = iota
 	// Lost runs ended with the connection, or with no answer: the replica may have ended under the message.
 	Lost
-	// Interrupted runs are lost ones that had made events which a further run need not make again. Long ones do not count: each further
-	// end is paid for by what the message has come on, and it comes to its end.
+	// Interrupted runs are lost ones that had made events which a further run need not make again. One that lasted longer than shortRun is
+	// not counted against the message: each further run starts behind those events, so that the message still comes to its end.
 	Interrupted
 	// Left runs were broken off from here: the caller left, this node cut it off or found it silent. The replica may work on it for a while.
 	Left
@@ -40,7 +40,7 @@
 	Other
 )
 
-// Permit is the leave to run one message once.
+// Permit is the permission to run one message once.
 type Permit interface {
 	// Verdict is Allowed, Apart or Rejected; with the last the message must not be sent.
 	Verdict() Verdict
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -8,7 +8,7 @@
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
-// permit is the leave to run one message once.
+// permit implements Permit.
 type permit struct {
 	service *Service
 	key     Key
@@ -102,7 +102,7 @@
 	}
 }
 
-// lost waits for the inquiry into the replica, and takes its end down against the message.
+// lost waits for the inquiry into the replica and, where its process has ended, counts that against the message.
 func (r *run) lost(ctx context.Context, ending Ending) (replicaEnded bool) {
 	ran := time.Since(r.began)
 	inquiry := r.service.inquire(r.handle)
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -53,7 +53,7 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	running   sync.WaitGroup
-	// news wakes the loop that tells the others.
+	// news wakes the loop that sends notices.
 	news chan struct{}
 
 	// mutex guards the fields below.
@@ -75,7 +75,7 @@
 	forgetLeftAt time.Time
 	// changed is closed and replaced when something is learned or a run ends.
 	changed chan struct{}
-	// outbox are the messages of which the others are to learn, by incident; repeats are those told once, which are told again.
+	// outbox are the messages for the next notice, by incident; repeats are those of notices that were sent once and are to be repeated.
 	outbox  map[replica.Key]map[Key]bool
 	repeats map[replica.Key]map[Key]bool
 	// rejected are the messages whose rejection is logged.
@@ -127,7 +127,7 @@
 	}
 }
 
-// Stop ends it; who waits is rejected.
+// Stop ends what runs here; messages that wait for a grant are rejected.
 func (s *Service) Stop() {
 	s.mutex.Lock()
 	s.stopped = true
@@ -151,20 +151,20 @@
 	for number, each := range ended {
 		// How long the runs were is not known, nor when they ended: they count, but each for no more than that.
 		if s.book.add(each, now.Add(-time.Duration(number+1)*time.Second), key, suspect{ran: shortRun + time.Second}) {
-			s.tell(each, key)
+			s.announce(each, key)
 		}
 	}
 	s.noteVerdict(key)
 	s.signal()
 }
 
-// suspect takes down that a replica ended under a run's message. The mutex is held.
+// suspect counts the end of a replica against a run's message. The mutex is held.
 func (s *Service) suspect(ended *run, at time.Time, ran time.Duration) {
 	key := ended.handle.Key()
 	if !s.book.add(key, at, ended.key, suspect{ran: ran, granted: ended.granted}) {
 		return
 	}
-	s.tell(key, ended.key)
+	s.announce(key, ended.key)
 	s.logger.Info().Stringer("digest", ended.key).Str(logging.FieldReplica, ended.handle.Info().ID).Dur("ran", ran).
 		Int("together", len(s.book.incidents[key].suspects)).Int("ended", s.book.count(ended.key)).Stringer("verdict", s.book.verdict(ended.key)).
 		Bool("granted", ended.granted).Msg("message_suspected")
@@ -184,7 +184,7 @@
 		return
 	}
 	for _, each := range open {
-		s.tell(each.replica, key)
+		s.announce(each.replica, key)
 	}
 	s.logger.Info().Stringer("digest", key).Int("incidents", len(open)).Msg("message_cleared")
 	s.noteVerdict(key)
@@ -199,7 +199,7 @@
 	changed := s.book.join(incidents, now)
 	for _, each := range incidents {
 		if ended := replica.Key(each.GetReplica()); len(s.left[ended]) > 0 && s.book.incidents[ended] != nil {
-			s.blameLeft(ended, s.book.incidents[ended].learned)
+			s.suspectLeft(ended, s.book.incidents[ended].learned)
 		}
 	}
 	for _, key := range changed {
@@ -211,7 +211,8 @@
 	}
 }
 
-// avoidEnded has the replicas avoided that others saw end; those known already are not looked at again. The mutex is held.
+// avoidEnded has this node avoid replicas that other nodes found ended. Those whose incident is known already were avoided then. The mutex is
+// held.
 func (s *Service) avoidEnded(incidents []*quarantinepb.Incident, now time.Time) {
 	ended := map[replica.Key]bool{}
 	for _, each := range incidents {
@@ -259,12 +260,13 @@
 	}
 }
 
-// signal wakes who waits for news. The mutex is held.
+// signal wakes those who wait for a change of the book or the end of a run. The mutex is held.
 func (s *Service) signal() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// all returns the whole book as it is sent.
 func (s *Service) all(now time.Time) []*quarantinepb.Incident {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -27,8 +27,8 @@
 	askRounds   = 25
 )
 
-// tell has the others learn of a message in an incident. The mutex is held.
-func (s *Service) tell(ended replica.Key, key Key) {
+// announce queues a message of an incident for the next notice to the other nodes. The mutex is held.
+func (s *Service) announce(ended replica.Key, key Key) {
 	note(s.outbox, ended, key)
 	select {
 	case s.news <- struct{}{}:
@@ -36,6 +36,7 @@
 	}
 }
 
+// note adds a message of an incident to outbox.
 func note(outbox map[replica.Key]map[Key]bool, ended replica.Key, key Key) {
 	if outbox[ended] == nil {
 		outbox[ended] = map[Key]bool{}
@@ -43,7 +44,8 @@
 	outbox[ended][key] = true
 }
 
-// share tells the others what this node learns, soon and once more a while later, and all of it to one other now and then.
+// share sends the other nodes what this node learns: in a notice soon after, in the same notice once more after repeatAfter, and the whole
+// book to one of them each refreshInterval.
 func (s *Service) share() {
 	refresh := time.NewTicker(refreshInterval)
 	defer refresh.Stop()
@@ -69,7 +71,7 @@
 	}
 }
 
-// takeOutbox returns what has not been told yet, and keeps it to be told again.
+// takeOutbox returns the notice of what was not sent yet, and keeps its content for the repeated one.
 func (s *Service) takeOutbox(now time.Time) *quarantinepb.Notice {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -83,6 +85,7 @@
 	return notice
 }
 
+// takeRepeats returns the notice of what was sent once.
 func (s *Service) takeRepeats(now time.Time) *quarantinepb.Notice {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -123,6 +126,7 @@
 	}
 }
 
+// send queues a notice for one node. One that is lost is made up for by the repeated notice and by refresh.
 func (s *Service) send(to netip.AddrPort, notice *quarantinepb.Notice) {
 	s.metrics.notices.Inc()
 	if err := s.caller.Send(to, methodNotice, notice); err != nil {
@@ -164,8 +168,8 @@
 	return found
 }
 
-// askOthers asks a few nodes for what they know, until one has answered: this node may have been started again after it had seen
-// replicas end.
+// askOthers asks a few nodes for their books, until one has answered or askRounds are over: this node may have been started again after
+// it had seen replicas end.
 func (s *Service) askOthers() {
 	for range askRounds {
 		answered := 0
@@ -186,6 +190,7 @@
 	}
 }
 
+// ask takes in the book of one node; it returns whether the node answered.
 func (s *Service) ask(address netip.AddrPort) bool {
 	bounded, cancel := context.WithTimeout(s.ctx, askTimeout)
 	defer cancel()
