--- a/internal/snapshotcache/cache.go
+++ b/internal/snapshotcache/cache.go
@@ -52,12 +52,13 @@
 	cancel      context.CancelFunc
 	unsubscribe func()
 	running     sync.WaitGroup
-	// complete is closed once all prefixes are listed; wake has the asking go on at once, unsaved the saving.
+	// complete is closed once all prefixes are listed. A signal in wake has other nodes asked at once, one in unsaved has the file written.
 	complete chan struct{}
 	wake     chan struct{}
 	unsaved  chan struct{}
 
-	// taking is held while a copy is handed over, and while a listing ends the taking of copies: a listing follows after all copies.
+	// taking is held while copies are handed to take functions, and while a listing ends the use of copies, so that no copy comes after a
+	// listing.
 	taking sync.Mutex
 	// mutex guards the fields below; it may be taken while taking is held.
 	mutex    sync.Mutex
@@ -107,7 +108,7 @@
 	c.running.Go(func() { c.supply(ctx) })
 }
 
-// Stop ends the asking and the saving.
+// Stop ends the questions to other nodes and the writing of the file.
 func (c *Cache) Stop() {
 	c.unsubscribe()
 	c.cancel()
@@ -173,20 +174,26 @@
 	return now.Sub(c.olderSince) < olderPatience
 }
 
-// noteListed notes that one more prefix is listed. The mutex is held.
+// noteListed closes complete once no prefix is left that the service has not listed. The mutex is held.
 func (c *Cache) noteListed() {
-	unlisted := 0
-	inUse := 0
+	c.setInUse()
 	for _, held := range c.contents {
 		if !held.listed {
-			unlisted++
-			inUse += min(1, int(held.supplied))
+			return
 		}
 	}
-	c.metrics.inUse.Set(float64(inUse))
-	if unlisted == 0 {
-		close(c.complete)
+	close(c.complete)
+}
+
+// setInUse sets the number of prefixes of which a copy is in use. The mutex is held.
+func (c *Cache) setInUse() {
+	inUse := 0
+	for _, held := range c.contents {
+		if !held.listed && held.supplied > 0 {
+			inUse++
+		}
 	}
+	c.metrics.inUse.Set(float64(inUse))
 }
 
 // listedAll says that the service has listed all prefixes.
@@ -213,19 +220,21 @@
 			select {
 			case events <- event:
 			case <-ctx.Done():
+				// The source ends with ctx too; what it still has is read, so that it is not held up.
 			}
 		}
 	}()
 	return events, nil
 }
 
+// keeps says that copies of prefix are kept.
 func (c *Cache) keeps(prefix string) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.contents[prefix] != nil
 }
 
-// takeChange takes in what a watch tells.
+// takeChange takes in an event of a watch.
 func (c *Cache) takeChange(prefix string, event platform.WatchEvent, now time.Time) {
 	if event.Err != nil || len(event.Changed)+len(event.Deleted) == 0 {
 		return
--- a/internal/snapshotcache/copy.go
+++ b/internal/snapshotcache/copy.go
@@ -26,7 +26,7 @@
 	supplied int64
 	// olderSince is when the service first listed an older state than the copy in use; zero where it has not.
 	olderSince time.Time
-	// encoded is the message made of the above; nil where it must be made anew.
+	// encoded is the message made of entries, revision and takenAt; nil after one of them changed.
 	encoded *snapshotcachepb.Copy
 }
 
@@ -39,7 +39,7 @@
 	c.revision, c.takenAt, c.source, c.encoded = listing.Revision, takenAt, source, nil
 }
 
-// apply takes in a change that the service or a node that watches it told of.
+// apply takes in a change that the service delivered.
 func (c *content) apply(event platform.WatchEvent, now time.Time) {
 	for _, entry := range event.Changed {
 		c.entries[entry.Key] = entry
--- a/internal/snapshotcache/exchange.go
+++ b/internal/snapshotcache/exchange.go
@@ -61,7 +61,8 @@
 	return response
 }
 
-// takeOffer has a node that offers copies asked, where something is missing here; this node can also join the others through it.
+// takeOffer has the node that offers copies asked next, and at once where something is missing here. It is also a contact through which
+// this node can join the others.
 func (c *Cache) takeOffer(from netip.AddrPort) {
 	if c.listedAll() {
 		return
@@ -170,7 +171,7 @@
 	c.handOver()
 }
 
-// handOver takes into use what is newer than what is.
+// handOver hands the copies that are newer than those in use to the take functions of their prefixes.
 func (c *Cache) handOver() {
 	c.taking.Lock()
 	defer c.taking.Unlock()
@@ -189,7 +190,6 @@
 func (c *Cache) fresh(now time.Time) (all []freshCopy) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	inUse := 0
 	for prefix, held := range c.contents {
 		if !held.listed && held.revision > held.supplied {
 			held.supplied = held.revision
@@ -199,15 +199,12 @@
 				Dur("age", max(0, now.Sub(held.takenAt))).Str("source", held.source).Msg("serving_from_copy")
 			signal(c.unsaved)
 		}
-		if !held.listed && held.supplied > 0 {
-			inUse++
-		}
 	}
-	c.metrics.inUse.Set(float64(inUse))
+	c.setInUse()
 	return all
 }
 
-// kindOf is a source without its address.
+// kindOf is a source as the metrics name it: the disk, or any node.
 func kindOf(source string) string {
 	if source == sourceDisk {
 		return sourceDisk
--- a/internal/snapshotcache/offers.go
+++ b/internal/snapshotcache/offers.go
@@ -19,15 +19,13 @@
 	// offerInterval is how often copies are offered while the service does not answer. A node that starts without a disk and knows nobody
 	// waits this long at most; each node gets offerers messages of a few bytes in that time.
 	offerInterval = 200 * time.Millisecond
-	// offerers is how many nodes offer to each one, so that two of them may be lost.
+	// offerers is how many nodes offer copies to each node, so that two of them may be lost.
 	offerers = 3
 	// rememberFor is how long after a start the nodes count that the file named: this node may not have found them again before, also where
 	// the service answers.
 	rememberFor = time.Minute
 )
 
-func compare(a, b string) int { return cmp.Compare(a, b) }
-
 // offerCopies offers copies to this node's share of the others while the service does not answer, until ctx ends.
 func (c *Cache) offerCopies(ctx context.Context) {
 	if !pause.Sleep(ctx, listingPatience) {
@@ -54,7 +52,7 @@
 	}
 }
 
-// machines returns the nodes that are known, by ID: the members, and for a while after the start those that the file named.
+// machines returns the nodes that are known, sorted by ID: the members, and for a while after the start those that the file named.
 func (c *Cache) machines() []machine {
 	known := map[membership.NodeID]machine{}
 	if time.Since(c.started) < rememberFor {
--- a/internal/snapshotcache/saving.go
+++ b/internal/snapshotcache/saving.go
@@ -1,6 +1,7 @@
 package snapshotcache
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -103,7 +104,7 @@
 			saved.Copies = append(saved.Copies, held.message(prefix))
 		}
 	}
-	slices.SortFunc(saved.Copies, func(a, b *snapshotcachepb.Copy) int { return compare(a.Prefix, b.Prefix) })
+	slices.SortFunc(saved.Copies, func(a, b *snapshotcachepb.Copy) int { return cmp.Compare(a.Prefix, b.Prefix) })
 	for _, known := range machines {
 		saved.Machines = append(saved.Machines, &snapshotcachepb.Machine{Id: string(known.id), Address: known.address.String(), Store: known.store})
 	}
