--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -14,6 +14,7 @@
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/pause"
+	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
 )
@@ -143,7 +144,7 @@
 	if errors.Is(a.err, replica.ErrEvacuated) {
 		return
 	}
-	if !errors.Is(a.err, errLeaseOver) && !errors.Is(a.err, errSuspected) && (!errors.Is(a.err, context.Canceled) || errors.Is(a.err, errSilent)) {
+	if !errors.Is(a.err, errLeaseOver) && !errors.Is(a.err, quarantine.ErrSuspected) && (!errors.Is(a.err, context.Canceled) || errors.Is(a.err, errSilent)) {
 		a.handle.Failed(time.Now())
 	}
 }
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -17,8 +17,6 @@
 const (
 	// mostCrashedKept bounds the ended replicas that are recorded for one item: more than that may not end under it.
 	mostCrashedKept = 3
-	// apartOccupancy is the share of a replica's slots in use up to which a suspected item is sent there: few others are lost with it.
-	apartOccupancy = 0.25
 	// apartPause is how long a suspected item lets the other messages go first that ran at the replica that ended: callers wait for some of
 	// them, and the cause ends the next replica, beside which the item need not be, within some tenths of a second.
 	apartPause = time.Second
@@ -28,9 +26,6 @@
 	holdPause           = time.Second
 )
 
-// errSuspected says that the run was cut off since its message ended a replica elsewhere.
-var errSuspected = errors.New("message is suspected of crashing replicas")
-
 // messageOf names what an item sends.
 func messageOf(submission *batchpb.Submission, number int, names replica.Headers) quarantine.Key {
 	sent := submission.Items[number]
@@ -82,12 +77,12 @@
 		others = append(others, quarantine.NotPreferred(message, all)...)
 	}
 	excluded := slices.Concat(occupied, others)
-	handle := p.pick(each, apartOccupancy, excluded)
+	handle := p.pick(each, quarantine.ApartOccupancy, excluded)
 	if handle == nil {
-		handle = p.pick(each, apartOccupancy, occupied)
+		handle = p.pick(each, quarantine.ApartOccupancy, occupied)
 	}
 	if handle == nil {
-		// None is that empty: it waits no longer than other items do.
+		// No replica is that empty: the item waits no longer than other items do.
 		handle = p.pick(each, maxOccupancy, occupied)
 	}
 	if handle == nil || !p.service.mayStart(p.ctx, handle) {
@@ -99,7 +94,7 @@
 	p.start(each, handle)
 }
 
-// holdBack has an item wait that is kept from replicas, until it may be given up.
+// holdBack has an item that is kept from replicas wait until its route's retention is over, then lists it as a dead letter.
 func (p *partition) holdBack(each candidate) {
 	mayGiveUp := each.route.Retention > 0 && p.now().After(time.UnixMilli(each.acceptedAt).Add(each.route.Retention))
 	p.mutex.Lock()
@@ -136,7 +131,7 @@
 	bounded, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	startedBehind := attempt.lastEvent
-	run := permit.Begin(attempt.handle, func() { cancel(errSuspected) })
+	run := permit.Begin(attempt.handle, func() { cancel(quarantine.ErrSuspected) })
 	verdict := attempt.run(bounded)
 	if run.End(ctx, attempt.ending(bounded, verdict, startedBehind)) {
 		p.recordCrash(attempt)
@@ -163,7 +158,7 @@
 	}
 }
 
-// ending is what the attempt says of the item's message. Only a run from the begin shows that it is harmless.
+// ending is what the attempt says of the item's message. Only a run from the beginning shows that it is harmless.
 func (a *itemAttempt) ending(ctx context.Context, verdict itemVerdict, startedBehind string) quarantine.Ending {
 	switch {
 	case verdict == itemDone && startedBehind == "":
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
 )
@@ -79,7 +80,7 @@
 		return notRun
 	}
 	e.lastError = errors.Join(err, context.Cause(ctx))
-	if errors.Is(e.lastError, errSuspected) {
+	if errors.Is(e.lastError, quarantine.ErrSuspected) {
 		return e.afterLoss()
 	}
 	silent := errors.Is(context.Cause(ctx), errSilent) || errors.Is(err, syscall.ETIMEDOUT)
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -18,14 +18,9 @@
 	// mostReplicasEnded is the number of ended replicas after which a request is given up, whichever message ended them: a caller who
 	// waited for that many has hardly any time left.
 	mostReplicasEnded = 3
-	// apartOccupancy is the share of a replica's slots in use up to which a suspected message is sent there: few others are lost with it.
-	apartOccupancy = 0.25
 )
 
-// errSuspected says that the run was cut off since its message ended a replica elsewhere.
-var errSuspected = errors.New("message is suspected of crashing replicas")
-
-// knownHarmless says that the request need not be rejected before it waits for room.
+// knownHarmless names the request's message, and says that it is not rejected already, before the request waits for room.
 func (e *exchange) knownHarmless() bool {
 	if e.handler.quarantine == nil {
 		return true
@@ -37,7 +32,7 @@
 	return e.handler.quarantine.Check(e.message) != quarantine.Rejected
 }
 
-// admit takes the leave for the next attempt; false where the message is kept from replicas.
+// admit takes the permit of the next attempt; false where the message is kept from replicas.
 func (e *exchange) admit(ctx context.Context) bool {
 	if e.handler.quarantine == nil {
 		return true
@@ -47,7 +42,7 @@
 	return e.permit.Verdict() != quarantine.Rejected
 }
 
-// releasePermit gives back the leave of an attempt that has ended, or was not made.
+// releasePermit gives back the permit of an attempt that has ended, or was not made.
 func (e *exchange) releasePermit() {
 	if e.permit != nil {
 		e.permit.Release()
@@ -63,10 +58,10 @@
 	all := e.handler.directory.View().Of(e.service)
 	occupied := slices.Concat(e.tried, e.permit.Occupied(), quarantine.Failing(all, time.Now()))
 	others := quarantine.NotPreferred(e.message, all)
-	if handle := e.pickWithin(ctx, append(slices.Clone(occupied), others...), apartOccupancy); handle != nil {
+	if handle := e.pickWithin(ctx, append(slices.Clone(occupied), others...), quarantine.ApartOccupancy); handle != nil {
 		return handle
 	}
-	return e.pickWithin(ctx, occupied, apartOccupancy)
+	return e.pickWithin(ctx, occupied, quarantine.ApartOccupancy)
 }
 
 // pickWithin chooses among the replicas that are not excluded, of whose slots no larger share than maxOccupancy is in use; 0 is no bound.
@@ -90,7 +85,7 @@
 	defer cancel(nil)
 	var cut func()
 	if e.route.MayRepeat() {
-		cut = func() { cancel(errSuspected) }
+		cut = func() { cancel(quarantine.ErrSuspected) }
 	}
 	startedBehind := e.lastEvent
 	run := e.permit.Begin(handle, cut)
@@ -100,7 +95,7 @@
 	return last
 }
 
-// ending is what the attempt says of the message. Only a run from the begin shows that the message is harmless.
+// ending is what the attempt says of the message. Only a run from the beginning shows that the message is harmless.
 func (e *exchange) ending(ctx context.Context, last verdict, startedBehind string) quarantine.Ending {
 	switch {
 	case last == delivered && startedBehind == "" && e.lastStatus < http.StatusMultipleChoices:
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"errors"
 	"slices"
 	"time"
 
@@ -11,9 +12,16 @@
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
-// spreadOver is the part of a service's replicas, as its inverse, among which one suspect is run: suspects of different nodes then seldom
-// meet, though no node knows of the others' choices.
-const spreadOver = 3
+const (
+	// ApartOccupancy is the share of a replica's slots in use up to which a suspected message is sent there: few others are lost with it.
+	ApartOccupancy = 0.25
+	// spreadOver is the part of a service's replicas, as its inverse, among which one suspect is run: suspects of different nodes then seldom
+	// meet, though no node knows of the others' choices.
+	spreadOver = 3
+)
+
+// ErrSuspected says that a run was cut off because its message ended a replica elsewhere.
+var ErrSuspected = errors.New("message is suspected of crashing replicas")
 
 // Failing returns the replicas of all that failed a short while ago: an ended one is empty, and must not be taken for one where a suspect
 // runs beside few.
