--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -1,15 +1,12 @@
 package replica
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -47,8 +44,6 @@
 	maxStrayAnswers = 3
 	// maxStrayBytes bounds the body of such an answer.
 	maxStrayBytes = 1 << 20
-	// inlineBodyBytes is the size up to which a body is written before the answer is read.
-	inlineBodyBytes = 16 << 10
 	// maxInformational bounds the interim answers before the final one.
 	maxInformational = 8
 )
@@ -229,103 +224,3 @@
 func isFramed(response *http.Response) bool {
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
-
-// sending is a request whose body may still be on its way.
-type sending struct{ finished chan error }
-
-func (s *sending) done() bool {
-	select {
-	case err := <-s.finished:
-		s.finished <- err
-		return err == nil
-	default:
-		return false
-	}
-}
-
-// send writes call. A long body is written while the answer is awaited, since the answer may come before it is read.
-func send(used *connection, call Call) (*sending, error) {
-	var buffer bytes.Buffer
-	writeHead(&buffer, call)
-	result := &sending{finished: make(chan error, 1)}
-	if len(call.Body) <= inlineBodyBytes {
-		buffer.Write(call.Body)
-		_, err := used.net.Write(buffer.Bytes())
-		result.finished <- err
-		return result, err
-	}
-	if _, err := used.net.Write(buffer.Bytes()); err != nil {
-		return nil, err
-	}
-	go func() {
-		_, err := used.net.Write(call.Body)
-		result.finished <- err
-	}()
-	return result, nil
-}
-
-func writeHead(buffer *bytes.Buffer, call Call) {
-	buffer.WriteString(call.Method)
-	buffer.WriteByte(' ')
-	buffer.WriteString(call.Target)
-	buffer.WriteString(" HTTP/1.1\r\nHost: ")
-	buffer.WriteString(call.Host)
-	buffer.WriteString("\r\n")
-	_ = call.Header.Write(buffer)
-	if len(call.Body) > 0 || (call.Method != http.MethodGet && call.Method != http.MethodHead) {
-		buffer.WriteString("Content-Length: ")
-		buffer.WriteString(strconv.Itoa(len(call.Body)))
-		buffer.WriteString("\r\n")
-	}
-	buffer.WriteString("\r\n")
-}
-
-// parseLoad reads "running,waiting,slots".
-func parseLoad(text string) (Load, bool) {
-	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
-		return Load{}, false
-	}
-	var numbers [3]int
-	for index, part := range parts {
-		number, err := strconv.Atoi(strings.TrimSpace(part))
-		if err != nil || number < 0 {
-			return Load{}, false
-		}
-		numbers[index] = number
-	}
-	return Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
-}
-
-// LoadReport is how a replica is asked for its load.
-type LoadReport struct {
-	// Path is the target of the GET; Parse reads the answer's body.
-	Path  string
-	Parse func(body []byte) (Load, error)
-}
-
-// maxReportBytes bounds a load report.
-const maxReportBytes = 256 << 10
-
-// Ask asks a replica for its load and notes it.
-func (c *Client) Ask(ctx context.Context, handle *Handle, report LoadReport) error {
-	answer, err := c.Do(ctx, handle, Call{Method: http.MethodGet, Target: report.Path, Host: handle.Info().Address.String(), Header: http.Header{}})
-	if err != nil {
-		return err
-	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxReportBytes))
-	answer.Close(err == nil)
-	if err != nil {
-		return err
-	}
-	if answer.Status != http.StatusOK {
-		return fmt.Errorf("load report: status %d", answer.Status)
-	}
-	load, err := report.Parse(body)
-	if err != nil {
-		return err
-	}
-	load.Slots = handle.Info().Slots
-	handle.Tell(load, time.Now())
-	return nil
-}
--- /dev/null
+++ b/internal/replica/load_report.go
@@ -0,0 +1,61 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// parseLoad reads "running,waiting,slots".
+func parseLoad(text string) (Load, bool) {
+	parts := strings.Split(text, ",")
+	if len(parts) != 3 {
+		return Load{}, false
+	}
+	var numbers [3]int
+	for index, part := range parts {
+		number, err := strconv.Atoi(strings.TrimSpace(part))
+		if err != nil || number < 0 {
+			return Load{}, false
+		}
+		numbers[index] = number
+	}
+	return Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
+}
+
+// LoadReport is how a replica is asked for its load.
+type LoadReport struct {
+	// Path is the target of the GET; Parse reads the answer's body.
+	Path  string
+	Parse func(body []byte) (Load, error)
+}
+
+// maxReportBytes bounds a load report.
+const maxReportBytes = 256 << 10
+
+// Ask asks a replica for its load and notes it.
+func (c *Client) Ask(ctx context.Context, handle *Handle, report LoadReport) error {
+	answer, err := c.Do(ctx, handle, Call{Method: http.MethodGet, Target: report.Path, Host: handle.Info().Address.String(), Header: http.Header{}})
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxReportBytes))
+	answer.Close(err == nil)
+	if err != nil {
+		return err
+	}
+	if answer.Status != http.StatusOK {
+		return fmt.Errorf("load report: status %d", answer.Status)
+	}
+	load, err := report.Parse(body)
+	if err != nil {
+		return err
+	}
+	load.Slots = handle.Info().Slots
+	handle.Tell(load, time.Now())
+	return nil
+}
