--- /dev/null
+++ b/internal/node/role_discovery.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/sloelift/sloelift/internal/changefeed"
+	"github.com/sloelift/sloelift/internal/discovery"
+	"github.com/sloelift/sloelift/internal/evacuation"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/network"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/route"
+	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/snapshotcache"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+// watchPace says how long watches are held. The feed that knows is set once it is there; it needs the key-value service itself.
+type watchPace struct {
+	feed atomic.Pointer[changefeed.Feed]
+}
+
+// firstHold holds until then.
+const firstHold = time.Second
+
+func (w *watchPace) wait() time.Duration {
+	feed := w.feed.Load()
+	if feed == nil {
+		return firstHold
+	}
+	return feed.Hold()
+}
+
+func newRoleKeyValue(own settings.Settings, adapter Adapter, via network.Network, pace *watchPace) platform.KeyValue {
+	exchanger := platform.NewExchanger(via, own.Platform.MetadataStore)
+	return adapter.KeyValue(exchanger, pace.wait)
+}
+
+// newFeed has discovery follow the key-value service through the nodes that watch it.
+func newFeed(lifecycle fx.Lifecycle, store platform.KeyValue, caller transport.Caller, registrar transport.Registrar, members *membership.Service, pace *watchPace, logger zerolog.Logger) *changefeed.Feed {
+	feed := changefeed.New(store, caller, registrar, members, logger)
+	pace.feed.Store(feed)
+	lifecycle.Append(fx.StartStopHook(feed.Start, feed.Stop))
+	return feed
+}
+
+// newCopies keeps what discovery follows, for starts while the key-value service does not answer.
+func newCopies(own settings.Settings, store *changefeed.Feed, caller transport.Caller, registrar transport.Registrar, members *membership.Service, registerer prometheus.Registerer, logger zerolog.Logger) (*snapshotcache.Cache, error) {
+	return snapshotcache.New(snapshotcache.Options{
+		Store: store, Caller: caller, Registrar: registrar, Viewer: members, Join: members.AddContact, Unanswered: store.Unanswered,
+		Seeds: own.Seeds(), DataFolder: own.DataFolder, RandomSeed: uint64(time.Now().UnixNano()), Registerer: registerer, Logger: logger,
+	})
+}
+
+func newDiscovery(lifecycle fx.Lifecycle, copies *snapshotcache.Cache, adapter Adapter, routes *route.Holder, directory *replica.Directory, members *membership.Service, logger zerolog.Logger) *discovery.Service {
+	service := discovery.New(discovery.Options{
+		Store: copies, Translator: adapter.Translator, Routes: routes, Directory: directory, Viewer: members, Reporter: members, Copies: copies, Logger: logger,
+	})
+	lifecycle.Append(fx.StartStopHook(copies.Start, copies.Stop))
+	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
+	return service
+}
+
+func newRegisteredMachines(lifecycle fx.Lifecycle, own settings.Settings, store platform.KeyValue) platform.MachineList {
+	machines := platform.NewRegisteredMachines(store, platform.Machine{
+		ID: own.Node, Role: platform.RoleNode, Region: own.Region, Zone: own.Zone, Address: own.PeerAddress,
+	})
+	lifecycle.Append(fx.StartStopHook(machines.Start, machines.Stop))
+	return machines
+}
+
+// followEvacuations has nothing more sent to the replicas of zones that operators ask to evacuate.
+func followEvacuations(operators *discovery.Service, adapter Adapter, directory *replica.Directory, registerer prometheus.Registerer, logger zerolog.Logger) error {
+	metrics, err := evacuation.NewMetrics(registerer)
+	if err != nil {
+		return err
+	}
+	operators.FollowOperators(evacuation.NewRegister(adapter.Translator, directory, metrics, logger))
+	return nil
+}
--- /dev/null
+++ b/internal/node/role_replicas.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	loadsharepb "github.com/sloelift/sloelift/api/proto/loadshare"
+	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/coldstart"
+	"github.com/sloelift/sloelift/internal/loadshare"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/network"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/quarantine"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/route"
+	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+func newReplicaClient(adapter Adapter, via network.Network) *replica.Client {
+	return replica.NewClient(via, adapter.Headers)
+}
+
+func newPicker(own settings.Settings, directory *replica.Directory) *balance.Picker {
+	return balance.NewPicker(directory, own.Topology(), nil)
+}
+
+// newLoadShare shares with the other nodes how many requests each has at the replicas.
+func newLoadShare(kind loadsharepb.Kind) any {
+	return func(lifecycle fx.Lifecycle, own settings.Settings, directory *replica.Directory, members *membership.Service, caller transport.Caller, registrar transport.Registrar, logger zerolog.Logger) *loadshare.Service {
+		service := loadshare.New(loadshare.Options{Zone: own.Zone, Kind: kind}, directory, members, caller, registrar, logger)
+		lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
+		return service
+	}
+}
+
+// newColdStarts bounds what cold replicas get. Storage nodes send them nothing: items wait for warm ones.
+func newColdStarts(lifecycle fx.Lifecycle, own settings.Settings, routes *route.Holder, directory *replica.Directory, store platform.KeyValue, members *membership.Service, registerer prometheus.Registerer, logger zerolog.Logger) *coldstart.Service {
+	options := coldstart.Options{
+		Bounds: coldstart.Bounds{Burst: own.Bounds.ColdBurst, Slack: own.Bounds.ColdSlack},
+		Routes: routes, Directory: directory, Viewer: members, Registerer: registerer, Logger: logger,
+	}
+	if own.Role != settings.RoleStorage {
+		options.Store = store
+	}
+	service := coldstart.New(options)
+	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
+	return service
+}
+
+// newQuarantine keeps messages from replicas that crash them.
+func newQuarantine(lifecycle fx.Lifecycle, via network.Network, directory *replica.Directory, members *membership.Service, caller transport.Caller, registrar transport.Registrar, registerer prometheus.Registerer, logger zerolog.Logger) quarantine.Register {
+	service := quarantine.NewService(quarantine.Options{
+		Network: via, Directory: directory, Viewer: members, Caller: caller, Registrar: registrar, Registerer: registerer, Logger: logger,
+	})
+	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
+	return service
+}
--- /dev/null
+++ b/internal/node/role_storage.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/batch"
+	"github.com/sloelift/sloelift/internal/coldstart"
+	"github.com/sloelift/sloelift/internal/discovery"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/loadshare"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/quarantine"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/retirement"
+	"github.com/sloelift/sloelift/internal/route"
+	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/transport"
+)
+
+const (
+	// batchMemoryShare is the part of the process's memory that bodies and results of batch jobs may take.
+	batchMemoryShare = 0.3
+	// defaultMemoryMegabytes and defaultKeepResults hold where the settings name none.
+	defaultMemoryMegabytes = 512
+	defaultKeepResults     = 10 * time.Minute
+)
+
+func newBatchService(own settings.Settings, adapter Adapter, routes *route.Holder, directory *replica.Directory, shared *loadshare.Service, picker *balance.Picker, client *replica.Client, coldStarts *coldstart.Service, register quarantine.Register, registrar transport.Registrar, logger zerolog.Logger) *batch.Service {
+	memory := cmp.Or(own.Limits.MemoryMegabytes, defaultMemoryMegabytes)
+	return batch.NewService(batch.Options{
+		Zone: own.Zone, MaxBytes: int64(float64(memory<<20) * batchMemoryShare),
+		KeepResults: cmp.Or(own.Bounds.Poll, defaultKeepResults), Report: adapter.Report, ColdStarts: coldStarts, Quarantine: register,
+	}, routes, directory, shared, picker, client, registrar, logger)
+}
+
+// followRetirements empties storage nodes on request.
+func followRetirements(lifecycle fx.Lifecycle, operators *discovery.Service, store platform.KeyValue, adapter Adapter, manager *ledger.Manager, members *membership.Service, logger zerolog.Logger) {
+	service := retirement.New(store, adapter.Translator, manager, members, logger)
+	operators.FollowOperators(service)
+	lifecycle.Append(fx.StopHook(service.Stop))
+}
+
+// yieldToOnline has batch items give way as soon as other nodes tell of more online requests.
+func yieldToOnline(shared *loadshare.Service, service *batch.Service) {
+	shared.SetOwner(service.Works, service.OnlineChanged)
+}
