--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -133,7 +133,8 @@
 	return silent || (Watches(f.viewer.View()) && !joining)
 }
 
-// Unanswered says that neither this node nor a watcher that it hears has had an answer of the service for long.
+// Unanswered says that for long this node has had no answer of the service, and no heartbeat of a watcher has come, which each watcher sends
+// while the service answers it.
 func (f *Feed) Unanswered() bool {
 	now := time.Now()
 	f.mutex.Lock()
--- a/internal/coldstart/claims.go
+++ b/internal/coldstart/claims.go
@@ -52,7 +52,7 @@
 	leaseUntil time.Time
 }
 
-// won is what a claim brought.
+// won is a claim that brought a pass: the revision of its key, and until when the pass is used.
 type won struct {
 	claim    claim
 	revision int64
--- a/internal/coldstart/service.go
+++ b/internal/coldstart/service.go
@@ -16,17 +16,20 @@
 )
 
 const (
-	// checkInterval is how often it is looked for replicas that have turned cold or warm; changes of the directory are looked at at once.
+	// checkInterval is how often the replicas are looked through for those that have turned cold or warm; after a change of the directory that
+	// is done at once.
 	checkInterval = 200 * time.Millisecond
 	// claimAgain is the time after which a pass is claimed again that could not be claimed: a call to the key-value service has a price, and
 	// a replica is cold for some seconds. heldElsewhere is the same for a pass that another node holds.
 	claimAgain    = time.Second
 	heldElsewhere = 2 * time.Second
-	// wantedLately is how long after callers could have done with a cold replica this node claims a pass of it.
+	// wantedLately is how long after a request could have used a cold replica this node still claims a pass of it: the passes of replicas that
+	// nobody needs are left to others.
 	wantedLately = time.Second
 	// logInterval is the least time between two log lines on refused requests.
 	logInterval = time.Second
-	// assumedUnconfigured is how long a replica that has just appeared counts as cold while no configuration is known.
+	// assumedUnconfigured is how long a replica that has just appeared counts as cold while no configuration is known, nor
+	// with it what its service declares: replicas are cold for a few seconds.
 	assumedUnconfigured = 5 * time.Second
 )
 
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -76,7 +76,7 @@
 	Translator Translator
 	Routes     *route.Holder
 	Directory  *replica.Directory
-	// Viewer and Reporter let nodes tell each other which changes they know.
+	// Viewer and Reporter let nodes know of each other which changes they have.
 	Viewer   membership.Viewer
 	Reporter RevisionReporter
 	// Copies supplies what was known some time ago while the store does not answer; nil where nothing does.
@@ -218,7 +218,7 @@
 	s.replicas.saw(revision)
 }
 
-// read translates entries; news is the newest revision of those that tell what was not known, 0 where none does.
+// read translates entries; news is the newest revision of those entries that say what was not known, 0 where none does.
 func (s *Service) read(entries []platform.Entry) (replicas []replica.Info, news int64) {
 	replicas = make([]replica.Info, 0, len(entries))
 	for _, entry := range entries {
--- a/internal/forward/evacuation.go
+++ b/internal/forward/evacuation.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// reasonEvacuated and reasonNoReplica are told where no replica may have the request.
+	// reasonEvacuated and reasonNoReplica are the reasons of an answer where no replica may have the request.
 	reasonEvacuated = "all_zones_evacuated"
 	reasonNoReplica = "no_replica"
-	// retryAfterEvacuated is told where all replicas are in evacuated zones. An operator takes a zone back after seconds at the least: a
+	// retryAfterEvacuated is the Retry-After where all replicas are in evacuated zones. An operator takes a zone back after seconds at the least: a
 	// caller who came back sooner would be rejected again, and one who comes later is late for no reason.
 	retryAfterEvacuated = time.Second
 )
--- a/internal/forward/homes.go
+++ b/internal/forward/homes.go
@@ -7,7 +7,7 @@
 	"github.com/sloelift/sloelift/internal/route"
 )
 
-// reasonOutsideHomes is logged for a request that no replica in its homes can take.
+// reasonOutsideHomes is the reason of an answer where no replica in the request's homes can take it.
 const reasonOutsideHomes = "no_replica_in_homes"
 
 // Homes returns the regions in which the request may be served and stored.
--- a/internal/ledger/confined.go
+++ b/internal/ledger/confined.go
@@ -19,7 +19,7 @@
 	// confinedBit is set in the numbers of confined partitions alone: the head has 1<<16 partitions at most.
 	confinedBit = 1 << 31
 	// confinedKeyBits are the lowest bits of such a number, which name the key's place among the partitions of the same regions; the bits
-	// between name the regions. Two sets of regions that meet there are told apart by the ensemble.
+	// between name the regions. Of two sets of regions with the same number, the ensemble says which one it is of.
 	confinedKeyBits = 10
 	// retryAfterNoHome is when a caller may come back whose records have no place within their regions: a new partition takes about as long
 	// to be formed.
--- a/internal/ledger/directory.go
+++ b/internal/ledger/directory.go
@@ -76,7 +76,7 @@
 	return ensembles
 }
 
-// complete tells whether the head and the ensembles of all its partitions are known.
+// complete says whether the head and the ensembles of all its partitions are known.
 func (d *directory) complete() bool {
 	d.mutex.RLock()
 	defer d.mutex.RUnlock()
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -27,7 +27,7 @@
 	// APIKey is what a caller proves itself with; replicas never get it. Tenant names the tenant that holds it, to replicas.
 	APIKey string
 	Tenant string
-	// ColdFor tells, in answers to health checks, how many ms longer a replica stays cold.
+	// ColdFor says, in a replica's answers, how many ms longer it stays cold.
 	ColdFor string
 }
 
@@ -82,9 +82,9 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Length is the body's length in bytes; -1 where it is not told.
+	// Length is the body's length in bytes; -1 where the answer does not name it.
 	Length int64
-	// Framed says that the body's end is told apart from the end of the connection.
+	// Framed says that the body's end is known without the end of the connection.
 	Framed bool
 	Body   io.Reader
 
@@ -93,7 +93,7 @@
 }
 
 // Close ends the call. whole says that Body was read to its end without an error; only then can the connection be
-// used again, else it is closed, which tells the replica to stop.
+// used again, else it is closed, at which the replica stops.
 func (a *Answer) Close(whole bool) { a.once.Do(func() { a.finish(whole) }) }
 
 // Do sends call to the replica and returns the head of its answer. When ctx ends, the connection is closed. An error
@@ -109,7 +109,7 @@
 		return nil, err
 	}
 	if handle.Evacuated() {
-		// That was asked while the connection was made.
+		// The evacuation was asked for while the connection was made.
 		used.close()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
 	}
@@ -208,7 +208,7 @@
 	}
 }
 
-// check tells whether the answer is one to call: it names the call's id, or is a failure that names none.
+// check says whether the answer is one to call: it names the call's id, or is a failure that names none.
 func (c *Client) check(response *http.Response, call Call) error {
 	id := response.Header.Get(c.headers.RequestID)
 	if id == call.RequestID {
--- a/internal/replica/evacuated.go
+++ b/internal/replica/evacuated.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// ErrEvacuated says that nothing is sent to the replica since its zone is evacuated; it comes with ErrNotSent and tells nothing of the
+// ErrEvacuated says that nothing is sent to the replica since its zone is evacuated; it comes with ErrNotSent and says nothing of the
 // replica itself.
 var ErrEvacuated = errors.New("zone of the replica is evacuated")
 
--- a/internal/replica/failures.go
+++ b/internal/replica/failures.go
@@ -38,7 +38,8 @@
 	h.signalChange()
 }
 
-// Ended notes that the replica's process was found to have ended: it is avoided until its entry is likely to be gone.
+// Ended notes that the replica's process was found to have ended, though its entry may stand for seconds. It counts as down for avoidLongest,
+// the longest time for which any replica is avoided, so that a wrong finding lasts no longer than that.
 func (h *Handle) Ended(now time.Time) {
 	h.mutex.Lock()
 	h.failures = max(h.failures, downAfter)
--- a/internal/replica/reached.go
+++ b/internal/replica/reached.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// Silent notes that the replica gave no sign of life for a while: no connection, and no answer.
+// Silent notes that no connection to the replica came up, or that no answer came for a while. It returns whether the replica's zone counts as
+// cut off since this.
 func (h *Handle) Silent() (zoneCutOff bool) { return h.zone.NoteSilence(h.Info().ID, time.Now()) }
 
 // ZoneCutOff says that no replica of its zone is reached, as far as this process knows.
@@ -36,6 +37,7 @@
 	}
 	for _, handle := range near.probesDue(time.Now()) {
 		go func() {
+			// Without a connection the zone stays cut off, and connect has noted that.
 			if probed, err := c.connect(context.WithoutCancel(ctx), handle, Call{Fresh: true}); err == nil {
 				probed.close()
 			}
--- a/internal/replica/replaced.go
+++ b/internal/replica/replaced.go
@@ -2,16 +2,8 @@
 
 import "time"
 
-// Replaced notes that another incarnation answers at the replica's address: this one has ended, though its entry may stand for seconds. It
-// counts as down for as long as a replica is avoided at most; a wrong entry harms no longer.
-func (h *Handle) Replaced(now time.Time) {
-	h.mutex.Lock()
-	h.failures = max(h.failures, downAfter)
-	h.avoidUntil = now.Add(avoidLongest)
-	h.failingUntil = h.avoidUntil
-	h.mutex.Unlock()
-	h.signalChange()
-}
+// Replaced notes that another incarnation answers at the replica's address: this one has ended.
+func (h *Handle) Replaced(now time.Time) { h.Ended(now) }
 
 // Refused notes that the replica promised not to have run a request; misdirected says that another incarnation answered for it.
 func (h *Handle) Refused(misdirected bool, now time.Time) {
@@ -22,7 +14,7 @@
 	h.Rejected(now)
 }
 
-// noteAddress has other incarnations at a new replica's address count as replaced. The mutex is held.
+// noteAddress notes that the other replicas at the address of a new one are replaced. The mutex is held.
 func (d *Directory) noteAddress(appeared *Handle, now time.Time) {
 	address := appeared.Info().Address
 	if !address.IsValid() {
@@ -35,8 +27,8 @@
 	}
 }
 
-// Misdirected notes that another service answers at the replica's address. One that is known from a copy only is then taken for gone until
-// the key-value service names it.
+// Misdirected notes that another service answers at the replica's address. A replica that is known from a copy only takes no requests after
+// that, until the key-value service names it.
 func (h *Handle) Misdirected(now time.Time) {
 	if h.unconfirmed.Load() {
 		h.misdirected.Store(true)
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// reportHalfLife is the age at which a told load counts half.
+	// reportHalfLife is the age at which a load that a replica reported counts half.
 	reportHalfLife = 700 * time.Millisecond
 	// othersStale is the age at which the other nodes' numbers no longer count.
 	othersStale = 400 * time.Millisecond
@@ -34,7 +34,7 @@
 	return Use{Requests: max(0, left.Requests), Reading: max(0, left.Reading), Avoiding: max(0, left.Avoiding)}
 }
 
-// Load is what a replica tells of itself: requests that run, requests that wait, and slots.
+// Load is what a replica reports of itself: requests that run, requests that wait, and slots.
 type Load struct {
 	Running int
 	Waiting int
@@ -64,7 +64,7 @@
 	return reading
 }
 
-// Tell takes in a load that the replica told.
+// Tell takes in a load that the replica reported.
 func (h *Handle) Tell(load Load, now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/unreached/zones.go
+++ b/internal/unreached/zones.go
@@ -16,8 +16,8 @@
 	probeInterval = 300 * time.Millisecond
 )
 
-// Zones knows the zones that are cut off from this process: of members of a zone that are asked one after the other each would cost a wait,
-// though the first few show that none is reached. It is safe for concurrent use.
+// Zones knows the zones that are cut off from this process. Without it each member of such a zone that is asked, one after the other, would
+// cost a wait, though the first few show that none is reached. It is safe for concurrent use.
 type Zones struct {
 	mutex  sync.Mutex
 	byName map[string]*Zone
@@ -96,7 +96,7 @@
 // CutOff says that no member of the zone is reached, as far as is known.
 func (z *Zone) CutOff() bool { return z.cutOff.Load() }
 
-// ProbeDue says, at most once in probeInterval, that it is to be looked whether a zone that is cut off is reached again.
+// ProbeDue says, at most once in probeInterval, that a member of a zone that is cut off is to be asked, to see whether the zone is reached again.
 func (z *Zone) ProbeDue(now time.Time) bool {
 	if !z.cutOff.Load() {
 		return false
