--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -44,6 +44,7 @@
 	checks.ledger(s.Ledger)
 	checks.quota(s.Bounds)
 	checks.zones(s.Zones)
+	checks.evacuation(s.Bounds)
 	checks.coldStarts(s.Bounds)
 	_, err := zerolog.ParseLevel(s.LogLevel)
 	checks.require(err == nil && s.LogLevel != "", "logLevel", "%q is not a level; allowed are trace, debug, info, warn, error", strictyaml.Shorten(s.LogLevel))
@@ -159,8 +160,11 @@
 	}
 }
 
-func (c *checker) coldStarts(b Bounds) {
+func (c *checker) evacuation(b Bounds) {
 	c.require(b.Evacuate > 0, "bounds.evacuate", "wants a time above 0, not %s", b.Evacuate)
+}
+
+func (c *checker) coldStarts(b Bounds) {
 	c.require(b.ColdBurst > 0, "bounds.coldBurst", "wants a number above 0, not %g", b.ColdBurst)
 	c.require(b.ColdSlack >= 0, "bounds.coldSlack", "wants 0 or a number above, not %g", b.ColdSlack)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -174,7 +174,7 @@
 			BatchConcurrency:  256,
 		},
 		Ledger: Ledger{Partitions: 16, Replicas: 4, WriteQuorum: 3},
-		// The values of the first deployment with tenants.
+		// The quotas' values are those of the first deployment with tenants. ColdBurst 1 and no slack is what a service declares, and no more.
 		Bounds: Bounds{QuotaWindow: 5 * time.Second, QuotaTolerance: 0.1, QuotaSlack: 20, Evacuate: 5 * time.Second, ColdBurst: 1},
 	}
 }
