--- /dev/null
+++ b/internal/forward/conclude.go
@@ -0,0 +1,43 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/logging"
+)
+
+// conclude gives the caller the final answer to a request that was not delivered.
+func (e *exchange) conclude(ctx context.Context, last verdict, reason string) {
+	handler := e.handler
+	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	if late {
+		reason = "deadline"
+	}
+	handler.metrics.finished(e.route.Name, false, time.Since(e.arrived))
+	if e.runs+e.replicasEnded == 0 && handler.quota != nil && e.terms.Tenant != nil {
+		handler.quota.GiveBack(e.terms.Tenant)
+	}
+	handler.logger.Info().Str(logging.FieldRequest, e.id).Str("route", e.route.Name).Str(logging.FieldReason, reason).
+		Int("runs", e.runs).Int("refusals", e.refusals).Stringer("verdict", last).Str("last_event", e.lastEvent).Bool("head_sent", e.headSent).
+		Dur("after", time.Since(e.arrived)).Msg("not_delivered")
+	switch {
+	case e.headSent:
+		// The connection is closed without the answer's end, so that the caller does not take it for whole.
+		panic(http.ErrAbortHandler)
+	case e.badAnswer != nil:
+		e.badAnswer.write(e.writer)
+	case reason == reasonCrashesReplicas:
+		// Neither a promise that the message has not run, nor a time to come back.
+		http.Error(e.writer, reason, http.StatusBadGateway)
+	case e.runs+e.replicasEnded == 0:
+		SetRetryAfter(e.writer.Header(), retryAfter(reason))
+		http.Error(e.writer, reason, http.StatusServiceUnavailable)
+	case late:
+		http.Error(e.writer, reason, http.StatusGatewayTimeout)
+	default:
+		http.Error(e.writer, reason, http.StatusBadGateway)
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/sloelift/sloelift/internal/balance"
-	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
@@ -50,10 +46,6 @@
 	// maxNotSent bounds the replicas that are not reached before that. Two show that a zone is cut off (unreached.Zone): with two zones cut
 	// off from this one, four tries pass before all that are left are tried.
 	maxNotSent = 6
-	// connectShare is the part of the objective that a connection to one replica may take, leastConnectTime bounds it from below: within a
-	// region it takes a few ms, on a node that is short of processor time some tens.
-	connectShare     = 0.4
-	leastConnectTime = 100 * time.Millisecond
 	// leastTimeLeft is the time below which no further attempt is begun.
 	leastTimeLeft = 20 * time.Millisecond
 )
@@ -260,73 +252,3 @@
 
 // resumes says that the stream may go on elsewhere behind the last event.
 func (e *exchange) resumes() bool { return e.route.Kind == route.Stream && e.route.Resumable }
-
-// conclude gives the caller the final answer to a request that was not delivered.
-func (e *exchange) conclude(ctx context.Context, last verdict, reason string) {
-	handler := e.handler
-	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
-	if late {
-		reason = "deadline"
-	}
-	handler.metrics.finished(e.route.Name, false, time.Since(e.arrived))
-	if e.runs+e.replicasEnded == 0 && handler.quota != nil && e.terms.Tenant != nil {
-		handler.quota.GiveBack(e.terms.Tenant)
-	}
-	handler.logger.Info().Str(logging.FieldRequest, e.id).Str("route", e.route.Name).Str(logging.FieldReason, reason).
-		Int("runs", e.runs).Int("refusals", e.refusals).Stringer("verdict", last).Str("last_event", e.lastEvent).Bool("head_sent", e.headSent).
-		Dur("after", time.Since(e.arrived)).Msg("not_delivered")
-	switch {
-	case e.headSent:
-		// The connection is closed without the answer's end, so that the caller does not take it for whole.
-		panic(http.ErrAbortHandler)
-	case e.badAnswer != nil:
-		e.badAnswer.write(e.writer)
-	case reason == reasonCrashesReplicas:
-		// Neither a promise that the message has not run, nor a time to come back.
-		http.Error(e.writer, reason, http.StatusBadGateway)
-	case e.runs+e.replicasEnded == 0:
-		SetRetryAfter(e.writer.Header(), retryAfter(reason))
-		http.Error(e.writer, reason, http.StatusServiceUnavailable)
-	case late:
-		http.Error(e.writer, reason, http.StatusGatewayTimeout)
-	default:
-		http.Error(e.writer, reason, http.StatusBadGateway)
-	}
-}
-
-// callFor returns the request as the replica gets it.
-func (e *exchange) callFor(handle *replica.Handle) replica.Call {
-	headers := e.handler.headers
-	header := passedOn(e.request.Header)
-	header.Set(headers.Deadline, strconv.FormatInt(max(1, time.Until(e.deadline).Milliseconds()), 10))
-	header.Del(headers.APIKey)
-	header.Del(headers.Tenant)
-	if name := e.terms.TenantName(); name != "" {
-		header.Set(headers.Tenant, name)
-	}
-	header.Set(headers.ExpectInstance, handle.Info().ID)
-	if e.lastEvent != "" {
-		header.Set(headers.LastEventID, e.lastEvent)
-	}
-	return replica.Call{
-		Method: e.request.Method, Target: targetOf(e.request), Host: e.request.Host, Header: header, Body: e.body, RequestID: e.id,
-		Fresh: e.foundSilence, ConnectWithin: connectWithin(e.route.Objective),
-	}
-}
-
-// connectWithin bounds the making of a connection: a request that is not sent yet can still be in time at another replica. Without an
-// objective it is the client's own bound.
-func connectWithin(objective time.Duration) time.Duration {
-	if objective <= 0 {
-		return 0
-	}
-	return max(leastConnectTime, time.Duration(connectShare*float64(objective)))
-}
-
-// targetOf returns the path and query as the caller sent them, without the scheme and host that a target may have.
-func targetOf(request *http.Request) string {
-	if strings.HasPrefix(request.RequestURI, "/") {
-		return request.RequestURI
-	}
-	return request.URL.RequestURI()
-}
--- /dev/null
+++ b/internal/quarantine/verdict.go
@@ -0,0 +1,162 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// mostEnded is the number of replicas that may end under one message.
+	mostEnded = 3
+	// enoughEnded is the number from which on a message is rejected that alone explains them.
+	enoughEnded = 2
+	// enoughEvidence is the least that speaks against such a message, where an end weighs 1, shared by all that ran there: as much as one end
+	// beside one other. A long item that ran beside ten at each of two ends is there by chance more often than not.
+	enoughEvidence = 0.5
+	// sameCause is the time within which replicas that end are taken to have ended together: a crash that strikes several, or a message
+	// that was at several when it was not suspected yet.
+	sameCause = 30 * time.Millisecond
+	// massCrash is the number of replicas from which on such a crash has a cause of its own.
+	massCrash = 3
+	// shortRun is the length of a run up to which the end of its replica speaks strongly against the message: what ends a replica does so
+	// when it is read or soon after, while a long run is likely to be there at any replica's end.
+	shortRun = 2 * time.Second
+	// leastDifference is the least difference of two weights that counts: sums of the same fractions differ by their rounding.
+	leastDifference = 1e-9
+)
+
+// verdict says what is known of a message.
+func (b *book) verdict(message Key) Verdict {
+	if len(b.byMessage[message]) == 0 {
+		return Allowed
+	}
+	if b.explains(message) {
+		return Rejected
+	}
+	switch ended := b.count(message); {
+	case ended >= mostEnded:
+		return Rejected
+	case ended > 0:
+		return Apart
+	default:
+		return Allowed
+	}
+}
+
+// strong returns the incidents that speak strongly against a message: each soon after it came there, and at a time of its own.
+func (b *book) strong(message Key) []*incident {
+	var found []*incident
+	for _, each := range b.open(message) {
+		if each.suspects[message].ran > shortRun {
+			continue
+		}
+		if last := len(found) - 1; last >= 0 && each.learned.Sub(found[last].learned) < sameCause {
+			continue
+		}
+		found = append(found, each)
+	}
+	return found
+}
+
+// weight is what speaks against a message: each incident is one, shared by the messages that ran there.
+func (b *book) weight(message Key) float64 {
+	weight := 0.0
+	for _, each := range b.byMessage[message] {
+		if !each.suspects[message].cleared {
+			weight += 1 / float64(each.open)
+		}
+	}
+	return weight
+}
+
+// foremost says that more speaks against the message than against any other that ran there.
+func (b *book) foremost(message Key, in *incident) bool {
+	weight := b.weight(message)
+	for other, doubt := range in.suspects {
+		if other != message && !doubt.cleared && b.weight(other) >= weight-leastDifference {
+			return false
+		}
+	}
+	return true
+}
+
+// explains says that the message alone accounts for several ends of replicas.
+func (b *book) explains(message Key) bool {
+	foremost, evidence := 0, 0.0
+	for _, each := range b.strong(message) {
+		if b.foremost(message, each) {
+			foremost++
+			evidence += 1 / float64(each.open)
+		}
+	}
+	return foremost >= enoughEnded && evidence >= enoughEvidence
+}
+
+// doubtful says that several replicas ended under the message when it ran apart: then what another message explains may be of this one as
+// well.
+func (b *book) doubtful(message Key) bool {
+	apart := 0
+	for _, each := range b.byMessage[message] {
+		if doubt := each.suspects[message]; doubt.granted && !doubt.cleared {
+			apart++
+		}
+	}
+	return apart >= enoughEnded
+}
+
+// count returns the number of replicas that ended under the message, without those whose end another message explains. Of a crash that
+// struck many replicas together, the message at some of them only, one counts.
+func (b *book) count(message Key) int {
+	open := b.open(message)
+	doubtful := b.doubtful(message)
+	ended := 0
+	for index := 0; index < len(open); {
+		together := b.together(open[index])
+		mine := 0
+		for index < len(open) && slices.Contains(together, open[index]) {
+			if doubtful || !b.explained(open[index], message) {
+				mine++
+			}
+			index++
+		}
+		if len(together) >= massCrash && mine < len(together) {
+			mine = min(mine, 1)
+		}
+		ended += mine
+	}
+	return ended
+}
+
+// together returns first and the incidents that were learned of within sameCause before or after it.
+func (b *book) together(first *incident) []*incident {
+	var found []*incident
+	for _, each := range b.incidents {
+		if span := each.learned.Sub(first.learned).Abs(); each == first || span < sameCause {
+			found = append(found, each)
+		}
+	}
+	return found
+}
+
+// explained says that another message than the given one accounts for the incident.
+func (b *book) explained(of *incident, except Key) bool {
+	for other, doubt := range of.suspects {
+		if other != except && !doubt.cleared && len(b.byMessage[other]) >= enoughEnded && b.foremost(other, of) && b.explains(other) {
+			return true
+		}
+	}
+	return false
+}
+
+// counts returns the numbers of messages that are suspected and rejected.
+func (b *book) counts() (suspected, rejected int) {
+	for message := range b.byMessage {
+		switch b.verdict(message) {
+		case Apart:
+			suspected++
+		case Rejected:
+			rejected++
+		}
+	}
+	return suspected, rejected
+}
