--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -97,19 +97,8 @@
 }
 
 func (e *exchange) run(ctx context.Context) {
-	if e.allEvacuated() {
-		e.conclude(ctx, notRun, reasonEvacuated)
-		return
-	}
-	if e.handler.refresh != nil {
-		e.handler.refresh(ctx)
-	}
-	if !e.servedAtHome(time.Now()) {
-		e.conclude(ctx, notRun, e.whyNone())
-		return
-	}
-	if !e.knownHarmless() {
-		e.conclude(ctx, notRun, reasonCrashesReplicas)
+	if reason := e.rejectedBecause(ctx); reason != "" {
+		e.conclude(ctx, notRun, reason)
 		return
 	}
 	leave := e.waitForRoom(ctx)
@@ -156,6 +145,25 @@
 	}
 }
 
+// rejectedBecause returns the reason for which the request is rejected before it waits for room; empty where it is not. On the way it learns
+// what other nodes have at the replicas, and names the request's message.
+func (e *exchange) rejectedBecause(ctx context.Context) string {
+	if e.allEvacuated() {
+		return reasonEvacuated
+	}
+	if e.handler.refresh != nil {
+		e.handler.refresh(ctx)
+	}
+	switch {
+	case !e.servedAtHome(time.Now()):
+		return e.whyNone()
+	case !e.knownHarmless():
+		return reasonCrashesReplicas
+	default:
+		return ""
+	}
+}
+
 // waitForRoom returns once the request may be sent to a replica; leave is called after its end.
 func (e *exchange) waitForRoom(ctx context.Context) (leave func()) {
 	e.service = e.route.PickService()
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -99,29 +99,10 @@
 // Do sends call to the replica and returns the head of its answer. When ctx ends, the connection is closed. An error
 // that wraps ErrNotSent says that the request did not reach the replica; after any other the request may have run.
 func (c *Client) Do(ctx context.Context, handle *Handle, call Call) (*Answer, error) {
-	if handle.Evacuated() {
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
-	}
-	c.probeZones(ctx, handle)
-	began := time.Now()
-	used, err := c.connect(ctx, handle, call)
+	used, err := c.open(ctx, handle, call)
 	if err != nil {
 		return nil, err
 	}
-	if handle.Evacuated() {
-		// The evacuation was asked for while the connection was made.
-		used.close()
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
-	}
-	if handle.staleAdmission(began, time.Now()) {
-		used.close()
-		return nil, fmt.Errorf("%w: the connection to a cold replica took too long", ErrNotSent)
-	}
-	if err := ctx.Err(); err != nil {
-		// The caller left meanwhile.
-		used.close()
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-	}
 	stopWatching := context.AfterFunc(ctx, used.close)
 	abandon := func() {
 		stopWatching()
@@ -156,6 +137,35 @@
 	return answer, nil
 }
 
+// open returns a connection on which call may be sent now. Each of its errors wraps ErrNotSent.
+func (c *Client) open(ctx context.Context, handle *Handle, call Call) (*connection, error) {
+	if handle.Evacuated() {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
+	}
+	c.probeZones(ctx, handle)
+	began := time.Now()
+	used, err := c.connect(ctx, handle, call)
+	if err != nil {
+		return nil, err
+	}
+	if handle.Evacuated() {
+		// The evacuation was asked for while the connection was made.
+		used.close()
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
+	}
+	if handle.staleAdmission(began, time.Now()) {
+		used.close()
+		return nil, fmt.Errorf("%w: the connection to a cold replica took too long", ErrNotSent)
+	}
+	if err := ctx.Err(); err != nil {
+		// The caller left meanwhile.
+		used.close()
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return used, nil
+}
+
+// connect takes a kept connection to the replica or makes a new one. Each of its errors wraps ErrNotSent.
 func (c *Client) connect(ctx context.Context, handle *Handle, call Call) (*connection, error) {
 	now := time.Now()
 	if !call.Fresh && handle.zone.AnsweredWithin(pathTrusted, now) {
