--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -8,12 +8,12 @@
 
 const (
 	// coldPenalty is what it costs that a replica is cold, in parts of a replica's room: about that of another zone, so that replicas of the
-	// other zones take what a zone that returns does not bear yet.
+	// other zones take what the replicas of a zone that returns cannot take yet.
 	coldPenalty = 0.3
 	// rampTime is the time after a replica turned warm in which the penalty fades: nodes that know the same would else all choose the empty
 	// replica that has just turned warm.
 	rampTime = 2 * time.Second
-	// pacePenalty is the cost of each request by which a replica gets more than it bore lately, somewhat more than a place of a replica with
+	// pacePenalty is the cost of each request by which a replica gets more than it got lately, somewhat more than a place of a replica with
 	// 8 slots; with maxPacePenalty a whole burst rather goes to another zone than to one replica.
 	pacePenalty    = 0.15
 	maxPacePenalty = maxRemotePenalty
@@ -25,7 +25,8 @@
 func coldRoom(_ *Request, handle *replica.Handle, now time.Time) bool { return handle.ColdRoom(now) }
 
 // wantCold has cold replicas counted as wanted where the warm ones are short: best, the choice, is none or rather full, or half of the
-// replicas of the own zone are cold. A part of what a cold replica bears costs calls to the key-value service.
+// replicas of the own zone are cold. They are not wanted at other times, since a pass, without which none gets a request, costs calls to the
+// key-value service.
 func wantCold(request *Request, all []*replica.Handle, best *replica.Handle, now time.Time) {
 	var cold []*replica.Handle
 	warm := 0
@@ -56,8 +57,8 @@
 	return -coldPenalty * (1 - warmFor.Seconds()/rampTime.Seconds())
 }
 
-// paceScore prefers replicas that get no more from this process than they bore lately: one may have turned cold unseen. Only services that
-// declare what their cold replicas bear are paced.
+// paceScore prefers replicas that get no more from this process than they got lately: one may have turned cold without an entry or an answer
+// that says so. Only services that declare how many requests their cold replicas can take are paced.
 func paceScore(_ *Request, handle *replica.Handle, now time.Time) float64 {
 	if !handle.ColdBounded() {
 		return 0
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -36,7 +36,7 @@
 	KeepResults time.Duration
 	// Report is how replicas are asked for their load.
 	Report replica.LoadReport
-	// ColdStarts is nil where replicas bear as much cold as warm, Quarantine where no item is kept from replicas.
+	// ColdStarts is nil where cold replicas may get as much as warm ones, Quarantine where no item is kept from replicas.
 	ColdStarts coldstart.Limiter
 	Quarantine quarantine.Register
 }
--- a/internal/coldstart/division.go
+++ b/internal/coldstart/division.go
@@ -16,14 +16,14 @@
 	Slack float64
 }
 
-// division is how what one cold replica bears is cut into passes.
+// division is how the requests a second that one cold replica can take are divided into passes.
 type division struct {
 	// passes is the number of passes, requests what each admits a second.
 	passes   int
 	requests int
 }
 
-// divide cuts what a cold replica of service bears.
+// divide returns the passes of a cold replica of service.
 //
 // Invariant: passes times requests is at most the bound; where that allows a request without the slack, the slack is left over.
 func (b Bounds) divide(service route.Service) division {
--- a/internal/forward/cold_wait.go
+++ b/internal/forward/cold_wait.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// coldWaitStep is how often it is looked whether a cold replica bears one more request.
+	// coldWaitStep is the wait between two tries to find a cold replica that may get one more request.
 	coldWaitStep = 20 * time.Millisecond
 	// coldWaitPart is the part of a request's objective for which it waits: a caller that is refused within it can still be served in time
-	// by another node, which may have a part of what the cold replicas bear.
+	// by another node, which may hold passes of the cold replicas.
 	coldWaitPart = 0.2
 )
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -198,7 +198,7 @@
 	return e.route.PickService()
 }
 
-// pickReady chooses the next replica among those that bear one more request now.
+// pickReady chooses the next replica among those that may get one more request now.
 func (e *exchange) pickReady(ctx context.Context) *replica.Handle {
 	if handle := e.pickApart(ctx); handle != nil {
 		return handle
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -86,8 +86,8 @@
 	leaving      atomic.Bool
 }
 
-// Options of a Handler. Batch may be nil, Quota where no limits are kept, Gate where no request is held back, ColdStarts where replicas bear
-// as much cold as warm, and Quarantine where no message is kept from replicas.
+// Options of a Handler. Batch may be nil, Quota where no limits are kept, Gate where no request is held back, ColdStarts where cold replicas
+// may get as much as warm ones, and Quarantine where no message is kept from replicas.
 // Refresh, where it is set, is called before a replica is chosen, to learn what other nodes have there.
 type Options struct {
 	Routes     *route.Holder
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -80,16 +80,17 @@
 
 // coldness is what is known of a replica's being cold.
 type coldness struct {
-	// bounded says that the replica's service declares what its cold replicas bear.
+	// bounded says that the replica's service declares how many requests its cold replicas can take.
 	bounded atomic.Bool
 	// until is the end of the latest time for which it is known or assumed to be cold; nil where there was none.
 	until atomic.Pointer[time.Time]
 	pass  atomic.Pointer[ColdPass]
-	// wanted is when a request could last have done with the replica; nil where none could.
+	// wanted is when a request last could have used the replica though it is cold; nil where none could.
 	wanted atomic.Pointer[time.Time]
 }
 
-// SetColdBounded says whether the replica's service declares what its cold replicas bear; where it does not, none counts as cold.
+// SetColdBounded says whether the replica's service declares how many requests its cold replicas can take; where it does not, none counts as
+// cold.
 func (h *Handle) SetColdBounded(bounded bool) { h.cold.bounded.Store(bounded) }
 
 // ColdBounded returns what SetColdBounded was given.
@@ -108,7 +109,7 @@
 	}
 }
 
-// Cold says that the replica bears few requests now.
+// Cold says that the replica can take few requests now.
 func (h *Handle) Cold(now time.Time) bool { return h.ColdFor(now) > 0 }
 
 // ColdFor returns for how much longer the replica counts as cold; 0 where it is warm.
@@ -129,10 +130,10 @@
 	return max(0, now.Sub(*until)), true
 }
 
-// SetColdPass gives this process a part of what the replica bears while it is cold.
+// SetColdPass gives this process a pass: a part of the requests that the replica may get while it is cold.
 func (h *Handle) SetColdPass(pass *ColdPass) { h.cold.pass.Store(pass) }
 
-// ColdPass returns the part that this process has; nil where it has none.
+// ColdPass returns the pass that this process holds; nil where it holds none.
 func (h *Handle) ColdPass() *ColdPass { return h.cold.pass.Load() }
 
 // ColdRoom says that the replica is warm, or that this process may send it one more request while it is cold.
@@ -144,7 +145,7 @@
 	return pass != nil && pass.Room(now)
 }
 
-// WantCold notes that requests of this process could do with the replica though it is cold.
+// WantCold notes that requests of this process could use the replica though it is cold.
 func (h *Handle) WantCold(now time.Time) { h.cold.wanted.Store(&now) }
 
 // ColdWanted says that WantCold was called after since.
@@ -153,7 +154,7 @@
 	return wanted != nil && wanted.After(since)
 }
 
-// usableSlots returns the number of requests that the replica works on at once, for plans of what all replicas bear.
+// usableSlots returns the number of requests that the replica works on at once, for plans of what all replicas can take.
 func (h *Handle) usableSlots(now time.Time) int {
 	if h.Cold(now) {
 		return min(coldSlots, h.Info().Slots)
@@ -178,7 +179,7 @@
 	}
 }
 
-// ColdTerms says whether a service declares what its cold replicas bear, and how long one that has just appeared is to count as cold.
+// ColdTerms says whether a service declares how many requests its cold replicas can take, and how long one that has just appeared is to count as cold.
 type ColdTerms func(service string) (assumed time.Duration, bounded bool)
 
 // SetColdTerms has replicas that appear after the first listing, or return from an evacuated zone, count as cold.
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -84,7 +84,7 @@
 	// mutex.
 	evacuated       map[string]bool
 	evacuationEnded map[string]time.Time
-	// coldTerms is guarded by mutex; nil where replicas bear as much cold as warm.
+	// coldTerms is guarded by mutex; nil where cold replicas may get as much as warm ones.
 	coldTerms ColdTerms
 }
 
--- a/internal/replica/pace.go
+++ b/internal/replica/pace.go
@@ -8,7 +8,7 @@
 const (
 	// paceStep is the length of the steps in which requests are counted.
 	paceStep = time.Second
-	// paceGrowth is how many times the usual rate a replica may get without a mark: callers come in bursts of twice their average.
+	// paceGrowth is how many times the usual rate a replica may get without a penalty: callers come in bursts of twice their average.
 	paceGrowth = 2
 	// paceWeight is the part of the newest step in the usual rate; the last ten seconds or so count.
 	paceWeight = 0.2
@@ -32,7 +32,7 @@
 	p.sent++
 }
 
-// ahead returns by how many requests the present step is ahead of what the replica bore lately; a first one is free.
+// ahead returns by how many requests the present step exceeds paceGrowth times the usual number; a first one does not count.
 func (p *pace) ahead(now time.Time) float64 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/retirement/service.go
+++ b/internal/retirement/service.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// checkInterval is how often it is looked whether a node is empty, callTimeout bounds one call.
+	// checkInterval is the wait between two looks whether a node is empty, callTimeout bounds one call.
 	checkInterval = 300 * time.Millisecond
 	callTimeout   = 2 * time.Second
 )
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -87,8 +87,8 @@
 	MaxQueued int
 	// CacheTokens is the memory of a replica.
 	CacheTokens int64
-	// ColdStart is how long a replica stays cold after a start during traffic, ColdRequestsPerSecond what it bears meanwhile, from all nodes
-	// together. Replicas of a service in which the latter is 0 bear as much cold as warm.
+	// ColdStart is how long a replica stays cold after a start during traffic, ColdRequestsPerSecond what it can take meanwhile, from all
+	// nodes together. Where the latter is 0, cold replicas may get as much as warm ones.
 	ColdStart             time.Duration
 	ColdRequestsPerSecond float64
 }
