--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,12 +11,10 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/rs/zerolog"
 
-	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/ledger/store"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
-	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/settings"
@@ -251,49 +248,6 @@
 	return control
 }
 
-// maxTurns bounds the waits of nodes that stand behind others in taking over a partition.
-const maxTurns = 4
-
-// ownerSilent tells whether this node's store, which has copies of the partition's records, has heard nothing of its owner for
-// too long. What this node knows of the ensemble may be old, so a store that ever heard an owner counts. The nodes'
-// turns come one after the other.
-func (m *Manager) ownerSilent(partition PartitionID, control *partitionControl, now time.Time) bool {
-	if m.timing.Silence == 0 || m.local == nil || control.ownership != nil || !m.MayHold(partition, m.zone) {
-		return false
-	}
-	last := m.local.LastHeard(partition)
-	if last.IsZero() && !m.isMember(partition) {
-		return false
-	}
-	for _, later := range []time.Time{m.started, control.declined} {
-		if later.After(last) {
-			last = later
-		}
-	}
-	return now.Sub(last) >= m.timing.Silence+time.Duration(m.turn(partition))*m.timing.Check
-}
-
-// isMember tells whether the local store is a full member of the partition's ensemble, as far as this node knows.
-func (m *Manager) isMember(partition PartitionID) bool {
-	ensemble, known := m.directory.ensemble(partition)
-	if !known {
-		return false
-	}
-	own, found := ensemble.Find(m.local.ID())
-	return found && !own.Joining
-}
-
-// turn is the number of live nodes with a store that stand before this one.
-func (m *Manager) turn(partition PartitionID) int {
-	before := 0
-	for _, member := range m.placementOf(partition).stores(storesOf(m.viewer.View())) {
-		if rank(partition, string(member.ID)) > rank(partition, string(m.self)) {
-			before++
-		}
-	}
-	return min(before, maxTurns)
-}
-
 // try starts an attempt to own partition, which lasts until the ownership is lost.
 func (m *Manager) try(partition PartitionID, control *partitionControl) {
 	ensemble, known := m.directory.ensemble(partition)
@@ -379,35 +333,3 @@
 	node, _, _ := strings.Cut(owner, ownerSeparator)
 	return membership.NodeID(node)
 }
-
-func (m *Manager) serveOwner(_ context.Context, _ netip.AddrPort, request *ledgerpb.OwnerRequest) (*ledgerpb.OwnerResponse, error) {
-	partition := PartitionID(request.Partition)
-	if ownership, present := m.ownership(partition); present && ownership.inContact(time.Now()) {
-		return &ledgerpb.OwnerResponse{Owned: true, Owner: string(m.self)}, nil
-	}
-	hint, _ := m.hints.get(partition)
-	return &ledgerpb.OwnerResponse{Owner: string(hint)}, nil
-}
-
-func (m *Manager) serveRelease(ctx context.Context, _ netip.AddrPort, request *ledgerpb.ReleaseRequest) (*ledgerpb.ReleaseResponse, error) {
-	partition := PartitionID(request.Partition)
-	ownership, present := m.ownership(partition)
-	if !present {
-		return &ledgerpb.ReleaseResponse{Released: true}, nil
-	}
-	preferred, _ := preferredOwner(m.viewer.View(), partition, m.ownersOf(partition))
-	now := time.Now()
-	settling := now.Sub(ownership.began) < m.timing.Settle
-	if (string(preferred.ID) != request.Successor || settling) && !m.leaving.Load() && ownership.servesWell(now) {
-		return &ledgerpb.ReleaseResponse{}, nil
-	}
-	if !ownership.release(ctx) {
-		return nil, outcome.New(outcome.NotRun, outcome.ReasonUnavailable, "the ownership did not end in time")
-	}
-	m.hints.set(partition, membership.NodeID(request.Successor))
-	return &ledgerpb.ReleaseResponse{Released: true}, nil
-}
-
-func (m *Manager) serveEnsembles(context.Context, netip.AddrPort, *ledgerpb.EnsemblesRequest) (*ledgerpb.EnsemblesResponse, error) {
-	return m.directory.export(), nil
-}
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -151,54 +151,6 @@
 	return others
 }
 
-func (s *Service) movedLately(now time.Time) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return !s.movedAt.IsZero() && now.Sub(s.movedAt) < reportStale+relayStale
-}
-
-// chooseWay returns the way to an exchange to use. Where that is another one than before, the exchange before is sent an empty report, so
-// that it does not count this node as well.
-func (s *Service) chooseWay(place places, now time.Time) (used way, known bool) {
-	used, known = s.questions.way(place, now)
-	if !known {
-		return used, false
-	}
-	s.mutex.Lock()
-	before := s.way
-	s.way = used
-	moved := before.node.IsValid() && before != used
-	if moved {
-		s.movedAt = now
-	}
-	s.mutex.Unlock()
-	if moved {
-		s.logger.Info().Stringer("before", before.node).Stringer("exchange", used.node).Bool("relayed", used.relayed).Msg("exchange_changed")
-		s.takeBack(before, place, now)
-	}
-	return used, true
-}
-
-// takeBack sends an exchange an empty report.
-func (s *Service) takeBack(from way, place places, now time.Time) {
-	empty := &loadsharepb.NodeLoad{Origin: s.origin()}
-	if from.node == place.self {
-		s.board.takeReport(from.node, empty, now)
-		return
-	}
-	method := methodReport
-	if from.relayed {
-		method = methodReportFor
-	}
-	s.sendReport(from.node, method, empty)
-}
-
-func (s *Service) sendReport(to netip.AddrPort, method transport.Method, load *loadsharepb.NodeLoad) {
-	if err := s.caller.Send(to, method, load); err != nil {
-		s.logger.Debug().Err(err).Stringer("node", to).Msg("report_not_sent")
-	}
-}
-
 // ReportingSince returns since when nodes with callers have reported without a break.
 func (s *Service) ReportingSince() time.Time { return s.fleet.reportingSince() }
 
