--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -153,6 +153,7 @@
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
+		// A replica that does not answer is asked again when a choice needs its load; what is known of it goes on fading.
 		_ = s.client.Ask(bounded, handle, s.options.Report)
 		s.mutex.Lock()
 		delete(s.asking, handle)
--- a/internal/batch/snapshot.go
+++ b/internal/batch/snapshot.go
@@ -78,6 +78,7 @@
 	for _, result := range encoded.Results {
 		s.list(restored, int(result.Item), result.State, result.Text)
 	}
+	// The records below fit the job that was just added; none of these calls returns an error.
 	for _, progress := range encoded.Progress {
 		_ = s.takeProgress(progress)
 	}
--- a/internal/ledger/formation.go
+++ b/internal/ledger/formation.go
@@ -150,6 +150,8 @@
 	}
 }
 
+// askPeer takes in the ensembles that a member knows. One that does not answer is passed over: others are asked, and all again in the next
+// round.
 func (m *Manager) askPeer(ctx context.Context, member membership.Member) {
 	ctx, cancel := context.WithTimeout(ctx, m.timing.Request)
 	defer cancel()
--- a/internal/ledger/serve_owner.go
+++ b/internal/ledger/serve_owner.go
@@ -10,6 +10,7 @@
 	"github.com/sloelift/sloelift/internal/outcome"
 )
 
+// serveOwner answers who owns a partition: this node where it does and is in contact with the stores, else whom it takes for the owner.
 func (m *Manager) serveOwner(_ context.Context, _ netip.AddrPort, request *ledgerpb.OwnerRequest) (*ledgerpb.OwnerResponse, error) {
 	partition := PartitionID(request.Partition)
 	if ownership, present := m.ownership(partition); present && ownership.inContact(time.Now()) {
@@ -19,6 +20,7 @@
 	return &ledgerpb.OwnerResponse{Owner: string(hint)}, nil
 }
 
+// serveRelease gives a partition up to the node that asks, where that node is to own it, or where this node leaves or does not serve it well.
 func (m *Manager) serveRelease(ctx context.Context, _ netip.AddrPort, request *ledgerpb.ReleaseRequest) (*ledgerpb.ReleaseResponse, error) {
 	partition := PartitionID(request.Partition)
 	ownership, present := m.ownership(partition)
@@ -38,6 +40,7 @@
 	return &ledgerpb.ReleaseResponse{Released: true}, nil
 }
 
+// serveEnsembles answers with what this node knows of the head and the ensembles.
 func (m *Manager) serveEnsembles(context.Context, netip.AddrPort, *ledgerpb.EnsemblesRequest) (*ledgerpb.EnsemblesResponse, error) {
 	return m.directory.export(), nil
 }
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -40,7 +40,7 @@
 	collectAt = 60
 	// metricsHeaderTimeout bounds the wait for the header of a request for figures.
 	metricsHeaderTimeout = 4 * time.Second
-	// MetricsPath is where a process tells its figures.
+	// MetricsPath is where a process gives its figures.
 	MetricsPath = "/metrics"
 )
 
@@ -138,7 +138,7 @@
 	)
 }
 
-// serveMetrics tells the process's figures at the admin address.
+// serveMetrics gives the process's figures at the admin address.
 func serveMetrics(lifecycle fx.Lifecycle, own settings.Settings, gatherer prometheus.Gatherer, via network.Network) {
 	router := mux.NewRouter()
 	router.Handle(MetricsPath, promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{}))
@@ -149,6 +149,7 @@
 			if err != nil {
 				return err
 			}
+			// OnStop closes the server, at which Serve ends. Without it the process serves on, without figures.
 			go func() { _ = server.Serve(listener) }()
 			return nil
 		},
--- a/internal/node/role_discovery.go
+++ b/internal/node/role_discovery.go
@@ -21,12 +21,13 @@
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
-// watchPace says how long watches are held. The feed that knows is set once it is there; it needs the key-value service itself.
+// watchPace says how long the key-value service holds watches. The feed decides on that; it is made after the port to the service, which
+// needs the pace, and is set then.
 type watchPace struct {
 	feed atomic.Pointer[changefeed.Feed]
 }
 
-// firstHold holds until then.
+// firstHold is how long watches are held until the feed is set.
 const firstHold = time.Second
 
 func (w *watchPace) wait() time.Duration {
--- a/internal/node/role_storage.go
+++ b/internal/node/role_storage.go
@@ -46,7 +46,7 @@
 	lifecycle.Append(fx.StopHook(service.Stop))
 }
 
-// yieldToOnline has batch items give way as soon as other nodes tell of more online requests.
+// yieldToOnline has batch items give way as soon as other nodes report more online requests.
 func yieldToOnline(shared *loadshare.Service, service *batch.Service) {
 	shared.SetOwner(service.Works, service.OnlineChanged)
 }
--- a/internal/node/role_timing.go
+++ b/internal/node/role_timing.go
@@ -25,7 +25,7 @@
 }()
 
 // roleMembershipTiming reads the list of registered nodes more rarely: each reading is a priced call, and nodes that have
-// joined hear of others from each other.
+// joined learn of others from each other.
 var roleMembershipTiming = func() membership.Timing {
 	timing := membership.DefaultTiming()
 	timing.ListPeriod = 45 * time.Second
--- a/internal/replica/reached.go
+++ b/internal/replica/reached.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// Silent notes that no connection to the replica came up, or that no answer came for a while. It returns whether the replica's zone counts as
-// cut off since this.
-func (h *Handle) Silent() (zoneCutOff bool) { return h.zone.NoteSilence(h.Info().ID, time.Now()) }
+// Silent notes that no connection to the replica came up, or that no answer came for a while. After several such replicas of a zone the zone
+// counts as cut off.
+func (h *Handle) Silent() { h.zone.NoteSilence(h.Info().ID, time.Now()) }
 
 // ZoneCutOff says that no replica of its zone is reached, as far as this process knows.
 func (h *Handle) ZoneCutOff() bool { return h.zone.CutOff() }
--- a/internal/replica/send.go
+++ b/internal/replica/send.go
@@ -50,6 +50,7 @@
 	buffer.WriteString(" HTTP/1.1\r\nHost: ")
 	buffer.WriteString(call.Host)
 	buffer.WriteString("\r\n")
+	// A buffer in memory takes all that is written.
 	_ = call.Header.Write(buffer)
 	if len(call.Body) > 0 || (call.Method != http.MethodGet && call.Method != http.MethodHead) {
 		buffer.WriteString("Content-Length: ")
