--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -10,6 +10,10 @@
 	"github.com/sloelift/sloelift/internal/membership"
 )
 
+// silentFor is for how long a store that left an ensemble for want of answers comes into it again only where there is no other: longer than
+// most cuts and restarts last.
+const silentFor = 30 * time.Second
+
 // maintain changes the partition's ensemble where a member's disk is gone or a member is missing. It
 // runs on the control goroutine of the owner, or of a node that is becoming it; between several decides the compare-and-swap of
 // the key-value service, or the members where the settings say so.
@@ -58,7 +62,8 @@
 	if control.ownership == nil {
 		return protocol.Ensemble{}, false
 	}
-	spare, found := m.spareStore(view, ensemble)
+	control.forgetFormer(ensemble, now)
+	spare, found := m.spareStore(view, ensemble, control)
 	for _, member := range ensemble.Members {
 		if !m.lostFor(member, control, view, now) || !found {
 			continue
@@ -97,7 +102,7 @@
 }
 
 // spareStore returns the best live store that is not a member, from a zone with few members.
-func (m *Manager) spareStore(view *membership.View, ensemble protocol.Ensemble) (membership.Member, bool) {
+func (m *Manager) spareStore(view *membership.View, ensemble protocol.Ensemble, control *partitionControl) (membership.Member, bool) {
 	taken := map[string]int{}
 	nodes := map[string]bool{}
 	for _, member := range ensemble.Members {
@@ -113,13 +118,45 @@
 			candidates = append(candidates, candidate)
 		}
 	}
-	chosen := chooseStores(candidates, ensemble.Partition, 1, taken)
+	chosen := chooseStores(control.likelyToAnswer(candidates), ensemble.Partition, 1, taken)
 	if len(chosen) == 0 {
 		return membership.Member{}, false
 	}
 	return chosen[0], true
 }
 
+// forgetFormer notes which stores left the ensemble for want of answers, and forgets it of those that left long ago.
+func (c *partitionControl) forgetFormer(ensemble protocol.Ensemble, now time.Time) {
+	for store := range c.unwell {
+		if _, member := ensemble.Find(store); !member {
+			delete(c.unwell, store)
+			c.silent[store] = now
+		}
+	}
+	for store, left := range c.silent {
+		if now.Sub(left) > silentFor {
+			delete(c.silent, store)
+		}
+	}
+}
+
+// likelyToAnswer returns the candidates but for those that are suspected to be dead, or left the ensemble a short while ago for want of answers;
+// all where no others are. With a zone that is cut off its stores would else come in for one another, and the partition would be short of members
+// for as long.
+func (c *partitionControl) likelyToAnswer(candidates []membership.Member) []membership.Member {
+	var likely []membership.Member
+	for _, candidate := range candidates {
+		_, silent := c.silent[protocol.StoreID(candidate.StoreIncarnation)]
+		if !silent && candidate.State == membership.Alive {
+			likely = append(likely, candidate)
+		}
+	}
+	if len(likely) == 0 {
+		return candidates
+	}
+	return likely
+}
+
 // spareFor prefers the lost member's own node with its new disk to the spare.
 func (m *Manager) spareFor(view *membership.View, ensemble protocol.Ensemble, lost protocol.Member, spare membership.Member) membership.Member {
 	for _, candidate := range m.placementOf(ensemble.Partition).stores(m.keptStores(view)) {
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -99,8 +99,9 @@
 	// overdue says that the owner has been silent for too long; declined is when an owner last declined to let go.
 	overdue  bool
 	declined time.Time
-	// unwell is since when a member of the ensemble has been seen as gone.
+	// unwell is since when a member of the ensemble has been seen as gone, silent when a former one left that was.
 	unwell map[protocol.StoreID]time.Time
+	silent map[protocol.StoreID]time.Time
 }
 
 // Dependencies of a Manager. Local is nil on a node without a data folder.
@@ -242,7 +243,7 @@
 func (m *Manager) control(partition PartitionID) *partitionControl {
 	control, present := m.partitions[partition]
 	if !present {
-		control = &partitionControl{unwell: map[protocol.StoreID]time.Time{}}
+		control = &partitionControl{unwell: map[protocol.StoreID]time.Time{}, silent: map[protocol.StoreID]time.Time{}}
 		m.partitions[partition] = control
 	}
 	return control
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -313,7 +313,8 @@
 	case protocol.SendProposal:
 		o.start(func(ctx context.Context) func() []protocol.Action { return o.sendProposal(ctx, typed) })
 	case protocol.EnsembleDecided:
-		o.logger.Info().Stringer(fieldBallot, o.owner.Ballot()).Uint64(fieldVersion, typed.Ensemble.Version).Msg("ensemble_decided")
+		o.logger.Info().Stringer(fieldBallot, o.owner.Ballot()).Uint64(fieldVersion, typed.Ensemble.Version).
+			Stringer("members", typed.Ensemble).Msg("ensemble_decided")
 		o.decided(typed.Ensemble)
 	case protocol.Acknowledge:
 		o.acknowledge(typed.Through)
--- a/internal/ledger/protocol/ensemble.go
+++ b/internal/ledger/protocol/ensemble.go
@@ -1,5 +1,7 @@
 package protocol
 
+import "strings"
+
 // Member is one store of an ensemble.
 type Member struct {
 	Store StoreID
@@ -52,6 +54,19 @@
 	return full
 }
 
+// String names the members' nodes for the log, joining ones with a plus sign.
+func (e Ensemble) String() string {
+	var names []string
+	for _, member := range e.Members {
+		name := member.Node
+		if member.Joining {
+			name = "+" + name
+		}
+		names = append(names, name)
+	}
+	return strings.Join(names, ",")
+}
+
 // Find returns the member with the given store.
 func (e Ensemble) Find(store StoreID) (Member, bool) {
 	for _, member := range e.Members {
