--- a/internal/evacuation/register.go
+++ b/internal/evacuation/register.go
@@ -37,6 +37,8 @@
 	// the revision of its request. Both are guarded by mutex, which is held while zones is called, so that it is called in their order.
 	revision  int64
 	evacuated map[string]int64
+	// byCopy says that what is known is a copy of some time ago, which the service's own listing ends whatever its revision.
+	byCopy bool
 }
 
 // NewRegister returns a Register without any request.
@@ -63,10 +65,16 @@
 func (r *Register) Replace(listing platform.Listing) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if listing.Revision < r.revision {
+	if listing.Revision < r.revision && !r.byCopy {
 		r.logOlder(listing.Revision)
 		return
 	}
+	r.byCopy = false
+	r.replace(listing)
+}
+
+// replace puts the requests of a listing in force. The mutex is held.
+func (r *Register) replace(listing platform.Listing) {
 	listed := map[string]int64{}
 	for _, entry := range listing.Entries {
 		if zone, found := r.translator.EvacuatedZone(entry.Key); found {
@@ -79,7 +87,16 @@
 
 // ReplaceByCopy takes in what was below the operators' prefix some time ago, for a process that starts while the key-value service is away. A
 // zone that was taken back since is used again with the service's first listing.
-func (r *Register) ReplaceByCopy(copied platform.Listing) { r.Replace(copied) }
+func (r *Register) ReplaceByCopy(copied platform.Listing) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if copied.Revision < r.revision {
+		r.logOlder(copied.Revision)
+		return
+	}
+	r.byCopy = true
+	r.replace(copied)
+}
 
 // Update takes in the changes up to revision; both lists may be empty.
 func (r *Register) Update(revision int64, changed []platform.Entry, deleted []string) {
--- a/internal/evacuation/register_test.go
+++ b/internal/evacuation/register_test.go
@@ -223,3 +223,19 @@
 	}
 	return changed, deleted
 }
+
+// TestListingEndsACopy: a node that started from a copy follows the service's own listing, also where that was restored to an older revision;
+// after it nothing older is taken.
+func TestListingEndsACopy(t *testing.T) {
+	test := newRegisterUnderTest(t)
+	test.ReplaceByCopy(listing(9, request("east", 9)))
+	test.ReplaceByCopy(listing(8, request("west", 8)))
+	if got := test.Evacuated(); len(got) != 1 || got[0] != "east" {
+		t.Fatalf("%v evacuated by copies, want the newest one's", got)
+	}
+	test.Replace(listing(5, request("west", 5)))
+	test.Replace(listing(4))
+	if got := test.Evacuated(); len(got) != 1 || got[0] != "west" {
+		t.Errorf("%v evacuated, want what the service lists", got)
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -108,7 +108,7 @@
 		e.conclude(ctx, notRun, "held_back")
 		return
 	}
-	var last verdict
+	last := notRun
 	for {
 		if !e.admit(ctx) {
 			e.conclude(ctx, last, reasonCrashesReplicas)
--- a/internal/quota/grantor.go
+++ b/internal/quota/grantor.go
@@ -110,10 +110,11 @@
 
 // callEdge calls another edge, and notes whether it is reached.
 func (s *Service) callEdge(ctx context.Context, peer membership.Member, method transport.Method, request, response proto.Message, longest time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, longest)
+	bounded, cancel := context.WithTimeout(ctx, longest)
 	defer cancel()
-	if err := s.caller.Call(ctx, peer.PeerAddress, method, request, response); err != nil {
-		s.noteNoAnswer(peer, ctx.Err() != nil, time.Now())
+	if err := s.caller.Call(bounded, peer.PeerAddress, method, request, response); err != nil {
+		// Where the caller's own time ended first the edge may answer yet.
+		s.noteNoAnswer(peer, ctx.Err() == nil && bounded.Err() != nil, time.Now())
 		return err
 	}
 	now := time.Now()
--- a/internal/unreached/zones.go
+++ b/internal/unreached/zones.go
@@ -90,7 +90,15 @@
 		z.silent = map[string]bool{}
 	}
 	z.silent[member], z.silentAt = true, now
-	return len(z.silent) >= silentMembers && !z.cutOff.Swap(true)
+	if len(z.silent) < silentMembers || z.cutOff.Swap(true) {
+		return false
+	}
+	if z.AnsweredWithin(answerCounts, now) {
+		// An answer came meanwhile.
+		z.cutOff.Store(false)
+		return false
+	}
+	return true
 }
 
 // CutOff says that no member of the zone is reached, as far as is known.
