--- a/internal/batch/cold.go
+++ b/internal/batch/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sloelift/sloelift/internal/replica"
 )
@@ -10,3 +11,22 @@
 func (s *Service) mayStart(ctx context.Context, handle *replica.Handle) bool {
 	return s.options.ColdStarts == nil || s.options.ColdStarts.Take(ctx, handle)
 }
+
+// admitted says that the replica bears one more send of the item, and counts it.
+func (a *itemAttempt) admitted(ctx context.Context) bool {
+	if !a.partition.service.mayStart(ctx, a.handle) {
+		return false
+	}
+	a.admittedAt = time.Now()
+	return true
+}
+
+// leaveWithin is how long after it was admitted to a cold replica an item may wait for its leave: the connection needs time as well.
+const leaveWithin = replica.SendWithin / 2
+
+// stillAdmitted says that the item may be sent after it has waited for its leave. What a cold replica had admitted long before would reach it
+// together with what it has admitted since: it must admit the item once more.
+func (a *itemAttempt) stillAdmitted(ctx context.Context) bool {
+	now := time.Now()
+	return now.Sub(a.admittedAt) <= leaveWithin || !a.handle.Cold(now) || a.admitted(ctx)
+}
--- a/internal/batch/cold_test.go
+++ b/internal/batch/cold_test.go
@@ -7,7 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/replica/replicatest"
 )
 
 // switchedLimiter admits while it is open.
@@ -57,3 +59,63 @@
 		owner.end()
 	})
 }
+
+// countedLimiter admits as many as are left.
+type countedLimiter struct{ left atomic.Int64 }
+
+func (c *countedLimiter) Take(context.Context, *replica.Handle) bool { return c.left.Add(-1) >= 0 }
+
+// waitingRegister suspects all messages and has each wait for its leave.
+type waitingRegister struct {
+	*countingRegister
+	wait time.Duration
+}
+
+func (*waitingRegister) Check(quarantine.Key) quarantine.Verdict { return quarantine.Apart }
+
+func (w *waitingRegister) Admit(_ context.Context, key quarantine.Key) quarantine.Permit {
+	time.Sleep(w.wait)
+	return &countingPermit{register: w.countingRegister, key: key, verdict: quarantine.Apart}
+}
+
+// TestItemThatWaitedForItsLeaveIsAdmittedAgain: what a cold replica had admitted before the wait would reach it together with what it has
+// admitted since.
+func TestItemThatWaitedForItsLeaveIsAdmittedAgain(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		wait time.Duration
+		cold bool
+		sent int
+	}{
+		{"cold, at once", leaveWithin, true, 1},
+		{"cold, late", leaveWithin + time.Millisecond, true, 0},
+		{"warm, late", leaveWithin + time.Millisecond, false, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				limiter := &countedLimiter{}
+				limiter.left.Store(1)
+				register := &waitingRegister{newCountingRegister(1), test.wait}
+				scripts := map[string]replicatest.Script{}
+				for _, id := range []string{"a", "b", "c", "d"} {
+					scripts[id] = slowReplica(2, 10*time.Millisecond)
+				}
+				owner := ownWith(t, register, scripts)
+				owner.service.options.ColdStarts = limiter
+				for handle := range owner.service.directory.View().All() {
+					handle.SetColdBounded(test.cold)
+					handle.SetColdUntil(time.Now().Add(time.Minute))
+					handle.SetColdPass(replica.NewColdPass(10, time.Now().Add(time.Minute)))
+				}
+				owner.mustSubmit(t, batchOf("j", 1))
+				time.Sleep(2 * time.Second)
+				if sent := countPosts(owner); sent != test.sent {
+					t.Errorf("%d items were sent, want %d", sent, test.sent)
+				}
+				limiter.left.Store(100)
+				owner.results(t, "j", 1, 10*time.Second)
+				owner.end()
+			})
+		})
+	}
+}
--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -277,7 +277,7 @@
 	p.countBegin(each.late)
 	attempt := &itemAttempt{
 		partition: p, key: each.key, sent: each.submission.Items[each.key.number], host: each.submission.Host, tenant: each.submission.Tenant,
-		route: each.route, handle: handle, text: run.text, lastEvent: run.lastEvent,
+		route: each.route, handle: handle, admittedAt: time.Now(), text: run.text, lastEvent: run.lastEvent,
 	}
 	release := handle.Acquire()
 	p.running.Go(func() {
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -64,13 +64,15 @@
 	sent      *batchpb.Item
 	host      string
 	// tenant is the name of the tenant whose item it is; empty where no tenants are declared.
-	tenant    string
-	route     *route.Route
-	handle    *replica.Handle
-	text      []byte
-	lastEvent string
-	status    int
-	err       error
+	tenant string
+	route  *route.Route
+	handle *replica.Handle
+	// admittedAt is when the present send was counted against what a cold replica bears.
+	admittedAt time.Time
+	text       []byte
+	lastEvent  string
+	status     int
+	err        error
 	// lease is the length of the present lease, which began at leaseBegan; resumed says that another one came before it here and that its
 	// first event has not come yet.
 	lease      time.Duration
@@ -87,7 +89,7 @@
 		madeBefore := len(a.text)
 		verdict := a.runLease(ctx)
 		leaseOver := verdict == itemCut && errors.Is(a.err, errLeaseOver) && ctx.Err() == nil
-		if !leaseOver || len(a.text) == madeBefore || !a.handle.Usable() || !a.partition.service.mayStart(ctx, a.handle) {
+		if !leaseOver || len(a.text) == madeBefore || !a.handle.Usable() || !a.admitted(ctx) {
 			return verdict
 		}
 		a.err = nil
@@ -165,7 +167,9 @@
 	if a.lastEvent != "" {
 		header.Set(names.LastEventID, a.lastEvent)
 	}
-	return replica.Call{Method: http.MethodPost, Target: a.sent.Path, Host: a.host, Header: header, Body: a.sent.Body, RequestID: a.sent.Id}
+	return replica.Call{
+		Method: http.MethodPost, Target: a.sent.Path, Host: a.host, Header: header, Body: a.sent.Body, RequestID: a.sent.Id, AdmittedAt: a.admittedAt,
+	}
 }
 
 // judge tells what an answer that is no stream means.
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -130,7 +130,7 @@
 	permit := register.Admit(ctx, message)
 	defer p.endApart(attempt.key)
 	defer permit.Release()
-	if permit.Verdict() == quarantine.Rejected {
+	if permit.Verdict() == quarantine.Rejected || !attempt.stillAdmitted(ctx) {
 		return itemNotSent
 	}
 	bounded, cancel := context.WithCancelCause(ctx)
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -67,6 +67,8 @@
 	Fresh bool
 	// ConnectWithin bounds the making of a connection; 0 stands for connectTimeout.
 	ConnectWithin time.Duration
+	// AdmittedAt is when the request was counted against what a cold replica bears; zero stands for the time of the call.
+	AdmittedAt time.Time
 }
 
 // Client calls replicas. It is safe for concurrent use.
@@ -108,7 +110,10 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
 	}
 	c.probeZones(ctx, handle)
-	began := time.Now()
+	admittedAt := call.AdmittedAt
+	if admittedAt.IsZero() {
+		admittedAt = time.Now()
+	}
 	used, err := c.connect(ctx, handle, call)
 	if err != nil {
 		return nil, err
@@ -118,7 +123,7 @@
 		used.close()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
 	}
-	if handle.staleAdmission(began, time.Now()) {
+	if handle.staleAdmission(admittedAt, time.Now()) {
 		used.close()
 		return nil, fmt.Errorf("%w: the connection to a cold replica took too long", ErrNotSent)
 	}
--- a/internal/replica/cold_test.go
+++ b/internal/replica/cold_test.go
@@ -155,14 +155,18 @@
 func TestRequestToAColdReplicaIsNotSentLate(t *testing.T) {
 	t.Parallel()
 	for _, test := range []struct {
-		name  string
-		delay time.Duration
-		cold  bool
-		sent  bool
+		name   string
+		waited time.Duration
+		delay  time.Duration
+		cold   bool
+		sent   bool
 	}{
-		{"cold, in time", SendWithin, true, true},
-		{"cold, late", SendWithin + time.Millisecond, true, false},
-		{"warm, late", SendWithin + time.Millisecond, false, true},
+		{"cold, in time", 0, SendWithin, true, true},
+		{"cold, late", 0, SendWithin + time.Millisecond, true, false},
+		{"warm, late", 0, SendWithin + time.Millisecond, false, true},
+		{"cold, in time after a wait", SendWithin / 2, SendWithin / 2, true, true},
+		{"cold, late after a wait", SendWithin, time.Millisecond, true, false},
+		{"warm, late after a wait", SendWithin, time.Millisecond, false, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
@@ -171,7 +175,9 @@
 				handle.SetColdBounded(test.cold)
 				handle.SetColdUntil(time.Now().Add(time.Second))
 				network := &slowNetwork{delay: test.delay, read: make(chan int, 1)}
-				_, err := NewClient(network, Headers{}).Do(context.Background(), handle, Call{Method: http.MethodGet, Target: "/", Host: "h"})
+				admitted := time.Now()
+				time.Sleep(test.waited)
+				_, err := NewClient(network, Headers{}).Do(context.Background(), handle, Call{Method: http.MethodGet, Target: "/", Host: "h", AdmittedAt: admitted})
 				if errors.Is(err, ErrNotSent) == test.sent {
 					t.Errorf("error %v, sent should be %t", err, test.sent)
 				}
