--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -199,6 +199,7 @@
 		if err == nil {
 			return response, keeper, nil
 		}
+		s.abandon(key, run, keeper)
 		if ctx.Err() != nil {
 			break
 		}
@@ -207,6 +208,13 @@
 	return nil, membership.Member{}, errNoKeeper
 }
 
+// abandon gives back, in the background, what a keeper may have granted in an answer that has not come: a grant that lapses counts as the end
+// of a replica.
+func (s *Service) abandon(key Key, run uint64, keeper membership.Member) {
+	request := &quarantinepb.ReleaseRequest{Message: keyBytes(key), Run: run}
+	s.inBackground(func() { s.sendRelease(keeper.PeerAddress, request) })
+}
+
 // inTouch says that a node which is the keeper itself reaches one of the others, of the first in rank; it tells them of the message, since
 // one of them will be keeper after this one. A node that is cut off would grant itself what the others grant as well.
 func (s *Service) inTouch(ctx context.Context, key Key, ranked []membership.Member) bool {
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -9,6 +9,7 @@
 	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
+	"github.com/sloelift/sloelift/internal/transport/memory"
 )
 
 // nodeOf returns the node that ranks at the given place among the keepers of a message.
@@ -66,6 +67,36 @@
 	}
 }
 
+// TestGrantWithoutAnAnswerIsNoEnd: a keeper that gave a grant too late for the one who asked takes it back; it was not used.
+func TestGrantWithoutAnAnswerIsNoEnd(t *testing.T) {
+	inCluster(t, 4, 4, func(t *testing.T, c *cluster) {
+		key := keyOf("a")
+		c.nodes[0].Recall(key, []replica.Key{1})
+		time.Sleep(50 * time.Millisecond)
+		first, asking := c.nodeOf(key, 0), c.nodeOf(key, 3)
+		c.network.SetConditions(func(from, to netip.AddrPort) memory.Conditions {
+			if from == first.address && to == asking.address {
+				return memory.Conditions{Delay: keeperTimeout + 50*time.Millisecond}
+			}
+			return memory.Conditions{Delay: time.Millisecond}
+		})
+		permit := asking.Admit(t.Context(), key)
+		if permit.Verdict() != Apart {
+			t.Fatalf("verdict %s", permit.Verdict())
+		}
+		permit.Begin(c.handle(asking, 0), nil).End(t.Context(), Other)
+		permit.Release()
+		time.Sleep(2*grantTerm + refreshInterval)
+		for _, each := range c.nodes {
+			each.mutex.Lock()
+			if ended := each.book.count(key); ended != 1 {
+				t.Errorf("%s counts %d ended replicas, want 1", each.id, ended)
+			}
+			each.mutex.Unlock()
+		}
+	})
+}
+
 func TestNextKeepersAreAskedWhereSeveralAreGone(t *testing.T) {
 	inCluster(t, 8, 4, func(t *testing.T, c *cluster) {
 		key := keyOf("a")
