--- a/internal/quarantine/fake_test.go
+++ b/internal/quarantine/fake_test.go
@@ -59,6 +59,12 @@
 	f.ended[address] = true
 }
 
+func (f *fakeMachines) begin(address netip.AddrPort) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	delete(f.ended, address)
+}
+
 // fakeView is one node's view of the members.
 type fakeView struct {
 	mutex sync.Mutex
--- a/internal/quarantine/probe.go
+++ b/internal/quarantine/probe.go
@@ -25,11 +25,13 @@
 	at      time.Time
 }
 
-// inquire returns the inquiry into a replica, begun where none is under way and none found its end before.
+// inquire returns the inquiry into a replica, begun where none is under way and none found its end before. One that found it is out of date
+// where the replica has answered since: it refused connections for a while, and had not ended.
 func (s *Service) inquire(handle *replica.Handle) *inquiry {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if known := s.inquiries[handle.Key()]; known != nil {
+	known := s.inquiries[handle.Key()]
+	if known != nil && (!known.ended || !handle.HeardSince(known.at)) {
 		return known
 	}
 	begun := &inquiry{done: make(chan struct{}), at: time.Now()}
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -30,6 +30,31 @@
 	}
 }
 
+// TestReplicaThatAnswersAgainHasNotEnded: a replica that refused connections for a while and answers again is inquired into once more.
+func TestReplicaThatAnswersAgainHasNotEnded(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		inCluster(t, 1, 3, func(t *testing.T, c *cluster) {
+			at, handle := c.nodes[0], c.handle(c.nodes[0], 0)
+			c.machines.end(handle.Info().Address)
+			at.Admit(t.Context(), keyOf("a")).Begin(handle, nil).End(t.Context(), Lost)
+			time.Sleep(time.Second)
+			if answers {
+				c.machines.begin(handle.Info().Address)
+				handle.Heard()
+			}
+			time.Sleep(time.Second)
+			if ended := at.Admit(t.Context(), keyOf("b")).Begin(handle, nil).End(t.Context(), Lost); ended == answers {
+				t.Errorf("the replica is taken to have ended: %t, it answers again: %t", ended, answers)
+			}
+			want := Apart
+			if answers {
+				want = Allowed
+			}
+			wantVerdict(t, at, keyOf("b"), want)
+		})
+	}
+}
+
 func TestLostRuns(t *testing.T) {
 	for _, test := range []struct {
 		name    string
