--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -80,6 +80,9 @@
 	}
 	e.lastError = errors.Join(err, context.Cause(ctx))
 	if errors.Is(e.lastError, errSuspected) {
+		if errors.Is(err, replica.ErrNotSent) {
+			return notSent
+		}
 		return e.afterLoss()
 	}
 	silent := errors.Is(context.Cause(ctx), errSilent) || errors.Is(err, syscall.ETIMEDOUT)
--- a/internal/forward/quarantined_test.go
+++ b/internal/forward/quarantined_test.go
@@ -25,6 +25,8 @@
 	// ended says that the replica of a lost run has ended; cut has each first run cut off at once.
 	ended bool
 	cut   bool
+	// cutAtOnce has the first run cut off before it is sent.
+	cutAtOnce bool
 	// endedFirst, where it is not 0, has only that many of the first lost runs end with their replica; lost counts them.
 	endedFirst int
 	lost       int
@@ -73,6 +75,9 @@
 	if p.register.cut && p.register.begun == 1 && cut != nil {
 		time.AfterFunc(10*time.Millisecond, cut)
 	}
+	if p.register.cutAtOnce && p.register.begun == 1 && cut != nil {
+		cut()
+	}
 	return p
 }
 
@@ -234,6 +239,24 @@
 	})
 }
 
+// TestRunThatIsCutOffBeforeItIsSentCostsNoAttempt: no replica had it.
+func TestRunThatIsCutOffBeforeItIsSentCostsNoAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		whole := replicatest.Answer(200, replicatest.Signed, "x")
+		edge := newEdgeUnderTest(t, route.Repeatable, false, map[string]replicatest.Script{"a": whole, "b": whole})
+		edge.routes.Table().Routes[0].Attempts = 1
+		register := &fakeRegister{cutAtOnce: true}
+		edge.Handler.quarantine = register
+		if recorded, _ := edge.call(nil); recorded.Code != http.StatusOK || len(edge.replicas.Requests()) != 1 {
+			t.Errorf("status %d after %d attempts, want 200 after one", recorded.Code, len(edge.replicas.Requests()))
+		}
+		if want := []quarantine.Ending{quarantine.Other, quarantine.Whole}; !slices.Equal(register.endings, want) {
+			t.Errorf("endings %v, want %v", register.endings, want)
+		}
+		edge.replicas.CloseAll()
+	})
+}
+
 func TestAttemptsOfOneMessageHaveOneKey(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		edge := newEdgeUnderTest(t, route.Repeatable, false, map[string]replicatest.Script{"a": replicatest.Answer(200, replicatest.Signed, "x")})
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -62,6 +62,8 @@
 		p.service.runs[p.key] = map[*run]bool{}
 	}
 	p.service.runs[p.key][begun] = true
+	// It may have become suspected since the permit was given.
+	p.service.cutRuns(p.key)
 	return begun
 }
 
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -30,6 +30,24 @@
 	}
 }
 
+// TestRunThatBeginsAfterTheSuspicionIsCutOff: between its leave and its begin a message may wait for a replica.
+func TestRunThatBeginsAfterTheSuspicionIsCutOff(t *testing.T) {
+	inCluster(t, 2, 3, func(t *testing.T, c *cluster) {
+		key := keyOf("a")
+		permit := c.nodes[1].Admit(t.Context(), key)
+		c.crashing(c.nodes[0], 0, key)
+		time.Sleep(50 * time.Millisecond)
+		cut := 0
+		permit.Begin(c.handle(c.nodes[1], 1), func() { cut++ }).End(t.Context(), Other)
+		if cut != 1 {
+			t.Errorf("the run of a suspect without a grant was cut off %d times", cut)
+		}
+		granted := c.nodes[1].Admit(t.Context(), key)
+		defer granted.Release()
+		granted.Begin(c.handle(c.nodes[1], 1), func() { t.Error("a granted run is cut off") }).End(t.Context(), Other)
+	})
+}
+
 // TestReplicaThatAnswersAgainHasNotEnded: a replica that refused connections for a while and answers again is inquired into once more.
 func TestReplicaThatAnswersAgainHasNotEnded(t *testing.T) {
 	for _, answers := range []bool{false, true} {
