--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -7,13 +7,11 @@
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
-// encode returns an incident as it is sent; where message is given, with that suspect alone.
-func encode(of *incident, now time.Time, message *Key) *quarantinepb.Incident {
+// encode returns an incident as it is sent.
+func encode(of *incident, now time.Time) *quarantinepb.Incident {
 	encoded := &quarantinepb.Incident{Replica: uint64(of.replica), AgeMillis: uint64(max(0, now.Sub(of.learned)).Milliseconds())}
 	for key, each := range of.suspects {
-		if message == nil || key == *message {
-			encoded.Suspects = append(encoded.Suspects, encodeSuspect(key, each))
-		}
+		encoded.Suspects = append(encoded.Suspects, encodeSuspect(key, each))
 	}
 	return encoded
 }
@@ -26,16 +24,16 @@
 func (b *book) all(now time.Time) []*quarantinepb.Incident {
 	encoded := make([]*quarantinepb.Incident, 0, len(b.incidents))
 	for _, each := range b.incidents {
-		encoded = append(encoded, encode(each, now, nil))
+		encoded = append(encoded, encode(each, now))
 	}
 	return encoded
 }
 
-// of returns what the book has of one message.
+// of returns the incidents of one message, with all that ran beside it: alone it would seem to be the cause.
 func (b *book) of(message Key, now time.Time) []*quarantinepb.Incident {
 	var encoded []*quarantinepb.Incident
 	for _, each := range b.byMessage[message] {
-		encoded = append(encoded, encode(each, now, &message))
+		encoded = append(encoded, encode(each, now))
 	}
 	return encoded
 }
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -67,6 +68,30 @@
 	}
 }
 
+// TestKeeperLearnsWhatRanBeside: a keeper that knows nothing of two ends yet decides as the one who asks, not as if the message had been alone.
+func TestKeeperLearnsWhatRanBeside(t *testing.T) {
+	inCluster(t, 4, 4, func(t *testing.T, c *cluster) {
+		key := keyOf("a")
+		keeper, asking := c.nodeOf(key, 0), c.nodeOf(key, 3)
+		asking.mutex.Lock()
+		for number, ended := range []replica.Key{1, 2} {
+			learned := time.Now().Add(time.Duration(number-2) * 100 * time.Millisecond)
+			asking.book.add(ended, learned, key, suspect{ran: 10 * time.Millisecond})
+			for beside := range 9 {
+				asking.book.add(ended, learned, keyOf(fmt.Sprintf("%d-%d", ended, beside)), suspect{ran: 10 * time.Millisecond})
+			}
+		}
+		asking.mutex.Unlock()
+		wantVerdict(t, asking, key, Apart)
+		permit := asking.Admit(t.Context(), key)
+		defer permit.Release()
+		if permit.Verdict() != Apart {
+			t.Errorf("verdict %s", permit.Verdict())
+		}
+		wantVerdict(t, keeper, key, Apart)
+	})
+}
+
 // TestGrantWithoutAnAnswerIsNoEnd: a keeper that gave a grant too late for the one who asked takes it back; it was not used.
 func TestGrantWithoutAnAnswerIsNoEnd(t *testing.T) {
 	inCluster(t, 4, 4, func(t *testing.T, c *cluster) {
