--- a/internal/batch/cold_test.go
+++ b/internal/batch/cold_test.go
@@ -119,3 +119,23 @@
 		})
 	}
 }
+
+// TestSuspectedItemWithoutAReplicaPauses: a choice for a suspected item ranks all replicas, and the dispatcher wakes at the end of each run.
+func TestSuspectedItemWithoutAReplicaPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limiter := &switchedLimiter{}
+		owner := ownWith(t, &waitingRegister{newCountingRegister(1), 0}, only(slowReplica(2, 10*time.Millisecond)))
+		owner.service.options.ColdStarts = limiter
+		owner.mustSubmit(t, batchOf("j", 1))
+		const span = 2 * time.Second
+		for began := time.Now(); time.Since(began) < span; time.Sleep(10 * time.Millisecond) {
+			owner.wake()
+		}
+		if asked, most := limiter.asked.Load(), int64(span/pauseWhileSuspected)+1; asked == 0 || asked > most {
+			t.Errorf("a replica was chosen %d times in %s, want 1 to %d", asked, span, most)
+		}
+		limiter.open.Store(1)
+		owner.results(t, "j", 1, 5*time.Second)
+		owner.end()
+	})
+}
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -22,7 +22,7 @@
 	// apartPause is how long a suspected item lets the other messages go first that ran at the replica that ended: callers wait for some of
 	// them, and the cause ends the next replica, beside which the item need not be, within some tenths of a second.
 	apartPause = time.Second
-	// pauseWhileSuspected is how long a suspected item waits that was not sent, holdPause how long one that is kept from replicas is not
+	// pauseWhileSuspected is how long a suspected item waits that was not sent or found no replica, holdPause how long one that is kept from replicas is not
 	// looked at.
 	pauseWhileSuspected = 250 * time.Millisecond
 	holdPause           = time.Second
@@ -90,12 +90,17 @@
 		// None is that empty: it waits no longer than other items do.
 		handle = p.pick(each, maxOccupancy, occupied)
 	}
-	if handle == nil || !p.service.mayStart(p.ctx, handle) {
-		return
-	}
+	found := handle != nil && p.service.mayStart(p.ctx, handle)
 	p.mutex.Lock()
-	run.apart = true
+	run.apart = found
+	if !found {
+		// The choice ranks all replicas for each suspect, and the dispatcher wakes at the end of each run.
+		run.apartFrom = p.elapsed() + pauseWhileSuspected
+	}
 	p.mutex.Unlock()
+	if !found {
+		return
+	}
 	p.start(each, handle)
 }
 
