--- a/internal/batch/evacuation_test.go
+++ b/internal/batch/evacuation_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -90,14 +91,22 @@
 func TestNoFurtherLeaseInAnEvacuatedZone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const events, evacuatedAt = 60, 500 * time.Millisecond
+		var mutex sync.Mutex
 		begun := map[string][]time.Time{}
+		begunAt := func(id string) []time.Time {
+			mutex.Lock()
+			defer mutex.Unlock()
+			return slices.Clone(begun[id])
+		}
 		counted := func(id string) replicatest.Script {
 			slow := slowReplica(events, 100*time.Millisecond)
 			return func(connection net.Conn, request *http.Request) bool {
 				if request.URL.Path == "/load" {
 					return replicatest.Refuse()(connection, request)
 				}
+				mutex.Lock()
 				begun[id] = append(begun[id], time.Now())
+				mutex.Unlock()
 				return slow(connection, request)
 			}
 		}
@@ -107,7 +116,7 @@
 		owner.mustSubmit(t, batchOf("j", 1))
 		time.Sleep(evacuatedAt)
 		first, second := "a", "b"
-		if len(begun["a"]) == 0 {
+		if len(begunAt("a")) == 0 {
 			first, second = "b", "a"
 		}
 		evacuated := time.Now()
@@ -116,8 +125,9 @@
 		if result.State != batchpb.State_STATE_SUCCEEDED || len(result.Text) != len(numberedText(events)) {
 			t.Errorf("the item is %v with %d bytes", result.State, len(result.Text))
 		}
-		if slices.ContainsFunc(begun[first], func(at time.Time) bool { return at.After(evacuated) }) || len(begun[second]) == 0 {
-			t.Errorf("begun in the evacuated zone at %v, elsewhere at %v; evacuated at %s", begun[first], begun[second], evacuated)
+		inZone, elsewhere := begunAt(first), begunAt(second)
+		if slices.ContainsFunc(inZone, func(at time.Time) bool { return at.After(evacuated) }) || len(elsewhere) == 0 {
+			t.Errorf("begun in the evacuated zone at %v, elsewhere at %v; evacuated at %s", inZone, elsewhere, evacuated)
 		}
 	})
 }
