--- a/internal/discovery/copies_test.go
+++ b/internal/discovery/copies_test.go
@@ -65,6 +65,7 @@
 		}
 		store.set(func() { store.down = false })
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		if routes.Table().Version != 5 || directory.View().Find("a") != nil || directory.View().Find("b") == nil {
 			t.Error("the store's content has not taken the place of the copies")
 		}
@@ -92,6 +93,7 @@
 		copies["replicas/"](copyOf(2, "replicas/a", "s"))
 		store.set(func() { store.down = false })
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		if len(reported.configuration) != 1 || len(reported.replicas) != 1 || reported.replicas[0] != 2 {
 			t.Errorf("reported: %+v", reported)
 		}
--- a/internal/discovery/evacuation_test.go
+++ b/internal/discovery/evacuation_test.go
@@ -209,6 +209,12 @@
 
 func (*recordingReporter) SetReplicasRevision(int64) {}
 
+func (r *recordingReporter) reported() int64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.newest
+}
+
 // TestRequestsAreReportedByTheirOwnRevision: so that a node whose watch is mute lists. What was only read again, or moved on without a
 // change of the operators, is not reported: each node would list.
 func TestRequestsAreReportedByTheirOwnRevision(t *testing.T) {
@@ -231,15 +237,15 @@
 			{"the zone is taken back", evacuationPrefix + "east", "", false},
 			{"it is asked again", evacuationPrefix + "east", "{}", true},
 		} {
-			before := reporter.newest
+			before := reporter.reported()
 			store.put(step.key, step.value)
 			time.Sleep(time.Second)
 			want := before
 			if step.reported {
 				want = store.revision
 			}
-			if reporter.newest != want {
-				t.Errorf("%s at %d: %d is reported, want %d", step.name, store.revision, reporter.newest, want)
+			if got := reporter.reported(); got != want {
+				t.Errorf("%s at %d: %d is reported, want %d", step.name, store.revision, got, want)
 			}
 		}
 	})
