--- a/internal/coldstart/service.go
+++ b/internal/coldstart/service.go
@@ -179,7 +179,7 @@
 			continue
 		}
 		delete(s.held, handle)
-		s.logger.Info().Str(logging.FieldReplica, handle.Info().ID).Bool("gone", !handle.Cold(now)).Msg("replica_warm")
+		s.logger.Info().Str(logging.FieldReplica, handle.Info().ID).Bool("gone", handle.Cold(now)).Msg("replica_warm")
 	}
 }
 
--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -200,6 +200,7 @@
 		if err == nil {
 			return response, keeper, nil
 		}
+		s.abandon(key, run, keeper)
 		if ctx.Err() != nil {
 			break
 		}
@@ -208,6 +209,13 @@
 	return nil, membership.Member{}, errNoKeeper
 }
 
+// abandon gives back, in the background, what a keeper may have granted in an answer that has not come: a grant that lapses counts as the end
+// of a replica.
+func (s *Service) abandon(key Key, run uint64, keeper membership.Member) {
+	request := &quarantinepb.ReleaseRequest{Message: keyBytes(key), Run: run}
+	s.inBackground(func() { s.sendRelease(keeper.PeerAddress, request) })
+}
+
 // inTouch says that this node, which is the keeper itself, reaches one of the next nodes in rank; a node that is cut off would grant itself
 // what the keeper of the others grants as well. The call carries the incidents of the message, since the next in rank is keeper after this
 // node.
--- a/internal/snapshotcache/cache.go
+++ b/internal/snapshotcache/cache.go
@@ -242,7 +242,8 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	held := c.contents[prefix]
-	if held.entries == nil {
+	if held.entries == nil || event.Revision < held.revision {
+		// What a watch that has ended still holds may be older than a listing since.
 		return
 	}
 	held.apply(event, now)
