--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -74,13 +74,23 @@
 		case <-changed:
 		case <-turn:
 		case <-ctx.Done():
-			return &permit{service: s, key: key, verdict: Rejected}
+			return s.undecided(key)
 		case <-s.ctx.Done():
-			return &permit{service: s, key: key, verdict: Rejected}
+			return s.undecided(key)
 		}
 	}
 }
 
+// undecided returns the permit for a message after the wait for a decision: a suspect without a grant is not sent, and one that no replica is known
+// to have ended under is sent like any other, though an inquiry into a replica goes on.
+func (s *Service) undecided(key Key) *permit {
+	verdict, _ := s.look(key)
+	if verdict == Apart {
+		verdict = Rejected
+	}
+	return &permit{service: s, key: key, verdict: verdict}
+}
+
 // leaveQueue gives up the queue of a message, so that the next caller on this node may ask for the grant.
 func (s *Service) leaveQueue(key Key) {
 	s.mutex.Lock()
@@ -115,11 +125,7 @@
 		}
 		if !s.pauseUnlessDecided(ctx, key, pause) {
 			s.leaveQueue(key)
-			verdict, _ := s.look(key)
-			if verdict == Apart {
-				verdict = Rejected
-			}
-			return &permit{service: s, key: key, verdict: verdict}
+			return s.undecided(key)
 		}
 		pause = min(2*pause, longestPause)
 	}
