--- a/internal/engine/quiet_test.go
+++ b/internal/engine/quiet_test.go
@@ -31,9 +31,19 @@
 		{"makes its next token", `{"state":"running","offset":1}`, true, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			release, asked := make(chan struct{}), make(chan struct{}, 1000)
+			release, asked, silenced := make(chan struct{}), make(chan struct{}, 1000), make(chan struct{})
+			if !test.afterHead {
+				close(silenced)
+			}
 			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 				if request.Method == http.MethodGet {
+					select {
+					case <-silenced:
+					default:
+						// What was sent may not have been read yet, which would make the run look ahead of it.
+						_, _ = fmt.Fprint(writer, `{"state":"queued","offset":0}`)
+						return
+					}
 					asked <- struct{}{}
 					if test.state == "" {
 						http.NotFound(writer, request)
@@ -56,10 +66,14 @@
 			client.quietLimit = 20 * time.Millisecond
 			to := Endpoint{Replica: "r1", Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
 			ended := make(chan error, 1)
-			go func() { ended <- readRun(t, client, to, silencer, test.afterHead) }()
+			go func() { ended <- readRun(t, client, to, silencer, test.afterHead, silenced) }()
 			if !test.lost {
 				for range 5 {
-					<-asked
+					select {
+					case <-asked:
+					case err := <-ended:
+						t.Fatalf("the run was given up: %v", err)
+					}
 				}
 				select {
 				case err := <-ended:
@@ -75,8 +89,8 @@
 	}
 }
 
-// readRun reads one chunk, where there is one, silences the connection, and reads on to the end.
-func readRun(t *testing.T, client *HTTPClient, to Endpoint, silencer *networktest.Silencer, afterHead bool) error {
+// readRun reads one chunk, where there is one, silences the connection, says so, and reads on to the end.
+func readRun(t *testing.T, client *HTTPClient, to Endpoint, silencer *networktest.Silencer, afterHead bool, silenced chan<- struct{}) error {
 	stream, err := client.Generate(t.Context(), to, Request{ID: "q1", Operation: OperationChat, Body: []byte(`{}`)})
 	if err != nil {
 		return err
@@ -88,6 +102,9 @@
 		}
 	}
 	silencer.Silence()
+	if afterHead {
+		close(silenced)
+	}
 	_, err = stream.Next()
 	return err
 }
