--- a/internal/batch/homes_cluster_test.go
+++ b/internal/batch/homes_cluster_test.go
@@ -21,7 +21,7 @@
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/ledger/store"
 	"github.com/sloelift/sloelift/internal/membership"
-	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/platform/platformtest"
 	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
@@ -52,7 +52,7 @@
 	t        *testing.T
 	network  *memory.Network
 	replicas *replicatest.Network
-	keyValue *memoryKeyValue
+	keyValue *platformtest.KeyValue
 	routes   *route.Holder
 	nodes    []*clusterNode
 	infos    []replica.Info
@@ -73,7 +73,7 @@
 	t.Helper()
 	c := &regionsCluster{
 		t: t, network: memory.NewNetwork(1), replicas: &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{}},
-		keyValue: &memoryKeyValue{entries: map[string]platform.Entry{}}, routes: route.NewHolder(), seen: map[transport.Method]map[string]bool{},
+		keyValue: platformtest.NewKeyValue(), routes: route.NewHolder(), seen: map[transport.Method]map[string]bool{},
 	}
 	c.network.SetConditions(func(netip.AddrPort, netip.AddrPort) memory.Conditions {
 		return memory.Conditions{Delay: time.Millisecond}
@@ -397,42 +397,3 @@
 		c.sawOnly("north")
 	})
 }
-
-// memoryKeyValue is a key-value service in memory.
-type memoryKeyValue struct {
-	platform.KeyValue
-	mutex    sync.Mutex
-	revision int64
-	entries  map[string]platform.Entry
-}
-
-func (k *memoryKeyValue) Get(_ context.Context, key string) (platform.Entry, error) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	return k.entries[key], nil
-}
-
-func (k *memoryKeyValue) List(context.Context, string) (platform.Listing, error) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	listing := platform.Listing{Revision: k.revision}
-	for _, entry := range k.entries {
-		listing.Entries = append(listing.Entries, entry)
-	}
-	return listing, nil
-}
-
-func (k *memoryKeyValue) Commit(_ context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	for _, condition := range transaction.Conditions {
-		if k.entries[condition.Key].ModRevision != condition.ModRevision {
-			return platform.CommitResult{}, nil
-		}
-	}
-	k.revision++
-	for _, change := range transaction.Changes {
-		k.entries[change.Key] = platform.Entry{Key: change.Key, Value: change.Value, ModRevision: k.revision}
-	}
-	return platform.CommitResult{Committed: true, Revision: k.revision}, nil
-}
--- a/internal/coldstart/fake_test.go
+++ b/internal/coldstart/fake_test.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/platform"
 )
 
@@ -151,17 +150,3 @@
 	}
 	return result, failure
 }
-
-// fixedView is what one node knows of the members.
-type fixedView struct {
-	mutex sync.Mutex
-	view  *membership.View
-}
-
-func (f *fixedView) View() *membership.View {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.view
-}
-
-func (f *fixedView) Subscribe(func(*membership.View)) (unsubscribe func()) { return func() {} }
--- a/internal/coldstart/fleet_test.go
+++ b/internal/coldstart/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/membership/membershiptest"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
 )
@@ -52,7 +53,7 @@
 	id        membership.NodeID
 	limit     func(Limiter) Limiter
 	store     *faultyStore
-	members   *fixedView
+	members   *membershiptest.Viewer
 	service   *Service
 	directory *replica.Directory
 	client    *replica.Client
@@ -138,7 +139,7 @@
 	routes := route.NewHolder()
 	routes.Offer(route.NewTable(1, nil, []route.Service{{Name: "s", ColdStart: staysCold, ColdRequestsPerSecond: n.fleet.rate}}, route.Limits{}))
 	n.directory = replica.NewDirectory()
-	n.members = &fixedView{view: &membership.View{Self: n.id, Members: view}}
+	n.members = membershiptest.NewViewer(&membership.View{Self: n.id, Members: view})
 	n.service = New(Options{
 		Bounds: Bounds{Burst: 1.5, Slack: 5}, Routes: routes, Directory: n.directory, Store: n.store, Viewer: n.members,
 		Registerer: prometheus.NewRegistry(), Logger: zerolog.Nop(),
--- a/internal/coldstart/service_test.go
+++ b/internal/coldstart/service_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/membership/membershiptest"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
 )
@@ -19,7 +20,7 @@
 	directory, routes := replica.NewDirectory(), route.NewHolder()
 	service := New(Options{
 		Bounds: Bounds{Burst: 1.5, Slack: 5}, Routes: routes, Directory: directory, Store: calm(store), Registerer: prometheus.NewRegistry(), Logger: zerolog.Nop(),
-		Viewer: &fixedView{view: &membership.View{Self: "edge-00", Members: testMembers(1)}},
+		Viewer: membershiptest.NewViewer(&membership.View{Self: "edge-00", Members: testMembers(1)}),
 	})
 	return service, directory, routes
 }
--- a/internal/job/integration_test.go
+++ b/internal/job/integration_test.go
@@ -19,7 +19,7 @@
 	"github.com/sloelift/sloelift/internal/ledger/store"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/pause"
-	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/platform/platformtest"
 	"github.com/sloelift/sloelift/internal/settings"
 	"github.com/sloelift/sloelift/internal/transport/memory"
 )
@@ -27,15 +27,14 @@
 // ledgerCluster is nodes with the real ledger over an in-memory network. The first
 // four have a disk.
 type ledgerCluster struct {
-	platform.KeyValue // Get, List and Commit are below; the rest is not used
-	t                 *testing.T
-	network           *memory.Network
-	engine            *fakeEngine
-	credits           *fakeCredits
-	mutex             sync.Mutex
-	entries           map[string]platform.Entry
-	members           []membership.Member
-	nodes             []*ledgerNode
+	t        *testing.T
+	network  *memory.Network
+	engine   *fakeEngine
+	credits  *fakeCredits
+	mutex    sync.Mutex
+	keyValue *platformtest.KeyValue
+	members  []membership.Member
+	nodes    []*ledgerNode
 }
 
 type ledgerNode struct {
@@ -58,7 +57,7 @@
 func newLedgerCluster(t *testing.T) *ledgerCluster {
 	cluster := &ledgerCluster{
 		t: t, network: memory.NewNetwork(1), engine: newFakeEngine(), credits: &fakeCredits{replicas: 3, limit: 16},
-		entries: make(map[string]platform.Entry),
+		keyValue: platformtest.NewKeyValue(),
 	}
 	for number := range ledgerNodes {
 		cluster.nodes = append(cluster.nodes, cluster.start(number))
@@ -94,7 +93,7 @@
 	registerMethods(node.transport, node.partitions)
 	node.manager = ledger.NewManager(ledger.Dependencies{
 		Settings: values, Timing: ledger.DefaultTiming(), Logger: zerolog.Nop(), Local: node.disk, Caller: node.transport,
-		Registry: node.transport, KeyValue: c, Viewer: node, Factory: node.partitions.factory,
+		Registry: node.transport, KeyValue: c.keyValue, Viewer: node, Factory: node.partitions.factory,
 	})
 	node.service = &service{newForwarder(node.partitions, node.manager, node.transport), fakeConfig{}}
 	node.transport.Start()
@@ -140,42 +139,6 @@
 
 func (n *ledgerNode) Subscribe(func(*membership.View)) func() { return func() {} }
 
-// The cluster is its own key-value service.
-
-func (c *ledgerCluster) Get(_ context.Context, key string) (platform.Entry, error) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.entries[key], nil
-}
-
-func (c *ledgerCluster) List(_ context.Context, prefix string) (platform.Listing, error) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	var listing platform.Listing
-	for key, entry := range c.entries {
-		if strings.HasPrefix(key, prefix) {
-			listing.Entries = append(listing.Entries, entry)
-		}
-	}
-	return listing, nil
-}
-
-func (c *ledgerCluster) Commit(_ context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for _, condition := range transaction.Conditions {
-		if c.entries[condition.Key].ModRevision != condition.ModRevision {
-			return platform.CommitResult{}, nil
-		}
-	}
-	revision := int64(len(c.entries) + 1)
-	for _, change := range transaction.Changes {
-		revision = max(revision, c.entries[change.Key].ModRevision+1)
-		c.entries[change.Key] = platform.Entry{Key: change.Key, Value: change.Value, ModRevision: revision}
-	}
-	return platform.CommitResult{Committed: true, Revision: revision}, nil
-}
-
 // TestOwnersKilledMidJob: owners die with items in flight, at most one of them with a
 // disk; every item of both jobs completes once and a marked one runs at most once.
 func TestOwnersKilledMidJob(t *testing.T) {
--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -16,7 +16,6 @@
 	"github.com/sloelift/sloelift/internal/ledger/store"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
-	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/settings"
 	"github.com/sloelift/sloelift/internal/transport/memory"
 )
@@ -93,7 +92,7 @@
 	network := memory.NewNetwork(seed)
 	network.SetConditions(calm)
 	return &cluster{
-		t: t, network: network, keyValue: &memoryKeyValue{entries: map[string]platform.Entry{}},
+		t: t, network: network, keyValue: newMemoryKeyValue(),
 		view: &sharedView{}, ledger: settings.Ledger{Partitions: 2, Replicas: 4, WriteQuorum: 3}, timing: timing,
 		log: log, logger: logging.New(log, zerolog.DebugLevel),
 	}
--- a/internal/ledger/confined_test.go
+++ b/internal/ledger/confined_test.go
@@ -273,8 +273,8 @@
 		time.Sleep(10 * time.Second)
 		c.keyValue.set(func() {
 			c.keyValue.calls = 0
-			if want := 1 + c.ledger.Partitions; len(c.keyValue.entries) != want {
-				t.Errorf("%d entries, want %d", len(c.keyValue.entries), want)
+			if want := 1 + c.ledger.Partitions; c.keyValue.Len() != want {
+				t.Errorf("%d entries, want %d", c.keyValue.Len(), want)
 			}
 		})
 		time.Sleep(time.Minute)
--- a/internal/ledger/fakes_test.go
+++ b/internal/ledger/fakes_test.go
@@ -8,72 +8,67 @@
 
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/platform/platformtest"
 )
 
-// memoryKeyValue is a key-value service with compare-and-swap that can be down or lose answers.
+// memoryKeyValue is a key-value service that can be down or lose answers.
 type memoryKeyValue struct {
-	platform.KeyValue
+	*platformtest.KeyValue
 	mutex       sync.Mutex
-	revision    int64
-	entries     map[string]platform.Entry
 	down        bool
 	loseAnswers bool
 	// calls counts all calls.
 	calls int
 }
 
+func newMemoryKeyValue() *memoryKeyValue {
+	return &memoryKeyValue{KeyValue: platformtest.NewKeyValue()}
+}
+
 func (k *memoryKeyValue) set(change func()) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	change()
 }
 
-func (k *memoryKeyValue) Get(_ context.Context, key string) (platform.Entry, error) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
+// begin counts a call; it fails while the service is down.
+func (k *memoryKeyValue) begin() error {
 	k.calls++
 	if k.down {
-		return platform.Entry{}, platform.KindUnavailable.New("down")
+		return platform.KindUnavailable.New("down")
 	}
-	return k.entries[key], nil
+	return nil
 }
 
-func (k *memoryKeyValue) List(_ context.Context, prefix string) (platform.Listing, error) {
+func (k *memoryKeyValue) Get(ctx context.Context, key string) (platform.Entry, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.calls++
-	if k.down {
-		return platform.Listing{}, platform.KindUnavailable.New("down")
-	}
-	listing := platform.Listing{Revision: k.revision}
-	for key, entry := range k.entries {
-		if strings.HasPrefix(key, prefix) {
-			listing.Entries = append(listing.Entries, entry)
-		}
+	if err := k.begin(); err != nil {
+		return platform.Entry{}, err
 	}
-	return listing, nil
+	return k.KeyValue.Get(ctx, key)
 }
 
-func (k *memoryKeyValue) Commit(_ context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
+func (k *memoryKeyValue) List(ctx context.Context, prefix string) (platform.Listing, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.calls++
-	if k.down {
-		return platform.CommitResult{}, platform.KindUnavailable.New("down")
-	}
-	for _, condition := range transaction.Conditions {
-		if k.entries[condition.Key].ModRevision != condition.ModRevision {
-			return platform.CommitResult{}, nil
-		}
+	if err := k.begin(); err != nil {
+		return platform.Listing{}, err
 	}
-	k.revision++
-	for _, change := range transaction.Changes {
-		k.entries[change.Key] = platform.Entry{Key: change.Key, Value: change.Value, ModRevision: k.revision}
+	return k.KeyValue.List(ctx, prefix)
+}
+
+func (k *memoryKeyValue) Commit(ctx context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if err := k.begin(); err != nil {
+		return platform.CommitResult{}, err
 	}
-	if k.loseAnswers {
+	result, err := k.KeyValue.Commit(ctx, transaction)
+	if err == nil && result.Committed && k.loseAnswers {
 		return platform.CommitResult{}, platform.KindUnknownOutcome.New("answer lost")
 	}
-	return platform.CommitResult{Committed: true, Revision: k.revision}, nil
+	return result, err
 }
 
 // sharedView is what every node of a test sees.
--- a/lab/ledgerbench/keyvalue.go
+++ b/internal/platform/platformtest/keyvalue.go
@@ -1,4 +1,5 @@
-package ledgerbench
+// Package platformtest has stand-ins for the platform's services, for tests and for measurements without a platform.
+package platformtest
 
 import (
 	"context"
@@ -8,8 +9,9 @@
 	"github.com/sloelift/sloelift/internal/platform"
 )
 
-// keyValue is a key-value service in memory, with the calls that the ledger makes.
-type keyValue struct {
+// KeyValue is a key-value service in memory with revisions and conditional transactions; it has neither leases nor watches. It is safe for
+// concurrent use.
+type KeyValue struct {
 	platform.KeyValue
 
 	mutex    sync.Mutex
@@ -17,13 +19,18 @@
 	entries  map[string]platform.Entry
 }
 
-func (k *keyValue) Get(_ context.Context, key string) (platform.Entry, error) {
+// NewKeyValue returns a KeyValue without entries.
+func NewKeyValue() *KeyValue { return &KeyValue{entries: map[string]platform.Entry{}} }
+
+// Get implements platform.KeyValue.
+func (k *KeyValue) Get(_ context.Context, key string) (platform.Entry, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	return k.entries[key], nil
 }
 
-func (k *keyValue) List(_ context.Context, prefix string) (platform.Listing, error) {
+// List implements platform.KeyValue; the entries come in no order.
+func (k *KeyValue) List(_ context.Context, prefix string) (platform.Listing, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	listing := platform.Listing{Revision: k.revision}
@@ -35,7 +42,8 @@
 	return listing, nil
 }
 
-func (k *keyValue) Commit(_ context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
+// Commit implements platform.KeyValue; it knows changes that write a value.
+func (k *KeyValue) Commit(_ context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	for _, condition := range transaction.Conditions {
@@ -49,3 +57,10 @@
 	}
 	return platform.CommitResult{Committed: true, Revision: k.revision}, nil
 }
+
+// Len returns the number of entries.
+func (k *KeyValue) Len() int {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return len(k.entries)
+}
--- a/internal/quarantine/fake_test.go
+++ b/internal/quarantine/fake_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/membership/membershiptest"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/transport/memory"
 )
@@ -65,31 +66,11 @@
 	delete(f.ended, address)
 }
 
-// fakeView is one node's view of the members.
-type fakeView struct {
-	mutex sync.Mutex
-	view  *membership.View
-}
-
-func (f *fakeView) View() *membership.View {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.view
-}
-
-func (*fakeView) Subscribe(func(*membership.View)) func() { return func() {} }
-
-func (f *fakeView) set(view *membership.View) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.view = view
-}
-
 // node is one node of a cluster under test.
 type node struct {
 	id        membership.NodeID
 	address   netip.AddrPort
-	view      *fakeView
+	view      *membershiptest.Viewer
 	transport *memory.Transport
 	directory *replica.Directory
 	*Service
@@ -128,7 +109,7 @@
 	}
 	for index := range nodes {
 		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(9000+index))
-		made.nodes = append(made.nodes, &node{id: membership.NodeID(fmt.Sprintf("node-%02d", index)), address: address, view: &fakeView{}})
+		made.nodes = append(made.nodes, &node{id: membership.NodeID(fmt.Sprintf("node-%02d", index)), address: address, view: membershiptest.NewViewer(nil)})
 	}
 	for _, each := range made.nodes {
 		made.start(each)
@@ -154,7 +135,7 @@
 	c.mutex.Lock()
 	started.directory.Replace(c.infos)
 	c.mutex.Unlock()
-	started.view.set(&membership.View{Self: started.id, Members: []membership.Member{c.member(started, membership.Alive)}})
+	started.view.Set(&membership.View{Self: started.id, Members: []membership.Member{c.member(started, membership.Alive)}})
 	started.Service = NewService(Options{
 		Network: c.machines, Directory: started.directory, Viewer: started.view, Caller: started.transport, Registrar: started.transport,
 		Registerer: prometheus.NewRegistry(), Logger: zerolog.Nop(),
@@ -195,7 +176,7 @@
 			}
 			view.Members = append(view.Members, c.member(other, state))
 		}
-		viewer.view.set(view)
+		viewer.view.Set(view)
 	}
 }
 
--- a/internal/quota/fake_test.go
+++ b/internal/quota/fake_test.go
@@ -12,37 +12,18 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/membership/membershiptest"
 	"github.com/sloelift/sloelift/internal/tenant"
 	"github.com/sloelift/sloelift/internal/transport"
 	"github.com/sloelift/sloelift/internal/transport/memory"
 )
 
-// fakeView is one node's view of the members, which the test changes.
-type fakeView struct {
-	mutex sync.Mutex
-	view  *membership.View
-}
-
-func (f *fakeView) View() *membership.View {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.view
-}
-
-func (*fakeView) Subscribe(func(*membership.View)) func() { return func() {} }
-
-func (f *fakeView) set(view *membership.View) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.view = view
-}
-
 // edge is one edge of a cluster under test.
 type edge struct {
 	id        membership.NodeID
 	zone      string
 	address   netip.AddrPort
-	view      *fakeView
+	view      *membershiptest.Viewer
 	transport *memory.Transport
 	service   *Service
 	up        bool
@@ -76,7 +57,7 @@
 	})
 	for index := range count {
 		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(9000+index))
-		made.edges = append(made.edges, &edge{id: membership.NodeID(fmt.Sprintf("edge-%02d", index)), address: address, view: &fakeView{}})
+		made.edges = append(made.edges, &edge{id: membership.NodeID(fmt.Sprintf("edge-%02d", index)), address: address, view: membershiptest.NewViewer(nil)})
 	}
 	for _, each := range made.edges {
 		made.start(each)
@@ -95,7 +76,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	started.view.set(&membership.View{Self: started.id, Members: []membership.Member{c.member(started, membership.Alive)}})
+	started.view.Set(&membership.View{Self: started.id, Members: []membership.Member{c.member(started, membership.Alive)}})
 	started.service = NewService(testAllowance, started.view, started.transport, started.transport, prometheus.NewRegistry(), zerolog.Nop())
 	started.transport.Start()
 	started.up = true
@@ -136,7 +117,7 @@
 			}
 			view.Members = append(view.Members, c.member(other, state))
 		}
-		viewer.view.set(view)
+		viewer.view.Set(view)
 	}
 }
 
--- a/lab/ledgerbench/cluster.go
+++ b/lab/ledgerbench/cluster.go
@@ -17,6 +17,7 @@
 	"github.com/sloelift/sloelift/internal/ledger/store"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/platform/platformtest"
 	"github.com/sloelift/sloelift/internal/settings"
 	"github.com/sloelift/sloelift/internal/transport"
 )
@@ -126,7 +127,7 @@
 // openCluster starts replicas nodes with disks below folder and waits until all partitions have owners.
 func openCluster(ctx context.Context, folder string, replicas, writeQuorum, partitions int) (*cluster, error) {
 	c := &cluster{view: &view{}, partitions: partitions}
-	values := &keyValue{entries: map[string]platform.Entry{}}
+	values := platformtest.NewKeyValue()
 	for index := range replicas {
 		if err := c.add(folder, index, values, settings.Ledger{Partitions: partitions, Replicas: replicas, WriteQuorum: writeQuorum}); err != nil {
 			return nil, errors.Join(err, c.close())
