--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
+	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 )
 
@@ -29,9 +30,6 @@
 // errNoKeeper says that none of the nodes that may keep a message was reached: this one may be cut off.
 var errNoKeeper = errors.New("no keeper was reached")
 
-// queue is held, on this node, by the one caller that asks for a grant of a message or has it; done is closed when it is given up.
-type queue struct{ done chan struct{} }
-
 // Admit implements Register.
 func (s *Service) Admit(ctx context.Context, key Key) Permit {
 	verdict, inquired := s.look(key)
@@ -58,7 +56,7 @@
 		s.mutex.Lock()
 		verdict, inquired, waiting, changed := s.book.verdict(key), s.inquired[key] > 0, s.queues[key], s.changed
 		if !inquired && verdict == Apart && waiting == nil {
-			s.queues[key] = &queue{done: make(chan struct{})}
+			s.queues[key] = make(chan struct{})
 			s.mutex.Unlock()
 			return s.seek(ctx, key)
 		}
@@ -66,13 +64,9 @@
 		if !inquired && verdict != Apart {
 			return &permit{service: s, key: key, verdict: verdict}
 		}
-		var turn chan struct{}
-		if waiting != nil {
-			turn = waiting.done
-		}
 		select {
 		case <-changed:
-		case <-turn:
+		case <-waiting:
 		case <-ctx.Done():
 			return s.undecided(key)
 		case <-s.ctx.Done():
@@ -96,14 +90,15 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if held := s.queues[key]; held != nil {
-		close(held.done)
+		close(held)
 		delete(s.queues, key)
 	}
 }
 
 // seek asks the keeper for the grant until it is given or the message is decided on. The queue is held until the permit is given back.
 func (s *Service) seek(ctx context.Context, key Key) *permit {
-	run := drawRun(rand.Uint64(), key)
+	// 0 stands for no run.
+	run := max(1, rand.Uint64())
 	pause := firstPause
 	for {
 		response, keeper, err := s.askKeepers(ctx, key, run)
@@ -293,7 +288,7 @@
 		if err == nil {
 			return
 		}
-		s.logger.Info().Stringer("peer", to).Err(err).Msg("grant_not_released")
+		s.logger.Info().Stringer(logging.FieldPeer, to).Err(err).Msg("grant_not_released")
 		if s.ctx.Err() != nil {
 			return
 		}
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -26,6 +26,10 @@
 	granted bool
 }
 
+// unseen returns a message whose run nobody here saw to its end: how long it was is not known, so that it counts, but speaks no more strongly
+// against the message than a long one.
+func unseen() suspect { return suspect{ran: shortRun + time.Second} }
+
 // incident is the end of one incarnation of a replica.
 type incident struct {
 	replica  replica.Key
--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -7,9 +7,14 @@
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
+// encodeHead returns an incident as it is sent, without its suspects.
+func encodeHead(of *incident, now time.Time) *quarantinepb.Incident {
+	return &quarantinepb.Incident{Replica: uint64(of.replica), AgeMillis: uint64(max(0, now.Sub(of.learned)).Milliseconds())}
+}
+
 // encode returns an incident as it is sent.
 func encode(of *incident, now time.Time) *quarantinepb.Incident {
-	encoded := &quarantinepb.Incident{Replica: uint64(of.replica), AgeMillis: uint64(max(0, now.Sub(of.learned)).Milliseconds())}
+	encoded := encodeHead(of, now)
 	for key, each := range of.suspects {
 		encoded.Suspects = append(encoded.Suspects, encodeSuspect(key, each))
 	}
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -2,12 +2,9 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -33,10 +30,7 @@
 	live := view.Live()
 	weights := make(map[membership.NodeID]uint64, len(live))
 	for _, member := range live {
-		digest := xxhash.New()
-		_, _ = digest.Write(key[:])
-		_, _ = digest.WriteString(string(member.ID))
-		weights[member.ID] = digest.Sum64()
+		weights[member.ID] = weightOf(key, []byte(member.ID))
 	}
 	slices.SortFunc(live, func(one, other membership.Member) int { return -cmp.Compare(weights[one.ID], weights[other.ID]) })
 	return live
@@ -90,7 +84,7 @@
 	}
 	delete(s.grants, key)
 	ended := replica.Key(held.run)
-	if s.book.verdict(key) == Apart && s.book.add(ended, held.until, key, suspect{ran: shortRun + time.Second}) {
+	if s.book.verdict(key) == Apart && s.book.add(ended, held.until, key, unseen()) {
 		s.logger.Info().Stringer("digest", key).Msg("grant_lapsed")
 		s.announce(ended, key)
 		s.noteVerdict(key)
@@ -125,6 +119,3 @@
 
 // keyBytes returns a key as it is sent between nodes.
 func keyBytes(key Key) []byte { return key[:] }
-
-// drawRun returns the number of a run; 0 stands for none.
-func drawRun(random uint64, key Key) uint64 { return max(1, random^binary.BigEndian.Uint64(key[:8])) }
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -64,8 +64,8 @@
 	runs      map[Key]map[*run]bool
 	inquired  map[Key]int
 	inquiries map[replica.Key]*inquiry
-	// queues hold, by message, who waits here for a grant.
-	queues map[Key]*queue
+	// queues hold the messages for which one caller on this node asks for a grant or has it; the channel is closed when it gives that up.
+	queues map[Key]chan struct{}
 	// grants are those that this node gave as keeper.
 	grants map[Key]grant
 	// left are the runs that were broken off from here a short while ago, by replica; leftCount is their number, forgetLeftAt when old
@@ -87,7 +87,7 @@
 	service := &Service{
 		network: options.Network, directory: options.Directory, viewer: options.Viewer, caller: options.Caller, logger: options.Logger.With().Str(logging.FieldSlice, "quarantine").Logger(),
 		metrics: newMetrics(options.Registerer), unreached: unreached.NewPeers(unreachedFor), news: make(chan struct{}, 1), book: newBook(), runs: map[Key]map[*run]bool{}, inquired: map[Key]int{},
-		inquiries: map[replica.Key]*inquiry{}, queues: map[Key]*queue{}, grants: map[Key]grant{}, changed: make(chan struct{}),
+		inquiries: map[replica.Key]*inquiry{}, queues: map[Key]chan struct{}{}, grants: map[Key]grant{}, changed: make(chan struct{}),
 		outbox: map[replica.Key]map[Key]bool{}, repeats: map[replica.Key]map[Key]bool{}, rejected: map[Key]bool{}, left: map[replica.Key][]leftRun{},
 	}
 	service.ctx, service.cancel = context.WithCancel(context.Background())
@@ -149,8 +149,8 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for number, each := range ended {
-		// How long the runs were is not known, nor when they ended: they count, but each for no more than that.
-		if s.book.add(each, now.Add(-time.Duration(number+1)*time.Second), key, suspect{ran: shortRun + time.Second}) {
+		// When the runs ended is not known either.
+		if s.book.add(each, now.Add(-time.Duration(number+1)*time.Second), key, unseen()) {
 			s.announce(each, key)
 		}
 	}
@@ -233,7 +233,7 @@
 
 // cutRuns ends the runs of a suspected message that no grant covers. The mutex is held.
 func (s *Service) cutRuns(key Key) {
-	if s.book.verdict(key) == Allowed {
+	if len(s.runs[key]) == 0 || s.book.verdict(key) == Allowed {
 		return
 	}
 	for each := range s.runs[key] {
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -7,6 +7,7 @@
 	"time"
 
 	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
+	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/replica"
 )
@@ -102,7 +103,7 @@
 		if known == nil {
 			continue
 		}
-		encoded := &quarantinepb.Incident{Replica: uint64(ended), AgeMillis: uint64(max(0, now.Sub(known.learned)).Milliseconds())}
+		encoded := encodeHead(known, now)
 		for key := range keys {
 			if each := known.suspects[key]; each != nil {
 				encoded.Suspects = append(encoded.Suspects, encodeSuspect(key, each))
@@ -130,7 +131,7 @@
 func (s *Service) send(to netip.AddrPort, notice *quarantinepb.Notice) {
 	s.metrics.notices.Inc()
 	if err := s.caller.Send(to, methodNotice, notice); err != nil {
-		s.logger.Debug().Err(err).Stringer("peer", to).Msg("notice_not_sent")
+		s.logger.Debug().Err(err).Stringer(logging.FieldPeer, to).Msg("notice_not_sent")
 	}
 }
 
@@ -151,7 +152,7 @@
 	}
 	others := s.others()
 	if len(others) > 0 {
-		s.send(others[rand.IntN(len(others))].PeerAddress, &quarantinepb.Notice{Incidents: incidents})
+		s.send(others[0].PeerAddress, &quarantinepb.Notice{Incidents: incidents})
 	}
 }
 
@@ -196,7 +197,7 @@
 	defer cancel()
 	var response quarantinepb.ListResponse
 	if err := s.caller.Call(bounded, address, methodList, &quarantinepb.ListRequest{}, &response); err != nil {
-		s.logger.Debug().Err(err).Stringer("peer", address).Msg("incidents_not_listed")
+		s.logger.Debug().Err(err).Stringer(logging.FieldPeer, address).Msg("incidents_not_listed")
 		return false
 	}
 	s.join(response.GetIncidents(), time.Now())
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -40,13 +40,13 @@
 func NotPreferred(key Key, all []*replica.Handle) []*replica.Handle {
 	weights := make(map[*replica.Handle]uint64, len(all))
 	for _, handle := range all {
-		var encoded [8]byte
-		binary.BigEndian.PutUint64(encoded[:], uint64(handle.Key()))
-		digest := xxhash.New()
-		_, _ = digest.Write(key[:])
-		_, _ = digest.Write(encoded[:])
-		weights[handle] = digest.Sum64()
+		weights[handle] = weightOf(key, binary.BigEndian.AppendUint64(nil, uint64(handle.Key())))
 	}
 	sorted := slices.SortedFunc(slices.Values(all), func(one, other *replica.Handle) int { return cmp.Compare(weights[one], weights[other]) })
 	return sorted[(len(sorted)+spreadOver-1)/spreadOver:]
 }
+
+// weightOf ranks a member or a replica for a message by rendezvous hashing: all nodes rank them alike.
+func weightOf(key Key, name []byte) uint64 {
+	return xxhash.Sum64(slices.Concat(key[:], name))
+}
--- a/internal/snapshotcache/exchange.go
+++ b/internal/snapshotcache/exchange.go
@@ -165,7 +165,7 @@
 	}
 	c.mutex.Unlock()
 	if err != nil {
-		c.logger.Debug().Err(err).Stringer("peer", address).Msg("copies_not_fetched")
+		c.logger.Debug().Err(err).Stringer(logging.FieldPeer, address).Msg("copies_not_fetched")
 		return
 	}
 	c.handOver()
