--- a/internal/batch/cold.go
+++ b/internal/batch/cold.go
@@ -12,7 +12,7 @@
 	return s.options.ColdStarts == nil || s.options.ColdStarts.Take(ctx, handle)
 }
 
-// admitted says that the replica bears one more send of the item, and counts it.
+// admitted says that the replica can take one more send of the item, and counts it.
 func (a *itemAttempt) admitted(ctx context.Context) bool {
 	if !a.partition.service.mayStart(ctx, a.handle) {
 		return false
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -68,7 +68,7 @@
 	tenant string
 	route  *route.Route
 	handle *replica.Handle
-	// admittedAt is when the present send was counted against what a cold replica bears.
+	// admittedAt is when the present send was counted against what a cold replica can take.
 	admittedAt time.Time
 	text       []byte
 	lastEvent  string
@@ -151,12 +151,18 @@
 	}
 }
 
-// call returns the item's request.
-func (a *itemAttempt) call(names replica.Headers) replica.Call {
-	header := make(http.Header, len(a.sent.Headers)+4)
-	for _, each := range a.sent.Headers {
+// headerOf returns the fields that an item came with.
+func headerOf(sent *batchpb.Item) http.Header {
+	header := make(http.Header, len(sent.Headers)+4)
+	for _, each := range sent.Headers {
 		header.Add(each.Name, each.Value)
 	}
+	return header
+}
+
+// call returns the item's request.
+func (a *itemAttempt) call(names replica.Headers) replica.Call {
+	header := headerOf(a.sent)
 	header.Del(names.APIKey)
 	header.Del(names.Tenant)
 	if a.tenant != "" {
@@ -177,7 +183,7 @@
 func (a *itemAttempt) judge(answer *replica.Answer, names replica.Headers) itemVerdict {
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest, answer.Header.Get(names.NotRun) != "":
-		a.handle.Refused(answer.Status == http.StatusMisdirectedRequest, time.Now())
+		a.handle.Refused(answer.Status, time.Now())
 		return itemRefused
 	case answer.Status == http.StatusUnprocessableEntity:
 		return itemImpossible
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -29,12 +29,8 @@
 // messageOf names what an item sends.
 func messageOf(submission *batchpb.Submission, number int, names replica.Headers) quarantine.Key {
 	sent := submission.Items[number]
-	header := http.Header{}
-	for _, each := range sent.Headers {
-		header.Add(each.Name, each.Value)
-	}
 	return quarantine.Message{
-		Method: http.MethodPost, Host: submission.Host, Target: sent.Path, PromptParts: header.Get(names.PromptParts), Body: sent.Body,
+		Method: http.MethodPost, Host: submission.Host, Target: sent.Path, PromptParts: headerOf(sent).Get(names.PromptParts), Body: sent.Body,
 	}.Key()
 }
 
@@ -45,12 +41,15 @@
 		return quarantine.Allowed
 	}
 	p.mutex.Lock()
-	run := p.runOf(each.key)
-	if run.message == (quarantine.Key{}) {
-		run.message = messageOf(each.submission, each.key.number, p.service.client.Headers())
-	}
-	message := run.message
+	message := p.runOf(each.key).message
 	p.mutex.Unlock()
+	if message == (quarantine.Key{}) {
+		// The whole body is read for it, and the mutex is held by whoever notes progress or ends an item.
+		message = messageOf(each.submission, each.key.number, p.service.client.Headers())
+		p.mutex.Lock()
+		p.runOf(each.key).message = message
+		p.mutex.Unlock()
+	}
 	return register.Check(message)
 }
 
@@ -128,7 +127,6 @@
 	message := p.runs[attempt.key].message
 	p.mutex.RUnlock()
 	permit := register.Admit(ctx, message)
-	defer p.endApart(attempt.key)
 	defer permit.Release()
 	if permit.Verdict() == quarantine.Rejected || !attempt.stillAdmitted(ctx) {
 		return itemNotSent
@@ -154,15 +152,6 @@
 	run.apartFrom = p.elapsed() + time.Duration(run.crashes)*apartPause
 }
 
-// endApart notes that a suspect's run has ended.
-func (p *partition) endApart(key itemKey) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if run := p.runs[key]; run != nil {
-		run.apart = false
-	}
-}
-
 // ending is what the attempt says of the item's message. Only a run from the beginning shows that it is harmless.
 func (a *itemAttempt) ending(ctx context.Context, verdict itemVerdict, startedBehind string) quarantine.Ending {
 	switch {
--- a/internal/batch/item_run.go
+++ b/internal/batch/item_run.go
@@ -32,6 +32,7 @@
 	if run == nil || run.route == nil {
 		return
 	}
+	run.apart = false
 	run.ran += p.elapsed() - run.began
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -48,7 +48,7 @@
 	if refused(answer, e.handler.headers) {
 		_, err := io.CopyN(io.Discard, answer.Body, maxHeldAnswer)
 		whole = errors.Is(err, io.EOF)
-		handle.Refused(answer.Status == http.StatusMisdirectedRequest, time.Now())
+		handle.Refused(answer.Status, time.Now())
 		e.event(handle).Int("status", answer.Status).Msg("replica_refused")
 		return notRun
 	}
@@ -86,7 +86,7 @@
 		}
 		return e.afterLoss()
 	}
-	silent := errors.Is(context.Cause(ctx), errSilent) || errors.Is(err, syscall.ETIMEDOUT)
+	silent := e.silent()
 	if silent && handle.HeardSince(e.attemptBegan) {
 		// It answers others: it is not down, the request waits there for its turn.
 		handle.Rejected(time.Now())
@@ -98,13 +98,18 @@
 			handle.Silent()
 		}
 	}
-	e.event(handle).Err(errors.Join(err, context.Cause(ctx))).Msg("call_failed")
+	e.event(handle).Err(e.lastError).Msg("call_failed")
 	if errors.Is(err, replica.ErrNotSent) {
 		return notSent
 	}
 	return e.afterLoss()
 }
 
+// silent says that the last attempt ended since nothing came.
+func (e *exchange) silent() bool {
+	return errors.Is(e.lastError, errSilent) || errors.Is(e.lastError, syscall.ETIMEDOUT)
+}
+
 // afterLoss is the verdict on a run whose answer did not come to its end.
 func (e *exchange) afterLoss() verdict {
 	if e.headSent {
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/sloelift/sloelift/internal/quarantine"
@@ -104,7 +102,7 @@
 		return quarantine.Left
 	case last != maybeRun && last != brokenOff, e.lastError == nil:
 		return quarantine.Other
-	case errors.Is(e.lastError, errSilent), errors.Is(e.lastError, syscall.ETIMEDOUT):
+	case e.silent():
 		return quarantine.Left
 	case e.resumes() && e.lastEvent != startedBehind:
 		return quarantine.Interrupted
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -62,7 +62,7 @@
 	Fresh bool
 	// ConnectWithin bounds the making of a connection; 0 stands for connectTimeout.
 	ConnectWithin time.Duration
-	// AdmittedAt is when the request was counted against what a cold replica bears; zero stands for the time of the call.
+	// AdmittedAt is when the request was counted against what a cold replica can take; zero stands for the time of the call.
 	AdmittedAt time.Time
 }
 
--- a/internal/replica/evacuated.go
+++ b/internal/replica/evacuated.go
@@ -85,6 +85,5 @@
 		d.assumeCold(handle, ended)
 		handle.evacuationEnded.Store(&ended)
 	}
-	// What is read where nothing is evacuated comes last: who sees that the zone is taken back sees when.
 	handle.evacuated.Store(d.evacuated[zone])
 }
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -119,8 +119,9 @@
 
 // Heard notes that bytes of an answer have come.
 func (h *Handle) Heard() {
-	h.heardAt.Store(int64(time.Since(processStart)))
-	h.zone.NoteAnswer(time.Now())
+	now := time.Now()
+	h.heardAt.Store(int64(now.Sub(processStart)))
+	h.zone.NoteAnswer(now)
 }
 
 // HeardSince says that bytes of an answer have come after since.
