--- a/internal/balance/homes.go
+++ b/internal/balance/homes.go
@@ -14,6 +14,7 @@
 
 // Allowed says that the replica lies in one of homes.
 func (p *Picker) Allowed(homes region.Set, handle *replica.Handle) bool {
+	// Most requests are confined to none: they need no look at the zones.
 	return !homes.Limited() || homes.Allows(p.topology.RegionOf(handle.Info().Zone))
 }
 
--- a/internal/batch/door_homes.go
+++ b/internal/batch/door_homes.go
@@ -39,13 +39,16 @@
 // acceptedElsewhere says that another partition has the job. It is asked only for a while after homes have changed, in which jobs come again
 // that were accepted before.
 func (d *Door) acceptedElsewhere(ctx context.Context, submission *batchpb.Submission, partition uint32) (bool, error) {
+	if !d.homes.Settling() {
+		return false, nil
+	}
 	var others []uint32
 	for _, each := range d.partitions(submission.Host) {
 		if each != partition {
 			others = append(others, each)
 		}
 	}
-	if len(others) == 0 || !d.homes.Settling() {
+	if len(others) == 0 {
 		return false, nil
 	}
 	response, err := search(ctx, others, func(ctx context.Context, other uint32) (*batchpb.ReadResponse, error) {
--- a/internal/discovery/copies.go
+++ b/internal/discovery/copies.go
@@ -13,9 +13,7 @@
 			takes.ReplaceByCopy(copied)
 		}
 	}
-	for _, entry := range copied.Entries {
-		s.offerConfiguration(entry)
-	}
+	s.takeConfiguration(copied.Entries)
 }
 
 // takeCopiedReplicas makes replicas that were known some time ago the content of the directory, until the store lists them.
@@ -36,10 +34,16 @@
 		return news
 	}
 	s.replicasByCopy = false
-	for _, entry := range listing.Entries {
-		news = max(news, entry.ModRevision)
+	return max(news, newestOf(listing.Entries))
+}
+
+// newestOf returns the newest revision at which one of entries was written; 0 where there are none.
+func newestOf(entries []platform.Entry) int64 {
+	newest := int64(0)
+	for _, entry := range entries {
+		newest = max(newest, entry.ModRevision)
 	}
-	return news
+	return newest
 }
 
 // replaceReplicas takes a listing of the store.
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -172,16 +172,12 @@
 // reportNewest reports the newest of entries to the other nodes, by the revision at which it was written. A request that was taken back is not
 // reported: its revision is not known once changes were merged, and a higher one would have all others list, though they know as much.
 func (s *Service) reportNewest(entries []platform.Entry) {
-	newest := int64(0)
-	for _, entry := range entries {
-		newest = max(newest, entry.ModRevision)
-	}
-	if newest > 0 {
+	if newest := newestOf(entries); newest > 0 {
 		s.operators.tookChange(newest)
 	}
 }
 
-// takeConfiguration takes what the store says.
+// takeConfiguration puts the configuration among entries in force.
 func (s *Service) takeConfiguration(entries []platform.Entry) {
 	for _, entry := range entries {
 		s.offerConfiguration(entry)
--- a/internal/ledger/confined.go
+++ b/internal/ledger/confined.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
+	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/region"
 )
@@ -52,7 +53,7 @@
 type confinedKeys struct {
 	mutex sync.RWMutex
 	keys  []Confined
-	// changed is when they became others; the start of the process counts as well.
+	// changed is when they became others.
 	changed time.Time
 }
 
@@ -143,18 +144,19 @@
 	return m.placementOf(partition).owners(m.mayOwn)
 }
 
+// storesFor returns the stores that may have records of the partition.
+func (m *Manager) storesFor(partition PartitionID, view *membership.View) []membership.Member {
+	return m.placementOf(partition).stores(m.keptStores(view))
+}
+
 // MayHold implements Homes.
 func (m *Manager) MayHold(partition PartitionID, zone string) bool {
 	return m.placementOf(partition).allows(zone)
 }
 
-// Settling implements Homes.
+// Settling implements Homes. The start of the process counts as a change as well: what held before it is not known.
 func (m *Manager) Settling() bool {
-	changed := m.confined.changedAt()
-	if m.started.After(changed) {
-		changed = m.started
-	}
-	return time.Since(changed) < settleAfterChange
+	return time.Since(m.started) < settleAfterChange || time.Since(m.confined.changedAt()) < settleAfterChange
 }
 
 // PartitionsWithin implements Homes.
--- a/internal/ledger/confined_formation.go
+++ b/internal/ledger/confined_formation.go
@@ -72,7 +72,7 @@
 // over. One that exists and is too small grows by the ledger's usual upkeep.
 func (m *Manager) appendMissing(missing []protocol.Ensemble, view *membership.View, partition PartitionID, regions region.Set, now time.Time) []protocol.Ensemble {
 	fixed, _ := m.directory.fixed()
-	stores := m.placementOf(partition).stores(m.keptStores(view))
+	stores := m.storesFor(partition, view)
 	since, noted := m.upkeep.since[partition]
 	if !noted {
 		since = now
--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -62,7 +62,7 @@
 	if control.ownership == nil {
 		return protocol.Ensemble{}, false
 	}
-	control.forgetFormer(ensemble, now)
+	control.noteFormer(ensemble, now)
 	spare, found := m.spareStore(view, ensemble, control)
 	for _, member := range ensemble.Members {
 		if !m.lostFor(member, control, view, now) || !found {
@@ -113,7 +113,7 @@
 		}
 	}
 	var candidates []membership.Member
-	for _, candidate := range m.placementOf(ensemble.Partition).stores(m.keptStores(view)) {
+	for _, candidate := range m.storesFor(ensemble.Partition, view) {
 		if _, present := ensemble.Find(protocol.StoreID(candidate.StoreIncarnation)); !present && !nodes[string(candidate.ID)] {
 			candidates = append(candidates, candidate)
 		}
@@ -125,8 +125,8 @@
 	return chosen[0], true
 }
 
-// forgetFormer notes which stores left the ensemble for want of answers, and forgets it of those that left long ago.
-func (c *partitionControl) forgetFormer(ensemble protocol.Ensemble, now time.Time) {
+// noteFormer notes which stores left the ensemble for want of answers, and forgets it of those that left long ago.
+func (c *partitionControl) noteFormer(ensemble protocol.Ensemble, now time.Time) {
 	for store := range c.unwell {
 		if _, member := ensemble.Find(store); !member {
 			delete(c.unwell, store)
@@ -159,7 +159,7 @@
 
 // spareFor prefers the lost member's own node with its new disk to the spare.
 func (m *Manager) spareFor(view *membership.View, ensemble protocol.Ensemble, lost protocol.Member, spare membership.Member) membership.Member {
-	for _, candidate := range m.placementOf(ensemble.Partition).stores(m.keptStores(view)) {
+	for _, candidate := range m.storesFor(ensemble.Partition, view) {
 		_, present := ensemble.Find(protocol.StoreID(candidate.StoreIncarnation))
 		if string(candidate.ID) == lost.Node && !present {
 			return candidate
--- a/internal/ledger/placement.go
+++ b/internal/ledger/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
@@ -18,7 +19,7 @@
 
 // allows says that a node in zone may have records of the partition.
 func (p placement) allows(zone string) bool {
-	return !p.regions.Limited() || p.regions.Allows(p.topology.RegionOf(zone))
+	return p.regions.Allows(p.topology.RegionOf(zone))
 }
 
 // owners narrows allowed to the nodes that may have records of the partition.
@@ -49,11 +50,7 @@
 	for _, member := range ensemble.Members {
 		inZone[member.Zone]++
 	}
-	var counts []int
-	for _, count := range inZone {
-		counts = append(counts, count)
-	}
-	slices.SortFunc(counts, func(one, other int) int { return cmp.Compare(other, one) })
+	counts := slices.SortedFunc(maps.Values(inZone), func(one, other int) int { return cmp.Compare(other, one) })
 	lost := 0
 	for _, count := range counts[:min(zones, len(counts))] {
 		lost += count
--- a/internal/ledger/takeover.go
+++ b/internal/ledger/takeover.go
@@ -5,9 +5,8 @@
 // maxTurns bounds the waits of nodes that stand behind others in taking over a partition.
 const maxTurns = 4
 
-// ownerSilent tells whether this node's store, which has copies of the partition's records, has heard nothing of its owner for
-// too long. What this node knows of the ensemble may be old, so a store that ever heard an owner counts. The nodes'
-// turns come one after the other.
+// ownerSilent says that this node's store, which has copies of the partition's records, has had no message of its owner for too long. What
+// this node knows of the ensemble may be old, so a store that ever had a message of an owner counts. The nodes' turns come one after the other.
 func (m *Manager) ownerSilent(partition PartitionID, control *partitionControl, now time.Time) bool {
 	if m.timing.Silence == 0 || m.local == nil || control.ownership != nil || !m.MayHold(partition, m.zone) {
 		return false
@@ -24,7 +23,7 @@
 	return now.Sub(last) >= m.timing.Silence+time.Duration(m.turn(partition))*m.timing.Check
 }
 
-// isMember tells whether the local store is a full member of the partition's ensemble, as far as this node knows.
+// isMember says that the local store is a full member of the partition's ensemble, as far as this node knows.
 func (m *Manager) isMember(partition PartitionID) bool {
 	ensemble, known := m.directory.ensemble(partition)
 	if !known {
--- a/internal/snapshotcache/exchange.go
+++ b/internal/snapshotcache/exchange.go
@@ -79,7 +79,7 @@
 
 // supply takes copies into use until the service has listed all prefixes.
 func (c *Cache) supply(ctx context.Context) {
-	if !c.wait(ctx, listingPatience, false) {
+	if !c.wait(ctx, listingPatience, nil) {
 		return
 	}
 	c.logger.Warn().Dur("waited", listingPatience).Msg("service_not_answering")
@@ -92,20 +92,16 @@
 			interval = askInterval
 		}
 		c.mutex.Unlock()
-		if !c.wait(ctx, interval, true) {
+		if !c.wait(ctx, interval, c.wake) {
 			return
 		}
 	}
 }
 
-// wait waits for duration, or for an offer where wakes says so; false where there is nothing more to wait for.
-func (c *Cache) wait(ctx context.Context, duration time.Duration, wakes bool) bool {
+// wait waits for duration, or for a signal in wake, where it is not nil; false where there is nothing more to wait for.
+func (c *Cache) wait(ctx context.Context, duration time.Duration, wake <-chan struct{}) bool {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
-	wake := c.wake
-	if !wakes {
-		wake = nil
-	}
 	select {
 	case <-timer.C:
 	case <-wake:
--- a/internal/snapshotcache/peers.go
+++ b/internal/snapshotcache/peers.go
@@ -45,14 +45,14 @@
 func (p *peers) add(origin origin, addresses ...netip.AddrPort) {
 	for _, address := range addresses {
 		held := p.known[address]
-		if held == nil && len(p.known) < maxPeers && address.IsValid() {
-			p.known[address] = &peer{origin: origin}
+		if held == nil {
+			if len(p.known) < maxPeers && address.IsValid() {
+				p.known[address] = &peer{origin: origin}
+			}
 			continue
 		}
-		if held != nil {
-			held.origin = min(held.origin, origin)
-		}
-		if held != nil && origin == fromOffer {
+		held.origin = min(held.origin, origin)
+		if origin == fromOffer {
 			held.asked = 0
 		}
 	}
