--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -144,11 +144,13 @@
 	return zone.CutOff() || s.unreached.Recent(peer.PeerAddress, now)
 }
 
-// probe looks whether some edge of a zone answers again. A release of no tenant changes nothing.
+// probe looks whether some other edge of a zone answers again: by an answer of its own an edge that is cut off would count as in touch, and
+// grant beside the others. A release of no tenant changes nothing.
 func (s *Service) probe(zone string) {
 	var edges []membership.Member
-	for _, member := range s.viewer.View().Members {
-		if member.Zone == zone && !member.Store && member.State != membership.Dead {
+	view := s.viewer.View()
+	for _, member := range view.Members {
+		if member.ID != view.Self && member.Zone == zone && !member.Store && member.State != membership.Dead {
 			edges = append(edges, member)
 		}
 	}
--- a/internal/quota/zone_cut_test.go
+++ b/internal/quota/zone_cut_test.go
@@ -79,3 +79,23 @@
 		cluster.stop()
 	})
 }
+
+// TestEdgeIsNoSignOfItsOwnZone: an edge that reaches nobody does not take itself for an edge of its zone that answers.
+func TestEdgeIsNoSignOfItsOwnZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 6)
+		cluster.inZones(2)
+		own := cluster.edgesOf("zone-0")
+		at := own[0]
+		cluster.cut(at)
+		time.Sleep(2 * contactFor)
+		for _, silent := range own[1:] {
+			at.service.zones.Of(at.zone).NoteSilence(string(silent.id), time.Now())
+		}
+		at.service.probe(at.zone)
+		if !at.service.zones.Of(at.zone).CutOff() || at.service.contact.recent(time.Now()) {
+			t.Error("an edge that is cut off counts itself as reached")
+		}
+		cluster.stop()
+	})
+}
