--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -136,7 +136,11 @@
 }
 
 // notReached says that a peer gave no answer a short while ago, or that its zone is cut off. It has a zone that is cut off probed.
+// This node itself is always reached, also where the rest of its zone is not: else it would not lend itself its own part.
 func (s *Service) notReached(peer membership.Member, now time.Time) bool {
+	if peer.ID == s.viewer.View().Self {
+		return false
+	}
 	zone := s.zones.Of(peer.Zone)
 	if zone.ProbeDue(now) {
 		s.begin(func() { s.probe(peer.Zone) })
