--- a/internal/batch/cold.go
+++ b/internal/batch/cold.go
@@ -1,20 +1,19 @@
 package batch
 
 import (
-	"context"
 	"time"
 
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
 // mayStart says that the replica may get one more run, or one more lease of a run, and counts it.
-func (s *Service) mayStart(ctx context.Context, handle *replica.Handle) bool {
-	return s.options.ColdStarts == nil || s.options.ColdStarts.Take(ctx, handle)
+func (s *Service) mayStart(handle *replica.Handle) bool {
+	return s.options.ColdStarts == nil || s.options.ColdStarts.Take(handle)
 }
 
 // admitted says that the replica can take one more send of the item, and counts it.
-func (a *itemAttempt) admitted(ctx context.Context) bool {
-	if !a.partition.service.mayStart(ctx, a.handle) {
+func (a *itemAttempt) admitted() bool {
+	if !a.partition.service.mayStart(a.handle) {
 		return false
 	}
 	a.admittedAt = time.Now()
@@ -26,7 +25,7 @@
 
 // stillAdmitted says that the item may be sent after it has waited for its leave. What a cold replica had admitted long before would reach it
 // together with what it has admitted since: it must admit the item once more.
-func (a *itemAttempt) stillAdmitted(ctx context.Context) bool {
+func (a *itemAttempt) stillAdmitted() bool {
 	now := time.Now()
-	return now.Sub(a.admittedAt) <= leaveWithin || !a.handle.Cold(now) || a.admitted(ctx)
+	return now.Sub(a.admittedAt) <= leaveWithin || !a.handle.Cold(now) || a.admitted()
 }
--- a/internal/batch/cold_test.go
+++ b/internal/batch/cold_test.go
@@ -15,7 +15,7 @@
 // switchedLimiter admits while it is open.
 type switchedLimiter struct{ open, asked atomic.Int64 }
 
-func (s *switchedLimiter) Take(context.Context, *replica.Handle) bool {
+func (s *switchedLimiter) Take(*replica.Handle) bool {
 	s.asked.Add(1)
 	return s.open.Load() > 0
 }
@@ -63,7 +63,7 @@
 // countedLimiter admits as many as are left.
 type countedLimiter struct{ left atomic.Int64 }
 
-func (c *countedLimiter) Take(context.Context, *replica.Handle) bool { return c.left.Add(-1) >= 0 }
+func (c *countedLimiter) Take(*replica.Handle) bool { return c.left.Add(-1) >= 0 }
 
 // waitingRegister suspects all messages and has each wait for its leave.
 type waitingRegister struct {
--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -164,7 +164,7 @@
 			p.replaceLate(each)
 			continue
 		}
-		if !p.service.mayStart(p.ctx, handle) {
+		if !p.service.mayStart(handle) {
 			continue
 		}
 		p.start(each, handle)
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -90,7 +90,7 @@
 		madeBefore := len(a.text)
 		verdict := a.runLease(ctx)
 		leaseOver := verdict == itemCut && errors.Is(a.err, errLeaseOver) && ctx.Err() == nil
-		if !leaseOver || len(a.text) == madeBefore || !a.handle.Usable() || !a.admitted(ctx) {
+		if !leaseOver || len(a.text) == madeBefore || !a.handle.Usable() || !a.admitted() {
 			return verdict
 		}
 		a.err = nil
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -84,7 +84,7 @@
 		// No replica is that empty: the item waits no longer than other items do.
 		handle = p.pick(each, maxOccupancy, occupied)
 	}
-	found := handle != nil && p.service.mayStart(p.ctx, handle)
+	found := handle != nil && p.service.mayStart(handle)
 	p.mutex.Lock()
 	run.apart = found
 	if !found {
@@ -128,7 +128,7 @@
 	p.mutex.RUnlock()
 	permit := register.Admit(ctx, message)
 	defer permit.Release()
-	if permit.Verdict() == quarantine.Rejected || !attempt.stillAdmitted(ctx) {
+	if permit.Verdict() == quarantine.Rejected || !attempt.stillAdmitted() {
 		return itemNotSent
 	}
 	bounded, cancel := context.WithCancelCause(ctx)
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -11,6 +11,7 @@
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/subscription"
 )
 
 // confirmWindow is how long after the start of a successful append an owner may send items to replicas: an owner that
@@ -123,10 +124,7 @@
 
 // wake has the dispatcher look again, soon.
 func (p *partition) wake() {
-	select {
-	case p.woken <- struct{}{}:
-	default:
-	}
+	subscription.Signal(p.woken)
 }
 
 // hasWork says that items wait or run.
--- a/internal/coldstart/claims.go
+++ b/internal/coldstart/claims.go
@@ -67,7 +67,7 @@
 	if err := c.ensureLease(ctx, wanted); err != nil {
 		return nil, err
 	}
-	revision, taken, err := c.commit(ctx, wanted, c.lease)
+	revision, taken, err := c.commit(ctx, wanted)
 	if err != nil {
 		// The lease may be over.
 		c.leaseUntil = time.Time{}
@@ -99,9 +99,9 @@
 	return nil
 }
 
-// commit writes the keys of those wanted passes that nobody else holds.
-func (c *claimer) commit(ctx context.Context, wanted []claim, lease platform.LeaseID) (revision int64, taken []claim, err error) {
-	result, err := c.store.Commit(ctx, c.transaction(wanted, lease))
+// commit writes, under the latest lease, the keys of those wanted passes that nobody else holds.
+func (c *claimer) commit(ctx context.Context, wanted []claim) (revision int64, taken []claim, err error) {
+	result, err := c.store.Commit(ctx, c.transaction(wanted))
 	if err != nil || result.Committed {
 		return result.Revision, wanted, err
 	}
@@ -109,18 +109,18 @@
 	if len(free) == 0 || len(free) == len(wanted) {
 		return 0, nil, nil
 	}
-	result, err = c.store.Commit(ctx, c.transaction(free, lease))
+	result, err = c.store.Commit(ctx, c.transaction(free))
 	if err != nil || !result.Committed {
 		return 0, nil, err
 	}
 	return result.Revision, free, nil
 }
 
-func (c *claimer) transaction(wanted []claim, lease platform.LeaseID) platform.Transaction {
+func (c *claimer) transaction(wanted []claim) platform.Transaction {
 	var made platform.Transaction
 	for _, each := range wanted {
 		made.Conditions = append(made.Conditions, platform.Condition{Key: each.key, ModRevision: each.revision})
-		made.Changes = append(made.Changes, platform.Change{Key: each.key, Value: []byte(c.node), LeaseID: lease})
+		made.Changes = append(made.Changes, platform.Change{Key: each.key, Value: []byte(c.node), LeaseID: c.lease})
 	}
 	return made
 }
--- a/internal/coldstart/fleet_test.go
+++ b/internal/coldstart/fleet_test.go
@@ -177,7 +177,7 @@
 		}
 		handle := handles[n.fleet.drawn(len(handles))]
 		handle.WantCold(time.Now())
-		if !handle.Usable() || !limiter.Take(ctx, handle) {
+		if !handle.Usable() || !limiter.Take(handle) {
 			continue
 		}
 		n.resume()
--- a/internal/coldstart/property_test.go
+++ b/internal/coldstart/property_test.go
@@ -1,7 +1,6 @@
 package coldstart
 
 import (
-	"context"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -15,12 +14,12 @@
 // noLimit is the mutant of a Limiter that bounds nothing.
 type noLimit struct{}
 
-func (noLimit) Take(context.Context, *replica.Handle) bool { return true }
+func (noLimit) Take(*replica.Handle) bool { return true }
 
 // eachAlone is the mutant in which each node takes a pass without asking.
 type eachAlone struct{}
 
-func (eachAlone) Take(_ context.Context, handle *replica.Handle) bool {
+func (eachAlone) Take(handle *replica.Handle) bool {
 	now := time.Now()
 	if handle.ColdPass() == nil {
 		handle.SetColdPass(replica.NewColdPass(requestsPerPass, now.Add(playTime)))
--- a/internal/coldstart/service.go
+++ b/internal/coldstart/service.go
@@ -13,6 +13,7 @@
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
+	"github.com/sloelift/sloelift/internal/subscription"
 )
 
 const (
@@ -104,10 +105,7 @@
 }
 
 func (s *Service) signal() {
-	select {
-	case s.changed <- struct{}{}:
-	default:
-	}
+	subscription.Signal(s.changed)
 }
 
 func (s *Service) run(ctx context.Context) {
@@ -135,7 +133,7 @@
 }
 
 // Take admits a request to a replica that is warm, or by this node's pass.
-func (s *Service) Take(_ context.Context, handle *replica.Handle) bool {
+func (s *Service) Take(handle *replica.Handle) bool {
 	now := time.Now()
 	if !handle.Cold(now) {
 		return true
@@ -187,7 +185,7 @@
 func (s *Service) want(handle *replica.Handle, now time.Time) (made claim, wants bool) {
 	held := s.held[handle]
 	if held == nil {
-		held = &holding{number: -1}
+		held = &holding{}
 		s.held[handle] = held
 		s.logger.Info().Str(logging.FieldReplica, handle.Info().ID).Str("replica_zone", handle.Info().Zone).Dur("cold_for", handle.ColdFor(now)).Msg("replica_cold")
 	}
--- a/internal/coldstart/service_test.go
+++ b/internal/coldstart/service_test.go
@@ -1,7 +1,6 @@
 package coldstart
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,7 +50,7 @@
 				}
 				handle := directory.View().Find("r")
 				for range 50 {
-					if !handle.ColdRoom(time.Now()) || !service.Take(context.Background(), handle) {
+					if !handle.ColdRoom(time.Now()) || !service.Take(handle) {
 						t.Fatal("a request was refused")
 					}
 				}
@@ -82,12 +81,12 @@
 		}
 		handle.WantCold(time.Now())
 		time.Sleep(time.Second / 2)
-		if !service.Take(context.Background(), handle) {
+		if !service.Take(handle) {
 			t.Error("no pass was claimed though callers want the replica")
 		}
 		time.Sleep(3 * time.Second)
 		for range 50 {
-			if !service.Take(context.Background(), handle) {
+			if !service.Take(handle) {
 				t.Fatal("refused at a replica that is warm by now")
 			}
 		}
@@ -106,7 +105,7 @@
 		defer service.Stop()
 		directory.Update([]replica.Info{{ID: "r", Service: "s"}}, nil)
 		for range 20 {
-			if handle := directory.View().Find("r"); handle.ColdRoom(time.Now()) || service.Take(context.Background(), handle) {
+			if handle := directory.View().Find("r"); handle.ColdRoom(time.Now()) || service.Take(handle) {
 				t.Fatal("a request was admitted")
 			}
 			time.Sleep(100 * time.Millisecond)
--- a/internal/config/relay/service.go
+++ b/internal/config/relay/service.go
@@ -142,10 +142,7 @@
 func (s *Service) run(ctx context.Context) {
 	viewChanged := make(chan struct{}, 1)
 	unsubscribe := s.options.Viewer.Subscribe(func(*membership.View) {
-		select {
-		case viewChanged <- struct{}{}:
-		default:
-		}
+		subscription.Signal(viewChanged)
 	})
 	defer unsubscribe()
 	started := time.Now()
@@ -222,10 +219,7 @@
 // others, and the present Snapshot stays in force here.
 func (s *Service) publish(next *document) {
 	s.held.Store(next)
-	select {
-	case s.changed <- struct{}{}:
-	default:
-	}
+	subscription.Signal(s.changed)
 	snapshot, err := snapshotOf(next)
 	if err != nil {
 		s.logger.Error().Err(err).Int64(logging.FieldRevision, next.revision).Msg("configuration_unreadable")
--- a/internal/discovery/revisions.go
+++ b/internal/discovery/revisions.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/subscription"
 )
 
 // behindPatience is how long this node's own watch is given to bring what another node knows. The nodes that watch gather changes for
@@ -72,10 +73,7 @@
 		return
 	}
 	r.logger.Info().Int64(logging.FieldRevision, r.seen).Int64("newest", r.newestElsewhere).Msg("behind_other_nodes")
-	select {
-	case r.behind <- struct{}{}:
-	default:
-	}
+	subscription.Signal(r.behind)
 }
 
 func (r *revisions) stop() {
--- a/internal/forward/cold_test.go
+++ b/internal/forward/cold_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -15,7 +14,7 @@
 // passesOnly admits requests to cold replicas by their passes.
 type passesOnly struct{ taken int }
 
-func (p *passesOnly) Take(_ context.Context, handle *replica.Handle) bool {
+func (p *passesOnly) Take(handle *replica.Handle) bool {
 	if !handle.Cold(time.Now()) {
 		return true
 	}
--- a/internal/forward/evacuation_test.go
+++ b/internal/forward/evacuation_test.go
@@ -57,7 +57,7 @@
 // limiterFunc is a coldstart.Limiter.
 type limiterFunc func(handle *replica.Handle) bool
 
-func (f limiterFunc) Take(_ context.Context, handle *replica.Handle) bool { return f(handle) }
+func (f limiterFunc) Take(handle *replica.Handle) bool { return f(handle) }
 
 func zoneSet(zones ...string) map[string]bool {
 	set := map[string]bool{}
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -66,7 +66,7 @@
 func (e *exchange) pickWithin(ctx context.Context, excluded []*replica.Handle, maxOccupancy float64) *replica.Handle {
 	for {
 		handle := e.pick(excluded, maxOccupancy)
-		if handle == nil || e.handler.coldStarts == nil || e.handler.coldStarts.Take(ctx, handle) {
+		if handle == nil || e.handler.coldStarts == nil || e.handler.coldStarts.Take(handle) {
 			return handle
 		}
 		excluded = append(excluded, handle)
--- a/internal/gateway/chunk_queue.go
+++ b/internal/gateway/chunk_queue.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/sloelift/sloelift/internal/session"
+	"github.com/sloelift/sloelift/internal/subscription"
 )
 
 // maxQueuedBytes bounds the text that waits for a slow reader. Above it the engine's
@@ -30,18 +31,11 @@
 	return &chunkQueue{readable: make(chan struct{}, 1), writable: make(chan struct{}, 1)}
 }
 
-func signal(to chan struct{}) {
-	select {
-	case to <- struct{}{}:
-	default:
-	}
-}
-
 // push adds a chunk; it waits while the queue is full, until ctx ends.
 func (q *chunkQueue) push(ctx context.Context, chunk session.Chunk) error {
 	for {
 		if q.add(chunk) {
-			signal(q.readable)
+			subscription.Signal(q.readable)
 			return nil
 		}
 		select {
@@ -68,7 +62,7 @@
 	q.mutex.Lock()
 	q.ended, q.err = true, err
 	q.mutex.Unlock()
-	signal(q.readable)
+	subscription.Signal(q.readable)
 }
 
 // take returns what waits, in spare's memory; ended is true when nothing follows.
@@ -78,6 +72,6 @@
 	chunks = q.chunks
 	q.chunks = spare[:0]
 	q.bytes = 0
-	signal(q.writable)
+	subscription.Signal(q.writable)
 	return chunks, q.ended, q.err
 }
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -18,6 +18,7 @@
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/settings"
+	"github.com/sloelift/sloelift/internal/subscription"
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
@@ -163,10 +164,7 @@
 func (m *Manager) run() {
 	changed := make(chan struct{}, 1)
 	unsubscribe := m.viewer.Subscribe(func(*membership.View) {
-		select {
-		case changed <- struct{}{}:
-		default:
-		}
+		subscription.Signal(changed)
 	})
 	defer unsubscribe()
 	ticker := time.NewTicker(m.timing.Check)
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -10,6 +10,7 @@
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/subscription"
 )
 
 const (
@@ -31,10 +32,7 @@
 // announce queues a message of an incident for the next notice to the other nodes. The mutex is held.
 func (s *Service) announce(ended replica.Key, key Key) {
 	note(s.outbox, ended, key)
-	select {
-	case s.news <- struct{}{}:
-	default:
-	}
+	subscription.Signal(s.news)
 }
 
 // note adds a message of an incident to outbox.
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -107,10 +107,7 @@
 
 // SignalUse has UseChanged signal.
 func (d *Directory) SignalUse() {
-	select {
-	case d.useChanged <- struct{}{}:
-	default:
-	}
+	subscription.Signal(d.useChanged)
 }
 
 // Subscribe calls notify after each change until remove is called.
--- a/internal/snapshotcache/cache.go
+++ b/internal/snapshotcache/cache.go
@@ -13,6 +13,7 @@
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/subscription"
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
@@ -101,7 +102,7 @@
 	c.unsubscribe = func() {}
 	if c.file != nil {
 		c.load()
-		c.unsubscribe = c.options.Viewer.Subscribe(func(*membership.View) { signal(c.unsaved) })
+		c.unsubscribe = c.options.Viewer.Subscribe(func(*membership.View) { subscription.Signal(c.unsaved) })
 		c.running.Go(func() { c.keepSaved(ctx) })
 		c.running.Go(func() { c.offerCopies(ctx) })
 	}
@@ -115,14 +116,6 @@
 	c.running.Wait()
 }
 
-// signal leaves one signal in a channel of length 1.
-func signal(channel chan struct{}) {
-	select {
-	case channel <- struct{}{}:
-	default:
-	}
-}
-
 // List reads all keys below prefix from the service; it ends the use of copies of prefix.
 func (c *Cache) List(ctx context.Context, prefix string) (platform.Listing, error) {
 	listing, err := c.KeyValue.List(ctx, prefix)
@@ -159,7 +152,7 @@
 		held.listed = true
 		c.noteListed()
 	}
-	signal(c.unsaved)
+	subscription.Signal(c.unsaved)
 	return nil
 }
 
@@ -247,5 +240,5 @@
 		return
 	}
 	held.apply(event, now)
-	signal(c.unsaved)
+	subscription.Signal(c.unsaved)
 }
--- a/internal/snapshotcache/exchange.go
+++ b/internal/snapshotcache/exchange.go
@@ -10,6 +10,7 @@
 	snapshotcachepb "github.com/sloelift/sloelift/api/proto/snapshotcache"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/subscription"
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
@@ -73,7 +74,7 @@
 	c.mutex.Unlock()
 	c.options.Join(from)
 	if missing {
-		signal(c.wake)
+		subscription.Signal(c.wake)
 	}
 }
 
@@ -193,7 +194,7 @@
 			c.metrics.taken.WithLabelValues(kindOf(held.source)).Inc()
 			c.logger.Warn().Str(logging.FieldPrefix, prefix).Int64(logging.FieldRevision, held.revision).Int("entries", len(held.entries)).
 				Dur("age", max(0, now.Sub(held.takenAt))).Str("source", held.source).Msg("serving_from_copy")
-			signal(c.unsaved)
+			subscription.Signal(c.unsaved)
 		}
 	}
 	c.setInUse()
