--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -15,21 +15,21 @@
 )
 
 // sample draws, for one request, the replicas among which it mostly chooses: of each distance it holds the part that is in it.
-type sample map[region.Distance]float64
+type sample [region.OtherRegion + 1]float64
 
 // newSample returns the sample of a request among handles. Batch items are sent by few nodes, which see most of what is sent: their
 // sample holds all.
 func newSample(request *Request, handles []*replica.Handle) sample {
 	if request.MaxOccupancy > 0 {
-		return sample{region.SameZone: 1, region.SameRegion: 1, region.OtherRegion: 1}
+		return sample{1, 1, 1}
 	}
-	counts := map[region.Distance]int{}
+	var counts [region.OtherRegion + 1]int
 	for _, handle := range handles {
 		counts[request.distanceTo(handle)]++
 	}
-	shares := sample{}
+	var shares sample
 	for distance, count := range counts {
-		shares[distance] = sampleSize / float64(count)
+		shares[distance] = sampleSize / float64(max(1, count))
 	}
 	return shares
 }
--- a/internal/evacuation/register.go
+++ b/internal/evacuation/register.go
@@ -1,7 +1,7 @@
 package evacuation
 
 import (
-	"slices"
+	"maps"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -49,18 +49,6 @@
 	}
 }
 
-// Evacuated returns the evacuated zones in order.
-func (r *Register) Evacuated() []string {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	zones := make([]string, 0, len(r.evacuated))
-	for zone := range r.evacuated {
-		zones = append(zones, zone)
-	}
-	slices.Sort(zones)
-	return zones
-}
-
 // Replace takes in all that is below the operators' prefix.
 func (r *Register) Replace(listing platform.Listing) {
 	r.mutex.Lock()
@@ -109,10 +97,7 @@
 		return
 	}
 	r.revision = revision
-	next := make(map[string]int64, len(r.evacuated)+1)
-	for zone, asked := range r.evacuated {
-		next[zone] = asked
-	}
+	next := maps.Clone(r.evacuated)
 	for _, entry := range changed {
 		if zone, found := r.translator.EvacuatedZone(entry.Key); found {
 			next[zone] = entry.ModRevision
@@ -134,7 +119,7 @@
 // put puts requests in force and says what has changed. The mutex is held.
 func (r *Register) put(next map[string]int64) {
 	before := r.evacuated
-	if !sameZones(before, next) {
+	if !maps.EqualFunc(before, next, func(_, _ int64) bool { return true }) {
 		zones := make(map[string]bool, len(next))
 		for zone := range next {
 			zones[zone] = true
@@ -156,18 +141,6 @@
 	}
 }
 
-func sameZones(one, other map[string]int64) bool {
-	if len(one) != len(other) {
-		return false
-	}
-	for zone := range one {
-		if _, found := other[zone]; !found {
-			return false
-		}
-	}
-	return true
-}
-
 // endedUnseen notes that a zone was evacuated and taken back between two answers of the key-value service. The mutex is held.
 func (r *Register) endedUnseen(zone string) {
 	r.zones.NoteEvacuationEnded(zone)
--- a/internal/evacuation/register_test.go
+++ b/internal/evacuation/register_test.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -52,6 +53,9 @@
 	return strings.Join(zones, " ")
 }
 
+// Evacuated returns the evacuated zones in order.
+func (r *registerUnderTest) Evacuated() []string { return slices.Sorted(maps.Keys(r.evacuated)) }
+
 func (r *registerUnderTest) endedAt(zone string) time.Time {
 	return r.directory.View().Find(zone).EvacuationEnded()
 }
--- a/internal/loadshare/questions.go
+++ b/internal/loadshare/questions.go
@@ -57,7 +57,7 @@
 	return q.missed > 0 && putAt.Sub(q.missedAt) >= ownExchangeAgain
 }
 
-// answered says that the latest answer came.
+// answered says that this node's own exchange, not one that stands in for it, answered last.
 func (q *questions) answered() bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
--- a/internal/loadshare/relayed.go
+++ b/internal/loadshare/relayed.go
@@ -14,10 +14,7 @@
 
 // handleRelayed registers what this node passes on to its exchange for nodes that reach none.
 func (s *Service) handleRelayed(registrar transport.Registrar) {
-	registrar.Handle(methodAskFor, func() proto.Message { return &loadsharepb.NodeLoad{} },
-		func(ctx context.Context, from netip.AddrPort, message proto.Message) (proto.Message, error) {
-			return s.askFor(ctx, from, message.(*loadsharepb.NodeLoad))
-		})
+	transport.Handle(registrar, methodAskFor, func() *loadsharepb.NodeLoad { return &loadsharepb.NodeLoad{} }, s.askFor)
 	registrar.Handle(methodReportFor, func() proto.Message { return &loadsharepb.NodeLoad{} },
 		func(_ context.Context, from netip.AddrPort, message proto.Message) (proto.Message, error) {
 			load := message.(*loadsharepb.NodeLoad)
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -294,11 +294,7 @@
 	s.mutex.Lock()
 	s.sentAt = now
 	s.mutex.Unlock()
-	if used.node == place.self {
-		s.board.takeReport(used.node, message, now)
-		return
-	}
-	s.sendReport(used.node, methodReport, message)
+	s.deliver(used, place, message, now)
 }
 
 // relay sends the other exchanges what the nodes have that report to this one.
--- a/internal/loadshare/ways.go
+++ b/internal/loadshare/ways.go
@@ -39,16 +39,20 @@
 
 // takeBack sends an exchange an empty report.
 func (s *Service) takeBack(from way, place places, now time.Time) {
-	empty := &loadsharepb.NodeLoad{Origin: s.origin()}
-	if from.node == place.self {
-		s.board.takeReport(from.node, empty, now)
+	s.deliver(from, place, &loadsharepb.NodeLoad{Origin: s.origin()}, now)
+}
+
+// deliver brings a report to the exchange at the end of a way, which may be this node itself.
+func (s *Service) deliver(to way, place places, load *loadsharepb.NodeLoad, now time.Time) {
+	if to.node == place.self {
+		s.board.takeReport(to.node, load, now)
 		return
 	}
 	method := methodReport
-	if from.relayed {
+	if to.relayed {
 		method = methodReportFor
 	}
-	s.sendReport(from.node, method, empty)
+	s.sendReport(to.node, method, load)
 }
 
 func (s *Service) sendReport(to netip.AddrPort, method transport.Method, load *loadsharepb.NodeLoad) {
--- a/internal/region/topology.go
+++ b/internal/region/topology.go
@@ -1,5 +1,7 @@
 package region
 
+import "maps"
+
 // Distance is how far apart two zones are.
 type Distance int
 
@@ -15,11 +17,7 @@
 
 // NewTopology returns the Topology in which regionOf names the region of each zone.
 func NewTopology(regionOf map[string]string) Topology {
-	own := make(map[string]string, len(regionOf))
-	for zone, name := range regionOf {
-		own[zone] = name
-	}
-	return Topology{regionOf: own}
+	return Topology{regionOf: maps.Clone(regionOf)}
 }
 
 // RegionOf returns the region of zone; empty where it is not known.
