--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -31,7 +31,7 @@
 		{"own zone first", nil, Request{Service: "s", Zone: "z1"}, "near"},
 		{"other zone where that is its own", nil, Request{Service: "s", Zone: "z2"}, "far"},
 		{"full one passed over", func(v *replica.View) {
-			v.Find("near").Tell(replica.Load{Running: 10, Waiting: 3, Slots: 10}, now)
+			v.Find("near").NoteLoad(replica.Load{Running: 10, Waiting: 3, Slots: 10}, now)
 		}, Request{Service: "s", Zone: "z1"}, "far"},
 		{"failing one passed over", func(v *replica.View) { v.Find("near").Failed(now) }, Request{Service: "s", Zone: "z1"}, "far"},
 		{"all failing are used", func(v *replica.View) {
@@ -40,8 +40,8 @@
 		}, Request{Service: "s", Zone: "z1"}, "near"},
 		{"no service", nil, Request{Service: "none", Zone: "z1"}, ""},
 		{"over the bound", func(v *replica.View) {
-			v.Find("near").Tell(replica.Load{Running: 9, Slots: 10}, now)
-			v.Find("far").Tell(replica.Load{Running: 9, Slots: 10}, now)
+			v.Find("near").NoteLoad(replica.Load{Running: 9, Slots: 10}, now)
+			v.Find("far").NoteLoad(replica.Load{Running: 9, Slots: 10}, now)
 		}, Request{Service: "s", Zone: "z1", MaxOccupancy: 0.5}, ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/balance/cold_test.go
+++ b/internal/balance/cold_test.go
@@ -43,11 +43,11 @@
 		}, "far"},
 		{"one that has just turned warm is worth less", func(v *replica.View) {
 			cold(v.Find("near"), -time.Millisecond)
-			v.Find("near").Tell(replica.Load{Running: 1, Slots: 10}, now)
+			v.Find("near").NoteLoad(replica.Load{Running: 1, Slots: 10}, now)
 		}, "far"},
 		{"one that turned warm a while ago is not", func(v *replica.View) {
 			cold(v.Find("near"), -rampTime)
-			v.Find("near").Tell(replica.Load{Running: 1, Slots: 10}, now)
+			v.Find("near").NoteLoad(replica.Load{Running: 1, Slots: 10}, now)
 		}, "near"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -106,7 +106,7 @@
 	for _, id := range []string{"near", "far"} {
 		view.Find(id).SetColdBounded(true)
 	}
-	view.Find("far").Tell(replica.Load{Running: 1, Slots: 10}, now)
+	view.Find("far").NoteLoad(replica.Load{Running: 1, Slots: 10}, now)
 	picker := NewPicker(directory, region.Topology{}, func() float64 { return 0 })
 	got := map[string]int{}
 	for range 10 {
@@ -139,7 +139,7 @@
 			t.Parallel()
 			directory := testDirectory()
 			view := directory.View()
-			view.Find("far").Tell(replica.Load{Running: test.running, Slots: 10}, now)
+			view.Find("far").NoteLoad(replica.Load{Running: test.running, Slots: 10}, now)
 			for _, id := range test.cold {
 				view.Find(id).SetColdBounded(true)
 				view.Find(id).SetColdUntil(now.Add(time.Second))
--- a/internal/balance/homes_test.go
+++ b/internal/balance/homes_test.go
@@ -72,7 +72,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			directory, topology := regionsUnderTest()
 			if test.full != "" {
-				directory.View().Find(test.full).Tell(replica.Load{Running: 10, Slots: 10}, now)
+				directory.View().Find(test.full).NoteLoad(replica.Load{Running: 10, Slots: 10}, now)
 			}
 			served, free := NewPicker(directory, topology, nil).Room("s", test.homes, now)
 			if served != test.served || free != test.free {
--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -126,7 +126,7 @@
 	return state
 }
 
-// watchesNow tells whether this node watches the service: as one of the watchers, or since no heartbeat came for long.
+// watchesNow says that this node watches the service: as one of the watchers, or since no heartbeat came for long.
 func (f *Feed) watchesNow(now time.Time) bool {
 	silent := f.watchersSilent(now)
 	joining := now.Sub(f.started) < joinTime
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -87,7 +87,7 @@
 		return e.afterLoss()
 	}
 	silent := e.silent()
-	if silent && handle.HeardSince(e.attemptBegan) {
+	if silent && handle.AnsweredSince(e.attemptBegan) {
 		// It answers others: it is not down, the request waits there for its turn.
 		handle.Rejected(time.Now())
 	} else {
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -59,7 +59,7 @@
 		late := 0
 		for range 2 * kept {
 			// Streams of other requests show that the zone is reached, so that kept connections are used.
-			edge.directory.View().Find("a").Heard()
+			edge.directory.View().Find("a").NoteAnswer()
 			began := time.Now()
 			recorded, aborted := edge.call(nil)
 			if recorded.Code != http.StatusOK || aborted {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -19,7 +19,7 @@
 		events, err := reader.Next()
 		if len(events.Bytes) > 0 {
 			patience.heard()
-			handle.Heard()
+			handle.NoteAnswer()
 			e.promptRead()
 			e.sendHead(answer)
 			if _, failure := e.writer.Write(events.Bytes); failure != nil {
--- a/internal/quarantine/probe.go
+++ b/internal/quarantine/probe.go
@@ -32,7 +32,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	known := s.inquiries[handle.Key()]
-	if known != nil && (!known.ended || !handle.HeardSince(known.at)) {
+	if known != nil && (!known.ended || !handle.AnsweredSince(known.at)) {
 		return known
 	}
 	begun := &inquiry{done: make(chan struct{}), at: time.Now()}
--- a/internal/quarantine/run_test.go
+++ b/internal/quarantine/run_test.go
@@ -33,7 +33,7 @@
 			time.Sleep(time.Second)
 			if answers {
 				c.machines.begin(handle.Info().Address)
-				handle.Heard()
+				handle.NoteAnswer()
 			}
 			time.Sleep(time.Second)
 			if ended := at.Admit(t.Context(), keyOf("b")).Begin(handle, nil).End(t.Context(), Lost); ended == answers {
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -121,8 +121,8 @@
 		return nil, fmt.Errorf("read the answer: %w", err)
 	}
 	handle.zone.NoteAnswer(time.Now())
-	if load, told := parseLoad(response.Header.Get(c.headers.Load)); told {
-		handle.Tell(load, time.Now())
+	if load, reported := parseLoad(response.Header.Get(c.headers.Load)); reported {
+		handle.NoteLoad(load, time.Now())
 	}
 	handle.noteCold(response.Header, c.headers.ColdFor, time.Now())
 	keep := keepFor(response)
--- a/internal/replica/failures.go
+++ b/internal/replica/failures.go
@@ -73,7 +73,7 @@
 	h.mutex.Lock()
 	fails := !h.othersAt.IsZero() && now.Sub(h.othersAt) < othersStale && h.others.Avoiding >= othersAvoiding
 	h.mutex.Unlock()
-	return fails && !h.HeardSince(now.Add(-ownExperience))
+	return fails && !h.AnsweredSince(now.Add(-ownExperience))
 }
 
 // Down says that no answer can be expected of the replica: it fails other nodes, or has failed this process again and again.
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -31,10 +31,10 @@
 	probesDue func(now time.Time) []*Handle
 	// unconfirmed says that the replica is known from a copy only, misdirected that another service answered at its address meanwhile.
 	unconfirmed, misdirected atomic.Bool
-	// heardAt is when bytes of an answer last came, in nanoseconds since the start of the process; 0 is never.
-	heardAt atomic.Int64
-	cold    coldness
-	pace    pace
+	// answeredAt is when bytes of an answer last came, in nanoseconds since the start of the process; 0 is never.
+	answeredAt atomic.Int64
+	cold       coldness
+	pace       pace
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
@@ -117,16 +117,16 @@
 // processStart is the origin of times that no step of the time of day changes.
 var processStart = time.Now()
 
-// Heard notes that bytes of an answer have come.
-func (h *Handle) Heard() {
+// NoteAnswer notes that bytes of an answer have come.
+func (h *Handle) NoteAnswer() {
 	now := time.Now()
-	h.heardAt.Store(int64(now.Sub(processStart)))
+	h.answeredAt.Store(int64(now.Sub(processStart)))
 	h.zone.NoteAnswer(now)
 }
 
-// HeardSince says that bytes of an answer have come after since.
-func (h *Handle) HeardSince(since time.Time) bool {
-	at := h.heardAt.Load()
+// AnsweredSince says that bytes of an answer have come after since.
+func (h *Handle) AnsweredSince(since time.Time) bool {
+	at := h.answeredAt.Load()
 	return at != 0 && at > int64(since.Sub(processStart))
 }
 
--- a/internal/replica/handle_test.go
+++ b/internal/replica/handle_test.go
@@ -10,7 +10,7 @@
 	now := time.Unix(1000, 0)
 	handle := NewHandle(Info{ID: "a", Slots: 8})
 	handle.Acquire()
-	handle.Tell(Load{Running: 5, Waiting: 1, Slots: 8}, now)
+	handle.NoteLoad(Load{Running: 5, Waiting: 1, Slots: 8}, now)
 	if got := handle.Occupancy(now); got != 6 {
 		t.Errorf("%f right after the replica told of 6", got)
 	}
@@ -58,7 +58,7 @@
 					handle.Failed(time.Now())
 				}
 				if test.answered {
-					handle.Heard()
+					handle.NoteAnswer()
 					handle.Succeeded()
 				}
 				handle.SetOthers(Use{Avoiding: test.others}, time.Now())
--- a/internal/replica/load_report.go
+++ b/internal/replica/load_report.go
@@ -56,6 +56,6 @@
 		return err
 	}
 	load.Slots = handle.Info().Slots
-	handle.Tell(load, time.Now())
+	handle.NoteLoad(load, time.Now())
 	return nil
 }
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -64,8 +64,8 @@
 	return reading
 }
 
-// Tell takes in a load that the replica reported.
-func (h *Handle) Tell(load Load, now time.Time) {
+// NoteLoad takes in a load that the replica reported.
+func (h *Handle) NoteLoad(load Load, now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.reported, h.reportedAt, h.inUseAtReport = load, now, h.inUse.Load()
--- a/internal/retirement/service.go
+++ b/internal/retirement/service.go
@@ -129,7 +129,7 @@
 	}
 }
 
-// watch tells the state of a node's retirement until it is done, unless that is under way.
+// watch writes the state of a node's retirement until it is done, unless that is under way.
 func (s *Service) watch(node membership.NodeID) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -139,38 +139,38 @@
 	s.pending[node] = true
 	s.running.Go(func() {
 		s.logger.Info().Str("retiring", string(node)).Msg("retirement_begun")
-		for told := State(-1); told != Done; {
-			told = s.tell(node, told)
-			if told != Done && !pause.Sleep(s.ctx, checkInterval) {
+		for written := State(-1); written != Done; {
+			written = s.writeState(node, written)
+			if written != Done && !pause.Sleep(s.ctx, checkInterval) {
 				return
 			}
 		}
 	})
 }
 
-// tell writes the node's state where it has changed and this node is the one to write it; it returns the state told last.
-func (s *Service) tell(node membership.NodeID, told State) State {
+// writeState writes the node's state where it has changed and this node is the one to write it; it returns the state written last.
+func (s *Service) writeState(node membership.NodeID, written State) State {
 	if !s.reports() {
-		return told
+		return written
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
 	state := Running
 	emptied, err := s.emptier.Emptied(ctx, node)
 	if err != nil {
-		return told
+		return written
 	}
 	if emptied {
 		state = Done
 	}
-	if state == told {
-		return told
+	if state == written {
+		return written
 	}
 	key, value := s.translator.RetirementStatus(string(node), state)
 	_, err = s.store.Commit(ctx, platform.Transaction{Changes: []platform.Change{{Key: key, Value: value}}})
 	s.logger.Info().Str("retiring", string(node)).Int("state", int(state)).Err(err).Msg("retirement_told")
 	if err != nil {
-		return told
+		return written
 	}
 	return state
 }
--- a/lab/deployment/proxy.go
+++ b/lab/deployment/proxy.go
@@ -51,6 +51,7 @@
 func (p *proxy) pass(near net.Conn) {
 	far, err := net.Dial("tcp", p.to.String())
 	if err != nil {
+		// The process behind is not there: the end of the connection says so to the caller, which counts it.
 		_ = near.Close()
 		return
 	}
@@ -62,6 +63,8 @@
 	both.Go(func() { passed.copy(near, far) })
 	both.Go(func() { passed.copy(far, near) })
 	both.Wait()
+	// Ends that were passed on leave both half closed, and their descriptors open; those closed before give an error, which is of no matter.
+	_, _ = near.Close(), far.Close()
 	p.mutex.Lock()
 	delete(p.open, passed)
 	p.mutex.Unlock()
