--- a/internal/ledger/fakes_test.go
+++ b/internal/ledger/fakes_test.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/platform/platformtest"
 )
@@ -145,11 +146,13 @@
 
 // register is a state machine that keeps every payload in order.
 type register struct {
-	mutex   channelMutex
-	upTo    Position
-	values  []string
-	owned   Owned
-	stopped bool
+	mutex  channelMutex
+	upTo   Position
+	values []string
+	// undecided are values whose call of Append ended before the ledger had decided on them.
+	undecided []string
+	owned     Owned
+	stopped   bool
 	// onQuiesce is called by Quiesce, if set.
 	onQuiesce func(ctx context.Context)
 }
@@ -214,15 +217,24 @@
 	if r.owned == nil || r.stopped {
 		return errNotOwner()
 	}
+	return r.append(ctx, value)
+}
+
+// append appends value behind those whose own call ended first: while the ownership lasts they come into the log before it. The mutex is held.
+func (r *register) append(ctx context.Context, value string) error {
 	position, err := r.owned.Append(ctx, []Record{{Kind: KindItemCompleted, Payload: []byte(value)}})
+	if outcome.Of(err) == outcome.Indeterminate {
+		r.undecided = append(r.undecided, value)
+	}
 	if err != nil {
 		return err
 	}
-	if position != r.upTo+1 {
-		return fmt.Errorf("position %d appended after %d", position, r.upTo)
+	if position != r.upTo+1+Position(len(r.undecided)) {
+		return fmt.Errorf("position %d appended after %d and %d undecided values", position, r.upTo, len(r.undecided))
 	}
 	r.upTo = position
-	r.values = append(r.values, value)
+	r.values = append(append(r.values, r.undecided...), value)
+	r.undecided = nil
 	return nil
 }
 
--- a/internal/ledger/history_test.go
+++ b/internal/ledger/history_test.go
@@ -54,15 +54,9 @@
 	if r.owned == nil || r.stopped {
 		return "", errNotOwner()
 	}
-	position, err := r.owned.Append(ctx, []Record{{Kind: KindItemCompleted, Payload: []byte(value)}})
-	if err != nil {
+	if err := r.append(ctx, value); err != nil {
 		return "", err
 	}
-	if position != r.upTo+1 {
-		return "", fmt.Errorf("position %d appended after %d", position, r.upTo)
-	}
-	r.upTo = position
-	r.values = append(r.values, value)
 	return " " + strings.Join(r.values, " "), nil
 }
 
