--- a/internal/ledger/confined_test.go
+++ b/internal/ledger/confined_test.go
@@ -294,8 +294,13 @@
 // TestConfinedPartitionUnderFaults: whatever happens to nodes, disks and links, nothing leaves the regions and nothing acknowledged is lost.
 func TestConfinedPartitionUnderFaults(t *testing.T) {
 	const rounds = 12
-	for range 3 {
-		seed := rand.Uint64()
+	// With all but the second, fifth, seventh and eighth an owner that was cut off had proposed to replace the others, and a disk lost after
+	// the cut left too few members.
+	seeds := []uint64{
+		6687958333339991126, 15280624473666262181, 4995174390999726646, 9209273030331111015, 11702773008342826190, 6729133556975222248,
+		16788191715438485202, 1731556730201070128,
+	}
+	for _, seed := range seeds {
 		t.Logf("seed %d", seed)
 		synctest.Test(t, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 0))
--- a/internal/ledger/decision.go
+++ b/internal/ledger/decision.go
@@ -14,6 +14,11 @@
 
 // proposeEnsemble has the present members decide on next. It runs on the control goroutine.
 func (m *Manager) proposeEnsemble(control *partitionControl, next protocol.Ensemble, now time.Time) {
+	if !control.ownership.reachesQuorum() {
+		// Nothing can be decided, but this node's own store would accept that members which it does not reach are replaced, and a later owner
+		// has to bring that to its end: if another disk is lost meanwhile, too few are left with the records.
+		return
+	}
 	control.nextChange = now.Add(m.timing.ChangeRetry)
 	ownership := control.ownership
 	m.background(func() { ownership.proposeEnsemble(next) })
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -238,8 +238,15 @@
 	return view.waitingSince.IsZero() || now.Sub(view.waitingSince) < o.timing.Request
 }
 
-// inContact tells whether the owner hears from a write quorum of its stores.
+// inContact says that a write quorum of the owner's stores answers it.
 func (o *ownership) inContact(now time.Time) bool {
+	view := o.view.Load()
+	stuck := !view.waitingSince.IsZero() && now.Sub(view.waitingSince) >= o.timing.Request
+	return o.serving.Load() && o.reachesQuorum() && !stuck
+}
+
+// reachesQuorum says that a write quorum of the owner's stores answered the last request.
+func (o *ownership) reachesQuorum() bool {
 	view := o.view.Load()
 	answering := 0
 	for _, holding := range view.holdings {
@@ -247,8 +254,7 @@
 			answering++
 		}
 	}
-	stuck := !view.waitingSince.IsZero() && now.Sub(view.waitingSince) >= o.timing.Request
-	return o.serving.Load() && answering >= view.ensemble.WriteQuorum && !stuck
+	return answering >= view.ensemble.WriteQuorum
 }
 
 // answers tells whether the store answered the last request; one that is not a member yet counts as answering.
