Soak of the roles: edges and storage nodes as real processes before stand-ins

Cause: the incident was seen with real processes, and no test of ours ran the roles edge and storage as processes; no check counted on how many replicas a request ran, nor the answers of 500 and 422 of an item. Change: lab/roles plays the built program with deploy/settings.tmpl; the stand-in of the store speaks the platform's words; the platform's wire types are exported so that the stand-ins use the same ones; processes are started and signalled by lab/process, which the older soak uses too.

--- a/cmd/sloelift-lab/main.go
+++ b/cmd/sloelift-lab/main.go
@@ -35,6 +35,8 @@
 	Hollow      hollow.Command      `cmd:"" help:"Run the control code of many nodes without traffic and measure its cost."`
 	LedgerBench ledgerbench.Command `cmd:"" help:"Measure appends and recovery of the ledger on one disk."`
 	Soak        soakCommand         `cmd:"" help:"Play faults drawn from seeds on the real program, one process for each node."`
+	Roles       rolesCommand        `cmd:"" help:"Play faults drawn from seeds on the roles that serve a platform, one process for each machine."`
+	Busy        busyCommand         `cmd:"" hidden:"" help:"Keep one core busy."`
 	Report      reportCommand       `cmd:"" help:"Turn JSON results into a page with plots."`
 }
 
--- a/lab/deployment/process.go
+++ b/lab/deployment/process.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"syscall"
 	"text/template"
 
 	"github.com/rs/zerolog"
@@ -16,6 +13,7 @@
 	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/node"
 	"github.com/sloelift/sloelift/internal/settings"
+	programs "github.com/sloelift/sloelift/lab/process"
 )
 
 // process is a running node.
@@ -69,12 +67,7 @@
 }
 
 // program is a node that runs as a process of its own. Whom it reaches cannot be limited.
-type program struct {
-	command *exec.Cmd
-	// ended is closed when the process has ended, with failure.
-	ended   chan struct{}
-	failure error
-}
+type program struct{ running *programs.Process }
 
 var settingsTemplate = template.Must(template.New("settings").Parse(`node: {{.Node}}
 region: {{.Region}}
@@ -105,52 +98,17 @@
 	if err := errors.Join(settingsTemplate.Execute(file, own), file.Close()); err != nil {
 		return nil, err
 	}
-	output, err := os.OpenFile(filepath.Join(folder, own.Node+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return nil, err
-	}
-	command := exec.Command(path, "serve", "--settings", settingsPath)
-	command.Stdout, command.Stderr = output, output
-	err = command.Start()
-	// The process has its own descriptor of the file.
-	_ = output.Close()
+	started, err := programs.Start(path, filepath.Join(folder, own.Node+".log"), "serve", "--settings", settingsPath)
 	if err != nil {
 		return nil, err
 	}
-	started := &program{command: command, ended: make(chan struct{})}
-	go func() {
-		started.failure = command.Wait()
-		close(started.ended)
-	}()
-	return started, nil
+	return &program{running: started}, nil
 }
 
-func (p *program) stop(ctx context.Context) error {
-	if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
-		return fmt.Errorf("signal the process to stop: %w", err)
-	}
-	select {
-	case <-p.ended:
-		return p.failure
-	case <-ctx.Done():
-		p.kill()
-		return fmt.Errorf("the process does not stop: %w", ctx.Err())
-	}
-}
+func (p *program) stop(ctx context.Context) error { return p.running.Stop(ctx) }
 
-func (p *program) kill() {
-	// A process that has ended by itself is no failure here; its absence shows in what callers see.
-	_ = p.command.Process.Kill()
-	<-p.ended
-}
+func (p *program) kill() { p.running.Kill() }
 
-func (p *program) pause(paused bool) {
-	signal := syscall.SIGCONT
-	if paused {
-		signal = syscall.SIGSTOP
-	}
-	// A process that has ended stands still already.
-	_ = p.command.Process.Signal(signal)
-}
+func (p *program) pause(paused bool) { p.running.Pause(paused) }
 
 func (*program) setReachable(func(netip.AddrPort) bool) {}
--- a/lab/platform/http.go
+++ b/lab/platform/http.go
@@ -15,10 +15,12 @@
 // maxRequestBody bounds one request.
 const maxRequestBody = 16 << 20
 
-// zoneHandler serves the three services to the callers of one zone.
+// zoneHandler serves the three services to the callers of one zone, the key-value service also in the words of the users' platform.
 func (s *Server) zoneHandler(zone string) http.Handler {
-	gateway := &gateway{client: &client{server: s, zone: zone}}
+	caller := &client{server: s, zone: zone}
+	gateway := &gateway{client: caller}
 	router := mux.NewRouter()
+	(&metadata{client: caller}).register(router)
 	router.HandleFunc(etcdjson.PathRange, post(gateway.rangeKeys)).Methods(http.MethodPost)
 	router.HandleFunc(etcdjson.PathTxn, post(gateway.transact)).Methods(http.MethodPost)
 	router.HandleFunc(etcdjson.PathLeaseGrant, post(gateway.grantLease)).Methods(http.MethodPost)
--- /dev/null
+++ b/lab/roles/fault.go
@@ -0,0 +1,274 @@
+package roles
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"runtime"
+	"sync"
+	"time"
+
+	labplatform "github.com/sloelift/sloelift/lab/platform"
+	"github.com/sloelift/sloelift/lab/process"
+)
+
+const (
+	// storeDelay is what the slow store adds to a call, lostShare the share of changes whose answers are lost.
+	storeDelay = 400 * time.Millisecond
+	lostShare  = 0.4
+	// busyFactor is how many busy processes there are for each core.
+	busyFactor = 3
+	// throttledShare is the least part of the time that a throttled process runs.
+	throttledShare = 0.04
+	// frozenInTurn is how long one of several stores is frozen before the next.
+	frozenInTurn = 700 * time.Millisecond
+	// configurationPause is the time between two configurations of a series.
+	configurationPause = 150 * time.Millisecond
+)
+
+// faults carries faults out. Its methods may be called from several goroutines.
+type faults struct {
+	fleet *fleet
+
+	// mutex guards failures.
+	mutex    sync.Mutex
+	failures []string
+}
+
+// play carries out all faults at their times and returns once all are over.
+func (f *faults) play(ctx context.Context, drawn []fault) {
+	began := time.Now()
+	var playing sync.WaitGroup
+	for _, each := range drawn {
+		playing.Go(func() {
+			sleep(ctx, each.At-time.Since(began))
+			if ctx.Err() != nil {
+				return
+			}
+			if err := f.carryOut(ctx, each); err != nil {
+				f.mutex.Lock()
+				f.failures = append(f.failures, fmt.Sprintf("%s: %s", each, err))
+				f.mutex.Unlock()
+			}
+		})
+	}
+	playing.Wait()
+}
+
+func picked[Value any](from []Value, number int) Value { return from[number%len(from)] }
+
+func (f *faults) carryOut(ctx context.Context, each fault) error {
+	switch each.Kind {
+	case killNode, stopNode, loseDisk, killStores, rollNodes:
+		return f.endMachines(ctx, each)
+	case freezeNode, freezeStores, throttleNode, throttleStores, throttleAll, busyMachine:
+		return f.holdBack(ctx, each)
+	case storeRefuses, storeSilent, storeSlow, storeLoses, storeForgets, cutFromStore, configuration:
+		return f.disturbStore(ctx, each)
+	default:
+		return f.disturbReplicas(ctx, each)
+	}
+}
+
+func (f *faults) endMachines(ctx context.Context, each fault) error {
+	machine := picked(f.fleet.machines, each.Pick)
+	switch each.Kind {
+	case killNode:
+		machine.kill()
+		return f.startAfter(ctx, each.For, machine)
+	case stopNode:
+		if err := machine.stop(ctx); err != nil {
+			return err
+		}
+		return f.startAfter(ctx, each.For, machine)
+	case loseDisk:
+		machine = picked(f.fleet.of(classStorage), each.Pick)
+		machine.kill()
+		if err := machine.loseDisk(); err != nil {
+			return err
+		}
+		return f.startAfter(ctx, each.For, machine)
+	case killStores:
+		var killing sync.WaitGroup
+		for _, store := range f.fleet.of(classStorage) {
+			killing.Go(store.kill)
+		}
+		killing.Wait()
+		return f.startAfter(ctx, each.For, f.fleet.of(classStorage)...)
+	default:
+		for _, one := range f.fleet.machines {
+			if err := one.stop(ctx); err != nil {
+				return err
+			}
+			if err := f.startAfter(ctx, each.For, one); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+func (f *faults) startAfter(ctx context.Context, wait time.Duration, machines ...*machine) error {
+	sleep(ctx, wait)
+	for _, each := range machines {
+		if err := each.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// holdBack takes processor time from processes.
+func (f *faults) holdBack(ctx context.Context, each fault) error {
+	bounded, cancel := context.WithTimeout(ctx, each.For)
+	defer cancel()
+	share := throttledShare + each.Share*each.Share*(0.5-throttledShare)
+	switch each.Kind {
+	case freezeNode:
+		f.freeze(bounded, picked(f.fleet.machines, each.Pick), each.For)
+	case freezeStores:
+		stores := f.fleet.of(classStorage)
+		for number := each.Pick; bounded.Err() == nil; number++ {
+			f.freeze(bounded, picked(stores, number), frozenInTurn+time.Duration(each.Share*float64(2*time.Second)))
+		}
+	case throttleNode:
+		picked(f.fleet.machines, each.Pick).throttle(bounded, share)
+	case throttleStores:
+		throttleTogether(bounded, f.fleet.of(classStorage), share)
+	case throttleAll:
+		throttleTogether(bounded, f.fleet.machines, share)
+	default:
+		return f.occupy(bounded)
+	}
+	return nil
+}
+
+func (f *faults) freeze(ctx context.Context, of *machine, length time.Duration) {
+	of.pause(true)
+	defer of.pause(false)
+	sleep(ctx, length)
+}
+
+func throttleTogether(ctx context.Context, machines []*machine, share float64) {
+	var throttling sync.WaitGroup
+	for _, each := range machines {
+		throttling.Go(func() { each.throttle(ctx, share) })
+	}
+	throttling.Wait()
+}
+
+// occupy runs more busy processes than there are cores, at ordinary priority.
+func (f *faults) occupy(ctx context.Context) error {
+	var busy []*process.Process
+	defer func() {
+		for _, each := range busy {
+			each.Kill()
+		}
+	}()
+	command := f.fleet.options.Busy
+	if len(command) == 0 {
+		return nil
+	}
+	for range busyFactor * runtime.NumCPU() {
+		started, err := process.Start(command[0], f.fleet.folder+"/busy.log", command[1:]...)
+		if err != nil {
+			return err
+		}
+		busy = append(busy, started)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func (f *faults) disturbStore(ctx context.Context, each fault) error {
+	switched := labplatform.Fault{Service: labplatform.KeyValue}
+	switch each.Kind {
+	case storeRefuses:
+		switched.Outage = labplatform.OutageRefuses
+	case storeSilent:
+		switched.Outage = labplatform.OutageHangs
+	case storeSlow:
+		switched.DelayMilliseconds = storeDelay.Milliseconds()
+	case storeLoses:
+		switched.LoseAnswer = lostShare
+	case cutFromStore:
+		switched.Zone, switched.Outage = picked(f.fleet.machines, each.Pick).name, labplatform.OutageHangs
+	case storeForgets:
+		f.fleet.platform.Compact(math.MaxInt64)
+		return nil
+	default:
+		f.changeConfigurations(ctx, each.For)
+		return nil
+	}
+	f.fleet.platform.Faults().Set(switched)
+	sleep(ctx, each.For)
+	f.fleet.platform.Faults().Clear(switched.Zone, switched.Service)
+	return nil
+}
+
+// changeConfigurations writes one version after the other; the store may turn some away.
+func (f *faults) changeConfigurations(ctx context.Context, length time.Duration) {
+	for began := time.Now(); time.Since(began) < length && ctx.Err() == nil; sleep(ctx, configurationPause) {
+		// Errors are those of the store's outages: the version is passed over.
+		_ = f.fleet.changeConfiguration(ctx)
+	}
+}
+
+func (f *faults) disturbReplicas(ctx context.Context, each fault) error {
+	living := f.fleet.living()
+	if len(living) == 0 {
+		return nil
+	}
+	struck := picked(living, each.Pick)
+	switch each.Kind {
+	case crashReplica:
+		f.fleet.crashReplica(struck)
+		sleep(ctx, each.For)
+		return f.fleet.addReplica("127.0.0.1:0", struck.zone)
+	case restartReplica:
+		f.fleet.crashReplica(struck)
+		sleep(ctx, each.For)
+		return f.fleet.addReplica(struck.address.String(), struck.zone)
+	case flapReplica:
+		return f.flap(ctx, struck, each.For)
+	}
+	as := manner{hang: each.Kind == hangReplica}
+	for _, one := range f.struckReplicas(living, each) {
+		switch each.Kind {
+		case failReplicas:
+			as.fail = 0.2 + 0.8*each.Share
+		case loseAnswers:
+			as.loseAnswer = 0.1 + 0.5*each.Share
+		case breakStreams:
+			as.breakOff = 0.1 + 0.5*each.Share
+		}
+		one.behave(as)
+		defer one.behave(manner{})
+	}
+	sleep(ctx, each.For)
+	return nil
+}
+
+// struckReplicas is one that hangs, or half of all.
+func (f *faults) struckReplicas(living []*replica, each fault) []*replica {
+	if each.Kind == hangReplica {
+		return []*replica{picked(living, each.Pick)}
+	}
+	return living[:(len(living)+1)/2]
+}
+
+// flap crashes a replica and its successors at the same address again and again.
+func (f *faults) flap(ctx context.Context, struck *replica, length time.Duration) error {
+	const pause = 400 * time.Millisecond
+	for began := time.Now(); time.Since(began) < length && ctx.Err() == nil; {
+		f.fleet.crashReplica(struck)
+		sleep(ctx, pause)
+		if err := f.fleet.addReplica(struck.address.String(), struck.zone); err != nil {
+			return err
+		}
+		sleep(ctx, pause)
+		living := f.fleet.living()
+		struck = living[len(living)-1]
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/roles/machine.go
@@ -0,0 +1,158 @@
+package roles
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/sloelift/sloelift/lab/process"
+)
+
+// Ports of a machine; they are alike on all.
+const (
+	portCallers   = 8161
+	portReadiness = 8162
+	portAdmin     = 8166
+	portPeers     = 7720
+	portMetrics   = 7735
+)
+
+// Classes of machines, as the settings name them.
+const (
+	classEdge    = "edge"
+	classStorage = "storage"
+)
+
+// machine is a place with one process of the program.
+type machine struct {
+	name, class, zone string
+	ip                netip.Addr
+	program           string
+	settingsPath      string
+	logPath           string
+	// dataFolder is empty on edges.
+	dataFolder string
+
+	// mutex guards the process; it is nil while the machine is down.
+	mutex   sync.Mutex
+	running *process.Process
+	// refreshed is called before each start, to write the settings as they are then.
+	writeSettings func() error
+}
+
+func (m *machine) at(port uint16) netip.AddrPort { return netip.AddrPortFrom(m.ip, port) }
+
+// start starts the process unless it runs.
+func (m *machine) start() error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.running != nil {
+		return nil
+	}
+	if err := m.writeSettings(); err != nil {
+		return err
+	}
+	started, err := process.Start(m.program, m.logPath, "serve", "--settings", m.settingsPath)
+	if err != nil {
+		return fmt.Errorf("start %s: %w", m.name, err)
+	}
+	m.running = started
+	return nil
+}
+
+func (m *machine) take() *process.Process {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	taken := m.running
+	m.running = nil
+	return taken
+}
+
+// kill ends the process without a word.
+func (m *machine) kill() {
+	if taken := m.take(); taken != nil {
+		taken.Kill()
+	}
+}
+
+// stop is the planned stop, with the platform's grace.
+func (m *machine) stop(ctx context.Context) error {
+	taken := m.take()
+	if taken == nil {
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, grace)
+	defer cancel()
+	return taken.Stop(bounded)
+}
+
+func (m *machine) pause(paused bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.running != nil {
+		m.running.Pause(paused)
+	}
+}
+
+// ownEnd says that the process ended though nobody here ended it.
+func (m *machine) ownEnd() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.running == nil {
+		return false
+	}
+	select {
+	case <-m.running.Ended():
+		return true
+	default:
+		return false
+	}
+}
+
+// loseDisk empties the data folder; the process must not run.
+func (m *machine) loseDisk() error {
+	if err := os.RemoveAll(m.dataFolder); err != nil {
+		return err
+	}
+	return os.MkdirAll(m.dataFolder, 0o755)
+}
+
+// throttle lets the process run for only a share of each period, until ctx ends, as a quota of processor time does.
+func (m *machine) throttle(ctx context.Context, share float64) {
+	const period = 100 * time.Millisecond
+	running := time.Duration(share * float64(period))
+	defer m.pause(false)
+	for ctx.Err() == nil {
+		m.pause(true)
+		sleep(ctx, period-running)
+		m.pause(false)
+		sleep(ctx, running)
+	}
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// loopback returns the loopback address of a machine; deployments of different processes do not share one.
+func loopback(number int) netip.Addr {
+	process := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, 64 + byte(process>>8&0x3f), byte(process), byte(number + 1)})
+}
+
+func (m *machine) paths(folder string) {
+	m.settingsPath = filepath.Join(folder, m.name+".conf")
+	m.logPath = filepath.Join(folder, m.name+".log")
+	if m.class == classStorage {
+		m.dataFolder = filepath.Join(folder, m.name+".data")
+	}
+}
