Sight for repeats: the ordinal of an item's attempt, what was counted, runs that cost a request nothing

Cause: no line said which attempt of its owner an item's failure was, nor that a run of a request was not counted since its replica was taken for ended; the attempts that the loss of an ownership ended left no line at all. Change: item_not_done carries begins, failures_before and owned, also when the ownership is lost; run_not_counted is new.

--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -62,6 +62,8 @@
 	logged int
 	// finishing says that the item's result is on its way to the log.
 	finishing bool
+	// begins counts the attempts that this owner began.
+	begins int
 	// failures counts the runs that a replica answered with a failure of its own.
 	failures int
 	// message names what the item sends; zero until it is first to be sent.
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -231,10 +231,8 @@
 
 // took takes in how an attempt ended.
 func (p *partition) took(attempt *itemAttempt, verdict itemVerdict) {
-	if verdict != itemDone && p.ctx.Err() == nil {
-		p.logger.Info().Str(logging.FieldRequest, attempt.sent.Id).Str(logging.FieldJob, attempt.key.job).
-			Str(logging.FieldReplica, attempt.handle.Info().ID).Stringer("verdict", verdict).Int("status", attempt.status).
-			Str("last_event", attempt.lastEvent).Err(attempt.err).Msg("item_not_done")
+	if verdict != itemDone {
+		p.logNotDone(attempt, verdict)
 	}
 	p.noteEnd(attempt.key)
 	switch verdict {
@@ -256,6 +254,19 @@
 	p.wake()
 }
 
+// logNotDone writes how an attempt ended that did not finish its item, also one that the loss of the ownership ended: which attempt of this
+// owner it was, and how many failures were counted before it.
+func (p *partition) logNotDone(attempt *itemAttempt, verdict itemVerdict) {
+	p.mutex.Lock()
+	run := p.runOf(attempt.key)
+	begins, failures := run.begins, run.failures
+	p.mutex.Unlock()
+	p.logger.Info().Str(logging.FieldRequest, attempt.sent.Id).Str(logging.FieldJob, attempt.key.job).
+		Str(logging.FieldReplica, attempt.handle.Info().ID).Stringer("verdict", verdict).Int("status", attempt.status).
+		Int("begins", begins).Int("failures_before", failures).Bool("owned", p.ctx.Err() == nil).
+		Str("last_event", attempt.lastEvent).Err(attempt.err).Msg("item_not_done")
+}
+
 // countFailure returns whether the item has failed as often as its route allows; else it waits to be sent again.
 func (p *partition) countFailure(attempt *itemAttempt) bool {
 	p.mutex.Lock()
--- a/internal/batch/item_run.go
+++ b/internal/batch/item_run.go
@@ -8,6 +8,7 @@
 
 // noteBegin notes that a run begins. The partition's mutex is held.
 func (r *itemRun) noteBegin() {
+	r.begins++
 	if r.everBegan {
 		return
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -136,7 +136,7 @@
 		case notSent:
 			e.notSent++
 		default:
-			e.countRun()
+			e.countRun(handle)
 		}
 		if !e.mayTryAgain(ctx, last) {
 			e.conclude(ctx, last, "given_up")
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -112,9 +112,10 @@
 }
 
 // countRun counts an attempt that may have run. One whose replica ended costs the request none of its attempts.
-func (e *exchange) countRun() {
+func (e *exchange) countRun(handle *replica.Handle) {
 	if e.replicaEnded {
 		e.replicasEnded++
+		e.event(handle).Int("runs", e.runs).Int("replicas_ended", e.replicasEnded).Msg("run_not_counted")
 		return
 	}
 	e.runs++
--- a/lab/roles/draw.go
+++ b/lab/roles/draw.go
@@ -14,6 +14,7 @@
 const (
 	killNode       faultKind = "kill_node"
 	killStores     faultKind = "kill_all_stores"
+	killInTurn     faultKind = "kill_stores_in_turn"
 	stopNode       faultKind = "stop_node"
 	rollNodes      faultKind = "roll_nodes"
 	freezeNode     faultKind = "freeze_node"
@@ -52,6 +53,7 @@
 var drawnKinds = []drawnKind{
 	{killNode, 300 * time.Millisecond, 3 * time.Second, 0},
 	{killStores, 300 * time.Millisecond, 900 * time.Millisecond, 2},
+	{killInTurn, 4 * time.Second, 10 * time.Second, 1},
 	{stopNode, 300 * time.Millisecond, 2 * time.Second, 0},
 	{rollNodes, 200 * time.Millisecond, 600 * time.Millisecond, 1},
 	{freezeNode, 500 * time.Millisecond, 4 * time.Second, 0},
--- a/lab/roles/fault.go
+++ b/lab/roles/fault.go
@@ -22,6 +22,9 @@
 	throttledShare = 0.04
 	// frozenInTurn is how long one of several stores is frozen before the next.
 	frozenInTurn = 700 * time.Millisecond
+	// downInTurn is how long one of several stores that are killed in turn is down, upInTurn how long all are up before the next is killed.
+	downInTurn = 300 * time.Millisecond
+	upInTurn   = 1500 * time.Millisecond
 	// configurationPause is the time between two configurations of a series.
 	configurationPause = 150 * time.Millisecond
 )
@@ -59,7 +62,7 @@
 
 func (f *faults) carryOut(ctx context.Context, each fault) error {
 	switch each.Kind {
-	case killNode, stopNode, loseDisk, killStores, rollNodes:
+	case killNode, stopNode, loseDisk, killStores, killInTurn, rollNodes:
 		return f.endMachines(ctx, each)
 	case freezeNode, freezeStores, throttleNode, throttleStores, throttleAll, busyMachine:
 		return f.holdBack(ctx, each)
@@ -95,6 +98,8 @@
 		}
 		killing.Wait()
 		return f.startAfter(ctx, each.For, f.fleet.of(classStorage)...)
+	case killInTurn:
+		return f.killInTurn(ctx, each)
 	default:
 		for _, one := range f.fleet.machines {
 			if err := one.stop(ctx); err != nil {
@@ -108,6 +113,21 @@
 	}
 }
 
+// killInTurn kills one storage node after the other, so that partitions change their owners in series.
+func (f *faults) killInTurn(ctx context.Context, each fault) error {
+	stores := f.fleet.of(classStorage)
+	number := each.Pick
+	for began := time.Now(); time.Since(began) < each.For && ctx.Err() == nil; number++ {
+		store := picked(stores, number)
+		store.kill()
+		if err := f.startAfter(ctx, downInTurn, store); err != nil {
+			return err
+		}
+		sleep(ctx, upInTurn)
+	}
+	return nil
+}
+
 func (f *faults) startAfter(ctx context.Context, wait time.Duration, machines ...*machine) error {
 	sleep(ctx, wait)
 	for _, each := range machines {
--- a/lab/roles/machine.go
+++ b/lab/roles/machine.go
@@ -40,7 +40,7 @@
 	// mutex guards the process; it is nil while the machine is down.
 	mutex   sync.Mutex
 	running *process.Process
-	// refreshed is called before each start, to write the settings as they are then.
+	// writeSettings is called before each start, since the settings may differ by then.
 	writeSettings func() error
 }
 
@@ -87,6 +87,8 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
+	// A fault that holds the process back no longer finds it here to let it go on.
+	taken.Pause(false)
 	return taken.Stop(bounded)
 }
 
