--- a/cmd/sloelift-lab/roles_command.go
+++ b/cmd/sloelift-lab/roles_command.go
@@ -20,6 +20,7 @@
 	Replicas int           `help:"Replicas of the service." default:"12"`
 	Online   float64       `help:"Requests a second." default:"100"`
 	Jobs     float64       `help:"Batch jobs a second." default:"1.2"`
+	Only     []string      `help:"Kinds of faults to draw from; all where none is named."`
 	Keep     bool          `help:"Keep the logs of all runs."`
 }
 
@@ -31,7 +32,7 @@
 	}
 	report, err := roles.Run(ctx, roles.Options{
 		Program: c.Program, Template: c.Template, Busy: []string{own, "busy"}, Seed: c.Seed, Runs: c.Runs, Each: c.Each,
-		Zones: c.Zones, Edges: c.Edges, Stores: c.Stores, Replicas: c.Replicas, OnlinePerSecond: c.Online, JobsPerSecond: c.Jobs, Keep: c.Keep,
+		Zones: c.Zones, Edges: c.Edges, Stores: c.Stores, Replicas: c.Replicas, OnlinePerSecond: c.Online, JobsPerSecond: c.Jobs, Only: c.Only, Keep: c.Keep,
 	}, os.Stdout)
 	if err != nil {
 		return err
--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -92,13 +92,17 @@
 	routes   *route.Holder
 }
 
-const testHost = "h.example"
+const (
+	testHost = "h.example"
+	// testAttempts are the attempts of the route of testTable.
+	testAttempts = 3
+)
 
 func testTable(version int64, withRoute bool) *route.Table {
 	var routes []*route.Route
 	if withRoute {
 		routes = append(routes, &route.Route{
-			Name: "r", Host: testHost, Prefix: "/p/", Kind: route.Batch, Attempts: 3, Backends: []route.Backend{{Service: "s", Weight: 1}},
+			Name: "r", Host: testHost, Prefix: "/p/", Kind: route.Batch, Attempts: testAttempts, Backends: []route.Backend{{Service: "s", Weight: 1}},
 		})
 	}
 	return route.NewTable(version, routes, nil, route.Limits{})
--- a/lab/roles/draw.go
+++ b/lab/roles/draw.go
@@ -15,6 +15,7 @@
 	killNode       faultKind = "kill_node"
 	killStores     faultKind = "kill_all_stores"
 	killInTurn     faultKind = "kill_stores_in_turn"
+	stopInTurn     faultKind = "stop_stores_in_turn"
 	stopNode       faultKind = "stop_node"
 	rollNodes      faultKind = "roll_nodes"
 	freezeNode     faultKind = "freeze_node"
@@ -54,6 +55,7 @@
 	{killNode, 300 * time.Millisecond, 3 * time.Second, 0},
 	{killStores, 300 * time.Millisecond, 900 * time.Millisecond, 2},
 	{killInTurn, 4 * time.Second, 10 * time.Second, 1},
+	{stopInTurn, 4 * time.Second, 10 * time.Second, 1},
 	{stopNode, 300 * time.Millisecond, 2 * time.Second, 0},
 	{rollNodes, 200 * time.Millisecond, 600 * time.Millisecond, 1},
 	{freezeNode, 500 * time.Millisecond, 4 * time.Second, 0},
@@ -94,14 +96,37 @@
 	return fmt.Sprintf("%s#%d@%s+%s", f.Kind, f.Pick, f.At, f.For)
 }
 
-// drawFaults returns the faults of a seed, in order: alone, in series and overlapping.
-func drawFaults(seed uint64, length time.Duration) []fault {
+// kindsAmong returns the kinds with the given names, all where none is given.
+func kindsAmong(names []string) ([]drawnKind, error) {
+	if len(names) == 0 {
+		return drawnKinds, nil
+	}
+	var among []drawnKind
+	for _, name := range names {
+		at := slices.IndexFunc(drawnKinds, func(each drawnKind) bool { return string(each.kind) == name })
+		if at < 0 {
+			return nil, fmt.Errorf("no fault is named %q", name)
+		}
+		among = append(among, drawnKinds[at])
+	}
+	return among, nil
+}
+
+const (
+	// leastDrawn and mostDrawn bound the faults of a run.
+	leastDrawn, mostDrawn = 3, 8
+	// drawsTried bounds the draws, of which those of a kind that is used up are in vain.
+	drawsTried = 100
+)
+
+// drawFaults returns the faults of a seed among kinds, in order: alone, in series and overlapping.
+func drawFaults(seed uint64, length time.Duration, kinds []drawnKind) []fault {
 	random := rand.New(rand.NewPCG(seed, 0xfa17))
-	count := 3 + random.IntN(6)
+	count := leastDrawn + random.IntN(mostDrawn-leastDrawn+1)
 	times := map[faultKind]int{}
 	var faults []fault
-	for len(faults) < count {
-		drawn := drawnKinds[random.IntN(len(drawnKinds))]
+	for draws := 0; len(faults) < count && draws < drawsTried; draws++ {
+		drawn := kinds[random.IntN(len(kinds))]
 		if drawn.most > 0 && times[drawn.kind] >= drawn.most {
 			continue
 		}
--- a/lab/roles/fault.go
+++ b/lab/roles/fault.go
@@ -22,7 +22,7 @@
 	throttledShare = 0.04
 	// frozenInTurn is how long one of several stores is frozen before the next.
 	frozenInTurn = 700 * time.Millisecond
-	// downInTurn is how long one of several stores that are killed in turn is down, upInTurn how long all are up before the next is killed.
+	// downInTurn is how long one of several stores that are ended in turn is down, upInTurn how long all are up before the next.
 	downInTurn = 300 * time.Millisecond
 	upInTurn   = 1500 * time.Millisecond
 	// configurationPause is the time between two configurations of a series.
@@ -62,7 +62,7 @@
 
 func (f *faults) carryOut(ctx context.Context, each fault) error {
 	switch each.Kind {
-	case killNode, stopNode, loseDisk, killStores, killInTurn, rollNodes:
+	case killNode, stopNode, loseDisk, killStores, killInTurn, stopInTurn, rollNodes:
 		return f.endMachines(ctx, each)
 	case freezeNode, freezeStores, throttleNode, throttleStores, throttleAll, busyMachine:
 		return f.holdBack(ctx, each)
@@ -98,8 +98,8 @@
 		}
 		killing.Wait()
 		return f.startAfter(ctx, each.For, f.fleet.of(classStorage)...)
-	case killInTurn:
-		return f.killInTurn(ctx, each)
+	case killInTurn, stopInTurn:
+		return f.endInTurn(ctx, each)
 	default:
 		for _, one := range f.fleet.machines {
 			if err := one.stop(ctx); err != nil {
@@ -113,13 +113,17 @@
 	}
 }
 
-// killInTurn kills one storage node after the other, so that partitions change their owners in series.
-func (f *faults) killInTurn(ctx context.Context, each fault) error {
+// endInTurn kills or stops one storage node after the other, so that partitions change their owners in series.
+func (f *faults) endInTurn(ctx context.Context, each fault) error {
 	stores := f.fleet.of(classStorage)
 	number := each.Pick
 	for began := time.Now(); time.Since(began) < each.For && ctx.Err() == nil; number++ {
 		store := picked(stores, number)
-		store.kill()
+		if each.Kind == killInTurn {
+			store.kill()
+		} else if err := store.stop(ctx); err != nil {
+			return err
+		}
 		if err := f.startAfter(ctx, downInTurn, store); err != nil {
 			return err
 		}
--- a/lab/roles/machine.go
+++ b/lab/roles/machine.go
@@ -37,7 +37,9 @@
 	// dataFolder is empty on edges.
 	dataFolder string
 
-	// mutex guards the process; it is nil while the machine is down.
+	// changing is held while the process is started or ended, so that faults that overlap follow each other and never meet on a port.
+	changing sync.Mutex
+	// mutex guards the process; it is nil while the machine is down. It is taken after changing.
 	mutex   sync.Mutex
 	running *process.Process
 	// writeSettings is called before each start, since the settings may differ by then.
@@ -48,6 +50,8 @@
 
 // start starts the process unless it runs.
 func (m *machine) start() error {
+	m.changing.Lock()
+	defer m.changing.Unlock()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.running != nil {
@@ -74,6 +78,8 @@
 
 // kill ends the process without a word.
 func (m *machine) kill() {
+	m.changing.Lock()
+	defer m.changing.Unlock()
 	if taken := m.take(); taken != nil {
 		taken.Kill()
 	}
@@ -81,6 +87,8 @@
 
 // stop is the planned stop, with the platform's grace.
 func (m *machine) stop(ctx context.Context) error {
+	m.changing.Lock()
+	defer m.changing.Unlock()
 	taken := m.take()
 	if taken == nil {
 		return nil
--- a/lab/roles/run.go
+++ b/lab/roles/run.go
@@ -31,6 +31,8 @@
 	Zones, Edges, Stores, Replicas int
 	// OnlinePerSecond and JobsPerSecond are what callers bring.
 	OnlinePerSecond, JobsPerSecond float64
+	// Only are the names of the kinds of faults to draw from; none for all.
+	Only []string
 	// Keep keeps the logs of all runs, not only of those that broke.
 	Keep bool
 }
@@ -90,10 +92,14 @@
 	if err := options.Check(); err != nil {
 		return report, err
 	}
+	kinds, err := kindsAmong(options.Only)
+	if err != nil {
+		return report, err
+	}
 	first := options.Seed
 	for number := range uint64(options.Runs) {
 		options.Seed = first + number
-		drawn := drawFaults(options.Seed, options.Each)
+		drawn := drawFaults(options.Seed, options.Each, kinds)
 		found, folder, err := play(ctx, options, drawn)
 		if err != nil {
 			return report, fmt.Errorf("seed %d: %w", options.Seed, err)
