Batch: an item's failures count over all owners of its partition

Cause: the count of an item's answers of 500 was kept by the owner alone; each end of an ownership began it anew, and the item was sent as often again. Conclusion: of an owner that is lost at most the one failure is unknown whose record was not durable yet.

--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -64,7 +64,7 @@
 	finishing bool
 	// begins counts the attempts that this owner began.
 	begins int
-	// failures counts the runs that a replica answered with a failure of its own.
+	// failures counts the runs that a replica answered with a failure of its own, those under earlier owners among them.
 	failures int
 	// message names what the item sends; zero until it is first to be sent.
 	message quarantine.Key
@@ -255,6 +255,8 @@
 	}
 	run = &itemRun{}
 	if owner := p.state.jobs[key.job]; owner != nil {
+		// An owner that counted from 0 would send a failing item as often again as each owner before it.
+		run.failures = owner.items[key.number].failures
 		if progress := owner.items[key.number].progress; progress != nil {
 			run.text, run.lastEvent, run.logged = []byte(progress.Text), progress.LastEvent, len(progress.Text)
 		}
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -241,9 +241,7 @@
 	case itemImpossible:
 		p.finish(attempt.key, batchpb.State_STATE_DEAD_LETTER, "", "impossible")
 	case itemFailed:
-		if p.countFailure(attempt) {
-			p.finish(attempt.key, batchpb.State_STATE_DEAD_LETTER, "", "failed")
-		}
+		p.tookFailure(attempt)
 	case itemRefused:
 		p.requeue(attempt.key, pauseAfterRefusal)
 	case itemCut:
@@ -267,21 +265,6 @@
 		Str("last_event", attempt.lastEvent).Err(attempt.err).Msg("item_not_done")
 }
 
-// countFailure returns whether the item has failed as often as its route allows; else it waits to be sent again.
-func (p *partition) countFailure(attempt *itemAttempt) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	run := p.runOf(attempt.key)
-	if attempt.status == http.StatusInternalServerError {
-		run.failures++
-	}
-	if run.failures >= max(1, attempt.route.Attempts) {
-		return true
-	}
-	run.running, run.notBefore = false, p.elapsed()+pauseAfterFailure
-	return false
-}
-
 func (p *partition) requeue(key itemKey, pause time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -291,15 +274,9 @@
 
 // finish lists an item; it tries until that is durable or the ownership is lost. The item counts as running meanwhile.
 func (p *partition) finish(key itemKey, listedAs batchpb.State, text, reason string) {
-	for p.ctx.Err() == nil && !p.isListed(key) {
-		err := p.proposeResult(key, listedAs, text)
-		if err == nil {
-			continue
-		}
-		p.logger.Warn().Str(logging.FieldJob, key.job).Err(err).Str(logging.FieldReason, string(outcome.As(err).Reason)).Msg("result_not_listed")
-		if !pause.Sleep(p.ctx, retryAppend) {
-			return
-		}
+	listed := func() bool { return p.isListed(key) }
+	if !p.untilDurable(key, "result_not_listed", listed, func() error { return p.proposeResult(key, listedAs, text) }) {
+		return
 	}
 	p.mutex.Lock()
 	delete(p.runs, key)
@@ -309,6 +286,22 @@
 	}
 }
 
+// untilDurable proposes a record about an item until done says that the state has it. It returns false where the ownership is lost before.
+// failed is the message of the log line on each try that fails.
+func (p *partition) untilDurable(key itemKey, failed string, done func() bool, propose func() error) bool {
+	for p.ctx.Err() == nil && !done() {
+		err := propose()
+		if err == nil {
+			continue
+		}
+		p.logger.Warn().Str(logging.FieldJob, key.job).Int("item", key.number).Err(err).Str(logging.FieldReason, string(outcome.As(err).Reason)).Msg(failed)
+		if !pause.Sleep(p.ctx, retryAppend) {
+			return false
+		}
+	}
+	return p.ctx.Err() == nil
+}
+
 func (p *partition) proposeResult(key itemKey, listedAs batchpb.State, text string) error {
 	p.textOrder.Lock()
 	request := newProposal(p.resultRecord(key, listedAs, text))
--- a/internal/batch/snapshot.go
+++ b/internal/batch/snapshot.go
@@ -41,6 +41,9 @@
 		if progress := j.items[number].progress; progress != nil {
 			encoded.Progress = append(encoded.Progress, progress)
 		}
+		if failures := j.items[number].failures; failures > 0 {
+			encoded.Failed = append(encoded.Failed, &batchpb.Failed{JobId: j.submission.JobId, Item: uint32(number), Failures: uint32(failures)})
+		}
 		for _, ended := range j.items[number].crashed {
 			encoded.Crashed = append(encoded.Crashed, &batchpb.Crashed{JobId: j.submission.JobId, Item: uint32(number), Replica: uint64(ended)})
 		}
@@ -85,6 +88,9 @@
 	for _, crashed := range encoded.Crashed {
 		_ = s.takeCrashed(crashed)
 	}
+	for _, failed := range encoded.Failed {
+		_ = s.takeFailed(failed)
+	}
 	if encoded.Ended {
 		_ = s.takeEnded(&batchpb.Ended{JobId: encoded.Submission.JobId})
 	}
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -33,6 +33,8 @@
 	progress *batchpb.Progress
 	// crashed are the replicas that ended under the item while it was not listed.
 	crashed []replica.Key
+	// failures counts the runs that replicas answered with a failure of their own, over all owners, while the item was not listed.
+	failures int
 }
 
 // made is the text that the log has of an unlisted item.
@@ -92,6 +94,8 @@
 		return apply(record, &batchpb.Forgotten{}, s.takeForgotten)
 	case ledger.KindBatchCrashed:
 		return apply(record, &batchpb.Crashed{}, s.takeCrashed)
+	case ledger.KindBatchFailed:
+		return apply(record, &batchpb.Failed{}, s.takeFailed)
 	default:
 		return nil
 	}
@@ -180,7 +184,7 @@
 func (s *state) list(owner *job, number int, listedAs batchpb.State, text string) {
 	listed := &owner.items[number]
 	s.dropProgress(listed)
-	listed.listed, listed.state, listed.text, listed.crashed = true, listedAs, text, nil
+	listed.listed, listed.state, listed.text, listed.crashed, listed.failures = true, listedAs, text, nil, 0
 	owner.listed = append(owner.listed, number)
 	sent := owner.submission.Items[number]
 	s.bytes += int64(len(text)) - int64(len(sent.Body))
@@ -228,6 +232,17 @@
 	return nil
 }
 
+// takeFailed notes how often an item's runs have failed. A count never goes back.
+func (s *state) takeFailed(failed *batchpb.Failed) error {
+	found := s.jobs[failed.JobId]
+	if found == nil || found.ended || int(failed.Item) >= len(found.items) || found.items[failed.Item].listed {
+		return nil
+	}
+	of := &found.items[failed.Item]
+	of.failures = max(of.failures, int(failed.Failures))
+	return nil
+}
+
 func (s *state) takeEnded(ended *batchpb.Ended) error {
 	found := s.jobs[ended.JobId]
 	if found == nil || found.ended {
--- a/internal/batch/state_test.go
+++ b/internal/batch/state_test.go
@@ -135,7 +135,7 @@
 func TestSnapshotIsTheState(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		log := newLog(t)
-		kinds := []string{"accept", "progress", "result", "dead", "end", "forget", "crash"}
+		kinds := []string{"accept", "progress", "result", "dead", "end", "forget", "crash", "fail"}
 		step := func(s *state) ledger.Record {
 			job := fmt.Sprintf("j%d", rapid.IntRange(0, 2).Draw(r, "job"))
 			number := rapid.IntRange(0, 2).Draw(r, "item")
@@ -155,6 +155,8 @@
 				return recordOf(ledger.KindBatchResult, &batchpb.Result{JobId: job, Item: uint32(number), State: batchpb.State_STATE_DEAD_LETTER})
 			case "crash":
 				return recordOf(ledger.KindBatchCrashed, &batchpb.Crashed{JobId: job, Item: uint32(number), Replica: uint64(rapid.IntRange(1, 5).Draw(r, "replica"))})
+			case "fail":
+				return recordOf(ledger.KindBatchFailed, &batchpb.Failed{JobId: job, Item: uint32(number), Failures: uint32(rapid.IntRange(1, 5).Draw(r, "failures"))})
 			case "end":
 				return recordOf(ledger.KindBatchEnded, &batchpb.Ended{JobId: job})
 			default:
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -39,6 +39,7 @@
 	KindBatchEnded
 	KindBatchForgotten
 	KindBatchCrashed
+	KindBatchFailed
 	// KindNoOperation fills a position that recovery must write without a record.
 	KindNoOperation = protocol.KindNoOperation
 )
