Batch: a submission to a partition that stops begins nothing, and no longer ends the process

Ruled out: the other starters of background work, which count themselves among it or look at a flag first. Change: a flag under the mutex, set before the wait.

--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -85,9 +85,15 @@
 
 // begin starts the append of an admitted submission. It goes on where the caller no longer waits.
 func (p *partition) begin(submission *batchpb.Submission) *pendingSubmission {
-	p.mutex.RLock()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
 	pending := p.submitting[submission.JobId]
-	p.mutex.RUnlock()
+	if p.stopped {
+		// Work that begins after the wait for all work would end the process.
+		pending.err = errNotOwner()
+		close(pending.done)
+		return pending
+	}
 	p.running.Go(func() {
 		err := p.propose(p.ctx, acceptanceRecords(submission, p.now().UnixMilli())...)
 		p.mutex.Lock()
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -50,6 +50,8 @@
 	submitting map[string]*pendingSubmission
 	reserved   map[quotaKey]int64
 	quiesced   bool
+	// stopped says that nothing more may begin in the background.
+	stopped bool
 	// homesVersion is the version of the configuration by whose homes the running items were looked at last. The dispatcher alone uses it.
 	homesVersion int64
 	// begunInTime counts the begins in time since the last one of a late item.
@@ -104,6 +106,9 @@
 // Stop implements ledger.StateMachine.
 func (p *partition) Stop() {
 	p.service.remove(p)
+	p.mutex.Lock()
+	p.stopped = true
+	p.mutex.Unlock()
 	p.cancel()
 	p.running.Wait()
 }
