--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -94,6 +94,11 @@
 	startContext, cancelStart := context.WithTimeout(ctx, startTimeout)
 	defer cancelStart()
 	if err := app.Start(startContext); err != nil {
+		if ctx.Err() != nil {
+			// The planned stop came during the start: what had started is stopped again, and that is no failure of the process.
+			logger.Info().Err(err).Msg("node_stopped_while_starting")
+			return nil
+		}
 		return err
 	}
 	logger.Info().Str("role", string(own.Role)).Int("process", os.Getpid()).Msg("node_started")
