Forward: a replica that answers again has cost a request an attempt

A run whose replica is taken for ended costs none of the route's attempts, and that is concluded from one refused connection. A replica that refuses for a moment and lives ran the request beyond attempts, by up to three replicas. Change: before each further attempt, those whose replicas have answered since count.

--- a/internal/forward/conclude.go
+++ b/internal/forward/conclude.go
@@ -17,7 +17,7 @@
 		reason = "deadline"
 	}
 	handler.metrics.finished(e.route.Name, false, time.Since(e.arrived))
-	if e.runs+e.replicasEnded == 0 && handler.quota != nil && e.terms.Tenant != nil {
+	if e.runs+len(e.endedRuns) == 0 && handler.quota != nil && e.terms.Tenant != nil {
 		handler.quota.GiveBack(e.terms.Tenant)
 	}
 	handler.logger.Info().Str(logging.FieldRequest, e.id).Str("route", e.route.Name).Str(logging.FieldReason, reason).
@@ -32,7 +32,7 @@
 	case reason == reasonCrashesReplicas:
 		// Neither a promise that the message has not run, nor a time to come back.
 		http.Error(e.writer, reason, http.StatusBadGateway)
-	case e.runs+e.replicasEnded == 0:
+	case e.runs+len(e.endedRuns) == 0:
 		SetRetryAfter(e.writer.Header(), retryAfter(reason))
 		http.Error(e.writer, reason, http.StatusServiceUnavailable)
 	case late:
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -88,9 +88,9 @@
 	// message names what the caller sent, permit is the leave for the present attempt, both nil or zero where nothing is kept from replicas.
 	message quarantine.Key
 	permit  quarantine.Permit
-	// replicaEnded says that the replica of the latest attempt ended, replicasEnded counts those.
-	replicaEnded  bool
-	replicasEnded int
+	// replicaEnded says that the replica of the latest attempt was found to have ended; endedRuns are all such attempts.
+	replicaEnded bool
+	endedRuns    []endedRun
 	// lastStatus and lastError are of the latest attempt: the status of its answer, and what broke it off.
 	lastStatus int
 	lastError  error
@@ -249,12 +249,12 @@
 	if !e.route.MayRepeat() || last == brokenOff && !e.resumes() {
 		return false
 	}
-	if e.replicaEnded {
-		return e.replicasEnded <= mostReplicasEnded
-	}
-	if e.runs >= max(1, e.route.Attempts) {
+	if e.spentAttempts() >= max(1, e.route.Attempts) {
 		return false
 	}
+	if e.replicaEnded {
+		return len(e.endedRuns) <= mostReplicasEnded
+	}
 	return e.nextPaid.Swap(false) || e.handler.budget.take()
 }
 
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -114,9 +114,27 @@
 // countRun counts an attempt that may have run. One whose replica ended costs the request none of its attempts.
 func (e *exchange) countRun(handle *replica.Handle) {
 	if e.replicaEnded {
-		e.replicasEnded++
-		e.event(handle).Int("runs", e.runs).Int("replicas_ended", e.replicasEnded).Msg("run_not_counted")
+		e.endedRuns = append(e.endedRuns, endedRun{handle: handle, foundAt: time.Now()})
+		e.event(handle).Int("runs", e.runs).Int("replicas_ended", len(e.endedRuns)).Msg("run_not_counted")
 		return
 	}
 	e.runs++
 }
+
+// endedRun is an attempt whose replica was found to have ended.
+type endedRun struct {
+	handle  *replica.Handle
+	foundAt time.Time
+}
+
+// spentAttempts counts the runs that cost the request an attempt. That a replica ended is concluded from a connection that it refused: one
+// that has answered since lives, and has run the request.
+func (e *exchange) spentAttempts() int {
+	spent := e.runs
+	for _, each := range e.endedRuns {
+		if each.handle.AnsweredSince(each.foundAt) {
+			spent++
+		}
+	}
+	return spent
+}
