Replicas that start again under their id; entries that name no replica

Cause: an id no longer names one life of a replica; entries may come from another writer, and the last good one stayed in use in place of a bad one. The directory keeps a life per id: a newer start gets a new handle, so that load, requests in flight, failures, coldness, connections and what others reported go with the old one, and so does the key by which quarantine and load sharing know it; a late entry replaces nothing; without born all is as before. A replaced life counts as ended in an inquiry.

--- a/internal/discovery/copies.go
+++ b/internal/discovery/copies.go
@@ -18,7 +18,7 @@
 
 // takeCopiedReplicas makes replicas that were known some time ago the content of the directory, until the store lists them.
 func (s *Service) takeCopiedReplicas(copied platform.Listing) {
-	replicas, _ := s.read(copied.Entries)
+	replicas, _, _ := s.read(copied.Entries)
 	s.directory.ReplaceByCopy(replicas)
 	s.replicasByCopy = true
 	s.logger.Info().Int("replicas", len(replicas)).Int64(logging.FieldRevision, copied.Revision).Msg("replicas_taken_from_copy")
@@ -48,7 +48,7 @@
 
 // replaceReplicas takes a listing of the store.
 func (s *Service) replaceReplicas(listing platform.Listing) {
-	replicas, news := s.read(listing.Entries)
+	replicas, _, news := s.read(listing.Entries)
 	gone := s.directory.Replace(replicas)
 	if news = s.newsOf(listing, news, gone); news > 0 {
 		s.replicas.tookChange(news)
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -52,7 +52,10 @@
 	replicas  *revisions
 	// replicasByCopy says that the directory holds a copy; copies end before the store's first listing is taken.
 	replicasByCopy bool
-	logger         zerolog.Logger
+	// unusable are the revisions of the unusable entries that were logged, by key.
+	unusable map[string]int64
+	metrics  *Metrics
+	logger   zerolog.Logger
 
 	cancel      context.CancelFunc
 	unsubscribe func()
@@ -81,9 +84,14 @@
 	Reporter RevisionReporter
 	// Copies supplies what was known some time ago while the store does not answer; nil where nothing does.
 	Copies Copies
-	Logger zerolog.Logger
+	// Metrics may be nil.
+	Metrics *Metrics
+	Logger  zerolog.Logger
 }
 
+// mostUnusableKept bounds the unusable entries that are remembered for the log: beyond it they are logged anew.
+const mostUnusableKept = 256
+
 // New returns a Service; nothing runs before Start.
 func New(options Options) *Service {
 	logger := options.Logger.With().Str(logging.FieldSlice, "discovery").Logger()
@@ -93,6 +101,8 @@
 		viewer:    options.Viewer,
 		operators: newRevisions(options.Reporter.SetConfigRevision, follows(options.Translator.OperatorPrefix())),
 		replicas:  newRevisions(options.Reporter.SetReplicasRevision, follows(options.Translator.ReplicaPrefix())),
+		unusable:  map[string]int64{},
+		metrics:   options.Metrics,
 		logger:    logger,
 	}
 	if options.Copies != nil {
@@ -207,28 +217,46 @@
 		s.logger.Info().Str(logging.FieldReplica, s.translator.ReplicaID(key)).Msg("replica_gone")
 	}
 	if len(changed)+len(removed) > 0 {
-		replicas, _ := s.read(changed)
-		s.directory.Update(replicas, removed)
+		replicas, unusable, _ := s.read(changed)
+		s.directory.Update(replicas, append(removed, unusable...))
 		s.replicas.tookChange(revision)
 	}
 	s.replicas.saw(revision)
 }
 
-// read translates entries; news is the newest revision of those entries that say what was not known, 0 where none does.
-func (s *Service) read(entries []platform.Entry) (replicas []replica.Info, news int64) {
+// read translates entries. unusable are the IDs of entries that name no replica to use: what an earlier entry said is not kept in its place.
+// news is the newest revision of those entries that say what was not known, 0 where none does.
+func (s *Service) read(entries []platform.Entry) (replicas []replica.Info, unusable []string, news int64) {
 	replicas = make([]replica.Info, 0, len(entries))
 	for _, entry := range entries {
 		info, err := s.translator.Replica(entry.Key, entry.Value)
 		if err != nil {
-			s.logger.Error().Err(err).Msg("replica_not_read")
+			unusable = append(unusable, s.translator.ReplicaID(entry.Key))
+			s.noteUnusable(entry, err)
 			continue
 		}
-		if known := s.directory.View().Find(info.ID); known == nil || known.Info().Draining != info.Draining {
+		known := s.directory.View().Find(info.ID)
+		if known == nil || known.Info().Draining != info.Draining || known.Info().Born < info.Born {
 			news = max(news, entry.ModRevision)
 			s.logger.Info().Str(logging.FieldReplica, info.ID).Str("service", info.Service).Stringer("address", info.Address).
 				Str("replica_zone", info.Zone).Bool("draining", info.Draining).Msg("replica_changed")
 		}
 		replicas = append(replicas, info)
 	}
-	return replicas, news
+	return replicas, unusable, news
+}
+
+// noteUnusable counts an entry that names no replica, and logs it unless it was logged as it stands.
+func (s *Service) noteUnusable(entry platform.Entry, err error) {
+	if s.metrics != nil {
+		s.metrics.unusable.Inc()
+	}
+	if len(s.unusable) >= mostUnusableKept {
+		clear(s.unusable)
+	}
+	if s.unusable[entry.Key] == entry.ModRevision {
+		return
+	}
+	s.unusable[entry.Key] = entry.ModRevision
+	s.logger.Warn().Str("key", entry.Key).Int64(logging.FieldRevision, entry.ModRevision).AnErr("error", err).Msg("replica_not_read")
 }
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -94,12 +94,7 @@
 	startContext, cancelStart := context.WithTimeout(ctx, startTimeout)
 	defer cancelStart()
 	if err := app.Start(startContext); err != nil {
-		if ctx.Err() != nil {
-			// The planned stop came during the start: what had started is stopped again, and that is no failure of the process.
-			logger.Info().Err(err).Msg("node_stopped_while_starting")
-			return nil
-		}
-		return err
+		return failureOfStart(ctx, err, logger)
 	}
 	logger.Info().Str("role", string(own.Role)).Int("process", os.Getpid()).Msg("node_started")
 	<-ctx.Done()
@@ -111,6 +106,16 @@
 	return err
 }
 
+// failureOfStart returns the failure of a start. Where the planned stop came during it, what had started is stopped again, and that is no
+// failure of the process.
+func failureOfStart(ctx context.Context, failure error, logger zerolog.Logger) error {
+	if ctx.Err() == nil {
+		return failure
+	}
+	logger.Info().Err(failure).Msg("node_stopped_while_starting")
+	return nil
+}
+
 func limitMemory(megabytes int) {
 	debug.SetGCPercent(collectAt)
 	if megabytes > 0 {
--- a/internal/node/role_discovery.go
+++ b/internal/node/role_discovery.go
@@ -59,13 +59,18 @@
 	})
 }
 
-func newDiscovery(lifecycle fx.Lifecycle, copies *snapshotcache.Cache, adapter Adapter, routes *route.Holder, directory *replica.Directory, members *membership.Service, logger zerolog.Logger) *discovery.Service {
+func newDiscovery(lifecycle fx.Lifecycle, copies *snapshotcache.Cache, adapter Adapter, routes *route.Holder, directory *replica.Directory, members *membership.Service, registerer prometheus.Registerer, logger zerolog.Logger) (*discovery.Service, error) {
+	metrics, err := discovery.NewMetrics(registerer)
+	if err != nil {
+		return nil, err
+	}
 	service := discovery.New(discovery.Options{
-		Store: copies, Translator: adapter.Translator, Routes: routes, Directory: directory, Viewer: members, Reporter: members, Copies: copies, Logger: logger,
+		Store: copies, Translator: adapter.Translator, Routes: routes, Directory: directory, Viewer: members, Reporter: members, Copies: copies,
+		Metrics: metrics, Logger: logger,
 	})
 	lifecycle.Append(fx.StartStopHook(copies.Start, copies.Stop))
 	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
-	return service
+	return service, nil
 }
 
 func newRegisteredMachines(lifecycle fx.Lifecycle, own settings.Settings, store platform.KeyValue) platform.MachineList {
--- a/internal/quarantine/probe.go
+++ b/internal/quarantine/probe.go
@@ -69,6 +69,10 @@
 // processEnded says that the replica's process has ended: all connections to it have ended, and its machine refuses new ones. Where a new
 // connection is made, or there is no answer, the process may still run, and only a connection or a link was lost.
 func (s *Service) processEnded(handle *replica.Handle) bool {
+	if handle.Replaced() {
+		// It has started again under its ID, and its address takes connections again.
+		return true
+	}
 	if handle.KeptAlive() && !s.endsSoon(handle) {
 		return false
 	}
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -16,8 +16,10 @@
 
 // Info is what a replica's own entry says of it.
 type Info struct {
-	// ID names one incarnation; no other replica ever has it.
-	ID      string
+	// ID names the replica. It may start again under it.
+	ID string
+	// Born is when this life of the replica started, in Unix milliseconds; 0 where its entry does not say. Lives of one ID differ in it.
+	Born    int64
 	Service string
 	Address netip.AddrPort
 	Zone    string
@@ -156,10 +158,18 @@
 	d.subscribers.Notify(d.View())
 }
 
-// handleFor returns the handle of info's incarnation with its newest entry; written says that the entry has just been written.
+// handleFor returns the handle of info's life with its newest entry; written says that the entry has just been written. What was known of
+// an earlier life goes with its handle: load, requests in flight, failures, coldness, kept connections and what other nodes reported of it.
 func (d *Directory) handleFor(info Info, written bool) *Handle {
 	handle := d.View().Find(info.ID)
-	if handle == nil {
+	if handle != nil && info.Born == 0 {
+		info.Born = handle.Info().Born
+	}
+	if handle != nil && info.Born < handle.Info().Born {
+		// A late entry of an earlier life.
+		return handle
+	}
+	if handle == nil || info.Born > handle.Info().Born {
 		handle = NewHandle(info)
 		handle.useChanged = d.SignalUse
 		handle.zone = d.zones.Of(info.Zone)
@@ -185,7 +195,8 @@
 	}
 	previous := d.view.Swap(view)
 	for id, handle := range previous.byID {
-		if next[id] == nil {
+		if next[id] != handle {
+			handle.replaced.Store(next[id] != nil)
 			handle.retire()
 		}
 	}
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,13 +11,15 @@
 	"github.com/sloelift/sloelift/internal/unreached"
 )
 
-// Handle is one incarnation of a replica with what this process knows of it. It is safe for concurrent use.
+// Handle is one life of a replica with what this process knows of it. It is safe for concurrent use.
 type Handle struct {
-	info  atomic.Pointer[Info]
-	key   Key
-	pool  connectionPool
-	gone  atomic.Bool
-	inUse atomic.Int64
+	info atomic.Pointer[Info]
+	key  Key
+	pool connectionPool
+	gone atomic.Bool
+	// replaced says that the replica has started again under its ID.
+	replaced atomic.Bool
+	inUse    atomic.Int64
 	// useChanged, where it is set, is called after a request began or ended or its prompt was read; it is set before the first one.
 	useChanged func()
 	// reading counts the prompt tokens of this process's requests that wait for their first event.
@@ -54,15 +57,22 @@
 	failureRate  float64
 }
 
-// Key names a replica in messages between nodes: the XXH64 of its ID.
+// Key names a life of a replica in messages between nodes: the XXH64 of its ID and, where that is known, its start.
 type Key uint64
 
-// KeyOf returns the key of a replica.
+// KeyOf returns the key of a replica whose start is not known.
 func KeyOf(replicaID string) Key { return Key(xxhash.Sum64String(replicaID)) }
 
+func keyOfLife(info Info) Key {
+	if info.Born == 0 {
+		return KeyOf(info.ID)
+	}
+	return KeyOf(info.ID + "@" + strconv.FormatInt(info.Born, 10))
+}
+
 // NewHandle returns a handle of a replica of which nothing else is known.
 func NewHandle(info Info) *Handle {
-	handle := &Handle{key: KeyOf(info.ID), zone: unreached.NewZones().Of(info.Zone)}
+	handle := &Handle{key: keyOfLife(info), zone: unreached.NewZones().Of(info.Zone)}
 	handle.info.Store(&info)
 	return handle
 }
@@ -78,6 +88,9 @@
 	return !h.gone.Load() && !h.misdirected.Load() && !h.evacuated.Load() && !h.Info().Draining
 }
 
+// Replaced says that this life of the replica has ended: another one has its ID.
+func (h *Handle) Replaced() bool { return h.replaced.Load() }
+
 // InUse returns the number of this process's requests there.
 func (h *Handle) InUse() int { return int(h.inUse.Load()) }
 
--- a/internal/replica/load_report.go
+++ b/internal/replica/load_report.go
@@ -55,6 +55,13 @@
 	if err != nil {
 		return err
 	}
+	if born := handle.Info().Born; load.Born > born && born > 0 {
+		// The life that was asked has ended, though its entry still stands.
+		handle.Ended(time.Now())
+	}
+	if load.Born != 0 && load.Born != handle.Info().Born {
+		return fmt.Errorf("load report of a life that started at %d, not at %d", load.Born, handle.Info().Born)
+	}
 	load.Slots = handle.Info().Slots
 	handle.NoteLoad(load, time.Now())
 	return nil
--- /dev/null
+++ b/internal/replica/restarted_test.go
@@ -0,0 +1,56 @@
+package replica
+
+import (
+	"net/netip"
+	"testing"
+)
+
+func bornInfo(id string, born int64) Info {
+	return Info{ID: id, Service: "s", Zone: "z", Address: netip.MustParseAddrPort("127.0.0.1:1000"), Slots: 8, Born: born}
+}
+
+// TestReplicaThatStartsAgainUnderItsID: a new start holds nothing of the earlier one, and a late entry of the earlier start replaces
+// nothing. A replica whose start is not known is one replica, as before.
+func TestReplicaThatStartsAgainUnderItsID(t *testing.T) {
+	takes := map[string]func(*Directory, Info){
+		"change":  func(d *Directory, info Info) { d.Update([]Info{info}, nil) },
+		"listing": func(d *Directory, info Info) { d.Replace([]Info{info}) },
+		"copy":    func(d *Directory, info Info) { d.ReplaceByCopy([]Info{info}) },
+	}
+	for _, test := range []struct {
+		name         string
+		first, later int64
+		isNew        bool
+		born         int64
+	}{
+		{"new start", 100, 200, true, 200},
+		{"same start", 100, 100, false, 100},
+		{"late entry of an earlier start", 200, 100, false, 200},
+		{"start not known", 0, 0, false, 0},
+		{"start not known any more", 100, 0, false, 100},
+		{"start known at last", 0, 100, true, 100},
+	} {
+		for way, take := range takes {
+			t.Run(test.name+" by "+way, func(t *testing.T) {
+				directory := NewDirectory()
+				directory.Replace([]Info{bornInfo("a", test.first)})
+				before := directory.View().Find("a")
+				before.NoteAnswer()
+				take(directory, bornInfo("a", test.later))
+				after := directory.View().Find("a")
+				if isNew := after != before; isNew != test.isNew || after.Info().Born != test.born {
+					t.Fatalf("new is %t, born %d; want %t, %d", isNew, after.Info().Born, test.isNew, test.born)
+				}
+				if before.Usable() == test.isNew || before.Replaced() != test.isNew {
+					t.Errorf("the first handle is usable %t, replaced %t", before.Usable(), before.Replaced())
+				}
+				if test.isNew && (after.Key() == before.Key() || after.FailureRate() > 0 || after.InUse() > 0) {
+					t.Error("the new start goes by what was known of the earlier one")
+				}
+				if directory.View().Len() != 1 || len(directory.View().Of("s")) != 1 {
+					t.Errorf("%d replicas are listed", directory.View().Len())
+				}
+			})
+		}
+	}
+}
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -39,6 +39,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Born is when the replica that reports started, as in Info; 0 where the report does not say.
+	Born int64
 }
 
 // Use returns what this process has there.
