--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -178,9 +178,19 @@
 		return
 	}
 	crashed := &batchpb.Crashed{JobId: attempt.key.job, Item: uint32(attempt.key.number), Replica: uint64(attempt.handle.Key())}
-	if err := p.propose(p.ctx, recordOf(ledger.KindBatchCrashed, crashed)); err != nil {
-		p.logger.Warn().Str(logging.FieldJob, attempt.key.job).Err(err).Msg("crash_not_recorded")
-	}
+	// An item whose crash was not recorded would begin anew at the next owner. Nothing follows where the ownership is lost before.
+	_ = p.untilDurable(attempt.key, "crash_not_recorded",
+		func() bool { return p.isListed(attempt.key) || p.hasCrash(attempt.key, attempt.handle.Key()) },
+		func() error { return p.propose(p.ctx, recordOf(ledger.KindBatchCrashed, crashed)) },
+	)
+}
+
+// hasCrash says that the log has the end of a replica under an unlisted item, or as many as it keeps. The item's job exists.
+func (p *partition) hasCrash(key itemKey, ended replica.Key) bool {
+	p.mutex.RLock()
+	defer p.mutex.RUnlock()
+	crashed := p.state.jobs[key.job].items[key.number].crashed
+	return len(crashed) >= mostCrashedKept || slices.Contains(crashed, ended)
 }
 
 // recallCrashes gives the register what earlier owners have recorded.
--- a/internal/batch/item_crash_test.go
+++ b/internal/batch/item_crash_test.go
@@ -14,6 +14,7 @@
 
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
@@ -282,3 +283,33 @@
 		owner.end()
 	})
 }
+
+// TestCrashIsRecordedOnceTheLogTakesIt: an item went on although the end of its replica could not be recorded, and the next owner did not
+// know of it; as a count of failures, what bounds repeats is durable before the item is sent again.
+func TestCrashIsRecordedOnceTheLogTakesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scripts := crashOn("/p/j-0", "a", "b", "c", "d", "e")
+		var owner *ownerUnderTest
+		var once sync.Once
+		for id, crash := range scripts {
+			scripts[id] = func(connection net.Conn, request *http.Request) bool {
+				if request.URL.Path == "/p/j-0" {
+					once.Do(func() {
+						owner.owned.set(false, outcome.New(outcome.Failed, outcome.ReasonUnavailable, "too few stores have room"))
+						time.AfterFunc(300*time.Millisecond, func() { owner.owned.set(false, nil) })
+					})
+				}
+				return crash(connection, request)
+			}
+		}
+		owner = ownWith(t, newCountingRegister(3), scripts)
+		owner.routes.Table().Routes[0].Retention = time.Minute
+		owner.mustSubmit(t, batchOf("j", 1))
+		time.Sleep(30 * time.Second)
+		sent := sentTo(owner, "/p/j-0")
+		if recorded := len(crashRecords(t, owner.owned.records)); recorded != sent || sent != 3 {
+			t.Errorf("%d ends are recorded of %d replicas that ended, want 3", recorded, sent)
+		}
+		owner.end()
+	})
+}
