--- a/lab/roles/draw.go
+++ b/lab/roles/draw.go
@@ -36,6 +36,8 @@
 
 	crashReplica   faultKind = "crash_replica"
 	restartReplica faultKind = "replace_replica_at_its_address"
+	restartSameID  faultKind = "restart_replica_under_its_id"
+	spoilEntry     faultKind = "spoil_entry"
 	flapReplica    faultKind = "flap_replica"
 	hangReplica    faultKind = "hang_replica"
 	failReplicas   faultKind = "replicas_fail"
@@ -74,6 +76,8 @@
 	{configuration, time.Second, 4 * time.Second, 1},
 	{crashReplica, time.Second, 4 * time.Second, 0},
 	{restartReplica, 100 * time.Millisecond, 2 * time.Second, 0},
+	{restartSameID, 50 * time.Millisecond, 2 * time.Second, 0},
+	{spoilEntry, time.Second, 4 * time.Second, 0},
 	{flapReplica, 2 * time.Second, 6 * time.Second, 1},
 	{hangReplica, time.Second, 5 * time.Second, 0},
 	{failReplicas, time.Second, 6 * time.Second, 0},
--- a/lab/roles/fault.go
+++ b/lab/roles/fault.go
@@ -248,11 +248,18 @@
 	case crashReplica:
 		f.fleet.crashReplica(struck)
 		sleep(ctx, each.For)
-		return f.fleet.addReplica("127.0.0.1:0", struck.zone)
+		return f.fleet.addReplica("", anyAddress, struck.zone)
 	case restartReplica:
 		f.fleet.crashReplica(struck)
 		sleep(ctx, each.For)
-		return f.fleet.addReplica(struck.address.String(), struck.zone)
+		return f.fleet.addReplica("", struck.address.String(), struck.zone)
+	case restartSameID:
+		f.fleet.crashReplica(struck)
+		sleep(ctx, each.For)
+		return f.fleet.addReplica(struck.id, struck.address.String(), struck.zone)
+	case spoilEntry:
+		f.spoilEntry(ctx, struck, each)
+		return nil
 	case flapReplica:
 		return f.flap(ctx, struck, each.For)
 	}
@@ -273,6 +280,20 @@
 	return nil
 }
 
+// spoiledEntries are what other writers leave.
+var spoiledEntries = []string{
+	`{"service":"chat"}`, `{"service":"chat","address":7}`, `not an entry`, "\xff\x00", `{"service":"chat","address":"127.0.0.1:1","zone":"zone-1","slots":4,"state":"resting"}`,
+}
+
+// spoilEntry has another writer's entry stand in place of a replica's for a while. Errors are those of the store's outages.
+func (f *faults) spoilEntry(ctx context.Context, struck *replica, each fault) {
+	_ = f.fleet.spoilEntry(ctx, struck, []byte(picked(spoiledEntries, each.Pick)))
+	sleep(ctx, each.For)
+	if struck.lives() {
+		_ = f.fleet.spoilEntry(ctx, struck, nil)
+	}
+}
+
 // struckReplicas is one that hangs, or half of all.
 func (f *faults) struckReplicas(living []*replica, each fault) []*replica {
 	if each.Kind == hangReplica {
@@ -287,7 +308,7 @@
 	for began := time.Now(); time.Since(began) < length && ctx.Err() == nil; {
 		f.fleet.crashReplica(struck)
 		sleep(ctx, pause)
-		if err := f.fleet.addReplica(struck.address.String(), struck.zone); err != nil {
+		if err := f.fleet.addReplica(struck.id, struck.address.String(), struck.zone); err != nil {
 			return err
 		}
 		sleep(ctx, pause)
--- a/lab/roles/fleet.go
+++ b/lab/roles/fleet.go
@@ -168,19 +168,25 @@
 
 func (f *fleet) startReplicas() error {
 	for range f.options.Replicas {
-		if err := f.addReplica("127.0.0.1:0", f.options.zone(f.nextReplica)); err != nil {
+		if err := f.addReplica("", anyAddress, f.options.zone(f.nextReplica)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// addReplica starts a replica under a new id and keeps its entry.
-func (f *fleet) addReplica(address, zone string) error {
+// anyAddress is a free port.
+const anyAddress = "127.0.0.1:0"
+
+// addReplica starts a replica, under a new id where none is given, and keeps its entry.
+func (f *fleet) addReplica(id, address, zone string) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.nextReplica++
-	added, err := startReplica(fmt.Sprintf("r-%d", f.nextReplica), service, zone, address, f.record)
+	if id == "" {
+		f.nextReplica++
+		id = fmt.Sprintf("r-%d", f.nextReplica)
+	}
+	added, err := startReplica(id, service, zone, address, f.record)
 	if err != nil {
 		return err
 	}
@@ -231,6 +237,21 @@
 	f.leases[of]()
 }
 
+// spoilEntry puts content in place of a replica's entry, as another writer does; nil puts the replica's own back.
+func (f *fleet) spoilEntry(ctx context.Context, of *replica, content []byte) error {
+	key := wire.Translator{}.ReplicaPrefix() + of.id
+	present, err := f.store.Get(ctx, key)
+	if err != nil || present.ModRevision == 0 {
+		return err
+	}
+	if content == nil {
+		content = of.entry()
+	}
+	change := port.Change{Key: key, Value: content, LeaseID: present.LeaseID}
+	_, err = f.store.Commit(ctx, port.Transaction{Changes: []port.Change{change}})
+	return err
+}
+
 // Hosts and paths of the routes.
 const (
 	hostOnline  = "online.example"
--- a/lab/roles/replica.go
+++ b/lab/roles/replica.go
@@ -39,7 +39,9 @@
 type replica struct {
 	id, service, zone string
 	address           netip.AddrPort
-	record            *record
+	// born is when this life started, in Unix milliseconds; lives of one id differ in it.
+	born   int64
+	record *record
 
 	server *http.Server
 	// ended is closed when it crashes; endedAt is set before.
@@ -64,7 +66,7 @@
 	}
 	started := &replica{
 		id: id, service: service, zone: zone, address: listener.Addr().(*net.TCPAddr).AddrPort(), record: seen,
-		ended: make(chan struct{}), places: make(chan struct{}, slots), thawed: make(chan struct{}),
+		born: time.Now().UnixMilli(), ended: make(chan struct{}), places: make(chan struct{}, slots), thawed: make(chan struct{}),
 	}
 	started.server = &http.Server{Handler: started, ReadHeaderTimeout: 10 * time.Second}
 	go func() {
@@ -115,11 +117,11 @@
 
 // entry is what the replica says of itself in the store.
 func (r *replica) entry() []byte {
-	state := "ready"
+	state := wire.StateReady
 	if r.leaving.Load() {
-		state = "draining"
+		state = wire.StateDraining
 	}
-	encoded, err := json.Marshal(wire.ReplicaEntry{Service: r.service, Address: r.address.String(), Zone: r.zone, Slots: slots, State: state})
+	encoded, err := json.Marshal(wire.ReplicaEntry{Service: r.service, Address: r.address.String(), Zone: r.zone, Slots: slots, State: state, Born: r.born})
 	if err != nil {
 		panic("encode an entry: " + err.Error())
 	}
@@ -142,7 +144,7 @@
 func (r *replica) report(writer http.ResponseWriter) {
 	writer.Header().Set("X-Sloelift-Instance-Id", r.id)
 	// The caller has gone where this fails.
-	_ = json.NewEncoder(writer).Encode(map[string]any{"running": len(r.places), "queued": r.waiting.Load(), "phase": "hybrid"})
+	_ = json.NewEncoder(writer).Encode(map[string]any{"running": len(r.places), "queued": r.waiting.Load(), "phase": "hybrid", "born": r.born})
 }
 
 func (r *replica) work(writer http.ResponseWriter, request *http.Request) {
