--- a/lab/process/process.go
+++ b/lab/process/process.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -47,20 +48,31 @@
 // Ended is closed when the process has ended.
 func (p *Process) Ended() <-chan struct{} { return p.ended }
 
-// Stop signals the process to stop and waits for its end; where ctx ends first it is killed.
+// Stop signals the process to stop and waits for its end; where ctx ends first it is killed. A process that the signal itself ended, since it
+// came before the program listened for it, has stopped.
 func (p *Process) Stop(ctx context.Context) error {
 	if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
 		return fmt.Errorf("signal the process to stop: %w", err)
 	}
 	select {
 	case <-p.ended:
-		return p.failure
+		return p.failureOfStop()
 	case <-ctx.Done():
 		p.Kill()
 		return fmt.Errorf("the process does not stop: %w", ctx.Err())
 	}
 }
 
+func (p *Process) failureOfStop() error {
+	var exit *exec.ExitError
+	if errors.As(p.failure, &exit) {
+		if status, is := exit.Sys().(syscall.WaitStatus); is && status.Signaled() && status.Signal() == syscall.SIGTERM {
+			return nil
+		}
+	}
+	return p.failure
+}
+
 // Kill ends the process and waits for that.
 func (p *Process) Kill() {
 	// A process that has ended by itself is no failure here; its absence shows in what callers see.
