--- a/internal/replica/load_report.go
+++ b/internal/replica/load_report.go
@@ -55,12 +55,12 @@
 	if err != nil {
 		return err
 	}
-	if born := handle.Info().Born; load.Born > born && born > 0 {
-		// The life that was asked has ended, though its entry still stands.
-		handle.Ended(time.Now())
-	}
-	if load.Born != 0 && load.Born != handle.Info().Born {
-		return fmt.Errorf("load report of a life that started at %d, not at %d", load.Born, handle.Info().Born)
+	if born := handle.Info().Born; born > 0 && load.Born > 0 && load.Born != born {
+		if load.Born > born {
+			// The life that was asked has ended, though its entry still stands.
+			handle.Ended(time.Now())
+		}
+		return fmt.Errorf("load report of a life that started at %d, not at %d", load.Born, born)
 	}
 	load.Slots = handle.Info().Slots
 	handle.NoteLoad(load, time.Now())
