--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -336,8 +336,5 @@
 
 // isListed says that nothing is left to do for an item.
 func (p *partition) isListed(key itemKey) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	owner := p.state.jobs[key.job]
-	return owner == nil || owner.ended || owner.items[key.number].listed
+	return p.hasRecorded(key, func(*item) bool { return false })
 }
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -179,18 +179,13 @@
 	}
 	crashed := &batchpb.Crashed{JobId: attempt.key.job, Item: uint32(attempt.key.number), Replica: uint64(attempt.handle.Key())}
 	// An item whose crash was not recorded would begin anew at the next owner. Nothing follows where the ownership is lost before.
-	_ = p.untilDurable(attempt.key, "crash_not_recorded",
-		func() bool { return p.isListed(attempt.key) || p.hasCrash(attempt.key, attempt.handle.Key()) },
-		func() error { return p.propose(p.ctx, recordOf(ledger.KindBatchCrashed, crashed)) },
-	)
-}
-
-// hasCrash says that the log has the end of a replica under an unlisted item, or as many as it keeps. The item's job exists.
-func (p *partition) hasCrash(key itemKey, ended replica.Key) bool {
-	p.mutex.RLock()
-	defer p.mutex.RUnlock()
-	crashed := p.state.jobs[key.job].items[key.number].crashed
-	return len(crashed) >= mostCrashedKept || slices.Contains(crashed, ended)
+	recorded := func() bool {
+		return p.hasRecorded(attempt.key, func(of *item) bool {
+			return len(of.crashed) >= mostCrashedKept || slices.Contains(of.crashed, attempt.handle.Key())
+		})
+	}
+	propose := func() error { return p.propose(p.ctx, recordOf(ledger.KindBatchCrashed, crashed)) }
+	_ = p.untilDurable(attempt.key, "crash_not_recorded", recorded, propose)
 }
 
 // recallCrashes gives the register what earlier owners have recorded.
