--- a/lab/roles/fault.go
+++ b/lab/roles/fault.go
@@ -86,7 +86,6 @@
 		return f.startAfter(ctx, each.For, machine)
 	case loseDisk:
 		machine = picked(f.fleet.of(classStorage), each.Pick)
-		machine.kill()
 		if err := machine.loseDisk(); err != nil {
 			return err
 		}
--- a/lab/roles/machine.go
+++ b/lab/roles/machine.go
@@ -123,8 +123,13 @@
 	}
 }
 
-// loseDisk empties the data folder; the process must not run.
+// loseDisk kills the process and empties the data folder.
 func (m *machine) loseDisk() error {
+	m.changing.Lock()
+	defer m.changing.Unlock()
+	if taken := m.take(); taken != nil {
+		taken.Kill()
+	}
 	if err := os.RemoveAll(m.dataFolder); err != nil {
 		return err
 	}
--- a/lab/roles/replica.go
+++ b/lab/roles/replica.go
@@ -225,34 +225,40 @@
 	if failing == 0 && r.chance(as.fail) {
 		failing = http.StatusInternalServerError
 	}
-	if failing != 0 {
+	switch {
+	case failing != 0:
 		r.finish(run, failing)
 		writer.WriteHeader(failing)
+	case r.chance(as.loseAnswer):
+		r.breakOff(ctx, writer, run, false)
+	case request.Header.Get("Accept") == acceptWhole:
+		r.answerWhole(ctx, writer, run, asked)
+	default:
+		r.answerStream(ctx, writer, run, asked, r.chance(as.breakOff))
+	}
+}
+
+// answerWhole answers with all that was asked for at once.
+func (r *replica) answerWhole(ctx context.Context, writer http.ResponseWriter, run *sentRun, asked work) {
+	if !r.pass(ctx, time.Duration(asked.Events)*eventTime) {
+		r.breakOff(ctx, writer, run, false)
 		return
 	}
-	lost, broken := r.chance(as.loseAnswer), r.chance(as.breakOff)
+	r.finish(run, http.StatusOK)
+	// The caller has gone where this fails.
+	_, _ = io.WriteString(writer, asked.text())
+}
+
+// answerStream answers with the events behind the last one that the request names; with breaksOff it ends halfway.
+func (r *replica) answerStream(ctx context.Context, writer http.ResponseWriter, run *sentRun, asked work, breaksOff bool) {
 	first := 1
 	if after, err := strconv.Atoi(run.lastEvent); err == nil {
 		first = after + 1
 	}
-	if request.Header.Get("Accept") == acceptWhole {
-		if !r.pass(ctx, time.Duration(asked.Events)*eventTime) || lost {
-			r.breakOff(ctx, writer, run, false)
-			return
-		}
-		r.finish(run, http.StatusOK)
-		// The caller has gone where this fails.
-		_, _ = io.WriteString(writer, asked.text())
-		return
-	}
-	if lost {
-		r.breakOff(ctx, writer, run, false)
-		return
-	}
 	writer.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(writer)
 	for number := first; number <= asked.Events; number++ {
-		if !r.pass(ctx, eventTime) || broken && number > (first+asked.Events)/2 {
+		if !r.pass(ctx, eventTime) || breaksOff && number > (first+asked.Events)/2 {
 			r.breakOff(ctx, writer, run, number > first)
 			return
 		}
