What the change wrote again or kept twice, written once

The wait of internal/pause stood again in lab/roles and lab/platform; three records of the batch state repeated one guard; an item's first begin was kept twice (everBegan, begins); the question whether the log has a record was wrapped at each caller; the platform's words for jobs and reports stood again in the lab; three faults replaced a replica in their own words; both soaks ended alike. Change: pause.Sleep, state.openItem, begins alone, untilDurable asks the state itself, platform.PathLots, QueryFrom and ReportEntry, replaceReplica, put, conclude; the soak's configuration has a file of its own. Behaviour, bounds and checks as they were; no test is changed.

--- a/cmd/sloelift-lab/main.go
+++ b/cmd/sloelift-lab/main.go
@@ -61,3 +61,14 @@
 		os.Exit(exitFailed)
 	}
 }
+
+// conclude prints the report of a soak; errBroken where runs broke.
+func conclude(report any, broken int) error {
+	if err := printJSON(report); err != nil {
+		return err
+	}
+	if broken > 0 {
+		return errBroken
+	}
+	return nil
+}
--- a/cmd/sloelift-lab/roles_command.go
+++ b/cmd/sloelift-lab/roles_command.go
@@ -37,13 +37,7 @@
 	if err != nil {
 		return err
 	}
-	if err := printJSON(report); err != nil {
-		return err
-	}
-	if report.Broken > 0 {
-		return errBroken
-	}
-	return nil
+	return conclude(report, report.Broken)
 }
 
 type busyCommand struct {
--- a/cmd/sloelift-lab/soak_command.go
+++ b/cmd/sloelift-lab/soak_command.go
@@ -27,11 +27,5 @@
 	if err != nil {
 		return err
 	}
-	if err := printJSON(report); err != nil {
-		return err
-	}
-	if report.Broken > 0 {
-		return errBroken
-	}
-	return nil
+	return conclude(report, report.Broken)
 }
--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -49,9 +49,9 @@
 	// acceptedAt is when the job was accepted, in milliseconds since 1970; route is the one by which the item was last sent.
 	acceptedAt int64
 	route      *route.Route
-	// everBegan says that this owner has sent the item, ran is the time of its ended runs; startedWithText says that an earlier
+	// begins counts the attempts that this owner began, ran is the time of its ended runs; startedWithText says that an earlier
 	// owner had made a part of the text. late is the latest plan's mark.
-	everBegan       bool
+	begins          int
 	ran             time.Duration
 	startedWithText bool
 	late            bool
@@ -62,8 +62,6 @@
 	logged int
 	// finishing says that the item's result is on its way to the log.
 	finishing bool
-	// begins counts the attempts that this owner began.
-	begins int
 	// failures counts the runs that a replica answered with a failure of its own, those under earlier owners among them.
 	failures int
 	// message names what the item sends; zero until it is first to be sent.
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -274,7 +274,7 @@
 
 // finish lists an item; it tries until that is durable or the ownership is lost. The item counts as running meanwhile.
 func (p *partition) finish(key itemKey, listedAs batchpb.State, text, reason string) {
-	listed := func() bool { return p.isListed(key) }
+	listed := func(of *item) bool { return of.listed }
 	if !p.untilDurable(key, "result_not_listed", listed, func() error { return p.proposeResult(key, listedAs, text) }) {
 		return
 	}
@@ -286,10 +286,10 @@
 	}
 }
 
-// untilDurable proposes a record about an item until done says that the state has it. It returns false where the ownership is lost before.
-// failed is the message of the log line on each try that fails.
-func (p *partition) untilDurable(key itemKey, failed string, done func() bool, propose func() error) bool {
-	for p.ctx.Err() == nil && !done() {
+// untilDurable proposes a record about an item until the state has it, as recorded says, or nothing is left to do for the item. It returns false
+// where the ownership is lost before. failed is the message of the log line on each try that fails.
+func (p *partition) untilDurable(key itemKey, failed string, recorded func(of *item) bool, propose func() error) bool {
+	for p.ctx.Err() == nil && !p.hasRecorded(key, recorded) {
 		err := propose()
 		if err == nil {
 			continue
@@ -334,7 +334,10 @@
 	return recordOf(ledger.KindBatchResult, result)
 }
 
-// isListed says that nothing is left to do for an item.
-func (p *partition) isListed(key itemKey) bool {
-	return p.hasRecorded(key, func(*item) bool { return false })
+// hasRecorded says that the log has what is asked for of an item, or that nothing is left to do for it.
+func (p *partition) hasRecorded(key itemKey, asked func(of *item) bool) bool {
+	p.mutex.RLock()
+	defer p.mutex.RUnlock()
+	owner := p.state.jobs[key.job]
+	return owner == nil || owner.ended || owner.items[key.number].listed || asked(&owner.items[key.number])
 }
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -178,13 +178,11 @@
 		return
 	}
 	crashed := &batchpb.Crashed{JobId: attempt.key.job, Item: uint32(attempt.key.number), Replica: uint64(attempt.handle.Key())}
-	// An item whose crash was not recorded would begin anew at the next owner. Nothing follows where the ownership is lost before.
-	recorded := func() bool {
-		return p.hasRecorded(attempt.key, func(of *item) bool {
-			return len(of.crashed) >= mostCrashedKept || slices.Contains(of.crashed, attempt.handle.Key())
-		})
+	recorded := func(of *item) bool {
+		return len(of.crashed) >= mostCrashedKept || slices.Contains(of.crashed, attempt.handle.Key())
 	}
 	propose := func() error { return p.propose(p.ctx, recordOf(ledger.KindBatchCrashed, crashed)) }
+	// The next owner would not know of a crash that is not recorded. Nothing follows where the ownership is lost before, which is logged.
 	_ = p.untilDurable(attempt.key, "crash_not_recorded", recorded, propose)
 }
 
--- a/internal/batch/item_failure.go
+++ b/internal/batch/item_failure.go
@@ -22,23 +22,13 @@
 	}
 	// Only a count that is durable is known to the next owner. The item counts as running until then, so that it is not sent again.
 	failed := &batchpb.Failed{JobId: attempt.key.job, Item: uint32(attempt.key.number), Failures: uint32(failures)}
-	recorded := func() bool {
-		return p.hasRecorded(attempt.key, func(of *item) bool { return of.failures >= failures })
-	}
+	recorded := func(of *item) bool { return of.failures >= failures }
 	propose := func() error { return p.propose(p.ctx, recordOf(ledger.KindBatchFailed, failed)) }
 	if p.untilDurable(attempt.key, "failure_not_recorded", recorded, propose) {
 		p.requeue(attempt.key, pauseAfterFailure)
 	}
 }
 
-// hasRecorded says that the log has what is asked for of an item, or that nothing is left to do for it.
-func (p *partition) hasRecorded(key itemKey, asked func(of *item) bool) bool {
-	p.mutex.RLock()
-	defer p.mutex.RUnlock()
-	owner := p.state.jobs[key.job]
-	return owner == nil || owner.ended || owner.items[key.number].listed || asked(&owner.items[key.number])
-}
-
 // countFailure counts one more failure of an item and returns how many there are over all owners.
 func (p *partition) countFailure(key itemKey) int {
 	p.mutex.Lock()
--- a/internal/batch/item_order.go
+++ b/internal/batch/item_order.go
@@ -105,7 +105,7 @@
 		sent := owner.submission.Items[number]
 		each := candidate{
 			key: key, submission: owner.submission, acceptedAt: owner.acceptedAt, route: table.Match(owner.submission.Host, sent.Path),
-			running: run != nil && run.running, begun: run != nil && run.everBegan, madeText: p.madeText(owner, key),
+			running: run != nil && run.running, begun: run != nil && run.begins > 0, madeText: p.madeText(owner, key),
 		}
 		if each.route != nil {
 			each.homes = table.HomesOf(each.route, owner.submission.Tenant)
--- a/internal/batch/item_run.go
+++ b/internal/batch/item_run.go
@@ -9,10 +9,9 @@
 // noteBegin notes that a run begins. The partition's mutex is held.
 func (r *itemRun) noteBegin() {
 	r.begins++
-	if r.everBegan {
+	if r.begins > 1 {
 		return
 	}
-	r.everBegan = true
 	r.startedWithText = len(r.text) > 0
 }
 
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -201,13 +201,21 @@
 	}
 }
 
+// openItem returns an item that may still be run; nil where there is none.
+func (s *state) openItem(jobID string, number uint32) *item {
+	found := s.jobs[jobID]
+	if found == nil || found.ended || int(number) >= len(found.items) || found.items[number].listed {
+		return nil
+	}
+	return &found.items[number]
+}
+
 // takeProgress keeps what an item has made. Progress that does not go on where the last one ended is passed over.
 func (s *state) takeProgress(progress *batchpb.Progress) error {
-	found := s.jobs[progress.JobId]
-	if found == nil || found.ended || int(progress.Item) >= len(found.items) || found.items[progress.Item].listed {
+	of := s.openItem(progress.JobId, progress.Item)
+	if of == nil {
 		return nil
 	}
-	of := &found.items[progress.Item]
 	before := of.made()
 	if uint64(len(before)) != progress.Offset {
 		return nil
@@ -221,11 +229,11 @@
 
 // takeCrashed notes a replica that ended under an item, once.
 func (s *state) takeCrashed(crashed *batchpb.Crashed) error {
-	found := s.jobs[crashed.JobId]
-	if found == nil || found.ended || int(crashed.Item) >= len(found.items) || found.items[crashed.Item].listed {
+	of := s.openItem(crashed.JobId, crashed.Item)
+	if of == nil {
 		return nil
 	}
-	of, ended := &found.items[crashed.Item], replica.Key(crashed.Replica)
+	ended := replica.Key(crashed.Replica)
 	if !slices.Contains(of.crashed, ended) && len(of.crashed) < mostCrashedKept {
 		of.crashed = append(of.crashed, ended)
 	}
@@ -234,11 +242,10 @@
 
 // takeFailed notes how often an item's runs have failed. A count never goes back.
 func (s *state) takeFailed(failed *batchpb.Failed) error {
-	found := s.jobs[failed.JobId]
-	if found == nil || found.ended || int(failed.Item) >= len(found.items) || found.items[failed.Item].listed {
+	of := s.openItem(failed.JobId, failed.Item)
+	if of == nil {
 		return nil
 	}
-	of := &found.items[failed.Item]
 	of.failures = max(of.failures, int(failed.Failures))
 	return nil
 }
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -89,7 +89,7 @@
 	Logger  zerolog.Logger
 }
 
-// mostUnusableKept bounds the unusable entries that are remembered for the log: beyond it they are logged anew.
+// mostUnusableKept bounds the unusable entries that are remembered for the log: beyond it they are logged again.
 const mostUnusableKept = 256
 
 // New returns a Service; nothing runs before Start.
--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/pause"
 	port "github.com/sloelift/sloelift/internal/platform"
 )
 
@@ -22,8 +23,8 @@
 	refused := decided.outage != NoOutage || decided.limited
 	s.counters.add(operation, refused)
 	if decided.delay > 0 {
-		if err := sleep(ctx, decided.delay); err != nil {
-			return false, errDropped.Wrap(err, "caller gave up")
+		if !pause.Sleep(ctx, decided.delay) {
+			return false, errDropped.Wrap(ctx.Err(), "caller gave up")
 		}
 	}
 	switch {
@@ -58,17 +59,6 @@
 // errDropped is a missing answer: what a caller makes of it depends on the call.
 var errDropped = port.KindUnknownOutcome.NewSubtype("dropped")
 
-func sleep(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // read judges a call without effect.
 func (c *client) read(ctx context.Context, operation Operation) error {
 	return c.server.enterRead(ctx, c.zone, KeyValue, operation)
--- a/lab/roles/caller.go
+++ b/lab/roles/caller.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/pause"
 	wire "github.com/sloelift/sloelift/platform"
 )
 
@@ -72,8 +73,8 @@
 func (c *callers) every(ctx context.Context, perSecond float64, begin func()) {
 	var begun sync.WaitGroup
 	for perSecond > 0 && ctx.Err() == nil {
-		pause := draw(c, func(random *rand.Rand) float64 { return random.ExpFloat64() / perSecond })
-		sleep(ctx, time.Duration(pause*float64(time.Second)))
+		wait := draw(c, func(random *rand.Rand) float64 { return random.ExpFloat64() / perSecond })
+		pause.Sleep(ctx, time.Duration(wait*float64(time.Second)))
 		if ctx.Err() == nil {
 			begun.Go(begin)
 		}
@@ -103,7 +104,7 @@
 		if !mayComeBack(path, went.status) || time.Until(deadline) < after {
 			return
 		}
-		sleep(ctx, after)
+		pause.Sleep(ctx, after)
 	}
 }
 
--- /dev/null
+++ b/lab/roles/configuration.go
@@ -0,0 +1,58 @@
+package roles
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	wire "github.com/sloelift/sloelift/platform"
+)
+
+// Hosts and paths of the routes.
+const (
+	hostOnline  = "online.example"
+	hostJobs    = "jobs.example"
+	pathAsk     = "/ask/"
+	pathDigest  = "/digest/"
+	pathLook    = "/look/"
+	pathChange  = "/change/"
+	pathJobs    = "/jobs/"
+	itemsPath   = pathJobs + "items/"
+	acceptWhole = "application/octet-stream"
+)
+
+// attemptsOf are the routes' bounds, by path.
+var attemptsOf = map[string]int{pathAsk: 2, pathDigest: 1, pathLook: 2, pathChange: 1, pathJobs: 3}
+
+// changeConfiguration writes the next version, in which nothing but the version and one idle route differ.
+func (f *fleet) changeConfiguration(ctx context.Context) error {
+	f.mutex.Lock()
+	f.version++
+	version := f.version
+	f.mutex.Unlock()
+	online := func(path, kind string, resumable bool) wire.RouteEntry {
+		return wire.RouteEntry{
+			Name: "r" + path, Host: hostOnline, Prefix: path, Type: kind, Service: service, Attempts: attemptsOf[path], TimeoutMs: 5000, ObjectiveMs: 400,
+			GapMs: 300, Resumable: resumable,
+		}
+	}
+	idle := online(fmt.Sprintf("/idle-%d/", version), "idempotent", false)
+	configuration := wire.ConfigurationEntry{
+		Version: version,
+		Routes: []wire.RouteEntry{
+			online(pathAsk, "streaming", true), online(pathDigest, "streaming", false), online(pathLook, "idempotent", false), online(pathChange, "non_idempotent", false), idle,
+			{
+				Name: "jobs", Host: hostJobs, Prefix: pathJobs, Type: "batch", Service: service, Attempts: attemptsOf[pathJobs], TimeoutMs: 30000, ObjectiveMs: 400,
+				Priority: 2, Resumable: true, CompletionMs: 20000, RetentionS: 600, MaxQueued: 1_600_000,
+			},
+		},
+		Services: []wire.ServiceEntry{{Name: service, HealthPath: "/healthz", MaxConns: 370}},
+		Limits:   wire.LimitsEntry{MaxHeaderBytes: 16384, MaxBodyBytes: 4 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
+	}
+	configuration.Services[0].Backend.Slots = slots
+	encoded, err := json.Marshal(configuration)
+	if err != nil {
+		return err
+	}
+	return f.put(ctx, wire.Translator{}.ConfigurationKey(), encoded, 0)
+}
--- a/lab/roles/fault.go
+++ b/lab/roles/fault.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/pause"
 	labplatform "github.com/sloelift/sloelift/lab/platform"
 	"github.com/sloelift/sloelift/lab/process"
 )
@@ -25,6 +26,8 @@
 	// downInTurn is how long one of several stores that are ended in turn is down, upInTurn how long all are up before the next.
 	downInTurn = 300 * time.Millisecond
 	upInTurn   = 1500 * time.Millisecond
+	// flapPause is how long a replica that flaps is down, and up, each time.
+	flapPause = 400 * time.Millisecond
 	// configurationPause is the time between two configurations of a series.
 	configurationPause = 150 * time.Millisecond
 )
@@ -44,7 +47,7 @@
 	var playing sync.WaitGroup
 	for _, each := range drawn {
 		playing.Go(func() {
-			sleep(ctx, each.At-time.Since(began))
+			pause.Sleep(ctx, each.At-time.Since(began))
 			if ctx.Err() != nil {
 				return
 			}
@@ -126,13 +129,13 @@
 		if err := f.startAfter(ctx, downInTurn, store); err != nil {
 			return err
 		}
-		sleep(ctx, upInTurn)
+		pause.Sleep(ctx, upInTurn)
 	}
 	return nil
 }
 
 func (f *faults) startAfter(ctx context.Context, wait time.Duration, machines ...*machine) error {
-	sleep(ctx, wait)
+	pause.Sleep(ctx, wait)
 	for _, each := range machines {
 		if err := each.start(); err != nil {
 			return err
@@ -169,7 +172,7 @@
 func (f *faults) freeze(ctx context.Context, of *machine, length time.Duration) {
 	of.pause(true)
 	defer of.pause(false)
-	sleep(ctx, length)
+	pause.Sleep(ctx, length)
 }
 
 func throttleTogether(ctx context.Context, machines []*machine, share float64) {
@@ -224,14 +227,14 @@
 		return nil
 	}
 	f.fleet.platform.Faults().Set(switched)
-	sleep(ctx, each.For)
+	pause.Sleep(ctx, each.For)
 	f.fleet.platform.Faults().Clear(switched.Zone, switched.Service)
 	return nil
 }
 
 // changeConfigurations writes one version after the other; the store may turn some away.
 func (f *faults) changeConfigurations(ctx context.Context, length time.Duration) {
-	for began := time.Now(); time.Since(began) < length && ctx.Err() == nil; sleep(ctx, configurationPause) {
+	for began := time.Now(); time.Since(began) < length && ctx.Err() == nil; pause.Sleep(ctx, configurationPause) {
 		// Errors are those of the store's outages: the version is passed over.
 		_ = f.fleet.changeConfiguration(ctx)
 	}
@@ -245,17 +248,11 @@
 	struck := picked(living, each.Pick)
 	switch each.Kind {
 	case crashReplica:
-		f.fleet.crashReplica(struck)
-		sleep(ctx, each.For)
-		return f.fleet.addReplica("", anyAddress, struck.zone)
+		return f.replaceReplica(ctx, struck, "", anyAddress, each.For)
 	case restartReplica:
-		f.fleet.crashReplica(struck)
-		sleep(ctx, each.For)
-		return f.fleet.addReplica("", struck.address.String(), struck.zone)
+		return f.replaceReplica(ctx, struck, "", struck.address.String(), each.For)
 	case restartSameID:
-		f.fleet.crashReplica(struck)
-		sleep(ctx, each.For)
-		return f.fleet.addReplica(struck.id, struck.address.String(), struck.zone)
+		return f.replaceReplica(ctx, struck, struck.id, struck.address.String(), each.For)
 	case spoilEntry:
 		f.spoilEntry(ctx, struck, each)
 		return nil
@@ -275,10 +272,17 @@
 		one.behave(as)
 		defer one.behave(manner{})
 	}
-	sleep(ctx, each.For)
+	pause.Sleep(ctx, each.For)
 	return nil
 }
 
+// replaceReplica crashes a replica and starts another one a while later, under a new id where none is given.
+func (f *faults) replaceReplica(ctx context.Context, struck *replica, id, address string, down time.Duration) error {
+	f.fleet.crashReplica(struck)
+	pause.Sleep(ctx, down)
+	return f.fleet.addReplica(id, address, struck.zone)
+}
+
 // spoiledEntries are what other writers leave.
 var spoiledEntries = []string{
 	`{"service":"chat"}`, `{"service":"chat","address":7}`, `not an entry`, "\xff\x00", `{"service":"chat","address":"127.0.0.1:1","zone":"zone-1","slots":4,"state":"resting"}`,
@@ -287,7 +291,7 @@
 // spoilEntry has another writer's entry stand in place of a replica's for a while. Errors are those of the store's outages.
 func (f *faults) spoilEntry(ctx context.Context, struck *replica, each fault) {
 	_ = f.fleet.spoilEntry(ctx, struck, []byte(picked(spoiledEntries, each.Pick)))
-	sleep(ctx, each.For)
+	pause.Sleep(ctx, each.For)
 	if struck.lives() {
 		_ = f.fleet.spoilEntry(ctx, struck, nil)
 	}
@@ -303,14 +307,11 @@
 
 // flap crashes a replica and its successors at the same address again and again.
 func (f *faults) flap(ctx context.Context, struck *replica, length time.Duration) error {
-	const pause = 400 * time.Millisecond
 	for began := time.Now(); time.Since(began) < length && ctx.Err() == nil; {
-		f.fleet.crashReplica(struck)
-		sleep(ctx, pause)
-		if err := f.fleet.addReplica(struck.id, struck.address.String(), struck.zone); err != nil {
+		if err := f.replaceReplica(ctx, struck, struck.id, struck.address.String(), flapPause); err != nil {
 			return err
 		}
-		sleep(ctx, pause)
+		pause.Sleep(ctx, flapPause)
 		living := f.fleet.living()
 		struck = living[len(living)-1]
 	}
--- a/lab/roles/fleet.go
+++ b/lab/roles/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -14,6 +13,8 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/sloelift/sloelift/internal/node"
+	"github.com/sloelift/sloelift/internal/pause"
 	port "github.com/sloelift/sloelift/internal/platform"
 	labplatform "github.com/sloelift/sloelift/lab/platform"
 	wire "github.com/sloelift/sloelift/platform"
@@ -65,10 +66,11 @@
 	started.planMachines()
 	started.platform = labplatform.NewServer(labplatform.Options{Seed: options.Seed, Zones: started.callersOfStore()})
 	if err := started.platform.Start(); err != nil {
+		started.cancel()
 		return nil, err
 	}
 	started.store = started.platform.KeyValue(platformZone)
-	started.ready = newReadiness(started.machines)
+	started.ready = newReadiness(started.of(classEdge))
 	started.background.Go(func() { started.ready.follow(started.ctx) })
 	err = errors.Join(started.startReplicas(), started.changeConfiguration(ctx))
 	if err == nil {
@@ -174,7 +176,7 @@
 		if bounded.Err() != nil {
 			return fmt.Errorf("the edges are not ready after %s; logs in %s", readyWithin, f.folder)
 		}
-		sleep(bounded, 50*time.Millisecond)
+		pause.Sleep(bounded, 50*time.Millisecond)
 	}
 	return nil
 }
@@ -224,14 +226,13 @@
 			continue
 		}
 		if entry := string(of.entry()); lease != 0 && entry != written {
-			change := port.Change{Key: wire.Translator{}.ReplicaPrefix() + of.id, Value: []byte(entry), LeaseID: lease}
-			if _, err := f.store.Commit(ctx, port.Transaction{Changes: []port.Change{change}}); err == nil {
+			if err := f.put(ctx, wire.Translator{}.ReplicaPrefix()+of.id, []byte(entry), lease); err == nil {
 				written = entry
 			} else {
 				lease = 0
 			}
 		}
-		sleep(ctx, heartbeat)
+		pause.Sleep(ctx, heartbeat)
 	}
 }
 
@@ -260,59 +261,13 @@
 	if content == nil {
 		content = of.entry()
 	}
-	change := port.Change{Key: key, Value: content, LeaseID: present.LeaseID}
-	_, err = f.store.Commit(ctx, port.Transaction{Changes: []port.Change{change}})
-	return err
+	return f.put(ctx, key, content, present.LeaseID)
 }
 
-// Hosts and paths of the routes.
-const (
-	hostOnline  = "online.example"
-	hostJobs    = "jobs.example"
-	pathAsk     = "/ask/"
-	pathDigest  = "/digest/"
-	pathLook    = "/look/"
-	pathChange  = "/change/"
-	pathJobs    = "/jobs/"
-	itemsPath   = pathJobs + "items/"
-	acceptWhole = "application/octet-stream"
-)
-
-// attemptsOf are the routes' bounds, by path.
-var attemptsOf = map[string]int{pathAsk: 2, pathDigest: 1, pathLook: 2, pathChange: 1, pathJobs: 3}
-
-// changeConfiguration writes the next version, in which nothing but the version and one idle route differ.
-func (f *fleet) changeConfiguration(ctx context.Context) error {
-	f.mutex.Lock()
-	f.version++
-	version := f.version
-	f.mutex.Unlock()
-	online := func(path, kind string, resumable bool) wire.RouteEntry {
-		return wire.RouteEntry{
-			Name: "r" + path, Host: hostOnline, Prefix: path, Type: kind, Service: service, Attempts: attemptsOf[path], TimeoutMs: 5000, ObjectiveMs: 400,
-			GapMs: 300, Resumable: resumable,
-		}
-	}
-	idle := online(fmt.Sprintf("/idle-%d/", version), "idempotent", false)
-	configuration := wire.ConfigurationEntry{
-		Version: version,
-		Routes: []wire.RouteEntry{
-			online(pathAsk, "streaming", true), online(pathDigest, "streaming", false), online(pathLook, "idempotent", false), online(pathChange, "non_idempotent", false), idle,
-			{
-				Name: "jobs", Host: hostJobs, Prefix: pathJobs, Type: "batch", Service: service, Attempts: attemptsOf[pathJobs], TimeoutMs: 30000, ObjectiveMs: 400,
-				Priority: 2, Resumable: true, CompletionMs: 20000, RetentionS: 600, MaxQueued: 1_600_000,
-			},
-		},
-		Services: []wire.ServiceEntry{{Name: service, HealthPath: "/healthz", MaxConns: 370}},
-		Limits:   wire.LimitsEntry{MaxHeaderBytes: 16384, MaxBodyBytes: 4 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
-	}
-	configuration.Services[0].Backend.Slots = slots
-	encoded, err := json.Marshal(configuration)
-	if err != nil {
-		return err
-	}
-	change := port.Change{Key: wire.Translator{}.ConfigurationKey(), Value: encoded}
-	_, err = f.store.Commit(ctx, port.Transaction{Changes: []port.Change{change}})
+// put writes a key, whatever stands there.
+func (f *fleet) put(ctx context.Context, key string, value []byte, lease port.LeaseID) error {
+	change := port.Change{Key: key, Value: value, LeaseID: lease}
+	_, err := f.store.Commit(ctx, port.Transaction{Changes: []port.Change{change}})
 	return err
 }
 
@@ -320,7 +275,7 @@
 func (f *fleet) metrics() {
 	client := http.Client{Timeout: time.Second}
 	for _, each := range f.machines {
-		answer, err := client.Get("http://" + each.at(portMetrics).String() + "/metrics")
+		answer, err := client.Get("http://" + each.at(portMetrics).String() + node.MetricsPath)
 		if err != nil {
 			continue // A machine that is down has none.
 		}
@@ -332,6 +287,7 @@
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "figures of", each.name, "not kept:", err)
 		}
+		// All was read, so that an error of the end is of no matter.
 		_ = answer.Body.Close()
 	}
 }
--- a/lab/roles/job.go
+++ b/lab/roles/job.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/pause"
 	wire "github.com/sloelift/sloelift/platform"
 )
 
@@ -39,7 +40,7 @@
 type job struct {
 	id    string
 	items []item
-	// accepted says that a 202 came, refusedLast that only refusals came.
+	// accepted says that a 202 came, refusedOnly that only refusals came.
 	accepted, refusedOnly bool
 	ended                 bool
 	// results are those read so far, in order; fault is what was wrong with them.
@@ -91,13 +92,13 @@
 			submitted.refusedOnly = false
 		}
 		if !submitted.accepted {
-			sleep(ctx, pauseOfReads)
+			pause.Sleep(ctx, pauseOfReads)
 		}
 	}
 	for reads := 0; ctx.Err() == nil && submitted.accepted && !submitted.done(); reads++ {
-		sleep(ctx, pauseOfReads)
+		pause.Sleep(ctx, pauseOfReads)
 		if ends && reads == 2 {
-			status, _, err := c.call(ctx, http.MethodDelete, "/sloelift/lots/"+submitted.id, submitted.id, nil)
+			status, _, err := c.call(ctx, http.MethodDelete, wire.PathLots+submitted.id, submitted.id, nil)
 			submitted.ended = err == nil && status == http.StatusOK
 			continue
 		}
@@ -107,7 +108,7 @@
 
 // read reads a job's results from a position on and checks those that were read before.
 func (c *callers) read(ctx context.Context, of *job, since int) {
-	status, content, err := c.call(ctx, http.MethodGet, fmt.Sprintf("/sloelift/lots/%s?since_rev=%d", of.id, since), of.id, nil)
+	status, content, err := c.call(ctx, http.MethodGet, fmt.Sprintf("%s%s?%s=%d", wire.PathLots, of.id, wire.QueryFrom, since), of.id, nil)
 	if err != nil || status != http.StatusOK {
 		return
 	}
@@ -164,7 +165,7 @@
 		if !open {
 			break
 		}
-		sleep(ctx, pauseOfReads/2)
+		pause.Sleep(ctx, pauseOfReads/2)
 	}
 	for _, each := range c.jobs {
 		if each.accepted && ctx.Err() == nil {
--- a/lab/roles/machine.go
+++ b/lab/roles/machine.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/lab/process"
 )
 
@@ -84,6 +85,11 @@
 func (m *machine) kill() {
 	m.changing.Lock()
 	defer m.changing.Unlock()
+	m.killHeld()
+}
+
+// killHeld is kill for those who hold changing.
+func (m *machine) killHeld() {
 	if taken := m.take(); taken != nil {
 		taken.Kill()
 	}
@@ -137,9 +143,7 @@
 func (m *machine) loseDisk() error {
 	m.changing.Lock()
 	defer m.changing.Unlock()
-	if taken := m.take(); taken != nil {
-		taken.Kill()
-	}
+	m.killHeld()
 	if err := os.RemoveAll(m.dataFolder); err != nil {
 		return err
 	}
@@ -153,18 +157,9 @@
 	defer m.pause(false)
 	for ctx.Err() == nil {
 		m.pause(true)
-		sleep(ctx, period-running)
+		pause.Sleep(ctx, period-running)
 		m.pause(false)
-		sleep(ctx, running)
-	}
-}
-
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		pause.Sleep(ctx, running)
 	}
 }
 
--- a/lab/roles/readiness.go
+++ b/lab/roles/readiness.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/pause"
 	wire "github.com/sloelift/sloelift/platform"
 )
 
@@ -25,13 +26,10 @@
 	misses map[*machine]int
 }
 
-func newReadiness(machines []*machine) *readiness {
-	made := &readiness{misses: map[*machine]int{}}
-	for _, each := range machines {
-		if each.class == classEdge {
-			made.edges = append(made.edges, each)
-			made.misses[each] = missesOut
-		}
+func newReadiness(edges []*machine) *readiness {
+	made := &readiness{edges: edges, misses: map[*machine]int{}}
+	for _, each := range edges {
+		made.misses[each] = missesOut
 	}
 	return made
 }
@@ -46,12 +44,13 @@
 				answer, err := client.Get("http://" + each.at(portReadiness).String() + wire.PathReady)
 				good := err == nil && answer.StatusCode == http.StatusOK
 				if err == nil {
+					// Nothing more is read of it, so that an error of the end is of no matter.
 					_ = answer.Body.Close()
 				}
 				r.note(each, good)
 			})
 		}
-		sleep(ctx, readyInterval)
+		pause.Sleep(ctx, readyInterval)
 		wait.Wait()
 	}
 }
--- a/lab/roles/replica.go
+++ b/lab/roles/replica.go
@@ -144,12 +144,13 @@
 func (r *replica) report(writer http.ResponseWriter) {
 	writer.Header().Set("X-Sloelift-Instance-Id", r.id)
 	// The caller has gone where this fails.
-	_ = json.NewEncoder(writer).Encode(map[string]any{"running": len(r.places), "queued": r.waiting.Load(), "phase": "hybrid", "born": r.born})
+	_ = json.NewEncoder(writer).Encode(wire.ReportEntry{Running: len(r.places), Queued: int(r.waiting.Load()), Born: r.born})
 }
 
 func (r *replica) work(writer http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get(wire.Headers.RequestID)
 	run := &sentRun{replica: r, at: time.Now(), lastEvent: request.Header.Get(wire.Headers.LastEventID)}
+	// A send without a deadline, or with one that is no number, names none.
 	run.deadlineMillis, _ = strconv.ParseInt(request.Header.Get(wire.Headers.Deadline), 10, 64)
 	writer.Header().Set(wire.Headers.RequestID, id)
 	writer.Header().Set(wire.Headers.Signature, r.id+"."+id)
