Replica: a load with a fourth figure is read, and a slow replica is put back

Cause: replicas of some services report a fourth figure in the load header, how long work takes there at the moment. The header was read only with three, so that all of it was dropped: such replicas had no reported load at all. Change: the header is read with three or four figures; the fourth costs a replica a part of its room, fading with a half-life of 0.2 s.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -73,7 +73,7 @@
 		topology:  topology,
 		required:  []Filter{notExcluded, usable, underOccupancy, coldRoom},
 		preferred: []Filter{inReachedZone, notAvoided},
-		scorers:   []Scorer{occupancyScore, zoneScore, partScore, failureScore, prefillScore, readingScore, coldScore, paceScore},
+		scorers:   []Scorer{occupancyScore, zoneScore, partScore, failureScore, prefillScore, readingScore, coldScore, paceScore, slowdownScore},
 		random:    random,
 		mix:       newPromptMix(),
 	}
--- a/internal/balance/scorers.go
+++ b/internal/balance/scorers.go
@@ -35,6 +35,8 @@
 	maxPartScore   = 0.6
 	// failureWeight is the worth of a replica that fails all calls.
 	failureWeight = 1.5
+	// slowdownWeight is what a replica at which work takes twice as long as usual costs, in parts of its room.
+	slowdownWeight = 0.3
 	// waitPenalty is what it costs that a request would have to wait for a slot at all, fullPenalty is added for each that would.
 	waitPenalty = 0.3
 	fullPenalty = 1.0
@@ -92,6 +94,11 @@
 	return -failureWeight * handle.FailureRate()
 }
 
+// slowdownScore puts replicas back at which work takes longer than usual at the moment.
+func slowdownScore(_ *Request, handle *replica.Handle, now time.Time) float64 {
+	return -slowdownWeight * handle.Slowdown(now)
+}
+
 // rank is the rendezvous weight of a replica for a key, from 0 to 1.
 func rank(key, id string) float64 {
 	digest := xxhash.New()
--- a/internal/balance/scorers_test.go
+++ b/internal/balance/scorers_test.go
@@ -53,3 +53,21 @@
 		t.Errorf("picked %s: what was known a minute ago still counts", picked.Info().ID)
 	}
 }
+
+// TestSlowReplicaIsPutBack: of two replicas alike the one is chosen at which work takes as long as usual, and a slow one still before a full
+// one.
+func TestSlowReplicaIsPutBack(t *testing.T) {
+	now := time.Now()
+	directory := replica.NewDirectory()
+	directory.Replace([]replica.Info{{ID: "slow", Service: "s", Zone: "z1", Slots: 5}, {ID: "usual", Service: "s", Zone: "z1", Slots: 5}})
+	directory.View().Find("slow").NoteLoad(replica.Load{Slots: 5, WorkTime: 250}, now)
+	directory.View().Find("usual").NoteLoad(replica.Load{Slots: 5, WorkTime: 100}, now)
+	picker := NewPicker(directory, region.Topology{}, func() float64 { return 0 })
+	if picked := picker.Pick(&Request{Service: "s", Zone: "z1"}, now); picked.Info().ID != "usual" {
+		t.Errorf("picked %s, want the one that works as usual", picked.Info().ID)
+	}
+	directory.View().Find("usual").SetOthers(replica.Use{Requests: 5}, now)
+	if picked := picker.Pick(&Request{Service: "s", Zone: "z1"}, now); picked.Info().ID != "slow" {
+		t.Errorf("picked %s, want the one with room", picked.Info().ID)
+	}
+}
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -44,6 +44,9 @@
 	reported      Load
 	reportedAt    time.Time
 	inUseAtReport int64
+	// workTime is the newest Load.WorkTime that was reported, at workTimeAt.
+	workTime   int
+	workTimeAt time.Time
 	// others is what the other nodes have there, as known at othersAt; unknown are those that the replica reported at
 	// unknownAt and no node did.
 	others    Use
--- a/internal/replica/load_report.go
+++ b/internal/replica/load_report.go
@@ -10,13 +10,16 @@
 	"time"
 )
 
-// parseLoad reads "running,waiting,slots".
+// loadFigures is how many figures a load always has; some replicas add the time that work takes.
+const loadFigures = 3
+
+// parseLoad reads "running,waiting,slots" or "running,waiting,slots,time of work in hundredths of the usual one".
 func parseLoad(text string) (Load, bool) {
 	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
+	if len(parts) != loadFigures && len(parts) != loadFigures+1 {
 		return Load{}, false
 	}
-	var numbers [3]int
+	numbers := make([]int, loadFigures+1)
 	for index, part := range parts {
 		number, err := strconv.Atoi(strings.TrimSpace(part))
 		if err != nil || number < 0 {
@@ -24,7 +27,7 @@
 		}
 		numbers[index] = number
 	}
-	return Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
+	return Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2], WorkTime: numbers[3]}, true
 }
 
 // LoadReport is how a replica is asked for its load.
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -10,6 +10,11 @@
 	reportHalfLife = 700 * time.Millisecond
 	// othersStale is the age at which the other nodes' numbers no longer count.
 	othersStale = 400 * time.Millisecond
+	// workTimeHalfLife is the age at which a reported time of work counts half: what else runs on the replica's machine changes many times
+	// a second.
+	workTimeHalfLife = 200 * time.Millisecond
+	// usualWorkTime is Load.WorkTime where work takes as long as usual.
+	usualWorkTime = 100
 	// comparable is the age up to which they can be compared with what a replica reports: requests last 50 ms and more.
 	comparable = 120 * time.Millisecond
 )
@@ -39,6 +44,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// WorkTime is how long work takes there at the moment, in hundredths of the usual time; 0 where the report does not say.
+	WorkTime int
 	// Born is when the replica that reports started, as in Info; 0 where the report does not say.
 	Born int64
 }
@@ -71,6 +78,9 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.reported, h.reportedAt, h.inUseAtReport = load, now, h.inUse.Load()
+	if load.WorkTime > 0 {
+		h.workTime, h.workTimeAt = load.WorkTime, now
+	}
 	if now.Sub(h.othersAt) <= comparable {
 		h.unknown, h.unknownAt = max(0, float64(load.Running+load.Waiting-h.others.Requests)-float64(h.inUseAtReport)), now
 	}
@@ -96,10 +106,24 @@
 	return max(inUse, float64(h.reported.Running+h.reported.Waiting)*fade(h.reportedAt, now)+inUse-float64(h.inUseAtReport))
 }
 
+// Slowdown estimates how much longer than usual work takes at the replica at the moment, as a part of the usual time; 0 where it takes no
+// longer, or that is not known.
+func (h *Handle) Slowdown(now time.Time) float64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.workTime <= usualWorkTime {
+		return 0
+	}
+	return float64(h.workTime-usualWorkTime) / usualWorkTime * halved(h.workTimeAt, now, workTimeHalfLife)
+}
+
 // fade returns the weight of what a replica reported at reportedAt; 0 where it never did.
-func fade(reportedAt, now time.Time) float64 {
+func fade(reportedAt, now time.Time) float64 { return halved(reportedAt, now, reportHalfLife) }
+
+// halved returns the weight of what a replica reported at reportedAt, which halves in each halfLife; 0 where it never did.
+func halved(reportedAt, now time.Time, halfLife time.Duration) float64 {
 	if reportedAt.IsZero() {
 		return 0
 	}
-	return math.Exp2(-now.Sub(reportedAt).Seconds() / reportHalfLife.Seconds())
+	return math.Exp2(-now.Sub(reportedAt).Seconds() / halfLife.Seconds())
 }
