Replicas: nodes keep an even part of a long list, followed at relays of their zone

State and work of a node grow with the number of replicas. Change: beyond 256 replicas two relays of each zone (storage nodes by a digest of their names) keep the whole list by watches of their own. Other nodes keep 32 replicas a service of their own zone and 8 of each other, chosen by their name on a ring, and hold a question at a relay that is answered when something of their part has changed. A listing ends at the 256th entry; a starting edge asks its seeds first whether the list is long. A node that reaches no relay and no other node reads the list itself. Slots of replicas that a node does not know count in its plans.

--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,12 +71,14 @@
 	lastHeartbeat time.Time
 	answered      time.Time
 	prefixes      map[string]*prefixState
+	// alone says of a prefix whether this node watches it for itself alone at present.
+	alone map[string]func() bool
 }
 
 // New returns a Feed of store and registers its methods.
 func New(store platform.KeyValue, caller transport.Caller, registrar transport.Registrar, viewer membership.Viewer, logger zerolog.Logger) *Feed {
 	feed := &Feed{
-		KeyValue: store, caller: caller, viewer: viewer, started: time.Now(), lastHeartbeat: time.Now().Add(firstSilence - silence), prefixes: map[string]*prefixState{},
+		KeyValue: store, caller: caller, viewer: viewer, started: time.Now(), lastHeartbeat: time.Now().Add(firstSilence - silence), prefixes: map[string]*prefixState{}, alone: map[string]func() bool{},
 		logger: logger.With().Str(logging.FieldSlice, "changefeed").Logger(),
 	}
 	registrar.Handle(methodChanges, func() proto.Message { return &changefeedpb.Changes{} },
@@ -110,7 +114,7 @@
 	if err != nil {
 		return listing, err
 	}
-	if missed := f.takeListing(prefix, listing); missed != nil {
+	if missed := f.takeListing(prefix, listing); missed != nil && !f.watchesAlone(prefix) {
 		f.sendChanges(missed)
 	}
 	return listing, nil
@@ -126,8 +130,42 @@
 	return state
 }
 
-// watchesNow says that this node watches the service: as one of the watchers, or since no heartbeat came for long.
-func (f *Feed) watchesNow(now time.Time) bool {
+// WatchAlone has this node watch prefix for itself while alone says so: changes of it are neither passed on nor taken from others then.
+// It is called before the first watch of prefix.
+func (f *Feed) WatchAlone(prefix string, alone func() bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.alone[prefix] = alone
+}
+
+// watchesAlone says that this node watches prefix for itself.
+func (f *Feed) watchesAlone(prefix string) bool {
+	f.mutex.Lock()
+	alone := f.alone[prefix]
+	f.mutex.Unlock()
+	return alone != nil && alone()
+}
+
+// watchesAnyAlone says that of some prefix.
+func (f *Feed) watchesAnyAlone() bool {
+	f.mutex.Lock()
+	prefixes := slices.Collect(maps.Keys(f.alone))
+	f.mutex.Unlock()
+	return slices.ContainsFunc(prefixes, f.watchesAlone)
+}
+
+// Answered says that the service has answered a watch of this node of late.
+func (f *Feed) Answered() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return time.Since(f.answered) < answeredWithin
+}
+
+// watchesNow says that this node watches prefix at the service: for itself, as one of the watchers, or since no heartbeat came for long.
+func (f *Feed) watchesNow(prefix string, now time.Time) bool {
+	if f.watchesAlone(prefix) {
+		return true
+	}
 	silent := f.watchersSilent(now)
 	joining := now.Sub(f.started) < joinTime
 	return silent || (Watches(f.viewer.View()) && !joining)
--- a/internal/changefeed/pass_on.go
+++ b/internal/changefeed/pass_on.go
@@ -55,7 +55,9 @@
 	message := &changefeedpb.Changes{Prefix: prefix, Previous: state.newest, Changes: []*changefeedpb.Change{encoded}}
 	state.takeChange(encoded)
 	f.mutex.Unlock()
-	f.sendChanges(message)
+	if !f.watchesAlone(prefix) {
+		f.sendChanges(message)
+	}
 }
 
 func encodeChange(change platform.WatchEvent) *changefeedpb.Change {
@@ -101,6 +103,9 @@
 	heartbeat := &changefeedpb.Heartbeat{}
 	f.mutex.Lock()
 	for prefix, state := range f.prefixes {
+		if alone := f.alone[prefix]; alone != nil && alone() {
+			continue
+		}
 		heartbeat.Positions = append(heartbeat.Positions, &changefeedpb.Position{Prefix: prefix, Revision: state.newest})
 	}
 	f.mutex.Unlock()
@@ -129,7 +134,7 @@
 func (f *Feed) takeHeartbeat(heartbeat *changefeedpb.Heartbeat, now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.lastHeartbeat = now
+	f.noteHeartbeat(now)
 	for _, position := range heartbeat.Positions {
 		f.state(position.Prefix).takePosition(position.Revision, now)
 	}
@@ -138,7 +143,7 @@
 // take queues what a watcher passed on. Where the queue is full the reader finds a gap and lists again.
 func (f *Feed) take(changes *changefeedpb.Changes, now time.Time) {
 	f.mutex.Lock()
-	f.lastHeartbeat = now
+	f.noteHeartbeat(now)
 	inbox := f.state(changes.Prefix).inbox
 	f.mutex.Unlock()
 	select {
@@ -147,3 +152,11 @@
 		f.logger.Warn().Str(logging.FieldPrefix, changes.Prefix).Int64(logging.FieldRevision, changes.Previous).Msg("changes_dropped_inbox_full")
 	}
 }
+
+// noteHeartbeat notes that a watcher has sent something; what comes right after the start does not shorten the wait for watchers that start as
+// well. The mutex is held.
+func (f *Feed) noteHeartbeat(now time.Time) {
+	if now.After(f.lastHeartbeat) {
+		f.lastHeartbeat = now
+	}
+}
--- a/internal/changefeed/watch.go
+++ b/internal/changefeed/watch.go
@@ -19,7 +19,7 @@
 		defer close(events)
 		for ctx.Err() == nil {
 			goOn := false
-			if f.watchesNow(time.Now()) {
+			if f.watchesNow(prefix, time.Now()) {
 				goOn = watch.service(ctx)
 			} else {
 				goOn = watch.follow(ctx)
@@ -81,11 +81,11 @@
 				return false
 			}
 			answer = nil
-			if !w.feed.watchesNow(time.Now()) {
+			if !w.feed.watchesNow(w.prefix, time.Now()) {
 				return true
 			}
 		case now := <-ticker.C:
-			if !w.feed.watchesNow(now) {
+			if !w.feed.watchesNow(w.prefix, now) {
 				return true
 			}
 		case changes := <-inbox:
@@ -150,7 +150,7 @@
 				return false
 			}
 		case now := <-ticker.C:
-			if w.feed.watchesNow(now) {
+			if w.feed.watchesNow(w.prefix, now) {
 				return true
 			}
 			if w.feed.missed(w.prefix, w.known, now) {
--- a/internal/changefeed/watchers.go
+++ b/internal/changefeed/watchers.go
@@ -17,9 +17,10 @@
 	otherHold   = 20 * time.Second
 )
 
-// Hold returns how long this node has the key-value service hold a watch: short for a watcher, and for a node that hears none.
+// Hold returns how long this node has the key-value service hold a watch: short for a watcher, for a node that hears none, and for one that
+// watches a prefix for itself.
 func (f *Feed) Hold() time.Duration {
-	if Watches(f.viewer.View()) || f.watchersSilent(time.Now()) {
+	if Watches(f.viewer.View()) || f.watchersSilent(time.Now()) || f.watchesAnyAlone() {
 		return watcherHold
 	}
 	return otherHold
--- a/internal/discovery/copies.go
+++ b/internal/discovery/copies.go
@@ -1,7 +1,6 @@
 package discovery
 
 import (
-	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/platform"
 )
 
@@ -16,14 +15,6 @@
 	s.takeConfiguration(copied.Entries)
 }
 
-// takeCopiedReplicas makes replicas that were known some time ago the content of the directory, until the store lists them.
-func (s *Service) takeCopiedReplicas(copied platform.Listing) {
-	replicas, _, _ := s.read(copied.Entries)
-	s.directory.ReplaceByCopy(replicas)
-	s.replicasByCopy = true
-	s.logger.Info().Int("replicas", len(replicas)).Int64(logging.FieldRevision, copied.Revision).Msg("replicas_taken_from_copy")
-}
-
 // newsOf returns the newest change that a listing shows, of which read has found news and the directory that some replicas are gone. When
 // these went is not known. Behind a copy, which was no news, all of the listing is.
 func (s *Service) newsOf(listing platform.Listing, news int64, gone int) int64 {
@@ -45,14 +36,3 @@
 	}
 	return newest
 }
-
-// replaceReplicas takes a listing of the store.
-func (s *Service) replaceReplicas(listing platform.Listing) {
-	replicas, _, news := s.read(listing.Entries)
-	gone := s.directory.Replace(replicas)
-	if news = s.newsOf(listing, news, gone); news > 0 {
-		s.replicas.tookChange(news)
-	}
-	s.replicas.saw(listing.Revision)
-	s.logger.Info().Int("replicas", len(replicas)).Int64(logging.FieldRevision, listing.Revision).Msg("replicas_listed")
-}
--- a/internal/discovery/copies_test.go
+++ b/internal/discovery/copies_test.go
@@ -17,6 +17,8 @@
 
 func (s suppliedCopies) Supply(prefix string, take func(platform.Listing)) { s[prefix] = take }
 
+func (s suppliedCopies) Settle(prefix string) { delete(s, prefix) }
+
 // copyOf is a copy of prefix at revision with one entry.
 func copyOf(revision int64, key, value string) platform.Listing {
 	return platform.Listing{Revision: revision, Entries: []platform.Entry{{Key: key, Value: []byte(value), ModRevision: revision}}}
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -10,6 +10,7 @@
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/roster"
 	"github.com/sloelift/sloelift/internal/route"
 )
 
@@ -45,6 +46,16 @@
 	routes     *route.Holder
 	directory  *replica.Directory
 	viewer     membership.Viewer
+	copies     Copies
+	// roster is the list of replicas where this node keeps all, keeper the part of it that this node is to know where it is long, relays those
+	// that send the part; relays is nil where each node keeps all, however many there are.
+	roster *roster.Roster
+	keeper *roster.Keeper
+	relays *roster.Follower
+	node   membership.NodeID
+	zone   string
+	// partPublished says that the directory holds a part of the list that is kept here; it belongs to the goroutine that follows the replicas.
+	partPublished bool
 	// followers take in what operators write; they are set before Start.
 	followers []OperatorFollower
 	// operators and replicas compare the two prefixes with what other nodes know.
@@ -68,9 +79,11 @@
 	SetReplicasRevision(revision int64)
 }
 
-// Copies supplies copies of what lies below a prefix, each newer than the one before, until the prefix is listed.
+// Copies supplies copies of what lies below a prefix, each newer than the one before, until the prefix is listed or settled.
 type Copies interface {
 	Supply(prefix string, take func(copied platform.Listing))
+	// Settle says that no copies are wanted, since what lies below the prefix is learnt in another way.
+	Settle(prefix string)
 }
 
 // Options of a Service.
@@ -84,6 +97,13 @@
 	Reporter RevisionReporter
 	// Copies supplies what was known some time ago while the store does not answer; nil where nothing does.
 	Copies Copies
+	// Roster is where this node keeps the list of replicas; nil stands for one of its own. Keeper and Relays bring it its part of a long list;
+	// nil where each node keeps all. Node and Zone are this one's then.
+	Roster *roster.Roster
+	Keeper *roster.Keeper
+	Relays *roster.Follower
+	Node   membership.NodeID
+	Zone   string
 	// Metrics may be nil.
 	Metrics *Metrics
 	Logger  zerolog.Logger
@@ -98,13 +118,17 @@
 	follows := func(prefix string) zerolog.Logger { return logger.With().Str(logging.FieldPrefix, prefix).Logger() }
 	service := &Service{
 		store: options.Store, translator: options.Translator, routes: options.Routes, directory: options.Directory,
-		viewer:    options.Viewer,
+		viewer: options.Viewer, copies: options.Copies, roster: options.Roster, keeper: options.Keeper, relays: options.Relays,
+		node: options.Node, zone: options.Zone,
 		operators: newRevisions(options.Reporter.SetConfigRevision, follows(options.Translator.OperatorPrefix())),
 		replicas:  newRevisions(options.Reporter.SetReplicasRevision, follows(options.Translator.ReplicaPrefix())),
 		unusable:  map[string]int64{},
 		metrics:   options.Metrics,
 		logger:    logger,
 	}
+	if service.roster == nil {
+		service.roster = roster.New()
+	}
 	if options.Copies != nil {
 		options.Copies.Supply(options.Translator.OperatorPrefix(), service.takeCopiedOperators)
 		options.Copies.Supply(options.Translator.ReplicaPrefix(), service.takeCopiedReplicas)
@@ -130,14 +154,7 @@
 			Behind:  s.operators.behind,
 		})
 	})
-	s.running.Go(func() {
-		platform.Follow(ctx, s.store, s.translator.ReplicaPrefix(), platform.Follower{
-			Replace: s.replaceReplicas,
-			Update:  s.updateReplicas,
-			Failed:  func(err error) { s.logger.Warn().Err(err).Msg("replicas_not_followed") },
-			Behind:  s.replicas.behind,
-		})
-	})
+	s.running.Go(func() { s.followReplicas(ctx) })
 }
 
 // Stop ends the following.
@@ -158,7 +175,9 @@
 		}
 	}
 	s.operators.takeOthers(newest.Configuration)
-	s.replicas.takeOthers(newest.Replicas)
+	if !s.keepsPart() {
+		s.replicas.takeOthers(newest.Replicas)
+	}
 }
 
 func (s *Service) replaceOperators(listing platform.Listing) {
@@ -210,42 +229,6 @@
 	}
 }
 
-func (s *Service) updateReplicas(revision int64, changed []platform.Entry, deleted []string) {
-	removed := make([]string, 0, len(deleted))
-	for _, key := range deleted {
-		removed = append(removed, s.translator.ReplicaID(key))
-		s.logger.Info().Str(logging.FieldReplica, s.translator.ReplicaID(key)).Msg("replica_gone")
-	}
-	if len(changed)+len(removed) > 0 {
-		replicas, unusable, _ := s.read(changed)
-		s.directory.Update(replicas, append(removed, unusable...))
-		s.replicas.tookChange(revision)
-	}
-	s.replicas.saw(revision)
-}
-
-// read translates entries. unusable are the IDs of entries that name no replica to use: what an earlier entry said is not kept in its place.
-// news is the newest revision of those entries that say what was not known, 0 where none does.
-func (s *Service) read(entries []platform.Entry) (replicas []replica.Info, unusable []string, news int64) {
-	replicas = make([]replica.Info, 0, len(entries))
-	for _, entry := range entries {
-		info, err := s.translator.Replica(entry.Key, entry.Value)
-		if err != nil {
-			unusable = append(unusable, s.translator.ReplicaID(entry.Key))
-			s.noteUnusable(entry, err)
-			continue
-		}
-		known := s.directory.View().Find(info.ID)
-		if known == nil || known.Info().Draining != info.Draining || known.Info().Born < info.Born {
-			news = max(news, entry.ModRevision)
-			s.logger.Info().Str(logging.FieldReplica, info.ID).Str("service", info.Service).Stringer("address", info.Address).
-				Str("replica_zone", info.Zone).Bool("draining", info.Draining).Msg("replica_changed")
-		}
-		replicas = append(replicas, info)
-	}
-	return replicas, unusable, news
-}
-
 // noteUnusable counts an entry that names no replica, and logs it unless it was logged as it stands.
 func (s *Service) noteUnusable(entry platform.Entry, err error) {
 	if s.metrics != nil {
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -126,7 +126,7 @@
 // sharedSlices run in each role.
 var sharedSlices = fx.Options(
 	fx.Provide(
-		func() *watchPace { return &watchPace{} }, newRoleKeyValue, newFeed, newCopies, route.NewHolder, replica.NewDirectory, newDiscovery, newReplicaClient, newPicker,
+		func() *watchPace { return &watchPace{} }, newRoleKeyValue, newFeed, newCopies, route.NewHolder, replica.NewDirectory, newPartOfReplicas, newDiscovery, newReplicaClient, newPicker,
 		newRegisteredMachines, newColdStarts, newQuarantine, func() *ledger.Timing { return &roleLedgerTiming },
 		func() *membership.Timing { return &roleMembershipTiming },
 	),
--- a/internal/node/role_discovery.go
+++ b/internal/node/role_discovery.go
@@ -11,10 +11,12 @@
 	"github.com/sloelift/sloelift/internal/changefeed"
 	"github.com/sloelift/sloelift/internal/discovery"
 	"github.com/sloelift/sloelift/internal/evacuation"
+	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/roster"
 	"github.com/sloelift/sloelift/internal/route"
 	"github.com/sloelift/sloelift/internal/settings"
 	"github.com/sloelift/sloelift/internal/snapshotcache"
@@ -59,13 +61,37 @@
 	})
 }
 
-func newDiscovery(lifecycle fx.Lifecycle, copies *snapshotcache.Cache, adapter Adapter, routes *route.Holder, directory *replica.Directory, members *membership.Service, registerer prometheus.Registerer, logger zerolog.Logger) (*discovery.Service, error) {
+// partOfReplicas is how this node gets its part of the replicas, where there are too many for each node to keep all.
+type partOfReplicas struct {
+	roster *roster.Roster
+	keeper *roster.Keeper
+	relays *roster.Follower
+}
+
+// newPartOfReplicas has this node also answer others that follow their part, while it keeps the whole list.
+func newPartOfReplicas(own settings.Settings, feed *changefeed.Feed, adapter Adapter, directory *replica.Directory, members *membership.Service, caller transport.Caller, registrar transport.Registrar, logger zerolog.Logger) partOfReplicas {
+	all, keeper := roster.New(), roster.NewKeeper(directory)
+	feed.WatchAlone(adapter.Translator.ReplicaPrefix(), all.Long)
+	roster.NewRelay(all, func() bool { return !feed.Answered() }, registrar)
+	options := roster.FollowerOptions{
+		Node: membership.NodeID(own.Node), Zone: own.Zone, Caller: caller, Viewer: members, Keeper: keeper,
+		Logger: logger.With().Str(logging.FieldSlice, "roster").Logger(),
+	}
+	if own.Role != settings.RoleStorage {
+		options.Seeds = own.Seeds()
+	}
+	relays := roster.NewFollower(options)
+	return partOfReplicas{roster: all, keeper: keeper, relays: relays}
+}
+
+func newDiscovery(lifecycle fx.Lifecycle, own settings.Settings, copies *snapshotcache.Cache, adapter Adapter, routes *route.Holder, directory *replica.Directory, part partOfReplicas, members *membership.Service, registerer prometheus.Registerer, logger zerolog.Logger) (*discovery.Service, error) {
 	metrics, err := discovery.NewMetrics(registerer)
 	if err != nil {
 		return nil, err
 	}
 	service := discovery.New(discovery.Options{
 		Store: copies, Translator: adapter.Translator, Routes: routes, Directory: directory, Viewer: members, Reporter: members, Copies: copies,
+		Roster: part.roster, Keeper: part.keeper, Relays: part.relays, Node: membership.NodeID(own.Node), Zone: own.Zone,
 		Metrics: metrics, Logger: logger,
 	})
 	lifecycle.Append(fx.StartStopHook(copies.Start, copies.Stop))
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -14,6 +14,8 @@
 	KindRateLimited = namespace.NewType("rate_limited", errorx.Temporary())
 	// KindCompacted: the revision asked for is no longer kept.
 	KindCompacted = namespace.NewType("compacted")
+	// KindTooLong: there are more entries than the caller wants to read.
+	KindTooLong = namespace.NewType("too_long")
 	// KindLeaseNotFound: the lease has lapsed or never was.
 	KindLeaseNotFound = namespace.NewType("lease_not_found")
 	// KindRefused: the fence token is lower than one already seen, or the order is invalid.
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// followLongestWait bounds the wait between tries to follow a prefix, listTimeout one listing.
+	// followLongestWait bounds the wait between tries to follow a prefix, listTimeout one listing, longListTimeout one of many entries: each
+	// of its pages has a bound of its own.
 	followLongestWait = 700 * time.Millisecond
 	listTimeout       = 3 * time.Second
+	longListTimeout   = 30 * time.Second
 	// gatherWait is how long changes are gathered before the service is asked for more: each answer costs a call.
 	gatherWait = 200 * time.Millisecond
 )
@@ -27,10 +29,13 @@
 	Failed func(err error)
 	// Behind says, where it is set, that changes were missed: the prefix is listed again.
 	Behind <-chan struct{}
+	// MostEntries bounds the listings, where it is above 0: Follow ends where there are more entries. Long gives them more time.
+	MostEntries int
+	Long        bool
 }
 
-// Follow keeps a Follower informed of what lies below prefix until ctx ends: one listing, then watches from where
-// the last one ended. Only where the service has dropped its history, or Behind says so, is the prefix listed again.
+// Follow keeps a Follower informed of what lies below prefix until ctx ends, or there are too many entries: one listing, then watches from
+// where the last one ended. Only where the service has dropped its history, or Behind says so, is the prefix listed again.
 func Follow(ctx context.Context, store KeyValue, prefix string, follower Follower) {
 	waits := NewBackoffUpTo(followLongestWait)
 	revision := int64(0)
@@ -48,6 +53,10 @@
 		if errorx.IsOfType(err, KindCompacted) {
 			revision = 0
 		}
+		if errorx.IsOfType(err, KindTooLong) {
+			follower.Failed(err)
+			return
+		}
 		if ctx.Err() == nil {
 			follower.Failed(err)
 		}
@@ -56,7 +65,14 @@
 }
 
 func listInto(ctx context.Context, store KeyValue, prefix string, follower Follower) (int64, error) {
-	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+	timeout := listTimeout
+	if follower.Long {
+		timeout = longListTimeout
+	}
+	if follower.MostEntries > 0 {
+		ctx = WithMostEntries(ctx, follower.MostEntries)
+	}
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	listing, err := store.List(bounded, prefix)
 	if err != nil {
--- a/internal/platform/keyvalue.go
+++ b/internal/platform/keyvalue.go
@@ -81,6 +81,23 @@
 	RevokeLease(ctx context.Context, lease LeaseID) error
 }
 
+// mostEntriesKey is the key of a context's bound on listings.
+type mostEntriesKey struct{}
+
+// WithMostEntries returns a context whose listings fail with KindTooLong as soon as there are more entries than most.
+func WithMostEntries(ctx context.Context, most int) context.Context {
+	return context.WithValue(ctx, mostEntriesKey{}, most)
+}
+
+// TooMany returns the error of a listing that has read so many entries and is not at its end, where ctx bounds them to fewer; else nil.
+func TooMany(ctx context.Context, entries int) error {
+	most, bounded := ctx.Value(mostEntriesKey{}).(int)
+	if !bounded || entries <= most {
+		return nil
+	}
+	return KindTooLong.New("more than %d entries", most)
+}
+
 // StaleLister is a KeyValue that has cheaper listings, which may be seconds old.
 type StaleLister interface {
 	ListStale(ctx context.Context, prefix string) (Listing, error)
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -35,12 +35,15 @@
 type View struct {
 	byService map[string][]*Handle
 	byID      map[string]*Handle
+	// elsewhere are the slots of replicas that are not in the directory, by service, where this node keeps a part of all only.
+	elsewhere map[string]int
 }
 
 // Of returns the replicas of service, sorted by ID.
 func (v *View) Of(service string) []*Handle { return v.byService[service] }
 
-// Slots returns the number of requests that the replicas of service which take new ones work on at once.
+// Slots returns the number of requests that the replicas of service which take new ones work on at once, those among them that this node does
+// not know.
 func (v *View) Slots(service string) int {
 	slots, now := 0, time.Now()
 	for _, handle := range v.byService[service] {
@@ -48,18 +51,35 @@
 			slots += handle.usableSlots(now)
 		}
 	}
-	return slots
+	return slots + v.elsewhere[service]
 }
 
-// WorkingSlots returns the same without the replicas that are down.
+// WorkingSlots returns the same without the replicas that are down. Of those that this node does not know the same share is taken to work as
+// of those that it knows.
 func (v *View) WorkingSlots(service string, now time.Time) int {
-	slots := 0
+	working, declared := 0, 0
 	for _, handle := range v.byService[service] {
+		if !handle.Info().Draining {
+			declared += handle.Info().Slots
+		}
 		if handle.Usable() && !handle.Down(now) {
-			slots += handle.usableSlots(now)
+			working += handle.usableSlots(now)
+		}
+	}
+	if declared == 0 {
+		return working + v.elsewhere[service]
+	}
+	return working + v.elsewhere[service]*working/declared
+}
+
+// KnowsPart says that there are replicas that take requests and are not in the directory.
+func (v *View) KnowsPart() bool {
+	for _, slots := range v.elsewhere {
+		if slots > 0 {
+			return true
 		}
 	}
-	return slots
+	return false
 }
 
 // Find returns the replica with the given ID; nil where there is none.
@@ -107,6 +127,15 @@
 // was taken.
 func (d *Directory) UseChanged() <-chan struct{} { return d.useChanged }
 
+// SetElsewhere says how many slots replicas have that are not in the directory, by service.
+func (d *Directory) SetElsewhere(slots map[string]int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	next := *d.View()
+	next.elsewhere = maps.Clone(slots)
+	d.view.Store(&next)
+}
+
 // SignalUse has UseChanged signal.
 func (d *Directory) SignalUse() {
 	subscription.Signal(d.useChanged)
@@ -185,7 +214,7 @@
 
 // publish makes next the content and ends the handles that are gone from it.
 func (d *Directory) publish(next map[string]*Handle) {
-	view := &View{byService: map[string][]*Handle{}, byID: next}
+	view := &View{byService: map[string][]*Handle{}, byID: next, elsewhere: d.View().elsewhere}
 	for _, handle := range next {
 		service := handle.Info().Service
 		view.byService[service] = append(view.byService[service], handle)
--- /dev/null
+++ b/internal/roster/keeper_test.go
@@ -0,0 +1,77 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+// TestPassedOverReplicaKeepsItsRequests: one that left the part while it lives and has requests of this node stays in the directory without new
+// ones, until these have ended; one that is gone leaves at once.
+func TestPassedOverReplicaKeepsItsRequests(t *testing.T) {
+	directory := replica.NewDirectory()
+	keeper := NewKeeper(directory)
+	elsewhere := map[string]int{"s": 800}
+	keeper.Replace([]replica.Info{infoOf(1), infoOf(2), infoOf(3)}, elsewhere, false)
+	busy, gone := directory.View().Find(infoOf(1).ID), directory.View().Find(infoOf(2).ID)
+	release := busy.Acquire()
+	gone.Acquire()
+	keeper.Update([]replica.Info{infoOf(4)}, []string{infoOf(2).ID}, []string{infoOf(1).ID}, elsewhere)
+	if directory.View().Find(infoOf(1).ID) != busy || busy.Usable() {
+		t.Error("the replica that was passed over is gone, or gets new requests")
+	}
+	if directory.View().Find(infoOf(2).ID) != nil || gone.Usable() {
+		t.Error("the replica that is gone is still there")
+	}
+	release()
+	keeper.Update(nil, nil, nil, elsewhere)
+	if directory.View().Find(infoOf(1).ID) != nil || directory.View().Len() != 2 {
+		t.Errorf("%d replicas after the last request ended", directory.View().Len())
+	}
+	if slots := directory.View().Slots("s"); slots != 2*testSlots+800 {
+		t.Errorf("%d slots of all replicas", slots)
+	}
+}
+
+// TestPassedOverReplicaComesBack: it is used again once it is in the part again.
+func TestPassedOverReplicaComesBack(t *testing.T) {
+	directory := replica.NewDirectory()
+	keeper := NewKeeper(directory)
+	keeper.Replace([]replica.Info{infoOf(1), infoOf(2)}, nil, false)
+	handle := directory.View().Find(infoOf(1).ID)
+	handle.Acquire()
+	keeper.Replace([]replica.Info{infoOf(2)}, nil, false)
+	keeper.Replace([]replica.Info{infoOf(1), infoOf(2)}, nil, false)
+	if directory.View().Find(infoOf(1).ID) != handle || !handle.Usable() {
+		t.Error("a replica that is in the part again is not used")
+	}
+}
+
+// TestWidthFollowsTheNeed: a node keeps more replicas while half of the slots that it knows are taken, and fewer after a long calm.
+func TestWidthFollowsTheNeed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	width := newWidth()
+	for _, step := range []struct {
+		use   use
+		after time.Duration
+		want  int
+	}{
+		{use{}, 0, LeastWidth},
+		{use{slots: 100, taken: 40, more: true}, time.Second, LeastWidth},
+		{use{slots: 100, taken: 60, more: true}, time.Second, 2 * LeastWidth},
+		{use{slots: 200, taken: 120, more: true}, time.Second, 4 * LeastWidth},
+		{use{slots: 400, taken: 300, more: false}, time.Second, 4 * LeastWidth},
+		{use{slots: 400, taken: 10, more: true}, time.Second, 4 * LeastWidth},
+		{use{slots: 400, taken: 100, more: true}, narrowAfter, 4 * LeastWidth},
+		{use{slots: 400, taken: 10, more: true}, time.Second, 4 * LeastWidth},
+		{use{slots: 400, taken: 10, more: true}, narrowAfter, 2 * LeastWidth},
+		{use{slots: 200, taken: 0, more: true}, narrowAfter, LeastWidth},
+		{use{slots: 100, taken: 0, more: true}, narrowAfter, LeastWidth},
+	} {
+		now = now.Add(step.after)
+		if got := width.next(step.use, now); got != step.want {
+			t.Errorf("width %d for %+v, want %d", got, step.use, step.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,193 @@
+package roster
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/sloelift/sloelift/internal/replica"
+)
+
+var testZones = []string{"z1", "z2", "z3", "z4", "z5"}
+
+const testSlots = 8
+
+// infoOf returns the replica with a number.
+func infoOf(number int) replica.Info {
+	return replica.Info{
+		ID: fmt.Sprintf("replica-%06d", number), Service: "s", Zone: testZones[number%len(testZones)], Slots: testSlots,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(number >> 16), byte(number >> 8), byte(number)}), 8000),
+	}
+}
+
+func rosterOf(count int) *Roster {
+	infos := make([]replica.Info, 0, count)
+	for number := range count {
+		infos = append(infos, infoOf(number))
+	}
+	roster := New()
+	roster.Replace(infos, 1)
+	return roster
+}
+
+func partOfNode(number int) Part {
+	return Part{Node: fmt.Sprintf("node-%04d", number), Zone: testZones[number%len(testZones)], Width: LeastWidth}
+}
+
+// TestPartDoesNotGrowWithTheList: what a node keeps, and what it is sent at first, is as much before 20,000 replicas as before 1,000.
+func TestPartDoesNotGrowWithTheList(t *testing.T) {
+	wanted := LeastWidth + (len(testZones)-1)*LeastWidth/otherZoneShare
+	for _, count := range []int{1000, 10000, 20000} {
+		roster := rosterOf(count)
+		part, elsewhere := roster.Part(partOfNode(0))
+		if len(part) != wanted {
+			t.Errorf("%d of %d replicas are a node's part, want %d", len(part), count, wanted)
+		}
+		if elsewhere["s"] != (count-wanted)*testSlots {
+			t.Errorf("%d slots of %d replicas are elsewhere", elsewhere["s"], count)
+		}
+	}
+}
+
+// TestPartsSpreadEvenly: all nodes together use nearly all replicas, and none much more than others.
+func TestPartsSpreadEvenly(t *testing.T) {
+	for _, size := range []struct{ nodes, replicas int }{{985, 10000}, {1970, 20000}} {
+		roster := rosterOf(size.replicas)
+		holders := map[string]int{}
+		for number := range size.nodes {
+			part, _ := roster.Part(partOfNode(number))
+			for _, info := range part {
+				holders[info.ID]++
+			}
+		}
+		mean := float64(size.nodes*64) / float64(size.replicas)
+		if used := float64(len(holders)) / float64(size.replicas); used < 0.9 {
+			t.Errorf("%.2f of %d replicas are used by %d nodes", used, size.replicas, size.nodes)
+		}
+		if most := slices.Max(slices.Collect(maps.Values(holders))); float64(most) > 5*mean {
+			t.Errorf("one of %d replicas is used by %d nodes, %.1f in the mean", size.replicas, most, mean)
+		}
+	}
+}
+
+// TestChangeMovesFewParts: a replica that comes or goes changes the parts of few nodes, by one place each.
+func TestChangeMovesFewParts(t *testing.T) {
+	const nodes, replicas = 985, 10000
+	roster := rosterOf(replicas)
+	before := make([]selection, nodes)
+	for number := range nodes {
+		before[number] = roster.selects(partOfNode(number))
+	}
+	roster.Update(nil, []string{infoOf(17).ID}, 2)
+	moved := 0
+	for number := range nodes {
+		found := differs(before[number].entries, roster.selects(partOfNode(number)).entries)
+		if found.empty() {
+			continue
+		}
+		moved++
+		if len(found.changed) > 1 || len(found.left) > 1 {
+			t.Errorf("node %d has %d new replicas and %d fewer since one is gone", number, len(found.changed), len(found.left))
+		}
+	}
+	if moved == 0 || moved > nodes/20 {
+		t.Errorf("the parts of %d of %d nodes changed since one replica is gone", moved, nodes)
+	}
+}
+
+// TestDrainingReplicasAreReplacedInAPart: a part holds as many that take requests as before, and those that drain.
+func TestDrainingReplicasAreReplacedInAPart(t *testing.T) {
+	roster := rosterOf(1000)
+	before, _ := roster.Part(partOfNode(0))
+	leaving := before[0]
+	leaving.Draining = true
+	roster.Update([]replica.Info{leaving}, nil, 2)
+	after, elsewhere := roster.Part(partOfNode(0))
+	if len(after) != len(before)+1 || !slices.Contains(after, leaving) {
+		t.Errorf("%d replicas are the part where one of %d drains", len(after), len(before))
+	}
+	if elsewhere["s"] != (1000-1-len(before))*testSlots {
+		t.Errorf("%d slots are elsewhere", elsewhere["s"])
+	}
+}
+
+// TestLateEntryOfAnEarlierLifeChangesNothing, and one that does not say when it started is of the life that is known.
+func TestLateEntryOfAnEarlierLifeChangesNothing(t *testing.T) {
+	roster := New()
+	roster.Replace([]replica.Info{{ID: "a", Service: "s", Zone: "z1", Slots: 1, Born: 200}}, 1)
+	roster.Update([]replica.Info{{ID: "a", Service: "s", Zone: "z1", Slots: 9, Born: 100}}, nil, 2)
+	roster.Update([]replica.Info{{ID: "a", Service: "s", Zone: "z1", Slots: 1, Draining: true}}, nil, 3)
+	if info, _ := roster.Find("a"); info.Slots != 1 || info.Born != 200 || !info.Draining {
+		t.Errorf("the list has %+v", info)
+	}
+}
+
+// TestRosterProperty: after any changes the rings and sums are those of the replicas on the list.
+func TestRosterProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		roster, model := New(), map[string]replica.Info{}
+		for step := range rapid.IntRange(1, 20).Draw(t, "steps") {
+			numbers := rapid.SliceOfN(rapid.IntRange(0, 400), 0, 200).Draw(t, "numbers")
+			var changed []replica.Info
+			var removed []string
+			for _, number := range numbers {
+				info := infoOf(number)
+				info.Draining = rapid.Bool().Draw(t, "draining")
+				if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+					removed = append(removed, info.ID)
+				} else {
+					changed = append(changed, info)
+				}
+			}
+			if rapid.IntRange(0, 9).Draw(t, "list") == 0 {
+				clear(model)
+				roster.Replace(slices.Collect(maps.Values(model)), int64(step))
+			}
+			for _, info := range changed {
+				model[info.ID] = info
+			}
+			for _, id := range removed {
+				delete(model, id)
+			}
+			roster.Update(changed, removed, int64(step))
+			checkRoster(t, roster, model)
+		}
+	})
+}
+
+// checkRoster fails where the list is not that of model, or a part is not what the rings say.
+func checkRoster(t *rapid.T, roster *Roster, model map[string]replica.Info) {
+	slots, ready := 0, map[string]int{}
+	for id, info := range model {
+		if kept, found := roster.Find(id); !found || kept != info {
+			t.Fatalf("the list has %+v for %+v", kept, info)
+		}
+		if !info.Draining {
+			slots += info.Slots
+			ready[info.Zone]++
+		}
+	}
+	if roster.Len() != len(model) {
+		t.Fatalf("%d replicas on the list, want %d", roster.Len(), len(model))
+	}
+	part, elsewhere := roster.Part(partOfNode(0))
+	own, known := 0, map[string]int{}
+	for _, info := range part {
+		if !info.Draining {
+			own += info.Slots
+			known[info.Zone]++
+		}
+	}
+	if own+elsewhere["s"] != slots {
+		t.Fatalf("%d slots known and %d elsewhere, want %d", own, elsewhere["s"], slots)
+	}
+	for zone, count := range ready {
+		if wanted := min(count, partOfNode(0).countIn(zone)); known[zone] != wanted {
+			t.Fatalf("%d replicas of %s in the part, want %d of %d", known[zone], zone, wanted, count)
+		}
+	}
+}
--- a/internal/snapshotcache/cache.go
+++ b/internal/snapshotcache/cache.go
@@ -128,6 +128,23 @@
 	return listing, nil
 }
 
+// Settle ends the use of copies of prefix, and keeps none of it, on a node that learns in another way what lies below it.
+func (c *Cache) Settle(prefix string) {
+	c.taking.Lock()
+	defer c.taking.Unlock()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	held := c.contents[prefix]
+	if held == nil {
+		return
+	}
+	held.entries, held.revision, held.encoded = nil, 0, nil
+	if !held.listed {
+		held.listed = true
+		c.noteListed()
+	}
+}
+
 // takeListing takes in what the service lists; an error says that the copy in use is newer.
 func (c *Cache) takeListing(prefix string, listing platform.Listing, now time.Time) error {
 	c.taking.Lock()
--- a/internal/snapshotcache/exchange.go
+++ b/internal/snapshotcache/exchange.go
@@ -30,6 +30,8 @@
 	askTimeout = 400 * time.Millisecond
 	// askInterval is how often more nodes are asked while something is not known at all.
 	askInterval = 100 * time.Millisecond
+	// mostSent is the number of entries up to which a content is sent to another node: longer ones are no node's to keep whole.
+	mostSent = 1024
 	// renewInterval is how often newer copies are asked for while the service does not answer: it may answer other nodes, and changes
 	// must be known everywhere within 2 s.
 	renewInterval = 700 * time.Millisecond
@@ -54,7 +56,7 @@
 	response := &snapshotcachepb.FetchResponse{}
 	for _, known := range request.GetKnown() {
 		held := c.contents[known.GetPrefix()]
-		if held != nil && held.entries != nil && held.revision > known.GetRevision() {
+		if held != nil && held.entries != nil && len(held.entries) <= mostSent && held.revision > known.GetRevision() {
 			response.Copies = append(response.Copies, held.message(known.GetPrefix()))
 		}
 	}
@@ -114,10 +116,10 @@
 	return true
 }
 
-// missing says that of some prefix nothing is known. The mutex is held.
+// missing says that of some prefix nothing is known, and copies of it are of use. The mutex is held.
 func (c *Cache) missing() bool {
 	for _, held := range c.contents {
-		if held.entries == nil {
+		if held.entries == nil && !held.listed {
 			return true
 		}
 	}
