Load sharing: a node with a part of the replicas is told of these alone

Cause: an answer of a zone's exchange holds each replica whose numbers changed since the asker's last one, and the exchange goes through all that are in use for each question; both grow with the fleet, though an edge knows 64 replicas. Change: a question names the replicas of the asker where these are a part of all, and the answer holds those alone. Figures: an answer is below 1,500 bytes with 1,000, 10,000 and 20,000 replicas in use (test). Not measured on the fleet apart.

--- a/internal/loadshare/board.go
+++ b/internal/loadshare/board.go
@@ -194,10 +194,35 @@
 			changed[key] = use
 		}
 	}
+	return b.fleetLoad(changed, whole)
+}
+
+// AnswerTo answers a question: with what changed since the state that it names, or with all of the replicas that it names.
+func (b *Board) AnswerTo(question *loadsharepb.NodeLoad) *loadsharepb.FleetLoad {
+	if len(question.GetOf()) == 0 {
+		return b.Answer(question.GetKnownRun(), question.GetKnownVersion())
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	found := replicaLoads{}
+	for _, each := range question.GetOf() {
+		key := replica.Key(each)
+		if use := b.totals[key].use(); use != (replica.Use{}) {
+			found[key] = use
+		}
+	}
+	answer := b.fleetLoad(found, true)
+	// It names no state: behind it a question about all replicas gets all.
+	answer.Run, answer.Version = 0, 0
+	return answer
+}
+
+// fleetLoad returns an answer with the loads of replicas. The mutex is held.
+func (b *Board) fleetLoad(replicas replicaLoads, whole bool) *loadsharepb.FleetLoad {
 	all := maps.Clone(b.reportedDemands)
 	all.add(b.relayedDemands, 1)
 	return &loadsharepb.FleetLoad{
-		Run: b.run, Version: b.version, Whole: whole, Replicas: encodeReplicas(changed), Demands: encodeDemands(all),
+		Run: b.run, Version: b.version, Whole: whole, Replicas: encodeReplicas(replicas), Demands: encodeDemands(all),
 		OnlineNodes: uint32(max(0, b.reportedNodes+b.relayedNodes)),
 	}
 }
--- a/internal/loadshare/board_test.go
+++ b/internal/loadshare/board_test.go
@@ -1,11 +1,13 @@
 package loadshare
 
 import (
+	"fmt"
 	"maps"
 	"net/netip"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	loadsharepb "github.com/sloelift/sloelift/api/proto/loadshare"
@@ -177,3 +179,34 @@
 		}
 	}
 }
+
+// TestAnswerToANodeWithAPart holds the replicas that it names, as they are, and no more however many are in use; after it a question about all
+// gets all.
+func TestAnswerToANodeWithAPart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, inUse := range []int{1000, 10000, 20000} {
+		board, sender := NewBoard(now), origins{}
+		loads := map[string]int{}
+		for number := range inUse {
+			loads[fmt.Sprintf("replica-%d", number)] = 1 + number%8
+		}
+		board.takeReport(nodeAt(1), loadOf(sender.next(), loadsharepb.Kind_KIND_ONLINE, loads), now)
+		question := &loadsharepb.NodeLoad{KnownRun: 7, KnownVersion: 9}
+		for number := range 64 {
+			question.Of = append(question.Of, uint64(replica.KeyOf(fmt.Sprintf("replica-%d", number*7))), uint64(replica.KeyOf(fmt.Sprintf("idle-%d", number))))
+		}
+		answer := board.AnswerTo(question)
+		if size := proto.Size(answer); size > 1500 {
+			t.Errorf("%d bytes for a part of %d replicas in use", size, inUse)
+		}
+		known := newFleet(now)
+		known.take(answer, state{}, now)
+		if use := known.others()[replica.KeyOf("replica-7")]; use.Requests != 8 || len(known.others()) != 64 {
+			t.Errorf("%d requests at one of the part, %d replicas in all", use.Requests, len(known.others()))
+		}
+		run, version := known.known()
+		if all := board.AnswerTo(&loadsharepb.NodeLoad{KnownRun: run, KnownVersion: version}); !all.GetWhole() || len(all.GetReplicas().GetReplicas()) != inUse {
+			t.Errorf("%d replicas in the answer about all %d, whole %t", len(all.GetReplicas().GetReplicas()), inUse, all.GetWhole())
+		}
+	}
+}
--- a/internal/loadshare/questions.go
+++ b/internal/loadshare/questions.go
@@ -158,9 +158,10 @@
 	own := s.own()
 	message := s.message(own, now)
 	message.KnownRun, message.KnownVersion = s.fleet.known()
+	message.Of = s.partKnown()
 	if used.node == place.self {
 		s.board.takeReport(used.node, message, now)
-		s.apply(s.board.Answer(message.KnownRun, message.KnownVersion), own, now)
+		s.apply(s.board.AnswerTo(message), own, now)
 		return nil
 	}
 	bounded, cancel := context.WithTimeout(s.ctx, answerTimeout)
@@ -178,6 +179,20 @@
 	return nil
 }
 
+// partKnown returns the keys of the replicas that this node knows, where these are a part of all; else none. The answer then does not grow with
+// the number of replicas.
+func (s *Service) partKnown() []uint64 {
+	view := s.directory.View()
+	if !view.KnowsPart() {
+		return nil
+	}
+	keys := make([]uint64, 0, view.Len())
+	for handle := range view.All() {
+		keys = append(keys, uint64(handle.Key()))
+	}
+	return keys
+}
+
 // apply takes in what all nodes have.
 func (s *Service) apply(answer *loadsharepb.FleetLoad, own state, now time.Time) {
 	s.fleet.take(answer, own, now)
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -116,7 +116,7 @@
 		func(_ context.Context, from netip.AddrPort, message proto.Message) (proto.Message, error) {
 			load := message.(*loadsharepb.NodeLoad)
 			service.board.takeReport(reporterOf(from, load), load, time.Now())
-			return service.board.Answer(load.GetKnownRun(), load.GetKnownVersion()), nil
+			return service.board.AnswerTo(load), nil
 		})
 	service.handleRelayed(registrar)
 	return service
