--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -17,6 +17,7 @@
 	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/transport"
+	"github.com/sloelift/sloelift/internal/zonerelay"
 )
 
 // Methods between nodes.
@@ -60,6 +61,9 @@
 	caller transport.Caller
 	viewer membership.Viewer
 	logger zerolog.Logger
+	// relays are those of the zones, zone what this node as one of them has sent on.
+	relays zonerelay.Cache
+	zone   *zoneState
 
 	started time.Time
 	cancel  context.CancelFunc
@@ -78,7 +82,7 @@
 // New returns a Feed of store and registers its methods.
 func New(store platform.KeyValue, caller transport.Caller, registrar transport.Registrar, viewer membership.Viewer, logger zerolog.Logger) *Feed {
 	feed := &Feed{
-		KeyValue: store, caller: caller, viewer: viewer, started: time.Now(), lastHeartbeat: time.Now().Add(firstSilence - silence), prefixes: map[string]*prefixState{}, alone: map[string]func() bool{},
+		KeyValue: store, caller: caller, viewer: viewer, started: time.Now(), lastHeartbeat: time.Now().Add(firstSilence - silence), prefixes: map[string]*prefixState{}, alone: map[string]func() bool{}, zone: newZoneState(),
 		logger: logger.With().Str(logging.FieldSlice, "changefeed").Logger(),
 	}
 	registrar.Handle(methodChanges, func() proto.Message { return &changefeedpb.Changes{} },
--- a/internal/changefeed/feed_test.go
+++ b/internal/changefeed/feed_test.go
@@ -66,7 +66,7 @@
 	var members []membership.Member
 	for index := range count {
 		members = append(members, membership.Member{
-			ID: membership.NodeID(fmt.Sprint("n", index)), Zone: fmt.Sprint("z", index%2),
+			ID: membership.NodeID(fmt.Sprintf("n%04d", index)), Zone: fmt.Sprint("z", index%2),
 			PeerAddress: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(index+1)),
 		})
 	}
--- a/internal/changefeed/pass_on.go
+++ b/internal/changefeed/pass_on.go
@@ -11,7 +11,6 @@
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/platform"
-	"github.com/sloelift/sloelift/internal/transport"
 )
 
 // merge joins the changes of one answer of the service, in their order, into one that leaves each key as the last of them does. What
@@ -84,7 +83,7 @@
 		f.sendHeartbeat(view)
 		return
 	}
-	f.send(view, methodChanges, message)
+	f.sendToAll(view, methodChanges, message)
 }
 
 // beat sends a heartbeat where this node is a watcher that the service answers.
@@ -109,39 +108,27 @@
 		heartbeat.Positions = append(heartbeat.Positions, &changefeedpb.Position{Prefix: prefix, Revision: state.newest})
 	}
 	f.mutex.Unlock()
-	f.send(view, methodHeartbeat, heartbeat)
-}
-
-// send queues message for all other nodes. A node whose queue refuses it finds out by the next message or by a heartbeat.
-func (f *Feed) send(view *membership.View, method transport.Method, message proto.Message) {
-	refused := 0
-	var last error
-	for _, member := range view.Members {
-		if member.ID == view.Self || member.State == membership.Dead {
-			continue
-		}
-		if err := f.caller.Send(member.PeerAddress, method, message); err != nil {
-			refused++
-			last = err
-		}
-	}
-	if refused > 0 {
-		f.logger.Warn().Err(last).Str("method", string(method)).Int("nodes", refused).Msg("message_not_queued")
-	}
+	f.sendToAll(view, methodHeartbeat, heartbeat)
 }
 
 // takeHeartbeat takes a watcher's heartbeat.
 func (f *Feed) takeHeartbeat(heartbeat *changefeedpb.Heartbeat, now time.Time) {
 	f.mutex.Lock()
-	defer f.mutex.Unlock()
 	f.noteHeartbeat(now)
 	for _, position := range heartbeat.Positions {
 		f.state(position.Prefix).takePosition(position.Revision, now)
 	}
+	f.mutex.Unlock()
+	if heartbeat.GetPassOn() && f.zone.takesHeartbeat(heartbeat, now) {
+		f.sendToZone(methodHeartbeat, &changefeedpb.Heartbeat{Positions: heartbeat.Positions})
+	}
 }
 
 // take queues what a watcher passed on. Where the queue is full the reader finds a gap and lists again.
 func (f *Feed) take(changes *changefeedpb.Changes, now time.Time) {
+	if changes.GetPassOn() && f.zone.takesChanges(changes) {
+		f.sendToZone(methodChanges, &changefeedpb.Changes{Prefix: changes.Prefix, Previous: changes.Previous, Changes: changes.Changes})
+	}
 	f.mutex.Lock()
 	f.noteHeartbeat(now)
 	inbox := f.state(changes.Prefix).inbox
