Membership: an edge that joins through its seeds reads no list of nodes at its start

Cause: each node read the whole list of registered nodes right after its start: five pages of 200 for 985 nodes, some 5,000 calls of a start of all. Change: an edge waits up to 1 s to join through its seeds and then leaves the first reading out; storage nodes read the list at once as before, so that all find each other. Figures: the test's node reads the list 0 times in its first 4 s, and at once after the patience where nobody answers.

--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -27,6 +27,8 @@
 	nodes    []*clusterNode
 	byAddr   map[netip.AddrPort]*clusterNode
 	machines platform.MachineList
+	// joinFirst is that of nodes that are started from now on.
+	joinFirst time.Duration
 
 	// mutex guards the faults, which the network reads for each frame.
 	mutex    sync.Mutex
@@ -129,10 +131,12 @@
 	}
 	self := node.member
 	self.Incarnation = uint64(time.Now().UnixMicro())
+	timing := DefaultTiming()
+	timing.JoinFirst = c.joinFirst
 	node.service, err = New(Options{
 		Self:       self,
 		Seeds:      []netip.AddrPort{c.nodes[0].member.PeerAddress, c.nodes[min(1, len(c.nodes)-1)].member.PeerAddress},
-		Timing:     DefaultTiming(),
+		Timing:     timing,
 		RandomSeed: uint64(node.number),
 	}, transport, c.machines, registry, zerolog.Nop())
 	if err != nil {
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -13,6 +13,7 @@
 
 	membershippb "github.com/sloelift/sloelift/api/proto/membership"
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/subscription"
 	"github.com/sloelift/sloelift/internal/transport"
@@ -265,6 +266,9 @@
 // readList reads the machine list now and then; while it is down, seeds and own
 // evidence carry on.
 func (s *Service) readList(ctx context.Context) {
+	if s.joinsFirst(ctx) && !pause.Sleep(ctx, jittered(s.options.Timing.ListPeriod)) {
+		return
+	}
 	failing := false
 	for {
 		listing, err := s.machines.List(ctx)
@@ -286,6 +290,22 @@
 	}
 }
 
+// joinsFirst waits for this node to join through its seeds, and says whether it has.
+func (s *Service) joinsFirst(ctx context.Context) bool {
+	if len(s.options.Seeds) == 0 {
+		return false
+	}
+	for deadline := time.Now().Add(s.options.Timing.JoinFirst); time.Now().Before(deadline); {
+		if !pause.Sleep(ctx, joinedCheck) {
+			return false
+		}
+		if len(s.View().Members) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // listPeriod keeps the reads of a long list within their bytes once others are known.
 func (s *Service) listPeriod(machines int) time.Duration {
 	timing := s.options.Timing
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -231,3 +232,50 @@
 		}
 	})
 }
+
+// countedList counts how often a list is read.
+type countedList struct {
+	fixedList
+	reads atomic.Int64
+}
+
+func (l *countedList) List(ctx context.Context) (platform.MachineListing, error) {
+	l.reads.Add(1)
+	return l.fixedList.List(ctx)
+}
+
+// TestNodeThatJoinsThroughSeedsReadsNoList in its first time, so that many that start at once do not read as many entries each; one that
+// reaches nobody reads it after its patience.
+func TestNodeThatJoinsThroughSeedsReadsNoList(t *testing.T) {
+	const patience = time.Second
+	for name, cutOff := range map[string]bool{"seeds answer": false, "nobody answers at first": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 6, 3, 1, 11)
+				defer c.stopAll()
+				c.awaitAll(10 * time.Second)
+				list := &countedList{fixedList: fixedList{platform.MachineListing{Machines: []platform.Machine{
+					{ID: "node-002", Role: platform.RoleNode, State: platform.MachineLive, Address: c.nodes[2].member.PeerAddress},
+				}}}}
+				c.machines, c.joinFirst = list, patience
+				observer := c.nodes[5]
+				c.kill(observer)
+				c.setCut(func(from, to *clusterNode) bool { return cutOff && (from == observer || to == observer) })
+				c.start(observer)
+				time.Sleep(patience - joinedCheck)
+				if reads := list.reads.Load(); reads != 0 {
+					t.Errorf("the list was read %d times within the patience", reads)
+				}
+				time.Sleep(2 * joinedCheck)
+				c.setCut(func(_, _ *clusterNode) bool { return false })
+				time.Sleep(3 * time.Second)
+				if reads := list.reads.Load(); (reads > 0) != cutOff {
+					t.Errorf("the list was read %d times", reads)
+				}
+				if stateOf(observer, c.nodes[3]) != Alive {
+					t.Error("the node has not joined")
+				}
+			})
+		})
+	}
+}
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -39,6 +39,10 @@
 	// the least period of one that does: that one reads ListBytesPerSecond on average.
 	ListPeriod         time.Duration
 	ListBytesPerSecond int
+	// JoinFirst is how long a node that has seeds waits to join through them before it reads the machine list for the first time; once it has
+	// joined it does so a period later only. 0 reads the list at once. Nodes that others join through read it at once, so that all find each
+	// other.
+	JoinFirst time.Duration
 }
 
 // DefaultTiming returns the timing of production: a dead node is known in its zone
@@ -101,6 +105,8 @@
 	lateAnswerLimit = 5 * time.Second
 	// listedMachineBytes is about what one machine takes in the machine list.
 	listedMachineBytes = 160
+	// joinedCheck is how often a node that waits for it looks whether it has joined.
+	joinedCheck = 50 * time.Millisecond
 	// pauseTicks is the number of missed ticks after which a node holds itself paused.
 	pauseTicks = 4
 )
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -128,7 +128,7 @@
 	fx.Provide(
 		func() *watchPace { return &watchPace{} }, newRoleKeyValue, newFeed, newCopies, route.NewHolder, replica.NewDirectory, newPartOfReplicas, newDiscovery, newReplicaClient, newPicker,
 		newRegisteredMachines, newColdStarts, newQuarantine, func() *ledger.Timing { return &roleLedgerTiming },
-		func() *membership.Timing { return &roleMembershipTiming },
+		membershipTimingOf,
 	),
 	transport.Module, membership.Module, ledger.Module,
 	fx.Invoke(serveMetrics, announceStore, followEvacuations, followHomes),
--- a/internal/node/role_timing.go
+++ b/internal/node/role_timing.go
@@ -5,6 +5,7 @@
 
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/settings"
 )
 
 // roleLedgerTiming replaces the ledger's lost members sooner than on large machines: little is kept on a small disk.
@@ -38,3 +39,16 @@
 	timing.MaxJoinPeriod = 300 * time.Millisecond
 	return timing
 }()
+
+// edgeJoinFirst is how long an edge waits to join through its seeds before it reads the list of registered nodes: a thousand edges that start at
+// once would each read as many entries.
+const edgeJoinFirst = time.Second
+
+// membershipTimingOf returns the timing of a node of own's role.
+func membershipTimingOf(own settings.Settings) *membership.Timing {
+	timing := roleMembershipTiming
+	if own.Role != settings.RoleStorage {
+		timing.JoinFirst = edgeJoinFirst
+	}
+	return &timing
+}
