Batch: a lease covers what is left of an item where slots are free, else about half of it

Change: a lease covers what is left by estimate while at most half of all slots are in use or little is left, else half of it, never less than before.

--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -102,7 +102,7 @@
 func (a *itemAttempt) runLease(ctx context.Context) itemVerdict {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a.lease = a.partition.service.leases.length()
+	a.lease = a.partition.leaseOf(a)
 	a.leaseBegan = time.Now()
 	over := time.AfterFunc(a.lease-leaseMargin, func() { cancel(errLeaseOver) })
 	defer over.Stop()
--- a/internal/batch/item_lease.go
+++ b/internal/batch/item_lease.go
@@ -15,6 +15,15 @@
 	longestLease = 10 * time.Second
 	// leaseCost is the part of an item's time at replicas that the begin of leases may take.
 	leaseCost = 0.01
+	// leaseRoom is the part of all slots in use up to which a lease covers all that is left: the slots that a lost owner's items hold then are
+	// needed by nobody.
+	leaseRoom = 0.5
+	// leaseParts is the number of leases of about equal length into which the rest of an item is cut where slots are scarce, and shortRest the
+	// number of least leases up to which the rest is one.
+	leaseParts = 2
+	shortRest  = 3
+	// leaseSpare is what a lease covers beyond the time that is left by estimate, as a part of it.
+	leaseSpare = 1.3
 	// leaseMargin is kept between the end of a lease at its owner and at the replica: a machine that has spent its processor time stands
 	// still for up to 0.1 s.
 	leaseMargin = 200 * time.Millisecond
@@ -43,9 +52,23 @@
 	l.resume += time.Duration(resumeWeight * float64(resume-l.resume))
 }
 
-// length returns how long the next lease is.
-func (l *leaseTerm) length() time.Duration {
+// length returns how long the next lease is of an item that needs left by estimate, while the given part of all slots is in use. Each begin of
+// a lease cuts the run before it off, which costs the replica work; a long lease of a lost owner costs others the slot.
+func (l *leaseTerm) length(left time.Duration, taken float64) time.Duration {
 	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return min(longestLease, max(leastLease, time.Duration(float64(l.resume)/leaseCost)))
+	least := min(longestLease, max(leastLease, time.Duration(float64(l.resume)/leaseCost)))
+	l.mutex.Unlock()
+	whole := time.Duration(leaseSpare*float64(left)) + leaseMargin
+	if taken <= leaseRoom || left <= shortRest*least {
+		return min(longestLease, max(least, whole))
+	}
+	return min(longestLease, max(least, left/leaseParts))
+}
+
+// leaseOf returns how long the next lease of an attempt is.
+func (p *partition) leaseOf(attempt *itemAttempt) time.Duration {
+	p.mutex.Lock()
+	left := p.state.paceOf(attempt.route.Name).left(attempt.sent.Tokens, len(attempt.text))
+	p.mutex.Unlock()
+	return p.service.leases.length(left, p.service.taken(attempt.handle.Info().Service, time.Now()))
 }
--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -84,6 +84,17 @@
 	return max(0, begin-elsewhere), ownPart(max(0, keep), running, elsewhere), running
 }
 
+// taken returns the part of the slots of service that all nodes' requests and items are in.
+func (s *Service) taken(service string, now time.Time) float64 {
+	view := s.directory.View()
+	running := 0
+	for _, handle := range view.Of(service) {
+		running += handle.InUse()
+	}
+	others := s.fleet.Others(service, now)
+	return float64(others.Online()+others.Batch+running) / float64(max(1, view.WorkingSlots(service, now)))
+}
+
 // ownPart returns how many of running items may go on where elsewhere others run and all together may be keep.
 func ownPart(keep, running, elsewhere int) int {
 	if running+elsewhere <= keep || running == 0 {
