Batch: a job that cannot be done before it may be given up is refused at once

Cause: in the fleet's small twin 202 jobs of 202 are accepted though three times as much work comes as the replicas can do; 1,149 of 1,873 items are never done, and who sent them learns that after a minute. Change: once it is known how long items take, an owner refuses a job where the work accepted before and its own would take longer than the time after which an item may be given up, with all slots for items alone; the refusal says when to come back.

--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -78,6 +78,10 @@
 			Int64("allowed", maxTokens).Msg("job_over_quota")
 		return nil, &batchpb.SubmitResponse{OverQuota: true}, nil
 	}
+	if err := p.refuseHopeless(submission); err != nil {
+		p.logger.Info().Str(logging.FieldJob, submission.JobId).Int("items", len(submission.Items)).Err(err).Msg("job_refused")
+		return nil, nil, err
+	}
 	p.reserved[quota] += tokens
 	p.submitting[submission.JobId] = &pendingSubmission{done: make(chan struct{})}
 	return nil, nil, nil
