Batch: a rest of up to four leases is one lease, and only hopeless runs are replaced

Cause: items of five seconds took two leases, and a run that the plan marked late was cut off for an item that could be in time, though it could still be in time itself. Change: a rest of up to four times the least lease is one lease where slots are scarce; a run gives way to an item in time only where it will be late whatever it gets.

--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -50,11 +50,12 @@
 	acceptedAt int64
 	route      *route.Route
 	// begins counts the attempts that this owner began, ran is the time of its ended runs; startedWithText says that an earlier
-	// owner had made a part of the text. late is the latest plan's mark.
+	// owner had made a part of the text. late is the latest plan's mark, hopeless says that the item will be late even if it runs on.
 	begins          int
 	ran             time.Duration
 	startedWithText bool
 	late            bool
+	hopeless        bool
 	// text and lastEvent are what the item has made; a further run goes on behind lastEvent.
 	text      []byte
 	lastEvent string
--- a/internal/batch/item_lease.go
+++ b/internal/batch/item_lease.go
@@ -21,7 +21,7 @@
 	// leaseParts is the number of leases of about equal length into which the rest of an item is cut where slots are scarce, and shortRest the
 	// number of least leases up to which the rest is one.
 	leaseParts = 2
-	shortRest  = 3
+	shortRest  = 4
 	// leaseSpare is what a lease covers beyond the time that is left by estimate, as a part of it.
 	leaseSpare = 1.3
 	// leaseMargin is kept between the end of a lease at its owner and at the replica: a machine that has spent its processor time stands
--- a/internal/batch/item_order.go
+++ b/internal/batch/item_order.go
@@ -38,6 +38,11 @@
 	madeText int
 }
 
+// hopeless says that the item will be late even if it runs on from now.
+func (c candidate) hopeless(now time.Time) bool {
+	return !c.due.IsZero() && c.left > c.due.Sub(now)
+}
+
 // compareCandidates orders items: those that can be in time by when they are due, of one job those first that have made most;
 // behind them the others in the order of acceptance.
 func compareCandidates(one, other candidate) int {
@@ -119,9 +124,10 @@
 
 // rememberLate keeps the marks for the choice of runs that are cut off. The mutex is held.
 func (p *partition) rememberLate(found []candidate) {
+	now := p.now()
 	for _, each := range found {
 		if run := p.runs[each.key]; run != nil {
-			run.late = each.late
+			run.late, run.hopeless = each.late, each.hopeless(now)
 		}
 	}
 }
--- a/internal/batch/item_run.go
+++ b/internal/batch/item_run.go
@@ -82,7 +82,8 @@
 	p.logger.Debug().Str("job", key.job).Int("item", key.number).Int("made_bytes", len(run.text)).Dur("ran", p.elapsed()-run.began).Msg("item_cut_off")
 }
 
-// replaceLate cuts off a run that will be late where an item that can be in time finds no room.
+// replaceLate cuts off a run that will be late whatever it gets, where an item that can be in time finds no room. One that is only planned to be
+// late may still be in time if it runs on, and needs less for that than an item that has not begun.
 func (p *partition) replaceLate(waiting candidate) {
 	if waiting.late {
 		return
@@ -91,7 +92,7 @@
 	defer p.mutex.Unlock()
 	for _, backend := range waiting.route.Backends {
 		key, run := p.leastUrgentRun(backend.Service, waiting.homes)
-		if run != nil && run.late {
+		if run != nil && run.hopeless {
 			p.cutOff(key, run)
 			return
 		}
