Change feed, copies: what depends on the view of all members is worked out once a view

Cause: who the watchers are was worked out from all members some twelve times a second by each node, and a storage node's share of the offers of copies, a digest for each pair of a node and a storage node (148,000 with 985 and 150), five times a second while the service does not answer. Change: both are kept for the view of the members by which they were worked out.

--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -75,6 +75,9 @@
 	lastHeartbeat time.Time
 	answered      time.Time
 	prefixes      map[string]*prefixState
+	// watcher says that by watcherView this node is a watcher.
+	watcher     bool
+	watcherView *membership.View
 	// alone says of a prefix whether this node watches it for itself alone at present.
 	alone map[string]func() bool
 }
@@ -172,7 +175,7 @@
 	}
 	silent := f.watchersSilent(now)
 	joining := now.Sub(f.started) < joinTime
-	return silent || (Watches(f.viewer.View()) && !joining)
+	return silent || (f.isWatcher(f.viewer.View()) && !joining)
 }
 
 // Unanswered says that for long this node has had no answer of the service, and no heartbeat of a watcher has come, which each watcher sends
--- a/internal/changefeed/pass_on.go
+++ b/internal/changefeed/pass_on.go
@@ -75,7 +75,7 @@
 // have the others read them at once; without, they found out by membership and had them 1.6 to 2.9 s late.
 func (f *Feed) sendChanges(message *changefeedpb.Changes) {
 	view := f.viewer.View()
-	if !Watches(view) {
+	if !f.isWatcher(view) {
 		return
 	}
 	if size := proto.Size(message); size > maxPassedOn {
@@ -92,7 +92,7 @@
 	f.mutex.Lock()
 	answered := now.Sub(f.answered) < answeredWithin
 	f.mutex.Unlock()
-	if answered && Watches(view) {
+	if answered && f.isWatcher(view) {
 		f.sendHeartbeat(view)
 	}
 }
--- a/internal/changefeed/watchers.go
+++ b/internal/changefeed/watchers.go
@@ -20,12 +20,22 @@
 // Hold returns how long this node has the key-value service hold a watch: short for a watcher, for a node that hears none, and for one that
 // watches a prefix for itself.
 func (f *Feed) Hold() time.Duration {
-	if Watches(f.viewer.View()) || f.watchersSilent(time.Now()) || f.watchesAnyAlone() {
+	if f.isWatcher(f.viewer.View()) || f.watchersSilent(time.Now()) || f.watchesAnyAlone() {
 		return watcherHold
 	}
 	return otherHold
 }
 
+// isWatcher is Watches, worked out once for each view.
+func (f *Feed) isWatcher(view *membership.View) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.watcherView != view {
+		f.watcherView, f.watcher = view, Watches(view)
+	}
+	return f.watcher
+}
+
 // Watches tells whether this node is one of the watchers by its own view: the first live members, of as many zones as there are. A node
 // that knows no other watches.
 func Watches(view *membership.View) bool {
--- a/internal/snapshotcache/cache.go
+++ b/internal/snapshotcache/cache.go
@@ -58,6 +58,9 @@
 	wake     chan struct{}
 	unsaved  chan struct{}
 
+	// offersBy belongs to the goroutine that offers copies.
+	offersBy offersBy
+
 	// taking is held while copies are handed to take functions, and while a listing ends the use of copies, so that no copy comes after a
 	// listing.
 	taking sync.Mutex
--- a/internal/snapshotcache/offers.go
+++ b/internal/snapshotcache/offers.go
@@ -46,12 +46,30 @@
 	if missing {
 		return
 	}
-	for _, address := range offerTo(c.options.Viewer.View().Self, c.machines()) {
+	for _, address := range c.offerTargets() {
 		// A message that is lost is sent again in the next interval.
 		_ = c.options.Caller.Send(address, methodOffer, &snapshotcachepb.Offer{})
 	}
 }
 
+// offerTargets returns the nodes to which this one offers, worked out once for each view of the members: that takes a step for each node and each
+// node with a data folder.
+func (c *Cache) offerTargets() []netip.AddrPort {
+	view := c.options.Viewer.View()
+	remembering := time.Since(c.started) < rememberFor
+	if c.offersBy.view != view || c.offersBy.remembering != remembering {
+		c.offersBy = offersBy{view: view, remembering: remembering, targets: offerTo(view.Self, c.machines())}
+	}
+	return c.offersBy.targets
+}
+
+// offersBy are the nodes to which this one offers by one view of the members.
+type offersBy struct {
+	view        *membership.View
+	remembering bool
+	targets     []netip.AddrPort
+}
+
 // machines returns the nodes that are known, sorted by ID: the members, and for a while after the start those that the file named.
 func (c *Cache) machines() []machine {
 	known := map[membership.NodeID]machine{}
