Registration: an edge with seeds looks for its own entry alone at its start

Cause: at its start each node read the whole list of registered nodes to see whether it is among them: 985 x 985 entries, 250 MB over the store's link at a start of all. Change: an edge that has seeds, through which it finds the others, reads its own key; storage nodes read the list, as they need it at once. Figures: test with 1,000 registered: two starts read one entry, 1,000 each before.

--- a/internal/node/role_discovery.go
+++ b/internal/node/role_discovery.go
@@ -103,6 +103,9 @@
 	machines := platform.NewRegisteredMachines(store, platform.Machine{
 		ID: own.Node, Role: platform.RoleNode, Region: own.Region, Zone: own.Zone, Address: own.PeerAddress,
 	})
+	if own.Role != settings.RoleStorage && len(own.Seeds()) > 0 {
+		machines.CheckOwnOnly()
+	}
 	lifecycle.Append(fx.StartStopHook(machines.Start, machines.Stop))
 	return machines
 }
--- a/internal/platform/registration.go
+++ b/internal/platform/registration.go
@@ -36,6 +36,8 @@
 	// registered it; it is set before registered is closed and returned by the first List.
 	registered chan struct{}
 	found      atomic.Pointer[Listing]
+	// ownOnly says that the node looks for its own entry alone at its start, as it finds the others without the list.
+	ownOnly bool
 	// listed says that the list has been read since this process registered.
 	listed  atomic.Bool
 	cancel  context.CancelFunc
@@ -47,6 +49,10 @@
 	return &RegisteredMachines{store: store, self: self, registered: make(chan struct{})}
 }
 
+// CheckOwnOnly has this node look for its own entry alone at its start: the whole list of many nodes, read by each of them, is long. It is called
+// before Start.
+func (r *RegisteredMachines) CheckOwnOnly() { r.ownOnly = true }
+
 // Start registers this node in the background, until that is done. A node that an earlier run has registered finds that out by a
 // stale read, which costs a tenth of other calls.
 func (r *RegisteredMachines) Start() {
@@ -77,14 +83,20 @@
 func (r *RegisteredMachines) isRegistered(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	listing, err := listStale(ctx, r.store, nodePrefix)
+	own := r.entry()
+	prefix := nodePrefix
+	if r.ownOnly {
+		prefix = own.Key
+	}
+	listing, err := listStale(ctx, r.store, prefix)
 	if err != nil {
 		return false
 	}
-	own := r.entry()
 	for _, entry := range listing.Entries {
 		if entry.Key == own.Key && bytes.Equal(entry.Value, own.Value) {
-			r.found.Store(&listing)
+			if !r.ownOnly {
+				r.found.Store(&listing)
+			}
 			return true
 		}
 	}
--- a/internal/platform/registration_test.go
+++ b/internal/platform/registration_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +15,8 @@
 	KeyValue
 	entries              []Entry
 	writes, lists, stale int
+	// staleEntries counts the entries that stale reads had.
+	staleEntries int
 }
 
 func (r *registry) Commit(_ context.Context, transaction Transaction) (CommitResult, error) {
@@ -28,9 +32,40 @@
 	return Listing{Entries: r.entries}, nil
 }
 
-func (r *registry) ListStale(context.Context, string) (Listing, error) {
+func (r *registry) ListStale(_ context.Context, prefix string) (Listing, error) {
 	r.stale++
-	return Listing{Entries: r.entries}, nil
+	var listing Listing
+	for _, entry := range r.entries {
+		if strings.HasPrefix(entry.Key, prefix) {
+			listing.Entries = append(listing.Entries, entry)
+		}
+	}
+	r.staleEntries += len(listing.Entries)
+	return listing, nil
+}
+
+// TestNodeLooksForItsOwnEntryAlone where it finds the others without the list, however many are registered.
+func TestNodeLooksForItsOwnEntryAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &registry{}
+		for number := range 1000 {
+			store.entries = append(store.entries, Entry{Key: fmt.Sprintf("%sedge-%04d", nodePrefix, number), Value: []byte("{}")})
+		}
+		for range 2 {
+			machines := NewRegisteredMachines(store, Machine{ID: "n1", Zone: "z", Address: netip.MustParseAddrPort("127.0.0.1:1")})
+			machines.CheckOwnOnly()
+			machines.Start()
+			synctest.Wait()
+			machines.Stop()
+		}
+		if store.writes != 1 || store.stale != 2 || store.lists != 0 || store.staleEntries != 1 {
+			t.Errorf("two starts: %d writes, %d stale reads of %d entries, %d lists", store.writes, store.stale, store.staleEntries, store.lists)
+		}
+		listing, err := NewRegisteredMachines(store, Machine{ID: "n1", Zone: "z", Address: netip.MustParseAddrPort("127.0.0.1:1")}).read(t.Context())
+		if err != nil || len(listing.Entries) != 1001 {
+			t.Errorf("%d nodes are listed where they are wanted, %v", len(listing.Entries), err)
+		}
+	})
 }
 
 // TestRestartedNodeIsNotRegisteredAgain: a node that an earlier run registered makes one stale read, the cheapest call.
