Parts of replicas: in an outage of the store a node stays with one relay

Cause: a relay that the store does not answer says so, and the asking node goes on to the next one; where the store answers none, each node asked some nine times a second. Change: after all relays have said so a node stays with its first relay, which holds its questions as else. The follower's file is split by duty.

--- a/internal/discovery/fleet_harness_test.go
+++ b/internal/discovery/fleet_harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/roster"
 	"github.com/sloelift/sloelift/internal/route"
+	"github.com/sloelift/sloelift/internal/transport"
 	"github.com/sloelift/sloelift/internal/transport/memory"
 )
 
@@ -51,6 +52,8 @@
 	second   map[int64]int
 	calls    int
 	refused  int
+	// down refuses all calls.
+	down bool
 }
 
 func newBoundedStore(bytesPerSecond float64, readsPerSecond int) *boundedStore {
@@ -65,6 +68,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.calls++
+	if s.down {
+		return platform.KindUnavailable.New("down")
+	}
 	now := time.Now().Unix()
 	s.second[now]++
 	if s.second[now] > s.readsPerSecond {
@@ -211,6 +217,12 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *boundedStore) setDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+}
+
 func (s *boundedStore) callsMade() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -244,7 +256,9 @@
 	transport *memory.Transport
 	feed      *changefeed.Feed
 	service   *Service
-	running   bool
+	// registry holds the figures of transport.
+	registry *prometheus.Registry
+	running  bool
 }
 
 // testFleet is a number of nodes before one store. All know each other from the start.
@@ -293,7 +307,8 @@
 
 func (f *testFleet) startNode(node *fleetNode, zone string, members []membership.Member) {
 	var err error
-	node.transport, err = memory.NewTransport(f.network, node.address, prometheus.NewRegistry())
+	node.registry = prometheus.NewRegistry()
+	node.transport, err = memory.NewTransport(f.network, node.address, node.registry)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -395,3 +410,27 @@
 func (f *testFleet) heal() {
 	f.network.SetConditions(func(netip.AddrPort, netip.AddrPort) memory.Conditions { return memory.Conditions{Delay: fleetDelay} })
 }
+
+// questions counts the questions for parts that all nodes have sent.
+func (f *testFleet) questions() int {
+	asked := 0.0
+	for _, node := range f.nodes {
+		families, err := node.registry.Gather()
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for _, family := range families {
+			if family.GetName() != transport.MetricFrames {
+				continue
+			}
+			for _, metric := range family.GetMetric() {
+				labels := fmt.Sprint(metric.GetLabel())
+				if strings.Contains(labels, "roster.follow") && strings.Contains(labels, transport.DirectionSent) {
+					asked += metric.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	// A relay's answers are counted as sent too.
+	return int(asked / 2)
+}
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -221,3 +221,31 @@
 		fleet.stop()
 	})
 }
+
+// TestOutageOfTheStoreDrawsFewQuestions: while no relay is answered by the store, nodes keep their parts and ask no more often than else; after
+// it they learn what changed.
+func TestOutageOfTheStoreDrawsFewQuestions(t *testing.T) {
+	const outage = 10 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		store := newBoundedStore(fleetBytesPerSecond, fleetReads)
+		fleet := newTestFleet(t, store, 60)
+		enter(store, 0, fleetReplicas, fleetReplicas*10)
+		fleet.start()
+		time.Sleep(2 * knownWithin)
+		store.setDown(true)
+		time.Sleep(outage)
+		asked := fleet.questions()
+		time.Sleep(outage)
+		if perNode := float64(fleet.questions()-asked) / 60 / outage.Seconds(); perNode > 3 {
+			t.Errorf("%.1f questions a second and node while the store is down", perNode)
+		}
+		fleet.checkParts("in the outage")
+		for number := 0; number < fleetReplicas; number += 2 {
+			store.put(replicaKey(number), replicaValue(number)+"!")
+		}
+		store.setDown(false)
+		time.Sleep(knownWithin)
+		fleet.checkDrained()
+		fleet.stop()
+	})
+}
--- a/internal/roster/follower.go
+++ b/internal/roster/follower.go
@@ -1,15 +1,11 @@
 package roster
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	rosterpb "github.com/sloelift/sloelift/api/proto/roster"
@@ -33,17 +29,10 @@
 	// known after some seconds, would not get theirs.
 	alonePatience = 3500 * time.Millisecond
 	peersPatience = 12 * time.Second
-	// witnesses is how many nodes that are no relays are asked in each round, to know whether others are reached.
-	witnesses = 2
 	// roundPause is the wait after each relay was asked in vain, behindPause that before a relay is asked again that knew less than is known
 	// here, or gets no answers of the key-value service.
 	roundPause  = 150 * time.Millisecond
 	behindPause = 100 * time.Millisecond
-	// seedHold is how long nodes of the settings are asked at a start whether the list is long: those with a data folder, which start with this
-	// node, have read the first entries by then. seedTimeout bounds the wait for their answers, seedPatience that for one that knows.
-	seedHold     = 250 * time.Millisecond
-	seedTimeout  = 300 * time.Millisecond
-	seedPatience = 2 * time.Second
 	// firstRelayAgain is how long after another relay stood in the first one is tried again.
 	firstRelayAgain = 5 * time.Second
 	// olderPatience is how long answers are refused that are older than what is known here: the key-value service never loses what it has
@@ -94,6 +83,8 @@
 	// attempt counts the relays that were given up one after another since movedAt.
 	attempt int
 	movedAt time.Time
+	// staleAnswers counts those in a row of relays that get no answers of the key-value service.
+	staleAnswers int
 	// reachedAt is when a node last answered that follows relays itself.
 	reachedAt time.Time
 }
@@ -121,59 +112,6 @@
 	return found && now.Sub(f.started) >= patience && f.relays.Of(view).SelfIsRelay()
 }
 
-// LongBySeeds asks the seeds whether the list is too long for each node to keep all; false where none says so in time. It spares the key-value
-// service the first entries for each node of a large fleet that starts at once. Seeds that start as well are asked again for a while.
-func (f *Follower) LongBySeeds(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, seedPatience)
-	defer cancel()
-	for ctx.Err() == nil {
-		response, starting := f.askSeeds(ctx)
-		if response != nil {
-			return !response.GetShort()
-		}
-		if !starting {
-			break
-		}
-	}
-	return false
-}
-
-// askSeeds asks all seeds at once and returns the first answer; starting says that one answers and does not know yet.
-func (f *Follower) askSeeds(ctx context.Context) (response *rosterpb.FollowResponse, starting bool) {
-	type answer struct {
-		response *rosterpb.FollowResponse
-		err      error
-	}
-	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
-	defer cancel()
-	answers := make(chan answer, len(f.options.Seeds))
-	for _, seed := range f.options.Seeds {
-		go func() {
-			response, err := f.ask(ctx, seed, seedHold)
-			answers <- answer{response, err}
-		}()
-	}
-	for range f.options.Seeds {
-		each := <-answers
-		if each.err == nil {
-			return each.response, false
-		}
-		var refused *transport.RemoteError
-		starting = starting || errors.As(each.err, &refused)
-	}
-	return nil, starting
-}
-
-// LongByRelay asks one relay, another one with each attempt, whether the list is too long for each node to keep all.
-func (f *Follower) LongByRelay(ctx context.Context, attempt int) bool {
-	targets := f.targets()
-	if len(targets) == 0 {
-		return false
-	}
-	response, err := f.ask(ctx, targets[attempt%len(targets)], 0)
-	return err == nil && !response.GetShort()
-}
-
 // Run follows until there is no more reason to.
 func (f *Follower) Run(ctx context.Context) End {
 	began := time.Now()
@@ -221,7 +159,7 @@
 	if f.version == 0 || f.attempt > 0 && f.movedAt.After(f.tookAt) {
 		hold = 0
 	}
-	response, err := f.ask(ctx, targets[f.attempt%len(targets)], hold)
+	response, err := f.askFor(ctx, targets[f.attempt%len(targets)], hold, f.acceptsStale(len(targets)))
 	switch {
 	case err != nil:
 		f.giveUp(ctx, len(targets), 0)
@@ -234,13 +172,29 @@
 		f.giveUp(ctx, len(targets), behindPause)
 	default:
 		f.take(response)
-		if response.GetStale() {
-			f.giveUp(ctx, len(targets), behindPause)
-		}
+		f.afterAnswer(ctx, response.GetStale(), len(targets))
 	}
 	return false
 }
 
+// afterAnswer has another relay asked where this one gets no answers of the key-value service, until all have said so: then the service is down,
+// and the first relay is as good as any.
+func (f *Follower) afterAnswer(ctx context.Context, stale bool, relays int) {
+	if !stale {
+		f.staleAnswers = 0
+		return
+	}
+	f.staleAnswers++
+	if f.acceptsStale(relays) {
+		f.attempt = 0
+		return
+	}
+	f.giveUp(ctx, relays, behindPause)
+}
+
+// acceptsStale says that all relays get no answers of the key-value service.
+func (f *Follower) acceptsStale(relays int) bool { return f.staleAnswers >= relays }
+
 // giveUp has the next relay asked, after a pause.
 func (f *Follower) giveUp(ctx context.Context, relays int, wait time.Duration) {
 	if f.attempt == 0 {
@@ -265,8 +219,13 @@
 	return now.Sub(f.olderSince) < olderPatience
 }
 
-// ask puts a question to a relay.
-func (f *Follower) ask(ctx context.Context, relay netip.AddrPort, hold time.Duration) (*rosterpb.FollowResponse, error) {
+// ask puts a question to a node.
+func (f *Follower) ask(ctx context.Context, node netip.AddrPort, hold time.Duration) (*rosterpb.FollowResponse, error) {
+	return f.askFor(ctx, node, hold, false)
+}
+
+// askFor puts a question to a relay; acceptStale has it hold the answer though the key-value service does not answer it.
+func (f *Follower) askFor(ctx context.Context, relay netip.AddrPort, hold time.Duration, acceptStale bool) (*rosterpb.FollowResponse, error) {
 	timeout := probeTimeout
 	if hold > 0 {
 		timeout = hold + answerSlack
@@ -276,7 +235,7 @@
 	response := &rosterpb.FollowResponse{}
 	err := f.options.Caller.Call(bounded, relay, methodFollow, &rosterpb.FollowRequest{
 		Node: string(f.options.Node), Zone: f.options.Zone, Width: uint32(f.options.Keeper.Width(time.Now())),
-		KnownRun: f.run, KnownVersion: f.version, HoldMicros: hold.Microseconds(),
+		KnownRun: f.run, KnownVersion: f.version, HoldMicros: hold.Microseconds(), AcceptStale: acceptStale,
 	}, response)
 	if err != nil {
 		f.options.Logger.Debug().Err(err).Stringer(logging.FieldPeer, relay).Msg("relay_not_answering")
@@ -320,45 +279,3 @@
 	}
 	return replicas, failures
 }
-
-// targets returns whom this node asks, in this order: the relays of its zone, those of other zones, each in an order that differs from node to
-// node, and some nodes that are no relays.
-func (f *Follower) targets() []netip.AddrPort {
-	view := f.options.Viewer.View()
-	relays := f.relays.Of(view)
-	targets := f.inOrder(relays.InZone(f.options.Zone))
-	var others []membership.Member
-	for _, zone := range relays.Zones() {
-		if zone != f.options.Zone {
-			others = append(others, relays.InZone(zone)...)
-		}
-	}
-	targets = append(targets, f.inOrder(others)...)
-	return append(targets, f.witnesses(view, relays)...)
-}
-
-// witnesses draws some nodes that are no relays.
-func (f *Follower) witnesses(view *membership.View, relays zonerelay.Relays) []netip.AddrPort {
-	var found []netip.AddrPort
-	for range witnesses {
-		member := view.Members[rand.N(len(view.Members))]
-		if member.ID != f.options.Node && member.State == membership.Alive && !relays.IsRelay(member.ID) {
-			found = append(found, member.PeerAddress)
-		}
-	}
-	return found
-}
-
-func (f *Follower) inOrder(relays []membership.Member) []netip.AddrPort {
-	rank := func(member membership.Member) uint64 {
-		return xxhash.Sum64String(string(f.options.Node) + "\x00" + string(member.ID))
-	}
-	ordered := slices.SortedFunc(slices.Values(relays), func(one, other membership.Member) int { return cmp.Compare(rank(one), rank(other)) })
-	var addresses []netip.AddrPort
-	for _, relay := range ordered {
-		if relay.ID != f.options.Node {
-			addresses = append(addresses, relay.PeerAddress)
-		}
-	}
-	return addresses
-}
--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -99,7 +99,7 @@
 	}
 	found := differs(known.sent, wanted.entries)
 	if found.empty() && !response.Whole {
-		return response, response.Stale
+		return response, response.Stale && !request.GetAcceptStale()
 	}
 	r.version++
 	response.Version = r.version
--- a/internal/roster/relay_test.go
+++ b/internal/roster/relay_test.go
@@ -128,6 +128,11 @@
 		if !first.GetStale() || !second.GetStale() || time.Since(began) > 0 {
 			t.Errorf("stale %t and %t, the second after %s", first.GetStale(), second.GetStale(), time.Since(began))
 		}
+		accepting := questionOf(0, second, time.Second)
+		accepting.AcceptStale = true
+		if third := mustAnswer(t, relay, accepting); !third.GetStale() || time.Since(began) != time.Second {
+			t.Errorf("stale %t after %s where that is accepted, want it held", third.GetStale(), time.Since(began))
+		}
 	})
 }
 
--- /dev/null
+++ b/internal/roster/targets.go
@@ -0,0 +1,61 @@
+package roster
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/zonerelay"
+)
+
+// witnesses is how many nodes that are no relays are asked in each round, to know whether others are reached.
+const witnesses = 2
+
+// targets returns whom this node asks, in this order: the relays of its zone, those of other zones, each in an order that differs from node to
+// node, and some nodes that are no relays.
+func (f *Follower) targets() []netip.AddrPort {
+	view := f.options.Viewer.View()
+	relays := f.relays.Of(view)
+	targets := f.inOrder(relays.InZone(f.options.Zone))
+	var others []membership.Member
+	for _, zone := range relays.Zones() {
+		if zone != f.options.Zone {
+			others = append(others, relays.InZone(zone)...)
+		}
+	}
+	targets = append(targets, f.inOrder(others)...)
+	return append(targets, f.witnesses(view, relays)...)
+}
+
+// witnesses draws some nodes that are no relays.
+func (f *Follower) witnesses(view *membership.View, relays zonerelay.Relays) []netip.AddrPort {
+	var found []netip.AddrPort
+	if len(view.Members) == 0 {
+		return nil
+	}
+	for range witnesses {
+		member := view.Members[rand.N(len(view.Members))]
+		if member.ID != f.options.Node && member.State == membership.Alive && !relays.IsRelay(member.ID) {
+			found = append(found, member.PeerAddress)
+		}
+	}
+	return found
+}
+
+func (f *Follower) inOrder(relays []membership.Member) []netip.AddrPort {
+	rank := func(member membership.Member) uint64 {
+		return xxhash.Sum64String(string(f.options.Node) + "\x00" + string(member.ID))
+	}
+	ordered := slices.SortedFunc(slices.Values(relays), func(one, other membership.Member) int { return cmp.Compare(rank(one), rank(other)) })
+	var addresses []netip.AddrPort
+	for _, relay := range ordered {
+		if relay.ID != f.options.Node {
+			addresses = append(addresses, relay.PeerAddress)
+		}
+	}
+	return addresses
+}
