Change feed: a node that has missed something of a long list does not read it

Change: a position says that there are too many keys for each node to keep all; a node that knows less then follows its part without a listing.

--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -80,12 +80,14 @@
 	watcherView *membership.View
 	// alone says of a prefix whether this node watches it for itself alone at present.
 	alone map[string]func() bool
+	// mostKept is the number of keys of a prefix up to which each node keeps all.
+	mostKept map[string]int
 }
 
 // New returns a Feed of store and registers its methods.
 func New(store platform.KeyValue, caller transport.Caller, registrar transport.Registrar, viewer membership.Viewer, logger zerolog.Logger) *Feed {
 	feed := &Feed{
-		KeyValue: store, caller: caller, viewer: viewer, started: time.Now(), lastHeartbeat: time.Now().Add(firstSilence - silence), prefixes: map[string]*prefixState{}, alone: map[string]func() bool{}, zone: newZoneState(),
+		KeyValue: store, caller: caller, viewer: viewer, started: time.Now(), lastHeartbeat: time.Now().Add(firstSilence - silence), prefixes: map[string]*prefixState{}, alone: map[string]func() bool{}, mostKept: map[string]int{}, zone: newZoneState(),
 		logger: logger.With().Str(logging.FieldSlice, "changefeed").Logger(),
 	}
 	registrar.Handle(methodChanges, func() proto.Message { return &changefeedpb.Changes{} },
@@ -137,12 +139,13 @@
 	return state
 }
 
-// WatchAlone has this node watch prefix for itself while alone says so: changes of it are neither passed on nor taken from others then.
+// WatchAlone has this node watch prefix for itself while alone says so: changes of it are neither passed on nor taken from others then. most is
+// the number of keys up to which each node keeps all; beyond it the watch of a node that has missed something ends with KindTooLong.
 // It is called before the first watch of prefix.
-func (f *Feed) WatchAlone(prefix string, alone func() bool) {
+func (f *Feed) WatchAlone(prefix string, most int, alone func() bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.alone[prefix] = alone
+	f.alone[prefix], f.mostKept[prefix] = alone, most
 }
 
 // watchesAlone says that this node watches prefix for itself.
--- a/internal/changefeed/pass_on.go
+++ b/internal/changefeed/pass_on.go
@@ -102,10 +102,10 @@
 	heartbeat := &changefeedpb.Heartbeat{}
 	f.mutex.Lock()
 	for prefix, state := range f.prefixes {
-		if alone := f.alone[prefix]; alone != nil && alone() {
-			continue
-		}
-		heartbeat.Positions = append(heartbeat.Positions, &changefeedpb.Position{Prefix: prefix, Revision: state.newest})
+		most, bounded := f.mostKept[prefix]
+		heartbeat.Positions = append(heartbeat.Positions, &changefeedpb.Position{
+			Prefix: prefix, Revision: state.newest, Long: bounded && len(state.revisions) > most,
+		})
 	}
 	f.mutex.Unlock()
 	f.sendToAll(view, methodHeartbeat, heartbeat)
@@ -116,7 +116,7 @@
 	f.mutex.Lock()
 	f.noteHeartbeat(now)
 	for _, position := range heartbeat.Positions {
-		f.state(position.Prefix).takePosition(position.Revision, now)
+		f.state(position.Prefix).takePosition(position, now)
 	}
 	f.mutex.Unlock()
 	if heartbeat.GetPassOn() && f.zone.takesHeartbeat(heartbeat, now) {
--- a/internal/changefeed/prefix_state.go
+++ b/internal/changefeed/prefix_state.go
@@ -18,13 +18,16 @@
 	// position is the newest of the watchers' positions, positionTaken when it came.
 	position      int64
 	positionTaken time.Time
+	// long says that by that position there are too many keys for each node to keep all.
+	long bool
 }
 
 // takePosition takes in a watcher's position.
-func (s *prefixState) takePosition(revision int64, now time.Time) {
-	if revision > s.position {
+func (s *prefixState) takePosition(position *changefeedpb.Position, now time.Time) {
+	if revision := position.GetRevision(); revision > s.position {
 		s.position, s.positionTaken = revision, now
 	}
+	s.long = position.GetLong()
 }
 
 // missed says that a reader who knows all changes up to known did not get what watchers passed on.
--- a/internal/changefeed/watch.go
+++ b/internal/changefeed/watch.go
@@ -153,8 +153,8 @@
 			if w.feed.watchesNow(w.prefix, now) {
 				return true
 			}
-			if w.feed.missed(w.prefix, w.known, now) {
-				return w.deliver(ctx, platform.WatchEvent{Err: platform.KindCompacted.New("a watcher's position is ahead of what came")})
+			if err := w.feed.missed(w.prefix, w.known, now); err != nil {
+				return w.deliver(ctx, platform.WatchEvent{Err: err})
 			}
 		case <-ctx.Done():
 			return false
@@ -196,11 +196,18 @@
 	return f.state(prefix).inbox
 }
 
-// missed says that what watchers passed on did not come to a reader who knows all changes up to known.
-func (f *Feed) missed(prefix string, known int64, now time.Time) bool {
+// missed returns why a reader who knows all changes up to known is to learn of the others in another way; nil where none are missing.
+func (f *Feed) missed(prefix string, known int64, now time.Time) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.state(prefix).missed(known, now)
+	state := f.state(prefix)
+	if !state.missed(known, now) {
+		return nil
+	}
+	if most, bounded := f.mostKept[prefix]; bounded && state.long {
+		return platform.KindTooLong.New("a watcher knows more than %d keys", most)
+	}
+	return platform.KindCompacted.New("a watcher's position is ahead of what came")
 }
 
 // notAnswered notes that the service failed this node, which then is no use as a watcher.
--- a/internal/discovery/fleet_harness_test.go
+++ b/internal/discovery/fleet_harness_test.go
@@ -116,7 +116,7 @@
 		Store: node.feed, Translator: fleetTranslator{}, Routes: route.NewHolder(), Directory: node.directory, Viewer: node.viewer,
 		Reporter: &fixedViewer{}, Roster: all, Keeper: keeper, Node: node.id, Zone: zone, Logger: zerolog.Nop(),
 	}
-	node.feed.WatchAlone("replicas/", all.Long)
+	node.feed.WatchAlone("replicas/", roster.MostKeptByEach, all.Long)
 	roster.NewRelay(all, func() bool { return !node.feed.Answered() }, node.transport)
 	following := roster.FollowerOptions{
 		Node: node.id, Zone: zone, Caller: node.transport, Viewer: node.viewer, Keeper: keeper, Logger: zerolog.Nop(),
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -40,17 +40,23 @@
 				enter(store, 0, fleetReplicas, entersPerSecond)
 				time.Sleep(knownWithin)
 				fleet.checkParts("after the entries")
+				relays := zonerelay.PerZone * len(fleetZones)
+				wholeList := fleetReplicas/boundedPage + 1
+				// Each node lists both prefixes once; the relays read the whole list and watch, about twice a second while it changes.
+				entering := fleetReplicas/entersPerSecond + int(knownWithin/time.Second)
+				most := 2*nodes + (relays+2)*(wholeList+2*entering)
+				if calls := store.callsMade(); calls > most {
+					t.Errorf("%d calls of the store while replicas enter themselves, want %d at most", calls, most)
+				}
 				fleet.stop()
 				before := store.callsMade()
 				fleet.start()
 				time.Sleep(knownWithin)
 				fleet.checkParts("after a start of all")
-				relays := zonerelay.PerZone * len(fleetZones)
-				wholeList := fleetReplicas/boundedPage + 1
 				watching := int(knownWithin/time.Second) + 1
 				withDataFolder := nodes / 5
 				firstPages := roster.MostKeptByEach/boundedPage + 1
-				most := nodes + withDataFolder*firstPages + relays*(wholeList+watching) + 2*watching
+				most = nodes + withDataFolder*firstPages + relays*(wholeList+watching) + 2*watching
 				if calls := store.callsMade() - before; calls > most {
 					t.Errorf("%d calls of the store for a start of all, want %d at most", calls, most)
 				}
--- a/internal/node/role_discovery.go
+++ b/internal/node/role_discovery.go
@@ -71,7 +71,7 @@
 // newPartOfReplicas has this node also answer others that follow their part, while it keeps the whole list.
 func newPartOfReplicas(own settings.Settings, feed *changefeed.Feed, adapter Adapter, directory *replica.Directory, members *membership.Service, caller transport.Caller, registrar transport.Registrar, logger zerolog.Logger) partOfReplicas {
 	all, keeper := roster.New(), roster.NewKeeper(directory)
-	feed.WatchAlone(adapter.Translator.ReplicaPrefix(), all.Long)
+	feed.WatchAlone(adapter.Translator.ReplicaPrefix(), roster.MostKeptByEach, all.Long)
 	roster.NewRelay(all, func() bool { return !feed.Answered() }, registrar)
 	options := roster.FollowerOptions{
 		Node: membership.NodeID(own.Node), Zone: own.Zone, Caller: caller, Viewer: members, Keeper: keeper,
