Change feed, relays, membership: a node acts for others only once it knows them

Digests of members that know different revisions were 3.8 KB. Change: a node is neither watcher nor relay while it still learns of further members, for 3 and 2 s at most; a listing counts as an answer of the service, so that the first heartbeat is no later. A zone's digest leaves revisions out beyond 32 runs.

--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -41,6 +41,9 @@
 	// joinTime is for how long after its start a node waits to learn of the others before it takes itself for a watcher; what it lists
 	// at its start is as new as what a watch would tell.
 	joinTime = 600 * time.Millisecond
+	// longestJoin bounds that wait for a node that still learns of others: of a thousand that start at once many would take themselves for
+	// watchers, and each would send all changes to all that it knows.
+	longestJoin = 3 * time.Second
 	// gatherWait is how long changes are gathered before the service is asked for more, for each answer is a call. The first change after
 	// a calm is told at once. A replica that drains takes requests for 2 s or more after it said so; a third of that is left for
 	// nodes that hear of it late.
@@ -64,13 +67,14 @@
 	// relays are those of the zones, zone what this node as one of them has sent on.
 	relays zonerelay.Cache
 	zone   *zoneState
+	growth membership.Growth
 
 	started time.Time
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 
-	// mutex guards the fields below. lastHeartbeat is when a watcher last sent something, answered when the service last answered a watch of this
-	// node. At the start lastHeartbeat is set so that silence ends after firstSilence.
+	// mutex guards the fields below. lastHeartbeat is when a watcher last sent something, answered when the service last answered a watch or a
+	// listing of this node. At the start lastHeartbeat is set so that silence ends after firstSilence.
 	mutex         sync.Mutex
 	lastHeartbeat time.Time
 	answered      time.Time
@@ -90,6 +94,7 @@
 		KeyValue: store, caller: caller, viewer: viewer, started: time.Now(), lastHeartbeat: time.Now().Add(firstSilence - silence), prefixes: map[string]*prefixState{}, alone: map[string]func() bool{}, mostKept: map[string]int{}, zone: newZoneState(),
 		logger: logger.With().Str(logging.FieldSlice, "changefeed").Logger(),
 	}
+	feed.growth.SettledFor(viewer.View(), feed.started)
 	registrar.Handle(methodChanges, func() proto.Message { return &changefeedpb.Changes{} },
 		func(_ context.Context, _ netip.AddrPort, message proto.Message) (proto.Message, error) {
 			feed.take(message.(*changefeedpb.Changes), time.Now())
@@ -123,12 +128,20 @@
 	if err != nil {
 		return listing, err
 	}
+	f.noteAnswered(time.Now())
 	if missed := f.takeListing(prefix, listing); missed != nil && !f.watchesAlone(prefix) {
 		f.sendChanges(missed)
 	}
 	return listing, nil
 }
 
+// noteAnswered notes that the service has answered this node, which may be a watcher.
+func (f *Feed) noteAnswered(now time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.answered = now
+}
+
 // state returns the state of a prefix. The mutex is held.
 func (f *Feed) state(prefix string) *prefixState {
 	state, known := f.prefixes[prefix]
@@ -176,9 +189,14 @@
 	if f.watchesAlone(prefix) {
 		return true
 	}
-	silent := f.watchersSilent(now)
-	joining := now.Sub(f.started) < joinTime
-	return silent || (f.isWatcher(f.viewer.View()) && !joining)
+	return f.watchersSilent(now) || f.isWatcher(f.viewer.View()) && !f.joining(now)
+}
+
+// joining says that this node has started a short while ago and may not know the others yet.
+func (f *Feed) joining(now time.Time) bool {
+	since := now.Sub(f.started)
+	settled := f.growth.SettledFor(f.viewer.View(), now)
+	return since < joinTime || since < longestJoin && settled < joinTime
 }
 
 // Unanswered says that for long this node has had no answer of the service, and no heartbeat of a watcher has come, which each watcher sends
--- a/internal/changefeed/pass_on.go
+++ b/internal/changefeed/pass_on.go
@@ -75,7 +75,7 @@
 // have the others read them at once; without, they found out by membership and had them 1.6 to 2.9 s late.
 func (f *Feed) sendChanges(message *changefeedpb.Changes) {
 	view := f.viewer.View()
-	if !f.isWatcher(view) {
+	if !f.isWatcher(view) || f.joining(time.Now()) {
 		return
 	}
 	if size := proto.Size(message); size > maxPassedOn {
@@ -92,7 +92,7 @@
 	f.mutex.Lock()
 	answered := now.Sub(f.answered) < answeredWithin
 	f.mutex.Unlock()
-	if answered && f.isWatcher(view) {
+	if answered && f.isWatcher(view) && !f.joining(now) {
 		f.sendHeartbeat(view)
 	}
 }
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -122,6 +122,9 @@
 		}
 		run.Members++
 	}
+	if len(digest.Revisions) > mostRevisionRuns {
+		digest.Revisions = nil
+	}
 	return digest
 }
 
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -91,6 +91,9 @@
 	recordsPerMessage = 200
 	// bulkRecords is how many records in one message are more than passing news.
 	bulkRecords = 24
+	// mostRevisionRuns bounds the runs of equal revisions in the digest of a zone. Where there are more they are left out: each probe carries its
+	// sender's, and in a zone of hundreds of members that all differ the digest would be some KB.
+	mostRevisionRuns = 32
 	// joinContacts is how many contacts a node that knows nobody asks at once.
 	joinContacts = 2
 	// maxSeeds bounds the seeds; contacts past it are not needed to join.
--- a/internal/roster/follower.go
+++ b/internal/roster/follower.go
@@ -70,6 +70,7 @@
 type Follower struct {
 	options FollowerOptions
 	relays  zonerelay.Cache
+	growth  membership.Growth
 	started time.Time
 
 	// run and version name the last answer; version is 0 where the whole part is to be asked for. copied says that it was by a copy.
@@ -91,15 +92,21 @@
 
 // NewFollower returns a Follower that has asked nobody.
 func NewFollower(options FollowerOptions) *Follower {
-	return &Follower{options: options, started: time.Now()}
+	follower := &Follower{options: options, started: time.Now()}
+	follower.growth.SettledFor(options.Viewer.View(), follower.started)
+	return follower
 }
 
 // edgeRelayAfter is how long after its start a node without a data folder takes itself for a relay: until then it may not know those of its
 // zone that have one.
 const edgeRelayAfter = 5 * time.Second
 
-// storeRelayAfter is the same for one with a data folder, which knows itself alone at first.
-const storeRelayAfter = 600 * time.Millisecond
+// storeRelayAfter is the same for one with a data folder, which knows itself alone at first, and the time for which it has learnt of no further
+// nodes; longestSettling bounds that wait. Else many of those that start at once would each read the whole list.
+const (
+	storeRelayAfter = 600 * time.Millisecond
+	longestSettling = 2 * time.Second
+)
 
 // IsRelay says that this node is a relay by what it knows of the others.
 func (f *Follower) IsRelay(now time.Time) bool {
@@ -109,7 +116,9 @@
 	if self.Store {
 		patience = storeRelayAfter
 	}
-	return found && now.Sub(f.started) >= patience && f.relays.Of(view).SelfIsRelay()
+	since := now.Sub(f.started)
+	settled := f.growth.SettledFor(view, now) >= storeRelayAfter || since >= longestSettling
+	return found && since >= patience && settled && f.relays.Of(view).SelfIsRelay()
 }
 
 // Run follows until there is no more reason to.
