--- a/internal/roster/follower.go
+++ b/internal/roster/follower.go
@@ -66,7 +66,7 @@
 	Logger zerolog.Logger
 }
 
-// Follower follows a node's part of the list at the relays. It belongs to one goroutine, but for IsRelay and Longer.
+// Follower follows a node's part of the list at the relays. It belongs to one goroutine, but for IsRelay, and for LongByRelay while Run does not run.
 type Follower struct {
 	options FollowerOptions
 	relays  zonerelay.Cache
--- a/internal/roster/long.go
+++ b/internal/roster/long.go
@@ -6,6 +6,7 @@
 	"time"
 
 	rosterpb "github.com/sloelift/sloelift/api/proto/roster"
+	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/transport"
 )
 
@@ -15,6 +16,8 @@
 	seedHold     = 250 * time.Millisecond
 	seedTimeout  = 300 * time.Millisecond
 	seedPatience = 2 * time.Second
+	// seedPause is the wait between two rounds, for seeds that refuse at once.
+	seedPause = 50 * time.Millisecond
 )
 
 // LongBySeeds asks the seeds whether the list is too long for each node to keep all; false where none says so in time. It spares the key-value
@@ -27,7 +30,7 @@
 		if response != nil {
 			return !response.GetShort()
 		}
-		if !starting {
+		if !starting || !pause.Sleep(ctx, seedPause) {
 			break
 		}
 	}
