--- a/internal/discovery/fleet_harness_test.go
+++ b/internal/discovery/fleet_harness_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -10,6 +11,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/sloelift/sloelift/internal/changefeed"
 	"github.com/sloelift/sloelift/internal/membership"
@@ -230,3 +232,14 @@
 	// A relay's answers are counted as sent too.
 	return int(asked / 2)
 }
+
+// noCaller reaches nobody.
+type noCaller struct{}
+
+func (noCaller) Call(context.Context, netip.AddrPort, transport.Method, proto.Message, proto.Message) error {
+	return transport.KindNotSent.New("nobody is reached")
+}
+
+func (noCaller) Send(netip.AddrPort, transport.Method, proto.Message) error {
+	return transport.KindNotSent.New("nobody is reached")
+}
--- a/internal/discovery/replica_source.go
+++ b/internal/discovery/replica_source.go
@@ -52,7 +52,7 @@
 
 // keepsAll says that this node is to keep the whole list.
 func (s *Service) keepsAll() bool {
-	return !s.keepsPart() || s.relays.IsRelay(time.Now())
+	return !s.keepsPart() || s.relays.IsRelay(time.Now()) || s.roster.Loaded() && s.relays.MayBeRelay()
 }
 
 // leaveList drops the whole list, which this node no longer keeps.
--- a/internal/roster/follower.go
+++ b/internal/roster/follower.go
@@ -121,6 +121,14 @@
 	return found && since >= patience && settled && f.relays.Of(view).SelfIsRelay()
 }
 
+// MayBeRelay says that this node, which has the list already, is to keep it: it has a data folder and is a relay by as many nodes as it knows. It
+// saves those that start at once the wait for relays that know each other.
+func (f *Follower) MayBeRelay() bool {
+	view := f.options.Viewer.View()
+	self, found := view.Find(view.Self)
+	return found && self.Store && f.relays.Of(view).SelfIsRelay()
+}
+
 // Run follows until there is no more reason to.
 func (f *Follower) Run(ctx context.Context) End {
 	began := time.Now()
