Change feed: the wait for watchers counts from the end of a node's joining

After it positions named the revision of a watcher's listing, and all listed once more. Change: a node does not watch while it joins, and hears silence from the end of that; a watcher's listing that shows no key gone passes on the revision of the newest entry. The tests' bounded store began at revision 0, for which a follower lists twice, held watches of one prefix were ended by changes of others, and a change between two of its locks was lost, which showed once as a replica that no node knew to drain.

--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -189,14 +189,21 @@
 	if f.watchesAlone(prefix) {
 		return true
 	}
-	return f.watchersSilent(now) || f.isWatcher(f.viewer.View()) && !f.joining(now)
+	return !f.joining(now) && (f.watchersSilent(now) || f.isWatcher(f.viewer.View()))
 }
 
-// joining says that this node has started a short while ago and may not know the others yet.
+// joining says that this node has started a short while ago and may not know the others yet. Its wait for watchers, which start as well, counts
+// from the end of that.
 func (f *Feed) joining(now time.Time) bool {
 	since := now.Sub(f.started)
 	settled := f.growth.SettledFor(f.viewer.View(), now)
-	return since < joinTime || since < longestJoin && settled < joinTime
+	joins := since < joinTime || since < longestJoin && settled < joinTime
+	if joins {
+		f.mutex.Lock()
+		f.noteHeartbeat(now)
+		f.mutex.Unlock()
+	}
+	return joins
 }
 
 // Unanswered says that for long this node has had no answer of the service, and no heartbeat of a watcher has come, which each watcher sends
--- a/internal/changefeed/prefix_state.go
+++ b/internal/changefeed/prefix_state.go
@@ -85,10 +85,24 @@
 	if len(missed.Changed) == 0 && len(missed.Present) == len(known) {
 		return nil
 	}
-	state.newest = max(state.newest, listing.Revision)
+	if len(missed.Present) < len(known)+added(known, listing) {
+		// When a key went is not known. Else the newest change is that of an entry: a later position would have all others list.
+		state.newest = max(state.newest, listing.Revision)
+	}
 	return &changefeedpb.Changes{Prefix: prefix, Previous: previous, Changes: []*changefeedpb.Change{missed}}
 }
 
+// added returns how many entries of a listing are of keys that were not known.
+func added(known map[string]int64, listing platform.Listing) int {
+	count := 0
+	for _, entry := range listing.Entries {
+		if _, present := known[entry.Key]; !present {
+			count++
+		}
+	}
+	return count
+}
+
 // missedChange is what a listing shows beyond the keys known, by their revisions.
 func missedChange(known map[string]int64, listing platform.Listing) *changefeedpb.Change {
 	missed := &changefeedpb.Change{Revision: listing.Revision, Listed: true}
--- a/internal/discovery/bounded_store_test.go
+++ b/internal/discovery/bounded_store_test.go
@@ -43,7 +43,7 @@
 func newBoundedStore(bytesPerSecond float64, readsPerSecond int) *boundedStore {
 	return &boundedStore{
 		bytesPerSecond: bytesPerSecond, readsPerSecond: readsPerSecond, entries: map[string]platform.Entry{}, changed: make(chan struct{}),
-		second: map[int64]int{},
+		second: map[int64]int{}, revision: 1,
 	}
 }
 
@@ -151,29 +151,32 @@
 	if err := s.take(); err != nil {
 		return nil, 0, err
 	}
-	s.mutex.Lock()
-	changed, quiet := s.changed, s.revision <= since
-	s.mutex.Unlock()
-	if quiet {
+	over := time.After(time.Second)
+	answer, at, changed := s.since(prefix, since)
+	for held := true; held && len(answer) == 0; answer, at, changed = s.since(prefix, since) {
 		select {
 		case <-changed:
-		case <-time.After(time.Second):
+		case <-over:
+			held = false
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
 		}
 	}
+	err := s.send(ctx, len(answer))
+	return append(answer, platform.WatchEvent{Revision: at}), at, err
+}
+
+// since returns the changes below prefix behind a revision, the present revision, and a channel that is closed at the next change.
+func (s *boundedStore) since(prefix string, revision int64) (answer []platform.WatchEvent, at int64, changed <-chan struct{}) {
 	s.mutex.Lock()
-	var answer []platform.WatchEvent
+	defer s.mutex.Unlock()
 	for _, event := range s.history {
-		if event.Revision > since && eventIsBelow(event, prefix) {
+		if event.Revision > revision && eventIsBelow(event, prefix) {
 			event.More = true
 			answer = append(answer, event)
 		}
 	}
-	at := s.revision
-	s.mutex.Unlock()
-	err := s.send(ctx, len(answer))
-	return append(answer, platform.WatchEvent{Revision: at}), at, err
+	return answer, s.revision, s.changed
 }
 
 func eventIsBelow(event platform.WatchEvent, prefix string) bool {
