--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -90,11 +90,13 @@
 
 // New returns a Feed of store and registers its methods.
 func New(store platform.KeyValue, caller transport.Caller, registrar transport.Registrar, viewer membership.Viewer, logger zerolog.Logger) *Feed {
+	now := time.Now()
 	feed := &Feed{
-		KeyValue: store, caller: caller, viewer: viewer, started: time.Now(), lastHeartbeat: time.Now().Add(firstSilence - silence), prefixes: map[string]*prefixState{}, alone: map[string]func() bool{}, mostKept: map[string]int{}, zone: newZoneState(),
+		KeyValue: store, caller: caller, viewer: viewer, started: now, lastHeartbeat: now.Add(firstSilence - silence),
+		prefixes: map[string]*prefixState{}, alone: map[string]func() bool{}, mostKept: map[string]int{}, zone: newZoneState(),
 		logger: logger.With().Str(logging.FieldSlice, "changefeed").Logger(),
 	}
-	feed.growth.SettledFor(viewer.View(), feed.started)
+	feed.growth.SettledFor(viewer.View(), now)
 	registrar.Handle(methodChanges, func() proto.Message { return &changefeedpb.Changes{} },
 		func(_ context.Context, _ netip.AddrPort, message proto.Message) (proto.Message, error) {
 			feed.take(message.(*changefeedpb.Changes), time.Now())
--- a/internal/changefeed/watchers.go
+++ b/internal/changefeed/watchers.go
@@ -17,8 +17,8 @@
 	otherHold   = 20 * time.Second
 )
 
-// Hold returns how long this node has the key-value service hold a watch: short for a watcher, for a node that hears none, and for one that
-// watches a prefix for itself.
+// Hold returns how long this node has the key-value service hold a watch: short for a watcher, for a node that gets no
+// heartbeats, and for one that watches a prefix for itself.
 func (f *Feed) Hold() time.Duration {
 	if f.isWatcher(f.viewer.View()) || f.watchersSilent(time.Now()) || f.watchesAnyAlone() {
 		return watcherHold
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -41,7 +41,7 @@
 	// copied says that the list is a copy of some time ago.
 	copied bool
 	long   bool
-	// changed is closed, and made anew, at each change.
+	// changed is closed at each change, and another one takes its place.
 	changed chan struct{}
 }
 
