--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -6,6 +6,7 @@
 
 	"github.com/sloelift/sloelift/internal/loadshare"
 	"github.com/sloelift/sloelift/internal/region"
+	"github.com/sloelift/sloelift/internal/replica"
 )
 
 const (
@@ -73,9 +74,7 @@
 	view := s.directory.View()
 	// What still runs in evacuated zones counts among the requests below, but takes no room that is left.
 	slots := view.WorkingSlots(service, now) + view.EvacuatedInUse(service, now)
-	for _, handle := range view.Of(service) {
-		running += handle.InUse()
-	}
+	running = runningAt(view, service)
 	others := s.fleet.Others(service, now)
 	present, elsewhere := others.Online(), others.Batch
 	recent := s.peaks.observe(service, present, now)
@@ -87,12 +86,16 @@
 // taken returns the part of the slots of service that all nodes' requests and items are in.
 func (s *Service) taken(service string, now time.Time) float64 {
 	view := s.directory.View()
-	running := 0
+	others := s.fleet.Others(service, now)
+	return float64(others.Online()+others.Batch+runningAt(view, service)) / float64(max(1, view.WorkingSlots(service, now)))
+}
+
+// runningAt returns how many items of this node run at the replicas of service.
+func runningAt(view *replica.View, service string) (running int) {
 	for _, handle := range view.Of(service) {
 		running += handle.InUse()
 	}
-	others := s.fleet.Others(service, now)
-	return float64(others.Online()+others.Batch+running) / float64(max(1, view.WorkingSlots(service, now)))
+	return running
 }
 
 // ownPart returns how many of running items may go on where elsewhere others run and all together may be keep.
--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -65,9 +65,11 @@
 	viewer membership.Viewer
 	logger zerolog.Logger
 	// relays are those of the zones, zone what this node as one of them has sent on.
-	relays zonerelay.Cache
+	relays membership.PerView[zonerelay.Relays]
 	zone   *zoneState
 	growth membership.Growth
+	// watcher says whether this node is a watcher.
+	watcher membership.PerView[bool]
 
 	started time.Time
 	cancel  context.CancelFunc
@@ -79,9 +81,6 @@
 	lastHeartbeat time.Time
 	answered      time.Time
 	prefixes      map[string]*prefixState
-	// watcher says that by watcherView this node is a watcher.
-	watcher     bool
-	watcherView *membership.View
 	// alone says of a prefix whether this node watches it for itself alone at present.
 	alone map[string]func() bool
 	// mostKept is the number of keys of a prefix up to which each node keeps all.
@@ -197,9 +196,7 @@
 // joining says that this node has started a short while ago and may not know the others yet. Its wait for watchers, which start as well, counts
 // from the end of that.
 func (f *Feed) joining(now time.Time) bool {
-	since := now.Sub(f.started)
-	settled := f.growth.SettledFor(f.viewer.View(), now)
-	joins := since < joinTime || since < longestJoin && settled < joinTime
+	joins := f.growth.Joining(f.viewer.View(), now, now.Sub(f.started), joinTime, longestJoin)
 	if joins {
 		f.mutex.Lock()
 		f.noteHeartbeat(now)
--- a/internal/changefeed/prefix_state.go
+++ b/internal/changefeed/prefix_state.go
@@ -85,18 +85,18 @@
 	if len(missed.Changed) == 0 && len(missed.Present) == len(known) {
 		return nil
 	}
-	if len(missed.Present) < len(known)+added(known, listing) {
+	if stillPresent(known, listing) < len(known) {
 		// When a key went is not known. Else the newest change is that of an entry: a later position would have all others list.
 		state.newest = max(state.newest, listing.Revision)
 	}
 	return &changefeedpb.Changes{Prefix: prefix, Previous: previous, Changes: []*changefeedpb.Change{missed}}
 }
 
-// added returns how many entries of a listing are of keys that were not known.
-func added(known map[string]int64, listing platform.Listing) int {
+// stillPresent returns how many of the keys known a listing has.
+func stillPresent(known map[string]int64, listing platform.Listing) int {
 	count := 0
 	for _, entry := range listing.Entries {
-		if _, present := known[entry.Key]; !present {
+		if _, present := known[entry.Key]; present {
 			count++
 		}
 	}
--- a/internal/changefeed/watchers.go
+++ b/internal/changefeed/watchers.go
@@ -28,12 +28,7 @@
 
 // isWatcher is Watches, worked out once for each view.
 func (f *Feed) isWatcher(view *membership.View) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if f.watcherView != view {
-		f.watcherView, f.watcher = view, Watches(view)
-	}
-	return f.watcher
+	return f.watcher.Of(view, Watches)
 }
 
 // Watches tells whether this node is one of the watchers by its own view: the first live members, of as many zones as there are. A node
--- a/internal/changefeed/zones.go
+++ b/internal/changefeed/zones.go
@@ -9,6 +9,7 @@
 	changefeedpb "github.com/sloelift/sloelift/api/proto/changefeed"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/transport"
+	"github.com/sloelift/sloelift/internal/zonerelay"
 )
 
 const (
@@ -25,7 +26,7 @@
 		f.send(view, method, message, func(membership.Member) bool { return true })
 		return
 	}
-	relays := f.relays.Of(view)
+	relays := f.relays.Of(view, zonerelay.Of)
 	f.send(view, method, withPassOn(message), func(member membership.Member) bool { return relays.IsRelay(member.ID) })
 	if relays.SelfIsRelay() {
 		f.sendToZone(method, message)
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -90,6 +90,16 @@
 	}
 }
 
+// startFleet returns nodes that have started before a long list and know their parts, and their store.
+func startFleet(t *testing.T, nodes int) (*testFleet, *boundedStore) {
+	store := newBoundedStore(fleetBytesPerSecond, fleetReads)
+	fleet := newTestFleet(t, store, nodes)
+	enter(store, 0, fleetReplicas, fleetReplicas*10)
+	fleet.start()
+	time.Sleep(2 * knownWithin)
+	return fleet, store
+}
+
 // TestDrainIsKnownWhileRelaysAreLost: that a replica drains is known at each node within the bound while relays are lost without a word, and
 // nothing brings it back. After the loss of all relays at once it is known as soon as new ones have read the list.
 func TestDrainIsKnownWhileRelaysAreLost(t *testing.T) {
@@ -112,11 +122,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := newBoundedStore(fleetBytesPerSecond, fleetReads)
-				fleet := newTestFleet(t, store, 60)
-				enter(store, 0, fleetReplicas, fleetReplicas*10)
-				fleet.start()
-				time.Sleep(2 * knownWithin)
+				fleet, store := startFleet(t, 60)
 				fleet.loseRelays(test.lost)
 				time.AfterFunc(noticed, fleet.showLost)
 				for number := 0; number < fleetReplicas; number += 2 {
@@ -170,11 +176,7 @@
 // TestNodeThatReachesNoRelayReadsTheListItself, and goes back to its part once relays answer.
 func TestNodeThatReachesNoRelayReadsTheListItself(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := newBoundedStore(fleetBytesPerSecond, fleetReads)
-		fleet := newTestFleet(t, store, 30)
-		enter(store, 0, fleetReplicas, fleetReplicas*10)
-		fleet.start()
-		time.Sleep(2 * knownWithin)
+		fleet, store := startFleet(t, 30)
 		node := fleet.nodes[1]
 		fleet.cut(node)
 		store.put(replicaKey(0), "")
@@ -233,11 +235,7 @@
 func TestOutageOfTheStoreDrawsFewQuestions(t *testing.T) {
 	const outage = 10 * time.Second
 	synctest.Test(t, func(t *testing.T) {
-		store := newBoundedStore(fleetBytesPerSecond, fleetReads)
-		fleet := newTestFleet(t, store, 60)
-		enter(store, 0, fleetReplicas, fleetReplicas*10)
-		fleet.start()
-		time.Sleep(2 * knownWithin)
+		fleet, store := startFleet(t, 60)
 		store.setDown(true)
 		time.Sleep(outage)
 		asked := fleet.questions()
--- a/internal/discovery/replicas.go
+++ b/internal/discovery/replicas.go
@@ -12,8 +12,7 @@
 // replaceReplicas takes a listing of the store.
 func (s *Service) replaceReplicas(listing platform.Listing) {
 	replicas, _, news := s.read(listing.Entries)
-	gone := s.gone(replicas)
-	s.roster.Replace(replicas, listing.Revision)
+	gone := s.roster.Replace(replicas, listing.Revision)
 	s.logger.Info().Int("replicas", len(replicas)).Int64(logging.FieldRevision, listing.Revision).Msg("replicas_listed")
 	s.replicas.saw(listing.Revision)
 	if s.keepsPart() {
@@ -27,17 +26,6 @@
 	}
 }
 
-// gone returns how many of the replicas on the list are not among those that a listing names.
-func (s *Service) gone(listed []replica.Info) int {
-	known := s.roster.Len()
-	for _, info := range listed {
-		if _, kept := s.roster.Find(info.ID); kept {
-			known--
-		}
-	}
-	return known
-}
-
 // updateReplicas takes changes that the store reports.
 func (s *Service) updateReplicas(revision int64, changed []platform.Entry, deleted []string) {
 	removed := make([]string, 0, len(deleted))
--- a/internal/loadshare/places.go
+++ b/internal/loadshare/places.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"net/netip"
 	"slices"
-	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -125,19 +124,3 @@
 	}
 	return relays
 }
-
-// placesCache keeps the places of the last view. It is safe for concurrent use.
-type placesCache struct {
-	mutex  sync.Mutex
-	view   *membership.View
-	places places
-}
-
-func (c *placesCache) of(view *membership.View, zone string) places {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.view != view {
-		c.view, c.places = view, placesOf(view, zone)
-	}
-	return c.places
-}
--- a/internal/loadshare/questions.go
+++ b/internal/loadshare/questions.go
@@ -150,7 +150,7 @@
 // question puts one question and takes in its answer.
 func (s *Service) question() error {
 	now := time.Now()
-	place := s.places.of(s.viewer.View(), s.options.Zone)
+	place := s.place()
 	used, known := s.chooseWay(place, now)
 	if !known {
 		return nil
--- a/internal/loadshare/relayed.go
+++ b/internal/loadshare/relayed.go
@@ -45,7 +45,7 @@
 
 // reachedExchange returns the exchange that this node uses; reached is false where it is another node's relay, or did not answer lately.
 func (s *Service) reachedExchange() (exchange netip.AddrPort, reached bool) {
-	place := s.places.of(s.viewer.View(), s.options.Zone)
+	place := s.place()
 	used, known := s.questions.way(place, time.Now())
 	if !known || used.relayed || used.node == place.self || !s.questions.answered() {
 		return netip.AddrPort{}, false
--- a/internal/loadshare/relayed_test.go
+++ b/internal/loadshare/relayed_test.go
@@ -86,7 +86,7 @@
 		shared.askOften(t, firstEdge, untilCutIsNoticed)
 		shared.cutFromStores()
 		shared.askOften(t, firstEdge, ownExchangeAgain+answerTimeout)
-		if used, _ := shared.services[firstEdge].questions.way(shared.services[firstEdge].places.places, time.Now()); used.relayed {
+		if used, _ := shared.services[firstEdge].questions.way(shared.services[firstEdge].place(), time.Now()); used.relayed {
 			t.Error("it still asks through another node")
 		}
 		time.Sleep(4 * interval)
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -65,7 +65,7 @@
 	caller    transport.Caller
 	board     *Board
 	fleet     *fleet
-	places    placesCache
+	places    membership.PerView[places]
 	questions questions
 	logger    zerolog.Logger
 
@@ -154,6 +154,11 @@
 // ReportingSince returns since when nodes with callers have reported without a break.
 func (s *Service) ReportingSince() time.Time { return s.fleet.reportingSince() }
 
+// place returns the places by the present view.
+func (s *Service) place() places {
+	return s.places.Of(s.viewer.View(), func(view *membership.View) places { return placesOf(view, s.options.Zone) })
+}
+
 // Start begins to report.
 func (s *Service) Start() {
 	s.running.Go(s.loop)
@@ -202,7 +207,7 @@
 
 // tick does what is due and returns the time until the next tick.
 func (s *Service) tick(now time.Time) time.Duration {
-	place := s.places.of(s.viewer.View(), s.options.Zone)
+	place := s.place()
 	works := s.options.Works != nil && s.options.Works()
 	if s.isStore() {
 		s.board.prune(now)
--- a/internal/membership/growth.go
+++ b/internal/membership/growth.go
@@ -22,3 +22,10 @@
 	}
 	return now.Sub(g.grewAt)
 }
+
+// Joining says that a node that has run for since may not know the others yet: for least in any case, and while it still learns of further
+// members for longest at most.
+func (g *Growth) Joining(view *View, now time.Time, since, least, longest time.Duration) bool {
+	settled := g.SettledFor(view, now)
+	return since < least || since < longest && settled < least
+}
--- a/internal/membership/growth_test.go
+++ b/internal/membership/growth_test.go
@@ -26,3 +26,26 @@
 		}
 	}
 }
+
+// TestJoiningEndsOnceTheMembersAreKnown, and at the latest after its longest time.
+func TestJoiningEndsOnceTheMembersAreKnown(t *testing.T) {
+	const least, longest = 600 * time.Millisecond, 3 * time.Second
+	started := time.Unix(1000, 0)
+	var growth Growth
+	for _, step := range []struct {
+		since   time.Duration
+		members int
+		want    bool
+	}{
+		{0, 1, true},
+		{500 * time.Millisecond, 10, true},
+		{time.Second, 10, true},
+		{1100 * time.Millisecond, 10, false},
+		{2 * time.Second, 20, true},
+		{3 * time.Second, 30, false},
+	} {
+		if got := growth.Joining(&View{Members: make([]Member, step.members)}, started.Add(step.since), step.since, least, longest); got != step.want {
+			t.Errorf("joining %t after %s with %d members, want %t", got, step.since, step.members, step.want)
+		}
+	}
+}
--- a/internal/roster/bookmarks.go
+++ b/internal/roster/bookmarks.go
@@ -33,7 +33,7 @@
 	return kept
 }
 
-// set notes what a node is sent now, and returns the version of that answer.
+// set notes what a node is sent now, in the answer with this version.
 func (b *bookmarks) set(node string, sent map[string]*entry, version uint64, now time.Time) {
 	b.byNode[node] = &bookmark{version: version, sent: sent, seen: now}
 }
--- a/internal/roster/follower.go
+++ b/internal/roster/follower.go
@@ -69,7 +69,7 @@
 // Follower follows a node's part of the list at the relays. It belongs to one goroutine, but for IsRelay, and for LongByRelay while Run does not run.
 type Follower struct {
 	options FollowerOptions
-	relays  zonerelay.Cache
+	relays  membership.PerView[zonerelay.Relays]
 	growth  membership.Growth
 	started time.Time
 
@@ -110,23 +110,24 @@
 
 // IsRelay says that this node is a relay by what it knows of the others.
 func (f *Follower) IsRelay(now time.Time) bool {
-	view := f.options.Viewer.View()
-	self, found := view.Find(view.Self)
-	patience := edgeRelayAfter
-	if self.Store {
-		patience = storeRelayAfter
-	}
 	since := now.Sub(f.started)
-	settled := f.growth.SettledFor(view, now) >= storeRelayAfter || since >= longestSettling
-	return found && since >= patience && settled && f.relays.Of(view).SelfIsRelay()
+	joining := f.growth.Joining(f.options.Viewer.View(), now, since, storeRelayAfter, longestSettling)
+	chosen, hasStore := f.chosen()
+	return chosen && !joining && (hasStore || since >= edgeRelayAfter)
 }
 
 // MayBeRelay says that this node, which has the list already, is to keep it: it has a data folder and is a relay by as many nodes as it knows. It
 // saves those that start at once the wait for relays that know each other.
 func (f *Follower) MayBeRelay() bool {
+	chosen, hasStore := f.chosen()
+	return chosen && hasStore
+}
+
+// chosen says that this node is one of the relays by the present view, and whether it has a data folder.
+func (f *Follower) chosen() (chosen, hasStore bool) {
 	view := f.options.Viewer.View()
 	self, found := view.Find(view.Self)
-	return found && self.Store && f.relays.Of(view).SelfIsRelay()
+	return found && f.relays.Of(view, zonerelay.Of).SelfIsRelay(), self.Store
 }
 
 // Run follows until there is no more reason to.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -67,9 +67,9 @@
 	r.signal()
 }
 
-// Replace makes replicas the whole list, as of revision.
-func (r *Roster) Replace(replicas []replica.Info, revision int64) {
-	r.replace(replicas, revision, false)
+// Replace makes replicas the whole list, as of revision, and returns how many are gone from it.
+func (r *Roster) Replace(replicas []replica.Info, revision int64) (gone int) {
+	return r.replace(replicas, revision, false)
 }
 
 // ReplaceByCopy is Replace by what was known some time ago, while the key-value service does not answer.
@@ -77,13 +77,15 @@
 	r.replace(replicas, revision, true)
 }
 
-func (r *Roster) replace(replicas []replica.Info, revision int64, copied bool) {
+func (r *Roster) replace(replicas []replica.Info, revision int64, copied bool) (gone int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	before := r.byID
+	gone = len(before)
 	r.clear()
 	for _, info := range replicas {
 		if known := before[info.ID]; known != nil {
+			gone--
 			r.put(newerOf(known, info))
 			continue
 		}
@@ -94,6 +96,7 @@
 	}
 	r.loaded, r.copied, r.revision = true, copied, revision
 	r.settle()
+	return gone
 }
 
 // Update takes in changed replicas and drops the removed ones, as of revision.
--- a/internal/roster/targets.go
+++ b/internal/roster/targets.go
@@ -19,7 +19,7 @@
 // node, and some nodes that are no relays.
 func (f *Follower) targets() []netip.AddrPort {
 	view := f.options.Viewer.View()
-	relays := f.relays.Of(view)
+	relays := f.relays.Of(view, zonerelay.Of)
 	targets := f.inOrder(relays.InZone(f.options.Zone))
 	var others []membership.Member
 	for _, zone := range relays.Zones() {
--- a/internal/zonerelay/relays.go
+++ b/internal/zonerelay/relays.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -80,20 +79,3 @@
 
 // SelfIsRelay says that the node whose view it is is one.
 func (r Relays) SelfIsRelay() bool { return r.IsRelay(r.self) }
-
-// Cache keeps the relays of the latest view. It is safe for concurrent use.
-type Cache struct {
-	mutex  sync.Mutex
-	view   *membership.View
-	relays Relays
-}
-
-// Of returns the relays of view.
-func (c *Cache) Of(view *membership.View) Relays {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.view != view {
-		c.view, c.relays = view, Of(view)
-	}
-	return c.relays
-}
