Jobs: a caller's read is answered only by a node that has just proved its ownership

Traced by reading and shown by a test: a former owner that does not know of its successor yet (seconds, while it is paused or its loss is noticed late) answered status, results, lists and files from its old state: a job that another node had called completed was read as accepted, with 0 results. Change: such reads wait for an append that began after they came (those that come together share one); an append that only proves the ownership may use the stores' room in reserve, so that full disks do not end reads. not_found had this proof already. Conclusion: one append more for each group of reads, nothing else changes.

--- a/internal/job/appender.go
+++ b/internal/job/appender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -69,6 +70,14 @@
 		}
 		batch := p.gather(first)
 		position, err := p.appendBatch(batch)
+		if err != nil && outcome.As(err).Reason == outcome.ReasonStorageFull {
+			// Reads go on while the disks are full: what proves the ownership may use the room in reserve.
+			proofs, others := splitProofs(batch)
+			failBatch(others, err)
+			if batch = proofs; len(proofs) > 0 && len(others) > 0 {
+				position, err = p.appendBatch(batch)
+			}
+		}
 		if err != nil {
 			failBatch(batch, err)
 			continue
@@ -97,6 +106,18 @@
 	return batch
 }
 
+// splitProofs parts the records that only prove the ownership from those that hold something.
+func splitProofs(batch []*proposal) (proofs, others []*proposal) {
+	for _, request := range batch {
+		if request.record.Kind == ledger.KindNoOperation {
+			proofs = append(proofs, request)
+		} else {
+			others = append(others, request)
+		}
+	}
+	return proofs, others
+}
+
 func failBatch(batch []*proposal, err error) {
 	for _, request := range batch {
 		request.err = err
@@ -142,13 +163,21 @@
 // records pending there, to be followed by their repetition.
 func (p *partition) appendOnce(records []ledger.Record) (ledger.Position, error) {
 	began := time.Now()
-	position, err := p.owned.Append(p.serving, records)
+	add := p.owned.Append
+	if onlyProofs(records) {
+		add = p.owned.AppendReserved
+	}
+	position, err := add(p.serving, records)
 	if err == nil {
 		p.ownership.confirm(began)
 	}
 	return position, err
 }
 
+func onlyProofs(records []ledger.Record) bool {
+	return !slices.ContainsFunc(records, func(record ledger.Record) bool { return record.Kind != ledger.KindNoOperation })
+}
+
 // sleep waits; it returns false if the partition stopped meanwhile.
 func (p *partition) sleep(wait time.Duration) bool {
 	timer := time.NewTimer(wait)
--- a/internal/job/faults_test.go
+++ b/internal/job/faults_test.go
@@ -77,7 +77,18 @@
 func (o *uncertainOwned) Lost() <-chan struct{} { return o.lost }
 
 func (o *uncertainOwned) Append(ctx context.Context, records []ledger.Record) (ledger.Position, error) {
-	draw := o.run.draw(20)
+	if draw := o.run.draw(20); draw != 2 {
+		return o.append(ctx, records, draw)
+	}
+	time.Sleep(5 * time.Millisecond)
+	return 0, outcome.New(outcome.NotRun, outcome.ReasonStorageFull, "disk full")
+}
+
+func (o *uncertainOwned) AppendReserved(ctx context.Context, records []ledger.Record) (ledger.Position, error) {
+	return o.append(ctx, records, o.run.draw(20))
+}
+
+func (o *uncertainOwned) append(ctx context.Context, records []ledger.Record, draw int) (ledger.Position, error) {
 	time.Sleep(5 * time.Millisecond)
 	uncertain := outcome.New(outcome.Indeterminate, outcome.ReasonUnavailable, "answer lost")
 	switch draw {
@@ -88,8 +99,6 @@
 			return 0, err
 		}
 		return 0, uncertain
-	case 2:
-		return 0, outcome.New(outcome.NotRun, outcome.ReasonStorageFull, "disk full")
 	}
 	return o.Owned.Append(ctx, records)
 }
@@ -275,6 +284,30 @@
 	return nil
 }
 
+// TestUnawareOwnerAnswersNoReads: what a caller read of a job, and that it is there, stays so, also at an owner that
+// doesn't know of its successor.
+func TestUnawareOwnerAnswersNoReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newTestCluster(t, 3)
+		faults := &faultRun{testCluster: cluster, random: rand.New(rand.NewPCG(1, 1))}
+		defer faults.background.Wait()
+		defer cluster.stop()
+		faults.takeOver(0, 0)
+		faults.takeOver(1, 0)
+		status := faults.submit(t, 0)
+		partition := partitionOf(t, status.ID)
+		faults.machines[partition].(*uncertainMachine).late.Store(int64(time.Hour))
+		faults.takeOver(partition, 1)
+		ended := finish(t, cluster.nodes[1], status.ID)
+		if all := results(t, cluster.nodes[0], status.ID, 0); len(all) != ended.Completed {
+			t.Errorf("%d results at the former owner, %d items completed", len(all), ended.Completed)
+		}
+		if again, err := cluster.nodes[0].service.Status(t.Context(), "registry", status.ID); err != nil || again.Phase != ended.Phase {
+			t.Errorf("the former owner says %+v, %v of a job that ended as %s", again, err, ended.Phase)
+		}
+	})
+}
+
 // TestUnawareOwnerDispatchesNothingAfterTheCancel: an owner that doesn't know of its
 // successor has free credits again right after the successor acknowledged the cancel.
 func TestUnawareOwnerDispatchesNothingAfterTheCancel(t *testing.T) {
--- a/internal/job/owner_files.go
+++ b/internal/job/owner_files.go
@@ -50,11 +50,11 @@
 
 func (p *partition) file(ctx context.Context, tenant, id string) (*jobpb.FileStored, error) {
 	var found *jobpb.FileStored
-	if err := p.query(ctx, func(state *partitionState) { found = state.files[id] }); err != nil {
+	if err := p.read(ctx, func(state *partitionState) { found = state.files[id] }); err != nil {
 		return nil, err
 	}
 	if found == nil || found.GetTenant() != tenant {
-		return nil, p.notFound(ctx, id)
+		return nil, errNotFound(id)
 	}
 	return found, nil
 }
@@ -97,7 +97,7 @@
 // listFiles returns the tenant's files of this partition, by id.
 func (p *partition) listFiles(ctx context.Context, request *jobpb.ListRequest) (*jobpb.ListFilesResponse, error) {
 	var files []*jobpb.FileStored
-	err := p.query(ctx, func(state *partitionState) {
+	err := p.read(ctx, func(state *partitionState) {
 		for id, file := range state.files {
 			if file.GetTenant() == request.GetTenant() && id > request.GetAfter() {
 				files = append(files, file)
--- a/internal/job/owner_jobs.go
+++ b/internal/job/owner_jobs.go
@@ -79,7 +79,7 @@
 	if err := p.propose(ctx, encodeRecord(ledger.KindJobAccepted, accepted)); err != nil {
 		return nil, err
 	}
-	present, err = p.status(ctx, wanted.GetTenant(), wanted.GetId())
+	present, err = p.knownStatus(ctx, wanted.GetTenant(), wanted.GetId())
 	if err != nil {
 		return nil, err
 	}
@@ -121,25 +121,30 @@
 	return p.status(ctx, request.GetTenant(), request.GetId())
 }
 
-// status returns the state of a job; not_found is said only by a node that has
-// shown that it still is the owner.
+// status returns the state of a job, as this node knows it while it is the owner.
 func (p *partition) status(ctx context.Context, tenant, id string) (*jobpb.JobStatus, error) {
+	if err := p.proveOwnership(ctx); err != nil {
+		return nil, err
+	}
+	return p.knownStatus(ctx, tenant, id)
+}
+
+// knownStatus is status right after an append of the caller, which has proved the ownership.
+func (p *partition) knownStatus(ctx context.Context, tenant, id string) (*jobpb.JobStatus, error) {
 	var found *jobpb.JobStatus
 	if err := p.query(ctx, func(state *partitionState) { found = p.statusOf(state, id) }); err != nil {
 		return nil, err
 	}
 	if found == nil || found.GetTenant() != tenant {
-		return nil, p.notFound(ctx, id)
+		return nil, errNotFound(id)
 	}
 	return found, nil
 }
 
 // notFound makes sure by an append that this node is the owner, and returns the error.
 func (p *partition) notFound(ctx context.Context, id string) error {
-	if err := p.propose(ctx, ledger.Record{Kind: ledger.KindNoOperation}); err != nil {
-		failure := *outcome.As(err)
-		failure.Outcome = outcome.NotRun
-		return &failure
+	if err := p.proveOwnership(ctx); err != nil {
+		return err
 	}
 	return errNotFound(id)
 }
@@ -179,7 +184,7 @@
 // listJobs returns the tenant's jobs of this partition, by id.
 func (p *partition) listJobs(ctx context.Context, request *jobpb.ListRequest) (*jobpb.ListJobsResponse, error) {
 	response := &jobpb.ListJobsResponse{}
-	err := p.query(ctx, func(state *partitionState) {
+	err := p.read(ctx, func(state *partitionState) {
 		var ids []string
 		for id, job := range state.jobs {
 			if job.accepted.GetTenant() == request.GetTenant() && id > request.GetAfter() {
@@ -222,7 +227,7 @@
 		defer cancel()
 		run.calls.wait(drainContext)
 	}
-	return p.status(ctx, request.GetTenant(), request.GetId())
+	return p.knownStatus(ctx, request.GetTenant(), request.GetId())
 }
 
 // readResults returns a page of completed items.
@@ -230,7 +235,7 @@
 	response := &jobpb.ResultsResponse{Next: request.GetFrom()}
 	var entries []itemEntry
 	found, expired := false, false
-	err := p.query(ctx, func(state *partitionState) {
+	err := p.read(ctx, func(state *partitionState) {
 		expired = state.tombstones[request.GetId()] != nil
 		job := state.jobs[request.GetId()]
 		if job == nil || job.accepted.GetTenant() != request.GetTenant() {
@@ -247,7 +252,7 @@
 	case !found && expired:
 		return nil, outcome.New(outcome.NotRun, outcome.ReasonNotFound, "the job's retention is over")
 	case !found:
-		return nil, p.notFound(ctx, request.GetId())
+		return nil, errNotFound(request.GetId())
 	}
 	return response, p.fillResults(ctx, response, entries)
 }
--- a/internal/job/ownership_clock.go
+++ b/internal/job/ownership_clock.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/outcome"
 )
 
 const (
@@ -60,9 +61,33 @@
 // come together share one append.
 func (p *partition) confirmOwnership(ctx context.Context) error {
 	for !p.ownership.confirmed(time.Now()) {
-		if err := p.propose(ctx, ledger.Record{Kind: ledger.KindNoOperation}); err != nil {
+		if err := p.propose(ctx, noOperation()); err != nil {
 			return err
 		}
 	}
 	return nil
 }
+
+// proveOwnership makes sure by an append that this node owned the partition after the call began, so that an answer from
+// its state is never older than one that another owner has given. Its error is NotRun.
+func (p *partition) proveOwnership(ctx context.Context) error {
+	err := p.propose(ctx, noOperation())
+	if err == nil {
+		return nil
+	}
+	failure := *outcome.As(err)
+	failure.Outcome = outcome.NotRun
+	return &failure
+}
+
+// read is query for an answer to a caller.
+func (p *partition) read(ctx context.Context, read func(*partitionState)) error {
+	if err := p.proveOwnership(ctx); err != nil {
+		return err
+	}
+	return p.query(ctx, read)
+}
+
+func noOperation() ledger.Record {
+	return ledger.Record{Kind: ledger.KindNoOperation}
+}
