Registration: an edge that joins through its seeds registers and reads the list only while it is alone

Cause: each of 835 edges looked for its entry, wrote it, and read the list of 985 nodes within 45 s, though it finds the others through its seeds and they find it by membership: calls and bytes of nodes squared. Change: such a node registers at its first reading of the list, which comes once it has known nobody alive for a second; storage nodes register and list as before, so that all that are alone find them. Figures (tests): calls of an edge's start that joins: 1 stale reading and 1 write before, 0 now; readings of the list in ten periods after joining: several before, 0 now; one that is cut off from all reads it. Conclusion: what an edge asks of the store for the list of nodes no longer grows with the nodes.

--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -78,6 +78,11 @@
 	return live
 }
 
+// OthersAlive says that some other member is Alive.
+func (v *View) OthersAlive() bool {
+	return slices.ContainsFunc(v.Members, func(member Member) bool { return member.ID != v.Self && member.State == Alive })
+}
+
 // Find returns the member with the given id.
 func (v *View) Find(id NodeID) (Member, bool) {
 	index, found := slices.BinarySearchFunc(v.Members, id, func(member Member, wanted NodeID) int { return cmp.Compare(member.ID, wanted) })
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -266,11 +266,8 @@
 // readList reads the machine list now and then; while it is down, seeds and own
 // evidence carry on.
 func (s *Service) readList(ctx context.Context) {
-	if s.joinsFirst(ctx) && !pause.Sleep(ctx, jittered(s.options.Timing.ListPeriod)) {
-		return
-	}
 	failing := false
-	for {
+	for s.needsList(ctx) {
 		listing, err := s.machines.List(ctx)
 		switch {
 		case err == nil:
@@ -280,30 +277,28 @@
 			failing = true
 			s.logger.Warn().Err(err).Msg("machine_list_not_read")
 		}
-		timer := time.NewTimer(jittered(s.listPeriod(len(listing.Machines))))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.Sleep(ctx, jittered(s.listPeriod(len(listing.Machines)))) {
 			return
 		}
 	}
 }
 
-// joinsFirst waits for this node to join through its seeds, and says whether it has.
-func (s *Service) joinsFirst(ctx context.Context) bool {
-	if len(s.options.Seeds) == 0 {
-		return false
+// needsList returns at once where this node finds others by the list, and else, where it joins through its seeds, once it has known nobody
+// alive for JoinFirst: the list of many nodes, read by each of them, is long. It returns false when ctx ends.
+func (s *Service) needsList(ctx context.Context) bool {
+	patience := s.options.Timing.JoinFirst
+	if len(s.options.Seeds) == 0 || patience == 0 {
+		return ctx.Err() == nil
 	}
-	for deadline := time.Now().Add(s.options.Timing.JoinFirst); time.Now().Before(deadline); {
-		if !pause.Sleep(ctx, joinedCheck) {
+	for alone := time.Duration(0); alone < patience; {
+		if !pause.Sleep(ctx, aloneCheck) {
 			return false
 		}
-		if len(s.View().Members) > 1 {
-			return true
+		if alone += aloneCheck; s.View().OthersAlive() {
+			alone = 0
 		}
 	}
-	return false
+	return true
 }
 
 // listPeriod keeps the reads of a long list within their bytes once others are known.
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -244,8 +244,8 @@
 	return l.fixedList.List(ctx)
 }
 
-// TestNodeThatJoinsThroughSeedsReadsNoList in its first time, so that many that start at once do not read as many entries each; one that
-// reaches nobody reads it after its patience.
+// TestNodeThatJoinsThroughSeedsReadsNoList, however long it runs, so that many nodes do not read as many entries each; one that reaches nobody
+// reads it after its patience, whether it has never joined or is cut off later.
 func TestNodeThatJoinsThroughSeedsReadsNoList(t *testing.T) {
 	const patience = time.Second
 	for name, cutOff := range map[string]bool{"seeds answer": false, "nobody answers at first": true} {
@@ -262,11 +262,11 @@
 				c.kill(observer)
 				c.setCut(func(from, to *clusterNode) bool { return cutOff && (from == observer || to == observer) })
 				c.start(observer)
-				time.Sleep(patience - joinedCheck)
+				time.Sleep(patience - aloneCheck/2)
 				if reads := list.reads.Load(); reads != 0 {
 					t.Errorf("the list was read %d times within the patience", reads)
 				}
-				time.Sleep(2 * joinedCheck)
+				time.Sleep(aloneCheck)
 				c.setCut(func(_, _ *clusterNode) bool { return false })
 				time.Sleep(3 * time.Second)
 				if reads := list.reads.Load(); (reads > 0) != cutOff {
@@ -275,6 +275,16 @@
 				if stateOf(observer, c.nodes[3]) != Alive {
 					t.Error("the node has not joined")
 				}
+				before := list.reads.Load()
+				time.Sleep(10 * DefaultTiming().ListPeriod)
+				if reads := list.reads.Load() - before; reads != 0 {
+					t.Errorf("the list was read %d times by a node that has joined", reads)
+				}
+				c.setCut(func(from, to *clusterNode) bool { return from == observer || to == observer })
+				time.Sleep(4*DefaultTiming().ListPeriod + healTime)
+				if list.reads.Load() == before {
+					t.Error("the list was not read by a node that is cut off from all")
+				}
 			})
 		})
 	}
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -39,9 +39,8 @@
 	// the least period of one that does: that one reads ListBytesPerSecond on average.
 	ListPeriod         time.Duration
 	ListBytesPerSecond int
-	// JoinFirst is how long a node that has seeds waits to join through them before it reads the machine list for the first time; once it has
-	// joined it does so a period later only. 0 reads the list at once. Nodes that others join through read it at once, so that all find each
-	// other.
+	// JoinFirst is how long a node that has seeds must know nobody alive before it reads the machine list; one that has joined through them
+	// does not read it. 0 has the list read at once and in each period. Nodes that others join through have 0, so that all find each other.
 	JoinFirst time.Duration
 }
 
@@ -108,8 +107,8 @@
 	lateAnswerLimit = 5 * time.Second
 	// listedMachineBytes is about what one machine takes in the machine list.
 	listedMachineBytes = 160
-	// joinedCheck is how often a node that waits for it looks whether it has joined.
-	joinedCheck = 50 * time.Millisecond
+	// aloneCheck is how often a node that joins through its seeds looks whether it knows anybody.
+	aloneCheck = 250 * time.Millisecond
 	// pauseTicks is the number of missed ticks after which a node holds itself paused.
 	pauseTicks = 4
 )
--- a/internal/node/role_discovery.go
+++ b/internal/node/role_discovery.go
@@ -104,7 +104,7 @@
 		ID: own.Node, Role: platform.RoleNode, Region: own.Region, Zone: own.Zone, Address: own.PeerAddress,
 	})
 	if own.Role != settings.RoleStorage && len(own.Seeds()) > 0 {
-		machines.CheckOwnOnly()
+		machines.RegisterOnDemand()
 	}
 	lifecycle.Append(fx.StartStopHook(machines.Start, machines.Stop))
 	return machines
--- a/internal/platform/registration.go
+++ b/internal/platform/registration.go
@@ -36,10 +36,13 @@
 	// registered it; it is set before registered is closed and returned by the first List.
 	registered chan struct{}
 	found      atomic.Pointer[Listing]
-	// ownOnly says that the node looks for its own entry alone at its start, as it finds the others without the list.
-	ownOnly bool
+	// onDemand says that the node registers only when the list is read, and looks for its own entry alone before.
+	onDemand bool
+	// starting begins the registration once.
+	starting sync.Once
 	// listed says that the list has been read since this process registered.
 	listed  atomic.Bool
+	context context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 }
@@ -49,28 +52,36 @@
 	return &RegisteredMachines{store: store, self: self, registered: make(chan struct{})}
 }
 
-// CheckOwnOnly has this node look for its own entry alone at its start: the whole list of many nodes, read by each of them, is long. It is called
-// before Start.
-func (r *RegisteredMachines) CheckOwnOnly() { r.ownOnly = true }
+// RegisterOnDemand has this node register only once it reads the list: while it finds others without it, they find it as well, and a call for each
+// of many nodes is saved. It is called before Start.
+func (r *RegisteredMachines) RegisterOnDemand() { r.onDemand = true }
 
-// Start registers this node in the background, until that is done. A node that an earlier run has registered finds that out by a
-// stale read, which costs a tenth of other calls.
+// Start registers this node in the background, unless it does so on demand.
 func (r *RegisteredMachines) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	r.cancel = cancel
-	r.running.Go(func() {
-		if r.isRegistered(ctx) {
-			close(r.registered)
+	r.context, r.cancel = context.WithCancel(context.Background())
+	if !r.onDemand {
+		r.begin()
+	}
+}
+
+// begin registers this node in the background, until that is done. A node that an earlier run has registered finds that out by a
+// stale read, which costs a tenth of other calls.
+func (r *RegisteredMachines) begin() {
+	r.starting.Do(func() { r.running.Go(r.registerUntilDone) })
+}
+
+func (r *RegisteredMachines) registerUntilDone() {
+	if r.isRegistered(r.context) {
+		close(r.registered)
+		return
+	}
+	waits := NewBackoffUpTo(registerLongestWait)
+	for r.register(r.context) != nil {
+		if waits.Wait(r.context) != nil {
 			return
 		}
-		waits := NewBackoffUpTo(registerLongestWait)
-		for r.register(ctx) != nil {
-			if waits.Wait(ctx) != nil {
-				return
-			}
-		}
-		close(r.registered)
-	})
+	}
+	close(r.registered)
 }
 
 // Stop ends a registration under way; the entry stays, as the list lags anyway.
@@ -85,7 +96,7 @@
 	defer cancel()
 	own := r.entry()
 	prefix := nodePrefix
-	if r.ownOnly {
+	if r.onDemand {
 		prefix = own.Key
 	}
 	listing, err := listStale(ctx, r.store, prefix)
@@ -94,7 +105,7 @@
 	}
 	for _, entry := range listing.Entries {
 		if entry.Key == own.Key && bytes.Equal(entry.Value, own.Value) {
-			if !r.ownOnly {
+			if !r.onDemand {
 				r.found.Store(&listing)
 			}
 			return true
@@ -131,6 +142,7 @@
 // List returns the nodes that are registered. It waits until this node is, so that of nodes that start together the later
 // ones find the earlier ones.
 func (r *RegisteredMachines) List(ctx context.Context) (MachineListing, error) {
+	r.begin()
 	select {
 	case <-r.registered:
 	case <-ctx.Done():
--- a/internal/platform/registration_test.go
+++ b/internal/platform/registration_test.go
@@ -44,27 +44,31 @@
 	return listing, nil
 }
 
-// TestNodeLooksForItsOwnEntryAlone where it finds the others without the list, however many are registered.
-func TestNodeLooksForItsOwnEntryAlone(t *testing.T) {
+// TestNodeRegistersOnDemand: a node that finds the others without the list makes no call; once it reads the list it is in it, looks for its own
+// entry alone before, however many are registered, and is not registered again after a restart.
+func TestNodeRegistersOnDemand(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &registry{}
 		for number := range 1000 {
 			store.entries = append(store.entries, Entry{Key: fmt.Sprintf("%sedge-%04d", nodePrefix, number), Value: []byte("{}")})
 		}
-		for range 2 {
+		for start := range 2 {
 			machines := NewRegisteredMachines(store, Machine{ID: "n1", Zone: "z", Address: netip.MustParseAddrPort("127.0.0.1:1")})
-			machines.CheckOwnOnly()
+			machines.RegisterOnDemand()
 			machines.Start()
-			synctest.Wait()
+			time.Sleep(time.Hour)
+			if store.writes != min(start, 1) || store.stale != start || store.lists != start {
+				t.Errorf("start %d, not listed: %d writes, %d stale reads, %d lists", start, store.writes, store.stale, store.lists)
+			}
+			listing, err := machines.List(t.Context())
+			if err != nil || len(listing.Machines) != 1001 {
+				t.Errorf("%d nodes are listed where they are wanted, %v", len(listing.Machines), err)
+			}
 			machines.Stop()
 		}
-		if store.writes != 1 || store.stale != 2 || store.lists != 0 || store.staleEntries != 1 {
+		if store.writes != 1 || store.stale != 2 || store.lists != 2 || store.staleEntries != 1 {
 			t.Errorf("two starts: %d writes, %d stale reads of %d entries, %d lists", store.writes, store.stale, store.staleEntries, store.lists)
 		}
-		listing, err := NewRegisteredMachines(store, Machine{ID: "n1", Zone: "z", Address: netip.MustParseAddrPort("127.0.0.1:1")}).read(t.Context())
-		if err != nil || len(listing.Entries) != 1001 {
-			t.Errorf("%d nodes are listed where they are wanted, %v", len(listing.Entries), err)
-		}
 	})
 }
 
