Membership: a node that joins through one of another zone takes the members from its own zone

Cause: a joining node was sent all records by the two seeds that it asked, which mostly lie in other zones and have links of 30 Mbit/s: some 84 KB twice for each of 985 nodes, so bytes between zones and at the seeds of nodes squared at each start of all. Change: a node that knows its own zone alone is named up to three members of it, first those with a data folder by the ring, and compares its members with two of these at once. Those that its zone joins through, and nodes of a zone that nobody lives in, are sent all as before.

--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -134,6 +134,9 @@
 
 func (p *protocol) receiveDigest(from netip.AddrPort, message *membershippb.Digest) {
 	p.hear(from, message.GetSender())
+	if p.sendsToOwnZone(from, message) {
+		return
+	}
 	index := p.lookup()
 	answer := &membershippb.Summary{Sender: p.sender()}
 	compared := make(map[zoneKey]bool)
@@ -239,8 +242,12 @@
 }
 
 func (p *protocol) receiveRecords(from netip.AddrPort, message *membershippb.Records) {
+	knewNobody := p.lookup().others == 0
 	p.mergeAll(from, message.GetRecords())
 	p.hear(from, message.GetSender())
+	if knewNobody {
+		p.compareWithOwnZone()
+	}
 	if len(message.GetWanted()) == 0 {
 		return
 	}
