Membership: what the members of a zone send to other zones does not grow with their number

Cause: each node probed another zone each period and compared its members with one of another zone in most periods: bytes between zones of nodes. Change: in a zone of more than 48 members so many probe another zone in each period, of more than 24 so many compare; what one learns passes on within the zone. A zone with several suspects is probed by all, as before. Smaller zones are as before.

--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -57,16 +57,26 @@
 	p.nextJoin = p.now
 }
 
-// digestTarget is a random contact in a random zone, so that no zone drifts off.
+// digestTarget is a random contact in a random zone, so that no zone drifts off. The members of a large zone compare with other zones so often
+// in all as those of a small one, for what one of them learns passes on within the zone.
 func (p *protocol) digestTarget() *record {
 	index := p.lookup()
 	zone := index.zones[p.random.IntN(len(index.zones))]
+	if !p.takesTurn(comparesBetweenZones) {
+		zone = p.self.zone
+	}
 	for _, target := range p.sample(index.contacts[zone], 1, nil) {
 		return target
 	}
 	return nil
 }
 
+// takesTurn says that this member does in this period what so many members of its zone do in each; in a small zone all do it.
+func (p *protocol) takesTurn(ofZone int) bool {
+	members := len(p.lookup().byZone[p.self.zone])
+	return members <= ofZone || p.random.IntN(members) < ofZone
+}
+
 // lostAddresses are where a node might be that this one does not hold alive: seeds,
 // listed machines and members held dead that did not say that they stop.
 func (p *protocol) lostAddresses() []netip.AddrPort {
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// remoteTargets chooses a random contact in a random zone, or several of a zone with
+// remoteTargets chooses a random contact in a random zone, where it is this node's turn, or several of a zone with
 // several suspects that are not suspect themselves.
 func (p *protocol) remoteTargets() []*record {
 	index := p.lookup()
@@ -81,7 +81,7 @@
 		zone := troubled[p.random.IntN(len(troubled))]
 		unsuspected := func(candidate *record) bool { return candidate.State != Suspect }
 		return p.sample(index.byZone[zone], troubledProbes, unsuspected)
-	case len(remote) > 0:
+	case len(remote) > 0 && p.takesTurn(probesBetweenZones):
 		return p.sample(index.contacts[remote[p.random.IntN(len(remote))]], 1, nil)
 	}
 	return nil
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -93,6 +93,9 @@
 	// mostRevisionRuns bounds the runs of equal revisions in the digest of a zone. Where there are more they are left out: each probe carries its
 	// sender's, and in a zone of hundreds of members that all differ the digest would be some KB.
 	mostRevisionRuns = 32
+	// comparesBetweenZones and probesBetweenZones are how many members of a zone compare with, and probe, members of other zones in each period.
+	comparesBetweenZones = 24
+	probesBetweenZones   = 48
 	// joinContacts is how many contacts a node that knows nobody asks at once.
 	joinContacts = 2
 	// maxSeeds bounds the seeds; contacts past it are not needed to join.
