Key-value service: an answer that keeps coming is waited for

Change: the wait begins again whenever more of the answer has come. A service that goes silent is noticed as soon as before. The list of machines is bounded as before. Figures (test): an answer in ten parts over five times the patience: given up before, read with one call now; one that breaks off is given up one patience after its last part.

--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -48,20 +48,22 @@
 
 // within makes a call whose answer may be held back for hold.
 func (e *Exchanger) within(ctx context.Context, hold time.Duration, method, target string, kind effect, content []byte) (status int, answer []byte, err error) {
-	err = e.patience.call(ctx, hold, e.caller, func(ctx context.Context) error {
-		status, answer, err = e.send(ctx, method, target, kind, content)
+	err = e.patience.call(ctx, hold, e.caller, func(ctx context.Context, came func()) error {
+		status, answer, err = e.send(ctx, method, target, kind, content, came)
 		return err
 	})
 	return status, answer, err
 }
 
-func (e *Exchanger) send(ctx context.Context, method, target string, kind effect, content []byte) (int, []byte, error) {
+// send makes a call; came is called whenever some of the answer has come.
+func (e *Exchanger) send(ctx context.Context, method, target string, kind effect, content []byte, came func()) (int, []byte, error) {
 	answer, err := e.caller.send(ctx, e.address, method, target, kind, content)
 	if err != nil {
 		return 0, nil, err
 	}
 	defer closeBody(answer)
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBody))
+	came()
+	body, err := io.ReadAll(io.LimitReader(&comingReader{answer.Body, came}, maxAnswerBody))
 	if err != nil && kind == changes && answer.StatusCode == http.StatusOK {
 		return 0, nil, KindUnknownOutcome.Wrap(err, "the answer of %s broke off", e.address)
 	}
@@ -70,3 +72,17 @@
 	}
 	return answer.StatusCode, body, nil
 }
+
+// comingReader calls came whenever it has read something.
+type comingReader struct {
+	io.Reader
+	came func()
+}
+
+func (r *comingReader) Read(buffer []byte) (int, error) {
+	count, err := r.Reader.Read(buffer)
+	if count > 0 {
+		r.came()
+	}
+	return count, err
+}
--- a/internal/platform/machinelist_http.go
+++ b/internal/platform/machinelist_http.go
@@ -30,7 +30,7 @@
 // cost less than that; with the 5 s of other calls it took 2.8 s.
 func (m *MachineListHTTP) List(ctx context.Context) (MachineListing, error) {
 	var listing MachineListing
-	err := m.patience.call(ctx, 0, m.caller, func(ctx context.Context) error {
+	err := m.patience.call(ctx, 0, m.caller, func(ctx context.Context, _ func()) error {
 		return m.caller.get(ctx, PathMachines, &listing)
 	})
 	return listing, err
--- a/internal/platform/patience.go
+++ b/internal/platform/patience.go
@@ -14,8 +14,8 @@
 	patienceOfLatency = 4
 )
 
-// patience is how long an answer is waited for. A service that comes back after silence does not answer what was sent before, so the
-// wait is short at first; one that is slow is given more time with each answer that does not come. It is safe for concurrent use.
+// patience is how long an answer, or more of it, is waited for. A service that comes back after silence does not answer what was sent before, so
+// the wait is short at first; one that is slow is given more time with each answer that does not come. It is safe for concurrent use.
 type patience struct {
 	mutex sync.Mutex
 	wait  time.Duration
@@ -24,14 +24,18 @@
 func newPatience() *patience { return &patience{wait: shortestPatience} }
 
 // call makes a call through caller whose answer may be held back for hold, and waits for it that much longer and no longer than is patient.
+// The wait begins again whenever exchange calls came, as more of the answer has come: where many nodes read much at once, each answer takes long,
+// and trying again would lengthen all of them.
 // Without an answer the kept connections are given up: they may go silent together, without a reset, and each would cost a call more, and
 // longer patience.
-func (p *patience) call(ctx context.Context, hold time.Duration, caller *httpCaller, exchange func(ctx context.Context) error) error {
+func (p *patience) call(ctx context.Context, hold time.Duration, caller *httpCaller, exchange func(ctx context.Context, came func()) error) error {
 	wait := p.bound()
-	bounded, cancel := context.WithTimeout(ctx, hold+wait)
-	defer cancel()
+	bounded, giveUp := context.WithCancel(ctx)
+	defer giveUp()
+	timer := time.AfterFunc(hold+wait, giveUp)
+	defer timer.Stop()
 	began := time.Now()
-	err := exchange(bounded)
+	err := exchange(bounded, func() { timer.Reset(wait) })
 	switch {
 	case err == nil:
 		p.answered(time.Since(began) - hold)
--- a/internal/platform/patience_test.go
+++ b/internal/platform/patience_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -77,6 +78,60 @@
 	})
 }
 
+// partsNetwork leads to a service that sends its answers in parts, one each interval, and none from the part on that is set.
+type partsNetwork struct {
+	network.Network
+	parts, silentFrom int
+	interval          time.Duration
+	answers           atomic.Int64
+}
+
+func (n *partsNetwork) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		defer func() { _ = far.Close() }()
+		if _, err := far.Read(make([]byte, 4096)); err != nil {
+			return
+		}
+		n.answers.Add(1)
+		_, _ = fmt.Fprintf(far, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", n.parts)
+		for part := range n.parts {
+			time.Sleep(n.interval)
+			if part == n.silentFrom {
+				_, _ = io.Copy(io.Discard, far)
+				return
+			}
+			if _, err := io.WriteString(far, "x"); err != nil {
+				return
+			}
+		}
+	}()
+	return near, nil
+}
+
+// TestLongAnswerIsReadToItsEnd: an answer that takes longer than is patient is waited for while more of it comes, and given up once none does.
+func TestLongAnswerIsReadToItsEnd(t *testing.T) {
+	const parts, interval = 10, shortestPatience / 2
+	synctest.Test(t, func(t *testing.T) {
+		long := &partsNetwork{parts: parts, silentFrom: parts, interval: interval}
+		exchanger := NewExchanger(long, netip.MustParseAddrPort("127.0.0.1:1"))
+		if _, body, err := exchanger.Read(t.Context(), http.MethodGet, "/"); err != nil || len(body) != parts || long.answers.Load() != 1 {
+			t.Errorf("%d bytes of %d, %v, after %d calls", len(body), parts, err, long.answers.Load())
+		}
+		exchanger.Close()
+		broken := &partsNetwork{parts: parts, silentFrom: 2, interval: interval}
+		exchanger = NewExchanger(broken, netip.MustParseAddrPort("127.0.0.1:1"))
+		began := time.Now()
+		if _, _, err := exchanger.Read(t.Context(), http.MethodGet, "/"); !errorx.IsOfType(err, KindUnavailable) {
+			t.Errorf("an answer that breaks off: %v", err)
+		}
+		if took := time.Since(began); took != 2*interval+shortestPatience {
+			t.Errorf("given up after %s, want %s", took, 2*interval+shortestPatience)
+		}
+		exchanger.Close()
+	})
+}
+
 // TestHeldAnswerIsWaitedFor: a watch may be held longer than any other answer takes.
 func TestHeldAnswerIsWaitedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
