Load sharing: exchanges relay only what has changed at their own nodes

Each report and question counted as a change, though it said what the last one said (150 storage nodes ask four times a second), and so did each message of another exchange, which was answered with one. Change: an exchange sends when what nodes report to it has changed, and else as before four times a second. Conclusion: what exchanges send no longer grows with the questions of idle nodes.

--- a/internal/loadshare/board.go
+++ b/internal/loadshare/board.go
@@ -35,6 +35,14 @@
 	return r != nil && r.origin.GetRun() == origin.GetRun() && r.origin.GetSequence() >= origin.GetSequence()
 }
 
+// says that r and other, of which either may be nil, hold the same numbers.
+func (r *report) says(other *report) bool {
+	if r == nil || other == nil {
+		return r == other
+	}
+	return r.onlineNodes == other.onlineNodes && maps.Equal(r.replicas, other.replicas) && maps.Equal(r.demands, other.demands)
+}
+
 // total is what nodes have at one replica.
 type total struct {
 	// reported are those of the nodes that report here, relayed those that other exchanges sent.
@@ -52,8 +60,10 @@
 type Board struct {
 	run uint64
 
-	mutex           sync.Mutex
-	version         uint64
+	mutex   sync.Mutex
+	version uint64
+	// reportedAt is the version of the last change of what nodes report here.
+	reportedAt      uint64
 	reports         map[netip.AddrPort]*report
 	relays          map[netip.AddrPort]*report
 	totals          map[replica.Key]total
@@ -92,10 +102,14 @@
 
 // replaceReport puts next, which may be nil, in the place of a node's last report. The mutex is held.
 func (b *Board) replaceReport(from netip.AddrPort, next *report) {
+	last := b.reports[from]
 	b.replace(b.reports, from, next, b.reportedDemands, &b.reportedNodes, func(sum *total, change replica.Use) {
 		sum.reported = sum.reported.Plus(change, 1)
 		sum.reportedAt = b.version
 	})
+	if !last.says(next) {
+		b.reportedAt = b.version
+	}
 }
 
 // takeRelay takes in what another exchange sent, unless a later message came before it.
@@ -242,11 +256,11 @@
 	}, b.version
 }
 
-// current returns the present version.
-func (b *Board) current() uint64 {
+// reportedSince says that what nodes report here has changed since a version.
+func (b *Board) reportedSince(version uint64) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.version
+	return b.reportedAt > version
 }
 
 // empty says that no node reports here.
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -307,7 +307,7 @@
 	if s.board.empty() && !place.isExchange {
 		return
 	}
-	if s.board.current() == s.relayedVersion && now.Sub(s.relayedAt) < relayAnyway {
+	if !s.board.reportedSince(s.relayedVersion) && now.Sub(s.relayedAt) < relayAnyway {
 		return
 	}
 	whole := now.Sub(s.relayedWholeAt) >= relayWhole
