Copies: relays catch up on a long list at the first of them where the store forgets its history

Change: a relay that has missed changes asks the first of all relays for what has changed since its own revision. That one answers once the store has confirmed its list after the question came, by its watch or by its own reading, so that the answer is as new as a listing; it has the entries changed and all keys. Conclusion: a forgotten history costs one reading of the list, however many zones there are.

--- a/internal/discovery/bounded_store_test.go
+++ b/internal/discovery/bounded_store_test.go
@@ -38,6 +38,8 @@
 	refused  int
 	// down refuses all calls.
 	down bool
+	// forgotten is the revision up to which the history is dropped.
+	forgotten int64
 }
 
 func newBoundedStore(bytesPerSecond float64, readsPerSecond int) *boundedStore {
@@ -151,6 +153,9 @@
 	if err := s.take(); err != nil {
 		return nil, 0, err
 	}
+	if s.hasForgotten(since) {
+		return nil, 0, platform.KindCompacted.New("status 410")
+	}
 	over := time.After(time.Second)
 	answer, at, changed := s.since(prefix, since)
 	for held := true; held && len(answer) == 0; answer, at, changed = s.since(prefix, since) {
@@ -204,6 +209,19 @@
 	s.changed = make(chan struct{})
 }
 
+// forget drops the history.
+func (s *boundedStore) forget() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.forgotten = s.revision
+}
+
+func (s *boundedStore) hasForgotten(since int64) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return since < s.forgotten
+}
+
 func (s *boundedStore) setDown(down bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/discovery/fleet_harness_test.go
+++ b/internal/discovery/fleet_harness_test.go
@@ -20,8 +20,10 @@
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/roster"
 	"github.com/sloelift/sloelift/internal/route"
+	"github.com/sloelift/sloelift/internal/snapshotcache"
 	"github.com/sloelift/sloelift/internal/transport"
 	"github.com/sloelift/sloelift/internal/transport/memory"
+	"github.com/sloelift/sloelift/internal/zonerelay"
 )
 
 // fleetDelay is one way between two nodes.
@@ -54,6 +56,8 @@
 	transport *memory.Transport
 	feed      *changefeed.Feed
 	service   *Service
+	// copies is nil unless the fleet has copies.
+	copies *snapshotcache.Cache
 	// registry holds the figures of transport.
 	registry *prometheus.Registry
 	running  bool
@@ -65,6 +69,8 @@
 	store   platform.KeyValue
 	network *memory.Network
 	nodes   []*fleetNode
+	// withCopies has each node keep what it follows, and the first relay read long lists for the others.
+	withCopies bool
 }
 
 // newTestFleet returns nodes that have not been started: every fifth has a data folder.
@@ -127,12 +133,35 @@
 		following.Seeds = f.seeds()
 	}
 	options.Relays = roster.NewFollower(following)
+	if f.withCopies {
+		node.copies = f.copiesOf(node)
+		options.Store, options.Copies = node.copies, node.copies
+	}
 	node.service = New(options)
 	node.transport.Start()
 	node.feed.Start()
+	if f.withCopies {
+		node.copies.Start()
+	}
 	node.service.Start()
 }
 
+// copiesOf returns what a node keeps of what it follows.
+func (f *testFleet) copiesOf(node *fleetNode) *snapshotcache.Cache {
+	copies, err := snapshotcache.New(snapshotcache.Options{
+		Lister: func() (snapshotcache.Lister, bool) {
+			first, found := zonerelay.Of(node.viewer.View()).First()
+			return snapshotcache.Lister{Address: first.PeerAddress, Self: first.ID == node.id}, found
+		},
+		MostShort: roster.MostKeptByEach, Store: node.feed, Caller: node.transport, Registrar: node.transport, Viewer: node.viewer,
+		Join: func(netip.AddrPort) {}, Unanswered: node.feed.Unanswered, Seeds: f.seeds(), Registerer: prometheus.NewRegistry(), Logger: zerolog.Nop(),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return copies
+}
+
 // seeds are the first nodes with a data folder.
 func (f *testFleet) seeds() []netip.AddrPort {
 	return []netip.AddrPort{f.nodes[0].address, f.nodes[5].address, f.nodes[10].address}
@@ -154,6 +183,9 @@
 func (f *testFleet) stopNode(node *fleetNode) {
 	node.running = false
 	node.service.Stop()
+	if node.copies != nil {
+		node.copies.Stop()
+	}
 	node.feed.Stop()
 	node.transport.Stop()
 }
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,6 +96,10 @@
 func startFleet(t *testing.T, nodes int) (*testFleet, *boundedStore) {
 	store := newBoundedStore(fleetBytesPerSecond, fleetReads)
 	fleet := newTestFleet(t, store, nodes)
+	return startedFleet(fleet, store)
+}
+
+func startedFleet(fleet *testFleet, store *boundedStore) (*testFleet, *boundedStore) {
 	enter(store, 0, fleetReplicas, fleetReplicas*10)
 	fleet.start()
 	time.Sleep(2 * knownWithin)
@@ -151,6 +157,12 @@
 
 // checkDrained fails where a node still uses one of the replicas that drain, or has no others.
 func (f *testFleet) checkDrained() {
+	f.t.Helper()
+	f.checkDrainedTo(fleetReplicas)
+}
+
+// checkDrainedTo is checkDrained where those with an even number below one drain.
+func (f *testFleet) checkDrainedTo(below int) {
 	f.t.Helper()
 	for _, node := range f.nodes {
 		if !node.running {
@@ -160,17 +172,17 @@
 			f.t.Errorf("%s has %d replicas left to use, want %d", node.id, usable, partOf())
 		}
 		for handle := range node.directory.View().All() {
-			if handle.Usable() && drains(handle) {
+			if handle.Usable() && drains(handle, below) {
 				f.t.Errorf("%s still uses %s", node.id, handle.Info().ID)
 			}
 		}
 	}
 }
 
-// drains says that a replica is one of those with an even number.
-func drains(handle *replica.Handle) bool {
-	id := handle.Info().ID
-	return (id[len(id)-1]-'0')%2 == 0
+// drains says that a replica is one of those with an even number below one.
+func drains(handle *replica.Handle, below int) bool {
+	number, err := strconv.Atoi(strings.TrimPrefix(handle.Info().ID, "r"))
+	return err == nil && number%2 == 0 && number < below
 }
 
 // TestNodeThatReachesNoRelayReadsTheListItself, and goes back to its part once relays answer.
--- a/internal/node/role_discovery.go
+++ b/internal/node/role_discovery.go
@@ -21,6 +21,7 @@
 	"github.com/sloelift/sloelift/internal/settings"
 	"github.com/sloelift/sloelift/internal/snapshotcache"
 	"github.com/sloelift/sloelift/internal/transport"
+	"github.com/sloelift/sloelift/internal/zonerelay"
 )
 
 // watchPace says how long the key-value service holds watches. The feed decides on that; it is made after the port to the service, which
@@ -55,7 +56,14 @@
 
 // newCopies keeps what discovery follows, for starts while the key-value service does not answer.
 func newCopies(own settings.Settings, store *changefeed.Feed, caller transport.Caller, registrar transport.Registrar, members *membership.Service, registerer prometheus.Registerer, logger zerolog.Logger) (*snapshotcache.Cache, error) {
+	var relays membership.PerView[zonerelay.Relays]
+	lister := func() (snapshotcache.Lister, bool) {
+		view := members.View()
+		first, found := relays.Of(view, zonerelay.Of).First()
+		return snapshotcache.Lister{Address: first.PeerAddress, Self: first.ID == view.Self}, found
+	}
 	return snapshotcache.New(snapshotcache.Options{
+		Lister: lister, MostShort: roster.MostKeptByEach,
 		Store: store, Caller: caller, Registrar: registrar, Viewer: members, Join: members.AddContact, Unanswered: store.Unanswered,
 		Seeds: own.Seeds(), DataFolder: own.DataFolder, RandomSeed: uint64(time.Now().UnixNano()), Registerer: registerer, Logger: logger,
 	})
--- a/internal/snapshotcache/cache.go
+++ b/internal/snapshotcache/cache.go
@@ -32,6 +32,10 @@
 	Join func(address netip.AddrPort)
 	// Unanswered says that neither this node nor one that watches for it gets answers of the service.
 	Unanswered func() bool
+	// Lister returns the node that reads long lists from the service for the others that keep them; found is false where none is known. nil has each
+	// node read them. A list of up to MostShort entries is not long.
+	Lister    func() (lister Lister, found bool)
+	MostShort int
 	// Seeds are nodes to ask; some may be gone.
 	Seeds []netip.AddrPort
 	// DataFolder is empty on a node that keeps nothing; such a node offers no copies.
@@ -71,6 +75,8 @@
 	// remembered are the nodes that the file named.
 	remembered []machine
 	started    time.Time
+	// confirmed is closed when the service has answered what is below a prefix, and another one takes its place.
+	confirmed chan struct{}
 }
 
 // New returns a Cache and registers its methods. Prefixes are added by Supply before Start.
@@ -82,11 +88,12 @@
 	cache := &Cache{
 		KeyValue: options.Store, options: options, metrics: metrics, file: newFile(options.DataFolder),
 		logger:   options.Logger.With().Str(logging.FieldSlice, "snapshotcache").Logger(),
-		complete: make(chan struct{}), wake: make(chan struct{}, 1), unsaved: make(chan struct{}, 1),
+		complete: make(chan struct{}), confirmed: make(chan struct{}), wake: make(chan struct{}, 1), unsaved: make(chan struct{}, 1),
 		started: time.Now(), contents: map[string]*content{}, peers: newPeers(rand.New(rand.NewPCG(options.RandomSeed, 0))),
 	}
 	cache.peers.add(fromSeed, options.Seeds...)
 	cache.register()
+	cache.handleSince()
 	return cache, nil
 }
 
@@ -119,11 +126,15 @@
 	c.running.Wait()
 }
 
-// List reads all keys below prefix from the service; it ends the use of copies of prefix.
+// List reads all keys below prefix from the service, or what has changed of a long list from the node that does so for others; it ends the use of
+// copies of prefix.
 func (c *Cache) List(ctx context.Context, prefix string) (platform.Listing, error) {
-	listing, err := c.KeyValue.List(ctx, prefix)
-	if err != nil {
-		return listing, err
+	listing, caughtUp := c.catchUp(ctx, prefix)
+	if !caughtUp {
+		var err error
+		if listing, err = c.KeyValue.List(ctx, prefix); err != nil {
+			return listing, err
+		}
 	}
 	if err := c.takeListing(prefix, listing, time.Now()); err != nil {
 		return platform.Listing{}, err
@@ -168,6 +179,7 @@
 			Str("source", held.source).Msg("copy_confirmed")
 	}
 	held.replace(listing, now, "")
+	c.noteConfirmed(held, now)
 	if !held.listed {
 		held.listed = true
 		c.noteListed()
@@ -249,7 +261,7 @@
 
 // takeChange takes in an event of a watch.
 func (c *Cache) takeChange(prefix string, event platform.WatchEvent, now time.Time) {
-	if event.Err != nil || len(event.Changed)+len(event.Deleted) == 0 {
+	if event.Err != nil {
 		return
 	}
 	c.mutex.Lock()
@@ -259,6 +271,12 @@
 		// What a watch that has ended still holds may be older than a listing since.
 		return
 	}
+	if len(event.Changed)+len(event.Deleted) == 0 {
+		held.revision, held.encoded = event.Revision, nil
+		c.noteConfirmed(held, now)
+		return
+	}
 	held.apply(event, now)
+	c.noteConfirmed(held, now)
 	subscription.Signal(c.unsaved)
 }
--- a/internal/snapshotcache/copy.go
+++ b/internal/snapshotcache/copy.go
@@ -19,6 +19,8 @@
 	revision int64
 	takenAt  time.Time
 	source   string
+	// confirmedAt is when the service last answered what is below the prefix: a listing, or a watch from there on.
+	confirmedAt time.Time
 	// listed says that the service has listed the prefix to this process; from then on no copy is taken.
 	listed bool
 	// take is given the copies; supplied is the revision of the last one, 0 for none.
@@ -64,9 +66,7 @@
 	listing := c.listing()
 	message := &snapshotcachepb.Copy{Prefix: prefix, Revision: c.revision, TakenUnixMicros: c.takenAt.UnixMicro()}
 	for _, entry := range listing.Entries {
-		message.Entries = append(message.Entries, &snapshotcachepb.Entry{
-			Key: entry.Key, Value: entry.Value, CreateRevision: entry.CreateRevision, ModRevision: entry.ModRevision,
-		})
+		message.Entries = append(message.Entries, encodeEntry(entry))
 	}
 	c.encoded = message
 	return message
@@ -79,9 +79,15 @@
 		if !strings.HasPrefix(entry.GetKey(), message.GetPrefix()) || entry.GetModRevision() > message.GetRevision() {
 			return platform.Listing{}, time.Time{}, false
 		}
-		listing.Entries = append(listing.Entries, platform.Entry{
-			Key: entry.GetKey(), Value: entry.GetValue(), CreateRevision: entry.GetCreateRevision(), ModRevision: entry.GetModRevision(),
-		})
+		listing.Entries = append(listing.Entries, decodeEntry(entry))
 	}
 	return listing, time.UnixMicro(message.GetTakenUnixMicros()), listing.Revision > 0
 }
+
+func encodeEntry(entry platform.Entry) *snapshotcachepb.Entry {
+	return &snapshotcachepb.Entry{Key: entry.Key, Value: entry.Value, CreateRevision: entry.CreateRevision, ModRevision: entry.ModRevision}
+}
+
+func decodeEntry(entry *snapshotcachepb.Entry) platform.Entry {
+	return platform.Entry{Key: entry.GetKey(), Value: entry.GetValue(), CreateRevision: entry.GetCreateRevision(), ModRevision: entry.GetModRevision()}
+}
--- a/internal/snapshotcache/ended_watch_test.go
+++ b/internal/snapshotcache/ended_watch_test.go
@@ -14,7 +14,7 @@
 	}
 	held := &content{}
 	held.replace(platform.Listing{Revision: 9, Entries: []platform.Entry{entry("newer", 9)}}, time.Now(), "")
-	cache := &Cache{contents: map[string]*content{"p/": held}, unsaved: make(chan struct{}, 1)}
+	cache := &Cache{confirmed: make(chan struct{}), contents: map[string]*content{"p/": held}, unsaved: make(chan struct{}, 1)}
 	cache.takeChange("p/", platform.WatchEvent{Revision: 7, Changed: []platform.Entry{entry("older", 7)}}, time.Now())
 	if kept := held.listing(); kept.Revision != 9 || string(kept.Entries[0].Value) != "newer" {
 		t.Errorf("%q kept at revision %d", kept.Entries[0].Value, kept.Revision)
--- a/internal/zonerelay/relays.go
+++ b/internal/zonerelay/relays.go
@@ -65,6 +65,18 @@
 	return zones
 }
 
+// First returns the first relay of all zones by the order in which a zone's are chosen; found is false where there is none.
+func (r Relays) First() (first membership.Member, found bool) {
+	for _, relays := range r.byZone {
+		for _, relay := range relays {
+			if !found || compare(relay, first) < 0 {
+				first, found = relay, true
+			}
+		}
+	}
+	return first, found
+}
+
 // IsRelay says that the node is one of the relays of its zone.
 func (r Relays) IsRelay(id membership.NodeID) bool {
 	for _, relays := range r.byZone {
--- a/internal/zonerelay/relays_test.go
+++ b/internal/zonerelay/relays_test.go
@@ -78,3 +78,20 @@
 		t.Errorf("relays %v", idsOf(relays.InZone("z")))
 	}
 }
+
+// TestFirstIsOneOfTheRelays, the same for all nodes, and another one once it is gone.
+func TestFirstIsOneOfTheRelays(t *testing.T) {
+	view := viewOf(20)
+	first, found := Of(view).First()
+	if !found || !first.Store || !Of(view).IsRelay(first.ID) {
+		t.Fatalf("first %+v, %t", first, found)
+	}
+	place := slices.IndexFunc(view.Members, func(member membership.Member) bool { return member.ID == first.ID })
+	view.Members[place].State = membership.Dead
+	if next, found := Of(view).First(); !found || next.ID == first.ID {
+		t.Errorf("after %s is gone: %s, %t", first.ID, next.ID, found)
+	}
+	if _, found := Of(&membership.View{}).First(); found {
+		t.Error("a relay of nobody")
+	}
+}
