--- a/internal/membership/added_contact_test.go
+++ b/internal/membership/added_contact_test.go
@@ -40,3 +40,27 @@
 		t.Errorf("%d seeds, want %d at most", len(own.seeds), maxSeeds)
 	}
 }
+
+// TestUnknownSeedIsAskedWhileOthersAreKnown: of nodes that find each other in two groups, as through a list that holds some of them alone, each asks
+// the seeds that it does not know, and so the groups find each other.
+func TestUnknownSeedIsAskedWhileOthersAreKnown(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	seed := netip.MustParseAddrPort("10.0.0.9:7")
+	own := newProtocol(Member{ID: "self", Zone: "z", PeerAddress: netip.MustParseAddrPort("10.0.0.1:7"), Incarnation: 1}, []netip.AddrPort{seed}, DefaultTiming(), 1)
+	other := newRecord(Member{ID: "other", Zone: "z", PeerAddress: netip.MustParseAddrPort("10.0.0.2:7"), Incarnation: 1})
+	own.step(now, messageEvent{from: other.PeerAddress, message: &membershippb.Records{
+		Sender: &membershippb.Sender{Id: "other", Incarnation: 1}, Records: []*membershippb.Record{other.encode(now)},
+	}})
+	asked := 0
+	for until := now.Add(3 * DefaultTiming().HealPeriod); now.Before(until); now = now.Add(DefaultTiming().Tick) {
+		for _, output := range own.step(now, tickEvent{}) {
+			sent, is := output.(sendAction)
+			if _, digest := sent.message.(*membershippb.Digest); is && digest && sent.to == seed {
+				asked++
+			}
+		}
+	}
+	if asked < 2 {
+		t.Errorf("the seed was asked %d times in three periods", asked)
+	}
+}
