--- a/internal/ledger/directory.go
+++ b/internal/ledger/directory.go
@@ -44,8 +44,6 @@
 	ensembles map[PartitionID]protocol.Ensemble
 	// published are the versions that the key-value service is known to have.
 	published map[PartitionID]uint64
-	// loaded says that all that the key-value service had was read once.
-	loaded bool
 }
 
 func newDirectory(keyValue platform.KeyValue) *directory {
@@ -149,19 +147,9 @@
 			return err
 		}
 	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.loaded = true
 	return nil
 }
 
-// wasLoaded says that all that the key-value service had was read once.
-func (d *directory) wasLoaded() bool {
-	d.mutex.RLock()
-	defer d.mutex.RUnlock()
-	return d.loaded
-}
-
 func (d *directory) take(entry platform.Entry) error {
 	if entry.Key == headKey {
 		var message ledgerpb.Head
--- a/internal/ledger/formation.go
+++ b/internal/ledger/formation.go
@@ -67,17 +67,18 @@
 }
 
 // mayForm says whether this node should create what is missing: once there are stores enough, or the wait for more
-// is over. The first live node with a store goes first, the others after one more wait, so that they don't all try.
+// is over. The first live node goes first, the others after one more wait, so that they don't all try.
 func (m *Manager) mayForm(now time.Time) bool {
-	stores := storesOf(m.viewer.View())
-	if len(stores) == 0 {
+	view := m.viewer.View()
+	stores := len(storesOf(view))
+	if stores == 0 {
 		return false
 	}
 	waited := now.Sub(m.started)
-	if stores[0].ID != m.self {
+	if live := view.Live(); len(live) == 0 || live[0].ID != m.self {
 		waited -= m.timing.Formation
 	}
-	return waited >= m.timing.Formation || (len(stores) >= m.settings.Replicas && waited >= 0)
+	return waited >= m.timing.Formation || (stores >= m.settings.Replicas && waited >= 0)
 }
 
 // dropForeign has the local store forget partitions that were given to others while it was away.
@@ -98,11 +99,6 @@
 			return nil
 		}
 	}
-	if !mayForm && m.directory.wasLoaded() && !m.directory.complete() {
-		// Another node is to form the ledger, and answers what it knows: the key-value service is spared a call of each node and round.
-		m.askPeers(ctx)
-		return nil
-	}
 	if err := m.directory.load(ctx); err != nil || m.directory.complete() || !mayForm {
 		return err
 	}
--- a/internal/ledger/formation_test.go
+++ b/internal/ledger/formation_test.go
@@ -72,35 +72,3 @@
 		})
 	})
 }
-
-// TestOneNodeFormsTheLedger: of many that start at once, after nodes without a store, one writes what is missing, and the others read the
-// key-value service once and learn the rest from it.
-func TestOneNodeFormsTheLedger(t *testing.T) {
-	const withoutStore, stores = 3, 24
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, 27)
-		c.ledger.OwnersOnStores, c.ledger.MembersDecide = true, true
-		defer c.stopAll()
-		for range withoutStore {
-			c.add(false)
-		}
-		for range stores {
-			c.add(true)
-		}
-		c.eventually("all know the ensembles", func() bool {
-			for _, node := range c.nodes {
-				if !node.manager.directory.complete() {
-					return false
-				}
-			}
-			return true
-		})
-		// The node that forms the ledger writes the head, and the ensembles, and reads what stands after each.
-		const ofTheFirst = 4
-		c.keyValue.set(func() {
-			if most := stores + ofTheFirst; c.keyValue.calls > most {
-				t.Errorf("%d calls of the key-value service, want %d at most", c.keyValue.calls, most)
-			}
-		})
-	})
-}
