Sight: items that make nothing, the ends that convict a message, and a keeper that decides otherwise

Cause: an accepted item was on no replica for tens of seconds, and no line or metric said so, which ends of replicas spoke against it, where they came from, or what the keeper of its grant had answered. Change: items_stalled each 5 s with counts by reason and the item that has made nothing for longest; sloelift_batch_items_stalled{reason} and sloelift_batch_item_stalled_seconds_max; message_rejected names its evidence with its origin (seen, shared, recalled, lapsed); keeper_decided_otherwise. No decision changes. Figures: go test ./internal/batch ./internal/quarantine ./internal/node: pass.

--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -56,9 +56,13 @@
 	startedWithText bool
 	late            bool
 	hopeless        bool
-	// text and lastEvent are what the item has made; a further run goes on behind lastEvent.
-	text      []byte
-	lastEvent string
+	// atReplica says that the item was sent and that its run has not ended yet.
+	atReplica bool
+	// text and lastEvent are what the item has made; a further run goes on behind lastEvent. progressAt is when it last made something here, since
+	// the partition's start; 0 where it has made nothing.
+	text       []byte
+	lastEvent  string
+	progressAt time.Duration
 	// logged is the length of the part of text that is in the log or on its way there.
 	logged int
 	// finishing says that the item's result is on its way to the log.
@@ -90,7 +94,7 @@
 func (p *partition) runDispatcher() {
 	timer := time.NewTimer(dispatchInterval)
 	defer timer.Stop()
-	var asked, reported time.Duration
+	var asked, reported, reportedStalled time.Duration
 	for {
 		waiting := p.dispatch()
 		p.checkOwnership()
@@ -99,6 +103,10 @@
 			reported = now
 			p.report()
 		}
+		if now := p.elapsed(); now-reportedStalled >= stalledAfter {
+			reportedStalled = now
+			p.reportStalled()
+		}
 		pause := idleInterval
 		if waiting {
 			pause = dispatchInterval
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -86,6 +86,8 @@
 
 // run runs the item at its replica, one lease after the other, until it is done, fails or is cut off.
 func (a *itemAttempt) run(ctx context.Context) itemVerdict {
+	a.partition.noteAtReplica(a.key, true)
+	defer a.partition.noteAtReplica(a.key, false)
 	for {
 		madeBefore := len(a.text)
 		verdict := a.runLease(ctx)
@@ -225,7 +227,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if run := p.runs[attempt.key]; run != nil {
-		run.text, run.lastEvent = attempt.text, attempt.lastEvent
+		run.text, run.lastEvent, run.progressAt = attempt.text, attempt.lastEvent, p.elapsed()
 	}
 }
 
--- a/internal/batch/item_run.go
+++ b/internal/batch/item_run.go
@@ -24,6 +24,15 @@
 	p.begunInTime++
 }
 
+// noteAtReplica notes that an item was sent, or that its run there has ended.
+func (p *partition) noteAtReplica(key itemKey, atReplica bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if run := p.runs[key]; run != nil {
+		run.atReplica = atReplica
+	}
+}
+
 // noteEnd notes that a run has ended.
 func (p *partition) noteEnd(key itemKey) {
 	p.mutex.Lock()
--- /dev/null
+++ b/internal/batch/metrics.go
@@ -0,0 +1,36 @@
+package batch
+
+import "github.com/prometheus/client_golang/prometheus"
+
+var (
+	stalledDescription = prometheus.NewDesc("sloelift_batch_items_stalled", "Items of open jobs that have made nothing for five seconds, by what they wait for.", []string{"reason"}, nil)
+	longestDescription = prometheus.NewDesc("sloelift_batch_item_stalled_seconds_max", "The longest time for which an item of an open job has made nothing.", nil, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (s *Service) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- stalledDescription
+	descriptions <- longestDescription
+}
+
+// Collect implements prometheus.Collector: what the partitions owned here show now.
+func (s *Service) Collect(metrics chan<- prometheus.Metric) {
+	s.mutex.RLock()
+	owned := make([]*partition, 0, len(s.partitions))
+	for _, each := range s.partitions {
+		owned = append(owned, each)
+	}
+	s.mutex.RUnlock()
+	counts, longest := map[standing]int{}, 0.0
+	for _, each := range owned {
+		found := each.stalled()
+		for reason, count := range found.counts {
+			counts[reason] += count
+		}
+		longest = max(longest, found.longest.lasted.Seconds())
+	}
+	for _, reason := range standings {
+		metrics <- prometheus.MustNewConstMetric(stalledDescription, prometheus.GaugeValue, float64(counts[reason]), string(reason))
+	}
+	metrics <- prometheus.MustNewConstMetric(longestDescription, prometheus.GaugeValue, longest)
+}
--- a/internal/node/role_storage.go
+++ b/internal/node/role_storage.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
@@ -31,12 +32,13 @@
 	defaultKeepResults     = 10 * time.Minute
 )
 
-func newBatchService(own settings.Settings, adapter Adapter, routes *route.Holder, directory *replica.Directory, shared *loadshare.Service, picker *balance.Picker, client *replica.Client, coldStarts *coldstart.Service, register quarantine.Register, registrar transport.Registrar, logger zerolog.Logger) *batch.Service {
+func newBatchService(own settings.Settings, adapter Adapter, routes *route.Holder, directory *replica.Directory, shared *loadshare.Service, picker *balance.Picker, client *replica.Client, coldStarts *coldstart.Service, register quarantine.Register, registrar transport.Registrar, registerer prometheus.Registerer, logger zerolog.Logger) (*batch.Service, error) {
 	memory := cmp.Or(own.Limits.MemoryMegabytes, defaultMemoryMegabytes)
-	return batch.NewService(batch.Options{
+	service := batch.NewService(batch.Options{
 		Zone: own.Zone, MaxBytes: int64(float64(memory<<20) * batchMemoryShare),
 		KeepResults: cmp.Or(own.Bounds.Poll, defaultKeepResults), Report: adapter.Report, ColdStarts: coldStarts, Quarantine: register,
 	}, routes, directory, shared, picker, client, registrar, logger)
+	return service, registerer.Register(service)
 }
 
 // followRetirements empties storage nodes on request.
--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -107,6 +107,7 @@
 			s.leaveQueue(key)
 			return &permit{service: s, key: key, verdict: Rejected}
 		}
+		s.noteDisagreement(key, keeper, response.GetVerdict())
 		switch response.GetVerdict() {
 		case quarantinepb.Verdict_VERDICT_GRANTED:
 			return s.granted(key, run, keeper)
@@ -126,6 +127,18 @@
 	}
 }
 
+// noteDisagreement logs that a keeper decides otherwise than this node does by all that both know of the message.
+func (s *Service) noteDisagreement(key Key, keeper membership.Member, decided quarantinepb.Verdict) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	own := s.book.verdict(key)
+	if own != Apart || decided == quarantinepb.Verdict_VERDICT_GRANTED || decided == quarantinepb.Verdict_VERDICT_BUSY {
+		return
+	}
+	s.logger.Info().Stringer("digest", key).Stringer(logging.FieldPeer, keeper.PeerAddress).Stringer("keeper_verdict", decided).Stringer("own_verdict", own).
+		Strs("evidence", s.book.evidence(key, time.Now())).Msg("keeper_decided_otherwise")
+}
+
 // pauseUnlessDecided waits for pause and returns true; false as soon as the message is no longer suspected, or one of the contexts ends.
 func (s *Service) pauseUnlessDecided(ctx context.Context, key Key, pause time.Duration) bool {
 	timer := time.NewTimer(pause)
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -24,11 +24,27 @@
 	cleared bool
 	// granted says that it was suspected before, and ran there apart.
 	granted bool
+	// origin says from where this node has it; it is not sent.
+	origin origin
 }
 
+// origin says from where a node has the end of a replica under a message.
+type origin string
+
+const (
+	// originSeen ends were found out by an inquiry of this node.
+	originSeen origin = "seen"
+	// originShared ends were learned from another node.
+	originShared origin = "shared"
+	// originRecalled ends were in the log of the message's owner.
+	originRecalled origin = "recalled"
+	// originLapsed ends are supposed: the grant of a run was not renewed.
+	originLapsed origin = "lapsed"
+)
+
 // unseen returns a message whose run nobody here saw to its end: how long it was is not known, so that it counts, but speaks no more strongly
 // against the message than a long one.
-func unseen() suspect { return suspect{ran: shortRun + time.Second} }
+func unseen(from origin) suspect { return suspect{ran: shortRun + time.Second, origin: from} }
 
 // incident is the end of one incarnation of a replica.
 type incident struct {
--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -53,7 +53,7 @@
 		}
 		for _, doubt := range each.Suspects {
 			key, valid := decodeKey(doubt.Message)
-			joined := suspect{ran: time.Duration(doubt.RanMillis) * time.Millisecond, cleared: doubt.Cleared, granted: doubt.Granted}
+			joined := suspect{ran: time.Duration(doubt.RanMillis) * time.Millisecond, cleared: doubt.Cleared, granted: doubt.Granted, origin: originShared}
 			if valid && b.add(replica.Key(each.Replica), now.Add(-age), key, joined) {
 				changed = append(changed, key)
 			}
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -84,7 +84,7 @@
 	}
 	delete(s.grants, key)
 	ended := replica.Key(held.run)
-	if s.book.verdict(key) == Apart && s.book.add(ended, held.until, key, unseen()) {
+	if s.book.verdict(key) == Apart && s.book.add(ended, held.until, key, unseen(originLapsed)) {
 		s.logger.Info().Stringer("digest", key).Msg("grant_lapsed")
 		s.announce(ended, key)
 		s.noteVerdict(key)
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -150,7 +150,7 @@
 	defer s.mutex.Unlock()
 	for number, each := range ended {
 		// When the runs ended is not known either.
-		if s.book.add(each, now.Add(-time.Duration(number+1)*time.Second), key, unseen()) {
+		if s.book.add(each, now.Add(-time.Duration(number+1)*time.Second), key, unseen(originRecalled)) {
 			s.announce(each, key)
 		}
 	}
@@ -161,7 +161,7 @@
 // suspect counts the end of a replica against a run's message. The mutex is held.
 func (s *Service) suspect(ended *run, at time.Time, ran time.Duration) {
 	key := ended.handle.Key()
-	if !s.book.add(key, at, ended.key, suspect{ran: ran, granted: ended.granted}) {
+	if !s.book.add(key, at, ended.key, suspect{ran: ran, granted: ended.granted, origin: originSeen}) {
 		return
 	}
 	s.announce(key, ended.key)
@@ -253,7 +253,7 @@
 	if rejected != s.rejected[key] {
 		if rejected {
 			s.rejected[key] = true
-			s.logger.Warn().Stringer("digest", key).Int("ended", s.book.count(key)).Msg("message_rejected")
+			s.logger.Warn().Stringer("digest", key).Int("ended", s.book.count(key)).Strs("evidence", s.book.evidence(key, time.Now())).Msg("message_rejected")
 		} else {
 			delete(s.rejected, key)
 		}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -148,6 +149,17 @@
 	return false
 }
 
+// evidence lists the ends of replicas that speak against a message, for the log.
+func (b *book) evidence(message Key, now time.Time) []string {
+	var listed []string
+	for _, each := range b.open(message) {
+		doubt := each.suspects[message]
+		listed = append(listed, fmt.Sprintf("%016x age=%s ran=%s together=%d granted=%t %s", uint64(each.replica),
+			now.Sub(each.learned).Round(time.Millisecond), doubt.ran.Round(time.Millisecond), len(each.suspects), doubt.granted, doubt.origin))
+	}
+	return listed
+}
+
 // counts returns the numbers of messages that are suspected and rejected.
 func (b *book) counts() (suspected, rejected int) {
 	for message := range b.byMessage {
