Quarantine: a run that the keeper allows is not cut off by what this node knew before

Callers saw accepted items that were never done: their owner began each of them some 150 times in half a minute, and cut each run off before anything was sent. Cause: the owner's book spoke against the message, that of its keeper did not, since it knew a message that explains the same ends. The keeper allowed the run, and Begin cut it off by the owner's own book, each time. Change: a permit notes how many ends were known when it was given; Begin ends the run only by what was learned since. Why it holds: the keeper decides on all that the asker sent it, so what the asker knew is part of the decision; an end that is new cuts the run off as before.

--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -32,9 +32,9 @@
 
 // Admit implements Register.
 func (s *Service) Admit(ctx context.Context, key Key) Permit {
-	verdict, inquired := s.look(key)
-	if verdict == Allowed && !inquired {
-		return &permit{service: s, key: key, verdict: Allowed}
+	known, inquired := s.look(key)
+	if known.verdict == Allowed && !inquired {
+		return known
 	}
 	bounded, cancel := context.WithTimeout(ctx, longestWait)
 	defer cancel()
@@ -43,11 +43,24 @@
 	return admitted
 }
 
-// look returns what is known of a message, and whether an inquiry into a replica that it was lost at is under way.
-func (s *Service) look(key Key) (verdict Verdict, inquired bool) {
+// look returns the permit by what is known of a message, and whether an inquiry into a replica that it was lost at is under way.
+func (s *Service) look(key Key) (known *permit, inquired bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.book.verdict(key), s.inquired[key] > 0
+	return s.permitFor(key, s.book.verdict(key)), s.inquired[key] > 0
+}
+
+// permitFor returns a permit that rests on all that is known of the message now. The mutex is held.
+func (s *Service) permitFor(key Key, verdict Verdict) *permit {
+	return &permit{service: s, key: key, verdict: verdict, known: len(s.book.open(key))}
+}
+
+// decided returns the permit of a message that its keeper has decided on.
+func (s *Service) decided(key Key, verdict Verdict) *permit {
+	s.leaveQueue(key)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.permitFor(key, verdict)
 }
 
 // admitSuspect waits until it is decided whether a suspected message may run.
@@ -60,10 +73,11 @@
 			s.mutex.Unlock()
 			return s.seek(ctx, key)
 		}
-		s.mutex.Unlock()
 		if !inquired && verdict != Apart {
-			return &permit{service: s, key: key, verdict: verdict}
+			defer s.mutex.Unlock()
+			return s.permitFor(key, verdict)
 		}
+		s.mutex.Unlock()
 		select {
 		case <-changed:
 		case <-waiting:
@@ -78,11 +92,11 @@
 // undecided returns the permit for a message after the wait for a decision: a suspect without a grant is not sent, and one that no replica is known
 // to have ended under is sent like any other, though an inquiry into a replica goes on.
 func (s *Service) undecided(key Key) *permit {
-	verdict, _ := s.look(key)
-	if verdict == Apart {
-		verdict = Rejected
+	known, _ := s.look(key)
+	if known.verdict == Apart {
+		known.verdict = Rejected
 	}
-	return &permit{service: s, key: key, verdict: verdict}
+	return known
 }
 
 // leaveQueue gives up the queue of a message, so that the next caller on this node may ask for the grant.
@@ -104,20 +118,17 @@
 		response, keeper, err := s.askKeepers(ctx, key, run)
 		if err != nil {
 			s.logger.Info().Stringer("digest", key).Err(err).Msg("suspect_not_decided")
-			s.leaveQueue(key)
-			return &permit{service: s, key: key, verdict: Rejected}
+			return s.decided(key, Rejected)
 		}
 		s.noteDisagreement(key, keeper, response.GetVerdict())
 		switch response.GetVerdict() {
 		case quarantinepb.Verdict_VERDICT_GRANTED:
 			return s.granted(key, run, keeper)
 		case quarantinepb.Verdict_VERDICT_ALLOWED:
-			s.leaveQueue(key)
-			return &permit{service: s, key: key, verdict: Allowed}
+			return s.decided(key, Allowed)
 		case quarantinepb.Verdict_VERDICT_BUSY:
 		default:
-			s.leaveQueue(key)
-			return &permit{service: s, key: key, verdict: Rejected}
+			return s.decided(key, Rejected)
 		}
 		if !s.pauseUnlessDecided(ctx, key, pause) {
 			s.leaveQueue(key)
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -13,6 +13,8 @@
 	service *Service
 	key     Key
 	verdict Verdict
+	// known is the number of ended replicas that spoke against the message here when the permit was given.
+	known int
 	// grant is the number of the grant that the keeper gave; 0 where none was needed.
 	grant  uint64
 	keeper membership.Member
@@ -62,8 +64,10 @@
 		p.service.runs[p.key] = map[*run]bool{}
 	}
 	p.service.runs[p.key][begun] = true
-	// It may have become suspected since the permit was given.
-	p.service.cutRuns(p.key)
+	// A keeper may allow what this node's book speaks against, since it knows more: only what was learned after the permit ends the run.
+	if len(p.service.book.open(p.key)) > p.known {
+		p.service.cutRuns(p.key)
+	}
 	return begun
 }
 
