Quarantine: what was seen of an ended replica replaces what an owner recalled of it

Callers saw accepted items that lay after a change of owner. A new owner read from its log that replicas had ended under its items, with times and lengths of its own making (one second apart, 3 s each), and kept these when the nodes that had seen the ends told it more: the first that a node learned stood. So the same ends convicted a message at some nodes and not at others, for ten minutes.

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -48,9 +48,11 @@
 
 // incident is the end of one incarnation of a replica.
 type incident struct {
-	replica  replica.Key
-	learned  time.Time
-	suspects map[Key]*suspect
+	replica replica.Key
+	learned time.Time
+	// timeAssumed says that nobody that is known here saw when it was; learned is then the best guess.
+	timeAssumed bool
+	suspects    map[Key]*suspect
 	// open counts the suspects that are not cleared.
 	open int
 }
@@ -68,12 +70,26 @@
 
 // add joins one suspect of an incident that was learned of at the given time. It returns whether anything is new.
 func (b *book) add(ended replica.Key, learned time.Time, message Key, joined suspect) bool {
+	return b.addSuspect(b.incidentAt(ended, learned, false), message, joined)
+}
+
+// incidentAt returns the incident of a replica, which is new where it was not known. A time that somebody saw replaces an assumed one.
+func (b *book) incidentAt(ended replica.Key, learned time.Time, timeAssumed bool) *incident {
 	known := b.incidents[ended]
 	if known == nil {
 		b.makeRoom()
-		known = &incident{replica: ended, learned: learned, suspects: map[Key]*suspect{}}
+		known = &incident{replica: ended, learned: learned, timeAssumed: timeAssumed, suspects: map[Key]*suspect{}}
 		b.incidents[ended] = known
 	}
+	if known.timeAssumed && !timeAssumed {
+		known.learned, known.timeAssumed = learned, false
+	}
+	return known
+}
+
+// addSuspect joins one suspect of a known incident; it returns whether anything is new.
+func (b *book) addSuspect(known *incident, message Key, joined suspect) bool {
+	joined.ran = joined.ran.Truncate(time.Millisecond)
 	before := known.suspects[message]
 	if before == nil {
 		if len(known.suspects) >= maxSuspects {
@@ -86,17 +102,33 @@
 		if b.byMessage[message] == nil {
 			b.byMessage[message] = map[replica.Key]*incident{}
 		}
-		b.byMessage[message][ended] = known
+		b.byMessage[message][known.replica] = known
 		return true
 	}
-	if !joined.cleared || before.cleared {
+	merged := before.merge(joined)
+	if merged == *before {
 		return false
 	}
-	before.cleared = true
-	known.open--
+	if merged.cleared && !before.cleared {
+		known.open--
+	}
+	*before = merged
 	return true
 }
 
+// merge returns what two nodes know of the same run together, in any order. Of a run that nobody saw to its end, its length is not known: the
+// shorter one was seen.
+func (s suspect) merge(other suspect) suspect {
+	merged := s
+	if s.origin == originRecalled || s.origin == originLapsed {
+		merged.origin = other.origin
+	}
+	merged.ran = min(s.ran, other.ran)
+	merged.granted = s.granted || other.granted
+	merged.cleared = s.cleared || other.cleared
+	return merged
+}
+
 // clear notes that the message has come to its end; it returns the incidents in which it was suspected.
 func (b *book) clear(message Key) []*incident {
 	open := b.open(message)
--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -9,7 +9,7 @@
 
 // encodeHead returns an incident as it is sent, without its suspects.
 func encodeHead(of *incident, now time.Time) *quarantinepb.Incident {
-	return &quarantinepb.Incident{Replica: uint64(of.replica), AgeMillis: uint64(max(0, now.Sub(of.learned)).Milliseconds())}
+	return &quarantinepb.Incident{Replica: uint64(of.replica), AgeMillis: uint64(max(0, now.Sub(of.learned)).Milliseconds()), TimeAssumed: of.timeAssumed}
 }
 
 // encode returns an incident as it is sent.
@@ -54,7 +54,7 @@
 		for _, doubt := range each.Suspects {
 			key, valid := decodeKey(doubt.Message)
 			joined := suspect{ran: time.Duration(doubt.RanMillis) * time.Millisecond, cleared: doubt.Cleared, granted: doubt.Granted, origin: originShared}
-			if valid && b.add(replica.Key(each.Replica), now.Add(-age), key, joined) {
+			if valid && b.addSuspect(b.incidentAt(replica.Key(each.Replica), now.Add(-age), each.TimeAssumed), key, joined) {
 				changed = append(changed, key)
 			}
 		}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -149,8 +149,8 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for number, each := range ended {
-		// When the runs ended is not known either.
-		if s.book.add(each, now.Add(-time.Duration(number+1)*time.Second), key, unseen(originRecalled)) {
+		// When the runs ended is not known either; what other nodes saw replaces this.
+		if s.book.addSuspect(s.book.incidentAt(each, now.Add(-time.Duration(number+1)*time.Second), true), key, unseen(originRecalled)) {
 			s.announce(each, key)
 		}
 	}
