Batch: an item that its keeper rejects is given up when its route's retention is over

Callers saw an accepted item that was never listed at all: not even as a dead letter once its route's retention was over. Cause: the owner gave up an item that is kept from replicas only where its own register rejected the message. Where only the keeper of the grant did, or no keeper was reached, the attempt ended as not sent and the item was looked at four times a second for ever. Change: such an attempt ends as rejected, and the item is listed as a dead letter after the retention, as one that is held back. An item that a cold replica has no room for ends as not sent, as before. Why it holds: each way in which an item can be kept from replicas now looks at the retention.

--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -47,12 +47,15 @@
 	itemRefused
 	// itemCut: the stream ended early; the text so far stands.
 	itemCut
-	// itemNotSent: it was not sent, since other runs of the same message are to end first.
+	// itemNotSent: it was not sent, since its replica is cold and has no room for it now.
 	itemNotSent
+	// itemRejected: it was not sent, since replicas ended under its message, and no further run was granted.
+	itemRejected
 )
 
 var itemVerdictNames = map[itemVerdict]string{
 	itemDone: "done", itemImpossible: "impossible", itemFailed: "failed", itemRefused: "refused", itemCut: "cut", itemNotSent: "not_sent",
+	itemRejected: "rejected",
 }
 
 // String returns the verdict's name in the log.
@@ -250,6 +253,8 @@
 		p.requeue(attempt.key, 0)
 	case itemNotSent:
 		p.requeue(attempt.key, pauseWhileSuspected)
+	case itemRejected:
+		p.tookRejection(attempt)
 	}
 	p.wake()
 }
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -12,6 +12,7 @@
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/route"
 )
 
 const (
@@ -100,7 +101,7 @@
 
 // holdBack has an item that is kept from replicas wait until its route's retention is over, then lists it as a dead letter.
 func (p *partition) holdBack(each candidate) {
-	mayGiveUp := each.route.Retention > 0 && p.now().After(time.UnixMilli(each.acceptedAt).Add(each.route.Retention))
+	mayGiveUp := p.mayGiveUp(each.route, each.acceptedAt)
 	p.mutex.Lock()
 	run := p.runOf(each.key)
 	run.notBefore = p.elapsed() + holdPause
@@ -117,6 +118,24 @@
 	}
 }
 
+// mayGiveUp says that the time is over for which an item that no replica gets is kept.
+func (p *partition) mayGiveUp(of *route.Route, acceptedAt int64) bool {
+	return of.Retention > 0 && p.now().After(time.UnixMilli(acceptedAt).Add(of.Retention))
+}
+
+// tookRejection has an item wait that was not admitted to its replica. It is given up like one that is held back: a keeper may decide otherwise than this
+// node's register for as long as they know different ends.
+func (p *partition) tookRejection(attempt *itemAttempt) {
+	p.mutex.Lock()
+	acceptedAt := p.runOf(attempt.key).acceptedAt
+	p.mutex.Unlock()
+	if p.mayGiveUp(attempt.route, acceptedAt) {
+		p.finish(attempt.key, batchpb.State_STATE_DEAD_LETTER, "", "crashes_replicas")
+		return
+	}
+	p.requeue(attempt.key, pauseWhileSuspected)
+}
+
 // runGuarded runs an item at its replica and notes how that ended for its message.
 func (p *partition) runGuarded(ctx context.Context, attempt *itemAttempt) itemVerdict {
 	register := p.service.options.Quarantine
@@ -128,7 +147,10 @@
 	p.mutex.RUnlock()
 	permit := register.Admit(ctx, message)
 	defer permit.Release()
-	if permit.Verdict() == quarantine.Rejected || !attempt.stillAdmitted() {
+	if permit.Verdict() == quarantine.Rejected {
+		return itemRejected
+	}
+	if !attempt.stillAdmitted() {
 		return itemNotSent
 	}
 	bounded, cancel := context.WithCancelCause(ctx)
