Test stand-ins: closing replicas waits for their scripts

Cause: TestHopelessJobIsRefusedAtOnce failed once in a run of the package beside other work, and in 1 of 240 runs sixteen at a time: 'main bubble goroutine has exited but blocked goroutines remain', a script of a stand-in that slept when the test ended. It depends on whether the last job's item was sent before the end. Change: CloseAll returns once the scripts have ended. No check changes.

--- a/internal/replica/replicatest/network.go
+++ b/internal/replica/replicatest/network.go
@@ -31,6 +31,7 @@
 	requests []*http.Request
 	bodies   []string
 	open     []net.Conn
+	serving  sync.WaitGroup
 }
 
 // Listen fails: nothing is served here.
@@ -48,7 +49,7 @@
 	}
 	near, far := net.Pipe()
 	f.open = append(f.open, near, far)
-	go f.serve(far, script)
+	f.serving.Go(func() { f.serve(far, script) })
 	return near, nil
 }
 
@@ -74,13 +75,14 @@
 	}
 }
 
-// CloseAll ends all connections.
+// CloseAll ends all connections and returns once all scripts have ended; a script that sleeps first has to wake. Nothing may connect meanwhile.
 func (f *Network) CloseAll() {
 	f.mutex.Lock()
-	defer f.mutex.Unlock()
 	for _, connection := range f.open {
 		_ = connection.Close()
 	}
+	f.mutex.Unlock()
+	f.serving.Wait()
 }
 
 // Answer writes a whole answer with a length and the request's id.
