Quarantine: a grant that lapses counts as the end of a replica only where that replica has ended

Cause: a grant that was neither renewed nor given back was taken for an end, since nobody had seen how the run ended. Whoever held it never said where the run was, so that the keeper could not ask. Change: the holder names the replica when the run is sent and with each renewal; when the grant lapses the keeper inquires into that replica, at once and while it may still work on the message, and counts what it finds. Why it holds: an end that happened is still counted, by the keeper's own inquiry, so that the bound of three stays; one that did not is not.

--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -10,6 +10,7 @@
 	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/replica"
 )
 
 const (
@@ -176,23 +177,26 @@
 // granted returns the permit of a run that the keeper has granted, and renews the grant until it is given back.
 func (s *Service) granted(key Key, run uint64, keeper membership.Member) *permit {
 	renewing, stop := context.WithCancel(s.ctx)
-	s.inBackground(func() { s.renew(renewing, key, run, keeper) })
-	return &permit{service: s, key: key, verdict: Apart, grant: run, keeper: keeper, stopRenewing: stop}
+	given := &permit{service: s, key: key, verdict: Apart, grant: run, keeper: keeper, placed: make(chan struct{}, 1), stopRenewing: stop}
+	s.inBackground(func() { s.renew(renewing, given) })
+	return given
 }
 
-// renew renews a grant until ctx ends. A renewal without an answer is only logged: the next may come through before the grant lapses.
-func (s *Service) renew(ctx context.Context, key Key, run uint64, keeper membership.Member) {
+// renew renews a grant until ctx ends, and at once when its run is sent to a replica: the keeper is to know where it was if the grant lapses. A renewal without
+// an answer is only logged: the next may come through before.
+func (s *Service) renew(ctx context.Context, given *permit) {
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			if _, err := s.askKeeper(ctx, key, run, keeper); err != nil && ctx.Err() == nil {
-				s.logger.Info().Stringer("digest", key).Err(err).Msg("grant_not_renewed")
-			}
+		case <-given.placed:
 		case <-ctx.Done():
 			return
 		}
+		if _, err := s.askKeeper(ctx, given.key, given.grant, replica.Key(given.place.Load()), given.keeper); err != nil && ctx.Err() == nil {
+			s.logger.Info().Stringer("digest", given.key).Err(err).Msg("grant_not_renewed")
+		}
 	}
 }
 
@@ -221,7 +225,7 @@
 		if keeper.ID == view.Self && !s.inTouch(ctx, key, ranked) {
 			break
 		}
-		response, err := s.askKeeper(ctx, key, run, keeper)
+		response, err := s.askKeeper(ctx, key, run, 0, keeper)
 		if err == nil {
 			return response, keeper, nil
 		}
@@ -268,11 +272,11 @@
 	return len(ranked) == 1
 }
 
-// askKeeper asks one keeper for the grant, or renews it, and takes in what that node knows of the message.
-func (s *Service) askKeeper(ctx context.Context, key Key, run uint64, keeper membership.Member) (*quarantinepb.GrantResponse, error) {
+// askKeeper asks one keeper for the grant, or renews it for a run at the replica of that key, and takes in what that node knows of the message.
+func (s *Service) askKeeper(ctx context.Context, key Key, run uint64, at replica.Key, keeper membership.Member) (*quarantinepb.GrantResponse, error) {
 	now := time.Now()
 	s.mutex.Lock()
-	request := &quarantinepb.GrantRequest{Message: keyBytes(key), Run: run, Incidents: s.book.of(key, now)}
+	request := &quarantinepb.GrantRequest{Message: keyBytes(key), Run: run, Incidents: s.book.of(key, now), Replica: uint64(at)}
 	s.mutex.Unlock()
 	if keeper.ID == s.viewer.View().Self {
 		return s.give(request, now), nil
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -6,6 +6,7 @@
 	"time"
 
 	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
+	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/replica"
 )
@@ -21,6 +22,9 @@
 type grant struct {
 	run   uint64
 	until time.Time
+	// place is the replica at which the run is, as far as its holder has told, and since when; 0 where it has not.
+	place      replica.Key
+	placeSince time.Time
 	// over says that it was given back; a renewal that arrives later is refused.
 	over bool
 }
@@ -49,11 +53,11 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.noteLapse(key, now)
-	return &quarantinepb.GrantResponse{Verdict: s.decide(key, request.GetRun(), now), Incidents: s.book.of(key, now)}
+	return &quarantinepb.GrantResponse{Verdict: s.decide(key, request.GetRun(), replica.Key(request.GetReplica()), now), Incidents: s.book.of(key, now)}
 }
 
-// decide says whether a run may have the grant. The mutex is held.
-func (s *Service) decide(key Key, run uint64, now time.Time) quarantinepb.Verdict {
+// decide says whether a run may have the grant; place is the replica at which it is, 0 before it was sent. The mutex is held.
+func (s *Service) decide(key Key, run uint64, place replica.Key, now time.Time) quarantinepb.Verdict {
 	switch s.book.verdict(key) {
 	case Allowed:
 		return quarantinepb.Verdict_VERDICT_ALLOWED
@@ -71,19 +75,27 @@
 		// The other side of a cut may give its own last run.
 		return quarantinepb.Verdict_VERDICT_BUSY
 	}
-	s.grants[key] = grant{run: run, until: now.Add(grantTerm)}
+	renewed := grant{run: run, until: now.Add(grantTerm), place: place, placeSince: now}
+	if given && held.run == run && held.place == place {
+		renewed.placeSince = held.placeSince
+	}
+	s.grants[key] = renewed
 	return quarantinepb.Verdict_VERDICT_GRANTED
 }
 
-// noteLapse counts a grant that was neither renewed nor given back as an end of a replica: its holder is gone, and nobody saw how the run
-// ended. The mutex is held.
+// noteLapse takes in a grant that was neither renewed nor given back: its holder is gone, or it or this node stood still, and nobody saw how the run
+// ended. The replica says whether it has ended; only where nobody knows which one it was, that is assumed. The mutex is held.
 func (s *Service) noteLapse(key Key, now time.Time) {
 	held, given := s.grants[key]
 	if !given || held.over || now.Before(held.until) {
 		return
 	}
 	delete(s.grants, key)
-	ended := replica.Key(held.run)
+	if handle := s.handleOf(held.place); handle != nil {
+		s.inquireIntoLapsed(&run{service: s, key: key, handle: handle, began: held.placeSince, granted: true})
+		return
+	}
+	ended := cmp.Or(held.place, replica.Key(held.run))
 	if s.book.verdict(key) == Apart && s.book.add(ended, held.until, key, unseen(originLapsed)) {
 		s.logger.Info().Stringer("digest", key).Msg("grant_lapsed")
 		s.announce(ended, key)
@@ -92,6 +104,42 @@
 	}
 }
 
+// handleOf returns the replica of that key; nil where none is registered.
+func (s *Service) handleOf(key replica.Key) *replica.Handle {
+	if key == 0 {
+		return nil
+	}
+	for handle := range s.directory.View().All() {
+		if handle.Key() == key {
+			return handle
+		}
+	}
+	return nil
+}
+
+// inquireIntoLapsed finds out whether the replica of a run has ended whose grant lapsed, at once and for as long as it may still work on it. The mutex is
+// held.
+func (s *Service) inquireIntoLapsed(lapsed *run) {
+	if s.stopped {
+		return
+	}
+	s.running.Go(func() {
+		inquiry := s.inquire(lapsed.handle)
+		<-inquiry.done
+		s.logger.Info().Stringer("digest", lapsed.key).Str(logging.FieldReplica, lapsed.handle.Info().ID).Bool("replica_ended", inquiry.ended).Msg("grant_lapsed")
+		if !inquiry.ended {
+			s.leave(lapsed)
+			return
+		}
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		if inquiry.counted {
+			s.suspect(lapsed, inquiry.at, inquiry.at.Sub(lapsed.began))
+			s.signal()
+		}
+	})
+}
+
 // takeBack ends a grant and takes in what its run has shown.
 func (s *Service) takeBack(request *quarantinepb.ReleaseRequest, now time.Time) {
 	key, valid := decodeKey(request.GetMessage())
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/subscription"
 )
 
 // permit implements Permit.
@@ -18,6 +20,9 @@
 	// grant is the number of the grant that the keeper gave; 0 where none was needed.
 	grant  uint64
 	keeper membership.Member
+	// place is the key of the replica at which the granted run is; 0 before it was sent. placed wakes the renewal, which tells the keeper.
+	place  atomic.Uint64
+	placed chan struct{}
 	// stopRenewing ends the renewal of the grant.
 	stopRenewing context.CancelFunc
 }
@@ -58,6 +63,10 @@
 // Begin implements Permit.
 func (p *permit) Begin(handle *replica.Handle, cut func()) Run {
 	begun := &run{service: p.service, key: p.key, handle: handle, cut: cut, began: time.Now(), granted: p.grant != 0}
+	if p.grant != 0 {
+		p.place.Store(uint64(handle.Key()))
+		subscription.Signal(p.placed)
+	}
 	p.service.mutex.Lock()
 	defer p.service.mutex.Unlock()
 	if p.service.runs[p.key] == nil {
