Quarantine: an answer that has come further speaks for its message

Callers saw accepted items that were listed neither as done nor as given up, though nothing was wrong with them: replicas crashed some seconds apart for reasons of their own, and an item that was on two or three of them in turn was rejected for ten minutes. Cause: the ends of replicas under a message were counted whatever its runs had made. A run of up to two seconds was taken for strong evidence, which is how long a whole item takes; a suspect runs apart, where it is alone with the next end. Where replicas crash often, one item in some hundred met two ends. Change: a run says how many events the answer had when it began and when it ended (shared between nodes, and kept apart from 'not said', which other builds send). An end does not count once the answer has come 16 events further, since a replica that ends by a message ends at the same point of it again; a run that had made events no longer counts towards a rejection at two ends; six ends in all are the most, however far the answer comes. Why it holds: an item that meets ends by chance goes on behind each of them, and what it has made excuses all but the last; to be rejected it must meet two more before it makes anything. A message that ends its replicas when it is read, or at a point of its answer, is where it was each time, and ends three at most, as before.

--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -155,9 +156,10 @@
 	}
 	bounded, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	startedBehind := attempt.lastEvent
+	startedBehind, eventsBefore := attempt.lastEvent, eventsIn(attempt.text)
 	run := permit.Begin(attempt.handle, func() { cancel(quarantine.ErrSuspected) })
 	verdict := attempt.run(bounded)
+	run.Progress(eventsBefore, eventsIn(attempt.text))
 	if run.End(ctx, attempt.ending(bounded, verdict, startedBehind)) {
 		p.recordCrash(attempt)
 		p.letOthersFirst(attempt.key)
@@ -165,6 +167,14 @@
 	return verdict
 }
 
+// eventsIn returns the number of events whose data a text holds.
+func eventsIn(text []byte) int {
+	if len(text) == 0 {
+		return 0
+	}
+	return 1 + bytes.Count(text, []byte("\n"))
+}
+
 // letOthersFirst has an item whose replica ended wait while it is suspected, longer each time.
 func (p *partition) letOthersFirst(key itemKey) {
 	p.mutex.Lock()
--- a/internal/batch/item_crash_test.go
+++ b/internal/batch/item_crash_test.go
@@ -98,6 +98,8 @@
 	return p
 }
 
+func (p *countingPermit) Progress(int, int) {}
+
 func (p *countingPermit) End(_ context.Context, ending quarantine.Ending) bool {
 	if ending == quarantine.Whole {
 		p.register.mutex.Lock()
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -21,6 +21,8 @@
 	Bytes []byte
 	// LastID is the id of the last event that has one.
 	LastID string
+	// Count is their number.
+	Count int
 }
 
 // Reader splits a stream of events at their ends.
@@ -61,7 +63,7 @@
 			if errors.Is(err, io.EOF) && end < r.filled {
 				err = io.ErrUnexpectedEOF
 			}
-			return Events{Bytes: r.buffer[:end], LastID: lastEventID(r.buffer[:end])}, err
+			return Events{Bytes: r.buffer[:end], LastID: lastEventID(r.buffer[:end]), Count: countEvents(r.buffer[:end])}, err
 		}
 		if errors.Is(err, io.EOF) && r.filled > 0 {
 			return Events{}, io.ErrUnexpectedEOF
@@ -75,6 +77,11 @@
 // blank tells whether data is line ends only: behind an event they are part of no other.
 func blank(data []byte) bool { return len(bytes.Trim(data, "\r\n")) == 0 }
 
+// countEvents returns the number of whole events in data.
+func countEvents(data []byte) int {
+	return bytes.Count(data, []byte("\n\n")) + bytes.Count(data, []byte("\r\n\r\n"))
+}
+
 // lastEventEnd returns the length of all whole events in data.
 func lastEventEnd(data []byte) int {
 	end := 0
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -83,6 +83,8 @@
 	// headSent says that the caller has the head of the answer; lastEvent is the id of the last event that it has.
 	headSent  bool
 	lastEvent string
+	// eventsPassed is the number of events that were passed on to the caller.
+	eventsPassed int
 	// badAnswer is the last whole failure that a replica answered with.
 	badAnswer *wholeAnswer
 	// message names what the caller sent, permit is the leave for the present attempt, both nil or zero where nothing is kept from replicas.
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -88,7 +88,11 @@
 	startedBehind := e.lastEvent
 	run := e.permit.Begin(handle, cut)
 	e.lastStatus, e.lastError = 0, nil
+	passedBefore := e.eventsPassed
 	last := e.attempt(bounded, handle)
+	if e.resumes() {
+		run.Progress(passedBefore, e.eventsPassed)
+	}
 	e.replicaEnded = run.End(ctx, e.ending(bounded, last, startedBehind))
 	return last
 }
--- a/internal/forward/quarantined_test.go
+++ b/internal/forward/quarantined_test.go
@@ -81,6 +81,8 @@
 	return p
 }
 
+func (p *fakePermit) Progress(int, int) {}
+
 func (p *fakePermit) End(_ context.Context, ending quarantine.Ending) bool {
 	p.register.mutex.Lock()
 	defer p.register.mutex.Unlock()
--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -209,7 +209,7 @@
 		return nil, membership.Member{}, errNoKeeper
 	}
 	s.mutex.Lock()
-	last := s.book.count(key)+1 >= mostEnded
+	last := s.book.lastRun(key)
 	s.mutex.Unlock()
 	most := mostKeepers
 	if last {
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -24,6 +24,9 @@
 	cleared bool
 	// granted says that it was suspected before, and ran there apart.
 	granted bool
+	// cameOn says that the run had made events that a further run goes on behind, reached how many the message's answer had then.
+	cameOn  bool
+	reached int
 	// origin says from where this node has it; it is not sent.
 	origin origin
 }
@@ -42,9 +45,14 @@
 	originLapsed origin = "lapsed"
 )
 
-// unseen returns a message whose run nobody here saw to its end: how long it was is not known, so that it counts, but speaks no more strongly
-// against the message than a long one.
-func unseen(from origin) suspect { return suspect{ran: shortRun + time.Second, origin: from} }
+// unseenRun stands for the length of a run that nobody here saw to its end: it counts, but speaks no more strongly against the message than a long one.
+const unseenRun = shortRun + time.Second
+
+// unseen returns a message whose run nobody here saw to its end.
+func unseen(from origin) suspect { return suspect{ran: unseenRun, origin: from} }
+
+// assumed says that nobody known here saw the run to its end.
+func (s suspect) assumed() bool { return s.origin == originRecalled || s.origin == originLapsed }
 
 // incident is the end of one incarnation of a replica.
 type incident struct {
@@ -120,12 +128,14 @@
 // shorter one was seen.
 func (s suspect) merge(other suspect) suspect {
 	merged := s
-	if s.origin == originRecalled || s.origin == originLapsed {
+	if s.assumed() {
 		merged.origin = other.origin
 	}
 	merged.ran = min(s.ran, other.ran)
 	merged.granted = s.granted || other.granted
 	merged.cleared = s.cleared || other.cleared
+	merged.cameOn = s.cameOn || other.cameOn
+	merged.reached = max(s.reached, other.reached)
 	return merged
 }
 
--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -22,7 +22,27 @@
 }
 
 func encodeSuspect(key Key, of *suspect) *quarantinepb.Suspect {
-	return &quarantinepb.Suspect{Message: key[:], RanMillis: uint32(of.ran.Milliseconds()), Cleared: of.cleared, Granted: of.granted}
+	encoded := &quarantinepb.Suspect{Message: key[:], RanMillis: uint32(of.ran.Milliseconds()), Cleared: of.cleared, Granted: of.granted, Reached: uint32(of.reached)}
+	switch {
+	case of.cameOn:
+		encoded.Progress = quarantinepb.Progress_PROGRESS_CAME_ON
+	case !of.assumed():
+		encoded.Progress = quarantinepb.Progress_PROGRESS_NONE
+	}
+	return encoded
+}
+
+// decodeSuspect returns a suspect that another node knows of. Nodes of other builds do not say what the run had made: then it speaks no more strongly against
+// the message than a run that nobody saw.
+func decodeSuspect(doubt *quarantinepb.Suspect) suspect {
+	decoded := suspect{
+		ran: time.Duration(doubt.RanMillis) * time.Millisecond, cleared: doubt.Cleared, granted: doubt.Granted, origin: originShared,
+		cameOn: doubt.Progress == quarantinepb.Progress_PROGRESS_CAME_ON, reached: int(doubt.Reached),
+	}
+	if doubt.Progress == quarantinepb.Progress_PROGRESS_UNSPECIFIED {
+		decoded.ran = max(decoded.ran, unseenRun)
+	}
+	return decoded
 }
 
 // all returns the whole book as it is sent.
@@ -53,8 +73,7 @@
 		}
 		for _, doubt := range each.Suspects {
 			key, valid := decodeKey(doubt.Message)
-			joined := suspect{ran: time.Duration(doubt.RanMillis) * time.Millisecond, cleared: doubt.Cleared, granted: doubt.Granted, origin: originShared}
-			if valid && b.addSuspect(b.incidentAt(replica.Key(each.Replica), now.Add(-age), each.TimeAssumed), key, joined) {
+			if valid && b.addSuspect(b.incidentAt(replica.Key(each.Replica), now.Add(-age), each.TimeAssumed), key, decodeSuspect(doubt)) {
 				changed = append(changed, key)
 			}
 		}
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -71,7 +71,7 @@
 	if given && held.run != run && !held.over && now.Before(held.until) {
 		return quarantinepb.Verdict_VERDICT_BUSY
 	}
-	if s.book.count(key)+1 >= mostEnded && !majority(s.viewer.View()) {
+	if s.book.lastRun(key) && !majority(s.viewer.View()) {
 		// The other side of a cut may give its own last run.
 		return quarantinepb.Verdict_VERDICT_BUSY
 	}
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -55,6 +55,9 @@
 
 // Run is a message at a replica.
 type Run interface {
+	// Progress notes how many events of the message's answer there were when the run began and how many there are now, where a further run goes on
+	// behind them. It is called before End, if at all.
+	Progress(from, to int)
 	// End notes how the run ended, once. After Lost and Interrupted it returns, a short while later, whether the replica's process has ended.
 	End(ctx context.Context, ending Ending) (replicaEnded bool)
 }
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -88,6 +88,14 @@
 	cut     func()
 	began   time.Time
 	granted bool
+	// cameOn says that the run made events that a further run goes on behind; reached is how many the answer had then.
+	cameOn  bool
+	reached int
+}
+
+// Progress implements Run.
+func (r *run) Progress(from, to int) {
+	r.cameOn, r.reached = to > from, to
 }
 
 // End implements Run.
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -161,13 +161,13 @@
 // suspect counts the end of a replica against a run's message. The mutex is held.
 func (s *Service) suspect(ended *run, at time.Time, ran time.Duration) {
 	key := ended.handle.Key()
-	if !s.book.add(key, at, ended.key, suspect{ran: ran, granted: ended.granted, origin: originSeen}) {
+	if !s.book.add(key, at, ended.key, suspect{ran: ran, granted: ended.granted, cameOn: ended.cameOn, reached: ended.reached, origin: originSeen}) {
 		return
 	}
 	s.announce(key, ended.key)
 	s.logger.Info().Stringer("digest", ended.key).Str(logging.FieldReplica, ended.handle.Info().ID).Dur("ran", ran).
 		Int("together", len(s.book.incidents[key].suspects)).Int("ended", s.book.count(ended.key)).Stringer("verdict", s.book.verdict(ended.key)).
-		Bool("granted", ended.granted).Msg("message_suspected")
+		Bool("granted", ended.granted).Bool("came_on", ended.cameOn).Int("reached", ended.reached).Msg("message_suspected")
 	s.noteVerdict(ended.key)
 	s.cutRuns(ended.key)
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -22,6 +22,11 @@
 	// shortRun is the length of a run up to which the end of its replica speaks strongly against the message: what ends a replica does so
 	// when it is read or soon after, while a long run is likely to be there at any replica's end.
 	shortRun = 2 * time.Second
+	// passedBy is the number of events by which an answer must have come further than where an earlier run ended, for that point not to be what ended
+	// its replica: the last events of a run are lost with the connection.
+	passedBy = 16
+	// mostEndedInAll is the number of replicas that may end under a message which comes further with each of them.
+	mostEndedInAll = 2 * mostEnded
 	// leastDifference is the least difference of two weights that counts: sums of the same fractions differ by their rounding.
 	leastDifference = 1e-9
 )
@@ -35,7 +40,7 @@
 		return Rejected
 	}
 	switch ended := b.count(message); {
-	case ended >= mostEnded:
+	case ended >= mostEnded, b.countAll(message) >= mostEndedInAll:
 		return Rejected
 	case ended > 0:
 		return Apart
@@ -44,11 +49,17 @@
 	}
 }
 
-// strong returns the incidents that speak strongly against a message: each soon after it came there, and at a time of its own.
+// lastRun says that the message is rejected if its next run ends one more replica.
+func (b *book) lastRun(message Key) bool {
+	return b.count(message)+1 >= mostEnded || b.countAll(message)+1 >= mostEndedInAll
+}
+
+// strong returns the incidents that speak strongly against a message: each soon after it came there, before it had made anything, and at a time of its own.
+// A run that came on is likely to be there by chance: what ends a replica mostly does so when it is read.
 func (b *book) strong(message Key) []*incident {
 	var found []*incident
-	for _, each := range b.open(message) {
-		if each.suspects[message].ran > shortRun {
+	for _, each := range b.against(message) {
+		if doubt := each.suspects[message]; doubt.ran > shortRun || doubt.cameOn {
 			continue
 		}
 		if last := len(found) - 1; last >= 0 && each.learned.Sub(found[last].learned) < sameCause {
@@ -63,7 +74,7 @@
 func (b *book) weight(message Key) float64 {
 	weight := 0.0
 	for _, each := range b.byMessage[message] {
-		if !each.suspects[message].cleared {
+		if !each.suspects[message].cleared && !b.passed(message, each) {
 			weight += 1 / float64(each.open)
 		}
 	}
@@ -98,17 +109,40 @@
 func (b *book) doubtful(message Key) bool {
 	apart := 0
 	for _, each := range b.byMessage[message] {
-		if doubt := each.suspects[message]; doubt.granted && !doubt.cleared {
+		if doubt := each.suspects[message]; doubt.granted && !doubt.cleared && !b.passed(message, each) {
 			apart++
 		}
 	}
 	return apart >= enoughEnded
 }
 
-// count returns the number of replicas that ended under the message, without those whose end another message explains. Of a crash that
-// struck many replicas together, the message at some of them only, one counts.
-func (b *book) count(message Key) int {
-	open := b.open(message)
+// passed says that the message's answer has come further than where it was when the replica ended. The point at which that run ended is not what ended its
+// replica, since a further run went on there.
+func (b *book) passed(message Key, in *incident) bool {
+	ended := in.suspects[message]
+	for _, each := range b.byMessage[message] {
+		if doubt := each.suspects[message]; doubt.cameOn && doubt.reached > ended.reached+passedBy {
+			return true
+		}
+	}
+	return false
+}
+
+// against returns the incidents that speak against a message, in the order of time: those whose point its answer has passed do not.
+func (b *book) against(message Key) []*incident {
+	return slices.DeleteFunc(b.open(message), func(each *incident) bool { return b.passed(message, each) })
+}
+
+// count returns the number of replicas that ended under the message, without those that do not speak against it and those whose end another message
+// explains.
+func (b *book) count(message Key) int { return b.countEnds(message, b.against(message)) }
+
+// countAll returns the same number with those ends whose point the answer has passed.
+func (b *book) countAll(message Key) int { return b.countEnds(message, b.open(message)) }
+
+// countEnds counts incidents of a message, which are in the order of time. Of a crash that struck many replicas together, the message at some of them only, one
+// counts.
+func (b *book) countEnds(message Key, open []*incident) int {
 	doubtful := b.doubtful(message)
 	ended := 0
 	for index := 0; index < len(open); {
@@ -154,8 +188,8 @@
 	var listed []string
 	for _, each := range b.open(message) {
 		doubt := each.suspects[message]
-		listed = append(listed, fmt.Sprintf("%016x age=%s ran=%s together=%d granted=%t %s", uint64(each.replica),
-			now.Sub(each.learned).Round(time.Millisecond), doubt.ran.Round(time.Millisecond), len(each.suspects), doubt.granted, doubt.origin))
+		listed = append(listed, fmt.Sprintf("%016x age=%s ran=%s together=%d granted=%t came_on=%t reached=%d passed=%t %s", uint64(each.replica),
+			now.Sub(each.learned).Round(time.Millisecond), doubt.ran, len(each.suspects), doubt.granted, doubt.cameOn, doubt.reached, b.passed(message, each), doubt.origin))
 	}
 	return listed
 }
