Batch: recorded ends of replicas that an item's text has passed are not recalled

Callers saw accepted items held back after all storage nodes had been killed, for ends of replicas that each of their runs had come past. Cause: the log kept that a replica had ended under an item, not where the item was then; an owner that starts without other nodes' knowledge counted each record in full, so that a change of owner could raise the count. Of more than three ends those are kept at which the text had come furthest. Why it holds: the text is in the same log, so that what excused an end for the old owner excuses it for the next one.

--- a/internal/batch/item_chance_test.go
+++ b/internal/batch/item_chance_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -17,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/membership/membershiptest"
 	"github.com/sloelift/sloelift/internal/quarantine"
@@ -132,7 +134,7 @@
 }
 
 // ownBefore starts a partition before the replicas, with a register of its own node alone.
-func ownBefore(t *testing.T, replicas *mortalReplicas) *ownerUnderTest {
+func ownBefore(t *testing.T, replicas *mortalReplicas, records ...ledger.Record) *ownerUnderTest {
 	t.Helper()
 	service, fleet, _, routes := newService(nil)
 	routes.Table().Routes[0].Retention = time.Minute
@@ -155,7 +157,7 @@
 		register.Stop()
 		connected.Stop()
 	})
-	return ownOf(t, anywhere, service, fleet, replicas.Network, routes)
+	return ownOf(t, anywhere, service, fleet, replicas.Network, routes, records...)
 }
 
 // TestItemThatComesOnIsDone: accepted items were listed neither as done nor as given up, though nothing was wrong with them. Replicas crashed some
@@ -205,3 +207,38 @@
 		})
 	}
 }
+
+// TestRecordedEndsThatTheTextHasPassedAreNotRecalled: all storage nodes had been killed, and an item that had come on with each of its runs was held back by its new
+// owner: "message_rejected digest=7121c7467eeb ended=3", of which two were recalled from the log ("ran=3s together=2 recalled", "ran=3s together=3 recalled")
+// and the third was a grant of 135 ms before that had lapsed. The log had what the item had made, and that it had come further each time, yet its records of
+// ended replicas counted in full.
+func TestRecordedEndsThatTheTextHasPassedAreNotRecalled(t *testing.T) {
+	text := func(events int) string { return strings.TrimSuffix(strings.Repeat("x\n", events), "\n") }
+	for name, test := range map[string]struct {
+		reached []uint32
+		made    int
+		want    batchpb.State
+	}{
+		"it has come further":               {[]uint32{8, 38, 120}, 200, batchpb.State_STATE_SUCCEEDED},
+		"records of another build":          {[]uint32{0, 0, 0}, 200, batchpb.State_STATE_SUCCEEDED},
+		"it ends replicas at one point":     {[]uint32{198, 200, 200}, 200, batchpb.State_STATE_DEAD_LETTER},
+		"it ends replicas before any event": {[]uint32{0, 0, 0}, 0, batchpb.State_STATE_DEAD_LETTER},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				records := acceptanceRecords(batchOf("j", 1), time.Now().UnixMilli())
+				for number, reached := range test.reached {
+					records = append(records, recordOf(ledger.KindBatchCrashed, &batchpb.Crashed{JobId: "j", Replica: uint64(100 + number), Reached: reached}))
+				}
+				if test.made > 0 {
+					records = append(records, recordOf(ledger.KindBatchProgress, &batchpb.Progress{JobId: "j", Text: text(test.made), LastEvent: fmt.Sprint(test.made)}))
+				}
+				owner := ownBefore(t, newMortalReplicas(12), records...)
+				defer owner.end()
+				if result := owner.results(t, "j", 1, 90*time.Second)[0]; result.State != test.want {
+					t.Errorf("the item is %s, want %s", result.State, test.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -209,10 +209,9 @@
 	if p.service.options.Quarantine.Check(message) == quarantine.Allowed {
 		return
 	}
-	crashed := &batchpb.Crashed{JobId: attempt.key.job, Item: uint32(attempt.key.number), Replica: uint64(attempt.handle.Key())}
-	recorded := func(of *item) bool {
-		return len(of.crashed) >= mostCrashedKept || slices.Contains(of.crashed, attempt.handle.Key())
-	}
+	end := quarantine.RecordedEnd{Replica: attempt.handle.Key(), Reached: eventsIn(attempt.text)}
+	crashed := &batchpb.Crashed{JobId: attempt.key.job, Item: uint32(attempt.key.number), Replica: uint64(end.Replica), Reached: uint32(end.Reached)}
+	recorded := func(of *item) bool { return of.crashRecorded(end) }
 	propose := func() error { return p.propose(p.ctx, recordOf(ledger.KindBatchCrashed, crashed)) }
 	// The next owner would not know of a crash that is not recorded. Nothing follows where the ownership is lost before, which is logged.
 	_ = p.untilDurable(attempt.key, "crash_not_recorded", recorded, propose)
@@ -227,7 +226,7 @@
 	for _, each := range p.state.order {
 		for number := range each.items {
 			if of := &each.items[number]; len(of.crashed) > 0 && !each.ended {
-				register.Recall(messageOf(each.submission, number, p.service.client.Headers()), of.crashed)
+				register.Recall(messageOf(each.submission, number, p.service.client.Headers()), of.crashed, eventsIn([]byte(of.made())))
 			}
 		}
 	}
--- a/internal/batch/item_crash_test.go
+++ b/internal/batch/item_crash_test.go
@@ -49,9 +49,9 @@
 	}
 }
 
-func (c *countingRegister) Recall(key quarantine.Key, ended []replica.Key) {
+func (c *countingRegister) Recall(key quarantine.Key, ended []quarantine.RecordedEnd, _ int) {
 	for _, each := range ended {
-		c.note(key, each)
+		c.note(key, each.Replica)
 	}
 }
 
@@ -265,7 +265,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got, want := restored.jobs["j"].items[1].crashed, []replica.Key{7, 8, 9}; !slices.Equal(got, want) {
+	if got, want := restored.jobs["j"].items[1].crashed, []quarantine.RecordedEnd{{Replica: 7}, {Replica: 8}, {Replica: 9}}; !slices.Equal(got, want) {
 		t.Errorf("replicas %v, want %v: each once, and no more than matter", got, want)
 	}
 	log.add(successRecord("j", 1, 0, "a"))
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -9,6 +9,7 @@
 
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
@@ -31,8 +32,8 @@
 	state    batchpb.State
 	text     string
 	progress *batchpb.Progress
-	// crashed are the replicas that ended under the item while it was not listed.
-	crashed []replica.Key
+	// crashed are ends of replicas under the item while it was not listed, those at which its text had come furthest where there were many.
+	crashed []quarantine.RecordedEnd
 	// failures counts the runs that replicas answered with a failure of their own, over all owners, while the item was not listed.
 	failures int
 }
@@ -227,16 +228,39 @@
 	return nil
 }
 
+// crashRecorded says that the end of a replica is kept, or that those that are kept matter more.
+func (i *item) crashRecorded(end quarantine.RecordedEnd) bool {
+	if slices.ContainsFunc(i.crashed, func(kept quarantine.RecordedEnd) bool { return kept.Replica == end.Replica }) {
+		return true
+	}
+	return len(i.crashed) >= mostCrashedKept && end.Reached <= i.crashed[i.leastReached()].Reached
+}
+
+// leastReached is the index of the end at which the text was shortest, the latest of several.
+func (i *item) leastReached() int {
+	least := 0
+	for index, each := range i.crashed {
+		if each.Reached <= i.crashed[least].Reached {
+			least = index
+		}
+	}
+	return least
+}
+
 // takeCrashed notes a replica that ended under an item, once.
 func (s *state) takeCrashed(crashed *batchpb.Crashed) error {
 	of := s.openItem(crashed.JobId, crashed.Item)
 	if of == nil {
 		return nil
 	}
-	ended := replica.Key(crashed.Replica)
-	if !slices.Contains(of.crashed, ended) && len(of.crashed) < mostCrashedKept {
-		of.crashed = append(of.crashed, ended)
+	end := quarantine.RecordedEnd{Replica: replica.Key(crashed.Replica), Reached: int(crashed.Reached)}
+	if of.crashRecorded(end) {
+		return nil
+	}
+	if len(of.crashed) >= mostCrashedKept {
+		of.crashed = slices.Delete(of.crashed, of.leastReached(), of.leastReached()+1)
 	}
+	of.crashed = append(of.crashed, end)
 	return nil
 }
 
--- a/internal/forward/quarantined_test.go
+++ b/internal/forward/quarantined_test.go
@@ -40,7 +40,7 @@
 
 func (f *fakeRegister) Check(quarantine.Key) quarantine.Verdict { return f.check }
 
-func (f *fakeRegister) Recall(quarantine.Key, []replica.Key) {}
+func (f *fakeRegister) Recall(quarantine.Key, []quarantine.RecordedEnd, int) {}
 
 func (f *fakeRegister) Admit(_ context.Context, key quarantine.Key) quarantine.Permit {
 	f.mutex.Lock()
--- a/internal/quarantine/disagreement_test.go
+++ b/internal/quarantine/disagreement_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"github.com/sloelift/sloelift/internal/replica"
 )
 
 // placedElsewhere returns a key whose first keeper is another node than the given one.
@@ -83,8 +81,8 @@
 		seer.book.add(1, now.Add(-300*time.Millisecond), bystander, suspect{ran: 50 * time.Millisecond})
 		seer.book.add(2, now.Add(-100*time.Millisecond), cause, suspect{ran: 50 * time.Millisecond, granted: true})
 		seer.mutex.Unlock()
-		owner.Recall(cause, []replica.Key{1, 2})
-		owner.Recall(bystander, []replica.Key{1})
+		owner.Recall(cause, recorded(1, 2), 0)
+		owner.Recall(bystander, recorded(1), 0)
 		c.cut()
 		time.Sleep(10 * refreshInterval)
 		for _, at := range c.nodes {
@@ -108,7 +106,7 @@
 		t.Run(name, func(t *testing.T) {
 			inCluster(t, 4, 4, func(t *testing.T, c *cluster) {
 				key := keyOf("a")
-				c.nodes[0].Recall(key, []replica.Key{1})
+				c.nodes[0].Recall(key, recorded(1), 0)
 				time.Sleep(50 * time.Millisecond)
 				holder := c.nodeOf(key, 3)
 				permit := holder.Admit(t.Context(), key)
--- a/internal/quarantine/fake_test.go
+++ b/internal/quarantine/fake_test.go
@@ -264,3 +264,12 @@
 	defer f.mutex.Unlock()
 	return f.ended[handle.Info().Address]
 }
+
+// recorded are ends as an owner recorded them, before the first event.
+func recorded(ended ...replica.Key) []RecordedEnd {
+	var ends []RecordedEnd
+	for _, each := range ended {
+		ends = append(ends, RecordedEnd{Replica: each})
+	}
+	return ends
+}
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -28,7 +28,7 @@
 func TestLastRunNeedsMostMembers(t *testing.T) {
 	inCluster(t, 4, 4, func(t *testing.T, c *cluster) {
 		key := keyOf("a")
-		c.nodes[0].Recall(key, []replica.Key{1, 2})
+		c.nodes[0].Recall(key, recorded(1, 2), 0)
 		time.Sleep(50 * time.Millisecond)
 		c.cut(c.nodes[0], c.nodes[1])
 		c.agree()
@@ -53,7 +53,7 @@
 		t.Run(name, func(t *testing.T) {
 			inCluster(t, 4, 4, func(t *testing.T, c *cluster) {
 				key := keyOf("a")
-				c.nodes[0].Recall(key, test.ended)
+				c.nodes[0].Recall(key, recorded(test.ended...), 0)
 				time.Sleep(50 * time.Millisecond)
 				first, asking := c.nodeOf(key, 0), c.nodeOf(key, 3)
 				// The members do not know yet that it is gone.
@@ -96,7 +96,7 @@
 func TestGrantWithoutAnAnswerIsNoEnd(t *testing.T) {
 	inCluster(t, 4, 4, func(t *testing.T, c *cluster) {
 		key := keyOf("a")
-		c.nodes[0].Recall(key, []replica.Key{1})
+		c.nodes[0].Recall(key, recorded(1), 0)
 		time.Sleep(50 * time.Millisecond)
 		first, asking := c.nodeOf(key, 0), c.nodeOf(key, 3)
 		c.network.SetConditions(func(from, to netip.AddrPort) memory.Conditions {
@@ -125,7 +125,7 @@
 func TestNextKeepersAreAskedWhereSeveralAreGone(t *testing.T) {
 	inCluster(t, 8, 4, func(t *testing.T, c *cluster) {
 		key := keyOf("a")
-		c.nodes[0].Recall(key, []replica.Key{1})
+		c.nodes[0].Recall(key, recorded(1), 0)
 		time.Sleep(50 * time.Millisecond)
 		gone, asking := []*node{c.nodeOf(key, 0), c.nodeOf(key, 1), c.nodeOf(key, 2), c.nodeOf(key, 3)}, c.nodeOf(key, 7)
 		for _, each := range gone {
@@ -142,7 +142,7 @@
 func TestLateRenewalRevivesNoGrant(t *testing.T) {
 	inCluster(t, 1, 2, func(t *testing.T, c *cluster) {
 		at, key, now := c.nodes[0], keyOf("a"), time.Now()
-		at.Recall(key, []replica.Key{1})
+		at.Recall(key, recorded(1), 0)
 		request := &quarantinepb.GrantRequest{Message: keyBytes(key), Run: 7}
 		for _, step := range []struct {
 			run  uint64
@@ -198,8 +198,8 @@
 func TestSuspectsKeepAwayFromEachOther(t *testing.T) {
 	inCluster(t, 1, 3, func(t *testing.T, c *cluster) {
 		at := c.nodes[0]
-		at.Recall(keyOf("a"), []replica.Key{1})
-		at.Recall(keyOf("b"), []replica.Key{2})
+		at.Recall(keyOf("a"), recorded(1), 0)
+		at.Recall(keyOf("b"), recorded(2), 0)
 		one, other, harmless := at.Admit(t.Context(), keyOf("a")), at.Admit(t.Context(), keyOf("b")), at.Admit(t.Context(), keyOf("c"))
 		defer one.Release()
 		defer other.Release()
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -62,6 +62,13 @@
 	End(ctx context.Context, ending Ending) (replicaEnded bool)
 }
 
+// RecordedEnd is the end of a replica under a message as its owner recorded it.
+type RecordedEnd struct {
+	Replica replica.Key
+	// Reached is the number of events that the message's answer had then.
+	Reached int
+}
+
 // Register keeps what is known of messages. It is safe for concurrent use.
 type Register interface {
 	// Check says, without a wait, what is known of the message now.
@@ -69,6 +76,7 @@
 	// Admit says whether the message may be sent. For a message that is not suspected it returns at once; for one that is it waits,
 	// within bounds, until no other run of it is under way at any node.
 	Admit(ctx context.Context, key Key) Permit
-	// Recall takes in replicas that ended under the message as its owner has recorded.
-	Recall(key Key, ended []replica.Key)
+	// Recall takes in replicas that ended under the message as its owner has recorded, but for those whose point the message's answer has passed, which has
+	// events now.
+	Recall(key Key, ended []RecordedEnd, events int)
 }
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -144,14 +144,19 @@
 }
 
 // Recall implements Register.
-func (s *Service) Recall(key Key, ended []replica.Key) {
+func (s *Service) Recall(key Key, ended []RecordedEnd, events int) {
 	now := time.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for number, each := range ended {
+		if events > each.Reached+passedBy {
+			continue
+		}
+		recalled := unseen(originRecalled)
+		recalled.reached = each.Reached
 		// When the runs ended is not known either; what other nodes saw replaces this.
-		if s.book.addSuspect(s.book.incidentAt(each, now.Add(-time.Duration(number+1)*time.Second), true), key, unseen(originRecalled)) {
-			s.announce(each, key)
+		if s.book.addSuspect(s.book.incidentAt(each.Replica, now.Add(-time.Duration(number+1)*time.Second), true), key, recalled) {
+			s.announce(each.Replica, key)
 		}
 	}
 	s.noteVerdict(key)
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -251,9 +251,9 @@
 func TestRecordedEndsAreRecalled(t *testing.T) {
 	inCluster(t, 3, 3, func(t *testing.T, c *cluster) {
 		key := keyOf("item")
-		c.nodes[0].Recall(key, []replica.Key{1, 2})
+		c.nodes[0].Recall(key, recorded(1, 2), 0)
 		wantVerdict(t, c.nodes[0], key, Apart)
-		c.nodes[0].Recall(key, []replica.Key{1, 2, 3})
+		c.nodes[0].Recall(key, recorded(1, 2, 3), 0)
 		time.Sleep(50 * time.Millisecond)
 		for _, each := range c.nodes {
 			wantVerdict(t, each, key, Rejected)
