Quarantine: the grant of a message that is not suspected any more lapses without an inquiry

Cause: the inquiry into the replica of a lapsed grant left out what the count of such grants had asked before: whether the message is still suspected. Callers saw nothing of it. Change: only the grant of a suspect leads to an inquiry.

--- a/internal/quarantine/disagreement_test.go
+++ b/internal/quarantine/disagreement_test.go
@@ -134,3 +134,27 @@
 		})
 	}
 }
+
+// TestGrantOfAMessageThatIsNoLongerSuspectedLapsesUnseen: a run goes on under its grant when another message is found to explain the end that it was suspected for. From then on
+// the keeper renews nothing, and the replica need not be asked.
+func TestGrantOfAMessageThatIsNoLongerSuspectedLapsesUnseen(t *testing.T) {
+	inCluster(t, 4, 4, func(t *testing.T, c *cluster) {
+		key := keyOf("a")
+		holder := c.nodeOf(key, 3)
+		holder.crashReplicaUnder(c, key, 0)
+		time.Sleep(50 * time.Millisecond)
+		permit := holder.Admit(t.Context(), key)
+		run := permit.Begin(c.handle(holder, 1), nil)
+		time.Sleep(50 * time.Millisecond)
+		asked := c.machines.asked
+		for _, each := range c.nodes {
+			each.cleared(key)
+		}
+		time.Sleep(2*grantTerm + refreshInterval)
+		if c.machines.asked != asked {
+			t.Errorf("the replica was asked %d times", c.machines.asked-asked)
+		}
+		run.End(t.Context(), Other)
+		permit.Release()
+	})
+}
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -91,12 +91,16 @@
 		return
 	}
 	delete(s.grants, key)
+	if s.book.verdict(key) != Apart {
+		// It is not suspected any more, or rejected: its run is no longer renewed.
+		return
+	}
 	if handle := s.handleOf(held.place); handle != nil {
 		s.inquireIntoLapsed(&run{service: s, key: key, handle: handle, began: held.placeSince, granted: true})
 		return
 	}
 	ended := cmp.Or(held.place, replica.Key(held.run))
-	if s.book.verdict(key) == Apart && s.book.add(ended, held.until, key, unseen(originLapsed)) {
+	if s.book.add(ended, held.until, key, unseen(originLapsed)) {
 		s.logger.Info().Stringer("digest", key).Msg("grant_lapsed")
 		s.announce(ended, key)
 		s.noteVerdict(key)
