Batch: an owner that is behind the configuration gives no item up for its route

An item whose route is missing for 5 s is listed as a dead letter, also where its owner had not heard of the route yet: an edge with the newer configuration accepts the job, and the owner is cut off from that configuration. Change: a submission carries the version of the configuration by which it was accepted, and a configuration that is older says nothing about its route. Jobs of other builds carry none, and are handled as before.

--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -143,16 +143,16 @@
 	if !p.confirmedSince(now - confirmWindow) {
 		return true
 	}
-	p.dispatchAll(candidates)
+	p.dispatchAll(candidates, table)
 	return true
 }
 
 // dispatchAll sends what there is room for; once a route's replicas have none in an item's homes, further such items are passed over.
-func (p *partition) dispatchAll(candidates []candidate) {
+func (p *partition) dispatchAll(candidates []candidate, table *route.Table) {
 	full := map[target]bool{}
 	for _, each := range candidates {
 		if each.route == nil {
-			p.routeMissing(each.key)
+			p.routeMissing(each, table.Version)
 			continue
 		}
 		if full[each.target()] {
@@ -237,11 +237,18 @@
 	return nil
 }
 
-// routeMissing gives up an item whose route has been missing for long.
-func (p *partition) routeMissing(key itemKey) {
+// routeMissing gives up an item whose route has been missing for long in the configuration of that version. One that is older than the configuration by which
+// the item was accepted says nothing: this owner is behind.
+func (p *partition) routeMissing(each candidate, version int64) {
+	key := each.key
 	p.mutex.Lock()
 	run := p.runOf(key)
 	now := p.elapsed()
+	if version < each.submission.ConfigurationVersion {
+		run.notBefore = now + time.Second
+		p.mutex.Unlock()
+		return
+	}
 	if run.routeGone == 0 {
 		run.routeGone = now
 	}
