--- a/internal/batch/item_route_test.go
+++ b/internal/batch/item_route_test.go
@@ -30,3 +30,28 @@
 		}
 	})
 }
+
+// TestRouteThatComesBackIsNotMissing: the time for which an item's route is missing went on counting while the route was there and no replica had room, so that a second
+// short absence gave the item up.
+func TestRouteThatComesBackIsNotMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := own(t, only(replicatest.Stream("s", true, false, eventOne)))
+		defer owner.end()
+		owner.routes.Offer(testTable(2, false))
+		owner.mustSubmit(t, batchOf("j", 1))
+		time.Sleep(2 * time.Second)
+		owner.pauseItem(itemKey{job: "j"}, 0)
+		for _, handle := range owner.service.directory.View().Of("s") {
+			for range handle.Info().Slots {
+				defer handle.Acquire()()
+			}
+		}
+		owner.routes.Offer(testTable(3, true))
+		time.Sleep(2 * routeGoneAfter)
+		owner.routes.Offer(testTable(4, false))
+		time.Sleep(routeGoneAfter / 2)
+		if listed := owner.results(t, "j", 0, time.Second); len(listed) != 0 {
+			t.Errorf("the item is %s though its route was missing for less than %s", listed[0].State, routeGoneAfter)
+		}
+	})
+}
