Soak test: one way to play seeds

Cause: two tests played seeds by the same ten lines. Change: playKept holds them. Conclusion: no check differs.

--- a/lab/roles/run_test.go
+++ b/lab/roles/run_test.go
@@ -42,6 +42,22 @@
 	return program
 }
 
+// playKept plays seeds on a deployment of three edges and three storage nodes; a promise that breaks fails the test.
+func playKept(t *testing.T, options Options) Report {
+	t.Helper()
+	options.Template, options.Zones, options.Edges, options.Stores = settingsTemplate, 3, 3, 3
+	var output bytes.Buffer
+	report, err := Run(t.Context(), options, &output)
+	t.Log(output.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Broken > 0 {
+		t.Errorf("seeds %v broke a promise", report.Seeds)
+	}
+	return report
+}
+
 // TestSeedsOfRealProcessesKeepTheirPromises plays the built program in both roles. What is checked are counts and contents, so that the
 // verdict does not depend on how fast the machine is. The seeds of the first set have partitions change their owners in series, which had
 // items that fail sent again beyond what is allowed; those of the second draw from all faults.
@@ -56,18 +72,9 @@
 		runs int
 		only []string
 	}{{504, 2, ownersChange}, {100, 3, nil}} {
-		var output bytes.Buffer
-		report, err := Run(t.Context(), Options{
-			Program: program, Template: settingsTemplate, Seed: set.seed, Runs: set.runs, Each: 8 * time.Second, Only: set.only,
-			Zones: 3, Edges: 3, Stores: 3, Replicas: 5, OnlinePerSecond: 30, JobsPerSecond: 1,
-		}, &output)
-		t.Log(output.String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		if report.Broken > 0 {
-			t.Errorf("seeds %v broke a promise", report.Seeds)
-		}
+		report := playKept(t, Options{
+			Program: program, Seed: set.seed, Runs: set.runs, Each: 8 * time.Second, Only: set.only, Replicas: 5, OnlinePerSecond: 30, JobsPerSecond: 1,
+		})
 		if report.Counts.OnlineServed == 0 || report.Counts.ItemsDone == 0 || report.Counts.MostFailures == 0 {
 			t.Errorf("nothing was shown: %+v", report.Counts)
 		}
@@ -92,18 +99,10 @@
 		{8100, []string{string(crashInTurn), string(freezeStores), string(killInTurn)}, 0},
 		{8200, []string{string(crashInTurn), string(crashReplica)}, 0.02},
 	} {
-		var output bytes.Buffer
-		report, err := Run(t.Context(), Options{
-			Program: program, Template: settingsTemplate, Seed: set.seed, Runs: 1, Each: 15 * time.Second, Only: set.only, ItemEvents: 350, EndingItems: set.endings,
-			Zones: 3, Edges: 3, Stores: 3, Replicas: 10, OnlinePerSecond: 40, JobsPerSecond: 2.5,
-		}, &output)
-		t.Log(output.String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		if report.Broken > 0 {
-			t.Errorf("seeds %v broke a promise", report.Seeds)
-		}
+		report := playKept(t, Options{
+			Program: program, Seed: set.seed, Runs: 1, Each: 15 * time.Second, Only: set.only, ItemEvents: 350, EndingItems: set.endings,
+			Replicas: 10, OnlinePerSecond: 40, JobsPerSecond: 2.5,
+		})
 		if report.Counts.ItemsDone == 0 || set.endings > 0 && report.Counts.MostEnded == 0 {
 			t.Errorf("nothing was shown: %+v", report.Counts)
 		}
