Quarantine: the end of a replica under a lapsed run does not speak strongly against its message

Found on reading the change; no caller was seen to meet it. The keeper that finds the replica of a lapsed grant ended counted its run as one that had made nothing, though its holder had not said what it made: two such ends would have rejected an item that came on with each. Change: such an end counts like one that nobody saw.

--- a/internal/quarantine/disagreement_test.go
+++ b/internal/quarantine/disagreement_test.go
@@ -158,3 +158,27 @@
 		permit.Release()
 	})
 }
+
+// TestEndOfALapsedRunIsNotStrong: the keeper finds that the replica of a lapsed run has ended, but nobody said what the run had made. Two such ends do not reject a message.
+func TestEndOfALapsedRunIsNotStrong(t *testing.T) {
+	inCluster(t, 5, 4, func(t *testing.T, c *cluster) {
+		key := keyOf("a")
+		c.nodes[0].Recall(key, recorded(1), 0)
+		time.Sleep(50 * time.Millisecond)
+		holder := c.nodeOf(key, 3)
+		permit := holder.Admit(t.Context(), key)
+		handle := c.handle(holder, 2)
+		permit.Begin(handle, nil)
+		time.Sleep(50 * time.Millisecond)
+		c.kill(holder)
+		c.agree()
+		c.machines.end(handle.Info().Address)
+		time.Sleep(2*grantTerm + 2*refreshInterval)
+		keeper := c.nodeOf(key, 0)
+		keeper.mutex.Lock()
+		defer keeper.mutex.Unlock()
+		if counted, strong := keeper.book.count(key), keeper.book.strong(key); counted != 2 || len(strong) != 0 {
+			t.Errorf("%d ends are counted, %d of them strong; want 2 and none", counted, len(strong))
+		}
+	})
+}
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -83,7 +83,7 @@
 	return quarantinepb.Verdict_VERDICT_GRANTED
 }
 
-// noteLapse takes in a grant that was neither renewed nor given back: its holder is gone, or it or this node stood still, and nobody saw how the run
+// noteLapse takes in a grant that was neither renewed nor given back: its holder is gone, or it or this node was paused, and nobody saw how the run
 // ended. The replica says whether it has ended; only where nobody knows which one it was, that is assumed. The mutex is held.
 func (s *Service) noteLapse(key Key, now time.Time) {
 	held, given := s.grants[key]
@@ -96,7 +96,7 @@
 		return
 	}
 	if handle := s.handleOf(held.place); handle != nil {
-		s.inquireIntoLapsed(&run{service: s, key: key, handle: handle, began: held.placeSince, granted: true})
+		s.inquireIntoLapsed(&run{service: s, key: key, handle: handle, began: held.placeSince, granted: true, unseen: true})
 		return
 	}
 	ended := cmp.Or(held.place, replica.Key(held.run))
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -91,6 +91,8 @@
 	// cameOn says that the run made events that a further run goes on behind; reached is how many the answer had then.
 	cameOn  bool
 	reached int
+	// unseen says that the run is that of another node, which did not say what it made.
+	unseen bool
 }
 
 // Progress implements Run.
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -166,7 +166,12 @@
 // suspect counts the end of a replica against a run's message. The mutex is held.
 func (s *Service) suspect(ended *run, at time.Time, ran time.Duration) {
 	key := ended.handle.Key()
-	if !s.book.add(key, at, ended.key, suspect{ran: ran, granted: ended.granted, cameOn: ended.cameOn, reached: ended.reached, origin: originSeen}) {
+	doubt := suspect{ran: ran, granted: ended.granted, cameOn: ended.cameOn, reached: ended.reached, origin: originSeen}
+	if ended.unseen {
+		doubt = unseen(originLapsed)
+		doubt.granted = ended.granted
+	}
+	if !s.book.add(key, at, ended.key, doubt) {
 		return
 	}
 	s.announce(key, ended.key)
