Batch: what stalls is looked for among the items that were accepted first, under plainer names

Cause: the report walked all unlisted items of a partition, which may be hundreds of thousands, under its lock; 'standing' said little.

--- a/internal/batch/item_stalled.go
+++ b/internal/batch/item_stalled.go
@@ -7,46 +7,45 @@
 	"github.com/sloelift/sloelift/internal/quarantine"
 )
 
-const (
-	// stalledAfter is how long an item of an open job may make nothing before it is reported, and the time between two reports.
-	stalledAfter = 5 * time.Second
-)
+// stalledAfter is how long an item of an open job may make nothing before it is reported, and the time between two reports.
+const stalledAfter = 5 * time.Second
 
-// standing says why an item makes nothing at the moment.
-type standing string
+// stallReason says why an item makes nothing at the moment.
+type stallReason string
 
 const (
-	// standingWaiting items wait for room, for their turn, or out a pause.
-	standingWaiting standing = "waiting"
-	// standingSuspected items wait for a run apart, since replicas ended under their message.
-	standingSuspected standing = "suspected"
-	// standingHeldBack items are sent to no replica, since their message is rejected.
-	standingHeldBack standing = "held_back"
-	// standingAtReplica items were sent, and no event has come.
-	standingAtReplica standing = "at_replica"
-	// standingRecording items wait until a record about them is durable.
-	standingRecording standing = "recording"
+	// stalledWaiting items wait for room, for their turn, or out a pause.
+	stalledWaiting stallReason = "waiting"
+	// stalledSuspected items wait for a run apart, since replicas ended under their message.
+	stalledSuspected stallReason = "suspected"
+	// stalledHeldBack items are sent to no replica, since their message is rejected.
+	stalledHeldBack stallReason = "held_back"
+	// stalledAtReplica items were sent, and no event has come.
+	stalledAtReplica stallReason = "at_replica"
+	// stalledRecording items wait until a record about them is durable.
+	stalledRecording stallReason = "recording"
 )
 
-var standings = []standing{standingWaiting, standingSuspected, standingHeldBack, standingAtReplica, standingRecording}
+var stallReasons = []stallReason{stalledWaiting, stalledSuspected, stalledHeldBack, stalledAtReplica, stalledRecording}
 
 // stalledItem is an unlisted item of an open job that has made nothing for a while.
 type stalledItem struct {
-	key      itemKey
-	standing standing
-	lasted   time.Duration
-	run      itemRun
+	key    itemKey
+	reason stallReason
+	lasted time.Duration
+	run    itemRun
 }
 
 // stalledItems are those of a partition.
 type stalledItems struct {
-	counts  map[standing]int
+	counts  map[stallReason]int
 	longest stalledItem
 }
 
-// stalled returns the items that have made nothing for stalledAfter.
+// stalled returns the items that have made nothing for stalledAfter, among the maxScanned that were accepted first.
 func (p *partition) stalled() stalledItems {
-	found := stalledItems{counts: map[standing]int{}}
+	found := stalledItems{counts: map[stallReason]int{}}
+	scanned := 0
 	p.mutex.RLock()
 	defer p.mutex.RUnlock()
 	for _, owner := range p.state.order {
@@ -57,6 +56,9 @@
 			if owner.items[number].listed {
 				continue
 			}
+			if scanned++; scanned > maxScanned {
+				return found
+			}
 			key := itemKey{job: owner.submission.JobId, number: number}
 			if lasted := p.stalledFor(owner, key); lasted >= stalledAfter {
 				found.add(p.stalledItem(key, lasted))
@@ -67,7 +69,7 @@
 }
 
 func (s *stalledItems) add(each stalledItem) {
-	s.counts[each.standing]++
+	s.counts[each.reason]++
 	if each.lasted > s.longest.lasted {
 		s.longest = each
 	}
@@ -84,7 +86,7 @@
 
 // stalledItem says why an item makes nothing. The mutex is held.
 func (p *partition) stalledItem(key itemKey, lasted time.Duration) stalledItem {
-	found := stalledItem{key: key, standing: standingWaiting, lasted: lasted}
+	found := stalledItem{key: key, reason: stalledWaiting, lasted: lasted}
 	run := p.runs[key]
 	if run == nil {
 		return found
@@ -92,28 +94,28 @@
 	found.run = *run
 	switch {
 	case run.atReplica:
-		found.standing = standingAtReplica
+		found.reason = stalledAtReplica
 	case run.running:
-		found.standing = standingRecording
+		found.reason = stalledRecording
 	default:
-		found.standing = p.standingOf(run.message)
+		found.reason = p.stallReasonOf(run.message)
 	}
 	return found
 }
 
-// standingOf says what keeps a message that is not at a replica from being sent.
-func (p *partition) standingOf(message quarantine.Key) standing {
+// stallReasonOf says what keeps a message that is not at a replica from being sent.
+func (p *partition) stallReasonOf(message quarantine.Key) stallReason {
 	register := p.service.options.Quarantine
 	if register == nil || message == (quarantine.Key{}) {
-		return standingWaiting
+		return stalledWaiting
 	}
 	switch register.Check(message) {
 	case quarantine.Rejected:
-		return standingHeldBack
+		return stalledHeldBack
 	case quarantine.Apart:
-		return standingSuspected
+		return stalledSuspected
 	default:
-		return standingWaiting
+		return stalledWaiting
 	}
 }
 
@@ -124,11 +126,11 @@
 		return
 	}
 	event := p.logger.Info()
-	for _, each := range standings {
+	for _, each := range stallReasons {
 		event.Int(string(each), found.counts[each])
 	}
 	longest := found.longest
-	event.Str(logging.FieldJob, longest.key.job).Int("item", longest.key.number).Str(logging.FieldReason, string(longest.standing)).
+	event.Str(logging.FieldJob, longest.key.job).Int("item", longest.key.number).Str(logging.FieldReason, string(longest.reason)).
 		Dur("lasted", longest.lasted).Int("begins", longest.run.begins).Int("crashes", longest.run.crashes).Int("made_bytes", len(longest.run.text)).
 		Stringer("digest", longest.run.message).Msg("items_stalled")
 }
--- a/internal/batch/item_stalled_test.go
+++ b/internal/batch/item_stalled_test.go
@@ -14,10 +14,10 @@
 func TestStalledItemsAreReported(t *testing.T) {
 	for name, test := range map[string]struct {
 		bound int
-		want  standing
+		want  stallReason
 	}{
-		"rejected":  {1, standingHeldBack},
-		"suspected": {2, standingSuspected},
+		"rejected":  {1, stalledHeldBack},
+		"suspected": {2, stalledSuspected},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -33,7 +33,7 @@
 				if found.counts[test.want] != 1 || len(found.counts) != 1 || found.longest.key.number != 0 {
 					t.Errorf("stalled: %v, longest %v", found.counts, found.longest.key)
 				}
-				if series := testutil.CollectAndCount(owner.service); series != len(standings)+1 {
+				if series := testutil.CollectAndCount(owner.service); series != len(stallReasons)+1 {
 					t.Errorf("%d series", series)
 				}
 				owner.end()
@@ -55,7 +55,7 @@
 		owner := own(t, only(replicatest.Hang()))
 		owner.mustSubmit(t, batchOf("j", 1))
 		time.Sleep(stalledAfter + time.Second/2)
-		if found := owner.stalled(); found.counts[standingAtReplica] != 1 {
+		if found := owner.stalled(); found.counts[stalledAtReplica] != 1 {
 			t.Errorf("stalled: %v", found.counts)
 		}
 		owner.end()
--- a/internal/batch/metrics.go
+++ b/internal/batch/metrics.go
@@ -21,7 +21,7 @@
 		owned = append(owned, each)
 	}
 	s.mutex.RUnlock()
-	counts, longest := map[standing]int{}, 0.0
+	counts, longest := map[stallReason]int{}, 0.0
 	for _, each := range owned {
 		found := each.stalled()
 		for reason, count := range found.counts {
@@ -29,7 +29,7 @@
 		}
 		longest = max(longest, found.longest.lasted.Seconds())
 	}
-	for _, reason := range standings {
+	for _, reason := range stallReasons {
 		metrics <- prometheus.MustNewConstMetric(stalledDescription, prometheus.GaugeValue, float64(counts[reason]), string(reason))
 	}
 	metrics <- prometheus.MustNewConstMetric(longestDescription, prometheus.GaugeValue, longest)
