Quarantine: a run that comes further without ending its replica clears what its answer has passed

Callers saw items late: one waited for 15 s for a run apart on a busy service, for a replica that had ended under it at event 52, though it had made some 300 events since. Cause: only a run that ended with its replica, or came to the whole end from the begin, said how far an answer had come. Runs that were cut off to make room, or ended with their owner, left the suspicion as it was. Change: such a run clears the ends whose point it has passed, and an owner that takes over clears those that the text in its log has passed. Why it holds: a message that ends its replicas at a point of its answer never gets past it in a run whose replica lives.

--- a/internal/batch/item_chance_test.go
+++ b/internal/batch/item_chance_test.go
@@ -242,3 +242,51 @@
 		})
 	}
 }
+
+// TestItemThatComesOnIsSuspectedNoLonger: an item waited for 15 s for a run apart on a busy service ("items_stalled reason=suspected lasted=15016 made_bytes=10979"). A replica had
+// ended under it at event 52; it had come on far behind that under runs that were cut off to make room, which spoke for it no more than if they had made nothing.
+func TestItemThatComesOnIsSuspectedNoLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		replicas := newMortalReplicas(12)
+		replicas.endAfter = []time.Duration{260 * time.Millisecond}
+		owner := ownBefore(t, replicas)
+		defer owner.end()
+		owner.mustSubmit(t, batchOf("j", 1))
+		key := itemKey{job: "j"}
+		for replicas.endedCount() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		for owner.madeEvents(key) < 2*52 {
+			time.Sleep(time.Millisecond)
+		}
+		message := owner.messageOf(key)
+		if got := owner.service.options.Quarantine.Check(message); got != quarantine.Apart {
+			t.Fatalf("the message is %s while its second run is under way", got)
+		}
+		owner.yieldRun(key)
+		time.Sleep(20 * time.Millisecond)
+		if got := owner.service.options.Quarantine.Check(message); got != quarantine.Allowed {
+			t.Errorf("the message is %s after a run that came on", got)
+		}
+		owner.results(t, "j", 1, 5*time.Second)
+	})
+}
+
+func (o *ownerUnderTest) madeEvents(key itemKey) int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return eventsIn(o.runOf(key).text)
+}
+
+func (o *ownerUnderTest) messageOf(key itemKey) quarantine.Key {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.runOf(key).message
+}
+
+// yieldRun cuts an item's run off as one that makes room.
+func (o *ownerUnderTest) yieldRun(key itemKey) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.runOf(key).yield()
+}
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -141,12 +141,22 @@
 
 // clear notes that the message has come to its end; it returns the incidents in which it was suspected.
 func (b *book) clear(message Key) []*incident {
-	open := b.open(message)
-	for _, each := range open {
-		each.suspects[message].cleared = true
+	return b.clearWhere(message, func(*suspect) bool { return true })
+}
+
+// clearWhere notes that the message did not end the replicas of those incidents that are chosen; it returns them.
+func (b *book) clearWhere(message Key, chosen func(of *suspect) bool) []*incident {
+	var cleared []*incident
+	for _, each := range b.open(message) {
+		doubt := each.suspects[message]
+		if !chosen(doubt) {
+			continue
+		}
+		doubt.cleared = true
 		each.open--
+		cleared = append(cleared, each)
 	}
-	return open
+	return cleared
 }
 
 // open returns the incidents in which the message is suspected, in the order of time.
--- a/internal/quarantine/progress_test.go
+++ b/internal/quarantine/progress_test.go
@@ -85,3 +85,22 @@
 		}
 	}
 }
+
+// TestNewOwnerClearsWhatTheTextHasPassed: the owner of an item before had shared the end of a replica under it and was killed; the log has that the item has come further.
+func TestNewOwnerClearsWhatTheTextHasPassed(t *testing.T) {
+	for events, want := range map[int]Verdict{52: Apart, 300: Allowed} {
+		inCluster(t, 3, 4, func(t *testing.T, c *cluster) {
+			key, next := keyOf("item"), c.nodes[1]
+			next.mutex.Lock()
+			next.book.add(1, time.Now(), key, suspect{ran: 300 * time.Millisecond, cameOn: true, reached: 52})
+			next.announce(1, key)
+			next.mutex.Unlock()
+			time.Sleep(50 * time.Millisecond)
+			next.Recall(key, []RecordedEnd{{Replica: 1, Reached: 52}}, events)
+			time.Sleep(50 * time.Millisecond)
+			for _, at := range c.nodes {
+				wantVerdict(t, at, key, want)
+			}
+		})
+	}
+}
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -103,6 +103,9 @@
 // End implements Run.
 func (r *run) End(ctx context.Context, ending Ending) (replicaEnded bool) {
 	r.service.endRun(r, ending)
+	if r.cameOn && ending != Lost && ending != Interrupted {
+		r.service.cameTo(r.key, r.reached)
+	}
 	switch ending {
 	case Whole:
 		r.service.cleared(r.key)
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -159,6 +159,7 @@
 			s.announce(each.Replica, key)
 		}
 	}
+	s.clearPassed(key, events)
 	s.noteVerdict(key)
 	s.signal()
 }
@@ -201,6 +202,27 @@
 	s.signal()
 }
 
+// cameTo clears a message of the ends whose point its answer has passed at a replica that did not end.
+func (s *Service) cameTo(key Key, events int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.clearPassed(key, events)
+}
+
+// clearPassed clears a message of the ends whose point its answer has passed, which has events now. The mutex is held.
+func (s *Service) clearPassed(key Key, events int) {
+	passed := s.book.clearWhere(key, func(ended *suspect) bool { return events > ended.reached+passedBy })
+	if len(passed) == 0 {
+		return
+	}
+	for _, each := range passed {
+		s.announce(each.replica, key)
+	}
+	s.logger.Info().Stringer("digest", key).Int("incidents", len(passed)).Int("events", events).Msg("ends_passed")
+	s.noteVerdict(key)
+	s.signal()
+}
+
 // join takes in what another node knows.
 func (s *Service) join(incidents []*quarantinepb.Incident, now time.Time) {
 	s.mutex.Lock()
