Quarantine: an end at a point that nobody told is not passed

Callers saw nothing of it; other work lost its replicas. Cause: nodes of the other build do not say how far the answer was, in messages nor in the log, and that was read as the begin of the answer, which each text has passed. Change: whether the point is known is kept (in the record by its presence), and an end at an unknown one is never passed. The ends of lapsed runs, of which nobody told either, are handled alike.

--- a/internal/batch/item_chance_test.go
+++ b/internal/batch/item_chance_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	"github.com/sloelift/sloelift/internal/ledger"
@@ -215,14 +216,14 @@
 func TestRecordedEndsThatTheTextHasPassedAreNotRecalled(t *testing.T) {
 	text := func(events int) string { return strings.TrimSuffix(strings.Repeat("x\n", events), "\n") }
 	for name, test := range map[string]struct {
-		reached []uint32
+		reached []*uint32
 		made    int
 		want    batchpb.State
 	}{
-		"it has come further":               {[]uint32{8, 38, 120}, 200, batchpb.State_STATE_SUCCEEDED},
-		"records of another build":          {[]uint32{0, 0, 0}, 200, batchpb.State_STATE_SUCCEEDED},
-		"it ends replicas at one point":     {[]uint32{198, 200, 200}, 200, batchpb.State_STATE_DEAD_LETTER},
-		"it ends replicas before any event": {[]uint32{0, 0, 0}, 0, batchpb.State_STATE_DEAD_LETTER},
+		"it has come further":               {[]*uint32{proto.Uint32(8), proto.Uint32(38), proto.Uint32(120)}, 200, batchpb.State_STATE_SUCCEEDED},
+		"records of another build":          {[]*uint32{nil, nil, nil}, 200, batchpb.State_STATE_DEAD_LETTER},
+		"it ends replicas at one point":     {[]*uint32{proto.Uint32(198), proto.Uint32(200), proto.Uint32(200)}, 200, batchpb.State_STATE_DEAD_LETTER},
+		"it ends replicas before any event": {[]*uint32{proto.Uint32(0), proto.Uint32(0), proto.Uint32(0)}, 0, batchpb.State_STATE_DEAD_LETTER},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
@@ -209,14 +211,23 @@
 	if p.service.options.Quarantine.Check(message) == quarantine.Allowed {
 		return
 	}
-	end := quarantine.RecordedEnd{Replica: attempt.handle.Key(), Reached: eventsIn(attempt.text)}
-	crashed := &batchpb.Crashed{JobId: attempt.key.job, Item: uint32(attempt.key.number), Replica: uint64(end.Replica), Reached: uint32(end.Reached)}
+	end := quarantine.RecordedEnd{Replica: attempt.handle.Key(), Reached: eventsIn(attempt.text), ReachedKnown: true}
+	crashed := crashedOf(attempt.key, end)
 	recorded := func(of *item) bool { return of.crashRecorded(end) }
 	propose := func() error { return p.propose(p.ctx, recordOf(ledger.KindBatchCrashed, crashed)) }
 	// The next owner would not know of a crash that is not recorded. Nothing follows where the ownership is lost before, which is logged.
 	_ = p.untilDurable(attempt.key, "crash_not_recorded", recorded, propose)
 }
 
+// crashedOf returns the record of the end of a replica under an item.
+func crashedOf(key itemKey, end quarantine.RecordedEnd) *batchpb.Crashed {
+	crashed := &batchpb.Crashed{JobId: key.job, Item: uint32(key.number), Replica: uint64(end.Replica)}
+	if end.ReachedKnown {
+		crashed.Reached = proto.Uint32(uint32(end.Reached))
+	}
+	return crashed
+}
+
 // recallCrashes gives the register what earlier owners have recorded.
 func (p *partition) recallCrashes() {
 	register := p.service.options.Quarantine
--- a/internal/batch/snapshot.go
+++ b/internal/batch/snapshot.go
@@ -45,9 +45,7 @@
 			encoded.Failed = append(encoded.Failed, &batchpb.Failed{JobId: j.submission.JobId, Item: uint32(number), Failures: uint32(failures)})
 		}
 		for _, ended := range j.items[number].crashed {
-			encoded.Crashed = append(encoded.Crashed, &batchpb.Crashed{
-				JobId: j.submission.JobId, Item: uint32(number), Replica: uint64(ended.Replica), Reached: uint32(ended.Reached),
-			})
+			encoded.Crashed = append(encoded.Crashed, crashedOf(itemKey{job: j.submission.JobId, number: number}, ended))
 		}
 	}
 	return encoded
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -253,7 +253,7 @@
 	if of == nil {
 		return nil
 	}
-	end := quarantine.RecordedEnd{Replica: replica.Key(crashed.Replica), Reached: int(crashed.Reached)}
+	end := quarantine.RecordedEnd{Replica: replica.Key(crashed.Replica), Reached: int(crashed.GetReached()), ReachedKnown: crashed.Reached != nil}
 	if of.crashRecorded(end) {
 		return nil
 	}
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -24,9 +24,10 @@
 	cleared bool
 	// granted says that it was suspected before, and ran there apart.
 	granted bool
-	// cameOn says that the run had made events that a further run goes on behind, reached how many the message's answer had then.
-	cameOn  bool
-	reached int
+	// cameOn says that the run had made events that a further run goes on behind, reached how many the message's answer had then, where that is known.
+	cameOn       bool
+	reached      int
+	reachedKnown bool
 	// origin says from where this node has it; it is not sent.
 	origin origin
 }
@@ -136,9 +137,13 @@
 	merged.cleared = s.cleared || other.cleared
 	merged.cameOn = s.cameOn || other.cameOn
 	merged.reached = max(s.reached, other.reached)
+	merged.reachedKnown = s.reachedKnown || other.reachedKnown
 	return merged
 }
 
+// passedAt says that an answer of that many events has come further than where it was when the replica ended.
+func (s suspect) passedAt(events int) bool { return s.reachedKnown && events > s.reached+passedBy }
+
 // clear notes that the message has come to its end; it returns the incidents in which it was suspected.
 func (b *book) clear(message Key) []*incident {
 	return b.clearWhere(message, func(*suspect) bool { return true })
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		for _, name := range each.under {
-			made.add(each.replica, start.Add(each.at), keyOf(name), suspect{ran: each.ran})
+			made.add(each.replica, start.Add(each.at), keyOf(name), suspect{ran: each.ran, reachedKnown: true})
 		}
 	}
 	return made
--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -26,7 +26,7 @@
 	switch {
 	case of.cameOn:
 		encoded.Progress = quarantinepb.Progress_PROGRESS_CAME_ON
-	case !of.assumed():
+	case of.reachedKnown:
 		encoded.Progress = quarantinepb.Progress_PROGRESS_NONE
 	}
 	return encoded
@@ -38,6 +38,7 @@
 	decoded := suspect{
 		ran: time.Duration(doubt.RanMillis) * time.Millisecond, cleared: doubt.Cleared, granted: doubt.Granted, origin: originShared,
 		cameOn: doubt.Progress == quarantinepb.Progress_PROGRESS_CAME_ON, reached: int(doubt.Reached),
+		reachedKnown: doubt.Progress != quarantinepb.Progress_PROGRESS_UNSPECIFIED,
 	}
 	if doubt.Progress == quarantinepb.Progress_PROGRESS_UNSPECIFIED {
 		decoded.ran = max(decoded.ran, unseenRun)
--- a/internal/quarantine/progress_test.go
+++ b/internal/quarantine/progress_test.go
@@ -17,7 +17,7 @@
 	start := time.Unix(1_000_000, 0)
 	for number, each := range ends {
 		made.add(replica.Key(number+1), start.Add(time.Duration(number)*time.Second), keyOf("a"),
-			suspect{ran: 400 * time.Millisecond, cameOn: each.to > each.from, reached: each.to, origin: originSeen})
+			suspect{ran: 400 * time.Millisecond, cameOn: each.to > each.from, reached: each.to, reachedKnown: true, origin: originSeen})
 	}
 	return made
 }
@@ -92,11 +92,11 @@
 		inCluster(t, 3, 4, func(t *testing.T, c *cluster) {
 			key, next := keyOf("item"), c.nodes[1]
 			next.mutex.Lock()
-			next.book.add(1, time.Now(), key, suspect{ran: 300 * time.Millisecond, cameOn: true, reached: 52})
+			next.book.add(1, time.Now(), key, suspect{ran: 300 * time.Millisecond, cameOn: true, reached: 52, reachedKnown: true})
 			next.announce(1, key)
 			next.mutex.Unlock()
 			time.Sleep(50 * time.Millisecond)
-			next.Recall(key, []RecordedEnd{{Replica: 1, Reached: 52}}, events)
+			next.Recall(key, []RecordedEnd{{Replica: 1, Reached: 52, ReachedKnown: true}}, events)
 			time.Sleep(50 * time.Millisecond)
 			for _, at := range c.nodes {
 				wantVerdict(t, at, key, want)
@@ -104,3 +104,23 @@
 		})
 	}
 }
+
+// TestEndsAtAnUnknownPointAreNotPassed: beside machines of another build, items that end their replicas at an event of their answer ended four to six of them. Nodes of the other
+// build do not say how far the answer was, in messages nor in the log, and that was read as the begin, which each answer has passed.
+func TestEndsAtAnUnknownPointAreNotPassed(t *testing.T) {
+	inCluster(t, 3, 4, func(t *testing.T, c *cluster) {
+		key, at := keyOf("item"), c.nodes[1]
+		encoded := bookOf([]endAt{{0, 100}, {100, 100}}).all(time.Unix(1_000_100, 0))
+		for _, each := range encoded {
+			each.AgeMillis = 1000 * each.Replica
+			each.Suspects[0].Message, each.Suspects[0].Progress, each.Suspects[0].Reached = key[:], quarantinepb.Progress_PROGRESS_UNSPECIFIED, 0
+		}
+		at.join(encoded, time.Now())
+		at.Recall(key, []RecordedEnd{{Replica: 1}, {Replica: 2}, {Replica: 3}}, 100)
+		at.cameTo(key, 100)
+		time.Sleep(10 * refreshInterval)
+		for _, each := range c.nodes {
+			wantVerdict(t, each, key, Rejected)
+		}
+	})
+}
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -65,8 +65,9 @@
 // RecordedEnd is the end of a replica under a message as its owner recorded it.
 type RecordedEnd struct {
 	Replica replica.Key
-	// Reached is the number of events that the message's answer had then.
-	Reached int
+	// Reached is the number of events that the message's answer had then, where that is known.
+	Reached      int
+	ReachedKnown bool
 }
 
 // Register keeps what is known of messages. It is safe for concurrent use.
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -149,11 +149,11 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for number, each := range ended {
-		if events > each.Reached+passedBy {
+		recalled := unseen(originRecalled)
+		recalled.reached, recalled.reachedKnown = each.Reached, each.ReachedKnown
+		if recalled.passedAt(events) {
 			continue
 		}
-		recalled := unseen(originRecalled)
-		recalled.reached = each.Reached
 		// When the runs ended is not known either; what other nodes saw replaces this.
 		if s.book.addSuspect(s.book.incidentAt(each.Replica, now.Add(-time.Duration(number+1)*time.Second), true), key, recalled) {
 			s.announce(each.Replica, key)
@@ -167,7 +167,7 @@
 // suspect counts the end of a replica against a run's message. The mutex is held.
 func (s *Service) suspect(ended *run, at time.Time, ran time.Duration) {
 	key := ended.handle.Key()
-	doubt := suspect{ran: ran, granted: ended.granted, cameOn: ended.cameOn, reached: ended.reached, origin: originSeen}
+	doubt := suspect{ran: ran, granted: ended.granted, cameOn: ended.cameOn, reached: ended.reached, reachedKnown: true, origin: originSeen}
 	if ended.unseen {
 		doubt = unseen(originLapsed)
 		doubt.granted = ended.granted
@@ -211,7 +211,7 @@
 
 // clearPassed clears a message of the ends whose point its answer has passed, which has events now. The mutex is held.
 func (s *Service) clearPassed(key Key, events int) {
-	passed := s.book.clearWhere(key, func(ended *suspect) bool { return events > ended.reached+passedBy })
+	passed := s.book.clearWhere(key, func(ended *suspect) bool { return ended.passedAt(events) })
 	if len(passed) == 0 {
 		return
 	}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -121,7 +121,7 @@
 func (b *book) passed(message Key, in *incident) bool {
 	ended := in.suspects[message]
 	for _, each := range b.byMessage[message] {
-		if doubt := each.suspects[message]; doubt.cameOn && doubt.reached > ended.reached+passedBy {
+		if doubt := each.suspects[message]; doubt.cameOn && ended.passedAt(doubt.reached) {
 			return true
 		}
 	}
