Soak of the roles: the folder of a run is removed once its processes have ended

The folder was removed while the storage nodes still wrote into it. Change: the deployment is closed first.

--- a/lab/roles/fleet.go
+++ b/lab/roles/fleet.go
@@ -52,6 +52,7 @@
 	nextReplica int
 	version     int64
 	background  sync.WaitGroup
+	closing     sync.Once
 	ctx         context.Context
 	cancel      context.CancelFunc
 }
@@ -320,8 +321,10 @@
 	}
 }
 
-// close ends all processes and stand-ins.
-func (f *fleet) close() {
+// close ends all processes and stand-ins, once.
+func (f *fleet) close() { f.closing.Do(f.endAll) }
+
+func (f *fleet) endAll() {
 	f.cancel()
 	var wait sync.WaitGroup
 	for _, each := range f.machines {
--- a/lab/roles/run.go
+++ b/lab/roles/run.go
@@ -171,6 +171,8 @@
 		running.metrics()
 		return found, folder, nil
 	}
+	// Processes that still run write into the folder while it is removed.
+	running.close()
 	return found, folder, os.RemoveAll(folder)
 }
 
