Quarantine: one way to clear a message, and a whole run clears once

Cause: clearing for a whole run and clearing for what an answer has passed were written twice; a whole run of a streamed answer did both, took the lock once more and was logged as ends_passed instead of message_cleared. A grant took the lock to compare verdicts that agree. Change: one clear for both; a whole run clears all at once; the second weighing is made only where there are as many ends; the agreeing answers return first. No verdict differs.

--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -141,10 +141,13 @@
 
 // noteDisagreement logs that a keeper decides otherwise than this node does by all that both know of the message.
 func (s *Service) noteDisagreement(key Key, keeper membership.Member, decided quarantinepb.Verdict) {
+	if decided == quarantinepb.Verdict_VERDICT_GRANTED || decided == quarantinepb.Verdict_VERDICT_BUSY {
+		return
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	own := s.book.verdict(key)
-	if own != Apart || decided == quarantinepb.Verdict_VERDICT_GRANTED || decided == quarantinepb.Verdict_VERDICT_BUSY {
+	if own != Apart {
 		return
 	}
 	s.logger.Info().Stringer("digest", key).Stringer(logging.FieldPeer, keeper.PeerAddress).Stringer("keeper_verdict", decided).Stringer("own_verdict", own).
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -144,13 +144,8 @@
 // passedAt says that an answer of that many events has come further than where it was when the replica ended.
 func (s suspect) passedAt(events int) bool { return s.reachedKnown && events > s.reached+passedBy }
 
-// clear notes that the message has come to its end; it returns the incidents in which it was suspected.
-func (b *book) clear(message Key) []*incident {
-	return b.clearWhere(message, func(*suspect) bool { return true })
-}
-
-// clearWhere notes that the message did not end the replicas of those incidents that are chosen; it returns them.
-func (b *book) clearWhere(message Key, chosen func(of *suspect) bool) []*incident {
+// clear notes that the message did not end the replicas of those incidents in which it is suspected and that are chosen; it returns them.
+func (b *book) clear(message Key, chosen func(ended *suspect) bool) []*incident {
 	var cleared []*incident
 	for _, each := range b.open(message) {
 		doubt := each.suspects[message]
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -25,7 +25,7 @@
 	made := newBook()
 	for _, each := range observations {
 		if each.whole != "" {
-			made.clear(keyOf(each.whole))
+			made.clear(keyOf(each.whole), func(*suspect) bool { return true })
 			continue
 		}
 		for _, name := range each.under {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -22,7 +22,7 @@
 type grant struct {
 	run   uint64
 	until time.Time
-	// place is the replica at which the run is, as far as its holder has told, and since when; 0 where it has not.
+	// place is the replica at which the run is, as far as its holder has said, and since when; 0 where it has not.
 	place      replica.Key
 	placeSince time.Time
 	// over says that it was given back; a renewal that arrives later is refused.
--- a/internal/quarantine/progress_test.go
+++ b/internal/quarantine/progress_test.go
@@ -117,7 +117,7 @@
 		}
 		at.join(encoded, time.Now())
 		at.Recall(key, []RecordedEnd{{Replica: 1}, {Replica: 2}, {Replica: 3}}, 100)
-		at.cameTo(key, 100)
+		at.progressed(key, 100)
 		time.Sleep(10 * refreshInterval)
 		for _, each := range c.nodes {
 			wantVerdict(t, each, key, Rejected)
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -103,15 +103,17 @@
 // End implements Run.
 func (r *run) End(ctx context.Context, ending Ending) (replicaEnded bool) {
 	r.service.endRun(r, ending)
-	if r.cameOn && ending != Lost && ending != Interrupted {
-		r.service.cameTo(r.key, r.reached)
-	}
 	switch ending {
 	case Whole:
 		r.service.cleared(r.key)
+		return false
 	case Lost, Interrupted:
 		return r.lost(ctx, ending)
-	case Left:
+	}
+	if r.cameOn {
+		r.service.progressed(r.key, r.reached)
+	}
+	if ending == Left {
 		r.service.leave(r)
 	}
 	return false
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -187,23 +187,13 @@
 func (s *Service) cleared(key Key) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if len(s.book.byMessage[key]) == 0 {
-		return
-	}
-	open := s.book.clear(key)
-	if len(open) == 0 {
-		return
+	if incidents := s.clear(key, func(*suspect) bool { return true }); incidents > 0 {
+		s.logger.Info().Stringer("digest", key).Int("incidents", incidents).Msg("message_cleared")
 	}
-	for _, each := range open {
-		s.announce(each.replica, key)
-	}
-	s.logger.Info().Stringer("digest", key).Int("incidents", len(open)).Msg("message_cleared")
-	s.noteVerdict(key)
-	s.signal()
 }
 
-// cameTo clears a message of the ends whose point its answer has passed at a replica that did not end.
-func (s *Service) cameTo(key Key, events int) {
+// progressed clears a message of the ends whose point its answer has passed at a replica that did not end.
+func (s *Service) progressed(key Key, events int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.clearPassed(key, events)
@@ -211,16 +201,23 @@
 
 // clearPassed clears a message of the ends whose point its answer has passed, which has events now. The mutex is held.
 func (s *Service) clearPassed(key Key, events int) {
-	passed := s.book.clearWhere(key, func(ended *suspect) bool { return ended.passedAt(events) })
-	if len(passed) == 0 {
-		return
+	if incidents := s.clear(key, func(ended *suspect) bool { return ended.passedAt(events) }); incidents > 0 {
+		s.logger.Info().Stringer("digest", key).Int("incidents", incidents).Int("events", events).Msg("ends_passed")
+	}
+}
+
+// clear clears a message of those ends that are chosen and shares that; it returns their number. The mutex is held.
+func (s *Service) clear(key Key, chosen func(ended *suspect) bool) int {
+	cleared := s.book.clear(key, chosen)
+	if len(cleared) == 0 {
+		return 0
 	}
-	for _, each := range passed {
+	for _, each := range cleared {
 		s.announce(each.replica, key)
 	}
-	s.logger.Info().Stringer("digest", key).Int("incidents", len(passed)).Int("events", events).Msg("ends_passed")
 	s.noteVerdict(key)
 	s.signal()
+	return len(cleared)
 }
 
 // join takes in what another node knows.
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -40,7 +40,7 @@
 		return Rejected
 	}
 	switch ended := b.count(message); {
-	case ended >= mostEnded, b.countAll(message) >= mostEndedInAll:
+	case ended >= mostEnded, b.endedInAll(message, mostEndedInAll):
 		return Rejected
 	case ended > 0:
 		return Apart
@@ -51,7 +51,7 @@
 
 // lastRun says that the message is rejected if its next run ends one more replica.
 func (b *book) lastRun(message Key) bool {
-	return b.count(message)+1 >= mostEnded || b.countAll(message)+1 >= mostEndedInAll
+	return b.count(message)+1 >= mostEnded || b.endedInAll(message, mostEndedInAll-1)
 }
 
 // strong returns the incidents that speak strongly against a message: each soon after it came there, before it had made anything, and at a time of its own.
@@ -137,8 +137,11 @@
 // explains.
 func (b *book) count(message Key) int { return b.countEnds(message, b.against(message)) }
 
-// countAll returns the same number with those ends whose point the answer has passed.
-func (b *book) countAll(message Key) int { return b.countEnds(message, b.open(message)) }
+// endedInAll says that at least so many replicas ended under the message, those whose point its answer has passed among them. Most messages have fewer ends of
+// any kind, which need not be weighed.
+func (b *book) endedInAll(message Key, least int) bool {
+	return len(b.byMessage[message]) >= least && b.countEnds(message, b.open(message)) >= least
+}
 
 // countEnds counts incidents of a message, which are in the order of time. Of a crash that struck many replicas together, the message at some of them only, one
 // counts.
