Quarantine: 'progressed' for a run that made events

Cause: came_on and its kin are no terms of the field. Change: names, the log field and the name of the enum's value; numbers on the wire stay.

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -24,8 +24,8 @@
 	cleared bool
 	// granted says that it was suspected before, and ran there apart.
 	granted bool
-	// cameOn says that the run had made events that a further run goes on behind, reached how many the message's answer had then, where that is known.
-	cameOn       bool
+	// progressed says that the run had made events that a further run goes on behind, reached how many the message's answer had then, where that is known.
+	progressed   bool
 	reached      int
 	reachedKnown bool
 	// origin says from where this node has it; it is not sent.
@@ -135,7 +135,7 @@
 	merged.ran = min(s.ran, other.ran)
 	merged.granted = s.granted || other.granted
 	merged.cleared = s.cleared || other.cleared
-	merged.cameOn = s.cameOn || other.cameOn
+	merged.progressed = s.progressed || other.progressed
 	merged.reached = max(s.reached, other.reached)
 	merged.reachedKnown = s.reachedKnown || other.reachedKnown
 	return merged
--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -24,8 +24,8 @@
 func encodeSuspect(key Key, of *suspect) *quarantinepb.Suspect {
 	encoded := &quarantinepb.Suspect{Message: key[:], RanMillis: uint32(of.ran.Milliseconds()), Cleared: of.cleared, Granted: of.granted, Reached: uint32(of.reached)}
 	switch {
-	case of.cameOn:
-		encoded.Progress = quarantinepb.Progress_PROGRESS_CAME_ON
+	case of.progressed:
+		encoded.Progress = quarantinepb.Progress_PROGRESS_MADE
 	case of.reachedKnown:
 		encoded.Progress = quarantinepb.Progress_PROGRESS_NONE
 	}
@@ -37,7 +37,7 @@
 func decodeSuspect(doubt *quarantinepb.Suspect) suspect {
 	decoded := suspect{
 		ran: time.Duration(doubt.RanMillis) * time.Millisecond, cleared: doubt.Cleared, granted: doubt.Granted, origin: originShared,
-		cameOn: doubt.Progress == quarantinepb.Progress_PROGRESS_CAME_ON, reached: int(doubt.Reached),
+		progressed: doubt.Progress == quarantinepb.Progress_PROGRESS_MADE, reached: int(doubt.Reached),
 		reachedKnown: doubt.Progress != quarantinepb.Progress_PROGRESS_UNSPECIFIED,
 	}
 	if doubt.Progress == quarantinepb.Progress_PROGRESS_UNSPECIFIED {
--- a/internal/quarantine/progress_test.go
+++ b/internal/quarantine/progress_test.go
@@ -17,7 +17,7 @@
 	start := time.Unix(1_000_000, 0)
 	for number, each := range ends {
 		made.add(replica.Key(number+1), start.Add(time.Duration(number)*time.Second), keyOf("a"),
-			suspect{ran: 400 * time.Millisecond, cameOn: each.to > each.from, reached: each.to, reachedKnown: true, origin: originSeen})
+			suspect{ran: 400 * time.Millisecond, progressed: each.to > each.from, reached: each.to, reachedKnown: true, origin: originSeen})
 	}
 	return made
 }
@@ -29,7 +29,7 @@
 		ends []endAt
 		want Verdict
 	}{
-		"one end that came on":                        {[]endAt{{0, 100}}, Apart},
+		"one end that made events":                    {[]endAt{{0, 100}}, Apart},
 		"two ends, each further on":                   {[]endAt{{0, 47}, {47, 78}}, Apart},
 		"three ends, each further on":                 {[]endAt{{0, 8}, {8, 38}, {38, 211}}, Apart},
 		"before the first event, then far on":         {[]endAt{{0, 0}, {0, 120}}, Apart},
@@ -92,7 +92,7 @@
 		inCluster(t, 3, 4, func(t *testing.T, c *cluster) {
 			key, next := keyOf("item"), c.nodes[1]
 			next.mutex.Lock()
-			next.book.add(1, time.Now(), key, suspect{ran: 300 * time.Millisecond, cameOn: true, reached: 52, reachedKnown: true})
+			next.book.add(1, time.Now(), key, suspect{ran: 300 * time.Millisecond, progressed: true, reached: 52, reachedKnown: true})
 			next.announce(1, key)
 			next.mutex.Unlock()
 			time.Sleep(50 * time.Millisecond)
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -88,16 +88,16 @@
 	cut     func()
 	began   time.Time
 	granted bool
-	// cameOn says that the run made events that a further run goes on behind; reached is how many the answer had then.
-	cameOn  bool
-	reached int
+	// progressed says that the run made events that a further run goes on behind; reached is how many the answer had then.
+	progressed bool
+	reached    int
 	// unseen says that the run is that of another node, which did not say what it made.
 	unseen bool
 }
 
 // Progress implements Run.
 func (r *run) Progress(from, to int) {
-	r.cameOn, r.reached = to > from, to
+	r.progressed, r.reached = to > from, to
 }
 
 // End implements Run.
@@ -110,7 +110,7 @@
 	case Lost, Interrupted:
 		return r.lost(ctx, ending)
 	}
-	if r.cameOn {
+	if r.progressed {
 		r.service.progressed(r.key, r.reached)
 	}
 	if ending == Left {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -55,11 +55,11 @@
 }
 
 // strong returns the incidents that speak strongly against a message: each soon after it came there, before it had made anything, and at a time of its own.
-// A run that came on is likely to be there by chance: what ends a replica mostly does so when it is read.
+// A run that made events is likely to be there by chance: what ends a replica mostly does so when it is read.
 func (b *book) strong(message Key) []*incident {
 	var found []*incident
 	for _, each := range b.against(message) {
-		if doubt := each.suspects[message]; doubt.ran > shortRun || doubt.cameOn {
+		if doubt := each.suspects[message]; doubt.ran > shortRun || doubt.progressed {
 			continue
 		}
 		if last := len(found) - 1; last >= 0 && each.learned.Sub(found[last].learned) < sameCause {
@@ -121,7 +121,7 @@
 func (b *book) passed(message Key, in *incident) bool {
 	ended := in.suspects[message]
 	for _, each := range b.byMessage[message] {
-		if doubt := each.suspects[message]; doubt.cameOn && ended.passedAt(doubt.reached) {
+		if doubt := each.suspects[message]; doubt.progressed && ended.passedAt(doubt.reached) {
 			return true
 		}
 	}
@@ -191,8 +191,8 @@
 	var listed []string
 	for _, each := range b.open(message) {
 		doubt := each.suspects[message]
-		listed = append(listed, fmt.Sprintf("%016x age=%s ran=%s together=%d granted=%t came_on=%t reached=%d passed=%t %s", uint64(each.replica),
-			now.Sub(each.learned).Round(time.Millisecond), doubt.ran, len(each.suspects), doubt.granted, doubt.cameOn, doubt.reached, b.passed(message, each), doubt.origin))
+		listed = append(listed, fmt.Sprintf("%016x age=%s ran=%s together=%d granted=%t progressed=%t reached=%d passed=%t %s", uint64(each.replica),
+			now.Sub(each.learned).Round(time.Millisecond), doubt.ran, len(each.suspects), doubt.granted, doubt.progressed, doubt.reached, b.passed(message, each), doubt.origin))
 	}
 	return listed
 }
