Batch, forward: one reason for what crashes replicas, and one place that ends a missing route's time

Cause: the reason crashes_replicas stood in three places; an item's start reset the time of its missing route, which looking for candidates has reset before; eventsPassed meant what was delivered, beside 'passed' of quarantine. Change: quarantine.ReasonRejected; the reset and the twin condition are gone; eventsDelivered.

--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -290,7 +290,7 @@
 	}
 	ctx, stop := context.WithCancel(p.ctx)
 	run.acceptedAt, run.route = each.acceptedAt, each.route
-	run.running, run.stop, run.routeGone, run.handle, run.began, run.yielded = true, stop, 0, handle, p.elapsed(), false
+	run.running, run.stop, run.handle, run.began, run.yielded = true, stop, handle, p.elapsed(), false
 	run.noteBegin()
 	p.countBegin(each.late)
 	attempt := &itemAttempt{
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -117,7 +117,7 @@
 		p.logger.Warn().Str(logging.FieldJob, each.key.job).Int("item", each.key.number).Stringer("digest", message).Msg("item_held_back")
 	}
 	if mayGiveUp {
-		p.running.Go(func() { p.finish(each.key, batchpb.State_STATE_DEAD_LETTER, "", "crashes_replicas") })
+		p.running.Go(func() { p.finish(each.key, batchpb.State_STATE_DEAD_LETTER, "", quarantine.ReasonRejected) })
 	}
 }
 
@@ -133,7 +133,7 @@
 	acceptedAt := p.runOf(attempt.key).acceptedAt
 	p.mutex.Unlock()
 	if p.mayGiveUp(attempt.route, acceptedAt) {
-		p.finish(attempt.key, batchpb.State_STATE_DEAD_LETTER, "", "crashes_replicas")
+		p.finish(attempt.key, batchpb.State_STATE_DEAD_LETTER, "", quarantine.ReasonRejected)
 		return
 	}
 	p.requeue(attempt.key, pauseWhileSuspected)
--- a/internal/batch/item_order.go
+++ b/internal/batch/item_order.go
@@ -112,10 +112,10 @@
 			key: key, submission: owner.submission, acceptedAt: owner.acceptedAt, route: table.Match(owner.submission.Host, sent.Path),
 			running: run != nil && run.running, begun: run != nil && run.begins > 0, madeText: p.madeText(owner, key),
 		}
-		if each.route != nil && run != nil {
-			run.routeGone = 0
-		}
 		if each.route != nil {
+			if run != nil {
+				run.routeGone = 0
+			}
 			each.homes = table.HomesOf(each.route, owner.submission.Tenant)
 			each.due = dueTime(each.route, owner.acceptedAt)
 			each.left = p.state.paceOf(each.route.Name).left(sent.Tokens, each.madeText)
--- a/internal/forward/conclude.go
+++ b/internal/forward/conclude.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/quarantine"
 )
 
 // conclude gives the caller the final answer to a request that was not delivered.
@@ -29,7 +30,7 @@
 		panic(http.ErrAbortHandler)
 	case e.badAnswer != nil:
 		e.badAnswer.write(e.writer)
-	case reason == reasonCrashesReplicas:
+	case reason == quarantine.ReasonRejected:
 		// Neither a promise that the message has not run, nor a time to come back.
 		http.Error(e.writer, reason, http.StatusBadGateway)
 	case e.runs+len(e.endedRuns) == 0:
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -83,8 +83,8 @@
 	// headSent says that the caller has the head of the answer; lastEvent is the id of the last event that it has.
 	headSent  bool
 	lastEvent string
-	// eventsPassed is the number of events that were passed on to the caller.
-	eventsPassed int
+	// eventsDelivered is the number of events that were passed on to the caller.
+	eventsDelivered int
 	// badAnswer is the last whole failure that a replica answered with.
 	badAnswer *wholeAnswer
 	// message names what the caller sent, permit is the leave for the present attempt, both nil or zero where nothing is kept from replicas.
@@ -113,7 +113,7 @@
 	last := notRun
 	for {
 		if !e.admit(ctx) {
-			e.conclude(ctx, last, reasonCrashesReplicas)
+			e.conclude(ctx, last, quarantine.ReasonRejected)
 			return
 		}
 		handle := e.pickReady(ctx)
@@ -160,7 +160,7 @@
 	case !e.servedAtHome(time.Now()):
 		return e.whyNone()
 	case !e.knownHarmless():
-		return reasonCrashesReplicas
+		return quarantine.ReasonRejected
 	default:
 		return ""
 	}
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -10,13 +10,9 @@
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
-const (
-	// reasonCrashesReplicas is the reason of an answer to a message under which replicas have ended.
-	reasonCrashesReplicas = "crashes_replicas"
-	// mostReplicasEnded is the number of ended replicas after which a request is given up, whichever message ended them: a caller who
-	// waited for that many has hardly any time left.
-	mostReplicasEnded = 3
-)
+// mostReplicasEnded is the number of ended replicas after which a request is given up, whichever message ended them: a caller who
+// waited for that many has hardly any time left.
+const mostReplicasEnded = 3
 
 // knownHarmless names the request's message, and says that it is not rejected already, before the request waits for room.
 func (e *exchange) knownHarmless() bool {
@@ -88,10 +84,10 @@
 	startedBehind := e.lastEvent
 	run := e.permit.Begin(handle, cut)
 	e.lastStatus, e.lastError = 0, nil
-	passedBefore := e.eventsPassed
+	deliveredBefore := e.eventsDelivered
 	last := e.attempt(bounded, handle)
 	if e.resumes() {
-		run.Progress(passedBefore, e.eventsPassed)
+		run.Progress(deliveredBefore, e.eventsDelivered)
 	}
 	e.replicaEnded = run.End(ctx, e.ending(bounded, last, startedBehind))
 	return last
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -28,7 +28,7 @@
 			if failure := flusher.Flush(); failure != nil {
 				return callerGone, false
 			}
-			e.eventsPassed += events.Count
+			e.eventsDelivered += events.Count
 			if events.LastID != "" {
 				e.lastEvent = events.LastID
 			}
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -6,6 +6,9 @@
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
+// ReasonRejected is the reason of an answer, or of a dead letter, whose message is Rejected.
+const ReasonRejected = "crashes_replicas"
+
 // Verdict says whether a message may be sent to a replica.
 type Verdict int
 
