Soak of the roles: missing items are those that are missing, one way to restart a machine

Cause: the check compared numbers, so that an item which may be left out could stand in for one that may not, and described the missing ones by a second loop; stopping and starting a machine stood three times; crashes in series divided by zero where no replica lived. The bound on ends by one item had no test. Change: job.unlisted serves the wait, the check and the description; restart and note; no crash where nobody lives. Figures: TestUnlistedItemIsFoundBesideOneThatIsKept, TestItemThatEndsTooManyReplicasIsFound (new) and the table of broken promises pass; the check is stricter than before.

--- a/lab/roles/check.go
+++ b/lab/roles/check.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-
-	wire "github.com/sloelift/sloelift/platform"
 )
 
 const (
@@ -139,8 +137,8 @@
 	}
 	v.counts.Items += len(of.items)
 	v.counts.ItemsDone += len(of.results)
-	if len(of.results) < of.wanted() {
-		v.breaks("job %s: %d of %d items are listed at the end%s", of.id, len(of.results), of.wanted(), describeUnlisted(of, seen))
+	if unlisted := of.unlisted(); len(unlisted) > 0 {
+		v.breaks("job %s: %d of %d items are listed at the end%s", of.id, len(of.results), len(of.items), describeItems(unlisted, seen))
 	}
 	v.judgeResults(of, seen)
 }
@@ -164,14 +162,11 @@
 	}
 }
 
-// describeUnlisted tells what replicas saw of the items that are not listed.
-func describeUnlisted(of *job, seen *record) string {
+// describeItems lists what replicas saw of items.
+func describeItems(items []item, seen *record) string {
 	text := ""
-	for _, each := range of.items {
-		isListed := slices.ContainsFunc(of.results, func(result wire.JobResult) bool { return result.ID == each.id })
-		if !isListed && each.work.EndsReplicaAt == 0 {
-			text += fmt.Sprintf("; item %s: %s", each.id, describe(seen.of(each.id)))
-		}
+	for _, each := range items {
+		text += fmt.Sprintf("; item %s: %s", each.id, describe(seen.of(each.id)))
 	}
 	return text
 }
--- a/lab/roles/check_test.go
+++ b/lab/roles/check_test.go
@@ -81,3 +81,36 @@
 		})
 	}
 }
+
+// TestItemThatEndsTooManyReplicasIsFound: three replicas may end by one item, and ends that no work caused are nobody's.
+func TestItemThatEndsTooManyReplicasIsFound(t *testing.T) {
+	for ended, broken := range map[int]bool{0: false, 3: false, 4: true} {
+		replicas := []*replica{{}, {}}
+		for range ended {
+			by, one := "i", &replica{}
+			one.endedBy.Store(&by)
+			replicas = append(replicas, one)
+		}
+		var found verdict
+		found.judgeEnds(replicas)
+		if found.counts.MostEnded != ended || len(found.broken) > 0 != broken {
+			t.Errorf("%d replicas ended by one item: %d counted, broken: %v", ended, found.counts.MostEnded, found.broken)
+		}
+	}
+}
+
+// TestUnlistedItemIsFoundBesideOneThatIsKept: an item that ends its replicas need not be listed, and does not stand in for one that must be.
+func TestUnlistedItemIsFoundBesideOneThatIsKept(t *testing.T) {
+	kept, plain := item{id: "kept", work: work{EndsReplicaAt: 1}}, item{id: "plain"}
+	for name, test := range map[string]struct {
+		listed []wire.JobResult
+		want   int
+	}{
+		"neither": {nil, 1}, "the kept one": {[]wire.JobResult{{ID: "kept"}}, 1}, "the plain one": {[]wire.JobResult{{ID: "plain"}}, 0},
+	} {
+		of := &job{items: []item{kept, plain}, results: test.listed}
+		if got := len(of.unlisted()); got != test.want || of.done() != (test.want == 0) {
+			t.Errorf("%s is listed: %d are missing, want %d", name, got, test.want)
+		}
+	}
+}
--- a/lab/roles/fault.go
+++ b/lab/roles/fault.go
@@ -59,16 +59,22 @@
 			if ctx.Err() != nil {
 				return
 			}
-			if err := f.carryOut(ctx, each); err != nil {
-				f.mutex.Lock()
-				f.failures = append(f.failures, fmt.Sprintf("%s: %s", each, err))
-				f.mutex.Unlock()
-			}
+			f.note(each, f.carryOut(ctx, each))
 		})
 	}
 	playing.Wait()
 }
 
+// note keeps why something could not be carried out; nil is no failure.
+func (f *faults) note(what fmt.Stringer, err error) {
+	if err == nil {
+		return
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.failures = append(f.failures, fmt.Sprintf("%s: %s", what, err))
+}
+
 func picked[Value any](from []Value, number int) Value { return from[number%len(from)] }
 
 func (f *faults) carryOut(ctx context.Context, each fault) error {
@@ -91,10 +97,7 @@
 		machine.kill()
 		return f.startAfter(ctx, each.For, machine)
 	case stopNode:
-		if err := machine.stop(ctx); err != nil {
-			return err
-		}
-		return f.startAfter(ctx, each.For, machine)
+		return f.restart(ctx, machine, each.For)
 	case loseDisk:
 		machine = picked(f.fleet.of(classStorage), each.Pick)
 		if err := machine.loseDisk(); err != nil {
@@ -112,10 +115,7 @@
 		return f.endInTurn(ctx, each)
 	default:
 		for _, one := range f.fleet.machines {
-			if err := one.stop(ctx); err != nil {
-				return err
-			}
-			if err := f.startAfter(ctx, each.For, one); err != nil {
+			if err := f.restart(ctx, one, each.For); err != nil {
 				return err
 			}
 		}
@@ -157,16 +157,19 @@
 	wait := time.Duration(float64(length) * upgradedWithin / float64(len(f.fleet.machines)))
 	for _, each := range f.fleet.machines {
 		pause.Sleep(ctx, wait)
-		err := each.stop(ctx)
 		each.upgrade(f.fleet.options.Program)
-		if err = errors.Join(err, f.startAfter(ctx, downInTurn, each)); err != nil {
-			f.mutex.Lock()
-			f.failures = append(f.failures, fmt.Sprintf("upgrade of %s: %s", each.name, err))
-			f.mutex.Unlock()
-		}
+		f.note(each, f.restart(ctx, each, downInTurn))
 	}
 }
 
+// restart stops a machine's process and starts it again.
+func (f *faults) restart(ctx context.Context, of *machine, down time.Duration) error {
+	if err := of.stop(ctx); err != nil {
+		return err
+	}
+	return f.startAfter(ctx, down, of)
+}
+
 // holdBack takes processor time from processes.
 func (f *faults) holdBack(ctx context.Context, each fault) error {
 	bounded, cancel := context.WithTimeout(ctx, each.For)
@@ -313,15 +316,14 @@
 	up := time.Duration((0.3 + 0.7*each.Share) * float64(upOfSeries))
 	number := each.Pick
 	for began := time.Now(); time.Since(began) < each.For && ctx.Err() == nil; {
-		struck := f.fleet.living()
-		count := max(1, int(crashedInTurn*float64(len(struck))))
+		living := f.fleet.living()
+		count := min(len(living), max(1, int(crashedInTurn*float64(len(living)))))
 		var crashing sync.WaitGroup
 		failures := make([]error, count)
 		for index := range failures {
 			number++
-			crashing.Go(func(one *replica) func() {
-				return func() { failures[index] = f.replaceReplica(ctx, one, "", anyAddress, downOfSeries) }
-			}(picked(struck, number)))
+			struck := picked(living, number)
+			crashing.Go(func() { failures[index] = f.replaceReplica(ctx, struck, "", anyAddress, downOfSeries) })
 		}
 		crashing.Wait()
 		if err := errors.Join(failures...); err != nil {
--- a/lab/roles/job.go
+++ b/lab/roles/job.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -49,17 +50,15 @@
 	fault   string
 }
 
-func (j *job) done() bool { return j.ended || len(j.results) >= j.wanted() }
+func (j *job) done() bool { return j.ended || len(j.unlisted()) == 0 }
 
-// wanted is the number of items that are to be listed: one that ends its replicas is kept from them, and is not given up before its route's retention.
-func (j *job) wanted() int {
-	count := 0
-	for _, each := range j.items {
-		if each.work.EndsReplicaAt == 0 {
-			count++
-		}
+// unlisted returns the items that are to be listed and are not: one that ends its replicas is kept from them, and is not given up before its route's retention.
+func (j *job) unlisted() []item {
+	listed := map[string]bool{}
+	for _, result := range j.results {
+		listed[result.ID] = true
 	}
-	return count
+	return slices.DeleteFunc(slices.Clone(j.items), func(each item) bool { return listed[each.id] || each.work.EndsReplicaAt > 0 })
 }
 
 // newJob draws a job of items with up to mostEvents events, of which a share ends its replicas.
--- a/lab/roles/machine.go
+++ b/lab/roles/machine.go
@@ -73,6 +73,9 @@
 	return nil
 }
 
+// String returns the machine's name.
+func (m *machine) String() string { return m.name }
+
 // upgrade has the next start run another program.
 func (m *machine) upgrade(program string) {
 	m.mutex.Lock()
