--- a/internal/quarantine/disagreement_test.go
+++ b/internal/quarantine/disagreement_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/sloelift/sloelift/internal/replica"
 )
 
 // placedElsewhere returns a key whose first keeper is another node than the given one.
@@ -92,6 +94,23 @@
 	})
 }
 
+// loseHolder has a message under which one replica has ended run apart, kills the node that holds its grant, and returns where the run was.
+func (c *cluster) loseHolder(key Key) *replica.Handle {
+	c.nodes[0].Recall(key, recorded(1), 0)
+	time.Sleep(50 * time.Millisecond)
+	holder := c.nodeOf(key, 3)
+	permit := holder.Admit(c.t.Context(), key)
+	if permit.Verdict() != Apart {
+		c.t.Fatalf("the holder has no grant: %s", permit.Verdict())
+	}
+	handle := c.handle(holder, 2)
+	permit.Begin(handle, nil)
+	time.Sleep(50 * time.Millisecond)
+	c.kill(holder)
+	c.agree()
+	return handle
+}
+
 // TestGrantThatLapsesIsNoEndOfALivingReplica: an item was held back to the end of the day for three ended replicas, of which one had lived. The keeper of its grant
 // had stood still for 2.5 s while the owner renewed in vain ("grant_not_renewed", five times), and counted the grant as an end when it went on:
 // "grant_lapsed" at 17.50 s, "message_rejected ended=3" at 22.79 s. The replica had worked on until 19.0 s.
@@ -106,18 +125,7 @@
 		t.Run(name, func(t *testing.T) {
 			inCluster(t, 4, 4, func(t *testing.T, c *cluster) {
 				key := keyOf("a")
-				c.nodes[0].Recall(key, recorded(1), 0)
-				time.Sleep(50 * time.Millisecond)
-				holder := c.nodeOf(key, 3)
-				permit := holder.Admit(t.Context(), key)
-				if permit.Verdict() != Apart {
-					t.Fatalf("the holder has no grant: %s", permit.Verdict())
-				}
-				handle := c.handle(holder, 2)
-				permit.Begin(handle, nil)
-				time.Sleep(50 * time.Millisecond)
-				c.kill(holder)
-				c.agree()
+				handle := c.loseHolder(key)
 				if test.replicaEnds {
 					c.machines.end(handle.Info().Address)
 				}
@@ -163,16 +171,7 @@
 func TestEndOfALapsedRunIsNotStrong(t *testing.T) {
 	inCluster(t, 5, 4, func(t *testing.T, c *cluster) {
 		key := keyOf("a")
-		c.nodes[0].Recall(key, recorded(1), 0)
-		time.Sleep(50 * time.Millisecond)
-		holder := c.nodeOf(key, 3)
-		permit := holder.Admit(t.Context(), key)
-		handle := c.handle(holder, 2)
-		permit.Begin(handle, nil)
-		time.Sleep(50 * time.Millisecond)
-		c.kill(holder)
-		c.agree()
-		c.machines.end(handle.Info().Address)
+		c.machines.end(c.loseHolder(key).Info().Address)
 		// The next run that asks finds the grant lapsed; otherwise the keeper does so a while later.
 		time.Sleep(grantTerm)
 		c.nodeOf(key, 2).Admit(t.Context(), key).Release()
