Quarantine: a grant that was given back before its request was handled is not given

Cause: the keeper was paused while the owner asked for the grant three times, gave up each time and gave each back. When the keeper went on it handled what had come in any order: a release before its request found nothing to take back, and the grant that followed was nobody's, lapsed a second and a half later and counted as an end. Change: runs that were given back are remembered for 10 s, and nothing is given to them; that replaces the mark on the last grant of a message, which could not hold several. Why it holds: the asker gives back each run whose answer did not come, whichever of the two is handled first.

--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -16,6 +16,8 @@
 	grantTerm = 1500 * time.Millisecond
 	// renewInterval lets one renewal be lost without the grant lapsing.
 	renewInterval = grantTerm / 3
+	// givenBackKept is how long a run that was given back is remembered: what was sent before may come until then.
+	givenBackKept = 10 * time.Second
 )
 
 // grant is a permission to run a suspected message once, given by its keeper.
@@ -25,8 +27,6 @@
 	// place is the replica at which the run is, as far as its holder has said, and since when; 0 where it has not.
 	place      replica.Key
 	placeSince time.Time
-	// over says that it was given back; a renewal that arrives later is refused.
-	over bool
 }
 
 // keepers returns the living members that may keep a message, the first by rendezvous first.
@@ -64,11 +64,11 @@
 	case Rejected:
 		return quarantinepb.Verdict_VERDICT_REJECTED
 	}
-	held, given := s.grants[key]
-	if given && held.run == run && held.over {
+	if _, over := s.givenBack[run]; over {
 		return quarantinepb.Verdict_VERDICT_BUSY
 	}
-	if given && held.run != run && !held.over && now.Before(held.until) {
+	held, given := s.grants[key]
+	if given && held.run != run && now.Before(held.until) {
 		return quarantinepb.Verdict_VERDICT_BUSY
 	}
 	if s.book.lastRun(key) && !majority(s.viewer.View()) {
@@ -87,7 +87,7 @@
 // ended. The replica says whether it has ended; only where nobody knows which one it was, that is assumed. The mutex is held.
 func (s *Service) noteLapse(key Key, now time.Time) {
 	held, given := s.grants[key]
-	if !given || held.over || now.Before(held.until) {
+	if !given || now.Before(held.until) {
 		return
 	}
 	delete(s.grants, key)
@@ -153,13 +153,18 @@
 	s.join(request.GetIncidents(), now)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if request.GetRun() == 0 {
+		return
+	}
+	// It may come before the request for the grant, which must give nothing then: nobody would hold it, and its lapse would count as an end.
+	s.givenBack[request.GetRun()] = now
 	if held, given := s.grants[key]; given && held.run == request.GetRun() {
-		s.grants[key] = grant{run: held.run, until: now, over: true}
+		delete(s.grants, key)
 		s.signal()
 	}
 }
 
-// forgetGrants drops those that ended a while ago. The mutex is held.
+// forgetGrants drops those that lapsed, and the runs that were given back, a while ago. The mutex is held.
 func (s *Service) forgetGrants(now time.Time) {
 	for key, each := range s.grants {
 		if now.Sub(each.until) >= grantTerm {
@@ -167,6 +172,11 @@
 			delete(s.grants, key)
 		}
 	}
+	for run, at := range s.givenBack {
+		if now.Sub(at) >= givenBackKept {
+			delete(s.givenBack, run)
+		}
+	}
 }
 
 // keyBytes returns a key as it is sent between nodes.
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -253,3 +253,31 @@
 		}
 	})
 }
+
+// TestGrantThatIsGivenBackBeforeItIsAskedForIsNotGiven: an item was held back for good for three ended replicas, of which two had ended: the third was a grant that nobody
+// held ("c83db504c25f7e5f age=994ms ran=3s together=1 progressed=false lapsed"). Its keeper had been paused while the owner asked three times ("suspect_not_decided error=no keeper was
+// reached") and gave each back in vain ("grant_not_released", nine times). When the keeper went on it handled what had come meanwhile in any order: a grant after it had been given
+// back was given, and lapsed.
+func TestGrantThatIsGivenBackBeforeItIsAskedForIsNotGiven(t *testing.T) {
+	inCluster(t, 1, 2, func(t *testing.T, c *cluster) {
+		at, key := c.nodes[0], keyOf("a")
+		at.Recall(key, recorded(1), 0)
+		for _, run := range []uint64{7, 8, 9} {
+			at.takeBack(&quarantinepb.ReleaseRequest{Message: keyBytes(key), Run: run}, time.Now())
+		}
+		for _, run := range []uint64{7, 8, 9} {
+			if got := at.give(&quarantinepb.GrantRequest{Message: keyBytes(key), Run: run}, time.Now()).GetVerdict(); got != quarantinepb.Verdict_VERDICT_BUSY {
+				t.Errorf("run %d: %s", run, got)
+			}
+		}
+		time.Sleep(2*grantTerm + 2*refreshInterval)
+		at.mutex.Lock()
+		if ended := at.book.count(key); ended != 1 {
+			t.Errorf("%d ends are counted, want 1", ended)
+		}
+		at.mutex.Unlock()
+		if got := at.give(&quarantinepb.GrantRequest{Message: keyBytes(key), Run: 10}, time.Now()).GetVerdict(); got != quarantinepb.Verdict_VERDICT_GRANTED {
+			t.Errorf("the next run: %s", got)
+		}
+	})
+}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -68,6 +68,8 @@
 	queues map[Key]chan struct{}
 	// grants are those that this node gave as keeper.
 	grants map[Key]grant
+	// givenBack are the runs whose grants were given back to this node, and when.
+	givenBack map[uint64]time.Time
 	// left are the runs that were broken off from here a short while ago, by replica; leftCount is their number, forgetLeftAt when old
 	// ones are dropped next.
 	left         map[replica.Key][]leftRun
@@ -87,7 +89,7 @@
 	service := &Service{
 		network: options.Network, directory: options.Directory, viewer: options.Viewer, caller: options.Caller, logger: options.Logger.With().Str(logging.FieldSlice, "quarantine").Logger(),
 		metrics: newMetrics(options.Registerer), unreached: unreached.NewPeers(unreachedFor), news: make(chan struct{}, 1), book: newBook(), runs: map[Key]map[*run]bool{}, inquired: map[Key]int{},
-		inquiries: map[replica.Key]*inquiry{}, queues: map[Key]chan struct{}{}, grants: map[Key]grant{}, changed: make(chan struct{}),
+		inquiries: map[replica.Key]*inquiry{}, queues: map[Key]chan struct{}{}, grants: map[Key]grant{}, givenBack: map[uint64]time.Time{}, changed: make(chan struct{}),
 		outbox: map[replica.Key]map[Key]bool{}, repeats: map[replica.Key]map[Key]bool{}, rejected: map[Key]bool{}, left: map[replica.Key][]leftRun{},
 	}
 	service.ctx, service.cancel = context.WithCancel(context.Background())
