Quarantine: log how the inquiry into each lost run came out, and the digest of each request that is given up

The incident's hypotheses cannot be told apart by the logs: a lost run whose replica is not found ended leaves no line, and a request that is answered 502 does not name its message. run_lost now says what the probe found (refused, connected, connection_kept, no_answer, replaced) and not_delivered names the digest and the replicas that ended.

--- a/internal/forward/conclude.go
+++ b/internal/forward/conclude.go
@@ -22,7 +22,7 @@
 		handler.quota.GiveBack(e.terms.Tenant)
 	}
 	handler.logger.Info().Str(logging.FieldRequest, e.id).Str("route", e.route.Name).Str(logging.FieldReason, reason).
-		Int("runs", e.runs).Int("refusals", e.refusals).Stringer("verdict", last).Str("last_event", e.lastEvent).Bool("head_sent", e.headSent).
+		Stringer("digest", e.message).Int("runs", e.runs).Int("replicas_ended", len(e.endedRuns)).Int("refusals", e.refusals).Stringer("verdict", last).Str("last_event", e.lastEvent).Bool("head_sent", e.headSent).
 		Dur("after", time.Since(e.arrived)).Msg("not_delivered")
 	switch {
 	case e.headSent:
--- a/internal/quarantine/probe.go
+++ b/internal/quarantine/probe.go
@@ -23,9 +23,24 @@
 	// ended says that it has, counted that it counts against what ran there; both are set before done is closed.
 	ended   bool
 	counted bool
+	finding finding
 	at      time.Time
 }
 
+// finding is what an inquiry concluded from, as it stands in the log.
+type finding string
+
+const (
+	findingReplaced       finding = "replaced"
+	findingConnectionKept finding = "connection_kept"
+	findingConnected      finding = "connected"
+	findingRefused        finding = "refused"
+	findingNoAnswer       finding = "no_answer"
+)
+
+// ended says that the finding shows the end of the process.
+func (f finding) ended() bool { return f == findingReplaced || f == findingRefused }
+
 // inquire returns the inquiry into a replica, begun where none is under way and none found its end before. One that found it is out of date
 // where the replica has answered since: it refused connections for a while, and had not ended.
 func (s *Service) inquire(handle *replica.Handle) *inquiry {
@@ -47,10 +62,11 @@
 
 // conduct answers an inquiry. A replica that drains ends as planned, whatever runs there.
 func (s *Service) conduct(begun *inquiry, handle *replica.Handle) {
-	ended := s.processEnded(handle)
+	found := s.probe(handle)
+	ended := found.ended()
 	counted := ended && !handle.Info().Draining
 	s.mutex.Lock()
-	begun.ended, begun.counted, begun.at = ended, counted, time.Now()
+	begun.ended, begun.counted, begun.finding, begun.at = ended, counted, found, time.Now()
 	if !ended {
 		delete(s.inquiries, handle.Key())
 	}
@@ -66,15 +82,15 @@
 	}
 }
 
-// processEnded says that the replica's process has ended: all connections to it have ended, and its machine refuses new ones. Where a new
+// probe finds out whether the replica's process has ended: all connections to it have ended, and its machine refuses new ones. Where a new
 // connection is made, or there is no answer, the process may still run, and only a connection or a link was lost.
-func (s *Service) processEnded(handle *replica.Handle) bool {
+func (s *Service) probe(handle *replica.Handle) finding {
 	if handle.Replaced() {
 		// It has started again under its ID, and its address takes connections again.
-		return true
+		return findingReplaced
 	}
 	if handle.KeptAlive() && !s.endsSoon(handle) {
-		return false
+		return findingConnectionKept
 	}
 	bounded, cancel := context.WithTimeout(s.ctx, probeTimeout)
 	defer cancel()
@@ -83,9 +99,12 @@
 		if failure := connection.Close(); failure != nil {
 			s.logger.Debug().Err(failure).Msg("probe_not_closed")
 		}
-		return false
+		return findingConnected
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return findingRefused
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return findingNoAnswer
 }
 
 // endsSoon says that the kept connections have ended a moment later.
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/subscription"
@@ -149,5 +150,7 @@
 		r.service.suspect(r, inquiry.at, ran)
 	}
 	r.service.signal()
+	r.service.logger.Info().Stringer("digest", r.key).Str(logging.FieldReplica, r.handle.Info().ID).Dur("ran", ran).Str("finding", string(inquiry.finding)).
+		Bool("counted", inquiry.counted).Bool("granted", r.granted).Bool("progressed", r.progressed).Msg("run_lost")
 	return inquiry.ended && ctx.Err() == nil
 }
