Known red: a request that crashes its replicas goes on to more, reproduced by tests and by real processes

The soak of the roles gets the requests (--crashing-requests), the fault kill_all and the check by the platform's rule: more than three attempts reach a replica later than its contact time after the third crash. An item is judged by its work's mark now and not by its request id: the same items.

--- a/internal/forward/quarantined_test.go
+++ b/internal/forward/quarantined_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -220,6 +221,24 @@
 	}
 }
 
+// TestUnsignedAnswerIsALostRun: the replica may have ended within the head of its answer.
+func TestUnsignedAnswerIsALostRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		unsigned := func(connection net.Conn, request *http.Request) bool {
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Type: text/event-stream\r\n\r\n", request.Header.Get("X-Id"))
+			return false
+		}
+		edge := newEdgeUnderTest(t, route.Stream, true, map[string]replicatest.Script{"a": unsigned, "b": unsigned})
+		register := &fakeRegister{}
+		edge.Handler.quarantine = register
+		edge.call(nil)
+		if want := []quarantine.Ending{quarantine.Lost, quarantine.Lost}; !slices.Equal(register.endings, want) {
+			t.Errorf("endings %v, want %v", register.endings, want)
+		}
+		edge.replicas.CloseAll()
+	})
+}
+
 func TestRunThatIsCutOffRunsAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		hang := func(connection net.Conn, request *http.Request) bool { return replicatest.Hang()(connection, request) }
--- /dev/null
+++ b/internal/quarantine/recurring_test.go
@@ -0,0 +1,87 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// attemptKey is the key of one attempt at a request that names prompt parts of its own.
+func attemptKey(number int) Key {
+	return Message{Method: "POST", Host: "h", Target: "/ask/1", PromptParts: fmt.Sprintf("5c1e:800,%x:410", number), Body: []byte("body")}.Key()
+}
+
+// TestRequestThatCrashesReplicasIsRejectedWhateverPartsItNames guards the bound of three replicas where each attempt names other prompt parts.
+func TestRequestThatCrashesReplicasIsRejectedWhateverPartsItNames(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		running := newCluster(t, 3, 12)
+		crashed := 0
+		for number := range 8 {
+			if running.crashing(running.nodes[number%3], number, attemptKey(number)) {
+				crashed++
+			}
+			time.Sleep(time.Second)
+		}
+		if crashed > mostEnded {
+			t.Errorf("%d attempts crashed a replica, %d may", crashed, mostEnded)
+		}
+		running.stop()
+	})
+}
+
+// TestCrashThatIsNotRecognizedIsBounded: connections to the address of an ended replica are accepted, as a supervisor of the process does.
+func TestCrashThatIsNotRecognizedIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		running := newCluster(t, 3, 12)
+		key, runs := Key{1}, 0
+		for number := range 30 {
+			at := running.nodes[number%3]
+			permit := at.Admit(t.Context(), key)
+			if permit.Verdict() != Rejected {
+				run := permit.Begin(running.handle(at, number%12), nil)
+				time.Sleep(80 * time.Millisecond)
+				run.End(t.Context(), Lost)
+				runs++
+			}
+			permit.Release()
+			time.Sleep(200 * time.Millisecond)
+		}
+		const wantMost = 2 * mostEnded
+		if runs > wantMost {
+			t.Errorf("the message was sent %d times and never came to its end, %d are the most", runs, wantMost)
+		}
+		running.stop()
+	})
+}
+
+// TestRejectionOutlivesARestartOfAllNodes guards a rejected message against being learned anew by each life of the nodes.
+func TestRejectionOutlivesARestartOfAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		running := newCluster(t, 3, 12)
+		key, crashed := Key{1}, 0
+		for life := range 4 {
+			for number := range 4 {
+				if running.crashing(running.nodes[number%3], number, key) {
+					crashed++
+				}
+				time.Sleep(time.Second)
+			}
+			if life == 0 && crashed > mostEnded {
+				t.Fatalf("%d crashes in the first life", crashed)
+			}
+			for _, each := range running.nodes {
+				running.kill(each)
+			}
+			for _, each := range running.nodes {
+				running.start(each)
+			}
+			running.agree()
+			time.Sleep(2 * time.Second)
+		}
+		if crashed > mostEnded {
+			t.Errorf("%d replicas crashed over all lives, %d may", crashed, mostEnded)
+		}
+		running.stop()
+	})
+}
--- a/lab/roles/caller.go
+++ b/lab/roles/caller.go
@@ -29,6 +29,8 @@
 type onlineAttempt struct {
 	id   string
 	path string
+	// mark is that of the work.
+	mark string
 	// edge is the machine that got it; status is 0 where no answer came.
 	edge   string
 	status int
@@ -50,11 +52,13 @@
 	sent     int
 	served   int
 	jobs     []*job
+	// crashing are the requests that crash each replica on which they run; they do not change.
+	crashing []work
 }
 
 func newCallers(of *fleet, seed uint64) *callers {
 	return &callers{
-		fleet: of, random: rand.New(rand.NewPCG(seed, 0xca11)),
+		fleet: of, random: rand.New(rand.NewPCG(seed, 0xca11)), crashing: newCrashingWorks(rand.New(rand.NewPCG(seed, 0xc4a5)), of.options.CrashingRequests),
 		keeping: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 		fresh:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
@@ -120,7 +124,7 @@
 // attempt makes one request to one edge and judges its answer; after is when to come back.
 func (c *callers) attempt(ctx context.Context, client *http.Client, path string, asked work, deadline time.Time) (went *onlineAttempt, after time.Duration) {
 	edge := draw(c, c.fleet.ready.pick)
-	went = &onlineAttempt{id: draw(c, newID), path: path, edge: edge.name}
+	went = &onlineAttempt{id: draw(c, newID), path: path, mark: asked.Mark, edge: edge.name}
 	c.note(func() { c.attempts = append(c.attempts, went) })
 	bounded, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -131,6 +135,9 @@
 	request.Host = hostOnline
 	request.Header.Set(wire.Headers.RequestID, went.id)
 	request.Header.Set(wire.Headers.Deadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	if asked.EndsReplicaAt > 0 {
+		request.Header.Set(wire.Headers.PromptParts, c.promptParts())
+	}
 	isStream := path == pathAsk || path == pathDigest
 	if !isStream {
 		request.Header.Set("Accept", acceptWhole)
--- a/lab/roles/check.go
+++ b/lab/roles/check.go
@@ -35,6 +35,8 @@
 	MostSends int `json:"most_sends"`
 	// MostEnded is the largest number of replicas that one item ended.
 	MostEnded int `json:"most_ended"`
+	// MostCrashed is the largest number of replicas that one online request crashed.
+	MostCrashed int `json:"most_crashed"`
 	// LongDeadlines are the sends with a deadline over the caller's own.
 	LongDeadlines int `json:"long_deadlines"`
 	// KilledAfterGrace are the planned stops that took longer than the platform's grace.
@@ -171,11 +173,11 @@
 	return text
 }
 
-// judgeEnds counts the replicas that each item ended.
-func (v *verdict) judgeEnds(replicas []*replica) {
+// judgeEnds counts the replicas that each item ended; the marks in others are those of requests.
+func (v *verdict) judgeEnds(replicas []*replica, others []string) {
 	ended := map[string]int{}
 	for _, each := range replicas {
-		if by := each.endedBy.Load(); by != nil {
+		if by := each.endedBy.Load(); by != nil && !slices.Contains(others, *by) {
 			ended[*by]++
 		}
 	}
--- a/lab/roles/check_test.go
+++ b/lab/roles/check_test.go
@@ -1,6 +1,7 @@
 package roles
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -92,7 +93,7 @@
 			replicas = append(replicas, one)
 		}
 		var found verdict
-		found.judgeEnds(replicas)
+		found.judgeEnds(replicas, nil)
 		if found.counts.MostEnded != ended || len(found.broken) > 0 != broken {
 			t.Errorf("%d replicas ended by one item: %d counted, broken: %v", ended, found.counts.MostEnded, found.broken)
 		}
@@ -114,3 +115,34 @@
 		}
 	}
 }
+
+// TestRequestThatCrashesMoreReplicasIsFound: three attempts may reach a replica later than the platform's contact time after the third crash.
+func TestRequestThatCrashesMoreReplicasIsFound(t *testing.T) {
+	began := time.Now()
+	mark := "m"
+	for late, broken := range map[int]bool{0: false, retriesAfterThird: false, retriesAfterThird + 1: true} {
+		seen, asked := newRecord(), &callers{crashing: []work{{Mark: mark, EndsReplicaAt: 1}}}
+		var replicas []*replica
+		send := func(at time.Duration) {
+			sent, ended := began.Add(at), began.Add(at+50*time.Millisecond)
+			crashed := &replica{}
+			crashed.endedBy.Store(&mark)
+			crashed.endedAt.Store(&ended)
+			replicas = append(replicas, crashed)
+			went := &onlineAttempt{id: fmt.Sprint(at), path: pathAsk, mark: mark}
+			asked.attempts = append(asked.attempts, went)
+			seen.add(went.id, &sentRun{replica: crashed, at: sent, began: true})
+		}
+		for number := range crashedByOneRequest + 2 {
+			send(time.Duration(number) * 500 * time.Millisecond)
+		}
+		for number := range late {
+			send(10*time.Second + time.Duration(number)*time.Second)
+		}
+		var found verdict
+		found.judgeCrashing(asked, seen, replicas)
+		if len(found.broken) > 0 != broken || found.counts.MostCrashed != crashedByOneRequest+2+late {
+			t.Errorf("%d late attempts: broken %v, %d replicas counted", late, found.broken, found.counts.MostCrashed)
+		}
+	}
+}
--- a/lab/roles/draw.go
+++ b/lab/roles/draw.go
@@ -14,6 +14,7 @@
 const (
 	killNode       faultKind = "kill_node"
 	killStores     faultKind = "kill_all_stores"
+	killAll        faultKind = "kill_all"
 	killInTurn     faultKind = "kill_stores_in_turn"
 	stopInTurn     faultKind = "stop_stores_in_turn"
 	stopNode       faultKind = "stop_node"
@@ -89,6 +90,7 @@
 // namedKinds are drawn only where they are named: the faults of a seed among all kinds stay as they are.
 var namedKinds = []drawnKind{
 	{crashInTurn, 5 * time.Second, 12 * time.Second, 2},
+	{killAll, 300 * time.Millisecond, 900 * time.Millisecond, 5},
 }
 
 // fault is one fault of a run.
--- a/lab/roles/fault.go
+++ b/lab/roles/fault.go
@@ -79,7 +79,7 @@
 
 func (f *faults) carryOut(ctx context.Context, each fault) error {
 	switch each.Kind {
-	case killNode, stopNode, loseDisk, killStores, killInTurn, stopInTurn, rollNodes:
+	case killNode, stopNode, loseDisk, killStores, killAll, killInTurn, stopInTurn, rollNodes:
 		return f.endMachines(ctx, each)
 	case freezeNode, freezeStores, throttleNode, throttleStores, throttleAll, busyMachine:
 		return f.holdBack(ctx, each)
@@ -105,12 +105,9 @@
 		}
 		return f.startAfter(ctx, each.For, machine)
 	case killStores:
-		var killing sync.WaitGroup
-		for _, store := range f.fleet.of(classStorage) {
-			killing.Go(store.kill)
-		}
-		killing.Wait()
-		return f.startAfter(ctx, each.For, f.fleet.of(classStorage)...)
+		return f.killTogether(ctx, each.For, f.fleet.of(classStorage))
+	case killAll:
+		return f.killTogether(ctx, each.For, f.fleet.machines)
 	case killInTurn, stopInTurn:
 		return f.endInTurn(ctx, each)
 	default:
@@ -123,6 +120,16 @@
 	}
 }
 
+// killTogether kills machines at one moment and starts them again.
+func (f *faults) killTogether(ctx context.Context, down time.Duration, machines []*machine) error {
+	var killing sync.WaitGroup
+	for _, each := range machines {
+		killing.Go(each.kill)
+	}
+	killing.Wait()
+	return f.startAfter(ctx, down, machines...)
+}
+
 // endInTurn kills or stops one storage node after the other, so that partitions change their owners in series.
 func (f *faults) endInTurn(ctx context.Context, each fault) error {
 	stores := f.fleet.of(classStorage)
--- a/lab/roles/fleet.go
+++ b/lab/roles/fleet.go
@@ -211,7 +211,7 @@
 	f.replicas = append(f.replicas, added)
 	f.leases[added] = cancel
 	f.background.Go(func() { f.keepEntry(ctx, added) })
-	if f.options.EndingItems > 0 {
+	if f.options.EndingItems > 0 || f.options.CrashingRequests > 0 {
 		f.background.Go(func() { f.replaceWhereWorkEndsIt(added) })
 	}
 	return nil
--- a/lab/roles/replica.go
+++ b/lab/roles/replica.go
@@ -47,7 +47,7 @@
 	// ended is closed when it crashes; endedAt is set before.
 	ended   chan struct{}
 	endedAt atomic.Pointer[time.Time]
-	// endedBy is the id of the work that ended it; nil where none did.
+	// endedBy is the mark of the work that ended it; nil where none did.
 	endedBy atomic.Pointer[string]
 	leaving atomic.Bool
 	places  chan struct{}
@@ -89,9 +89,9 @@
 	_ = r.server.Close()
 }
 
-// crashUnder is a crash by the work with that id.
-func (r *replica) crashUnder(id string) {
-	r.endedBy.CompareAndSwap(nil, &id)
+// crashUnder is a crash by the work with that mark.
+func (r *replica) crashUnder(mark string) {
+	r.endedBy.CompareAndSwap(nil, &mark)
 	r.crash()
 }
 
@@ -268,7 +268,7 @@
 	flusher := http.NewResponseController(writer)
 	for number := first; number <= asked.Events; number++ {
 		if asked.EndsReplicaAt > 0 && number >= asked.EndsReplicaAt {
-			r.crashUnder(writer.Header().Get(wire.Headers.RequestID))
+			r.crashUnder(asked.Mark)
 		}
 		if !r.pass(ctx, eventTime) || breaksOff && number > (first+asked.Events)/2 {
 			r.breakOff(ctx, writer, run, number > first)
--- a/lab/roles/run.go
+++ b/lab/roles/run.go
@@ -35,6 +35,8 @@
 	// ItemEvents is the most events of an item, 0 for eventsOfItem; EndingItems is the share of items that end each replica on which they run.
 	ItemEvents  int
 	EndingItems float64
+	// CrashingRequests is the number of online requests that crash each replica on which they run and come again and again.
+	CrashingRequests int
 	// Before is the path of another build that runs on all machines at first; they are replaced in turn by Program while callers come. Empty for none.
 	Before string
 	// Only are the names of the kinds of faults to draw from; none for all.
@@ -96,6 +98,7 @@
 	sum.MostRejections = max(sum.MostRejections, run.MostRejections)
 	sum.MostSends = max(sum.MostSends, run.MostSends)
 	sum.MostEnded = max(sum.MostEnded, run.MostEnded)
+	sum.MostCrashed = max(sum.MostCrashed, run.MostCrashed)
 }
 
 // Run plays the seeds in turn and writes a line on each, what broke, and the folder with the logs of a run that broke.
@@ -150,6 +153,9 @@
 	}
 	all.Go(func() { asking.every(loading, options.OnlinePerSecond, func() { asking.ask(ctx) }) })
 	all.Go(func() { asking.every(loading, options.JobsPerSecond, func() { asking.submit(loading) }) })
+	if len(asking.crashing) > 0 {
+		all.Go(func() { asking.every(loading, crashingPerSecond, func() { asking.askCrashing(ctx) }) })
+	}
 	all.Wait()
 	finishing, stopFinish := context.WithTimeout(ctx, finishWithin)
 	defer stopFinish()
@@ -159,7 +165,8 @@
 		return verdict{}, folder, ctx.Err()
 	}
 	found := judge(running.record, asking)
-	found.judgeEnds(running.replicasSoFar())
+	found.judgeEnds(running.replicasSoFar(), asking.crashingMarks())
+	found.judgeCrashing(asking, running.record, running.replicasSoFar())
 	found.broken = append(found.broken, playing.failures...)
 	for _, each := range running.machines {
 		found.counts.KilledAfterGrace += int(each.killedAfterGrace.Load())
@@ -188,9 +195,9 @@
 		state = "kept, logs in " + folder
 	}
 	counts := found.counts
-	_, err := fmt.Fprintf(output, "seed %d: %s; online %d of %d, items %d of %d; most replicas of a request %d, of an item: answers of 500 %d, of 422 %d, sends %d; replicas ended by one item %d; %s\n",
+	_, err := fmt.Fprintf(output, "seed %d: %s; online %d of %d, items %d of %d; most replicas of a request %d, of an item: answers of 500 %d, of 422 %d, sends %d; replicas ended by one item %d, crashed by one request %d; %s\n",
 		options.Seed, state, counts.OnlineServed, counts.OnlineSent, counts.ItemsDone, counts.Items, counts.MostReplicas, counts.MostFailures, counts.MostRejections,
-		counts.MostSends, counts.MostEnded, strings.Join(texts, " "))
+		counts.MostSends, counts.MostEnded, counts.MostCrashed, strings.Join(texts, " "))
 	for _, broken := range found.broken {
 		if err == nil {
 			_, err = fmt.Fprintln(output, "  ", broken)
--- a/lab/roles/run_test.go
+++ b/lab/roles/run_test.go
@@ -118,6 +118,34 @@
 	playLongItems(t, 8100, []faultKind{crashInTurn, freezeStores, killInTurn}, 0)
 }
 
+// playCrashingRequests plays a seed with online requests that crash each replica on which they run, and come again at any edge.
+func playCrashingRequests(t *testing.T, seed uint64, only ...faultKind) {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("plays real processes for half a minute")
+	}
+	var names []string
+	for _, kind := range only {
+		names = append(names, string(kind))
+	}
+	report := playKept(t, Options{
+		Program: buildProgram(t), Seed: seed, Runs: 1, Each: 20 * time.Second, Only: names, CrashingRequests: 2, Replicas: 10, OnlinePerSecond: 30, JobsPerSecond: 0.5,
+	})
+	if report.Counts.OnlineServed == 0 || report.Counts.MostCrashed == 0 {
+		t.Errorf("nothing was shown: %+v", report.Counts)
+	}
+}
+
+// TestRequestThatCrashesReplicasIsSentNoFurther plays the built program while single edges are killed and replicas crash.
+func TestRequestThatCrashesReplicasIsSentNoFurther(t *testing.T) {
+	playCrashingRequests(t, 9000, killNode, crashReplica)
+}
+
+// TestRequestThatCrashesReplicasIsSentNoFurtherAfterRestarts plays the built program while all processes are killed again and again.
+func TestRequestThatCrashesReplicasIsSentNoFurtherAfterRestarts(t *testing.T) {
+	playCrashingRequests(t, 9100, killAll)
+}
+
 func TestOptionsThatCannotBePlayed(t *testing.T) {
 	good := Options{Program: settingsTemplate, Zones: 1, Edges: 1, Stores: 1, Replicas: 1, Runs: 1}
 	for name, change := range map[string]func(*Options){
