Quarantine: a request is known by its path and body, whatever prompt parts an attempt names

Callers saw: a request that crashes replicas was sent on by each retry to two or three more, then answered 502; with ten of twelve replicas down nearly all other requests were refused. Cause: the digest covered the list of prompt parts and left the body out where there is a list. The list's last part is the attempt's own, so that each attempt was a message that nobody knew. Why it works: what crashes a replica is what it reads, the body at its path; the digest covers these, the body's owner's headers no more. A request without a body keeps its list and query. Items keep the list: those of several jobs share it while their bodies differ. Stand-in of batch: a replica under which an item ended now goes from the directory; before, the tests held by the replicas that the old digest happened to choose.

--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -144,6 +144,9 @@
 	t.Helper()
 	service, fleet, network, routes := newService(scripts)
 	service.options.Quarantine = register
+	if counting, is := register.(*countingRegister); is {
+		counting.directory = service.directory
+	}
 	return ownOf(t, anywhere, service, fleet, network, routes, records...)
 }
 
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -30,12 +30,14 @@
 	holdPause           = time.Second
 )
 
-// messageOf names what an item sends.
+// messageOf names what an item sends: its prompt, which items of several jobs share whose bodies differ, or its body where it names none.
 func messageOf(submission *batchpb.Submission, number int, names replica.Headers) quarantine.Key {
 	sent := submission.Items[number]
-	return quarantine.Message{
-		Method: http.MethodPost, Host: submission.Host, Target: sent.Path, PromptParts: headerOf(sent).Get(names.PromptParts), Body: sent.Body,
-	}.Key()
+	content := sent.Body
+	if parts := headerOf(sent).Get(names.PromptParts); parts != "" {
+		content = []byte(parts)
+	}
+	return quarantine.Message{Method: http.MethodPost, Host: submission.Host, Target: sent.Path, Content: content}.Key()
 }
 
 // verdictOn says whether an item may be sent.
--- a/internal/batch/item_crash_test.go
+++ b/internal/batch/item_crash_test.go
@@ -20,9 +20,10 @@
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
 )
 
-// countingRegister counts each lost run as the end of a replica and rejects a message at bound ends.
+// countingRegister counts each lost run as the end of a replica, which goes, and rejects a message at bound ends.
 type countingRegister struct {
-	bound int
+	bound     int
+	directory *replica.Directory
 	// cutFirst has the first run cut off, as that of a message that ended a replica elsewhere.
 	cutFirst bool
 
@@ -110,6 +111,7 @@
 		return false
 	}
 	p.register.note(p.key, p.handle.Key())
+	p.register.directory.Update(nil, []string{p.handle.Info().ID})
 	return true
 }
 
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -19,10 +19,11 @@
 	if e.handler.quarantine == nil {
 		return true
 	}
-	e.message = quarantine.Message{
-		Method: e.request.Method, Host: e.request.Host, Target: targetOf(e.request),
-		PromptParts: e.request.Header.Get(e.handler.headers.PromptParts), Body: e.body,
-	}.Key()
+	content := e.body
+	if len(content) == 0 {
+		content = []byte(e.request.Header.Get(e.handler.headers.PromptParts))
+	}
+	e.message = quarantine.Message{Method: e.request.Method, Host: e.request.Host, Target: targetOf(e.request), Content: content}.Key()
 	return e.handler.quarantine.Check(e.message) != quarantine.Rejected
 }
 
--- a/internal/forward/quarantined_test.go
+++ b/internal/forward/quarantined_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -290,8 +292,9 @@
 			request.Header.Set("X-Deadline", "900")
 		})
 		edge.call(func(request *http.Request) { request.Header.Set("X-Parts", "a:5") })
-		if len(register.keys) != 3 || register.keys[0] != register.keys[1] || register.keys[0] == register.keys[2] {
-			t.Errorf("keys %v: the first two are attempts of one message, the third is another", register.keys)
+		edge.call(func(request *http.Request) { request.Body = io.NopCloser(strings.NewReader("BODY")) })
+		if len(register.keys) != 4 || register.keys[0] != register.keys[1] || register.keys[0] != register.keys[2] || register.keys[0] == register.keys[3] {
+			t.Errorf("keys %v: the first three are attempts of one message, the fourth is another", register.keys)
 		}
 		edge.replicas.CloseAll()
 	})
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -232,8 +232,8 @@
 }
 
 func TestKeyIsWhatAttemptsShare(t *testing.T) {
-	prompt := Message{Method: "POST", Host: "h", Target: "/p?q", PromptParts: "a:1,b:2", Body: []byte("text")}
-	text := Message{Method: "POST", Host: "h", Target: "/p?q", Body: []byte("text")}
+	text := Message{Method: "POST", Host: "h", Target: "/p?q", Content: []byte("text")}
+	bare := Message{Method: "GET", Host: "h", Target: "/p?q"}
 	change := func(of Message, how func(*Message)) Message {
 		how(&of)
 		return of
@@ -243,13 +243,14 @@
 		one, other Message
 		same       bool
 	}{
-		{"again", text, change(text, func(m *Message) { m.Body = []byte("text") }), true},
-		{"the same prompt in another body", prompt, change(prompt, func(m *Message) { m.Body = []byte("other") }), true},
-		{"another prompt in the same body", prompt, change(prompt, func(m *Message) { m.PromptParts = "a:1,c:2" }), false},
-		{"another body without a prompt", text, change(text, func(m *Message) { m.Body = []byte("texts") }), false},
+		{"again", text, change(text, func(m *Message) { m.Content = []byte("text") }), true},
+		{"another content", text, change(text, func(m *Message) { m.Content = []byte("texts") }), false},
 		{"another method", text, change(text, func(m *Message) { m.Method = "PUT" }), false},
-		{"another host", prompt, change(prompt, func(m *Message) { m.Host = "g" }), false},
-		{"another target", prompt, change(prompt, func(m *Message) { m.Target = "/p" }), false},
+		{"another host", text, change(text, func(m *Message) { m.Host = "g" }), false},
+		{"the host in other letters", text, change(text, func(m *Message) { m.Host = "H" }), true},
+		{"another path", text, change(text, func(m *Message) { m.Target = "/r?q" }), false},
+		{"another query of the same content", text, change(text, func(m *Message) { m.Target = "/p" }), true},
+		{"another query without content", bare, change(bare, func(m *Message) { m.Target = "/p?r" }), false},
 		{"what reads alike when joined", text, change(text, func(m *Message) { m.Method, m.Host = "POSTh", "" }), false},
 	} {
 		if same := test.one.Key() == test.other.Key(); same != test.same {
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"hash"
 	"io"
+	"strings"
 )
 
 // Key names a message: a digest of what its attempts share.
@@ -14,29 +15,29 @@
 // String returns the key as it stands in the log.
 func (k Key) String() string { return hex.EncodeToString(k[:6]) }
 
-// Message is what the attempts of one message share, whoever sends them: callers that try again, callers with the same prompt, a resumed
-// stream, an item of a batch job. The id of a request is no part of it, nor is its tenant: the same prompt ends the same replicas.
+// Message is what the attempts of one message share, whoever sends them: callers that try again, a resumed stream, an item of a batch job.
+// Headers of one attempt are no part of it: its id, its tenant, and the prompt parts, which may name one of the attempt's own.
 type Message struct {
 	Method string
 	Host   string
-	// Target is the path and query.
+	// Target is the path and query. The query counts where Content is empty.
 	Target string
-	// PromptParts is the list of the prompt's parts as the caller sent it, which names all that the engine reads, the part of the request
-	// itself too; empty where the caller names none.
-	PromptParts string
-	Body        []byte
+	// Content is what the engine makes its answer from: the body of a request.
+	Content []byte
 }
 
-// Key returns the digest of the message. Where the caller names its prompt, what else the body holds is no part of it.
+// Key returns the digest of the message.
 func (m Message) Key() Key {
+	target := m.Target
+	if len(m.Content) > 0 {
+		target, _, _ = strings.Cut(target, "?")
+	}
 	digest := sha256.New()
-	for _, text := range []string{m.Method, m.Host, m.Target, m.PromptParts} {
+	for _, text := range []string{m.Method, strings.ToLower(m.Host), target} {
 		writeLength(digest, len(text))
 		_, _ = io.WriteString(digest, text)
 	}
-	if m.PromptParts == "" {
-		_, _ = digest.Write(m.Body)
-	}
+	_, _ = digest.Write(m.Content)
 	return Key(digest.Sum(nil)[:len(Key{})])
 }
 
