Quarantine: runs that are lost without a recognized end are counted and bounded

Cause, of the class: the promise hung on one look at a socket 5 ms after a run was lost; an end that it did not show counted for nothing, at no node. Change: a lost run whose replica is not found to have ended is a loss of its message. Losses go to the two first keepers, which announce the message to all from the second on; it then runs apart, once at a time. A whole run, or one that brings the answer further, clears them; a leaving replica loses none; they cut no run off.

--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -254,7 +254,7 @@
 func (s *Service) inTouch(ctx context.Context, key Key, ranked []membership.Member) bool {
 	now, self := time.Now(), s.viewer.View().Self
 	s.mutex.Lock()
-	request := &quarantinepb.ReleaseRequest{Message: keyBytes(key), Incidents: s.book.of(key, now)}
+	request := &quarantinepb.ReleaseRequest{Message: keyBytes(key), Incidents: s.book.of(key, now), Losses: s.book.losses.encode(key, now)}
 	s.mutex.Unlock()
 	tries := mostKeepers
 	for _, other := range ranked {
@@ -279,7 +279,7 @@
 func (s *Service) askKeeper(ctx context.Context, key Key, run uint64, at replica.Key, keeper membership.Member) (*quarantinepb.GrantResponse, error) {
 	now := time.Now()
 	s.mutex.Lock()
-	request := &quarantinepb.GrantRequest{Message: keyBytes(key), Run: run, Incidents: s.book.of(key, now), Replica: uint64(at)}
+	request := &quarantinepb.GrantRequest{Message: keyBytes(key), Run: run, Incidents: s.book.of(key, now), Losses: s.book.losses.encode(key, now), Replica: uint64(at)}
 	s.mutex.Unlock()
 	if keeper.ID == s.viewer.View().Self {
 		return s.give(request, now), nil
@@ -290,7 +290,7 @@
 	if err := s.caller.Call(bounded, keeper.PeerAddress, methodGrant, request, response); err != nil {
 		return nil, err
 	}
-	s.join(response.GetIncidents(), time.Now())
+	s.join(response, time.Now())
 	return response, nil
 }
 
@@ -299,7 +299,7 @@
 	s.leaveQueue(key)
 	now := time.Now()
 	s.mutex.Lock()
-	request := &quarantinepb.ReleaseRequest{Message: keyBytes(key), Run: run, Incidents: s.book.of(key, now)}
+	request := &quarantinepb.ReleaseRequest{Message: keyBytes(key), Run: run, Incidents: s.book.of(key, now), Losses: s.book.losses.encode(key, now)}
 	s.mutex.Unlock()
 	if keeper.ID == s.viewer.View().Self {
 		s.takeBack(request, now)
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -71,10 +71,11 @@
 type book struct {
 	incidents map[replica.Key]*incident
 	byMessage map[Key]map[replica.Key]*incident
+	losses    losses
 }
 
 func newBook() *book {
-	return &book{incidents: map[replica.Key]*incident{}, byMessage: map[Key]map[replica.Key]*incident{}}
+	return &book{incidents: map[replica.Key]*incident{}, byMessage: map[Key]map[replica.Key]*incident{}, losses: losses{}}
 }
 
 // add joins one suspect of an incident that was learned of at the given time. It returns whether anything is new.
@@ -180,6 +181,7 @@
 			b.drop(each)
 		}
 	}
+	b.losses.forget(now)
 }
 
 // makeRoom drops the oldest incident where the book is full, one without a rejected message first.
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -49,11 +49,11 @@
 	if !valid {
 		return &quarantinepb.GrantResponse{Verdict: quarantinepb.Verdict_VERDICT_REJECTED}
 	}
-	s.join(request.GetIncidents(), now)
+	s.join(request, now)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.noteLapse(key, now)
-	return &quarantinepb.GrantResponse{Verdict: s.decide(key, request.GetRun(), replica.Key(request.GetReplica()), now), Incidents: s.book.of(key, now)}
+	return &quarantinepb.GrantResponse{Verdict: s.decide(key, request.GetRun(), replica.Key(request.GetReplica()), now), Incidents: s.book.of(key, now), Losses: s.book.losses.encode(key, now)}
 }
 
 // decide says whether a run may have the grant; place is the replica at which it is, 0 before it was sent. The mutex is held.
@@ -150,7 +150,7 @@
 	if !valid {
 		return
 	}
-	s.join(request.GetIncidents(), now)
+	s.join(request, now)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if request.GetRun() == 0 {
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -172,8 +172,12 @@
 			t.Errorf("verdict %s", got)
 		}
 		at.takeBack(&quarantinepb.ReleaseRequest{Message: []byte("short")}, now)
-		at.join([]*quarantinepb.Incident{{Replica: 1, AgeMillis: 1 << 63, Suspects: []*quarantinepb.Suspect{{Message: []byte("short")}}}}, now)
-		if len(at.book.incidents) != 0 {
+		malformed := &quarantinepb.Notice{
+			Incidents: []*quarantinepb.Incident{{Replica: 1, AgeMillis: 1 << 63, Suspects: []*quarantinepb.Suspect{{Message: []byte("short")}}}},
+			Losses:    []*quarantinepb.Loss{{Message: []byte("short"), Run: 1}},
+		}
+		at.join(malformed, now)
+		if len(at.book.incidents)+len(at.book.losses) != 0 {
 			t.Error("an incident without a message is kept")
 		}
 	})
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -9,6 +9,7 @@
 	cut      prometheus.Counter
 	admitted *prometheus.CounterVec
 	notices  prometheus.Counter
+	losses   prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -20,8 +21,9 @@
 		cut:      prometheus.NewCounter(prometheus.CounterOpts{Name: "sloelift_quarantine_runs_cut_total", Help: "Runs cut off because their message became suspected."}),
 		admitted: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sloelift_quarantine_admissions_total", Help: "Suspected messages that asked to run, by verdict."}, []string{"verdict"}),
 		notices:  prometheus.NewCounter(prometheus.CounterOpts{Name: "sloelift_quarantine_notices_total", Help: "Notices sent to other nodes."}),
+		losses:   prometheus.NewCounter(prometheus.CounterOpts{Name: "sloelift_quarantine_runs_lost_total", Help: "Runs without a whole answer whose replica was not found to have ended."}),
 	}
-	registerer.MustRegister(made.messages, made.ended, made.cut, made.admitted, made.notices)
+	registerer.MustRegister(made.messages, made.ended, made.cut, made.admitted, made.notices, made.losses)
 	return made
 }
 
--- a/internal/quarantine/progress_test.go
+++ b/internal/quarantine/progress_test.go
@@ -115,7 +115,7 @@
 			each.AgeMillis = 1000 * each.Replica
 			each.Suspects[0].Message, each.Suspects[0].Progress, each.Suspects[0].Reached = key[:], quarantinepb.Progress_PROGRESS_UNSPECIFIED, 0
 		}
-		at.join(encoded, time.Now())
+		at.join(&quarantinepb.Notice{Incidents: encoded}, time.Now())
 		at.Recall(key, []RecordedEnd{{Replica: 1}, {Replica: 2}, {Replica: 3}}, 100)
 		at.progressed(key, 100)
 		time.Sleep(10 * refreshInterval)
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -146,8 +146,15 @@
 	if r.service.inquired[r.key]--; r.service.inquired[r.key] <= 0 {
 		delete(r.service.inquired, r.key)
 	}
-	if inquiry.counted && (ending == Lost || ran <= shortRun) {
+	switch {
+	case inquiry.counted && (ending == Lost || ran <= shortRun):
 		r.service.suspect(r, inquiry.at, ran)
+	case inquiry.ended, r.handle.Info().Draining:
+		// A replica that is leaving ends runs as planned.
+	case r.progressed:
+		r.service.clearLosses(r.key)
+	default:
+		r.service.noteLoss(r)
 	}
 	r.service.signal()
 	r.service.logger.Info().Stringer("digest", r.key).Str(logging.FieldReplica, r.handle.Info().ID).Dur("ran", ran).Str("finding", string(inquiry.finding)).
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -95,12 +95,12 @@
 	service.ctx, service.cancel = context.WithCancel(context.Background())
 	transport.Handle(options.Registrar, methodNotice, func() *quarantinepb.Notice { return &quarantinepb.Notice{} },
 		func(_ context.Context, _ netip.AddrPort, notice *quarantinepb.Notice) (*quarantinepb.Notice, error) {
-			service.join(notice.GetIncidents(), time.Now())
+			service.join(notice, time.Now())
 			return &quarantinepb.Notice{}, nil
 		})
 	transport.Handle(options.Registrar, methodList, func() *quarantinepb.ListRequest { return &quarantinepb.ListRequest{} },
 		func(context.Context, netip.AddrPort, *quarantinepb.ListRequest) (*quarantinepb.ListResponse, error) {
-			return &quarantinepb.ListResponse{Incidents: service.all(time.Now())}, nil
+			return service.list(time.Now()), nil
 		})
 	transport.Handle(options.Registrar, methodGrant, func() *quarantinepb.GrantRequest { return &quarantinepb.GrantRequest{} },
 		func(_ context.Context, _ netip.AddrPort, request *quarantinepb.GrantRequest) (*quarantinepb.GrantResponse, error) {
@@ -192,6 +192,7 @@
 	if incidents := s.clear(key, func(*suspect) bool { return true }); incidents > 0 {
 		s.logger.Info().Stringer("digest", key).Int("incidents", incidents).Msg("message_cleared")
 	}
+	s.clearLosses(key)
 }
 
 // progressed clears a message of the ends whose point its answer has passed at a replica that did not end.
@@ -199,6 +200,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.clearPassed(key, events)
+	s.clearLosses(key)
 }
 
 // clearPassed clears a message of the ends whose point its answer has passed, which has events now. The mutex is held.
@@ -222,10 +224,18 @@
 	return len(cleared)
 }
 
+// evidence is what one node lets another know.
+type evidence interface {
+	GetIncidents() []*quarantinepb.Incident
+	GetLosses() []*quarantinepb.Loss
+}
+
 // join takes in what another node knows.
-func (s *Service) join(incidents []*quarantinepb.Incident, now time.Time) {
+func (s *Service) join(learned evidence, now time.Time) {
+	incidents := learned.GetIncidents()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.joinLosses(learned.GetLosses(), now)
 	s.avoidEnded(incidents, now)
 	changed := s.book.join(incidents, now)
 	for _, each := range incidents {
@@ -264,7 +274,7 @@
 
 // cutRuns ends the runs of a suspected message that no grant covers. The mutex is held.
 func (s *Service) cutRuns(key Key) {
-	if len(s.runs[key]) == 0 || s.book.verdict(key) == Allowed {
+	if len(s.runs[key]) == 0 || s.book.verdictOnEnds(key) == Allowed {
 		return
 	}
 	for each := range s.runs[key] {
@@ -284,7 +294,7 @@
 	if rejected != s.rejected[key] {
 		if rejected {
 			s.rejected[key] = true
-			s.logger.Warn().Stringer("digest", key).Int("ended", s.book.count(key)).Strs("evidence", s.book.evidence(key, time.Now())).Msg("message_rejected")
+			s.logger.Warn().Stringer("digest", key).Int("ended", s.book.count(key)).Int("lost", s.book.losses.open(key)).Strs("evidence", s.book.evidence(key, time.Now())).Msg("message_rejected")
 		} else {
 			delete(s.rejected, key)
 		}
@@ -297,9 +307,9 @@
 	s.changed = make(chan struct{})
 }
 
-// all returns the whole book as it is sent.
-func (s *Service) all(now time.Time) []*quarantinepb.Incident {
+// list returns the whole book as it is sent.
+func (s *Service) list(now time.Time) *quarantinepb.ListResponse {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.book.all(now)
+	return &quarantinepb.ListResponse{Incidents: s.book.all(now), Losses: s.book.losses.all(now)}
 }
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -97,6 +97,12 @@
 func (s *Service) noticeOf(of map[replica.Key]map[Key]bool, now time.Time) *quarantinepb.Notice {
 	notice := &quarantinepb.Notice{}
 	for ended, keys := range of {
+		if ended == noReplica {
+			for key := range keys {
+				notice.Losses = append(notice.Losses, s.book.losses.encode(key, now)...)
+			}
+			continue
+		}
 		known := s.book.incidents[ended]
 		if known == nil {
 			continue
@@ -114,7 +120,7 @@
 
 // sendAll queues a notice for all other nodes.
 func (s *Service) sendAll(notice *quarantinepb.Notice) {
-	if len(notice.Incidents) == 0 {
+	if len(notice.Incidents)+len(notice.Losses) == 0 {
 		return
 	}
 	view := s.viewer.View()
@@ -143,14 +149,14 @@
 		s.noteVerdict(key)
 	}
 	s.metrics.note(s.book.counts())
-	incidents := s.book.all(now)
+	notice := &quarantinepb.Notice{Incidents: s.book.all(now), Losses: s.book.losses.all(now)}
 	s.mutex.Unlock()
-	if len(incidents) == 0 {
+	if len(notice.Incidents)+len(notice.Losses) == 0 {
 		return
 	}
 	others := s.others()
 	if len(others) > 0 {
-		s.send(others[0].PeerAddress, &quarantinepb.Notice{Incidents: incidents})
+		s.send(others[0].PeerAddress, notice)
 	}
 }
 
@@ -198,6 +204,6 @@
 		s.logger.Debug().Err(err).Stringer(logging.FieldPeer, address).Msg("incidents_not_listed")
 		return false
 	}
-	s.join(response.GetIncidents(), time.Now())
+	s.join(&response, time.Now())
 	return true
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -33,6 +33,19 @@
 
 // verdict says what is known of a message.
 func (b *book) verdict(message Key) Verdict {
+	lost := b.losses.open(message)
+	switch ends := b.verdictOnEnds(message); {
+	case ends == Rejected, lost > 0 && b.unfinished(message) >= mostUnfinished:
+		return Rejected
+	case lost >= lossesApart:
+		return Apart
+	default:
+		return ends
+	}
+}
+
+// verdictOnEnds says what follows from the replicas that ended.
+func (b *book) verdictOnEnds(message Key) Verdict {
 	if len(b.byMessage[message]) == 0 {
 		return Allowed
 	}
@@ -51,7 +64,7 @@
 
 // lastRun says that the message is rejected if its next run ends one more replica.
 func (b *book) lastRun(message Key) bool {
-	return b.count(message)+1 >= mostEnded || b.endedInAll(message, mostEndedInAll-1)
+	return b.count(message)+1 >= mostEnded || b.endedInAll(message, mostEndedInAll-1) || b.unfinished(message)+1 >= mostUnfinished
 }
 
 // strong returns the incidents that speak strongly against a message: each soon after it came there, before it had made anything, and at a time of its own.
@@ -199,7 +212,7 @@
 
 // counts returns the numbers of messages that are suspected and rejected.
 func (b *book) counts() (suspected, rejected int) {
-	for message := range b.byMessage {
+	for message := range b.known() {
 		switch b.verdict(message) {
 		case Apart:
 			suspected++
@@ -209,3 +222,15 @@
 	}
 	return suspected, rejected
 }
+
+// known returns the messages of which something is known.
+func (b *book) known() map[Key]bool {
+	found := map[Key]bool{}
+	for message := range b.byMessage {
+		found[message] = true
+	}
+	for message := range b.losses {
+		found[message] = true
+	}
+	return found
+}
