Quarantine: what was rejected outlives a restart of all nodes

Callers saw 502 after two or three more replicas in each life of the nodes. Cause: what is known of a message lived in the memory of processes that may all be killed at one moment. Change: the first keeper of a rejected message writes its digest into the key-value service, under a lease as long as the book remembers (two calls a message). A starting node asks others, as before; where none knows the records, the first node of each zone reads them, and any node after two seconds. While the service is down both are tried again. Why it works: the service loses nothing that it acknowledged, and a node is not taken for in touch before it had time to read. Calls: one listing a zone at a start of all, none for a node that starts alone.

--- a/internal/node/role_replicas.go
+++ b/internal/node/role_replicas.go
@@ -51,9 +51,9 @@
 }
 
 // newQuarantine keeps messages from replicas that crash them.
-func newQuarantine(lifecycle fx.Lifecycle, via network.Network, directory *replica.Directory, members *membership.Service, caller transport.Caller, registrar transport.Registrar, registerer prometheus.Registerer, logger zerolog.Logger) quarantine.Register {
+func newQuarantine(lifecycle fx.Lifecycle, via network.Network, directory *replica.Directory, store platform.KeyValue, members *membership.Service, caller transport.Caller, registrar transport.Registrar, registerer prometheus.Registerer, logger zerolog.Logger) quarantine.Register {
 	service := quarantine.NewService(quarantine.Options{
-		Network: via, Directory: directory, Viewer: members, Caller: caller, Registrar: registrar, Registerer: registerer, Logger: logger,
+		Network: via, Directory: directory, Viewer: members, Store: store, Caller: caller, Registrar: registrar, Registerer: registerer, Logger: logger,
 	})
 	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
 	return service
--- a/internal/platform/platformtest/keyvalue.go
+++ b/internal/platform/platformtest/keyvalue.go
@@ -5,17 +5,19 @@
 	"context"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/sloelift/sloelift/internal/platform"
 )
 
-// KeyValue is a key-value service in memory with revisions and conditional transactions; it has neither leases nor watches. It is safe for
-// concurrent use.
+// KeyValue is a key-value service in memory with revisions and conditional transactions; its leases do not end, and
+// it has no watches. It is safe for concurrent use.
 type KeyValue struct {
 	platform.KeyValue
 
 	mutex    sync.Mutex
 	revision int64
+	leases   platform.LeaseID
 	entries  map[string]platform.Entry
 }
 
@@ -58,6 +60,14 @@
 	return platform.CommitResult{Committed: true, Revision: k.revision}, nil
 }
 
+// GrantLease implements platform.KeyValue.
+func (k *KeyValue) GrantLease(context.Context, time.Duration) (platform.LeaseID, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.leases++
+	return k.leases, nil
+}
+
 // Len returns the number of entries.
 func (k *KeyValue) Len() int {
 	k.mutex.Lock()
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -72,10 +73,12 @@
 	incidents map[replica.Key]*incident
 	byMessage map[Key]map[replica.Key]*incident
 	losses    losses
+	// recalled are the messages that were rejected before all nodes were killed, and when this node learned of them.
+	recalled map[Key]time.Time
 }
 
 func newBook() *book {
-	return &book{incidents: map[replica.Key]*incident{}, byMessage: map[Key]map[replica.Key]*incident{}, losses: losses{}}
+	return &book{incidents: map[replica.Key]*incident{}, byMessage: map[Key]map[replica.Key]*incident{}, losses: losses{}, recalled: map[Key]time.Time{}}
 }
 
 // add joins one suspect of an incident that was learned of at the given time. It returns whether anything is new.
@@ -182,6 +185,7 @@
 		}
 	}
 	b.losses.forget(now)
+	maps.DeleteFunc(b.recalled, func(_ Key, at time.Time) bool { return now.Sub(at) >= remember })
 }
 
 // makeRoom drops the oldest incident where the book is full, one without a rejected message first.
--- a/internal/quarantine/fake_test.go
+++ b/internal/quarantine/fake_test.go
@@ -17,6 +17,8 @@
 
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/membership/membershiptest"
+	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/platform/platformtest"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/transport/memory"
 )
@@ -66,6 +68,48 @@
 	delete(f.ended, address)
 }
 
+// recordStore is a key-value service that counts its listings and may be down.
+type recordStore struct {
+	*platformtest.KeyValue
+	mutex  sync.Mutex
+	down   bool
+	listed int
+}
+
+func (r *recordStore) setDown(down bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.down = down
+}
+
+func (r *recordStore) call() error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.down {
+		return errors.New("the service is down")
+	}
+	return nil
+}
+
+// List implements platform.KeyValue.
+func (r *recordStore) List(ctx context.Context, prefix string) (platform.Listing, error) {
+	if err := r.call(); err != nil {
+		return platform.Listing{}, err
+	}
+	r.mutex.Lock()
+	r.listed++
+	r.mutex.Unlock()
+	return r.KeyValue.List(ctx, prefix)
+}
+
+// GrantLease implements platform.KeyValue.
+func (r *recordStore) GrantLease(ctx context.Context, timeToLive time.Duration) (platform.LeaseID, error) {
+	if err := r.call(); err != nil {
+		return 0, err
+	}
+	return r.KeyValue.GrantLease(ctx, timeToLive)
+}
+
 // node is one node of a cluster under test.
 type node struct {
 	id        membership.NodeID
@@ -81,6 +125,7 @@
 type cluster struct {
 	t        *testing.T
 	network  *memory.Network
+	store    *recordStore
 	machines *fakeMachines
 	nodes    []*node
 
@@ -96,7 +141,7 @@
 
 func newCluster(t *testing.T, nodes, replicas int) *cluster {
 	made := &cluster{
-		t: t, network: memory.NewNetwork(1), sides: map[netip.AddrPort]int{}, crashed: map[Key]int{},
+		t: t, network: memory.NewNetwork(1), store: &recordStore{KeyValue: platformtest.NewKeyValue()}, sides: map[netip.AddrPort]int{}, crashed: map[Key]int{},
 		machines: &fakeMachines{ended: map[netip.AddrPort]bool{}, cut: map[netip.AddrPort]bool{}},
 	}
 	made.network.SetConditions(func(from, to netip.AddrPort) memory.Conditions {
@@ -137,7 +182,7 @@
 	c.mutex.Unlock()
 	started.view.Set(&membership.View{Self: started.id, Members: []membership.Member{c.member(started, membership.Alive)}})
 	started.Service = NewService(Options{
-		Network: c.machines, Directory: started.directory, Viewer: started.view, Caller: started.transport, Registrar: started.transport,
+		Network: c.machines, Directory: started.directory, Viewer: started.view, Store: c.store, Caller: started.transport, Registrar: started.transport,
 		Registerer: prometheus.NewRegistry(), Logger: zerolog.Nop(),
 	})
 	started.transport.Start()
--- /dev/null
+++ b/internal/quarantine/recorded.go
@@ -0,0 +1,168 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/platform"
+)
+
+const (
+	// recordPrefix is where rejected messages stand in the key-value service, by digest: all nodes may be killed at once.
+	recordPrefix = "/sloelift/quarantine/"
+	// recordTimeout bounds the calls to the service that make or read records.
+	recordTimeout = 2 * time.Second
+	// readAfter is the number of rounds of asking other nodes after which the first node of each zone reads the records, allReadAfter that after
+	// which each node does.
+	readAfter    = 2
+	allReadAfter = 10
+)
+
+// record is the state of a rejected message's record.
+type record int
+
+const (
+	// recordMissing: it is to be written, by the first keeper.
+	recordMissing record = iota
+	// recordWritten: it was written or found.
+	recordWritten
+)
+
+// recordKey returns the key under which a rejected message stands.
+func recordKey(message Key) string { return recordPrefix + hex.EncodeToString(message[:]) }
+
+// messageOfRecord returns the message of a record's key.
+func messageOfRecord(key string) (message Key, valid bool) {
+	encoded, err := hex.DecodeString(strings.TrimPrefix(key, recordPrefix))
+	if err != nil {
+		return message, false
+	}
+	return decodeKey(encoded)
+}
+
+// recordRejected writes, from time to time and whenever a message is rejected, the records that are missing.
+func (s *Service) recordRejected() {
+	if s.store == nil {
+		return
+	}
+	again := time.NewTicker(refreshInterval)
+	defer again.Stop()
+	for {
+		select {
+		case <-s.unrecorded:
+		case <-again.C:
+		case <-s.ctx.Done():
+			return
+		}
+		for _, message := range s.missingRecords() {
+			s.writeRecord(message)
+		}
+	}
+}
+
+// missingRecords returns the rejected messages whose record this node is to write.
+func (s *Service) missingRecords() []Key {
+	view := s.viewer.View()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var missing []Key
+	for message, state := range s.rejected {
+		if state == recordMissing && keepers(view, message)[0].ID == view.Self {
+			missing = append(missing, message)
+		}
+	}
+	return missing
+}
+
+// writeRecord writes the record of a message under a lease of its own, so that it goes when the message would be forgotten.
+func (s *Service) writeRecord(message Key) {
+	ctx, cancel := context.WithTimeout(s.ctx, recordTimeout)
+	defer cancel()
+	lease, err := s.store.GrantLease(ctx, remember)
+	if err == nil {
+		key := recordKey(message)
+		// Where the condition does not hold, another keeper has written it.
+		_, err = s.store.Commit(ctx, platform.Transaction{Conditions: []platform.Condition{{Key: key}}, Changes: []platform.Change{{Key: key, LeaseID: lease}}})
+	}
+	if err != nil {
+		s.logger.Info().Stringer("digest", message).Err(err).Msg("rejection_not_recorded")
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if _, rejected := s.rejected[message]; rejected {
+		s.rejected[message] = recordWritten
+	}
+	s.logger.Info().Stringer("digest", message).Msg("rejection_recorded")
+}
+
+// readsRecords says that this node reads the records in a round of asking other nodes that had none with all records.
+func (s *Service) readsRecords(round int) bool {
+	if s.store == nil || round < readAfter {
+		return false
+	}
+	if round >= allReadAfter {
+		return true
+	}
+	view := s.viewer.View()
+	own := ""
+	for _, member := range view.Members {
+		if member.ID == view.Self {
+			own = member.Zone
+		}
+	}
+	first := firstOf(keepers(view, Key{}), own)
+	return first == view.Self
+}
+
+// firstOf returns the first of ranked members in a zone.
+func firstOf(ranked []membership.Member, zone string) membership.NodeID {
+	for _, member := range ranked {
+		if member.Zone == zone {
+			return member.ID
+		}
+	}
+	return ""
+}
+
+// readRecords takes in the messages that stood rejected when all nodes were killed.
+func (s *Service) readRecords() {
+	ctx, cancel := context.WithTimeout(s.ctx, recordTimeout)
+	defer cancel()
+	listing, err := s.store.List(ctx, recordPrefix)
+	if err != nil {
+		s.logger.Info().Err(err).Msg("rejections_not_read")
+		return
+	}
+	var found [][]byte
+	for _, entry := range listing.Entries {
+		if message, valid := messageOfRecord(entry.Key); valid {
+			found = append(found, message[:])
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.recallRejected(found, time.Now())
+	s.complete = true
+	s.logger.Info().Int("messages", len(found)).Msg("rejections_read")
+}
+
+// recallRejected takes in messages that were rejected by evidence which is gone. The mutex is held.
+func (s *Service) recallRejected(messages [][]byte, now time.Time) {
+	for _, encoded := range messages {
+		message, valid := decodeKey(encoded)
+		if !valid {
+			continue
+		}
+		s.book.recalled[message] = now
+		if _, known := s.rejected[message]; !known {
+			s.rejected[message] = recordWritten
+		}
+	}
+	if len(messages) > 0 {
+		s.signal()
+	}
+}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -13,7 +13,9 @@
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/network"
+	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/subscription"
 	"github.com/sloelift/sloelift/internal/transport"
 	"github.com/sloelift/sloelift/internal/unreached"
 )
@@ -31,8 +33,10 @@
 	// Network is that on which replicas are reached.
 	Network network.Network
 	// Directory holds the replicas, so that those which others saw end are avoided here too.
-	Directory  *replica.Directory
-	Viewer     membership.Viewer
+	Directory *replica.Directory
+	Viewer    membership.Viewer
+	// Store keeps the rejected messages for the case that all nodes are killed; nil where there is none.
+	Store      platform.KeyValue
 	Caller     transport.Caller
 	Registrar  transport.Registrar
 	Registerer prometheus.Registerer
@@ -45,6 +49,7 @@
 	// directory holds the replicas that are registered.
 	directory *replica.Directory
 	viewer    membership.Viewer
+	store     platform.KeyValue
 	caller    transport.Caller
 	logger    zerolog.Logger
 	metrics   *metrics
@@ -55,6 +60,8 @@
 	running   sync.WaitGroup
 	// news wakes the loop that sends notices.
 	news chan struct{}
+	// unrecorded wakes the loop that writes records.
+	unrecorded chan struct{}
 
 	// mutex guards the fields below.
 	mutex   sync.Mutex
@@ -80,17 +87,19 @@
 	// outbox are the messages for the next notice, by incident; repeats are those of notices that were sent once and are to be repeated.
 	outbox  map[replica.Key]map[Key]bool
 	repeats map[replica.Key]map[Key]bool
-	// rejected are the messages whose rejection is logged.
-	rejected map[Key]bool
+	// rejected are the messages whose rejection is logged, with the state of their records.
+	rejected map[Key]record
+	// complete says that this node knows the messages that were rejected before all nodes were killed.
+	complete bool
 }
 
 // NewService returns a Service and registers its methods.
 func NewService(options Options) *Service {
 	service := &Service{
-		network: options.Network, directory: options.Directory, viewer: options.Viewer, caller: options.Caller, logger: options.Logger.With().Str(logging.FieldSlice, "quarantine").Logger(),
-		metrics: newMetrics(options.Registerer), unreached: unreached.NewPeers(unreachedFor), news: make(chan struct{}, 1), book: newBook(), runs: map[Key]map[*run]bool{}, inquired: map[Key]int{},
+		network: options.Network, directory: options.Directory, viewer: options.Viewer, store: options.Store, caller: options.Caller, logger: options.Logger.With().Str(logging.FieldSlice, "quarantine").Logger(),
+		metrics: newMetrics(options.Registerer), unreached: unreached.NewPeers(unreachedFor), news: make(chan struct{}, 1), unrecorded: make(chan struct{}, 1), book: newBook(), runs: map[Key]map[*run]bool{}, inquired: map[Key]int{},
 		inquiries: map[replica.Key]*inquiry{}, queues: map[Key]chan struct{}{}, grants: map[Key]grant{}, givenBack: map[uint64]time.Time{}, changed: make(chan struct{}),
-		outbox: map[replica.Key]map[Key]bool{}, repeats: map[replica.Key]map[Key]bool{}, rejected: map[Key]bool{}, left: map[replica.Key][]leftRun{},
+		outbox: map[replica.Key]map[Key]bool{}, repeats: map[replica.Key]map[Key]bool{}, rejected: map[Key]record{}, left: map[replica.Key][]leftRun{},
 	}
 	service.ctx, service.cancel = context.WithCancel(context.Background())
 	transport.Handle(options.Registrar, methodNotice, func() *quarantinepb.Notice { return &quarantinepb.Notice{} },
@@ -118,6 +127,7 @@
 func (s *Service) Start() {
 	s.running.Go(s.share)
 	s.running.Go(s.askOthers)
+	s.running.Go(s.recordRejected)
 }
 
 // inBackground does work that Stop waits for; after Stop it is left out, and a grant lapses.
@@ -291,9 +301,11 @@
 // noteVerdict logs that a message is rejected, once. The mutex is held.
 func (s *Service) noteVerdict(key Key) {
 	rejected := s.book.verdict(key) == Rejected
-	if rejected != s.rejected[key] {
+	_, known := s.rejected[key]
+	if rejected != known {
 		if rejected {
-			s.rejected[key] = true
+			s.rejected[key] = recordMissing
+			subscription.Signal(s.unrecorded)
 			s.logger.Warn().Stringer("digest", key).Int("ended", s.book.count(key)).Int("lost", s.book.losses.open(key)).Strs("evidence", s.book.evidence(key, time.Now())).Msg("message_rejected")
 		} else {
 			delete(s.rejected, key)
@@ -311,5 +323,9 @@
 func (s *Service) list(now time.Time) *quarantinepb.ListResponse {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return &quarantinepb.ListResponse{Incidents: s.book.all(now), Losses: s.book.losses.all(now)}
+	listed := &quarantinepb.ListResponse{Incidents: s.book.all(now), Losses: s.book.losses.all(now), Complete: s.complete}
+	for message := range s.book.recalled {
+		listed.Rejected = append(listed.Rejected, keyBytes(message))
+	}
+	return listed
 }
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -22,7 +22,7 @@
 	// started meanwhile come to know it.
 	refreshInterval = 2 * time.Second
 	// askCount is the number of nodes that a starting node asks, askInterval the pause between rounds until one has answered, askTimeout
-	// the wait for one, and askRounds the most rounds.
+	// the wait for one, and askRounds the rounds after which it is refreshInterval.
 	askCount    = 3
 	askInterval = 200 * time.Millisecond
 	askTimeout  = 300 * time.Millisecond
@@ -173,37 +173,55 @@
 	return found
 }
 
-// askOthers asks a few nodes for their books, until one has answered or askRounds are over: this node may have been started again after
-// it had seen replicas end.
+// askOthers asks a few nodes for their books, until this node knows what was rejected before its start: it may have been started again after it
+// had seen replicas end, alone or together with all others.
 func (s *Service) askOthers() {
-	for range askRounds {
-		answered := 0
+	pause := askInterval
+	for round := 0; ; round++ {
+		if round == askRounds {
+			if s.store == nil {
+				return
+			}
+			pause = refreshInterval
+		}
 		others := s.others()
 		for _, other := range others[:min(askCount, len(others))] {
-			if s.ask(other.PeerAddress) {
-				answered++
-			}
+			s.ask(other.PeerAddress)
+		}
+		if !s.isComplete() && s.readsRecords(round) {
+			s.readRecords()
 		}
-		if answered > 0 {
+		if s.isComplete() {
 			return
 		}
 		select {
-		case <-time.After(askInterval):
+		case <-time.After(pause):
 		case <-s.ctx.Done():
 			return
 		}
 	}
 }
 
-// ask takes in the book of one node; it returns whether the node answered.
-func (s *Service) ask(address netip.AddrPort) bool {
+// isComplete says that this node knows the messages that were rejected before all nodes were killed.
+func (s *Service) isComplete() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.complete
+}
+
+// ask takes in the book of one node.
+func (s *Service) ask(address netip.AddrPort) {
 	bounded, cancel := context.WithTimeout(s.ctx, askTimeout)
 	defer cancel()
 	var response quarantinepb.ListResponse
 	if err := s.caller.Call(bounded, address, methodList, &quarantinepb.ListRequest{}, &response); err != nil {
 		s.logger.Debug().Err(err).Stringer(logging.FieldPeer, address).Msg("incidents_not_listed")
-		return false
+		return
 	}
-	s.join(&response, time.Now())
-	return true
+	now := time.Now()
+	s.join(&response, now)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.recallRejected(response.GetRejected(), now)
+	s.complete = s.complete || response.GetComplete()
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -33,6 +33,9 @@
 
 // verdict says what is known of a message.
 func (b *book) verdict(message Key) Verdict {
+	if _, recalled := b.recalled[message]; recalled {
+		return Rejected
+	}
 	lost := b.losses.open(message)
 	switch ends := b.verdictOnEnds(message); {
 	case ends == Rejected, lost > 0 && b.unfinished(message) >= mostUnfinished:
@@ -232,5 +235,8 @@
 	for message := range b.losses {
 		found[message] = true
 	}
+	for message := range b.recalled {
+		found[message] = true
+	}
 	return found
 }
