Quarantine: records have a value, and a node that starts asks others as soon as it knows one

Both stand-ins now refuse it, with which the tests of the records failed until the value was there. One lease serves several records instead of one for each try.

--- a/internal/platform/platformtest/keyvalue.go
+++ b/internal/platform/platformtest/keyvalue.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -21,6 +22,9 @@
 	entries  map[string]platform.Entry
 }
 
+// errEmptyValue is the answer to a change without a value, which the platform's service refuses.
+var errEmptyValue = errors.New("a change has no value")
+
 // NewKeyValue returns a KeyValue without entries.
 func NewKeyValue() *KeyValue { return &KeyValue{entries: map[string]platform.Entry{}} }
 
@@ -55,6 +59,9 @@
 	}
 	k.revision++
 	for _, change := range transaction.Changes {
+		if len(change.Value) == 0 {
+			return platform.CommitResult{}, errEmptyValue
+		}
 		k.entries[change.Key] = platform.Entry{Key: change.Key, Value: change.Value, ModRevision: k.revision}
 	}
 	return platform.CommitResult{Committed: true, Revision: k.revision}, nil
--- a/internal/quarantine/recorded.go
+++ b/internal/quarantine/recorded.go
@@ -13,6 +13,8 @@
 const (
 	// recordPrefix is where rejected messages stand in the key-value service, by digest: all nodes may be killed at once.
 	recordPrefix = "/sloelift/quarantine/"
+	// recordValue is what a record holds: the service takes no empty value.
+	recordValue = "rejected"
 	// recordTimeout bounds the calls to the service that make or read records.
 	recordTimeout = 2 * time.Second
 	// readAfter is the number of rounds of asking other nodes after which the first node of each zone reads the records, allReadAfter that after
@@ -48,6 +50,7 @@
 	if s.store == nil {
 		return
 	}
+	writer := &recorder{service: s}
 	again := time.NewTicker(refreshInterval)
 	defer again.Stop()
 	for {
@@ -58,7 +61,7 @@
 			return
 		}
 		for _, message := range s.missingRecords() {
-			s.writeRecord(message)
+			writer.write(message)
 		}
 	}
 }
@@ -77,17 +80,18 @@
 	return missing
 }
 
-// writeRecord writes the record of a message under a lease of its own, so that it goes when the message would be forgotten.
-func (s *Service) writeRecord(message Key) {
-	ctx, cancel := context.WithTimeout(s.ctx, recordTimeout)
-	defer cancel()
-	lease, err := s.store.GrantLease(ctx, remember)
-	if err == nil {
-		key := recordKey(message)
-		// Where the condition does not hold, another keeper has written it.
-		_, err = s.store.Commit(ctx, platform.Transaction{Conditions: []platform.Condition{{Key: key}}, Changes: []platform.Change{{Key: key, LeaseID: lease}}})
-	}
-	if err != nil {
+// recorder writes records under a lease, so that they go about when their messages are forgotten. It belongs to one goroutine.
+type recorder struct {
+	service *Service
+	lease   platform.LeaseID
+	until   time.Time
+}
+
+// write writes the record of a message; without success it is tried again later.
+func (r *recorder) write(message Key) {
+	s := r.service
+	if err := r.commit(message); err != nil {
+		r.until = time.Time{}
 		s.logger.Info().Stringer("digest", message).Err(err).Msg("rejection_not_recorded")
 		return
 	}
@@ -99,6 +103,24 @@
 	s.logger.Info().Stringer("digest", message).Msg("rejection_recorded")
 }
 
+// commit writes the record under the present lease, or a new one where less than half of its time is left.
+func (r *recorder) commit(message Key) error {
+	ctx, cancel := context.WithTimeout(r.service.ctx, recordTimeout)
+	defer cancel()
+	if now := time.Now(); r.until.Sub(now) < remember/2 {
+		lease, err := r.service.store.GrantLease(ctx, remember)
+		if err != nil {
+			return err
+		}
+		r.lease, r.until = lease, now.Add(remember)
+	}
+	key := recordKey(message)
+	change := platform.Change{Key: key, Value: []byte(recordValue), LeaseID: r.lease}
+	// Where the condition does not hold, another keeper has written it.
+	_, err := r.service.store.Commit(ctx, platform.Transaction{Conditions: []platform.Condition{{Key: key}}, Changes: []platform.Change{change}})
+	return err
+}
+
 // readsRecords says that this node reads the records in a round of asking other nodes that had none with all records.
 func (s *Service) readsRecords(round int) bool {
 	if s.store == nil || round < readAfter {
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -9,6 +9,7 @@
 	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/subscription"
 )
@@ -25,6 +26,8 @@
 	// the wait for one, and askRounds the rounds after which it is refreshInterval.
 	askCount    = 3
 	askInterval = 200 * time.Millisecond
+	// lookInterval is how often a node that knows no other looks for one.
+	lookInterval = 10 * time.Millisecond
 	askTimeout  = 300 * time.Millisecond
 	askRounds   = 25
 )
@@ -176,13 +179,14 @@
 // askOthers asks a few nodes for their books, until this node knows what was rejected before its start: it may have been started again after it
 // had seen replicas end, alone or together with all others.
 func (s *Service) askOthers() {
-	pause := askInterval
+	wait := askInterval
 	for round := 0; ; round++ {
+		s.awaitOthers()
 		if round == askRounds {
 			if s.store == nil {
 				return
 			}
-			pause = refreshInterval
+			wait = refreshInterval
 		}
 		others := s.others()
 		for _, other := range others[:min(askCount, len(others))] {
@@ -195,13 +199,22 @@
 			return
 		}
 		select {
-		case <-time.After(pause):
+		case <-time.After(wait):
 		case <-s.ctx.Done():
 			return
 		}
 	}
 }
 
+// awaitOthers waits until another member is known, for askInterval at most: a node that has just started knows none, and callers come at once.
+func (s *Service) awaitOthers() {
+	for began := time.Now(); time.Since(began) < askInterval && s.ctx.Err() == nil; {
+		if len(s.others()) > 0 || !pause.Sleep(s.ctx, lookInterval) {
+			return
+		}
+	}
+}
+
 // isComplete says that this node knows the messages that were rejected before all nodes were killed.
 func (s *Service) isComplete() bool {
 	s.mutex.Lock()
--- a/lab/platform/metadata.go
+++ b/lab/platform/metadata.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -137,6 +138,11 @@
 	if !m.decode(writer, request, &sent) {
 		return
 	}
+	if slices.ContainsFunc(sent.Put, func(each wire.StorePut) bool { return len(each.Value) == 0 }) {
+		// The users' platform takes no empty value.
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	result, err := m.client.Commit(request.Context(), transactionFrom(sent))
 	if err != nil || result.Committed {
 		m.answer(writer, wire.StoreCommitted{Revision: result.Revision}, err)
