--- a/internal/batch/cold.go
+++ b/internal/batch/cold.go
@@ -1,8 +1,7 @@
 package batch
 
 import (
-	"time"
-
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
@@ -16,7 +15,7 @@
 	if !a.partition.service.mayStart(a.handle) {
 		return false
 	}
-	a.admittedAt = time.Now()
+	a.admittedAt = clock.Now()
 	return true
 }
 
@@ -26,6 +25,6 @@
 // stillAdmitted says that the item may be sent after it has waited for its leave. What a cold replica had admitted long before would reach it
 // together with what it has admitted since: it must admit the item once more.
 func (a *itemAttempt) stillAdmitted() bool {
-	now := time.Now()
+	now := clock.Now()
 	return now.Sub(a.admittedAt) <= leaveWithin || !a.handle.Cold(now) || a.admitted()
 }
--- a/internal/batch/dispatch_view.go
+++ b/internal/batch/dispatch_view.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/route"
 )
 
@@ -60,7 +61,7 @@
 	}
 	capacity := p.service.capacity.slots()
 	p.mutex.RUnlock()
-	now := time.Now()
+	now := clock.Now()
 	for service, count := range running {
 		begin, keep, _ := p.service.room(service, now)
 		p.logger.Info().Str("service", service).Int("waiting", waiting).Int("running", count).Int("begin", begin).Int("keep", keep).
--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -6,6 +6,7 @@
 
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -131,7 +132,7 @@
 	if table == nil {
 		return false
 	}
-	p.service.observeCapacity(table, time.Now())
+	p.service.observeCapacity(table, clock.Now())
 	candidates := p.candidates(table)
 	if len(candidates) == 0 {
 		return false
@@ -215,7 +216,7 @@
 
 // pick chooses a replica in the item's homes with room for it, of whose slots no larger share than occupancy is in use.
 func (p *partition) pick(each candidate, occupancy float64, excluded []*replica.Handle) *replica.Handle {
-	now := time.Now()
+	now := clock.Now()
 	matched := each.route
 	wanted := balance.Request{
 		Service: matched.PickService(), Zone: p.service.options.Zone, MaxOccupancy: occupancy, ZoneWeight: itemZoneWeight, Homes: each.homes, Excluded: excluded,
@@ -295,7 +296,7 @@
 	p.countBegin(each.late)
 	attempt := &itemAttempt{
 		partition: p, key: each.key, sent: each.submission.Items[each.key.number], host: each.submission.Host, tenant: each.submission.Tenant,
-		route: each.route, handle: handle, admittedAt: time.Now(), text: run.text, lastEvent: run.lastEvent,
+		route: each.route, handle: handle, admittedAt: clock.Now(), text: run.text, lastEvent: run.lastEvent,
 	}
 	release := handle.Acquire()
 	p.running.Go(func() {
--- a/internal/batch/door.go
+++ b/internal/batch/door.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
@@ -179,14 +180,14 @@
 	if failure != nil {
 		return failure
 	}
-	if d.unreached.Recent(owner, time.Now()) {
+	if d.unreached.Recent(owner, clock.Now()) {
 		if edge, found := d.otherEdge(ledger.PartitionID(request.GetPartition())); found {
 			return failureOrNil(d.relay(ctx, edge, method, request, response))
 		}
 	}
 	err := d.caller.Call(ctx, owner, method, request, response)
 	if errorx.IsOfType(err, transport.KindNotSent) || errorx.IsOfType(err, transport.KindNoAnswer) {
-		d.unreached.Note(owner, time.Now())
+		d.unreached.Note(owner, clock.Now())
 	}
 	return failureOrNil(err)
 }
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/eventstream"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
@@ -108,7 +109,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a.lease = a.partition.leaseOf(a)
-	a.leaseBegan = time.Now()
+	a.leaseBegan = clock.Now()
 	over := time.AfterFunc(a.lease-leaseMargin, func() { cancel(errLeaseOver) })
 	defer over.Stop()
 	silence := time.AfterFunc(itemSilence, func() { cancel(errSilent) })
@@ -152,7 +153,7 @@
 		return
 	}
 	if !errors.Is(a.err, errLeaseOver) && !errors.Is(a.err, quarantine.ErrSuspected) && (!errors.Is(a.err, context.Canceled) || errors.Is(a.err, errSilent)) {
-		a.handle.Failed(time.Now())
+		a.handle.Failed(clock.Now())
 	}
 }
 
@@ -188,12 +189,12 @@
 func (a *itemAttempt) judge(answer *replica.Answer, names replica.Headers) itemVerdict {
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest, answer.Header.Get(names.NotRun) != "":
-		a.handle.Refused(answer.Status, time.Now())
+		a.handle.Refused(answer.Status, clock.Now())
 		return itemRefused
 	case answer.Status == http.StatusUnprocessableEntity:
 		return itemImpossible
 	default:
-		a.handle.Failed(time.Now())
+		a.handle.Failed(clock.Now())
 		return itemFailed
 	}
 }
@@ -206,7 +207,7 @@
 		events, err := reader.Next()
 		if len(events.Bytes) > 0 {
 			silence.Reset(itemSilence)
-			a.noteEvents(time.Now())
+			a.noteEvents(clock.Now())
 			a.text = eventstream.AppendData(a.text, events.Bytes)
 			if events.LastID != "" {
 				a.lastEvent = events.LastID
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/quarantine"
@@ -78,7 +79,7 @@
 	var others []*replica.Handle
 	for _, backend := range each.route.Backends {
 		all := p.service.directory.View().Of(backend.Service)
-		occupied = append(occupied, quarantine.Failing(all, time.Now())...)
+		occupied = append(occupied, quarantine.Failing(all, clock.Now())...)
 		others = append(others, quarantine.NotPreferred(message, all)...)
 	}
 	excluded := slices.Concat(occupied, others)
--- a/internal/batch/item_lease.go
+++ b/internal/batch/item_lease.go
@@ -4,6 +4,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/sloelift/sloelift/internal/clock"
 )
 
 // A replica ends a run at its deadline. Items are run under a short one, a lease: an owner that lives begins the next lease at the
@@ -70,5 +72,5 @@
 	p.mutex.Lock()
 	left := p.state.paceOf(attempt.route.Name).left(attempt.sent.Tokens, len(attempt.text))
 	p.mutex.Unlock()
-	return p.service.leases.length(left, p.service.taken(attempt.handle.Info().Service, time.Now()))
+	return p.service.leases.length(left, p.service.taken(attempt.handle.Info().Service, clock.Now()))
 }
--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/loadshare"
 	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -63,7 +64,7 @@
 
 // OnlineChanged takes in a new report of the fleet's online requests: items give way where these need their room.
 func (s *Service) OnlineChanged() {
-	s.observeCapacity(s.routes.Table(), time.Now())
+	s.observeCapacity(s.routes.Table(), clock.Now())
 	s.yield()
 }
 
@@ -113,7 +114,7 @@
 
 // yield cuts off items, the latest accepted first, where online requests need their room.
 func (s *Service) yield() {
-	now := time.Now()
+	now := clock.Now()
 	s.mutex.RLock()
 	owned := make([]*partition, 0, len(s.partitions))
 	for _, each := range s.partitions {
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/outcome"
@@ -61,7 +62,7 @@
 func newPartition(id ledger.PartitionID, service *Service) *partition {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &partition{
-		id: id, service: service, now: time.Now, born: time.Now(), ctx: ctx, cancel: cancel,
+		id: id, service: service, now: time.Now, born: clock.Now(), ctx: ctx, cancel: cancel,
 		logger:    service.logger.With().Uint32(logging.FieldPartition, uint32(id)).Logger(),
 		proposals: make(chan *proposal, proposalQueue), woken: make(chan struct{}, 1),
 		state: newState(), runs: map[itemKey]*itemRun{}, submitting: map[string]*pendingSubmission{}, reserved: map[quotaKey]int64{},
@@ -145,7 +146,7 @@
 }
 
 // elapsed is the time since the partition came here, which no step of the time of day changes.
-func (p *partition) elapsed() time.Duration { return time.Since(p.born) }
+func (p *partition) elapsed() time.Duration { return clock.Since(p.born) }
 
 // confirmedSince says that ownership was proved by an append that began at or after since.
 func (p *partition) confirmedSince(since time.Duration) bool {
--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	changefeedpb "github.com/sloelift/sloelift/api/proto/changefeed"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/pause"
@@ -89,7 +90,7 @@
 
 // New returns a Feed of store and registers its methods.
 func New(store platform.KeyValue, caller transport.Caller, registrar transport.Registrar, viewer membership.Viewer, logger zerolog.Logger) *Feed {
-	now := time.Now()
+	now := clock.Now()
 	feed := &Feed{
 		KeyValue: store, caller: caller, viewer: viewer, started: now, lastHeartbeat: now.Add(firstSilence - silence),
 		prefixes: map[string]*prefixState{}, alone: map[string]func() bool{}, mostKept: map[string]int{}, zone: newZoneState(),
@@ -98,12 +99,12 @@
 	feed.growth.SettledFor(viewer.View(), now)
 	registrar.Handle(methodChanges, func() proto.Message { return &changefeedpb.Changes{} },
 		func(_ context.Context, _ netip.AddrPort, message proto.Message) (proto.Message, error) {
-			feed.take(message.(*changefeedpb.Changes), time.Now())
+			feed.take(message.(*changefeedpb.Changes), clock.Now())
 			return nil, nil
 		})
 	registrar.Handle(methodHeartbeat, func() proto.Message { return &changefeedpb.Heartbeat{} },
 		func(_ context.Context, _ netip.AddrPort, message proto.Message) (proto.Message, error) {
-			feed.takeHeartbeat(message.(*changefeedpb.Heartbeat), time.Now())
+			feed.takeHeartbeat(message.(*changefeedpb.Heartbeat), clock.Now())
 			return nil, nil
 		})
 	return feed
@@ -129,7 +130,7 @@
 	if err != nil {
 		return listing, err
 	}
-	f.noteAnswered(time.Now())
+	f.noteAnswered(clock.Now())
 	if missed := f.takeListing(prefix, listing); missed != nil && !f.watchesAlone(prefix) {
 		f.sendChanges(missed)
 	}
@@ -182,7 +183,7 @@
 func (f *Feed) Answered() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return time.Since(f.answered) < answeredWithin
+	return clock.Since(f.answered) < answeredWithin
 }
 
 // watchesNow says that this node watches prefix at the service: for itself, as one of the watchers, or since no heartbeat came for long.
@@ -208,7 +209,7 @@
 // Unanswered says that for long this node has had no answer of the service, and no heartbeat of a watcher has come, which each watcher sends
 // while the service answers it.
 func (f *Feed) Unanswered() bool {
-	now := time.Now()
+	now := clock.Now()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return now.Sub(f.lastHeartbeat) >= silence && now.Sub(f.answered) >= answeredWithin
--- a/internal/changefeed/pass_on.go
+++ b/internal/changefeed/pass_on.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	changefeedpb "github.com/sloelift/sloelift/api/proto/changefeed"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/platform"
@@ -75,7 +76,7 @@
 // have the others read them at once; without, they found out by membership and had them 1.6 to 2.9 s late.
 func (f *Feed) sendChanges(message *changefeedpb.Changes) {
 	view := f.viewer.View()
-	if !f.isWatcher(view) || f.joining(time.Now()) {
+	if !f.isWatcher(view) || f.joining(clock.Now()) {
 		return
 	}
 	if size := proto.Size(message); size > maxPassedOn {
--- a/internal/changefeed/watch.go
+++ b/internal/changefeed/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	changefeedpb "github.com/sloelift/sloelift/api/proto/changefeed"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/platform"
 )
@@ -19,7 +20,7 @@
 		defer close(events)
 		for ctx.Err() == nil {
 			goOn := false
-			if f.watchesNow(prefix, time.Now()) {
+			if f.watchesNow(prefix, clock.Now()) {
 				goOn = watch.service(ctx)
 			} else {
 				goOn = watch.follow(ctx)
@@ -81,10 +82,11 @@
 				return false
 			}
 			answer = nil
-			if !w.feed.watchesNow(w.prefix, time.Now()) {
+			if !w.feed.watchesNow(w.prefix, clock.Now()) {
 				return true
 			}
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := clock.Now()
 			if !w.feed.watchesNow(w.prefix, now) {
 				return true
 			}
@@ -121,7 +123,7 @@
 		return w.deliver(ctx, last)
 	}
 	change := merge(answer)
-	w.feed.passOn(w.prefix, change, time.Now())
+	w.feed.passOn(w.prefix, change, clock.Now())
 	// The reader need not gather either.
 	change.More = true
 	if !w.deliver(ctx, change) {
@@ -149,7 +151,8 @@
 			if !w.take(ctx, changes) {
 				return false
 			}
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := clock.Now()
 			if w.feed.watchesNow(w.prefix, now) {
 				return true
 			}
--- a/internal/changefeed/watchers.go
+++ b/internal/changefeed/watchers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/membership"
 )
 
@@ -20,7 +21,7 @@
 // Hold returns how long this node has the key-value service hold a watch: short for a watcher, for a node that gets no
 // heartbeats, and for one that watches a prefix for itself.
 func (f *Feed) Hold() time.Duration {
-	if f.isWatcher(f.viewer.View()) || f.watchersSilent(time.Now()) || f.watchesAnyAlone() {
+	if f.isWatcher(f.viewer.View()) || f.watchersSilent(clock.Now()) || f.watchesAnyAlone() {
 		return watcherHold
 	}
 	return otherHold
--- a/internal/coldstart/claims.go
+++ b/internal/coldstart/claims.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/replica"
 )
@@ -85,7 +86,7 @@
 	for _, each := range wanted {
 		coldFor = max(coldFor, each.coldFor)
 	}
-	now := time.Now()
+	now := clock.Now()
 	if c.leaseUntil.Sub(now) >= max(coldFor, claimAgain) {
 		return nil
 	}
--- a/internal/coldstart/service.go
+++ b/internal/coldstart/service.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/platform"
@@ -134,7 +135,7 @@
 
 // Take admits a request to a replica that is warm, or by this node's pass.
 func (s *Service) Take(handle *replica.Handle) bool {
-	now := time.Now()
+	now := clock.Now()
 	if !handle.Cold(now) {
 		return true
 	}
@@ -149,7 +150,7 @@
 
 // check looks for replicas that have turned cold or warm, and claims the passes that are missing.
 func (s *Service) check(ctx context.Context) {
-	now := time.Now()
+	now := clock.Now()
 	s.logRefusals(now)
 	view := s.options.Directory.View()
 	s.dropWarm(view, now)
@@ -213,9 +214,9 @@
 func (s *Service) claim(ctx context.Context, wanted []claim) {
 	s.claimer.node = string(s.options.Viewer.View().Self)
 	held, err := s.claimer.claimAll(ctx, wanted)
-	again := time.Now().Add(claimAgain)
+	again := clock.Now().Add(claimAgain)
 	if err == nil {
-		again = time.Now().Add(heldElsewhere)
+		again = clock.Now().Add(heldElsewhere)
 	}
 	for _, each := range wanted {
 		s.held[each.handle].notBefore = again
--- a/internal/config/relay/service.go
+++ b/internal/config/relay/service.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/config"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
@@ -145,7 +146,7 @@
 		subscription.Signal(viewChanged)
 	})
 	defer unsubscribe()
-	started := time.Now()
+	started := clock.Now()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	s.handle(ctx, eventView{view: s.options.Viewer.View()})
@@ -157,7 +158,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.handle(ctx, eventTick{now: time.Since(started)})
+			s.handle(ctx, eventTick{now: clock.Since(started)})
 		case <-viewChanged:
 			s.handle(ctx, eventView{view: s.options.Viewer.View()})
 		case next := <-s.events:
@@ -175,8 +176,8 @@
 }
 
 func (s *Service) handle(ctx context.Context, input event) {
-	started := time.Now()
-	defer func() { s.busy.Add(int64(time.Since(started))) }()
+	started := clock.Now()
+	defer func() { s.busy.Add(int64(clock.Since(started))) }()
 	for _, output := range s.protocol.step(input) {
 		s.perform(ctx, output)
 	}
@@ -236,7 +237,7 @@
 
 func (s *Service) report(reported actionReport) {
 	s.metrics.problems.WithLabelValues(string(reported.problem)).Inc()
-	now := time.Now()
+	now := clock.Now()
 	last, before := s.reportedAt[reported.problem]
 	if before && now.Sub(last) < reportInterval {
 		return
--- a/internal/discovery/replica_source.go
+++ b/internal/discovery/replica_source.go
@@ -7,6 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/roster"
@@ -52,7 +53,7 @@
 
 // keepsAll says that this node is to keep the whole list.
 func (s *Service) keepsAll() bool {
-	return !s.keepsPart() || s.relays.IsRelay(time.Now()) || s.roster.Loaded() && s.relays.MayBeRelay()
+	return !s.keepsPart() || s.relays.IsRelay(clock.Now()) || s.roster.Loaded() && s.relays.MayBeRelay()
 }
 
 // leaveList drops the whole list, which this node no longer keeps.
--- a/internal/discovery/replicas.go
+++ b/internal/discovery/replicas.go
@@ -1,8 +1,7 @@
 package discovery
 
 import (
-	"time"
-
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -103,7 +102,7 @@
 
 // publishPart brings this node's part of the list to the directory.
 func (s *Service) publishPart(copied bool) {
-	part := roster.Part{Node: string(s.node), Zone: s.zone, Width: s.keeper.Width(time.Now())}
+	part := roster.Part{Node: string(s.node), Zone: s.zone, Width: s.keeper.Width(clock.Now())}
 	replicas, elsewhere := s.roster.Part(part)
 	s.keeper.Replace(replicas, elsewhere, copied)
 	s.partPublished = true
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -7,10 +7,10 @@
 	"net/http"
 	"strconv"
 	"syscall"
-	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -38,7 +38,7 @@
 	defer e.promptRead()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	e.attemptBegan = time.Now()
+	e.attemptBegan = clock.Now()
 	patience := e.watchSilence(cancel)
 	defer patience.stop()
 	answer, err := e.handler.client.Do(ctx, handle, e.callFor(handle))
@@ -51,12 +51,12 @@
 	if refused(answer, e.handler.headers) {
 		_, err := io.CopyN(io.Discard, answer.Body, maxHeldAnswer)
 		whole = errors.Is(err, io.EOF)
-		handle.Refused(answer.Status, time.Now())
+		handle.Refused(answer.Status, clock.Now())
 		e.event(handle).Int("status", answer.Status).Msg("replica_refused")
 		return notRun
 	}
 	if answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices && answer.Header.Get(e.handler.headers.Signature) == "" {
-		handle.Failed(time.Now())
+		handle.Failed(clock.Now())
 		e.lastError = errUnsigned
 		e.event(handle).Int("status", answer.Status).Msg("answer_unsigned")
 		return e.afterLoss()
@@ -93,9 +93,9 @@
 	silent := e.silent()
 	if silent && handle.AnsweredSince(e.attemptBegan) {
 		// It answers others: it is not down, the request waits there for its turn.
-		handle.Rejected(time.Now())
+		handle.Rejected(clock.Now())
 	} else {
-		handle.Failed(time.Now())
+		handle.Failed(clock.Now())
 		if silent {
 			e.foundSilence = true
 			handle.DropKept()
@@ -126,7 +126,7 @@
 func (e *exchange) passOn(ctx context.Context, handle *replica.Handle, answer *replica.Answer, patience *silenceTimer) (result verdict, whole bool) {
 	succeeded := answer.Status < http.StatusMultipleChoices
 	if e.headSent && !succeeded {
-		handle.Failed(time.Now())
+		handle.Failed(clock.Now())
 		e.event(handle).Int("status", answer.Status).Msg("resume_failed")
 		return brokenOff, false
 	}
@@ -145,7 +145,7 @@
 	if len(held) <= maxHeldAnswer {
 		complete := &wholeAnswer{status: answer.Status, header: answer.Header, body: held}
 		if answer.Status >= http.StatusInternalServerError {
-			handle.Failed(time.Now())
+			handle.Failed(clock.Now())
 			e.badAnswer = complete
 			return answeredBadly, true
 		}
@@ -166,7 +166,7 @@
 		if e.request.Context().Err() != nil {
 			return callerGone, false
 		}
-		handle.Failed(time.Now())
+		handle.Failed(clock.Now())
 		e.lastError = err
 		return brokenOff, false
 	}
@@ -181,7 +181,7 @@
 func (e *exchange) event(handle *replica.Handle) *zerolog.Event {
 	info := handle.Info()
 	return e.handler.logger.Info().Str(logging.FieldRequest, e.id).Str("route", e.route.Name).Str(logging.FieldReplica, info.ID).
-		Stringer("address", info.Address).Dur("after", time.Since(e.arrived))
+		Stringer("address", info.Address).Dur("after", clock.Since(e.arrived))
 }
 
 // wholeAnswer is a replica's answer that was read to its end.
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
@@ -20,7 +21,7 @@
 func (e *exchange) callFor(handle *replica.Handle) replica.Call {
 	headers := e.handler.headers
 	header := passedOn(e.request.Header)
-	header.Set(headers.Deadline, strconv.FormatInt(max(1, time.Until(e.deadline).Milliseconds()), 10))
+	header.Set(headers.Deadline, strconv.FormatInt(max(1, clock.Until(e.deadline).Milliseconds()), 10))
 	header.Del(headers.APIKey)
 	header.Del(headers.Tenant)
 	if name := e.terms.TenantName(); name != "" {
--- a/internal/forward/cold_wait.go
+++ b/internal/forward/cold_wait.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/pause"
 )
 
@@ -21,7 +22,7 @@
 		return false
 	}
 	waited := time.Duration(coldWaitPart * float64(e.route.Objective))
-	if time.Since(e.arrived) >= waited {
+	if clock.Since(e.arrived) >= waited {
 		return false
 	}
 	return pause.Sleep(ctx, coldWaitStep)
@@ -29,7 +30,7 @@
 
 // coldReplicas says that replicas of the route's services are cold.
 func (e *exchange) coldReplicas() bool {
-	now := time.Now()
+	now := clock.Now()
 	view := e.handler.directory.View()
 	for _, backend := range e.route.Backends {
 		for _, handle := range view.Of(backend.Service) {
--- a/internal/forward/conclude.go
+++ b/internal/forward/conclude.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/quarantine"
 )
@@ -17,13 +17,13 @@
 	if late {
 		reason = "deadline"
 	}
-	handler.metrics.finished(e.route.Name, false, time.Since(e.arrived))
+	handler.metrics.finished(e.route.Name, false, clock.Since(e.arrived))
 	if e.runs+len(e.endedRuns) == 0 && handler.quota != nil && e.terms.Tenant != nil {
 		handler.quota.GiveBack(e.terms.Tenant)
 	}
 	handler.logger.Info().Str(logging.FieldRequest, e.id).Str("route", e.route.Name).Str(logging.FieldReason, reason).
 		Stringer("digest", e.message).Int("runs", e.runs).Int("replicas_ended", len(e.endedRuns)).Int("refusals", e.refusals).Stringer("verdict", last).Str("last_event", e.lastEvent).Bool("head_sent", e.headSent).
-		Dur("after", time.Since(e.arrived)).Msg("not_delivered")
+		Dur("after", clock.Since(e.arrived)).Msg("not_delivered")
 	switch {
 	case e.headSent:
 		// The connection is closed without the answer's end, so that the caller does not take it for whole.
--- a/internal/forward/evacuation.go
+++ b/internal/forward/evacuation.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"time"
+
+	"github.com/sloelift/sloelift/internal/clock"
+)
 
 const (
 	// reasonEvacuated and reasonNoReplica are the reasons of an answer where no replica may have the request.
@@ -33,7 +37,7 @@
 	if e.allEvacuated() {
 		return reasonEvacuated
 	}
-	if !e.servedAtHome(time.Now()) {
+	if !e.servedAtHome(clock.Now()) {
 		e.handler.metrics.outsideHomes(e.route.Name)
 		return reasonOutsideHomes
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
@@ -125,7 +126,7 @@
 		last = e.guardedAttempt(ctx, handle)
 		switch last {
 		case delivered, callerGone:
-			e.handler.metrics.finished(e.route.Name, last == delivered, time.Since(e.arrived))
+			e.handler.metrics.finished(e.route.Name, last == delivered, clock.Since(e.arrived))
 			if last == callerGone {
 				e.event(handle).Str("last_event", e.lastEvent).Msg("caller_gone")
 			}
@@ -157,7 +158,7 @@
 		e.handler.refresh(ctx)
 	}
 	switch {
-	case !e.servedAtHome(time.Now()):
+	case !e.servedAtHome(clock.Now()):
 		return e.whyNone()
 	case !e.knownHarmless():
 		return quarantine.ReasonRejected
@@ -180,7 +181,7 @@
 		request.sendBy = e.arrived.Add(e.route.Objective - expected.waited(wait) - expected.needed())
 	}
 	leave = e.handler.gate.Enter(ctx, request)
-	e.handler.metrics.heldBack(e.route.Name, time.Since(e.arrived))
+	e.handler.metrics.heldBack(e.route.Name, clock.Since(e.arrived))
 	return leave
 }
 
@@ -224,7 +225,7 @@
 		wanted.PartKey, wanted.PartTokens, wanted.Tokens = parts.sharedKey()
 		e.promptTokens = wanted.Tokens
 	}
-	now := time.Now()
+	now := clock.Now()
 	if handle := e.handler.picker.Pick(&wanted, now); handle != nil {
 		return handle
 	}
@@ -239,7 +240,7 @@
 
 // mayTryAgain says whether another replica may have the request after an attempt that ended with last.
 func (e *exchange) mayTryAgain(ctx context.Context, last verdict) bool {
-	if ctx.Err() != nil || time.Until(e.deadline) < leastTimeLeft {
+	if ctx.Err() != nil || clock.Until(e.deadline) < leastTimeLeft {
 		return false
 	}
 	switch last {
--- a/internal/forward/gate.go
+++ b/internal/forward/gate.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/loadshare"
 	"github.com/sloelift/sloelift/internal/replica"
 )
@@ -98,7 +99,7 @@
 func (g *Gate) Changed() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for service, each := range g.byService {
 		g.release(service, each, now)
 	}
@@ -107,7 +108,7 @@
 // Enter returns once the request may be sent to a replica, or when ctx ends. leave is called after its end in both cases.
 func (g *Gate) Enter(ctx context.Context, request held) (leave func()) {
 	g.mutex.Lock()
-	now := time.Now()
+	now := clock.Now()
 	gate := g.gateOf(request.service)
 	waiting := &waiter{held: request, arrived: now, releaseAt: releaseTime(now, request.deadline), released: make(chan struct{})}
 	gate.waiting = append(gate.waiting, waiting)
@@ -135,7 +136,7 @@
 	} else {
 		gate.drop(left)
 	}
-	g.release(left.service, gate, time.Now())
+	g.release(left.service, gate, clock.Now())
 	// The other nodes learn of the demand with the requests at replicas, the last of which ended before.
 	g.directory.SignalUse()
 }
@@ -185,7 +186,7 @@
 		g.mutex.Lock()
 		defer g.mutex.Unlock()
 		gate.timer = nil
-		g.release(service, gate, time.Now())
+		g.release(service, gate, clock.Now())
 	})
 }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sloelift/sloelift/internal/balance"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/coldstart"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/quarantine"
@@ -120,7 +121,7 @@
 
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	arrived := time.Now()
+	arrived := clock.Now()
 	if h.leaving.Load() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -163,7 +164,7 @@
 	// A body that does not come in time is not waited for: its sender would hold the connection for ever. A connection that takes no
 	// deadline has ended, which reading shows.
 	controller := http.NewResponseController(writer)
-	_ = controller.SetReadDeadline(deadline)
+	_ = controller.SetReadDeadline(time.Now().Add(clock.Until(deadline)))
 	body, status := readBody(writer, request, terms.Table.Limits.MaxBodyBytes)
 	if status != 0 {
 		// What is left of the body is not waited for either.
@@ -177,7 +178,7 @@
 }
 
 func (h *Handler) serveOnline(writer http.ResponseWriter, request *http.Request, terms Authenticated, body []byte, arrived, deadline time.Time) {
-	ctx, cancel := context.WithDeadline(request.Context(), deadline)
+	ctx, cancel := context.WithTimeout(request.Context(), clock.Until(deadline))
 	defer cancel()
 	current := &exchange{
 		handler: h, writer: writer, request: request, terms: terms, route: terms.Route, body: body, arrived: arrived, deadline: deadline,
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 )
@@ -51,7 +52,7 @@
 		return nil
 	}
 	all := e.handler.directory.View().Of(e.service)
-	occupied := slices.Concat(e.tried, e.permit.Occupied(), quarantine.Failing(all, time.Now()))
+	occupied := slices.Concat(e.tried, e.permit.Occupied(), quarantine.Failing(all, clock.Now()))
 	others := quarantine.NotPreferred(e.message, all)
 	if handle := e.pickWithin(ctx, append(slices.Clone(occupied), others...), quarantine.ApartOccupancy); handle != nil {
 		return handle
@@ -115,7 +116,7 @@
 // countRun counts an attempt that may have run. One whose replica ended costs the request none of its attempts.
 func (e *exchange) countRun(handle *replica.Handle) {
 	if e.replicaEnded {
-		e.endedRuns = append(e.endedRuns, endedRun{handle: handle, foundAt: time.Now()})
+		e.endedRuns = append(e.endedRuns, endedRun{handle: handle, foundAt: clock.Now()})
 		e.event(handle).Int("runs", e.runs).Int("replicas_ended", len(e.endedRuns)).Msg("run_not_counted")
 		return
 	}
--- a/internal/forward/retry_budget.go
+++ b/internal/forward/retry_budget.go
@@ -1,9 +1,9 @@
 package forward
 
 import (
-	"time"
-
 	"golang.org/x/time/rate"
+
+	"github.com/sloelift/sloelift/internal/clock"
 )
 
 const (
@@ -19,4 +19,4 @@
 	return &retryBudget{limiter: rate.NewLimiter(repeatsPerSecond, repeatBurst)}
 }
 
-func (b *retryBudget) take() bool { return b.limiter.AllowN(time.Now(), 1) }
+func (b *retryBudget) take() bool { return b.limiter.AllowN(clock.Now(), 1) }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,8 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/eventstream"
 	"github.com/sloelift/sloelift/internal/replica"
 )
@@ -50,8 +50,8 @@
 		return
 	}
 	e.headSent = true
-	e.handler.metrics.firstEvent(e.route.Name, time.Since(e.arrived))
-	e.handler.expectations.of(e.route).observeFirst(time.Since(e.attemptBegan))
+	e.handler.metrics.firstEvent(e.route.Name, clock.Since(e.arrived))
+	e.handler.expectations.of(e.route).observeFirst(clock.Since(e.attemptBegan))
 	copyHead(e.writer.Header(), answer.Header)
 	e.writer.WriteHeader(answer.Status)
 }
--- a/internal/job/appender.go
+++ b/internal/job/appender.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/outcome"
 )
@@ -162,7 +163,7 @@
 // appendOnce waits as long as the ledger does: a time limit of its own would leave the
 // records pending there, to be followed by their repetition.
 func (p *partition) appendOnce(records []ledger.Record) (ledger.Position, error) {
-	began := time.Now()
+	began := clock.Now()
 	add := p.owned.Append
 	if onlyProofs(records) {
 		add = p.owned.AppendReserved
--- a/internal/job/item_conclude.go
+++ b/internal/job/item_conclude.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"net/netip"
-	"time"
 
 	"github.com/joomcode/errorx"
 
 	jobpb "github.com/sloelift/sloelift/api/proto/job"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/engine"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/outcome"
@@ -97,14 +97,14 @@
 	}
 	to := engine.Endpoint{Replica: attempt.GetReplica(), Address: address}
 	wait := newBackOff()
-	giveUp := time.Now().Add(attachWindow)
+	giveUp := clock.Now().Add(attachWindow)
 	for {
 		stream, err := r.open(r.job.ctx, to, attempt.GetRequestId(), true)
 		if err == nil {
 			before := r.progress.offset
 			err = r.consume(stream)
 			if r.progress.offset > before {
-				giveUp = time.Now().Add(attachWindow)
+				giveUp = clock.Now().Add(attachWindow)
 				wait.Reset()
 			}
 		}
@@ -116,7 +116,7 @@
 			return nil
 		case r.job.ctx.Err() != nil:
 			return r.concludeCancelled(context.Cause(r.job.ctx), to, attempt.GetRequestId())
-		case errorx.IsOfType(err, engine.KindNoSuchRun), finished.reason != "", time.Now().After(giveUp):
+		case errorx.IsOfType(err, engine.KindNoSuchRun), finished.reason != "", clock.Now().After(giveUp):
 			return r.fail(outcome.Indeterminate, statusIndeterminate, outcome.ReasonEngineFailed, err)
 		}
 		if !pause.Sleep(r.job.ctx, wait.NextBackOff()) {
--- a/internal/job/owner_jobs.go
+++ b/internal/job/owner_jobs.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	jobpb "github.com/sloelift/sloelift/api/proto/job"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/pause"
@@ -219,7 +220,7 @@
 	if err := p.propose(ctx, record); err != nil {
 		return nil, err
 	}
-	if !pause.Sleep(ctx, p.ownership.untilSettled(time.Now())) {
+	if !pause.Sleep(ctx, p.ownership.untilSettled(clock.Now())) {
 		return nil, contextError(ctx, outcome.Indeterminate)
 	}
 	if run != nil {
--- a/internal/job/ownership_clock.go
+++ b/internal/job/ownership_clock.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/outcome"
 )
@@ -60,7 +61,7 @@
 // confirmOwnership returns once ownership was proved within the window. Callers that
 // come together share one append.
 func (p *partition) confirmOwnership(ctx context.Context) error {
-	for !p.ownership.confirmed(time.Now()) {
+	for !p.ownership.confirmed(clock.Now()) {
 		if err := p.propose(ctx, noOperation()); err != nil {
 			return err
 		}
--- a/internal/job/partition.go
+++ b/internal/job/partition.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/outcome"
@@ -87,7 +88,7 @@
 func (p *partition) Serve(owned ledger.Owned) {
 	p.owned = owned
 	p.reader = newRecordReader(owned)
-	p.ownership.begin(time.Now())
+	p.ownership.begin(clock.Now())
 	p.logger.Info().Int("jobs", len(p.state.jobs)).Msg("partition_served")
 	p.group.Add(2)
 	go p.runLoop()
--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/joomcode/errorx"
 
 	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/ledger/wire"
 	"github.com/sloelift/sloelift/internal/logging"
@@ -138,7 +139,7 @@
 	member, found := m.viewer.View().Find(node)
 	if !found {
 		// A node that has just started knows few others yet; it should not take what they own.
-		return time.Since(m.started) >= m.timing.Formation
+		return clock.Since(m.started) >= m.timing.Formation
 	}
 	wait := m.timing.Release
 	if overdue || member.State == membership.Dead || member.State == membership.Suspect {
--- a/internal/ledger/confined.go
+++ b/internal/ledger/confined.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/outcome"
@@ -97,8 +98,8 @@
 
 // SetConfined names the keys whose records are confined to regions, in an order that follows from what they are.
 func (m *Manager) SetConfined(keys []Confined) {
-	if m.confined.set(keys, time.Now()) {
-		m.background(func() { m.post(func() { m.check(time.Now()) }) })
+	if m.confined.set(keys, clock.Now()) {
+		m.background(func() { m.post(func() { m.check(clock.Now()) }) })
 	}
 }
 
@@ -156,7 +157,7 @@
 
 // Settling implements Homes. The start of the process counts as a change as well: what held before it is not known.
 func (m *Manager) Settling() bool {
-	return time.Since(m.started) < settleAfterChange || time.Since(m.confined.changedAt()) < settleAfterChange
+	return clock.Since(m.started) < settleAfterChange || clock.Since(m.confined.changedAt()) < settleAfterChange
 }
 
 // PartitionsWithin implements Homes.
--- a/internal/ledger/confined_formation.go
+++ b/internal/ledger/confined_formation.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
@@ -60,11 +61,11 @@
 		},
 		func() {
 			m.upkeep.running = false
-			m.upkeep.next = time.Now().Add(loadInterval)
+			m.upkeep.next = clock.Now().Add(loadInterval)
 			if err != nil {
 				m.logger.Warn().Err(err).Msg("confined_partitions_not_formed")
 			}
-			m.check(time.Now())
+			m.check(clock.Now())
 		})
 }
 
--- a/internal/ledger/decision.go
+++ b/internal/ledger/decision.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/logging"
 )
@@ -30,7 +31,7 @@
 	m.background(func() {
 		m.post(func() {
 			m.control(decided.Partition).nextChange = time.Time{}
-			m.check(time.Now())
+			m.check(clock.Now())
 		})
 	})
 }
@@ -52,7 +53,7 @@
 		func() {
 			control.publishing = false
 			if err != nil {
-				control.nextPublish = time.Now().Add(m.timing.ChangeRetry + rand.N(m.timing.ChangeRetry))
+				control.nextPublish = clock.Now().Add(m.timing.ChangeRetry + rand.N(m.timing.ChangeRetry))
 				m.logger.Warn().Err(err).Uint32(logging.FieldPartition, uint32(partition)).Uint64(fieldVersion, ensemble.Version).Msg("ensemble_not_published")
 			}
 		})
--- a/internal/ledger/formation.go
+++ b/internal/ledger/formation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/ledger/wire"
 	"github.com/sloelift/sloelift/internal/membership"
@@ -44,12 +45,12 @@
 		func() {
 			m.loading = false
 			m.stale = m.stale || err != nil
-			m.nextLoad = time.Now().Add(loadInterval)
+			m.nextLoad = clock.Now().Add(loadInterval)
 			if err != nil {
-				m.nextLoad = time.Now().Add(m.timing.ChangeRetry)
+				m.nextLoad = clock.Now().Add(m.timing.ChangeRetry)
 			}
 			m.reportSettings()
-			m.check(time.Now())
+			m.check(clock.Now())
 		})
 }
 
@@ -95,7 +96,7 @@
 func (m *Manager) loadOrForm(ctx context.Context, mayForm bool) error {
 	if m.neverOwns() {
 		// This node owns nothing, and those with a store know all that it needs: the key-value service is spared the call.
-		if m.askPeers(ctx); m.directory.complete() || time.Since(m.started) < peersFirst {
+		if m.askPeers(ctx); m.directory.complete() || clock.Since(m.started) < peersFirst {
 			return nil
 		}
 	}
--- a/internal/ledger/locator.go
+++ b/internal/ledger/locator.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/membership"
 )
@@ -89,7 +90,7 @@
 	if member, found := view.Find(node); found && member.State != membership.Alive {
 		age = doubtfulHintAge
 	}
-	if m.hints.checkDue(partition, time.Now(), age) {
+	if m.hints.checkDue(partition, clock.Now(), age) {
 		m.refresh(partition)
 	}
 	if known {
--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
@@ -185,13 +186,13 @@
 			if !changed {
 				// The service may be down, or another node may have been first. Until the change is made a further lost disk may
 				// be one too many, so the wait is short.
-				control.nextChange = time.Now().Add(m.timing.ChangeRetry/2 + rand.N(m.timing.ChangeRetry))
+				control.nextChange = clock.Now().Add(m.timing.ChangeRetry/2 + rand.N(m.timing.ChangeRetry))
 			}
 			event := m.logger.Info()
 			if err != nil {
 				event = m.logger.Warn().Err(err)
 			}
 			event.Uint32(logging.FieldPartition, uint32(partition)).Uint64(fieldVersion, next.Version).Bool("changed", changed).Msg("ensemble_change")
-			m.check(time.Now())
+			m.check(clock.Now())
 		})
 }
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/ledger/store"
 	"github.com/sloelift/sloelift/internal/logging"
@@ -140,7 +141,7 @@
 
 // Start begins to look for partitions to own. It does not wait for anything.
 func (m *Manager) Start() {
-	m.started = time.Now()
+	m.started = clock.Now()
 	m.tasks.Go(m.run)
 }
 
@@ -174,9 +175,9 @@
 		case event := <-m.events:
 			event()
 		case <-ticker.C:
-			m.check(time.Now())
+			m.check(clock.Now())
 		case <-changed:
-			m.check(time.Now())
+			m.check(clock.Now())
 		case <-m.ctx.Done():
 			return
 		}
@@ -254,7 +255,7 @@
 		return
 	}
 	control.trying = true
-	began := time.Now()
+	began := clock.Now()
 	number, overdue := control.number, control.overdue
 	var result attemptResult
 	m.start(
@@ -264,16 +265,16 @@
 			control.ownership = nil
 			if result.lost.Cause != protocol.LossDeclined {
 				m.logger.Info().Uint32(logging.FieldPartition, uint32(partition)).Bool("overdue", overdue).
-					Str(fieldCause, string(result.lost.Cause)).Dur("lasted", time.Since(began)).Msg("ownership_ended")
+					Str(fieldCause, string(result.lost.Cause)).Dur("lasted", clock.Since(began)).Msg("ownership_ended")
 			}
 			if result.lost.Cause == protocol.LossDeclined {
-				control.declined = time.Now()
+				control.declined = clock.Now()
 			}
 			control.number = max(control.number, result.number, result.lost.Higher.Number)
 			m.directory.learn(result.lost.Ensemble)
 			m.stale = m.stale || result.lost.Cause == protocol.LossTimeout
-			control.backoff = m.nextBackoff(control.backoff, result, time.Since(began))
-			control.nextTry = time.Now().Add(control.backoff/2 + rand.N(control.backoff/2+1))
+			control.backoff = m.nextBackoff(control.backoff, result, clock.Since(began))
+			control.nextTry = clock.Now().Add(control.backoff/2 + rand.N(control.backoff/2+1))
 		})
 }
 
--- a/internal/ledger/owned.go
+++ b/internal/ledger/owned.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/outcome"
 )
@@ -86,7 +87,7 @@
 		return nil
 	}
 	first, actions := o.owner.Propose(request.records)
-	request.since = time.Now()
+	request.since = clock.Now()
 	request.first, request.last = first, first+Position(len(request.records))-1
 	o.pending = append(o.pending, request)
 	o.pendingBytes += request.bytes
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 )
 
@@ -130,7 +131,7 @@
 func newOwnership(ctx context.Context, partition PartitionID, owner *protocol.Owner, stores *storeClient, factory Factory, decided func(protocol.Ensemble), timing Timing, logger zerolog.Logger) *ownership {
 	o := &ownership{
 		decided:   decided,
-		partition: partition, stores: stores, factory: factory, timing: timing, owner: owner, logger: logger, began: time.Now(),
+		partition: partition, stores: stores, factory: factory, timing: timing, owner: owner, logger: logger, began: clock.Now(),
 		events: make(chan func() []protocol.Action), appends: make(chan *appendRequest), lost: make(chan struct{}),
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
--- a/internal/ledger/serve_owner.go
+++ b/internal/ledger/serve_owner.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"net/netip"
-	"time"
 
 	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/outcome"
 )
@@ -13,7 +13,7 @@
 // serveOwner answers who owns a partition: this node where it does and is in contact with the stores, else whom it takes for the owner.
 func (m *Manager) serveOwner(_ context.Context, _ netip.AddrPort, request *ledgerpb.OwnerRequest) (*ledgerpb.OwnerResponse, error) {
 	partition := PartitionID(request.Partition)
-	if ownership, present := m.ownership(partition); present && ownership.inContact(time.Now()) {
+	if ownership, present := m.ownership(partition); present && ownership.inContact(clock.Now()) {
 		return &ledgerpb.OwnerResponse{Owned: true, Owner: string(m.self)}, nil
 	}
 	hint, _ := m.hints.get(partition)
@@ -28,7 +28,7 @@
 		return &ledgerpb.ReleaseResponse{Released: true}, nil
 	}
 	preferred, _ := preferredOwner(m.viewer.View(), partition, m.ownersOf(partition))
-	now := time.Now()
+	now := clock.Now()
 	settling := now.Sub(ownership.began) < m.timing.Settle
 	if (string(preferred.ID) != request.Successor || settling) && !m.leaving.Load() && ownership.servesWell(now) {
 		return &ledgerpb.ReleaseResponse{}, nil
--- a/internal/ledger/store/store.go
+++ b/internal/ledger/store/store.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/rs/zerolog"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 )
 
@@ -170,7 +171,7 @@
 func (s *Store) hear(partition protocol.PartitionID) {
 	s.heardMutex.Lock()
 	defer s.heardMutex.Unlock()
-	s.heard[partition] = time.Now()
+	s.heard[partition] = clock.Now()
 }
 
 // Failed tells whether the disk has failed; the store then answers with errors only.
--- a/internal/loadshare/questions.go
+++ b/internal/loadshare/questions.go
@@ -6,6 +6,7 @@
 	"time"
 
 	loadsharepb "github.com/sloelift/sloelift/api/proto/loadshare"
+	"github.com/sloelift/sloelift/internal/clock"
 )
 
 const (
@@ -78,8 +79,8 @@
 		return ending
 	}
 	q.pending = ending
-	q.began = time.Now()
-	q.running.Go(func() { q.end(ask(), time.Now()) })
+	q.began = clock.Now()
+	q.running.Go(func() { q.end(ask(), clock.Now()) })
 	return ending
 }
 
@@ -140,7 +141,7 @@
 }
 
 func (s *Service) isFresh() bool {
-	age, known := s.fleet.age(time.Now())
+	age, known := s.fleet.age(clock.Now())
 	return known && age <= freshFor
 }
 
@@ -149,7 +150,7 @@
 
 // question puts one question and takes in its answer.
 func (s *Service) question() error {
-	now := time.Now()
+	now := clock.Now()
 	place := s.place()
 	used, known := s.chooseWay(place, now)
 	if !known {
@@ -175,7 +176,7 @@
 		s.logger.Debug().Err(err).Stringer("node", used.node).Bool("relayed", used.relayed).Msg("exchange_silent")
 		return err
 	}
-	s.apply(answer, own, time.Now())
+	s.apply(answer, own, clock.Now())
 	return nil
 }
 
--- a/internal/loadshare/relayed.go
+++ b/internal/loadshare/relayed.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"net/netip"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	loadsharepb "github.com/sloelift/sloelift/api/proto/loadshare"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/transport"
 )
@@ -46,7 +46,7 @@
 // reachedExchange returns the exchange that this node uses; reached is false where it is another node's relay, or did not answer lately.
 func (s *Service) reachedExchange() (exchange netip.AddrPort, reached bool) {
 	place := s.place()
-	used, known := s.questions.way(place, time.Now())
+	used, known := s.questions.way(place, clock.Now())
 	if !known || used.relayed || used.node == place.self || !s.questions.answered() {
 		return netip.AddrPort{}, false
 	}
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	loadsharepb "github.com/sloelift/sloelift/api/proto/loadshare"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -95,7 +96,7 @@
 
 // New returns a Service and registers its methods; nothing is sent before Start.
 func New(options Options, directory *replica.Directory, viewer membership.Viewer, caller transport.Caller, registrar transport.Registrar, logger zerolog.Logger) *Service {
-	now := time.Now()
+	now := clock.Now()
 	service := &Service{
 		options: options, directory: directory, viewer: viewer, caller: caller, board: NewBoard(now), fleet: newFleet(now), run: rand.Uint64(),
 		logger: logger.With().Str(logging.FieldSlice, "loadshare").Logger(),
@@ -103,19 +104,19 @@
 	service.ctx, service.cancel = context.WithCancel(context.Background())
 	registrar.Handle(methodRelay, func() proto.Message { return &loadsharepb.ExchangeLoad{} },
 		func(_ context.Context, from netip.AddrPort, message proto.Message) (proto.Message, error) {
-			service.board.takeRelay(from, message.(*loadsharepb.ExchangeLoad), time.Now())
+			service.board.takeRelay(from, message.(*loadsharepb.ExchangeLoad), clock.Now())
 			return nil, nil
 		})
 	registrar.Handle(methodReport, func() proto.Message { return &loadsharepb.NodeLoad{} },
 		func(_ context.Context, from netip.AddrPort, message proto.Message) (proto.Message, error) {
 			load := message.(*loadsharepb.NodeLoad)
-			service.board.takeReport(reporterOf(from, load), load, time.Now())
+			service.board.takeReport(reporterOf(from, load), load, clock.Now())
 			return nil, nil
 		})
 	registrar.Handle(methodAsk, func() proto.Message { return &loadsharepb.NodeLoad{} },
 		func(_ context.Context, from netip.AddrPort, message proto.Message) (proto.Message, error) {
 			load := message.(*loadsharepb.NodeLoad)
-			service.board.takeReport(reporterOf(from, load), load, time.Now())
+			service.board.takeReport(reporterOf(from, load), load, clock.Now())
 			return service.board.AnswerTo(load), nil
 		})
 	service.handleRelayed(registrar)
@@ -187,11 +188,11 @@
 		case <-changed:
 			if !due {
 				due = true
-				timer.Reset(max(settleTime, s.untilNextReport(time.Now())))
+				timer.Reset(max(settleTime, s.untilNextReport(clock.Now())))
 			}
 		case <-timer.C:
 			due = false
-			timer.Reset(s.tick(time.Now()))
+			timer.Reset(s.tick(clock.Now()))
 		case <-s.ctx.Done():
 			return
 		}
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	membershippb "github.com/sloelift/sloelift/api/proto/membership"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/platform"
@@ -205,7 +206,8 @@
 		select {
 		case input := <-s.events:
 			s.take(protocol, input)
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := clock.Now()
 			s.take(protocol, tickEvent{})
 			s.changes.tick(now)
 		case <-ctx.Done():
@@ -231,7 +233,7 @@
 }
 
 func (s *Service) take(protocol *protocol, input event) {
-	started := time.Now()
+	started := clock.Now()
 	signal, waited := input.(signalEvent)
 	if waited {
 		input = signal.event
@@ -240,7 +242,7 @@
 	for _, output := range protocol.step(started, input) {
 		s.do(output)
 	}
-	s.busy.Add(int64(time.Since(started)))
+	s.busy.Add(int64(clock.Since(started)))
 }
 
 func (s *Service) do(output action) {
@@ -252,7 +254,7 @@
 		s.publish(typed.view)
 	case changeAction:
 		s.metrics.changes.WithLabelValues(string(typed.kind)).Inc()
-		s.changes.take(typed, time.Now())
+		s.changes.take(typed, clock.Now())
 	}
 }
 
--- a/internal/pause/sleep.go
+++ b/internal/pause/sleep.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/sloelift/sloelift/internal/clock"
 )
 
 // Sleep waits for duration; false if ctx ended meanwhile. It does not wait where
@@ -28,7 +30,8 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := clock.Now()
 			do(now)
 		case <-ctx.Done():
 			return
--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -151,7 +152,7 @@
 		return
 	}
 	s.logger.Info().Stringer("digest", key).Stringer(logging.FieldPeer, keeper.PeerAddress).Stringer("keeper_verdict", decided).Stringer("own_verdict", own).
-		Strs("evidence", s.book.evidence(key, time.Now())).Msg("keeper_decided_otherwise")
+		Strs("evidence", s.book.evidence(key, clock.Now())).Msg("keeper_decided_otherwise")
 }
 
 // pauseUnlessDecided waits for pause and returns true; false as soon as the message is no longer suspected, or one of the contexts ends.
@@ -219,7 +220,7 @@
 		most = 1
 	}
 	for _, keeper := range ranked {
-		if !last && s.unreached.Recent(keeper.PeerAddress, time.Now()) {
+		if !last && s.unreached.Recent(keeper.PeerAddress, clock.Now()) {
 			continue
 		}
 		if most--; most < 0 {
@@ -236,7 +237,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		s.unreached.Note(keeper.PeerAddress, time.Now())
+		s.unreached.Note(keeper.PeerAddress, clock.Now())
 	}
 	return nil, membership.Member{}, errNoKeeper
 }
@@ -252,7 +253,7 @@
 // what the keeper of the others grants as well. The call carries the incidents of the message, since the next in rank is keeper after this
 // node.
 func (s *Service) inTouch(ctx context.Context, key Key, ranked []membership.Member) bool {
-	now, self := time.Now(), s.viewer.View().Self
+	now, self := clock.Now(), s.viewer.View().Self
 	s.mutex.Lock()
 	request := &quarantinepb.ReleaseRequest{Message: keyBytes(key), Incidents: s.book.of(key, now), Losses: s.book.losses.encode(key, now)}
 	s.mutex.Unlock()
@@ -270,14 +271,14 @@
 		if err == nil {
 			return true
 		}
-		s.unreached.Note(other.PeerAddress, time.Now())
+		s.unreached.Note(other.PeerAddress, clock.Now())
 	}
 	return len(ranked) == 1
 }
 
 // askKeeper asks one keeper for the grant, or renews it for a run at the replica of that key, and takes in what that node knows of the message.
 func (s *Service) askKeeper(ctx context.Context, key Key, run uint64, at replica.Key, keeper membership.Member) (*quarantinepb.GrantResponse, error) {
-	now := time.Now()
+	now := clock.Now()
 	s.mutex.Lock()
 	request := &quarantinepb.GrantRequest{Message: keyBytes(key), Run: run, Incidents: s.book.of(key, now), Losses: s.book.losses.encode(key, now), Replica: uint64(at)}
 	s.mutex.Unlock()
@@ -290,14 +291,14 @@
 	if err := s.caller.Call(bounded, keeper.PeerAddress, methodGrant, request, response); err != nil {
 		return nil, err
 	}
-	s.join(response, time.Now())
+	s.join(response, clock.Now())
 	return response, nil
 }
 
 // release gives a grant back in the background; without an answer it lapses.
 func (s *Service) release(key Key, run uint64, keeper membership.Member) {
 	s.leaveQueue(key)
-	now := time.Now()
+	now := clock.Now()
 	s.mutex.Lock()
 	request := &quarantinepb.ReleaseRequest{Message: keyBytes(key), Run: run, Incidents: s.book.of(key, now), Losses: s.book.losses.encode(key, now)}
 	s.mutex.Unlock()
--- a/internal/quarantine/left.go
+++ b/internal/quarantine/left.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/replica"
 )
 
@@ -26,7 +27,7 @@
 
 // leave remembers a run that was broken off: its replica may end under it yet.
 func (s *Service) leave(left *run) {
-	now := time.Now()
+	now := clock.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.forgetLeft(now)
--- a/internal/quarantine/losses.go
+++ b/internal/quarantine/losses.go
@@ -5,6 +5,7 @@
 	"time"
 
 	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/replica"
 )
@@ -145,7 +146,7 @@
 
 // noteLoss counts a lost run whose replica was not found to have ended. The mutex is held.
 func (s *Service) noteLoss(of *run) {
-	now := time.Now()
+	now := clock.Now()
 	s.book.losses.add(of.key, rand.Uint64(), loss{at: now})
 	s.metrics.losses.Inc()
 	s.lossesChanged(of.key)
@@ -169,7 +170,7 @@
 		s.announceLosses(key)
 		return
 	}
-	s.reportLosses(key, time.Now())
+	s.reportLosses(key, clock.Now())
 }
 
 // reportLosses tells the keepers of a message what this node knows; they announce it to all once it matters to all. The mutex is held.
--- a/internal/quarantine/probe.go
+++ b/internal/quarantine/probe.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/replica"
 )
@@ -50,7 +51,7 @@
 	if known != nil && (!known.ended || !handle.AnsweredSince(known.at)) {
 		return known
 	}
-	begun := &inquiry{done: make(chan struct{}), at: time.Now()}
+	begun := &inquiry{done: make(chan struct{}), at: clock.Now()}
 	s.inquiries[handle.Key()] = begun
 	if s.stopped {
 		close(begun.done)
@@ -66,7 +67,7 @@
 	ended := found.ended()
 	counted := ended && !handle.Info().Draining
 	s.mutex.Lock()
-	begun.ended, begun.counted, begun.finding, begun.at = ended, counted, found, time.Now()
+	begun.ended, begun.counted, begun.finding, begun.at = ended, counted, found, clock.Now()
 	if !ended {
 		delete(s.inquiries, handle.Key())
 	}
@@ -76,7 +77,7 @@
 	s.mutex.Unlock()
 	close(begun.done)
 	if ended {
-		handle.Ended(time.Now())
+		handle.Ended(clock.Now())
 		s.metrics.ended.Inc()
 		s.logger.Info().Str(logging.FieldReplica, handle.Info().ID).Bool("counted", counted).Msg("replica_ended")
 	}
--- a/internal/quarantine/recorded.go
+++ b/internal/quarantine/recorded.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/platform"
 )
@@ -107,7 +108,7 @@
 func (r *recorder) commit(message Key) error {
 	ctx, cancel := context.WithTimeout(r.service.ctx, recordTimeout)
 	defer cancel()
-	if now := time.Now(); r.until.Sub(now) < remember/2 {
+	if now := clock.Now(); r.until.Sub(now) < remember/2 {
 		lease, err := r.service.store.GrantLease(ctx, remember)
 		if err != nil {
 			return err
@@ -167,7 +168,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.recallRejected(found, time.Now())
+	s.recallRejected(found, clock.Now())
 	s.complete = true
 	s.logger.Info().Int("messages", len(found)).Msg("rejections_read")
 }
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -63,7 +64,7 @@
 
 // Begin implements Permit.
 func (p *permit) Begin(handle *replica.Handle, cut func()) Run {
-	begun := &run{service: p.service, key: p.key, handle: handle, cut: cut, began: time.Now(), granted: p.grant != 0}
+	begun := &run{service: p.service, key: p.key, handle: handle, cut: cut, began: clock.Now(), granted: p.grant != 0}
 	if p.grant != 0 {
 		p.place.Store(uint64(handle.Key()))
 		subscription.Signal(p.placed)
@@ -135,7 +136,7 @@
 
 // lost waits for the inquiry into the replica and, where its process has ended, counts that against the message.
 func (r *run) lost(ctx context.Context, ending Ending) (replicaEnded bool) {
-	ran := time.Since(r.began)
+	ran := clock.Since(r.began)
 	inquiry := r.service.inquire(r.handle)
 	select {
 	case <-inquiry.done:
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/network"
@@ -104,20 +105,20 @@
 	service.ctx, service.cancel = context.WithCancel(context.Background())
 	transport.Handle(options.Registrar, methodNotice, func() *quarantinepb.Notice { return &quarantinepb.Notice{} },
 		func(_ context.Context, _ netip.AddrPort, notice *quarantinepb.Notice) (*quarantinepb.Notice, error) {
-			service.join(notice, time.Now())
+			service.join(notice, clock.Now())
 			return &quarantinepb.Notice{}, nil
 		})
 	transport.Handle(options.Registrar, methodList, func() *quarantinepb.ListRequest { return &quarantinepb.ListRequest{} },
 		func(context.Context, netip.AddrPort, *quarantinepb.ListRequest) (*quarantinepb.ListResponse, error) {
-			return service.list(time.Now()), nil
+			return service.list(clock.Now()), nil
 		})
 	transport.Handle(options.Registrar, methodGrant, func() *quarantinepb.GrantRequest { return &quarantinepb.GrantRequest{} },
 		func(_ context.Context, _ netip.AddrPort, request *quarantinepb.GrantRequest) (*quarantinepb.GrantResponse, error) {
-			return service.give(request, time.Now()), nil
+			return service.give(request, clock.Now()), nil
 		})
 	transport.Handle(options.Registrar, methodRelease, func() *quarantinepb.ReleaseRequest { return &quarantinepb.ReleaseRequest{} },
 		func(_ context.Context, _ netip.AddrPort, request *quarantinepb.ReleaseRequest) (*quarantinepb.ReleaseResponse, error) {
-			service.takeBack(request, time.Now())
+			service.takeBack(request, clock.Now())
 			return &quarantinepb.ReleaseResponse{}, nil
 		})
 	return service
@@ -157,7 +158,7 @@
 
 // Recall implements Register.
 func (s *Service) Recall(key Key, ended []RecordedEnd, events int) {
-	now := time.Now()
+	now := clock.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for number, each := range ended {
@@ -306,7 +307,7 @@
 		if rejected {
 			s.rejected[key] = recordMissing
 			subscription.Signal(s.unrecorded)
-			s.logger.Warn().Stringer("digest", key).Int("ended", s.book.count(key)).Int("lost", s.book.losses.open(key)).Strs("evidence", s.book.evidence(key, time.Now())).Msg("message_rejected")
+			s.logger.Warn().Stringer("digest", key).Int("ended", s.book.count(key)).Int("lost", s.book.losses.open(key)).Strs("evidence", s.book.evidence(key, clock.Now())).Msg("message_rejected")
 		} else {
 			delete(s.rejected, key)
 		}
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -7,6 +7,7 @@
 	"time"
 
 	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/pause"
@@ -28,8 +29,8 @@
 	askInterval = 200 * time.Millisecond
 	// lookInterval is how often a node that knows no other looks for one.
 	lookInterval = 10 * time.Millisecond
-	askTimeout  = 300 * time.Millisecond
-	askRounds   = 25
+	askTimeout   = 300 * time.Millisecond
+	askRounds    = 25
 )
 
 // announce queues a message of an incident for the next notice to the other nodes. The mutex is held.
@@ -56,7 +57,7 @@
 	for {
 		select {
 		case <-s.news:
-			s.sendAll(s.takeOutbox(time.Now()))
+			s.sendAll(s.takeOutbox(clock.Now()))
 			repeat.Reset(repeatAfter)
 			select {
 			case <-time.After(noticeInterval):
@@ -64,9 +65,9 @@
 				return
 			}
 		case <-repeat.C:
-			s.sendAll(s.takeRepeats(time.Now()))
+			s.sendAll(s.takeRepeats(clock.Now()))
 		case <-refresh.C:
-			s.refresh(time.Now())
+			s.refresh(clock.Now())
 		case <-s.ctx.Done():
 			return
 		}
@@ -208,7 +209,7 @@
 
 // awaitOthers waits until another member is known, for askInterval at most: a node that has just started knows none, and callers come at once.
 func (s *Service) awaitOthers() {
-	for began := time.Now(); time.Since(began) < askInterval && s.ctx.Err() == nil; {
+	for began := clock.Now(); clock.Since(began) < askInterval && s.ctx.Err() == nil; {
 		if len(s.others()) > 0 || !pause.Sleep(s.ctx, lookInterval) {
 			return
 		}
@@ -231,7 +232,7 @@
 		s.logger.Debug().Err(err).Stringer(logging.FieldPeer, address).Msg("incidents_not_listed")
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	s.join(&response, now)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -7,6 +7,7 @@
 	"time"
 
 	quotapb "github.com/sloelift/sloelift/api/proto/quota"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 )
@@ -185,12 +186,12 @@
 
 // grantFromParts answers a request from borrowed parts; elsewhere where this node has none.
 func (s *Service) grantFromParts(ctx context.Context, request *quotapb.GrantRequest, ranked ranking) *quotapb.GrantResponse {
-	if time.Since(s.started) < settleTime {
+	if clock.Since(s.started) < settleTime {
 		return &quotapb.GrantResponse{Elsewhere: true}
 	}
 	held := s.borrowerOf(ctx, request, ranked)
 	s.renew(held, request, ranked)
-	if renewal := held.underWay(); renewal != nil && held.short(request.GetWanted(), time.Now()) {
+	if renewal := held.underWay(); renewal != nil && held.short(request.GetWanted(), clock.Now()) {
 		waited, cancel := context.WithTimeout(ctx, lendWait)
 		defer cancel()
 		select {
@@ -198,7 +199,7 @@
 		case <-waited.Done():
 		}
 	}
-	if response := held.answer(request, time.Now()); response != nil {
+	if response := held.answer(request, clock.Now()); response != nil {
 		return response
 	}
 	return &quotapb.GrantResponse{Elsewhere: true}
@@ -210,7 +211,7 @@
 	s.mutex.Lock()
 	held, known := s.borrowing[name]
 	s.mutex.Unlock()
-	if known && !held.isIdle(time.Now()) {
+	if known && !held.isIdle(clock.Now()) {
 		return held
 	}
 	level, ceded := s.release(ctx, name, ranked)
@@ -220,7 +221,7 @@
 		// Another request came first, to whom nothing was handed over then.
 		return other
 	}
-	now := time.Now()
+	now := clock.Now()
 	held = newBorrower(s.viewer.View().Self, request, level, ceded, now)
 	s.borrowing[name] = held
 	s.logger.Info().Str(logging.FieldTenant, name).Bool("handed_over", len(ceded) > 0).Float64("level", level).
@@ -230,7 +231,7 @@
 
 // renew asks for the parts that are missing or grow old, in the background.
 func (s *Service) renew(held *borrower, request *quotapb.GrantRequest, ranked ranking) {
-	due, renewal := held.beginRenewal(s.lenders(ranked), time.Now())
+	due, renewal := held.beginRenewal(s.lenders(ranked), clock.Now())
 	if renewal == nil {
 		return
 	}
@@ -247,7 +248,7 @@
 
 // lenders returns the edges that may be asked for their parts.
 func (s *Service) lenders(ranked ranking) []membership.Member {
-	now := time.Now()
+	now := clock.Now()
 	var found []membership.Member
 	for _, members := range [][]membership.Member{ranked.edges, ranked.leaving} {
 		for _, each := range members {
@@ -266,7 +267,7 @@
 	for _, each := range lenders {
 		asked.Go(func() {
 			// The lender counts from its answer on, which is later.
-			until := time.Now().Add(lendingTime)
+			until := clock.Now().Add(lendingTime)
 			response := &quotapb.LendResponse{}
 			if each.ID == self {
 				response = s.lendPart(message)
@@ -275,10 +276,10 @@
 				return
 			}
 			if response.GetLent() {
-				held.take(each.ID, response, until, time.Now())
+				held.take(each.ID, response, until, clock.Now())
 				return
 			}
-			held.refused(each.ID, time.Duration(response.GetFreeMicros())*time.Microsecond, time.Now())
+			held.refused(each.ID, time.Duration(response.GetFreeMicros())*time.Microsecond, clock.Now())
 		})
 	}
 	asked.Wait()
@@ -290,7 +291,7 @@
 	if s.mayNotHaveJoined(ranked) {
 		return &quotapb.LendResponse{}
 	}
-	given := s.lender.lend(request.GetTenant(), request.GetBorrowing(), request.GetCeded(), limitOf(request), ranked.known, time.Now())
+	given := s.lender.lend(request.GetTenant(), request.GetBorrowing(), request.GetCeded(), limitOf(request), ranked.known, clock.Now())
 	return &quotapb.LendResponse{
 		Lent: given.share > 0, Share: given.share / float64(max(1, ranked.known)), Level: given.level,
 		FreeMicros: uint64(given.freeIn.Microseconds()),
--- a/internal/quota/contact.go
+++ b/internal/quota/contact.go
@@ -6,6 +6,7 @@
 	"time"
 
 	quotapb "github.com/sloelift/sloelift/api/proto/quota"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/membership"
 )
 
@@ -53,7 +54,7 @@
 // lately.
 func (c *contact) established(ctx context.Context, service *Service, ranked ranking) bool {
 	others := ranked.others()
-	now := time.Now()
+	now := clock.Now()
 	if len(others) == 0 || c.recent(now) {
 		return true
 	}
@@ -61,12 +62,12 @@
 		return false
 	}
 	if service.anyAnswers(ctx, others[:min(contactsAsked, len(others))]) {
-		c.note(time.Now())
+		c.note(clock.Now())
 		return true
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.failedAt = time.Now()
+	c.failedAt = clock.Now()
 	return false
 }
 
--- a/internal/quota/grantor.go
+++ b/internal/quota/grantor.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	quotapb "github.com/sloelift/sloelift/api/proto/quota"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/tenant"
@@ -62,7 +63,7 @@
 	}
 	for ctx.Err() == nil {
 		held := s.grantsOf(ctx, request, ranked)
-		if response := held.answer(request, s.shareOf(ranked, limitOf(request), held.begun(), time.Now()), time.Now()); response != nil {
+		if response := held.answer(request, s.shareOf(ranked, limitOf(request), held.begun(), clock.Now()), clock.Now()); response != nil {
 			return response
 		}
 	}
@@ -88,13 +89,13 @@
 
 // mayNotHaveJoined says that this node knows no other edge, soon after its start.
 func (s *Service) mayNotHaveJoined(ranked ranking) bool {
-	return ranked.known <= 1 && time.Since(s.started) < joinTime
+	return ranked.known <= 1 && clock.Since(s.started) < joinTime
 }
 
 // askPeer asks another edge; nil where it gives no answer or does not grant. Ranks do not depend on a node's view, so that a request that
 // is passed on comes to ever higher ranks and ends.
 func (s *Service) askPeer(ctx context.Context, peer membership.Member, request *quotapb.GrantRequest, longest time.Duration) *quotapb.GrantResponse {
-	if s.notReached(peer, time.Now()) {
+	if s.notReached(peer, clock.Now()) {
 		return nil
 	}
 	response := &quotapb.GrantResponse{}
@@ -114,10 +115,10 @@
 	defer cancel()
 	if err := s.caller.Call(bounded, peer.PeerAddress, method, request, response); err != nil {
 		// Where the caller's own time ended first the edge may answer yet.
-		s.noteNoAnswer(peer, ctx.Err() == nil && bounded.Err() != nil, time.Now())
+		s.noteNoAnswer(peer, ctx.Err() == nil && bounded.Err() != nil, clock.Now())
 		return err
 	}
-	now := time.Now()
+	now := clock.Now()
 	s.contact.note(now)
 	s.zones.Of(peer.Zone).NoteAnswer(now)
 	return nil
@@ -136,8 +137,8 @@
 	name := request.GetTenant()
 	s.mutex.Lock()
 	held, known := s.granting[name]
-	if !known || held.isIdle(time.Now()) {
-		next := &grants{ready: make(chan struct{}), lastUsed: time.Now()}
+	if !known || held.isIdle(clock.Now()) {
+		next := &grants{ready: make(chan struct{}), lastUsed: clock.Now()}
 		s.granting[name] = next
 		s.mutex.Unlock()
 		next.begin(s.takeOver(ctx, request, ranked, held))
@@ -167,7 +168,7 @@
 	g.mutex.Lock()
 	g.bucket = taken
 	if !handedOver {
-		g.begunAt = time.Now()
+		g.begunAt = clock.Now()
 	}
 	g.mutex.Unlock()
 	close(g.ready)
@@ -192,7 +193,7 @@
 	s.releaseThoseBefore(request.GetTenant(), ranked)
 	level, ended := s.release(ctx, request.GetTenant(), ranked)
 	handedOver = len(ended) > 0
-	now := time.Now()
+	now := clock.Now()
 	own := before.bucketBefore()
 	switch {
 	case handedOver && own != nil:
@@ -287,7 +288,7 @@
 	delete(s.granting, tenantName)
 	s.mutex.Unlock()
 	if borrows {
-		return borrower.release(time.Now())
+		return borrower.release(clock.Now())
 	}
 	if !known {
 		return &quotapb.ReleaseResponse{}
@@ -300,7 +301,7 @@
 		// It was just taking over itself.
 		return &quotapb.ReleaseResponse{}
 	}
-	held.bucket.fill(share, time.Now())
+	held.bucket.fill(share, clock.Now())
 	return &quotapb.ReleaseResponse{Held: true, Level: held.bucket.level}
 }
 
--- a/internal/quota/requester.go
+++ b/internal/quota/requester.go
@@ -7,6 +7,7 @@
 	"time"
 
 	quotapb "github.com/sloelift/sloelift/api/proto/quota"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/tenant"
 )
@@ -61,7 +62,7 @@
 
 // admit returns whether a request may be sent.
 func (r *requester) admit(ctx context.Context, limit tenant.Limit, version int64) Verdict {
-	waiting, verdict := r.enqueue(limit, version, time.Now())
+	waiting, verdict := r.enqueue(limit, version, clock.Now())
 	if waiting == nil {
 		r.service.count(verdict, decidedByGrantor)
 		return verdict
@@ -127,7 +128,7 @@
 			return
 		}
 		response := r.service.question(request)
-		r.resolve(asked, request, response, time.Now())
+		r.resolve(asked, request, response, clock.Now())
 	}
 }
 
@@ -166,7 +167,7 @@
 			asked++
 			continue
 		}
-		if s.notReached(peer, time.Now()) {
+		if s.notReached(peer, clock.Now()) {
 			continue
 		}
 		asked++
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	quotapb "github.com/sloelift/sloelift/api/proto/quota"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/tenant"
@@ -67,12 +68,12 @@
 // NewService returns a Service and registers its methods.
 func NewService(allowance Allowance, viewer membership.Viewer, caller transport.Caller, registrar transport.Registrar, registerer prometheus.Registerer, logger zerolog.Logger) *Service {
 	service := &Service{
-		allowance: allowance, viewer: viewer, caller: caller, started: time.Now(), unreached: unreached.NewPeers(unreachedFor), zones: unreached.NewZones(),
+		allowance: allowance, viewer: viewer, caller: caller, started: clock.Now(), unreached: unreached.NewPeers(unreachedFor), zones: unreached.NewZones(),
 		logger: logger.With().Str(logging.FieldSlice, "quota").Logger(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sloelift_quota_requests_total", Help: "Requests of tenants with a limit, by verdict and by whether a grantor decided.",
 		}, []string{"verdict", "decided_by"}),
-		granting: map[string]*grants{}, borrowing: map[string]*borrower{}, lender: newLender(time.Now()), begun: map[string]time.Time{}, asking: map[string]*requester{},
+		granting: map[string]*grants{}, borrowing: map[string]*borrower{}, lender: newLender(clock.Now()), begun: map[string]time.Time{}, asking: map[string]*requester{},
 	}
 	service.ctx, service.cancel = context.WithCancel(context.Background())
 	registerer.MustRegister(service.requests)
@@ -131,7 +132,7 @@
 
 // noteContact takes in that an edge called: this node is in touch, and that edge is there.
 func (s *Service) noteContact(from netip.AddrPort) {
-	s.contact.note(time.Now())
+	s.contact.note(clock.Now())
 	s.unreached.Forget(from)
 }
 
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/network"
 )
 
@@ -120,11 +121,11 @@
 		abandon()
 		return nil, fmt.Errorf("read the answer: %w", err)
 	}
-	handle.zone.NoteAnswer(time.Now())
+	handle.zone.NoteAnswer(clock.Now())
 	if load, reported := parseLoad(response.Header.Get(c.headers.Load)); reported {
-		handle.NoteLoad(load, time.Now())
+		handle.NoteLoad(load, clock.Now())
 	}
-	handle.noteCold(response.Header, c.headers.ColdFor, time.Now())
+	handle.noteCold(response.Header, c.headers.ColdFor, clock.Now())
 	keep := keepFor(response)
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framed: isFramed(response), Body: response.Body}
 	answer.finish = func(whole bool) {
@@ -133,7 +134,7 @@
 			used.close()
 			return
 		}
-		used.idleUntil = time.Now().Add(keep)
+		used.idleUntil = clock.Now().Add(keep)
 		handle.pool.put(used)
 	}
 	return answer, nil
@@ -147,7 +148,7 @@
 	c.probeZones(ctx, handle)
 	admittedAt := call.AdmittedAt
 	if admittedAt.IsZero() {
-		admittedAt = time.Now()
+		admittedAt = clock.Now()
 	}
 	used, err := c.connect(ctx, handle, call)
 	if err != nil {
@@ -158,7 +159,7 @@
 		used.close()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
 	}
-	if handle.staleAdmission(admittedAt, time.Now()) {
+	if handle.staleAdmission(admittedAt, clock.Now()) {
 		used.close()
 		return nil, fmt.Errorf("%w: the connection to a cold replica took too long", ErrNotSent)
 	}
@@ -172,7 +173,7 @@
 
 // connect takes a kept connection to the replica or makes a new one. Each of its errors wraps ErrNotSent.
 func (c *Client) connect(ctx context.Context, handle *Handle, call Call) (*connection, error) {
-	now := time.Now()
+	now := clock.Now()
 	if !call.Fresh && handle.zone.AnsweredWithin(pathTrusted, now) {
 		if kept := handle.pool.take(now); kept != nil {
 			return kept, nil
@@ -189,7 +190,7 @@
 		}
 		return nil, fmt.Errorf("%w: connect to %s: %w", ErrNotSent, handle.Info().Address, err)
 	}
-	handle.zone.NoteAnswer(time.Now())
+	handle.zone.NoteAnswer(clock.Now())
 	return newConnection(raw), nil
 }
 
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/sloelift/sloelift/internal/clock"
 )
 
 // SendWithin is the longest time from a ColdPass's Take to the first byte of the request: a connection that takes longer to come up, as
@@ -206,7 +208,7 @@
 // noteEntry takes in a replica's entry; before is the one known so far, nil where the replica is new, and written says that the entry has
 // just been written: one that is merely listed once more starts no cold time again. The mutex is held.
 func (d *Directory) noteEntry(handle *Handle, before *Info, written bool) {
-	info, now := handle.Info(), time.Now()
+	info, now := handle.Info(), clock.Now()
 	if before == nil && d.coldTerms != nil {
 		_, bounded := d.coldTerms(info.Service)
 		handle.SetColdBounded(bounded)
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/subscription"
 	"github.com/sloelift/sloelift/internal/unreached"
 )
@@ -45,7 +46,7 @@
 // Slots returns the number of requests that the replicas of service which take new ones work on at once, those among them that this node does
 // not know.
 func (v *View) Slots(service string) int {
-	slots, now := 0, time.Now()
+	slots, now := 0, clock.Now()
 	for _, handle := range v.byService[service] {
 		if handle.Usable() {
 			slots += handle.usableSlots(now)
--- a/internal/replica/evacuated.go
+++ b/internal/replica/evacuated.go
@@ -4,6 +4,8 @@
 	"errors"
 	"maps"
 	"time"
+
+	"github.com/sloelift/sloelift/internal/clock"
 )
 
 // ErrEvacuated says that nothing is sent to the replica since its zone is evacuated; it comes with ErrNotSent and says nothing of the
@@ -49,7 +51,7 @@
 // SetEvacuated has the replicas of the given zones, and of no others, get nothing more. They stay in the directory: what runs there goes on.
 func (d *Directory) SetEvacuated(zones map[string]bool) {
 	d.mutex.Lock()
-	now := time.Now()
+	now := clock.Now()
 	for zone := range d.evacuated {
 		if !zones[zone] {
 			d.evacuationEnded[zone] = now
@@ -65,7 +67,7 @@
 // was known here.
 func (d *Directory) NoteEvacuationEnded(zone string) {
 	d.mutex.Lock()
-	d.evacuationEnded[zone] = time.Now()
+	d.evacuationEnded[zone] = clock.Now()
 	d.markZones()
 	d.mutex.Unlock()
 	d.subscribers.Notify(d.View())
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/unreached"
 )
 
@@ -100,7 +101,7 @@
 // Acquire counts a request until release is called.
 func (h *Handle) Acquire() (release func()) {
 	h.addInUse(1)
-	h.NoteSent(time.Now())
+	h.NoteSent(clock.Now())
 	var once sync.Once
 	return func() { once.Do(func() { h.addInUse(-1) }) }
 }
@@ -131,11 +132,11 @@
 }
 
 // processStart is the origin of times that no step of the time of day changes.
-var processStart = time.Now()
+var processStart = clock.Now()
 
 // NoteAnswer notes that bytes of an answer have come.
 func (h *Handle) NoteAnswer() {
-	now := time.Now()
+	now := clock.Now()
 	h.answeredAt.Store(int64(now.Sub(processStart)))
 	h.zone.NoteAnswer(now)
 }
--- a/internal/replica/load_report.go
+++ b/internal/replica/load_report.go
@@ -7,7 +7,8 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
+
+	"github.com/sloelift/sloelift/internal/clock"
 )
 
 // loadFigures is how many figures a load always has; some replicas add the time that work takes.
@@ -61,11 +62,11 @@
 	if born := handle.Info().Born; born > 0 && load.Born > 0 && load.Born != born {
 		if load.Born > born {
 			// The life that was asked has ended, though its entry still stands.
-			handle.Ended(time.Now())
+			handle.Ended(clock.Now())
 		}
 		return fmt.Errorf("load report of a life that started at %d, not at %d", load.Born, born)
 	}
 	load.Slots = handle.Info().Slots
-	handle.NoteLoad(load, time.Now())
+	handle.NoteLoad(load, clock.Now())
 	return nil
 }
--- a/internal/replica/reached.go
+++ b/internal/replica/reached.go
@@ -4,11 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/sloelift/sloelift/internal/clock"
 )
 
 // Silent notes that no connection to the replica came up, or that no answer came for a while. After several such replicas of a zone the zone
 // counts as cut off.
-func (h *Handle) Silent() { h.zone.NoteSilence(h.Info().ID, time.Now()) }
+func (h *Handle) Silent() { h.zone.NoteSilence(h.Info().ID, clock.Now()) }
 
 // ZoneCutOff says that no replica of its zone is reached, as far as this process knows.
 func (h *Handle) ZoneCutOff() bool { return h.zone.CutOff() }
@@ -35,7 +37,7 @@
 	if near.probesDue == nil {
 		return
 	}
-	for _, handle := range near.probesDue(time.Now()) {
+	for _, handle := range near.probesDue(clock.Now()) {
 		go func() {
 			// Without a connection the zone stays cut off, and connect has noted that.
 			if probed, err := c.connect(context.WithoutCancel(ctx), handle, Call{Fresh: true}); err == nil {
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/sloelift/sloelift/internal/clock"
 )
 
 const (
@@ -55,7 +57,7 @@
 	use := Use{Requests: h.InUse(), Reading: int(h.reading.Load())}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if time.Now().Before(h.failingUntil) {
+	if clock.Now().Before(h.failingUntil) {
 		use.Avoiding = 1
 	}
 	return use
--- a/internal/roster/follower.go
+++ b/internal/roster/follower.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	rosterpb "github.com/sloelift/sloelift/api/proto/roster"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/pause"
@@ -92,7 +93,7 @@
 
 // NewFollower returns a Follower that has asked nobody.
 func NewFollower(options FollowerOptions) *Follower {
-	follower := &Follower{options: options, started: time.Now()}
+	follower := &Follower{options: options, started: clock.Now()}
 	follower.growth.SettledFor(options.Viewer.View(), follower.started)
 	return follower
 }
@@ -132,10 +133,10 @@
 
 // Run follows until there is no more reason to.
 func (f *Follower) Run(ctx context.Context) End {
-	began := time.Now()
+	began := clock.Now()
 	f.attempt = 0
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := clock.Now()
 		if f.IsRelay(now) {
 			return EndRelay
 		}
@@ -170,8 +171,8 @@
 
 // step asks one relay and takes its answer; short says that each node keeps all replicas.
 func (f *Follower) step(ctx context.Context, targets []netip.AddrPort) (short bool) {
-	if f.attempt > 0 && time.Since(f.movedAt) >= firstRelayAgain {
-		f.attempt, f.movedAt = 0, time.Now()
+	if f.attempt > 0 && clock.Since(f.movedAt) >= firstRelayAgain {
+		f.attempt, f.movedAt = 0, clock.Now()
 	}
 	hold := holdTime
 	if f.version == 0 || f.attempt > 0 && f.movedAt.After(f.tookAt) {
@@ -182,11 +183,11 @@
 	case err != nil:
 		f.giveUp(ctx, len(targets), 0)
 	case response.GetKeptElsewhere():
-		f.reachedAt = time.Now()
+		f.reachedAt = clock.Now()
 		f.giveUp(ctx, len(targets), 0)
 	case response.GetShort():
 		return true
-	case f.isOlder(response, time.Now()):
+	case f.isOlder(response, clock.Now()):
 		f.giveUp(ctx, len(targets), behindPause)
 	default:
 		f.take(response)
@@ -216,7 +217,7 @@
 // giveUp has the next relay asked, after a pause.
 func (f *Follower) giveUp(ctx context.Context, relays int, wait time.Duration) {
 	if f.attempt == 0 {
-		f.movedAt = time.Now()
+		f.movedAt = clock.Now()
 	}
 	f.attempt++
 	if f.attempt%relays == 0 {
@@ -252,7 +253,7 @@
 	defer cancel()
 	response := &rosterpb.FollowResponse{}
 	err := f.options.Caller.Call(bounded, relay, methodFollow, &rosterpb.FollowRequest{
-		Node: string(f.options.Node), Zone: f.options.Zone, Width: uint32(f.options.Keeper.Width(time.Now())),
+		Node: string(f.options.Node), Zone: f.options.Zone, Width: uint32(f.options.Keeper.Width(clock.Now())),
 		KnownRun: f.run, KnownVersion: f.version, HoldMicros: hold.Microseconds(), AcceptStale: acceptStale,
 	}, response)
 	if err != nil {
@@ -283,7 +284,7 @@
 		f.version = 0
 	}
 	f.copied = response.GetCopied()
-	f.tookAt = time.Now()
+	f.tookAt = clock.Now()
 }
 
 func decodeAll(messages []*rosterpb.Replica) (replicas []replica.Info, failures error) {
--- a/internal/roster/relay.go
+++ b/internal/roster/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	rosterpb "github.com/sloelift/sloelift/api/proto/roster"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/transport"
 )
@@ -34,7 +35,7 @@
 
 // NewRelay returns a Relay of what roster holds, and registers its method.
 func NewRelay(roster *Roster, stale func() bool, registrar transport.Registrar) *Relay {
-	relay := &Relay{roster: roster, stale: stale, run: rand.Uint64(), bookmarks: newBookmarks(time.Now())}
+	relay := &Relay{roster: roster, stale: stale, run: rand.Uint64(), bookmarks: newBookmarks(clock.Now())}
 	transport.Handle(registrar, methodFollow, func() *rosterpb.FollowRequest { return &rosterpb.FollowRequest{} },
 		func(ctx context.Context, _ netip.AddrPort, request *rosterpb.FollowRequest) (*rosterpb.FollowResponse, error) {
 			return relay.answer(ctx, request)
@@ -70,7 +71,7 @@
 	loaded, long := r.roster.Loaded(), r.roster.Long()
 	switch {
 	case loaded && long:
-		return r.compare(request, time.Now())
+		return r.compare(request, clock.Now())
 	case loaded:
 		return &rosterpb.FollowResponse{Short: true}, true
 	case long:
--- a/internal/snapshotcache/cache.go
+++ b/internal/snapshotcache/cache.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/platform"
@@ -89,7 +90,7 @@
 		KeyValue: options.Store, options: options, metrics: metrics, file: newFile(options.DataFolder),
 		logger:   options.Logger.With().Str(logging.FieldSlice, "snapshotcache").Logger(),
 		complete: make(chan struct{}), confirmed: make(chan struct{}), wake: make(chan struct{}, 1), unsaved: make(chan struct{}, 1),
-		started: time.Now(), contents: map[string]*content{}, peers: newPeers(rand.New(rand.NewPCG(options.RandomSeed, 0))),
+		started: clock.Now(), contents: map[string]*content{}, peers: newPeers(rand.New(rand.NewPCG(options.RandomSeed, 0))),
 	}
 	cache.peers.add(fromSeed, options.Seeds...)
 	cache.register()
@@ -136,7 +137,7 @@
 			return listing, err
 		}
 	}
-	if err := c.takeListing(prefix, listing, time.Now()); err != nil {
+	if err := c.takeListing(prefix, listing, clock.Now()); err != nil {
 		return platform.Listing{}, err
 	}
 	return listing, nil
@@ -241,7 +242,7 @@
 	go func() {
 		defer close(events)
 		for event := range source {
-			c.takeChange(prefix, event, time.Now())
+			c.takeChange(prefix, event, clock.Now())
 			select {
 			case events <- event:
 			case <-ctx.Done():
--- a/internal/snapshotcache/exchange.go
+++ b/internal/snapshotcache/exchange.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	snapshotcachepb "github.com/sloelift/sloelift/api/proto/snapshotcache"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/subscription"
@@ -174,7 +175,7 @@
 func (c *Cache) handOver() {
 	c.taking.Lock()
 	defer c.taking.Unlock()
-	for _, fresh := range c.fresh(time.Now()) {
+	for _, fresh := range c.fresh(clock.Now()) {
 		fresh.take(fresh.listing)
 	}
 }
--- a/internal/snapshotcache/offers.go
+++ b/internal/snapshotcache/offers.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	snapshotcachepb "github.com/sloelift/sloelift/api/proto/snapshotcache"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/pause"
 )
@@ -56,7 +57,7 @@
 // node with a data folder.
 func (c *Cache) offerTargets() []netip.AddrPort {
 	view := c.options.Viewer.View()
-	remembering := time.Since(c.started) < rememberFor
+	remembering := clock.Since(c.started) < rememberFor
 	if c.offersBy.view != view || c.offersBy.remembering != remembering {
 		c.offersBy = offersBy{view: view, remembering: remembering, targets: offerTo(view.Self, c.machines())}
 	}
@@ -73,7 +74,7 @@
 // machines returns the nodes that are known, sorted by ID: the members, and for a while after the start those that the file named.
 func (c *Cache) machines() []machine {
 	known := map[membership.NodeID]machine{}
-	if time.Since(c.started) < rememberFor {
+	if clock.Since(c.started) < rememberFor {
 		c.mutex.Lock()
 		for _, named := range c.remembered {
 			known[named.id] = named
--- a/internal/snapshotcache/since.go
+++ b/internal/snapshotcache/since.go
@@ -7,6 +7,7 @@
 	"time"
 
 	snapshotcachepb "github.com/sloelift/sloelift/api/proto/snapshotcache"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/platform"
@@ -40,7 +41,7 @@
 // answerSince waits until the service has confirmed what is known of the prefix since the question came: the answer is then as new as a listing of
 // the asking node would have been.
 func (c *Cache) answerSince(ctx context.Context, request *snapshotcachepb.SinceRequest) (*snapshotcachepb.SinceResponse, error) {
-	came := time.Now()
+	came := clock.Now()
 	over := time.NewTimer(sinceHold)
 	defer over.Stop()
 	for {
--- a/internal/unreached/zones.go
+++ b/internal/unreached/zones.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/sloelift/sloelift/internal/clock"
 )
 
 const (
@@ -32,7 +34,7 @@
 	defer z.mutex.Unlock()
 	found := z.byName[name]
 	if found == nil {
-		found = &Zone{start: time.Now()}
+		found = &Zone{start: clock.Now()}
 		z.byName[name] = found
 	}
 	return found
