Node: suspensions of the machine are logged and counted

machine_suspended with its length, and sloelift_machine_suspended_seconds_total: without them a lease that ended early by the clock of package clock has no visible reason.

--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -131,7 +131,7 @@
 		membershipTimingOf,
 	),
 	transport.Module, membership.Module, ledger.Module,
-	fx.Invoke(serveMetrics, announceStore, followEvacuations, followHomes),
+	fx.Invoke(serveMetrics, announceStore, followEvacuations, followHomes, reportSuspensions),
 )
 
 func roleSlices(role settings.Role) fx.Option {
--- /dev/null
+++ b/internal/node/suspension_test.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx/fxtest"
+
+	"github.com/sloelift/sloelift/internal/clock/clocktest"
+)
+
+// TestSuspensionIsLoggedOnce: an operator sees why leases ended.
+func TestSuspensionIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var output bytes.Buffer
+		lifecycle := fxtest.NewLifecycle(t)
+		reportSuspensions(lifecycle, prometheus.NewRegistry(), zerolog.New(&output))
+		lifecycle.RequireStart()
+		clocktest.Suspend(t, 3*time.Second)
+		time.Sleep(3 * suspensionInterval)
+		lifecycle.RequireStop()
+		if lines := strings.Count(output.String(), "machine_suspended"); lines != 1 || !strings.Contains(output.String(), `"suspended":3000`) {
+			t.Errorf("%d lines: %s", lines, output.String())
+		}
+	})
+}
