Quarantine: an end that nobody saw counts like a loss

TestInnocentItemIsNotRejectedByEndsThatNobodySaw failed before: rejected after one such end and two unseen ones. Cause: an end at an unknown point of the answer counted towards the three like one that was seen, and can never be passed. Change: such ends are marked (also between nodes, a field of their own, so that ends of other builds count as before) and go into the bound of six together with losses; until then the message runs apart, where the next run shows which it is. An end that the holder or anyone else saw counts towards three, in whatever order the two are learned.

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -29,6 +29,8 @@
 	progressed   bool
 	reached      int
 	reachedKnown bool
+	// unseen says that no node saw the run to its end.
+	unseen bool
 	// origin says from where this node has it; it is not sent.
 	origin origin
 }
@@ -50,8 +52,10 @@
 // unseenRun stands for the length of a run that nobody here saw to its end: it counts, but speaks no more strongly against the message than a long one.
 const unseenRun = shortRun + time.Second
 
-// unseen returns a message whose run nobody here saw to its end.
-func unseen(from origin) suspect { return suspect{ran: unseenRun, origin: from} }
+// unseen returns a message whose run nobody here saw to its end. That of a recalled end was seen by an earlier owner.
+func unseen(from origin) suspect {
+	return suspect{ran: unseenRun, unseen: from == originLapsed, origin: from}
+}
 
 // assumed says that nobody known here saw the run to its end.
 func (s suspect) assumed() bool { return s.origin == originRecalled || s.origin == originLapsed }
@@ -138,6 +142,7 @@
 	}
 	merged.ran = min(s.ran, other.ran)
 	merged.granted = s.granted || other.granted
+	merged.unseen = s.unseen && other.unseen
 	merged.cleared = s.cleared || other.cleared
 	merged.progressed = s.progressed || other.progressed
 	merged.reached = max(s.reached, other.reached)
--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -22,7 +22,7 @@
 }
 
 func encodeSuspect(key Key, of *suspect) *quarantinepb.Suspect {
-	encoded := &quarantinepb.Suspect{Message: key[:], RanMillis: uint32(of.ran.Milliseconds()), Cleared: of.cleared, Granted: of.granted, Reached: uint32(of.reached)}
+	encoded := &quarantinepb.Suspect{Message: key[:], RanMillis: uint32(of.ran.Milliseconds()), Cleared: of.cleared, Granted: of.granted, Reached: uint32(of.reached), Unseen: of.unseen}
 	switch {
 	case of.progressed:
 		encoded.Progress = quarantinepb.Progress_PROGRESS_MADE
@@ -36,7 +36,7 @@
 // the message than a run that nobody saw.
 func decodeSuspect(doubt *quarantinepb.Suspect) suspect {
 	decoded := suspect{
-		ran: time.Duration(doubt.RanMillis) * time.Millisecond, cleared: doubt.Cleared, granted: doubt.Granted, origin: originShared,
+		ran: time.Duration(doubt.RanMillis) * time.Millisecond, cleared: doubt.Cleared, granted: doubt.Granted, unseen: doubt.Unseen, origin: originShared,
 		progressed: doubt.Progress == quarantinepb.Progress_PROGRESS_MADE, reached: int(doubt.Reached),
 		reachedKnown: doubt.Progress != quarantinepb.Progress_PROGRESS_UNSPECIFIED,
 	}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -36,11 +36,11 @@
 	if _, recalled := b.recalled[message]; recalled {
 		return Rejected
 	}
-	lost := b.losses.open(message)
+	lost, unseen := b.losses.open(message), b.unseenEnds(message)
 	switch ends := b.verdictOnEnds(message); {
-	case ends == Rejected, lost > 0 && b.unfinished(message) >= mostUnfinished:
+	case ends == Rejected, lost+unseen > 0 && b.unfinished(message) >= mostUnfinished:
 		return Rejected
-	case lost >= lossesApart:
+	case lost >= lossesApart, unseen > 0:
 		return Apart
 	default:
 		return ends
@@ -149,9 +149,23 @@
 	return slices.DeleteFunc(b.open(message), func(each *incident) bool { return b.passed(message, each) })
 }
 
-// count returns the number of replicas that ended under the message, without those that do not speak against it and those whose end another message
-// explains.
-func (b *book) count(message Key) int { return b.countEnds(message, b.against(message)) }
+// count returns the number of replicas that ended under the message, without those that do not speak against it, those whose end another message
+// explains and those that nobody saw: what the run had made there is not known, so that it counts like a loss.
+func (b *book) count(message Key) int {
+	seen := slices.DeleteFunc(b.against(message), func(each *incident) bool { return each.suspects[message].unseen })
+	return b.countEnds(message, seen)
+}
+
+// unseenEnds returns the number of replicas that ended under the message while nobody saw how its run ended.
+func (b *book) unseenEnds(message Key) int {
+	count := 0
+	for _, each := range b.against(message) {
+		if each.suspects[message].unseen {
+			count++
+		}
+	}
+	return count
+}
 
 // endedInAll says that at least so many replicas ended under the message, those whose point its answer has passed among them. Most messages have fewer ends of
 // any kind, which need not be weighed.
