--- a/internal/quarantine/bound_test.go
+++ b/internal/quarantine/bound_test.go
@@ -12,11 +12,9 @@
 // times, while nodes are killed and started. Messages that are first sent within the time in which nodes learn of each other's losses are
 // beyond the bound: the first of each comes alone.
 func TestAtMostThreeReplicasEnd(t *testing.T) {
-	seed := uint64(time.Now().UnixNano())
-	for round := range uint64(12) {
-		t.Run(fmt.Sprint(round), func(t *testing.T) {
-			t.Logf("seed %d", seed+round)
-			inCluster(t, 6, 10, func(t *testing.T, c *cluster) { checkBound(t, c, rand.New(rand.NewPCG(seed+round, 1))) })
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			inCluster(t, 6, 10, func(t *testing.T, c *cluster) { checkBound(t, c, rand.New(rand.NewPCG(seed, 1))) })
 		})
 	}
 }
