Quarantine: items and requests without prompt parts keep the digest of the build before

The change of the key had given all messages another digest: while a fleet is upgraded, nodes of both builds would have counted the ends of the same item apart, three at each.

--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -34,11 +34,11 @@
 // messageOf names what an item sends: its prompt, which items of several jobs share whose bodies differ, or its body where it names none.
 func messageOf(submission *batchpb.Submission, number int, names replica.Headers) quarantine.Key {
 	sent := submission.Items[number]
-	content := sent.Body
-	if parts := headerOf(sent).Get(names.PromptParts); parts != "" {
-		content = []byte(parts)
+	message := quarantine.Message{Method: http.MethodPost, Host: submission.Host, Target: sent.Path, PromptParts: headerOf(sent).Get(names.PromptParts)}
+	if message.PromptParts == "" {
+		message.Body = sent.Body
 	}
-	return quarantine.Message{Method: http.MethodPost, Host: submission.Host, Target: sent.Path, Content: content}.Key()
+	return message.Key()
 }
 
 // verdictOn says whether an item may be sent.
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -20,11 +20,10 @@
 	if e.handler.quarantine == nil {
 		return true
 	}
-	content := e.body
-	if len(content) == 0 {
-		content = []byte(e.request.Header.Get(e.handler.headers.PromptParts))
-	}
-	e.message = quarantine.Message{Method: e.request.Method, Host: e.request.Host, Target: targetOf(e.request), Content: content}.Key()
+	e.message = quarantine.Message{
+		Method: e.request.Method, Host: e.request.Host, Target: targetOf(e.request), Body: e.body,
+		PromptParts: e.request.Header.Get(e.handler.headers.PromptParts),
+	}.Key()
 	return e.handler.quarantine.Check(e.message) != quarantine.Rejected
 }
 
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -232,8 +232,8 @@
 }
 
 func TestKeyIsWhatAttemptsShare(t *testing.T) {
-	text := Message{Method: "POST", Host: "h", Target: "/p?q", Content: []byte("text")}
-	bare := Message{Method: "GET", Host: "h", Target: "/p?q"}
+	text := Message{Method: "POST", Host: "h", Target: "/p?q", Body: []byte("text"), PromptParts: "a:1,b:2"}
+	bare := Message{Method: "GET", Host: "h", Target: "/p?q", PromptParts: "a:1,b:2"}
 	change := func(of Message, how func(*Message)) Message {
 		how(&of)
 		return of
@@ -243,14 +243,16 @@
 		one, other Message
 		same       bool
 	}{
-		{"again", text, change(text, func(m *Message) { m.Content = []byte("text") }), true},
-		{"another content", text, change(text, func(m *Message) { m.Content = []byte("texts") }), false},
+		{"again", text, change(text, func(m *Message) { m.Body = []byte("text") }), true},
+		{"another body", text, change(text, func(m *Message) { m.Body = []byte("texts") }), false},
+		{"other parts of the same body", text, change(text, func(m *Message) { m.PromptParts = "a:1,c:2" }), true},
+		{"other parts without a body", bare, change(bare, func(m *Message) { m.PromptParts = "a:1,c:2" }), false},
 		{"another method", text, change(text, func(m *Message) { m.Method = "PUT" }), false},
 		{"another host", text, change(text, func(m *Message) { m.Host = "g" }), false},
 		{"the host in other letters", text, change(text, func(m *Message) { m.Host = "H" }), true},
 		{"another path", text, change(text, func(m *Message) { m.Target = "/r?q" }), false},
-		{"another query of the same content", text, change(text, func(m *Message) { m.Target = "/p" }), true},
-		{"another query without content", bare, change(bare, func(m *Message) { m.Target = "/p?r" }), false},
+		{"another query of the same body", text, change(text, func(m *Message) { m.Target = "/p" }), true},
+		{"another query without a body", bare, change(bare, func(m *Message) { m.Target = "/p?r" }), false},
 		{"what reads alike when joined", text, change(text, func(m *Message) { m.Method, m.Host = "POSTh", "" }), false},
 	} {
 		if same := test.one.Key() == test.other.Key(); same != test.same {
@@ -258,3 +260,15 @@
 		}
 	}
 }
+
+// TestKeyIsThatOfTheBuildBefore: nodes of both builds run side by side while a fleet is upgraded, and count the same items together.
+func TestKeyIsThatOfTheBuildBefore(t *testing.T) {
+	for want, message := range map[string]Message{
+		"9119a2aa1cdc": {Method: "POST", Host: "h", Target: "/jobs/1", PromptParts: "a:1,b:2"},
+		"23c128f0595d": {Method: "POST", Host: "h", Target: "/jobs/1", Body: []byte("text")},
+	} {
+		if got := message.Key().String(); got != want {
+			t.Errorf("%+v: %s, want %s", message, got, want)
+		}
+	}
+}
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -16,28 +16,30 @@
 func (k Key) String() string { return hex.EncodeToString(k[:6]) }
 
 // Message is what the attempts of one message share, whoever sends them: callers that try again, a resumed stream, an item of a batch job.
-// Headers of one attempt are no part of it: its id, its tenant, and the prompt parts, which may name one of the attempt's own.
+// Headers of one attempt are no part of it: its id, its tenant, and beside a body the prompt parts, which may name one of the attempt's own.
 type Message struct {
 	Method string
 	Host   string
-	// Target is the path and query. The query counts where Content is empty.
+	// Target is the path and query.
 	Target string
-	// Content is what the engine makes its answer from: the body of a request.
-	Content []byte
+	Body   []byte
+	// PromptParts is the list of the prompt's parts. It counts where Body is empty, as the query does.
+	PromptParts string
 }
 
 // Key returns the digest of the message.
 func (m Message) Key() Key {
-	target := m.Target
-	if len(m.Content) > 0 {
+	target, parts := m.Target, m.PromptParts
+	if len(m.Body) > 0 {
 		target, _, _ = strings.Cut(target, "?")
+		parts = ""
 	}
 	digest := sha256.New()
-	for _, text := range []string{m.Method, strings.ToLower(m.Host), target} {
+	for _, text := range []string{m.Method, strings.ToLower(m.Host), target, parts} {
 		writeLength(digest, len(text))
 		_, _ = io.WriteString(digest, text)
 	}
-	_, _ = digest.Write(m.Content)
+	_, _ = digest.Write(m.Body)
 	return Key(digest.Sum(nil)[:len(Key{})])
 }
 
--- a/internal/quarantine/recurring_test.go
+++ b/internal/quarantine/recurring_test.go
@@ -9,7 +9,7 @@
 
 // attemptKey is the key of one attempt at a request, whose prompt parts and query may be those of the attempt.
 func attemptKey(number int) Key {
-	return Message{Method: "POST", Host: "h", Target: fmt.Sprintf("/ask/1?try=%d", number), Content: []byte("body")}.Key()
+	return Message{Method: "POST", Host: "h", Target: fmt.Sprintf("/ask/1?try=%d", number), Body: []byte("body"), PromptParts: fmt.Sprintf("5c1e:800,%x:410", number)}.Key()
 }
 
 // TestRequestThatCrashesReplicasIsRejectedWhateverPartsItNames guards the bound of three replicas where each attempt names other prompt parts.
