Quarantine: losses of one message are bounded, and a node that is the last and leaves writes no record

Both found by reading the change once more. TestLeavingNodeWritesNoRecord ended the process before (index out of range: a leaving node counts as no keeper, and nobody else lived); TestLossesOfAPopularMessageAreBounded kept 240 losses where 24 are the most now: a popular message loses connections and comes to its end all the time, and each notice carried all of them.

--- a/internal/quarantine/losses.go
+++ b/internal/quarantine/losses.go
@@ -15,8 +15,10 @@
 	mostUnfinished = 2 * mostEnded
 	// lossesApart is the number of losses from which on a message runs apart. One connection is lost by chance.
 	lossesApart = 2
-	// maxLossMessages bounds the messages whose losses are remembered.
+	// maxLossMessages bounds the messages whose losses are remembered, maxLosses those of one message: a popular one loses connections, and comes to
+	// its end, all the time.
 	maxLossMessages = 1024
+	maxLosses       = 4 * mostUnfinished
 	// lossKeepers is the number of nodes, by rank, to which a loss is reported: the keeper may be down.
 	lossKeepers = 2
 )
@@ -39,6 +41,10 @@
 	known := l[message][run]
 	switch {
 	case known == nil:
+		l.forgetCleared(message)
+		if len(l[message]) >= maxLosses {
+			return false
+		}
 		l[message][run] = &joined
 		return true
 	case joined.cleared && !known.cleared:
@@ -49,6 +55,22 @@
 	}
 }
 
+// forgetCleared drops the oldest cleared loss of a message that has too many.
+func (l losses) forgetCleared(message Key) {
+	if len(l[message]) < maxLosses {
+		return
+	}
+	dropped, found := uint64(0), false
+	for run, each := range l[message] {
+		if each.cleared && (!found || each.at.Before(l[message][dropped].at)) {
+			dropped, found = run, true
+		}
+	}
+	if found {
+		delete(l[message], dropped)
+	}
+}
+
 // open counts the losses of a message since which it has neither come to its end nor further.
 func (l losses) open(message Key) int {
 	count := 0
--- a/internal/quarantine/losses_test.go
+++ b/internal/quarantine/losses_test.go
@@ -129,6 +129,18 @@
 	}
 }
 
+// TestLossesOfAPopularMessageAreBounded: cleared ones give way, open ones stay.
+func TestLossesOfAPopularMessageAreBounded(t *testing.T) {
+	now, key := time.Unix(1_000_000, 0), keyOf("a")
+	kept := losses{}
+	for run := range uint64(10 * maxLosses) {
+		kept.add(key, run, loss{at: now.Add(time.Duration(run) * time.Second), cleared: run%3 != 0 || run >= maxLosses/2})
+	}
+	if len(kept[key]) != maxLosses || kept.open(key) != maxLosses/6 {
+		t.Errorf("%d losses are kept, %d of them open, want %d and %d", len(kept[key]), kept.open(key), maxLosses, maxLosses/6)
+	}
+}
+
 // TestLossesJoinInAnyOrder: a cleared loss stays cleared, and one that is known counts once.
 func TestLossesJoinInAnyOrder(t *testing.T) {
 	now, key := time.Unix(1_000_000, 0), keyOf("a")
--- a/internal/quarantine/recorded.go
+++ b/internal/quarantine/recorded.go
@@ -74,7 +74,10 @@
 	defer s.mutex.Unlock()
 	var missing []Key
 	for message, state := range s.rejected {
-		if state == recordMissing && keepers(view, message)[0].ID == view.Self {
+		if state != recordMissing {
+			continue
+		}
+		if ranked := keepers(view, message); len(ranked) > 0 && ranked[0].ID == view.Self {
 			missing = append(missing, message)
 		}
 	}
--- a/internal/quarantine/recorded_test.go
+++ b/internal/quarantine/recorded_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/sloelift/sloelift/internal/membership"
 )
 
 // rejectOn has replicas crash under the message until it is rejected.
@@ -123,3 +125,18 @@
 		}
 	})
 }
+
+// TestLeavingNodeWritesNoRecord: it counts as no keeper, and nobody else lives.
+func TestLeavingNodeWritesNoRecord(t *testing.T) {
+	inCluster(t, 1, 8, func(t *testing.T, c *cluster) {
+		at, key := c.nodes[0], keyOf("a")
+		rejectOn(c, at, key)
+		at.view.Set(&membership.View{Self: at.id, Members: []membership.Member{c.member(at, membership.Leaving)}})
+		at.mutex.Lock()
+		at.rejected[key] = recordMissing
+		at.mutex.Unlock()
+		if missing := at.missingRecords(); len(missing) != 0 {
+			t.Errorf("%d records are to be written", len(missing))
+		}
+	})
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -159,8 +159,8 @@
 // unseenEnds returns the number of replicas that ended under the message while nobody saw how its run ended.
 func (b *book) unseenEnds(message Key) int {
 	count := 0
-	for _, each := range b.against(message) {
-		if each.suspects[message].unseen {
+	for _, each := range b.byMessage[message] {
+		if doubt := each.suspects[message]; doubt.unseen && !doubt.cleared && !b.passed(message, each) {
 			count++
 		}
 	}
