Ledger: a store that is asked for an earlier incarnation names the ensemble that it knows

Cause, by a trace (temporary log lines in a copy): the edges knew an ensemble of which every store had lost its disk or was retired since, and the platform's store was away. Their survey had no answers: each store was another incarnation and said nothing else. The same strands a partition for good: after its owner lost its disk no node knew a living store of it. TestLocatorFindsTheOwnerWhereAllStoresThatItKnowsAreGone failed before in just that ('append b' not within a minute). Change: a survey of an earlier incarnation is still answered WRONG_STORE, with the ensemble that the store was told of; nothing is promised by it and it counts to no quorum. The locator goes on with the newer ensemble, as an attempt to own does already.

--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -110,18 +110,7 @@
 		case <-ctx.Done():
 			return result
 		}
-		if response.GetStatus() != ledgerpb.Status_STATUS_OK {
-			continue
-		}
-		result.answers++
-		promised := wire.ToBallot(response.Promised)
-		result.number = max(result.number, promised.Number)
-		if result.promised.Below(promised) {
-			result.promised = promised
-		}
-		if known := wire.ToEnsemble(response.Ensemble); known.Version > result.ensemble.Version {
-			result.ensemble = known
-		}
+		result.take(response)
 		if result.answers >= ensemble.ReadQuorum() || result.ensemble.Version > ensemble.Version {
 			break
 		}
@@ -129,6 +118,25 @@
 	return result
 }
 
+// take takes in the answer of one store. One that has lost its disk since it was a member has promised nothing, but knows its ensemble.
+func (r *surveyResult) take(response *ledgerpb.SurveyResponse) {
+	switch response.GetStatus() {
+	case ledgerpb.Status_STATUS_OK:
+		r.answers++
+		promised := wire.ToBallot(response.Promised)
+		r.number = max(r.number, promised.Number)
+		if r.promised.Below(promised) {
+			r.promised = promised
+		}
+	case ledgerpb.Status_STATUS_WRONG_STORE:
+	default:
+		return
+	}
+	if known := wire.ToEnsemble(response.GetEnsemble()); known.Version > r.ensemble.Version {
+		r.ensemble = known
+	}
+}
+
 // askRelease asks the owner of the highest promised ballot to finish its appends and let go. It returns false where
 // the owner declines; without an answer the attempt goes on all the same.
 func (m *Manager) askRelease(partition PartitionID, promised protocol.Ballot, overdue bool) bool {
--- a/internal/ledger/locator.go
+++ b/internal/ledger/locator.go
@@ -127,11 +127,24 @@
 	if owner := m.firstOwner(ctx, view, partition, candidates); owner != "" {
 		return owner
 	}
-	ensemble, known := m.directory.ensemble(partition)
-	if !known {
-		return ""
+	return m.promisedOwner(ctx, partition)
+}
+
+// promisedOwner returns the node to which the stores of a partition's newest ensemble are promised; empty where none is known. Each store knows of
+// newer ensembles than its own, and the key-value service may be away.
+func (m *Manager) promisedOwner(ctx context.Context, partition PartitionID) membership.NodeID {
+	for ctx.Err() == nil {
+		ensemble, known := m.directory.ensemble(partition)
+		if !known {
+			return ""
+		}
+		found := m.survey(ensemble)
+		if found.ensemble.Version <= ensemble.Version {
+			return ownerNode(found.promised.Owner)
+		}
+		m.directory.learn(found.ensemble)
 	}
-	return ownerNode(m.survey(ensemble).promised.Owner)
+	return ""
 }
 
 // firstOwner asks all candidates at once and returns the first that says it owns the partition; empty where none does
--- a/internal/ledger/manager_test.go
+++ b/internal/ledger/manager_test.go
@@ -7,7 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/settings"
 )
 
 func TestAppendsSurviveOwnersAndDisks(t *testing.T) {
@@ -206,3 +208,45 @@
 		c.eventually("the next owner is found", found)
 	})
 }
+
+// TestLocatorFindsTheOwnerWhereAllStoresThatItKnowsAreGone: the key-value service is away, and each member has lost its disk since the asking node read the ensembles.
+func TestLocatorFindsTheOwnerWhereAllStoresThatItKnowsAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const partitions = 6
+		c := newCluster(t, 7)
+		c.ledger = settings.Ledger{Partitions: partitions, Replicas: 3, WriteQuorum: 2, MembersDecide: true}
+		for range 4 {
+			c.add(true)
+		}
+		asking := c.add(false)
+		defer c.stopAll()
+		old := map[PartitionID]protocol.Ensemble{}
+		for partition := range PartitionID(partitions) {
+			c.put(partition, "a")
+			c.eventually("the ensemble is known", func() bool {
+				known := false
+				old[partition], known = asking.manager.directory.ensemble(partition)
+				return known
+			})
+		}
+		time.Sleep(time.Minute)
+		c.keyValue.set(func() { c.keyValue.down = true })
+		for _, node := range c.nodes[:4] {
+			c.loseDisk(node)
+			time.Sleep(3 * c.timing.Replace)
+		}
+		directory := asking.manager.directory
+		for partition := range PartitionID(partitions) {
+			c.put(partition, "b")
+			directory.mutex.Lock()
+			directory.ensembles[partition] = old[partition]
+			directory.mutex.Unlock()
+			asking.manager.hints.set(partition, "")
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			if got, want := asking.manager.findOwner(ctx, partition), c.owner(partition).id; got != want {
+				t.Errorf("the owner of partition %d is taken to be %q, it is %q", partition, got, want)
+			}
+			cancel()
+		}
+	})
+}
--- a/internal/ledger/store/requests.go
+++ b/internal/ledger/store/requests.go
@@ -10,13 +10,14 @@
 	"github.com/sloelift/sloelift/internal/ledger/wire"
 )
 
-// Survey tells what the store has promised.
+// Survey tells what the store has promised. Whoever asks for an earlier incarnation learns the ensemble only, which may be newer than the one in which
+// that one was.
 func (s *Store) Survey(ctx context.Context, message *ledgerpb.SurveyRequest) (*ledgerpb.SurveyResponse, error) {
-	if !s.is(message.Store) {
-		return &ledgerpb.SurveyResponse{Status: ledgerpb.Status_STATUS_WRONG_STORE}, nil
-	}
 	return run(ctx, s, 0, func(*pebble.Batch) (*ledgerpb.SurveyResponse, error) {
 		state := s.state(protocol.PartitionID(message.Partition))
+		if !s.is(message.Store) {
+			return &ledgerpb.SurveyResponse{Status: ledgerpb.Status_STATUS_WRONG_STORE, Ensemble: wire.FromEnsemble(state.Ensemble)}, nil
+		}
 		return &ledgerpb.SurveyResponse{
 			Status: ledgerpb.Status_STATUS_OK, Promised: wire.FromBallot(state.Promised), Ensemble: wire.FromEnsemble(state.Ensemble),
 		}, nil
