--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,4 +1,4 @@
-// Package clock tells a time that goes on while the machine is suspended. Go's steady clock stands still then: a lease that was measured by it
+// Package clock gives a time that goes on while the machine is suspended. Go's steady clock stands still then: a lease that was measured by it
 // would be held by this node for longer than the others, or the key-value service, count it.
 //
 // Times of this package are compared with each other only. They are no time of day, and timers and deadlines of connections and contexts, which
--- a/internal/ledger/store/requests.go
+++ b/internal/ledger/store/requests.go
@@ -10,7 +10,7 @@
 	"github.com/sloelift/sloelift/internal/ledger/wire"
 )
 
-// Survey tells what the store has promised. Whoever asks for an earlier incarnation learns the ensemble only, which may be newer than the one in which
+// Survey returns what the store has promised. Whoever asks for an earlier incarnation learns the ensemble only, which may be newer than the one in which
 // that one was.
 func (s *Store) Survey(ctx context.Context, message *ledgerpb.SurveyRequest) (*ledgerpb.SurveyResponse, error) {
 	return run(ctx, s, 0, func(*pebble.Batch) (*ledgerpb.SurveyResponse, error) {
--- a/internal/quarantine/losses.go
+++ b/internal/quarantine/losses.go
@@ -23,6 +23,9 @@
 	lossKeepers = 2
 )
 
+// noReplica stands in the outbox for the losses of a message.
+const noReplica replica.Key = 0
+
 // loss is a run whose connection ended without a whole answer while its replica was not found to have ended.
 type loss struct {
 	at      time.Time
@@ -195,7 +198,7 @@
 	s.reportLosses(key, clock.Now())
 }
 
-// reportLosses tells the keepers of a message what this node knows; they announce it to all once it matters to all. The mutex is held.
+// reportLosses sends the keepers of a message the losses that this node knows; they announce them to all nodes from lossesApart on. The mutex is held.
 func (s *Service) reportLosses(key Key, now time.Time) {
 	view := s.viewer.View()
 	notice := &quarantinepb.Notice{Losses: s.book.losses.encode(key, now)}
@@ -237,15 +240,7 @@
 	}
 }
 
-// unfinished counts the runs of a message that may each have ended a replica: those whose replica was found to have ended, and those that were lost.
-func (b *book) unfinished(message Key) int {
-	return len(b.against(message)) + b.losses.open(message)
-}
-
 // announceLosses queues the losses of a message for the next notice to the other nodes. The mutex is held.
 func (s *Service) announceLosses(key Key) {
 	s.announce(noReplica, key)
 }
-
-// noReplica stands in the outbox for the losses of a message.
-const noReplica replica.Key = 0
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -206,6 +206,11 @@
 	return found
 }
 
+// unfinished counts the runs of a message that may each have ended a replica: those whose replica was found to have ended, and those that were lost.
+func (b *book) unfinished(message Key) int {
+	return len(b.against(message)) + b.losses.open(message)
+}
+
 // explained says that another message than the given one accounts for the incident.
 func (b *book) explained(of *incident, except Key) bool {
 	for other, doubt := range of.suspects {
--- a/lab/roles/run_test.go
+++ b/lab/roles/run_test.go
@@ -81,6 +81,15 @@
 	}
 }
 
+// namesOf returns the names of kinds of faults, as options name them.
+func namesOf(kinds []faultKind) []string {
+	var names []string
+	for _, kind := range kinds {
+		names = append(names, string(kind))
+	}
+	return names
+}
+
 // playLongItems plays a seed with items that run for a second or more, so that one of them meets the end of its replica; endings is the share of items that end
 // each replica on which they run.
 func playLongItems(t *testing.T, seed uint64, only []faultKind, endings float64) {
@@ -88,12 +97,8 @@
 	if testing.Short() {
 		t.Skip("plays real processes for half a minute")
 	}
-	var names []string
-	for _, kind := range only {
-		names = append(names, string(kind))
-	}
 	report := playKept(t, Options{
-		Program: buildProgram(t), Seed: seed, Runs: 1, Each: 15 * time.Second, Only: names, ItemEvents: 350, EndingItems: endings,
+		Program: buildProgram(t), Seed: seed, Runs: 1, Each: 15 * time.Second, Only: namesOf(only), ItemEvents: 350, EndingItems: endings,
 		Replicas: 10, OnlinePerSecond: 40, JobsPerSecond: 2.5,
 	})
 	if report.Counts.ItemsDone == 0 || endings > 0 && report.Counts.MostEnded == 0 {
@@ -124,12 +129,8 @@
 	if testing.Short() {
 		t.Skip("plays real processes for half a minute")
 	}
-	var names []string
-	for _, kind := range only {
-		names = append(names, string(kind))
-	}
 	report := playKept(t, Options{
-		Program: buildProgram(t), Seed: seed, Runs: 1, Each: 20 * time.Second, Only: names, CrashingRequests: 2, Replicas: 10, OnlinePerSecond: 30, JobsPerSecond: 0.5,
+		Program: buildProgram(t), Seed: seed, Runs: 1, Each: 20 * time.Second, Only: namesOf(only), CrashingRequests: 2, Replicas: 10, OnlinePerSecond: 30, JobsPerSecond: 0.5,
 	})
 	if report.Counts.OnlineServed == 0 || report.Counts.MostCrashed == 0 {
 		t.Errorf("nothing was shown: %+v", report.Counts)
