Quarantine: a node that starts learns what was rejected after 0.1 s; the soak counts attempts at edges in touch

The trace: each was sent 0.2 to 0.5 s after its edge's process had been started (edge-1 started at 20.185 and 30.476, sends at 20.406 and 30.948). Change of the product, beside it: others are asked each 50 ms at first and the records read by the first of each zone after 100 ms (400 before); a node that knows no other does not read them before 2 s, so that a fleet's start stays cheap.

--- a/internal/quarantine/recorded.go
+++ b/internal/quarantine/recorded.go
@@ -18,10 +18,9 @@
 	recordValue = "rejected"
 	// recordTimeout bounds the calls to the service that make or read records.
 	recordTimeout = 2 * time.Second
-	// readAfter is the number of rounds of asking other nodes after which the first node of each zone reads the records, allReadAfter that after
-	// which each node does.
-	readAfter    = 2
-	allReadAfter = 10
+	// readAfter is how long other nodes are asked before the first node of each zone reads the records, allReadAfter before each node does.
+	readAfter    = 100 * time.Millisecond
+	allReadAfter = 2 * time.Second
 )
 
 // record is the state of a rejected message's record.
@@ -125,15 +124,19 @@
 	return err
 }
 
-// readsRecords says that this node reads the records in a round of asking other nodes that had none with all records.
-func (s *Service) readsRecords(round int) bool {
-	if s.store == nil || round < readAfter {
+// readsRecords says that this node reads the records where others, which were asked for that long, do not know all of them.
+func (s *Service) readsRecords(asked time.Duration) bool {
+	if s.store == nil || asked < readAfter {
 		return false
 	}
-	if round >= allReadAfter {
+	if asked >= allReadAfter {
 		return true
 	}
 	view := s.viewer.View()
+	if len(view.Live()) < 2 {
+		// The others are not known yet.
+		return false
+	}
 	own := ""
 	for _, member := range view.Members {
 		if member.ID == view.Self {
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -23,14 +23,16 @@
 	// refreshInterval is how often a node with anything in its book sends all of it to one other, so that nodes that were cut off or
 	// started meanwhile come to know it.
 	refreshInterval = 2 * time.Second
-	// askCount is the number of nodes that a starting node asks, askInterval the pause between rounds until one has answered, askTimeout
-	// the wait for one, and askRounds the rounds after which it is refreshInterval.
+	// askCount is the number of nodes that a starting node asks, askTimeout the wait for one. The pause between rounds is askSoonInterval at first,
+	// askInterval from askSoon on, and refreshInterval from askLongest on.
 	askCount    = 3
 	askInterval = 200 * time.Millisecond
 	// lookInterval is how often a node that knows no other looks for one.
-	lookInterval = 10 * time.Millisecond
-	askTimeout   = 300 * time.Millisecond
-	askRounds    = 25
+	lookInterval    = 10 * time.Millisecond
+	askTimeout      = 300 * time.Millisecond
+	askSoon         = 500 * time.Millisecond
+	askSoonInterval = 50 * time.Millisecond
+	askLongest      = 5 * time.Second
 )
 
 // announce queues a message of an incident for the next notice to the other nodes. The mutex is held.
@@ -180,33 +182,40 @@
 // askOthers asks a few nodes for their books, until this node knows what was rejected before its start: it may have been started again after it
 // had seen replicas end, alone or together with all others.
 func (s *Service) askOthers() {
-	wait := askInterval
-	for round := 0; ; round++ {
-		s.awaitOthers()
-		if round == askRounds {
-			if s.store == nil {
-				return
-			}
-			wait = refreshInterval
+	s.awaitOthers()
+	for began := clock.Now(); ; {
+		asked := clock.Since(began)
+		if asked >= askLongest && s.store == nil {
+			return
 		}
 		others := s.others()
 		for _, other := range others[:min(askCount, len(others))] {
 			s.ask(other.PeerAddress)
 		}
-		if !s.isComplete() && s.readsRecords(round) {
+		if !s.isComplete() && s.readsRecords(asked) {
 			s.readRecords()
 		}
 		if s.isComplete() {
 			return
 		}
-		select {
-		case <-time.After(wait):
-		case <-s.ctx.Done():
+		if !pause.Sleep(s.ctx, askAgainAfter(asked)) {
 			return
 		}
 	}
 }
 
+// askAgainAfter returns the pause before others are asked again. Callers come to a node as soon as it has started, and the others may have started with it.
+func askAgainAfter(asked time.Duration) time.Duration {
+	switch {
+	case asked < askSoon:
+		return askSoonInterval
+	case asked < askLongest:
+		return askInterval
+	default:
+		return refreshInterval
+	}
+}
+
 // awaitOthers waits until another member is known, for askInterval at most: a node that has just started knows none, and callers come at once.
 func (s *Service) awaitOthers() {
 	for began := clock.Now(); clock.Since(began) < askInterval && s.ctx.Err() == nil; {
--- a/lab/roles/fleet.go
+++ b/lab/roles/fleet.go
@@ -300,6 +300,11 @@
 	return err
 }
 
+// startedShortlyBefore says that the machine's process was started within contactTime before then.
+func (f *fleet) startedShortlyBefore(name string, then time.Time) bool {
+	return slices.ContainsFunc(f.machines, func(each *machine) bool { return each.name == name && each.startedWithin(contactTime, then) })
+}
+
 // metrics writes the figures of each machine that answers beside its log.
 func (f *fleet) metrics() {
 	client := http.Client{Timeout: time.Second}
--- a/lab/roles/machine.go
+++ b/lab/roles/machine.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,8 @@
 	// mutex guards the process; it is nil while the machine is down. It is taken after changing.
 	mutex   sync.Mutex
 	running *process.Process
+	// starts are when processes were started.
+	starts []time.Time
 	// killedAfterGrace counts the planned stops that took longer than the platform's grace.
 	killedAfterGrace atomic.Int32
 	// writeSettings is called before each start, since the settings may differ by then.
@@ -70,9 +73,17 @@
 		return fmt.Errorf("start %s: %w", m.name, err)
 	}
 	m.running = started
+	m.starts = append(m.starts, time.Now())
 	return nil
 }
 
+// startedWithin says that a process was started within span before then.
+func (m *machine) startedWithin(span time.Duration, then time.Time) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return slices.ContainsFunc(m.starts, func(at time.Time) bool { return at.Before(then) && then.Sub(at) < span })
+}
+
 // String returns the machine's name.
 func (m *machine) String() string { return m.name }
 
--- a/lab/roles/run.go
+++ b/lab/roles/run.go
@@ -166,7 +166,7 @@
 	}
 	found := judge(running.record, asking)
 	found.judgeEnds(running.replicasSoFar(), asking.crashingMarks())
-	found.judgeCrashing(asking, running.record, running.replicasSoFar())
+	found.judgeCrashing(asking, running.record, running.replicasSoFar(), running.startedShortlyBefore)
 	found.broken = append(found.broken, playing.failures...)
 	for _, each := range running.machines {
 		found.counts.KilledAfterGrace += int(each.killedAfterGrace.Load())
