Roster: a relay that does not know the long list yet sends no node back to the store

What callers would see: no replica that enters is known at any node, for as long as it lasts; it feeds itself and survives a restart of all nodes, as the store's link is full.

Cause, from lines that the test now writes when it fails (who lists what, for how long): 96 of 120 nodes learn of the long list from a watcher at 0.637 s and ask relays; the relays find a gap at that message and still have the short list; the nodes believe them and read the first 400 entries for themselves, 16 MB on a link of 4 MiB a second. The relays' own listings are given up after 3 s among them, so that they go on to say short.

--- a/internal/discovery/fleet_harness_test.go
+++ b/internal/discovery/fleet_harness_test.go
@@ -69,6 +69,8 @@
 	store   platform.KeyValue
 	network *memory.Network
 	nodes   []*fleetNode
+	// listings are those that nodes asked the store for, so that a test that fails says who asked for what.
+	listings listingLog
 	// withCopies has each node keep what it follows, and the first relay read long lists for the others.
 	withCopies bool
 }
@@ -118,7 +120,7 @@
 	}
 	node.viewer = membershiptest.NewViewer(&membership.View{Self: node.id, Members: members})
 	node.directory = replica.NewDirectory()
-	node.feed = changefeed.New(f.store, node.transport, node.transport, node.viewer, zerolog.Nop())
+	node.feed = changefeed.New(loggedStore{KeyValue: f.store, node: node.id, log: &f.listings}, node.transport, node.transport, node.viewer, zerolog.Nop())
 	all, keeper := roster.New(), roster.NewKeeper(node.directory)
 	options := Options{
 		Store: node.feed, Translator: fleetTranslator{}, Routes: route.NewHolder(), Directory: node.directory, Viewer: node.viewer,
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -87,6 +87,11 @@
 			known[handle.Info().ID] = true
 		}
 	}
+	if f.t.Failed() {
+		for _, line := range f.listings.all() {
+			f.t.Log(line)
+		}
+	}
 	if shareOfAll := float64(len(known)) / fleetReplicas; shareOfAll < 0.5 {
 		f.t.Errorf("%s: %d of %d replicas are known to some node", when, len(known), fleetReplicas)
 	}
--- a/internal/roster/follower.go
+++ b/internal/roster/follower.go
@@ -87,7 +87,9 @@
 	movedAt time.Time
 	// staleAnswers counts those in a row of relays that get no answers of the key-value service.
 	staleAnswers int
-	// reachedAt is when a node last answered that follows relays itself.
+	// began is when the present Run began.
+	began time.Time
+	// reachedAt is when a node last answered that follows relays itself, or one that has still to learn that the list is long.
 	reachedAt time.Time
 }
 
@@ -133,14 +135,13 @@
 
 // Run follows until there is no more reason to.
 func (f *Follower) Run(ctx context.Context) End {
-	began := clock.Now()
-	f.attempt = 0
+	f.began, f.attempt = clock.Now(), 0
 	for ctx.Err() == nil {
 		now := clock.Now()
 		if f.IsRelay(now) {
 			return EndRelay
 		}
-		if f.isAlone(began, now) {
+		if f.isAlone(now) {
 			f.options.Logger.Warn().Int("attempts", f.attempt).Msg("no_relay_answers")
 			return EndAlone
 		}
@@ -157,8 +158,8 @@
 }
 
 // isAlone says that no relay has answered for long.
-func (f *Follower) isAlone(began, now time.Time) bool {
-	last := began
+func (f *Follower) isAlone(now time.Time) bool {
+	last := f.began
 	if f.tookAt.After(last) {
 		last = f.tookAt
 	}
@@ -185,6 +186,9 @@
 	case response.GetKeptElsewhere():
 		f.reachedAt = clock.Now()
 		f.giveUp(ctx, len(targets), 0)
+	case response.GetShort() && f.mayBeBehind(clock.Now()):
+		f.reachedAt = clock.Now()
+		f.giveUp(ctx, len(targets), behindPause)
 	case response.GetShort():
 		return true
 	case f.isOlder(response, clock.Now()):
@@ -196,6 +200,12 @@
 	return false
 }
 
+// mayBeBehind says that a relay which knows a short list may still have to learn of the long one for which this node asks it. If all nodes read the store
+// again for such an answer, the relays would not get their lists.
+func (f *Follower) mayBeBehind(now time.Time) bool {
+	return f.tookAt.Before(f.began) && now.Sub(f.began) < olderPatience
+}
+
 // afterAnswer has another relay asked where this one gets no answers of the key-value service, until all have said so: then the service is down,
 // and the first relay is as good as any.
 func (f *Follower) afterAnswer(ctx context.Context, stale bool, relays int) {
