Quarantine: three ends reject an item where one was of a run apart, whoever learns of it late

Change: the flag for deciding runs goes. Three ends reject an item where one of them was of a run apart; two never do, and runs side by side never do. A run apart after two known ends is the deciding one and still waits for calm. Less state, and the bound of three where an end is learned of late.

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -31,9 +31,8 @@
 	reachedKnown bool
 	// unseen says that no node saw the run to its end.
 	unseen bool
-	// item says that the run was one of an item, deciding that it was made to decide on the item.
-	item     bool
-	deciding bool
+	// item says that the run was one of an item.
+	item bool
 	// origin says from where this node has it; it is not sent.
 	origin origin
 }
@@ -149,7 +148,6 @@
 	merged.granted = s.granted || other.granted
 	merged.unseen = s.unseen && other.unseen
 	merged.item = s.item || other.item
-	merged.deciding = s.deciding || other.deciding
 	merged.cleared = s.cleared || other.cleared
 	merged.progressed = s.progressed || other.progressed
 	merged.reached = max(s.reached, other.reached)
--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -22,7 +22,7 @@
 }
 
 func encodeSuspect(key Key, of *suspect) *quarantinepb.Suspect {
-	encoded := &quarantinepb.Suspect{Message: key[:], RanMillis: uint32(of.ran.Milliseconds()), Cleared: of.cleared, Granted: of.granted, Reached: uint32(of.reached), Unseen: of.unseen, Item: of.item, Deciding: of.deciding}
+	encoded := &quarantinepb.Suspect{Message: key[:], RanMillis: uint32(of.ran.Milliseconds()), Cleared: of.cleared, Granted: of.granted, Reached: uint32(of.reached), Unseen: of.unseen, Item: of.item}
 	switch {
 	case of.progressed:
 		encoded.Progress = quarantinepb.Progress_PROGRESS_MADE
@@ -37,7 +37,7 @@
 func decodeSuspect(doubt *quarantinepb.Suspect) suspect {
 	decoded := suspect{
 		ran: time.Duration(doubt.RanMillis) * time.Millisecond, cleared: doubt.Cleared, granted: doubt.Granted, unseen: doubt.Unseen, origin: originShared,
-		item: doubt.Item, deciding: doubt.Deciding,
+		item:       doubt.Item,
 		progressed: doubt.Progress == quarantinepb.Progress_PROGRESS_MADE, reached: int(doubt.Reached),
 		reachedKnown: doubt.Progress != quarantinepb.Progress_PROGRESS_UNSPECIFIED,
 	}
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -88,7 +88,7 @@
 // ItemRegister is the Register of messages for whose answer nobody waits, so that a run of them may be put off.
 type ItemRegister interface {
 	Register
-	// AdmitItem is Admit for an item. The ends of its replicas reject the message only where one of them ended under a run that Decides.
+	// AdmitItem is Admit for an item. Ends that runs of items met side by side reject the message at no number; one of them has to have run apart.
 	AdmitItem(ctx context.Context, key Key) Permit
 	// Decides says that the message is rejected if its next run ends one more replica.
 	Decides(key Key) bool
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -66,7 +66,7 @@
 
 // Begin implements Permit.
 func (p *permit) Begin(handle *replica.Handle, cut func()) Run {
-	begun := &run{service: p.service, key: p.key, handle: handle, cut: cut, began: clock.Now(), granted: p.grant != 0}
+	begun := &run{service: p.service, key: p.key, handle: handle, cut: cut, began: clock.Now(), granted: p.grant != 0, item: p.item}
 	if p.grant != 0 {
 		p.place.Store(uint64(handle.Key()))
 		subscription.Signal(p.placed)
@@ -77,8 +77,6 @@
 		p.service.runs[p.key] = map[*run]bool{}
 	}
 	p.service.runs[p.key][begun] = true
-	begun.item = p.item
-	begun.deciding = p.item && p.grant != 0 && p.service.book.lastRun(p.key)
 	// A keeper may allow what this node's book speaks against, since it knows more: only what was learned after the permit ends the run.
 	if len(p.service.book.open(p.key)) > p.known {
 		p.service.cutRuns(p.key)
@@ -94,9 +92,8 @@
 	cut     func()
 	began   time.Time
 	granted bool
-	// item says that it is a run of an item, deciding that the item is rejected if the replica ends.
-	item     bool
-	deciding bool
+	// item says that it is a run of an item.
+	item bool
 	// progressed says that the run made events that a further run goes on behind; reached is how many the answer had then.
 	progressed bool
 	reached    int
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -184,7 +184,7 @@
 // suspect counts the end of a replica against a run's message. The mutex is held.
 func (s *Service) suspect(ended *run, at time.Time, ran time.Duration) {
 	key := ended.handle.Key()
-	doubt := suspect{ran: ran, granted: ended.granted, progressed: ended.progressed, reached: ended.reached, reachedKnown: true, item: ended.item, deciding: ended.deciding, origin: originSeen}
+	doubt := suspect{ran: ran, granted: ended.granted, progressed: ended.progressed, reached: ended.reached, reachedKnown: true, item: ended.item, origin: originSeen}
 	if ended.unseen {
 		doubt = unseen(originLapsed)
 		doubt.granted = ended.granted
@@ -196,7 +196,7 @@
 	s.announce(key, ended.key)
 	s.logger.Info().Stringer("digest", ended.key).Str(logging.FieldReplica, ended.handle.Info().ID).Dur("ran", ran).
 		Int("together", len(s.book.incidents[key].suspects)).Int("ended", s.book.count(ended.key)).Stringer("verdict", s.book.verdict(ended.key)).
-		Bool("granted", ended.granted).Bool("deciding", ended.deciding).Bool("progressed", ended.progressed).Int("reached", ended.reached).Msg("message_suspected")
+		Bool("granted", ended.granted).Bool("progressed", ended.progressed).Int("reached", ended.reached).Msg("message_suspected")
 	s.noteVerdict(ended.key)
 	s.cutRuns(ended.key)
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -52,32 +52,43 @@
 	if len(b.byMessage[message]) == 0 {
 		return Allowed
 	}
-	ended, undecided := b.count(message), b.undecided(message)
+	ended, runs := b.count(message), b.runsEnded(message)
 	switch {
 	case b.endedInAll(message, mostEndedInAll):
 		return Rejected
-	case !undecided && (b.explains(message) || ended >= mostEnded):
+	case ended >= mostEnded && (!runs.ofItems || runs.granted):
 		return Rejected
-	case ended > 0:
+	case !runs.ofItems && b.explains(message):
+		return Rejected
+	case ended >= enoughEnded, ended > 0 && !runs.cameOn:
 		return Apart
 	default:
 		return Allowed
 	}
 }
 
-// undecided says that the replicas that ended under the message ended under runs of items, none of which was made to decide: such ends may be by chance,
-// however many there are. The deciding run is made when an end by chance is unlikely.
-func (b *book) undecided(message Key) bool {
+// runsEnded is what the runs of a message have in common whose replicas ended, as far as they speak against it.
+type runsEnded struct {
+	// ofItems says that all of them were runs of items. Such ends may be by chance, however many there are, unless the last run was made when that is unlikely.
+	ofItems bool
+	// granted says that one of them ran apart.
+	granted bool
+	// cameOn says that all of them were runs of items that were long and had made events.
+	cameOn bool
+}
+
+func (b *book) runsEnded(message Key) runsEnded {
+	found := runsEnded{ofItems: true, cameOn: true}
 	for _, each := range b.byMessage[message] {
 		doubt := each.suspects[message]
 		if doubt.cleared || doubt.unseen || b.passed(message, each) {
 			continue
 		}
-		if !doubt.item || doubt.deciding {
-			return false
-		}
+		found.ofItems = found.ofItems && doubt.item
+		found.granted = found.granted || doubt.granted
+		found.cameOn = found.cameOn && doubt.item && doubt.progressed && doubt.ran > shortRun
 	}
-	return true
+	return found
 }
 
 // lastRun says that the message is rejected if its next run ends one more replica.
@@ -241,8 +252,8 @@
 	var listed []string
 	for _, each := range b.open(message) {
 		doubt := each.suspects[message]
-		listed = append(listed, fmt.Sprintf("%016x age=%s ran=%s together=%d granted=%t deciding=%t progressed=%t reached=%d passed=%t %s", uint64(each.replica),
-			now.Sub(each.learned).Round(time.Millisecond), doubt.ran, len(each.suspects), doubt.granted, doubt.deciding, doubt.progressed, doubt.reached, b.passed(message, each), doubt.origin))
+		listed = append(listed, fmt.Sprintf("%016x age=%s ran=%s together=%d granted=%t progressed=%t reached=%d passed=%t %s", uint64(each.replica),
+			now.Sub(each.learned).Round(time.Millisecond), doubt.ran, len(each.suspects), doubt.granted, doubt.progressed, doubt.reached, b.passed(message, each), doubt.origin))
 	}
 	return listed
 }
