Quarantine: the end of an item's run counts also where the run was long and made events

Evidence: run_lost digest= replica=r-3 counted=true progressed=true ran=2417 at the owner that had stood still, without message_suspected; then r-8, r-5 and r-19 behind the same event 109.

Cause: the end of a run of more than 2 s that had made events did not count. An item that ends its replicas behind a late event has such a first run.

Change: it counts for items, and is recorded in the log; alone it does not set the item apart, so that innocent long items go on at once.

TestItemThatEndsItsReplicasLateEndsThree failed before: 4 replicas, with one owner and with two. Fakes of the batch tests follow the interface.

--- a/internal/batch/item_chance_test.go
+++ b/internal/batch/item_chance_test.go
@@ -47,12 +47,14 @@
 	endAfter []time.Duration
 	// fatalEvent has every run end its replica behind the event of that number; negative for none.
 	fatalEvent int
+	// pace is the time between two events.
+	pace time.Duration
 	// closes has replicas close each connection after its answer: one in memory does not show that its other end is gone.
 	closes bool
 }
 
 func newMortalReplicas(count int) *mortalReplicas {
-	made := &mortalReplicas{Network: &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{}}, ended: map[netip.AddrPort]chan struct{}{}, fatalEvent: -1}
+	made := &mortalReplicas{Network: &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{}}, ended: map[netip.AddrPort]chan struct{}{}, fatalEvent: -1, pace: paceOfEvents}
 	for number := range count {
 		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+number))
 		made.ended[address] = make(chan struct{})
@@ -137,7 +139,7 @@
 		select {
 		case <-m.ended[address]:
 			return false
-		case <-time.After(paceOfEvents):
+		case <-time.After(m.pace):
 		}
 		event := fmt.Sprintf("id: %d\ndata: %d\n\n", number, number)
 		if _, err := fmt.Fprintf(connection, "%x\r\n%s\r\n", len(event), event); err != nil {
@@ -223,6 +225,34 @@
 	}
 }
 
+// TestItemThatEndsItsReplicasLateEndsThree guards the bound of three replicas where the first run is long and makes events before it ends its replica, also where the next owner goes on.
+func TestItemThatEndsItsReplicasLateEndsThree(t *testing.T) {
+	for name, owners := range map[string]int{"one owner": 1, "two owners": 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				replicas := newMortalReplicas(12)
+				replicas.fatalEvent, replicas.pace, replicas.closes = 150, 4*paceOfEvents, true
+				owner := ownBefore(t, replicas)
+				owner.mustSubmit(t, batchOf("j", 1))
+				for range owners - 1 {
+					for replicas.endedCount() == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					time.Sleep(100 * time.Millisecond)
+					records := owner.owned.records
+					owner.end()
+					owner = ownBefore(t, replicas, records...)
+				}
+				defer owner.end()
+				last := owner.results(t, "j", 1, 90*time.Second)[0]
+				if last.State != batchpb.State_STATE_DEAD_LETTER || replicas.endedCount() > 3 {
+					t.Errorf("the item is %s after %d replicas ended", last.State, replicas.endedCount())
+				}
+			})
+		})
+	}
+}
+
 // TestRecordedEndsThatTheTextHasPassedAreNotRecalled: all storage nodes had been killed, and an item that had come on with each of its runs was held back by its new
 // owner: "message_rejected digest=7121c7467eeb ended=3", of which two were recalled from the log ("ran=3s together=2 recalled", "ran=3s together=3 recalled")
 // and the third was a grant of 135 ms before that had lapsed. The log had what the item had made, and that it had come further each time, yet its records of
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -280,7 +280,7 @@
 	p.mutex.RLock()
 	message := p.runs[attempt.key].message
 	p.mutex.RUnlock()
-	if p.service.options.Quarantine.Check(message) == quarantine.Allowed {
+	if !p.service.options.Quarantine.Counts(message) {
 		return
 	}
 	end := quarantine.RecordedEnd{Replica: attempt.handle.Key(), Reached: eventsIn(attempt.text), ReachedKnown: true}
--- a/internal/batch/item_crash_test.go
+++ b/internal/batch/item_crash_test.go
@@ -50,6 +50,8 @@
 	}
 }
 
+func (c *countingRegister) Counts(key quarantine.Key) bool { return c.Check(key) != quarantine.Allowed }
+
 func (c *countingRegister) Decides(quarantine.Key) bool { return false }
 
 func (c *countingRegister) Calm(string) bool { return true }
--- a/internal/quarantine/calm.go
+++ b/internal/quarantine/calm.go
@@ -44,6 +44,13 @@
 	return now.Sub(s.startedAt) >= calmWindow && s.book.calm(service, replicas, now)
 }
 
+// Counts implements ItemRegister.
+func (s *Service) Counts(key Key) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.book.verdict(key) != Allowed || s.book.count(key) > 0
+}
+
 // Decides implements ItemRegister.
 func (s *Service) Decides(key Key) bool {
 	s.mutex.Lock()
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -35,7 +35,8 @@
 	// Lost runs ended with the connection, or with no answer: the replica may have ended under the message.
 	Lost
 	// Interrupted runs are lost ones that had made events which a further run need not make again. One that lasted longer than shortRun is
-	// not counted against the message: each further run starts behind those events, so that the message still comes to its end.
+	// not counted against a request: each further run starts behind those events, so that the message still comes to its end. Against an item it counts,
+	// though alone it does not set it apart.
 	Interrupted
 	// Left runs were broken off from here: the caller left, this node cut it off or found it silent. The replica may work on it for a while.
 	Left
@@ -90,6 +91,8 @@
 	Register
 	// AdmitItem is Admit for an item. Ends that runs of items met side by side reject the message at no number; one of them has to have run apart.
 	AdmitItem(ctx context.Context, key Key) Permit
+	// Counts says that the end of a replica counts against the message, also where it is still Allowed.
+	Counts(key Key) bool
 	// Decides says that the message is rejected if its next run ends one more replica.
 	Decides(key Key) bool
 	// Calm says that replicas of the service have ended so seldom of late that a run there hardly meets an end by chance.
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -152,7 +152,7 @@
 		delete(r.service.inquired, r.key)
 	}
 	switch {
-	case inquiry.counted && (ending == Lost || ran <= shortRun):
+	case inquiry.counted && (ending == Lost || ran <= shortRun || r.item):
 		r.service.suspect(r, inquiry.at, ran)
 	case inquiry.ended, r.handle.Info().Draining:
 		// A replica that is leaving ends runs as planned.
