Membership: of several suspicions the one of the longest silence holds

What callers would see: requests go to, and quorums wait for, a dead node for some tenths of a second longer than the 3 s that the zone is promised.

The tail is the gap between the first and the last own failed probe; an order of goroutines that brings the news late makes it longer.

Change: news of a longer silence of the same incarnation moves the death forward, with the time to refute from then. That is what the design says: all reach the same verdict at about the same time.

TestLongestSilenceDecidesADeath failed before (dead after 2.3 s, want 1.9).

--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -140,9 +140,14 @@
 	p.tellSuspect(held)
 }
 
-// suspect takes on a suspicion against a member that is silent since then.
+// suspect takes on a suspicion against a member that is silent since then. Of several suspicions the one of the longest silence holds: a node whose own
+// probe failed later than that of another would otherwise declare the death later than all others.
 func (p *protocol) suspect(held *record, silentSince time.Time) {
-	if held.State == Suspect || held.State == Dead {
+	if held.State == Suspect {
+		p.advanceDeath(held, silentSince)
+		return
+	}
+	if held.State == Dead {
 		return
 	}
 	held.State = Suspect
@@ -150,6 +155,22 @@
 	p.noteChange(held, changeSuspect)
 }
 
+// advanceDeath has a suspect that is silent for longer than was known declared dead earlier, but leaves it the time to refute.
+func (p *protocol) advanceDeath(held *record, silentSince time.Time) {
+	longer := held.silentSince.Sub(silentSince)
+	if longer <= 0 {
+		return
+	}
+	held.silentSince = silentSince
+	deadline := held.deadline.Add(-longer)
+	if earliest := p.now.Add(p.probeTime(p.timing.RefuteTime)); deadline.Before(earliest) {
+		deadline = earliest
+	}
+	if deadline.Before(held.deadline) {
+		held.deadline = deadline
+	}
+}
+
 // tellSuspect makes sure that about suspectTellers of all who hear of a suspicion pass
 // it to the suspect at once, so that it can refute; all of them would be a storm.
 func (p *protocol) tellSuspect(held *record) {
--- /dev/null
+++ b/internal/membership/suspicion_test.go
@@ -0,0 +1,83 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	membershippb "github.com/sloelift/sloelift/api/proto/membership"
+)
+
+// TestLongestSilenceDecidesADeath guards the time in which a death is known: a node whose own probe failed later than that of another declares it with the others.
+func TestLongestSilenceDecidesADeath(t *testing.T) {
+	timing := DefaultTiming()
+	for name, test := range map[string]struct {
+		// toldAt is when news of a suspicion comes, silentAt since when it says that the suspect is silent; both, and wantAt, count from the own failed probe.
+		toldAt, silentAt, wantAt time.Duration
+	}{
+		"an earlier probe":            {500 * time.Millisecond, -400 * time.Millisecond, timing.ZoneDeathAfter - 400*time.Millisecond},
+		"a later probe":               {500 * time.Millisecond, 200 * time.Millisecond, timing.ZoneDeathAfter},
+		"an earlier probe, told late": {2 * time.Second, -time.Second, timing.ZoneDeathAfter},
+	} {
+		t.Run(name, func(t *testing.T) {
+			began := time.Unix(1_000_000, 0)
+			self, victim, teller := memberOfZone(1), memberOfZone(2), memberOfZone(3)
+			tested := newProtocol(self, nil, timing, 1)
+			held := newRecord(victim)
+			tested.now = began
+			tested.insert(held)
+			tested.insert(newRecord(teller))
+			tested.suspect(held, began)
+			told := false
+			for now := began; held.State == Suspect; now = now.Add(timing.Tick) {
+				if !told && now.Sub(began) >= test.toldAt {
+					told = true
+					silence := now.Sub(began.Add(test.silentAt))
+					news := &membershippb.Record{Id: string(victim.ID), Incarnation: victim.Incarnation, State: membershippb.State_STATE_SUSPECT, SilentMillis: uint32(silence.Milliseconds())}
+					tested.step(now, messageEvent{from: teller.PeerAddress, message: &membershippb.Ping{
+						Sender: &membershippb.Sender{Id: string(teller.ID), Incarnation: teller.Incarnation}, News: []*membershippb.Record{news},
+					}})
+				}
+				tested.step(now, tickEvent{})
+			}
+			if at := held.diedAt.Sub(began); held.State != Dead || at < test.wantAt || at > test.wantAt+timing.Tick {
+				t.Errorf("%s after %s, want dead after %s", held.State, at, test.wantAt)
+			}
+		})
+	}
+}
+
+// memberOfZone returns a member of one zone.
+func memberOfZone(number int) Member {
+	made := newSimulation(nil, 0).nodes[0].member
+	made.ID = NodeID(fmt.Sprint("member-", number))
+	made.Incarnation = 1
+	return made
+}
+
+// TestDeadNodeIsKnownInTimeWhateverTheSeed is TestDeadNodeIsKnownInTime with other networks and other victims.
+func TestDeadNodeIsKnownInTimeWhateverTheSeed(t *testing.T) {
+	const kills = 8
+	for seed := uint64(100); seed < 104; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 70, 7, 3, seed)
+				defer c.stopAll()
+				c.awaitAll(10 * time.Second)
+				for kill := range kills {
+					number := (int(seed)*13 + kill*11) % len(c.nodes)
+					victim := c.nodes[number]
+					time.Sleep(time.Duration(137*number%1000) * time.Millisecond)
+					c.kill(victim)
+					c.await(zoneLimit, "dead in its zone", func(observer *clusterNode) bool {
+						return observer.member.Zone != victim.member.Zone || stateOf(observer, victim) == Dead
+					})
+					c.start(victim)
+					c.awaitAll(10 * time.Second)
+				}
+			})
+		})
+	}
+}
