Batch, quarantine: deferred items do not wait for each other, and no item is blamed for a run that was broken off

1. 25 items were deferred when the series ended at 23 s; one deciding run at a time in a partition left 16 of them at the end (items_stalled deferred=22, 18, 16). Now a slow start: one at first and after each that ended its replica, one more with each that did not, 16 at most. Nobody sees what becomes of an item's run after it was broken off, so that such an end counts like a loss now.

--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -29,8 +29,6 @@
 	// looked at.
 	pauseWhileSuspected = 250 * time.Millisecond
 	holdPause           = time.Second
-	// deferralPart is the part of its route's retention, as its inverse, until the end of which an item's deciding run may wait.
-	deferralPart = 2
 )
 
 // messageOf names what an item sends: its prompt, which items of several jobs share whose bodies differ, or its body where it names none.
@@ -106,63 +104,6 @@
 	p.start(each, handle)
 }
 
-// readyApart says that a suspected item need wait no longer, neither for others to go first nor for its deciding run.
-func (p *partition) readyApart(each candidate) bool {
-	p.mutex.Lock()
-	run := p.runOf(each.key)
-	message, paused := run.message, p.elapsed() < run.apartFrom
-	p.mutex.Unlock()
-	return !paused && !p.defers(each.key, message, each.route, each.acceptedAt)
-}
-
-// defers says that an item waits for its deciding run: the one after which it is sent to no replica any more, should one more end under it. It is made while hardly any replica
-// ends for other reasons, but within a part of the route's retention, and while no other such run is under way here, which may end its replica.
-func (p *partition) defers(key itemKey, message quarantine.Key, of *route.Route, acceptedAt int64) bool {
-	register := p.service.options.Quarantine
-	if !register.Decides(message) {
-		return false
-	}
-	calm := p.calmFor(of) || p.deferredLongEnough(of, acceptedAt)
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	run := p.runOf(key)
-	if calm && !p.decidesAnother(key) {
-		run.deciding = true
-		return false
-	}
-	if !run.deferred {
-		run.deferred = true
-		p.logger.Info().Str(logging.FieldJob, key.job).Int("item", key.number).Stringer("digest", message).Bool("calm", calm).Msg("item_deferred")
-	}
-	run.apartFrom = p.elapsed() + pauseWhileSuspected
-	return true
-}
-
-// calmFor says that replicas of all services of a route are calm.
-func (p *partition) calmFor(of *route.Route) bool {
-	for _, backend := range of.Backends {
-		if !p.service.options.Quarantine.Calm(backend.Service) {
-			return false
-		}
-	}
-	return true
-}
-
-// decidesAnother says that the deciding run of another item is under way. The mutex is held.
-func (p *partition) decidesAnother(key itemKey) bool {
-	for other, run := range p.runs {
-		if other != key && run.deciding && run.running {
-			return true
-		}
-	}
-	return false
-}
-
-// deferredLongEnough says that an item's deciding run waits no longer for its replicas to be calm: at the end of the retention it would be given up without one.
-func (p *partition) deferredLongEnough(of *route.Route, acceptedAt int64) bool {
-	return of.Retention > 0 && p.now().After(time.UnixMilli(acceptedAt).Add(of.Retention/deferralPart))
-}
-
 // holdBack has an item that is kept from replicas wait until its route's retention is over, then lists it as a dead letter.
 func (p *partition) holdBack(each candidate) {
 	mayGiveUp := p.mayGiveUp(each.route, each.acceptedAt)
@@ -226,21 +167,15 @@
 	run := permit.Begin(attempt.handle, func() { cancel(quarantine.ErrSuspected) })
 	verdict := attempt.run(bounded)
 	run.Progress(eventsBefore, eventsIn(attempt.text))
-	if run.End(ctx, attempt.ending(bounded, verdict, startedBehind)) {
+	replicaEnded := run.End(ctx, attempt.ending(bounded, verdict, startedBehind))
+	p.noteDecision(attempt.key, verdict, replicaEnded)
+	if replicaEnded {
 		p.recordCrash(attempt)
 		p.letOthersFirst(attempt.key)
 	}
 	return verdict
 }
 
-// mustDefer says that an item that was about to run apart waits instead: its keeper knew of more ends than this node.
-func (p *partition) mustDefer(attempt *itemAttempt, message quarantine.Key) bool {
-	p.mutex.Lock()
-	acceptedAt := p.runOf(attempt.key).acceptedAt
-	p.mutex.Unlock()
-	return p.defers(attempt.key, message, attempt.route, acceptedAt)
-}
-
 // eventsIn returns the number of events whose data a text holds.
 func eventsIn(text []byte) int {
 	if len(text) == 0 {
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -55,6 +55,8 @@
 	stopped bool
 	// homesVersion is the version of the configuration by whose homes the running items were looked at last. The dispatcher alone uses it.
 	homesVersion int64
+	// decisions bounds the deciding runs.
+	decisions decisions
 	// begunInTime counts the begins in time since the last one of a late item.
 	begunInTime int
 }
--- a/internal/quarantine/calm.go
+++ b/internal/quarantine/calm.go
@@ -9,7 +9,7 @@
 
 const (
 	// calmWindow is the time over which the ends of replicas are counted: several times that in which most items come further than where an earlier run ended.
-	calmWindow = 10 * time.Second
+	calmWindow = 5 * time.Second
 	// calmPart is the part of a service's replicas, as its inverse, that may end within calmWindow while the service counts as calm. Of fewer replicas none may.
 	calmPart = 50
 )
--- a/internal/quarantine/left.go
+++ b/internal/quarantine/left.go
@@ -34,6 +34,7 @@
 	if s.leftCount >= maxLeft {
 		return
 	}
+	left.left = true
 	s.leftCount++
 	s.left[left.handle.Key()] = append(s.left[left.handle.Key()], leftRun{run: left, until: now.Add(lingerTime)})
 	if s.book.verdict(left.key) != Allowed && !s.stopped {
--- a/internal/quarantine/left_test.go
+++ b/internal/quarantine/left_test.go
@@ -77,3 +77,33 @@
 		})
 	}
 }
+
+// TestItemThatWasBrokenOffIsNotBlamedForALaterEnd guards items that are cut off to make room: nobody saw what became of them, so that the end of their replica counts like a loss.
+func TestItemThatWasBrokenOffIsNotBlamedForALaterEnd(t *testing.T) {
+	for name, test := range map[string]struct {
+		item         bool
+		seen, unseen int
+	}{
+		"item":    {true, 0, 1},
+		"request": {false, 1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, 1, 4, func(t *testing.T, c *cluster) {
+				at, key := c.nodes[0], keyOf("a")
+				admit := at.Admit
+				if test.item {
+					admit = at.AdmitItem
+				}
+				handle := c.handle(at, 0)
+				admit(t.Context(), key).Begin(handle, nil).End(t.Context(), Left)
+				time.Sleep(200 * time.Millisecond)
+				at.crashReplicaUnder(c, keyOf("b"), 0)
+				at.mutex.Lock()
+				defer at.mutex.Unlock()
+				if seen, unseen := at.book.count(key), at.book.unseenEnds(key); seen != test.seen || unseen != test.unseen {
+					t.Errorf("%d ends are counted and %d that nobody saw, want %d and %d", seen, unseen, test.seen, test.unseen)
+				}
+			})
+		})
+	}
+}
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -97,6 +97,8 @@
 	// progressed says that the run made events that a further run goes on behind; reached is how many the answer had then.
 	progressed bool
 	reached    int
+	// left says that the run was broken off from here; the service's mutex guards it.
+	left bool
 	// unseen says that the run is that of another node, which did not say what it made.
 	unseen bool
 }
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -189,6 +189,8 @@
 		doubt = unseen(originLapsed)
 		doubt.granted = ended.granted
 	}
+	// Nobody saw what became of an item's run after it was broken off.
+	doubt.unseen = doubt.unseen || ended.left && ended.item
 	if !s.book.add(key, at, ended.key, doubt) {
 		return
 	}
