--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -125,7 +125,12 @@
 
 // mayGiveUp says that the time is over for which an item that no replica gets is kept.
 func (p *partition) mayGiveUp(of *route.Route, acceptedAt int64) bool {
-	return of.Retention > 0 && p.now().After(time.UnixMilli(acceptedAt).Add(of.Retention))
+	return p.keptFor(acceptedAt, of.Retention)
+}
+
+// keptFor says that an item has been kept for longer than limit; 0 is no limit.
+func (p *partition) keptFor(acceptedAt int64, limit time.Duration) bool {
+	return limit > 0 && p.now().After(time.UnixMilli(acceptedAt).Add(limit))
 }
 
 // tookRejection has an item wait that was not admitted to its replica. It is given up like one that is held back: a keeper may decide otherwise than this
--- a/internal/batch/item_deferred.go
+++ b/internal/batch/item_deferred.go
@@ -1,8 +1,6 @@
 package batch
 
 import (
-	"time"
-
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/route"
@@ -88,7 +86,7 @@
 
 // deferredLongEnough says that an item's deciding run waits no longer for its replicas to be calm: at the end of the retention it would be given up without one.
 func (p *partition) deferredLongEnough(of *route.Route, acceptedAt int64) bool {
-	return of.Retention > 0 && p.now().After(time.UnixMilli(acceptedAt).Add(of.Retention/deferralPart))
+	return p.keptFor(acceptedAt, of.Retention/deferralPart)
 }
 
 // mustDefer says that an item that was about to run apart waits instead: its keeper knew of more ends than this node.
--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -222,6 +222,14 @@
 	return c.await(limit, "all alive", c.seesAll)
 }
 
+// awaitDeadInZone returns how long it took until all members of the victim's zone hold it dead; it fails after zoneLimit.
+func (c *cluster) awaitDeadInZone(victim *clusterNode) time.Duration {
+	c.t.Helper()
+	return c.await(zoneLimit, "dead in its zone", func(observer *clusterNode) bool {
+		return observer.member.Zone != victim.member.Zone || stateOf(observer, victim) == Dead
+	})
+}
+
 // watchDeaths counts from now on each time that a node declares another one dead.
 func (c *cluster) watchDeaths() func() []string {
 	var views []func() []string
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -162,15 +162,19 @@
 		return
 	}
 	held.silentSince = silentSince
-	deadline := held.deadline.Add(-longer)
-	if earliest := p.now.Add(p.probeTime(p.timing.RefuteTime)); deadline.Before(earliest) {
-		deadline = earliest
-	}
-	if deadline.Before(held.deadline) {
+	if deadline := p.afterRefutation(held.deadline.Add(-longer)); deadline.Before(held.deadline) {
 		held.deadline = deadline
 	}
 }
 
+// afterRefutation returns deadline, or the time until which a suspect that learns of it now may refute, if that is later.
+func (p *protocol) afterRefutation(deadline time.Time) time.Time {
+	if earliest := p.now.Add(p.probeTime(p.timing.RefuteTime)); deadline.Before(earliest) {
+		return earliest
+	}
+	return deadline
+}
+
 // tellSuspect makes sure that about suspectTellers of all who hear of a suspicion pass
 // it to the suspect at once, so that it can refute; all of them would be a storm.
 func (p *protocol) tellSuspect(held *record) {
@@ -188,10 +192,7 @@
 	held.silentSince = silentSince
 	held.suspectedAt = p.now
 	held.askedAgain = false
-	held.deadline = silentSince.Add(limit + p.ownSlowness(limit))
-	if earliest := p.now.Add(p.probeTime(p.timing.RefuteTime)); held.deadline.Before(earliest) {
-		held.deadline = earliest
-	}
+	held.deadline = p.afterRefutation(silentSince.Add(limit + p.ownSlowness(limit)))
 }
 
 // checkSuspicions declares dead whose time is up, unless this node itself heard the
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -36,9 +36,7 @@
 			victim := c.nodes[number]
 			time.Sleep(time.Duration(137*number) * time.Millisecond)
 			c.kill(victim)
-			inZone := c.await(zoneLimit, "dead in its zone", func(observer *clusterNode) bool {
-				return observer.member.Zone != victim.member.Zone || stateOf(observer, victim) == Dead
-			})
+			inZone := c.awaitDeadInZone(victim)
 			everywhere := inZone + c.await(everyLimit-inZone, "dead everywhere", func(observer *clusterNode) bool {
 				return stateOf(observer, victim) == Dead
 			})
--- a/internal/membership/suspicion_test.go
+++ b/internal/membership/suspicion_test.go
@@ -71,9 +71,7 @@
 					victim := c.nodes[number]
 					time.Sleep(time.Duration(137*number%1000) * time.Millisecond)
 					c.kill(victim)
-					c.await(zoneLimit, "dead in its zone", func(observer *clusterNode) bool {
-						return observer.member.Zone != victim.member.Zone || stateOf(observer, victim) == Dead
-					})
+					c.awaitDeadInZone(victim)
 					c.start(victim)
 					c.awaitAll(10 * time.Second)
 				}
--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -264,9 +264,8 @@
 // node.
 func (s *Service) inTouch(ctx context.Context, key Key, ranked []membership.Member) bool {
 	now, self := clock.Now(), s.viewer.View().Self
-	s.mutex.Lock()
-	request := &quarantinepb.ReleaseRequest{Message: keyBytes(key), Incidents: s.book.of(key, now), Losses: s.book.losses.encode(key, now)}
-	s.mutex.Unlock()
+	// No run is given back.
+	request := s.releaseOf(key, 0, now)
 	tries := mostKeepers
 	for _, other := range ranked {
 		if other.ID == self || s.unreached.Recent(other.PeerAddress, now) {
@@ -305,13 +304,18 @@
 	return response, nil
 }
 
+// releaseOf returns the message that gives the grant of a run back, with what this node knows of the message.
+func (s *Service) releaseOf(key Key, run uint64, now time.Time) *quarantinepb.ReleaseRequest {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return &quarantinepb.ReleaseRequest{Message: keyBytes(key), Run: run, Incidents: s.book.of(key, now), Losses: s.book.losses.encode(key, now)}
+}
+
 // release gives a grant back in the background; without an answer it lapses.
 func (s *Service) release(key Key, run uint64, keeper membership.Member) {
 	s.leaveQueue(key)
 	now := clock.Now()
-	s.mutex.Lock()
-	request := &quarantinepb.ReleaseRequest{Message: keyBytes(key), Run: run, Incidents: s.book.of(key, now), Losses: s.book.losses.encode(key, now)}
-	s.mutex.Unlock()
+	request := s.releaseOf(key, run, now)
 	if keeper.ID == s.viewer.View().Self {
 		s.takeBack(request, now)
 		return
--- a/internal/quarantine/losses.go
+++ b/internal/quarantine/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
@@ -202,8 +203,7 @@
 func (s *Service) reportLosses(key Key, now time.Time) {
 	view := s.viewer.View()
 	notice := &quarantinepb.Notice{Losses: s.book.losses.encode(key, now)}
-	ranked := keepers(view, key)
-	for _, keeper := range ranked[:min(lossKeepers, len(ranked))] {
+	for _, keeper := range keepersOfLosses(view, key) {
 		if keeper.ID == view.Self {
 			s.announceIfApart(key)
 			continue
@@ -219,22 +219,22 @@
 	}
 }
 
-// keeps says that this node is one of those to which the losses of a message are reported.
-func keeps(view *membership.View, key Key) bool {
+// keepersOfLosses returns the members to which the losses of a message are reported.
+func keepersOfLosses(view *membership.View, key Key) []membership.Member {
 	ranked := keepers(view, key)
-	for _, each := range ranked[:min(lossKeepers, len(ranked))] {
-		if each.ID == view.Self {
-			return true
-		}
-	}
-	return false
+	return ranked[:min(lossKeepers, len(ranked))]
+}
+
+// keepsLosses says that this node is one of them.
+func keepsLosses(view *membership.View, key Key) bool {
+	return slices.ContainsFunc(keepersOfLosses(view, key), func(keeper membership.Member) bool { return keeper.ID == view.Self })
 }
 
 // joinLosses takes in losses that another node knows of. The mutex is held.
 func (s *Service) joinLosses(encoded []*quarantinepb.Loss, now time.Time) {
 	for _, key := range s.book.losses.join(encoded, now) {
 		s.lossesChanged(key)
-		if keeps(s.viewer.View(), key) {
+		if keepsLosses(s.viewer.View(), key) {
 			s.announceIfApart(key)
 		}
 	}
--- a/internal/quarantine/losses_test.go
+++ b/internal/quarantine/losses_test.go
@@ -65,10 +65,8 @@
 				}
 				end(c, c.nodes[3], key)
 				time.Sleep(100 * time.Millisecond)
-				for number, each := range c.nodes {
-					if got := each.Check(key); got != Allowed {
-						t.Errorf("node %d: %s", number, got)
-					}
+				for _, each := range c.nodes {
+					wantVerdict(t, each, key, Allowed)
 				}
 			})
 		})
--- a/internal/quarantine/recorded.go
+++ b/internal/quarantine/recorded.go
@@ -137,18 +137,12 @@
 		// The others are not known yet.
 		return false
 	}
-	own := ""
-	for _, member := range view.Members {
-		if member.ID == view.Self {
-			own = member.Zone
-		}
-	}
-	first := firstOf(keepers(view, Key{}), own)
-	return first == view.Self
+	self, found := view.Find(view.Self)
+	return found && firstOfZone(keepers(view, Key{}), self.Zone) == self.ID
 }
 
-// firstOf returns the first of ranked members in a zone.
-func firstOf(ranked []membership.Member, zone string) membership.NodeID {
+// firstOfZone returns the first of ranked members in a zone.
+func firstOfZone(ranked []membership.Member, zone string) membership.NodeID {
 	for _, member := range ranked {
 		if member.Zone == zone {
 			return member.ID
--- a/internal/quarantine/recorded_test.go
+++ b/internal/quarantine/recorded_test.go
@@ -51,10 +51,8 @@
 		time.Sleep(2*refreshInterval + time.Second)
 		restart(c)
 		time.Sleep(3 * time.Second)
-		for number, each := range c.nodes {
-			if got := each.Check(key); got != Rejected {
-				t.Errorf("node %d: %s", number, got)
-			}
+		for _, each := range c.nodes {
+			wantVerdict(t, each, key, Rejected)
 		}
 	})
 }
@@ -70,10 +68,8 @@
 		time.Sleep(20 * time.Second)
 		c.store.setDown(false)
 		time.Sleep(refreshInterval + time.Second)
-		for number, each := range c.nodes {
-			if got := each.Check(key); got != Rejected {
-				t.Errorf("node %d: %s", number, got)
-			}
+		for _, each := range c.nodes {
+			wantVerdict(t, each, key, Rejected)
 		}
 	})
 }
