Membership: a suspicion is passed on once more before its deadline

Callers: some members of a zone hold a dead node for living longer than 3 s and go on sending to it (TestDeadNodeIsKnownInTime, 1 of 480 runs).

Cause: each member passes a suspicion on a few times, which is over in less than a second. A member that misses it keeps the deadline of its own later silence, or suspects only when the others report the death; mergeDead then sets a time that is never earlier than its own deadline.

Change: 0.9 s before the deadline each member passes the suspicion on once more. The member that missed it has it by the next answer to a ping of its own. Its own failed probe had made it "slow" by one, which doubled the time to refute that it then allowed; slowness within the tolerated bound no longer does.

A member paused for 2 s lives in all variants. The whole package passes.

--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -165,15 +165,18 @@
 		return
 	}
 	member.silentSince = silentSince
-	if deadline := p.withRefuteTime(member.deadline.Add(-longer)); deadline.Before(member.deadline) {
+	// A failed probe of the suspect itself makes this node slow by one. Within the tolerated slowness
+	// that must not delay the death.
+	refuteTime := p.timing.RefuteTime * time.Duration(1+max(p.slowness-toleratedSlowness, 0))
+	if deadline := p.withRefuteTime(member.deadline.Add(-longer), refuteTime); deadline.Before(member.deadline) {
 		member.deadline = deadline
 	}
 }
 
 // withRefuteTime returns deadline, or the earliest time by which a suspect that learns of the
 // suspicion now can have refuted it, whichever is later.
-func (p *protocol) withRefuteTime(deadline time.Time) time.Time {
-	if earliest := p.now.Add(p.probeTime(p.timing.RefuteTime)); deadline.Before(earliest) {
+func (p *protocol) withRefuteTime(deadline time.Time, refuteTime time.Duration) time.Time {
+	if earliest := p.now.Add(refuteTime); deadline.Before(earliest) {
 		return earliest
 	}
 	return deadline
@@ -195,14 +198,15 @@
 	}
 	member.silentSince = silentSince
 	member.suspectedAt = p.now
-	member.finalPingSent = false
-	member.deadline = p.withRefuteTime(silentSince.Add(limit + p.slownessAllowance(limit)))
+	member.newsRenewed, member.finalPingSent = false, false
+	member.deadline = p.withRefuteTime(silentSince.Add(limit+p.slownessAllowance(limit)), p.probeTime(p.timing.RefuteTime))
 }
 
 // checkSuspicions declares suspects dead whose deadline has passed, unless this node has heard from
 // them since the suspicion.
 func (p *protocol) checkSuspicions() {
 	for _, member := range p.suspects() {
+		p.renewNewsBeforeDeadline(member)
 		p.pingBeforeDeadline(member)
 		if p.now.Before(member.deadline) {
 			continue
@@ -219,6 +223,17 @@
 	}
 }
 
+// renewNewsBeforeDeadline passes a suspicion on once more, shortly before its deadline. A node that
+// missed it while it was passed on would declare the death by a later silence of its own, or after
+// the others have.
+func (p *protocol) renewNewsBeforeDeadline(member *record) {
+	if member.newsRenewed || p.now.Before(member.deadline.Add(-p.timing.RenewedNewsLead)) {
+		return
+	}
+	member.newsRenewed = true
+	p.news.add(member.ID)
+}
+
 // pingBeforeDeadline pings a suspect once, shortly before its deadline, so that each node decides
 // on an answer of its own and does not depend on a refutation reaching it.
 func (p *protocol) pingBeforeDeadline(member *record) {
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -23,6 +23,10 @@
 	// late. ClaimRefuteTime is the same if another node already reports the member dead.
 	RefuteTime      time.Duration
 	ClaimRefuteTime time.Duration
+	// RenewedNewsLead is how long before a suspect's deadline its suspicion is passed on once more. It
+	// is longer than RefuteTime by the time that the news needs to reach a node that missed it, so
+	// that this node declares the death in time as well.
+	RenewedNewsLead time.Duration
 	// DigestPeriod is how often a node exchanges digests with a random live member, HealPeriod how
 	// often with an address that it holds dead or does not know.
 	DigestPeriod time.Duration
@@ -60,6 +64,7 @@
 		RemoteDeathAfter:    3300 * time.Millisecond,
 		RefuteTime:          600 * time.Millisecond,
 		ClaimRefuteTime:     2500 * time.Millisecond,
+		RenewedNewsLead:     900 * time.Millisecond,
 		DigestPeriod:        time.Second,
 		HealPeriod:          3 * time.Second,
 		JoinPeriod:          200 * time.Millisecond,
