Quarantine: the holder of a grant clears its lapse that a keeper counted as an end

Cause: a keeper of the build before counts a grant that lapses as the end of a replica, under the number of the run. Nodes of this build take that end from its notice.

Change: a node knows for which runs it requested a grant. It clears an end under such a number, and all nodes take that over, those of the build before too. Its own run says how it ended. A keeper that was paused itself no longer counts the lapse of a run of its own node.

--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -130,6 +130,9 @@
 func (s *Service) requestGrant(ctx context.Context, key Key) *permit {
 	// 0 is reserved for "no run".
 	run := max(1, rand.Uint64())
+	s.mutex.Lock()
+	s.requestedRuns[run] = clock.Now()
+	s.mutex.Unlock()
 	pause := minBusyPause
 	for {
 		response, keeper, err := s.askKeepers(ctx, key, run)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -180,17 +180,20 @@
 func (e *evidenceStore) clear(message Key, matches func(candidate *suspect) bool) []*incident {
 	var cleared []*incident
 	for _, end := range e.openIncidents(message) {
-		suspected := end.suspects[message]
-		if !matches(suspected) {
-			continue
+		if matches(end.suspects[message]) {
+			end.clear(message)
+			cleared = append(cleared, end)
 		}
-		suspected.cleared = true
-		end.openSuspects--
-		cleared = append(cleared, end)
 	}
 	return cleared
 }
 
+// clear marks an open suspect as not responsible for the incident.
+func (i *incident) clear(message Key) {
+	i.suspects[message].cleared = true
+	i.openSuspects--
+}
+
 // openIncidents returns the incidents in which the message is a suspect that is not cleared, ordered by time.
 func (e *evidenceStore) openIncidents(message Key) []*incident {
 	var found []*incident
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -108,6 +109,10 @@
 		s.inquireAfterLapse(&run{service: s, key: key, handle: handle, startedAt: held.replicaSince, granted: true, unseen: true})
 		return
 	}
+	if _, own := s.requestedRuns[held.run]; own {
+		// This node was paused. The run itself reports how it ends.
+		return
+	}
 	ended := cmp.Or(held.replicaKey, replica.Key(held.run))
 	if s.evidence.add(ended, held.until, key, unseenSuspect(originLapsed)) {
 		s.logger.Info().Stringer("digest", key).Msg("grant_lapsed")
@@ -154,6 +159,29 @@
 	})
 }
 
+// clearOwnLapses clears the incidents that stand for a lapsed grant of this node: a keeper that does not know the replica
+// of the run, or does not ask for it, reports the lapse as the end of a replica whose key is the number of the run. The
+// run itself reports how it ended. The mutex is held.
+func (s *Service) clearOwnLapses(incidents []*quarantinepb.Incident) {
+	for _, received := range incidents {
+		if _, own := s.requestedRuns[received.GetReplica()]; !own {
+			continue
+		}
+		lapse := s.evidence.incidents[replica.Key(received.GetReplica())]
+		if lapse == nil {
+			continue
+		}
+		for message, suspected := range lapse.suspects {
+			if suspected.cleared {
+				continue
+			}
+			lapse.clear(message)
+			s.logger.Info().Stringer("digest", message).Msg("lapse_cleared")
+			s.announce(lapse.replica, message)
+		}
+	}
+}
+
 // handleRelease ends a grant and merges the evidence that its holder sends.
 func (s *Service) handleRelease(request *quarantinepb.ReleaseRequest, now time.Time) {
 	key, valid := decodeKey(request.GetMessage())
@@ -175,8 +203,8 @@
 	}
 }
 
-// expireGrants drops the grants that lapsed at least grantDuration ago, and the released runs older than
-// releasedRunRetention. The mutex is held.
+// expireGrants drops the grants that lapsed at least grantDuration ago, the released runs older than
+// releasedRunRetention, and the requested runs whose lapse no node reports any more. The mutex is held.
 func (s *Service) expireGrants(now time.Time) {
 	for key, held := range s.grants {
 		if now.Sub(held.until) >= grantDuration {
@@ -184,11 +212,8 @@
 			delete(s.grants, key)
 		}
 	}
-	for run, releasedAt := range s.releasedRuns {
-		if now.Sub(releasedAt) >= releasedRunRetention {
-			delete(s.releasedRuns, run)
-		}
-	}
+	maps.DeleteFunc(s.releasedRuns, func(_ uint64, releasedAt time.Time) bool { return now.Sub(releasedAt) >= releasedRunRetention })
+	maps.DeleteFunc(s.requestedRuns, func(_ uint64, requestedAt time.Time) bool { return now.Sub(requestedAt) >= retention })
 }
 
 // keyBytes returns the wire form of a key.
--- /dev/null
+++ b/internal/quarantine/older_build_test.go
@@ -0,0 +1,182 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/transport"
+	"github.com/sloelift/sloelift/internal/transport/memory"
+)
+
+// oldNode speaks the messages of the build before: its incidents have no progress, and as keeper it counts the ends that are not
+// cleared, the third of which rejects a message.
+type oldNode struct {
+	member    membership.Member
+	transport *memory.Transport
+
+	mutex sync.Mutex
+	// cleared holds the ended replicas that the node knows for each message, and whether they are cleared.
+	cleared map[Key]map[replica.Key]bool
+	// granted holds the runs that it granted, in order.
+	granted []uint64
+}
+
+// startOldNode adds an old node to the cluster and to the views of all its nodes.
+func startOldNode(t *testing.T, c *cluster) *oldNode {
+	t.Helper()
+	old := &oldNode{cleared: map[Key]map[replica.Key]bool{}}
+	old.member = membership.Member{ID: "old", PeerAddress: netip.MustParseAddrPort("127.0.0.1:9900"), State: membership.Alive}
+	var err error
+	if old.transport, err = memory.NewTransport(c.network, old.member.PeerAddress, prometheus.NewRegistry()); err != nil {
+		t.Fatal(err)
+	}
+	transport.Handle(old.transport, methodNotice, func() *quarantinepb.Notice { return &quarantinepb.Notice{} },
+		func(_ context.Context, _ netip.AddrPort, notice *quarantinepb.Notice) (*quarantinepb.Notice, error) {
+			old.join(notice.GetIncidents())
+			return &quarantinepb.Notice{}, nil
+		})
+	transport.Handle(old.transport, methodList, func() *quarantinepb.ListRequest { return &quarantinepb.ListRequest{} },
+		func(context.Context, netip.AddrPort, *quarantinepb.ListRequest) (*quarantinepb.ListResponse, error) {
+			return &quarantinepb.ListResponse{}, nil
+		})
+	transport.Handle(old.transport, methodGrant, func() *quarantinepb.GrantRequest { return &quarantinepb.GrantRequest{} },
+		func(_ context.Context, _ netip.AddrPort, request *quarantinepb.GrantRequest) (*quarantinepb.GrantResponse, error) {
+			old.join(request.GetIncidents())
+			return &quarantinepb.GrantResponse{Verdict: old.decide(Key(request.GetMessage()), request.GetRun())}, nil
+		})
+	transport.Handle(old.transport, methodRelease, func() *quarantinepb.ReleaseRequest { return &quarantinepb.ReleaseRequest{} },
+		func(_ context.Context, _ netip.AddrPort, request *quarantinepb.ReleaseRequest) (*quarantinepb.ReleaseResponse, error) {
+			old.join(request.GetIncidents())
+			return &quarantinepb.ReleaseResponse{}, nil
+		})
+	old.transport.Start()
+	t.Cleanup(old.transport.Stop)
+	for _, member := range c.nodes {
+		old.showTo(member)
+	}
+	return old
+}
+
+// showTo adds the old node to a node's view.
+func (o *oldNode) showTo(viewer *node) {
+	known := viewer.view.View()
+	viewer.view.Set(&membership.View{Self: known.Self, Members: append([]membership.Member{o.member}, known.Members...)})
+}
+
+func (o *oldNode) join(incidents []*quarantinepb.Incident) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, end := range incidents {
+		for _, suspected := range end.GetSuspects() {
+			key, ended := Key(suspected.GetMessage()), replica.Key(end.GetReplica())
+			if o.cleared[key] == nil {
+				o.cleared[key] = map[replica.Key]bool{}
+			}
+			o.cleared[key][ended] = o.cleared[key][ended] || suspected.GetCleared()
+		}
+	}
+}
+
+func (o *oldNode) decide(key Key, run uint64) quarantinepb.Verdict {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	ended := 0
+	for _, cleared := range o.cleared[key] {
+		if !cleared {
+			ended++
+		}
+	}
+	switch {
+	case ended >= maxEndedReplicas:
+		return quarantinepb.Verdict_VERDICT_REJECTED
+	case ended == 0:
+		return quarantinepb.Verdict_VERDICT_ALLOWED
+	default:
+		if len(o.granted) == 0 || o.granted[len(o.granted)-1] != run {
+			o.granted = append(o.granted, run)
+		}
+		return quarantinepb.Verdict_VERDICT_GRANTED
+	}
+}
+
+// lastGranted returns the run that the node granted last.
+func (o *oldNode) lastGranted(t *testing.T) uint64 {
+	t.Helper()
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if len(o.granted) == 0 {
+		t.Fatal("the old keeper granted no run")
+	}
+	return o.granted[len(o.granted)-1]
+}
+
+// send sends incidents to all nodes of the cluster, and adds them to what the old node knows.
+func (o *oldNode) send(t *testing.T, c *cluster, incidents ...*quarantinepb.Incident) {
+	t.Helper()
+	o.join(incidents)
+	for _, member := range c.nodes {
+		if err := o.transport.Send(member.address, methodNotice, &quarantinepb.Notice{Incidents: incidents}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+}
+
+// keptBy returns a message whose first keeper, in the view of the cluster's first node, is the member.
+func keptBy(t *testing.T, c *cluster, id membership.NodeID) Key {
+	t.Helper()
+	for number := range 1000 {
+		if key := keyOf(fmt.Sprint("item-", number)); keepers(c.nodes[0].view.View(), key)[0].ID == id {
+			return key
+		}
+	}
+	t.Fatalf("%s keeps no message", id)
+	return Key{}
+}
+
+// oldIncident is the end of a replica as a node of the build before reports it.
+func oldIncident(ended replica.Key, key Key, age, ran time.Duration, granted bool) *quarantinepb.Incident {
+	return &quarantinepb.Incident{Replica: uint64(ended), AgeMillis: uint64(age.Milliseconds()), Suspects: []*quarantinepb.Suspect{
+		{Message: key[:], RanMillis: uint32(ran.Milliseconds()), Granted: granted},
+	}}
+}
+
+// TestLapseAtAnOldKeeperIsNoEnd guards a message against being rejected for grants that lapsed at a keeper of the build before, which
+// reports them as ends of replicas under the numbers of the runs, though the replicas live.
+func TestLapseAtAnOldKeeperIsNoEnd(t *testing.T) {
+	inCluster(t, 3, 8, func(t *testing.T, c *cluster) {
+		// All nodes have read the records before.
+		time.Sleep(askTime)
+		old, owner := startOldNode(t, c), c.nodes[1]
+		key := keptBy(t, c, old.member.ID)
+		old.send(t, c, oldIncident(1, key, time.Second, 300*time.Millisecond, false))
+		for range 2 {
+			permit := owner.AdmitItem(t.Context(), key)
+			if permit.Verdict() != Apart {
+				t.Fatalf("verdict is %s", permit.Verdict())
+			}
+			run := permit.Begin(c.handle(owner, 3), nil)
+			old.send(t, c, oldIncident(replica.Key(old.lastGranted(t)), key, 200*time.Millisecond, unseenRunDuration, false))
+			run.End(t.Context(), Other)
+			permit.Release()
+			time.Sleep(100 * time.Millisecond)
+		}
+		for _, member := range c.nodes {
+			wantVerdict(t, member, key, Apart)
+			member.mutex.Lock()
+			if ended := member.evidence.endCount(key); ended != 1 {
+				t.Errorf("%s counts %d ended replicas, want 1: %v", member.id, ended, member.evidence.describeEvidence(key, time.Now()))
+			}
+			member.mutex.Unlock()
+		}
+	})
+}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -82,6 +82,8 @@
 	grants map[Key]grant
 	// releasedRuns holds the runs whose grants were released to this node as keeper, with the time of the release.
 	releasedRuns map[uint64]time.Time
+	// requestedRuns holds the runs for which this node requested a grant, with the time of the request.
+	requestedRuns map[uint64]time.Time
 	// abortedRuns holds the runs that this node aborted a short while ago, by replica. abortedCount is their number,
 	// expireAbortedAt the time from which old ones are dropped again.
 	abortedRuns     map[replica.Key][]abortedRun
@@ -119,6 +121,7 @@
 		queues:           map[Key]chan struct{}{},
 		grants:           map[Key]grant{},
 		releasedRuns:     map[uint64]time.Time{},
+		requestedRuns:    map[uint64]time.Time{},
 		changed:          make(chan struct{}),
 		outbox:           map[replica.Key]map[Key]bool{},
 		repeats:          map[replica.Key]map[Key]bool{},
@@ -291,6 +294,7 @@
 	s.joinLosses(received.GetLosses(), now)
 	s.avoidEnded(incidents, now)
 	changed := s.evidence.join(incidents, now)
+	s.clearOwnLapses(incidents)
 	for _, end := range incidents {
 		if ended := replica.Key(end.GetReplica()); len(s.abortedRuns[ended]) > 0 && s.evidence.incidents[ended] != nil {
 			s.suspectAbortedRuns(ended, s.evidence.incidents[ended].learnedAt)
