Quarantine: an end that nobody saw stays so when a node of the build before passes it on

Cause: such nodes drop the mark "unseen", and a copy without it was read as "somebody saw it", so that the end counted in full. Logged at a node of this build: the mark lost by the answer of a keeper of the build before at 27.829, message_rejected ended=3 at 27.830, two ends by its own count until then. The replica of the third answered 200 later on.

Change: only an end whose progress is known was seen. What was merged in which order does not matter, as before.

TestLapseStaysUnseenThroughAnOldNode failed before: "verdict at node-00 is rejected, want apart". TestEndThatSomebodySawCounts holds.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -64,6 +64,10 @@
 	return suspect{runDuration: unseenRunDuration, unseen: from == originLapsed, origin: from}
 }
 
+// observed reports whether a node observed the end of the run. Nodes of older builds drop the mark of an unseen end when
+// they pass it on, so that only an end with known progress counts as observed.
+func (s suspect) observed() bool { return !s.unseen && s.reachedKnown }
+
 // assumed reports whether no node known to this one observed the end of the run.
 func (s suspect) assumed() bool { return s.origin == originRecalled || s.origin == originLapsed }
 
@@ -160,7 +164,7 @@
 	}
 	merged.runDuration = min(s.runDuration, other.runDuration)
 	merged.granted = s.granted || other.granted
-	merged.unseen = s.unseen && other.unseen
+	merged.unseen = (s.unseen || other.unseen) && !s.observed() && !other.observed()
 	merged.item = s.item || other.item
 	merged.cleared = s.cleared || other.cleared
 	merged.progressed = s.progressed || other.progressed
--- a/internal/quarantine/older_build_test.go
+++ b/internal/quarantine/older_build_test.go
@@ -180,3 +180,36 @@
 		}
 	})
 }
+
+// TestLapseStaysUnseenThroughAnOldNode guards a message against being rejected for grants of this build's keeper that lapsed: a node of
+// the build before relays them without the mark that nobody saw an end.
+func TestLapseStaysUnseenThroughAnOldNode(t *testing.T) {
+	inCluster(t, 3, 8, func(t *testing.T, c *cluster) {
+		// All nodes have read the records before.
+		time.Sleep(askTime)
+		old, keeper := startOldNode(t, c), c.nodes[0]
+		key := keptBy(t, c, keeper.id)
+		old.send(t, c, oldIncident(1, key, time.Second, 300*time.Millisecond, false))
+		lapsed := []uint64{7, 8}
+		for _, run := range lapsed {
+			response := &quarantinepb.GrantResponse{}
+			request := &quarantinepb.GrantRequest{Message: keyBytes(key), Run: run}
+			if err := old.transport.Call(t.Context(), keeper.address, methodGrant, request, response); err != nil {
+				t.Fatal(err)
+			}
+			if got := response.GetVerdict(); got != quarantinepb.Verdict_VERDICT_GRANTED {
+				t.Fatalf("the keeper's answer is %s", got)
+			}
+			time.Sleep(2*grantDuration + refreshInterval)
+		}
+		for _, member := range c.nodes {
+			wantVerdict(t, member, key, Apart)
+		}
+		for _, run := range lapsed {
+			old.send(t, c, oldIncident(replica.Key(run), key, time.Second, unseenRunDuration, false))
+		}
+		for _, member := range c.nodes {
+			wantVerdict(t, member, key, Apart)
+		}
+	})
+}
