Quarantine, batch: ends at owners of the build before decide on an item only with a deciding run

Cause: owners of the build before make the last run of an item at once, in the middle of a series of crashes, and report neither that it was an item nor how far its answer was. Nodes of this build took such ends for those of a request, and three (or two) rejected the item for good. Traced: three ends within 3.7 s at storage-3 (old) behind events 129, 216 and 220, the third granted by a keeper of this build; held back.

Change: the owner of an item tells the register that the message is that of an item (CheckItem). If one of the three ends is of unknown progress, only the end of a deciding run rejects the item: a run that its owner deferred until few replicas end, marked as such between nodes. With one build nothing changes: all progress is known there.

The trade: an item that does end replicas and met three such ends ends a fourth. What the log of an owner of that build says cannot replace the run: the order of its records bounds the point of an end only where the owner did not change, and a third end that was not logged looks alike for both kinds. Three at most is an aim of this project.

--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -59,7 +59,7 @@
 		p.ensureRun(item.key).message = message
 		p.mutex.Unlock()
 	}
-	return register.Check(message)
+	return register.CheckItem(message)
 }
 
 // startApart starts a suspected item at a replica where few other items and no other suspected item run.
--- a/internal/batch/item_crash_test.go
+++ b/internal/batch/item_crash_test.go
@@ -50,6 +50,8 @@
 	}
 }
 
+func (c *countingRegister) CheckItem(key quarantine.Key) quarantine.Verdict { return c.Check(key) }
+
 func (c *countingRegister) HasEvidence(key quarantine.Key) bool {
 	return c.Check(key) != quarantine.Allowed
 }
@@ -338,6 +340,8 @@
 
 func (undecidedRegister) Check(quarantine.Key) quarantine.Verdict { return quarantine.Apart }
 
+func (u undecidedRegister) CheckItem(key quarantine.Key) quarantine.Verdict { return u.Check(key) }
+
 func (u undecidedRegister) AdmitItem(_ context.Context, key quarantine.Key) quarantine.Permit {
 	return &countingPermit{register: u.countingRegister, key: key, verdict: quarantine.Rejected}
 }
--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -35,6 +35,7 @@
 		Reached:   uint32(suspected.reached),
 		Unseen:    suspected.unseen,
 		Item:      suspected.item,
+		Deciding:  suspected.deciding,
 	}
 	switch {
 	case suspected.progressed:
@@ -55,6 +56,7 @@
 		unseen:       encoded.Unseen,
 		origin:       originShared,
 		item:         encoded.Item,
+		deciding:     encoded.Deciding,
 		progressed:   encoded.Progress == quarantinepb.Progress_PROGRESS_MADE,
 		reached:      int(encoded.Reached),
 		reachedKnown: encoded.Progress != quarantinepb.Progress_PROGRESS_UNSPECIFIED,
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -36,6 +36,9 @@
 	unseen bool
 	// item reports that the run was that of a batch item.
 	item bool
+	// deciding reports that the run was the deciding run of a batch item: granted although one more end may reject the
+	// message, and deferred by the item's owner until few replicas ended.
+	deciding bool
 	// origin is how this node learned of the end; it is not sent to other nodes.
 	origin origin
 }
@@ -170,6 +173,7 @@
 	merged.progressed = s.progressed || other.progressed
 	merged.reached = max(s.reached, other.reached)
 	merged.reachedKnown = s.reachedKnown || other.reachedKnown
+	merged.deciding = s.deciding || other.deciding
 	return merged
 }
 
@@ -212,6 +216,19 @@
 	return found
 }
 
+// markItem marks the ends under a message whose runs were made by nodes that report neither progress nor items as ends
+// during runs of an item, and returns the incidents that changed.
+func (e *evidenceStore) markItem(message Key) []*incident {
+	var marked []*incident
+	for _, end := range e.byMessage[message] {
+		if suspected := end.suspects[message]; !suspected.reachedKnown && !suspected.item {
+			suspected.item = true
+			marked = append(marked, end)
+		}
+	}
+	return marked
+}
+
 // expire removes evidence that is older than retention.
 func (e *evidenceStore) expire(now time.Time) {
 	for _, end := range e.incidents {
--- a/internal/quarantine/older_build_test.go
+++ b/internal/quarantine/older_build_test.go
@@ -150,6 +150,90 @@
 	}}
 }
 
+// endsOfOldNode returns the notice by which a node of the build before reports ends of replicas under a message, one
+// second apart.
+func endsOfOldNode(key Key, ended ...replica.Key) *quarantinepb.Notice {
+	notice := &quarantinepb.Notice{}
+	for index, replicaKey := range ended {
+		age := time.Duration(len(ended)-index) * time.Second
+		notice.Incidents = append(notice.Incidents, oldIncident(replicaKey, key, age, 100*time.Millisecond, index > 0))
+	}
+	return notice
+}
+
+// runDeciding makes the deciding run of an item and reports the end of its replica.
+func (n *node) runDeciding(c *cluster, key Key) {
+	permit := n.AdmitItem(c.t.Context(), key)
+	defer permit.Release()
+	if permit.Verdict() != Apart {
+		c.t.Fatalf("verdict of the keeper is %s, want apart", permit.Verdict())
+	}
+	handle := c.placeRun(n, permit, key, 0)
+	run := permit.Begin(handle, nil)
+	c.crash(handle, key)
+	run.End(c.t.Context(), Lost)
+}
+
+// TestItemIsNotRejectedByRunsOfAnOlderBuild guards items against rejection by ends that owners of the build before
+// report: such owners make the last run in the middle of a series of crashes. A deciding run of this build is granted,
+// and its end rejects the item at all nodes.
+func TestItemIsNotRejectedByRunsOfAnOlderBuild(t *testing.T) {
+	inCluster(t, 4, 8, func(t *testing.T, c *cluster) {
+		owner, key := c.nodes[0], keyOf("item")
+		for _, member := range c.nodes {
+			member.join(endsOfOldNode(key, 1, 2, 3), time.Now())
+		}
+		wantVerdict(t, owner, key, Rejected)
+		if got := owner.CheckItem(key); got != Apart {
+			t.Errorf("verdict on the item is %s, want apart", got)
+		}
+		if !owner.NextEndRejects(key) {
+			t.Error("the next run is not the deciding one")
+		}
+		time.Sleep(50 * time.Millisecond)
+		for _, member := range c.nodes {
+			wantVerdict(t, member, key, Apart)
+		}
+		owner.runDeciding(c, key)
+		time.Sleep(50 * time.Millisecond)
+		for _, member := range c.nodes {
+			wantVerdict(t, member, key, Rejected)
+			if got := member.CheckItem(key); got != Rejected {
+				t.Errorf("verdict on the item at %s is %s, want rejected", member.id, got)
+			}
+		}
+	})
+}
+
+// TestItemWithEndsOfBothBuildsIsRejectedByItsDecidingRun guards the bound of three replicas: where owners of the build
+// before ended two, the end of one deciding run is enough.
+func TestItemWithEndsOfBothBuildsIsRejectedByItsDecidingRun(t *testing.T) {
+	inCluster(t, 4, 8, func(t *testing.T, c *cluster) {
+		owner, key := c.nodes[0], keyOf("item")
+		owner.join(endsOfOldNode(key, 1, 2), time.Now())
+		owner.CheckItem(key)
+		time.Sleep(50 * time.Millisecond)
+		owner.runDeciding(c, key)
+		time.Sleep(50 * time.Millisecond)
+		for _, member := range c.nodes {
+			wantVerdict(t, member, key, Rejected)
+		}
+	})
+}
+
+// TestRequestIsRejectedByRunsOfAnOlderBuild guards that a message which no owner knows as that of an item stays
+// rejected after three ends, whichever build reports them.
+func TestRequestIsRejectedByRunsOfAnOlderBuild(t *testing.T) {
+	inCluster(t, 4, 8, func(t *testing.T, c *cluster) {
+		key := keyOf("request")
+		c.nodes[0].join(endsOfOldNode(key, 1, 2, 3), time.Now())
+		time.Sleep(3 * refreshInterval * time.Duration(len(c.nodes)))
+		for _, member := range c.nodes {
+			wantVerdict(t, member, key, Rejected)
+		}
+	})
+}
+
 // TestLapseAtAnOldKeeperIsNoEnd guards a message against being rejected for grants that lapsed at a keeper of the build before, which
 // reports them as ends of replicas under the numbers of the runs, though the replicas live.
 func TestLapseAtAnOldKeeperIsNoEnd(t *testing.T) {
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -186,6 +186,20 @@
 	return s.evidence.verdict(key)
 }
 
+// CheckItem implements ItemRegister.
+func (s *Service) CheckItem(key Key) Verdict {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if marked := s.evidence.markItem(key); len(marked) > 0 {
+		for _, end := range marked {
+			s.announce(end.replica, key)
+		}
+		s.updateRejected(key)
+		s.signalChanged()
+	}
+	return s.evidence.verdict(key)
+}
+
 // Recall implements Register.
 func (s *Service) Recall(key Key, ended []RecordedEnd, events int) {
 	now := clock.Now()
@@ -217,6 +231,7 @@
 		reached:      ended.reached,
 		reachedKnown: true,
 		item:         ended.item,
+		deciding:     ended.deciding,
 		origin:       originSeen,
 	}
 	if ended.unseen {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -61,7 +61,7 @@
 	switch {
 	case e.totalEndsReach(message, maxEndedWithProgress):
 		return Rejected
-	case ended >= maxEndedReplicas && (!runs.itemsOnly || runs.anyGranted):
+	case ended >= maxEndedReplicas && runs.conclusive():
 		return Rejected
 	case !runs.itemsOnly && e.explainsEnds(message):
 		return Rejected
@@ -78,12 +78,22 @@
 	// itemsOnly reports that all were runs of batch items. Any number of such ends may be a coincidence, unless the
 	// last run was made when ends were rare.
 	itemsOnly bool
-	// anyGranted reports that at least one ran under a keeper's grant.
-	anyGranted bool
+	// anyGranted reports that at least one ran under a keeper's grant, anyDeciding that at least one was the deciding
+	// run of an item.
+	anyGranted  bool
+	anyDeciding bool
+	// anyProgressUnknown reports that at least one was made by a node that does not report progress. Such a node makes
+	// the last run of an item at once, however many replicas end meanwhile.
+	anyProgressUnknown bool
 	// longItemsWithProgress reports that all were long runs of items that had produced events.
 	longItemsWithProgress bool
 }
 
+// conclusive reports whether maxEndedReplicas such ends reject the message.
+func (r endedRunsSummary) conclusive() bool {
+	return !r.itemsOnly || r.anyDeciding || r.anyGranted && !r.anyProgressUnknown
+}
+
 // summarizeEndedRuns returns the summary for a message.
 func (e *evidenceStore) summarizeEndedRuns(message Key) endedRunsSummary {
 	summary := endedRunsSummary{itemsOnly: true, longItemsWithProgress: true}
@@ -94,6 +104,8 @@
 		}
 		summary.itemsOnly = summary.itemsOnly && suspected.item
 		summary.anyGranted = summary.anyGranted || suspected.granted
+		summary.anyDeciding = summary.anyDeciding || suspected.deciding
+		summary.anyProgressUnknown = summary.anyProgressUnknown || !suspected.reachedKnown
 		summary.longItemsWithProgress = summary.longItemsWithProgress && suspected.item && suspected.progressed && suspected.runDuration > shortRunDuration
 	}
 	return summary
@@ -270,14 +282,17 @@
 	for _, end := range e.openIncidents(message) {
 		suspected := end.suspects[message]
 		listed = append(listed, fmt.Sprintf(
-			"%016x age=%s ran=%s together=%d granted=%t progressed=%t reached=%d passed=%t %s",
+			"%016x age=%s ran=%s together=%d granted=%t item=%t deciding=%t progressed=%t reached=%d known=%t passed=%t %s",
 			uint64(end.replica),
 			now.Sub(end.learnedAt).Round(time.Millisecond),
 			suspected.runDuration,
 			len(end.suspects),
 			suspected.granted,
+			suspected.item,
+			suspected.deciding,
 			suspected.progressed,
 			suspected.reached,
+			suspected.reachedKnown,
 			e.answerProgressedPast(message, end),
 			suspected.origin,
 		))
--- a/lab/roles/check_test.go
+++ b/lab/roles/check_test.go
@@ -148,6 +148,44 @@
 	}
 }
 
+// TestItemMayEndOneMoreReplicaAfterAnUpgrade: only where as many replicas as an item may end ended before the last storage node was
+// upgraded is one more allowed, for the run that decides.
+func TestItemMayEndOneMoreReplicaAfterAnUpgrade(t *testing.T) {
+	const upgradedAt = 10
+	for _, test := range []struct {
+		name          string
+		before, after int
+		broken        bool
+	}{
+		{"three before, none after", 3, 0, false},
+		{"three before, one after", 3, 1, false},
+		{"three before, two after", 3, 2, true},
+		{"four before, one after", 4, 1, true},
+		{"two before, one after", 2, 1, false},
+		{"two before, two after", 2, 2, true},
+		{"four after", 0, 4, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			mark := "i"
+			var replicas []*replica
+			for number := range test.before + test.after {
+				second := upgradedAt - 1
+				if number >= test.before {
+					second = upgradedAt + 1
+				}
+				ended := endedReplica(fmt.Sprint(number), second)
+				ended.endedBy.Store(&mark)
+				replicas = append(replicas, ended)
+			}
+			result := verdict{previousBuildUntil: time.Unix(upgradedAt, 0)}
+			result.judgeEndedReplicas(replicas, nil)
+			if len(result.violations) > 0 != test.broken {
+				t.Errorf("violations: %v, want some: %v", result.violations, test.broken)
+			}
+		})
+	}
+}
+
 // TestMissingItemIsReportedDespiteResultOfQuarantinedItem: an item that ends its replicas may be missing from the results, but a result for it must
 // not make up for another item that is missing.
 func TestMissingItemIsReportedDespiteResultOfQuarantinedItem(t *testing.T) {
--- a/lab/roles/fleet.go
+++ b/lab/roles/fleet.go
@@ -271,6 +271,21 @@
 	return slices.DeleteFunc(slices.Clone(f.replicas), func(candidate *replica) bool { return !candidate.lives() })
 }
 
+// lastStorageUpgrade returns when the last storage node was upgraded; zero if one was not.
+func (f *fleet) lastStorageUpgrade() time.Time {
+	var last time.Time
+	for _, machine := range f.machinesOf(classStorage) {
+		upgradedAt := machine.upgradeTime()
+		if upgradedAt.IsZero() {
+			return upgradedAt
+		}
+		if upgradedAt.After(last) {
+			last = upgradedAt
+		}
+	}
+	return last
+}
+
 // allReplicas returns all replicas ever started, including those that have ended.
 func (f *fleet) allReplicas() []*replica {
 	f.mutex.Lock()
--- a/lab/roles/machine.go
+++ b/lab/roles/machine.go
@@ -44,12 +44,14 @@
 	// lifecycle is held while the process is started or ended, so that overlapping faults are serialized and two processes never compete
 	// for a port.
 	lifecycle sync.Mutex
-	// mutex guards program, running and startTimes. Lock order: lifecycle before mutex.
+	// mutex guards program, running, startTimes, upgradedAt and upgrading. Lock order: lifecycle before mutex.
 	mutex sync.Mutex
 	// running is nil while the machine is down.
 	running *process.Process
-	// startTimes are the times at which processes were started.
+	// startTimes are the times at which processes were started; upgradedAt is the first of them with the upgraded program, zero before.
 	startTimes []time.Time
+	upgradedAt time.Time
+	upgrading  bool
 	// killedAfterGrace counts the planned stops that exceeded the platform's grace period.
 	killedAfterGrace atomic.Int32
 	// writeSettings is called before each start, since the settings may have changed since the last one.
@@ -75,7 +77,11 @@
 		return fmt.Errorf("start %s: %w", m.name, err)
 	}
 	m.running = started
-	m.startTimes = append(m.startTimes, time.Now())
+	now := time.Now()
+	m.startTimes = append(m.startTimes, now)
+	if m.upgrading {
+		m.upgrading, m.upgradedAt = false, now
+	}
 	return nil
 }
 
@@ -93,7 +99,14 @@
 func (m *machine) upgrade(program string) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.program = program
+	m.program, m.upgrading = program, true
+}
+
+// upgradeTime returns when the upgraded program was started; zero if it was not.
+func (m *machine) upgradeTime() time.Time {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.upgradedAt
 }
 
 // detach marks the machine as down and returns its process, nil if there is none.
