Quarantine: a rejection that rests on ends of the build before alone is not recorded

Callers: none seen.

Cause: the first keeper writes each rejection into the key-value service at once. A node that starts beside nodes of the build before reads the records, since none of these says that it knows them all, and holds what it read above all evidence.

Change: a rejection of which one end has unknown progress, without a deciding run, is not recorded. What is lost: a request that three such ends reject is forgotten by a restart of all nodes during an upgrade.

TestProvisionalRejectionIsNotRecorded failed before: 1 record written.

--- a/internal/quarantine/older_build_test.go
+++ b/internal/quarantine/older_build_test.go
@@ -234,6 +234,28 @@
 	})
 }
 
+// TestProvisionalRejectionIsNotRecorded guards against a rejection that outlives its correction: nodes that started
+// after it was written to the key-value service kept the item back for ten minutes, although its owner knew better.
+func TestProvisionalRejectionIsNotRecorded(t *testing.T) {
+	inCluster(t, 3, 8, func(t *testing.T, c *cluster) {
+		owner, key := c.nodes[0], keyOf("item")
+		for _, member := range c.nodes {
+			member.join(endsOfOldNode(key, 1, 2, 3), time.Now())
+		}
+		time.Sleep(3 * refreshInterval)
+		if written := c.store.Len(); written != 0 {
+			t.Errorf("%d records were written, want none", written)
+		}
+		owner.CheckItem(key)
+		time.Sleep(50 * time.Millisecond)
+		owner.runDeciding(c, key)
+		time.Sleep(3 * refreshInterval)
+		if written := c.store.Len(); written != 1 {
+			t.Errorf("%d records were written after the deciding run, want 1", written)
+		}
+	})
+}
+
 // TestLapseAtAnOldKeeperIsNoEnd guards a message against being rejected for grants that lapsed at a keeper of the build before, which
 // reports them as ends of replicas under the numbers of the runs, though the replicas live.
 func TestLapseAtAnOldKeeperIsNoEnd(t *testing.T) {
--- a/internal/quarantine/recorded.go
+++ b/internal/quarantine/recorded.go
@@ -75,7 +75,7 @@
 	defer s.mutex.Unlock()
 	var missing []Key
 	for message, state := range s.rejected {
-		if state != recordMissing {
+		if state != recordMissing || s.evidence.isProvisional(message) {
 			continue
 		}
 		if ranked := keepers(view, message); len(ranked) > 0 && ranked[0].ID == view.Self {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -111,6 +111,16 @@
 	return summary
 }
 
+// isProvisional reports whether the rejection of a message may be taken back once it is known to be that of an item:
+// the progress of one of the runs is unknown, and none was a deciding run.
+func (e *evidenceStore) isProvisional(message Key) bool {
+	if _, recalled := e.recalled[message]; recalled {
+		return false
+	}
+	runs := e.summarizeEndedRuns(message)
+	return runs.anyProgressUnknown && !runs.anyDeciding
+}
+
 // nextEndRejects reports whether one more ended replica may reject the message.
 func (e *evidenceStore) nextEndRejects(message Key) bool {
 	return e.endCount(message)+1 >= maxEndedReplicas ||
