Quarantine: the record of a rejection that is taken back is deleted

Callers: none seen. By a test: a message whose rejection was taken back is rejected again at all nodes after all of them start, until the lease of its record is over (ten minutes); an item is neither done nor given up for so long.

Cause: nothing deletes a record, and `recalled` is above all evidence.

Change: a node that wrote the record, or found it when it was about to, deletes it once the message is no longer rejected, again and again while the service does not answer. The stand-in of the service for tests takes deletions.

TestRecordOfARejectionThatIsTakenBackIsDeleted failed before in both cases: "verdict at node-00 is rejected, want allowed". Not mended: a node that has already read the record keeps it.

--- a/internal/platform/platformtest/keyvalue.go
+++ b/internal/platform/platformtest/keyvalue.go
@@ -59,6 +59,10 @@
 	}
 	k.revision++
 	for _, change := range transaction.Changes {
+		if change.Delete {
+			delete(k.entries, change.Key)
+			continue
+		}
 		if len(change.Value) == 0 {
 			return platform.CommitResult{}, errEmptyValue
 		}
--- a/internal/quarantine/recorded.go
+++ b/internal/quarantine/recorded.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/hex"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/platform"
+	"github.com/sloelift/sloelift/internal/subscription"
 )
 
 const (
@@ -31,8 +34,10 @@
 const (
 	// recordMissing: the first keeper has to write it.
 	recordMissing recordState = iota
-	// recordWritten: it was written or found.
+	// recordWritten: this node wrote it, or found it when it was about to.
 	recordWritten
+	// recordRecalled: this node has the rejection from the record.
+	recordRecalled
 )
 
 // recordKey returns the key of a rejected message's record.
@@ -47,7 +52,8 @@
 	return decodeKey(encoded)
 }
 
-// writeRecords writes the missing records whenever a message is rejected and every refreshInterval.
+// writeRecords writes the missing records and deletes the withdrawn ones whenever a rejection is made or taken back, and
+// every refreshInterval.
 func (s *Service) writeRecords() {
 	if s.store == nil {
 		return
@@ -57,18 +63,34 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case <-s.recordsMissing:
+		case <-s.recordsChanged:
 		case <-ticker.C:
 		case <-s.ctx.Done():
 			return
 		}
+		for _, message := range s.withdrawnRecords() {
+			writer.remove(message)
+		}
 		for _, message := range s.missingRecords() {
 			writer.write(message)
 		}
 	}
 }
 
-// missingRecords returns the rejected messages whose records this node has to write.
+// withdrawnRecords returns the messages whose records this node has to delete. The record of a message that was rejected
+// again meanwhile is kept.
+func (s *Service) withdrawnRecords() []Key {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	maps.DeleteFunc(s.withdrawn, func(message Key, _ bool) bool {
+		_, rejected := s.rejected[message]
+		return rejected
+	})
+	return slices.Collect(maps.Keys(s.withdrawn))
+}
+
+// missingRecords returns the rejected messages whose records this node has to write. A provisional rejection is not
+// recorded: nodes that start later would keep it after it is taken back.
 func (s *Service) missingRecords() []Key {
 	view := s.viewer.View()
 	s.mutex.Lock()
@@ -105,10 +127,29 @@
 	defer s.mutex.Unlock()
 	if _, rejected := s.rejected[message]; rejected {
 		s.rejected[message] = recordWritten
+	} else {
+		s.withdrawn[message] = true
+		subscription.Signal(s.recordsChanged)
 	}
 	s.logger.Info().Stringer("digest", message).Msg("rejection_recorded")
 }
 
+// remove deletes the record of a message whose rejection was taken back: nodes that start later would keep the message
+// from replicas. A failed deletion is retried later.
+func (r *recorder) remove(message Key) {
+	s := r.service
+	ctx, cancel := context.WithTimeout(s.ctx, recordTimeout)
+	defer cancel()
+	if _, err := s.store.Commit(ctx, platform.Transaction{Changes: []platform.Change{{Key: recordKey(message), Delete: true}}}); err != nil {
+		s.logger.Info().Stringer("digest", message).Err(err).Msg("rejection_not_withdrawn")
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.withdrawn, message)
+	s.logger.Info().Stringer("digest", message).Msg("rejection_withdrawn")
+}
+
 // commit writes the record under the current lease, or under a new one if less than half of the lease's time is left.
 func (r *recorder) commit(message Key) error {
 	ctx, cancel := context.WithTimeout(r.service.ctx, recordTimeout)
@@ -186,7 +227,7 @@
 		}
 		s.evidence.recalled[message] = now
 		if _, known := s.rejected[message]; !known {
-			s.rejected[message] = recordWritten
+			s.rejected[message] = recordRecalled
 		}
 	}
 	if len(messages) > 0 {
--- a/internal/quarantine/recorded_test.go
+++ b/internal/quarantine/recorded_test.go
@@ -139,3 +139,27 @@
 		}
 	})
 }
+
+// TestRecordOfARejectionThatIsTakenBackIsDeleted guards against a rejection that comes back after a restart of all
+// nodes, although another message was found to explain the ends.
+func TestRecordOfARejectionThatIsTakenBackIsDeleted(t *testing.T) {
+	for name, down := range map[string]time.Duration{"at once": 0, "after an outage of the service": 10 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, 3, 8, func(t *testing.T, c *cluster) {
+				key := keyOf("a")
+				rejectMessage(c, c.nodes[0], key)
+				time.Sleep(time.Second)
+				c.store.setDown(down > 0)
+				c.nodes[1].clearMessage(key)
+				time.Sleep(down)
+				c.store.setDown(false)
+				time.Sleep(2 * refreshInterval)
+				restartAll(c)
+				time.Sleep(3 * time.Second)
+				for _, member := range c.nodes {
+					wantVerdict(t, member, key, Allowed)
+				}
+			})
+		})
+	}
+}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -62,8 +62,8 @@
 	running   sync.WaitGroup
 	// outboxChanged wakes the loop that sends notices.
 	outboxChanged chan struct{}
-	// recordsMissing wakes the loop that writes records.
-	recordsMissing chan struct{}
+	// recordsChanged wakes the loop that writes and deletes records.
+	recordsChanged chan struct{}
 
 	// mutex guards the fields below.
 	mutex     sync.Mutex
@@ -97,6 +97,8 @@
 	repeats map[replica.Key]map[Key]bool
 	// rejected holds the messages whose rejection was logged, with the state of their records.
 	rejected map[Key]recordState
+	// withdrawn holds the messages whose records this node has to delete, since their rejection was taken back.
+	withdrawn map[Key]bool
 	// complete reports that this node knows the messages that were rejected before all nodes were killed.
 	complete bool
 }
@@ -113,7 +115,7 @@
 		metrics:          newMetrics(options.Registerer),
 		unreached:        unreached.NewPeers(unreachedTime),
 		outboxChanged:    make(chan struct{}, 1),
-		recordsMissing:   make(chan struct{}, 1),
+		recordsChanged:   make(chan struct{}, 1),
 		evidence:         newEvidenceStore(),
 		runs:             map[Key]map[*run]bool{},
 		pendingInquiries: map[Key]int{},
@@ -126,6 +128,7 @@
 		outbox:           map[replica.Key]map[Key]bool{},
 		repeats:          map[replica.Key]map[Key]bool{},
 		rejected:         map[Key]recordState{},
+		withdrawn:        map[Key]bool{},
 		abortedRuns:      map[replica.Key][]abortedRun{},
 	}
 	service.ctx, service.cancel = context.WithCancel(context.Background())
@@ -364,18 +367,22 @@
 // The mutex is held.
 func (s *Service) updateRejected(key Key) {
 	rejected := s.evidence.verdict(key) == Rejected
-	_, known := s.rejected[key]
-	if rejected != known {
-		if rejected {
-			s.rejected[key] = recordMissing
-			subscription.Signal(s.recordsMissing)
-			s.logger.Warn().Stringer("digest", key).
-				Int("ended", s.evidence.endCount(key)).Int("lost", s.evidence.losses.openCount(key)).
-				Strs("evidence", s.evidence.describeEvidence(key, clock.Now())).Msg("message_rejected")
-		} else {
-			delete(s.rejected, key)
+	state, known := s.rejected[key]
+	if rejected == known {
+		return
+	}
+	subscription.Signal(s.recordsChanged)
+	if !rejected {
+		delete(s.rejected, key)
+		if state == recordWritten {
+			s.withdrawn[key] = true
 		}
+		return
 	}
+	s.rejected[key] = recordMissing
+	s.logger.Warn().Stringer("digest", key).
+		Int("ended", s.evidence.endCount(key)).Int("lost", s.evidence.losses.openCount(key)).
+		Strs("evidence", s.evidence.describeEvidence(key, clock.Now())).Msg("message_rejected")
 }
 
 // signalChanged wakes those who wait for new evidence or the end of a run. The mutex is held.
