Batch: a replica that is gone when a further lease starts ended under the item

Cause: storage-1 was frozen from 14.36 to 15.54 while the item ran at r-25, which ended behind event 152 like the three others. Awake, it found the lease over, as which an interrupted run counts, and began the next one at the same replica. That was refused: "item_not_done begins=1 last_event=152 status=200 verdict=refused replica=r-25", and a refused send is no sign against a message. That the lease's timer and the end of the stream came together is inferred: a status of 200 and a refusal in one attempt are otherwise impossible.

Change: an attempt whose further lease finds no connection counts as an interrupted run, so that the replica is inquired into as after any other.

TestReplicaThatEndsBetweenLeasesCounts failed before: "0 ends are recorded of 1 replicas that ended, want 1 of 1".

--- a/internal/batch/item_chance_test.go
+++ b/internal/batch/item_chance_test.go
@@ -49,6 +49,10 @@
 	fatalEvent int
 	// interval is the time between two events.
 	interval time.Duration
+	// endAtDial ends a replica as the connection with that number is made to it, without accepting it; 0 for none. Only the first such
+	// replica ends.
+	endAtDial int
+	dials     map[netip.AddrPort]int
 	// closeConnections makes replicas close each connection after the answer, since a connection in memory does not show that its
 	// other end is gone.
 	closeConnections bool
@@ -57,7 +61,7 @@
 func newCrashingReplicas(count int) *crashingReplicas {
 	replicas := &crashingReplicas{
 		Network: &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{}}, ended: map[netip.AddrPort]chan struct{}{},
-		fatalEvent: -1, interval: eventInterval,
+		fatalEvent: -1, interval: eventInterval, dials: map[netip.AddrPort]int{},
 	}
 	for number := range count {
 		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+number))
@@ -79,6 +83,16 @@
 
 // Dial refuses connections to a replica that has ended.
 func (m *crashingReplicas) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	m.mutex.Lock()
+	m.dials[address]++
+	ends := m.endAtDial > 0 && m.dials[address] == m.endAtDial
+	if ends {
+		m.endAtDial = 0
+	}
+	m.mutex.Unlock()
+	if ends {
+		m.end(address)
+	}
 	select {
 	case <-m.ended[address]:
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -208,6 +208,8 @@
 	switch {
 	case verdict == itemDone && resumedAfter == "":
 		return quarantine.Whole
+	case a.lostBetweenLeases(ctx, verdict):
+		return quarantine.Interrupted
 	case verdict != itemInterrupted:
 		return quarantine.Other
 	case ctx.Err() != nil, errors.Is(a.err, errSilent), errors.Is(a.err, errLeaseExpired):
@@ -219,6 +221,12 @@
 	}
 }
 
+// lostBetweenLeases reports whether the attempt ended because its replica took no connection for a further lease: the replica may have
+// ended under the lease before, which this owner had cut off at its end.
+func (a *itemAttempt) lostBetweenLeases(ctx context.Context, verdict itemVerdict) bool {
+	return verdict == itemRefused && a.awaitingResume && errors.Is(a.err, replica.ErrNotSent) && ctx.Err() == nil
+}
+
 // recordCrash makes it durable that a replica ended under an item, if that counts against the message, so that the next owner knows.
 // The item is not sent again before that.
 func (p *partition) recordCrash(attempt *itemAttempt) {
--- a/internal/batch/item_lease_test.go
+++ b/internal/batch/item_lease_test.go
@@ -90,3 +90,19 @@
 		})
 	}
 }
+
+// TestReplicaThatEndsBetweenLeasesCounts guards the bound of ended replicas: a replica that has ended when a further lease of an item is
+// to start there ended under the item. This happened to an owner that was paused at that time, and the item ended one replica more.
+func TestReplicaThatEndsBetweenLeasesCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		replicas := newCrashingReplicas(4)
+		replicas.interval, replicas.closeConnections, replicas.endAtDial = 4*eventInterval, true, 2
+		owner := startOwnerWithQuarantine(t, replicas)
+		defer owner.stop()
+		owner.mustSubmit(t, testSubmission("j", 1))
+		owner.results(t, "j", 1, 60*time.Second)
+		if ended, recorded := replicas.endedCount(), len(crashRecords(t, owner.owned.records)); ended != 1 || recorded != 1 {
+			t.Errorf("%d ends are recorded of %d replicas that ended, want 1 of 1", recorded, ended)
+		}
+	})
+}
