Quarantine: a node that stops as planned sends what it has observed last

Cause: notices are sent 10 ms apart at least, and the loop that sends them ends with the service, whatever is queued.

Change: the loop sends what is queued as it ends.

--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -260,3 +260,23 @@
 		}
 	})
 }
+
+// TestEndFoundJustBeforeAStopIsShared guards the bound of ended replicas: what a node observed last before its planned
+// stop must reach the other nodes.
+func TestEndFoundJustBeforeAStopIsShared(t *testing.T) {
+	inCluster(t, 3, 4, func(t *testing.T, c *cluster) {
+		stopping, first, last := c.nodes[0], keyOf("first"), keyOf("last")
+		stopping.crashReplicaDuring(c, first, 0)
+		// The next notice is not sent before noticeInterval is over.
+		time.Sleep(noticeInterval / 5)
+		stopping.crashReplicaDuring(c, last, 1)
+		stopping.up = false
+		stopping.Stop()
+		time.Sleep(50 * time.Millisecond)
+		stopping.transport.Stop()
+		for _, member := range c.nodes[1:] {
+			wantVerdict(t, member, first, Apart)
+			wantVerdict(t, member, last, Apart)
+		}
+	})
+}
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -54,8 +54,10 @@
 }
 
 // share sends new evidence to the other nodes: in a notice soon after it is learned and in the same notice again after
-// repeatDelay. Each refreshInterval it sends all evidence to one node.
+// repeatDelay. Each refreshInterval it sends all evidence to one node. When the service stops, it sends what is still
+// queued: nobody else may have observed it.
 func (s *Service) share() {
+	defer func() { s.sendAll(s.takeOutbox(clock.Now())) }()
 	refresh := time.NewTicker(refreshInterval)
 	defer refresh.Stop()
 	repeat := time.NewTimer(repeatDelay)
