Quarantine: requested runs are remembered for a minute

A suspected item asks about once a second, so that ten minutes of run numbers grow to some 60,000 for 100 suspects of a node; a minute bounds them to 6,000 (by arithmetic). A lapse is reported within three seconds unless its keeper is paused for longer.

--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -21,6 +21,9 @@
 	// releasedRunRetention is how long a released run is remembered: requests sent before the release may arrive until
 	// then.
 	releasedRunRetention = 10 * time.Second
+	// requestedRunRetention is how long a node remembers for which runs it requested a grant: longer than a keeper is
+	// paused before it reports the lapse of one.
+	requestedRunRetention = time.Minute
 )
 
 // grant is the permission that a keeper gave to run a suspected message once.
@@ -203,8 +206,8 @@
 	}
 }
 
-// expireGrants drops the grants that lapsed at least grantDuration ago, the released runs older than
-// releasedRunRetention, and the requested runs whose lapse no node reports any more. The mutex is held.
+// expireGrants drops the grants that lapsed at least grantDuration ago, and the released and requested runs that are
+// older than their retention. The mutex is held.
 func (s *Service) expireGrants(now time.Time) {
 	for key, held := range s.grants {
 		if now.Sub(held.until) >= grantDuration {
@@ -213,7 +216,7 @@
 		}
 	}
 	maps.DeleteFunc(s.releasedRuns, func(_ uint64, releasedAt time.Time) bool { return now.Sub(releasedAt) >= releasedRunRetention })
-	maps.DeleteFunc(s.requestedRuns, func(_ uint64, requestedAt time.Time) bool { return now.Sub(requestedAt) >= retention })
+	maps.DeleteFunc(s.requestedRuns, func(_ uint64, requestedAt time.Time) bool { return now.Sub(requestedAt) >= requestedRunRetention })
 }
 
 // keyBytes returns the wire form of a key.
