Quarantine: one end of unknown progress does not ask for a deciding run

Cause: with any end of unknown progress only a deciding run rejected. Two known ends, one of them of a run apart, are what rejects an item in a fleet of one build too.

Change: a deciding run is asked for from two ends of unknown progress.

TestItemWithOneEndOfAnOlderBuildIsRejectedAsBefore failed before: "verdict is apart, want rejected". The tests of items after a rollout pass as they were.

--- a/internal/quarantine/older_build_test.go
+++ b/internal/quarantine/older_build_test.go
@@ -319,3 +319,20 @@
 		}
 	})
 }
+
+// TestItemWithOneEndOfAnOlderBuildIsRejectedAsBefore guards the bound of three replicas: two owners of this build, the
+// first of which was paused, ran an item beside each other under grants, and one end at an owner of the build before is
+// no reason for a fourth.
+func TestItemWithOneEndOfAnOlderBuildIsRejectedAsBefore(t *testing.T) {
+	now, key := time.Unix(1_000_000, 0), keyOf("item")
+	store := newEvidenceStore()
+	store.join(endsOfOldNode(key, 1).GetIncidents(), now)
+	store.markItem(key)
+	for number := range 2 {
+		store.add(replica.Key(number+2), now.Add(time.Duration(number+1)*time.Second), key,
+			suspect{runDuration: 300 * time.Millisecond, granted: true, progressed: true, reached: 30, reachedKnown: true, item: true, origin: originSeen})
+	}
+	if got := store.verdict(key); got != Rejected {
+		t.Errorf("verdict is %s, want rejected", got)
+	}
+}
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -99,8 +99,8 @@
 	// ends during runs of an item, which such nodes do not report.
 	CheckItem(key Key) Verdict
 	// AdmitItem is Admit for an item. Ends of replicas during runs of items reject the message only if one of these
-	// runs was made under a keeper's grant, or from maxEndedWithProgress ends on. If the progress of one of these runs
-	// is unknown, only the end of a deciding run rejects the message.
+	// runs was made under a keeper's grant, or from maxEndedWithProgress ends on. If the progress of several of these
+	// runs is unknown, only the end of a deciding run rejects the message.
 	AdmitItem(ctx context.Context, key Key) Permit
 	// HasEvidence reports whether any end of a replica counts against the message, even if it is still Allowed.
 	HasEvidence(key Key) bool
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -31,6 +31,9 @@
 	// maxEndedWithProgress is the number of replicas that may end under a message whose answer progresses further each
 	// time.
 	maxEndedWithProgress = 2 * maxEndedReplicas
+	// maxUnknownProgress is the number of ends of unknown progress among those that reject an item without the end of a
+	// deciding run.
+	maxUnknownProgress = 1
 	// weightTolerance is the least difference of two evidence weights that counts: sums of the same fractions differ by
 	// rounding.
 	weightTolerance = 1e-9
@@ -82,16 +85,16 @@
 	// run of an item.
 	anyGranted  bool
 	anyDeciding bool
-	// anyProgressUnknown reports that at least one was made by a node that does not report progress. Such a node makes
-	// the last run of an item at once, however many replicas end meanwhile.
-	anyProgressUnknown bool
+	// progressUnknown is the number of runs made by nodes that do not report progress. Such a node makes the last run of
+	// an item at once, however many replicas end meanwhile.
+	progressUnknown int
 	// longItemsWithProgress reports that all were long runs of items that had produced events.
 	longItemsWithProgress bool
 }
 
 // conclusive reports whether maxEndedReplicas such ends reject the message.
 func (r endedRunsSummary) conclusive() bool {
-	return !r.itemsOnly || r.anyDeciding || r.anyGranted && !r.anyProgressUnknown
+	return !r.itemsOnly || r.anyDeciding || r.anyGranted && r.progressUnknown <= maxUnknownProgress
 }
 
 // summarizeEndedRuns returns the summary for a message.
@@ -105,20 +108,22 @@
 		summary.itemsOnly = summary.itemsOnly && suspected.item
 		summary.anyGranted = summary.anyGranted || suspected.granted
 		summary.anyDeciding = summary.anyDeciding || suspected.deciding
-		summary.anyProgressUnknown = summary.anyProgressUnknown || !suspected.reachedKnown
+		if !suspected.reachedKnown {
+			summary.progressUnknown++
+		}
 		summary.longItemsWithProgress = summary.longItemsWithProgress && suspected.item && suspected.progressed && suspected.runDuration > shortRunDuration
 	}
 	return summary
 }
 
 // isProvisional reports whether the rejection of a message may be taken back once it is known to be that of an item:
-// the progress of one of the runs is unknown, and none was a deciding run.
+// the progress of several runs is unknown, and none was a deciding run.
 func (e *evidenceStore) isProvisional(message Key) bool {
 	if _, recalled := e.recalled[message]; recalled {
 		return false
 	}
 	runs := e.summarizeEndedRuns(message)
-	return runs.anyProgressUnknown && !runs.anyDeciding
+	return runs.progressUnknown > maxUnknownProgress && !runs.anyDeciding
 }
 
 // nextEndRejects reports whether one more ended replica may reject the message.
