Batch, quarantine: a run whose further lease is refused is judged by what its replica shows

Callers: none seen; found by review.

Change: any refusal of a further lease counts as an interrupted run, and an interrupted run that came further at a replica which has not ended clears the ends before, as every other run does.

TestProgressClearsEndsIfAFurtherLeaseIsNotReached failed before (3 of 3: "the message is apart ..., want allowed").

--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// maxCrashesPerItem bounds the ended replicas that are recorded for one item: no more than this may end under it.
+	// maxCrashesPerItem bounds the ended replicas that are recorded for one item: as many reject it.
 	maxCrashesPerItem = 3
 	// crashBackoff is how long a suspected item waits for each replica that ended under it. Other messages that ran at such a
 	// replica are retried first: callers wait for some of them, and one that is the cause ends the next replica within some tenths
@@ -208,7 +208,8 @@
 	switch {
 	case verdict == itemDone && resumedAfter == "":
 		return quarantine.Whole
-	case a.lostBetweenLeases(ctx, verdict):
+	case verdict == itemRefused && a.awaitingResume && ctx.Err() == nil:
+		// The replica may have ended under the lease before, which this owner cut off.
 		return quarantine.Interrupted
 	case verdict != itemInterrupted:
 		return quarantine.Other
@@ -221,12 +222,6 @@
 	}
 }
 
-// lostBetweenLeases reports whether the attempt ended because its replica took no connection for a further lease: the replica may have
-// ended under the lease before, which this owner had cut off at its end.
-func (a *itemAttempt) lostBetweenLeases(ctx context.Context, verdict itemVerdict) bool {
-	return verdict == itemRefused && a.awaitingResume && errors.Is(a.err, replica.ErrNotSent) && ctx.Err() == nil
-}
-
 // recordCrash makes it durable that a replica ended under an item, if that counts against the message, so that the next owner knows.
 // The item is not sent again before that.
 func (p *partition) recordCrash(attempt *itemAttempt) {
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -165,10 +165,13 @@
 	switch {
 	case inquiry.counted && (ending == Lost || runDuration <= shortRunDuration || r.item):
 		r.service.suspect(r, inquiry.at, runDuration)
-	case inquiry.ended, r.handle.Info().Draining:
-		// A draining replica ends its runs as planned.
+	case inquiry.counted:
+		// A further run of the request need not make these events again.
 	case r.progressed:
+		r.service.clearEndsBefore(r.key, r.reached)
 		r.service.clearLosses(r.key)
+	case inquiry.ended, r.handle.Info().Draining:
+		// A draining replica ends its runs as planned.
 	default:
 		r.service.addLoss(r)
 	}
