--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -130,9 +130,7 @@
 func (s *Service) requestGrant(ctx context.Context, key Key) *permit {
 	// 0 is reserved for "no run".
 	run := max(1, rand.Uint64())
-	s.mutex.Lock()
-	s.requestedRuns[run] = clock.Now()
-	s.mutex.Unlock()
+	s.rememberRun(run)
 	pause := minBusyPause
 	for {
 		response, keeper, err := s.askKeepers(ctx, key, run)
@@ -158,6 +156,13 @@
 	}
 }
 
+// rememberRun notes that this node requested, or holds, the grant of a run.
+func (s *Service) rememberRun(run uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.requestedRuns[run] = clock.Now()
+}
+
 // logDisagreement logs if a keeper decided otherwise on a message that is still Apart by this node's evidence.
 func (s *Service) logDisagreement(key Key, keeper membership.Member, decided quarantinepb.Verdict) {
 	if decided == quarantinepb.Verdict_VERDICT_GRANTED || decided == quarantinepb.Verdict_VERDICT_BUSY {
@@ -220,6 +225,7 @@
 		case <-ctx.Done():
 			return
 		}
+		s.rememberRun(granted.grantedRun)
 		if _, err := s.askKeeper(
 			ctx, granted.key, granted.grantedRun, replica.Key(granted.replicaKey.Load()), granted.keeper,
 		); err != nil && ctx.Err() == nil {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -21,8 +21,8 @@
 	// releasedRunRetention is how long a released run is remembered: requests sent before the release may arrive until
 	// then.
 	releasedRunRetention = 10 * time.Second
-	// requestedRunRetention is how long a node remembers for which runs it requested a grant: longer than a keeper is
-	// paused before it reports the lapse of one.
+	// requestedRunRetention is how long a node remembers a run after it last asked for its grant: longer than a keeper
+	// is paused before it reports the lapse.
 	requestedRunRetention = time.Minute
 )
 
@@ -113,7 +113,7 @@
 		return
 	}
 	if _, own := s.requestedRuns[held.run]; own {
-		// This node was paused. The run itself reports how it ends.
+		// This node holds the grant itself and was paused. The run reports how it ends.
 		return
 	}
 	ended := cmp.Or(held.replicaKey, replica.Key(held.run))
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -82,7 +82,7 @@
 	grants map[Key]grant
 	// releasedRuns holds the runs whose grants were released to this node as keeper, with the time of the release.
 	releasedRuns map[uint64]time.Time
-	// requestedRuns holds the runs for which this node requested a grant, with the time of the request.
+	// requestedRuns holds the runs for which this node requested a grant, with the time of the last request.
 	requestedRuns map[uint64]time.Time
 	// abortedRuns holds the runs that this node aborted a short while ago, by replica. abortedCount is their number,
 	// expireAbortedAt the time from which old ones are dropped again.
