Quarantine: records that could not be deleted are forgotten with their lease

Found by review: while the key-value service was away, messages whose records were to be deleted were kept without a bound, and deletions went before new records. Names say what is stale.

--- a/internal/quarantine/recorded.go
+++ b/internal/quarantine/recorded.go
@@ -34,9 +34,9 @@
 const (
 	// recordMissing: the first keeper has to write it.
 	recordMissing recordState = iota
-	// recordWritten: this node wrote it, or found it when it was about to.
+	// recordWritten: this node wrote it or found it written.
 	recordWritten
-	// recordRecalled: this node has the rejection from the record.
+	// recordRecalled: this node learned of the rejection from a record.
 	recordRecalled
 )
 
@@ -52,7 +52,7 @@
 	return decodeKey(encoded)
 }
 
-// writeRecords writes the missing records and deletes the withdrawn ones whenever a rejection is made or taken back, and
+// writeRecords writes the missing records and deletes the stale ones whenever a rejection is made or taken back, and
 // every refreshInterval.
 func (s *Service) writeRecords() {
 	if s.store == nil {
@@ -68,25 +68,26 @@
 		case <-s.ctx.Done():
 			return
 		}
-		for _, message := range s.withdrawnRecords() {
-			writer.remove(message)
-		}
 		for _, message := range s.missingRecords() {
 			writer.write(message)
 		}
+		for _, message := range s.recordsToDelete() {
+			writer.remove(message)
+		}
 	}
 }
 
-// withdrawnRecords returns the messages whose records this node has to delete. The record of a message that was rejected
-// again meanwhile is kept.
-func (s *Service) withdrawnRecords() []Key {
+// recordsToDelete returns the messages whose records this node has to delete. The record of a message that was rejected
+// again meanwhile is kept, and the lease of an old one is over.
+func (s *Service) recordsToDelete() []Key {
+	now := clock.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	maps.DeleteFunc(s.withdrawn, func(message Key, _ bool) bool {
+	maps.DeleteFunc(s.staleRecords, func(message Key, since time.Time) bool {
 		_, rejected := s.rejected[message]
-		return rejected
+		return rejected || now.Sub(since) >= retention
 	})
-	return slices.Collect(maps.Keys(s.withdrawn))
+	return slices.Collect(maps.Keys(s.staleRecords))
 }
 
 // missingRecords returns the rejected messages whose records this node has to write. A provisional rejection is not
@@ -128,7 +129,7 @@
 	if _, rejected := s.rejected[message]; rejected {
 		s.rejected[message] = recordWritten
 	} else {
-		s.withdrawn[message] = true
+		s.staleRecords[message] = clock.Now()
 		subscription.Signal(s.recordsChanged)
 	}
 	s.logger.Info().Stringer("digest", message).Msg("rejection_recorded")
@@ -146,7 +147,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	delete(s.withdrawn, message)
+	delete(s.staleRecords, message)
 	s.logger.Info().Stringer("digest", message).Msg("rejection_withdrawn")
 }
 
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -97,8 +97,9 @@
 	repeats map[replica.Key]map[Key]bool
 	// rejected holds the messages whose rejection was logged, with the state of their records.
 	rejected map[Key]recordState
-	// withdrawn holds the messages whose records this node has to delete, since their rejection was taken back.
-	withdrawn map[Key]bool
+	// staleRecords holds the messages whose records this node has to delete, with the time at which their rejection was
+	// taken back.
+	staleRecords map[Key]time.Time
 	// complete reports that this node knows the messages that were rejected before all nodes were killed.
 	complete bool
 }
@@ -128,7 +129,7 @@
 		outbox:           map[replica.Key]map[Key]bool{},
 		repeats:          map[replica.Key]map[Key]bool{},
 		rejected:         map[Key]recordState{},
-		withdrawn:        map[Key]bool{},
+		staleRecords:     map[Key]time.Time{},
 		abortedRuns:      map[replica.Key][]abortedRun{},
 	}
 	service.ctx, service.cancel = context.WithCancel(context.Background())
@@ -375,7 +376,7 @@
 	if !rejected {
 		delete(s.rejected, key)
 		if state == recordWritten {
-			s.withdrawn[key] = true
+			s.staleRecords[key] = clock.Now()
 		}
 		return
 	}
