Quarantine: an end in the log of an item's owner is that of an item run

Callers: an innocent item is held back to its retention, by a test of the review: an owner of this build logged the first end with its point and was killed, two owners of the older build met the others. The log knows the point but not that the run was an item's, so that the end was taken for that of a request, and three ends rejected the item without a deciding run.

Change: ends from the log are marked as such, at this node only, and count as ends of item runs once any end is of unknown progress. With one build nothing changes.

TestItemOutlivesAnEndOfThisBuildThatAnOldNodePassedOn failed before, 3 of 3 cases ("STATE_DEAD_LETTER").

--- a/internal/batch/item_rollout_test.go
+++ b/internal/batch/item_rollout_test.go
@@ -283,3 +283,22 @@
 		})
 	}
 }
+
+// TestItemOutlivesAnEndOfThisBuildThatAnOldNodePassedOn guards an item that ends no replica: its first owner, of this build, logged an end
+// with its progress and was killed, and a node of the build before passes that end on without its progress. Two owners of the build before
+// met the other ends, so that no deciding run was made. The log must not turn the first end into that of a request.
+func TestItemOutlivesAnEndOfThisBuildThatAnOldNodePassedOn(t *testing.T) {
+	ends := []reportedEnd{
+		{replica: 0, sender: 1, age: 3500 * time.Millisecond, ran: 207 * time.Millisecond},
+		{replica: 1, sender: 1, age: 2400 * time.Millisecond, ran: 24 * time.Millisecond, granted: true},
+		{replica: 2, sender: 1, age: 100 * time.Millisecond, ran: 30 * time.Millisecond, granted: true},
+	}
+	log := []loggedStep{{replica: 0, reached: proto.Uint32(34)}, {text: 31}, {replica: 1}, {replica: 2}}
+	for name, history := range map[string]rollout{
+		"granted":        {ends, log},
+		"no grants":      {withoutGrants(ends), log},
+		"known from log": {nil, log},
+	} {
+		t.Run(name, func(t *testing.T) { wantItemDone(t, history) })
+	}
+}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -39,7 +39,9 @@
 	// deciding reports that the run was the deciding run of a batch item: granted although one more end may reject the
 	// message, and deferred by the item's owner until few replicas ended.
 	deciding bool
-	// origin is how this node learned of the end; it is not sent to other nodes.
+	// logged reports that the log of an item's owner has the end. Like origin, which is how this node learned of the end,
+	// it is not sent to other nodes.
+	logged bool
 	origin origin
 }
 
@@ -174,6 +176,7 @@
 	merged.reached = max(s.reached, other.reached)
 	merged.reachedKnown = s.reachedKnown || other.reachedKnown
 	merged.deciding = s.deciding || other.deciding
+	merged.logged = s.logged || other.logged
 	return merged
 }
 
@@ -216,12 +219,17 @@
 	return found
 }
 
-// markItem marks the ends under a message whose runs were made by nodes that report neither progress nor items as ends
-// during runs of an item, and returns the incidents that changed.
+// markItem marks the ends under a message that are not known to be those of a request as ends of item runs, and returns
+// the incidents that changed. It marks none while the progress of all runs is known: the nodes that made them report
+// which were those of items.
 func (e *evidenceStore) markItem(message Key) []*incident {
+	ends := e.byMessage[message]
+	if !slices.ContainsFunc(slices.Collect(maps.Values(ends)), func(end *incident) bool { return !end.suspects[message].reachedKnown }) {
+		return nil
+	}
 	var marked []*incident
-	for _, end := range e.byMessage[message] {
-		if suspected := end.suspects[message]; !suspected.reachedKnown && !suspected.item {
+	for _, end := range ends {
+		if suspected := end.suspects[message]; !suspected.item && (!suspected.reachedKnown || suspected.logged) {
 			suspected.item = true
 			marked = append(marked, end)
 		}
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -95,8 +95,7 @@
 // ItemRegister is a Register for batch items. No caller waits for their answers, so that their runs can be delayed.
 type ItemRegister interface {
 	Register
-	// CheckItem is Check for an item. It first marks the ends of replicas whose runs a node of an older build made as
-	// ends during runs of an item, which such nodes do not report.
+	// CheckItem returns the verdict on an item. Ends of unknown progress then count as ends of item runs, at all nodes.
 	CheckItem(key Key) Verdict
 	// AdmitItem is Admit for an item. Ends of replicas during runs of items reject the message only if one of these
 	// runs was made under a keeper's grant, or from maxEndedWithProgress ends on. If the progress of several of these
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -194,16 +194,23 @@
 func (s *Service) CheckItem(key Key) Verdict {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if marked := s.evidence.markItem(key); len(marked) > 0 {
-		for _, end := range marked {
-			s.announce(end.replica, key)
-		}
-		s.updateRejected(key)
-		s.signalChanged()
-	}
+	s.markItem(key)
 	return s.evidence.verdict(key)
 }
 
+// markItem marks the ends under a message as those of an item and announces the changes. The mutex is held.
+func (s *Service) markItem(key Key) {
+	marked := s.evidence.markItem(key)
+	if len(marked) == 0 {
+		return
+	}
+	for _, end := range marked {
+		s.announce(end.replica, key)
+	}
+	s.updateRejected(key)
+	s.signalChanged()
+}
+
 // Recall implements Register.
 func (s *Service) Recall(key Key, ended []RecordedEnd, events int) {
 	now := clock.Now()
@@ -211,7 +218,7 @@
 	defer s.mutex.Unlock()
 	for index, recorded := range ended {
 		recalled := unseenSuspect(originRecalled)
-		recalled.reached, recalled.reachedKnown = recorded.Reached, recorded.ReachedKnown
+		recalled.reached, recalled.reachedKnown, recalled.logged = recorded.Reached, recorded.ReachedKnown, true
 		if recalled.progressedPast(events) {
 			continue
 		}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -94,7 +94,7 @@
 
 // conclusive reports whether maxEndedReplicas such ends reject the message.
 func (r endedRunsSummary) conclusive() bool {
-	return !r.itemsOnly || r.anyDeciding || r.anyGranted && r.progressUnknown <= maxUnknownProgress
+	return !r.itemsOnly || r.anyDeciding || (r.anyGranted && r.progressUnknown <= maxUnknownProgress)
 }
 
 // summarizeEndedRuns returns the summary for a message.
@@ -297,7 +297,7 @@
 	for _, end := range e.openIncidents(message) {
 		suspected := end.suspects[message]
 		listed = append(listed, fmt.Sprintf(
-			"%016x age=%s ran=%s together=%d granted=%t item=%t deciding=%t progressed=%t reached=%d known=%t passed=%t %s",
+			"%016x age=%s ran=%s together=%d granted=%t item=%t deciding=%t progressed=%t reached=%d progress_known=%t passed=%t %s",
 			uint64(end.replica),
 			now.Sub(end.learnedAt).Round(time.Millisecond),
 			suspected.runDuration,
