Quarantine: a rejection with the end of a known request is recorded

Found by review: "provisional" covered requests as well. An end that is known to be a request's now makes the rejection final.

--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -88,6 +88,8 @@
 	// progressUnknown is the number of runs made by nodes that do not report progress. Such a node makes the last run of
 	// an item at once, however many replicas end meanwhile.
 	progressUnknown int
+	// anyRequest reports that at least one is known to have been the run of a request.
+	anyRequest bool
 	// longItemsWithProgress reports that all were long runs of items that had produced events.
 	longItemsWithProgress bool
 }
@@ -111,6 +113,7 @@
 		if !suspected.reachedKnown {
 			summary.progressUnknown++
 		}
+		summary.anyRequest = summary.anyRequest || suspected.reachedKnown && !suspected.item && !suspected.logged
 		summary.longItemsWithProgress = summary.longItemsWithProgress && suspected.item && suspected.progressed && suspected.runDuration > shortRunDuration
 	}
 	return summary
@@ -123,7 +126,7 @@
 		return false
 	}
 	runs := e.summarizeEndedRuns(message)
-	return runs.progressUnknown > maxUnknownProgress && !runs.anyDeciding
+	return runs.progressUnknown > maxUnknownProgress && !runs.anyDeciding && !runs.anyRequest
 }
 
 // nextEndRejects reports whether one more ended replica may reject the message.
