Quarantine: only a run that its owner could defer is a deciding run

Callers: none seen; by a test of the review a third end arrives while the owner waits for its grant, and is not marked as an item's. The owner's verdict is then "rejected", nothing is deferred, and the run, made in the middle of a series, counted as deciding.

Change: what the owner asks before it defers marks the ends as well, and the run asks the same question.

--- a/internal/quarantine/older_build_test.go
+++ b/internal/quarantine/older_build_test.go
@@ -336,3 +336,28 @@
 		t.Errorf("verdict is %s, want rejected", got)
 	}
 }
+
+// TestRunThatItsOwnerDidNotDeferDecidesNothing guards an item that ends no replica: a node of the build before reports a third end while the
+// item's owner waits for its grant. The owner then regards the message as rejected, does not defer the granted run, and makes it in the
+// middle of a series of crashes; the end of its replica must not reject the item.
+func TestRunThatItsOwnerDidNotDeferDecidesNothing(t *testing.T) {
+	inCluster(t, 3, 8, func(t *testing.T, c *cluster) {
+		owner, key := c.nodes[0], keyOf("item")
+		owner.join(endsOfOldNode(key, 1, 2), time.Now())
+		owner.CheckItem(key)
+		permit := owner.AdmitItem(t.Context(), key)
+		defer permit.Release()
+		if permit.Verdict() != Apart {
+			t.Fatalf("verdict of the keeper is %s, want apart", permit.Verdict())
+		}
+		owner.join(endsOfOldNode(key, 3), time.Now())
+		deferred := owner.NextEndRejects(key)
+		handle := c.placeRun(owner, permit, key, 0)
+		run := permit.Begin(handle, nil)
+		c.crash(handle, keyOf("cause"))
+		run.End(t.Context(), Lost)
+		if got := owner.CheckItem(key); !deferred && got != Apart {
+			t.Errorf("the item is %s after a run that was not deferred, want apart", got)
+		}
+	})
+}
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -103,7 +103,8 @@
 	AdmitItem(ctx context.Context, key Key) Permit
 	// HasEvidence reports whether any end of a replica counts against the message, even if it is still Allowed.
 	HasEvidence(key Key) bool
-	// NextEndRejects reports whether the message is Apart and one more ended replica may reject it.
+	// NextEndRejects reports whether the item is Apart and one more ended replica may reject it, after marking its ends
+	// as CheckItem does.
 	NextEndRejects(key Key) bool
 	// Stable reports whether so few replicas of the service ended recently that the replica of a run there is unlikely to
 	// end for a reason other than the message.
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -77,7 +77,7 @@
 	}
 	p.service.mutex.Lock()
 	defer p.service.mutex.Unlock()
-	started.deciding = started.granted && started.item && p.service.evidence.nextEndRejects(p.key)
+	started.deciding = started.granted && started.item && p.service.evidence.nextRunDecides(p.key)
 	if p.service.runs[p.key] == nil {
 		p.service.runs[p.key] = map[*run]bool{}
 	}
@@ -98,8 +98,9 @@
 	cut       func()
 	startedAt time.Time
 	granted   bool
-	// item reports that the run is that of a batch item, deciding that it is the deciding run of one.
-	item     bool
+	// item reports that the run is that of a batch item.
+	item bool
+	// deciding reports that it is the deciding run of an item.
 	deciding bool
 	// progressed reports that the run produced events after which a further run resumes; reached is the number of
 	// events in the answer then.
--- a/internal/quarantine/stable.go
+++ b/internal/quarantine/stable.go
@@ -58,5 +58,6 @@
 func (s *Service) NextEndRejects(key Key) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.evidence.verdict(key) == Apart && s.evidence.nextEndRejects(key)
+	s.markItem(key)
+	return s.evidence.nextRunDecides(key)
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -136,6 +136,12 @@
 		e.unfinishedRunCount(message)+1 >= maxUnfinishedRuns
 }
 
+// nextRunDecides reports whether the next granted run of an item is its deciding run: the message is Apart, and one more
+// ended replica may reject it.
+func (e *evidenceStore) nextRunDecides(message Key) bool {
+	return e.verdict(message) == Apart && e.nextEndRejects(message)
+}
+
 // strongIncidents returns the incidents that are strong evidence against a message: the run was short, had produced no
 // events, and the end was not simultaneous with the previous one. A run that produced events is likely to be there by
 // chance, since a message that crashes replicas mostly does so when it is read.
