Tests of items after a rollout: one way to start a register; 'older build' throughout

The register of startOwnerWithQuarantine was set up twice; the histories' notices and records have functions of their own.

--- a/internal/batch/item_chance_test.go
+++ b/internal/batch/item_chance_test.go
@@ -175,12 +175,21 @@
 	routes.Table().Routes[0].Retention = time.Minute
 	service.directory.Replace(replicas.infos())
 	service.client = replica.NewClient(replicas, replicatest.Headers)
-	address := netip.MustParseAddrPort("127.0.0.1:9000")
-	connected, err := memory.NewTransport(memory.NewNetwork(1), address, prometheus.NewRegistry())
+	startRegister(t, service, replicas, memory.NewNetwork(1))
+	return startPartition(t, unconfined, service, fleet, replicas.Network, routes, records...)
+}
+
+// registerAddress is the address of the node whose register startRegister starts.
+var registerAddress = netip.MustParseAddrPort("127.0.0.1:9000")
+
+// startRegister starts a quarantine register for the service, of a node that knows no other members.
+func startRegister(t *testing.T, service *Service, replicas *crashingReplicas, nodes *memory.Network) {
+	t.Helper()
+	connected, err := memory.NewTransport(nodes, registerAddress, prometheus.NewRegistry())
 	if err != nil {
 		t.Fatal(err)
 	}
-	self := membership.Member{ID: "n", State: membership.Alive, PeerAddress: address}
+	self := membership.Member{ID: "n", State: membership.Alive, PeerAddress: registerAddress}
 	register := quarantine.NewService(quarantine.Options{
 		Network: replicas, Directory: service.directory, Viewer: membershiptest.NewViewer(&membership.View{Self: "n", Members: []membership.Member{self}}),
 		Caller: connected, Registrar: connected, Registerer: prometheus.NewRegistry(), Logger: zerolog.Nop(),
@@ -192,7 +201,6 @@
 		register.Stop()
 		connected.Stop()
 	})
-	return startPartition(t, unconfined, service, fleet, replicas.Network, routes, records...)
 }
 
 // TestItemWithProgressIsDone guards against holding back harmless items. Replicas crashed some seconds apart for other reasons, and
--- a/internal/batch/item_lease_test.go
+++ b/internal/batch/item_lease_test.go
@@ -92,7 +92,7 @@
 }
 
 // TestReplicaThatEndsBetweenLeasesCounts guards the bound of ended replicas: a replica that has ended when a further lease of an item is
-// to start there ended under the item. This happened to an owner that was paused at that time, and the item ended one replica more.
+// to start there ended under the item. An owner that was paused meanwhile finds the lease over and the replica gone at once.
 func TestReplicaThatEndsBetweenLeasesCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		replicas := newCrashingReplicas(4)
--- a/internal/batch/item_rollout_test.go
+++ b/internal/batch/item_rollout_test.go
@@ -10,14 +10,11 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
 	"github.com/sloelift/sloelift/internal/ledger"
-	"github.com/sloelift/sloelift/internal/membership"
-	"github.com/sloelift/sloelift/internal/membership/membershiptest"
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
@@ -27,7 +24,7 @@
 
 const (
 	noticeMethod transport.Method = "quarantine.notice"
-	// lapsedRun is the number of a run; a keeper of the build before reports the lapse of its grant as the end of a replica with
+	// lapsedRun is the number of a run; a keeper of an older build reports the lapse of its grant as the end of a replica with
 	// that key. lapsedRunDuration is the length that it assumes for such a run.
 	lapsedRun         replica.Key = 0x4eaa6c7e892ef421
 	lapsedRunDuration             = 3 * time.Second
@@ -35,13 +32,13 @@
 
 // reportedEnd is the end of a replica under the item "j-0" as another node reports it.
 type reportedEnd struct {
-	// replica is the number of a replica that has ended; -1 for the lapse of a grant at a keeper of the build before. sender is the
+	// replica is the number of a replica that has ended; -1 for the lapse of a grant at a keeper of an older build. sender is the
 	// number of the node that reports it, at once: the item's owner at that time, or the keeper.
 	replica  int
 	sender   int
 	age, ran time.Duration
 	granted  bool
-	// reached is the number of events that a node of this build reports; nodes of the build before report none.
+	// reached is the number of events that a node of this build reports; nodes of an older build report none.
 	reached *uint32
 }
 
@@ -72,6 +69,8 @@
 	routes.Table().Routes[0].Retention = time.Minute
 	service.directory.Replace(replicas.infos())
 	service.client = replica.NewClient(replicas, replicatest.Headers)
+	nodes := memory.NewNetwork(1)
+	startRegister(t, service, replicas, nodes)
 	keyOf := func(number int) replica.Key {
 		if number < 0 {
 			return lapsedRun
@@ -79,50 +78,46 @@
 		replicas.end(endedAddress(number))
 		return service.directory.View().Find(endedAddress(number).String()).Key()
 	}
-	network, address := memory.NewNetwork(1), netip.MustParseAddrPort("127.0.0.1:9000")
-	connected, err := memory.NewTransport(network, address, prometheus.NewRegistry())
-	if err != nil {
-		t.Fatal(err)
-	}
-	self := membership.Member{ID: "n", State: membership.Alive, PeerAddress: address}
-	viewer := membershiptest.NewViewer(&membership.View{Self: "n", Members: []membership.Member{self}})
-	register := quarantine.NewService(quarantine.Options{
-		Network: replicas, Directory: service.directory, Viewer: viewer,
-		Caller: connected, Registrar: connected, Registerer: prometheus.NewRegistry(), Logger: zerolog.Nop(),
-	})
-	connected.Start()
-	register.Start()
-	service.options.Quarantine = register
-	t.Cleanup(func() {
-		register.Stop()
-		connected.Stop()
-	})
 	submission := testSubmission("j", 1)
 	message := messageKey(submission, 0, service.client.Headers())
 	// The job is accepted before the series.
 	const acceptedBefore = 5 * time.Second
 	takenOverAt := time.Now().Add(acceptedBefore)
-	records, logged := acceptanceRecords(submission, time.Now().UnixMilli()), ""
+	records := acceptanceRecords(submission, time.Now().UnixMilli())
 	for _, end := range history.ends {
 		time.Sleep(time.Until(takenOverAt.Add(-end.age)))
-		suspected := &quarantinepb.Suspect{Message: message[:], RanMillis: uint32(end.ran.Milliseconds()), Granted: end.granted}
-		incident := &quarantinepb.Incident{Replica: uint64(keyOf(end.replica)), Suspects: []*quarantinepb.Suspect{suspected}}
-		if end.reached != nil {
-			suspected.Item, suspected.Progress, suspected.Reached, incident.Service = true, quarantinepb.Progress_PROGRESS_MADE, *end.reached, "s"
-		}
-		sender, err := memory.NewTransport(network, netip.AddrPortFrom(address.Addr(), address.Port()+uint16(end.sender)), prometheus.NewRegistry())
-		if err != nil {
-			t.Fatal(err)
-		}
-		sender.Start()
-		if err := sender.Send(address, noticeMethod, &quarantinepb.Notice{Incidents: []*quarantinepb.Incident{incident}}); err != nil {
-			t.Fatal(err)
-		}
-		synctest.Wait()
-		sender.Stop()
+		end.report(t, nodes, message, keyOf(end.replica))
 	}
 	time.Sleep(time.Until(takenOverAt))
-	for _, step := range history.log {
+	return startPartition(t, unconfined, service, fleet, replicas.Network, routes, append(records, history.records(keyOf)...)...)
+}
+
+// report sends the end to the node at registerAddress as its sender does.
+func (e reportedEnd) report(t *testing.T, nodes *memory.Network, message quarantine.Key, ended replica.Key) {
+	t.Helper()
+	suspected := &quarantinepb.Suspect{Message: message[:], RanMillis: uint32(e.ran.Milliseconds()), Granted: e.granted}
+	incident := &quarantinepb.Incident{Replica: uint64(ended), Suspects: []*quarantinepb.Suspect{suspected}}
+	if e.reached != nil {
+		suspected.Item, suspected.Progress, suspected.Reached, incident.Service = true, quarantinepb.Progress_PROGRESS_MADE, *e.reached, "s"
+	}
+	address := netip.AddrPortFrom(registerAddress.Addr(), registerAddress.Port()+uint16(e.sender))
+	sender, err := memory.NewTransport(nodes, address, prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	sender.Start()
+	if err := sender.Send(registerAddress, noticeMethod, &quarantinepb.Notice{Incidents: []*quarantinepb.Incident{incident}}); err != nil {
+		t.Fatal(err)
+	}
+	synctest.Wait()
+	sender.Stop()
+}
+
+// records returns the item's records; keyOf returns the key of a replica.
+func (r rollout) records(keyOf func(number int) replica.Key) []ledger.Record {
+	var records []ledger.Record
+	logged := ""
+	for _, step := range r.log {
 		if step.text == 0 {
 			records = append(records, newRecord(ledger.KindBatchCrashed, &batchpb.Crashed{JobId: "j", Replica: uint64(keyOf(step.replica)), Reached: step.reached}))
 			continue
@@ -133,7 +128,7 @@
 		}))
 		logged = text
 	}
-	return startPartition(t, unconfined, service, fleet, replicas.Network, routes, records...)
+	return records
 }
 
 // streamText returns the text of the first events of crashingReplicas.
@@ -145,7 +140,7 @@
 	return strings.Join(data, "\n")
 }
 
-// The histories below are ends within 4 s in a series of crashes. An owner of the build before records no number of events.
+// The histories below are ends within 4 s in a series of crashes. An owner of an older build records no number of events.
 var (
 	// lapseHistory has one end at an old owner, one at an owner of this build, and the lapse of a grant at an old keeper.
 	lapseHistory = rollout{
@@ -182,7 +177,7 @@
 }
 
 // TestItemOutlivesEndsAtOwnersOfTheBuildBefore guards an item that ends no replica against being held back until its route's
-// retention is over, for three ends that nodes of the build before met in a series of crashes and reported without its progress.
+// retention is over, for three ends that nodes of an older build met in a series of crashes and reported without its progress.
 func TestItemOutlivesEndsAtOwnersOfTheBuildBefore(t *testing.T) {
 	for name, history := range map[string]rollout{
 		"one is the lapse of a grant":                    lapseHistory,
@@ -223,7 +218,7 @@
 }
 
 // TestItemThatEndsItsReplicasEndsOneMoreAfterARollout guards the bound of ended replicas for an item that ends each replica that runs
-// it, if owners of the build before met some of these ends: it may end one more, in its deciding run.
+// it, if owners of an older build met some of these ends: it may end one more, in its deciding run.
 func TestItemThatEndsItsReplicasEndsOneMoreAfterARollout(t *testing.T) {
 	const most = 1
 	steps := func(all ...loggedStep) []loggedStep { return all }
@@ -285,7 +280,7 @@
 }
 
 // TestItemOutlivesAnEndOfThisBuildThatAnOldNodePassedOn guards an item that ends no replica: its first owner, of this build, logged an end
-// with its progress and was killed, and a node of the build before passes that end on without its progress. Two owners of the build before
+// with its progress and was killed, and a node of an older build passes that end on without its progress. Two owners of an older build
 // met the other ends, so that no deciding run was made. The log must not turn the first end into that of a request.
 func TestItemOutlivesAnEndOfThisBuildThatAnOldNodePassedOn(t *testing.T) {
 	ends := []reportedEnd{
--- a/internal/quarantine/older_build_test.go
+++ b/internal/quarantine/older_build_test.go
@@ -17,7 +17,7 @@
 	"github.com/sloelift/sloelift/internal/transport/memory"
 )
 
-// oldNode speaks the messages of the build before: its incidents have no progress, and as keeper it counts the ends that are not
+// oldNode speaks the messages of an older build: its incidents have no progress, and as keeper it counts the ends that are not
 // cleared, the third of which rejects a message.
 type oldNode struct {
 	member    membership.Member
@@ -143,14 +143,14 @@
 	return Key{}
 }
 
-// oldIncident is the end of a replica as a node of the build before reports it.
+// oldIncident is the end of a replica as a node of an older build reports it.
 func oldIncident(ended replica.Key, key Key, age, ran time.Duration, granted bool) *quarantinepb.Incident {
 	return &quarantinepb.Incident{Replica: uint64(ended), AgeMillis: uint64(age.Milliseconds()), Suspects: []*quarantinepb.Suspect{
 		{Message: key[:], RanMillis: uint32(ran.Milliseconds()), Granted: granted},
 	}}
 }
 
-// endsOfOldNode returns the notice by which a node of the build before reports ends of replicas under a message, one
+// endsOfOldNode returns the notice by which a node of an older build reports ends of replicas under a message, one
 // second apart.
 func endsOfOldNode(key Key, ended ...replica.Key) *quarantinepb.Notice {
 	notice := &quarantinepb.Notice{}
@@ -174,7 +174,7 @@
 	run.End(c.t.Context(), Lost)
 }
 
-// TestItemIsNotRejectedByRunsOfAnOlderBuild guards items against rejection by ends that owners of the build before
+// TestItemIsNotRejectedByRunsOfAnOlderBuild guards items against rejection by ends that owners of an older build
 // report: such owners make the last run in the middle of a series of crashes. A deciding run of this build is granted,
 // and its end rejects the item at all nodes.
 func TestItemIsNotRejectedByRunsOfAnOlderBuild(t *testing.T) {
@@ -234,8 +234,8 @@
 	})
 }
 
-// TestProvisionalRejectionIsNotRecorded guards against a rejection that outlives its correction: nodes that started
-// after it was written to the key-value service kept the item back for ten minutes, although its owner knew better.
+// TestProvisionalRejectionIsNotRecorded guards against a rejection that outlives its correction: nodes that start after
+// it is written to the key-value service would keep the item back for ten minutes.
 func TestProvisionalRejectionIsNotRecorded(t *testing.T) {
 	inCluster(t, 3, 8, func(t *testing.T, c *cluster) {
 		owner, key := c.nodes[0], keyOf("item")
@@ -256,7 +256,7 @@
 	})
 }
 
-// TestLapseAtAnOldKeeperIsNoEnd guards a message against being rejected for grants that lapsed at a keeper of the build before, which
+// TestLapseAtAnOldKeeperIsNoEnd guards a message against being rejected for grants that lapsed at a keeper of an older build, which
 // reports them as ends of replicas under the numbers of the runs, though the replicas live.
 func TestLapseAtAnOldKeeperIsNoEnd(t *testing.T) {
 	inCluster(t, 3, 8, func(t *testing.T, c *cluster) {
@@ -288,7 +288,7 @@
 }
 
 // TestLapseStaysUnseenThroughAnOldNode guards a message against being rejected for grants of this build's keeper that lapsed: a node of
-// the build before relays them without the mark that nobody saw an end.
+// an older build relays them without the mark that nobody saw an end.
 func TestLapseStaysUnseenThroughAnOldNode(t *testing.T) {
 	inCluster(t, 3, 8, func(t *testing.T, c *cluster) {
 		// All nodes have read the records before.
@@ -321,7 +321,7 @@
 }
 
 // TestItemWithOneEndOfAnOlderBuildIsRejectedAsBefore guards the bound of three replicas: two owners of this build, the
-// first of which was paused, ran an item beside each other under grants, and one end at an owner of the build before is
+// first of which was paused, ran an item beside each other under grants, and one end at an owner of an older build is
 // no reason for a fourth.
 func TestItemWithOneEndOfAnOlderBuildIsRejectedAsBefore(t *testing.T) {
 	now, key := time.Unix(1_000_000, 0), keyOf("item")
@@ -337,7 +337,7 @@
 	}
 }
 
-// TestRunThatItsOwnerDidNotDeferDecidesNothing guards an item that ends no replica: a node of the build before reports a third end while the
+// TestRunThatItsOwnerDidNotDeferDecidesNothing guards an item that ends no replica: a node of an older build reports a third end while the
 // item's owner waits for its grant. The owner then regards the message as rejected, does not defer the granted run, and makes it in the
 // middle of a series of crashes; the end of its replica must not reject the item.
 func TestRunThatItsOwnerDidNotDeferDecidesNothing(t *testing.T) {
