Quarantine: an unseen end at exactly the point of an observed one counts

Cause: storage-2 was frozen while the item ran at r-8, which ended behind event 188. When it woke it had lost the partition, broke the run off, and its end counted like a loss ("ended=0 reached=188 ran=2533"): nobody sees what becomes of a run that was broken off. The three others ended behind event 188 as well.

Change: an unseen end of a run that made events counts in full if an observed one was at exactly the same event: an item that ends replicas at an event makes none after it. An innocent item is there by chance only if a further run made nothing, and then its next run is deferred one end earlier.

TestUnseenEndAtThePointOfAnObservedOneCounts failed before ("1 ends are counted, want 2"); TestOnlyARunApartRejectsAnItem holds unchanged.

--- a/internal/quarantine/unseen_test.go
+++ b/internal/quarantine/unseen_test.go
@@ -51,3 +51,27 @@
 		}
 	}
 }
+
+// TestUnseenEndAtThePointOfAnObservedOneCounts guards the bound of three replicas for an item that ends them at an event
+// of its answer: the first owner was paused while its replica ended, and broke the run off when it woke.
+func TestUnseenEndAtThePointOfAnObservedOneCounts(t *testing.T) {
+	for name, test := range map[string]struct {
+		unseen suspect
+		want   int
+	}{
+		"at the same event":   {suspect{reached: 188, reachedKnown: true, progressed: true, unseen: true}, 2},
+		"at an earlier event": {suspect{reached: 180, reachedKnown: true, progressed: true, unseen: true}, 1},
+		"before any event":    {suspect{reachedKnown: true, unseen: true}, 1},
+		"at an unknown event": {suspect{unseen: true}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now, key := time.Unix(1_000_000, 0), keyOf("item")
+			store := newEvidenceStore()
+			store.add(1, now, key, test.unseen)
+			store.add(2, now.Add(time.Second), key, suspect{reached: 188, reachedKnown: true, progressed: true})
+			if got := store.endCount(key); got != test.want {
+				t.Errorf("%d ends are counted, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -104,7 +104,7 @@
 	summary := endedRunsSummary{itemsOnly: true, longItemsWithProgress: true}
 	for _, end := range e.byMessage[message] {
 		suspected := end.suspects[message]
-		if suspected.cleared || suspected.unseen || e.answerProgressedPast(message, end) {
+		if suspected.cleared || e.countsLikeLoss(message, end) || e.answerProgressedPast(message, end) {
 			continue
 		}
 		summary.itemsOnly = summary.itemsOnly && suspected.item
@@ -229,16 +229,32 @@
 // answer has progressed past, ends that another message explains, and unseen ends: the progress of their runs is not
 // known, so that they count like losses.
 func (e *evidenceStore) endCount(message Key) int {
-	observed := slices.DeleteFunc(e.incidentsAgainst(message), func(end *incident) bool { return end.suspects[message].unseen })
-	return e.countEnds(message, observed)
+	counted := slices.DeleteFunc(e.incidentsAgainst(message), func(end *incident) bool { return e.countsLikeLoss(message, end) })
+	return e.countEnds(message, counted)
 }
 
-// unseenEndCount returns the number of replicas that ended under the message without any node observing how its run
-// ended.
+// countsLikeLoss reports whether an end counts like a loss, since no node observed how the run ended. One at exactly the
+// point of an observed end counts in full: a message that crashes replicas at a point of its answer makes no event after
+// it.
+func (e *evidenceStore) countsLikeLoss(message Key, end *incident) bool {
+	unseen := end.suspects[message]
+	if !unseen.unseen {
+		return false
+	}
+	for _, other := range e.byMessage[message] {
+		seen := other.suspects[message]
+		if seen.observed() && !seen.cleared && unseen.progressed && seen.reached == unseen.reached {
+			return false
+		}
+	}
+	return true
+}
+
+// unseenEndCount returns the number of replicas that ended under the message and count like losses.
 func (e *evidenceStore) unseenEndCount(message Key) int {
 	count := 0
 	for _, end := range e.byMessage[message] {
-		if suspected := end.suspects[message]; suspected.unseen && !suspected.cleared && !e.answerProgressedPast(message, end) {
+		if !end.suspects[message].cleared && e.countsLikeLoss(message, end) && !e.answerProgressedPast(message, end) {
 			count++
 		}
 	}
