Membership: the time to refute follows measured round trips, not failed probes

Callers: none seen; found by review.

Change: the time to refute grows with the round trips of direct answers and not with failed probes, wherever a suspicion is heard of. Timeouts of probes and the allowance for a node that is slow beyond the tolerated bound are as they were. A suspicion that this node will drop, since it has heard from the member, is not passed on once more.

TestToleratedSlownessDoesNotDelayADeath and TestSecondDeathIsKnownInTimeByWhoMissedTheSuspicion failed before; the package passes, with loss, pauses and slowness.

--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -165,17 +165,16 @@
 		return
 	}
 	member.silentSince = silentSince
-	// A failed probe of the suspect itself makes this node slow by one. Within the tolerated slowness
-	// that must not delay the death.
-	refuteTime := p.timing.RefuteTime * time.Duration(1+max(p.slowness-toleratedSlowness, 0))
-	if deadline := p.withRefuteTime(member.deadline.Add(-longer), refuteTime); deadline.Before(member.deadline) {
+	if deadline := p.withRefuteTime(member.deadline.Add(-longer)); deadline.Before(member.deadline) {
 		member.deadline = deadline
 	}
 }
 
 // withRefuteTime returns deadline, or the earliest time by which a suspect that learns of the
-// suspicion now can have refuted it, whichever is later.
-func (p *protocol) withRefuteTime(deadline time.Time, refuteTime time.Duration) time.Time {
+// suspicion now can have refuted it, whichever is later. Failed probes do not extend the time to
+// refute: a node that has probed dead members would declare them dead late.
+func (p *protocol) withRefuteTime(deadline time.Time) time.Time {
+	refuteTime := p.timing.RefuteTime * time.Duration(1+p.answerSlowness)
 	if earliest := p.now.Add(refuteTime); deadline.Before(earliest) {
 		return earliest
 	}
@@ -199,7 +198,7 @@
 	member.silentSince = silentSince
 	member.suspectedAt = p.now
 	member.newsRenewed, member.finalPingSent = false, false
-	member.deadline = p.withRefuteTime(silentSince.Add(limit+p.slownessAllowance(limit)), p.probeTime(p.timing.RefuteTime))
+	member.deadline = p.withRefuteTime(silentSince.Add(limit + p.slownessAllowance(limit)))
 }
 
 // checkSuspicions declares suspects dead whose deadline has passed, unless this node has heard from
@@ -230,6 +229,10 @@
 	if member.newsRenewed || p.now.Before(member.deadline.Add(-p.timing.RenewedNewsLead)) {
 		return
 	}
+	if member.lastHeard.After(member.suspectedAt) {
+		// This node drops the suspicion at its deadline.
+		return
+	}
 	member.newsRenewed = true
 	p.news.add(member.ID)
 }
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -155,6 +155,7 @@
 	if direct {
 		needed = min(int(p.now.Sub(pending.sentAt)/p.timing.ProbeTimeout), maxSlowness)
 	}
+	p.answerSlowness = max(p.answerSlowness-1, needed)
 	if pending.failed {
 		p.slowness = max(p.slowness, needed)
 		return
--- a/internal/membership/protocol.go
+++ b/internal/membership/protocol.go
@@ -50,6 +50,9 @@
 	relays        map[uint64]relay
 	lastSuccessor int // the ring successor that was probed last, from 1
 	slowness      int // timeouts are 1+slowness times as long
+	// answerSlowness is the part of the slowness that the round trips of direct answers require, without
+	// that of failed probes.
+	answerSlowness int
 
 	nextZoneProbe   time.Time
 	nextRemoteProbe time.Time
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -32,7 +32,7 @@
 	silentSince   time.Time
 	suspectedAt   time.Time
 	deadline      time.Time
-	newsRenewed   bool // the suspicion was passed on once more before deadline
+	newsRenewed   bool // the suspicion was queued as news once more, RenewedNewsLead before deadline
 	finalPingSent bool // the ping shortly before deadline was sent
 	// diedAt is set while State is Dead.
 	diedAt time.Time
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -23,9 +23,9 @@
 	// late. ClaimRefuteTime is the same if another node already reports the member dead.
 	RefuteTime      time.Duration
 	ClaimRefuteTime time.Duration
-	// RenewedNewsLead is how long before a suspect's deadline its suspicion is passed on once more. It
-	// is longer than RefuteTime by the time that the news needs to reach a node that missed it, so
-	// that this node declares the death in time as well.
+	// RenewedNewsLead is how long before a suspect's deadline its suspicion is passed on once more:
+	// RefuteTime and 0.3 s for the news to arrive, so that a node that missed it declares the death in
+	// time as well.
 	RenewedNewsLead time.Duration
 	// DigestPeriod is how often a node exchanges digests with a random live member, HealPeriod how
 	// often with an address that it holds dead or does not know.
