--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -99,8 +99,9 @@
 
 // renewMember replaces a member by a newer incarnation of it.
 func (p *protocol) renewMember(member *record, update Member) {
-	before := member.State
+	before, roundTrip := member.State, member.roundTrip
 	*member = *newRecord(update)
+	member.roundTrip = roundTrip
 	switch {
 	case before == Dead:
 		p.recordChange(member, changeReturned)
@@ -165,16 +166,17 @@
 		return
 	}
 	member.silentSince = silentSince
-	if deadline := p.withRefuteTime(member.deadline.Add(-longer)); deadline.Before(member.deadline) {
+	if deadline := p.withRefuteTime(member, member.deadline.Add(-longer)); deadline.Before(member.deadline) {
 		member.deadline = deadline
 	}
 }
 
 // withRefuteTime returns deadline, or the earliest time by which a suspect that learns of the
-// suspicion now can have refuted it, whichever is later. Failed probes do not extend the time to
-// refute: a node that has probed dead members would declare them dead late.
-func (p *protocol) withRefuteTime(deadline time.Time) time.Time {
+// suspicion now can have refuted it, whichever is later. Measured round trips extend the time to
+// refute, failed probes do not: a node that has probed dead members would declare them dead late.
+func (p *protocol) withRefuteTime(member *record, deadline time.Time) time.Time {
 	refuteTime := p.timing.RefuteTime * time.Duration(1+p.answerSlowness)
+	refuteTime = max(refuteTime, member.roundTrip+p.timing.RefuteTime)
 	if earliest := p.now.Add(refuteTime); deadline.Before(earliest) {
 		return earliest
 	}
@@ -198,7 +200,7 @@
 	member.silentSince = silentSince
 	member.suspectedAt = p.now
 	member.newsRenewed, member.finalPingSent = false, false
-	member.deadline = p.withRefuteTime(silentSince.Add(limit + p.slownessAllowance(limit)))
+	member.deadline = p.withRefuteTime(member, silentSince.Add(limit+p.slownessAllowance(limit)))
 }
 
 // checkSuspicions declares suspects dead whose deadline has passed, unless this node has heard from
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -224,7 +224,11 @@
 	}
 	if pending := p.probes[message.GetSequence()]; pending != nil && string(pending.target.ID) == reached.GetId() {
 		delete(p.probes, message.GetSequence())
-		p.noteAnswer(pending, message.GetTarget() == nil)
+		direct := message.GetTarget() == nil
+		if direct {
+			pending.target.roundTrip = p.now.Sub(pending.sentAt)
+		}
+		p.noteAnswer(pending, direct)
 		if reached.GetIncarnation() == pending.target.Incarnation {
 			pending.target.lastHeard = p.now
 		}
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -27,6 +27,8 @@
 	left bool
 	// lastHeard is when this node last heard from the member itself in this incarnation.
 	lastHeard time.Time
+	// roundTrip is that of the member's latest direct answer; 0 before the first.
+	roundTrip time.Duration
 	// Set while State is Suspect: since when the member is silent, when the suspicion began, and
 	// when the member is declared dead.
 	silentSince   time.Time
