Batch: the end of a job cuts off its items also if an earlier request ended it

End asked at 17.734 s, acknowledged at 18.729 s; the item's lease ended at 24.684 s and the same owner began the next one at 24.685 s.

Cause, by a test that forces the order: a request whose append is decided after the request's own deadline answers with an error and cuts off nothing. The next one finds the job ended, acknowledges that, and cut off nothing either.

Change: every request that finds the job ended cuts off its items.

TestItemsOfAJobThatEndedLateAreCutOff failed before: "the item still runs a second after the end of its job".

--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -239,7 +239,8 @@
 			return nil, err
 		}
 		p.logger.Info().Str(logging.FieldJob, request.JobId).Msg("job_ended")
-		p.cancelRuns(request.JobId)
 	}
+	// An earlier request may have ended the job after its own deadline, and then cut off nothing.
+	p.cancelRuns(request.JobId)
 	return &batchpb.EndResponse{Found: true}, nil
 }
--- a/internal/batch/partition_test.go
+++ b/internal/batch/partition_test.go
@@ -202,6 +202,36 @@
 	})
 }
 
+// TestItemsOfAJobThatEndedLateAreCutOff guards against an item that goes on, lease after lease, after the end of its job was
+// acknowledged: the append of the first request came after that request's deadline, and the second one found the job ended.
+func TestItemsOfAJobThatEndedLateAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := startOwner(t, singleReplica(slowReplica(200, 100*time.Millisecond)))
+		owner.mustSubmit(t, testSubmission("j", 1))
+		time.Sleep(200 * time.Millisecond)
+		owner.owned.set(true, nil)
+		bounded, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		if _, err := owner.partition.end(bounded, &batchpb.EndRequest{JobId: "j"}); err == nil {
+			t.Fatal("the end was acknowledged while no append is decided")
+		}
+		owner.owned.set(false, nil)
+		time.Sleep(100 * time.Millisecond)
+		if response, err := owner.partition.end(t.Context(), &batchpb.EndRequest{JobId: "j"}); err != nil || !response.Found {
+			t.Fatalf("end: %v, %v", response, err)
+		}
+		time.Sleep(time.Second)
+		owner.mutex.Lock()
+		run := owner.runs[itemKey{job: "j"}]
+		running := run != nil && run.running
+		owner.mutex.Unlock()
+		if running {
+			t.Error("the item still runs a second after the end of its job")
+		}
+		owner.stop()
+	})
+}
+
 // TestNothingIsDeniedWithoutProofOfOwnership: an owner that was replaced without noticing it may lack a job, so it must not report
 // that the job is unknown.
 func TestNothingIsDeniedWithoutProofOfOwnership(t *testing.T) {
