Observability: the software version of replicas, and streams that go on with a further run

The logs of the incident could not tell whether a stream held two versions because an edge resumed it within one answer, because its caller took it up at another edge, or because the directory was wrong: no line had a version, and a stream that a caller takes up left no line at all.

replica.Info has the software version of the entry, also where a node follows a part of the replicas through a relay; replica_changed and the lines of a request at a replica have it. stream_resumed tells by whom a stream was resumed (edge or caller), after which event, at which version and which request it names in Resumes; sloelift_forward_resumed_streams_total counts them.

No decision is changed.

--- a/internal/discovery/replicas.go
+++ b/internal/discovery/replicas.go
@@ -94,7 +94,7 @@
 	if s.roster.Long() {
 		return
 	}
-	s.logger.Info().Str(logging.FieldReplica, info.ID).Str("service", info.Service).Stringer("address", info.Address).
+	s.logger.Info().Str(logging.FieldReplica, info.ID).Str("service", info.Service).Str("version", info.Version).Stringer("address", info.Address).
 		Str("replica_zone", info.Zone).Bool("draining", info.Draining).Msg("replica_changed")
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -182,7 +182,7 @@
 func (e *exchange) logEvent(handle *replica.Handle) *zerolog.Event {
 	info := handle.Info()
 	return e.handler.logger.Info().Str(logging.FieldRequest, e.id).Str("route", e.route.Name).Str(logging.FieldReplica, info.ID).
-		Stringer("address", info.Address).Dur("after", clock.Since(e.arrived))
+		Str("version", info.Version).Stringer("address", info.Address).Dur("after", clock.Since(e.arrived))
 }
 
 // bufferedAnswer is a replica's answer that was read to its end.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -13,8 +13,15 @@
 	durations        *prometheus.HistogramVec
 	heldTimes        *prometheus.HistogramVec
 	noReplicaInHomes *prometheus.CounterVec
+	resumed          *prometheus.CounterVec
 }
 
+// Who resumed a stream: the edge, within one answer, or the caller, with a request of its own.
+const (
+	resumedByEdge   = "edge"
+	resumedByCaller = "caller"
+)
+
 // NewMetrics creates the metrics and registers them.
 func NewMetrics(registerer prometheus.Registerer) (*Metrics, error) {
 	metrics := &Metrics{
@@ -37,7 +44,12 @@
 	metrics.noReplicaInHomes = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "sloelift_forward_no_replica_in_homes_total", Help: "Requests that no replica in their allowed regions could take.",
 	}, []string{"route"})
-	for _, collector := range []prometheus.Collector{metrics.outcomes, metrics.firstEvents, metrics.durations, metrics.heldTimes, metrics.noReplicaInHomes} {
+	metrics.resumed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sloelift_forward_resumed_streams_total", Help: "Streams that went on with a further run, by who resumed them.",
+	}, []string{"route", "by"})
+	for _, collector := range []prometheus.Collector{
+		metrics.outcomes, metrics.firstEvents, metrics.durations, metrics.heldTimes, metrics.noReplicaInHomes, metrics.resumed,
+	} {
 		if err := registerer.Register(collector); err != nil {
 			return nil, err
 		}
@@ -49,6 +61,11 @@
 	m.outcomes.WithLabelValues(route, outcome).Inc()
 }
 
+// countResumed counts a stream that goes on with a further run.
+func (m *Metrics) countResumed(route, resumedBy string) {
+	m.resumed.WithLabelValues(route, resumedBy).Inc()
+}
+
 // countNoReplicaInHomes counts a request that no replica in its homes can take.
 func (m *Metrics) countNoReplicaInHomes(route string) {
 	m.noReplicaInHomes.WithLabelValues(route).Inc()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -15,9 +15,14 @@
 func (e *exchange) forwardStream(ctx context.Context, handle *replica.Handle, answer *replica.Answer, silence *silenceTimer) (result attemptOutcome, consumed bool) {
 	flusher := http.NewResponseController(e.writer)
 	reader := eventstream.NewReader(answer.Body)
+	resumed := e.lastEventID != ""
 	for {
 		events, err := reader.Next()
 		if len(events.Bytes) > 0 {
+			if resumed {
+				resumed = false
+				e.reportResumed(handle)
+			}
 			silence.eventReceived()
 			handle.NoteAnswer()
 			e.markPromptRead()
@@ -44,6 +49,17 @@
 	}
 }
 
+// reportResumed logs and counts that the stream goes on with a run of handle: within this answer, or at the request of its caller.
+func (e *exchange) reportResumed(handle *replica.Handle) {
+	resumedBy := resumedByCaller
+	if e.headersSent {
+		resumedBy = resumedByEdge
+	}
+	e.handler.metrics.countResumed(e.route.Name, resumedBy)
+	e.logEvent(handle).Str("by", resumedBy).Str("resumes", e.request.Header.Get(e.handler.headers.Resumes)).
+		Str("last_event", e.lastEventID).Msg("stream_resumed")
+}
+
 // sendHeaders sends the caller the header of the first replica's answer, once.
 func (e *exchange) sendHeaders(answer *replica.Answer) {
 	if e.headersSent {
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -23,8 +23,10 @@
 	Signature      string
 	Load           string
 	LastEventID    string
-	PromptParts    string
-	Wait           string
+	// Resumes names the request that brought the first event of the stream that a caller resumes.
+	Resumes     string
+	PromptParts string
+	Wait        string
 	// APIKey carries a caller's credential and is never forwarded to replicas; Tenant tells replicas which tenant the key belongs to.
 	APIKey string
 	Tenant string
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -23,6 +23,8 @@
 	// incarnations of one ID.
 	Born    int64
 	Service string
+	// Version is the version of the replica's software; empty if its entry does not tell.
+	Version string
 	Address netip.AddrPort
 	Zone    string
 	// Slots is the number of requests that the replica processes concurrently.
--- a/internal/replica/replicatest/network.go
+++ b/internal/replica/replicatest/network.go
@@ -18,7 +18,7 @@
 // Headers are the header names that the scripts use.
 var Headers = replica.Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", ExpectInstance: "X-Instance", NotRun: "X-Not-Run", Signature: "X-Signature",
-	Load: "X-Load", LastEventID: "Last-Event-Id", PromptParts: "X-Parts", APIKey: "X-Key", Tenant: "X-Tenant",
+	Load: "X-Load", LastEventID: "Last-Event-Id", Resumes: "X-Resumes", PromptParts: "X-Parts", APIKey: "X-Key", Tenant: "X-Tenant",
 }
 
 // Script answers one request on a connection; the connection is closed if it returns false.
--- a/internal/roster/codec.go
+++ b/internal/roster/codec.go
@@ -18,6 +18,7 @@
 		Slots:         uint32(info.Slots),
 		Draining:      info.Draining,
 		ColdForMicros: info.ColdFor.Microseconds(),
+		Version:       info.Version,
 	}
 }
 
@@ -32,6 +33,7 @@
 		Slots:    int(message.GetSlots()),
 		Draining: message.GetDraining(),
 		ColdFor:  time.Duration(message.GetColdForMicros()) * time.Microsecond,
+		Version:  message.GetVersion(),
 	}, err
 }
 
