Lab: replicas of two versions, callers that take streams up; the failing test of the incident

The stand-ins could not show the fault: replicas wrote no version in their entries, all of them wrote the same events, and no caller ever took a stream up. Replicas now have a version, on which the data of their events depends; one that starts again under its id has the next version. Callers take broken streams up at any edge with Last-Event-Id and Resumes, and break off a share themselves. New kinds of faults: edges killed together, all replicas of a version crashed, a version released, the version in an entry spoiled.

The soak checks both rules: no stream, over all its attempts, and no text of an item holds events of two versions; streams that are taken up go on at least half as often as new ones begin, from 12 on, at edges in touch.

--- a/cmd/sloelift-lab/roles_command.go
+++ b/cmd/sloelift-lab/roles_command.go
@@ -23,6 +23,9 @@
 	Before           string        `help:"Another build that all machines run at first; they are upgraded to the program one after the other." type:"existingfile"`
 	ItemEvents       int           `help:"Maximum number of events of an item; 0 for short items."`
 	EndingItems      float64       `help:"Share of items that end every replica that runs them."`
+	Versions         int           `help:"Software versions that replicas run side by side." default:"2"`
+	StreamEvents     int           `help:"Maximum number of events of an online stream; 0 for short streams."`
+	BreakOffs        float64       `help:"Share of attempts at streams whose callers close the connection on the way and take the stream up again."`
 	CrashingRequests int           `help:"Number of online requests that crash every replica that runs them and are sent repeatedly."`
 	Only             []string      `help:"Kinds of faults to draw from; all by default."`
 	Keep             bool          `help:"Keep the logs of all runs."`
@@ -38,6 +41,7 @@
 		Program: c.Program, Template: c.Template, BusyCommand: []string{own, "busy"}, Seed: c.Seed, Runs: c.Runs, Duration: c.Each,
 		Zones: c.Zones, Edges: c.Edges, Stores: c.Stores, Replicas: c.Replicas, OnlinePerSecond: c.Online, JobsPerSecond: c.Jobs,
 		PreviousProgram: c.Before, ItemEvents: c.ItemEvents, EndingItems: c.EndingItems, CrashingRequests: c.CrashingRequests,
+		Versions: c.Versions, StreamEvents: c.StreamEvents, BreakOffs: c.BreakOffs,
 		FaultKinds: c.Only, KeepLogs: c.Keep,
 	}, os.Stdout)
 	if err != nil {
--- a/lab/roles/caller.go
+++ b/lab/roles/caller.go
@@ -1,13 +1,14 @@
 package roles
 
 import (
-	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,6 +24,9 @@
 	maxRetries    = 1
 	// defaultRetryDelay is used if the attempt got no response.
 	defaultRetryDelay = 100 * time.Millisecond
+	// minStreamEvents and defaultMaxStreamEvents bound the number of events of an online stream.
+	minStreamEvents        = 3
+	defaultMaxStreamEvents = 20
 )
 
 // onlineAttempt is one HTTP request of a caller and its result.
@@ -37,6 +41,8 @@
 	// complete is set if the response was read to its end; violation describes what was wrong with its content.
 	complete  bool
 	violation string
+	// stream is nil for requests whose answer is not a stream.
+	stream *streamAttempt
 }
 
 // callers simulates all callers of a run. It is safe for concurrent use.
@@ -94,26 +100,42 @@
 // sendOnline sends one random online request and its retries. Half of the first attempts reuse a connection.
 func (c *callers) sendOnline(ctx context.Context) {
 	path := draw(c, func(random *rand.Rand) string { return onlinePaths[random.IntN(len(onlinePaths))] })
-	payload := draw(c, func(random *rand.Rand) work { return work{Events: 3 + random.IntN(18), Mark: newID(random)} })
+	payload := draw(c, c.newWork)
 	deadline := time.Now().Add(callerTimeout)
 	c.update(func() { c.sent++ })
-	for try := 0; try <= maxRetries; try++ {
+	read := &streamRead{}
+	for try := 0; ; try++ {
 		client := c.fresh
 		if try == 0 && draw(c, func(random *rand.Rand) bool { return random.IntN(2) == 0 }) {
 			client = c.reusing
 		}
-		sent, retryAfter := c.attempt(ctx, client, path, payload, deadline)
+		sent, retryAfter := c.attempt(ctx, client, path, payload, deadline, read)
 		if sent.complete && sent.status == http.StatusOK {
 			c.update(func() { c.served++ })
 			return
 		}
-		if !mayRetry(path, sent.status) || time.Until(deadline) < retryAfter {
+		if !mayTryAgain(sent, read, try) || time.Until(deadline) <= retryAfter {
 			return
 		}
 		pause.Sleep(ctx, retryAfter)
 	}
 }
 
+// newWork draws the body of an online request.
+func (c *callers) newWork(random *rand.Rand) work {
+	events := minStreamEvents + random.IntN(cmp.Or(c.fleet.options.StreamEvents, defaultMaxStreamEvents)-minStreamEvents+1)
+	return work{Events: events, Mark: newID(random)}
+}
+
+// mayTryAgain reports whether the caller makes another attempt after try others: it takes up a stream that has begun, and sends any other
+// request again if it may be repeated.
+func mayTryAgain(sent *onlineAttempt, read *streamRead, try int) bool {
+	if sent.path == pathAsk && read.began() {
+		return try < maxTakeUps
+	}
+	return try < maxRetries && mayRetry(sent.path, sent.status)
+}
+
 // guaranteesNotRun reports whether status guarantees that the request has not run and will not run.
 func guaranteesNotRun(status int) bool {
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable ||
@@ -127,10 +149,20 @@
 
 // attempt sends one request to a random edge and checks its response; retryAfter is the delay before a retry.
 func (c *callers) attempt(
-	ctx context.Context, client *http.Client, path string, payload work, deadline time.Time,
+	ctx context.Context, client *http.Client, path string, payload work, deadline time.Time, read *streamRead,
 ) (sent *onlineAttempt, retryAfter time.Duration) {
 	edge := draw(c, c.fleet.ready.pick)
 	sent = &onlineAttempt{id: draw(c, newID), path: path, mark: payload.Mark, edge: edge.name}
+	isStream := path == pathAsk || path == pathDigest
+	breakOffAfter := 0
+	if isStream {
+		sent.stream = &streamAttempt{sentAt: time.Now(), takesUp: read.began(), version: read.version}
+		serves := c.fleet.versionServes(read.version)
+		defer func() { sent.stream.versionServes = serves && c.fleet.versionServes(sent.stream.version) }()
+	}
+	if path == pathAsk {
+		breakOffAfter = c.drawBreakOff(payload, read)
+	}
 	c.update(func() { c.attempts = append(c.attempts, sent) })
 	bounded, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -146,7 +178,7 @@
 	if payload.EndsReplicaAt > 0 {
 		request.Header.Set(wire.Headers.PromptParts, c.promptParts())
 	}
-	isStream := path == pathAsk || path == pathDigest
+	read.addTo(request.Header)
 	if !isStream {
 		request.Header.Set("Accept", acceptWhole)
 	}
@@ -168,48 +200,35 @@
 		sent.violation = fmt.Sprintf("the answer is signed %q", got)
 	}
 	if isStream {
-		c.readStream(response.Body, payload, sent)
+		c.readStream(response.Body, payload, sent, read, breakOffAfter)
 	} else {
 		c.readWhole(response.Body, payload, sent)
 	}
 	return sent, retryAfter
 }
 
+// drawBreakOff draws after how many events of an attempt the caller closes the connection, 0 for never.
+func (c *callers) drawBreakOff(payload work, read *streamRead) int {
+	left := payload.Events - read.lastEvent
+	if left < 2 || c.fleet.options.BreakOffs == 0 {
+		return 0
+	}
+	return draw(c, func(random *rand.Rand) int {
+		if random.Float64() >= c.fleet.options.BreakOffs {
+			return 0
+		}
+		return 1 + random.IntN(left-1)
+	})
+}
+
 func (c *callers) readWhole(body io.Reader, payload work, sent *onlineAttempt) {
 	content, err := io.ReadAll(body)
 	sent.complete = err == nil
-	if sent.complete && string(content) != payload.text() {
+	if sent.complete && !slices.ContainsFunc(c.fleet.options.versions(), func(version string) bool { return string(content) == payload.text(version) }) {
 		sent.violation = "the answer is not that to the request"
 	}
 }
 
-// readStream checks that the stream has every event exactly once, in order and with the right data.
-func (c *callers) readStream(body io.Reader, payload work, sent *onlineAttempt) {
-	lines := bufio.NewScanner(body)
-	number := 0
-	for lines.Scan() {
-		name, value, _ := strings.Cut(lines.Text(), ": ")
-		switch name {
-		case "id":
-			next, err := strconv.Atoi(value)
-			if err != nil || next != number+1 {
-				sent.violation = fmt.Sprintf("event %q follows event %d", value, number)
-				return
-			}
-			number = next
-		case "data":
-			if value != payload.event(number) {
-				sent.violation = fmt.Sprintf("event %d is not that of the request", number)
-				return
-			}
-		}
-	}
-	sent.complete = lines.Err() == nil
-	if sent.complete && number < payload.Events {
-		sent.violation = fmt.Sprintf("the stream ends as whole after %d of %d events", number, payload.Events)
-	}
-}
-
 func (c *callers) update(change func()) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/lab/roles/check.go
+++ b/lab/roles/check.go
@@ -45,6 +45,11 @@
 	MostCrashed int `json:"most_crashed"`
 	// LongDeadlines counts the sends without a deadline or with one beyond the caller's plus deadlineSlackMillis.
 	LongDeadlines int `json:"long_deadlines"`
+	// StreamsTakenUp counts the streams that callers took up again while two replicas of their version served, StreamsWentOn those of them
+	// that brought a further event, MixedStreams all streams that hold events of two versions.
+	StreamsTakenUp int `json:"streams_taken_up"`
+	StreamsWentOn  int `json:"streams_went_on"`
+	MixedStreams   int `json:"mixed_streams"`
 	// KilledAfterGrace counts the planned stops that exceeded the platform's grace period.
 	KilledAfterGrace int `json:"killed_after_grace"`
 }
@@ -61,15 +66,16 @@
 	v.violations = append(v.violations, fmt.Sprintf(format, arguments...))
 }
 
-// judge checks the callers' results against the runs that the replicas recorded.
-func judge(received *record, clients *callers) verdict {
-	var result verdict
+// judge checks the callers' results against the runs that the replicas recorded. previousBuildUntil is when the last storage node was
+// upgraded; zero without an upgrade.
+func judge(received *record, clients *callers, versions []string, previousBuildUntil time.Time) verdict {
+	result := verdict{previousBuildUntil: previousBuildUntil}
 	result.counts.OnlineSent, result.counts.OnlineServed = clients.sent, clients.served
 	for _, attempt := range clients.attempts {
 		result.judgeAttempt(attempt, received.runsOf(attempt.id))
 	}
 	for _, job := range clients.jobs {
-		result.judgeJob(job, received)
+		result.judgeJob(job, received, versions)
 	}
 	return result
 }
@@ -128,13 +134,13 @@
 		if !run.replica.lives() {
 			state = "ended"
 		}
-		text += fmt.Sprintf("[%s %s (%s) behind %q deadline %d began %t status %d]",
-			run.arrivedAt.Format("05.000"), run.replica.id, state, run.lastEvent, run.deadlineMillis, run.started, run.status)
+		text += fmt.Sprintf("[%s %s %s (%s) behind %q deadline %d began %t status %d]",
+			run.arrivedAt.Format("05.000"), run.replica.id, run.replica.version, state, run.lastEvent, run.deadlineMillis, run.started, run.status)
 	}
 	return text
 }
 
-func (v *verdict) judgeJob(batchJob *job, received *record) {
+func (v *verdict) judgeJob(batchJob *job, received *record, versions []string) {
 	for _, item := range batchJob.items {
 		v.judgeItemSends(batchJob, item, received.runsOf(item.id))
 	}
@@ -154,10 +160,10 @@
 		v.addViolation("job %s: %d of %d items are listed at the end%s",
 			batchJob.id, len(batchJob.results), len(batchJob.items), describeItems(unlisted, received))
 	}
-	v.judgeResults(batchJob, received)
+	v.judgeResults(batchJob, received, versions)
 }
 
-func (v *verdict) judgeResults(batchJob *job, received *record) {
+func (v *verdict) judgeResults(batchJob *job, received *record, versions []string) {
 	listed := map[string]bool{}
 	for _, result := range batchJob.results {
 		index := slices.IndexFunc(batchJob.items, func(candidate item) bool { return candidate.id == result.ID })
@@ -168,8 +174,8 @@
 		listed[result.ID] = true
 		submitted := batchJob.items[index]
 		switch {
-		case result.State == "succeeded" && result.Text != submitted.work.text():
-			v.addViolation("job %s: item %s has another text than its own", batchJob.id, result.ID)
+		case result.State == "succeeded":
+			v.judgeText(batchJob, submitted, result.Text, received.runsOf(result.ID), versions)
 		case result.State != "succeeded" && submitted.work.Fail == 0 &&
 			countStatus(received.runsOf(result.ID), http.StatusInternalServerError) < maxAttempts[pathJobs]:
 			v.addViolation("job %s: item %s is given up without %d failures", batchJob.id, result.ID, maxAttempts[pathJobs])
@@ -177,6 +183,19 @@
 	}
 }
 
+// judgeText checks that a text is that of its item, and that one version wrote it. Storage nodes of the previous build do not know versions,
+// so that only items which ran after the last of them was upgraded are held to the second.
+func (v *verdict) judgeText(batchJob *job, submitted item, text string, runs []sentRun, versions []string) {
+	writers, whole := submitted.work.textVersions(versions, text)
+	if !whole {
+		v.addViolation("job %s: item %s has another text than its own", batchJob.id, submitted.id)
+	}
+	ranBefore := slices.ContainsFunc(runs, func(run sentRun) bool { return run.arrivedAt.Before(v.previousBuildUntil) })
+	if len(writers) > 1 && !ranBefore {
+		v.addViolation("job %s: the text of item %s is of versions %v: %s", batchJob.id, submitted.id, writers, describeRuns(runs))
+	}
+}
+
 // describeItems formats the recorded runs of items for a violation message.
 func describeItems(items []item, received *record) string {
 	text := ""
--- a/lab/roles/check_test.go
+++ b/lab/roles/check_test.go
@@ -33,7 +33,7 @@
 		}
 		return runs
 	}
-	done := wire.JobResult{ID: "i", State: "succeeded", Text: good.text()}
+	done := wire.JobResult{ID: "i", State: "succeeded", Text: good.text("v1")}
 	dead := wire.JobResult{ID: "i", State: "dead_letter"}
 	jobOf := func(payload work, results ...wire.JobResult) *job {
 		return &job{id: "j", accepted: true, items: []item{{id: "i", work: payload}}, results: results}
@@ -102,6 +102,12 @@
 			job:    &job{id: "j", accepted: true, items: []item{{id: "i", work: good}, {id: "k", work: good}}, results: []wire.JobResult{done, done}},
 			broken: "listed twice",
 		},
+		"text of an item of two versions": {
+			job: jobOf(good, wire.JobResult{ID: "i", State: "succeeded", Text: good.event("v1", 1) + "\n" + good.event("v2", 2)}), broken: "of versions [v1 v2]",
+		},
+		"text of an item that is too short": {
+			job: jobOf(good, wire.JobResult{ID: "i", State: "succeeded", Text: good.event("v1", 1)}), broken: "another text",
+		},
 		"item of a refused job ran": {
 			job:    &job{id: "j", refusedOnly: true, items: []item{{id: "i", work: good}}},
 			runs:   times(1, 200),
@@ -123,7 +129,7 @@
 			if test.job != nil {
 				clients.jobs = append(clients.jobs, test.job)
 			}
-			broken := strings.Join(judge(received, clients).violations, "\n")
+			broken := strings.Join(judge(received, clients, []string{"v1", "v2"}, time.Time{}).violations, "\n")
 			if (broken != "") != (test.broken != "") || !strings.Contains(broken, test.broken) {
 				t.Errorf("broken is %q, want %q in it", broken, test.broken)
 			}
--- a/lab/roles/crashing.go
+++ b/lab/roles/crashing.go
@@ -33,7 +33,7 @@
 	payload := c.crashing[draw(c, func(random *rand.Rand) int { return random.IntN(len(c.crashing)) })]
 	deadline := time.Now().Add(callerTimeout)
 	for range maxRetries + 1 {
-		sent, retryAfter := c.attempt(ctx, c.fresh, pathAsk, payload, deadline)
+		sent, retryAfter := c.attempt(ctx, c.fresh, pathAsk, payload, deadline, &streamRead{})
 		if !mayRetry(pathLook, sent.status) || time.Until(deadline) < retryAfter {
 			return
 		}
--- a/lab/roles/draw.go
+++ b/lab/roles/draw.go
@@ -45,6 +45,11 @@
 	failReplicas   faultKind = "replicas_fail"
 	loseAnswers    faultKind = "replicas_lose_answers"
 	breakStreams   faultKind = "replicas_break_streams"
+
+	killEdges      faultKind = "kill_edges"
+	crashVersion   faultKind = "crash_version"
+	releaseVersion faultKind = "release_version"
+	spoilVersion   faultKind = "spoil_version"
 )
 
 // kindRange describes how a kind of fault is drawn: the range of its duration and its maximum number in a run, 0 for no limit.
@@ -92,6 +97,10 @@
 var explicitKinds = []kindRange{
 	{crashInTurn, 5 * time.Second, 12 * time.Second, 2},
 	{killAll, 300 * time.Millisecond, 900 * time.Millisecond, 5},
+	{killEdges, 300 * time.Millisecond, 900 * time.Millisecond, 0},
+	{crashVersion, 300 * time.Millisecond, 3 * time.Second, 2},
+	{releaseVersion, 3 * time.Second, 8 * time.Second, 2},
+	{spoilVersion, time.Second, 4 * time.Second, 0},
 }
 
 // fault is one fault of a run: it begins at Start, counted from the start of the run, and lasts for Duration.
--- a/lab/roles/fault.go
+++ b/lab/roles/fault.go
@@ -37,6 +37,9 @@
 	serialCrashShare = 0.2
 	replacementDelay = 400 * time.Millisecond
 	maxCrashInterval = 1500 * time.Millisecond
+	// drainTime is how long a replica that is replaced in a release drains: its entry says so after a heartbeat, and runs that began before
+	// that end.
+	drainTime = 3 * time.Second
 	// configurationInterval is the interval between the configurations of a series.
 	configurationInterval = 150 * time.Millisecond
 )
@@ -80,7 +83,7 @@
 
 func (f *injector) inject(ctx context.Context, drawn fault) error {
 	switch drawn.Kind {
-	case killNode, stopNode, loseDisk, killStores, killAll, killInTurn, stopInTurn, rollNodes:
+	case killNode, stopNode, loseDisk, killStores, killAll, killEdges, killInTurn, stopInTurn, rollNodes:
 		return f.endMachines(ctx, drawn)
 	case freezeNode, freezeStores, throttleNode, throttleStores, throttleAll, busyMachine:
 		return f.limitProcessor(ctx, drawn)
@@ -109,6 +112,9 @@
 		return f.killTogether(ctx, drawn.Duration, f.fleet.machinesOf(classStorage))
 	case killAll:
 		return f.killTogether(ctx, drawn.Duration, f.fleet.machines)
+	case killEdges:
+		edges := f.fleet.machinesOf(classEdge)
+		return f.killTogether(ctx, drawn.Duration, edges[:max(1, int(drawn.Strength*float64(len(edges)+1)))])
 	case killInTurn, stopInTurn:
 		return f.endInTurn(ctx, drawn)
 	default:
@@ -283,14 +289,22 @@
 	switch drawn.Kind {
 	case crashInTurn:
 		return f.crashInTurn(ctx, drawn)
+	case crashVersion:
+		return f.crashVersion(ctx, target.version, drawn.Duration)
+	case releaseVersion:
+		return f.releaseVersion(ctx, target.version, drawn.Duration)
 	case crashReplica:
 		return f.replaceReplica(ctx, target, "", anyAddress, drawn.Duration)
 	case restartReplica:
 		return f.replaceReplica(ctx, target, "", target.address.String(), drawn.Duration)
 	case restartSameID:
-		return f.replaceReplica(ctx, target, target.id, target.address.String(), drawn.Duration)
+		return f.restartUnderItsID(ctx, target, drawn.Duration)
 	case spoilEntry:
-		f.spoilEntry(ctx, target, drawn)
+		f.spoilEntry(ctx, target, []byte(pick(spoiledEntries, drawn.Target)), drawn.Duration)
+		return nil
+	case spoilVersion:
+		versions := append(f.fleet.options.versions(), "")
+		f.spoilEntry(ctx, target, target.entryWith(pick(versions, drawn.Target)), drawn.Duration)
 		return nil
 	case flapReplica:
 		return f.flap(ctx, target, drawn.Duration)
@@ -316,7 +330,50 @@
 func (f *injector) replaceReplica(ctx context.Context, target *replica, id, address string, down time.Duration) error {
 	f.fleet.crashReplica(target)
 	pause.Sleep(ctx, down)
-	return f.fleet.addReplica(id, address, target.zone)
+	return f.fleet.addReplica(id, target.version, address, target.zone)
+}
+
+// restartUnderItsID crashes a replica and starts it again under its id and at its address, with the next version if there are several.
+func (f *injector) restartUnderItsID(ctx context.Context, target *replica, down time.Duration) error {
+	f.fleet.crashReplica(target)
+	pause.Sleep(ctx, down)
+	return f.fleet.addReplica(target.id, f.fleet.options.versionAfter(target.version), target.address.String(), target.zone)
+}
+
+// crashVersion crashes all replicas of a version together and starts as many again after down.
+func (f *injector) crashVersion(ctx context.Context, version string, down time.Duration) error {
+	var crashing sync.WaitGroup
+	failures := make(chan error, len(f.fleet.living()))
+	for _, target := range f.fleet.livingOf(version) {
+		crashing.Go(func() { failures <- f.replaceReplica(ctx, target, "", anyAddress, down) })
+	}
+	crashing.Wait()
+	close(failures)
+	var failed error
+	for failure := range failures {
+		failed = errors.Join(failed, failure)
+	}
+	return failed
+}
+
+// releaseVersion replaces the replicas of a version by ones of the next version, one after the other over duration: a replacement starts,
+// the replica drains, and ends after drainTime.
+func (f *injector) releaseVersion(ctx context.Context, version string, duration time.Duration) error {
+	replaced := f.fleet.livingOf(version)
+	var draining sync.WaitGroup
+	defer draining.Wait()
+	for _, target := range replaced {
+		if err := f.fleet.addReplica("", f.fleet.options.versionAfter(version), anyAddress, target.zone); err != nil {
+			return err
+		}
+		target.leaving.Store(true)
+		draining.Go(func() {
+			pause.Sleep(ctx, drainTime)
+			f.fleet.crashReplica(target)
+		})
+		pause.Sleep(ctx, duration/time.Duration(len(replaced)))
+	}
+	return nil
 }
 
 // crashInTurn repeatedly crashes a share of the replicas at once and replaces them.
@@ -351,11 +408,11 @@
 	`{"service":"chat","address":"127.0.0.1:1","zone":"zone-1","slots":4,"state":"resting"}`,
 }
 
-// spoilEntry overwrites a replica's entry with an invalid one, as if by another writer, and restores it when the fault ends. Errors mean
-// that the store has an outage and are ignored.
-func (f *injector) spoilEntry(ctx context.Context, target *replica, drawn fault) {
-	_ = f.fleet.spoilEntry(ctx, target, []byte(pick(spoiledEntries, drawn.Target)))
-	pause.Sleep(ctx, drawn.Duration)
+// spoilEntry overwrites a replica's entry with content, as if by another writer, and restores it after duration. Errors mean that the store
+// has an outage and are ignored.
+func (f *injector) spoilEntry(ctx context.Context, target *replica, content []byte, duration time.Duration) {
+	_ = f.fleet.spoilEntry(ctx, target, content)
+	pause.Sleep(ctx, duration)
 	if target.lives() {
 		_ = f.fleet.spoilEntry(ctx, target, nil)
 	}
@@ -372,7 +429,7 @@
 // flap repeatedly crashes a replica and starts its successor under the same id and address.
 func (f *injector) flap(ctx context.Context, target *replica, duration time.Duration) error {
 	for began := time.Now(); time.Since(began) < duration && ctx.Err() == nil; {
-		if err := f.replaceReplica(ctx, target, target.id, target.address.String(), flapInterval); err != nil {
+		if err := f.restartUnderItsID(ctx, target, flapInterval); err != nil {
 			return err
 		}
 		pause.Sleep(ctx, flapInterval)
--- a/lab/roles/fleet.go
+++ b/lab/roles/fleet.go
@@ -191,7 +191,7 @@
 
 func (f *fleet) startReplicas() error {
 	for range f.options.Replicas {
-		if err := f.addReplica("", anyAddress, f.options.zone(f.nextReplica)); err != nil {
+		if err := f.addReplica("", f.options.version(f.nextReplica), anyAddress, f.options.zone(f.nextReplica)); err != nil {
 			return err
 		}
 	}
@@ -202,14 +202,14 @@
 const anyAddress = "127.0.0.1:0"
 
 // addReplica starts a replica and keeps its entry in the store. An empty id stands for a new one.
-func (f *fleet) addReplica(id, address, zone string) error {
+func (f *fleet) addReplica(id, version, address, zone string) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if id == "" {
 		f.nextReplica++
 		id = fmt.Sprintf("r-%d", f.nextReplica)
 	}
-	added, err := startReplica(id, service, zone, address, f.record)
+	added, err := startReplica(id, service, version, zone, address, f.record)
 	if err != nil {
 		return err
 	}
@@ -236,7 +236,7 @@
 	pause.Sleep(f.ctx, replacementDelay)
 	if f.ctx.Err() == nil {
 		// On an error the fleet continues with one replica fewer; the guarantees to callers are checked regardless.
-		_ = f.addReplica("", anyAddress, watched.zone)
+		_ = f.addReplica("", watched.version, anyAddress, watched.zone)
 	}
 }
 
@@ -271,6 +271,11 @@
 	return slices.DeleteFunc(slices.Clone(f.replicas), func(candidate *replica) bool { return !candidate.lives() })
 }
 
+// livingOf returns the replicas of a version that have not ended and do not drain.
+func (f *fleet) livingOf(version string) []*replica {
+	return slices.DeleteFunc(f.living(), func(candidate *replica) bool { return candidate.version != version || candidate.leaving.Load() })
+}
+
 // lastStorageUpgrade returns when the last storage node was upgraded; zero if one was not.
 func (f *fleet) lastStorageUpgrade() time.Time {
 	var last time.Time
@@ -286,6 +291,19 @@
 	return last
 }
 
+// versionServes reports whether two replicas or more of a version serve and take new requests.
+func (f *fleet) versionServes(version string) bool {
+	return len(f.livingOf(version)) >= 2
+}
+
+// isPreviousBuild reports whether the named machine ran the previous build at a time.
+func (f *fleet) isPreviousBuild(name string, at time.Time) bool {
+	return f.options.PreviousProgram != "" && slices.ContainsFunc(f.machines, func(candidate *machine) bool {
+		upgradedAt := candidate.upgradeTime()
+		return candidate.name == name && (upgradedAt.IsZero() || at.Before(upgradedAt))
+	})
+}
+
 // allReplicas returns all replicas ever started, including those that have ended.
 func (f *fleet) allReplicas() []*replica {
 	f.mutex.Lock()
--- a/lab/roles/replica.go
+++ b/lab/roles/replica.go
@@ -38,7 +38,9 @@
 // replica is one incarnation of a simulated replica; a restart makes a new replica, even at the same address.
 type replica struct {
 	id, service, zone string
-	address           netip.AddrPort
+	// version is the version of the replica's software, which the data of its events depends on.
+	version string
+	address netip.AddrPort
 	// startedMillis is the start time in Unix milliseconds, which distinguishes the incarnations of one id.
 	startedMillis int64
 	record        *record
@@ -63,13 +65,13 @@
 }
 
 // startReplica starts a replica that listens at address; port 0 picks a free one.
-func startReplica(id, service, zone, address string, received *record) (*replica, error) {
+func startReplica(id, service, version, zone, address string, received *record) (*replica, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("replica %s: %w", id, err)
 	}
 	started := &replica{
-		id: id, service: service, zone: zone, address: listener.Addr().(*net.TCPAddr).AddrPort(), record: received,
+		id: id, service: service, version: version, zone: zone, address: listener.Addr().(*net.TCPAddr).AddrPort(), record: received,
 		startedMillis: time.Now().UnixMilli(), ended: make(chan struct{}), occupied: make(chan struct{}, slots), hangEnded: make(chan struct{}),
 	}
 	started.server = &http.Server{Handler: started, ReadHeaderTimeout: 10 * time.Second}
@@ -127,13 +129,16 @@
 }
 
 // entry returns the replica's entry for the store.
-func (r *replica) entry() []byte {
+func (r *replica) entry() []byte { return r.entryWith(r.version) }
+
+// entryWith returns the replica's entry with the given version, empty for none.
+func (r *replica) entryWith(version string) []byte {
 	state := wire.StateReady
 	if r.leaving.Load() {
 		state = wire.StateDraining
 	}
 	encoded, err := json.Marshal(wire.ReplicaEntry{
-		Service: r.service, Address: r.address.String(), Zone: r.zone, Slots: slots, State: state, Born: r.startedMillis,
+		Service: r.service, Version: version, Address: r.address.String(), Zone: r.zone, Slots: slots, State: state, Born: r.startedMillis,
 	})
 	if err != nil {
 		panic("encode replica entry: " + err.Error())
@@ -260,7 +265,7 @@
 	}
 	r.recordStatus(run, http.StatusOK)
 	// An error means that the caller has disconnected.
-	_, _ = io.WriteString(writer, payload.text())
+	_, _ = io.WriteString(writer, payload.text(r.version))
 }
 
 // answerStream streams the events after the request's last event id; with truncate it cuts the stream halfway.
@@ -279,7 +284,7 @@
 			r.abort(ctx, writer, run, number > first)
 			return
 		}
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, payload.event(number)); err != nil || flusher.Flush() != nil {
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, payload.event(r.version, number)); err != nil || flusher.Flush() != nil {
 			r.abort(ctx, writer, run, true)
 			return
 		}
--- a/lab/roles/run.go
+++ b/lab/roles/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -35,6 +36,12 @@
 	// every replica that runs them.
 	ItemEvents  int
 	EndingItems float64
+	// Versions is the number of software versions that replicas run side by side, 0 for one.
+	Versions int
+	// StreamEvents is the maximum number of events of an online stream, 0 for defaultMaxStreamEvents; BreakOffs is the share of attempts at
+	// streams whose callers close the connection on the way and take the stream up again.
+	StreamEvents int
+	BreakOffs    float64
 	// CrashingRequests is the number of online requests that crash every replica that runs them; callers send them repeatedly.
 	CrashingRequests int
 	// PreviousProgram is the path of another build that all machines start with; they are upgraded to Program one by one
@@ -53,6 +60,8 @@
 		return fmt.Errorf("at least one zone, edge, storage node, replica and run are required")
 	case o.ItemEvents != 0 && o.ItemEvents < 10:
 		return fmt.Errorf("items must have at least 10 events")
+	case o.StreamEvents != 0 && o.StreamEvents < minStreamEvents:
+		return fmt.Errorf("streams must have at least %d events", minStreamEvents)
 	case o.Edges+o.Stores > maxMachines:
 		return fmt.Errorf("at most %d machines are possible, one for each loopback address", maxMachines)
 	}
@@ -64,6 +73,23 @@
 	return nil
 }
 
+// versions returns the software versions of the replicas.
+func (o Options) versions() []string {
+	var names []string
+	for number := range max(1, o.Versions) {
+		names = append(names, o.version(number))
+	}
+	return names
+}
+
+// version returns the version of the replica with the given number.
+func (o Options) version(number int) string { return fmt.Sprintf("v%d", number%max(1, o.Versions)+1) }
+
+// versionAfter returns the version that a replica runs after a restart with another version.
+func (o Options) versionAfter(version string) string {
+	return o.version(slices.Index(o.versions(), version) + 1)
+}
+
 // maxMachines is the maximum number of machines, whose addresses differ in the last byte only.
 const maxMachines = 250
 
@@ -95,6 +121,9 @@
 	sum.LongDeadlines += run.LongDeadlines
 	sum.EndedOneMore += run.EndedOneMore
 	sum.KilledAfterGrace += run.KilledAfterGrace
+	sum.StreamsTakenUp += run.StreamsTakenUp
+	sum.StreamsWentOn += run.StreamsWentOn
+	sum.MixedStreams += run.MixedStreams
 	sum.MostReplicas = max(sum.MostReplicas, run.MostReplicas)
 	sum.MostFailures = max(sum.MostFailures, run.MostFailures)
 	sum.MostRejections = max(sum.MostRejections, run.MostRejections)
@@ -167,8 +196,8 @@
 		// An interrupted run is not judged, since its jobs had no time to finish.
 		return verdict{}, folder, ctx.Err()
 	}
-	result := judge(running.record, clients)
-	result.previousBuildUntil = running.lastStorageUpgrade()
+	result := judge(running.record, clients, options.versions(), running.lastStorageUpgrade())
+	result.judgeStreams(clients.attempts, running.isPreviousBuild, running.startedShortlyBefore)
 	result.judgeEndedReplicas(running.allReplicas(), clients.crashingMarks())
 	result.judgeCrashing(clients, running.record, running.allReplicas(), running.startedShortlyBefore)
 	result.violations = append(result.violations, faults.failures...)
@@ -199,10 +228,10 @@
 		state = "kept, logs in " + folder
 	}
 	counts := found.counts
-	_, err := fmt.Fprintf(output, "seed %d: %s; online %d of %d, items %d of %d; most replicas of a request %d, of an item: answers of 500 %d, of 422 %d, sends %d; replicas ended by one item %d, one more by %d items, crashed by one request %d; %s\n",
+	_, err := fmt.Fprintf(output, "seed %d: %s; online %d of %d, items %d of %d; most replicas of a request %d, of an item: answers of 500 %d, of 422 %d, sends %d; replicas ended by one item %d, one more by %d items, crashed by one request %d; streams taken up %d, went on %d, of two versions %d; %s\n",
 		options.Seed, state, counts.OnlineServed, counts.OnlineSent, counts.ItemsDone, counts.Items,
 		counts.MostReplicas, counts.MostFailures, counts.MostRejections, counts.MostSends, counts.MostEnded, counts.EndedOneMore, counts.MostCrashed,
-		strings.Join(texts, " "))
+		counts.StreamsTakenUp, counts.StreamsWentOn, counts.MixedStreams, strings.Join(texts, " "))
 	for _, broken := range found.violations {
 		if err == nil {
 			_, err = fmt.Fprintln(output, "  ", broken)
--- a/lab/roles/run_test.go
+++ b/lab/roles/run_test.go
@@ -150,6 +150,28 @@
 	playCrashingRequests(t, 9100, killAll)
 }
 
+// playVersions plays a seed with replicas of two versions, streams of up to half a second, and callers that break off and take up a share of
+// them.
+func playVersions(t *testing.T, seed uint64, only ...faultKind) {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("plays real processes for half a minute")
+	}
+	report := playWithoutViolations(t, Options{
+		Program: buildProgram(t), Seed: seed, Runs: 1, Duration: 12 * time.Second, FaultKinds: namesOf(only), Versions: 2, StreamEvents: 100,
+		ItemEvents: 200, BreakOffs: 0.1, Replicas: 8, OnlinePerSecond: 50, JobsPerSecond: 1,
+	})
+	if report.Counts.StreamsTakenUp < minTakenUp || report.Counts.ItemsDone == 0 {
+		t.Errorf("nothing was shown: %+v", report.Counts)
+	}
+}
+
+// TestStreamsHoldEventsOfOneVersion guards against streams and items that one version of a replica begins and another goes on with, within
+// one answer and over a caller's attempts, while replicas crash and edges are killed.
+func TestStreamsHoldEventsOfOneVersion(t *testing.T) {
+	playVersions(t, 9200, crashReplica, crashInTurn, killEdges, releaseVersion)
+}
+
 func TestOptionsThatCannotBePlayed(t *testing.T) {
 	good := Options{Program: settingsTemplate, Zones: 1, Edges: 1, Stores: 1, Replicas: 1, Runs: 1}
 	for name, change := range map[string]func(*Options){
