Forward: within one answer only a replica of the version that began the stream goes on

Cause: the balancer chose any replica for a run that goes on behind an event; nothing knew versions.

Change: replica.Origin, the software that began an answer, taken from the entry when the run begins, not from the entry as it stands later. Only a replica of the same version of the same service may go on. A version that is not known equals no other: such an answer goes on at the same incarnation or not at all. An incarnation never changes its version: an entry without one takes nothing away, after two different ones neither is believed; without start times another version is another incarnation. The choice is a required filter of the balancer, so that retries, suspected messages and cold replicas pass it too.

Replicas of the other tests get a version, as replicas of one service have; their checks are unchanged. Streams that callers take up are not mended by this.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -29,6 +29,8 @@
 	// ZoneWeight scales the distance penalty; 0 means 1.
 	ZoneWeight float64
 
+	// Origin is that of the answer that the replica has to go on with; zero if the answer has not begun.
+	Origin replica.Origin
 	// Homes holds the regions whose replicas may get the request.
 	Homes region.Set
 
@@ -72,7 +74,7 @@
 	picker := &Picker{
 		directory: directory,
 		topology:  topology,
-		required:  []Filter{notExcluded, usable, underOccupancy, hasColdCapacity},
+		required:  []Filter{notExcluded, usable, ofOrigin, underOccupancy, hasColdCapacity},
 		preferred: []Filter{inReachableZone, notAvoided},
 		scorers: []Scorer{
 			occupancyScore, zoneScore, partScore, failureScore, longPromptScore, queuedPrefillScore, coldScore, paceScore, slowdownScore,
--- a/internal/balance/filters.go
+++ b/internal/balance/filters.go
@@ -15,6 +15,11 @@
 // usable drops replicas that are draining or removed.
 func usable(_ *Request, handle *replica.Handle, _ time.Time) bool { return handle.Usable() }
 
+// ofOrigin drops replicas that may not go on with the request's answer.
+func ofOrigin(request *Request, handle *replica.Handle, _ time.Time) bool {
+	return request.Origin.IsZero() || request.Origin.MayContinueAt(handle)
+}
+
 // notAvoided drops replicas that failed or refused a request recently.
 func notAvoided(_ *Request, handle *replica.Handle, now time.Time) bool { return !handle.Avoided(now) }
 
--- a/internal/forward/ended_replica_test.go
+++ b/internal/forward/ended_replica_test.go
@@ -51,7 +51,7 @@
 	address := netip.MustParseAddrPort("127.0.0.1:1002")
 	second := netip.MustParseAddrPort("127.0.0.1:1001")
 	e.replicas.Scripts[address], e.replicas.Scripts[second] = script, script
-	e.directory.Update([]replica.Info{{ID: "c", Service: "s", Zone: "far", Address: address, Slots: 8}}, nil)
+	e.directory.Update([]replica.Info{{ID: "c", Service: "s", Version: "v1", Zone: "far", Address: address, Slots: 8}}, nil)
 }
 
 // loseAfterAnswerOf reads a request and closes the connection; if answers is set, the other replica has answered in the meantime.
--- a/internal/forward/evacuation_test.go
+++ b/internal/forward/evacuation_test.go
@@ -129,7 +129,7 @@
 // TestRequestsThatEndInAnEvacuatedZoneTakeNoRoomElsewhere: the gate admits as many requests as the remaining replicas have slots.
 func TestRequestsThatEndInAnEvacuatedZoneTakeNoRoomElsewhere(t *testing.T) {
 	directory := replica.NewDirectory()
-	directory.Replace([]replica.Info{{ID: "a", Service: "s", Zone: "near", Slots: 8}, {ID: "b", Service: "s", Zone: "far", Slots: 8}})
+	directory.Replace([]replica.Info{{ID: "a", Service: "s", Version: "v1", Zone: "near", Slots: 8}, {ID: "b", Service: "s", Version: "v1", Zone: "far", Slots: 8}})
 	now := time.Now()
 	directory.View().Find("a").SetOthers(replica.Use{Requests: 8}, now)
 	gate := NewGate(directory, &fakeDemand{known: true, others: loadshare.Demand{InUse: 8}})
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -85,6 +85,8 @@
 	// headersSent is set once the caller has the answer's header; lastEventID is the ID of the last event that it received.
 	headersSent bool
 	lastEventID string
+	// origin is that of the stream, from its first event on; only replicas of that origin may go on with it.
+	origin replica.Origin
 	// eventsDelivered is the number of events that were relayed to the caller.
 	eventsDelivered int
 	// errorAnswer is the latest complete server error that a replica answered with.
@@ -171,6 +173,9 @@
 // waitForRoom returns once the request may be sent to a replica; leave must be called after the request has ended.
 func (e *exchange) waitForRoom(ctx context.Context) (leave func()) {
 	e.service = e.route.PickService()
+	if !e.origin.IsZero() {
+		e.service = e.origin.Service
+	}
 	if e.handler.gate == nil {
 		return func() {}
 	}
@@ -196,6 +201,9 @@
 
 // nextService returns the service of the next attempt; after the first attempt it is drawn by the weights of the route's backends.
 func (e *exchange) nextService() string {
+	if !e.origin.IsZero() {
+		return e.origin.Service
+	}
 	if len(e.tried) == 0 {
 		return e.service
 	}
@@ -219,7 +227,7 @@
 func (e *exchange) pick(excluded []*replica.Handle, maxOccupancy float64) *replica.Handle {
 	query := balance.Request{
 		Service: e.nextService(), Zone: e.handler.zone, BodyBytes: len(e.body), Objective: e.route.Objective, Excluded: excluded,
-		Homes: e.homes(), MaxOccupancy: maxOccupancy,
+		Homes: e.homes(), MaxOccupancy: maxOccupancy, Origin: e.origin,
 	}
 	if e.route.Affinity {
 		parts := ParsePromptParts(e.request.Header.Get(e.handler.headers.PromptParts))
@@ -227,7 +235,7 @@
 		e.promptTokens = query.Tokens
 	}
 	now := clock.Now()
-	if handle := e.handler.picker.Pick(&query, now); handle != nil {
+	if handle := e.handler.picker.Pick(&query, now); handle != nil || !e.origin.IsZero() {
 		return handle
 	}
 	for _, backend := range e.route.Backends {
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -40,7 +40,7 @@
 		if scripts[id] != nil {
 			fake.Scripts[address] = scripts[id]
 		}
-		infos = append(infos, replica.Info{ID: id, Service: "s", Zone: map[string]string{"a": "near", "b": "far"}[id], Address: address, Slots: 8})
+		infos = append(infos, replica.Info{ID: id, Service: "s", Version: "v1", Zone: map[string]string{"a": "near", "b": "far"}[id], Address: address, Slots: 8})
 	}
 	directory.Replace(infos)
 	routes := route.NewHolder()
--- a/internal/forward/quarantined_test.go
+++ b/internal/forward/quarantined_test.go
@@ -162,7 +162,7 @@
 		})
 		third := netip.MustParseAddrPort("127.0.0.1:2000")
 		edge.replicas.Scripts[third] = replicatest.Answer(200, replicatest.Signed, "x")
-		added := replica.Info{ID: "c", Service: "s", Zone: "far", Address: third, Slots: 1}
+		added := replica.Info{ID: "c", Service: "s", Version: "v1", Zone: "far", Address: third, Slots: 1}
 		edge.directory.Update([]replica.Info{added}, nil)
 		edge.Handler.quarantine = &fakeRegister{ended: true, endedFirst: 1}
 		if recorded, _ := edge.call(nil); recorded.Code != http.StatusOK || len(edge.replicas.Requests()) != 3 {
@@ -179,7 +179,7 @@
 		for number := range 6 {
 			address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(2000+number))
 			edge.replicas.Scripts[address] = replicatest.Lose()
-			infos = append(infos, replica.Info{ID: string(rune('c' + number)), Service: "s", Zone: "near", Address: address, Slots: 8})
+			infos = append(infos, replica.Info{ID: string(rune('c' + number)), Service: "s", Version: "v1", Zone: "near", Address: address, Slots: 8})
 		}
 		edge.directory.Replace(infos)
 		edge.Handler.quarantine = &fakeRegister{ended: true}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -12,16 +12,16 @@
 )
 
 // forwardStream relays events as they arrive, complete events only, so that another replica can resume after the last one.
-func (e *exchange) forwardStream(ctx context.Context, handle *replica.Handle, answer *replica.Answer, silence *silenceTimer) (result attemptOutcome, consumed bool) {
+func (e *exchange) forwardStream(ctx context.Context, handle *replica.Handle, attemptOrigin replica.Origin, answer *replica.Answer, silence *silenceTimer) (result attemptOutcome, consumed bool) {
 	flusher := http.NewResponseController(e.writer)
 	reader := eventstream.NewReader(answer.Body)
-	resumed := e.lastEventID != ""
+	first := true
 	for {
 		events, err := reader.Next()
 		if len(events.Bytes) > 0 {
-			if resumed {
-				resumed = false
-				e.reportResumed(handle)
+			if first {
+				first = false
+				e.noteFirstEvent(handle, attemptOrigin)
 			}
 			silence.eventReceived()
 			handle.NoteAnswer()
@@ -49,6 +49,16 @@
 	}
 }
 
+// noteFirstEvent notes the first event of a run, which began the stream or went on with it.
+func (e *exchange) noteFirstEvent(handle *replica.Handle, attempt replica.Origin) {
+	if e.lastEventID != "" {
+		e.reportResumed(handle)
+	}
+	if !e.headersSent {
+		e.noteBegun(attempt)
+	}
+}
+
 // reportResumed logs and counts that the stream goes on with a run of handle: within this answer, or at the request of its caller.
 func (e *exchange) reportResumed(handle *replica.Handle) {
 	resumedBy := resumedByCaller
--- a/internal/forward/zone_cut_test.go
+++ b/internal/forward/zone_cut_test.go
@@ -20,7 +20,7 @@
 		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(2000+index))
 		addresses = append(addresses, address)
 		e.replicas.Scripts[address] = script
-		infos = append(infos, replica.Info{ID: "far-" + string(rune('a'+index)), Service: "s", Zone: []string{"far", "farther"}[index%2], Address: address, Slots: 8})
+		infos = append(infos, replica.Info{ID: "far-" + string(rune('a'+index)), Service: "s", Version: "v1", Zone: []string{"far", "farther"}[index%2], Address: address, Slots: 8})
 	}
 	e.directory.Replace(infos)
 	for range 6 {
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -207,13 +207,14 @@
 		// A delayed entry of an earlier incarnation.
 		return handle
 	}
-	if handle == nil || info.Born > handle.Info().Born {
+	if handle == nil || handle.isOtherIncarnation(info) {
 		handle = NewHandle(info)
 		handle.useChanged = d.SignalUse
 		handle.zone = d.zones.Get(info.Zone)
 		handle.probesDue = d.probesDue
 		d.noteEntry(handle, nil, written)
 	} else {
+		info.Version = handle.reconcileVersion(info.Version)
 		before := handle.info.Swap(&info)
 		d.noteEntry(handle, before, written)
 	}
