Origin: a stream that its caller takes up goes on at the version that began it, at any edge

Cause: Last-Event-Id went through to whichever replica was chosen; Resumes was read nowhere, and no node knew what another one had begun.

Change: package origin. A record is written once: it cannot be overtaken by a correction, and a second origin for the same ID makes it disputed. Only a record is a statement: a node of an older build, an empty answer or silence is none. Without one the request is refused with 503 before anything ran, at once if nobody knows, within a quarter of the time left if nodes do not answer; so is a stream with no replica of its version, or of a service that the route leaves.

--- a/internal/forward/evacuation.go
+++ b/internal/forward/evacuation.go
@@ -46,8 +46,12 @@
 
 // retryAfter returns the Retry-After for a rejection.
 func retryAfter(reason string) time.Duration {
-	if reason == reasonEvacuated {
+	switch reason {
+	case reasonEvacuated:
 		return retryAfterEvacuated
+	case reasonOriginUnknown, reasonNoReplicaOfOrigin:
+		return retryAfterNoOrigin
+	default:
+		return retryAfterNoRoom
 	}
-	return retryAfterNoRoom
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -87,6 +87,8 @@
 	lastEventID string
 	// origin is that of the stream, from its first event on; only replicas of that origin may go on with it.
 	origin replica.Origin
+	// resumedByCaller is set if the caller resumes a stream that another answer began.
+	resumedByCaller bool
 	// eventsDelivered is the number of events that were relayed to the caller.
 	eventsDelivered int
 	// errorAnswer is the latest complete server error that a replica answered with.
@@ -107,6 +109,11 @@
 		e.answerUndelivered(ctx, notRun, reason)
 		return
 	}
+	e.resumedByCaller = e.lastEventID != ""
+	if reason := e.findOrigin(ctx); reason != "" {
+		e.answerUndelivered(ctx, notRun, reason)
+		return
+	}
 	leave := e.waitForRoom(ctx)
 	defer leave()
 	defer e.releasePermit()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -81,6 +81,8 @@
 	// coldStarts and quarantine are nil if cold replicas are not limited, or if no message is quarantined.
 	coldStarts coldstart.Limiter
 	quarantine quarantine.Register
+	// origins is nil if callers cannot resume streams.
+	origins Origins
 	// estimates holds the observed timeouts and latencies of the routes.
 	estimates *routeEstimates
 	logger    zerolog.Logger
@@ -89,7 +91,8 @@
 }
 
 // Options configure a Handler. These may be nil: Batch; Quota, if no limits are enforced; Gate, if no requests are held; ColdStarts, if
-// cold replicas may get as many requests as warm ones; Quarantine, if no message is quarantined; and Refresh, which is called before a
+// cold replicas may get as many requests as warm ones; Quarantine, if no message is quarantined; Origins, if callers cannot resume streams at
+// another answer's end; and Refresh, which is called before a
 // replica is chosen to update the load that other nodes have at the replicas.
 type Options struct {
 	Routes     *route.Holder
@@ -103,6 +106,7 @@
 	Refresh    func(ctx context.Context)
 	ColdStarts coldstart.Limiter
 	Quarantine quarantine.Register
+	Origins    Origins
 	Logger     zerolog.Logger
 	Metrics    *Metrics
 }
@@ -113,7 +117,7 @@
 		routes: options.Routes, directory: options.Directory, picker: options.Picker, client: options.Client, headers: options.Client.Headers(),
 		zone: options.Zone, batch: options.Batch, budget: newRetryBudget(), gate: options.Gate, quota: options.Quota,
 		refreshLoad: options.Refresh, estimates: newRouteEstimates(), coldStarts: options.ColdStarts, quarantine: options.Quarantine,
-		logger: options.Logger.With().Str(logging.FieldSlice, "forward").Logger(), metrics: options.Metrics,
+		origins: options.Origins, logger: options.Logger.With().Str(logging.FieldSlice, "forward").Logger(), metrics: options.Metrics,
 	}
 }
 
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -1,10 +1,91 @@
 package forward
 
-import "github.com/sloelift/sloelift/internal/replica"
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/clock"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/origin"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/route"
+)
+
+// Reasons given in the answer to a request that resumes a stream which cannot go on.
+const (
+	// reasonOriginUnknown: no node knows which version began the stream, or the request does not name the one that brought its first event.
+	reasonOriginUnknown = "origin_unknown"
+	// reasonOriginUnanswered: nodes that may know it have not answered.
+	reasonOriginUnanswered = "origin_unanswered"
+	// reasonNoReplicaOfOrigin: no replica may go on with the stream.
+	reasonNoReplicaOfOrigin = "no_replica_of_origin"
+)
+
+const (
+	// originRetention is how long after its deadline the origin of a stream is kept for a caller that resumes it.
+	originRetention = 15 * time.Second
+	// maxOriginWaitShare is the share of the time left that a request waits for its stream's origin.
+	maxOriginWaitShare = 0.25
+	// retryAfterNoOrigin is the Retry-After of a stream that cannot go on now: a replica that crashed may be back then.
+	retryAfterNoOrigin = time.Second
+)
+
+// Origins keeps the origins of streams for callers that resume them, at any node. It is safe for concurrent use.
+type Origins interface {
+	// Record keeps the origin of the stream whose first event the given request brought, for lifetime.
+	Record(requestID string, began replica.Origin, lifetime time.Duration)
+	// Find returns the origin of that stream. It returns origin.ErrUnknown if no node knows it, and origin.ErrUnanswered if nodes that may
+	// know it have not answered.
+	Find(ctx context.Context, requestID string) (replica.Origin, error)
+}
+
+// findOrigin determines the origin of a stream that the caller resumes. It returns the reason for which the stream cannot go on, or "".
+func (e *exchange) findOrigin(ctx context.Context) string {
+	if e.lastEventID == "" || !e.canResume() {
+		return ""
+	}
+	resumed := e.request.Header.Get(e.handler.headers.Resumes)
+	if resumed == "" || e.handler.origins == nil {
+		return reasonOriginUnknown
+	}
+	bounded, cancel := context.WithTimeout(ctx, time.Duration(maxOriginWaitShare*float64(clock.Until(e.deadline))))
+	defer cancel()
+	found, err := e.handler.origins.Find(bounded, resumed)
+	if err != nil {
+		e.handler.logger.Info().Str(logging.FieldRequest, e.id).Str("resumes", resumed).Err(err).Msg("origin_not_found")
+		if errors.Is(err, origin.ErrUnknown) {
+			return reasonOriginUnknown
+		}
+		return reasonOriginUnanswered
+	}
+	e.origin = found
+	if !e.originServed() {
+		return reasonNoReplicaOfOrigin
+	}
+	return ""
+}
+
+// originServed reports whether the route leads to the service that began the stream, and a replica there may go on with it.
+func (e *exchange) originServed() bool {
+	leads := slices.ContainsFunc(e.route.Backends, func(backend route.Backend) bool { return backend.Service == e.origin.Service })
+	return leads && slices.ContainsFunc(e.handler.directory.View().ForService(e.origin.Service), func(handle *replica.Handle) bool {
+		return handle.Usable() && e.origin.MayContinueAt(handle)
+	})
+}
 
 // noteBegun notes that the first event of this answer came from a run of the given origin.
 func (e *exchange) noteBegun(attempt replica.Origin) {
 	if e.origin.IsZero() {
 		e.origin = attempt
 	}
+	if !e.canResume() || e.handler.origins == nil {
+		return
+	}
+	lifetime := clock.Until(e.deadline) + originRetention
+	e.handler.origins.Record(e.id, e.origin, lifetime)
+	if resumed := e.request.Header.Get(e.handler.headers.Resumes); resumed != "" && e.resumedByCaller {
+		e.handler.origins.Record(resumed, e.origin, lifetime)
+	}
 }
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -1,19 +1,46 @@
 package forward
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"net/netip"
 	"testing"
 	"testing/synctest"
+	"time"
 
+	"github.com/sloelift/sloelift/internal/origin"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
 	"github.com/sloelift/sloelift/internal/route"
 )
 
+// fakeOrigins are the Origins that all edges of a test share.
+type fakeOrigins struct {
+	recorded map[string]replica.Origin
+	err      error
+}
+
+func (f *fakeOrigins) Record(requestID string, began replica.Origin, _ time.Duration) {
+	f.recorded[requestID] = began
+}
+
+func (f *fakeOrigins) Find(_ context.Context, requestID string) (replica.Origin, error) {
+	if f.err != nil {
+		return replica.Origin{}, f.err
+	}
+	began, found := f.recorded[requestID]
+	if !found {
+		return replica.Origin{}, origin.ErrUnknown
+	}
+	return began, nil
+}
+
 // newVersionedEdge returns an edge with a replica of v1, "a", and one of v2, "b".
-func newVersionedEdge(t *testing.T, scripts map[string]replicatest.Script) *edgeUnderTest {
+func newVersionedEdge(t *testing.T, origins Origins, scripts map[string]replicatest.Script) *edgeUnderTest {
 	t.Helper()
 	edge := newEdgeUnderTest(t, route.Stream, true, scripts)
+	edge.origins = origins
 	edge.setEntry("b", func(info *replica.Info) { info.Version = "v2" })
 	return edge
 }
@@ -32,6 +59,17 @@
 	e.directory.Update([]replica.Info{{ID: id, Service: "s", Version: version, Zone: "far", Address: address, Slots: 8}}, nil)
 }
 
+// resume sends the request by which a caller takes up the stream that began with the request first, behind event 1.
+func resume(first string) func(*http.Request) {
+	return func(request *http.Request) {
+		request.Header.Set("X-Id", "id-2")
+		request.Header.Set("Last-Event-Id", "1")
+		if first != "" {
+			request.Header.Set("X-Resumes", first)
+		}
+	}
+}
+
 // TestStreamOfACrashedReplicaIsNotResumedAtAnotherVersion: within one answer, only a replica of the version that began the stream goes on.
 func TestStreamOfACrashedReplicaIsNotResumedAtAnotherVersion(t *testing.T) {
 	for _, test := range []struct {
@@ -46,7 +84,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				edge := newVersionedEdge(t, map[string]replicatest.Script{
+				edge := newVersionedEdge(t, nil, map[string]replicatest.Script{
 					"a": replicatest.Stream("s1", false, false, eventOne), "b": replicatest.Stream("s2", true, false, eventTwo),
 				})
 				edge.addReplica("c", test.third, 1002, replicatest.Stream("s3", true, false, eventThree))
@@ -59,3 +97,82 @@
 		})
 	}
 }
+
+// TestStreamCountsAsOfTheVersionAtItsBegin: the version is that of the run's replica when the run began, whatever its entry tells later.
+func TestStreamCountsAsOfTheVersionAtItsBegin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var edge *edgeUnderTest
+		origins := &fakeOrigins{recorded: map[string]replica.Origin{}}
+		edge = newVersionedEdge(t, origins, map[string]replicatest.Script{"b": replicatest.Stream("s2", true, false, eventTwo)})
+		breaksOff := replicatest.Stream("s1", false, false, eventOne)
+		edge.replicas.Scripts[edge.directory.View().Find("a").Info().Address] = func(connection net.Conn, request *http.Request) bool {
+			edge.setEntry("a", func(info *replica.Info) { info.Version = "v2" })
+			return breaksOff(connection, request)
+		}
+		recorded, aborted := edge.call(nil)
+		edge.replicas.CloseAll()
+		if recorded.Body.String() != eventOne || !aborted || origins.recorded["id-1"].Version != "v1" {
+			t.Errorf("body %q, aborted %t, recorded %+v", recorded.Body, aborted, origins.recorded)
+		}
+	})
+}
+
+// TestStreamTakenUpAtAnotherEdgeGoesOnAtItsVersion: over a caller's attempts, only a replica of the version that began the stream goes on.
+func TestStreamTakenUpAtAnotherEdgeGoesOnAtItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		origins := &fakeOrigins{recorded: map[string]replica.Origin{}}
+		first := newVersionedEdge(t, origins, map[string]replicatest.Script{"a": replicatest.Stream("s1", false, false, eventOne)})
+		first.call(nil)
+		first.replicas.CloseAll()
+		// At the second edge the replica of v2 is preferred: that of v1 is farther away.
+		second := newVersionedEdge(t, origins, map[string]replicatest.Script{
+			"a": replicatest.Stream("s1", true, false, eventThree), "b": replicatest.Stream("s2", true, false, eventTwo),
+		})
+		second.setEntry("a", func(info *replica.Info) { info.Version = "v2" })
+		second.setEntry("b", func(info *replica.Info) { info.Version = "v1" })
+		recorded, aborted := second.call(resume("id-1"))
+		second.replicas.CloseAll()
+		if recorded.Code != 200 || aborted || recorded.Body.String() != eventTwo {
+			t.Errorf("status %d, aborted %t, body %q; want the events of v1", recorded.Code, aborted, recorded.Body)
+		}
+		if origins.recorded["id-2"].Version != "v1" {
+			t.Errorf("recorded %+v, want the resumed stream to be of v1", origins.recorded)
+		}
+	})
+}
+
+// TestStreamThatCannotGoOnIsRefusedAtOnce: a stream of unknown origin, or without a replica of its version, is not begun anew or resumed by
+// guess; the refusal is true, at once, and says when to come back.
+func TestStreamThatCannotGoOnIsRefusedAtOnce(t *testing.T) {
+	known := map[string]replica.Origin{
+		"id-1": {Service: "s", Version: "v1"}, "gone": {Service: "s", Version: "v0"}, "elsewhere": {Service: "t", Version: "v1"},
+		"unlabelled": {Service: "s"},
+	}
+	for _, test := range []struct {
+		name, resumes, reason string
+		err                   error
+	}{
+		{"no request is named", "", reasonOriginUnknown, nil},
+		{"nobody knows it", "id-0", reasonOriginUnknown, nil},
+		{"nobody answers", "id-1", reasonOriginUnanswered, origin.ErrUnanswered},
+		{"its version is gone", "gone", reasonNoReplicaOfOrigin, nil},
+		{"the route leads to another service", "elsewhere", reasonNoReplicaOfOrigin, nil},
+		{"its version was not known", "unlabelled", reasonNoReplicaOfOrigin, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				whole := replicatest.Stream("s1", true, false, eventTwo)
+				edge := newVersionedEdge(t, &fakeOrigins{recorded: known, err: test.err}, map[string]replicatest.Script{"a": whole, "b": whole})
+				began := time.Now()
+				recorded, _ := edge.call(resume(test.resumes))
+				edge.replicas.CloseAll()
+				if recorded.Code != http.StatusServiceUnavailable || recorded.Header().Get("Retry-After") == "" || recorded.Body.String() != test.reason+"\n" {
+					t.Errorf("status %d, Retry-After %q, body %q", recorded.Code, recorded.Header().Get("Retry-After"), recorded.Body)
+				}
+				if len(edge.replicas.Requests()) > 0 || time.Since(began) > 0 {
+					t.Errorf("%d runs, answered after %s", len(edge.replicas.Requests()), time.Since(began))
+				}
+			})
+		})
+	}
+}
--- a/internal/forward/quarantined_test.go
+++ b/internal/forward/quarantined_test.go
@@ -200,7 +200,7 @@
 		want   quarantine.Ending
 	}{
 		{"whole", whole, nil, quarantine.Whole},
-		{"whole behind an event", whole, func(request *http.Request) { request.Header.Set("Last-Event-Id", "7") }, quarantine.Other},
+		{"whole behind an event", whole, resume("id-0"), quarantine.Other},
 		{"lost before the answer", replicatest.Lose(), nil, quarantine.Lost},
 		{"lost within the answer", replicatest.Stream("s", false, false, "id: 1\ndata: x\n\n"), nil, quarantine.Interrupted},
 		{"not run", replicatest.Refuse(), nil, quarantine.Other},
@@ -212,6 +212,7 @@
 				edge := newEdgeUnderTest(t, route.Stream, true, map[string]replicatest.Script{"a": test.first, "b": whole})
 				register := &fakeRegister{}
 				edge.Handler.quarantine = register
+				edge.origins = &fakeOrigins{recorded: map[string]replica.Origin{"id-0": {Service: "s", Version: "v1"}}}
 				edge.call(test.change)
 				if len(register.endings) == 0 || register.endings[0] != test.want {
 					t.Errorf("endings %v, want %v first", register.endings, test.want)
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -24,6 +24,7 @@
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/network"
+	"github.com/sloelift/sloelift/internal/origin"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/quota"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -130,11 +131,11 @@
 	fx.Provide(
 		func() *watchHold { return &watchHold{} }, newRoleKeyValue, newFeed, newSnapshotCache, route.NewHolder, replica.NewDirectory,
 		newReplicaSubset, newDiscovery, newReplicaClient, newPicker,
-		newRegisteredMachines, newColdStarts, newQuarantine, func() *ledger.Timing { return &roleLedgerTiming },
+		newRegisteredMachines, newColdStarts, newQuarantine, newOrigins, func() *ledger.Timing { return &roleLedgerTiming },
 		membershipTimingOf,
 	),
 	transport.Module, membership.Module, ledger.Module,
-	fx.Invoke(serveMetrics, announceStore, followEvacuations, followBatchRegions, reportSuspensions),
+	fx.Invoke(serveMetrics, announceStore, followEvacuations, followBatchRegions, reportSuspensions, func(*origin.Service) {}),
 )
 
 // roleSlices returns the slices that only nodes of role have.
--- a/internal/node/role_edge.go
+++ b/internal/node/role_edge.go
@@ -17,6 +17,7 @@
 	"github.com/sloelift/sloelift/internal/loadshare"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/network"
+	"github.com/sloelift/sloelift/internal/origin"
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/quota"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -54,6 +55,7 @@
 	limits *quota.Service,
 	coldStarts *coldstart.Service,
 	register *quarantine.Service,
+	origins *origin.Service,
 	shared *loadshare.Service,
 	calls BatchCalls,
 	logger zerolog.Logger,
@@ -62,7 +64,7 @@
 	return forward.NewHandler(forward.Options{
 		Routes: routes, Directory: directory, Picker: picker, Client: client, Zone: nodeSettings.Zone, Batch: calls, Gate: gate,
 		Quota: limits, ColdStarts: coldStarts, Refresh: shared.Refresh,
-		Quarantine: register, Logger: logger, Metrics: metrics,
+		Quarantine: register, Origins: origins, Logger: logger, Metrics: metrics,
 	})
 }
 
--- a/internal/node/role_replicas.go
+++ b/internal/node/role_replicas.go
@@ -11,6 +11,7 @@
 	"github.com/sloelift/sloelift/internal/loadshare"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/network"
+	"github.com/sloelift/sloelift/internal/origin"
 	"github.com/sloelift/sloelift/internal/platform"
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -86,3 +87,17 @@
 	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
 	return service
 }
+
+// newOrigins returns the service that keeps which software began the streams of callers.
+func newOrigins(
+	lifecycle fx.Lifecycle,
+	members *membership.Service,
+	caller transport.Caller,
+	registrar transport.Registrar,
+	registerer prometheus.Registerer,
+	logger zerolog.Logger,
+) *origin.Service {
+	service := origin.NewService(origin.Options{Viewer: members, Caller: caller, Registrar: registrar, Registerer: registerer, Logger: logger})
+	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
+	return service
+}
--- /dev/null
+++ b/internal/origin/service.go
@@ -0,0 +1,126 @@
+package origin
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	originpb "github.com/sloelift/sloelift/api/proto/origin"
+	"github.com/sloelift/sloelift/internal/clock"
+	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/pause"
+	"github.com/sloelift/sloelift/internal/transport"
+	"github.com/sloelift/sloelift/internal/unreached"
+)
+
+// Methods that nodes call on each other.
+const (
+	methodKeep transport.Method = "origin.keep"
+	methodFind transport.Method = "origin.find"
+)
+
+const (
+	// expireInterval is how often expired records are deleted.
+	expireInterval = 5 * time.Second
+	// unreachedTime is how long a node that gave no answer is asked after the others.
+	unreachedTime = time.Second
+)
+
+// Options configures a Service.
+type Options struct {
+	Viewer     membership.Viewer
+	Caller     transport.Caller
+	Registrar  transport.Registrar
+	Registerer prometheus.Registerer
+	Logger     zerolog.Logger
+}
+
+// Service records and finds the origins of streams, and keeps records for other nodes. It is safe for concurrent use.
+type Service struct {
+	viewer    membership.Viewer
+	caller    transport.Caller
+	logger    zerolog.Logger
+	metrics   *metrics
+	unreached *unreached.Peers
+	ctx       context.Context
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+
+	// mutex guards the fields below.
+	mutex   sync.Mutex
+	stopped bool
+	book    *book
+	// outbox holds the records that are to be sent to other nodes.
+	outbox []*originpb.Record
+}
+
+// NewService returns a Service and registers its methods with the registrar.
+func NewService(options Options) *Service {
+	service := &Service{
+		viewer: options.Viewer, caller: options.Caller, logger: options.Logger.With().Str(logging.FieldSlice, "origin").Logger(),
+		metrics: newMetrics(options.Registerer), unreached: unreached.NewPeers(unreachedTime), book: newBook(),
+	}
+	service.ctx, service.cancel = context.WithCancel(context.Background())
+	transport.Handle(options.Registrar, methodKeep, func() *originpb.KeepRequest { return &originpb.KeepRequest{} },
+		func(_ context.Context, _ netip.AddrPort, request *originpb.KeepRequest) (*originpb.KeepResponse, error) {
+			return service.keep(request), nil
+		})
+	transport.Handle(options.Registrar, methodFind, func() *originpb.FindRequest { return &originpb.FindRequest{} },
+		func(_ context.Context, _ netip.AddrPort, request *originpb.FindRequest) (*originpb.FindResponse, error) {
+			return service.answer(request), nil
+		})
+	return service
+}
+
+// Start starts to delete expired records.
+func (s *Service) Start() {
+	s.running.Go(func() { pause.Every(s.ctx, expireInterval, s.expire) })
+}
+
+// Stop sends the records that other nodes do not have yet, and waits for that.
+func (s *Service) Stop() {
+	s.mutex.Lock()
+	s.stopped = true
+	s.mutex.Unlock()
+	s.cancel()
+	s.running.Wait()
+}
+
+func (s *Service) expire(time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.book.expire(clock.Now())
+	s.metrics.records.Set(float64(len(s.book.records)))
+}
+
+// keep keeps records for another node, up to the first one for which there is no room.
+func (s *Service) keep(request *originpb.KeepRequest) *originpb.KeepResponse {
+	now := clock.Now()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	response := &originpb.KeepResponse{}
+	for _, message := range request.GetRecords() {
+		if !s.book.add(message.GetRequest(), decodeOrigin(message), message.GetDisputed(), lifetimeOf(message), now) {
+			break
+		}
+		response.Kept++
+	}
+	return response
+}
+
+// answer returns what this node knows of a record.
+func (s *Service) answer(request *originpb.FindRequest) *originpb.FindResponse {
+	now := clock.Now()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	response := &originpb.FindResponse{Answered: true}
+	if known, exists := s.book.find(request.GetRequest(), now); exists {
+		response.Record = known.encode(request.GetRequest(), now)
+	}
+	return response
+}
