Batch: the text of an item is of one version; without a replica of it the item is begun anew

Cause: as with streams, a run that goes on behind an event went to any replica; the log told the text and the last event, not who wrote them.

If none takes requests for a second, the text is dropped and the item begins anew at any version: an accepted item has to be done. So does an item whose logged text has no origin, that of an older build.

The log of an item that was begun anew: owners of an older build know no record that drops a text. KindBatchRewritten has the whole new text and is kept beside the progress, whose offsets go on to count; the result, STATE_SUCCEEDED_WHOLE, has the whole text, which owners of an older build list as it is. Whoever lists it, both builds have the same text at the same position. What an edge of an older build shows for such a result that an owner of an older build reads to it is an empty state; it is gone when the owner is of this build.

--- a/internal/batch/backlog.go
+++ b/internal/batch/backlog.go
@@ -73,7 +73,8 @@
 	left := time.Duration(0)
 	for number, item := range job.submission.Items {
 		if !job.items[number].listed {
-			left += pace.remaining(item.Tokens, p.textSize(job, itemKey{job: job.submission.JobId, number: number}))
+			_, textSize := p.textOf(job, itemKey{job: job.submission.JobId, number: number})
+			left += pace.remaining(item.Tokens, textSize)
 		}
 	}
 	return left
--- a/internal/batch/checkpoint.go
+++ b/internal/batch/checkpoint.go
@@ -50,14 +50,25 @@
 			continue
 		}
 		keys = append(keys, key)
-		records = append(records, newRecord(ledger.KindBatchProgress, &batchpb.Progress{
-			JobId: key.job, Item: uint32(key.number), LastEvent: run.lastEvent, Offset: uint64(run.logged), Text: string(run.text[run.logged:]),
-		}))
+		records = append(records, run.progressRecord(key))
 		run.logged = len(run.text)
 	}
 	return keys, records
 }
 
+// progressRecord returns the record of the text that the log lacks, or of the whole text if the item was begun anew.
+func (r *itemRun) progressRecord(key itemKey) ledger.Record {
+	progress := &batchpb.Progress{
+		JobId: key.job, Item: uint32(key.number), LastEvent: r.lastEvent, Offset: uint64(r.logged), Text: string(r.text[r.logged:]),
+		Service: r.origin.Service, Version: r.origin.Version, Incarnation: uint64(r.origin.Incarnation),
+	}
+	if !r.rewritten {
+		return newRecord(ledger.KindBatchProgress, progress)
+	}
+	progress.Offset, progress.Text, progress.Rewritten = 0, string(r.text), true
+	return newRecord(ledger.KindBatchRewritten, progress)
+}
+
 // forgetUnlogged resets the logged length of items to what the log has.
 func (p *partition) forgetUnlogged(keys []itemKey) {
 	p.mutex.Lock()
--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -65,6 +65,12 @@
 	text       []byte
 	lastEvent  string
 	progressAt time.Duration
+	// origin is that of the text, zero while there is none; originMissingSince is when no replica was first found that may go on with the
+	// text, since the partition's start, 0 while there is one.
+	origin             replica.Origin
+	originMissingSince time.Duration
+	// rewritten is true once the item was begun anew after a part of its text was logged.
+	rewritten bool
 	// logged is the length of the part of text that is in the log or being appended.
 	logged int
 	// finishing is true while the item's result is being appended.
@@ -163,7 +169,7 @@
 			p.routeMissing(item, table.Version)
 			continue
 		}
-		if full[item.target()] {
+		if p.waitsForOrigin(&item) || full[item.target()] {
 			continue
 		}
 		verdict := p.checkQuarantine(item)
@@ -227,6 +233,7 @@
 	matched := item.route
 	request := balance.Request{
 		Service: matched.PickService(), Zone: p.service.options.Zone, MaxOccupancy: occupancy, ZoneWeight: itemZoneWeight, Homes: item.homes, Excluded: excluded,
+		Origin: item.origin,
 	}
 	if p.service.hasRoom(request.Service, now) {
 		if handle := p.service.picker.Pick(&request, now); handle != nil {
@@ -279,8 +286,8 @@
 	if job := p.state.jobs[key.job]; job != nil {
 		// An owner that started to count at 0 would send a failing item as often again as each owner before it.
 		run.failures = job.items[key.number].failures
-		if progress := job.items[key.number].progress; progress != nil {
-			run.text, run.lastEvent, run.logged = []byte(progress.Text), progress.LastEvent, len(progress.Text)
+		if progress := job.items[key.number].logged(); progress != nil {
+			run.resumeFrom(progress)
 		}
 	}
 	p.runs[key] = run
@@ -303,7 +310,7 @@
 	p.countStart(item.late)
 	attempt := &itemAttempt{
 		partition: p, key: item.key, item: item.submission.Items[item.key.number], host: item.submission.Host, tenant: item.submission.Tenant,
-		route: item.route, handle: handle, admittedAt: clock.Now(), text: run.text, lastEvent: run.lastEvent,
+		route: item.route, handle: handle, admittedAt: clock.Now(), text: run.text, lastEvent: run.lastEvent, origin: run.origin,
 	}
 	release := handle.Acquire()
 	p.background.Go(func() {
--- a/internal/batch/evacuation_test.go
+++ b/internal/batch/evacuation_test.go
@@ -75,15 +75,15 @@
 	for number, id := range []string{"a", "b"} {
 		owner.runs[itemKey{job: "j", number: number}] = &itemRun{running: true, handle: view.Find(id), acceptedAt: int64(number)}
 	}
-	if key, _ := owner.leastUrgentRun("s", region.Set{}); key.number != 1 {
+	if key, _ := owner.leastUrgentRun("s", region.Set{}, replica.Origin{}); key.number != 1 {
 		t.Fatalf("item %d is the least urgent one, want the one accepted last", key.number)
 	}
 	service.directory.SetEvacuated(map[string]bool{"other": true})
-	if key, run := owner.leastUrgentRun("s", region.Set{}); run == nil || key.number != 0 {
+	if key, run := owner.leastUrgentRun("s", region.Set{}, replica.Origin{}); run == nil || key.number != 0 {
 		t.Errorf("item %d is cut off, want the one outside the evacuated zone", key.number)
 	}
 	service.directory.SetEvacuated(map[string]bool{"other": true, "z": true})
-	if _, run := owner.leastUrgentRun("s", region.Set{}); run != nil {
+	if _, run := owner.leastUrgentRun("s", region.Set{}, replica.Origin{}); run != nil {
 		t.Error("an item of an evacuated zone is cut off")
 	}
 }
--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -119,7 +119,7 @@
 		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
 		port++
 		network.Scripts[address] = script
-		infos = append(infos, replica.Info{ID: id, Service: "s", Zone: "z", Address: address, Slots: 4})
+		infos = append(infos, replica.Info{ID: id, Service: "s", Version: "v1", Zone: "z", Address: address, Slots: 4})
 	}
 	directory.Replace(infos)
 	routes := route.NewHolder()
--- a/internal/batch/homes_cluster_test.go
+++ b/internal/batch/homes_cluster_test.go
@@ -85,7 +85,7 @@
 	for index, name := range clusterRegions {
 		address := testAddress(uint16(1000 + index))
 		c.replicas.Scripts[address] = replicatest.Stream("s", true, false, "id: 1\ndata: "+secret+"\n\n")
-		c.infos = append(c.infos, replica.Info{ID: "replica-" + name, Service: "s", Zone: "zone-" + name, Address: address, Slots: 8})
+		c.infos = append(c.infos, replica.Info{ID: "replica-" + name, Service: "s", Version: "v1", Zone: "zone-" + name, Address: address, Slots: 8})
 		for number := range storesInRegion + 1 {
 			node := &clusterNode{
 				id: membership.NodeID(fmt.Sprintf("%s-%d", name, number)), region: name, address: testAddress(uint16(9000 + 10*index + number)),
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -77,8 +77,10 @@
 	admittedAt time.Time
 	text       []byte
 	lastEvent  string
-	status     int
-	err        error
+	// origin is that of the text; leaseOrigin is that of a text which the replica began under the current lease.
+	origin, leaseOrigin replica.Origin
+	status              int
+	err                 error
 	// leaseLength is the length of the current lease, which started at leaseStartedAt. awaitingResume is true from the start of a
 	// further lease of this attempt until its first event.
 	leaseLength    time.Duration
@@ -97,7 +99,7 @@
 		sizeBefore := len(a.text)
 		verdict := a.runLease(ctx)
 		leaseOver := verdict == itemInterrupted && errors.Is(a.err, errLeaseExpired) && ctx.Err() == nil
-		if !leaseOver || len(a.text) == sizeBefore || !a.handle.Usable() || !a.admitAgain() {
+		if !leaseOver || len(a.text) == sizeBefore || !a.handle.Usable() || !a.mayContinue() || !a.admitAgain() {
 			return verdict
 		}
 		a.err = nil
@@ -105,12 +107,19 @@
 	}
 }
 
+// mayContinue reports whether a further lease at the replica may go on with the text: its entry is as it was when it began the text, or it is
+// known to be of the same version.
+func (a *itemAttempt) mayContinue() bool {
+	return a.origin == a.handle.Origin() || a.origin.MayContinueAt(a.handle)
+}
+
 // runLease runs the item for one lease.
 func (a *itemAttempt) runLease(ctx context.Context) itemVerdict {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a.leaseLength = a.partition.nextLease(a)
 	a.leaseStartedAt = clock.Now()
+	a.leaseOrigin = a.handle.Origin()
 	leaseTimer := time.AfterFunc(a.leaseLength-leaseMargin, func() { cancel(errLeaseExpired) })
 	defer leaseTimer.Stop()
 	silenceTimer := time.AfterFunc(silenceTimeout, func() { cancel(errSilent) })
@@ -210,6 +219,9 @@
 		if len(events.Bytes) > 0 {
 			silence.Reset(silenceTimeout)
 			a.observeEvents(clock.Now())
+			if a.origin.IsZero() {
+				a.origin = a.leaseOrigin
+			}
 			a.text = eventstream.AppendData(a.text, events.Bytes)
 			if events.LastID != "" {
 				a.lastEvent = events.LastID
@@ -234,6 +246,7 @@
 	defer p.mutex.Unlock()
 	if run := p.runs[attempt.key]; run != nil {
 		run.text, run.lastEvent, run.progressAt = attempt.text, attempt.lastEvent, p.elapsed()
+		run.origin = attempt.origin
 	}
 }
 
@@ -325,7 +338,8 @@
 	return p.await(p.ctx, request)
 }
 
-// resultRecord returns the record that lists an item. It contains only the part of the text that the log does not have yet.
+// resultRecord returns the record that lists an item. It contains only the part of the text that the log does not have yet, unless the item
+// was begun anew.
 func (p *partition) resultRecord(key itemKey, finalState batchpb.State, text string) ledger.Record {
 	result := &batchpb.Result{JobId: key.job, Item: uint32(key.number), State: finalState}
 	if finalState == batchpb.State_STATE_SUCCEEDED {
@@ -340,6 +354,10 @@
 		if !run.startedWithText {
 			result.RanMillis = uint64(run.runTime.Milliseconds())
 		}
+		if run.rewritten {
+			logged = 0
+			result.State = batchpb.State_STATE_SUCCEEDED_WHOLE
+		}
 		p.mutex.Unlock()
 		result.Offset, result.Text = uint64(logged), text[logged:]
 	}
--- a/internal/batch/item_chance_test.go
+++ b/internal/batch/item_chance_test.go
@@ -76,7 +76,7 @@
 func (m *crashingReplicas) infos() []replica.Info {
 	var infos []replica.Info
 	for address := range m.Scripts {
-		infos = append(infos, replica.Info{ID: address.String(), Service: "s", Zone: "z", Address: address, Slots: 4})
+		infos = append(infos, replica.Info{ID: address.String(), Service: "s", Version: "v1", Zone: "z", Address: address, Slots: 4})
 	}
 	return infos
 }
@@ -302,7 +302,9 @@
 					records = append(records, newRecord(ledger.KindBatchCrashed, &batchpb.Crashed{JobId: "j", Replica: uint64(100 + number), Reached: reached}))
 				}
 				if test.loggedEvents > 0 {
-					records = append(records, newRecord(ledger.KindBatchProgress, &batchpb.Progress{JobId: "j", Text: text(test.loggedEvents), LastEvent: fmt.Sprint(test.loggedEvents)}))
+					records = append(records, newRecord(ledger.KindBatchProgress, &batchpb.Progress{
+						JobId: "j", Text: text(test.loggedEvents), LastEvent: fmt.Sprint(test.loggedEvents), Service: "s", Version: "v1",
+					}))
 				}
 				owner := startOwnerWithQuarantine(t, newCrashingReplicas(12), records...)
 				defer owner.stop()
--- a/internal/batch/item_homes.go
+++ b/internal/batch/item_homes.go
@@ -5,16 +5,20 @@
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
 )
 
-// target identifies what items compete for: the replicas of a route in a set of regions.
+// target identifies what items compete for: the replicas of a route in a set of regions that may go on with a text.
 type target struct {
-	route *route.Route
-	homes string
+	route  *route.Route
+	homes  string
+	origin replica.Origin
 }
 
-func (c candidate) target() target { return target{route: c.route, homes: c.homes.String()} }
+func (c candidate) target() target {
+	return target{route: c.route, homes: c.homes.String(), origin: c.origin}
+}
 
 // checkSubmissionHomes rejects a new submission that is confined to certain regions if this partition is not confined. Such a
 // submission comes from an edge with an older configuration.
--- a/internal/batch/item_homes_test.go
+++ b/internal/batch/item_homes_test.go
@@ -116,10 +116,10 @@
 		time.Sleep(time.Second)
 		owner.mutex.Lock()
 		defer owner.mutex.Unlock()
-		if _, run := owner.leastUrgentRun("s", region.NewSet("south")); run != nil {
+		if _, run := owner.leastUrgentRun("s", region.NewSet("south"), replica.Origin{}); run != nil {
 			t.Error("a run in north would be cut off for an item of south")
 		}
-		if _, run := owner.leastUrgentRun("s", region.NewSet("north")); run == nil {
+		if _, run := owner.leastUrgentRun("s", region.NewSet("north"), replica.Origin{}); run == nil {
 			t.Error("no run is found at home")
 		}
 	})
--- a/internal/batch/item_order.go
+++ b/internal/batch/item_order.go
@@ -7,6 +7,7 @@
 
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	"github.com/sloelift/sloelift/internal/region"
+	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
 )
 
@@ -26,6 +27,8 @@
 	acceptedAt int64
 	// homes are the regions in which the item may run.
 	homes region.Set
+	// origin is that of the item's text; zero if it has none.
+	origin replica.Origin
 	// due is when the result is wanted; zero if there is no such time.
 	due time.Time
 	// late is true if the item will probably not be done when it is due.
@@ -111,8 +114,9 @@
 		item := job.submission.Items[number]
 		added := candidate{
 			key: key, submission: job.submission, acceptedAt: job.acceptedAt, route: table.Match(job.submission.Host, item.Path),
-			running: run != nil && run.running, started: run != nil && run.attempts > 0, textSize: p.textSize(job, key),
+			running: run != nil && run.running, started: run != nil && run.attempts > 0,
 		}
+		added.origin, added.textSize = p.textOf(job, key)
 		if added.route != nil {
 			if run != nil {
 				run.routeMissingSince = 0
@@ -147,12 +151,13 @@
 	return sorted[:min(len(sorted), maxCandidates)]
 }
 
-// textSize returns the size in bytes of the text that an unlisted item has so far. The mutex is held.
-func (p *partition) textSize(job *jobState, key itemKey) int {
+// textOf returns the origin and the size in bytes of the text that an unlisted item has so far. The mutex is held.
+func (p *partition) textOf(job *jobState, key itemKey) (replica.Origin, int) {
 	if run := p.runs[key]; run != nil {
-		return len(run.text)
+		return run.origin, len(run.text)
 	}
-	return len(job.items[key.number].loggedText())
+	item := &job.items[key.number]
+	return originOf(item.logged()), len(item.loggedText())
 }
 
 // dueTime returns when the results of a job are wanted; zero if its route has no completion target.
--- a/internal/batch/item_run.go
+++ b/internal/batch/item_run.go
@@ -4,6 +4,7 @@
 	"cmp"
 
 	"github.com/sloelift/sloelift/internal/region"
+	"github.com/sloelift/sloelift/internal/replica"
 )
 
 // countAttempt counts the start of a run. The partition's mutex is held.
@@ -45,9 +46,9 @@
 	run.runTime += p.elapsed() - run.startedAt
 }
 
-// leastUrgentRun returns the run to preempt first at the replicas of service in homes: a late one before one that can be in time,
-// then the one due last, then the one that started last. The mutex is held.
-func (p *partition) leastUrgentRun(service string, homes region.Set) (least itemKey, run *itemRun) {
+// leastUrgentRun returns the run to preempt first at the replicas of service in homes that may go on with a text of the given origin, zero for
+// none: a late one before one that can be in time, then the one due last, then the one that started last. The mutex is held.
+func (p *partition) leastUrgentRun(service string, homes region.Set, origin replica.Origin) (least itemKey, run *itemRun) {
 	var worst candidate
 	for key, other := range p.runs {
 		if !other.running || other.interrupted || other.finishing || other.handle == nil || other.handle.Info().Service != service {
@@ -57,7 +58,7 @@
 			// It ends without being preempted, and preempting it frees no room at the remaining replicas.
 			continue
 		}
-		if !p.service.picker.InAllowedRegion(homes, other.handle) {
+		if !p.service.picker.InAllowedRegion(homes, other.handle) || !origin.IsZero() && !origin.MayContinueAt(other.handle) {
 			continue
 		}
 		rated := runAsCandidate(other)
@@ -100,7 +101,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for _, backend := range waiting.route.Backends {
-		key, run := p.leastUrgentRun(backend.Service, waiting.homes)
+		key, run := p.leastUrgentRun(backend.Service, waiting.homes, waiting.origin)
 		if run != nil && run.certainlyLate {
 			p.preempt(key, run)
 			return
--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -144,7 +144,7 @@
 	}
 	for service, count := range excess {
 		for ; count > 0; count-- {
-			key, least := p.leastUrgentRun(service, region.Set{})
+			key, least := p.leastUrgentRun(service, region.Set{}, replica.Origin{})
 			if least == nil {
 				break
 			}
--- a/internal/batch/snapshot.go
+++ b/internal/batch/snapshot.go
@@ -41,6 +41,9 @@
 		if progress := j.items[number].progress; progress != nil {
 			encoded.Progress = append(encoded.Progress, progress)
 		}
+		if rewritten := j.items[number].rewritten; rewritten != nil {
+			encoded.Progress = append(encoded.Progress, rewritten)
+		}
 		if failures := j.items[number].failures; failures > 0 {
 			encoded.Failed = append(encoded.Failed, &batchpb.Failed{JobId: j.submission.JobId, Item: uint32(number), Failures: uint32(failures)})
 		}
@@ -83,6 +86,10 @@
 	}
 	// These records belong to the job that was just added; none of the calls returns an error.
 	for _, progress := range encoded.Progress {
+		if progress.Rewritten {
+			_ = s.applyRewritten(progress)
+			continue
+		}
 		_ = s.applyProgress(progress)
 	}
 	for _, crashed := range encoded.Crashed {
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -32,14 +32,25 @@
 	state    batchpb.State
 	text     string
 	progress *batchpb.Progress
+	// rewritten is the text that the item has since it was begun anew, nil before. Owners of an older build do not know it and go on behind
+	// progress, so that both are kept and the offsets of records count in progress.
+	rewritten *batchpb.Progress
 	// crashes are the ends of replicas under the item while it was not listed; if there were many, the ones with the most text.
 	crashes []quarantine.RecordedEnd
 	// failures counts the runs that replicas answered with a failure of their own, over all owners, while the item was not listed.
 	failures int
 }
 
+// logged returns the text of an unlisted item that is in the log and that a further run goes on with; nil if there is none.
+func (i *itemState) logged() *batchpb.Progress {
+	if i.rewritten != nil {
+		return i.rewritten
+	}
+	return i.progress
+}
+
 // loggedText returns the part of an unlisted item's text that is in the log.
-func (i *itemState) loggedText() string { return i.progress.GetText() }
+func (i *itemState) loggedText() string { return i.logged().GetText() }
 
 func (j *jobState) complete() bool { return len(j.listed) == len(j.items) }
 
@@ -97,6 +108,8 @@
 		return decodeAndApply(record, &batchpb.Crashed{}, s.applyCrashed)
 	case ledger.KindBatchFailed:
 		return decodeAndApply(record, &batchpb.Failed{}, s.applyFailed)
+	case ledger.KindBatchRewritten:
+		return decodeAndApply(record, &batchpb.Progress{}, s.applyRewritten)
 	default:
 		return nil
 	}
@@ -155,9 +168,12 @@
 	if job == nil || int(result.Item) >= len(job.items) || job.items[result.Item].listed {
 		return nil
 	}
-	text := result.Text
-	if result.State == batchpb.State_STATE_SUCCEEDED {
-		before := job.items[result.Item].loggedText()
+	finalState, text := result.State, result.Text
+	switch result.State {
+	case batchpb.State_STATE_SUCCEEDED_WHOLE:
+		finalState = batchpb.State_STATE_SUCCEEDED
+	case batchpb.State_STATE_SUCCEEDED:
+		before := job.items[result.Item].progress.GetText()
 		if uint64(len(before)) != result.Offset {
 			return nil
 		}
@@ -166,7 +182,7 @@
 			tokens: job.submission.Items[result.Item].Tokens, text: len(text), runTime: time.Duration(result.RanMillis) * time.Millisecond,
 		})
 	}
-	s.list(job, int(result.Item), result.State, text)
+	s.list(job, int(result.Item), finalState, text)
 	job.notify()
 	return nil
 }
@@ -196,10 +212,8 @@
 }
 
 func (s *state) dropProgress(item *itemState) {
-	if item.progress != nil {
-		s.bytes -= int64(len(item.progress.Text))
-		item.progress = nil
-	}
+	s.bytes -= int64(len(item.progress.GetText()) + len(item.rewritten.GetText()))
+	item.progress, item.rewritten = nil, nil
 }
 
 // openItem returns an item that may still run, or nil if there is none.
@@ -217,14 +231,24 @@
 	if item == nil {
 		return nil
 	}
-	before := item.loggedText()
+	before := item.progress.GetText()
 	if uint64(len(before)) != progress.Offset {
 		return nil
 	}
-	item.progress = &batchpb.Progress{
-		JobId: progress.JobId, Item: progress.Item, LastEvent: progress.LastEvent, Text: before + progress.Text,
-	}
 	s.bytes += int64(len(progress.Text))
+	progress.Offset, progress.Text = 0, before+progress.Text
+	item.progress = progress
+	return nil
+}
+
+// applyRewritten stores the whole text of an item that was begun anew.
+func (s *state) applyRewritten(progress *batchpb.Progress) error {
+	item := s.openItem(progress.JobId, progress.Item)
+	if item == nil {
+		return nil
+	}
+	s.bytes += int64(len(progress.Text)) - int64(len(item.rewritten.GetText()))
+	item.rewritten = progress
 	return nil
 }
 
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -55,7 +55,7 @@
 // addReplica adds a replica like "b" in another zone.
 func (e *edgeUnderTest) addReplica(id, version string, port uint16, script replicatest.Script) {
 	address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
-	e.replicas.Scripts[address] = script
+	e.replicas.SetScript(address, script)
 	e.directory.Update([]replica.Info{{ID: id, Service: "s", Version: version, Zone: "far", Address: address, Slots: 8}}, nil)
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -42,6 +42,7 @@
 	KindBatchForgotten
 	KindBatchCrashed
 	KindBatchFailed
+	KindBatchRewritten
 	// KindNoOperation fills a position for which recovery found no record.
 	KindNoOperation = protocol.KindNoOperation
 )
--- a/internal/replica/replicatest/network.go
+++ b/internal/replica/replicatest/network.go
@@ -40,6 +40,13 @@
 	return nil, errors.New("replicatest: Listen is not supported")
 }
 
+// SetScript changes the script of the replica at address for connections made from now on.
+func (f *Network) SetScript(address netip.AddrPort, script Script) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.Scripts[address] = script
+}
+
 // Dial connects to the scripted replica at address.
 func (f *Network) Dial(_ context.Context, address netip.AddrPort) (net.Conn, error) {
 	f.mutex.Lock()
@@ -76,14 +83,19 @@
 	}
 }
 
-// CloseAll closes all connections and waits until all scripts have returned, including those that sleep. Dial must not be called
-// concurrently.
-func (f *Network) CloseAll() {
+// CloseConnections closes all connections that are open now.
+func (f *Network) CloseConnections() {
 	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	for _, connection := range f.open {
 		_ = connection.Close()
 	}
-	f.mutex.Unlock()
+}
+
+// CloseAll closes all connections and waits until all scripts have returned, including those that sleep. Dial must not be called
+// concurrently.
+func (f *Network) CloseAll() {
+	f.CloseConnections()
 	f.serving.Wait()
 }
 
