Origin: storage nodes keep origins on disk, so that streams go on after all nodes were killed

What callers would see: after all machines were killed at once, each stream that is taken up is refused, since its origin was in memory only. No guess, but a refusal of every stream.

A keep request does not wait for the disk; what a loss of power takes is refused, not guessed.

--- a/internal/node/role_replicas.go
+++ b/internal/node/role_replicas.go
@@ -91,13 +91,16 @@
 // newOrigins returns the service that keeps which software began the streams of callers.
 func newOrigins(
 	lifecycle fx.Lifecycle,
+	nodeSettings settings.Settings,
 	members *membership.Service,
 	caller transport.Caller,
 	registrar transport.Registrar,
 	registerer prometheus.Registerer,
 	logger zerolog.Logger,
 ) *origin.Service {
-	service := origin.NewService(origin.Options{Viewer: members, Caller: caller, Registrar: registrar, Registerer: registerer, Logger: logger})
+	service := origin.NewService(origin.Options{
+		Viewer: members, Caller: caller, Registrar: registrar, DataFolder: nodeSettings.DataFolder, Registerer: registerer, Logger: logger,
+	})
 	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
 	return service
 }
--- a/internal/origin/cluster_test.go
+++ b/internal/origin/cluster_test.go
@@ -30,6 +30,8 @@
 	transport *memory.Transport
 	// service is nil while the node is down, and on a node of an older build.
 	service *Service
+	// folder is the data folder of a storage node.
+	folder string
 }
 
 // cluster is three storage nodes, "store-0" to "store-2", and four edges, "edge-0" to "edge-3", in three zones.
@@ -65,6 +67,11 @@
 		for _, name := range older {
 			isOlder[name] = true
 		}
+		for _, created := range c.nodes {
+			if created.member.Store {
+				created.folder = t.TempDir()
+			}
+		}
 		for name := range c.nodes {
 			c.start(name, isOlder[name])
 		}
@@ -83,7 +90,7 @@
 	}
 	if !older {
 		started.service = NewService(Options{
-			Viewer: started.view, Caller: started.transport, Registrar: started.transport, Registerer: prometheus.NewRegistry(), Logger: zerolog.Nop(),
+			Viewer: started.view, Caller: started.transport, Registrar: started.transport, DataFolder: started.folder, Registerer: prometheus.NewRegistry(), Logger: zerolog.Nop(),
 		})
 		started.service.Start()
 	}
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -33,9 +33,11 @@
 
 // Options configures a Service.
 type Options struct {
-	Viewer     membership.Viewer
-	Caller     transport.Caller
-	Registrar  transport.Registrar
+	Viewer    membership.Viewer
+	Caller    transport.Caller
+	Registrar transport.Registrar
+	// DataFolder is where the records that this node keeps for others outlive its process; empty on a node without persistent storage.
+	DataFolder string
 	Registerer prometheus.Registerer
 	Logger     zerolog.Logger
 }
@@ -50,6 +52,12 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	running   sync.WaitGroup
+	// journal is nil on a node without persistent storage. Only writeJournal uses it and syncedAt, the time of its last sync, once the service
+	// has started.
+	journal  *journal
+	syncedAt time.Time
+	// unwrittenChanged wakes writeJournal.
+	unwrittenChanged chan struct{}
 
 	// mutex guards the fields below.
 	mutex   sync.Mutex
@@ -57,6 +65,8 @@
 	book    *book
 	// outbox holds the records that are to be sent to other nodes.
 	outbox []*originpb.Record
+	// unwritten holds the records that are to be appended to the journal.
+	unwritten []*originpb.Record
 }
 
 // NewService returns a Service and registers its methods with the registrar.
@@ -64,8 +74,10 @@
 	service := &Service{
 		viewer: options.Viewer, caller: options.Caller, logger: options.Logger.With().Str(logging.FieldSlice, "origin").Logger(),
 		metrics: newMetrics(options.Registerer), unreached: unreached.NewPeers(unreachedTime), book: newBook(),
+		unwrittenChanged: make(chan struct{}, 1),
 	}
 	service.ctx, service.cancel = context.WithCancel(context.Background())
+	service.loadJournal(options.DataFolder)
 	transport.Handle(options.Registrar, methodKeep, func() *originpb.KeepRequest { return &originpb.KeepRequest{} },
 		func(_ context.Context, _ netip.AddrPort, request *originpb.KeepRequest) (*originpb.KeepResponse, error) {
 			return service.keep(request), nil
@@ -77,9 +89,12 @@
 	return service
 }
 
-// Start starts to delete expired records.
+// Start starts to delete expired records and to write new ones to the disk.
 func (s *Service) Start() {
 	s.running.Go(func() { pause.Every(s.ctx, expireInterval, s.expire) })
+	if s.journal != nil {
+		s.running.Go(s.writeJournal)
+	}
 }
 
 // Stop sends the records that other nodes do not have yet, and waits for that.
@@ -98,7 +113,7 @@
 	s.metrics.records.Set(float64(len(s.book.records)))
 }
 
-// keep keeps records for another node, up to the first one for which there is no room.
+// keep keeps records for another node, up to the first one for which there is no room. It does not wait for the disk.
 func (s *Service) keep(request *originpb.KeepRequest) *originpb.KeepResponse {
 	now := clock.Now()
 	s.mutex.Lock()
@@ -108,6 +123,7 @@
 		if !s.book.add(message.GetRequest(), decodeOrigin(message), message.GetDisputed(), lifetimeOf(message), now) {
 			break
 		}
+		s.queueWrite(message)
 		response.Kept++
 	}
 	return response
