Roster: a node that keeps a part of the replicas has some of each version

What callers would see: where there are more than 256 replicas, a node keeps some tens of them. Of a version of which a few replicas are left, most nodes have none, and refuse to go on with its streams while two serve.

Cause: the part was chosen by service and zone only.

Change: of a version of which a part has fewer than four replicas that take requests, it gets more from a ring of that version over all zones. Lists of one version give the same parts as before.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,9 +1,7 @@
 package roster
 
 import (
-	"cmp"
 	"maps"
-	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,17 +25,25 @@
 	position uint64
 }
 
-// ringKey identifies the ring of the replicas of one service in one zone.
-type ringKey struct{ service, zone string }
+// ringKey identifies the ring of the replicas of one service in one zone, versionKey that of the
+// replicas of one service that run one version of their software, in all zones.
+type (
+	ringKey    struct{ service, zone string }
+	versionKey struct{ service, version string }
+)
+
+func (e *entry) ring() ringKey           { return ringKey{e.Service, e.Zone} }
+func (e *entry) versionRing() versionKey { return versionKey{e.Service, e.Version} }
 
 // Roster is the list of all replicas. It is safe for concurrent use.
 //
-// Invariant: rings hold each entry of byID once, ordered by position and ID; slots are the sums, by
-// service, of the slots of entries that are not draining.
+// Invariant: rings and versions each hold each entry of byID once; slots are the sums, by service,
+// of the slots of entries that are not draining.
 type Roster struct {
 	mutex    sync.Mutex
 	byID     map[string]*entry
-	rings    map[ringKey][]*entry
+	rings    rings[ringKey]
+	versions rings[versionKey]
 	slots    map[string]int
 	revision int64
 	loaded   bool
@@ -58,7 +64,7 @@
 
 // clear empties the list. The mutex is held.
 func (r *Roster) clear() {
-	r.byID, r.rings, r.slots = map[string]*entry{}, map[ringKey][]*entry{}, map[string]int{}
+	r.byID, r.rings, r.versions, r.slots = map[string]*entry{}, rings[ringKey]{}, rings[versionKey]{}, map[string]int{}
 	r.revision, r.loaded, r.copied = 0, false, false
 }
 
@@ -96,9 +102,8 @@
 		}
 		r.appendEntry(newEntry(info))
 	}
-	for key := range r.rings {
-		slices.SortFunc(r.rings[key], compareEntries)
-	}
+	r.rings.sort()
+	r.versions.sort()
 	r.loaded, r.copied, r.revision = true, copied, revision
 	r.updateLong()
 	return gone
@@ -157,24 +162,19 @@
 	return newEntry(info)
 }
 
-func compareEntries(one, other *entry) int {
-	return cmp.Or(cmp.Compare(one.position, other.position), cmp.Compare(one.ID, other.ID))
-}
-
-// appendEntry adds an entry at the end of its ring, which must be sorted later. The mutex is held.
+// appendEntry adds an entry at the end of its rings, which must be sorted later. The mutex is held.
 func (r *Roster) appendEntry(added *entry) {
-	key := ringKey{added.Service, added.Zone}
 	r.byID[added.ID] = added
-	r.rings[key] = append(r.rings[key], added)
+	r.rings.appendUnsorted(added.ring(), added)
+	r.versions.appendUnsorted(added.versionRing(), added)
 	r.countSlots(added, 1)
 }
 
-// insert adds an entry at its position on the ring. The mutex is held.
+// insert adds an entry at its position on its rings. The mutex is held.
 func (r *Roster) insert(added *entry) {
-	key := ringKey{added.Service, added.Zone}
-	index, _ := slices.BinarySearchFunc(r.rings[key], added, compareEntries)
-	r.rings[key] = slices.Insert(r.rings[key], index, added)
 	r.byID[added.ID] = added
+	r.rings.insert(added.ring(), added)
+	r.versions.insert(added.versionRing(), added)
 	r.countSlots(added, 1)
 }
 
@@ -185,15 +185,8 @@
 		return
 	}
 	delete(r.byID, id)
-	key := ringKey{known.Service, known.Zone}
-	index, found := slices.BinarySearchFunc(r.rings[key], known, compareEntries)
-	if !found {
-		panic("roster: an entry is missing on the ring of its service and zone")
-	}
-	r.rings[key] = slices.Delete(r.rings[key], index, index+1)
-	if len(r.rings[key]) == 0 {
-		delete(r.rings, key)
-	}
+	r.rings.remove(known.ring(), known)
+	r.versions.remove(known.versionRing(), known)
 	r.countSlots(known, -1)
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -53,6 +53,40 @@
 	}
 }
 
+// TestPartHasReplicasOfEachVersion guards that a node which keeps a part of the list can go on with
+// the streams of a version of which few replicas are left.
+func TestPartHasReplicasOfEachVersion(t *testing.T) {
+	roster := rosterOf(2000)
+	var changed []replica.Info
+	for _, number := range []int{7, 700, 1400, 1401, 1999} {
+		info := infoOf(number)
+		info.Version = "v0"
+		changed = append(changed, info)
+	}
+	draining := infoOf(900)
+	draining.Version, draining.Draining = "v0", true
+	roster.Update(append(changed, draining), nil, 2)
+	for number := range 50 {
+		part, elsewhere := roster.Part(partOfNode(number))
+		usable, slots := 0, 0
+		for _, info := range part {
+			if !info.Draining {
+				slots += info.Slots
+				if info.Version == "v0" {
+					usable++
+				}
+			}
+		}
+		if usable < versionWidth || slots+elsewhere["s"] != 1999*testSlots {
+			t.Fatalf("node %d has %d usable replicas of v0, and %d slots of all", number, usable, slots+elsewhere["s"])
+		}
+	}
+	roster.Update(nil, []string{changed[0].ID, changed[1].ID, changed[2].ID}, 3)
+	if part, _ := roster.Part(partOfNode(0)); !slices.ContainsFunc(part, func(info replica.Info) bool { return info.ID == changed[4].ID }) {
+		t.Error("one of the last two replicas of v0 is missing")
+	}
+}
+
 // All nodes together use nearly all replicas, and no replica is used by many more nodes than
 // others.
 func TestPartsSpreadEvenly(t *testing.T) {
--- a/internal/roster/selection.go
+++ b/internal/roster/selection.go
@@ -14,6 +14,9 @@
 	// otherZoneShare is the divisor of the width for each other zone. These replicas serve if the
 	// node's own zone is lost, and requests that are confined to regions.
 	otherZoneShare = 4
+	// versionWidth is the number of replicas of each version of a service that a node keeps at
+	// least, in any zone: streams go on only at the version that began them.
+	versionWidth = 4
 )
 
 // Part describes the part of the list that a node keeps.
@@ -42,7 +45,9 @@
 }
 
 // selectPart returns a node's part of the list. A node has a position on each ring by its name, and
-// takes the replicas that follow it until it has enough that accept requests. Together all nodes
+// takes the replicas that follow it until it has enough that accept requests. Of versions of which it
+// then has too few, those that are about to be replaced or have just appeared, it takes more from
+// their rings. Together all nodes
 // use all replicas about evenly, and adding or removing a replica changes one entry in the parts of
 // a few nodes only. Draining replicas among them belong to the part, as the node may have requests
 // there.
@@ -54,16 +59,43 @@
 		found.elsewhere[service] = slots
 	}
 	for key, ring := range r.rings {
-		for _, candidate := range arc(ring, ringPosition(part.Node, key), part.countIn(key.zone)) {
-			found.entries[candidate.ID] = candidate
-			if !candidate.Draining {
-				found.elsewhere[candidate.Service] -= candidate.Slots
-			}
+		found.add(arc(ring, ringPosition(part.Node, key), part.countIn(key.zone)))
+	}
+	kept := found.countVersions()
+	for key, ring := range r.versions {
+		if missing := versionWidth - kept[key]; missing > 0 {
+			found.add(arc(found.without(ring), ringPosition(part.Node, ringKey{service: key.service}), missing))
 		}
 	}
 	return found
 }
 
+// add adds entries to the selection.
+func (s *selection) add(candidates []*entry) {
+	for _, candidate := range candidates {
+		s.entries[candidate.ID] = candidate
+		if !candidate.Draining {
+			s.elsewhere[candidate.Service] -= candidate.Slots
+		}
+	}
+}
+
+// countVersions counts the selected replicas of each version that accept requests.
+func (s *selection) countVersions() map[versionKey]int {
+	counts := map[versionKey]int{}
+	for _, selected := range s.entries {
+		if !selected.Draining {
+			counts[selected.versionRing()]++
+		}
+	}
+	return counts
+}
+
+// without returns the entries of a ring that are not selected.
+func (s *selection) without(ring []*entry) []*entry {
+	return slices.DeleteFunc(slices.Clone(ring), func(candidate *entry) bool { return s.entries[candidate.ID] != nil })
+}
+
 // ringPosition returns a node's position on a ring.
 func ringPosition(node string, key ringKey) uint64 {
 	return xxhash.Sum64String(node + "\x00" + key.service + "\x00" + key.zone)
