Lab: streams that began at the build before are not expected to go on

Its edges tell nobody the version of a stream, so that an edge of this build can only refuse to go on with it: a guess would break ORDER. In the soak of two builds most streams that are taken up at a new edge began at an old one. All others are held to the rule as before.

--- a/lab/roles/caller.go
+++ b/lab/roles/caller.go
@@ -156,7 +156,7 @@
 	isStream := path == pathAsk || path == pathDigest
 	breakOffAfter := 0
 	if isStream {
-		sent.stream = &streamAttempt{sentAt: time.Now(), takesUp: read.began(), version: read.version}
+		sent.stream = &streamAttempt{sentAt: time.Now(), takesUp: read.began(), version: read.version, beganAtEdge: read.firstEdge, beganAt: read.beganAt}
 		serves := c.fleet.versionServes(read.version)
 		defer func() { sent.stream.versionServes = serves && c.fleet.versionServes(sent.stream.version) }()
 	}
--- a/lab/roles/stream.go
+++ b/lab/roles/stream.go
@@ -21,6 +21,9 @@
 	// both are empty before it.
 	firstRequest string
 	version      string
+	// firstEdge is the edge that brought the first event, and beganAt the time of that attempt.
+	firstEdge string
+	beganAt   time.Time
 	// lastEvent is the number of the last event received, 0 for none.
 	lastEvent int
 }
@@ -42,6 +45,9 @@
 	// takesUp is set if the stream had begun before; version is then the version that began it.
 	takesUp bool
 	version string
+	// beganAtEdge and beganAt are the edge and the time at which the stream began, if it was taken up.
+	beganAtEdge string
+	beganAt     time.Time
 	// versionServes reports whether two replicas or more of that version served while the attempt lasted.
 	versionServes bool
 	// events is the number of events that the attempt brought; brokenOff is set if the caller itself closed the connection.
@@ -89,6 +95,7 @@
 func (s *streamRead) note(sent *onlineAttempt, number int, version string) {
 	if !s.began() {
 		s.firstRequest, s.version = sent.id, version
+		s.firstEdge, s.beganAt = sent.edge, sent.stream.sentAt
 	}
 	s.lastEvent = number
 	sent.stream.events++
@@ -98,7 +105,8 @@
 }
 
 // judgeStreams checks that no stream holds events of two versions, and that streams which their callers take up go on. Both leave out
-// attempts at edges that ran the previous build, the second also those at edges that had just been started.
+// attempts at edges that ran the previous build, the second also those at edges that had just been started, and streams that began at the
+// previous build, which tells nobody their version.
 func (v *verdict) judgeStreams(attempts []*onlineAttempt, isPreviousBuild, startedShortlyBefore func(edge string, at time.Time) bool) {
 	var fresh, freshBegun, takenUp, wentOn int
 	for _, attempt := range attempts {
@@ -117,7 +125,7 @@
 		case !stream.takesUp:
 			fresh++
 			freshBegun += min(1, stream.events)
-		case stream.versionServes:
+		case stream.versionServes && !isPreviousBuild(stream.beganAtEdge, stream.beganAt):
 			takenUp++
 			wentOn += min(1, stream.events)
 		}
--- a/lab/roles/stream_test.go
+++ b/lab/roles/stream_test.go
@@ -21,6 +21,7 @@
 	wentOn := streamAttempt{takesUp: true, versionServes: true, events: 1}
 	never := func(string, time.Time) bool { return false }
 	always := func(string, time.Time) bool { return true }
+	old := func(edge string, _ time.Time) bool { return edge == "edge-2" }
 	for name, test := range map[string]struct {
 		attempts []*onlineAttempt
 		previous func(string, time.Time) bool
@@ -34,6 +35,7 @@
 		"half go on":                         {append(append(repeated(6, refused), repeated(6, wentOn)...), fresh...), never, never, ""},
 		"few were taken up":                  {append(repeated(11, refused), fresh...), never, never, ""},
 		"none goes on after a restart":       {append(repeated(12, refused), fresh...), never, always, ""},
+		"they began at the previous build":   {append(repeated(12, streamAttempt{takesUp: true, versionServes: true, beganAtEdge: "edge-2"}), fresh...), old, never, ""},
 		"their version is gone":              {append(repeated(12, streamAttempt{takesUp: true}), fresh...), never, never, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
