Origin: the choice of the nodes that keep a record does not grow with the fleet's memory

The order is that of rendezvous hashing as before; TestPlacement checks it, its evenness, and that a lost member moves its own records only.

--- a/internal/origin/finder.go
+++ b/internal/origin/finder.go
@@ -24,6 +24,8 @@
 	// askedTogether is the number of nodes that are asked for a record at the same time: those that should keep it, and one more since the
 	// recording node may have seen other members.
 	askedTogether = copies + 1
+	// maxAsked bounds the nodes that are asked for a record.
+	maxAsked = 2 * askedTogether
 	// findTimeout bounds the answer of a node that is asked for a record.
 	findTimeout = 200 * time.Millisecond
 	// findRetryDelay is the wait before nodes that have not answered are asked again.
@@ -61,13 +63,13 @@
 	if exists {
 		return known.result()
 	}
-	candidates := placement(s.viewer.View(), requestID)
+	candidates := s.placement(requestID, maxAsked)
 	result := ErrUnknown
 	if len(candidates) == 0 {
 		// A node that has just started knows no other yet.
 		result = ErrUnanswered
 	}
-	for asked := 0; asked < 2*askedTogether && asked < len(candidates); asked += askedTogether {
+	for asked := 0; asked < len(candidates); asked += askedTogether {
 		known, said := s.askTogether(ctx, candidates[asked:min(asked+askedTogether, len(candidates))], requestID)
 		if said == knowing {
 			return known.result()
--- a/internal/origin/recorder.go
+++ b/internal/origin/recorder.go
@@ -74,11 +74,10 @@
 
 // place has copies of each record kept by other nodes, in the order of its placement.
 func (s *Service) place(ctx context.Context, collected []*originpb.Record) {
-	view := s.viewer.View()
 	var waiting []*outgoing
 	for _, message := range collected {
-		candidates := placement(view, message.GetRequest())
-		waiting = append(waiting, &outgoing{message: message, candidates: s.reachableFirst(candidates[:min(maxKeepers, len(candidates))]), wanted: copies})
+		candidates := s.reachableFirst(s.placement(message.GetRequest(), maxKeepers))
+		waiting = append(waiting, &outgoing{message: message, candidates: candidates, wanted: copies})
 	}
 	for len(waiting) > 0 && ctx.Err() == nil {
 		s.placeRound(ctx, waiting)
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -49,6 +49,7 @@
 	logger    zerolog.Logger
 	metrics   *metrics
 	unreached *unreached.Peers
+	keepers   membership.ViewCache[*keepers]
 	ctx       context.Context
 	cancel    context.CancelFunc
 	running   sync.WaitGroup
@@ -106,6 +107,11 @@
 	s.running.Wait()
 }
 
+// placement returns up to count members at which the record of a request is looked for.
+func (s *Service) placement(requestID string, count int) []membership.Member {
+	return s.keepers.Get(s.viewer.View(), newKeepers).placement(requestID, count)
+}
+
 func (s *Service) expire(time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
