Replica: a version that entries contradict is not believed, also from another node's record

Cause, traced: an edge that started while another writer's entry told v2 of a replica of v1 believed it. Of one stream it recorded that origin, and an edge that had seen both versions, and believed neither, went on with it at v2. The other stream it resumed itself at that replica.

Change: an origin names the replica that began the stream; where entries here told another version of it, or two, the origin counts as unknown, for streams and items. Entries without start times: a second version is no longer taken for that of a restarted replica but disputed, as it may be either.

Evidence: TestOriginThatEntriesContradictIsNotBelieved, TestVersionOfAnIncarnationDoesNotChange and the case of TestStreamThatCannotGoOnIsRefusedAtOnce. The second stream of the trace is not mended: an edge that has seen the wrong version only cannot know. Tests that changed a replica's version in its entry replace the entry now.

--- a/internal/batch/item_origin.go
+++ b/internal/batch/item_origin.go
@@ -72,6 +72,9 @@
 // any origin if it is zero.
 func (s *Service) servesOrigin(matched *route.Route, homes region.Set, began replica.Origin) bool {
 	view := s.directory.View()
+	if view.Contradicts(began) {
+		return false
+	}
 	return slices.ContainsFunc(matched.Backends, func(backend route.Backend) bool {
 		return slices.ContainsFunc(view.ForService(backend.Service), func(handle *replica.Handle) bool {
 			return handle.Usable() && s.picker.InAllowedRegion(homes, handle) && (began.IsZero() || began.MayContinueAt(handle))
--- a/internal/batch/item_origin_test.go
+++ b/internal/batch/item_origin_test.go
@@ -48,13 +48,11 @@
 
 // setVersions gives replicas other versions than v1.
 func (o *testOwner) setVersions(versions map[string]string) {
-	var changed []replica.Info
 	for id, version := range versions {
-		info := *o.service.directory.View().Find(id).Info()
-		info.Version = version
-		changed = append(changed, info)
+		info := replica.Info{ID: id, Service: "s", Version: version, Zone: "z", Address: o.service.directory.View().Find(id).Info().Address, Slots: 4}
+		o.service.directory.Update(nil, []string{id})
+		o.service.directory.Update([]replica.Info{info}, nil)
 	}
-	o.service.directory.Update(changed, nil)
 }
 
 // removeReplica removes a replica's entry, and closes its connections.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -232,6 +232,9 @@
 
 // pick chooses the next replica; nil if there is none. A maxOccupancy of 0 sets no bound.
 func (e *exchange) pick(excluded []*replica.Handle, maxOccupancy float64) *replica.Handle {
+	if e.handler.directory.View().Contradicts(e.origin) {
+		return nil
+	}
 	query := balance.Request{
 		Service: e.nextService(), Zone: e.handler.zone, BodyBytes: len(e.body), Objective: e.route.Objective, Excluded: excluded,
 		Homes: e.homes(), MaxOccupancy: maxOccupancy, Origin: e.origin,
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -61,6 +61,10 @@
 		return reasonOriginUnanswered
 	}
 	e.origin = found
+	if e.handler.directory.View().Contradicts(found) {
+		e.handler.logger.Info().Str(logging.FieldRequest, e.id).Str("resumes", resumed).Str("version", found.Version).Msg("origin_contradicted")
+		return reasonOriginUnknown
+	}
 	if !e.originServed() {
 		return reasonNoReplicaOfOrigin
 	}
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -41,7 +41,9 @@
 	t.Helper()
 	edge := newEdgeUnderTest(t, route.Stream, true, scripts)
 	edge.origins = origins
-	edge.setEntry("b", func(info *replica.Info) { info.Version = "v2" })
+	info := *edge.directory.View().Find("b").Info()
+	edge.directory.Update(nil, []string{"b"})
+	edge.addReplica("b", "v2", info.Address.Port(), scripts["b"])
 	return edge
 }
 
@@ -124,15 +126,14 @@
 		first := newVersionedEdge(t, origins, map[string]replicatest.Script{"a": replicatest.Stream("s1", false, false, eventOne)})
 		first.call(nil)
 		first.replicas.CloseAll()
-		// At the second edge the replica of v2 is preferred: that of v1 is farther away.
 		second := newVersionedEdge(t, origins, map[string]replicatest.Script{
-			"a": replicatest.Stream("s1", true, false, eventThree), "b": replicatest.Stream("s2", true, false, eventTwo),
+			"a": replicatest.Stream("s1", true, false, eventTwo), "b": replicatest.Stream("s2", true, false, eventTwo),
 		})
-		second.setEntry("a", func(info *replica.Info) { info.Version = "v2" })
-		second.setEntry("b", func(info *replica.Info) { info.Version = "v1" })
+		second.setEntry("a", func(info *replica.Info) { info.Draining = true })
+		second.addReplica("c", "v1", 1002, replicatest.Stream("s3", true, false, eventThree))
 		recorded, aborted := second.call(resume("id-1"))
 		second.replicas.CloseAll()
-		if recorded.Code != 200 || aborted || recorded.Body.String() != eventTwo {
+		if recorded.Code != 200 || aborted || recorded.Body.String() != eventThree {
 			t.Errorf("status %d, aborted %t, body %q; want the events of v1", recorded.Code, aborted, recorded.Body)
 		}
 		if origins.recorded["id-2"].Version != "v1" {
@@ -146,7 +147,7 @@
 func TestStreamThatCannotGoOnIsRefusedAtOnce(t *testing.T) {
 	known := map[string]replica.Origin{
 		"id-1": {Service: "s", Version: "v1"}, "gone": {Service: "s", Version: "v0"}, "elsewhere": {Service: "t", Version: "v1"},
-		"unlabelled": {Service: "s"},
+		"unlabelled": {Service: "s"}, "contradicted": {Service: "s", Version: "v1", Incarnation: replica.KeyOf("b")},
 	}
 	for _, test := range []struct {
 		name, resumes, reason string
@@ -158,6 +159,7 @@
 		{"its version is gone", "gone", reasonNoReplicaOfOrigin, nil},
 		{"the route leads to another service", "elsewhere", reasonNoReplicaOfOrigin, nil},
 		{"its version was not known", "unlabelled", reasonNoReplicaOfOrigin, nil},
+		{"its replica has another version here", "contradicted", reasonOriginUnknown, nil},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -33,6 +33,8 @@
 	Draining bool
 	// ColdFor is the rest of the replica's cold period at the time its entry was written; 0 if it is warm.
 	ColdFor time.Duration
+	// claims is what this and earlier entries told of the version; a Directory sets it.
+	claims versionClaims
 }
 
 // View is an immutable snapshot of the directory.
@@ -207,14 +209,18 @@
 		// A delayed entry of an earlier incarnation.
 		return handle
 	}
-	if handle == nil || handle.isOtherIncarnation(info) {
+	var known *Info
+	if handle != nil {
+		known = handle.Info()
+	}
+	info = info.withBelievedVersion(known)
+	if known == nil || info.isOtherIncarnation(known) {
 		handle = NewHandle(info)
 		handle.useChanged = d.SignalUse
 		handle.zone = d.zones.Get(info.Zone)
 		handle.probesDue = d.probesDue
 		d.noteEntry(handle, nil, written)
 	} else {
-		info.Version = handle.reconcileVersion(info.Version)
 		before := handle.info.Swap(&info)
 		d.noteEntry(handle, before, written)
 	}
--- a/internal/replica/handle.go
+++ b/internal/replica/handle.go
@@ -39,10 +39,8 @@
 	unconfirmed, misdirected atomic.Bool
 	// answeredAt is when bytes of a response were last received, in nanoseconds since processStart; 0 is never.
 	answeredAt atomic.Int64
-	// versionDisputed is true once the entries of this incarnation told two versions. It is guarded by the mutex of the Directory.
-	versionDisputed bool
-	cold            coldState
-	pace            pace
+	cold       coldState
+	pace       pace
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
--- a/internal/replica/origin.go
+++ b/internal/replica/origin.go
@@ -4,10 +4,9 @@
 // version of the same service may go on with an answer. The zero Origin is that of an answer that has not begun.
 type Origin struct {
 	Service string
-	// Version is empty if the entry of the replica that began the answer did not tell it.
+	// Version is empty if it was not known when the answer began.
 	Version string
-	// Incarnation is the replica that began the answer; it alone may go on if Version is empty. It is 0 if its entry did not tell when it
-	// started, since a later incarnation with other software then looks the same.
+	// Incarnation is the replica that began the answer. It alone may go on if Version is empty.
 	Incarnation Key
 }
 
@@ -21,7 +20,8 @@
 		return false
 	}
 	if o.Version == "" {
-		return o.Incarnation != 0 && o.Incarnation == handle.Key()
+		// Without a start time a later incarnation with other software has the same key.
+		return info.Born != 0 && o.Incarnation == handle.Key()
 	}
 	return info.Version == o.Version
 }
@@ -29,36 +29,63 @@
 // Origin returns the origin of an answer that the replica begins now.
 func (h *Handle) Origin() Origin {
 	info := h.Info()
-	origin := Origin{Service: info.Service, Version: info.Version}
-	if info.Born != 0 {
-		origin.Incarnation = h.key
+	return Origin{Service: info.Service, Version: info.Version, Incarnation: h.key}
+}
+
+// Contradicts reports whether the entries of the replica that began an answer told another version than the origin, so that neither is
+// believed.
+func (v *View) Contradicts(origin Origin) bool {
+	if origin.Version == "" {
+		return false
 	}
-	return origin
+	for _, handle := range v.ForService(origin.Service) {
+		if handle.Key() == origin.Incarnation {
+			claims := handle.Info().claims
+			return claims.disputed || claims.version != "" && claims.version != origin.Version
+		}
+	}
+	return false
 }
 
-// reconcileVersion returns the version to believe of the replica's incarnation once its entry tells next. An incarnation never changes its
-// version: an entry without one changes nothing, and after two different ones neither is believed any more.
-func (h *Handle) reconcileVersion(next string) string {
-	known := h.Info().Version
+// versionClaims is what the entries of one replica have told of its version.
+type versionClaims struct {
+	// version is the version that they told, empty if none did.
+	version string
+	// disputed is true once they told two.
+	disputed bool
+}
+
+// withBelievedVersion returns a new entry of a replica with the version to believe after the entry before, nil if there was none. An
+// incarnation never changes its version. Where entries have no start times, another version is that of a restarted replica or the work of
+// another writer: then neither is believed any more.
+func (i Info) withBelievedVersion(before *Info) Info {
+	if before == nil || i.Born > before.Born {
+		i.claims = versionClaims{version: i.Version}
+		return i
+	}
+	i.claims = before.claims
 	switch {
-	case h.versionDisputed:
-		return ""
-	case next == "":
-		return known
-	case known != "" && known != next:
-		h.versionDisputed = true
-		return ""
-	default:
-		return next
+	case i.claims.disputed:
+	case i.claims.version == "":
+		i.claims.version = i.Version
+	case i.Version != "" && i.Version != i.claims.version:
+		i.claims.disputed = true
+	}
+	if i.claims.disputed {
+		i.Version = ""
+	}
+	if i.Version == "" && !i.claims.disputed && i.Born != 0 {
+		// The same incarnation: its version is not lost with one entry.
+		i.Version = i.claims.version
 	}
+	return i
 }
 
-// isOtherIncarnation reports whether info is of a later incarnation than the handle, or may be: without start times, another version or none
-// may be that of a restarted replica.
-func (h *Handle) isOtherIncarnation(info Info) bool {
-	known := h.Info()
-	if info.Born == 0 && known.Born == 0 {
-		return info.Version != known.Version
+// isOtherIncarnation reports whether an entry is of a later incarnation than the one before, or may be: without start times, another version
+// or none may be that of a restarted replica.
+func (i Info) isOtherIncarnation(before *Info) bool {
+	if i.Born == 0 && before.Born == 0 {
+		return i.Version != before.Version
 	}
-	return info.Born > known.Born
+	return i.Born > before.Born
 }
--- a/internal/replica/origin_test.go
+++ b/internal/replica/origin_test.go
@@ -33,6 +33,39 @@
 	}
 }
 
+// TestOriginThatEntriesContradictIsNotBelieved: where two nodes saw different versions of the replica that began an answer, neither is believed.
+func TestOriginThatEntriesContradictIsNotBelieved(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		versions []string
+		began    string
+		want     bool
+	}{
+		{"the same version", []string{"v1"}, "v1", false},
+		{"another version", []string{"v1"}, "v2", true},
+		{"two versions", []string{"v1", "v2"}, "v1", true},
+		{"no version here", []string{""}, "v1", false},
+		{"the version is missing for a while", []string{"v1", ""}, "v1", false},
+	} {
+		directory := NewDirectory()
+		var began Origin
+		for _, version := range test.versions {
+			info := bornInfo("a", 1)
+			info.Version = version
+			directory.Update([]Info{info}, nil)
+			began = directory.View().Find("a").Origin()
+		}
+		began.Version = test.began
+		if got := directory.View().Contradicts(began); got != test.want {
+			t.Errorf("%s: contradicts is %t, want %t", test.name, got, test.want)
+		}
+		began.Incarnation++
+		if directory.View().Contradicts(began) {
+			t.Errorf("%s: an origin at another replica is contradicted", test.name)
+		}
+	}
+}
+
 // TestVersionOfAnIncarnationDoesNotChange: entries that another writer changed neither give an incarnation another version nor take one away;
 // without start times another version is that of another incarnation.
 func TestVersionOfAnIncarnationDoesNotChange(t *testing.T) {
@@ -47,8 +80,10 @@
 		{"the version is told later", 1, []string{"", "v1"}, "v1", false},
 		{"two versions", 1, []string{"v1", "v2"}, "", false},
 		{"two versions, then the first again", 1, []string{"v1", "v2", "v1"}, "", false},
-		{"no start time, another version", 0, []string{"v1", "v2"}, "v2", true},
+		{"no start time, another version", 0, []string{"v1", "v2"}, "", true},
 		{"no start time, the version is missing", 0, []string{"v1", ""}, "", true},
+		{"no start time, the version is missing for a while", 0, []string{"v1", "", "v1"}, "v1", true},
+		{"no start time, another version after it was missing", 0, []string{"v1", "", "v2"}, "", true},
 		{"no start time, the same version", 0, []string{"v1", "v1"}, "v1", false},
 	} {
 		directory := NewDirectory()
