--- a/internal/origin/book.go
+++ b/internal/origin/book.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// maxRecords bounds the records of one node; at about 200 bytes each they take 20 MB.
+	// maxRecords bounds the records of one node; at about 275 bytes each they take 27 MB.
 	maxRecords = 100_000
 	// maxRequestBytes bounds the length of a request ID whose stream can be resumed.
 	maxRequestBytes = 128
