Lab: streams taken up at an edge that is down are not held against it

Trace: all machines were killed at 20:50:09.3 and up at 10.3; no edge logged a refusal for an origin, and 7 no_replica in all. The callers had sent the others to edges that were down: the check left out edges that had been started less than 3 s before, not those that were not running.

The platform's pages hold the rule for machines in touch: processes that ran for the whole of contact_ms before, here also until the attempt ended. New streams are counted by the same measure. The share, its bound and the number from which it holds are unchanged.

--- a/lab/roles/caller.go
+++ b/lab/roles/caller.go
@@ -158,7 +158,10 @@
 	if isStream {
 		sent.stream = &streamAttempt{sentAt: time.Now(), takesUp: read.began(), version: read.version, beganAtEdge: read.firstEdge, beganAt: read.beganAt}
 		serves := c.fleet.versionServes(read.version)
-		defer func() { sent.stream.versionServes = serves && c.fleet.versionServes(sent.stream.version) }()
+		defer func() {
+			sent.stream.endedAt = time.Now()
+			sent.stream.versionServes = serves && c.fleet.versionServes(sent.stream.version)
+		}()
 	}
 	if path == pathAsk {
 		breakOffAfter = c.drawBreakOff(payload, read)
--- a/lab/roles/fleet.go
+++ b/lab/roles/fleet.go
@@ -346,6 +346,14 @@
 	})
 }
 
+// inTouch reports whether the named machine was in touch, in the sense of the platform's documentation, from from to to: its process also ran
+// for contactTimeout before.
+func (f *fleet) inTouch(name string, from, to time.Time) bool {
+	return slices.ContainsFunc(f.machines, func(candidate *machine) bool {
+		return candidate.name == name && candidate.ranThroughout(from.Add(-contactTimeout), to)
+	})
+}
+
 // saveMetrics saves the metrics of every machine that responds to a file beside its log.
 func (f *fleet) saveMetrics() {
 	client := http.Client{Timeout: time.Second}
--- a/lab/roles/machine.go
+++ b/lab/roles/machine.go
@@ -48,8 +48,9 @@
 	mutex sync.Mutex
 	// running is nil while the machine is down.
 	running *process.Process
-	// startTimes are the times at which processes were started; upgradedAt is the first of them with the upgraded program, zero before.
+	// startTimes and endTimes are the times at which processes were started and ended; upgradedAt is the first of them with the upgraded program, zero before.
 	startTimes []time.Time
+	endTimes   []time.Time
 	upgradedAt time.Time
 	upgrading  bool
 	// killedAfterGrace counts the planned stops that exceeded the platform's grace period.
@@ -92,6 +93,25 @@
 	return slices.ContainsFunc(m.startTimes, func(at time.Time) bool { return at.Before(then) && then.Sub(at) < span })
 }
 
+// ranThroughout reports whether one process of the machine ran from from to to.
+func (m *machine) ranThroughout(from, to time.Time) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	within := func(at time.Time) bool { return !at.Before(from) && !at.After(to) }
+	if slices.ContainsFunc(m.startTimes, within) || slices.ContainsFunc(m.endTimes, within) {
+		return false
+	}
+	before := func(times []time.Time) (last time.Time) {
+		for _, at := range times {
+			if at.Before(from) {
+				last = at
+			}
+		}
+		return last
+	}
+	return before(m.startTimes).After(before(m.endTimes))
+}
+
 // String returns the machine's name.
 func (m *machine) String() string { return m.name }
 
@@ -115,6 +135,9 @@
 	defer m.mutex.Unlock()
 	taken := m.running
 	m.running = nil
+	if taken != nil {
+		m.endTimes = append(m.endTimes, time.Now())
+	}
 	return taken
 }
 
--- a/lab/roles/run.go
+++ b/lab/roles/run.go
@@ -197,7 +197,7 @@
 		return verdict{}, folder, ctx.Err()
 	}
 	result := judge(running.record, clients, options.versions(), running.lastStorageUpgrade())
-	result.judgeStreams(clients.attempts, running.isPreviousBuild, running.startedShortlyBefore)
+	result.judgeStreams(clients.attempts, running.isPreviousBuild, running.inTouch)
 	result.judgeEndedReplicas(running.allReplicas(), clients.crashingMarks())
 	result.judgeCrashing(clients, running.record, running.allReplicas(), running.startedShortlyBefore)
 	result.violations = append(result.violations, faults.failures...)
--- a/lab/roles/stream.go
+++ b/lab/roles/stream.go
@@ -41,7 +41,7 @@
 
 // streamAttempt is what one attempt of a caller brought of a stream.
 type streamAttempt struct {
-	sentAt time.Time
+	sentAt, endedAt time.Time
 	// takesUp is set if the stream had begun before; version is then the version that began it.
 	takesUp bool
 	version string
@@ -105,9 +105,11 @@
 }
 
 // judgeStreams checks that no stream holds events of two versions, and that streams which their callers take up go on. Both leave out
-// attempts at edges that ran the previous build, the second also those at edges that had just been started, and streams that began at the
-// previous build, which tells nobody their version.
-func (v *verdict) judgeStreams(attempts []*onlineAttempt, isPreviousBuild, startedShortlyBefore func(edge string, at time.Time) bool) {
+// attempts at edges that ran the previous build, the second also those at edges that were not in touch, and streams that began at the previous
+// build, which tells nobody their version.
+func (v *verdict) judgeStreams(
+	attempts []*onlineAttempt, isPreviousBuild func(edge string, at time.Time) bool, inTouch func(edge string, from, to time.Time) bool,
+) {
 	var fresh, freshBegun, takenUp, wentOn int
 	for _, attempt := range attempts {
 		stream := attempt.stream
@@ -118,7 +120,7 @@
 			v.counts.MixedStreams++
 			v.addViolation("request %s at %s: %s", attempt.id, attempt.edge, stream.mixed)
 		}
-		if startedShortlyBefore(attempt.edge, stream.sentAt) {
+		if !inTouch(attempt.edge, stream.sentAt, stream.endedAt) {
 			continue
 		}
 		switch {
