Forward: a caller that names no request goes on where its service has one version only

A second version or a replica without one, now or within that time, a partial list, a node that has just started or that hears nothing: refused as before. Where the caller names the request, its record alone counts.

TestStreamOfACallerThatDoesNotNameItsRequest got 503 in all cases before.

--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -227,6 +227,14 @@
 	return now.Sub(f.lastHeartbeat) >= watcherTimeout && now.Sub(f.lastAnswer) >= answeredWithin
 }
 
+// Current reports whether this node has heard of the service shortly before, from it or from a watcher, so that it knows of changes in time.
+func (f *Feed) Current() bool {
+	now := clock.Now()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return now.Sub(f.lastHeartbeat) < 2*heartbeatInterval || now.Sub(f.lastAnswer) < 2*heartbeatInterval
+}
+
 // watchersSilent reports whether no watcher has sent anything for watcherTimeout.
 func (f *Feed) watchersSilent(now time.Time) bool {
 	f.mutex.Lock()
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -28,6 +28,9 @@
 	originRetention = 15 * time.Second
 	// maxOriginWaitShare is the share of the time left that a request waits for its stream's origin.
 	maxOriginWaitShare = 0.25
+	// soleVersionTimeouts times the route's timeout is how long a service must have had one version only for a stream to be assumed of that
+	// version: it lasts for one timeout at most, and its caller comes back at once.
+	soleVersionTimeouts = 2
 	// retryAfterNoOrigin is the Retry-After of a stream that cannot go on now: a replica that crashed may be back then.
 	retryAfterNoOrigin = time.Second
 )
@@ -47,7 +50,10 @@
 		return ""
 	}
 	resumed := e.request.Header.Get(e.handler.headers.Resumes)
-	if resumed == "" || e.handler.origins == nil {
+	if resumed == "" {
+		return e.assumeSoleOrigin()
+	}
+	if e.handler.origins == nil {
 		return reasonOriginUnknown
 	}
 	bounded, cancel := context.WithTimeout(ctx, time.Duration(maxOriginWaitShare*float64(clock.Until(e.deadline))))
@@ -71,6 +77,24 @@
 	return ""
 }
 
+// assumeSoleOrigin determines the origin of a stream whose caller does not name the request that began it: the route's only service, if its
+// replicas have had one version for as long as the stream may have lasted, and this node knows of changes in time.
+func (e *exchange) assumeSoleOrigin() string {
+	if len(e.route.Backends) != 1 || e.route.Timeout <= 0 || e.handler.listCurrent == nil || !e.handler.listCurrent() {
+		return reasonOriginUnknown
+	}
+	service := e.route.Backends[0].Service
+	version := e.handler.directory.SoleVersion(service, soleVersionTimeouts*e.route.Timeout)
+	if version == "" {
+		return reasonOriginUnknown
+	}
+	e.origin = replica.Origin{Service: service, Version: version}
+	if !e.originServed() {
+		return reasonNoReplicaOfOrigin
+	}
+	return ""
+}
+
 // originServed reports whether the route leads to the service that began the stream, and a replica there may go on with it.
 func (e *exchange) originServed() bool {
 	leads := slices.ContainsFunc(e.route.Backends, func(backend route.Backend) bool { return backend.Service == e.origin.Service })
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -178,3 +178,53 @@
 		})
 	}
 }
+
+// TestStreamOfACallerThatDoesNotNameItsRequest: such a stream goes on only where its service has had one version for as long as it may have
+// lasted, and the edge hears of changes.
+func TestStreamOfACallerThatDoesNotNameItsRequest(t *testing.T) {
+	const routeTimeout = 4 * time.Second
+	for _, test := range []struct {
+		name    string
+		prepare func(edge *edgeUnderTest)
+		want    int
+	}{
+		{"one version", func(*edgeUnderTest) { time.Sleep(2 * routeTimeout) }, 200},
+		{"the edge has just started", func(*edgeUnderTest) { time.Sleep(routeTimeout) }, 503},
+		{"the edge does not hear of changes", func(edge *edgeUnderTest) {
+			time.Sleep(2 * routeTimeout)
+			edge.listCurrent = func() bool { return false }
+		}, 503},
+		{"a second version", func(edge *edgeUnderTest) {
+			time.Sleep(2 * routeTimeout)
+			edge.addReplica("c", "v2", 1002, replicatest.Hang())
+		}, 503},
+		{"a replica without a version", func(edge *edgeUnderTest) {
+			time.Sleep(2 * routeTimeout)
+			edge.addReplica("c", "", 1002, replicatest.Hang())
+		}, 503},
+		{"a second version was there a moment ago", func(edge *edgeUnderTest) {
+			edge.addReplica("c", "v2", 1002, replicatest.Hang())
+			time.Sleep(2 * routeTimeout)
+			edge.directory.Update(nil, []string{"c"})
+			time.Sleep(routeTimeout)
+		}, 503},
+		{"a second version was there long ago", func(edge *edgeUnderTest) {
+			edge.addReplica("c", "v2", 1002, replicatest.Hang())
+			edge.directory.Update(nil, []string{"c"})
+			time.Sleep(2 * routeTimeout)
+		}, 200},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				edge := newEdgeUnderTest(t, route.Stream, true, map[string]replicatest.Script{"a": replicatest.Stream("s1", true, false, eventTwo)})
+				edge.origins, edge.listCurrent = &fakeOrigins{recorded: map[string]replica.Origin{}}, func() bool { return true }
+				test.prepare(edge)
+				recorded, _ := edge.call(resume(""))
+				edge.replicas.CloseAll()
+				if recorded.Code != test.want {
+					t.Errorf("status %d, want %d: %s", recorded.Code, test.want, recorded.Body)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/role_edge.go
+++ b/internal/node/role_edge.go
@@ -9,6 +9,7 @@
 
 	"github.com/sloelift/sloelift/internal/balance"
 	"github.com/sloelift/sloelift/internal/batch"
+	"github.com/sloelift/sloelift/internal/changefeed"
 	"github.com/sloelift/sloelift/internal/coldstart"
 	"github.com/sloelift/sloelift/internal/discovery"
 	"github.com/sloelift/sloelift/internal/edge"
@@ -56,6 +57,7 @@
 	coldStarts *coldstart.Service,
 	register *quarantine.Service,
 	origins *origin.Service,
+	feed *changefeed.Feed,
 	shared *loadshare.Service,
 	calls BatchCalls,
 	logger zerolog.Logger,
@@ -64,7 +66,7 @@
 	return forward.NewHandler(forward.Options{
 		Routes: routes, Directory: directory, Picker: picker, Client: client, Zone: nodeSettings.Zone, Batch: calls, Gate: gate,
 		Quota: limits, ColdStarts: coldStarts, Refresh: shared.Refresh,
-		Quarantine: register, Origins: origins, Logger: logger, Metrics: metrics,
+		Quarantine: register, Origins: origins, ListCurrent: feed.Current, Logger: logger, Metrics: metrics,
 	})
 }
 
--- a/internal/replica/directory.go
+++ b/internal/replica/directory.go
@@ -113,6 +113,8 @@
 	evacuationEnded map[string]time.Time
 	// coldTerms is guarded by mutex; nil if cold replicas are treated like warm ones.
 	coldTerms ColdTerms
+	// versions is guarded by mutex.
+	versions versionHistory
 }
 
 // NewDirectory returns an empty Directory.
@@ -121,6 +123,7 @@
 		useChanged:      make(chan struct{}, 1),
 		zones:           unreached.NewZones(),
 		evacuationEnded: map[string]time.Time{},
+		versions:        versionHistory{until: map[versionKey]time.Time{}},
 	}
 	directory.view.Store(&View{byService: map[string][]*Handle{}, byID: map[string]*Handle{}})
 	return directory
@@ -172,6 +175,9 @@
 			gone++
 		}
 	}
+	if confirmed && d.versions.listedSince.IsZero() {
+		d.versions.listedSince = clock.Now()
+	}
 	d.publish(next)
 	d.loaded.Store(true)
 	d.mutex.Unlock()
@@ -230,6 +236,7 @@
 
 // publish stores a view of next and retires the handles that are no longer in it.
 func (d *Directory) publish(next map[string]*Handle) {
+	d.versions.note(next, clock.Now())
 	view := &View{byService: map[string][]*Handle{}, byID: next, unlistedSlots: d.View().unlistedSlots}
 	for _, handle := range next {
 		service := handle.Info().Service
