--- a/lab/roles/run_test.go
+++ b/lab/roles/run_test.go
@@ -151,8 +151,8 @@
 }
 
 // playVersions plays a seed with replicas of two versions, streams of up to half a second, and callers that break off and take up a share of
-// them.
-func playVersions(t *testing.T, seed uint64, only ...faultKind) {
+// them. It fails if fewer than minTaken streams were taken up at edges in touch, which would show nothing.
+func playVersions(t *testing.T, seed uint64, minTaken int, only ...faultKind) {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("plays real processes for half a minute")
@@ -161,7 +161,7 @@
 		Program: buildProgram(t), Seed: seed, Runs: 1, Duration: 12 * time.Second, FaultKinds: namesOf(only), Versions: 2, StreamEvents: 100,
 		ItemEvents: 200, BreakOffs: 0.1, Replicas: 8, OnlinePerSecond: 50, JobsPerSecond: 1,
 	})
-	if report.Counts.StreamsTakenUp < minTakenUp || report.Counts.ItemsDone == 0 {
+	if report.Counts.StreamsTakenUp < minTaken || report.Counts.ItemsDone == 0 {
 		t.Errorf("nothing was shown: %+v", report.Counts)
 	}
 }
@@ -169,7 +169,13 @@
 // TestStreamsHoldEventsOfOneVersion guards against streams and items that one version of a replica begins and another goes on with, within
 // one answer and over a caller's attempts, while replicas crash and edges are killed.
 func TestStreamsHoldEventsOfOneVersion(t *testing.T) {
-	playVersions(t, 9200, crashReplica, crashInTurn, killEdges, releaseVersion)
+	playVersions(t, 9200, minTakenUp, crashReplica, crashInTurn, killEdges, releaseVersion)
+}
+
+// TestStreamsHoldEventsOfOneVersionAfterRestartsOfAllNodes repeats that while all processes are killed together and all replicas of a version
+// crash, so that origins come from the disks of storage nodes.
+func TestStreamsHoldEventsOfOneVersionAfterRestartsOfAllNodes(t *testing.T) {
+	playVersions(t, 9210, 1, killAll, crashVersion, killEdges)
 }
 
 func TestOptionsThatCannotBePlayed(t *testing.T) {
