Forward, lab: the origin of an attempt is a field; events of a stream count once they are whole

No change of behaviour in the product: attemptOrigin went through three functions as an argument. In the lab an event counted at its data line, so that a line cut off with a connection could be taken for a wrong event; the attempt of a caller is split.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -42,8 +42,7 @@
 	e.attemptStart = clock.Now()
 	silence := e.watchSilence(cancel)
 	defer silence.stop()
-	// A later entry of the replica need not tell the version of the run that begins now.
-	attemptOrigin := handle.Origin()
+	e.attemptOrigin = handle.Origin()
 	answer, err := e.handler.client.Do(ctx, handle, e.callFor(handle))
 	if err != nil {
 		return e.handleCallError(ctx, handle, err)
@@ -65,7 +64,7 @@
 		return e.lossOutcome()
 	}
 	var result attemptOutcome
-	result, consumed = e.forwardAnswer(ctx, handle, attemptOrigin, answer, silence)
+	result, consumed = e.forwardAnswer(ctx, handle, answer, silence)
 	return result
 }
 
@@ -126,9 +125,7 @@
 }
 
 // forwardAnswer relays the answer to the caller; consumed reports whether the whole answer was read.
-func (e *exchange) forwardAnswer(
-	ctx context.Context, handle *replica.Handle, attemptOrigin replica.Origin, answer *replica.Answer, silence *silenceTimer,
-) (result attemptOutcome, consumed bool) {
+func (e *exchange) forwardAnswer(ctx context.Context, handle *replica.Handle, answer *replica.Answer, silence *silenceTimer) (result attemptOutcome, consumed bool) {
 	succeeded := answer.Status < http.StatusMultipleChoices
 	if e.headersSent && !succeeded {
 		handle.Failed(clock.Now())
@@ -136,7 +133,7 @@
 		return truncated, false
 	}
 	if succeeded && e.route.Kind == route.Stream {
-		return e.forwardStream(ctx, handle, attemptOrigin, answer, silence)
+		return e.forwardStream(ctx, handle, answer, silence)
 	}
 	return e.forwardBody(ctx, handle, answer)
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -87,6 +87,8 @@
 	lastEventID string
 	// origin is that of the stream, from its first event on; only replicas of that origin may go on with it.
 	origin replica.Origin
+	// attemptOrigin is what the entry of the latest attempt's replica told when the attempt began; a later entry need not tell the same.
+	attemptOrigin replica.Origin
 	// resumedByCaller is set if the caller resumes a stream that another answer began.
 	resumedByCaller bool
 	// eventsDelivered is the number of events that were relayed to the caller.
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -103,10 +103,10 @@
 	})
 }
 
-// noteBegun notes that the first event of this answer came from a run of the given origin.
-func (e *exchange) noteBegun(attempt replica.Origin) {
+// recordOrigin records the origin of the stream for callers that resume it. It is called at the first event of the answer.
+func (e *exchange) recordOrigin() {
 	if e.origin.IsZero() {
-		e.origin = attempt
+		e.origin = e.attemptOrigin
 	}
 	if !e.canResume() || e.handler.origins == nil {
 		return
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -12,7 +12,7 @@
 )
 
 // forwardStream relays events as they arrive, complete events only, so that another replica can resume after the last one.
-func (e *exchange) forwardStream(ctx context.Context, handle *replica.Handle, attemptOrigin replica.Origin, answer *replica.Answer, silence *silenceTimer) (result attemptOutcome, consumed bool) {
+func (e *exchange) forwardStream(ctx context.Context, handle *replica.Handle, answer *replica.Answer, silence *silenceTimer) (result attemptOutcome, consumed bool) {
 	flusher := http.NewResponseController(e.writer)
 	reader := eventstream.NewReader(answer.Body)
 	first := true
@@ -21,7 +21,7 @@
 		if len(events.Bytes) > 0 {
 			if first {
 				first = false
-				e.noteFirstEvent(handle, attemptOrigin)
+				e.noteFirstEvent(handle)
 			}
 			silence.eventReceived()
 			handle.NoteAnswer()
@@ -50,12 +50,12 @@
 }
 
 // noteFirstEvent notes the first event of a run, which began the stream or went on with it.
-func (e *exchange) noteFirstEvent(handle *replica.Handle, attempt replica.Origin) {
+func (e *exchange) noteFirstEvent(handle *replica.Handle) {
 	if e.lastEventID != "" {
 		e.reportResumed(handle)
 	}
 	if !e.headersSent {
-		e.noteBegun(attempt)
+		e.recordOrigin()
 	}
 }
 
--- a/lab/roles/caller.go
+++ b/lab/roles/caller.go
@@ -156,12 +156,8 @@
 	isStream := path == pathAsk || path == pathDigest
 	breakOffAfter := 0
 	if isStream {
-		sent.stream = &streamAttempt{sentAt: time.Now(), takesUp: read.began(), version: read.version, beganAtEdge: read.firstEdge, beganAt: read.beganAt}
-		serves := c.fleet.versionServes(read.version)
-		defer func() {
-			sent.stream.endedAt = time.Now()
-			sent.stream.versionServes = serves && c.fleet.versionServes(sent.stream.version)
-		}()
+		sent.stream = read.newAttempt()
+		defer sent.stream.end(c.fleet.versionServes(read.version), c.fleet.versionServes)
 	}
 	if path == pathAsk {
 		breakOffAfter = c.drawBreakOff(payload, read)
@@ -169,22 +165,8 @@
 	c.update(func() { c.attempts = append(c.attempts, sent) })
 	bounded, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	request, err := http.NewRequestWithContext(
-		bounded, http.MethodPost, "http://"+edge.address(portCallers).String()+path+"1", bytes.NewReader(payload.encode()),
-	)
-	if err != nil {
-		panic("create online request: " + err.Error())
-	}
-	request.Host = hostOnline
-	request.Header.Set(wire.Headers.RequestID, sent.id)
-	request.Header.Set(wire.Headers.Deadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
-	if payload.EndsReplicaAt > 0 {
-		request.Header.Set(wire.Headers.PromptParts, c.promptParts())
-	}
+	request := c.newRequest(bounded, edge, sent, payload, deadline)
 	read.addTo(request.Header)
-	if !isStream {
-		request.Header.Set("Accept", acceptWhole)
-	}
 	response, err := client.Do(request)
 	if err != nil {
 		return sent, defaultRetryDelay
@@ -210,6 +192,25 @@
 	return sent, retryAfter
 }
 
+// newRequest returns the HTTP request of an attempt.
+func (c *callers) newRequest(ctx context.Context, edge *machine, sent *onlineAttempt, payload work, deadline time.Time) *http.Request {
+	target := "http://" + edge.address(portCallers).String() + sent.path + "1"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(payload.encode()))
+	if err != nil {
+		panic("create online request: " + err.Error())
+	}
+	request.Host = hostOnline
+	request.Header.Set(wire.Headers.RequestID, sent.id)
+	request.Header.Set(wire.Headers.Deadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	if payload.EndsReplicaAt > 0 {
+		request.Header.Set(wire.Headers.PromptParts, c.promptParts())
+	}
+	if sent.stream == nil {
+		request.Header.Set("Accept", acceptWhole)
+	}
+	return request
+}
+
 // drawBreakOff draws after how many events of an attempt the caller closes the connection, 0 for never.
 func (c *callers) drawBreakOff(payload work, read *streamRead) int {
 	left := payload.Events - read.lastEvent
--- a/lab/roles/stream.go
+++ b/lab/roles/stream.go
@@ -50,45 +50,60 @@
 	beganAt     time.Time
 	// versionServes reports whether two replicas or more of that version served while the attempt lasted.
 	versionServes bool
-	// events is the number of events that the attempt brought; brokenOff is set if the caller itself closed the connection.
-	events    int
-	brokenOff bool
+	// events is the number of events that the attempt brought.
+	events int
 	// mixed describes the event of another version than that of the stream, empty if there was none.
 	mixed string
 }
 
+// newAttempt returns the next attempt at a stream.
+func (s *streamRead) newAttempt() *streamAttempt {
+	return &streamAttempt{sentAt: time.Now(), takesUp: s.began(), version: s.version, beganAtEdge: s.firstEdge, beganAt: s.beganAt}
+}
+
+// end notes the end of an attempt; versionServes tells whether two replicas or more of a version serve.
+func (s *streamAttempt) end(servedAtStart bool, versionServes func(version string) bool) {
+	s.endedAt = time.Now()
+	s.versionServes = servedAtStart && versionServes(s.version)
+}
+
 // readStream reads events up to breakOffAfter, 0 for all. It checks that the stream goes on after the last event received before, has every
-// event exactly once and in order, and that one version wrote all of them.
+// event exactly once and in order, and that one version wrote all of them. An event counts once its closing empty line is in.
 func (c *callers) readStream(body io.Reader, payload work, sent *onlineAttempt, read *streamRead, breakOffAfter int) {
 	lines := bufio.NewScanner(body)
-	number := read.lastEvent
+	fields := map[string]string{}
 	for lines.Scan() {
-		name, value, _ := strings.Cut(lines.Text(), ": ")
-		switch name {
-		case "id":
-			next, err := strconv.Atoi(value)
-			if err != nil || next != number+1 {
-				sent.violation = fmt.Sprintf("event %q follows event %d", value, number)
-				return
-			}
-			number = next
-		case "data":
-			version, found := payload.versionOf(c.fleet.options.versions(), number, value)
-			if !found {
-				sent.violation = fmt.Sprintf("event %d is not that of the request", number)
-				return
-			}
-			read.note(sent, number, version)
-			if breakOffAfter > 0 && sent.stream.events >= breakOffAfter {
-				sent.stream.brokenOff = true
-				return
-			}
+		if name, value, found := strings.Cut(lines.Text(), ": "); found {
+			fields[name] = value
+			continue
+		}
+		if lines.Text() != "" || len(fields) == 0 {
+			continue
+		}
+		sent.violation = c.readEvent(fields, payload, sent, read)
+		if sent.violation != "" || breakOffAfter > 0 && sent.stream.events >= breakOffAfter {
+			return
 		}
+		clear(fields)
 	}
 	sent.complete = lines.Err() == nil
-	if sent.complete && number < payload.Events {
-		sent.violation = fmt.Sprintf("the stream ends as whole after %d of %d events", number, payload.Events)
+	if sent.complete && read.lastEvent < payload.Events {
+		sent.violation = fmt.Sprintf("the stream ends as whole after %d of %d events", read.lastEvent, payload.Events)
+	}
+}
+
+// readEvent notes an event, and returns what is wrong with it, "" for nothing.
+func (c *callers) readEvent(fields map[string]string, payload work, sent *onlineAttempt, read *streamRead) (violation string) {
+	number, err := strconv.Atoi(fields["id"])
+	if err != nil || number != read.lastEvent+1 {
+		return fmt.Sprintf("event %q follows event %d", fields["id"], read.lastEvent)
+	}
+	version, found := payload.versionOf(c.fleet.options.versions(), number, fields["data"])
+	if !found {
+		return fmt.Sprintf("event %d is not that of the request", number)
 	}
+	read.note(sent, number, version)
+	return ""
 }
 
 // note records an event that a replica of the given version wrote.
