Replica: before a run goes on, the replica is asked which incarnation answers

Change: where entries tell the start of a replica, an attempt that goes on with an answer or a text is preceded by a load report, which tells the start of the incarnation that answers, on a connection that is then used again. Another one takes no such attempt. Replicas whose entries have no start have a new ID at each start and are not asked: nothing changes there.

Evidence: TestStreamIsNotResumedAtAReplicaThatStartedAgain (without the check two of its cases go on).

--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -125,6 +125,13 @@
 	silenceTimer := time.AfterFunc(silenceTimeout, func() { cancel(errSilent) })
 	defer silenceTimer.Stop()
 	client := a.partition.service.client
+	if !a.origin.IsZero() {
+		if err := client.CheckIncarnation(ctx, a.handle, a.partition.service.options.Report); err != nil {
+			a.err = errors.Join(err, context.Cause(ctx))
+			a.reportFailure()
+			return itemRefused
+		}
+	}
 	answer, err := client.Do(ctx, a.handle, a.newCall(client.Headers()))
 	if err != nil {
 		a.err = errors.Join(err, context.Cause(ctx))
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -43,6 +43,9 @@
 	silence := e.watchSilence(cancel)
 	defer silence.stop()
 	e.attemptOrigin = handle.Origin()
+	if err := e.checkContinuation(ctx, handle); err != nil {
+		return e.handleCallError(ctx, handle, err)
+	}
 	answer, err := e.handler.client.Do(ctx, handle, e.callFor(handle))
 	if err != nil {
 		return e.handleCallError(ctx, handle, err)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -83,6 +83,8 @@
 	quarantine quarantine.Register
 	// origins is nil if callers cannot resume streams.
 	origins Origins
+	// report defines how replicas report their load.
+	report replica.LoadReport
 	// listCurrent reports whether this process hears of changes to the list of replicas; nil if it never does.
 	listCurrent func() bool
 	// estimates holds the observed timeouts and latencies of the routes.
@@ -109,6 +111,8 @@
 	ColdStarts coldstart.Limiter
 	Quarantine quarantine.Register
 	Origins    Origins
+	// Report defines how replicas report their load; without it they are not asked which incarnation answers.
+	Report replica.LoadReport
 	// ListCurrent reports whether this process hears of changes to the list of replicas. If it is nil, callers must name the request that
 	// began a stream which they resume.
 	ListCurrent func() bool
@@ -122,7 +126,7 @@
 		routes: options.Routes, directory: options.Directory, picker: options.Picker, client: options.Client, headers: options.Client.Headers(),
 		zone: options.Zone, batch: options.Batch, budget: newRetryBudget(), gate: options.Gate, quota: options.Quota,
 		refreshLoad: options.Refresh, estimates: newRouteEstimates(), coldStarts: options.ColdStarts, quarantine: options.Quarantine,
-		origins: options.Origins, listCurrent: options.ListCurrent, logger: options.Logger.With().Str(logging.FieldSlice, "forward").Logger(), metrics: options.Metrics,
+		origins: options.Origins, listCurrent: options.ListCurrent, report: options.Report, logger: options.Logger.With().Str(logging.FieldSlice, "forward").Logger(), metrics: options.Metrics,
 	}
 }
 
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -103,6 +104,18 @@
 	})
 }
 
+// checkContinuation returns an error that wraps replica.ErrNotSent if the attempt would go on with the stream at another incarnation of the
+// replica than that of its entry.
+func (e *exchange) checkContinuation(ctx context.Context, handle *replica.Handle) error {
+	if e.origin.IsZero() {
+		return nil
+	}
+	if err := e.handler.client.CheckIncarnation(ctx, handle, e.handler.report); err != nil {
+		return fmt.Errorf("%w: %w", replica.ErrNotSent, err)
+	}
+	return nil
+}
+
 // recordOrigin records the origin of the stream for callers that resume it. It is called at the first event of the answer.
 func (e *exchange) recordOrigin() {
 	if e.origin.IsZero() {
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -228,3 +229,35 @@
 		})
 	}
 }
+
+// TestStreamIsNotResumedAtAReplicaThatStartedAgain: a replica that starts again under its ID, with another version, answers before its new entry
+// is known; a stream does not go on there.
+func TestStreamIsNotResumedAtAReplicaThatStartedAgain(t *testing.T) {
+	reporting := func(born string, stream replicatest.Script) replicatest.Script {
+		return func(connection net.Conn, request *http.Request) bool {
+			if request.Method == http.MethodGet {
+				return replicatest.Answer(200, "", born)(connection, request)
+			}
+			return stream(connection, request)
+		}
+	}
+	for born, want := range map[string]string{"7": eventOne + eventTwo, "8": eventOne, "no number": eventOne} {
+		t.Run(born, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				edge := newEdgeUnderTest(t, route.Stream, true, map[string]replicatest.Script{
+					"a": replicatest.Stream("s1", false, false, eventOne), "b": reporting(born, replicatest.Stream("s2", true, false, eventTwo)),
+				})
+				edge.setEntry("b", func(info *replica.Info) { info.Born = 7 })
+				edge.report = replica.LoadReport{Path: "/load", Parse: func(body []byte) (replica.Load, error) {
+					started, err := strconv.ParseInt(string(body), 10, 64)
+					return replica.Load{Born: started}, err
+				}}
+				recorded, aborted := edge.call(nil)
+				edge.replicas.CloseAll()
+				if recorded.Body.String() != want || aborted != (want == eventOne) {
+					t.Errorf("body %q, aborted %t; want %q", recorded.Body, aborted, want)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/role_edge.go
+++ b/internal/node/role_edge.go
@@ -48,6 +48,7 @@
 
 func newForwardHandler(
 	nodeSettings settings.Settings,
+	adapter Adapter,
 	routes *route.Holder,
 	directory *replica.Directory,
 	picker *balance.Picker,
@@ -66,7 +67,8 @@
 	return forward.NewHandler(forward.Options{
 		Routes: routes, Directory: directory, Picker: picker, Client: client, Zone: nodeSettings.Zone, Batch: calls, Gate: gate,
 		Quota: limits, ColdStarts: coldStarts, Refresh: shared.Refresh,
-		Quarantine: register, Origins: origins, ListCurrent: feed.Current, Logger: logger, Metrics: metrics,
+		Quarantine: register, Origins: origins, ListCurrent: feed.Current,
+		Report: adapter.Report, Logger: logger, Metrics: metrics,
 	})
 }
 
--- a/internal/replica/load_report.go
+++ b/internal/replica/load_report.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/sloelift/sloelift/internal/clock"
 )
@@ -76,3 +77,18 @@
 	handle.NoteLoad(load, clock.Now())
 	return nil
 }
+
+// checkTimeout bounds CheckIncarnation.
+const checkTimeout = 250 * time.Millisecond
+
+// CheckIncarnation returns an error if another incarnation of the replica answers than that of its entry, which may lag behind a restart. A
+// run that goes on with an answer is preceded by it. Replicas whose entries do not tell their start have a new ID at each start and are not
+// asked.
+func (c *Client) CheckIncarnation(ctx context.Context, handle *Handle, report LoadReport) error {
+	if handle.Info().Born == 0 || report.Path == "" {
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	return c.PollLoad(bounded, handle, report)
+}
