--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -179,7 +179,7 @@
 	for index := range 2 {
 		started := startReplica(t, script)
 		harness.replicas = append(harness.replicas, started)
-		infos = append(infos, replica.Info{ID: fmt.Sprint("i", index), Service: "s", Address: started.address(), Slots: 1})
+		infos = append(infos, replica.Info{ID: fmt.Sprint("i", index), Service: "s", Version: "v1", Address: started.address(), Slots: 1})
 	}
 	directory.Replace(infos)
 	metrics, err := forward.NewMetrics(prometheus.NewRegistry())
