Batch: a failed checkpoint of an item that was begun anew does not end the owner

What callers would see: the process of a storage node ends with 'slice bounds out of range [11:3]', and its jobs wait for the next owner.

Cause: an append that is under way when an item is begun anew and then fails resets the logged length to that of the text before, which may be longer than the new one; the record of the progress cut the new text there, before it looked whether the whole text was to be written.

Change: the record of an item that was begun anew has the whole text, whatever the logged length is.

Evidence: TestFailedCheckpointOfAnItemThatBeganAnew panics without the change.

--- a/internal/batch/checkpoint.go
+++ b/internal/batch/checkpoint.go
@@ -59,14 +59,16 @@
 // progressRecord returns the record of the text that the log lacks, or of the whole text if the item was begun anew.
 func (r *itemRun) progressRecord(key itemKey) ledger.Record {
 	progress := &batchpb.Progress{
-		JobId: key.job, Item: uint32(key.number), LastEvent: r.lastEvent, Offset: uint64(r.logged), Text: string(r.text[r.logged:]),
+		JobId: key.job, Item: uint32(key.number), LastEvent: r.lastEvent, Rewritten: r.rewritten,
 		Service: r.origin.Service, Version: r.origin.Version, Incarnation: uint64(r.origin.Incarnation),
 	}
-	if !r.rewritten {
-		return newRecord(ledger.KindBatchProgress, progress)
+	if r.rewritten {
+		// After a failed append, logged is the length of the text before, which may be longer.
+		progress.Text = string(r.text)
+		return newRecord(ledger.KindBatchRewritten, progress)
 	}
-	progress.Offset, progress.Text, progress.Rewritten = 0, string(r.text), true
-	return newRecord(ledger.KindBatchRewritten, progress)
+	progress.Offset, progress.Text = uint64(r.logged), string(r.text[r.logged:])
+	return newRecord(ledger.KindBatchProgress, progress)
 }
 
 // forgetUnlogged resets the logged length of items to what the log has.
--- a/internal/batch/item_origin_test.go
+++ b/internal/batch/item_origin_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -202,3 +204,27 @@
 		})
 	}
 }
+
+// TestFailedCheckpointOfAnItemThatBeganAnew guards that an owner outlives a checkpoint that fails after the item of its records was begun anew:
+// the log then has more text than the item.
+func TestFailedCheckpointOfAnItemThatBeganAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		records := append(acceptanceRecords(testSubmission("j", 1), time.Now().UnixMilli()), progressRecord("j", 0, 0, "a long text"))
+		owner := startOwner(t, map[string]replicatest.Script{"a": replicatest.Hang()}, records...)
+		defer owner.stop()
+		key := itemKey{job: "j"}
+		owner.mutex.Lock()
+		run := owner.ensureRun(key)
+		run.text, run.lastEvent, run.origin = []byte("new"), "1", replica.Origin{Service: "s", Version: "v1"}
+		owner.mutex.Unlock()
+		owner.forgetUnlogged([]itemKey{key})
+		_, logged := owner.unloggedProgress()
+		if len(logged) != 1 || logged[0].Kind != ledger.KindBatchRewritten {
+			t.Fatalf("records %v, want the whole text", logged)
+		}
+		var progress batchpb.Progress
+		if err := proto.Unmarshal(logged[0].Payload, &progress); err != nil || progress.Text != "new" || progress.Offset != 0 {
+			t.Errorf("record %v, %v", &progress, err)
+		}
+	})
+}
