Batch: the text of an item that was begun anew is never joined to what reaches the log late

Cause: an append whose end is not known resets the logged length to 0 and may still take effect. An item that was begun anew meanwhile did not count as such, as nothing of it seemed logged; its result then went on behind the late text, whose length alone was compared.

Change: every item that is begun anew has its whole text in its records.

Evidence: TestAppendThatTakesEffectAfterTheItemBeganAnew lists 'v1-1 v2-2' without the change, the text of v2 with it.

--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -69,7 +69,7 @@
 	// text, since the partition's start, 0 while there is one.
 	origin             replica.Origin
 	originMissingSince time.Duration
-	// rewritten is true once the item was begun anew after a part of its text was logged.
+	// rewritten is true once the item was begun anew.
 	rewritten bool
 	// logged is the length of the part of text that is in the log or being appended.
 	logged int
--- a/internal/batch/item_origin.go
+++ b/internal/batch/item_origin.go
@@ -31,9 +31,10 @@
 	}
 }
 
-// beginAnew drops the item's text. If a part of it may be in the log, the records of the item then have its whole text.
+// beginAnew drops the item's text. The records of the item then have its whole text: an append of the text before may take effect even after
+// it failed.
 func (r *itemRun) beginAnew() {
-	r.rewritten = r.rewritten || r.logged > 0
+	r.rewritten = true
 	// The time of the runs so far is not that of the new text.
 	r.startedWithText = true
 	r.text, r.lastEvent, r.logged, r.origin = nil, "", 0, replica.Origin{}
--- a/internal/batch/item_origin_test.go
+++ b/internal/batch/item_origin_test.go
@@ -228,3 +228,33 @@
 		}
 	})
 }
+
+// TestAppendThatTakesEffectAfterTheItemBeganAnew guards that a text that reaches the log late, after its append had failed, is not joined to
+// that of another version.
+func TestAppendThatTakesEffectAfterTheItemBeganAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := startOwner(t, map[string]replicatest.Script{"a": replicatest.Hang()}, acceptanceRecords(testSubmission("j", 1), time.Now().UnixMilli())...)
+		defer owner.stop()
+		key := itemKey{job: "j"}
+		owner.mutex.Lock()
+		run := owner.ensureRun(key)
+		run.text, run.lastEvent = []byte("v1-1"), "1"
+		run.beginAnew()
+		run.text, run.lastEvent, run.origin = []byte("v2-1\nv2-2"), "2", replica.Origin{Service: "s", Version: "v2"}
+		late := progressRecord("j", 0, 0, "v1-1")
+		if err := owner.state.apply(100, late); err != nil {
+			t.Fatal(err)
+		}
+		run.finishing = true
+		owner.mutex.Unlock()
+		result := owner.resultRecord(key, batchpb.State_STATE_SUCCEEDED, string(run.text))
+		owner.mutex.Lock()
+		defer owner.mutex.Unlock()
+		if err := owner.state.apply(101, result); err != nil {
+			t.Fatal(err)
+		}
+		if item := owner.state.jobs["j"].items[0]; !item.listed || item.text != "v2-1\nv2-2" {
+			t.Errorf("listed %t as %q", item.listed, item.text)
+		}
+	})
+}
