Quarantine: the earliest time that any node reports for an end of a replica holds

Cause: a notice carries the age of an end at its sending, and the reader subtracts it from the time of reading. A node that was paused reads the notices of its pause in one millisecond and dates all their ends to its waking. Three ends within 30 ms are taken for a crash with a common cause, of which one counts: the next owner counted one of the item's two ends and made the third run without deferring it. Only an assumed time was ever replaced, so that later notices changed nothing, and nodes that started asked the paused one and took its times over.

Change: of two observed times of an end the earlier one is kept, in any order of joins, and where the time changes the verdicts on all messages that ran there are formed anew. An end is never found before it happens and a delay only adds, so that the earliest report is the nearest.

Tests of internal/quarantine and internal/batch pass.

--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
@@ -91,17 +93,28 @@
 	var changed []Key
 	for _, end := range encoded {
 		age := time.Duration(min(end.AgeMillis, uint64(retention.Milliseconds()))) * time.Millisecond
-		if age >= retention {
-			continue
+		if age < retention {
+			changed = append(changed, e.joinIncident(end, now.Add(-age))...)
 		}
-		for _, suspected := range end.Suspects {
-			key, valid := decodeKey(suspected.Message)
-			if valid && e.addSuspect(e.incidentFor(replica.Key(end.Replica), now.Add(-age), end.TimeAssumed), key, decodeSuspect(suspected)) {
-				changed = append(changed, key)
-			}
+	}
+	return changed
+}
+
+// joinIncident merges one incident that another node learned of at the given time, and returns the messages for which
+// anything changed: all that ran at the replica if the time of the incident changed.
+func (e *evidenceStore) joinIncident(encoded *quarantinepb.Incident, learnedAt time.Time) []Key {
+	var changed []Key
+	ended := replica.Key(encoded.Replica)
+	if known := e.incidents[ended]; known != nil && known.correctTime(learnedAt, encoded.TimeAssumed) {
+		changed = slices.Collect(maps.Keys(known.suspects))
+	}
+	for _, suspected := range encoded.Suspects {
+		key, valid := decodeKey(suspected.Message)
+		if valid && e.addSuspect(e.incidentFor(ended, learnedAt, encoded.TimeAssumed), key, decodeSuspect(suspected)) {
+			changed = append(changed, key)
 		}
-		e.setService(replica.Key(end.Replica), end.Service)
 	}
+	e.setService(ended, encoded.Service)
 	return changed
 }
 
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -17,6 +17,8 @@
 	// retention is how long an incident counts against its suspects: long enough for a caller's retries and for an item
 	// of a batch job, short enough that a repaired model receives the message again on the same day.
 	retention = 10 * time.Minute
+	// ageResolution is the resolution of the ages that nodes send.
+	ageResolution = time.Millisecond
 )
 
 // suspect is a message in one incident: a run of it was under way when the replica ended, or may have been.
@@ -79,7 +81,8 @@
 // incident is the end of one incarnation of a replica.
 type incident struct {
 	replica replica.Key
-	// learnedAt is when the end of the replica was found.
+	// learnedAt is when the end of the replica was found: the earliest time that any node reported. A node that was paused
+	// finds an end, or reads of it, later than it happened.
 	learnedAt time.Time
 	// timeAssumed reports that no known node observed the time of the end; learnedAt is then an estimate.
 	timeAssumed bool
@@ -90,8 +93,9 @@
 	openSuspects int
 }
 
-// evidenceStore holds the known evidence about messages. Stores are merged by adding suspects, and a cleared suspect
-// stays cleared, so that the order of merging does not matter. It is not safe for concurrent use.
+// evidenceStore holds the known evidence about messages. Stores are merged by adding suspects and keeping the earliest
+// times, and a cleared suspect stays cleared, so that the order of merging does not matter. It is not safe for concurrent
+// use.
 type evidenceStore struct {
 	incidents map[replica.Key]*incident
 	byMessage map[Key]map[replica.Key]*incident
@@ -116,8 +120,7 @@
 	return e.addSuspect(e.incidentFor(ended, learnedAt, false), message, added)
 }
 
-// incidentFor returns the incident of a replica and creates it if it is unknown. An observed time replaces an assumed
-// one.
+// incidentFor returns the incident of a replica and creates it if it is unknown.
 func (e *evidenceStore) incidentFor(ended replica.Key, learnedAt time.Time, timeAssumed bool) *incident {
 	known := e.incidents[ended]
 	if known == nil {
@@ -125,12 +128,24 @@
 		known = &incident{replica: ended, learnedAt: learnedAt, timeAssumed: timeAssumed, suspects: map[Key]*suspect{}}
 		e.incidents[ended] = known
 	}
-	if known.timeAssumed && !timeAssumed {
-		known.learnedAt, known.timeAssumed = learnedAt, false
-	}
+	known.correctTime(learnedAt, timeAssumed)
 	return known
 }
 
+// correctTime merges a reported time of the incident and returns whether its time changed. An observed time replaces an
+// assumed one; of two times of the same kind the earlier one is kept, whichever arrives first. Differences below the
+// resolution of the messages are ignored.
+func (i *incident) correctTime(learnedAt time.Time, timeAssumed bool) bool {
+	switch {
+	case timeAssumed && !i.timeAssumed:
+		return false
+	case timeAssumed == i.timeAssumed && i.learnedAt.Sub(learnedAt) < ageResolution:
+		return false
+	}
+	i.learnedAt, i.timeAssumed = learnedAt, timeAssumed
+	return true
+}
+
 // addSuspect merges one suspect into a known incident. It returns whether anything changed.
 func (e *evidenceStore) addSuspect(known *incident, message Key, added suspect) bool {
 	added.runDuration = added.runDuration.Truncate(time.Millisecond)
