Quarantine: clearing an end says up to which point, so that it hides no later one at the same replica

Cause: two owners, one of them paused, ran the item at one replica. The paused owner's end, behind event 28, was cleared when the answer had 84 events; the other owner's, behind event 84, was joined to the same record and stayed cleared with it. A clearing says "not at event 28" and was kept as "not this replica", so that joins depended on their order, which evidenceStore promised they do not.

Change: a suspect keeps up to how many events its message is known not to have ended the replica, or that it completed; both only grow, and whether it is cleared follows from them and from its point. Two new fields of the wire say so. A flag of an older build is taken as what it states: for the point that it tells, or, without one, for anything but a known point of an item, which is not run again once it completed.

--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -32,12 +32,15 @@
 	encoded := &quarantinepb.Suspect{
 		Message:   key[:],
 		RanMillis: uint32(suspected.runDuration.Milliseconds()),
-		Cleared:   suspected.cleared,
+		Cleared:   suspected.cleared(),
 		Granted:   suspected.granted,
 		Reached:   uint32(suspected.reached),
 		Unseen:    suspected.unseen,
 		Item:      suspected.item,
 		Deciding:  suspected.deciding,
+
+		ClearedUpTo:        uint32(suspected.clearedUpTo),
+		ClearedUnqualified: suspected.clearedUnqualified,
 	}
 	switch {
 	case suspected.progressed:
@@ -53,7 +56,6 @@
 func decodeSuspect(encoded *quarantinepb.Suspect) suspect {
 	decoded := suspect{
 		runDuration:  time.Duration(encoded.RanMillis) * time.Millisecond,
-		cleared:      encoded.Cleared,
 		granted:      encoded.Granted,
 		unseen:       encoded.Unseen,
 		origin:       originShared,
@@ -62,6 +64,12 @@
 		progressed:   encoded.Progress == quarantinepb.Progress_PROGRESS_MADE,
 		reached:      int(encoded.Reached),
 		reachedKnown: encoded.Progress != quarantinepb.Progress_PROGRESS_UNSPECIFIED,
+
+		clearedUpTo:        int(encoded.ClearedUpTo),
+		clearedUnqualified: encoded.ClearedUnqualified,
+	}
+	if encoded.Cleared && encoded.ClearedUpTo == 0 && !encoded.ClearedUnqualified {
+		decoded.clearAsOlderBuild()
 	}
 	if encoded.Progress == quarantinepb.Progress_PROGRESS_UNSPECIFIED {
 		decoded.runDuration = max(decoded.runDuration, unseenRunDuration)
@@ -69,6 +77,16 @@
 	return decoded
 }
 
+// clearAsOlderBuild marks a suspect that a node of an older build has cleared. Such a node does not tell up to which point:
+// at least up to that of the run, if it reports one.
+func (s *suspect) clearAsOlderBuild() {
+	if s.reachedKnown {
+		s.clearedUpTo = s.reached + progressMarginEvents + 1
+		return
+	}
+	s.clearedUnqualified = true
+}
+
 // encodeAll returns the wire form of all incidents.
 func (e *evidenceStore) encodeAll(now time.Time) []*quarantinepb.Incident {
 	encoded := make([]*quarantinepb.Incident, 0, len(e.incidents))
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -25,8 +26,11 @@
 type suspect struct {
 	// runDuration is the time from the start of the run to the end of the replica.
 	runDuration time.Duration
-	// cleared reports that the message has since been shown not to have ended this replica.
-	cleared bool
+	// clearedUpTo is the number of events that the message's answer had at a replica which did not end then: the message has
+	// not ended this replica at an earlier point. It is entireAnswer if the message has not ended it at any point.
+	clearedUpTo int
+	// clearedUnqualified reports that a node of an older build, which does not tell a point, cleared the message.
+	clearedUnqualified bool
 	// granted reports that the message was suspected before and ran under a keeper's grant.
 	granted bool
 	// progressed reports that the run produced events after which a further run resumes. reached is the number of
@@ -71,6 +75,22 @@
 	return suspect{runDuration: unseenRunDuration, unseen: from == originLapsed, origin: from}
 }
 
+// entireAnswer stands for a number of events that no point of an answer exceeds.
+const entireAnswer = math.MaxUint32
+
+// cleared reports whether the message has been shown not to have ended this replica. It follows from what only grows when
+// evidence is merged, so that the order does not matter. A clearing without a point says nothing of a known point of an
+// item: it may stand for an earlier run at the same replica. An item that completed is not run again.
+func (s suspect) cleared() bool {
+	return s.clearedBy(s.clearedUpTo) || s.clearedUnqualified && !(s.item && s.reachedKnown)
+}
+
+// clearedBy reports whether an answer that had the given number of events at a replica that did not end shows that the
+// message has not ended this one.
+func (s suspect) clearedBy(events int) bool {
+	return events == entireAnswer || s.progressedPast(events)
+}
+
 // observed reports whether a node observed the end of the run. Nodes of older builds drop the mark of an unseen end when
 // they pass it on, so that only an end with known progress counts as observed.
 func (s suspect) observed() bool { return !s.unseen && s.reachedKnown }
@@ -94,8 +114,8 @@
 }
 
 // evidenceStore holds the known evidence about messages. Stores are merged by adding suspects and keeping the earliest
-// times, and a cleared suspect stays cleared, so that the order of merging does not matter. It is not safe for concurrent
-// use.
+// times, and what is known of a suspect only grows, so that the order of merging does not matter. It is not safe for
+// concurrent use.
 type evidenceStore struct {
 	incidents map[replica.Key]*incident
 	byMessage map[Key]map[replica.Key]*incident
@@ -155,7 +175,7 @@
 			return false
 		}
 		known.suspects[message] = &added
-		if !added.cleared {
+		if !added.cleared() {
 			known.openSuspects++
 		}
 		if e.byMessage[message] == nil {
@@ -168,13 +188,22 @@
 	if merged == *existing {
 		return false
 	}
-	if merged.cleared && !existing.cleared {
-		known.openSuspects--
-	}
-	*existing = merged
+	known.replaceSuspect(message, merged)
 	return true
 }
 
+// replaceSuspect replaces what is known of a suspect of the incident.
+func (i *incident) replaceSuspect(message Key, replacement suspect) {
+	existing := i.suspects[message]
+	if !existing.cleared() {
+		i.openSuspects--
+	}
+	if !replacement.cleared() {
+		i.openSuspects++
+	}
+	*existing = replacement
+}
+
 // merge combines what two nodes know of the same run; the order does not matter. The shorter duration is kept: the
 // assumed duration of an unobserved run exceeds that of a short run, so that an observed short run prevails.
 func (s suspect) merge(other suspect) suspect {
@@ -186,7 +215,8 @@
 	merged.granted = s.granted || other.granted
 	merged.unseen = (s.unseen || other.unseen) && !s.observed() && !other.observed()
 	merged.item = s.item || other.item
-	merged.cleared = s.cleared || other.cleared
+	merged.clearedUpTo = max(s.clearedUpTo, other.clearedUpTo)
+	merged.clearedUnqualified = s.clearedUnqualified || other.clearedUnqualified
 	merged.progressed = s.progressed || other.progressed
 	merged.reached = max(s.reached, other.reached)
 	merged.reachedKnown = s.reachedKnown || other.reachedKnown
@@ -201,30 +231,31 @@
 	return s.reachedKnown && events > s.reached+progressMarginEvents
 }
 
-// clear marks the message as not responsible for those open incidents for which matches returns true, and returns these
-// incidents.
-func (e *evidenceStore) clear(message Key, matches func(candidate *suspect) bool) []*incident {
+// clear marks the message as not responsible for the open incidents that are ruled out by an answer with the given number
+// of events at a replica that did not end, and returns these incidents.
+func (e *evidenceStore) clear(message Key, events int) []*incident {
 	var cleared []*incident
 	for _, end := range e.openIncidents(message) {
-		if matches(end.suspects[message]) {
-			end.clear(message)
+		if end.suspects[message].clearedBy(events) {
+			end.clear(message, events)
 			cleared = append(cleared, end)
 		}
 	}
 	return cleared
 }
 
-// clear marks an open suspect as not responsible for the incident.
-func (i *incident) clear(message Key) {
-	i.suspects[message].cleared = true
-	i.openSuspects--
+// clear marks a suspect as not responsible for the incident up to the given number of events.
+func (i *incident) clear(message Key, events int) {
+	cleared := *i.suspects[message]
+	cleared.clearedUpTo = max(cleared.clearedUpTo, events)
+	i.replaceSuspect(message, cleared)
 }
 
 // openIncidents returns the incidents in which the message is a suspect that is not cleared, ordered by time.
 func (e *evidenceStore) openIncidents(message Key) []*incident {
 	var found []*incident
 	for _, end := range e.byMessage[message] {
-		if !end.suspects[message].cleared {
+		if !end.suspects[message].cleared() {
 			found = append(found, end)
 		}
 	}
@@ -245,7 +276,9 @@
 	var marked []*incident
 	for _, end := range ends {
 		if suspected := end.suspects[message]; !suspected.item && (!suspected.reachedKnown || suspected.logged) {
-			suspected.item = true
+			item := *suspected
+			item.item = true
+			end.replaceSuspect(message, item)
 			marked = append(marked, end)
 		}
 	}
@@ -286,7 +319,7 @@
 // hasRejectedSuspect reports whether an uncleared suspect of the incident is a rejected message.
 func (e *evidenceStore) hasRejectedSuspect(end *incident) bool {
 	for message, suspected := range end.suspects {
-		if !suspected.cleared && len(e.byMessage[message]) >= minEndsToReject && e.verdict(message) == Rejected {
+		if !suspected.cleared() && len(e.byMessage[message]) >= minEndsToReject && e.verdict(message) == Rejected {
 			return true
 		}
 	}
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -26,7 +26,7 @@
 	store := newEvidenceStore()
 	for _, observed := range observations {
 		if observed.completed != "" {
-			store.clear(keyOf(observed.completed), func(*suspect) bool { return true })
+			store.clear(keyOf(observed.completed), entireAnswer)
 			continue
 		}
 		for _, name := range observed.messages {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -175,10 +175,10 @@
 			continue
 		}
 		for message, suspected := range lapse.suspects {
-			if suspected.cleared {
+			if suspected.cleared() {
 				continue
 			}
-			lapse.clear(message)
+			lapse.clear(message, entireAnswer)
 			s.logger.Info().Stringer("digest", message).Msg("lapse_cleared")
 			s.announce(lapse.replica, message)
 		}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -268,7 +268,7 @@
 func (s *Service) clearMessage(key Key) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if incidents := s.clearEnds(key, func(*suspect) bool { return true }); incidents > 0 {
+	if incidents := s.clearEnds(key, entireAnswer); incidents > 0 {
 		s.logger.Info().Stringer("digest", key).Int("incidents", incidents).Msg("message_cleared")
 	}
 	s.clearLosses(key)
@@ -286,15 +286,15 @@
 // clearEndsBefore clears the incidents that the message's answer, which has the given number of events, has progressed
 // past. The mutex is held.
 func (s *Service) clearEndsBefore(key Key, events int) {
-	if incidents := s.clearEnds(key, func(suspected *suspect) bool { return suspected.progressedPast(events) }); incidents > 0 {
+	if incidents := s.clearEnds(key, events); incidents > 0 {
 		s.logger.Info().Stringer("digest", key).Int("incidents", incidents).Int("events", events).Msg("ends_passed")
 	}
 }
 
-// clearEnds clears the message in the open incidents for which matches returns true, and announces that to the other
-// nodes. It returns their number. The mutex is held.
-func (s *Service) clearEnds(key Key, matches func(candidate *suspect) bool) int {
-	cleared := s.evidence.clear(key, matches)
+// clearEnds clears the message in the open incidents that an answer with the given number of events rules out, and
+// announces that to the other nodes. It returns their number. The mutex is held.
+func (s *Service) clearEnds(key Key, events int) int {
+	cleared := s.evidence.clear(key, events)
 	if len(cleared) == 0 {
 		return 0
 	}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -104,7 +104,7 @@
 	summary := endedRunsSummary{itemsOnly: true, longItemsWithProgress: true}
 	for _, end := range e.byMessage[message] {
 		suspected := end.suspects[message]
-		if suspected.cleared || e.countsLikeLoss(message, end) || e.answerProgressedPast(message, end) {
+		if suspected.cleared() || e.countsLikeLoss(message, end) || e.answerProgressedPast(message, end) {
 			continue
 		}
 		summary.itemsOnly = summary.itemsOnly && suspected.item
@@ -164,7 +164,7 @@
 func (e *evidenceStore) evidenceWeight(message Key) float64 {
 	weight := 0.0
 	for _, end := range e.byMessage[message] {
-		if !end.suspects[message].cleared && !e.answerProgressedPast(message, end) {
+		if !end.suspects[message].cleared() && !e.answerProgressedPast(message, end) {
 			weight += 1 / float64(end.openSuspects)
 		}
 	}
@@ -176,7 +176,7 @@
 func (e *evidenceStore) isMainSuspect(message Key, end *incident) bool {
 	weight := e.evidenceWeight(message)
 	for other, suspected := range end.suspects {
-		if other != message && !suspected.cleared && e.evidenceWeight(other) >= weight-weightTolerance {
+		if other != message && !suspected.cleared() && e.evidenceWeight(other) >= weight-weightTolerance {
 			return false
 		}
 	}
@@ -200,7 +200,7 @@
 func (e *evidenceStore) endedRepeatedlyUnderGrant(message Key) bool {
 	granted := 0
 	for _, end := range e.byMessage[message] {
-		if suspected := end.suspects[message]; suspected.granted && !suspected.cleared && !e.answerProgressedPast(message, end) {
+		if suspected := end.suspects[message]; suspected.granted && !suspected.cleared() && !e.answerProgressedPast(message, end) {
 			granted++
 		}
 	}
@@ -243,7 +243,7 @@
 	}
 	for _, other := range e.byMessage[message] {
 		seen := other.suspects[message]
-		if seen.observed() && !seen.cleared && unseen.progressed && seen.reached == unseen.reached {
+		if seen.observed() && !seen.cleared() && unseen.progressed && seen.reached == unseen.reached {
 			return false
 		}
 	}
@@ -254,7 +254,7 @@
 func (e *evidenceStore) unseenEndCount(message Key) int {
 	count := 0
 	for _, end := range e.byMessage[message] {
-		if !end.suspects[message].cleared && e.countsLikeLoss(message, end) && !e.answerProgressedPast(message, end) {
+		if !end.suspects[message].cleared() && e.countsLikeLoss(message, end) && !e.answerProgressedPast(message, end) {
 			count++
 		}
 	}
@@ -309,7 +309,7 @@
 // explainedByOther reports whether a message other than the given one accounts for the incident.
 func (e *evidenceStore) explainedByOther(end *incident, except Key) bool {
 	for other, suspected := range end.suspects {
-		if other != except && !suspected.cleared && len(e.byMessage[other]) >= minEndsToReject && e.isMainSuspect(other, end) && e.explainsEnds(other) {
+		if other != except && !suspected.cleared() && len(e.byMessage[other]) >= minEndsToReject && e.isMainSuspect(other, end) && e.explainsEnds(other) {
 			return true
 		}
 	}
