Lab: the violation of too many ended replicas lists them with their times

Of two items that the nodes' logs name, each of which had ended three by them, neither could be told from the other, nor which of its runs nobody had counted. The line now has the replicas' IDs, versions and times of their end, by which the nodes' logs can be read. No check changed.

--- a/lab/roles/check.go
+++ b/lab/roles/check.go
@@ -228,11 +228,24 @@
 			v.counts.EndedOneMore++
 		}
 		if count > allowed {
-			v.addViolation("item %s ended %d replicas, %d of them before all storage nodes were upgraded", mark, count, endedBefore[mark])
+			v.addViolation("item %s ended %d replicas, %d of them before all storage nodes were upgraded: %s",
+				mark, count, endedBefore[mark], describeEnded(mark, replicas))
 		}
 	}
 }
 
+// describeEnded formats the replicas that the item with the given mark ended, for a violation message.
+func describeEnded(mark string, replicas []*replica) string {
+	text := ""
+	for _, candidate := range replicas {
+		endedBy, endedAt := candidate.endedBy.Load(), candidate.endedAt.Load()
+		if endedBy != nil && *endedBy == mark && endedAt != nil {
+			text += fmt.Sprintf("[%s %s at %s]", candidate.id, candidate.version, endedAt.UTC().Format("15:04:05.000"))
+		}
+	}
+	return text
+}
+
 // countStatus counts the runs that were answered with status.
 func countStatus(runs []sentRun, status int) int {
 	count := 0
