Quarantine: ends of an item among others at the same moment count towards its deciding run

Cause: of three replicas that end within 30 ms one end counts for a message that ran at some of them only, since such a crash has a cause of its own. Three items that end replicas were at work at once; one of them had ended two of the three, the second with a run of 24 ms that began after the first end. The next owner counted one, and made the third run without deferring it.

Change: for an item all ends of a mass crash count towards its deciding run and together with the end of that run. An end too many costs an innocent item a wait until its replicas are stable; without a deciding run nothing rejects it that did not before.

Figures: TestItemThatEndsReplicasBesideOthersDecidesAtItsThird failed before on each run (no deciding run; verdict apart after it) and passes. TestMassCrashAloneRejectsNoItem holds the innocent side and passed before too. Tests of internal/quarantine and internal/batch pass.

--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -66,6 +66,8 @@
 		return Rejected
 	case ended >= maxEndedReplicas && runs.conclusive():
 		return Rejected
+	case runs.anyDeciding && e.decidingEndCount(message, runs) >= maxEndedReplicas:
+		return Rejected
 	case !runs.itemsOnly && e.explainsEnds(message):
 		return Rejected
 	case ended >= minEndsToReject, ended > 0 && !runs.longItemsWithProgress:
@@ -131,7 +133,7 @@
 
 // nextEndRejects reports whether one more ended replica may reject the message.
 func (e *evidenceStore) nextEndRejects(message Key) bool {
-	return e.endCount(message)+1 >= maxEndedReplicas ||
+	return e.decidingEndCount(message, e.summarizeEndedRuns(message))+1 >= maxEndedReplicas ||
 		e.totalEndsReach(message, maxEndedWithProgress-1) ||
 		e.unfinishedRunCount(message)+1 >= maxUnfinishedRuns
 }
@@ -229,8 +231,25 @@
 // answer has progressed past, ends that another message explains, and unseen ends: the progress of their runs is not
 // known, so that they count like losses.
 func (e *evidenceStore) endCount(message Key) int {
-	counted := slices.DeleteFunc(e.incidentsAgainst(message), func(end *incident) bool { return e.countsLikeLoss(message, end) })
-	return e.countEnds(message, counted)
+	counted, _ := e.countEnds(message, e.observedIncidentsAgainst(message))
+	return counted
+}
+
+// decidingEndCount returns the number of replicas that ended under the message and count against it together with the end
+// of a deciding run. For an item that includes all of a mass crash: several of its runs, one after the other, may have
+// ended their replicas while others ended by chance.
+func (e *evidenceStore) decidingEndCount(message Key, runs endedRunsSummary) int {
+	counted, leftOut := e.countEnds(message, e.observedIncidentsAgainst(message))
+	if runs.itemsOnly {
+		return counted + leftOut
+	}
+	return counted
+}
+
+// observedIncidentsAgainst returns the incidents that are evidence against a message and do not count like losses, ordered
+// by time.
+func (e *evidenceStore) observedIncidentsAgainst(message Key) []*incident {
+	return slices.DeleteFunc(e.incidentsAgainst(message), func(end *incident) bool { return e.countsLikeLoss(message, end) })
 }
 
 // countsLikeLoss reports whether an end counts like a loss, since no node observed how the run ended. One at exactly the
@@ -264,14 +283,18 @@
 // totalEndsReach reports whether at least the given number of replicas ended under the message, including those that
 // its answer has progressed past. Most messages have fewer incidents in all, for which nothing has to be counted.
 func (e *evidenceStore) totalEndsReach(message Key, least int) bool {
-	return len(e.byMessage[message]) >= least && e.countEnds(message, e.openIncidents(message)) >= least
+	if len(e.byMessage[message]) < least {
+		return false
+	}
+	counted, _ := e.countEnds(message, e.openIncidents(message))
+	return counted >= least
 }
 
 // countEnds counts the given incidents of a message, which are ordered by time, without those that another message
-// explains. Of a mass crash, in which the message ran at only some of the replicas, one incident counts.
-func (e *evidenceStore) countEnds(message Key, open []*incident) int {
+// explains. Of a mass crash, in which the message ran at only some of the replicas, one incident counts; leftOut is the
+// number of the others.
+func (e *evidenceStore) countEnds(message Key, open []*incident) (ended, leftOut int) {
 	countExplained := e.endedRepeatedlyUnderGrant(message)
-	ended := 0
 	for index := 0; index < len(open); {
 		concurrent := e.concurrentIncidents(open[index])
 		counted := 0
@@ -281,12 +304,13 @@
 			}
 			index++
 		}
-		if len(concurrent) >= massCrashReplicas && counted < len(concurrent) {
-			counted = min(counted, 1)
-		}
 		ended += counted
+		if len(concurrent) >= massCrashReplicas && counted > 1 && counted < len(concurrent) {
+			ended -= counted - 1
+			leftOut += counted - 1
+		}
 	}
-	return ended
+	return ended, leftOut
 }
 
 // concurrentIncidents returns the given incident and those learned of within commonCauseWindow before or after it.
