Batch, quarantine: no progress rules out an end that a paused owner found when a lease was over

Cause: an owner that wakes from a pause finds an item's lease over and cuts the run off without reading what the replica had sent. The replica refuses the next lease and is found ended, and the end was noted behind the last event read: 87 and 99, where the item ends replicas behind 152. An answer that came to event 128 elsewhere seemed to have passed it, and cleared it.

Change: the owner reports such a run as expired. Its events speak for the message at earlier points as before, but its end is cleared by a complete answer only, and is recorded in the owner's log without a point. One new field of the wire.

Figures: TestItemWhoseOwnerWasPausedEndsThree forces the order: four replicas on each of three runs before, three after. TestInnocentItemOfAPausedOwnerIsDone holds the innocent side and passed before too. Tests under internal/ pass.

--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -175,10 +175,11 @@
 	run := permit.Begin(attempt.handle, func() { cancel(quarantine.ErrSuspected) })
 	verdict := attempt.run(bounded)
 	run.Progress(eventsBefore, countEvents(attempt.text))
-	replicaEnded := run.End(ctx, attempt.classifyEnding(bounded, verdict, resumedAfter))
+	ending := attempt.classifyEnding(bounded, verdict, resumedAfter)
+	replicaEnded := run.End(ctx, ending)
 	p.observeDecidingRun(attempt.key, verdict, replicaEnded)
 	if replicaEnded {
-		p.recordCrash(attempt)
+		p.recordCrash(attempt, ending)
 		p.backOffAfterCrash(attempt.key)
 	}
 	return verdict
@@ -210,7 +211,7 @@
 		return quarantine.Whole
 	case verdict == itemRefused && a.awaitingResume && ctx.Err() == nil:
 		// The replica may have ended under the lease before, which this owner cut off.
-		return quarantine.Interrupted
+		return quarantine.Expired
 	case verdict != itemInterrupted:
 		return quarantine.Other
 	case ctx.Err() != nil, errors.Is(a.err, errSilent), errors.Is(a.err, errLeaseExpired):
@@ -223,15 +224,18 @@
 }
 
 // recordCrash makes it durable that a replica ended under an item, if that counts against the message, so that the next owner knows.
-// The item is not sent again before that.
-func (p *partition) recordCrash(attempt *itemAttempt) {
+// The item is not sent again before that. The events that the text had are recorded unless the replica may have ended at a later one.
+func (p *partition) recordCrash(attempt *itemAttempt, ending quarantine.Ending) {
 	p.mutex.RLock()
 	message := p.runs[attempt.key].message
 	p.mutex.RUnlock()
 	if !p.service.options.Quarantine.HasEvidence(message) {
 		return
 	}
-	end := quarantine.RecordedEnd{Replica: attempt.handle.Key(), Reached: countEvents(attempt.text), ReachedKnown: true}
+	end := quarantine.RecordedEnd{Replica: attempt.handle.Key()}
+	if ending != quarantine.Expired {
+		end.Reached, end.ReachedKnown = countEvents(attempt.text), true
+	}
 	crashed := newCrashed(attempt.key, end)
 	recorded := func(item *itemState) bool { return item.hasCrash(end) }
 	propose := func() error { return p.propose(p.ctx, newRecord(ledger.KindBatchCrashed, crashed)) }
--- a/internal/batch/item_lease_test.go
+++ b/internal/batch/item_lease_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 )
 
 // slowReplica sends one event per pace, up to number count, starting after the event that the request names, until the caller closes
@@ -106,3 +108,38 @@
 		}
 	})
 }
+
+// TestItemWhoseOwnerWasPausedEndsThree guards the bound of three replicas for an item that ends them at an event of its answer. A replica
+// ended at that event while the owner was paused, so that the owner had read fewer events when it found the lease over and the replica
+// gone. The next run's progress ruled that end out.
+func TestItemWhoseOwnerWasPausedEndsThree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		replicas := newCrashingReplicas(12)
+		replicas.interval, replicas.closeConnections, replicas.endAtDial = 4*eventInterval, true, 2
+		replicas.fatalEvent = 2 * int((minLease-leaseMargin)/replicas.interval)
+		owner := startOwnerWithQuarantine(t, replicas)
+		defer owner.stop()
+		owner.mustSubmit(t, testSubmission("j", 1))
+		last := owner.results(t, "j", 1, 90*time.Second)[0]
+		if last.State != batchpb.State_STATE_DEAD_LETTER || replicas.endedCount() > 3 {
+			t.Errorf("the item is %s after %d replicas ended, want a dead letter after three at most", last.State, replicas.endedCount())
+		}
+	})
+}
+
+// TestInnocentItemOfAPausedOwnerIsDone guards an item that ends no replica: one was gone when its owner found the lease over, at a point that
+// no progress rules out, and two more end by chance under its later runs.
+func TestInnocentItemOfAPausedOwnerIsDone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		replicas := newCrashingReplicas(12)
+		replicas.interval, replicas.closeConnections, replicas.endAtDial = 4*eventInterval, true, 2
+		replicas.endAfter = []time.Duration{time.Hour, 500 * time.Millisecond, 700 * time.Millisecond}
+		owner := startOwnerWithQuarantine(t, replicas)
+		defer owner.stop()
+		owner.mustSubmit(t, testSubmission("j", 1))
+		last := owner.results(t, "j", 1, 90*time.Second)[0]
+		if last.State != batchpb.State_STATE_SUCCEEDED || replicas.endedCount() != 3 {
+			t.Errorf("the item is %s after %d replicas ended, want it done after three", last.State, replicas.endedCount())
+		}
+	})
+}
--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -41,6 +41,7 @@
 
 		ClearedUpTo:        uint32(suspected.clearedUpTo),
 		ClearedUnqualified: suspected.clearedUnqualified,
+		Expired:            suspected.expired,
 	}
 	switch {
 	case suspected.progressed:
@@ -67,6 +68,7 @@
 
 		clearedUpTo:        int(encoded.ClearedUpTo),
 		clearedUnqualified: encoded.ClearedUnqualified,
+		expired:            encoded.Expired,
 	}
 	if encoded.Cleared && encoded.ClearedUpTo == 0 && !encoded.ClearedUnqualified {
 		decoded.clearAsOlderBuild()
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -38,6 +38,9 @@
 	progressed   bool
 	reached      int
 	reachedKnown bool
+	// expired reports that the run ended with its lease: the replica may have ended at any later point than reached, so that
+	// no progress of the answer shows that the message did not end it.
+	expired bool
 	// unseen reports that no node observed how the run ended.
 	unseen bool
 	// item reports that the run was that of a batch item.
@@ -221,6 +224,7 @@
 	merged.reached = max(s.reached, other.reached)
 	merged.reachedKnown = s.reachedKnown || other.reachedKnown
 	merged.deciding = s.deciding || other.deciding
+	merged.expired = s.expired || other.expired
 	merged.logged = s.logged || other.logged
 	return merged
 }
@@ -228,7 +232,7 @@
 // progressedPast reports whether an answer with the given number of events has clearly progressed past the point at
 // which the replica ended.
 func (s suspect) progressedPast(events int) bool {
-	return s.reachedKnown && events > s.reached+progressMarginEvents
+	return s.reachedKnown && !s.expired && events > s.reached+progressMarginEvents
 }
 
 // clear marks the message as not responsible for the open incidents that are ruled out by an answer with the given number
--- a/internal/quarantine/progress_test.go
+++ b/internal/quarantine/progress_test.go
@@ -130,3 +130,34 @@
 		}
 	})
 }
+
+// TestProgressDoesNotRuleOutAnExpiredRun guards the bound of ended replicas: an end that the owner found when a lease was
+// over may be behind a later event than the owner received, at each node that learns of it.
+func TestProgressDoesNotRuleOutAnExpiredRun(t *testing.T) {
+	for name, test := range map[string]struct {
+		expired bool
+		want    int
+	}{
+		"run whose end was observed": {false, 0},
+		"expired run":                {true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			item, now := keyOf("item"), time.Unix(1_000_000, 0)
+			ended := endOfItemAt(99)
+			ended.expired = test.expired
+			owner, other := newEvidenceStore(), newEvidenceStore()
+			owner.add(1, now, item, ended)
+			other.join(owner.encodeAll(now), now)
+			for node, store := range map[string]*evidenceStore{"its owner": owner, "another node": other} {
+				store.clear(item, 128)
+				if got := store.endCount(item); got != test.want {
+					t.Errorf("%d ends count at %s after the answer had 128 events, want %d", got, node, test.want)
+				}
+				store.clear(item, entireAnswer)
+				if got := store.endCount(item); got != 0 {
+					t.Errorf("%d ends count at %s after a complete run, want 0", got, node)
+				}
+			}
+		})
+	}
+}
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -40,6 +40,9 @@
 	// those events, so that the message still completes. It counts against an item, but does not make it Apart on its
 	// own.
 	Interrupted
+	// Expired runs are interrupted runs that this node cut off when their lease was over and whose replica did not take the
+	// next one. The replica may have ended at a later point of the answer than this node received, if it was paused.
+	Expired
 	// Aborted runs were aborted by this node: the caller disconnected, or this node cut the run off or found it silent.
 	// The replica may continue to work on it for a while.
 	Aborted
@@ -66,7 +69,7 @@
 	// Progress reports the number of events in the message's answer when the run began and the number now, if a further
 	// run resumes after them. It is called before End, if at all.
 	Progress(from, to int)
-	// End reports how the run ended; it is called once. After Lost and Interrupted it waits for an inquiry into the
+	// End reports how the run ended; it is called once. After Lost, Interrupted and Expired it waits for an inquiry into the
 	// replica and returns whether the replica's process has ended.
 	End(ctx context.Context, ending Ending) (replicaEnded bool)
 }
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -106,6 +106,8 @@
 	// events in the answer then.
 	progressed bool
 	reached    int
+	// expired reports that the run ended with its lease, so that the replica may have made more events than reached.
+	expired bool
 	// aborted reports that this node aborted the run or that its grant lapsed; the service's mutex guards it.
 	aborted bool
 	// unseen reports that the run was made by another node, which did not report its result.
@@ -124,7 +126,7 @@
 	case Whole:
 		r.service.clearMessage(r.key)
 		return false
-	case Lost, Interrupted:
+	case Lost, Interrupted, Expired:
 		return r.concludeLost(ctx, ending)
 	}
 	if r.progressed {
@@ -144,7 +146,7 @@
 	if len(s.runs[ended.key]) == 0 {
 		delete(s.runs, ended.key)
 	}
-	if ending == Lost || ending == Interrupted {
+	if ending == Lost || ending == Interrupted || ending == Expired {
 		s.pendingInquiries[ended.key]++
 	}
 }
@@ -153,6 +155,7 @@
 // otherwise the run may count as a loss.
 func (r *run) concludeLost(ctx context.Context, ending Ending) (replicaEnded bool) {
 	runDuration := clock.Since(r.startedAt)
+	r.expired = ending == Expired
 	inquiry := r.service.inquire(r.handle)
 	select {
 	case <-inquiry.done:
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -243,6 +243,7 @@
 		reachedKnown: true,
 		item:         ended.item,
 		deciding:     ended.deciding,
+		expired:      ended.expired,
 		origin:       originSeen,
 	}
 	if ended.unseen {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -346,7 +346,7 @@
 	for _, end := range e.openIncidents(message) {
 		suspected := end.suspects[message]
 		listed = append(listed, fmt.Sprintf(
-			"%016x age=%s ran=%s together=%d granted=%t item=%t deciding=%t progressed=%t reached=%d progress_known=%t passed=%t %s",
+			"%016x age=%s ran=%s together=%d granted=%t item=%t deciding=%t progressed=%t reached=%d progress_known=%t expired=%t passed=%t %s",
 			uint64(end.replica),
 			now.Sub(end.learnedAt).Round(time.Millisecond),
 			suspected.runDuration,
@@ -357,6 +357,7 @@
 			suspected.progressed,
 			suspected.reached,
 			suspected.reachedKnown,
+			suspected.expired,
 			e.answerProgressedPast(message, end),
 			suspected.origin,
 		))
