Quarantine: a node that stops hands over the runs that it broke off lately

Cause: the runs that a node broke off in the last two seconds, whose replicas may still end by them, are known to that node only. A planned stop breaks all runs off, sent the queued evidence, and forgot these.

Evidence: forced in a cluster of three in memory: node 0 begins a run of an item, breaks it off and stops; the replica ends before the stop, 5 ms or 300 ms after it. In each case the two others knew of no end and no loss.

Change: the last notice names these runs. All nodes track them as their own, and the two loss keepers of a message inquire into the replica after 150 and 600 ms. Their ends count like losses, as before: innocent items are broken off by each stop. Older nodes ignore the new field.

Tests under internal/ pass.

--- a/internal/quarantine/aborted.go
+++ b/internal/quarantine/aborted.go
@@ -31,15 +31,28 @@
 	now := clock.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.addAborted(aborted, now, now.Add(abortedRunGrace)) && s.evidence.verdict(aborted.key) != Allowed {
+		s.startInquiryAfterAbort(aborted.handle)
+	}
+}
+
+// addAborted adds a run whose replica may work on it until the given time, unless too many are tracked. The mutex is held.
+func (s *Service) addAborted(aborted *run, now, until time.Time) bool {
 	s.expireAbortedRuns(now)
 	if s.abortedCount >= maxAbortedRuns {
-		return
+		return false
 	}
 	aborted.aborted = true
 	s.abortedCount++
-	s.abortedRuns[aborted.handle.Key()] = append(s.abortedRuns[aborted.handle.Key()], abortedRun{run: aborted, until: now.Add(abortedRunGrace)})
-	if s.evidence.verdict(aborted.key) != Allowed && !s.stopped {
-		s.running.Go(func() { s.inquireAfterAbort(aborted.handle) })
+	s.abortedRuns[aborted.handle.Key()] = append(s.abortedRuns[aborted.handle.Key()], abortedRun{run: aborted, until: until})
+	return true
+}
+
+// startInquiryAfterAbort starts the inquiries into the replica of an aborted run unless the service stops. The mutex is
+// held.
+func (s *Service) startInquiryAfterAbort(handle *replica.Handle) {
+	if !s.stopped {
+		s.running.Go(func() { s.inquireAfterAbort(handle) })
 	}
 }
 
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -135,7 +135,7 @@
 	service.ctx, service.cancel = context.WithCancel(context.Background())
 	transport.Handle(options.Registrar, methodNotice, func() *quarantinepb.Notice { return &quarantinepb.Notice{} },
 		func(_ context.Context, _ netip.AddrPort, notice *quarantinepb.Notice) (*quarantinepb.Notice, error) {
-			service.join(notice, clock.Now())
+			service.joinNotice(notice, clock.Now())
 			return &quarantinepb.Notice{}, nil
 		})
 	transport.Handle(options.Registrar, methodList, func() *quarantinepb.ListRequest { return &quarantinepb.ListRequest{} },
@@ -307,6 +307,14 @@
 	return len(cleared)
 }
 
+// joinNotice merges a notice of another node.
+func (s *Service) joinNotice(notice *quarantinepb.Notice, now time.Time) {
+	s.join(notice, now)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.takeOverAborted(notice.GetAbortedRuns(), now)
+}
+
 // evidenceMessage is any message between nodes that carries evidence.
 type evidenceMessage interface {
 	GetIncidents() []*quarantinepb.Incident
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -55,9 +55,9 @@
 
 // share sends new evidence to the other nodes: in a notice soon after it is learned and in the same notice again after
 // repeatDelay. Each refreshInterval it sends all evidence to one node. When the service stops, it sends what is still
-// queued: nobody else may have observed it.
+// queued and its aborted runs: nobody else may have observed them.
 func (s *Service) share() {
-	defer func() { s.sendAll(s.takeOutbox(clock.Now())) }()
+	defer func() { s.sendAll(s.noticeAtStop(clock.Now())) }()
 	refresh := time.NewTicker(refreshInterval)
 	defer refresh.Stop()
 	repeat := time.NewTimer(repeatDelay)
@@ -132,7 +132,7 @@
 
 // sendAll sends a notice to all other nodes that are not dead; an empty one is not sent.
 func (s *Service) sendAll(notice *quarantinepb.Notice) {
-	if len(notice.Incidents)+len(notice.Losses) == 0 {
+	if len(notice.Incidents)+len(notice.Losses)+len(notice.AbortedRuns) == 0 {
 		return
 	}
 	view := s.viewer.View()
