Quarantine, batch: a deferred run that the keeper allows decides on its item

Cause: its owner had deferred the deciding run until the replicas were stable; its keeper, of the build before, took the ends for those of other messages and allowed the run, without a grant. Only a granted run could decide, so that the end of this one rejected nothing and another deciding run followed.

Evidence: `keeper_decided_otherwise keeper_verdict=VERDICT_ALLOWED` 44 ms before the fourth end, which is listed as `granted=false deciding=false`; the fifth is `granted=true deciding=true`.

Change: a run that the keeper allows although this node suspects the message decides like a granted one. The owner asks once more whether to defer it, for any permit, so that an innocent item's run waits as before.

Figures: TestRunThatAnOldKeeperAllowsDecides failed before (apart at three nodes) and passes. TestItemThatIsAllowedIsStillDeferred, the innocent side, failed with the change in batch reverted. Tests of quarantine, batch, forward and node pass.

--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -163,7 +163,8 @@
 	if permit.Verdict() == quarantine.Rejected {
 		return itemRejected
 	}
-	if permit.Verdict() == quarantine.Apart && p.mustDeferAttempt(attempt, message) {
+	// The keeper may allow a message that this node suspects: the run must still be deferred if its end may reject the item.
+	if p.mustDeferAttempt(attempt, message) {
 		return itemNotSent
 	}
 	if !attempt.ensureAdmitted() {
--- a/internal/batch/item_deferred_test.go
+++ b/internal/batch/item_deferred_test.go
@@ -163,3 +163,32 @@
 		t.Errorf("the limit exceeds %d", maxDecidingRuns)
 	}
 }
+
+// unstableRegister allows all messages, but their next end rejects them, and no service is stable before its time.
+type unstableRegister struct {
+	*countingRegister
+	stableAt time.Time
+}
+
+// NextEndRejects implements quarantine.ItemRegister.
+func (u *unstableRegister) NextEndRejects(quarantine.Key) bool { return true }
+
+// Stable implements quarantine.ItemRegister.
+func (u *unstableRegister) Stable(string) bool { return !time.Now().Before(u.stableAt) }
+
+// TestItemThatIsAllowedIsStillDeferred guards innocent items: a run whose end may reject its item is deferred also if the keeper of the
+// message allows it, since that end counts as that of a deciding run.
+func TestItemThatIsAllowedIsStillDeferred(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const unstable = 4 * time.Second
+		register := &unstableRegister{countingRegister: newCountingRegister(3), stableAt: time.Now().Add(unstable)}
+		owner := startOwnerWithRegister(t, register, crashingScripts("", "a", "b"))
+		defer owner.stop()
+		owner.mustSubmit(t, testSubmission("j", 1))
+		time.Sleep(unstable - time.Second)
+		if got := countRequests(owner, "/p/j-0"); got != 0 {
+			t.Errorf("the item was sent %d times while its service was not stable, want none", got)
+		}
+		owner.results(t, "j", 1, 10*time.Second)
+	})
+}
--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -143,7 +143,9 @@
 		case quarantinepb.Verdict_VERDICT_GRANTED:
 			return s.grantedPermit(key, run, keeper)
 		case quarantinepb.Verdict_VERDICT_ALLOWED:
-			return s.permitAfterDecision(key, Allowed)
+			allowed := s.permitAfterDecision(key, Allowed)
+			allowed.allowedByKeeper = true
+			return allowed
 		case quarantinepb.Verdict_VERDICT_BUSY:
 		default:
 			return s.permitAfterDecision(key, Rejected)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -45,7 +45,7 @@
 	unseen bool
 	// item reports that the run was that of a batch item.
 	item bool
-	// deciding reports that the run was the deciding run of a batch item: granted although one more end may reject the
+	// deciding reports that the run was the deciding run of a batch item: made although one more end may reject the
 	// message, and deferred by the item's owner until few replicas ended.
 	deciding bool
 	// logged reports that the log of an item's owner has the end. Like origin, which is how this node learned of the end,
--- a/internal/quarantine/older_build_test.go
+++ b/internal/quarantine/older_build_test.go
@@ -28,6 +28,8 @@
 	cleared map[Key]map[replica.Key]bool
 	// granted holds the runs that it granted, in order.
 	granted []uint64
+	// explains makes the node allow each message, as if another message explained its ends.
+	explains bool
 }
 
 // startOldNode adds an old node to the cluster and to the views of all its nodes.
@@ -96,6 +98,8 @@
 		}
 	}
 	switch {
+	case o.explains:
+		return quarantinepb.Verdict_VERDICT_ALLOWED
 	case ended >= maxEndedReplicas:
 		return quarantinepb.Verdict_VERDICT_REJECTED
 	case ended == 0:
@@ -361,3 +365,33 @@
 		}
 	})
 }
+
+// TestRunThatAnOldKeeperAllowsDecides guards the bound of one replica more for an item that met three ends at owners of an older build:
+// its keeper, of that build, took the ends for those of other messages and allowed the run that the owner had deferred. The run had no
+// grant, so that its end decided nothing, and the item ended a replica more.
+func TestRunThatAnOldKeeperAllowsDecides(t *testing.T) {
+	inCluster(t, 3, 8, func(t *testing.T, c *cluster) {
+		old := startOldNode(t, c)
+		old.explains = true
+		owner, key := c.nodes[0], keptBy(t, c, old.member.ID)
+		for _, member := range c.nodes {
+			member.join(endsOfOldNode(key, 1, 2, 3), time.Now())
+		}
+		if owner.CheckItem(key) != Apart || !owner.NextEndRejects(key) {
+			t.Fatal("the owner does not defer the next run")
+		}
+		permit := owner.AdmitItem(t.Context(), key)
+		defer permit.Release()
+		if permit.Verdict() != Allowed {
+			t.Fatalf("verdict of the keeper is %s, want allowed", permit.Verdict())
+		}
+		handle := c.handle(owner, 0)
+		run := permit.Begin(handle, nil)
+		c.crash(handle, key)
+		run.End(t.Context(), Lost)
+		time.Sleep(50 * time.Millisecond)
+		for _, member := range c.nodes {
+			wantVerdict(t, member, key, Rejected)
+		}
+	})
+}
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -24,6 +24,8 @@
 	// grantedRun is the number of the run that the keeper granted; 0 if no grant was needed.
 	grantedRun uint64
 	keeper     membership.Member
+	// allowedByKeeper reports that the keeper allowed the message although this node suspects it.
+	allowedByKeeper bool
 	// replicaKey is the key of the replica at which the granted run is; 0 before it is sent. replicaChosen wakes the
 	// renewal, which reports the replica to the keeper.
 	replicaKey    atomic.Uint64
@@ -77,7 +79,7 @@
 	}
 	p.service.mutex.Lock()
 	defer p.service.mutex.Unlock()
-	started.deciding = started.granted && started.item && p.service.evidence.nextRunDecides(p.key)
+	started.deciding = started.item && (started.granted || p.allowedByKeeper) && p.service.evidence.nextRunDecides(p.key)
 	if p.service.runs[p.key] == nil {
 		p.service.runs[p.key] = map[*run]bool{}
 	}
@@ -100,7 +102,7 @@
 	granted   bool
 	// item reports that the run is that of a batch item.
 	item bool
-	// deciding reports that it is the deciding run of an item.
+	// deciding reports that it is the deciding run of an item, which its owner deferred by this node's evidence.
 	deciding bool
 	// progressed reports that the run produced events after which a further run resumes; reached is the number of
 	// events in the answer then.
