Quarantine: an aborted run is not forgotten at a first look at an end that is dated too late

A node that was paused after it broke a run off reads of the end of the run's replica late, and dates it beyond the two seconds for which the replica may work on the run. The run was dropped at that look, so that the corrected time of the end found no run to count.

Change: runs that an end does not concern by the time known of it are kept until they expire.

TestAbortedRunCountsOnceItsEndIsDated failed before (0 ends of 1) and passes; tests of quarantine and batch pass.

--- a/internal/quarantine/aborted.go
+++ b/internal/quarantine/aborted.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sloelift/sloelift/internal/clock"
@@ -72,16 +73,26 @@
 	}
 }
 
-// suspectAbortedRuns counts the end of a replica against the messages whose aborted runs may still have been there. The
-// mutex is held.
+// suspectAbortedRuns counts the end of a replica against the messages whose aborted runs may still have been there. Other
+// runs are kept: the time of the end may still be corrected. The mutex is held.
 func (s *Service) suspectAbortedRuns(ended replica.Key, endedAt time.Time) {
-	for _, aborted := range s.abortedRuns[ended] {
-		if endedAt.Before(aborted.until) && endedAt.After(aborted.run.startedAt) {
-			s.suspect(aborted.run, endedAt, endedAt.Sub(aborted.run.startedAt))
+	s.keepAbortedRuns(ended, func(aborted abortedRun) bool {
+		if !endedAt.Before(aborted.until) || !endedAt.After(aborted.run.startedAt) {
+			return true
 		}
+		s.suspect(aborted.run, endedAt, endedAt.Sub(aborted.run.startedAt))
+		return false
+	})
+}
+
+// keepAbortedRuns keeps those aborted runs at a replica for which keep returns true. The mutex is held.
+func (s *Service) keepAbortedRuns(replicaKey replica.Key, keep func(aborted abortedRun) bool) {
+	runs := s.abortedRuns[replicaKey]
+	kept := slices.DeleteFunc(runs, func(aborted abortedRun) bool { return !keep(aborted) })
+	s.abortedCount -= len(runs) - len(kept)
+	if s.abortedRuns[replicaKey] = kept; len(kept) == 0 {
+		delete(s.abortedRuns, replicaKey)
 	}
-	s.abortedCount -= len(s.abortedRuns[ended])
-	delete(s.abortedRuns, ended)
 }
 
 // expireAbortedRuns drops the aborted runs on which no replica works any more. It does so at most once per
@@ -91,16 +102,7 @@
 		return
 	}
 	s.expireAbortedAt = now.Add(abortedRunGrace)
-	for replicaKey, runs := range s.abortedRuns {
-		kept := runs[:0]
-		for _, aborted := range runs {
-			if now.Before(aborted.until.Add(abortedRunGrace)) {
-				kept = append(kept, aborted)
-			}
-		}
-		s.abortedCount -= len(runs) - len(kept)
-		if s.abortedRuns[replicaKey] = kept; len(kept) == 0 {
-			delete(s.abortedRuns, replicaKey)
-		}
+	for replicaKey := range s.abortedRuns {
+		s.keepAbortedRuns(replicaKey, func(aborted abortedRun) bool { return now.Before(aborted.until.Add(abortedRunGrace)) })
 	}
 }
--- a/internal/quarantine/aborted_test.go
+++ b/internal/quarantine/aborted_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
+	"github.com/sloelift/sloelift/internal/clock"
 )
 
 // TestRunThatWasCutOffMayStillEndItsReplica: a message runs at two replicas when one of them ends. The run at the other
@@ -108,3 +111,28 @@
 		})
 	}
 }
+
+// TestAbortedRunCountsOnceItsEndIsDated guards the bound of ended replicas: a node that was paused after it broke a run off reads late of
+// the end of the run's replica, and dates it too late at first. The run was forgotten at that first look.
+func TestAbortedRunCountsOnceItsEndIsDated(t *testing.T) {
+	inCluster(t, 1, 4, func(t *testing.T, c *cluster) {
+		member, item := c.nodes[0], keyOf("item")
+		handle := c.handle(member, 0)
+		member.AdmitItem(t.Context(), item).Begin(handle, nil).End(t.Context(), Aborted)
+		endedAt := clock.Now().Add(abortedRunGrace / 2)
+		other := newEvidenceStore()
+		other.add(handle.Key(), endedAt, keyOf("other"), itemRunWithoutEvents())
+		time.Sleep(abortedRunGrace + time.Second)
+		for _, read := range []struct {
+			at   time.Time
+			want int
+		}{{clock.Now(), 0}, {endedAt, 1}} {
+			member.join(&quarantinepb.Notice{Incidents: other.encodeAll(endedAt)}, read.at)
+			member.mutex.Lock()
+			if got := member.evidence.unseenEndCount(item); got != read.want {
+				t.Errorf("%d ends under the item are known, want %d", got, read.want)
+			}
+			member.mutex.Unlock()
+		}
+	})
+}
