Quarantine: an item is not granted beside a run that its paused keeper granted

Cause: its first keeper, an owner itself, was paused while it ran the item under its own grant. The next owner's request went to the next keeper, as the keeper did not answer and only one end was known. Two runs side by side led from one known end to three, without the deciding run that waits for stable replicas.

Evidence: runs at r-27 (granted, storage-1, from 05.033, paused) and r-35 (granted, storage-3, from 05.888); both found ended by 06.547; `message_rejected ended=3` with deciding=false in all three.

Change: an item asks its first keeper only and waits, as runs do that may reject their message. Requests are as before.

Figures: TestItemIsNotGrantedBesideAPausedKeeper failed before for the item (apart, want rejected while the keeper is paused) and passes; tests of quarantine, batch and forward pass.

--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -34,24 +34,24 @@
 var errNoKeeper = errors.New("no keeper was reached")
 
 // Admit implements Register.
-func (s *Service) Admit(ctx context.Context, key Key) Permit { return s.admit(ctx, key) }
+func (s *Service) Admit(ctx context.Context, key Key) Permit { return s.admit(ctx, key, false) }
 
 // AdmitItem implements ItemRegister.
 func (s *Service) AdmitItem(ctx context.Context, key Key) Permit {
-	admitted := s.admit(ctx, key)
+	admitted := s.admit(ctx, key, true)
 	admitted.item = true
 	return admitted
 }
 
 // admit returns the permit of a message. For a suspected message it first waits until it is decided whether it may run.
-func (s *Service) admit(ctx context.Context, key Key) *permit {
+func (s *Service) admit(ctx context.Context, key Key, item bool) *permit {
 	current, inquired := s.currentPermit(key)
 	if current.verdict == Allowed && !inquired {
 		return current
 	}
 	bounded, cancel := context.WithTimeout(ctx, maxAdmitWait)
 	defer cancel()
-	admitted := s.admitSuspect(bounded, key)
+	admitted := s.admitSuspect(bounded, key, item)
 	s.metrics.admitted.WithLabelValues(admitted.verdict.String()).Inc()
 	return admitted
 }
@@ -79,14 +79,14 @@
 }
 
 // admitSuspect waits until it is decided whether a suspected message may run.
-func (s *Service) admitSuspect(ctx context.Context, key Key) *permit {
+func (s *Service) admitSuspect(ctx context.Context, key Key, item bool) *permit {
 	for {
 		s.mutex.Lock()
 		verdict, inquired, waiting, changed := s.evidence.verdict(key), s.pendingInquiries[key] > 0, s.queues[key], s.changed
 		if !inquired && verdict == Apart && waiting == nil {
 			s.queues[key] = make(chan struct{})
 			s.mutex.Unlock()
-			return s.requestGrant(ctx, key)
+			return s.requestGrant(ctx, key, item)
 		}
 		if !inquired && verdict != Apart {
 			defer s.mutex.Unlock()
@@ -127,13 +127,13 @@
 
 // requestGrant asks the keeper until it grants the run or decides on the message, or ctx ends. The queue of the message
 // stays held until the permit is released.
-func (s *Service) requestGrant(ctx context.Context, key Key) *permit {
+func (s *Service) requestGrant(ctx context.Context, key Key, item bool) *permit {
 	// 0 is reserved for "no run".
 	run := max(1, rand.Uint64())
 	s.rememberRun(run)
 	pause := minBusyPause
 	for {
-		response, keeper, err := s.askKeepers(ctx, key, run)
+		response, keeper, err := s.askKeepers(ctx, key, run, item)
 		if err != nil {
 			s.logger.Info().Stringer("digest", key).Err(err).Msg("suspect_not_decided")
 			return s.permitAfterDecision(key, Rejected)
@@ -237,22 +237,23 @@
 }
 
 // askKeepers asks the keeper of a message for a grant. If it is not reached, the next nodes in rank are asked, unless
-// one more ended replica would reject the message: two keepers could each grant such a run.
-func (s *Service) askKeepers(ctx context.Context, key Key, run uint64) (*quarantinepb.GrantResponse, membership.Member, error) {
+// one more ended replica would reject the message: two keepers could each grant such a run. For an item they are not asked
+// either, since nobody waits for its answer: the keeper may be paused while a run that it granted is under way.
+func (s *Service) askKeepers(ctx context.Context, key Key, run uint64, item bool) (*quarantinepb.GrantResponse, membership.Member, error) {
 	view := s.viewer.View()
 	ranked := keepers(view, key)
 	if len(ranked) < 2 && len(view.Members) > 1 {
 		return nil, membership.Member{}, errNoKeeper
 	}
 	s.mutex.Lock()
-	nextEndRejects := s.evidence.nextEndRejects(key)
+	firstKeeperOnly := item || s.evidence.nextEndRejects(key)
 	s.mutex.Unlock()
 	remaining := maxKeepersTried
-	if nextEndRejects {
+	if firstKeeperOnly {
 		remaining = 1
 	}
 	for _, keeper := range ranked {
-		if !nextEndRejects && s.unreached.IsUnreached(keeper.PeerAddress, clock.Now()) {
+		if !firstKeeperOnly && s.unreached.IsUnreached(keeper.PeerAddress, clock.Now()) {
 			continue
 		}
 		if remaining--; remaining < 0 {
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -295,3 +295,44 @@
 		}
 	})
 }
+
+// TestItemIsNotGrantedBesideAPausedKeeper guards innocent items: their first keeper, an owner itself, was paused while it ran an item under
+// its own grant; the next keeper granted the next owner's run beside it, and replicas ended under both. An item waits until the members
+// know that its keeper is gone. A request, whose caller waits, does not.
+func TestItemIsNotGrantedBesideAPausedKeeper(t *testing.T) {
+	for name, test := range map[string]struct {
+		item bool
+		want Verdict
+	}{
+		"item":    {true, Rejected},
+		"request": {false, Apart},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, 4, 8, func(t *testing.T, c *cluster) {
+				key := keyOf("a")
+				c.nodes[0].Recall(key, recordedEnds(1), 0)
+				time.Sleep(50 * time.Millisecond)
+				paused, next := c.nodeOf(key, 0), c.nodeOf(key, 3)
+				admit := next.Admit
+				if test.item {
+					admit = next.AdmitItem
+				}
+				held := paused.AdmitItem(t.Context(), key)
+				defer held.Release()
+				held.Begin(c.handle(paused, 0), nil)
+				c.cut(paused)
+				permit := admit(t.Context(), key)
+				if permit.Verdict() != test.want {
+					t.Errorf("verdict beside the run of the paused keeper is %s, want %s", permit.Verdict(), test.want)
+				}
+				permit.Release()
+				c.agree()
+				permit = admit(t.Context(), key)
+				defer permit.Release()
+				if permit.Verdict() != Apart {
+					t.Errorf("verdict once the keeper is known to be gone is %s, want apart", permit.Verdict())
+				}
+			})
+		})
+	}
+}
