--- a/internal/quarantine/cleared_end_test.go
+++ b/internal/quarantine/cleared_end_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	quarantinepb "github.com/sloelift/sloelift/api/proto/quarantine"
 )
 
@@ -120,3 +122,42 @@
 		})
 	}
 }
+
+// TestSuspectsMergeInAnyOrder guards against nodes that judge the same ends differently, depending on whom they heard first.
+func TestSuspectsMergeInAnyOrder(t *testing.T) {
+	events := rapid.SampledFrom([]int{0, 28, 84, 120})
+	drawn := rapid.Custom(func(t *rapid.T) suspect {
+		known := rapid.Bool().Draw(t, "reachedKnown")
+		received := suspect{
+			runDuration:        time.Duration(rapid.IntRange(1, 4000).Draw(t, "ran")) * time.Millisecond,
+			clearedUpTo:        rapid.SampledFrom([]int{0, 45, 84, 140, entireAnswer}).Draw(t, "clearedUpTo"),
+			clearedUnqualified: rapid.Bool().Draw(t, "clearedUnqualified"),
+			item:               rapid.Bool().Draw(t, "item"),
+			expired:            known && rapid.Bool().Draw(t, "expired"),
+			granted:            rapid.Bool().Draw(t, "granted"),
+			deciding:           rapid.Bool().Draw(t, "deciding"),
+			unseen:             rapid.Bool().Draw(t, "unseen"),
+			reachedKnown:       known,
+			origin:             originShared,
+		}
+		if known {
+			received.reached = events.Draw(t, "reached")
+			received.progressed = received.reached > 0
+		}
+		return received
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		received := rapid.SliceOfN(drawn, 2, 5).Draw(t, "received")
+		merged, other := received[0], rapid.Permutation(received).Draw(t, "permutation")
+		for _, next := range received[1:] {
+			merged = merged.merge(next)
+		}
+		mergedOther := other[0]
+		for _, next := range other[1:] {
+			mergedOther = mergedOther.merge(next)
+		}
+		if merged != mergedOther || merged.cleared() != mergedOther.cleared() {
+			t.Errorf("the merged suspects differ with the order: %+v and %+v", merged, mergedOther)
+		}
+	})
+}
