Quarantine: suspects, incidents and the counting of ends in files of their own

Declarations are moved as they are; one local variable of markItem has a name that says what it holds. No behaviour changes.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -22,100 +21,6 @@
 	ageResolution = time.Millisecond
 )
 
-// suspect is a message in one incident: a run of it was under way when the replica ended, or may have been.
-type suspect struct {
-	// runDuration is the time from the start of the run to the end of the replica.
-	runDuration time.Duration
-	// clearedUpTo is the number of events that the message's answer had at a replica which did not end then: the message has
-	// not ended this replica at an earlier point. It is entireAnswer if the message has not ended it at any point.
-	clearedUpTo int
-	// clearedUnqualified reports that a node of an older build, which does not tell a point, cleared the message.
-	clearedUnqualified bool
-	// granted reports that the message was suspected before and ran under a keeper's grant.
-	granted bool
-	// progressed reports that the run produced events after which a further run resumes. reached is the number of
-	// events in the message's answer at that time, valid if reachedKnown is set.
-	progressed   bool
-	reached      int
-	reachedKnown bool
-	// expired reports that the run ended with its lease: the replica may have ended at any later point than reached, so that
-	// no progress of the answer shows that the message did not end it.
-	expired bool
-	// unseen reports that no node observed how the run ended.
-	unseen bool
-	// item reports that the run was that of a batch item.
-	item bool
-	// deciding reports that the run was the deciding run of a batch item: made although one more end may reject the
-	// message, and deferred by the item's owner until few replicas ended.
-	deciding bool
-	// logged reports that the log of an item's owner has the end. Like origin, which is how this node learned of the end,
-	// it is not sent to other nodes.
-	logged bool
-	origin origin
-}
-
-// origin is how a node learned that a replica ended under a message.
-type origin string
-
-const (
-	// originSeen: an inquiry of this node found that the replica had ended.
-	originSeen origin = "seen"
-	// originShared: another node reported it.
-	originShared origin = "shared"
-	// originRecalled: the log of the message's owner recorded it.
-	originRecalled origin = "recalled"
-	// originLapsed: it is assumed, because the grant of the run was not renewed.
-	originLapsed origin = "lapsed"
-)
-
-// unseenRunDuration is the assumed length of a run whose end this node did not observe. It is longer than a short run,
-// so that the end counts without being strong evidence.
-const unseenRunDuration = shortRunDuration + time.Second
-
-// unseenSuspect returns a suspect for a run whose end this node did not observe. The end of a recalled run was observed
-// by an earlier owner, so that it is not marked as unseen.
-func unseenSuspect(from origin) suspect {
-	return suspect{runDuration: unseenRunDuration, unseen: from == originLapsed, origin: from}
-}
-
-// entireAnswer stands for a number of events that no point of an answer exceeds.
-const entireAnswer = math.MaxUint32
-
-// cleared reports whether the message has been shown not to have ended this replica. It follows from what only grows when
-// evidence is merged, so that the order does not matter. A clearing without a point says nothing of a known point of an
-// item: it may stand for an earlier run at the same replica. An item that completed is not run again.
-func (s suspect) cleared() bool {
-	return s.clearedBy(s.clearedUpTo) || s.clearedUnqualified && !(s.item && s.reachedKnown)
-}
-
-// clearedBy reports whether an answer that had the given number of events at a replica that did not end shows that the
-// message has not ended this one.
-func (s suspect) clearedBy(events int) bool {
-	return events == entireAnswer || s.progressedPast(events)
-}
-
-// observed reports whether a node observed the end of the run. Nodes of older builds drop the mark of an unseen end when
-// they pass it on, so that only an end with known progress counts as observed.
-func (s suspect) observed() bool { return !s.unseen && s.reachedKnown }
-
-// assumed reports whether no node known to this one observed the end of the run.
-func (s suspect) assumed() bool { return s.origin == originRecalled || s.origin == originLapsed }
-
-// incident is the end of one incarnation of a replica.
-type incident struct {
-	replica replica.Key
-	// learnedAt is when the end of the replica was found: the earliest time that any node reported. A node that was paused
-	// finds an end, or reads of it, later than it happened.
-	learnedAt time.Time
-	// timeAssumed reports that no known node observed the time of the end; learnedAt is then an estimate.
-	timeAssumed bool
-	// service is the service of the replica; empty if unknown.
-	service  string
-	suspects map[Key]*suspect
-	// openSuspects is the number of suspects that are not cleared.
-	openSuspects int
-}
-
 // evidenceStore holds the known evidence about messages. Stores are merged by adding suspects and keeping the earliest
 // times, and what is known of a suspect only grows, so that the order of merging does not matter. It is not safe for
 // concurrent use.
@@ -155,20 +60,6 @@
 	return known
 }
 
-// correctTime merges a reported time of the incident and returns whether its time changed. An observed time replaces an
-// assumed one; of two times of the same kind the earlier one is kept, whichever arrives first. Differences below the
-// resolution of the messages are ignored.
-func (i *incident) correctTime(learnedAt time.Time, timeAssumed bool) bool {
-	switch {
-	case timeAssumed && !i.timeAssumed:
-		return false
-	case timeAssumed == i.timeAssumed && i.learnedAt.Sub(learnedAt) < ageResolution:
-		return false
-	}
-	i.learnedAt, i.timeAssumed = learnedAt, timeAssumed
-	return true
-}
-
 // addSuspect merges one suspect into a known incident. It returns whether anything changed.
 func (e *evidenceStore) addSuspect(known *incident, message Key, added suspect) bool {
 	added.runDuration = added.runDuration.Truncate(time.Millisecond)
@@ -195,46 +86,6 @@
 	return true
 }
 
-// replaceSuspect replaces what is known of a suspect of the incident.
-func (i *incident) replaceSuspect(message Key, replacement suspect) {
-	existing := i.suspects[message]
-	if !existing.cleared() {
-		i.openSuspects--
-	}
-	if !replacement.cleared() {
-		i.openSuspects++
-	}
-	*existing = replacement
-}
-
-// merge combines what two nodes know of the same run; the order does not matter. The shorter duration is kept: the
-// assumed duration of an unobserved run exceeds that of a short run, so that an observed short run prevails.
-func (s suspect) merge(other suspect) suspect {
-	merged := s
-	if s.assumed() {
-		merged.origin = other.origin
-	}
-	merged.runDuration = min(s.runDuration, other.runDuration)
-	merged.granted = s.granted || other.granted
-	merged.unseen = (s.unseen || other.unseen) && !s.observed() && !other.observed()
-	merged.item = s.item || other.item
-	merged.clearedUpTo = max(s.clearedUpTo, other.clearedUpTo)
-	merged.clearedUnqualified = s.clearedUnqualified || other.clearedUnqualified
-	merged.progressed = s.progressed || other.progressed
-	merged.reached = max(s.reached, other.reached)
-	merged.reachedKnown = s.reachedKnown || other.reachedKnown
-	merged.deciding = s.deciding || other.deciding
-	merged.expired = s.expired || other.expired
-	merged.logged = s.logged || other.logged
-	return merged
-}
-
-// progressedPast reports whether an answer with the given number of events has clearly progressed past the point at
-// which the replica ended.
-func (s suspect) progressedPast(events int) bool {
-	return s.reachedKnown && !s.expired && events > s.reached+progressMarginEvents
-}
-
 // clear marks the message as not responsible for the open incidents that are ruled out by an answer with the given number
 // of events at a replica that did not end, and returns these incidents.
 func (e *evidenceStore) clear(message Key, events int) []*incident {
@@ -248,13 +99,6 @@
 	return cleared
 }
 
-// clear marks a suspect as not responsible for the incident up to the given number of events.
-func (i *incident) clear(message Key, events int) {
-	cleared := *i.suspects[message]
-	cleared.clearedUpTo = max(cleared.clearedUpTo, events)
-	i.replaceSuspect(message, cleared)
-}
-
 // openIncidents returns the incidents in which the message is a suspect that is not cleared, ordered by time.
 func (e *evidenceStore) openIncidents(message Key) []*incident {
 	var found []*incident
@@ -280,9 +124,9 @@
 	var marked []*incident
 	for _, end := range ends {
 		if suspected := end.suspects[message]; !suspected.item && (!suspected.reachedKnown || suspected.logged) {
-			item := *suspected
-			item.item = true
-			end.replaceSuspect(message, item)
+			ofItem := *suspected
+			ofItem.item = true
+			end.replaceSuspect(message, ofItem)
 			marked = append(marked, end)
 		}
 	}
