Quarantine: a run that is taken over from a node that stops is logged by its loss keepers only

The two loss keepers, which inquire into the replica, are those whose lines tell what follows. No other behaviour changes.

--- a/internal/quarantine/handover.go
+++ b/internal/quarantine/handover.go
@@ -66,10 +66,10 @@
 		if !s.addAborted(aborted, now, now.Add(remaining)) {
 			continue
 		}
-		s.logger.Info().Stringer("digest", key).Str(logging.FieldReplica, handle.Info().ID).Dur("remaining", remaining).Msg("aborted_run_taken_over")
 		if end := s.evidence.incidents[handle.Key()]; end != nil {
 			s.suspectAbortedRuns(handle.Key(), end.learnedAt)
 		} else if isLossKeeper(s.viewer.View(), key) {
+			s.logger.Info().Stringer("digest", key).Str(logging.FieldReplica, handle.Info().ID).Dur("remaining", remaining).Msg("aborted_run_taken_over")
 			s.startInquiryAfterAbort(handle)
 		}
 	}
