Batch, ledger: log lines that tell where the time of a submission goes

Now submission_received says how long the body took to arrive, job_submitted and job_not_accepted how long the owner was asked, submission_retried why a try failed, job_accepted how long the append took, partition_loaded what an owner read before it served and for how long. No logic changes.

--- a/internal/batch/client.go
+++ b/internal/batch/client.go
@@ -102,10 +102,14 @@
 	}
 	request := &batchpb.SubmitRequest{Partition: partition, Submission: submission, MaxWaitingTokens: matched.MaxWaitingTokens}
 	response := &batchpb.SubmitResponse{}
-	if err := c.call(ctx, methodSubmit, request, response, submitTimeout, tryTimeout); err != nil {
-		c.logger.Info().Str(logging.FieldJob, submission.JobId).Err(err).Msg("job_not_accepted")
+	began := clock.Now()
+	err = c.call(ctx, methodSubmit, request, response, submitTimeout, tryTimeout)
+	event := c.logger.Info().Str(logging.FieldJob, submission.JobId).Uint32(logging.FieldPartition, partition).Dur("took", clock.Since(began)).Err(err)
+	if err != nil {
+		event.Msg("job_not_accepted")
 		return err
 	}
+	event.Msg("job_submitted")
 	if response.OverQuota {
 		return outcome.New(outcome.NotRun, outcome.ReasonRateLimited, "too many tokens wait").After(retryAfterFull)
 	}
@@ -160,6 +164,9 @@
 		if !retryable(failure) {
 			return failure
 		}
+		if method == methodSubmit {
+			c.logger.Info().Uint32(logging.FieldPartition, request.GetPartition()).Err(failure).Msg("submission_retried")
+		}
 		if !pause.Sleep(ctx, backoff.Next()) || !hasTimeLeft(ctx, minTryTime) {
 			result := outcome.NotRun
 			if mayHaveRun {
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/outcome"
@@ -98,13 +99,15 @@
 		close(pending.done)
 		return pending
 	}
+	began := clock.Now()
 	p.background.Go(func() {
 		err := p.propose(p.ctx, acceptanceRecords(submission, p.now().UnixMilli())...)
 		p.mutex.Lock()
 		p.reserved[quotaOf(submission)] -= tokensOf(submission)
 		delete(p.submitting, submission.JobId)
 		p.mutex.Unlock()
-		p.logger.Info().Str(logging.FieldJob, submission.JobId).Int("items", len(submission.Items)).Err(err).Msg("job_accepted")
+		p.logger.Info().Str(logging.FieldJob, submission.JobId).Int("items", len(submission.Items)).
+			Dur("took", clock.Since(began)).Err(err).Msg("job_accepted")
 		pending.err = err
 		close(pending.done)
 	})
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -164,6 +164,9 @@
 	auth := AuthenticatedRequest{Table: table, Route: matched, Tenant: holder}
 	deadline := callerDeadline(request, h.headers.Deadline, matched, arrived)
 	body, whole := h.receiveBody(writer, request, auth, deadline)
+	if matched.Kind == route.Batch {
+		h.logSubmission(request, body, whole, clock.Since(arrived))
+	}
 	switch {
 	case !whole:
 	case matched.Kind == route.Batch:
@@ -173,6 +176,12 @@
 	}
 }
 
+// logSubmission logs how long the body of a submission took to arrive, whole or not.
+func (h *Handler) logSubmission(request *http.Request, body []byte, whole bool, took time.Duration) {
+	h.logger.Info().Str(logging.FieldRequest, request.Header.Get(h.headers.RequestID)).Int("bytes", len(body)).Bool("whole", whole).
+		Dur("took", took).Msg("submission_received")
+}
+
 // receiveBody reads the whole body until deadline. It answers a request whose body cannot be read; whole is false then.
 func (h *Handler) receiveBody(writer http.ResponseWriter, request *http.Request, auth AuthenticatedRequest, deadline time.Time) (body []byte, whole bool) {
 	// The deadline keeps a sender that stalls from holding the connection for ever. An error of SetReadDeadline is ignored: the
--- a/internal/ledger/ownership_machine.go
+++ b/internal/ledger/ownership_machine.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/ledger/wire"
 	"github.com/sloelift/sloelift/internal/outcome"
@@ -25,7 +26,12 @@
 	defer o.tasks.Done()
 	machine := o.factory(o.partition)
 	defer machine.Stop()
-	if err := o.load(o.ctx, machine, last); err != nil {
+	began := clock.Now()
+	loaded, err := o.load(o.ctx, machine, last)
+	o.logger.Info().Stringer(fieldBallot, o.view.Load().ballot).Uint64(fieldPosition, uint64(last)).Dur("took", clock.Since(began)).
+		Int("snapshot_bytes", loaded.snapshotBytes).Int("records", loaded.records).Int("record_bytes", loaded.recordBytes).
+		Err(err).Msg("partition_loaded")
+	if err != nil {
 		if o.ctx.Err() == nil {
 			o.logger.Warn().Err(err).Msg("partition_load_failed")
 		}
@@ -50,29 +56,37 @@
 	}
 }
 
+// loadedState is the amount that was read to restore a state machine.
+type loadedState struct {
+	snapshotBytes, records, recordBytes int
+}
+
 // load restores the latest snapshot and applies the records after it.
-func (o *ownership) load(ctx context.Context, machine StateMachine, last Position) error {
+func (o *ownership) load(ctx context.Context, machine StateMachine, last Position) (loadedState, error) {
 	info, state, err := o.latestSnapshot(ctx)
+	loaded := loadedState{snapshotBytes: len(state)}
 	if err != nil {
-		return err
+		return loaded, err
 	}
 	if err := machine.Restore(state); err != nil {
-		return err
+		return loaded, err
 	}
 	for from := info.UpTo + 1; from <= last; {
 		entries, err := o.readRange(ctx, from, last, fetchBytes)
 		if err != nil {
-			return err
+			return loaded, err
 		}
 		for _, entry := range entries {
 			if err := machine.Apply(entry.Position, entry.Record); err != nil {
-				return err
+				return loaded, err
 			}
 		}
 		from += Position(len(entries))
+		loaded.records += len(entries)
+		loaded.recordBytes += payloadBytes(entries)
 		o.appendedRecords.Add(int64(len(entries)))
 	}
-	return nil
+	return loaded, nil
 }
 
 // latestSnapshot returns the newest snapshot, from the first store that can read it; nil if there is none.
