--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -33,6 +33,8 @@
 	lost    chan struct{}
 	// full makes HasRoom report that only the stores' reserve is left.
 	full bool
+	// bytesPerSecond is the rate at which records reach the stores; zero for no bound.
+	bytesPerSecond int
 }
 
 func (o *fakeOwned) AppendReserved(ctx context.Context, records []ledger.Record) (ledger.Position, error) {
@@ -48,7 +50,7 @@
 func (o *fakeOwned) Partition() ledger.PartitionID { return 0 }
 
 func (o *fakeOwned) Append(ctx context.Context, records []ledger.Record) (ledger.Position, error) {
-	time.Sleep(time.Millisecond)
+	time.Sleep(time.Millisecond + o.transferTime(records))
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	for o.blocked && ctx.Err() == nil {
@@ -66,6 +68,17 @@
 	return ledger.Position(len(o.records) - len(records) + 1), nil
 }
 
+func (o *fakeOwned) transferTime(records []ledger.Record) time.Duration {
+	if o.bytesPerSecond == 0 {
+		return 0
+	}
+	bytes := 0
+	for _, record := range records {
+		bytes += len(record.Payload)
+	}
+	return time.Duration(bytes) * time.Second / time.Duration(o.bytesPerSecond)
+}
+
 func (o *fakeOwned) Read(context.Context, ledger.Position, int) ([]ledger.Record, error) {
 	return nil, nil
 }
--- /dev/null
+++ b/internal/ledger/takeover_test.go
@@ -0,0 +1,155 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
+	"github.com/sloelift/sloelift/internal/membership"
+	"github.com/sloelift/sloelift/internal/transport/memory"
+)
+
+// newSmallMachineCluster returns a cluster of storage nodes with the timing that nodes of a platform use.
+func newSmallMachineCluster(t *testing.T, seed uint64, stores int) *cluster {
+	c := newCluster(t, seed)
+	c.ledger.Replicas, c.ledger.WriteQuorum, c.ledger.OwnersOnStores = 5, 4, true
+	c.ledger.MembersDecide = true
+	c.timing.Request, c.timing.Check, c.timing.Tick = time.Second, 100*time.Millisecond, 250*time.Millisecond
+	c.timing.OwnerSilence, c.timing.SuspectRelease = 800*time.Millisecond, 300*time.Millisecond
+	c.timing.MaxBackoff, c.timing.MinTenure, c.timing.MemberWait = time.Second, time.Minute, 600*time.Millisecond
+	for range stores {
+		c.add(true)
+	}
+	return c
+}
+
+// TestEmptyStoreDoesNotTakeOver checks that a node whose disk was lost does not own the partition again while other
+// nodes have its records: it would have to read all of them over the network before it serves.
+func TestEmptyStoreDoesNotTakeOver(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSmallMachineCluster(t, seed, 7)
+				defer c.stopAll()
+				acknowledged := []string{c.put(0, "before")}
+				former := c.owner(0)
+				c.loseDisk(former)
+				owner := c.owner(0)
+				if owner == former {
+					t.Errorf("%s owns the partition again with an empty disk", former.id)
+				}
+				acknowledged = append(acknowledged, c.put(0, "after"))
+				c.check(0, acknowledged)
+			})
+		})
+	}
+}
+
+// TestTakeoverAttemptsDoNotEndEachOther checks that a partition whose owner is paused gets a new one soon although
+// several nodes try to own it and each attempt takes a while, since the links are slow.
+func TestTakeoverAttemptsDoNotEndEachOther(t *testing.T) {
+	const slowLink = 60 * time.Millisecond
+	for seed := uint64(1); seed <= 8; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSmallMachineCluster(t, seed, 12)
+				defer c.stopAll()
+				acknowledged := []string{c.put(0, "before")}
+				paused := c.owner(0)
+				c.network.SetConditions(func(netip.AddrPort, netip.AddrPort) memory.Conditions {
+					return memory.Conditions{Delay: slowLink, Jitter: slowLink}
+				})
+				time.Sleep(2 * time.Second)
+				paused = c.owner(0)
+				before := c.log.size()
+				c.network.Pause(paused.address)
+				all := c.nodes
+				c.nodes = without(all, paused)
+				began := time.Now()
+				acknowledged = append(acknowledged, c.put(0, "meanwhile"))
+				took := time.Since(began)
+				released := strings.Count(c.log.since(before), "cause=released")
+				if took > 3*time.Second || released > 0 {
+					t.Errorf("the partition had no owner for %s, and %d attempts were ended by others", took, released)
+				}
+				c.network.Resume(paused.address)
+				c.network.SetConditions(normalConditions)
+				c.nodes = all
+				c.check(0, acknowledged)
+			})
+		})
+	}
+}
+
+func without(nodes []*testNode, excluded *testNode) []*testNode {
+	var kept []*testNode
+	for _, node := range nodes {
+		if node != excluded {
+			kept = append(kept, node)
+		}
+	}
+	return kept
+}
+
+// TestAttemptInProgressIsNotReleased checks that a node that recovers a partition declines to release it to another
+// one, but releases it once the attempt has lasted for longer than a request may.
+func TestAttemptInProgressIsNotReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSmallMachineCluster(t, 1, 5)
+		defer c.stopAll()
+		acknowledged := []string{c.put(0, "before")}
+		former := c.owner(0)
+		c.stop(former)
+		c.view.change(former.id, func(member *membership.Member) { member.State = membership.Dead })
+		c.nodes = without(c.nodes, former)
+		attempting, asking := c.attemptWithoutAnswers(0)
+		release := func() bool {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			request := &ledgerpb.ReleaseRequest{Partition: 0, Successor: string(asking.id)}
+			response := &ledgerpb.ReleaseResponse{}
+			if err := asking.transport.Call(ctx, attempting.address, methodRelease, request, response); err != nil {
+				t.Fatal(err)
+			}
+			return response.Released
+		}
+		if release() {
+			t.Error("an attempt that has just begun is released")
+		}
+		time.Sleep(c.timing.Request)
+		if !release() {
+			t.Error("an attempt that makes no progress is not released")
+		}
+		c.network.SetConditions(normalConditions)
+		c.check(0, acknowledged)
+	})
+}
+
+// attemptWithoutAnswers waits until a node asks the stores to promise, which they then do not hear. It returns that node
+// and another one.
+func (c *cluster) attemptWithoutAnswers(partition PartitionID) (attempting, other *testNode) {
+	c.t.Helper()
+	for {
+		for _, node := range c.nodes {
+			ownership, present := node.manager.ownership(partition)
+			if !present || ownership.serving.Load() {
+				continue
+			}
+			c.network.SetConditions(func(from, to netip.AddrPort) memory.Conditions {
+				// Only the node that is asked to release answers.
+				return memory.Conditions{Delay: linkDelay, Cut: from == node.address && to != c.nodes[0].address && to != c.nodes[1].address}
+			})
+			for _, asking := range c.nodes[:2] {
+				if asking != node {
+					return node, asking
+				}
+			}
+		}
+		time.Sleep(100 * time.Microsecond)
+	}
+}
