--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -245,6 +245,13 @@
 	return view.waitingSince.IsZero() || now.Sub(view.waitingSince) < o.timing.Request
 }
 
+// recovering reports whether the attempt to own the partition began within Timing.Request and has not recovered the log
+// yet. Each attempt starts the recovery anew, so that nodes which take the partition from one another before that leave
+// it without an owner.
+func (o *ownership) recovering(now time.Time) bool {
+	return !o.serving.Load() && now.Sub(o.began) < o.timing.Request
+}
+
 // inContact reports whether the owner reaches a write quorum of its stores and no append has been pending for
 // Timing.Request.
 func (o *ownership) inContact(now time.Time) bool {
