Ledger: a node that has the records owns a partition before one that would have to read them

Cause: the owner was chosen by rank among live nodes with a store, whatever the store held. A node whose disk was lost came back under its name, ranked highest again and took the partition. It read 21 MB of records from other stores, and once more to fill its own ('partition_loaded record_bytes= took=4620'); nothing is accepted meanwhile.

Change: where owners are nodes with a store, full members of the ensemble, under the incarnation of their disk, rank before all others. If none is alive, the choice is as before. The node takes part again once its store has caught up and is a full member.

--- a/internal/ledger/confined_formation.go
+++ b/internal/ledger/confined_formation.go
@@ -35,7 +35,7 @@
 			m.reportDurable(partition)
 			continue
 		}
-		owner, found := preferredOwner(view, partition, m.ownersOf(partition))
+		owner, found := m.preferredOwner(view, partition)
 		switch {
 		case !found:
 			m.reportNotDurable(partition, regions, 0)
--- a/internal/ledger/locator.go
+++ b/internal/ledger/locator.go
@@ -98,7 +98,7 @@
 			return member.PeerAddress.String(), true
 		}
 	}
-	if preferred, ok := preferredOwner(view, partition, m.ownersOf(partition)); ok {
+	if preferred, ok := m.preferredOwner(view, partition); ok {
 		return preferred.PeerAddress.String(), true
 	}
 	return "", false
@@ -122,7 +122,7 @@
 	if hint, known := m.hints.get(partition); known {
 		candidates = append(candidates, hint)
 	}
-	if preferred, ok := preferredOwner(view, partition, m.ownersOf(partition)); ok {
+	if preferred, ok := m.preferredOwner(view, partition); ok {
 		candidates = append(candidates, preferred.ID)
 	}
 	if owner := m.firstOwner(ctx, view, partition, candidates); owner != "" {
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -229,7 +229,7 @@
 // checkPartition starts the work that is due for one partition. It runs on the control goroutine.
 func (m *Manager) checkPartition(partition PartitionID, view *membership.View, now time.Time) {
 	control := m.control(partition)
-	preferred, ok := preferredOwner(view, partition, m.ownersOf(partition))
+	preferred, ok := m.preferredOwner(view, partition)
 	preferredHere := ok && preferred.ID == m.self
 	control.overdue = !preferredHere && m.ownerSilent(partition, control, now)
 	if (preferredHere || control.overdue) && !control.attempting && !now.Before(control.nextTry) && !m.awaitingMembers(partition, view, now) {
--- a/internal/ledger/manager_test.go
+++ b/internal/ledger/manager_test.go
@@ -32,7 +32,7 @@
 		c.check(0, acknowledged)
 		c.start(owner)
 		c.eventually("the preferred owner takes over", func() bool {
-			preferred, _ := preferredOwner(nodeViewer{c.view, owner.id}.View(), 0, func(*membership.Member) bool { return true })
+			preferred, _ := highestRanked(nodeViewer{c.view, owner.id}.View(), 0, func(*membership.Member) bool { return true })
 			return c.owner(0).id == preferred.ID
 		})
 		c.check(0, acknowledged)
--- a/internal/ledger/rendezvous.go
+++ b/internal/ledger/rendezvous.go
@@ -24,9 +24,9 @@
 // memberFilter reports whether a member may own partitions.
 type memberFilter func(member *membership.Member) bool
 
-// preferredOwner returns the member that should own partition, among those that are alive and not suspected; ok is
+// highestRanked returns the member that ranks highest for partition among the allowed ones that are alive and not suspected; ok is
 // false if there is none. A suspected owner is asked before it is replaced, and declines if it is healthy.
-func preferredOwner(view *membership.View, partition PartitionID, allowed memberFilter) (preferred membership.Member, ok bool) {
+func highestRanked(view *membership.View, partition PartitionID, allowed memberFilter) (preferred membership.Member, ok bool) {
 	var highest uint64
 	for index := range view.Members {
 		member := &view.Members[index]
@@ -40,6 +40,28 @@
 	return preferred, ok
 }
 
+// preferredOwner returns the member that should own the partition; ok is false if there is none. A member that has the
+// partition's records goes before one that would first have to read them over the network.
+func (m *Manager) preferredOwner(view *membership.View, partition PartitionID) (preferred membership.Member, ok bool) {
+	allowed := m.ownersOf(partition)
+	if holder, found := highestRanked(view, partition, m.holdersOf(partition, allowed)); found {
+		return holder, true
+	}
+	return highestRanked(view, partition, allowed)
+}
+
+// holdersOf narrows allowed to the nodes whose store has the records of the partition, if owners are nodes with a store.
+func (m *Manager) holdersOf(partition PartitionID, allowed memberFilter) memberFilter {
+	ensemble, known := m.directory.ensemble(partition)
+	if !m.settings.OwnersOnStores || !known {
+		return allowed
+	}
+	return func(member *membership.Member) bool {
+		held, found := ensemble.Find(protocol.StoreID(member.StoreIncarnation))
+		return found && !held.Joining && allowed(member)
+	}
+}
+
 // storesOf returns the live members that have a store.
 func storesOf(view *membership.View) []membership.Member {
 	var stores []membership.Member
--- a/internal/ledger/serve_owner.go
+++ b/internal/ledger/serve_owner.go
@@ -30,7 +30,7 @@
 	if !present {
 		return &ledgerpb.ReleaseResponse{Released: true}, nil
 	}
-	preferred, _ := preferredOwner(m.viewer.View(), partition, m.ownersOf(partition))
+	preferred, _ := m.preferredOwner(m.viewer.View(), partition)
 	now := clock.Now()
 	withinMinTenure := now.Sub(ownership.began) < m.timing.MinTenure
 	if (string(preferred.ID) != request.Successor || withinMinTenure) && !m.leaving.Load() && (ownership.healthy(now) || ownership.recovering(now)) {
