Batch: checkpoints are appended in bounded parts, spread over the interval

Cause: every 1.5 s the text of all running items was appended at once. With 500 items that is 1.3 to 1.6 MB to each of four other stores, which occupies an owner's link of 120 Mbit/s for 0.4 s. A submission, its answer, and whatever shows that the owner is alive wait behind it.

Change: each item is due 1.5 s after its last checkpoint, the first time after a random part of that, and one append has 64 KB of due text at most. A planned end logs all at once, as before.

Evidence: TestSubmissionWaitsBehindCheckpoints failed before with 308 ms (aim: 100 ms) and passes; TestCheckpointInPartsLogsEachItemInTime checks that the text of 500 items that start together is still in the log in time.

--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -73,6 +73,8 @@
 	rewritten bool
 	// logged is the length of the part of text that is in the log or being appended.
 	logged int
+	// checkpointDue is when the text is to be logged next, since the partition's start.
+	checkpointDue time.Duration
 	// finishing is true while the item's result is being appended.
 	finishing bool
 	// failures counts the runs that a replica answered with a failure of its own, including those under earlier owners.
--- a/internal/batch/item_origin_test.go
+++ b/internal/batch/item_origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -218,7 +219,7 @@
 		run.text, run.lastEvent, run.origin = []byte("new"), "1", replica.Origin{Service: "s", Version: "v1"}
 		owner.mutex.Unlock()
 		owner.forgetUnlogged([]itemKey{key})
-		_, logged := owner.unloggedProgress()
+		_, logged := owner.unloggedProgress(func(*itemRun) bool { return true }, math.MaxInt)
 		if len(logged) != 1 || logged[0].Kind != ledger.KindBatchRewritten {
 			t.Fatalf("records %v, want the whole text", logged)
 		}
--- a/internal/batch/item_run.go
+++ b/internal/batch/item_run.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 
 	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -14,6 +15,8 @@
 		return
 	}
 	r.startedWithText = len(r.text) > 0
+	// Items that start together are not logged together.
+	r.checkpointDue = r.startedAt + rand.N(checkpointInterval)
 }
 
 // countStart counts the items in time that were started since the last late one. The mutex is held.
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -128,7 +128,7 @@
 		}
 	}
 	p.mutex.Unlock()
-	p.checkpoint(ctx)
+	p.checkpointAll(ctx)
 }
 
 // wake makes the dispatcher check for work without waiting for its interval.
