Batch: wake-ups of the dispatcher share a plan

Cause: the owner planned all unlisted items anew at each wake-up: at each append and each run that ends.

Change: while items wait, a plan is made at most every 20 ms; further wake-ups share the next one. An idle owner dispatches at once. batch_state has the number of plans.

--- a/internal/batch/dispatch_view.go
+++ b/internal/batch/dispatch_view.go
@@ -66,7 +66,7 @@
 		startLimit, keepLimit, _ := p.service.itemLimits(service, now)
 		p.logger.Info().Str("service", service).Int("waiting", waiting).Int("running", count).
 			Int("begin", startLimit).Int("keep", keepLimit).Int("online", p.service.fleet.OthersLoad(service, now).Online()).
-			Int("late", late).Float64("capacity", capacity).Int64("kept_bytes", kept).Int64("yielded", p.preemptions.Load()).
+			Int("late", late).Float64("capacity", capacity).Int64("kept_bytes", kept).Int64("yielded", p.preemptions.Load()).Int64("plans", p.plans.Load()).
 			Msg("batch_state")
 	}
 }
--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -8,6 +8,7 @@
 	"github.com/sloelift/sloelift/internal/balance"
 	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/pause"
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
@@ -17,6 +18,8 @@
 	// dispatchInterval is how often room for items is checked while items wait, idleInterval while none does.
 	dispatchInterval = 40 * time.Millisecond
 	idleInterval     = time.Second
+	// minPlanInterval is the least time between two plans: each goes through all unlisted items.
+	minPlanInterval = 20 * time.Millisecond
 	// loadPollInterval is how often replicas are asked for their load while items wait; loadPollTimeout bounds one answer.
 	loadPollInterval = 300 * time.Millisecond
 	loadPollTimeout  = 500 * time.Millisecond
@@ -111,6 +114,7 @@
 	defer timer.Stop()
 	var polledAt, reportedAt, reportedStalledAt time.Duration
 	for {
+		plannedAt := p.elapsed()
 		waiting := p.dispatch()
 		p.checkOwnership()
 		p.interruptOutsideHomes()
@@ -122,21 +126,24 @@
 			reportedStalledAt = now
 			p.reportStalled()
 		}
-		pause := idleInterval
+		interval, earliest := idleInterval, time.Duration(0)
 		if waiting {
-			pause = dispatchInterval
+			interval, earliest = dispatchInterval, plannedAt+minPlanInterval
 			if now := p.elapsed(); now-polledAt >= loadPollInterval {
 				polledAt = now
 				p.pollLoads()
 			}
 		}
-		timer.Reset(pause)
+		timer.Reset(interval)
 		select {
 		case <-timer.C:
 		case <-p.woken:
 		case <-p.ctx.Done():
 			return
 		}
+		if !pause.Sleep(p.ctx, earliest-p.elapsed()) {
+			return
+		}
 	}
 }
 
--- a/internal/batch/item_order.go
+++ b/internal/batch/item_order.go
@@ -95,6 +95,7 @@
 			break
 		}
 	}
+	p.plans.Add(1)
 	markLate(found, p.now(), p.service.capacity.slots())
 	p.storeLateness(found)
 	waiting := slices.DeleteFunc(found, func(item candidate) bool { return item.running })
--- a/internal/batch/partition.go
+++ b/internal/batch/partition.go
@@ -37,6 +37,8 @@
 	woken       chan struct{}
 	// preemptions counts the runs that were cut off to make room.
 	preemptions atomic.Int64
+	// plans counts how often the order of the items was planned.
+	plans atomic.Int64
 
 	// textMutex is held while records with parts of items' texts are built and enqueued, so that the parts reach the log in order.
 	// It is acquired before mutex, and never by the appender.
