--- a/internal/batch/checkpoint.go
+++ b/internal/batch/checkpoint.go
@@ -17,7 +17,7 @@
 	// checkpointCheckInterval is how often it is checked which items are due.
 	checkpointCheckInterval = 50 * time.Millisecond
 	// checkpointBytes bounds the records of one append, since a submission waits for the append before it.
-	checkpointBytes = 64 << 10
+	checkpointBytes = 128 << 10
 )
 
 func (p *partition) runCheckpoints() {
--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -19,7 +19,7 @@
 	dispatchInterval = 40 * time.Millisecond
 	idleInterval     = time.Second
 	// minPlanInterval is the least time between two plans: each goes through all unlisted items.
-	minPlanInterval = 20 * time.Millisecond
+	minPlanInterval = 25 * time.Millisecond
 	// loadPollInterval is how often replicas are asked for their load while items wait; loadPollTimeout bounds one answer.
 	loadPollInterval = 300 * time.Millisecond
 	loadPollTimeout  = 500 * time.Millisecond
