--- a/internal/batch/item_run.go
+++ b/internal/batch/item_run.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/sloelift/sloelift/internal/region"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -49,34 +50,50 @@
 	run.runTime += p.elapsed() - run.startedAt
 }
 
-// leastUrgentRun returns the run to preempt first at the replicas of service in homes that may go on with a text of the given origin, zero for
-// none: a late one before one that can be in time, then the one due last, then the one that started last. The mutex is held.
-func (p *partition) leastUrgentRun(service string, homes region.Set, origin replica.Origin) (least itemKey, run *itemRun) {
-	var worst candidate
-	for key, other := range p.runs {
-		if !other.running || other.interrupted || other.finishing || other.handle == nil || other.handle.Info().Service != service {
+// preemptibleRun is a running item that may be preempted.
+type preemptibleRun struct {
+	key   itemKey
+	run   *itemRun
+	rated candidate
+}
+
+// comparePreemptible orders runs by which is to be preempted first: a late one before one that can be in time, then the one due last,
+// then the one that started last.
+func comparePreemptible(a, b preemptibleRun) int {
+	if order := compareCandidates(b.rated, a.rated); order != 0 {
+		return order
+	}
+	return cmp.Compare(b.run.startedAt, a.run.startedAt)
+}
+
+// preemptibleRuns returns the running items at the replicas of service in homes that may go on with a text of the given origin, zero for
+// none, in no order. The mutex is held.
+func (p *partition) preemptibleRuns(service string, homes region.Set, origin replica.Origin) []preemptibleRun {
+	var found []preemptibleRun
+	for key, run := range p.runs {
+		if !run.running || run.interrupted || run.finishing || run.handle == nil || run.handle.Info().Service != service {
 			continue
 		}
-		if other.handle.Evacuated() {
+		if run.handle.Evacuated() {
 			// It ends without being preempted, and preempting it frees no room at the remaining replicas.
 			continue
 		}
-		if !p.service.picker.InAllowedRegion(homes, other.handle) || !origin.IsZero() && !origin.MayContinueAt(other.handle) {
+		if !p.service.picker.InAllowedRegion(homes, run.handle) || !origin.IsZero() && !origin.MayContinueAt(run.handle) {
 			continue
 		}
-		rated := runAsCandidate(other)
-		if run == nil || compareRuns(rated, other, worst, run) > 0 {
-			least, run, worst = key, other, rated
-		}
+		found = append(found, preemptibleRun{key: key, run: run, rated: runAsCandidate(run)})
 	}
-	return least, run
+	return found
 }
 
-func compareRuns(a candidate, aRun *itemRun, b candidate, bRun *itemRun) int {
-	if order := compareCandidates(a, b); order != 0 {
-		return order
+// leastUrgentRun returns the run to preempt first, zero if there is none. The mutex is held.
+func (p *partition) leastUrgentRun(service string, homes region.Set, origin replica.Origin) (itemKey, *itemRun) {
+	runs := p.preemptibleRuns(service, homes, origin)
+	if len(runs) == 0 {
+		return itemKey{}, nil
 	}
-	return cmp.Compare(aRun.startedAt, bRun.startedAt)
+	least := slices.MinFunc(runs, comparePreemptible)
+	return least.key, least.run
 }
 
 // runAsCandidate returns a running item as a candidate, to compare it with others. The partition's mutex is held.
--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -143,12 +144,13 @@
 		}
 	}
 	for service, count := range excess {
-		for ; count > 0; count-- {
-			key, least := p.leastUrgentRun(service, region.Set{}, replica.Origin{})
-			if least == nil {
-				break
-			}
-			p.preempt(key, least)
+		if count <= 0 {
+			continue
+		}
+		runs := p.preemptibleRuns(service, region.Set{}, replica.Origin{})
+		slices.SortFunc(runs, comparePreemptible)
+		for _, least := range runs[:min(count, len(runs))] {
+			p.preempt(least.key, least.run)
 		}
 	}
 }
