Ledger: a node without the records waits after its start for those that have them

Cause: a node that has just started prefers itself while it sees none of the members, and waited for them 0.6 s at most; with 74 nodes starting at once it took longer to see them.

Change: a node whose store lacks the records waits three times as long. Once it sees a node that has them it prefers that one.

--- a/internal/ledger/gather.go
+++ b/internal/ledger/gather.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/membership"
 )
 
@@ -27,3 +28,23 @@
 	}
 	return false
 }
+
+// holderWaits is the number of times Timing.MemberWait for which a started node that lacks a partition's records waits to
+// see the nodes that have them.
+const holderWaits = 3
+
+// awaitingHolders reports whether this node lacks the records of the partition and has started so recently that it may not
+// see the nodes that have them yet.
+func (m *Manager) awaitingHolders(partition PartitionID, now time.Time) bool {
+	ensemble, known := m.directory.ensemble(partition)
+	if !known || !m.settings.OwnersOnStores || now.Sub(m.started) >= holderWaits*m.timing.MemberWait {
+		return false
+	}
+	return !holdsRecords(ensemble, m.local.ID())
+}
+
+// holdsRecords reports whether a store has the records of the ensemble's partition.
+func holdsRecords(ensemble protocol.Ensemble, store protocol.StoreID) bool {
+	held, found := ensemble.Find(store)
+	return found && !held.Joining
+}
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -232,7 +232,8 @@
 	preferred, ok := m.preferredOwner(view, partition)
 	preferredHere := ok && preferred.ID == m.self
 	control.overdue = !preferredHere && m.ownerSilent(partition, control, now)
-	if (preferredHere || control.overdue) && !control.attempting && !now.Before(control.nextTry) && !m.awaitingMembers(partition, view, now) {
+	waiting := m.awaitingMembers(partition, view, now) || m.awaitingHolders(partition, now)
+	if (preferredHere || control.overdue) && !control.attempting && !now.Before(control.nextTry) && !waiting {
 		m.startAttempt(partition, control)
 	}
 	if control.ownership != nil {
--- a/internal/ledger/rendezvous.go
+++ b/internal/ledger/rendezvous.go
@@ -57,8 +57,7 @@
 		return allowed
 	}
 	return func(member *membership.Member) bool {
-		held, found := ensemble.Find(protocol.StoreID(member.StoreIncarnation))
-		return found && !held.Joining && allowed(member)
+		return holdsRecords(ensemble, protocol.StoreID(member.StoreIncarnation)) && allowed(member)
 	}
 }
 
--- a/internal/ledger/takeover.go
+++ b/internal/ledger/takeover.go
@@ -30,8 +30,7 @@
 	if !known {
 		return false
 	}
-	own, found := ensemble.Find(m.local.ID())
-	return found && !own.Joining
+	return holdsRecords(ensemble, m.local.ID())
 }
 
 // takeoverTurn returns the number of live nodes with a store that rank above this one, at most maxTakeoverTurn.
--- a/internal/ledger/takeover_test.go
+++ b/internal/ledger/takeover_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
+	"github.com/sloelift/sloelift/internal/ledger/protocol"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/transport/memory"
 )
@@ -116,3 +119,73 @@
 		time.Sleep(100 * time.Microsecond)
 	}
 }
+
+// TestSilentOwnerIsReplacedOnce checks that the nodes that claim a partition from an owner that does not answer do not
+// take it from one another: each of them waits for the former owner's answer while another one has become the owner.
+func TestSilentOwnerIsReplacedOnce(t *testing.T) {
+	for seed := uint64(1); seed <= 10; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSmallMachineCluster(t, seed, 7)
+				defer c.stopAll()
+				acknowledged := []string{c.put(0, "before")}
+				time.Sleep(2 * time.Second)
+				silent := c.owner(0)
+				before := c.log.size()
+				c.network.Pause(silent.address)
+				defer c.network.Resume(silent.address)
+				all := c.nodes
+				c.nodes = without(all, silent)
+				acknowledged = append(acknowledged, c.put(0, "meanwhile"))
+				time.Sleep(2 * time.Second)
+				if recovered := strings.Count(c.log.since(before), "partition_recovered"); recovered > 2 {
+					t.Errorf("%d nodes became the owner one after the other of two partitions", recovered)
+				}
+				c.check(0, acknowledged)
+				c.nodes = all
+			})
+		})
+	}
+}
+
+// TestNodeWithoutRecordsWaitsForThoseThatHaveThem checks that after a restart of all nodes a node whose store lacks the
+// records, and which sees the others late, does not own the partition.
+func TestNodeWithoutRecordsWaitsForThoseThatHaveThem(t *testing.T) {
+	for seed := uint64(1); seed <= 10; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newSmallMachineCluster(t, seed, 7)
+				defer c.stopAll()
+				acknowledged := []string{c.put(0, "before")}
+				ensemble := c.owner(0).manager.Status()[0].Ensemble
+				for _, node := range c.nodes {
+					c.stop(node)
+				}
+				c.view.isolateAll(true)
+				// Those without the records start first.
+				slices.SortStableFunc(c.nodes, func(a, b *testNode) int { return compareStores(holds(ensemble, b), holds(ensemble, a)) })
+				for _, node := range c.nodes {
+					c.start(node)
+					time.Sleep(100 * time.Millisecond)
+				}
+				time.Sleep(c.timing.MemberWait)
+				c.view.isolateAll(false)
+				owner := c.owner(0)
+				if !holds(ensemble, owner) {
+					t.Errorf("%s owns the partition without its records", owner.id)
+				}
+				acknowledged = append(acknowledged, c.put(0, "after"))
+				c.check(0, acknowledged)
+			})
+		})
+	}
+}
+
+func holds(ensemble protocol.Ensemble, node *testNode) bool {
+	for _, member := range ensemble.Members {
+		if member.Node == string(node.id) {
+			return true
+		}
+	}
+	return false
+}
