Ledger: who waited for a silent owner looks again who owns the partition

Cause: a node that claims a partition surveys the stores, asks the owner that they name to release it and waits up to 0.3 s for the answer. It then took a higher ballot whatever had happened meanwhile: the next node that had waited for the same silent owner outranked the first one, that was serving by then, and so on.

Change: after an owner that does not answer, the stores are surveyed again; if they have promised another owner, that one is asked, which declines while it is healthy or recovers. askRelease returns what the owner answered in place of a bool.

--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -38,16 +38,10 @@
 	if newer, found := m.newerAtLocalStore(ensemble); found {
 		return attemptResult{number: number, lost: protocol.Lost{Cause: protocol.LossEnsembleChanged, Ensemble: newer}}
 	}
-	survey := m.survey(ensemble)
+	survey, failure := m.surveyReleased(partition, ensemble, overdue)
 	number = max(number, survey.number)
-	if survey.ensemble.Version > ensemble.Version {
-		return attemptResult{number: number, lost: protocol.Lost{Cause: protocol.LossEnsembleChanged, Ensemble: survey.ensemble}}
-	}
-	if survey.answers < ensemble.ReadQuorum() {
-		return attemptResult{number: number, lost: protocol.Lost{Cause: protocol.LossTimeout}}
-	}
-	if !m.askRelease(partition, survey.promised, overdue) {
-		return attemptResult{number: number, lost: protocol.Lost{Cause: protocol.LossDeclined}}
+	if failure.Cause != "" {
+		return attemptResult{number: number, lost: failure}
 	}
 	if m.ctx.Err() != nil {
 		return attemptResult{number: number, lost: protocol.Lost{Cause: protocol.LossReleased}}
@@ -66,6 +60,31 @@
 	return attemptResult{number: owner.Ballot().Number, lost: lost}
 }
 
+// surveyReleased surveys the stores and asks the owner that they have promised to release the partition. After an owner that
+// does not answer it surveys them again, since another node may have taken the partition over meanwhile, and then asks that
+// one. The cause of failure is empty if the partition may be taken over.
+func (m *Manager) surveyReleased(partition PartitionID, ensemble protocol.Ensemble, overdue bool) (survey surveyResult, failure protocol.Lost) {
+	asked := protocol.Ballot{}
+	for {
+		survey = m.survey(ensemble)
+		switch {
+		case survey.ensemble.Version > ensemble.Version:
+			return survey, protocol.Lost{Cause: protocol.LossEnsembleChanged, Ensemble: survey.ensemble}
+		case survey.answers < ensemble.ReadQuorum():
+			return survey, protocol.Lost{Cause: protocol.LossTimeout}
+		case survey.promised == asked:
+			return survey, protocol.Lost{}
+		}
+		asked = survey.promised
+		switch m.askRelease(partition, asked, overdue) {
+		case releaseGranted:
+			return survey, protocol.Lost{}
+		case releaseDeclined:
+			return survey, protocol.Lost{Cause: protocol.LossDeclined}
+		}
+	}
+}
+
 // newerAtLocalStore returns the ensemble that the local store knows, if it is newer. The members of an outdated
 // ensemble may be gone, and waiting for their answers would cost a timeout.
 func (m *Manager) newerAtLocalStore(ensemble protocol.Ensemble) (protocol.Ensemble, bool) {
@@ -139,18 +158,30 @@
 	}
 }
 
-// askRelease asks the owner of the highest promised ballot to finish its appends and release the partition. It returns
-// false if the owner declines, or if the owner's node is unknown and this node has only just started; if the owner
-// does not answer, the attempt continues.
-func (m *Manager) askRelease(partition PartitionID, promised protocol.Ballot, overdue bool) bool {
+// releaseAnswer is the answer of a partition's owner to the request to release it.
+type releaseAnswer int
+
+const (
+	// releaseGranted: the partition has no owner.
+	releaseGranted releaseAnswer = iota
+	releaseDeclined
+	releaseUnanswered
+)
+
+// askRelease asks the owner of the highest promised ballot to finish its appends and release the partition. It counts as
+// declined if the owner's node is unknown and this node has only just started.
+func (m *Manager) askRelease(partition PartitionID, promised protocol.Ballot, overdue bool) releaseAnswer {
 	node := ownerNode(promised.Owner)
 	if promised.Owner == "" || node == m.self {
-		return true
+		return releaseGranted
 	}
 	member, found := m.viewer.View().Find(node)
-	if !found {
+	switch {
+	case !found && clock.Since(m.started) < m.timing.Formation:
 		// A node that has just started knows few others yet and should not take over their partitions.
-		return clock.Since(m.started) >= m.timing.Formation
+		return releaseDeclined
+	case !found:
+		return releaseGranted
 	}
 	wait := m.timing.Release
 	if overdue || member.State == membership.Dead || member.State == membership.Suspect {
@@ -165,9 +196,12 @@
 	}
 	if err != nil {
 		m.logger.Info().Uint32(logging.FieldPartition, uint32(partition)).Str(logging.FieldPeer, string(node)).Err(err).Msg("release_not_answered")
-		return true
+		return releaseUnanswered
+	}
+	if !response.Released {
+		return releaseDeclined
 	}
-	return response.Released
+	return releaseGranted
 }
 
 func (m *Manager) sendRelease(to netip.AddrPort, request *ledgerpb.ReleaseRequest, wait time.Duration) (*ledgerpb.ReleaseResponse, error) {
