--- a/internal/batch/cold_test.go
+++ b/internal/batch/cold_test.go
@@ -72,11 +72,15 @@
 	wait time.Duration
 }
 
-func (*waitingRegister) Check(quarantine.Key) quarantine.Verdict { return quarantine.Apart }
+func (*waitingRegister) Check(quarantine.Key, ...quarantine.Key) quarantine.Verdict {
+	return quarantine.Apart
+}
 
-func (w *waitingRegister) CheckItem(key quarantine.Key) quarantine.Verdict { return w.Check(key) }
+func (w *waitingRegister) CheckItem(key quarantine.Key, _ ...quarantine.Key) quarantine.Verdict {
+	return w.Check(key)
+}
 
-func (w *waitingRegister) AdmitItem(_ context.Context, key quarantine.Key) quarantine.Permit {
+func (w *waitingRegister) AdmitItem(_ context.Context, key quarantine.Key, _ ...quarantine.Key) quarantine.Permit {
 	time.Sleep(w.wait)
 	return &countingPermit{register: w.countingRegister, key: key, verdict: quarantine.Apart}
 }
--- a/internal/batch/dispatcher.go
+++ b/internal/batch/dispatcher.go
@@ -84,6 +84,8 @@
 	failures int
 	// message identifies what the item sends; zero until the item is first considered for sending.
 	message quarantine.Key
+	// parts identify the shared parts of the item's prompt; they are set with message.
+	parts []quarantine.Key
 	// apart is true if the current run is that of a suspected message.
 	apart bool
 	// crashes counts the replicas that ended under the item at this owner. A suspected item is not sent before apartNotBefore, since
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -89,6 +89,8 @@
 	// lastEventsAt is when events were last received, eventGap the time between those events and the ones before.
 	lastEventsAt time.Time
 	eventGap     time.Duration
+	// noteEvents reports events to the quarantine; nil without one.
+	noteEvents func(events int)
 }
 
 // run runs the item at its replica, one lease after the other, until it is done, fails or is interrupted.
@@ -230,6 +232,9 @@
 				a.origin = a.leaseOrigin
 			}
 			a.text = eventstream.AppendData(a.text, events.Bytes)
+			if a.noteEvents != nil {
+				a.noteEvents(events.Count)
+			}
 			if events.LastID != "" {
 				a.lastEvent = events.LastID
 			}
--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -14,6 +14,7 @@
 	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/logging"
+	"github.com/sloelift/sloelift/internal/prompt"
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
@@ -43,6 +44,11 @@
 	return message.Key()
 }
 
+// partKeys identifies the shared parts of an item's prompt.
+func partKeys(item *batchpb.Item, names replica.Headers) []quarantine.Key {
+	return quarantine.PartKeys(prompt.ParseParts(itemHeader(item).Get(names.PromptParts)))
+}
+
 // checkQuarantine returns the quarantine's verdict on whether an item may be sent.
 func (p *partition) checkQuarantine(item candidate) quarantine.Verdict {
 	register := p.service.options.Quarantine
@@ -50,16 +56,20 @@
 		return quarantine.Allowed
 	}
 	p.mutex.Lock()
-	message := p.ensureRun(item.key).message
+	run := p.ensureRun(item.key)
+	message, parts := run.message, run.parts
 	p.mutex.Unlock()
 	if message == (quarantine.Key{}) {
 		// Hashing reads the whole body, so it is done without the mutex, which is needed to record progress and to finish items.
-		message = messageKey(item.submission, item.key.number, p.service.client.Headers())
+		names := p.service.client.Headers()
+		message = messageKey(item.submission, item.key.number, names)
+		parts = partKeys(item.submission.Items[item.key.number], names)
 		p.mutex.Lock()
-		p.ensureRun(item.key).message = message
+		run = p.ensureRun(item.key)
+		run.message, run.parts = message, parts
 		p.mutex.Unlock()
 	}
-	return register.CheckItem(message)
+	return register.CheckItem(message, parts...)
 }
 
 // startApart starts a suspected item at a replica where few other items and no other suspected item run.
@@ -156,9 +166,9 @@
 		return attempt.run(ctx)
 	}
 	p.mutex.RLock()
-	message := p.runs[attempt.key].message
+	message, parts := p.runs[attempt.key].message, p.runs[attempt.key].parts
 	p.mutex.RUnlock()
-	permit := register.AdmitItem(ctx, message)
+	permit := register.AdmitItem(ctx, message, parts...)
 	defer permit.Release()
 	if permit.Verdict() == quarantine.Rejected {
 		return itemRejected
@@ -174,6 +184,7 @@
 	defer cancel(nil)
 	resumedAfter, eventsBefore := attempt.lastEvent, countEvents(attempt.text)
 	run := permit.Begin(attempt.handle, func() { cancel(quarantine.ErrSuspected) })
+	attempt.noteEvents = run.Received
 	verdict := attempt.run(bounded)
 	run.Progress(eventsBefore, countEvents(attempt.text))
 	ending := attempt.classifyEnding(bounded, verdict, resumedAfter)
--- a/internal/batch/item_crash_test.go
+++ b/internal/batch/item_crash_test.go
@@ -37,7 +37,7 @@
 	return &countingRegister{rejectAt: rejectAt, crashed: map[quarantine.Key]map[replica.Key]bool{}}
 }
 
-func (c *countingRegister) Check(key quarantine.Key) quarantine.Verdict {
+func (c *countingRegister) Check(key quarantine.Key, _ ...quarantine.Key) quarantine.Verdict {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	switch count := len(c.crashed[key]); {
@@ -50,7 +50,9 @@
 	}
 }
 
-func (c *countingRegister) CheckItem(key quarantine.Key) quarantine.Verdict { return c.Check(key) }
+func (c *countingRegister) CheckItem(key quarantine.Key, _ ...quarantine.Key) quarantine.Verdict {
+	return c.Check(key)
+}
 
 func (c *countingRegister) HasEvidence(key quarantine.Key) bool {
 	return c.Check(key) != quarantine.Allowed
@@ -75,11 +77,11 @@
 	c.crashed[key][ended] = true
 }
 
-func (c *countingRegister) Admit(_ context.Context, key quarantine.Key) quarantine.Permit {
+func (c *countingRegister) Admit(_ context.Context, key quarantine.Key, _ ...quarantine.Key) quarantine.Permit {
 	return &countingPermit{register: c, key: key, verdict: c.Check(key)}
 }
 
-func (c *countingRegister) AdmitItem(ctx context.Context, key quarantine.Key) quarantine.Permit {
+func (c *countingRegister) AdmitItem(ctx context.Context, key quarantine.Key, _ ...quarantine.Key) quarantine.Permit {
 	return c.Admit(ctx, key)
 }
 
@@ -113,6 +115,8 @@
 	return p
 }
 
+func (p *countingPermit) Received(int) {}
+
 func (p *countingPermit) Progress(int, int) {}
 
 func (p *countingPermit) End(_ context.Context, ending quarantine.Ending) bool {
@@ -338,11 +342,15 @@
 // reached.
 type undecidedRegister struct{ *countingRegister }
 
-func (undecidedRegister) Check(quarantine.Key) quarantine.Verdict { return quarantine.Apart }
+func (undecidedRegister) Check(quarantine.Key, ...quarantine.Key) quarantine.Verdict {
+	return quarantine.Apart
+}
 
-func (u undecidedRegister) CheckItem(key quarantine.Key) quarantine.Verdict { return u.Check(key) }
+func (u undecidedRegister) CheckItem(key quarantine.Key, _ ...quarantine.Key) quarantine.Verdict {
+	return u.Check(key)
+}
 
-func (u undecidedRegister) AdmitItem(_ context.Context, key quarantine.Key) quarantine.Permit {
+func (u undecidedRegister) AdmitItem(_ context.Context, key quarantine.Key, _ ...quarantine.Key) quarantine.Permit {
 	return &countingPermit{register: u.countingRegister, key: key, verdict: quarantine.Rejected}
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/sloelift/sloelift/internal/balance"
 	"github.com/sloelift/sloelift/internal/clock"
+	"github.com/sloelift/sloelift/internal/prompt"
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 	"github.com/sloelift/sloelift/internal/route"
@@ -95,9 +96,13 @@
 	eventsDelivered int
 	// errorAnswer is the latest complete server error that a replica answered with.
 	errorAnswer *bufferedAnswer
-	// messageKey identifies the message in the quarantine; permit covers the current attempt. Zero and nil without a quarantine.
+	// messageKey identifies the message in the quarantine, partKeys the shared parts of its prompt; permit covers the current attempt.
+	// Zero and nil without a quarantine.
 	messageKey quarantine.Key
+	partKeys   []quarantine.Key
 	permit     quarantine.Permit
+	// noteEvents reports events of the current attempt to the quarantine; nil without one.
+	noteEvents func(events int)
 	// replicaEnded is set if the replica of the latest attempt was found to have ended; uncountedRuns holds all such attempts.
 	replicaEnded  bool
 	uncountedRuns []uncountedRun
@@ -242,8 +247,8 @@
 		Homes: e.homes(), MaxOccupancy: maxOccupancy, Origin: e.origin,
 	}
 	if e.route.Affinity {
-		parts := ParsePromptParts(e.request.Header.Get(e.handler.headers.PromptParts))
-		query.PartKey, query.PartTokens, query.Tokens = parts.sharedKey()
+		parts := prompt.ParseParts(e.request.Header.Get(e.handler.headers.PromptParts))
+		query.PartKey, query.PartTokens, query.Tokens = parts.SharedKey()
 		e.promptTokens = query.Tokens
 	}
 	now := clock.Now()
--- a/internal/forward/quarantined.go
+++ b/internal/forward/quarantined.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sloelift/sloelift/internal/clock"
+	"github.com/sloelift/sloelift/internal/prompt"
 	"github.com/sloelift/sloelift/internal/quarantine"
 	"github.com/sloelift/sloelift/internal/replica"
 )
@@ -21,11 +22,12 @@
 	if e.handler.quarantine == nil {
 		return true
 	}
+	promptParts := e.request.Header.Get(e.handler.headers.PromptParts)
 	e.messageKey = quarantine.Message{
-		Method: e.request.Method, Host: e.request.Host, Target: targetOf(e.request), Body: e.body,
-		PromptParts: e.request.Header.Get(e.handler.headers.PromptParts),
+		Method: e.request.Method, Host: e.request.Host, Target: targetOf(e.request), Body: e.body, PromptParts: promptParts,
 	}.Key()
-	return e.handler.quarantine.Check(e.messageKey) != quarantine.Rejected
+	e.partKeys = quarantine.PartKeys(prompt.ParseParts(promptParts))
+	return e.handler.quarantine.Check(e.messageKey, e.partKeys...) != quarantine.Rejected
 }
 
 // acquirePermit obtains the permit of the next attempt; it returns false if the message is rejected.
@@ -34,7 +36,7 @@
 		return true
 	}
 	e.releasePermit()
-	e.permit = e.handler.quarantine.Admit(ctx, e.messageKey)
+	e.permit = e.handler.quarantine.Admit(ctx, e.messageKey, e.partKeys...)
 	return e.permit.Verdict() != quarantine.Rejected
 }
 
@@ -87,6 +89,7 @@
 	}
 	resumedAfter := e.lastEventID
 	run := e.permit.Begin(handle, cancelRun)
+	e.noteEvents = run.Received
 	e.lastStatus, e.lastError = 0, nil
 	eventsBefore := e.eventsDelivered
 	outcome := e.sendToReplica(runCtx, handle)
--- a/internal/forward/quarantined_test.go
+++ b/internal/forward/quarantined_test.go
@@ -41,11 +41,11 @@
 	begun    int
 }
 
-func (f *fakeRegister) Check(quarantine.Key) quarantine.Verdict { return f.check }
+func (f *fakeRegister) Check(quarantine.Key, ...quarantine.Key) quarantine.Verdict { return f.check }
 
 func (f *fakeRegister) Recall(quarantine.Key, []quarantine.RecordedEnd, int) {}
 
-func (f *fakeRegister) Admit(_ context.Context, key quarantine.Key) quarantine.Permit {
+func (f *fakeRegister) Admit(_ context.Context, key quarantine.Key, _ ...quarantine.Key) quarantine.Permit {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.keys = append(f.keys, key)
@@ -84,6 +84,8 @@
 	return p
 }
 
+func (p *fakePermit) Received(int) {}
+
 func (p *fakePermit) Progress(int, int) {}
 
 func (p *fakePermit) End(_ context.Context, ending quarantine.Ending) bool {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -34,6 +34,9 @@
 				return callerGone, false
 			}
 			e.eventsDelivered += events.Count
+			if e.noteEvents != nil {
+				e.noteEvents(events.Count)
+			}
 			if events.LastID != "" {
 				e.lastEventID = events.LastID
 			}
--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -34,10 +34,12 @@
 var errNoKeeper = errors.New("no keeper was reached")
 
 // Admit implements Register.
-func (s *Service) Admit(ctx context.Context, key Key) Permit { return s.admit(ctx, key, false) }
+func (s *Service) Admit(ctx context.Context, key Key, parts ...Key) Permit {
+	return s.admit(ctx, key, false)
+}
 
 // AdmitItem implements ItemRegister.
-func (s *Service) AdmitItem(ctx context.Context, key Key) Permit {
+func (s *Service) AdmitItem(ctx context.Context, key Key, parts ...Key) Permit {
 	admitted := s.admit(ctx, key, true)
 	admitted.item = true
 	return admitted
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -7,6 +7,8 @@
 	"hash"
 	"io"
 	"strings"
+
+	"github.com/sloelift/sloelift/internal/prompt"
 )
 
 // Key identifies a message by a digest of what its attempts share.
@@ -44,6 +46,23 @@
 	return Key(digest.Sum(nil)[:len(Key{})])
 }
 
+// partKeyDomain separates the keys of prompt parts from those of messages.
+const partKeyDomain = "prompt part"
+
+// PartKeys returns the keys of the shared parts of a prompt, in order. The last part belongs to one request alone.
+func PartKeys(parts prompt.Parts) []Key {
+	var keys []Key
+	for _, part := range parts.Shared() {
+		digest := sha256.New()
+		for _, text := range []string{partKeyDomain, part.ID} {
+			writeLength(digest, len(text))
+			_, _ = io.WriteString(digest, text)
+		}
+		keys = append(keys, Key(digest.Sum(nil)[:len(Key{})]))
+	}
+	return keys
+}
+
 // writeLength separates the fields by their lengths, so that different fields cannot produce the same concatenation.
 func writeLength(digest hash.Hash, length int) {
 	var encoded [8]byte
--- /dev/null
+++ b/internal/quarantine/part_test.go
@@ -0,0 +1,247 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/prompt"
+)
+
+const (
+	// Bounds of the platform for requests with a part that ends replicas: maxLatePartSends of them may still reach replicas
+	// more than partContact after the fifth end.
+	crashesBeforePartBound = 5
+	partContact            = 3 * time.Second
+	maxLatePartSends       = 3
+	// minBegunShare is the share of sound requests beside them that must still begin.
+	minBegunShare = 0.5
+)
+
+// partLoad is a load of requests of one route, some of which hold a part that ends each replica that begins to answer.
+type partLoad struct {
+	name string
+	// deadly is the ID of the part that ends replicas; empty for none. deadlyPerSecond requests hold it, in bursts of burst.
+	deadly          string
+	deadlyPerSecond int
+	burst           int
+	// chanceEndsPerSecond replicas end for another reason.
+	chanceEndsPerSecond int
+	// restartAll restarts all nodes once the part's fifth replica has ended.
+	restartAll bool
+}
+
+const (
+	soundPerSecond = 110
+	firstParts     = 3
+	secondParts    = 40
+	loadDuration   = 12 * time.Second
+	partReplicas   = 16
+)
+
+// partRecord is what became of the requests of a load.
+type partRecord struct {
+	mutex sync.Mutex
+	// ends are the times at which the deadly part ended a replica, sends those at which a request that holds it was sent.
+	ends, sends []time.Time
+	// sound and begun are the times at which sound requests came, and those of them that were sent.
+	sound, begun []time.Time
+}
+
+func (r *partRecord) note(times *[]time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	*times = append(*times, time.Now())
+}
+
+func (r *partRecord) fifthEnd() (time.Time, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if len(r.ends) < crashesBeforePartBound {
+		return time.Time{}, false
+	}
+	return r.ends[crashesBeforePartBound-1], true
+}
+
+func countAfter(times []time.Time, after time.Time) int {
+	return len(slices.DeleteFunc(slices.Clone(times), func(at time.Time) bool { return !at.After(after) }))
+}
+
+// TestPromptPartThatCrashesReplicasIsRejected checks the platform's bounds on requests that share one part of their
+// prompts, under which replicas end, and nothing else.
+func TestPromptPartThatCrashesReplicasIsRejected(t *testing.T) {
+	for _, load := range []partLoad{
+		{name: "a second part", deadly: "second-7", deadlyPerSecond: 12},
+		{name: "the first part of a third of the requests", deadly: "first-1", deadlyPerSecond: 12},
+		{name: "more requests", deadly: "second-7", deadlyPerSecond: 48},
+		{name: "many at once each second", deadly: "second-7", deadlyPerSecond: 24, burst: 24},
+		{name: "few requests", deadly: "second-7", deadlyPerSecond: 2},
+		{name: "replicas end by chance too", deadly: "second-7", deadlyPerSecond: 12, chanceEndsPerSecond: 4},
+		{name: "all nodes restart", deadly: "second-7", deadlyPerSecond: 12, restartAll: true},
+	} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprint(load.name, "/", seed), func(t *testing.T) {
+				inCluster(t, 6, partReplicas, func(t *testing.T, c *cluster) {
+					record := c.playParts(load, rand.New(rand.NewPCG(seed, 7)))
+					fifth, reached := record.fifthEnd()
+					if !reached {
+						return
+					}
+					if late := countAfter(record.sends, fifth.Add(partContact)); late > maxLatePartSends {
+						t.Errorf("%d requests reach replicas later than %s after the fifth of %d ends, want at most %d",
+							late, partContact, len(record.ends), maxLatePartSends)
+					}
+					sound, begun := countAfter(record.sound, fifth.Add(2*partContact)), countAfter(record.begun, fifth.Add(2*partContact))
+					if float64(begun) < minBegunShare*float64(sound) {
+						t.Errorf("%d of %d sound requests begin", begun, sound)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestSoundPromptPartsAreNotRejected checks that requests are sent although replicas end for reasons of their own, one by
+// one or many at once.
+func TestSoundPromptPartsAreNotRejected(t *testing.T) {
+	for _, load := range []partLoad{
+		{name: "four ends a second", chanceEndsPerSecond: 4},
+		{name: "twelve ends a second", chanceEndsPerSecond: 12},
+	} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprint(load.name, "/", seed), func(t *testing.T) {
+				inCluster(t, 6, partReplicas, func(t *testing.T, c *cluster) {
+					record := c.playParts(load, rand.New(rand.NewPCG(seed, 8)))
+					if len(record.begun) < len(record.sound) {
+						t.Errorf("%d of %d sound requests are sent", len(record.begun), len(record.sound))
+					}
+				})
+			})
+		}
+	}
+}
+
+// playParts plays a load against all nodes and returns what became of its requests.
+func (c *cluster) playParts(load partLoad, random *rand.Rand) *partRecord {
+	record := &partRecord{}
+	var running sync.WaitGroup
+	restarted := false
+	for tick := range int(loadDuration / (10 * time.Millisecond)) {
+		second, within := tick/100, tick%100
+		for range ratePerTick(soundPerSecond, within) {
+			parts := drawParts(random, "")
+			if load.deadly == parts[0] || load.deadly == parts[1] {
+				continue
+			}
+			c.startPartRequest(&running, record, load, random, fmt.Sprint("sound ", tick, random.Uint64()), parts)
+		}
+		due := ratePerTick(load.deadlyPerSecond, within)
+		if load.burst > 0 {
+			due = 0
+			if within == 0 {
+				due = load.burst
+			}
+		}
+		for range due {
+			c.startPartRequest(&running, record, load, random, fmt.Sprint("deadly ", second, tick, random.Uint64()), drawParts(random, load.deadly))
+		}
+		for range ratePerTick(load.chanceEndsPerSecond, within) {
+			handle := c.handle(c.nodes[0], random.IntN(partReplicas))
+			c.crash(handle, Key{})
+		}
+		time.Sleep(10 * time.Millisecond)
+		if fifth, reached := record.fifthEnd(); reached && load.restartAll && !restarted && time.Since(fifth) > 500*time.Millisecond {
+			restarted = true
+			running.Wait()
+			c.restartAll()
+		}
+	}
+	running.Wait()
+	return record
+}
+
+func ratePerTick(perSecond, tick int) int { return perSecond*(tick+1)/100 - perSecond*tick/100 }
+
+// drawParts returns a first, a second and an own part; one of the first two is the deadly part, if it is named.
+func drawParts(random *rand.Rand, deadly string) []string {
+	parts := []string{
+		fmt.Sprint("first-", random.IntN(firstParts)), fmt.Sprint("second-", random.IntN(secondParts)), fmt.Sprint("own-", random.Uint64()),
+	}
+	for position, prefix := range []string{"first", "second"} {
+		if len(deadly) > len(prefix) && deadly[:len(prefix)] == prefix {
+			parts[position] = deadly
+		}
+	}
+	return parts
+}
+
+// startPartRequest sends a request from a random node, and again for as long as its replica ends, four times at most.
+func (c *cluster) startPartRequest(running *sync.WaitGroup, record *partRecord, load partLoad, random *rand.Rand, text string, ids []string) {
+	member := c.nodes[random.IntN(len(c.nodes))]
+	first := random.IntN(partReplicas)
+	prefill := time.Duration(10+random.IntN(60)) * time.Millisecond
+	deadly := slices.Contains(ids[:2], load.deadly)
+	var parts prompt.Parts
+	for _, id := range ids {
+		parts = append(parts, prompt.Part{ID: id, Tokens: 100})
+	}
+	running.Go(func() {
+		if !deadly {
+			record.note(&record.sound)
+		}
+		for attempt := range 4 {
+			permit := member.Admit(c.t.Context(), keyOf(text), PartKeys(parts)...)
+			if permit.Verdict() == Rejected {
+				permit.Release()
+				return
+			}
+			switch {
+			case deadly:
+				record.note(&record.sends)
+			case attempt == 0:
+				record.note(&record.begun)
+			}
+			ended := c.runParts(member, permit, record, (first+attempt)%partReplicas, prefill, deadly)
+			permit.Release()
+			if !ended {
+				return
+			}
+		}
+	})
+}
+
+// runParts makes one run, and reports whether its replica ended.
+func (c *cluster) runParts(member *node, permit Permit, record *partRecord, number int, prefill time.Duration, deadly bool) bool {
+	handle := c.handle(member, number)
+	run := permit.Begin(handle, nil)
+	time.Sleep(prefill)
+	if !c.machines.endedAt(handle) && deadly {
+		c.crash(handle, Key{})
+		record.note(&record.ends)
+	}
+	for range 4 {
+		if c.machines.endedAt(handle) {
+			run.End(c.t.Context(), Lost)
+			return true
+		}
+		run.Received(1)
+		time.Sleep(10 * time.Millisecond)
+	}
+	run.End(c.t.Context(), Whole)
+	return false
+}
+
+// restartAll kills all nodes and starts them again without their state.
+func (c *cluster) restartAll() {
+	for _, member := range c.nodes {
+		c.kill(member)
+	}
+	for _, member := range c.nodes {
+		c.start(member)
+	}
+	c.agree()
+	time.Sleep(3 * time.Second)
+}
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -66,6 +66,8 @@
 
 // Run is one execution of a message at a replica.
 type Run interface {
+	// Received reports events of the answer as they arrive.
+	Received(events int)
 	// Progress reports the number of events in the message's answer when the run began and the number now, if a further
 	// run resumes after them. It is called before End, if at all.
 	Progress(from, to int)
@@ -85,11 +87,12 @@
 // Register decides which messages may be sent to replicas, from what is known about them. It is safe for concurrent
 // use.
 type Register interface {
-	// Check returns the current verdict on the message without waiting.
-	Check(key Key) Verdict
+	// Check returns the current verdict on the message without waiting. parts are the keys of the shared parts of its prompt,
+	// in order: the message is Rejected if one of them ends replicas, whatever else a message holds.
+	Check(key Key, parts ...Key) Verdict
 	// Admit returns the permit that tells whether the message may be sent. It returns at once for a message that is not
 	// suspected. For a suspected one it waits, for a limited time, until no other run of it is under way at any node.
-	Admit(ctx context.Context, key Key) Permit
+	Admit(ctx context.Context, key Key, parts ...Key) Permit
 	// Recall adds ends of replicas under the message that its owner has recorded. It skips those that the message's
 	// answer, which now has the given number of events, has progressed past.
 	Recall(key Key, ended []RecordedEnd, events int)
@@ -99,11 +102,11 @@
 type ItemRegister interface {
 	Register
 	// CheckItem returns the verdict on an item. Ends of unknown progress then count as ends of item runs, at all nodes.
-	CheckItem(key Key) Verdict
+	CheckItem(key Key, parts ...Key) Verdict
 	// AdmitItem is Admit for an item. Ends of replicas during runs of items reject the message only if one of these
 	// runs was made under a keeper's grant, or from maxEndedWithProgress ends on. If the progress of several of these
 	// runs is unknown, only the end of a deciding run rejects the message.
-	AdmitItem(ctx context.Context, key Key) Permit
+	AdmitItem(ctx context.Context, key Key, parts ...Key) Permit
 	// HasEvidence reports whether any end of a replica counts against the message, even if it is still Allowed.
 	HasEvidence(key Key) bool
 	// NextEndRejects reports whether the item is Apart and one more ended replica may reject it, after marking its ends
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -116,6 +116,9 @@
 	unseen bool
 }
 
+// Received implements Run.
+func (r *run) Received(events int) {}
+
 // Progress implements Run.
 func (r *run) Progress(from, to int) {
 	r.progressed, r.reached = to > from, to
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -184,14 +184,14 @@
 }
 
 // Check implements Register.
-func (s *Service) Check(key Key) Verdict {
+func (s *Service) Check(key Key, parts ...Key) Verdict {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.evidence.verdict(key)
 }
 
 // CheckItem implements ItemRegister.
-func (s *Service) CheckItem(key Key) Verdict {
+func (s *Service) CheckItem(key Key, parts ...Key) Verdict {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.markItem(key)
