Quarantine: a part of a prompt that crashes replicas is found and rejected

Cause: the quarantine had evidence against messages only, and no two of these requests are one message.

Change: an incident also holds the shared parts of the prompts that ran at the replica without having begun to answer. They travel in the same notices and lists, and a rejection in the same records, so that all nodes decide alike. An answer of two events or more clears its parts at all nodes. The messages that ran beside a rejected part are cleared.

--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -35,25 +35,26 @@
 
 // Admit implements Register.
 func (s *Service) Admit(ctx context.Context, key Key, parts ...Key) Permit {
-	return s.admit(ctx, key, false)
+	return s.admit(ctx, key, parts, false)
 }
 
 // AdmitItem implements ItemRegister.
 func (s *Service) AdmitItem(ctx context.Context, key Key, parts ...Key) Permit {
-	admitted := s.admit(ctx, key, true)
+	admitted := s.admit(ctx, key, parts, true)
 	admitted.item = true
 	return admitted
 }
 
-// admit returns the permit of a message. For a suspected message it first waits until it is decided whether it may run.
-func (s *Service) admit(ctx context.Context, key Key, item bool) *permit {
+// admit returns the permit of a message with the given parts of its prompt. For a suspected message it first waits until
+// it is decided whether it may run; one with a rejected part does not wait.
+func (s *Service) admit(ctx context.Context, key Key, parts []Key, item bool) *permit {
 	current, inquired := s.currentPermit(key)
-	if current.verdict == Allowed && !inquired {
-		return current
+	if current.verdict == Allowed && !inquired || s.Check(key, parts...) == Rejected {
+		return s.admitParts(current, parts)
 	}
 	bounded, cancel := context.WithTimeout(ctx, maxAdmitWait)
 	defer cancel()
-	admitted := s.admitSuspect(bounded, key, item)
+	admitted := s.admitParts(s.admitSuspect(bounded, key, item), parts)
 	s.metrics.admitted.WithLabelValues(admitted.verdict.String()).Inc()
 	return admitted
 }
--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -25,9 +25,22 @@
 	for key, suspected := range end.suspects {
 		encoded.Suspects = append(encoded.Suspects, encodeSuspect(key, suspected))
 	}
+	for part, suspected := range end.parts {
+		encoded.Parts = append(encoded.Parts, encodePart(part, suspected))
+	}
 	return encoded
 }
 
+func encodePart(part Key, suspected *partSuspect) *quarantinepb.Part {
+	return &quarantinepb.Part{
+		Key: part[:], Message: suspected.message, Position: uint32(suspected.position), Cleared: suspected.cleared,
+	}
+}
+
+func decodePart(encoded *quarantinepb.Part) partSuspect {
+	return partSuspect{message: encoded.Message, position: int(encoded.Position), cleared: encoded.Cleared}
+}
+
 func encodeSuspect(key Key, suspected *suspect) *quarantinepb.Suspect {
 	encoded := &quarantinepb.Suspect{
 		Message:   key[:],
@@ -126,7 +139,7 @@
 	var changed []Key
 	ended := replica.Key(encoded.Replica)
 	if known := e.incidents[ended]; known != nil && known.correctTime(learnedAt, encoded.TimeAssumed) {
-		changed = slices.Collect(maps.Keys(known.suspects))
+		changed = slices.AppendSeq(slices.Collect(maps.Keys(known.suspects)), maps.Keys(known.parts))
 	}
 	for _, suspected := range encoded.Suspects {
 		key, valid := decodeKey(suspected.Message)
@@ -134,6 +147,12 @@
 			changed = append(changed, key)
 		}
 	}
+	for _, part := range encoded.Parts {
+		key, valid := decodeKey(part.Key)
+		if valid && e.addPart(e.incidentFor(ended, learnedAt, encoded.TimeAssumed), key, decodePart(part)) {
+			changed = append(changed, key)
+		}
+	}
 	e.setService(ended, encoded.Service)
 	return changed
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -28,6 +28,9 @@
 	incidents map[replica.Key]*incident
 	byMessage map[Key]map[replica.Key]*incident
 	losses    losses
+	// byPart holds the incidents of each part of a prompt, openPartEnds the number of those in which it is not cleared.
+	byPart       map[Key]map[*incident]bool
+	openPartEnds map[Key]int
 	// recalled holds the messages that were rejected before all nodes were killed, with the time at which this node
 	// learned of them.
 	recalled map[Key]time.Time
@@ -39,6 +42,9 @@
 		byMessage: map[Key]map[replica.Key]*incident{},
 		losses:    losses{},
 		recalled:  map[Key]time.Time{},
+
+		byPart:       map[Key]map[*incident]bool{},
+		openPartEnds: map[Key]int{},
 	}
 }
 
@@ -53,7 +59,7 @@
 	known := e.incidents[ended]
 	if known == nil {
 		e.evictIfFull()
-		known = &incident{replica: ended, learnedAt: learnedAt, timeAssumed: timeAssumed, suspects: map[Key]*suspect{}}
+		known = &incident{replica: ended, learnedAt: learnedAt, timeAssumed: timeAssumed, suspects: map[Key]*suspect{}, parts: map[Key]*partSuspect{}}
 		e.incidents[ended] = known
 	}
 	known.correctTime(learnedAt, timeAssumed)
@@ -164,8 +170,13 @@
 	e.remove(oldest)
 }
 
-// hasRejectedSuspect reports whether an uncleared suspect of the incident is a rejected message.
+// hasRejectedSuspect reports whether an uncleared suspect of the incident is a rejected message or part.
 func (e *evidenceStore) hasRejectedSuspect(end *incident) bool {
+	for part, suspected := range end.parts {
+		if !suspected.cleared && e.partRejected(part) {
+			return true
+		}
+	}
 	for message, suspected := range end.suspects {
 		if !suspected.cleared() && len(e.byMessage[message]) >= minEndsToReject && e.verdict(message) == Rejected {
 			return true
@@ -177,6 +188,7 @@
 // remove deletes an incident from both indexes.
 func (e *evidenceStore) remove(dropped *incident) {
 	delete(e.incidents, dropped.replica)
+	e.removeParts(dropped)
 	for message := range dropped.suspects {
 		delete(e.byMessage[message], dropped.replica)
 		if len(e.byMessage[message]) == 0 {
--- a/internal/quarantine/incident.go
+++ b/internal/quarantine/incident.go
@@ -19,6 +19,8 @@
 	suspects map[Key]*suspect
 	// openSuspects is the number of suspects that are not cleared.
 	openSuspects int
+	// parts holds the shared parts of the prompts that ran there without having begun to answer.
+	parts map[Key]*partSuspect
 }
 
 // correctTime merges a reported time of the incident and returns whether its time changed. An observed time replaces an
--- /dev/null
+++ b/internal/quarantine/part_service.go
@@ -0,0 +1,132 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/sloelift/sloelift/internal/clock"
+)
+
+// rejectsParts reports whether one of the parts keeps a message from replicas. It returns the rejected parts that this
+// node may test with the message. The mutex is held.
+func (s *Service) rejectsParts(parts []Key, now time.Time) (rejects bool, probes []Key) {
+	for _, part := range parts {
+		if s.evidence.verdict(part) != Rejected {
+			continue
+		}
+		if !s.mayProbePart(part, now) {
+			return true, nil
+		}
+		probes = append(probes, part)
+	}
+	return false, probes
+}
+
+// mayProbePart reports whether it is this node's turn to test a rejected part. The mutex is held.
+func (s *Service) mayProbePart(part Key, now time.Time) bool {
+	if _, recalled := s.evidence.recalled[part]; recalled || s.probedParts[part] {
+		return false
+	}
+	turn, due := s.evidence.partProbeTurnAt(part, now)
+	if !due {
+		return false
+	}
+	view := s.viewer.View()
+	ranked := keepers(view, part)
+	return len(ranked) > 0 && ranked[turn%len(ranked)].ID == view.Self
+}
+
+// checkWithParts returns the verdict on a message with the given parts. The mutex is held.
+func (s *Service) checkWithParts(key Key, parts []Key) Verdict {
+	if rejects, _ := s.rejectsParts(parts, clock.Now()); rejects {
+		return Rejected
+	}
+	return s.evidence.verdict(key)
+}
+
+// admitParts adds the parts of its prompt to an admitted message, or rejects it because of one of them.
+func (s *Service) admitParts(admitted *permit, parts []Key) *permit {
+	s.mutex.Lock()
+	rejects, probes := s.rejectsParts(parts, clock.Now())
+	if !rejects && admitted.verdict != Rejected {
+		admitted.parts, admitted.probes = parts, probes
+		for _, part := range probes {
+			s.probedParts[part] = true
+			s.logger.Info().Stringer("digest", part).Msg("prompt_part_probed")
+		}
+	}
+	s.mutex.Unlock()
+	if rejects {
+		admitted.Release()
+		return &permit{service: s, key: admitted.key, verdict: Rejected}
+	}
+	return admitted
+}
+
+// releaseProbes ends the tests of parts that a permit covers.
+func (s *Service) releaseProbes(parts []Key) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, part := range parts {
+		delete(s.probedParts, part)
+	}
+}
+
+// suspectParts counts the end of a replica against the parts of a message whose answer had not begun there. The mutex is
+// held.
+func (s *Service) suspectParts(ended *run, endedAt time.Time) {
+	if len(ended.parts) == 0 {
+		return
+	}
+	end := s.evidence.incidentFor(ended.handle.Key(), endedAt, false)
+	for position, part := range ended.parts {
+		if s.evidence.addPart(end, part, partSuspectOf(ended.key, position)) {
+			s.announce(end.replica, part)
+			s.updateRejected(part)
+		}
+	}
+	s.clearExplained(end)
+}
+
+// clearParts clears the parts of a message whose answer has begun. A part at a single end is left alone: it explains
+// nothing, and parts that many messages share are at one end often.
+func (s *Service) clearParts(parts []Key) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, part := range parts {
+		if s.evidence.openPartEnds[part] <= 1 {
+			continue
+		}
+		for _, end := range s.evidence.clearPart(part) {
+			s.announce(end.replica, part)
+		}
+		s.updateRejected(part)
+		s.signalChanged()
+	}
+}
+
+// clearExplained clears the messages that ran at a replica which a rejected part ended: those without the part were there
+// by chance, and those with it are rejected because of it. The mutex is held.
+func (s *Service) clearExplained(end *incident) {
+	for part, suspected := range end.parts {
+		if _, rejected := s.rejected[part]; suspected.cleared || !rejected {
+			continue
+		}
+		for message, other := range end.suspects {
+			if !other.cleared() {
+				end.clear(message, entireAnswer)
+				s.updateRejected(message)
+			}
+		}
+		return
+	}
+}
+
+// notePartRejected logs the rejection of a part, and clears the messages at the replicas that it ended. The mutex is held.
+func (s *Service) notePartRejected(part Key) {
+	open, explained, messages, span := s.evidence.evidenceOfPart(part)
+	s.logger.Warn().Stringer("digest", part).Int("open", open).Int("ended", explained).Int("messages", messages).
+		Dur("span", span).Msg("prompt_part_rejected")
+	for end := range s.evidence.byPart[part] {
+		s.clearExplained(end)
+	}
+}
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -30,6 +30,8 @@
 	burst           int
 	// chanceEndsPerSecond replicas end for another reason.
 	chanceEndsPerSecond int
+	// massCrashes are the times, in hundredths of a second, at which all replicas end for another reason.
+	massCrashes []int
 	// restartAll restarts all nodes once the part's fifth replica has ended.
 	restartAll bool
 }
@@ -110,6 +112,8 @@
 	for _, load := range []partLoad{
 		{name: "four ends a second", chanceEndsPerSecond: 4},
 		{name: "twelve ends a second", chanceEndsPerSecond: 12},
+		{name: "all replicas at once", massCrashes: []int{300}},
+		{name: "all replicas, and again soon after", massCrashes: []int{300, 305, 330, 360, 400}},
 	} {
 		for seed := range uint64(2) {
 			t.Run(fmt.Sprint(load.name, "/", seed), func(t *testing.T) {
@@ -152,6 +156,11 @@
 			handle := c.handle(c.nodes[0], random.IntN(partReplicas))
 			c.crash(handle, Key{})
 		}
+		if slices.Contains(load.massCrashes, tick) {
+			for number := range partReplicas {
+				c.crash(c.handle(c.nodes[0], number), Key{})
+			}
+		}
 		time.Sleep(10 * time.Millisecond)
 		if fifth, reached := record.fifthEnd(); reached && load.restartAll && !restarted && time.Since(fifth) > 500*time.Millisecond {
 			restarted = true
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -17,6 +17,8 @@
 	service *Service
 	key     Key
 	verdict Verdict
+	// parts are the shared parts of the message's prompt, probes those of them that are rejected and tested by this run.
+	parts, probes []Key
 	// item reports that the message is that of a batch item.
 	item bool
 	// knownIncidents is the number of open incidents of the message that this node knew when it issued the permit.
@@ -58,6 +60,10 @@
 
 // Release implements Permit.
 func (p *permit) Release() {
+	if len(p.probes) > 0 {
+		p.service.releaseProbes(p.probes)
+		p.probes = nil
+	}
 	if p.stopRenewing == nil {
 		return
 	}
@@ -71,7 +77,7 @@
 func (p *permit) Begin(handle *replica.Handle, cut func()) Run {
 	started := &run{
 		service: p.service, key: p.key, handle: handle, cut: cut,
-		startedAt: clock.Now(), granted: p.grantedRun != 0, item: p.item,
+		startedAt: clock.Now(), granted: p.grantedRun != 0, item: p.item, parts: p.parts,
 	}
 	if p.grantedRun != 0 {
 		p.replicaKey.Store(uint64(handle.Key()))
@@ -100,6 +106,10 @@
 	cut       func()
 	startedAt time.Time
 	granted   bool
+	// parts are the shared parts of the message's prompt. receivedEvents is the number of events of the answer so far, up to
+	// begunEvents.
+	parts          []Key
+	receivedEvents int
 	// item reports that the run is that of a batch item.
 	item bool
 	// deciding reports that it is the deciding run of an item, which its owner deferred by this node's evidence.
@@ -116,8 +126,22 @@
 	unseen bool
 }
 
+// begunEvents is the number of events from which an answer has begun: a replica that ends as it begins to write may still
+// deliver the first one.
+const begunEvents = 2
+
+// begun reports whether the answer has begun.
+func (r *run) begun() bool { return r.receivedEvents >= begunEvents }
+
 // Received implements Run.
-func (r *run) Received(events int) {}
+func (r *run) Received(events int) {
+	if r.begun() {
+		return
+	}
+	if r.receivedEvents = min(begunEvents, r.receivedEvents+events); r.begun() {
+		r.service.clearParts(r.parts)
+	}
+}
 
 // Progress implements Run.
 func (r *run) Progress(from, to int) {
@@ -130,6 +154,9 @@
 	switch ending {
 	case Whole:
 		r.service.clearMessage(r.key)
+		if !r.begun() {
+			r.service.clearParts(r.parts)
+		}
 		return false
 	case Lost, Interrupted, Expired:
 		return r.concludeLost(ctx, ending)
@@ -171,6 +198,9 @@
 	if r.service.pendingInquiries[r.key]--; r.service.pendingInquiries[r.key] <= 0 {
 		delete(r.service.pendingInquiries, r.key)
 	}
+	if inquiry.counted && !r.begun() {
+		r.service.suspectParts(r, inquiry.at)
+	}
 	switch {
 	case inquiry.counted && (ending == Lost || runDuration <= shortRunDuration || r.item):
 		r.service.suspect(r, inquiry.at, runDuration)
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -89,6 +89,8 @@
 	abortedRuns     map[replica.Key][]abortedRun
 	abortedCount    int
 	expireAbortedAt time.Time
+	// probedParts holds the rejected parts of prompts that a message of this node is testing.
+	probedParts map[Key]bool
 	// changed is closed and replaced when evidence arrives or a run ends.
 	changed chan struct{}
 	// outbox holds the messages for the next notice, by incident; repeats holds those of sent notices that are to be
@@ -131,6 +133,7 @@
 		rejected:         map[Key]recordState{},
 		staleRecords:     map[Key]time.Time{},
 		abortedRuns:      map[replica.Key][]abortedRun{},
+		probedParts:      map[Key]bool{},
 	}
 	service.ctx, service.cancel = context.WithCancel(context.Background())
 	transport.Handle(options.Registrar, methodNotice, func() *quarantinepb.Notice { return &quarantinepb.Notice{} },
@@ -187,7 +190,7 @@
 func (s *Service) Check(key Key, parts ...Key) Verdict {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.evidence.verdict(key)
+	return s.checkWithParts(key, parts)
 }
 
 // CheckItem implements ItemRegister.
@@ -195,7 +198,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.markItem(key)
-	return s.evidence.verdict(key)
+	return s.checkWithParts(key, parts)
 }
 
 // markItem marks the ends under a message as those of an item and announces the changes. The mutex is held.
@@ -262,6 +265,7 @@
 		Int("ended", s.evidence.endCount(ended.key)).Stringer("verdict", s.evidence.verdict(ended.key)).
 		Bool("granted", ended.granted).Bool("progressed", ended.progressed).Int("reached", ended.reached).Msg("message_suspected")
 	s.updateRejected(ended.key)
+	s.clearExplained(s.evidence.incidents[key])
 	s.cutRuns(ended.key)
 }
 
@@ -331,6 +335,9 @@
 	changed := s.evidence.join(incidents, now)
 	s.clearOwnLapses(incidents)
 	for _, end := range incidents {
+		if known := s.evidence.incidents[replica.Key(end.GetReplica())]; known != nil {
+			s.clearExplained(known)
+		}
 		if ended := replica.Key(end.GetReplica()); len(s.abortedRuns[ended]) > 0 && s.evidence.incidents[ended] != nil {
 			s.suspectAbortedRuns(ended, s.evidence.incidents[ended].learnedAt)
 		}
@@ -397,6 +404,10 @@
 		return
 	}
 	s.rejected[key] = recordMissing
+	if s.evidence.partRejected(key) {
+		s.notePartRejected(key)
+		return
+	}
 	s.logger.Warn().Stringer("digest", key).
 		Int("ended", s.evidence.endCount(key)).Int("lost", s.evidence.losses.openCount(key)).
 		Strs("evidence", s.evidence.describeEvidence(key, clock.Now())).Msg("message_rejected")
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -124,6 +124,9 @@
 			if suspected := end.suspects[key]; suspected != nil {
 				encoded.Suspects = append(encoded.Suspects, encodeSuspect(key, suspected))
 			}
+			if part := end.parts[key]; part != nil {
+				encoded.Parts = append(encoded.Parts, encodePart(key, part))
+			}
 		}
 		notice.Incidents = append(notice.Incidents, encoded)
 	}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -38,9 +38,10 @@
 	weightTolerance = 1e-9
 )
 
-// verdict returns the verdict on a message from all its evidence: ended replicas, losses and recalled rejections.
+// verdict returns the verdict on a message, or on a part of prompts, from all its evidence: ended replicas, losses and
+// recalled rejections.
 func (e *evidenceStore) verdict(message Key) Verdict {
-	if _, recalled := e.recalled[message]; recalled {
+	if _, recalled := e.recalled[message]; recalled || e.partRejected(message) {
 		return Rejected
 	}
 	lost, unseen := e.losses.openCount(message), e.unseenEndCount(message)
@@ -280,5 +281,8 @@
 	for message := range e.recalled {
 		found[message] = true
 	}
+	for part := range e.openPartEnds {
+		found[part] = true
+	}
 	return found
 }
