Quarantine: a mass crash and an aborted run as evidence on parts of prompts

An end that belongs to a mass crash counts against a part only if the part was at all replicas of it, as for messages the crash has another cause.

--- a/internal/quarantine/aborted.go
+++ b/internal/quarantine/aborted.go
@@ -32,7 +32,8 @@
 	now := clock.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.addAborted(aborted, now, now.Add(abortedRunGrace)) && s.evidence.verdict(aborted.key) != Allowed {
+	suspected := aborted.probing || s.evidence.verdict(aborted.key) != Allowed
+	if s.addAborted(aborted, now, now.Add(abortedRunGrace)) && suspected {
 		s.startInquiryAfterAbort(aborted.handle)
 	}
 }
@@ -81,6 +82,9 @@
 			return true
 		}
 		s.suspect(aborted.run, endedAt, endedAt.Sub(aborted.run.startedAt))
+		if !aborted.run.begun() {
+			s.suspectParts(aborted.run, endedAt)
+		}
 		return false
 	})
 }
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -94,11 +94,11 @@
 
 // mainPartEnds returns the incidents that the part explains best, ordered by time: in each of them it is open, and every
 // other open part is open in fewer incidents. Of parts that are open in equally many, the later one in the prompt explains
-// them, since fewer requests hold it.
+// them, since fewer requests hold it. A mass crash that reached replicas without the part has another cause.
 func (e *evidenceStore) mainPartEnds(part Key) []*incident {
 	var found []*incident
 	for end := range e.byPart[part] {
-		if !end.parts[part].cleared && e.isMainPart(part, end) {
+		if end.hasOpenPart(part) && e.isMainPart(part, end) && !e.inMassCrashWithout(part, end) {
 			found = append(found, end)
 		}
 	}
@@ -106,6 +106,21 @@
 	return found
 }
 
+// hasOpenPart reports whether the part may have ended the replica.
+func (i *incident) hasOpenPart(part Key) bool {
+	suspected := i.parts[part]
+	return suspected != nil && !suspected.cleared
+}
+
+// inMassCrashWithout reports whether the incident belongs to a mass crash in which other replicas ended without the part.
+func (e *evidenceStore) inMassCrashWithout(part Key, end *incident) bool {
+	concurrent := e.concurrentIncidents(end)
+	if len(concurrent) < massCrashReplicas {
+		return false
+	}
+	return slices.ContainsFunc(concurrent, func(other *incident) bool { return !other.hasOpenPart(part) })
+}
+
 func (e *evidenceStore) isMainPart(part Key, end *incident) bool {
 	own, open := end.parts[part], e.openPartEnds[part]
 	for other, suspected := range end.parts {
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -254,3 +254,82 @@
 	c.agree()
 	time.Sleep(3 * time.Second)
 }
+
+// TestAbortedRunCountsAgainstItsParts checks that a part is suspected of the end of a replica at which a caller had just
+// left, and that a probe which its caller leaves is looked after.
+func TestAbortedRunCountsAgainstItsParts(t *testing.T) {
+	inCluster(t, 1, 4, func(t *testing.T, c *cluster) {
+		member := c.nodes[0]
+		parts := PartKeys(prompt.Parts{{ID: "first"}, {ID: "own"}})
+		left := member.Admit(t.Context(), keyOf("left"), parts...).Begin(c.handle(member, 0), nil)
+		other := member.Admit(t.Context(), keyOf("other")).Begin(c.handle(member, 0), nil)
+		time.Sleep(10 * time.Millisecond)
+		left.End(t.Context(), Aborted)
+		c.crash(c.handle(member, 0), Key{})
+		other.End(t.Context(), Lost)
+		member.mutex.Lock()
+		open := member.evidence.openPartEnds[parts[0]]
+		member.mutex.Unlock()
+		if open != 1 {
+			t.Errorf("the part is open at %d ends, want 1", open)
+		}
+		probe := &run{service: member.Service, key: keyOf("probe"), handle: c.handle(member, 1), startedAt: time.Now(), parts: parts, probing: true}
+		time.Sleep(time.Millisecond)
+		probe.End(t.Context(), Aborted)
+		c.crash(c.handle(member, 1), Key{})
+		time.Sleep(time.Second)
+		member.mutex.Lock()
+		open = member.evidence.openPartEnds[parts[0]]
+		member.mutex.Unlock()
+		if open != 2 {
+			t.Errorf("the part is open at %d ends after a probe that its caller left, want 2", open)
+		}
+	})
+}
+
+// TestRejectedPartComesBackByASoundAnswer checks that a part which was rejected for ends that had another cause is served
+// again by one request after partProbeDelay, and that a deadly part is tested twice at most.
+func TestRejectedPartComesBackByASoundAnswer(t *testing.T) {
+	for _, deadly := range []bool{false, true} {
+		t.Run(fmt.Sprint("deadly ", deadly), func(t *testing.T) {
+			inCluster(t, 3, partReplicas, func(t *testing.T, c *cluster) {
+				parts := PartKeys(prompt.Parts{{ID: "first"}, {ID: "own"}})
+				sent := 0
+				send := func(number int, ends bool) bool {
+					member := c.nodes[number%3]
+					permit := member.Admit(t.Context(), keyOf(fmt.Sprint("request ", number)), parts...)
+					defer permit.Release()
+					if permit.Verdict() == Rejected {
+						return false
+					}
+					sent++
+					handle := c.handle(member, number%partReplicas)
+					run := permit.Begin(handle, nil)
+					if ends {
+						c.crash(handle, Key{})
+						run.End(t.Context(), Lost)
+						return true
+					}
+					run.Received(begunEvents)
+					run.End(t.Context(), Whole)
+					return true
+				}
+				for number := range minPartEnds {
+					send(number, true)
+					time.Sleep(100 * time.Millisecond)
+				}
+				before := sent
+				for number := minPartEnds; number < 600; number++ {
+					send(number, deadly)
+					time.Sleep(100 * time.Millisecond)
+				}
+				switch tested := sent - before; {
+				case deadly && tested > maxPartProbes:
+					t.Errorf("%d requests with a deadly part are sent after its rejection, want at most %d", tested, maxPartProbes)
+				case !deadly && tested < 500:
+					t.Errorf("%d of 596 requests with a sound part are sent", tested)
+				}
+			})
+		})
+	}
+}
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -77,7 +77,7 @@
 func (p *permit) Begin(handle *replica.Handle, cut func()) Run {
 	started := &run{
 		service: p.service, key: p.key, handle: handle, cut: cut,
-		startedAt: clock.Now(), granted: p.grantedRun != 0, item: p.item, parts: p.parts,
+		startedAt: clock.Now(), granted: p.grantedRun != 0, item: p.item, parts: p.parts, probing: len(p.probes) > 0,
 	}
 	if p.grantedRun != 0 {
 		p.replicaKey.Store(uint64(handle.Key()))
@@ -110,6 +110,8 @@
 	// begunEvents.
 	parts          []Key
 	receivedEvents int
+	// probing reports that the run tests a rejected part.
+	probing bool
 	// item reports that the run is that of a batch item.
 	item bool
 	// deciding reports that it is the deciding run of an item, which its owner deferred by this node's evidence.
