--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -64,6 +64,7 @@
 // does not answer it surveys them again, since another node may have taken the partition over meanwhile, and then asks that
 // one. The cause of failure is empty if the partition may be taken over.
 func (m *Manager) surveyReleased(partition PartitionID, ensemble protocol.Ensemble, overdue bool) (survey surveyResult, failure protocol.Lost) {
+	// The zero ballot is that of a log which has had no owner.
 	asked := protocol.Ballot{}
 	for {
 		survey = m.survey(ensemble)
