--- a/review/_standin/replica_crashes.go
+++ b/review/_standin/replica_crashes.go
@@ -6,15 +6,20 @@
 )
 
 const (
-	// Crashes single replicas, one after the other; each is back, as a new incarnation, after crashTime. The first comes firstCrash after the
+	// Single replicas crash, one after the other; each is back, as a new incarnation, after crashTime. The first crashes at firstCrash after the
 	// traffic has begun.
-	crashes    = 3
-	crashTime  = 4500 * time.Millisecond
-	firstCrash = 8 * time.Second
-	// crashDelay is how long a replica has had the item when it crashes.
-	crashDelay = 60 * time.Millisecond
-	// trafficTime is how long jobs are sent.
-	trafficTime = 30 * time.Second
+	itemCrashes = 3
+	partCrashes = 10
+	crashTime   = 4500 * time.Millisecond
+	firstCrash  = 8 * time.Second
+	// maxAtOnce is the number of replicas that may crash at once.
+	maxAtOnce = 2
+	// itemCrashDelay and partCrashDelay are how long a replica has had the item when it crashes.
+	itemCrashDelay = 60 * time.Millisecond
+	partCrashDelay = 15 * time.Millisecond
+	// itemTraffic and partTraffic are how long jobs are sent.
+	itemTraffic = 30 * time.Second
+	partTraffic = 64 * time.Second
 	// calmTime, idleTime and failedTime are the times of the rule: how long no replica had an item, none finished one, and for how long a
 	// failure of an item excuses it.
 	calmTime   = 5 * time.Second
@@ -22,9 +27,29 @@
 	failedTime = 20 * time.Second
 )
 
-// replicaCrashes lets three replicas crash while jobs are sent, and looks for items that are left lying when completion is over. The first
-// replica is one that has just got an item; the others are those that get this item next. Nothing is wrong with the item.
-func (p *play) replicaCrashes(ctx context.Context) (kept bool, err error) {
+// itemCrash lets three replicas crash while jobs are sent, and looks for items that are left lying when completion is over. The first replica
+// is one that has just got an item; the others are those that get this item next. Nothing is wrong with the item.
+func (p *play) itemCrash(ctx context.Context) (kept bool, err error) {
+	victim := ""
+	return p.replicaCrashes(ctx, itemTraffic, itemCrashes, itemCrashDelay, func(item string) bool {
+		if victim == "" {
+			victim = item
+		}
+		return item == victim
+	})
+}
+
+// partCrash lets up to partCrashes replicas crash while jobs are sent, each just after it got an item whose prompt begins with one shared part, and looks
+// for items that are left lying when completion is over. Nothing is wrong with the part.
+func (p *play) partCrash(ctx context.Context) (kept bool, err error) {
+	return p.replicaCrashes(ctx, partTraffic, partCrashes, partCrashDelay, func(item string) bool {
+		return p.firstParts[item] == sharedPart(0)
+	})
+}
+
+// replicaCrashes lets the given number of replicas crash, each delay after an item that chooses accepts has arrived there. chooses is called
+// with the mutex held.
+func (p *play) replicaCrashes(ctx context.Context, trafficTime time.Duration, crashes int, delay time.Duration, chooses func(item string) bool) (kept bool, err error) {
 	sending, stopSending := context.WithTimeout(ctx, trafficTime)
 	defer stopSending()
 	reading, stopReading := context.WithTimeout(ctx, trafficTime+completion)
@@ -32,7 +57,7 @@
 	began := time.Now()
 	ended := began.Add(trafficTime)
 	if p.trouble {
-		p.crashUnderOneItem(began.Add(firstCrash))
+		p.crashAtArrivals(began.Add(firstCrash), crashes, delay, chooses)
 	}
 	busiest := 0
 	p.fleet.tasks.Go(func() {
@@ -49,22 +74,26 @@
 	return lying == 0, nil
 }
 
-// crashUnderOneItem crashes the replica that gets the first item after from, and those that get it after that.
-func (p *play) crashUnderOneItem(from time.Time) {
-	victim, left := "", crashes
+// crashAtArrivals crashes replicas, maxAtOnce at once, delay after an item that chooses accepts has arrived there.
+func (p *play) crashAtArrivals(from time.Time, crashes int, delay time.Duration, chooses func(item string) bool) {
+	left, down := crashes, 0
 	arrived := func(item string, place *replica) {
 		p.mutex.Lock()
 		defer p.mutex.Unlock()
-		if left == 0 || time.Now().Before(from) || victim != "" && item != victim {
+		if left == 0 || down == maxAtOnce || time.Now().Before(from) || !chooses(item) {
 			return
 		}
-		victim = item
 		left--
+		down++
 		p.fleet.tasks.Go(func() {
-			if !sleep(p.fleet.ctx, crashDelay) || !place.crash() || !sleep(p.fleet.ctx, crashTime) {
-				return
+			sleep(p.fleet.ctx, delay)
+			crashed := place.crash()
+			p.mutex.Lock()
+			down--
+			p.mutex.Unlock()
+			if crashed && sleep(p.fleet.ctx, crashTime) {
+				_ = place.start()
 			}
-			_ = place.start()
 		})
 	}
 	for _, place := range p.replicas {
