quarantine: items go on testing a rejected part of prompts

Two tests are the platform's bound for requests; items were bound by the same count. A part known from its record only was not tested at all.

Change: items test a rejected part with the delays of retries, from the third test on while the service is stable; a part known from its record is tested by items, and an answer that begins takes it back. Requests are bound as before.

--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -50,11 +50,11 @@
 func (s *Service) admit(ctx context.Context, key Key, parts []Key, item bool) *permit {
 	current, inquired := s.currentPermit(key)
 	if current.verdict == Allowed && !inquired || s.checkAdmitted(key, parts, item) == Rejected {
-		return s.admitParts(current, parts)
+		return s.admitParts(current, parts, item)
 	}
 	bounded, cancel := context.WithTimeout(ctx, maxAdmitWait)
 	defer cancel()
-	admitted := s.admitParts(s.admitSuspect(bounded, key, item), parts)
+	admitted := s.admitParts(s.admitSuspect(bounded, key, item), parts, item)
 	s.metrics.admitted.WithLabelValues(admitted.verdict.String()).Inc()
 	return admitted
 }
--- a/internal/quarantine/part_service.go
+++ b/internal/quarantine/part_service.go
@@ -6,14 +6,14 @@
 	"github.com/sloelift/sloelift/internal/clock"
 )
 
-// rejectsParts reports whether one of the parts keeps a message from replicas. It returns the rejected parts that this
-// node may test with the message. The mutex is held.
-func (s *Service) rejectsParts(parts []Key, now time.Time) (rejects bool, probes []Key) {
+// rejectsParts reports whether one of the parts keeps a message, or a batch item, from replicas. It returns the rejected
+// parts that this node may test with it. The mutex is held.
+func (s *Service) rejectsParts(parts []Key, item bool, now time.Time) (rejects bool, probes []Key) {
 	for _, part := range parts {
 		if s.evidence.verdict(part) != Rejected {
 			continue
 		}
-		if !s.mayProbePart(part, now) {
+		if !s.mayProbePart(part, item, now) {
 			return true, nil
 		}
 		probes = append(probes, part)
@@ -21,24 +21,26 @@
 	return false, probes
 }
 
-// mayProbePart reports whether it is this node's turn to test a rejected part. The mutex is held.
-func (s *Service) mayProbePart(part Key, now time.Time) bool {
-	if _, recalled := s.evidence.recalled[part]; recalled || s.probedParts[part] {
+// mayProbePart reports whether it is this node's turn to test a rejected part with a message, or with a batch item. The mutex
+// is held.
+func (s *Service) mayProbePart(part Key, item bool, now time.Time) bool {
+	_, recalled := s.evidence.recalled[part]
+	if s.probedParts[part] || recalled && !item {
 		return false
 	}
-	turn, due := s.evidence.partProbeTurnAt(part, now)
-	if !due {
+	probe, due := s.evidence.nextPartProbe(part, now)
+	if !due || probe.failed >= maxPartProbes && !(item && s.partServiceStable(part, now)) {
 		return false
 	}
 	view := s.viewer.View()
 	ranked := keepers(view, part)
-	return len(ranked) > 0 && ranked[turn%len(ranked)].ID == view.Self
+	return len(ranked) > 0 && ranked[probe.turn%len(ranked)].ID == view.Self
 }
 
 // checkWithParts returns the verdict on a message, or a batch item, with the given parts. The mutex is held.
 func (s *Service) checkWithParts(key Key, parts []Key, item bool) Verdict {
 	now := clock.Now()
-	if rejects, _ := s.rejectsParts(parts, now); rejects {
+	if rejects, _ := s.rejectsParts(parts, item, now); rejects {
 		return Rejected
 	}
 	return s.verdictOf(key, item, now)
@@ -53,9 +55,9 @@
 }
 
 // admitParts adds the parts of its prompt to an admitted message, or rejects it because of one of them.
-func (s *Service) admitParts(admitted *permit, parts []Key) *permit {
+func (s *Service) admitParts(admitted *permit, parts []Key, item bool) *permit {
 	s.mutex.Lock()
-	rejects, probes := s.rejectsParts(parts, clock.Now())
+	rejects, probes := s.rejectsParts(parts, item, clock.Now())
 	if !rejects && admitted.verdict != Rejected {
 		admitted.parts, admitted.probes = parts, probes
 		for _, part := range probes {
@@ -96,12 +98,13 @@
 	s.clearExplained(end)
 }
 
-// clearParts clears the parts of a message whose answer has begun. A part at a single end is left alone: it explains
+// clearParts clears the parts of a message whose answer has begun, and takes back their recalled rejections. A part at a single end is left alone: it explains
 // nothing, and parts that many messages share are at one end often.
 func (s *Service) clearParts(parts []Key) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, part := range parts {
+		s.clearRecalled(part)
 		if s.evidence.openPartEnds[part] <= 1 {
 			continue
 		}
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -288,7 +289,7 @@
 }
 
 // TestRejectedPartComesBackByASoundAnswer checks that a part which was rejected for ends that had another cause is served
-// again by one request after partProbeDelay, and that a deadly part is tested twice at most.
+// again by one request after RetryDelay, and that a deadly part is tested twice at most.
 func TestRejectedPartComesBackByASoundAnswer(t *testing.T) {
 	for _, deadly := range []bool{false, true} {
 		t.Run(fmt.Sprint("deadly ", deadly), func(t *testing.T) {
@@ -333,3 +334,59 @@
 		})
 	}
 }
+
+// TestItemsTestARejectedPartEverLater guards items that share a part of their prompts against being held back for good: the part was
+// rejected for ends that had another cause, and so had those of the tests that requests may make.
+func TestItemsTestARejectedPartEverLater(t *testing.T) {
+	for name, test := range map[string]struct {
+		chanceTests int
+		restart     bool
+	}{
+		"after two tests":                       {maxPartProbes, false},
+		"after three tests":                     {maxPartProbes + 1, false},
+		"deadly":                                {math.MaxInt16, false},
+		"all nodes restart after the rejection": {0, true},
+		"all nodes restart after the rejection, and one": {1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, 3, partReplicas, func(t *testing.T, c *cluster) {
+				parts := PartKeys(prompt.Parts{{ID: "first"}, {ID: "own"}})
+				var ends []time.Time
+				done := 0
+				time.Sleep(2 * allNodesReadDelay)
+				for number := range 1500 {
+					time.Sleep(100 * time.Millisecond)
+					if test.restart && number == 2*minPartEnds {
+						c.restartAll()
+					}
+					member := c.nodes[number%3]
+					permit := member.AdmitItem(t.Context(), keyOf(fmt.Sprint("item ", number)), parts...)
+					if permit.Verdict() == Rejected {
+						permit.Release()
+						continue
+					}
+					handle := c.handle(member, number%partReplicas)
+					run := permit.Begin(handle, nil)
+					if len(ends) < minPartEnds+test.chanceTests {
+						c.crash(handle, Key{})
+						ends = append(ends, time.Now())
+						run.End(t.Context(), Lost)
+					} else {
+						done++
+						run.Received(begunEvents)
+						run.End(t.Context(), Whole)
+					}
+					permit.Release()
+				}
+				for index := minPartEnds; index < len(ends); index++ {
+					if waited, want := ends[index].Sub(ends[index-1]), RetryDelay(index-minPartEnds); waited < want {
+						t.Errorf("test %d comes %s after the end before, want %s at least", index-minPartEnds+1, waited, want)
+					}
+				}
+				if deadly := test.chanceTests == math.MaxInt16; deadly && done > 0 || !deadly && done < 500 {
+					t.Errorf("%d items are done, %d replicas ended", done, len(ends))
+				}
+			})
+		})
+	}
+}
--- a/internal/quarantine/part_verdict.go
+++ b/internal/quarantine/part_verdict.go
@@ -12,14 +12,13 @@
 	// another cause, and a sound part that was at many of them is so frequent that another answer with it begins within
 	// this time.
 	minPartSpan = 250 * time.Millisecond
-	// maxPartProbes is the number of runs that may test whether a rejected part still ends replicas.
+	// maxPartProbes is the number of requests that may test whether a rejected part still ends replicas. Batch items
+	// test it further, since their callers cannot send them again.
 	maxPartProbes = 2
-	// partProbeDelay is the time after the last end from which the first such run is made; the delay grows with each.
-	partProbeDelay = 5 * time.Second
 	// partProbeTurn is the time for which one node may make it: nodes take turns, so that no two make it at once.
 	partProbeTurn = 2 * time.Second
 	// minPartProbeGap is the time between two ends from which the later one is taken for that of a probe.
-	minPartProbeGap = partProbeDelay - time.Second
+	minPartProbeGap = retryDelay - time.Second
 )
 
 // partRejected reports whether messages with the part are kept from replicas.
@@ -34,22 +33,45 @@
 	return ends[len(ends)-1].learnedAt.Sub(ends[0].learnedAt) >= minPartSpan
 }
 
-// partProbeTurnAt returns the number of the turn in which a rejected part may be tested at the given time, from 0; none
-// is due before the delay has passed, or once maxPartProbes were made.
-func (e *evidenceStore) partProbeTurnAt(part Key, now time.Time) (turn int, due bool) {
+// partProbe is a run that tests whether a rejected part still ends replicas.
+type partProbe struct {
+	// failed is the number of earlier probes that ended their replicas.
+	failed int
+	// turn is the number of the turn in which the probe may be made, from 0.
+	turn int
+}
+
+// nextPartProbe returns the probe of a rejected part that is due, if any. The first one is due retryDelay after the last end,
+// or after this node learned of a recalled rejection.
+func (e *evidenceStore) nextPartProbe(part Key, now time.Time) (probe partProbe, due bool) {
 	ends := e.mainPartEnds(part)
-	if len(ends) == 0 {
-		return 0, false
-	}
-	probes := 0
-	for index := 1; index < len(ends); index++ {
-		if ends[index].learnedAt.Sub(ends[index-1].learnedAt) >= minPartProbeGap {
-			probes++
+	last := e.recalled[part]
+	for index, end := range ends {
+		if index > 0 && end.learnedAt.Sub(ends[index-1].learnedAt) >= minPartProbeGap {
+			probe.failed++
+		}
+		if end.learnedAt.After(last) {
+			last = end.learnedAt
 		}
 	}
-	waited := now.Sub(ends[len(ends)-1].learnedAt) - time.Duration(1+probes)*partProbeDelay
-	if probes >= maxPartProbes || waited < 0 {
-		return 0, false
+	if last.IsZero() {
+		return partProbe{}, false
+	}
+	waited := now.Sub(last) - RetryDelay(probe.failed)
+	if waited < 0 {
+		return partProbe{}, false
+	}
+	probe.turn = int(waited / partProbeTurn)
+	return probe, true
+}
+
+// partServiceStable reports whether the service whose replica the part ended last has been stable for long enough to test
+// the part again.
+func (s *Service) partServiceStable(part Key, now time.Time) bool {
+	ends := s.evidence.mainPartEnds(part)
+	if len(ends) == 0 {
+		return true
 	}
-	return int(waited / partProbeTurn), true
+	service := ends[len(ends)-1].service
+	return s.evidence.isStable(service, len(s.directory.View().ForService(service)), retryWindow(part), now)
 }
