batch: an event that is not text fails its attempt instead of ending the owner

Cause: data and ids of events went unchecked into protobuf strings, whose encoder refuses such bytes, and newRecord treats that as a broken invariant.

Change: an event that is not UTF-8 text ends the attempt as malformed. What came before it is kept, the replica has failed, and the item resumes behind the last sound event. Texts of submissions are checked where they are taken.

--- a/internal/batch/check.go
+++ b/internal/batch/check.go
@@ -2,13 +2,15 @@
 
 import (
 	"math"
+	"slices"
+	"unicode/utf8"
 
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	"github.com/sloelift/sloelift/internal/outcome"
 )
 
 // Check returns an error if a submission cannot be accepted: the job and its items must have IDs, those of the items must be unique,
-// and no token count may be negative or overflow the sum that counts for the quota.
+// no token count may be negative or overflow the sum that counts for the quota, and all texts must be UTF-8.
 func Check(submission *batchpb.Submission) error {
 	if submission.JobId == "" {
 		return invalid("a job without an id")
@@ -25,9 +27,24 @@
 		}
 		total += item.Tokens
 	}
+	if !isText(submission) {
+		return invalid("a text of the job is not UTF-8")
+	}
 	return nil
 }
 
+// isText reports whether all texts of a submission are UTF-8, as those of messages and records must be.
+func isText(submission *batchpb.Submission) bool {
+	texts := []string{submission.JobId, submission.Host, submission.Tenant}
+	for _, item := range submission.Items {
+		texts = append(texts, item.Id, item.Path)
+		for _, header := range item.Headers {
+			texts = append(texts, header.Name, header.Value)
+		}
+	}
+	return !slices.ContainsFunc(texts, func(text string) bool { return !utf8.ValidString(text) })
+}
+
 func invalid(why string) *outcome.Error {
 	return outcome.New(outcome.Failed, outcome.ReasonInvalid, why)
 }
--- a/internal/batch/check_test.go
+++ b/internal/batch/check_test.go
@@ -21,6 +21,13 @@
 		{"two items of one id", &batchpb.Submission{JobId: "j", Items: []*batchpb.Item{{Id: "a"}, {Id: "a"}}}, false},
 		{"fewer tokens than none", &batchpb.Submission{JobId: "j", Items: []*batchpb.Item{{Id: "a", Tokens: -1}}}, false},
 		{"more tokens than can be added up", &batchpb.Submission{JobId: "j", Items: []*batchpb.Item{{Id: "a", Tokens: math.MaxInt64}, {Id: "b", Tokens: 1}}}, false},
+		{"job id that is no text", &batchpb.Submission{JobId: "j\xff"}, false},
+		{"host that is no text", &batchpb.Submission{JobId: "j", Host: "\xff"}, false},
+		{"tenant that is no text", &batchpb.Submission{JobId: "j", Tenant: "\xff"}, false},
+		{"item id that is no text", &batchpb.Submission{JobId: "j", Items: []*batchpb.Item{{Id: "\xff"}}}, false},
+		{"path that is no text", &batchpb.Submission{JobId: "j", Items: []*batchpb.Item{{Id: "a", Path: "/\xff"}}}, false},
+		{"header that is no text", &batchpb.Submission{JobId: "j", Items: []*batchpb.Item{{Id: "a", Headers: []*batchpb.Header{{Name: "n", Value: "\xff"}}}}}, false},
+		{"body that is no text", &batchpb.Submission{JobId: "j", Items: []*batchpb.Item{{Id: "a", Body: []byte{0xff}}}}, true},
 	} {
 		err := Check(test.submission)
 		if (err == nil) != test.valid {
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -48,6 +48,8 @@
 	itemRefused
 	// itemInterrupted: the stream ended early; the text received so far is kept.
 	itemInterrupted
+	// itemMalformed: the replica sent an event that is not text, which no result can contain; the text before it is kept.
+	itemMalformed
 	// itemNotSent: the item was not sent, since its replica is cold and cannot take another run now, or its deciding run was
 	// deferred.
 	itemNotSent
@@ -56,7 +58,7 @@
 )
 
 var itemVerdictNames = map[itemVerdict]string{
-	itemDone: "done", itemImpossible: "impossible", itemFailed: "failed", itemRefused: "refused", itemInterrupted: "cut", itemNotSent: "not_sent",
+	itemDone: "done", itemImpossible: "impossible", itemFailed: "failed", itemRefused: "refused", itemInterrupted: "cut", itemMalformed: "malformed", itemNotSent: "not_sent",
 	itemRejected: "rejected",
 }
 
@@ -220,11 +222,12 @@
 }
 
 // readStream collects the data of the events. Only an answer whose framing marks its end can be complete; after any other the item
-// is sent again and resumes after its last event.
+// is sent again and resumes after its last event, as it does after one that is not text.
 func (a *itemAttempt) readStream(ctx context.Context, answer *replica.Answer, silence *time.Timer) itemVerdict {
 	reader := eventstream.NewReader(answer.Body)
 	for {
-		events, err := reader.Next()
+		received, err := reader.Next()
+		events, notText := received.Text()
 		if len(events.Bytes) > 0 {
 			silence.Reset(silenceTimeout)
 			a.observeEvents(clock.Now())
@@ -240,6 +243,11 @@
 			}
 			a.partition.recordProgress(a)
 		}
+		if notText != nil {
+			a.err = notText
+			a.reportFailure()
+			return itemMalformed
+		}
 		if errors.Is(err, io.EOF) && answer.Framed {
 			a.handle.Succeeded()
 			return itemDone
@@ -279,6 +287,9 @@
 		p.requeue(attempt.key, pauseAfterRefusal)
 	case itemInterrupted:
 		p.requeue(attempt.key, 0)
+	case itemMalformed:
+		// Such an answer is none of those after which an item may be given up, so that it is sent again.
+		p.requeue(attempt.key, pauseAfterFailure)
 	case itemNotSent:
 		p.requeue(attempt.key, suspectedRetryDelay)
 	case itemRejected:
--- /dev/null
+++ b/internal/batch/item_malformed_test.go
@@ -0,0 +1,48 @@
+package batch
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/replica/replicatest"
+)
+
+// TestEventsThatAreNotTextEndNoProcess guards storage nodes against bytes of a replica that no record can contain: the first record
+// of such an item's text ended the process ("panic: encode record: string field contains invalid UTF-8").
+func TestEventsThatAreNotTextEndNoProcess(t *testing.T) {
+	const eventThree = "id: 3\ndata: c\n\n"
+	for name, test := range map[string]struct {
+		chunks []string
+		whole  bool
+		after  string
+	}{
+		"data, and the connection breaks off":  {[]string{eventOne, "id: 2\ndata: \xff\xfe\n\n"}, false, "1"},
+		"data of the last event of an answer":  {[]string{eventOne, eventTwo, "id: 3\ndata: \xff\n\n"}, true, "2"},
+		"data amid sound events in one piece":  {[]string{eventOne + "id: 2\ndata: \xff\n\n" + eventThree}, true, "1"},
+		"an event's id":                        {[]string{eventOne, "id: \xff\ndata: b\n\n"}, true, "1"},
+		"the first event":                      {[]string{"id: 1\ndata: \xc3\n\n"}, true, ""},
+		"a character in two events, one piece": {[]string{eventOne + "data: \xc3\n\ndata: \xa4\n\n"}, true, "1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sound := map[string]string{"": eventOne + eventTwo + eventThree, "1": eventTwo + eventThree, "2": eventThree}[test.after]
+				spoilt := replicatest.Stream("s", test.whole, false, test.chunks...)
+				owner := startOwner(t, singleReplica(replicatest.Then(spoilt, replicatest.Stream("s", true, false, sound))))
+				defer owner.stop()
+				owner.mustSubmit(t, testSubmission("j", 1))
+				result := owner.results(t, "j", 1, 10*time.Second)[0]
+				if result.State != batchpb.State_STATE_SUCCEEDED || result.Text != "a\nb\nc" {
+					t.Errorf("the item is %s with the text %q", result.State, result.Text)
+				}
+				if got := owner.replicas.Requests()[1].Header.Get("Last-Event-Id"); got != test.after {
+					t.Errorf("the second run resumes after %q, want %q", got, test.after)
+				}
+				if owner.service.directory.View().Find("a").FailureRate() == 0 {
+					t.Error("the answer does not count as a failure of its replica")
+				}
+			})
+		})
+	}
+}
