origin: a request ID that is not text spoils no other record

What callers saw: a stream that began shortly before or after one whose request ID is no UTF-8 cannot be resumed once its edge is lost.

Cause: records of several requests go into one message, which the encoder refuses for one ID.

Change: no record is kept of such a request, as of one whose ID is too long.

--- a/internal/origin/book.go
+++ b/internal/origin/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"time"
+	"unicode/utf8"
 
 	originpb "github.com/sloelift/sloelift/api/proto/origin"
 	"github.com/sloelift/sloelift/internal/replica"
@@ -33,7 +34,7 @@
 
 // add keeps a record, and reports whether it is kept. A record never changes, except that a second origin for its request makes it disputed.
 func (b *book) add(requestID string, began replica.Origin, disputed bool, lifetime time.Duration, now time.Time) bool {
-	if requestID == "" || len(requestID) > maxRequestBytes || lifetime <= 0 {
+	if requestID == "" || len(requestID) > maxRequestBytes || !utf8.ValidString(requestID) || lifetime <= 0 {
 		return false
 	}
 	added := record{origin: began, disputed: disputed, expiresAt: now.Add(min(lifetime, maxLifetime))}
--- a/internal/origin/service_test.go
+++ b/internal/origin/service_test.go
@@ -133,6 +133,17 @@
 	})
 }
 
+// TestRequestIDThatIsNotTextSpoilsNoOtherRecord guards the streams whose records are sent together with that of a request whose ID no
+// message can contain.
+func TestRequestIDThatIsNotTextSpoilsNoOtherRecord(t *testing.T) {
+	play(t, func(c *cluster) {
+		c.nodes["edge-0"].service.Record("\xff", originOne, lifetime)
+		c.record(originOne)
+		c.kill("edge-0")
+		c.find("edge-1", originOne, nil)
+	})
+}
+
 // TestBook checks what one node keeps.
 func TestBook(t *testing.T) {
 	now := clock.Now()
