--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -21,9 +21,10 @@
 )
 
 const (
-	// maxCrashesPerItem bounds the ended replicas that are recorded for one item. Three may reject it, and each further one
-	// doubles the delay of its retries.
-	maxCrashesPerItem = 16
+	// maxCrashesPerItem bounds the ended replicas that are recorded for one item: as many reject it. maxRetriesPerItem bounds
+	// those of its retries, each of which doubles the delay of the next one.
+	maxCrashesPerItem = 3
+	maxRetriesPerItem = 16
 	// crashBackoff is how long a suspected item waits for each replica that ended under it. Other messages that ran at such a
 	// replica are retried first: callers wait for some of them, and one that is the cause ends the next replica within some tenths
 	// of a second, while the item is not there.
@@ -262,6 +263,10 @@
 func (p *partition) recordCrash(attempt *itemAttempt, ending quarantine.Ending) {
 	p.mutex.RLock()
 	message, retry := p.runs[attempt.key].message, p.runs[attempt.key].retry
+	if job := p.state.jobs[attempt.key.job]; job != nil {
+		// The evidence on the message may have been forgotten since a retry failed.
+		retry = retry || job.items[attempt.key.number].failedRetries() > 0
+	}
 	p.mutex.RUnlock()
 	if !p.service.options.Quarantine.HasEvidence(message) {
 		return
--- a/internal/batch/item_crash_test.go
+++ b/internal/batch/item_crash_test.go
@@ -283,14 +283,15 @@
 	log := newLog(t)
 	log.add(acceptanceRecords(plainSubmission("j", 2), 1)...)
 	var want []quarantine.RecordedEnd
-	for ended := range uint64(maxCrashesPerItem + 1) {
-		retry := ended >= 2
+	for ended := range uint64(maxCrashesPerItem + 1 + maxRetriesPerItem + 1) {
+		retry := ended > maxCrashesPerItem
 		for range 2 {
 			log.add(newRecord(ledger.KindBatchCrashed, &batchpb.Crashed{JobId: "j", Item: 1, Replica: ended, Retry: retry}))
 		}
-		want = append(want, quarantine.RecordedEnd{Replica: replica.Key(ended), Retry: retry})
+		if ended != maxCrashesPerItem && len(want) < maxCrashesPerItem+maxRetriesPerItem {
+			want = append(want, quarantine.RecordedEnd{Replica: replica.Key(ended), Retry: retry})
+		}
 	}
-	want = want[:maxCrashesPerItem]
 	encoded, err := log.state.snapshot()
 	if err != nil {
 		t.Fatal(err)
@@ -300,7 +301,7 @@
 		t.Fatal(err)
 	}
 	if got := restored.jobs["j"].items[1].crashes; !slices.Equal(got, want) {
-		t.Errorf("recorded ends %v, want %v: each replica once, at most maxCrashesPerItem", got, want)
+		t.Errorf("recorded ends %v, want %v: each replica once, at most maxCrashesPerItem and maxRetriesPerItem", got, want)
 	}
 	log.add(successRecord("j", 1, 0, "a"))
 	if left := log.state.jobs["j"].items[1].crashes; left != nil {
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -252,33 +252,52 @@
 	return nil
 }
 
-// hasCrash reports whether the end of a replica is recorded, or need not be since the recorded ones had more text.
+// hasCrash reports whether the end of a replica is recorded, or need not be: as many ends of ordinary runs are recorded that had
+// more text, or as many of retries.
 func (i *itemState) hasCrash(end quarantine.RecordedEnd) bool {
 	if slices.ContainsFunc(i.crashes, func(kept quarantine.RecordedEnd) bool { return kept.Replica == end.Replica }) {
 		return true
 	}
-	return len(i.crashes) >= maxCrashesPerItem && end.Reached <= i.crashes[i.leastReachedIndex()].Reached
+	if end.Retry {
+		return i.failedRetries() >= maxRetriesPerItem
+	}
+	least, count := i.leastReached()
+	return count >= maxCrashesPerItem && end.Reached <= i.crashes[least].Reached
 }
 
-// leastReachedIndex returns the index of the crash with the shortest text, the latest if there are several.
-func (i *itemState) leastReachedIndex() int {
-	least := 0
+// leastReached returns the index of the ordinary run's end with the shortest text, the latest if there are several, and the number
+// of such ends.
+func (i *itemState) leastReached() (least, count int) {
 	for index, end := range i.crashes {
-		if end.Reached <= i.crashes[least].Reached {
+		if end.Retry {
+			continue
+		}
+		if count == 0 || end.Reached <= i.crashes[least].Reached {
 			least = index
 		}
+		count++
+	}
+	return least, count
+}
+
+// failedRetries returns the number of recorded retries of the item that ended their replicas.
+func (i *itemState) failedRetries() int {
+	count := 0
+	for _, end := range i.crashes {
+		if end.Retry {
+			count++
+		}
 	}
-	return least
+	return count
 }
 
-// retryDelay returns how long the item waits for its next run after the latest end of a replica: it grows with each end since the
-// first failed retry, and is 0 before.
+// retryDelay returns how long the item waits for its next run after the latest end of a replica; 0 unless a retry failed before.
 func (i *itemState) retryDelay() time.Duration {
-	first := slices.IndexFunc(i.crashes, func(end quarantine.RecordedEnd) bool { return end.Retry })
-	if first < 0 {
+	failed := i.failedRetries()
+	if failed == 0 {
 		return 0
 	}
-	return quarantine.RetryDelay(len(i.crashes) - first)
+	return quarantine.RetryDelay(failed)
 }
 
 // applyCrashed records that a replica ended under an item, once per replica.
@@ -291,8 +310,8 @@
 	if item.hasCrash(end) {
 		return nil
 	}
-	if len(item.crashes) >= maxCrashesPerItem {
-		item.crashes = slices.Delete(item.crashes, item.leastReachedIndex(), item.leastReachedIndex()+1)
+	if least, count := item.leastReached(); !end.Retry && count >= maxCrashesPerItem {
+		item.crashes = slices.Delete(item.crashes, least, least+1)
 	}
 	item.crashes = append(item.crashes, end)
 	return nil
