ledger: retiring nodes own partitions until others with the records take over

Cause: a node to be retired was denied the ownership of partitions and handed all of them over at once, for the rest of its process, whoever could take them.

Change: preferredOwner takes holders of the records that stay, then holders that are being retired. A retiring owner releases to a node that stays as soon as that asks, whatever its tenure; nodes that stay ask retiring ones for their ensembles, so that they know when it is their turn. A retiring member is replaced only by a store that stays; a lost disk, or a partition to be formed, may use any store if all are being retired. A node is drained once it also owns nothing. The reason for which a request waits is logged and counted (sloelift_retirements_waiting).

--- a/internal/ledger/confined.go
+++ b/internal/ledger/confined.go
@@ -148,14 +148,14 @@
 	return region.NewSet(ensemble.Regions...)
 }
 
-// ownersOf returns the filter for members that may own the partition.
-func (m *Manager) ownersOf(partition PartitionID) memberFilter {
-	return m.placementOf(partition).owners(m.mayOwn)
-}
-
-// storesFor returns the stores that may have records of the partition.
+// storesFor returns the live stores that may be added to the partition's ensemble. Those of retiring nodes are among them
+// only if there are no others: a partition must be formed, and a lost disk replaced, also if all nodes are being retired.
 func (m *Manager) storesFor(partition PartitionID, view *membership.View) []membership.Member {
-	return m.placementOf(partition).stores(m.eligibleStores(view))
+	allowed := m.placementOf(partition).stores(storesOf(view))
+	if kept := m.notRetiring(allowed); len(kept) > 0 {
+		return kept
+	}
+	return allowed
 }
 
 // MayHold implements ConfinedLocator.
--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -68,7 +68,7 @@
 	control.trackRemoved(ensemble, now)
 	spare, found := m.spareStore(view, ensemble, control)
 	for _, member := range ensemble.Members {
-		if !m.replacementDue(member, control, view, now) || !found {
+		if !m.replacementDue(member, spare, control, view, now) || !found {
 			continue
 		}
 		if next, allowed := ensemble.Replace(member.Store, memberOf(m.spareFor(view, ensemble, member, spare))); allowed {
@@ -81,10 +81,13 @@
 	return protocol.Ensemble{}, false
 }
 
-// replacementDue reports whether the member is to be replaced: at once if its node is retiring or is alive with another
-// store, and after Timing.Replace if the node is gone or its store does not respond to the owner.
-func (m *Manager) replacementDue(member protocol.Member, control *partitionControl, view *membership.View, now time.Time) bool {
-	if m.isRetiring(membership.NodeID(member.Node)) {
+// replacementDue reports whether the member is to be replaced: at once if its node is alive with another store, or is
+// retiring and that of the spare is not, and after Timing.Replace if the node is gone or its store does not respond to the
+// owner.
+func (m *Manager) replacementDue(
+	member protocol.Member, spare membership.Member, control *partitionControl, view *membership.View, now time.Time,
+) bool {
+	if m.isRetiring(membership.NodeID(member.Node)) && !m.isRetiring(spare.ID) {
 		return true
 	}
 	node, found := view.Find(membership.NodeID(member.Node))
@@ -128,6 +131,16 @@
 	return chosen[0], true
 }
 
+// hasSpare reports whether a live store that is not a member and not being retired may join the ensemble.
+func (m *Manager) hasSpare(view *membership.View, ensemble protocol.Ensemble) bool {
+	for _, candidate := range m.notRetiring(m.storesFor(ensemble.Partition, view)) {
+		if _, present := ensemble.Find(protocol.StoreID(candidate.StoreIncarnation)); !present {
+			return true
+		}
+	}
+	return false
+}
+
 // trackRemoved records the stores that were removed from the ensemble because they did not respond, and forgets those
 // removed longer than removedStoreCooldown ago.
 func (c *partitionControl) trackRemoved(ensemble protocol.Ensemble, now time.Time) {
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -75,6 +75,9 @@
 	// stale is set if an ensemble of the directory seems out of date.
 	stale    bool
 	nextLoad time.Time
+	// followingRetiring is set while the retiring nodes are asked for their ensembles, which is due again at nextFollow.
+	followingRetiring bool
+	nextFollow        time.Time
 	// settingsReported is set once the settings have been compared with the ledger's head.
 	settingsReported  bool
 	partitions        map[PartitionID]*partitionControl
@@ -218,6 +221,7 @@
 	if m.neverOwns() {
 		return
 	}
+	m.followRetiring(view, now)
 	for partition := range PartitionID(fixed.partitions) {
 		m.checkPartition(partition, view, now)
 	}
--- a/internal/ledger/rendezvous.go
+++ b/internal/ledger/rendezvous.go
@@ -41,13 +41,17 @@
 }
 
 // preferredOwner returns the member that should own the partition; ok is false if there is none. A member that has the
-// partition's records goes before one that would first have to read them over the network.
+// partition's records goes before one that would first have to read them over the network, and then one that is not being
+// retired before one that is: a partition is never without an owner because its nodes are being retired.
 func (m *Manager) preferredOwner(view *membership.View, partition PartitionID) (preferred membership.Member, ok bool) {
-	allowed := m.ownersOf(partition)
-	if holder, found := highestRanked(view, partition, m.holdersOf(partition, allowed)); found {
-		return holder, true
+	placed := m.placementOf(partition)
+	staying, all := placed.owners(m.mayOwn), placed.owners(m.canOwn)
+	for _, allowed := range []memberFilter{m.holdersOf(partition, staying), m.holdersOf(partition, all), staying, all} {
+		if preferred, found := highestRanked(view, partition, allowed); found {
+			return preferred, true
+		}
 	}
-	return highestRanked(view, partition, allowed)
+	return membership.Member{}, false
 }
 
 // holdersOf narrows allowed to the nodes whose store has the records of the partition, if owners are nodes with a store.
--- a/internal/ledger/retirement.go
+++ b/internal/ledger/retirement.go
@@ -2,19 +2,31 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/membership"
 )
 
-// SetRetiring sets the nodes that are being retired. Their stores are replaced in all ensembles if spare stores exist,
-// and they own no partitions. If this node is among them, it hands its partitions over.
+// followInterval is the wait between two rounds of questions to retiring nodes.
+const followInterval = 200 * time.Millisecond
+
+// Reasons why a retiring node is not drained.
+const (
+	// ObstacleNoStore: no live store that is not being retired can replace the node's in an ensemble.
+	ObstacleNoStore = "no_other_store"
+	// ObstacleRecords: another store does not have all records yet.
+	ObstacleRecords = "records"
+	// ObstacleOwner: the node still owns a partition.
+	ObstacleOwner = "owner"
+	// ObstacleDirectory: the ensembles are not known.
+	ObstacleDirectory = "directory"
+)
+
+// SetRetiring sets the nodes that are being retired. Their stores are replaced in all ensembles if spare stores exist. They
+// hand over their partitions to nodes that are not being retired, once these have the records.
 func (m *Manager) SetRetiring(nodes map[membership.NodeID]bool) {
 	m.retiring.Store(&nodes)
-	if nodes[m.self] && !m.leaving.Load() {
-		m.background(func() {
-			_ = m.Handover(m.ctx)
-		})
-	}
 }
 
 func (m *Manager) isRetiring(node membership.NodeID) bool {
@@ -22,18 +34,20 @@
 	return nodes != nil && (*nodes)[node]
 }
 
-// mayOwn reports whether a member may own partitions.
+// canOwn reports whether a member is of a kind that owns partitions.
+func (m *Manager) canOwn(member *membership.Member) bool {
+	return member.Store || !m.settings.OwnersOnStores
+}
+
+// mayOwn reports whether a member may own partitions and is not being retired.
 func (m *Manager) mayOwn(member *membership.Member) bool {
-	if m.settings.OwnersOnStores && !member.Store {
-		return false
-	}
-	return !m.isRetiring(member.ID)
+	return m.canOwn(member) && !m.isRetiring(member.ID)
 }
 
-// eligibleStores returns the live members whose stores may be added to ensembles.
-func (m *Manager) eligibleStores(view *membership.View) []membership.Member {
+// notRetiring returns the stores whose nodes are not being retired.
+func (m *Manager) notRetiring(stores []membership.Member) []membership.Member {
 	var kept []membership.Member
-	for _, member := range storesOf(view) {
+	for _, member := range stores {
 		if !m.isRetiring(member.ID) {
 			kept = append(kept, member)
 		}
@@ -41,21 +55,70 @@
 	return kept
 }
 
-// IsDrained reports whether no ensemble needs the store of node: it is a member of none, and no ensemble has a joining
-// member. It first reads the current ensembles from the key-value service.
-func (m *Manager) IsDrained(ctx context.Context, node membership.NodeID) (bool, error) {
+// followRetiring learns the ensembles that retiring nodes know: these change the ensembles of their partitions and then wait
+// for a successor, which must know that it has the records. It runs on the control goroutine.
+func (m *Manager) followRetiring(view *membership.View, now time.Time) {
+	if m.local == nil || m.isRetiring(m.self) || m.followingRetiring || now.Before(m.nextFollow) {
+		return
+	}
+	var retiring []membership.Member
+	for _, member := range view.Live() {
+		if m.isRetiring(member.ID) {
+			retiring = append(retiring, member)
+		}
+	}
+	if len(retiring) == 0 {
+		return
+	}
+	m.followingRetiring = true
+	m.start(
+		func() {
+			for _, member := range retiring {
+				m.askPeer(m.ctx, member)
+			}
+		},
+		func() {
+			m.followingRetiring = false
+			m.nextFollow = clock.Now().Add(followInterval)
+			m.check(clock.Now())
+		})
+}
+
+// IsDrained reports whether no ensemble needs the store of node and the node owns no partition, and otherwise why it is not
+// drained. It first reads the current ensembles from the key-value service.
+func (m *Manager) IsDrained(ctx context.Context, node membership.NodeID) (drained bool, obstacle string, err error) {
 	if err := m.directory.load(ctx); err != nil {
-		return false, err
+		return false, "", err
 	}
 	if !m.directory.complete() {
-		return false, nil
+		return false, ObstacleDirectory, nil
 	}
+	view := m.viewer.View()
 	for _, ensemble := range m.directory.all() {
 		for _, member := range ensemble.Members {
-			if member.Node == string(node) || member.Joining {
-				return false, nil
+			switch {
+			case member.Joining:
+				return false, ObstacleRecords, nil
+			case member.Node == string(node) && m.hasSpare(view, ensemble):
+				return false, ObstacleRecords, nil
+			case member.Node == string(node):
+				return false, ObstacleNoStore, nil
 			}
 		}
 	}
-	return true, nil
+	for _, ensemble := range m.directory.all() {
+		if m.owns(ctx, view, node, ensemble.Partition) {
+			return false, ObstacleOwner, nil
+		}
+	}
+	return true, "", nil
+}
+
+// owns reports whether the node owns the partition, as far as it answers.
+func (m *Manager) owns(ctx context.Context, view *membership.View, node membership.NodeID, partition PartitionID) bool {
+	if node == m.self {
+		_, present := m.ownership(partition)
+		return present
+	}
+	return m.firstOwner(ctx, view, partition, []membership.NodeID{node}) == node
 }
--- a/internal/ledger/serve_owner.go
+++ b/internal/ledger/serve_owner.go
@@ -22,8 +22,8 @@
 }
 
 // serveRelease releases a partition to the requesting node if that node is the preferred owner and this ownership is
-// older than Timing.MinTenure, or if this node is leaving, or if its ownership is neither healthy nor being taken up.
-// Otherwise it declines.
+// older than Timing.MinTenure or this node alone is being retired, or if this node is leaving, or if its ownership is
+// neither healthy nor being taken up. Otherwise it declines.
 func (m *Manager) serveRelease(ctx context.Context, _ netip.AddrPort, request *ledgerpb.ReleaseRequest) (*ledgerpb.ReleaseResponse, error) {
 	partition := PartitionID(request.Partition)
 	ownership, present := m.ownership(partition)
@@ -32,7 +32,8 @@
 	}
 	preferred, _ := m.preferredOwner(m.viewer.View(), partition)
 	now := clock.Now()
-	withinMinTenure := now.Sub(ownership.began) < m.timing.MinTenure
+	retires := m.isRetiring(m.self) && !m.isRetiring(preferred.ID)
+	withinMinTenure := now.Sub(ownership.began) < m.timing.MinTenure && !retires
 	if (string(preferred.ID) != request.Successor || withinMinTenure) && !m.leaving.Load() && (ownership.healthy(now) || ownership.recovering(now)) {
 		return &ledgerpb.ReleaseResponse{}, nil
 	}
--- a/internal/ledger/silence_test.go
+++ b/internal/ledger/silence_test.go
@@ -13,12 +13,14 @@
 const testSilence = 1200 * time.Millisecond
 
 // newStorageCluster returns a cluster of four stores with three replicas and the timing of storage nodes.
-func newStorageCluster(t *testing.T, seed uint64) *cluster {
+func newStorageCluster(t *testing.T, seed uint64) *cluster { return newStorageClusterOf(t, seed, 4) }
+
+func newStorageClusterOf(t *testing.T, seed uint64, nodes int) *cluster {
 	c := newCluster(t, seed)
 	c.ledger.Replicas, c.ledger.WriteQuorum, c.ledger.OwnersOnStores = 3, 2, true
 	c.ledger.MembersDecide = true
 	c.timing.OwnerSilence, c.timing.Request, c.timing.MinTenure = testSilence, time.Second, time.Minute
-	for range 4 {
+	for range nodes {
 		c.add(true)
 	}
 	return c
@@ -87,7 +89,7 @@
 			node.manager.SetRetiring(map[membership.NodeID]bool{retiring.id: true})
 		}
 		c.eventually("the node is empty", func() bool {
-			drained, err := c.nodes[0].manager.IsDrained(t.Context(), retiring.id)
+			drained, _, err := c.nodes[0].manager.IsDrained(t.Context(), retiring.id)
 			return err == nil && drained
 		})
 		if owner := c.owner(0); owner == retiring {
@@ -111,8 +113,8 @@
 			node.manager.SetRetiring(map[membership.NodeID]bool{c.nodes[0].id: true})
 		}
 		time.Sleep(10 * time.Second)
-		if drained, err := c.nodes[1].manager.IsDrained(t.Context(), c.nodes[0].id); err != nil || drained {
-			t.Errorf("drained %t, %v, though there is no other store", drained, err)
+		if drained, obstacle, err := c.nodes[1].manager.IsDrained(t.Context(), c.nodes[0].id); err != nil || drained || obstacle != ObstacleNoStore {
+			t.Errorf("drained %t, obstacle %q, %v, though there is no other store", drained, obstacle, err)
 		}
 		c.check(0, acknowledged)
 	})
--- a/internal/node/role_storage.go
+++ b/internal/node/role_storage.go
@@ -62,9 +62,10 @@
 	adapter Adapter,
 	manager *ledger.Manager,
 	members *membership.Service,
+	registerer prometheus.Registerer,
 	logger zerolog.Logger,
 ) {
-	service := retirement.New(store, adapter.Translator, manager, members, logger)
+	service := retirement.New(store, adapter.Translator, manager, members, registerer, logger)
 	operators.FollowOperators(service)
 	lifecycle.Append(fx.StopHook(service.Stop))
 }
--- a/internal/retirement/service.go
+++ b/internal/retirement/service.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/sloelift/sloelift/internal/logging"
@@ -41,8 +42,8 @@
 type Emptier interface {
 	// SetRetiring replaces the set of nodes to drain.
 	SetRetiring(nodes map[membership.NodeID]bool)
-	// IsDrained reports whether node has been drained; an error means that this could not be determined.
-	IsDrained(ctx context.Context, node membership.NodeID) (bool, error)
+	// IsDrained reports whether node has been drained, and otherwise why not; an error means that this could not be determined.
+	IsDrained(ctx context.Context, node membership.NodeID) (drained bool, obstacle string, err error)
 }
 
 // Service carries out the operators' retirement requests, which it receives as a discovery.OperatorFollower.
@@ -52,6 +53,8 @@
 	emptier    Emptier
 	viewer     membership.Viewer
 	logger     zerolog.Logger
+	// waiting counts the nodes that are not drained, by obstacle.
+	waiting *prometheus.GaugeVec
 
 	// requested are the nodes that operators have asked to retire. Only the goroutine that calls Replace and Update uses it.
 	requested map[membership.NodeID]bool
@@ -69,12 +72,19 @@
 }
 
 // New returns a Service. It acts only when Replace or Update is called.
-func New(store platform.KeyValue, translator Translator, emptier Emptier, viewer membership.Viewer, logger zerolog.Logger) *Service {
+func New(
+	store platform.KeyValue, translator Translator, emptier Emptier, viewer membership.Viewer, registerer prometheus.Registerer, logger zerolog.Logger,
+) *Service {
 	service := &Service{
 		store: store, translator: translator, emptier: emptier, viewer: viewer,
 		logger:    logger.With().Str(logging.FieldSlice, "retirement").Logger(),
 		requested: map[membership.NodeID]bool{}, watched: map[membership.NodeID]bool{},
+		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "sloelift_retirements_waiting",
+			Help: "Nodes to be retired that are not drained, by the reason, at the node that writes the states.",
+		}, []string{"reason"}),
 	}
+	registerer.MustRegister(service.waiting)
 	service.ctx, service.cancel = context.WithCancel(context.Background())
 	return service
 }
@@ -145,41 +155,67 @@
 	s.watched[node] = true
 	s.background.Go(func() {
 		s.logger.Info().Str("retiring", string(node)).Msg("retirement_begun")
-		for written := State(-1); written != Done; {
-			written = s.writeState(node, written)
-			if written != Done && !pause.Sleep(s.ctx, checkInterval) {
+		watched := &watch{node: node, written: State(-1)}
+		for watched.written != Done {
+			s.writeState(watched)
+			if watched.written != Done && !pause.Sleep(s.ctx, checkInterval) {
 				return
 			}
 		}
 	})
 }
 
-// writeState writes the state of node's retirement if it differs from written and this process is the one that writes states. It returns the
-// state written last; errors are retried at the next check.
-func (s *Service) writeState(node membership.NodeID, written State) State {
+// watch is the retirement of one node as this process follows it. It belongs to one goroutine.
+type watch struct {
+	node membership.NodeID
+	// written is the state written last; negative if none was. obstacle is what kept the node from being drained at the latest check.
+	written  State
+	obstacle string
+}
+
+// writeState writes the state of a node's retirement if it differs from the one written last and this process is the one that writes states.
+// Errors are retried at the next check.
+func (s *Service) writeState(watched *watch) {
 	if !s.writesStates() {
-		return written
+		s.setObstacle(watched, "")
+		return
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
-	state := Running
-	drained, err := s.emptier.IsDrained(ctx, node)
+	drained, obstacle, err := s.emptier.IsDrained(ctx, watched.node)
 	if err != nil {
-		return written
+		return
 	}
+	s.setObstacle(watched, obstacle)
+	state := Running
 	if drained {
 		state = Done
 	}
-	if state == written {
-		return written
+	if state == watched.written {
+		return
 	}
-	key, value := s.translator.RetirementStatus(string(node), state)
+	key, value := s.translator.RetirementStatus(string(watched.node), state)
 	_, err = s.store.Commit(ctx, platform.Transaction{Changes: []platform.Change{{Key: key, Value: value}}})
-	s.logger.Info().Str("retiring", string(node)).Int("state", int(state)).Err(err).Msg("retirement_told")
-	if err != nil {
-		return written
+	s.logger.Info().Str("retiring", string(watched.node)).Int("state", int(state)).Err(err).Msg("retirement_told")
+	if err == nil {
+		watched.written = state
+	}
+}
+
+// setObstacle notes, and logs, what keeps a node from being drained.
+func (s *Service) setObstacle(watched *watch, obstacle string) {
+	if obstacle == watched.obstacle {
+		return
+	}
+	if watched.obstacle != "" {
+		s.waiting.WithLabelValues(watched.obstacle).Dec()
+	}
+	watched.obstacle = obstacle
+	if obstacle == "" {
+		return
 	}
-	return state
+	s.waiting.WithLabelValues(obstacle).Inc()
+	s.logger.Info().Str("retiring", string(watched.node)).Str(logging.FieldReason, obstacle).Msg("retirement_waits")
 }
 
 // writesStates reports whether this node is the first live storage node, which writes the states. While membership views differ, two nodes
--- a/internal/retirement/service_test.go
+++ b/internal/retirement/service_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"testing/synctest"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/sloelift/sloelift/internal/membership"
@@ -35,8 +36,8 @@
 	e.calls++
 }
 
-func (*recordingEmptier) IsDrained(context.Context, membership.NodeID) (bool, error) {
-	return true, nil
+func (*recordingEmptier) IsDrained(context.Context, membership.NodeID) (drained bool, obstacle string, err error) {
+	return true, "", nil
 }
 
 // recordingStore records the keys written.
@@ -65,7 +66,7 @@
 func TestRequestsAmongWhatOperatorsWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		emptier, store := &recordingEmptier{}, &recordingStore{}
-		service := New(store, plainTranslator{}, emptier, oneStoreViewer{}, zerolog.Nop())
+		service := New(store, plainTranslator{}, emptier, oneStoreViewer{}, prometheus.NewRegistry(), zerolog.Nop())
 		retiringNodes := func() []membership.NodeID { return slices.Sorted(maps.Keys(emptier.retiring)) }
 		service.Replace(platform.Listing{Revision: 4, Entries: []platform.Entry{{Key: "op/config"}, {Key: "op/retire/a"}}})
 		synctest.Wait()
