batch: a skipped retry leaves no mark, and one that its keeper refuses is asked for each second

A run that was marked as deciding or as a retry but found no replica kept the marks, so that the end of a later, ordinary run would have been recorded as that of a retry, which delays the item. Found by reading; the marks are now set anew before each run. No test of its own for either.

--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -176,6 +176,10 @@
 		p.finish(attempt.key, batchpb.State_STATE_DEAD_LETTER, "", quarantine.ReasonRejected)
 		return
 	}
+	if p.retries(attempt.key) {
+		p.requeue(attempt.key, heldBackCheckInterval)
+		return
+	}
 	p.requeue(attempt.key, suspectedRetryDelay)
 }
 
--- a/internal/batch/item_deferred.go
+++ b/internal/batch/item_deferred.go
@@ -49,6 +49,10 @@
 func (p *partition) deferDecidingRun(key itemKey, message quarantine.Key, matched *route.Route, acceptedAt int64) bool {
 	register := p.service.options.Quarantine
 	if !register.NextEndRejects(message) {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		run := p.ensureRun(key)
+		run.deciding, run.retry = false, false
 		return false
 	}
 	retries := register.Retries(message)
--- a/internal/quarantine/recorded.go
+++ b/internal/quarantine/recorded.go
@@ -219,8 +219,8 @@
 	s.logger.Info().Int("messages", len(messages)).Msg("rejections_read")
 }
 
-// clearRecalled takes back the recalled rejection of a message that completed, or of a part whose answer began. Nodes that have read its record keep the
-// rejection. The mutex is held.
+// clearRecalled takes back the recalled rejection of a message that completed, or of a part whose answer began. Other nodes
+// that have read its record keep the rejection. The mutex is held.
 func (s *Service) clearRecalled(message Key) {
 	if _, recalled := s.evidence.recalled[message]; !recalled {
 		return
--- a/internal/quarantine/retry.go
+++ b/internal/quarantine/retry.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"math"
 	"time"
+
+	"github.com/sloelift/sloelift/internal/logging"
 )
 
 const (
@@ -78,5 +80,5 @@
 // logRetry logs that the run of a rejected message begins. The mutex is held.
 func (s *Service) logRetry(key Key, replicaID string) {
 	s.metrics.retries.Inc()
-	s.logger.Info().Stringer("digest", key).Str("replica", replicaID).Int("failed_retries", s.evidence.failedRetries(key)).Msg("message_retried")
+	s.logger.Info().Stringer("digest", key).Str(logging.FieldReplica, replicaID).Int("failed_retries", s.evidence.failedRetries(key)).Msg("message_retried")
 }
