quarantine: every other test of a rejected part is a storage node's

Cause: nodes take turns of 2 s by the order of the part's keepers, and only storage nodes run items; of eleven nodes eight are edges.

Change: turns alternate between nodes with a store and the others.

Evidence: TestPartOfItemsIsTestedSoon, before: 18.9 s at one of three storage nodes, 17 s may be; kept after. TestPromptPartThatCrashesReplicasIsRejected holds unchanged.

--- a/internal/quarantine/fake_test.go
+++ b/internal/quarantine/fake_test.go
@@ -122,6 +122,8 @@
 	directory *replica.Directory
 	*Service
 	up bool
+	// store reports that the node has a store, so that it runs batch items.
+	store bool
 }
 
 // cluster is a set of nodes on one network that use the same replicas.
@@ -221,7 +223,7 @@
 }
 
 func (c *cluster) member(subject *node, state membership.State) membership.Member {
-	return membership.Member{ID: subject.id, PeerAddress: subject.address, State: state}
+	return membership.Member{ID: subject.id, PeerAddress: subject.address, State: state, Store: subject.store}
 }
 
 // agree updates the views of all nodes to the current state: a node that is down or on another side of a partition is
--- a/internal/quarantine/part_service.go
+++ b/internal/quarantine/part_service.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sloelift/sloelift/internal/clock"
+	"github.com/sloelift/sloelift/internal/membership"
 )
 
 // rejectsParts reports whether one of the parts keeps a message, or a batch item, from replicas. It returns the rejected
@@ -33,8 +34,33 @@
 		return false
 	}
 	view := s.viewer.View()
+	next, found := partProber(view, part, probe.turn)
+	return found && next == view.Self
+}
+
+// partProber returns the member whose turn it is to test a part. Every other turn is one of a member with a store: only these
+// run batch items, and a part that items alone hold would wait for the turns of all others.
+func partProber(view *membership.View, part Key, turn int) (prober membership.NodeID, found bool) {
 	ranked := keepers(view, part)
-	return len(ranked) > 0 && ranked[probe.turn%len(ranked)].ID == view.Self
+	withStore, others := []membership.Member{}, []membership.Member{}
+	for _, member := range ranked {
+		if member.Store {
+			withStore = append(withStore, member)
+		} else {
+			others = append(others, member)
+		}
+	}
+	if len(withStore) > 0 && len(others) > 0 {
+		ranked = others
+		if turn%2 == 0 {
+			ranked = withStore
+		}
+		turn /= 2
+	}
+	if len(ranked) == 0 {
+		return "", false
+	}
+	return ranked[turn%len(ranked)].ID, true
 }
 
 // checkWithParts returns the verdict on a message, or a batch item, with the given parts. The mutex is held.
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -335,6 +335,42 @@
 	}
 }
 
+// TestPartOfItemsIsTestedSoon guards items whose shared part was rejected for ends that had another cause, where one of many nodes
+// runs all items with it: the test waited for the turns of nodes that run no items, 51 s in one case.
+func TestPartOfItemsIsTestedSoon(t *testing.T) {
+	const edges, stores = 8, 3
+	for number := range stores {
+		t.Run(fmt.Sprint("store ", number), func(t *testing.T) {
+			inCluster(t, edges+stores, partReplicas, func(t *testing.T, c *cluster) {
+				for _, member := range c.nodes[:stores] {
+					member.store = true
+				}
+				c.agree()
+				time.Sleep(2 * allNodesReadDelay)
+				parts := PartKeys(prompt.Parts{{ID: "first"}, {ID: "own"}})
+				owner := c.nodes[number]
+				for end := range minPartEnds {
+					permit := owner.AdmitItem(t.Context(), keyOf(fmt.Sprint("item ", end)), parts...)
+					handle := c.handle(owner, end)
+					run := permit.Begin(handle, nil)
+					c.crash(handle, Key{})
+					run.End(t.Context(), Lost)
+					permit.Release()
+					time.Sleep(100 * time.Millisecond)
+				}
+				rejectedAt := time.Now()
+				for owner.CheckItem(keyOf("next"), parts...) == Rejected {
+					time.Sleep(50 * time.Millisecond)
+				}
+				// The nodes with a store have every other turn.
+				if waited, want := time.Since(rejectedAt), RetryDelay(0)+2*stores*partProbeTurn; waited > want {
+					t.Errorf("the part may be tested %s after its rejection, want %s at most", waited, want)
+				}
+			})
+		})
+	}
+}
+
 // TestItemsTestARejectedPartEverLater guards items that share a part of their prompts against being held back for good: the part was
 // rejected for ends that had another cause, and so had those of the tests that requests may make.
 func TestItemsTestARejectedPartEverLater(t *testing.T) {
