--- a/internal/batch/item_retry_test.go
+++ b/internal/batch/item_retry_test.go
@@ -42,9 +42,8 @@
 						time.Sleep(10 * time.Millisecond)
 					}
 					time.Sleep(time.Second)
-					records := owner.owned.records
 					owner.stop()
-					owner = startOwnerWithQuarantine(t, replicas, records...)
+					owner = startOwnerWithQuarantine(t, replicas, owner.owned.records...)
 				}
 				defer owner.stop()
 				result := owner.results(t, "j", 1, 70*time.Second)[0]
@@ -107,9 +106,8 @@
 				owner.mustSubmit(t, testSubmission("j", 1))
 				for passed := time.Duration(0); passed < lasts; passed += ownerLasts {
 					time.Sleep(ownerLasts)
-					records := owner.owned.records
 					owner.stop()
-					owner = startOwnerWithQuarantine(t, replicas, records...)
+					owner = startOwnerWithQuarantine(t, replicas, owner.owned.records...)
 					owner.routes.Table().Routes[0].Retention = 2 * lasts
 				}
 				owner.stop()
