--- a/internal/batch/item_retry_test.go
+++ b/internal/batch/item_retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -147,3 +148,46 @@
 func endedKey(number, end int) replica.Key {
 	return replica.KeyOf(fmt.Sprint(number, "-", end))
 }
+
+// skippedRetryRegister says that the next run of an item is a retry until retrying is reset.
+type skippedRetryRegister struct {
+	*countingRegister
+	retrying atomic.Bool
+}
+
+func (s *skippedRetryRegister) Check(key quarantine.Key, _ ...quarantine.Key) quarantine.Verdict {
+	if s.retrying.Load() {
+		return quarantine.Apart
+	}
+	return s.countingRegister.Check(key)
+}
+
+func (s *skippedRetryRegister) CheckItem(key quarantine.Key, _ ...quarantine.Key) quarantine.Verdict {
+	return s.Check(key)
+}
+
+func (s *skippedRetryRegister) NextEndRejects(quarantine.Key) bool { return s.retrying.Load() }
+
+func (s *skippedRetryRegister) Retries(quarantine.Key) bool { return s.retrying.Load() }
+
+// TestEndAfterASkippedRetryIsRecordedAsOrdinary guards items against the delays of retries: a retry for which there was no replica
+// must not mark a later, ordinary run.
+func TestEndAfterASkippedRetryIsRecordedAsOrdinary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		register := &skippedRetryRegister{countingRegister: newCountingRegister(3)}
+		register.retrying.Store(true)
+		owner := startOwnerWithRegister(t, register, crashingScripts("/p/j-0", "a"))
+		register.directory = owner.service.directory
+		infos := []replica.Info{*owner.service.directory.View().Find("a").Info()}
+		owner.removeReplica("a")
+		owner.mustSubmit(t, testSubmission("j", 1))
+		time.Sleep(time.Second)
+		register.retrying.Store(false)
+		owner.service.directory.Replace(infos)
+		time.Sleep(3 * time.Second)
+		owner.stop()
+		if recorded := crashRecords(t, owner.owned.records); len(recorded) != 1 || recorded[0].Retry {
+			t.Errorf("recorded: %v, want one end that is not of a retry", recorded)
+		}
+	})
+}
--- a/internal/ledger/retirement_test.go
+++ b/internal/ledger/retirement_test.go
@@ -175,3 +175,31 @@
 		})
 	}
 }
+
+// TestRetiringOwnerIsSucceededByTheStoreThatReplacesIt: the node that joins an ensemble in place of the retiring owner's is the
+// preferred owner from then on, and must learn that; a retirement took longer than operators wait where it did not.
+func TestRetiringOwnerIsSucceededByTheStoreThatReplacesIt(t *testing.T) {
+	const within = 5 * time.Second
+	for seed := range uint64(6) {
+		for partition := range PartitionID(2) {
+			t.Run(fmt.Sprint(seed, "/", partition), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := newStorageClusterOf(t, 40+seed, 3)
+					defer c.stopAll()
+					owner := c.owner(partition)
+					for range 3 {
+						c.add(true)
+					}
+					time.Sleep(2 * time.Minute)
+					c.retire(owner)
+					time.Sleep(within)
+					for id := range PartitionID(2) {
+						if _, present := owner.manager.ownership(id); present {
+							t.Errorf("the retiring node owns partition %d after %s", id, within)
+						}
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/quarantine/retry_test.go
+++ b/internal/quarantine/retry_test.go
@@ -238,3 +238,15 @@
 		}
 	})
 }
+
+// TestRetryDelayDoubles checks the delays that operators are told, and that they stay bounded.
+func TestRetryDelayDoubles(t *testing.T) {
+	for failed, want := range map[int]time.Duration{
+		-1: 5 * time.Second, 0: 5 * time.Second, 1: 10 * time.Second, 2: 20 * time.Second, 3: 40 * time.Second,
+		12: 20480 * time.Second, 13: 20480 * time.Second, 1000: 20480 * time.Second,
+	} {
+		if got := RetryDelay(failed); got != want {
+			t.Errorf("the delay after %d failed retries is %s, want %s", failed, got, want)
+		}
+	}
+}
