--- a/review/_standin2/client.go
+++ b/review/_standin2/client.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	wire "github.com/sloelift/sloelift/platform"
 )
 
@@ -25,10 +27,14 @@
 func newJob(id, host, path string) *job {
 	made := &job{id: id, host: host, results: map[string]wire.JobResult{}}
 	for number := range itemsPerJob {
+		itemID := fmt.Sprintf("%s-%d", id, number)
+		content := bytes.Repeat([]byte{byte('a' + number%26)}, bodyBytes)
+		copy(content, itemID)
 		made.body.Items = append(made.body.Items, wire.JobItem{
-			ID: fmt.Sprintf("%s-%d", id, number), Path: path, Body: bytes.Repeat([]byte{byte('a' + number%26)}, bodyBytes), Tokens: tokensPerItem,
+			ID: itemID, Path: path, Body: content, Tokens: tokensPerItem,
 			Headers: map[string]string{
 				"X-Sloelift-Model": "m", "X-Sloelift-Token-Usage": fmt.Sprintf("%d,%d", tokensPerItem-eventsPerItem, eventsPerItem),
+				wire.Headers.PromptParts: fmt.Sprintf("9c2e41:%d,%x:%d", sharedTokens, xxhash.Sum64String(itemID), tokensPerItem-eventsPerItem-sharedTokens),
 			},
 		})
 	}
--- a/review/_standin2/emptied.go
+++ b/review/_standin2/emptied.go
@@ -22,6 +22,7 @@
 	itemsPerJob   = 20
 	bodyBytes     = 100_000
 	tokensPerItem = 1_900
+	sharedTokens  = 576
 	eventsPerItem = 120
 	maxQueued     = 1_600_000
 	// syncTime is bounds.sync_s, after which a new machine counts; recoveryTime is bounds.recovery_s.
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -17,7 +17,7 @@
 		fmt.Fprintln(os.Stderr, "standin SCENARIO PROGRAM TEMPLATE RECORD")
 		os.Exit(couldNot)
 	}
-	scenarios := map[string]func(program, template, folder string, written *record, trouble bool) (int, error){"emptied": emptied, "smuggled": smuggled}
+	scenarios := map[string]func(program, template, folder string, written *record, trouble bool) (int, error){"emptied": emptied, "unframed": unframed}
 	scenario, known := scenarios[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown scenario")
--- a/review/_standin2/replica.go
+++ b/review/_standin2/replica.go
@@ -25,6 +25,8 @@
 	record    *record
 	occupied  chan struct{}
 	waiting   atomic.Int32
+	// unframed makes the replica answer with neither a length nor chunks, so that an answer ends with its connection.
+	unframed bool
 }
 
 func startReplica(id, zone string, slots int, eventTime time.Duration, written *record) (*replica, error) {
@@ -114,7 +116,8 @@
 }
 
 func (r *replica) run(writer http.ResponseWriter, request *http.Request, id string) {
-	r.record.ran(id, request.Header.Get(wire.Headers.Tenant), r.id, request.Header.Get(wire.Headers.LastEventID))
+	r.record.began(id, r.id, request.Header.Get(wire.Headers.LastEventID))
+	defer r.record.ended(id)
 	_, out, _ := strings.Cut(request.Header.Get("X-Sloelift-Token-Usage"), ",")
 	events, _ := strconv.Atoi(out)
 	first := 1
@@ -125,6 +128,10 @@
 	if milliseconds, err := strconv.Atoi(request.Header.Get(wire.Headers.Deadline)); err == nil {
 		deadline = time.After(time.Duration(milliseconds) * time.Millisecond)
 	}
+	if r.unframed {
+		r.runUnframed(writer, request, id, first, events)
+		return
+	}
 	writer.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(writer)
 	for number := first; number <= events; number++ {
@@ -139,4 +146,25 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	r.record.whole(id, r.id)
+}
+
+// runUnframed is run with an answer that ends with its connection. Its caller's going is noticed by the next write.
+func (r *replica) runUnframed(writer http.ResponseWriter, request *http.Request, id string, first, events int) {
+	connection, buffered, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = connection.Close() }()
+	_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n%s: %s\r\n%s: %s.%s\r\n%s: %s\r\n\r\n",
+		wire.Headers.RequestID, id, wire.Headers.Signature, r.id, id, wire.Headers.Load, writer.Header().Get(wire.Headers.Load))
+	for number := first; number <= events; number++ {
+		time.Sleep(r.eventTime)
+		if _, err := fmt.Fprintf(buffered, "id: %d\ndata: %s\n\n", number, eventData(id, number)); err != nil || buffered.Flush() != nil {
+			return
+		}
+	}
+	if buffered.Flush() == nil {
+		r.record.whole(id, r.id)
+	}
 }
