--- a/review/_standin2/emptied.go
+++ b/review/_standin2/emptied.go
@@ -29,7 +29,7 @@
 	syncTime     = 4800 * time.Millisecond
 	recoveryTime = 12 * time.Second
 	// lossDelay is how long after the request to empty one store the other one's disk is lost.
-	lossDelay = 250 * time.Millisecond
+	lossDelay = 150 * time.Millisecond
 	// downTime is how long that machine is down.
 	downTime = time.Second
 	// readWithin is how long after the recovery time each accepted job may take to be read; retryPause is the time between two tries.
