--- a/review/_standin2/unframed.go
+++ b/review/_standin2/unframed.go
@@ -19,6 +19,8 @@
 	calmTime     = 5 * time.Second
 	finishedTime = 3 * time.Second
 	readInterval = time.Second
+	// retentionSeconds is retention_s of the site; the judgement comes before it is over.
+	retentionSeconds = 60
 )
 
 // unframed plays: the replicas' answers have neither a length nor chunks, and end with their connections.
@@ -29,6 +31,7 @@
 	}
 	defer deployed.close()
 	declared := configuration()
+	declared.Routes[0].RetentionS = retentionSeconds
 	declared.Routes = append(declared.Routes, wire.RouteEntry{
 		Name: "checks", Host: host, Prefix: "/checks/", Type: "streaming", Service: service, Attempts: 2, TimeoutMs: 5000, ObjectiveMs: 200, GapMs: 250,
 	})
