ledger: a store that dropped its records is not counted as holding them when it rejoins

Callers saw nothing yet: a record could count as acknowledged by a write quorum of which one store was empty, so that the loss of one more disk loses it.

Cause: PrepareAgain keeps what each store held under the version before (priorAcked) and takes it for held as soon as the store promises again. A store that was removed and added again between the two versions has dropped its records by then.

Change: priorAcked is capped by the last record of the store's promise. A store that kept its log reports at least that position; one that dropped it reports none.

--- a/internal/ledger/protocol/owner_step.go
+++ b/internal/ledger/protocol/owner_step.go
@@ -62,7 +62,8 @@
 	promise  Promise
 	// acked is the last position up to which the store's log is synced and equals the owner's.
 	acked Position
-	// priorAcked is acked from before PrepareAgain, capped at the committed position: committed records never change.
+	// priorAcked is acked from before PrepareAgain, capped at the committed position: committed records never change. A store
+	// that was removed in between may have dropped them.
 	priorAcked Position
 	// next is the position of the next entry to send.
 	next Position
@@ -121,6 +122,7 @@
 	}
 	follower.inFlight, follower.failing, follower.attached, follower.failures = false, false, true, 0
 	follower.promise = promise
+	follower.priorAcked = min(follower.priorAcked, promise.Last)
 	follower.acked, follower.next = max(promise.Committed, follower.priorAcked), promise.Committed+1
 	follower.snapshot, follower.first = promise.Snapshot, promise.First
 	if o.phase != PhasePreparing {
--- a/internal/ledger/protocol/recovery_test.go
+++ b/internal/ledger/protocol/recovery_test.go
@@ -102,6 +102,35 @@
 	}
 }
 
+// TestStoreThatDroppedItsRecordsIsNotCountedWhenItRejoins guards against records that are acknowledged and on too few stores.
+// A store is replaced, drops its records and joins again, while the owner has not heard of the version between. It counted
+// for the write quorum with the records that it had before.
+func TestStoreThatDroppedItsRecordsIsNotCountedWhenItRejoins(t *testing.T) {
+	first := Ballot{1, 1, "a"}
+	ensemble := Ensemble{Version: 1, WriteQuorum: 2, Members: []Member{{Store: "1"}, {Store: "2"}, {Store: "3"}}}
+	owner := NewOwner(first, ensemble, DefaultOwnerLimits())
+	owner.Start()
+	owner.Promised("1", promiseOf(first, Ballot{}, 0, 0))
+	owner.Promised("2", promiseOf(first, Ballot{}, 0, 0))
+	owner.Propose([]Record{{Payload: []byte("x")}})
+	for _, store := range []StoreID{"1", "2"} {
+		owner.Acknowledged(store, Acknowledgement{Verdict: VerdictOK, Promised: first, Through: 1}, false)
+	}
+	without, _ := ensemble.Replace("2", Member{Store: "4"})
+	without, _ = without.Promote("4")
+	rejoined, _ := without.Replace("4", Member{Store: "2"})
+	owner.PrepareAgain(rejoined)
+	again := owner.Ballot()
+	owner.Promised("1", promiseOf(again, first, 0, 1))
+	owner.Promised("3", promiseOf(again, Ballot{}, 0, 0))
+	owner.Promised("2", promiseOf(again, Ballot{}, 0, 0))
+	for _, holding := range owner.Holdings() {
+		if holding.Member.Store == "2" && (holding.Through > 0 || holding.CaughtUp) {
+			t.Fatalf("the store that dropped its records counts as holding them: %+v", holding)
+		}
+	}
+}
+
 // Another owner has had a record acknowledged between two ballots of this one. When it prepares again, the owner must
 // detect that its log is incomplete and give up.
 func TestOwnerGivesUpAfterAnotherWrote(t *testing.T) {
