ledger: a retiring store keeps its place until its successor has all records

Cause: a retiring member was replaced like a lost one, by a joining member without records, before the copy. Until that ended the ensemble had only as many full members as its read quorum.

Change: a spare store learns the log beside the ensemble and counts for no quorum (Owner.Learn). Once it has what is committed and all members are full ones and answer, it becomes one member more than wanted, with a write quorum larger by one and the same read quorum (Extend), is promoted, and then the retiring member is removed (Remove). Lost members come first: with a member more than wanted a lost one is removed, otherwise it is replaced as before.

--- a/internal/ledger/maintenance.go
+++ b/internal/ledger/maintenance.go
@@ -32,9 +32,6 @@
 		return
 	}
 	next, due := m.nextEnsemble(ensemble, control, view, now)
-	if !due {
-		next, due = promotion(ensemble, control.ownership)
-	}
 	switch {
 	case !due:
 	case m.settings.MembersDecide:
@@ -44,52 +41,64 @@
 	}
 }
 
-// promotion returns the ensemble in which a joining member that has caught up is a full one, if there is one.
-func promotion(ensemble protocol.Ensemble, ownership *ownership) (protocol.Ensemble, bool) {
-	if ownership == nil || ownership.view.Load().ensemble.Version != ensemble.Version {
-		return protocol.Ensemble{}, false
-	}
-	for _, holding := range ownership.view.Load().holdings {
-		if holding.CaughtUp {
-			return ensemble.Promote(holding.Member.Store)
-		}
-	}
-	return protocol.Ensemble{}, false
-}
-
-// nextEnsemble returns the ensemble to change to, if a change is due.
+// nextEnsemble returns the ensemble to change to, if a change is due. Lost members come first, then joining members that
+// have caught up, and planned changes last.
 func (m *Manager) nextEnsemble(
 	ensemble protocol.Ensemble, control *partitionControl, view *membership.View, now time.Time,
 ) (protocol.Ensemble, bool) {
-	fixed, _ := m.directory.fixed()
 	if control.ownership == nil {
 		return protocol.Ensemble{}, false
 	}
 	control.trackRemoved(ensemble, now)
+	if next, due := m.withoutLost(ensemble, control, view, now); due {
+		return next, true
+	}
+	if next, due := promotion(ensemble, control.ownership); due {
+		return next, true
+	}
+	return m.plannedChange(ensemble, control, view, now)
+}
+
+// withoutLost returns the ensemble in which a lost member is replaced, or removed if there is one member more than wanted.
+func (m *Manager) withoutLost(
+	ensemble protocol.Ensemble, control *partitionControl, view *membership.View, now time.Time,
+) (protocol.Ensemble, bool) {
 	spare, found := m.spareStore(view, ensemble, control)
 	for _, member := range ensemble.Members {
-		if !m.replacementDue(member, spare, control, view, now) || !found {
+		if !m.isLost(member, control, view, now) {
 			continue
 		}
-		if next, allowed := ensemble.Replace(member.Store, memberOf(m.spareFor(view, ensemble, member, spare))); allowed {
+		var next protocol.Ensemble
+		var allowed bool
+		switch {
+		case m.hasSurplus(ensemble):
+			next, allowed = ensemble.Remove(member.Store)
+		case found:
+			next, allowed = ensemble.Replace(member.Store, memberOf(m.spareFor(view, ensemble, member, spare)))
+		}
+		if allowed {
 			return next, true
 		}
 	}
-	if found && len(ensemble.Members) < fixed.replicas {
-		return ensemble.Grow(memberOf(spare), fixed.writeQuorum)
-	}
 	return protocol.Ensemble{}, false
 }
 
-// replacementDue reports whether the member is to be replaced: at once if its node is alive with another store, or is
-// retiring and that of the spare is not, and after Timing.Replace if the node is gone or its store does not respond to the
-// owner.
-func (m *Manager) replacementDue(
-	member protocol.Member, spare membership.Member, control *partitionControl, view *membership.View, now time.Time,
-) bool {
-	if m.isRetiring(membership.NodeID(member.Node)) && !m.isRetiring(spare.ID) {
-		return true
+// promotion returns the ensemble in which a joining member that has caught up is a full one, if there is one.
+func promotion(ensemble protocol.Ensemble, ownership *ownership) (protocol.Ensemble, bool) {
+	if ownership.view.Load().ensemble.Version != ensemble.Version {
+		return protocol.Ensemble{}, false
 	}
+	for _, holding := range ownership.view.Load().holdings {
+		if holding.CaughtUp && !holding.Learner {
+			return ensemble.Promote(holding.Member.Store)
+		}
+	}
+	return protocol.Ensemble{}, false
+}
+
+// isLost reports whether the member's records count as lost: at once if its node is alive with another store, and after
+// Timing.Replace if the node is gone or its store does not respond to the owner.
+func (m *Manager) isLost(member protocol.Member, control *partitionControl, view *membership.View, now time.Time) bool {
 	node, found := view.Find(membership.NodeID(member.Node))
 	alive := found && (node.State == membership.Alive || node.State == membership.Suspect || node.State == membership.Leaving)
 	if alive && node.StoreIncarnation != "" && node.StoreIncarnation != string(member.Store) {
--- a/internal/ledger/manager.go
+++ b/internal/ledger/manager.go
@@ -108,6 +108,8 @@
 	declined time.Time
 	// missingSince is when a member of the ensemble was first seen as gone or not responding.
 	missingSince map[protocol.StoreID]time.Time
+	// learnerMissingSince is when the owner's learner was first seen as not responding; zero if it responds.
+	learnerMissingSince time.Time
 	// removedAt is when a store that was missing was removed from the ensemble.
 	removedAt map[protocol.StoreID]time.Time
 }
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -10,6 +10,7 @@
 
 	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
+	"github.com/sloelift/sloelift/internal/logging"
 )
 
 // Timing holds the timeouts and intervals of the ledger.
@@ -265,7 +266,7 @@
 	view := o.view.Load()
 	answering := 0
 	for _, holding := range view.holdings {
-		if holding.Failures == 0 {
+		if holding.Failures == 0 && !holding.Learner {
 			answering++
 		}
 	}
@@ -282,6 +283,31 @@
 	return true
 }
 
+// isWhole reports whether the owner serves under the ensemble's version, and all members are full ones and answered the last
+// request.
+func (o *ownership) isWhole(ensemble protocol.Ensemble) bool {
+	view := o.view.Load()
+	if view.phase != protocol.PhaseServing || view.ensemble.Version != ensemble.Version {
+		return false
+	}
+	for _, holding := range view.holdings {
+		if !holding.Learner && (holding.Member.Joining || !holding.Attached || holding.Failures > 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// learner returns the holding of the owner's learner, if there is one.
+func (o *ownership) learner() (protocol.Holding, bool) {
+	for _, holding := range o.view.Load().holdings {
+		if holding.Learner {
+			return holding, true
+		}
+	}
+	return protocol.Holding{}, false
+}
+
 // post passes an event to run's goroutine; it is dropped once the ownership has ended.
 func (o *ownership) post(event func() []protocol.Action) {
 	select {
@@ -375,6 +401,25 @@
 	o.post(func() []protocol.Action { return o.owner.ProposeEnsemble(next) })
 }
 
+// learn makes the owner copy its log to a store that is to become a member.
+func (o *ownership) learn(store protocol.Member) {
+	o.post(func() []protocol.Action {
+		actions := o.owner.Learn(store)
+		if len(actions) > 0 {
+			o.logger.Info().Str(logging.FieldPeer, store.Node).Str(fieldStore, string(store.Store)).Msg("learner_added")
+		}
+		return actions
+	})
+}
+
+// stopLearning ends the copying to the learner.
+func (o *ownership) stopLearning() {
+	o.post(func() []protocol.Action {
+		o.owner.StopLearning()
+		return nil
+	})
+}
+
 // adopt makes the owner prepare again if ensemble is newer than its own. An owner that is not serving gives up, and the
 // next attempt starts with the newer ensemble.
 func (o *ownership) adopt(ensemble protocol.Ensemble) {
--- a/internal/ledger/ownership_requests.go
+++ b/internal/ledger/ownership_requests.go
@@ -16,10 +16,14 @@
 // fetchBytes bounds the payload of one read: for recovery, for copying to a store that lacks records, or for loading.
 const fetchBytes = 1 << 20
 
-// member returns the ensemble's member with a store; the store was a member when the request was made.
+// member returns the member, or learner, with a store; it was one when the request was made.
 func (o *ownership) member(store protocol.StoreID) protocol.Member {
-	member, _ := o.view.Load().ensemble.Find(store)
-	return member
+	for _, holding := range o.view.Load().holdings {
+		if holding.Member.Store == store {
+			return holding.Member
+		}
+	}
+	return protocol.Member{}
 }
 
 func (o *ownership) sendPrepare(ctx context.Context, action protocol.SendPrepare) func() []protocol.Action {
--- a/internal/ledger/protocol/ensemble.go
+++ b/internal/ledger/protocol/ensemble.go
@@ -1,6 +1,9 @@
 package protocol
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Member is one store of an ensemble.
 type Member struct {
@@ -79,9 +82,9 @@
 	return Member{}, false
 }
 
-// Replace returns the next version, in which replacement takes the place of lost as a joining member. It
-// returns false if fewer full members than the read quorum would remain, since an acknowledged record might
-// then be unreadable.
+// Replace returns the next version, in which replacement takes the place of lost as a joining member. The records
+// of lost are given up, so it is not for a member that still has them: see Extend. It returns false if fewer full
+// members than the read quorum would remain, since an acknowledged record might then be unreadable.
 func (e Ensemble) Replace(lost StoreID, replacement Member) (Ensemble, bool) {
 	former, found := e.Find(lost)
 	if _, present := e.Find(replacement.Store); !found || present {
@@ -118,6 +121,41 @@
 	}), true
 }
 
+// Extend returns the next version with one more member, which is joining, and a write quorum larger by one. The read
+// quorum stays the same, so that as many disks as before may be lost at any time. Extend returns false while another
+// member is joining: changes are made one at a time.
+func (e Ensemble) Extend(member Member) (Ensemble, bool) {
+	if _, present := e.Find(member.Store); present || e.FullMembers() < len(e.Members) {
+		return Ensemble{}, false
+	}
+	member.Joining = true
+	extended := e.next(unchanged)
+	extended.Members = append(extended.Members, member)
+	extended.WriteQuorum++
+	return extended, true
+}
+
+// Remove returns the next version without the given store and with a write quorum smaller by one: the opposite of
+// Extend. Every write quorum of this version leaves one of the next among the other members. It returns false if
+// fewer full members than the read quorum would remain.
+func (e Ensemble) Remove(store StoreID) (Ensemble, bool) {
+	removed, found := e.Find(store)
+	if !found || e.WriteQuorum < 2 {
+		return Ensemble{}, false
+	}
+	full := e.FullMembers()
+	if !removed.Joining {
+		full--
+	}
+	if full < e.ReadQuorum() {
+		return Ensemble{}, false
+	}
+	reduced := e.next(unchanged)
+	reduced.Members = slices.DeleteFunc(reduced.Members, func(member Member) bool { return member.Store == store })
+	reduced.WriteQuorum--
+	return reduced, true
+}
+
 // Grow returns the next version with one more member, which is joining. The write quorum of the grown ensemble
 // applies at once, so that records acknowledged before the promotion also intersect the read quorum after it.
 // Grow returns false while another member is joining: changes are made one at a time.
@@ -126,7 +164,7 @@
 		return Ensemble{}, false
 	}
 	member.Joining = true
-	grown := e.next(func(member Member) Member { return member })
+	grown := e.next(unchanged)
 	grown.Members = append(grown.Members, member)
 	grown.WriteQuorum = WriteQuorumOf(len(grown.Members), wanted)
 	if grown.ReadQuorum() > grown.FullMembers() || e.WriteQuorum+grown.ReadQuorum() <= len(e.Members) {
@@ -135,6 +173,8 @@
 	return grown, true
 }
 
+func unchanged(member Member) Member { return member }
+
 func (e Ensemble) next(change func(Member) Member) Ensemble {
 	changed := Ensemble{Partition: e.Partition, Version: e.Version + 1, WriteQuorum: e.WriteQuorum, Regions: e.Regions}
 	for _, member := range e.Members {
--- a/internal/ledger/protocol/owner_proposal.go
+++ b/internal/ledger/protocol/owner_proposal.go
@@ -47,7 +47,7 @@
 	var actions []Action
 	for _, follower := range o.followers {
 		store := follower.member.Store
-		if !follower.attached || o.proposal.asked[store] || o.proposal.accepted[store] {
+		if !follower.attached || follower.learner || o.proposal.asked[store] || o.proposal.accepted[store] {
 			continue
 		}
 		o.proposal.asked[store] = true
--- a/internal/ledger/protocol/owner_state.go
+++ b/internal/ledger/protocol/owner_state.go
@@ -22,7 +22,7 @@
 func (o *Owner) HasRoom() bool {
 	room := 0
 	for _, follower := range o.followers {
-		if !follower.spaceLow {
+		if !follower.learner && !follower.spaceLow {
 			room++
 		}
 	}
@@ -40,7 +40,7 @@
 	starved, able := 0, 0
 	for _, follower := range o.followers {
 		switch {
-		case !follower.attached:
+		case !follower.attached || follower.learner:
 		case follower.next <= o.last && !o.inWindow(follower.next) && len(o.sources(follower)) == 0:
 			starved++
 		default:
@@ -61,17 +61,20 @@
 	// Failures counts failures since the last answer.
 	Failures int
 	SpaceLow bool
-	// CaughtUp is set for a joining member that may be promoted.
+	// CaughtUp is set for a joining member that may be promoted, and a learner that may become one.
 	CaughtUp bool
+	// Learner is set for a store that is not a member of the ensemble and counts for no quorum.
+	Learner bool
 }
 
-// Holdings returns the holding of each member, in ensemble order.
+// Holdings returns the holding of each member, in ensemble order, and then that of the learner, if there is one.
 func (o *Owner) Holdings() []Holding {
 	holdings := make([]Holding, 0, len(o.followers))
 	for _, follower := range o.followers {
 		holdings = append(holdings, Holding{
 			Member: follower.member, First: follower.first, Through: max(follower.acked, follower.priorAcked), Snapshot: follower.snapshot,
 			Attached: follower.attached, Failing: follower.failing, Failures: follower.failures, SpaceLow: follower.spaceLow, CaughtUp: follower.caughtUp,
+			Learner: follower.learner,
 		})
 	}
 	return holdings
--- a/internal/ledger/protocol/owner_step.go
+++ b/internal/ledger/protocol/owner_step.go
@@ -57,7 +57,9 @@
 
 // follower is the Owner's knowledge of one store of its ensemble.
 type follower struct {
-	member   Member
+	member Member
+	// learner is set for a store that is not a member; see Learn. Its member is marked as joining.
+	learner  bool
 	attached bool
 	promise  Promise
 	// acked is the last position up to which the store's log is synced and equals the owner's.
@@ -73,7 +75,7 @@
 	commitSent  Position
 	inFlight    bool
 	failing     bool
-	// caughtUp is set for a joining member that may be promoted; see markCaughtUp.
+	// caughtUp is set for a joining member that may be promoted, and a learner that may become one; see markCaughtUp.
 	caughtUp bool
 	spaceLow bool
 	// failures counts failures since the last answer; fetchMissing uses it to try another source after each failure.
@@ -309,15 +311,15 @@
 func (o *Owner) holders(position Position) int {
 	holders := 0
 	for _, follower := range o.followers {
-		if follower.attached && follower.acked >= position {
+		if follower.attached && !follower.learner && follower.acked >= position {
 			holders++
 		}
 	}
 	return holders
 }
 
-// markCaughtUp marks joining members that have the committed log, provided that a write quorum has it:
-// they may be promoted to full members.
+// markCaughtUp marks joining members and learners that have the committed log, provided that a write quorum has it:
+// the former may be promoted to full members.
 func (o *Owner) markCaughtUp() {
 	if o.phase != PhaseServing || o.holders(o.committed) < o.ensemble.WriteQuorum {
 		return
--- a/internal/ledger/retirement.go
+++ b/internal/ledger/retirement.go
@@ -99,7 +99,7 @@
 			switch {
 			case member.Joining:
 				return false, ObstacleRecords, nil
-			case member.Node == string(node) && m.hasSpare(view, ensemble):
+			case member.Node == string(node) && (m.hasSurplus(ensemble) || m.hasSpare(view, ensemble)):
 				return false, ObstacleRecords, nil
 			case member.Node == string(node):
 				return false, ObstacleNoStore, nil
