ledger: an ensemble that is short of members grows without a larger read quorum until it is whole

Callers would see: two stores are the ensemble of a partition, a third is added, the owner's node loses its disk while the records are copied, and the partition has no owner any more, though the other store has all records.

Cause: Ensemble.Grow changed the quorums of two members (write 2, read 1) to those of three (2, 2) when the third joined, before that had the records. With one disk lost, one full member was left of the two that the read quorum needs.

Change: the new store learns the log first and joins with a larger write quorum (Extend), so that the read quorum stays; once all members are full ones, LowerWriteQuorum changes to the wanted quorums. Grow is removed.

--- a/internal/ledger/planned_change.go
+++ b/internal/ledger/planned_change.go
@@ -8,8 +8,9 @@
 )
 
 // A planned change of an ensemble gives up no copy before its successor has all records, so that at any time as many disks
-// may be lost as without the change. A spare store first learns the log beside the ensemble, becomes one member more than
-// wanted, and only then a retiring member is removed.
+// may be lost as without the change. A spare store first learns the log beside the ensemble and then becomes an additional
+// member, with a larger write quorum. Once it is a full member, a retiring one is removed, or the write quorum of an ensemble
+// that was short of members is lowered to the wanted one.
 
 // plannedChange returns the next ensemble of a planned change, if one is due. While the ensemble is not whole, nothing is
 // planned: repairs come first.
@@ -18,25 +19,19 @@
 ) (protocol.Ensemble, bool) {
 	whole := control.ownership.isWhole(ensemble)
 	switch {
+	case !m.hasSurplus(ensemble) && !m.hasRaisedQuorum(ensemble):
+		return m.extension(ensemble, control, view, whole, now)
+	case !whole:
+		return protocol.Ensemble{}, false
 	case m.hasSurplus(ensemble):
-		if !whole {
-			return protocol.Ensemble{}, false
-		}
 		return ensemble.Remove(m.surplusMember(ensemble).Store)
-	case m.isShort(ensemble):
-		spare, found := m.spareStore(view, ensemble, control)
-		if !found {
-			return protocol.Ensemble{}, false
-		}
-		fixed, _ := m.directory.fixed()
-		return ensemble.Grow(memberOf(spare), fixed.writeQuorum)
 	default:
-		return m.extension(ensemble, control, view, whole, now)
+		return ensemble.LowerWriteQuorum()
 	}
 }
 
-// extension returns the ensemble with the learner as an additional member, once that has caught up, if a member is retiring.
-// Before that it chooses the learner.
+// extension returns the ensemble with the learner as an additional member, once that has caught up, if a member is retiring
+// or the ensemble is short of members. Before that it chooses the learner.
 func (m *Manager) extension(
 	ensemble protocol.Ensemble, control *partitionControl, view *membership.View, whole bool, now time.Time,
 ) (protocol.Ensemble, bool) {
@@ -44,7 +39,8 @@
 	learner, learning := ownership.learner()
 	control.trackLearner(learner, learning, m.timing.Replace, now)
 	spare, found := m.spareStore(view, ensemble, control)
-	if !m.hasRetiringMember(ensemble) || !found || m.isRetiring(spare.ID) {
+	wanted := m.isShort(ensemble) || (m.hasRetiringMember(ensemble) && !m.isRetiring(spare.ID))
+	if !wanted || !found {
 		if learning {
 			m.background(ownership.stopLearning)
 		}
@@ -84,6 +80,12 @@
 	return len(ensemble.Members) < fixed.replicas
 }
 
+// hasRaisedQuorum reports whether the ensemble's write quorum is larger than wanted for its size.
+func (m *Manager) hasRaisedQuorum(ensemble protocol.Ensemble) bool {
+	fixed, _ := m.directory.fixed()
+	return ensemble.WriteQuorum > protocol.WriteQuorumOf(len(ensemble.Members), fixed.writeQuorum)
+}
+
 func (m *Manager) hasRetiringMember(ensemble protocol.Ensemble) bool {
 	for _, member := range ensemble.Members {
 		if m.isRetiring(membership.NodeID(member.Node)) {
--- a/internal/ledger/protocol/ensemble.go
+++ b/internal/ledger/protocol/ensemble.go
@@ -156,21 +156,15 @@
 	return reduced, true
 }
 
-// Grow returns the next version with one more member, which is joining. The write quorum of the grown ensemble
-// applies at once, so that records acknowledged before the promotion also intersect the read quorum after it.
-// Grow returns false while another member is joining: changes are made one at a time.
-func (e Ensemble) Grow(member Member, wanted int) (Ensemble, bool) {
-	if _, present := e.Find(member.Store); present || e.FullMembers() < len(e.Members) {
-		return Ensemble{}, false
-	}
-	member.Joining = true
-	grown := e.next(unchanged)
-	grown.Members = append(grown.Members, member)
-	grown.WriteQuorum = WriteQuorumOf(len(grown.Members), wanted)
-	if grown.ReadQuorum() > grown.FullMembers() || e.WriteQuorum+grown.ReadQuorum() <= len(e.Members) {
+// LowerWriteQuorum returns the next version with a write quorum smaller by one, and so a larger read quorum. It returns
+// false while a member is joining, since the read quorum consists of full members.
+func (e Ensemble) LowerWriteQuorum() (Ensemble, bool) {
+	if e.WriteQuorum < 2 || e.FullMembers() < len(e.Members) {
 		return Ensemble{}, false
 	}
-	return grown, true
+	lowered := e.next(unchanged)
+	lowered.WriteQuorum--
+	return lowered, true
 }
 
 func unchanged(member Member) Member { return member }
--- a/internal/ledger/protocol/model_test.go
+++ b/internal/ledger/protocol/model_test.go
@@ -70,10 +70,10 @@
 	ballots map[Position]Ballot
 	// proposedUnder holds the ballot under which each value was first proposed.
 	proposedUnder map[string]Ballot
-	// replicas is the number of members of an ensemble, but for one more during a planned change.
-	replicas int
-	// maxLost is the number of members that may be lost at once, and also of those that may be lost or joining where no
-	// planned change is in progress.
+	// replicas and writeQuorum are those of an ensemble that has all wanted members, but for one more of each during a
+	// planned change.
+	replicas, writeQuorum int
+	// maxLost is the number of members that may be lost at once.
 	maxLost int
 	// membersDecide is set if ensembles are decided by their members instead of a compare-and-swap.
 	membersDecide bool
@@ -90,16 +90,25 @@
 	maxModelLost                         = 2
 )
 
+// newShortModelCluster returns a cluster with one member less than wanted.
+func newShortModelCluster(t *rapid.T) *modelCluster {
+	w := newModelCluster(t, false)
+	w.replicas, w.writeQuorum, w.maxLost = modelMajorityReplicas, modelMajority, 1
+	w.ensemble.Members = w.ensemble.Members[:w.replicas-1]
+	w.ensemble.WriteQuorum = WriteQuorumOf(len(w.ensemble.Members), w.writeQuorum)
+	return w
+}
+
 func newModelCluster(t *rapid.T, membersDecide bool) *modelCluster {
 	w := &modelCluster{
 		t: t, membersDecide: membersDecide, stores: map[StoreID]*modelStore{}, acknowledged: map[Position]string{},
 		ballots: map[Position]Ballot{}, proposedUnder: map[string]Ballot{},
 	}
-	w.ensemble = Ensemble{Version: 1, WriteQuorum: modelQuorum}
-	w.replicas, w.maxLost = modelReplicas, maxModelLost
+	w.replicas, w.writeQuorum, w.maxLost = modelReplicas, modelQuorum, maxModelLost
 	if membersDecide {
-		w.ensemble.WriteQuorum, w.replicas, w.maxLost = modelMajority, modelMajorityReplicas, maxModelLost-1
+		w.replicas, w.writeQuorum, w.maxLost = modelMajorityReplicas, modelMajority, maxModelLost-1
 	}
+	w.ensemble = Ensemble{Version: 1, WriteQuorum: w.writeQuorum}
 	for range w.replicas {
 		w.ensemble.Members = append(w.ensemble.Members, Member{Store: w.newStore()})
 	}
@@ -113,12 +122,11 @@
 	return id
 }
 
-// bearable reports whether no more members are lost or joining than may be, at present, after each proposal that may still
-// be decided, and under next.
+// bearable reports whether no more members are lost than may be, and the others that are full ones suffice for a read quorum,
+// at present, after each proposal that may still be decided, and under next.
 func (w *modelCluster) bearable(next ...Ensemble) bool {
 	for _, ensemble := range append(append(next, w.ensemble), w.pending()...) {
-		surplus := max(len(ensemble.Members)-w.replicas, 0)
-		if w.lostOf(ensemble) > w.maxLost || w.weakOf(ensemble) > w.maxLost+surplus {
+		if w.lostOf(ensemble) > w.maxLost || len(ensemble.Members)-w.weakOf(ensemble) < ensemble.ReadQuorum() {
 			return false
 		}
 	}
--- a/internal/ledger/protocol/protocol_test.go
+++ b/internal/ledger/protocol/protocol_test.go
@@ -136,6 +136,13 @@
 			}
 			w.changeTo(next)
 		},
+		"lower write quorum": func(t *rapid.T) {
+			next, ok := w.ensemble.LowerWriteQuorum()
+			if !ok || w.ensemble.WriteQuorum <= WriteQuorumOf(len(w.ensemble.Members), w.writeQuorum) || !w.bearable(next) {
+				t.Skip("the write quorum is the wanted one")
+			}
+			w.changeTo(next)
+		},
 		"drop": func(t *rapid.T) {
 			// A store that is no longer a member may drop the partition even while owners of older versions
 			// still count on it.
@@ -404,10 +411,14 @@
 }
 
 func TestNothingAcknowledgedIsLostInPlannedChanges(t *testing.T) {
-	for name, membersDecide := range map[string]bool{"compare-and-swap": false, "members decide": true} {
+	for name, create := range map[string]func(*rapid.T) *modelCluster{
+		"compare-and-swap": func(t *rapid.T) *modelCluster { return newModelCluster(t, false) },
+		"members decide":   func(t *rapid.T) *modelCluster { return newModelCluster(t, true) },
+		"short of members": newShortModelCluster,
+	} {
 		t.Run(name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
-				w := newModelCluster(t, membersDecide)
+				w := create(t)
 				w.startOwner(w.ensemble, 1)
 				t.Repeat(w.plannedActions())
 				w.heal()
--- a/internal/ledger/retirement_loss_test.go
+++ b/internal/ledger/retirement_loss_test.go
@@ -187,3 +187,30 @@
 		})
 	}
 }
+
+// TestDiskLostWhileAShortEnsembleGrows guards records against being unreadable for good: the read quorum of an ensemble with fewer
+// members than wanted became larger with a third member, before that had the records.
+func TestDiskLostWhileAShortEnsembleGrows(t *testing.T) {
+	for delay := time.Duration(0); delay <= 3*time.Second; delay += 50 * time.Millisecond {
+		t.Run(fmt.Sprint("lost after ", delay), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 54)
+				defer c.stopAll()
+				c.add(true)
+				c.add(true)
+				acknowledged := c.fill()
+				c.add(true)
+				c.add(true)
+				c.slowCopies()
+				time.Sleep(delay)
+				c.loseDisk(c.owner(0))
+				c.check(0, acknowledged)
+				c.eventually("the ensemble has four full members", func() bool {
+					ensemble, _ := c.owner(0).manager.directory.ensemble(0)
+					return ensemble.FullMembers() == 4 && ensemble.WriteQuorum == 3
+				})
+				c.check(0, acknowledged)
+			})
+		})
+	}
+}
--- a/spec/ledger.pml
+++ b/spec/ledger.pml
@@ -15,6 +15,9 @@
  * fourth store is added as joining with a write quorum of three, promoted, and then a member is removed. Besides, with one
  * lost disk, the members that can be read are always enough for a read quorum.
  *
+ * With SHORT, two stores are the ensemble, with a write quorum of two. A third is added as joining with a write quorum of three
+ * and promoted, and then the write quorum is lowered to two. The same is asserted.
+ *
  * Stores are interchangeable, so each action sorts them at its end (SORT): states that
  * differ only in the numbering of the stores become one state.
  */
@@ -25,12 +28,26 @@
 #ifndef R
 #define R 2
 #endif
+#ifdef SHORT
+#define PLANNED
+#define INITIAL_MEMBERS 2
+#define INITIAL_READ_QUORUM 1
+#else
+#define INITIAL_READ_QUORUM 2
+#endif
+#ifndef INITIAL_MEMBERS
 #ifdef PLANNED
 #define INITIAL_MEMBERS 3
-#define WRITE_QUORUM(o) (owner[o].writeQuorum)
 #else
 #define INITIAL_MEMBERS N
+#endif
+#endif
+#ifdef PLANNED
+#define WRITE_QUORUM(o) (owner[o].writeQuorum)
+#define READ_QUORUM(o) (owner[o].readQuorum)
+#else
 #define WRITE_QUORUM(o) (W)
+#define READ_QUORUM(o) (R)
 #endif
 #ifndef SLOTS
 #define SLOTS 1
@@ -108,8 +125,9 @@
   byte bestBallot[SLOTS];
   byte value[SLOTS];
 #ifdef PLANNED
-  /* The write quorum of the ensemble that the owner knows. */
+  /* The quorums of the ensemble that the owner knows. */
   byte writeQuorum;
+  byte readQuorum;
 #endif
 #ifdef LATE
   byte lateBallot;
@@ -127,6 +145,7 @@
 hidden byte k;
 #ifdef PLANNED
 byte writeQuorum = 2;
+byte readQuorum = INITIAL_READ_QUORUM;
 /* The number of members whose disk is lost and that are neither replaced nor removed. */
 byte lostMembers = 0;
 /* The planned change: not begun, a member more than wanted, complete. */
@@ -139,7 +158,12 @@
 #define FULL_MEMBERS (FULL_MEMBER(0) + FULL_MEMBER(1) + FULL_MEMBER(2) + FULL_MEMBER(3))
 #define JOINING_MEMBER(s) (store[s].member && store[s].joining)
 #define WHOLE (lostMembers == 0 && !JOINING_MEMBER(0) && !JOINING_MEMBER(1) && !JOINING_MEMBER(2) && !JOINING_MEMBER(3))
-#define READABLE (FULL_MEMBERS >= R)
+#ifdef SHORT
+#define MAY_REPLACE (true)
+#else
+#define MAY_REPLACE (plan != EXTENDED)
+#endif
+#define READABLE (FULL_MEMBERS >= readQuorum)
 #endif
 
 #define PROMISES(o) (store[0].view[o].promised + store[1].view[o].promised + store[2].view[o].promised + store[3].view[o].promised)
@@ -234,6 +258,7 @@
   :: refresh ->
 #ifdef PLANNED
      owner[o].writeQuorum = writeQuorum;
+     owner[o].readQuorum = readQuorum;
 #endif
      owner[o].version = ensembleVersion
   :: else
@@ -409,11 +434,24 @@
   store[s].joining = 1;
 #ifndef MUTANT_EXTEND_KEEPS_WRITE_QUORUM
   writeQuorum = 3;
+#endif
+#ifdef MUTANT_EXTEND_RAISES_READ_QUORUM
+  writeQuorum = 2;
+  readQuorum = 2;
 #endif
   plan = EXTENDED;
   ensembleVersion++
 }
 
+/* lowerWriteQuorum: the read quorum becomes larger, once all members are full ones. */
+inline lowerWriteQuorum() {
+  writeQuorum = 2;
+  readQuorum = 2;
+  plan = MOVED;
+  ensembleVersion++;
+  assert(READABLE)
+}
+
 /* removeMember: the removed store keeps its disk, so that owners of older versions may still write to it. */
 inline removeMember(s) {
   store[s].member = 0;
@@ -504,7 +542,7 @@
   /* The key-value service is down: the owner uses the ensemble that it knows. */
   :: d_step { owner[o].number < ROUNDS && owner[o].version > 0 && owner[o].version < ensembleVersion -> takeBallot(o, false); SORT }
   PREPARE(0) PREPARE(1) PREPARE(2) PREPARE(3)
-  :: d_step { owner[o].phase == PREPARING && PROMISES(o) >= R -> recover(o); SORT }
+  :: d_step { owner[o].phase == PREPARING && PROMISES(o) >= READ_QUORUM(o) -> recover(o); SORT }
   :: d_step { owner[o].phase == APPENDING && owner[o].value[0] == NOTHING -> append(o, 0); SORT }
   DELIVER(0, 0) DELIVER(1, 0) DELIVER(2, 0) DELIVER(3, 0)
   DELIVER_LATE(0, 0) DELIVER_LATE(1, 0) DELIVER_LATE(2, 0) DELIVER_LATE(3, 0)
@@ -524,9 +562,17 @@
   :: d_step { losses < LOSSES -> loseDisk(s); SORT }
 #ifdef PLANNED
 #define REPLACE(s) \
-  :: d_step { !store[s].member && lostMembers > 0 && plan != EXTENDED -> replaceMember(s); SORT }
+  :: d_step { !store[s].member && lostMembers > 0 && MAY_REPLACE -> replaceMember(s); SORT }
+#ifdef SHORT
+#define REMOVE(s)
+#define COMPLETE \
+  :: d_step { plan == EXTENDED && WHOLE -> lowerWriteQuorum(); SORT }
+#else
 #define REMOVE(s) \
   :: d_step { plan == EXTENDED && MAY_REMOVE(s) -> removeMember(s); SORT }
+#define COMPLETE \
+  :: d_step { plan == EXTENDED && lostMembers > 0 -> removeLost(); SORT }
+#endif
 #ifdef MUTANT_REPLACE_SOUND_MEMBER
 #define MOVE(s, spare) \
   :: d_step { plan == NOT_BEGUN && WHOLE && store[s].member && !store[spare].member -> replaceSound(s, spare); SORT }
@@ -548,7 +594,7 @@
 #ifdef PLANNED
   EXTEND(0) EXTEND(1) EXTEND(2) EXTEND(3)
   REMOVE(0) REMOVE(1) REMOVE(2) REMOVE(3)
-  :: d_step { plan == EXTENDED && lostMembers > 0 -> removeLost(); SORT }
+  COMPLETE
   MOVE(0, 3) MOVE(3, 0)
 #endif
   od
