ledger: a test that an empty store replaces the lost one before the one that is to be emptied

Nodes of the ledger's tests never get the name of a killed one again: a test that killed one and added another had two of one name.

--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -45,7 +45,9 @@
 	ledger   settings.Ledger
 	timing   Timing
 	nodes    []*testNode
-	checks   int
+	// added is the number of nodes created so far, so that a new one never has the name of a killed one.
+	added  int
+	checks int
 	// regionOf is the region of each node and of its zone.
 	regionOf map[membership.NodeID]string
 	// confined are the confined keys that each node is started with.
@@ -110,7 +112,8 @@
 
 // add creates a node, with or without a disk, and starts it.
 func (c *cluster) add(withDisk bool) *testNode {
-	index := len(c.nodes) + 1
+	c.added++
+	index := c.added
 	node := &testNode{
 		id: membership.NodeID(fmt.Sprintf("node-%d", index)), free: 1 << 40,
 		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(9000+index)),
--- a/internal/ledger/retirement_loss_test.go
+++ b/internal/ledger/retirement_loss_test.go
@@ -214,3 +214,36 @@
 		})
 	}
 }
+
+// TestEmptyStoreReplacesTheLostOneBeforeARetiringOne guards jobs against being unreadable for good: a store waited to be
+// retired, another one was lost for good, and the empty store that came took the place of the first, whose records were needed.
+func TestEmptyStoreReplacesTheLostOneBeforeARetiringOne(t *testing.T) {
+	for _, retires := range []string{"owner", "member"} {
+		for _, comes := range []time.Duration{0, 500 * time.Millisecond, 3 * time.Second, 15 * time.Second} {
+			t.Run(fmt.Sprint("the ", retires, " retires, a store comes ", comes, " after the loss"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := newStorageClusterOf(t, 55, 3)
+					defer c.stopAll()
+					acknowledged := c.fill()
+					owner := c.owner(0)
+					members, _ := c.membersAndSpares(owner)
+					retiring, lost := members[0], owner
+					if retires == "owner" {
+						retiring, lost = owner, members[0]
+					}
+					c.retire(retiring)
+					time.Sleep(5 * time.Second)
+					c.kill(lost)
+					time.Sleep(comes)
+					c.add(true)
+					c.retire(retiring)
+					time.Sleep(30 * time.Second)
+					c.check(0, acknowledged)
+					c.add(true)
+					c.retire(retiring)
+					c.checkRetired(retiring, acknowledged)
+				})
+			})
+		}
+	}
+}
