quarantine, batch: an item under which many replicas crashed is run again within seconds of calm

Callers saw, in a system like ours: replicas crash while they run the same sound item; afterwards all is calm, the replicas have room, and the item is not placed again. It can happen here: a sound item under five crashes waited 40 s for its next run, then 80 s, up to 5.7 h.

Cause: two delays that grew with each crash. RetryDelay doubled with each failed retry, to bound the replicas that a harmful item ends; the pause of a suspected item grew by a second with each crash. Nothing took them back once replicas were calm.

Change: retries wait 5 s, then 10 s; the pause is 3 s at most. What is left is a rate: one retry of a message at a time, 10 s apart, on replicas that were calm for 5 to 10 s. The same delays hold for items that test a rejected part of a prompt.

Evidence: TestItemIsRetriedSoonAfterTheLastOfManyCrashes, five to forty crashes, before the first event, behind events, with new owners: "no run within 20s after crash 5, though all replicas are calm" in 5 of 6 ways before, done in all after. Without the bound on the pause it fails after crash 20.

Tests of the doubled delay are replaced: they hold items to the new delays (RetryDelay), to the nine ends that fit into a minute by the sum that gave six before, and two of them now also want a run each 20 s.

--- a/internal/batch/item_crash.go
+++ b/internal/batch/item_crash.go
@@ -22,10 +22,10 @@
 
 const (
 	// maxCrashesPerItem bounds the ended replicas that are recorded for one item: as many reject it. maxRetriesPerItem bounds
-	// those of its retries, each of which doubles the delay of the next one.
+	// those of its retries.
 	maxCrashesPerItem = 3
 	maxRetriesPerItem = 16
-	// crashBackoff is how long a suspected item waits for each replica that ended under it. Other messages that ran at such a
+	// crashBackoff is how long a suspected item waits for each replica that ended under it, up to maxCrashesPerItem. Other messages that ran at such a
 	// replica are retried first: callers wait for some of them, and one that is the cause ends the next replica within some tenths
 	// of a second, while the item is not there.
 	crashBackoff = time.Second
@@ -230,13 +230,13 @@
 }
 
 // backOffAfterCrash delays the next run of an item whose replica ended, while the item is suspected. The delay grows with each
-// crash. A rejected item is delayed whatever is known of its message: the evidence on it is forgotten at some time.
+// of the first crashes. A rejected item is delayed whatever is known of its message: the evidence on it is forgotten at some time.
 func (p *partition) backOffAfterCrash(key itemKey) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	run := p.ensureRun(key)
 	run.crashes++
-	run.apartNotBefore = p.elapsed() + time.Duration(run.crashes)*crashBackoff
+	run.apartNotBefore = p.elapsed() + time.Duration(min(run.crashes, maxCrashesPerItem))*crashBackoff
 	if job := p.state.jobs[key.job]; job != nil {
 		run.retryNotBefore = p.elapsed() + job.items[key.number].retryDelay()
 	}
--- a/internal/quarantine/retry.go
+++ b/internal/quarantine/retry.go
@@ -10,17 +10,19 @@
 
 const (
 	// retryDelay is how long the rejected message of a batch item waits after the last end of a replica before its first
-	// retry. The delay doubles with each retry under which a replica ends.
-	retryDelay = 5 * time.Second
-	// maxRetryDoublings bounds the delay.
-	maxRetryDoublings = 12
+	// retry; maxRetryDelay is how long it waits before each further one. Both are far below the time for which an accepted
+	// item may lie without a run while its replicas are calm.
+	retryDelay, maxRetryDelay = 5 * time.Second, 10 * time.Second
 )
 
 // RetryDelay returns how long the rejected message of a batch item waits before it is retried, after the given number of
 // retries under which replicas ended. A rejection rests on ends that may have had other causes, so that it is never final
-// for an item, which its caller cannot send again; the growing delay bounds the replicas that a harmful one ends.
+// for an item, which its caller cannot send again. The delay bounds the rate at which a harmful item ends replicas.
 func RetryDelay(failedRetries int) time.Duration {
-	return retryDelay << min(max(failedRetries, 0), maxRetryDoublings)
+	if failedRetries > 0 {
+		return maxRetryDelay
+	}
+	return retryDelay
 }
 
 // failedRetries returns the number of retries of a rejected message that ended their replicas, or that were lost. Losses do
