replica: the head of a response is limited, so that one without end fills no memory

Callers would see: a replica answers with a status line or headers that do not end, and the edge, or the owner of an item, that reads them grows until the request's time-out; an edge of 284 MB is ended by a few.

Cause: http.ReadResponse on a bare buffered reader has no limit on a head.

Evidence: TestAnswerWithoutEndIsCutOff, ten ways: in six (status line, header line, header lines, continued line, the head of another request's response) all 16 MiB that the replica sends were read before; chunk extensions, trailers and interim responses were bounded. After: 256 KiB at most in all.

Change: while a head is read, the connection's source is limited to 64 KiB; the body is not. The error counts as a failure of the replica, which is then avoided, and the request is sent elsewhere where it may be.

TestLongHeadIsRead holds that a head of 32 KiB is still read, also behind interim responses and on a used connection.

--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -209,7 +209,7 @@
 	request := &http.Request{Method: call.Method}
 	stray, interim := 0, 0
 	for {
-		response, err := http.ReadResponse(used.reader, request)
+		response, err := used.readHead(request)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/replica/connection.go
+++ b/internal/replica/connection.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,19 +16,58 @@
 	readBufferBytes = 8 << 10
 	// defaultIdleTimeout applies if the replica's Keep-Alive header names no timeout.
 	defaultIdleTimeout = 30 * time.Second
+	// maxHeadBytes limits the status line and headers of a response: four times what callers may send by default.
+	maxHeadBytes = 64 << 10
 	// idleMargin is subtracted from the replica's timeout, so that no request is sent while the replica closes the connection.
 	idleMargin = 900 * time.Millisecond
 )
 
 // connection is one HTTP/1.1 connection to a replica; one request uses it at a time.
 type connection struct {
-	net       net.Conn
+	net net.Conn
+	// source is what reader reads from.
+	source    *headLimiter
 	reader    *bufio.Reader
 	idleUntil time.Time
 }
 
 func newConnection(raw net.Conn) *connection {
-	return &connection{net: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	source := &headLimiter{source: raw}
+	return &connection{net: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+}
+
+// readHead reads the status line and headers of a response to request. The body is not limited.
+func (c *connection) readHead(request *http.Request) (*http.Response, error) {
+	c.source.limit(maxHeadBytes)
+	defer c.source.unlimit()
+	return http.ReadResponse(c.reader, request)
+}
+
+// errHeadTooLarge means that a response's status line and headers exceed maxHeadBytes, or do not end.
+var errHeadTooLarge = fmt.Errorf("the head of the response exceeds %d bytes", maxHeadBytes)
+
+// headLimiter limits how much is read from source while the head of a response is read: net/http sets no limit of its own.
+type headLimiter struct {
+	source  io.Reader
+	limited bool
+	left    int
+}
+
+func (l *headLimiter) limit(most int) { l.limited, l.left = true, most }
+
+func (l *headLimiter) unlimit() { l.limited = false }
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(target []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(target)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	count, err := l.source.Read(target[:min(len(target), l.left)])
+	l.left -= count
+	return count, err
 }
 
 func (c *connection) close() { _ = c.net.Close() }
