batch: events without end are cut off at 4 MiB of an item's text

Callers would see: a replica streams events that do not end for an item, and the storage node that owns it collects them as the item's text for as long as they come, until the process is over its memory.

Cause: the text of an item had no limit; only an event had one (1 MiB).

Evidence: TestEventsWithoutEndAreCutOff: 32 MiB of events were read before, and listed as the item's text; 8 MiB at most are read now, the text is dropped, and the next run begins anew and is listed whole.

Change: beyond 4 MiB the answer counts as malformed: a failure of its replica, not of the item. An answer that is really longer is never done; at some four bytes a token that is a million tokens.

--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -30,9 +31,14 @@
 	maxErrorBodyBytes = 64 << 10
 	// appendRetryDelay is the wait before a failed append about an item is retried.
 	appendRetryDelay = 200 * time.Millisecond
+	// maxTextBytes bounds an item's text. A replica that sends events beyond it is taken not to end its answer.
+	maxTextBytes = 4 << 20
 )
 
-var errSilent = errors.New("replica is silent")
+var (
+	errSilent      = errors.New("replica is silent")
+	errTextTooLong = fmt.Errorf("text of the item exceeds %d bytes", maxTextBytes)
+)
 
 // itemVerdict is the result of one attempt at an item.
 type itemVerdict int
@@ -48,7 +54,8 @@
 	itemRefused
 	// itemInterrupted: the stream ended early; the text received so far is kept.
 	itemInterrupted
-	// itemMalformed: the replica sent an event that is not text, which no result can contain; the text before it is kept.
+	// itemMalformed: the replica sent an event that is not text, which no result can contain, and the text before it is kept; or
+	// events beyond maxTextBytes, and the text is dropped.
 	itemMalformed
 	// itemNotSent: the item was not sent, since its replica is cold and cannot take another run now, or its deciding run was
 	// deferred.
@@ -243,6 +250,12 @@
 			}
 			a.partition.recordProgress(a)
 		}
+		if len(a.text) > maxTextBytes {
+			a.err = errTextTooLong
+			a.reportFailure()
+			a.partition.dropText(a.key)
+			return itemMalformed
+		}
 		if notText != nil {
 			a.err = notText
 			a.reportFailure()
@@ -260,6 +273,13 @@
 	}
 }
 
+// dropText makes the item begin anew with its next run: its text is not that of an answer.
+func (p *partition) dropText(key itemKey) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.ensureRun(key).beginAnew()
+}
+
 // recordProgress stores the text and the last event of a running item.
 func (p *partition) recordProgress(attempt *itemAttempt) {
 	p.mutex.Lock()
--- a/internal/batch/item_malformed_test.go
+++ b/internal/batch/item_malformed_test.go
@@ -1,6 +1,10 @@
 package batch
 
 import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,3 +50,38 @@
 		})
 	}
 }
+
+// TestEventsWithoutEndAreCutOff guards storage nodes against a replica that sends events without end: they were collected as the text
+// of the item for as long as they came.
+func TestEventsWithoutEndAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			most    = 8 << 20
+			written = 32 << 20
+		)
+		sent := 0
+		endless := func(connection net.Conn, request *http.Request) bool {
+			event := "data: " + strings.Repeat("x", 64<<10) + "\n\n"
+			_, err := fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("X-Id"))
+			for number := 1; err == nil && sent < written; number++ {
+				numbered := fmt.Sprintf("id: %d\n%s", number, event)
+				_, err = fmt.Fprintf(connection, "%x\r\n%s\r\n", len(numbered), numbered)
+				sent += len(numbered)
+			}
+			return false
+		}
+		owner := startOwner(t, singleReplica(replicatest.Then(endless, replicatest.Stream("s", true, false, eventOne+eventTwo))))
+		defer owner.stop()
+		owner.mustSubmit(t, testSubmission("j", 1))
+		result := owner.results(t, "j", 1, 10*time.Second)[0]
+		if result.State != batchpb.State_STATE_SUCCEEDED || result.Text != "a\nb" {
+			t.Errorf("the item is %s with a text of %d bytes", result.State, len(result.Text))
+		}
+		if sent > most {
+			t.Errorf("%d bytes of events were read, want %d at most", sent, most)
+		}
+		if got := owner.replicas.Requests()[1].Header.Get("Last-Event-Id"); got != "" {
+			t.Errorf("the second run resumes after %q", got)
+		}
+	})
+}
