replica, batch: a request's head is checked before it is written, so that an item's path sends no other request

Cause: batch.Check wanted UTF-8 of a path and nothing more, and writeHead wrote method, target and host unchecked. An item's own Content-Length and Transfer-Encoding headers were written beside ours.

An item that is in the log already is listed as a dead letter.

--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -146,6 +146,9 @@
 	answer, err := client.Do(ctx, a.handle, a.newCall(client.Headers()))
 	if err != nil {
 		a.err = errors.Join(err, context.Cause(ctx))
+		if errors.Is(err, replica.ErrInvalidHead) {
+			return itemImpossible
+		}
 		a.reportFailure()
 		if errors.Is(err, replica.ErrNotSent) {
 			return itemRefused
--- a/internal/replica/send.go
+++ b/internal/replica/send.go
@@ -2,8 +2,7 @@
 
 import (
 	"bytes"
-	"net/http"
-	"strconv"
+	"fmt"
 )
 
 // inlineBodyBytes is the size up to which a body is written before the response is awaited.
@@ -27,7 +26,9 @@
 // the whole body.
 func send(used *connection, call Call) (*pendingWrite, error) {
 	var buffer bytes.Buffer
-	writeHead(&buffer, call)
+	if err := writeHead(&buffer, call); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	result := &pendingWrite{finished: make(chan error, 1)}
 	if len(call.Body) <= inlineBodyBytes {
 		buffer.Write(call.Body)
@@ -44,20 +45,3 @@
 	}()
 	return result, nil
 }
-
-func writeHead(buffer *bytes.Buffer, call Call) {
-	buffer.WriteString(call.Method)
-	buffer.WriteByte(' ')
-	buffer.WriteString(call.Target)
-	buffer.WriteString(" HTTP/1.1\r\nHost: ")
-	buffer.WriteString(call.Host)
-	buffer.WriteString("\r\n")
-	// Writes to a bytes.Buffer do not fail.
-	_ = call.Header.Write(buffer)
-	if len(call.Body) > 0 || (call.Method != http.MethodGet && call.Method != http.MethodHead) {
-		buffer.WriteString("Content-Length: ")
-		buffer.WriteString(strconv.Itoa(len(call.Body)))
-		buffer.WriteString("\r\n")
-	}
-	buffer.WriteString("\r\n")
-}
