batch: a run behind the last event that brings nothing shows that an answer without a length was whole

Cause: readStream took only an answer whose framing marks its end as whole, so that an item at such replicas could never be done. Its runs behind the last event brought nothing and counted against its message until it was held back.

Change: a run behind the last event that ends between events, with its connection, and brings nothing shows that the text is whole. An answer that ends so is no failure of its replica.

Why not at the first end: a replica that crashes between two events ends the connection alike, and the result would stand for good.

--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -37,6 +37,7 @@
 
 var (
 	errSilent      = errors.New("replica is silent")
+	errUnframed    = errors.New("answer ended with its connection")
 	errTextTooLong = fmt.Errorf("text of the item exceeds %d bytes", maxTextBytes)
 )
 
@@ -231,10 +232,12 @@
 	}
 }
 
-// readStream collects the data of the events. Only an answer whose framing marks its end can be complete; after any other the item
-// is sent again and resumes after its last event, as it does after one that is not text.
+// readStream collects the data of the events. An answer that ends with its connection may be whole, or its replica may have
+// ended between two events: the item is sent again and resumes after its last event, as it does after one that is not text. If
+// such a run brings nothing more, the text is whole.
 func (a *itemAttempt) readStream(ctx context.Context, answer *replica.Answer, silence *time.Timer) itemVerdict {
 	reader := eventstream.NewReader(answer.Body)
+	begunAfter := a.lastEvent
 	for {
 		received, err := reader.Next()
 		events, notText := received.Text()
@@ -264,10 +267,14 @@
 			a.reportFailure()
 			return itemMalformed
 		}
-		if errors.Is(err, io.EOF) && answer.Framed {
+		if errors.Is(err, io.EOF) && (answer.Framed || a.lastEvent != "" && a.lastEvent == begunAfter) {
 			a.handle.Succeeded()
 			return itemDone
 		}
+		if errors.Is(err, io.EOF) {
+			a.err = errUnframed
+			return itemInterrupted
+		}
 		if err != nil {
 			a.err = errors.Join(err, context.Cause(ctx))
 			a.reportFailure()
