batch: an answer without a length that brings no event is a failure of its replica again

Callers would see: a replica that closes each connection before any event gets the same item again without a pause.

Cause: took every answer that ends with its connection for no failure of its replica, also one that brings nothing to an item whose text may not be whole, and such an item is sent again at once.

Change: only an answer that brought an event is excepted. One that brought none counts as before.

--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -271,7 +271,7 @@
 			a.handle.Succeeded()
 			return itemDone
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && a.lastEvent != begunAfter {
 			a.err = errUnframed
 			return itemInterrupted
 		}
--- a/internal/batch/item_unframed_test.go
+++ b/internal/batch/item_unframed_test.go
@@ -56,3 +56,22 @@
 		})
 	}
 }
+
+// TestReplicaThatClosesBeforeAnyEventIsAvoided guards replicas against a run after the other without a pause: an answer without a length
+// that brings nothing is a failure of its replica, unless the item's whole text was there before.
+func TestReplicaThatClosesBeforeAnyEventIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := startOwner(t, singleReplica(unframed(0, eventOne)))
+		defer owner.stop()
+		owner.mustSubmit(t, testSubmission("j", 1))
+		time.Sleep(10 * time.Second)
+		// A replica is avoided for 0.2 s at least after a failure; where it is the only one, that is the pause between two runs.
+		const most = 10 * time.Second / (200 * time.Millisecond)
+		if runs := len(owner.replicas.Requests()); runs > int(most) {
+			t.Errorf("the replica got %d runs within 10 s, want %d at most", runs, most)
+		}
+		if owner.service.directory.View().Find("a").FailureRate() == 0 {
+			t.Error("the answers do not count as failures of their replica")
+		}
+	})
+}
