--- a/internal/discovery/fleet_harness_test.go
+++ b/internal/discovery/fleet_harness_test.go
@@ -52,6 +52,7 @@
 	id        membership.NodeID
 	address   netip.AddrPort
 	directory *replica.Directory
+	routes    *route.Holder
 	viewer    *membershiptest.Viewer
 	transport *memory.Transport
 	feed      *changefeed.Feed
@@ -73,6 +74,8 @@
 	listings listingLog
 	// withCopies gives each node a cache of what it follows, and makes the first relay read long lists for the others.
 	withCopies bool
+	// storeOf returns a node's access to the store; nil makes all nodes use store.
+	storeOf func(node *fleetNode) platform.KeyValue
 }
 
 // newTestFleet returns a fleet of nodes that are not started. Every fifth node has a data folder.
@@ -124,11 +127,16 @@
 	}
 	node.viewer = membershiptest.NewViewer(&membership.View{Self: node.id, Members: members})
 	node.directory = replica.NewDirectory()
-	node.feed = changefeed.New(loggedStore{KeyValue: f.store, node: node.id, log: &f.listings},
+	node.routes = route.NewHolder()
+	store := f.store
+	if f.storeOf != nil {
+		store = f.storeOf(node)
+	}
+	node.feed = changefeed.New(loggedStore{KeyValue: store, node: node.id, log: &f.listings},
 		node.transport, node.transport, node.viewer, zerolog.Nop())
 	all, keeper := roster.New(), roster.NewKeeper(node.directory)
 	options := Options{
-		Store: node.feed, Translator: fleetTranslator{}, Routes: route.NewHolder(), Directory: node.directory, Viewer: node.viewer,
+		Store: node.feed, Translator: fleetTranslator{}, Routes: node.routes, Directory: node.directory, Viewer: node.viewer,
 		Reporter: &fixedViewer{}, Roster: all, Keeper: keeper, Node: node.id, Zone: zone, Logger: zerolog.Nop(),
 	}
 	node.feed.WatchAlone("replicas/", roster.MaxFullList, all.Long)
@@ -170,9 +178,13 @@
 	return copies
 }
 
-// seeds returns the addresses of the first three nodes with a data folder.
+// seeds returns the addresses of the first three nodes with a data folder, or of all of them if there are fewer.
 func (f *testFleet) seeds() []netip.AddrPort {
-	return []netip.AddrPort{f.nodes[0].address, f.nodes[5].address, f.nodes[10].address}
+	var seeds []netip.AddrPort
+	for number := 0; number < len(f.nodes) && len(seeds) < 3; number += 5 {
+		seeds = append(seeds, f.nodes[number].address)
+	}
+	return seeds
 }
 
 func hasStore(members []membership.Member, id membership.NodeID) bool {
