platform: the log says when the key-value service falls silent and when it answers again

Cause: in the incident's logs a call that ends without an answer is one line at its end, so that a service that answers nobody, a single call that is never answered and a slow one look alike, and nothing says which call showed the recovery.

Change: an Exchanger tracks the reads that await an answer.

No logic of the calls changes.

--- a/internal/node/role_discovery.go
+++ b/internal/node/role_discovery.go
@@ -41,8 +41,11 @@
 	return feed.Hold()
 }
 
-func newRoleKeyValue(nodeSettings settings.Settings, adapter Adapter, via network.Network, hold *watchHold) platform.KeyValue {
+func newRoleKeyValue(
+	nodeSettings settings.Settings, adapter Adapter, via network.Network, hold *watchHold, logger zerolog.Logger,
+) platform.KeyValue {
 	exchanger := platform.NewExchanger(via, nodeSettings.Platform.MetadataStore)
+	exchanger.LogTo(logger.With().Str(logging.FieldSlice, "platform").Logger())
 	return adapter.KeyValue(exchanger, hold.duration)
 }
 
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/sloelift/sloelift/internal/network"
 )
 
@@ -16,42 +18,53 @@
 	caller  *httpCaller
 	address netip.AddrPort
 	timeout *adaptiveTimeout
+	monitor *answerMonitor
 }
 
 // NewExchanger returns an Exchanger; it connects on first use.
 func NewExchanger(dialer network.Network, address netip.AddrPort) *Exchanger {
-	return &Exchanger{caller: newHTTPCaller(dialer, []netip.AddrPort{address}), address: address, timeout: newAdaptiveTimeout()}
+	return &Exchanger{caller: newHTTPCaller(dialer, []netip.AddrPort{address}), address: address, timeout: newAdaptiveTimeout(), monitor: newAnswerMonitor()}
 }
 
+// LogTo makes the Exchanger log when the service falls silent and when it answers again. It must be called before the first call.
+func (e *Exchanger) LogTo(logger zerolog.Logger) { e.monitor.logger = logger }
+
 // Close closes idle connections.
 func (e *Exchanger) Close() { e.caller.close() }
 
 // Read makes a call without side effects. Without a complete answer the error is of KindUnavailable.
 func (e *Exchanger) Read(ctx context.Context, method, target string) (status int, body []byte, err error) {
-	return e.exchange(ctx, method, target, readsOnly, nil)
+	return e.ReadLongPoll(ctx, method, target, 0)
 }
 
 // ReadLongPoll is Read of an answer that the service may delay by up to hold, as in long polling.
 func (e *Exchanger) ReadLongPoll(ctx context.Context, method, target string, hold time.Duration) (status int, body []byte, err error) {
-	return e.exchangeHeld(ctx, hold, method, target, readsOnly, nil)
+	read := e.monitor.begin(hold)
+	defer e.monitor.end(read)
+	return e.exchange(ctx, hold, method, target, readsOnly, nil, func() { e.monitor.recordProgress(read) })
 }
 
 // Change makes a call that may have side effects. Without a complete answer the error is of KindUnavailable if nothing was
 // sent, else of KindUnknownOutcome.
 func (e *Exchanger) Change(ctx context.Context, method, target string, content []byte) (status int, body []byte, err error) {
-	return e.exchange(ctx, method, target, changes, content)
+	return e.exchange(ctx, 0, method, target, changes, content, func() {})
 }
 
-func (e *Exchanger) exchange(ctx context.Context, method, target string, kind effect, content []byte) (int, []byte, error) {
-	return e.exchangeHeld(ctx, 0, method, target, kind, content)
-}
-
-// exchangeHeld makes a call whose answer the service may delay by up to hold.
-func (e *Exchanger) exchangeHeld(ctx context.Context, hold time.Duration, method, target string, kind effect, content []byte) (status int, answer []byte, err error) {
-	err = e.timeout.call(ctx, hold, e.caller, func(ctx context.Context, onProgress func()) error {
-		status, answer, err = e.send(ctx, method, target, kind, content, onProgress)
+// exchange makes a call whose answer the service may delay by up to hold; onProgress is called whenever a part of the answer has arrived.
+func (e *Exchanger) exchange(
+	ctx context.Context, hold time.Duration, method, target string, kind effect, content []byte, onProgress func(),
+) (status int, answer []byte, err error) {
+	began := time.Now()
+	err = e.timeout.call(ctx, hold, e.caller, func(ctx context.Context, extendTimeout func()) error {
+		status, answer, err = e.send(ctx, method, target, kind, content, func() {
+			extendTimeout()
+			onProgress()
+		})
 		return err
 	})
+	if err == nil {
+		e.monitor.recordAnswer(began)
+	}
 	return status, answer, err
 }
 
