platform, changefeed: reads that a silent store lost are hedged once it answers again

What callers saw (CONFIG): routes that were added are refused with 404, and moved ones go to the old service, 2.4 to 3.6 s after the store acknowledged the change, where 2 s are promised.

Cause: a call that begins while the store is silent is never answered, but is waited for until a time-out that has doubled with each miss, up to 4 s, on top of a watch's hold. One number had to tell a slow service from a silent one. The watchers, which met the silence together, are in the same phase, and what other nodes know was read neither during a listing nor between two tries.

Change: the time-out stays, for a slow service. While an answer is overdue by 0.4 s, cheap stale reads probe the service beside it, none waiting for the one before. Once the service answers a call that began later, each read that is overdue, or began while another one was, gets a second attempt beside the first (a hedge), whose answer counts as well. Watchers probe each 0.3 s, all other nodes together 20 times a second, whatever their number; who finds the recovery tells all others, which try again at once. A watcher sends a heartbeat with its first answer. A dropped history is listed after the shortest delay, and a change known elsewhere ends the delay.

Why it works: detection takes 0.3 s and a round trip, the hedge one more, the spread one message and 0.2 s; 0.6 s of batching and 50 ms of spread remain within the 2 s. Nothing that is read is put in force that was not before: a probe's content is dropped, and hedges are the same reads.

--- a/internal/changefeed/feed.go
+++ b/internal/changefeed/feed.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,6 +26,7 @@
 const (
 	methodChanges   transport.Method = "changefeed.changes"
 	methodHeartbeat transport.Method = "changefeed.heartbeat"
+	methodRecovery  transport.Method = "changefeed.recovery"
 )
 
 const (
@@ -69,6 +71,11 @@
 	relays  membership.ViewCache[zonerelay.Relays]
 	relayed *relayState
 	growth  membership.JoinTracker
+	// monitor detects recoveries of the service, each of which signals recovered.
+	monitor   ServiceMonitor
+	recovered chan struct{}
+	// listings is the number of listings in progress.
+	listings atomic.Int64
 	// watcher caches whether this node is a watcher.
 	watcher membership.ViewCache[bool]
 
@@ -88,6 +95,8 @@
 	aloneByPrefix map[string]func() bool
 	// maxKeys holds, by prefix, the number of keys up to which every node keeps all of them.
 	maxKeys map[string]int
+	// recoveryKnownAt is when this node last detected, or was informed of, a recovery of the service.
+	recoveryKnownAt time.Time
 }
 
 // New returns a Feed of store and registers the handlers of its messages.
@@ -105,6 +114,8 @@
 		aloneByPrefix: map[string]func() bool{},
 		maxKeys:       map[string]int{},
 		relayed:       newRelayState(),
+		monitor:       noMonitor{},
+		recovered:     make(chan struct{}, 1),
 		logger:        logger.With().Str(logging.FieldSlice, "changefeed").Logger(),
 	}
 	feed.growth.SettledFor(viewer.View(), now)
@@ -118,17 +129,23 @@
 			feed.onHeartbeat(message.(*changefeedpb.Heartbeat), clock.Now())
 			return nil, nil
 		})
+	registrar.Handle(methodRecovery, func() proto.Message { return &changefeedpb.Recovery{} },
+		func(_ context.Context, _ netip.AddrPort, message proto.Message) (proto.Message, error) {
+			feed.onRecovery(message.(*changefeedpb.Recovery), clock.Now())
+			return nil, nil
+		})
 	return feed
 }
 
-// Start starts sending heartbeats whenever this node is a watcher.
+// Start starts sending heartbeats whenever this node is a watcher, and announcing recoveries of the service.
 func (f *Feed) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	f.running.Go(func() { pause.Every(ctx, heartbeatInterval, f.heartbeatIfWatcher) })
+	f.running.Go(func() { f.announceRecoveries(ctx) })
 }
 
-// Stop stops the heartbeats and waits for the last one; watches end with their contexts.
+// Stop stops the heartbeats and announcements and waits for the last ones; watches end with their contexts.
 func (f *Feed) Stop() {
 	f.cancel()
 	f.running.Wait()
@@ -137,29 +154,37 @@
 // List reads all keys below prefix from the service and records the revision up to which changes are known. A watcher that lists again
 // because the service has compacted its history forwards what it missed, so that the other nodes need not list as well.
 func (f *Feed) List(ctx context.Context, prefix string) (platform.Listing, error) {
+	f.listings.Add(1)
+	defer f.listings.Add(-1)
 	listing, err := f.KeyValue.List(ctx, prefix)
 	if err != nil {
 		return listing, err
 	}
-	f.recordAnswer(clock.Now())
+	now := clock.Now()
+	wasUnanswered := f.recordAnswer(now)
 	if missed := f.applyListing(prefix, listing); missed != nil && !f.watchesAlone(prefix) {
 		f.sendChanges(missed)
 	}
+	if wasUnanswered {
+		f.heartbeatIfWatcher(now)
+	}
 	return listing, nil
 }
 
-// recordAnswer records that the service has answered this node.
-func (f *Feed) recordAnswer(now time.Time) {
+// recordAnswer records that the service has answered a watch or listing of this node, and reports whether it had not within answeredWithin.
+func (f *Feed) recordAnswer(now time.Time) (wasUnanswered bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	wasUnanswered = now.Sub(f.lastAnswer) >= answeredWithin
 	f.lastAnswer = now
+	return wasUnanswered
 }
 
 // state returns the state of a prefix and creates it if needed. The mutex must be held.
 func (f *Feed) state(prefix string) *prefixState {
 	state, known := f.prefixes[prefix]
 	if !known {
-		state = &prefixState{inbox: make(chan *changefeedpb.Changes, inboxLength)}
+		state = &prefixState{inbox: make(chan *changefeedpb.Changes, inboxLength), retryNow: make(chan struct{}, 1)}
 		f.prefixes[prefix] = state
 	}
 	return state
--- a/internal/changefeed/forward.go
+++ b/internal/changefeed/forward.go
@@ -43,15 +43,20 @@
 }
 
 // forwardChange records that the service answered with change, which may be empty, and sends it to the other nodes if this node is a
-// watcher.
+// watcher. A watcher that the service answers again sends a heartbeat at once, so that the other nodes stop watching it.
 func (f *Feed) forwardChange(prefix string, change platform.WatchEvent, now time.Time) {
-	f.mutex.Lock()
-	f.lastAnswer = now
-	if len(change.Changed)+len(change.Deleted) == 0 {
-		f.mutex.Unlock()
-		return
+	wasUnanswered := f.recordAnswer(now)
+	if len(change.Changed)+len(change.Deleted) > 0 {
+		f.forwardChanged(prefix, encodeChange(change))
+	}
+	if wasUnanswered {
+		f.heartbeatIfWatcher(now)
 	}
-	encoded := encodeChange(change)
+}
+
+// forwardChanged applies a change, and sends it to the other nodes if this node is a watcher.
+func (f *Feed) forwardChanged(prefix string, encoded *changefeedpb.Change) {
+	f.mutex.Lock()
 	state := f.state(prefix)
 	message := &changefeedpb.Changes{Prefix: prefix, Previous: state.newestRevision, Changes: []*changefeedpb.Change{encoded}}
 	state.applyChange(encoded)
@@ -119,11 +124,12 @@
 // onHeartbeat applies a watcher's heartbeat and relays it to the zone if requested.
 func (f *Feed) onHeartbeat(heartbeat *changefeedpb.Heartbeat, now time.Time) {
 	f.mutex.Lock()
-	f.recordHeartbeat(now)
+	watchersWereSilent := f.recordHeartbeat(now)
 	for _, position := range heartbeat.Positions {
 		f.state(position.Prefix).applyPosition(position, now)
 	}
 	f.mutex.Unlock()
+	f.afterWatcherMessage(watchersWereSilent)
 	if heartbeat.GetPassOn() && f.relayed.acceptHeartbeat(heartbeat, now) {
 		f.sendToZone(methodHeartbeat, &changefeedpb.Heartbeat{Positions: heartbeat.Positions})
 	}
@@ -138,9 +144,10 @@
 		})
 	}
 	f.mutex.Lock()
-	f.recordHeartbeat(now)
+	watchersWereSilent := f.recordHeartbeat(now)
 	inbox := f.state(changes.Prefix).inbox
 	f.mutex.Unlock()
+	f.afterWatcherMessage(watchersWereSilent)
 	select {
 	case inbox <- changes:
 	default:
@@ -149,10 +156,12 @@
 	}
 }
 
-// recordHeartbeat records that a watcher has sent something. It never moves lastHeartbeat back, so that messages right after the start do
-// not shorten startupWatcherTimeout. The mutex must be held.
-func (f *Feed) recordHeartbeat(now time.Time) {
+// recordHeartbeat records that a watcher has sent something, and reports whether the watchers were silent until then. It never moves
+// lastHeartbeat back, so that messages right after the start do not shorten startupWatcherTimeout. The mutex must be held.
+func (f *Feed) recordHeartbeat(now time.Time) (watchersWereSilent bool) {
+	watchersWereSilent = now.Sub(f.lastHeartbeat) >= watcherTimeout
 	if now.After(f.lastHeartbeat) {
 		f.lastHeartbeat = now
 	}
+	return watchersWereSilent
 }
--- a/internal/changefeed/prefix_state.go
+++ b/internal/changefeed/prefix_state.go
@@ -15,6 +15,8 @@
 	revisions map[string]int64
 	// inbox queues the changes that watchers forwarded.
 	inbox chan *changefeedpb.Changes
+	// retryNow signals to the follower that the service answers again.
+	retryNow chan struct{}
 	// position is the highest position of a watcher, received at positionAt.
 	position   int64
 	positionAt time.Time
--- a/internal/discovery/fleet_harness_test.go
+++ b/internal/discovery/fleet_harness_test.go
@@ -74,8 +74,8 @@
 	listings listingLog
 	// withCopies gives each node a cache of what it follows, and makes the first relay read long lists for the others.
 	withCopies bool
-	// storeOf returns a node's access to the store; nil makes all nodes use store.
-	storeOf func(node *fleetNode) platform.KeyValue
+	// connect returns a node's access to the store, with the monitor of it; nil makes all nodes use store.
+	connect func(node *fleetNode) (platform.KeyValue, changefeed.ServiceMonitor)
 }
 
 // newTestFleet returns a fleet of nodes that are not started. Every fifth node has a data folder.
@@ -129,15 +129,20 @@
 	node.directory = replica.NewDirectory()
 	node.routes = route.NewHolder()
 	store := f.store
-	if f.storeOf != nil {
-		store = f.storeOf(node)
+	var monitor changefeed.ServiceMonitor
+	if f.connect != nil {
+		store, monitor = f.connect(node)
 	}
 	node.feed = changefeed.New(loggedStore{KeyValue: store, node: node.id, log: &f.listings},
 		node.transport, node.transport, node.viewer, zerolog.Nop())
+	if monitor != nil {
+		node.feed.Monitor(monitor)
+	}
 	all, keeper := roster.New(), roster.NewKeeper(node.directory)
 	options := Options{
 		Store: node.feed, Translator: fleetTranslator{}, Routes: node.routes, Directory: node.directory, Viewer: node.viewer,
-		Reporter: &fixedViewer{}, Roster: all, Keeper: keeper, Node: node.id, Zone: zone, Logger: zerolog.Nop(),
+		Reporter: &fixedViewer{}, Roster: all, Keeper: keeper, Node: node.id, Zone: zone, RetryNow: node.feed.RetryNow,
+		Logger: zerolog.Nop(),
 	}
 	node.feed.WatchAlone("replicas/", roster.MaxFullList, all.Long)
 	roster.NewRelay(all, func() bool { return !node.feed.Answered() }, node.transport)
--- a/internal/discovery/http_store_test.go
+++ b/internal/discovery/http_store_test.go
@@ -13,19 +13,18 @@
 	"testing"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/changefeed"
 	"github.com/sloelift/sloelift/internal/network/networktest"
 	"github.com/sloelift/sloelift/internal/platform"
 	wire "github.com/sloelift/sloelift/platform"
 )
 
-// httpStoreAddress is the address of an httpStore in its network.
-var httpStoreAddress = netip.MustParseAddrPort("127.0.0.1:1")
-
-// httpStore is a stand-in of the platform's store that serves its protocol over an in-memory network. It can fall silent: calls that are
-// in progress then, or begin while it is silent, are never answered, not even after it has recovered.
+// httpStore is a stand-in of the platform's store that serves its protocol over an in-memory network, to each node at an address of its
+// own. It can fall silent: calls that are in progress then, or begin while it is silent, are never answered, not even after it has
+// recovered, unless answersLate is set.
 type httpStore struct {
 	network *networktest.Pipes
-	server  *http.Server
+	servers []*http.Server
 	clients []*wire.Store
 
 	mutex sync.Mutex
@@ -37,6 +36,10 @@
 	// compacted is the revision up to which the history has been dropped.
 	compacted int64
 	silent    bool
+	// answersLate makes calls that begin while the store is silent be answered this long after its recovery; 0 for never.
+	answersLate time.Duration
+	// turnedAway holds the nodes that get no answer, although others do, by the index of their connection.
+	turnedAway map[int]bool
 	// epoch counts silences and compactions, which end held calls without an answer.
 	epoch int
 	// changed is closed and replaced at each change of the state above.
@@ -46,34 +49,56 @@
 	staleReads int
 }
 
-func newHTTPStore(t *testing.T) *httpStore {
-	store := &httpStore{
+func newHTTPStore() *httpStore {
+	return &httpStore{
 		network: networktest.NewPipes(), latency: callLatency, revision: 1, items: map[string]wire.StoreItem{},
-		changed: make(chan struct{}), calls: map[string]int{},
+		turnedAway: map[int]bool{}, changed: make(chan struct{}), calls: map[string]int{},
 	}
-	listener, err := store.network.Listen(t.Context(), httpStoreAddress)
+}
+
+// connect returns a node's access to the store. Its role in the change feed is that of feed().
+func (s *httpStore) connect(t *testing.T, feed func() *changefeed.Feed) (platform.KeyValue, *platform.Exchanger) {
+	index := len(s.clients)
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(index+1))
+	listener, err := s.network.Listen(t.Context(), address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	store.server = &http.Server{Handler: store}
-	go func() { _ = store.server.Serve(listener) }()
-	return store
-}
-
-// client returns a node's access to the store, whose watch calls are held for hold().
-func (s *httpStore) client(hold func() time.Duration) platform.KeyValue {
-	client := wire.NewStore(platform.NewExchanger(s.network, httpStoreAddress), hold)
-	s.clients = append(s.clients, client)
-	return client
+	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) { s.serve(index, writer, request) })}
+	go func() { _ = server.Serve(listener) }()
+	exchanger := platform.NewExchanger(s.network, address)
+	exchanger.SetProbeInterval(func() time.Duration { return feed().ProbeInterval() })
+	client := wire.NewStore(exchanger, func() time.Duration { return feed().Hold() })
+	s.servers, s.clients = append(s.servers, server), append(s.clients, client)
+	return client, exchanger
 }
 
 // close ends the connections of all clients and waits for the calls in progress.
 func (s *httpStore) close() {
-	_ = s.server.Close()
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
 	for _, client := range s.clients {
 		client.Close()
 	}
-	time.Sleep(2 * s.latency)
+	time.Sleep(2*s.latency + s.answersLate)
+}
+
+// turnAway makes the store answer all nodes but those with the given indices.
+func (s *httpStore) turnAway(indices ...int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	clear(s.turnedAway)
+	for _, index := range indices {
+		s.turnedAway[index] = true
+	}
+}
+
+// turnsAway reports whether the store does not answer the node with the given index.
+func (s *httpStore) turnsAway(index int) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.turnedAway[index]
 }
 
 // signal wakes held calls. The mutex must be held.
@@ -111,6 +136,13 @@
 	s.signal()
 }
 
+// setAnswersLate sets how long after a recovery the calls of a silence are answered; 0 for never.
+func (s *httpStore) setAnswersLate(late time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.answersLate = late
+}
+
 // setLatency sets the time that a call takes.
 func (s *httpStore) setLatency(latency time.Duration) {
 	s.mutex.Lock()
@@ -128,16 +160,19 @@
 	return calls, s.staleReads
 }
 
-// ServeHTTP implements http.Handler.
-func (s *httpStore) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+// serve handles a call of the node with the given index.
+func (s *httpStore) serve(index int, writer http.ResponseWriter, request *http.Request) {
 	s.mutex.Lock()
 	if request.URL.Query().Get("stale") != "" {
 		s.staleReads++
 	} else {
 		s.calls[request.URL.Path]++
 	}
-	epoch, lost, latency := s.epoch, s.silent, s.latency
+	lost, late, latency, epoch := s.silent || s.turnedAway[index], s.answersLate, s.latency, s.epoch
 	s.mutex.Unlock()
+	if lost && late > 0 {
+		epoch, lost = s.waitForRecovery(request, late)
+	}
 	if !lost {
 		time.Sleep(latency)
 		switch request.URL.Path {
@@ -155,6 +190,28 @@
 	<-request.Context().Done()
 }
 
+// waitForRecovery waits until the store is not silent, and for late after it, and returns the epoch then. lost reports whether the caller
+// gave up before.
+func (s *httpStore) waitForRecovery(request *http.Request, late time.Duration) (epoch int, lost bool) {
+	for {
+		s.mutex.Lock()
+		silent, changed := s.silent, s.changed
+		s.mutex.Unlock()
+		if !silent {
+			break
+		}
+		select {
+		case <-changed:
+		case <-request.Context().Done():
+			return 0, true
+		}
+	}
+	time.Sleep(late)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.epoch, request.Context().Err() != nil
+}
+
 // answer writes body unless the store has fallen silent since epoch. The mutex must be held; answer releases it.
 func (s *httpStore) answer(writer http.ResponseWriter, request *http.Request, epoch, status int, body any) {
 	lost := s.epoch != epoch
--- a/internal/discovery/replica_source.go
+++ b/internal/discovery/replica_source.go
@@ -119,6 +119,7 @@
 		},
 		OnError:       s.replicasFailed,
 		ChangesMissed: s.replicas.behind,
+		RetryNow:      s.retryNow(s.translator.ReplicaPrefix()),
 	}
 }
 
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -47,6 +47,7 @@
 	directory  *replica.Directory
 	viewer     membership.Viewer
 	copies     Copies
+	retryNow   func(prefix string) <-chan struct{}
 	// roster is the list of replicas if this node keeps all of them. If the list is long, keeper holds this node's part of it, which relays
 	// follows at the relays. relays is nil if every node keeps all replicas, regardless of their number.
 	roster *roster.Roster
@@ -106,6 +107,8 @@
 	Relays *roster.Follower
 	Node   membership.NodeID
 	Zone   string
+	// RetryNow returns a channel that signals to the follower of a prefix that the store answers again; nil for none.
+	RetryNow func(prefix string) <-chan struct{}
 	// Metrics may be nil.
 	Metrics *Metrics
 	Logger  zerolog.Logger
@@ -125,6 +128,7 @@
 		directory:  options.Directory,
 		viewer:     options.Viewer,
 		copies:     options.Copies,
+		retryNow:   options.RetryNow,
 		roster:     options.Roster,
 		keeper:     options.Keeper,
 		relays:     options.Relays,
@@ -136,6 +140,9 @@
 		metrics:    options.Metrics,
 		logger:     logger,
 	}
+	if service.retryNow == nil {
+		service.retryNow = func(string) <-chan struct{} { return nil }
+	}
 	if service.roster == nil {
 		service.roster = roster.New()
 	}
@@ -162,6 +169,7 @@
 			Update:        s.updateOperators,
 			OnError:       func(err error) { s.logger.Warn().Err(err).Msg("operators_not_followed") },
 			ChangesMissed: s.operators.behind,
+			RetryNow:      s.retryNow(s.translator.OperatorPrefix()),
 		})
 	})
 	s.running.Go(func() { s.followReplicas(ctx) })
--- a/internal/discovery/silent_store_test.go
+++ b/internal/discovery/silent_store_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sloelift/sloelift/internal/changefeed"
 	"github.com/sloelift/sloelift/internal/platform"
 )
 
@@ -24,28 +25,66 @@
 	lengths, gaps []time.Duration
 	// compactedBefore is how long before the first silence the store drops its history; 0 for not at all.
 	compactedBefore time.Duration
-}
-
-func (s silence) String() string {
-	return fmt.Sprintf("silences %v, gaps %v, compacted %s before", s.lengths, s.gaps, s.compactedBefore)
+	// latencyAfter is the latency of calls after the last silence, answersLate how late the calls of a silence are answered; 0 for never.
+	latencyAfter, answersLate time.Duration
+	// turnsAwayWatchers makes the store answer no watcher after the last silence, restarts makes half of the nodes start again during it.
+	turnsAwayWatchers, restarts bool
 }
 
 // drawSilence draws an order of events. The first silence begins at a random phase of the nodes' calls.
-func drawSilence(random *rand.Rand, compacts bool) silence {
+func drawSilence(random *rand.Rand) silence {
 	upTo := func(limit time.Duration) time.Duration {
 		return time.Duration(random.Int64N(int64(limit))).Truncate(time.Millisecond)
 	}
-	drawn := silence{}
-	for range 1 + random.IntN(2) {
+	drawn := silence{latencyAfter: callLatency}
+	for range 1 + random.IntN(3) {
 		drawn.lengths = append(drawn.lengths, time.Second+upTo(maxSilence-time.Second))
 		drawn.gaps = append(drawn.gaps, upTo(3*time.Second))
 	}
-	if compacts {
-		drawn.compactedBefore = time.Millisecond + upTo(1500*time.Millisecond)
-	}
 	return drawn
 }
 
+// TestChangeAcknowledgedAtTheEndOfASilenceIsKnownInTime: the store answers no call for a while, and calls begun then are never answered. A
+// change that it acknowledges at the moment of its recovery is known to every node within the bound, whatever the length of the silence
+// and the phase of the nodes' calls.
+func TestChangeAcknowledgedAtTheEndOfASilenceIsKnownInTime(t *testing.T) {
+	const nodes = 9
+	for _, test := range []struct {
+		name  string
+		plays uint64
+		alter func(drawn *silence, random *rand.Rand)
+	}{
+		{"watching", 25, func(*silence, *rand.Rand) {}},
+		{"history dropped before", 25, func(drawn *silence, random *rand.Rand) {
+			drawn.compactedBefore = time.Millisecond + time.Duration(random.Int64N(int64(1500*time.Millisecond)))
+		}},
+		{"slow afterwards", 10, func(drawn *silence, _ *rand.Rand) { drawn.latencyAfter = 250 * time.Millisecond }},
+		{"answers of the silence come late", 10, func(drawn *silence, random *rand.Rand) {
+			drawn.answersLate = time.Millisecond + time.Duration(random.Int64N(int64(3*time.Second)))
+		}},
+		{"watchers not answered afterwards", 10, func(drawn *silence, _ *rand.Rand) { drawn.turnsAwayWatchers = true }},
+		{"nodes start during the silence", 10, func(drawn *silence, _ *rand.Rand) { drawn.restarts = true }},
+	} {
+		for seed := range test.plays {
+			t.Run(fmt.Sprintf("%s/%d", test.name, seed), func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 0))
+				drawn := drawSilence(random)
+				test.alter(&drawn, random)
+				synctest.Test(t, func(t *testing.T) {
+					fleet := startSilentFleet(t, nodes)
+					time.Sleep(5*time.Second + time.Duration(seed)*37*time.Millisecond)
+					fleet.play(drawn)
+					time.Sleep(changeBound)
+					for _, line := range fleet.late() {
+						t.Errorf("%s after the change, %+v: %s", changeBound, drawn, line)
+					}
+					fleet.stop()
+				})
+			})
+		}
+	}
+}
+
 // silentFleet is a testFleet whose nodes reach their store over HTTP.
 type silentFleet struct {
 	*testFleet
@@ -54,10 +93,10 @@
 }
 
 func startSilentFleet(t *testing.T, nodes int) *silentFleet {
-	store := newHTTPStore(t)
+	store := newHTTPStore()
 	fleet := newTestFleet(t, nil, nodes)
-	fleet.storeOf = func(node *fleetNode) platform.KeyValue {
-		return store.client(func() time.Duration { return node.feed.Hold() })
+	fleet.connect = func(node *fleetNode) (platform.KeyValue, changefeed.ServiceMonitor) {
+		return store.connect(t, func() *changefeed.Feed { return node.feed })
 	}
 	f := &silentFleet{testFleet: fleet, store: store}
 	for number := range 6 {
@@ -84,6 +123,7 @@
 
 // play lets the events of drawn happen, up to a change at the moment of the last recovery.
 func (f *silentFleet) play(drawn silence) {
+	f.store.setAnswersLate(drawn.answersLate)
 	if drawn.compactedBefore > 0 {
 		f.change()
 		f.store.compact()
@@ -94,17 +134,48 @@
 			time.Sleep(drawn.gaps[index])
 		}
 		f.store.setSilent(true)
-		time.Sleep(length)
+		time.Sleep(length / 2)
+		if drawn.restarts && index == len(drawn.lengths)-1 {
+			f.restartHalf()
+		}
+		time.Sleep(length - length/2)
 		f.store.setSilent(false)
 	}
+	if drawn.turnsAwayWatchers {
+		f.store.turnAway(f.watchers()...)
+	}
+	f.store.setLatency(drawn.latencyAfter)
 	f.change()
 }
 
-// late returns a line for each node that does not know the last change.
+// restartHalf makes every second node start again, each with a new connection to the store.
+func (f *silentFleet) restartHalf() {
+	members := f.members()
+	for number := 0; number < len(f.nodes); number += 2 {
+		f.stopNode(f.nodes[number])
+		f.nodes[number].running = true
+		f.startNode(f.nodes[number], members[number].Zone, members)
+	}
+}
+
+// watchers returns the indices of the watchers.
+func (f *silentFleet) watchers() (indices []int) {
+	for index, node := range f.nodes {
+		if changefeed.Watches(node.viewer.View()) {
+			indices = append(indices, index)
+		}
+	}
+	return indices
+}
+
+// late returns a line for each node that does not know the last change, except for those that the store does not answer.
 func (f *silentFleet) late() []string {
 	synctest.Wait()
 	var late []string
-	for _, node := range f.nodes {
+	for index, node := range f.nodes {
+		if f.store.turnsAway(index) {
+			continue
+		}
 		version := int64(0)
 		if table := node.routes.Table(); table != nil {
 			version = table.Version
@@ -125,26 +196,26 @@
 	f.store.close()
 }
 
-// TestChangeAcknowledgedAtTheEndOfASilenceIsKnownInTime: the store answers no call for a while, and calls begun then are never answered. A
-// change that it acknowledges at the moment of its recovery is known to every node within the bound, whatever the length of the silence,
-// the phase of the nodes' calls, and whether they have to list because the history was dropped before.
-func TestChangeAcknowledgedAtTheEndOfASilenceIsKnownInTime(t *testing.T) {
-	const nodes, plays = 9, 25
-	for _, compacts := range []bool{false, true} {
-		for seed := range uint64(plays) {
-			t.Run(fmt.Sprintf("compacts=%t/seed=%d", compacts, seed), func(t *testing.T) {
-				drawn := drawSilence(rand.New(rand.NewPCG(seed, 0)), compacts)
-				synctest.Test(t, func(t *testing.T) {
-					fleet := startSilentFleet(t, nodes)
-					time.Sleep(5*time.Second + time.Duration(seed)*37*time.Millisecond)
-					fleet.play(drawn)
-					time.Sleep(changeBound)
-					for _, line := range fleet.late() {
-						t.Errorf("%s after %s: %s", drawn, changeBound, line)
-					}
-					fleet.stop()
-				})
+// TestSilenceDrawsFewCalls checks how many calls nodes make while the store is silent, and in the two seconds after its recovery.
+func TestSilenceDrawsFewCalls(t *testing.T) {
+	const length = 10 * time.Second
+	for _, nodes := range []int{9, 120} {
+		t.Run(strconv.Itoa(nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := startSilentFleet(t, nodes)
+				time.Sleep(5 * time.Second)
+				before, staleBefore := fleet.store.callCount()
+				fleet.play(silence{lengths: []time.Duration{length}, gaps: []time.Duration{0}, latencyAfter: callLatency})
+				during, staleDuring := fleet.store.callCount()
+				time.Sleep(changeBound)
+				after, staleAfter := fleet.store.callCount()
+				t.Logf("%d nodes, silent for %s: %d calls and %d probes during it, %d and %d in the %s after it",
+					nodes, length, during-before, staleDuring-staleBefore, after-during, staleAfter-staleDuring, changeBound)
+				for _, line := range fleet.late() {
+					t.Error(line)
+				}
+				fleet.stop()
 			})
-		}
+		})
 	}
 }
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -129,7 +129,7 @@
 // sharedSlices holds the slices of all roles.
 var sharedSlices = fx.Options(
 	fx.Provide(
-		func() *watchHold { return &watchHold{} }, newRoleKeyValue, newFeed, newSnapshotCache, route.NewHolder, replica.NewDirectory,
+		func() *servicePolicy { return &servicePolicy{} }, newExchanger, newRoleKeyValue, newFeed, newSnapshotCache, route.NewHolder, replica.NewDirectory,
 		newReplicaSubset, newDiscovery, newReplicaClient, newPicker,
 		newRegisteredMachines, newColdStarts, newQuarantine, newOrigins, func() *ledger.Timing { return &roleLedgerTiming },
 		membershipTimingOf,
--- a/internal/node/role_discovery.go
+++ b/internal/node/role_discovery.go
@@ -24,43 +24,57 @@
 	"github.com/sloelift/sloelift/internal/zonerelay"
 )
 
-// watchHold provides the time for which the key-value service may hold watch calls. The change feed determines it. The feed is created
-// after the port to the service, which needs the time, so it is set later.
-type watchHold struct {
+// servicePolicy provides the times that depend on this node's role in the change feed: for how long the key-value service may hold watch
+// calls, and how often a service that does not answer is probed. The feed is created after the port to the service, which needs the
+// times, so it is set later.
+type servicePolicy struct {
 	feed atomic.Pointer[changefeed.Feed]
 }
 
 // initialHold is the time for which watch calls are held before the feed is set.
 const initialHold = time.Second
 
-func (w *watchHold) duration() time.Duration {
-	feed := w.feed.Load()
+func (p *servicePolicy) hold() time.Duration {
+	feed := p.feed.Load()
 	if feed == nil {
 		return initialHold
 	}
 	return feed.Hold()
 }
 
-func newRoleKeyValue(
-	nodeSettings settings.Settings, adapter Adapter, via network.Network, hold *watchHold, logger zerolog.Logger,
-) platform.KeyValue {
+func (p *servicePolicy) probeInterval() time.Duration {
+	feed := p.feed.Load()
+	if feed == nil {
+		return platform.ProbeInterval
+	}
+	return feed.ProbeInterval()
+}
+
+func newExchanger(nodeSettings settings.Settings, via network.Network, policy *servicePolicy, logger zerolog.Logger) *platform.Exchanger {
 	exchanger := platform.NewExchanger(via, nodeSettings.Platform.MetadataStore)
 	exchanger.LogTo(logger.With().Str(logging.FieldSlice, "platform").Logger())
-	return adapter.KeyValue(exchanger, hold.duration)
+	exchanger.SetProbeInterval(policy.probeInterval)
+	return exchanger
+}
+
+func newRoleKeyValue(adapter Adapter, exchanger *platform.Exchanger, policy *servicePolicy) platform.KeyValue {
+	return adapter.KeyValue(exchanger, policy.hold)
 }
 
 // newFeed returns the feed through which discovery follows the key-value service: only some nodes watch the service, and relay its changes.
 func newFeed(
 	lifecycle fx.Lifecycle,
 	store platform.KeyValue,
+	exchanger *platform.Exchanger,
 	caller transport.Caller,
 	registrar transport.Registrar,
 	members *membership.Service,
-	hold *watchHold,
+	policy *servicePolicy,
 	logger zerolog.Logger,
 ) *changefeed.Feed {
 	feed := changefeed.New(store, caller, registrar, members, logger)
-	hold.feed.Store(feed)
+	feed.Monitor(exchanger)
+	policy.feed.Store(feed)
 	lifecycle.Append(fx.StartStopHook(feed.Start, feed.Stop))
 	return feed
 }
@@ -125,6 +139,7 @@
 	lifecycle fx.Lifecycle,
 	nodeSettings settings.Settings,
 	cache *snapshotcache.Cache,
+	feed *changefeed.Feed,
 	adapter Adapter,
 	routes *route.Holder,
 	directory *replica.Directory,
@@ -140,7 +155,7 @@
 	service := discovery.New(discovery.Options{
 		Store: cache, Translator: adapter.Translator, Routes: routes, Directory: directory, Viewer: members, Reporter: members, Copies: cache,
 		Roster: subset.roster, Keeper: subset.keeper, Relays: subset.relays, Node: membership.NodeID(nodeSettings.Node), Zone: nodeSettings.Zone,
-		Metrics: metrics, Logger: logger,
+		RetryNow: feed.RetryNow, Metrics: metrics, Logger: logger,
 	})
 	lifecycle.Append(fx.StartStopHook(cache.Start, cache.Stop))
 	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -29,6 +29,8 @@
 	OnError func(err error)
 	// ChangesMissed, if set, signals that changes were missed, so that the prefix is listed again.
 	ChangesMissed <-chan struct{}
+	// RetryNow, if set, signals that the service answers again, which ends the delay before the next attempt.
+	RetryNow <-chan struct{}
 	// MaxEntries is the maximum size of a listing if it is above 0: Follow ends if there are more entries.
 	MaxEntries int
 	// LongListTimeout allows listings longListTimeout instead of listTimeout.
@@ -54,6 +56,7 @@
 		}
 		if errorx.IsOfType(err, KindCompacted) {
 			revision = 0
+			retryBackoff.Reset()
 		}
 		if errorx.IsOfType(err, KindTooLong) {
 			follower.OnError(err)
@@ -62,8 +65,25 @@
 		if ctx.Err() == nil {
 			follower.OnError(err)
 		}
-		_ = retryBackoff.Wait(ctx)
+		if follower.waitToRetry(ctx, retryBackoff.Next()) {
+			revision = 0
+		}
+	}
+}
+
+// waitToRetry waits for delay, or until the service is known to answer again. changesMissed reports whether the prefix has to be listed,
+// because changes were missed meanwhile.
+func (f Follower) waitToRetry(ctx context.Context, delay time.Duration) (changesMissed bool) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.RetryNow:
+	case <-f.ChangesMissed:
+		return true
+	case <-ctx.Done():
 	}
+	return false
 }
 
 // listInto passes one listing to follower and returns its revision.
