replica: whether a replica takes requests is checked when one is put on its connection

What callers would see (DRAIN): a request reaches a replica longer after its drain was acknowledged than allowed, though the node that sends it knows.

Cause: Usable was asked when the replica was picked. A request then waits for its connection, 1 s at most and more where an opening packet is lost, an item for a permit of the quarantine before it; nothing asked again. Only the evacuation of a zone was checked at the connection. Class: a decision that is made on a state and carried out after the state has changed.

Change: Client.open checks draining, gone and misdirected as it does an evacuation, before and after the connection is made; the error says that nothing was sent, counts as no failure of the replica, and the request goes elsewhere ('replica_left').

That the users' report of the fleet has this cause is not shown: 5 s are allowed there, and a connection takes 1 s at most.

--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -181,7 +181,7 @@
 
 // reportFailure counts a failure against the replica unless this process itself ended the attempt.
 func (a *itemAttempt) reportFailure() {
-	if errors.Is(a.err, replica.ErrEvacuated) {
+	if errors.Is(a.err, replica.ErrEvacuated) || errors.Is(a.err, replica.ErrLeaving) {
 		return
 	}
 	if !errors.Is(a.err, errLeaseExpired) && !errors.Is(a.err, quarantine.ErrSuspected) &&
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -88,6 +88,10 @@
 		e.logEvent(handle).Msg("zone_left")
 		return notRun
 	}
+	if errors.Is(err, replica.ErrLeaving) {
+		e.logEvent(handle).Msg("replica_left")
+		return notRun
+	}
 	e.lastError = errors.Join(err, context.Cause(ctx))
 	if errors.Is(e.lastError, quarantine.ErrSuspected) {
 		if errors.Is(err, replica.ErrNotSent) {
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -37,6 +37,10 @@
 // ErrNotSent means that no byte of the request reached the replica, so that it is safe to send it elsewhere.
 var ErrNotSent = errors.New("request was not sent")
 
+// ErrLeaving means that the request was not sent because the replica takes no new requests any more: it is draining or gone. It is always
+// wrapped together with ErrNotSent and does not mean that the replica has failed.
+var ErrLeaving = errors.New("replica is leaving")
+
 const (
 	// connectTimeout is the default for Call.ConnectWithin.
 	connectTimeout = time.Second
@@ -152,8 +156,8 @@
 
 // open returns a connection on which call may be sent now. Every error wraps ErrNotSent.
 func (c *Client) open(ctx context.Context, handle *Handle, call Call) (*connection, error) {
-	if handle.Evacuated() {
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
+	if err := handle.refusal(); err != nil {
+		return nil, err
 	}
 	c.probeZones(ctx, handle)
 	admittedAt := call.AdmittedAt
@@ -164,10 +168,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if handle.Evacuated() {
-		// The evacuation began while the connection was being made.
+	// The replica may have begun to leave while the connection was being made.
+	if err := handle.refusal(); err != nil {
 		used.close()
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
+		return nil, err
 	}
 	if handle.admissionExpired(admittedAt, clock.Now()) {
 		used.close()
@@ -181,6 +185,18 @@
 	return used, nil
 }
 
+// refusal returns the error, which wraps ErrNotSent, for a request to a replica that takes no new ones; nil if it does.
+func (h *Handle) refusal() error {
+	switch {
+	case h.Evacuated():
+		return fmt.Errorf("%w: %w", ErrNotSent, ErrEvacuated)
+	case !h.Usable():
+		return fmt.Errorf("%w: %w", ErrNotSent, ErrLeaving)
+	default:
+		return nil
+	}
+}
+
 // connect takes an idle connection to the replica from the pool or makes a new one. Every error wraps ErrNotSent.
 func (c *Client) connect(ctx context.Context, handle *Handle, call Call) (*connection, error) {
 	now := clock.Now()
