platform: the machine list is read soon after its service was silent

What callers would see: a node sends requests to a replica up to 3.8 s after it could have read that the replica leaves, 2 s are allowed.

Cause: a poll of the machine list that begins while its service is silent is never answered, but waited for until a time-out that has doubled, up to 4 s.

Change: the adapter calls through an Exchanger, so that a lost read is hedged as soon as a probe, the same call, is answered.

--- a/internal/platform/machinelist_http.go
+++ b/internal/platform/machinelist_http.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
 	"net/netip"
 
 	"github.com/sloelift/sloelift/internal/network"
@@ -12,34 +14,50 @@
 
 // MachineListHTTP is the adapter of MachineList over HTTP JSON.
 type MachineListHTTP struct {
-	caller  *httpCaller
-	timeout *adaptiveTimeout
+	exchanger *Exchanger
+	address   netip.AddrPort
 }
 
 var _ MachineList = (*MachineListHTTP)(nil)
 
 // NewMachineListHTTP returns an adapter; it connects on first use.
 func NewMachineListHTTP(dialer network.Network, address netip.AddrPort) *MachineListHTTP {
-	return &MachineListHTTP{caller: newHTTPCaller(dialer, addressesOf(address)), timeout: newAdaptiveTimeout()}
+	exchanger := NewExchanger(dialer, address)
+	exchanger.ProbeBy(PathMachines)
+	return &MachineListHTTP{exchanger: exchanger, address: address}
 }
 
 // Close closes idle connections.
-func (m *MachineListHTTP) Close() { m.caller.close() }
+func (m *MachineListHTTP) Close() { m.exchanger.Close() }
 
-// List returns the current listing. A replica must get no new work 2 s after it is listed as leaving, so a connection that went silent
-// must delay the listing by less than that. With the 5 s timeout of other calls the delay was 2.8 s; the adaptive timeout avoids it.
+// List returns the current listing. A replica must get no new work 2 s after it is listed as leaving, so a connection that went silent, or
+// a service that recovers, must delay the listing by less than that.
 func (m *MachineListHTTP) List(ctx context.Context) (MachineListing, error) {
+	if !m.address.IsValid() {
+		return MachineListing{}, KindUnavailable.New("no address is set for this service")
+	}
+	status, body, err := m.exchanger.Read(ctx, http.MethodGet, PathMachines)
+	if err != nil {
+		return MachineListing{}, err
+	}
+	if status != http.StatusOK {
+		return MachineListing{}, machineListError(m.address, status)
+	}
 	var listing MachineListing
-	err := m.timeout.call(ctx, 0, m.caller, func(ctx context.Context, _ func()) error {
-		return m.caller.get(ctx, PathMachines, &listing)
-	})
-	return listing, err
+	if err := json.Unmarshal(body, &listing); err != nil {
+		return MachineListing{}, KindUnavailable.Wrap(err, "decode the answer of %s", m.address)
+	}
+	return listing, nil
 }
 
-// addressesOf returns no address if none is set, so that each call fails with KindUnavailable.
-func addressesOf(address netip.AddrPort) []netip.AddrPort {
-	if !address.IsValid() {
-		return nil
+// machineListError converts an error status to an error.
+func machineListError(address netip.AddrPort, status int) error {
+	switch {
+	case status == http.StatusTooManyRequests:
+		return KindRateLimited.New("%s: status %d", address, status)
+	case status < http.StatusInternalServerError:
+		return KindRefused.New("%s: status %d", address, status)
+	default:
+		return KindUnavailable.New("%s: status %d", address, status)
 	}
-	return []netip.AddrPort{address}
 }
--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -87,3 +87,36 @@
 		_ = server.Close()
 	})
 }
+
+// TestMachineListIsReadSoonAfterASilence: the service of the machine list is silent for a while and never answers the calls that began
+// then. The list is read well within the 2 s after which a leaving replica must get no more work.
+func TestMachineListIsReadSoonAfterASilence(t *testing.T) {
+	const pollInterval, allowed = 500 * time.Millisecond, 2 * time.Second
+	for silence := time.Second; silence <= 12*time.Second; silence += 700 * time.Millisecond {
+		t.Run(silence.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				recovery := time.Now().Add(silence)
+				server, wires := serveInMemory(t, func(writer http.ResponseWriter, request *http.Request) {
+					if time.Now().Before(recovery) {
+						<-request.Context().Done()
+						return
+					}
+					_, _ = io.WriteString(writer, "{}")
+				})
+				machines := NewMachineListHTTP(wires, serviceAddress)
+				for {
+					if _, err := machines.List(t.Context()); err == nil {
+						break
+					}
+					time.Sleep(pollInterval)
+				}
+				if took := time.Since(recovery); took > allowed-pollInterval {
+					t.Errorf("the list was read %s after the recovery", took)
+				}
+				machines.Close()
+				_ = server.Close()
+				time.Sleep(maxAnswerTimeout)
+			})
+		})
+	}
+}
--- a/internal/platform/weightstore_http.go
+++ b/internal/platform/weightstore_http.go
@@ -50,3 +50,11 @@
 func versionPath(name, version string) string {
 	return PathWeights + "/" + url.PathEscape(name) + "/" + url.PathEscape(version)
 }
+
+// addressesOf returns no address if none is set, so that each call fails with KindUnavailable.
+func addressesOf(address netip.AddrPort) []netip.AddrPort {
+	if !address.IsValid() {
+		return nil
+	}
+	return []netip.AddrPort{address}
+}
