--- a/lab/roles/check.go
+++ b/lab/roles/check.go
@@ -55,6 +55,8 @@
 	MixedStreams   int `json:"mixed_streams"`
 	// KilledAfterGrace counts the planned stops that exceeded the platform's grace period.
 	KilledAfterGrace int `json:"killed_after_grace"`
+	// EdgesAsked counts the edges that were asked whether a configuration which was acknowledged at the end of a silence is in force.
+	EdgesAsked int `json:"edges_asked"`
 }
 
 // verdict collects the counts and the violated guarantees of a run.
--- a/lab/roles/configuration.go
+++ b/lab/roles/configuration.go
@@ -25,6 +25,9 @@
 // maxAttempts is the maximum number of attempts of each route, by path.
 var maxAttempts = map[string]int{pathAsk: 2, pathDigest: 1, pathLook: 2, pathChange: 1, pathJobs: 3}
 
+// idlePath is the path of the unused route of a configuration version.
+func idlePath(version int64) string { return fmt.Sprintf("/idle-%d/", version) }
+
 // changeConfiguration writes the next configuration version. It differs from the previous one only in the version and an unused route.
 func (f *fleet) changeConfiguration(ctx context.Context) error {
 	f.mutex.Lock()
@@ -37,7 +40,7 @@
 			TimeoutMs: 5000, ObjectiveMs: 400, GapMs: 300, Resumable: resumable,
 		}
 	}
-	idle := online(fmt.Sprintf("/idle-%d/", version), "idempotent", false)
+	idle := online(idlePath(version), "idempotent", false)
 	configuration := wire.ConfigurationEntry{
 		Version: version,
 		Routes: []wire.RouteEntry{
--- a/lab/roles/draw.go
+++ b/lab/roles/draw.go
@@ -34,6 +34,7 @@
 	storeForgets  faultKind = "store_forgets_history"
 	cutFromStore  faultKind = "cut_from_store"
 	configuration faultKind = "configurations"
+	changeSilence faultKind = "change_after_silence"
 
 	crashReplica   faultKind = "crash_replica"
 	crashInTurn    faultKind = "crash_replicas_in_turn"
@@ -101,6 +102,7 @@
 	{crashVersion, 300 * time.Millisecond, 3 * time.Second, 2},
 	{releaseVersion, 3 * time.Second, 8 * time.Second, 2},
 	{spoilVersion, time.Second, 4 * time.Second, 0},
+	{changeSilence, time.Second, 9 * time.Second, 0},
 }
 
 // fault is one fault of a run: it begins at Start, counted from the start of the run, and lasts for Duration.
--- a/lab/roles/fault.go
+++ b/lab/roles/fault.go
@@ -48,6 +48,8 @@
 type injector struct {
 	fleet *fleet
 
+	// silence is held during a changeSilence fault, so that the next one disturbs no check.
+	silence sync.Mutex
 	// mutex guards failures.
 	mutex    sync.Mutex
 	failures []string
@@ -89,6 +91,8 @@
 		return f.limitProcessor(ctx, drawn)
 	case storeRefuses, storeSilent, storeSlow, storeLoses, storeForgets, cutFromStore, configuration:
 		return f.disturbStore(ctx, drawn)
+	case changeSilence:
+		return f.changeAfterSilence(ctx, drawn)
 	default:
 		return f.disturbReplicas(ctx, drawn)
 	}
--- a/lab/roles/fleet.go
+++ b/lab/roles/fleet.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -44,6 +45,8 @@
 	record   *record
 	machines []*machine
 	ready    *readiness
+	// edgesAsked counts the edges that were asked for the route of a configuration after changeBound.
+	edgesAsked atomic.Int64
 
 	// mutex guards replicas, which includes those that have ended, leases, nextReplica and version.
 	mutex       sync.Mutex
--- a/lab/roles/run.go
+++ b/lab/roles/run.go
@@ -121,6 +121,7 @@
 	sum.LongDeadlines += run.LongDeadlines
 	sum.EndedOneMore += run.EndedOneMore
 	sum.KilledAfterGrace += run.KilledAfterGrace
+	sum.EdgesAsked += run.EdgesAsked
 	sum.StreamsTakenUp += run.StreamsTakenUp
 	sum.StreamsWentOn += run.StreamsWentOn
 	sum.MixedStreams += run.MixedStreams
@@ -201,6 +202,7 @@
 	result.judgeEndedReplicas(running.allReplicas(), clients.crashingMarks())
 	result.judgeCrashing(clients, running.record, running.allReplicas(), running.startedShortlyBefore)
 	result.violations = append(result.violations, faults.failures...)
+	result.counts.EdgesAsked = int(running.edgesAsked.Load())
 	for _, machine := range running.machines {
 		result.counts.KilledAfterGrace += int(machine.killedAfterGrace.Load())
 		if machine.exitedByItself() {
--- a/lab/roles/run_test.go
+++ b/lab/roles/run_test.go
@@ -225,3 +225,20 @@
 		t.Errorf("%d of %d kinds are drawn", len(seen), len(defaultKinds))
 	}
 }
+
+// TestChangesAfterASilenceAreInForceInTime plays the built program before a store that falls silent and acknowledges configurations as it
+// comes back, while edges are killed and machines restarted. It guards against edges that refuse such a change for longer than the bound,
+// because they wait for calls that the store never answers.
+func TestChangesAfterASilenceAreInForceInTime(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays real processes for half a minute")
+	}
+	report := playWithoutViolations(t, Options{
+		Program: buildProgram(t), Seed: 8800, Runs: 2, Duration: 15 * time.Second,
+		FaultKinds: namesOf([]faultKind{changeSilence, changeSilence, changeSilence, storeForgets, killEdges, stopNode}),
+		Replicas:   5, OnlinePerSecond: 30, JobsPerSecond: 0.5,
+	})
+	if report.Counts.EdgesAsked == 0 || report.Counts.OnlineServed == 0 {
+		t.Errorf("nothing was shown: %+v", report.Counts)
+	}
+}
