forward: a stream that began under a longer timeout is not assumed to be of the version that remains

Cause: such a stream goes on if the service has had one version for two of the route's timeouts, as long as any stream may have lasted. The timeout was that of the configuration now in force; where it was shortened since, the stream may have begun before the last replica of its version left. At an edge that has just started the same holds for the time since its first listing, which is the case of the users' report (the old version has left, all edges are killed and come back).

Change: the time is 8 s at least. Routes whose timeout is 4 s or more, all that were seen, are as before. A timeout of more than 8 s that is shortened below 4 remains open: an edge that starts cannot know what was in force.

Evidence: TestStreamBegunUnderALongerTimeoutIsNotResumedAtAnotherVersion, for an edge that has seen the change and one that started after it; 200 before, 503 now. That the users' system had this cause is not shown.

--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -32,6 +32,8 @@
 	// soleVersionTimeouts times the route's timeout is how long a service must have had one version only for a stream to be assumed of that
 	// version: it lasts for one timeout at most, and its caller comes back at once.
 	soleVersionTimeouts = 2
+	// minSoleVersionTime is the minimum of that time, for streams that began under a longer timeout than the route has now.
+	minSoleVersionTime = 8 * time.Second
 	// retryAfterNoOrigin is the Retry-After of a stream that cannot go on now: a replica that crashed may be back then.
 	retryAfterNoOrigin = time.Second
 )
@@ -85,7 +87,7 @@
 		return reasonOriginUnknown
 	}
 	service := e.route.Backends[0].Service
-	version := e.handler.directory.SoleVersion(service, soleVersionTimeouts*e.route.Timeout)
+	version := e.handler.directory.SoleVersion(service, max(soleVersionTimeouts*e.route.Timeout, minSoleVersionTime))
 	if version == "" {
 		return reasonOriginUnknown
 	}
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -230,6 +230,33 @@
 	}
 }
 
+// TestStreamBegunUnderALongerTimeoutIsNotResumedAtAnotherVersion: a stream of a caller that does not name its request lasts for seconds; the
+// last replica of its version leaves, and a configuration shortens the route's timeout. It must not go on at the version that remains: neither
+// at an edge that has seen this, nor at one that started afterwards.
+func TestStreamBegunUnderALongerTimeoutIsNotResumedAtAnotherVersion(t *testing.T) {
+	const timeoutBefore, timeoutNow, sinceChange = 4 * time.Second, 500 * time.Millisecond, 1500 * time.Millisecond
+	for _, started := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			edge := newEdgeUnderTest(t, route.Stream, true, map[string]replicatest.Script{"a": replicatest.Stream("s1", true, false, eventTwo)})
+			edge.origins, edge.listCurrent = &fakeOrigins{recorded: map[string]replica.Origin{}}, func() bool { return true }
+			if !started {
+				edge.addReplica("old", "v0", 1002, replicatest.Hang())
+				time.Sleep(2 * timeoutBefore)
+				edge.directory.Update(nil, []string{"old"})
+			}
+			shortened := *edge.routes.Table().Routes[0]
+			shortened.Timeout = timeoutNow
+			edge.routes.Offer(route.NewTable(2, []*route.Route{&shortened}, nil, route.Limits{MaxBodyBytes: 1000}))
+			time.Sleep(sinceChange)
+			recorded, _ := edge.call(resume(""))
+			edge.replicas.CloseAll()
+			if recorded.Code != http.StatusServiceUnavailable {
+				t.Errorf("started=%t: status %d, want 503: %s", started, recorded.Code, recorded.Body)
+			}
+		})
+	}
+}
+
 // TestStreamIsNotResumedAtAReplicaThatStartedAgain: a replica that starts again under its ID, with another version, answers before its new entry
 // is known; a stream does not go on there.
 func TestStreamIsNotResumedAtAReplicaThatStartedAgain(t *testing.T) {
