discovery: drains at the end of a silence with a list that nodes get from relays

DRAIN of the whole fleet, hypothesis: nodes that follow relays learn late after the store was silent.

--- a/internal/discovery/silent_store_test.go
+++ b/internal/discovery/silent_store_test.go
@@ -92,14 +92,17 @@
 	version int64
 }
 
-func startSilentFleet(t *testing.T, nodes int) *silentFleet {
+// startSilentFleet starts nodes with a short list of replicas.
+func startSilentFleet(t *testing.T, nodes int) *silentFleet { return startSilentFleetWith(t, nodes, 6) }
+
+func startSilentFleetWith(t *testing.T, nodes, replicas int) *silentFleet {
 	store := newHTTPStore()
 	fleet := newTestFleet(t, nil, nodes)
 	fleet.connect = func(node *fleetNode) (platform.KeyValue, changefeed.ServiceMonitor) {
 		return store.connect(t, func() *changefeed.Feed { return node.feed })
 	}
 	f := &silentFleet{testFleet: fleet, store: store}
-	for number := range 6 {
+	for number := range replicas {
 		store.put(replicaKey(number), replicaValue(number))
 	}
 	f.change()
@@ -219,3 +222,28 @@
 		})
 	}
 }
+
+// TestDrainAtTheEndOfASilenceIsKnownWithALongList: the list of replicas is so long that nodes get their parts of it from relays. Drains that
+// the store acknowledges at the moment of its recovery are known to every node within the bound of such fleets.
+func TestDrainAtTheEndOfASilenceIsKnownWithALongList(t *testing.T) {
+	const nodes, plays, drained = 60, 3, 200
+	for seed := range uint64(plays) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			drawn := drawSilence(rand.New(rand.NewPCG(seed, 1)))
+			if seed%2 == 1 {
+				drawn.compactedBefore = 300 * time.Millisecond
+			}
+			synctest.Test(t, func(t *testing.T) {
+				fleet := startSilentFleetWith(t, nodes, fleetReplicas)
+				time.Sleep(2 * knownWithin)
+				fleet.play(drawn)
+				for number := 0; number < drained; number += 2 {
+					fleet.store.put(replicaKey(number), replicaValue(number)+"!")
+				}
+				time.Sleep(drainKnownWithin)
+				fleet.checkDrainedBelow(drained)
+				fleet.stop()
+			})
+		})
+	}
+}
