--- a/internal/discovery/silent_store_test.go
+++ b/internal/discovery/silent_store_test.go
@@ -199,9 +199,14 @@
 	f.store.close()
 }
 
-// TestSilenceDrawsFewCalls checks how many calls nodes make while the store is silent, and in the two seconds after its recovery.
+// TestSilenceDrawsFewCalls checks that the number of probes while the store is silent, and of calls in the two seconds after its recovery,
+// do not depend on the number of nodes. Two watchers make three to four probes per second each, all other nodes together 20.
 func TestSilenceDrawsFewCalls(t *testing.T) {
-	const length = 10 * time.Second
+	const (
+		length             = 10 * time.Second
+		maxProbesPerSecond = 30
+		maxCallsAfter      = 20
+	)
 	for _, nodes := range []int{9, 120} {
 		t.Run(strconv.Itoa(nodes), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -214,6 +219,12 @@
 				after, staleAfter := fleet.store.callCount()
 				t.Logf("%d nodes, silent for %s: %d calls and %d probes during it, %d and %d in the %s after it",
 					nodes, length, during-before, staleDuring-staleBefore, after-during, staleAfter-staleDuring, changeBound)
+				if probes := staleDuring - staleBefore; probes > maxProbesPerSecond*int(length/time.Second) {
+					t.Errorf("%d probes in %s, want at most %d per second", probes, length, maxProbesPerSecond)
+				}
+				if calls := after - during; calls > maxCallsAfter {
+					t.Errorf("%d calls after the recovery, want at most %d", calls, maxCallsAfter)
+				}
 				for _, line := range fleet.late() {
 					t.Error(line)
 				}
