--- a/internal/discovery/http_store_test.go
+++ b/internal/discovery/http_store_test.go
@@ -94,13 +94,6 @@
 	}
 }
 
-// turnsAway reports whether the store does not answer the node with the given index.
-func (s *httpStore) turnsAway(index int) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.turnedAway[index]
-}
-
 // signal wakes held calls. The mutex must be held.
 func (s *httpStore) signal() {
 	close(s.changed)
--- a/internal/discovery/silent_store_test.go
+++ b/internal/discovery/silent_store_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -27,8 +28,9 @@
 	compactedBefore time.Duration
 	// latencyAfter is the latency of calls after the last silence, answersLate how late the calls of a silence are answered; 0 for never.
 	latencyAfter, answersLate time.Duration
-	// turnsAwayWatchers makes the store answer no watcher after the last silence, restarts makes half of the nodes start again during it.
-	turnsAwayWatchers, restarts bool
+	// turnsAwayWatchers makes the store answer no watcher after the last silence, turnsAwayOthers no other node; restarts makes half of the
+	// nodes start again during it.
+	turnsAwayWatchers, turnsAwayOthers, restarts bool
 }
 
 // drawSilence draws an order of events. The first silence begins at a random phase of the nodes' calls.
@@ -63,6 +65,7 @@
 			drawn.answersLate = time.Millisecond + time.Duration(random.Int64N(int64(3*time.Second)))
 		}},
 		{"watchers not answered afterwards", 10, func(drawn *silence, _ *rand.Rand) { drawn.turnsAwayWatchers = true }},
+		{"only watchers answered afterwards", 10, func(drawn *silence, _ *rand.Rand) { drawn.turnsAwayOthers = true }},
 		{"nodes start during the silence", 10, func(drawn *silence, _ *rand.Rand) { drawn.restarts = true }},
 	} {
 		for seed := range test.plays {
@@ -90,6 +93,8 @@
 	*testFleet
 	store   *httpStore
 	version int64
+	// exempt holds the indices of the nodes that need not know changes.
+	exempt []int
 }
 
 // startSilentFleet starts nodes with a short list of replicas.
@@ -145,7 +150,11 @@
 		f.store.setSilent(false)
 	}
 	if drawn.turnsAwayWatchers {
-		f.store.turnAway(f.watchers()...)
+		f.exempt = f.watchers()
+		f.store.turnAway(f.exempt...)
+	}
+	if drawn.turnsAwayOthers {
+		f.store.turnAway(f.followers()...)
 	}
 	f.store.setLatency(drawn.latencyAfter)
 	f.change()
@@ -171,12 +180,24 @@
 	return indices
 }
 
-// late returns a line for each node that does not know the last change, except for those that the store does not answer.
+// followers returns the indices of the nodes that are no watchers.
+func (f *silentFleet) followers() (indices []int) {
+	watchers := f.watchers()
+	for index := range f.nodes {
+		if !slices.Contains(watchers, index) {
+			indices = append(indices, index)
+		}
+	}
+	return indices
+}
+
+// late returns a line for each node that does not know the last change. Watchers that the store does not answer are exempt: nobody passes
+// changes on to them.
 func (f *silentFleet) late() []string {
 	synctest.Wait()
 	var late []string
 	for index, node := range f.nodes {
-		if f.store.turnsAway(index) {
+		if slices.Contains(f.exempt, index) {
 			continue
 		}
 		version := int64(0)
