lab: a silent store whose answers are lost, and configurations at the end of its silence

The stand-in's hanging calls ended with the outage, so that the soak could not show a node that waits for an answer which never comes. OutageLoses never answers a call that began in it.

--- a/lab/platform/client.go
+++ b/lab/platform/client.go
@@ -31,6 +31,9 @@
 	case effect.outage == OutageHangs:
 		s.hang(ctx, zone, service)
 		return false, errDropped.New("connection closed after a long time")
+	case effect.outage == OutageLoses:
+		<-ctx.Done()
+		return false, errDropped.Wrap(ctx.Err(), "caller gave up")
 	case effect.outage == OutageDrops:
 		return false, errDropped.New("connection closed")
 	case effect.outage == OutageRefuses:
--- a/lab/platform/client_watch.go
+++ b/lab/platform/client_watch.go
@@ -39,7 +39,7 @@
 	}
 	for {
 		outage, faultsChanged := c.server.faults.outage(c.zone, KeyValue)
-		if outage == OutageHangs {
+		if outage.endsWatches() {
 			<-ctx.Done()
 			return
 		}
--- a/lab/platform/faults.go
+++ b/lab/platform/faults.go
@@ -35,8 +35,13 @@
 	OutageDrops Outage = "drop"
 	// OutageHangs keeps the connection open without a response; open watches deliver nothing more, also after the outage.
 	OutageHangs Outage = "hang"
+	// OutageLoses is like OutageHangs, but calls that begin in it are never answered, not even by the end of their connection.
+	OutageLoses Outage = "lose"
 )
 
+// endsWatches reports whether open watches deliver nothing more, also after the outage.
+func (o Outage) endsWatches() bool { return o == OutageHangs || o == OutageLoses }
+
 // Fault describes how one service misbehaves for the callers of one zone.
 type Fault struct {
 	Zone    string  `json:"zone"`
--- a/lab/platform/metadata.go
+++ b/lab/platform/metadata.go
@@ -102,7 +102,7 @@
 	defer holdTimer.Stop()
 	for {
 		outage, faultsChanged := m.client.server.faults.outage(m.client.zone, KeyValue)
-		if outage == OutageHangs {
+		if outage.endsWatches() {
 			<-ctx.Done()
 			return wire.StoreEvents{}, errReadDropped.New("watch fell silent")
 		}
--- a/lab/roles/silence.go
+++ b/lab/roles/silence.go
@@ -33,10 +33,7 @@
 		f.fleet.platform.Compact(math.MaxInt64)
 		pause.Sleep(ctx, time.Duration(random%1000)*time.Millisecond)
 	}
-	silent := labplatform.Fault{Service: labplatform.KeyValue, Outage: labplatform.OutageHangs}
-	f.fleet.platform.Faults().Set(silent)
-	pause.Sleep(ctx, drawn.Duration)
-	f.fleet.platform.Faults().Clear(silent.Zone, silent.Service)
+	f.fleet.silenceStore(ctx, drawn.Duration)
 	pause.Sleep(ctx, time.Duration(drawn.Strength*float64(gapAfterSilence)))
 	var acknowledged time.Time
 	for range 1 + random%maxSeriesChanges {
@@ -52,6 +49,21 @@
 	return f.fleet.checkInForce(ctx, acknowledged)
 }
 
+// silenceStore makes the store silent for duration. The machines' calls that begin meanwhile are never answered; those of the replicas and
+// the operator, which have no timeouts, end with the silence.
+func (f *fleet) silenceStore(ctx context.Context, duration time.Duration) {
+	faults := f.platform.Faults()
+	faults.Set(labplatform.Fault{Service: labplatform.KeyValue, Outage: labplatform.OutageHangs})
+	for _, machine := range f.machines {
+		faults.Set(labplatform.Fault{Zone: machine.name, Service: labplatform.KeyValue, Outage: labplatform.OutageLoses})
+	}
+	pause.Sleep(ctx, duration)
+	faults.Clear(labplatform.AnyZone, labplatform.KeyValue)
+	for _, machine := range f.machines {
+		faults.Clear(machine.name, labplatform.KeyValue)
+	}
+}
+
 // checkInForce returns an error that names the edges which refuse the route of the newest configuration, acknowledged at acknowledged, as
 // not configured. Edges that did not run throughout are not asked.
 func (f *fleet) checkInForce(ctx context.Context, acknowledged time.Time) error {
