changefeed: heartbeats end no delay of a follower unless the watchers were silent

Found by reading the diff: while a listing was in progress each heartbeat ended the delays before the next attempts, also of a service that refuses calls as too many.

--- a/internal/changefeed/recovery.go
+++ b/internal/changefeed/recovery.go
@@ -103,10 +103,14 @@
 }
 
 // afterWatcherMessage makes this node use the service again if it was waiting for it: a message of a watcher shows that the service
-// answers. watchersWereSilent reports whether it is the first one after a silence of the watchers.
+// answers. watchersWereSilent reports whether it is the first one after a silence of the watchers. Later ones end no delay, since a
+// service that refuses calls must not get more of them.
 func (f *Feed) afterWatcherMessage(watchersWereSilent bool) {
-	if watchersWereSilent || f.listings.Load() > 0 {
+	switch {
+	case watchersWereSilent:
 		f.resumeSoon()
+	case f.listings.Load() > 0:
+		f.afterSpread(f.monitor.ProbeNow)
 	}
 }
 
