--- a/internal/replica/evacuated_send_test.go
+++ b/internal/replica/evacuated_send_test.go
@@ -14,15 +14,15 @@
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
 )
 
-// evacuatingNetwork calls evacuate, if set, during Dial.
-type evacuatingNetwork struct {
+// interruptedNetwork calls during, if set, in each Dial.
+type interruptedNetwork struct {
 	*replicatest.Network
-	evacuate func()
+	during func()
 }
 
-func (n *evacuatingNetwork) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	if n.evacuate != nil {
-		n.evacuate()
+func (n *interruptedNetwork) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	if n.during != nil {
+		n.during()
 	}
 	return n.Network.Dial(ctx, address)
 }
@@ -32,7 +32,7 @@
 func TestNothingIsSentToAnEvacuatedZone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		address := netip.MustParseAddrPort("127.0.0.1:1000")
-		network := &evacuatingNetwork{Network: &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{
+		network := &interruptedNetwork{Network: &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{
 			address: replicatest.Answer(http.StatusOK, replicatest.Signed+"Keep-Alive: timeout=5\r\n", "ok"),
 		}}}
 		defer network.CloseAll()
@@ -55,9 +55,9 @@
 				t.Errorf("request %s: error %v, want ErrEvacuated and ErrNotSent", when, err)
 			}
 		}
-		network.evacuate = func() { directory.SetEvacuated(evacuated) }
+		network.during = func() { directory.SetEvacuated(evacuated) }
 		wantEvacuated("while the connection is made")
-		network.evacuate = nil
+		network.during = nil
 		wantEvacuated("before the connection is made")
 		directory.SetEvacuated(nil)
 		if err := send(); err != nil {
--- a/internal/replica/leaving_send_test.go
+++ b/internal/replica/leaving_send_test.go
@@ -1,10 +1,8 @@
 package replica_test
 
 import (
-	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -14,19 +12,6 @@
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
 )
 
-// interruptedNetwork calls during, if set, in each Dial.
-type interruptedNetwork struct {
-	*replicatest.Network
-	during func()
-}
-
-func (n *interruptedNetwork) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	if n.during != nil {
-		n.during()
-	}
-	return n.Network.Dial(ctx, address)
-}
-
 // TestNothingIsSentToAReplicaThatLeft: a request is sent to a replica some time after the replica was picked, in which the replica has
 // begun to drain or has gone. It must not be sent: neither on a connection that was being made then, nor on an idle one.
 func TestNothingIsSentToAReplicaThatLeft(t *testing.T) {
