--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,4 +5,4 @@
 	echo "run the build of deploy/system.toml and review/build-3.sh first" >&2
 	exit 2
 fi
-exec target/review3/standin3 refused review/9
+exec target/review3/standin3 unsigned review/9
--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -37,8 +37,11 @@
 type machine struct {
 	name, class, zone string
 	ip                netip.Addr
-	command           *exec.Cmd
-	ended             chan struct{}
+	// caller is the name by which the stand-in of the store knows the machine. later is set for one that is added during the day.
+	caller  string
+	later   bool
+	command *exec.Cmd
+	ended   chan struct{}
 }
 
 func (m *machine) at(number int) string { return fmt.Sprintf("%s:%d", m.ip, number) }
@@ -62,6 +65,7 @@
 	replicas []*replica
 	record   *record
 	version  int64
+	spares   int
 	stop     context.CancelFunc
 	tasks    sync.WaitGroup
 }
@@ -84,10 +88,14 @@
 	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, arguments...))
 }
 
-// plan is the size of a deployment: the zones of its storage nodes and of its edges, and the region of each zone.
+// diskMegabytes is the size of a storage node's disk.
+var diskMegabytes = 480
+
+// plan is the size of a deployment: the zones of its storage nodes and of its edges, and the region of each zone. names are those of the
+// storage nodes; by default they are numbered.
 type plan struct {
-	zones         map[string]string
-	stores, edges []string
+	zones                map[string]string
+	names, stores, edges []string
 }
 
 // newDeployment starts the store and the processes. Nothing is registered yet.
@@ -97,21 +105,17 @@
 		return nil, err
 	}
 	created := &deployment{folder: folder, zones: planned.zones, record: recorded}
-	add := func(class, zone string) {
-		number := len(created.machines)
-		pid := os.Getpid()
-		created.machines = append(created.machines, &machine{
-			name: fmt.Sprintf("%s-%d", class, number+1), class: class, zone: zone,
-			ip: netip.AddrFrom4([4]byte{127, 64 + byte(pid>>8&0x3f), byte(pid), byte(number + 1)}),
-		})
-	}
-	for _, zone := range planned.stores {
-		add("storage", zone)
+	for number, zone := range planned.stores {
+		name := fmt.Sprintf("storage-%d", number+1)
+		if len(planned.names) > number {
+			name = planned.names[number]
+		}
+		created.add("storage", zone, name)
 	}
-	for _, zone := range planned.edges {
-		add("edge", zone)
+	for number, zone := range planned.edges {
+		created.add("edge", zone, fmt.Sprintf("edge-%d", number+1))
 	}
-	callers := []string{"operator"}
+	callers := []string{"operator", "spare-1", "spare-2"}
 	for _, machine := range created.machines {
 		callers = append(callers, machine.name)
 	}
@@ -123,9 +127,28 @@
 	return created, nil
 }
 
+func (d *deployment) add(class, zone, name string) *machine {
+	number, pid := len(d.machines), os.Getpid()
+	added := &machine{
+		name: name, class: class, zone: zone, ip: netip.AddrFrom4([4]byte{127, 64 + byte(pid>>8&0x3f), byte(pid), byte(number + 1)}), caller: name,
+	}
+	d.machines = append(d.machines, added)
+	return added
+}
+
+// spare adds a storage machine that start leaves out.
+func (d *deployment) spare(name, zone string) {
+	d.spares++
+	added := d.add("storage", zone, name)
+	added.caller, added.later = fmt.Sprintf("spare-%d", d.spares), true
+}
+
 // start starts all processes and waits until all edges are ready.
 func (d *deployment) start(ctx context.Context) error {
 	for _, machine := range d.machines {
+		if machine.later {
+			continue
+		}
 		if err := d.startMachine(machine); err != nil {
 			return err
 		}
@@ -172,7 +195,7 @@
 	}
 	var seeds []string
 	for _, machine := range d.machines {
-		if machine.class == "storage" && len(seeds) < 3 {
+		if machine.class == "storage" && !machine.later && len(seeds) < 3 {
 			seeds = append(seeds, machine.at(portAdmin))
 		}
 	}
@@ -183,7 +206,7 @@
 	fields := map[string]any{
 		"node": target.name, "machine_class": target.class, "region": d.zones[target.zone], "zone": target.zone, "ip": target.ip.String(),
 		"zones": regions, "seeds": seeds, "ephemeral_ports": []string{fmt.Sprint(portPeers), fmt.Sprint(portMetrics)},
-		"platform":        map[string]any{"address": d.platform.Address(target.name).String()},
+		"platform":        map[string]any{"address": d.platform.Address(target.caller).String()},
 		"fault_tolerance": map[string]any{"machines": 1, "zones": 0},
 		"bounds": map[string]any{
 			"contact_ms": 3000, "grace_s": 8, "cancel_ms": 3000, "sync_s": 4.8, "poll_s": 120, "quota_burst": 0.1,
@@ -193,7 +216,7 @@
 	if target.class == "edge" {
 		fields["bind"] = map[string]any{"http": target.at(portCallers), "readiness": target.at(portReadiness)}
 	} else {
-		limits = map[string]any{"memory_mb": 314, "disk_mb": 480, "max_fds": 8200}
+		limits = map[string]any{"memory_mb": 314, "disk_mb": diskMegabytes, "max_fds": 8200}
 		data := filepath.Join(d.folder, target.name+".data")
 		if err := os.MkdirAll(data, 0o755); err != nil {
 			return err
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -23,6 +23,7 @@
 	"late-extra": playLateExtra,
 	"homes":      playHomes,
 	"refused":    playRefused,
+	"full":       playFull,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin3/replica.go
+++ b/review/standin3/replica.go
@@ -6,6 +6,8 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/sha512"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -35,9 +37,17 @@
 	EventMs int `json:"event_ms,omitempty"`
 	// FirstMs is the time until the answer begins, in which the prompt is read; 0 means promptTime.
 	FirstMs int `json:"first_ms,omitempty"`
+	// Hex is the length of an event that looks random; 0 means a short one.
+	Hex int `json:"hex,omitempty"`
 }
 
-func (w work) event(number int) string { return fmt.Sprintf("%s-%d", w.Mark, number) }
+func (w work) event(number int) string {
+	if w.Hex > 0 {
+		sum := sha512.Sum512([]byte(fmt.Sprintf("%s-%d", w.Mark, number)))
+		return hex.EncodeToString(sum[:])[:w.Hex]
+	}
+	return fmt.Sprintf("%s-%d", w.Mark, number)
+}
 
 func (w work) text() string {
 	var out bytes.Buffer
