--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,8 +1,9 @@
 #!/bin/sh
-# Plays the case; with TROUBLE=0 without the disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Plays the case and writes review/10/record.txt; with TROUBLE=0 without the disruption.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -x target/sloelift ] || [ ! -x target/review3/standin3 ]; then
 	echo "run the build of deploy/system.toml and review/build-3.sh first" >&2
 	exit 2
 fi
-exec target/review3/standin3 refused review/10
+exec target/review3/standin3 refused review/10/record.txt
