--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -55,8 +55,8 @@
 	itemRefused
 	// itemInterrupted: the stream ended early; the text received so far is kept.
 	itemInterrupted
-	// itemMalformed: the replica sent an event that is not text, which no result can contain, and the text before it is kept; or
-	// events beyond maxTextBytes, and the text is dropped.
+	// itemMalformed: the replica sent a response that is not proven to be its answer, or an event that is not text, which no result can
+	// contain, and the text before it is kept; or events beyond maxTextBytes, and the text is dropped.
 	itemMalformed
 	// itemNotSent: the item was not sent, since its replica is cold and cannot take another run now, or its deciding run was
 	// deferred.
@@ -151,16 +151,20 @@
 			return itemImpossible
 		}
 		a.reportFailure()
-		if errors.Is(err, replica.ErrNotSent) {
+		switch {
+		case errors.Is(err, replica.ErrNotSent):
 			return itemRefused
+		case errors.Is(err, replica.ErrUnproven):
+			return itemMalformed
+		default:
+			return itemInterrupted
 		}
-		return itemInterrupted
 	}
 	a.status = answer.Status
 	if answer.Status != http.StatusOK {
 		_, err := io.CopyN(io.Discard, answer.Body, maxErrorBodyBytes)
 		answer.Close(errors.Is(err, io.EOF))
-		return a.classifyAnswer(answer, client.Headers())
+		return a.classifyAnswer(answer)
 	}
 	verdict := a.readStream(ctx, answer, silenceTimer)
 	answer.Close(verdict == itemDone)
@@ -219,9 +223,9 @@
 }
 
 // classifyAnswer returns the verdict for an answer that is not a stream.
-func (a *itemAttempt) classifyAnswer(answer *replica.Answer, names replica.Headers) itemVerdict {
+func (a *itemAttempt) classifyAnswer(answer *replica.Answer) itemVerdict {
 	switch {
-	case answer.Status == http.StatusMisdirectedRequest, answer.Header.Get(names.NotRun) != "":
+	case answer.NotRun:
 		a.handle.Refused(answer.Status, clock.Now())
 		return itemRefused
 	case answer.Status == http.StatusUnprocessableEntity:
--- /dev/null
+++ b/internal/batch/unproven_test.go
@@ -0,0 +1,61 @@
+package batch
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/replica/replicatest"
+)
+
+// timesThen uses first for the first count items sent and rest for all other requests.
+func timesThen(count int64, first, rest replicatest.Script) replicatest.Script {
+	var items atomic.Int64
+	return func(connection net.Conn, request *http.Request) bool {
+		if request.Method == http.MethodPost && items.Add(1) <= count {
+			return first(connection, request)
+		}
+		return rest(connection, request)
+	}
+}
+
+// answerWithHead writes a complete response with the given header lines, each ending in CRLF, and body.
+func answerWithHead(status int, headers, body string) replicatest.Script {
+	return func(connection net.Conn, _ *http.Request) bool {
+		_, err := fmt.Fprintf(connection, "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+		return err == nil
+	}
+}
+
+// expectDoneAfter checks that an item is listed with its whole text although its first runs got the answers of spoilt.
+func expectDoneAfter(t *testing.T, spoilt replicatest.Script) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		sound := replicatest.Stream("s", true, false, eventOne, eventTwo)
+		owner := startOwner(t, singleReplica(timesThen(testAttempts, spoilt, sound)))
+		defer owner.stop()
+		owner.mustSubmit(t, testSubmission("j", 1))
+		result := owner.results(t, "j", 1, 20*time.Second)[0]
+		if result.State != batchpb.State_STATE_SUCCEEDED || result.Text != "a\nb" {
+			t.Errorf("the item is %s with the text %q", result.State, result.Text)
+		}
+	})
+}
+
+// TestItemIsNotGivenUpForAFailureWithoutEvidence: a 422 or 500 with neither the item's id nor a signature, from a replica that spoils
+// its answers, made a sound item a dead letter.
+func TestItemIsNotGivenUpForAFailureWithoutEvidence(t *testing.T) {
+	for name, headers := range map[string]string{"bare": "", "signed, without an id": replicatest.Signed} {
+		for _, status := range []int{422, 500} {
+			t.Run(fmt.Sprintf("%d %s", status, name), func(t *testing.T) { expectDoneAfter(t, answerWithHead(status, headers, "")) })
+		}
+	}
+	for _, status := range []int{422, 500} {
+		t.Run(fmt.Sprintf("%d unsigned", status), func(t *testing.T) { expectDoneAfter(t, replicatest.Answer(status, "", "")) })
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -53,7 +53,8 @@
 	e.lastStatus = answer.Status
 	consumed := false
 	defer func() { answer.Close(consumed) }()
-	if promisesNotRun(answer, e.handler.headers) {
+	// A malformed request is answered as the replica answered it: any other would refuse it as well.
+	if answer.NotRun && answer.Status != http.StatusBadRequest {
 		_, err := io.CopyN(io.Discard, answer.Body, maxBufferedAnswerBytes)
 		consumed = errors.Is(err, io.EOF)
 		handle.Refused(answer.Status, clock.Now())
@@ -71,14 +72,6 @@
 	return result
 }
 
-// promisesNotRun reports whether the answer guarantees that the request has not run.
-func promisesNotRun(answer *replica.Answer, headers replica.Headers) bool {
-	if answer.Status == http.StatusMisdirectedRequest {
-		return true
-	}
-	return answer.Header.Get(headers.NotRun) != "" && answer.Status != http.StatusBadRequest
-}
-
 // handleCallError records a call that failed without a complete answer, and returns its outcome.
 func (e *exchange) handleCallError(ctx context.Context, handle *replica.Handle, err error) attemptOutcome {
 	if e.request.Context().Err() != nil {
--- a/internal/forward/copied_replica_test.go
+++ b/internal/forward/copied_replica_test.go
@@ -17,7 +17,7 @@
 func TestCopiedReplicaAtAnothersAddress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		edge := newEdgeUnderTest(t, route.NotRepeatable, false, map[string]replicatest.Script{
-			"a": replicatest.Answer(http.StatusMisdirectedRequest, "", "another"), "b": replicatest.Answer(http.StatusOK, "X-Signature: s\r\n", "done"),
+			"a": replicatest.Answer(http.StatusMisdirectedRequest, anotherInstance, "another"), "b": replicatest.Answer(http.StatusOK, "X-Signature: s\r\n", "done"),
 		})
 		var infos []replica.Info
 		for _, id := range []string{"a", "b"} {
--- a/internal/forward/replaced_test.go
+++ b/internal/forward/replaced_test.go
@@ -14,7 +14,7 @@
 func TestMisdirectedReplicaIsTriedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		edge := newEdgeUnderTest(t, route.NotRepeatable, false, map[string]replicatest.Script{
-			"a": replicatest.Answer(http.StatusMisdirectedRequest, "", "another"), "b": replicatest.Answer(http.StatusOK, replicatest.Signed, "ok"),
+			"a": replicatest.Answer(http.StatusMisdirectedRequest, anotherInstance, "another"), "b": replicatest.Answer(http.StatusOK, replicatest.Signed, "ok"),
 		})
 		for range 5 {
 			if recorded, _ := edge.call(nil); recorded.Code != http.StatusOK {
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -20,9 +20,11 @@
 	Deadline       string
 	ExpectInstance string
 	NotRun         string
-	Signature      string
-	Load           string
-	LastEventID    string
+	// Instance names, in a response to a request for another instance, the instance that responds.
+	Instance    string
+	Signature   string
+	Load        string
+	LastEventID string
 	// Resumes names the request that brought the first event of the stream that a caller resumes.
 	Resumes     string
 	PromptParts string
@@ -66,6 +68,8 @@
 	Body   []byte
 	// RequestID is the id that the response must carry.
 	RequestID string
+	// Probe is set if the call asks for the replica's state: it runs nothing, and its response is not signed.
+	Probe bool
 	// Fresh requires a new connection instead of an idle one from the pool.
 	Fresh bool
 	// ConnectWithin is the timeout for connecting; 0 means connectTimeout.
@@ -88,9 +92,12 @@
 // Headers returns the header names in use.
 func (c *Client) Headers() Headers { return c.headers }
 
-// Answer is a replica's response: status and headers, with the body still to be read from Body. Close must be called.
+// Answer is a response that is proven to be the replica's: status and headers, with the body still to be read from Body. Close must be
+// called.
 type Answer struct {
 	Status int
+	// NotRun is true if the replica has not run the request and will not run it.
+	NotRun bool
 	Header http.Header
 	// Length is the body's length in bytes; -1 if the response does not declare it.
 	Length int64
@@ -107,8 +114,8 @@
 func (a *Answer) Close(whole bool) { a.once.Do(func() { a.finish(whole) }) }
 
 // Do sends call to the replica and returns once the response headers have been read. When ctx ends, the connection is
-// closed. An error that wraps ErrNotSent means that the request did not reach the replica; after any other error the
-// request may have run.
+// closed. An error that wraps ErrNotSent means that the request did not reach the replica; after any other error, one that wraps
+// ErrUnproven among them, the request may have run.
 func (c *Client) Do(ctx context.Context, handle *Handle, call Call) (*Answer, error) {
 	used, err := c.open(ctx, handle, call)
 	if err != nil {
@@ -124,7 +131,7 @@
 		abandon()
 		return nil, fmt.Errorf("write the request: %w", err)
 	}
-	response, err := c.receive(used, call)
+	response, found, err := c.receive(used, call)
 	if err != nil {
 		abandon()
 		return nil, fmt.Errorf("read the answer: %w", err)
@@ -137,13 +144,14 @@
 	keep := idleTimeout(response)
 	answer := &Answer{
 		Status: response.StatusCode,
+		NotRun: found.notRun,
 		Header: response.Header,
 		Length: response.ContentLength,
 		Framed: isFramed(response),
 		Body:   response.Body,
 	}
 	answer.finish = func(whole bool) {
-		reusable := stopWatching() && whole && keep > 0 && written.done() && used.reader.Buffered() == 0
+		reusable := stopWatching() && whole && found.identified && keep > 0 && written.done() && used.reader.Buffered() == 0
 		if !reusable {
 			used.close()
 			return
@@ -220,49 +228,36 @@
 	return newConnection(raw), nil
 }
 
-// receive reads the response to call. It skips 1xx responses and responses to earlier requests on the connection.
-func (c *Client) receive(used *connection, call Call) (*http.Response, error) {
+// receive reads the response to call and what it shows. It skips 1xx responses and responses to earlier requests on the connection.
+func (c *Client) receive(used *connection, call Call) (*http.Response, evidence, error) {
 	request := &http.Request{Method: call.Method}
 	stray, interim := 0, 0
 	for {
 		response, err := used.readHead(request)
 		if err != nil {
-			return nil, err
+			return nil, evidence{}, err
 		}
 		if response.StatusCode < http.StatusOK {
 			interim++
 			if interim > maxInformational || response.StatusCode == http.StatusSwitchingProtocols {
-				return nil, fmt.Errorf("unexpected interim response with status %d", response.StatusCode)
+				return nil, evidence{}, fmt.Errorf("unexpected interim response with status %d", response.StatusCode)
 			}
 			continue
 		}
-		err = c.checkRequestID(response, call)
-		if err == nil {
-			return response, nil
+		found, err := c.headers.examine(response, call)
+		if !errors.Is(err, errOtherRequest) {
+			return response, found, err
 		}
 		stray++
 		if stray > maxStrayAnswers || !isFramed(response) {
-			return nil, err
+			return nil, evidence{}, err
 		}
 		if _, err := io.CopyN(io.Discard, response.Body, maxStrayBytes); err != io.EOF {
-			return nil, errors.New("body of a response to another request is truncated or too long to skip")
+			return nil, evidence{}, errors.New("body of a response to another request is truncated or too long to skip")
 		}
 	}
 }
 
-// checkRequestID returns an error unless the response belongs to call: it carries the call's request id, or is an error
-// response without an id.
-func (c *Client) checkRequestID(response *http.Response, call Call) error {
-	id := response.Header.Get(c.headers.RequestID)
-	if id == call.RequestID {
-		return nil
-	}
-	if id == "" && response.StatusCode >= http.StatusBadRequest {
-		return nil
-	}
-	return fmt.Errorf("response is for request %q, want %q", id, call.RequestID)
-}
-
 // isFramed reports whether the end of the body is recognizable without the connection being closed.
 func isFramed(response *http.Response) bool {
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
--- a/internal/replica/endless_test.go
+++ b/internal/replica/endless_test.go
@@ -85,7 +85,7 @@
 func TestLongHeadIsRead(t *testing.T) {
 	address := netip.MustParseAddrPort("127.0.0.1:1000")
 	long := "X-Long: " + strings.Repeat("x", 32<<10) + "\r\n"
-	answered := replicatest.Answer(http.StatusOK, long+"Keep-Alive: timeout=5\r\n", strings.Repeat("b", 1<<20))
+	answered := replicatest.Answer(http.StatusOK, replicatest.Signed+long+"Keep-Alive: timeout=5\r\n", strings.Repeat("b", 1<<20))
 	network := &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{
 		address: func(connection net.Conn, request *http.Request) bool {
 			_, err := io.WriteString(connection, strings.Repeat("HTTP/1.1 102 Processing\r\n"+long+"\r\n", 4))
--- a/internal/replica/load_report.go
+++ b/internal/replica/load_report.go
@@ -50,6 +50,7 @@
 		Target: report.Path,
 		Host:   handle.Info().Address.String(),
 		Header: http.Header{},
+		Probe:  true,
 	})
 	if err != nil {
 		return err
--- a/internal/replica/replicatest/network.go
+++ b/internal/replica/replicatest/network.go
@@ -17,7 +17,7 @@
 
 // Headers are the header names that the scripts use.
 var Headers = replica.Headers{
-	RequestID: "X-Id", Deadline: "X-Deadline", ExpectInstance: "X-Instance", NotRun: "X-Not-Run", Signature: "X-Signature",
+	RequestID: "X-Id", Deadline: "X-Deadline", ExpectInstance: "X-Instance", NotRun: "X-Not-Run", Instance: "X-Responder", Signature: "X-Signature",
 	Load: "X-Load", LastEventID: "Last-Event-Id", Resumes: "X-Resumes", PromptParts: "X-Parts", APIKey: "X-Key", Tenant: "X-Tenant",
 }
 
