--- a/internal/batch/unproven_test.go
+++ b/internal/batch/unproven_test.go
@@ -59,3 +59,17 @@
 		t.Run(fmt.Sprintf("%d unsigned", status), func(t *testing.T) { expectDoneAfter(t, replicatest.Answer(status, "", "")) })
 	}
 }
+
+// TestAnswerWithoutSignatureIsNoResult: a complete 200 without the replica's signature was listed as the result of its item, with an
+// empty text.
+func TestAnswerWithoutSignatureIsNoResult(t *testing.T) {
+	for name, spoilt := range map[string]replicatest.Script{
+		"empty":             replicatest.Answer(http.StatusOK, "", ""),
+		"with an event":     replicatest.Answer(http.StatusOK, "", eventOne),
+		"signed by no one":  replicatest.Answer(http.StatusOK, "X-Signature:\r\n", eventOne),
+		"signed without id": answerWithHead(http.StatusOK, replicatest.Signed, ""),
+		"with a guarantee":  replicatest.Answer(http.StatusOK, "X-Not-Run: 1\r\n", ""),
+	} {
+		t.Run(name, func(t *testing.T) { expectDoneAfter(t, spoilt) })
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -28,9 +28,6 @@
 // errSilenceTimeout reports that a replica sent no data within the silence timeout.
 var errSilenceTimeout = errors.New("replica is silent")
 
-// errUnsigned reports a success without the replica's signature: its header may have been cut short.
-var errUnsigned = errors.New("answer has no replica signature")
-
 // sendToReplica sends the request to one replica and relays its answer.
 func (e *exchange) sendToReplica(ctx context.Context, handle *replica.Handle) attemptOutcome {
 	release := handle.Acquire()
@@ -61,12 +58,6 @@
 		e.logEvent(handle).Int("status", answer.Status).Msg("replica_refused")
 		return notRun
 	}
-	if answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices && answer.Header.Get(e.handler.headers.Signature) == "" {
-		handle.Failed(clock.Now())
-		e.lastError = errUnsigned
-		e.logEvent(handle).Int("status", answer.Status).Msg("answer_unsigned")
-		return e.lossOutcome()
-	}
 	var result attemptOutcome
 	result, consumed = e.forwardAnswer(ctx, handle, answer, silence)
 	return result
--- a/internal/replica/evidence.go
+++ b/internal/replica/evidence.go
@@ -38,7 +38,7 @@
 		missing = "the request's id"
 	case call.Probe:
 		// A probe runs nothing, and its response is not signed.
-	case response.StatusCode >= http.StatusMultipleChoices && response.Header.Get(h.Signature) == "":
+	case response.Header.Get(h.Signature) == "":
 		missing = "the replica's signature"
 	case promisesNotRun(response.StatusCode):
 		missing = "the guarantee that its status stands for"
