--- a/internal/batch/client.go
+++ b/internal/batch/client.go
@@ -50,6 +50,7 @@
 	caller    transport.Caller
 	viewer    membership.Viewer
 	unreached *unreached.Peers
+	placed    placedPartitions
 	logger    zerolog.Logger
 }
 
@@ -92,22 +93,20 @@
 	}
 	submission.Route = matched.Name
 	submission.JobId = Caller{Host: submission.Host, Tenant: submission.Tenant}.jobName(submission.JobId)
-	partition, accepted, err := c.placeJob(ctx, submission, regions)
+	partition, err := c.target(submission, regions)
 	if err != nil {
 		c.logger.Info().Str(logging.FieldJob, submission.JobId).Stringer("regions", regions).Err(err).Msg("job_not_placed")
 		return err
 	}
-	if accepted {
-		return nil
-	}
-	request := &batchpb.SubmitRequest{Partition: partition, Submission: submission, MaxWaitingTokens: matched.MaxWaitingTokens}
-	response := &batchpb.SubmitResponse{}
 	began := clock.Now()
-	err = c.call(ctx, methodSubmit, request, response, submitTimeout, tryTimeout)
+	accepted, response, err := c.submitOnce(ctx, submission, partition, matched.MaxWaitingTokens)
 	event := c.logger.Info().Str(logging.FieldJob, submission.JobId).Uint32(logging.FieldPartition, partition).Dur("took", clock.Since(began)).Err(err)
-	if err != nil {
+	switch {
+	case err != nil:
 		event.Msg("job_not_accepted")
 		return err
+	case accepted:
+		return nil
 	}
 	event.Msg("job_submitted")
 	if response.OverQuota {
@@ -116,10 +115,38 @@
 	return nil
 }
 
+// submitOnce submits a job to its partition unless another partition has accepted it, which accepted reports.
+func (c *Client) submitOnce(
+	ctx context.Context, submission *batchpb.Submission, partition uint32, maxTokens int64,
+) (accepted bool, response *batchpb.SubmitResponse, err error) {
+	accepted, asked, err := c.acceptedElsewhere(ctx, submission, partition)
+	if err != nil || accepted {
+		return accepted, nil, err
+	}
+	for {
+		request := &batchpb.SubmitRequest{
+			Partition: partition, Submission: submission, MaxWaitingTokens: maxTokens, Asked: asked, FollowsPlacements: true,
+		}
+		response = &batchpb.SubmitResponse{}
+		if err := c.call(ctx, methodSubmit, request, response, submitTimeout, tryTimeout); err != nil {
+			return false, nil, err
+		}
+		if len(response.Placements) == 0 {
+			return false, response, nil
+		}
+		unasked := c.learnPlacements(response.Placements)
+		accepted, err := c.askForJob(ctx, submission, unasked, response.Settling || c.homes.ConfinementChanged())
+		if err != nil || accepted {
+			return accepted, nil, err
+		}
+		asked = append(asked, unasked...)
+	}
+}
+
 // Read returns the results of a job from a position on; it waits for the first one for at most wait.
 func (c *Client) Read(ctx context.Context, caller Caller, jobID string, since uint32, wait time.Duration) (*batchpb.ReadResponse, error) {
-	return searchPartitions(ctx, c.partitions(caller.Host), func(ctx context.Context, partition uint32) (*batchpb.ReadResponse, error) {
-		request := &batchpb.ReadRequest{Partition: partition, JobId: caller.jobName(jobID), Since: since, WaitMicros: uint64(wait.Microseconds())}
+	return search(ctx, c, caller.Host, func(ctx context.Context, partition uint32) (*batchpb.ReadResponse, error) {
+		request := &batchpb.ReadRequest{Partition: partition, JobId: caller.jobName(jobID), Since: since, WaitMicros: uint64(wait.Microseconds()), Host: caller.Host}
 		response := &batchpb.ReadResponse{}
 		return response, c.call(ctx, methodRead, request, response, readTimeout+wait, tryTimeout+wait)
 	})
@@ -127,8 +154,8 @@
 
 // Body returns the body of an item that is not listed yet.
 func (c *Client) Body(ctx context.Context, caller Caller, jobID, itemID string) (*batchpb.BodyResponse, error) {
-	return searchPartitions(ctx, c.partitions(caller.Host), func(ctx context.Context, partition uint32) (*batchpb.BodyResponse, error) {
-		request := &batchpb.BodyRequest{Partition: partition, JobId: caller.jobName(jobID), ItemId: itemID}
+	return search(ctx, c, caller.Host, func(ctx context.Context, partition uint32) (*batchpb.BodyResponse, error) {
+		request := &batchpb.BodyRequest{Partition: partition, JobId: caller.jobName(jobID), ItemId: itemID, Host: caller.Host}
 		response := &batchpb.BodyResponse{}
 		return response, c.call(ctx, methodBody, request, response, readTimeout, tryTimeout)
 	})
@@ -136,8 +163,8 @@
 
 // End ends a job.
 func (c *Client) End(ctx context.Context, caller Caller, jobID string) (*batchpb.EndResponse, error) {
-	return searchPartitions(ctx, c.partitions(caller.Host), func(ctx context.Context, partition uint32) (*batchpb.EndResponse, error) {
-		request := &batchpb.EndRequest{Partition: partition, JobId: caller.jobName(jobID)}
+	return search(ctx, c, caller.Host, func(ctx context.Context, partition uint32) (*batchpb.EndResponse, error) {
+		request := &batchpb.EndRequest{Partition: partition, JobId: caller.jobName(jobID), Host: caller.Host}
 		response := &batchpb.EndResponse{}
 		return response, c.call(ctx, methodEnd, request, response, endTimeout, tryTimeout)
 	})
--- a/internal/batch/client_test.go
+++ b/internal/batch/client_test.go
@@ -43,8 +43,10 @@
 	}
 	return h.within[0], nil
 }
-func (h *fixedHomes) ConfinedPartitions(string) []ledger.PartitionID { return h.within }
-func (h *fixedHomes) ConfinementChanged() bool                       { return h.settling }
+func (h *fixedHomes) ConfinedPartitions(string) []ledger.PartitionID      { return h.within }
+func (h *fixedHomes) ConfinementChanged() bool                            { return h.settling }
+func (h *fixedHomes) DescribePartition(ledger.PartitionID) ([]byte, bool) { return nil, true }
+func (h *fixedHomes) LearnPartition([]byte) error                         { return nil }
 func (h *fixedHomes) MayHold(partition ledger.PartitionID, zone string) bool {
 	return !slices.Contains(h.within, partition) || !h.outside[zone]
 }
--- a/internal/batch/homes_cluster_test.go
+++ b/internal/batch/homes_cluster_test.go
@@ -146,6 +146,7 @@
 		Settings: nodeSettings, Timing: timing, Logger: zerolog.Nop(), Local: node.store, Caller: caller, Registry: node.transport,
 		KeyValue: c.keyValue, Viewer: clusterView{c, node.id}, Factory: service.Factory(),
 	})
+	service.SetHomes(node.manager)
 	node.client = NewClient(node.manager, node.manager, caller, node.transport, clusterView{c, node.id}, zerolog.Nop())
 	node.transport.Start()
 	node.manager.Start()
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -30,7 +30,7 @@
 // submit accepts a job exactly once, however often it is submitted.
 func (p *partition) submit(ctx context.Context, request *batchpb.SubmitRequest) (*batchpb.SubmitResponse, error) {
 	submission := request.Submission
-	pending, response, err := p.admit(submission, request.MaxWaitingTokens)
+	pending, response, err := p.admit(request)
 	if response != nil || err != nil {
 		return response, err
 	}
@@ -50,7 +50,8 @@
 
 // admit decides on a submission. If it returns neither a response nor an error, the job must be appended, and its tokens are
 // reserved; pending is set if an append is already in progress.
-func (p *partition) admit(submission *batchpb.Submission, maxTokens int64) (pending *pendingSubmission, response *batchpb.SubmitResponse, err error) {
+func (p *partition) admit(request *batchpb.SubmitRequest) (pending *pendingSubmission, response *batchpb.SubmitResponse, err error) {
+	submission, maxTokens := request.Submission, request.MaxWaitingTokens
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.state.jobs[submission.JobId] != nil {
@@ -62,6 +63,9 @@
 	if p.quiesced {
 		return nil, nil, errNotOwner()
 	}
+	if response, err := p.checkPlacements(request); response != nil || err != nil {
+		return nil, response, err
+	}
 	if err := p.checkSubmissionHomes(submission); err != nil {
 		return nil, nil, err
 	}
@@ -167,6 +171,9 @@
 		return nil, err
 	}
 	response, _ = p.results(request)
+	if !response.Found {
+		response.Placements = p.placementsOf(request.Host, nil)
+	}
 	return response, nil
 }
 
@@ -210,7 +217,11 @@
 	if err := p.confirm(ctx, since); err != nil {
 		return nil, err
 	}
-	return p.findBody(request), nil
+	response := p.findBody(request)
+	if !response.Found {
+		response.Placements = p.placementsOf(request.Host, nil)
+	}
+	return response, nil
 }
 
 func (p *partition) findBody(request *batchpb.BodyRequest) *batchpb.BodyResponse {
@@ -234,8 +245,10 @@
 	ended := job != nil && job.ended
 	p.mutex.RUnlock()
 	if job == nil {
-		err := p.confirm(ctx, p.elapsed())
-		return &batchpb.EndResponse{}, err
+		if err := p.confirm(ctx, p.elapsed()); err != nil {
+			return nil, err
+		}
+		return &batchpb.EndResponse{Placements: p.placementsOf(request.Host, nil)}, nil
 	}
 	if !ended {
 		if err := p.propose(ctx, newRecord(ledger.KindBatchEnded, &batchpb.Ended{JobId: request.JobId})); err != nil {
--- /dev/null
+++ b/internal/batch/placed.go
@@ -0,0 +1,34 @@
+package batch
+
+import (
+	"sync"
+
+	"github.com/sloelift/sloelift/internal/ledger"
+)
+
+// placementKey identifies a placement.
+type placementKey struct {
+	host      string
+	partition ledger.PartitionID
+}
+
+// placedPartitions contains the placements that this node knows to be durable. It is safe for concurrent use.
+type placedPartitions struct {
+	mutex sync.Mutex
+	known map[placementKey]bool
+}
+
+func (p *placedPartitions) has(key placementKey) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.known[key]
+}
+
+func (p *placedPartitions) add(key placementKey) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.known == nil {
+		p.known = map[placementKey]bool{}
+	}
+	p.known[key] = true
+}
--- a/internal/batch/relay.go
+++ b/internal/batch/relay.go
@@ -27,6 +27,7 @@
 	methodRead:   {newMessage[batchpb.ReadRequest], newMessage[batchpb.ReadResponse]},
 	methodBody:   {newMessage[batchpb.BodyRequest], newMessage[batchpb.BodyResponse]},
 	methodEnd:    {newMessage[batchpb.EndRequest], newMessage[batchpb.EndResponse]},
+	methodPlace:  {newMessage[batchpb.PlaceRequest], newMessage[batchpb.PlaceResponse]},
 }
 
 func newMessage[T any, Pointer interface {
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,6 +26,7 @@
 	methodRead   transport.Method = "batch.read"
 	methodBody   transport.Method = "batch.body"
 	methodEnd    transport.Method = "batch.end"
+	methodPlace  transport.Method = "batch.place"
 )
 
 // Options configures a Service.
@@ -58,6 +60,8 @@
 	peaks      recentPeaks
 	capacity   slotCapacity
 	leases     leaseSizer
+	// homes is nil until SetHomes.
+	homes atomic.Pointer[ledger.ConfinedLocator]
 }
 
 // NewService returns a Service and registers its methods.
@@ -75,9 +79,18 @@
 	serve(service, registrar, methodRead, (*partition).read)
 	serve(service, registrar, methodBody, (*partition).body)
 	serve(service, registrar, methodEnd, (*partition).end)
+	serve(service, registrar, methodPlace, (*partition).place)
 	return service
 }
 
+// SetHomes sets what tells whether the confinement of hosts has changed recently. Until then it counts as changed.
+func (s *Service) SetHomes(homes ledger.ConfinedLocator) { s.homes.Store(&homes) }
+
+func (s *Service) confinementChanged() bool {
+	homes := s.homes.Load()
+	return homes == nil || (*homes).ConfinementChanged()
+}
+
 // Factory creates the state machines of owned partitions.
 func (s *Service) Factory() ledger.Factory {
 	return func(id ledger.PartitionID) ledger.StateMachine { return newPartition(id, s) }
--- a/internal/batch/snapshot.go
+++ b/internal/batch/snapshot.go
@@ -27,6 +27,9 @@
 			Route: name, Seen: pace.seen, NanosPerToken: pace.timePerToken.Nanoseconds(), TextPerToken: pace.bytesPerToken,
 		})
 	}
+	for _, host := range slices.Sorted(maps.Keys(s.placements)) {
+		encoded.Placements = append(encoded.Placements, s.placements[host]...)
+	}
 	return proto.Marshal(encoded)
 }
 
@@ -75,6 +78,9 @@
 	for _, pace := range snapshot.Paces {
 		restored.paces[pace.Route] = &itemPace{seen: pace.Seen, timePerToken: time.Duration(pace.NanosPerToken), bytesPerToken: pace.TextPerToken}
 	}
+	for _, placement := range snapshot.Placements {
+		_ = restored.applyPlacement(placement) // It never returns an error.
+	}
 	restored.appliedTo = ledger.Position(snapshot.UpTo)
 	return restored, nil
 }
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -79,13 +79,18 @@
 	waitingTokens map[quotaKey]int64
 	// paces contains the run time estimates from finished items, by route.
 	paces map[string]*itemPace
+	// placements contains, by host, the confined partitions that may have jobs of the host.
+	placements map[string][]*batchpb.Placement
 	// bytes is the size of all bodies and texts that are kept.
 	bytes     int64
 	appliedTo ledger.Position
 }
 
 func newState() *state {
-	return &state{jobs: map[string]*jobState{}, uploads: map[string][]byte{}, waitingTokens: map[quotaKey]int64{}, paces: map[string]*itemPace{}}
+	return &state{
+		jobs: map[string]*jobState{}, uploads: map[string][]byte{}, waitingTokens: map[quotaKey]int64{}, paces: map[string]*itemPace{},
+		placements: map[string][]*batchpb.Placement{},
+	}
 }
 
 // apply applies one record.
@@ -110,6 +115,8 @@
 		return decodeAndApply(record, &batchpb.Failed{}, s.applyFailed)
 	case ledger.KindBatchRewritten:
 		return decodeAndApply(record, &batchpb.Progress{}, s.applyRewritten)
+	case ledger.KindBatchPlaced:
+		return decodeAndApply(record, &batchpb.Placement{}, s.applyPlacement)
 	default:
 		return nil
 	}
--- a/internal/ledger/confined.go
+++ b/internal/ledger/confined.go
@@ -1,15 +1,19 @@
 package ledger
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
+	ledgerpb "github.com/sloelift/sloelift/api/proto/ledger"
 	"github.com/sloelift/sloelift/internal/clock"
 	"github.com/sloelift/sloelift/internal/ledger/protocol"
+	"github.com/sloelift/sloelift/internal/ledger/wire"
 	"github.com/sloelift/sloelift/internal/membership"
 	"github.com/sloelift/sloelift/internal/outcome"
 	"github.com/sloelift/sloelift/internal/region"
@@ -52,6 +56,10 @@
 	ConfinementChanged() bool
 	// MayHold reports whether a node in zone may have records of the partition.
 	MayHold(partition PartitionID, zone string) bool
+	// DescribePartition returns the newest ensemble of the partition that this node knows, encoded for LearnPartition.
+	DescribePartition(partition PartitionID) (encoded []byte, known bool)
+	// LearnPartition lets this node find a partition that another node has described.
+	LearnPartition(encoded []byte) error
 }
 
 // confinedKeys holds the keys that the newest configuration confines. It is safe for concurrent use.
@@ -185,6 +193,29 @@
 	return slices.Compact(found)
 }
 
+// DescribePartition implements ConfinedLocator.
+func (m *Manager) DescribePartition(partition PartitionID) (encoded []byte, known bool) {
+	ensemble, known := m.directory.ensemble(partition)
+	if !known {
+		return nil, false
+	}
+	encoded, err := proto.Marshal(wire.FromEnsemble(ensemble))
+	if err != nil {
+		panic("encode ensemble: " + err.Error())
+	}
+	return encoded, true
+}
+
+// LearnPartition implements ConfinedLocator.
+func (m *Manager) LearnPartition(encoded []byte) error {
+	var message ledgerpb.Ensemble
+	if err := proto.Unmarshal(encoded, &message); err != nil {
+		return fmt.Errorf("decode ensemble: %w", err)
+	}
+	m.directory.learn(wire.ToEnsemble(&message))
+	return nil
+}
+
 // ConfinedPartition implements ConfinedLocator.
 func (m *Manager) ConfinedPartition(key string, regions region.Set) (PartitionID, error) {
 	partition, reason := m.findWithin(key, regions)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -43,6 +43,7 @@
 	KindBatchCrashed
 	KindBatchFailed
 	KindBatchRewritten
+	KindBatchPlaced
 	// KindNoOperation fills a position for which recovery found no record.
 	KindNoOperation = protocol.KindNoOperation
 )
--- a/internal/node/role.go
+++ b/internal/node/role.go
@@ -143,7 +143,7 @@
 	if role == settings.RoleStorage {
 		return fx.Options(
 			fx.Provide(newBatchService, newLoadShare(loadsharepb.Kind_KIND_BATCH), func(service *batch.Service) ledger.Factory { return service.Factory() }),
-			fx.Invoke(followRetirements, yieldToOnline),
+			fx.Invoke(followRetirements, yieldToOnline, followHomes),
 		)
 	}
 	return fx.Options(
--- a/internal/node/role_storage.go
+++ b/internal/node/role_storage.go
@@ -70,6 +70,9 @@
 	lifecycle.Append(fx.StopHook(service.Stop))
 }
 
+// followHomes lets the owners of partitions know of changes of homes.
+func followHomes(service *batch.Service, homes ledger.ConfinedLocator) { service.SetHomes(homes) }
+
 // yieldToOnline makes batch items yield capacity as soon as other nodes report more online requests.
 func yieldToOnline(shared *loadshare.Service, service *batch.Service) {
 	shared.SetOwner(service.HasWork, service.OnlineChanged)
