batch: an item's text is no longer than a record can hold

Callers saw: nothing yet; found while bytes without end were looked at. An item whose replica sends between 1 and 4 MiB of events is never listed.

Cause: the bound on a text (4 MiB) is above that on a record (1 MiB). Each append of such a text fails with too_large and is tried again for good.

Change: the bound on a text follows from that on a record. Beyond it the answer counts as one without end: the text is dropped and the item is run elsewhere.

Test: TestItemIsDoneAfterATextThatNoRecordHolds, 2 of 2 cases not listed after 10 s before, done now. The fake log of the tests refuses records over the limit, as the ledger does.

--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -51,6 +51,11 @@
 
 func (o *fakeOwned) Append(ctx context.Context, records []ledger.Record) (ledger.Position, error) {
 	time.Sleep(time.Millisecond + o.transferTime(records))
+	for _, record := range records {
+		if len(record.Payload) > ledger.MaxRecordBytes {
+			return 0, outcome.New(outcome.Failed, outcome.ReasonTooLarge, "record is over the limit")
+		}
+	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	for o.blocked && ctx.Err() == nil {
--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -31,8 +31,11 @@
 	maxErrorBodyBytes = 64 << 10
 	// appendRetryDelay is the wait before a failed append about an item is retried.
 	appendRetryDelay = 200 * time.Millisecond
-	// maxTextBytes bounds an item's text. A replica that sends events beyond it is taken not to end its answer.
-	maxTextBytes = 4 << 20
+	// recordReserveBytes is the part of a record that is left for what it holds beside an item's text: IDs that callers and replicas choose.
+	recordReserveBytes = 128 << 10
+	// maxTextBytes bounds an item's text, which one record must be able to hold. A replica that sends events beyond it is taken not to end
+	// its answer.
+	maxTextBytes = ledger.MaxRecordBytes - recordReserveBytes
 )
 
 var (
--- /dev/null
+++ b/internal/batch/item_long_text_test.go
@@ -0,0 +1,51 @@
+package batch
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	batchpb "github.com/sloelift/sloelift/api/proto/batch"
+	"github.com/sloelift/sloelift/internal/ledger"
+	"github.com/sloelift/sloelift/internal/replica/replicatest"
+)
+
+// streamOfBytes writes a signed stream of events with about size bytes of data. It then ends the stream, or leaves the connection open if
+// hold is set.
+func streamOfBytes(size int, hold bool) replicatest.Script {
+	return func(connection net.Conn, request *http.Request) bool {
+		const eventBytes = 32 << 10
+		var chunks []string
+		for number := range size / eventBytes {
+			chunks = append(chunks, fmt.Sprintf("id: %d\ndata: %s\n\n", number+1, strings.Repeat("x", eventBytes)))
+		}
+		return replicatest.Stream("s", true, hold, chunks...)(connection, request)
+	}
+}
+
+// TestItemIsDoneAfterATextThatNoRecordHolds: a text longer than a record was kept. Each append of it failed, for good, and the item was
+// never listed.
+func TestItemIsDoneAfterATextThatNoRecordHolds(t *testing.T) {
+	for name, hold := range map[string]bool{"answer ends": false, "answer goes on": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				owner := startOwner(t, singleReplica(replicatest.Then(
+					streamOfBytes(2*ledger.MaxRecordBytes, hold), replicatest.Stream("s", true, false, eventOne, eventTwo))))
+				defer owner.stop()
+				owner.mustSubmit(t, testSubmission("long", 1))
+				for number := range 60 {
+					owner.mustSubmit(t, testSubmission(fmt.Sprintf("other-%d", number), 1))
+					time.Sleep(50 * time.Millisecond)
+				}
+				result := owner.results(t, "long", 1, 10*time.Second)[0]
+				if result.State != batchpb.State_STATE_SUCCEEDED || result.Text != "a\nb" {
+					t.Errorf("the item is %s with a text of %d bytes", result.State, len(result.Text))
+				}
+			})
+		})
+	}
+}
