eventstream: an event whose id no header can hold is no event

Callers saw: nothing yet; found while answers that are none were looked at. A replica that spoils its bytes makes a sound item a dead letter, or breaks off a stream that may be resumed, by one control byte in an event's id.

Cause: the id goes into the header of the request that resumes. An invalid value there was taken for a fault of the item's own head, with which no replica can process it.

Change: the reader of events rejects ids that are longer than 1 KiB or no valid header value. The events before stand.

--- a/internal/batch/item_malformed_test.go
+++ b/internal/batch/item_malformed_test.go
@@ -85,3 +85,27 @@
 		}
 	})
 }
+
+// TestItemIsNotGivenUpForAnEventID: the id of an event that no header can hold made the item's next request invalid, and the item a dead
+// letter.
+func TestItemIsNotGivenUpForAnEventID(t *testing.T) {
+	for name, id := range map[string]string{
+		"control byte": "2\x01", "delete": "2\x7f", "carriage return": "2\r3", "without end": strings.Repeat("2", 8<<10),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				spoilt := replicatest.Stream("s", false, false, eventOne, "id: "+id+"\ndata: b\n\n")
+				owner := startOwner(t, singleReplica(replicatest.Then(spoilt, replicatest.Stream("s", true, false, eventTwo))))
+				defer owner.stop()
+				owner.mustSubmit(t, testSubmission("j", 1))
+				result := owner.results(t, "j", 1, 10*time.Second)[0]
+				if result.State != batchpb.State_STATE_SUCCEEDED || result.Text != "a\nb" {
+					t.Fatalf("the item is %s with the text %q", result.State, result.Text)
+				}
+				if got := owner.replicas.Requests()[1].Header.Get("Last-Event-Id"); got != "1" {
+					t.Errorf("the second run resumes after %.20q, want the last valid event", got)
+				}
+			})
+		})
+	}
+}
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -4,11 +4,15 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
 	// maxEventBytes is the maximum size of the buffer, and thus of an event.
 	maxEventBytes = 1 << 20
+	// maxIDBytes is the maximum length of an event's id, which a resumed request carries in a header.
+	maxIDBytes = 1 << 10
 	// initialBufferBytes is the initial size of the buffer, which is enough for most events.
 	initialBufferBytes = 4 << 10
 )
@@ -16,6 +20,9 @@
 // ErrTooLarge is the error for an event that exceeds the maximum size.
 var ErrTooLarge = errors.New("an event is too large")
 
+// ErrInvalidID is the error for an event whose id a header cannot carry.
+var ErrInvalidID = errors.New("an event has an invalid id")
+
 // Events holds one or more whole events as received.
 type Events struct {
 	Bytes []byte
@@ -65,7 +72,11 @@
 			if errors.Is(err, io.EOF) && end < r.filled {
 				err = io.ErrUnexpectedEOF
 			}
-			return Events{Bytes: r.buffer[:end], LastID: lastEventID(r.buffer[:end]), Count: countEvents(r.buffer[:end])}, err
+			id := lastEventID(r.buffer[:end])
+			if len(id) > maxIDBytes || !httpguts.ValidHeaderFieldValue(id) {
+				return Events{}, ErrInvalidID
+			}
+			return Events{Bytes: r.buffer[:end], LastID: id, Count: countEvents(r.buffer[:end])}, err
 		}
 		if errors.Is(err, io.EOF) && r.filled > 0 {
 			return Events{}, io.ErrUnexpectedEOF
