batch: the texts of unfinished items are bounded together

Callers saw: nothing here; the users report machines that ran out of memory on bytes without end. Shown for items in number: 60 items at replicas that send 768 KiB each and then nothing make an owner's heap grow by 101 MiB with 4 MiB allowed (test, before this change).

Cause: each text was bounded by itself, and their sum by nothing.

Change: the texts of unfinished items of a process have a quarter of the memory for bodies and texts. Beyond it, those longer than their average and than 64 KiB are dropped, their answers broken off and the items run elsewhere. What appends events to a text moves to item_text.go.

Why it works: a text grows only while it is below the average or the sum is in bounds, so that the sum stays below twice the bound; items of usual length are never touched.

Test: TestTextsOfManyItemsFitTheMemory fails before (101 MiB, 16 allowed) and passes now; TestSoundItemsAreDoneBesideTextsWithoutEnd passes before and after.

--- a/internal/batch/item_attempt.go
+++ b/internal/batch/item_attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -31,17 +30,11 @@
 	maxErrorBodyBytes = 64 << 10
 	// appendRetryDelay is the wait before a failed append about an item is retried.
 	appendRetryDelay = 200 * time.Millisecond
-	// recordReserveBytes is the part of a record that is left for what it holds beside an item's text: IDs that callers and replicas choose.
-	recordReserveBytes = 128 << 10
-	// maxTextBytes bounds an item's text, which one record must be able to hold. A replica that sends events beyond it is taken not to end
-	// its answer.
-	maxTextBytes = ledger.MaxRecordBytes - recordReserveBytes
 )
 
 var (
-	errSilent      = errors.New("replica is silent")
-	errUnframed    = errors.New("answer ended with its connection")
-	errTextTooLong = fmt.Errorf("text of the item exceeds %d bytes", maxTextBytes)
+	errSilent   = errors.New("replica is silent")
+	errUnframed = errors.New("answer ended with its connection")
 )
 
 // itemVerdict is the result of one attempt at an item.
@@ -59,7 +52,7 @@
 	// itemInterrupted: the stream ended early; the text received so far is kept.
 	itemInterrupted
 	// itemMalformed: the replica sent a response that is not proven to be its answer, or an event that is not text, which no result can
-	// contain, and the text before it is kept; or events beyond maxTextBytes, and the text is dropped.
+	// contain, and the text before it is kept; or events that make the text too long, and the text is dropped.
 	itemMalformed
 	// itemNotSent: the item was not sent, since its replica is cold and cannot take another run now, or its deciding run was
 	// deferred.
@@ -254,20 +247,12 @@
 			if a.origin.IsZero() {
 				a.origin = a.leaseOrigin
 			}
-			a.text = eventstream.AppendData(a.text, events.Bytes)
-			if a.noteEvents != nil {
-				a.noteEvents(events.Count)
+			if tooLong := a.appendText(events); tooLong != nil {
+				a.err = tooLong
+				a.reportFailure()
+				a.partition.dropText(a.key)
+				return itemMalformed
 			}
-			if events.LastID != "" {
-				a.lastEvent = events.LastID
-			}
-			a.partition.recordProgress(a)
-		}
-		if len(a.text) > maxTextBytes {
-			a.err = errTextTooLong
-			a.reportFailure()
-			a.partition.dropText(a.key)
-			return itemMalformed
 		}
 		if notText != nil {
 			a.err = notText
--- a/internal/batch/item_long_text_test.go
+++ b/internal/batch/item_long_text_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -17,13 +18,22 @@
 // streamOfBytes writes a signed stream of events with about size bytes of data. It then ends the stream, or leaves the connection open if
 // hold is set.
 func streamOfBytes(size int, hold bool) replicatest.Script {
+	const eventBytes = 32 << 10
+	data := strings.Repeat("x", eventBytes)
 	return func(connection net.Conn, request *http.Request) bool {
-		const eventBytes = 32 << 10
-		var chunks []string
-		for number := range size / eventBytes {
-			chunks = append(chunks, fmt.Sprintf("id: %d\ndata: %s\n\n", number+1, strings.Repeat("x", eventBytes)))
+		_, err := fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+			request.Header.Get("X-Id"), replicatest.Signed)
+		for number := 1; err == nil && number <= size/eventBytes; number++ {
+			head := fmt.Sprintf("id: %d\ndata: ", number)
+			_, err = fmt.Fprintf(connection, "%x\r\n%s%s\n\n\r\n", len(head)+len(data)+2, head, data)
 		}
-		return replicatest.Stream("s", true, hold, chunks...)(connection, request)
+		if err == nil && hold {
+			_, err = connection.Read(make([]byte, 1))
+		}
+		if err == nil {
+			_, err = io.WriteString(connection, "0\r\n\r\n")
+		}
+		return err == nil
 	}
 }
 
