edge: requests at a planned stop are answered, and none is taken that may outlast it

Callers saw (users' report): requests that came late in a planned stop of an edge were passed on and then cut off without an answer, also requests that may not be repeated.

Cause: nothing compared a new request's deadline with the end of the process, nothing told the requests in flight of it, and http.Server.Shutdown drops what it reads after it was called.

Evidence: TestRequestsAtAPlannedStopAreAnswered before: 4 of 7 cases without an answer, one of them a request that may run once only, passed on 2 s into the stop with a deadline of 60 s. TestUnusedConnectionIsAnsweredAtAPlannedStop before: no answer.

Change: during a stop, a request that may run once only is refused unless its deadline lies before the end. Once the listener is closed all further requests are refused with 503 and Retry-After. 1 s before the end of the grace period the requests in flight are ended with an answer. Such an end counts neither against the replica nor against the message.

Why it works: what is passed on and may not be repeated ends before the process does; everything else gets an answer that tells whether it has run.

Tests: both fail before and pass now, with the race detector, three times.

--- a/internal/edge/connection_limit.go
+++ b/internal/edge/connection_limit.go
@@ -12,6 +12,9 @@
 // (two each), to the key-value service, and for files.
 const callerShare = 0.5
 
+// unusedWait is how long a planned stop waits for the first request on a connection.
+const unusedWait = 5 * time.Second
+
 // connectionLimit limits the number of callers' connections, so that file descriptors remain for
 // accepting new ones and for reaching replicas. For a new connection over the limit it closes the
 // one that has been idle longest. If all others are serving requests, it closes the new one. It
@@ -36,6 +39,8 @@
 	// connection was accepted.
 	serving bool
 	since   time.Time
+	// used is true once a request was served.
+	used bool
 }
 
 // newConnectionLimit returns a limit for a process that may have the given number of file
@@ -77,7 +82,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if state := l.open[connection]; state != nil {
-		state.serving, state.since = serving, time.Now()
+		state.serving, state.since, state.used = serving, time.Now(), true
 	}
 }
 
@@ -115,3 +120,16 @@
 	}
 	return o.since.Before(other.since)
 }
+
+// quiescent reports whether no request is served, and none is to be expected: a connection that was opened within the last unusedWait and
+// not used yet will probably bring one.
+func (l *connectionLimit) quiescent(now time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, state := range l.open {
+		if state.serving || !state.used && now.Sub(state.since) < unusedWait {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -16,6 +16,7 @@
 	"github.com/sloelift/sloelift/internal/forward"
 	"github.com/sloelift/sloelift/internal/logging"
 	"github.com/sloelift/sloelift/internal/network"
+	"github.com/sloelift/sloelift/internal/pause"
 )
 
 const (
@@ -30,6 +31,10 @@
 	// stopMargin is the time between the deadline for the last answer and the end of the grace
 	// period.
 	stopMargin = 700 * time.Millisecond
+	// answerMargin is the time that the last answers have to reach their callers.
+	answerMargin = 300 * time.Millisecond
+	// drainCheckInterval is how often a stopping process checks whether requests are in flight.
+	drainCheckInterval = 20 * time.Millisecond
 	// defaultGracePeriod is the grace period if the settings have none.
 	defaultGracePeriod = 30 * time.Second
 )
@@ -44,8 +49,13 @@
 	readinessServer *http.Server
 	listenNetwork   network.Network
 	addresses       Addresses
-	stopping        atomic.Bool
-	serveLoops      sync.WaitGroup
+	connections     *connectionLimit
+	// callerListener is set by Start.
+	callerListener net.Listener
+	// stopping is set when a planned stop begins, refusing when no more requests are taken.
+	stopping   atomic.Bool
+	refusing   atomic.Bool
+	serveLoops sync.WaitGroup
 }
 
 // Addresses of a Server.
@@ -79,7 +89,7 @@
 	if server.gracePeriod <= 0 {
 		server.gracePeriod = defaultGracePeriod
 	}
-	limit := newConnectionLimit(options.FileDescriptors, func(waited time.Duration) {
+	server.connections = newConnectionLimit(options.FileDescriptors, func(waited time.Duration) {
 		server.logger.Info().Dur("waited", waited).Msg("caller_connection_dropped")
 	})
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
@@ -89,13 +99,13 @@
 	router.NotFoundHandler = options.Handler
 	router.MethodNotAllowedHandler = options.Handler
 	server.callerServer = &http.Server{
-		Handler:           limit.wrapHandler(router),
+		Handler:           server.connections.wrapHandler(server.refuseLate(router)),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          logging.Discard(),
 		ConnContext:       connectionContext,
-		ConnState:         limit.connectionState,
+		ConnState:         server.connections.connectionState,
 	}
 	readiness := mux.NewRouter()
 	readiness.HandleFunc(options.Addresses.ReadyPath, server.serveReady).Methods(http.MethodGet)
@@ -117,13 +127,29 @@
 			return err
 		}
 		s.serve(endpoint.server, callerListener{listener})
+		if endpoint.server == s.callerServer {
+			s.callerListener = listener
+		}
 	}
 	return nil
 }
 
+// refuseLate wraps handler to refuse the requests that come once the listener is closed.
+func (s *Server) refuseLate(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if s.refusing.Load() {
+			s.handler.RefuseLeaving(writer, request)
+			return
+		}
+		handler.ServeHTTP(writer, request)
+	})
+}
+
 func (s *Server) serve(server *http.Server, listener net.Listener) {
 	s.serveLoops.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		err := server.Serve(listener)
+		closed := errors.Is(err, http.ErrServerClosed) || s.refusing.Load() && errors.Is(err, net.ErrClosed)
+		if !closed {
 			s.logger.Error().Err(err).Msg("listener_failed")
 		}
 	})
@@ -143,19 +169,27 @@
 	writer.WriteHeader(http.StatusOK)
 }
 
-// Stop shuts the server down gracefully: it reports not ready, continues to serve for notReadyDelay
-// (a third of the grace period at most), then closes idle connections and waits for the requests in
-// flight until stopMargin before the end of the grace period.
+// Stop shuts the server down gracefully. It reports not ready and continues to serve for notReadyDelay (a third of the grace period at
+// most). Then it accepts no more connections, refuses further requests, and waits for those in flight. Those that are left
+// answerMargin before the deadline for the last answer are ended with an answer.
 func (s *Server) Stop(ctx context.Context) {
 	started := time.Now()
 	s.stopping.Store(true)
-	s.handler.CloseConnections()
-	graceContext, cancel := context.WithDeadline(ctx, started.Add(s.gracePeriod-stopMargin))
+	allowed := s.gracePeriod - stopMargin
+	s.handler.Drain(allowed - answerMargin)
+	graceContext, cancel := context.WithDeadline(ctx, started.Add(allowed))
 	defer cancel()
-	select {
-	case <-time.After(min(notReadyDelay, s.gracePeriod/3)):
-	case <-graceContext.Done():
+	answerContext, cancelAnswers := context.WithDeadline(ctx, started.Add(allowed-answerMargin))
+	defer cancelAnswers()
+	pause.Sleep(answerContext, min(notReadyDelay, s.gracePeriod/3))
+	s.refusing.Store(true)
+	if s.callerListener != nil {
+		// It fails only if the listener is closed already.
+		_ = s.callerListener.Close()
+	}
+	for !s.connections.quiescent(time.Now()) && pause.Sleep(answerContext, drainCheckInterval) {
 	}
+	s.handler.EndRequests()
 	err := s.callerServer.Shutdown(graceContext)
 	s.logger.Info().Err(err).Dur("took", time.Since(started)).Msg("callers_served")
 	_ = s.callerServer.Close()
--- a/internal/edge/server_test.go
+++ b/internal/edge/server_test.go
@@ -34,6 +34,11 @@
 
 // get sends one GET on a new connection and returns its status, or 0 if there is no answer.
 func (n *pipeNetwork) get(address netip.AddrPort, path string) int {
+	return n.getWithin(address, path, "")
+}
+
+// getWithin is get with the time that the caller waits, in milliseconds.
+func (n *pipeNetwork) getWithin(address netip.AddrPort, path, deadline string) int {
 	connection, err := n.pipes.Dial(context.Background(), address)
 	if err != nil {
 		return 0
@@ -41,6 +46,7 @@
 	defer func() { _ = connection.Close() }()
 	request, _ := http.NewRequest(http.MethodGet, "http://h.example"+path, nil)
 	request.Header.Set(replicatest.Headers.RequestID, "id-1")
+	request.Header.Set(replicatest.Headers.Deadline, deadline)
 	if request.Write(connection) != nil {
 		return 0
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -68,6 +68,10 @@
 	if e.request.Context().Err() != nil {
 		return callerGone
 	}
+	if e.handler.draining.over() {
+		e.lastError = err
+		return e.endedByStop(errors.Is(err, replica.ErrNotSent))
+	}
 	if errors.Is(err, replica.ErrEvacuated) {
 		e.logEvent(handle).Msg("zone_left")
 		return notRun
--- a/internal/forward/evacuation.go
+++ b/internal/forward/evacuation.go
@@ -49,6 +49,8 @@
 	switch reason {
 	case reasonEvacuated:
 		return retryAfterEvacuated
+	case reasonLeaving:
+		return retryAfterLeaving
 	case reasonOriginUnknown, reasonNoReplicaOfOrigin:
 		return retryAfterNoOrigin
 	default:
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -91,7 +90,7 @@
 	estimates *routeEstimates
 	logger    zerolog.Logger
 	metrics   *Metrics
-	draining  atomic.Bool
+	draining  *draining
 }
 
 // Options configure a Handler. These may be nil: Batch; Quota, if no limits are enforced; Gate, if no requests are held; ColdStarts, if
@@ -126,17 +125,14 @@
 		routes: options.Routes, directory: options.Directory, picker: options.Picker, client: options.Client, headers: options.Client.Headers(),
 		zone: options.Zone, batch: options.Batch, budget: newRetryBudget(), gate: options.Gate, quota: options.Quota,
 		refreshLoad: options.Refresh, estimates: newRouteEstimates(), coldStarts: options.ColdStarts, quarantine: options.Quarantine,
-		origins: options.Origins, listCurrent: options.ListCurrent, report: options.Report, logger: options.Logger.With().Str(logging.FieldSlice, "forward").Logger(), metrics: options.Metrics,
+		origins: options.Origins, listCurrent: options.ListCurrent, report: options.Report, draining: newDraining(), logger: options.Logger.With().Str(logging.FieldSlice, "forward").Logger(), metrics: options.Metrics,
 	}
 }
 
-// CloseConnections makes every later answer close its connection, so that callers reconnect to another process.
-func (h *Handler) CloseConnections() { h.draining.Store(true) }
-
 // ServeHTTP serves one request of a caller.
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	arrived := clock.Now()
-	if h.draining.Load() {
+	if h.draining.begun() {
 		writer.Header().Set("Connection", "close")
 	}
 	table := h.waitForTable(request.Context())
@@ -163,6 +159,10 @@
 	}
 	auth := AuthenticatedRequest{Table: table, Route: matched, Tenant: holder}
 	deadline := callerDeadline(request, h.headers.Deadline, matched, arrived)
+	if matched.Kind != route.Batch && h.draining.mayOutlast(matched, deadline) {
+		h.RefuseLeaving(writer, request)
+		return
+	}
 	body, whole := h.receiveBody(writer, request, auth, deadline)
 	if matched.Kind == route.Batch {
 		h.logSubmission(request, body, whole, clock.Since(arrived))
@@ -201,7 +201,7 @@
 }
 
 func (h *Handler) serveOnline(writer http.ResponseWriter, request *http.Request, auth AuthenticatedRequest, body []byte, arrived, deadline time.Time) {
-	ctx, cancel := context.WithTimeout(request.Context(), clock.Until(deadline))
+	ctx, cancel := h.requestContext(request, deadline)
 	defer cancel()
 	current := &exchange{
 		handler: h, writer: writer, request: request, auth: auth, route: auth.Route, body: body, arrived: arrived, deadline: deadline,
--- a/internal/forward/undelivered.go
+++ b/internal/forward/undelivered.go
@@ -14,8 +14,11 @@
 func (e *exchange) answerUndelivered(ctx context.Context, outcome attemptOutcome, reason string) {
 	handler := e.handler
 	deadlineExceeded := errors.Is(ctx.Err(), context.DeadlineExceeded)
-	if deadlineExceeded {
+	switch {
+	case deadlineExceeded:
 		reason = "deadline"
+	case handler.draining.over():
+		reason = reasonLeaving
 	}
 	handler.metrics.observeFinished(e.route.Name, false, clock.Since(e.arrived))
 	if e.runs+len(e.uncountedRuns) == 0 && handler.quota != nil && e.auth.Tenant != nil {
