forward: a caller that has closed its side gets no success of nobody

Callers saw: a caller that closes its connection for writing and reads on gets 200 OK without signature and body.

Cause: the handler returned without an answer where it took its caller for gone, and net/http writes a 200 for that.

Change: the handler aborts, as it did already once a part of the answer was sent.

Test: fails before, passes now.

--- a/internal/edge/caller_gone_test.go
+++ b/internal/edge/caller_gone_test.go
@@ -44,6 +44,18 @@
 	}
 }
 
+// TestHalfClosedCallerGetsNoSuccess: a caller that had closed its connection for writing got a 200 of nobody, without signature and body.
+func TestHalfClosedCallerGetsNoSuccess(t *testing.T) {
+	harness := newEdgeHarness(t, silentScript, nil)
+	caller := harness.send("a", 0)
+	harness.expectArrival("a")
+	waysToDisconnect["half closed"](caller)
+	answer, err := io.ReadAll(caller)
+	if len(answer) > 0 {
+		t.Errorf("answer %q, error %v; want none", answer, err)
+	}
+}
+
 // TestReplicaStopsForACallerWhoSentMoreAndLeft checks the same if the caller has pipelined its next
 // request, or a part of it, so that the end of the connection follows bytes that are not read yet.
 func TestReplicaStopsForACallerWhoSentMoreAndLeft(t *testing.T) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -147,7 +147,8 @@
 			if outcome == callerGone {
 				e.logEvent(handle).Str("last_event", e.lastEventID).Msg("caller_gone")
 			}
-			if outcome == callerGone && e.headersSent {
+			if outcome == callerGone {
+				// Without it, net/http would answer 200 to a caller that has closed only its side of the connection.
 				panic(http.ErrAbortHandler)
 			}
 			return
