--- a/internal/changefeed/forward.go
+++ b/internal/changefeed/forward.go
@@ -49,11 +49,28 @@
 	if len(change.Changed)+len(change.Deleted) > 0 {
 		f.forwardChanged(prefix, encodeChange(change))
 	}
+	f.recordChecked(prefix, change.Revision)
 	if wasUnanswered {
 		f.heartbeatIfWatcher(now)
 	}
 }
 
+// recordChecked records that the service has reported all changes below prefix up to revision.
+func (f *Feed) recordChecked(prefix string, revision int64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	state := f.state(prefix)
+	state.checkedRevision = max(state.checkedRevision, revision)
+}
+
+// Checked returns the revision of the newest change below prefix that this node knows, and a revision up to which no change follows it.
+func (f *Feed) Checked(prefix string) (newest, checked int64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	state := f.state(prefix)
+	return state.newestRevision, state.knownUpTo()
+}
+
 // forwardChanged applies a change, and sends it to the other nodes if this node is a watcher.
 func (f *Feed) forwardChanged(prefix string, encoded *changefeedpb.Change) {
 	f.mutex.Lock()
@@ -114,7 +131,7 @@
 	for prefix, state := range f.prefixes {
 		limit, bounded := f.maxKeys[prefix]
 		heartbeat.Positions = append(heartbeat.Positions, &changefeedpb.Position{
-			Prefix: prefix, Revision: state.newestRevision, Long: bounded && len(state.revisions) > limit,
+			Prefix: prefix, Revision: state.newestRevision, Long: bounded && len(state.revisions) > limit, Checked: state.checkedRevision,
 		})
 	}
 	f.mutex.Unlock()
--- a/internal/changefeed/prefix_state.go
+++ b/internal/changefeed/prefix_state.go
@@ -11,6 +11,8 @@
 type prefixState struct {
 	// newestRevision is the revision of the newest known change.
 	newestRevision int64
+	// checkedRevision is a revision up to which this node knows that no change follows the newest known one.
+	checkedRevision int64
 	// revisions holds, by key, the revision of the last change of each key present at newestRevision; nil before the first listing.
 	revisions map[string]int64
 	// inbox queues the changes that watchers forwarded.
@@ -30,8 +32,14 @@
 		s.position, s.positionAt = revision, now
 	}
 	s.tooManyKeys = position.GetLong()
+	if position.GetRevision() <= s.knownUpTo() {
+		s.checkedRevision = max(s.checkedRevision, position.GetChecked())
+	}
 }
 
+// knownUpTo returns the revision up to which this node knows all changes.
+func (s *prefixState) knownUpTo() int64 { return max(s.newestRevision, s.checkedRevision) }
+
 // hasMissed reports whether a reader that knows all changes up to known has missed one, because a watcher's position has been higher for
 // at least arrivalSlack.
 func (s *prefixState) hasMissed(known int64, now time.Time) bool {
@@ -76,6 +84,7 @@
 	defer f.mutex.Unlock()
 	state := f.state(prefix)
 	previous, known := state.newestRevision, state.revisions
+	state.checkedRevision = max(state.checkedRevision, listing.Revision)
 	state.revisions = make(map[string]int64, len(listing.Entries))
 	for _, entry := range listing.Entries {
 		state.newestRevision = max(state.newestRevision, entry.ModRevision)
--- a/internal/discovery/fleet_harness_test.go
+++ b/internal/discovery/fleet_harness_test.go
@@ -29,18 +29,20 @@
 // fleetDelay is the one-way delay between two nodes.
 const fleetDelay = time.Millisecond
 
-// fleetTranslator decodes replica entries of the form "service zone", with an optional "!" for draining.
+// fleetTranslator decodes replica entries of the form "service zone version", without a version for none, with an optional "!" for
+// draining.
 type fleetTranslator struct{ plainTranslator }
 
 func (t fleetTranslator) Replica(key string, value []byte) (replica.Info, error) {
 	text, draining := strings.CutSuffix(string(value), "!")
-	service, zone, _ := strings.Cut(text, " ")
+	service, location, _ := strings.Cut(text, " ")
+	zone, version, _ := strings.Cut(location, " ")
 	var number uint16
 	if _, err := fmt.Sscanf(key, "replicas/r%d", &number); err != nil {
 		return replica.Info{}, err
 	}
 	return replica.Info{
-		ID: t.ReplicaID(key), Service: service, Zone: zone, Slots: 8, Draining: draining,
+		ID: t.ReplicaID(key), Service: service, Zone: zone, Version: version, Slots: 8, Draining: draining,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(number >> 8), byte(number)}), 8000),
 	}, nil
 }
@@ -133,6 +135,7 @@
 	if f.connect != nil {
 		store, monitor = f.connect(node)
 	}
+	history, _ := store.(platform.ChangeReader)
 	node.feed = changefeed.New(loggedStore{KeyValue: store, node: node.id, log: &f.listings},
 		node.transport, node.transport, node.viewer, zerolog.Nop())
 	if monitor != nil {
@@ -142,7 +145,7 @@
 	options := Options{
 		Store: node.feed, Translator: fleetTranslator{}, Routes: node.routes, Directory: node.directory, Viewer: node.viewer,
 		Reporter: &fixedViewer{}, Roster: all, Keeper: keeper, Node: node.id, Zone: zone, RetryNow: node.feed.RetryNow,
-		Logger: zerolog.Nop(),
+		Changes: history, Checked: node.feed.Checked, Logger: zerolog.Nop(),
 	}
 	node.feed.WatchAlone("replicas/", roster.MaxFullList, all.Long)
 	roster.NewRelay(all, func() bool { return !node.feed.Answered() }, node.transport)
--- a/internal/discovery/http_store_test.go
+++ b/internal/discovery/http_store_test.go
@@ -111,6 +111,23 @@
 	s.signal()
 }
 
+// remove deletes a key.
+func (s *httpStore) remove(key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	delete(s.items, key)
+	s.history = append(s.history, wire.StoreItem{Key: key, Revision: s.revision, Deleted: true})
+	s.signal()
+}
+
+// forget drops the history up to the present revision; calls in progress go on.
+func (s *httpStore) forget() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.compacted, s.history = s.revision, nil
+}
+
 // compact drops the history; held watches are never answered.
 func (s *httpStore) compact() {
 	s.mutex.Lock()
--- a/internal/discovery/replicas.go
+++ b/internal/discovery/replicas.go
@@ -20,6 +20,8 @@
 		return
 	}
 	s.publishAll(replicas)
+	s.versions.missed()
+	s.versions.followed(listing.Revision)
 	if newest = s.newestChange(listing, newest, removed); newest > 0 {
 		s.replicas.recordChange(newest)
 	}
@@ -30,6 +32,10 @@
 	removed := make([]string, 0, len(deleted))
 	for _, key := range deleted {
 		removed = append(removed, s.translator.ReplicaID(key))
+		if _, known := s.roster.Find(s.translator.ReplicaID(key)); !known {
+			// It came and went between two changes that were received.
+			s.versions.missed()
+		}
 		if !s.roster.Long() {
 			s.logger.Info().Str(logging.FieldReplica, s.translator.ReplicaID(key)).Msg("replica_gone")
 		}
@@ -39,6 +45,7 @@
 	s.roster.Update(replicas, removed, revision)
 	s.replicas.recordSeen(revision)
 	if len(changed)+len(deleted) == 0 {
+		s.versions.followed(revision)
 		return
 	}
 	if s.keepsPart() {
@@ -51,6 +58,7 @@
 	} else {
 		s.directory.Update(replicas, removed)
 	}
+	s.versions.followed(revision)
 	s.replicas.recordChange(revision)
 }
 
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -66,6 +66,8 @@
 	directoryIsCopy bool
 	// unusable holds the revisions of the unusable entries already logged, by key.
 	unusable map[string]int64
+	// versions determines which versions replicas have had.
+	versions *versionReader
 	metrics  *Metrics
 	logger   zerolog.Logger
 
@@ -107,6 +109,10 @@
 	Relays *roster.Follower
 	Node   membership.NodeID
 	Zone   string
+	// Changes reads the store's recent history, and Checked returns what is known of a prefix, as changefeed.Feed.Checked; without them
+	// SoleVersion knows no version.
+	Changes platform.ChangeReader
+	Checked func(prefix string) (newest, checked int64)
 	// RetryNow returns a channel that signals to the follower of a prefix that the store answers again; nil for none.
 	RetryNow func(prefix string) <-chan struct{}
 	// Metrics may be nil.
@@ -140,6 +146,7 @@
 		metrics:    options.Metrics,
 		logger:     logger,
 	}
+	service.versions = newVersionReader(options)
 	if service.retryNow == nil {
 		service.retryNow = func(string) <-chan struct{} { return nil }
 	}
--- a/internal/forward/fake_test.go
+++ b/internal/forward/fake_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -28,6 +29,13 @@
 	routes    *route.Holder
 }
 
+// followedVersions are the SoleVersions of an edge whose list is never behind.
+type followedVersions struct{ directory *replica.Directory }
+
+func (v followedVersions) SoleVersion(_ context.Context, service string, window time.Duration) string {
+	return v.directory.SoleVersion(service, window)
+}
+
 func newEdgeUnderTest(t *testing.T, kind route.Kind, resumable bool, scripts map[string]replicatest.Script) *edgeUnderTest {
 	t.Helper()
 	fake := &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{}}
@@ -55,7 +63,7 @@
 	handler := NewHandler(Options{
 		Routes: routes, Directory: directory,
 		Picker: balance.NewPicker(directory, region.NewTopology(map[string]string{"near": "north", "far": "south"}), func() float64 { return 0 }),
-		Client: replica.NewClient(silencer, replicatest.Headers), Zone: "near", Logger: zerolog.Nop(), Metrics: metrics,
+		Client: replica.NewClient(silencer, replicatest.Headers), Zone: "near", Logger: zerolog.Nop(), Metrics: metrics, Versions: followedVersions{directory},
 	})
 	return &edgeUnderTest{Handler: handler, replicas: fake, silencer: silencer, directory: directory, routes: routes}
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -86,6 +86,8 @@
 	report replica.LoadReport
 	// listCurrent reports whether this process hears of changes to the list of replicas; nil if it never does.
 	listCurrent func() bool
+	// versions is nil if streams of callers that name no request are not resumed.
+	versions SoleVersions
 	// estimates holds the observed timeouts and latencies of the routes.
 	estimates *routeEstimates
 	logger    zerolog.Logger
@@ -112,9 +114,10 @@
 	Origins    Origins
 	// Report defines how replicas report their load; without it they are not asked which incarnation answers.
 	Report replica.LoadReport
-	// ListCurrent reports whether this process hears of changes to the list of replicas. If it is nil, callers must name the request that
-	// began a stream which they resume.
+	// ListCurrent reports whether this process hears of changes to the list of replicas; while it does not, the key-value service is not asked
+	// for versions. If it or Versions is nil, callers must name the request that began a stream which they resume.
 	ListCurrent func() bool
+	Versions    SoleVersions
 	Logger      zerolog.Logger
 	Metrics     *Metrics
 }
@@ -125,7 +128,7 @@
 		routes: options.Routes, directory: options.Directory, picker: options.Picker, client: options.Client, headers: options.Client.Headers(),
 		zone: options.Zone, batch: options.Batch, budget: newRetryBudget(), gate: options.Gate, quota: options.Quota,
 		refreshLoad: options.Refresh, estimates: newRouteEstimates(), coldStarts: options.ColdStarts, quarantine: options.Quarantine,
-		origins: options.Origins, listCurrent: options.ListCurrent, report: options.Report, draining: newDraining(), logger: options.Logger.With().Str(logging.FieldSlice, "forward").Logger(), metrics: options.Metrics,
+		origins: options.Origins, listCurrent: options.ListCurrent, versions: options.Versions, report: options.Report, draining: newDraining(), logger: options.Logger.With().Str(logging.FieldSlice, "forward").Logger(), metrics: options.Metrics,
 	}
 }
 
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -47,6 +47,13 @@
 	Find(ctx context.Context, requestID string) (replica.Origin, error)
 }
 
+// SoleVersions tells which version the replicas of a service have. It is safe for concurrent use.
+type SoleVersions interface {
+	// SoleVersion returns the version that all replicas of a service have had during window, as of a moment after the call; "" if there were
+	// several, or if that cannot be shown before ctx ends.
+	SoleVersion(ctx context.Context, service string, window time.Duration) string
+}
+
 // findOrigin determines the origin of a stream that the caller resumes. It returns the reason for which the stream cannot go on, or "".
 func (e *exchange) findOrigin(ctx context.Context) string {
 	if e.lastEventID == "" || !e.canResume() {
@@ -54,7 +61,7 @@
 	}
 	resumed := e.request.Header.Get(e.handler.headers.Resumes)
 	if resumed == "" {
-		return e.assumeSoleOrigin()
+		return e.assumeSoleOrigin(ctx)
 	}
 	if e.handler.origins == nil {
 		return reasonOriginUnknown
@@ -81,13 +88,17 @@
 }
 
 // assumeSoleOrigin determines the origin of a stream whose caller does not name the request that began it: the route's only service, if its
-// replicas have had one version for as long as the stream may have lasted, and this node knows of changes in time.
-func (e *exchange) assumeSoleOrigin() string {
-	if len(e.route.Backends) != 1 || e.route.Timeout <= 0 || e.handler.listCurrent == nil || !e.handler.listCurrent() {
+// replicas have had one version for as long as the stream may have lasted. The edge that began it may have known of a new version before this
+// node did, so that the list as this node knows it shows nothing: it must be newer than the request.
+func (e *exchange) assumeSoleOrigin(ctx context.Context) string {
+	handler := e.handler
+	if len(e.route.Backends) != 1 || e.route.Timeout <= 0 || handler.versions == nil || handler.listCurrent == nil || !handler.listCurrent() {
 		return reasonOriginUnknown
 	}
+	bounded, cancel := context.WithTimeout(ctx, time.Duration(maxOriginWaitShare*float64(clock.Until(e.deadline))))
+	defer cancel()
 	service := e.route.Backends[0].Service
-	version := e.handler.directory.SoleVersion(service, max(soleVersionTimeouts*e.route.Timeout, minSoleVersionTime))
+	version := handler.versions.SoleVersion(bounded, service, max(soleVersionTimeouts*e.route.Timeout, minSoleVersionTime))
 	if version == "" {
 		return reasonOriginUnknown
 	}
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -180,6 +180,11 @@
 	}
 }
 
+// unconfirmedVersions are the SoleVersions of an edge that cannot show how old its list is.
+type unconfirmedVersions struct{}
+
+func (unconfirmedVersions) SoleVersion(context.Context, string, time.Duration) string { return "" }
+
 // TestStreamOfACallerThatDoesNotNameItsRequest: such a stream goes on only where its service has had one version for as long as it may have
 // lasted, and the edge hears of changes.
 func TestStreamOfACallerThatDoesNotNameItsRequest(t *testing.T) {
@@ -195,6 +200,10 @@
 			time.Sleep(2 * routeTimeout)
 			edge.listCurrent = func() bool { return false }
 		}, 503},
+		{"the list is not known to be newer than the request", func(edge *edgeUnderTest) {
+			time.Sleep(2 * routeTimeout)
+			edge.versions = unconfirmedVersions{}
+		}, 503},
 		{"a second version", func(edge *edgeUnderTest) {
 			time.Sleep(2 * routeTimeout)
 			edge.addReplica("c", "v2", 1002, replicatest.Hang())
--- a/internal/node/role_discovery.go
+++ b/internal/node/role_discovery.go
@@ -140,6 +140,7 @@
 	nodeSettings settings.Settings,
 	cache *snapshotcache.Cache,
 	feed *changefeed.Feed,
+	store platform.KeyValue,
 	adapter Adapter,
 	routes *route.Holder,
 	directory *replica.Directory,
@@ -152,10 +153,11 @@
 	if err != nil {
 		return nil, err
 	}
+	history, _ := store.(platform.ChangeReader)
 	service := discovery.New(discovery.Options{
 		Store: cache, Translator: adapter.Translator, Routes: routes, Directory: directory, Viewer: members, Reporter: members, Copies: cache,
 		Roster: subset.roster, Keeper: subset.keeper, Relays: subset.relays, Node: membership.NodeID(nodeSettings.Node), Zone: nodeSettings.Zone,
-		RetryNow: feed.RetryNow, Metrics: metrics, Logger: logger,
+		Changes: history, Checked: feed.Checked, RetryNow: feed.RetryNow, Metrics: metrics, Logger: logger,
 	})
 	lifecycle.Append(fx.StartStopHook(cache.Start, cache.Stop))
 	lifecycle.Append(fx.StartStopHook(service.Start, service.Stop))
--- a/internal/node/role_edge.go
+++ b/internal/node/role_edge.go
@@ -59,6 +59,7 @@
 	register *quarantine.Service,
 	origins *origin.Service,
 	feed *changefeed.Feed,
+	replicas *discovery.Service,
 	shared *loadshare.Service,
 	calls BatchCalls,
 	logger zerolog.Logger,
@@ -67,7 +68,7 @@
 	return forward.NewHandler(forward.Options{
 		Routes: routes, Directory: directory, Picker: picker, Client: client, Zone: nodeSettings.Zone, Batch: calls, Gate: gate,
 		Quota: limits, ColdStarts: coldStarts, Refresh: shared.Refresh,
-		Quarantine: register, Origins: origins, ListCurrent: feed.Current,
+		Quarantine: register, Origins: origins, ListCurrent: feed.Current, Versions: replicas,
 		Report: adapter.Report, Logger: logger, Metrics: metrics,
 	})
 }
--- a/internal/platform/keyvalue.go
+++ b/internal/platform/keyvalue.go
@@ -107,3 +107,10 @@
 	// ListStale is like KeyValue.List, of a state that may be seconds old.
 	ListStale(ctx context.Context, prefix string) (Listing, error)
 }
+
+// ChangeReader is implemented by a KeyValue that offers reads of its recent history.
+type ChangeReader interface {
+	// ReadChanges returns each change below prefix with a revision above since, in order, and a revision upTo which they are complete. The
+	// state at upTo is not older than the call. An error of KindCompacted means that the service has forgotten some of them.
+	ReadChanges(ctx context.Context, prefix string, since int64) (changes []WatchEvent, upTo int64, err error)
+}
