replica: a report that tells no start proves no incarnation

Related to the evidence of answers: before a run goes on with an answer, the replica is asked which incarnation answers, if its entry tells its start. A report without one, as a replica that spoils its answers may send, passed for the same incarnation.

Change: CheckIncarnation wants the start of the entry. Reports of load are recorded as before.

Test: the case "0" of TestStreamIsNotResumedAtAReplicaThatStartedAgain goes on at the replica before, and does not now.

--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -267,7 +267,7 @@
 }
 
 // TestStreamIsNotResumedAtAReplicaThatStartedAgain: a replica that starts again under its ID, with another version, answers before its new entry
-// is known; a stream does not go on there.
+// is known; a stream does not go on there, nor where the replica does not tell when it started.
 func TestStreamIsNotResumedAtAReplicaThatStartedAgain(t *testing.T) {
 	reporting := func(born string, stream replicatest.Script) replicatest.Script {
 		return func(connection net.Conn, request *http.Request) bool {
@@ -277,7 +277,7 @@
 			return stream(connection, request)
 		}
 	}
-	for born, want := range map[string]string{"7": eventOne + eventTwo, "8": eventOne, "no number": eventOne} {
+	for born, want := range map[string]string{"7": eventOne + eventTwo, "8": eventOne, "0": eventOne, "no number": eventOne} {
 		t.Run(born, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				edge := newEdgeUnderTest(t, route.Stream, true, map[string]replicatest.Script{
--- a/internal/replica/load_report.go
+++ b/internal/replica/load_report.go
@@ -45,6 +45,12 @@
 
 // PollLoad requests a replica's load and records it in handle. A report of another incarnation is an error and is not recorded.
 func (c *Client) PollLoad(ctx context.Context, handle *Handle, report LoadReport) error {
+	_, err := c.pollLoad(ctx, handle, report)
+	return err
+}
+
+// pollLoad is PollLoad, and returns the report.
+func (c *Client) pollLoad(ctx context.Context, handle *Handle, report LoadReport) (Load, error) {
 	answer, err := c.Do(ctx, handle, Call{
 		Method: http.MethodGet,
 		Target: report.Path,
@@ -53,43 +59,47 @@
 		Probe:  true,
 	})
 	if err != nil {
-		return err
+		return Load{}, err
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxReportBytes))
 	answer.Close(err == nil)
 	if err != nil {
-		return err
+		return Load{}, err
 	}
 	if answer.Status != http.StatusOK {
-		return fmt.Errorf("load report: status %d", answer.Status)
+		return Load{}, fmt.Errorf("load report: status %d", answer.Status)
 	}
 	load, err := report.Parse(body)
 	if err != nil {
-		return err
+		return Load{}, err
 	}
 	if born := handle.Info().Born; born > 0 && load.Born > 0 && load.Born != born {
 		if load.Born > born {
 			// The incarnation behind handle has ended, though its entry still exists.
 			handle.Ended(clock.Now())
 		}
-		return fmt.Errorf("load report is of the incarnation started at %d ms, want %d ms", load.Born, born)
+		return Load{}, fmt.Errorf("load report is of the incarnation started at %d ms, want %d ms", load.Born, born)
 	}
 	load.Slots = handle.Info().Slots
 	handle.NoteLoad(load, clock.Now())
-	return nil
+	return load, nil
 }
 
 // checkTimeout bounds CheckIncarnation.
 const checkTimeout = 250 * time.Millisecond
 
-// CheckIncarnation returns an error if another incarnation of the replica answers than that of its entry, which may lag behind a restart. A
-// run that goes on with an answer is preceded by it. Replicas whose entries do not tell their start have a new ID at each start and are not
-// asked.
+// CheckIncarnation returns an error unless the incarnation of the replica's entry answers, which may lag behind a restart. A run that goes on
+// with an answer is preceded by it. Replicas whose entries do not tell their start have a new ID at each start and are not asked.
 func (c *Client) CheckIncarnation(ctx context.Context, handle *Handle, report LoadReport) error {
-	if handle.Info().Born == 0 || report.Path == "" {
+	born := handle.Info().Born
+	if born == 0 || report.Path == "" {
 		return nil
 	}
 	bounded, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	return c.PollLoad(bounded, handle, report)
+	load, err := c.pollLoad(bounded, handle, report)
+	if err == nil && load.Born != born {
+		err = fmt.Errorf("load report tells no start, want %d ms", born)
+	}
+	return err
 }
