lab: replicas whose answers are none, connections that are used late, and the memory of processes

The soak of the roles played neither responses without evidence nor bytes without end, no connection that is opened before a planned stop and used after it, and looked at no process's memory.

--- a/lab/roles/draw.go
+++ b/lab/roles/draw.go
@@ -51,6 +51,8 @@
 	crashVersion   faultKind = "crash_version"
 	releaseVersion faultKind = "release_version"
 	spoilVersion   faultKind = "spoil_version"
+	spoilAnswers   faultKind = "replicas_spoil_answers"
+	endlessAnswer  faultKind = "replicas_answer_without_end"
 )
 
 // kindRange describes how a kind of fault is drawn: the range of its duration and its maximum number in a run, 0 for no limit.
@@ -103,6 +105,8 @@
 	{releaseVersion, 3 * time.Second, 8 * time.Second, 2},
 	{spoilVersion, time.Second, 4 * time.Second, 0},
 	{changeSilence, time.Second, 9 * time.Second, 0},
+	{spoilAnswers, 2 * time.Second, 6 * time.Second, 0},
+	{endlessAnswer, 2 * time.Second, 6 * time.Second, 0},
 }
 
 // fault is one fault of a run: it begins at Start, counted from the start of the run, and lasts for Duration.
--- a/lab/roles/fault.go
+++ b/lab/roles/fault.go
@@ -322,6 +322,10 @@
 			next.loseAnswer = 0.1 + 0.5*drawn.Strength
 		case breakStreams:
 			next.breakOff = 0.1 + 0.5*drawn.Strength
+		case spoilAnswers:
+			next.spoil = 0.1 + 0.5*drawn.Strength
+		case endlessAnswer:
+			next.endless = 0.1 + 0.5*drawn.Strength
 		}
 		replica.setMisbehavior(next)
 		defer replica.setMisbehavior(misbehavior{})
--- a/lab/roles/fleet.go
+++ b/lab/roles/fleet.go
@@ -29,8 +29,10 @@
 	heartbeatInterval = 1200 * time.Millisecond
 	// readyTimeout is the timeout for a new deployment to become ready, far more than a busy machine needs.
 	readyTimeout = 3 * time.Minute
-	region       = "region-1"
-	service      = "chat"
+	// memoryMegabytes is the memory that a process may use.
+	memoryMegabytes = 300
+	region          = "region-1"
+	service         = "chat"
 	// platformZone is the zone from which replicas and the operator call the store.
 	platformZone = "platform"
 )
@@ -152,7 +154,7 @@
 		"ip": target.ip.String(), "zones": zones, "seeds": seeds,
 		"ephemeral_ports": []string{fmt.Sprint(portPeers), fmt.Sprint(portMetrics)},
 		"platform":        map[string]any{"address": f.platform.Address(target.name).String()},
-		"limits":          map[string]any{"memory_mb": 300, "disk_mb": 0, "max_fds": 4096},
+		"limits":          map[string]any{"memory_mb": memoryMegabytes, "disk_mb": 0, "max_fds": 4096},
 		"fault_tolerance": map[string]any{"machines": 1, "zones": 0},
 		"bounds": map[string]any{
 			"contact_ms": 3000, "grace_s": int(gracePeriod / time.Second), "cancel_ms": 3000, "sync_s": 4.8, "poll_s": 120, "quota_burst": 0.1,
--- a/lab/roles/machine.go
+++ b/lab/roles/machine.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -199,6 +200,23 @@
 	}
 }
 
+// peakMemory returns the largest resident size of the running process in bytes, 0 if it is not known.
+func (m *machine) peakMemory() int64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.running == nil {
+		return 0
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.running.ID()))
+	if err != nil {
+		return 0
+	}
+	_, peak, _ := strings.Cut(string(status), "VmHWM:")
+	var kilobytes int64
+	_, _ = fmt.Sscan(peak, &kilobytes)
+	return kilobytes << 10
+}
+
 // loseDisk kills the process and empties the data folder.
 func (m *machine) loseDisk() error {
 	m.lifecycle.Lock()
--- a/lab/roles/replica.go
+++ b/lab/roles/replica.go
@@ -29,8 +29,9 @@
 
 // misbehavior is how a replica misbehaves. The numbers are shares of its responses.
 type misbehavior struct {
-	// loseAnswer closes the connection after the run without a response, breakOff cuts a stream halfway, fail responds with 500.
-	loseAnswer, breakOff, fail float64
+	// loseAnswer closes the connection after the run without a response, breakOff cuts a stream halfway, fail responds with 500, spoil sends
+	// a response after the run that is none, endless one without end.
+	loseAnswer, breakOff, fail, spoil, endless float64
 	// hang blocks all requests.
 	hang bool
 }
@@ -250,6 +251,10 @@
 		writer.WriteHeader(failing)
 	case r.occurs(current.loseAnswer):
 		r.abort(ctx, writer, run, false)
+	case r.occurs(current.spoil):
+		r.spoilAnswer(writer, request)
+	case r.occurs(current.endless):
+		r.answerWithoutEnd(writer, request)
 	case request.Header.Get("Accept") == acceptWhole:
 		r.answerWhole(ctx, writer, run, payload)
 	default:
--- a/lab/roles/run.go
+++ b/lab/roles/run.go
@@ -42,6 +42,8 @@
 	// streams whose callers close the connection on the way and take the stream up again.
 	StreamEvents int
 	BreakOffs    float64
+	// UnusedPerSecond is the mean rate of connections that callers open and use only seconds later.
+	UnusedPerSecond float64
 	// CrashingRequests is the number of online requests that crash every replica that runs them; callers send them repeatedly.
 	CrashingRequests int
 	// PreviousProgram is the path of another build that all machines start with; they are upgraded to Program one by one
@@ -186,6 +188,9 @@
 	}
 	tasks.Go(func() { clients.startAtRate(loading, options.OnlinePerSecond, func() { clients.sendOnline(ctx) }) })
 	tasks.Go(func() { clients.startAtRate(loading, options.JobsPerSecond, func() { clients.submit(loading) }) })
+	tasks.Go(func() {
+		clients.startAtRate(loading, options.UnusedPerSecond, func() { clients.sendOnUnusedConnection(ctx) })
+	})
 	if len(clients.crashing) > 0 {
 		tasks.Go(func() { clients.startAtRate(loading, crashingPerSecond, func() { clients.sendCrashing(ctx) }) })
 	}
@@ -201,10 +206,14 @@
 	result.judgeStreams(clients.attempts, running.isPreviousBuild, running.inTouch)
 	result.judgeEndedReplicas(running.allReplicas(), clients.crashingMarks())
 	result.judgeCrashing(clients, running.record, running.allReplicas(), running.startedShortlyBefore)
+	result.judgePlanned(drawn, clients.attempts, running.record)
 	result.violations = append(result.violations, faults.failures...)
 	result.counts.EdgesAsked = int(running.edgesAsked.Load())
 	for _, machine := range running.machines {
 		result.counts.KilledAfterGrace += int(machine.killedAfterGrace.Load())
+		if peak := machine.peakMemory(); peak > memoryMegabytes<<20 {
+			result.addViolation("the process of %s used %d MB of memory, %d allowed", machine.name, peak>>20, memoryMegabytes)
+		}
 		if machine.exitedByItself() {
 			result.addViolation("the process of %s ended by itself", machine.name)
 		}
--- a/lab/roles/run_test.go
+++ b/lab/roles/run_test.go
@@ -150,6 +150,37 @@
 	playCrashingRequests(t, 9100, killAll)
 }
 
+// TestAnswersThatAreNoneAreTakenForNothing plays the built program while replicas send responses that are none in the place of some answers,
+// or bytes without end. It guards against a refusal of nobody that reaches a caller as the promise that a request has not run, and
+// against texts of items that no replica has sent: seed 9901 had six of the first and two of the second.
+func TestAnswersThatAreNoneAreTakenForNothing(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays real processes for half a minute")
+	}
+	report := playWithoutViolations(t, Options{
+		Program: buildProgram(t), Seed: 9901, Runs: 2, Duration: 10 * time.Second,
+		FaultKinds: namesOf([]faultKind{spoilAnswers, endlessAnswer, crashReplica, hangReplica}), Versions: 2, Replicas: 6, OnlinePerSecond: 40, JobsPerSecond: 1,
+	})
+	if report.Counts.OnlineServed == 0 || report.Counts.ItemsDone == 0 {
+		t.Errorf("nothing was shown: %+v", report.Counts)
+	}
+}
+
+// TestPlannedWorkCutsNoRequestOff plays the built program while machines are stopped and started and configurations change. Callers open
+// connections that they use only seconds later, and some streams last for seconds.
+func TestPlannedWorkCutsNoRequestOff(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays real processes for half a minute")
+	}
+	report := playWithoutViolations(t, Options{
+		Program: buildProgram(t), Seed: 9950, Runs: 1, Duration: 15 * time.Second, FaultKinds: namesOf([]faultKind{stopNode, rollNodes, configuration}),
+		Replicas: 6, OnlinePerSecond: 20, JobsPerSecond: 0.5, UnusedPerSecond: 10, StreamEvents: 600,
+	})
+	if report.Counts.OnlineServed == 0 {
+		t.Errorf("nothing was shown: %+v", report.Counts)
+	}
+}
+
 // playVersions plays a seed with replicas of two versions, streams of up to half a second, and callers that break off and take up a share of
 // them. It fails if fewer than minTaken streams were taken up at edges in touch, which would show nothing.
 func playVersions(t *testing.T, seed uint64, minTaken int, only ...faultKind) {
