batch: placements are kept by the normalized name of a host

A caller may name a host in many ways (case, port), each of which would have had placements of its own, in memory and in the log. Placements now hold the name in lower case and without a port; the partition that keeps them still follows the host as it was called.

Read while the diff was read again: three places copied the list of owned partitions, one held the service's mutex while it took those of the partitions. One function returns the list now.

--- a/internal/batch/client.go
+++ b/internal/batch/client.go
@@ -106,6 +106,7 @@
 		event.Msg("job_not_accepted")
 		return err
 	case accepted:
+		event.Msg("job_accepted_elsewhere")
 		return nil
 	}
 	event.Msg("job_submitted")
@@ -146,7 +147,7 @@
 // Read returns the results of a job from a position on; it waits for the first one for at most wait.
 func (c *Client) Read(ctx context.Context, caller Caller, jobID string, since uint32, wait time.Duration) (*batchpb.ReadResponse, error) {
 	return search(ctx, c, caller.Host, func(ctx context.Context, partition uint32) (*batchpb.ReadResponse, error) {
-		request := &batchpb.ReadRequest{Partition: partition, JobId: caller.jobName(jobID), Since: since, WaitMicros: uint64(wait.Microseconds()), Host: caller.Host}
+		request := &batchpb.ReadRequest{Partition: partition, JobId: caller.jobName(jobID), Since: since, WaitMicros: uint64(wait.Microseconds()), Host: route.HostName(caller.Host)}
 		response := &batchpb.ReadResponse{}
 		return response, c.call(ctx, methodRead, request, response, readTimeout+wait, tryTimeout+wait)
 	})
@@ -155,7 +156,7 @@
 // Body returns the body of an item that is not listed yet.
 func (c *Client) Body(ctx context.Context, caller Caller, jobID, itemID string) (*batchpb.BodyResponse, error) {
 	return search(ctx, c, caller.Host, func(ctx context.Context, partition uint32) (*batchpb.BodyResponse, error) {
-		request := &batchpb.BodyRequest{Partition: partition, JobId: caller.jobName(jobID), ItemId: itemID, Host: caller.Host}
+		request := &batchpb.BodyRequest{Partition: partition, JobId: caller.jobName(jobID), ItemId: itemID, Host: route.HostName(caller.Host)}
 		response := &batchpb.BodyResponse{}
 		return response, c.call(ctx, methodBody, request, response, readTimeout, tryTimeout)
 	})
@@ -164,7 +165,7 @@
 // End ends a job.
 func (c *Client) End(ctx context.Context, caller Caller, jobID string) (*batchpb.EndResponse, error) {
 	return search(ctx, c, caller.Host, func(ctx context.Context, partition uint32) (*batchpb.EndResponse, error) {
-		request := &batchpb.EndRequest{Partition: partition, JobId: caller.jobName(jobID), Host: caller.Host}
+		request := &batchpb.EndRequest{Partition: partition, JobId: caller.jobName(jobID), Host: route.HostName(caller.Host)}
 		response := &batchpb.EndResponse{}
 		return response, c.call(ctx, methodEnd, request, response, endTimeout, tryTimeout)
 	})
--- a/internal/batch/client_regions.go
+++ b/internal/batch/client_regions.go
@@ -35,7 +35,7 @@
 func (c *Client) newPlacement(submission *batchpb.Submission, partition ledger.PartitionID) *batchpb.Placement {
 	// A partition that was just found to be durable is known.
 	ensemble, _ := c.homes.DescribePartition(partition)
-	return &batchpb.Placement{Host: submission.Host, Partition: uint32(partition), Ensemble: ensemble}
+	return &batchpb.Placement{Host: route.HostName(submission.Host), Partition: uint32(partition), Ensemble: ensemble}
 }
 
 // learnPlacements lets this node find the partitions of placements, and returns them.
@@ -85,11 +85,11 @@
 // place makes the placement of a submission known to the owner of the host's unconfined partition, and asks it for the job. Once the
 // placement is known there, the owner need not answer unless homes have changed recently; the response is nil then.
 func (c *Client) place(ctx context.Context, submission *batchpb.Submission, target ledger.PartitionID, settling bool) (*batchpb.PlaceResponse, error) {
-	key := placementKey{host: submission.Host, partition: target}
-	required := settling || !c.placed.has(key)
 	request := &batchpb.PlaceRequest{
 		Partition: c.unconfinedPartition(submission.Host), Placement: c.newPlacement(submission, target), JobId: submission.JobId,
 	}
+	key := placementKey{keptBy: request.Partition, host: request.Placement.Host, partition: request.Placement.Partition}
+	required := settling || !c.placed.has(key)
 	response := &batchpb.PlaceResponse{}
 	err := c.call(ctx, methodPlace, request, response, waitFor(required), tryTimeout)
 	switch {
@@ -122,7 +122,7 @@
 		return false, nil
 	}
 	response, err := askAll(ctx, partitions, func(ctx context.Context, partition uint32) (*batchpb.ReadResponse, error) {
-		request := &batchpb.ReadRequest{Partition: partition, JobId: submission.JobId, Since: math.MaxUint32, Host: submission.Host}
+		request := &batchpb.ReadRequest{Partition: partition, JobId: submission.JobId, Since: math.MaxUint32, Host: route.HostName(submission.Host)}
 		response := &batchpb.ReadResponse{}
 		return response, c.call(ctx, methodRead, request, response, waitFor(required), tryTimeout)
 	})
@@ -133,10 +133,9 @@
 	case err != nil:
 		c.logger.Info().Str(logging.FieldJob, submission.JobId).Err(err).Msg("former_home_unanswered")
 		return false, nil
-	case response.Found:
-		c.logger.Info().Str(logging.FieldJob, submission.JobId).Msg("job_accepted_elsewhere")
+	default:
+		return response.Found, nil
 	}
-	return response.Found, nil
 }
 
 // searchResponse is an answer that tells whether its partition has the requested object, and otherwise which others may have it.
--- a/internal/batch/item_text.go
+++ b/internal/batch/item_text.go
@@ -55,17 +55,22 @@
 
 // unfinishedTexts returns the total length and the number of the texts of unfinished items of all partitions owned here.
 func (s *Service) unfinishedTexts() (bytes, count int) {
-	s.mutex.RLock()
-	defer s.mutex.RUnlock()
-	for _, owned := range s.partitions {
-		owned.mutex.RLock()
-		for _, run := range owned.runs {
-			if len(run.text) > 0 {
-				bytes += len(run.text)
-				count++
-			}
+	for _, ownedPartition := range s.owned() {
+		length, texts := ownedPartition.unfinishedTexts()
+		bytes += length
+		count += texts
+	}
+	return bytes, count
+}
+
+func (p *partition) unfinishedTexts() (bytes, count int) {
+	p.mutex.RLock()
+	defer p.mutex.RUnlock()
+	for _, run := range p.runs {
+		if len(run.text) > 0 {
+			bytes += len(run.text)
+			count++
 		}
-		owned.mutex.RUnlock()
 	}
 	return bytes, count
 }
--- a/internal/batch/metrics.go
+++ b/internal/batch/metrics.go
@@ -19,14 +19,8 @@
 
 // Collect implements prometheus.Collector for the partitions owned by this process.
 func (s *Service) Collect(metrics chan<- prometheus.Metric) {
-	s.mutex.RLock()
-	owned := make([]*partition, 0, len(s.partitions))
-	for _, ownedPartition := range s.partitions {
-		owned = append(owned, ownedPartition)
-	}
-	s.mutex.RUnlock()
 	counts, longest := map[stallReason]int{}, 0.0
-	for _, ownedPartition := range owned {
+	for _, ownedPartition := range s.owned() {
 		found := ownedPartition.stalled()
 		for reason, count := range found.byReason {
 			counts[reason] += count
--- a/internal/batch/online_load.go
+++ b/internal/batch/online_load.go
@@ -118,13 +118,7 @@
 // preemptExcess cuts off the least urgent items where online requests need their room.
 func (s *Service) preemptExcess() {
 	now := clock.Now()
-	s.mutex.RLock()
-	owned := make([]*partition, 0, len(s.partitions))
-	for _, ownedPartition := range s.partitions {
-		owned = append(owned, ownedPartition)
-	}
-	s.mutex.RUnlock()
-	for _, ownedPartition := range owned {
+	for _, ownedPartition := range s.owned() {
 		ownedPartition.preemptExcess(now)
 	}
 }
--- a/internal/batch/placed.go
+++ b/internal/batch/placed.go
@@ -1,15 +1,12 @@
 package batch
 
-import (
-	"sync"
+import "sync"
 
-	"github.com/sloelift/sloelift/internal/ledger"
-)
-
-// placementKey identifies a placement.
+// placementKey identifies a placement, and the partition that keeps it: a host may be named in several ways, which differ in that.
 type placementKey struct {
+	keptBy    uint32
 	host      string
-	partition ledger.PartitionID
+	partition uint32
 }
 
 // placedPartitions contains the placements that this node knows to be durable. It is safe for concurrent use.
--- a/internal/batch/placement.go
+++ b/internal/batch/placement.go
@@ -7,6 +7,7 @@
 	batchpb "github.com/sloelift/sloelift/api/proto/batch"
 	"github.com/sloelift/sloelift/internal/ledger"
 	"github.com/sloelift/sloelift/internal/outcome"
+	"github.com/sloelift/sloelift/internal/route"
 )
 
 // The partition for the unconfined jobs of a host keeps the placements of its confined ones. An edge cannot know all partitions with jobs
@@ -63,7 +64,7 @@
 
 // checkPlacements rejects a submission whose job another partition may have that its sender has not asked. The mutex is held.
 func (p *partition) checkPlacements(request *batchpb.SubmitRequest) (*batchpb.SubmitResponse, error) {
-	unasked := p.state.unasked(request.Submission.Host, append(slices.Clone(request.Asked), uint32(p.id)))
+	unasked := p.state.unasked(route.HostName(request.Submission.Host), append(slices.Clone(request.Asked), uint32(p.id)))
 	switch {
 	case len(unasked) == 0:
 		return nil, nil
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -141,6 +143,13 @@
 	return s.partitions[id]
 }
 
+// owned returns the partitions that this process owns now. The mutex is not held while they are used, which have their own.
+func (s *Service) owned() []*partition {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return slices.Collect(maps.Values(s.partitions))
+}
+
 func (s *Service) add(owned *partition) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -128,7 +128,9 @@
 		routes: options.Routes, directory: options.Directory, picker: options.Picker, client: options.Client, headers: options.Client.Headers(),
 		zone: options.Zone, batch: options.Batch, budget: newRetryBudget(), gate: options.Gate, quota: options.Quota,
 		refreshLoad: options.Refresh, estimates: newRouteEstimates(), coldStarts: options.ColdStarts, quarantine: options.Quarantine,
-		origins: options.Origins, listCurrent: options.ListCurrent, versions: options.Versions, report: options.Report, draining: newDraining(), logger: options.Logger.With().Str(logging.FieldSlice, "forward").Logger(), metrics: options.Metrics,
+		origins: options.Origins, listCurrent: options.ListCurrent, versions: options.Versions, report: options.Report,
+		draining: newDraining(), metrics: options.Metrics,
+		logger: options.Logger.With().Str(logging.FieldSlice, "forward").Logger(),
 	}
 }
 
