--- a/internal/batch/client.go
+++ b/internal/batch/client.go
@@ -147,7 +147,9 @@
 // Read returns the results of a job from a position on; it waits for the first one for at most wait.
 func (c *Client) Read(ctx context.Context, caller Caller, jobID string, since uint32, wait time.Duration) (*batchpb.ReadResponse, error) {
 	return search(ctx, c, caller.Host, func(ctx context.Context, partition uint32) (*batchpb.ReadResponse, error) {
-		request := &batchpb.ReadRequest{Partition: partition, JobId: caller.jobName(jobID), Since: since, WaitMicros: uint64(wait.Microseconds()), Host: route.HostName(caller.Host)}
+		request := &batchpb.ReadRequest{
+			Partition: partition, JobId: caller.jobName(jobID), Since: since, WaitMicros: uint64(wait.Microseconds()), Host: route.HostName(caller.Host),
+		}
 		response := &batchpb.ReadResponse{}
 		return response, c.call(ctx, methodRead, request, response, readTimeout+wait, tryTimeout+wait)
 	})
