--- a/internal/batch/unproven_test.go
+++ b/internal/batch/unproven_test.go
@@ -60,6 +60,19 @@
 	}
 }
 
+// TestProvenVerdictOnAnItemCounts: a 422 with the item's id and the replica's signature says that no replica can do the item.
+func TestProvenVerdictOnAnItemCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := startOwner(t, singleReplica(replicatest.Answer(http.StatusUnprocessableEntity, replicatest.Signed, "")))
+		defer owner.stop()
+		owner.mustSubmit(t, testSubmission("j", 1))
+		result := owner.results(t, "j", 1, 5*time.Second)[0]
+		if result.State != batchpb.State_STATE_DEAD_LETTER || countPosts(owner) != 1 {
+			t.Errorf("the item is %s after %d runs, want a dead letter after one", result.State, countPosts(owner))
+		}
+	})
+}
+
 // TestAnswerWithoutSignatureIsNoResult: a complete 200 without the replica's signature was listed as the result of its item, with an
 // empty text.
 func TestAnswerWithoutSignatureIsNoResult(t *testing.T) {
--- a/internal/forward/unproven_test.go
+++ b/internal/forward/unproven_test.go
@@ -67,6 +67,15 @@
 	}
 }
 
+// TestProvenFailureIsPassedOn: a failure with the request's id and the replica's signature is the replica's answer.
+func TestProvenFailureIsPassedOn(t *testing.T) {
+	for _, status := range []int{301, 400, 404, 413, 422, 500, 504} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			expectAnswer(t, route.NotRepeatable, replicatest.Answer(status, replicatest.Signed, ""), status, 1)
+		})
+	}
+}
+
 // TestMalformedRequestIsNotRunElsewhere: every replica would refuse it.
 func TestMalformedRequestIsNotRunElsewhere(t *testing.T) {
 	expectAnswer(t, route.NotRepeatable, answerWithoutID(400, "X-Not-Run: 1\r\n"), http.StatusBadRequest, 1)
