edge: the test of unused connections wants the refusal itself

Cause: with each mend reverted in turn, the tests of twenty others fail and this one passes: its request had no deadline, so that it was refused as one that might outlast the stop, whether or not requests are refused once the listener is closed.

Change: its request has a deadline of 1 s, which fits. No product code.

Result: fails with the refusal reverted, passes with it, twice.

--- a/internal/edge/planned_stop_test.go
+++ b/internal/edge/planned_stop_test.go
@@ -116,6 +116,8 @@
 		stopped := stopInBackground(t, server)
 		time.Sleep(notReadyDelay + time.Second)
 		request, _ := http.NewRequest(http.MethodGet, "http://h.example/p/second", nil)
+		// The request would end in time: what is refused is any request once the listener is closed.
+		request.Header.Set(replicatest.Headers.Deadline, "1000")
 		if err := request.Write(connection); err != nil {
 			t.Fatal(err)
 		}
