batch: the test of long texts forces the bound of a record

Cause: with the bound on a text reverted to 4 MiB the test passed: the bound on all texts together, which came later, cut the text first.

Change: the test's owner has memory for 64 such texts, so that only the bound of a record applies. No product code.

Result: fails with the bound reverted (not listed after 10 s), passes with it.

--- a/internal/batch/item_long_text_test.go
+++ b/internal/batch/item_long_text_test.go
@@ -43,8 +43,11 @@
 	for name, hold := range map[string]bool{"answer ends": false, "answer goes on": true} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				owner := startOwner(t, singleReplica(replicatest.Then(
+				service, fleet, network, routes := newService(singleReplica(replicatest.Then(
 					streamOfBytes(2*ledger.MaxRecordBytes, hold), replicatest.Stream("s", true, false, eventOne, eventTwo))))
+				// The text is not too long beside others, only for a record.
+				service.options.MaxBytes = 64 * ledger.MaxRecordBytes
+				owner := startPartition(t, unconfined, service, fleet, network, routes)
 				defer owner.stop()
 				owner.mustSubmit(t, testSubmission("long", 1))
 				for number := range 60 {
