replica: a response without a length is whole only if its request was written

Callers saw: a replica answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection while the upload was being written. An item whose run got such an answer behind its last event was listed with the text so far.

Cause: the kernel reports the error of a connection once, to the reader or to the writer. Where the writer gets it, the reader sees the end of the stream, which is the end of a body without a length. pendingWrite knew the writer's error; only the reuse of the connection asked for it.

Change: the end of such a body waits for the write, for 1 s at most, and is the end of the response only if the whole request was written. All readers of replicas' responses (callers' requests, streams, items, load reports) read through replica.Client, so that all are covered. A response with a length or chunks does not depend on the write, also one that is sent early.

Evidence, each on before: TestResetDuringTheRequestIsNoEndOfTheAnswer (sockets, the first play), 1 of 2 cases of TestEndOfAnAnswerBeforeThatOfItsRequest, 2 of 7 of TestAnswerBeforeTheEndOfItsRequest, 5 of 7 of TestAnswerThatEndsBeforeItsRequestIsNotPassedOnAsWhole and TestItemIsNotDoneByAnswersThatEndBeforeItsRequest (listed "a" of "a b") failed; all pass now. The other cases (framed early answers, a replica that takes the rest of the request) passed before and stay.

Seen on the way: TestStalledItemsAreReported/suspected fails now and then, also on (1 of 60).

--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -150,6 +150,9 @@
 		Framed: isFramed(response),
 		Body:   response.Body,
 	}
+	if !answer.Framed {
+		answer.Body = &unframedBody{Reader: response.Body, request: written}
+	}
 	answer.finish = func(whole bool) {
 		reusable := stopWatching() && whole && found.identified && keep > 0 && written.done() && used.reader.Buffered() == 0
 		if !reusable {
--- a/internal/replica/replicatest/network.go
+++ b/internal/replica/replicatest/network.go
@@ -28,11 +28,13 @@
 type Network struct {
 	mutex sync.Mutex
 	// Scripts holds the script of each replica by its address.
-	Scripts  map[netip.AddrPort]Script
-	requests []*http.Request
-	bodies   []string
-	open     []net.Conn
-	serving  sync.WaitGroup
+	Scripts map[netip.AddrPort]Script
+	// AnswersEarly makes scripts run before the bodies of requests are read. A script may read request.Body.
+	AnswersEarly bool
+	requests     []*http.Request
+	bodies       []string
+	open         []net.Conn
+	serving      sync.WaitGroup
 }
 
 // Listen always fails: the network only has the scripted replicas.
@@ -69,9 +71,11 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(request.Body)
-		if err != nil {
-			return
+		var body []byte
+		if !f.AnswersEarly {
+			if body, err = io.ReadAll(request.Body); err != nil {
+				return
+			}
 		}
 		f.mutex.Lock()
 		f.requests = append(f.requests, request)
@@ -80,6 +84,10 @@
 		if !script(connection, request) {
 			return
 		}
+		// An answer given early leaves a part of the body, behind which the next request begins.
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
 	}
 }
 
@@ -148,6 +156,24 @@
 	}
 }
 
+// Unframed writes an answer that declares neither a length nor chunks, and ends it by closing the connection.
+func Unframed(status int, body string) Script {
+	return func(connection net.Conn, request *http.Request) bool {
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 %d X\r\nX-Id: %s\r\n%s\r\n%s", status, request.Header.Get("X-Id"), Signed, body)
+		return false
+	}
+}
+
+// AfterBody reads the request's body and then answers by script.
+func AfterBody(script Script) Script {
+	return func(connection net.Conn, request *http.Request) bool {
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return false
+		}
+		return script(connection, request)
+	}
+}
+
 // Then uses first for the first request and rest for all others.
 func Then(first, rest Script) Script {
 	var once sync.Once
--- a/internal/replica/send.go
+++ b/internal/replica/send.go
@@ -3,25 +3,45 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
+	"time"
 )
 
-// inlineBodyBytes is the size up to which a body is written before the response is awaited.
-const inlineBodyBytes = 16 << 10
+const (
+	// inlineBodyBytes is the size up to which a body is written before the response is awaited.
+	inlineBodyBytes = 16 << 10
+	// writeAfterEndTimeout bounds how long the rest of a request is written after its response has ended.
+	writeAfterEndTimeout = time.Second
+)
 
 // pendingWrite is a request whose body may still be being written.
-type pendingWrite struct{ finished chan error }
+type pendingWrite struct {
+	to net.Conn
+	// finished is closed when the write has ended, after err has been set.
+	finished chan struct{}
+	err      error
+}
 
 // done reports whether the request was written completely and without an error.
-func (s *pendingWrite) done() bool {
+func (w *pendingWrite) done() bool {
 	select {
-	case err := <-s.finished:
-		s.finished <- err
-		return err == nil
+	case <-w.finished:
+		return w.err == nil
 	default:
 		return false
 	}
 }
 
+// wait waits until the request was written, for writeAfterEndTimeout at most, and returns the error that ended it early.
+func (w *pendingWrite) wait() error {
+	if err := w.to.SetWriteDeadline(time.Now().Add(writeAfterEndTimeout)); err != nil && !w.done() {
+		// The connection was closed, which ends the write.
+		return err
+	}
+	<-w.finished
+	return w.err
+}
+
 // send writes call. A body longer than inlineBodyBytes is written in the background, since the replica may respond before it has read
 // the whole body.
 func send(used *connection, call Call) (*pendingWrite, error) {
@@ -29,19 +49,21 @@
 	if err := writeHead(&buffer, call); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	result := &pendingWrite{finished: make(chan error, 1)}
-	if len(call.Body) <= inlineBodyBytes {
+	pending := &pendingWrite{to: used.net, finished: make(chan struct{})}
+	inline := len(call.Body) <= inlineBodyBytes
+	if inline {
 		buffer.Write(call.Body)
-		_, err := used.net.Write(buffer.Bytes())
-		result.finished <- err
-		return result, err
 	}
 	if _, err := used.net.Write(buffer.Bytes()); err != nil {
 		return nil, err
 	}
+	if inline {
+		close(pending.finished)
+		return pending, nil
+	}
 	go func() {
-		_, err := used.net.Write(call.Body)
-		result.finished <- err
+		_, pending.err = used.net.Write(call.Body)
+		close(pending.finished)
 	}()
-	return result, nil
+	return pending, nil
 }
--- /dev/null
+++ b/internal/replica/unsent_request_test.go
@@ -0,0 +1,164 @@
+package replica_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sloelift/sloelift/internal/network"
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/replica/replicatest"
+)
+
+// serveConnections answers each connection to a new listener by serve, which must not close it, and returns the listener's address.
+func serveConnections(t *testing.T, serve func(connection *net.TCPConn)) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			accepted, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = accepted.Close() }()
+				serve(accepted.(*net.TCPConn))
+			}()
+		}
+	}()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// upload sends a long request to the replica at address and returns the body of the answer, with the error that ended it.
+func upload(t *testing.T, address netip.AddrPort) (string, error) {
+	t.Helper()
+	client := replica.NewClient(network.System{}, replicatest.Headers)
+	call := callWithID("i")
+	call.Body = []byte(strings.Repeat("u", 8<<20))
+	answer, err := client.Do(t.Context(), replica.NewHandle(replica.Info{ID: "a", Service: "s", Address: address, Slots: 1}), call)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(answer.Body)
+	answer.Close(err == nil)
+	return string(body), err
+}
+
+// unframedHead is the head of an answer to the request "i" whose end is that of its connection.
+const unframedHead = "HTTP/1.1 200 OK\r\nX-Id: i\r\n" + replicatest.Signed + "\r\n"
+
+// TestResetDuringTheRequestIsNoEndOfTheAnswer: a replica that answered a long request at once and then reset the connection was taken to
+// have answered in full. The kernel reports a reset to one of reader and writer, and the other reads the end of the stream.
+func TestResetDuringTheRequestIsNoEndOfTheAnswer(t *testing.T) {
+	const plays = 40
+	address := serveConnections(t, func(connection *net.TCPConn) {
+		_, _ = io.WriteString(connection, unframedHead+"part")
+		// The replica reads on for a moment, so that the client is writing when the connection is reset.
+		_ = connection.SetReadDeadline(time.Now().Add(500 * time.Microsecond))
+		_, _ = io.Copy(io.Discard, connection)
+		_ = connection.SetLinger(0)
+	})
+	for range plays {
+		if body, err := upload(t, address); err == nil {
+			t.Fatalf("%q is a complete answer", body)
+		}
+	}
+}
+
+// TestEndOfAnAnswerBeforeThatOfItsRequest covers replicas that close only their side of the connection while the request is being sent:
+// the answer is whole if the replica takes the rest of the request, and otherwise fails within a bounded time.
+func TestEndOfAnAnswerBeforeThatOfItsRequest(t *testing.T) {
+	for name, test := range map[string]struct {
+		readsOn bool
+		within  time.Duration
+	}{
+		"the replica reads on":   {true, 20 * time.Second},
+		"the replica reads none": {false, 10 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{})
+			defer close(ended)
+			address := serveConnections(t, func(connection *net.TCPConn) {
+				_, _ = io.WriteString(connection, unframedHead+"whole")
+				_ = connection.CloseWrite()
+				if test.readsOn {
+					_, _ = io.Copy(io.Discard, connection)
+				}
+				<-ended
+			})
+			type result struct {
+				body string
+				err  error
+			}
+			results := make(chan result, 1)
+			go func() {
+				body, err := upload(t, address)
+				results <- result{body, err}
+			}()
+			select {
+			case got := <-results:
+				if (got.err == nil) != test.readsOn || test.readsOn && got.body != "whole" {
+					t.Errorf("the answer is %q with error %v", got.body, got.err)
+				}
+				if errors.Is(got.err, replica.ErrNotSent) {
+					t.Errorf("error %v says that the request has not run", got.err)
+				}
+			case <-time.After(test.within):
+				t.Error("the answer does not end")
+			}
+		})
+	}
+}
+
+// TestAnswerBeforeTheEndOfItsRequest covers answers that a replica gives before it has the whole request: one whose framing marks its end
+// is whole.
+func TestAnswerBeforeTheEndOfItsRequest(t *testing.T) {
+	const body = "too large"
+	for name, test := range map[string]struct {
+		script replicatest.Script
+		whole  bool
+	}{
+		"with a length":                  {replicatest.Answer(http.StatusRequestEntityTooLarge, replicatest.Signed, body), true},
+		"with a length, then closed":     {closing(replicatest.Answer(http.StatusRequestEntityTooLarge, replicatest.Signed, body)), true},
+		"in chunks, then closed":         {closing(replicatest.Stream("s", true, false, body)), true},
+		"in chunks without the last one": {replicatest.Stream("s", false, false, body), false},
+		"unframed":                       {replicatest.Unframed(http.StatusOK, body), false},
+		"unframed failure":               {replicatest.Unframed(http.StatusRequestEntityTooLarge, body), false},
+		"unframed after the request":     {replicatest.AfterBody(replicatest.Unframed(http.StatusOK, body)), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := netip.MustParseAddrPort("127.0.0.1:1000")
+			fake := &replicatest.Network{Scripts: map[netip.AddrPort]replicatest.Script{address: test.script}, AnswersEarly: true}
+			defer fake.CloseAll()
+			client, handle := replica.NewClient(fake, replicatest.Headers), replica.NewHandle(replica.Info{ID: "a", Service: "s", Address: address, Slots: 1})
+			call := callWithID("i")
+			call.Body = []byte(strings.Repeat("u", 256<<10))
+			answer, err := client.Do(t.Context(), handle, call)
+			if err != nil {
+				t.Fatal(err)
+			}
+			received, err := io.ReadAll(answer.Body)
+			answer.Close(err == nil)
+			if (err == nil) != test.whole || test.whole && string(received) != body {
+				t.Errorf("the answer is %q with error %v", received, err)
+			}
+		})
+	}
+}
+
+// closing closes the connection after the answer of script.
+func closing(script replicatest.Script) replicatest.Script {
+	return func(connection net.Conn, request *http.Request) bool {
+		script(connection, request)
+		return false
+	}
+}
