replica: a response without a valid status line is none

One with 000 was taken for an interim response, so that its caller waited for another one until its deadline.

Cause: http.ReadResponse accepts any three characters that are a number, any version of two digits, and more.

Change: a connection records the bytes of a head while net/http reads it, and checkResponseHead checks them. The status line is that of RFC 9112, section 4: version 1.0 or 1.1, one space, three digits from 100 to 599, a reason without control bytes. The error wraps ErrUnproven: the request may have run, the connection closes, and an item is sent again after a pause. Callers' requests, items, load reports and checks of an incarnation all read heads there. A missing reason, unknown codes of a known class, HTTP/1.0 and line feeds alone are still read.

--- a/internal/replica/connection.go
+++ b/internal/replica/connection.go
@@ -26,47 +26,68 @@
 type connection struct {
 	net net.Conn
 	// source is what reader reads from.
-	source    *headLimiter
+	source    *headRecorder
 	reader    *bufio.Reader
 	idleUntil time.Time
 }
 
 func newConnection(raw net.Conn) *connection {
-	source := &headLimiter{source: raw}
+	source := &headRecorder{source: raw}
 	return &connection{net: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
-// readHead reads the status line and headers of a response to request. The body is not limited.
+// readHead reads the status line and headers of a response to request, and checks them. The body is not limited.
 func (c *connection) readHead(request *http.Request) (*http.Response, error) {
-	c.source.limit(maxHeadBytes)
-	defer c.source.unlimit()
-	return http.ReadResponse(c.reader, request)
+	// Peeking at what is buffered neither reads nor fails.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.source.begin(buffered, maxHeadBytes)
+	response, err := http.ReadResponse(c.reader, request)
+	received := c.source.end()
+	if err != nil {
+		return nil, err
+	}
+	// What is still buffered is behind the head.
+	if err := checkResponseHead(received[:len(received)-c.reader.Buffered()]); err != nil {
+		return nil, err
+	}
+	return response, nil
 }
 
 // errHeadTooLarge means that a response's status line and headers exceed maxHeadBytes, or do not end.
 var errHeadTooLarge = fmt.Errorf("the head of the response exceeds %d bytes", maxHeadBytes)
 
-// headLimiter limits how much is read from source while the head of a response is read: net/http sets no limit of its own.
-type headLimiter struct {
-	source  io.Reader
-	limited bool
-	left    int
+// headRecorder limits and records what is read from source while the head of a response is read: net/http sets no limit of its own, and
+// does not return what it has read.
+type headRecorder struct {
+	source    io.Reader
+	recording bool
+	left      int
+	received  []byte
 }
 
-func (l *headLimiter) limit(most int) { l.limited, l.left = true, most }
+// begin starts the recording, with the bytes that were received before, and allows most bytes more.
+func (r *headRecorder) begin(before []byte, most int) {
+	r.recording, r.left, r.received = true, most, append([]byte(nil), before...)
+}
 
-func (l *headLimiter) unlimit() { l.limited = false }
+// end ends the recording and returns it. Further bytes are not limited.
+func (r *headRecorder) end() []byte {
+	received := r.received
+	r.recording, r.received = false, nil
+	return received
+}
 
 // Read implements io.Reader.
-func (l *headLimiter) Read(target []byte) (int, error) {
-	if !l.limited {
-		return l.source.Read(target)
+func (r *headRecorder) Read(target []byte) (int, error) {
+	if !r.recording {
+		return r.source.Read(target)
 	}
-	if l.left <= 0 {
+	if r.left <= 0 {
 		return 0, errHeadTooLarge
 	}
-	count, err := l.source.Read(target[:min(len(target), l.left)])
-	l.left -= count
+	count, err := r.source.Read(target[:min(len(target), r.left)])
+	r.left -= count
+	r.received = append(r.received, target[:count]...)
 	return count, err
 }
 
--- /dev/null
+++ b/internal/replica/response_head_test.go
@@ -0,0 +1,96 @@
+package replica_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/sloelift/sloelift/internal/replica"
+	"github.com/sloelift/sloelift/internal/replica/replicatest"
+)
+
+const (
+	// provenFields are the fields that show that a response is the replica's answer to the request "i".
+	provenFields = "X-Id: i\r\n" + replicatest.Signed
+	// lengthOfBody frames the body "body".
+	lengthOfBody = "Content-Length: 4\r\n"
+)
+
+// headCase is a response of which only the head is in question; its whole body is "body" unless that is empty by its status.
+type headCase struct {
+	response string
+	valid    bool
+}
+
+// checkHeads checks which responses are taken for the answer of a replica, also behind an interim response.
+func checkHeads(t *testing.T, cases map[string]headCase) {
+	for name, test := range cases {
+		for prefixName, prefix := range map[string]string{"": "", " behind an interim response": "HTTP/1.1 102 Processing\r\n\r\n"} {
+			t.Run(name+prefixName, func(t *testing.T) {
+				client, handle := callWithScript(t, closing(func(connection net.Conn, _ *http.Request) bool {
+					_, err := io.WriteString(connection, prefix+test.response)
+					return err == nil
+				}))
+				answer, err := client.Do(t.Context(), handle, callWithID("i"))
+				var body []byte
+				if err == nil {
+					body, err = io.ReadAll(answer.Body)
+					answer.Close(err == nil)
+				}
+				if (err == nil) != test.valid {
+					t.Fatalf("body %q with error %v, want a valid answer: %t", body, err, test.valid)
+				}
+				if errors.Is(err, replica.ErrNotSent) {
+					t.Errorf("error %v says that the request has not run", err)
+				}
+				if !test.valid && handle.KeptAlive() {
+					t.Error("the connection of an invalid response is kept")
+				}
+				if test.valid && strings.HasSuffix(test.response, "body") && string(body) != "body" {
+					t.Errorf("body %q", body)
+				}
+			})
+		}
+	}
+}
+
+// withStatusLine is a sound answer but for its first line.
+func withStatusLine(line string) string { return line + provenFields + lengthOfBody + "\r\nbody" }
+
+// TestResponseWithAnInvalidStatusLineIsNone: a response with the status 600 was an answer, and one with 000 an interim response, behind
+// which the caller waited for another until its deadline.
+func TestResponseWithAnInvalidStatusLineIsNone(t *testing.T) {
+	checkHeads(t, map[string]headCase{
+		"status 000":             {withStatusLine("HTTP/1.1 000 \r\n"), false},
+		"status 000, empty body": {"HTTP/1.1 000 \r\n" + provenFields + "Content-Length: 0\r\n\r\n", false},
+		"status 042":             {withStatusLine("HTTP/1.1 042 X\r\n"), false},
+		"status 099":             {withStatusLine("HTTP/1.1 099 X\r\n"), false},
+		"status 600":             {withStatusLine("HTTP/1.1 600 X\r\n"), false},
+		"status 999":             {withStatusLine("HTTP/1.1 999 X\r\n"), false},
+		"status with a sign":     {withStatusLine("HTTP/1.1 +20 X\r\n"), false},
+		"negative status":        {withStatusLine("HTTP/1.1 -00 X\r\n"), false},
+		"status of two digits":   {withStatusLine("HTTP/1.1 20 X\r\n"), false},
+		"status of four digits":  {withStatusLine("HTTP/1.1 2000 X\r\n"), false},
+		"no status":              {withStatusLine("HTTP/1.1\r\n"), false},
+		"two spaces":             {withStatusLine("HTTP/1.1  200 X\r\n"), false},
+		"control byte in reason": {withStatusLine("HTTP/1.1 200 O\x01K\r\n"), false},
+		"carriage return":        {withStatusLine("HTTP/1.1 200 O\rK\r\n"), false},
+		"version 1.2":            {withStatusLine("HTTP/1.2 200 OK\r\n"), false},
+		"version 2.0":            {withStatusLine("HTTP/2.0 200 OK\r\n"), false},
+		"version 0.9":            {withStatusLine("HTTP/0.9 200 OK\r\n"), false},
+		"lower-case version":     {withStatusLine("http/1.1 200 OK\r\n"), false},
+
+		"usual":               {withStatusLine("HTTP/1.1 200 OK\r\n"), true},
+		"no reason":           {withStatusLine("HTTP/1.1 200 \r\n"), true},
+		"no space, no reason": {withStatusLine("HTTP/1.1 200\r\n"), true},
+		"long reason":         {withStatusLine("HTTP/1.1 200 It is\twell \xc3\xa4\r\n"), true},
+		"version 1.0":         {withStatusLine("HTTP/1.0 200 OK\r\n"), true},
+		"unknown 4xx":         {withStatusLine("HTTP/1.1 499 X\r\n"), true},
+		"unknown 5xx":         {withStatusLine("HTTP/1.1 599 X\r\n"), true},
+		"line feeds alone":    {strings.ReplaceAll(withStatusLine("HTTP/1.1 200 OK\r\n"), "\r\n", "\n"), true},
+		"no content":          {"HTTP/1.1 204 X\r\n" + provenFields + "\r\n", true},
+	})
+}
