replica: a response with an invalid field line is none

Cause: net/http keeps a name with a blank in it as it is, looks for framing under the canonical name alone, joins continued lines and trims stray carriage returns.

Change: checkResponseHead requires of each line a token, a colon and a value without control bytes (RFC 9112, section 5). A continued line is invalid too: section 5.2 lets a gateway reject it, and joining it hides a damaged name. Names of unusual tokens, empty values, tabs inside values and bytes over ASCII are still read.

Control bytes in names, lines without a name and separators were held before and keep their cases.

--- a/internal/batch/response_head_test.go
+++ b/internal/batch/response_head_test.go
@@ -23,8 +23,10 @@
 func TestResponseWithAnInvalidHeadIsNoResult(t *testing.T) {
 	const spoilt = "Content-Length: 17\r\n\r\nid: 1\ndata: bad\n\n"
 	for name, response := range map[string]string{
-		"status 000": "HTTP/1.1 000 \r\n%s" + spoilt,
-		"status 600": "HTTP/1.1 600 X\r\n%s" + spoilt,
+		"status 000":               "HTTP/1.1 000 \r\n%s" + spoilt,
+		"status 600":               "HTTP/1.1 600 X\r\n%s" + spoilt,
+		"blank in a name":          "HTTP/1.1 200 OK\r\n%sX Odd: 1\r\n" + spoilt,
+		"blank behind the framing": "HTTP/1.1 200 OK\r\n%sTransfer-Encoding : chunked\r\n" + spoilt,
 	} {
 		t.Run(name, func(t *testing.T) { expectDoneAfter(t, writeResponse(response)) })
 	}
--- a/internal/forward/response_head_test.go
+++ b/internal/forward/response_head_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,7 +20,7 @@
 	return func(connection net.Conn, request *http.Request) bool {
 		proven := "X-Id: " + request.Header.Get("X-Id") + "\r\n" + replicatest.Signed
 		_, err := io.WriteString(connection, fmt.Sprintf(format, proven))
-		return err == nil
+		return err == nil && !strings.Contains(format, "Connection: close")
 	}
 }
 
@@ -28,6 +29,9 @@
 	"status 000":                 "HTTP/1.1 000 \r\n%sContent-Length: 4\r\n\r\nbody",
 	"status 000 with empty body": "HTTP/1.1 000 \r\n%sContent-Length: 0\r\n\r\n",
 	"status 600":                 "HTTP/1.1 600 X\r\n%sContent-Length: 0\r\n\r\n",
+	"blank in a name":            "HTTP/1.1 200 OK\r\n%sX Odd: 1\r\nContent-Length: 0\r\n\r\n",
+	"blank behind the framing":   "HTTP/1.1 200 OK\r\n%sConnection: close\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+	"continued signature":        "HTTP/1.1 200 OK\r\n%s Content-Length: 5\r\nContent-Length: 0\r\n\r\n",
 }
 
 // TestResponseWithAnInvalidHeadIsNotPassedOn: callers got such a response as the replica's answer, or waited for another behind it until
--- a/internal/replica/report_test.go
+++ b/internal/replica/report_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
@@ -47,3 +49,24 @@
 		})
 	}
 }
+
+// TestLoadReportWithAnInvalidHeadIsNotRecorded: such a report is not the replica's, and confirms no incarnation.
+func TestLoadReportWithAnInvalidHeadIsNotRecorded(t *testing.T) {
+	const body = `{"Running":3,"Born":100}`
+	for name, head := range map[string]string{
+		"status 000":               "HTTP/1.1 000 \r\nContent-Length: %d\r\n\r\n%s",
+		"blank in a name":          "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: %d\r\n\r\n%s",
+		"blank behind the framing": "HTTP/1.1 200 OK\r\nContent-Length : %d\r\n\r\n%s",
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, handle := callWithScript(t, closing(func(connection net.Conn, _ *http.Request) bool {
+				_, err := fmt.Fprintf(connection, head, len(body), body)
+				return err == nil
+			}))
+			report := replica.LoadReport{Path: "/load", Parse: parseBorn}
+			if err := client.PollLoad(t.Context(), handle, report); err == nil || handle.Occupancy(time.Now()) > 0 {
+				t.Errorf("the load is recorded, error %v", err)
+			}
+		})
+	}
+}
--- a/internal/replica/response_head.go
+++ b/internal/replica/response_head.go
@@ -24,6 +24,12 @@
 	if _, err := parseStatusLine(lines[0]); err != nil {
 		return fmt.Errorf("%w: %w", ErrUnproven, err)
 	}
+	// The last line is the empty one behind the fields.
+	for _, line := range lines[1 : len(lines)-1] {
+		if _, _, err := parseField(line); err != nil {
+			return fmt.Errorf("%w: %w", ErrUnproven, err)
+		}
+	}
 	return nil
 }
 
@@ -49,3 +55,16 @@
 	}
 	return statusLine{version: version, status: int(status)}, nil
 }
+
+// parseField parses a field line (RFC 9112, section 5). A line that continues the one before is invalid, as a gateway may treat it.
+func parseField(line string) (name, value string, err error) {
+	name, value, found := strings.Cut(line, ":")
+	if !found || !httpguts.ValidHeaderFieldName(name) {
+		return "", "", fmt.Errorf("field name %.40q", name)
+	}
+	value = strings.Trim(value, " \t")
+	if !httpguts.ValidHeaderFieldValue(value) {
+		return "", "", fmt.Errorf("value %.40q of the field %s", value, name)
+	}
+	return name, value, nil
+}
--- a/internal/replica/response_head_test.go
+++ b/internal/replica/response_head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -94,3 +95,48 @@
 		"no content":          {"HTTP/1.1 204 X\r\n" + provenFields + "\r\n", true},
 	})
 }
+
+// withFields is a sound answer with further field lines, which come before the others.
+func withFields(lines string) string {
+	return "HTTP/1.1 200 OK\r\n" + lines + provenFields + lengthOfBody + "\r\nbody"
+}
+
+// TestResponseWithAnInvalidFieldIsNone: a field whose name holds a blank was dropped or, where it frames the body, ignored, and the rest
+// passed on as the replica's answer.
+func TestResponseWithAnInvalidFieldIsNone(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\n" + provenFields + "Transfer-Encoding%s chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	checkHeads(t, map[string]headCase{
+		"blank inside a name":            {withFields("X Odd: 1\r\n"), false},
+		"blank behind a name":            {withFields("X-Odd : 1\r\n"), false},
+		"tab behind a name":              {withFields("X-Odd\t: 1\r\n"), false},
+		"control byte in a name":         {withFields("X-\x01Odd: 1\r\n"), false},
+		"delete in a name":               {withFields("X-\x7fOdd: 1\r\n"), false},
+		"no ASCII in a name":             {withFields("X-\xc3\xa4: 1\r\n"), false},
+		"separator in a name":            {withFields("X(Odd): 1\r\n"), false},
+		"no name":                        {withFields(": 1\r\n"), false},
+		"no colon":                       {withFields("X-Odd\r\n"), false},
+		"blank before the first name":    {withFields(" X-Odd: 1\r\n"), false},
+		"blank before a name":            {withFields("X-Even: 1\r\n X-Odd: 1\r\n"), false},
+		"tab before a name":              {withFields("X-Even: 1\r\n\tX-Odd: 1\r\n"), false},
+		"continued line":                 {withFields("X-Even: 1\r\n continued\r\n"), false},
+		"line of blanks":                 {withFields("X-Even: 1\r\n \r\n"), false},
+		"control byte in a value":        {withFields("X-Odd: a\x01b\r\n"), false},
+		"zero byte in a value":           {withFields("X-Odd: a\x00b\r\n"), false},
+		"carriage return in a value":     {withFields("X-Odd: a\rX-Even: b\r\n"), false},
+		"carriage return behind a value": {withFields("X-Odd: a\r\r\n"), false},
+		"line of a carriage return":      {withFields("X-Even: a\r\n\r\r\n"), false},
+		"blank behind Content-Length":    {strings.Replace(withFields(""), "Content-Length:", "Content-Length :", 1), false},
+		"blank behind Transfer-Encoding": {fmt.Sprintf(chunked, " :"), false},
+		"blank behind the signature":     {strings.Replace(withFields(""), "X-Signature:", "X-Signature :", 1), false},
+
+		"usual":                {withFields("X-Even: 1\r\n"), true},
+		"no blank before":      {withFields("X-Even:1\r\n"), true},
+		"blanks round a value": {withFields("X-Even: \t 1 \t \r\n"), true},
+		"no value":             {withFields("X-Even:\r\n"), true},
+		"colons in a value":    {withFields("X-Even: a:b : c\r\n"), true},
+		"tab in a value":       {withFields("X-Even: a\tb\r\n"), true},
+		"bytes over ASCII":     {withFields("X-Even: \xc3\xa4\xff\r\n"), true},
+		"unusual name":         {withFields("x_!#$%&'*+.^`|~9: 1\r\n"), true},
+		"chunks":               {fmt.Sprintf(chunked, ":"), true},
+	})
+}
