replica: a response whose framing contradicts itself is none

Callers could see: the chunk lengths of an HTTP/1.0 response as a part of its body (net/http ignores its Transfer-Encoding and reads to the end of the connection), or a body of which two readers find two ends. Found by reading RFC 9112, section 6, after the report of `Transfer-Encoding : chunked`; it shows in tests only.

Cause: net/http prefers a transfer coding to a length, and takes no notice of framing in a 1xx or a 204.

Change: framing.check requires that a response has a coding or a length and not both, a coding only in HTTP/1.1, and neither in a 1xx or 204, but for a length of 0. Invalid lengths and other codings are refused by net/http, as before. A 304 may carry the length of the body that it stands for.

--- a/internal/forward/response_head_test.go
+++ b/internal/forward/response_head_test.go
@@ -31,6 +31,7 @@
 	"status 600":                 "HTTP/1.1 600 X\r\n%sContent-Length: 0\r\n\r\n",
 	"blank in a name":            "HTTP/1.1 200 OK\r\n%sX Odd: 1\r\nContent-Length: 0\r\n\r\n",
 	"blank behind the framing":   "HTTP/1.1 200 OK\r\n%sConnection: close\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+	"chunks in HTTP/1.0":         "HTTP/1.0 200 OK\r\n%sConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	"continued signature":        "HTTP/1.1 200 OK\r\n%s Content-Length: 5\r\nContent-Length: 0\r\n\r\n",
 }
 
--- a/internal/replica/response_head.go
+++ b/internal/replica/response_head.go
@@ -1,7 +1,9 @@
 package replica
 
 import (
+	"errors"
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 
@@ -12,6 +14,10 @@
 	// minStatus and maxStatus bound the status codes that have a meaning (RFC 9110, section 15).
 	minStatus = 100
 	maxStatus = 599
+
+	httpVersion = "HTTP/1.1"
+	// oldHTTPVersion has no transfer codings.
+	oldHTTPVersion = "HTTP/1.0"
 )
 
 // checkResponseHead returns an error that wraps ErrUnproven unless head, the bytes of a response before its body, is valid by RFC 9112.
@@ -21,14 +27,21 @@
 	for index, line := range lines {
 		lines[index] = strings.TrimSuffix(line, "\r")
 	}
-	if _, err := parseStatusLine(lines[0]); err != nil {
+	first, err := parseStatusLine(lines[0])
+	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnproven, err)
 	}
+	var declared framing
 	// The last line is the empty one behind the fields.
 	for _, line := range lines[1 : len(lines)-1] {
-		if _, _, err := parseField(line); err != nil {
+		name, value, err := parseField(line)
+		if err != nil {
 			return fmt.Errorf("%w: %w", ErrUnproven, err)
 		}
+		declared.note(name, value)
+	}
+	if err := declared.check(first); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnproven, err)
 	}
 	return nil
 }
@@ -41,9 +54,9 @@
 
 // parseStatusLine parses the first line of a response (RFC 9112, section 4).
 func parseStatusLine(line string) (statusLine, error) {
-	version, rest, _ := strings.Cut(line, " ")
-	if version != "HTTP/1.1" && version != "HTTP/1.0" {
-		return statusLine{}, fmt.Errorf("version %.40q", version)
+	named, rest, _ := strings.Cut(line, " ")
+	if named != httpVersion && named != oldHTTPVersion {
+		return statusLine{}, fmt.Errorf("version %.40q", named)
 	}
 	code, reason, _ := strings.Cut(rest, " ")
 	status, err := strconv.ParseUint(code, 10, 0)
@@ -53,7 +66,7 @@
 	if !httpguts.ValidHeaderFieldValue(reason) {
 		return statusLine{}, fmt.Errorf("reason %.40q", reason)
 	}
-	return statusLine{version: version, status: int(status)}, nil
+	return statusLine{version: named, status: int(status)}, nil
 }
 
 // parseField parses a field line (RFC 9112, section 5). A line that continues the one before is invalid, as a gateway may treat it.
@@ -68,3 +81,35 @@
 	}
 	return name, value, nil
 }
+
+// framing is what the fields of a response declare of its body.
+type framing struct {
+	// coded is true if the response has a transfer coding, sized if it has a length; length is the last one.
+	coded, sized bool
+	length       string
+}
+
+func (f *framing) note(name, value string) {
+	switch http.CanonicalHeaderKey(name) {
+	case "Transfer-Encoding":
+		f.coded = true
+	case "Content-Length":
+		f.sized, f.length = true, value
+	}
+}
+
+// check returns an error if the declarations contradict each other or the status line, so that the end of the body depends on who reads it
+// (RFC 9112, section 6). Lengths and codings that are invalid themselves are refused by net/http.
+func (f *framing) check(first statusLine) error {
+	bodiless := first.status < http.StatusOK || first.status == http.StatusNoContent
+	switch {
+	case f.coded && f.sized:
+		return errors.New("transfer coding beside a length")
+	case f.coded && first.version == oldHTTPVersion:
+		return errors.New("transfer coding in a response of " + first.version)
+	case bodiless && (f.coded || f.sized && f.length != "0"):
+		return fmt.Errorf("body in a response with status %d", first.status)
+	default:
+		return nil
+	}
+}
--- a/internal/replica/response_head_test.go
+++ b/internal/replica/response_head_test.go
@@ -140,3 +140,40 @@
 		"chunks":               {fmt.Sprintf(chunked, ":"), true},
 	})
 }
+
+// TestResponseWithContradictoryFramingIsNone: the chunks of a response of HTTP/1.0 were read as its body, and a length beside a transfer
+// coding was ignored.
+func TestResponseWithContradictoryFramingIsNone(t *testing.T) {
+	const chunks = "4\r\nbody\r\n0\r\n\r\n"
+	response := func(statusLine, framing, body string) string {
+		return statusLine + "\r\n" + provenFields + framing + "\r\n" + body
+	}
+	const coded = "Transfer-Encoding: chunked\r\n"
+	checkHeads(t, map[string]headCase{
+		"chunks in HTTP/1.0":           {response("HTTP/1.0 200 OK", coded, chunks), false},
+		"chunks in lower case":         {response("HTTP/1.0 200 OK", strings.ToLower(coded), chunks), false},
+		"length before a coding":       {response("HTTP/1.1 200 OK", lengthOfBody+coded, chunks), false},
+		"length behind a coding":       {response("HTTP/1.1 200 OK", coded+lengthOfBody, chunks), false},
+		"two lengths":                  {response("HTTP/1.1 200 OK", lengthOfBody+"Content-Length: 3\r\n", "body"), false},
+		"list of lengths":              {response("HTTP/1.1 200 OK", "Content-Length: 4, 3\r\n", "body"), false},
+		"length with a sign":           {response("HTTP/1.1 200 OK", "Content-Length: +4\r\n", "body"), false},
+		"negative length":              {response("HTTP/1.1 200 OK", "Content-Length: -4\r\n", "body"), false},
+		"length over 64 bits":          {response("HTTP/1.1 200 OK", "Content-Length: 99999999999999999999\r\n", "body"), false},
+		"empty length":                 {response("HTTP/1.1 200 OK", "Content-Length:\r\n", "body"), false},
+		"other coding":                 {response("HTTP/1.1 200 OK", "Transfer-Encoding: gzip\r\n", "body"), false},
+		"other coding, then chunks":    {response("HTTP/1.1 200 OK", "Transfer-Encoding: gzip, chunked\r\n", chunks), false},
+		"chunks twice":                 {response("HTTP/1.1 200 OK", coded+coded, chunks), false},
+		"length of a 204":              {response("HTTP/1.1 204 X", lengthOfBody, "body"), false},
+		"chunks of a 204":              {response("HTTP/1.1 204 X", coded, chunks), false},
+		"length of an interim":         {"HTTP/1.1 103 X\r\nContent-Length: 4\r\n\r\nbody" + withFields(""), false},
+		"chunks of an interim":         {"HTTP/1.1 103 X\r\n" + coded + "\r\n" + chunks + withFields(""), false},
+		"fields of an interim":         {"HTTP/1.1 103 X\r\nLink: x\r\n\r\n" + withFields(""), true},
+		"the same length twice":        {response("HTTP/1.1 200 OK", lengthOfBody+lengthOfBody, "body"), true},
+		"chunks":                       {response("HTTP/1.1 200 OK", coded, chunks), true},
+		"chunks, name in lower case":   {response("HTTP/1.1 200 OK", "transfer-encoding: Chunked\r\n", chunks), true},
+		"end of the connection":        {response("HTTP/1.1 200 OK", "", "body"), true},
+		"end of the connection in 1.0": {response("HTTP/1.0 200 OK", "", "body"), true},
+		"length 0 of a 204":            {response("HTTP/1.1 204 X", "Content-Length: 0\r\n", ""), true},
+		"length of a 304":              {response("HTTP/1.1 304 X", lengthOfBody, ""), true},
+	})
+}
