platform: an answer of the store with an invalid head says nothing about its call

Callers could see: nothing yet; a node took a change of the store for refused, and a key for absent, on an answer that was none. Found by looking for the cause of the answers with status 000 wherever answers are read.

Cause: each adapter took every status below 500 that it does not know as a refusal without an effect: 000, 099, 2xx other than 200, 3xx. http.Client followed redirections, so that a 307 sent a change to the address that the answer named. A head with a blank in a name was taken as it was.

Change: httpCaller.send, through which all calls to services of the platform go, returns answers with status 200 and 400 to 599 and valid field names only. Anything else counts as a missing answer: a change has an unknown outcome, a read is made again. Redirections are not followed.

Evidence: TestAnswerOfTheStoreWithAnInvalidHeadSaysNothing, on before: 8 of 11 cases failed; all pass now. 600 (as any status over 499), 404 and 400 with sound heads were held before and keep their cases. The engine client (internal/engine) takes a 200 alone and a stream only with its last event, the operators' client calls any other status indeterminate, and relays between nodes are framed with lengths: read, nothing changed there.

--- a/internal/platform/http_caller.go
+++ b/internal/platform/http_caller.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -12,6 +13,7 @@
 	"sync/atomic"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/sloelift/sloelift/internal/network"
 	"github.com/sloelift/sloelift/internal/platform/etcdjson"
@@ -22,6 +24,8 @@
 	maxErrorBodyBytes = 64 << 10
 	// maxAnswerBodyBytes bounds the bytes read of an answer's body.
 	maxAnswerBodyBytes = 64 << 20
+	// maxErrorStatus is the highest status that has a meaning (RFC 9110, section 15).
+	maxErrorStatus = 599
 )
 
 // effect is whether a call may have side effects, which determines the error kind of a missing answer.
@@ -43,7 +47,11 @@
 func newHTTPCaller(dialer network.Network, addresses []netip.AddrPort) *httpCaller {
 	return &httpCaller{
 		addresses: addresses,
-		client:    &http.Client{Transport: network.HTTPTransport(dialer)},
+		client: &http.Client{
+			Transport: network.HTTPTransport(dialer),
+			// No service redirects: a call must not reach an address that an answer names.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
 	}
 }
 
@@ -109,7 +117,7 @@
 	return answer, nil
 }
 
-// send makes one call and returns the answer whatever its status.
+// send makes one call and returns the answer, which is one of the service: with status 200 or an error status, and a valid head.
 func (c *httpCaller) send(
 	ctx context.Context, address netip.AddrPort, method, path string, kind effect, body []byte,
 ) (*http.Response, error) {
@@ -127,6 +135,9 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	answer, err := c.client.Do(request)
+	if err == nil {
+		err = checkAnswerHead(answer)
+	}
 	if err != nil {
 		if kind == changes && maybeSent.Load() {
 			return nil, KindUnknownOutcome.Wrap(err, "no answer from %s", address)
@@ -136,6 +147,21 @@
 	return answer, nil
 }
 
+// checkAnswerHead closes answer and returns an error if it is none of a service: it shows neither that the call had an effect nor that it
+// had none.
+func checkAnswerHead(answer *http.Response) error {
+	invalid := answer.StatusCode != http.StatusOK && (answer.StatusCode < http.StatusBadRequest || answer.StatusCode > maxErrorStatus)
+	for name := range answer.Header {
+		// net/http accepts names with blanks.
+		invalid = invalid || !httpguts.ValidHeaderFieldName(name)
+	}
+	if !invalid {
+		return nil
+	}
+	_ = answer.Body.Close()
+	return fmt.Errorf("invalid head of an answer with status %d", answer.StatusCode)
+}
+
 // decodeAnswer decodes an answer of status 200. An incomplete one counts as missing.
 func decodeAnswer(answer *http.Response, kind effect, response any) error {
 	defer closeBody(answer)
