platform: an entry of a replica with a field beyond its bounds is rejected

Found beside it: a key with a control byte names a replica whose ID no header can hold, so that an item sent to it became a dead letter (tried once with a replica "a\n"); a cold time of 1e300 ms becomes the shortest duration on amd64 and the longest on arm64; a start time in the far future hides the replica's own entry, whose start is earlier.

Cause: numbers of entries went into sums, durations and comparisons unchecked: the slots of a service overflowed to a negative number, and requests waited for room.

--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -24,6 +24,9 @@
 // all admitted within one such window.
 const coldWindow = time.Second + SendWithin
 
+// MaxColdFor is the longest cold period that a replica can report. A longer one is invalid.
+const MaxColdFor = 24 * time.Hour
+
 // ColdPass is this process's share of a cold replica's rate limit. It is safe for concurrent use.
 //
 // Invariant: at most limit requests are admitted within any coldWindow, and none after until.
