--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -182,7 +182,7 @@
 		return
 	}
 	milliseconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	if err == nil && milliseconds > 0 {
+	if err == nil && milliseconds > 0 && milliseconds <= float64(MaxColdFor.Milliseconds()) {
 		h.SetColdUntil(now.Add(time.Duration(milliseconds * float64(time.Millisecond))))
 	}
 }
--- a/internal/replica/connection.go
+++ b/internal/replica/connection.go
@@ -16,6 +16,8 @@
 	readBufferBytes = 8 << 10
 	// defaultIdleTimeout applies if the replica's Keep-Alive header names no timeout.
 	defaultIdleTimeout = 30 * time.Second
+	// maxIdleSeconds bounds the timeout that a Keep-Alive header can name.
+	maxIdleSeconds = 24 * 60 * 60
 	// maxHeadBytes limits the status line and headers of a response: four times what callers may send by default.
 	maxHeadBytes = 64 << 10
 	// idleMargin is subtracted from the replica's timeout, so that no request is sent while the replica closes the connection.
@@ -130,7 +132,7 @@
 		if err != nil {
 			continue
 		}
-		return max(0, time.Duration(seconds)*time.Second-idleMargin)
+		return max(0, time.Duration(min(seconds, maxIdleSeconds))*time.Second-idleMargin)
 	}
 	return defaultIdleTimeout
 }
--- a/internal/replica/load_report.go
+++ b/internal/replica/load_report.go
@@ -25,12 +25,29 @@
 	numbers := make([]int, loadFields+1)
 	for index, part := range parts {
 		number, err := strconv.Atoi(strings.TrimSpace(part))
-		if err != nil || number < 0 {
+		if err != nil {
 			return Load{}, false
 		}
 		numbers[index] = number
 	}
-	return Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2], WorkTime: numbers[3]}, true
+	load := Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2], WorkTime: numbers[3]}
+	if load.check() != nil {
+		return Load{}, false
+	}
+	return load, true
+}
+
+// maxReported bounds each number of a load report. Sums of reports stay far below the largest integer.
+const maxReported = 1 << 20
+
+// check returns an error if a number is negative or beyond its bound.
+func (l Load) check() error {
+	for _, number := range []int{l.Running, l.Waiting, l.Slots, l.WorkTime} {
+		if number < 0 || number > maxReported {
+			return fmt.Errorf("load report with the number %d", number)
+		}
+	}
+	return nil
 }
 
 // LoadReport describes the request for a replica's load.
@@ -73,6 +90,9 @@
 	if err != nil {
 		return Load{}, err
 	}
+	if err := load.check(); err != nil {
+		return Load{}, err
+	}
 	if born := handle.Info().Born; born > 0 && load.Born > 0 && load.Born != born {
 		if load.Born > born {
 			// The incarnation behind handle has ended, though its entry still exists.
