batch: the test of stalled items does not depend on the order of two runs

Cause: the test's register removes the only replica when the first item ends it. Where that run ended before the second item was sent, the second never ran, and the test waits for its result. No fault of the product: there is no other replica in the test.

Change: the replica ends 0.1 s of virtual time after it got the first item, so that the second one is done before.

--- a/internal/batch/item_stalled_test.go
+++ b/internal/batch/item_stalled_test.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"net"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,7 +24,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				owner := startOwnerWithRegister(t, newCountingRegister(test.bound), crashingScripts("/p/j-0", "a"))
+				crashing := crashingScripts("/p/j-0", "a")["a"]
+				owner := startOwnerWithRegister(t, newCountingRegister(test.bound), singleReplica(func(connection net.Conn, request *http.Request) bool {
+					if request.URL.Path == "/p/j-0" {
+						// The end of the only replica must not precede the run of the other item there.
+						time.Sleep(100 * time.Millisecond)
+					}
+					return crashing(connection, request)
+				}))
 				owner.mustSubmit(t, testSubmission("j", 2))
 				owner.results(t, "j", 1, 5*time.Second)
 				if found := owner.stalled(); len(found.byReason) != 0 {
