lab: replicas that send invalid heads or break uploads off, and odd entries

Three kinds of faults that are drawn only where they are named, and long online requests (--upload-bytes). Replicas take bodies of 4 MiB now, as the lab's configuration allows callers to send.

--- a/cmd/sloelift-lab/roles_command.go
+++ b/cmd/sloelift-lab/roles_command.go
@@ -25,6 +25,7 @@
 	EndingItems      float64       `help:"Share of items that end every replica that runs them."`
 	Versions         int           `help:"Software versions that replicas run side by side." default:"2"`
 	StreamEvents     int           `help:"Maximum number of events of an online stream; 0 for short streams."`
+	UploadBytes      int           `help:"Length of the long online requests, one in four; 0 for none."`
 	Unused           float64       `help:"Mean connections per second that callers open and use only seconds later."`
 	BreakOffs        float64       `help:"Share of attempts at streams whose callers close the connection on the way and take the stream up again."`
 	CrashingRequests int           `help:"Number of online requests that crash every replica that runs them and are sent repeatedly."`
@@ -42,7 +43,7 @@
 		Program: c.Program, Template: c.Template, BusyCommand: []string{own, "busy"}, Seed: c.Seed, Runs: c.Runs, Duration: c.Each,
 		Zones: c.Zones, Edges: c.Edges, Stores: c.Stores, Replicas: c.Replicas, OnlinePerSecond: c.Online, JobsPerSecond: c.Jobs,
 		PreviousProgram: c.Before, ItemEvents: c.ItemEvents, EndingItems: c.EndingItems, CrashingRequests: c.CrashingRequests,
-		Versions: c.Versions, StreamEvents: c.StreamEvents, BreakOffs: c.BreakOffs, UnusedPerSecond: c.Unused,
+		Versions: c.Versions, StreamEvents: c.StreamEvents, UploadBytes: c.UploadBytes, BreakOffs: c.BreakOffs, UnusedPerSecond: c.Unused,
 		FaultKinds: c.Only, KeepLogs: c.Keep,
 	}, os.Stdout)
 	if err != nil {
--- a/lab/roles/caller.go
+++ b/lab/roles/caller.go
@@ -27,6 +27,10 @@
 	// minStreamEvents and defaultMaxStreamEvents bound the number of events of an online stream.
 	minStreamEvents        = 3
 	defaultMaxStreamEvents = 20
+	// uploadEvery is the number of online requests of which one is long, where long ones are sent.
+	uploadEvery = 4
+	// maxUploadBytes is the maximum length of a long request, with room for the rest of its body.
+	maxUploadBytes = maxWorkBytes - 1<<10
 )
 
 // onlineAttempt is one HTTP request of a caller and its result.
@@ -124,7 +128,11 @@
 // newWork draws the body of an online request.
 func (c *callers) newWork(random *rand.Rand) work {
 	events := minStreamEvents + random.IntN(cmp.Or(c.fleet.options.StreamEvents, defaultMaxStreamEvents)-minStreamEvents+1)
-	return work{Events: events, Mark: newID(random)}
+	drawn := work{Events: events, Mark: newID(random)}
+	if bytes := c.fleet.options.UploadBytes; bytes > 0 && random.IntN(uploadEvery) == 0 {
+		drawn.Padding = strings.Repeat("p", bytes)
+	}
+	return drawn
 }
 
 // mayTryAgain reports whether the caller makes another attempt after try others: it takes up a stream that has begun, and sends any other
--- a/lab/roles/draw.go
+++ b/lab/roles/draw.go
@@ -53,6 +53,9 @@
 	spoilVersion   faultKind = "spoil_version"
 	spoilAnswers   faultKind = "replicas_spoil_answers"
 	endlessAnswer  faultKind = "replicas_answer_without_end"
+	invalidHead    faultKind = "replicas_send_invalid_heads"
+	breakUploads   faultKind = "replicas_break_uploads"
+	oddEntries     faultKind = "odd_entries"
 )
 
 // kindRange describes how a kind of fault is drawn: the range of its duration and its maximum number in a run, 0 for no limit.
@@ -107,6 +110,9 @@
 	{changeSilence, time.Second, 9 * time.Second, 0},
 	{spoilAnswers, 2 * time.Second, 6 * time.Second, 0},
 	{endlessAnswer, 2 * time.Second, 6 * time.Second, 0},
+	{invalidHead, 2 * time.Second, 6 * time.Second, 0},
+	{breakUploads, 2 * time.Second, 6 * time.Second, 0},
+	{oddEntries, 2 * time.Second, 6 * time.Second, 0},
 }
 
 // fault is one fault of a run: it begins at Start, counted from the start of the run, and lasts for Duration.
--- a/lab/roles/fault.go
+++ b/lab/roles/fault.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"math"
 	"runtime"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/sloelift/sloelift/internal/pause"
 	labplatform "github.com/sloelift/sloelift/lab/platform"
 	"github.com/sloelift/sloelift/lab/process"
+	wire "github.com/sloelift/sloelift/platform"
 )
 
 const (
@@ -310,6 +312,8 @@
 		versions := append(f.fleet.options.versions(), "")
 		f.spoilEntry(ctx, target, target.entryWith(pick(versions, drawn.Target)), drawn.Duration)
 		return nil
+	case oddEntries:
+		return f.addOddEntries(ctx, target, drawn)
 	case flapReplica:
 		return f.flap(ctx, target, drawn.Duration)
 	}
@@ -326,6 +330,10 @@
 			next.spoil = 0.1 + 0.5*drawn.Strength
 		case endlessAnswer:
 			next.endless = 0.1 + 0.5*drawn.Strength
+		case invalidHead:
+			next.invalidHead = 0.1 + 0.5*drawn.Strength
+		case breakUploads:
+			next.breakUpload = 0.1 + 0.5*drawn.Strength
 		}
 		replica.setMisbehavior(next)
 		defer replica.setMisbehavior(misbehavior{})
@@ -426,6 +434,37 @@
 	}
 }
 
+// oddValues are the values of single fields of an entry that name no replica, each in the place of the sound one.
+var oddValues = [][2]string{
+	{`"slots":17`, `"slots":9223372036854775807`}, {`"slots":17`, `"slots":1000000000000000`}, {`"slots":17`, `"slots":1e400`},
+	{`"cold_left_ms":0`, `"cold_left_ms":1e300`}, {`"born":`, `"born":9223372036854775807,"earlier":`}, {`"call_seq":0`, `"call_seq":1e400`},
+	{`:1"`, `:70000"`}, {`:1"`, `:0"`}, {`"version":"`, `"more":` + strings.Repeat("[", nesting) + strings.Repeat("]", nesting) + `,"version":"`},
+}
+
+// nesting is deeper than a JSON decoder follows.
+const nesting = 15_000
+
+// addOddEntries adds entries of another writer to those of the replicas, replaces target's by one of them, and restores the entries.
+func (f *injector) addOddEntries(ctx context.Context, target *replica, drawn fault) error {
+	var keys []string
+	// Nothing listens at port 1.
+	sound := strings.Replace(string(target.entry()), target.address.String(), target.address.Addr().String()+":1", 1)
+	for number, value := range oddValues {
+		key := fmt.Sprintf("%sodd-%d-%d", wire.Translator{}.ReplicaPrefix(), drawn.Target, number)
+		odd := strings.Replace(sound, value[0], value[1], 1)
+		if f.fleet.put(ctx, key, []byte(odd), 0) == nil {
+			keys = append(keys, key)
+		}
+	}
+	replacing := pick(oddValues, drawn.Target)
+	f.spoilEntry(ctx, target, []byte(strings.Replace(sound, replacing[0], replacing[1], 1)), drawn.Duration)
+	for _, key := range keys {
+		// An error means that the store has an outage; the entry then stays, which is allowed.
+		_ = f.fleet.remove(ctx, key)
+	}
+	return nil
+}
+
 // affectedReplicas returns the replicas that a fault affects: one for a hang, otherwise half of the living ones.
 func (f *injector) affectedReplicas(living []*replica, drawn fault) []*replica {
 	if drawn.Kind == hangReplica {
--- a/lab/roles/fleet.go
+++ b/lab/roles/fleet.go
@@ -344,6 +344,12 @@
 	return err
 }
 
+// remove deletes a key unconditionally.
+func (f *fleet) remove(ctx context.Context, key string) error {
+	_, err := f.store.Commit(ctx, port.Transaction{Changes: []port.Change{{Key: key, Delete: true}}})
+	return err
+}
+
 // startedShortlyBefore reports whether a process of the named machine was started within contactTimeout before then.
 func (f *fleet) startedShortlyBefore(name string, then time.Time) bool {
 	return slices.ContainsFunc(f.machines, func(candidate *machine) bool {
--- a/lab/roles/replica.go
+++ b/lab/roles/replica.go
@@ -24,14 +24,15 @@
 	slots         = 17
 	queueCapacity = 64
 	// maxWorkBytes is the maximum size of a request body.
-	maxWorkBytes = 1 << 20
+	maxWorkBytes = 4 << 20
 )
 
 // misbehavior is how a replica misbehaves. The numbers are shares of its responses.
 type misbehavior struct {
 	// loseAnswer closes the connection after the run without a response, breakOff cuts a stream halfway, fail responds with 500, spoil sends
-	// a response after the run that is none, endless one without end.
-	loseAnswer, breakOff, fail, spoil, endless float64
+	// a response after the run that is none, endless one without end, invalidHead one with an invalid head. breakUpload answers a long
+	// request before it is read, and resets the connection.
+	loseAnswer, breakOff, fail, spoil, endless, invalidHead, breakUpload float64
 	// hang blocks all requests.
 	hang bool
 }
@@ -173,6 +174,12 @@
 	run.deadlineMillis, _ = strconv.ParseInt(request.Header.Get(wire.Headers.Deadline), 10, 64)
 	writer.Header().Set(wire.Headers.RequestID, id)
 	writer.Header().Set(wire.Headers.Signature, r.id+"."+id)
+	if current, _ := r.misbehavior(); request.ContentLength > minBrokenUpload && r.occurs(current.breakUpload) {
+		r.record.add(id, run)
+		r.record.update(func() { run.started = true })
+		r.breakUpload(writer, request)
+		return
+	}
 	body, err := io.ReadAll(io.LimitReader(request.Body, maxWorkBytes))
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -252,7 +259,9 @@
 	case r.occurs(current.loseAnswer):
 		r.abort(ctx, writer, run, false)
 	case r.occurs(current.spoil):
-		r.spoilAnswer(writer, request)
+		r.spoilAnswer(writer, request, spoiltAnswers)
+	case r.occurs(current.invalidHead):
+		r.spoilAnswer(writer, request, invalidHeads)
 	case r.occurs(current.endless):
 		r.answerWithoutEnd(writer, request)
 	case request.Header.Get("Accept") == acceptWhole:
--- a/lab/roles/run.go
+++ b/lab/roles/run.go
@@ -42,6 +42,8 @@
 	// streams whose callers close the connection on the way and take the stream up again.
 	StreamEvents int
 	BreakOffs    float64
+	// UploadBytes is the length of the long online requests, one in four; 0 for none.
+	UploadBytes int
 	// UnusedPerSecond is the mean rate of connections that callers open and use only seconds later.
 	UnusedPerSecond float64
 	// CrashingRequests is the number of online requests that crash every replica that runs them; callers send them repeatedly.
@@ -64,6 +66,8 @@
 		return fmt.Errorf("items must have at least 10 events")
 	case o.StreamEvents != 0 && o.StreamEvents < minStreamEvents:
 		return fmt.Errorf("streams must have at least %d events", minStreamEvents)
+	case o.UploadBytes < 0 || o.UploadBytes > maxUploadBytes:
+		return fmt.Errorf("long requests must have at most %d bytes", maxUploadBytes)
 	case o.Edges+o.Stores > maxMachines:
 		return fmt.Errorf("at most %d machines are possible, one for each loopback address", maxMachines)
 	}
--- a/lab/roles/run_test.go
+++ b/lab/roles/run_test.go
@@ -166,6 +166,23 @@
 	}
 }
 
+// TestResponsesWithInvalidHeadsReachNoCaller plays the built program while replicas send responses with invalid heads, or answer long requests
+// at once and reset the connection, and another writer leaves odd entries. It guards against such a response, or a part of it, that
+// reaches a caller as whole or becomes the text of an item.
+func TestResponsesWithInvalidHeadsReachNoCaller(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays real processes for half a minute")
+	}
+	report := playWithoutViolations(t, Options{
+		Program: buildProgram(t), Seed: 12001, Runs: 2, Duration: 10 * time.Second,
+		FaultKinds: namesOf([]faultKind{invalidHead, breakUploads, oddEntries, crashReplica, stopNode}),
+		Replicas:   6, OnlinePerSecond: 40, JobsPerSecond: 1, UploadBytes: 3_900_000, UnusedPerSecond: 2,
+	})
+	if report.Counts.OnlineServed == 0 || report.Counts.ItemsDone == 0 {
+		t.Errorf("nothing was shown: %+v", report.Counts)
+	}
+}
+
 // TestPlannedWorkCutsNoRequestOff plays the built program while machines are stopped and started and configurations change. Callers open
 // connections that they use only seconds later, and some streams last for seconds.
 func TestPlannedWorkCutsNoRequestOff(t *testing.T) {
@@ -215,6 +232,7 @@
 		"no edge": func(o *Options) { o.Edges = 0 }, "no program": func(o *Options) { o.Program = "nowhere" }, "no run": func(o *Options) { o.Runs = 0 },
 		"too many machines": func(o *Options) { o.Edges = maxMachines }, "unknown fault": func(o *Options) { o.FaultKinds = []string{"rain"} },
 		"no build before": func(o *Options) { o.PreviousProgram = "nowhere" }, "short items": func(o *Options) { o.ItemEvents = 9 },
+		"long uploads": func(o *Options) { o.UploadBytes = maxUploadBytes + 1 },
 	} {
 		changed := good
 		change(&changed)
