replica, platform: cases that parts of the checks were not needed for

A bound of 599 for statuses of the platform's services is gone: what is over it counts as a status over 499 did. The check of values is kept, though net/http refuses the same ones: the head's rules stand in one place.

--- a/internal/platform/http_caller.go
+++ b/internal/platform/http_caller.go
@@ -24,8 +24,6 @@
 	maxErrorBodyBytes = 64 << 10
 	// maxAnswerBodyBytes bounds the bytes read of an answer's body.
 	maxAnswerBodyBytes = 64 << 20
-	// maxErrorStatus is the highest status that has a meaning (RFC 9110, section 15).
-	maxErrorStatus = 599
 )
 
 // effect is whether a call may have side effects, which determines the error kind of a missing answer.
@@ -117,7 +115,7 @@
 	return answer, nil
 }
 
-// send makes one call and returns the answer, which is one of the service: with status 200 or an error status, and a valid head.
+// send makes one call and returns the answer, which has status 200 or an error status, and valid field names.
 func (c *httpCaller) send(
 	ctx context.Context, address netip.AddrPort, method, path string, kind effect, body []byte,
 ) (*http.Response, error) {
@@ -150,7 +148,7 @@
 // checkAnswerHead closes answer and returns an error if it is none of a service: it shows neither that the call had an effect nor that it
 // had none.
 func checkAnswerHead(answer *http.Response) error {
-	invalid := answer.StatusCode != http.StatusOK && (answer.StatusCode < http.StatusBadRequest || answer.StatusCode > maxErrorStatus)
+	invalid := answer.StatusCode != http.StatusOK && answer.StatusCode < http.StatusBadRequest
 	for name := range answer.Header {
 		// net/http accepts names with blanks.
 		invalid = invalid || !httpguts.ValidHeaderFieldName(name)
--- a/internal/replica/response_head_test.go
+++ b/internal/replica/response_head_test.go
@@ -67,6 +67,8 @@
 	checkHeads(t, map[string]headCase{
 		"status 000":             {withStatusLine("HTTP/1.1 000 \r\n"), false},
 		"status 000, empty body": {"HTTP/1.1 000 \r\n" + provenFields + "Content-Length: 0\r\n\r\n", false},
+		"status 000, answer":     {"HTTP/1.1 000 \r\n\r\n" + withFields(""), false},
+		"status 099, answer":     {"HTTP/1.1 099 X\r\n\r\n" + withFields(""), false},
 		"status 042":             {withStatusLine("HTTP/1.1 042 X\r\n"), false},
 		"status 099":             {withStatusLine("HTTP/1.1 099 X\r\n"), false},
 		"status 600":             {withStatusLine("HTTP/1.1 600 X\r\n"), false},
@@ -167,6 +169,7 @@
 		"chunks of a 204":              {response("HTTP/1.1 204 X", coded, chunks), false},
 		"length of an interim":         {"HTTP/1.1 103 X\r\nContent-Length: 4\r\n\r\nbody" + withFields(""), false},
 		"chunks of an interim":         {"HTTP/1.1 103 X\r\n" + coded + "\r\n" + chunks + withFields(""), false},
+		"empty body of an interim":     {"HTTP/1.1 103 X\r\nContent-Length: 4\r\n\r\n" + withFields(""), false},
 		"fields of an interim":         {"HTTP/1.1 103 X\r\nLink: x\r\n\r\n" + withFields(""), true},
 		"the same length twice":        {response("HTTP/1.1 200 OK", lengthOfBody+lengthOfBody, "body"), true},
 		"chunks":                       {response("HTTP/1.1 200 OK", coded, chunks), true},
