--- a/internal/platform/http_caller.go
+++ b/internal/platform/http_caller.go
@@ -47,7 +47,7 @@
 		addresses: addresses,
 		client: &http.Client{
 			Transport: network.HTTPTransport(dialer),
-			// No service redirects: a call must not reach an address that an answer names.
+			// The services do not redirect, so a call must not reach an address that an answer names.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
@@ -145,8 +145,8 @@
 	return answer, nil
 }
 
-// checkAnswerHead closes answer and returns an error if it is none of a service: it shows neither that the call had an effect nor that it
-// had none.
+// checkAnswerHead closes answer and returns an error if its status or a field name is invalid. Such an answer shows neither that the call
+// had an effect nor that it had none.
 func checkAnswerHead(answer *http.Response) error {
 	invalid := answer.StatusCode != http.StatusOK && answer.StatusCode < http.StatusBadRequest
 	for name := range answer.Header {
--- a/internal/replica/connection.go
+++ b/internal/replica/connection.go
@@ -61,13 +61,14 @@
 // headRecorder limits and records what is read from source while the head of a response is read: net/http sets no limit of its own, and
 // does not return what it has read.
 type headRecorder struct {
-	source    io.Reader
+	source io.Reader
+	// recording is true between begin and end; left is how many more bytes may be read until end, received what was read since begin.
 	recording bool
 	left      int
 	received  []byte
 }
 
-// begin starts the recording, with the bytes that were received before, and allows most bytes more.
+// begin starts the recording with before, the bytes that were received but not consumed, and allows most bytes more.
 func (r *headRecorder) begin(before []byte, most int) {
 	r.recording, r.left, r.received = true, most, append([]byte(nil), before...)
 }
--- a/internal/replica/response_head.go
+++ b/internal/replica/response_head.go
@@ -54,9 +54,9 @@
 
 // parseStatusLine parses the first line of a response (RFC 9112, section 4).
 func parseStatusLine(line string) (statusLine, error) {
-	named, rest, _ := strings.Cut(line, " ")
-	if named != httpVersion && named != oldHTTPVersion {
-		return statusLine{}, fmt.Errorf("version %.40q", named)
+	version, rest, _ := strings.Cut(line, " ")
+	if version != httpVersion && version != oldHTTPVersion {
+		return statusLine{}, fmt.Errorf("version %.40q", version)
 	}
 	code, reason, _ := strings.Cut(rest, " ")
 	status, err := strconv.ParseUint(code, 10, 0)
@@ -66,10 +66,10 @@
 	if !httpguts.ValidHeaderFieldValue(reason) {
 		return statusLine{}, fmt.Errorf("reason %.40q", reason)
 	}
-	return statusLine{version: named, status: int(status)}, nil
+	return statusLine{version: version, status: int(status)}, nil
 }
 
-// parseField parses a field line (RFC 9112, section 5). A line that continues the one before is invalid, as a gateway may treat it.
+// parseField parses a field line (RFC 9112, section 5). A line that continues the one before is invalid: a gateway may reject it.
 func parseField(line string) (name, value string, err error) {
 	name, value, found := strings.Cut(line, ":")
 	if !found || !httpguts.ValidHeaderFieldName(name) {
@@ -89,6 +89,7 @@
 	length       string
 }
 
+// note records a field if it declares something of the body.
 func (f *framing) note(name, value string) {
 	switch http.CanonicalHeaderKey(name) {
 	case "Transfer-Encoding":
--- a/lab/roles/draw.go
+++ b/lab/roles/draw.go
@@ -55,7 +55,7 @@
 	endlessAnswer  faultKind = "replicas_answer_without_end"
 	invalidHead    faultKind = "replicas_send_invalid_heads"
 	breakUploads   faultKind = "replicas_break_uploads"
-	oddEntries     faultKind = "odd_entries"
+	invalidEntries faultKind = "invalid_entries"
 )
 
 // kindRange describes how a kind of fault is drawn: the range of its duration and its maximum number in a run, 0 for no limit.
@@ -112,7 +112,7 @@
 	{endlessAnswer, 2 * time.Second, 6 * time.Second, 0},
 	{invalidHead, 2 * time.Second, 6 * time.Second, 0},
 	{breakUploads, 2 * time.Second, 6 * time.Second, 0},
-	{oddEntries, 2 * time.Second, 6 * time.Second, 0},
+	{invalidEntries, 2 * time.Second, 6 * time.Second, 0},
 }
 
 // fault is one fault of a run: it begins at Start, counted from the start of the run, and lasts for Duration.
--- a/lab/roles/fault.go
+++ b/lab/roles/fault.go
@@ -312,8 +312,8 @@
 		versions := append(f.fleet.options.versions(), "")
 		f.spoilEntry(ctx, target, target.entryWith(pick(versions, drawn.Target)), drawn.Duration)
 		return nil
-	case oddEntries:
-		return f.addOddEntries(ctx, target, drawn)
+	case invalidEntries:
+		return f.addInvalidEntries(ctx, target, drawn)
 	case flapReplica:
 		return f.flap(ctx, target, drawn.Duration)
 	}
@@ -434,30 +434,30 @@
 	}
 }
 
-// oddValues are the values of single fields of an entry that name no replica, each in the place of the sound one.
-var oddValues = [][2]string{
+// invalidValues are texts of a valid entry, each with what replaces it to make the entry invalid.
+var invalidValues = [][2]string{
 	{`"slots":17`, `"slots":9223372036854775807`}, {`"slots":17`, `"slots":1000000000000000`}, {`"slots":17`, `"slots":1e400`},
 	{`"cold_left_ms":0`, `"cold_left_ms":1e300`}, {`"born":`, `"born":9223372036854775807,"earlier":`}, {`"call_seq":0`, `"call_seq":1e400`},
 	{`:1"`, `:70000"`}, {`:1"`, `:0"`}, {`"version":"`, `"more":` + strings.Repeat("[", nesting) + strings.Repeat("]", nesting) + `,"version":"`},
 }
 
-// nesting is deeper than a JSON decoder follows.
+// nesting exceeds the depth to which encoding/json decodes.
 const nesting = 15_000
 
-// addOddEntries adds entries of another writer to those of the replicas, replaces target's by one of them, and restores the entries.
-func (f *injector) addOddEntries(ctx context.Context, target *replica, drawn fault) error {
+// addInvalidEntries adds invalid entries, as if by another writer, and replaces target's entry by one. It restores the entries afterwards.
+func (f *injector) addInvalidEntries(ctx context.Context, target *replica, drawn fault) error {
 	var keys []string
 	// Nothing listens at port 1.
-	sound := strings.Replace(string(target.entry()), target.address.String(), target.address.Addr().String()+":1", 1)
-	for number, value := range oddValues {
-		key := fmt.Sprintf("%sodd-%d-%d", wire.Translator{}.ReplicaPrefix(), drawn.Target, number)
-		odd := strings.Replace(sound, value[0], value[1], 1)
-		if f.fleet.put(ctx, key, []byte(odd), 0) == nil {
+	valid := strings.Replace(string(target.entry()), target.address.String(), target.address.Addr().String()+":1", 1)
+	for number, value := range invalidValues {
+		key := fmt.Sprintf("%sinvalid-%d-%d", wire.Translator{}.ReplicaPrefix(), drawn.Target, number)
+		invalid := strings.Replace(valid, value[0], value[1], 1)
+		if f.fleet.put(ctx, key, []byte(invalid), 0) == nil {
 			keys = append(keys, key)
 		}
 	}
-	replacing := pick(oddValues, drawn.Target)
-	f.spoilEntry(ctx, target, []byte(strings.Replace(sound, replacing[0], replacing[1], 1)), drawn.Duration)
+	replacing := pick(invalidValues, drawn.Target)
+	f.spoilEntry(ctx, target, []byte(strings.Replace(valid, replacing[0], replacing[1], 1)), drawn.Duration)
 	for _, key := range keys {
 		// An error means that the store has an outage; the entry then stays, which is allowed.
 		_ = f.fleet.remove(ctx, key)
--- a/lab/roles/run_test.go
+++ b/lab/roles/run_test.go
@@ -167,7 +167,7 @@
 }
 
 // TestResponsesWithInvalidHeadsReachNoCaller plays the built program while replicas send responses with invalid heads, or answer long requests
-// at once and reset the connection, and another writer leaves odd entries. It guards against such a response, or a part of it, that
+// at once and reset the connection, and another writer adds invalid entries. It guards against such a response, or a part of it, that
 // reaches a caller as whole or becomes the text of an item.
 func TestResponsesWithInvalidHeadsReachNoCaller(t *testing.T) {
 	if testing.Short() {
@@ -175,7 +175,7 @@
 	}
 	report := playWithoutViolations(t, Options{
 		Program: buildProgram(t), Seed: 12001, Runs: 2, Duration: 10 * time.Second,
-		FaultKinds: namesOf([]faultKind{invalidHead, breakUploads, oddEntries, crashReplica, stopNode}),
+		FaultKinds: namesOf([]faultKind{invalidHead, breakUploads, invalidEntries, crashReplica, stopNode}),
 		Replicas:   6, OnlinePerSecond: 40, JobsPerSecond: 1, UploadBytes: 3_900_000, UnusedPerSecond: 2,
 	})
 	if report.Counts.OnlineServed == 0 || report.Counts.ItemsDone == 0 {
