--- a/internal/batch/item_cut_test.go
+++ b/internal/batch/item_cut_test.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -38,11 +37,7 @@
 			events := map[string]string{"": eventOne + eventTwo, "1": eventTwo, "2": ""}[request.Header.Get("Last-Event-Id")]
 			return replicatest.Stream("s", true, false, events)(connection, request)
 		}
-		cut := func(connection net.Conn, _ *http.Request) bool {
-			_, _ = io.WriteString(connection, answer)
-			return false
-		}
-		owner := startOwner(t, singleReplica(timesThen(1, cut, resumed)))
+		owner := startOwner(t, singleReplica(timesThen(1, replicatest.Closing(replicatest.Raw(answer)), resumed)))
 		defer owner.stop()
 		owner.mustSubmit(t, testSubmission("j", 1))
 		result := owner.results(t, "j", 1, 10*time.Second)[0]
--- a/internal/forward/cut_answer_test.go
+++ b/internal/forward/cut_answer_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -22,14 +20,6 @@
 	"empty body":              "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signature: s1\r\nContent-Length: 0\r\n\r\n",
 }
 
-// writeAndClose writes bytes as they are and closes the connection.
-func writeAndClose(answer string) replicatest.Script {
-	return func(connection net.Conn, _ *http.Request) bool {
-		_, _ = io.WriteString(connection, answer)
-		return false
-	}
-}
-
 // TestAnswerCutAnywhereIsNotWhole: a replica that stops at any byte of its answer and closes the connection has not answered, on a new
 // connection or one that was used before. It covers heads that stop, which must not become a 200 with an empty or short body.
 func TestAnswerCutAnywhereIsNotWhole(t *testing.T) {
@@ -50,7 +40,7 @@
 func checkCut(t *testing.T, kind route.Kind, kept bool, answer string) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		script := writeAndClose(answer)
+		script := replicatest.Closing(replicatest.Raw(answer))
 		if kept {
 			script = replicatest.Then(replicatest.Answer(http.StatusOK, replicatest.Signed, eventOne), script)
 		}
--- a/internal/forward/response_head_test.go
+++ b/internal/forward/response_head_test.go
@@ -2,43 +2,33 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"strings"
 	"testing"
-	"time"
-
 	"testing/synctest"
+	"time"
 
 	"github.com/sloelift/sloelift/internal/replica/replicatest"
 	"github.com/sloelift/sloelift/internal/route"
 )
 
-// writeResponse writes a response with the request's id and the replica's signature in the place of %s.
-func writeResponse(format string) replicatest.Script {
-	return func(connection net.Conn, request *http.Request) bool {
-		proven := "X-Id: " + request.Header.Get("X-Id") + "\r\n" + replicatest.Signed
-		_, err := io.WriteString(connection, fmt.Sprintf(format, proven))
-		return err == nil && !strings.Contains(format, "Connection: close")
-	}
-}
+// proven are the fields by which a response is the replica's answer.
+const proven = "X-Id: {id}\r\n" + replicatest.Signed
 
 // invalidHeads are responses that net/http reads and that are none.
-var invalidHeads = map[string]string{
-	"status 000":                 "HTTP/1.1 000 \r\n%sContent-Length: 4\r\n\r\nbody",
-	"status 000 with empty body": "HTTP/1.1 000 \r\n%sContent-Length: 0\r\n\r\n",
-	"status 600":                 "HTTP/1.1 600 X\r\n%sContent-Length: 0\r\n\r\n",
-	"blank in a name":            "HTTP/1.1 200 OK\r\n%sX Odd: 1\r\nContent-Length: 0\r\n\r\n",
-	"blank behind the framing":   "HTTP/1.1 200 OK\r\n%sConnection: close\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
-	"chunks in HTTP/1.0":         "HTTP/1.0 200 OK\r\n%sConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-	"continued signature":        "HTTP/1.1 200 OK\r\n%s Content-Length: 5\r\nContent-Length: 0\r\n\r\n",
+var invalidHeads = map[string]replicatest.Script{
+	"status 000":                 replicatest.Raw("HTTP/1.1 000 \r\n" + proven + "Content-Length: 4\r\n\r\nbody"),
+	"status 000 with empty body": replicatest.Raw("HTTP/1.1 000 \r\n" + proven + "Content-Length: 0\r\n\r\n"),
+	"status 600":                 replicatest.Raw("HTTP/1.1 600 X\r\n" + proven + "Content-Length: 0\r\n\r\n"),
+	"blank in a name":            replicatest.Raw("HTTP/1.1 200 OK\r\n" + proven + "X Odd: 1\r\nContent-Length: 0\r\n\r\n"),
+	"blank behind the framing":   replicatest.Closing(replicatest.Raw("HTTP/1.1 200 OK\r\n" + proven + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n")),
+	"chunks in HTTP/1.0":         replicatest.Closing(replicatest.Raw("HTTP/1.0 200 OK\r\n" + proven + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")),
+	"continued signature":        replicatest.Raw("HTTP/1.1 200 OK\r\n" + proven + " Content-Length: 5\r\nContent-Length: 0\r\n\r\n"),
 }
 
 // TestResponseWithAnInvalidHeadIsNotPassedOn: callers got such a response as the replica's answer, or waited for another behind it until
 // their deadline.
 func TestResponseWithAnInvalidHeadIsNotPassedOn(t *testing.T) {
-	for name, response := range invalidHeads {
+	for name, script := range invalidHeads {
 		for kind, want := range map[route.Kind]struct{ status, sent int }{
 			route.NotRepeatable: {http.StatusBadGateway, 1}, route.Repeatable: {http.StatusOK, 2}, route.Stream: {http.StatusOK, 2},
 		} {
@@ -48,7 +38,7 @@
 					if kind == route.Stream {
 						sound = replicatest.Stream("s", true, false, eventOne)
 					}
-					edge := newEdgeUnderTest(t, kind, kind == route.Stream, map[string]replicatest.Script{"a": writeResponse(response), "b": sound})
+					edge := newEdgeUnderTest(t, kind, kind == route.Stream, map[string]replicatest.Script{"a": script, "b": sound})
 					began := time.Now()
 					recorded, aborted := edge.call(nil)
 					if took := time.Since(began); took > time.Second {
--- a/internal/replica/replicatest/network.go
+++ b/internal/replica/replicatest/network.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 
 	"github.com/sloelift/sloelift/internal/replica"
@@ -156,6 +157,22 @@
 	}
 }
 
+// Raw writes response as it is, but for the request's id in the place of "{id}".
+func Raw(response string) Script {
+	return func(connection net.Conn, request *http.Request) bool {
+		_, err := io.WriteString(connection, strings.ReplaceAll(response, "{id}", request.Header.Get("X-Id")))
+		return err == nil
+	}
+}
+
+// Closing closes the connection after the answer of script.
+func Closing(script Script) Script {
+	return func(connection net.Conn, request *http.Request) bool {
+		script(connection, request)
+		return false
+	}
+}
+
 // Unframed writes an answer that declares neither a length nor chunks, and ends it by closing the connection.
 func Unframed(status int, body string) Script {
 	return func(connection net.Conn, request *http.Request) bool {
--- a/internal/replica/report_test.go
+++ b/internal/replica/report_test.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
-	"net/http"
 	"net/netip"
 	"testing"
 	"time"
@@ -59,10 +57,7 @@
 		"blank behind the framing": "HTTP/1.1 200 OK\r\nContent-Length : %d\r\n\r\n%s",
 	} {
 		t.Run(name, func(t *testing.T) {
-			client, handle := callWithScript(t, closing(func(connection net.Conn, _ *http.Request) bool {
-				_, err := fmt.Fprintf(connection, head, len(body), body)
-				return err == nil
-			}))
+			client, handle := callWithScript(t, replicatest.Closing(replicatest.Raw(fmt.Sprintf(head, len(body), body))))
 			report := replica.LoadReport{Path: "/load", Parse: parseBorn}
 			if err := client.PollLoad(t.Context(), handle, report); err == nil || handle.Occupancy(time.Now()) > 0 {
 				t.Errorf("the load is recorded, error %v", err)
--- a/internal/replica/response_head_test.go
+++ b/internal/replica/response_head_test.go
@@ -4,8 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
 
@@ -31,10 +29,7 @@
 	for name, test := range cases {
 		for prefixName, prefix := range map[string]string{"": "", " behind an interim response": "HTTP/1.1 102 Processing\r\n\r\n"} {
 			t.Run(name+prefixName, func(t *testing.T) {
-				client, handle := callWithScript(t, closing(func(connection net.Conn, _ *http.Request) bool {
-					_, err := io.WriteString(connection, prefix+test.response)
-					return err == nil
-				}))
+				client, handle := callWithScript(t, replicatest.Closing(replicatest.Raw(prefix+test.response)))
 				answer, err := client.Do(t.Context(), handle, callWithID("i"))
 				var body []byte
 				if err == nil {
--- a/internal/replica/unsent_request_test.go
+++ b/internal/replica/unsent_request_test.go
@@ -128,8 +128,8 @@
 		whole  bool
 	}{
 		"with a length":                  {replicatest.Answer(http.StatusRequestEntityTooLarge, replicatest.Signed, body), true},
-		"with a length, then closed":     {closing(replicatest.Answer(http.StatusRequestEntityTooLarge, replicatest.Signed, body)), true},
-		"in chunks, then closed":         {closing(replicatest.Stream("s", true, false, body)), true},
+		"with a length, then closed":     {replicatest.Closing(replicatest.Answer(http.StatusRequestEntityTooLarge, replicatest.Signed, body)), true},
+		"in chunks, then closed":         {replicatest.Closing(replicatest.Stream("s", true, false, body)), true},
 		"in chunks without the last one": {replicatest.Stream("s", false, false, body), false},
 		"unframed":                       {replicatest.Unframed(http.StatusOK, body), false},
 		"unframed failure":               {replicatest.Unframed(http.StatusRequestEntityTooLarge, body), false},
@@ -154,11 +154,3 @@
 		})
 	}
 }
-
-// closing closes the connection after the answer of script.
-func closing(script replicatest.Script) replicatest.Script {
-	return func(connection net.Conn, request *http.Request) bool {
-		script(connection, request)
-		return false
-	}
-}
