replica: the test of half-closed connections runs in virtual time

It read 8 MiB over a socket within the bound of 1 s, which a busy machine could miss. A connection in memory now takes the body after 0, 0.999 s, 1.001 s and an hour: whole in the first two cases, failed after 1 s in the others.

--- a/internal/replica/unsent_request_test.go
+++ b/internal/replica/unsent_request_test.go
@@ -1,6 +1,7 @@
 package replica_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -8,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sloelift/sloelift/internal/network"
@@ -39,9 +41,9 @@
 }
 
 // upload sends a long request to the replica at address and returns the body of the answer, with the error that ended it.
-func upload(t *testing.T, address netip.AddrPort) (string, error) {
+func upload(t *testing.T, via network.Network, address netip.AddrPort) (string, error) {
 	t.Helper()
-	client := replica.NewClient(network.System{}, replicatest.Headers)
+	client := replica.NewClient(via, replicatest.Headers)
 	call := callWithID("i")
 	call.Body = []byte(strings.Repeat("u", 8<<20))
 	answer, err := client.Do(t.Context(), replica.NewHandle(replica.Info{ID: "a", Service: "s", Address: address, Slots: 1}), call)
@@ -68,53 +70,69 @@
 		_ = connection.SetLinger(0)
 	})
 	for range plays {
-		if body, err := upload(t, address); err == nil {
+		if body, err := upload(t, network.System{}, address); err == nil {
 			t.Fatalf("%q is a complete answer", body)
 		}
 	}
 }
 
+// halfClosed is a connection whose other side has answered and closed its direction. It takes bodies of requests after a time.
+type halfClosed struct {
+	net.Conn
+	answer io.Reader
+	takes  time.Duration
+	closed chan struct{}
+}
+
+func (c *halfClosed) Read(target []byte) (int, error) { return c.answer.Read(target) }
+
+func (c *halfClosed) Write(written []byte) (int, error) {
+	if strings.HasPrefix(string(written), http.MethodPost) {
+		return len(written), nil
+	}
+	select {
+	case <-time.After(c.takes):
+		return len(written), nil
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+func (c *halfClosed) Close() error {
+	close(c.closed)
+	return nil
+}
+
+// halfClosedNetwork dials one connection.
+type halfClosedNetwork struct {
+	network.Network
+	connection net.Conn
+}
+
+func (n halfClosedNetwork) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	return n.connection, nil
+}
+
 // TestEndOfAnAnswerBeforeThatOfItsRequest covers replicas that close only their side of the connection while the request is being sent:
-// the answer is whole if the replica takes the rest of the request, and otherwise fails within a bounded time.
+// the answer is whole if the replica soon takes the rest of the request, and otherwise fails within a bounded time.
 func TestEndOfAnAnswerBeforeThatOfItsRequest(t *testing.T) {
-	for name, test := range map[string]struct {
-		readsOn bool
-		within  time.Duration
-	}{
-		"the replica reads on":   {true, 20 * time.Second},
-		"the replica reads none": {false, 10 * time.Second},
-	} {
-		t.Run(name, func(t *testing.T) {
-			ended := make(chan struct{})
-			defer close(ended)
-			address := serveConnections(t, func(connection *net.TCPConn) {
-				_, _ = io.WriteString(connection, unframedHead+"whole")
-				_ = connection.CloseWrite()
-				if test.readsOn {
-					_, _ = io.Copy(io.Discard, connection)
+	const bound = time.Second
+	for takes, whole := range map[time.Duration]bool{0: true, bound - time.Millisecond: true, bound + time.Millisecond: false, time.Hour: false} {
+		t.Run(takes.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				connection := &halfClosed{answer: strings.NewReader(unframedHead + "whole"), takes: takes, closed: make(chan struct{})}
+				began := time.Now()
+				body, err := upload(t, halfClosedNetwork{connection: connection}, netip.AddrPort{})
+				if took := time.Since(began); took > bound {
+					t.Errorf("the answer ends after %s", took)
 				}
-				<-ended
-			})
-			type result struct {
-				body string
-				err  error
-			}
-			results := make(chan result, 1)
-			go func() {
-				body, err := upload(t, address)
-				results <- result{body, err}
-			}()
-			select {
-			case got := <-results:
-				if (got.err == nil) != test.readsOn || test.readsOn && got.body != "whole" {
-					t.Errorf("the answer is %q with error %v", got.body, got.err)
+				if (err == nil) != whole || whole && body != "whole" {
+					t.Errorf("the answer is %q with error %v", body, err)
 				}
-				if errors.Is(got.err, replica.ErrNotSent) {
-					t.Errorf("error %v says that the request has not run", got.err)
+				if errors.Is(err, replica.ErrNotSent) {
+					t.Errorf("error %v says that the request has not run", err)
 				}
-			case <-time.After(test.within):
-				t.Error("the answer does not end")
-			}
+			})
 		})
 	}
 }
