--- a/internal/batch/item_unsent_test.go
+++ b/internal/batch/item_unsent_test.go
@@ -14,7 +14,7 @@
 // shows that the text is whole, unless its connection ended while the item was still being sent.
 func TestItemIsNotDoneByAnswersThatEndBeforeItsRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		early := replicatest.Then(replicatest.Unframed(200, eventOne), replicatest.Unframed(200, ""))
+		early := replicatest.Then(replicatest.CloseDelimited(200, eventOne), replicatest.CloseDelimited(200, ""))
 		sound := replicatest.AfterBody(replicatest.Stream("s", true, false, eventTwo))
 		owner := startOwner(t, singleReplica(timesThen(2, early, sound)))
 		owner.replicas.AnswersEarly = true
--- a/internal/forward/unsent_request_test.go
+++ b/internal/forward/unsent_request_test.go
@@ -24,23 +24,33 @@
 		aborted     bool
 		sent        int
 	}{
-		"may run once only":  {route.NotRepeatable, replicatest.Unframed(200, "part"), sound, http.StatusBadGateway, "given_up\n", false, 1},
-		"may be repeated":    {route.Repeatable, replicatest.Unframed(200, "part"), sound, http.StatusOK, "whole", false, 2},
-		"failure":            {route.NotRepeatable, replicatest.Unframed(413, "part"), sound, http.StatusBadGateway, "given_up\n", false, 1},
-		"begun to be passed": {route.Repeatable, replicatest.Unframed(200, long), sound, http.StatusOK, long, true, 1},
+		"may run once only":  {route.NotRepeatable, replicatest.CloseDelimited(200, "part"), sound, http.StatusBadGateway, "given_up\n", false, 1},
+		"may be repeated":    {route.Repeatable, replicatest.CloseDelimited(200, "part"), sound, http.StatusOK, "whole", false, 2},
+		"failure":            {route.NotRepeatable, replicatest.CloseDelimited(413, "part"), sound, http.StatusBadGateway, "given_up\n", false, 1},
+		"begun to be passed": {route.Repeatable, replicatest.CloseDelimited(200, long), sound, http.StatusOK, long, true, 1},
 		"resumable stream": {
-			route.Stream, replicatest.Unframed(200, eventOne), replicatest.Stream("s", true, false, eventTwo), http.StatusOK, eventOne + eventTwo, false, 2,
+			route.Stream, replicatest.CloseDelimited(200, eventOne), replicatest.Stream("s", true, false, eventTwo), http.StatusOK, eventOne + eventTwo, false, 2,
+		},
+		"stream that may not be resumed": {route.Stream, replicatest.CloseDelimited(200, eventOne), sound, http.StatusOK, eventOne, true, 1},
+		"long, after the request": {
+			route.NotRepeatable, replicatest.AfterBody(replicatest.CloseDelimited(200, long)), sound, http.StatusOK, long, false, 1,
+		},
+		"refusal": {
+			route.NotRepeatable, replicatest.Closing(replicatest.Raw("HTTP/1.1 503 X\r\nX-Not-Run: 1\r\n\r\nfull")), sound, http.StatusOK, "whole", false, 2,
+		},
+		"refusal of another instance": {
+			route.NotRepeatable, replicatest.Closing(replicatest.Raw("HTTP/1.1 421 X\r\n" + anotherInstance + "\r\n")), sound, http.StatusOK, "whole", false, 2,
 		},
 		"length declared": {
 			route.NotRepeatable, replicatest.Answer(413, replicatest.Signed, "too large"), sound, http.StatusRequestEntityTooLarge, "too large", false, 1,
 		},
 		"after the request": {
-			route.NotRepeatable, replicatest.AfterBody(replicatest.Unframed(200, "whole")), sound, http.StatusOK, "whole", false, 1,
+			route.NotRepeatable, replicatest.AfterBody(replicatest.CloseDelimited(200, "whole")), sound, http.StatusOK, "whole", false, 1,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				edge := newEdgeUnderTest(t, test.kind, test.kind == route.Stream, map[string]replicatest.Script{
+				edge := newEdgeUnderTest(t, test.kind, name == "resumable stream", map[string]replicatest.Script{
 					"a": test.first, "b": replicatest.AfterBody(test.next),
 				})
 				edge.replicas.AnswersEarly = true
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -151,7 +151,7 @@
 		Body:   response.Body,
 	}
 	if !answer.Framed {
-		answer.Body = &unframedBody{Reader: response.Body, request: written}
+		answer.Body = &closeDelimitedBody{Reader: response.Body, request: written}
 	}
 	answer.finish = func(whole bool) {
 		reusable := stopWatching() && whole && found.identified && keep > 0 && written.done() && used.reader.Buffered() == 0
--- a/internal/replica/replicatest/network.go
+++ b/internal/replica/replicatest/network.go
@@ -173,8 +173,8 @@
 	}
 }
 
-// Unframed writes an answer that declares neither a length nor chunks, and ends it by closing the connection.
-func Unframed(status int, body string) Script {
+// CloseDelimited writes an answer that declares neither a length nor chunks, and ends it by closing the connection.
+func CloseDelimited(status int, body string) Script {
 	return func(connection net.Conn, request *http.Request) bool {
 		_, _ = fmt.Fprintf(connection, "HTTP/1.1 %d X\r\nX-Id: %s\r\n%s\r\n%s", status, request.Header.Get("X-Id"), Signed, body)
 		return false
--- a/internal/replica/unsent_request_test.go
+++ b/internal/replica/unsent_request_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,15 +56,15 @@
 	return string(body), err
 }
 
-// unframedHead is the head of an answer to the request "i" whose end is that of its connection.
-const unframedHead = "HTTP/1.1 200 OK\r\nX-Id: i\r\n" + replicatest.Signed + "\r\n"
+// closeDelimitedHead is the head of an answer to the request "i" whose end is that of its connection.
+const closeDelimitedHead = "HTTP/1.1 200 OK\r\nX-Id: i\r\n" + replicatest.Signed + "\r\n"
 
 // TestResetDuringTheRequestIsNoEndOfTheAnswer: a replica that answered a long request at once and then reset the connection was taken to
 // have answered in full. The kernel reports a reset to one of reader and writer, and the other reads the end of the stream.
 func TestResetDuringTheRequestIsNoEndOfTheAnswer(t *testing.T) {
 	const plays = 40
 	address := serveConnections(t, func(connection *net.TCPConn) {
-		_, _ = io.WriteString(connection, unframedHead+"part")
+		_, _ = io.WriteString(connection, closeDelimitedHead+"part")
 		// The replica reads on for a moment, so that the client is writing when the connection is reset.
 		_ = connection.SetReadDeadline(time.Now().Add(500 * time.Microsecond))
 		_, _ = io.Copy(io.Discard, connection)
@@ -76,57 +77,82 @@
 	}
 }
 
-// halfClosed is a connection whose other side has answered and closed its direction. It takes bodies of requests after a time.
-type halfClosed struct {
+// endedConn is a connection on which an answer ends, as by an orderly close, at endsAfter, while the body of the request is taken until
+// takes and the write then returns writeError. Both times count from the first read and write.
+type endedConn struct {
 	net.Conn
-	answer io.Reader
-	takes  time.Duration
-	closed chan struct{}
+	answer           io.Reader
+	endsAfter, takes time.Duration
+	writeError       error
+	closed           chan struct{}
 }
 
-func (c *halfClosed) Read(target []byte) (int, error) { return c.answer.Read(target) }
+func (c *endedConn) Read(target []byte) (int, error) {
+	count, err := c.answer.Read(target)
+	if err != nil {
+		time.Sleep(c.endsAfter)
+	}
+	return count, err
+}
 
-func (c *halfClosed) Write(written []byte) (int, error) {
+func (c *endedConn) Write(written []byte) (int, error) {
 	if strings.HasPrefix(string(written), http.MethodPost) {
 		return len(written), nil
 	}
 	select {
 	case <-time.After(c.takes):
-		return len(written), nil
+		return len(written), c.writeError
 	case <-c.closed:
 		return 0, net.ErrClosed
 	}
 }
 
-func (c *halfClosed) Close() error {
+func (c *endedConn) Close() error {
 	close(c.closed)
 	return nil
 }
 
-// halfClosedNetwork dials one connection.
-type halfClosedNetwork struct {
+// singleConnection is a network that dials one connection.
+type singleConnection struct {
 	network.Network
 	connection net.Conn
 }
 
-func (n halfClosedNetwork) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
+func (n singleConnection) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
 	return n.connection, nil
 }
 
-// TestEndOfAnAnswerBeforeThatOfItsRequest covers replicas that close only their side of the connection while the request is being sent:
-// the answer is whole if the replica soon takes the rest of the request, and otherwise fails within a bounded time.
-func TestEndOfAnAnswerBeforeThatOfItsRequest(t *testing.T) {
+// TestEndOfAnAnswerBesideThatOfItsRequest forces the orders in which an answer and the write of its request end: the answer is whole if the
+// replica soon takes the rest of the request, and otherwise fails within a bounded time.
+func TestEndOfAnAnswerBesideThatOfItsRequest(t *testing.T) {
 	const bound = time.Second
-	for takes, whole := range map[time.Duration]bool{0: true, bound - time.Millisecond: true, bound + time.Millisecond: false, time.Hour: false} {
-		t.Run(takes.String(), func(t *testing.T) {
+	for name, test := range map[string]struct {
+		endsAfter, takes time.Duration
+		writeError       error
+		whole            bool
+	}{
+		"request written before":            {time.Millisecond, 0, nil, true},
+		"request written behind":            {0, bound - time.Millisecond, nil, true},
+		"request written too late":          {0, bound + time.Millisecond, nil, false},
+		"request never written":             {0, time.Hour, nil, false},
+		"write reset before the end":        {time.Millisecond, 0, syscall.ECONNRESET, false},
+		"write reset behind the end":        {0, time.Millisecond, syscall.ECONNRESET, false},
+		"write reset long behind the end":   {0, bound - time.Millisecond, syscall.ECONNRESET, false},
+		"pipe broken before the end":        {time.Millisecond, 0, syscall.EPIPE, false},
+		"write timed out behind the answer": {0, time.Millisecond, syscall.ETIMEDOUT, false},
+	} {
+		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				connection := &halfClosed{answer: strings.NewReader(unframedHead + "whole"), takes: takes, closed: make(chan struct{})}
+				connection := &endedConn{
+					answer: strings.NewReader(closeDelimitedHead + "whole"), endsAfter: test.endsAfter, takes: test.takes, writeError: test.writeError,
+					closed: make(chan struct{}),
+				}
 				began := time.Now()
-				body, err := upload(t, halfClosedNetwork{connection: connection}, netip.AddrPort{})
-				if took := time.Since(began); took > bound {
+				body, err := upload(t, singleConnection{connection: connection}, netip.AddrPort{})
+				if took := time.Since(began); took > bound+test.endsAfter {
 					t.Errorf("the answer ends after %s", took)
 				}
-				if (err == nil) != whole || whole && body != "whole" {
+				if (err == nil) != test.whole || test.whole && body != "whole" {
 					t.Errorf("the answer is %q with error %v", body, err)
 				}
 				if errors.Is(err, replica.ErrNotSent) {
@@ -145,13 +171,13 @@
 		script replicatest.Script
 		whole  bool
 	}{
-		"with a length":                  {replicatest.Answer(http.StatusRequestEntityTooLarge, replicatest.Signed, body), true},
-		"with a length, then closed":     {replicatest.Closing(replicatest.Answer(http.StatusRequestEntityTooLarge, replicatest.Signed, body)), true},
-		"in chunks, then closed":         {replicatest.Closing(replicatest.Stream("s", true, false, body)), true},
-		"in chunks without the last one": {replicatest.Stream("s", false, false, body), false},
-		"unframed":                       {replicatest.Unframed(http.StatusOK, body), false},
-		"unframed failure":               {replicatest.Unframed(http.StatusRequestEntityTooLarge, body), false},
-		"unframed after the request":     {replicatest.AfterBody(replicatest.Unframed(http.StatusOK, body)), true},
+		"with a length":                     {replicatest.Answer(http.StatusRequestEntityTooLarge, replicatest.Signed, body), true},
+		"with a length, then closed":        {replicatest.Closing(replicatest.Answer(http.StatusRequestEntityTooLarge, replicatest.Signed, body)), true},
+		"in chunks, then closed":            {replicatest.Closing(replicatest.Stream("s", true, false, body)), true},
+		"in chunks without the last one":    {replicatest.Stream("s", false, false, body), false},
+		"close-delimited":                   {replicatest.CloseDelimited(http.StatusOK, body), false},
+		"close-delimited failure":           {replicatest.CloseDelimited(http.StatusRequestEntityTooLarge, body), false},
+		"close-delimited after the request": {replicatest.AfterBody(replicatest.CloseDelimited(http.StatusOK, body)), true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := netip.MustParseAddrPort("127.0.0.1:1000")
